Agree on the messages and the types between the parts

Cause: three lanes of work (the request path, control, the decisions under load) need fixed meeting points before they can go on side by side. Ruled out: a generator for Thrift (not to be had from the package index).

--- /dev/null
+++ b/bitterntiller/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The two programs: the daemon and the command-line tool."""
--- /dev/null
+++ b/bitterntiller/components/__init__.py
@@ -0,0 +1,1 @@
+"""The parts of the daemon, one package each, all with the same rooms."""
--- /dev/null
+++ b/bitterntiller/components/config/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration of services, workspaces and tiers: its schema and meaning."""
--- /dev/null
+++ b/bitterntiller/components/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""The owner of a pool: its queue, its upstreams, its grants."""
--- /dev/null
+++ b/bitterntiller/components/dispatch/models.py
@@ -0,0 +1,172 @@
+"""What the owner of a pool knows, hears and decides; no I/O, times in seconds."""
+
+from typing import NamedTuple, Protocol
+
+
+class WaitingRequest(NamedTuple):
+    """A request that waits for an upstream; its body stays at the entry host.
+
+    deadline and arrived are points in time of the owner's clock, in seconds.
+    Token counts are the entry host's estimates. prefix_hashes name the prompt's
+    growing prefixes, shortest first. tried are upstreams that did not admit it.
+    """
+
+    request_id: str
+    workspace: str
+    tier: str
+    tier_rank: int
+    prompt_tokens: int
+    output_tokens: int
+    arrived: float
+    deadline: float
+    entry_host: str
+    prefix_hashes: tuple[int, ...] = ()
+    tried: tuple[str, ...] = ()
+    upstream_names: frozenset[str] | None = None
+
+
+class UpstreamLoad(NamedTuple):
+    """A load report of an upstream; measured_at is on the owner's clock."""
+
+    running: int
+    waiting: int
+    kv_tokens: int
+    measured_at: float
+
+
+class CacheChange(NamedTuple):
+    """One cache event of an upstream, late and perhaps with gaps before it."""
+
+    sequence: int
+    stored: bool
+    prefix_hash: int
+
+
+class UpstreamState(NamedTuple):
+    """What an upstream says of itself in an announcement."""
+
+    name: str
+    address: str
+    incarnation: int
+    sequence: int
+    leaving: bool
+    labels: dict[str, str]
+    slots: int
+    kv_tokens: int
+    load: UpstreamLoad | None = None
+    cache_changes: tuple[CacheChange, ...] = ()
+
+
+class WorkspaceLimits(NamedTuple):
+    """The limits of a workspace, from its labels; None is without limit.
+
+    rate is in requests a second.
+    """
+
+    share: float = 1.0
+    concurrency: int | None = None
+    rate: float | None = None
+
+
+class Granted(NamedTuple):
+    """Decision: the entry host may send the request to the upstream now."""
+
+    request_id: str
+    entry_host: str
+    upstream: str
+    address: str
+    incarnation: int
+
+
+class Refused(NamedTuple):
+    """Decision: the request is given up; retry_after is in seconds."""
+
+    request_id: str
+    entry_host: str
+    reason: str
+    retry_after: float
+
+
+Decision = Granted | Refused
+
+
+class Completion(NamedTuple):
+    """How a granted request ended, as its entry host tells; times in seconds."""
+
+    request_id: str
+    upstream: str
+    outcome: str
+    output_tokens: int
+    cached_tokens: int | None
+    first_token: float | None
+    total: float
+    in_time: bool
+
+
+class Scheduler(Protocol):
+    """Decides for one pool.
+
+    Every call takes the present time in seconds and returns the decisions that
+    follow from it, in order. A request gets one Granted, unless the grant is
+    returned, or one Refused.
+    """
+
+    def register(self, request: WaitingRequest, now: float) -> list[Decision]:
+        """Take a request into the queue."""
+        ...
+
+    def cancel(self, request_id: str, now: float) -> list[Decision]:
+        """Forget a request whose caller has gone, waiting or running."""
+        ...
+
+    def started(self, request_id: str, now: float) -> list[Decision]:
+        """Note that the entry host began to send under its grant."""
+        ...
+
+    def returned(
+        self, request_id: str, reason: str, waiting: bool, now: float
+    ) -> list[Decision]:
+        """Take back an unused grant; the request had not run.
+
+        reason is expired, refused-connection, not-admitted or lease. When
+        waiting is true the request goes back to its old place in the queue.
+        """
+        ...
+
+    def progress(
+        self, request_id: str, output_tokens: int, now: float
+    ) -> list[Decision]:
+        """Note how many output tokens a running request has got so far."""
+        ...
+
+    def finished(self, completion: Completion, now: float) -> list[Decision]:
+        """Note the end of a running request."""
+        ...
+
+    def adopt_running(
+        self, request: WaitingRequest, upstream: str, output_tokens: int, now: float
+    ) -> list[Decision]:
+        """Count a request that was granted by an earlier owner and runs."""
+        ...
+
+    def announce(self, state: UpstreamState, now: float) -> tuple[bool, list[Decision]]:
+        """Take an announcement; False for one older than what is known."""
+        ...
+
+    def set_limits(
+        self, limits_by_workspace: dict[str, WorkspaceLimits], now: float
+    ) -> list[Decision]:
+        """Put new limits of workspaces in force."""
+        ...
+
+    def tick(self, now: float) -> list[Decision]:
+        """Do what time alone brings: lateness, silence, lapsed grants."""
+        ...
+
+    def next_wake(self, now: float) -> float:
+        """Return the time at which tick() is due, if nothing happens before."""
+        ...
+
+    def describe(self, now: float) -> dict[str, object]:
+        """Return the owner's view for the dump."""
+        ...
--- /dev/null
+++ b/bitterntiller/core/interfaces.py
@@ -0,0 +1,142 @@
+"""The types at which the parts of a process meet."""
+
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any, NamedTuple, Protocol
+
+MessageHandler = Callable[[str, Any], Awaitable[Any]]
+"""Takes the name of the sending host and a message; may return the reply."""
+
+
+class Links(Protocol):
+    """Messages to other hosts, and to this one without a socket."""
+
+    def handle(self, cls: type, handler: MessageHandler) -> Callable[[], None]:
+        """Have a handler called for each message of a type; return the removal."""
+        ...
+
+    async def async_send(self, address: str, message: Any) -> bool:
+        """Send without a reply; False when it certainly did not leave."""
+        ...
+
+    async def async_call(self, address: str, message: Any, timeout: float) -> Any:
+        """Send and return the reply.
+
+        Raise LinkError when the peer can't be reached or does not answer in
+        timeout seconds; whether it got the message is then not known.
+        """
+        ...
+
+
+class Ownership(NamedTuple):
+    """Who owns a pool: the host's name and internal address, and the epoch."""
+
+    host: str
+    address: str
+    epoch: int
+
+
+class Lease(Protocol):
+    """The configuration lease of this node, asked at the moment of use."""
+
+    def valid(self) -> bool:
+        """Tell whether the node may take and send work now."""
+        ...
+
+
+class ConfigView(Protocol):
+    """The newest configuration in force on this node."""
+
+    @property
+    def version(self) -> int:
+        """The version in force, 0 before the first."""
+        ...
+
+    @property
+    def config(self) -> "Any":
+        """The parsed configuration, a components.config.models.Config."""
+        ...
+
+
+class DirectoryView(Protocol):
+    """The hosts and the owners of pools, as last heard from control."""
+
+    def owner(self, pool: str) -> Ownership | None:
+        """Return the owner of a pool, None when nobody has it."""
+        ...
+
+
+class StateMachine(Protocol):
+    """What a replicated log drives; deterministic, free of I/O and clocks."""
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Apply a committed command and return its result."""
+        ...
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        ...
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by one that snapshot() returned."""
+        ...
+
+
+class ProposalResult(NamedTuple):
+    """How a proposal ended.
+
+    status is committed (result is what apply returned), not-leader (certainly
+    not in the log of this leader), or unknown (leadership was lost or time ran
+    out after the command had been appended).
+    """
+
+    status: str
+    result: bytes
+    leader: str
+
+
+class ReplicatedLog(Protocol):
+    """A log of commands in the same order on all replicas."""
+
+    async def async_propose(self, command: bytes, timeout: float) -> ProposalResult:
+        """Append a command and wait until it is committed and applied."""
+        ...
+
+    async def async_confirm(self, timeout: float) -> int | None:
+        """Confirm leadership with a quorum.
+
+        Return the commit index as it was when the confirmation began, once it
+        is applied; None when this replica is not a leader confirmed in time.
+        """
+        ...
+
+    def is_leader(self) -> bool:
+        """Tell whether this replica leads, as far as it knows."""
+        ...
+
+    def leader(self) -> str:
+        """Return the internal address of the leader, empty when not known."""
+        ...
+
+    def status(self) -> Mapping[str, Any]:
+        """Return term, leader, members, indexes and lags, for the dump."""
+        ...
+
+
+class Metrics(Protocol):
+    """Counters and timers, sent on by statsd and kept for the dump."""
+
+    def count(self, name: str, by: int = 1) -> None:
+        """Add to a counter."""
+        ...
+
+    def timing(self, name: str, seconds: float) -> None:
+        """Note a duration in seconds."""
+        ...
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        ...
+
+
+Diagnostics = Callable[[], Mapping[str, Any]]
+"""A component's share of the dump of a process's state, secrets left out."""
--- /dev/null
+++ b/bitterntiller/core/outcomes.py
@@ -0,0 +1,59 @@
+"""How requests end: values with codes, carried to the caller in X-Outcome."""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+
+class Outcome(StrEnum):
+    """What is known about the running of a request."""
+
+    DONE = "done"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    FAILED = "failed"
+
+
+class Reason(StrEnum):
+    """Why a request ended as it did; the code in the JSON body of a refusal."""
+
+    UNAUTHORIZED = "unauthorized"
+    NO_SUCH_SERVICE = "no-such-service"
+    NOT_ALLOWED = "not-allowed"
+    BAD_REQUEST = "bad-request"
+    BODY_TOO_LARGE = "body-too-large"
+    HEAD_TOO_LARGE = "head-too-large"
+    SLOW_CALLER = "slow-caller"
+    TOO_MANY_CONNECTIONS = "too-many-connections"
+    HOST_FULL = "host-full"
+    NO_LEASE = "no-lease"
+    DRAINING = "draining"
+    NO_OWNER = "no-owner"
+    NO_UPSTREAM = "no-upstream"
+    QUEUE_FULL = "queue-full"
+    SHED = "shed"
+    TOO_LATE = "too-late"
+    RATE_LIMIT = "rate-limit"
+    CONCURRENCY_LIMIT = "concurrency-limit"
+    NOT_ADMITTED = "not-admitted"
+    CLAIM_RUNNING = "claim-running"
+    CLAIM_MISMATCH = "claim-mismatch"
+    CLAIM_UNAVAILABLE = "claim-unavailable"
+    CLAIM_ORPHANED = "claim-orphaned"
+    UPSTREAM_RESET = "upstream-reset"
+    UPSTREAM_TIMEOUT = "upstream-timeout"
+    UPSTREAM_PROTOCOL = "upstream-protocol"
+    CALLER_GONE = "caller-gone"
+
+
+class Ending(NamedTuple):
+    """The end of a request that has no answer of an upstream to relay.
+
+    status is the HTTP status; retry_after is in seconds, or None where coming
+    back would change nothing.
+    """
+
+    outcome: Outcome
+    reason: Reason
+    status: int
+    retry_after: float | None = None
+    detail: str = ""
--- /dev/null
+++ b/bitterntiller/protocol/messages.thrift
@@ -0,0 +1,286 @@
+/*
+ * Messages between the processes of bitterntiller.
+ *
+ * Every message travels in one Frame, length-prefixed by four bytes, over the one
+ * TCP connection of a pair of hosts. Times are durations in milliseconds, never
+ * points in time, because the clocks of two hosts have nothing in common.
+ * A field is never renumbered; a removed one leaves its number unused.
+ */
+
+struct Frame {
+    1: required i16 kind,          // MessageKind
+    2: required i64 call,          // 0: no reply is awaited
+    3: required bool reply,        // true: answers the call of that number
+    4: required binary body,       // the message of that kind
+}
+
+enum MessageKind {
+    HELLO = 1, CHALLENGE = 2, HELLO_REPLY = 3, FAULT = 4,
+    REGISTER = 10, GRANT = 11, REFUSAL = 12, CANCEL = 13, STARTED = 14,
+    PROGRESS = 15, FINISHED = 16, RETURNED = 17, REREGISTER = 18,
+    ANNOUNCE = 20, ANNOUNCE_REPLY = 21,
+    HEARTBEAT = 30, HEARTBEAT_REPLY = 31, GET_CONFIG = 32, CONFIG_REPLY = 33,
+    CHANGE = 34, CHANGE_REPLY = 35, CLAIM = 36, CLAIM_REPLY = 37,
+    CONTROL_STATUS = 38, CONTROL_STATUS_REPLY = 39, REPAIR = 40, REPAIR_REPLY = 41,
+    RELEASE_POOLS = 42, RELEASE_POOLS_REPLY = 43,
+    ORDER = 44, ORDER_REPLY = 45,
+    PRE_VOTE = 50, PRE_VOTE_REPLY = 51, VOTE = 52, VOTE_REPLY = 53,
+    APPEND = 54, APPEND_REPLY = 55, SNAPSHOT_PIECE = 56, SNAPSHOT_REPLY = 57,
+    JOIN = 58, JOIN_REPLY = 59,
+}
+
+/* ---- links ---- */
+
+struct Challenge { 1: required binary nonce }
+
+struct Hello {
+    1: required string host,
+    2: required string incarnation,   // new at every start of the process
+    3: required binary proof,         // HMAC-SHA256 of the nonce and the host name
+}
+
+struct HelloReply { 1: required string host, 2: required string incarnation }
+
+struct Fault { 1: required i32 code, 2: required string text }
+
+/* ---- entry host to pool owner, and back ---- */
+
+struct Register {
+    1: required string request_id,
+    2: required string pool,
+    3: required string workspace,
+    4: required string tier,
+    5: required i32 prompt_tokens,        // estimate
+    6: required i32 output_tokens,        // estimate
+    7: required i32 deadline_in_ms,       // what is left of it
+    8: required list<i64> prefix_hashes,  // of growing prompt prefixes, shortest first
+    9: required string entry_host,
+    10: required i32 waited_ms,
+    11: required list<string> tried,      // upstreams proved not to have run it
+}
+
+struct Grant {
+    1: required string request_id,
+    2: required string pool,
+    3: required i64 epoch,                // of the pool's ownership
+    4: required string upstream,
+    5: required string address,           // IP:port
+    6: required string upstream_incarnation,
+    7: required i32 valid_ms,             // counted from the arrival of the grant
+}
+
+struct Refusal {
+    1: required string request_id,
+    2: required string pool,
+    3: required string reason,
+    4: required i32 retry_after_ms,
+}
+
+struct Cancel { 1: required string request_id, 2: required string pool }
+
+struct Started { 1: required string request_id, 2: required string pool, 3: required string upstream }
+
+struct ProgressItem { 1: required string request_id, 2: required i32 output_tokens }
+
+struct Progress { 1: required string pool, 2: required list<ProgressItem> items }
+
+struct Finished {
+    1: required string request_id,
+    2: required string pool,
+    3: required string upstream,
+    4: required string outcome,
+    5: required i32 output_tokens,
+    6: required i32 cached_tokens,       // -1: the upstream did not say
+    7: required i32 first_token_ms,      // -1: none came
+    8: required i32 total_ms,
+    9: required bool in_time,
+}
+
+/* A grant that was not used: the request had not run. */
+struct Returned {
+    1: required string request_id,
+    2: required string pool,
+    3: required string upstream,
+    4: required string reason,           // expired, refused-connection, not-admitted, lease
+    5: required bool still_waiting,
+}
+
+struct RunningItem { 1: required Register request, 2: required string upstream, 3: required i32 output_tokens }
+
+/* All that an entry host has with a pool, told to a new owner. */
+struct Reregister {
+    1: required string pool,
+    2: required i64 epoch,
+    3: required string entry_host,
+    4: required list<Register> waiting,
+    5: required list<RunningItem> running,
+}
+
+/* ---- upstreams ---- */
+
+struct Load {
+    1: required i32 running,
+    2: required i32 waiting,
+    3: required i32 kv_tokens,
+    4: required i32 age_ms,
+}
+
+struct CacheEvent { 1: required i64 sequence, 2: required bool stored, 3: required i64 prefix_hash }
+
+struct Announce {
+    1: required string name,
+    2: required string pool,             // the name of its service
+    3: required string address,          // IP:port
+    4: required i64 incarnation,
+    5: required i64 sequence,
+    6: required string state,            // ready, leaving
+    7: required map<string, string> labels,
+    8: required i32 slots,
+    9: required i32 kv_tokens,
+    10: optional Load load,
+    11: required list<CacheEvent> cache_events,
+}
+
+struct AnnounceReply { 1: required string status }   // accepted, stale, no-owner
+
+/* ---- nodes and control ---- */
+
+struct PoolOwner { 1: required string pool, 2: required string host, 3: required i64 epoch }
+
+struct HostEntry {
+    1: required string host,
+    2: required string address,          // internal port, IP:port
+    3: required string zone,
+    4: required string incarnation,
+}
+
+struct Heartbeat {
+    1: required string host,
+    2: required string incarnation,
+    3: required string address,
+    4: required string zone,
+    5: required list<string> roles,
+    6: required i64 config_version,      // newest version in force on the node
+    7: required i64 directory_version,   // newest directory the node holds
+    8: required bool draining,
+}
+
+struct ConfigChange { 1: required i64 version, 2: required binary patch }  // JSON merge patch
+
+/* The hosts and the owners of pools, whole when the node's copy is old. */
+struct Directory {
+    1: required i64 version,
+    2: required list<HostEntry> hosts,
+    3: required list<PoolOwner> owners,
+}
+
+struct HeartbeatReply {
+    1: required string status,           // granted, not-leader, unknown-host
+    2: required string leader,           // address of the leader, if known
+    3: required i32 lease_ms,            // counted from the sending of the heartbeat
+    4: required i64 config_version,
+    5: optional list<ConfigChange> changes,
+    6: optional binary config,           // whole, when the node is far behind
+    7: optional Directory directory,
+    8: required i64 term,
+}
+
+struct GetConfig { 1: required bool unused }
+
+struct ConfigReply { 1: required string status, 2: required i64 version, 3: required binary config }
+
+struct Change {
+    1: required string change_id,
+    2: required i64 base_version,
+    3: required binary config,
+}
+
+struct ChangeReply {
+    1: required string status,     // accepted, conflict, invalid, unknown, not-leader, expired-id
+    2: required i64 version,
+    3: required string text,
+    4: required string leader,
+}
+
+struct Claim {
+    1: required string action,     // take, finish, void, find
+    2: required string workspace,
+    3: required string key,
+    4: required string digest,
+    5: required string host,
+    6: required string incarnation,
+    7: required string upstream,
+    8: required string request_id,
+    9: required string outcome,
+    10: required i32 http_status,
+    11: required string address,
+}
+
+struct ClaimReply {
+    1: required string status,     // taken, running, finished, orphaned, mismatch, voided, full, unknown, not-leader
+    2: required string leader,
+    3: required string host,
+    4: required string upstream,
+    5: required string request_id,
+    6: required string outcome,
+    7: required i32 http_status,
+    8: required string address,
+}
+
+struct ControlStatus { 1: required bool unused }
+
+struct ControlStatusReply { 1: required string status, 2: required string leader, 3: required binary document }
+
+struct Repair { 1: required string remove, 2: required string add, 3: required string address }
+
+struct RepairReply { 1: required string status, 2: required string text, 3: required string leader }
+
+struct ReleasePools { 1: required string host, 2: required string incarnation, 3: required list<string> pools }
+
+struct ReleasePoolsReply { 1: required string status, 2: required string leader }
+
+/* ---- orders to upstreams ---- */
+
+struct Order {
+    1: required string upstream,
+    2: required string kind,        // load, unload, role
+    3: required string argument,
+    4: required i64 fence,
+    5: required string order_id,
+}
+
+struct OrderReply { 1: required string status, 2: required string text }
+
+/* ---- replicated log ---- */
+
+struct Entry { 1: required i64 index, 2: required i64 term, 3: required i16 kind, 4: required binary data }
+
+struct PreVote {
+    1: required i64 term, 2: required string candidate, 3: required i64 last_index, 4: required i64 last_term,
+}
+struct PreVoteReply { 1: required i64 term, 2: required string voter, 3: required bool granted }
+
+struct Vote {
+    1: required i64 term, 2: required string candidate, 3: required i64 last_index, 4: required i64 last_term,
+}
+struct VoteReply { 1: required i64 term, 2: required string voter, 3: required bool granted }
+
+struct Append {
+    1: required i64 term, 2: required string leader, 3: required i64 prev_index, 4: required i64 prev_term,
+    5: required list<Entry> entries, 6: required i64 commit, 7: required i64 round,
+}
+struct AppendReply {
+    1: required i64 term, 2: required string follower, 3: required bool matched, 4: required i64 match_index,
+    5: required i64 hint_index, 6: required i64 round,
+}
+
+struct SnapshotPiece {
+    1: required i64 term, 2: required string leader, 3: required i64 last_index, 4: required i64 last_term,
+    5: required i64 offset, 6: required binary data, 7: required bool done, 8: required binary members, 9: required i64 round,
+}
+struct SnapshotReply {
+    1: required i64 term, 2: required string follower, 3: required i64 last_index, 4: required i64 offset, 5: required i64 round,
+}
+
+struct Join { 1: required string replica, 2: required string host, 3: required string address }
+struct JoinReply { 1: required string status, 2: required string leader }
