--- /dev/null
+++ b/bitterntiller/components/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The settings file of one process: reading, checking, defaults."""
--- /dev/null
+++ b/bitterntiller/components/settings/models.py
@@ -0,0 +1,94 @@
+"""The checked settings of one process, as all other parts see them."""
+
+from pathlib import Path
+from typing import NamedTuple
+
+
+class Address(NamedTuple):
+    """An IP number and a TCP or UDP port."""
+
+    ip: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.ip}:{self.port}"
+
+
+class Listen(NamedTuple):
+    """Where the process listens."""
+
+    caller: Address
+    internal: Address
+    operator: Address
+
+
+class Keys(NamedTuple):
+    """The keys read from the files that the settings name; never dumped."""
+
+    operator: bytes
+    internal: bytes
+    upstream: bytes
+
+
+class Limits(NamedTuple):
+    """Bounds on what callers can make the host hold; bytes and counts."""
+
+    head_bytes: int = 32 * 1024
+    body_bytes: int = 8 * 1024 * 1024
+    connections: int = 2000
+    connections_per_workspace: int = 1000
+    waiting_bytes: int = 256 * 1024 * 1024
+    reserved_fraction: float = 0.25
+
+
+class Timings(NamedTuple):
+    """Timeouts and periods, in seconds."""
+
+    head: float = 10.0
+    body: float = 30.0
+    caller_write: float = 30.0
+    keep_alive: float = 75.0
+    upstream_connect: float = 1.0
+    upstream_first_byte: float = 120.0
+    upstream_idle: float = 30.0
+    heartbeat: float = 0.5
+    lease: float = 3.0
+    link_call: float = 2.0
+    owner_settle: float = 1.0
+    owner_lease: float = 4.0
+    shutdown: float = 600.0
+    election_min: float = 0.6
+    election_max: float = 1.2
+    raft_heartbeat: float = 0.15
+    claim_age: float = 86400.0
+    change_id_age: float = 604800.0
+
+
+class Control(NamedTuple):
+    """Control as one process knows it.
+
+    addresses are internal addresses of hosts that have, or may have, a replica.
+    bootstrap names the hosts of the first membership; it is used once, when
+    the data folder is empty and the deployment is new.
+    """
+
+    addresses: tuple[Address, ...]
+    bootstrap: tuple[str, ...] = ()
+    snapshot_entries: int = 10000
+
+
+class Settings(NamedTuple):
+    """Everything a process is told at its start."""
+
+    host: str
+    zone: str
+    region: str
+    roles: tuple[str, ...]
+    listen: Listen
+    keys: Keys
+    control: Control
+    data_folder: Path | None
+    statsd: Address | None
+    limits: Limits = Limits()
+    timings: Timings = Timings()
+    log_level: str = "info"
