--- /dev/null
+++ b/bitterntiller/components/control/claims.py
@@ -0,0 +1,183 @@
+"""Claims of idempotency keys; part of the replicated state."""
+
+from collections import Counter
+from typing import Any
+
+from bitterntiller.components.control.const import (
+    ACTION_FINISH,
+    ACTION_TAKE,
+    ACTION_VOID,
+    CLAIM_ABSENT,
+    CLAIM_FINISHED,
+    CLAIM_FULL,
+    CLAIM_MISMATCH,
+    CLAIM_RUNNING,
+    CLAIM_TAKEN,
+    CLAIM_VOIDED,
+    MAX_CLAIMS,
+    MAX_CLAIMS_PER_WORKSPACE,
+)
+from bitterntiller.components.control.models import ClaimKey, ClaimRecord
+from bitterntiller.protocol import messages
+
+
+class ClaimsState:
+    """Claims by key, the oldest first."""
+
+    def __init__(self) -> None:
+        self.records_by_key: dict[ClaimKey, ClaimRecord] = {}
+        self._count_by_workspace: Counter[str] = Counter()
+
+    def apply(self, claim: Any, time_ms: int) -> Any:
+        """Carry out a messages.Claim and return its messages.ClaimReply."""
+        if claim.action == ACTION_TAKE:
+            return self._take(claim, time_ms)
+        if claim.action == ACTION_FINISH:
+            return self._finish(claim, time_ms)
+        if claim.action == ACTION_VOID:
+            return self._void(claim, time_ms)
+        return self.find(claim)
+
+    def find(self, claim: Any) -> Any:
+        """Return what is known of a key, without a change."""
+        record = self.records_by_key.get(_key(claim))
+        if record is None:
+            return claim_reply(CLAIM_ABSENT)
+        if claim.digest and claim.digest != record.digest:
+            return claim_reply(CLAIM_MISMATCH)
+        return claim_reply(record.state, record)
+
+    def _take(self, claim: Any, time_ms: int) -> Any:
+        key = _key(claim)
+        record = self.records_by_key.get(key)
+        if record is None:
+            return self._take_new(key, claim, time_ms)
+        held = _is_holder(record, claim)
+        if record.state == CLAIM_VOIDED and not held:
+            return self._take_new(key, claim, time_ms)
+        if record.digest != claim.digest:
+            return claim_reply(CLAIM_MISMATCH)
+        # The holder's own message again, after its reply was lost. A voided one
+        # stays voided: the holder has said not-run, so a delayed copy of its
+        # message must not leave the key in use.
+        if held and record.state == CLAIM_RUNNING:
+            return claim_reply(CLAIM_TAKEN, record)
+        return claim_reply(record.state, record)
+
+    def _take_new(self, key: ClaimKey, claim: Any, time_ms: int) -> Any:
+        if key not in self.records_by_key and self._full(key.workspace):
+            return claim_reply(CLAIM_FULL)
+        record = _record(claim, CLAIM_RUNNING, time_ms)
+        self._put(key, record)
+        return claim_reply(CLAIM_TAKEN, record)
+
+    def _finish(self, claim: Any, time_ms: int) -> Any:
+        key = _key(claim)
+        record = self.records_by_key.get(key)
+        if record is None:
+            return claim_reply(CLAIM_ABSENT)
+        if not _is_holder(record, claim):
+            return claim_reply(record.state, record)
+        record = record._replace(
+            state=CLAIM_FINISHED,
+            upstream=claim.upstream,
+            outcome=claim.outcome,
+            http_status=claim.http_status,
+        )
+        self.records_by_key[key] = record
+        return claim_reply(CLAIM_FINISHED, record)
+
+    def _void(self, claim: Any, time_ms: int) -> Any:
+        """Void a claim, or one that may yet arrive, by its own holder only.
+
+        Were another host to void it, a third copy of the key could be sent
+        while the holder's request runs.
+        """
+        key = _key(claim)
+        record = self.records_by_key.get(key)
+        if record is None:
+            if self._full(key.workspace):
+                return claim_reply(CLAIM_FULL)
+            record = _record(claim, CLAIM_VOIDED, time_ms)
+            self._put(key, record)
+            return claim_reply(CLAIM_VOIDED, record)
+        if not _is_holder(record, claim) or record.state == CLAIM_FINISHED:
+            return claim_reply(record.state, record)
+        record = record._replace(state=CLAIM_VOIDED)
+        self.records_by_key[key] = record
+        return claim_reply(CLAIM_VOIDED, record)
+
+    def _full(self, workspace: str) -> bool:
+        if len(self.records_by_key) >= MAX_CLAIMS:
+            return True
+        return self._count_by_workspace[workspace] >= MAX_CLAIMS_PER_WORKSPACE
+
+    def _put(self, key: ClaimKey, record: ClaimRecord) -> None:
+        """Put a record in as the newest, so that the order is that of age."""
+        if key in self.records_by_key:
+            self._drop(key)
+        self.records_by_key[key] = record
+        self._count_by_workspace[key.workspace] += 1
+
+    def _drop(self, key: ClaimKey) -> None:
+        del self.records_by_key[key]
+        self._count_by_workspace[key.workspace] -= 1
+        if not self._count_by_workspace[key.workspace]:
+            del self._count_by_workspace[key.workspace]
+
+    def forget(self, before_ms: int) -> None:
+        """Drop the claims taken before a cluster time."""
+        while self.records_by_key:
+            key, record = next(iter(self.records_by_key.items()))
+            if record.time_ms >= before_ms:
+                return
+            self._drop(key)
+
+    def to_document(self) -> dict[str, Any]:
+        """Return the whole state for a snapshot."""
+        return {"claims": [[*key, *rec] for key, rec in self.records_by_key.items()]}
+
+    def from_document(self, document: dict[str, Any]) -> None:
+        """Replace the state by that of a snapshot."""
+        self.records_by_key = {
+            ClaimKey(*row[:2]): ClaimRecord(*row[2:]) for row in document["claims"]
+        }
+        self._count_by_workspace = Counter(key.workspace for key in self.records_by_key)
+
+
+def claim_reply(status: str, record: ClaimRecord | None = None, leader: str = "") -> Any:
+    """Return a messages.ClaimReply with what is known of the claim."""
+    return messages.ClaimReply(
+        status=status,
+        leader=leader,
+        host=record.host if record else "",
+        upstream=record.upstream if record else "",
+        request_id=record.request_id if record else "",
+        outcome=record.outcome if record else "",
+        http_status=record.http_status if record else 0,
+        address=record.address if record else "",
+    )
+
+
+def _key(claim: Any) -> ClaimKey:
+    return ClaimKey(claim.workspace, claim.key)
+
+
+def _is_holder(record: ClaimRecord, claim: Any) -> bool:
+    holder = (record.host, record.incarnation, record.request_id)
+    return holder == (claim.host, claim.incarnation, claim.request_id)
+
+
+def _record(claim: Any, state: str, time_ms: int) -> ClaimRecord:
+    return ClaimRecord(
+        state=state,
+        digest=claim.digest,
+        host=claim.host,
+        incarnation=claim.incarnation,
+        address=claim.address,
+        upstream=claim.upstream,
+        request_id=claim.request_id,
+        outcome="",
+        http_status=0,
+        time_ms=time_ms,
+    )
--- /dev/null
+++ b/bitterntiller/components/control/configuration.py
@@ -0,0 +1,163 @@
+"""The versions of the configuration and the outcomes of changes."""
+
+import hashlib
+import json
+from collections import deque
+from typing import Any, NamedTuple
+
+from bitterntiller.components.control.const import (
+    MAX_CHANGE_IDS,
+    MAX_PATCHES,
+    STATUS_ACCEPTED,
+    STATUS_CONFLICT,
+    STATUS_EXPIRED_ID,
+    STATUS_INVALID,
+)
+from bitterntiller.components.control.merge_patch import make_patch
+from bitterntiller.components.control.models import ChangeOutcome
+from bitterntiller.protocol import messages
+
+
+class Patch(NamedTuple):
+    """What leads from the version before to this one; data None: no patch can."""
+
+    version: int
+    data: bytes | None
+
+
+class ConfigurationState:
+    """The newest configuration; part of the replicated state."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.text = b"{}"
+        self.outcomes_by_id: dict[str, ChangeOutcome] = {}
+        self._document: dict[str, Any] = {}
+        self._forgotten_base = -1
+        self._patches: deque[Patch] = deque(maxlen=MAX_PATCHES)
+
+    @property
+    def document(self) -> dict[str, Any]:
+        """The newest configuration as a JSON document; not to be changed."""
+        return self._document
+
+    def apply(self, change: Any, time_ms: int) -> Any:
+        """Decide a messages.Change and return its messages.ChangeReply.
+
+        A change that is sent again hears its first outcome: the loss of the
+        first answer must not make an operator's change happen twice, nor make
+        it look refused because of itself or of a later change.
+        """
+        digest = _digest(change)
+        known = self.outcomes_by_id.get(change.change_id)
+        if known is not None:
+            return _again(known, digest)
+        if change.base_version != self.version:
+            return self._refuse(change, digest, time_ms)
+        document = json.loads(change.config)
+        self._advance(document)
+        self._record(change, STATUS_ACCEPTED, digest, time_ms)
+        return _reply(STATUS_ACCEPTED, self.version)
+
+    def _refuse(self, change: Any, digest: str, time_ms: int) -> Any:
+        """Refuse a change against another version than the present one.
+
+        When an outcome for the same base version was dropped, this id may have
+        been among them, so that conflict could contradict an earlier accepted.
+        """
+        if change.base_version <= self._forgotten_base:
+            text = "outcomes of changes as old as this are no longer kept"
+            return _reply(STATUS_EXPIRED_ID, self.version, text)
+        self._record(change, STATUS_CONFLICT, digest, time_ms)
+        return _reply(STATUS_CONFLICT, self.version, _conflict_text(self.version))
+
+    def _advance(self, document: dict[str, Any]) -> None:
+        patch = make_patch(self._document, document)
+        data = None if patch is None else _to_json(patch)
+        self._document = document
+        self.text = _to_json(document)
+        self.version += 1
+        self._patches.append(Patch(self.version, data))
+
+    def _record(self, change: Any, status: str, digest: str, time_ms: int) -> None:
+        self.outcomes_by_id[change.change_id] = ChangeOutcome(
+            status, self.version, change.base_version, digest, time_ms
+        )
+        while len(self.outcomes_by_id) > MAX_CHANGE_IDS:
+            self._drop_oldest()
+
+    def forget(self, before_ms: int) -> None:
+        """Drop the outcomes recorded before a cluster time."""
+        while self.outcomes_by_id:
+            oldest = next(iter(self.outcomes_by_id.values()))
+            if oldest.time_ms >= before_ms:
+                return
+            self._drop_oldest()
+
+    def _drop_oldest(self) -> None:
+        change_id = next(iter(self.outcomes_by_id))
+        outcome = self.outcomes_by_id.pop(change_id)
+        base = min(outcome.base_version, outcome.version)
+        self._forgotten_base = max(self._forgotten_base, base)
+
+    def patches_since(self, version: int) -> list[Patch] | None:
+        """Return the patches that lead from a version to the newest.
+
+        None when they are no longer kept, or longer than the whole.
+        """
+        if not 0 <= version <= self.version:
+            return None
+        wanted = [patch for patch in self._patches if patch.version > version]
+        if len(wanted) != self.version - version:
+            return None
+        if any(patch.data is None for patch in wanted):
+            return None
+        if sum(len(patch.data or b"") for patch in wanted) >= len(self.text):
+            return None
+        return wanted
+
+    def to_document(self) -> dict[str, Any]:
+        """Return the whole state for a snapshot."""
+        return {
+            "version": self.version,
+            "document": self._document,
+            "forgotten_base": self._forgotten_base,
+            "outcomes": self.outcomes_by_id,
+        }
+
+    def from_document(self, document: dict[str, Any]) -> None:
+        """Replace the state by that of a snapshot."""
+        self.version = document["version"]
+        self._document = document["document"]
+        self.text = _to_json(self._document)
+        self._forgotten_base = document["forgotten_base"]
+        self._patches.clear()
+        self.outcomes_by_id = {
+            change_id: ChangeOutcome(*fields)
+            for change_id, fields in document["outcomes"].items()
+        }
+
+
+def _to_json(document: dict[str, Any]) -> bytes:
+    return json.dumps(document, separators=(",", ":")).encode()
+
+
+def _digest(change: Any) -> str:
+    base = str(change.base_version).encode()
+    return hashlib.sha256(base + b"\n" + change.config).hexdigest()[:32]
+
+
+def _reply(status: str, version: int, text: str = "") -> Any:
+    return messages.ChangeReply(status=status, version=version, text=text, leader="")
+
+
+def _conflict_text(version: int) -> str:
+    return f"the present version is {version}"
+
+
+def _again(known: ChangeOutcome, digest: str) -> Any:
+    if known.digest != digest:
+        text = "this change id was used for another change"
+        return _reply(STATUS_INVALID, known.version, text)
+    text = _conflict_text(known.version) if known.status == STATUS_CONFLICT else ""
+    return _reply(known.status, known.version, text)
--- /dev/null
+++ b/bitterntiller/components/control/const.py
@@ -0,0 +1,50 @@
+"""Names and bounds of the control part."""
+
+STATUS_ACCEPTED = "accepted"
+STATUS_CONFLICT = "conflict"
+STATUS_INVALID = "invalid"
+STATUS_UNKNOWN = "unknown"
+STATUS_NOT_LEADER = "not-leader"
+STATUS_EXPIRED_ID = "expired-id"
+STATUS_GRANTED = "granted"
+STATUS_UNKNOWN_HOST = "unknown-host"
+STATUS_OK = "ok"
+
+CLAIM_TAKEN = "taken"
+CLAIM_RUNNING = "running"
+CLAIM_FINISHED = "finished"
+CLAIM_ORPHANED = "orphaned"
+CLAIM_MISMATCH = "mismatch"
+CLAIM_VOIDED = "voided"
+CLAIM_FULL = "full"
+CLAIM_ABSENT = "absent"
+
+ACTION_TAKE = "take"
+ACTION_FINISH = "finish"
+ACTION_VOID = "void"
+ACTION_FIND = "find"
+
+ROLE_DISPATCH = "dispatch"
+
+MAX_CHANGE_IDS = 20_000
+"""Outcomes of changes that are kept, besides their age."""
+
+MAX_CLAIMS = 100_000
+MAX_CLAIMS_PER_WORKSPACE = 50_000
+"""Claims that are kept; one workspace can't use up the room of all."""
+
+MAX_PATCHES = 64
+"""Newest changes kept as patches; a node further behind gets the whole."""
+
+TICK = 0.25
+"""Seconds between two looks at sessions and owners."""
+
+TIME_STAMP_INTERVAL = 600.0
+"""Seconds after which the leader commits the time though nothing else happens."""
+
+CONFIRM_TIMEOUT = 0.5
+PROPOSE_TIMEOUT = 1.5
+"""Seconds; both end before the caller's link_call timeout."""
+
+MAX_REPLACED = 4
+"""Incarnations of a host that are remembered as replaced."""
--- /dev/null
+++ b/bitterntiller/components/control/models.py
@@ -0,0 +1,61 @@
+"""What control keeps; all times are cluster time in milliseconds."""
+
+from typing import NamedTuple
+
+
+class ChangeOutcome(NamedTuple):
+    """The recorded outcome of a change of the configuration.
+
+    digest names the content, so that an id used for other content is noticed.
+    version is the one that the reply carried.
+    """
+
+    status: str
+    version: int
+    base_version: int
+    digest: str
+    time_ms: int
+
+
+class Owner(NamedTuple):
+    """The process that owns a pool; epoch is the index of its log entry."""
+
+    host: str
+    incarnation: str
+    address: str
+    epoch: int
+
+
+class ClaimKey(NamedTuple):
+    """What names a claim."""
+
+    workspace: str
+    key: str
+
+
+class ClaimRecord(NamedTuple):
+    """A claim; state is running, finished or voided."""
+
+    state: str
+    digest: str
+    host: str
+    incarnation: str
+    address: str
+    upstream: str
+    request_id: str
+    outcome: str
+    http_status: int
+    time_ms: int
+
+
+class Session(NamedTuple):
+    """What a leader knows of a process; heard is in seconds of its clock."""
+
+    host: str
+    incarnation: str
+    address: str
+    zone: str
+    roles: tuple[str, ...]
+    config_version: int
+    draining: bool
+    heard: float
--- /dev/null
+++ b/bitterntiller/components/control/state.py
@@ -0,0 +1,69 @@
+"""The state that the replicated log drives."""
+
+import json
+from typing import Any
+
+from bitterntiller.components.control.claims import ClaimsState
+from bitterntiller.components.control.configuration import ConfigurationState
+from bitterntiller.components.control.ownership import OwnershipState
+from bitterntiller.protocol import decode, encode, messages
+
+
+class ControlState:
+    """Configuration, owners of pools and claims; a core StateMachine.
+
+    Deterministic: whatever depends on a clock or on settings comes with the
+    command, so that replicas with other settings still reach the same state.
+    """
+
+    def __init__(self) -> None:
+        self.time_ms = 0
+        self.applied = 0
+        self.configuration = ConfigurationState()
+        self.ownership = OwnershipState()
+        self.claims = ClaimsState()
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Apply an encoded messages.Command; return a messages.CommandResult."""
+        message = decode(messages.Command, command)
+        # A leader's clock may lag behind that of the one before it; ages must
+        # not shrink, or a dropped outcome could be wanted again.
+        self.time_ms = max(self.time_ms, message.time_ms)
+        self.applied = index
+        self.configuration.forget(message.forget_changes_ms)
+        self.claims.forget(message.forget_claims_ms)
+        return encode(self._apply(index, message))
+
+    def _apply(self, index: int, message: Any) -> Any:
+        result = messages.CommandResult()
+        if message.change is not None:
+            result.change = self.configuration.apply(message.change, self.time_ms)
+        if message.claims is not None:
+            result.claims = [
+                self.claims.apply(claim, self.time_ms) for claim in message.claims
+            ]
+        if message.assignments is not None:
+            self.ownership.assign(index, message.assignments)
+        if message.release is not None:
+            self.ownership.release(message.release)
+        return result
+
+    def snapshot(self) -> bytes:
+        """Return the whole state as JSON."""
+        document = {
+            "time_ms": self.time_ms,
+            "applied": self.applied,
+            "configuration": self.configuration.to_document(),
+            "ownership": self.ownership.to_document(),
+            "claims": self.claims.to_document(),
+        }
+        return json.dumps(document, separators=(",", ":")).encode()
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by one that snapshot() returned."""
+        document = json.loads(data)
+        self.time_ms = document["time_ms"]
+        self.applied = document["applied"]
+        self.configuration.from_document(document["configuration"])
+        self.ownership.from_document(document["ownership"])
+        self.claims.from_document(document["claims"])
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -145,7 +145,13 @@
 
 /* ---- nodes and control ---- */
 
-struct PoolOwner { 1: required string pool, 2: required string host, 3: required i64 epoch }
+struct PoolOwner {
+    1: required string pool,
+    2: required string host,
+    3: required i64 epoch,
+    4: optional string incarnation,      // of the owning process
+    5: optional string address,          // internal port, IP:port
+}
 
 struct HostEntry {
     1: required string host,
@@ -172,6 +178,7 @@
     1: required i64 version,
     2: required list<HostEntry> hosts,
     3: required list<PoolOwner> owners,
+    4: optional bool partial,            // a new leader has not yet heard all hosts
 }
 
 struct HeartbeatReply {
@@ -183,6 +190,7 @@
     6: optional binary config,           // whole, when the node is far behind
     7: optional Directory directory,
     8: required i64 term,
+    9: optional i32 next_ms,             // when the next heartbeat is wanted
 }
 
 struct GetConfig { 1: required bool unused }
@@ -239,6 +247,33 @@
 
 struct ReleasePoolsReply { 1: required string status, 2: required string leader }
 
+/* ---- commands of the replicated log ---- */
+
+struct Assignment {
+    1: required string pool,
+    2: required string host,             // empty: the pool has no owner any more
+    3: required string incarnation,
+    4: required string address,
+    5: required i64 expected_epoch,      // of the owner before, 0 for none
+}
+
+/* Whatever depends on time or settings is in the command, for one result everywhere. */
+struct Command {
+    1: required i64 time_ms,             // cluster time of the leader
+    2: required i64 forget_changes_ms,   // outcomes older than this are dropped
+    3: required i64 forget_claims_ms,    // claims older than this are dropped
+    4: optional Change change,
+    5: optional list<Claim> claims,
+    6: optional list<Assignment> assignments,
+    7: optional ReleasePools release,
+}
+
+/* What applying a command gave. */
+struct CommandResult {
+    1: optional ChangeReply change,
+    2: optional list<ClaimReply> claims,
+}
+
 /* ---- orders to upstreams ---- */
 
 struct Order {
