--- a/bitterntiller/components/control/claims.py
+++ b/bitterntiller/components/control/claims.py
@@ -38,6 +38,10 @@
             return self._void(claim, time_ms)
         return self.find(claim)
 
+    def record(self, claim: Any) -> ClaimRecord | None:
+        """Return the record of a messages.Claim's key, None without one."""
+        return self.records_by_key.get(_key(claim))
+
     def find(self, claim: Any) -> Any:
         """Return what is known of a key, without a change."""
         record = self.records_by_key.get(_key(claim))
--- a/bitterntiller/components/control/const.py
+++ b/bitterntiller/components/control/const.py
@@ -48,3 +48,21 @@
 
 MAX_REPLACED = 4
 """Incarnations of a host that are remembered as replaced."""
+
+HEARTBEATS_PER_SECOND = 400
+"""Heartbeats that one leader asks for at most; many nodes send them more rarely."""
+
+LEASE_PART = 3
+"""Heartbeats in a lease at least, so that a lost one does not end the lease."""
+
+SESSION_AGE = 60.0
+"""Seconds after which a silent host is no longer in the directory."""
+
+MAX_CONFIG_BYTES = 4 * 1024 * 1024
+MAX_ID_LENGTH = 128
+
+CLAIM_GROUPS = 4
+"""Groups of claims that may wait for their commit at once."""
+
+MAX_CLAIM_GROUP = 256
+"""Claims in one command of the log."""
--- /dev/null
+++ b/bitterntiller/components/control/coordinator.py
@@ -0,0 +1,231 @@
+"""The leader's side of control: answers to nodes and operators."""
+
+import json
+from typing import Any
+
+import curio
+from absl import logging
+
+from bitterntiller.components.control import diagnostics
+from bitterntiller.components.control.claims import claim_reply
+from bitterntiller.components.control.confirm import ConfirmBatch
+from bitterntiller.components.control.const import (
+    ACTION_FIND,
+    CLAIM_ORPHANED,
+    CLAIM_RUNNING,
+    CONFIRM_TIMEOUT,
+    STATUS_INVALID,
+    STATUS_NOT_LEADER,
+    STATUS_OK,
+    STATUS_UNKNOWN,
+    STATUS_UNKNOWN_HOST,
+    TICK,
+    TIME_STAMP_INTERVAL,
+)
+from bitterntiller.components.control.heartbeats import granted_reply, refused_reply
+from bitterntiller.components.control.leader import LeaderTerm
+from bitterntiller.components.control.proposals import Proposer
+from bitterntiller.components.control.state import ControlState
+from bitterntiller.components.control.validate import ParseConfig, find_fault
+from bitterntiller.core.interfaces import ReplicatedLog
+from bitterntiller.core.runtime import Runtime
+from bitterntiller.protocol import messages
+
+
+class ControlCoordinator:
+    """Answers as leader; as another replica it names the leader."""
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        log: ReplicatedLog,
+        state: ControlState,
+        parse: ParseConfig,
+    ) -> None:
+        self._runtime = runtime
+        self._clock = runtime.clock
+        self._timings = runtime.settings.timings
+        self._log = log
+        self._parse = parse
+        self._confirm = ConfirmBatch(log, CONFIRM_TIMEOUT)
+        self._proposer = Proposer(log, self._make_command)
+        self._term: LeaderTerm | None = None
+        self.state = state
+
+    async def async_start(self) -> None:
+        """Begin to answer, until the process unloads."""
+        handlers = {
+            messages.Heartbeat: self.async_heartbeat,
+            messages.Change: self.async_change,
+            messages.GetConfig: self.async_get_config,
+            messages.ControlStatus: self.async_status,
+            messages.ReleasePools: self.async_release_pools,
+            messages.Claim: self.async_claim,
+        }
+        await self._runtime.async_spawn(self._confirm.async_run())
+        await self._runtime.async_spawn(self._proposer.async_run())
+        await self._runtime.async_spawn(self._async_tick())
+        for cls, handler in handlers.items():
+            self._runtime.stack.callback(self._runtime.links.handle(cls, handler))
+
+    def leading(self) -> LeaderTerm | None:
+        """Return the memory of the present term, None when not the leader."""
+        if not self._log.is_leader():
+            self._term = None
+            return None
+        term = int(self._log.status()["term"])
+        if self._term is None or self._term.term != term:
+            now = self._clock.now()
+            self._term = LeaderTerm(term, now, self.state, self._timings)
+            self._runtime.metrics.count("control.takeover")
+            logging.info("leading control in term %d", term)
+        return self._term
+
+    async def _async_confirmed(self) -> LeaderTerm | None:
+        """Return the term in which a quorum confirmed the lead after this call."""
+        term = self.leading()
+        if term is None or await self._confirm.async_confirm() is None:
+            return None
+        # The confirmation may be that of a later term, won in between.
+        return term if self.leading() is term else None
+
+    async def async_heartbeat(self, sender: str, heartbeat: Any) -> Any:
+        """Answer a messages.Heartbeat, with a lease when the lead is confirmed."""
+        term = self.leading()
+        if term is None:
+            return self._refuse_heartbeat(STATUS_NOT_LEADER)
+        known, _ = term.sessions.hear(heartbeat, self._clock.now())
+        if not known:
+            return self._refuse_heartbeat(STATUS_UNKNOWN_HOST)
+        if await self._async_confirmed() is not term:
+            return self._refuse_heartbeat(STATUS_NOT_LEADER)
+        self._runtime.metrics.count("control.heartbeat.granted")
+        leader = self._log.leader()
+        return granted_reply(heartbeat, term, self.state, self._timings, leader)
+
+    def _refuse_heartbeat(self, status: str) -> Any:
+        self._runtime.metrics.count(f"control.heartbeat.{status}")
+        return refused_reply(status, self._log.leader())
+
+    async def async_change(self, sender: str, change: Any) -> Any:
+        """Answer a messages.Change; accepted only once it is committed."""
+        if self.leading() is None:
+            return self._change_reply(STATUS_NOT_LEADER)
+        # What was decided stays so, also if the checks have become stricter.
+        if change.change_id not in self.state.configuration.outcomes_by_id:
+            fault = find_fault(change, self._parse)
+            if fault:
+                return self._change_reply(STATUS_INVALID, fault)
+        proposed = await self._proposer.async_propose(change=change)
+        self._runtime.metrics.count(f"control.change.{proposed.status}")
+        if proposed.result is not None:
+            return proposed.result.change
+        if proposed.status == STATUS_UNKNOWN:
+            text = "resend the change with the same change id"
+            return self._change_reply(STATUS_UNKNOWN, text)
+        return self._change_reply(proposed.status)
+
+    def _change_reply(self, status: str, text: str = "") -> Any:
+        version = self.state.configuration.version
+        leader = self._log.leader()
+        return messages.ChangeReply(
+            status=status, version=version, text=text, leader=leader
+        )
+
+    async def async_get_config(self, sender: str, request: Any) -> Any:
+        """Answer a messages.GetConfig with the newest accepted configuration."""
+        if await self._async_confirmed() is None:
+            return messages.ConfigReply(status=STATUS_NOT_LEADER, version=0, config=b"")
+        configuration = self.state.configuration
+        return messages.ConfigReply(
+            status=STATUS_OK, version=configuration.version, config=configuration.text
+        )
+
+    async def async_claim(self, sender: str, claim: Any) -> Any:
+        """Answer a messages.Claim; taken only once it is committed."""
+        term = self.leading()
+        if term is None:
+            return claim_reply(STATUS_NOT_LEADER, leader=self._log.leader())
+        if claim.action == ACTION_FIND:
+            if await self._async_confirmed() is None:
+                return claim_reply(STATUS_NOT_LEADER, leader=self._log.leader())
+            reply = self.state.claims.find(claim)
+        else:
+            reply = await self._proposer.async_claim(claim)
+        self._runtime.metrics.count(f"control.claim.{claim.action}.{reply.status}")
+        return self._mark_orphaned(claim, reply, term)
+
+    def _mark_orphaned(self, claim: Any, reply: Any, term: LeaderTerm) -> Any:
+        if reply.status != CLAIM_RUNNING:
+            return reply
+        record = self.state.claims.record(claim)
+        now = self._clock.now()
+        if record and term.holder_gone(record.host, record.incarnation, now):
+            reply.status = CLAIM_ORPHANED
+        return reply
+
+    async def async_release_pools(self, sender: str, release: Any) -> Any:
+        """Answer a messages.ReleasePools of an owner that has stopped to act."""
+        if self.leading() is None:
+            return self._release_reply(STATUS_NOT_LEADER)
+        proposed = await self._proposer.async_propose(release=release)
+        if proposed.result is None:
+            return self._release_reply(proposed.status)
+        await self._async_place()
+        return self._release_reply(STATUS_OK)
+
+    def _release_reply(self, status: str) -> Any:
+        return messages.ReleasePoolsReply(status=status, leader=self._log.leader())
+
+    async def async_status(self, sender: str, request: Any) -> Any:
+        """Answer a messages.ControlStatus with a JSON document."""
+        term = await self._async_confirmed()
+        document = json.dumps(self.describe()).encode()
+        return messages.ControlStatusReply(
+            status=STATUS_OK if term else STATUS_NOT_LEADER,
+            leader=self._log.leader(),
+            document=document,
+        )
+
+    def describe(self) -> dict[str, Any]:
+        """Return this part's share of the dump."""
+        return diagnostics.describe(
+            self._log, self.state, self.leading(), self._timings, self._clock.now()
+        )
+
+    def _make_command(self) -> Any:
+        term = self.leading()
+        time_ms = term.cluster_ms(self._clock.now()) if term else self.state.time_ms
+        return messages.Command(
+            time_ms=time_ms,
+            forget_changes_ms=time_ms - int(self._timings.change_id_age * 1000),
+            forget_claims_ms=time_ms - int(self._timings.claim_age * 1000),
+        )
+
+    async def _async_tick(self) -> None:
+        while True:
+            await curio.sleep(TICK)
+            await self._async_place()
+            await self._async_stamp_time()
+
+    async def _async_place(self) -> None:
+        """Assign pools whose owner is gone, and renew the directory."""
+        term = self.leading()
+        if term is None:
+            return
+        pools = self.state.configuration.document.get("services", {})
+        plan = term.plan(pools, self._clock.now())
+        if plan:
+            await self._proposer.async_propose(assignments=plan)
+            self._runtime.metrics.count("control.assignments", len(plan))
+        if term.rebuild_directory(self._clock.now()):
+            self._runtime.metrics.count("control.directory.changed")
+
+    async def _async_stamp_time(self) -> None:
+        """Commit the time now and then, so that a new leader counts on from it."""
+        term = self.leading()
+        if term is None:
+            return
+        ahead_ms = term.cluster_ms(self._clock.now()) - self.state.time_ms
+        if ahead_ms >= TIME_STAMP_INTERVAL * 1000:
+            await self._proposer.async_propose()
--- /dev/null
+++ b/bitterntiller/components/control/directory.py
@@ -0,0 +1,62 @@
+"""The directory that a leader sends: hosts from sessions, owners from the log."""
+
+from typing import Any
+
+from bitterntiller.components.control.models import Owner, Session
+from bitterntiller.protocol import messages
+
+_TERM_SHIFT = 32
+
+
+class DirectoryBuilder:
+    """Keeps the present directory and numbers its versions.
+
+    A version begins with the term of the leader, so that the directory of a new
+    leader goes before that of the last, though it counts from the beginning.
+    """
+
+    def __init__(self, term: int) -> None:
+        self._version = term << _TERM_SHIFT
+        self._content: Any = None
+        self.current = messages.Directory(
+            version=self._version, hosts=[], owners=[], partial=True
+        )
+
+    def rebuild(
+        self,
+        sessions_by_host: dict[str, Session],
+        owners_by_pool: dict[str, Owner],
+        partial: bool,
+    ) -> bool:
+        """Build the directory anew; tell whether it differs from the last.
+
+        partial is set while a new leader may not yet have heard all hosts;
+        nodes then keep the hosts that are lacking.
+        """
+        hosts = sorted(
+            (item.host, item.address, item.zone, item.incarnation)
+            for item in sessions_by_host.values()
+        )
+        owners = sorted(owners_by_pool.items())
+        content = (hosts, owners, partial)
+        if content == self._content:
+            return False
+        self._content = content
+        self._version += 1
+        self.current = messages.Directory(
+            version=self._version,
+            hosts=[messages.HostEntry(*host) for host in hosts],
+            owners=[_pool_owner(pool, owner) for pool, owner in owners],
+            partial=partial,
+        )
+        return True
+
+
+def _pool_owner(pool: str, owner: Owner) -> Any:
+    return messages.PoolOwner(
+        pool=pool,
+        host=owner.host,
+        epoch=owner.epoch,
+        incarnation=owner.incarnation,
+        address=owner.address,
+    )
--- /dev/null
+++ b/bitterntiller/components/control/heartbeats.py
@@ -0,0 +1,64 @@
+"""Answers to heartbeats: the lease, what is new, and when to send the next."""
+
+from typing import Any
+
+from bitterntiller.components.control.const import (
+    HEARTBEATS_PER_SECOND,
+    LEASE_PART,
+    STATUS_GRANTED,
+)
+from bitterntiller.components.control.leader import LeaderTerm
+from bitterntiller.components.control.state import ControlState
+from bitterntiller.components.settings.models import Timings
+from bitterntiller.protocol import messages
+
+
+def granted_reply(
+    heartbeat: Any, term: LeaderTerm, state: ControlState, timings: Timings, leader: str
+) -> Any:
+    """Return the reply that grants a lease; to be called after a confirmation.
+
+    It carries the newest configuration that is committed here. Every change
+    accepted before the heartbeat was sent is in it, because the leadership was
+    confirmed after the heartbeat came. So a node that still works under an
+    older version sent its last successful heartbeat before the change was
+    accepted, and its lease ends one lease after that.
+    """
+    configuration = state.configuration
+    reply = messages.HeartbeatReply(
+        status=STATUS_GRANTED,
+        leader=leader,
+        lease_ms=int(timings.lease * 1000),
+        config_version=configuration.version,
+        term=term.term,
+        next_ms=int(period(len(term.sessions.by_host), timings) * 1000),
+    )
+    if heartbeat.config_version != configuration.version:
+        _add_configuration(reply, heartbeat.config_version, state)
+    if heartbeat.directory_version != term.directory.current.version:
+        reply.directory = term.directory.current
+    return reply
+
+
+def _add_configuration(reply: Any, version: int, state: ControlState) -> None:
+    patches = state.configuration.patches_since(version)
+    if patches is None:
+        reply.config = state.configuration.text
+        return
+    reply.changes = [
+        messages.ConfigChange(version=patch.version, patch=patch.data)
+        for patch in patches
+    ]
+
+
+def refused_reply(status: str, leader: str) -> Any:
+    """Return a reply that grants nothing."""
+    return messages.HeartbeatReply(
+        status=status, leader=leader, lease_ms=0, config_version=0, term=0
+    )
+
+
+def period(sessions: int, timings: Timings) -> float:
+    """Return the seconds between a node's heartbeats, for a number of nodes."""
+    wanted = max(timings.heartbeat, sessions / HEARTBEATS_PER_SECOND)
+    return min(wanted, max(timings.heartbeat, timings.lease / LEASE_PART))
--- /dev/null
+++ b/bitterntiller/components/control/leader.py
@@ -0,0 +1,94 @@
+"""What one leader keeps in memory for one term."""
+
+from collections.abc import Iterable
+
+from bitterntiller.components.control.const import SESSION_AGE
+from bitterntiller.components.control.directory import DirectoryBuilder
+from bitterntiller.components.control.models import Owner
+from bitterntiller.components.control.placement import plan_assignments
+from bitterntiller.components.control.sessions import SessionTable
+from bitterntiller.components.control.state import ControlState
+from bitterntiller.components.settings.models import Timings
+from bitterntiller.protocol import messages
+
+
+class LeaderTerm:
+    """Sessions, directory and cluster time of a leader; times in seconds.
+
+    Nothing of an earlier leader's memory is taken over, and nothing is assumed
+    to have ended with it: its leases run on, and every owner that it may have
+    heard has a whole owner_lease from the takeover.
+    """
+
+    def __init__(
+        self, term: int, now: float, state: ControlState, timings: Timings
+    ) -> None:
+        self.term = term
+        self.started = now
+        self.sessions = SessionTable(now)
+        self.directory = DirectoryBuilder(term)
+        self._state = state
+        self._timings = timings
+        self._time_base_ms = state.time_ms
+
+    def cluster_ms(self, now: float) -> int:
+        """Return the cluster time in milliseconds, which never goes back."""
+        elapsed_ms = int((now - self.started) * 1000)
+        return max(self._state.time_ms, self._time_base_ms + elapsed_ms)
+
+    def settled(self, now: float) -> bool:
+        """Tell whether most hosts have had the time to be heard."""
+        return now - self.started >= self._timings.owner_settle
+
+    def hosts_complete(self, now: float) -> bool:
+        """Tell whether a host not heard in this term can be taken for silent."""
+        return now - self.started >= self._timings.owner_lease
+
+    def rebuild_directory(self, now: float) -> bool:
+        """Bring the directory up to date; tell whether it changed."""
+        self.sessions.forget(now, SESSION_AGE)
+        partial = not self.hosts_complete(now)
+        owners_by_pool = self._state.ownership.owners_by_pool
+        return self.directory.rebuild(self.sessions.by_host, owners_by_pool, partial)
+
+    def is_gone(self, host: str, incarnation: str, now: float) -> bool:
+        """Tell whether a process certainly can't act as an owner any more.
+
+        Its lease is counted from the sending of a heartbeat, so from before
+        the moment at which this or an earlier leader heard it, and is shorter
+        than owner_lease.
+        """
+        silent = self.sessions.silent_for(host, incarnation, now)
+        return silent > self._timings.owner_lease
+
+    def holder_gone(self, host: str, incarnation: str, now: float) -> bool:
+        """Tell whether the holder of a claim has died, or must be taken for dead."""
+        replaced = self.sessions.replaced(host, incarnation)
+        return replaced or self.is_gone(host, incarnation, now)
+
+    def plan(self, pools: Iterable[str], now: float) -> list[messages.Assignment]:
+        """Return the assignments of pools that are due."""
+        if not self.settled(now):
+            return []
+
+        def is_gone(owner: Owner) -> bool:
+            return self.is_gone(owner.host, owner.incarnation, now)
+
+        hosts = self.sessions.dispatchers(now, self._timings.owner_lease)
+        owners_by_pool = self._state.ownership.owners_by_pool
+        return plan_assignments(pools, owners_by_pool, hosts, is_gone)
+
+    def in_force_version(self, now: float) -> int | None:
+        """Return the version in force on all nodes that dispatch.
+
+        None while a node may still have a lease of an earlier leader.
+        """
+        lease = self._timings.lease
+        if now - self.started <= lease:
+            return None
+        versions = [
+            session.config_version
+            for session in self.sessions.by_host.values()
+            if now - session.heard <= lease
+        ]
+        return min(versions, default=self._state.configuration.version)
--- /dev/null
+++ b/bitterntiller/components/control/placement.py
@@ -0,0 +1,60 @@
+"""Which process should own which pool; pure."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+
+import xxhash
+
+from bitterntiller.components.control.models import Owner, Session
+from bitterntiller.protocol import messages
+
+
+def plan_assignments(
+    pools: Iterable[str],
+    owners_by_pool: dict[str, Owner],
+    hosts: dict[str, Session],
+    is_gone: Callable[[Owner], bool],
+) -> list[messages.Assignment]:
+    """Return the assignments that are due.
+
+    hosts are the sessions that may be given pools. is_gone tells that an owner
+    certainly can't act any more. A pool with an owner that may still act stays
+    where it is, also when hosts come: a move costs its queue a registration
+    of all waiting requests.
+    """
+    wanted = set(pools)
+    kept = {
+        pool: owner
+        for pool, owner in owners_by_pool.items()
+        if pool in wanted and not is_gone(owner)
+    }
+    plan = [
+        _assignment(pool, None, owners_by_pool)
+        for pool in sorted(owners_by_pool.keys() - wanted)
+    ]
+    if not hosts:
+        return plan
+    load = Counter(owner.host for owner in kept.values())
+    for pool in sorted(wanted - kept.keys()):
+        host = min(hosts, key=lambda name: (load[name], -_weight(pool, name)))
+        load[host] += 1
+        plan.append(_assignment(pool, hosts[host], owners_by_pool))
+    return plan
+
+
+def _weight(pool: str, host: str) -> int:
+    """Return the rendezvous weight: hosts win pools independently of others."""
+    return xxhash.xxh3_64_intdigest(f"{pool}\0{host}")
+
+
+def _assignment(
+    pool: str, session: Session | None, owners_by_pool: dict[str, Owner]
+) -> messages.Assignment:
+    owner = owners_by_pool.get(pool)
+    return messages.Assignment(
+        pool=pool,
+        host=session.host if session else "",
+        incarnation=session.incarnation if session else "",
+        address=session.address if session else "",
+        expected_epoch=owner.epoch if owner else 0,
+    )
--- /dev/null
+++ b/bitterntiller/components/control/proposals.py
@@ -0,0 +1,82 @@
+"""Commands to the replicated log, and how their fate is told."""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import curio
+
+from bitterntiller.components.control.claims import claim_reply
+from bitterntiller.components.control.const import (
+    CLAIM_GROUPS,
+    MAX_CLAIM_GROUP,
+    PROPOSE_TIMEOUT,
+)
+from bitterntiller.core.interfaces import ReplicatedLog
+from bitterntiller.protocol import decode, encode, messages
+
+CommandMaker = Callable[[], Any]
+"""Returns an empty messages.Command with the present times."""
+
+
+class Proposed(NamedTuple):
+    """status is committed, not-leader or unknown; result only when committed."""
+
+    status: str
+    result: Any
+    leader: str
+
+
+class Proposer:
+    """Puts commands into the log; claims that come together share a command."""
+
+    def __init__(self, log: ReplicatedLog, make_command: CommandMaker) -> None:
+        self._log = log
+        self._make_command = make_command
+        self._waiting: curio.Queue = curio.Queue()
+
+    async def async_propose(self, **content: Any) -> Proposed:
+        """Propose a command with one of the contents of messages.Command."""
+        command = self._make_command()
+        for name, value in content.items():
+            setattr(command, name, value)
+        outcome = await self._log.async_propose(encode(command), PROPOSE_TIMEOUT)
+        if outcome.status != "committed":
+            return Proposed(outcome.status, None, outcome.leader)
+        result = decode(messages.CommandResult, outcome.result)
+        return Proposed(outcome.status, result, outcome.leader)
+
+    async def async_claim(self, claim: Any) -> Any:
+        """Commit a messages.Claim and return its messages.ClaimReply."""
+        item = _WaitingClaim(claim)
+        await self._waiting.put(item)
+        await item.done.wait()
+        return item.reply
+
+    async def async_run(self) -> None:
+        """Commit the waiting claims, some groups at a time."""
+        async with curio.TaskGroup() as group:
+            for _ in range(CLAIM_GROUPS):
+                await group.spawn(self._async_commit_groups())
+
+    async def _async_commit_groups(self) -> None:
+        while True:
+            group = [await self._waiting.get()]
+            while not self._waiting.empty() and len(group) < MAX_CLAIM_GROUP:
+                group.append(await self._waiting.get())
+            await self._async_commit(group)
+
+    async def _async_commit(self, group: list["_WaitingClaim"]) -> None:
+        proposed = await self.async_propose(claims=[item.claim for item in group])
+        for position, item in enumerate(group):
+            if proposed.result is None:
+                item.reply = claim_reply(proposed.status, leader=proposed.leader)
+            else:
+                item.reply = proposed.result.claims[position]
+            await item.done.set()
+
+
+class _WaitingClaim:
+    def __init__(self, claim: Any) -> None:
+        self.claim = claim
+        self.reply: Any = None
+        self.done = curio.Event()
