--- /dev/null
+++ b/bitterntiller/components/config/const.py
@@ -0,0 +1,28 @@
+"""Names of the keys of a configuration, and the labels that have a meaning."""
+
+CONF_SERVICES = "services"
+CONF_TIERS = "tiers"
+CONF_WORKSPACES = "workspaces"
+CONF_LABELS = "labels"
+CONF_SELECTOR = "selector"
+CONF_MATCH = "match"
+CONF_EXCLUDE = "exclude"
+CONF_KIND = "kind"
+CONF_PATHS = "paths"
+CONF_IDEMPOTENT_PATHS = "idempotent_paths"
+CONF_RANK = "rank"
+CONF_DEADLINE_MS = "deadline_ms"
+CONF_TOKEN_SHA256 = "token_sha256"
+CONF_TIER = "tier"
+
+KIND_ENGINE = "engine"
+KIND_PLAIN = "plain"
+KINDS = (KIND_ENGINE, KIND_PLAIN)
+
+LABEL_SHARE = "share"
+LABEL_CONCURRENCY = "concurrency"
+LABEL_RATE = "rate"
+LABEL_ORDER_SECONDS = "order_seconds"
+
+MAX_RANK = 1000
+MAX_DEADLINE_MS = 24 * 3600 * 1000
--- a/bitterntiller/components/config/models.py
+++ b/bitterntiller/components/config/models.py
@@ -1,6 +1,8 @@
 """The parsed configuration, as all other parts see it.
 
-The JSON document has three mappings, by name:
+The JSON document has three mappings, by name, and may have a fourth, labels:
+the values that the labels of upstreams can have, which only the check of
+selectors uses:
 
     {
       "services": {
@@ -23,7 +25,8 @@
           "selector": {},
           "labels": {"share": "2", "concurrency": "64", "rate": "50"}
         }
-      }
+      },
+      "labels": {"model": ["canopy"], "zone": ["bole", "kirkos"]}
     }
 """
 
@@ -88,3 +91,4 @@
     tiers_by_name: dict[str, Tier]
     workspaces_by_name: dict[str, Workspace]
     workspaces_by_token: dict[str, Workspace]
+    values_by_label: dict[str, tuple[str, ...]] = {}
