--- a/bitterntiller/components/control/coordinator.py
+++ b/bitterntiller/components/control/coordinator.py
@@ -71,7 +71,6 @@
     def leading(self) -> LeaderTerm | None:
         """Return the memory of the present term, None when not the leader."""
         if not self._log.is_leader():
-            self._term = None
             return None
         term = int(self._log.status()["term"])
         if self._term is None or self._term.term != term:
--- a/bitterntiller/components/control/placement.py
+++ b/bitterntiller/components/control/placement.py
@@ -44,7 +44,7 @@
 
 def _weight(pool: str, host: str) -> int:
     """Return the rendezvous weight: hosts win pools independently of others."""
-    return xxhash.xxh3_64_intdigest(f"{pool}\0{host}")
+    return xxhash.xxh3_64_intdigest(f"{pool}\0{host}".encode())
 
 
 def _assignment(
--- /dev/null
+++ b/bitterntiller/components/node/client.py
@@ -0,0 +1,75 @@
+"""Finds the leader of control and calls it."""
+
+from typing import Any
+
+import curio
+
+from bitterntiller.components.node.const import (
+    RETRY_PAUSE,
+    STATUS_NOT_LEADER,
+    STATUS_UNKNOWN,
+)
+from bitterntiller.core.clock import Clock
+from bitterntiller.core.errors import CodedError
+from bitterntiller.core.interfaces import Links
+
+
+class ControlClient:
+    """Calls the leader, wherever it is at the moment."""
+
+    def __init__(
+        self, links: Links, clock: Clock, addresses: list[str], call_timeout: float
+    ) -> None:
+        self._links = links
+        self._clock = clock
+        self._addresses = addresses
+        self._call_timeout = call_timeout
+        self._position = 0
+        self.leader = addresses[0] if addresses else ""
+
+    async def async_call_leader(self, message: Any, timeout: float) -> Any:
+        """Return the leader's reply to a message, within timeout seconds.
+
+        The message may reach a leader more than once, so it has to carry what
+        makes it idempotent: a change id, or the request id of a claim. None
+        when no leader answered in time, a reply with status unknown when that
+        is the last that was heard; both leave open whether it was carried out.
+        """
+        ends = self._clock.now() + timeout
+        unknown = None
+        while (left := ends - self._clock.now()) > 0:
+            wait = min(self._call_timeout, left)
+            reply = await self.async_call_once(message, wait)
+            if reply is not None and reply.status == STATUS_UNKNOWN:
+                unknown = reply
+            elif reply is not None and reply.status != STATUS_NOT_LEADER:
+                return reply
+            await curio.sleep(min(RETRY_PAUSE, left))
+        return unknown
+
+    async def async_call_once(self, message: Any, timeout: float) -> Any:
+        """Call the host taken for the leader once; None without an answer.
+
+        Whatever the answer says of the leader is followed by the next call.
+        """
+        address = self.leader
+        try:
+            reply = await self._links.async_call(address, message, timeout)
+        except CodedError:
+            self._turn_from(address, "")
+            return None
+        if reply.status == STATUS_NOT_LEADER:
+            self._turn_from(address, getattr(reply, "leader", ""))
+        return reply
+
+    def _turn_from(self, address: str, hint: str) -> None:
+        """Take the hinted host for the leader, or the next of the known ones."""
+        if self.leader != address:
+            return
+        if hint and hint != address:
+            self.leader = hint
+            return
+        self._position = (self._position + 1) % len(self._addresses)
+        if self._addresses[self._position] == address:
+            self._position = (self._position + 1) % len(self._addresses)
+        self.leader = self._addresses[self._position]
--- /dev/null
+++ b/bitterntiller/components/node/coordinator.py
@@ -0,0 +1,166 @@
+"""The session of a process with control."""
+
+from collections.abc import Callable
+from typing import Any
+
+import curio
+from absl import logging
+
+from bitterntiller.components.node.client import ControlClient
+from bitterntiller.components.node.configuration import NodeConfig, ParseConfig
+from bitterntiller.components.node.const import (
+    ATTEMPTS_PER_LEASE,
+    RETRY_PAUSE,
+    STATUS_GRANTED,
+)
+from bitterntiller.components.node.directory import NodeDirectory
+from bitterntiller.components.node.errors import ConfigGapError
+from bitterntiller.components.node.lease import NodeLease
+from bitterntiller.core.errors import CodedError
+from bitterntiller.core.runtime import Runtime
+from bitterntiller.protocol import messages
+
+Listener = Callable[[], None]
+"""Called after a change; never awaits."""
+
+
+class NodeCoordinator:
+    """Sends heartbeats and holds what comes back: lease, configuration, directory.
+
+    lease, config and directory are a core Lease, ConfigView and DirectoryView.
+    """
+
+    def __init__(self, runtime: Runtime, parse: ParseConfig) -> None:
+        self._runtime = runtime
+        self._clock = runtime.clock
+        self._timings = runtime.settings.timings
+        self._draining = False
+        self._want_whole = False
+        self._period = self._timings.heartbeat
+        self._had_lease = False
+        self._listeners_by_kind: dict[str, list[Listener]] = {
+            "config": [],
+            "directory": [],
+        }
+        addresses = [str(item) for item in runtime.settings.control.addresses]
+        self.control_client = ControlClient(
+            runtime.links, self._clock, addresses, self._timings.link_call
+        )
+        self.lease = NodeLease(self._clock)
+        self.config = NodeConfig(parse)
+        self.directory = NodeDirectory(runtime.settings.host, runtime.incarnation)
+
+    @property
+    def hosts_by_name(self) -> dict[str, Any]:
+        """The hosts of the directory, models.Host by name."""
+        return self.directory.hosts_by_name
+
+    def add_config_listener(self, listener: Listener) -> Callable[[], None]:
+        """Have a callback called after each new configuration; return the removal."""
+        return self._add_listener("config", listener)
+
+    def add_directory_listener(self, listener: Listener) -> Callable[[], None]:
+        """Have a callback called after each new directory; return the removal."""
+        return self._add_listener("directory", listener)
+
+    def _add_listener(self, kind: str, listener: Listener) -> Callable[[], None]:
+        listeners = self._listeners_by_kind[kind]
+        listeners.append(listener)
+
+        def remove() -> None:
+            if listener in listeners:
+                listeners.remove(listener)
+
+        return remove
+
+    def set_draining(self) -> None:
+        """Have control give this process no more pools; for a clean stop."""
+        self._draining = True
+
+    async def async_release_pools(self, pools: list[str], timeout: float) -> bool:
+        """Give pools back that this process no longer acts for.
+
+        False when control did not answer in timeout seconds; the pools then
+        move when the owner lease has run out.
+        """
+        message = messages.ReleasePools(
+            host=self._runtime.settings.host,
+            incarnation=self._runtime.incarnation,
+            pools=pools,
+        )
+        reply = await self.control_client.async_call_leader(message, timeout)
+        return reply is not None and reply.status == "ok"
+
+    async def async_run(self) -> None:
+        """Send heartbeats for ever."""
+        while True:
+            began = self._clock.now()
+            granted = await self.async_beat()
+            self._note_lease()
+            pause = began + self._period - self._clock.now() if granted else RETRY_PAUSE
+            await curio.sleep(max(pause, 0))
+
+    async def async_beat(self) -> bool:
+        """Send one heartbeat; tell whether the lease was extended by it."""
+        sent_at = self._clock.now()
+        wait = min(self._timings.link_call, self._timings.lease / ATTEMPTS_PER_LEASE)
+        heartbeat = self.make_heartbeat()
+        reply = await self.control_client.async_call_once(heartbeat, wait)
+        if reply is None or reply.status != STATUS_GRANTED:
+            self._runtime.metrics.count("node.heartbeat.failed")
+            return False
+        return self.take_reply(reply, sent_at)
+
+    def make_heartbeat(self) -> Any:
+        """Return the messages.Heartbeat of now."""
+        settings = self._runtime.settings
+        return messages.Heartbeat(
+            host=settings.host,
+            incarnation=self._runtime.incarnation,
+            address=str(settings.listen.internal),
+            zone=settings.zone,
+            roles=list(settings.roles),
+            config_version=-1 if self._want_whole else self.config.version,
+            directory_version=self.directory.version,
+            draining=self._draining,
+        )
+
+    def take_reply(self, reply: Any, sent_at: float) -> bool:
+        """Take a granting messages.HeartbeatReply; tell if it extends the lease.
+
+        The lease is for the configuration that the reply stands for: were it
+        extended though the configuration can't be applied, this node would go
+        on under an old one for as long as control is reached.
+        """
+        try:
+            config_changed = self.config.apply(reply)
+        except ConfigGapError as error:
+            logging.warning("asking for the whole configuration: %s", error)
+            self._want_whole = True
+            return False
+        except (CodedError, ValueError) as error:
+            logging.error(
+                "configuration %d not usable: %s", reply.config_version, error
+            )
+            self._runtime.metrics.count("node.config.unusable")
+            return False
+        self._want_whole = False
+        self._period = (reply.next_ms or 0) / 1000 or self._timings.heartbeat
+        self.lease.extend(sent_at, reply.lease_ms)
+        if config_changed:
+            self._runtime.metrics.gauge("node.config.version", self.config.version)
+            self._notify("config")
+        if self.directory.apply(reply.directory):
+            self._notify("directory")
+        return True
+
+    def _notify(self, kind: str) -> None:
+        for listener in list(self._listeners_by_kind[kind]):
+            listener()
+
+    def _note_lease(self) -> None:
+        valid = self.lease.valid()
+        if valid != self._had_lease:
+            self._had_lease = valid
+            logging.info("configuration lease %s", "held" if valid else "lost")
+            self._runtime.metrics.gauge("node.lease.valid", int(valid))
