Free the pools of an owner that is heard but gets no lease

An owner whose software can't apply the configuration, or whom answers do not reach, kept its pools for ever, since it was heard. Its leases are now counted, not its heartbeats.

--- a/bitterntiller/components/control/__init__.py
+++ b/bitterntiller/components/control/__init__.py
@@ -6,6 +6,7 @@
 from bitterntiller.components.control.coordinator import ControlCoordinator
 from bitterntiller.components.control.single import async_open_single
 from bitterntiller.components.control.state import ControlState
+from bitterntiller.components.control.validate import check_timings
 from bitterntiller.core.interfaces import ReplicatedLog, StateMachine
 from bitterntiller.core.runtime import Runtime
 
@@ -17,6 +18,7 @@
     runtime: Runtime, open_log: OpenLog = async_open_single
 ) -> ControlCoordinator:
     """Open the log and answer nodes and operators until the process unloads."""
+    check_timings(runtime.settings.timings)
     state = ControlState()
     log = await open_log(runtime, state)
     coordinator = ControlCoordinator(runtime, log, state, parse_config)
--- a/bitterntiller/components/control/const.py
+++ b/bitterntiller/components/control/const.py
@@ -64,5 +64,8 @@
 CLAIM_GROUPS = 4
 """Groups of claims that may wait for their commit at once."""
 
+MAX_WAITING_CLAIMS = 4096
+"""Claims that may wait for room in a group; more are turned away at once."""
+
 MAX_CLAIM_GROUP = 256
 """Claims in one command of the log."""
--- a/bitterntiller/components/control/coordinator.py
+++ b/bitterntiller/components/control/coordinator.py
@@ -93,9 +93,10 @@
         term = self.leading()
         if term is None:
             return self._refuse_heartbeat(STATUS_NOT_LEADER)
-        known, _ = term.sessions.hear(heartbeat, self._clock.now())
-        if not known:
+        session = term.sessions.hear(heartbeat, self._clock.now())
+        if session is None or not term.may_grant(session, session.heard):
             return self._refuse_heartbeat(STATUS_UNKNOWN_HOST)
+        term.sessions.note_grant(session)
         if await self._async_confirmed() is not term:
             return self._refuse_heartbeat(STATUS_NOT_LEADER)
         self._runtime.metrics.count("control.heartbeat.granted")
@@ -165,12 +166,14 @@
 
     async def async_release_pools(self, sender: str, release: Any) -> Any:
         """Answer a messages.ReleasePools of an owner that has stopped to act."""
-        if self.leading() is None:
+        term = self.leading()
+        if term is None:
             return self._release_reply(STATUS_NOT_LEADER)
+        term.sessions.drain(release.host, release.incarnation)
         proposed = await self._proposer.async_propose(release=release)
         if proposed.result is None:
             return self._release_reply(proposed.status)
-        await self._async_place()
+        await self.async_place()
         return self._release_reply(STATUS_OK)
 
     def _release_reply(self, status: str) -> Any:
@@ -204,10 +207,10 @@
     async def _async_tick(self) -> None:
         while True:
             await curio.sleep(TICK)
-            await self._async_place()
+            await self.async_place()
             await self._async_stamp_time()
 
-    async def _async_place(self) -> None:
+    async def async_place(self) -> None:
         """Assign pools whose owner is gone, and renew the directory."""
         term = self.leading()
         if term is None:
--- a/bitterntiller/components/control/errors.py
+++ b/bitterntiller/components/control/errors.py
@@ -9,6 +9,12 @@
     code = "damaged-log"
 
 
+class TimingsError(CodedError):
+    """Raised for timings under which a lease could outlive its replacement."""
+
+    code = "timings"
+
+
 class NoBootstrapError(CodedError):
     """Raised when this host may not open a log of a single replica."""
 
--- a/bitterntiller/components/control/leader.py
+++ b/bitterntiller/components/control/leader.py
@@ -4,7 +4,7 @@
 
 from bitterntiller.components.control.const import SESSION_AGE
 from bitterntiller.components.control.directory import DirectoryBuilder
-from bitterntiller.components.control.models import Owner
+from bitterntiller.components.control.models import Owner, Session
 from bitterntiller.components.control.placement import plan_assignments
 from bitterntiller.components.control.sessions import SessionTable
 from bitterntiller.components.control.state import ControlState
@@ -54,12 +54,27 @@
     def is_gone(self, host: str, incarnation: str, now: float) -> bool:
         """Tell whether a process certainly can't act as an owner any more.
 
-        Its lease is counted from the sending of a heartbeat, so from before
-        the moment at which this or an earlier leader heard it, and is shorter
-        than owner_lease.
+        Its lease is counted from the sending of a heartbeat that was granted, so
+        from before the moment at which this or an earlier leader heard it, and
+        is shorter than owner_lease.
         """
-        silent = self.sessions.silent_for(host, incarnation, now)
-        return silent > self._timings.owner_lease
+        ungranted = self.sessions.ungranted_for(host, incarnation, now)
+        return ungranted > self._timings.owner_lease
+
+    def may_grant(self, session: Session, now: float) -> bool:
+        """Tell whether a process may get a lease.
+
+        An owner can be heard though it does not get its lease: our answers do
+        not reach it, or its software can't apply the configuration. Its pools
+        would stand still for ever. It is granted nothing until its pools are
+        free for others; then it goes on, as it no longer owns any.
+        """
+        since = session.unleased_since
+        if since is None or now - since <= self._timings.owner_lease:
+            return True
+        process = (session.host, session.incarnation)
+        owners = self._state.ownership.owners_by_pool.values()
+        return all((owner.host, owner.incarnation) != process for owner in owners)
 
     def holder_gone(self, host: str, incarnation: str, now: float) -> bool:
         """Tell whether the holder of a claim has died, or must be taken for dead."""
--- a/bitterntiller/components/control/models.py
+++ b/bitterntiller/components/control/models.py
@@ -49,7 +49,11 @@
 
 
 class Session(NamedTuple):
-    """What a leader knows of a process; heard is in seconds of its clock."""
+    """What a leader knows of a process; times in seconds of its clock.
+
+    unleased_since is the arrival of the first of the latest heartbeats that all
+    told of no valid lease; None when the last one told of a lease.
+    """
 
     host: str
     incarnation: str
@@ -59,3 +63,4 @@
     config_version: int
     draining: bool
     heard: float
+    unleased_since: float | None
--- a/bitterntiller/components/control/proposals.py
+++ b/bitterntiller/components/control/proposals.py
@@ -7,8 +7,10 @@
 
 from bitterntiller.components.control.claims import claim_reply
 from bitterntiller.components.control.const import (
+    CLAIM_FULL,
     CLAIM_GROUPS,
     MAX_CLAIM_GROUP,
+    MAX_WAITING_CLAIMS,
     PROPOSE_TIMEOUT,
 )
 from bitterntiller.core.interfaces import ReplicatedLog
@@ -46,7 +48,12 @@
         return Proposed(outcome.status, result, outcome.leader)
 
     async def async_claim(self, claim: Any) -> Any:
-        """Commit a messages.Claim and return its messages.ClaimReply."""
+        """Commit a messages.Claim and return its messages.ClaimReply.
+
+        Turned away as full, and certainly not committed, when too many wait.
+        """
+        if self._waiting.qsize() >= MAX_WAITING_CLAIMS:
+            return claim_reply(CLAIM_FULL)
         item = _WaitingClaim(claim)
         await self._waiting.put(item)
         await item.done.wait()
--- a/bitterntiller/components/control/sessions.py
+++ b/bitterntiller/components/control/sessions.py
@@ -13,26 +13,34 @@
     def __init__(self, started: float) -> None:
         self.by_host: dict[str, Session] = {}
         self._started = started
-        self._last_heard: dict[tuple[str, str], float] = {}
+        self._granted: dict[tuple[str, str], float] = {}
         self._replaced: deque[tuple[str, str]] = deque()
 
-    def hear(self, heartbeat: Any, now: float) -> tuple[bool, bool]:
-        """Note a messages.Heartbeat; return whether it is known, and news.
+    def hear(self, heartbeat: Any, now: float) -> Session | None:
+        """Note a messages.Heartbeat and return the session.
 
-        It is not known when another process of that host came after it: the
-        heartbeat was delayed, and the process that sent it has been replaced.
-        News are what other hosts must hear of: a new process, address or zone.
+        None when another process of that host was heard after it: the heartbeat
+        was delayed, and the process that sent it has been replaced.
         """
-        process = (heartbeat.host, heartbeat.incarnation)
-        if process in self._replaced:
-            return False, False
+        if (heartbeat.host, heartbeat.incarnation) in self._replaced:
+            return None
         before = self.by_host.get(heartbeat.host)
-        session = _session(heartbeat, now)
-        if before is not None and before.incarnation != session.incarnation:
+        if before is not None and before.incarnation != heartbeat.incarnation:
             self._replace(before)
+            before = None
+        session = _session(heartbeat, before, now)
         self.by_host[session.host] = session
-        self._last_heard[process] = now
-        return True, _public(before) != _public(session)
+        return session
+
+    def note_grant(self, session: Session) -> None:
+        """Note that the heartbeat of this session is answered with a lease."""
+        self._granted[(session.host, session.incarnation)] = session.heard
+
+    def drain(self, host: str, incarnation: str) -> None:
+        """Give a process no more pools; it is about to stop."""
+        session = self.by_host.get(host)
+        if session is not None and session.incarnation == incarnation:
+            self.by_host[host] = session._replace(draining=True)
 
     def _replace(self, session: Session) -> None:
         self._replaced.append((session.host, session.incarnation))
@@ -40,13 +48,14 @@
         if len(of_host) > MAX_REPLACED:
             self._replaced.remove(of_host[0])
 
-    def silent_for(self, host: str, incarnation: str, now: float) -> float:
-        """Return how many seconds ago a process was heard at the latest.
+    def ungranted_for(self, host: str, incarnation: str, now: float) -> float:
+        """Return how many seconds ago a process got a lease at the latest.
 
-        A process never heard by this leader may have been heard by the leader
-        before, until this one took over.
+        Counted from the arrival of its heartbeat. A process that got none from
+        this leader may have got one from the leader before, until this one
+        took over.
         """
-        return now - self._last_heard.get((host, incarnation), self._started)
+        return now - self._granted.get((host, incarnation), self._started)
 
     def replaced(self, host: str, incarnation: str) -> bool:
         """Tell whether another process of the host is known by now."""
@@ -60,21 +69,25 @@
             for host, session in self.by_host.items()
             if ROLE_DISPATCH in session.roles
             and not session.draining
+            and session.unleased_since is None
             and now - session.heard <= within
         }
 
-    def forget(self, now: float, after: float) -> bool:
-        """Drop the sessions silent for so many seconds; tell if there were any."""
+    def forget(self, now: float, after: float) -> None:
+        """Drop the sessions that were silent for more than so many seconds."""
         gone = [host for host, item in self.by_host.items() if now - item.heard > after]
         for host in gone:
             del self.by_host[host]
-        for process, heard in list(self._last_heard.items()):
+        for process, heard in list(self._granted.items()):
             if now - heard > after:
-                del self._last_heard[process]
-        return bool(gone)
+                del self._granted[process]
 
 
-def _session(heartbeat: Any, now: float) -> Session:
+def _session(heartbeat: Any, before: Session | None, now: float) -> Session:
+    unleased_since = None
+    if not heartbeat.leased:
+        known = before.unleased_since if before else None
+        unleased_since = now if known is None else known
     return Session(
         host=heartbeat.host,
         incarnation=heartbeat.incarnation,
@@ -84,10 +97,5 @@
         config_version=heartbeat.config_version,
         draining=heartbeat.draining,
         heard=now,
+        unleased_since=unleased_since,
     )
-
-
-def _public(session: Session | None) -> tuple[str, ...]:
-    if session is None:
-        return ()
-    return (session.host, session.incarnation, session.address, session.zone)
--- a/bitterntiller/components/control/validate.py
+++ b/bitterntiller/components/control/validate.py
@@ -1,10 +1,13 @@
-"""Checks of a change before it is proposed."""
+"""Checks of a change before it is proposed, and of the timings at the start."""
 
 import json
 from collections.abc import Callable
 from typing import Any
 
 from bitterntiller.components.control.const import MAX_CONFIG_BYTES, MAX_ID_LENGTH
+from bitterntiller.components.control.errors import TimingsError
+from bitterntiller.components.node.const import MAX_CLOCK_DRIFT
+from bitterntiller.components.settings.models import Timings
 from bitterntiller.core.errors import CodedError
 
 ParseConfig = Callable[[dict[str, Any], int], Any]
@@ -28,3 +31,15 @@
     except CodedError as error:
         return str(error)
     return ""
+
+
+def check_timings(timings: Timings) -> None:
+    """Raise TimingsError when an owner could be replaced while its lease runs.
+
+    The leader counts owner_lease with a clock that may run faster than true,
+    and the node its lease with one that may run slower.
+    """
+    if timings.owner_lease * (1 - MAX_CLOCK_DRIFT) <= timings.lease:
+        raise TimingsError("owner_lease has to be longer than lease")
+    if timings.heartbeat * 2 > timings.lease:
+        raise TimingsError("a lease has to be two heartbeats long, or more")
--- a/bitterntiller/components/node/client.py
+++ b/bitterntiller/components/node/client.py
@@ -37,6 +37,7 @@
         """
         ends = self._clock.now() + timeout
         unknown = None
+        hints = 1
         while (left := ends - self._clock.now()) > 0:
             wait = min(self._call_timeout, left)
             reply = await self.async_call_once(message, wait)
@@ -44,6 +45,9 @@
                 unknown = reply
             elif reply is not None and reply.status != STATUS_NOT_LEADER:
                 return reply
+            elif getattr(reply, "leader", "") == self.leader and hints:
+                hints -= 1
+                continue
             await curio.sleep(min(RETRY_PAUSE, left))
         return unknown
 
--- a/bitterntiller/components/node/coordinator.py
+++ b/bitterntiller/components/node/coordinator.py
@@ -78,11 +78,13 @@
         self._draining = True
 
     async def async_release_pools(self, pools: list[str], timeout: float) -> bool:
-        """Give pools back that this process no longer acts for.
+        """Give pools back that this process no longer acts for; for a clean stop.
 
         False when control did not answer in timeout seconds; the pools then
         move when the owner lease has run out.
         """
+        self.set_draining()
+        self.directory.release(pools)
         message = messages.ReleasePools(
             host=self._runtime.settings.host,
             incarnation=self._runtime.incarnation,
@@ -123,6 +125,7 @@
             config_version=-1 if self._want_whole else self.config.version,
             directory_version=self.directory.version,
             draining=self._draining,
+            leased=self.lease.valid(),
         )
 
     def take_reply(self, reply: Any, sent_at: float) -> bool:
--- a/bitterntiller/components/node/directory.py
+++ b/bitterntiller/components/node/directory.py
@@ -12,6 +12,7 @@
     def __init__(self, host: str, incarnation: str) -> None:
         self._host = host
         self._incarnation = incarnation
+        self._released: set[tuple[str, int]] = set()
         self.version = 0
         self.hosts_by_name: dict[str, Host] = {}
         self.owners_by_pool: dict[str, PoolOwner] = {}
@@ -28,8 +29,21 @@
             return None
         if owner.host == self._host and owner.incarnation != self._incarnation:
             return None
+        if (pool, owner.epoch) in self._released:
+            return None
         return Ownership(owner.host, owner.address, owner.epoch)
 
+    def release(self, pools: list[str]) -> None:
+        """Stop to be the owner of pools, before control hears of it.
+
+        Control may settle another owner as soon as it has the release, long
+        before this process hears of that.
+        """
+        for pool in pools:
+            owner = self.owner(pool)
+            if owner is not None and owner.host == self._host:
+                self._released.add((pool, owner.epoch))
+
     def apply(self, directory: Any) -> bool:
         """Apply a messages.Directory; tell whether anything changed.
 
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -169,6 +169,7 @@
     6: required i64 config_version,      // newest version in force on the node
     7: required i64 directory_version,   // newest directory the node holds
     8: required bool draining,
+    9: optional bool leased,             // the node's lease was valid when this was sent
 }
 
 struct ConfigChange { 1: required i64 version, 2: required binary patch }  // JSON merge patch
