Carry messages between hosts, serve HTTP, and take requests through the entry filters

Content: links (handshake by HMAC, frames, calls), an h11 server and client, and the entry pipeline with its checks at the moment of sending.

--- /dev/null
+++ b/bitterntiller/components/entry/account.py
@@ -0,0 +1,51 @@
+"""Last filter: counts what became of a request and tells the pool's owner."""
+
+from bitterntiller.components.entry import const
+from bitterntiller.components.entry.context import Context
+from bitterntiller.components.entry.models import ActiveRequest, Identified
+from bitterntiller.components.entry.wire import finished_message
+from bitterntiller.core.outcomes import Ending, Outcome
+
+UNIDENTIFIED = "none"
+
+
+def count_refusal(
+    context: Context, ending: Ending, identified: Identified | None
+) -> None:
+    """Count a request that no upstream answered, by tier and reason."""
+    tier = identified.tier.name if identified else UNIDENTIFIED
+    service = identified.service.name if identified else UNIDENTIFIED
+    context.metrics.count(f"{const.METRIC_REFUSED}.{tier}.{ending.reason}")
+    context.metrics.count(f"{const.METRIC_REQUESTS}.{service}.{tier}.{ending.outcome}")
+
+
+def count_answer(context: Context, active: ActiveRequest, outcome: Outcome) -> None:
+    """Count a request that was sent: outcome, times, tokens, goodput, waste."""
+    identified = active.prepared.identified
+    metrics = context.metrics
+    tier = identified.tier.name
+    service = identified.service.name
+    arrived = identified.received.arrived
+    now = context.clock.now()
+    metrics.count(f"{const.METRIC_REQUESTS}.{service}.{tier}.{outcome}")
+    metrics.timing(f"{const.METRIC_QUEUE_WAIT}.{tier}", active.granted_at - arrived)
+    metrics.count(f"{const.METRIC_TOKENS}.{tier}", active.output_tokens)
+    if active.first_byte_at is not None:
+        to_first = active.first_byte_at - arrived
+        metrics.timing(f"{const.METRIC_TIME_TO_FIRST}.{tier}", to_first)
+    if outcome is Outcome.DONE and now <= identified.deadline:
+        metrics.count(f"{const.METRIC_GOODPUT}.{tier}")
+    else:
+        wasted = active.prepared.estimate.prompt_tokens - (active.cached_tokens or 0)
+        metrics.count(f"{const.METRIC_WASTED_PREFILL}.{tier}", max(0, wasted))
+
+
+async def async_tell_owner(
+    context: Context, active: ActiveRequest, outcome: str
+) -> None:
+    """Tell the pool's present owner that a sent request has ended."""
+    owner = context.directory.owner(active.pool)
+    if owner is None:
+        return
+    message = finished_message(active, outcome, context.clock.now())
+    await context.links.async_send(owner.address, message)
--- /dev/null
+++ b/bitterntiller/components/entry/const.py
@@ -0,0 +1,75 @@
+"""Constants of the entry role."""
+
+HEADER_AUTHORIZATION = b"authorization"
+HEADER_IDEMPOTENCY_KEY = b"idempotency-key"
+HEADER_DEADLINE = b"x-deadline-ms"
+HEADER_TIER = b"x-tier"
+HEADER_REQUEST_ID = b"x-request-id"
+HEADER_OUTCOME = b"x-outcome"
+HEADER_ADMITTED = b"x-admitted"
+HEADER_RETRY_AFTER = b"retry-after"
+HEADER_LAST_EVENT_ID = b"last-event-id"
+
+# Headers that concern one connection only, or that the entry host sets itself.
+HOP_HEADERS = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"host",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+OWN_HEADERS = frozenset(
+    {
+        HEADER_AUTHORIZATION,
+        HEADER_DEADLINE,
+        HEADER_IDEMPOTENCY_KEY,
+        HEADER_OUTCOME,
+        HEADER_REQUEST_ID,
+        HEADER_TIER,
+    }
+)
+
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"})
+
+BYTES_PER_TOKEN = 4
+DEFAULT_OUTPUT_TOKENS = 256
+MAX_TOKENS = 10_000_000
+PREFIX_FIRST_BYTES = 256
+PREFIX_MOST = 12
+MAX_DEADLINE_MS = 24 * 3600 * 1000
+MAX_KEY_LENGTH = 255
+
+GRANT_MARGIN = 0.05
+OWNER_WAIT = 10.0
+OWNER_POLL = 0.1
+REREGISTER_AFTER = 2.0
+PROGRESS_PERIOD = 0.5
+RESUME_ATTEMPTS = 4
+RESUME_DELAY = 0.1
+CANCEL_TIMEOUT = 2.0
+DEFAULT_RETRY_AFTER = 1.0
+DRAINED_POLL = 0.05
+
+METRIC_REQUESTS = "entry.requests"
+METRIC_TIME_TO_FIRST = "entry.time_to_first_byte"
+METRIC_QUEUE_WAIT = "entry.queue_wait"
+METRIC_TOKENS = "entry.tokens"
+METRIC_GOODPUT = "entry.goodput"
+METRIC_WASTED_PREFILL = "entry.wasted_prefill_tokens"
+METRIC_RESUMES = "entry.resumes"
+METRIC_RESUME_FAILED = "entry.resume_failed"
+METRIC_CUT = "entry.cut"
+METRIC_REFUSED = "entry.refused"
+METRIC_LATE_ANSWERS = "entry.late_answers_dropped"
+METRIC_CALLER_GONE = "entry.caller_gone"
+METRIC_STALE_GRANTS = "entry.stale_grants"
+METRIC_LAPSED_GRANTS = "entry.lapsed_grants"
--- /dev/null
+++ b/bitterntiller/components/entry/coordinator.py
@@ -0,0 +1,118 @@
+"""Owns the live requests of this host and keeps their owners informed."""
+
+import curio
+
+from bitterntiller.components.entry import const
+from bitterntiller.components.entry.budget import HostBudget
+from bitterntiller.components.entry.context import Context
+from bitterntiller.components.entry.models import ActiveRequest, Phase
+from bitterntiller.components.entry.pipeline import Pipeline
+from bitterntiller.components.entry.registry import (
+    LeaseLost,
+    OwnerChanged,
+    RequestRegistry,
+)
+from bitterntiller.components.entry.wire import register_message
+from bitterntiller.components.settings.models import Limits
+from bitterntiller.core.interfaces import Ownership
+from bitterntiller.protocol import messages
+
+
+class EntryCoordinator:
+    """The entry role of one process."""
+
+    def __init__(self, context: Context, limits: Limits) -> None:
+        self._context = context
+        self.registry = RequestRegistry(context)
+        self.budget = HostBudget(limits)
+        self.pipeline = Pipeline(context, limits, self.budget, self.registry)
+        self._owners_by_pool: dict[str, Ownership | None] = {}
+        self._had_lease = True
+
+    def ready(self) -> bool:
+        """Tell whether the host takes new work now."""
+        return not self.pipeline.draining and self._context.lease.valid()
+
+    async def async_follow(self) -> None:
+        """Follow owners and the lease, until cancelled."""
+        while True:
+            await self._async_check_lease()
+            for pool in self.registry.pools():
+                await self._async_check_owner(pool)
+            await curio.sleep(const.OWNER_POLL)
+
+    async def async_report(self) -> None:
+        """Report the progress of running requests to their owners, until cancelled."""
+        while True:
+            await curio.sleep(const.PROGRESS_PERIOD)
+            items_by_pool = self._progress_by_pool()
+            for pool, items in items_by_pool.items():
+                owner = self._context.directory.owner(pool)
+                if owner is None:
+                    continue
+                message = messages.Progress(pool=pool, items=items)
+                await self._context.links.async_send(owner.address, message)
+
+    async def async_drain(self) -> list[str]:
+        """Take no new work and wait for what there is, up to the shutdown limit.
+
+        Return the ids of the requests that were still in progress at the limit.
+        """
+        self.pipeline.draining = True
+        async with curio.ignore_after(self._context.timings.shutdown):
+            while self.registry.by_id:
+                await curio.sleep(const.DRAINED_POLL)
+        return list(self.registry.by_id)
+
+    async def _async_check_lease(self) -> None:
+        valid = self._context.lease.valid()
+        if self._had_lease and not valid:
+            await self.registry.async_post(None, LeaseLost())
+        self._had_lease = valid
+
+    async def _async_check_owner(self, pool: str) -> None:
+        owner = self._context.directory.owner(pool)
+        if pool in self._owners_by_pool and self._owners_by_pool[pool] == owner:
+            return
+        known = pool in self._owners_by_pool
+        self._owners_by_pool[pool] = owner
+        if owner is None or not known:
+            return
+        await self._async_reregister(pool, owner)
+        await self.registry.async_post(pool, OwnerChanged(owner))
+
+    async def _async_reregister(self, pool: str, owner: Ownership) -> None:
+        """Tell a new owner at once all that runs, so that it can count it."""
+        now = self._context.clock.now()
+        waiting = []
+        for active in self._waiting(pool):
+            waiting.append(register_message(active, self._context.host, now))
+            active.owner = owner
+            active.registered_at = now
+        message = messages.Reregister(
+            pool=pool,
+            epoch=owner.epoch,
+            entry_host=self._context.host,
+            waiting=waiting,
+            running=self.registry.running(pool),
+        )
+        await self._context.links.async_send(owner.address, message)
+
+    def _waiting(self, pool: str) -> list[ActiveRequest]:
+        return [
+            active
+            for active in self.registry.by_id.values()
+            if active.pool == pool and active.phase is Phase.WAITING
+        ]
+
+    def _progress_by_pool(self) -> dict[str, list[messages.ProgressItem]]:
+        items_by_pool: dict[str, list[messages.ProgressItem]] = {}
+        for active in self.registry.by_id.values():
+            if active.output_tokens == active.reported_tokens:
+                continue
+            active.reported_tokens = active.output_tokens
+            item = messages.ProgressItem(
+                request_id=active.request_id, output_tokens=active.output_tokens
+            )
+            items_by_pool.setdefault(active.pool, []).append(item)
+        return items_by_pool
--- /dev/null
+++ b/bitterntiller/components/entry/diagnostics.py
@@ -0,0 +1,19 @@
+"""The entry role's share of the dump."""
+
+from collections import Counter
+from collections.abc import Mapping
+from typing import Any
+
+from bitterntiller.components.entry.coordinator import EntryCoordinator
+
+
+def describe(coordinator: EntryCoordinator) -> Mapping[str, Any]:
+    """Return counts of live requests by phase and workspace, and held bytes."""
+    requests = coordinator.registry.by_id.values()
+    return {
+        "ready": coordinator.ready(),
+        "draining": coordinator.pipeline.draining,
+        "requests_by_phase": dict(Counter(item.phase for item in requests)),
+        "requests_by_workspace": coordinator.budget.requests_by_workspace(),
+        "held_bytes": coordinator.budget.held_bytes,
+    }
--- /dev/null
+++ b/bitterntiller/components/entry/estimate.py
@@ -0,0 +1,75 @@
+"""Third filter: what the body tells of the work that it asks for."""
+
+import json
+from typing import Any
+
+import xxhash
+
+from bitterntiller.components.entry import const
+from bitterntiller.components.entry.models import Estimate
+
+KIND_ENGINE = "engine"
+
+
+def estimate(kind: str, body: bytes) -> Estimate:
+    """Return token counts and prefix hashes; a body that is no JSON is prose."""
+    if kind != KIND_ENGINE:
+        return Estimate(_tokens(len(body)), 1, (), False)
+    document = _parse(body)
+    prompt = prompt_bytes(document)
+    return Estimate(
+        prompt_tokens=_tokens(len(prompt)),
+        output_tokens=_output_tokens(document),
+        prefix_hashes=prefix_hashes(prompt),
+        streamed=document.get("stream") is True,
+    )
+
+
+def prompt_bytes(document: dict[str, Any]) -> bytes:
+    """Return the prompt's text: the prompt, or the messages one after the other."""
+    prompt = document.get("prompt")
+    if isinstance(prompt, str):
+        return prompt.encode("utf-8", "surrogatepass")
+    messages = document.get("messages")
+    if isinstance(messages, list):
+        text = "\n".join(_message_text(message) for message in messages)
+        return text.encode("utf-8", "surrogatepass")
+    return b""
+
+
+def prefix_hashes(prompt: bytes) -> tuple[int, ...]:
+    """Return the signed 64-bit xxh3 of prefixes of doubling length, shortest first."""
+    hashes = []
+    length = const.PREFIX_FIRST_BYTES
+    while length <= len(prompt) and len(hashes) < const.PREFIX_MOST:
+        value = xxhash.xxh3_64_intdigest(prompt[:length])
+        hashes.append(value - (1 << 64) if value >= 1 << 63 else value)
+        length *= 2
+    return tuple(hashes)
+
+
+def _parse(body: bytes) -> dict[str, Any]:
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError):
+        return {}
+    return document if isinstance(document, dict) else {}
+
+
+def _message_text(message: Any) -> str:
+    if not isinstance(message, dict):
+        return ""
+    content = message.get("content")
+    return f"{message.get('role')}: {content}"
+
+
+def _output_tokens(document: dict[str, Any]) -> int:
+    for name in ("max_completion_tokens", "max_tokens"):
+        value = document.get(name)
+        if isinstance(value, int) and 0 < value <= const.MAX_TOKENS:
+            return value
+    return const.DEFAULT_OUTPUT_TOKENS
+
+
+def _tokens(size: int) -> int:
+    return max(1, size // const.BYTES_PER_TOKEN)
--- /dev/null
+++ b/bitterntiller/components/entry/identify.py
@@ -0,0 +1,85 @@
+"""Second filter: whose request it is, for which service, how important, by when."""
+
+import hashlib
+
+from bitterntiller.components.config.models import Config, Service, Tier, Workspace
+from bitterntiller.components.entry import const
+from bitterntiller.components.entry.models import Identified, Received
+from bitterntiller.core.outcomes import Ending, Outcome, Reason
+
+
+def identify(received: Received, config: Config) -> Identified | Ending:
+    """Return the request with its workspace, service, tier and deadline."""
+    workspace = _workspace(received.token, config)
+    if workspace is None:
+        return _refusal(Reason.UNAUTHORIZED, 401, "no workspace has this token")
+    service = find_service(received.head.path, config)
+    if service is None:
+        return _refusal(Reason.NO_SUCH_SERVICE, 404, "no service has this path")
+    if service.name not in workspace.services:
+        text = f"workspace {workspace.name} may not use {service.name}"
+        return _refusal(Reason.NOT_ALLOWED, 403, text)
+    tier = _tier(received.tier, workspace, config)
+    if isinstance(tier, Ending):
+        return tier
+    deadline_ms = received.deadline_ms
+    if deadline_ms is None:
+        deadline_ms = tier.deadline_ms
+    return Identified(
+        received=received,
+        workspace=workspace,
+        service=service,
+        tier=tier,
+        deadline=received.arrived + deadline_ms / 1000,
+        idempotent=_idempotent(received, service),
+    )
+
+
+def find_service(path: str, config: Config) -> Service | None:
+    """Return the service with the longest path prefix of this path."""
+    found: Service | None = None
+    longest = -1
+    for service in config.services_by_name.values():
+        for prefix in service.paths:
+            if has_prefix(path, prefix) and len(prefix) > longest:
+                found = service
+                longest = len(prefix)
+    return found
+
+
+def has_prefix(path: str, prefix: str) -> bool:
+    """Tell whether a path lies at or below a prefix, by whole segments."""
+    if path == prefix:
+        return True
+    return path.startswith(prefix if prefix.endswith("/") else prefix + "/")
+
+
+def _workspace(token: str, config: Config) -> Workspace | None:
+    if not token:
+        return None
+    digest = hashlib.sha256(token.encode("utf-8", "surrogateescape")).hexdigest()
+    return config.workspaces_by_token.get(digest)
+
+
+def _tier(name: str, workspace: Workspace, config: Config) -> Tier | Ending:
+    highest = config.tiers_by_name[workspace.tier]
+    if not name:
+        return highest
+    tier = config.tiers_by_name.get(name)
+    if tier is None:
+        return _refusal(Reason.BAD_REQUEST, 400, "X-Tier names no tier")
+    if tier.rank < highest.rank:
+        text = f"workspace {workspace.name} has at most tier {highest.name}"
+        return _refusal(Reason.NOT_ALLOWED, 403, text)
+    return tier
+
+
+def _idempotent(received: Received, service: Service) -> bool:
+    if received.head.method in const.IDEMPOTENT_METHODS:
+        return True
+    path = received.head.path
+    return any(has_prefix(path, prefix) for prefix in service.idempotent_paths)
+
+
+def _refusal(reason: Reason, status: int, detail: str) -> Ending:
+    return Ending(Outcome.NOT_RUN, reason, status, detail=detail)
--- /dev/null
+++ b/bitterntiller/components/entry/receive.py
@@ -0,0 +1,49 @@
+"""First filter: the request's own headers, checked once at the edge."""
+
+import uuid
+
+from bitterntiller.components.entry import const
+from bitterntiller.components.entry.models import Received
+from bitterntiller.components.http.models import RequestHead, header
+from bitterntiller.core.outcomes import Ending, Outcome, Reason
+
+_BEARER = "bearer "
+
+
+def receive(head: RequestHead, now: float) -> Received | Ending:
+    """Return the request's own headers, or an ending for malformed ones."""
+    headers = head.headers
+    deadline_text = header(headers, const.HEADER_DEADLINE)
+    deadline_ms = None
+    if deadline_text is not None:
+        deadline_ms = _whole_number(deadline_text)
+        if deadline_ms is None:
+            return _bad("X-Deadline-Ms is not a whole number of milliseconds")
+    key = header(headers, const.HEADER_IDEMPOTENCY_KEY) or ""
+    if len(key) > const.MAX_KEY_LENGTH:
+        return _bad(f"Idempotency-Key is over {const.MAX_KEY_LENGTH} characters")
+    return Received(
+        request_id=uuid.uuid4().hex,
+        head=head,
+        token=_bearer(header(headers, const.HEADER_AUTHORIZATION) or ""),
+        idempotency_key=key,
+        deadline_ms=deadline_ms,
+        tier=header(headers, const.HEADER_TIER) or "",
+        arrived=now,
+    )
+
+
+def _bearer(value: str) -> str:
+    if not value.lower().startswith(_BEARER):
+        return ""
+    return value[len(_BEARER) :].strip()
+
+
+def _whole_number(text: str) -> int | None:
+    if not (text.isascii() and text.isdigit() and len(text) < 12):
+        return None
+    return min(int(text), const.MAX_DEADLINE_MS)
+
+
+def _bad(detail: str) -> Ending:
+    return Ending(Outcome.NOT_RUN, Reason.BAD_REQUEST, 400, detail=detail)
--- /dev/null
+++ b/bitterntiller/components/entry/upstream_calls.py
@@ -0,0 +1,74 @@
+"""The calls that the entry role makes to upstreams: requests, resumes, cancels."""
+
+from bitterntiller.components.entry import const
+from bitterntiller.components.entry.models import ActiveRequest
+from bitterntiller.components.http.client import ClientExchange, async_fetch
+from bitterntiller.components.http.errors import BrokenAnswerError, ConnectRefusedError
+from bitterntiller.components.http.models import Headers, ResponseHead, header
+
+STATUS_OK = 200
+
+
+def request_headers(active: ActiveRequest) -> Headers:
+    """Return the caller's headers less its own and the connection's, with the id."""
+    received = active.prepared.identified.received
+    dropped = const.HOP_HEADERS | const.OWN_HEADERS
+    kept = [item for item in received.head.headers if item[0] not in dropped]
+    kept.append((const.HEADER_REQUEST_ID, active.request_id.encode()))
+    return kept
+
+
+def echoes(active: ActiveRequest, head: ResponseHead) -> bool:
+    """Tell whether an answer names this request.
+
+    An upstream that mixes up its answers, or a late answer to another request,
+    would show as one caller's answer in another caller's hands.
+    """
+    return header(head.headers, const.HEADER_REQUEST_ID) == active.request_id
+
+
+async def async_send_request(
+    client: ClientExchange, active: ActiveRequest, timeout: float
+) -> None:
+    """Send the caller's request to the upstream; raise BrokenAnswerError."""
+    head = active.prepared.identified.received.head
+    body = active.prepared.body
+    headers = request_headers(active)
+    await client.async_request(head.method, head.target, headers, body, timeout)
+
+
+async def async_open_resume(
+    active: ActiveRequest, last_id: int, connect_timeout: float, timeout: float
+) -> ClientExchange | None:
+    """Return an exchange with the stream behind an event, None when there is none."""
+    try:
+        client = await ClientExchange.async_open(active.address, connect_timeout)
+    except ConnectRefusedError:
+        return None
+    target = f"/v1/requests/{active.request_id}/stream"
+    headers = [
+        (const.HEADER_REQUEST_ID, active.request_id.encode()),
+        (const.HEADER_LAST_EVENT_ID, str(last_id).encode()),
+    ]
+    try:
+        await client.async_request("GET", target, headers, b"", timeout)
+        head = await client.async_head(timeout)
+        if head.status == STATUS_OK and echoes(active, head):
+            return client
+    except BrokenAnswerError:
+        pass
+    await client.async_close()
+    return None
+
+
+async def async_cancel_work(request_id: str, address: str) -> bool:
+    """Tell an upstream to stop a request's work; False when it did not hear."""
+    target = f"/v1/requests/{request_id}"
+    headers = [(const.HEADER_REQUEST_ID, request_id.encode())]
+    try:
+        answer = await async_fetch(
+            address, "DELETE", target, headers, b"", const.CANCEL_TIMEOUT
+        )
+    except (ConnectRefusedError, BrokenAnswerError):
+        return False
+    return answer.status < 300
--- /dev/null
+++ b/bitterntiller/components/entry/waiting.py
@@ -0,0 +1,93 @@
+"""Fourth filter: registers with the pool's owner and waits for its decision."""
+
+import curio
+
+from bitterntiller.components.entry import const
+from bitterntiller.components.entry.context import Context
+from bitterntiller.components.entry.models import (
+    ActiveRequest,
+    GrantReceived,
+    RefusalReceived,
+)
+from bitterntiller.components.entry.registry import LeaseLost
+from bitterntiller.components.entry.wire import register_message
+from bitterntiller.core.outcomes import Ending, Outcome, Reason
+from bitterntiller.protocol import messages
+
+_STATUS_BY_REASON: dict[str, int] = {
+    Reason.RATE_LIMIT: 429,
+    Reason.CONCURRENCY_LIMIT: 429,
+}
+_REASONS = {reason.value: reason for reason in Reason}
+UNAVAILABLE = 503
+
+
+async def async_wait(active: ActiveRequest, context: Context) -> GrantReceived | Ending:
+    """Return the owner's grant, or the ending of a request that was given up."""
+    deadline = active.prepared.identified.deadline
+    begun = context.clock.now()
+    while True:
+        now = context.clock.now()
+        if now >= deadline:
+            await async_cancel(active, context)
+            return _not_run(Reason.TOO_LATE, const.DEFAULT_RETRY_AFTER)
+        if active.owner is None and now - begun > const.OWNER_WAIT:
+            return _not_run(Reason.NO_OWNER, const.DEFAULT_RETRY_AFTER)
+        await _async_register(active, context, now)
+        event = await _async_event(active, min(deadline - now, _patience(active)))
+        if isinstance(event, GrantReceived):
+            return event
+        if isinstance(event, RefusalReceived):
+            return _refused(event)
+        if isinstance(event, LeaseLost):
+            await async_cancel(active, context)
+            return _not_run(Reason.NO_LEASE, const.DEFAULT_RETRY_AFTER)
+
+
+async def async_cancel(active: ActiveRequest, context: Context) -> None:
+    """Tell the owner that the request waits no more."""
+    if active.owner is None:
+        return
+    message = messages.Cancel(request_id=active.request_id, pool=active.pool)
+    await context.links.async_send(active.owner.address, message)
+
+
+def _patience(active: ActiveRequest) -> float:
+    if active.owner is None:
+        return const.OWNER_POLL
+    return const.REREGISTER_AFTER
+
+
+async def _async_register(active: ActiveRequest, context: Context, now: float) -> None:
+    """Register with the present owner, again after a while without news.
+
+    A registration, or the grant for it, is lost when a connection breaks or the
+    owner dies. It would show as a request that waits until its deadline beside
+    idle upstreams. Owners know a request by its id, so that repeating is harmless.
+    """
+    owner = context.directory.owner(active.pool)
+    recent = now - active.registered_at < const.REREGISTER_AFTER
+    if owner is None or (owner == active.owner and recent):
+        active.owner = owner
+        return
+    active.owner = owner
+    active.registered_at = now
+    message = register_message(active, context.host, now)
+    if not await context.links.async_send(owner.address, message):
+        active.owner = None
+
+
+async def _async_event(active: ActiveRequest, timeout: float) -> object | None:
+    async with curio.ignore_after(timeout):
+        return await active.mailbox.get()
+    return None
+
+
+def _refused(event: RefusalReceived) -> Ending:
+    reason = _REASONS.get(event.reason, Reason.SHED)
+    return _not_run(reason, event.retry_after)
+
+
+def _not_run(reason: Reason, retry_after: float) -> Ending:
+    status = _STATUS_BY_REASON.get(reason, UNAVAILABLE)
+    return Ending(Outcome.NOT_RUN, reason, status, retry_after=retry_after)
--- /dev/null
+++ b/bitterntiller/components/entry/wire.py
@@ -0,0 +1,77 @@
+"""The entry role's messages to the owner of a pool."""
+
+from bitterntiller.components.entry.models import ActiveRequest, GrantReceived
+from bitterntiller.protocol import messages
+
+UNKNOWN_COUNT = -1
+
+
+def milliseconds(seconds: float) -> int:
+    """Return a duration in whole milliseconds, never below 0."""
+    return max(0, int(seconds * 1000))
+
+
+def register_message(
+    active: ActiveRequest, entry_host: str, now: float
+) -> messages.Register:
+    """Return the registration of a request with what is left of its time."""
+    identified = active.prepared.identified
+    estimate = active.prepared.estimate
+    return messages.Register(
+        request_id=active.request_id,
+        pool=active.pool,
+        workspace=identified.workspace.name,
+        tier=identified.tier.name,
+        prompt_tokens=estimate.prompt_tokens,
+        output_tokens=estimate.output_tokens,
+        deadline_in_ms=milliseconds(identified.deadline - now),
+        prefix_hashes=list(estimate.prefix_hashes),
+        entry_host=entry_host,
+        waited_ms=milliseconds(now - identified.received.arrived),
+        tried=list(active.tried),
+    )
+
+
+def running_item(
+    active: ActiveRequest, entry_host: str, now: float
+) -> messages.RunningItem:
+    """Return a running request as a new owner needs it."""
+    return messages.RunningItem(
+        request=register_message(active, entry_host, now),
+        upstream=active.upstream,
+        output_tokens=active.output_tokens,
+    )
+
+
+def returned_message(
+    request_id: str, grant: GrantReceived, reason: str, waiting: bool
+) -> messages.Returned:
+    """Return the giving back of a grant under which nothing has run."""
+    return messages.Returned(
+        request_id=request_id,
+        pool=grant.pool,
+        upstream=grant.upstream,
+        reason=reason,
+        still_waiting=waiting,
+    )
+
+
+def finished_message(
+    active: ActiveRequest, outcome: str, now: float
+) -> messages.Finished:
+    """Return the end of a request that was sent."""
+    first = UNKNOWN_COUNT
+    if active.first_byte_at is not None:
+        first = milliseconds(active.first_byte_at - active.granted_at)
+    cached = active.cached_tokens
+    return messages.Finished(
+        request_id=active.request_id,
+        pool=active.pool,
+        upstream=active.upstream,
+        outcome=outcome,
+        output_tokens=active.output_tokens,
+        cached_tokens=UNKNOWN_COUNT if cached is None else cached,
+        first_token_ms=first,
+        total_ms=milliseconds(now - active.granted_at),
+        in_time=now <= active.prepared.identified.deadline,
+    )
--- /dev/null
+++ b/bitterntiller/components/http/client.py
@@ -0,0 +1,140 @@
+"""An HTTP/1.1 client for one exchange with an upstream, on one connection."""
+
+from typing import Any
+
+import curio
+import h11
+from curio import socket
+
+from bitterntiller.components.http.const import READ_BYTES
+from bitterntiller.components.http.errors import (
+    BrokenAnswerError,
+    ConnectRefusedError,
+)
+from bitterntiller.components.http.models import Headers, HttpResponse, ResponseHead
+
+
+class ClientExchange:
+    """A connection that carries one exchange and is then closed.
+
+    One exchange a connection keeps answers from crossing: a late answer to an
+    earlier request can't be read as the answer to this one.
+    """
+
+    def __init__(self, sock: Any) -> None:
+        self._sock = sock
+        self._h11 = h11.Connection(h11.CLIENT)
+
+    @classmethod
+    async def async_open(cls, address: str, timeout: float) -> "ClientExchange":
+        """Connect to IP:port; raise ConnectRefusedError when that fails."""
+        ip, _, port = address.rpartition(":")
+        try:
+            async with curio.timeout_after(timeout):
+                sock = await curio.open_connection(ip, int(port))
+        except (OSError, curio.TaskTimeout, ValueError) as error:
+            raise ConnectRefusedError(f"{address}: {error!r}") from error
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return cls(sock)
+
+    async def async_close(self) -> None:
+        """Close the connection."""
+        await self._sock.close()
+
+    async def async_request(
+        self, method: str, target: str, headers: Headers, body: bytes, timeout: float
+    ) -> None:
+        """Send the request; raise BrokenAnswerError when it did not leave whole."""
+        names = {name for name, _ in headers}
+        lines = list(headers)
+        if b"host" not in names:
+            lines.insert(0, (b"host", b"upstream"))
+        lines.append((b"content-length", str(len(body)).encode()))
+        lines.append((b"connection", b"close"))
+        head = h11.Request(method=method, target=target, headers=lines)
+        data = self._h11.send(head)
+        if body:
+            data += self._h11.send(h11.Data(data=body))
+        data += self._h11.send(h11.EndOfMessage())
+        try:
+            async with curio.timeout_after(timeout):
+                await self._sock.sendall(data)
+        except (OSError, curio.TaskTimeout) as error:
+            raise BrokenAnswerError(f"sending broke: {error!r}") from error
+
+    async def async_head(self, timeout: float) -> ResponseHead:
+        """Return the head of the answer; raise BrokenAnswerError."""
+        while True:
+            event = await self._async_event(timeout)
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if not isinstance(event, h11.Response):
+                raise BrokenAnswerError("the connection ended before the answer")
+            return ResponseHead(event.status_code, list(event.headers))
+
+    async def async_data(self, timeout: float) -> bytes | None:
+        """Return the next part of the body, None at its end marker.
+
+        Raise BrokenAnswerError when the connection ends before the marker or
+        nothing comes for timeout seconds. Parts that have arrived together
+        come together.
+        """
+        event = await self._async_event(timeout)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        if not isinstance(event, h11.Data):
+            raise BrokenAnswerError("the answer ended before its end marker")
+        parts = [bytes(event.data)]
+        while True:
+            event = self._try_next()
+            if not isinstance(event, h11.Data):
+                break
+            parts.append(bytes(event.data))
+        self._kept = event
+        return b"".join(parts)
+
+    _kept: Any = h11.NEED_DATA
+
+    def _try_next(self) -> Any:
+        try:
+            return self._h11.next_event()
+        except h11.RemoteProtocolError as error:
+            # Raised again at the next reading, after the parts before it.
+            return error
+
+    async def _async_event(self, timeout: float) -> Any:
+        event = self._kept
+        self._kept = h11.NEED_DATA
+        try:
+            async with curio.timeout_after(timeout):
+                while event is h11.NEED_DATA:
+                    event = self._try_next()
+                    if event is h11.NEED_DATA:
+                        data = await self._sock.recv(READ_BYTES)
+                        self._h11.receive_data(data)
+        except (OSError, curio.TaskTimeout) as error:
+            raise BrokenAnswerError(f"reading broke: {error!r}") from error
+        if isinstance(event, h11.RemoteProtocolError):
+            raise BrokenAnswerError(str(event)) from event
+        return event
+
+
+async def async_fetch(
+    address: str,
+    method: str,
+    target: str,
+    headers: Headers,
+    body: bytes,
+    timeout: float,
+) -> HttpResponse:
+    """Return a whole answer; raise ConnectRefusedError or BrokenAnswerError."""
+    exchange = await ClientExchange.async_open(address, timeout)
+    try:
+        await exchange.async_request(method, target, headers, body, timeout)
+        head = await exchange.async_head(timeout)
+        parts = []
+        while (data := await exchange.async_data(timeout)) is not None:
+            parts.append(data)
+        return HttpResponse(head.status, head.headers, b"".join(parts))
+    finally:
+        await exchange.async_close()
--- /dev/null
+++ b/bitterntiller/components/links/connection.py
@@ -0,0 +1,145 @@
+"""One connection to a peer: a queue of frames out, calls that await replies."""
+
+import itertools
+from collections import deque
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+
+from bitterntiller.components.links import const
+from bitterntiller.components.links.errors import (
+    LinkFaultError,
+    LinkTimeoutError,
+    LinkUnreachableError,
+)
+from bitterntiller.components.links.frames import FrameBuffer, pack, unpack
+from bitterntiller.components.links.models import Incoming, Peer
+from bitterntiller.core.interfaces import Metrics
+from bitterntiller.protocol import MalformedMessageError, messages
+
+FrameHandler = Callable[["Connection", Incoming], Awaitable[None]]
+
+
+class _PendingCall:
+    """A call whose reply is awaited."""
+
+    def __init__(self) -> None:
+        self.done = curio.Event()
+        self.reply: Any = None
+
+
+class Connection:
+    """Sends and receives frames over a socket whose handshake is done."""
+
+    def __init__(
+        self,
+        sock: curio.io.Socket,
+        peer: Peer,
+        on_message: FrameHandler,
+        metrics: Metrics,
+    ) -> None:
+        self.peer = peer
+        self.open = True
+        self.calls_running = 0
+        self._sock = sock
+        self._on_message = on_message
+        self._metrics = metrics
+        self._calls_by_number: dict[int, _PendingCall] = {}
+        self._numbers = itertools.count(1)
+        self._queue: deque[bytes] = deque()
+        self._queued_bytes = 0
+        self._wake = curio.Event()
+
+    def send(self, message: Any, call: int = 0, reply: bool = False) -> bool:
+        """Queue a frame without waiting; False when it will not leave."""
+        if not self.open:
+            return False
+        data = pack(message, call, reply)
+        # A peer that reads too slowly would otherwise fill this host's memory;
+        # it shows as a growing queue, and its messages are all repeatable.
+        if self._queued_bytes + len(data) > const.MAX_QUEUED_BYTES:
+            self._metrics.count(const.METRIC_QUEUE_FULL)
+            return False
+        self._queue.append(data)
+        self._queued_bytes += len(data)
+        return True
+
+    async def async_flush_soon(self) -> None:
+        """Wake the writer after send()."""
+        await self._wake.set()
+
+    async def async_call(self, message: Any, timeout: float) -> Any:
+        """Send and return the reply; raise LinkError."""
+        number = next(self._numbers)
+        pending = _PendingCall()
+        self._calls_by_number[number] = pending
+        try:
+            if not self.send(message, number):
+                raise LinkUnreachableError(f"no open connection to {self.peer.host}")
+            await self._wake.set()
+            async with curio.timeout_after(timeout):
+                await pending.done.wait()
+        except curio.TaskTimeout:
+            text = f"{self.peer.host} did not answer in {timeout} s"
+            raise LinkTimeoutError(text) from None
+        finally:
+            del self._calls_by_number[number]
+        if pending.reply is None:
+            raise LinkTimeoutError(f"the connection to {self.peer.host} broke")
+        if isinstance(pending.reply, messages.Fault):
+            raise LinkFaultError(pending.reply.code, pending.reply.text)
+        return pending.reply
+
+    async def async_run(self) -> None:
+        """Read and write until the connection ends; then fail what is pending."""
+        try:
+            async with curio.TaskGroup(wait=any) as group:
+                await group.spawn(self._async_write)
+                await group.spawn(self._async_read)
+        finally:
+            self.open = False
+            await self._sock.close()
+            for pending in list(self._calls_by_number.values()):
+                await pending.done.set()
+
+    async def _async_write(self) -> None:
+        try:
+            while True:
+                await self._wake.wait()
+                self._wake.clear()
+                while self._queue:
+                    data = b"".join(self._queue)
+                    self._queue.clear()
+                    self._queued_bytes = 0
+                    await self._sock.sendall(data)
+                    self._metrics.count(const.METRIC_SENT_BYTES, len(data))
+        except OSError:
+            return
+
+    async def _async_read(self) -> None:
+        buffer = FrameBuffer()
+        try:
+            while True:
+                data = await self._sock.recv(const.READ_BYTES)
+                if not data:
+                    return
+                self._metrics.count(const.METRIC_RECEIVED_BYTES, len(data))
+                for frame in buffer.feed(data):
+                    await self._async_take(unpack(frame))
+        except OSError:
+            return
+        except MalformedMessageError:
+            # A peer of another version or a damaged stream: nothing after this
+            # point can be trusted, so the connection is given up and dialled anew.
+            self._metrics.count(const.METRIC_MALFORMED)
+
+    async def _async_take(self, incoming: Incoming) -> None:
+        if not incoming.reply:
+            await self._on_message(self, incoming)
+            return
+        pending = self._calls_by_number.get(incoming.call)
+        if pending is None:
+            return
+        pending.reply = incoming.message
+        await pending.done.set()
--- /dev/null
+++ b/bitterntiller/components/links/coordinator.py
@@ -0,0 +1,223 @@
+"""Connections to all peers of this host, and the handlers of their messages."""
+
+from collections.abc import Callable
+from typing import Any
+
+import curio
+from absl import logging
+from curio import socket
+
+from bitterntiller.components.links import const, handshake
+from bitterntiller.components.links.connection import Connection
+from bitterntiller.components.links.errors import (
+    HandshakeError,
+    LinkFaultError,
+    LinkTimeoutError,
+    LinkUnreachableError,
+)
+from bitterntiller.components.links.frames import pack
+from bitterntiller.components.links.models import Incoming, Peer
+from bitterntiller.components.settings.models import Address
+from bitterntiller.core.clock import Clock
+from bitterntiller.core.errors import BrokenInvariantError
+from bitterntiller.core.interfaces import MessageHandler, Metrics
+from bitterntiller.protocol import messages
+
+
+class LinkCoordinator:
+    """Carries messages between this host and its peers.
+
+    A message to the own address is handed to its handler without a socket. A
+    message without a reply is handled in the order of arrival; a call is handled
+    in a task of its own, so that a slow one holds up nothing.
+    """
+
+    def __init__(
+        self,
+        own: Peer,
+        listen: Address,
+        key: bytes,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.own = own
+        self._listen = listen
+        self._key = key
+        self._clock = clock
+        self._metrics = metrics
+        self._handlers_by_type: dict[type, MessageHandler] = {}
+        self._connections_by_address: dict[str, Connection] = {}
+        self._dialling_by_address: dict[str, curio.Task] = {}
+        self._failed_at_by_address: dict[str, float] = {}
+        self._running_by_connection: dict[Connection, curio.Task] = {}
+
+    def handle(self, cls: type, handler: MessageHandler) -> Callable[[], None]:
+        """Have a handler called for each message of a type; return the removal."""
+        if cls in self._handlers_by_type:
+            raise BrokenInvariantError(f"two handlers of {cls.__name__}")
+        self._handlers_by_type[cls] = handler
+        return lambda: self._handlers_by_type.pop(cls, None)
+
+    async def async_send(self, address: str, message: Any) -> bool:
+        """Send without a reply; False when it certainly did not leave."""
+        if address == self.own.address:
+            await curio.spawn(self._async_handle, self.own.host, message, daemon=True)
+            return True
+        connection = await self._async_connection(address)
+        if connection is None or not connection.send(message):
+            return False
+        await connection.async_flush_soon()
+        return True
+
+    async def async_call(self, address: str, message: Any, timeout: float) -> Any:
+        """Send and return the reply; raise LinkError."""
+        if address == self.own.address:
+            return await self._async_call_own(message, timeout)
+        connection = await self._async_connection(address)
+        if connection is None:
+            raise LinkUnreachableError(f"can't connect to {address}")
+        return await connection.async_call(message, timeout)
+
+    async def _async_call_own(self, message: Any, timeout: float) -> Any:
+        async with curio.ignore_after(timeout):
+            reply = await self._async_handle(self.own.host, message)
+            if isinstance(reply, messages.Fault):
+                raise LinkFaultError(reply.code, reply.text)
+            return reply
+        raise LinkTimeoutError(f"own handler took over {timeout} s")
+
+    def connected(self) -> dict[str, str]:
+        """Return the peers with an open connection: name by address."""
+        return {
+            address: connection.peer.host
+            for address, connection in self._connections_by_address.items()
+            if connection.open
+        }
+
+    async def async_serve(self) -> None:
+        """Accept connections of peers until cancelled."""
+        await curio.tcp_server(
+            self._listen.ip, self._listen.port, self._async_accept, reuse_address=True
+        )
+
+    async def async_close(self) -> None:
+        """End all connections and calls."""
+        for task in list(self._running_by_connection.values()):
+            await task.cancel()
+        for task in list(self._dialling_by_address.values()):
+            await task.cancel()
+
+    async def _async_accept(self, sock: curio.io.Socket, _address: Any) -> None:
+        _set_no_delay(sock)
+        try:
+            peer = await handshake.async_accept(sock, self._key, self.own)
+        except HandshakeError as error:
+            self._metrics.count(const.METRIC_WRONG_KEY)
+            await _async_fault(sock, const.FAULT_UNAUTHORIZED, error.text)
+            return
+        connection = Connection(sock, peer, self._async_incoming, self._metrics)
+        self._keep(peer.address, connection)
+        await self._async_run(connection)
+
+    def _keep(self, address: str, connection: Connection) -> None:
+        """Use the connection for sending, unless an open one is in use.
+
+        Changing an open connection for another could let a later message
+        overtake an earlier one.
+        """
+        present = self._connections_by_address.get(address)
+        if present is None or not present.open:
+            self._connections_by_address[address] = connection
+
+    async def _async_run(self, connection: Connection) -> None:
+        try:
+            await connection.async_run()
+        finally:
+            address = connection.peer.address
+            self._running_by_connection.pop(connection, None)
+            if self._connections_by_address.get(address) is connection:
+                del self._connections_by_address[address]
+
+    async def _async_connection(self, address: str) -> Connection | None:
+        connection = self._connections_by_address.get(address)
+        if connection is not None and connection.open:
+            return connection
+        failed_at = self._failed_at_by_address.get(address)
+        # A dead host must cost its callers nothing: without this pause each
+        # message to it would wait for a connection of its own.
+        if failed_at is not None and self._clock.now() - failed_at < const.REDIAL_DELAY:
+            return None
+        if address not in self._dialling_by_address:
+            task = await curio.spawn(self._async_dial, address, daemon=True)
+            self._dialling_by_address[address] = task
+        task = self._dialling_by_address[address]
+        await task.wait()
+        connection = self._connections_by_address.get(address)
+        return connection if connection is not None and connection.open else None
+
+    async def _async_dial(self, address: str) -> None:
+        ip, _, port = address.rpartition(":")
+        try:
+            async with curio.timeout_after(const.CONNECT_TIMEOUT):
+                sock = await curio.open_connection(ip, int(port))
+            _set_no_delay(sock)
+            peer = await handshake.async_connect(sock, self._key, self.own, address)
+        except (OSError, curio.TaskTimeout, HandshakeError):
+            self._failed_at_by_address[address] = self._clock.now()
+            return
+        finally:
+            self._dialling_by_address.pop(address, None)
+        self._failed_at_by_address.pop(address, None)
+        connection = Connection(sock, peer, self._async_incoming, self._metrics)
+        self._connections_by_address[address] = connection
+        task = await curio.spawn(self._async_run, connection, daemon=True)
+        self._running_by_connection[connection] = task
+
+    async def _async_incoming(self, connection: Connection, incoming: Incoming) -> None:
+        if not incoming.call:
+            await self._async_handle(connection.peer.host, incoming.message)
+            return
+        if connection.calls_running >= const.MAX_CALLS_PER_CONNECTION:
+            fault = messages.Fault(code=const.FAULT_BUSY, text="too many calls")
+            connection.send(fault, incoming.call, reply=True)
+            await connection.async_flush_soon()
+            return
+        connection.calls_running += 1
+        await curio.spawn(self._async_answer, connection, incoming, daemon=True)
+
+    async def _async_answer(self, connection: Connection, incoming: Incoming) -> None:
+        try:
+            reply = await self._async_handle(connection.peer.host, incoming.message)
+            if reply is not None:
+                connection.send(reply, incoming.call, reply=True)
+                await connection.async_flush_soon()
+        finally:
+            connection.calls_running -= 1
+
+    async def _async_handle(self, host: str, message: Any) -> Any:
+        handler = self._handlers_by_type.get(type(message))
+        if handler is None:
+            text = f"no handler of {type(message).__name__}"
+            return messages.Fault(code=const.FAULT_NO_HANDLER, text=text)
+        try:
+            return await handler(host, message)
+        except BrokenInvariantError:
+            raise
+        except curio.CancelledError:
+            raise
+        except Exception as error:
+            # One bad message must not end the service of all others.
+            self._metrics.count(const.METRIC_HANDLER_ERROR)
+            logging.exception("handler of %s failed", type(message).__name__)
+            return messages.Fault(code=const.FAULT_INTERNAL, text=repr(error))
+
+
+def _set_no_delay(sock: curio.io.Socket) -> None:
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+async def _async_fault(sock: curio.io.Socket, code: int, text: str) -> None:
+    try:
+        await sock.sendall(pack(messages.Fault(code=code, text=text)))
+    except OSError:
+        return
--- /dev/null
+++ b/bitterntiller/components/links/errors.py
@@ -0,0 +1,37 @@
+"""Errors of the links between hosts."""
+
+from bitterntiller.core.errors import CodedError
+
+
+class LinkError(CodedError):
+    """Raised when a peer can't be reached or did not answer."""
+
+    code = "link-failed"
+
+
+class LinkUnreachableError(LinkError):
+    """Raised when the message certainly did not reach the peer."""
+
+    code = "link-unreachable"
+
+
+class LinkTimeoutError(LinkError):
+    """Raised when no reply came in time; the peer may have got the message."""
+
+    code = "link-timeout"
+
+
+class LinkFaultError(LinkError):
+    """Raised when the peer answered with a fault."""
+
+    code = "link-fault"
+
+    def __init__(self, fault_code: int, text: str) -> None:
+        super().__init__(f"{fault_code}: {text}")
+        self.fault_code = fault_code
+
+
+class HandshakeError(LinkError):
+    """Raised when a peer does not prove that it has the internal key."""
+
+    code = "link-handshake"
--- a/bitterntiller/components/settings/models.py
+++ b/bitterntiller/components/settings/models.py
@@ -15,11 +15,15 @@
 
 
 class Listen(NamedTuple):
-    """Where the process listens."""
+    """Where the process listens, and where peers reach its internal port.
+
+    advertised is None when peers reach it where it listens.
+    """
 
     caller: Address
     internal: Address
     operator: Address
+    advertised: Address | None = None
 
 
 class Keys(NamedTuple):
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -36,7 +36,8 @@
 struct Hello {
     1: required string host,
     2: required string incarnation,   // new at every start of the process
-    3: required binary proof,         // HMAC-SHA256 of the nonce and the host name
+    3: required binary proof,         // HMAC-SHA256 of the nonce, host, incarnation, address
+    4: required string address,       // the internal address that peers reach it at
 }
 
 struct HelloReply { 1: required string host, 2: required string incarnation }
