Decide simply for one pool, so that the request path can run

Cause: the thin path needs a scheduler behind the agreed Protocol. Tier first, then arrival; least outstanding upstream, one grant a free slot, lapsed grants taken back, leaving and silent upstreams left out.

--- a/bitterntiller/components/dispatch/models.py
+++ b/bitterntiller/components/dispatch/models.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple, Protocol
 
+from bitterntiller.components.dispatch import const
+
 
 class WaitingRequest(NamedTuple):
     """A request that waits for an upstream; its body stays at the entry host.
@@ -170,3 +172,22 @@
     def describe(self, now: float) -> dict[str, object]:
         """Return the owner's view for the dump."""
         ...
+
+
+class PolicyParameters(NamedTuple):
+    """What may be tuned in the decisions of one pool; times in seconds.
+
+    kind is engine or plain. A grant that was not heard of is taken back
+    grant_grace after it lapsed.
+    """
+
+    kind: str = const.KIND_ENGINE
+    grant_seconds: float = const.DEFAULT_GRANT_SECONDS
+    grant_grace: float = const.DEFAULT_GRANT_GRACE_SECONDS
+    silence_seconds: float = const.DEFAULT_SILENCE_SECONDS
+    no_upstream_seconds: float = const.DEFAULT_NO_UPSTREAM_SECONDS
+    seed: int = 1
+
+
+DEFAULT_PARAMETERS = PolicyParameters()
+"""The parameters of an engine pool that was told nothing else."""
--- /dev/null
+++ b/tests/components/dispatch/builders.py
@@ -0,0 +1,52 @@
+"""Builders of requests, upstreams and completions."""
+
+from typing import Any
+
+from bitterntiller.components.dispatch.models import (
+    Completion,
+    UpstreamState,
+    WaitingRequest,
+)
+
+
+def request(request_id: str = "r1", **changes: Any) -> WaitingRequest:
+    """Return a small request of the top tier that has 30 seconds."""
+    return WaitingRequest(
+        request_id=request_id,
+        workspace="foresters",
+        tier="gold",
+        tier_rank=0,
+        prompt_tokens=200,
+        output_tokens=50,
+        arrived=1000.0,
+        deadline=1030.0,
+        entry_host="bole-1",
+    )._replace(**changes)
+
+
+def upstream(name: str = "engine-1", **changes: Any) -> UpstreamState:
+    """Return a ready engine with four slots."""
+    return UpstreamState(
+        name=name,
+        address="127.0.0.1:9001",
+        incarnation=1,
+        sequence=1,
+        leaving=False,
+        labels={},
+        slots=4,
+        kv_tokens=100_000,
+    )._replace(**changes)
+
+
+def completion(request_id: str, name: str = "engine-1", **changes: Any) -> Completion:
+    """Return a completion that took one second."""
+    return Completion(
+        request_id=request_id,
+        upstream=name,
+        outcome="done",
+        output_tokens=50,
+        cached_tokens=0,
+        first_token=0.2,
+        total=1.0,
+        in_time=True,
+    )._replace(**changes)
--- /dev/null
+++ b/tests/components/dispatch/test_scheduler.py
@@ -0,0 +1,51 @@
+"""Grants, refusals and upstreams, seen from outside."""
+
+from bitterntiller.components.dispatch.models import Granted, Refused
+from bitterntiller.components.dispatch.scheduler import PoolScheduler
+
+from .builders import completion, request, upstream
+
+NOW = 1000.0
+
+
+def test_one_grant_per_free_slot_and_top_tier_first():
+    scheduler = PoolScheduler()
+    scheduler.announce(upstream(slots=1), NOW)
+    first = scheduler.register(request("a", tier_rank=1), NOW)
+    assert first == [Granted("a", "bole-1", "engine-1", "127.0.0.1:9001", 1)]
+    assert scheduler.register(request("b", tier_rank=1), NOW) == []
+    assert scheduler.register(request("c", tier_rank=0), NOW) == []
+    scheduler.started("a", NOW)
+    after = scheduler.finished(completion("a"), NOW + 1)
+    assert [decision.request_id for decision in after] == ["c"]
+
+
+def test_refused_when_its_deadline_has_come():
+    scheduler = PoolScheduler()
+    scheduler.announce(upstream(slots=1), NOW)
+    scheduler.register(request("a"), NOW)
+    scheduler.started("a", NOW)
+    scheduler.register(request("b"), NOW)
+    scheduler.announce(upstream(slots=1, sequence=2), NOW + 29)
+    [refused] = scheduler.tick(NOW + 30)
+    assert isinstance(refused, Refused)
+    assert (refused.request_id, refused.reason) == ("b", "too-late")
+
+
+def test_no_grant_to_a_leaving_or_silent_upstream():
+    scheduler = PoolScheduler()
+    assert scheduler.announce(upstream(sequence=5), NOW) == (True, [])
+    assert scheduler.announce(upstream(sequence=6, leaving=True), NOW) == (True, [])
+    assert scheduler.announce(upstream(sequence=5), NOW) == (False, [])
+    assert scheduler.register(request("a"), NOW) == []
+    scheduler.announce(upstream("engine-2"), NOW)
+    assert scheduler.register(request("b"), NOW + 10) == []
+
+
+def test_a_grant_that_is_not_heard_of_frees_its_slot():
+    scheduler = PoolScheduler()
+    scheduler.announce(upstream(slots=1), NOW)
+    scheduler.register(request("a"), NOW)
+    assert scheduler.register(request("b"), NOW) == []
+    [granted] = scheduler.tick(NOW + 2)
+    assert granted.request_id == "b"
