Add the stand-ins for a model engine and a plain service

The request path needs upstreams that speak docs/UPSTREAMS.md, that can be told to misbehave, and that record every request they admit, flushed line by line, so that runs can be counted after a kill.

--- /dev/null
+++ b/standins/announcer.py
@@ -0,0 +1,132 @@
+"""Announcements of a stand-in to the entry hosts."""
+
+import json
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import curio
+import h11
+
+from standins.faults import Faults
+from standins.options import Options
+
+PERIOD_S = 1.0
+TIMEOUT_S = 1.0
+READ_BYTES = 65536
+CACHE_EVENTS_AT_ONCE = 256
+
+
+async def async_exchange(
+    address: tuple[str, int], target: str, headers: dict[str, str], body: bytes
+) -> int:
+    """Post a body on a connection of its own and return the status; 0: no answer."""
+    http = h11.Connection(h11.CLIENT)
+    fields = {"Host": f"{address[0]}:{address[1]}", "Connection": "close", **headers}
+    fields["Content-Length"] = str(len(body))
+    sock = await curio.open_connection(*address)
+    async with sock:
+        request = h11.Request(
+            method="POST", target=target, headers=list(fields.items())
+        )
+        data = http.send(request) + http.send(h11.Data(data=body))
+        await sock.sendall(data + http.send(h11.EndOfMessage()))
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                http.receive_data(await sock.recv(READ_BYTES))
+            elif isinstance(event, h11.Response):
+                return event.status_code
+            else:
+                return 0
+
+
+class Announcer:
+    """Tells one of several entry hosts about the stand-in every second."""
+
+    def __init__(
+        self, options: Options, faults: Faults, running: Callable[[], int]
+    ) -> None:
+        self.leaving = False
+        self.changed = curio.Event()
+        self.cache_events: deque[dict[str, Any]] = deque(maxlen=10_000)
+        self.kv_tokens_used = 0
+        self._options = options
+        self._faults = faults
+        self._running = running
+        self._hosts = options.entry_hosts
+        self._sequence = 0
+        self._next_host = 0
+        self._loads: deque[tuple[float, int, int]] = deque()
+        key = options.key_file.read_text().strip() if options.key_file else ""
+        self._headers = {
+            "Authorization": f"Bearer {key}",
+            "Content-Type": "application/json",
+        }
+
+    async def async_run(self) -> None:
+        """Announce for ever."""
+        while self._hosts:
+            if not self._faults.silent:
+                await self._async_announce()
+            await curio.ignore_after(PERIOD_S, self.changed.wait)
+            self.changed.clear()
+
+    async def _async_announce(self) -> None:
+        body = json.dumps(self._document()).encode()
+        for _ in self._hosts:
+            address = self._hosts[self._next_host]
+            if await self._async_post(address, body):
+                return
+            self._next_host = (self._next_host + 1) % len(self._hosts)
+
+    async def _async_post(self, address: tuple[str, int], body: bytes) -> bool:
+        try:
+            status = await curio.timeout_after(
+                TIMEOUT_S,
+                async_exchange,
+                address,
+                "/v1/upstreams/announce",
+                self._headers,
+                body,
+            )
+        except (OSError, curio.TaskTimeout, h11.ProtocolError):
+            return False
+        return status == 200
+
+    def _document(self) -> dict[str, Any]:
+        options = self._options
+        self._sequence += 1
+        leaving = self.leaving or self._faults.leaving
+        events = [
+            self.cache_events.popleft()
+            for _ in range(min(len(self.cache_events), CACHE_EVENTS_AT_ONCE))
+        ]
+        return {
+            "name": options.name,
+            "service": options.service,
+            "address": options.listen,
+            "incarnation": options.incarnation,
+            "sequence": 1 if self._faults.old_sequence else self._sequence,
+            "state": "leaving" if leaving else "ready",
+            "labels": options.labels_by_key,
+            "slots": options.slots,
+            "kv_tokens": options.kv_tokens,
+            "load": self._load(),
+            "cache_events": events,
+        }
+
+    def _load(self) -> dict[str, int]:
+        """Return a report that is as late as the options say."""
+        now, lag = time.monotonic(), self._options.load_lag_ms / 1000
+        self._loads.append((now, self._running(), self.kv_tokens_used))
+        while len(self._loads) > 1 and self._loads[1][0] <= now - lag:
+            self._loads.popleft()
+        measured, held, used = self._loads[0]
+        return {
+            "running": min(held, self._options.slots),
+            "waiting": max(0, held - self._options.slots),
+            "kv_tokens": used,
+            "age_ms": int((now - measured) * 1000),
+        }
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,359 @@
+"""A model engine's stand-in: `python -m standins.engine`, as docs/UPSTREAMS.md says."""
+
+import json
+import time
+from collections import OrderedDict, deque
+from dataclasses import dataclass
+from typing import Annotated, Any
+
+import cappa
+import curio
+import h11
+import xxhash
+
+from standins import answers
+from standins.faults import Faults
+from standins.options import Options
+from standins.server import Connection, Request, Server
+
+SMALLEST_PREFIX_BYTES = 256
+BYTES_PER_TOKEN = 4
+CHAT_PATH = "/v1/chat/completions"
+COMPLETION_PATH = "/v1/completions"
+REQUESTS_PATH = "/v1/requests/"
+NOT_ADMITTED = {"X-Admitted": "false", "Retry-After": "1"}
+
+
+@dataclass(kw_only=True)
+class EngineOptions(Options):
+    """The options of an engine."""
+
+    token_ms: Annotated[float, cappa.Arg(long=True)] = 5.0
+    prefill_us: Annotated[float, cappa.Arg(long=True)] = 20.0
+    """Microseconds for each prompt token that is not cached."""
+    cache_prefixes: Annotated[int, cappa.Arg(long=True)] = 1000
+    keep_s: Annotated[float, cappa.Arg(long=True)] = 30.0
+    """How long finished work can be resumed."""
+
+
+class PrefixCache:
+    """The prompt prefixes that the engine has computed, the oldest dropped first."""
+
+    def __init__(self, size: int, events: deque[dict[str, Any]]) -> None:
+        self._size = size
+        self._events = events
+        self._sequence = 0
+        self._hashes: OrderedDict[int, None] = OrderedDict()
+
+    def take(self, prompt: bytes) -> int:
+        """Return how many bytes of a prompt were cached, and cache its prefixes."""
+        cached, length = 0, SMALLEST_PREFIX_BYTES
+        while length <= len(prompt):
+            prefix_hash = xxhash.xxh3_64_intdigest(prompt[:length])
+            if prefix_hash in self._hashes:
+                cached = length
+                self._hashes.move_to_end(prefix_hash)
+            else:
+                self._hashes[prefix_hash] = None
+                self._tell(prefix_hash, stored=True)
+            length *= 2
+        while len(self._hashes) > self._size:
+            self._tell(self._hashes.popitem(last=False)[0], stored=False)
+        return cached
+
+    def _tell(self, prefix_hash: int, *, stored: bool) -> None:
+        self._sequence += 1
+        signed = prefix_hash - (1 << 64) if prefix_hash >> 63 else prefix_hash
+        event = {"sequence": self._sequence, "stored": stored, "prefix_hash": signed}
+        self._events.append(event)
+
+
+class Work:
+    """One request being worked on; its events are kept so that it can be resumed."""
+
+    def __init__(self, request_id: str, body: dict[str, Any], *, chat: bool) -> None:
+        self.request_id = request_id
+        self.prompt = answers.prompt_text(body)
+        self.max_tokens = answers.max_tokens(body)
+        self.chat = chat
+        self.cached_bytes = 0
+        self.events: list[bytes] = []
+        self.ended = False
+        self.ended_at = 0.0
+        self.task: curio.Task | None = None
+        self.grown = curio.Event()
+
+    def prompt_tokens(self) -> int:
+        return max(1, len(self.prompt.encode()) // BYTES_PER_TOKEN)
+
+    def usage(self) -> dict[str, Any]:
+        return {
+            "prompt_tokens": self.prompt_tokens(),
+            "completion_tokens": self.max_tokens,
+            "total_tokens": self.prompt_tokens() + self.max_tokens,
+            "prompt_tokens_details": {
+                "cached_tokens": self.cached_bytes // BYTES_PER_TOKEN
+            },
+        }
+
+    def add_token(self, index: int) -> None:
+        text = answers.token(self.prompt, index)
+        last = index == self.max_tokens - 1
+        choice: dict[str, Any] = {"index": 0, "finish_reason": "stop" if last else None}
+        choice |= {"delta": {"content": text}} if self.chat else {"text": text}
+        self._add_event(json.dumps({"id": self.request_id, "choices": [choice]}))
+
+    def add_end(self) -> None:
+        usage = {"id": self.request_id, "choices": [], "usage": self.usage()}
+        self._add_event(json.dumps(usage))
+        self._add_event("[DONE]")
+
+    def whole_answer(self) -> dict[str, Any]:
+        tokens = (answers.token(self.prompt, n) for n in range(self.max_tokens))
+        text = "".join(tokens)
+        choice: dict[str, Any] = {"index": 0, "finish_reason": "stop"}
+        if self.chat:
+            choice["message"] = {"role": "assistant", "content": text}
+        else:
+            choice["text"] = text
+        return {"id": self.request_id, "choices": [choice], "usage": self.usage()}
+
+    def _add_event(self, data: str) -> None:
+        number = len(self.events) + 1
+        self.events.append(f"id: {number}\ndata: {data}\n\n".encode())
+
+    async def async_end(self) -> None:
+        """Note that no more events come."""
+        self.ended = True
+        self.ended_at = time.monotonic()
+        await self.async_wake()
+
+    async def async_wake(self) -> None:
+        """Wake all that wait for more events."""
+        await self.grown.set()
+        self.grown = curio.Event()
+
+    async def async_next(self, after: int) -> list[bytes]:
+        """Return the events after a number once there are any; none at the end."""
+        while len(self.events) <= after and not self.ended:
+            await self.grown.wait()
+        return self.events[after:]
+
+    async def async_wait(self) -> None:
+        """Return when no more events come."""
+        while not self.ended:
+            await self.grown.wait()
+
+
+class Engine:
+    """Works on requests in a bounded number of slots."""
+
+    def __init__(self, options: EngineOptions) -> None:
+        self.server = Server(options, self.async_handle)
+        self._options = options
+        self._slots = curio.Semaphore(options.slots)
+        self._orders = OrderBook(self.server)
+        self._works_by_id: OrderedDict[str, Work] = OrderedDict()
+        self._cache = PrefixCache(
+            options.cache_prefixes, self.server.announcer.cache_events
+        )
+
+    async def async_handle(
+        self, connection: Connection, request: Request, faults: Faults
+    ) -> None:
+        """Answer one request."""
+        path = request.target.split("?")[0]
+        if request.method == "POST" and path in (CHAT_PATH, COMPLETION_PATH):
+            await self._async_run(connection, request, faults.take())
+        elif request.method == "GET" and path.startswith(REQUESTS_PATH):
+            await self._async_resume(connection, request, faults)
+        elif request.method == "DELETE" and path.startswith(REQUESTS_PATH):
+            await self._async_cancel(connection, path.removeprefix(REQUESTS_PATH))
+        elif request.method == "POST" and path == "/v1/orders":
+            await self._orders.async_handle(connection, request)
+        else:
+            await connection.async_answer(404, {"error": "no such path"})
+
+    async def _async_run(
+        self, connection: Connection, request: Request, faults: Faults
+    ) -> None:
+        echo = {"X-Request-Id": request.request_id}
+        if faults.not_admit or self.server.full():
+            await connection.async_answer(503, {"error": "full"}, echo | NOT_ADMITTED)
+            return
+        chat = request.target.startswith(CHAT_PATH)
+        try:
+            body = json.loads(request.body)
+            work = Work(request.request_id, body, chat=chat)
+        except (ValueError, KeyError, TypeError, AttributeError) as err:
+            await connection.async_answer(400, {"error": repr(err)}, echo)
+            return
+        self.server.recorder.admit(request)
+        self._forget_old()
+        self._works_by_id[work.request_id] = work
+        self.server.running += 1
+        work.task = await curio.spawn(self._async_work, work, daemon=True)
+        if faults.drop_answers:
+            await self._async_drop(connection, work)
+        elif body.get("stream"):
+            await self._async_stream(connection, work, 0, faults)
+        else:
+            await self._async_whole(connection, work, faults)
+
+    async def _async_work(self, work: Work) -> None:
+        try:
+            async with self._slots:
+                await self._async_fill(work)
+            self.server.recorder.add("done", request_id=work.request_id)
+        except curio.TaskCancelled:
+            self.server.recorder.add("cancelled", request_id=work.request_id)
+            raise
+        finally:
+            self.server.running -= 1
+            self.server.announcer.kv_tokens_used -= work.prompt_tokens()
+            await work.async_end()
+
+    async def _async_fill(self, work: Work) -> None:
+        prompt = work.prompt.encode()
+        self.server.announcer.kv_tokens_used += work.prompt_tokens()
+        work.cached_bytes = self._cache.take(prompt)
+        fresh = work.prompt_tokens() - work.cached_bytes // BYTES_PER_TOKEN
+        due = time.monotonic()
+        due += fresh * self._options.prefill_us / 1e6 * self.server.faults.slow
+        for index in range(work.max_tokens):
+            due += self._options.token_ms / 1000 * self.server.faults.slow
+            pause = due - time.monotonic()
+            if pause > 0:
+                await curio.sleep(pause)
+            work.add_token(index)
+            if pause > 0:
+                await work.async_wake()
+        work.add_end()
+
+    async def _async_drop(self, connection: Connection, work: Work) -> None:
+        await work.async_wait()
+        connection.reset()
+
+    async def _async_whole(
+        self, connection: Connection, work: Work, faults: Faults
+    ) -> None:
+        await curio.sleep(faults.delay_s)
+        await work.async_wait()
+        if faults.reset_after >= 0:
+            connection.reset()
+        if faults.stall_after >= 0:
+            await connection.async_wait_gone()
+            connection.reset()
+        echo = {"X-Request-Id": echoed(work.request_id, faults)}
+        await connection.async_answer(200, work.whole_answer(), echo)
+
+    async def _async_stream(
+        self, connection: Connection, work: Work, after: int, faults: Faults
+    ) -> None:
+        await curio.sleep(faults.delay_s)
+        fields = {
+            "Content-Type": "text/event-stream",
+            "Transfer-Encoding": "chunked",
+            "X-Request-Id": echoed(work.request_id, faults),
+        }
+        if faults.reset_after == 0:
+            connection.reset()
+        head = h11.Response(status_code=200, headers=list(fields.items()))
+        sent, stop = 0, first_bound(faults)
+        while piece := await work.async_next(after + sent):
+            piece = piece[: stop - sent] if stop >= 0 else piece
+            parts = [h11.Data(data=event) for event in piece]
+            await connection.async_send(*([head] if sent == 0 else []), *parts)
+            sent += len(piece)
+            if sent == stop:
+                await self._async_break(connection, faults)
+                return
+        if sent == 0:
+            await connection.async_send(head)
+        if not work.events or b"[DONE]" not in work.events[-1]:
+            connection.reset()  # cancelled: never a clean end of a part
+        await connection.async_send(h11.EndOfMessage())
+
+    async def _async_break(self, connection: Connection, faults: Faults) -> None:
+        if faults.end_after >= 0:
+            await connection.async_send(h11.EndOfMessage())
+            return
+        if faults.stall_after >= 0:
+            await connection.async_wait_gone()
+        connection.reset()
+
+    async def _async_resume(
+        self, connection: Connection, request: Request, faults: Faults
+    ) -> None:
+        request_id = request.target.removeprefix(REQUESTS_PATH).removesuffix("/stream")
+        work = self._works_by_id.get(request_id)
+        if work is None or faults.forget:
+            echo = {"X-Request-Id": request_id}
+            await connection.async_answer(404, {"error": "unknown"}, echo)
+            return
+        self.server.recorder.add("resume", request_id=request_id)
+        after = int(request.headers.get("last-event-id", "0"))
+        await self._async_stream(connection, work, after, faults.take())
+
+    async def _async_cancel(self, connection: Connection, request_id: str) -> None:
+        work = self._works_by_id.get(request_id)
+        if work is not None and work.task is not None and not work.ended:
+            await work.task.cancel()
+        await connection.async_answer(204, b"", {"X-Request-Id": request_id})
+
+    def _forget_old(self) -> None:
+        oldest = time.monotonic() - self._options.keep_s
+        while self._works_by_id:
+            work = next(iter(self._works_by_id.values()))
+            if not work.ended or work.ended_at > oldest:
+                return
+            del self._works_by_id[work.request_id]
+
+
+class OrderBook:
+    """Carries out orders, checking fences and repeated ids where labels say so."""
+
+    def __init__(self, server: Server) -> None:
+        self._server = server
+        self._highest_fence = 0
+        self._results_by_id: dict[str, dict[str, Any]] = {}
+
+    async def async_handle(self, connection: Connection, request: Request) -> None:
+        """Answer an order."""
+        order = json.loads(request.body)
+        labels = self._server.options.labels_by_key
+        if labels.get("orders") == "idempotent":
+            earlier = self._results_by_id.get(order["order_id"])
+            if earlier is not None:
+                await connection.async_answer(200, earlier)
+                return
+        checked = labels.get("fencing") == "checked"
+        if checked and order["fence"] < self._highest_fence:
+            await connection.async_answer(409, {"error": "old fence"})
+            return
+        self._highest_fence = max(self._highest_fence, order["fence"])
+        self._server.recorder.add("order", **{"order": order})
+        result = {"status": "done", "order_id": order["order_id"]}
+        self._results_by_id[order["order_id"]] = result
+        await connection.async_answer(200, result)
+
+
+def echoed(request_id: str, faults: Faults) -> str:
+    """Return the request id that an answer carries."""
+    return f"not-{request_id}" if faults.wrong_id else request_id
+
+
+def first_bound(faults: Faults) -> int:
+    """Return after how many events a stream breaks, -1 for never."""
+    bounds = (faults.reset_after, faults.stall_after, faults.end_after)
+    return min((bound for bound in bounds if bound >= 0), default=-1)
+
+
+def main() -> None:
+    """Run an engine as the command line says."""
+    options = cappa.parse(EngineOptions)
+    curio.run(Engine(options).server.async_run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/plain.py
@@ -0,0 +1,76 @@
+"""A plain service's stand-in: `python -m standins.plain`."""
+
+from dataclasses import dataclass
+from typing import Annotated
+
+import cappa
+import curio
+
+from standins import answers
+from standins.engine import NOT_ADMITTED, OrderBook, echoed
+from standins.faults import Faults
+from standins.options import Options
+from standins.server import Connection, Request, Server
+
+
+@dataclass(kw_only=True)
+class PlainOptions(Options):
+    """The options of a plain service."""
+
+    work_ms: Annotated[float, cappa.Arg(long=True)] = 5.0
+
+
+class PlainService:
+    """Answers every path by JSON and counts the executions."""
+
+    def __init__(self, options: PlainOptions) -> None:
+        self.server = Server(options, self.async_handle)
+        self._options = options
+        self._orders = OrderBook(self.server)
+        self._slots = curio.Semaphore(options.slots)
+
+    async def async_handle(
+        self, connection: Connection, request: Request, faults: Faults
+    ) -> None:
+        """Answer one request."""
+        if request.target == "/v1/orders":
+            await self._orders.async_handle(connection, request)
+            return
+        if request.target.startswith("/v1/requests/"):
+            status = 204 if request.method == "DELETE" else 404
+            await connection.async_answer(status, {"error": "plain"})
+            return
+        await self._async_execute(connection, request, faults.take())
+
+    async def _async_execute(
+        self, connection: Connection, request: Request, faults: Faults
+    ) -> None:
+        echo = {"X-Request-Id": echoed(request.request_id, faults)}
+        if faults.not_admit or self.server.full():
+            await connection.async_answer(503, {"error": "full"}, echo | NOT_ADMITTED)
+            return
+        self.server.recorder.admit(request)
+        self.server.running += 1
+        try:
+            async with self._slots:
+                await curio.sleep(self._options.work_ms / 1000 * faults.slow)
+        finally:
+            self.server.running -= 1
+        self.server.recorder.add("done", request_id=request.request_id)
+        await curio.sleep(faults.delay_s)
+        if faults.stall_after >= 0:
+            await connection.async_wait_gone()
+        if faults.drop_answers or faults.reset_after >= 0 or faults.stall_after >= 0:
+            connection.reset()
+        body = answers.plain_answer(request.method, request.target, request.body)
+        await connection.async_answer(200, body, echo)
+
+
+def main() -> None:
+    """Run a plain service as the command line says."""
+    options = cappa.parse(PlainOptions)
+    curio.run(PlainService(options).server.async_run)
+
+
+if __name__ == "__main__":
+    main()
