--- a/bitterntiller/components/control/coordinator.py
+++ b/bitterntiller/components/control/coordinator.py
@@ -52,8 +52,11 @@
         self._term: LeaderTerm | None = None
         self.state = state
 
-    async def async_start(self) -> None:
-        """Begin to answer, until the process unloads."""
+    async def async_start(self, tick: bool = True) -> None:
+        """Begin to answer, until the process unloads.
+
+        Without tick, pools are placed only by a call of async_place.
+        """
         handlers = {
             messages.Heartbeat: self.async_heartbeat,
             messages.Change: self.async_change,
@@ -64,7 +67,8 @@
         }
         await self._runtime.async_spawn(self._confirm.async_run())
         await self._runtime.async_spawn(self._proposer.async_run())
-        await self._runtime.async_spawn(self._async_tick())
+        if tick:
+            await self._runtime.async_spawn(self._async_tick())
         for cls, handler in handlers.items():
             self._runtime.stack.callback(self._runtime.links.handle(cls, handler))
 
--- a/bitterntiller/components/control/placement.py
+++ b/bitterntiller/components/control/placement.py
@@ -28,10 +28,10 @@
         for pool, owner in owners_by_pool.items()
         if pool in wanted and not is_gone(owner)
     }
-    plan = [
-        _assignment(pool, None, owners_by_pool)
-        for pool in sorted(owners_by_pool.keys() - wanted)
-    ]
+    unused = owners_by_pool.keys() - wanted
+    if not hosts:
+        unused = owners_by_pool.keys() - kept.keys()
+    plan = [_assignment(pool, None, owners_by_pool) for pool in sorted(unused)]
     if not hosts:
         return plan
     load = Counter(owner.host for owner in kept.values())
--- /dev/null
+++ b/tests/components/control/mutations.py
@@ -0,0 +1,221 @@
+"""Guards broken one at a time, each as a change by monkeypatch."""
+
+import json
+
+from bitterntiller.components.control import claims, leader, ownership, sessions
+from bitterntiller.components.control.configuration import ConfigurationState
+from bitterntiller.components.control.confirm import ConfirmBatch
+from bitterntiller.components.control.coordinator import ControlCoordinator
+from bitterntiller.components.node import lease
+from bitterntiller.components.node.configuration import NodeConfig
+from bitterntiller.components.node.coordinator import NodeCoordinator
+from bitterntiller.components.node.directory import NodeDirectory
+from bitterntiller.core.interfaces import Ownership
+
+
+def lease_counted_from_receipt(patch):
+    take_reply = NodeCoordinator.take_reply
+    patch.setattr(
+        NodeCoordinator,
+        "take_reply",
+        lambda self, reply, sent_at: take_reply(self, reply, self._clock.now()),
+    )
+
+
+def lease_without_drift_margin(patch):
+    patch.setattr(lease, "MAX_CLOCK_DRIFT", 0.0)
+
+
+def lease_without_confirmation(patch):
+    async def confirmed(self):
+        return self.leading()
+
+    patch.setattr(ControlCoordinator, "_async_confirmed", confirmed)
+
+
+def confirmation_under_way_shared(patch):
+    async def confirm(self):
+        if self.current is None or self.current.done.is_set():
+            self.current = self._next
+            await self._wanted.set()
+        current = self.current
+        await current.done.wait()
+        return current.index
+
+    patch.setattr(ConfirmBatch, "current", None, raising=False)
+    patch.setattr(ConfirmBatch, "async_confirm", confirm)
+
+
+def lower_version_applied(patch):
+    def apply(self, reply):
+        if reply.config is not None:
+            return self._put(json.loads(reply.config), reply.config_version)
+        return original(self, reply)
+
+    original = NodeConfig.apply
+    patch.setattr(NodeConfig, "apply", apply)
+
+
+def gap_in_versions_ignored(patch):
+    def apply(self, reply):
+        if reply.config is None and reply.changes:
+            reply.changes = reply.changes[-1:]
+            reply.changes[0].version = reply.config_version = self.version + 1
+        return original(self, reply)
+
+    original = NodeConfig.apply
+    patch.setattr(NodeConfig, "apply", apply)
+
+
+def outcomes_not_recorded(patch):
+    patch.setattr(ConfigurationState, "_record", lambda *args: None)
+
+
+def base_version_not_checked(patch):
+    def apply(self, change, time_ms):
+        change.base_version = self.version
+        return original(self, change, time_ms)
+
+    original = ConfigurationState.apply
+    patch.setattr(ConfigurationState, "apply", apply)
+
+
+def owners_gone_at_takeover(patch):
+    def ungranted_for(self, host, incarnation, now):
+        return now - self._granted.get((host, incarnation), float("-inf"))
+
+    patch.setattr(sessions.SessionTable, "ungranted_for", ungranted_for)
+
+
+def owner_lease_not_waited_out(patch):
+    def is_gone(self, host, incarnation, now):
+        return self.sessions.ungranted_for(host, incarnation, now) > 1.0
+
+    patch.setattr(leader.LeaderTerm, "is_gone", is_gone)
+
+
+def owner_replaced_at_once(patch):
+    def is_gone(self, host, incarnation, now):
+        gone = self.sessions.replaced(host, incarnation)
+        return gone or original(self, host, incarnation, now)
+
+    original = leader.LeaderTerm.is_gone
+    patch.setattr(leader.LeaderTerm, "is_gone", is_gone)
+
+
+def expected_epoch_not_checked(patch):
+    def assign(self, index, assignments):
+        for item in assignments:
+            owner = self.owners_by_pool.get(item.pool)
+            item.expected_epoch = owner.epoch if owner else 0
+        original(self, index, assignments)
+
+    original = ownership.OwnershipState.assign
+    patch.setattr(ownership.OwnershipState, "assign", assign)
+
+
+def epoch_counted_from_one(patch):
+    def assign(self, index, assignments):
+        original(self, len(self.owners_by_pool) + 1, assignments)
+
+    original = ownership.OwnershipState.assign
+    patch.setattr(ownership.OwnershipState, "assign", assign)
+
+
+def old_epoch_acted_on(patch):
+    def owner(self, pool):
+        found = self.owners_by_pool.get(pool)
+        return found and Ownership(found.host, found.address, found.epoch)
+
+    patch.setattr(NodeDirectory, "owner", owner)
+
+
+def released_by_another(patch):
+    def release(self, message):
+        for pool in message.pools:
+            self.owners_by_pool.pop(pool, None)
+
+    patch.setattr(ownership.OwnershipState, "release", release)
+
+
+def released_epoch_acted_on(patch):
+    patch.setattr(NodeDirectory, "release", lambda self, pools: None)
+
+
+def voided_by_another(patch):
+    patch.setattr(claims, "_is_holder", lambda record, claim: True)
+
+
+def voided_claim_taken_late(patch):
+    def take(self, claim, time_ms):
+        record = self.record(claim)
+        if record is not None and record.state == "voided":
+            self._drop(claims._key(claim))
+        return original(self, claim, time_ms)
+
+    original = claims.ClaimsState._take
+    patch.setattr(claims.ClaimsState, "_take", take)
+
+
+def claim_digest_not_compared(patch):
+    def take(self, claim, time_ms):
+        record = self.record(claim)
+        if record is not None:
+            claim.digest = record.digest
+        return original(self, claim, time_ms)
+
+    original = claims.ClaimsState._take
+    patch.setattr(claims.ClaimsState, "_take", take)
+
+
+def outcomes_lost_in_snapshot(patch):
+    def to_document(self):
+        return {**original(self), "outcomes": {}}
+
+    original = ConfigurationState.to_document
+    patch.setattr(ConfigurationState, "to_document", to_document)
+
+
+def claims_lost_in_snapshot(patch):
+    patch.setattr(claims.ClaimsState, "to_document", lambda self: {"claims": []})
+
+
+def forgotten_base_not_kept(patch):
+    def drop(self):
+        del self.outcomes_by_id[next(iter(self.outcomes_by_id))]
+
+    patch.setattr(ConfigurationState, "_drop_oldest", drop)
+
+
+LEASE_MUTATIONS = [
+    lease_counted_from_receipt,
+    lease_without_drift_margin,
+    lease_without_confirmation,
+    confirmation_under_way_shared,
+    lower_version_applied,
+    gap_in_versions_ignored,
+    outcomes_not_recorded,
+    base_version_not_checked,
+    owners_gone_at_takeover,
+    owner_lease_not_waited_out,
+    owner_replaced_at_once,
+    epoch_counted_from_one,
+    old_epoch_acted_on,
+    released_by_another,
+    released_epoch_acted_on,
+]
+"""Caught by schedules of leaders and nodes."""
+
+STATE_MUTATIONS = [
+    outcomes_not_recorded,
+    base_version_not_checked,
+    outcomes_lost_in_snapshot,
+    forgotten_base_not_kept,
+    expected_epoch_not_checked,
+    released_by_another,
+    voided_by_another,
+    voided_claim_taken_late,
+    claim_digest_not_compared,
+    claims_lost_in_snapshot,
+]
+"""Caught by sequences of commands to the state machine."""
--- /dev/null
+++ b/tests/components/control/test_state.py
@@ -0,0 +1,71 @@
+"""The control state: sequences of commands, whole and with broken guards."""
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from bitterntiller.components.control import claims
+from bitterntiller.components.control.state import ControlState
+
+from .builders import apply, make_change, make_claim, make_document
+from .mutations import STATE_MUTATIONS
+from .state_rules import ControlStateRules, small_table
+
+FIXED = settings(
+    max_examples=150,
+    stateful_step_count=40,
+    derandomize=True,
+    database=None,
+    deadline=None,
+    phases=[Phase.generate],
+    suppress_health_check=list(HealthCheck),
+)
+
+
+def test_sequences_of_commands():
+    run_state_machine_as_test(ControlStateRules, settings=FIXED)
+
+
+def test_sequences_with_a_full_table_of_change_ids():
+    with small_table():
+        run_state_machine_as_test(ControlStateRules, settings=FIXED)
+
+
+@pytest.mark.parametrize("mutation", STATE_MUTATIONS, ids=lambda item: item.__name__)
+def test_broken_guard_is_caught(mutation, monkeypatch):
+    mutation(monkeypatch)
+    with pytest.raises(AssertionError), small_table():
+        run_state_machine_as_test(ControlStateRules, settings=FIXED)
+
+
+def test_resent_change_after_its_outcome_was_dropped():
+    """
+    An operator loses the answer to an accepted change and resends it after
+    weeks. The outcome is no longer kept. A conflict would tell the operator
+    that the change was refused, which is untrue: it hears expired-id.
+    """
+    state = ControlState()
+    change = make_change("c1", 0, make_document("llm"))
+    assert apply(state, 1, time_ms=10, change=change).change.status == "accepted"
+    result = apply(state, 2, time_ms=99, changes_ms=50, change=change).change
+    assert (result.status, result.version) == ("expired-id", 1)
+    other = make_change("c2", 1, make_document("map"))
+    assert apply(state, 3, time_ms=99, change=other).change.status == "accepted"
+
+
+def test_claims_are_dropped_by_age_only(monkeypatch):
+    """
+    Callers use more keys than there is room for. A claim that is kept for its
+    time must not make way, or a copy of its request would run again: the new
+    request is refused instead.
+    """
+    monkeypatch.setattr(claims, "MAX_CLAIMS_PER_WORKSPACE", 1)
+    state = ControlState()
+
+    def take(index, key, **fields):
+        return apply(state, index, claims=[make_claim(key=key)], **fields).claims[0]
+
+    assert take(1, "k1", time_ms=10).status == "taken"
+    assert take(2, "k2", time_ms=20).status == "full"
+    assert take(3, "k2", time_ms=30, claims_ms=11).status == "taken"
+    assert list(state.claims.records_by_key) == [("foresters", "k2")]
