Own pools and take announcements of upstreams

Cause: the request path needs the other end: the owner that grants, and the upstreams that announce themselves through any entry host. Content: the owner's coordinator around the pure scheduler (settling after a change of owner, dead entry hosts, selectors), the announcements, and one accept loop for all ports that outlives a lack of file descriptors.

--- a/bitterntiller/components/dispatch/__init__.py
+++ b/bitterntiller/components/dispatch/__init__.py
@@ -1,1 +1,40 @@
 """The owner of a pool: its queue, its upstreams, its grants."""
+
+from bitterntiller.components.dispatch.coordinator import DispatchCoordinator
+from bitterntiller.components.dispatch.diagnostics import describe, upstreams
+from bitterntiller.components.dispatch.models import (
+    DEFAULT_PARAMETERS,
+    Scheduler,
+)
+from bitterntiller.components.dispatch.scheduler import PoolScheduler
+from bitterntiller.core.interfaces import ConfigView, DirectoryView, Lease
+from bitterntiller.core.runtime import Runtime
+from bitterntiller.protocol import messages
+
+
+def make_scheduler(kind: str) -> Scheduler:
+    """Return the scheduler of a pool of a kind: engine or plain."""
+    return PoolScheduler(DEFAULT_PARAMETERS._replace(kind=kind))
+
+
+async def async_setup(
+    runtime: Runtime, lease: Lease, config: ConfigView, directory: DirectoryView
+) -> DispatchCoordinator:
+    """Set the dispatch role up; it is unloaded with the runtime's stack."""
+    coordinator = DispatchCoordinator(runtime, lease, config, directory, make_scheduler)
+    for cls, handler in (
+        (messages.Register, coordinator.async_on_register),
+        (messages.Reregister, coordinator.async_on_reregister),
+        (messages.Cancel, coordinator.async_on_cancel),
+        (messages.Started, coordinator.async_on_started),
+        (messages.Progress, coordinator.async_on_progress),
+        (messages.Finished, coordinator.async_on_finished),
+        (messages.Returned, coordinator.async_on_returned),
+        (messages.Announce, coordinator.async_on_announce),
+    ):
+        runtime.stack.callback(runtime.links.handle(cls, handler))
+    await runtime.async_spawn(coordinator.async_run())
+    clock = runtime.clock
+    runtime.add_diagnostics("dispatch", lambda: describe(coordinator, clock.now()))
+    runtime.add_diagnostics("upstreams", lambda: upstreams(coordinator))
+    return coordinator
--- a/bitterntiller/components/dispatch/const.py
+++ b/bitterntiller/components/dispatch/const.py
@@ -11,3 +11,18 @@
 MAX_RETRY_SECONDS = 60.0
 
 LEAVING_REASONS = frozenset({"refused-connection", "not-admitted"})
+
+LABEL_SHARE = "share"
+LABEL_CONCURRENCY = "concurrency"
+LABEL_RATE = "rate"
+
+SHORTEST_PAUSE = 0.005
+LONGEST_PAUSE = 0.1
+
+ANNOUNCE_ACCEPTED = "accepted"
+ANNOUNCE_STALE = "stale"
+ANNOUNCE_NO_OWNER = "no-owner"
+
+METRIC_GRANTS = "dispatch.grants"
+METRIC_REFUSALS = "dispatch.refusals"
+METRIC_ORPHANED = "dispatch.orphaned"
--- /dev/null
+++ b/bitterntiller/components/dispatch/diagnostics.py
@@ -0,0 +1,25 @@
+"""The dispatch role's share of the dump."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from bitterntiller.components.dispatch.coordinator import DispatchCoordinator
+
+
+def describe(coordinator: DispatchCoordinator, now: float) -> Mapping[str, Any]:
+    """Return the owned pools with their epochs, queues and upstreams."""
+    return {
+        "pools_by_name": {
+            name: {"epoch": pool.epoch, **pool.scheduler.describe(now)}
+            for name, pool in coordinator.pools_by_name.items()
+        }
+    }
+
+
+def upstreams(coordinator: DispatchCoordinator) -> list[dict[str, Any]]:
+    """Return the announced upstreams of the owned pools, with their labels."""
+    return [
+        {"name": name, "service": pool.name, "labels": labels}
+        for pool in coordinator.pools_by_name.values()
+        for name, labels in pool.upstreams().items()
+    ]
--- /dev/null
+++ b/bitterntiller/components/dispatch/eligibility.py
@@ -0,0 +1,78 @@
+"""Which upstreams of a pool a workspace and a tier may use, by labels."""
+
+from collections.abc import Mapping
+
+from bitterntiller.components.config.models import Config, Selector
+from bitterntiller.components.dispatch.const import (
+    LABEL_CONCURRENCY,
+    LABEL_RATE,
+    LABEL_SHARE,
+)
+from bitterntiller.components.dispatch.models import WorkspaceLimits
+
+ANY = Selector()
+
+
+class Eligibility:
+    """The names of upstreams that selectors leave, kept until labels change."""
+
+    def __init__(self) -> None:
+        self._names_by_key: dict[tuple[str, str], frozenset[str] | None] = {}
+
+    def clear(self) -> None:
+        """Forget what was worked out; labels or the configuration changed."""
+        self._names_by_key.clear()
+
+    def names(
+        self,
+        pool: str,
+        workspace: str,
+        tier: str,
+        config: Config,
+        labels_by_upstream: Mapping[str, dict[str, str]],
+    ) -> frozenset[str] | None:
+        """Return the usable upstreams, None when no selector restricts them."""
+        key = (workspace, tier)
+        if key not in self._names_by_key:
+            selectors = _selectors(pool, workspace, tier, config)
+            self._names_by_key[key] = _chosen(selectors, labels_by_upstream)
+        return self._names_by_key[key]
+
+
+def _selectors(pool: str, workspace: str, tier: str, config: Config) -> list[Selector]:
+    found = [
+        config.services_by_name.get(pool),
+        config.workspaces_by_name.get(workspace),
+        config.tiers_by_name.get(tier),
+    ]
+    return [item.selector for item in found if item and item.selector != ANY]
+
+
+def _chosen(
+    selectors: list[Selector], labels_by_upstream: Mapping[str, dict[str, str]]
+) -> frozenset[str] | None:
+    if not selectors:
+        return None
+    return frozenset(
+        name
+        for name, labels in labels_by_upstream.items()
+        if all(selector.chooses(labels) for selector in selectors)
+    )
+
+
+def workspace_limits(config: Config) -> dict[str, WorkspaceLimits]:
+    """Return the limits that the labels of workspaces set."""
+    return {
+        name: _limits(workspace.labels)
+        for name, workspace in config.workspaces_by_name.items()
+    }
+
+
+def _limits(labels: dict[str, str]) -> WorkspaceLimits:
+    concurrency = labels.get(LABEL_CONCURRENCY)
+    rate = labels.get(LABEL_RATE)
+    return WorkspaceLimits(
+        share=float(labels.get(LABEL_SHARE, 1.0)),
+        concurrency=None if concurrency is None else int(concurrency),
+        rate=None if rate is None else float(rate),
+    )
--- /dev/null
+++ b/bitterntiller/components/dispatch/errors.py
@@ -0,0 +1,9 @@
+"""Errors of the owner of a pool."""
+
+from bitterntiller.core.errors import CodedError
+
+
+class NotOwnerError(CodedError):
+    """Raised for a message about a pool that this host does not own now."""
+
+    code = "not-owner"
--- /dev/null
+++ b/bitterntiller/components/dispatch/owned_pool.py
@@ -0,0 +1,201 @@
+"""One pool that this host owns, under one epoch."""
+
+from typing import NamedTuple
+
+from bitterntiller.components.config.models import Config
+from bitterntiller.components.dispatch.eligibility import Eligibility, workspace_limits
+from bitterntiller.components.dispatch.models import (
+    Decision,
+    Granted,
+    Refused,
+    Scheduler,
+    WaitingRequest,
+)
+from bitterntiller.components.dispatch.wire import (
+    completion,
+    upstream_state,
+    waiting_request,
+)
+from bitterntiller.protocol import messages
+
+LOWEST_RANK = 1_000_000
+HOST_GONE = "expired"
+
+
+class Tracked(NamedTuple):
+    """A request as the owner tracks it: who sent it, and where it was granted."""
+
+    request: WaitingRequest
+    entry_incarnation: str
+    address: str
+
+
+class OwnedPool:
+    """Feeds one scheduler and keeps what it needs besides: labels, settling.
+
+    For the first seconds of an epoch nothing is granted: the entry hosts are
+    telling what still runs under the owner before. Without the pause the new
+    owner would see idle upstreams and grant them a second full load.
+    """
+
+    def __init__(
+        self, name: str, epoch: int, scheduler: Scheduler, settled_at: float
+    ) -> None:
+        self.name = name
+        self.epoch = epoch
+        self.scheduler = scheduler
+        self.tracked_by_id: dict[str, Tracked] = {}
+        self._settled_at = settled_at
+        self._held_by_id: dict[str, tuple[messages.Register, str]] = {}
+        self._eligibility = Eligibility()
+        self._labels_by_upstream: dict[str, dict[str, str]] = {}
+        self._config: Config | None = None
+
+    def configure(self, config: Config, now: float) -> list[Decision]:
+        """Put a configuration in force."""
+        self._config = config
+        decisions = self.scheduler.set_limits(workspace_limits(config), now)
+        return self._note(decisions + self._select_anew(now))
+
+    def register(
+        self, message: messages.Register, incarnation: str, now: float
+    ) -> list[Decision]:
+        """Take a request, or hold it while the epoch settles."""
+        if message.request_id in self.tracked_by_id:
+            return []
+        if now < self._settled_at:
+            self._held_by_id[message.request_id] = (message, incarnation)
+            return []
+        request = self._request(message, now)
+        self.tracked_by_id[request.request_id] = Tracked(request, incarnation, "")
+        return self._note(self.scheduler.register(request, now))
+
+    def adopt(
+        self, item: messages.RunningItem, incarnation: str, now: float
+    ) -> list[Decision]:
+        """Count a request that runs under an earlier owner's grant."""
+        request = self._request(item.request, now)
+        self.tracked_by_id[request.request_id] = Tracked(request, incarnation, "")
+        self._held_by_id.pop(request.request_id, None)
+        decisions = self.scheduler.adopt_running(
+            request, item.upstream, item.output_tokens, now
+        )
+        return self._note(decisions)
+
+    def cancel(self, request_id: str, now: float) -> list[Decision]:
+        """Forget a request."""
+        self._held_by_id.pop(request_id, None)
+        self.tracked_by_id.pop(request_id, None)
+        return self._note(self.scheduler.cancel(request_id, now))
+
+    def started(self, request_id: str, now: float) -> list[Decision]:
+        """Note that a request is being sent."""
+        return self._note(self.scheduler.started(request_id, now))
+
+    def progress(
+        self, items: list[messages.ProgressItem], now: float
+    ) -> list[Decision]:
+        """Note the output of running requests."""
+        decisions: list[Decision] = []
+        for item in items:
+            decisions += self.scheduler.progress(
+                item.request_id, item.output_tokens, now
+            )
+        return self._note(decisions)
+
+    def finished(self, message: messages.Finished, now: float) -> list[Decision]:
+        """Note the end of a request."""
+        self.tracked_by_id.pop(message.request_id, None)
+        return self._note(self.scheduler.finished(completion(message), now))
+
+    def returned(self, message: messages.Returned, now: float) -> list[Decision]:
+        """Take an unused grant back."""
+        if not message.still_waiting:
+            self.tracked_by_id.pop(message.request_id, None)
+        decisions = self.scheduler.returned(
+            message.request_id, message.reason, message.still_waiting, now
+        )
+        return self._note(decisions)
+
+    def announce(
+        self, message: messages.Announce, now: float
+    ) -> tuple[bool, list[Decision]]:
+        """Take an announcement; False for one older than what is known."""
+        accepted, decisions = self.scheduler.announce(upstream_state(message, now), now)
+        if accepted and self._labels_by_upstream.get(message.name) != message.labels:
+            self._labels_by_upstream[message.name] = message.labels
+            decisions = decisions + self._select_anew(now)
+        return accepted, self._note(decisions)
+
+    def tick(self, now: float) -> list[Decision]:
+        """Do what time alone brings."""
+        decisions: list[Decision] = []
+        if now >= self._settled_at and self._held_by_id:
+            held = list(self._held_by_id.values())
+            self._held_by_id.clear()
+            for message, incarnation in held:
+                decisions += self.register(message, incarnation, now)
+        return self._note(decisions + self.scheduler.tick(now))
+
+    def next_wake(self, now: float) -> float:
+        """Return when tick() is due."""
+        due = self.scheduler.next_wake(now)
+        if self._held_by_id:
+            due = min(due, self._settled_at)
+        return due
+
+    def upstreams(self) -> dict[str, dict[str, str]]:
+        """Return the labels of all announced upstreams, by name."""
+        return dict(self._labels_by_upstream)
+
+    def _request(self, message: messages.Register, now: float) -> WaitingRequest:
+        config = self._config
+        rank = LOWEST_RANK
+        names = None
+        if config is not None:
+            tier = config.tiers_by_name.get(message.tier)
+            rank = tier.rank if tier else LOWEST_RANK
+            names = self._names(message.workspace, message.tier, config)
+        return waiting_request(message, rank, names, now)
+
+    def _names(
+        self, workspace: str, tier: str, config: Config
+    ) -> frozenset[str] | None:
+        return self._eligibility.names(
+            self.name, workspace, tier, config, self._labels_by_upstream
+        )
+
+    def _select_anew(self, now: float) -> list[Decision]:
+        """Have waiting requests use the upstreams that the labels choose now."""
+        self._eligibility.clear()
+        if self._config is None:
+            return []
+        decisions: list[Decision] = []
+        for tracked in list(self.tracked_by_id.values()):
+            request = tracked.request
+            if tracked.address:
+                continue
+            names = self._names(request.workspace, request.tier, self._config)
+            if names == request.upstream_names:
+                continue
+            request = request._replace(upstream_names=names)
+            self.tracked_by_id[request.request_id] = tracked._replace(request=request)
+            decisions += self.scheduler.cancel(request.request_id, now)
+            decisions += self.scheduler.register(request, now)
+        return decisions
+
+    def _note(self, decisions: list[Decision]) -> list[Decision]:
+        for decision in decisions:
+            if isinstance(decision, Refused):
+                self.tracked_by_id.pop(decision.request_id, None)
+                continue
+            self._note_grant(decision)
+        return decisions
+
+    def _note_grant(self, decision: Granted) -> None:
+        tracked = self.tracked_by_id.get(decision.request_id)
+        if tracked is None:
+            return
+        self.tracked_by_id[decision.request_id] = tracked._replace(
+            address=decision.address
+        )
--- /dev/null
+++ b/bitterntiller/components/dispatch/wire.py
@@ -0,0 +1,105 @@
+"""From the messages of entry hosts to the scheduler's models, and back."""
+
+from bitterntiller.components.dispatch.models import (
+    CacheChange,
+    Completion,
+    Granted,
+    Refused,
+    UpstreamLoad,
+    UpstreamState,
+    WaitingRequest,
+)
+from bitterntiller.protocol import messages
+
+STATE_LEAVING = "leaving"
+
+
+def waiting_request(
+    message: messages.Register,
+    tier_rank: int,
+    upstream_names: frozenset[str] | None,
+    now: float,
+) -> WaitingRequest:
+    """Return a registration in the owner's own time."""
+    return WaitingRequest(
+        request_id=message.request_id,
+        workspace=message.workspace,
+        tier=message.tier,
+        tier_rank=tier_rank,
+        prompt_tokens=message.prompt_tokens,
+        output_tokens=message.output_tokens,
+        arrived=now - message.waited_ms / 1000,
+        deadline=now + message.deadline_in_ms / 1000,
+        entry_host=message.entry_host,
+        prefix_hashes=tuple(message.prefix_hashes),
+        tried=tuple(message.tried),
+        upstream_names=upstream_names,
+    )
+
+
+def upstream_state(message: messages.Announce, now: float) -> UpstreamState:
+    """Return an announcement in the owner's own time."""
+    load = None
+    if message.load is not None:
+        load = UpstreamLoad(
+            running=message.load.running,
+            waiting=message.load.waiting,
+            kv_tokens=message.load.kv_tokens,
+            measured_at=now - message.load.age_ms / 1000,
+        )
+    return UpstreamState(
+        name=message.name,
+        address=message.address,
+        incarnation=message.incarnation,
+        sequence=message.sequence,
+        leaving=message.state == STATE_LEAVING,
+        labels=message.labels,
+        slots=message.slots,
+        kv_tokens=message.kv_tokens,
+        load=load,
+        cache_changes=tuple(
+            CacheChange(event.sequence, event.stored, event.prefix_hash)
+            for event in message.cache_events
+        ),
+    )
+
+
+def completion(message: messages.Finished) -> Completion:
+    """Return the end of a request; -1 in a message stands for not known."""
+    first = message.first_token_ms
+    cached = message.cached_tokens
+    return Completion(
+        request_id=message.request_id,
+        upstream=message.upstream,
+        outcome=message.outcome,
+        output_tokens=message.output_tokens,
+        cached_tokens=None if cached < 0 else cached,
+        first_token=None if first < 0 else first / 1000,
+        total=message.total_ms / 1000,
+        in_time=message.in_time,
+    )
+
+
+def grant_message(
+    decision: Granted, pool: str, epoch: int, valid: float
+) -> messages.Grant:
+    """Return the message of a grant that is valid for some seconds."""
+    return messages.Grant(
+        request_id=decision.request_id,
+        pool=pool,
+        epoch=epoch,
+        upstream=decision.upstream,
+        address=decision.address,
+        upstream_incarnation=str(decision.incarnation),
+        valid_ms=int(valid * 1000),
+    )
+
+
+def refusal_message(decision: Refused, pool: str) -> messages.Refusal:
+    """Return the message of a refusal."""
+    return messages.Refusal(
+        request_id=decision.request_id,
+        pool=pool,
+        reason=decision.reason,
+        retry_after_ms=int(decision.retry_after * 1000),
+    )
--- a/bitterntiller/components/entry/pipeline.py
+++ b/bitterntiller/components/entry/pipeline.py
@@ -31,6 +31,7 @@
 from bitterntiller.core.outcomes import Ending, Outcome, Reason
 
 CALLER_GONE = "caller-gone"
+WATCH_PAUSE = 60.0
 
 
 class Pipeline:
@@ -114,7 +115,7 @@
         """Run the request while watching whether its caller is still there."""
         async with curio.TaskGroup(wait=any) as group:
             run = await group.spawn(self._async_process, exchange, active)
-            await group.spawn(exchange.connection.async_watch)
+            await group.spawn(_async_watch, exchange)
         if group.completed is not run:
             raise CallerGoneError("the caller closed the connection")
         if run.exception is not None:
@@ -181,6 +182,17 @@
         await async_refuse(exchange, ending, request_id)
 
 
+async def _async_watch(exchange: Exchange) -> None:
+    """Return when the caller leaves before its answer is finished.
+
+    A caller that closes right after the last byte has not left: the request is
+    still to be accounted for as done.
+    """
+    await exchange.connection.async_watch()
+    while exchange.finished:
+        await curio.sleep(WATCH_PAUSE)
+
+
 def _come_back(reason: Reason) -> Ending:
     after = const.DEFAULT_RETRY_AFTER
     return Ending(Outcome.NOT_RUN, reason, 503, retry_after=after)
--- a/bitterntiller/components/http/const.py
+++ b/bitterntiller/components/http/const.py
@@ -1,7 +1,6 @@
 """Constants of HTTP towards callers, operators and upstreams."""
 
 READ_BYTES = 65536
-SERVER_BACKLOG = 1024
 
 STATUS_TEXT: dict[int, bytes] = {
     200: b"OK",
--- a/bitterntiller/components/http/server.py
+++ b/bitterntiller/components/http/server.py
@@ -6,7 +6,6 @@
 import curio
 import h11
 from absl import logging
-from curio import socket
 
 from bitterntiller.components.http import const
 from bitterntiller.components.http.errors import BadRequestError, CallerGoneError
@@ -15,6 +14,8 @@
 from bitterntiller.components.settings.models import Address
 from bitterntiller.core.errors import BrokenInvariantError
 from bitterntiller.core.interfaces import Metrics
+from bitterntiller.core.listener import Listener
+from bitterntiller.core.runtime import Runtime
 
 ExchangeHandler = Callable[[Exchange], Awaitable[None]]
 
@@ -47,18 +48,12 @@
         self.busy = 0
         self.draining = False
 
-    async def async_serve(self) -> None:
+    async def async_serve(self, runtime: Runtime) -> None:
         """Accept connections until cancelled."""
-        await curio.tcp_server(
-            self._listen.ip,
-            self._listen.port,
-            self._async_connection,
-            backlog=const.SERVER_BACKLOG,
-            reuse_address=True,
-        )
+        listener = Listener(self._listen.ip, self._listen.port, self._async_connection)
+        await listener.async_serve(runtime)
 
-    async def _async_connection(self, sock: Any, _address: Any) -> None:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    async def _async_connection(self, sock: Any) -> None:
         if self.connections >= self._limits.connections:
             self._metrics.count(const.METRIC_CONNECTIONS_REFUSED)
             return
--- a/bitterntiller/components/links/__init__.py
+++ b/bitterntiller/components/links/__init__.py
@@ -8,5 +8,5 @@
 async def async_setup(runtime: Runtime, links: LinkCoordinator) -> None:
     """Listen for peers; unloaded with the runtime's stack."""
     runtime.stack.push_async_callback(links.async_close)
-    await runtime.async_spawn(links.async_serve())
+    await runtime.async_spawn(links.async_serve(runtime))
     runtime.add_diagnostics("links", lambda: describe(links))
--- a/bitterntiller/components/links/coordinator.py
+++ b/bitterntiller/components/links/coordinator.py
@@ -21,6 +21,8 @@
 from bitterntiller.core.clock import Clock
 from bitterntiller.core.errors import BrokenInvariantError
 from bitterntiller.core.interfaces import MessageHandler, Metrics
+from bitterntiller.core.listener import Listener
+from bitterntiller.core.runtime import Runtime
 from bitterntiller.protocol import messages
 
 
@@ -94,11 +96,10 @@
             if connection.open
         }
 
-    async def async_serve(self) -> None:
+    async def async_serve(self, runtime: Runtime) -> None:
         """Accept connections of peers until cancelled."""
-        await curio.tcp_server(
-            self._listen.ip, self._listen.port, self._async_accept, reuse_address=True
-        )
+        listener = Listener(self._listen.ip, self._listen.port, self._async_accept)
+        await listener.async_serve(runtime)
 
     async def async_close(self) -> None:
         """End all connections and calls."""
@@ -107,8 +108,7 @@
         for task in list(self._dialling_by_address.values()):
             await task.cancel()
 
-    async def _async_accept(self, sock: curio.io.Socket, _address: Any) -> None:
-        _set_no_delay(sock)
+    async def _async_accept(self, sock: curio.io.Socket) -> None:
         try:
             peer = await handshake.async_accept(sock, self._key, self.own)
         except HandshakeError as error:
@@ -160,7 +160,7 @@
         try:
             async with curio.timeout_after(const.CONNECT_TIMEOUT):
                 sock = await curio.open_connection(ip, int(port))
-            _set_no_delay(sock)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             peer = await handshake.async_connect(sock, self._key, self.own, address)
         except (OSError, curio.TaskTimeout, HandshakeError):
             self._failed_at_by_address[address] = self._clock.now()
@@ -212,10 +212,6 @@
             return messages.Fault(code=const.FAULT_INTERNAL, text=repr(error))
 
 
-def _set_no_delay(sock: curio.io.Socket) -> None:
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-
-
 async def _async_fault(sock: curio.io.Socket, code: int, text: str) -> None:
     try:
         await sock.sendall(pack(messages.Fault(code=code, text=text)))
--- /dev/null
+++ b/bitterntiller/components/upstreams/coordinator.py
@@ -0,0 +1,76 @@
+"""Takes announcements of upstreams and passes them to the owners of their pools."""
+
+import hmac
+import json
+
+from bitterntiller.components.http.models import (
+    Headers,
+    HttpRequest,
+    HttpResponse,
+    header,
+)
+from bitterntiller.components.links.errors import LinkError
+from bitterntiller.components.upstreams import const
+from bitterntiller.components.upstreams.errors import AnnouncementError
+from bitterntiller.components.upstreams.schema import parse_announcement
+from bitterntiller.core.interfaces import ConfigView, DirectoryView
+from bitterntiller.core.runtime import Runtime
+from bitterntiller.protocol import messages
+
+_JSON: Headers = [(b"content-type", b"application/json")]
+_RETRY: Headers = [(b"retry-after", b"1")]
+_BEARER = "Bearer "
+
+
+class UpstreamCoordinator:
+    """Answers POST /v1/upstreams/announce on any entry host."""
+
+    def __init__(
+        self, runtime: Runtime, config: ConfigView, directory: DirectoryView
+    ) -> None:
+        self._key = runtime.settings.keys.upstream
+        self._timeout = runtime.settings.timings.link_call
+        self._links = runtime.links
+        self._metrics = runtime.metrics
+        self._config = config
+        self._directory = directory
+
+    async def async_handle(self, request: HttpRequest) -> HttpResponse:
+        """Return the answer to an announcement."""
+        if request.method != "POST":
+            return _answer(405, {"error": "use POST"})
+        if not self._key_is_right(request.headers):
+            self._metrics.count(const.METRIC_WRONG_KEY)
+            return _answer(401, {"error": "wrong key"})
+        try:
+            message = parse_announcement(request.body)
+        except AnnouncementError as error:
+            return _answer(422, {"error": error.text, "code": error.code})
+        services = self._config.config.services_by_name if self._config.config else {}
+        if services and message.pool not in services:
+            return _answer(422, {"error": f"no service {message.pool}"})
+        status = await self._async_forward(message)
+        self._metrics.count(f"{const.METRIC_ANNOUNCEMENTS}.{status}")
+        return _answer(const.STATUS_BY_REPLY.get(status, 503), {"status": status})
+
+    def _key_is_right(self, headers: Headers) -> bool:
+        value = header(headers, b"authorization") or ""
+        if not value.startswith(_BEARER):
+            return False
+        given = value[len(_BEARER) :].encode("latin-1")
+        return hmac.compare_digest(given, self._key)
+
+    async def _async_forward(self, message: messages.Announce) -> str:
+        owner = self._directory.owner(message.pool)
+        if owner is None:
+            return const.REPLY_NO_OWNER
+        try:
+            reply = await self._links.async_call(owner.address, message, self._timeout)
+        except LinkError:
+            return const.REPLY_NO_OWNER
+        return reply.status
+
+
+def _answer(status: int, document: dict[str, str]) -> HttpResponse:
+    headers = _JSON + _RETRY if status == 503 else _JSON
+    return HttpResponse(status, headers, json.dumps(document).encode() + b"\n")
--- a/bitterntiller/core/interfaces.py
+++ b/bitterntiller/core/interfaces.py
@@ -57,9 +57,28 @@
         ...
 
 
+class HostView(Protocol):
+    """A host of the directory; address is its internal one, IP:port."""
+
+    @property
+    def address(self) -> str:
+        """The address of its internal port."""
+        ...
+
+    @property
+    def incarnation(self) -> str:
+        """New at every start of its process."""
+        ...
+
+
 class DirectoryView(Protocol):
     """The hosts and the owners of pools, as last heard from control."""
 
+    @property
+    def hosts_by_name(self) -> Mapping[str, HostView]:
+        """The live hosts."""
+        ...
+
     def owner(self, pool: str) -> Ownership | None:
         """Return the owner of a pool, None when nobody has it."""
         ...
--- /dev/null
+++ b/bitterntiller/core/listener.py
@@ -0,0 +1,75 @@
+"""Accepting TCP connections for as long as the process serves."""
+
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from typing import Any
+
+import curio
+from absl import logging
+from curio import socket
+
+from bitterntiller.core.errors import BrokenInvariantError
+from bitterntiller.core.runtime import Runtime
+
+ConnectionHandler = Callable[[Any], Awaitable[None]]
+
+BACKLOG = 1024
+ACCEPT_PAUSE = 0.05
+
+
+class Listener:
+    """Listens at one address and serves each connection in a task."""
+
+    def __init__(self, ip: str, port: int, handler: ConnectionHandler) -> None:
+        self._handler = handler
+        self._sock = curio.tcp_server_socket(ip, port, backlog=BACKLOG)
+        self._tasks: set[curio.Task] = set()
+        self._runtime: Runtime | None = None
+
+    async def async_serve(self, runtime: Runtime) -> None:
+        """Accept until cancelled; then end all connections."""
+        self._runtime = runtime
+        async with AsyncExitStack() as stack:
+            stack.push_async_callback(self._async_end)
+            while True:
+                sock = await self._async_accept()
+                task = await curio.spawn(self._async_one, sock, daemon=True)
+                self._tasks.add(task)
+
+    async def async_close(self) -> None:
+        """Stop accepting; connections that stand go on."""
+        await self._sock.close()
+
+    async def _async_accept(self) -> Any:
+        """Return the next connection.
+
+        With all file descriptors in use accept() fails; were the error let out,
+        the process would go on without ever accepting again.
+        """
+        while True:
+            try:
+                sock, _address = await self._sock.accept()
+            except OSError as error:
+                logging.log_every_n_seconds(
+                    logging.WARNING, "accepting failed: %r", 10, error
+                )
+                await curio.sleep(ACCEPT_PAUSE)
+                continue
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            return sock
+
+    async def _async_one(self, sock: Any) -> None:
+        try:
+            async with sock:
+                await self._handler(sock)
+        except BrokenInvariantError as error:
+            await self._runtime.async_fail(error)
+        except Exception:
+            logging.exception("serving a connection failed")
+        finally:
+            self._tasks.discard(await curio.current_task())
+
+    async def _async_end(self) -> None:
+        await self._sock.close()
+        for task in list(self._tasks):
+            await task.cancel()
--- a/bitterntiller/core/runtime.py
+++ b/bitterntiller/core/runtime.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import curio
+from absl import logging
 
 from bitterntiller.components.settings.models import Settings
 from bitterntiller.core.clock import Clock
@@ -29,13 +30,33 @@
         self.incarnation = uuid.uuid4().hex
         self.stack = AsyncExitStack()
         self.diagnostics_by_component: dict[str, Diagnostics] = {}
+        self.failure: BaseException | None = None
+        self.stopping = curio.Event()
 
     async def async_spawn(self, coroutine: Coroutine[Any, Any, Any]) -> curio.Task:
-        """Start a task that is cancelled when the process unloads."""
-        task = await curio.spawn(coroutine)
+        """Start a task of a part; it is cancelled when the process unloads.
+
+        Such a task serves as long as the process does. One that ends by an error
+        would leave a process that looks alive with a part that does nothing, so
+        the error stops the process. Not for tasks of single requests.
+        """
+        task = await curio.spawn(self._async_guard(coroutine))
         self.stack.push_async_callback(task.cancel)
         return task
 
+    async def _async_guard(self, coroutine: Coroutine[Any, Any, Any]) -> None:
+        try:
+            await coroutine
+        except Exception as error:
+            logging.exception("a part of the process failed")
+            await self.async_fail(error)
+
+    async def async_fail(self, error: BaseException) -> None:
+        """Stop the process because of a broken invariant."""
+        if self.failure is None:
+            self.failure = error
+        await self.stopping.set()
+
     def add_diagnostics(self, component: str, diagnostics: Diagnostics) -> None:
         """Have a component's share included in the dump."""
         self.diagnostics_by_component[component] = diagnostics
