--- /dev/null
+++ b/bitterntiller/components/metrics/client.py
@@ -0,0 +1,123 @@
+"""Counters, timers and gauges: kept for the dump and sent on by statsd."""
+
+import re
+import socket
+from collections import Counter
+from typing import Any
+
+from statsd import StatsClient
+
+from bitterntiller.components.metrics import const
+from bitterntiller.components.metrics.models import Histogram
+from bitterntiller.components.settings.models import Address
+
+_UNSAFE = re.compile(r"[^A-Za-z0-9_-]")
+
+
+def metric_name(name: str, *parts: str) -> str:
+    """Join a metric's name and its parts by dots.
+
+    Characters with a meaning to statsd, dots in a part too, become underscores.
+    """
+    return ".".join((name, *(_UNSAFE.sub("_", part) for part in parts)))
+
+
+class _DatagramClient(StatsClient):
+    """The library's client with sending that neither blocks nor raises."""
+
+    def _send(self, data: str) -> None:
+        # A full send buffer would block the whole process, since curio runs in
+        # one thread; MSG_DONTWAIT makes it an error, and the datagram is lost.
+        try:
+            self._sock.sendto(data.encode(), socket.MSG_DONTWAIT, self._addr)
+        except OSError:
+            return
+
+
+class StatsdMetrics:
+    """The Metrics of a process.
+
+    Nothing leaves before flush(). Without an address nothing is sent at all.
+    """
+
+    def __init__(self, address: Address | None, prefix: str) -> None:
+        self._client: _DatagramClient | None = None
+        if address is not None:
+            self._client = _DatagramClient(
+                address.ip, address.port, prefix, const.MAX_DATAGRAM_BYTES
+            )
+        self._counts_by_name: Counter[str] = Counter()
+        self._gauges_by_name: dict[str, float] = {}
+        self._timers_by_name: dict[str, Histogram] = {}
+        self._unsent_counts: Counter[str] = Counter()
+        self._unsent_timings: list[tuple[str, float]] = []
+
+    def count(self, name: str, by: int = 1) -> None:
+        """Add to a counter."""
+        if not self._has_room(self._counts_by_name, name):
+            name, by = const.METRIC_DROPPED_METRICS, 1
+        self._counts_by_name[name] += by
+        if self._client is not None:
+            self._unsent_counts[name] += by
+
+    def timing(self, name: str, seconds: float) -> None:
+        """Note a duration in seconds."""
+        if not self._has_room(self._timers_by_name, name):
+            self.count(const.METRIC_DROPPED_METRICS)
+            return
+        self._timers_by_name.setdefault(name, Histogram()).add(seconds)
+        if self._client is None:
+            return
+        if len(self._unsent_timings) >= const.MAX_UNSENT_TIMINGS:
+            self.count(const.METRIC_DROPPED_METRICS)
+            return
+        self._unsent_timings.append((name, seconds))
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        if not self._has_room(self._gauges_by_name, name):
+            self.count(const.METRIC_DROPPED_METRICS)
+            return
+        self._gauges_by_name[name] = value
+
+    def counter(self, name: str) -> int:
+        """Return a counter since the start of the process."""
+        return self._counts_by_name[name]
+
+    def flush(self) -> None:
+        """Send what came since the last flush, and all gauges; never blocks."""
+        if self._client is None:
+            return
+        pipeline = self._client.pipeline()
+        for name, by in self._unsent_counts.items():
+            pipeline.incr(name, by)
+        for name, seconds in self._unsent_timings:
+            pipeline.timing(name, seconds * 1000)
+        for name, value in self._gauges_by_name.items():
+            pipeline.gauge(name, value)
+        self._unsent_counts.clear()
+        self._unsent_timings.clear()
+        pipeline.send()
+
+    def close(self) -> None:
+        """Flush and close the socket."""
+        self.flush()
+        if self._client is not None:
+            self._client.close()
+            self._client = None
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return everything since the start of the process, for the dump."""
+        timers = sorted(self._timers_by_name.items())
+        return {
+            "counters": dict(sorted(self._counts_by_name.items())),
+            "gauges": dict(sorted(self._gauges_by_name.items())),
+            "timers": {name: timer.summary() for name, timer in timers},
+        }
+
+    @staticmethod
+    def _has_room(values_by_name: dict[str, Any], name: str) -> bool:
+        # Names hold those of services and tiers. A configuration that renames
+        # them again and again would make the tables grow until memory ends;
+        # with the bound, new names are lost and counted instead.
+        return name in values_by_name or len(values_by_name) < const.MAX_NAMES
