Answer operators: configuration, dump, control and repair

The port passes a change to the leader of control with its id and base version and tells what was decided; without a known outcome it answers unknown and never a failure, since the next leader may find the change committed. One component that fails to describe itself does not hide the others' share of the dump.

--- a/bitterntiller/components/config/schema.py
+++ b/bitterntiller/components/config/schema.py
@@ -17,6 +17,9 @@
 def _label_value(value: Any) -> str:
     if not isinstance(value, str):
         raise vol.Invalid("expected a string, as all values of labels are")
+    # Half of a surrogate pair can't be encoded in the messages between hosts.
+    if any("\ud800" <= character <= "\udfff" for character in value):
+        raise vol.Invalid("holds half of a surrogate pair")
     return value
 
 
--- /dev/null
+++ b/bitterntiller/components/operator/__init__.py
@@ -0,0 +1,46 @@
+"""The operator port: configuration, the dump, and the state of control."""
+
+from collections.abc import Callable
+
+from bitterntiller.components.http.exchange import Exchange
+from bitterntiller.components.http.server import HttpServer, ServerLimits
+from bitterntiller.components.http.whole import async_serve_whole
+from bitterntiller.components.operator import const
+from bitterntiller.components.operator.coordinator import OperatorCoordinator
+from bitterntiller.components.operator.diagnostics import make_dump
+from bitterntiller.components.operator.models import AnnouncedUpstream, ControlCalls
+from bitterntiller.core.runtime import Runtime
+
+
+async def async_setup(
+    runtime: Runtime,
+    control: ControlCalls,
+    announced: Callable[[], list[AnnouncedUpstream]] = list,
+) -> OperatorCoordinator:
+    """Serve the operator port until the process unloads.
+
+    announced gives the upstreams of the pools that this process owns.
+    """
+    settings = runtime.settings
+    timings = settings.timings
+    coordinator = OperatorCoordinator(
+        settings.keys.operator, control, make_dump(runtime, announced), runtime.metrics
+    )
+    limits = ServerLimits(
+        head_bytes=const.MAX_HEAD_BYTES,
+        connections=const.MAX_CONNECTIONS,
+        head_timeout=timings.head,
+        keep_alive=timings.keep_alive,
+        write_timeout=timings.caller_write,
+    )
+
+    async def async_exchange(exchange: Exchange) -> None:
+        await async_serve_whole(
+            exchange, coordinator, const.MAX_BODY_BYTES, timings.body
+        )
+
+    server = HttpServer(
+        settings.listen.operator, limits, async_exchange, runtime.metrics
+    )
+    await runtime.async_spawn(server.async_serve())
+    return coordinator
--- /dev/null
+++ b/bitterntiller/components/operator/const.py
@@ -0,0 +1,34 @@
+"""Constants of the operator port."""
+
+PATH_CONFIG = "/v1/config"
+PATH_STATE = "/v1/state"
+PATH_CONTROL = "/v1/control"
+PATH_REPAIR = "/v1/control/repair"
+
+HEADER_AUTHORIZATION = b"authorization"
+HEADER_CONTENT_TYPE = b"content-type"
+HEADER_ETAG = b"etag"
+HEADER_IDEMPOTENCY_KEY = b"idempotency-key"
+HEADER_IF_MATCH = b"if-match"
+HEADER_RETRY_AFTER = b"retry-after"
+
+STATUS_ACCEPTED = "accepted"
+STATUS_BAD_REQUEST = "bad-request"
+STATUS_CONFLICT = "conflict"
+STATUS_EXPIRED_ID = "expired-id"
+STATUS_INVALID = "invalid"
+STATUS_OK = "ok"
+STATUS_UNAVAILABLE = "unavailable"
+STATUS_UNAUTHORIZED = "unauthorized"
+STATUS_UNKNOWN = "unknown"
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_HEAD_BYTES = 32 * 1024
+MAX_CONNECTIONS = 64
+CONTROL_TIMEOUT = 5.0
+RETRY_AFTER_SECONDS = 1
+
+METRIC_REQUESTS = "operator.requests"
+METRIC_WRONG_KEY = "operator.wrong_key"
+METRIC_BAD_REQUEST = "operator.bad_request"
+METRIC_DIAGNOSTICS_ERROR = "operator.diagnostics_error"
--- /dev/null
+++ b/bitterntiller/components/operator/coordinator.py
@@ -0,0 +1,89 @@
+"""Answers the requests of operators."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from bitterntiller.components.http.models import HttpRequest, HttpResponse
+from bitterntiller.components.operator import const, requests, responses
+from bitterntiller.components.operator.errors import RefusedRequestError
+from bitterntiller.components.operator.models import ControlCalls
+from bitterntiller.core.interfaces import Metrics
+from bitterntiller.protocol import messages
+
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+
+
+class OperatorCoordinator:
+    """A http RequestHandler; key is the operator key, dump makes the dump."""
+
+    def __init__(
+        self,
+        key: bytes,
+        control: ControlCalls,
+        dump: Callable[[], dict[str, Any]],
+        metrics: Metrics,
+    ) -> None:
+        self._key = key
+        self._control = control
+        self._dump = dump
+        self._metrics = metrics
+        self._handlers_by_path: dict[str, dict[str, Handler]] = {
+            const.PATH_CONFIG: {
+                "GET": self._async_get_config,
+                "PUT": self._async_put_config,
+            },
+            const.PATH_STATE: {"GET": self._async_get_state},
+            const.PATH_CONTROL: {"GET": self._async_get_control},
+            const.PATH_REPAIR: {"POST": self._async_repair},
+        }
+
+    async def async_handle(self, request: HttpRequest) -> HttpResponse:
+        """Return the answer to a request; the key comes before all else."""
+        if not requests.has_key(request, self._key):
+            self._metrics.count(const.METRIC_WRONG_KEY)
+            text = "the operator key is missing or wrong"
+            response = responses.problem_response(401, const.STATUS_UNAUTHORIZED, text)
+            response.headers.append((b"www-authenticate", b"Bearer"))
+            return response
+        self._metrics.count(const.METRIC_REQUESTS)
+        try:
+            return await self._find(request)(request)
+        except RefusedRequestError as error:
+            self._metrics.count(const.METRIC_BAD_REQUEST)
+            return responses.problem_response(
+                error.status, const.STATUS_BAD_REQUEST, error.text
+            )
+
+    def _find(self, request: HttpRequest) -> Handler:
+        handlers_by_method = self._handlers_by_path.get(request.path)
+        if handlers_by_method is None:
+            raise RefusedRequestError(404, f"there is no {request.path}")
+        handler = handlers_by_method.get(request.method)
+        if handler is None:
+            allowed = ", ".join(handlers_by_method)
+            raise RefusedRequestError(405, f"{request.path} takes {allowed}")
+        return handler
+
+    async def _async_get_config(self, _request: HttpRequest) -> HttpResponse:
+        return responses.config_response(
+            await self._async_call(messages.GetConfig(unused=False))
+        )
+
+    async def _async_put_config(self, request: HttpRequest) -> HttpResponse:
+        change = requests.read_change(request)
+        message = messages.Change(**change._asdict())
+        return responses.change_response(await self._async_call(message))
+
+    async def _async_get_state(self, _request: HttpRequest) -> HttpResponse:
+        return responses.json_response(200, self._dump())
+
+    async def _async_get_control(self, _request: HttpRequest) -> HttpResponse:
+        message = messages.ControlStatus(unused=False)
+        return responses.control_response(await self._async_call(message))
+
+    async def _async_repair(self, request: HttpRequest) -> HttpResponse:
+        message = messages.Repair(**requests.read_repair(request)._asdict())
+        return responses.repair_response(await self._async_call(message))
+
+    async def _async_call(self, message: Any) -> Any:
+        return await self._control.async_call_leader(message, const.CONTROL_TIMEOUT)
--- /dev/null
+++ b/bitterntiller/components/operator/errors.py
@@ -0,0 +1,13 @@
+"""Errors of the operator port."""
+
+from bitterntiller.core.errors import CodedError
+
+
+class RefusedRequestError(CodedError):
+    """Raised for a request that is not understood; status is the HTTP status."""
+
+    code = "bad-request"
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
--- /dev/null
+++ b/bitterntiller/components/operator/requests.py
@@ -0,0 +1,66 @@
+"""Reads what an operator asks for out of HTTP requests."""
+
+import hmac
+import json
+import re
+import uuid
+
+from bitterntiller.components.http.models import HttpRequest, header
+from bitterntiller.components.operator import const
+from bitterntiller.components.operator.errors import RefusedRequestError
+from bitterntiller.components.operator.models import ChangeRequest, RepairRequest
+
+_VERSION_TAG = re.compile(r'"?([0-9]{1,18})"?')
+_CHANGE_ID = re.compile(r"[\x21-\x7e]{1,128}")
+_REPAIR_KEYS = set(RepairRequest._fields)
+
+
+def has_key(request: HttpRequest, key: bytes) -> bool:
+    """Tell whether a request carries the operator key."""
+    given = header(request.headers, const.HEADER_AUTHORIZATION) or ""
+    scheme, _, token = given.partition(" ")
+    if scheme.lower() != "bearer":
+        return False
+    # A comparison that ends at the first wrong byte would tell a caller, by
+    # its duration, how much of a guessed key is right.
+    return hmac.compare_digest(token.strip().encode("latin-1"), key)
+
+
+def read_change(request: HttpRequest) -> ChangeRequest:
+    """Return the change in a PUT; raise RefusedRequestError.
+
+    Without Idempotency-Key the change gets an id of its own: it can't be
+    resent then, but it still is made against one version only.
+    """
+    tag = header(request.headers, const.HEADER_IF_MATCH)
+    if tag is None:
+        raise RefusedRequestError(428, "If-Match with the base version is missing")
+    found = _VERSION_TAG.fullmatch(tag.strip())
+    if found is None:
+        raise RefusedRequestError(400, "If-Match must be one version number")
+    change_id = header(request.headers, const.HEADER_IDEMPOTENCY_KEY)
+    if change_id is None:
+        change_id = str(uuid.uuid4())
+    if not _CHANGE_ID.fullmatch(change_id):
+        text = "Idempotency-Key must be 1 to 128 visible ASCII characters"
+        raise RefusedRequestError(400, text)
+    return ChangeRequest(change_id, int(found[1]), request.body)
+
+
+def read_repair(request: HttpRequest) -> RepairRequest:
+    """Return the exchange in a POST; raise RefusedRequestError."""
+    try:
+        value = json.loads(request.body)
+    except (ValueError, RecursionError) as error:
+        raise RefusedRequestError(400, f"not a JSON document: {error}") from error
+    if not isinstance(value, dict) or not value.keys() <= _REPAIR_KEYS:
+        text = f"expected an object with {', '.join(sorted(_REPAIR_KEYS))}"
+        raise RefusedRequestError(400, text)
+    if not all(isinstance(item, str) and item.isascii() for item in value.values()):
+        raise RefusedRequestError(400, "expected ASCII strings")
+    repair = RepairRequest(
+        value.get("remove", ""), value.get("add", ""), value.get("address", "")
+    )
+    if not repair.remove and not repair.add:
+        raise RefusedRequestError(400, "names neither a replica to remove nor to add")
+    return repair
--- /dev/null
+++ b/bitterntiller/components/operator/responses.py
@@ -0,0 +1,105 @@
+"""Puts the replies of control into HTTP responses."""
+
+import json
+import re
+from collections.abc import Mapping
+from typing import Any
+
+from bitterntiller.components.http.models import Headers, HttpResponse
+from bitterntiller.components.operator import const
+
+_HTTP_STATUS_BY_CHANGE = {
+    const.STATUS_ACCEPTED: 200,
+    const.STATUS_CONFLICT: 409,
+    const.STATUS_EXPIRED_ID: 409,
+    const.STATUS_INVALID: 422,
+}
+_ERROR_CODE = re.compile(r"^\[[a-z-]+\] ")
+_KEY_AND_TEXT = re.compile(r"([^\s:]+): (.*)", re.DOTALL)
+_UNKNOWN_TEXT = "it is not known whether this was carried out; "
+
+
+def json_response(
+    status: int, value: Mapping[str, Any], headers: Headers | None = None
+) -> HttpResponse:
+    """Return a response with a JSON body; what JSON lacks is shown as a string."""
+    body = json.dumps(value, default=str).encode() + b"\n"
+    content_type = (const.HEADER_CONTENT_TYPE, b"application/json")
+    return HttpResponse(status, [content_type, *(headers or [])], body)
+
+
+def problem_response(status: int, name: str, text: str) -> HttpResponse:
+    """Return a response that says in text why nothing was done."""
+    return json_response(status, {"status": name, "text": text})
+
+
+def unavailable() -> HttpResponse:
+    """Return the response to a reading that no leader answered."""
+    value = {
+        "status": const.STATUS_UNAVAILABLE,
+        "text": "no leader of control answered",
+    }
+    return json_response(503, value, _retry_after())
+
+
+def unknown(advice: str) -> HttpResponse:
+    """Return the response to a change of which no outcome was heard."""
+    value = {"status": const.STATUS_UNKNOWN, "text": _UNKNOWN_TEXT + advice}
+    return json_response(503, value, _retry_after())
+
+
+def _retry_after() -> Headers:
+    return [(const.HEADER_RETRY_AFTER, str(const.RETRY_AFTER_SECONDS).encode())]
+
+
+def config_response(reply: Any) -> HttpResponse:
+    """Return the response for a messages.ConfigReply, or None."""
+    if reply is None or reply.status != const.STATUS_OK:
+        return unavailable()
+    value = {"version": reply.version, "config": json.loads(reply.config or b"{}")}
+    etag = (const.HEADER_ETAG, f'"{reply.version}"'.encode())
+    return json_response(200, value, [etag])
+
+
+def change_response(reply: Any) -> HttpResponse:
+    """Return the response for a messages.ChangeReply, or None."""
+    status = None if reply is None else _HTTP_STATUS_BY_CHANGE.get(reply.status)
+    if status is None:
+        return unknown("resend the change with the same id and base version")
+    value: dict[str, Any] = {"status": reply.status, "version": reply.version}
+    if reply.status == const.STATUS_INVALID:
+        value["problems"] = split_problems(reply.text)
+    elif reply.text:
+        value["text"] = reply.text
+    return json_response(status, value)
+
+
+def split_problems(text: str) -> list[dict[str, str]]:
+    """Return the key and the text of each problem in control's text."""
+    problems = []
+    for line in _ERROR_CODE.sub("", text).splitlines():
+        found = _KEY_AND_TEXT.fullmatch(line)
+        key, what = found.groups() if found else (".", line)
+        problems.append({"key": key, "text": what})
+    return problems
+
+
+def control_response(reply: Any) -> HttpResponse:
+    """Return the response for a messages.ControlStatusReply, or None."""
+    if reply is None or reply.status != const.STATUS_OK:
+        return unavailable()
+    value = {
+        "status": reply.status,
+        "leader": reply.leader,
+        "control": json.loads(reply.document),
+    }
+    return json_response(200, value)
+
+
+def repair_response(reply: Any) -> HttpResponse:
+    """Return the response for a messages.RepairReply, or None."""
+    if reply is None or reply.status == const.STATUS_UNKNOWN:
+        return unknown("look at the members before you repeat it")
+    done = reply.status in (const.STATUS_OK, const.STATUS_ACCEPTED)
+    value = {"status": reply.status, "text": reply.text}
+    return json_response(200 if done else 409, value)
--- a/tests/components/config/test_parse.py
+++ b/tests/components/config/test_parse.py
@@ -69,6 +69,7 @@
         ({"selector": {"matches": {}}}, f"{SERVICE}.selector.matches"),
         ({"selector": None}, f"{SERVICE}.selector"),
         ({"labels": {"order_seconds": "soon"}}, f"{SERVICE}.labels.order_seconds"),
+        ({"labels": {"note": "\ud800"}}, f"{SERVICE}.labels.note"),
         ({"labels": {"note": 3}}, f"{SERVICE}.labels.note"),
     ],
 )
--- /dev/null
+++ b/tests/components/operator/builders.py
@@ -0,0 +1,37 @@
+"""Builders of requests of operators, and fakes of what answers them."""
+
+from types import SimpleNamespace
+
+from bitterntiller.components.http.models import HttpRequest
+from bitterntiller.components.metrics.client import StatsdMetrics
+from bitterntiller.components.operator.coordinator import OperatorCoordinator
+
+KEY = b"operator-key"
+
+
+class FakeControl:
+    """Answers each message with a fixed reply and keeps the messages."""
+
+    def __init__(self, reply=None):
+        self.reply = reply
+        self.messages = []
+
+    async def async_call_leader(self, message, timeout):
+        self.messages.append(message)
+        return self.reply
+
+
+def operator_request(method, path, body=b"", key=KEY, **headers):
+    lines = [(b"authorization", b"Bearer " + key)]
+    lines += [
+        (name.replace("_", "-").encode(), value.encode())
+        for name, value in headers.items()
+    ]
+    return HttpRequest(method, path, "", lines, body)
+
+
+def operator_port(reply=None):
+    control = FakeControl(reply)
+    metrics = StatsdMetrics(None, "")
+    coordinator = OperatorCoordinator(KEY, control, lambda: {"host": "a"}, metrics)
+    return SimpleNamespace(coordinator=coordinator, control=control, metrics=metrics)
--- /dev/null
+++ b/tests/components/operator/test_diagnostics.py
@@ -0,0 +1,30 @@
+from types import SimpleNamespace
+
+from bitterntiller.components.metrics.client import StatsdMetrics
+from bitterntiller.components.operator import const
+from bitterntiller.components.operator.diagnostics import make_dump
+
+
+def test_a_failing_component_does_not_hide_the_others():
+    """An operator asks for the dump because something is wrong.
+
+    The component at fault raises while it describes itself. The operator would
+    get no dump at all; instead the error stands in that component's place.
+    """
+    settings = SimpleNamespace(host="a", zone="z", region="r", roles=("entry",))
+    metrics = StatsdMetrics(None, "")
+    shares = {"good": lambda: {"n": 1}, "bad": lambda: {}["lost"]}
+    runtime = SimpleNamespace(
+        settings=settings,
+        metrics=metrics,
+        incarnation="i",
+        diagnostics_by_component=shares,
+    )
+    upstream = {"name": "u", "service": "llm", "labels": {}}
+    dump = make_dump(runtime, lambda: [upstream])()
+    assert dump["upstreams"] == [upstream]
+    assert dump["components"] == {
+        "good": {"n": 1},
+        "bad": {"error": "KeyError('lost')"},
+    }
+    assert metrics.counter(const.METRIC_DIAGNOSTICS_ERROR) == 1
