Add a small language for scenarios with real processes

Scripted failures need processes that are started, killed, frozen and cut by the test itself, and records that are counted afterwards. A line grammar split by shlex is enough; a parser library was weighed and left out. Not yet run against the daemon, which is not there; the scenarios follow once it is.

--- a/standins/announcer.py
+++ b/standins/announcer.py
@@ -46,7 +46,11 @@
     """Tells one of several entry hosts about the stand-in every second."""
 
     def __init__(
-        self, options: Options, faults: Faults, running: Callable[[], int]
+        self,
+        options: Options,
+        faults: Faults,
+        running: Callable[[], int],
+        on_accepted: Callable[[], None],
     ) -> None:
         self.leaving = False
         self.changed = curio.Event()
@@ -55,6 +59,7 @@
         self._options = options
         self._faults = faults
         self._running = running
+        self._on_accepted = on_accepted
         self._hosts = options.entry_hosts
         self._sequence = 0
         self._next_host = 0
@@ -78,6 +83,7 @@
         for _ in self._hosts:
             address = self._hosts[self._next_host]
             if await self._async_post(address, body):
+                self._on_accepted()
                 return
             self._next_host = (self._next_host + 1) % len(self._hosts)
 
--- a/standins/server.py
+++ b/standins/server.py
@@ -142,7 +142,10 @@
         self.options = options
         self.faults = Faults()
         self.recorder = Recorder(options)
-        self.announcer = Announcer(options, self.faults, lambda: self.running)
+        self.announcer = Announcer(
+            options, self.faults, lambda: self.running, self._note_accepted
+        )
+        self._accepted = False
         self.running = 0
         self._handler = handler
         self._listener: Any = None
@@ -151,6 +154,11 @@
     def full(self) -> bool:
         return self.running >= self.options.limit
 
+    def _note_accepted(self) -> None:
+        if not self._accepted:
+            self.recorder.add("accepted")
+        self._accepted = True
+
     async def async_run(self) -> None:
         """Serve until SIGTERM, then leave: finish the work in progress and end."""
         reader, writer = system_socket.socketpair()
--- /dev/null
+++ b/tests/scenarios/deployment.py
@@ -0,0 +1,192 @@
+"""The hosts and upstreams of a scenario, and what can be asked of them."""
+
+import http.client
+import json
+import uuid
+from contextlib import ExitStack
+from pathlib import Path
+from typing import Any, Self
+
+from tests.scenarios import builders
+from tests.scenarios.processes import Process, describe_end, free_port
+from tests.scenarios.proxy import Proxy
+
+DAEMON = "bitterntiller.cli.daemon"
+ASK_TIMEOUT_S = 5.0
+
+
+class Host:
+    """One process of bitterntillerd and its ports."""
+
+    def __init__(self, name: str, options: dict[str, str]) -> None:
+        self.name = name
+        self.roles = options.pop("roles", "entry,dispatch").split(",")
+        self.options = options
+        self.ports = {k: free_port() for k in ("caller", "internal", "operator")}
+        self.process: Process | None = None
+        self.proxy: Proxy | None = None
+
+    @property
+    def told_port(self) -> int:
+        """The internal port that other hosts are told."""
+        return self.proxy.port if self.proxy else self.ports["internal"]
+
+
+class Upstream:
+    """One stand-in and its ports."""
+
+    def __init__(self, name: str, kind: str, service: str) -> None:
+        self.name = name
+        self.kind = kind
+        self.service = service
+        self.port = free_port()
+        self.control_port = free_port()
+        self.process: Process | None = None
+
+
+class Deployment:
+    """All processes of a scenario; leaving the context ends them."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.hosts_by_name: dict[str, Host] = {}
+        self.upstreams_by_name: dict[str, Upstream] = {}
+        self._stack = ExitStack()
+        builders.write_keys(folder)
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *details: object) -> None:
+        self._stack.close()
+
+    def process(self, name: str) -> Process:
+        """Return the process of a host or an upstream."""
+        found = self.hosts_by_name.get(name) or self.upstreams_by_name[name]
+        assert found.process is not None, f"{name} was not started"
+        return found.process
+
+    def add_host(self, name: str, options: dict[str, str], proxied: bool) -> None:
+        """Make a host known; it starts later."""
+        host = Host(name, options)
+        self.hosts_by_name[name] = host
+        if proxied:
+            host.proxy = Proxy(host.ports["internal"], self._name_of_port)
+            self._stack.callback(host.proxy.close)
+
+    def start_host(self, name: str) -> None:
+        """Start a host's process, for the first time or again."""
+        host = self.hosts_by_name[name]
+        if host.process is None:
+            path = self.folder / f"{name}.json"
+            path.write_text(json.dumps(self._settings(host), indent=1))
+            arguments = ["--settings", str(path)]
+            host.process = Process(name, DAEMON, arguments, self.folder)
+            self._stack.callback(host.process.kill)
+        host.process.start()
+
+    def start_upstream(self, kind: str, name: str, options: dict[str, str]) -> None:
+        """Start a stand-in; options are its own, by name."""
+        service = options.pop("service", "llm" if kind == "engine" else "registry")
+        upstream = Upstream(name, kind, service)
+        entry_hosts = [h.ports["caller"] for h in self.hosts_by_name.values()]
+        fixed = {
+            "listen": f"127.0.0.1:{upstream.port}",
+            "control": f"127.0.0.1:{upstream.control_port}",
+            "name": name,
+            "service": service,
+            "announce": ",".join(f"127.0.0.1:{port}" for port in entry_hosts),
+            "key-file": str(self.folder / "upstream.key"),
+            "record": str(self.record_path(name)),
+        }
+        arguments = [f"--{key}={value}" for key, value in (fixed | options).items()]
+        upstream.process = Process(name, f"standins.{kind}", arguments, self.folder)
+        self.upstreams_by_name[name] = upstream
+        self._stack.callback(upstream.process.kill)
+        upstream.process.start()
+
+    def record_path(self, name: str) -> Path:
+        """Return the file in which a stand-in records its work."""
+        return self.folder / f"{name}.record"
+
+    def records(self, kind: str) -> list[dict[str, Any]]:
+        """Return all records of a kind, of all stand-ins."""
+        lines = []
+        for name in self.upstreams_by_name:
+            path = self.record_path(name)
+            lines += path.read_text().splitlines() if path.exists() else []
+        records = map(json.loads, lines)
+        return [record for record in records if record["kind"] == kind]
+
+    def set_cut(self, one: str, other: str, cut: bool) -> None:
+        """Cut or heal the connections between two hosts."""
+        for name, peer in ((one, other), (other, one)):
+            proxy = self.hosts_by_name[name].proxy
+            assert proxy is not None, f"{name} is not behind a proxy"
+            proxy.set_cut(peer, cut)
+
+    def set_faults(self, name: str, document: dict[str, Any]) -> None:
+        """Order faults from a stand-in."""
+        port = self.upstreams_by_name[name].control_port
+        status, body, _ = self.ask(port, "POST", "/v1/faults", document)
+        assert status == 200, body
+
+    def apply(self, host: str, config: dict[str, Any]) -> int:
+        """Have a configuration accepted by a host's operator port; the status."""
+        port = self.hosts_by_name[host].ports["operator"]
+        status, body, headers = self.ask(port, "GET", "/v1/config")
+        if status != 200:
+            return status
+        match = {"If-Match": headers.get("etag", f'"{body.get("version", 0)}"')}
+        key = {"Idempotency-Key": uuid.uuid4().hex}
+        return self.ask(port, "PUT", "/v1/config", config, match | key)[0]
+
+    def ask(
+        self,
+        port: int,
+        method: str,
+        target: str,
+        document: Any = None,
+        headers: dict[str, str] | None = None,
+    ) -> tuple[int, Any, dict[str, str]]:
+        """Ask as an operator; the status (0: no answer), JSON and headers."""
+        connection = http.client.HTTPConnection("127.0.0.1", port, ASK_TIMEOUT_S)
+        body = None if document is None else json.dumps(document)
+        fields = {"Authorization": "Bearer operator-key", **(headers or {})}
+        try:
+            connection.request(method, target, body, fields)
+            answer = connection.getresponse()
+            data = answer.read()
+        except (OSError, http.client.HTTPException):
+            return 0, None, {}
+        finally:
+            connection.close()
+        try:
+            parsed = json.loads(data)
+        except ValueError:
+            parsed = data.decode(errors="replace")
+        return answer.status, parsed, {k.lower(): v for k, v in answer.getheaders()}
+
+    def describe_ends(self) -> str:
+        """Return the tails of all logs."""
+        names = [*self.hosts_by_name, *self.upstreams_by_name]
+        found = [self.hosts_by_name.get(n) or self.upstreams_by_name[n] for n in names]
+        return "\n".join(describe_end(f.process) for f in found if f.process)
+
+    def _name_of_port(self, port: int) -> str:
+        for name, host in self.hosts_by_name.items():
+            if host.process is not None and host.process.owns_local_port(port):
+                return name
+        return ""
+
+    def _settings(self, host: Host) -> dict[str, Any]:
+        replicas = [h for h in self.hosts_by_name.values() if "control" in h.roles]
+        control = [replica.told_port for replica in replicas]
+        changes: dict[str, Any] = {"roles": host.roles}
+        if "control" in host.roles:
+            changes["data_folder"] = f"data-{host.name}"
+        value = builders.settings_value(host.name, host.ports, control, **changes)
+        value["control"]["bootstrap"] = [r.name for r in replicas if not r.options]
+        if host.proxy is not None:
+            value["listen"]["announced"] = f"127.0.0.1:{host.proxy.port}"
+        return value
--- /dev/null
+++ b/tests/scenarios/processes.py
@@ -0,0 +1,90 @@
+"""The processes of a scenario: started here, watched here, ended by their ids."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parents[2]
+KILL_TIMEOUT_S = 5.0
+
+
+def free_port() -> int:
+    """Return a loopback port that nothing listened at a moment ago."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class Process:
+    """One process; its output goes to a log file that is kept."""
+
+    def __init__(self, name: str, module: str, arguments: list[str], folder: Path):
+        self.name = name
+        self.log = folder / f"{name}.log"
+        self._command = [sys.executable, "-m", module, *arguments]
+        self._popen: subprocess.Popen[bytes] | None = None
+
+    @property
+    def pid(self) -> int:
+        """The id of the process that runs or ran last."""
+        assert self._popen is not None, f"{self.name} was not started"
+        return self._popen.pid
+
+    def start(self) -> None:
+        """Start it, once more if it has ended."""
+        environment = os.environ | {"PYTHONPATH": str(ROOT)}
+        with self.log.open("ab") as log:
+            self._popen = subprocess.Popen(
+                self._command, cwd=ROOT, env=environment, stdout=log, stderr=log
+            )
+
+    def signal(self, number: int) -> None:
+        """Send a signal, by the process's id."""
+        os.kill(self.pid, number)
+
+    def kill(self) -> None:
+        """End it at once and wait until it is gone."""
+        if self._popen is None or self._popen.poll() is not None:
+            return
+        self.signal(signal.SIGKILL)
+        self._popen.wait(KILL_TIMEOUT_S)
+
+    def exit_code(self) -> int | None:
+        """Return how it ended, None while it runs."""
+        return self._popen.poll() if self._popen is not None else None
+
+    def owns_local_port(self, port: int) -> bool:
+        """Tell whether one of its TCP sockets has a local port."""
+        inodes = set()
+        for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+            columns = line.split()
+            if int(columns[1].split(":")[1], 16) == port:
+                inodes.add(f"socket:[{columns[9]}]")
+        try:
+            names = [os.readlink(f.path) for f in os.scandir(f"/proc/{self.pid}/fd")]
+        except OSError:
+            return False
+        return not inodes.isdisjoint(names)
+
+
+def describe_end(process: Process, lines: int = 30) -> str:
+    """Return the tail of a process's log, for the report of a failure."""
+    text = process.log.read_text(errors="replace") if process.log.exists() else ""
+    tail = "\n".join(text.splitlines()[-lines:])
+    return f"--- {process.name} (exit code {process.exit_code()})\n{tail}"
+
+
+def has(document: Any, path: str) -> Any:
+    """Return what stands at a dotted path in a document, None when nothing does."""
+    for part in path.split("."):
+        if isinstance(document, list) and part.isdigit():
+            document = dict(enumerate(document)).get(int(part))
+        elif isinstance(document, dict):
+            document = document.get(part)
+        else:
+            return None
+    return document
--- /dev/null
+++ b/tests/scenarios/proxy.py
@@ -0,0 +1,87 @@
+"""A TCP proxy between two hosts of a scenario, which can be cut and healed."""
+
+import contextlib
+import socket
+import threading
+from collections.abc import Callable
+
+READ_BYTES = 65536
+CONNECT_TIMEOUT_S = 2.0
+
+
+class Proxy:
+    """Passes connections on to one host's internal port.
+
+    A cut lets no byte through in either direction, and closes nothing: the ends
+    see silence, as they do when a network drops their packets. After the cut the
+    bytes held back go on, as TCP would send them again.
+    """
+
+    def __init__(self, target_port: int, name_of_port: Callable[[int], str]) -> None:
+        self._target_port = target_port
+        self._name_of_port = name_of_port
+        self._open_by_peer: dict[str, threading.Event] = {}
+        self._sockets: list[socket.socket] = []
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.port: int = self._listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def set_cut(self, peer: str, cut: bool) -> None:
+        """Hold or pass on what goes from and to a host."""
+        event = self._gate(peer)
+        event.clear() if cut else event.set()
+
+    def close(self) -> None:
+        """Close the listening socket and all connections."""
+        for sock in [self._listener, *self._sockets]:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+            sock.close()
+
+    def _gate(self, peer: str) -> threading.Event:
+        if peer not in self._open_by_peer:
+            event = threading.Event()
+            event.set()
+            self._open_by_peer[peer] = event
+        return self._open_by_peer[peer]
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                sock, address = self._listener.accept()
+                threading.Thread(
+                    target=self._serve, args=(sock, address[1]), daemon=True
+                ).start()
+
+    def _serve(self, near: socket.socket, peer_port: int) -> None:
+        self._sockets.append(near)
+        gate = self._gate(self._name_of_port(peer_port))
+        gate.wait()
+        try:
+            far = socket.create_connection(
+                ("127.0.0.1", self._target_port), CONNECT_TIMEOUT_S
+            )
+        except OSError:
+            near.close()
+            return
+        far.settimeout(None)
+        self._sockets.append(far)
+        for source, sink in ((near, far), (far, near)):
+            sink.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            threading.Thread(
+                target=self._pump, args=(source, sink, gate), daemon=True
+            ).start()
+
+    def _pump(
+        self, source: socket.socket, sink: socket.socket, gate: threading.Event
+    ) -> None:
+        try:
+            while data := source.recv(READ_BYTES):
+                gate.wait()
+                sink.sendall(data)
+            gate.wait()
+            sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            for sock in (source, sink):
+                with contextlib.suppress(OSError):
+                    sock.shutdown(socket.SHUT_RDWR)
--- /dev/null
+++ b/tests/scenarios/runner.py
@@ -0,0 +1,284 @@
+"""The small language of the scenarios: one step a line.
+
+    # The story, at the head of the file.
+    use three-hosts                         the steps of three-hosts.part
+    host a b roles=entry,dispatch,control   make hosts known; proxied: can be cut
+    start a b | kill a | term a | freeze a | thaw a | restart a
+    engine e1 token-ms=5 labels=zone=bole   a model engine's stand-in (plain: a
+                                            plain service's)
+    apply a [tiers.gold.deadline_ms=500]    accept the configuration by host a
+    fault e1 reset_after=3 times=1          the faults of standins/faults.py
+    request r1 at a POST /v1/completions stream tokens=50 tier=gold key=K
+    copy r2 of r1 at b                      the same request once more
+    leave r1                                the caller goes away
+    cut a b | heal a b | pause 0.5s
+    expect r1 whole                         names of Call, or runs, resumes,
+    expect r1 runs == 1                     cancelled, upstream
+    expect a ready == true                  ready, alive, exit, version, state.PATH
+    expect e1 accepted                      an announcement was accepted
+    expect e1 runs >= 2                     runs since the fault or signal: new_runs
+    within 5s expect ...                    the same, with patience
+
+A value is JSON, or a word; `in` takes several parted by commas.
+"""
+
+import json
+import operator
+import shlex
+import signal
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from standins.answers import digest
+from tests.scenarios import builders
+from tests.scenarios.caller import Call
+from tests.scenarios.deployment import Deployment
+from tests.scenarios.processes import has
+
+POLL_S = 0.02
+SIGNALS_BY_STEP = {
+    "kill": signal.SIGKILL,
+    "term": signal.SIGTERM,
+    "freeze": signal.SIGSTOP,
+    "thaw": signal.SIGCONT,
+}
+HEADERS_BY_OPTION = {
+    "tier": "X-Tier",
+    "key": "Idempotency-Key",
+    "deadline": "X-Deadline-Ms",
+}
+COMPARE: dict[str, Callable[[Any, Any], bool]] = {
+    "==": operator.eq,
+    "!=": operator.ne,
+    ">=": operator.ge,
+    "<=": operator.le,
+    ">": operator.gt,
+    "<": operator.lt,
+    "in": lambda found, expected: str(found) in expected.split(","),
+}
+
+
+def value_of(text: str) -> Any:
+    """Return the value that a word of a step stands for."""
+    try:
+        return json.loads(text)
+    except ValueError:
+        return text
+
+
+def split_options(words: list[str]) -> tuple[list[str], dict[str, str]]:
+    """Part the plain words of a step from its key=value options."""
+    options = dict(word.split("=", 1) for word in words if "=" in word)
+    return [word for word in words if "=" not in word], options
+
+
+class Runner:
+    """Carries out the steps of one scenario."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self._deployment = deployment
+        self._calls_by_name: dict[str, Call] = {}
+        self._marked_at_by_name: dict[str, float] = {}
+
+    def run(self, path: Path) -> None:
+        """Run a scenario file; raise AssertionError naming the line that failed."""
+        self._folder = path.parent
+        for number, line in enumerate(path.read_text().splitlines(), 1):
+            words = shlex.split(line, comments=True)
+            if not words:
+                continue
+            try:
+                self._step(words)
+            except AssertionError as err:
+                ends = self._deployment.describe_ends()
+                text = f"{path.name}:{number}: {line}\n{err}\n{ends}"
+                raise AssertionError(text) from None
+
+    def _step(self, words: list[str]) -> None:
+        verb, *rest = words
+        if verb in SIGNALS_BY_STEP:
+            self._signal(verb, rest)
+        else:
+            getattr(self, f"_do_{verb}")(rest)
+
+    def _do_use(self, words: list[str]) -> None:
+        self.run(self._folder / f"{words[0]}.part")
+
+    def _signal(self, verb: str, names: list[str]) -> None:
+        for name in names:
+            self._marked_at_by_name[name] = time.time()
+            if verb == "kill":
+                self._deployment.process(name).kill()
+            else:
+                self._deployment.process(name).signal(SIGNALS_BY_STEP[verb])
+
+    def _do_host(self, words: list[str]) -> None:
+        names, options = split_options(words)
+        proxied = "proxied" in names
+        for name in names:
+            if name != "proxied":
+                self._deployment.add_host(name, dict(options), proxied)
+
+    def _do_start(self, names: list[str]) -> None:
+        for name in names:
+            self._deployment.start_host(name)
+
+    def _do_restart(self, names: list[str]) -> None:
+        for name in names:
+            self._deployment.process(name).kill()
+            self._deployment.process(name).start()
+
+    def _do_engine(self, words: list[str]) -> None:
+        self._start_upstreams("engine", words)
+
+    def _do_plain(self, words: list[str]) -> None:
+        self._start_upstreams("plain", words)
+
+    def _start_upstreams(self, kind: str, words: list[str]) -> None:
+        names, options = split_options(words)
+        for name in names:
+            self._deployment.start_upstream(kind, name, dict(options))
+
+    def _do_apply(self, words: list[str]) -> None:
+        (host,), changes = split_options(words)
+        config = builders.config_document()
+        for path, text in changes.items():
+            *folders, last = path.split(".")
+            place = config
+            for folder in folders:
+                place = place.setdefault(folder, {})
+            place[last] = value_of(text)
+        self._patiently(20.0, lambda: self._apply(host, config))
+
+    def _apply(self, host: str, config: dict[str, Any]) -> None:
+        status = self._deployment.apply(host, config)
+        assert status == 200, f"status {status}"
+
+    def _do_fault(self, words: list[str]) -> None:
+        (name,), options = split_options(words)
+        document = {key: value_of(text) for key, text in options.items()}
+        self._deployment.set_faults(name, document)
+        self._marked_at_by_name[name] = time.time()
+
+    def _do_request(self, words: list[str]) -> None:
+        (name, _, host, method, target, *flags), options = split_options(words)
+        workspace = options.get("workspace", "foresters")
+        token = builders.TOKENS_BY_WORKSPACE.get(workspace, workspace)
+        headers = {"Authorization": f"Bearer {token}"}
+        for option, header in HEADERS_BY_OPTION.items():
+            if option in options:
+                headers[header] = options[option]
+        tokens = int(options.get("tokens", "20"))
+        fields = {"stream": True} if "stream" in flags else {}
+        body = builders.request_body(target, name, tokens, **fields)
+        if method == "GET":
+            body, target = b"", f"{target}?request={name}"
+        port = self._deployment.hosts_by_name[host].ports["caller"]
+        self._call(name, Call(port, method, target, headers, body))
+
+    def _do_copy(self, words: list[str]) -> None:
+        name, _, original, _, host = words
+        call = self._calls_by_name[original]
+        port = self._deployment.hosts_by_name[host].ports["caller"]
+        again = Call(port, call.method, call.target, call.headers, call.body)
+        self._call(name, again)
+
+    def _call(self, name: str, call: Call) -> None:
+        self._calls_by_name[name] = call
+        call.start()
+
+    def _do_leave(self, names: list[str]) -> None:
+        for name in names:
+            self._calls_by_name[name].go_away()
+
+    def _do_cut(self, words: list[str]) -> None:
+        self._deployment.set_cut(words[0], words[1], True)
+
+    def _do_heal(self, words: list[str]) -> None:
+        self._deployment.set_cut(words[0], words[1], False)
+
+    def _do_pause(self, words: list[str]) -> None:
+        time.sleep(float(words[0].removesuffix("s")))
+
+    def _do_within(self, words: list[str]) -> None:
+        patience = float(words[0].removesuffix("s"))
+        assert words[1] == "expect", "only an expectation can be waited for"
+        self._patiently(patience, lambda: self._do_expect(words[2:]))
+
+    def _patiently(self, patience: float, step: Callable[[], None]) -> None:
+        until = time.monotonic() + patience
+        while True:
+            try:
+                step()
+                return
+            except AssertionError:
+                if time.monotonic() > until:
+                    raise
+            time.sleep(POLL_S)
+
+    def _do_expect(self, words: list[str]) -> None:
+        name, what, *rest = words
+        found = self._find(name, what)
+        if not rest:
+            assert found is True, f"{name} {what} is {found!r}"
+            return
+        compare, text = rest
+        expected = text if compare == "in" else value_of(text)
+        if found is None and compare not in ("==", "!="):
+            raise AssertionError(f"{name} {what} is not there")
+        assert COMPARE[compare](found, expected), f"{name} {what} is {found!r}"
+
+    def _find(self, name: str, what: str) -> Any:
+        if name in self._calls_by_name:
+            return self._find_of_call(self._calls_by_name[name], what)
+        if name in self._deployment.hosts_by_name:
+            return self._find_of_host(name, what)
+        return self._find_of_upstream(name, what)
+
+    def _find_of_call(self, call: Call, what: str) -> Any:
+        runs = [r for r in self._deployment.records("run") if is_run_of(r, call)]
+        if what == "runs":
+            return len(runs)
+        if what == "upstream":
+            return runs[-1]["upstream"] if runs else None
+        if what in ("resumes", "cancelled", "finished"):
+            kind = {"resumes": "resume", "finished": "done"}.get(what, what)
+            ids = {run["request_id"] for run in runs}
+            records = self._deployment.records(kind)
+            return sum(record["request_id"] in ids for record in records)
+        return getattr(call, what)
+
+    def _find_of_host(self, name: str, what: str) -> Any:
+        host = self._deployment.hosts_by_name[name]
+        ask = self._deployment.ask
+        if what == "exit":
+            return self._deployment.process(name).exit_code()
+        if what == "alive":
+            return ask(host.ports["caller"], "GET", "/healthz")[0] == 200
+        if what == "ready":
+            return ask(host.ports["caller"], "GET", "/readyz")[0] == 200
+        if what == "version":
+            document = ask(host.ports["operator"], "GET", "/v1/config")[1]
+            return has(document, "version")
+        assert what.startswith("state."), f"a host has no {what}"
+        document = ask(host.ports["operator"], "GET", "/v1/state")[1]
+        return has(document, what.removeprefix("state."))
+
+    def _find_of_upstream(self, name: str, what: str) -> Any:
+        if what == "exit":
+            return self._deployment.process(name).exit_code()
+        if what == "accepted":
+            accepted = self._deployment.records("accepted")
+            return any(record["upstream"] == name for record in accepted)
+        since = self._marked_at_by_name.get(name, 0.0) if what == "new_runs" else 0.0
+        runs = self._deployment.records("run")
+        return sum(r["upstream"] == name and r["time"] >= since for r in runs)
+
+
+def is_run_of(record: dict[str, Any], call: Call) -> bool:
+    """Tell whether a recorded run is one of a caller's request."""
+    if record["path"] != call.target:
+        return False
+    return record["digest"] == digest(call.body)
