--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements and experiments."""
--- /dev/null
+++ b/bench/chaos.py
@@ -0,0 +1,170 @@
+"""Requests under kills and stops of entry processes, counted at the stand-ins."""
+
+import random
+import signal
+import threading
+import time
+from collections import Counter
+from typing import Any
+
+import curio
+
+from bench.client import Request, Result, async_each, async_request, is_true
+from bench.setup import chat
+from standins.answers import digest
+from tests.scenarios import builders
+from tests.scenarios.deployment import Deployment
+
+TIMEOUT_S = 40.0
+PAUSE_S = (0.3, 1.2)
+FROZEN_S = (0.5, 4.0)
+KEYED_TRIES = 4
+KEYED_PAUSE_S = 0.5
+
+
+class Chaos:
+    """One run; the hosts named c… are disturbed, one or two at a time."""
+
+    def __init__(
+        self, deployment: Deployment, count: int, workers: int, seed: int
+    ) -> None:
+        self._deployment = deployment
+        self._count = count
+        self._workers = workers
+        self._random = random.Random(seed)
+        self._hosts = list(deployment.hosts_by_name.values())
+        self._results: dict[int, tuple[Request, list[Result]]] = {}
+        self._signals: Counter[str] = Counter()
+        self._done = threading.Event()
+
+    def run(self) -> dict[str, Any]:
+        """Run all requests and return the counts."""
+        disturbing = threading.Thread(target=self._disturb)
+        disturbing.start()
+        begun = time.perf_counter()
+        try:
+            curio.run(async_each, range(self._count), self._workers, self._async_one)
+        finally:
+            wall = time.perf_counter() - begun
+            self._done.set()
+            disturbing.join()
+        time.sleep(3.0)
+        return self._count_all() | {"run_s": round(wall, 1)}
+
+    def _disturb(self) -> None:
+        chance = random.Random(self._random.random())
+        names = [host.name for host in self._hosts if host.name.startswith("c")]
+        while not self._done.wait(chance.uniform(*PAUSE_S)):
+            name = chance.choice(names)
+            process = self._deployment.process(name)
+            if chance.random() < 0.5:
+                self._signals["SIGKILL"] += 1
+                process.kill()
+                self._done.wait(chance.uniform(*PAUSE_S))
+                process.start()
+            else:
+                self._signals["SIGSTOP"] += 1
+                process.signal(signal.SIGSTOP)
+                self._done.wait(chance.uniform(*FROZEN_S))
+                process.signal(signal.SIGCONT)
+
+    async def _async_one(self, number: int) -> None:
+        request = self._request(number)
+        results: list[Result] = []
+        self._results[number] = (request, results)
+        tries = KEYED_TRIES if "Idempotency-Key" in request.headers else 1
+        for _ in range(tries):
+            results.append(await self._async_send(request))
+            if results[-1].status == 200 and not results[-1].cut:
+                return
+            if tries > 1:
+                await curio.sleep(KEYED_PAUSE_S)
+
+    async def _async_send(self, request: Request) -> Result:
+        """Send to some host; one that refuses the connection got nothing."""
+        hosts = self._random.sample(self._hosts, len(self._hosts))
+        for host in hosts:
+            result = await async_request(host.ports["caller"], request, TIMEOUT_S)
+            if result.sent:
+                break
+        return result
+
+    def _request(self, number: int) -> Request:
+        kind = number % 10
+        name = f"c{number}"
+        if kind < 5:
+            return chat(name, tokens=5 + number % 40)
+        token = builders.TOKENS_BY_WORKSPACE["wards"]
+        headers = {"Authorization": f"Bearer {token}"}
+        if kind == 5:
+            return Request("GET", f"/lookups?request={name}", headers, b"")
+        if kind == 6:
+            target = "/v1/completions"
+            body = builders.request_body(target, name, 10)
+            return Request("POST", target, headers, body)
+        if kind == 7:
+            headers["Idempotency-Key"] = name
+        body = builders.request_body("/bonds", name, 0)
+        return Request("POST", "/bonds", headers, body)
+
+    def _count_all(self) -> dict[str, Any]:
+        runs: Counter[tuple[str, str]] = Counter(
+            (record["path"], record["digest"])
+            for record in self._deployment.records("run")
+        )
+        found: Counter[str] = Counter()
+        wrong: list[dict[str, Any]] = []
+        for number, (request, results) in self._results.items():
+            ran = runs[request.target, digest(request.body)]
+            found[f"runs {ran}"] += 1
+            for result in results:
+                found[f"heard {describe(result)}"] += 1
+            for fault in faults_of(request, results, ran):
+                found[f"FAULT {fault}"] += 1
+                wrong.append(
+                    {
+                        "number": number,
+                        "fault": fault,
+                        "runs": ran,
+                        "heard": [describe(result) for result in results],
+                    }
+                )
+        recorded = sum(runs.values())
+        return {
+            "requests": len(self._results),
+            "recorded_runs": recorded,
+            "signals": dict(self._signals),
+            "counts": dict(sorted(found.items())),
+            "faults": wrong[:20],
+        }
+
+
+def describe(result: Result) -> str:
+    """Return in short what a caller heard."""
+    if not result.sent:
+        return "no host"
+    if result.status == 0:
+        return "connection broke before an answer"
+    if result.cut:
+        return f"{result.status} cut"
+    words = (str(result.status), result.outcome, result.reason)
+    return " ".join(word for word in words if word)
+
+
+def faults_of(request: Request, results: list[Result], ran: int) -> list[str]:
+    """Return which promises a request's answers and runs break."""
+    faults = []
+    if ran > 1:
+        faults.append("ran more than once")
+    for result in results:
+        whole = result.status == 200 and not result.cut
+        if whole and not is_true(request, result):
+            faults.append("wrong, mixed or short without a visible cut")
+        if whole and ran == 0:
+            faults.append("answered but never ran")
+    # Only the last word counts for a key that was sent more than once: the first
+    # copy may truly not have run before the second one did.
+    last = results[-1]
+    if last.outcome == "not-run" and ran:
+        faults.append("not-run that had run")
+    return faults
--- /dev/null
+++ b/bench/client.py
@@ -0,0 +1,139 @@
+"""A caller for measurements: one request, and what came of it."""
+
+import json
+import time
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any, NamedTuple
+
+import curio
+import h11
+
+from standins import answers
+from tests.scenarios.caller import text_of
+
+READ_BYTES = 262144
+
+
+class Request(NamedTuple):
+    """A request, with what tells its runs from those of others."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class Result(NamedTuple):
+    """What a caller saw; times in seconds from before the connection was opened.
+
+    status is 0 when nothing of an answer came, sent tells whether any byte left.
+    cut is true when the caller can see that the answer is unfinished.
+    """
+
+    sent: bool
+    status: int
+    outcome: str
+    reason: str
+    first_s: float
+    total_s: float
+    cut: bool
+    body: bytes
+
+
+async def async_request(port: int, request: Request, timeout: float) -> Result:
+    """Send a request on a connection of its own and follow the answer."""
+    begun = time.perf_counter()
+    seen = _Seen()
+    try:
+        async with curio.timeout_after(timeout):
+            sock = await curio.open_connection("127.0.0.1", port)
+            async with sock:
+                await _async_exchange(sock, request, seen)
+    except (OSError, h11.ProtocolError, curio.TaskTimeout):
+        seen.cut = True
+    now = time.perf_counter()
+    body = b"".join(seen.parts)
+    reason = ""
+    if seen.outcome in ("not-run", "unknown") and body.startswith(b"{"):
+        reason = json.loads(body).get("reason", "") if not seen.cut else ""
+    first = (seen.first_at or now) - begun
+    return Result(
+        seen.sent,
+        seen.status,
+        seen.outcome,
+        reason,
+        first,
+        now - begun,
+        seen.cut,
+        body,
+    )
+
+
+class _Seen:
+    """What has come so far."""
+
+    def __init__(self) -> None:
+        self.sent = False
+        self.status = 0
+        self.outcome = ""
+        self.first_at = 0.0
+        self.cut = False
+        self.parts: list[bytes] = []
+
+
+async def _async_exchange(sock: Any, request: Request, seen: _Seen) -> None:
+    http = h11.Connection(h11.CLIENT)
+    fields = {"Host": "127.0.0.1", "Connection": "close", **request.headers}
+    if request.body:
+        fields["Content-Length"] = str(len(request.body))
+    head = h11.Request(
+        method=request.method, target=request.target, headers=list(fields.items())
+    )
+    data = http.send(head) or b""
+    if request.body:
+        data += http.send(h11.Data(data=request.body)) or b""
+    seen.sent = True
+    await sock.sendall(data + (http.send(h11.EndOfMessage()) or b""))
+    while True:
+        event = http.next_event()
+        if event is h11.NEED_DATA:
+            http.receive_data(await sock.recv(READ_BYTES))
+        elif isinstance(event, h11.Response):
+            seen.status = event.status_code
+            values = dict(event.headers)
+            seen.outcome = values.get(b"x-outcome", b"").decode()
+        elif isinstance(event, h11.Data):
+            seen.first_at = seen.first_at or time.perf_counter()
+            seen.parts.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            return
+        else:
+            seen.cut = True
+            return
+
+
+def is_true(request: Request, result: Result) -> bool:
+    """Tell whether a body is the whole and true answer to a request."""
+    body = result.body
+    if not request.target.startswith("/v1/"):
+        expected = answers.plain_answer(request.method, request.target, request.body)
+        return body == expected
+    streamed = b"data: " in body[:100]
+    if streamed and not body.endswith(b"data: [DONE]\n\n"):
+        return False
+    return text_of(body) == answers.engine_answer(json.loads(request.body))
+
+
+async def async_each(
+    items: Iterable[Any], workers: int, work: Callable[[Any], Awaitable[None]]
+) -> None:
+    """Work on items with a bounded number of workers at once."""
+    iterator = iter(items)
+
+    async def async_worker() -> None:
+        for item in iterator:
+            await work(item)
+
+    async with curio.TaskGroup() as group:
+        for _ in range(workers):
+            await group.spawn(async_worker)
--- a/standins/answers.py
+++ b/standins/answers.py
@@ -10,7 +10,8 @@
 def prompt_text(body: dict[str, Any]) -> str:
     """Return the prompt of a chat or completion request as the engine sees it."""
     if "messages" in body:
-        return "\n".join(str(message["content"]) for message in body["messages"])
+        messages = body["messages"]
+        return "\n".join(f"{m.get('role')}: {m.get('content')}" for m in messages)
     return str(body["prompt"])
 
 
