--- /dev/null
+++ b/bitterntiller/components/metrics/const.py
@@ -0,0 +1,9 @@
+"""Bounds on what is kept of the metrics, and the metrics about them."""
+
+DEFAULT_PREFIX = "bitterntiller"
+FLUSH_PERIOD = 1.0
+MAX_DATAGRAM_BYTES = 1400
+MAX_NAMES = 5000
+MAX_UNSENT_TIMINGS = 10000
+
+METRIC_DROPPED_METRICS = "metrics.dropped"
