--- a/bitterntiller/components/control/single.py
+++ b/bitterntiller/components/control/single.py
@@ -168,7 +168,7 @@
             "a log of one replica needs a data folder and this host as bootstrap"
         )
     path = settings.data_folder / LOG_NAME
-    log = SingleLog(path, str(settings.listen.internal), state)
+    log = SingleLog(path, str(settings.listen.reached_at), state)
     await log.async_open()
     runtime.stack.callback(log.close)
     await runtime.async_spawn(log.async_run())
--- a/bitterntiller/components/node/coordinator.py
+++ b/bitterntiller/components/node/coordinator.py
@@ -119,7 +119,7 @@
         return messages.Heartbeat(
             host=settings.host,
             incarnation=self._runtime.incarnation,
-            address=str(settings.listen.internal),
+            address=str(settings.listen.reached_at),
             zone=settings.zone,
             roles=list(settings.roles),
             config_version=-1 if self._want_whole else self.config.version,
--- a/bitterntiller/components/settings/models.py
+++ b/bitterntiller/components/settings/models.py
@@ -25,6 +25,11 @@
     operator: Address
     advertised: Address | None = None
 
+    @property
+    def reached_at(self) -> Address:
+        """Return the internal address that this process's peers call."""
+        return self.advertised or self.internal
+
 
 class Keys(NamedTuple):
     """The keys read from the files that the settings name; never dumped."""
--- a/bitterntiller/components/settings/schema.py
+++ b/bitterntiller/components/settings/schema.py
@@ -56,6 +56,7 @@
         vol.Required(const.CONF_LISTEN): {
             vol.Required(const.CONF_CALLER): address,
             vol.Required(const.CONF_INTERNAL): address,
+            vol.Optional(const.CONF_ADVERTISED): address,
             vol.Required(const.CONF_OPERATOR): address,
         },
         vol.Required(const.CONF_KEYS): {
@@ -106,7 +107,8 @@
     if const.CONF_DATA_FOLDER not in checked:
         text = "required for the control role, but not given"
         problems.append(Problem((const.CONF_DATA_FOLDER,), text))
-    own = checked[const.CONF_LISTEN][const.CONF_INTERNAL]
+    listen = checked[const.CONF_LISTEN]
+    own = listen.get(const.CONF_ADVERTISED, listen[const.CONF_INTERNAL])
     if own not in control[const.CONF_ADDRESSES]:
         path = (const.CONF_CONTROL, const.CONF_ADDRESSES)
         text = f"lacks this host's own internal address {own}"
@@ -125,7 +127,8 @@
             problems.append(Problem((const.CONF_LISTEN, key), text))
     # Other hosts are told the internal address and call it; 0.0.0.0 would lead
     # each of them to itself.
-    if listen[const.CONF_INTERNAL].ip == const.UNSPECIFIED_IP:
+    told = listen.get(const.CONF_ADVERTISED, listen[const.CONF_INTERNAL])
+    if told.ip == const.UNSPECIFIED_IP:
         path = (const.CONF_LISTEN, const.CONF_INTERNAL)
         problems.append(Problem(path, "must be the address that other hosts call"))
     return problems
--- /dev/null
+++ b/bitterntiller/core/daemon.py
@@ -0,0 +1,139 @@
+"""Wires the parts of one process and runs it until it is told to stop."""
+
+import signal
+from typing import NamedTuple
+
+import curio
+from absl import logging
+
+from bitterntiller.components import (
+    control,
+    dispatch,
+    entry,
+    links,
+    metrics,
+    node,
+    operator,
+    upstreams,
+)
+from bitterntiller.components.dispatch.coordinator import DispatchCoordinator
+from bitterntiller.components.entry.coordinator import EntryCoordinator
+from bitterntiller.components.entry.server import CallerPort
+from bitterntiller.components.links.coordinator import LinkCoordinator
+from bitterntiller.components.links.models import Peer
+from bitterntiller.components.metrics.client import StatsdMetrics
+from bitterntiller.components.node.coordinator import NodeCoordinator
+from bitterntiller.components.settings.const import (
+    ROLE_CONTROL,
+    ROLE_DISPATCH,
+    ROLE_ENTRY,
+)
+from bitterntiller.components.settings.models import Settings
+from bitterntiller.core.clock import Clock, RuntimeClock
+from bitterntiller.core.runtime import Runtime
+from bitterntiller.core.signals import SignalReceiver
+
+STATSD_PREFIX = "bitterntiller"
+EXIT_OK = 0
+EXIT_CUT = 3
+EXIT_FAILED = 4
+
+
+class Parts(NamedTuple):
+    """The parts that the stopping of a process has to do with."""
+
+    node: NodeCoordinator
+    entry: EntryCoordinator | None
+    dispatch: DispatchCoordinator | None
+
+
+def make_runtime(settings: Settings, clock: Clock) -> Runtime:
+    """Return a runtime whose links are not yet listening."""
+    statsd = StatsdMetrics(settings.statsd, f"{STATSD_PREFIX}.{settings.host}")
+    runtime = Runtime(settings, clock, statsd)
+    own = Peer(settings.host, runtime.incarnation, str(settings.listen.reached_at))
+    runtime.links = LinkCoordinator(
+        own, settings.listen.internal, settings.keys.internal, clock, statsd
+    )
+    return runtime
+
+
+async def async_setup_parts(runtime: Runtime) -> Parts:
+    """Set all parts of this process up, in the order in which they need each other."""
+    roles = runtime.settings.roles
+    await metrics.async_setup(runtime, runtime.metrics)
+    await links.async_setup(runtime, runtime.links)
+    if ROLE_CONTROL in roles:
+        await control.async_setup(runtime)
+    session = await node.async_setup(runtime)
+    views = (session.lease, session.config, session.directory)
+    owner = None
+    if ROLE_DISPATCH in roles:
+        owner = await dispatch.async_setup(runtime, *views)
+    announced = (lambda: dispatch.upstreams(owner)) if owner else list
+    await operator.async_setup(runtime, session.control_client, announced)
+    callers = None
+    if ROLE_ENTRY in roles:
+        callers = await entry.async_setup(runtime, *views)
+        announcements = upstreams.setup(runtime, session.config, session.directory)
+        port = CallerPort(runtime, callers, announcements)
+        await runtime.async_spawn(port.async_serve())
+    return Parts(session, callers, owner)
+
+
+async def async_run(settings: Settings) -> int:
+    """Run a process until a signal; return its exit code."""
+    runtime = make_runtime(settings, RuntimeClock())
+    async with runtime.stack:
+        signals = SignalReceiver(signal.SIGTERM, signal.SIGINT)
+        await runtime.stack.enter_async_context(signals)
+        parts = await async_setup_parts(runtime)
+        logging.info("host %s runs as %s", settings.host, ", ".join(settings.roles))
+        await _async_until_stopped(runtime, signals)
+        if runtime.failure is not None:
+            logging.error("stopped by %s", runtime.failure)
+            return EXIT_FAILED
+        return await _async_stop(runtime, parts, signals)
+
+
+async def _async_until_stopped(runtime: Runtime, signals: SignalReceiver) -> None:
+    async with curio.TaskGroup(wait=any) as group:
+        await group.spawn(signals.async_get)
+        await group.spawn(runtime.stopping.wait)
+
+
+async def _async_stop(runtime: Runtime, parts: Parts, signals: SignalReceiver) -> int:
+    """Stop cleanly: no new work, pools handed over, requests in progress finished.
+
+    A second signal ends the waiting; what it cuts is said.
+    """
+    logging.info("stopping: no new work is taken")
+    parts.node.set_draining()
+    if parts.entry is not None:
+        parts.entry.pipeline.draining = True
+    await _async_hand_over(runtime, parts)
+    if parts.entry is None:
+        return EXIT_OK
+    async with curio.TaskGroup(wait=any) as group:
+        drained = await group.spawn(parts.entry.async_drain)
+        await group.spawn(signals.async_get)
+    left = list(parts.entry.registry.by_id)
+    if not left:
+        logging.info("stopped with no request in progress")
+        return EXIT_OK
+    why = "the shutdown limit" if group.completed is drained else "a second signal"
+    logging.warning("%s cuts %d requests: %s", why, len(left), ", ".join(left))
+    return EXIT_CUT
+
+
+async def _async_hand_over(runtime: Runtime, parts: Parts) -> None:
+    """Give the owned pools back first, so that waiting work finds a new owner."""
+    if parts.dispatch is None:
+        return
+    pools = list(parts.dispatch.pools_by_name)
+    if not pools:
+        return
+    timeout = runtime.settings.timings.link_call
+    handed = await parts.node.async_release_pools(pools, timeout)
+    if not handed:
+        logging.warning("control did not answer; pools move when the lease ends")
--- a/bitterntiller/core/runtime.py
+++ b/bitterntiller/core/runtime.py
@@ -16,17 +16,18 @@
 class Runtime:
     """The settings, clock, links and metrics of a process, and its tasks.
 
+    links is set by whoever wires the process, since links need its incarnation.
+
     stack owns whatever must be closed: a part pushes its unloading at set-up,
     so that parts are unloaded in the reverse order.
     """
 
-    def __init__(
-        self, settings: Settings, clock: Clock, metrics: Metrics, links: Links
-    ) -> None:
+    links: Links
+
+    def __init__(self, settings: Settings, clock: Clock, metrics: Metrics) -> None:
         self.settings = settings
         self.clock = clock
         self.metrics = metrics
-        self.links = links
         self.incarnation = uuid.uuid4().hex
         self.stack = AsyncExitStack()
         self.diagnostics_by_component: dict[str, Diagnostics] = {}
--- a/tests/components/control/builders.py
+++ b/tests/components/control/builders.py
@@ -134,7 +134,9 @@
     settings = make_settings(**fields)
     address = str(settings.listen.internal)
     links = FakeLinks(network or FakeNetwork(), settings.host, address)
-    return Runtime(settings, clock, CountingMetrics(), links)
+    runtime = Runtime(settings, clock, CountingMetrics())
+    runtime.links = links
+    return runtime
 
 
 def parse_any(document, version):
