--- a/bench/control.py
+++ b/bench/control.py
@@ -100,7 +100,9 @@
         data_folder=None,
         statsd=None,
     )
-    return Runtime(settings, clock, NoMetrics(), NoLinks())
+    runtime = Runtime(settings, clock, NoMetrics())
+    runtime.links = NoLinks()
+    return runtime
 
 
 def make_document(workspaces: int, number: int = 0) -> dict[str, Any]:
@@ -421,14 +423,15 @@
         for number in range(320):
             runtime = make_runtime(number, fleet.clock)
             node = NodeCoordinator(runtime, parse_config)
-            term.sessions.hear(
-                decode(messages.Heartbeat, encode(node.make_heartbeat())), 0
-            )
+            heartbeat = decode(messages.Heartbeat, encode(node.make_heartbeat()))
+            term.sessions.hear(heartbeat, fleet.clock.now())
         return fleet
 
     fleet, with_sessions = allocated(build_sessions)
-    fleet.leader.leading().rebuild_directory(fleet.clock.now())
-    data = encode(fleet.leader.leading().directory.current)
+    term = fleet.leader.leading()
+    term.rebuild_directory(fleet.clock.now())
+    data = encode(term.directory.current)
+    assert len(term.directory.current.hosts) == 320
     node = fleet.nodes[0]
     _, hosts = allocated(lambda: node.directory.apply(decode(messages.Directory, data)))
     return {
