Add the command-line tool: check, apply, get, state and control

check names file, line and key, and checks selectors against the vocabulary of labels or against announced upstreams. apply sends a change again with its id, base version and bytes until the outcome is known; it exits unreachable only when nothing can have been sent, and unknown otherwise. repair is sent once, because an order is not idempotent.

--- /dev/null
+++ b/bitterntiller/cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of the tool, one a module."""
--- /dev/null
+++ b/bitterntiller/cli/commands/check.py
@@ -0,0 +1,96 @@
+"""bitterntiller check: finds the problems of files before they are used."""
+
+import os
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated, Literal
+
+import cappa
+import curio
+
+from bitterntiller.cli import const
+from bitterntiller.cli.checking import (
+    CheckResult,
+    check_file,
+    read_upstreams,
+    to_upstreams,
+)
+from bitterntiller.cli.errors import ToolError
+from bitterntiller.cli.operator_client import OperatorClient, check_answer
+from bitterntiller.cli.options import OperatorOptions, make_client
+from bitterntiller.cli.output import print_error, print_json
+from bitterntiller.components.config.selectors import LabelledUpstream
+from bitterntiller.components.http.errors import HttpError
+from bitterntiller.components.operator.const import PATH_STATE
+
+
+def run(command: "Check") -> int:
+    """Check the files and return the exit code."""
+    upstreams = _find_upstreams(command)
+    results = [check_file(path, command.kind, upstreams) for path in command.files]
+    if command.json:
+        print_json([_to_json(result) for result in results])
+    else:
+        _print(results)
+    faulty = any(result.problems for result in results)
+    return const.EXIT_PROBLEMS if faulty else const.EXIT_OK
+
+
+@cappa.command(invoke=run)
+@dataclass
+class Check(OperatorOptions):
+    """Check settings and configuration files.
+
+    With --operator or --upstreams, selectors are also checked against the
+    upstreams that are announced.
+    """
+
+    files: Annotated[list[Path], cappa.Arg(required=True)] = field(default_factory=list)
+    kind: Annotated[
+        Literal["settings", "configuration"] | None,
+        cappa.Arg(long=True, help="What the files are; else told by their keys."),
+    ] = None
+    upstreams: Annotated[
+        Path | None,
+        cappa.Arg(long=True, help="File with a dump, or with a list of upstreams."),
+    ] = None
+
+
+def _find_upstreams(command: Check) -> list[LabelledUpstream] | None:
+    if command.upstreams is not None:
+        return read_upstreams(command.upstreams)
+    if command.operator:
+        client = make_client(command, dict(os.environ))
+        return curio.run(_async_announced, client)
+    return None
+
+
+async def _async_announced(client: OperatorClient) -> list[LabelledUpstream]:
+    """Return the upstreams of all given hosts.
+
+    Each host knows those of the pools that it owns. With one host left out, its
+    upstreams would seem not to exist, so one that fails ends the command.
+    """
+    found = []
+    for address in client.addresses:
+        try:
+            answer = await client.async_call(address, "GET", PATH_STATE)
+        except HttpError as error:
+            raise ToolError(f"{address}: {error.text}") from error
+        found += to_upstreams(check_answer(answer), address)
+    return found
+
+
+def _print(results: list[CheckResult]) -> None:
+    for result in results:
+        for note in result.notes:
+            print_error(f"{result.file}: note: {note}")
+        for problem in result.problems:
+            print(problem)
+        if not result.problems:
+            print(f"{result.file}: {result.kind}, no problems")
+
+
+def _to_json(result: CheckResult) -> dict[str, object]:
+    problems = [problem._asdict() for problem in result.problems]
+    return result._asdict() | {"problems": problems}
--- /dev/null
+++ b/bitterntiller/cli/operator_client.py
@@ -0,0 +1,90 @@
+"""Calls to the operator ports of one deployment."""
+
+import json
+from typing import Any, NamedTuple
+
+from bitterntiller.cli import const
+from bitterntiller.cli.errors import ToolError, UnauthorizedError, UnreachableError
+from bitterntiller.components.http.client import async_fetch
+from bitterntiller.components.http.errors import HttpError
+from bitterntiller.components.http.models import Headers
+
+HTTP_UNAUTHORIZED = 401
+HTTP_UNAVAILABLE = 503
+
+
+class Answer(NamedTuple):
+    """An answer of an operator port: its HTTP status and JSON object."""
+
+    status: int
+    value: dict[str, Any]
+
+
+class OperatorClient:
+    """Knows the addresses of operator ports, and the key to them."""
+
+    def __init__(self, addresses: list[str], key: bytes) -> None:
+        self.addresses = addresses
+        self._key = key
+
+    async def async_call(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        headers: Headers | None = None,
+        body: bytes = b"",
+    ) -> Answer:
+        """Call one port.
+
+        Raise ConnectRefusedError when nothing can have been sent, and
+        BrokenAnswerError when the request may have been carried out though no
+        whole answer came.
+        """
+        lines = [
+            (b"host", address.encode()),
+            (b"authorization", b"Bearer " + self._key),
+            *(headers or []),
+        ]
+        response = await async_fetch(
+            address, method, path, lines, body, const.CALL_TIMEOUT
+        )
+        return Answer(response.status, _json_object(response.body))
+
+    async def async_get(self, path: str) -> dict[str, Any]:
+        """Return what the first port that can answer gives.
+
+        Raise UnreachableError, UnauthorizedError, or ToolError for an answer
+        that refuses.
+        """
+        failures = []
+        for address in self.addresses:
+            try:
+                answer = await self.async_call(address, "GET", path)
+            except HttpError as error:
+                failures.append(f"{address}: {error.text}")
+                continue
+            if answer.status < HTTP_UNAVAILABLE:
+                return check_answer(answer)
+            failures.append(f"{address}: {answer.value.get('text', answer.status)}")
+        raise UnreachableError("; ".join(failures))
+
+
+def check_answer(answer: Answer) -> dict[str, Any]:
+    """Return the object of a good answer; raise a ToolError for another."""
+    text = str(answer.value.get("text", f"HTTP status {answer.status}"))
+    if answer.status == HTTP_UNAUTHORIZED:
+        raise UnauthorizedError(text)
+    if answer.status >= HTTP_UNAVAILABLE:
+        raise UnreachableError(text)
+    if answer.status >= 300:
+        raise ToolError(text)
+    return answer.value
+
+
+def _json_object(body: bytes) -> dict[str, Any]:
+    try:
+        value = json.loads(body)
+    except (ValueError, RecursionError):
+        return {}
+    return value if isinstance(value, dict) else {}
--- /dev/null
+++ b/bitterntiller/cli/output.py
@@ -0,0 +1,58 @@
+"""What the tool prints: JSON, tables, and trees of values."""
+
+import json
+import sys
+from collections.abc import Iterator, Sequence
+from typing import Any
+
+
+def print_json(value: Any) -> None:
+    """Print a value as JSON on standard output."""
+    print(json.dumps(value, indent=2))
+
+
+def print_error(text: str) -> None:
+    """Print a line on standard error."""
+    print(text, file=sys.stderr)
+
+
+def format_table(head: Sequence[str], rows: Sequence[Sequence[Any]]) -> str:
+    """Return rows under their heads, in columns as wide as needed."""
+    lines = [tuple(head), *(tuple(map(_shown, row)) for row in rows)]
+    widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
+    return "\n".join(_join(line, widths) for line in lines)
+
+
+def _join(cells: Sequence[str], widths: Sequence[int]) -> str:
+    padded = (cell.ljust(width) for cell, width in zip(cells, widths, strict=True))
+    return "  ".join(padded).rstrip()
+
+
+def _shown(value: Any) -> str:
+    if value is None or value == "":
+        return "-"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    return str(value)
+
+
+def format_tree(value: Any, indent: str = "") -> str:
+    """Return a JSON value as an indented tree, one scalar a line."""
+    return "\n".join(_tree_lines(value, indent))
+
+
+def _tree_lines(value: Any, indent: str) -> Iterator[str]:
+    if isinstance(value, dict):
+        pairs = list(value.items())
+    elif isinstance(value, list):
+        pairs = [("-", item) for item in value]
+    else:
+        yield indent + _shown(value)
+        return
+    for key, item in pairs:
+        if isinstance(item, dict | list) and item:
+            yield f"{indent}{key}:"
+            yield from _tree_lines(item, indent + "  ")
+        else:
+            shown = "none" if isinstance(item, dict | list) else _shown(item)
+            yield f"{indent}{key}: {shown}"
--- /dev/null
+++ b/bitterntiller/cli/tool.py
@@ -0,0 +1,36 @@
+"""The command-line tool, bitterntiller."""
+
+import sys
+from dataclasses import dataclass
+
+import cappa
+
+from bitterntiller.cli.commands.apply import Apply
+from bitterntiller.cli.commands.check import Check
+from bitterntiller.cli.commands.control import Control
+from bitterntiller.cli.commands.get import Get
+from bitterntiller.cli.commands.state import State
+from bitterntiller.cli.errors import ToolError
+from bitterntiller.cli.output import print_error
+
+
+@cappa.command(name="bitterntiller")
+@dataclass
+class Tool:
+    """Check, change and look at a bitterntiller deployment."""
+
+    command: cappa.Subcommands[Check | Apply | Get | State | Control]
+
+
+def main(arguments: list[str] | None = None) -> None:
+    """Run the tool and exit with one of the codes of cli.const."""
+    sys.exit(run(arguments))
+
+
+def run(arguments: list[str] | None = None) -> int:
+    """Run the tool and return its exit code; wrong usage exits by itself."""
+    try:
+        return cappa.invoke(Tool, argv=arguments)
+    except ToolError as error:
+        print_error(f"bitterntiller: {error}")
+        return error.exit_code
--- /dev/null
+++ b/bitterntiller/components/config/selectors.py
@@ -0,0 +1,127 @@
+"""Checks selectors against the labels that upstreams have, or may have."""
+
+from collections.abc import Iterator, Mapping
+from typing import NamedTuple
+
+from bitterntiller.components.config import const
+from bitterntiller.components.config.models import Config, Selector, Service
+from bitterntiller.core.document import KeyPath, Problem
+
+
+class LabelledUpstream(NamedTuple):
+    """What the check needs to know of an upstream."""
+
+    name: str
+    service: str
+    labels: Mapping[str, str]
+
+
+class _Place(NamedTuple):
+    """Where a selector stands, and which services' upstreams it chooses from."""
+
+    path: KeyPath
+    selector: Selector
+    services: tuple[str, ...]
+
+
+def find_vocabulary_problems(config: Config) -> Iterator[Problem]:
+    """Yield the labels and values that the configuration's labels do not have.
+
+    A configuration without labels at its top level has no vocabulary to check
+    against, and no such problems.
+    """
+    if not config.values_by_label:
+        return
+    for place in _places(config):
+        for path, label, values in _uses(place):
+            known = config.values_by_label.get(label)
+            if known is None:
+                yield Problem(path, f"unknown label {label}")
+                continue
+            for index, value in enumerate(values):
+                if value not in known:
+                    text = f"unknown value {value} of label {label}"
+                    yield Problem((*path, index), text)
+
+
+def find_upstream_problems(
+    config: Config, upstreams: list[LabelledUpstream]
+) -> Iterator[Problem]:
+    """Yield labels that no upstream has, and selectors that choose none."""
+    for place in _places(config):
+        candidates = [item for item in upstreams if item.service in place.services]
+        known = {label for item in candidates for label in item.labels}
+        for path, label, _ in _uses(place):
+            if label not in known:
+                yield Problem(path, f"no upstream has the label {label}")
+    yield from _find_empty(config, upstreams)
+
+
+def _find_empty(config: Config, upstreams: list[LabelledUpstream]) -> Iterator[Problem]:
+    upstreams_by_service = {
+        name: _chosen_by_service(service, upstreams)
+        for name, service in config.services_by_name.items()
+    }
+    for name, chosen in upstreams_by_service.items():
+        if not chosen:
+            path = (const.CONF_SERVICES, name, const.CONF_SELECTOR)
+            yield Problem(path, "matches no upstream of the service")
+    every = [item for chosen in upstreams_by_service.values() for item in chosen]
+    for name, tier in config.tiers_by_name.items():
+        if every and not _choose(tier.selector, every):
+            path = (const.CONF_TIERS, name, const.CONF_SELECTOR)
+            yield Problem(path, "matches no upstream of any service")
+    for name in config.workspaces_by_name:
+        yield from _find_empty_workspace(config, name, upstreams_by_service)
+
+
+def _find_empty_workspace(
+    config: Config,
+    name: str,
+    upstreams_by_service: dict[str, list[LabelledUpstream]],
+) -> Iterator[Problem]:
+    """Check a workspace alone, then together with the selector of its tier."""
+    workspace = config.workspaces_by_name[name]
+    tier = config.tiers_by_name[workspace.tier]
+    path = (const.CONF_WORKSPACES, name, const.CONF_SELECTOR)
+    for service in workspace.services:
+        offered = upstreams_by_service[service]
+        chosen = _choose(workspace.selector, offered)
+        if offered and not chosen:
+            yield Problem(path, f"matches no upstream of service {service}")
+        elif chosen and not _choose(tier.selector, chosen):
+            text = f"with the selector of tier {tier.name}, matches no upstream of"
+            yield Problem(path, f"{text} service {service}")
+
+
+def _chosen_by_service(
+    service: Service, upstreams: list[LabelledUpstream]
+) -> list[LabelledUpstream]:
+    own = [item for item in upstreams if item.service == service.name]
+    return _choose(service.selector, own)
+
+
+def _choose(
+    selector: Selector, upstreams: list[LabelledUpstream]
+) -> list[LabelledUpstream]:
+    return [item for item in upstreams if selector.chooses(dict(item.labels))]
+
+
+def _places(config: Config) -> Iterator[_Place]:
+    everywhere = tuple(config.services_by_name)
+    key = const.CONF_SELECTOR
+    for name, service in config.services_by_name.items():
+        yield _Place((const.CONF_SERVICES, name, key), service.selector, (name,))
+    for name, tier in config.tiers_by_name.items():
+        yield _Place((const.CONF_TIERS, name, key), tier.selector, everywhere)
+    for name, workspace in config.workspaces_by_name.items():
+        path = (const.CONF_WORKSPACES, name, key)
+        yield _Place(path, workspace.selector, workspace.services)
+
+
+def _uses(place: _Place) -> Iterator[tuple[KeyPath, str, tuple[str, ...]]]:
+    """Yield each label of a selector, with its path and values."""
+    for label, values in place.selector.match.items():
+        yield (*place.path, const.CONF_MATCH, label), label, values
+    for label, values in place.selector.exclude.items():
+        yield (*place.path, const.CONF_EXCLUDE, label), label, values
--- /dev/null
+++ b/tests/cli/builders.py
@@ -0,0 +1,71 @@
+"""Fakes of operator ports: scripted answers, and a served port in a thread."""
+
+import contextlib
+import socket
+import threading
+
+import curio
+
+from bitterntiller.cli.operator_client import Answer
+from bitterntiller.components.http.exchange import Exchange
+from bitterntiller.components.http.server import HttpServer, ServerLimits
+from bitterntiller.components.http.whole import async_serve_whole
+from bitterntiller.components.metrics.client import StatsdMetrics
+from bitterntiller.components.settings.models import Address
+
+
+class ScriptedClient:
+    """Answers the calls in turn; an exception in the script is raised."""
+
+    def __init__(self, *script, addresses=("a:1", "b:1")):
+        self.addresses = list(addresses)
+        self.script = list(script)
+        self.calls = []
+
+    async def async_call(self, address, method, path, headers=None, body=b""):
+        self.calls.append((address, dict(headers or []), body))
+        item = self.script.pop(0)
+        if isinstance(item, Exception):
+            raise item
+        return Answer(*item)
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+@contextlib.contextmanager
+def served_port(handler):
+    """Serve a RequestHandler in a thread; give its address as IP:port."""
+    address = Address("127.0.0.1", free_port())
+    stop = curio.UniversalEvent()
+
+    async def async_exchange(exchange: Exchange):
+        await async_serve_whole(exchange, handler, 1 << 20, 5.0)
+
+    async def async_main():
+        limits = ServerLimits(32768, 10, 5.0, 5.0, 5.0)
+        server = HttpServer(address, limits, async_exchange, StatsdMetrics(None, ""))
+        task = await curio.spawn(server.async_serve)
+        await stop.wait()
+        await task.cancel()
+
+    thread = threading.Thread(target=curio.run, args=(async_main,))
+    thread.start()
+    try:
+        wait_until_open(address)
+        yield str(address)
+    finally:
+        stop.set()
+        thread.join()
+
+
+def wait_until_open(address):
+    for _ in range(500):
+        with contextlib.suppress(OSError):
+            socket.create_connection(address, 5).close()
+            return
+        threading.Event().wait(0.01)
+    raise AssertionError("the port did not open")
--- /dev/null
+++ b/tests/cli/test_commands.py
@@ -0,0 +1,130 @@
+import json
+
+import pytest
+
+from bitterntiller.cli import const
+from bitterntiller.protocol import messages
+from tests.cli.builders import free_port, served_port
+from tests.components.operator.builders import operator_port
+
+
+@pytest.fixture
+def port():
+    port = operator_port()
+    with served_port(port.coordinator) as address:
+        port.address = address
+        yield port
+
+
+def change_reply(status, text=""):
+    return messages.ChangeReply(status=status, version=7, text=text, leader="")
+
+
+def test_apply_sends_the_document_against_its_base(tool, port):
+    port.control.reply = change_reply("accepted")
+    options = ("--operator", port.address, "--base", 6, "--change-id", "c1", "--json")
+    result = tool("apply", "config.json", *options)
+    assert result.code == const.EXIT_OK
+    found = json.loads(result.out)
+    assert (found["status"], found["version"], found["change_id"]) == (
+        "accepted",
+        7,
+        "c1",
+    )
+    (change,) = port.control.messages
+    assert (change.change_id, change.base_version) == ("c1", 6)
+    with open("config.json") as file:
+        assert json.loads(change.config) == json.load(file)
+
+
+def test_apply_takes_the_present_version_for_its_base(tool, port):
+    port.control.reply = messages.ConfigReply(status="ok", version=4, config=b"{}")
+    result = tool("apply", "config.json", "--operator", port.address, "--tries", 1)
+    assert port.control.messages[1].base_version == 4
+    assert result.code == const.EXIT_UNKNOWN
+
+
+def test_apply_of_a_bad_file_sends_nothing(tool, port, tmp_path):
+    (tmp_path / "config.json").write_text('{"tiers": {\n"a": {}}}')
+    result = tool("apply", "config.json", "--operator", port.address)
+    assert result.code == const.EXIT_PROBLEMS
+    assert "config.json:2: tiers.a.rank: required" in result.err
+    assert port.control.messages == []
+
+
+def test_problems_that_control_finds_are_located(tool, port):
+    port.control.reply = change_reply("invalid", "[config] tiers.bronze.rank: odd")
+    result = tool("apply", "config.json", "--operator", port.address, "--base", 1)
+    assert result.code == const.EXIT_PROBLEMS
+    assert "tiers.bronze.rank: odd" in result.err
+    assert "config.json:1:" not in result.err
+
+
+def test_get_and_state_and_control_are_printed(tool, port):
+    options = ("--operator", port.address)
+    port.control.reply = messages.ConfigReply(
+        status="ok", version=4, config=b'{"tiers": {}}'
+    )
+    result = tool("get", *options)
+    assert (json.loads(result.out), result.err) == ({"tiers": {}}, "version 4\n")
+    assert json.loads(tool("get", "--json", *options).out)["version"] == 4
+    assert tool("state", *options).out == "host: a\n"
+    log = {
+        "term": 3,
+        "survives_losses": 1,
+        "members": [{"id": "a-1", "lag": 0}, {"id": "b-1", "voter": True}],
+    }
+    port.control.reply = messages.ControlStatusReply(
+        status="ok", leader="127.0.0.1:1", document=json.dumps({"log": log}).encode()
+    )
+    lines = tool("control", *options).out.splitlines()
+    assert "further losses survived  1" in lines
+    assert "id   lag  voter" in lines
+    assert "b-1  -    yes" in lines
+    assert json.loads(tool("control", "--json", *options).out)["control"]["log"] == log
+
+
+@pytest.mark.parametrize(
+    ("status", "code"),
+    [
+        ("ok", const.EXIT_OK),
+        ("refused", const.EXIT_REFUSED),
+        ("unknown", const.EXIT_UNKNOWN),
+    ],
+)
+def test_repair_is_asked_for(tool, port, status, code):
+    port.control.reply = messages.RepairReply(status=status, text="t", leader="")
+    options = ("--operator", port.address, "--remove", "a-1", "--add", "b")
+    assert tool("control", "repair", *options).code == code
+    assert port.control.messages == [messages.Repair(remove="a-1", add="b", address="")]
+
+
+def test_wrong_key_and_closed_port_have_their_codes(tool, port, tmp_path, monkeypatch):
+    closed = f"127.0.0.1:{free_port()}"
+    assert tool("get", "--operator", closed).code == const.EXIT_UNREACHABLE
+    monkeypatch.setenv(const.ENV_OPERATOR, f"{closed},{port.address}")
+    assert tool("state").code == const.EXIT_OK
+    (tmp_path / "operator.key").write_text("another")
+    assert tool("state").code == const.EXIT_UNAUTHORIZED
+
+
+def test_check_asks_each_given_host_for_its_upstreams(tool, port):
+    closed = f"127.0.0.1:{free_port()}"
+    result = tool("check", "--operator", port.address, "config.json")
+    assert result.code == const.EXIT_USAGE  # the fake dump has no upstreams
+    options = ("--operator", port.address, "--operator", closed)
+    assert tool("check", *options, "config.json").code != const.EXIT_OK
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ("get",),
+        ("get", "--operator", "localhost:80"),
+        ("get", "--operator", "127.0.0.1:1", "--key-file", "none"),
+        ("apply", "config.json", "--operator", "127.0.0.1:1", "--change-id", "a b"),
+    ],
+)
+def test_wrong_usage_has_its_code(tool, arguments):
+    result = tool(*arguments)
+    assert (result.code, result.out) == (const.EXIT_USAGE, "")
--- a/tests/components/operator/test_coordinator.py
+++ b/tests/components/operator/test_coordinator.py
@@ -29,6 +29,12 @@
     assert port.control.messages == []
 
 
+def test_key_in_another_scheme_is_refused():
+    request = operator_request("GET", const.PATH_STATE)
+    request.headers[0] = (b"authorization", b"Basic operator-key")
+    assert answer(operator_port(), request)[0].status == 401
+
+
 @pytest.mark.parametrize(
     ("reply", "status", "value"),
     [
