Serve the operator port through the new listener, and prove two more guards

Broken on purpose, a repair resent after a lost answer and a host left out of the check of selectors passed all tests before; each has a test now that fails then.

--- a/bitterntiller/cli/commands/check.py
+++ b/bitterntiller/cli/commands/check.py
@@ -15,7 +15,7 @@
     read_upstreams,
     to_upstreams,
 )
-from bitterntiller.cli.errors import ToolError
+from bitterntiller.cli.errors import UnreachableError
 from bitterntiller.cli.operator_client import OperatorClient, check_answer
 from bitterntiller.cli.options import OperatorOptions, make_client
 from bitterntiller.cli.output import print_error, print_json
@@ -76,7 +76,7 @@
         try:
             answer = await client.async_call(address, "GET", PATH_STATE)
         except HttpError as error:
-            raise ToolError(f"{address}: {error.text}") from error
+            raise UnreachableError(f"{address}: {error.text}") from error
         found += to_upstreams(check_answer(answer), address)
     return found
 
--- a/bitterntiller/cli/commands/control.py
+++ b/bitterntiller/cli/commands/control.py
@@ -9,7 +9,7 @@
 import curio
 
 from bitterntiller.cli import const
-from bitterntiller.cli.errors import ToolError
+from bitterntiller.cli.errors import UnreachableError
 from bitterntiller.cli.operator_client import Answer, OperatorClient, check_answer
 from bitterntiller.cli.options import OperatorOptions, make_client
 from bitterntiller.cli.output import format_table, format_tree, print_json
@@ -85,7 +85,7 @@
             failures.append(error.text)
         except HttpError as error:
             return Answer(503, {"status": STATUS_UNKNOWN, "text": error.text})
-    raise ToolError("; ".join(failures))
+    raise UnreachableError("; ".join(failures))
 
 
 def describe(value: dict[str, Any]) -> str:
--- a/bitterntiller/components/operator/__init__.py
+++ b/bitterntiller/components/operator/__init__.py
@@ -42,5 +42,5 @@
     server = HttpServer(
         settings.listen.operator, limits, async_exchange, runtime.metrics
     )
-    await runtime.async_spawn(server.async_serve())
+    await runtime.async_spawn(server.async_serve(runtime))
     return coordinator
--- a/tests/cli/builders.py
+++ b/tests/cli/builders.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 import threading
+from types import SimpleNamespace
 
 import curio
 
@@ -48,7 +49,7 @@
     async def async_main():
         limits = ServerLimits(32768, 10, 5.0, 5.0, 5.0)
         server = HttpServer(address, limits, async_exchange, StatsdMetrics(None, ""))
-        task = await curio.spawn(server.async_serve)
+        task = await curio.spawn(server.async_serve, SimpleNamespace())
         await stop.wait()
         await task.cancel()
 
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -109,11 +109,35 @@
 
 
 def test_check_asks_each_given_host_for_its_upstreams(tool, port):
-    closed = f"127.0.0.1:{free_port()}"
+    """An operator checks selectors while one of the hosts is down.
+
+    He would be told that selectors match nothing, though they match upstreams
+    of a pool that the host in question owns. The check ends without a verdict.
+    """
+    port.dump["upstreams"] = [{"name": "u", "service": "llm", "labels": {}}]
+    assert tool("check", "--operator", port.address, "config.json").code == 0
+    options = ("--operator", port.address, "--operator", f"127.0.0.1:{free_port()}")
+    result = tool("check", *options, "config.json")
+    assert (result.code, result.out) == (const.EXIT_UNREACHABLE, "")
+    port.dump["upstreams"] = []
+    result = tool("check", "--operator", port.address, "config.json")
+    assert result.code == const.EXIT_PROBLEMS
+    del port.dump["upstreams"]
     result = tool("check", "--operator", port.address, "config.json")
-    assert result.code == const.EXIT_USAGE  # the fake dump has no upstreams
-    options = ("--operator", port.address, "--operator", closed)
-    assert tool("check", *options, "config.json").code != const.EXIT_OK
+    assert result.code == const.EXIT_USAGE
+
+
+def test_repair_without_an_answer_is_unknown_and_not_sent_again(tool, port):
+    """The port dies after it passed the order on.
+
+    An operator would see a failure and repeat the repair while the first one
+    takes a replica out: two are gone. The command says that it is not known.
+    """
+    port.control.reply = RuntimeError("the port dies")
+    options = ("--operator", port.address, "--operator", port.address)
+    result = tool("control", "repair", *options, "--remove", "a-1")
+    assert result.code == const.EXIT_UNKNOWN
+    assert len(port.control.messages) == 1
 
 
 @pytest.mark.parametrize(
--- a/tests/components/operator/builders.py
+++ b/tests/components/operator/builders.py
@@ -10,7 +10,7 @@
 
 
 class FakeControl:
-    """Answers each message with a fixed reply and keeps the messages."""
+    """Answers each message with a fixed reply, or raises it; keeps the messages."""
 
     def __init__(self, reply=None):
         self.reply = reply
@@ -18,6 +18,8 @@
 
     async def async_call_leader(self, message, timeout):
         self.messages.append(message)
+        if isinstance(self.reply, Exception):
+            raise self.reply
         return self.reply
 
 
@@ -33,5 +35,8 @@
 def operator_port(reply=None):
     control = FakeControl(reply)
     metrics = StatsdMetrics(None, "")
-    coordinator = OperatorCoordinator(KEY, control, lambda: {"host": "a"}, metrics)
-    return SimpleNamespace(coordinator=coordinator, control=control, metrics=metrics)
+    dump = {"host": "a"}
+    coordinator = OperatorCoordinator(KEY, control, lambda: dump, metrics)
+    return SimpleNamespace(
+        coordinator=coordinator, control=control, metrics=metrics, dump=dump
+    )
