--- /dev/null
+++ b/bitterntiller/components/dispatch/admission.py
@@ -0,0 +1,112 @@
+"""How long a request is expected to wait, and when to come back."""
+
+import random
+
+from bitterntiller.components.dispatch.drain import (
+    CapacityMeter,
+    RateMeter,
+    retry_after,
+)
+from bitterntiller.components.dispatch.jobs import Job
+from bitterntiller.components.dispatch.limits import WorkspaceLimiter
+from bitterntiller.components.dispatch.pool import Pool
+from bitterntiller.components.dispatch.queue import PoolQueue
+
+METER_SECONDS = 5.0
+MIN_SHARE = 0.05
+
+
+class Admission:
+    """Knows the work that waits, the work that arrives and how fast it drains.
+
+    Work is in seconds of expected service on a mean upstream.
+    """
+
+    def __init__(
+        self,
+        pool: Pool,
+        queue: PoolQueue,
+        limiter: WorkspaceLimiter,
+        rng: random.Random,
+    ) -> None:
+        self._pool = pool
+        self._queue = queue
+        self._limiter = limiter
+        self._rng = rng
+        self._capacity = CapacityMeter(METER_SECONDS)
+        self._arrivals_by_rank: dict[int, RateMeter] = {}
+        self._drains_by_rank: dict[int, RateMeter] = {}
+
+    def note_arrival(self, job: Job, now: float) -> None:
+        """Note the work of a request that was taken into the queue."""
+        self._meter(self._arrivals_by_rank, job.rank, now).add(job.work, now)
+
+    def note_grant(self, job: Job, now: float) -> None:
+        """Note the work of a request that was granted."""
+        self._meter(self._drains_by_rank, job.rank, now).add(job.work, now)
+        self._capacity.grant(job.work)
+
+    def interval(self, now: float) -> None:
+        """Close an interval of measuring the capacity."""
+        saturated = any(tier.count for tier in self._queue.tiers_by_rank.values())
+        self._capacity.interval(saturated and not self._pool.any_free, now)
+
+    def capacity(self) -> float:
+        """Return the work that the pool gets done in a second."""
+        return self._capacity.capacity(max(1, self._pool.slots) * self._pool.pace)
+
+    def expected_wait(self, job: Job, now: float) -> float:
+        """Return the expected seconds until a request would be granted."""
+        capacity = self.capacity() * self._part(job)
+        ahead = 0.0
+        arriving = 0.0
+        for rank, tier in self._queue.tiers_by_rank.items():
+            if rank >= job.rank:
+                break
+            ahead += tier.overlapping_work(job.group)
+            arriving += self._arrival_rate(rank, now)
+        tier = self._queue.tier(job.rank)
+        own = tier.work_ahead(job) * self._crowd(job)
+        own = min(own, tier.overlapping_work(job.group))
+        left = max(capacity - arriving, MIN_SHARE * capacity)
+        return ahead / capacity + own / left
+
+    def retry_after(self, rank: int, now: float) -> float:
+        """Return when a caller of a tier should come back, in seconds.
+
+        It is the time in which what waits in its tier and above drains, at the
+        rate at which this tier was granted work of late.
+        """
+        waiting = 0.0
+        for tier_rank, tier in self._queue.tiers_by_rank.items():
+            if tier_rank <= rank:
+                waiting += tier.work
+        drain = self._meter(self._drains_by_rank, rank, now).rate(now)
+        drain = max(drain, MIN_SHARE * self.capacity())
+        return retry_after(waiting / drain, self._rng)
+
+    def _crowd(self, job: Job) -> float:
+        """Return how many times longer sharing makes the wait of a workspace."""
+        tier = self._queue.tier(job.rank)
+        own = self._limiter.share(job.workspace)
+        if job.workspace in tier.work_by_workspace:
+            return tier.shares / own
+        return (tier.shares + own) / own
+
+    def _part(self, job: Job) -> float:
+        """Return the part of the pool that a request may go to."""
+        if job.request.upstream_names is None:
+            return 1.0
+        whole = max(1, len(self._pool.views.whole.members))
+        return max(1, len(self._pool.view(job).members)) / whole
+
+    def _arrival_rate(self, rank: int, now: float) -> float:
+        meter = self._arrivals_by_rank.get(rank)
+        return 0.0 if meter is None else meter.rate(now)
+
+    @staticmethod
+    def _meter(meters: dict[int, RateMeter], rank: int, now: float) -> RateMeter:
+        meter = meters.get(rank)
+        if meter is None:
+            meter = meters[rank] = RateMeter(METER_SECONDS, now)
+        return meter
--- /dev/null
+++ b/bitterntiller/components/dispatch/choice.py
@@ -0,0 +1,176 @@
+"""Which upstream a request is sent to, if any can end it in time."""
+
+import random
+from collections.abc import Iterable
+from enum import Enum
+from itertools import islice
+from typing import NamedTuple
+
+from bitterntiller.components.dispatch.const import (
+    PREFIX_CANDIDATES,
+    SCAN_ALL_UP_TO,
+)
+from bitterntiller.components.dispatch.jobs import Job
+from bitterntiller.components.dispatch.models import PolicyParameters
+from bitterntiller.components.dispatch.pool import Pool
+from bitterntiller.components.dispatch.speed import LONG
+from bitterntiller.components.dispatch.upstreams import Upstream, View
+
+
+class Verdict(Enum):
+    """Why a request has no upstream yet.
+
+    BLOCKED: none is free for it. WAIT: a free one would end it too late, but
+    a busy one may end it in time. LATE: none can.
+    """
+
+    CHOSEN = "chosen"
+    BLOCKED = "blocked"
+    WAIT = "wait"
+    LATE = "late"
+
+
+class Choice(NamedTuple):
+    """The verdict, and the upstream chosen or waited for."""
+
+    verdict: Verdict
+    upstream: Upstream | None = None
+    cached: int = 0
+    total: float = 0.0
+
+
+class Chooser:
+    """Weighs the expected completion at each candidate.
+
+    In a small pool all upstreams are candidates. In a large one some free ones
+    are drawn at random, and some that hold the longest known prefix are added,
+    so that the cost of a choice does not grow with the pool.
+    """
+
+    def __init__(
+        self, parameters: PolicyParameters, pool: Pool, rng: random.Random
+    ) -> None:
+        self._parameters = parameters
+        self._pool = pool
+        self._rng = rng
+
+    def choose(self, job: Job, view: View, now: float) -> Choice:
+        """Choose for a request that is at the head of its queue."""
+        margin = self._parameters.margin
+        budget = job.request.deadline - now
+        best: Choice | None = None
+        best_score = float("inf")
+        target: Upstream | None = None
+        target_total = float("inf")
+        open_for_it = False
+        long_blocked = job.kind == LONG and self._long_prefills(view)
+        for upstream in self._candidates(job, view):
+            cached, alone, total = self._estimate(job, upstream, now)
+            if alone < target_total and upstream.health.allowed(0, now):
+                target, target_total = upstream, alone
+            if long_blocked or not self._open(job, upstream, now):
+                continue
+            open_for_it = True
+            if total * (1.0 + margin * upstream.speed.deviation) > budget:
+                continue
+            score = self._score(job, upstream, cached, total)
+            if score < best_score:
+                best_score = score
+                best = Choice(Verdict.CHOSEN, upstream, cached, total)
+        if best is not None:
+            return best
+        if target is not None and target_total > budget:
+            return Choice(Verdict.LATE)
+        if not open_for_it:
+            return Choice(Verdict.BLOCKED, target)
+        return Choice(Verdict.WAIT, target)
+
+    def best_case(self, job: Job, view: View, now: float) -> float:
+        """Return the least expected seconds of service if nothing else waited."""
+        totals = (
+            self._estimate(job, upstream, now)[1]
+            for upstream in self._candidates(job, view)
+        )
+        return min(totals, default=0.0)
+
+    def _candidates(self, job: Job, view: View) -> Iterable[Upstream]:
+        upstreams_by_name = self._pool.upstreams_by_name
+        tried = job.request.tried
+        if len(view.members) <= SCAN_ALL_UP_TO:
+            names: Iterable[str] = view.members
+        else:
+            names = self._sampled(job, view)
+        return [upstreams_by_name[name] for name in names if name not in tried]
+
+    def _sampled(self, job: Job, view: View) -> Iterable[str]:
+        samples = self._parameters.samples
+        drawn = view.free if len(view.free) else view.members
+        names = dict.fromkeys(drawn.sample(samples, self._rng))
+        _, holders = self._pool.index.longest(job.request.prefix_hashes)
+        for name in islice(holders, PREFIX_CANDIDATES):
+            if name in view.members:
+                names[name] = None
+        return names
+
+    def _estimate(
+        self, job: Job, upstream: Upstream, now: float
+    ) -> tuple[int, float, float]:
+        """Return the cached tokens and the seconds, alone and behind the rest."""
+        request = job.request
+        ledger = upstream.ledger
+        speed = upstream.speed
+        cached = 0
+        if request.prefix_hashes:
+            cached = upstream.prefixes.cached_tokens(
+                request.prefix_hashes, request.prompt_tokens
+            )
+        prefill = speed.prefill_seconds(request.prompt_tokens - cached, job.kind)
+        decode = speed.decode_seconds(job.expected_output, ledger.in_flight + 1)
+        alone = prefill + decode
+        return cached, alone, alone + ledger.backlog(speed, now)
+
+    def _open(self, job: Job, upstream: Upstream, now: float) -> bool:
+        """Tell whether an upstream can take this request now."""
+        if not upstream.free:
+            return False
+        if upstream.reserved_for not in (None, job.request.request_id):
+            return False
+        if job.kind == LONG:
+            slots = upstream.limit.limit(upstream.state.slots)
+            allowed = max(1, int(self._parameters.long_slots * slots))
+            if upstream.ledger.long_jobs >= allowed:
+                return False
+        if not upstream.fits(job.kv):
+            return False
+        # The mark is set at events; a pause or the silence of an upstream may
+        # have begun since, and a grant would then be sent to a dead address.
+        if not upstream.can_take(now):
+            self._pool.refresh(upstream, now)
+            return False
+        return True
+
+    def _score(self, job: Job, upstream: Upstream, cached: int, total: float) -> float:
+        """Return the cost of an upstream: the delay, and the prefill it takes."""
+        tokens = job.request.prompt_tokens - cached
+        prefill = upstream.speed.prefill_seconds(tokens, job.kind)
+        return total + self._parameters.prefix_weight * prefill
+
+    def _long_prefills(self, view: View) -> bool:
+        """Tell whether enough upstreams are busy with long prefills.
+
+        An engine does one prefill after the other. If all were busy with long
+        ones, short requests of the highest tier would wait for seconds, with
+        nothing that could be displaced.
+        """
+        upstreams_by_name = self._pool.upstreams_by_name
+        names: Iterable[str] = view.members
+        if len(view.members) > SCAN_ALL_UP_TO:
+            names = view.members.sample(self._parameters.samples, self._rng)
+        seen = busy = 0
+        for name in names:
+            seen += 1
+            jobs = upstreams_by_name[name].ledger.prefilling_by_id.values()
+            busy += any(job.kind == LONG for job in jobs)
+        if seen < 2:
+            return False
+        return busy >= max(1.0, self._parameters.long_prefills * seen)
--- /dev/null
+++ b/bitterntiller/components/dispatch/describe.py
@@ -0,0 +1,49 @@
+"""The owner's view for the dump."""
+
+from bitterntiller.components.dispatch.admission import Admission
+from bitterntiller.components.dispatch.pool import Pool
+from bitterntiller.components.dispatch.queue import PoolQueue
+from bitterntiller.components.dispatch.upstreams import Upstream
+
+
+def describe(
+    pool: Pool, queue: PoolQueue, admission: Admission, waiting: int, now: float
+) -> dict[str, object]:
+    """Return the waiting work by tier and the upstreams by name."""
+    return {
+        "waiting": waiting,
+        "capacity": round(admission.capacity(), 3),
+        "tiers_by_rank": {
+            str(rank): {
+                "waiting": tier.count,
+                "work_seconds": round(tier.work, 3),
+                "work_by_workspace": dict(tier.work_by_workspace),
+                "retry_after": round(admission.retry_after(rank, now), 3),
+            }
+            for rank, tier in queue.tiers_by_rank.items()
+        },
+        "upstreams_by_name": {
+            name: _describe_upstream(upstream, now)
+            for name, upstream in pool.upstreams_by_name.items()
+        },
+    }
+
+
+def _describe_upstream(upstream: Upstream, now: float) -> dict[str, object]:
+    ledger = upstream.ledger
+    return {
+        "address": upstream.state.address,
+        "incarnation": upstream.state.incarnation,
+        "sequence": upstream.state.sequence,
+        "leaving": upstream.state.leaving,
+        "heard_seconds_ago": round(now - upstream.heard_at, 3),
+        "free": upstream.free,
+        "sick": upstream.health.sick,
+        "running": ledger.in_flight,
+        "limit": upstream.limit.limit(upstream.state.slots),
+        "foreign": round(ledger.foreign, 2),
+        "kv_tokens": ledger.kv_tokens,
+        "prefill_seconds": round(ledger.backlog(upstream.speed, now), 3),
+        "speed_scale": round(upstream.speed.scale, 3),
+        "prefix_trust": round(upstream.prefixes.trust, 3),
+    }
--- /dev/null
+++ b/bitterntiller/components/dispatch/health.py
@@ -0,0 +1,51 @@
+"""Which upstreams are sick: found within seconds, probed, taken back."""
+
+FAILURES_TO_SICK = 3
+FIRST_PAUSE_SECONDS = 0.5
+MAX_PAUSE_SECONDS = 10.0
+
+
+class Health:
+    """Counts failures in a row; a sick upstream pauses, then gets one probe.
+
+    The pause doubles with every failed probe. One good answer ends it.
+    """
+
+    __slots__ = ("_failures", "_pause", "paused_until", "sick")
+
+    def __init__(self) -> None:
+        self.sick = False
+        self.paused_until = 0.0
+        self._failures = 0
+        self._pause = FIRST_PAUSE_SECONDS
+
+    def failure(self, now: float, certain: bool = False) -> bool:
+        """Note a failure; return True when the upstream has become sick.
+
+        certain is a failure that more tries can't explain away, such as a
+        refused connection.
+        """
+        self._failures += 1
+        if self.sick:
+            if now >= self.paused_until:
+                self._pause = min(self._pause * 2, MAX_PAUSE_SECONDS)
+                self.paused_until = now + self._pause
+            return False
+        if not certain and self._failures < FAILURES_TO_SICK:
+            return False
+        self.sick = True
+        self.paused_until = now + self._pause
+        return True
+
+    def success(self) -> None:
+        """Note a good answer."""
+        self.sick = False
+        self.paused_until = 0.0
+        self._failures = 0
+        self._pause = FIRST_PAUSE_SECONDS
+
+    def allowed(self, in_flight: int, now: float) -> bool:
+        """Tell whether the upstream may be given one more request."""
+        if not self.sick:
+            return True
+        return now >= self.paused_until and in_flight == 0
--- /dev/null
+++ b/bitterntiller/components/dispatch/jobs.py
@@ -0,0 +1,92 @@
+"""A request as the owner of a pool keeps it."""
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from bitterntiller.components.dispatch.models import WaitingRequest
+
+if TYPE_CHECKING:
+    from bitterntiller.components.dispatch.upstreams import Upstream
+
+
+class JobState(Enum):
+    """Where a request is.
+
+    A parked one waits for one upstream, outside the queue. The grant of a
+    lapsed one was not heard of in time.
+    """
+
+    QUEUED = "queued"
+    PARKED = "parked"
+    GRANTED = "granted"
+    RUNNING = "running"
+    LAPSED = "lapsed"
+
+
+class Job:
+    """A request with what the owner expects of it; times in seconds.
+
+    work is the expected service on a mean upstream. prefill is the tokens that
+    have to be computed at the upstream, expected_cached those that should be in
+    its cache. order_key places it within its workspace.
+    """
+
+    __slots__ = (
+        "blocked_since",
+        "entered",
+        "expected_cached",
+        "expected_output",
+        "expected_total",
+        "first_seen",
+        "granted_at",
+        "group",
+        "in_flight_at_start",
+        "kind",
+        "kv",
+        "order_key",
+        "target",
+        "prefill",
+        "rank",
+        "reregistered",
+        "returns",
+        "request",
+        "sequence",
+        "state",
+        "tokens_at",
+        "tokens_seen",
+        "upstream",
+        "work",
+        "workspace",
+    )
+
+    def __init__(self, request: WaitingRequest, sequence: int, now: float) -> None:
+        self.request = request
+        self.workspace = request.workspace
+        self.rank = request.tier_rank
+        self.sequence = sequence
+        self.entered = now
+        self.state = JobState.QUEUED
+        self.kind = 0
+        self.work = 0.0
+        self.expected_output = float(request.output_tokens)
+        self.kv = request.prompt_tokens + request.output_tokens
+        self.order_key = 0.0
+        self.group: tuple = ()
+        self.upstream: Upstream | None = None
+        self.target: Upstream | None = None
+        self.blocked_since: float | None = None
+        self.granted_at = 0.0
+        self.prefill = 0
+        self.expected_cached = 0
+        self.expected_total = 0.0
+        self.in_flight_at_start = 0
+        self.first_seen: float | None = None
+        self.tokens_seen = 0
+        self.tokens_at = 0.0
+        self.reregistered = False
+        self.returns = 0
+
+    @property
+    def waiting(self) -> bool:
+        """Tell whether the request has no grant."""
+        return self.state in (JobState.QUEUED, JobState.PARKED)
--- /dev/null
+++ b/bitterntiller/components/dispatch/ledger.py
@@ -0,0 +1,132 @@
+"""The owner's own account of what is outstanding at one upstream."""
+
+from collections import OrderedDict, deque
+
+from bitterntiller.components.dispatch.jobs import Job
+from bitterntiller.components.dispatch.models import UpstreamLoad
+from bitterntiller.components.dispatch.speed import LONG, Speed
+
+HISTORY_SECONDS = 10.0
+HISTORY_LENGTH = 512
+REPORT_SLACK_SECONDS = 0.2
+FOREIGN_GAIN = 0.5
+
+
+class Ledger:
+    """Counts requests, prompt tokens not yet computed, and memory in tokens.
+
+    foreign is the number of requests at the upstream that are not the owner's.
+    """
+
+    def __init__(self) -> None:
+        self.jobs_by_id: dict[str, Job] = {}
+        self.prefilling_by_id: OrderedDict[str, Job] = OrderedDict()
+        self.kv_tokens = 0
+        self.long_jobs = 0
+        self.foreign = 0.0
+        self.head_began = 0.0
+        self._history: deque[tuple[float, int]] = deque(maxlen=HISTORY_LENGTH)
+
+    @property
+    def in_flight(self) -> int:
+        """Return the owner's requests at the upstream, or on their way to it."""
+        return len(self.jobs_by_id)
+
+    def add(self, job: Job, prefilled: bool, now: float) -> None:
+        """Count a request; prefilled tells that its first token has come."""
+        request_id = job.request.request_id
+        self.jobs_by_id[request_id] = job
+        self.kv_tokens += job.kv
+        self.long_jobs += job.kind == LONG
+        self._remember(now)
+        if prefilled:
+            return
+        if not self.prefilling_by_id:
+            self.head_began = now
+        self.prefilling_by_id[request_id] = job
+
+    def remove(self, job: Job, now: float) -> None:
+        """Count a request no longer."""
+        request_id = job.request.request_id
+        if self.jobs_by_id.pop(request_id, None) is None:
+            return
+        self.kv_tokens -= job.kv
+        self.long_jobs -= job.kind == LONG
+        self._remember(now)
+        self._end_prefill(request_id, now)
+
+    def first_token(self, job: Job, now: float) -> float | None:
+        """Note that a prefill is done.
+
+        Return how long it took if it was the oldest one, which had the prefill
+        of the upstream to itself; None otherwise.
+        """
+        request_id = job.request.request_id
+        if request_id not in self.prefilling_by_id:
+            return None
+        began = self.head_began
+        at_head = next(iter(self.prefilling_by_id)) == request_id
+        self._end_prefill(request_id, now)
+        return now - began if at_head else None
+
+    def backlog(self, speed: Speed, now: float) -> float:
+        """Return the expected seconds until all prefill here is done."""
+        if not self.prefilling_by_id:
+            return 0.0
+        jobs = iter(self.prefilling_by_id.values())
+        head = next(jobs)
+        expected = speed.prefill_seconds(head.prefill, head.kind)
+        left = expected - (now - self.head_began)
+        # An overdue prefill isn't done: it has at least a part of what it has
+        # taken so far before it, or the upstream would look idle while it hangs.
+        seconds = max(left, 0.1 * (now - self.head_began))
+        for job in jobs:
+            seconds += speed.prefill_seconds(job.prefill, job.kind)
+        return seconds
+
+    def fold(self, load: UpstreamLoad, now: float) -> None:
+        """Fold a late load report in.
+
+        The report counts the owner's requests of the time it was measured; only
+        what exceeds them is foreign. Around that time requests were on their way
+        in and out, so the highest own count within a short slack is taken.
+        """
+        own = self._most_in_flight(load.measured_at)
+        if own is None:
+            return
+        foreign = max(0, load.running + load.waiting - own)
+        self.foreign += FOREIGN_GAIN * (foreign - self.foreign)
+
+    def clear(self) -> None:
+        """Forget all; the upstream was started anew and runs none of it."""
+        self.jobs_by_id.clear()
+        self.prefilling_by_id.clear()
+        self._history.clear()
+        self.kv_tokens = 0
+        self.long_jobs = 0
+        self.foreign = 0.0
+
+    def _end_prefill(self, request_id: str, now: float) -> None:
+        if request_id not in self.prefilling_by_id:
+            return
+        if next(iter(self.prefilling_by_id)) == request_id:
+            self.head_began = now
+        del self.prefilling_by_id[request_id]
+
+    def _remember(self, now: float) -> None:
+        self._history.append((now, len(self.jobs_by_id)))
+        while self._history[0][0] < now - HISTORY_SECONDS:
+            self._history.popleft()
+
+    def _most_in_flight(self, at: float) -> int | None:
+        """Return the most own requests around a time, None if it isn't known."""
+        if not self._history or self._history[0][0] > at:
+            return None
+        most = 0
+        for when, count in reversed(self._history):
+            if when > at + REPORT_SLACK_SECONDS:
+                continue
+            most = max(most, count)
+            if when < at - REPORT_SLACK_SECONDS:
+                break
+        return most
--- a/bitterntiller/components/dispatch/models.py
+++ b/bitterntiller/components/dispatch/models.py
@@ -178,7 +178,17 @@
     """What may be tuned in the decisions of one pool; times in seconds.
 
     kind is engine or plain. A grant that was not heard of is taken back
-    grant_grace after it lapsed.
+    grant_grace after it lapsed. order names an Ordering and fair turns on the
+    sharing between workspaces. ageing is how many seconds of waiting outweigh
+    one second of expected service. A request of long_factor times the mean
+    work is long, and long ones hold at most long_slots of an upstream's slots.
+    wait_share is the part of a request's slack that it may be expected to
+    wait. margin is how many deviations are added to an estimate of completion.
+    prefix_weight is the price of a second of prefill beside the request's own
+    delay. A request is sent on when the prefill outstanding at the upstream is
+    expected to end within prefill_window, since engines know no priority. Long
+    prefills run at most on long_prefills of the upstreams at once. samples is
+    how many upstreams are drawn where there are many.
     """
 
     kind: str = const.KIND_ENGINE
@@ -186,6 +196,18 @@
     grant_grace: float = const.DEFAULT_GRANT_GRACE_SECONDS
     silence_seconds: float = const.DEFAULT_SILENCE_SECONDS
     no_upstream_seconds: float = const.DEFAULT_NO_UPSTREAM_SECONDS
+    order: str = const.DEFAULT_ORDER
+    fair: bool = True
+    ageing: float = const.DEFAULT_AGEING
+    long_factor: float = const.DEFAULT_LONG_FACTOR
+    long_slots: float = const.DEFAULT_LONG_SLOTS
+    wait_share: float = const.DEFAULT_WAIT_SHARE
+    margin: float = const.DEFAULT_MARGIN
+    prefix_weight: float = const.DEFAULT_PREFIX_WEIGHT
+    prefill_window: float = const.DEFAULT_PREFILL_WINDOW
+    long_prefills: float = const.DEFAULT_LONG_PREFILLS
+    max_waiting: int = const.DEFAULT_MAX_WAITING
+    samples: int = const.DEFAULT_SAMPLES
     seed: int = 1
 
 
--- /dev/null
+++ b/bitterntiller/components/dispatch/pool.py
@@ -0,0 +1,212 @@
+"""The upstreams of a pool: announcements, silence, and who is free."""
+
+import heapq
+
+from bitterntiller.components.dispatch.const import FORGET_UPSTREAM_SECONDS
+from bitterntiller.components.dispatch.jobs import Job
+from bitterntiller.components.dispatch.models import PolicyParameters, UpstreamState
+from bitterntiller.components.dispatch.prefix import PrefixIndex
+from bitterntiller.components.dispatch.speed import PoolSpeed
+from bitterntiller.components.dispatch.upstreams import Upstream, View, Views
+
+RESERVE_SECONDS = 1.0
+PACE_GAIN = 0.02
+MIN_PACE = 0.02
+OVERDUE_FACTOR = 2.0
+OVERDUE_SECONDS = 0.3
+STALL_SECONDS = 2.0
+
+
+class Pool:
+    """Keeps the upstreams and their views.
+
+    pace is the mean of expected over seen seconds of service: how much work a
+    second one request in flight gets done.
+    """
+
+    def __init__(self, parameters: PolicyParameters) -> None:
+        self.speed = PoolSpeed()
+        self.index = PrefixIndex()
+        self.views = Views()
+        self.upstreams_by_name: dict[str, Upstream] = {}
+        self.pace = 1.0
+        self.slots = 0
+        self._parameters = parameters
+        self._thaws: list[tuple[float, str]] = []
+        self._thaw_by_name: dict[str, float] = {}
+        self._orphans_by_name: dict[str, list[Job]] = {}
+
+    @property
+    def any_free(self) -> bool:
+        """Tell whether any upstream can take one more request."""
+        return len(self.views.whole.free) > 0
+
+    def view(self, job: Job) -> View:
+        """Return the upstreams that a request may go to, tried ones included."""
+        names = job.request.upstream_names
+        return self.views.get(names, self.upstreams_by_name)
+
+    def announce(self, state: UpstreamState, now: float) -> bool:
+        """Take an announcement; False for one older than what is known.
+
+        A lower pair of incarnation and sequence must not undo a higher one: an
+        announcement that was delayed on its way would bring a leaving upstream
+        back, and requests would be sent to it until the next announcement.
+        """
+        upstream = self.upstreams_by_name.get(state.name)
+        if upstream is None:
+            upstream = Upstream(state, self._parameters, self.speed, self.index, now)
+            self.upstreams_by_name[state.name] = upstream
+            for job in self._orphans_by_name.pop(state.name, ()):
+                self.attach(job, upstream, now)
+        else:
+            known = upstream.state
+            if (state.incarnation, state.sequence) <= (
+                known.incarnation,
+                known.sequence,
+            ):
+                return False
+            if state.incarnation != known.incarnation:
+                upstream.restart()
+        upstream.state = state
+        upstream.heard_at = now
+        if state.load is not None:
+            upstream.ledger.fold(state.load, now)
+        upstream.prefixes.take_changes(state.cache_changes, now)
+        self.refresh(upstream, now)
+        return True
+
+    def adopt(self, job: Job, name: str, now: float) -> None:
+        """Count a request that runs; its upstream may not be known yet."""
+        upstream = self.upstreams_by_name.get(name)
+        if upstream is None:
+            self._orphans_by_name.setdefault(name, []).append(job)
+            return
+        self.attach(job, upstream, now)
+        self.refresh(upstream, now)
+
+    def attach(self, job: Job, upstream: Upstream, now: float) -> None:
+        """Count a request at an upstream."""
+        job.upstream = upstream
+        upstream.ledger.add(job, job.tokens_seen > 0, now)
+
+    def detach(self, job: Job, now: float) -> None:
+        """Count a request at its upstream no longer."""
+        upstream = job.upstream
+        if upstream is None:
+            self._forget_orphan(job)
+            return
+        job.upstream = None
+        upstream.ledger.remove(job, now)
+        self.refresh(upstream, now)
+
+    def reserve(self, job: Job, upstream: Upstream | None, now: float) -> None:
+        """Hold an upstream for a request that finds no room for long.
+
+        Without it a large request starves: each time a small one ends, another
+        small one takes the memory, and the large one never finds enough at once.
+        """
+        if job.blocked_since is None:
+            job.blocked_since = now
+            return
+        if job.target is not None or upstream is None:
+            return
+        if now - job.blocked_since < RESERVE_SECONDS or not upstream.free:
+            return
+        if upstream.reserved_for is None and not upstream.fits(job.kv):
+            upstream.reserved_for = job.request.request_id
+            job.target = upstream
+
+    def unreserve(self, job: Job) -> None:
+        """Give up the upstream that is held for a request."""
+        job.blocked_since = None
+        target = job.target
+        job.target = None
+        if target is not None and target.reserved_for == job.request.request_id:
+            target.reserved_for = None
+
+    def refresh(self, upstream: Upstream, now: float) -> None:
+        """Find out anew whether an upstream is there and free."""
+        member = upstream.usable(now)
+        free = member and upstream.can_take(now)
+        if free != upstream.free or member != upstream.member:
+            upstream.free = free
+            upstream.member = member
+            self.views.update(upstream, member)
+        if member and not free and upstream.room() >= 1:
+            self._plan_thaw(upstream, now)
+
+    def thaw(self, now: float) -> None:
+        """Refresh the upstreams that time alone may have set free."""
+        while self._thaws and self._thaws[0][0] <= now:
+            when, name = heapq.heappop(self._thaws)
+            if self._thaw_by_name.get(name) != when:
+                continue
+            del self._thaw_by_name[name]
+            upstream = self.upstreams_by_name.get(name)
+            if upstream is not None:
+                self.refresh(upstream, now)
+
+    def next_thaw(self) -> float:
+        """Return when thaw() is due."""
+        return self._thaws[0][0] if self._thaws else float("inf")
+
+    def housekeep(self, now: float) -> None:
+        """Look at every upstream: silence, and work that is overdue."""
+        self.slots = 0
+        for name, upstream in list(self.upstreams_by_name.items()):
+            silent = now - upstream.heard_at
+            if silent > FORGET_UPSTREAM_SECONDS and not upstream.ledger.in_flight:
+                self.views.update(upstream, False)
+                upstream.prefixes.clear()
+                del self.upstreams_by_name[name]
+                continue
+            self._watch(upstream, now)
+            self.refresh(upstream, now)
+            if upstream.member:
+                self.slots += upstream.limit.limit(upstream.state.slots)
+
+    def note_pace(self, work: float, seconds: float) -> None:
+        """Learn how fast work gets done in one place of a batch."""
+        if seconds > 0:
+            self.pace += PACE_GAIN * (min(work / seconds, 4.0) - self.pace)
+            self.pace = max(self.pace, MIN_PACE)
+
+    def _watch(self, upstream: Upstream, now: float) -> None:
+        """Learn from work that should have been done by now.
+
+        An engine that slows down tells nothing until its work ends, seconds
+        later. What has taken twice as long as expected already is a sample of
+        at least that time; the expectation grows with it, so each doubling of
+        the delay is learned from once.
+        """
+        ledger = upstream.ledger
+        if ledger.prefilling_by_id:
+            job = next(iter(ledger.prefilling_by_id.values()))
+            expected = upstream.speed.prefill_seconds(job.prefill, job.kind)
+            elapsed = now - ledger.head_began
+            if elapsed > OVERDUE_FACTOR * expected + OVERDUE_SECONDS:
+                upstream.speed.learn_first(job.kind, expected, elapsed)
+        decoding = ledger.in_flight - len(ledger.prefilling_by_id)
+        stalled = now - upstream.worked_at
+        if upstream.shows_progress and decoding > 0 and stalled > STALL_SECONDS:
+            upstream.speed.learn_decode(1, stalled, ledger.in_flight)
+            upstream.worked_at = now
+
+    def _plan_thaw(self, upstream: Upstream, now: float) -> None:
+        when = now + upstream.prefill_wait(now)
+        if upstream.health.sick:
+            when = max(when, upstream.health.paused_until)
+        if when <= now:
+            return
+        planned = self._thaw_by_name.get(upstream.name)
+        if planned is not None and planned <= when:
+            return
+        self._thaw_by_name[upstream.name] = when
+        heapq.heappush(self._thaws, (when, upstream.name))
+
+    def _forget_orphan(self, job: Job) -> None:
+        for jobs in self._orphans_by_name.values():
+            if job in jobs:
+                jobs.remove(job)
+                return
--- /dev/null
+++ b/bitterntiller/components/dispatch/queue.py
@@ -0,0 +1,282 @@
+"""The waiting requests of a pool: tiers first, then fair between workspaces."""
+
+import heapq
+import itertools
+from collections.abc import Container, Iterator
+
+from sortedcontainers import SortedDict, SortedList
+
+from bitterntiller.components.dispatch.jobs import Job
+from bitterntiller.components.dispatch.limits import WorkspaceLimiter
+
+EVERYBODY = ""
+"""The workspace of all requests when sharing is turned off."""
+
+
+def overlap(key: tuple, other: tuple) -> bool:
+    """Tell whether requests of two groups may go to the same upstream."""
+    if key[0] is None or other[0] is None:
+        return True
+    return not key[0].isdisjoint(other[0])
+
+
+class Flow:
+    """The waiting requests of one workspace in one group, in their order."""
+
+    __slots__ = ("jobs", "listed", "work", "workspace")
+
+    def __init__(self, workspace: str) -> None:
+        self.workspace = workspace
+        self.jobs: SortedList = SortedList()
+        self.work = 0.0
+        self.listed = False
+
+    def add(self, job: Job) -> None:
+        """Put a request into its place."""
+        self.jobs.add((job.order_key, job.sequence, job))
+        self.work += job.work
+
+    def remove(self, job: Job) -> None:
+        """Take a request out."""
+        self.jobs.remove((job.order_key, job.sequence, job))
+        self.work -= job.work
+
+    def first(self) -> Job:
+        """Return the request that is next."""
+        return self.jobs[0][2]
+
+    def last(self) -> Job:
+        """Return the request that is the last in order."""
+        return self.jobs[-1][2]
+
+
+class Group:
+    """The flows of requests that may go to the same upstreams."""
+
+    __slots__ = ("flows_by_workspace", "heap", "key", "work")
+
+    def __init__(self, key: tuple) -> None:
+        self.key = key
+        self.work = 0.0
+        self.flows_by_workspace: dict[str, Flow] = {}
+        self.heap: list[tuple[float, int, Flow]] = []
+
+
+class TierQueue:
+    """The waiting requests of one tier.
+
+    Workspaces share by start-time fair queueing: each has a virtual time that
+    grows with the work it was granted, divided by its share. The workspace that
+    is furthest behind is next. One that was idle begins at the present virtual
+    time, so that it can't save up.
+    """
+
+    def __init__(self, rank: int, fair: bool, limiter: WorkspaceLimiter) -> None:
+        self.rank = rank
+        self.count = 0
+        self.work = 0.0
+        self.shares = 0.0
+        self.groups_by_key: dict[tuple, Group] = {}
+        self.work_by_workspace: dict[str, float] = {}
+        self._count_by_workspace: dict[str, int] = {}
+        self._fair = fair
+        self._limiter = limiter
+        self._entries = itertools.count()
+        self._time = 0.0
+        self._time_by_workspace: dict[str, float] = {}
+        self._capped_by_workspace: dict[str, list[tuple[Group, Flow]]] = {}
+        self._share_by_workspace: dict[str, float] = {}
+
+    def push(self, job: Job) -> None:
+        """Take a request in."""
+        group = self.groups_by_key.get(job.group)
+        if group is None:
+            group = self.groups_by_key[job.group] = Group(job.group)
+        name = job.workspace if self._fair else EVERYBODY
+        flow = group.flows_by_workspace.get(name)
+        if flow is None:
+            flow = group.flows_by_workspace[name] = Flow(name)
+        flow.add(job)
+        group.work += job.work
+        self._count(job, name, 1)
+        if not flow.listed:
+            self._list(group, flow)
+
+    def remove(self, job: Job) -> None:
+        """Take a request out."""
+        name = job.workspace if self._fair else EVERYBODY
+        group = self.groups_by_key[job.group]
+        flow = group.flows_by_workspace[name]
+        flow.remove(job)
+        group.work -= job.work
+        if not flow.jobs:
+            del group.flows_by_workspace[name]
+            if not group.flows_by_workspace:
+                del self.groups_by_key[job.group]
+        self._count(job, name, -1)
+
+    def charge(self, job: Job) -> None:
+        """Let a workspace pay for a request that was granted."""
+        name = job.workspace if self._fair else EVERYBODY
+        begun = self._time_by_workspace.get(name, self._time)
+        self._time = max(self._time, begun)
+        spent = job.work / self._limiter.share(name)
+        if name in self._count_by_workspace:
+            self._time_by_workspace[name] = begun + spent
+
+    def head(self, blocked: Container[tuple]) -> Job | None:
+        """Return the next request of the groups that aren't blocked."""
+        best: Job | None = None
+        best_key = (0.0, 0.0)
+        for key, group in self.groups_by_key.items():
+            if (self.rank, key) in blocked:
+                continue
+            flow = self._next_flow(group)
+            if flow is None:
+                continue
+            job = flow.first()
+            time = self._time_by_workspace.get(flow.workspace, self._time)
+            if best is None or (time, job.order_key) < best_key:
+                best = job
+                best_key = (time, job.order_key)
+        return best
+
+    def uncap(self, workspace: str) -> None:
+        """Let a workspace that was at its concurrency take part again."""
+        for group, flow in self._capped_by_workspace.pop(workspace, ()):
+            flow.listed = False
+            if flow.jobs:
+                self._list(group, flow)
+
+    def work_ahead(self, job: Job) -> float:
+        """Return the work of the job's own workspace that goes before it."""
+        name = job.workspace if self._fair else EVERYBODY
+        ahead = 0.0
+        for group in self.groups_by_key.values():
+            flow = group.flows_by_workspace.get(name)
+            if flow is None or not overlap(group.key, job.group):
+                continue
+            place = flow.jobs.bisect_left((job.order_key, job.sequence))
+            ahead += flow.work * place / len(flow.jobs)
+        return ahead
+
+    def overlapping_work(self, key: tuple) -> float:
+        """Return the work of the groups that share upstreams with one."""
+        if key[0] is None:
+            return self.work
+        groups = self.groups_by_key.values()
+        return sum(group.work for group in groups if overlap(group.key, key))
+
+    def uncap_all(self) -> None:
+        """Let all workspaces take part again."""
+        for workspace in list(self._capped_by_workspace):
+            self.uncap(workspace)
+
+    def flows(self) -> Iterator[Flow]:
+        """Yield all flows."""
+        for group in self.groups_by_key.values():
+            yield from group.flows_by_workspace.values()
+
+    def _list(self, group: Group, flow: Flow) -> None:
+        time = self._time_by_workspace.get(flow.workspace, self._time)
+        heapq.heappush(group.heap, (time, next(self._entries), flow))
+        flow.listed = True
+
+    def _next_flow(self, group: Group) -> Flow | None:
+        """Return the flow that is furthest behind, mending stale entries."""
+        heap = group.heap
+        while heap:
+            time, entry, flow = heap[0]
+            name = flow.workspace
+            if not flow.jobs:
+                heapq.heappop(heap)
+                flow.listed = False
+                continue
+            present = self._time_by_workspace.get(name, self._time)
+            if present > time:
+                heapq.heapreplace(heap, (present, entry, flow))
+                continue
+            if self._limiter.at_concurrency(name):
+                heapq.heappop(heap)
+                capped = self._capped_by_workspace.setdefault(name, [])
+                capped.append((group, flow))
+                continue
+            return flow
+        return None
+
+    def _count(self, job: Job, name: str, by: int) -> None:
+        self.count += by
+        self.work += by * job.work
+        count = self._count_by_workspace.get(name, 0) + by
+        if not count:
+            del self._count_by_workspace[name]
+            del self.work_by_workspace[name]
+            self.shares -= self._share_by_workspace.pop(name)
+            behind = self._time_by_workspace.get(name, 0.0)
+            if behind <= self._time:
+                self._time_by_workspace.pop(name, None)
+            return
+        if by > 0 and count == 1:
+            share = self._share_by_workspace[name] = self._limiter.share(name)
+            self.shares += share
+            known = self._time_by_workspace.get(name, self._time)
+            self._time_by_workspace[name] = max(known, self._time)
+        self._count_by_workspace[name] = count
+        work = self.work_by_workspace.get(name, 0.0)
+        self.work_by_workspace[name] = work + by * job.work
+
+
+class PoolQueue:
+    """The queues of all tiers, the most important one first."""
+
+    def __init__(self, fair: bool, limiter: WorkspaceLimiter) -> None:
+        self._fair = fair
+        self._limiter = limiter
+        self.tiers_by_rank: SortedDict = SortedDict()
+
+    def tier(self, rank: int) -> TierQueue:
+        """Return the queue of a tier."""
+        tier = self.tiers_by_rank.get(rank)
+        if tier is None:
+            tier = TierQueue(rank, self._fair, self._limiter)
+            self.tiers_by_rank[rank] = tier
+        return tier
+
+    def push(self, job: Job) -> None:
+        """Take a request in."""
+        self.tier(job.rank).push(job)
+
+    def remove(self, job: Job) -> None:
+        """Take a request out."""
+        self.tiers_by_rank[job.rank].remove(job)
+
+    def charge(self, job: Job) -> None:
+        """Let a workspace pay for a request that was granted."""
+        self.tier(job.rank).charge(job)
+
+    def head(self, blocked: Container[tuple]) -> Job | None:
+        """Return the next request of the groups that aren't blocked."""
+        for tier in self.tiers_by_rank.values():
+            if not tier.count:
+                continue
+            job = tier.head(blocked)
+            if job is not None:
+                return job
+        return None
+
+    def uncap(self, workspace: str) -> None:
+        """Let a workspace that was at its concurrency take part again."""
+        for tier in self.tiers_by_rank.values():
+            tier.uncap(workspace)
+
+    def uncap_all(self) -> None:
+        """Let all take part again, since their limits may have changed."""
+        for tier in self.tiers_by_rank.values():
+            tier.uncap_all()
+
+    def lowest(self) -> TierQueue | None:
+        """Return the least important tier that has requests waiting."""
+        for tier in reversed(self.tiers_by_rank.values()):
+            if tier.count:
+                return tier
+        return None
--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -1,8 +1,22 @@
 """The decisions of the owner of one pool."""
 
-from sortedcontainers import SortedKeyList
-
-from bitterntiller.components.dispatch.const import DEFAULT_RETRY_SECONDS
+import itertools
+import random
+
+from bitterntiller.components.dispatch.admission import Admission
+from bitterntiller.components.dispatch.choice import Choice, Chooser, Verdict
+from bitterntiller.components.dispatch.const import (
+    HOUSEKEEPING_SECONDS,
+    IDLE_WAKE_SECONDS,
+    MAX_RETURNS,
+    MAX_SKIPS,
+    PARK_SECONDS,
+    REASON_NOT_ADMITTED,
+    REASON_REFUSED_CONNECTION,
+)
+from bitterntiller.components.dispatch.describe import describe
+from bitterntiller.components.dispatch.jobs import Job, JobState
+from bitterntiller.components.dispatch.limits import WorkspaceLimiter
 from bitterntiller.components.dispatch.models import (
     DEFAULT_PARAMETERS,
     Completion,
@@ -14,69 +28,85 @@
     WaitingRequest,
     WorkspaceLimits,
 )
+from bitterntiller.components.dispatch.ordering import new_ordering
+from bitterntiller.components.dispatch.pool import Pool
+from bitterntiller.components.dispatch.queue import PoolQueue
+from bitterntiller.components.dispatch.shedding import Shedder
+from bitterntiller.components.dispatch.sizes import Sizes
+from bitterntiller.components.dispatch.teacher import Teacher
+from bitterntiller.components.dispatch.timers import JobTimers
 from bitterntiller.core.outcomes import Reason
 
 
-class Job:
-    """A request at the owner: waiting, granted or running."""
-
-    __slots__ = ("arrived", "granted_at", "request", "started", "upstream")
-
-    def __init__(self, request: WaitingRequest, now: float) -> None:
-        self.request = request
-        self.arrived = now
-        self.upstream: str | None = None
-        self.granted_at = 0.0
-        self.started = False
-
-
-class Upstream:
-    """An upstream as announced, and the requests it was given."""
-
-    __slots__ = ("heard_at", "jobs_by_id", "state")
-
-    def __init__(self, state: UpstreamState, now: float) -> None:
-        self.state = state
-        self.heard_at = now
-        self.jobs_by_id: dict[str, Job] = {}
-
-
-def _order(job: Job) -> tuple[int, float, str]:
-    return (job.request.tier_rank, job.request.arrived, job.request.request_id)
-
-
 class PoolScheduler:
-    """Decides for one pool; see models.Scheduler for the calls."""
+    """Decides for one pool; see models.Scheduler for the calls.
+
+    A request goes through register, a grant, started, progress and finished.
+    Each call changes the state of the requests and upstreams it names, and then
+    _decide grants as long as an upstream is free.
+    """
 
     def __init__(self, parameters: PolicyParameters = DEFAULT_PARAMETERS) -> None:
+        rng = random.Random(parameters.seed)
         self._parameters = parameters
         self._jobs_by_id: dict[str, Job] = {}
-        self._queue: SortedKeyList = SortedKeyList(key=_order)
-        self._upstreams_by_name: dict[str, Upstream] = {}
-        self._limits_by_workspace: dict[str, WorkspaceLimits] = {}
+        self._limiter = WorkspaceLimiter()
+        self._pool = Pool(parameters)
+        self._queue = PoolQueue(parameters.fair, self._limiter)
+        self._ordering = new_ordering(parameters)
+        self._sizes = Sizes(parameters, self._pool.speed)
+        self._teacher = Teacher(self._pool, self._sizes)
+        self._chooser = Chooser(parameters, self._pool, rng)
+        self._admission = Admission(self._pool, self._queue, self._limiter, rng)
+        self._shedder = Shedder(parameters, self._queue, self._admission)
+        self._sequence = itertools.count()
+        self._waiting = 0
+        self._parked_by_name: dict[str, list[Job]] = {}
+        self._lateness = JobTimers()
+        self._lapses = JobTimers()
+        self._parkings = JobTimers()
+        self._housekeeping_at = 0.0
 
     def register(self, request: WaitingRequest, now: float) -> list[Decision]:
         """Take a request into the queue; a known one stays as it is."""
-        if request.request_id in self._jobs_by_id:
+        known = self._jobs_by_id.get(request.request_id)
+        if known is not None and known.state is not JobState.LAPSED:
+            # The link to the entry host broke and the host registers anew. If
+            # the grant was lost with the link, the request would be forgotten
+            # when the grant lapses; the mark brings it back into the queue then.
+            known.reregistered = True
             return []
-        job = Job(request, now)
-        self._jobs_by_id[request.request_id] = job
-        self._queue.add(job)
-        return self._decide(now)
+        if known is not None:
+            del self._jobs_by_id[request.request_id]
+        decisions: list[Decision] = []
+        job = Job(request, next(self._sequence), now)
+        self._size(job)
+        refused = self._refuse_at_entry(job, now)
+        if refused is not None:
+            return [refused]
+        self._make_room(job, now, decisions)
+        if not decisions or decisions[-1].request_id != request.request_id:
+            self._jobs_by_id[request.request_id] = job
+            self._admission.note_arrival(job, now)
+            self._enqueue(job, now)
+            self._decide(now, decisions)
+        return decisions
 
     def cancel(self, request_id: str, now: float) -> list[Decision]:
         """Forget a request whose caller has gone, waiting or running."""
         job = self._jobs_by_id.pop(request_id, None)
         if job is None:
             return []
-        self._release(job)
-        return self._decide(now)
+        decisions: list[Decision] = []
+        self._withdraw(job, now)
+        self._decide(now, decisions)
+        return decisions
 
     def started(self, request_id: str, now: float) -> list[Decision]:
         """Note that the entry host began to send under its grant."""
         job = self._jobs_by_id.get(request_id)
-        if job is not None and job.upstream is not None:
-            job.started = True
+        if job is not None:
+            self._run(job, now)
         return []
 
     def returned(
@@ -86,26 +116,48 @@
         job = self._jobs_by_id.pop(request_id, None)
         if job is None:
             return []
-        tried = job.request.tried
-        if job.upstream is not None and reason != "expired":
-            tried = (*tried, job.upstream)
-        self._release(job)
-        if waiting:
+        decisions: list[Decision] = []
+        upstream = job.upstream
+        if upstream is not None and reason in (
+            REASON_NOT_ADMITTED,
+            REASON_REFUSED_CONNECTION,
+        ):
+            self._teacher.not_run(upstream, reason, now)
+            job.returns += 1
+            tried = (*job.request.tried, upstream.name)
             job.request = job.request._replace(tried=tried)
-            job.started = False
-            self._jobs_by_id[request_id] = job
-            self._queue.add(job)
-        return self._decide(now)
+        self._withdraw(job, now)
+        if waiting:
+            self._take_back(job, now, decisions)
+        self._decide(now, decisions)
+        return decisions
 
     def progress(
         self, request_id: str, output_tokens: int, now: float
     ) -> list[Decision]:
         """Note how many output tokens a running request has got so far."""
-        return []
+        job = self._jobs_by_id.get(request_id)
+        if job is None:
+            return []
+        self._run(job, now)
+        self._teacher.progress(job, output_tokens, now)
+        if job.upstream is None:
+            return []
+        decisions: list[Decision] = []
+        self._pool.refresh(job.upstream, now)
+        self._decide(now, decisions)
+        return decisions
 
     def finished(self, completion: Completion, now: float) -> list[Decision]:
         """Note the end of a running request."""
-        return self.cancel(completion.request_id, now)
+        job = self._jobs_by_id.pop(completion.request_id, None)
+        if job is None:
+            return []
+        decisions: list[Decision] = []
+        self._teacher.finished(job, completion, now)
+        self._withdraw(job, now)
+        self._decide(now, decisions)
+        return decisions
 
     def adopt_running(
         self, request: WaitingRequest, upstream: str, output_tokens: int, now: float
@@ -113,129 +165,303 @@
         """Count a request that was granted by an earlier owner and runs."""
         known = self._jobs_by_id.pop(request.request_id, None)
         if known is not None:
-            self._release(known)
-        job = Job(request, now)
-        job.started = True
+            self._withdraw(known, now)
+        job = Job(request, next(self._sequence), now)
+        self._size(job)
+        job.state = JobState.RUNNING
+        job.tokens_seen = output_tokens
+        job.tokens_at = job.granted_at = now
+        job.prefill = 0 if output_tokens else request.prompt_tokens
         self._jobs_by_id[request.request_id] = job
-        self._place(job, upstream, now)
+        self._limiter.enter(job.workspace, now)
+        self._pool.adopt(job, upstream, now)
         return []
 
     def announce(self, state: UpstreamState, now: float) -> tuple[bool, list[Decision]]:
         """Take an announcement; False for one older than what is known."""
-        known = self._upstreams_by_name.get(state.name)
-        if known is None:
-            upstream = Upstream(state, now)
-            self._upstreams_by_name[state.name] = upstream
-            for job in self._jobs_by_id.values():
-                if job.upstream == state.name:
-                    upstream.jobs_by_id[job.request.request_id] = job
-            return True, self._decide(now)
-        before = (known.state.incarnation, known.state.sequence)
-        if (state.incarnation, state.sequence) <= before:
-            return False, []
-        known.state = state
-        known.heard_at = now
-        return True, self._decide(now)
+        decisions: list[Decision] = []
+        accepted = self._pool.announce(state, now)
+        self._decide(now, decisions)
+        return accepted, decisions
 
     def set_limits(
         self, limits_by_workspace: dict[str, WorkspaceLimits], now: float
     ) -> list[Decision]:
         """Put new limits of workspaces in force."""
-        self._limits_by_workspace = dict(limits_by_workspace)
-        return self._decide(now)
+        decisions: list[Decision] = []
+        self._limiter.set_limits(limits_by_workspace)
+        self._queue.uncap_all()
+        self._decide(now, decisions)
+        return decisions
 
     def tick(self, now: float) -> list[Decision]:
         """Do what time alone brings: lateness, silence, lapsed grants."""
-        lapsed_before = (
-            now - self._parameters.grant_seconds - self._parameters.grant_grace
-        )
-        for job in list(self._jobs_by_id.values()):
-            if job.upstream is None or job.started or job.granted_at > lapsed_before:
-                continue
-            del self._jobs_by_id[job.request.request_id]
-            self._release(job)
-        return self._decide(now)
+        decisions: list[Decision] = []
+        for job in self._lapses.due(now):
+            self._lapse(job, now)
+        for job in self._parkings.due(now):
+            self._unpark(job)
+        for job in self._lateness.due(now):
+            self._check_lateness(job, now, decisions)
+        self._pool.thaw(now)
+        if now >= self._housekeeping_at:
+            self._housekeep(now, decisions)
+        self._decide(now, decisions)
+        return decisions
 
     def next_wake(self, now: float) -> float:
         """Return the time at which tick() is due, if nothing happens before."""
-        return now + 0.1
+        housekeeping = self._housekeeping_at
+        if not self._jobs_by_id:
+            housekeeping = max(housekeeping, now + IDLE_WAKE_SECONDS)
+        return min(
+            housekeeping,
+            self._lapses.next(),
+            self._parkings.next(),
+            self._lateness.next(),
+            self._pool.next_thaw(),
+        )
 
     def describe(self, now: float) -> dict[str, object]:
         """Return the owner's view for the dump."""
-        return {
-            "waiting": len(self._queue),
-            "upstreams_by_name": {
-                name: {
-                    "address": upstream.state.address,
-                    "incarnation": upstream.state.incarnation,
-                    "leaving": upstream.state.leaving,
-                    "running": len(upstream.jobs_by_id),
-                    "silent": not self._heard(upstream, now),
-                }
-                for name, upstream in self._upstreams_by_name.items()
-            },
-        }
-
-    def _heard(self, upstream: Upstream, now: float) -> bool:
-        return now - upstream.heard_at <= self._parameters.silence_seconds
-
-    def _release(self, job: Job) -> None:
-        if job.upstream is None:
-            self._queue.discard(job)
-            return
-        upstream = self._upstreams_by_name.get(job.upstream)
-        if upstream is not None:
-            upstream.jobs_by_id.pop(job.request.request_id, None)
-        job.upstream = None
+        return describe(self._pool, self._queue, self._admission, self._waiting, now)
 
-    def _place(self, job: Job, name: str, now: float) -> None:
-        job.upstream = name
-        job.granted_at = now
-        upstream = self._upstreams_by_name.get(name)
-        if upstream is not None:
-            upstream.jobs_by_id[job.request.request_id] = job
+    def _size(self, job: Job) -> None:
+        request = job.request
+        self._sizes.size(job)
+        job.order_key = self._ordering.key(job)
+        job.group = (request.upstream_names, frozenset(request.tried), job.kind)
+
+    def _refuse_at_entry(self, job: Job, now: float) -> Refused | None:
+        """Refuse what is over its workspace's limits or late already."""
+        workspace = job.workspace
+        wait = self._limiter.take_rate(workspace, now)
+        if wait > 0:
+            return self._refusal(job, Reason.RATE_LIMIT, wait)
+        if self._limiter.at_concurrency(workspace):
+            limit = self._limiter.concurrency(workspace)
+            waiting = self._limiter.waiting(workspace)
+            if waiting >= max(1, limit or 0):
+                retry = self._admission.retry_after(job.rank, now)
+                return self._refusal(job, Reason.CONCURRENCY_LIMIT, retry)
+        if self._late(job, now):
+            return self._refusal_of(job, Reason.TOO_LATE, now)
+        return None
+
+    def _make_room(self, job: Job, now: float, decisions: list[Decision]) -> None:
+        """Shed someone for a new request, itself if nothing below it waits."""
+        if not self._waiting:
+            return
+        reason = Reason.SHED
+        if self._waiting >= self._parameters.max_waiting:
+            reason = Reason.QUEUE_FULL
+        else:
+            best_case = self._chooser.best_case(job, self._pool.view(job), now)
+            if not self._shedder.overloaded(job, best_case, now):
+                return
+        victim = self._shedder.victim(job)
+        if victim is job:
+            decisions.append(self._refusal_of(job, reason, now))
+            return
+        self._give_up(victim, reason, now, decisions)
+
+    def _enqueue(self, job: Job, now: float) -> None:
+        job.state = JobState.QUEUED
+        self._waiting += 1
+        self._limiter.wait(job.workspace, 1, now)
+        self._queue.push(job)
+        self._plan_lateness(job, now)
+
+    def _plan_lateness(self, job: Job, now: float) -> None:
+        best_case = self._chooser.best_case(job, self._pool.view(job), now)
+        when = job.request.deadline - best_case
+        if not self._pool.view(job).members:
+            patience = job.entered + self._parameters.no_upstream_seconds
+            when = min(when, patience)
+        self._lateness.add(max(when, now + PARK_SECONDS), job)
+
+    def _take_back(self, job: Job, now: float, decisions: list[Decision]) -> None:
+        """Put a request whose grant was not used back into its place."""
+        members = self._pool.view(job).members
+        if members and all(name in job.request.tried for name in members):
+            # All have turned it down. Its deadline may allow another round,
+            # but not without end: each try costs the entry host a connection.
+            job.request = job.request._replace(tried=())
+            if job.returns >= MAX_RETURNS:
+                decisions.append(self._refusal_of(job, Reason.NOT_ADMITTED, now))
+                return
+        job.group = (job.group[0], frozenset(job.request.tried), job.kind)
+        job.reregistered = False
+        self._jobs_by_id[job.request.request_id] = job
+        self._enqueue(job, now)
+
+    def _run(self, job: Job, now: float) -> None:
+        if job.state is JobState.GRANTED:
+            job.state = JobState.RUNNING
+        elif job.state is JobState.LAPSED:
+            # The grant was used in time, but the message about it came late.
+            job.state = JobState.RUNNING
+            self._limiter.enter(job.workspace, now)
+            if job.target is not None:
+                self._pool.adopt(job, job.target.name, now)
+
+    def _withdraw(self, job: Job, now: float) -> None:
+        """Take a request out of the queue or off its upstream."""
+        if job.state is JobState.QUEUED:
+            self._queue.remove(job)
+        if job.waiting:
+            self._leave_waiting(job, now)
+        elif job.state is not JobState.LAPSED:
+            self._limiter.leave(job.workspace)
+            self._queue.uncap(job.workspace)
+            self._release(job, now)
+
+    def _leave_waiting(self, job: Job, now: float) -> None:
+        self._waiting -= 1
+        self._limiter.wait(job.workspace, -1, now)
+        self._pool.unreserve(job)
+
+    def _release(self, job: Job, now: float) -> None:
+        upstream = job.upstream
+        self._pool.detach(job, now)
+        if upstream is not None and upstream.free:
+            for parked in self._parked_by_name.pop(upstream.name, ()):
+                self._unpark(parked)
+
+    def _lapse(self, job: Job, now: float) -> None:
+        """Take back a grant that was not heard of in time.
+
+        The entry host may have sent under it all the same, and its message may
+        be late. So the request is kept as lapsed until its deadline: started
+        or progress count it again. A second grant comes only if the host has
+        registered it anew; should both arrive, the host uses one of them, since
+        it alone sends, and returns the other.
+        """
+        if self._jobs_by_id.get(job.request.request_id) is not job:
+            return
+        if job.state is JobState.LAPSED:
+            del self._jobs_by_id[job.request.request_id]
+            return
+        parameters = self._parameters
+        lapses_at = job.granted_at + parameters.grant_seconds + parameters.grant_grace
+        if job.state is not JobState.GRANTED or lapses_at > now + 1e-9:
+            return
+        upstream = job.upstream
+        self._withdraw(job, now)
+        if job.reregistered:
+            job.reregistered = False
+            self._enqueue(job, now)
+            return
+        job.state = JobState.LAPSED
+        job.target = upstream
+        self._lapses.add(max(job.request.deadline, now + 1.0), job)
 
-    def _decide(self, now: float) -> list[Decision]:
-        decisions: list[Decision] = []
-        for job in list(self._queue):
-            decision = self._decide_one(job, now)
-            if decision is not None:
-                decisions.append(decision)
-        return decisions
+    def _park(self, job: Job, choice: Choice, now: float) -> None:
+        self._queue.remove(job)
+        job.state = JobState.PARKED
+        if choice.upstream is not None:
+            parked = self._parked_by_name.setdefault(choice.upstream.name, [])
+            parked.append(job)
+        self._parkings.add(now + PARK_SECONDS, job)
+
+    def _unpark(self, job: Job) -> None:
+        if job.state is JobState.PARKED:
+            job.state = JobState.QUEUED
+            self._queue.push(job)
+
+    def _late(self, job: Job, now: float) -> bool:
+        """Tell whether no upstream could end a request in time.
+
+        Nothing that waits is counted, so a request is never refused as late
+        because of work that it could displace.
+        """
+        left = job.request.deadline - now
+        if left <= 0:
+            return True
+        view = self._pool.view(job)
+        return self._chooser.best_case(job, view, now) > left
+
+    def _check_lateness(self, job: Job, now: float, decisions: list[Decision]) -> None:
+        if self._jobs_by_id.get(job.request.request_id) is not job or not job.waiting:
+            return
+        if self._late(job, now):
+            self._give_up(job, Reason.TOO_LATE, now, decisions)
+            return
+        patience = job.entered + self._parameters.no_upstream_seconds
+        if now >= patience and not self._pool.view(job).members:
+            self._give_up(job, Reason.NO_UPSTREAM, now, decisions)
+            return
+        self._plan_lateness(job, now)
 
-    def _decide_one(self, job: Job, now: float) -> Decision | None:
+    def _housekeep(self, now: float, decisions: list[Decision]) -> None:
+        self._housekeeping_at = now + HOUSEKEEPING_SECONDS
+        self._pool.housekeep(now)
+        self._admission.interval(now)
+        for job in self._shedder.trim(now):
+            del self._jobs_by_id[job.request.request_id]
+            self._leave_waiting(job, now)
+            decisions.append(self._refusal_of(job, Reason.SHED, now))
+
+    def _decide(self, now: float, decisions: list[Decision]) -> None:
+        """Grant to the head of the queue as long as an upstream is free."""
+        blocked: set[tuple] = set()
+        skips = 0
+        while self._waiting and self._pool.any_free and skips < MAX_SKIPS:
+            job = self._queue.head(blocked)
+            if job is None:
+                return
+            choice = self._chooser.choose(job, self._pool.view(job), now)
+            if choice.verdict is Verdict.CHOSEN:
+                decisions.append(self._grant(job, choice, now))
+            elif choice.verdict is Verdict.LATE:
+                self._give_up(job, Reason.TOO_LATE, now, decisions)
+            elif choice.verdict is Verdict.BLOCKED:
+                blocked.add((job.rank, job.group))
+                self._pool.reserve(job, choice.upstream, now)
+            else:
+                self._park(job, choice, now)
+                skips += 1
+
+    def _grant(self, job: Job, choice: Choice, now: float) -> Granted:
         request = job.request
-        if request.deadline <= now:
-            return self._refuse(job, Reason.TOO_LATE)
-        usable = [
-            upstream
-            for name, upstream in self._upstreams_by_name.items()
-            if self._heard(upstream, now)
-            and not upstream.state.leaving
-            and name not in request.tried
-            and (request.upstream_names is None or name in request.upstream_names)
-        ]
-        if not usable:
-            if now - job.arrived < self._parameters.no_upstream_seconds:
-                return None
-            return self._refuse(job, Reason.NO_UPSTREAM)
-        best = min(usable, key=lambda upstream: len(upstream.jobs_by_id))
-        if len(best.jobs_by_id) >= best.state.slots:
-            return None
+        upstream = choice.upstream
+        assert upstream is not None
         self._queue.remove(job)
-        self._place(job, best.state.name, now)
+        self._queue.charge(job)
+        self._leave_waiting(job, now)
+        self._limiter.enter(job.workspace, now)
+        self._admission.note_grant(job, now)
+        job.state = JobState.GRANTED
+        job.granted_at = now
+        job.expected_cached = choice.cached
+        job.prefill = request.prompt_tokens - choice.cached
+        job.expected_total = choice.total
+        self._pool.attach(job, upstream, now)
+        job.in_flight_at_start = upstream.ledger.in_flight
+        if request.prefix_hashes:
+            upstream.prefixes.add(request.prefix_hashes, upstream.state.kv_tokens, now)
+        self._pool.refresh(upstream, now)
+        grant = self._parameters.grant_seconds + self._parameters.grant_grace
+        self._lapses.add(now + grant, job)
         return Granted(
             request.request_id,
             request.entry_host,
-            best.state.name,
-            best.state.address,
-            best.state.incarnation,
+            upstream.name,
+            upstream.state.address,
+            upstream.state.incarnation,
         )
 
-    def _refuse(self, job: Job, reason: Reason) -> Refused:
-        self._queue.remove(job)
+    def _give_up(
+        self, job: Job, reason: Reason, now: float, decisions: list[Decision]
+    ) -> None:
+        self._jobs_by_id.pop(job.request.request_id, None)
+        self._withdraw(job, now)
+        decisions.append(self._refusal_of(job, reason, now))
+
+    def _refusal_of(self, job: Job, reason: Reason, now: float) -> Refused:
+        return self._refusal(job, reason, self._admission.retry_after(job.rank, now))
+
+    @staticmethod
+    def _refusal(job: Job, reason: Reason, retry_after: float) -> Refused:
         request = job.request
-        del self._jobs_by_id[request.request_id]
-        return Refused(
-            request.request_id, request.entry_host, reason, DEFAULT_RETRY_SECONDS
-        )
+        return Refused(request.request_id, request.entry_host, reason, retry_after)
--- /dev/null
+++ b/bitterntiller/components/dispatch/shedding.py
@@ -0,0 +1,75 @@
+"""Who is given up when more waits than can be served: the lowest tier first."""
+
+from bitterntiller.components.dispatch.admission import Admission
+from bitterntiller.components.dispatch.const import MAX_TRIMMED
+from bitterntiller.components.dispatch.jobs import Job
+from bitterntiller.components.dispatch.models import PolicyParameters
+from bitterntiller.components.dispatch.queue import Flow, PoolQueue, TierQueue, overlap
+
+
+class Shedder:
+    """Picks victims; the only place where a waiting request is displaced."""
+
+    def __init__(
+        self, parameters: PolicyParameters, queue: PoolQueue, admission: Admission
+    ) -> None:
+        self._parameters = parameters
+        self._queue = queue
+        self._admission = admission
+
+    def overloaded(self, job: Job, best_case: float, now: float) -> bool:
+        """Tell whether a new request is expected to wait for too long."""
+        slack = job.request.deadline - now - best_case
+        allowed = self._parameters.wait_share * slack
+        return self._admission.expected_wait(job, now) > allowed
+
+    def victim(self, job: Job) -> Job:
+        """Return who has to go so that a new request, not yet queued, may wait.
+
+        It is the last one of the lowest tier that waits for the same upstreams;
+        the new one itself if nothing below its tier waits there.
+        """
+        for rank in reversed(self._queue.tiers_by_rank):
+            if rank <= job.rank:
+                break
+            found = self._last(self._queue.tiers_by_rank[rank], job)
+            if found is not None:
+                return found
+        return job
+
+    def trim(self, now: float) -> list[Job]:
+        """Return those of the lowest tier that can't be expected to end in time.
+
+        Those that arrived before the pool slowed down, or before more important
+        work came, are told at once instead of at their deadline.
+        """
+        tier = self._queue.lowest()
+        if tier is None:
+            return []
+        victims: list[Job] = []
+        for flow in list(tier.flows()):
+            while len(victims) < MAX_TRIMMED and self._hopeless(flow, now):
+                job = flow.last()
+                self._queue.remove(job)
+                victims.append(job)
+        return victims
+
+    def _hopeless(self, flow: Flow, now: float) -> bool:
+        if not flow.jobs:
+            return False
+        job = flow.last()
+        slack = job.request.deadline - now - job.work
+        return self._admission.expected_wait(job, now) > slack
+
+    @staticmethod
+    def _last(tier: TierQueue, job: Job) -> Job | None:
+        """Return the last request of the largest flow that competes with a job."""
+        flows = [
+            flow
+            for group in tier.groups_by_key.values()
+            if overlap(group.key, job.group)
+            for flow in group.flows_by_workspace.values()
+        ]
+        if not flows:
+            return None
+        return max(flows, key=lambda flow: flow.work).last()
--- /dev/null
+++ b/bitterntiller/components/dispatch/speed.py
@@ -0,0 +1,223 @@
+"""Learned speed of an upstream: prefill and decode, by kind of work."""
+
+import math
+from typing import NamedTuple, Protocol
+
+from bitterntiller.components.dispatch.const import (
+    KIND_PLAIN,
+    PRIOR_PREFILL_TOKENS_PER_SECOND,
+    PRIOR_SECONDS_PER_TOKEN,
+    PRIOR_SERVICE_SECONDS,
+)
+
+SHORT = 0
+LONG = 1
+OVERHEAD_SECONDS = 0.01
+BUCKETS = 12
+SLOW_GAIN = 0.1
+FAST_GAIN = 0.35
+MAX_RATIO = 8.0
+MIN_DEVIATION = 0.05
+
+
+class Estimate(NamedTuple):
+    """Expected seconds to the first token and to the end.
+
+    deviation is the mean absolute error of the logarithm of the total.
+    """
+
+    first: float
+    total: float
+    deviation: float
+
+
+class Speed(Protocol):
+    """Estimates and learns how long an upstream needs."""
+
+    deviation: float
+
+    def prefill_seconds(self, tokens: int, kind: int) -> float:
+        """Return the seconds of prefill for so many tokens not in the cache."""
+        ...
+
+    def decode_seconds(self, tokens: float, in_flight: int) -> float:
+        """Return the seconds of decoding beside so many requests in flight."""
+        ...
+
+    def learn_first(self, kind: int, expected: float, seen: float) -> None:
+        """Learn from the seconds to the first token."""
+        ...
+
+    def learn_decode(self, tokens: float, seconds: float, in_flight: int) -> None:
+        """Learn from the seconds that so many tokens took."""
+        ...
+
+    def learn_total(self, expected: float, seen: float) -> None:
+        """Learn how far the estimates of the total are off."""
+        ...
+
+
+def _clip(ratio: float) -> float:
+    return min(max(ratio, 1 / MAX_RATIO), MAX_RATIO)
+
+
+def _bucket(in_flight: int) -> int:
+    return min(max(in_flight, 1).bit_length() - 1, BUCKETS - 1)
+
+
+class _Deviation:
+    def __init__(self) -> None:
+        self.deviation = 0.3
+
+    def learn_total(self, expected: float, seen: float) -> None:
+        """Learn how far the estimates of the total are off."""
+        if expected <= 0 or seen <= 0:
+            return
+        error = abs(math.log(_clip(seen / expected)))
+        self.deviation += 0.05 * (error - self.deviation)
+        self.deviation = max(self.deviation, MIN_DEVIATION)
+
+
+class PoolSpeed:
+    """The mean speed of a pool: the first guess for an upstream not yet known."""
+
+    def __init__(self) -> None:
+        self.prefill_rate = PRIOR_PREFILL_TOKENS_PER_SECOND
+        self.seconds_per_token = PRIOR_SECONDS_PER_TOKEN
+        self.service_seconds = PRIOR_SERVICE_SECONDS
+        self._prefill_samples = 0
+        self._decode_samples = 0
+
+    def note_prefill(self, rate: float) -> None:
+        """Note the prefill rate of one upstream, in tokens a second."""
+        self._prefill_samples += 1
+        gain = max(1 / self._prefill_samples, 0.01)
+        self.prefill_rate += gain * (rate - self.prefill_rate)
+
+    def note_decode(self, seconds: float) -> None:
+        """Note the seconds per token (or per call of a plain service)."""
+        self._decode_samples += 1
+        gain = max(1 / self._decode_samples, 0.01)
+        self.seconds_per_token += gain * (seconds - self.seconds_per_token)
+        self.service_seconds = self.seconds_per_token
+
+    def work(self, prompt_tokens: int, output_tokens: float) -> float:
+        """Return the expected seconds of service of a request."""
+        prefill = prompt_tokens / self.prefill_rate
+        return OVERHEAD_SECONDS + prefill + output_tokens * self.seconds_per_token
+
+
+class EngineSpeed(_Deviation):
+    """Prefill rate by kind of work, decode time by requests in flight.
+
+    scale follows a change of the whole engine's speed within a few samples,
+    the buckets follow slowly; so a slowed engine is known for all buckets as
+    soon as one of them has shown it.
+    """
+
+    def __init__(self, pool: PoolSpeed) -> None:
+        super().__init__()
+        self._pool = pool
+        self._rates: list[float | None] = [None, None]
+        self._samples = [0, 0]
+        self._seconds_by_bucket: list[float | None] = [None] * BUCKETS
+        self.scale = 1.0
+
+    def prefill_rate(self, kind: int) -> float:
+        """Return the prefill rate in tokens a second."""
+        rate = self._rates[kind]
+        if rate is None:
+            rate = self._rates[1 - kind]
+        return self._pool.prefill_rate if rate is None else rate
+
+    def prefill_seconds(self, tokens: int, kind: int) -> float:
+        """Return the seconds of prefill for so many tokens not in the cache."""
+        return OVERHEAD_SECONDS + tokens / self.prefill_rate(kind)
+
+    def seconds_per_token(self, in_flight: int) -> float:
+        """Return the seconds between tokens beside so many in flight."""
+        return self._base(_bucket(in_flight)) * self.scale
+
+    def decode_seconds(self, tokens: float, in_flight: int) -> float:
+        """Return the seconds of decoding beside so many requests in flight."""
+        return tokens * self.seconds_per_token(in_flight)
+
+    def learn_first(self, kind: int, expected: float, seen: float) -> None:
+        """Learn from the seconds to the first token.
+
+        The rate moves by the ratio of the seen and the expected time, so that
+        the time spent behind other prefills calibrates it as well. Times near
+        the overhead say nothing of the rate.
+        """
+        if max(expected, seen) < 4 * OVERHEAD_SECONDS:
+            return
+        ratio = _clip(max(seen, 0.001) / max(expected, 0.001))
+        self._samples[kind] += 1
+        gain = max(0.8 / self._samples[kind], 0.2)
+        rate = self.prefill_rate(kind) * ratio**-gain
+        self._rates[kind] = rate
+        self._pool.note_prefill(rate)
+
+    def learn_decode(self, tokens: float, seconds: float, in_flight: int) -> None:
+        """Learn from the seconds that so many tokens took."""
+        if tokens < 1 or seconds <= 0:
+            return
+        seen = seconds / tokens
+        bucket = _bucket(in_flight)
+        known = self._seconds_by_bucket[bucket]
+        self._pool.note_decode(seen)
+        if known is None:
+            self._seconds_by_bucket[bucket] = seen / self.scale
+            return
+        ratio = _clip(seen / (known * self.scale))
+        weight = min(1.0, tokens / 8)
+        self.scale = min(max(self.scale * ratio ** (FAST_GAIN * weight), 0.05), 50.0)
+        self._seconds_by_bucket[bucket] = known * ratio ** (SLOW_GAIN * weight)
+        self.scale *= ratio ** (-SLOW_GAIN * weight)
+
+    def _base(self, bucket: int) -> float:
+        for distance in range(BUCKETS):
+            below = bucket - distance
+            if below >= 0 and self._seconds_by_bucket[below] is not None:
+                return self._seconds_by_bucket[below]
+            above = bucket + distance
+            if above < BUCKETS and self._seconds_by_bucket[above] is not None:
+                return self._seconds_by_bucket[above]
+        return self._pool.seconds_per_token
+
+
+class PlainSpeed(_Deviation):
+    """Seconds of a call to a plain service; it has no tokens to count."""
+
+    def __init__(self, pool: PoolSpeed) -> None:
+        super().__init__()
+        self._pool = pool
+        self._seconds: float | None = None
+        self.scale = 1.0
+
+    def prefill_seconds(self, tokens: int, kind: int) -> float:
+        """Return 0: a plain service has no prefill."""
+        return 0.0
+
+    def decode_seconds(self, tokens: float, in_flight: int) -> float:
+        """Return the seconds of one call."""
+        return self._pool.service_seconds if self._seconds is None else self._seconds
+
+    def learn_first(self, kind: int, expected: float, seen: float) -> None:
+        """Learn nothing: a plain service has no prefill."""
+
+    def learn_decode(self, tokens: float, seconds: float, in_flight: int) -> None:
+        """Learn from the seconds of one call."""
+        if seconds <= 0:
+            return
+        self._pool.note_decode(seconds)
+        if self._seconds is None:
+            self._seconds = seconds
+            return
+        ratio = _clip(seconds / self._seconds)
+        self._seconds *= ratio**FAST_GAIN
+
+
+def new_speed(kind: str, pool: PoolSpeed) -> EngineSpeed | PlainSpeed:
+    """Return the model of speed for a kind of pool."""
+    return PlainSpeed(pool) if kind == KIND_PLAIN else EngineSpeed(pool)
--- /dev/null
+++ b/bitterntiller/components/dispatch/teacher.py
@@ -0,0 +1,96 @@
+"""Turns what is told of running requests into what is known of upstreams."""
+
+from bitterntiller.components.dispatch.const import (
+    OUTCOME_DONE,
+    REASON_NOT_ADMITTED,
+)
+from bitterntiller.components.dispatch.jobs import Job
+from bitterntiller.components.dispatch.models import Completion
+from bitterntiller.components.dispatch.pool import Pool
+from bitterntiller.components.dispatch.sizes import Sizes
+from bitterntiller.components.dispatch.upstreams import Upstream
+
+
+class Teacher:
+    """Passes samples on to the speed, limit, health and prefixes of upstreams."""
+
+    def __init__(self, pool: Pool, sizes: Sizes) -> None:
+        self._pool = pool
+        self._sizes = sizes
+
+    def progress(self, job: Job, output_tokens: int, now: float) -> None:
+        """Learn from the tokens that a running request has got so far."""
+        upstream = job.upstream
+        if upstream is None or output_tokens <= job.tokens_seen:
+            return
+        upstream.worked_at = now
+        upstream.shows_progress = True
+        if job.first_seen is None and job.tokens_seen == 0:
+            self._first_token(job, upstream, now)
+        else:
+            self._decoded(job, upstream, output_tokens, now)
+        job.tokens_seen = output_tokens
+        job.tokens_at = now
+
+    def finished(self, job: Job, completion: Completion, now: float) -> None:
+        """Learn from the end of a request."""
+        upstream = job.upstream
+        if upstream is None:
+            return
+        if completion.outcome != OUTCOME_DONE:
+            upstream.health.failure(now)
+            return
+        upstream.health.success()
+        upstream.worked_at = now
+        self._sizes.learn(job, completion)
+        self._learn_end(job, upstream, completion, now)
+        if completion.cached_tokens is not None:
+            upstream.prefixes.correct(job.expected_cached, completion.cached_tokens)
+
+    def not_run(self, upstream: Upstream, reason: str, now: float) -> None:
+        """Learn from a request that the upstream did not take."""
+        if reason == REASON_NOT_ADMITTED:
+            upstream.limit.not_admitted(
+                upstream.ledger.in_flight - 1, upstream.state.slots
+            )
+            upstream.health.failure(now)
+            return
+        upstream.health.failure(now, certain=True)
+
+    def _first_token(self, job: Job, upstream: Upstream, now: float) -> None:
+        job.first_seen = now
+        seconds = upstream.ledger.first_token(job, now)
+        if seconds is None:
+            return
+        expected = upstream.speed.prefill_seconds(job.prefill, job.kind)
+        upstream.speed.learn_first(job.kind, expected, seconds)
+
+    def _decoded(self, job: Job, upstream: Upstream, tokens: int, now: float) -> None:
+        if not job.tokens_at:
+            return
+        upstream.speed.learn_decode(
+            tokens - job.tokens_seen, now - job.tokens_at, upstream.ledger.in_flight
+        )
+
+    def _learn_end(
+        self, job: Job, upstream: Upstream, completion: Completion, now: float
+    ) -> None:
+        """Learn from the times of a whole answer."""
+        in_flight = upstream.ledger.in_flight
+        plain = upstream.state.kv_tokens <= 0
+        first = completion.first_token
+        if plain or first is None:
+            size = max(job.expected_output, 1.0)
+            upstream.speed.learn_decode(size, completion.total, in_flight)
+        elif job.first_seen is None:
+            self._first_token(job, upstream, job.granted_at + first)
+            upstream.speed.learn_decode(
+                completion.output_tokens - 1, completion.total - first, in_flight
+            )
+        elif completion.output_tokens > job.tokens_seen:
+            self._decoded(job, upstream, completion.output_tokens, now)
+        if job.work <= 0 or completion.total <= 0:
+            return
+        upstream.speed.learn_total(job.expected_total, completion.total)
+        upstream.limit.learn(completion.total / job.work, upstream.state.slots)
+        self._pool.note_pace(job.work, completion.total)
--- /dev/null
+++ b/bitterntiller/components/dispatch/timers.py
@@ -0,0 +1,31 @@
+"""Points in time at which requests have to be looked at again."""
+
+import heapq
+import itertools
+
+from bitterntiller.components.dispatch.jobs import Job
+
+NEVER = float("inf")
+
+
+class JobTimers:
+    """A heap of requests by time; each entry comes up once."""
+
+    def __init__(self) -> None:
+        self._entries: list[tuple[float, int, Job]] = []
+        self._numbers = itertools.count()
+
+    def add(self, when: float, job: Job) -> None:
+        """Have a request come up at a time."""
+        heapq.heappush(self._entries, (when, next(self._numbers), job))
+
+    def due(self, now: float) -> list[Job]:
+        """Take out the requests whose time has come, in order."""
+        jobs = []
+        while self._entries and self._entries[0][0] <= now:
+            jobs.append(heapq.heappop(self._entries)[2])
+        return jobs
+
+    def next(self) -> float:
+        """Return when the next one comes up."""
+        return self._entries[0][0] if self._entries else NEVER
--- /dev/null
+++ b/bitterntiller/components/dispatch/upstreams.py
@@ -0,0 +1,178 @@
+"""The upstreams of a pool, and which of them can take one more request."""
+
+import random
+from collections.abc import Iterator
+
+from bitterntiller.components.dispatch.health import Health
+from bitterntiller.components.dispatch.inflight import InflightLimit
+from bitterntiller.components.dispatch.ledger import Ledger
+from bitterntiller.components.dispatch.models import PolicyParameters, UpstreamState
+from bitterntiller.components.dispatch.prefix import PrefixCache, PrefixIndex
+from bitterntiller.components.dispatch.speed import PoolSpeed, new_speed
+
+Names = frozenset[str] | None
+"""The names that requests are restricted to; None is all upstreams."""
+
+
+class Upstream:
+    """One upstream: what it announced and what the owner has learned of it."""
+
+    def __init__(
+        self,
+        state: UpstreamState,
+        parameters: PolicyParameters,
+        pool: PoolSpeed,
+        index: PrefixIndex,
+        now: float,
+    ) -> None:
+        self.name = state.name
+        self.state = state
+        self.heard_at = now
+        self.worked_at = now
+        self.ledger = Ledger()
+        self.speed = new_speed(parameters.kind, pool)
+        self.limit = InflightLimit()
+        self.health = Health()
+        self.prefixes = PrefixCache(state.name, index)
+        self.reserved_for: str | None = None
+        self.shows_progress = False
+        self.member = False
+        self.free = False
+        self._silence = parameters.silence_seconds
+        self._window = parameters.prefill_window
+
+    def restart(self) -> None:
+        """Forget what its former incarnation ran, held and failed at."""
+        self.ledger.clear()
+        self.prefixes.clear()
+        self.health.success()
+        self.limit = InflightLimit()
+        self.reserved_for = None
+
+    def usable(self, now: float) -> bool:
+        """Tell whether the upstream is there: heard of and not leaving."""
+        return not self.state.leaving and now - self.heard_at <= self._silence
+
+    def room(self) -> float:
+        """Return how many more requests may be in flight."""
+        limit = self.limit.limit(self.state.slots)
+        return limit - self.ledger.in_flight - int(self.ledger.foreign + 0.5)
+
+    def prefill_wait(self, now: float) -> float:
+        """Return the seconds until the prefill here is near enough to its end."""
+        if not self.ledger.prefilling_by_id:
+            return 0.0
+        return max(0.0, self.ledger.backlog(self.speed, now) - self._window)
+
+    def can_take(self, now: float) -> bool:
+        """Tell whether one more request may be sent now."""
+        return (
+            self.usable(now)
+            and self.room() >= 1
+            and self.health.allowed(self.ledger.in_flight, now)
+            and self.prefill_wait(now) <= 0.0
+        )
+
+    def fits(self, kv: int) -> bool:
+        """Tell whether the memory holds one more request of that many tokens."""
+        limit = self.state.kv_tokens
+        if limit <= 0 or not self.ledger.jobs_by_id:
+            return True
+        return self.ledger.kv_tokens + kv <= limit
+
+
+class NameSet:
+    """A set of names that can be sampled in constant time."""
+
+    def __init__(self) -> None:
+        self._names: list[str] = []
+        self._place_by_name: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._names)
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._names)
+
+    def __contains__(self, name: str) -> bool:
+        return name in self._place_by_name
+
+    def add(self, name: str) -> None:
+        """Add a name."""
+        if name in self._place_by_name:
+            return
+        self._place_by_name[name] = len(self._names)
+        self._names.append(name)
+
+    def discard(self, name: str) -> None:
+        """Remove a name by putting the last one in its place."""
+        place = self._place_by_name.pop(name, None)
+        if place is None:
+            return
+        last = self._names.pop()
+        if last != name:
+            self._names[place] = last
+            self._place_by_name[last] = place
+
+    def sample(self, count: int, rng: random.Random) -> list[str]:
+        """Return some names, perhaps one of them twice."""
+        names = self._names
+        size = len(names)
+        return [names[int(rng.random() * size)] for _ in range(count)]
+
+
+class View:
+    """The upstreams that one set of names allows, and the free ones of them."""
+
+    def __init__(self, names: Names) -> None:
+        self.names = names
+        self.members = NameSet()
+        self.free = NameSet()
+
+    def allows(self, name: str) -> bool:
+        """Tell whether an upstream belongs here."""
+        return self.names is None or name in self.names
+
+
+class Views:
+    """One view for each set of names that requests are restricted to."""
+
+    MAX_VIEWS = 256
+
+    def __init__(self) -> None:
+        self.whole = View(None)
+        self._views_by_names: dict[Names, View] = {None: self.whole}
+
+    def get(self, names: Names, upstreams_by_name: dict[str, Upstream]) -> View:
+        """Return the view of a set of names, made when it is first asked for."""
+        view = self._views_by_names.get(names)
+        if view is None:
+            # Selectors that operators change leave views behind; they are made
+            # anew on demand, so all may be dropped when there are too many.
+            if len(self._views_by_names) >= self.MAX_VIEWS:
+                self._views_by_names = {None: self.whole}
+            view = self._views_by_names[names] = View(names)
+            for name in names or ():
+                upstream = upstreams_by_name.get(name)
+                if upstream is not None and upstream.member:
+                    self._set(view, upstream)
+        return view
+
+    def update(self, upstream: Upstream, member: bool) -> None:
+        """Bring all views up to date with one upstream."""
+        for view in self._views_by_names.values():
+            if not view.allows(upstream.name):
+                continue
+            if not member:
+                view.members.discard(upstream.name)
+                view.free.discard(upstream.name)
+                continue
+            self._set(view, upstream)
+
+    @staticmethod
+    def _set(view: View, upstream: Upstream) -> None:
+        view.members.add(upstream.name)
+        if upstream.free:
+            view.free.add(upstream.name)
+        else:
+            view.free.discard(upstream.name)
