--- /dev/null
+++ b/bitterntiller/components/control/sessions.py
@@ -0,0 +1,101 @@
+"""The processes that a leader hears; kept in memory only, never in the log."""
+
+from collections import deque
+from typing import Any
+
+from bitterntiller.components.control.const import MAX_REPLACED, ROLE_DISPATCH
+from bitterntiller.components.control.models import Session
+
+
+class SessionTable:
+    """Sessions by host, in the memory of one leader for one term."""
+
+    def __init__(self, started: float) -> None:
+        self.by_host: dict[str, Session] = {}
+        self._started = started
+        self._granted: dict[tuple[str, str], float] = {}
+        self._replaced: deque[tuple[str, str]] = deque()
+
+    def hear(self, heartbeat: Any, now: float) -> Session | None:
+        """Note a messages.Heartbeat and return the session.
+
+        None when another process of that host was heard after it: the heartbeat
+        was delayed, and the process that sent it has been replaced.
+        """
+        if (heartbeat.host, heartbeat.incarnation) in self._replaced:
+            return None
+        before = self.by_host.get(heartbeat.host)
+        if before is not None and before.incarnation != heartbeat.incarnation:
+            self._replace(before)
+            before = None
+        session = _session(heartbeat, before, now)
+        self.by_host[session.host] = session
+        return session
+
+    def note_grant(self, session: Session) -> None:
+        """Note that the heartbeat of this session is answered with a lease."""
+        self._granted[(session.host, session.incarnation)] = session.heard
+
+    def drain(self, host: str, incarnation: str) -> None:
+        """Give a process no more pools; it is about to stop."""
+        session = self.by_host.get(host)
+        if session is not None and session.incarnation == incarnation:
+            self.by_host[host] = session._replace(draining=True)
+
+    def _replace(self, session: Session) -> None:
+        self._replaced.append((session.host, session.incarnation))
+        of_host = [item for item in self._replaced if item[0] == session.host]
+        if len(of_host) > MAX_REPLACED:
+            self._replaced.remove(of_host[0])
+
+    def ungranted_for(self, host: str, incarnation: str, now: float) -> float:
+        """Return how many seconds ago a process got a lease at the latest.
+
+        Counted from the arrival of its heartbeat. A process that got none from
+        this leader may have got one from the leader before, until this one
+        took over.
+        """
+        return now - self._granted.get((host, incarnation), self._started)
+
+    def replaced(self, host: str, incarnation: str) -> bool:
+        """Tell whether another process of the host is known by now."""
+        session = self.by_host.get(host)
+        return session is not None and session.incarnation != incarnation
+
+    def dispatchers(self, now: float, within: float) -> dict[str, Session]:
+        """Return the sessions that may be given pools, by host."""
+        return {
+            host: session
+            for host, session in self.by_host.items()
+            if ROLE_DISPATCH in session.roles
+            and not session.draining
+            and session.unleased_since is None
+            and now - session.heard <= within
+        }
+
+    def forget(self, now: float, after: float) -> None:
+        """Drop the sessions that were silent for more than so many seconds."""
+        gone = [host for host, item in self.by_host.items() if now - item.heard > after]
+        for host in gone:
+            del self.by_host[host]
+        for process, heard in list(self._granted.items()):
+            if now - heard > after:
+                del self._granted[process]
+
+
+def _session(heartbeat: Any, before: Session | None, now: float) -> Session:
+    unleased_since = None
+    if not heartbeat.leased:
+        known = before.unleased_since if before else None
+        unleased_since = now if known is None else known
+    return Session(
+        host=heartbeat.host,
+        incarnation=heartbeat.incarnation,
+        address=heartbeat.address,
+        zone=heartbeat.zone,
+        roles=tuple(heartbeat.roles),
+        config_version=heartbeat.config_version,
+        draining=heartbeat.draining,
+        heard=now,
+        unleased_since=unleased_since,
+    )
--- a/bitterntiller/components/dispatch/const.py
+++ b/bitterntiller/components/dispatch/const.py
@@ -47,3 +47,18 @@
 REASON_REFUSED_CONNECTION = "refused-connection"
 REASON_NOT_ADMITTED = "not-admitted"
 OUTCOME_DONE = "done"
+
+LABEL_SHARE = "share"
+LABEL_CONCURRENCY = "concurrency"
+LABEL_RATE = "rate"
+
+SHORTEST_PAUSE = 0.005
+LONGEST_PAUSE = 0.1
+
+ANNOUNCE_ACCEPTED = "accepted"
+ANNOUNCE_STALE = "stale"
+ANNOUNCE_NO_OWNER = "no-owner"
+
+METRIC_GRANTS = "dispatch.grants"
+METRIC_REFUSALS = "dispatch.refusals"
+METRIC_ORPHANED = "dispatch.orphaned"
