Begin the replicated log: pure decisions and the data folder

The decisions take messages and ticks and give records, messages and committed entries; what must be synced before a message leaves is kept in one place.

--- /dev/null
+++ b/bitterntiller/components/replication/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log: the same commands in the same order on all replicas."""
--- /dev/null
+++ b/bitterntiller/components/replication/const.py
@@ -0,0 +1,65 @@
+"""Constants of the replicated log."""
+
+from enum import IntEnum
+
+
+class EntryKind(IntEnum):
+    """What an entry of the log holds."""
+
+    NOOP = 0
+    COMMAND = 1
+    MEMBERS = 2
+
+
+ATTR_REPLICA = "replica"
+ATTR_BOOT = "boot"
+ATTR_ROLE = "role"
+ATTR_TERM = "term"
+ATTR_LEADER = "leader"
+ATTR_MEMBERS = "members"
+ATTR_COMMIT = "commit_index"
+ATTR_APPLIED = "applied_index"
+ATTR_LAST = "last_index"
+ATTR_STABLE = "stable_index"
+ATTR_SNAPSHOT = "snapshot_index"
+ATTR_QUORUM = "quorum"
+ATTR_SURVIVES = "further_losses_survived"
+ATTR_COUNTERS = "counters"
+
+DEFAULT_BATCH_BYTES = 256 * 1024
+DEFAULT_BATCH_ENTRIES = 512
+DEFAULT_IN_FLIGHT = 8
+DEFAULT_PIECE_BYTES = 256 * 1024
+DEFAULT_UNCOMMITTED = 20000
+DEFAULT_TRAILING = 1000
+"""Entries kept behind a snapshot, for followers that are a little behind."""
+
+DEFAULT_RETURN_GRACE = 2.0
+"""Seconds a returning replica waits for the answers of all other voters."""
+
+DEFAULT_LEADERLESS = 10.0
+"""Seconds without a leader after which a replica asks about itself again."""
+
+MAX_MEMBERS = 8
+
+NO_VOTE = ""
+VOTE_BARRED = "-"
+"""Stands for a vote that may have been cast in this term and been forgotten."""
+
+VERDICT_FINE = "fine"
+VERDICT_STALE = "stale"
+VERDICT_REMOVED = "removed"
+
+JOIN_FRESH = "fresh"
+JOIN_FORMED = "formed"
+JOIN_EXISTS = "exists"
+JOIN_ACCEPTED = "accepted"
+JOIN_FULL = "full"
+STATUS_NOT_LEADER = "not-leader"
+
+REPAIR_DONE = "done"
+REPAIR_RUNNING = "running"
+REPAIR_REFUSED = "refused"
+
+STATUS_COMMITTED = "committed"
+STATUS_UNKNOWN = "unknown"
--- /dev/null
+++ b/bitterntiller/components/replication/election.py
@@ -0,0 +1,135 @@
+"""Elections: pre-vote, votes, and who may win them."""
+
+from . import leading
+from .const import NO_VOTE
+from .members import quorum, voters
+from .models import Mark, PreVote, PreVoteReply, Vote, VoteReply
+from .state import Role, State
+
+
+def is_up_to_date(state: State, last_term: int, last_index: int) -> bool:
+    """Tell whether a candidate's log holds all that this replica answers for.
+
+    That is its own log, and since its start the furthest log of its peers.
+    """
+    own = (state.log.last_term, state.log.last_index)
+    return (last_term, last_index) >= max(own, state.returning.floor)
+
+
+def may_vote_for(state: State, candidate: str) -> bool:
+    """Tell whether the vote of this term is free or already the candidate's."""
+    return state.hard.vote in (NO_VOTE, candidate)
+
+
+def may_campaign(state: State) -> bool:
+    """Tell whether this replica may try to become the leader."""
+    if not (state.is_voter() and state.returning.done):
+        return False
+    return is_up_to_date(state, state.log.last_term, state.log.last_index)
+
+
+def on_deadline(state: State, now: float) -> None:
+    """Ask for pre-votes, since no leader has been heard of for too long."""
+    state.reset_deadline(now)
+    state.leader = ""
+    if not may_campaign(state):
+        state.role = Role.FOLLOWER
+        return
+    state.role = Role.PRE_CANDIDATE
+    state.count("pre_votes_begun")
+    state.votes = {state.replica}
+    if len(state.votes) >= quorum(state.members):
+        _campaign(state, now)
+        return
+    log = state.log
+    request = PreVote(
+        state.term + 1, state.replica, log.last_index, log.last_term, state.hard.boot
+    )
+    for voter in _others(state):
+        state.hold(voter, request)
+
+
+def on_pre_vote(state: State, message: PreVote, now: float) -> None:
+    """Answer a pre-vote, which changes nothing here.
+
+    A replica that hears its leader refuses, so that a host behind a cut can't
+    depose the leader when it comes back.
+    """
+    hears_leader = state.role is Role.LEADER or (
+        state.leader and now < state.heard + state.tuning.election_min
+    )
+    granted = (
+        not hears_leader
+        and state.returning.done
+        and message.term > state.term
+        and is_up_to_date(state, message.last_term, message.last_index)
+    )
+    term = message.term if granted else state.term
+    reply = PreVoteReply(term, state.replica, granted, state.hard.boot)
+    state.hold(message.candidate, reply)
+
+
+def on_pre_vote_reply(state: State, message: PreVoteReply, now: float) -> None:
+    """Campaign once a quorum would vote for this replica."""
+    if state.role is not Role.PRE_CANDIDATE:
+        return
+    if not message.granted or message.term != state.term + 1:
+        return
+    state.votes.add(message.voter)
+    if _has_quorum(state):
+        _campaign(state, now)
+
+
+def on_vote(state: State, message: Vote, now: float) -> None:
+    """Vote at most once a term, and only for a log that lacks nothing."""
+    granted = (
+        message.term == state.term
+        and state.returning.done
+        and may_vote_for(state, message.candidate)
+        and is_up_to_date(state, message.last_term, message.last_index)
+    )
+    if granted:
+        state.set_term(state.term, message.candidate)
+        state.reset_deadline(now)
+    state.count("votes_granted" if granted else "votes_refused")
+    reply = VoteReply(state.term, state.replica, granted, state.hard.boot)
+    state.hold(message.candidate, reply)
+
+
+def on_vote_reply(state: State, message: VoteReply, now: float) -> None:
+    """Lead once a quorum has voted for this replica."""
+    if not message.granted:
+        return
+    mark = state.marks_by_replica.get(message.voter, Mark())
+    if message.term > mark.term:
+        state.note_mark(message.voter, mark._replace(term=message.term, index=0))
+    if state.role is not Role.CANDIDATE or message.term != state.term:
+        return
+    state.votes.add(message.voter)
+    if _has_quorum(state):
+        leading.begin(state, now)
+
+
+def _campaign(state: State, now: float) -> None:
+    state.role = Role.CANDIDATE
+    state.count("elections_begun")
+    state.set_term(state.term + 1, state.replica)
+    state.votes = {state.replica}
+    if _has_quorum(state):
+        leading.begin(state, now)
+        return
+    log = state.log
+    request = Vote(
+        state.term, state.replica, log.last_index, log.last_term, state.hard.boot
+    )
+    for voter in _others(state):
+        state.hold(voter, request)
+
+
+def _has_quorum(state: State) -> bool:
+    counted = state.votes & set(voters(state.members))
+    return len(counted) >= quorum(state.members)
+
+
+def _others(state: State) -> list[str]:
+    return [voter for voter in voters(state.members) if voter != state.replica]
--- /dev/null
+++ b/bitterntiller/components/replication/identity.py
@@ -0,0 +1,83 @@
+"""Guards against a data folder that has gone back in time.
+
+An old copy of a folder that is put back has forgotten votes and entries that
+its replica had promised to keep; if it voted, a term could get two leaders
+or a committed entry be lost. So each start asks the other voters first. A peer
+that remembers a later start or a later promise says so, and the identity is
+given up. Whatever no peer remembers as a promise is covered by two rules: the
+replica doesn't vote in any term up to the highest that the peers know, and it
+votes only for logs that reach the furthest log among the peers.
+"""
+
+from .const import VERDICT_FINE, VERDICT_REMOVED, VERDICT_STALE
+from .members import decode_members, find, quorum, voters
+from .models import Mark, Members, ReturnCheck, ReturnCheckReply
+
+
+def judge(check: ReturnCheck, mark: Mark, members: Members, commit: int) -> str:
+    """Return the verdict on a replica that has started.
+
+    members is what the judging replica holds, in force once commit has
+    reached it.
+    """
+    removed = check.members_index < members.index <= commit
+    if removed and find(members, check.replica) is None:
+        return VERDICT_REMOVED
+    if check.boot < mark.boot:
+        return VERDICT_STALE
+    if check.boot == mark.boot and check.session != mark.session:
+        return VERDICT_STALE
+    if check.term < mark.term:
+        return VERDICT_STALE
+    # Within a term an acknowledged entry is never taken back, so a shorter log
+    # in the same term means that the folder has lost it.
+    if check.term == mark.term and check.last_index < mark.index:
+        return VERDICT_STALE
+    return VERDICT_FINE
+
+
+class ReturnState:
+    """The answers that a replica has got since it began to ask."""
+
+    def __init__(self, now: float) -> None:
+        self.began = now
+        self.done = False
+        self.floor = (0, 0)
+        self._answers_by_voter: dict[str, ReturnCheckReply] = {}
+
+    def answer(self, reply: ReturnCheckReply) -> None:
+        """Note the answer of a peer."""
+        self._answers_by_voter[reply.voter] = reply
+
+    def newest_members(self, own: Members) -> Members:
+        """Return the newest membership known from the log or the answers."""
+        known = [own]
+        for reply in self._answers_by_voter.values():
+            known.append(decode_members(reply.members_index, reply.members))
+        return max(known, key=lambda members: members.index)
+
+    def missing(self, replica: str, members: Members) -> set[str]:
+        """Return the other voters that have not answered."""
+        return set(voters(members)) - {replica} - set(self._answers_by_voter)
+
+    def enough(self, replica: str, members: Members, late: bool) -> bool:
+        """Tell whether the answers suffice.
+
+        All other voters must have answered. Once it is late, as many suffice as
+        make a quorum with this replica: a host that is down must not keep
+        a sound replica from voting.
+        """
+        if not members.index:
+            return False
+        missing = self.missing(replica, members)
+        if not missing:
+            return True
+        answered = set(voters(members)) - {replica} - missing
+        return late and len(answered) + 1 >= quorum(members)
+
+    def finish(self) -> int:
+        """End the asking; return the highest term among the answers."""
+        replies = self._answers_by_voter.values()
+        self.done = True
+        self.floor = max(((r.last_term, r.last_index) for r in replies), default=(0, 0))
+        return max((reply.term for reply in replies), default=0)
--- /dev/null
+++ b/bitterntiller/components/replication/leading.py
@@ -0,0 +1,304 @@
+"""The leader's side: replication, commitment, confirmed reads, membership."""
+
+from collections.abc import Iterable
+
+from .const import EntryKind
+from .members import (
+    encode_members,
+    is_single_change,
+    quorum,
+    voters,
+)
+from .models import (
+    Append,
+    AppendReply,
+    Entry,
+    Mark,
+    Member,
+    Place,
+    SnapshotPiece,
+    SnapshotReply,
+)
+from .progress import Progress
+from .reads import Reads
+from .state import Role, State
+
+
+def begin(state: State, now: float) -> None:
+    """Become the leader of the term.
+
+    The empty entry lets the entries of earlier terms be committed.
+    """
+    state.role = Role.LEADER
+    state.leader = state.replica
+    state.beat = now
+    state.reads = Reads()
+    state.progress_by_replica = {}
+    state.count("terms_led")
+    _add(state, EntryKind.NOOP, b"")
+    _follow_members(state, now)
+    advance_commit(state, now)
+
+
+def propose(state: State, data: bytes) -> Place | None:
+    """Append a command; None when this replica can't take it."""
+    if state.role is not Role.LEADER:
+        return None
+    if state.log.last_index - state.commit >= state.tuning.uncommitted:
+        state.count("proposals_refused_full")
+        return None
+    return _add(state, EntryKind.COMMAND, data)
+
+
+def may_change_members(state: State) -> bool:
+    """Tell whether a change of the membership may begin now.
+
+    The last one must be committed, so that only neighbours in the history of
+    memberships are ever in force at once; and an entry of this term must be,
+    since otherwise an uncommitted change of an earlier leader, unknown
+    here, could come back and share no quorum with the new one.
+    """
+    if state.role is not Role.LEADER or state.members.index > state.commit:
+        return False
+    return state.log.term_at(state.commit) == state.term
+
+
+def change_members(state: State, new: Iterable[Member], now: float) -> Place | None:
+    """Append a membership that differs by one voter at most; None if refused."""
+    new = tuple(new)
+    if not may_change_members(state) or not is_single_change(state.members, new):
+        return None
+    place = _add(state, EntryKind.MEMBERS, encode_members(new))
+    _follow_members(state, now)
+    return place
+
+
+def _add(state: State, kind: int, data: bytes) -> Place:
+    entry = Entry(state.log.last_index + 1, state.term, kind, data)
+    state.append(entry)
+    return Place(entry.index, entry.term)
+
+
+def _follow_members(state: State, now: float) -> None:
+    replicas = {member.replica for member in state.members.all} - {state.replica}
+    for replica in set(state.progress_by_replica) - replicas:
+        del state.progress_by_replica[replica]
+    for replica in replicas - set(state.progress_by_replica):
+        state.progress_by_replica[replica] = Progress(state.log.last_index, now)
+
+
+def ask_read(state: State, token: int) -> bool:
+    """Ask for a read index; False when this replica doesn't lead."""
+    if state.role is not Role.LEADER:
+        return False
+    first = state.log.first_of_term_at(state.log.last_index)
+    state.reads.ask(token, max(state.commit, first))
+    return True
+
+
+def flush(state: State, now: float) -> None:
+    """Send what has gathered: a round for reads, or new entries."""
+    if state.role is not Role.LEADER:
+        return
+    if state.reads.begin_round():
+        broadcast(state, now)
+        _confirm_round(state)
+        return
+    for replica in state.progress_by_replica:
+        _replicate(state, replica, now)
+
+
+def on_tick(state: State, now: float) -> None:
+    """Step down without a quorum; send heartbeats when they are due."""
+    if not hears_quorum(state, now):
+        state.follow(state.term, "", now)
+        return
+    if now >= state.beat:
+        state.beat = now + state.tuning.heartbeat
+        broadcast(state, now)
+
+
+def hears_quorum(state: State, now: float) -> bool:
+    """Tell whether a quorum has been heard within an election timeout."""
+    oldest = now - state.tuning.election_max
+    heard = [
+        replica == state.replica or state.progress_by_replica[replica].contact > oldest
+        for replica in voters(state.members)
+    ]
+    return sum(heard) >= quorum(state.members)
+
+
+def broadcast(state: State, now: float) -> None:
+    """Send each follower something, entries if flow control lets them."""
+    for replica, progress in state.progress_by_replica.items():
+        progress.waiting = False
+        if not _replicate(state, replica, now):
+            _beat(state, replica)
+
+
+def _replicate(state: State, replica: str, now: float) -> bool:
+    tuning, progress, sent = state.tuning, state.progress_by_replica[replica], False
+    if progress.contact < now - tuning.election_max:
+        return False
+    while progress.next <= state.log.last_index:
+        if not progress.may_send(tuning.in_flight):
+            break
+        if progress.next <= state.log.base_index:
+            return _begin_snapshot(state, replica)
+        entries = state.log.batch(
+            progress.next, tuning.batch_entries, tuning.batch_bytes
+        )
+        _send_append(state, replica, entries)
+        progress.sent(entries[-1].index)
+        sent = True
+    return sent
+
+
+def _beat(state: State, replica: str) -> None:
+    progress = state.progress_by_replica[replica]
+    if progress.snapshot:
+        _send_piece(state, replica)
+    elif progress.next <= state.log.base_index:
+        _begin_snapshot(state, replica)
+    else:
+        _send_append(state, replica, ())
+
+
+def _send_append(state: State, replica: str, entries: tuple[Entry, ...]) -> None:
+    prev = state.progress_by_replica[replica].next - 1
+    message = Append(
+        state.term,
+        state.replica,
+        prev,
+        state.log.term_at(prev) or 0,
+        entries,
+        state.commit,
+        state.reads.round,
+        state.hard.boot,
+    )
+    state.send(replica, message)
+
+
+def _begin_snapshot(state: State, replica: str) -> bool:
+    if state.snapshot is None:
+        return False
+    state.progress_by_replica[replica].begin_snapshot(state.snapshot)
+    state.count("snapshots_sent")
+    _send_piece(state, replica)
+    return True
+
+
+def _send_piece(state: State, replica: str) -> None:
+    progress = state.progress_by_replica[replica]
+    snapshot, offset = progress.snapshot, progress.snapshot_offset
+    if snapshot is None:
+        return
+    stop = offset + state.tuning.piece_bytes
+    message = SnapshotPiece(
+        state.term,
+        state.replica,
+        snapshot.index,
+        snapshot.term,
+        offset,
+        snapshot.data[offset:stop],
+        stop >= len(snapshot.data),
+        encode_members(snapshot.members.all),
+        state.reads.round,
+        snapshot.members.index,
+        state.hard.boot,
+    )
+    state.send(replica, message)
+
+
+def on_append_reply(state: State, message: AppendReply, now: float) -> None:
+    """Note what a follower holds, commit, and go on sending."""
+    progress = _heard(state, message.follower, message, now)
+    if progress is None:
+        return
+    if not message.matched:
+        progress.rejected(message.hint_index)
+        return
+    progress.acknowledged(message.match_index)
+    _note_promise(state, message.follower, message.match_index)
+    advance_commit(state, now)
+
+
+def on_snapshot_reply(state: State, message: SnapshotReply, now: float) -> None:
+    """Send the next piece, or go on with entries after the last."""
+    replica = message.follower
+    progress = _heard(state, replica, message, now)
+    if progress is None or progress.snapshot is None:
+        return
+    if message.last_index != progress.snapshot.index:
+        return
+    if message.done:
+        progress.snapshot = None
+        progress.acknowledged(message.last_index)
+        _note_promise(state, replica, message.last_index)
+        advance_commit(state, now)
+        return
+    if message.offset != progress.snapshot_offset:
+        progress.snapshot_offset = message.offset
+        _send_piece(state, replica)
+
+
+def _heard(
+    state: State, replica: str, message: AppendReply | SnapshotReply, now: float
+) -> Progress | None:
+    progress = state.progress_by_replica.get(replica)
+    if state.role is not Role.LEADER or message.term != state.term or progress is None:
+        return None
+    progress.contact = now
+    progress.counted = message.counted
+    if message.counted:
+        progress.round = max(progress.round, message.round)
+        _confirm_round(state)
+    return progress
+
+
+def _note_promise(state: State, replica: str, index: int) -> None:
+    mark = state.marks_by_replica.get(replica, Mark())
+    if (state.term, index) > (mark.term, mark.index):
+        state.note_mark(replica, mark._replace(term=state.term, index=index))
+
+
+def may_commit(state: State, index: int) -> bool:
+    """Tell whether counting replicas may commit an entry.
+
+    One of an earlier term may be on a quorum and still be replaced by a later
+    leader that lacks it, so only entries of this term are counted.
+    """
+    return state.log.term_at(index) == state.term
+
+
+def advance_commit(state: State, now: float) -> None:
+    """Commit what a quorum has synced, this replica included."""
+    if state.role is not Role.LEADER:
+        return
+    index = _held_by_quorum(
+        state, state.stable, {r: p.match for r, p in state.progress_by_replica.items()}
+    )
+    if index <= state.commit or not may_commit(state, index):
+        return
+    state.commit = index
+    if state.members.index <= state.commit and not state.is_voter():
+        state.follow(state.term, "", now)
+
+
+def _confirm_round(state: State) -> None:
+    rounds = {r: p.round for r, p in state.progress_by_replica.items()}
+    confirmed = _held_by_quorum(state, state.reads.round, rounds)
+    state.read_outcomes += state.reads.confirmed(confirmed)
+
+
+def _held_by_quorum(state: State, own: int, value_by_replica: dict[str, int]) -> int:
+    """Return the highest value that a quorum of the voters has reached."""
+    values = []
+    for replica in voters(state.members):
+        if replica == state.replica:
+            values.append(own)
+            continue
+        counted = state.progress_by_replica[replica].counted
+        values.append(value_by_replica[replica] if counted else 0)
+    values.sort(reverse=True)
+    return values[quorum(state.members) - 1]
--- /dev/null
+++ b/bitterntiller/components/replication/members.py
@@ -0,0 +1,45 @@
+"""The membership: its encoding, quorums, and which changes are allowed."""
+
+import json
+from collections.abc import Iterable
+
+from .models import Member, Members
+
+NO_MEMBERS = Members(0, ())
+
+
+def encode_members(members: Iterable[Member]) -> bytes:
+    """Return the bytes of an entry of kind MEMBERS."""
+    return json.dumps([list(member) for member in members]).encode()
+
+
+def decode_members(index: int, data: bytes) -> Members:
+    """Return the membership that an entry of kind MEMBERS holds."""
+    if not data:
+        return NO_MEMBERS
+    return Members(index, tuple(Member(*item) for item in json.loads(data)))
+
+
+def voters(members: Members) -> tuple[str, ...]:
+    """Return the ids of the voters."""
+    return tuple(member.replica for member in members.all if member.voter)
+
+
+def quorum(members: Members) -> int:
+    """Return how many voters decide."""
+    return len(voters(members)) // 2 + 1
+
+
+def find(members: Members, replica: str) -> Member | None:
+    """Return the member with that id."""
+    return next((m for m in members.all if m.replica == replica), None)
+
+
+def is_single_change(old: Members, new: Iterable[Member]) -> bool:
+    """Tell whether the sets of voters differ by at most one replica.
+
+    Any quorum of the one then shares a replica with any quorum of the other,
+    so that two leaders can't be elected by the two memberships.
+    """
+    after = {member.replica for member in new if member.voter}
+    return bool(after) and len(set(voters(old)) ^ after) <= 1
--- /dev/null
+++ b/bitterntiller/components/replication/progress.py
@@ -0,0 +1,70 @@
+"""What a leader knows of each follower, and flow control towards it."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from .models import Snapshot
+
+
+@dataclass
+class Progress:
+    """A follower as its leader sees it.
+
+    match is the last index known to be synced there. While probing, one
+    message is under way at a time; else up to a bound. contact is the time of
+    the last message that came from it. While a snapshot is sent, no entries
+    are. counted tells whether it may be part of a quorum.
+    """
+
+    next: int
+    contact: float
+    match: int = 0
+    counted: bool = False
+    round: int = 0
+    probing: bool = True
+    waiting: bool = False
+    snapshot: Snapshot | None = None
+    snapshot_offset: int = 0
+    in_flight: deque[int] = field(default_factory=deque)
+
+    def may_send(self, limit: int) -> bool:
+        """Tell whether flow control lets entries leave now."""
+        if self.snapshot:
+            return False
+        if self.probing:
+            return not self.waiting
+        return len(self.in_flight) < limit
+
+    def sent(self, last: int) -> None:
+        """Note that entries up to last have left."""
+        if self.probing:
+            self.waiting = True
+            return
+        self.in_flight.append(last)
+        self.next = last + 1
+
+    def acknowledged(self, index: int) -> None:
+        """Note that all entries up to index are synced there."""
+        self.match = max(self.match, index)
+        self.next = max(self.next, self.match + 1)
+        self.probing = False
+        self.waiting = False
+        while self.in_flight and self.in_flight[0] <= index:
+            self.in_flight.popleft()
+
+    def rejected(self, hint: int) -> None:
+        """Go back to where the follower says that its log may agree."""
+        self.next = max(self.match + 1, min(hint, self.next))
+        self.probe()
+
+    def probe(self) -> None:
+        """Begin anew with one message at a time."""
+        self.probing = True
+        self.waiting = False
+        self.in_flight.clear()
+
+    def begin_snapshot(self, snapshot: Snapshot) -> None:
+        """Send a snapshot from its first byte."""
+        self.snapshot = snapshot
+        self.snapshot_offset = 0
+        self.probe()
--- /dev/null
+++ b/bitterntiller/components/replication/returning.py
@@ -0,0 +1,101 @@
+"""The questions that a replica asks of its peers at each start."""
+
+from . import identity
+from .const import NO_VOTE, VERDICT_FINE, VOTE_BARRED
+from .identity import ReturnState
+from .members import encode_members
+from .models import Mark, ReturnCheck, ReturnCheckReply
+from .state import Role, State
+
+
+def on_tick(state: State, now: float) -> None:
+    """Ask the other voters, and again when no leader shows up for long.
+
+    Asking again also lowers the floor when the peer with the furthest log has
+    been lost since, which would otherwise keep the rest from electing.
+    """
+    if state.returning.done:
+        leaderless = now - max(state.heard, state.returning.began)
+        if state.role is Role.LEADER or leaderless < state.tuning.leaderless:
+            return
+        state.returning = ReturnState(now)
+    if now >= state.beat:
+        state.beat = now + state.tuning.heartbeat
+        _ask(state)
+    _finish_if_enough(state, now)
+
+
+def _ask(state: State) -> None:
+    check = ReturnCheck(
+        state.term,
+        state.replica,
+        state.session,
+        state.log.last_index,
+        state.members.index,
+        state.hard.boot,
+    )
+    members = state.returning.newest_members(state.members)
+    for voter in sorted(state.returning.missing(state.replica, members)):
+        state.hold(voter, check)
+
+
+def _finish_if_enough(state: State, now: float) -> None:
+    returning = state.returning
+    members = returning.newest_members(state.members)
+    late = now >= returning.began + state.tuning.return_grace
+    if not returning.enough(state.replica, members, late):
+        return
+    partial = bool(returning.missing(state.replica, members))
+    highest = returning.finish()
+    # A forgotten vote was cast for a candidate of some term up to the highest
+    # that the peers know; barring the vote there keeps it from being cast twice.
+    if highest > state.term:
+        state.set_term(highest, VOTE_BARRED)
+    elif state.hard.vote == NO_VOTE and (partial or highest == state.term):
+        state.set_term(state.term, VOTE_BARRED)
+    state.reset_deadline(now)
+    state.count("returns_partial" if partial else "returns_full")
+
+
+def on_check(state: State, message: ReturnCheck) -> None:
+    """Tell a starting replica what is remembered of it.
+
+    The reply leaves only after its boot number is synced here.
+    """
+    replica = message.replica
+    mark = state.marks_by_replica.get(replica, Mark())
+    verdict = identity.judge(message, mark, state.members, state.commit)
+    if verdict == VERDICT_FINE:
+        new = mark._replace(boot=message.boot, session=message.session)
+        state.note_mark(replica, new, due=True)
+    progress = state.progress_by_replica.get(replica)
+    if progress is not None:
+        progress.counted = False
+        progress.snapshot = None
+        progress.match = 0
+        progress.probe()
+    reply = ReturnCheckReply(
+        state.term,
+        state.replica,
+        message.session,
+        verdict,
+        state.log.last_index,
+        state.log.last_term,
+        state.members.index,
+        encode_members(state.members.all),
+        state.hard.boot,
+    )
+    state.hold(replica, reply)
+
+
+def on_check_reply(state: State, message: ReturnCheckReply, now: float) -> None:
+    """Note an answer; a verdict against this identity ends its use."""
+    if message.session != state.session:
+        return
+    if message.verdict != VERDICT_FINE:
+        state.retired = f"{message.verdict} according to {message.voter}"
+        state.count("retired")
+        return
+    if not state.returning.done:
+        state.returning.answer(message)
+        _finish_if_enough(state, now)
--- /dev/null
+++ b/bitterntiller/components/replication/state.py
@@ -0,0 +1,249 @@
+"""The state of a replica, and the order of its records and messages."""
+
+import random
+from enum import StrEnum
+
+from .const import NO_VOTE, EntryKind
+from .identity import ReturnState
+from .log import Log
+from .members import NO_MEMBERS, decode_members, voters
+from .models import (
+    Effects,
+    Entry,
+    HardState,
+    Mark,
+    Members,
+    Message,
+    Outgoing,
+    Persist,
+    ReadOutcome,
+    Restored,
+    Snapshot,
+    Tuning,
+)
+from .progress import Progress
+from .reads import Reads
+
+APPLY_AT_ONCE = 2048
+
+
+class Role(StrEnum):
+    """What a replica does in its term."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre-candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class State:
+    """All that a replica knows.
+
+    The order of syncing is kept here and nowhere else: a message that is held
+    leaves only after every record that was made before it has been
+    reported as persisted. A crash then loses no promise that a peer has heard.
+    """
+
+    def __init__(
+        self, restored: Restored, tuning: Tuning, rng: random.Random, now: float
+    ) -> None:
+        self.replica = restored.replica
+        self.tuning = tuning
+        self.rng = rng
+        self.session = rng.getrandbits(62)
+        self.hard = restored.hard._replace(boot=restored.hard.boot + 1)
+        self.marks_by_replica = dict(restored.marks_by_replica)
+        self.snapshot = restored.snapshot
+        self.log = Log(restored.snapshot, restored.entries)
+        self.role = Role.FOLLOWER
+        self.leader = ""
+        self.heard = now
+        self.deadline = now
+        self.beat = now
+        self.votes: set[str] = set()
+        self.progress_by_replica: dict[str, Progress] = {}
+        self.reads = Reads()
+        self.returning = ReturnState(now)
+        self.retired = ""
+        self.assembling: tuple[int, int, bytearray] | None = None
+        self.read_outcomes: list[ReadOutcome] = []
+        self.counters: dict[str, int] = {}
+        self.commit = restored.snapshot.index if restored.snapshot else 0
+        self.handed = self.commit
+        self.stable = self.log.last_index
+        self.members = self.members_at(self.log.last_index)
+        self._saved = self.log.last_index
+        self._truncate_from: int | None = None
+        self._hard_dirty = True
+        self._marks_dirty = False
+        self._marks_due = False
+        self._snapshot_dirty = False
+        self._restore = restored.snapshot
+        self._pending: Persist | None = None
+        self._pending_last = 0
+        self._number = 0
+        self._free: list[Outgoing] = []
+        self._held: list[Outgoing] = []
+        self._awaiting: list[Outgoing] = []
+        self.reset_deadline(now)
+
+    @property
+    def term(self) -> int:
+        """The term that this replica is in."""
+        return self.hard.term
+
+    def count(self, name: str) -> None:
+        """Add one to a counter for the dump."""
+        self.counters[name] = self.counters.get(name, 0) + 1
+
+    def reset_deadline(self, now: float) -> None:
+        """Put off the next election by a random time."""
+        tuning = self.tuning
+        self.deadline = now + self.rng.uniform(tuning.election_min, tuning.election_max)
+
+    def is_voter(self) -> bool:
+        """Tell whether this replica votes in the newest membership it knows."""
+        return self.replica in voters(self.members)
+
+    def set_term(self, term: int, vote: str = NO_VOTE) -> None:
+        """Enter a term, or note a vote in it; to be synced."""
+        self.hard = self.hard._replace(term=term, vote=vote)
+        self._hard_dirty = True
+
+    def follow(self, term: int, leader: str, now: float) -> None:
+        """Become a follower, in a higher term if need be."""
+        if term > self.term:
+            self.set_term(term)
+        if self.role is Role.LEADER:
+            self.read_outcomes += self.reads.fail()
+            self.progress_by_replica.clear()
+            self.heard = now
+            self.reset_deadline(now)
+            self.count("stepped_down")
+        self.role = Role.FOLLOWER
+        self.leader = leader
+
+    def note_mark(self, replica: str, mark: Mark, due: bool = False) -> None:
+        """Remember what a peer has promised; synced at once only when due."""
+        self.marks_by_replica[replica] = mark
+        self._marks_dirty = True
+        self._marks_due = self._marks_due or due
+
+    def append(self, entry: Entry) -> None:
+        """Add an entry at the end of the log."""
+        self.log.append(entry)
+        if entry.kind == EntryKind.MEMBERS:
+            self.members = decode_members(entry.index, entry.data)
+
+    def truncate_from(self, index: int) -> None:
+        """Drop entries that another leader has replaced."""
+        self.log.truncate_from(index)
+        self.stable = min(self.stable, index - 1)
+        self._pending_last = min(self._pending_last, index - 1)
+        if index <= self._saved:
+            self._saved = index - 1
+            self._truncate_from = min(index, self._truncate_from or index)
+        if self.members.index >= index:
+            self.members = self.members_at(index - 1)
+
+    def members_at(self, index: int) -> Members:
+        """Return the membership as it was after the entry of that index."""
+        for entry in reversed(self.log.slice(self.log.base_index + 1, index)):
+            if entry.kind == EntryKind.MEMBERS:
+                return decode_members(entry.index, entry.data)
+        return self.snapshot.members if self.snapshot else NO_MEMBERS
+
+    def install(self, snapshot: Snapshot) -> None:
+        """Replace the state and the log up to it by a leader's snapshot."""
+        self.log.reset(snapshot)
+        self.snapshot = snapshot
+        self.commit = snapshot.index
+        self.handed = snapshot.index
+        self.members = self.members_at(self.log.last_index)
+        self._restore = snapshot
+        self._snapshot_dirty = True
+        self.stable = min(self.stable, self.log.last_index)
+        self._pending_last = min(self._pending_last, self.log.last_index)
+        self.count("snapshots_installed")
+
+    def snapshot_taken(self, index: int, data: bytes) -> None:
+        """Keep the state after an applied entry, and shorten the log."""
+        term = self.log.term_at(index)
+        if term is None or (self.snapshot and index <= self.snapshot.index):
+            return
+        self.snapshot = Snapshot(index, term, self.members_at(index), data)
+        self._snapshot_dirty = True
+        self.log.compact(index - self.tuning.trailing)
+        self.count("snapshots_taken")
+
+    def hold(self, to: str, message: Message) -> None:
+        """Send once all records made so far are synced."""
+        self._held.append(Outgoing(to, message))
+
+    def send(self, to: str, message: Message) -> None:
+        """Send a leader's entries, which need no sync of its log.
+
+        They do need that of its term: a leader that forgot its term could send
+        other entries in the same one.
+        """
+        unsynced = self._hard_dirty or (self._pending and self._pending.hard)
+        (self._held if unsynced else self._free).append(Outgoing(to, message))
+
+    def take(self) -> Effects:
+        """Return what is to be done now; one write is under way at a time."""
+        persist = None if self._pending else self._next_persist()
+        if persist:
+            self._awaiting, self._held = self._held, []
+        elif not self._pending:
+            self._free += self._held
+            self._held = []
+        messages, self._free = tuple(self._free), []
+        reads, self.read_outcomes = tuple(self.read_outcomes), []
+        restore, self._restore = self._restore, None
+        committed = self._next_committed()
+        return Effects(persist, messages, restore, committed, reads, self.retired)
+
+    def _next_committed(self) -> tuple[Entry, ...]:
+        # Only what is synced here too is applied, so that a snapshot of the
+        # state never runs ahead of this replica's own log.
+        stop = min(self.commit, self.stable, self.handed + APPLY_AT_ONCE)
+        committed = self.log.slice(self.handed + 1, stop)
+        self.handed = max(self.handed, stop)
+        return committed
+
+    def _next_persist(self) -> Persist | None:
+        entries = self.log.slice(self._saved + 1, self.log.last_index)
+        due = self._hard_dirty or self._marks_due or self._snapshot_dirty
+        if not (due or entries or self._truncate_from):
+            return None
+        whole = self.snapshot if self._snapshot_dirty else None
+        if whole:
+            entries = self.log.slice(whole.index + 1, self.log.last_index)
+        self._number += 1
+        self._pending = Persist(
+            self._number,
+            self.hard if self._hard_dirty or whole else None,
+            dict(self.marks_by_replica) if self._marks_dirty or whole else None,
+            None if whole else self._truncate_from,
+            entries,
+            whole,
+        )
+        self._pending_last = self._saved = self.log.last_index
+        self._truncate_from = None
+        self._hard_dirty = self._marks_dirty = self._marks_due = False
+        self._snapshot_dirty = False
+        return self._pending
+
+    def persisted(self, number: int) -> None:
+        """Note that a write is synced; what waited for it may leave."""
+        if self._pending is None or self._pending.number != number:
+            return
+        self._pending = None
+        self.stable = max(self.stable, self._pending_last)
+        self._free += self._awaiting
+        self._awaiting = []
+
+
+def initial(replica: str) -> Restored:
+    """Return what a new data folder holds."""
+    return Restored(replica, HardState(), {}, None, ())
--- /dev/null
+++ b/bitterntiller/components/replication/storage.py
@@ -0,0 +1,248 @@
+"""The data folder of a replica.
+
+It holds identity (the replica's id), one log-N (a first frame with the whole
+state, then a frame for each write) and one snapshot-INDEX. A new log or snapshot
+is written under another name, synced, renamed, and the folder synced; the old
+one is dropped after that. These calls block and are run in a thread.
+"""
+
+import contextlib
+import fcntl
+import json
+import os
+import re
+import uuid
+import zlib
+from pathlib import Path
+
+from bitterntiller.protocol import MalformedMessageError
+
+from . import frames
+from .errors import FolderLockedError, LogDamagedError, StorageFailedError
+from .models import HardState, Persist, Restored, Snapshot
+from .records import (
+    Replay,
+    decode_batch,
+    decode_snapshot,
+    encode_batch,
+    encode_snapshot,
+)
+
+_LOG = re.compile(r"log-(\d+)")
+_SNAPSHOT = re.compile(r"snapshot-(\d+)")
+_ASIDE = re.compile(r"aside-(\d+)")
+_IDENTITY = "identity"
+_LOCK = "lock"
+_TEMPORARY = ".new"
+
+
+class Storage:
+    """An open data folder, locked against other processes."""
+
+    def __init__(self, folder: Path, host: str) -> None:
+        self._folder = folder
+        self._host = host
+        self._failed = ""
+        self._log_fd = -1
+        self._log_number = 0
+        self._head = frames.new_head(0)
+        folder.mkdir(parents=True, exist_ok=True)
+        self._lock_fd = _lock(folder)
+        self.restored = self._open()
+
+    def _open(self) -> Restored:
+        self._drop_temporary()
+        replica = self._read_identity()
+        if replica is None or replica.rpartition("/")[0] != self._host:
+            self._move_aside()
+            return self._create()
+        return self._load(replica)
+
+    def write(self, persist: Persist) -> None:
+        """Write and sync records; raise StorageFailedError when that fails.
+
+        After a failed sync the kernel may have dropped what was not written and
+        report success to the next sync. So a failure is final.
+        """
+        if self._failed:
+            raise StorageFailedError(self._failed)
+        try:
+            self._write(persist)
+        except OSError as error:
+            self._failed = f"{self._folder}: {error}"
+            raise StorageFailedError(self._failed) from error
+
+    def _write(self, persist: Persist) -> None:
+        if persist.snapshot is not None:
+            self._write_snapshot(persist.snapshot)
+            self._begin_log(persist.snapshot.index, persist)
+            self._drop_old(persist.snapshot.index)
+            return
+        _write_all(self._log_fd, frames.encode_frame(self._head, encode_batch(persist)))
+        os.fdatasync(self._log_fd)
+
+    def retire(self) -> None:
+        """Give up this identity; set the files aside and begin a new one."""
+        os.close(self._log_fd)
+        self._move_aside()
+        self.restored = self._create()
+
+    def close(self) -> None:
+        """Close the files and release the lock."""
+        os.close(self._log_fd)
+        os.close(self._lock_fd)
+
+    def _create(self) -> Restored:
+        replica = f"{self._host}/{uuid.uuid4().hex}"
+        restored = Restored(replica, HardState(), {}, None, ())
+        self._begin_log(0, Persist(0, HardState(), {}, None, (), None))
+        text = json.dumps({"replica": replica, "crc": zlib.crc32(replica.encode())})
+        # The identity comes last: a folder without one was never used.
+        self._write_file(_IDENTITY, text.encode())
+        return restored
+
+    def _read_identity(self) -> str | None:
+        path = self._folder / _IDENTITY
+        if not path.exists():
+            return None
+        try:
+            found = json.loads(path.read_bytes())
+            replica = found["replica"]
+            sound = zlib.crc32(replica.encode()) == found["crc"]
+        except (ValueError, KeyError, TypeError, AttributeError):
+            sound = False
+        if not sound:
+            raise LogDamagedError(str(path), 0, "the identity is damaged")
+        return replica
+
+    def _load(self, replica: str) -> Restored:
+        snapshot = self._load_snapshot()
+        number, path = max(self._numbered(_LOG), default=(0, None))
+        if path is None:
+            raise LogDamagedError(str(self._folder), 0, "the log is missing")
+        data = path.read_bytes()
+        payloads, sound = frames.decode_frames(str(path), data, whole=1)
+        self._head = frames.decode_head(str(path), data)
+        if self._head.base > (snapshot.index if snapshot else 0):
+            raise LogDamagedError(
+                str(path), 0, f"snapshot {self._head.base} is missing"
+            )
+        replay = Replay(Restored(replica, HardState(), {}, snapshot, ()))
+        for payload in payloads:
+            replay.apply(_decoded(path, payload))
+        self._log_number = number
+        self._log_fd = os.open(path, os.O_WRONLY | os.O_APPEND)
+        if sound < len(data):
+            os.ftruncate(self._log_fd, sound)
+            os.fsync(self._log_fd)
+        self._drop_old(snapshot.index if snapshot else 0)
+        return replay.restored()
+
+    def _load_snapshot(self) -> Snapshot | None:
+        _, path = max(self._numbered(_SNAPSHOT), default=(0, None))
+        if path is None:
+            return None
+        payloads, _ = frames.decode_frames(str(path), path.read_bytes(), whole=1)
+        try:
+            return decode_snapshot(payloads[0])
+        except MalformedMessageError as error:
+            raise LogDamagedError(str(path), frames.HEAD_SIZE, str(error)) from error
+
+    def _write_snapshot(self, snapshot: Snapshot) -> None:
+        head = frames.new_head(snapshot.index)
+        frame = frames.encode_frame(head, encode_snapshot(snapshot))
+        self._write_file(
+            f"snapshot-{snapshot.index}", frames.encode_head(head) + frame
+        )
+
+    def _begin_log(self, base: int, whole: Persist) -> None:
+        head = frames.new_head(base)
+        frame = frames.encode_frame(head, encode_batch(whole))
+        number = self._log_number + 1
+        path = self._write_file(f"log-{number}", frames.encode_head(head) + frame)
+        if self._log_fd != -1:
+            with contextlib.suppress(OSError):
+                os.close(self._log_fd)
+        self._log_fd = os.open(path, os.O_WRONLY | os.O_APPEND)
+        self._log_number = number
+        self._head = head
+
+    def _write_file(self, name: str, data: bytes) -> Path:
+        """Write a file that is there whole or not at all after a crash."""
+        temporary = self._folder / (name + _TEMPORARY)
+        fd = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+        try:
+            _write_all(fd, data)
+            os.fsync(fd)
+        finally:
+            os.close(fd)
+        path = self._folder / name
+        os.rename(temporary, path)
+        # Without this sync a power loss could take the new name back although
+        # what depends on it has been acknowledged.
+        _sync_folder(self._folder)
+        return path
+
+    def _numbered(self, pattern: re.Pattern[str]) -> list[tuple[int, Path]]:
+        matches = ((pattern.fullmatch(p.name), p) for p in self._folder.iterdir())
+        return [(int(match[1]), path) for match, path in matches if match]
+
+    def _drop_old(self, snapshot_index: int) -> None:
+        for number, path in self._numbered(_LOG):
+            if number < self._log_number:
+                path.unlink()
+        for number, path in self._numbered(_SNAPSHOT):
+            if number < snapshot_index:
+                path.unlink()
+
+    def _drop_temporary(self) -> None:
+        for path in self._folder.glob("*" + _TEMPORARY):
+            path.unlink()
+
+    def _move_aside(self) -> None:
+        """Keep the files of an identity that is given up, out of use."""
+        found = self._numbered(_LOG) + self._numbered(_SNAPSHOT)
+        identity = self._folder / _IDENTITY
+        if not found and not identity.exists():
+            return
+        number = max((n for n, _ in self._numbered(_ASIDE)), default=0) + 1
+        aside = self._folder / f"aside-{number}"
+        aside.mkdir()
+        # The identity goes first: without it the rest is never used again.
+        if identity.exists():
+            identity.rename(aside / _IDENTITY)
+            _sync_folder(self._folder)
+        for _, path in found:
+            path.rename(aside / path.name)
+        _sync_folder(self._folder)
+
+
+def _decoded(path: Path, payload: bytes) -> Persist:
+    try:
+        return decode_batch(payload)
+    except MalformedMessageError as error:
+        raise LogDamagedError(str(path), 0, str(error)) from error
+
+
+def _lock(folder: Path) -> int:
+    fd = os.open(folder / _LOCK, os.O_RDWR | os.O_CREAT, 0o600)
+    try:
+        fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError as error:
+        os.close(fd)
+        raise FolderLockedError(f"{folder} is used by another process") from error
+    return fd
+
+
+def _write_all(fd: int, data: bytes) -> None:
+    view = memoryview(data)
+    while view:
+        view = view[os.write(fd, view) :]
+
+
+def _sync_folder(folder: Path) -> None:
+    fd = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(fd)
+    finally:
+        os.close(fd)
--- /dev/null
+++ b/bitterntiller/components/replication/wire.py
@@ -0,0 +1,43 @@
+"""The messages of replicas as Thrift structures, and back."""
+
+from typing import Any
+
+from bitterntiller.protocol import messages as wire
+
+from . import models
+from .records import plain_entries, wire_entries
+
+_PAIRS = (
+    (models.PreVote, wire.PreVote),
+    (models.PreVoteReply, wire.PreVoteReply),
+    (models.Vote, wire.Vote),
+    (models.VoteReply, wire.VoteReply),
+    (models.Append, wire.Append),
+    (models.AppendReply, wire.AppendReply),
+    (models.SnapshotPiece, wire.SnapshotPiece),
+    (models.SnapshotReply, wire.SnapshotReply),
+    (models.ReturnCheck, wire.ReturnCheck),
+    (models.ReturnCheckReply, wire.ReturnCheckReply),
+)
+_WIRE_BY_MODEL = dict(_PAIRS)
+_MODEL_BY_WIRE = {cls: model for model, cls in _PAIRS}
+
+WIRE_TYPES: tuple[type, ...] = tuple(_MODEL_BY_WIRE)
+
+
+def to_wire(message: models.Message) -> Any:
+    """Return a message as its Thrift structure."""
+    fields = message._asdict()
+    if "entries" in fields:
+        fields["entries"] = wire_entries(fields["entries"])
+    return _WIRE_BY_MODEL[type(message)](**fields)
+
+
+def from_wire(structure: Any) -> models.Message:
+    """Return a Thrift structure as a message; absent fields get defaults."""
+    model = _MODEL_BY_WIRE[type(structure)]
+    fields = {name: getattr(structure, name) for name in model._fields}
+    fields = {name: value for name, value in fields.items() if value is not None}
+    if "entries" in fields:
+        fields["entries"] = plain_entries(fields["entries"])
+    return model(**fields)
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -26,7 +26,7 @@
     ORDER = 44, ORDER_REPLY = 45,
     PRE_VOTE = 50, PRE_VOTE_REPLY = 51, VOTE = 52, VOTE_REPLY = 53,
     APPEND = 54, APPEND_REPLY = 55, SNAPSHOT_PIECE = 56, SNAPSHOT_REPLY = 57,
-    JOIN = 58, JOIN_REPLY = 59,
+    JOIN = 58, JOIN_REPLY = 59, RETURN_CHECK = 60, RETURN_CHECK_REPLY = 61,
 }
 
 /* ---- links ---- */
@@ -255,32 +255,82 @@
 
 struct Entry { 1: required i64 index, 2: required i64 term, 3: required i16 kind, 4: required binary data }
 
+/* boot is the sender's count of starts; what an earlier start sent is dropped. */
+
 struct PreVote {
     1: required i64 term, 2: required string candidate, 3: required i64 last_index, 4: required i64 last_term,
+    5: optional i64 boot,
+}
+struct PreVoteReply {
+    1: required i64 term, 2: required string voter, 3: required bool granted, 4: optional i64 boot,
 }
-struct PreVoteReply { 1: required i64 term, 2: required string voter, 3: required bool granted }
 
 struct Vote {
     1: required i64 term, 2: required string candidate, 3: required i64 last_index, 4: required i64 last_term,
+    5: optional i64 boot,
+}
+struct VoteReply {
+    1: required i64 term, 2: required string voter, 3: required bool granted, 4: optional i64 boot,
 }
-struct VoteReply { 1: required i64 term, 2: required string voter, 3: required bool granted }
 
 struct Append {
     1: required i64 term, 2: required string leader, 3: required i64 prev_index, 4: required i64 prev_term,
-    5: required list<Entry> entries, 6: required i64 commit, 7: required i64 round,
+    5: required list<Entry> entries, 6: required i64 commit, 7: required i64 round, 8: optional i64 boot,
 }
 struct AppendReply {
     1: required i64 term, 2: required string follower, 3: required bool matched, 4: required i64 match_index,
     5: required i64 hint_index, 6: required i64 round,
+    7: optional bool counted,            // false: not yet allowed to vote, count it in no quorum
+    8: optional i64 boot,
 }
 
 struct SnapshotPiece {
     1: required i64 term, 2: required string leader, 3: required i64 last_index, 4: required i64 last_term,
     5: required i64 offset, 6: required binary data, 7: required bool done, 8: required binary members, 9: required i64 round,
+    10: optional i64 members_index, 11: optional i64 boot,
 }
 struct SnapshotReply {
     1: required i64 term, 2: required string follower, 3: required i64 last_index, 4: required i64 offset, 5: required i64 round,
+    6: optional bool done, 7: optional bool counted, 8: optional i64 boot,
+}
+
+/* Asked of all other voters at each start, before the first vote. */
+struct ReturnCheck {
+    1: required i64 term, 2: required string replica, 3: required i64 session, 4: required i64 last_index,
+    5: required i64 members_index, 6: optional i64 boot,
+}
+struct ReturnCheckReply {
+    1: required i64 term, 2: required string voter, 3: required i64 session,
+    4: required string verdict,          // fine, stale, removed
+    5: required i64 last_index, 6: required i64 last_term, 7: required i64 members_index,
+    8: required binary members, 9: optional i64 boot,
+}
+
+struct Join {
+    1: required string replica, 2: required string host, 3: required string address,
+    4: optional bool fresh,              // the sender's data folder holds no log
+}
+struct JoinReply {
+    1: required string status,           // fresh, formed, exists, accepted, not-leader, full
+    2: required string leader,
+    3: optional string replica, 4: optional string host, 5: optional string address,
+    6: optional binary members,          // formed: the first membership, entry 1 of the log
+}
+
+/* ---- the replicated log on disk ---- */
+
+struct Mark {
+    1: required string replica, 2: required i64 boot, 3: required i64 session, 4: required i64 term, 5: required i64 index,
+}
+
+/* What one synced write holds, applied in this order. */
+struct LogBatch {
+    1: optional i64 term, 2: optional string vote, 3: optional i64 boot,
+    4: optional list<Mark> marks,
+    5: optional i64 truncate_from,
+    6: optional list<Entry> entries,
 }
 
-struct Join { 1: required string replica, 2: required string host, 3: required string address }
-struct JoinReply { 1: required string status, 2: required string leader }
+struct SnapshotFile {
+    1: required i64 index, 2: required i64 term, 3: required i64 members_index, 4: required binary members, 5: required binary data,
+}
