--- a/bitterntiller/components/replication/storage.py
+++ b/bitterntiller/components/replication/storage.py
@@ -151,9 +151,7 @@
     def _write_snapshot(self, snapshot: Snapshot) -> None:
         head = frames.new_head(snapshot.index)
         frame = frames.encode_frame(head, encode_snapshot(snapshot))
-        self._write_file(
-            f"snapshot-{snapshot.index}", frames.encode_head(head) + frame
-        )
+        self._write_file(f"snapshot-{snapshot.index}", frames.encode_head(head) + frame)
 
     def _begin_log(self, base: int, whole: Persist) -> None:
         head = frames.new_head(base)
