--- a/bitterntiller/components/control/claims.py
+++ b/bitterntiller/components/control/claims.py
@@ -149,7 +149,9 @@
         self._count_by_workspace = Counter(key.workspace for key in self.records_by_key)
 
 
-def claim_reply(status: str, record: ClaimRecord | None = None, leader: str = "") -> Any:
+def claim_reply(
+    status: str, record: ClaimRecord | None = None, leader: str = ""
+) -> Any:
     """Return a messages.ClaimReply with what is known of the claim."""
     return messages.ClaimReply(
         status=status,
--- a/bitterntiller/components/replication/const.py
+++ b/bitterntiller/components/replication/const.py
@@ -23,7 +23,7 @@
 ATTR_STABLE = "stable_index"
 ATTR_SNAPSHOT = "snapshot_index"
 ATTR_QUORUM = "quorum"
-ATTR_SURVIVES = "further_losses_survived"
+ATTR_SURVIVES = "survives_losses"
 ATTR_COUNTERS = "counters"
 
 DEFAULT_BATCH_BYTES = 256 * 1024
--- /dev/null
+++ b/bitterntiller/components/replication/coordinator.py
@@ -0,0 +1,316 @@
+"""Drives a replica: its time, its disk, its messages and its callers."""
+
+import random
+from collections.abc import Mapping
+from typing import Any
+
+import curio
+from absl import logging
+
+from bitterntiller.components.links.errors import LinkError
+from bitterntiller.core.errors import BrokenInvariantError
+from bitterntiller.core.interfaces import ProposalResult, StateMachine
+from bitterntiller.core.runtime import Runtime
+from bitterntiller.protocol import messages
+
+from . import joining, repair
+from .const import (
+    REPAIR_DONE,
+    STATUS_NOT_LEADER,
+    STATUS_UNKNOWN,
+    EntryKind,
+)
+from .core import Replica
+from .diagnostics import describe
+from .members import find
+from .models import Effects, Entry, Persist, Tuning
+from .outbox import Outbox
+from .state import Role
+from .storage import Storage
+from .waiters import Waiters
+from .wire import WIRE_TYPES, from_wire, to_wire
+
+TICK = 0.03
+JOIN_PERIOD = 0.3
+JOIN_TIMEOUT = 1.0
+
+
+class ReplicationCoordinator:
+    """A ReplicatedLog whose replica is on this host."""
+
+    def __init__(
+        self, runtime: Runtime, machine: StateMachine, storage: Storage
+    ) -> None:
+        self._runtime = runtime
+        self._machine = machine
+        self._storage = storage
+        self._rng = random.SystemRandom()
+        self._tuning = _tuning(runtime)
+        self._outbox = Outbox(runtime)
+        self._waiters = Waiters()
+        self._wishes: list[repair.Wish] = []
+        self._wake = curio.Event()
+        self._write_wanted = curio.Event()
+        self._write: Persist | None = None
+        self._writing = curio.Lock()
+        self._applied = 0
+        self._led = False
+        self._initial = machine.snapshot()
+        self.failure: BrokenInvariantError | None = None
+        self._replica = self._new_replica()
+
+    def _new_replica(self) -> Replica:
+        now = self._runtime.clock.now()
+        return Replica(self._storage.restored, self._tuning, self._rng, now)
+
+    async def async_start(self) -> None:
+        """Take messages and let time pass until the process unloads."""
+        links, stack = self._runtime.links, self._runtime.stack
+        for cls in WIRE_TYPES:
+            stack.callback(links.handle(cls, self._async_receive))
+        stack.callback(links.handle(messages.Join, self._async_on_join))
+        stack.callback(links.handle(messages.Repair, self._async_on_repair))
+        await self._runtime.async_spawn(self._async_guarded(self._async_writer))
+        await self._runtime.async_spawn(self._async_guarded(self._async_run))
+        await self._runtime.async_spawn(self._async_guarded(self._async_join))
+
+    async def async_propose(self, command: bytes, timeout: float) -> ProposalResult:
+        """Append a command and wait until it is committed and applied."""
+        place = None if self.failure else self._replica.propose(command)
+        if place is None:
+            return ProposalResult(STATUS_NOT_LEADER, b"", self.leader())
+        proposal = self._waiters.add_proposal(place)
+        await self._wake.set()
+        async with curio.ignore_after(timeout):
+            await proposal.done.wait()
+        self._waiters.drop_proposal(place, proposal)
+        if proposal.result is None:
+            return ProposalResult(STATUS_UNKNOWN, b"", self.leader())
+        return proposal.result._replace(leader=self.leader())
+
+    async def async_confirm(self, timeout: float) -> int | None:
+        """Return a read index confirmed by a quorum, once it is applied."""
+        token = self._waiters.new_token()
+        if self.failure or not self._replica.ask_read(token):
+            return None
+        read = self._waiters.add_read(token)
+        await self._wake.set()
+        async with curio.ignore_after(timeout):
+            await read.done.wait()
+            return read.index
+        self._waiters.drop_read(token, read)
+        return None
+
+    def is_leader(self) -> bool:
+        """Tell whether this replica leads, as far as it knows."""
+        return self._replica.state.role is Role.LEADER and self.failure is None
+
+    def leader(self) -> str:
+        """Return the internal address of the leader, empty when not known."""
+        state = self._replica.state
+        member = find(state.members, state.leader)
+        return member.address if member else ""
+
+    def status(self) -> Mapping[str, Any]:
+        """Return term, leader, members, indexes and lags, for the dump."""
+        now = self._runtime.clock.now()
+        described = describe(self._replica.state, self._applied, now)
+        described["failure"] = str(self.failure or "")
+        return described
+
+    async def _async_guarded(self, run: Any) -> None:
+        """Run a task; a broken invariant stops the replica, not just the task."""
+        try:
+            await run()
+        except BrokenInvariantError as error:
+            await self._async_halt(error)
+
+    async def _async_halt(self, error: BrokenInvariantError) -> None:
+        self.failure = self.failure or error
+        logging.error("the replica stops: %s", error)
+        await self._waiters.async_fail()
+        await self._runtime.async_fail(error)
+
+    async def _async_receive(self, host: str, message: Any) -> None:
+        if self.failure:
+            return
+        plain = from_wire(message)
+        if plain[1].rpartition("/")[0] != host:
+            self._runtime.metrics.count("replication.wrong_sender")
+            return
+        try:
+            self._replica.receive(plain, self._runtime.clock.now())
+        except BrokenInvariantError as error:
+            await self._async_halt(error)
+        await self._wake.set()
+
+    async def _async_run(self) -> None:
+        while self.failure is None:
+            async with curio.ignore_after(TICK):
+                await self._wake.wait()
+            self._wake.clear()
+            now = self._runtime.clock.now()
+            self._replica.tick(now)
+            self._repair(now)
+            await self._async_carry_out(self._replica.take(now))
+
+    async def _async_carry_out(self, effects: Effects) -> None:
+        if effects.retired:
+            await self._async_retire(effects.retired)
+            return
+        if effects.persist is not None:
+            self._write = effects.persist
+            await self._write_wanted.set()
+        for outgoing in effects.messages:
+            await self._async_send(outgoing.to, to_wire(outgoing.message))
+        if effects.restore is not None:
+            self._machine.restore(effects.restore.data)
+            self._applied = effects.restore.index
+        for entry in effects.committed:
+            await self._async_apply(entry)
+        for outcome in effects.reads:
+            await self._waiters.async_read(outcome, self._applied)
+        await self._waiters.async_advance(self._applied)
+        await self._async_note_role()
+        self._snapshot_if_due()
+        if effects.committed:
+            await self._wake.set()
+
+    async def _async_apply(self, entry: Entry) -> None:
+        result = b""
+        if entry.kind == EntryKind.COMMAND:
+            result = self._machine.apply(entry.index, entry.data)
+        self._applied = entry.index
+        await self._waiters.async_applied(entry.index, entry.term, result)
+
+    async def _async_note_role(self) -> None:
+        """Answer those who wait at once when leadership has been lost."""
+        leads = self._replica.state.role is Role.LEADER
+        if leads == self._led:
+            return
+        self._led = leads
+        logging.info("term %d: leader %s", self._replica.state.term, leads)
+        if not leads:
+            self._wishes.clear()
+            await self._waiters.async_fail()
+
+    def _snapshot_if_due(self) -> None:
+        snapshot = self._replica.state.snapshot
+        behind = self._applied - (snapshot.index if snapshot else 0)
+        if behind >= self._runtime.settings.control.snapshot_entries:
+            self._replica.snapshot_taken(self._applied, self._machine.snapshot())
+
+    async def _async_writer(self) -> None:
+        while True:
+            await self._write_wanted.wait()
+            self._write_wanted.clear()
+            async with self._writing:
+                await self._async_write()
+
+    async def _async_write(self) -> None:
+        replica, write = self._replica, self._write
+        self._write = None
+        if write is None:
+            return
+        clock = self._runtime.clock
+        began = clock.now()
+        async with curio.disable_cancellation():
+            await curio.run_in_thread(self._storage.write, write)
+        self._runtime.metrics.timing("replication.sync", clock.now() - began)
+        replica.persisted(write.number, clock.now())
+        await self._wake.set()
+
+    async def _async_retire(self, why: str) -> None:
+        """Begin anew under another identity, as a learner with an empty log."""
+        logging.warning("replica %s is given up: %s", self._replica.state.replica, why)
+        self._runtime.metrics.count("replication.retired")
+        async with self._writing:
+            self._write = None
+            async with curio.disable_cancellation():
+                await curio.run_in_thread(self._storage.retire)
+            self._machine.restore(self._initial)
+            self._applied = 0
+            self._replica = self._new_replica()
+        await self._waiters.async_fail()
+
+    async def _async_send(self, replica: str, message: Any) -> None:
+        state = self._replica.state
+        members = state.returning.newest_members(state.members)
+        member = find(members, replica) or find(state.members, replica)
+        if member is not None:
+            await self._outbox.async_put(member.address, message)
+
+    def _own(self) -> joining.Own:
+        settings = self._runtime.settings
+        address = str(settings.listen.internal)
+        return joining.Own(self._replica.state.replica, settings.host, address)
+
+    async def _async_on_join(self, host: str, message: Any) -> Any:
+        reply = joining.answer(
+            self._replica, self._own(), message, self._runtime.clock.now()
+        )
+        await self._wake.set()
+        return reply
+
+    async def _async_join(self) -> None:
+        while True:
+            if joining.needs_joining(self._replica.state):
+                await self._async_ask_to_join()
+            await curio.sleep(JOIN_PERIOD)
+
+    async def _async_ask_to_join(self) -> None:
+        replica, own = self._replica, self._own()
+        control = self._runtime.settings.control
+        addresses = {str(a) for a in control.addresses} - {own.address}
+        fresh = joining.is_empty(replica.state)
+        request = messages.Join(*own, fresh=fresh)
+        replies: list[Any] = []
+        async with curio.TaskGroup() as group:
+            for address in sorted(addresses):
+                await group.spawn(self._async_call_join, address, request, replies)
+        if not fresh or replica is not self._replica:
+            return
+        first = joining.formed_members(replica.state, replies)
+        first = first or joining.first_members(own, control.bootstrap, replies)
+        if first is not None:
+            replica.form(first)
+            await self._wake.set()
+
+    async def _async_call_join(
+        self, address: str, request: Any, replies: list[Any]
+    ) -> None:
+        try:
+            links = self._runtime.links
+            replies.append(await links.async_call(address, request, JOIN_TIMEOUT))
+        except LinkError:
+            self._runtime.metrics.count("replication.join_unanswered")
+
+    async def _async_on_repair(self, host: str, message: Any) -> Any:
+        if not self.is_leader():
+            return messages.RepairReply(STATUS_NOT_LEADER, "", self.leader())
+        wish = repair.Wish(message.remove, message.add)
+        now = self._runtime.clock.now()
+        found = repair.progress_of(self._replica.state, wish, now)
+        if found.status == REPAIR_DONE:
+            self._wishes = [w for w in self._wishes if w != wish]
+        elif wish not in self._wishes:
+            self._wishes.append(wish)
+        await self._wake.set()
+        return messages.RepairReply(found.status, found.text, self.leader())
+
+    def _repair(self, now: float) -> None:
+        state = self._replica.state
+        if state.role is not Role.LEADER or state.members.index > state.commit:
+            return
+        step = repair.next_step(state, self._wishes, now)
+        if step is not None and step != state.members.all:
+            self._replica.change_members(step, now)
+
+
+def _tuning(runtime: Runtime) -> Tuning:
+    timings = runtime.settings.timings
+    return Tuning(
+        election_min=timings.election_min,
+        election_max=timings.election_max,
+        heartbeat=timings.raft_heartbeat,
+    )
--- a/bitterntiller/components/replication/errors.py
+++ b/bitterntiller/components/replication/errors.py
@@ -30,3 +30,9 @@
     """A message contradicts what is committed."""
 
     code = "replication-safety"
+
+
+class NoDataFolderError(BrokenInvariantError):
+    """The settings of a host with the control role name no data folder."""
+
+    code = "no-data-folder"
--- /dev/null
+++ b/bitterntiller/components/replication/joining.py
@@ -0,0 +1,98 @@
+"""How a replica with an empty folder gets into a membership.
+
+The first membership is formed once, by the first bootstrap host in the order of
+names, and only after every bootstrap host has answered that its folder is empty
+too. A host whose disk was lost hears from some other that a log exists, and
+becomes a learner of it; if it hears from too few, it waits. So an empty disk
+never starts a second deployment beside a living one.
+"""
+
+from typing import Any, NamedTuple
+
+from bitterntiller.protocol import messages
+
+from .const import (
+    JOIN_ACCEPTED,
+    JOIN_EXISTS,
+    JOIN_FORMED,
+    JOIN_FRESH,
+    JOIN_FULL,
+    STATUS_NOT_LEADER,
+    EntryKind,
+)
+from .core import Replica
+from .members import decode_members, find
+from .models import Member
+from .repair import joined
+from .state import Role, State
+
+
+class Own(NamedTuple):
+    """This host as the others are to know it."""
+
+    replica: str
+    host: str
+    address: str
+
+
+def is_empty(state: State) -> bool:
+    """Tell whether this replica has no log yet."""
+    return state.log.last_index == 0 and not state.members.index
+
+
+def needs_joining(state: State) -> bool:
+    """Tell whether this replica must still ask to be taken in."""
+    return find(state.members, state.replica) is None
+
+
+def first_members(
+    own: Own, bootstrap: tuple[str, ...], replies: list[Any]
+) -> tuple[Member, ...] | None:
+    """Return the first membership if this host is to form it now."""
+    if not bootstrap or own.host != min(bootstrap):
+        return None
+    member_by_host = {own.host: Member(*own, True)}
+    for reply in replies:
+        if reply.status != JOIN_FRESH:
+            return None
+        member = Member(reply.replica, reply.host, reply.address, True)
+        member_by_host[reply.host] = member
+    if set(bootstrap) - set(member_by_host):
+        return None
+    return tuple(member_by_host[host] for host in sorted(bootstrap))
+
+
+def formed_members(state: State, replies: list[Any]) -> tuple[Member, ...] | None:
+    """Return the first membership as another host formed it with this one."""
+    for reply in replies:
+        if reply.status != JOIN_FORMED or not reply.members:
+            continue
+        members = decode_members(1, reply.members)
+        if find(members, state.replica) is not None:
+            return members.all
+    return None
+
+
+def answer(replica: Replica, own: Own, join: Any, now: float) -> Any:
+    """Return the JoinReply to a host that asks to be taken in."""
+    state = replica.state
+    if is_empty(state):
+        return messages.JoinReply(JOIN_FRESH, "", *own)
+    first = next(iter(state.log.slice(1, 1)), None)
+    is_first = first is not None and first.kind == EntryKind.MEMBERS
+    if join.fresh and is_first and find(decode_members(1, first.data), join.replica):
+        return messages.JoinReply(JOIN_FORMED, "", *own, first.data)
+    leader = find(state.members, state.leader)
+    if state.role is not Role.LEADER:
+        address = leader.address if leader else ""
+        return messages.JoinReply(
+            STATUS_NOT_LEADER if address else JOIN_EXISTS, address
+        )
+    present = find(state.members, join.replica)
+    if present is not None and present.address == join.address:
+        return messages.JoinReply(JOIN_ACCEPTED, own.address)
+    after = joined(state.members, join.replica, join.host, join.address)
+    if after is None:
+        return messages.JoinReply(JOIN_FULL, own.address)
+    replica.change_members(after, now)
+    return messages.JoinReply(JOIN_ACCEPTED, own.address)
--- /dev/null
+++ b/bitterntiller/components/replication/repair.py
@@ -0,0 +1,165 @@
+"""What a leader does by itself to restore the number of sound voters.
+
+A learner on the host of a silent voter proves that the old disk is no longer in
+use, so the old identity is replaced without a command. Silence alone proves
+nothing: a host behind a cut may come back, so replacing it by another host
+takes an operator's command.
+"""
+
+from typing import NamedTuple
+
+from .const import MAX_MEMBERS, REPAIR_DONE, REPAIR_REFUSED, REPAIR_RUNNING
+from .members import quorum, voters
+from .models import Member, Members
+from .state import Role, State
+
+
+class Wish(NamedTuple):
+    """An operator's command: a voter to remove and the host that takes its place.
+
+    remove is a host or the id of a replica; either may be empty.
+    """
+
+    remove: str
+    add: str
+
+
+class RepairState(NamedTuple):
+    """status is a REPAIR_ constant, text says what is being waited for."""
+
+    status: str
+    text: str
+
+
+def is_sound(state: State, replica: str, now: float) -> bool:
+    """Tell whether a replica answers and holds all that is committed."""
+    if replica == state.replica:
+        return True
+    progress = state.progress_by_replica.get(replica)
+    if progress is None or not progress.counted:
+        return False
+    heard = progress.contact > now - state.tuning.election_max
+    return heard and progress.match >= state.commit
+
+
+def survives(state: State, now: float) -> int | None:
+    """Return how many more voters may be lost now; None if not the leader."""
+    if state.role is not Role.LEADER:
+        return None
+    sound = [v for v in voters(state.members) if is_sound(state, v, now)]
+    return len(sound) - quorum(state.members)
+
+
+def is_silent(state: State, replica: str, now: float) -> bool:
+    """Tell whether nothing has come from a replica for an election timeout."""
+    progress = state.progress_by_replica.get(replica)
+    return bool(progress) and progress.contact <= now - state.tuning.election_max
+
+
+def joined(
+    members: Members, replica: str, host: str, address: str
+) -> tuple[Member, ...] | None:
+    """Return the membership with a learner more; None when there is no room.
+
+    An earlier learner of that host has lost its disk and is dropped.
+    """
+    kept = tuple(
+        member
+        for member in members.all
+        if member.replica != replica and (member.voter or member.host != host)
+    )
+    present = next((m for m in members.all if m.replica == replica), None)
+    if present is not None:
+        return (*kept, present._replace(address=address))
+    if len(kept) >= MAX_MEMBERS:
+        return None
+    return (*kept, Member(replica, host, address, False))
+
+
+def next_step(
+    state: State, wishes: list[Wish], now: float
+) -> tuple[Member, ...] | None:
+    """Return the next membership, None when nothing is to be changed now."""
+    for learner in state.members.all:
+        if learner.voter or not is_sound(state, learner.replica, now):
+            continue
+        if learner.promote:
+            return _replaced(state.members, learner._replace(voter=True, promote=False))
+        if step := _replacing(state, learner, wishes, now):
+            return step
+    return _removing(state, wishes, now)
+
+
+def _replacing(
+    state: State, learner: Member, wishes: list[Wish], now: float
+) -> tuple[Member, ...] | None:
+    dead = _dead_of_host(state, learner.host, now)
+    if dead is not None:
+        return _without(state, dead, learner, now)
+    wish = next((w for w in wishes if w.add == learner.host), None)
+    if wish is None:
+        return None
+    target = _target(state, wish, now)
+    if target is None:
+        return _replaced(state.members, learner._replace(promote=True))
+    return _without(state, target, learner, now)
+
+
+def _removing(
+    state: State, wishes: list[Wish], now: float
+) -> tuple[Member, ...] | None:
+    for wish in wishes:
+        target = None if wish.add else _target(state, wish, now)
+        if target is not None:
+            return _without(state, target, None, now)
+    return None
+
+
+def _dead_of_host(state: State, host: str, now: float) -> Member | None:
+    for member in state.members.all:
+        if member.voter and member.host == host:
+            return member if is_silent(state, member.replica, now) else None
+    return None
+
+
+def _target(state: State, wish: Wish, now: float) -> Member | None:
+    if wish.remove == wish.add:
+        return _dead_of_host(state, wish.remove, now)
+    for member in state.members.all:
+        if member.voter and wish.remove in (member.host, member.replica):
+            return member
+    return None
+
+
+def _without(
+    state: State, dead: Member, learner: Member | None, now: float
+) -> tuple[Member, ...] | None:
+    """Drop a voter, if those that are left can still decide."""
+    kept = tuple(m for m in state.members.all if m != dead)
+    if learner is not None:
+        kept = _replaced(Members(0, kept), learner._replace(promote=True))
+    after = Members(0, kept)
+    sound = [v for v in voters(after) if is_sound(state, v, now)]
+    return kept if voters(after) and len(sound) >= quorum(after) else None
+
+
+def _replaced(members: Members, changed: Member) -> tuple[Member, ...]:
+    return tuple(changed if m.replica == changed.replica else m for m in members.all)
+
+
+def progress_of(state: State, wish: Wish, now: float) -> RepairState:
+    """Tell how far a repair is; done only when full redundancy is back."""
+    if not wish.remove and not wish.add:
+        return RepairState(REPAIR_REFUSED, "neither a replica to remove nor a host")
+    target = _target(state, wish, now)
+    if target is not None:
+        return RepairState(REPAIR_RUNNING, f"{target.replica} is still a voter")
+    hosts = {member.host: member for member in state.members.all}
+    if wish.add and wish.add not in hosts:
+        return RepairState(REPAIR_RUNNING, f"{wish.add} has not joined yet")
+    if wish.add and not hosts[wish.add].voter:
+        return RepairState(REPAIR_RUNNING, f"{wish.add} is catching up")
+    left, full = survives(state, now), (len(voters(state.members)) - 1) // 2
+    if state.members.index > state.commit or left is None or left < full:
+        return RepairState(REPAIR_RUNNING, f"{left} of {full} losses are survived")
+    return RepairState(REPAIR_DONE, f"{left} further losses are survived")
--- a/bitterntiller/core/runtime.py
+++ b/bitterntiller/core/runtime.py
@@ -9,6 +9,7 @@
 
 from bitterntiller.components.settings.models import Settings
 from bitterntiller.core.clock import Clock
+from bitterntiller.core.errors import BrokenInvariantError
 from bitterntiller.core.interfaces import Diagnostics, Links, Metrics
 
 
@@ -29,6 +30,8 @@
         self.incarnation = uuid.uuid4().hex
         self.stack = AsyncExitStack()
         self.diagnostics_by_component: dict[str, Diagnostics] = {}
+        self.failure: BrokenInvariantError | None = None
+        self.failed = curio.Event()
 
     async def async_spawn(self, coroutine: Coroutine[Any, Any, Any]) -> curio.Task:
         """Start a task that is cancelled when the process unloads."""
@@ -39,3 +42,8 @@
     def add_diagnostics(self, component: str, diagnostics: Diagnostics) -> None:
         """Have a component's share included in the dump."""
         self.diagnostics_by_component[component] = diagnostics
+
+    async def async_fail(self, error: BrokenInvariantError) -> None:
+        """Tell whoever runs the process that it must stop; failure says why."""
+        self.failure = self.failure or error
+        await self.failed.set()
--- /dev/null
+++ b/tests/components/replication/explorer.py
@@ -0,0 +1,351 @@
+"""Drives pure replicas through seeded schedules and checks them at each step.
+
+The disks keep only what was synced. An old copy of a disk is put back, or a
+disk lost, only while all other disks are sound and the last such fault has
+been repaired: more than that no protocol of three replicas survives.
+"""
+
+import random
+from dataclasses import dataclass, field
+
+from bitterntiller.components.replication import repair
+from bitterntiller.components.replication.const import EntryKind
+from bitterntiller.components.replication.core import Replica
+from bitterntiller.components.replication.errors import SafetyError
+from bitterntiller.components.replication.members import encode_members, find, voters
+from bitterntiller.components.replication.models import (
+    Entry,
+    Member,
+    Persist,
+    Restored,
+    Tuning,
+)
+from bitterntiller.components.replication.records import Replay
+from bitterntiller.components.replication.state import Role, initial
+
+WAITS_FOR_ALL = 1e9
+TUNING = Tuning(return_grace=0.5, batch_entries=3, piece_bytes=7, trailing=2)
+
+WEIGHTS = {
+    "deliver": 620,
+    "pass_time": 170,
+    "sync": 200,
+    "propose": 40,
+    "read": 12,
+    "crash": 4,
+    "restart": 8,
+    "cut": 5,
+    "heal": 5,
+    "freeze": 2,
+    "thaw": 6,
+    "snapshot": 5,
+    "lose_disk": 1,
+    "old_copy": 2,
+    "resize": 3,
+}
+
+
+class ViolationError(AssertionError):
+    """Raised when a promise of the log is broken."""
+
+
+@dataclass
+class Node:
+    host: str
+    disk: Restored
+    rate: float
+    clock: float = 100.0
+    replica: Replica | None = None
+    write: Persist | None = None
+    frozen: bool = False
+    copies: list[Restored] = field(default_factory=list)
+    applied: int = 0
+    chain: int = 0
+    checked: int = 0
+
+
+class World:
+    def __init__(self, seed: int, hosts: str = "abcd", first: int = 3) -> None:
+        self.rng = random.Random(seed)
+        self.nodes = {h: self._new_node(h) for h in hosts}
+        self.network: list[tuple[str, str, object]] = []
+        self.cuts: set[tuple[str, str]] = set()
+        self.fragile = ""
+        self.leader_by_term: dict[int, str] = {}
+        self.entry_by_place: dict[tuple[int, int], tuple[Entry, int]] = {}
+        self.committed: dict[int, Entry] = {}
+        self.chain_by_index: dict[int, int] = {0: 0}
+        self.asked: dict[int, int] = {}
+        self.tokens = 0
+        members = tuple(self.member(h, True) for h in hosts[:first])
+        for host in hosts[:first]:
+            node = self.nodes[host]
+            replay = Replay(node.disk)
+            entry = Entry(1, 1, EntryKind.MEMBERS, encode_members(members))
+            hard = node.disk.hard._replace(term=1)
+            replay.apply(Persist(0, hard, None, None, (entry,), None))
+            node.disk = replay.restored()
+        for host in hosts:
+            self.start(self.nodes[host])
+
+    def _new_node(self, host: str) -> Node:
+        return Node(host, initial(f"{host}/1"), self.rng.uniform(0.9, 1.1))
+
+    def member(self, host: str, voter: bool) -> Member:
+        return Member(self.nodes[host].disk.replica, host, host, voter)
+
+    def start(self, node: Node, grace: float | None = None) -> None:
+        tuning = TUNING._replace(return_grace=grace) if grace else TUNING
+        seed = random.Random(self.rng.random())
+        node.replica = Replica(node.disk, tuning, seed, node.clock)
+        node.write, node.applied, node.chain, node.checked = None, 0, 0, 0
+        self.after(node)
+
+    def run(self, steps: int) -> None:
+        actions = list(WEIGHTS)
+        weights = list(WEIGHTS.values())
+        for action in self.rng.choices(actions, weights, k=steps):
+            getattr(self, action)()
+
+    def any_node(self) -> Node | None:
+        up = [n for n in self.nodes.values() if n.replica and not n.frozen]
+        return self.rng.choice(up) if up else None
+
+    def leaders(self) -> list[Node]:
+        up = [n for n in self.nodes.values() if n.replica and not n.frozen]
+        return [n for n in up if n.replica.state.role is Role.LEADER]
+
+    # What may happen in a step.
+
+    def deliver(self) -> None:
+        if not self.network:
+            return
+        place = self.rng.randrange(min(len(self.network), 12))
+        source, to, message = self.network[place]
+        if self.rng.random() > 0.05:
+            del self.network[place]
+        node = self.nodes[to.partition("/")[0]]
+        lost = (source, node.host) in self.cuts or self.rng.random() < 0.04
+        if lost or node.replica is None or node.frozen or node.disk.replica != to:
+            return
+        node.replica.receive(message, node.clock)
+        self.after(node)
+
+    def pass_time(self) -> None:
+        seconds = self.rng.choice((0.02, 0.05, 0.1))
+        for node in self.nodes.values():
+            node.clock += seconds * node.rate
+            if node.replica and not node.frozen:
+                node.replica.tick(node.clock)
+                self.after(node)
+        for node in self.leaders():
+            self._join_and_repair(node)
+
+    def sync(self) -> None:
+        node = self.any_node()
+        if node and node.write:
+            self._finish_write(node)
+            node.replica.persisted(node.disk_number, node.clock)
+            self.after(node)
+
+    def propose(self) -> None:
+        for node in self.leaders():
+            node.replica.propose(b"%d" % self.rng.getrandbits(40))
+            self.after(node)
+
+    def read(self) -> None:
+        for node in self.leaders():
+            self.tokens += 1
+            self.asked[self.tokens] = max(self.committed, default=0)
+            node.replica.ask_read(self.tokens)
+            self.after(node)
+
+    def crash(self) -> None:
+        node = self.any_node()
+        if node is None:
+            return
+        if node.write and self.rng.random() < 0.4:
+            self._finish_write(node)
+        node.replica, node.write = None, None
+
+    def restart(self) -> None:
+        for node in self.nodes.values():
+            if node.replica is None:
+                self.start(node, WAITS_FOR_ALL if self.fragile == node.host else None)
+
+    def cut(self) -> None:
+        a, b = self.rng.sample(sorted(self.nodes), 2)
+        pairs = [(a, b)] if self.rng.random() < 0.4 else [(a, b), (b, a)]
+        if self.rng.random() < 0.4:
+            pairs = [p for h in self.nodes for p in ((a, h), (h, a))]
+        self.cuts |= set(pairs)
+
+    def heal(self) -> None:
+        self.cuts.clear()
+
+    def freeze(self) -> None:
+        if node := self.any_node():
+            node.frozen = True
+
+    def thaw(self) -> None:
+        for node in self.nodes.values():
+            node.frozen = False
+
+    def snapshot(self) -> None:
+        node = self.any_node()
+        if node and node.applied:
+            node.replica.snapshot_taken(node.applied, b"%d" % node.chain)
+            self.after(node)
+
+    def lose_disk(self) -> None:
+        node = self.any_node()
+        if node is None or not self._all_sound():
+            return
+        self.fragile = node.host
+        self._new_identity(node)
+
+    def old_copy(self) -> None:
+        node = self.any_node()
+        if node is None or not node.copies or not self._all_sound():
+            return
+        self.fragile = node.host
+        node.disk = self.rng.choice(node.copies[-12:])
+        self.start(node, WAITS_FOR_ALL)
+
+    def resize(self) -> None:
+        for node in self.leaders():
+            state = node.replica.state
+            spare = [m for m in state.members.all if not m.voter]
+            if spare and not self.fragile:
+                changed = spare[0]._replace(voter=True)
+            elif len(voters(state.members)) > 3 and not self.fragile:
+                changed = self.rng.choice(state.members.all)._replace(voter=False)
+            else:
+                continue
+            node.replica.change_members(
+                [changed if m.replica == changed.replica else m for m in state.members.all],
+                node.clock,
+            )
+            self.after(node)
+
+    # Effects.
+
+    def _finish_write(self, node: Node) -> None:
+        replay = Replay(node.disk)
+        replay.apply(node.write)
+        node.copies.append(node.disk)
+        node.disk = replay.restored()
+        node.disk_number, node.write = node.write.number, None
+
+    def _new_identity(self, node: Node) -> None:
+        host, _, number = node.disk.replica.partition("/")
+        node.disk = initial(f"{host}/{int(number) + 1}")
+        node.copies = []
+        self.start(node)
+
+    def _join_and_repair(self, node: Node) -> None:
+        state = node.replica.state
+        if state.members.index > state.commit:
+            return
+        for other in self.nodes.values():
+            if other.replica and not find(state.members, other.disk.replica):
+                new = repair.joined(state.members, other.disk.replica, *[other.host] * 2)
+                node.replica.change_members(new, node.clock)
+                break
+        if step := repair.next_step(state, [], node.clock):
+            node.replica.change_members(step, node.clock)
+        full = (len(voters(state.members)) - 1) // 2
+        if self._all_up() and repair.survives(state, node.clock) == full:
+            self.fragile = ""
+        self.after(node)
+
+    def _all_up(self) -> bool:
+        nodes = self.nodes.values()
+        return all(n.replica and n.replica.state.returning.done for n in nodes)
+
+    def _all_sound(self) -> bool:
+        return not self.fragile and self._all_up()
+
+    def after(self, node: Node) -> None:
+        effects = node.replica.take(node.clock)
+        if effects.retired:
+            self._new_identity(node)
+            return
+        if effects.persist:
+            node.write = effects.persist
+        for to, message in effects.messages:
+            self.network.append((node.host, to, message))
+        if effects.restore:
+            node.applied, node.chain = effects.restore.index, int(effects.restore.data)
+            self._check_chain(node)
+        for entry in effects.committed:
+            if entry.index != node.applied + 1:
+                raise ViolationError(f"{entry.index} applied after {node.applied}")
+            node.applied = entry.index
+            node.chain = hash((node.chain, entry))
+            self._check_chain(node)
+        for outcome in effects.reads:
+            asked = self.asked.pop(outcome.token)
+            if outcome.index is not None and outcome.index < asked:
+                raise ViolationError(f"read {outcome.index} after {asked} committed")
+        self.check(node)
+
+    # Checks.
+
+    def _check_chain(self, node: Node) -> None:
+        known = self.chain_by_index.setdefault(node.applied, node.chain)
+        if known != node.chain:
+            raise ViolationError(f"two states after entry {node.applied}")
+
+    def check(self, node: Node) -> None:
+        state = node.replica.state
+        log = state.log
+        if state.role is Role.LEADER:
+            leader = self.leader_by_term.setdefault(state.term, state.replica)
+            if leader != state.replica:
+                raise ViolationError(f"two leaders in term {state.term}")
+            self._check_complete(state)
+        for place, entry in enumerate(log.slice(log.base_index + 1, log.last_index)):
+            if entry.index != log.base_index + 1 + place:
+                raise ViolationError(f"entry {entry.index} is out of place")
+            pair = (entry, log.term_at(entry.index - 1))
+            if self.entry_by_place.setdefault(entry[:2], pair) != pair:
+                raise ViolationError(f"logs differ before {entry[:2]}")
+        if state.commit > log.last_index:
+            raise ViolationError(f"{state.commit} is committed but missing")
+        for entry in log.slice(node.checked + 1, state.commit):
+            if self.committed.setdefault(entry.index, entry) != entry:
+                raise ViolationError(f"committed entry {entry.index} changed")
+        node.checked = min(node.checked, state.commit) if state.commit else 0
+        node.checked = state.commit
+
+    def _check_complete(self, state) -> None:
+        for index in range(max(self.committed, default=0), state.log.base_index, -1):
+            if self.committed[index].term > state.term:
+                continue
+            if state.log.term_at(index) != self.committed[index].term:
+                raise ViolationError(f"a leader lacks committed entry {index}")
+
+    def settle(self) -> None:
+        """End all faults; raise unless a new entry is committed soon."""
+        self.cuts.clear()
+        self.thaw()
+        self.restart()
+        before = max(self.committed, default=0)
+        calm = {"deliver": 620, "pass_time": 100, "sync": 200, "propose": 10}
+        for action in self.rng.choices(list(calm), list(calm.values()), k=12000):
+            getattr(self, action)()
+            if max(self.committed, default=0) > before + 3 and not self.fragile:
+                return
+        raise ViolationError("no entry is committed although all are connected")
+
+
+def explore(seed: int, steps: int, hosts: str = "abcd", first: int = 3) -> World:
+    """Run one schedule; raise ViolationError for a broken promise."""
+    world = World(seed, hosts, first)
+    try:
+        world.run(steps)
+        world.settle()
+    except SafetyError as error:
+        raise ViolationError(str(error)) from error
+    return world
