Tell a delayed question about a return from an old copy, and name starts by number and chance

Trial schedules showed sound replicas given up: a question that arrived after newer acknowledgements of the same start looked older than they were. Promises are now noted with the start that gave them.

--- a/bitterntiller/components/replication/election.py
+++ b/bitterntiller/components/replication/election.py
@@ -102,7 +102,7 @@
         return
     mark = state.marks_by_replica.get(message.voter, Mark())
     if message.term > mark.term:
-        state.note_mark(message.voter, mark._replace(term=message.term, index=0))
+        state.note_mark(message.voter, Mark(message.boot, message.term, 0))
     if state.role is not Role.CANDIDATE or message.term != state.term:
         return
     state.votes.add(message.voter)
--- a/bitterntiller/components/replication/identity.py
+++ b/bitterntiller/components/replication/identity.py
@@ -9,10 +9,27 @@
 votes only for logs that reach the furthest log among the peers.
 """
 
+import random
+
 from .const import VERDICT_FINE, VERDICT_REMOVED, VERDICT_STALE
 from .members import decode_members, find, quorum, voters
 from .models import Mark, Members, ReturnCheck, ReturnCheckReply
 
+_RANDOM_BITS = 20
+
+
+def next_boot(boot: int, rng: random.Random) -> int:
+    """Return the boot number of the start that follows the given one.
+
+    It grows with each start. Its lowest bits are random, so that two starts
+    from copies of one folder get different numbers.
+    """
+    return (boot >> _RANDOM_BITS) + 1 << _RANDOM_BITS | rng.getrandbits(_RANDOM_BITS)
+
+
+def _is_other_start(boot: int, known: int) -> bool:
+    return boot != known and boot >> _RANDOM_BITS == known >> _RANDOM_BITS
+
 
 def judge(check: ReturnCheck, mark: Mark, members: Members, commit: int) -> str:
     """Return the verdict on a replica that has started.
@@ -23,9 +40,10 @@
     removed = check.members_index < members.index <= commit
     if removed and find(members, check.replica) is None:
         return VERDICT_REMOVED
-    if check.boot < mark.boot:
-        return VERDICT_STALE
-    if check.boot == mark.boot and check.session != mark.session:
+    if check.boot == mark.boot:
+        # Promises heard since the start; the question may come after them.
+        return VERDICT_FINE
+    if check.boot < mark.boot or _is_other_start(check.boot, mark.boot):
         return VERDICT_STALE
     if check.term < mark.term:
         return VERDICT_STALE
--- a/bitterntiller/components/replication/leading.py
+++ b/bitterntiller/components/replication/leading.py
@@ -219,7 +219,7 @@
         progress.rejected(message.hint_index)
         return
     progress.acknowledged(message.match_index)
-    _note_promise(state, message.follower, message.match_index)
+    _note_promise(state, message, message.match_index)
     advance_commit(state, now)
 
 
@@ -234,7 +234,7 @@
     if message.done:
         progress.snapshot = None
         progress.acknowledged(message.last_index)
-        _note_promise(state, replica, message.last_index)
+        _note_promise(state, message, message.last_index)
         advance_commit(state, now)
         return
     if message.offset != progress.snapshot_offset:
@@ -256,10 +256,10 @@
     return progress
 
 
-def _note_promise(state: State, replica: str, index: int) -> None:
-    mark = state.marks_by_replica.get(replica, Mark())
+def _note_promise(state: State, reply: AppendReply | SnapshotReply, index: int) -> None:
+    mark = state.marks_by_replica.get(reply.follower, Mark())
     if (state.term, index) > (mark.term, mark.index):
-        state.note_mark(replica, mark._replace(term=state.term, index=index))
+        state.note_mark(reply.follower, Mark(reply.boot, state.term, index))
 
 
 def may_commit(state: State, index: int) -> bool:
--- a/bitterntiller/components/replication/records.py
+++ b/bitterntiller/components/replication/records.py
@@ -30,9 +30,7 @@
         hard = HardState(batch.term, batch.vote, batch.boot)
     marks = None
     if batch.marks is not None:
-        marks = {
-            m.replica: Mark(m.boot, m.session, m.term, m.index) for m in batch.marks
-        }
+        marks = {m.replica: Mark(m.boot, m.term, m.index) for m in batch.marks}
     entries = plain_entries(batch.entries or ())
     return Persist(0, hard, marks, batch.truncate_from, entries, None)
 
--- a/bitterntiller/components/replication/returning.py
+++ b/bitterntiller/components/replication/returning.py
@@ -3,10 +3,13 @@
 from . import identity
 from .const import NO_VOTE, VERDICT_FINE, VOTE_BARRED
 from .identity import ReturnState
-from .members import encode_members
+from .members import encode_members, find
 from .models import Mark, ReturnCheck, ReturnCheckReply
 from .state import Role, State
 
+NEVER_REMOVED = 2**62
+"""Stands for the index of a membership that is newer than any."""
+
 
 def on_tick(state: State, now: float) -> None:
     """Ask the other voters, and again when no leader shows up for long.
@@ -26,12 +29,14 @@
 
 
 def _ask(state: State) -> None:
+    # A replica that has not yet met itself in a membership, having just joined,
+    # can't have been removed since.
+    known = find(state.members, state.replica) is not None
     check = ReturnCheck(
         state.term,
         state.replica,
-        state.session,
         state.log.last_index,
-        state.members.index,
+        state.members.index if known else NEVER_REMOVED,
         state.hard.boot,
     )
     members = state.returning.newest_members(state.members)
@@ -66,8 +71,7 @@
     mark = state.marks_by_replica.get(replica, Mark())
     verdict = identity.judge(message, mark, state.members, state.commit)
     if verdict == VERDICT_FINE:
-        new = mark._replace(boot=message.boot, session=message.session)
-        state.note_mark(replica, new, due=True)
+        state.note_mark(replica, mark._replace(boot=message.boot), due=True)
     progress = state.progress_by_replica.get(replica)
     if progress is not None:
         progress.counted = False
@@ -77,7 +81,7 @@
     reply = ReturnCheckReply(
         state.term,
         state.replica,
-        message.session,
+        message.boot,
         verdict,
         state.log.last_index,
         state.log.last_term,
@@ -90,7 +94,7 @@
 
 def on_check_reply(state: State, message: ReturnCheckReply, now: float) -> None:
     """Note an answer; a verdict against this identity ends its use."""
-    if message.session != state.session:
+    if message.asked_boot != state.hard.boot:
         return
     if message.verdict != VERDICT_FINE:
         state.retired = f"{message.verdict} according to {message.voter}"
--- a/bitterntiller/components/replication/state.py
+++ b/bitterntiller/components/replication/state.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 
 from .const import NO_VOTE, EntryKind
-from .identity import ReturnState
+from .identity import ReturnState, next_boot
 from .log import Log
 from .members import NO_MEMBERS, decode_members, voters
 from .models import (
@@ -50,8 +50,8 @@
         self.replica = restored.replica
         self.tuning = tuning
         self.rng = rng
-        self.session = rng.getrandbits(62)
-        self.hard = restored.hard._replace(boot=restored.hard.boot + 1)
+        boot = next_boot(restored.hard.boot, rng)
+        self.hard = restored.hard._replace(boot=boot)
         self.marks_by_replica = dict(restored.marks_by_replica)
         self.snapshot = restored.snapshot
         self.log = Log(restored.snapshot, restored.entries)
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -291,7 +291,7 @@
 
 struct Entry { 1: required i64 index, 2: required i64 term, 3: required i16 kind, 4: required binary data }
 
-/* boot is the sender's count of starts; what an earlier start sent is dropped. */
+/* boot names the sender's start; what an earlier start sent is dropped. */
 
 struct PreVote {
     1: required i64 term, 2: required string candidate, 3: required i64 last_index, 4: required i64 last_term,
@@ -332,11 +332,11 @@
 
 /* Asked of all other voters at each start, before the first vote. */
 struct ReturnCheck {
-    1: required i64 term, 2: required string replica, 3: required i64 session, 4: required i64 last_index,
-    5: required i64 members_index, 6: optional i64 boot,
+    1: required i64 term, 2: required string replica, 3: required i64 last_index,
+    4: required i64 members_index, 5: optional i64 boot,
 }
 struct ReturnCheckReply {
-    1: required i64 term, 2: required string voter, 3: required i64 session,
+    1: required i64 term, 2: required string voter, 3: required i64 asked_boot,
     4: required string verdict,          // fine, stale, removed
     5: required i64 last_index, 6: required i64 last_term, 7: required i64 members_index,
     8: required binary members, 9: optional i64 boot,
@@ -356,7 +356,7 @@
 /* ---- the replicated log on disk ---- */
 
 struct Mark {
-    1: required string replica, 2: required i64 boot, 3: required i64 session, 4: required i64 term, 5: required i64 index,
+    1: required string replica, 2: required i64 boot, 3: required i64 term, 4: required i64 index,
 }
 
 /* What one synced write holds, applied in this order. */
--- /dev/null
+++ b/tests/components/replication/mutations.py
@@ -0,0 +1,178 @@
+"""Guards of the replicated log, each broken in one way."""
+
+from bitterntiller.components.replication import (
+    core,
+    election,
+    following,
+    identity,
+    leading,
+    members,
+    returning,
+)
+from bitterntiller.components.replication.models import (
+    AppendReply,
+    ReadOutcome,
+    VoteReply,
+)
+from bitterntiller.components.replication.state import Outgoing, Role, State
+
+
+def _unsynced(patch, cls):
+    hold = State.hold
+
+    def send_at_once(self, to, message):
+        if isinstance(message, cls):
+            self._free.append(Outgoing(to, message))
+        else:
+            hold(self, to, message)
+
+    patch.setattr(State, "hold", send_at_once)
+
+
+def no_sync_before_vote(patch):
+    _unsynced(patch, VoteReply)
+
+
+def no_sync_before_acknowledgement(patch):
+    _unsynced(patch, AppendReply)
+
+
+def own_entries_count_unsynced(patch):
+    held = leading._held_by_quorum
+
+    def count(state, own, value_by_replica):
+        own = state.log.last_index if own == state.stable else own
+        return held(state, own, value_by_replica)
+
+    patch.setattr(leading, "_held_by_quorum", count)
+
+
+def no_term_check(patch):
+    patch.setattr(core, "is_outdated", lambda state, message: False)
+
+
+def two_votes_in_a_term(patch):
+    patch.setattr(election, "may_vote_for", lambda state, candidate: True)
+
+
+def votes_for_any_log(patch):
+    patch.setattr(election, "is_up_to_date", lambda *args: True)
+
+
+def half_is_a_quorum(patch):
+    def half(of):
+        return max(len(members.voters(of)) // 2, 1)
+
+    patch.setattr(election, "quorum", half)
+    patch.setattr(leading, "quorum", half)
+
+
+def no_check_of_previous_entry(patch):
+    def agrees(state, message):
+        return message.prev_index <= state.log.last_index
+
+    patch.setattr(following, "agrees", agrees)
+
+
+def late_append_cuts_the_log(patch):
+    take_over = following._take_over
+
+    def cut(state, entry):
+        take_over(state, entry)
+        if entry.index < state.log.last_index:
+            state.truncate_from(entry.index + 1)
+
+    patch.setattr(following, "_take_over", cut)
+
+
+def commits_beyond_what_was_compared(patch):
+    on_append = following.on_append
+
+    def commit_all(state, message):
+        on_append(state, message)
+        commit = min(message.commit, state.log.last_index)
+        state.commit = max(state.commit, commit)
+
+    patch.setattr(following, "on_append", commit_all)
+
+
+def commits_earlier_terms_by_counting(patch):
+    patch.setattr(leading, "may_commit", lambda state, index: True)
+
+
+def installs_stale_snapshots(patch):
+    patch.setattr(following, "is_newer_snapshot", lambda state, message: True)
+
+
+def changes_members_before_own_term_commits(patch):
+    def may_change(state):
+        return state.role is Role.LEADER and state.members.index <= state.commit
+
+    patch.setattr(leading, "may_change_members", may_change)
+
+
+def changes_members_while_one_is_open(patch):
+    patch.setattr(
+        leading, "may_change_members", lambda state: state.role is Role.LEADER
+    )
+
+
+def reads_without_a_round(patch):
+    def ask_read(state, token):
+        state.read_outcomes.append(ReadOutcome(token, state.commit))
+        return True
+
+    patch.setattr(leading, "ask_read", ask_read)
+
+
+def old_identity_votes(patch):
+    def finish_if_enough(state, now):
+        state.returning.done = True
+
+    patch.setattr(returning, "_finish_if_enough", finish_if_enough)
+
+
+def old_identity_is_not_recognized_nor_caught_up(patch):
+    patch.setattr(identity, "judge", lambda *args: "fine")
+    finish = identity.ReturnState.finish
+
+    def finish_without_floor(self):
+        finish(self)
+        self.floor = (0, 0)
+        return 0
+
+    patch.setattr(identity.ReturnState, "finish", finish_without_floor)
+
+
+def lost_disk_keeps_its_identity(patch):
+    from . import explorer
+
+    def same_identity(self, node):
+        node.disk = explorer.initial(node.disk.replica)
+        node.copies = []
+        self.start(node)
+
+    patch.setattr(explorer.World, "_new_identity", same_identity)
+    old_identity_votes(patch)
+
+
+ALL = (
+    no_sync_before_vote,
+    no_sync_before_acknowledgement,
+    own_entries_count_unsynced,
+    no_term_check,
+    two_votes_in_a_term,
+    votes_for_any_log,
+    half_is_a_quorum,
+    no_check_of_previous_entry,
+    late_append_cuts_the_log,
+    commits_beyond_what_was_compared,
+    commits_earlier_terms_by_counting,
+    installs_stale_snapshots,
+    changes_members_before_own_term_commits,
+    changes_members_while_one_is_open,
+    reads_without_a_round,
+    old_identity_votes,
+    old_identity_is_not_recognized_nor_caught_up,
+    lost_disk_keeps_its_identity,
+)
