--- a/bitterntiller/core/daemon.py
+++ b/bitterntiller/core/daemon.py
@@ -99,7 +99,7 @@
 async def _async_until_stopped(runtime: Runtime, signals: SignalReceiver) -> None:
     async with curio.TaskGroup(wait=any) as group:
         await group.spawn(signals.async_get)
-        await group.spawn(runtime.stopping.wait)
+        await group.spawn(runtime.failed.wait)
 
 
 async def _async_stop(runtime: Runtime, parts: Parts, signals: SignalReceiver) -> int:
--- a/bitterntiller/core/runtime.py
+++ b/bitterntiller/core/runtime.py
@@ -32,7 +32,7 @@
         self.stack = AsyncExitStack()
         self.diagnostics_by_component: dict[str, Diagnostics] = {}
         self.failure: BaseException | None = None
-        self.stopping = curio.Event()
+        self.failed = curio.Event()
 
     async def async_spawn(self, coroutine: Coroutine[Any, Any, Any]) -> curio.Task:
         """Start a task of a part; it is cancelled when the process unloads.
@@ -53,10 +53,9 @@
             await self.async_fail(error)
 
     async def async_fail(self, error: BaseException) -> None:
-        """Stop the process because of a broken invariant."""
-        if self.failure is None:
-            self.failure = error
-        await self.stopping.set()
+        """Tell whoever runs the process that it must stop; failure says why."""
+        self.failure = self.failure or error
+        await self.failed.set()
 
     def add_diagnostics(self, component: str, diagnostics: Diagnostics) -> None:
         """Have a component's share included in the dump."""
