Measure decisions on a model of engines and arrivals

Cause: the policy was decided without a measurement. bench/ drives any Scheduler on a fake clock with a fluid model of continuous batching, prefix caches, late reports and events, bursts, a slow engine and a dead owner, beside four baselines that send on at once.

--- /dev/null
+++ b/bench/baselines.py
@@ -0,0 +1,179 @@
+"""Ways to choose an upstream that others use, for comparison.
+
+Each sends a request on at once, as a load balancer does: the queue is in the
+upstream, first come, first served, and knows no tiers.
+"""
+
+import numpy as np
+
+from bitterntiller.components.dispatch.models import (
+    Completion,
+    Decision,
+    Granted,
+    UpstreamState,
+    WaitingRequest,
+    WorkspaceLimits,
+)
+
+
+class Baseline:
+    """Grants every request at once; subclasses choose the upstream."""
+
+    def __init__(self, rng: np.random.Generator) -> None:
+        self._rng = rng
+        self._states_by_name: dict[str, UpstreamState] = {}
+        self._upstream_by_id: dict[str, str] = {}
+        self._outstanding_by_name: dict[str, int] = {}
+        self._early: list[WaitingRequest] = []
+
+    def choose(self) -> str:
+        """Return the name of the upstream for the next request."""
+        raise NotImplementedError
+
+    def register(self, request: WaitingRequest, now: float) -> list[Decision]:
+        """Grant at once, or when the first upstream has announced itself."""
+        if not self._states_by_name:
+            self._early.append(request)
+            return []
+        name = self.choose()
+        self._count(request.request_id, name)
+        state = self._states_by_name[name]
+        return [
+            Granted(
+                request.request_id,
+                request.entry_host,
+                name,
+                state.address,
+                state.incarnation,
+            )
+        ]
+
+    def cancel(self, request_id: str, now: float) -> list[Decision]:
+        """Count a request no more."""
+        name = self._upstream_by_id.pop(request_id, None)
+        if name is not None:
+            self._outstanding_by_name[name] -= 1
+        return []
+
+    def started(self, request_id: str, now: float) -> list[Decision]:
+        """Note nothing."""
+        return []
+
+    def returned(
+        self, request_id: str, reason: str, waiting: bool, now: float
+    ) -> list[Decision]:
+        """Count a request no more."""
+        return self.cancel(request_id, now)
+
+    def progress(
+        self, request_id: str, output_tokens: int, now: float
+    ) -> list[Decision]:
+        """Note nothing."""
+        return []
+
+    def finished(self, completion: Completion, now: float) -> list[Decision]:
+        """Count a request no more."""
+        return self.cancel(completion.request_id, now)
+
+    def adopt_running(
+        self, request: WaitingRequest, upstream: str, output_tokens: int, now: float
+    ) -> list[Decision]:
+        """Count a request that runs."""
+        self._count(request.request_id, upstream)
+        return []
+
+    def announce(self, state: UpstreamState, now: float) -> tuple[bool, list[Decision]]:
+        """Keep the newest state."""
+        self._states_by_name[state.name] = state
+        self._outstanding_by_name.setdefault(state.name, 0)
+        early, self._early = self._early, []
+        decisions = []
+        for request in early:
+            decisions += self.register(request, now)
+        return True, decisions
+
+    def set_limits(
+        self, limits_by_workspace: dict[str, WorkspaceLimits], now: float
+    ) -> list[Decision]:
+        """Know no limits."""
+        return []
+
+    def tick(self, now: float) -> list[Decision]:
+        """Do nothing."""
+        return []
+
+    def next_wake(self, now: float) -> float:
+        """Return a time that never comes."""
+        return float("inf")
+
+    def describe(self, now: float) -> dict[str, object]:
+        """Return the outstanding requests."""
+        return dict(self._outstanding_by_name)
+
+    def _count(self, request_id: str, name: str) -> None:
+        self._upstream_by_id[request_id] = name
+        before = self._outstanding_by_name.get(name, 0)
+        self._outstanding_by_name[name] = before + 1
+
+    def _least(self, value_by_name: dict[str, float]) -> str:
+        """Return the name with the least value, ties broken at random."""
+        least = min(value_by_name.values())
+        names = [name for name, value in value_by_name.items() if value == least]
+        return names[int(self._rng.integers(len(names)))]
+
+
+class Random(Baseline):
+    """Any upstream."""
+
+    def choose(self) -> str:
+        """Return the name of the upstream for the next request."""
+        names = list(self._states_by_name)
+        return names[int(self._rng.integers(len(names)))]
+
+
+class RoundRobin(Baseline):
+    """One upstream after the other."""
+
+    _next = 0
+
+    def choose(self) -> str:
+        """Return the name of the upstream for the next request."""
+        names = list(self._states_by_name)
+        self._next += 1
+        return names[self._next % len(names)]
+
+
+class LeastReportedLoad(Baseline):
+    """The upstream whose newest report is the lowest for its slots."""
+
+    def choose(self) -> str:
+        """Return the name of the upstream for the next request."""
+        return self._least(
+            {
+                name: (state.load.running + state.load.waiting) / state.slots
+                if state.load is not None
+                else 0.0
+                for name, state in self._states_by_name.items()
+            }
+        )
+
+
+class LeastOutstanding(Baseline):
+    """The upstream with the fewest own requests for its slots."""
+
+    def choose(self) -> str:
+        """Return the name of the upstream for the next request."""
+        return self._least(
+            {
+                name: self._outstanding_by_name[name] / state.slots
+                for name, state in self._states_by_name.items()
+            }
+        )
+
+
+BASELINES_BY_NAME = {
+    "random": Random,
+    "round-robin": RoundRobin,
+    "least-reported": LeastReportedLoad,
+    "least-outstanding": LeastOutstanding,
+}
--- /dev/null
+++ b/bench/engine.py
@@ -0,0 +1,263 @@
+"""A model of an upstream: a continuous batch that knows no priority."""
+
+import heapq
+from collections import OrderedDict
+from collections.abc import Callable
+
+from bench.arrivals import prefix_tokens
+from bench.cache import PrefixCache
+from bench.models import Ask, UpstreamProfile
+
+CHUNK_TOKENS = 512
+"""Prompt tokens that are computed along with a decode step, one chunk a step."""
+
+NEVER = float("inf")
+TINY = 1e-9
+
+
+class Job:
+    """One request in an upstream.
+
+    computed is the prompt tokens whose prefill was done, for a plain service
+    the units of work begun. recomputed is the part of them that some engine of
+    the pool had computed before.
+    """
+
+    __slots__ = (
+        "ask",
+        "cached",
+        "computed",
+        "ended",
+        "prefill_left",
+        "recomputed",
+        "request_id",
+        "start",
+        "state",
+        "target",
+    )
+
+    def __init__(self, request_id: str, ask: Ask) -> None:
+        self.request_id = request_id
+        self.ask = ask
+        self.state = "waiting"
+        self.cached = 0
+        self.recomputed = 0
+        self.computed = 0.0
+        self.prefill_left = 0.0
+        self.start = 0.0
+        self.target = 0.0
+
+
+class Upstream:
+    """Admits jobs first come, first served, into a batch of limited size.
+
+    Prefill is done for one job after the other, in chunks that lengthen the
+    decode steps. All decoding jobs get a token in each step, so one counter of
+    steps tells the progress of them all. The counter and the prefill advance
+    evenly between two events.
+    """
+
+    def __init__(
+        self,
+        profile: UpstreamProfile,
+        on_first_token: Callable[[Job, float], None],
+        on_finished: Callable[[Job, float], None],
+        seen_prefixes: set[int],
+    ) -> None:
+        self.profile = profile
+        self.cache = PrefixCache(profile.cache_tokens)
+        self.speed = 1.0
+        self.kv_used = 0
+        self.jobs_by_id: dict[str, Job] = {}
+        self._on_first_token = on_first_token
+        self._on_finished = on_finished
+        self._seen_prefixes = seen_prefixes
+        self._waiting: OrderedDict[str, Job] = OrderedDict()
+        self._prefilling: OrderedDict[str, Job] = OrderedDict()
+        self._decoding: dict[str, Job] = {}
+        self._targets: list[tuple[float, str]] = []
+        self._steps = 0.0
+        self._time = 0.0
+
+    @property
+    def running(self) -> int:
+        """Return the jobs of the batch."""
+        return len(self._prefilling) + len(self._decoding)
+
+    @property
+    def waiting(self) -> int:
+        """Return the jobs that wait for a place in the batch."""
+        return len(self._waiting)
+
+    def decoding(self) -> list[Job]:
+        """Return the jobs that are past their first token."""
+        return list(self._decoding.values())
+
+    def output(self, job: Job) -> int:
+        """Return the output tokens that a job has got so far."""
+        if job.state == "decoding":
+            return min(job.ask.output, 1 + int(self._steps - job.start))
+        return job.ask.output if job.state == "done" else 0
+
+    def set_speed(self, speed: float, now: float) -> None:
+        """Go on at a fraction of full speed."""
+        self.advance(now)
+        self.speed = speed
+
+    def submit(self, request_id: str, ask: Ask, now: float) -> Job:
+        """Take a job."""
+        self.advance(now)
+        job = Job(request_id, ask)
+        self.jobs_by_id[request_id] = job
+        self._waiting[request_id] = job
+        self._admit(now)
+        return job
+
+    def cancel(self, request_id: str, now: float) -> None:
+        """End a job early; a plain service can't, and works on."""
+        self.advance(now)
+        job = self.jobs_by_id.get(request_id)
+        if job is None:
+            return
+        if self._waiting.pop(request_id, None) is not None:
+            self._forget(job, "cancelled")
+            return
+        if self.profile.plain:
+            return
+        if self._prefilling.pop(request_id, None) is not None:
+            job.computed = job.ask.prompt - job.cached - job.prefill_left
+        self._decoding.pop(request_id, None)
+        self.kv_used -= self._kv(job)
+        self._forget(job, "cancelled")
+        self._admit(now)
+
+    def next_event(self) -> float:
+        """Return when the next prefill or decoding ends, if nothing changes."""
+        prefill_rate, step_rate = self._rates()
+        when = NEVER
+        if self._prefilling:
+            job = next(iter(self._prefilling.values()))
+            when = self._time + job.prefill_left / prefill_rate
+        self._drop_stale_targets()
+        if self._targets:
+            left = max(0.0, self._targets[0][0] - self._steps)
+            when = min(when, self._time + left / step_rate)
+        return when
+
+    def advance(self, now: float) -> None:
+        """Bring the model up to a point in time, telling of each event."""
+        while True:
+            when = self.next_event()
+            if when > now:
+                break
+            self._move(max(when, self._time))
+            self._settle_events()
+        self._move(now)
+
+    def _move(self, now: float) -> None:
+        """Let time pass in which nothing ends."""
+        seconds = now - self._time
+        if seconds <= 0:
+            return
+        prefill_rate, step_rate = self._rates()
+        if self._prefilling:
+            job = next(iter(self._prefilling.values()))
+            job.prefill_left = max(0.0, job.prefill_left - seconds * prefill_rate)
+        if self._decoding:
+            self._steps += seconds * step_rate
+        self._time = now
+
+    def _settle_events(self) -> None:
+        """End the prefill and the decodings that are due."""
+        now = self._time
+        if self._prefilling:
+            job = next(iter(self._prefilling.values()))
+            if job.prefill_left <= TINY * job.ask.prompt:
+                self._end_prefill(job, now)
+        while self._targets and self._targets[0][0] <= self._steps + TINY:
+            _, request_id = heapq.heappop(self._targets)
+            job = self._decoding.pop(request_id, None)
+            if job is not None:
+                self._end(job, now)
+        self._admit(now)
+
+    def _end_prefill(self, job: Job, now: float) -> None:
+        del self._prefilling[job.request_id]
+        if self.profile.plain:
+            job.computed = float(job.ask.output)
+        else:
+            job.computed = float(job.ask.prompt - job.cached)
+            self.cache.store(job.ask.prefix_hashes)
+            self._seen_prefixes.update(job.ask.prefix_hashes)
+        job.state = "decoding"
+        job.start = self._steps
+        self._decoding[job.request_id] = job
+        # The prefill of an engine gives the first token itself.
+        steps = job.ask.output if self.profile.plain else job.ask.output - 1
+        heapq.heappush(self._targets, (self._steps + steps, job.request_id))
+        if not self.profile.plain:
+            self._on_first_token(job, now)
+
+    def _end(self, job: Job, now: float) -> None:
+        self.kv_used -= self._kv(job)
+        self._forget(job, "done")
+        self._on_finished(job, now)
+
+    def _forget(self, job: Job, state: str) -> None:
+        job.state = state
+        del self.jobs_by_id[job.request_id]
+
+    def _admit(self, now: float) -> None:
+        """Fill the batch in order of arrival while slots and memory allow."""
+        while self._waiting and self.running < self.profile.slots:
+            job = next(iter(self._waiting.values()))
+            if self.running and not self._fits(job):
+                return
+            del self._waiting[job.request_id]
+            self.kv_used += self._kv(job)
+            self._begin(job, now)
+
+    def _begin(self, job: Job, now: float) -> None:
+        job.state = "prefilling"
+        if self.profile.plain:
+            self._prefilling[job.request_id] = job
+            self._end_prefill(job, now)
+            return
+        hashes = job.ask.prefix_hashes
+        job.cached = min(self.cache.cached_tokens(hashes), job.ask.prompt - 1)
+        job.recomputed = max(0, self._seen_tokens(hashes) - job.cached)
+        job.prefill_left = float(job.ask.prompt - job.cached)
+        self._prefilling[job.request_id] = job
+
+    def _seen_tokens(self, prefix_hashes: tuple[int, ...]) -> int:
+        """Return the longest prefix that some engine of the pool computed before."""
+        longest = 0
+        for level, prefix_hash in enumerate(prefix_hashes):
+            if prefix_hash not in self._seen_prefixes:
+                break
+            longest = prefix_tokens(level)
+        return longest
+
+    def _fits(self, job: Job) -> bool:
+        if self.profile.plain:
+            return True
+        return self.kv_used + self._kv(job) <= self.profile.kv_tokens
+
+    @staticmethod
+    def _kv(job: Job) -> int:
+        return job.ask.prompt + job.ask.output
+
+    def _rates(self) -> tuple[float, float]:
+        """Return prompt tokens and decode steps a second at this moment."""
+        profile = self.profile
+        step = profile.step(len(self._decoding))
+        if not self._prefilling or profile.plain:
+            return 0.0, self.speed / step
+        if not self._decoding:
+            return profile.prefill_speed * self.speed, 0.0
+        step += CHUNK_TOKENS / profile.prefill_speed
+        return CHUNK_TOKENS * self.speed / step, self.speed / step
+
+    def _drop_stale_targets(self) -> None:
+        while self._targets and self._targets[0][1] not in self._decoding:
+            heapq.heappop(self._targets)
--- /dev/null
+++ b/bench/entry.py
@@ -0,0 +1,193 @@
+"""What the entry hosts do with requests, in its least form."""
+
+from bench.engine import Job
+from bench.events import EventLoop
+from bench.fleet import Station
+from bench.models import Ask
+from bench.owner import Owner
+from bitterntiller.components.dispatch.models import (
+    Completion,
+    Decision,
+    Granted,
+    Refused,
+    WaitingRequest,
+)
+
+PROGRESS_SECONDS = 0.5
+
+
+class Attempt:
+    """One request at an entry host; a caller who comes back makes another one.
+
+    outcome is waiting, running, useful, gave-up-waiting, gave-up-running or
+    refused.
+    """
+
+    __slots__ = (
+        "arrived",
+        "ask",
+        "deadline",
+        "ended",
+        "first_token",
+        "granted",
+        "job",
+        "outcome",
+        "reason",
+        "request_id",
+        "tries",
+        "upstream",
+    )
+
+    def __init__(self, ask: Ask, tries: int, arrived: float, deadline: float) -> None:
+        self.ask = ask
+        self.tries = tries
+        self.request_id = f"{ask.number}-{tries}"
+        self.arrived = arrived
+        self.deadline = deadline
+        self.outcome = "waiting"
+        self.reason = ""
+        self.upstream = ""
+        self.job: Job | None = None
+        self.granted: float | None = None
+        self.first_token: float | None = None
+        self.ended: float | None = None
+
+    def waiting_request(self) -> WaitingRequest:
+        """Return what the owner is told of it."""
+        ask = self.ask
+        return WaitingRequest(
+            request_id=self.request_id,
+            workspace=ask.workspace,
+            tier=ask.tier,
+            tier_rank=ask.tier_rank,
+            prompt_tokens=ask.prompt_estimate,
+            output_tokens=ask.output_estimate,
+            arrived=self.arrived,
+            deadline=self.deadline,
+            entry_host=f"host-{ask.host}",
+            prefix_hashes=ask.prefix_hashes,
+        )
+
+
+class EntryHosts:
+    """All entry hosts at once; each message to the owner takes its delay."""
+
+    def __init__(
+        self, loop: EventLoop, owner: Owner, delay: float, comebacks: int
+    ) -> None:
+        self._loop = loop
+        self._owner = owner
+        self._delay = delay
+        self._comebacks = comebacks
+        self.stations_by_name: dict[str, Station] = {}
+        self.attempts_by_id: dict[str, Attempt] = {}
+
+    def arrive(self, ask: Ask, tries: int = 0) -> None:
+        """Take a request and register it with the owner."""
+        deadline = ask.at + ask.deadline
+        attempt = Attempt(ask, tries, self._loop.now(), deadline)
+        self.attempts_by_id[attempt.request_id] = attempt
+        self._loop.at(deadline, self._give_up, attempt)
+        self._owner.send("register", attempt.waiting_request())
+
+    def decide(self, decision: Decision) -> None:
+        """Act on a decision of the owner."""
+        attempt = self.attempts_by_id[decision.request_id]
+        if isinstance(decision, Refused):
+            self._refuse(attempt, decision)
+            return
+        if attempt.outcome != "waiting":
+            self._owner.send("returned", attempt.request_id, "expired", False)
+            return
+        self._send(attempt, decision)
+
+    def reregister(self) -> None:
+        """Tell a new owner all that runs, then all that waits."""
+        open_attempts = [a for a in self.attempts_by_id.values() if a.ended is None]
+        for attempt in open_attempts:
+            if attempt.outcome == "running":
+                self._owner.send(
+                    "adopt_running",
+                    attempt.waiting_request(),
+                    attempt.upstream,
+                    self._output(attempt),
+                )
+        for attempt in open_attempts:
+            if attempt.outcome == "waiting":
+                self._owner.send("register", attempt.waiting_request())
+
+    def first_token(self, job: Job, now: float) -> None:
+        """Note that an answer has begun."""
+        attempt = self.attempts_by_id[job.request_id]
+        if attempt.ended is None:
+            attempt.first_token = now
+            self._owner.send("progress", attempt.request_id, 1)
+
+    def finished(self, job: Job, now: float) -> None:
+        """Note that an answer is whole."""
+        attempt = self.attempts_by_id[job.request_id]
+        if attempt.ended is not None:
+            return
+        attempt.outcome = "useful"
+        attempt.ended = now
+        first = attempt.first_token
+        completion = Completion(
+            request_id=attempt.request_id,
+            upstream=attempt.upstream,
+            outcome="done",
+            output_tokens=job.ask.output,
+            cached_tokens=job.cached,
+            first_token=None if first is None else first - attempt.granted,
+            total=now - attempt.granted,
+            in_time=True,
+        )
+        self._owner.send("finished", completion)
+
+    def report_progress(self) -> None:
+        """Tell the owner how far the running requests have come, again and again."""
+        for station in self.stations_by_name.values():
+            for job in station.upstream.decoding():
+                attempt = self.attempts_by_id[job.request_id]
+                if attempt.ended is None and attempt.first_token is not None:
+                    self._owner.send("progress", job.request_id, self._output(attempt))
+        self._loop.after(PROGRESS_SECONDS, self.report_progress)
+
+    def _send(self, attempt: Attempt, grant: Granted) -> None:
+        attempt.outcome = "running"
+        attempt.upstream = grant.upstream
+        attempt.granted = self._loop.now()
+        self._owner.send("started", attempt.request_id)
+        self._loop.after(self._delay, self._submit, attempt)
+
+    def _submit(self, attempt: Attempt) -> None:
+        if attempt.ended is not None:
+            return
+        station = self.stations_by_name[attempt.upstream]
+        attempt.job = station.submit(attempt.request_id, attempt.ask)
+
+    def _give_up(self, attempt: Attempt) -> None:
+        """End a request at its deadline: the caller goes away."""
+        if attempt.ended is not None:
+            return
+        attempt.outcome = f"gave-up-{attempt.outcome}"
+        attempt.ended = self._loop.now()
+        self._owner.send("cancel", attempt.request_id)
+        if attempt.job is not None:
+            station = self.stations_by_name[attempt.upstream]
+            self._loop.after(self._delay, station.cancel, attempt.request_id)
+
+    def _refuse(self, attempt: Attempt, refused: Refused) -> None:
+        if attempt.outcome != "waiting":
+            return
+        now = self._loop.now()
+        attempt.outcome = "refused"
+        attempt.reason = str(refused.reason)
+        attempt.ended = now
+        back_at = now + refused.retry_after
+        if attempt.tries < self._comebacks and back_at < attempt.deadline:
+            self._loop.at(back_at, self.arrive, attempt.ask, attempt.tries + 1)
+
+    def _output(self, attempt: Attempt) -> int:
+        if attempt.job is None:
+            return 0
+        return self.stations_by_name[attempt.upstream].upstream.output(attempt.job)
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,156 @@
+"""The upstreams of a run on the event loop, and what they announce."""
+
+from collections import deque
+from collections.abc import Callable
+
+import numpy as np
+
+from bench.engine import NEVER, Job, Upstream
+from bench.events import EventLoop
+from bench.models import Ask, CaseSpec, PoolSpec
+from bench.owner import Owner
+from bitterntiller.components.dispatch.models import (
+    CacheChange,
+    UpstreamLoad,
+    UpstreamState,
+)
+
+ANNOUNCE_SECONDS = 1.0
+EVENT_DELAY_SECONDS = 1.0
+SAMPLE_SECONDS = 0.25
+
+
+class Station:
+    """One upstream: keeps its events planned and announces its state."""
+
+    def __init__(
+        self,
+        upstream: Upstream,
+        loop: EventLoop,
+        owner: Owner,
+        case: CaseSpec,
+        rng: np.random.Generator,
+    ) -> None:
+        self.upstream = upstream
+        self._loop = loop
+        self._owner = owner
+        self._case = case
+        self._rng = rng
+        self._planned = NEVER
+        self._sequence = 0
+        self._loads: deque[UpstreamLoad] = deque()
+        self._unsent: deque[tuple[float, CacheChange]] = deque()
+
+    def start(self) -> None:
+        """Begin to announce; at once, then every second at its own phase."""
+        self._announce()
+        self._loop.after(float(self._rng.uniform(0, ANNOUNCE_SECONDS)), self._repeat)
+        self._sample()
+
+    def submit(self, request_id: str, ask: Ask) -> Job:
+        """Take a request."""
+        job = self.upstream.submit(request_id, ask, self._loop.now())
+        self._plan()
+        return job
+
+    def cancel(self, request_id: str) -> None:
+        """Cancel a request."""
+        self.upstream.cancel(request_id, self._loop.now())
+        self._plan()
+
+    def set_speed(self, speed: float) -> None:
+        """Change the speed from now on."""
+        self.upstream.set_speed(speed, self._loop.now())
+        self._plan()
+
+    def _plan(self) -> None:
+        when = self.upstream.next_event()
+        if when == self._planned or when == NEVER:
+            self._planned = when
+            return
+        self._planned = when
+        self._loop.at(when, self._wake, when)
+
+    def _wake(self, planned: float) -> None:
+        if planned != self._planned:
+            return
+        self._planned = NEVER
+        self.upstream.advance(self._loop.now())
+        self._plan()
+
+    def _sample(self) -> None:
+        """Note the load, which is reported only some time later."""
+        now = self._loop.now()
+        self.upstream.advance(now)
+        self._loads.append(
+            UpstreamLoad(
+                self.upstream.running, self.upstream.waiting, self.upstream.kv_used, now
+            )
+        )
+        self._loop.after(SAMPLE_SECONDS, self._sample)
+        self._plan()
+
+    def _repeat(self) -> None:
+        self._announce()
+        self._loop.after(ANNOUNCE_SECONDS, self._repeat)
+
+    def _announce(self) -> None:
+        profile = self.upstream.profile
+        self._sequence += 1
+        state = UpstreamState(
+            name=profile.name,
+            address=f"192.0.2.1:{profile.name}",
+            incarnation=1,
+            sequence=self._sequence,
+            leaving=False,
+            labels={"zone": profile.zone, "generation": profile.generation},
+            slots=profile.slots,
+            kv_tokens=profile.kv_tokens,
+            load=self._late_load(),
+            cache_changes=self._late_changes(),
+        )
+        self._owner.send("announce", state)
+
+    def _late_load(self) -> UpstreamLoad | None:
+        """Return the newest load that is old enough to be reported."""
+        newest = self._loop.now() - self._case.report_lag
+        while len(self._loads) > 1 and self._loads[1].measured_at <= newest:
+            self._loads.popleft()
+        if not self._loads or self._loads[0].measured_at > newest:
+            return None
+        return self._loads[0]
+
+    def _late_changes(self) -> tuple[CacheChange, ...]:
+        """Return the cache events that are due, some of them lost."""
+        now = self._loop.now()
+        changes = self.upstream.cache.changes
+        self._unsent.extend((now, change) for change in changes)
+        changes.clear()
+        sent = []
+        while self._unsent and self._unsent[0][0] <= now - EVENT_DELAY_SECONDS:
+            sent.append(self._unsent.popleft()[1])
+        kept = self._rng.random(len(sent)) >= self._case.event_loss
+        return tuple(change for change, keep in zip(sent, kept, strict=True) if keep)
+
+
+def make_fleet(
+    pool: PoolSpec,
+    case: CaseSpec,
+    loop: EventLoop,
+    owner: Owner,
+    rng: np.random.Generator,
+    on_first_token: Callable[[Job, float], None],
+    on_finished: Callable[[Job, float], None],
+) -> dict[str, Station]:
+    """Return the upstreams of a pool by name."""
+    seen_prefixes: set[int] = set()
+    return {
+        profile.name: Station(
+            Upstream(profile, on_first_token, on_finished, seen_prefixes),
+            loop,
+            owner,
+            case,
+            rng,
+        )
+        for profile in pool.upstreams
+    }
--- /dev/null
+++ b/bench/models.py
@@ -0,0 +1,113 @@
+"""The types of the experiments; times in seconds, sizes in tokens."""
+
+from typing import NamedTuple
+
+FIRST_PREFIX_TOKENS = 64
+"""Tokens of the shortest named prefix (256 bytes); each further one doubles."""
+
+
+class UpstreamProfile(NamedTuple):
+    """What one upstream can do at full speed.
+
+    prefill_speed is in prompt tokens a second. A decode step takes step_base
+    plus step_per_sequence for each sequence of the batch, in seconds, and gives
+    one token to each. A plain service has no prefill; its output tokens are
+    units of work of step_base seconds each, and it can't cancel a call.
+    """
+
+    name: str
+    zone: str
+    generation: str
+    slots: int
+    kv_tokens: int
+    cache_tokens: int
+    prefill_speed: float
+    step_base: float
+    step_per_sequence: float
+    plain: bool = False
+
+    def step(self, sequences: float) -> float:
+        """Return the seconds of a decode step with that many sequences."""
+        return self.step_base + self.step_per_sequence * sequences
+
+
+class WorkKind(NamedTuple):
+    """A kind of request; sizes are log-normal, deadline is of the middle tier.
+
+    own_prompt and output are medians in tokens, spread is the sigma of both.
+    shared_tokens are the lengths of the documents that prompts may begin with.
+    """
+
+    name: str
+    weight: float
+    own_prompt: int
+    output: int
+    spread: float
+    deadline: float
+    shared_tokens: tuple[int, ...] = ()
+
+
+class TierSpec(NamedTuple):
+    """A tier, its share of the requests and the factor on their deadlines."""
+
+    name: str
+    rank: int
+    weight: float
+    deadline_factor: float
+
+
+class PoolSpec(NamedTuple):
+    """One pool of a deployment with its callers; delay is one way, in seconds."""
+
+    name: str
+    delay: float
+    hosts: int
+    upstreams: tuple[UpstreamProfile, ...]
+    kinds: tuple[WorkKind, ...]
+    tiers: tuple[TierSpec, ...]
+    weights_by_workspace: dict[str, float]
+
+
+class CaseSpec(NamedTuple):
+    """What goes wrong in a run, as fractions of its duration or in seconds."""
+
+    name: str
+    bursty: bool = False
+    slow_speed: float = 1.0
+    slow_from: float = 0.3
+    slow_until: float = 0.7
+    report_lag: float = 0.5
+    event_loss: float = 0.02
+    killed_at: float | None = None
+    owner_gap: float = 4.0
+    comebacks: int = 0
+
+
+class Ask(NamedTuple):
+    """One request of a caller, true sizes beside the entry host's estimates."""
+
+    number: int
+    at: float
+    workspace: str
+    tier: str
+    tier_rank: int
+    kind: str
+    prompt: int
+    prompt_estimate: int
+    output: int
+    output_estimate: int
+    shared: int
+    deadline: float
+    prefix_hashes: tuple[int, ...]
+    host: int
+
+
+class RunSpec(NamedTuple):
+    """One run of one scheduler; load is a multiple of the pool's capacity."""
+
+    pool: str
+    case: str
+    load: float
+    seed: int
+    scheduler: str
+    duration: float
--- /dev/null
+++ b/bench/policy.py
@@ -0,0 +1,72 @@
+"""The command of the experiments: python -m bench.policy run | report."""
+
+import json
+import sys
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from bench.matrix import full_plan, quick_plan, run_all
+from bench.report import report
+
+DEFAULT_SEEDS = 10
+DEFAULT_JOBS = 4
+
+
+@dataclass
+class Run:
+    """Run the schedulers over the matrix of cases and keep the results."""
+
+    out: Annotated[Path, cappa.Arg(long=True, help="where the results go, as JSON")]
+    quick: Annotated[bool, cappa.Arg(long=True, help="a few short runs")] = False
+    seeds: Annotated[int, cappa.Arg(long=True, help="seeds a cell")] = DEFAULT_SEEDS
+    jobs: Annotated[int, cappa.Arg(long=True, help="processes")] = DEFAULT_JOBS
+    pool: Annotated[list[str] | None, cappa.Arg(long=True)] = None
+    case: Annotated[list[str] | None, cappa.Arg(long=True)] = None
+    load: Annotated[list[float] | None, cappa.Arg(long=True)] = None
+    scheduler: Annotated[list[str] | None, cappa.Arg(long=True)] = None
+
+    def __call__(self) -> None:
+        """Do the runs and write the results."""
+        plan = quick_plan() if self.quick else full_plan(self.seeds)
+        plan = plan._replace(
+            pools=tuple(self.pool or plan.pools),
+            cases=tuple(self.case or plan.cases),
+            loads=tuple(self.load or plan.loads),
+            schedulers=tuple(self.scheduler or plan.schedulers),
+        )
+        began = time.monotonic()
+        results = run_all(plan, self.jobs)
+        self.out.write_text(json.dumps(results))
+        seconds = time.monotonic() - began
+        sys.stdout.write(f"{len(results)} runs in {seconds:.0f} s: {self.out}\n")
+
+
+@dataclass
+class Report:
+    """Print the tables of kept results."""
+
+    results: Path
+
+    def __call__(self) -> None:
+        """Write the report to standard output."""
+        sys.stdout.write(report(json.loads(self.results.read_text())))
+
+
+@dataclass
+class Policy:
+    """Experiments with the decisions of the owner of a pool."""
+
+    subcommand: cappa.Subcommands[Run | Report]
+
+
+def main() -> None:
+    """Run the command line."""
+    cappa.invoke(Policy)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/report.py
@@ -0,0 +1,293 @@
+"""Tables of the results in Markdown, with the aims and whether they are met."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import numpy as np
+
+from bench.cases import UNLOADED
+from bench.measures import Measures
+from bench.schedulers import POLICY
+
+AIM_TOP_TIER = 0.95
+AIM_GOODPUT = 1.3
+AIM_WASTED = 0.25
+AIM_LIGHT = 0.98
+LIGHT_LOAD = 0.5
+AIMED_LOADS = (1.5, 3.0)
+GOODPUT_LOAD = 1.5
+CALM = "calm"
+
+
+class Cell(NamedTuple):
+    """A place in the matrix."""
+
+    pool: str
+    case: str
+    load: float
+
+
+class Spread(NamedTuple):
+    """Median, least and greatest of the seeds."""
+
+    median: float
+    least: float
+    greatest: float
+
+    def text(self, digits: int = 2) -> str:
+        """Return it as median and range."""
+        return (
+            f"{self.median:.{digits}f} ({self.least:.{digits}f} to "
+            f"{self.greatest:.{digits}f})"
+        )
+
+
+class Comparison(NamedTuple):
+    """The policy in one cell against the best baseline of each measure.
+
+    Ratios are of medians; the spreads are over the seeds. A wasted ratio of
+    None means that neither wasted anything.
+    """
+
+    cell: Cell
+    goodput: Spread
+    best_goodput: Spread
+    best_name: str
+    goodput_ratio: float
+    token_ratio: float
+    top: Spread
+    top_ratio: float
+    best_top_ratio: float
+    wasted: Spread
+    best_wasted: Spread
+    wasted_ratio: float | None
+    recomputed: float
+    best_recomputed: float
+
+
+def spread(values: Iterable[float]) -> Spread:
+    """Return median, least and greatest."""
+    numbers = list(values)
+    return Spread(float(np.median(numbers)), min(numbers), max(numbers))
+
+
+def top_fraction(measures: Measures) -> float:
+    """Return the useful part of the requests of the highest tier."""
+    top = next(iter(measures["tiers"].values()))
+    return top["useful"] / max(1, top["offered"])
+
+
+def compare(results: list[Measures]) -> list[Comparison]:
+    """Return one comparison for each cell, in the order of the results."""
+    runs: dict[Cell, dict[str, list[Measures]]] = defaultdict(lambda: defaultdict(list))
+    for measures in results:
+        cell = Cell(measures["pool"], measures["case"], measures["load"])
+        runs[cell][measures["scheduler"]].append(measures)
+    unloaded = {
+        (cell.pool, name): spread(map(top_fraction, group)).median
+        for cell, by_name in runs.items()
+        if cell.load == UNLOADED
+        for name, group in by_name.items()
+    }
+    cells = sorted(runs, key=lambda cell: (cell.pool, cell.case, cell.load))
+    return [_compare(cell, runs[cell], unloaded) for cell in cells]
+
+
+def _compare(
+    cell: Cell,
+    runs_by_name: dict[str, list[Measures]],
+    unloaded: dict[tuple[str, str], float],
+) -> Comparison:
+    def spreads(field: str) -> dict[str, Spread]:
+        return {
+            name: spread(measures[field] for measures in group)
+            for name, group in runs_by_name.items()
+        }
+
+    goodput, tokens = spreads("goodput"), spreads("goodput_tokens")
+    wasted, recomputed = spreads("wasted"), spreads("recomputed")
+    baselines = [name for name in runs_by_name if name != POLICY]
+    best = max(baselines, key=lambda name: goodput[name].median)
+    best_tokens = max(tokens[name].median for name in baselines)
+    best_wasted = min((wasted[name] for name in baselines), key=lambda s: s.median)
+    tops = {
+        name: spread(map(top_fraction, group)) for name, group in runs_by_name.items()
+    }
+    top_ratios = {
+        name: tops[name].median / unloaded.get((cell.pool, name), 1.0)
+        for name in runs_by_name
+    }
+    return Comparison(
+        cell=cell,
+        goodput=goodput[POLICY],
+        best_goodput=goodput[best],
+        best_name=best,
+        goodput_ratio=goodput[POLICY].median / goodput[best].median,
+        token_ratio=tokens[POLICY].median / best_tokens,
+        top=tops[POLICY],
+        top_ratio=top_ratios[POLICY],
+        best_top_ratio=max(top_ratios[name] for name in baselines),
+        wasted=wasted[POLICY],
+        best_wasted=best_wasted,
+        wasted_ratio=_ratio(wasted[POLICY].median, best_wasted.median),
+        recomputed=recomputed[POLICY].median,
+        best_recomputed=min(recomputed[name].median for name in baselines),
+    )
+
+
+def _ratio(value: float, base: float) -> float | None:
+    if base == 0:
+        return None if value == 0 else float("inf")
+    return value / base
+
+
+def verdicts(comparison: Comparison) -> dict[str, bool]:
+    """Return for each aim that holds in this cell whether it is met."""
+    load = comparison.cell.load
+    met = {}
+    if load in AIMED_LOADS:
+        met["top tier"] = comparison.top_ratio >= AIM_TOP_TIER
+        ratio = comparison.wasted_ratio
+        met["wasted"] = ratio is None or ratio <= AIM_WASTED
+    if load == GOODPUT_LOAD:
+        met["goodput"] = comparison.goodput_ratio >= AIM_GOODPUT
+    if load == LIGHT_LOAD:
+        met["light load"] = comparison.goodput_ratio >= AIM_LIGHT
+    return met
+
+
+def report(results: list[Measures]) -> str:
+    """Return all tables as one Markdown text."""
+    comparisons = compare(results)
+    seeds = len({measures["seed"] for measures in results})
+    lines = [f"{len(results)} runs, {seeds} seeds; median (least to greatest).", ""]
+    lines += _aims_table(comparisons)
+    for pool in dict.fromkeys(comparison.cell.pool for comparison in comparisons):
+        rows = [c for c in comparisons if c.cell.pool == pool]
+        lines += ["", f"### {pool}", "", *_pool_table(rows)]
+    lines += ["", "### Refusals and times of the policy", "", *_tier_table(results)]
+    lines += ["", "### Cases behind the best baseline", "", *_worse(comparisons)]
+    return "\n".join(lines) + "\n"
+
+
+def _row(*cells: object) -> str:
+    return "| " + " | ".join(str(cell) for cell in cells) + " |"
+
+
+def _header(*names: str) -> list[str]:
+    return [_row(*names), _row(*("---" for _ in names))]
+
+
+def _aims_table(comparisons: list[Comparison]) -> list[str]:
+    met: dict[tuple[str, str, float], list[bool]] = defaultdict(list)
+    for comparison in comparisons:
+        cell = comparison.cell
+        for aim, is_met in verdicts(comparison).items():
+            met[aim, cell.pool, cell.load].append(is_met)
+    lines = _header("aim", "pool", "load", "cases met", "of")
+    for (aim, pool, load), flags in sorted(met.items()):
+        lines.append(_row(aim, pool, load, sum(flags), len(flags)))
+    return lines
+
+
+def _pool_table(comparisons: list[Comparison]) -> list[str]:
+    lines = _header(
+        "case",
+        "load",
+        "goodput/s",
+        "best baseline",
+        "ratio",
+        "tokens ratio",
+        "top tier of unloaded",
+        "baselines' best",
+        "wasted",
+        "ratio",
+        "recomputed",
+        "baselines' least",
+        "missed",
+    )
+    for item in comparisons:
+        missed = [aim for aim, is_met in verdicts(item).items() if not is_met]
+        ratio = "-" if item.wasted_ratio is None else f"{item.wasted_ratio:.2f}"
+        lines.append(
+            _row(
+                item.cell.case,
+                item.cell.load,
+                item.goodput.text(),
+                f"{item.best_name} {item.best_goodput.text()}",
+                f"{item.goodput_ratio:.2f}",
+                f"{item.token_ratio:.2f}",
+                f"{item.top_ratio:.3f} ({item.top.least:.2f} to "
+                f"{item.top.greatest:.2f})",
+                f"{item.best_top_ratio:.2f}",
+                item.wasted.text(0),
+                ratio,
+                f"{item.recomputed:.0f}",
+                f"{item.best_recomputed:.0f}",
+                ", ".join(missed) or "-",
+            )
+        )
+    return lines
+
+
+def _tier_table(results: list[Measures]) -> list[str]:
+    """Return the policy's refusals, waits and first tokens by tier in calm runs."""
+    lines = _header(
+        "pool",
+        "load",
+        "tier",
+        "useful of offered",
+        "refused",
+        "gave up waiting",
+        "gave up running",
+        "wait p50, p95 s",
+        "first token p50, p95 s",
+    )
+    groups: dict[tuple[str, float, str], list] = defaultdict(list)
+    for measures in results:
+        if measures["scheduler"] != POLICY or measures["case"] != CALM:
+            continue
+        for name, tier in measures["tiers"].items():
+            groups[measures["pool"], measures["load"], name].append(tier)
+    for (pool, load, name), tiers in sorted(groups.items()):
+        offered = sum(tier["offered"] for tier in tiers)
+        reasons: dict[str, int] = defaultdict(int)
+        for tier in tiers:
+            for reason, count in tier["refused_by_reason"].items():
+                reasons[reason] += count
+        lines.append(
+            _row(
+                pool,
+                load,
+                name,
+                f"{sum(tier['useful'] for tier in tiers) / offered:.3f}",
+                ", ".join(
+                    f"{reason} {count / offered:.3f}"
+                    for reason, count in sorted(reasons.items())
+                )
+                or "-",
+                f"{sum(tier['gave_up_waiting'] for tier in tiers) / offered:.3f}",
+                f"{sum(tier['gave_up_running'] for tier in tiers) / offered:.3f}",
+                _percentile_text([tier["wait_percentiles"] for tier in tiers]),
+                _percentile_text([tier["first_token_percentiles"] for tier in tiers]),
+            )
+        )
+    return lines
+
+
+def _percentile_text(percentiles: list[list[float]]) -> str:
+    known = [pair for pair in percentiles if pair]
+    if not known:
+        return "-"
+    return ", ".join(f"{value:.2f}" for value in np.median(known, axis=0))
+
+
+def _worse(comparisons: list[Comparison]) -> list[str]:
+    lines = [
+        f"- {item.cell.pool}, {item.cell.case}, load {item.cell.load}: goodput "
+        f"{item.goodput_ratio:.2f} of {item.best_name}"
+        for item in comparisons
+        if item.goodput_ratio < 1.0
+    ]
+    return lines or ["None."]
--- /dev/null
+++ b/bench/schedulers.py
@@ -0,0 +1,21 @@
+"""The schedulers that are compared, by name."""
+
+import numpy as np
+
+from bench.baselines import BASELINES_BY_NAME
+from bench.models import PoolSpec
+from bitterntiller.components.dispatch.const import KIND_ENGINE, KIND_PLAIN
+from bitterntiller.components.dispatch.models import PolicyParameters, Scheduler
+from bitterntiller.components.dispatch.scheduler import PoolScheduler
+
+POLICY = "policy"
+SCHEDULERS = (POLICY, *BASELINES_BY_NAME)
+
+
+def make_scheduler(name: str, pool: PoolSpec, rng: np.random.Generator) -> Scheduler:
+    """Return a new scheduler that knows nothing yet."""
+    if name == POLICY:
+        plain = pool.upstreams[0].plain
+        kind = KIND_PLAIN if plain else KIND_ENGINE
+        return PoolScheduler(PolicyParameters(kind=kind))
+    return BASELINES_BY_NAME[name](rng)
--- /dev/null
+++ b/tests/bench/test_arrivals.py
@@ -0,0 +1,53 @@
+import numpy as np
+import pytest
+
+from bench.arrivals import (
+    BURST_FACTOR,
+    BURST_SECONDS,
+    arrival_times,
+    capacity,
+    make_asks,
+    prefix_levels,
+)
+from bench.deployments import POOLS_BY_NAME, ZAF_ENGINES
+
+
+@pytest.mark.parametrize("bursty", [False, True])
+def test_arrivals_keep_the_mean_rate(bursty):
+    times = arrival_times(50.0, 400.0, bursty, np.random.default_rng(3))
+    assert len(times) == pytest.approx(20_000, rel=0.03)
+    assert 0 <= times[0] <= times[-1] <= 400.0
+
+
+def test_bursts_are_as_high_as_said():
+    times = arrival_times(50.0, 40.0, True, np.random.default_rng(3))
+    busiest = max(
+        ((times >= start) & (times < start + BURST_SECONDS)).sum()
+        for start in np.arange(0, 28, 0.1)
+    )
+    assert busiest == pytest.approx(50 * BURST_FACTOR * BURST_SECONDS, rel=0.1)
+
+
+def test_sizes_differ_a_hundredfold_and_prefixes_are_shared():
+    asks = make_asks(ZAF_ENGINES, 20.0, 200.0, False, 3)
+    sizes = [ask.prompt - ask.shared for ask in asks]
+    assert np.percentile(sizes, 98) > 100 * np.percentile(sizes, 5)
+    documents = {ask.prefix_hashes[3] for ask in asks if ask.shared == 512}
+    assert 1 < len(documents) < 30
+
+
+def test_prefixes_after_the_document_are_the_requests_own():
+    asks = make_asks(ZAF_ENGINES, 20.0, 200.0, False, 3)
+    tails = [
+        prefix_hash
+        for ask in asks
+        for prefix_hash in ask.prefix_hashes[prefix_levels(ask.shared) :]
+    ]
+    assert len(tails) == len(set(tails))
+
+
+@pytest.mark.parametrize("pool", sorted(POOLS_BY_NAME))
+def test_capacity_is_the_same_each_time(pool):
+    first = capacity(pool)
+    capacity.cache_clear()
+    assert capacity(pool) == first > 1
--- /dev/null
+++ b/tests/bench/test_run.py
@@ -0,0 +1,134 @@
+from collections import Counter
+
+import pytest
+
+from bench.arrivals import capacity
+from bench.engine import Upstream
+from bench.report import compare, report, verdicts
+from bench.run import run, simulate
+from bench.schedulers import SCHEDULERS
+from bitterntiller.components.dispatch.models import Granted
+from tests.bench.builders import make_spec
+
+LASTING = ("useful", "gave-up-waiting", "gave-up-running", "refused")
+
+
+def without_time(measures):
+    return {**measures, "cpu_seconds": 0}
+
+
+@pytest.mark.parametrize("case", ["calm", "owner-killed", "comebacks"])
+@pytest.mark.parametrize("scheduler", SCHEDULERS)
+def test_every_request_ends_once(scheduler, case):
+    hosts, _, _ = simulate(make_spec(scheduler=scheduler, case=case, load=1.5))
+    outcomes = Counter(a.outcome for a in hosts.attempts_by_id.values())
+    assert set(outcomes) <= set(LASTING)
+    assert all(a.ended is not None for a in hosts.attempts_by_id.values())
+    useful = [a for a in hosts.attempts_by_id.values() if a.outcome == "useful"]
+    assert len({a.ask.number for a in useful}) == len(useful) > 0
+    assert all(a.ended <= a.deadline for a in useful)
+
+
+def test_nothing_is_left_in_the_upstreams():
+    hosts, _, _ = simulate(make_spec(load=3.0))
+    for station in hosts.stations_by_name.values():
+        assert station.upstream.jobs_by_id == {}
+        assert station.upstream.kv_used == 0
+
+
+@pytest.mark.parametrize("scheduler", SCHEDULERS)
+def test_same_seed_gives_the_same_run(scheduler):
+    spec = make_spec(scheduler=scheduler, case="lost-events", load=1.5)
+    assert without_time(run(spec)) == without_time(run(spec))
+
+
+def test_other_seed_gives_another_run():
+    assert run(make_spec())["goodput"] != run(make_spec(seed=2))["goodput"]
+
+
+@pytest.mark.parametrize("pool", ["zaf-engines", "keskus-engines", "zaf-plain"])
+def test_least_outstanding_is_fine_at_a_fifth_of_capacity(pool):
+    measures = run(make_spec(pool=pool, load=0.2, duration=80.0))
+    for tier in measures["tiers"].values():
+        assert tier["useful"] >= 0.97 * tier["offered"]
+
+
+def test_goodput_stays_below_capacity():
+    measures = run(make_spec(load=1.5, duration=80.0))
+    assert 0.2 * capacity("zaf-engines") < measures["goodput"]
+    assert measures["goodput"] < capacity("zaf-engines")
+
+
+def test_slowdown_reaches_the_upstream(monkeypatch):
+    speeds = []
+    original = Upstream.set_speed
+
+    def note(upstream, speed, now):
+        speeds.append((upstream.profile.name, speed, now))
+        original(upstream, speed, now)
+
+    monkeypatch.setattr(Upstream, "set_speed", note)
+    run(make_spec(case="slow-engine"))
+    assert speeds == [("bole-1", 0.2, 12.0), ("bole-1", 1.0, 28.0)]
+
+
+class OneUpstream:
+    """Grants everything to an upstream that is not there any more for some."""
+
+    def __init__(self):
+        self.calls = Counter()
+        self.state = None
+
+    def __getattr__(self, name):
+        def call(*arguments):
+            self.calls[name] += 1
+            return []
+
+        return call
+
+    def announce(self, state, now):
+        self.state = state
+        return True, []
+
+    def register(self, request, now):
+        self.calls["register"] += 1
+        return [Granted(request.request_id, request.entry_host, self.state.name, "", 1)]
+
+    def next_wake(self, now):
+        return now + 1.0
+
+
+def test_new_owner_hears_of_running_work_before_waiting_work():
+    """The owner's process dies in the middle of a run. Its requests go on in the
+    engines, and a new owner that did not know them would fill the engines twice.
+    The entry hosts tell it what runs before it takes what waits."""
+    schedulers = []
+
+    def make():
+        schedulers.append(OneUpstream())
+        return schedulers[-1]
+
+    simulate(make_spec(case="owner-killed"), make)
+    first, second = schedulers
+    assert first.calls["adopt_running"] == 0
+    assert second.calls["adopt_running"] > 0
+    assert second.calls["register"] > 0
+    assert second.calls["progress"] > 0
+
+
+def test_report_compares_with_the_best_baseline():
+    results = [
+        run(make_spec(scheduler=scheduler, load=load))
+        for scheduler in SCHEDULERS
+        for load in (0.2, 0.5, 1.5)
+    ]
+    light, heavy = compare(results)[1:]
+    best = max(
+        measures["goodput"]
+        for measures in results
+        if measures["load"] == 1.5 and measures["scheduler"] != "policy"
+    )
+    assert heavy.best_goodput.median == best
+    assert set(verdicts(light)) == {"light load"}
+    assert set(verdicts(heavy)) == {"top tier", "wasted", "goodput"}
+    assert "### zaf-engines" in report(results)
