--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements and experiments."""
+"""Experiments that drive the product's decision code on a fake clock."""
