Run control on the replicated log

Cause: the daemon still opened the log of one replica. Content: control is set up on the replication part; replicas are named by the address at which peers reach them.

--- a/bitterntiller/components/replication/coordinator.py
+++ b/bitterntiller/components/replication/coordinator.py
@@ -242,7 +242,7 @@
 
     def _own(self) -> joining.Own:
         settings = self._runtime.settings
-        address = str(settings.listen.internal)
+        address = str(settings.listen.reached_at)
         return joining.Own(self._replica.state.replica, settings.host, address)
 
     async def _async_on_join(self, host: str, message: Any) -> Any:
--- a/bitterntiller/core/daemon.py
+++ b/bitterntiller/core/daemon.py
@@ -14,6 +14,7 @@
     metrics,
     node,
     operator,
+    replication,
     upstreams,
 )
 from bitterntiller.components.dispatch.coordinator import DispatchCoordinator
@@ -64,7 +65,7 @@
     await metrics.async_setup(runtime, runtime.metrics)
     await links.async_setup(runtime, runtime.links)
     if ROLE_CONTROL in roles:
-        await control.async_setup(runtime)
+        await control.async_setup(runtime, replication.async_setup)
     session = await node.async_setup(runtime)
     views = (session.lease, session.config, session.directory)
     owner = None
