--- a/tests/scenarios/deployment.py
+++ b/tests/scenarios/deployment.py
@@ -188,5 +188,5 @@
         value = builders.settings_value(host.name, host.ports, control, **changes)
         value["control"]["bootstrap"] = [r.name for r in replicas if not r.options]
         if host.proxy is not None:
-            value["listen"]["announced"] = f"127.0.0.1:{host.proxy.port}"
+            value["listen"]["advertised"] = f"127.0.0.1:{host.proxy.port}"
         return value
