--- a/bitterntiller/components/control/claims.py
+++ b/bitterntiller/components/control/claims.py
@@ -64,7 +64,10 @@
         # The holder's own message again, after its reply was lost. A voided one
         # stays voided: the holder has said not-run, so a delayed copy of its
         # message must not leave the key in use.
+        # Its upstream may be another after an attempt that proved not-run.
         if held and record.state == CLAIM_RUNNING:
+            record = record._replace(upstream=claim.upstream, address=claim.address)
+            self.records_by_key[key] = record
             return claim_reply(CLAIM_TAKEN, record)
         return claim_reply(record.state, record)
 
--- a/bitterntiller/components/entry/__init__.py
+++ b/bitterntiller/components/entry/__init__.py
@@ -1,15 +1,25 @@
 """The entry role: set-up and unloading."""
 
+from bitterntiller.components.entry.claiming import Claimant
 from bitterntiller.components.entry.context import Context
 from bitterntiller.components.entry.coordinator import EntryCoordinator
 from bitterntiller.components.entry.diagnostics import describe
-from bitterntiller.core.interfaces import ConfigView, DirectoryView, Lease
+from bitterntiller.core.interfaces import (
+    ConfigView,
+    ControlCalls,
+    DirectoryView,
+    Lease,
+)
 from bitterntiller.core.runtime import Runtime
 from bitterntiller.protocol import messages
 
 
 async def async_setup(
-    runtime: Runtime, lease: Lease, config: ConfigView, directory: DirectoryView
+    runtime: Runtime,
+    lease: Lease,
+    config: ConfigView,
+    directory: DirectoryView,
+    control: ControlCalls,
 ) -> EntryCoordinator:
     """Set the entry role up; it is unloaded with the runtime's stack."""
     context = Context(
@@ -21,8 +31,10 @@
         lease=lease,
         config=config,
         directory=directory,
+        control=control,
     )
-    coordinator = EntryCoordinator(context, runtime.settings.limits)
+    claimant = Claimant(context, runtime.incarnation)
+    coordinator = EntryCoordinator(context, runtime.settings.limits, claimant)
     registry = coordinator.registry
     for cls, handler in (
         (messages.Grant, registry.async_on_grant),
--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -2,6 +2,7 @@
 
 from bitterntiller.components.entry import const
 from bitterntiller.components.entry.checks import LAPSED_LEASE, lapsed
+from bitterntiller.components.entry.claiming import Claimant
 from bitterntiller.components.entry.context import Context
 from bitterntiller.components.entry.models import (
     ActiveRequest,
@@ -34,8 +35,13 @@
     """Sends one request once, and relays its answer."""
 
     def __init__(
-        self, exchange: Exchange, active: ActiveRequest, context: Context
+        self,
+        exchange: Exchange,
+        active: ActiveRequest,
+        context: Context,
+        claimant: Claimant,
     ) -> None:
+        self._claimant = claimant
         self._exchange = exchange
         self._active = active
         self._context = context
@@ -54,9 +60,13 @@
             # Without a connection not a byte has left: this proves not-run.
             return Retry(grant.upstream, REFUSED_CONNECTION)
         try:
+            verdict = await self._claimant.async_take(self._active, grant)
+            if verdict is not None:
+                return verdict
             await self._async_started(grant)
-            # Connecting and telling the owner took time, and the process may have
-            # been stopped in it. Nothing may wait between this check and the bytes.
+            # Connecting, claiming and telling the owner took time, and the process
+            # may have been stopped in it. Nothing may wait between this check and
+            # the bytes.
             verdict = self._check(grant)
             if verdict is not None:
                 return verdict
--- /dev/null
+++ b/bitterntiller/components/entry/claiming.py
@@ -0,0 +1,183 @@
+"""The filter of keyed requests: a claim before the sending, found by every copy.
+
+A request with an Idempotency-Key commits a claim to the control log before its
+first byte leaves. A second copy of the key, at any host, finds the claim and
+follows the work or tells what is known of it; it never runs.
+"""
+
+import hashlib
+
+import curio
+
+from bitterntiller.components.entry import const
+from bitterntiller.components.entry.context import Context
+from bitterntiller.components.entry.models import (
+    ActiveRequest,
+    ClaimFound,
+    GrantReceived,
+)
+from bitterntiller.core.outcomes import Ending, Outcome, Reason
+from bitterntiller.protocol import messages
+
+ACTION_FIND = "find"
+ACTION_TAKE = "take"
+ACTION_FINISH = "finish"
+ACTION_VOID = "void"
+
+STATUS_ABSENT = "absent"
+STATUS_FULL = "full"
+STATUS_FINISHED = "finished"
+STATUS_MISMATCH = "mismatch"
+STATUS_ORPHANED = "orphaned"
+STATUS_RUNNING = "running"
+STATUS_TAKEN = "taken"
+STATUS_UNKNOWN = "unknown"
+STATUS_VOIDED = "voided"
+
+CLAIM_TIMEOUT = 1.0
+SETTLE_TIMEOUT = 5.0
+SETTLE_ATTEMPTS = 200
+FREE_STATUSES = frozenset({STATUS_ABSENT, STATUS_VOIDED})
+FOUND_STATUSES = frozenset({STATUS_RUNNING, STATUS_FINISHED, STATUS_ORPHANED})
+
+
+def body_digest(active: ActiveRequest) -> str:
+    """Return the SHA-256 of method, target and body: what a key stands for."""
+    head = active.prepared.identified.received.head
+    digest = hashlib.sha256(f"{head.method} {head.target}\n".encode())
+    digest.update(active.prepared.body)
+    return digest.hexdigest()
+
+
+class Claimant:
+    """Takes, finds and settles the claims of this host's requests."""
+
+    def __init__(self, context: Context, incarnation: str) -> None:
+        self._context = context
+        self._incarnation = incarnation
+
+    async def async_find(self, active: ActiveRequest) -> ClaimFound | Ending | None:
+        """Return an earlier copy's claim before waiting; None to go on."""
+        if not active.key:
+            return None
+        reply = await self._async_call(ACTION_FIND, active, CLAIM_TIMEOUT)
+        if reply is None or reply.status == STATUS_UNKNOWN:
+            return _unavailable()
+        return _earlier(reply)
+
+    async def async_take(
+        self, active: ActiveRequest, grant: GrantReceived
+    ) -> ClaimFound | Ending | None:
+        """Commit the claim of a granted request; None when it may be sent.
+
+        A claim whose commit was not heard of may yet come into force. Nothing
+        was sent under it, so not-run is true; it is voided as soon as control
+        answers, since every other copy would wait for a work that never began.
+        """
+        if not active.key:
+            return None
+        active.claim_upstream = grant.upstream
+        active.claim_address = grant.address
+        reply = await self._async_call(ACTION_TAKE, active, CLAIM_TIMEOUT)
+        if reply is None or reply.status == STATUS_UNKNOWN:
+            await self.async_settle(active, ACTION_VOID, "", 0)
+            return _unavailable()
+        if reply.status == STATUS_TAKEN:
+            active.claimed = True
+            return None
+        return _earlier(reply) or _unavailable()
+
+    async def async_settle(
+        self, active: ActiveRequest, action: str, outcome: str, status: int
+    ) -> None:
+        """Finish or void a claim in the background, until control has heard it."""
+        await curio.spawn(
+            self._async_settle, active, action, outcome, status, daemon=True
+        )
+
+    async def _async_settle(
+        self, active: ActiveRequest, action: str, outcome: str, status: int
+    ) -> None:
+        for _ in range(SETTLE_ATTEMPTS):
+            reply = await self._async_call(
+                action, active, SETTLE_TIMEOUT, outcome, status
+            )
+            if reply is not None and reply.status != STATUS_UNKNOWN:
+                return
+            await curio.sleep(SETTLE_TIMEOUT)
+        self._context.metrics.count(const.METRIC_CLAIMS_UNSETTLED)
+
+    async def _async_call(
+        self,
+        action: str,
+        active: ActiveRequest,
+        timeout: float,
+        outcome: str = "",
+        status: int = 0,
+    ) -> messages.ClaimReply | None:
+        message = messages.Claim(
+            action=action,
+            workspace=active.prepared.identified.workspace.name,
+            key=active.key,
+            digest=body_digest(active),
+            host=self._context.host,
+            incarnation=self._incarnation,
+            upstream=active.claim_upstream,
+            request_id=active.request_id,
+            outcome=outcome,
+            http_status=status,
+            address=active.claim_address,
+        )
+        return await self._context.control.async_call_leader(message, timeout)
+
+
+def _earlier(reply: messages.ClaimReply) -> ClaimFound | Ending | None:
+    """Return what an earlier copy's claim means for this one."""
+    if reply.status in FREE_STATUSES:
+        return None
+    if reply.status == STATUS_MISMATCH:
+        detail = "the Idempotency-Key was used for another request"
+        return Ending(Outcome.NOT_RUN, Reason.CLAIM_MISMATCH, 422, detail=detail)
+    if reply.status == STATUS_FULL:
+        return _unavailable()
+    if reply.status not in FOUND_STATUSES:
+        return _unavailable()
+    return ClaimFound(
+        status=reply.status,
+        request_id=reply.request_id,
+        upstream=reply.upstream,
+        address=reply.address,
+        outcome=reply.outcome,
+        http_status=reply.http_status,
+    )
+
+
+def _unavailable() -> Ending:
+    return Ending(
+        Outcome.NOT_RUN,
+        Reason.CLAIM_UNAVAILABLE,
+        503,
+        retry_after=const.DEFAULT_RETRY_AFTER,
+    )
+
+
+def ending_of(found: ClaimFound) -> Ending:
+    """Return the ending of a copy whose earlier one can't be followed.
+
+    Never not-run: the earlier copy may be running or have run.
+    """
+    if found.status == STATUS_FINISHED:
+        detail = f"request {found.request_id} ended with status {found.http_status}"
+        outcome = Outcome(found.outcome or Outcome.UNKNOWN)
+        return Ending(outcome, Reason.CLAIM_FINISHED, 409, detail=detail)
+    if found.status == STATUS_ORPHANED:
+        detail = f"request {found.request_id} lost its host"
+        return Ending(Outcome.UNKNOWN, Reason.CLAIM_ORPHANED, 409, detail=detail)
+    detail = f"request {found.request_id} with this key is running"
+    return Ending(
+        Outcome.UNKNOWN,
+        Reason.CLAIM_RUNNING,
+        409,
+        retry_after=const.DEFAULT_RETRY_AFTER,
+        detail=detail,
+    )
--- a/bitterntiller/components/entry/context.py
+++ b/bitterntiller/components/entry/context.py
@@ -6,6 +6,7 @@
 from bitterntiller.core.clock import Clock
 from bitterntiller.core.interfaces import (
     ConfigView,
+    ControlCalls,
     DirectoryView,
     Lease,
     Links,
@@ -24,3 +25,4 @@
     lease: Lease
     config: ConfigView
     directory: DirectoryView
+    control: ControlCalls
--- a/bitterntiller/components/entry/coordinator.py
+++ b/bitterntiller/components/entry/coordinator.py
@@ -4,6 +4,7 @@
 
 from bitterntiller.components.entry import const
 from bitterntiller.components.entry.budget import HostBudget
+from bitterntiller.components.entry.claiming import Claimant
 from bitterntiller.components.entry.context import Context
 from bitterntiller.components.entry.models import ActiveRequest, Phase
 from bitterntiller.components.entry.pipeline import Pipeline
@@ -21,11 +22,11 @@
 class EntryCoordinator:
     """The entry role of one process."""
 
-    def __init__(self, context: Context, limits: Limits) -> None:
+    def __init__(self, context: Context, limits: Limits, claimant: Claimant) -> None:
         self._context = context
         self.registry = RequestRegistry(context)
         self.budget = HostBudget(limits)
-        self.pipeline = Pipeline(context, limits, self.budget, self.registry)
+        self.pipeline = Pipeline(context, limits, self.budget, self.registry, claimant)
         self._owners_by_pool: dict[str, Ownership | None] = {}
         self._had_lease = True
 
--- a/bitterntiller/components/entry/models.py
+++ b/bitterntiller/components/entry/models.py
@@ -84,7 +84,23 @@
     status: int
 
 
-Verdict = Ending | Retry | Relayed
+class ClaimFound(NamedTuple):
+    """The claim of an earlier copy of a keyed request.
+
+    status is running, finished or orphaned; request_id, upstream and address
+    (IP:port) are the earlier copy's; outcome and http_status are recorded when
+    it has finished.
+    """
+
+    status: str
+    request_id: str
+    upstream: str
+    address: str
+    outcome: str
+    http_status: int
+
+
+Verdict = Ending | Retry | Relayed | ClaimFound
 
 
 class Phase(StrEnum):
@@ -117,6 +133,20 @@
         self.reported_tokens = 0
         self.cached_tokens: int | None = None
         self.may_have_run = False
+        self.claimed = False
+        self.claim_upstream = ""
+        self.claim_address = ""
+        self.followed_id = ""
+
+    @property
+    def key(self) -> str:
+        """Return the caller's idempotency key, empty when it gave none."""
+        return self.prepared.identified.received.idempotency_key
+
+    @property
+    def upstream_request_id(self) -> str:
+        """Return the id under which the upstream knows the work."""
+        return self.followed_id or self.request_id
 
     @property
     def request_id(self) -> str:
--- a/bitterntiller/components/entry/pipeline.py
+++ b/bitterntiller/components/entry/pipeline.py
@@ -5,11 +5,18 @@
 from bitterntiller.components.entry import account, const
 from bitterntiller.components.entry.attempt import Attempt
 from bitterntiller.components.entry.budget import HostBudget
+from bitterntiller.components.entry.claiming import (
+    ACTION_FINISH,
+    ACTION_VOID,
+    Claimant,
+    ending_of,
+)
 from bitterntiller.components.entry.context import Context
 from bitterntiller.components.entry.estimate import estimate
 from bitterntiller.components.entry.identify import identify
 from bitterntiller.components.entry.models import (
     ActiveRequest,
+    ClaimFound,
     GrantReceived,
     Identified,
     Phase,
@@ -21,7 +28,7 @@
 from bitterntiller.components.entry.receive import receive
 from bitterntiller.components.entry.refuse import async_refuse
 from bitterntiller.components.entry.registry import RequestRegistry
-from bitterntiller.components.entry.relay import outcome_of
+from bitterntiller.components.entry.relay import Relay, outcome_of
 from bitterntiller.components.entry.upstream_calls import async_cancel_work
 from bitterntiller.components.entry.waiting import async_cancel, async_wait
 from bitterntiller.components.http.errors import CallerGoneError
@@ -43,7 +50,9 @@
         limits: Limits,
         budget: HostBudget,
         registry: RequestRegistry,
+        claimant: Claimant,
     ) -> None:
+        self._claimant = claimant
         self._context = context
         self._limits = limits
         self._budget = budget
@@ -122,26 +131,32 @@
             raise run.exception
 
     async def _async_process(self, exchange: Exchange, active: ActiveRequest) -> None:
-        while True:
-            verdict = await self._async_step(exchange, active)
-            if not isinstance(verdict, Retry):
-                break
-            if verdict.upstream:
+        verdict = await self._claimant.async_find(active)
+        while verdict is None or isinstance(verdict, Retry):
+            if verdict is not None and verdict.upstream:
                 active.mark_not_run(verdict.upstream)
+            verdict = await self._async_step(exchange, active)
+        if isinstance(verdict, ClaimFound):
+            verdict = await self._async_follow(exchange, active, verdict)
+            if verdict is None:
+                return
         if isinstance(verdict, Relayed):
             outcome = outcome_of(verdict.status) if verdict.whole else Outcome.UNKNOWN
-            await self._async_account(active, outcome)
+            await self._async_account(active, outcome, verdict.status)
             return
         identified = active.prepared.identified
-        if verdict.outcome is Outcome.UNKNOWN:
-            await self._async_account(active, verdict.outcome)
+        if active.may_have_run:
+            await self._async_account(active, verdict.outcome, verdict.status)
+        else:
+            await self._async_settle(active, verdict.outcome, verdict.status)
         await self._async_refuse(exchange, verdict, identified, active.request_id)
 
     async def _async_step(self, exchange: Exchange, active: ActiveRequest) -> Verdict:
         grant = await async_wait(active, self._context)
         if isinstance(grant, Ending):
             return grant
-        verdict = await Attempt(exchange, active, self._context).async_run(grant)
+        attempt = Attempt(exchange, active, self._context, self._claimant)
+        verdict = await attempt.async_run(grant)
         await self._async_give_back(active, grant, verdict)
         return verdict
 
@@ -152,23 +167,53 @@
             reason, waiting = verdict.reason, True
         elif isinstance(verdict, Ending) and verdict.outcome is Outcome.NOT_RUN:
             reason, waiting = verdict.reason, False
+        elif isinstance(verdict, ClaimFound):
+            reason, waiting = Reason.CLAIM_RUNNING, False
         else:
             return
         await self._registry.async_return(active.request_id, grant, reason, waiting)
 
-    async def _async_account(self, active: ActiveRequest, outcome: Outcome) -> None:
+    async def _async_follow(
+        self, exchange: Exchange, active: ActiveRequest, found: ClaimFound
+    ) -> Ending | None:
+        """Relay an earlier copy's stream; an ending when there is none to relay."""
+        if not active.prepared.estimate.streamed or not found.address:
+            return ending_of(found)
+        active.followed_id = found.request_id
+        active.address = found.address
+        relayed = await Relay(exchange, active, self._context).async_from_start()
+        if relayed is None:
+            return ending_of(found)
+        self._context.metrics.count(const.METRIC_CLAIMS_FOLLOWED)
+        return None
+
+    async def _async_settle(
+        self, active: ActiveRequest, outcome: Outcome, status: int
+    ) -> None:
+        """Record in the claim how the request ended, or that it did not run."""
+        if not active.claimed:
+            return
+        action = ACTION_VOID if outcome is Outcome.NOT_RUN else ACTION_FINISH
+        await self._claimant.async_settle(active, action, outcome, status)
+
+    async def _async_account(
+        self, active: ActiveRequest, outcome: Outcome, status: int
+    ) -> None:
         account.count_answer(self._context, active, outcome)
+        await self._async_settle(active, outcome, status)
         await account.async_tell_owner(self._context, active, outcome)
 
     async def _async_caller_gone(self, active: ActiveRequest) -> None:
         """Stop the work of a caller that has left: at the upstream, or in the queue."""
         self._context.metrics.count(const.METRIC_CALLER_GONE)
         if not active.may_have_run:
+            await self._async_settle(active, Outcome.NOT_RUN, 0)
             await async_cancel(active, self._context)
             return
         active.phase = Phase.ENDED
         await async_cancel_work(active.request_id, active.address)
         account.count_answer(self._context, active, Outcome.UNKNOWN)
+        await self._async_settle(active, Outcome.UNKNOWN, 0)
         await account.async_tell_owner(self._context, active, CALLER_GONE)
 
     async def _async_refuse(
--- a/bitterntiller/components/entry/relay.py
+++ b/bitterntiller/components/entry/relay.py
@@ -33,7 +33,7 @@
     dropped = (const.HOP_HEADERS - {b"content-length"}) | const.OWN_HEADERS
     dropped = dropped | {const.HEADER_ADMITTED}
     kept = [item for item in head.headers if item[0] not in dropped]
-    kept.append((const.HEADER_REQUEST_ID, active.request_id.encode()))
+    kept.append((const.HEADER_REQUEST_ID, active.upstream_request_id.encode()))
     kept.append((const.HEADER_OUTCOME, outcome_of(head.status).encode()))
     return kept
 
--- a/bitterntiller/components/entry/upstream_calls.py
+++ b/bitterntiller/components/entry/upstream_calls.py
@@ -24,7 +24,7 @@
     An upstream that mixes up its answers, or a late answer to another request,
     would show as one caller's answer in another caller's hands.
     """
-    return header(head.headers, const.HEADER_REQUEST_ID) == active.request_id
+    return header(head.headers, const.HEADER_REQUEST_ID) == active.upstream_request_id
 
 
 async def async_send_request(
@@ -45,9 +45,9 @@
         client = await ClientExchange.async_open(active.address, connect_timeout)
     except ConnectRefusedError:
         return None
-    target = f"/v1/requests/{active.request_id}/stream"
+    target = f"/v1/requests/{active.upstream_request_id}/stream"
     headers = [
-        (const.HEADER_REQUEST_ID, active.request_id.encode()),
+        (const.HEADER_REQUEST_ID, active.upstream_request_id.encode()),
         (const.HEADER_LAST_EVENT_ID, str(last_id).encode()),
     ]
     try:
--- a/bitterntiller/components/operator/__init__.py
+++ b/bitterntiller/components/operator/__init__.py
@@ -8,7 +8,8 @@
 from bitterntiller.components.operator import const
 from bitterntiller.components.operator.coordinator import OperatorCoordinator
 from bitterntiller.components.operator.diagnostics import make_dump
-from bitterntiller.components.operator.models import AnnouncedUpstream, ControlCalls
+from bitterntiller.components.operator.models import AnnouncedUpstream
+from bitterntiller.core.interfaces import ControlCalls
 from bitterntiller.core.runtime import Runtime
 
 
--- a/bitterntiller/components/operator/coordinator.py
+++ b/bitterntiller/components/operator/coordinator.py
@@ -6,8 +6,7 @@
 from bitterntiller.components.http.models import HttpRequest, HttpResponse
 from bitterntiller.components.operator import const, requests, responses
 from bitterntiller.components.operator.errors import RefusedRequestError
-from bitterntiller.components.operator.models import ControlCalls
-from bitterntiller.core.interfaces import Metrics
+from bitterntiller.core.interfaces import ControlCalls, Metrics
 from bitterntiller.protocol import messages
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
--- a/bitterntiller/components/operator/models.py
+++ b/bitterntiller/components/operator/models.py
@@ -1,18 +1,6 @@
 """What comes in at the operator port, and what it asks of other parts."""
 
-from typing import Any, NamedTuple, Protocol, TypedDict
-
-
-class ControlCalls(Protocol):
-    """Calls to the leader of control, wherever it is."""
-
-    async def async_call_leader(self, message: Any, timeout: float) -> Any:
-        """Return the leader's reply, None without one in timeout seconds.
-
-        Without a reply, or with one of status unknown, it is open whether the
-        message was carried out.
-        """
-        ...
+from typing import NamedTuple, TypedDict
 
 
 class AnnouncedUpstream(TypedDict):
--- a/bitterntiller/core/daemon.py
+++ b/bitterntiller/core/daemon.py
@@ -75,7 +75,7 @@
     await operator.async_setup(runtime, session.control_client, announced)
     callers = None
     if ROLE_ENTRY in roles:
-        callers = await entry.async_setup(runtime, *views)
+        callers = await entry.async_setup(runtime, *views, session.control_client)
         announcements = upstreams.setup(runtime, session.config, session.directory)
         port = CallerPort(runtime, callers, announcements)
         await runtime.async_spawn(port.async_serve())
--- a/bitterntiller/core/interfaces.py
+++ b/bitterntiller/core/interfaces.py
@@ -84,6 +84,18 @@
         ...
 
 
+class ControlCalls(Protocol):
+    """Calls to the leader of control, wherever it is."""
+
+    async def async_call_leader(self, message: Any, timeout: float) -> Any:
+        """Return the leader's reply, None without one in timeout seconds.
+
+        Without a reply, or with one of status unknown, it is open whether the
+        message was carried out.
+        """
+        ...
+
+
 class StateMachine(Protocol):
     """What a replicated log drives; deterministic, free of I/O and clocks."""
 
--- a/bitterntiller/core/outcomes.py
+++ b/bitterntiller/core/outcomes.py
@@ -36,6 +36,7 @@
     CONCURRENCY_LIMIT = "concurrency-limit"
     NOT_ADMITTED = "not-admitted"
     CLAIM_RUNNING = "claim-running"
+    CLAIM_FINISHED = "claim-finished"
     CLAIM_MISMATCH = "claim-mismatch"
     CLAIM_UNAVAILABLE = "claim-unavailable"
     CLAIM_ORPHANED = "claim-orphaned"
--- a/tests/components/entry/fakes.py
+++ b/tests/components/entry/fakes.py
@@ -77,6 +77,18 @@
         self.end = "cut"
 
 
+class FakeControl:
+    """Control that answers each message with the reply that was set."""
+
+    def __init__(self) -> None:
+        self.reply: Any = None
+        self.messages: list[Any] = []
+
+    async def async_call_leader(self, message: Any, timeout: float) -> Any:
+        self.messages.append(message)
+        return self.reply
+
+
 def context(clock: ManualClock, links: FakeLinks) -> Context:
     return Context(
         host="a",
@@ -87,6 +99,7 @@
         lease=FakeLease(),
         config=None,
         directory=FakeDirectory(),
+        control=FakeControl(),
     )
 
 
--- a/tests/components/entry/test_attempt.py
+++ b/tests/components/entry/test_attempt.py
@@ -7,6 +7,7 @@
 import curio
 
 from bitterntiller.components.entry.attempt import Attempt
+from bitterntiller.components.entry.claiming import Claimant
 from bitterntiller.components.entry.models import Relayed, Retry
 from bitterntiller.core.clock import ManualClock
 from tests.components.entry import fakes
@@ -44,7 +45,7 @@
 
     async def async_main() -> Any:
         async with upstream(answer, got) as address:
-            tried = Attempt(exchange, active, context)
+            tried = Attempt(exchange, active, context, Claimant(context, "i1"))
             return await tried.async_run(fakes.grant(clock, address))
 
     return curio.run(async_main), got, exchange
