Repeat the order to repair control until the redundancy is back

Cause: the leader keeps orders in memory and answers done only when all losses are survived again, so an order that is sent once can be forgotten by the next leader. The order names the replica and can be repeated, so the tool repeats it.

--- a/bitterntiller/cli/commands/control.py
+++ b/bitterntiller/cli/commands/control.py
@@ -1,6 +1,5 @@
 """bitterntiller control: shows the replicas of control, and repairs them."""
 
-import json
 import os
 from dataclasses import dataclass
 from typing import Annotated, Any
@@ -9,16 +8,11 @@
 import curio
 
 from bitterntiller.cli import const
-from bitterntiller.cli.errors import UnreachableError
-from bitterntiller.cli.operator_client import Answer, OperatorClient, check_answer
+from bitterntiller.cli.errors import UsageError
 from bitterntiller.cli.options import OperatorOptions, make_client
 from bitterntiller.cli.output import format_table, format_tree, print_json
-from bitterntiller.components.http.errors import ConnectRefusedError, HttpError
-from bitterntiller.components.operator.const import (
-    PATH_CONTROL,
-    PATH_REPAIR,
-    STATUS_UNKNOWN,
-)
+from bitterntiller.cli.repairing import async_repair
+from bitterntiller.components.operator.const import PATH_CONTROL
 
 
 def run(command: "Control") -> int:
@@ -35,22 +29,25 @@
 def run_repair(command: "Repair") -> int:
     """Ask for the exchange of a replica and return the exit code."""
     client = make_client(command, dict(os.environ))
-    body = {"remove": command.remove, "add": command.add, "address": command.address}
-    answer = curio.run(_async_repair, client, json.dumps(body).encode())
+    if not command.remove and not command.add:
+        raise UsageError("give --remove, --add, or both")
+    wish = {"remove": command.remove, "add": command.add, "address": command.address}
+    tries = max(1, command.tries)
+    result = curio.run(async_repair, client, wish, tries, const.REPAIR_PAUSE)
     if command.json:
-        print_json(answer.value)
+        print_json(result.value)
     else:
-        print(f"{answer.value.get('status')}: {answer.value.get('text', '')}")
-    if answer.value.get("status") == STATUS_UNKNOWN:
-        return const.EXIT_UNKNOWN
-    check_answer(answer)
-    return const.EXIT_OK
+        print(f"{result.value.get('status')}: {result.value.get('text', '')}")
+    return result.exit_code
 
 
 @cappa.command(invoke=run_repair)
 @dataclass
 class Repair(OperatorOptions):
-    """Remove a replica of control, add one, or exchange one for another."""
+    """Remove a replica of control, add one, or exchange one for another.
+
+    The order is repeated until the full redundancy is back.
+    """
 
     remove: Annotated[
         str, cappa.Arg(long=True, help="Identity of the replica to remove.")
@@ -61,6 +58,9 @@
     address: Annotated[
         str, cappa.Arg(long=True, help="Internal IP:port of that host.")
     ] = ""
+    tries: Annotated[
+        int, cappa.Arg(long=True, help="Orders at most, one a second.")
+    ] = const.REPAIR_TRIES
 
 
 @cappa.command(invoke=run)
@@ -71,23 +71,6 @@
     subcommand: cappa.Subcommands[Repair | None] = None
 
 
-async def _async_repair(client: OperatorClient, body: bytes) -> Answer:
-    """Send the order once; only a port that refuses the connection is passed over.
-
-    An order is not idempotent: after a lost answer, the members tell whether it
-    was carried out.
-    """
-    failures = []
-    for address in client.addresses:
-        try:
-            return await client.async_call(address, "POST", PATH_REPAIR, body=body)
-        except ConnectRefusedError as error:
-            failures.append(error.text)
-        except HttpError as error:
-            return Answer(503, {"status": STATUS_UNKNOWN, "text": error.text})
-    raise UnreachableError("; ".join(failures))
-
-
 def describe(value: dict[str, Any]) -> str:
     """Return the state of control for people: the figures first, then the rest."""
     control = dict(value["control"])
--- /dev/null
+++ b/bitterntiller/cli/repairing.py
@@ -0,0 +1,74 @@
+"""Repeats the order to exchange a replica until it is carried out."""
+
+import json
+from typing import Any, NamedTuple
+
+import curio
+
+from bitterntiller.cli import const
+from bitterntiller.cli.operator_client import Answer, OperatorClient, check_answer
+from bitterntiller.components.http.errors import ConnectRefusedError, HttpError
+from bitterntiller.components.operator.const import (
+    PATH_REPAIR,
+    STATUS_DONE,
+    STATUS_RUNNING,
+    STATUS_UNAVAILABLE,
+    STATUS_UNKNOWN,
+)
+
+HTTP_SERVER_ERROR = 500
+
+
+class RepairResult(NamedTuple):
+    """How a repair stands; value is the last answer's object."""
+
+    exit_code: int
+    value: dict[str, Any]
+
+
+async def async_repair(
+    client: OperatorClient, wish: dict[str, str], tries: int, pause: float
+) -> RepairResult:
+    """Send an order until it is done, at most tries times, pause seconds apart.
+
+    The leader keeps orders in memory only: were the order sent once, the next
+    leader would not know of it. Repeating does no harm, since the order names
+    the replica. Raise a ToolError when it is refused.
+    """
+    body = json.dumps(wish).encode()
+    result = RepairResult(const.EXIT_UNREACHABLE, {"status": STATUS_UNAVAILABLE})
+    for count in range(tries):
+        if count:
+            await curio.sleep(pause)
+        address = client.addresses[count % len(client.addresses)]
+        try:
+            answer = await client.async_call(address, "POST", PATH_REPAIR, body=body)
+        except ConnectRefusedError as error:
+            value = {"status": STATUS_UNAVAILABLE, "text": error.text}
+            result = _open(result, const.EXIT_UNREACHABLE, value)
+        except HttpError as error:
+            value = {"status": STATUS_UNKNOWN, "text": error.text}
+            result = _open(result, const.EXIT_UNKNOWN, value)
+        else:
+            result = _judge(result, answer)
+            if result.exit_code == const.EXIT_OK:
+                return result
+    return result
+
+
+def _judge(before: RepairResult, answer: Answer) -> RepairResult:
+    if answer.status >= HTTP_SERVER_ERROR:
+        return _open(before, const.EXIT_UNKNOWN, answer.value)
+    status = check_answer(answer).get("status")
+    if status == STATUS_DONE:
+        return RepairResult(const.EXIT_OK, answer.value)
+    if status == STATUS_RUNNING:
+        return RepairResult(const.EXIT_RUNNING, answer.value)
+    return _open(before, const.EXIT_UNKNOWN, answer.value)
+
+
+def _open(before: RepairResult, code: int, value: dict[str, Any]) -> RepairResult:
+    """Return what is known without an answer: never less than before."""
+    if before.exit_code == const.EXIT_UNREACHABLE:
+        return RepairResult(code, value)
+    return before
--- a/bitterntiller/components/operator/responses.py
+++ b/bitterntiller/components/operator/responses.py
@@ -14,6 +14,11 @@
     const.STATUS_EXPIRED_ID: 409,
     const.STATUS_INVALID: 422,
 }
+_HTTP_STATUS_BY_REPAIR = {
+    const.STATUS_DONE: 200,
+    const.STATUS_RUNNING: 202,
+    const.STATUS_REFUSED: 409,
+}
 _ERROR_CODE = re.compile(r"^\[[a-z-]+\] ")
 _KEY_AND_TEXT = re.compile(r"([^\s:]+): (.*)", re.DOTALL)
 _UNKNOWN_TEXT = "it is not known whether this was carried out; "
@@ -97,9 +102,11 @@
 
 
 def repair_response(reply: Any) -> HttpResponse:
-    """Return the response for a messages.RepairReply, or None."""
-    if reply is None or reply.status == const.STATUS_UNKNOWN:
-        return unknown("look at the members before you repeat it")
-    done = reply.status in (const.STATUS_OK, const.STATUS_ACCEPTED)
-    value = {"status": reply.status, "text": reply.text}
-    return json_response(200 if done else 409, value)
+    """Return the response for a messages.RepairReply, or None.
+
+    The order names the same exchange each time, so that it can be repeated.
+    """
+    status = None if reply is None else _HTTP_STATUS_BY_REPAIR.get(reply.status)
+    if status is None:
+        return unknown("repeat it: the answer tells how far it is")
+    return json_response(status, {"status": reply.status, "text": reply.text})
--- /dev/null
+++ b/tests/cli/test_repairing.py
@@ -0,0 +1,65 @@
+import curio
+import pytest
+
+from bitterntiller.cli import const
+from bitterntiller.cli.errors import ToolError
+from bitterntiller.cli.repairing import async_repair
+from bitterntiller.components.http.errors import (
+    BrokenAnswerError,
+    ConnectRefusedError,
+)
+from tests.cli.builders import ScriptedClient
+
+REFUSED = ConnectRefusedError("refused")
+LOST = BrokenAnswerError("lost")
+UNKNOWN = (503, {"status": "unknown"})
+RUNNING = (202, {"status": "running", "text": "b is catching up"})
+DONE = (200, {"status": "done", "text": "1 further losses are survived"})
+
+
+def repair(*script):
+    client = ScriptedClient(*script)
+    wish = {"remove": "a/1", "add": "b"}
+    return client, curio.run(async_repair, client, wish, len(script), 0.0)
+
+
+def test_order_is_repeated_until_redundancy_is_back():
+    """The leader dies after it took the order, and the next never heard of it.
+
+    An operator would believe in a repair that nobody carries out, and the loss
+    of one more host would stop control. The tool repeats the same order to the
+    ports in turn and ends well only when all losses are survived again.
+    """
+    client, result = repair(RUNNING, LOST, REFUSED, UNKNOWN, RUNNING, DONE)
+    assert (result.exit_code, result.value) == (const.EXIT_OK, DONE[1])
+    assert {body for _, _, body in client.calls} == {b'{"remove": "a/1", "add": "b"}'}
+    assert [address for address, _, _ in client.calls] == ["a:1", "b:1"] * 3
+
+
+@pytest.mark.parametrize(
+    ("script", "code"),
+    [
+        ([REFUSED, REFUSED], const.EXIT_UNREACHABLE),
+        ([REFUSED, LOST], const.EXIT_UNKNOWN),
+        ([LOST, REFUSED], const.EXIT_UNKNOWN),
+        ([UNKNOWN, REFUSED], const.EXIT_UNKNOWN),
+        ([UNKNOWN, RUNNING], const.EXIT_RUNNING),
+        ([RUNNING, LOST], const.EXIT_RUNNING),
+        ([(500, {})], const.EXIT_UNKNOWN),
+    ],
+)
+def test_exit_code_tells_what_is_known(script, code):
+    assert repair(*script)[1].exit_code == code
+
+
+@pytest.mark.parametrize(
+    ("answer", "code"),
+    [
+        ((401, {}), const.EXIT_UNAUTHORIZED),
+        ((409, {"status": "refused"}), const.EXIT_REFUSED),
+    ],
+)
+def test_refused_order_ends_the_command(answer, code):
+    with pytest.raises(ToolError) as caught:
+        repair(answer, DONE)
+    assert caught.value.exit_code == code
