--- a/bitterntiller/components/settings/schema.py
+++ b/bitterntiller/components/settings/schema.py
@@ -6,6 +6,7 @@
 
 from bitterntiller.components.settings import const
 from bitterntiller.components.settings.models import Address, Limits, Timings
+from bitterntiller.core.clock import MAX_CLOCK_DRIFT
 from bitterntiller.core.document import KeyPath, Problem
 from bitterntiller.core.schema import integer, ip_and_port, name, number, positive
 
@@ -149,8 +150,9 @@
     problems = []
     if timings.lease <= 2 * timings.heartbeat:
         problems.append(Problem(path("lease"), "must be above twice heartbeat"))
-    if timings.owner_lease <= timings.lease:
-        problems.append(Problem(path("owner_lease"), "must be above lease"))
+    if timings.owner_lease * (1 - MAX_CLOCK_DRIFT) <= timings.lease:
+        text = f"must be above lease by more than {MAX_CLOCK_DRIFT:.0%}"
+        problems.append(Problem(path("owner_lease"), text))
     if timings.election_max <= timings.election_min:
         problems.append(Problem(path("election_max"), "must be above election_min"))
     if timings.election_min <= 2 * timings.raft_heartbeat:
--- a/bitterntiller/core/clock.py
+++ b/bitterntiller/core/clock.py
@@ -3,6 +3,12 @@
 import time
 from typing import Protocol
 
+MAX_CLOCK_DRIFT = 0.01
+"""The part by which the rates of two hosts' clocks may differ at most.
+
+Quartz clocks differ by less than 0.0002, and clock discipline by up to 0.0005.
+"""
+
 
 class Clock(Protocol):
     """Tells the time in seconds from an unstated beginning, never going back."""
--- a/tests/cli/test_repairing.py
+++ b/tests/cli/test_repairing.py
@@ -46,6 +46,7 @@
         ([UNKNOWN, RUNNING], const.EXIT_RUNNING),
         ([RUNNING, LOST], const.EXIT_RUNNING),
         ([(500, {})], const.EXIT_UNKNOWN),
+        ([(200, {"status": "odd"})], const.EXIT_UNKNOWN),
     ],
 )
 def test_exit_code_tells_what_is_known(script, code):
--- a/tests/components/settings/test_load.py
+++ b/tests/components/settings/test_load.py
@@ -71,6 +71,7 @@
         ({"limits": {"reserved_fraction": 1}}, "limits.reserved_fraction"),
         ({"timings": {"lease": 1.0}}, "timings.lease"),
         ({"timings": {"lease": 5}}, "timings.owner_lease"),
+        ({"timings": {"owner_lease": 3.02}}, "timings.owner_lease"),
         ({"timings": {"election_max": 0.6}}, "timings.election_max"),
         ({"timings": {"raft_heartbeat": 0.3}}, "timings.election_min"),
         ({"timings": {"head": -1}}, "timings.head"),
