--- a/bitterntiller/components/replication/leading.py
+++ b/bitterntiller/components/replication/leading.py
@@ -80,11 +80,12 @@
 
 
 def _follow_members(state: State, now: float) -> None:
-    replicas = {member.replica for member in state.members.all} - {state.replica}
-    for replica in set(state.progress_by_replica) - replicas:
-        del state.progress_by_replica[replica]
-    for replica in replicas - set(state.progress_by_replica):
-        state.progress_by_replica[replica] = Progress(state.log.last_index, now)
+    old, last = state.progress_by_replica, state.log.last_index
+    state.progress_by_replica = {
+        member.replica: old.get(member.replica) or Progress(last, now)
+        for member in state.members.all
+        if member.replica != state.replica
+    }
 
 
 def ask_read(state: State, token: int) -> bool:
--- a/bitterntiller/components/replication/returning.py
+++ b/bitterntiller/components/replication/returning.py
@@ -21,6 +21,8 @@
         leaderless = now - max(state.heard, state.returning.began)
         if state.role is Role.LEADER or leaderless < state.tuning.leaderless:
             return
+        # A candidate gives up, since it might else lead without being counted.
+        state.role = Role.FOLLOWER
         state.returning = ReturnState(now)
     if now >= state.beat:
         state.beat = now + state.tuning.heartbeat
--- a/tests/components/replication/explorer.py
+++ b/tests/components/replication/explorer.py
@@ -6,6 +6,7 @@
 """
 
 import random
+import zlib
 from dataclasses import dataclass, field
 
 from bitterntiller.components.replication import repair
@@ -27,22 +28,24 @@
 TUNING = Tuning(return_grace=0.5, batch_entries=3, piece_bytes=7, trailing=2)
 
 WEIGHTS = {
-    "deliver": 620,
-    "pass_time": 220,
+    "deliver": 500,
+    "pass_time": 180,
     "sync": 200,
-    "propose": 40,
+    "propose": 50,
     "read": 12,
-    "crash": 7,
-    "restart": 9,
-    "cut": 7,
-    "heal": 6,
+    "restart": 14,
+    "heal": 10,
+    "thaw": 12,
+    "crash": 8,
+    "depose": 8,
+    "cut": 6,
     "freeze": 4,
-    "thaw": 6,
-    "snapshot": 5,
+    "snapshot": 6,
     "lose_disk": 1,
-    "old_copy": 2,
-    "resize": 3,
+    "old_copy": 3,
+    "resize": 4,
 }
+FAULTS = tuple(WEIGHTS)[8:]
 
 
 class ViolationError(AssertionError):
@@ -71,6 +74,7 @@
         self.network: list[tuple[str, str, object]] = []
         self.cuts: set[tuple[str, str]] = set()
         self.calm = False
+        self.lateness = self.rng.choice((0.0, 0.2, 0.8))
         self.fragile = self.copied = ""
         self.leader_by_term: dict[int, str] = {}
         self.entry_by_place: dict[tuple[int, int], tuple[Entry, int]] = {}
@@ -97,15 +101,19 @@
 
     def start(self, node: Node, grace: float | None = None) -> None:
         tuning = TUNING._replace(return_grace=grace) if grace else TUNING
+        tuning = tuning._replace(piece_bytes=self.rng.choice((7, 99)))
         seed = random.Random(self.rng.random())
         node.replica = Replica(node.disk, tuning, seed, node.clock)
         node.write, node.applied, node.chain, node.checked = None, 0, 0, 0
         self.after(node)
 
     def run(self, steps: int) -> None:
-        actions = list(WEIGHTS)
-        weights = list(WEIGHTS.values())
-        for action in self.rng.choices(actions, weights, k=steps):
+        # Each schedule has its own mixture of faults; some come often together.
+        weights = [
+            weight * (self.rng.choice((0, 1, 1, 4)) if action in FAULTS else 1)
+            for action, weight in WEIGHTS.items()
+        ]
+        for action in self.rng.choices(list(WEIGHTS), weights, k=steps):
             getattr(self, action)()
 
     def any_node(self) -> Node | None:
@@ -119,12 +127,17 @@
     # What may happen in a step.
 
     def deliver(self) -> None:
-        if not self.network:
-            return
-        place = self.rng.randrange(min(len(self.network), 12))
+        for _ in range(min(self.rng.randint(1, 4), len(self.network))):
+            self._deliver_one()
+
+    def _deliver_one(self) -> None:
+        late = not self.calm and self.rng.random() < self.lateness
+        place = self.rng.randrange(len(self.network) if late else 1)
         source, to, message = self.network[place]
-        if self.calm or self.rng.random() > 0.05:
+        if self.calm or self.rng.random() > 0.1:
             del self.network[place]
+        else:
+            self.network.append(self.network[place])
         node = self.nodes[to.partition("/")[0]]
         lost = (source, node.host) in self.cuts
         lost = lost or (not self.calm and self.rng.random() < 0.04)
@@ -144,11 +157,11 @@
             self._join_and_repair(node)
 
     def sync(self) -> None:
-        node = self.any_node()
-        if node and node.write:
-            self._finish_write(node)
-            node.replica.persisted(node.disk_number, node.clock)
-            self.after(node)
+        for node in self.nodes.values():
+            if node.write and not node.frozen and self.rng.random() < 0.6:
+                self._finish_write(node)
+                node.replica.persisted(node.disk_number, node.clock)
+                self.after(node)
 
     def propose(self) -> None:
         for node in self.leaders():
@@ -176,11 +189,24 @@
                 grace = WAITS_FOR_ALL if node.disk.replica == self.copied else None
                 self.start(node, grace)
 
+    def depose(self) -> None:
+        for node in self.leaders():
+            others = sorted(set(self.nodes) - {node.host})
+            reached = self.rng.sample(others, self.rng.randint(0, 2))
+            how = self.rng.choice(("cut", "crash", "freeze"))
+            node.frozen = how == "freeze"
+            if how == "crash":
+                node.replica, node.write = None, None
+            if how == "cut":
+                lost = [h for h in others if h not in reached]
+                self.cuts |= {p for h in lost for p in ((node.host, h), (h, node.host))}
+                self.cuts |= {(h, node.host) for h in reached}
+
     def cut(self) -> None:
         a, b = self.rng.sample(sorted(self.nodes), 2)
         pairs = [(a, b)] if self.rng.random() < 0.4 else [(a, b), (b, a)]
         if self.rng.random() < 0.4:
-            pairs = [p for h in self.nodes for p in ((a, h), (h, a))]
+            pairs += [p for h in self.nodes for p in ((a, h), (h, a))]
         self.cuts |= set(pairs)
 
     def heal(self) -> None:
@@ -294,7 +320,7 @@
             if entry.index != node.applied + 1:
                 raise ViolationError(f"{entry.index} applied after {node.applied}")
             node.applied = entry.index
-            node.chain = hash((node.chain, entry))
+            node.chain = zlib.crc32(repr(entry).encode(), node.chain)
             self._check_chain(node)
         for outcome in effects.reads:
             asked = self.asked.pop(outcome.token)
@@ -328,7 +354,6 @@
         for entry in log.slice(node.checked + 1, state.commit):
             if self.committed.setdefault(entry.index, entry) != entry:
                 raise ViolationError(f"committed entry {entry.index} changed")
-        node.checked = min(node.checked, state.commit) if state.commit else 0
         node.checked = state.commit
 
     def _check_complete(self, state) -> None:
