--- a/bitterntiller/components/replication/election.py
+++ b/bitterntiller/components/replication/election.py
@@ -23,11 +23,23 @@
 
 def may_campaign(state: State) -> bool:
     """Tell whether this replica may try to become the leader."""
-    if not (state.is_voter() and state.returning.done):
+    if not (_may_be_needed(state) and state.returning.done):
         return False
     return is_up_to_date(state, state.log.last_term, state.log.last_index)
 
 
+def _may_be_needed(state: State) -> bool:
+    """Tell whether this replica is a voter, or was before the newest change.
+
+    While its own removal is uncommitted it may hold the longest log, so that
+    nobody else can be elected to commit it.
+    """
+    members = state.members
+    if members.index > state.commit and not state.is_voter():
+        members = state.members_at(members.index - 1)
+    return state.replica in voters(members)
+
+
 def on_deadline(state: State, now: float) -> None:
     """Ask for pre-votes, since no leader has been heard of for too long."""
     state.reset_deadline(now)
@@ -38,7 +50,7 @@
     state.role = Role.PRE_CANDIDATE
     state.count("pre_votes_begun")
     state.votes = {state.replica}
-    if len(state.votes) >= quorum(state.members):
+    if _has_quorum(state):
         _campaign(state, now)
         return
     log = state.log
--- a/tests/components/replication/explorer.py
+++ b/tests/components/replication/explorer.py
@@ -8,6 +8,7 @@
 import random
 import zlib
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from bitterntiller.components.replication import repair
 from bitterntiller.components.replication.const import EntryKind
@@ -25,7 +26,7 @@
 from bitterntiller.components.replication.state import Role, initial
 
 WAITS_FOR_ALL = 1e9
-TUNING = Tuning(return_grace=0.5, batch_entries=3, piece_bytes=7, trailing=2)
+TUNING = Tuning(batch_entries=3, piece_bytes=7, trailing=2)
 
 WEIGHTS = {
     "deliver": 500,
@@ -48,6 +49,43 @@
 FAULTS = tuple(WEIGHTS)[8:]
 
 
+class Profile(NamedTuple):
+    """A kind of schedule: some faults made frequent, others left out.
+
+    grace is how long a replica waits for the answers of all other voters.
+    """
+
+    weights: dict[str, int] = {}
+    faults: tuple[str, ...] = FAULTS
+    hosts: str = "abcd"
+    grace: float = 0.5
+    steps: int = 2500
+
+
+MIXED = Profile()
+CRASHES = Profile(
+    {"crash": 60, "restart": 60, "depose": 10, "cut": 6, "propose": 90, "sync": 120},
+    ("crash", "depose", "cut"),
+    "abc",
+    0.0,
+)
+COPIES = Profile(
+    {"old_copy": 40, "depose": 20, "cut": 20, "heal": 20, "propose": 90},
+    ("old_copy", "depose", "cut"),
+    "abc",
+)
+CHANGES = Profile(
+    {"resize": 60, "depose": 30, "heal": 20, "thaw": 20, "restart": 40, "cut": 10},
+    ("resize", "depose", "cut"),
+)
+SNAPSHOTS = Profile(
+    {"snapshot": 60, "depose": 20, "freeze": 10, "cut": 20, "propose": 120},
+    ("snapshot", "depose", "cut", "freeze", "crash"),
+    "abc",
+)
+PROFILES = (MIXED, CRASHES, COPIES, CHANGES, SNAPSHOTS)
+
+
 class ViolationError(AssertionError):
     """Raised when a promise of the log is broken."""
 
@@ -68,8 +106,9 @@
 
 
 class World:
-    def __init__(self, seed: int, hosts: str = "abcd", first: int = 3) -> None:
+    def __init__(self, seed: int, profile: Profile = MIXED, first: int = 3) -> None:
         self.rng = random.Random(seed)
+        self.profile, hosts = profile, profile.hosts
         self.nodes = {h: self._new_node(h) for h in hosts}
         self.network: list[tuple[str, str, object]] = []
         self.cuts: set[tuple[str, str]] = set()
@@ -101,8 +140,9 @@
         return Member(self.nodes[host].disk.replica, host, host, voter)
 
     def start(self, node: Node, grace: float | None = None) -> None:
-        tuning = TUNING._replace(return_grace=grace) if grace else TUNING
-        tuning = tuning._replace(piece_bytes=self.rng.choice((7, 99)))
+        grace = self.profile.grace if grace is None else grace
+        pieces = self.rng.choice((7, 99))
+        tuning = TUNING._replace(return_grace=grace, piece_bytes=pieces)
         seed = random.Random(self.rng.random())
         node.replica = Replica(node.disk, tuning, seed, node.clock)
         node.write, node.applied, node.chain, node.checked = None, 0, 0, 0
@@ -110,10 +150,13 @@
 
     def run(self, steps: int) -> None:
         # Each schedule has its own mixture of faults; some come often together.
-        weights = [
-            weight * (self.rng.choice((0, 1, 1, 4)) if action in FAULTS else 1)
-            for action, weight in WEIGHTS.items()
-        ]
+        weights = []
+        for action, usual in WEIGHTS.items():
+            weight = self.profile.weights.get(action, usual)
+            if action in FAULTS:
+                weight *= self.rng.choice((0, 1, 1, 4))
+                weight *= action in self.profile.faults
+            weights.append(weight)
         for action in self.rng.choices(list(WEIGHTS), weights, k=steps):
             getattr(self, action)()
 
@@ -388,11 +431,11 @@
         raise ViolationError("no entry is committed although all are connected")
 
 
-def explore(seed: int, steps: int, hosts: str = "abcd", first: int = 3) -> World:
+def explore(seed: int, profile: Profile = MIXED) -> World:
     """Run one schedule; raise ViolationError for a broken promise."""
-    world = World(seed, hosts, first)
+    world = World(seed, profile)
     try:
-        world.run(steps)
+        world.run(profile.steps)
         world.settle()
     except SafetyError as error:
         raise ViolationError(str(error)) from error
