Play plain calls and callers who leave as the entry hosts tell them

Cause: the model told the owner more than the product does: the size of a plain answer beforehand, the first token at once, and a caller who left a running request by cancel instead of finished with caller-gone.

--- a/bench/arrivals.py
+++ b/bench/arrivals.py
@@ -82,6 +82,7 @@
     errors = rng.uniform(0.9, 1.1, count)
     fractions = rng.uniform(0.5, 1.0, count)
     hosts = rng.integers(0, pool.hosts, count)
+    plain = pool.upstreams[0].plain
     asks = []
     for number in range(count):
         kind = pool.kinds[kinds[number]]
@@ -103,12 +104,13 @@
             prompt=prompt,
             prompt_estimate=max(1, int(prompt * errors[number])),
             output=output,
-            output_estimate=max(1, int(limit)),
+            # Nothing is known of the answer of a plain service.
+            output_estimate=1 if plain else max(1, int(limit)),
             shared=shared,
             deadline=kind.deadline * tier.deadline_factor,
-            prefix_hashes=make_hashes(prompt, shared, document, number)
-            if kind.shared_tokens
-            else (),
+            prefix_hashes=()
+            if plain
+            else make_hashes(prompt, shared, document, number),
             host=int(hosts[number]),
         )
         asks.append(ask)
--- a/bench/engine.py
+++ b/bench/engine.py
@@ -28,6 +28,7 @@
         "cached",
         "computed",
         "ended",
+        "plain",
         "prefill_left",
         "recomputed",
         "request_id",
@@ -36,9 +37,10 @@
         "target",
     )
 
-    def __init__(self, request_id: str, ask: Ask) -> None:
+    def __init__(self, request_id: str, ask: Ask, plain: bool) -> None:
         self.request_id = request_id
         self.ask = ask
+        self.plain = plain
         self.state = "waiting"
         self.cached = 0
         self.recomputed = 0
@@ -107,7 +109,7 @@
     def submit(self, request_id: str, ask: Ask, now: float) -> Job:
         """Take a job."""
         self.advance(now)
-        job = Job(request_id, ask)
+        job = Job(request_id, ask, self.profile.plain)
         self.jobs_by_id[request_id] = job
         self._waiting[request_id] = job
         self._admit(now)
--- a/bench/entry.py
+++ b/bench/entry.py
@@ -14,6 +14,11 @@
 )
 
 PROGRESS_SECONDS = 0.5
+TELL_FIRST_TOKEN = False
+"""Whether the first token is told at once, not with the next progress."""
+
+DONE = "done"
+CALLER_GONE = "caller-gone"
 
 
 class Attempt:
@@ -121,7 +126,8 @@
         attempt = self.attempts_by_id[job.request_id]
         if attempt.ended is None:
             attempt.first_token = now
-            self._owner.send("progress", attempt.request_id, 1)
+            if TELL_FIRST_TOKEN:
+                self._owner.send("progress", attempt.request_id, 1)
 
     def finished(self, job: Job, now: float) -> None:
         """Note that an answer is whole."""
@@ -130,18 +136,9 @@
             return
         attempt.outcome = "useful"
         attempt.ended = now
-        first = attempt.first_token
-        completion = Completion(
-            request_id=attempt.request_id,
-            upstream=attempt.upstream,
-            outcome="done",
-            output_tokens=job.ask.output,
-            cached_tokens=job.cached,
-            first_token=None if first is None else first - attempt.granted,
-            total=now - attempt.granted,
-            in_time=True,
-        )
-        self._owner.send("finished", completion)
+        if attempt.first_token is None:
+            attempt.first_token = now
+        self._tell_end(attempt, DONE)
 
     def report_progress(self) -> None:
         """Tell the owner how far the running requests have come, again and again."""
@@ -169,13 +166,33 @@
         """End a request at its deadline: the caller goes away."""
         if attempt.ended is not None:
             return
+        running = attempt.outcome == "running"
         attempt.outcome = f"gave-up-{attempt.outcome}"
         attempt.ended = self._loop.now()
-        self._owner.send("cancel", attempt.request_id)
+        if running:
+            self._tell_end(attempt, CALLER_GONE)
+        else:
+            self._owner.send("cancel", attempt.request_id)
         if attempt.job is not None:
             station = self.stations_by_name[attempt.upstream]
             self._loop.after(self._delay, station.cancel, attempt.request_id)
 
+    def _tell_end(self, attempt: Attempt, outcome: str) -> None:
+        """Tell the owner how a request that was sent has ended."""
+        first = attempt.first_token
+        plain = attempt.job is None or attempt.job.plain
+        completion = Completion(
+            request_id=attempt.request_id,
+            upstream=attempt.upstream,
+            outcome=outcome,
+            output_tokens=0 if plain else self._output(attempt),
+            cached_tokens=None if plain or outcome != DONE else attempt.job.cached,
+            first_token=None if first is None else first - attempt.granted,
+            total=attempt.ended - attempt.granted,
+            in_time=outcome == DONE,
+        )
+        self._owner.send("finished", completion)
+
     def _refuse(self, attempt: Attempt, refused: Refused) -> None:
         if attempt.outcome != "waiting":
             return
--- a/bench/matrix.py
+++ b/bench/matrix.py
@@ -28,6 +28,7 @@
     schedulers: tuple[str, ...]
     seeds: int
     duration: float
+    parameters: tuple[tuple[str, object], ...] = ()
 
 
 def full_plan(seeds: int) -> Plan:
@@ -53,12 +54,21 @@
     """Yield the runs of a plan, the costly ones first."""
     cells = [(case, load) for load in plan.loads for case in plan.cases]
     cells.append(("calm", UNLOADED))
+    cells = list(dict.fromkeys(cells))
     for case, load in sorted(cells, key=lambda cell: -cell[1]):
         for pool in plan.pools:
             for number in range(plan.seeds):
                 for scheduler in plan.schedulers:
                     seed = FIRST_SEED + number
-                    yield RunSpec(pool, case, load, seed, scheduler, plan.duration)
+                    yield RunSpec(
+                        pool,
+                        case,
+                        load,
+                        seed,
+                        scheduler,
+                        plan.duration,
+                        plan.parameters,
+                    )
 
 
 def run_all(plan: Plan, jobs: int) -> list[Measures]:
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -39,6 +39,7 @@
     seed: int
     scheduler: str
     duration: float
+    parameters: tuple[tuple[str, object], ...]
     goodput: float
     goodput_tokens: float
     wasted: float
--- a/bench/models.py
+++ b/bench/models.py
@@ -103,7 +103,11 @@
 
 
 class RunSpec(NamedTuple):
-    """One run of one scheduler; load is a multiple of the pool's capacity."""
+    """One run of one scheduler; load is a multiple of the pool's capacity.
+
+    parameters are names and values of PolicyParameters that differ from the
+    defaults, for trials.
+    """
 
     pool: str
     case: str
@@ -111,3 +115,4 @@
     seed: int
     scheduler: str
     duration: float
+    parameters: tuple[tuple[str, object], ...] = ()
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -28,6 +28,9 @@
     case: Annotated[list[str] | None, cappa.Arg(long=True)] = None
     load: Annotated[list[float] | None, cappa.Arg(long=True)] = None
     scheduler: Annotated[list[str] | None, cappa.Arg(long=True)] = None
+    parameter: Annotated[
+        list[str] | None, cappa.Arg(long=True, help="NAME=VALUE of the policy, as JSON")
+    ] = None
 
     def __call__(self) -> None:
         """Do the runs and write the results."""
@@ -37,6 +40,7 @@
             cases=tuple(self.case or plan.cases),
             loads=tuple(self.load or plan.loads),
             schedulers=tuple(self.scheduler or plan.schedulers),
+            parameters=tuple(map(_parse_parameter, self.parameter or ())),
         )
         began = time.monotonic()
         results = run_all(plan, self.jobs)
@@ -45,6 +49,11 @@
         sys.stdout.write(f"{len(results)} runs in {seconds:.0f} s: {self.out}\n")
 
 
+def _parse_parameter(text: str) -> tuple[str, object]:
+    name, _, value = text.partition("=")
+    return name, json.loads(value)
+
+
 @dataclass
 class Report:
     """Print the tables of kept results."""
--- a/bench/run.py
+++ b/bench/run.py
@@ -48,7 +48,7 @@
     if maker is None:
 
         def maker() -> Scheduler:
-            return make_scheduler(spec.scheduler, pool, scheduler_rng)
+            return make_scheduler(spec.scheduler, pool, scheduler_rng, spec.parameters)
 
     owner = Owner(loop, maker, list(pool.weights_by_workspace), pool.delay, decide)
     hosts = EntryHosts(loop, owner, pool.delay, case.comebacks)
--- a/bench/schedulers.py
+++ b/bench/schedulers.py
@@ -12,10 +12,15 @@
 SCHEDULERS = (POLICY, *BASELINES_BY_NAME)
 
 
-def make_scheduler(name: str, pool: PoolSpec, rng: np.random.Generator) -> Scheduler:
+def make_scheduler(
+    name: str,
+    pool: PoolSpec,
+    rng: np.random.Generator,
+    parameters: tuple[tuple[str, object], ...] = (),
+) -> Scheduler:
     """Return a new scheduler that knows nothing yet."""
     if name == POLICY:
         plain = pool.upstreams[0].plain
         kind = KIND_PLAIN if plain else KIND_ENGINE
-        return PoolScheduler(PolicyParameters(kind=kind))
+        return PoolScheduler(PolicyParameters(kind=kind, **dict(parameters)))
     return BASELINES_BY_NAME[name](rng)
