Leave a withdrawn request out of the queue when its parking ends

The final state GONE ends that. test_every_request_ends_once[policy-comebacks] failed before and passes now.

--- a/bitterntiller/components/dispatch/jobs.py
+++ b/bitterntiller/components/dispatch/jobs.py
@@ -21,6 +21,7 @@
     GRANTED = "granted"
     RUNNING = "running"
     LAPSED = "lapsed"
+    GONE = "gone"
 
 
 class Job:
--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -311,6 +311,7 @@
             self._queue.remove(job)
         if job.waiting:
             self._leave_waiting(job, now)
+            job.state = JobState.GONE
         elif job.state is not JobState.LAPSED:
             self._limiter.leave(job.workspace)
             self._queue.uncap(job.workspace)
