--- a/bitterntiller/components/control/coordinator.py
+++ b/bitterntiller/components/control/coordinator.py
@@ -52,8 +52,11 @@
         self._term: LeaderTerm | None = None
         self.state = state
 
-    async def async_start(self) -> None:
-        """Begin to answer, until the process unloads."""
+    async def async_start(self, tick: bool = True) -> None:
+        """Begin to answer, until the process unloads.
+
+        Without tick, pools are placed only by a call of async_place.
+        """
         handlers = {
             messages.Heartbeat: self.async_heartbeat,
             messages.Change: self.async_change,
@@ -64,7 +67,8 @@
         }
         await self._runtime.async_spawn(self._confirm.async_run())
         await self._runtime.async_spawn(self._proposer.async_run())
-        await self._runtime.async_spawn(self._async_tick())
+        if tick:
+            await self._runtime.async_spawn(self._async_tick())
         for cls, handler in handlers.items():
             self._runtime.stack.callback(self._runtime.links.handle(cls, handler))
 
@@ -85,8 +89,7 @@
         term = self.leading()
         if term is None or await self._confirm.async_confirm() is None:
             return None
-        # The confirmation may be that of a later term, won in between.
-        return term if self.leading() is term else None
+        return term
 
     async def async_heartbeat(self, sender: str, heartbeat: Any) -> Any:
         """Answer a messages.Heartbeat, with a lease when the lead is confirmed."""
@@ -97,7 +100,9 @@
         if session is None or not term.may_grant(session, session.heard):
             return self._refuse_heartbeat(STATUS_UNKNOWN_HOST)
         term.sessions.note_grant(session)
-        if await self._async_confirmed() is not term:
+        # Should the confirmation be that of a later term of this replica, the
+        # lease still began before that term, which waits out all that did.
+        if await self._confirm.async_confirm() is None:
             return self._refuse_heartbeat(STATUS_NOT_LEADER)
         self._runtime.metrics.count("control.heartbeat.granted")
         leader = self._log.leader()
