Free lost slots, grant lost grants again, and keep dead hosts from stalling the owner

Entry hosts now tell all live ids every 5 s (message Live, kind 19). - Decisions were sent in turn: one host without power held up all grants for the time of a dial. - What freeing a dead entry process's slot granted was not sent. - A change of selectors queued running adopted work again, and left returned requests on the old selectors. - Registrations that came before the owner heard of its own epoch were dropped. - A new owner that could not be reached was never told of running work again. Ruled out: repeating the last message until acknowledged, since it needs state for each ended request; the list costs 36 bytes a live request every 5 s. Conclusion: a broken link costs at most 5 to 10 s of a slot, not the rest of an epoch.

--- a/bitterntiller/components/dispatch/__init__.py
+++ b/bitterntiller/components/dispatch/__init__.py
@@ -25,6 +25,7 @@
     for cls, handler in (
         (messages.Register, coordinator.async_on_register),
         (messages.Reregister, coordinator.async_on_reregister),
+        (messages.Live, coordinator.async_on_live),
         (messages.Cancel, coordinator.async_on_cancel),
         (messages.Started, coordinator.async_on_started),
         (messages.Progress, coordinator.async_on_progress),
--- a/bitterntiller/components/dispatch/coordinator.py
+++ b/bitterntiller/components/dispatch/coordinator.py
@@ -8,8 +8,9 @@
 
 from bitterntiller.components.config.models import Config
 from bitterntiller.components.dispatch import const
+from bitterntiller.components.dispatch.early import EarlyMessages
 from bitterntiller.components.dispatch.models import Decision, Granted, Scheduler
-from bitterntiller.components.dispatch.owned_pool import HOST_GONE, OwnedPool
+from bitterntiller.components.dispatch.owned_pool import OwnedPool, Tracked
 from bitterntiller.components.dispatch.wire import grant_message, refusal_message
 from bitterntiller.core.interfaces import ConfigView, DirectoryView, Lease, Ownership
 from bitterntiller.core.runtime import Runtime
@@ -40,6 +41,9 @@
         self._directory = directory
         self._make_scheduler = make_scheduler
         self._config_version = -1
+        self._early = EarlyMessages()
+        self._heard_by_host: dict[str, float] = {}
+        self._dead_checked_at = 0.0
         self.pools_by_name: dict[str, OwnedPool] = {}
 
     async def async_run(self) -> None:
@@ -48,15 +52,25 @@
             now = self._clock.now()
             self._follow_ownership(now)
             await self._async_follow_config(now)
+            await self._async_drop_dead_hosts(now)
             for pool in list(self.pools_by_name.values()):
-                self._drop_dead_hosts(pool, now)
+                if self._lease.valid():
+                    await self._async_take_early(pool.name, now)
                 await self._async_carry_out(pool, pool.tick(now))
             await curio.sleep(self._pause())
 
+    async def _async_take_early(self, pool: str, now: float) -> None:
+        for message in self._early.take(pool, now):
+            if isinstance(message, messages.Register):
+                await self.async_on_register(message.entry_host, message)
+            else:
+                await self.async_on_reregister(message.entry_host, message)
+
     async def async_on_register(self, _host: str, message: Any) -> None:
         """Take a waiting request of an entry host."""
         pool = self._pool(message.pool)
         if pool is None:
+            self._early.put(message, self._clock.now())
             return
         incarnation = self._incarnation(message.entry_host)
         decisions = pool.register(message, incarnation, self._clock.now())
@@ -65,9 +79,10 @@
     async def async_on_reregister(self, _host: str, message: Any) -> None:
         """Take all that an entry host has with a pool."""
         pool = self._pool(message.pool)
-        if pool is None:
-            return
         now = self._clock.now()
+        if pool is None or pool.epoch < message.epoch:
+            self._early.put(message, now)
+            return
         incarnation = self._incarnation(message.entry_host)
         decisions: list[Decision] = []
         for item in message.running:
@@ -76,6 +91,17 @@
             decisions += pool.register(item, incarnation, now)
         await self._async_carry_out(pool, decisions)
 
+    async def async_on_live(self, _host: str, message: Any) -> None:
+        """Forget what an entry host has no more."""
+        now = self._clock.now()
+        self._heard_by_host[message.entry_host] = now
+        pool = self._pool(message.pool)
+        if pool is None:
+            return
+        ids = frozenset(message.request_ids)
+        decisions = pool.keep_only(message.entry_host, ids, now)
+        await self._async_carry_out(pool, decisions)
+
     async def async_on_cancel(self, _host: str, message: Any) -> None:
         """Forget a request whose caller has gone."""
         pool = self._pool(message.pool)
@@ -178,19 +204,31 @@
         entry = self._directory.hosts_by_name.get(host)
         return entry.incarnation if entry is not None else ""
 
-    def _drop_dead_hosts(self, pool: OwnedPool, now: float) -> None:
+    async def _async_drop_dead_hosts(self, now: float) -> None:
         """Free what entry processes held that have died.
 
         Nobody will report the end of their requests; without this the slots
-        would count as used for ever. A newer incarnation proves the death.
+        would count as used for ever. A newer incarnation proves the death. A host
+        that left the directory may be cut off from control and still run its
+        requests; it counts as dead when it is silent towards this host too.
         """
-        for request_id, tracked in list(pool.tracked_by_id.items()):
-            present = self._incarnation(tracked.request.entry_host)
-            if not present or not tracked.entry_incarnation:
-                continue
-            if present != tracked.entry_incarnation:
-                self._metrics.count(const.METRIC_ORPHANED)
-                pool.cancel(request_id, now)
+        if now - self._dead_checked_at < const.DEAD_HOSTS_PERIOD:
+            return
+        self._dead_checked_at = now
+        for pool in list(self.pools_by_name.values()):
+            for request_id, tracked in list(pool.tracked_by_id.items()):
+                if self._entry_is_dead(tracked, now):
+                    self._metrics.count(const.METRIC_ORPHANED)
+                    await self._async_carry_out(pool, pool.cancel(request_id, now))
+
+    def _entry_is_dead(self, tracked: Tracked, now: float) -> bool:
+        host = tracked.request.entry_host
+        present = self._incarnation(host)
+        if present:
+            known = tracked.entry_incarnation
+            return bool(known) and present != known
+        heard_at = max(self._heard_by_host.get(host, 0.0), tracked.known_at)
+        return now - heard_at > const.DEAD_HOST_SILENCE
 
     def _pause(self) -> float:
         now = self._clock.now()
@@ -201,19 +239,26 @@
     async def _async_carry_out(
         self, pool: OwnedPool, decisions: list[Decision]
     ) -> None:
+        """Send each decision in a task of its own.
+
+        A host that lost its power answers nothing, so that dialling it takes the
+        whole connection timeout. Sent in turn, each decision for it would keep
+        the grants of all other hosts waiting for about as long as they are valid.
+        """
         for decision in decisions:
-            entry = self._directory.hosts_by_name.get(decision.entry_host)
-            message = self._message(pool, decision)
-            sent = False
-            if entry is not None:
-                sent = await self._links.async_send(entry.address, message)
-            if not sent and isinstance(decision, Granted):
-                now = self._clock.now()
-                more = pool.scheduler.returned(
-                    decision.request_id, HOST_GONE, False, now
-                )
-                pool.tracked_by_id.pop(decision.request_id, None)
-                await self._async_carry_out(pool, more)
+            await curio.spawn(self._async_deliver, pool, decision, daemon=True)
+
+    async def _async_deliver(self, pool: OwnedPool, decision: Decision) -> None:
+        entry = self._directory.hosts_by_name.get(decision.entry_host)
+        message = self._message(pool, decision)
+        sent = False
+        if entry is not None:
+            sent = await self._links.async_send(entry.address, message)
+        if sent or not isinstance(decision, Granted):
+            return
+        now = self._clock.now()
+        more = pool.take_back(decision.request_id, now)
+        await self._async_carry_out(pool, more)
 
     def _message(self, pool: OwnedPool, decision: Decision) -> Any:
         if isinstance(decision, Granted):
--- a/bitterntiller/components/dispatch/owned_pool.py
+++ b/bitterntiller/components/dispatch/owned_pool.py
@@ -20,14 +20,20 @@
 
 LOWEST_RANK = 1_000_000
 HOST_GONE = "expired"
+KNOWN_SECONDS = 5.0
 
 
 class Tracked(NamedTuple):
-    """A request as the owner tracks it: who sent it, and where it was granted."""
+    """A request as the owner tracks it: who sent it, and whether it may be sent.
+
+    granted is true from the grant until its return. known_at is when the entry
+    host last told of the request, in the owner's time.
+    """
 
     request: WaitingRequest
     entry_incarnation: str
-    address: str
+    granted: bool
+    known_at: float
 
 
 class OwnedPool:
@@ -55,19 +61,26 @@
         """Put a configuration in force."""
         self._config = config
         decisions = self.scheduler.set_limits(workspace_limits(config), now)
-        return self._note(decisions + self._select_anew(now))
+        return self._note(decisions) + self._select_anew(now)
 
     def register(
         self, message: messages.Register, incarnation: str, now: float
     ) -> list[Decision]:
-        """Take a request, or hold it while the epoch settles."""
-        if message.request_id in self.tracked_by_id:
-            return []
-        if now < self._settled_at:
-            self._held_by_id[message.request_id] = (message, incarnation)
+        """Take a request, or hold it while the epoch settles.
+
+        A repetition goes on to the scheduler: the grant may have been lost with a
+        broken connection. The request would then wait until its deadline beside
+        idle upstreams, since only the scheduler knows that the grant lapsed.
+        """
+        request_id = message.request_id
+        if now < self._settled_at and request_id not in self.tracked_by_id:
+            self._held_by_id[request_id] = (message, incarnation)
             return []
         request = self._request(message, now)
-        self.tracked_by_id[request.request_id] = Tracked(request, incarnation, "")
+        known = self.tracked_by_id.get(request_id)
+        granted = known is not None and known.granted
+        tracked = Tracked(request, incarnation, granted, now)
+        self.tracked_by_id[request_id] = tracked
         return self._note(self.scheduler.register(request, now))
 
     def adopt(
@@ -75,7 +88,8 @@
     ) -> list[Decision]:
         """Count a request that runs under an earlier owner's grant."""
         request = self._request(item.request, now)
-        self.tracked_by_id[request.request_id] = Tracked(request, incarnation, "")
+        tracked = Tracked(request, incarnation, True, now)
+        self.tracked_by_id[request.request_id] = tracked
         self._held_by_id.pop(request.request_id, None)
         decisions = self.scheduler.adopt_running(
             request, item.upstream, item.output_tokens, now
@@ -88,6 +102,24 @@
         self.tracked_by_id.pop(request_id, None)
         return self._note(self.scheduler.cancel(request_id, now))
 
+    def keep_only(
+        self, entry_host: str, request_ids: frozenset[str], now: float
+    ) -> list[Decision]:
+        """Forget what an entry host has no more, given all that it has.
+
+        The end of a request is told once. When that message is lost with a broken
+        connection, the slot would count as used for as long as the epoch lasts.
+        What was told of in the last seconds is kept: its message may have come by
+        another connection than this one.
+        """
+        decisions: list[Decision] = []
+        for request_id, tracked in list(self.tracked_by_id.items()):
+            if tracked.request.entry_host != entry_host or request_id in request_ids:
+                continue
+            if now - tracked.known_at >= KNOWN_SECONDS:
+                decisions += self.cancel(request_id, now)
+        return decisions
+
     def started(self, request_id: str, now: float) -> list[Decision]:
         """Note that a request is being sent."""
         return self._note(self.scheduler.started(request_id, now))
@@ -110,13 +142,21 @@
 
     def returned(self, message: messages.Returned, now: float) -> list[Decision]:
         """Take an unused grant back."""
-        if not message.still_waiting:
-            self.tracked_by_id.pop(message.request_id, None)
+        tracked = self.tracked_by_id.pop(message.request_id, None)
+        if message.still_waiting and tracked is not None:
+            waiting = tracked._replace(granted=False)
+            self.tracked_by_id[message.request_id] = waiting
         decisions = self.scheduler.returned(
             message.request_id, message.reason, message.still_waiting, now
         )
         return self._note(decisions)
 
+    def take_back(self, request_id: str, now: float) -> list[Decision]:
+        """Take back a grant that could not be sent, and forget its request."""
+        self.tracked_by_id.pop(request_id, None)
+        decisions = self.scheduler.returned(request_id, HOST_GONE, False, now)
+        return self._note(decisions)
+
     def announce(
         self, message: messages.Announce, now: float
     ) -> tuple[bool, list[Decision]]:
@@ -124,7 +164,7 @@
         accepted, decisions = self.scheduler.announce(upstream_state(message, now), now)
         if accepted and self._labels_by_upstream.get(message.name) != message.labels:
             self._labels_by_upstream[message.name] = message.labels
-            decisions = decisions + self._select_anew(now)
+            return accepted, self._note(decisions) + self._select_anew(now)
         return accepted, self._note(decisions)
 
     def tick(self, now: float) -> list[Decision]:
@@ -153,8 +193,7 @@
         rank = LOWEST_RANK
         names = None
         if config is not None:
-            tier = config.tiers_by_name.get(message.tier)
-            rank = tier.rank if tier else LOWEST_RANK
+            rank = _rank(message.tier, config)
             names = self._names(message.workspace, message.tier, config)
         return waiting_request(message, rank, names, now)
 
@@ -171,19 +210,32 @@
         if self._config is None:
             return []
         decisions: list[Decision] = []
-        for tracked in list(self.tracked_by_id.values()):
-            request = tracked.request
-            if tracked.address:
-                continue
-            names = self._names(request.workspace, request.tier, self._config)
-            if names == request.upstream_names:
-                continue
-            request = request._replace(upstream_names=names)
-            self.tracked_by_id[request.request_id] = tracked._replace(request=request)
-            decisions += self.scheduler.cancel(request.request_id, now)
-            decisions += self.scheduler.register(request, now)
+        for request_id in list(self.tracked_by_id):
+            decisions += self._select_one(request_id, self._config, now)
         return decisions
 
+    def _select_one(
+        self, request_id: str, config: Config, now: float
+    ) -> list[Decision]:
+        """Register a waiting request anew when its tier or upstreams are others.
+
+        Withdrawing one request may grant another of the same round. Each decision
+        is noted at once, so that a request granted meanwhile is left alone: it
+        would be queued and granted a second time while it runs.
+        """
+        tracked = self.tracked_by_id.get(request_id)
+        if tracked is None or tracked.granted:
+            return []
+        request = tracked.request
+        names = self._names(request.workspace, request.tier, config)
+        rank = _rank(request.tier, config)
+        if (names, rank) == (request.upstream_names, request.tier_rank):
+            return []
+        request = request._replace(upstream_names=names, tier_rank=rank)
+        self.tracked_by_id[request_id] = tracked._replace(request=request)
+        decisions = self._note(self.scheduler.cancel(request_id, now))
+        return decisions + self._note(self.scheduler.register(request, now))
+
     def _note(self, decisions: list[Decision]) -> list[Decision]:
         for decision in decisions:
             if isinstance(decision, Refused):
@@ -196,6 +248,9 @@
         tracked = self.tracked_by_id.get(decision.request_id)
         if tracked is None:
             return
-        self.tracked_by_id[decision.request_id] = tracked._replace(
-            address=decision.address
-        )
+        self.tracked_by_id[decision.request_id] = tracked._replace(granted=True)
+
+
+def _rank(tier: str, config: Config) -> int:
+    found = config.tiers_by_name.get(tier)
+    return found.rank if found else LOWEST_RANK
--- a/bitterntiller/components/entry/__init__.py
+++ b/bitterntiller/components/entry/__init__.py
@@ -43,5 +43,6 @@
         runtime.stack.callback(runtime.links.handle(cls, handler))
     await runtime.async_spawn(coordinator.async_follow())
     await runtime.async_spawn(coordinator.async_report())
+    await runtime.async_spawn(coordinator.async_tell_live())
     runtime.add_diagnostics("entry", lambda: describe(coordinator))
     return coordinator
--- a/bitterntiller/components/entry/coordinator.py
+++ b/bitterntiller/components/entry/coordinator.py
@@ -54,6 +54,28 @@
                 message = messages.Progress(pool=pool, items=items)
                 await self._context.links.async_send(owner.address, message)
 
+    async def async_tell_live(self) -> None:
+        """Tell owners all that is live here every few seconds, until cancelled.
+
+        The end of a request is told once; when that message is lost, this list
+        lets the owner find out. An empty list is told too.
+        """
+        while True:
+            await curio.sleep(const.LIVE_PERIOD)
+            for pool in list(self._owners_by_pool):
+                await self._async_tell_live(pool)
+
+    async def _async_tell_live(self, pool: str) -> None:
+        owner = self._context.directory.owner(pool)
+        if owner is None:
+            return
+        live = self.registry.by_id.values()
+        ids = [item.request_id for item in live if item.pool == pool]
+        message = messages.Live(
+            pool=pool, entry_host=self._context.host, request_ids=ids
+        )
+        await self._context.links.async_send(owner.address, message)
+
     async def async_drain(self) -> list[str]:
         """Take no new work and wait for what there is, up to the shutdown limit.
 
@@ -76,13 +98,17 @@
         if pool in self._owners_by_pool and self._owners_by_pool[pool] == owner:
             return
         known = pool in self._owners_by_pool
-        self._owners_by_pool[pool] = owner
         if owner is None or not known:
+            self._owners_by_pool[pool] = owner
             return
-        await self._async_reregister(pool, owner)
+        # A new owner that was not reached would load its upstreams a second time
+        # beside the work that runs here; it is told again at the next round.
+        if not await self._async_reregister(pool, owner):
+            return
+        self._owners_by_pool[pool] = owner
         await self.registry.async_post(pool, OwnerChanged(owner))
 
-    async def _async_reregister(self, pool: str, owner: Ownership) -> None:
+    async def _async_reregister(self, pool: str, owner: Ownership) -> bool:
         """Tell a new owner at once all that runs, so that it can count it."""
         now = self._context.clock.now()
         waiting = []
@@ -97,7 +123,7 @@
             waiting=waiting,
             running=self.registry.running(pool),
         )
-        await self._context.links.async_send(owner.address, message)
+        return await self._context.links.async_send(owner.address, message)
 
     def _waiting(self, pool: str) -> list[ActiveRequest]:
         return [
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -17,7 +17,7 @@
 enum MessageKind {
     HELLO = 1, CHALLENGE = 2, HELLO_REPLY = 3, FAULT = 4,
     REGISTER = 10, GRANT = 11, REFUSAL = 12, CANCEL = 13, STARTED = 14,
-    PROGRESS = 15, FINISHED = 16, RETURNED = 17, REREGISTER = 18,
+    PROGRESS = 15, FINISHED = 16, RETURNED = 17, REREGISTER = 18, LIVE = 19,
     ANNOUNCE = 20, ANNOUNCE_REPLY = 21,
     HEARTBEAT = 30, HEARTBEAT_REPLY = 31, GET_CONFIG = 32, CONFIG_REPLY = 33,
     CHANGE = 34, CHANGE_REPLY = 35, CLAIM = 36, CLAIM_REPLY = 37,
@@ -117,6 +117,9 @@
     5: required list<RunningItem> running,
 }
 
+/* The ids of all requests that an entry host has with a pool, told every few seconds. */
+struct Live { 1: required string pool, 2: required string entry_host, 3: required list<string> request_ids }
+
 /* ---- upstreams ---- */
 
 struct Load {
