Guard a stream's silence by one task, and write without a timer

Cause: a quarter of the work of relaying was timers for each reading and writing, and asking h11 for events that can't be there yet. Ruled out: gathering chunks for a millisecond, which costs every caller latency.

--- a/bitterntiller/components/entry/relay.py
+++ b/bitterntiller/components/entry/relay.py
@@ -76,6 +76,7 @@
         await self._exchange.async_start(
             head.status, answer_headers(self._active, head)
         )
+        await client.async_guard(self._idle)
         if is_event_stream(head) and head.status == STATUS_OK and not self._bodyless:
             whole = await self._async_events(client)
         else:
@@ -96,7 +97,7 @@
     async def _async_body(self, client: ClientExchange) -> bool:
         try:
             while True:
-                data = await client.async_data(self._idle)
+                data = await client.async_data()
                 if data is None:
                     return True
                 self._note_first_byte()
@@ -145,6 +146,7 @@
             if client is None:
                 await curio.sleep(const.RESUME_DELAY)
                 continue
+            await client.async_guard(self._idle)
             try:
                 if await self._async_follow(client, stream):
                     return True
@@ -157,7 +159,7 @@
         """Relay whole events; True when the end mark has been passed on."""
         try:
             while not stream.ended:
-                data = await client.async_data(self._idle)
+                data = await client.async_data()
                 if data is None:
                     return stream.ended
                 events = stream.feed(data)
--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -4,6 +4,7 @@
 
 import curio
 import h11
+from curio import socket
 
 from bitterntiller.components.http import const
 from bitterntiller.components.http.errors import (
@@ -26,6 +27,10 @@
         self._h11 = h11.Connection(h11.CLIENT)
         self._method = ""
         self._ends_by_close = False
+        self._kept: Any = h11.NEED_DATA
+        self._used_up = False
+        self._quiet_ticks = 0
+        self._guard: curio.Task | None = None
 
     @classmethod
     async def async_open(cls, address: str, timeout: float) -> "ClientExchange":
@@ -39,8 +44,27 @@
 
     async def async_close(self) -> None:
         """Close the connection."""
+        if self._guard is not None:
+            await self._guard.cancel()
         await self._sock.close()
 
+    async def async_guard(self, timeout: float) -> None:
+        """Have the reading break when nothing comes for timeout seconds.
+
+        The guard looks a few times in that while, and may let a part of it more
+        pass. A timer for each reading would be a quarter of the work of relaying.
+        """
+        self._guard = await curio.spawn(self._async_guard, timeout, daemon=True)
+
+    async def _async_guard(self, timeout: float) -> None:
+        while self._quiet_ticks <= const.GUARD_TICKS:
+            self._quiet_ticks += 1
+            await curio.sleep(timeout / const.GUARD_TICKS)
+        try:
+            await self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
+
     async def async_request(
         self, method: str, target: str, headers: Headers, body: bytes, timeout: float
     ) -> None:
@@ -74,20 +98,27 @@
             self._ends_by_close = self._without_end_mark(event)
             return ResponseHead(event.status_code, list(event.headers))
 
-    async def async_data(self, timeout: float) -> bytes | None:
+    async def async_data(self) -> bytes | None:
         """Return the next part of the body, None at its end marker.
 
         Raise BrokenAnswerError when the connection ends before the marker or
-        nothing comes for timeout seconds. Parts that have arrived together
-        come together.
+        the guard finds it silent. Parts that have arrived together come together.
         """
-        event = await self._async_event(timeout)
+        event = await self._async_next()
         if isinstance(event, h11.EndOfMessage):
             self._check_end_mark()
             return None
         if not isinstance(event, h11.Data):
             raise BrokenAnswerError("the answer ended before its end marker")
-        parts = [bytes(event.data)]
+        data = bytes(event.data)
+        # Behind a chunk its line end is left; asking h11 for more would find that.
+        if len(self._h11.trailing_data[0]) <= const.CHUNK_END_BYTES:
+            self._used_up = True
+            return data
+        return self._with_more(data)
+
+    def _with_more(self, data: bytes) -> bytes:
+        parts = [data]
         while True:
             event = self._try_next()
             if not isinstance(event, h11.Data):
@@ -111,8 +142,6 @@
         if self._ends_by_close:
             raise BrokenAnswerError("the answer has no end marker of its own")
 
-    _kept: Any = h11.NEED_DATA
-
     def _try_next(self) -> Any:
         try:
             return self._h11.next_event()
@@ -121,16 +150,25 @@
             return error
 
     async def _async_event(self, timeout: float) -> Any:
+        try:
+            async with curio.timeout_after(timeout):
+                return await self._async_next()
+        except curio.TaskTimeout as error:
+            raise BrokenAnswerError(f"reading broke: {error!r}") from error
+
+    async def _async_next(self) -> Any:
         event = self._kept
         self._kept = h11.NEED_DATA
         try:
-            async with curio.timeout_after(timeout):
-                while event is h11.NEED_DATA:
+            while event is h11.NEED_DATA:
+                if not self._used_up:
                     event = self._try_next()
-                    if event is h11.NEED_DATA:
-                        data = await self._sock.recv(const.READ_BYTES)
-                        self._h11.receive_data(data)
-        except (OSError, curio.TaskTimeout) as error:
+                if event is h11.NEED_DATA:
+                    data = await self._sock.recv(const.READ_BYTES)
+                    self._quiet_ticks = 0
+                    self._used_up = False
+                    self._h11.receive_data(data)
+        except OSError as error:
             raise BrokenAnswerError(f"reading broke: {error!r}") from error
         if isinstance(event, h11.RemoteProtocolError):
             raise BrokenAnswerError(str(event)) from event
@@ -150,8 +188,9 @@
     try:
         await exchange.async_request(method, target, headers, body, timeout)
         head = await exchange.async_head(timeout)
+        await exchange.async_guard(timeout)
         parts = []
-        while (data := await exchange.async_data(timeout)) is not None:
+        while (data := await exchange.async_data()) is not None:
             parts.append(data)
         return HttpResponse(head.status, head.headers, b"".join(parts))
     finally:
--- a/bitterntiller/components/http/const.py
+++ b/bitterntiller/components/http/const.py
@@ -1,6 +1,8 @@
 """Constants of HTTP towards callers, operators and upstreams."""
 
 READ_BYTES = 65536
+CHUNK_END_BYTES = 2
+GUARD_TICKS = 4
 LINGER_BYTES = 16 * 1024 * 1024
 LINGER_SECONDS = 2.0
 BODYLESS_STATUSES = frozenset({204, 304})
--- a/bitterntiller/components/http/exchange.py
+++ b/bitterntiller/components/http/exchange.py
@@ -1,5 +1,6 @@
 """One request of a caller and its answer, over an h11 connection."""
 
+import os
 import struct
 from typing import Any
 
@@ -86,7 +87,21 @@
                 await curio.Event().wait()
 
     async def async_write(self, data: bytes) -> None:
-        """Send bytes; raise CallerGoneError when the caller does not take them."""
+        """Send bytes; raise CallerGoneError when the caller does not take them.
+
+        Mostly the kernel takes all bytes at once; a timer is set only to wait.
+        """
+        try:
+            sent = os.write(self.sock.fileno(), data)
+        except BlockingIOError:
+            sent = 0
+        except OSError as error:
+            self.gone = True
+            raise CallerGoneError(repr(error)) from error
+        if sent < len(data):
+            await self._async_write_rest(memoryview(data)[sent:])
+
+    async def _async_write_rest(self, data: memoryview) -> None:
         try:
             async with curio.timeout_after(self.write_timeout):
                 await self.sock.sendall(data)
--- a/tests/components/entry/test_sse.py
+++ b/tests/components/entry/test_sse.py
@@ -10,7 +10,7 @@
     EventStream,
 )
 
-TEXT = st.text(st.characters(exclude_characters="\r\n"), max_size=20)
+TEXT = st.text(st.characters(codec="utf-8", exclude_characters="\r\n"), max_size=20)
 
 
 def event(number: int, text: str) -> bytes:
