--- a/bitterntiller/cli/tool.py
+++ b/bitterntiller/cli/tool.py
@@ -34,3 +34,7 @@
     except ToolError as error:
         print_error(f"bitterntiller: {error}")
         return error.exit_code
+
+
+if __name__ == "__main__":
+    main()
--- a/bitterntiller/components/dispatch/__init__.py
+++ b/bitterntiller/components/dispatch/__init__.py
@@ -1,7 +1,10 @@
 """The owner of a pool: its queue, its upstreams, its grants."""
 
 from bitterntiller.components.dispatch.coordinator import DispatchCoordinator
-from bitterntiller.components.dispatch.diagnostics import describe, upstreams
+from bitterntiller.components.dispatch.diagnostics import (
+    announced_upstreams,
+    describe,
+)
 from bitterntiller.components.dispatch.models import (
     DEFAULT_PARAMETERS,
     Scheduler,
@@ -36,5 +39,5 @@
     await runtime.async_spawn(coordinator.async_run())
     clock = runtime.clock
     runtime.add_diagnostics("dispatch", lambda: describe(coordinator, clock.now()))
-    runtime.add_diagnostics("upstreams", lambda: upstreams(coordinator))
+    runtime.add_diagnostics("upstreams", lambda: announced_upstreams(coordinator))
     return coordinator
--- a/bitterntiller/components/entry/pipeline.py
+++ b/bitterntiller/components/entry/pipeline.py
@@ -86,6 +86,10 @@
         # Without a lease a newer configuration may be in force elsewhere.
         if not self._context.lease.valid():
             return _come_back(Reason.NO_LEASE)
+        # A new deployment knows no workspace yet; 401 would tell callers that
+        # their tokens are wrong, and they would not come back.
+        if not self._context.config.version:
+            return _come_back(Reason.NO_CONFIGURATION)
         return None
 
     def _expected_size(self, exchange: Exchange) -> int:
--- a/bitterntiller/core/logs.py
+++ b/bitterntiller/core/logs.py
@@ -1,5 +1,7 @@
 """Setting up the log: absl.logging to standard error."""
 
+import logging as standard_logging
+
 from absl import flags, logging
 
 _VERBOSITY_BY_LEVEL = {
@@ -21,3 +23,6 @@
     logging.use_absl_handler()
     logging.set_verbosity(_VERBOSITY_BY_LEVEL[level])
     logging.set_stderrthreshold("debug")
+    # curio warns whenever an operation ends just as its timeout runs out, which
+    # is an everyday race here and no change of state.
+    standard_logging.getLogger("curio").setLevel(standard_logging.ERROR)
--- a/bitterntiller/core/outcomes.py
+++ b/bitterntiller/core/outcomes.py
@@ -25,6 +25,7 @@
     SLOW_CALLER = "slow-caller"
     TOO_MANY_CONNECTIONS = "too-many-connections"
     HOST_FULL = "host-full"
+    NO_CONFIGURATION = "no-configuration"
     NO_LEASE = "no-lease"
     DRAINING = "draining"
     NO_OWNER = "no-owner"
