Show owned pools and upstreams in the dump, as a trial of three hosts wanted

Cause: a trial of three processes on loopback answered GET /v1/state by a cut. Modules of the dispatch package, upstreams and describe, had taken the names of the functions that the set-up called. The set-up names their module now, and the operator part takes upstreams from the diagnostics, where a failing part can't break the dump. Output cut off by its reader is no error any more.

--- a/bitterntiller/cli/applying.py
+++ b/bitterntiller/cli/applying.py
@@ -54,7 +54,7 @@
         try:
             answer = await _async_send(client, address, change)
         except ConnectRefusedError as error:
-            problems = error.text
+            problems = problems if maybe_done else error.text
         except HttpError as error:
             maybe_done = True
             problems = error.text
--- a/bitterntiller/cli/operator_client.py
+++ b/bitterntiller/cli/operator_client.py
@@ -62,7 +62,7 @@
             try:
                 answer = await self.async_call(address, "GET", path)
             except HttpError as error:
-                failures.append(f"{address}: {error.text}")
+                failures.append(error.text)
                 continue
             if answer.status < HTTP_UNAVAILABLE:
                 return check_answer(answer)
--- a/bitterntiller/cli/output.py
+++ b/bitterntiller/cli/output.py
@@ -45,14 +45,15 @@
     if isinstance(value, dict):
         pairs = list(value.items())
     elif isinstance(value, list):
-        pairs = [("-", item) for item in value]
+        pairs = [("", item) for item in value]
     else:
         yield indent + _shown(value)
         return
     for key, item in pairs:
+        head = f"{indent}{key}:" if key else f"{indent}-"
         if isinstance(item, dict | list) and item:
-            yield f"{indent}{key}:"
+            yield head
             yield from _tree_lines(item, indent + "  ")
         else:
             shown = "none" if isinstance(item, dict | list) else _shown(item)
-            yield f"{indent}{key}: {shown}"
+            yield f"{head} {shown}"
--- a/bitterntiller/cli/tool.py
+++ b/bitterntiller/cli/tool.py
@@ -1,10 +1,12 @@
 """The command-line tool, bitterntiller."""
 
+import os
 import sys
 from dataclasses import dataclass
 
 import cappa
 
+from bitterntiller.cli import const
 from bitterntiller.cli.commands.apply import Apply
 from bitterntiller.cli.commands.check import Check
 from bitterntiller.cli.commands.control import Control
@@ -31,6 +33,11 @@
     """Run the tool and return its exit code; wrong usage exits by itself."""
     try:
         return cappa.invoke(Tool, argv=arguments)
+    except BrokenPipeError:
+        # Whoever reads the output has seen enough, as head does. Without this,
+        # Python would complain again while it closes standard output.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return const.EXIT_OK
     except ToolError as error:
         print_error(f"bitterntiller: {error}")
         return error.exit_code
--- a/bitterntiller/components/dispatch/__init__.py
+++ b/bitterntiller/components/dispatch/__init__.py
@@ -1,7 +1,7 @@
 """The owner of a pool: its queue, its upstreams, its grants."""
 
+from bitterntiller.components.dispatch import diagnostics
 from bitterntiller.components.dispatch.coordinator import DispatchCoordinator
-from bitterntiller.components.dispatch.diagnostics import describe, upstreams
 from bitterntiller.components.dispatch.models import (
     DEFAULT_PARAMETERS,
     Scheduler,
@@ -35,6 +35,10 @@
         runtime.stack.callback(runtime.links.handle(cls, handler))
     await runtime.async_spawn(coordinator.async_run())
     clock = runtime.clock
-    runtime.add_diagnostics("dispatch", lambda: describe(coordinator, clock.now()))
-    runtime.add_diagnostics("upstreams", lambda: upstreams(coordinator))
+    # Not by the bare names of the functions: modules of this package have the
+    # same names, and take them over in this namespace once they are imported.
+    runtime.add_diagnostics(
+        "dispatch", lambda: diagnostics.describe(coordinator, clock.now())
+    )
+    runtime.add_diagnostics("upstreams", lambda: diagnostics.announced(coordinator))
     return coordinator
--- a/bitterntiller/components/dispatch/diagnostics.py
+++ b/bitterntiller/components/dispatch/diagnostics.py
@@ -16,7 +16,7 @@
     }
 
 
-def upstreams(coordinator: DispatchCoordinator) -> list[dict[str, Any]]:
+def announced(coordinator: DispatchCoordinator) -> list[dict[str, Any]]:
     """Return the announced upstreams of the owned pools, with their labels."""
     return [
         {"name": name, "service": pool.name, "labels": labels}
--- a/bitterntiller/components/operator/__init__.py
+++ b/bitterntiller/components/operator/__init__.py
@@ -1,31 +1,21 @@
 """The operator port: configuration, the dump, and the state of control."""
 
-from collections.abc import Callable
-
 from bitterntiller.components.http.exchange import Exchange
 from bitterntiller.components.http.server import HttpServer, ServerLimits
 from bitterntiller.components.http.whole import async_serve_whole
 from bitterntiller.components.operator import const
 from bitterntiller.components.operator.coordinator import OperatorCoordinator
 from bitterntiller.components.operator.diagnostics import make_dump
-from bitterntiller.components.operator.models import AnnouncedUpstream
 from bitterntiller.core.interfaces import ControlCalls
 from bitterntiller.core.runtime import Runtime
 
 
-async def async_setup(
-    runtime: Runtime,
-    control: ControlCalls,
-    announced: Callable[[], list[AnnouncedUpstream]] = list,
-) -> OperatorCoordinator:
-    """Serve the operator port until the process unloads.
-
-    announced gives the upstreams of the pools that this process owns.
-    """
+async def async_setup(runtime: Runtime, control: ControlCalls) -> OperatorCoordinator:
+    """Serve the operator port until the process unloads."""
     settings = runtime.settings
     timings = settings.timings
     coordinator = OperatorCoordinator(
-        settings.keys.operator, control, make_dump(runtime, announced), runtime.metrics
+        settings.keys.operator, control, make_dump(runtime), runtime.metrics
     )
     limits = ServerLimits(
         head_bytes=const.MAX_HEAD_BYTES,
--- a/bitterntiller/components/operator/const.py
+++ b/bitterntiller/components/operator/const.py
@@ -12,6 +12,8 @@
 HEADER_IF_MATCH = b"if-match"
 HEADER_RETRY_AFTER = b"retry-after"
 
+ATTR_UPSTREAMS = "upstreams"
+
 STATUS_ACCEPTED = "accepted"
 STATUS_BAD_REQUEST = "bad-request"
 STATUS_CONFLICT = "conflict"
--- a/bitterntiller/components/operator/diagnostics.py
+++ b/bitterntiller/components/operator/diagnostics.py
@@ -1,39 +1,38 @@
 """The dump of a process's state."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import Any
 
 from bitterntiller.components.operator import const
-from bitterntiller.components.operator.models import AnnouncedUpstream
 from bitterntiller.core.interfaces import Diagnostics
 from bitterntiller.core.runtime import Runtime
 
 
-def make_dump(
-    runtime: Runtime, announced: Callable[[], list[AnnouncedUpstream]]
-) -> Callable[[], dict[str, Any]]:
+def make_dump(runtime: Runtime) -> Callable[[], dict[str, Any]]:
     """Return what makes the dump of a process.
 
-    announced gives the upstreams of the pools that this process owns.
+    The upstreams that the dispatch part has heard of stand at its top level,
+    where the check of selectors looks for them.
     """
 
     def dump() -> dict[str, Any]:
         settings = runtime.settings
-        shares = runtime.diagnostics_by_component.items()
+        diagnostics = runtime.diagnostics_by_component.items()
+        shares = {name: _share(runtime, get) for name, get in diagnostics}
         return {
             "host": settings.host,
             "zone": settings.zone,
             "region": settings.region,
             "roles": list(settings.roles),
             "incarnation": runtime.incarnation,
-            "upstreams": announced(),
-            "components": {name: _share(runtime, get) for name, get in shares},
+            const.ATTR_UPSTREAMS: shares.pop(const.ATTR_UPSTREAMS, []),
+            "components": shares,
         }
 
     return dump
 
 
-def _share(runtime: Runtime, diagnostics: Diagnostics) -> Mapping[str, Any]:
+def _share(runtime: Runtime, diagnostics: Diagnostics) -> Any:
     # A dump is wanted most when something is wrong. A component whose share
     # fails must not hide the others; its error stands in its place.
     try:
--- a/bitterntiller/components/operator/models.py
+++ b/bitterntiller/components/operator/models.py
@@ -1,14 +1,6 @@
 """What comes in at the operator port, and what it asks of other parts."""
 
-from typing import NamedTuple, TypedDict
-
-
-class AnnouncedUpstream(TypedDict):
-    """An upstream as its pool's owner knows it, for the check of selectors."""
-
-    name: str
-    service: str
-    labels: dict[str, str]
+from typing import NamedTuple
 
 
 class ChangeRequest(NamedTuple):
--- a/bitterntiller/core/daemon.py
+++ b/bitterntiller/core/daemon.py
@@ -71,8 +71,7 @@
     owner = None
     if ROLE_DISPATCH in roles:
         owner = await dispatch.async_setup(runtime, *views)
-    announced = (lambda: dispatch.upstreams(owner)) if owner else list
-    await operator.async_setup(runtime, session.control_client, announced)
+    await operator.async_setup(runtime, session.control_client)
     callers = None
     if ROLE_ENTRY in roles:
         callers = await entry.async_setup(runtime, *views, session.control_client)
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -1,4 +1,6 @@
 import json
+import subprocess
+import sys
 
 import pytest
 
@@ -142,3 +144,17 @@
 def test_wrong_usage_has_its_code(tool, arguments):
     result = tool(*arguments)
     assert (result.code, result.out) == (const.EXIT_USAGE, "")
+
+
+def test_output_that_is_read_in_part_is_no_error(tmp_path):
+    program = "from bitterntiller.cli.tool import main; main()"
+    files = [str(tmp_path / f"{number}.json") for number in range(5000)]
+    with subprocess.Popen(
+        [sys.executable, "-c", program, "check", *files],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    ) as process:
+        process.stdout.readline()
+        process.stdout.close()
+        assert process.stderr.read() == b""
+    assert process.returncode == const.EXIT_OK
--- a/tests/components/operator/test_diagnostics.py
+++ b/tests/components/operator/test_diagnostics.py
@@ -13,15 +13,19 @@
     """
     settings = SimpleNamespace(host="a", zone="z", region="r", roles=("entry",))
     metrics = StatsdMetrics(None, "")
-    shares = {"good": lambda: {"n": 1}, "bad": lambda: {}["lost"]}
+    upstream = {"name": "u", "service": "llm", "labels": {}}
+    diagnostics = {
+        "good": lambda: {"n": 1},
+        "bad": lambda: {}["lost"],
+        const.ATTR_UPSTREAMS: lambda: [upstream],
+    }
     runtime = SimpleNamespace(
         settings=settings,
         metrics=metrics,
         incarnation="i",
-        diagnostics_by_component=shares,
+        diagnostics_by_component=diagnostics,
     )
-    upstream = {"name": "u", "service": "llm", "labels": {}}
-    dump = make_dump(runtime, lambda: [upstream])()
+    dump = make_dump(runtime)()
     assert dump["upstreams"] == [upstream]
     assert dump["components"] == {
         "good": {"n": 1},
