Give a host with an empty disk the address of the leader it replies to

It knew no members yet, so its replies to the leader had no address and were dropped. Ruled out: the writer, the links, the check of senders. The reply to a join names the leader now.

--- a/bitterntiller/components/replication/coordinator.py
+++ b/bitterntiller/components/replication/coordinator.py
@@ -49,6 +49,7 @@
         self._outbox = Outbox(runtime)
         self._waiters = Waiters()
         self._wishes: list[repair.Wish] = []
+        self._address_by_leader: dict[str, str] = {}
         self._wake = curio.Event()
         self._write_wanted = curio.Event()
         self._write: Persist | None = None
@@ -237,8 +238,11 @@
         state = self._replica.state
         members = state.returning.newest_members(state.members)
         member = find(members, replica) or find(state.members, replica)
-        if member is not None:
-            await self._outbox.async_put(member.address, message)
+        # A learner with an empty log knows no members. Were its replies to the
+        # leader dropped for that, it would never get the log that names them.
+        address = member.address if member else self._address_by_leader.get(replica)
+        if address is not None:
+            await self._outbox.async_put(address, message)
 
     def _own(self) -> joining.Own:
         settings = self._runtime.settings
@@ -268,6 +272,8 @@
         async with curio.TaskGroup() as group:
             for address in sorted(addresses):
                 await group.spawn(self._async_call_join, address, request, replies)
+        found = joining.leader_addresses(replies)
+        self._address_by_leader = found or self._address_by_leader
         if not fresh or replica is not self._replica:
             return
         first = joining.formed_members(replica.state, replies)
--- a/bitterntiller/components/replication/joining.py
+++ b/bitterntiller/components/replication/joining.py
@@ -73,6 +73,15 @@
     return None
 
 
+def leader_addresses(replies: list[Any]) -> dict[str, str]:
+    """Return the address of the leader that took this host in, by replica."""
+    return {
+        reply.replica: reply.address
+        for reply in replies
+        if reply.status == JOIN_ACCEPTED and reply.replica and reply.address
+    }
+
+
 def answer(replica: Replica, own: Own, join: Any, now: float) -> Any:
     """Return the JoinReply to a host that asks to be taken in."""
     state = replica.state
@@ -90,9 +99,9 @@
         )
     present = find(state.members, join.replica)
     if present is not None and present.address == join.address:
-        return messages.JoinReply(JOIN_ACCEPTED, own.address)
+        return messages.JoinReply(JOIN_ACCEPTED, own.address, *own)
     after = joined(state.members, join.replica, join.host, join.address)
     if after is None:
         return messages.JoinReply(JOIN_FULL, own.address)
     replica.change_members(after, now)
-    return messages.JoinReply(JOIN_ACCEPTED, own.address)
+    return messages.JoinReply(JOIN_ACCEPTED, own.address, *own)
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -350,7 +350,7 @@
 struct JoinReply {
     1: required string status,           // fresh, formed, exists, accepted, not-leader, full
     2: required string leader,
-    3: optional string replica, 4: optional string host, 5: optional string address,
+    3: optional string replica, 4: optional string host, 5: optional string address,  // who answers
     6: optional binary members,          // formed: the first membership, entry 1 of the log
 }
 
