Read good files without the parser that finds lines

Cause: the parser was loaded by every daemon though its settings were good. The library's JSON decoder reads the text without comments now, and the parser only explains what is wrong.

--- a/bitterntiller/cli/checking.py
+++ b/bitterntiller/cli/checking.py
@@ -20,13 +20,8 @@
 from bitterntiller.components.settings import const as settings_const
 from bitterntiller.components.settings.errors import SettingsError
 from bitterntiller.components.settings.load import build_settings
-from bitterntiller.core.document import (
-    Document,
-    DocumentError,
-    LocatedProblem,
-    Problem,
-    read_document,
-)
+from bitterntiller.core.document import Document, read_document
+from bitterntiller.core.problems import DocumentError, LocatedProblem, Problem
 from bitterntiller.core.schema import find_problems
 
 KIND_SETTINGS = "settings"
--- a/bitterntiller/cli/commands/apply.py
+++ b/bitterntiller/cli/commands/apply.py
@@ -22,12 +22,8 @@
     STATUS_ACCEPTED,
     STATUS_INVALID,
 )
-from bitterntiller.core.document import (
-    Document,
-    LocatedProblem,
-    join_path,
-    read_document,
-)
+from bitterntiller.core.document import Document, read_document
+from bitterntiller.core.problems import LocatedProblem, join_path
 
 _CHANGE_ID = re.compile(r"[\x21-\x7e]{1,128}")
 
--- a/bitterntiller/components/config/errors.py
+++ b/bitterntiller/components/config/errors.py
@@ -1,7 +1,7 @@
 """The error of a configuration that can't be put in force."""
 
-from bitterntiller.core.document import Problem
 from bitterntiller.core.errors import CodedError
+from bitterntiller.core.problems import Problem
 
 
 class ConfigError(CodedError):
--- a/bitterntiller/components/config/parse.py
+++ b/bitterntiller/components/config/parse.py
@@ -13,7 +13,7 @@
     Workspace,
 )
 from bitterntiller.components.config.schema import SCHEMA
-from bitterntiller.core.document import Problem
+from bitterntiller.core.problems import Problem
 from bitterntiller.core.schema import find_problems
 
 
--- a/bitterntiller/components/config/selectors.py
+++ b/bitterntiller/components/config/selectors.py
@@ -5,7 +5,7 @@
 
 from bitterntiller.components.config import const
 from bitterntiller.components.config.models import Config, Selector, Service
-from bitterntiller.core.document import KeyPath, Problem
+from bitterntiller.core.problems import KeyPath, Problem
 
 
 class LabelledUpstream(NamedTuple):
--- a/bitterntiller/components/settings/errors.py
+++ b/bitterntiller/components/settings/errors.py
@@ -1,7 +1,7 @@
 """The error of a settings file that can't be used."""
 
-from bitterntiller.core.document import LocatedProblem
 from bitterntiller.core.errors import CodedError
+from bitterntiller.core.problems import LocatedProblem
 
 
 class SettingsError(CodedError):
--- a/bitterntiller/components/settings/load.py
+++ b/bitterntiller/components/settings/load.py
@@ -14,12 +14,8 @@
     Timings,
 )
 from bitterntiller.components.settings.schema import SCHEMA, find_cross_problems
-from bitterntiller.core.document import (
-    Document,
-    DocumentError,
-    Problem,
-    read_document,
-)
+from bitterntiller.core.document import Document, read_document
+from bitterntiller.core.problems import DocumentError, Problem
 from bitterntiller.core.schema import find_problems
 
 
--- a/bitterntiller/components/settings/schema.py
+++ b/bitterntiller/components/settings/schema.py
@@ -7,7 +7,7 @@
 from bitterntiller.components.settings import const
 from bitterntiller.components.settings.models import Address, Limits, Timings
 from bitterntiller.core.clock import MAX_CLOCK_DRIFT
-from bitterntiller.core.document import KeyPath, Problem
+from bitterntiller.core.problems import KeyPath, Problem
 from bitterntiller.core.schema import integer, ip_and_port, name, number, positive
 
 
--- a/bitterntiller/core/document.py
+++ b/bitterntiller/core/document.py
@@ -1,83 +1,40 @@
-"""JSON documents with comments, read so that each value's line is known."""
+"""JSON documents with comments, read so that each value's line can be found."""
 
 import json
 import math
+import re
+from functools import cached_property
 from pathlib import Path
-from typing import Any, NamedTuple
-
-from lark import Lark, Token, Tree
-from lark.exceptions import UnexpectedCharacters, UnexpectedInput, UnexpectedToken
-
-from bitterntiller.core.errors import CodedError
-
-MAX_DEPTH = 64
-
-GRAMMAR = r"""
-?start: value
-?value: object | array | STRING | NUMBER | TRUE | FALSE | NULL
-object: "{" [pair ("," pair)*] "}"
-array: "[" [value ("," value)*] "]"
-pair: STRING ":" value
-
-TRUE: "true"
-FALSE: "false"
-NULL: "null"
-STRING: /"(?:[^"\\\x00-\x1f]|\\["\\\/bfnrt]|\\u[0-9a-fA-F]{4})*"/
-NUMBER: /-?(?:0|[1-9][0-9]*)(?:\.[0-9]+)?(?:[eE][+-]?[0-9]+)?/
-LINE_COMMENT: /\/\/[^\n]*/
-BLOCK_COMMENT: /\/\*(?:[^*]|\*(?!\/))*\*\//
-WHITESPACE: /[ \t\r\n]+/
-
-%ignore LINE_COMMENT
-%ignore BLOCK_COMMENT
-%ignore WHITESPACE
-"""
-
-KeyPath = tuple[str | int, ...]
-
-_PARSER = Lark(
-    GRAMMAR, parser="lalr", maybe_placeholders=False, propagate_positions=True
+from typing import Any
+
+from bitterntiller.core.problems import (
+    DocumentError,
+    KeyPath,
+    LocatedProblem,
+    Problem,
+    join_path,
 )
 
+_STRING_OR_COMMENT = re.compile(
+    r'("(?:[^"\\]|\\.)*")|//[^\n]*|/\*.*?\*/',
+    re.DOTALL,
+)
 
-class Problem(NamedTuple):
-    """A fault of a document: the path of the key and what is wrong with it."""
-
-    path: KeyPath
-    text: str
-
-    def __str__(self) -> str:
-        return f"{join_path(self.path)}: {self.text}"
-
-
-class LocatedProblem(NamedTuple):
-    """A problem with the file and line (from 1) where it stands."""
-
-    file: str
-    line: int
-    key: str
-    text: str
-
-    def __str__(self) -> str:
-        return f"{self.file}:{self.line}: {self.key}: {self.text}"
-
-
-class DocumentError(CodedError):
-    """Raised for a file that can't be read as JSON with comments."""
-
-    code = "document"
 
-    def __init__(self, problems: list[LocatedProblem]) -> None:
-        super().__init__("\n".join(map(str, problems)))
-        self.problems = problems
+class Document:
+    """The value of a document, and the line of each key by its path."""
 
+    def __init__(self, file: str, text: str, value: Any) -> None:
+        self.file = file
+        self.value = value
+        self._text = text
 
-class Document(NamedTuple):
-    """The value of a document, and the line of each key by its path."""
+    @cached_property
+    def lines_by_path(self) -> dict[KeyPath, int]:
+        """The lines, from 1, of all keys."""
+        from bitterntiller.core.positions import find_positions
 
-    file: str
-    value: Any
-    lines_by_path: dict[KeyPath, int]
+        return find_positions(self._text, self.file).lines_by_path
 
     def line(self, path: KeyPath) -> int:
         """Return the line of a key, or of the nearest key around it."""
@@ -91,14 +48,6 @@
         return LocatedProblem(self.file, line, join_path(problem.path), problem.text)
 
 
-def join_path(path: KeyPath) -> str:
-    """Return a path as it is shown to people, as in a.b[0]; "." for the whole."""
-    shown = ""
-    for part in path:
-        shown += f"[{part}]" if isinstance(part, int) else f".{part}"
-    return shown.lstrip(".") or "."
-
-
 def read_document(path: Path) -> Document:
     """Read a file of JSON with comments; raise DocumentError."""
     try:
@@ -114,96 +63,49 @@
 def parse_document(text: str, file: str) -> Document:
     """Parse JSON with comments; raise DocumentError that names file and line."""
     try:
-        tree = _PARSER.parse(text)
-    except UnexpectedInput as error:
-        raise _fault(file, _line_of(error, text), _explain(error)) from error
-    builder = _Builder(file)
-    value = builder.build(tree, ())
-    if builder.problems:
-        raise DocumentError(builder.problems)
-    return Document(file, value, builder.lines_by_path)
+        return Document(file, text, _parse(text))
+    except (ValueError, RecursionError):
+        raise _explain(text, file) from None
 
 
-def _fault(file: str, line: int, text: str) -> DocumentError:
-    return DocumentError([LocatedProblem(file, line, ".", text)])
+def _parse(text: str) -> Any:
+    """Return the value of a good text; raise ValueError for a bad one."""
+    bare = _STRING_OR_COMMENT.sub(lambda found: found[1] or " ", text)
+    value = json.loads(
+        bare,
+        object_pairs_hook=_distinct,
+        parse_float=_finite,
+        parse_constant=_no_constant,
+    )
+    # Half of a surrogate pair passes the parser, but no message could carry it.
+    json.dumps(value, ensure_ascii=False).encode()
+    return value
 
 
-def _line_of(error: UnexpectedInput, text: str) -> int:
-    if isinstance(error, UnexpectedToken) and error.token.type == "$END":
-        return text.count("\n") + 1
-    return error.line
+def _distinct(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    value = dict(pairs)
+    if len(value) != len(pairs):
+        raise ValueError("a key given twice")
+    return value
 
 
-def _explain(error: UnexpectedInput) -> str:
-    if isinstance(error, UnexpectedCharacters):
-        return f"unexpected character at column {error.column}"
-    if not isinstance(error, UnexpectedToken):
-        return "the document ends too early"
-    if error.token.type == "$END":
-        return "the document ends too early"
-    history = error.token_history or []
-    after_comma = bool(history) and history[-1].type == "COMMA"
-    if after_comma and error.token.type in ("RBRACE", "RSQB"):
-        return f"a comma before {error.token} is not allowed"
-    return f"unexpected {str(error.token)[:40]} at column {error.column}"
+def _finite(digits: str) -> float:
+    value = float(digits)
+    if not math.isfinite(value):
+        raise ValueError("a number out of range")
+    return value
 
 
-class _Builder:
-    """Turns the syntax tree into plain values and notes the lines."""
+def _no_constant(name: str) -> float:
+    raise ValueError(f"{name} is not JSON")
 
-    def __init__(self, file: str) -> None:
-        self.file = file
-        self.lines_by_path: dict[KeyPath, int] = {}
-        self.problems: list[LocatedProblem] = []
-
-    def build(self, node: Tree | Token, path: KeyPath) -> Any:
-        """Return the value of a node that stands at a path."""
-        line = node.line if isinstance(node, Token) else node.meta.line
-        self.lines_by_path.setdefault(path, line)
-        if isinstance(node, Token):
-            return self._scalar(node, path)
-        if len(path) >= MAX_DEPTH:
-            self._report(path, f"nested deeper than {MAX_DEPTH}")
-            return None
-        if node.data == "array":
-            return self._array(node, path)
-        return self._object(node, path)
-
-    def _array(self, node: Tree, path: KeyPath) -> list[Any]:
-        values = []
-        for index, child in enumerate(node.children):
-            values.append(self.build(child, (*path, index)))
-        return values
-
-    def _object(self, node: Tree, path: KeyPath) -> dict[str, Any]:
-        values: dict[str, Any] = {}
-        for pair in node.children:
-            token, child = pair.children
-            key = self._scalar(token, path)
-            key_path = (*path, key)
-            duplicate = key in values
-            self.lines_by_path[key_path] = token.line
-            if duplicate:
-                self._report(key_path, "given twice")
-            values[key] = self.build(child, key_path)
-        return values
-
-    def _scalar(self, token: Token, path: KeyPath) -> Any:
-        value = json.loads(token)
-        if isinstance(value, float) and not math.isfinite(value):
-            self._report(path, "a number out of range")
-        if isinstance(value, str) and not _is_unicode(value):
-            self._report(path, "a string with half of a surrogate pair")
-        return value
-
-    def _report(self, path: KeyPath, text: str) -> None:
-        line = self.lines_by_path.get(path, 1)
-        self.problems.append(LocatedProblem(self.file, line, join_path(path), text))
-
-
-def _is_unicode(text: str) -> bool:
-    try:
-        text.encode()
-    except UnicodeEncodeError:
-        return False
-    return True
+
+def _explain(text: str, file: str) -> DocumentError:
+    from bitterntiller.core.positions import find_positions
+
+    problems = find_positions(text, file).problems
+    return DocumentError(problems or [LocatedProblem(file, 1, ".", "not JSON")])
+
+
+def _fault(file: str, line: int, text: str) -> DocumentError:
+    return DocumentError([LocatedProblem(file, line, ".", text)])
--- a/bitterntiller/core/schema.py
+++ b/bitterntiller/core/schema.py
@@ -7,7 +7,7 @@
 
 import voluptuous as vol
 
-from bitterntiller.core.document import Problem
+from bitterntiller.core.problems import Problem
 
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,62}")
 
--- a/tests/components/config/test_parse.py
+++ b/tests/components/config/test_parse.py
@@ -3,7 +3,7 @@
 from bitterntiller.components.config.errors import ConfigError
 from bitterntiller.components.config.models import Selector
 from bitterntiller.components.config.parse import parse_config
-from bitterntiller.core.document import join_path
+from bitterntiller.core.problems import join_path
 from tests.components.config.builders import (
     TOKEN_A,
     TOKEN_B,
