--- a/tests/cli/builders.py
+++ b/tests/cli/builders.py
@@ -11,7 +11,6 @@
 from bitterntiller.components.http.exchange import Exchange
 from bitterntiller.components.http.server import HttpServer, ServerLimits
 from bitterntiller.components.http.whole import async_serve_whole
-from bitterntiller.components.metrics.client import StatsdMetrics
 from bitterntiller.components.settings.models import Address
 
 
@@ -38,7 +37,7 @@
 
 
 @contextlib.contextmanager
-def served_port(handler):
+def served_port(handler, metrics):
     """Serve a RequestHandler in a thread; give its address as IP:port."""
     address = Address("127.0.0.1", free_port())
     stop = curio.UniversalEvent()
@@ -48,7 +47,7 @@
 
     async def async_main():
         limits = ServerLimits(32768, 10, 5.0, 5.0, 5.0)
-        server = HttpServer(address, limits, async_exchange, StatsdMetrics(None, ""))
+        server = HttpServer(address, limits, async_exchange, metrics)
         task = await curio.spawn(server.async_serve, SimpleNamespace())
         await stop.wait()
         await task.cancel()
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -13,7 +13,7 @@
 @pytest.fixture
 def port():
     port = operator_port()
-    with served_port(port.coordinator) as address:
+    with served_port(port.coordinator, port.metrics) as address:
         port.address = address
         yield port
 
