--- a/tests/scenarios/deployment.py
+++ b/tests/scenarios/deployment.py
@@ -47,8 +47,9 @@
 class Deployment:
     """All processes of a scenario; leaving the context ends them."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, **timings: float) -> None:
         self.folder = folder
+        self._timings = builders.TIMINGS | timings
         self.hosts_by_name: dict[str, Host] = {}
         self.upstreams_by_name: dict[str, Upstream] = {}
         self._stack = ExitStack()
@@ -182,7 +183,7 @@
     def _settings(self, host: Host) -> dict[str, Any]:
         replicas = [h for h in self.hosts_by_name.values() if "control" in h.roles]
         control = [replica.told_port for replica in replicas]
-        changes: dict[str, Any] = {"roles": host.roles}
+        changes: dict[str, Any] = {"roles": host.roles, "timings": self._timings}
         if "control" in host.roles:
             changes["data_folder"] = f"data-{host.name}"
         value = builders.settings_value(host.name, host.ports, control, **changes)
