Don't pause an upstream for its callers' faults

The owner counted every end but done as a failure of the upstream: an answer 400 or 404, and a caller that left. Three in a row paused the upstream for everybody, up to ten seconds. Entry hosts now tell rejected apart from failed; rejected shows a working upstream, a caller's leaving shows nothing. Ruled out: the stand-in, which had answered each request in milliseconds.

--- a/bitterntiller/components/dispatch/const.py
+++ b/bitterntiller/components/dispatch/const.py
@@ -47,6 +47,8 @@
 REASON_REFUSED_CONNECTION = "refused-connection"
 REASON_NOT_ADMITTED = "not-admitted"
 OUTCOME_DONE = "done"
+OUTCOME_REJECTED = "rejected"
+OUTCOME_CALLER_GONE = "caller-gone"
 
 LABEL_SHARE = "share"
 LABEL_CONCURRENCY = "concurrency"
--- a/bitterntiller/components/dispatch/teacher.py
+++ b/bitterntiller/components/dispatch/teacher.py
@@ -1,7 +1,9 @@
 """Turns what is told of running requests into what is known of upstreams."""
 
 from bitterntiller.components.dispatch.const import (
+    OUTCOME_CALLER_GONE,
     OUTCOME_DONE,
+    OUTCOME_REJECTED,
     REASON_NOT_ADMITTED,
 )
 from bitterntiller.components.dispatch.jobs import Job
@@ -37,6 +39,14 @@
         upstream = job.upstream
         if upstream is None:
             return
+        # A caller that leaves, or asks for what the upstream rejects, says nothing
+        # against the upstream. Counted as failures, a few of them in a row would
+        # show as an upstream that pauses for everybody.
+        if completion.outcome == OUTCOME_CALLER_GONE:
+            return
+        if completion.outcome == OUTCOME_REJECTED:
+            upstream.health.success()
+            return
         if completion.outcome != OUTCOME_DONE:
             upstream.health.failure(now)
             return
--- a/bitterntiller/components/entry/account.py
+++ b/bitterntiller/components/entry/account.py
@@ -7,6 +7,8 @@
 from bitterntiller.core.outcomes import Ending, Outcome
 
 UNIDENTIFIED = "none"
+REJECTED = "rejected"
+FIRST_SERVER_FAULT = 500
 
 
 def count_refusal(
@@ -40,6 +42,13 @@
         metrics.count(f"{const.METRIC_WASTED_PREFILL}.{tier}", max(0, wasted))
 
 
+def outcome_for_owner(outcome: Outcome, status: int) -> str:
+    """Return an outcome as the owner needs it: is the upstream to blame?"""
+    if outcome is Outcome.FAILED and status < FIRST_SERVER_FAULT:
+        return REJECTED
+    return outcome
+
+
 async def async_tell_owner(
     context: Context, active: ActiveRequest, outcome: str
 ) -> None:
--- a/bitterntiller/components/entry/pipeline.py
+++ b/bitterntiller/components/entry/pipeline.py
@@ -201,7 +201,8 @@
     ) -> None:
         account.count_answer(self._context, active, outcome)
         await self._async_settle(active, outcome, status)
-        await account.async_tell_owner(self._context, active, outcome)
+        told = account.outcome_for_owner(outcome, status)
+        await account.async_tell_owner(self._context, active, told)
 
     async def _async_caller_gone(self, active: ActiveRequest) -> None:
         """Stop the work of a caller that has left: at the upstream, or in the queue."""
--- a/tests/components/dispatch/test_scheduler.py
+++ b/tests/components/dispatch/test_scheduler.py
@@ -2,6 +2,8 @@
 
 import gc
 
+import pytest
+
 from bitterntiller.components.dispatch.jobs import Job
 from bitterntiller.components.dispatch.models import Granted, Refused
 from bitterntiller.components.dispatch.scheduler import PoolScheduler
@@ -74,3 +76,21 @@
     gc.collect()
     held = sum(isinstance(found, Job) for found in gc.get_objects()) - before
     assert held < 500
+
+
+@pytest.mark.parametrize("outcome", ["rejected", "caller-gone"])
+def test_requests_at_fault_themselves_do_not_pause_an_upstream(outcome: str):
+    """One caller's bad requests keep everybody from a service for seconds.
+
+    A script asks for bonds that don't exist, or leaves before its answers come.
+    Each counted as a failure of the upstream, which was paused as sick.
+    """
+    scheduler = PoolScheduler()
+    scheduler.announce(upstream(slots=1), NOW)
+    for number in range(6):
+        name = f"r{number}"
+        [granted] = scheduler.register(request(name), NOW)
+        assert isinstance(granted, Granted)
+        scheduler.started(name, NOW)
+        scheduler.finished(completion(name, outcome=outcome), NOW)
+    assert len(scheduler.register(request("next"), NOW)) == 1
--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -173,6 +173,7 @@
         tokens = int(options.get("tokens", "20"))
         fields = {"stream": True} if "stream" in flags else {}
         body = builders.request_body(target, name, tokens, **fields)
+        body = options.get("body", body.decode()).encode()
         if method == "GET":
             body, target = b"", f"{target}?request={name}"
         port = self._deployment.hosts_by_name[host].ports["caller"]
