Give orders to upstreams under the epoch of their pool

Labels of a service say what is to be loaded, unloaded or which role to take. The pool's owner orders it with its epoch as the fence, waits out the owner before where an upstream ignores fences or a load could go on, keeps to a budget of loads, and commits a claim before an order to an upstream that would repeat it.

--- a/bitterntiller/components/config/const.py
+++ b/bitterntiller/components/config/const.py
@@ -23,6 +23,7 @@
 LABEL_CONCURRENCY = "concurrency"
 LABEL_RATE = "rate"
 LABEL_ORDER_SECONDS = "order_seconds"
+LABEL_ORDER_LOADS_AT_ONCE = "order_loads_at_once"
 
 MAX_RANK = 1000
 MAX_DEADLINE_MS = 24 * 3600 * 1000
--- a/bitterntiller/components/config/schema.py
+++ b/bitterntiller/components/config/schema.py
@@ -80,6 +80,7 @@
     vol.Optional(const.CONF_SELECTOR, default=dict): _SELECTOR,
     vol.Optional(const.CONF_LABELS, default=dict): {
         vol.Optional(const.LABEL_ORDER_SECONDS): _number,
+        vol.Optional(const.LABEL_ORDER_LOADS_AT_ONCE): _integer,
         vol.Extra: _label_value,
     },
 }
--- a/bitterntiller/components/dispatch/coordinator.py
+++ b/bitterntiller/components/dispatch/coordinator.py
@@ -40,8 +40,16 @@
         self._directory = directory
         self._make_scheduler = make_scheduler
         self._config_version = -1
+        self._announce_listeners: list[Callable[[Any], None]] = []
         self.pools_by_name: dict[str, OwnedPool] = {}
 
+    def add_announce_listener(self, listener: Callable[[Any], None]) -> None:
+        """Have a callback called with each accepted messages.Announce.
+
+        The callback never awaits.
+        """
+        self._announce_listeners.append(listener)
+
     async def async_run(self) -> None:
         """Follow ownership, the configuration and time, until cancelled."""
         while True:
@@ -122,6 +130,9 @@
         if pool is None:
             return messages.AnnounceReply(status=const.ANNOUNCE_NO_OWNER)
         accepted, decisions = pool.announce(message, self._clock.now())
+        if accepted:
+            for listener in self._announce_listeners:
+                listener(message)
         await self._async_carry_out(pool, decisions)
         status = const.ANNOUNCE_ACCEPTED if accepted else const.ANNOUNCE_STALE
         return messages.AnnounceReply(status=status)
--- /dev/null
+++ b/bitterntiller/components/orders/const.py
@@ -0,0 +1,45 @@
+"""Names and bounds of the orders part."""
+
+KIND_LOAD = "load"
+KIND_UNLOAD = "unload"
+KIND_ROLE = "role"
+
+LABEL_BY_KIND = {
+    KIND_ROLE: "order_role",
+    KIND_UNLOAD: "order_unload",
+    KIND_LOAD: "order_load",
+}
+"""Labels of a service that order something; room is made before a load."""
+
+LABEL_GENERATION = "order_generation"
+DEFAULT_LOADS_AT_ONCE = 1
+DEFAULT_SECONDS = 120.0
+
+UPSTREAM_LABEL_FENCING = "fencing"
+UPSTREAM_LABEL_ORDERS = "orders"
+UPSTREAM_LABEL_LOADED = "loaded"
+UPSTREAM_LABEL_ROLE = "role"
+FENCING_CHECKED = "checked"
+ORDERS_IDEMPOTENT = "idempotent"
+
+STATE_SENDING = "sending"
+STATE_DONE = "done"
+STATE_REFUSED = "refused"
+STATE_STALE = "stale"
+STATE_UNKNOWN = "unknown"
+STATE_NOT_SENT = "not-sent"
+
+TARGET = "/v1/orders"
+CLAIM_WORKSPACE = "/orders"
+"""No workspace has this name, since a name holds no slash."""
+
+MAX_RECORDS = 2000
+"""Ended orders of a pool that are remembered."""
+
+TICK = 0.5
+RETRY_PAUSE = 5.0
+SILENCE = 10.0
+"""Seconds; an upstream silent for longer gets no orders."""
+
+CONNECT_TIMEOUT = 1.0
+CLAIM_TIMEOUT = 3.0
--- /dev/null
+++ b/bitterntiller/components/orders/coordinator.py
@@ -0,0 +1,134 @@
+"""Gives orders to the upstreams of the pools that this process owns."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+import curio
+from absl import logging
+
+from bitterntiller.components.config.models import Service
+from bitterntiller.components.orders import const
+from bitterntiller.components.orders.diagnostics import describe
+from bitterntiller.components.orders.intent import OrderIntents
+from bitterntiller.components.orders.models import Order, OrderAnswer, OrderedUpstream
+from bitterntiller.components.orders.pool import PoolOrders
+from bitterntiller.components.orders.wanted import order_seconds, wants_orders
+from bitterntiller.core.interfaces import ConfigView, DirectoryView, Lease
+from bitterntiller.core.runtime import Runtime
+
+SendOrder = Callable[[Order, Callable[[], bool], float], Awaitable[OrderAnswer]]
+
+
+class NodeViews(NamedTuple):
+    """What the process knows from control."""
+
+    lease: Lease
+    config: ConfigView
+    directory: DirectoryView
+
+
+class OrdersCoordinator:
+    """Issues orders under the epoch of each owned pool."""
+
+    def __init__(
+        self, runtime: Runtime, views: NodeViews, intents: OrderIntents, send: SendOrder
+    ) -> None:
+        self._host = runtime.settings.host
+        self._clock = runtime.clock
+        self._metrics = runtime.metrics
+        self._views = views
+        self._intents = intents
+        self._send = send
+        self._upstreams_by_pool: dict[str, dict[str, OrderedUpstream]] = {}
+        self._tasks: set[curio.Task] = set()
+        self.orders_by_pool: dict[str, PoolOrders] = {}
+
+    def note_announcement(self, announce: Any) -> None:
+        """Take an accepted messages.Announce of an owned pool; never awaits."""
+        upstreams = self._upstreams_by_pool.setdefault(announce.pool, {})
+        upstreams[announce.name] = OrderedUpstream(
+            name=announce.name,
+            address=announce.address,
+            incarnation=announce.incarnation,
+            leaving=announce.state == "leaving",
+            labels=dict(announce.labels),
+            heard=self._clock.now(),
+        )
+
+    async def async_run(self) -> None:
+        """Give the orders that are due, until cancelled."""
+        try:
+            while True:
+                await self.async_issue()
+                await curio.sleep(const.TICK)
+        finally:
+            for task in list(self._tasks):
+                await task.cancel()
+
+    async def async_issue(self) -> None:
+        """Start the sending of all orders that are due now."""
+        config = self._views.config.config
+        services = config.services_by_name if config is not None else {}
+        for pool in self.orders_by_pool.keys() - services.keys():
+            del self.orders_by_pool[pool]
+            self._upstreams_by_pool.pop(pool, None)
+        for service in services.values():
+            orders = self._follow(service)
+            if orders is None:
+                continue
+            upstreams = self._upstreams_by_pool.get(service.name, {})
+            for order in orders.due(service, upstreams, self._clock.now()):
+                await self._async_start(service, orders, order)
+
+    def _follow(self, service: Service) -> PoolOrders | None:
+        """Return the orders of an owned pool, anew for each epoch."""
+        epoch = self._epoch(service.name)
+        orders = self.orders_by_pool.get(service.name)
+        if epoch is None:
+            self.orders_by_pool.pop(service.name, None)
+            return None
+        if orders is None or orders.epoch != epoch:
+            orders = PoolOrders(epoch, self._clock.now())
+            self.orders_by_pool[service.name] = orders
+        return orders if wants_orders(service) else None
+
+    def _epoch(self, pool: str) -> int | None:
+        """Return the epoch under which this process may act for a pool now."""
+        if not self._views.lease.valid():
+            return None
+        owner = self._views.directory.owner(pool)
+        if owner is None or owner.host != self._host:
+            return None
+        return owner.epoch
+
+    async def _async_start(
+        self, service: Service, orders: PoolOrders, order: Order
+    ) -> None:
+        task = await curio.spawn(self._async_carry_out, service, orders, order)
+        self._tasks.add(task)
+
+    async def _async_carry_out(
+        self, service: Service, orders: PoolOrders, order: Order
+    ) -> None:
+        def may_send() -> bool:
+            return self._epoch(service.name) == order.fence
+
+        answer = await self._intents.async_begin(order)
+        if answer is None:
+            answer = await self._send(order, may_send, order_seconds(service))
+            await self._intents.async_end(order, answer)
+        orders.note(order, answer)
+        self._metrics.count(f"orders.{order.kind}.{answer.state}")
+        logging.info(
+            "order %s %s to %s: %s %s",
+            order.kind,
+            order.argument,
+            order.upstream,
+            answer.state,
+            answer.text,
+        )
+        self._tasks.discard(await curio.current_task())
+
+    def describe(self) -> dict[str, Any]:
+        """Return this part's share of the dump."""
+        return describe(self.orders_by_pool)
--- /dev/null
+++ b/bitterntiller/components/orders/pool.py
@@ -0,0 +1,142 @@
+"""The orders of one owned pool; decides, without I/O."""
+
+from bitterntiller.components.config.models import Service
+from bitterntiller.components.orders import const
+from bitterntiller.components.orders.models import (
+    Order,
+    OrderAnswer,
+    OrderedUpstream,
+    OrderRecord,
+)
+from bitterntiller.components.orders.wanted import (
+    loads_at_once,
+    make_order,
+    order_seconds,
+    wanted_of,
+)
+
+
+class PoolOrders:
+    """What was ordered under one epoch of a pool; times in seconds."""
+
+    def __init__(self, epoch: int, gained_at: float) -> None:
+        self.epoch = epoch
+        self.gained_at = gained_at
+        self.stale = False
+        self.records_by_id: dict[str, OrderRecord] = {}
+
+    def due(
+        self,
+        service: Service,
+        upstreams_by_name: dict[str, OrderedUpstream],
+        now: float,
+    ) -> list[Order]:
+        """Return the orders to be sent now, and note them as being sent."""
+        if self.stale:
+            return []
+        due = []
+        for _, upstream in sorted(upstreams_by_name.items()):
+            order = self._next(service, upstream, now)
+            if order is None:
+                continue
+            attempts = self._attempts(order) + 1
+            self.records_by_id[order.order_id] = OrderRecord(
+                order, const.STATE_SENDING, now, attempts
+            )
+            due.append(order)
+        return due
+
+    def _next(
+        self, service: Service, upstream: OrderedUpstream, now: float
+    ) -> Order | None:
+        if upstream.leaving or now - upstream.heard > const.SILENCE:
+            return None
+        if self._busy(upstream.name):
+            return None
+        for wanted in wanted_of(service, upstream):
+            order = make_order(service, upstream, wanted, self.epoch)
+            if not self._may_send(order, now):
+                continue
+            if self._must_wait(order, upstream, service, now):
+                continue
+            return order
+        return None
+
+    def _busy(self, upstream: str) -> bool:
+        return any(
+            record.state == const.STATE_SENDING and record.order.upstream == upstream
+            for record in self.records_by_id.values()
+        )
+
+    def _may_send(self, order: Order, now: float) -> bool:
+        """Tell whether an order was not sent yet, or may be sent again.
+
+        After a lost answer only an upstream that knows order ids gets it again:
+        another one would do it twice.
+        """
+        record = self.records_by_id.get(order.order_id)
+        if record is None:
+            return True
+        again = record.state == const.STATE_NOT_SENT
+        again = again or (record.state == const.STATE_UNKNOWN and order.idempotent)
+        return again and now - record.sent_at >= const.RETRY_PAUSE
+
+    def _must_wait(
+        self, order: Order, upstream: OrderedUpstream, service: Service, now: float
+    ) -> bool:
+        """Tell whether an order has to wait for the old owner's, or for room.
+
+        The owner before had lost its lease, or had given the pool back, when
+        this epoch began; what it had sent has ended one order time later. An
+        upstream that ignores fences could carry out old and new together. The
+        old owner's loads may still use the weight store, whatever the upstream
+        checks.
+        """
+        seconds = order_seconds(service)
+        checked = (
+            upstream.labels.get(const.UPSTREAM_LABEL_FENCING) == const.FENCING_CHECKED
+        )
+        is_load = order.kind == const.KIND_LOAD
+        if (is_load or not checked) and now - self.gained_at < seconds:
+            return True
+        return is_load and self._loading(seconds, now) >= loads_at_once(service)
+
+    def _loading(self, seconds: float, now: float) -> int:
+        """Return how many loads may be going on.
+
+        One whose answer was lost may go on for the whole order time.
+        """
+        return sum(
+            record.order.kind == const.KIND_LOAD
+            and (
+                record.state == const.STATE_SENDING
+                or (
+                    record.state == const.STATE_UNKNOWN
+                    and now - record.sent_at < seconds
+                )
+            )
+            for record in self.records_by_id.values()
+        )
+
+    def _attempts(self, order: Order) -> int:
+        record = self.records_by_id.get(order.order_id)
+        return record.attempts if record else 0
+
+    def note(self, order: Order, answer: OrderAnswer) -> None:
+        """Note how the sending of an order ended."""
+        record = self.records_by_id[order.order_id]
+        self.records_by_id[order.order_id] = record._replace(
+            state=answer.state, text=answer.text
+        )
+        self._forget_oldest()
+        # The upstream has seen a later epoch: this owner was replaced.
+        if answer.state == const.STATE_STALE:
+            self.stale = True
+
+    def _forget_oldest(self) -> None:
+        if len(self.records_by_id) <= const.MAX_RECORDS:
+            return
+        for order_id, record in list(self.records_by_id.items()):
+            if record.state != const.STATE_SENDING:
+                del self.records_by_id[order_id]
+                return
--- a/bitterntiller/core/daemon.py
+++ b/bitterntiller/core/daemon.py
@@ -14,6 +14,7 @@
     metrics,
     node,
     operator,
+    orders,
     upstreams,
 )
 from bitterntiller.components.dispatch.coordinator import DispatchCoordinator
@@ -70,6 +71,8 @@
     owner = None
     if ROLE_DISPATCH in roles:
         owner = await dispatch.async_setup(runtime, *views)
+        issuer = await orders.async_setup(runtime, session)
+        owner.add_announce_listener(issuer.note_announcement)
     announced = (lambda: dispatch.upstreams(owner)) if owner else list
     await operator.async_setup(runtime, session.control_client, announced)
     callers = None
