--- a/bitterntiller/core/daemon.py
+++ b/bitterntiller/core/daemon.py
@@ -14,6 +14,7 @@
     metrics,
     node,
     operator,
+    orders,
     replication,
     upstreams,
 )
@@ -71,6 +72,8 @@
     owner = None
     if ROLE_DISPATCH in roles:
         owner = await dispatch.async_setup(runtime, *views)
+        issuer = await orders.async_setup(runtime, session)
+        owner.add_announce_listener(issuer.note_announcement)
     await operator.async_setup(runtime, session.control_client)
     callers = None
     if ROLE_ENTRY in roles:
