--- a/bitterntiller/components/dispatch/choice.py
+++ b/bitterntiller/components/dispatch/choice.py
@@ -125,9 +125,12 @@
                 request.prefix_hashes, request.prompt_tokens
             )
         prefill = speed.prefill_seconds(request.prompt_tokens - cached, job.kind)
+        optimism = self._parameters.optimism
+        best = speed.best_decode_seconds(job.expected_output)
         decode = speed.decode_seconds(job.expected_output, ledger.in_flight + 1)
-        alone = prefill + decode
-        return cached, alone, alone + ledger.backlog(speed, now)
+        decode += optimism * (best - decode)
+        total = prefill + ledger.backlog(speed, now) + decode
+        return cached, prefill + min(best, decode), total
 
     def _open(self, job: Job, upstream: Upstream, now: float) -> bool:
         """Tell whether an upstream can take this request now."""
@@ -142,6 +145,8 @@
                 return False
         if not upstream.fits(job.kv):
             return False
+        if self._parameters.guard and not self._spares(job, upstream, now):
+            return False
         # The mark is set at events; a pause or the silence of an upstream may
         # have begun since, and a grant would then be sent to a dead address.
         if not upstream.can_take(now):
@@ -149,6 +154,27 @@
             return False
         return True
 
+    def _spares(self, job: Job, upstream: Upstream, now: float) -> bool:
+        """Tell whether running work would still end in time beside this request.
+
+        A request slows the others down by its place in the batch and by its
+        prefill, during which they get about half their speed. What runs has its
+        prefill behind it; were it made late, that would be thrown away.
+        """
+        ledger = upstream.ledger
+        speed = upstream.speed
+        needs = ledger.needs(speed.best_seconds_per_token(), now)
+        if not needs:
+            return True
+        pace = speed.seconds_per_token(ledger.in_flight + 1) * self._parameters.guard
+        tokens = job.request.prompt_tokens
+        stolen = 0.5 * speed.prefill_seconds(tokens, job.kind)
+        return all(
+            pace * need.tokens + stolen <= need.seconds
+            for rank, need in needs.items()
+            if rank <= job.rank
+        )
+
     def _score(self, job: Job, upstream: Upstream, cached: int, total: float) -> float:
         """Return the cost of an upstream: the delay, and the prefill it takes."""
         tokens = job.request.prompt_tokens - cached
--- a/bitterntiller/components/dispatch/jobs.py
+++ b/bitterntiller/components/dispatch/jobs.py
@@ -13,7 +13,7 @@
     """Where a request is.
 
     A parked one waits for one upstream, outside the queue. The grant of a
-    lapsed one was not heard of in time.
+    lapsed one was not heard of in time. A gone one is left in some list only.
     """
 
     QUEUED = "queued"
@@ -21,6 +21,7 @@
     GRANTED = "granted"
     RUNNING = "running"
     LAPSED = "lapsed"
+    GONE = "gone"
 
 
 class Job:
--- a/bitterntiller/components/dispatch/ledger.py
+++ b/bitterntiller/components/dispatch/ledger.py
@@ -1,6 +1,7 @@
 """The owner's own account of what is outstanding at one upstream."""
 
 from collections import OrderedDict, deque
+from typing import NamedTuple
 
 from bitterntiller.components.dispatch.jobs import Job
 from bitterntiller.components.dispatch.models import UpstreamLoad
@@ -10,6 +11,15 @@
 HISTORY_LENGTH = 512
 REPORT_SLACK_SECONDS = 0.2
 FOREIGN_GAIN = 0.5
+NEED_SECONDS = 0.2
+TRANSIT_SECONDS = 0.1
+
+
+class Need(NamedTuple):
+    """What a running request still needs: tokens, and the seconds left."""
+
+    tokens: float
+    seconds: float
 
 
 class Ledger:
@@ -25,6 +35,8 @@
         self.long_jobs = 0
         self.foreign = 0.0
         self.head_began = 0.0
+        self._needs_by_rank: dict[int, Need] = {}
+        self._needs_at = float("-inf")
         self._history: deque[tuple[float, int]] = deque(maxlen=HISTORY_LENGTH)
 
     @property
@@ -84,6 +96,32 @@
             seconds += speed.prefill_seconds(job.prefill, job.kind)
         return seconds
 
+    def needs(self, best: float, now: float) -> dict[int, Need]:
+        """Return the tightest need of running work by rank of its tier.
+
+        Work that could not end in time even at the best seconds per token is
+        left out, since nothing is gained by sparing it.
+        """
+        if now - self._needs_at < NEED_SECONDS:
+            return self._needs_by_rank
+        self._needs_at = now
+        needs: dict[int, Need] = {}
+        for job in self.jobs_by_id.values():
+            stated = job.request.output_tokens
+            tokens = max(
+                job.expected_output - job.tokens_seen,
+                0.25 * (stated - job.tokens_seen),
+                1.0,
+            )
+            seconds = job.request.deadline - now - TRANSIT_SECONDS
+            if seconds < best * tokens:
+                continue
+            known = needs.get(job.rank)
+            if known is None or seconds * known.tokens < known.seconds * tokens:
+                needs[job.rank] = Need(tokens, seconds)
+        self._needs_by_rank = needs
+        return needs
+
     def fold(self, load: UpstreamLoad, now: float) -> None:
         """Fold a late load report in.
 
--- a/bitterntiller/components/dispatch/models.py
+++ b/bitterntiller/components/dispatch/models.py
@@ -187,8 +187,12 @@
     prefix_weight is the price of a second of prefill beside the request's own
     delay. A request is sent on when the prefill outstanding at the upstream is
     expected to end within prefill_window, since engines know no priority. Long
-    prefills run at most on long_prefills of the upstreams at once. samples is
-    how many upstreams are drawn where there are many.
+    prefills run at most on long_prefills of the upstreams at once. No work is
+    added to an upstream while guard times the present seconds per token would
+    bring running work of the same or a higher tier past its deadline; 0 turns
+    that off. optimism is the weight of an upstream's best speed, beside its
+    present one, in the estimate of completion. samples is how many upstreams
+    are drawn where there are many.
     """
 
     kind: str = const.KIND_ENGINE
@@ -206,6 +210,8 @@
     prefix_weight: float = const.DEFAULT_PREFIX_WEIGHT
     prefill_window: float = const.DEFAULT_PREFILL_WINDOW
     long_prefills: float = const.DEFAULT_LONG_PREFILLS
+    guard: float = const.DEFAULT_GUARD
+    optimism: float = const.DEFAULT_OPTIMISM
     max_waiting: int = const.DEFAULT_MAX_WAITING
     samples: int = const.DEFAULT_SAMPLES
     seed: int = 1
--- a/bitterntiller/components/dispatch/pool.py
+++ b/bitterntiller/components/dispatch/pool.py
@@ -20,6 +20,7 @@
 class Pool:
     """Keeps the upstreams and their views.
 
+    freed collects the upstreams that became free, until somebody takes them.
     pace is the mean of expected over seen seconds of service: how much work a
     second one request in flight gets done.
     """
@@ -31,6 +32,7 @@
         self.upstreams_by_name: dict[str, Upstream] = {}
         self.pace = 1.0
         self.slots = 0
+        self.freed: list[Upstream] = []
         self._parameters = parameters
         self._thaws: list[tuple[float, str]] = []
         self._thaw_by_name: dict[str, float] = {}
@@ -129,6 +131,8 @@
         """Find out anew whether an upstream is there and free."""
         member = upstream.usable(now)
         free = member and upstream.can_take(now)
+        if free and not upstream.free:
+            self.freed.append(upstream)
         if free != upstream.free or member != upstream.member:
             upstream.free = free
             upstream.member = member
--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -61,7 +61,7 @@
         self._shedder = Shedder(parameters, self._queue, self._admission)
         self._sequence = itertools.count()
         self._waiting = 0
-        self._parked_by_name: dict[str, list[Job]] = {}
+        self._parked_by_name: dict[str, dict[str, Job]] = {}
         self._lateness = JobTimers()
         self._lapses = JobTimers()
         self._parkings = JobTimers()
@@ -314,20 +314,14 @@
         elif job.state is not JobState.LAPSED:
             self._limiter.leave(job.workspace)
             self._queue.uncap(job.workspace)
-            self._release(job, now)
+            self._pool.detach(job, now)
+        job.state = JobState.GONE
 
     def _leave_waiting(self, job: Job, now: float) -> None:
         self._waiting -= 1
         self._limiter.wait(job.workspace, -1, now)
         self._pool.unreserve(job)
 
-    def _release(self, job: Job, now: float) -> None:
-        upstream = job.upstream
-        self._pool.detach(job, now)
-        if upstream is not None and upstream.free:
-            for parked in self._parked_by_name.pop(upstream.name, ()):
-                self._unpark(parked)
-
     def _lapse(self, job: Job, now: float) -> None:
         """Take back a grant that was not heard of in time.
 
@@ -360,8 +354,8 @@
         self._queue.remove(job)
         job.state = JobState.PARKED
         if choice.upstream is not None:
-            parked = self._parked_by_name.setdefault(choice.upstream.name, [])
-            parked.append(job)
+            parked = self._parked_by_name.setdefault(choice.upstream.name, {})
+            parked[job.request.request_id] = job
         self._parkings.add(now + PARK_SECONDS, job)
 
     def _unpark(self, job: Job) -> None:
@@ -400,10 +394,15 @@
         for job in self._shedder.trim(now):
             del self._jobs_by_id[job.request.request_id]
             self._leave_waiting(job, now)
+            job.state = JobState.GONE
             decisions.append(self._refusal_of(job, Reason.SHED, now))
 
     def _decide(self, now: float, decisions: list[Decision]) -> None:
         """Grant to the head of the queue as long as an upstream is free."""
+        for upstream in self._pool.freed:
+            for parked in self._parked_by_name.pop(upstream.name, {}).values():
+                self._unpark(parked)
+        self._pool.freed.clear()
         blocked: set[tuple] = set()
         skips = 0
         while self._waiting and self._pool.any_free and skips < MAX_SKIPS:
--- a/bitterntiller/components/dispatch/speed.py
+++ b/bitterntiller/components/dispatch/speed.py
@@ -7,7 +7,6 @@
     KIND_PLAIN,
     PRIOR_PREFILL_TOKENS_PER_SECOND,
     PRIOR_SECONDS_PER_TOKEN,
-    PRIOR_SERVICE_SECONDS,
 )
 
 SHORT = 0
@@ -18,6 +17,8 @@
 FAST_GAIN = 0.35
 MAX_RATIO = 8.0
 MIN_DEVIATION = 0.05
+BEST_DOWN_GAIN = 0.1
+BEST_UP_GAIN = 0.004
 
 
 class Estimate(NamedTuple):
@@ -44,6 +45,18 @@
         """Return the seconds of decoding beside so many requests in flight."""
         ...
 
+    def seconds_per_token(self, in_flight: int) -> float:
+        """Return the seconds between tokens beside so many in flight."""
+        ...
+
+    def best_seconds_per_token(self) -> float:
+        """Return the seconds between tokens when nothing is in the way."""
+        ...
+
+    def best_decode_seconds(self, tokens: float) -> float:
+        """Return the seconds of decoding when nothing is in the way."""
+        ...
+
     def learn_first(self, kind: int, expected: float, seen: float) -> None:
         """Learn from the seconds to the first token."""
         ...
@@ -84,7 +97,6 @@
     def __init__(self) -> None:
         self.prefill_rate = PRIOR_PREFILL_TOKENS_PER_SECOND
         self.seconds_per_token = PRIOR_SECONDS_PER_TOKEN
-        self.service_seconds = PRIOR_SERVICE_SECONDS
         self._prefill_samples = 0
         self._decode_samples = 0
 
@@ -99,7 +111,6 @@
         self._decode_samples += 1
         gain = max(1 / self._decode_samples, 0.01)
         self.seconds_per_token += gain * (seconds - self.seconds_per_token)
-        self.service_seconds = self.seconds_per_token
 
     def work(self, prompt_tokens: int, output_tokens: float) -> float:
         """Return the expected seconds of service of a request."""
@@ -121,6 +132,7 @@
         self._rates: list[float | None] = [None, None]
         self._samples = [0, 0]
         self._seconds_by_bucket: list[float | None] = [None] * BUCKETS
+        self._best: float | None = None
         self.scale = 1.0
 
     def prefill_rate(self, kind: int) -> float:
@@ -138,10 +150,18 @@
         """Return the seconds between tokens beside so many in flight."""
         return self._base(_bucket(in_flight)) * self.scale
 
+    def best_seconds_per_token(self) -> float:
+        """Return the seconds between tokens when nothing is in the way."""
+        return self._pool.seconds_per_token if self._best is None else self._best
+
     def decode_seconds(self, tokens: float, in_flight: int) -> float:
         """Return the seconds of decoding beside so many requests in flight."""
         return tokens * self.seconds_per_token(in_flight)
 
+    def best_decode_seconds(self, tokens: float) -> float:
+        """Return the seconds of decoding when nothing is in the way."""
+        return tokens * self.best_seconds_per_token()
+
     def learn_first(self, kind: int, expected: float, seen: float) -> None:
         """Learn from the seconds to the first token.
 
@@ -166,6 +186,7 @@
         bucket = _bucket(in_flight)
         known = self._seconds_by_bucket[bucket]
         self._pool.note_decode(seen)
+        self._learn_best(seen)
         if known is None:
             self._seconds_by_bucket[bucket] = seen / self.scale
             return
@@ -175,6 +196,14 @@
         self._seconds_by_bucket[bucket] = known * ratio ** (SLOW_GAIN * weight)
         self.scale *= ratio ** (-SLOW_GAIN * weight)
 
+    def _learn_best(self, seen: float) -> None:
+        """Follow the low end of the samples: an expectile near a twentieth."""
+        if self._best is None:
+            self._best = seen
+            return
+        gain = BEST_DOWN_GAIN if seen < self._best else BEST_UP_GAIN
+        self._best += gain * (seen - self._best)
+
     def _base(self, bucket: int) -> float:
         for distance in range(BUCKETS):
             below = bucket - distance
@@ -187,7 +216,11 @@
 
 
 class PlainSpeed(_Deviation):
-    """Seconds of a call to a plain service; it has no tokens to count."""
+    """Seconds of a call to a plain service, by its stated size.
+
+    The size is the stated output; where entry hosts state the same for all
+    calls it drops out, and the mean time of a call is left.
+    """
 
     def __init__(self, pool: PoolSpeed) -> None:
         super().__init__()
@@ -199,23 +232,37 @@
         """Return 0: a plain service has no prefill."""
         return 0.0
 
+    def seconds_per_token(self, in_flight: int) -> float:
+        """Return the seconds for each unit of stated size."""
+        if self._seconds is None:
+            return self._pool.seconds_per_token
+        return self._seconds
+
+    def best_seconds_per_token(self) -> float:
+        """Return the seconds for each unit of stated size."""
+        return self.seconds_per_token(1)
+
     def decode_seconds(self, tokens: float, in_flight: int) -> float:
         """Return the seconds of one call."""
-        return self._pool.service_seconds if self._seconds is None else self._seconds
+        return tokens * self.seconds_per_token(in_flight)
+
+    def best_decode_seconds(self, tokens: float) -> float:
+        """Return the seconds of one call."""
+        return self.decode_seconds(tokens, 1)
 
     def learn_first(self, kind: int, expected: float, seen: float) -> None:
         """Learn nothing: a plain service has no prefill."""
 
     def learn_decode(self, tokens: float, seconds: float, in_flight: int) -> None:
         """Learn from the seconds of one call."""
-        if seconds <= 0:
+        if seconds <= 0 or tokens <= 0:
             return
-        self._pool.note_decode(seconds)
+        seen = seconds / tokens
+        self._pool.note_decode(seen)
         if self._seconds is None:
-            self._seconds = seconds
+            self._seconds = seen
             return
-        ratio = _clip(seconds / self._seconds)
-        self._seconds *= ratio**FAST_GAIN
+        self._seconds *= _clip(seen / self._seconds) ** SLOW_GAIN
 
 
 def new_speed(kind: str, pool: PoolSpeed) -> EngineSpeed | PlainSpeed:
