Average decode speed over time, keep headroom for higher tiers

Cause: all requests of a batch tell of the same steps at the same moment, so the learned seconds per token were those of the last half second: 0.038 expected where 0.07 came. Samples now weigh by their span shared by the batch.

--- a/bitterntiller/components/dispatch/choice.py
+++ b/bitterntiller/components/dispatch/choice.py
@@ -7,15 +7,19 @@
 from typing import NamedTuple
 
 from bitterntiller.components.dispatch.const import (
+    HOUSEKEEPING_SECONDS,
     PREFIX_CANDIDATES,
     SCAN_ALL_UP_TO,
 )
 from bitterntiller.components.dispatch.jobs import Job
 from bitterntiller.components.dispatch.models import PolicyParameters
 from bitterntiller.components.dispatch.pool import Pool
+from bitterntiller.components.dispatch.prefix import prefix_tokens
 from bitterntiller.components.dispatch.speed import LONG
 from bitterntiller.components.dispatch.upstreams import Upstream, View
 
+NEVER = float("inf")
+
 
 class Verdict(Enum):
     """Why a request has no upstream yet.
@@ -56,22 +60,22 @@
 
     def choose(self, job: Job, view: View, now: float) -> Choice:
         """Choose for a request that is at the head of its queue."""
-        margin = self._parameters.margin
+        parameters = self._parameters
         budget = job.request.deadline - now
         best: Choice | None = None
-        best_score = float("inf")
-        target: Upstream | None = None
-        target_total = float("inf")
+        best_score = NEVER
+        fastest: Upstream | None = None
+        fastest_total = NEVER
         open_for_it = False
         long_blocked = job.kind == LONG and self._long_prefills(view)
         for upstream in self._candidates(job, view):
             cached, alone, total = self._estimate(job, upstream, now)
-            if alone < target_total and upstream.health.allowed(0, now):
-                target, target_total = upstream, alone
+            if alone < fastest_total and upstream.health.allowed(0, now):
+                fastest, fastest_total = upstream, alone
             if long_blocked or not self._open(job, upstream, now):
                 continue
             open_for_it = True
-            if total * (1.0 + margin * upstream.speed.deviation) > budget:
+            if total * (1.0 + parameters.margin * upstream.speed.deviation) > budget:
                 continue
             score = self._score(job, upstream, cached, total)
             if score < best_score:
@@ -79,20 +83,40 @@
                 best = Choice(Verdict.CHOSEN, upstream, cached, total)
         if best is not None:
             return best
-        if target is not None and target_total > budget:
+        if fastest_total > budget and self.best_case(job, view, now) > budget:
             return Choice(Verdict.LATE)
         if not open_for_it:
-            return Choice(Verdict.BLOCKED, target)
-        return Choice(Verdict.WAIT, target)
+            return Choice(Verdict.BLOCKED, fastest)
+        return Choice(Verdict.WAIT, fastest)
 
     def best_case(self, job: Job, view: View, now: float) -> float:
         """Return the least expected seconds of service if nothing else waited."""
+        if len(view.members) > SCAN_ALL_UP_TO:
+            return self._best_case_of_many(job, view, now)
         totals = (
             self._estimate(job, upstream, now)[1]
             for upstream in self._candidates(job, view)
         )
         return min(totals, default=0.0)
 
+    def _best_case_of_many(self, job: Job, view: View, now: float) -> float:
+        """Return a lower bound from the best of each speed in a large pool.
+
+        A few upstreams drawn at random would not do here: a request would be
+        refused as late because its draw missed the upstream that is in time.
+        """
+        if now - view.best_at > HOUSEKEEPING_SECONDS:
+            view.best_at = now
+            speeds = [self._pool.upstreams_by_name[n].speed for n in view.members]
+            view.best_prefill = min(s.prefill_seconds(1000, job.kind) for s in speeds)
+            view.best_decode = min(s.best_decode_seconds(1000) for s in speeds)
+        level, _ = self._pool.index.longest(job.request.prefix_hashes)
+        tokens = job.request.prompt_tokens
+        if level >= 0:
+            tokens = max(0, tokens - prefix_tokens(level))
+        seconds = view.best_prefill * tokens + view.best_decode * job.expected_output
+        return seconds / 1000
+
     def _candidates(self, job: Job, view: View) -> Iterable[Upstream]:
         upstreams_by_name = self._pool.upstreams_by_name
         tried = job.request.tried
@@ -143,7 +167,8 @@
             allowed = max(1, int(self._parameters.long_slots * slots))
             if upstream.ledger.long_jobs >= allowed:
                 return False
-        if not upstream.fits(job.kv):
+        part = self._part(job)
+        if not upstream.has_room(part) or not upstream.fits(job.kv, part):
             return False
         if self._parameters.guard and not self._spares(job, upstream, now):
             return False
@@ -154,6 +179,16 @@
             return False
         return True
 
+    def _part(self, job: Job) -> float:
+        """Return the part of an upstream that a request's tier may fill.
+
+        Running work is never displaced. If the lowest tier could fill every
+        slot, a burst of the highest would wait for seconds until some of it
+        ends, with nothing left to shed.
+        """
+        above = self._pool.tiers_above(job.rank)
+        return 1.0 - self._parameters.headroom * above
+
     def _spares(self, job: Job, upstream: Upstream, now: float) -> bool:
         """Tell whether running work would still end in time beside this request.
 
@@ -166,11 +201,14 @@
         needs = ledger.needs(speed.best_seconds_per_token(), now)
         if not needs:
             return True
-        pace = speed.seconds_per_token(ledger.in_flight + 1) * self._parameters.guard
+        pace = speed.seconds_per_token(ledger.in_flight + 1)
+        guard = self._parameters.guard
+        guard_higher = self._parameters.guard_higher
         tokens = job.request.prompt_tokens
         stolen = 0.5 * speed.prefill_seconds(tokens, job.kind)
         return all(
-            pace * need.tokens + stolen <= need.seconds
+            pace * need.tokens * (guard if rank == job.rank else guard_higher) + stolen
+            <= need.seconds
             for rank, need in needs.items()
             if rank <= job.rank
         )
--- a/bitterntiller/components/dispatch/models.py
+++ b/bitterntiller/components/dispatch/models.py
@@ -189,10 +189,12 @@
     expected to end within prefill_window, since engines know no priority. Long
     prefills run at most on long_prefills of the upstreams at once. No work is
     added to an upstream while guard times the present seconds per token would
-    bring running work of the same or a higher tier past its deadline; 0 turns
-    that off. optimism is the weight of an upstream's best speed, beside its
-    present one, in the estimate of completion. samples is how many upstreams
-    are drawn where there are many.
+    bring running work of the same tier past its deadline, or guard_higher times
+    that of a higher tier; guard 0 turns both off. headroom is the part of an
+    upstream's slots and memory that is kept free by each tier for those above
+    it. optimism is the weight of an upstream's best speed, beside its present
+    one, in the estimate of completion. samples is how many upstreams are drawn
+    where there are many.
     """
 
     kind: str = const.KIND_ENGINE
@@ -211,6 +213,8 @@
     prefill_window: float = const.DEFAULT_PREFILL_WINDOW
     long_prefills: float = const.DEFAULT_LONG_PREFILLS
     guard: float = const.DEFAULT_GUARD
+    guard_higher: float = const.DEFAULT_GUARD_HIGHER
+    headroom: float = const.DEFAULT_HEADROOM
     optimism: float = const.DEFAULT_OPTIMISM
     max_waiting: int = const.DEFAULT_MAX_WAITING
     samples: int = const.DEFAULT_SAMPLES
--- a/bitterntiller/components/dispatch/pool.py
+++ b/bitterntiller/components/dispatch/pool.py
@@ -33,6 +33,8 @@
         self.pace = 1.0
         self.slots = 0
         self.freed: list[Upstream] = []
+        self._ranks: set[int] = set()
+        self._above_by_rank: dict[int, float] = {}
         self._parameters = parameters
         self._thaws: list[tuple[float, str]] = []
         self._thaw_by_name: dict[str, float] = {}
@@ -43,6 +45,18 @@
         """Tell whether any upstream can take one more request."""
         return len(self.views.whole.free) > 0
 
+    def note_tier(self, rank: int) -> None:
+        """Note that requests of a tier come here."""
+        if rank not in self._ranks:
+            self._ranks.add(rank)
+            self._above_by_rank = {
+                rank: float(above) for above, rank in enumerate(sorted(self._ranks))
+            }
+
+    def tiers_above(self, rank: int) -> float:
+        """Return how many of the tiers seen here are more important than one."""
+        return self._above_by_rank.get(rank, 0.0)
+
     def view(self, job: Job) -> View:
         """Return the upstreams that a request may go to, tried ones included."""
         names = job.request.upstream_names
--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -66,6 +66,10 @@
         self._lapses = JobTimers()
         self._parkings = JobTimers()
         self._housekeeping_at = 0.0
+        # Groups whose head found no upstream. They are left alone until an
+        # upstream gets room or the next housekeeping, so that a full pool costs
+        # nothing at each arrival.
+        self._blocked: set[tuple] = set()
 
     def register(self, request: WaitingRequest, now: float) -> list[Decision]:
         """Take a request into the queue; a known one stays as it is."""
@@ -145,7 +149,8 @@
             return []
         decisions: list[Decision] = []
         self._pool.refresh(job.upstream, now)
-        self._decide(now, decisions)
+        if self._pool.freed:
+            self._decide(now, decisions)
         return decisions
 
     def finished(self, completion: Completion, now: float) -> list[Decision]:
@@ -229,6 +234,7 @@
     def _size(self, job: Job) -> None:
         request = job.request
         self._sizes.size(job)
+        self._pool.note_tier(job.rank)
         job.order_key = self._ordering.key(job)
         job.group = (request.upstream_names, frozenset(request.tried), job.kind)
 
@@ -315,6 +321,7 @@
             self._limiter.leave(job.workspace)
             self._queue.uncap(job.workspace)
             self._pool.detach(job, now)
+            self._blocked.clear()
         job.state = JobState.GONE
 
     def _leave_waiting(self, job: Job, now: float) -> None:
@@ -390,6 +397,7 @@
     def _housekeep(self, now: float, decisions: list[Decision]) -> None:
         self._housekeeping_at = now + HOUSEKEEPING_SECONDS
         self._pool.housekeep(now)
+        self._blocked.clear()
         self._admission.interval(now)
         for job in self._shedder.trim(now):
             del self._jobs_by_id[job.request.request_id]
@@ -402,8 +410,10 @@
         for upstream in self._pool.freed:
             for parked in self._parked_by_name.pop(upstream.name, {}).values():
                 self._unpark(parked)
-        self._pool.freed.clear()
-        blocked: set[tuple] = set()
+        if self._pool.freed:
+            self._pool.freed.clear()
+            self._blocked.clear()
+        blocked = self._blocked
         skips = 0
         while self._waiting and self._pool.any_free and skips < MAX_SKIPS:
             job = self._queue.head(blocked)
--- a/bitterntiller/components/dispatch/speed.py
+++ b/bitterntiller/components/dispatch/speed.py
@@ -13,12 +13,15 @@
 LONG = 1
 OVERHEAD_SECONDS = 0.01
 BUCKETS = 12
-SLOW_GAIN = 0.1
-FAST_GAIN = 0.35
+PLAIN_GAIN = 0.1
 MAX_RATIO = 8.0
 MIN_DEVIATION = 0.05
-BEST_DOWN_GAIN = 0.1
-BEST_UP_GAIN = 0.004
+SCALE_SECONDS = 4.0
+BUCKET_SECONDS = 30.0
+MIN_SCALE = 0.05
+MAX_SCALE = 50.0
+BEST_DOWN_SECONDS = 1.0
+BEST_UP_SECONDS = 30.0
 
 
 class Estimate(NamedTuple):
@@ -123,7 +126,8 @@
 
     scale follows a change of the whole engine's speed within a few samples,
     the buckets follow slowly; so a slowed engine is known for all buckets as
-    soon as one of them has shown it.
+    soon as one of them has shown it. All requests of a batch tell of the same
+    steps, so each sample weighs by its span of time, shared by the batch.
     """
 
     def __init__(self, pool: PoolSpeed) -> None:
@@ -186,23 +190,28 @@
         bucket = _bucket(in_flight)
         known = self._seconds_by_bucket[bucket]
         self._pool.note_decode(seen)
-        self._learn_best(seen)
+        span = seconds / max(in_flight, 1)
+        self._learn_best(seen, span)
         if known is None:
             self._seconds_by_bucket[bucket] = seen / self.scale
             return
         ratio = _clip(seen / (known * self.scale))
-        weight = min(1.0, tokens / 8)
-        self.scale = min(max(self.scale * ratio ** (FAST_GAIN * weight), 0.05), 50.0)
-        self._seconds_by_bucket[bucket] = known * ratio ** (SLOW_GAIN * weight)
-        self.scale *= ratio ** (-SLOW_GAIN * weight)
-
-    def _learn_best(self, seen: float) -> None:
-        """Follow the low end of the samples: an expectile near a twentieth."""
+        fast = -math.expm1(-span / SCALE_SECONDS)
+        slow = -math.expm1(-span / BUCKET_SECONDS)
+        self._seconds_by_bucket[bucket] = known * ratio**slow
+        scale = self.scale * ratio ** (fast - slow)
+        self.scale = min(max(scale, MIN_SCALE), MAX_SCALE)
+
+    def _learn_best(self, seen: float, span: float) -> None:
+        """Follow the low end of the samples: quickly down, slowly up."""
         if self._best is None:
-            self._best = seen
+            # The first samples may come from the midst of a burst. Too high a
+            # guess would refuse requests as late that an idle upstream serves
+            # well, so it begins low and is corrected within seconds.
+            self._best = min(seen, self._pool.seconds_per_token)
             return
-        gain = BEST_DOWN_GAIN if seen < self._best else BEST_UP_GAIN
-        self._best += gain * (seen - self._best)
+        tau = BEST_DOWN_SECONDS if seen < self._best else BEST_UP_SECONDS
+        self._best -= math.expm1(-span / tau) * (seen - self._best)
 
     def _base(self, bucket: int) -> float:
         for distance in range(BUCKETS):
@@ -262,7 +271,7 @@
         if self._seconds is None:
             self._seconds = seen
             return
-        self._seconds *= _clip(seen / self._seconds) ** SLOW_GAIN
+        self._seconds *= _clip(seen / self._seconds) ** PLAIN_GAIN
 
 
 def new_speed(kind: str, pool: PoolSpeed) -> EngineSpeed | PlainSpeed:
--- a/bitterntiller/components/dispatch/upstreams.py
+++ b/bitterntiller/components/dispatch/upstreams.py
@@ -73,9 +73,16 @@
             and self.prefill_wait(now) <= 0.0
         )
 
-    def fits(self, kv: int) -> bool:
-        """Tell whether the memory holds one more request of that many tokens."""
-        limit = self.state.kv_tokens
+    def has_room(self, part: float) -> bool:
+        """Tell whether one more request keeps within a part of the slots."""
+        if part >= 1.0:
+            return True
+        slots = self.limit.limit(self.state.slots)
+        return self.ledger.in_flight < max(1.0, part * slots)
+
+    def fits(self, kv: int, part: float = 1.0) -> bool:
+        """Tell whether a part of the memory holds so many tokens more."""
+        limit = self.state.kv_tokens * part
         if limit <= 0 or not self.ledger.jobs_by_id:
             return True
         return self.ledger.kv_tokens + kv <= limit
@@ -122,12 +129,19 @@
 
 
 class View:
-    """The upstreams that one set of names allows, and the free ones of them."""
+    """The upstreams that one set of names allows, and the free ones of them.
+
+    best_prefill and best_decode are the least expected seconds of a thousand
+    tokens on any of them, as found at best_at.
+    """
 
     def __init__(self, names: Names) -> None:
         self.names = names
         self.members = NameSet()
         self.free = NameSet()
+        self.best_at = float("-inf")
+        self.best_prefill = 0.0
+        self.best_decode = 0.0
 
     def allows(self, name: str) -> bool:
         """Tell whether an upstream belongs here."""
