--- /dev/null
+++ b/bitterntiller/cli/commands/control.py
@@ -0,0 +1,106 @@
+"""bitterntiller control: shows the replicas of control, and repairs them."""
+
+import os
+from dataclasses import dataclass
+from typing import Annotated, Any
+
+import cappa
+import curio
+
+from bitterntiller.cli import const
+from bitterntiller.cli.errors import UsageError
+from bitterntiller.cli.options import OperatorOptions, make_client
+from bitterntiller.cli.output import format_table, format_tree, print_json
+from bitterntiller.cli.repairing import async_repair
+from bitterntiller.components.operator.const import PATH_CONTROL
+
+
+def run(command: "Control") -> int:
+    """Print the state of control and return the exit code."""
+    client = make_client(command, dict(os.environ))
+    value = curio.run(client.async_get, PATH_CONTROL)
+    if command.json:
+        print_json(value)
+    else:
+        print(describe(value))
+    return const.EXIT_OK
+
+
+def run_repair(command: "Repair") -> int:
+    """Ask for the exchange of a replica and return the exit code."""
+    client = make_client(command, dict(os.environ))
+    if not command.remove and not command.add:
+        raise UsageError("give --remove, --add, or both")
+    wish = {"remove": command.remove, "add": command.add, "address": command.address}
+    tries = max(1, command.tries)
+    result = curio.run(async_repair, client, wish, tries, const.REPAIR_PAUSE)
+    if command.json:
+        print_json(result.value)
+    else:
+        print(f"{result.value.get('status')}: {result.value.get('text', '')}")
+    return result.exit_code
+
+
+@cappa.command(invoke=run_repair)
+@dataclass
+class Repair(OperatorOptions):
+    """Remove a replica of control, add one, or exchange one for another.
+
+    The order is repeated until the full redundancy is back.
+    """
+
+    remove: Annotated[
+        str, cappa.Arg(long=True, help="Identity of the replica to remove.")
+    ] = ""
+    add: Annotated[
+        str, cappa.Arg(long=True, help="Name of the host to get a replica.")
+    ] = ""
+    address: Annotated[
+        str, cappa.Arg(long=True, help="Internal IP:port of that host.")
+    ] = ""
+    tries: Annotated[
+        int, cappa.Arg(long=True, help="Orders at most, one a second.")
+    ] = const.REPAIR_TRIES
+
+
+@cappa.command(invoke=run)
+@dataclass
+class Control(OperatorOptions):
+    """Show term, leader, members, further losses survived and lags."""
+
+    subcommand: cappa.Subcommands[Repair | None] = None
+
+
+def describe(value: dict[str, Any]) -> str:
+    """Return the state of control for people: the figures first, then the rest."""
+    control = dict(value["control"])
+    log = dict(control.pop("log", {}))
+    losses = log.pop("survives_losses", None)
+    rows = [
+        ("leader", value.get("leader")),
+        ("term", log.pop("term", None)),
+        ("further losses survived", losses),
+        ("configuration version", control.get("state", {}).get("config_version")),
+    ]
+    parts = [format_table(("control", ""), rows)]
+    members = log.pop("members", [])
+    if members:
+        parts.append(_members(members))
+    parts.append(format_tree({"log": log, **control}))
+    return "\n\n".join(parts)
+
+
+def _members(members: list[Any] | dict[str, Any]) -> str:
+    """Return a table of members, whether names, or objects by name or in a list."""
+    if isinstance(members, dict):
+        members = [_named(name, item) for name, item in members.items()]
+    if not all(isinstance(item, dict) for item in members):
+        return format_table(("member",), [(item,) for item in members])
+    heads = list(dict.fromkeys(key for item in members for key in item))
+    rows = [[item.get(head) for head in heads] for item in members]
+    return format_table(heads, rows)
+
+
+def _named(name: str, item: Any) -> dict[str, Any]:
+    rest = item if isinstance(item, dict) else {"state": item}
+    return {"member": name, **rest}
--- a/bitterntiller/components/control/coordinator.py
+++ b/bitterntiller/components/control/coordinator.py
@@ -52,8 +52,11 @@
         self._term: LeaderTerm | None = None
         self.state = state
 
-    async def async_start(self) -> None:
-        """Begin to answer, until the process unloads."""
+    async def async_start(self, tick: bool = True) -> None:
+        """Begin to answer, until the process unloads.
+
+        Without tick, pools are placed only by a call of async_place.
+        """
         handlers = {
             messages.Heartbeat: self.async_heartbeat,
             messages.Change: self.async_change,
@@ -64,14 +67,14 @@
         }
         await self._runtime.async_spawn(self._confirm.async_run())
         await self._runtime.async_spawn(self._proposer.async_run())
-        await self._runtime.async_spawn(self._async_tick())
+        if tick:
+            await self._runtime.async_spawn(self._async_tick())
         for cls, handler in handlers.items():
             self._runtime.stack.callback(self._runtime.links.handle(cls, handler))
 
     def leading(self) -> LeaderTerm | None:
         """Return the memory of the present term, None when not the leader."""
         if not self._log.is_leader():
-            self._term = None
             return None
         term = int(self._log.status()["term"])
         if self._term is None or self._term.term != term:
@@ -86,18 +89,20 @@
         term = self.leading()
         if term is None or await self._confirm.async_confirm() is None:
             return None
-        # The confirmation may be that of a later term, won in between.
-        return term if self.leading() is term else None
+        return term
 
     async def async_heartbeat(self, sender: str, heartbeat: Any) -> Any:
         """Answer a messages.Heartbeat, with a lease when the lead is confirmed."""
         term = self.leading()
         if term is None:
             return self._refuse_heartbeat(STATUS_NOT_LEADER)
-        known, _ = term.sessions.hear(heartbeat, self._clock.now())
-        if not known:
+        session = term.sessions.hear(heartbeat, self._clock.now())
+        if session is None or not term.may_grant(session, session.heard):
             return self._refuse_heartbeat(STATUS_UNKNOWN_HOST)
-        if await self._async_confirmed() is not term:
+        term.sessions.note_grant(session)
+        # Should the confirmation be that of a later term of this replica, the
+        # lease still began before that term, which waits out all that did.
+        if await self._confirm.async_confirm() is None:
             return self._refuse_heartbeat(STATUS_NOT_LEADER)
         self._runtime.metrics.count("control.heartbeat.granted")
         leader = self._log.leader()
@@ -166,12 +171,14 @@
 
     async def async_release_pools(self, sender: str, release: Any) -> Any:
         """Answer a messages.ReleasePools of an owner that has stopped to act."""
-        if self.leading() is None:
+        term = self.leading()
+        if term is None:
             return self._release_reply(STATUS_NOT_LEADER)
+        term.sessions.drain(release.host, release.incarnation)
         proposed = await self._proposer.async_propose(release=release)
         if proposed.result is None:
             return self._release_reply(proposed.status)
-        await self._async_place()
+        await self.async_place()
         return self._release_reply(STATUS_OK)
 
     def _release_reply(self, status: str) -> Any:
@@ -205,10 +212,10 @@
     async def _async_tick(self) -> None:
         while True:
             await curio.sleep(TICK)
-            await self._async_place()
+            await self.async_place()
             await self._async_stamp_time()
 
-    async def _async_place(self) -> None:
+    async def async_place(self) -> None:
         """Assign pools whose owner is gone, and renew the directory."""
         term = self.leading()
         if term is None:
--- /dev/null
+++ b/bitterntiller/components/node/const.py
@@ -0,0 +1,13 @@
+"""Names and bounds of the node part."""
+
+from bitterntiller.core.clock import MAX_CLOCK_DRIFT as MAX_CLOCK_DRIFT
+
+STATUS_GRANTED = "granted"
+STATUS_NOT_LEADER = "not-leader"
+STATUS_UNKNOWN = "unknown"
+
+ATTEMPTS_PER_LEASE = 4
+"""A heartbeat waits no longer than this part of a lease for its reply."""
+
+RETRY_PAUSE = 0.1
+"""Seconds before the addresses of control are tried again from the first."""
--- a/bitterntiller/components/settings/schema.py
+++ b/bitterntiller/components/settings/schema.py
@@ -6,6 +6,7 @@
 
 from bitterntiller.components.settings import const
 from bitterntiller.components.settings.models import Address, Limits, Timings
+from bitterntiller.core.clock import MAX_CLOCK_DRIFT
 from bitterntiller.core.document import KeyPath, Problem
 from bitterntiller.core.schema import integer, ip_and_port, name, number, positive
 
@@ -56,6 +57,7 @@
         vol.Required(const.CONF_LISTEN): {
             vol.Required(const.CONF_CALLER): address,
             vol.Required(const.CONF_INTERNAL): address,
+            vol.Optional(const.CONF_ADVERTISED): address,
             vol.Required(const.CONF_OPERATOR): address,
         },
         vol.Required(const.CONF_KEYS): {
@@ -106,7 +108,8 @@
     if const.CONF_DATA_FOLDER not in checked:
         text = "required for the control role, but not given"
         problems.append(Problem((const.CONF_DATA_FOLDER,), text))
-    own = checked[const.CONF_LISTEN][const.CONF_INTERNAL]
+    listen = checked[const.CONF_LISTEN]
+    own = listen.get(const.CONF_ADVERTISED, listen[const.CONF_INTERNAL])
     if own not in control[const.CONF_ADDRESSES]:
         path = (const.CONF_CONTROL, const.CONF_ADDRESSES)
         text = f"lacks this host's own internal address {own}"
@@ -125,7 +128,8 @@
             problems.append(Problem((const.CONF_LISTEN, key), text))
     # Other hosts are told the internal address and call it; 0.0.0.0 would lead
     # each of them to itself.
-    if listen[const.CONF_INTERNAL].ip == const.UNSPECIFIED_IP:
+    told = listen.get(const.CONF_ADVERTISED, listen[const.CONF_INTERNAL])
+    if told.ip == const.UNSPECIFIED_IP:
         path = (const.CONF_LISTEN, const.CONF_INTERNAL)
         problems.append(Problem(path, "must be the address that other hosts call"))
     return problems
@@ -146,8 +150,9 @@
     problems = []
     if timings.lease <= 2 * timings.heartbeat:
         problems.append(Problem(path("lease"), "must be above twice heartbeat"))
-    if timings.owner_lease <= timings.lease:
-        problems.append(Problem(path("owner_lease"), "must be above lease"))
+    if timings.owner_lease * (1 - MAX_CLOCK_DRIFT) <= timings.lease:
+        text = f"must be above lease by more than {MAX_CLOCK_DRIFT:.0%}"
+        problems.append(Problem(path("owner_lease"), text))
     if timings.election_max <= timings.election_min:
         problems.append(Problem(path("election_max"), "must be above election_min"))
     if timings.election_min <= 2 * timings.raft_heartbeat:
--- a/bitterntiller/core/interfaces.py
+++ b/bitterntiller/core/interfaces.py
@@ -57,14 +57,45 @@
         ...
 
 
+class HostView(Protocol):
+    """A host of the directory; address is its internal one, IP:port."""
+
+    @property
+    def address(self) -> str:
+        """The address of its internal port."""
+        ...
+
+    @property
+    def incarnation(self) -> str:
+        """New at every start of its process."""
+        ...
+
+
 class DirectoryView(Protocol):
     """The hosts and the owners of pools, as last heard from control."""
 
+    @property
+    def hosts_by_name(self) -> Mapping[str, HostView]:
+        """The live hosts."""
+        ...
+
     def owner(self, pool: str) -> Ownership | None:
         """Return the owner of a pool, None when nobody has it."""
         ...
 
 
+class ControlCalls(Protocol):
+    """Calls to the leader of control, wherever it is."""
+
+    async def async_call_leader(self, message: Any, timeout: float) -> Any:
+        """Return the leader's reply, None without one in timeout seconds.
+
+        Without a reply, or with one of status unknown, it is open whether the
+        message was carried out.
+        """
+        ...
+
+
 class StateMachine(Protocol):
     """What a replicated log drives; deterministic, free of I/O and clocks."""
 
