--- a/bitterntiller/components/replication/coordinator.py
+++ b/bitterntiller/components/replication/coordinator.py
@@ -16,6 +16,8 @@
 from . import joining, repair
 from .const import (
     REPAIR_DONE,
+    REPAIR_REFUSED,
+    REPAIR_RUNNING,
     STATUS_NOT_LEADER,
     STATUS_UNKNOWN,
     EntryKind,
@@ -48,7 +50,8 @@
         self._tuning = _tuning(runtime)
         self._outbox = Outbox(runtime)
         self._waiters = Waiters()
-        self._wishes: list[repair.Wish] = []
+        self._began_by_wish: dict[repair.Wish, float] = {}
+        self._address_by_replica: dict[str, str] = {}
         self._wake = curio.Event()
         self._write_wanted = curio.Event()
         self._write: Persist | None = None
@@ -191,7 +194,7 @@
         self._led = leads
         logging.info("term %d: leader %s", self._replica.state.term, leads)
         if not leads:
-            self._wishes.clear()
+            self._began_by_wish.clear()
             await self._waiters.async_fail()
 
     def _snapshot_if_due(self) -> None:
@@ -237,8 +240,11 @@
         state = self._replica.state
         members = state.returning.newest_members(state.members)
         member = find(members, replica) or find(state.members, replica)
-        if member is not None:
-            await self._outbox.async_put(member.address, message)
+        # An empty learner has no membership yet to find its leader in.
+        known = self._address_by_replica.get(replica, "")
+        address = member.address if member else known
+        if address:
+            await self._outbox.async_put(address, message)
 
     def _own(self) -> joining.Own:
         settings = self._runtime.settings
@@ -268,6 +274,9 @@
         async with curio.TaskGroup() as group:
             for address in sorted(addresses):
                 await group.spawn(self._async_call_join, address, request, replies)
+        self._address_by_replica = {
+            reply.replica: reply.address for reply in replies if reply.replica
+        }
         if not fresh or replica is not self._replica:
             return
         first = joining.formed_members(replica.state, replies)
@@ -291,18 +300,29 @@
         wish = repair.Wish(message.remove, message.add)
         now = self._runtime.clock.now()
         found = repair.progress_of(self._replica.state, wish, now)
-        if found.status == REPAIR_DONE:
-            self._wishes = [w for w in self._wishes if w != wish]
-        elif wish not in self._wishes:
-            self._wishes.append(wish)
+        if found.status != REPAIR_REFUSED:
+            began = self._began_by_wish.setdefault(wish, now)
+            found = self._trusted(found, now - began)
+        if found.status != REPAIR_RUNNING:
+            self._began_by_wish.pop(wish, None)
         await self._wake.set()
         return messages.RepairReply(found.status, found.text, self.leader())
 
+    def _trusted(self, found: repair.RepairState, waited: float) -> repair.RepairState:
+        """Hold "done" back until a loss just before the command would show.
+
+        A replica that has died a moment ago still counts as heard; without the
+        wait a repair of it would be reported done before it began.
+        """
+        if found.status != REPAIR_DONE or waited > self._tuning.election_max:
+            return found
+        return repair.RepairState(REPAIR_RUNNING, "the replicas are being heard")
+
     def _repair(self, now: float) -> None:
         state = self._replica.state
         if state.role is not Role.LEADER or state.members.index > state.commit:
             return
-        step = repair.next_step(state, self._wishes, now)
+        step = repair.next_step(state, list(self._began_by_wish), now)
         if step is not None and step != state.members.all:
             self._replica.change_members(step, now)
 
--- a/bitterntiller/components/replication/joining.py
+++ b/bitterntiller/components/replication/joining.py
@@ -85,14 +85,13 @@
     leader = find(state.members, state.leader)
     if state.role is not Role.LEADER:
         address = leader.address if leader else ""
-        return messages.JoinReply(
-            STATUS_NOT_LEADER if address else JOIN_EXISTS, address
-        )
+        status = STATUS_NOT_LEADER if address else JOIN_EXISTS
+        return messages.JoinReply(status, address, *own)
     present = find(state.members, join.replica)
     if present is not None and present.address == join.address:
-        return messages.JoinReply(JOIN_ACCEPTED, own.address)
+        return messages.JoinReply(JOIN_ACCEPTED, own.address, *own)
     after = joined(state.members, join.replica, join.host, join.address)
     if after is None:
-        return messages.JoinReply(JOIN_FULL, own.address)
+        return messages.JoinReply(JOIN_FULL, own.address, *own)
     replica.change_members(after, now)
-    return messages.JoinReply(JOIN_ACCEPTED, own.address)
+    return messages.JoinReply(JOIN_ACCEPTED, own.address, *own)
--- a/tests/components/replication/mutations.py
+++ b/tests/components/replication/mutations.py
@@ -152,6 +152,7 @@
 def lost_disk_keeps_its_identity(patch):
     """Its boot number would give it away too, so that is not compared either."""
     patch.setattr(core, "is_of_earlier_start", lambda state, message: False)
+
     def same_identity(self, node):
         node.disk = explorer.initial(node.disk.replica)
         node.copies = []
