--- a/bitterntiller/components/replication/coordinator.py
+++ b/bitterntiller/components/replication/coordinator.py
@@ -7,13 +7,12 @@
 import curio
 from absl import logging
 
-from bitterntiller.components.links.errors import LinkError
 from bitterntiller.core.errors import BrokenInvariantError
 from bitterntiller.core.interfaces import ProposalResult, StateMachine
 from bitterntiller.core.runtime import Runtime
 from bitterntiller.protocol import messages
 
-from . import joining, repair
+from . import repair
 from .const import (
     REPAIR_DONE,
     REPAIR_REFUSED,
@@ -24,6 +23,7 @@
 )
 from .core import Replica
 from .diagnostics import describe
+from .joiner import Joiner
 from .members import find
 from .models import Effects, Entry, Persist, Tuning
 from .outbox import Outbox
@@ -33,8 +33,6 @@
 from .wire import WIRE_TYPES, from_wire, to_wire
 
 TICK = 0.03
-JOIN_PERIOD = 0.3
-JOIN_TIMEOUT = 1.0
 
 
 class ReplicationCoordinator:
@@ -51,8 +49,8 @@
         self._outbox = Outbox(runtime)
         self._waiters = Waiters()
         self._began_by_wish: dict[repair.Wish, float] = {}
-        self._address_by_replica: dict[str, str] = {}
         self._wake = curio.Event()
+        self._joiner = Joiner(runtime, lambda: self._replica, self._wake.set)
         self._write_wanted = curio.Event()
         self._write: Persist | None = None
         self._writing = curio.Lock()
@@ -71,11 +69,11 @@
         links, stack = self._runtime.links, self._runtime.stack
         for cls in WIRE_TYPES:
             stack.callback(links.handle(cls, self._async_receive))
-        stack.callback(links.handle(messages.Join, self._async_on_join))
+        stack.callback(links.handle(messages.Join, self._joiner.async_on_join))
         stack.callback(links.handle(messages.Repair, self._async_on_repair))
         await self._runtime.async_spawn(self._async_guarded(self._async_writer))
         await self._runtime.async_spawn(self._async_guarded(self._async_run))
-        await self._runtime.async_spawn(self._async_guarded(self._async_join))
+        await self._runtime.async_spawn(self._async_guarded(self._joiner.async_run))
 
     async def async_propose(self, command: bytes, timeout: float) -> ProposalResult:
         """Append a command and wait until it is committed and applied."""
@@ -241,59 +239,11 @@
         members = state.returning.newest_members(state.members)
         member = find(members, replica) or find(state.members, replica)
         # An empty learner has no membership yet to find its leader in.
-        known = self._address_by_replica.get(replica, "")
+        known = self._joiner.address_by_replica.get(replica, "")
         address = member.address if member else known
         if address:
             await self._outbox.async_put(address, message)
 
-    def _own(self) -> joining.Own:
-        settings = self._runtime.settings
-        address = str(settings.listen.reached_at)
-        return joining.Own(self._replica.state.replica, settings.host, address)
-
-    async def _async_on_join(self, host: str, message: Any) -> Any:
-        reply = joining.answer(
-            self._replica, self._own(), message, self._runtime.clock.now()
-        )
-        await self._wake.set()
-        return reply
-
-    async def _async_join(self) -> None:
-        while True:
-            if joining.needs_joining(self._replica.state):
-                await self._async_ask_to_join()
-            await curio.sleep(JOIN_PERIOD)
-
-    async def _async_ask_to_join(self) -> None:
-        replica, own = self._replica, self._own()
-        control = self._runtime.settings.control
-        addresses = {str(a) for a in control.addresses} - {own.address}
-        fresh = joining.is_empty(replica.state)
-        request = messages.Join(*own, fresh=fresh)
-        replies: list[Any] = []
-        async with curio.TaskGroup() as group:
-            for address in sorted(addresses):
-                await group.spawn(self._async_call_join, address, request, replies)
-        self._address_by_replica = {
-            reply.replica: reply.address for reply in replies if reply.replica
-        }
-        if not fresh or replica is not self._replica:
-            return
-        first = joining.formed_members(replica.state, replies)
-        first = first or joining.first_members(own, control.bootstrap, replies)
-        if first is not None:
-            replica.form(first)
-            await self._wake.set()
-
-    async def _async_call_join(
-        self, address: str, request: Any, replies: list[Any]
-    ) -> None:
-        try:
-            links = self._runtime.links
-            replies.append(await links.async_call(address, request, JOIN_TIMEOUT))
-        except LinkError:
-            self._runtime.metrics.count("replication.join_unanswered")
-
     async def _async_on_repair(self, host: str, message: Any) -> Any:
         if not self.is_leader():
             return messages.RepairReply(STATUS_NOT_LEADER, "", self.leader())
--- /dev/null
+++ b/bitterntiller/components/replication/joiner.py
@@ -0,0 +1,82 @@
+"""Asks other hosts to be taken into the membership, and answers them."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+
+from bitterntiller.components.links.errors import LinkError
+from bitterntiller.core.runtime import Runtime
+from bitterntiller.protocol import messages
+
+from . import joining
+from .core import Replica
+
+JOIN_PERIOD = 0.3
+JOIN_TIMEOUT = 1.0
+
+
+class Joiner:
+    """Joining as long as this replica is in no membership that it knows.
+
+    address_by_replica holds who has answered, so that an empty learner can
+    reply to its leader.
+    """
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        replica: Callable[[], Replica],
+        wake: Callable[[], Awaitable[None]],
+    ) -> None:
+        self.address_by_replica: dict[str, str] = {}
+        self._runtime = runtime
+        self._replica = replica
+        self._wake = wake
+
+    def _own(self) -> joining.Own:
+        settings = self._runtime.settings
+        address = str(settings.listen.reached_at)
+        return joining.Own(self._replica().state.replica, settings.host, address)
+
+    async def async_on_join(self, host: str, message: Any) -> Any:
+        """Answer a host that asks to be taken in."""
+        now = self._runtime.clock.now()
+        reply = joining.answer(self._replica(), self._own(), message, now)
+        await self._wake()
+        return reply
+
+    async def async_run(self) -> None:
+        """Ask until taken in, also after this identity has been given up."""
+        while True:
+            if joining.needs_joining(self._replica().state):
+                await self._async_ask()
+            await curio.sleep(JOIN_PERIOD)
+
+    async def _async_ask(self) -> None:
+        replica, own = self._replica(), self._own()
+        control = self._runtime.settings.control
+        addresses = {str(address) for address in control.addresses} - {own.address}
+        fresh = joining.is_empty(replica.state)
+        request = messages.Join(*own, fresh=fresh)
+        replies: list[Any] = []
+        async with curio.TaskGroup() as group:
+            for address in sorted(addresses):
+                await group.spawn(self._async_call, address, request, replies)
+        self.address_by_replica = {
+            reply.replica: reply.address for reply in replies if reply.replica
+        }
+        if not fresh or replica is not self._replica():
+            return
+        first = joining.formed_members(replica.state, replies)
+        first = first or joining.first_members(own, control.bootstrap, replies)
+        if first is not None:
+            replica.form(first)
+            await self._wake()
+
+    async def _async_call(self, address: str, request: Any, replies: list[Any]) -> None:
+        try:
+            links = self._runtime.links
+            replies.append(await links.async_call(address, request, JOIN_TIMEOUT))
+        except LinkError:
+            self._runtime.metrics.count("replication.join_unanswered")
--- a/bitterntiller/components/replication/leading.py
+++ b/bitterntiller/components/replication/leading.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from . import sending
 from .const import EntryKind
 from .members import (
     encode_members,
@@ -10,13 +11,11 @@
     voters,
 )
 from .models import (
-    Append,
     AppendReply,
     Entry,
     Mark,
     Member,
     Place,
-    SnapshotPiece,
     SnapshotReply,
 )
 from .progress import Progress
@@ -102,11 +101,11 @@
     if state.role is not Role.LEADER:
         return
     if state.reads.begin_round():
-        broadcast(state, now)
+        sending.broadcast(state, now)
         _confirm_round(state)
         return
     for replica in state.progress_by_replica:
-        _replicate(state, replica, now)
+        sending.replicate(state, replica, now)
 
 
 def on_tick(state: State, now: float) -> None:
@@ -116,7 +115,7 @@
         return
     if now >= state.beat:
         state.beat = now + state.tuning.heartbeat
-        broadcast(state, now)
+        sending.broadcast(state, now)
 
 
 def hears_quorum(state: State, now: float) -> bool:
@@ -129,88 +128,6 @@
     return sum(heard) >= quorum(state.members)
 
 
-def broadcast(state: State, now: float) -> None:
-    """Send each follower something, entries if flow control lets them."""
-    for replica, progress in state.progress_by_replica.items():
-        progress.waiting = False
-        if not _replicate(state, replica, now):
-            _beat(state, replica)
-
-
-def _replicate(state: State, replica: str, now: float) -> bool:
-    tuning, progress, sent = state.tuning, state.progress_by_replica[replica], False
-    if progress.contact < now - tuning.election_max:
-        return False
-    while progress.next <= state.log.last_index:
-        if not progress.may_send(tuning.in_flight):
-            break
-        if progress.next <= state.log.base_index:
-            return _begin_snapshot(state, replica)
-        entries = state.log.batch(
-            progress.next, tuning.batch_entries, tuning.batch_bytes
-        )
-        _send_append(state, replica, entries)
-        progress.sent(entries[-1].index)
-        sent = True
-    return sent
-
-
-def _beat(state: State, replica: str) -> None:
-    progress = state.progress_by_replica[replica]
-    if progress.snapshot:
-        _send_piece(state, replica)
-    elif progress.next <= state.log.base_index:
-        _begin_snapshot(state, replica)
-    else:
-        _send_append(state, replica, ())
-
-
-def _send_append(state: State, replica: str, entries: tuple[Entry, ...]) -> None:
-    prev = state.progress_by_replica[replica].next - 1
-    message = Append(
-        state.term,
-        state.replica,
-        prev,
-        state.log.term_at(prev) or 0,
-        entries,
-        state.commit,
-        state.reads.round,
-        state.hard.boot,
-    )
-    state.send(replica, message)
-
-
-def _begin_snapshot(state: State, replica: str) -> bool:
-    if state.snapshot is None:
-        return False
-    state.progress_by_replica[replica].begin_snapshot(state.snapshot)
-    state.count("snapshots_sent")
-    _send_piece(state, replica)
-    return True
-
-
-def _send_piece(state: State, replica: str) -> None:
-    progress = state.progress_by_replica[replica]
-    snapshot, offset = progress.snapshot, progress.snapshot_offset
-    if snapshot is None:
-        return
-    stop = offset + state.tuning.piece_bytes
-    message = SnapshotPiece(
-        state.term,
-        state.replica,
-        snapshot.index,
-        snapshot.term,
-        offset,
-        snapshot.data[offset:stop],
-        stop >= len(snapshot.data),
-        encode_members(snapshot.members.all),
-        state.reads.round,
-        snapshot.members.index,
-        state.hard.boot,
-    )
-    state.send(replica, message)
-
-
 def on_append_reply(state: State, message: AppendReply, now: float) -> None:
     """Note what a follower holds, commit, and go on sending."""
     progress = _heard(state, message.follower, message, now)
@@ -240,7 +157,7 @@
         return
     if message.offset != progress.snapshot_offset:
         progress.snapshot_offset = message.offset
-        _send_piece(state, replica)
+        sending.send_piece(state, replica)
 
 
 def _heard(
--- /dev/null
+++ b/bitterntiller/components/replication/sending.py
@@ -0,0 +1,89 @@
+"""What a leader sends to its followers: entries, heartbeats, snapshots."""
+
+from .members import encode_members
+from .models import Append, Entry, SnapshotPiece
+from .state import State
+
+
+def broadcast(state: State, now: float) -> None:
+    """Send each follower something, entries if flow control lets them."""
+    for replica, progress in state.progress_by_replica.items():
+        progress.waiting = False
+        if not replicate(state, replica, now):
+            _beat(state, replica)
+
+
+def replicate(state: State, replica: str, now: float) -> bool:
+    """Send entries as far as flow control lets; tell whether any left."""
+    tuning, progress, sent = state.tuning, state.progress_by_replica[replica], False
+    if progress.contact < now - tuning.election_max:
+        return False
+    while progress.next <= state.log.last_index:
+        if not progress.may_send(tuning.in_flight):
+            break
+        if progress.next <= state.log.base_index:
+            return _begin_snapshot(state, replica)
+        entries = state.log.batch(
+            progress.next, tuning.batch_entries, tuning.batch_bytes
+        )
+        _send_append(state, replica, entries)
+        progress.sent(entries[-1].index)
+        sent = True
+    return sent
+
+
+def _beat(state: State, replica: str) -> None:
+    progress = state.progress_by_replica[replica]
+    if progress.snapshot:
+        send_piece(state, replica)
+    elif progress.next <= state.log.base_index:
+        _begin_snapshot(state, replica)
+    else:
+        _send_append(state, replica, ())
+
+
+def _send_append(state: State, replica: str, entries: tuple[Entry, ...]) -> None:
+    prev = state.progress_by_replica[replica].next - 1
+    message = Append(
+        state.term,
+        state.replica,
+        prev,
+        state.log.term_at(prev) or 0,
+        entries,
+        state.commit,
+        state.reads.round,
+        state.hard.boot,
+    )
+    state.send(replica, message)
+
+
+def _begin_snapshot(state: State, replica: str) -> bool:
+    if state.snapshot is None:
+        return False
+    state.progress_by_replica[replica].begin_snapshot(state.snapshot)
+    state.count("snapshots_sent")
+    send_piece(state, replica)
+    return True
+
+
+def send_piece(state: State, replica: str) -> None:
+    """Send the next piece of the snapshot that the follower is being sent."""
+    progress = state.progress_by_replica[replica]
+    snapshot, offset = progress.snapshot, progress.snapshot_offset
+    if snapshot is None:
+        return
+    stop = offset + state.tuning.piece_bytes
+    message = SnapshotPiece(
+        state.term,
+        state.replica,
+        snapshot.index,
+        snapshot.term,
+        offset,
+        snapshot.data[offset:stop],
+        stop >= len(snapshot.data),
+        encode_members(snapshot.members.all),
+        state.reads.round,
+        snapshot.members.index,
+        state.hard.boot,
+    )
+    state.send(replica, message)
--- a/bitterntiller/components/replication/storage.py
+++ b/bitterntiller/components/replication/storage.py
@@ -6,7 +6,6 @@
 one is dropped after that. These calls block and are run in a thread.
 """
 
-import contextlib
 import fcntl
 import json
 import os
@@ -48,7 +47,11 @@
         self._head = frames.new_head(0)
         folder.mkdir(parents=True, exist_ok=True)
         self._lock_fd = _lock(folder)
-        self.restored = self._open()
+        try:
+            self.restored = self._open()
+        except BaseException:
+            self.close()
+            raise
 
     def _open(self) -> Restored:
         self._drop_temporary()
@@ -84,12 +87,14 @@
     def retire(self) -> None:
         """Give up this identity; set the files aside and begin a new one."""
         os.close(self._log_fd)
+        self._log_fd = -1
         self._move_aside()
         self.restored = self._create()
 
     def close(self) -> None:
         """Close the files and release the lock."""
-        os.close(self._log_fd)
+        if self._log_fd != -1:
+            os.close(self._log_fd)
         os.close(self._lock_fd)
 
     def _create(self) -> Restored:
@@ -159,8 +164,7 @@
         number = self._log_number + 1
         path = self._write_file(f"log-{number}", frames.encode_head(head) + frame)
         if self._log_fd != -1:
-            with contextlib.suppress(OSError):
-                os.close(self._log_fd)
+            os.close(self._log_fd)
         self._log_fd = os.open(path, os.O_WRONLY | os.O_APPEND)
         self._log_number = number
         self._head = head
