--- a/bench/schedulers.py
+++ b/bench/schedulers.py
@@ -9,6 +9,7 @@
 from bitterntiller.components.dispatch.scheduler import PoolScheduler
 
 POLICY = "policy"
+LEAST_REPORTED = "least-reported"
 SCHEDULERS = (POLICY, *BASELINES_BY_NAME)
 
 
--- a/tests/bench/test_run.py
+++ b/tests/bench/test_run.py
@@ -3,7 +3,9 @@
 import pytest
 
 from bench.arrivals import capacity
+from bench.baselines import BASELINES_BY_NAME
 from bench.engine import Upstream
+from bench.matrix import CASE_BASELINES_TAKE_IT_FOR, origin
 from bench.report import compare, report, verdicts
 from bench.run import run, simulate
 from bench.schedulers import SCHEDULERS
@@ -42,6 +44,14 @@
     assert without_time(run(spec)) == without_time(run(spec))
 
 
+@pytest.mark.parametrize("case", sorted(CASE_BASELINES_TAKE_IT_FOR))
+@pytest.mark.parametrize("scheduler", BASELINES_BY_NAME)
+def test_runs_that_are_not_repeated_would_give_the_same(scheduler, case):
+    spec = make_spec(scheduler=scheduler, case=case, load=1.5)
+    same = {**without_time(run(origin(spec))), "case": case}
+    assert same == without_time(run(spec))
+
+
 def test_other_seed_gives_another_run():
     assert run(make_spec())["goodput"] != run(make_spec(seed=2))["goodput"]
 
