--- /dev/null
+++ b/tests/bench/test_replay.py
@@ -0,0 +1,55 @@
+from bench.arrivals import make_asks
+from bench.client import Result
+from bench.deployments import ZAF_ENGINES
+from bench.replay import outcome_of, prompt_of, summarize
+from bitterntiller.components.entry.estimate import prefix_hashes
+from tests.bench.builders import make_ask
+
+
+def make_result(**fields):
+    values = {
+        "sent": True,
+        "status": 200,
+        "outcome": "done",
+        "reason": "",
+        "first_s": 0.1,
+        "total_s": 1.0,
+        "cut": False,
+        "body": b"",
+    }
+    return Result(**{**values, **fields})
+
+
+def test_prompts_share_prefixes_as_the_model_says():
+    asks = make_asks(ZAF_ENGINES, 10.0, 60.0, False, 3)
+    names_by_hash = {}
+    for ask in asks:
+        prompt = prompt_of(ask).encode()
+        assert len(prompt) == 4 * ask.prompt
+        hashes = prefix_hashes(prompt)
+        for real, modelled in zip(hashes, ask.prefix_hashes, strict=False):
+            names_by_hash.setdefault(real, set()).add(modelled)
+    assert all(len(names) == 1 for names in names_by_hash.values())
+
+
+def test_useful_is_a_whole_answer_in_time():
+    ask = make_ask(deadline=2.0)
+    assert outcome_of(ask, make_result()) == "useful"
+    assert outcome_of(ask, make_result(total_s=2.1)) == "late"
+    assert outcome_of(ask, make_result(cut=True)) == "cut"
+    assert outcome_of(ask, make_result(cut=True, total_s=2.0)) == "late"
+    assert outcome_of(ask, make_result(outcome="not-run", reason="shed")) == "shed"
+    assert outcome_of(ask, make_result(outcome="", status=503)) == "503"
+
+
+def test_summary_counts_each_ask_once():
+    played = [
+        (make_ask(1), make_result()),
+        (make_ask(2), make_result(total_s=3.0)),
+        (make_ask(3, tier="silver", tier_rank=1), make_result(cut=True)),
+    ]
+    summary = summarize(played)
+    assert list(summary) == ["gold", "silver"]
+    assert summary["gold"]["offered"] == 2
+    assert summary["gold"]["total_s"] == 3.0
+    assert summary["silver"]["by_outcome"] == {"cut": 1}
