--- a/bitterntiller/core/daemon.py
+++ b/bitterntiller/core/daemon.py
@@ -14,6 +14,8 @@
     metrics,
     node,
     operator,
+    orders,
+    replication,
     upstreams,
 )
 from bitterntiller.components.dispatch.coordinator import DispatchCoordinator
@@ -64,17 +66,18 @@
     await metrics.async_setup(runtime, runtime.metrics)
     await links.async_setup(runtime, runtime.links)
     if ROLE_CONTROL in roles:
-        await control.async_setup(runtime)
+        await control.async_setup(runtime, replication.async_setup)
     session = await node.async_setup(runtime)
     views = (session.lease, session.config, session.directory)
     owner = None
     if ROLE_DISPATCH in roles:
         owner = await dispatch.async_setup(runtime, *views)
-    announced = (lambda: dispatch.upstreams(owner)) if owner else list
-    await operator.async_setup(runtime, session.control_client, announced)
+        issuer = await orders.async_setup(runtime, session)
+        owner.add_announce_listener(issuer.note_announcement)
+    await operator.async_setup(runtime, session.control_client)
     callers = None
     if ROLE_ENTRY in roles:
-        callers = await entry.async_setup(runtime, *views)
+        callers = await entry.async_setup(runtime, *views, session.control_client)
         announcements = upstreams.setup(runtime, session.config, session.directory)
         port = CallerPort(runtime, callers, announcements)
         await runtime.async_spawn(port.async_serve())
--- a/tests/components/dispatch/test_scheduler.py
+++ b/tests/components/dispatch/test_scheduler.py
@@ -1,5 +1,10 @@
 """Grants, refusals and upstreams, seen from outside."""
 
+import gc
+
+import pytest
+
+from bitterntiller.components.dispatch.jobs import Job
 from bitterntiller.components.dispatch.models import Granted, Refused
 from bitterntiller.components.dispatch.scheduler import PoolScheduler
 
@@ -49,3 +54,43 @@
     assert scheduler.register(request("b"), NOW) == []
     [granted] = scheduler.tick(NOW + 2)
     assert granted.request_id == "b"
+
+
+def test_ended_requests_are_forgotten_long_before_their_deadlines():
+    """An owner's process grows with every request served, until it is killed.
+
+    Callers set deadlines of a day and are answered in a second. What looks at
+    a request again at its deadline held it until then, also when it had ended.
+    """
+    scheduler = PoolScheduler()
+    gc.collect()
+    before = sum(isinstance(found, Job) for found in gc.get_objects())
+    for number in range(2000):
+        now = NOW + number
+        name = f"r{number}"
+        scheduler.announce(upstream(sequence=number + 1), now)
+        scheduler.register(request(name, deadline=now + 86_400), now)
+        scheduler.started(name, now)
+        scheduler.finished(completion(name), now + 0.5)
+        scheduler.tick(now + 0.9)
+    gc.collect()
+    held = sum(isinstance(found, Job) for found in gc.get_objects()) - before
+    assert held < 500
+
+
+@pytest.mark.parametrize("outcome", ["rejected", "caller-gone"])
+def test_requests_at_fault_themselves_do_not_pause_an_upstream(outcome: str):
+    """One caller's bad requests keep everybody from a service for seconds.
+
+    A script asks for bonds that don't exist, or leaves before its answers come.
+    Each counted as a failure of the upstream, which was paused as sick.
+    """
+    scheduler = PoolScheduler()
+    scheduler.announce(upstream(slots=1), NOW)
+    for number in range(6):
+        name = f"r{number}"
+        [granted] = scheduler.register(request(name), NOW)
+        assert isinstance(granted, Granted)
+        scheduler.started(name, NOW)
+        scheduler.finished(completion(name, outcome=outcome), NOW)
+    assert len(scheduler.register(request("next"), NOW)) == 1
