--- a/bitterntiller/components/entry/coordinator.py
+++ b/bitterntiller/components/entry/coordinator.py
@@ -1,5 +1,7 @@
 """Owns the live requests of this host and keeps their owners informed."""
 
+from collections.abc import Awaitable, Callable
+
 import curio
 
 from bitterntiller.components.entry import const
@@ -29,6 +31,12 @@
         self.pipeline = Pipeline(context, limits, self.budget, self.registry, claimant)
         self._owners_by_pool: dict[str, Ownership | None] = {}
         self._had_lease = True
+        self._claimant = claimant
+        self._drain_listeners: list[Callable[[], Awaitable[None]]] = []
+
+    def add_drain_listener(self, listener: Callable[[], Awaitable[None]]) -> None:
+        """Have a callback awaited when the host begins to take no new work."""
+        self._drain_listeners.append(listener)
 
     def ready(self) -> bool:
         """Tell whether the host takes new work now."""
@@ -54,17 +62,54 @@
                 message = messages.Progress(pool=pool, items=items)
                 await self._context.links.async_send(owner.address, message)
 
+    async def async_tell_live(self) -> None:
+        """Tell owners all that is live here every few seconds, until cancelled.
+
+        The end of a request is told once; when that message is lost, this list
+        lets the owner find out. An empty list is told too.
+        """
+        while True:
+            await curio.sleep(const.LIVE_PERIOD)
+            for pool in list(self._owners_by_pool):
+                await self._async_tell_live(pool)
+
+    async def _async_tell_live(self, pool: str) -> None:
+        owner = self._context.directory.owner(pool)
+        if owner is None:
+            return
+        live = self.registry.by_id.values()
+        ids = [item.request_id for item in live if item.pool == pool]
+        message = messages.Live(
+            pool=pool, entry_host=self._context.host, request_ids=ids
+        )
+        await self._context.links.async_send(owner.address, message)
+
+    async def async_begin_drain(self) -> None:
+        """Take no new work from now on."""
+        self.pipeline.draining = True
+        for listener in self._drain_listeners:
+            await listener()
+
     async def async_drain(self) -> list[str]:
         """Take no new work and wait for what there is, up to the shutdown limit.
 
         Return the ids of the requests that were still in progress at the limit.
         """
-        self.pipeline.draining = True
+        await self.async_begin_drain()
         async with curio.ignore_after(self._context.timings.shutdown):
-            while self.registry.by_id:
+            # Requests whose body is still coming are in the budget only: without
+            # them a host would stop in the middle of a caller's sending.
+            while self.registry.by_id or self.budget.requests_by_workspace():
                 await curio.sleep(const.DRAINED_POLL)
+            await self._async_settled()
         return list(self.registry.by_id)
 
+    async def _async_settled(self) -> None:
+        """Let control hear for a moment how the last claims ended."""
+        async with curio.ignore_after(const.SETTLED_WAIT):
+            while self._claimant.settling:
+                await curio.sleep(const.DRAINED_POLL)
+
     async def _async_check_lease(self) -> None:
         valid = self._context.lease.valid()
         if self._had_lease and not valid:
@@ -76,13 +121,17 @@
         if pool in self._owners_by_pool and self._owners_by_pool[pool] == owner:
             return
         known = pool in self._owners_by_pool
-        self._owners_by_pool[pool] = owner
         if owner is None or not known:
+            self._owners_by_pool[pool] = owner
+            return
+        # A new owner that was not reached would load its upstreams a second time
+        # beside the work that runs here; it is told again at the next round.
+        if not await self._async_reregister(pool, owner):
             return
-        await self._async_reregister(pool, owner)
+        self._owners_by_pool[pool] = owner
         await self.registry.async_post(pool, OwnerChanged(owner))
 
-    async def _async_reregister(self, pool: str, owner: Ownership) -> None:
+    async def _async_reregister(self, pool: str, owner: Ownership) -> bool:
         """Tell a new owner at once all that runs, so that it can count it."""
         now = self._context.clock.now()
         waiting = []
@@ -97,7 +146,7 @@
             waiting=waiting,
             running=self.registry.running(pool),
         )
-        await self._context.links.async_send(owner.address, message)
+        return await self._context.links.async_send(owner.address, message)
 
     def _waiting(self, pool: str) -> list[ActiveRequest]:
         return [
