--- a/bitterntiller/core/daemon.py
+++ b/bitterntiller/core/daemon.py
@@ -31,6 +31,7 @@
 )
 from bitterntiller.components.settings.models import Settings
 from bitterntiller.core.clock import Clock, RuntimeClock
+from bitterntiller.core.errors import BrokenInvariantError
 from bitterntiller.core.runtime import Runtime
 from bitterntiller.core.signals import SignalReceiver
 
@@ -87,7 +88,11 @@
     async with runtime.stack:
         signals = SignalReceiver(signal.SIGTERM, signal.SIGINT)
         await runtime.stack.enter_async_context(signals)
-        parts = await async_setup_parts(runtime)
+        try:
+            parts = await async_setup_parts(runtime)
+        except BrokenInvariantError as error:
+            logging.error("not started: %s", error)
+            return EXIT_FAILED
         logging.info("host %s runs as %s", settings.host, ", ".join(settings.roles))
         await _async_until_stopped(runtime, signals)
         if runtime.failure is not None:
--- a/tests/scenarios/caller.py
+++ b/tests/scenarios/caller.py
@@ -40,14 +40,15 @@
 
     def start(self) -> None:
         """Send the request and follow its answer."""
-        threading.Thread(target=self._run, daemon=True).start()
+        threading.Thread(target=self.follow, daemon=True).start()
 
     def go_away(self) -> None:
         """Close the connection, as a caller does that has lost its patience."""
         if self._socket is not None:
             self._socket.shutdown(socket.SHUT_RDWR)
 
-    def _run(self) -> None:
+    def follow(self) -> None:
+        """Send the request and follow its answer to the end."""
         begun = time.monotonic()
         http = h11.Connection(h11.CLIENT)
         try:
--- /dev/null
+++ b/tests/scenarios/control_steps.py
@@ -0,0 +1,175 @@
+"""The steps of the scenarios that have to do with control and its disks.
+
+roles L F G                    names for the leader and the other replicas
+changes b1 at a b count=60     an operator makes changes, resending each
+race r1 at b c                 two operators, one base version, answers lost
+resend b1 at a b               every change of b1 or r1 once more
+watch w1 at c | load l1 at a b each=2 | stop w1 l1
+note ID c state.PATH           remember a value; $ID stands for it
+lose b | save b old | put_back b old | damage b
+                               the data folder of a stopped host
+repair at a remove=b add=b     bitterntiller control repair
+print l1 outcomes              for the one who reads the test's output
+"""
+
+import os
+import shutil
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+from tests.scenarios.deployment import Deployment
+from tests.scenarios.operators import Burst, Doing, Load, Race, Watch
+from tests.scenarios.processes import ROOT, has
+
+TOOL = "bitterntiller.cli.tool"
+TOOL_TIMEOUT_S = 60.0
+LEADER_PATIENCE_S = 15.0
+
+
+def parse_at(words: list[str]) -> tuple[list[str], list[str], dict[str, str]]:
+    """Part "names at hosts key=value"."""
+    options = dict(word.split("=", 1) for word in words if "=" in word)
+    plain = [word for word in words if "=" not in word]
+    place = plain.index("at")
+    return plain[:place], plain[place + 1 :], options
+
+
+class ControlSteps:
+    """Carries out these steps; a part of the runner."""
+
+    _deployment: Deployment
+
+    def __init__(self) -> None:
+        self.hosts_by_alias: dict[str, str] = {}
+        self.doings_by_name: dict[str, Doing] = {}
+        self.notes_by_name: dict[str, Any] = {}
+
+    def replace(self, words: list[str]) -> list[str]:
+        """Return the words of a step with the hosts behind the aliases."""
+        return [self.hosts_by_alias.get(word, word) for word in words]
+
+    def _operator_ports(self, hosts: list[str]) -> list[int]:
+        found = (self._deployment.hosts_by_name[host] for host in hosts)
+        return [host.ports["operator"] for host in found]
+
+    def _do_roles(self, words: list[str]) -> None:
+        until = time.monotonic() + LEADER_PATIENCE_S
+        while (leader := self._find_leader()) is None:
+            assert time.monotonic() < until, "no leader"
+            time.sleep(0.1)
+        hosts = self._deployment.hosts_by_name.values()
+        others = [h.name for h in hosts if "control" in h.roles and h.name != leader]
+        # An alias with other letters than a host's name never hides one.
+        self.hosts_by_alias.update(zip(words, [leader, *others], strict=False))
+
+    def _find_leader(self) -> str | None:
+        hosts_by_name = self._deployment.hosts_by_name
+        for host in hosts_by_name.values():
+            port = host.ports["operator"]
+            status, body, _ = self._deployment.ask(port, "GET", "/v1/control")
+            if status != 200:
+                continue
+            port = int(body["leader"].rpartition(":")[2])
+            return next(h.name for h in hosts_by_name.values() if h.told_port == port)
+        return None
+
+    def _do_changes(self, words: list[str]) -> None:
+        (name,), hosts, options = parse_at(words)
+        count, pause = int(options["count"]), float(options.get("pause", "0"))
+        ports = self._operator_ports(hosts)
+        burst = Burst(self._deployment.ask, ports, name, count, pause)
+        self.doings_by_name[name] = burst
+
+    def _do_race(self, words: list[str]) -> None:
+        (name,), hosts, _ = parse_at(words)
+        ports = self._operator_ports(hosts)
+        self.doings_by_name[name] = Race(self._deployment.ask, ports, name)
+
+    def _do_resend(self, words: list[str]) -> None:
+        (name,), hosts, _ = parse_at(words)
+        doing = self.doings_by_name[name]
+        assert isinstance(doing, Burst | Race)
+        doing.resend(self._operator_ports(hosts))
+
+    def _do_watch(self, words: list[str]) -> None:
+        (name,), hosts, _ = parse_at(words)
+        (port,) = self._operator_ports(hosts)
+        self.doings_by_name[name] = Watch(self._deployment.ask, port)
+
+    def _do_load(self, words: list[str]) -> None:
+        (name,), hosts, options = parse_at(words)
+        found = (self._deployment.hosts_by_name[host] for host in hosts)
+        ports = [host.ports["caller"] for host in found]
+        each = int(options.get("each", "2"))
+        load = Load(ports, self._deployment.records, name, each)
+        self.doings_by_name[name] = load
+
+    def _do_stop(self, names: list[str]) -> None:
+        for name in names:
+            self.doings_by_name[name].stop()
+
+    def _do_print(self, words: list[str]) -> None:
+        name, what = words
+        print(name, what, self.doings_by_name[name].find(what))
+
+    def _do_note(self, words: list[str]) -> None:
+        name, host, what = words
+        self.notes_by_name[f"${name}"] = self._find(host, what)
+
+    def _find(self, name: str, what: str) -> Any:
+        raise NotImplementedError
+
+    def _find_of_control(self, host: str, what: str) -> Any:
+        """Return a value of GET /v1/control, told by the leader."""
+        (port,) = self._operator_ports([host])
+        document = self._deployment.ask(port, "GET", "/v1/control")[1]
+        return has(document, f"control.{what}")
+
+    def _data(self, host: str) -> Path:
+        assert self._deployment.process(host).exit_code() is not None, "runs still"
+        return self._deployment.folder / f"data-{host}"
+
+    def _do_lose(self, hosts: list[str]) -> None:
+        for host in hosts:
+            shutil.rmtree(self._data(host))
+
+    def _do_save(self, words: list[str]) -> None:
+        host, name = words
+        shutil.copytree(self._data(host), self._deployment.folder / f"{host}-{name}")
+
+    def _do_put_back(self, words: list[str]) -> None:
+        host, name = words
+        data = self._data(host)
+        if data.exists():
+            shutil.rmtree(data)
+        shutil.copytree(self._deployment.folder / f"{host}-{name}", data)
+
+    def _do_damage(self, hosts: list[str]) -> None:
+        for host in hosts:
+            logs = sorted((self._data(host) / "replication").glob("log-*"))
+            content = bytearray(logs[-1].read_bytes())
+            content[len(content) // 2] ^= 0xFF
+            logs[-1].write_bytes(content)
+
+    def _do_repair(self, words: list[str]) -> None:
+        _, hosts, options = parse_at(words)
+        arguments = ["control", "repair"]
+        for port in self._operator_ports(hosts):
+            arguments += ["--operator", f"127.0.0.1:{port}"]
+        arguments += ["--key-file", str(self._deployment.folder / "operator.key")]
+        for key, value in options.items():
+            arguments += [f"--{key}", self.hosts_by_alias.get(value, value)]
+        ended = subprocess.run(
+            [sys.executable, "-c", f"from {TOOL} import main; main()", *arguments],
+            cwd=ROOT,
+            env=os.environ | {"PYTHONPATH": str(ROOT)},
+            timeout=TOOL_TIMEOUT_S,
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        found = f"exit code {ended.returncode}: {ended.stdout}{ended.stderr}"
+        assert ended.returncode == 0, found
--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -14,12 +14,14 @@
     cut a b | heal a b | pause 0.5s
     expect r1 whole                         names of Call, or runs, resumes,
     expect r1 runs == 1                     cancelled, upstream
-    expect a ready == true                  ready, alive, exit, version, state.PATH
+    expect a ready == true                  ready, alive, exit, version, log (its
+                                            text), state.PATH, control.PATH
     expect e1 accepted                      an announcement was accepted
     expect e1 runs >= 2                     runs since the fault or signal: new_runs
     within 5s expect ...                    the same, with patience
 
-A value is JSON, or a word; `in` takes several parted by commas.
+A value is JSON, or a word; `in` takes several parted by commas. The steps that have
+to do with control and its disks stand in control_steps.py.
 """
 
 import json
@@ -34,6 +36,7 @@
 from standins.answers import digest
 from tests.scenarios import builders
 from tests.scenarios.caller import Call
+from tests.scenarios.control_steps import ControlSteps
 from tests.scenarios.deployment import Deployment
 from tests.scenarios.processes import has
 
@@ -56,6 +59,7 @@
     "<=": operator.le,
     ">": operator.gt,
     "<": operator.lt,
+    "has": lambda found, expected: expected in found,
     "in": lambda found, expected: str(found) in expected.split(","),
 }
 
@@ -74,10 +78,11 @@
     return [word for word in words if "=" not in word], options
 
 
-class Runner:
+class Runner(ControlSteps):
     """Carries out the steps of one scenario."""
 
     def __init__(self, deployment: Deployment) -> None:
+        super().__init__()
         self._deployment = deployment
         self._calls_by_name: dict[str, Call] = {}
         self._marked_at_by_name: dict[str, float] = {}
@@ -90,7 +95,7 @@
             if not words:
                 continue
             try:
-                self._step(words)
+                self._step(self.replace(words))
             except AssertionError as err:
                 ends = self._deployment.describe_ends()
                 text = f"{path.name}:{number}: {line}\n{err}\n{ends}"
@@ -225,14 +230,18 @@
             assert found is True, f"{name} {what} is {found!r}"
             return
         compare, text = rest
-        expected = text if compare == "in" else value_of(text)
-        if found is None and compare not in ("==", "!="):
+        expected = text if compare in ("in", "has") else value_of(text)
+        expected = self.notes_by_name.get(text, expected)
+        # A host that does not answer has not got another value than a noted one.
+        if found is None and (compare not in ("==", "!=") or text.startswith("$")):
             raise AssertionError(f"{name} {what} is not there")
         assert COMPARE[compare](found, expected), f"{name} {what} is {found!r}"
 
     def _find(self, name: str, what: str) -> Any:
         if name in self._calls_by_name:
             return self._find_of_call(self._calls_by_name[name], what)
+        if name in self.doings_by_name:
+            return self.doings_by_name[name].find(what)
         if name in self._deployment.hosts_by_name:
             return self._find_of_host(name, what)
         return self._find_of_upstream(name, what)
@@ -262,6 +271,10 @@
         if what == "version":
             document = ask(host.ports["operator"], "GET", "/v1/config")[1]
             return has(document, "version")
+        if what == "log":
+            return self._deployment.process(name).log.read_text(errors="replace")
+        if what.startswith("control."):
+            return self._find_of_control(name, what.removeprefix("control."))
         assert what.startswith("state."), f"a host has no {what}"
         document = ask(host.ports["operator"], "GET", "/v1/state")[1]
         return has(document, what.removeprefix("state."))
