--- a/bitterntiller/components/dispatch/models.py
+++ b/bitterntiller/components/dispatch/models.py
@@ -93,7 +93,11 @@
 
 
 class Completion(NamedTuple):
-    """How a granted request ended, as its entry host tells; times in seconds."""
+    """How a granted request ended, as its entry host tells; times in seconds.
+
+    outcome is done, failed, unknown, rejected (the upstream's whole answer blames
+    the request) or caller-gone.
+    """
 
     request_id: str
     upstream: str
@@ -177,6 +181,9 @@
 class PolicyParameters(NamedTuple):
     """What may be tuned in the decisions of one pool; times in seconds.
 
+    outcome is done, failed, unknown, rejected (the upstream's whole answer blames
+    the request) or caller-gone.
+
     kind is engine or plain. A grant that was not heard of is taken back
     grant_grace after it lapsed. order names an Ordering and fair turns on the
     sharing between workspaces. ageing is how many seconds of waiting outweigh
@@ -187,8 +194,14 @@
     prefix_weight is the price of a second of prefill beside the request's own
     delay. A request is sent on when the prefill outstanding at the upstream is
     expected to end within prefill_window, since engines know no priority. Long
-    prefills run at most on long_prefills of the upstreams at once. samples is
-    how many upstreams are drawn where there are many.
+    prefills run at most on long_prefills of the upstreams at once. No work is
+    added to an upstream while guard times the present seconds per token would
+    bring running work of the same tier past its deadline, or guard_higher times
+    that of a higher tier; guard 0 turns both off. headroom is the part of an
+    upstream's slots and memory that is kept free by each tier for those above
+    it. optimism is the weight of an upstream's best speed, beside its present
+    one, in the estimate of completion. samples is how many upstreams are drawn
+    where there are many.
     """
 
     kind: str = const.KIND_ENGINE
@@ -206,6 +219,10 @@
     prefix_weight: float = const.DEFAULT_PREFIX_WEIGHT
     prefill_window: float = const.DEFAULT_PREFILL_WINDOW
     long_prefills: float = const.DEFAULT_LONG_PREFILLS
+    guard: float = const.DEFAULT_GUARD
+    guard_higher: float = const.DEFAULT_GUARD_HIGHER
+    headroom: float = const.DEFAULT_HEADROOM
+    optimism: float = const.DEFAULT_OPTIMISM
     max_waiting: int = const.DEFAULT_MAX_WAITING
     samples: int = const.DEFAULT_SAMPLES
     seed: int = 1
--- a/bitterntiller/components/entry/pipeline.py
+++ b/bitterntiller/components/entry/pipeline.py
@@ -104,6 +104,10 @@
         # Without a lease a newer configuration may be in force elsewhere.
         if not self._context.lease.valid():
             return _come_back(Reason.NO_LEASE)
+        # A new deployment knows no workspace yet; 401 would tell callers that
+        # their tokens are wrong, and they would not come back.
+        if not self._context.config.version:
+            return _come_back(Reason.NO_CONFIGURATION)
         return None
 
     def _expected_size(self, exchange: Exchange) -> int:
@@ -223,7 +227,8 @@
     ) -> None:
         account.count_answer(self._context, active, outcome)
         await self._async_settle(active, outcome, status)
-        await account.async_tell_owner(self._context, active, outcome)
+        told = account.outcome_for_owner(outcome, status)
+        await account.async_tell_owner(self._context, active, told)
 
     async def _async_caller_gone(self, active: ActiveRequest) -> None:
         """Stop the work of a caller that has left: at the upstream, or in the queue."""
--- a/bitterntiller/core/daemon.py
+++ b/bitterntiller/core/daemon.py
@@ -14,6 +14,7 @@
     metrics,
     node,
     operator,
+    orders,
     replication,
     upstreams,
 )
@@ -31,6 +32,7 @@
 )
 from bitterntiller.components.settings.models import Settings
 from bitterntiller.core.clock import Clock, RuntimeClock
+from bitterntiller.core.errors import BrokenInvariantError
 from bitterntiller.core.runtime import Runtime
 from bitterntiller.core.signals import SignalReceiver
 
@@ -71,8 +73,9 @@
     owner = None
     if ROLE_DISPATCH in roles:
         owner = await dispatch.async_setup(runtime, *views)
-    announced = (lambda: dispatch.upstreams(owner)) if owner else list
-    await operator.async_setup(runtime, session.control_client, announced)
+        issuer = await orders.async_setup(runtime, session)
+        owner.add_announce_listener(issuer.note_announcement)
+    await operator.async_setup(runtime, session.control_client)
     callers = None
     if ROLE_ENTRY in roles:
         callers = await entry.async_setup(runtime, *views, session.control_client)
@@ -88,7 +91,11 @@
     async with runtime.stack:
         signals = SignalReceiver(signal.SIGTERM, signal.SIGINT)
         await runtime.stack.enter_async_context(signals)
-        parts = await async_setup_parts(runtime)
+        try:
+            parts = await async_setup_parts(runtime)
+        except BrokenInvariantError as error:
+            logging.error("not started: %s", error)
+            return EXIT_FAILED
         logging.info("host %s runs as %s", settings.host, ", ".join(settings.roles))
         await _async_until_stopped(runtime, signals)
         if runtime.failure is not None:
--- a/tests/components/replication/explorer.py
+++ b/tests/components/replication/explorer.py
@@ -26,7 +26,7 @@
 from bitterntiller.components.replication.state import Role, initial
 
 WAITS_FOR_ALL = 1e9
-TUNING = Tuning(batch_entries=3, piece_bytes=7, trailing=2)
+TUNING = Tuning(trailing=2)
 
 WEIGHTS = {
     "deliver": 500,
@@ -52,13 +52,16 @@
 class Profile(NamedTuple):
     """A kind of schedule: some faults made frequent, others left out.
 
-    grace is how long a replica waits for the answers of all other voters.
+    first hosts are voters at the start; grace is how long a replica waits for
+    the answers of all other voters; batch is the most entries in a message.
     """
 
     weights: dict[str, int] = {}
     faults: tuple[str, ...] = FAULTS
     hosts: str = "abcd"
+    first: int = 3
     grace: float = 0.5
+    batch: int = 3
     steps: int = 2500
 
 
@@ -67,29 +70,48 @@
     {"crash": 60, "restart": 60, "depose": 10, "cut": 6, "propose": 90, "sync": 120},
     ("crash", "depose", "cut"),
     "abc",
-    0.0,
+    grace=0.0,
+)
+DEPOSED = Profile(
+    {"depose": 50, "heal": 40, "restart": 60, "thaw": 40, "propose": 90, "cut": 20},
+    ("depose", "cut"),
+    "abc",
+    batch=1,
 )
 COPIES = Profile(
     {"old_copy": 40, "depose": 20, "cut": 20, "heal": 20, "propose": 90},
     ("old_copy", "depose", "cut"),
     "abc",
+    batch=1,
+)
+LOSSES = Profile(
+    {"lose_disk": 20, "depose": 20, "cut": 20, "heal": 20, "propose": 90},
+    ("lose_disk", "depose", "cut"),
+    "abc",
+    batch=1,
 )
 CHANGES = Profile(
-    {"resize": 60, "depose": 30, "heal": 20, "thaw": 20, "restart": 40, "cut": 10},
+    {"resize": 90, "depose": 30, "heal": 20, "thaw": 20, "restart": 40, "cut": 10},
     ("resize", "depose", "cut"),
+    first=4,
+    batch=1,
 )
 SNAPSHOTS = Profile(
     {"snapshot": 60, "depose": 20, "freeze": 10, "cut": 20, "propose": 120},
     ("snapshot", "depose", "cut", "freeze", "crash"),
     "abc",
 )
-PROFILES = (MIXED, CRASHES, COPIES, CHANGES, SNAPSHOTS)
+PROFILES = (MIXED, CRASHES, DEPOSED, COPIES, LOSSES, CHANGES, SNAPSHOTS)
 
 
 class ViolationError(AssertionError):
     """Raised when a promise of the log is broken."""
 
 
+class StuckError(ViolationError):
+    """Raised when nothing is committed after all faults have ended."""
+
+
 @dataclass
 class Node:
     host: str
@@ -106,9 +128,9 @@
 
 
 class World:
-    def __init__(self, seed: int, profile: Profile = MIXED, first: int = 3) -> None:
+    def __init__(self, seed: int, profile: Profile = MIXED) -> None:
         self.rng = random.Random(seed)
-        self.profile, hosts = profile, profile.hosts
+        self.profile, hosts, first = profile, profile.hosts, profile.first
         self.nodes = {h: self._new_node(h) for h in hosts}
         self.network: list[tuple[str, str, object]] = []
         self.cuts: set[tuple[str, str]] = set()
@@ -142,7 +164,10 @@
     def start(self, node: Node, grace: float | None = None) -> None:
         grace = self.profile.grace if grace is None else grace
         pieces = self.rng.choice((7, 99))
-        tuning = TUNING._replace(return_grace=grace, piece_bytes=pieces)
+        batch = self.profile.batch
+        tuning = TUNING._replace(
+            return_grace=grace, piece_bytes=pieces, batch_entries=batch
+        )
         seed = random.Random(self.rng.random())
         node.replica = Replica(node.disk, tuning, seed, node.clock)
         node.write, node.applied, node.chain, node.checked = None, 0, 0, 0
@@ -203,7 +228,7 @@
     def sync(self) -> None:
         for node in self.nodes.values():
             if node.write and not node.frozen and self.rng.random() < 0.6:
-                self._finish_write(node)
+                self.finish_write(node)
                 node.replica.persisted(node.disk_number, node.clock)
                 self.after(node)
 
@@ -224,7 +249,7 @@
         if node is None:
             return
         if node.write and self.rng.random() < 0.4:
-            self._finish_write(node)
+            self.finish_write(node)
         node.replica, node.write = None, None
 
     def restart(self) -> None:
@@ -275,7 +300,7 @@
         if node is None or not self._all_sound():
             return
         self.fragile = node.host
-        self._new_identity(node)
+        self.new_identity(node)
 
     def old_copy(self) -> None:
         node = self.any_node()
@@ -310,14 +335,14 @@
 
     # Effects.
 
-    def _finish_write(self, node: Node) -> None:
+    def finish_write(self, node: Node) -> None:
         replay = Replay(node.disk)
         replay.apply(node.write)
         node.copies.append(node.disk)
         node.disk = replay.restored()
         node.disk_number, node.write = node.write.number, None
 
-    def _new_identity(self, node: Node) -> None:
+    def new_identity(self, node: Node) -> None:
         host, _, number = node.disk.replica.partition("/")
         node.disk = initial(f"{host}/{int(number) + 1}")
         node.copies = []
@@ -359,13 +384,15 @@
     def after(self, node: Node) -> None:
         effects = node.replica.take(node.clock)
         if effects.retired:
-            self._new_identity(node)
+            self.new_identity(node)
             return
         if effects.persist:
             node.write = effects.persist
         for to, message in effects.messages:
             self.network.append((node.host, to, message))
         if effects.restore:
+            if effects.restore.index < node.applied:
+                raise ViolationError("the state went back to an older snapshot")
             node.applied, node.chain = effects.restore.index, int(effects.restore.data)
             self._check_chain(node)
         for entry in effects.committed:
@@ -428,7 +455,7 @@
             getattr(self, action)()
             if max(self.committed, default=0) > before + 3 and not self.fragile:
                 return
-        raise ViolationError("no entry is committed although all are connected")
+        raise StuckError("no entry is committed although all are connected")
 
 
 def explore(seed: int, profile: Profile = MIXED) -> World:
