Take a request for a waiting one before its return is told

Cause: the owner's next grant could come while the request still seemed to be sent; it was returned as unwanted, and the request waited for its next registration. Ruled out: the fake owner's order, which a local owner can have too. Conclusion: the state changes before the message leaves.

--- a/bitterntiller/components/entry/pipeline.py
+++ b/bitterntiller/components/entry/pipeline.py
@@ -158,8 +158,6 @@
     async def _async_process(self, exchange: Exchange, active: ActiveRequest) -> None:
         verdict = await self._claimant.async_find(active)
         while verdict is None or isinstance(verdict, Retry):
-            if verdict is not None and verdict.upstream:
-                active.mark_not_run(verdict.upstream)
             verdict = await self._async_step(exchange, active)
         if isinstance(verdict, ClaimFound):
             verdict = await self._async_follow(exchange, active, verdict)
@@ -183,6 +181,10 @@
             return grant
         attempt = Attempt(exchange, active, self._context, self._claimant)
         verdict = await attempt.async_run(grant)
+        # Before the owner hears of it: its next grant may come at once, and would
+        # be sent back as unwanted while the request still seems to be sent.
+        if isinstance(verdict, Retry) and verdict.upstream:
+            active.mark_not_run(verdict.upstream)
         await self._async_give_back(active, grant, verdict)
         return verdict
 
--- a/tests/components/dispatch/test_coordinator.py
+++ b/tests/components/dispatch/test_coordinator.py
@@ -107,3 +107,18 @@
         runtime.clock.advance(0.6)
 
     assert granted_after(async_step) == ["r1", "r2"]
+
+
+def test_owner_without_a_lease_grants_nothing():
+    """Two owners load the same engine after one of them was cut off for a while.
+
+    The one that was cut off has lost its lease, and the pool has another owner;
+    it must not act on what still reaches it.
+    """
+
+    async def async_step(owner: Any, _: Any, __: Any) -> None:
+        await owner.async_on_announce("e", build.announce("e1", 4))
+        owner._lease.held = False
+        await owner.async_on_register("bole-1", build.register("r1"))
+
+    assert granted_after(async_step) == []
--- a/tests/components/entry/fakes.py
+++ b/tests/components/entry/fakes.py
@@ -47,8 +47,11 @@
 
 
 class FakeLease:
+    def __init__(self) -> None:
+        self.held = True
+
     def valid(self) -> bool:
-        return True
+        return self.held
 
 
 class FakeDirectory:
--- a/tests/components/entry/test_guards.py
+++ b/tests/components/entry/test_guards.py
@@ -97,6 +97,12 @@
 
 
 def test_request_that_was_not_admitted_is_sent_again():
+    """A request waits two seconds although its next grant came at once.
+
+    The owner grants it again as soon as it hears that the first upstream did not
+    admit it. The entry host still takes it for one being sent, and returns the
+    grant as unwanted.
+    """
     answer, entry = asked(PLAIN, refusing(None, b"X-Admitted: false\r\n"))
     assert b"all." in answer
     returned = entry.links.of(messages.Returned)
