--- a/bitterntiller/components/dispatch/pool.py
+++ b/bitterntiller/components/dispatch/pool.py
@@ -2,7 +2,10 @@
 
 import heapq
 
-from bitterntiller.components.dispatch.const import FORGET_UPSTREAM_SECONDS
+from bitterntiller.components.dispatch.const import (
+    FORGET_UPSTREAM_SECONDS,
+    KIND_PLAIN,
+)
 from bitterntiller.components.dispatch.jobs import Job
 from bitterntiller.components.dispatch.models import PolicyParameters, UpstreamState
 from bitterntiller.components.dispatch.prefix import PrefixIndex
@@ -104,7 +107,8 @@
     def attach(self, job: Job, upstream: Upstream, now: float) -> None:
         """Count a request at an upstream."""
         job.upstream = upstream
-        upstream.ledger.add(job, job.tokens_seen > 0, now)
+        plain = self._parameters.kind == KIND_PLAIN
+        upstream.ledger.add(job, plain or job.tokens_seen > 0, now)
 
     def detach(self, job: Job, now: float) -> None:
         """Count a request at its upstream no longer."""
--- a/bitterntiller/components/dispatch/speed.py
+++ b/bitterntiller/components/dispatch/speed.py
@@ -14,6 +14,8 @@
 OVERHEAD_SECONDS = 0.01
 BUCKETS = 12
 PLAIN_GAIN = 0.1
+POOL_PREFILL_GAIN = 0.002
+POOL_DECODE_GAIN = 0.0005
 MAX_RATIO = 8.0
 MIN_DEVIATION = 0.05
 SCALE_SECONDS = 4.0
@@ -95,7 +97,12 @@
 
 
 class PoolSpeed:
-    """The mean speed of a pool: the first guess for an upstream not yet known."""
+    """The mean speed of a pool: the first guess for an upstream not yet known.
+
+    It is also the measure of work, so it must move slowly: if it followed a
+    burst, work that came before and work that came in the burst would not
+    compare, and the wait of the latter would be overrated.
+    """
 
     def __init__(self) -> None:
         self.prefill_rate = PRIOR_PREFILL_TOKENS_PER_SECOND
@@ -106,13 +113,13 @@
     def note_prefill(self, rate: float) -> None:
         """Note the prefill rate of one upstream, in tokens a second."""
         self._prefill_samples += 1
-        gain = max(1 / self._prefill_samples, 0.01)
+        gain = max(1 / self._prefill_samples, POOL_PREFILL_GAIN)
         self.prefill_rate += gain * (rate - self.prefill_rate)
 
     def note_decode(self, seconds: float) -> None:
         """Note the seconds per token (or per call of a plain service)."""
         self._decode_samples += 1
-        gain = max(1 / self._decode_samples, 0.01)
+        gain = max(1 / self._decode_samples, POOL_DECODE_GAIN)
         self.seconds_per_token += gain * (seconds - self.seconds_per_token)
 
     def work(self, prompt_tokens: int, output_tokens: float) -> float:
