Try an idle upstream of doubtful speed with one request

Two scenarios with real processes found a pool that refuses everything beside an idle engine: a new owner refused a request of 1,000 tokens with 20 s to go on its first guess of 20 ms a token (the engine needs 5 s), each time anew; and after an engine had been forty times slower for a while, all requests were too-late for ever, since without a request there is no sample. One request at a time, at most every two seconds for an idle upstream, is now granted although it seems late. The price is at most that much wasted prefill. Weighed against letting estimates decay with time, which would start many late requests at once after each quiet spell.

--- a/bitterntiller/components/dispatch/choice.py
+++ b/bitterntiller/components/dispatch/choice.py
@@ -80,11 +80,19 @@
         if best is not None:
             return best
         if target is not None and target_total > budget:
-            return Choice(Verdict.LATE)
+            return self.probe(job, view, now) or Choice(Verdict.LATE)
         if not open_for_it:
             return Choice(Verdict.BLOCKED, target)
         return Choice(Verdict.WAIT, target)
 
+    def probe(self, job: Job, view: View, now: float) -> Choice | None:
+        """Choose an idle upstream of doubtful speed for a request that seems late."""
+        for upstream in self._candidates(job, view):
+            if upstream.in_doubt(now) and self._open(job, upstream, now):
+                cached, alone, _ = self._estimate(job, upstream, now)
+                return Choice(Verdict.CHOSEN, upstream, cached, alone)
+        return None
+
     def best_case(self, job: Job, view: View, now: float) -> float:
         """Return the least expected seconds of service if nothing else waited."""
         totals = (
--- a/bitterntiller/components/dispatch/const.py
+++ b/bitterntiller/components/dispatch/const.py
@@ -64,3 +64,4 @@
 METRIC_GRANTS = "dispatch.grants"
 METRIC_REFUSALS = "dispatch.refusals"
 METRIC_ORPHANED = "dispatch.orphaned"
+PROBE_SECONDS = 2.0
--- a/bitterntiller/components/dispatch/models.py
+++ b/bitterntiller/components/dispatch/models.py
@@ -181,9 +181,6 @@
 class PolicyParameters(NamedTuple):
     """What may be tuned in the decisions of one pool; times in seconds.
 
-    outcome is done, failed, unknown, rejected (the upstream's whole answer blames
-    the request) or caller-gone.
-
     kind is engine or plain. A grant that was not heard of is taken back
     grant_grace after it lapsed. order names an Ordering and fair turns on the
     sharing between workspaces. ageing is how many seconds of waiting outweigh
--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -380,7 +380,9 @@
         if left <= 0:
             return True
         view = self._pool.view(job)
-        return self._chooser.best_case(job, view, now) > left
+        if self._chooser.best_case(job, view, now) <= left:
+            return False
+        return self._chooser.probe(job, view, now) is None
 
     def _check_lateness(self, job: Job, now: float, decisions: list[Decision]) -> None:
         if self._jobs_by_id.get(job.request.request_id) is not job or not job.waiting:
@@ -432,6 +434,7 @@
         request = job.request
         upstream = choice.upstream
         assert upstream is not None
+        upstream.tried_at = now
         self._queue.remove(job)
         self._queue.charge(job)
         self._leave_waiting(job, now)
--- a/bitterntiller/components/dispatch/upstreams.py
+++ b/bitterntiller/components/dispatch/upstreams.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Iterator
 
+from bitterntiller.components.dispatch.const import PROBE_SECONDS
 from bitterntiller.components.dispatch.health import Health
 from bitterntiller.components.dispatch.inflight import InflightLimit
 from bitterntiller.components.dispatch.ledger import Ledger
@@ -29,6 +30,7 @@
         self.state = state
         self.heard_at = now
         self.worked_at = now
+        self.tried_at = float("-inf")
         self.ledger = Ledger()
         self.speed = new_speed(parameters.kind, pool)
         self.limit = InflightLimit()
@@ -73,6 +75,16 @@
             and self.prefill_wait(now) <= 0.0
         )
 
+    def in_doubt(self, now: float) -> bool:
+        """Tell whether what is known of its speed is nothing, or old.
+
+        An upstream that was slow for a while would otherwise get no work, since
+        all would end too late, and so could never show that it is fast again.
+        It would show as a service that refuses everything beside idle upstreams.
+        One request at a time, every few seconds, is risked to find out.
+        """
+        return not self.ledger.in_flight and now - self.tried_at >= PROBE_SECONDS
+
     def fits(self, kv: int) -> bool:
         """Tell whether the memory holds one more request of that many tokens."""
         limit = self.state.kv_tokens
--- a/tests/components/dispatch/test_scheduler.py
+++ b/tests/components/dispatch/test_scheduler.py
@@ -94,3 +94,48 @@
         scheduler.started(name, NOW)
         scheduler.finished(completion(name, outcome=outcome), NOW)
     assert len(scheduler.register(request("next"), NOW)) == 1
+
+
+def test_late_by_a_guess_is_tried_once():
+    """A new owner refuses long work for ever that its engine would end in time.
+
+    It has measured nothing, refuses by its first guess, and so measures nothing.
+    One such request is granted; until it has ended, the next are refused.
+    """
+    scheduler = PoolScheduler()
+    scheduler.announce(upstream(), NOW)
+    long = {"output_tokens": 100_000}
+    [granted] = scheduler.register(request("a", **long), NOW)
+    assert isinstance(granted, Granted)
+    [refused] = scheduler.register(request("b", **long), NOW)
+    assert isinstance(refused, Refused)
+    scheduler.started("a", NOW)
+    scheduler.finished(completion("a", output_tokens=100_000), NOW + 1)
+    [granted] = scheduler.register(request("c", **long), NOW + 1)
+    assert isinstance(granted, Granted)
+
+
+def test_slowed_engine_is_tried_again():
+    """An engine was slow for a while; now it idles, and all work is refused.
+
+    Each estimate says too late, so that no request shows that it is fast again.
+    """
+    scheduler = PoolScheduler()
+    for number in range(10):
+        now = NOW + 100 * number
+        name = f"s{number}"
+        scheduler.announce(upstream(sequence=number + 1), now)
+        scheduler.register(request(name, deadline=now + 1000), now)
+        scheduler.started(name, now)
+        slow = completion(name, first_token=10.0, total=90.0)
+        scheduler.finished(slow, now + 90)
+    now = NOW + 1000
+    scheduler.announce(upstream(sequence=100), now)
+    decisions = []
+    for number in range(10):
+        decisions += scheduler.register(
+            request(f"r{number}", deadline=now + 30, output_tokens=500), now
+        )
+    granted = [found for found in decisions if isinstance(found, Granted)]
+    assert [found.request_id for found in granted] == ["r0"]
+    assert len(decisions) == 10
--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -9,11 +9,13 @@
     apply a [tiers.gold.deadline_ms=500]    accept the configuration by host a
     fault e1 reset_after=3 times=1          the faults of standins/faults.py
     request r1 at a POST /v1/completions stream tokens=50 tier=gold key=K
+    burst b 20 at a POST /v1/completions    requests b1 to b20; b* means all
     copy r2 of r1 at b                      the same request once more
     leave r1                                the caller goes away
     cut a b | heal a b | pause 0.5s
     expect r1 whole                         names of Call, or runs, resumes,
-    expect r1 runs == 1                     cancelled, upstream
+    expect r1 runs == 1                     cancelled, upstream; truthful: no
+                                            not-run that ran, nothing ran twice
     expect a ready == true                  ready, alive, exit, version, state.PATH
     expect e1 accepted                      an announcement was accepted
     expect e1 runs >= 2                     runs since the fault or signal: new_runs
@@ -179,6 +181,11 @@
         port = self._deployment.hosts_by_name[host].ports["caller"]
         self._call(name, Call(port, method, target, headers, body))
 
+    def _do_burst(self, words: list[str]) -> None:
+        name, count, *rest = words
+        for number in range(1, int(count) + 1):
+            self._do_request([f"{name}{number}", *rest])
+
     def _do_copy(self, words: list[str]) -> None:
         name, _, original, _, host = words
         call = self._calls_by_name[original]
@@ -221,6 +228,12 @@
 
     def _do_expect(self, words: list[str]) -> None:
         name, what, *rest = words
+        if name.endswith("*"):
+            names = [n for n in self._calls_by_name if n.startswith(name[:-1])]
+            assert names, f"there is no {name}"
+            for one in names:
+                self._do_expect([one, what, *rest])
+            return
         found = self._find(name, what)
         if not rest:
             assert found is True, f"{name} {what} is {found!r}"
@@ -242,6 +255,8 @@
         runs = [r for r in self._deployment.records("run") if is_run_of(r, call)]
         if what == "runs":
             return len(runs)
+        if what == "truthful":
+            return len(runs) <= (0 if call.outcome == "not-run" else 1)
         if what == "upstream":
             return runs[-1]["upstream"] if runs else None
         if what in ("resumes", "cancelled", "finished"):
