--- a/bitterntiller/components/replication/coordinator.py
+++ b/bitterntiller/components/replication/coordinator.py
@@ -7,21 +7,23 @@
 import curio
 from absl import logging
 
-from bitterntiller.components.links.errors import LinkError
 from bitterntiller.core.errors import BrokenInvariantError
 from bitterntiller.core.interfaces import ProposalResult, StateMachine
 from bitterntiller.core.runtime import Runtime
 from bitterntiller.protocol import messages
 
-from . import joining, repair
+from . import repair
 from .const import (
     REPAIR_DONE,
+    REPAIR_REFUSED,
+    REPAIR_RUNNING,
     STATUS_NOT_LEADER,
     STATUS_UNKNOWN,
     EntryKind,
 )
 from .core import Replica
 from .diagnostics import describe
+from .joiner import Joiner
 from .members import find
 from .models import Effects, Entry, Persist, Tuning
 from .outbox import Outbox
@@ -31,8 +33,6 @@
 from .wire import WIRE_TYPES, from_wire, to_wire
 
 TICK = 0.03
-JOIN_PERIOD = 0.3
-JOIN_TIMEOUT = 1.0
 
 
 class ReplicationCoordinator:
@@ -48,9 +48,9 @@
         self._tuning = _tuning(runtime)
         self._outbox = Outbox(runtime)
         self._waiters = Waiters()
-        self._wishes: list[repair.Wish] = []
-        self._address_by_leader: dict[str, str] = {}
+        self._began_by_wish: dict[repair.Wish, float] = {}
         self._wake = curio.Event()
+        self._joiner = Joiner(runtime, lambda: self._replica, self._wake.set)
         self._write_wanted = curio.Event()
         self._write: Persist | None = None
         self._writing = curio.Lock()
@@ -69,11 +69,11 @@
         links, stack = self._runtime.links, self._runtime.stack
         for cls in WIRE_TYPES:
             stack.callback(links.handle(cls, self._async_receive))
-        stack.callback(links.handle(messages.Join, self._async_on_join))
+        stack.callback(links.handle(messages.Join, self._joiner.async_on_join))
         stack.callback(links.handle(messages.Repair, self._async_on_repair))
         await self._runtime.async_spawn(self._async_guarded(self._async_writer))
         await self._runtime.async_spawn(self._async_guarded(self._async_run))
-        await self._runtime.async_spawn(self._async_guarded(self._async_join))
+        await self._runtime.async_spawn(self._async_guarded(self._joiner.async_run))
 
     async def async_propose(self, command: bytes, timeout: float) -> ProposalResult:
         """Append a command and wait until it is committed and applied."""
@@ -192,7 +192,7 @@
         self._led = leads
         logging.info("term %d: leader %s", self._replica.state.term, leads)
         if not leads:
-            self._wishes.clear()
+            self._began_by_wish.clear()
             await self._waiters.async_fail()
 
     def _snapshot_if_due(self) -> None:
@@ -238,77 +238,41 @@
         state = self._replica.state
         members = state.returning.newest_members(state.members)
         member = find(members, replica) or find(state.members, replica)
-        # A learner with an empty log knows no members. Were its replies to the
-        # leader dropped for that, it would never get the log that names them.
-        address = member.address if member else self._address_by_leader.get(replica)
-        if address is not None:
+        # An empty learner has no membership yet to find its leader in.
+        known = self._joiner.address_by_replica.get(replica, "")
+        address = member.address if member else known
+        if address:
             await self._outbox.async_put(address, message)
 
-    def _own(self) -> joining.Own:
-        settings = self._runtime.settings
-        address = str(settings.listen.reached_at)
-        return joining.Own(self._replica.state.replica, settings.host, address)
-
-    async def _async_on_join(self, host: str, message: Any) -> Any:
-        reply = joining.answer(
-            self._replica, self._own(), message, self._runtime.clock.now()
-        )
-        await self._wake.set()
-        return reply
-
-    async def _async_join(self) -> None:
-        while True:
-            if joining.needs_joining(self._replica.state):
-                await self._async_ask_to_join()
-            await curio.sleep(JOIN_PERIOD)
-
-    async def _async_ask_to_join(self) -> None:
-        replica, own = self._replica, self._own()
-        control = self._runtime.settings.control
-        addresses = {str(a) for a in control.addresses} - {own.address}
-        fresh = joining.is_empty(replica.state)
-        request = messages.Join(*own, fresh=fresh)
-        replies: list[Any] = []
-        async with curio.TaskGroup() as group:
-            for address in sorted(addresses):
-                await group.spawn(self._async_call_join, address, request, replies)
-        found = joining.leader_addresses(replies)
-        self._address_by_leader = found or self._address_by_leader
-        if not fresh or replica is not self._replica:
-            return
-        first = joining.formed_members(replica.state, replies)
-        first = first or joining.first_members(own, control.bootstrap, replies)
-        if first is not None:
-            replica.form(first)
-            await self._wake.set()
-
-    async def _async_call_join(
-        self, address: str, request: Any, replies: list[Any]
-    ) -> None:
-        try:
-            links = self._runtime.links
-            replies.append(await links.async_call(address, request, JOIN_TIMEOUT))
-        except LinkError:
-            self._runtime.metrics.count("replication.join_unanswered")
-
     async def _async_on_repair(self, host: str, message: Any) -> Any:
         if not self.is_leader():
             return messages.RepairReply(STATUS_NOT_LEADER, "", self.leader())
         wish = repair.Wish(message.remove, message.add)
         now = self._runtime.clock.now()
         found = repair.progress_of(self._replica.state, wish, now)
-        if found.status == REPAIR_DONE:
-            self._wishes = [w for w in self._wishes if w != wish]
-        elif wish not in self._wishes:
-            self._wishes.append(wish)
+        if found.status != REPAIR_REFUSED:
+            began = self._began_by_wish.setdefault(wish, now)
+            found = self._trusted(found, now - began)
+        if found.status != REPAIR_RUNNING:
+            self._began_by_wish.pop(wish, None)
         await self._wake.set()
         return messages.RepairReply(found.status, found.text, self.leader())
 
+    def _trusted(self, found: repair.RepairState, waited: float) -> repair.RepairState:
+        """Hold "done" back until a loss just before the command would show.
+
+        A replica that has died a moment ago still counts as heard; without the
+        wait a repair of it would be reported done before it began.
+        """
+        if found.status != REPAIR_DONE or waited > self._tuning.election_max:
+            return found
+        return repair.RepairState(REPAIR_RUNNING, "the replicas are being heard")
+
     def _repair(self, now: float) -> None:
         state = self._replica.state
         if state.role is not Role.LEADER or state.members.index > state.commit:
             return
-        step = repair.next_step(state, self._wishes, now)
+        step = repair.next_step(state, list(self._began_by_wish), now)
         if step is not None and step != state.members.all:
             self._replica.change_members(step, now)
 
