--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -16,6 +16,7 @@
     expect r1 runs == 1                     cancelled, upstream
     expect a ready == true                  ready, alive, exit, version, state.PATH
     expect e1 accepted                      an announcement was accepted
+    expect e1 orders == 1                   orders that it carried out
     expect e1 runs >= 2                     runs since the fault or signal: new_runs
     within 5s expect ...                    the same, with patience
 
@@ -272,6 +273,9 @@
         if what == "accepted":
             accepted = self._deployment.records("accepted")
             return any(record["upstream"] == name for record in accepted)
+        if what == "orders":
+            orders = self._deployment.records("order")
+            return sum(record["upstream"] == name for record in orders)
         since = self._marked_at_by_name.get(name, 0.0) if what == "new_runs" else 0.0
         runs = self._deployment.records("run")
         return sum(r["upstream"] == name and r["time"] >= since for r in runs)
