--- a/bitterntiller/core/daemon.py
+++ b/bitterntiller/core/daemon.py
@@ -74,8 +74,7 @@
         owner = await dispatch.async_setup(runtime, *views)
         issuer = await orders.async_setup(runtime, session)
         owner.add_announce_listener(issuer.note_announcement)
-    announced = (lambda: dispatch.upstreams(owner)) if owner else list
-    await operator.async_setup(runtime, session.control_client, announced)
+    await operator.async_setup(runtime, session.control_client)
     callers = None
     if ROLE_ENTRY in roles:
         callers = await entry.async_setup(runtime, *views, session.control_client)
