--- a/bitterntiller/components/control/configuration.py
+++ b/bitterntiller/components/control/configuration.py
@@ -73,9 +73,9 @@
 
     def _advance(self, document: dict[str, Any]) -> None:
         patch = make_patch(self._document, document)
-        data = None if patch is None else _to_json(patch)
+        data = None if patch is None else canonical_json(patch)
         self._document = document
-        self.text = _to_json(document)
+        self.text = canonical_json(document)
         self.version += 1
         self._patches.append(Patch(self.version, data))
 
@@ -129,7 +129,7 @@
         """Replace the state by that of a snapshot."""
         self.version = document["version"]
         self._document = document["document"]
-        self.text = _to_json(self._document)
+        self.text = canonical_json(self._document)
         self._forgotten_base = document["forgotten_base"]
         self._patches.clear()
         self.outcomes_by_id = {
@@ -138,7 +138,8 @@
         }
 
 
-def _to_json(document: dict[str, Any]) -> bytes:
+def canonical_json(document: dict[str, Any]) -> bytes:
+    """Return the bytes in which a document is kept and sent to nodes."""
     return json.dumps(document, separators=(",", ":")).encode()
 
 
--- a/bitterntiller/components/control/const.py
+++ b/bitterntiller/components/control/const.py
@@ -61,7 +61,12 @@
 LARGE_CONFIG_BYTES = 16 * 1024
 """A larger configuration is checked in a thread."""
 
-MAX_CONFIG_BYTES = 4 * 1024 * 1024
+MAX_CONFIG_BYTES = 1024 * 1024
+"""Of a configuration as it is kept; a quarter of what a frame of links holds.
+
+Were one accepted that no frame can carry, no node could get it, and all of them
+would lose their leases.
+"""
 MAX_ID_LENGTH = 128
 
 CLAIM_GROUPS = 4
--- a/bitterntiller/components/control/validate.py
+++ b/bitterntiller/components/control/validate.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from bitterntiller.components.control.configuration import canonical_json
 from bitterntiller.components.control.const import MAX_CONFIG_BYTES, MAX_ID_LENGTH
 from bitterntiller.components.control.errors import TimingsError
 from bitterntiller.components.node.const import MAX_CLOCK_DRIFT
@@ -26,6 +27,8 @@
         return f"not a JSON document: {error}"
     if not isinstance(document, dict):
         return "a configuration is a JSON object"
+    if len(canonical_json(document)) > MAX_CONFIG_BYTES:
+        return f"a configuration has at most {MAX_CONFIG_BYTES} bytes, escapes included"
     try:
         parse(document, change.base_version + 1)
     except CodedError as error:
--- a/tests/components/control/test_coordinator.py
+++ b/tests/components/control/test_coordinator.py
@@ -103,6 +103,23 @@
     run_control(main)
 
 
+def test_a_configuration_that_no_frame_can_carry_is_refused():
+    """
+    An operator applies a configuration full of letters that JSON escapes. It is
+    small as it comes and too large as it is sent on: accepted, it would reach
+    no node, and the whole deployment would refuse work.
+    """
+
+    async def main(control, log, clock):
+        change = make_change("c1", 0, {})
+        change.config = '{"services": {}, "x": "%s"}'.replace("%s", "õ" * 300_000)
+        change.config = change.config.encode()
+        reply = await control.async_change("operator", change)
+        assert (reply.status, log.index) == ("invalid", 0)
+
+    run_control(main)
+
+
 def test_without_quorum_nothing_is_granted():
     async def main(control, log, clock):
         log.quorum = False
