--- a/bitterntiller/components/node/const.py
+++ b/bitterntiller/components/node/const.py
@@ -17,5 +17,11 @@
 through this host would stand still for as long.
 """
 
+MAX_RETRY_PAUSE = 0.3
+"""Seconds; while control has no leader, many nodes must not keep it busy.
+
+Short enough to find a new leader before the lease ends.
+"""
+
 RETRY_PAUSE = 0.1
 """Seconds before the addresses of control are tried again from the first."""
--- a/bitterntiller/components/node/coordinator.py
+++ b/bitterntiller/components/node/coordinator.py
@@ -1,5 +1,6 @@
 """The session of a process with control."""
 
+import random
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -14,6 +15,7 @@
 )
 from bitterntiller.components.node.const import (
     ATTEMPTS_PER_LEASE,
+    MAX_RETRY_PAUSE,
     RETRY_PAUSE,
     STATUS_GRANTED,
 )
@@ -106,12 +108,19 @@
 
     async def async_run(self) -> None:
         """Send heartbeats for ever."""
+        failures = 0
         while True:
             began = self._clock.now()
             granted = await self.async_beat()
             self._note_lease()
-            pause = began + self._period - self._clock.now() if granted else RETRY_PAUSE
-            await curio.sleep(max(pause, 0))
+            failures = 0 if granted else failures + 1
+            await curio.sleep(self._pause(began, failures))
+
+    def _pause(self, began: float, failures: int) -> float:
+        if failures:
+            pause = min(RETRY_PAUSE * failures, MAX_RETRY_PAUSE)
+            return random.uniform(pause / 2, pause)
+        return max(began + self._period - self._clock.now(), 0.0)
 
     async def async_beat(self) -> bool:
         """Send one heartbeat; tell whether the lease was extended by it."""
