--- a/bitterntiller/components/replication/coordinator.py
+++ b/bitterntiller/components/replication/coordinator.py
@@ -71,9 +71,9 @@
             stack.callback(links.handle(cls, self._async_receive))
         stack.callback(links.handle(messages.Join, self._joiner.async_on_join))
         stack.callback(links.handle(messages.Repair, self._async_on_repair))
-        await self._runtime.async_spawn(self._async_guarded(self._async_writer))
-        await self._runtime.async_spawn(self._async_guarded(self._async_run))
-        await self._runtime.async_spawn(self._async_guarded(self._joiner.async_run))
+        tasks = (self._async_writer, self._async_run, self._async_tick)
+        for run in (*tasks, self._joiner.async_run):
+            await self._runtime.async_spawn(self._async_guarded(run))
 
     async def async_propose(self, command: bytes, timeout: float) -> ProposalResult:
         """Append a command and wait until it is committed and applied."""
@@ -145,10 +145,14 @@
             await self._async_halt(error)
         await self._wake.set()
 
+    async def _async_tick(self) -> None:
+        while self.failure is None:
+            await self._wake.set()
+            await curio.sleep(TICK)
+
     async def _async_run(self) -> None:
         while self.failure is None:
-            async with curio.ignore_after(TICK):
-                await self._wake.wait()
+            await self._wake.wait()
             self._wake.clear()
             now = self._runtime.clock.now()
             self._replica.tick(now)
