Test joining and the repair by command, and measure on ports that no dialler takes

While a killed replica was down, an outgoing connection took its port from the ephemeral range and two replicas could not listen again; the script's run ended there without figures.

--- a/bench/replication.py
+++ b/bench/replication.py
@@ -36,7 +36,8 @@
 from bitterntiller.core.runtime import Runtime
 
 HOSTS = ("a", "b", "c")
-FIRST_PORT = 47310
+FIRST_PORT = 27310
+"""Below the range of outgoing connections, which could take the port of a dead host."""
 COMMAND = b"x" * 200
 CALLERS = (1, 16, 64, 256)
 SECONDS = 4.0
--- a/bitterntiller/components/replication/coordinator.py
+++ b/bitterntiller/components/replication/coordinator.py
@@ -239,15 +239,20 @@
         await self._waiters.async_fail()
 
     async def _async_send(self, replica: str, message: Any) -> None:
-        state = self._replica.state
-        members = state.returning.newest_members(state.members)
-        member = find(members, replica) or find(state.members, replica)
-        # An empty learner has no membership yet to find its leader in.
-        known = self._joiner.address_by_replica.get(replica, "")
-        address = member.address if member else known
+        address = self._address_of(replica)
         if address:
             await self._outbox.async_put(address, message)
 
+    def _address_of(self, replica: str) -> str:
+        state = self._replica.state
+        member = find(state.members, replica)
+        if member is None and not state.returning.done:
+            member = find(state.returning.newest_members(state.members), replica)
+        if member is not None:
+            return member.address
+        # An empty learner has no membership yet to find its leader in.
+        return self._joiner.address_by_replica.get(replica, "")
+
     async def _async_on_repair(self, host: str, message: Any) -> Any:
         if not self.is_leader():
             return messages.RepairReply(STATUS_NOT_LEADER, "", self.leader())
--- a/tests/components/replication/builders.py
+++ b/tests/components/replication/builders.py
@@ -86,9 +86,12 @@
 class Deployment:
     """Some hosts with a folder each, started and stopped one by one."""
 
-    def __init__(self, folder, names: str, snapshot_entries: int = 10000) -> None:
+    def __init__(
+        self, folder, names: str, snapshot_entries: int = 10000, spare: str = ""
+    ) -> None:
         self.folder = folder
         self.names = names
+        self.spare = spare
         self.snapshot_entries = snapshot_entries
         self.links_by_address: dict[str, FakeLinks] = {}
         self.hosts: dict[str, Host] = {}
@@ -99,7 +102,7 @@
     async def start(self, name: str) -> Host:
         address = self.address(name)
         control = Control(
-            tuple(self.address(n) for n in self.names),
+            tuple(self.address(n) for n in self.names + self.spare),
             tuple(self.names),
             self.snapshot_entries,
         )
--- a/tests/components/replication/test_coordinator.py
+++ b/tests/components/replication/test_coordinator.py
@@ -100,8 +100,34 @@
     curio.run(run)
 
 
-async def _async_until_repaired(deployment, leader, host) -> None:
-    repair = messages.Repair(remove=host, add=host, address="")
+def test_another_host_takes_the_place_of_a_dead_one_by_command(tmp_path):
+    """A host is gone for good, and one more loss would end control.
+
+    A spare host joins as a learner and changes nothing by itself; the command
+    replaces the dead one, and then another loss is survived.
+    """
+
+    async def run():
+        async with deployed(tmp_path, "abc", spare="d") as deployment:
+            leader = await deployment.leader()
+            await leader.log.async_propose(b"x", 2.0)
+            dead = next(n for n in "abc" if deployment.hosts[n] is not leader)
+            await deployment.stop(dead)
+            spare = await deployment.start("d")
+            await deployment.until(lambda: spare.machine.commands == ["x"])
+            await curio.sleep(0.5)
+            assert leader.log.status()["survives_losses"] == 0
+            await _async_until_repaired(deployment, leader, dead, "d")
+            voters = [m["host"] for m in leader.log.status()["members"] if m["voter"]]
+            assert sorted(voters) == sorted(set("abcd") - {dead})
+            await deployment.stop(leader.runtime.settings.host)
+            assert (await deployment.leader()).machine.commands == ["x"]
+
+    curio.run(run)
+
+
+async def _async_until_repaired(deployment, leader, host, add=None) -> None:
+    repair = messages.Repair(remove=host, add=add or host, address="")
     links, address = leader.runtime.links, leader.log.leader()
     async with curio.timeout_after(10):
         while True:
--- /dev/null
+++ b/tests/components/replication/test_joining.py
@@ -0,0 +1,66 @@
+"""Who may form the first membership."""
+
+import random
+
+import pytest
+
+from bitterntiller.components.replication import joining
+from bitterntiller.components.replication.core import Replica
+from bitterntiller.components.replication.members import encode_members
+from bitterntiller.components.replication.models import Member, Tuning
+from bitterntiller.components.replication.state import initial
+from bitterntiller.protocol import messages
+
+rng = pytest.fixture(lambda: random.Random(1))
+BOOTSTRAP = ("a", "b", "c")
+OWN = joining.Own("a/1", "a", "10.0.0.1:1")
+
+
+def reply(host, status="fresh", members=None):
+    return messages.JoinReply(status, "", f"{host}/1", host, "10.0.0.2:1", members)
+
+
+def replica(name, rng):
+    return Replica(initial(name), Tuning(), rng, 100.0)
+
+
+def test_the_first_host_forms_it_once_all_are_empty():
+    formed = joining.first_members(OWN, BOOTSTRAP, [reply("b"), reply("c")])
+    assert [member.replica for member in formed] == ["a/1", "b/1", "c/1"]
+
+
+def test_nobody_else_forms_it():
+    """Two hosts of a new deployment each begin a log, and changes go to both."""
+    own = joining.Own("b/1", "b", "10.0.0.2:1")
+    assert joining.first_members(own, BOOTSTRAP, [reply("a"), reply("c")]) is None
+    own = joining.Own("d/1", "d", "10.0.0.4:1")
+    assert joining.first_members(own, BOOTSTRAP, [reply("b"), reply("c")]) is None
+
+
+def test_an_empty_host_does_not_form_it_beside_a_living_log():
+    """A lost disk makes a host start a second, empty deployment.
+
+    One other host is empty or silent too, so that only one knows of the log, or
+    none can be asked. The empty host then waits or joins.
+    """
+    assert joining.first_members(OWN, BOOTSTRAP, [reply("b")]) is None
+    for status in ("exists", "not-leader", "accepted", "formed"):
+        replies = [reply("b"), reply("c", status)]
+        assert joining.first_members(OWN, BOOTSTRAP, replies) is None
+
+
+def test_a_formed_membership_is_taken_over_only_by_its_members(rng):
+    members = (Member("a/1", "a", "x", True), Member("b/1", "b", "y", True))
+    replies = [reply("a", "formed", encode_members(members))]
+    assert joining.formed_members(replica("b/1", rng).state, replies) == members
+    assert joining.formed_members(replica("b/2", rng).state, replies) is None
+
+
+def test_an_answer_tells_an_empty_log_from_a_formed_one(rng):
+    first = replica("a/1", rng)
+    join = messages.Join("b/1", "b", "y", True)
+    assert joining.answer(first, OWN, join, 100.0).status == "fresh"
+    first.form([Member("a/1", "a", "x", True), Member("b/1", "b", "y", True)])
+    assert joining.answer(first, OWN, join, 100.0).status == "formed"
+    lost = messages.Join("b/2", "b", "y", True)
+    assert joining.answer(first, OWN, lost, 100.0).status == "exists"
