--- a/tests/scenarios/control_steps.py
+++ b/tests/scenarios/control_steps.py
@@ -4,6 +4,7 @@
 changes b1 at a b count=60     an operator makes changes, resending each
 race r1 at b c                 two operators, one base version, answers lost
 resend b1 at a b               every change of b1 or r1 once more
+read q1 at a                   one question for the configuration
 watch w1 at c | load l1 at a b each=2 | stop w1 l1
 note ID c state.PATH           remember a value; $ID stands for it
 lose b | save b old | put_back b old | damage b
@@ -21,7 +22,7 @@
 from typing import Any
 
 from tests.scenarios.deployment import Deployment
-from tests.scenarios.operators import Burst, Doing, Load, Race, Watch
+from tests.scenarios.operators import Burst, Doing, Load, Race, Read, Watch
 from tests.scenarios.processes import ROOT, has
 
 TOOL = "bitterntiller.cli.tool"
@@ -99,6 +100,11 @@
         (port,) = self._operator_ports(hosts)
         self.doings_by_name[name] = Watch(self._deployment.ask, port)
 
+    def _do_read(self, words: list[str]) -> None:
+        (name,), hosts, _ = parse_at(words)
+        (port,) = self._operator_ports(hosts)
+        self.doings_by_name[name] = Read(self._deployment.ask, port)
+
     def _do_load(self, words: list[str]) -> None:
         (name,), hosts, options = parse_at(words)
         found = (self._deployment.hosts_by_name[host] for host in hosts)
--- a/tests/scenarios/operators.py
+++ b/tests/scenarios/operators.py
@@ -212,6 +212,23 @@
         return all(put.steady for put in self._puts)
 
 
+class Read(Doing):
+    """One question for the configuration, which a frozen host answers later."""
+
+    def __init__(self, ask: Ask, port: int) -> None:
+        super().__init__()
+        self._ask = ask
+        self._port = port
+        self.status = 0
+        self.version = 0
+        self.start([self._run])
+
+    def _run(self) -> None:
+        self.status, body, _ = self._ask(self._port, "GET", "/v1/config")
+        if self.status == 200:
+            self.version = body["version"]
+
+
 class Watch(Doing):
     """Looks again and again at the version that a host holds."""
 
