Send a cut leader a change in the moments in which it still believes to lead

A mutation that commits without a quorum had passed the scenarios of a killed and a frozen leader: a killed one had sent its entries before it died, and a frozen one steps down by its first tick. Sent 0.3 s before the cut is noticed, the change now meets such a leader: the mutation makes two winners and fails control-host-cut-for-long. Ruled out: that the change of the other host decided first, since its new leader is elected only after the cut.

--- a/tests/scenarios/control_steps.py
+++ b/tests/scenarios/control_steps.py
@@ -2,7 +2,8 @@
 
 roles L F G                    names for the leader and the other replicas
 changes b1 at a b count=60     an operator makes changes, resending each
-race r1 at b c                 two operators, one base version, answers lost
+race r1 at b c [heard] [after=0.3]
+                               two operators, one base version, answers lost
 resend b1 at a b               every change of b1 or r1 once more
 read q1 at a                   one question for the configuration
 watch w1 at c | load l1 at a b each=2 | stop w1 l1
@@ -85,9 +86,12 @@
         self.doings_by_name[name] = burst
 
     def _do_race(self, words: list[str]) -> None:
-        (name,), hosts, _ = parse_at(words)
-        ports = self._operator_ports(hosts)
-        self.doings_by_name[name] = Race(self._deployment.ask, ports, name)
+        (name,), hosts, options = parse_at(words)
+        heard = "heard" in hosts
+        ports = self._operator_ports([host for host in hosts if host != "heard"])
+        after = float(options.get("after", "0"))
+        race = Race(self._deployment.ask, ports, name, after, heard)
+        self.doings_by_name[name] = race
 
     def _do_resend(self, words: list[str]) -> None:
         (name,), hosts, _ = parse_at(words)
--- a/tests/scenarios/operators.py
+++ b/tests/scenarios/operators.py
@@ -172,10 +172,17 @@
 
 
 class Race(Doing):
-    """Two operators with one base version; both lose their first answers."""
+    """Two operators with one base version.
 
-    def __init__(self, ask: Ask, ports: list[int], name: str) -> None:
+    They send after so many seconds, and lose their first answers unless heard.
+    """
+
+    def __init__(
+        self, ask: Ask, ports: list[int], name: str, after: float, heard: bool
+    ) -> None:
         super().__init__()
+        self._after = after
+        self._heard = heard
         self._ask = ask
         status, body, _ = ask(ports[0], "GET", "/v1/config")
         assert status == 200, f"status {status}"
@@ -184,7 +191,14 @@
             for port in ports
         ]
         pairs = zip(self._puts, ports, strict=True)
-        self.start([lambda put=p, port=q: put.send_unheard(port) for p, q in pairs])
+        self.start([lambda put=p, port=q: self._run(put, port) for p, q in pairs])
+
+    def _run(self, put: Put, port: int) -> None:
+        time.sleep(self._after)
+        if self._heard:
+            put.send(self._ask, port)
+        else:
+            put.send_unheard(port)
 
     def _changed(self, config: dict[str, Any], number: int) -> dict[str, Any]:
         gold = config["tiers"]["gold"] | {"deadline_ms": number}
