--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -9,14 +9,17 @@
     apply a [tiers.gold.deadline_ms=500]    accept the configuration by host a
     fault e1 reset_after=3 times=1          the faults of standins/faults.py
     request r1 at a POST /v1/completions stream tokens=50 tier=gold key=K
+    burst b 20 at a POST /v1/completions    requests b1 to b20; b* means all
     copy r2 of r1 at b                      the same request once more
     leave r1                                the caller goes away
     cut a b | heal a b | pause 0.5s
     expect r1 whole                         names of Call, or runs, resumes,
-    expect r1 runs == 1                     cancelled, upstream
+    expect r1 runs == 1                     cancelled, upstream; truthful: no
+                                            not-run that ran, nothing ran twice
     expect a ready == true                  ready, alive, exit, version, log (its
                                             text), state.PATH, control.PATH
     expect e1 accepted                      an announcement was accepted
+    expect e1 orders == 1                   orders that it carried out
     expect e1 runs >= 2                     runs since the fault or signal: new_runs
     within 5s expect ...                    the same, with patience
 
@@ -184,6 +187,11 @@
         port = self._deployment.hosts_by_name[host].ports["caller"]
         self._call(name, Call(port, method, target, headers, body))
 
+    def _do_burst(self, words: list[str]) -> None:
+        name, count, *rest = words
+        for number in range(1, int(count) + 1):
+            self._do_request([f"{name}{number}", *rest])
+
     def _do_copy(self, words: list[str]) -> None:
         name, _, original, _, host = words
         call = self._calls_by_name[original]
@@ -226,6 +234,12 @@
 
     def _do_expect(self, words: list[str]) -> None:
         name, what, *rest = words
+        if name.endswith("*"):
+            names = [n for n in self._calls_by_name if n.startswith(name[:-1])]
+            assert names, f"there is no {name}"
+            for one in names:
+                self._do_expect([one, what, *rest])
+            return
         found = self._find(name, what)
         if not rest:
             assert found is True, f"{name} {what} is {found!r}"
@@ -251,6 +265,8 @@
         runs = [r for r in self._deployment.records("run") if is_run_of(r, call)]
         if what == "runs":
             return len(runs)
+        if what == "truthful":
+            return len(runs) <= (0 if call.outcome == "not-run" else 1)
         if what == "upstream":
             return runs[-1]["upstream"] if runs else None
         if what in ("resumes", "cancelled", "finished"):
@@ -286,6 +302,9 @@
         if what == "accepted":
             accepted = self._deployment.records("accepted")
             return any(record["upstream"] == name for record in accepted)
+        if what == "orders":
+            orders = self._deployment.records("order")
+            return sum(record["upstream"] == name for record in orders)
         since = self._marked_at_by_name.get(name, 0.0) if what == "new_runs" else 0.0
         runs = self._deployment.records("run")
         return sum(r["upstream"] == name and r["time"] >= since for r in runs)
