Linger only where the caller may still be sending

Cause: each connection that was to end was shut down and read on, also when the request had been read whole; the profile of small requests shows the shutdown. Ruled out: lingering never, which the test of a refused upload forbids. Conclusion: only requests with unread bytes pay.

--- a/bitterntiller/components/http/exchange.py
+++ b/bitterntiller/components/http/exchange.py
@@ -20,6 +20,9 @@
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+_READ_WHOLE = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+
+
 class ServerConnection:
     """A caller's connection: h11's state, the socket, and its timeouts.
 
@@ -133,8 +136,10 @@
         Closing with unread bytes makes the kernel reset the connection, and the
         reset takes the answer away from a caller that has not read it yet: one
         that is refused while it sends its body would see a broken connection
-        instead of a true refusal.
+        instead of a true refusal. A request that was read whole leaves no bytes.
         """
+        if self.h11.their_state in _READ_WHOLE:
+            return
         left = LINGER_BYTES
         try:
             await self.sock.shutdown(socket.SHUT_WR)
