Take the log of one replica out, now that the replicated log serves alone

The daemon opens the replicated log for one host as for three, so the stop-gap was dead code. The thin path and the bench now run on the replicated log.

--- a/bench/control.py
+++ b/bench/control.py
@@ -17,12 +17,12 @@
 
 import curio
 
+from bitterntiller.components import replication
 from bitterntiller.components.config.parse import parse_config
 from bitterntiller.components.control.const import MAX_CLAIM_GROUP
 from bitterntiller.components.control.coordinator import ControlCoordinator
 from bitterntiller.components.control.heartbeats import period
 from bitterntiller.components.control.proposals import Proposer
-from bitterntiller.components.control.single import SingleLog
 from bitterntiller.components.control.state import ControlState
 from bitterntiller.components.node.coordinator import NodeCoordinator
 from bitterntiller.components.settings.models import (
@@ -33,7 +33,7 @@
     Settings,
     Timings,
 )
-from bitterntiller.core.clock import ManualClock
+from bitterntiller.core.clock import Clock, ManualClock, RuntimeClock
 from bitterntiller.core.interfaces import ProposalResult
 from bitterntiller.core.runtime import Runtime
 from bitterntiller.protocol import decode, encode, messages
@@ -87,7 +87,7 @@
         return {"term": 1}
 
 
-def make_runtime(number: int, clock: ManualClock) -> Runtime:
+def make_runtime(number: int, clock: Clock) -> Runtime:
     ip = f"10.0.{number // 250}.{number % 250}"
     settings = Settings(
         host=f"host-{number}",
@@ -96,7 +96,7 @@
         roles=("entry", "dispatch"),
         listen=Listen(Address(ip, 80), Address(ip, 7000), Address(ip, 81)),
         keys=Keys(b"", b"", b""),
-        control=Control(addresses=(Address("10.0.0.1", 7000),)),
+        control=Control(addresses=(Address(ip, 7000),), bootstrap=(f"host-{number}",)),
         data_folder=None,
         statsd=None,
     )
@@ -244,13 +244,16 @@
 async def async_measure_synced_claims(folder: Path, together: int) -> dict[str, Any]:
     """Commit claims to a synced log of one replica, some at the same time."""
     state = ControlState()
-    log = SingleLog(folder / f"claims-{together}.log", "", state)
-    await log.async_open()
+    runtime = make_runtime(1, RuntimeClock())
+    runtime.settings = runtime.settings._replace(data_folder=folder / str(together))
+    log = await replication.async_setup(runtime, state)
+    while not log.is_leader():
+        await curio.sleep(0.01)
     proposer = Proposer(
         log,
         lambda: messages.Command(time_ms=1, forget_changes_ms=0, forget_claims_ms=0),
     )
-    tasks = [await curio.spawn(log.async_run), await curio.spawn(proposer.async_run)]
+    await runtime.async_spawn(proposer.async_run())
     latencies: list[float] = []
     total = 200 * together if together < 100 else 20 * together
 
@@ -266,9 +269,7 @@
         for first in range(together):
             await group.spawn(claim_some, first)
     seconds = time.monotonic() - began
-    for task in tasks:
-        await task.cancel()
-    log.close()
+    await runtime.stack.aclose()
     latencies.sort()
     return {
         "together": together,
--- a/bitterntiller/components/control/__init__.py
+++ b/bitterntiller/components/control/__init__.py
@@ -4,7 +4,6 @@
 
 from bitterntiller.components.config.parse import parse_config
 from bitterntiller.components.control.coordinator import ControlCoordinator
-from bitterntiller.components.control.single import async_open_single
 from bitterntiller.components.control.state import ControlState
 from bitterntiller.components.control.validate import check_timings
 from bitterntiller.core.interfaces import ReplicatedLog, StateMachine
@@ -14,10 +13,11 @@
 """Opens the log, replays it into the state machine and lets it run."""
 
 
-async def async_setup(
-    runtime: Runtime, open_log: OpenLog = async_open_single
-) -> ControlCoordinator:
-    """Open the log and answer nodes and operators until the process unloads."""
+async def async_setup(runtime: Runtime, open_log: OpenLog) -> ControlCoordinator:
+    """Open the log and answer nodes and operators until the process unloads.
+
+    Raise TimingsError for timings that would break the promise of leases.
+    """
     check_timings(runtime.settings.timings)
     state = ControlState()
     log = await open_log(runtime, state)
--- a/tests/components/control/builders.py
+++ b/tests/components/control/builders.py
@@ -2,6 +2,7 @@
 
 import json
 
+from bitterntiller.components.config.models import Config
 from bitterntiller.components.control.coordinator import ControlCoordinator
 from bitterntiller.components.control.state import ControlState
 from bitterntiller.components.node.coordinator import NodeCoordinator
@@ -141,8 +142,6 @@
 
 def parse_any(document, version):
     """Parse like the configuration part, but refuse only what says so."""
-    from bitterntiller.components.config.models import Config
-
     if document.get("bad"):
         raise CodedError("bad is set")
     return Config(version, document.get("services", {}), {}, {}, {})
--- a/tests/components/control/test_thin_path.py
+++ b/tests/components/control/test_thin_path.py
@@ -2,7 +2,7 @@
 
 import curio
 
-from bitterntiller.components import control, node
+from bitterntiller.components import control, node, replication
 from bitterntiller.core.clock import RuntimeClock
 
 from .builders import FakeNetwork, make_change, make_runtime
@@ -27,7 +27,7 @@
         leader = make_runtime(clock, network, data_folder=tmp_path)
         other = make_runtime(clock, network, host="bole-1", number=2, control=(9, 1))
         async with leader.stack, other.stack:
-            await control.async_setup(leader)
+            await control.async_setup(leader, replication.async_setup)
             nodes = [await node.async_setup(leader), await node.async_setup(other)]
             await wait_for(lambda: all(item.lease.valid() for item in nodes))
             change = make_change("c1", 0, DOCUMENT)
@@ -42,11 +42,12 @@
     curio.run(main)
 
 
-def test_single_log_is_replayed(tmp_path):
+def test_outcomes_outlive_a_restart(tmp_path):
     async def start(change_id, expected):
         runtime = make_runtime(RuntimeClock(), data_folder=tmp_path)
         async with runtime.stack:
-            coordinator = await control.async_setup(runtime)
+            coordinator = await control.async_setup(runtime, replication.async_setup)
+            await wait_for(lambda: coordinator.state.applied or coordinator.leading())
             change = make_change(change_id, 0, DOCUMENT)
             reply = await coordinator.async_change("kirkos-1", change)
             assert (reply.status, reply.version) == expected
