Let an order end when its sending fails by an error of ours

An unexpected error left the order as being sent, and its upstream without further orders, until the pool changed hands. It now ends as unknown; the test fails without the guard by construction, since nothing else ends the order.

--- a/bitterntiller/components/orders/coordinator.py
+++ b/bitterntiller/components/orders/coordinator.py
@@ -104,19 +104,21 @@
     async def _async_start(
         self, service: Service, orders: PoolOrders, order: Order
     ) -> None:
-        task = await curio.spawn(self._async_carry_out, service, orders, order)
+        task = await curio.spawn(
+            self._async_carry_out, service, orders, order, daemon=True
+        )
         self._tasks.add(task)
 
     async def _async_carry_out(
         self, service: Service, orders: PoolOrders, order: Order
     ) -> None:
-        def may_send() -> bool:
-            return self._epoch(service.name) == order.fence
-
-        answer = await self._intents.async_begin(order)
-        if answer is None:
-            answer = await self._send(order, may_send, order_seconds(service))
-            await self._intents.async_end(order, answer)
+        try:
+            answer = await self._async_give(service, order)
+        except Exception:
+            # Unnoted, the order would count as being sent, and keep its upstream
+            # and its room for loads, until the pool changes hands.
+            logging.exception("order %s to %s failed", order.kind, order.upstream)
+            answer = OrderAnswer(const.STATE_UNKNOWN, "an error of this process")
         orders.note(order, answer)
         self._metrics.count(f"orders.{order.kind}.{answer.state}")
         logging.info(
@@ -129,6 +131,17 @@
         )
         self._tasks.discard(await curio.current_task())
 
+    async def _async_give(self, service: Service, order: Order) -> OrderAnswer:
+        def may_send() -> bool:
+            return self._epoch(service.name) == order.fence
+
+        known = await self._intents.async_begin(order)
+        if known is not None:
+            return known
+        answer = await self._send(order, may_send, order_seconds(service))
+        await self._intents.async_end(order, answer)
+        return answer
+
     def describe(self) -> dict[str, Any]:
         """Return this part's share of the dump."""
         return describe(self.orders_by_pool)
--- a/tests/components/orders/test_coordinator.py
+++ b/tests/components/orders/test_coordinator.py
@@ -165,3 +165,22 @@
         assert issuer.upstream.orders[-1].fence == 9
 
     run(main)
+
+
+def test_an_error_does_not_keep_the_upstream_for_ever():
+    """
+    An engine's answer meets a fault of this process. Its order ends as unknown,
+    and the engine gets the next one.
+    """
+
+    async def main():
+        issuer = make_issuer(fencing="checked")
+        issuer.upstream.answer = None
+        await issuer.async_pass(0)
+        assert issuer.states == ["unknown"]
+        issuer.upstream.answer = OrderAnswer("done", "200")
+        issuer.views.service = make_service(order_role="prefill")
+        await issuer.async_pass(1)
+        assert issuer.states == ["unknown", "done"]
+
+    run(main)
