--- a/bitterntiller/components/replication/leading.py
+++ b/bitterntiller/components/replication/leading.py
@@ -34,7 +34,8 @@
     state.reads = Reads()
     state.progress_by_replica = {}
     state.count("terms_led")
-    _add(state, EntryKind.NOOP, b"")
+    state.settled = _add(state, EntryKind.NOOP, b"").index
+    state.commit_at_beat = state.commit
     _follow_members(state, now)
     advance_commit(state, now)
 
@@ -115,6 +116,10 @@
         return
     if now >= state.beat:
         state.beat = now + state.tuning.heartbeat
+        # What was committed a heartbeat ago has had the time to reach all; a
+        # follower that lags by less has caught up, however busy the log is.
+        state.settled = max(state.settled, state.commit_at_beat)
+        state.commit_at_beat = state.commit
         sending.broadcast(state, now)
 
 
--- a/bitterntiller/components/replication/repair.py
+++ b/bitterntiller/components/replication/repair.py
@@ -32,14 +32,14 @@
 
 
 def is_sound(state: State, replica: str, now: float) -> bool:
-    """Tell whether a replica answers and holds all that is committed."""
+    """Tell whether a replica answers and has caught up."""
     if replica == state.replica:
         return True
     progress = state.progress_by_replica.get(replica)
     if progress is None or not progress.counted:
         return False
     heard = progress.contact > now - state.tuning.election_max
-    return heard and progress.match >= state.commit
+    return heard and progress.match >= state.settled
 
 
 def survives(state: State, now: float) -> int | None:
--- a/bitterntiller/components/replication/state.py
+++ b/bitterntiller/components/replication/state.py
@@ -61,6 +61,8 @@
         self.deadline = now
         self.beat = now
         self.votes: set[str] = set()
+        self.settled = 0
+        self.commit_at_beat = 0
         self.progress_by_replica: dict[str, Progress] = {}
         self.reads = Reads()
         self.returning = ReturnState(now)
