Tell the ends of all processes when a measurement of control fails

A start of six hosts had not formed a membership in 60 seconds, and nothing of it was left to look at. 16 further starts beside the same load took 4 to 12 seconds each.

--- a/bench/control_system.py
+++ b/bench/control_system.py
@@ -7,6 +7,7 @@
 
 import json
 import os
+import sys
 import tempfile
 import threading
 import time
@@ -440,7 +441,11 @@
     with tempfile.TemporaryDirectory() as folder:
         with ControlDeployment(Path(folder)) as deployment:
             begun, load = time.monotonic(), os.getloadavg()[0]
-            figures = system.command.run(deployment)
+            try:
+                figures = system.command.run(deployment)
+            except Exception:
+                print(deployment.describe_ends(), file=sys.stderr)
+                raise
         figures["took_s"] = round(time.monotonic() - begun, 1)
         figures["load_1m"] = [round(load, 1), round(os.getloadavg()[0], 1)]
         figures["cores"] = os.cpu_count()
