--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -61,11 +61,15 @@
         self._shedder = Shedder(parameters, self._queue, self._admission)
         self._sequence = itertools.count()
         self._waiting = 0
-        self._parked_by_name: dict[str, list[Job]] = {}
+        self._parked_by_name: dict[str, dict[str, Job]] = {}
         self._lateness = JobTimers()
         self._lapses = JobTimers()
         self._parkings = JobTimers()
         self._housekeeping_at = 0.0
+        # Groups whose head found no upstream. They are left alone until an
+        # upstream gets room or the next housekeeping, so that a full pool costs
+        # nothing at each arrival.
+        self._blocked: set[tuple] = set()
 
     def register(self, request: WaitingRequest, now: float) -> list[Decision]:
         """Take a request into the queue; a known one stays as it is."""
@@ -145,7 +149,8 @@
             return []
         decisions: list[Decision] = []
         self._pool.refresh(job.upstream, now)
-        self._decide(now, decisions)
+        if self._pool.freed:
+            self._decide(now, decisions)
         return decisions
 
     def finished(self, completion: Completion, now: float) -> list[Decision]:
@@ -229,6 +234,7 @@
     def _size(self, job: Job) -> None:
         request = job.request
         self._sizes.size(job)
+        self._pool.note_tier(job.rank)
         job.order_key = self._ordering.key(job)
         job.group = (request.upstream_names, frozenset(request.tried), job.kind)
 
@@ -315,20 +321,15 @@
         elif job.state is not JobState.LAPSED:
             self._limiter.leave(job.workspace)
             self._queue.uncap(job.workspace)
-            self._release(job, now)
+            self._pool.detach(job, now)
+            self._blocked.clear()
+        job.state = JobState.GONE
 
     def _leave_waiting(self, job: Job, now: float) -> None:
         self._waiting -= 1
         self._limiter.wait(job.workspace, -1, now)
         self._pool.unreserve(job)
 
-    def _release(self, job: Job, now: float) -> None:
-        upstream = job.upstream
-        self._pool.detach(job, now)
-        if upstream is not None and upstream.free:
-            for parked in self._parked_by_name.pop(upstream.name, ()):
-                self._unpark(parked)
-
     def _lapse(self, job: Job, now: float) -> None:
         """Take back a grant that was not heard of in time.
 
@@ -361,8 +362,8 @@
         self._queue.remove(job)
         job.state = JobState.PARKED
         if choice.upstream is not None:
-            parked = self._parked_by_name.setdefault(choice.upstream.name, [])
-            parked.append(job)
+            parked = self._parked_by_name.setdefault(choice.upstream.name, {})
+            parked[job.request.request_id] = job
         self._parkings.add(now + PARK_SECONDS, job)
 
     def _unpark(self, job: Job) -> None:
@@ -380,7 +381,9 @@
         if left <= 0:
             return True
         view = self._pool.view(job)
-        return self._chooser.best_case(job, view, now) > left
+        if self._chooser.best_case(job, view, now) <= left:
+            return False
+        return self._chooser.probe(job, view, now) is None
 
     def _check_lateness(self, job: Job, now: float, decisions: list[Decision]) -> None:
         if self._jobs_by_id.get(job.request.request_id) is not job or not job.waiting:
@@ -394,18 +397,31 @@
             return
         self._plan_lateness(job, now)
 
+    def _is_live(self, job: Job) -> bool:
+        return self._jobs_by_id.get(job.request.request_id) is job
+
     def _housekeep(self, now: float, decisions: list[Decision]) -> None:
         self._housekeeping_at = now + HOUSEKEEPING_SECONDS
         self._pool.housekeep(now)
+        for timers in (self._lateness, self._lapses, self._parkings):
+            timers.prune(len(self._jobs_by_id), self._is_live)
+        self._blocked.clear()
         self._admission.interval(now)
         for job in self._shedder.trim(now):
             del self._jobs_by_id[job.request.request_id]
             self._leave_waiting(job, now)
+            job.state = JobState.GONE
             decisions.append(self._refusal_of(job, Reason.SHED, now))
 
     def _decide(self, now: float, decisions: list[Decision]) -> None:
         """Grant to the head of the queue as long as an upstream is free."""
-        blocked: set[tuple] = set()
+        for upstream in self._pool.freed:
+            for parked in self._parked_by_name.pop(upstream.name, {}).values():
+                self._unpark(parked)
+        if self._pool.freed:
+            self._pool.freed.clear()
+            self._blocked.clear()
+        blocked = self._blocked
         skips = 0
         while self._waiting and self._pool.any_free and skips < MAX_SKIPS:
             job = self._queue.head(blocked)
@@ -427,6 +443,7 @@
         request = job.request
         upstream = choice.upstream
         assert upstream is not None
+        upstream.tried_at = now
         self._queue.remove(job)
         self._queue.charge(job)
         self._leave_waiting(job, now)
--- a/bitterntiller/core/daemon.py
+++ b/bitterntiller/core/daemon.py
@@ -14,6 +14,7 @@
     metrics,
     node,
     operator,
+    orders,
     replication,
     upstreams,
 )
@@ -72,6 +73,8 @@
     owner = None
     if ROLE_DISPATCH in roles:
         owner = await dispatch.async_setup(runtime, *views)
+        issuer = await orders.async_setup(runtime, session)
+        owner.add_announce_listener(issuer.note_announcement)
     await operator.async_setup(runtime, session.control_client)
     callers = None
     if ROLE_ENTRY in roles:
@@ -115,7 +118,7 @@
     logging.info("stopping: no new work is taken")
     parts.node.set_draining()
     if parts.entry is not None:
-        parts.entry.pipeline.draining = True
+        await parts.entry.async_begin_drain()
     await _async_hand_over(runtime, parts)
     if parts.entry is None:
         return EXIT_OK
