Look a connection's owner up once for each connection of a proxy

Starts of six proxied hosts took up to 30 seconds, and one had not formed in 60. The proxy read the machine's table of TCP sockets once for each host and connection; with 17,364 lines in it, left by other work, the handshakes timed out and were dialled again. The table is now read once, and only lines with the port are taken apart. Ruled out: the forming of the membership, which was over after 3 seconds in the one slow start that left its logs.

--- a/tests/scenarios/deployment.py
+++ b/tests/scenarios/deployment.py
@@ -8,7 +8,7 @@
 from typing import Any, Self
 
 from tests.scenarios import builders
-from tests.scenarios.processes import Process, describe_end, free_port
+from tests.scenarios.processes import Process, describe_end, free_port, sockets_at
 from tests.scenarios.proxy import Proxy
 
 DAEMON = "bitterntiller.cli.daemon"
@@ -175,8 +175,9 @@
         return "\n".join(describe_end(f.process) for f in found if f.process)
 
     def _name_of_port(self, port: int) -> str:
+        sockets = sockets_at(port)
         for name, host in self.hosts_by_name.items():
-            if host.process is not None and host.process.owns_local_port(port):
+            if host.process is not None and host.process.owns_socket(sockets):
                 return name
         return ""
 
--- a/tests/scenarios/processes.py
+++ b/tests/scenarios/processes.py
@@ -74,18 +74,23 @@
         """Return how it ended, None while it runs."""
         return self._popen.poll() if self._popen is not None else None
 
-    def owns_local_port(self, port: int) -> bool:
-        """Tell whether one of its TCP sockets has a local port."""
-        inodes = set()
-        for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
-            columns = line.split()
-            if int(columns[1].split(":")[1], 16) == port:
-                inodes.add(f"socket:[{columns[9]}]")
+    def owns_socket(self, names: set[str]) -> bool:
+        """Tell whether it has open one of the sockets with these names."""
         try:
-            names = [os.readlink(f.path) for f in os.scandir(f"/proc/{self.pid}/fd")]
+            found = [os.readlink(f.path) for f in os.scandir(f"/proc/{self.pid}/fd")]
         except OSError:
             return False
-        return not inodes.isdisjoint(names)
+        return not names.isdisjoint(found)
+
+
+def sockets_at(port: int) -> set[str]:
+    """Return the names of the TCP sockets of this machine with a local port."""
+    # The table has thousands of lines when much else runs here, and is read for
+    # each new connection of a proxy.
+    local = f":{port:04X}"
+    table = Path("/proc/net/tcp").read_text()
+    lines = (line.split() for line in table.splitlines() if local in line)
+    return {f"socket:[{item[9]}]" for item in lines if item[1].endswith(local)}
 
 
 def describe_end(process: Process, lines: int = 30) -> str:
