--- a/bitterntiller/components/dispatch/__init__.py
+++ b/bitterntiller/components/dispatch/__init__.py
@@ -1,10 +1,7 @@
 """The owner of a pool: its queue, its upstreams, its grants."""
 
+from bitterntiller.components.dispatch import diagnostics
 from bitterntiller.components.dispatch.coordinator import DispatchCoordinator
-from bitterntiller.components.dispatch.diagnostics import (
-    announced_upstreams,
-    describe,
-)
 from bitterntiller.components.dispatch.models import (
     DEFAULT_PARAMETERS,
     Scheduler,
@@ -28,6 +25,7 @@
     for cls, handler in (
         (messages.Register, coordinator.async_on_register),
         (messages.Reregister, coordinator.async_on_reregister),
+        (messages.Live, coordinator.async_on_live),
         (messages.Cancel, coordinator.async_on_cancel),
         (messages.Started, coordinator.async_on_started),
         (messages.Progress, coordinator.async_on_progress),
@@ -38,6 +36,10 @@
         runtime.stack.callback(runtime.links.handle(cls, handler))
     await runtime.async_spawn(coordinator.async_run())
     clock = runtime.clock
-    runtime.add_diagnostics("dispatch", lambda: describe(coordinator, clock.now()))
-    runtime.add_diagnostics("upstreams", lambda: announced_upstreams(coordinator))
+    # Not by the bare names of the functions: modules of this package have the
+    # same names, and take them over in this namespace once they are imported.
+    runtime.add_diagnostics(
+        "dispatch", lambda: diagnostics.describe(coordinator, clock.now())
+    )
+    runtime.add_diagnostics("upstreams", lambda: diagnostics.announced(coordinator))
     return coordinator
--- a/bitterntiller/components/dispatch/speed.py
+++ b/bitterntiller/components/dispatch/speed.py
@@ -7,17 +7,23 @@
     KIND_PLAIN,
     PRIOR_PREFILL_TOKENS_PER_SECOND,
     PRIOR_SECONDS_PER_TOKEN,
-    PRIOR_SERVICE_SECONDS,
 )
 
 SHORT = 0
 LONG = 1
 OVERHEAD_SECONDS = 0.01
 BUCKETS = 12
-SLOW_GAIN = 0.1
-FAST_GAIN = 0.35
+PLAIN_GAIN = 0.1
+POOL_PREFILL_GAIN = 0.002
+POOL_DECODE_GAIN = 0.0005
 MAX_RATIO = 8.0
 MIN_DEVIATION = 0.05
+SCALE_SECONDS = 4.0
+BUCKET_SECONDS = 30.0
+MIN_SCALE = 0.05
+MAX_SCALE = 50.0
+BEST_DOWN_SECONDS = 1.0
+BEST_UP_SECONDS = 30.0
 
 
 class Estimate(NamedTuple):
@@ -44,6 +50,18 @@
         """Return the seconds of decoding beside so many requests in flight."""
         ...
 
+    def seconds_per_token(self, in_flight: int) -> float:
+        """Return the seconds between tokens beside so many in flight."""
+        ...
+
+    def best_seconds_per_token(self) -> float:
+        """Return the seconds between tokens when nothing is in the way."""
+        ...
+
+    def best_decode_seconds(self, tokens: float) -> float:
+        """Return the seconds of decoding when nothing is in the way."""
+        ...
+
     def learn_first(self, kind: int, expected: float, seen: float) -> None:
         """Learn from the seconds to the first token."""
         ...
@@ -79,27 +97,30 @@
 
 
 class PoolSpeed:
-    """The mean speed of a pool: the first guess for an upstream not yet known."""
+    """The mean speed of a pool: the first guess for an upstream not yet known.
+
+    It is also the measure of work, so it must move slowly: if it followed a
+    burst, work that came before and work that came in the burst would not
+    compare, and the wait of the latter would be overrated.
+    """
 
     def __init__(self) -> None:
         self.prefill_rate = PRIOR_PREFILL_TOKENS_PER_SECOND
         self.seconds_per_token = PRIOR_SECONDS_PER_TOKEN
-        self.service_seconds = PRIOR_SERVICE_SECONDS
         self._prefill_samples = 0
         self._decode_samples = 0
 
     def note_prefill(self, rate: float) -> None:
         """Note the prefill rate of one upstream, in tokens a second."""
         self._prefill_samples += 1
-        gain = max(1 / self._prefill_samples, 0.01)
+        gain = max(1 / self._prefill_samples, POOL_PREFILL_GAIN)
         self.prefill_rate += gain * (rate - self.prefill_rate)
 
     def note_decode(self, seconds: float) -> None:
         """Note the seconds per token (or per call of a plain service)."""
         self._decode_samples += 1
-        gain = max(1 / self._decode_samples, 0.01)
+        gain = max(1 / self._decode_samples, POOL_DECODE_GAIN)
         self.seconds_per_token += gain * (seconds - self.seconds_per_token)
-        self.service_seconds = self.seconds_per_token
 
     def work(self, prompt_tokens: int, output_tokens: float) -> float:
         """Return the expected seconds of service of a request."""
@@ -112,7 +133,8 @@
 
     scale follows a change of the whole engine's speed within a few samples,
     the buckets follow slowly; so a slowed engine is known for all buckets as
-    soon as one of them has shown it.
+    soon as one of them has shown it. All requests of a batch tell of the same
+    steps, so each sample weighs by its span of time, shared by the batch.
     """
 
     def __init__(self, pool: PoolSpeed) -> None:
@@ -121,6 +143,7 @@
         self._rates: list[float | None] = [None, None]
         self._samples = [0, 0]
         self._seconds_by_bucket: list[float | None] = [None] * BUCKETS
+        self._best: float | None = None
         self.scale = 1.0
 
     def prefill_rate(self, kind: int) -> float:
@@ -138,10 +161,18 @@
         """Return the seconds between tokens beside so many in flight."""
         return self._base(_bucket(in_flight)) * self.scale
 
+    def best_seconds_per_token(self) -> float:
+        """Return the seconds between tokens when nothing is in the way."""
+        return self._pool.seconds_per_token if self._best is None else self._best
+
     def decode_seconds(self, tokens: float, in_flight: int) -> float:
         """Return the seconds of decoding beside so many requests in flight."""
         return tokens * self.seconds_per_token(in_flight)
 
+    def best_decode_seconds(self, tokens: float) -> float:
+        """Return the seconds of decoding when nothing is in the way."""
+        return tokens * self.best_seconds_per_token()
+
     def learn_first(self, kind: int, expected: float, seen: float) -> None:
         """Learn from the seconds to the first token.
 
@@ -166,14 +197,28 @@
         bucket = _bucket(in_flight)
         known = self._seconds_by_bucket[bucket]
         self._pool.note_decode(seen)
+        span = seconds / max(in_flight, 1)
+        self._learn_best(seen, span)
         if known is None:
             self._seconds_by_bucket[bucket] = seen / self.scale
             return
         ratio = _clip(seen / (known * self.scale))
-        weight = min(1.0, tokens / 8)
-        self.scale = min(max(self.scale * ratio ** (FAST_GAIN * weight), 0.05), 50.0)
-        self._seconds_by_bucket[bucket] = known * ratio ** (SLOW_GAIN * weight)
-        self.scale *= ratio ** (-SLOW_GAIN * weight)
+        fast = -math.expm1(-span / SCALE_SECONDS)
+        slow = -math.expm1(-span / BUCKET_SECONDS)
+        self._seconds_by_bucket[bucket] = known * ratio**slow
+        scale = self.scale * ratio ** (fast - slow)
+        self.scale = min(max(scale, MIN_SCALE), MAX_SCALE)
+
+    def _learn_best(self, seen: float, span: float) -> None:
+        """Follow the low end of the samples: quickly down, slowly up."""
+        if self._best is None:
+            # The first samples may come from the midst of a burst. Too high a
+            # guess would refuse requests as late that an idle upstream serves
+            # well, so it begins low and is corrected within seconds.
+            self._best = min(seen, self._pool.seconds_per_token)
+            return
+        tau = BEST_DOWN_SECONDS if seen < self._best else BEST_UP_SECONDS
+        self._best -= math.expm1(-span / tau) * (seen - self._best)
 
     def _base(self, bucket: int) -> float:
         for distance in range(BUCKETS):
@@ -187,7 +232,11 @@
 
 
 class PlainSpeed(_Deviation):
-    """Seconds of a call to a plain service; it has no tokens to count."""
+    """Seconds of a call to a plain service, by its stated size.
+
+    The size is the stated output; where entry hosts state the same for all
+    calls it drops out, and the mean time of a call is left.
+    """
 
     def __init__(self, pool: PoolSpeed) -> None:
         super().__init__()
@@ -199,23 +248,37 @@
         """Return 0: a plain service has no prefill."""
         return 0.0
 
+    def seconds_per_token(self, in_flight: int) -> float:
+        """Return the seconds for each unit of stated size."""
+        if self._seconds is None:
+            return self._pool.seconds_per_token
+        return self._seconds
+
+    def best_seconds_per_token(self) -> float:
+        """Return the seconds for each unit of stated size."""
+        return self.seconds_per_token(1)
+
     def decode_seconds(self, tokens: float, in_flight: int) -> float:
         """Return the seconds of one call."""
-        return self._pool.service_seconds if self._seconds is None else self._seconds
+        return tokens * self.seconds_per_token(in_flight)
+
+    def best_decode_seconds(self, tokens: float) -> float:
+        """Return the seconds of one call."""
+        return self.decode_seconds(tokens, 1)
 
     def learn_first(self, kind: int, expected: float, seen: float) -> None:
         """Learn nothing: a plain service has no prefill."""
 
     def learn_decode(self, tokens: float, seconds: float, in_flight: int) -> None:
         """Learn from the seconds of one call."""
-        if seconds <= 0:
+        if seconds <= 0 or tokens <= 0:
             return
-        self._pool.note_decode(seconds)
+        seen = seconds / tokens
+        self._pool.note_decode(seen)
         if self._seconds is None:
-            self._seconds = seconds
+            self._seconds = seen
             return
-        ratio = _clip(seconds / self._seconds)
-        self._seconds *= ratio**FAST_GAIN
+        self._seconds *= _clip(seen / self._seconds) ** PLAIN_GAIN
 
 
 def new_speed(kind: str, pool: PoolSpeed) -> EngineSpeed | PlainSpeed:
--- a/bitterntiller/components/dispatch/upstreams.py
+++ b/bitterntiller/components/dispatch/upstreams.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Iterator
 
+from bitterntiller.components.dispatch.const import PROBE_SECONDS
 from bitterntiller.components.dispatch.health import Health
 from bitterntiller.components.dispatch.inflight import InflightLimit
 from bitterntiller.components.dispatch.ledger import Ledger
@@ -29,6 +30,7 @@
         self.state = state
         self.heard_at = now
         self.worked_at = now
+        self.tried_at = float("-inf")
         self.ledger = Ledger()
         self.speed = new_speed(parameters.kind, pool)
         self.limit = InflightLimit()
@@ -73,9 +75,26 @@
             and self.prefill_wait(now) <= 0.0
         )
 
-    def fits(self, kv: int) -> bool:
-        """Tell whether the memory holds one more request of that many tokens."""
-        limit = self.state.kv_tokens
+    def in_doubt(self, now: float) -> bool:
+        """Tell whether what is known of its speed is nothing, or old.
+
+        An upstream that was slow for a while would otherwise get no work, since
+        all would end too late, and so could never show that it is fast again.
+        It would show as a service that refuses everything beside idle upstreams.
+        One request at a time, every few seconds, is risked to find out.
+        """
+        return not self.ledger.in_flight and now - self.tried_at >= PROBE_SECONDS
+
+    def has_room(self, part: float) -> bool:
+        """Tell whether one more request keeps within a part of the slots."""
+        if part >= 1.0:
+            return True
+        slots = self.limit.limit(self.state.slots)
+        return self.ledger.in_flight < max(1.0, part * slots)
+
+    def fits(self, kv: int, part: float = 1.0) -> bool:
+        """Tell whether a part of the memory holds so many tokens more."""
+        limit = self.state.kv_tokens * part
         if limit <= 0 or not self.ledger.jobs_by_id:
             return True
         return self.ledger.kv_tokens + kv <= limit
@@ -122,12 +141,19 @@
 
 
 class View:
-    """The upstreams that one set of names allows, and the free ones of them."""
+    """The upstreams that one set of names allows, and the free ones of them.
+
+    best_prefill and best_decode are the least expected seconds of a thousand
+    tokens on any of them, as found at best_at.
+    """
 
     def __init__(self, names: Names) -> None:
         self.names = names
         self.members = NameSet()
         self.free = NameSet()
+        self.best_at = float("-inf")
+        self.best_prefill = 0.0
+        self.best_decode = 0.0
 
     def allows(self, name: str) -> bool:
         """Tell whether an upstream belongs here."""
--- a/tests/scenarios/deployment.py
+++ b/tests/scenarios/deployment.py
@@ -8,7 +8,7 @@
 from typing import Any, Self
 
 from tests.scenarios import builders
-from tests.scenarios.processes import Process, describe_end, free_port
+from tests.scenarios.processes import Process, describe_end, free_port, sockets_at
 from tests.scenarios.proxy import Proxy
 
 DAEMON = "bitterntiller.cli.daemon"
@@ -47,8 +47,9 @@
 class Deployment:
     """All processes of a scenario; leaving the context ends them."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, **timings: float) -> None:
         self.folder = folder
+        self._timings = builders.TIMINGS | timings
         self.hosts_by_name: dict[str, Host] = {}
         self.upstreams_by_name: dict[str, Upstream] = {}
         self._stack = ExitStack()
@@ -174,15 +175,16 @@
         return "\n".join(describe_end(f.process) for f in found if f.process)
 
     def _name_of_port(self, port: int) -> str:
+        sockets = sockets_at(port)
         for name, host in self.hosts_by_name.items():
-            if host.process is not None and host.process.owns_local_port(port):
+            if host.process is not None and host.process.owns_socket(sockets):
                 return name
         return ""
 
     def _settings(self, host: Host) -> dict[str, Any]:
         replicas = [h for h in self.hosts_by_name.values() if "control" in h.roles]
         control = [replica.told_port for replica in replicas]
-        changes: dict[str, Any] = {"roles": host.roles}
+        changes: dict[str, Any] = {"roles": host.roles, "timings": self._timings}
         if "control" in host.roles:
             changes["data_folder"] = f"data-{host.name}"
         value = builders.settings_value(host.name, host.ports, control, **changes)
--- a/tests/scenarios/processes.py
+++ b/tests/scenarios/processes.py
@@ -1,6 +1,7 @@
 """The processes of a scenario: started here, watched here, ended by their ids."""
 
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -10,13 +11,29 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 KILL_TIMEOUT_S = 5.0
+PORTS = (12_000, 32_000)
+
+_RANDOM = random.SystemRandom()  # not the one that a plugin seeds for each test
+_taken: set[int] = set()
 
 
 def free_port() -> int:
-    """Return a loopback port that nothing listened at a moment ago."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a loopback port that nothing listens at.
+
+    Ports of the range that the system gives to outgoing connections would be
+    taken by one of those before the process that is told this one listens.
+    """
+    while True:
+        port = _RANDOM.randrange(*PORTS)
+        if port in _taken:
+            continue
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _taken.add(port)
+        return port
 
 
 class Process:
@@ -57,18 +74,23 @@
         """Return how it ended, None while it runs."""
         return self._popen.poll() if self._popen is not None else None
 
-    def owns_local_port(self, port: int) -> bool:
-        """Tell whether one of its TCP sockets has a local port."""
-        inodes = set()
-        for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
-            columns = line.split()
-            if int(columns[1].split(":")[1], 16) == port:
-                inodes.add(f"socket:[{columns[9]}]")
+    def owns_socket(self, names: set[str]) -> bool:
+        """Tell whether it has open one of the sockets with these names."""
         try:
-            names = [os.readlink(f.path) for f in os.scandir(f"/proc/{self.pid}/fd")]
+            found = [os.readlink(f.path) for f in os.scandir(f"/proc/{self.pid}/fd")]
         except OSError:
             return False
-        return not inodes.isdisjoint(names)
+        return not names.isdisjoint(found)
+
+
+def sockets_at(port: int) -> set[str]:
+    """Return the names of the TCP sockets of this machine with a local port."""
+    # The table has thousands of lines when much else runs here, and is read for
+    # each new connection of a proxy.
+    local = f":{port:04X}"
+    table = Path("/proc/net/tcp").read_text()
+    lines = (line.split() for line in table.splitlines() if local in line)
+    return {f"socket:[{item[9]}]" for item in lines if item[1].endswith(local)}
 
 
 def describe_end(process: Process, lines: int = 30) -> str:
