--- /dev/null
+++ b/bench/cost.py
@@ -0,0 +1,135 @@
+"""What a request and an announcement cost each role: `python -m bench.cost --help`.
+
+The slopes feed docs/CAPACITY.md. One host has only the entry role, another owns
+the pools and has control; each one's processor time is read before and after.
+"""
+
+import json
+import os
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Any
+
+import cappa
+import curio
+
+from bench.client import Request, async_each, async_request
+from bench.setup import Sizes, chat, cpu_seconds, start_deployment
+from tests.scenarios.builders import TOKENS_BY_WORKSPACE
+from tests.scenarios.deployment import Deployment
+
+TIMEOUT_S = 60.0
+SLOTS = 400
+IDLE_S = 10.0
+
+
+@dataclass
+class Cost:
+    """Measure processor time by role, with an idle stretch taken off."""
+
+    requests: Annotated[int, cappa.Arg(long=True)] = 4000
+    announcements: Annotated[int, cappa.Arg(long=True)] = 4000
+    workers: Annotated[int, cappa.Arg(long=True)] = 32
+    tokens: Annotated[int, cappa.Arg(long=True)] = 10
+
+
+class Measurement:
+    """Runs loads against one deployment and reads what each process used."""
+
+    def __init__(self, deployment: Deployment, workers: int) -> None:
+        self._deployment = deployment
+        self._workers = workers
+        self._port = deployment.hosts_by_name["b0"].ports["caller"]
+        self._idle_by_role = self._used(lambda: time.sleep(IDLE_S))
+
+    def of(self, requests: list[Request]) -> dict[str, Any]:
+        """Return the microseconds that one of the requests costs each role."""
+        failures = 0
+
+        async def async_one(request: Request) -> None:
+            nonlocal failures
+            result = await async_request(self._port, request, TIMEOUT_S)
+            failures += result.status != 200 or result.cut
+
+        used = self._used(
+            lambda: curio.run(async_each, requests, self._workers, async_one)
+        )
+        figures: dict[str, Any] = {"failures": failures}
+        for role in ("entry", "owner"):
+            idle = self._idle_by_role[role] / self._idle_by_role["wall"]
+            busy = used[role] - idle * used["wall"]
+            figures[f"{role}_us"] = round(busy / len(requests) * 1e6, 1)
+        figures["each_second"] = round(len(requests) / used["wall"])
+        return figures
+
+    def idle(self) -> dict[str, float]:
+        """Return the part of a core that each role uses without a load."""
+        wall = self._idle_by_role["wall"]
+        return {
+            role: round(used / wall, 5)
+            for role, used in self._idle_by_role.items()
+            if role != "wall"
+        }
+
+    def _used(self, load: Any) -> dict[str, float]:
+        pids = {
+            "entry": self._deployment.process("b0").pid,
+            "owner": self._deployment.process("a").pid,
+        }
+        before = {role: cpu_seconds(pid) for role, pid in pids.items()}
+        begun = time.perf_counter()
+        load()
+        used = {role: cpu_seconds(pid) - before[role] for role, pid in pids.items()}
+        return used | {"wall": time.perf_counter() - begun}
+
+
+def lookup(number: int) -> Request:
+    """Return a short call of the plain service."""
+    token = TOKENS_BY_WORKSPACE["foresters"]
+    headers = {"Authorization": f"Bearer {token}", "X-Deadline-Ms": "60000"}
+    return Request("GET", f"/lookups/{number}", headers, b"")
+
+
+def announcement(number: int) -> Request:
+    """Return an announcement of one of 600 upstreams that leave at once."""
+    document = {
+        "name": f"n{number % 600}",
+        "service": "llm",
+        "address": "127.0.0.1:9",
+        "incarnation": 1,
+        "sequence": number,
+        "state": "leaving",
+        "labels": {"model": "canopy", "zone": "bole", "generation": "g2"},
+        "slots": 16,
+        "kv_tokens": 100_000,
+        "load": {"running": 3, "waiting": 0, "kv_tokens": 5000, "age_ms": 400},
+    }
+    headers = {"Authorization": "Bearer upstream-key"}
+    body = json.dumps(document).encode()
+    return Request("POST", "/v1/upstreams/announce", headers, body)
+
+
+def main() -> None:
+    """Run the measurement and print its figures as JSON."""
+    cost = cappa.parse(Cost)
+    sizes = Sizes(engines=2, plain=2, slots=SLOTS, entry_only=1, token_ms=0.2)
+    with tempfile.TemporaryDirectory() as folder, Deployment(Path(folder)) as found:
+        start_deployment(found, sizes)
+        measurement = Measurement(found, cost.workers)
+        streams = [chat(f"c{number}", cost.tokens) for number in range(cost.requests)]
+        lookups = [lookup(number) for number in range(cost.requests)]
+        announcements = [announcement(n) for n in range(cost.announcements)]
+        figures = {
+            "idle_cores": measurement.idle(),
+            "lookup": measurement.of(lookups),
+            "stream": measurement.of(streams) | {"tokens": cost.tokens},
+            "announcement": measurement.of(announcements),
+            "load_1m": round(os.getloadavg()[0], 1),
+        }
+    print(json.dumps(figures, indent=1))
+
+
+if __name__ == "__main__":
+    main()
