--- a/bitterntiller/components/entry/coordinator.py
+++ b/bitterntiller/components/entry/coordinator.py
@@ -20,7 +20,6 @@
 from bitterntiller.core.interfaces import Ownership
 from bitterntiller.protocol import messages
 
-
 BODY_COMING = "one whose body is still coming"
 
 
