Notice callers whose hosts are gone without a reset

Cause: a caller's connection had no keep-alive, so a request whose caller's host lost its network went on until the kernel gave up, a quarter of an hour later. Ruled out: the link's 4 s, since callers may pause their reading for caller_write. Conclusion: such callers are gone after twice caller_write.

--- a/bitterntiller/components/http/server.py
+++ b/bitterntiller/components/http/server.py
@@ -13,6 +13,7 @@
 from bitterntiller.components.http.exchange import Exchange, ServerConnection
 from bitterntiller.components.http.models import RequestHead
 from bitterntiller.components.settings.models import Address
+from bitterntiller.core.dialling import notice_silence
 from bitterntiller.core.errors import BrokenInvariantError
 from bitterntiller.core.interfaces import Metrics
 from bitterntiller.core.listener import Listener
@@ -66,8 +67,14 @@
             self._metrics.count(const.METRIC_CONNECTIONS_REFUSED)
             await _async_turn_away(sock)
             return
-        self.connections += 1
         limits = self._limits
+        # A caller may stop reading for as long as a writing may wait, and somewhat
+        # longer while all it has not read fits into the kernel.
+        try:
+            notice_silence(sock, max(1, int(limits.write_timeout)) * 2)
+        except OSError:
+            return
+        self.connections += 1
         connection = ServerConnection(sock, limits.head_bytes, limits.write_timeout)
         try:
             await self._async_requests(connection)
--- a/bitterntiller/core/dialling.py
+++ b/bitterntiller/core/dialling.py
@@ -7,6 +7,10 @@
 from curio import socket
 
 
+MOST_PROBES = 127
+LONGEST_IDLE = 32767
+
+
 async def async_connect(ip: str, port: int, timeout: float) -> Any:
     """Return a connected socket.
 
@@ -39,8 +43,10 @@
     stand open for a quarter of an hour, and after a partition the kernel may wait two
     minutes before it tries again; what is sent meanwhile seems to leave.
     """
+    probes = min(max(1, seconds // 2), MOST_PROBES)
+    idle = min(max(1, seconds - probes), LONGEST_IDLE)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, max(1, seconds // 2))
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, idle)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, max(1, seconds // 2))
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, probes)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, seconds * 1000)
--- a/tests/components/http/test_server.py
+++ b/tests/components/http/test_server.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 import curio
+from curio import socket
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -137,3 +138,27 @@
             return await async_send(port, GET)
 
     assert curio.run(async_main).startswith(OK)
+
+
+def test_caller_whose_host_is_gone_is_noticed():
+    """An engine works for a quarter of an hour on answers that nobody can get.
+
+    Callers' hosts lose their network and send no reset. Their connections stand
+    open, and a request that waits or streams slowly goes on. Loopback can't lose
+    packets, so this looks at what the kernel was told.
+    """
+    found = []
+
+    async def async_look(exchange: Any) -> None:
+        sock = exchange.connection.sock
+        found.append(sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE))
+        found.append(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT))
+        await async_ok(exchange)
+
+    assert OK in ask(GET, async_look)
+    assert found == [1, 2000]
+
+
+def test_write_timeout_of_days_keeps_the_server_serving():
+    """The kernel takes at most 127 probes; more would fail every connection."""
+    assert OK in ask(GET, write_timeout=200_000.0)
