--- a/bench/system.py
+++ b/bench/system.py
@@ -9,6 +9,7 @@
 import platform
 import tempfile
 import time
+from collections import Counter
 from collections.abc import Callable
 from contextlib import ExitStack
 from dataclasses import dataclass
@@ -18,7 +19,7 @@
 import cappa
 import curio
 
-from bench.chaos import Chaos
+from bench.chaos import Chaos, describe
 from bench.client import Request, Result, async_each, async_request
 from bench.setup import (
     Sizes,
@@ -28,6 +29,7 @@
     resident_kb,
     start_deployment,
 )
+from bitterntiller.components.settings.models import Timings
 from tests.scenarios.deployment import Deployment
 
 TIMEOUT_S = 120.0
@@ -109,7 +111,7 @@
             "entry_cpu": round(cpu / wall, 3),
             "chunks_per_cpu_s": round(chunks / cpu),
             "times_need_on_one_core": round(chunks / cpu / NEED_TOKENS_S, 2),
-            "cut_or_refused": sum(r.cut or r.status != 200 for r in results),
+            "heard": Counter(describe(result) for result in results),
         }
 
 
@@ -197,7 +199,9 @@
         else:
             folder = system.keep
             folder.mkdir(parents=True, exist_ok=True)
-        deployment = stack.enter_context(Deployment(folder))
+        # The product's own timings, not the short ones of the scenarios.
+        timings = Timings()._asdict()
+        deployment = stack.enter_context(Deployment(folder, **timings))
         begun = time.perf_counter()
         figures = system.command.run(deployment)
         figures["seconds"] = round(time.perf_counter() - begun, 1)
