--- a/bitterntiller/components/node/coordinator.py
+++ b/bitterntiller/components/node/coordinator.py
@@ -1,15 +1,21 @@
 """The session of a process with control."""
 
+import random
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 import curio
 from absl import logging
 
 from bitterntiller.components.node.client import ControlClient
-from bitterntiller.components.node.configuration import NodeConfig, ParseConfig
+from bitterntiller.components.node.configuration import (
+    NodeConfig,
+    ParseConfig,
+    Prepared,
+)
 from bitterntiller.components.node.const import (
     ATTEMPTS_PER_LEASE,
+    MAX_RETRY_PAUSE,
     RETRY_PAUSE,
     STATUS_GRANTED,
 )
@@ -24,6 +30,13 @@
 """Called after a change; never awaits."""
 
 
+class _Preparation(NamedTuple):
+    """usable is False when the node can't work under the configuration."""
+
+    usable: bool
+    prepared: Prepared | None
+
+
 class NodeCoordinator:
     """Sends heartbeats and holds what comes back: lease, configuration, directory.
 
@@ -95,12 +108,19 @@
 
     async def async_run(self) -> None:
         """Send heartbeats for ever."""
+        failures = 0
         while True:
             began = self._clock.now()
             granted = await self.async_beat()
             self._note_lease()
-            pause = began + self._period - self._clock.now() if granted else RETRY_PAUSE
-            await curio.sleep(max(pause, 0))
+            failures = 0 if granted else failures + 1
+            await curio.sleep(self._pause(began, failures))
+
+    def _pause(self, began: float, failures: int) -> float:
+        if failures:
+            pause = min(RETRY_PAUSE * failures, MAX_RETRY_PAUSE)
+            return random.uniform(pause / 2, pause)
+        return max(began + self._period - self._clock.now(), 0.0)
 
     async def async_beat(self) -> bool:
         """Send one heartbeat; tell whether the lease was extended by it."""
@@ -111,7 +131,10 @@
         if reply is None or reply.status != STATUS_GRANTED:
             self._runtime.metrics.count("node.heartbeat.failed")
             return False
-        return self.take_reply(reply, sent_at)
+        if not self.config.is_large(reply):
+            return self.take_reply(reply, sent_at)
+        prepared = await curio.run_in_thread(self._prepare, reply)
+        return self._take_prepared(reply, sent_at, prepared)
 
     def make_heartbeat(self) -> Any:
         """Return the messages.Heartbeat of now."""
@@ -135,18 +158,28 @@
         extended though the configuration can't be applied, this node would go
         on under an old one for as long as control is reached.
         """
+        return self._take_prepared(reply, sent_at, self._prepare(reply))
+
+    def _prepare(self, reply: Any) -> _Preparation:
+        """Parse the configuration of a reply; may run in a thread."""
         try:
-            config_changed = self.config.apply(reply)
+            return _Preparation(True, self.config.prepare(reply))
         except ConfigGapError as error:
             logging.warning("asking for the whole configuration: %s", error)
             self._want_whole = True
-            return False
         except (CodedError, ValueError) as error:
             logging.error(
                 "configuration %d not usable: %s", reply.config_version, error
             )
             self._runtime.metrics.count("node.config.unusable")
+        return _Preparation(False, None)
+
+    def _take_prepared(
+        self, reply: Any, sent_at: float, preparation: _Preparation
+    ) -> bool:
+        if not preparation.usable:
             return False
+        config_changed = self.config.put(preparation.prepared)
         self._want_whole = False
         self._period = (reply.next_ms or 0) / 1000 or self._timings.heartbeat
         self.lease.extend(sent_at, reply.lease_ms)
