--- /dev/null
+++ b/tests/components/dispatch/test_ledger.py
@@ -0,0 +1,47 @@
+"""Late load reports and the account of outstanding prefill."""
+
+from bitterntiller.components.dispatch.jobs import Job
+from bitterntiller.components.dispatch.ledger import Ledger
+from bitterntiller.components.dispatch.models import UpstreamLoad
+from bitterntiller.components.dispatch.speed import EngineSpeed, PoolSpeed
+
+from .builders import request
+
+
+def filled(count, at):
+    ledger = Ledger()
+    for number in range(count):
+        ledger.add(Job(request(f"r{number}"), number, at), prefilled=False, now=at)
+    return ledger
+
+
+def test_a_late_report_of_own_work_is_not_counted_twice():
+    """A report is measured while three own requests run and comes 5 s later.
+
+    If it were added to the ledger, an upstream would look twice as full as it
+    is, and get too little work. By the time it comes, one request has ended.
+    """
+    ledger = filled(3, at=10.0)
+    ledger.remove(ledger.jobs_by_id["r0"], 14.0)
+    ledger.fold(UpstreamLoad(running=3, waiting=0, kv_tokens=0, measured_at=12.0), 17.0)
+    assert ledger.foreign == 0.0
+
+
+def test_what_a_report_has_beyond_own_work_is_foreign():
+    ledger = filled(3, at=10.0)
+    for _ in range(8):
+        ledger.fold(UpstreamLoad(5, 2, 0, measured_at=12.0), 13.0)
+    assert 3.9 < ledger.foreign <= 4.0
+
+
+def test_a_report_from_before_the_ledger_began_says_nothing():
+    ledger = filled(1, at=10.0)
+    ledger.fold(UpstreamLoad(9, 0, 0, measured_at=9.0), 12.0)
+    assert ledger.foreign == 0.0
+
+
+def test_a_prefill_that_hangs_does_not_look_done():
+    ledger = filled(1, at=10.0)
+    speed = EngineSpeed(PoolSpeed())
+    assert ledger.backlog(speed, 10.0) < 1.0
+    assert ledger.backlog(speed, 40.0) >= 3.0
