--- a/bitterntiller/components/dispatch/choice.py
+++ b/bitterntiller/components/dispatch/choice.py
@@ -15,7 +15,7 @@
 from bitterntiller.components.dispatch.models import PolicyParameters
 from bitterntiller.components.dispatch.pool import Pool
 from bitterntiller.components.dispatch.prefix import prefix_tokens
-from bitterntiller.components.dispatch.speed import LONG
+from bitterntiller.components.dispatch.speed import LONG, SHORT
 from bitterntiller.components.dispatch.upstreams import Upstream, View
 
 NEVER = float("inf")
@@ -64,17 +64,14 @@
         budget = job.request.deadline - now
         best: Choice | None = None
         best_score = NEVER
-        fastest: Upstream | None = None
-        fastest_total = NEVER
         open_for_it = False
+        candidates = self._candidates(job, view)
         long_blocked = job.kind == LONG and self._long_prefills(view)
-        for upstream in self._candidates(job, view):
-            cached, alone, total = self._estimate(job, upstream, now)
-            if alone < fastest_total and upstream.health.allowed(0, now):
-                fastest, fastest_total = upstream, alone
+        for upstream in candidates:
             if long_blocked or not self._open(job, upstream, now):
                 continue
             open_for_it = True
+            cached, _, total = self._estimate(job, upstream, now)
             if total * (1.0 + parameters.margin * upstream.speed.deviation) > budget:
                 continue
             score = self._score(job, upstream, cached, total)
@@ -83,8 +80,28 @@
                 best = Choice(Verdict.CHOSEN, upstream, cached, total)
         if best is not None:
             return best
-        if fastest_total > budget and self.best_case(job, view, now) > budget:
-            return self.probe(job, view, now) or Choice(Verdict.LATE)
+        return self._why_none(job, view, candidates, open_for_it, now)
+
+    def _why_none(
+        self,
+        job: Job,
+        view: View,
+        candidates: list[Upstream],
+        open_for_it: bool,
+        now: float,
+    ) -> Choice:
+        """Tell a request without an upstream what there is to wait for."""
+        budget = job.request.deadline - now
+        fastest: Upstream | None = None
+        fastest_seconds = NEVER
+        for upstream in candidates:
+            _, alone, _ = self._estimate(job, upstream, now)
+            if alone < fastest_seconds and upstream.health.allowed(0, now):
+                fastest, fastest_seconds = upstream, alone
+        if fastest is not None and fastest_seconds > budget:
+            all_seen = len(view.members) <= SCAN_ALL_UP_TO
+            if all_seen or self.best_case(job, view, now) > budget:
+                return self.probe(job, view, now) or Choice(Verdict.LATE)
         if not open_for_it:
             return Choice(Verdict.BLOCKED, fastest)
         return Choice(Verdict.WAIT, fastest)
@@ -98,26 +115,17 @@
         return None
 
     def best_case(self, job: Job, view: View, now: float) -> float:
-        """Return the least expected seconds of service if nothing else waited."""
-        if len(view.members) > SCAN_ALL_UP_TO:
-            return self._best_case_of_many(job, view, now)
-        totals = (
-            self._estimate(job, upstream, now)[1]
-            for upstream in self._candidates(job, view)
-        )
-        return min(totals, default=0.0)
-
-    def _best_case_of_many(self, job: Job, view: View, now: float) -> float:
-        """Return a lower bound from the best of each speed in a large pool.
+        """Return a lower bound of the seconds of service if nothing else waited.
 
-        A few upstreams drawn at random would not do here: a request would be
-        refused as late because its draw missed the upstream that is in time.
+        It joins the best prefill and the best decoding of any upstream, found
+        anew a few times a second, so that it costs the same in any pool. A few
+        upstreams drawn at random would not do: a request would be refused as
+        late because its draw missed the upstream that is in time.
         """
+        if not len(view.members):
+            return 0.0
         if now - view.best_at > HOUSEKEEPING_SECONDS:
-            view.best_at = now
-            speeds = [self._pool.upstreams_by_name[n].speed for n in view.members]
-            view.best_prefill = min(s.prefill_seconds(1000, job.kind) for s in speeds)
-            view.best_decode = min(s.best_decode_seconds(1000) for s in speeds)
+            self._find_best(view, now)
         level, _ = self._pool.index.longest(job.request.prefix_hashes)
         tokens = job.request.prompt_tokens
         if level >= 0:
@@ -125,7 +133,17 @@
         seconds = view.best_prefill * tokens + view.best_decode * job.expected_output
         return seconds / 1000
 
-    def _candidates(self, job: Job, view: View) -> Iterable[Upstream]:
+    def _find_best(self, view: View, now: float) -> None:
+        view.best_at = now
+        speeds = [self._pool.upstreams_by_name[name].speed for name in view.members]
+        view.best_prefill = min(
+            speed.prefill_seconds(1000, kind)
+            for speed in speeds
+            for kind in (SHORT, LONG)
+        )
+        view.best_decode = min(speed.best_decode_seconds(1000) for speed in speeds)
+
+    def _candidates(self, job: Job, view: View) -> list[Upstream]:
         upstreams_by_name = self._pool.upstreams_by_name
         tried = job.request.tried
         if len(view.members) <= SCAN_ALL_UP_TO:
