--- a/tests/components/replication/explorer.py
+++ b/tests/components/replication/explorer.py
@@ -8,7 +8,6 @@
 import random
 import zlib
 from dataclasses import dataclass, field
-from typing import NamedTuple
 
 from bitterntiller.components.replication import repair
 from bitterntiller.components.replication.const import EntryKind
@@ -25,92 +24,12 @@
 from bitterntiller.components.replication.records import Replay
 from bitterntiller.components.replication.state import Role, initial
 
+from .checker import Checker, StuckError, ViolationError
+from .profiles import FAULTS, MIXED, WEIGHTS, Profile
+
 WAITS_FOR_ALL = 1e9
 TUNING = Tuning(trailing=2)
 
-WEIGHTS = {
-    "deliver": 500,
-    "pass_time": 180,
-    "sync": 200,
-    "propose": 50,
-    "read": 12,
-    "restart": 14,
-    "heal": 10,
-    "thaw": 12,
-    "crash": 8,
-    "depose": 8,
-    "cut": 6,
-    "freeze": 4,
-    "snapshot": 6,
-    "lose_disk": 1,
-    "old_copy": 3,
-    "resize": 4,
-}
-FAULTS = tuple(WEIGHTS)[8:]
-
-
-class Profile(NamedTuple):
-    """A kind of schedule: some faults made frequent, others left out.
-
-    first hosts are voters at the start; grace is how long a replica waits for
-    the answers of all other voters; batch is the most entries in a message.
-    """
-
-    weights: dict[str, int] = {}
-    faults: tuple[str, ...] = FAULTS
-    hosts: str = "abcd"
-    first: int = 3
-    grace: float = 0.5
-    batch: int = 3
-    steps: int = 2500
-
-
-MIXED = Profile()
-CRASHES = Profile(
-    {"crash": 60, "restart": 60, "depose": 10, "cut": 6, "propose": 90, "sync": 120},
-    ("crash", "depose", "cut"),
-    "abc",
-    grace=0.0,
-)
-DEPOSED = Profile(
-    {"depose": 50, "heal": 40, "restart": 60, "thaw": 40, "propose": 90, "cut": 20},
-    ("depose", "cut"),
-    "abc",
-    batch=1,
-)
-COPIES = Profile(
-    {"old_copy": 40, "depose": 20, "cut": 20, "heal": 20, "propose": 90},
-    ("old_copy", "depose", "cut"),
-    "abc",
-    batch=1,
-)
-LOSSES = Profile(
-    {"lose_disk": 20, "depose": 20, "cut": 20, "heal": 20, "propose": 90},
-    ("lose_disk", "depose", "cut"),
-    "abc",
-    batch=1,
-)
-CHANGES = Profile(
-    {"resize": 90, "depose": 30, "heal": 20, "thaw": 20, "restart": 40, "cut": 10},
-    ("resize", "depose", "cut"),
-    first=4,
-    batch=1,
-)
-SNAPSHOTS = Profile(
-    {"snapshot": 60, "depose": 20, "freeze": 10, "cut": 20, "propose": 120},
-    ("snapshot", "depose", "cut", "freeze", "crash"),
-    "abc",
-)
-PROFILES = (MIXED, CRASHES, DEPOSED, COPIES, LOSSES, CHANGES, SNAPSHOTS)
-
-
-class ViolationError(AssertionError):
-    """Raised when a promise of the log is broken."""
-
-
-class StuckError(ViolationError):
-    """Raised when nothing is committed after all faults have ended."""
-
 
 @dataclass
 class Node:
@@ -137,11 +56,7 @@
         self.calm = False
         self.lateness = self.rng.choice((0.0, 0.2, 0.8))
         self.fragile = self.copied = ""
-        self.leader_by_term: dict[int, str] = {}
-        self.entry_by_place: dict[tuple[int, int], tuple[Entry, int]] = {}
-        self.committed: dict[int, Entry] = {}
-        self.term_of_commit: dict[int, int] = {}
-        self.chain_by_index: dict[int, int] = {0: 0}
+        self.checker = Checker()
         self.asked: dict[int, int] = {}
         self.tokens = 0
         members = tuple(self.member(h, True) for h in hosts[:first])
@@ -240,7 +155,7 @@
     def read(self) -> None:
         for node in self.leaders():
             self.tokens += 1
-            self.asked[self.tokens] = max(self.committed, default=0)
+            self.asked[self.tokens] = self.checker.last_committed()
             node.replica.ask_read(self.tokens)
             self.after(node)
 
@@ -394,54 +309,18 @@
             if effects.restore.index < node.applied:
                 raise ViolationError("the state went back to an older snapshot")
             node.applied, node.chain = effects.restore.index, int(effects.restore.data)
-            self._check_chain(node)
+            self.checker.chain(node)
         for entry in effects.committed:
             if entry.index != node.applied + 1:
                 raise ViolationError(f"{entry.index} applied after {node.applied}")
             node.applied = entry.index
             node.chain = zlib.crc32(repr(entry).encode(), node.chain)
-            self._check_chain(node)
+            self.checker.chain(node)
         for outcome in effects.reads:
             asked = self.asked.pop(outcome.token)
             if outcome.index is not None and outcome.index < asked:
                 raise ViolationError(f"read {outcome.index} after {asked} committed")
-        self.check(node)
-
-    # Checks.
-
-    def _check_chain(self, node: Node) -> None:
-        known = self.chain_by_index.setdefault(node.applied, node.chain)
-        if known != node.chain:
-            raise ViolationError(f"two states after entry {node.applied}")
-
-    def check(self, node: Node) -> None:
-        state = node.replica.state
-        log = state.log
-        if state.role is Role.LEADER:
-            leader = self.leader_by_term.setdefault(state.term, state.replica)
-            if leader != state.replica:
-                raise ViolationError(f"two leaders in term {state.term}")
-            self._check_complete(state)
-        for place, entry in enumerate(log.slice(log.base_index + 1, log.last_index)):
-            if entry.index != log.base_index + 1 + place:
-                raise ViolationError(f"entry {entry.index} is out of place")
-            pair = (entry, log.term_at(entry.index - 1))
-            if self.entry_by_place.setdefault(entry[:2], pair) != pair:
-                raise ViolationError(f"logs differ before {entry[:2]}")
-        if state.commit > log.last_index:
-            raise ViolationError(f"{state.commit} is committed but missing")
-        for entry in log.slice(node.checked + 1, state.commit):
-            self.term_of_commit.setdefault(entry.index, state.term)
-            if self.committed.setdefault(entry.index, entry) != entry:
-                raise ViolationError(f"committed entry {entry.index} changed")
-        node.checked = state.commit
-
-    def _check_complete(self, state) -> None:
-        for index in range(max(self.committed, default=0), state.log.base_index, -1):
-            if self.term_of_commit[index] >= state.term:
-                continue
-            if state.log.term_at(index) != self.committed[index].term:
-                raise ViolationError(f"a leader lacks committed entry {index}")
+        self.checker.check(node)
 
     def settle(self) -> None:
         """End all faults; raise unless a new entry is committed soon."""
@@ -449,11 +328,11 @@
         self.cuts.clear()
         self.thaw()
         self.restart()
-        before = max(self.committed, default=0)
+        before = self.checker.last_committed()
         calm = {"deliver": 620, "pass_time": 100, "sync": 200, "propose": 10}
         for action in self.rng.choices(list(calm), list(calm.values()), k=30000):
             getattr(self, action)()
-            if max(self.committed, default=0) > before + 3 and not self.fragile:
+            if self.checker.last_committed() > before + 3 and not self.fragile:
                 return
         raise StuckError("no entry is committed although all are connected")
 
--- a/tests/components/replication/mutations.py
+++ b/tests/components/replication/mutations.py
@@ -19,7 +19,7 @@
 )
 from bitterntiller.components.replication.state import Outgoing, Role, State
 
-from . import explorer
+from . import explorer, profiles
 
 
 def _unsynced(patch, cls):
@@ -166,21 +166,21 @@
     """Which kind of schedule finds a broken guard, from which seed on."""
 
     mutation: Callable
-    profile: explorer.Profile
+    profile: profiles.Profile
     seed: int
 
 
 FOUND_BY_CHANCE = (
-    Caught(no_term_check, explorer.DEPOSED, 19),
-    Caught(two_votes_in_a_term, explorer.MIXED, 1),
-    Caught(votes_for_any_log, explorer.MIXED, 0),
-    Caught(half_is_a_quorum, explorer.MIXED, 0),
-    Caught(no_check_of_previous_entry, explorer.MIXED, 0),
-    Caught(late_append_cuts_the_log, explorer.MIXED, 1),
-    Caught(commits_beyond_what_was_compared, explorer.MIXED, 16),
-    Caught(installs_stale_snapshots, explorer.SNAPSHOTS, 110),
-    Caught(changes_members_while_one_is_open, explorer.CHANGES, 24),
-    Caught(reads_without_a_round, explorer.MIXED, 0),
-    Caught(old_identity_votes, explorer.COPIES, 6),
-    Caught(old_identity_is_not_recognized_nor_caught_up, explorer.COPIES, 10),
+    Caught(no_term_check, profiles.DEPOSED, 19),
+    Caught(two_votes_in_a_term, profiles.MIXED, 1),
+    Caught(votes_for_any_log, profiles.MIXED, 0),
+    Caught(half_is_a_quorum, profiles.MIXED, 0),
+    Caught(no_check_of_previous_entry, profiles.MIXED, 0),
+    Caught(late_append_cuts_the_log, profiles.MIXED, 1),
+    Caught(commits_beyond_what_was_compared, profiles.MIXED, 16),
+    Caught(installs_stale_snapshots, profiles.SNAPSHOTS, 110),
+    Caught(changes_members_while_one_is_open, profiles.CHANGES, 24),
+    Caught(reads_without_a_round, profiles.MIXED, 0),
+    Caught(old_identity_votes, profiles.COPIES, 6),
+    Caught(old_identity_is_not_recognized_nor_caught_up, profiles.COPIES, 10),
 )
--- /dev/null
+++ b/tests/components/replication/profiles.py
@@ -0,0 +1,78 @@
+"""Kinds of schedules: which faults happen, and how often."""
+
+from typing import NamedTuple
+
+WEIGHTS = {
+    "deliver": 500,
+    "pass_time": 180,
+    "sync": 200,
+    "propose": 50,
+    "read": 12,
+    "restart": 14,
+    "heal": 10,
+    "thaw": 12,
+    "crash": 8,
+    "depose": 8,
+    "cut": 6,
+    "freeze": 4,
+    "snapshot": 6,
+    "lose_disk": 1,
+    "old_copy": 3,
+    "resize": 4,
+}
+FAULTS = tuple(WEIGHTS)[8:]
+
+
+class Profile(NamedTuple):
+    """A kind of schedule: some faults made frequent, others left out.
+
+    first hosts are voters at the start; grace is how long a replica waits for
+    the answers of all other voters; batch is the most entries in a message.
+    """
+
+    weights: dict[str, int] = {}
+    faults: tuple[str, ...] = FAULTS
+    hosts: str = "abcd"
+    first: int = 3
+    grace: float = 0.5
+    batch: int = 3
+    steps: int = 2500
+
+
+MIXED = Profile()
+CRASHES = Profile(
+    {"crash": 60, "restart": 60, "depose": 10, "cut": 6, "propose": 90, "sync": 120},
+    ("crash", "depose", "cut"),
+    "abc",
+    grace=0.0,
+)
+DEPOSED = Profile(
+    {"depose": 50, "heal": 40, "restart": 60, "thaw": 40, "propose": 90, "cut": 20},
+    ("depose", "cut"),
+    "abc",
+    batch=1,
+)
+COPIES = Profile(
+    {"old_copy": 40, "depose": 20, "cut": 20, "heal": 20, "propose": 90},
+    ("old_copy", "depose", "cut"),
+    "abc",
+    batch=1,
+)
+LOSSES = Profile(
+    {"lose_disk": 20, "depose": 20, "cut": 20, "heal": 20, "propose": 90},
+    ("lose_disk", "depose", "cut"),
+    "abc",
+    batch=1,
+)
+CHANGES = Profile(
+    {"resize": 90, "depose": 30, "heal": 20, "thaw": 20, "restart": 40, "cut": 10},
+    ("resize", "depose", "cut"),
+    first=4,
+    batch=1,
+)
+SNAPSHOTS = Profile(
+    {"snapshot": 60, "depose": 20, "freeze": 10, "cut": 20, "propose": 120},
+    ("snapshot", "depose", "cut", "freeze", "crash"),
+    "abc",
+)
+PROFILES = (MIXED, CRASHES, DEPOSED, COPIES, LOSSES, CHANGES, SNAPSHOTS)
--- a/tests/components/replication/script.py
+++ b/tests/components/replication/script.py
@@ -4,7 +4,8 @@
 
 from bitterntiller.components.replication.state import Role
 
-from .explorer import Node, Profile, World
+from .explorer import Node, World
+from .profiles import Profile
 
 
 def world_of(hosts: str) -> World:
--- a/tests/components/replication/test_directed.py
+++ b/tests/components/replication/test_directed.py
@@ -3,7 +3,8 @@
 import pytest
 
 from . import mutations
-from .explorer import ViolationError, World
+from .checker import ViolationError
+from .explorer import World
 from .script import drain, elect, settle, tick, world_of
 
 
--- a/tests/components/replication/test_explorer.py
+++ b/tests/components/replication/test_explorer.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from . import explorer, mutations
+from . import checker, explorer, mutations, profiles
 
 SCHEDULES = int(os.environ.get("BITTERN_SCHEDULES", "12"))
 """Schedules of each profile; thousands are run by hand."""
@@ -12,7 +12,7 @@
 SEARCHED = 120
 
 
-@pytest.mark.parametrize("profile", explorer.PROFILES)
+@pytest.mark.parametrize("profile", profiles.PROFILES)
 def test_promises_hold_in_random_schedules(profile):
     """Accepted changes vanish, or two leaders answer, after faults in bad order.
 
@@ -32,8 +32,8 @@
     for seed in range(caught.seed, caught.seed + SEARCHED):
         try:
             explorer.explore(seed, caught.profile)
-        except explorer.StuckError:
+        except checker.StuckError:
             continue
-        except explorer.ViolationError:
+        except checker.ViolationError:
             return
     pytest.fail("no schedule shows that the guard is missing")
