Let a host that has moved tell the leader its new address

A member that already knew itself never asked again, so a host that came back with another IP number would have been out of reach until its disk was emptied. Found by reading, not by a failure.

--- a/bitterntiller/components/replication/joiner.py
+++ b/bitterntiller/components/replication/joiner.py
@@ -17,7 +17,7 @@
 
 
 class Joiner:
-    """Joining as long as this replica is in no membership that it knows.
+    """Joining as long as no membership known here has this replica and its address.
 
     address_by_replica holds who has answered, so that an empty learner can
     reply to its leader.
@@ -49,7 +49,7 @@
     async def async_run(self) -> None:
         """Ask until taken in, also after this identity has been given up."""
         while True:
-            if joining.needs_joining(self._replica().state):
+            if joining.needs_joining(self._replica().state, self._own().address):
                 await self._async_ask()
             await curio.sleep(JOIN_PERIOD)
 
--- a/bitterntiller/components/replication/joining.py
+++ b/bitterntiller/components/replication/joining.py
@@ -40,9 +40,10 @@
     return state.log.last_index == 0 and not state.members.index
 
 
-def needs_joining(state: State) -> bool:
-    """Tell whether this replica must still ask to be taken in."""
-    return find(state.members, state.replica) is None
+def needs_joining(state: State, address: str) -> bool:
+    """Tell whether this replica is unknown, or known under another address."""
+    member = find(state.members, state.replica)
+    return member is None or member.address != address
 
 
 def first_members(
--- a/tests/components/replication/test_joining.py
+++ b/tests/components/replication/test_joining.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bitterntiller.components.replication import joining
+from bitterntiller.components.replication import joining, repair
 from bitterntiller.components.replication.core import Replica
 from bitterntiller.components.replication.members import encode_members
 from bitterntiller.components.replication.models import Member, Tuning
@@ -64,3 +64,13 @@
     assert joining.answer(first, OWN, join, 100.0).status == "formed"
     lost = messages.Join("b/2", "b", "y", True)
     assert joining.answer(first, OWN, lost, 100.0).status == "exists"
+
+
+def test_a_moved_host_tells_its_new_address(rng):
+    """A host gets another IP number and is never reached again."""
+    host = replica("a/1", rng)
+    host.form([Member("a/1", "a", "old", True)])
+    assert not joining.needs_joining(host.state, "old")
+    assert joining.needs_joining(host.state, "new")
+    moved = repair.joined(host.state.members, "a/1", "a", "new")
+    assert moved == (Member("a/1", "a", "new", True),)
