--- a/bitterntiller/components/replication/joining.py
+++ b/bitterntiller/components/replication/joining.py
@@ -24,6 +24,7 @@
 from .members import decode_members, find
 from .models import Member
 from .repair import joined
+from .returning import doubt
 from .state import Role, State
 
 
@@ -74,6 +75,18 @@
     return None
 
 
+def hear_empty(state: State, replica: str) -> None:
+    """Take note, as a leader, that a follower's log is empty.
+
+    An old copy of a folder may be one from before the first entry; it knows no
+    voters to ask about itself. A newcomer that is being sent a snapshot holds
+    nothing yet either, and must not be made to begin again.
+    """
+    progress = state.progress_by_replica.get(replica)
+    if progress is not None and progress.match:
+        doubt(state, replica)
+
+
 def answer(replica: Replica, own: Own, join: Any, now: float) -> Any:
     """Return the JoinReply to a host that asks to be taken in."""
     state = replica.state
@@ -89,6 +102,8 @@
         status = STATUS_NOT_LEADER if address else JOIN_EXISTS
         return messages.JoinReply(status, address, *own)
     present = find(state.members, join.replica)
+    if join.fresh:
+        hear_empty(state, join.replica)
     if present is not None and present.address == join.address:
         return messages.JoinReply(JOIN_ACCEPTED, own.address, *own)
     after = joined(state.members, join.replica, join.host, join.address)
--- a/bitterntiller/components/replication/returning.py
+++ b/bitterntiller/components/replication/returning.py
@@ -74,12 +74,7 @@
     verdict = identity.judge(message, mark, state.members, state.commit)
     if verdict == VERDICT_FINE:
         state.note_mark(replica, mark._replace(boot=message.boot), due=True)
-    progress = state.progress_by_replica.get(replica)
-    if progress is not None:
-        progress.counted = False
-        progress.snapshot = None
-        progress.match = 0
-        progress.probe()
+    doubt(state, replica)
     reply = ReturnCheckReply(
         state.term,
         state.replica,
@@ -94,6 +89,21 @@
     state.hold(replica, reply)
 
 
+def doubt(state: State, replica: str) -> None:
+    """Forget as a leader what a follower held, until it has answered anew.
+
+    A folder that went back in time holds less than was acknowledged. Were the
+    index kept, the leader would offer only later entries for ever.
+    """
+    progress = state.progress_by_replica.get(replica)
+    if progress is None:
+        return
+    progress.counted = False
+    progress.snapshot = None
+    progress.match = 0
+    progress.probe()
+
+
 def on_check_reply(state: State, message: ReturnCheckReply, now: float) -> None:
     """Note an answer; a verdict against this identity ends its use."""
     if message.asked_boot != state.hard.boot:
--- a/tests/components/replication/explorer.py
+++ b/tests/components/replication/explorer.py
@@ -9,7 +9,7 @@
 import zlib
 from dataclasses import dataclass, field
 
-from bitterntiller.components.replication import repair
+from bitterntiller.components.replication import joining, repair
 from bitterntiller.components.replication.const import EntryKind
 from bitterntiller.components.replication.core import Replica
 from bitterntiller.components.replication.errors import SafetyError
@@ -268,6 +268,8 @@
         if state.members.index > state.commit:
             return
         for other in self.nodes.values():
+            if other.replica and joining.is_empty(other.replica.state):
+                joining.hear_empty(state, other.disk.replica)
             if other.replica and not find(state.members, other.disk.replica):
                 new = repair.joined(
                     state.members, other.disk.replica, *[other.host] * 2
--- a/tests/components/replication/test_joining.py
+++ b/tests/components/replication/test_joining.py
@@ -66,6 +66,28 @@
     assert joining.answer(first, OWN, lost, 100.0).status == "exists"
 
 
+def test_an_empty_old_copy_is_sent_the_log_from_its_start(rng):
+    """A host never comes back after a copy of its still empty folder is put back.
+
+    The leader remembers what it had acknowledged and offers only later entries. A
+    newcomer's snapshot, which takes long, is not begun again.
+    """
+    leader = replica("a/1", rng)
+    leader.form([Member("a/1", "a", "x", True)])
+    for now in (101.0, 102.0, 103.0, 103.1):
+        leader.tick(now)
+        if write := leader.take(now).persist:
+            leader.persisted(write.number, now)
+    joining.answer(leader, OWN, messages.Join("d/1", "d", "y", True), 103.1)
+    progress = leader.state.progress_by_replica["d/1"]
+    progress.acknowledged(2)
+    joining.answer(leader, OWN, messages.Join("d/1", "d", "y", True), 103.2)
+    assert progress.match == 0
+    progress.begin_snapshot(object())
+    joining.answer(leader, OWN, messages.Join("d/1", "d", "y", True), 103.2)
+    assert progress.snapshot
+
+
 def test_a_moved_host_tells_its_new_address(rng):
     """A host gets another IP number and is never reached again."""
     host = replica("a/1", rng)
