--- a/bitterntiller/components/dispatch/choice.py
+++ b/bitterntiller/components/dispatch/choice.py
@@ -8,6 +8,7 @@
 
 from bitterntiller.components.dispatch.const import (
     HOUSEKEEPING_SECONDS,
+    KIND_PLAIN,
     PREFIX_CANDIDATES,
     SCAN_ALL_UP_TO,
 )
@@ -210,8 +211,11 @@
 
         Running work is never displaced. If the lowest tier could fill every
         slot, a burst of the highest would wait for seconds until some of it
-        ends, with nothing left to shed.
+        ends, with nothing left to shed. Calls of plain services are short, and
+        a part of their few slots costs more than it gives.
         """
+        if self._parameters.kind == KIND_PLAIN:
+            return 1.0
         above = self._pool.tiers_above(job.rank)
         return 1.0 - self._parameters.headroom * above
 
