Keep the ports of scenarios reserved against other runs of the tests

A host found its port in use although ports are drawn below the range of outgoing connections: another run of the same tests had drawn it between the drawing and the listening.

--- a/tests/scenarios/processes.py
+++ b/tests/scenarios/processes.py
@@ -14,25 +14,27 @@
 PORTS = (12_000, 32_000)
 
 _RANDOM = random.SystemRandom()  # not the one that a plugin seeds for each test
-_taken: set[int] = set()
+_reserved: list[socket.socket] = []
 
 
 def free_port() -> int:
-    """Return a loopback port that nothing listens at.
+    """Return a loopback port that nothing has, reserved for as long as this runs.
 
     Ports of the range that the system gives to outgoing connections would be
-    taken by one of those before the process that is told this one listens.
+    taken by one of those before the process that is told this one listens. The
+    socket stays bound, so that another run of the tests can't draw the port; one
+    that reuses addresses, as all servers here do, can still listen at it.
     """
     while True:
         port = _RANDOM.randrange(*PORTS)
-        if port in _taken:
+        sock = socket.socket()
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            sock.close()
             continue
-        with socket.socket() as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        _taken.add(port)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        _reserved.append(sock)
         return port
 
 
