--- a/bench/control_setup.py
+++ b/bench/control_setup.py
@@ -1,5 +1,6 @@
 """Deployments with three replicas of control, for bench.control_system."""
 
+import hashlib
 import json
 import time
 from collections.abc import Callable, Iterable
@@ -177,8 +178,12 @@
     return {"a_second": rate, "at_once": workers, **spread(times), "results": results}
 
 
-def config_bytes(number: int) -> bytes:
-    """Return a configuration that no other number has."""
+def config_bytes(number: int, workspaces: int = 0) -> bytes:
+    """Return a configuration that no other number has, with more workspaces."""
     document = builders.config_document()
+    for count in range(workspaces):
+        token = hashlib.sha256(str(count).encode()).hexdigest()
+        added = {"token_sha256": [token], "tier": "gold", "services": ["llm"]}
+        document["workspaces"][f"w{count}"] = added
     document["tiers"]["gold"]["deadline_ms"] = 10_000 + number
     return json.dumps(document).encode()
--- a/bench/control_system.py
+++ b/bench/control_system.py
@@ -51,10 +51,12 @@
     )
 
 
-def make_change(base: int, number: int) -> Any:
+def make_change(base: int, number: int, workspaces: int = 0) -> Any:
     """Return the message of a change with an id of its own."""
     return messages.Change(
-        change_id=uuid.uuid4().hex, base_version=base, config=config_bytes(number)
+        change_id=uuid.uuid4().hex,
+        base_version=base,
+        config=config_bytes(number, workspaces),
     )
 
 
@@ -298,6 +300,8 @@
     nodes: Annotated[int, cappa.Arg(long=True)] = 9
     seconds: Annotated[float, cappa.Arg(long=True)] = 15.0
     changes_s: Annotated[float, cappa.Arg(long=True)] = 2.0
+    workspaces: Annotated[int, cappa.Arg(long=True)] = 0
+    """Workspaces besides the two that each configuration here has."""
 
     def run(self, deployment: ControlDeployment) -> dict[str, Any]:
         """Read processor time, memory and the links' counters twice."""
@@ -314,7 +318,8 @@
         groups["alone"] = ["alone"]
         idle = self._measure(deployment, groups, lambda: time.sleep(self.seconds))
         changed = self._measure(deployment, groups, lambda: self._change(deployment))
-        return {"nodes": self.nodes, "idle": idle, "under_changes": changed}
+        sizes = {"nodes": self.nodes, "workspaces": self.workspaces + 2}
+        return sizes | {"idle": idle, "under_changes": changed}
 
     def _measure(
         self, deployment: ControlDeployment, groups: dict[str, list[str]], act: Any
@@ -359,7 +364,9 @@
         begun = time.monotonic()
         count = 0
         while (now := time.monotonic()) - begun < self.seconds:
-            reply = await client.async_call_leader(make_change(version, count), 5.0)
+            reply = await client.async_call_leader(
+                make_change(version, count, self.workspaces), 5.0
+            )
             assert reply.status == "accepted", reply
             version = reply.version
             count += 1
