Take over waiting work together, so that no low tier is granted first

Seen failing: with one slot, the bronze request that was told first got it while the gold one waited. Ruled out: registering the highest tier first, which sheds gold before the owner knows the bronze work that it could displace.

--- a/bitterntiller/components/dispatch/models.py
+++ b/bitterntiller/components/dispatch/models.py
@@ -121,6 +121,12 @@
         """Take a request into the queue."""
         ...
 
+    def register_all(
+        self, requests: list[WaitingRequest], now: float
+    ) -> list[Decision]:
+        """Take requests that wait already, before any of them is granted."""
+        ...
+
     def cancel(self, request_id: str, now: float) -> list[Decision]:
         """Forget a request whose caller has gone, waiting or running."""
         ...
--- a/bitterntiller/components/dispatch/owned_pool.py
+++ b/bitterntiller/components/dispatch/owned_pool.py
@@ -76,12 +76,31 @@
         if now < self._settled_at and request_id not in self.tracked_by_id:
             self._held_by_id[request_id] = (message, incarnation)
             return []
+        request = self._track(message, incarnation, now)
+        return self._note(self.scheduler.register(request, now))
+
+    def _track(
+        self, message: messages.Register, incarnation: str, now: float
+    ) -> WaitingRequest:
         request = self._request(message, now)
-        known = self.tracked_by_id.get(request_id)
+        known = self.tracked_by_id.get(request.request_id)
         granted = known is not None and known.granted
         tracked = Tracked(request, incarnation, granted, now)
-        self.tracked_by_id[request_id] = tracked
-        return self._note(self.scheduler.register(request, now))
+        self.tracked_by_id[request.request_id] = tracked
+        return request
+
+    def _take_held(self, now: float) -> list[Decision]:
+        """Take what was held while the epoch settled, all of it together.
+
+        One by one, work of a low tier would be granted or kept before the owner
+        has heard of the higher one that waits as well.
+        """
+        held = list(self._held_by_id.values())
+        self._held_by_id.clear()
+        requests = [
+            self._track(message, incarnation, now) for message, incarnation in held
+        ]
+        return self._note(self.scheduler.register_all(requests, now))
 
     def adopt(
         self, item: messages.RunningItem, incarnation: str, now: float
@@ -171,10 +190,7 @@
         """Do what time alone brings."""
         decisions: list[Decision] = []
         if now >= self._settled_at and self._held_by_id:
-            held = list(self._held_by_id.values())
-            self._held_by_id.clear()
-            for message, incarnation in held:
-                decisions += self.register(message, incarnation, now)
+            decisions = self._take_held(now)
         return self._note(decisions + self.scheduler.tick(now))
 
     def next_wake(self, now: float) -> float:
--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -73,29 +73,47 @@
 
     def register(self, request: WaitingRequest, now: float) -> list[Decision]:
         """Take a request into the queue; a known one stays as it is."""
+        return self.register_all([request], now)
+
+    def register_all(
+        self, requests: list[WaitingRequest], now: float
+    ) -> list[Decision]:
+        """Take requests that wait already, before any of them is granted.
+
+        The lowest tier comes first, so that there is something to displace when
+        a higher one finds no room.
+        """
+        decisions: list[Decision] = []
+        for request in sorted(requests, key=_lowest_tier_first):
+            self._admit(request, now, decisions)
+        self._decide(now, decisions)
+        return decisions
+
+    def _admit(
+        self, request: WaitingRequest, now: float, decisions: list[Decision]
+    ) -> None:
         known = self._jobs_by_id.get(request.request_id)
         if known is not None and known.state is not JobState.LAPSED:
             # The link to the entry host broke and the host registers anew. If
             # the grant was lost with the link, the request would be forgotten
             # when the grant lapses; the mark brings it back into the queue then.
             known.reregistered = True
-            return []
+            return
         if known is not None:
             del self._jobs_by_id[request.request_id]
-        decisions: list[Decision] = []
         job = Job(request, next(self._sequence), now)
         self._size(job)
         job.best_case = self._chooser.best_case(job, self._pool.view(job), now)
         refused = self._refuse_at_entry(job, now)
         if refused is not None:
-            return [refused]
+            decisions.append(refused)
+            return
         self._make_room(job, now, decisions)
-        if not decisions or decisions[-1].request_id != request.request_id:
-            self._jobs_by_id[request.request_id] = job
-            self._admission.note_arrival(job, now)
-            self._enqueue(job, now)
-            self._decide(now, decisions)
-        return decisions
+        if decisions and decisions[-1].request_id == request.request_id:
+            return
+        self._jobs_by_id[request.request_id] = job
+        self._admission.note_arrival(job, now)
+        self._enqueue(job, now)
 
     def cancel(self, request_id: str, now: float) -> list[Decision]:
         """Forget a request whose caller has gone, waiting or running."""
@@ -495,3 +513,7 @@
     def _refusal(job: Job, reason: Reason, retry_after: float) -> Refused:
         request = job.request
         return Refused(request.request_id, request.entry_host, reason, retry_after)
+
+
+def _lowest_tier_first(request: WaitingRequest) -> int:
+    return -request.tier_rank
--- a/tests/components/dispatch/test_owned_pool.py
+++ b/tests/components/dispatch/test_owned_pool.py
@@ -113,3 +113,17 @@
     assert owned.register(build.register("r1"), "i1", T0 + 0.5) == []
     assert owned.tick(T0 + 0.9) == []
     assert granted(owned.tick(T0 + 1.0)) == ["r1"]
+
+
+def test_waiting_work_is_taken_over_together():
+    """After a change of owner the only slot goes to the lowest tier.
+
+    The entry hosts tell a new owner what waits, the bronze request first. Taken
+    one by one it was granted before the owner had heard of the gold one, which
+    then waited behind it, or could be shed while bronze work was not yet known.
+    """
+    owned = pool(settled_at=T0 + 1.0)
+    owned.announce(build.announce("e1", 1), T0)
+    owned.register(build.register("low", tier="bronze"), "i1", T0)
+    owned.register(build.register("high", tier="gold"), "i1", T0)
+    assert granted(owned.tick(T0 + 1.0)) == ["high"]
