--- a/bitterntiller/components/replication/const.py
+++ b/bitterntiller/components/replication/const.py
@@ -34,6 +34,9 @@
 DEFAULT_TRAILING = 1000
 """Entries kept behind a snapshot, for followers that are a little behind."""
 
+DEFAULT_SNAPSHOT_BYTES = 32 * 1024 * 1024
+"""Bytes of applied entries after which the log is cut, however few they are."""
+
 DEFAULT_RETURN_GRACE = 2.0
 """Seconds a returning replica waits for the answers of all other voters."""
 
--- a/bitterntiller/components/replication/coordinator.py
+++ b/bitterntiller/components/replication/coordinator.py
@@ -14,6 +14,7 @@
 
 from . import repair
 from .const import (
+    DEFAULT_SNAPSHOT_BYTES,
     REPAIR_DONE,
     REPAIR_REFUSED,
     REPAIR_RUNNING,
@@ -34,6 +35,8 @@
 
 TICK = 0.03
 
+SNAPSHOT_BYTES = DEFAULT_SNAPSHOT_BYTES
+
 
 class ReplicationCoordinator:
     """A ReplicatedLog whose replica is on this host."""
@@ -55,6 +58,8 @@
         self._write: Persist | None = None
         self._writing = curio.Lock()
         self._applied = 0
+        self._applied_bytes = 0
+        self._snapshot_bytes = 0
         self._led = False
         self._initial = machine.snapshot()
         self.failure: BrokenInvariantError | None = None
@@ -186,6 +191,7 @@
         if entry.kind == EntryKind.COMMAND:
             result = self._machine.apply(entry.index, entry.data)
         self._applied = entry.index
+        self._applied_bytes += len(entry.data)
         await self._waiters.async_applied(entry.index, entry.term, result)
 
     async def _async_note_role(self) -> None:
@@ -200,10 +206,22 @@
             await self._waiters.async_fail()
 
     def _snapshot_if_due(self) -> None:
+        """Cut the log when it has many entries, or many bytes.
+
+        A command can hold a group of claims, so that a log of few entries can be
+        hundreds of megabytes, which show as a start of minutes. A large state is
+        written anew only when as much again has been applied.
+        """
         snapshot = self._replica.state.snapshot
         behind = self._applied - (snapshot.index if snapshot else 0)
-        if behind >= self._runtime.settings.control.snapshot_entries:
-            self._replica.snapshot_taken(self._applied, self._machine.snapshot())
+        entries = self._runtime.settings.control.snapshot_entries
+        size = max(SNAPSHOT_BYTES, self._snapshot_bytes)
+        if not behind or (behind < entries and self._applied_bytes < size):
+            return
+        data = self._machine.snapshot()
+        self._replica.snapshot_taken(self._applied, data)
+        self._applied_bytes = 0
+        self._snapshot_bytes = len(data)
 
     async def _async_writer(self) -> None:
         while True:
--- a/tests/components/replication/test_coordinator.py
+++ b/tests/components/replication/test_coordinator.py
@@ -5,7 +5,7 @@
 
 import curio
 
-from bitterntiller.components.replication import storage
+from bitterntiller.components.replication import coordinator, storage
 from bitterntiller.protocol import messages
 
 from .builders import deployed
@@ -189,3 +189,21 @@
 
     curio.run(run)
     assert os.path.exists(tmp_path / "a" / "replication" / "identity")
+
+
+def test_few_large_entries_are_cut_from_the_log_too(tmp_path, monkeypatch):
+    """A host takes minutes to start: its log holds hundreds of megabytes.
+
+    Claims come in groups, so that ten thousand entries, after which the log is cut,
+    are more than a million claims. The bytes of the log count as well.
+    """
+    monkeypatch.setattr(coordinator, "SNAPSHOT_BYTES", 4000)
+
+    async def run():
+        async with deployed(tmp_path, "a", snapshot_entries=10_000) as deployment:
+            host = await deployment.leader()
+            for _ in range(6):
+                await host.log.async_propose(b"x" * 1000, 2.0)
+            assert host.log.status()["snapshot_index"] > 0
+
+    curio.run(run)
