Learn the time of plain calls by their size

Cause: the owner of a plain pool had one mean for all calls, so exports were kept and tiles refused. After a change of owners it was worse: long calls are over-represented among those that run, a new owner hears of them first, took 10 s for the mean and refused every tile with 4 s as too late. None ran, so nothing corrected it.

Now the mean seconds are learned for each octave of the prompt tokens over the pool, and for each service its seconds for each expected second. Adopted calls teach nothing. A size without a sample is guessed from the next octaves; a guess refuses nothing as late and teaches no speed.

Ruled out: the probe of idle services of doubtful speed alone. With it the new story test still has two of three tiles refused.

Tests written first: the story (adopted calls of the same and of another octave) failed before. Broken once each, and seen to fail: learning the mean from adopted calls; learning speed from adopted and from guessed ones; the three places where a guess refuses nothing (entry, choice, no upstream). One octave for all calls fails too.

--- a/bitterntiller/components/dispatch/choice.py
+++ b/bitterntiller/components/dispatch/choice.py
@@ -73,7 +73,8 @@
                 continue
             open_for_it = True
             cached, _, total = self._estimate(job, upstream, now)
-            if total * (1.0 + parameters.margin * upstream.speed.deviation) > budget:
+            margin = 1.0 + parameters.margin * upstream.speed.deviation
+            if total * margin > budget and not job.guessed:
                 continue
             score = self._score(job, upstream, cached, total)
             if score < best_score:
@@ -101,7 +102,8 @@
             if alone < fastest_seconds and upstream.health.allowed(0, now):
                 fastest, fastest_seconds = upstream, alone
                 fastest_cached = cached
-        if fastest is not None and fastest_seconds > budget:
+        late = fastest_seconds > budget and not job.guessed
+        if fastest is not None and late:
             all_seen = len(view.members) <= SCAN_ALL_UP_TO
             if all_seen or self.best_case(job, view, now) > budget:
                 return self.probe(job, view, now) or Choice(Verdict.LATE)
@@ -132,11 +134,12 @@
         """Return a lower bound of the seconds of service if nothing else waited.
 
         It joins the best prefill and the best decoding of any upstream, found
-        anew a few times a second, so that it costs the same in any pool. A few
+        anew a few times a second, so that it costs the same in any pool. It is
+        0 where it would be a guess, which refuses nothing. A few
         upstreams drawn at random would not do: a request would be refused as
         late because its draw missed the upstream that is in time.
         """
-        if not len(view.members):
+        if job.guessed or not len(view.members):
             return 0.0
         if now - view.best_at > HOUSEKEEPING_SECONDS:
             self._find_best(view, now)
--- a/bitterntiller/components/dispatch/jobs.py
+++ b/bitterntiller/components/dispatch/jobs.py
@@ -29,10 +29,12 @@
 
     work is the expected service on a mean upstream. prefill is the tokens that
     have to be computed at the upstream, expected_cached those that should be in
-    its cache. order_key places it within its workspace.
+    its cache. order_key places it within its workspace. adopted tells that an
+    earlier owner granted it, guessed that nothing like it was measured yet.
     """
 
     __slots__ = (
+        "adopted",
         "best_case",
         "blocked_since",
         "entered",
@@ -42,6 +44,7 @@
         "first_seen",
         "granted_at",
         "group",
+        "guessed",
         "in_flight_at_start",
         "kind",
         "kv",
@@ -88,6 +91,8 @@
         self.tokens_at = 0.0
         self.reregistered = False
         self.returns = 0
+        self.adopted = False
+        self.guessed = False
 
     @property
     def waiting(self) -> bool:
--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -55,7 +55,7 @@
         self._queue = PoolQueue(parameters.fair, self._limiter)
         self._ordering = new_ordering(parameters)
         self._sizes = Sizes(parameters, self._pool.speed)
-        self._teacher = Teacher(self._pool, self._sizes)
+        self._teacher = Teacher(parameters, self._pool, self._sizes)
         self._chooser = Chooser(parameters, self._pool, rng)
         self._admission = Admission(self._pool, self._queue, self._limiter, rng)
         self._shedder = Shedder(parameters, self._queue, self._admission)
@@ -193,6 +193,7 @@
         job = Job(request, next(self._sequence), now)
         self._size(job)
         job.state = JobState.RUNNING
+        job.adopted = True
         job.tokens_seen = output_tokens
         job.tokens_at = job.granted_at = now
         job.prefill = 0 if output_tokens else request.prompt_tokens
--- a/bitterntiller/components/dispatch/sizes.py
+++ b/bitterntiller/components/dispatch/sizes.py
@@ -1,8 +1,15 @@
 """What a request will cost, from its estimates and what earlier ones cost."""
 
+from bitterntiller.components.dispatch.calls import CallSeconds
+from bitterntiller.components.dispatch.const import KIND_PLAIN
 from bitterntiller.components.dispatch.jobs import Job
 from bitterntiller.components.dispatch.models import Completion, PolicyParameters
-from bitterntiller.components.dispatch.speed import LONG, SHORT, PoolSpeed
+from bitterntiller.components.dispatch.speed import (
+    LONG,
+    OVERHEAD_SECONDS,
+    SHORT,
+    PoolSpeed,
+)
 
 RATIO_GAIN = 0.05
 MIN_RATIO = 0.05
@@ -11,7 +18,10 @@
 
 
 class Sizes:
-    """Learns how much of the stated output is used, and what is long work."""
+    """Learns how much of the stated output is used, and what is long work.
+
+    For a plain service the expected output of a call is its expected seconds.
+    """
 
     def __init__(self, parameters: PolicyParameters, speed: PoolSpeed) -> None:
         self._long_factor = parameters.long_factor
@@ -19,13 +29,15 @@
         self._ratio = 1.0
         self._ratio_by_workspace: dict[str, float] = {}
         self._mean_work = 0.0
+        self._plain = parameters.kind == KIND_PLAIN
+        self._calls = CallSeconds()
 
     def size(self, job: Job) -> None:
         """Set what is expected of a new request."""
-        request = job.request
-        ratio = self._ratio_by_workspace.get(job.workspace, self._ratio)
-        job.expected_output = request.output_tokens * ratio
-        job.work = self._speed.work(request.prompt_tokens, job.expected_output)
+        if self._plain:
+            self._size_call(job)
+        else:
+            self._size_tokens(job)
         if not self._mean_work:
             self._mean_work = job.work
         self._mean_work += MEAN_GAIN * (job.work - self._mean_work)
@@ -33,6 +45,9 @@
 
     def learn(self, job: Job, completion: Completion) -> None:
         """Learn from a request that ended well."""
+        if self._plain:
+            self._learn_call(job, completion)
+            return
         stated = job.request.output_tokens
         if stated < 1 or completion.output_tokens < 1:
             return
@@ -40,3 +55,22 @@
         self._ratio += RATIO_GAIN * (seen - self._ratio)
         known = self._ratio_by_workspace.get(job.workspace, self._ratio)
         self._ratio_by_workspace[job.workspace] = known + RATIO_GAIN * (seen - known)
+
+    def _size_tokens(self, job: Job) -> None:
+        request = job.request
+        ratio = self._ratio_by_workspace.get(job.workspace, self._ratio)
+        job.expected_output = request.output_tokens * ratio
+        job.work = self._speed.work(request.prompt_tokens, job.expected_output)
+
+    def _size_call(self, job: Job) -> None:
+        tokens = job.request.prompt_tokens
+        job.guessed = not self._calls.measured(tokens)
+        job.expected_output = self._calls.seconds(tokens)
+        job.work = OVERHEAD_SECONDS + job.expected_output
+
+    def _learn_call(self, job: Job, completion: Completion) -> None:
+        # Long calls are over-represented in what runs at a change of owners, and
+        # are all that a new owner hears of at first. It would take their time for
+        # the mean, and show as short calls refused as late beside idle services.
+        if not job.adopted:
+            self._calls.learn(job.request.prompt_tokens, completion.total)
--- a/bitterntiller/components/dispatch/speed.py
+++ b/bitterntiller/components/dispatch/speed.py
@@ -117,7 +117,7 @@
         self.prefill_rate += gain * (rate - self.prefill_rate)
 
     def note_decode(self, seconds: float) -> None:
-        """Note the seconds per token (or per call of a plain service)."""
+        """Note the seconds per token."""
         self._decode_samples += 1
         gain = max(1 / self._decode_samples, POOL_DECODE_GAIN)
         self.seconds_per_token += gain * (seconds - self.seconds_per_token)
@@ -232,16 +232,15 @@
 
 
 class PlainSpeed(_Deviation):
-    """Seconds of a call to a plain service, by its stated size.
+    """Seconds at one plain service for each expected second of a call.
 
-    The size is the stated output; where entry hosts state the same for all
-    calls it drops out, and the mean time of a call is left.
+    What Speed calls tokens are seconds here: the mean time of calls of that
+    size over all services of the pool.
     """
 
-    def __init__(self, pool: PoolSpeed) -> None:
+    def __init__(self) -> None:
         super().__init__()
-        self._pool = pool
-        self._seconds: float | None = None
+        self._learned = False
         self.scale = 1.0
 
     def prefill_seconds(self, tokens: int, kind: int) -> float:
@@ -249,13 +248,11 @@
         return 0.0
 
     def seconds_per_token(self, in_flight: int) -> float:
-        """Return the seconds for each unit of stated size."""
-        if self._seconds is None:
-            return self._pool.seconds_per_token
-        return self._seconds
+        """Return the seconds for each expected second."""
+        return self.scale
 
     def best_seconds_per_token(self) -> float:
-        """Return the seconds for each unit of stated size."""
+        """Return the seconds for each expected second."""
         return self.seconds_per_token(1)
 
     def decode_seconds(self, tokens: float, in_flight: int) -> float:
@@ -274,13 +271,11 @@
         if seconds <= 0 or tokens <= 0:
             return
         seen = seconds / tokens
-        self._pool.note_decode(seen)
-        if self._seconds is None:
-            self._seconds = seen
-            return
-        self._seconds *= _clip(seen / self._seconds) ** PLAIN_GAIN
+        gain = PLAIN_GAIN if self._learned else 1.0
+        self._learned = True
+        self.scale *= _clip(seen / self.scale) ** gain
 
 
 def new_speed(kind: str, pool: PoolSpeed) -> EngineSpeed | PlainSpeed:
     """Return the model of speed for a kind of pool."""
-    return PlainSpeed(pool) if kind == KIND_PLAIN else EngineSpeed(pool)
+    return PlainSpeed() if kind == KIND_PLAIN else EngineSpeed(pool)
--- a/bitterntiller/components/dispatch/teacher.py
+++ b/bitterntiller/components/dispatch/teacher.py
@@ -1,13 +1,14 @@
 """Turns what is told of running requests into what is known of upstreams."""
 
 from bitterntiller.components.dispatch.const import (
+    KIND_PLAIN,
     OUTCOME_CALLER_GONE,
     OUTCOME_DONE,
     OUTCOME_REJECTED,
     REASON_NOT_ADMITTED,
 )
 from bitterntiller.components.dispatch.jobs import Job
-from bitterntiller.components.dispatch.models import Completion
+from bitterntiller.components.dispatch.models import Completion, PolicyParameters
 from bitterntiller.components.dispatch.pool import Pool
 from bitterntiller.components.dispatch.sizes import Sizes
 from bitterntiller.components.dispatch.upstreams import Upstream
@@ -16,7 +17,8 @@
 class Teacher:
     """Passes samples on to the speed, limit, health and prefixes of upstreams."""
 
-    def __init__(self, pool: Pool, sizes: Sizes) -> None:
+    def __init__(self, parameters: PolicyParameters, pool: Pool, sizes: Sizes) -> None:
+        self._plain = parameters.kind == KIND_PLAIN
         self._pool = pool
         self._sizes = sizes
 
@@ -53,7 +55,11 @@
         upstream.health.success()
         upstream.worked_at = now
         self._sizes.learn(job, completion)
-        self._learn_end(job, upstream, completion, now)
+        # The time of a call tells of the upstream's speed only beside the measured
+        # mean of such calls. Beside a guess it would show as an upstream that is
+        # many times too slow or too fast for calls of all sizes.
+        if not (self._plain and (job.adopted or job.guessed)):
+            self._learn_end(job, upstream, completion, now)
         if completion.cached_tokens is not None:
             upstream.prefixes.correct(job.expected_cached, completion.cached_tokens)
 
@@ -87,9 +93,11 @@
     ) -> None:
         """Learn from the times of a whole answer."""
         in_flight = upstream.ledger.in_flight
-        plain = upstream.state.kv_tokens <= 0
         first = completion.first_token
-        if plain or first is None:
+        if self._plain:
+            size = job.expected_output
+            upstream.speed.learn_decode(size, completion.total, in_flight)
+        elif first is None:
             size = max(job.expected_output, 1.0)
             upstream.speed.learn_decode(size, completion.total, in_flight)
         elif job.first_seen is None:
