--- a/standins/engine.py
+++ b/standins/engine.py
@@ -2,22 +2,21 @@
 
 import json
 import time
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from dataclasses import dataclass
-from typing import Annotated, Any
+from typing import Annotated
 
 import cappa
 import curio
 import h11
-import xxhash
 
-from standins import answers
 from standins.faults import Faults
 from standins.options import Options
+from standins.orders import OrderBook
+from standins.prefix_cache import PrefixCache
 from standins.server import Connection, Request, Server
+from standins.work import BYTES_PER_TOKEN, Work
 
-SMALLEST_PREFIX_BYTES = 256
-BYTES_PER_TOKEN = 4
 CHAT_PATH = "/v1/chat/completions"
 COMPLETION_PATH = "/v1/completions"
 REQUESTS_PATH = "/v1/requests/"
@@ -36,115 +35,6 @@
     """How long finished work can be resumed."""
 
 
-class PrefixCache:
-    """The prompt prefixes that the engine has computed, the oldest dropped first."""
-
-    def __init__(self, size: int, events: deque[dict[str, Any]]) -> None:
-        self._size = size
-        self._events = events
-        self._sequence = 0
-        self._hashes: OrderedDict[int, None] = OrderedDict()
-
-    def take(self, prompt: bytes) -> int:
-        """Return how many bytes of a prompt were cached, and cache its prefixes."""
-        cached, length = 0, SMALLEST_PREFIX_BYTES
-        while length <= len(prompt):
-            prefix_hash = xxhash.xxh3_64_intdigest(prompt[:length])
-            if prefix_hash in self._hashes:
-                cached = length
-                self._hashes.move_to_end(prefix_hash)
-            else:
-                self._hashes[prefix_hash] = None
-                self._tell(prefix_hash, stored=True)
-            length *= 2
-        while len(self._hashes) > self._size:
-            self._tell(self._hashes.popitem(last=False)[0], stored=False)
-        return cached
-
-    def _tell(self, prefix_hash: int, *, stored: bool) -> None:
-        self._sequence += 1
-        signed = prefix_hash - (1 << 64) if prefix_hash >> 63 else prefix_hash
-        event = {"sequence": self._sequence, "stored": stored, "prefix_hash": signed}
-        self._events.append(event)
-
-
-class Work:
-    """One request being worked on; its events are kept so that it can be resumed."""
-
-    def __init__(self, request_id: str, body: dict[str, Any], *, chat: bool) -> None:
-        self.request_id = request_id
-        self.prompt = answers.prompt_text(body)
-        self.max_tokens = answers.max_tokens(body)
-        self.chat = chat
-        self.cached_bytes = 0
-        self.events: list[bytes] = []
-        self.ended = False
-        self.ended_at = 0.0
-        self.task: curio.Task | None = None
-        self.grown = curio.Event()
-
-    def prompt_tokens(self) -> int:
-        return max(1, len(self.prompt.encode()) // BYTES_PER_TOKEN)
-
-    def usage(self) -> dict[str, Any]:
-        return {
-            "prompt_tokens": self.prompt_tokens(),
-            "completion_tokens": self.max_tokens,
-            "total_tokens": self.prompt_tokens() + self.max_tokens,
-            "prompt_tokens_details": {
-                "cached_tokens": self.cached_bytes // BYTES_PER_TOKEN
-            },
-        }
-
-    def add_token(self, index: int) -> None:
-        text = answers.token(self.prompt, index)
-        last = index == self.max_tokens - 1
-        choice: dict[str, Any] = {"index": 0, "finish_reason": "stop" if last else None}
-        choice |= {"delta": {"content": text}} if self.chat else {"text": text}
-        self._add_event(json.dumps({"id": self.request_id, "choices": [choice]}))
-
-    def add_end(self) -> None:
-        usage = {"id": self.request_id, "choices": [], "usage": self.usage()}
-        self._add_event(json.dumps(usage))
-        self._add_event("[DONE]")
-
-    def whole_answer(self) -> dict[str, Any]:
-        tokens = (answers.token(self.prompt, n) for n in range(self.max_tokens))
-        text = "".join(tokens)
-        choice: dict[str, Any] = {"index": 0, "finish_reason": "stop"}
-        if self.chat:
-            choice["message"] = {"role": "assistant", "content": text}
-        else:
-            choice["text"] = text
-        return {"id": self.request_id, "choices": [choice], "usage": self.usage()}
-
-    def _add_event(self, data: str) -> None:
-        number = len(self.events) + 1
-        self.events.append(f"id: {number}\ndata: {data}\n\n".encode())
-
-    async def async_end(self) -> None:
-        """Note that no more events come."""
-        self.ended = True
-        self.ended_at = time.monotonic()
-        await self.async_wake()
-
-    async def async_wake(self) -> None:
-        """Wake all that wait for more events."""
-        await self.grown.set()
-        self.grown = curio.Event()
-
-    async def async_next(self, after: int) -> list[bytes]:
-        """Return the events after a number once there are any; none at the end."""
-        while len(self.events) <= after and not self.ended:
-            await self.grown.wait()
-        return self.events[after:]
-
-    async def async_wait(self) -> None:
-        """Return when no more events come."""
-        while not self.ended:
-            await self.grown.wait()
-
-
 class Engine:
     """Works on requests in a bounded number of slots."""
 
@@ -310,34 +200,6 @@
             del self._works_by_id[work.request_id]
 
 
-class OrderBook:
-    """Carries out orders, checking fences and repeated ids where labels say so."""
-
-    def __init__(self, server: Server) -> None:
-        self._server = server
-        self._highest_fence = 0
-        self._results_by_id: dict[str, dict[str, Any]] = {}
-
-    async def async_handle(self, connection: Connection, request: Request) -> None:
-        """Answer an order."""
-        order = json.loads(request.body)
-        labels = self._server.options.labels_by_key
-        if labels.get("orders") == "idempotent":
-            earlier = self._results_by_id.get(order["order_id"])
-            if earlier is not None:
-                await connection.async_answer(200, earlier)
-                return
-        checked = labels.get("fencing") == "checked"
-        if checked and order["fence"] < self._highest_fence:
-            await connection.async_answer(409, {"error": "old fence"})
-            return
-        self._highest_fence = max(self._highest_fence, order["fence"])
-        self._server.recorder.add("order", **{"order": order})
-        result = {"status": "done", "order_id": order["order_id"]}
-        self._results_by_id[order["order_id"]] = result
-        await connection.async_answer(200, result)
-
-
 def echoed(request_id: str, faults: Faults) -> str:
     """Return the request id that an answer carries."""
     return f"not-{request_id}" if faults.wrong_id else request_id
--- a/standins/plain.py
+++ b/standins/plain.py
@@ -7,9 +7,10 @@
 import curio
 
 from standins import answers
-from standins.engine import NOT_ADMITTED, OrderBook, echoed
+from standins.engine import NOT_ADMITTED, echoed
 from standins.faults import Faults
 from standins.options import Options
+from standins.orders import OrderBook
 from standins.server import Connection, Request, Server
 
 
--- /dev/null
+++ b/standins/prefix_cache.py
@@ -0,0 +1,40 @@
+"""The prompt prefixes that an engine's stand-in keeps."""
+
+from collections import OrderedDict, deque
+from typing import Any
+
+import xxhash
+
+SMALLEST_PREFIX_BYTES = 256
+
+
+class PrefixCache:
+    """The prompt prefixes that the engine has computed, the oldest dropped first."""
+
+    def __init__(self, size: int, events: deque[dict[str, Any]]) -> None:
+        self._size = size
+        self._events = events
+        self._sequence = 0
+        self._hashes: OrderedDict[int, None] = OrderedDict()
+
+    def take(self, prompt: bytes) -> int:
+        """Return how many bytes of a prompt were cached, and cache its prefixes."""
+        cached, length = 0, SMALLEST_PREFIX_BYTES
+        while length <= len(prompt):
+            prefix_hash = xxhash.xxh3_64_intdigest(prompt[:length])
+            if prefix_hash in self._hashes:
+                cached = length
+                self._hashes.move_to_end(prefix_hash)
+            else:
+                self._hashes[prefix_hash] = None
+                self._tell(prefix_hash, stored=True)
+            length *= 2
+        while len(self._hashes) > self._size:
+            self._tell(self._hashes.popitem(last=False)[0], stored=False)
+        return cached
+
+    def _tell(self, prefix_hash: int, *, stored: bool) -> None:
+        self._sequence += 1
+        signed = prefix_hash - (1 << 64) if prefix_hash >> 63 else prefix_hash
+        event = {"sequence": self._sequence, "stored": stored, "prefix_hash": signed}
+        self._events.append(event)
