Tell owned pools of messages at one place

Cause: six handlers of the owner repeated the same five lines. No behaviour changed: the tests of the coordinator and of owned pools, and the scenarios whole-path, owner-killed-with-waiting and caller-goes-away pass.

--- a/bitterntiller/components/dispatch/coordinator.py
+++ b/bitterntiller/components/dispatch/coordinator.py
@@ -19,6 +19,9 @@
 MakeScheduler = Callable[[str], Scheduler]
 """Makes the scheduler of a pool of a kind: engine or plain."""
 
+Decide = Callable[[OwnedPool, float], list[Decision]]
+"""Tells an owned pool of a message at a time; returns what it decides."""
+
 
 class DispatchCoordinator:
     """The dispatch role of one process."""
@@ -101,53 +104,49 @@
 
     async def async_on_live(self, _host: str, message: Any) -> None:
         """Forget what an entry host has no more."""
-        now = self._clock.now()
-        self._heard_by_host[message.entry_host] = now
-        pool = self._pool(message.pool)
-        if pool is None:
-            return
+        host = message.entry_host
+        self._heard_by_host[host] = self._clock.now()
         ids = frozenset(message.request_ids)
-        decisions = pool.keep_only(message.entry_host, ids, now)
-        await self._async_carry_out(pool, decisions)
+        await self._async_tell(
+            message.pool, lambda pool, now: pool.keep_only(host, ids, now)
+        )
 
     async def async_on_cancel(self, _host: str, message: Any) -> None:
         """Forget a request whose caller has gone."""
-        pool = self._pool(message.pool)
-        if pool is None:
-            return
-        decisions = pool.cancel(message.request_id, self._clock.now())
-        await self._async_carry_out(pool, decisions)
+        await self._async_tell(
+            message.pool, lambda pool, now: pool.cancel(message.request_id, now)
+        )
 
     async def async_on_started(self, _host: str, message: Any) -> None:
         """Note that a grant was used."""
-        pool = self._pool(message.pool)
-        if pool is None:
-            return
-        decisions = pool.started(message.request_id, self._clock.now())
-        await self._async_carry_out(pool, decisions)
+        await self._async_tell(
+            message.pool, lambda pool, now: pool.started(message.request_id, now)
+        )
 
     async def async_on_progress(self, _host: str, message: Any) -> None:
         """Note the output of running requests."""
-        pool = self._pool(message.pool)
-        if pool is None:
-            return
-        decisions = pool.progress(message.items, self._clock.now())
-        await self._async_carry_out(pool, decisions)
+        await self._async_tell(
+            message.pool, lambda pool, now: pool.progress(message.items, now)
+        )
 
     async def async_on_finished(self, _host: str, message: Any) -> None:
         """Note the end of a request."""
-        pool = self._pool(message.pool)
-        if pool is None:
-            return
-        decisions = pool.finished(message, self._clock.now())
-        await self._async_carry_out(pool, decisions)
+        await self._async_tell(
+            message.pool, lambda pool, now: pool.finished(message, now)
+        )
 
     async def async_on_returned(self, _host: str, message: Any) -> None:
         """Take an unused grant back."""
-        pool = self._pool(message.pool)
+        await self._async_tell(
+            message.pool, lambda pool, now: pool.returned(message, now)
+        )
+
+    async def _async_tell(self, name: str, decide: Decide) -> None:
+        """Have an owned pool decide on a message, and carry the decisions out."""
+        pool = self._pool(name)
         if pool is None:
             return
-        decisions = pool.returned(message, self._clock.now())
+        decisions = decide(pool, self._clock.now())
         await self._async_carry_out(pool, decisions)
 
     async def async_on_announce(self, _host: str, message: Any) -> Any:
