Bound what is sent again by a budget of retries

Cause: a request that was proved not to have run went back to wait without a bound but its deadline: with an upstream that admits nothing, as many sendings as grants. Seen failing: the caller heard too-late at its deadline after any number of sendings. Ruled out: a count for each request, which multiplies the load when all retry.

--- a/bitterntiller/components/entry/const.py
+++ b/bitterntiller/components/entry/const.py
@@ -61,6 +61,12 @@
 DRAINED_POLL = 0.05
 SETTLED_WAIT = 3.0
 
+RETRIES_PER_REQUEST = 0.2
+MOST_RETRIES = 20.0
+"""The retries that an idle pool keeps in reserve."""
+
+METRIC_RETRIES = "entry.retries"
+METRIC_RETRIES_REFUSED = "entry.retries_refused"
 METRIC_REQUESTS = "entry.requests"
 METRIC_TIME_TO_FIRST = "entry.time_to_first_byte"
 METRIC_QUEUE_WAIT = "entry.queue_wait"
--- a/bitterntiller/components/entry/pipeline.py
+++ b/bitterntiller/components/entry/pipeline.py
@@ -29,6 +29,7 @@
 from bitterntiller.components.entry.refuse import async_refuse
 from bitterntiller.components.entry.registry import RequestRegistry
 from bitterntiller.components.entry.relay import Relay, outcome_of
+from bitterntiller.components.entry.retry_budget import RetryBudget
 from bitterntiller.components.entry.upstream_calls import async_cancel_work
 from bitterntiller.components.entry.waiting import async_cancel, async_wait
 from bitterntiller.components.http.errors import BadRequestError, CallerGoneError
@@ -60,6 +61,7 @@
         self._budget = budget
         self._registry = registry
         self.draining = False
+        self.retries = RetryBudget()
 
     async def async_serve(self, exchange: Exchange) -> None:
         """Answer one request."""
@@ -133,6 +135,7 @@
         work = estimate(identified.service.kind, body)
         active = ActiveRequest(Prepared(identified, body, work))
         self._registry.add(active)
+        self.retries.earn(active.pool)
         try:
             await self._async_watched(exchange, active)
         except CallerGoneError:
@@ -185,9 +188,22 @@
         # be sent back as unwanted while the request still seems to be sent.
         if isinstance(verdict, Retry) and verdict.upstream:
             active.mark_not_run(verdict.upstream)
+            if not self.retries.spend(active.pool):
+                return await self._async_give_up(active, grant, verdict)
+            self._context.metrics.count(const.METRIC_RETRIES)
         await self._async_give_back(active, grant, verdict)
         return verdict
 
+    async def _async_give_up(
+        self, active: ActiveRequest, grant: GrantReceived, verdict: Retry
+    ) -> Ending:
+        """End a request that is proved not to have run and may not be sent again."""
+        self._context.metrics.count(const.METRIC_RETRIES_REFUSED)
+        await self._registry.async_return(
+            active.request_id, grant, verdict.reason, False
+        )
+        return _come_back(Reason.NOT_ADMITTED)
+
     async def _async_give_back(
         self, active: ActiveRequest, grant: GrantReceived, verdict: Verdict
     ) -> None:
