Name a time to come back that fits when a tier has only begun to arrive

Cause: the stand-in lane saw Retry-After of 56 s in the first seconds. A tier of which nothing had been granted yet has no drain rate, and a twentieth of the capacity stood in for it. Seen failing: silver callers behind eight gold requests heard 70 s. Ruled out: a lower cap, which would make callers of a starved tier ask in vain.

--- a/bitterntiller/components/dispatch/admission.py
+++ b/bitterntiller/components/dispatch/admission.py
@@ -75,14 +75,17 @@
         """Return when a caller of a tier should come back, in seconds.
 
         It is the time in which what waits in its tier and above drains, at the
-        rate at which this tier was granted work of late.
+        rate at which this tier was granted work of late. A tier that has begun to
+        arrive just now has no such rate yet; until it has, the whole capacity
+        stands for it, since nothing shows that higher tiers take it all for long.
         """
         waiting = 0.0
         for tier_rank, tier in self._queue.tiers_by_rank.items():
             if tier_rank <= rank:
                 waiting += tier.work
-        drain = self._meter(self._drains_by_rank, rank, now).rate(now)
-        drain = max(drain, MIN_SHARE * self.capacity())
+        meter = self._meter(self._drains_by_rank, rank, now)
+        least = max(MIN_SHARE, meter.youth(now)) * self.capacity()
+        drain = max(meter.rate(now), least)
         return retry_after(waiting / drain, self._rng)
 
     def _crowd(self, job: Job) -> float:
--- a/bitterntiller/components/dispatch/drain.py
+++ b/bitterntiller/components/dispatch/drain.py
@@ -33,6 +33,10 @@
         window = self._seconds * -math.expm1(-age / self._seconds)
         return self._sum / max(window, 0.1)
 
+    def youth(self, now: float) -> float:
+        """Return the part of its window that the meter has not seen yet, 1 to 0."""
+        return max(0.0, 1.0 - (now - self._begin) / self._seconds)
+
     def _decay(self, now: float) -> None:
         if now > self._at:
             self._sum *= math.exp((self._at - now) / self._seconds)
--- a/tests/components/dispatch/test_scheduler.py
+++ b/tests/components/dispatch/test_scheduler.py
@@ -345,3 +345,22 @@
         end_call(scheduler, f"a{number}", 10.0, NOW)
     [granted] = scheduler.register(tile._replace(deadline=NOW + 2), NOW)
     assert isinstance(granted, Granted)
+
+
+def test_first_refusals_of_a_tier_name_a_time_that_fits():
+    """Callers of silver are told to come back in a minute; it takes seconds.
+
+    Gold requests came first and wait. No silver one has been granted yet, so the
+    rate at which that tier was granted work is nothing, and was taken for lasting.
+    """
+    scheduler = PoolScheduler()
+    scheduler.announce(upstream(slots=2), NOW)
+    for number in range(8):
+        scheduler.register(request(f"g{number}", deadline=NOW + 30), NOW)
+    silver = {"tier": "silver", "tier_rank": 1, "deadline": NOW + 2.0}
+    decisions = []
+    for number in range(8):
+        decisions += scheduler.register(request(f"s{number}", **silver), NOW + 0.1)
+    refused = [found for found in decisions if isinstance(found, Refused)]
+    assert refused
+    assert max(found.retry_after for found in refused) < 15.0
