Give parking a module, and put back also what is parked for no upstream

Cause: found by reading the largest module: a request parked while no upstream may take work was in no list, so that shedding passed it over for up to a parking time, and one of a higher tier could be shed in its place. Seen failing: with the rule as it was, the new test of parked work failed in its second case; without the guard of withdrawn requests the other test failed. Ruled out: a second list beside the first.

--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -29,6 +29,7 @@
     WorkspaceLimits,
 )
 from bitterntiller.components.dispatch.ordering import new_ordering
+from bitterntiller.components.dispatch.parking import Parking
 from bitterntiller.components.dispatch.pool import Pool
 from bitterntiller.components.dispatch.queue import PoolQueue
 from bitterntiller.components.dispatch.shedding import Shedder
@@ -61,10 +62,9 @@
         self._shedder = Shedder(parameters, self._queue, self._admission)
         self._sequence = itertools.count()
         self._waiting = 0
-        self._parked_by_name: dict[str, dict[str, Job]] = {}
+        self._parking = Parking(self._queue)
         self._lateness = JobTimers()
         self._lapses = JobTimers()
-        self._parkings = JobTimers()
         self._housekeeping_at = 0.0
         # Groups whose head found no upstream. They are left alone until an
         # upstream gets room or the next housekeeping, so that a full pool costs
@@ -224,8 +224,7 @@
         decisions: list[Decision] = []
         for job in self._lapses.due(now):
             self._lapse(job, now)
-        for job in self._parkings.due(now):
-            self._unpark(job)
+        self._parking.unpark_due(now)
         for job in self._lateness.due(now):
             self._check_lateness(job, now, decisions)
         self._pool.thaw(now)
@@ -242,7 +241,7 @@
         return min(
             housekeeping,
             self._lapses.next(),
-            self._parkings.next(),
+            self._parking.next(),
             self._lateness.next(),
             self._pool.next_thaw(),
         )
@@ -284,7 +283,7 @@
         else:
             if not self._shedder.overloaded(job, job.best_case, now):
                 return
-        self._unpark_all()
+        self._parking.unpark_all()
         victim = self._shedder.victim(job)
         if victim is job:
             decisions.append(self._refusal_of(job, reason, now))
@@ -336,7 +335,6 @@
             self._queue.remove(job)
         if job.waiting:
             self._leave_waiting(job, now)
-            job.state = JobState.GONE
         elif job.state is not JobState.LAPSED:
             self._limiter.leave(job.workspace)
             self._queue.uncap(job.workspace)
@@ -377,30 +375,6 @@
         job.target = upstream
         self._lapses.add(max(job.request.deadline, now + 1.0), job)
 
-    def _park(self, job: Job, choice: Choice, now: float) -> None:
-        self._queue.remove(job)
-        job.state = JobState.PARKED
-        if choice.upstream is not None:
-            parked = self._parked_by_name.setdefault(choice.upstream.name, {})
-            parked[job.request.request_id] = job
-        self._parkings.add(now + PARK_SECONDS, job)
-
-    def _unpark(self, job: Job) -> None:
-        if job.state is JobState.PARKED:
-            job.state = JobState.QUEUED
-            self._queue.push(job)
-
-    def _unpark_all(self) -> None:
-        """Put parked requests back, so that shedding sees all that waits.
-
-        A parked request of the lowest tier would else be passed over, and one
-        of a higher tier shed in its place.
-        """
-        for parked_by_id in self._parked_by_name.values():
-            for job in parked_by_id.values():
-                self._unpark(job)
-        self._parked_by_name.clear()
-
     def _late(self, job: Job, now: float) -> bool:
         """Tell whether no upstream could end a request in time.
 
@@ -433,11 +407,11 @@
     def _housekeep(self, now: float, decisions: list[Decision]) -> None:
         self._housekeeping_at = now + HOUSEKEEPING_SECONDS
         self._pool.housekeep(now)
-        for timers in (self._lateness, self._lapses, self._parkings):
+        for timers in (self._lateness, self._lapses, self._parking):
             timers.prune(len(self._jobs_by_id), self._is_live)
         self._blocked.clear()
         self._admission.interval(now)
-        self._unpark_all()
+        self._parking.unpark_all()
         for job in self._shedder.trim(now):
             del self._jobs_by_id[job.request.request_id]
             self._leave_waiting(job, now)
@@ -447,8 +421,7 @@
     def _decide(self, now: float, decisions: list[Decision]) -> None:
         """Grant to the head of the queue as long as an upstream is free."""
         for upstream in self._pool.freed:
-            for parked in self._parked_by_name.pop(upstream.name, {}).values():
-                self._unpark(parked)
+            self._parking.unpark_for(upstream.name)
         if self._pool.freed:
             self._pool.freed.clear()
             self._blocked.clear()
@@ -467,7 +440,8 @@
                 blocked.add((job.rank, job.group))
                 self._pool.reserve(job, choice.upstream, now)
             else:
-                self._park(job, choice, now)
+                name = choice.upstream.name if choice.upstream else None
+                self._parking.park(job, name, now)
                 skips += 1
 
     def _grant(self, job: Job, choice: Choice, now: float) -> Granted:
