--- a/bitterntiller/components/config/models.py
+++ b/bitterntiller/components/config/models.py
@@ -30,6 +30,7 @@
     }
 """
 
+from enum import StrEnum
 from typing import NamedTuple
 
 
@@ -52,8 +53,83 @@
         )
 
 
+class RouteKind(StrEnum):
+    """What may be sent again, and how a route answers."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non-idempotent"
+    STREAM = "stream"
+    RESUMABLE = "resumable"
+
+
+class Share(NamedTuple):
+    """The part of a route's requests that goes to a service, by weight."""
+
+    service: str
+    weight: float
+
+
+class Route(NamedTuple):
+    """The requests of one host name below one path prefix.
+
+    timeout is the longest time a caller is kept waiting, objective the time to
+    the first output that is still good, pause the longest good time between two
+    outputs of a stream (0: none is set); all in seconds. max_attempts is on how
+    many upstreams one request may run. The rank of a workspace goes before the
+    rank of the route.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    shares: tuple[Share, ...]
+    timeout: float
+    objective: float
+    pause: float
+    max_attempts: int
+    rank: int
+    public: bool
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether a request may run more than once."""
+        return self.kind in (RouteKind.IDEMPOTENT, RouteKind.RESUMABLE)
+
+    @property
+    def streams(self) -> bool:
+        """Tell whether the answer is a stream of events."""
+        return self.kind in (RouteKind.STREAM, RouteKind.RESUMABLE)
+
+
+class Quota(NamedTuple):
+    """What a workspace may use over all hosts, in its unit and in it a second.
+
+    The unit is a request, or a token where counts_tokens; untold is what a request
+    that tells no tokens counts for.
+    """
+
+    rate: float
+    burst: float
+    counts_tokens: bool
+    untold: int
+
+
+class CallerLimits(NamedTuple):
+    """What a caller may send, in bytes, and how long it may take, in seconds."""
+
+    head_bytes: int
+    body_bytes: int
+    head_timeout: float
+    idle_timeout: float
+
+
 class Service(NamedTuple):
-    """A service: the pool of upstreams that serve some paths."""
+    """A service: the pool of upstreams that serve some paths.
+
+    max_connections bounds the connections to one upstream over all hosts, 0 for
+    no bound. kv_tokens is an engine's memory where the configuration tells it.
+    """
 
     name: str
     kind: str
@@ -61,6 +137,9 @@
     idempotent_paths: tuple[str, ...]
     selector: Selector
     labels: dict[str, str]
+    max_connections: int = 0
+    kv_tokens: int = 0
+    tokens_per_event: int = 1
 
 
 class Tier(NamedTuple):
@@ -81,10 +160,17 @@
     services: tuple[str, ...]
     selector: Selector
     labels: dict[str, str]
+    rank: int = 0
+    quota: Quota | None = None
 
 
 class Config(NamedTuple):
-    """One version of the configuration."""
+    """One version of the configuration.
+
+    With routes, these tell the service of a request and not the paths of the
+    services; routes_by_host holds them by host name and then by path prefix. A
+    deployment without workspaces takes requests without a token.
+    """
 
     version: int
     services_by_name: dict[str, Service]
@@ -92,3 +178,5 @@
     workspaces_by_name: dict[str, Workspace]
     workspaces_by_token: dict[str, Workspace]
     values_by_label: dict[str, tuple[str, ...]] = {}
+    routes_by_host: dict[str, dict[str, Route]] = {}
+    caller_limits: CallerLimits | None = None
--- a/bitterntiller/components/control/configuration.py
+++ b/bitterntiller/components/control/configuration.py
@@ -30,6 +30,7 @@
 
     def __init__(self) -> None:
         self.version = 0
+        self.number = 0
         self.text = b"{}"
         self.outcomes_by_id: dict[str, ChangeOutcome] = {}
         self._document: dict[str, Any] = {}
@@ -48,6 +49,8 @@
         first answer must not make an operator's change happen twice, nor make
         it look refused because of itself or of a later change.
         """
+        if change.number is not None:
+            return self._apply_numbered(change)
         digest = _digest(change)
         known = self.outcomes_by_id.get(change.change_id)
         if known is not None:
@@ -59,6 +62,18 @@
         self._record(change, STATUS_ACCEPTED, digest, time_ms)
         return _reply(STATUS_ACCEPTED, self.version)
 
+    def _apply_numbered(self, change: Any) -> Any:
+        """Put the highest of the operator's own numbers in force.
+
+        One that is not higher is acknowledged all the same and changes nothing: it is
+        a repetition, or has been overtaken. Nothing need be remembered of it, and
+        other content under a number that is held never comes into force.
+        """
+        if change.number > self.number:
+            self.number = change.number
+            self._advance(json.loads(change.config))
+        return _reply(STATUS_ACCEPTED, self.version)
+
     def _refuse(self, change: Any, digest: str, time_ms: int) -> Any:
         """Refuse a change against another version than the present one.
 
@@ -120,6 +135,7 @@
         """Return the whole state for a snapshot."""
         return {
             "version": self.version,
+            "number": self.number,
             "document": self._document,
             "forgotten_base": self._forgotten_base,
             "outcomes": self.outcomes_by_id,
@@ -128,6 +144,7 @@
     def from_document(self, document: dict[str, Any]) -> None:
         """Replace the state by that of a snapshot."""
         self.version = document["version"]
+        self.number = document.get("number", 0)
         self._document = document["document"]
         self.text = canonical_json(self._document)
         self._forgotten_base = document["forgotten_base"]
--- a/bitterntiller/components/control/const.py
+++ b/bitterntiller/components/control/const.py
@@ -29,6 +29,18 @@
 MAX_CHANGE_IDS = 20_000
 """Outcomes of changes that are kept, besides their age."""
 
+UPSTREAM_READY = "ready"
+UPSTREAM_LEAVING = "leaving"
+UPSTREAM_SILENT = "silent"
+UPSTREAM_GONE = "gone"
+
+MAX_GONE_UPSTREAMS = 4096
+"""Names of upstreams remembered as gone; a late announcement revives none of them.
+
+A fleet of 600 that is replaced whole once an hour fills it in seven hours, while an
+announcement is delayed by seconds.
+"""
+
 MAX_CLAIMS = 100_000
 MAX_CLAIMS_PER_WORKSPACE = 50_000
 """Claims that are kept; one workspace can't use up the room of all."""
--- a/bitterntiller/components/control/coordinator.py
+++ b/bitterntiller/components/control/coordinator.py
@@ -34,7 +34,10 @@
 
 
 class ControlCoordinator:
-    """Answers as leader; as another replica it names the leader."""
+    """Answers as leader; as another replica it names the leader.
+
+    With assigns False it gives pools to nobody: entry hosts choose their owners.
+    """
 
     def __init__(
         self,
@@ -42,7 +45,9 @@
         log: ReplicatedLog,
         state: ControlState,
         parse: ParseConfig,
+        assigns: bool = True,
     ) -> None:
+        self._assigns = assigns
         self._runtime = runtime
         self._clock = runtime.clock
         self._timings = runtime.settings.timings
@@ -65,6 +70,7 @@
             messages.ControlStatus: self.async_status,
             messages.ReleasePools: self.async_release_pools,
             messages.Claim: self.async_claim,
+            messages.RegisterUpstream: self.async_register_upstream,
         }
         await self._runtime.async_spawn(self._confirm.async_run())
         await self._runtime.async_spawn(self._proposer.async_run())
@@ -118,7 +124,8 @@
         if self.leading() is None:
             return self._change_reply(STATUS_NOT_LEADER)
         # What was decided stays so, also if the checks have become stricter.
-        if change.change_id not in self.state.configuration.outcomes_by_id:
+        numbered = change.number is not None
+        if numbered or change.change_id not in self.state.configuration.outcomes_by_id:
             fault = await self._async_find_fault(change)
             if fault:
                 return self._change_reply(STATUS_INVALID, fault)
@@ -153,6 +160,29 @@
             status=STATUS_OK, version=configuration.version, config=configuration.text
         )
 
+    async def async_register_upstream(self, sender: str, request: Any) -> Any:
+        """Answer a messages.RegisterUpstream; ok only once what is new is committed.
+
+        An upstream that was told ok stops counting on the work that was under way to
+        it; were its leaving kept in memory only, the death of this process would
+        have the others send it work again.
+        """
+        term = self.leading()
+        if term is None:
+            return self._register_reply(STATUS_NOT_LEADER)
+        now = self._clock.now()
+        news = term.registrar.hear(request.upstream, now)
+        if not news:
+            return self._register_reply(STATUS_OK)
+        proposed = await self._proposer.async_propose(upstreams=news)
+        status = STATUS_OK if proposed.result is not None else proposed.status
+        self._runtime.metrics.count(f"control.register_upstream.{status}")
+        return self._register_reply(status)
+
+    def _register_reply(self, status: str) -> Any:
+        leader = self._log.leader()
+        return messages.RegisterUpstreamReply(status=status, leader=leader)
+
     async def async_claim(self, sender: str, claim: Any) -> Any:
         """Answer a messages.Claim; taken only once it is committed."""
         term = self.leading()
@@ -220,6 +250,7 @@
         while True:
             await curio.sleep(TICK)
             await self.async_place()
+            await self._async_note_silence()
             await self._async_stamp_time()
 
     async def async_place(self) -> None:
@@ -227,14 +258,25 @@
         term = self.leading()
         if term is None:
             return
-        pools = self.state.configuration.document.get("services", {})
-        plan = term.plan(pools, self._clock.now())
+        plan = []
+        if self._assigns:
+            pools = self.state.configuration.document.get("services", {})
+            plan = term.plan(pools, self._clock.now())
         if plan:
             await self._proposer.async_propose(assignments=plan)
             self._runtime.metrics.count("control.assignments", len(plan))
         if term.rebuild_directory(self._clock.now()):
             self._runtime.metrics.count("control.directory.changed")
 
+    async def _async_note_silence(self) -> None:
+        """Commit which upstreams have fallen silent, and which are long gone."""
+        term = self.leading()
+        if term is None:
+            return
+        news = term.registrar.overdue(self._clock.now())
+        if news:
+            await self._proposer.async_propose(upstreams=news)
+
     async def _async_stamp_time(self) -> None:
         """Commit the time now and then, so that a new leader counts on from it."""
         term = self.leading()
--- a/bitterntiller/components/control/directory.py
+++ b/bitterntiller/components/control/directory.py
@@ -34,7 +34,7 @@
         nodes then keep the hosts that are lacking.
         """
         hosts = sorted(
-            (item.host, item.address, item.zone, item.incarnation)
+            (item.host, item.address, item.zone, item.incarnation, item.roles)
             for item in sessions_by_host.values()
         )
         owners = sorted(owners_by_pool.items())
@@ -45,7 +45,7 @@
         self._version += 1
         self.current = messages.Directory(
             version=self._version,
-            hosts=[messages.HostEntry(*host) for host in hosts],
+            hosts=[messages.HostEntry(*host[:-1], list(host[-1])) for host in hosts],
             owners=[_pool_owner(pool, owner) for pool, owner in owners],
             partial=partial,
         )
--- a/bitterntiller/components/control/heartbeats.py
+++ b/bitterntiller/components/control/heartbeats.py
@@ -35,6 +35,11 @@
     )
     if heartbeat.config_version != configuration.version:
         _add_configuration(reply, heartbeat.config_version, state)
+    upstreams = state.upstreams
+    if heartbeat.upstreams_version not in (None, upstreams.version):
+        reply.upstreams = messages.UpstreamList(
+            version=upstreams.version, upstreams=list(upstreams.by_name.values())
+        )
     if heartbeat.directory_version != term.directory.current.version:
         reply.directory = term.directory.current
     return reply
--- a/bitterntiller/components/control/leader.py
+++ b/bitterntiller/components/control/leader.py
@@ -6,6 +6,7 @@
 from bitterntiller.components.control.directory import DirectoryBuilder
 from bitterntiller.components.control.models import Owner, Session
 from bitterntiller.components.control.placement import plan_assignments
+from bitterntiller.components.control.registrar import Registrar
 from bitterntiller.components.control.sessions import SessionTable
 from bitterntiller.components.control.state import ControlState
 from bitterntiller.components.settings.models import Timings
@@ -27,6 +28,7 @@
         self.started = now
         self.sessions = SessionTable(now)
         self.directory = DirectoryBuilder(term)
+        self.registrar = Registrar(now, state.upstreams, timings)
         self._state = state
         self._timings = timings
         self._time_base_ms = state.time_ms
--- a/bitterntiller/components/control/state.py
+++ b/bitterntiller/components/control/state.py
@@ -6,11 +6,12 @@
 from bitterntiller.components.control.claims import ClaimsState
 from bitterntiller.components.control.configuration import ConfigurationState
 from bitterntiller.components.control.ownership import OwnershipState
+from bitterntiller.components.control.upstreams import UpstreamsState
 from bitterntiller.protocol import decode, encode, messages
 
 
 class ControlState:
-    """Configuration, owners of pools and claims; a core StateMachine.
+    """Configuration, owners of pools, upstreams and claims; a core StateMachine.
 
     Deterministic: whatever depends on a clock or on settings comes with the
     command, so that replicas with other settings still reach the same state.
@@ -22,6 +23,7 @@
         self.configuration = ConfigurationState()
         self.ownership = OwnershipState()
         self.claims = ClaimsState()
+        self.upstreams = UpstreamsState()
 
     def apply(self, index: int, command: bytes) -> bytes:
         """Apply an encoded messages.Command; return a messages.CommandResult."""
@@ -46,6 +48,8 @@
             self.ownership.assign(index, message.assignments)
         if message.release is not None:
             self.ownership.release(message.release)
+        if message.upstreams is not None:
+            self.upstreams.apply(index, message.upstreams)
         return result
 
     def snapshot(self) -> bytes:
@@ -56,6 +60,7 @@
             "configuration": self.configuration.to_document(),
             "ownership": self.ownership.to_document(),
             "claims": self.claims.to_document(),
+            "upstreams": self.upstreams.to_document(),
         }
         return json.dumps(document, separators=(",", ":")).encode()
 
@@ -67,3 +72,7 @@
         self.configuration.from_document(document["configuration"])
         self.ownership.from_document(document["ownership"])
         self.claims.from_document(document["claims"])
+        # A snapshot that an earlier version of the program wrote has no such part.
+        self.upstreams = UpstreamsState()
+        if "upstreams" in document:
+            self.upstreams.from_document(document["upstreams"])
--- a/bitterntiller/components/dispatch/__init__.py
+++ b/bitterntiller/components/dispatch/__init__.py
@@ -1,13 +1,21 @@
 """The owner of a pool: its queue, its upstreams, its grants."""
 
+import math
+
 from bitterntiller.components.dispatch import diagnostics
 from bitterntiller.components.dispatch.coordinator import DispatchCoordinator
 from bitterntiller.components.dispatch.models import (
     DEFAULT_PARAMETERS,
     Scheduler,
 )
+from bitterntiller.components.dispatch.reports import ReportDesk
 from bitterntiller.components.dispatch.scheduler import PoolScheduler
-from bitterntiller.core.interfaces import ConfigView, DirectoryView, Lease
+from bitterntiller.core.interfaces import (
+    ConfigView,
+    DirectoryView,
+    Lease,
+    UpstreamsView,
+)
 from bitterntiller.core.runtime import Runtime
 from bitterntiller.protocol import messages
 
@@ -17,11 +25,45 @@
     return PoolScheduler(DEFAULT_PARAMETERS._replace(kind=kind))
 
 
+def make_fed_scheduler(kind: str) -> Scheduler:
+    """Return the scheduler of a pool that is told of silence instead of hearing it."""
+    return PoolScheduler(
+        DEFAULT_PARAMETERS._replace(kind=kind, silence_seconds=math.inf)
+    )
+
+
+async def async_setup_chosen(
+    runtime: Runtime,
+    lease: Lease,
+    config: ConfigView,
+    directory: DirectoryView,
+    registered: UpstreamsView,
+) -> DispatchCoordinator:
+    """Set the dispatch role up for entry hosts that choose their owners.
+
+    Upstreams are those that are registered with control.
+    """
+    coordinator = DispatchCoordinator(
+        runtime, lease, config, directory, make_fed_scheduler, registered
+    )
+    await _async_start(runtime, coordinator)
+    desk = ReportDesk(runtime, lease, config, coordinator.async_drop_host)
+    remove = runtime.links.handle(messages.EntryReport, desk.async_on_report)
+    runtime.stack.callback(remove)
+    await runtime.async_spawn(desk.async_run())
+    return coordinator
+
+
 async def async_setup(
     runtime: Runtime, lease: Lease, config: ConfigView, directory: DirectoryView
 ) -> DispatchCoordinator:
     """Set the dispatch role up; it is unloaded with the runtime's stack."""
     coordinator = DispatchCoordinator(runtime, lease, config, directory, make_scheduler)
+    await _async_start(runtime, coordinator)
+    return coordinator
+
+
+async def _async_start(runtime: Runtime, coordinator: DispatchCoordinator) -> None:
     for cls, handler in (
         (messages.Register, coordinator.async_on_register),
         (messages.Reregister, coordinator.async_on_reregister),
@@ -42,4 +84,3 @@
         "dispatch", lambda: diagnostics.describe(coordinator, clock.now())
     )
     runtime.add_diagnostics("upstreams", lambda: diagnostics.announced(coordinator))
-    return coordinator
--- a/bitterntiller/components/dispatch/choice.py
+++ b/bitterntiller/components/dispatch/choice.py
@@ -143,10 +143,13 @@
             return 0.0
         if now - view.best_at > HOUSEKEEPING_SECONDS:
             self._find_best(view, now)
-        level, _ = self._pool.index.longest(job.request.prefix_hashes)
-        tokens = job.request.prompt_tokens
+        request = job.request
+        level, _ = self._pool.index.longest(request.prefix_hashes)
+        tokens = request.prompt_tokens
         if level >= 0:
-            tokens = max(0, tokens - prefix_tokens(level))
+            lengths = request.prefix_tokens
+            cached = lengths[level] if lengths else prefix_tokens(level)
+            tokens = max(0, tokens - cached)
         seconds = view.best_prefill * tokens + view.best_decode * job.expected_output
         return seconds / 1000
 
@@ -189,7 +192,7 @@
         cached = 0
         if request.prefix_hashes:
             cached = upstream.prefixes.cached_tokens(
-                request.prefix_hashes, request.prompt_tokens
+                request.prefix_hashes, request.prompt_tokens, request.prefix_tokens
             )
         prefill = speed.prefill_seconds(request.prompt_tokens - cached, job.kind)
         optimism = self._parameters.optimism
--- a/bitterntiller/components/dispatch/const.py
+++ b/bitterntiller/components/dispatch/const.py
@@ -49,6 +49,8 @@
 
 REASON_REFUSED_CONNECTION = "refused-connection"
 REASON_NOT_ADMITTED = "not-admitted"
+REASON_FAILED = "failed"
+REASON_LOST_ANSWER = "lost-answer"
 OUTCOME_DONE = "done"
 OUTCOME_REJECTED = "rejected"
 OUTCOME_CALLER_GONE = "caller-gone"
--- a/bitterntiller/components/dispatch/coordinator.py
+++ b/bitterntiller/components/dispatch/coordinator.py
@@ -12,7 +12,13 @@
 from bitterntiller.components.dispatch.models import Decision, Granted, Scheduler
 from bitterntiller.components.dispatch.owned_pool import OwnedPool, Tracked
 from bitterntiller.components.dispatch.wire import grant_message, refusal_message
-from bitterntiller.core.interfaces import ConfigView, DirectoryView, Lease, Ownership
+from bitterntiller.core.interfaces import (
+    ConfigView,
+    DirectoryView,
+    Lease,
+    Ownership,
+    UpstreamsView,
+)
 from bitterntiller.core.runtime import Runtime
 from bitterntiller.protocol import messages
 
@@ -33,6 +39,7 @@
         config: ConfigView,
         directory: DirectoryView,
         make_scheduler: MakeScheduler,
+        registered: UpstreamsView | None = None,
     ) -> None:
         self._host = runtime.settings.host
         self._timings = runtime.settings.timings
@@ -43,6 +50,8 @@
         self._config = config
         self._directory = directory
         self._make_scheduler = make_scheduler
+        self._registered = registered
+        self._registered_version = 0
         self._config_version = -1
         self._announce_listeners: list[Callable[[Any], None]] = []
         self._early = EarlyMessages()
@@ -63,6 +72,7 @@
             now = self._clock.now()
             self._follow_ownership(now)
             await self._async_follow_config(now)
+            await self._async_follow_upstreams(now)
             await self._async_drop_dead_hosts(now)
             for pool in list(self.pools_by_name.values()):
                 if self._lease.valid():
@@ -200,6 +210,7 @@
         pool = OwnedPool(name, epoch, self._make_scheduler(kind), settled_at)
         pool.configure(self._config.config, now)
         self.pools_by_name[name] = pool
+        self._registered_version = 0
         logging.info("pool %s is owned here under epoch %d", name, epoch)
 
     async def _async_follow_config(self, now: float) -> None:
@@ -210,6 +221,24 @@
             decisions = pool.configure(self._config.config, now)
             await self._async_carry_out(pool, decisions)
 
+    async def _async_follow_upstreams(self, now: float) -> None:
+        """Tell the pools what control has registered, where upstreams tell control."""
+        view = self._registered
+        if view is None or view.version == self._registered_version:
+            return
+        self._registered_version = view.version
+        for pool in list(self.pools_by_name.values()):
+            decisions = pool.follow(view.by_name, view.version, now)
+            await self._async_carry_out(pool, decisions)
+
+    async def async_drop_host(self, host: str) -> None:
+        """Forget all that an entry host has here; it has turned to another owner."""
+        now = self._clock.now()
+        for pool in list(self.pools_by_name.values()):
+            for request_id, tracked in list(pool.tracked_by_id.items()):
+                if tracked.request.entry_host == host:
+                    await self._async_carry_out(pool, pool.cancel(request_id, now))
+
     def _incarnation(self, host: str) -> str:
         entry = self._directory.hosts_by_name.get(host)
         return entry.incarnation if entry is not None else ""
--- a/bitterntiller/components/dispatch/models.py
+++ b/bitterntiller/components/dispatch/models.py
@@ -10,7 +10,9 @@
 
     deadline and arrived are points in time of the owner's clock, in seconds.
     Token counts are the entry host's estimates. prefix_hashes name the prompt's
-    growing prefixes, shortest first. tried are upstreams that did not admit it.
+    growing prefixes, shortest first; prefix_tokens are their lengths, where they are
+    known. first_by is when the first output must be there to be good, where that is
+    set. tried are upstreams that did not admit it.
     """
 
     request_id: str
@@ -25,6 +27,8 @@
     prefix_hashes: tuple[int, ...] = ()
     tried: tuple[str, ...] = ()
     upstream_names: frozenset[str] | None = None
+    prefix_tokens: tuple[int, ...] = ()
+    first_by: float | None = None
 
 
 class UpstreamLoad(NamedTuple):
@@ -55,6 +59,7 @@
     labels: dict[str, str]
     slots: int
     kv_tokens: int
+    silent: bool = False
     load: UpstreamLoad | None = None
     cache_changes: tuple[CacheChange, ...] = ()
 
@@ -107,6 +112,7 @@
     first_token: float | None
     total: float
     in_time: bool
+    load: UpstreamLoad | None = None
 
 
 class Scheduler(Protocol):
--- a/bitterntiller/components/dispatch/owned_pool.py
+++ b/bitterntiller/components/dispatch/owned_pool.py
@@ -1,5 +1,6 @@
 """One pool that this host owns, under one epoch."""
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from bitterntiller.components.config.models import Config
@@ -12,6 +13,7 @@
     WaitingRequest,
 )
 from bitterntiller.components.dispatch.wire import (
+    STATE_LEAVING,
     completion,
     upstream_state,
     waiting_request,
@@ -55,6 +57,7 @@
         self._held_by_id: dict[str, tuple[messages.Register, str]] = {}
         self._eligibility = Eligibility()
         self._labels_by_upstream: dict[str, dict[str, str]] = {}
+        self._followed_by_name: dict[str, messages.Announce] = {}
         self._config: Config | None = None
 
     def configure(self, config: Config, now: float) -> list[Decision]:
@@ -157,7 +160,7 @@
     def finished(self, message: messages.Finished, now: float) -> list[Decision]:
         """Note the end of a request."""
         self.tracked_by_id.pop(message.request_id, None)
-        return self._note(self.scheduler.finished(completion(message), now))
+        return self._note(self.scheduler.finished(completion(message, now), now))
 
     def returned(self, message: messages.Returned, now: float) -> list[Decision]:
         """Take an unused grant back."""
@@ -186,6 +189,44 @@
             return accepted, self._note(decisions) + self._select_anew(now)
         return accepted, self._note(decisions)
 
+    def follow(
+        self, registered: Mapping[str, messages.Announce], version: int, now: float
+    ) -> list[Decision]:
+        """Take the list of all registered upstreams in its version.
+
+        One that is no longer listed has gone and is given no more work.
+        """
+        decisions: list[Decision] = []
+        for item in registered.values():
+            if item.pool == self.name:
+                decisions += self._follow_one(item, item.state, version, now)
+        gone = self._followed_by_name.keys() - registered.keys()
+        for name in gone:
+            item = self._followed_by_name.pop(name)
+            decisions += self._follow_one(item, STATE_LEAVING, version, now)
+        self._followed_by_name.update(
+            {name: item for name, item in registered.items() if item.pool == self.name}
+        )
+        return decisions
+
+    def _follow_one(
+        self, item: messages.Announce, state: str, version: int, now: float
+    ) -> list[Decision]:
+        service = self._config.services_by_name.get(self.name) if self._config else None
+        announcement = messages.Announce(
+            name=item.name,
+            pool=item.pool,
+            address=item.address,
+            incarnation=item.incarnation,
+            sequence=version,
+            state=state,
+            labels=item.labels,
+            slots=item.slots,
+            kv_tokens=item.kv_tokens or (service.kv_tokens if service else 0),
+            cache_events=[],
+        )
+        return self.announce(announcement, now)[1]
+
     def tick(self, now: float) -> list[Decision]:
         """Do what time alone brings."""
         decisions: list[Decision] = []
--- a/bitterntiller/components/dispatch/prefix.py
+++ b/bitterntiller/components/dispatch/prefix.py
@@ -41,8 +41,13 @@
         self._share = CACHE_SHARE
         self._capacity = 0
 
-    def cached_tokens(self, hashes: Sequence[int], prompt_tokens: int) -> int:
-        """Return how many prompt tokens are expected to be in the cache."""
+    def cached_tokens(
+        self, hashes: Sequence[int], prompt_tokens: int, lengths: Sequence[int] = ()
+    ) -> int:
+        """Return how many prompt tokens are expected to be in the cache.
+
+        lengths are the tokens of the prefixes where they are known.
+        """
         held_by_hash = self._held_by_hash
         if not held_by_hash:
             return 0
@@ -51,16 +56,25 @@
             if held is None:
                 continue
             weight = DOUBTFUL_WEIGHT if held.at < self._doubt_before else 1.0
-            tokens = min(prefix_tokens(level), prompt_tokens)
+            known = lengths[level] if lengths else prefix_tokens(level)
+            tokens = min(known, prompt_tokens)
             return int(tokens * weight * self.trust)
         return 0
 
-    def add(self, hashes: Sequence[int], capacity: int, now: float) -> None:
+    def add(
+        self,
+        hashes: Sequence[int],
+        capacity: int,
+        now: float,
+        lengths: Sequence[int] = (),
+    ) -> None:
         """Note a prompt that was dispatched to the upstream."""
         for level, prefix_hash in enumerate(hashes):
-            own_tokens = prefix_tokens(level)
+            own_tokens = lengths[level] if lengths else prefix_tokens(level)
             if level:
-                own_tokens -= prefix_tokens(level - 1)
+                own_tokens -= (
+                    lengths[level - 1] if lengths else prefix_tokens(level - 1)
+                )
             self._touch(prefix_hash, own_tokens, now)
         self._capacity = capacity
         while self._tokens > capacity * self._share and self._held_by_hash:
--- /dev/null
+++ b/bitterntiller/components/dispatch/reports.py
@@ -0,0 +1,70 @@
+"""Answers the reports of entry hosts that have chosen this host as an owner."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+
+from bitterntiller.components.dispatch.quotas import QuotaLedger
+from bitterntiller.core.interfaces import ConfigView, Lease
+from bitterntiller.core.runtime import Runtime
+from bitterntiller.protocol import messages
+
+REPORT_SILENCE = 1.5
+"""Seconds without a report after which an entry host has turned to another owner.
+
+Ten times the period of reports; what the host has here would otherwise count as running
+for ever, since its end is told to the owner it has turned to.
+"""
+
+CHECK_PERIOD = 0.5
+
+DropHost = Callable[[str], Awaitable[None]]
+
+
+class ReportDesk:
+    """Keeps who reports here, and the quotas of workspaces."""
+
+    def __init__(
+        self, runtime: Runtime, lease: Lease, config: ConfigView, drop_host: DropHost
+    ) -> None:
+        self._runtime = runtime
+        self._lease = lease
+        self._config = config
+        self._drop_host = drop_host
+        self._ledger = QuotaLedger()
+        self._heard_by_host: dict[str, float] = {}
+
+    async def async_on_report(self, _host: str, report: Any) -> Any:
+        """Answer a messages.EntryReport."""
+        now = self._runtime.clock.now()
+        self._heard_by_host[report.entry_host] = now
+        return messages.EntryReportReply(
+            ready=self._lease.valid() and self._config.version > 0,
+            incarnation=self._runtime.incarnation,
+            number=report.number,
+            levels=self._levels(report.used, now),
+            entry_hosts=len(self._heard_by_host),
+        )
+
+    def _levels(self, used: list[Any], now: float) -> list[Any]:
+        levels = []
+        for item in used:
+            config = self._config.config
+            level = self._ledger.use(item.workspace, item.amount, config, now)
+            if level is not None:
+                level_message = messages.QuotaLevel(
+                    workspace=item.workspace, amount=int(level)
+                )
+                levels.append(level_message)
+        return levels
+
+    async def async_run(self) -> None:
+        """Forget the entry hosts that report no more, until cancelled."""
+        while True:
+            oldest = self._runtime.clock.now() - REPORT_SILENCE
+            for host, heard in list(self._heard_by_host.items()):
+                if heard < oldest:
+                    del self._heard_by_host[host]
+                    await self._drop_host(host)
+            await curio.sleep(CHECK_PERIOD)
--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -11,6 +11,8 @@
     MAX_RETURNS,
     MAX_SKIPS,
     PARK_SECONDS,
+    REASON_FAILED,
+    REASON_LOST_ANSWER,
     REASON_NOT_ADMITTED,
     REASON_REFUSED_CONNECTION,
 )
@@ -144,6 +146,8 @@
         if upstream is not None and reason in (
             REASON_NOT_ADMITTED,
             REASON_REFUSED_CONNECTION,
+            REASON_FAILED,
+            REASON_LOST_ANSWER,
         ):
             self._teacher.not_run(upstream, reason, now)
             job.returns += 1
@@ -462,7 +466,12 @@
         self._pool.attach(job, upstream, now)
         job.in_flight_at_start = upstream.ledger.in_flight
         if request.prefix_hashes:
-            upstream.prefixes.add(request.prefix_hashes, upstream.state.kv_tokens, now)
+            upstream.prefixes.add(
+                request.prefix_hashes,
+                upstream.state.kv_tokens,
+                now,
+                request.prefix_tokens,
+            )
         self._pool.refresh(upstream, now)
         grant = self._parameters.grant_seconds + self._parameters.grant_grace
         self._lapses.add(now + grant, job)
--- a/bitterntiller/components/dispatch/teacher.py
+++ b/bitterntiller/components/dispatch/teacher.py
@@ -6,6 +6,7 @@
     OUTCOME_DONE,
     OUTCOME_REJECTED,
     REASON_NOT_ADMITTED,
+    REASON_REFUSED_CONNECTION,
 )
 from bitterntiller.components.dispatch.jobs import Job
 from bitterntiller.components.dispatch.models import Completion, PolicyParameters
@@ -41,6 +42,8 @@
         upstream = job.upstream
         if upstream is None:
             return
+        if completion.load is not None:
+            upstream.ledger.fold(completion.load, now)
         # A caller that leaves, or asks for what the upstream rejects, says nothing
         # against the upstream. Counted as failures, a few of them in a row would
         # show as an upstream that pauses for everybody.
@@ -71,7 +74,7 @@
             )
             upstream.health.failure(now)
             return
-        upstream.health.failure(now, certain=True)
+        upstream.health.failure(now, certain=reason == REASON_REFUSED_CONNECTION)
 
     def _first_token(self, job: Job, upstream: Upstream, now: float) -> None:
         job.first_seen = now
--- a/bitterntiller/components/dispatch/upstreams.py
+++ b/bitterntiller/components/dispatch/upstreams.py
@@ -11,6 +11,9 @@
 from bitterntiller.components.dispatch.prefix import PrefixCache, PrefixIndex
 from bitterntiller.components.dispatch.speed import PoolSpeed, new_speed
 
+WORKED_SECONDS = 2.0
+"""How long an answer proves that an upstream is there which control does not hear."""
+
 Names = frozenset[str] | None
 """The names that requests are restricted to; None is all upstreams."""
 
@@ -52,7 +55,13 @@
         self.reserved_for = None
 
     def usable(self, now: float) -> bool:
-        """Tell whether the upstream is there: heard of and not leaving."""
+        """Tell whether the upstream is there: heard of and not leaving.
+
+        One that control does not hear may be cut off from control only: it is used
+        on as long as its answers come.
+        """
+        if self.state.silent and now - self.worked_at > WORKED_SECONDS:
+            return False
         return not self.state.leaving and now - self.heard_at <= self._silence
 
     def room(self) -> float:
--- a/bitterntiller/components/dispatch/wire.py
+++ b/bitterntiller/components/dispatch/wire.py
@@ -12,6 +12,7 @@
 from bitterntiller.protocol import messages
 
 STATE_LEAVING = "leaving"
+STATE_SILENT = "silent"
 
 
 def waiting_request(
@@ -34,19 +35,19 @@
         prefix_hashes=tuple(message.prefix_hashes),
         tried=tuple(message.tried),
         upstream_names=upstream_names,
+        prefix_tokens=tuple(message.prefix_tokens or ()),
+        first_by=_first_by(message, now),
     )
 
 
+def _first_by(message: messages.Register, now: float) -> float | None:
+    if message.first_by_ms is None:
+        return None
+    return now + message.first_by_ms / 1000
+
+
 def upstream_state(message: messages.Announce, now: float) -> UpstreamState:
     """Return an announcement in the owner's own time."""
-    load = None
-    if message.load is not None:
-        load = UpstreamLoad(
-            running=message.load.running,
-            waiting=message.load.waiting,
-            kv_tokens=message.load.kv_tokens,
-            measured_at=now - message.load.age_ms / 1000,
-        )
     return UpstreamState(
         name=message.name,
         address=message.address,
@@ -56,7 +57,8 @@
         labels=message.labels,
         slots=message.slots,
         kv_tokens=message.kv_tokens,
-        load=load,
+        silent=message.state == STATE_SILENT,
+        load=_load(message.load, now),
         cache_changes=tuple(
             CacheChange(event.sequence, event.stored, event.prefix_hash)
             for event in message.cache_events
@@ -64,7 +66,18 @@
     )
 
 
-def completion(message: messages.Finished) -> Completion:
+def _load(message: messages.Load | None, now: float) -> UpstreamLoad | None:
+    if message is None:
+        return None
+    return UpstreamLoad(
+        running=message.running,
+        waiting=message.waiting,
+        kv_tokens=message.kv_tokens,
+        measured_at=now - message.age_ms / 1000,
+    )
+
+
+def completion(message: messages.Finished, now: float) -> Completion:
     """Return the end of a request; -1 in a message stands for not known."""
     first = message.first_token_ms
     cached = message.cached_tokens
@@ -77,6 +90,7 @@
         first_token=None if first < 0 else first / 1000,
         total=message.total_ms / 1000,
         in_time=message.in_time,
+        load=_load(message.load, now),
     )
 
 
--- a/bitterntiller/components/entry/__init__.py
+++ b/bitterntiller/components/entry/__init__.py
@@ -1,9 +1,20 @@
 """The entry role: set-up and unloading."""
 
+from typing import NamedTuple
+
+from bitterntiller.components.entry import const
 from bitterntiller.components.entry.claiming import Claimant
 from bitterntiller.components.entry.context import Context
 from bitterntiller.components.entry.coordinator import EntryCoordinator
 from bitterntiller.components.entry.diagnostics import describe
+from bitterntiller.components.entry.interface import Interface
+from bitterntiller.components.entry.owner_watch import OwnerWatch
+from bitterntiller.components.entry.quota import QuotaAccount
+from bitterntiller.components.entry.retry_budget import RetryBudget
+from bitterntiller.components.http.pool import ConnectionPool
+from bitterntiller.components.node.coordinator import NodeCoordinator
+from bitterntiller.components.node.owners import DerivedOwners
+from bitterntiller.components.settings.const import ROLE_ENTRY
 from bitterntiller.core.interfaces import (
     ConfigView,
     ControlCalls,
@@ -14,6 +25,16 @@
 from bitterntiller.protocol import messages
 
 
+class RetryBounds(NamedTuple):
+    """What may be sent again to one service over all hosts.
+
+    per_request is earned by each request; besides is had without any, in each window.
+    """
+
+    per_request: float
+    besides: float
+
+
 async def async_setup(
     runtime: Runtime,
     lease: Lease,
@@ -33,8 +54,60 @@
         directory=directory,
         control=control,
     )
+    return await _async_start(runtime, context, None)
+
+
+async def async_setup_routed(
+    runtime: Runtime,
+    session: NodeCoordinator,
+    owners: DerivedOwners,
+    interface: Interface,
+    retries: RetryBounds,
+) -> EntryCoordinator:
+    """Set the entry role up for routes, kept connections and chosen owners."""
+    account = QuotaAccount(runtime.clock)
+    connections = ConnectionPool(
+        runtime.clock, const.MOST_IDLE_CONNECTIONS, accept_close=True
+    )
+    runtime.stack.push_async_callback(connections.async_close)
+    context = Context(
+        host=runtime.settings.host,
+        timings=runtime.settings.timings,
+        clock=runtime.clock,
+        metrics=runtime.metrics,
+        links=runtime.links,
+        lease=session.lease,
+        config=session.config,
+        directory=owners,
+        control=session.control_client,
+        interface=interface,
+        connections=connections,
+        quota=account,
+    )
+    budget = _shared_budget(session, retries)
+    coordinator = await _async_start(runtime, context, budget)
+    watch = OwnerWatch(runtime, owners, session.config, account)
+    await runtime.async_spawn(watch.async_run())
+    await runtime.async_spawn(coordinator.async_prune())
+    return coordinator
+
+
+def _shared_budget(session: NodeCoordinator, retries: RetryBounds) -> RetryBudget:
+    """Return this host's part of the deployment's budget of retries."""
+
+    def most() -> float:
+        hosts = session.directory.hosts_by_name.values()
+        entries = sum(ROLE_ENTRY in host.roles for host in hosts)
+        return const.BUDGET_PART_BESIDES * retries.besides / max(1, entries)
+
+    return RetryBudget(const.BUDGET_PART * retries.per_request, most)
+
+
+async def _async_start(
+    runtime: Runtime, context: Context, retries: RetryBudget | None
+) -> EntryCoordinator:
     claimant = Claimant(context, runtime.incarnation)
-    coordinator = EntryCoordinator(context, runtime.settings.limits, claimant)
+    coordinator = EntryCoordinator(context, runtime.settings.limits, claimant, retries)
     registry = coordinator.registry
     for cls, handler in (
         (messages.Grant, registry.async_on_grant),
--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -7,6 +7,7 @@
 from bitterntiller.components.entry.claiming import Claimant
 from bitterntiller.components.entry.context import Context
 from bitterntiller.components.entry.identify import withdrawn
+from bitterntiller.components.entry.interface import Finding
 from bitterntiller.components.entry.models import (
     ActiveRequest,
     GrantReceived,
@@ -15,27 +16,26 @@
     Retry,
     Verdict,
 )
-from bitterntiller.components.entry.relay import Relay
-from bitterntiller.components.entry.upstream_calls import (
-    async_cancel_work,
-    async_send_request,
-    echoes,
-)
+from bitterntiller.components.entry.relay import LOST_ANSWER, Relay
 from bitterntiller.components.http.client import ClientExchange
 from bitterntiller.components.http.errors import BrokenAnswerError, ConnectRefusedError
 from bitterntiller.components.http.exchange import Exchange
-from bitterntiller.components.http.models import ResponseHead, header
+from bitterntiller.components.http.models import ResponseHead
 from bitterntiller.core.outcomes import Ending, Outcome, Reason
 from bitterntiller.protocol import messages
 
 REFUSED_CONNECTION = "refused-connection"
 NOT_ADMITTED = "not-admitted"
-NOT_ADMITTED_STATUSES = frozenset({429, 503})
-NOT_ADMITTED_VALUE = "false"
+FAILED = "failed"
+BAD_GATEWAY = 502
+GATEWAY_TIMEOUT = 504
 
 
 class Attempt:
-    """Sends one request once, and relays its answer."""
+    """Sends one request once, and relays its answer.
+
+    may_repeat tells whether the deployment has room for sending a request once more.
+    """
 
     def __init__(
         self,
@@ -43,39 +43,54 @@
         active: ActiveRequest,
         context: Context,
         claimant: Claimant,
+        may_repeat: bool = False,
     ) -> None:
         self._claimant = claimant
         self._exchange = exchange
         self._active = active
         self._context = context
         self._timings = context.timings
+        self._may_repeat = may_repeat
 
     async def async_run(self, grant: GrantReceived) -> Verdict:
         """Return what is known after the attempt."""
         verdict = self._check(grant)
         if verdict is not None:
             return verdict
+        connections = self._context.connections
         try:
-            client = await ClientExchange.async_open(
+            client = await connections.async_acquire(
                 grant.address, self._timings.upstream_connect
             )
         except ConnectRefusedError:
             # Without a connection not a byte has left: this proves not-run.
             return Retry(grant.upstream, REFUSED_CONNECTION)
+        kept = False
         try:
-            verdict = await self._claimant.async_take(self._active, grant)
-            if verdict is not None:
-                return verdict
-            await self._async_started(grant)
-            # Connecting, claiming and telling the owner took time, and the process
-            # may have been stopped in it. Nothing may wait between this check and
-            # the bytes.
-            verdict = self._check(grant)
-            if verdict is not None:
-                return verdict
-            return await self._async_send(client, grant)
+            verdict = await self._async_claimed(client, grant)
+            kept = isinstance(verdict, Relayed) and verdict.whole
+            kept = kept or _certainly_answered(verdict)
+            return verdict
         finally:
-            await client.async_close()
+            if kept:
+                await connections.async_give_back(grant.address, client)
+            else:
+                await client.async_close()
+
+    async def _async_claimed(
+        self, client: ClientExchange, grant: GrantReceived
+    ) -> Verdict:
+        verdict = await self._claimant.async_take(self._active, grant)
+        if verdict is not None:
+            return verdict
+        await self._async_started(grant)
+        # Connecting, claiming and telling the owner took time, and the process
+        # may have been stopped in it. Nothing may wait between this check and
+        # the bytes.
+        verdict = self._check(grant)
+        if verdict is not None:
+            return verdict
+        return await self._async_send(client, grant)
 
     def _check(self, grant: GrantReceived) -> Ending | Retry | None:
         return self._check_time(grant) or self._check_config()
@@ -107,32 +122,83 @@
         active.mark_sending(grant)
         active.granted_at = self._context.clock.now()
         try:
-            await async_send_request(client, active, self._timings.body)
-            head = await client.async_head(self._first_byte_timeout())
+            await self._async_send_request(client, grant)
+            head, finding = await self._async_head(client)
         except BrokenAnswerError as error:
             return await self._async_lost_head(error)
-        if _not_admitted(head) and echoes(active, head):
+        active.load = self._context.interface.load(head)
+        if finding is Finding.NOT_RUN:
+            await _async_read_rest(client)
             return Retry(grant.upstream, NOT_ADMITTED)
-        if not echoes(active, head):
-            self._context.metrics.count(const.METRIC_LATE_ANSWERS)
+        if finding is Finding.FOREIGN:
             error = BrokenAnswerError("the answer names another request")
             return await self._async_lost_head(error)
+        if finding is not Finding.ANSWER and self._repeats():
+            await _async_read_rest(client)
+            return Retry(grant.upstream, FAILED, ran=True)
+        if finding is Finding.WITHHELD:
+            return _unknown(Reason.UPSTREAM_FAILED, BAD_GATEWAY)
         active.phase = Phase.RELAYING
         relay = Relay(self._exchange, active, self._context)
-        relayed = await relay.async_run(client, head)
-        if not relayed.whole:
-            await self._async_cancel_soon()
-        return relayed
+        return await self._async_relayed(await relay.async_run(client, head))
+
+    async def _async_send_request(
+        self, client: ClientExchange, grant: GrantReceived
+    ) -> None:
+        active = self._active
+        head = active.prepared.identified.received.head
+        headers = self._context.interface.request_headers(
+            active, grant, self._context.clock.now()
+        )
+        await client.async_request(
+            head.method,
+            head.target,
+            headers,
+            active.prepared.body,
+            self._timings.body,
+            close=not self._context.connections.keeps,
+        )
+
+    async def _async_head(self, client: ClientExchange) -> tuple[ResponseHead, Finding]:
+        """Return the head of the own answer; raise BrokenAnswerError.
+
+        On a kept connection a late answer to an earlier request may come first. It
+        names that request; the own answer follows it.
+        """
+        interface = self._context.interface
+        timeout = self._first_byte_timeout()
+        head = await client.async_head(timeout)
+        finding = interface.find(self._active, head)
+        if finding is Finding.FOREIGN:
+            self._context.metrics.count(const.METRIC_LATE_ANSWERS)
+            if client.kept and await client.async_skip():
+                head = await client.async_head(timeout)
+                finding = interface.find(self._active, head)
+        return head, finding
+
+    async def _async_relayed(self, verdict: Relayed | Retry) -> Verdict:
+        if isinstance(verdict, Relayed):
+            if not verdict.whole:
+                await self._async_cancel_soon()
+            return verdict
+        await self._async_cancel_soon()
+        if self._repeats():
+            return verdict
+        if self._exchange.started:
+            await self._exchange.async_cut()
+            return Relayed(False, BAD_GATEWAY)
+        return _unknown(Reason.UPSTREAM_RESET, BAD_GATEWAY)
+
+    def _repeats(self) -> bool:
+        return self._may_repeat and self._active.repeatable
 
     async def _async_cancel_soon(self) -> None:
         """Stop the upstream's work in the background.
 
         The caller of a cut answer sees the cut only after this filter has ended.
         """
-        active = self._active
-        await curio.spawn(
-            async_cancel_work, active.request_id, active.address, daemon=True
-        )
+        cancel = self._context.interface.async_cancel_work
+        await curio.spawn(cancel, self._active, daemon=True)
 
     async def _async_started(self, grant: GrantReceived) -> None:
         message = messages.Started(
@@ -144,18 +210,33 @@
             await self._context.links.async_send(grant.sender, message)
 
     def _first_byte_timeout(self) -> float:
-        left = self._active.prepared.identified.deadline - self._context.clock.now()
-        return max(0.001, min(left, self._timings.upstream_first_byte))
+        """Return how long to wait for the head of an answer.
+
+        A request that may be sent once more does not wait for a silent upstream until
+        its deadline: it would have no time left elsewhere.
+        """
+        identified = self._active.prepared.identified
+        left = identified.deadline - self._context.clock.now()
+        timeout = min(left, self._timings.upstream_first_byte)
+        if self._repeats() and identified.route is not None:
+            patience = const.PATIENCE_OBJECTIVES * identified.route.objective
+            timeout = min(timeout, max(patience, const.LEAST_PATIENCE))
+        return max(0.001, timeout)
 
     async def _async_lost_head(self, error: BrokenAnswerError) -> Verdict:
-        """End an attempt without an answer: it may have run, and is not resent.
+        """End an attempt without an answer: it may have run.
 
-        A reset or a timeout does not tell whether the upstream took the request.
-        A stream can still be had by resume; anything else stays unknown.
+        A reset or a timeout does not tell whether the upstream took the request, so
+        only what may run more than once is sent again. A stream of the project's own
+        interface can still be had by resume; anything else stays unknown.
         """
         active = self._active
         late = self._context.clock.now() >= active.prepared.identified.deadline
-        if active.prepared.estimate.streamed and not late:
+        if self._repeats() and not late:
+            await self._async_cancel_soon()
+            return Retry(active.upstream, LOST_ANSWER, ran=True)
+        own_stream = active.prepared.estimate.streamed and active.route is None
+        if own_stream and not late:
             relayed = await self._async_resume_from_start()
             if relayed is not None:
                 if not relayed.whole:
@@ -164,20 +245,33 @@
         # The answer does not wait for this: a given-up request ends at once.
         await self._async_cancel_soon()
         reason = Reason.UPSTREAM_TIMEOUT if late else Reason.UPSTREAM_RESET
-        status = 504 if late else 502
-        return Ending(Outcome.UNKNOWN, reason, status, detail=error.text)
+        status = GATEWAY_TIMEOUT if late else BAD_GATEWAY
+        return _unknown(reason, status, error.text)
 
     async def _async_resume_from_start(self) -> Relayed | None:
         relay = Relay(self._exchange, self._active, self._context)
         return await relay.async_from_start()
 
 
-def _not_admitted(head: ResponseHead) -> bool:
-    if head.status not in NOT_ADMITTED_STATUSES:
-        return False
-    value = header(head.headers, const.HEADER_ADMITTED) or ""
-    return value.lower() == NOT_ADMITTED_VALUE
+def _certainly_answered(verdict: Verdict) -> bool:
+    """Tell whether an attempt ended with a whole answer that was not relayed."""
+    return isinstance(verdict, Retry) and verdict.reason in (NOT_ADMITTED, FAILED)
+
+
+async def _async_read_rest(client: ClientExchange) -> None:
+    """Read the body of an answer that is not relayed, so that its connection is kept."""
+    try:
+        await client.async_guard(const.REST_SILENCE)
+        for _ in range(const.REST_PARTS):
+            if await client.async_data() is None:
+                return
+    except BrokenAnswerError:
+        return
 
 
 def _not_run(reason: Reason) -> Ending:
     return Ending(Outcome.NOT_RUN, reason, 503, retry_after=const.DEFAULT_RETRY_AFTER)
+
+
+def _unknown(reason: Reason, status: int, detail: str = "") -> Ending:
+    return Ending(Outcome.UNKNOWN, reason, status, detail=detail)
--- a/bitterntiller/components/entry/const.py
+++ b/bitterntiller/components/entry/const.py
@@ -48,6 +48,45 @@
 MAX_DEADLINE_MS = 24 * 3600 * 1000
 MAX_KEY_LENGTH = 255
 
+BUFFERED_BYTES = 256 * 1024
+"""A routed answer that is no stream is held until it is whole, up to this size.
+
+A broken one can then be had of another upstream, or be told as a failure instead of a
+cut; larger ones are passed on as they come, so that few of them can't fill the memory.
+"""
+
+LEAST_SILENCE = 1.0
+"""Seconds of silence that a resumable stream is granted at least before it goes on
+elsewhere; a long prefill of another request stops an engine's output for about half."""
+
+PATIENCE_OBJECTIVES = 2.5
+LEAST_PATIENCE = 1.0
+"""How long a repeatable request waits for the head of an answer: in objectives of its
+route, and in seconds at least. Beyond it an answer is worth little, while another
+upstream can still serve the request before its caller gives up."""
+
+REST_SILENCE = 0.2
+REST_PARTS = 8
+"""Seconds and parts within which the body of an unused answer must end."""
+
+REPORT_PERIOD = 0.1
+REPORT_TIMEOUT = 0.3
+SUSPECT_RETRY = 0.5
+"""Seconds between reports to an owner, until one counts as lost, and until a lost one is
+asked again. A loss then shows in 0.4 s, within the half second that grants may pause;
+an owner that stands still for 0.2 s, as at the cutting of a log, does not count as lost."""
+
+MOST_IDLE_CONNECTIONS = 8
+PRUNE_PERIOD = 1.0
+"""Idle connections kept to one upstream, and seconds between two looks for old ones."""
+
+BUDGET_PART = 0.8
+BUDGET_PART_BESIDES = 0.5
+"""Parts of the deployment's budget of retries that its hosts use.
+
+The rest covers hosts that are started anew, whose budgets begin full.
+"""
+
 GRANT_MARGIN = 0.05
 OWNER_WAIT = 10.0
 OWNER_POLL = 0.1
@@ -81,5 +120,6 @@
 METRIC_CALLER_GONE = "entry.caller_gone"
 METRIC_CLAIMS_FOLLOWED = "entry.claims_followed"
 METRIC_CLAIMS_UNSETTLED = "entry.claims_unsettled"
+METRIC_OWNERS_LOST = "entry.owners_lost"
 METRIC_STALE_GRANTS = "entry.stale_grants"
 METRIC_LAPSED_GRANTS = "entry.lapsed_grants"
--- a/bitterntiller/components/entry/coordinator.py
+++ b/bitterntiller/components/entry/coordinator.py
@@ -15,6 +15,7 @@
     OwnerChanged,
     RequestRegistry,
 )
+from bitterntiller.components.entry.retry_budget import RetryBudget
 from bitterntiller.components.entry.wire import register_message
 from bitterntiller.components.settings.models import Limits
 from bitterntiller.core.interfaces import Ownership
@@ -26,13 +27,22 @@
 class EntryCoordinator:
     """The entry role of one process."""
 
-    def __init__(self, context: Context, limits: Limits, claimant: Claimant) -> None:
+    def __init__(
+        self,
+        context: Context,
+        limits: Limits,
+        claimant: Claimant,
+        retries: RetryBudget | None = None,
+    ) -> None:
         self._context = context
         self.registry = RequestRegistry(context)
         self.budget = HostBudget(limits)
-        self.pipeline = Pipeline(context, limits, self.budget, self.registry, claimant)
+        self.pipeline = Pipeline(
+            context, limits, self.budget, self.registry, claimant, retries
+        )
         self._owners_by_pool: dict[str, Ownership | None] = {}
         self._had_lease = True
+        self.leaving = False
         self._claimant = claimant
         self._drain_listeners: list[Callable[[], Awaitable[None]]] = []
 
@@ -42,7 +52,13 @@
 
     def ready(self) -> bool:
         """Tell whether the host takes new work now."""
-        return not self.pipeline.draining and self._context.lease.valid()
+        taking = not (self.leaving or self.pipeline.draining)
+        known = self._context.config.version > 0
+        return taking and known and self._context.lease.valid()
+
+    def leave(self) -> None:
+        """Say not to be ready from now on, and serve whoever still comes."""
+        self.leaving = True
 
     async def async_follow(self) -> None:
         """Follow owners and the lease, until cancelled."""
@@ -64,6 +80,12 @@
                 message = messages.Progress(pool=pool, items=items)
                 await self._context.links.async_send(owner.address, message)
 
+    async def async_prune(self) -> None:
+        """End connections that have been idle for too long, until cancelled."""
+        while True:
+            await curio.sleep(const.PRUNE_PERIOD)
+            await self._context.connections.async_prune()
+
     async def async_tell_live(self) -> None:
         """Tell owners all that is live here every few seconds, until cancelled.
 
--- a/bitterntiller/components/entry/identify.py
+++ b/bitterntiller/components/entry/identify.py
@@ -1,16 +1,18 @@
 """Second filter: whose request it is, for which service, how important, by when."""
 
-import hashlib
-
 from bitterntiller.components.config.models import Config, Service, Tier, Workspace
 from bitterntiller.components.entry import const
 from bitterntiller.components.entry.models import Identified, Received
+from bitterntiller.components.entry.routing import identify_by_route
+from bitterntiller.components.entry.tokens import workspace_of
 from bitterntiller.core.outcomes import Ending, Outcome, Reason
 
 
 def identify(received: Received, config: Config) -> Identified | Ending:
     """Return the request with its workspace, service, tier and deadline."""
-    workspace = _workspace(received.token, config)
+    if config.routes_by_host:
+        return identify_by_route(received, config)
+    workspace = workspace_of(received.token, config)
     if workspace is None:
         return _refusal(Reason.UNAUTHORIZED, 401, "no workspace has this token")
     if has_dot_segment(received.head.path):
@@ -43,8 +45,11 @@
 
     None when it still does, for the same service and tier. A request can wait
     longer than a change takes to come into force; sent by what was allowed when
-    it came, it would run under a configuration that is in force nowhere.
+    it came, it would run under a configuration that is in force nowhere. A routed
+    request goes by the configuration under which it came: its route bounds its wait.
     """
+    if identified.route is not None:
+        return None
     anew = identify(identified.received, config)
     if isinstance(anew, Ending):
         return anew
@@ -87,13 +92,6 @@
     return path.startswith(prefix if prefix.endswith("/") else prefix + "/")
 
 
-def _workspace(token: str, config: Config) -> Workspace | None:
-    if not token:
-        return None
-    digest = hashlib.sha256(token.encode("latin-1")).hexdigest()
-    return config.workspaces_by_token.get(digest)
-
-
 def _tier(name: str, workspace: Workspace, config: Config) -> Tier | Ending:
     highest = config.tiers_by_name[workspace.tier]
     if not name:
--- a/bitterntiller/components/entry/models.py
+++ b/bitterntiller/components/entry/models.py
@@ -5,13 +5,34 @@
 
 import curio
 
-from bitterntiller.components.config.models import Service, Tier, Workspace
+from bitterntiller.components.config.models import Route, Service, Tier, Workspace
 from bitterntiller.components.entry.errors import SentTwiceError
+from bitterntiller.components.entry.sse import EventStream
 from bitterntiller.components.http.models import RequestHead
 from bitterntiller.core.interfaces import Ownership
 from bitterntiller.core.outcomes import Ending
 
 
+class PromptPart(NamedTuple):
+    """A part of a prompt that other requests may share: its id and its tokens."""
+
+    part_id: str
+    tokens: int
+
+
+class StatedWork(NamedTuple):
+    """What a caller's headers tell of the work, where its interface has such headers.
+
+    output_tokens is the expected output. parts are the parts of the prompt in their
+    order. most_tokens is the prompt with the most output that the caller allows.
+    """
+
+    prompt_tokens: int
+    output_tokens: int
+    parts: tuple[PromptPart, ...]
+    most_tokens: int
+
+
 class Received(NamedTuple):
     """A request whose head was read and whose own headers are well formed."""
 
@@ -22,12 +43,16 @@
     deadline_ms: int | None
     tier: str
     arrived: float
+    work: StatedWork | None = None
+    host: str = ""
 
 
 class Identified(NamedTuple):
     """A request whose workspace, service, tier and deadline are known.
 
-    config_version is the version of the configuration by which they are.
+    config_version is the version of the configuration by which they are. route is the
+    one that matched, where the configuration has routes; first_by is then the time by
+    which the first output is still good.
     """
 
     received: Received
@@ -37,15 +62,23 @@
     deadline: float
     idempotent: bool
     config_version: int = 0
+    route: Route | None = None
+    first_by: float | None = None
 
 
 class Estimate(NamedTuple):
-    """What the body tells of the work: tokens, prefixes, and how it answers."""
+    """What is told of the work: tokens, prefixes, and how it answers.
+
+    prefix_tokens has the tokens of each prefix where the caller told them. usage is
+    what the request takes from its workspace's quota.
+    """
 
     prompt_tokens: int
     output_tokens: int
     prefix_hashes: tuple[int, ...]
     streamed: bool
+    prefix_tokens: tuple[int, ...] = ()
+    usage: int = 1
 
 
 class Prepared(NamedTuple):
@@ -75,10 +108,15 @@
 
 
 class Retry(NamedTuple):
-    """An attempt that proved not to have run; the request waits again."""
+    """An attempt after which the request waits again.
+
+    ran is False when it proved not to have run, and True when it may have and the
+    request may run more than once.
+    """
 
     upstream: str
     reason: str
+    ran: bool = False
 
 
 class Relayed(NamedTuple):
@@ -107,6 +145,13 @@
 Verdict = Ending | Retry | Relayed | ClaimFound
 
 
+class ReportedLoad(NamedTuple):
+    """What an answer tells of its upstream's load."""
+
+    running: int
+    waiting: int
+
+
 class Phase(StrEnum):
     """How far a request has come."""
 
@@ -141,12 +186,26 @@
         self.claim_upstream = ""
         self.claim_address = ""
         self.followed_id = ""
+        self.runs = 0
+        self.stream: EventStream | None = None
+        self.load: ReportedLoad | None = None
 
     @property
     def key(self) -> str:
         """Return the caller's idempotency key, empty when it gave none."""
         return self.prepared.identified.received.idempotency_key
 
+    @property
+    def route(self) -> Route | None:
+        """Return the route that matched, None without routes."""
+        return self.prepared.identified.route
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether the request may run once more after it may have run."""
+        route = self.route
+        return route is not None and route.repeatable and self.runs < route.max_attempts
+
     @property
     def upstream_request_id(self) -> str:
         """Return the id under which the upstream knows the work."""
@@ -171,12 +230,32 @@
         if self.may_have_run:
             raise SentTwiceError(f"request {self.request_id} may have run already")
         self.may_have_run = True
+        self.runs += 1
         self.phase = Phase.SENDING
         self.upstream = grant.upstream
         self.address = grant.address
 
+    @property
+    def has_run(self) -> bool:
+        """Tell whether any attempt so far may have run."""
+        return self.runs > 0
+
+    def mark_lost(self, upstream: str) -> None:
+        """Have the request wait again though it may have run; raise SentTwiceError."""
+        if not self.repeatable:
+            raise SentTwiceError(f"request {self.request_id} may run only once")
+        self._wait_again(upstream)
+
+    def note_tried(self, upstream: str) -> None:
+        """Note an upstream to which nothing was sent, as it could not be reached."""
+        self._wait_again(upstream)
+
     def mark_not_run(self, upstream: str) -> None:
         """Note the proof that the last attempt did not run."""
+        self.runs -= 1
+        self._wait_again(upstream)
+
+    def _wait_again(self, upstream: str) -> None:
         self.may_have_run = False
         self.phase = Phase.WAITING
         self.tried = (*self.tried, upstream)
--- /dev/null
+++ b/bitterntiller/components/entry/native.py
@@ -0,0 +1,80 @@
+"""The project's own interface towards callers and upstreams."""
+
+from bitterntiller.components.entry import const
+from bitterntiller.components.entry.estimate import estimate
+from bitterntiller.components.entry.interface import Finding
+from bitterntiller.components.entry.models import (
+    ActiveRequest,
+    Estimate,
+    GrantReceived,
+    Identified,
+    Received,
+    ReportedLoad,
+)
+from bitterntiller.components.entry.receive import receive
+from bitterntiller.components.entry.refuse import refusal_body, refusal_headers
+from bitterntiller.components.entry.relay_headers import answer_headers
+from bitterntiller.components.entry.upstream_calls import (
+    async_cancel_work,
+    echoes,
+    request_headers,
+)
+from bitterntiller.components.http.models import (
+    Headers,
+    RequestHead,
+    ResponseHead,
+    header,
+)
+from bitterntiller.core.outcomes import Ending
+
+NOT_ADMITTED_STATUSES = frozenset({429, 503})
+NOT_ADMITTED_VALUE = "false"
+
+
+class NativeInterface:
+    """See docs/OPERATING.md and docs/UPSTREAMS.md for the headers; an Interface."""
+
+    def receive(self, head: RequestHead, now: float) -> Received | Ending:
+        """Return what the headers of a request tell, or why it can't be served."""
+        return receive(head, now)
+
+    def estimate(self, identified: Identified, body: bytes) -> Estimate:
+        """Return the work that the body asks for."""
+        return estimate(identified.service.kind, body)
+
+    def request_headers(
+        self, active: ActiveRequest, grant: GrantReceived, now: float
+    ) -> Headers:
+        """Return the headers of the request to the upstream of a grant."""
+        return request_headers(active)
+
+    def find(self, active: ActiveRequest, head: ResponseHead) -> Finding:
+        """Tell what the head of an upstream's answer means."""
+        if not echoes(active, head):
+            return Finding.FOREIGN
+        if _not_admitted(head):
+            return Finding.NOT_RUN
+        return Finding.ANSWER
+
+    def load(self, head: ResponseHead) -> ReportedLoad | None:
+        """Return None: upstreams tell their load in announcements."""
+        return None
+
+    def answer_headers(self, active: ActiveRequest, head: ResponseHead) -> Headers:
+        """Return the headers of a relayed answer."""
+        return answer_headers(active, head)
+
+    def refusal(self, ending: Ending, request_id: str) -> tuple[Headers, bytes]:
+        """Return headers and body of an answer that no upstream gave."""
+        return refusal_headers(ending, request_id), refusal_body(ending, request_id)
+
+    async def async_cancel_work(self, active: ActiveRequest) -> None:
+        """Have the upstream stop the work of a request."""
+        await async_cancel_work(active.request_id, active.address)
+
+
+def _not_admitted(head: ResponseHead) -> bool:
+    if head.status not in NOT_ADMITTED_STATUSES:
+        return False
+    value = header(head.headers, const.HEADER_ADMITTED) or ""
+    return value.lower() == NOT_ADMITTED_VALUE
--- /dev/null
+++ b/bitterntiller/components/entry/owner_watch.py
@@ -0,0 +1,109 @@
+"""Watches whether the owners of pools answer, where owners follow from membership."""
+
+import itertools
+
+import curio
+
+from bitterntiller.components.entry import const
+from bitterntiller.components.entry.quota import QuotaAccount
+from bitterntiller.components.links.errors import LinkError
+from bitterntiller.components.node.owners import DerivedOwners
+from bitterntiller.core import events
+from bitterntiller.core.interfaces import ConfigView, Ownership
+from bitterntiller.core.runtime import Runtime
+from bitterntiller.protocol import messages
+
+QUOTA_POOL = "quotas of workspaces"
+"""The name under which the host is chosen that counts quotas; not one of a service."""
+
+
+class OwnerWatch:
+    """Reports to each owner in use a few times a second and passes silent ones over.
+
+    The report carries what workspaces have used; the answer what is left to them. An
+    owner that is lost shows within REPORT_TIMEOUT and one period, so that grants pause
+    for less than half a second when it dies.
+    """
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        owners: DerivedOwners,
+        config: ConfigView,
+        account: QuotaAccount,
+    ) -> None:
+        self._runtime = runtime
+        self._owners = owners
+        self._config = config
+        self._account = account
+        self._numbers = itertools.count(1)
+        self._asked_at_by_host: dict[str, float] = {}
+        self._under_way: set[str] = set()
+
+    async def async_run(self) -> None:
+        """Report until cancelled."""
+        while True:
+            now = self._runtime.clock.now()
+            for owner in self._due(now):
+                if owner.host in self._under_way:
+                    continue
+                self._under_way.add(owner.host)
+                self._asked_at_by_host[owner.host] = now
+                await curio.spawn(self._async_report, owner, daemon=True)
+            await curio.sleep(const.REPORT_PERIOD)
+
+    def _due(self, now: float) -> list[Ownership]:
+        """Return the owners in use, and the better ones that are due for a retry."""
+        due: dict[str, Ownership] = {}
+        for pool in [*self._config.config.services_by_name, QUOTA_POOL]:
+            for host in self._owners.candidates(pool):
+                owner = Ownership(host.name, host.address, 0)
+                if not self._owners.is_suspect(host.name):
+                    due[host.name] = owner
+                    break
+                asked = self._asked_at_by_host.get(host.name, float("-inf"))
+                if now - asked >= const.SUSPECT_RETRY:
+                    due[host.name] = owner
+        return list(due.values())
+
+    async def _async_report(self, owner: Ownership) -> None:
+        try:
+            await self._async_ask(owner)
+        finally:
+            self._under_way.discard(owner.host)
+
+    async def _async_ask(self, owner: Ownership) -> None:
+        counts = self._owners.owner(QUOTA_POOL)
+        to_counter = counts is not None and counts.host == owner.host
+        used = self._account.take_unreported() if to_counter else {}
+        number = next(self._numbers)
+        report = messages.EntryReport(
+            entry_host=self._runtime.settings.host,
+            incarnation=self._runtime.incarnation,
+            number=number,
+            used=[
+                messages.Usage(workspace=name, amount=amount)
+                for name, amount in used.items()
+            ],
+        )
+        try:
+            reply = await self._runtime.links.async_call(
+                owner.address, report, const.REPORT_TIMEOUT
+            )
+        except LinkError as error:
+            self._account.put_back(used)
+            self._suspect(owner, error.text)
+            return
+        if not reply.ready:
+            self._account.put_back(used)
+            self._suspect(owner, "it has no configuration or lease")
+            return
+        if to_counter:
+            self._account.take_levels(reply.levels, reply.entry_hosts)
+        if self._owners.note_answer(owner.host, reply.incarnation):
+            events.emit("owner-answers", host=owner.host, incarnation=reply.incarnation)
+
+    def _suspect(self, owner: Ownership, why: str) -> None:
+        if self._owners.suspect(owner.host):
+            self._runtime.metrics.count(const.METRIC_OWNERS_LOST)
+            events.emit("owner-lost", host=owner.host, why=why)
--- a/bitterntiller/components/entry/pipeline.py
+++ b/bitterntiller/components/entry/pipeline.py
@@ -12,7 +12,6 @@
     ending_of,
 )
 from bitterntiller.components.entry.context import Context
-from bitterntiller.components.entry.estimate import estimate
 from bitterntiller.components.entry.identify import identify
 from bitterntiller.components.entry.models import (
     ActiveRequest,
@@ -25,12 +24,10 @@
     Retry,
     Verdict,
 )
-from bitterntiller.components.entry.receive import receive
-from bitterntiller.components.entry.refuse import async_refuse
 from bitterntiller.components.entry.registry import RequestRegistry
-from bitterntiller.components.entry.relay import Relay, outcome_of
+from bitterntiller.components.entry.relay import Relay
+from bitterntiller.components.entry.relay_headers import outcome_of
 from bitterntiller.components.entry.retry_budget import RetryBudget
-from bitterntiller.components.entry.upstream_calls import async_cancel_work
 from bitterntiller.components.entry.waiting import async_cancel, async_wait
 from bitterntiller.components.http.errors import BadRequestError, CallerGoneError
 from bitterntiller.components.http.exchange import Exchange
@@ -54,6 +51,7 @@
         budget: HostBudget,
         registry: RequestRegistry,
         claimant: Claimant,
+        retries: RetryBudget | None = None,
     ) -> None:
         self._claimant = claimant
         self._context = context
@@ -61,11 +59,13 @@
         self._budget = budget
         self._registry = registry
         self.draining = False
-        self.retries = RetryBudget()
+        self.retries = retries or RetryBudget()
 
     async def async_serve(self, exchange: Exchange) -> None:
         """Answer one request."""
-        received = receive(exchange.head, self._context.clock.now())
+        received = self._context.interface.receive(
+            exchange.head, self._context.clock.now()
+        )
         if isinstance(received, Ending):
             await self._async_refuse(exchange, received, None, "")
             return
@@ -95,11 +95,17 @@
     ) -> bytes | Ending:
         timeout = self._context.timings.body
         try:
-            return await exchange.async_body(self._limits.body_bytes, timeout)
+            return await exchange.async_body(self._body_bytes(), timeout)
         except BadRequestError as error:
             reason = _REASON_BY_STATUS.get(error.status, Reason.BAD_REQUEST)
             return Ending(Outcome.NOT_RUN, reason, error.status, detail=error.text)
 
+    def _body_bytes(self) -> int:
+        limits = self._context.config.config.caller_limits
+        if limits is None:
+            return self._limits.body_bytes
+        return min(limits.body_bytes, self._limits.body_bytes)
+
     def _unready(self) -> Ending | None:
         if self.draining:
             return _come_back(Reason.DRAINING)
@@ -121,8 +127,8 @@
         return 0
 
     def _take_room(self, identified: Identified, size: int) -> Ending | None:
-        if size > self._limits.body_bytes:
-            detail = f"a body over {self._limits.body_bytes} bytes"
+        if size > self._body_bytes():
+            detail = f"a body over {self._body_bytes()} bytes"
             return Ending(Outcome.NOT_RUN, Reason.BODY_TOO_LARGE, 413, detail=detail)
         tiers = self._context.config.config.tiers_by_name.values()
         ranks = sorted(tier.rank for tier in tiers)
@@ -132,8 +138,12 @@
     async def _async_with_body(
         self, exchange: Exchange, identified: Identified, body: bytes
     ) -> None:
-        work = estimate(identified.service.kind, body)
+        work = self._context.interface.estimate(identified, body)
         active = ActiveRequest(Prepared(identified, body, work))
+        over = self._over_quota(active)
+        if over is not None:
+            await self._async_refuse(exchange, over, identified, active.request_id)
+            return
         self._registry.add(active)
         self.retries.earn(active.pool)
         try:
@@ -148,6 +158,16 @@
         finally:
             self._registry.remove(active)
 
+    def _over_quota(self, active: ActiveRequest) -> Ending | None:
+        quota = self._context.quota
+        if quota is None:
+            return None
+        prepared = active.prepared
+        wait = quota.take(prepared.identified.workspace, prepared.estimate.usage)
+        if wait <= 0:
+            return None
+        return Ending(Outcome.NOT_RUN, Reason.QUOTA, 429, retry_after=wait)
+
     async def _async_watched(self, exchange: Exchange, active: ActiveRequest) -> None:
         """Run the request while watching whether its caller is still there."""
         async with curio.TaskGroup(wait=any) as group:
@@ -170,9 +190,9 @@
             outcome = outcome_of(verdict.status) if verdict.whole else Outcome.UNKNOWN
             await self._async_account(active, outcome, verdict.status)
             return
-        if active.may_have_run:
+        if active.may_have_run or active.has_run:
             await self._async_account(active, verdict.outcome, verdict.status)
-            await async_refuse(exchange, verdict, active.request_id)
+            await self._async_end(exchange, active, _as_run(verdict))
             return
         identified = active.prepared.identified
         await self._async_settle(active, verdict.outcome, verdict.status)
@@ -182,12 +202,23 @@
         grant = await async_wait(active, self._context)
         if isinstance(grant, Ending):
             return grant
-        attempt = Attempt(exchange, active, self._context, self._claimant)
+        attempt = Attempt(
+            exchange,
+            active,
+            self._context,
+            self._claimant,
+            self.retries.has_room(active.pool),
+        )
         verdict = await attempt.async_run(grant)
         # Before the owner hears of it: its next grant may come at once, and would
         # be sent back as unwanted while the request still seems to be sent.
         if isinstance(verdict, Retry) and verdict.upstream:
-            active.mark_not_run(verdict.upstream)
+            if verdict.ran:
+                active.mark_lost(verdict.upstream)
+            elif active.may_have_run:
+                active.mark_not_run(verdict.upstream)
+            else:
+                active.note_tried(verdict.upstream)
             if not self.retries.spend(active.pool):
                 return await self._async_give_up(active, grant, verdict)
             self._context.metrics.count(const.METRIC_RETRIES)
@@ -259,11 +290,22 @@
             await async_cancel(active, self._context)
             return
         active.phase = Phase.ENDED
-        await async_cancel_work(active.request_id, active.address)
+        await self._context.interface.async_cancel_work(active)
         account.count_answer(self._context, active, Outcome.UNKNOWN)
         await self._async_settle(active, Outcome.UNKNOWN, 0)
         await account.async_tell_owner(self._context, active, outcome)
 
+    async def _async_end(
+        self, exchange: Exchange, active: ActiveRequest, ending: Ending
+    ) -> None:
+        """Tell a request's ending, by a cut where its answer has begun."""
+        if exchange.started:
+            self._context.metrics.count(const.METRIC_CUT)
+            await exchange.async_cut()
+            return
+        headers, body = self._context.interface.refusal(ending, active.request_id)
+        await exchange.async_respond(ending.status, headers, body)
+
     async def _async_refuse(
         self,
         exchange: Exchange,
@@ -272,7 +314,8 @@
         request_id: str,
     ) -> None:
         account.count_refusal(self._context, ending, identified)
-        await async_refuse(exchange, ending, request_id)
+        headers, body = self._context.interface.refusal(ending, request_id)
+        await exchange.async_respond(ending.status, headers, body)
 
 
 async def _async_watch(exchange: Exchange) -> None:
@@ -286,6 +329,16 @@
         await curio.sleep(WATCH_PAUSE)
 
 
+def _as_run(ending: Ending) -> Ending:
+    """Return the ending of a request that an earlier attempt may have run.
+
+    Whatever ended the waiting for another attempt, not-run would be untrue.
+    """
+    if ending.outcome is not Outcome.NOT_RUN:
+        return ending
+    return Ending(Outcome.UNKNOWN, ending.reason, 502, detail=ending.detail)
+
+
 def _come_back(reason: Reason) -> Ending:
     after = const.DEFAULT_RETRY_AFTER
     return Ending(Outcome.NOT_RUN, reason, 503, retry_after=after)
--- a/bitterntiller/components/entry/refuse.py
+++ b/bitterntiller/components/entry/refuse.py
@@ -4,7 +4,6 @@
 import math
 
 from bitterntiller.components.entry import const
-from bitterntiller.components.http.exchange import Exchange
 from bitterntiller.components.http.models import Headers
 from bitterntiller.core.outcomes import Ending
 
@@ -33,10 +32,3 @@
     if ending.retry_after is not None:
         document["retry_after_ms"] = math.ceil(ending.retry_after * 1000)
     return json.dumps(document).encode() + b"\n"
-
-
-async def async_refuse(exchange: Exchange, ending: Ending, request_id: str) -> None:
-    """Send an ending to the caller at once."""
-    headers = refusal_headers(ending, request_id)
-    body = refusal_body(ending, request_id)
-    await exchange.async_respond(ending.status, headers, body)
--- a/bitterntiller/components/entry/relay.py
+++ b/bitterntiller/components/entry/relay.py
@@ -4,7 +4,16 @@
 
 from bitterntiller.components.entry import const
 from bitterntiller.components.entry.context import Context
-from bitterntiller.components.entry.models import ActiveRequest, Phase, Relayed
+from bitterntiller.components.entry.models import (
+    ActiveRequest,
+    Phase,
+    Relayed,
+    Retry,
+)
+from bitterntiller.components.entry.relay_headers import (
+    EVENT_STREAM,
+    is_event_stream,
+)
 from bitterntiller.components.entry.sse import BrokenStreamError, EventStream
 from bitterntiller.components.entry.upstream_calls import (
     STATUS_OK,
@@ -13,49 +22,9 @@
 from bitterntiller.components.http.client import ClientExchange
 from bitterntiller.components.http.errors import BrokenAnswerError
 from bitterntiller.components.http.exchange import Exchange
-from bitterntiller.components.http.models import Headers, ResponseHead, header
-from bitterntiller.core.outcomes import Outcome
-
-EVENT_STREAM = "text/event-stream"
-FIRST_FAILED_STATUS = 400
-
-
-def outcome_of(status: int) -> Outcome:
-    """Return the outcome of a whole answer with this status."""
-    return Outcome.FAILED if status >= FIRST_FAILED_STATUS else Outcome.DONE
-
-
-def answer_headers(active: ActiveRequest, head: ResponseHead) -> Headers:
-    """Return the headers for the caller.
-
-    The outcome stands for an answer that arrives whole; a cut one has none.
-    """
-    dropped = (const.HOP_HEADERS - {b"content-length"}) | const.OWN_HEADERS
-    dropped = dropped | {const.HEADER_ADMITTED} | _named_by_connection(head.headers)
-    # A length beside chunks says nothing of the body, and one of a stream may
-    # count bytes behind its end mark: kept, it would cut an answer that is whole.
-    names = {name for name, _ in head.headers}
-    if b"transfer-encoding" in names or is_event_stream(head):
-        dropped = dropped | {b"content-length"}
-    kept = [item for item in head.headers if item[0] not in dropped]
-    kept.append((const.HEADER_REQUEST_ID, active.upstream_request_id.encode()))
-    kept.append((const.HEADER_OUTCOME, outcome_of(head.status).encode()))
-    return kept
-
-
-def is_event_stream(head: ResponseHead) -> bool:
-    """Tell whether an answer is a stream of events."""
-    content_type = header(head.headers, b"content-type") or ""
-    return content_type.lower().startswith(EVENT_STREAM)
-
+from bitterntiller.components.http.models import ResponseHead
 
-def _named_by_connection(headers: Headers) -> frozenset[bytes]:
-    """Return the headers that Connection says are for one connection only."""
-    value = header(headers, b"connection")
-    if value is None:
-        return frozenset()
-    names = value.lower().encode("latin-1").split(b",")
-    return frozenset(name.strip() for name in names) - {b"content-length"}
+LOST_ANSWER = "lost-answer"
 
 
 class Relay:
@@ -71,23 +40,82 @@
         method = active.prepared.identified.received.head.method
         self._bodyless = method == "HEAD"
 
-    async def async_run(self, client: ClientExchange, head: ResponseHead) -> Relayed:
-        """Relay an answer whose head has come; client is closed by the caller."""
-        await self._exchange.async_start(
-            head.status, answer_headers(self._active, head)
-        )
-        await client.async_guard(self._idle)
-        if is_event_stream(head) and head.status == STATUS_OK and not self._bodyless:
+    async def async_run(
+        self, client: ClientExchange, head: ResponseHead
+    ) -> Relayed | Retry:
+        """Relay an answer whose head has come; client is closed by the caller.
+
+        Retry for one that broke and can be had of another upstream.
+        """
+        streams = is_event_stream(head) and head.status == STATUS_OK
+        if self._active.route is not None and not streams:
+            return await self._async_buffered(client, head)
+        if not self._exchange.started:
+            headers = self._context.interface.answer_headers(self._active, head)
+            await self._exchange.async_start(head.status, headers)
+        await client.async_guard(self._silence())
+        if streams and not self._bodyless:
             whole = await self._async_events(client)
         else:
             whole = await self._async_body(client)
+        if not whole and self._active.repeatable and self._resumable():
+            return Retry(self._active.upstream, LOST_ANSWER, ran=True)
+        await self._async_end(whole)
+        return Relayed(whole, head.status)
+
+    async def _async_end(self, whole: bool) -> None:
         if whole:
             await self._exchange.async_finish()
-        else:
-            # A cut that looked like an end would be a shorter answer taken for the
-            # whole one; the missing end marker and the reset show it.
-            self._context.metrics.count(const.METRIC_CUT)
-            await self._exchange.async_cut()
+            return
+        # A cut that looked like an end would be a shorter answer taken for the
+        # whole one; the missing end marker and the reset show it.
+        self._context.metrics.count(const.METRIC_CUT)
+        await self._exchange.async_cut()
+
+    def _silence(self) -> float:
+        """Return after how many seconds without a byte a stream counts as broken."""
+        route = self._active.route
+        if route is None or not self._active.repeatable or not route.pause:
+            return self._idle
+        return min(self._idle, max(const.LEAST_SILENCE, 2 * route.pause))
+
+    def _resumable(self) -> bool:
+        stream = self._active.stream
+        return stream is not None and stream.resumable
+
+    async def _async_buffered(
+        self, client: ClientExchange, head: ResponseHead
+    ) -> Relayed | Retry:
+        """Relay an answer once it is whole, so that a broken one shows no head.
+
+        A long one is passed on as it comes, from the moment it is over the bound.
+        """
+        await client.async_guard(self._idle)
+        parts: list[bytes] = []
+        size = 0
+        try:
+            while (data := await client.async_data()) is not None:
+                parts.append(data)
+                size += len(data)
+                if size > const.BUFFERED_BYTES:
+                    return await self._async_unbuffered(client, head, parts)
+        except BrokenAnswerError:
+            return Retry(self._active.upstream, LOST_ANSWER, ran=True)
+        self._note_first_byte()
+        headers = self._context.interface.answer_headers(self._active, head)
+        headers = [item for item in headers if item[0] != b"content-length"]
+        await self._exchange.async_respond(head.status, headers, b"".join(parts))
+        return Relayed(True, head.status)
+
+    async def _async_unbuffered(
+        self, client: ClientExchange, head: ResponseHead, parts: list[bytes]
+    ) -> Relayed:
+        headers = self._context.interface.answer_headers(self._active, head)
+        await self._exchange.async_start(head.status, headers)
+        self._note_first_byte()
+        await self._exchange.async_send(b"".join(parts))
+        whole = await self._async_body(client)
+        await self._async_end(whole)
         return Relayed(whole, head.status)
 
     def _note_first_byte(self) -> None:
@@ -106,10 +134,14 @@
             return False
 
     async def _async_events(self, client: ClientExchange) -> bool:
-        stream = EventStream()
+        routed = self._active.route is not None
+        stream = self._active.stream or EventStream(ends_with_message=routed)
+        if routed:
+            self._active.stream = stream
         if await self._async_follow(client, stream):
             return True
-        return await self._async_resume(stream)
+        # A routed stream goes on at whichever upstream the owner of its pool names.
+        return False if routed else await self._async_resume(stream)
 
     async def async_from_start(self) -> Relayed | None:
         """Relay a stream by resume from its start, after its head was lost.
@@ -156,12 +188,12 @@
         return False
 
     async def _async_follow(self, client: ClientExchange, stream: EventStream) -> bool:
-        """Relay whole events; True when the end mark has been passed on."""
+        """Relay whole events; True when the end of the stream has been passed on."""
         try:
             while not stream.ended:
                 data = await client.async_data()
                 if data is None:
-                    return stream.ended
+                    return stream.end_of_message()
                 events = stream.feed(data)
                 if events.data:
                     self._note_first_byte()
--- a/bitterntiller/components/entry/retry_budget.py
+++ b/bitterntiller/components/entry/retry_budget.py
@@ -6,19 +6,31 @@
 fixed part of the load, and a small reserve lets a rarely used pool retry, too.
 """
 
+from collections.abc import Callable
+
 from bitterntiller.components.entry import const
 
 
 class RetryBudget:
     """Counts, for each pool, the retries that its requests have earned."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        per_request: float = const.RETRIES_PER_REQUEST,
+        most: Callable[[], float] = lambda: const.MOST_RETRIES,
+    ) -> None:
+        self._per_request = per_request
+        self._most = most
         self._earned_by_pool: dict[str, float] = {}
 
     def earn(self, pool: str) -> None:
         """Note a request that was sent for the first time."""
-        earned = self._earned(pool) + const.RETRIES_PER_REQUEST
-        self._earned_by_pool[pool] = min(earned, const.MOST_RETRIES)
+        earned = self._earned(pool) + self._per_request
+        self._earned_by_pool[pool] = min(earned, self._most())
+
+    def has_room(self, pool: str) -> bool:
+        """Tell whether a retry is left."""
+        return self._earned(pool) >= 1.0
 
     def spend(self, pool: str) -> bool:
         """Take one retry; False when none is left."""
@@ -33,4 +45,4 @@
         return {pool: int(earned) for pool, earned in self._earned_by_pool.items()}
 
     def _earned(self, pool: str) -> float:
-        return self._earned_by_pool.get(pool, const.MOST_RETRIES)
+        return self._earned_by_pool.get(pool, self._most())
--- a/bitterntiller/components/entry/server.py
+++ b/bitterntiller/components/entry/server.py
@@ -1,10 +1,14 @@
 """The caller port: health, announcements of upstreams, and the callers' requests."""
 
+from collections.abc import Callable
+
 from bitterntiller.components.entry.coordinator import EntryCoordinator
 from bitterntiller.components.http.exchange import Exchange
 from bitterntiller.components.http.models import RequestHandler
 from bitterntiller.components.http.server import HttpServer, ServerLimits
 from bitterntiller.components.http.whole import async_serve_whole
+from bitterntiller.components.node.coordinator import NodeCoordinator
+from bitterntiller.components.settings.models import Address
 from bitterntiller.components.upstreams.const import MAX_BODY_BYTES
 from bitterntiller.core.runtime import Runtime
 
@@ -12,6 +16,8 @@
 PATH_READY = "/readyz"
 PATH_ANNOUNCE = "/v1/upstreams/announce"
 TEXT = [(b"content-type", b"text/plain")]
+READY_HEAD_BYTES = 8 * 1024
+READY_CONNECTIONS = 64
 
 
 class CallerPort:
@@ -67,3 +73,79 @@
             return
         headers = [*TEXT, (b"retry-after", b"1")]
         await exchange.async_respond(503, headers, b"not ready\n")
+
+
+class RequestPort:
+    """Serves requests alone, within the limits that the configuration sets."""
+
+    def __init__(
+        self, runtime: Runtime, coordinator: EntryCoordinator, session: NodeCoordinator
+    ) -> None:
+        self._runtime = runtime
+        self._config = session.config
+        self._server = HttpServer(
+            runtime.settings.listen.caller,
+            self._limits(),
+            coordinator.pipeline.async_serve,
+            runtime.metrics,
+        )
+        remove = session.add_config_listener(self._follow_config)
+        runtime.stack.callback(remove)
+
+    def _limits(self) -> ServerLimits:
+        limits = self._runtime.settings.limits
+        timings = self._runtime.settings.timings
+        told = self._config.config.caller_limits
+        return ServerLimits(
+            head_bytes=told.head_bytes if told else limits.head_bytes,
+            connections=limits.connections,
+            head_timeout=told.head_timeout if told else timings.head,
+            keep_alive=told.idle_timeout if told else timings.keep_alive,
+            write_timeout=timings.caller_write,
+        )
+
+    def _follow_config(self) -> None:
+        self._server.set_limits(self._limits())
+
+    async def async_serve(self) -> None:
+        """Serve until cancelled."""
+        await self._server.async_serve(self._runtime)
+
+    async def async_begin_drain(self) -> None:
+        """Keep no connection open after its present request; new ones are served."""
+        await self._server.async_drain()
+
+    async def async_close(self) -> None:
+        """Take no new connection."""
+        await self._server.async_close()
+
+
+class ReadyPort:
+    """Tells at an address of its own whether callers may be sent here."""
+
+    def __init__(
+        self, runtime: Runtime, listen: Address, path: str, ready: Callable[[], bool]
+    ) -> None:
+        self._runtime = runtime
+        self._path = path
+        self._ready = ready
+        limits = ServerLimits(
+            head_bytes=READY_HEAD_BYTES,
+            connections=READY_CONNECTIONS,
+            head_timeout=runtime.settings.timings.head,
+            keep_alive=runtime.settings.timings.keep_alive,
+            write_timeout=runtime.settings.timings.caller_write,
+        )
+        self._server = HttpServer(listen, limits, self._async_exchange, runtime.metrics)
+
+    async def async_serve(self) -> None:
+        """Serve until cancelled."""
+        await self._server.async_serve(self._runtime)
+
+    async def _async_exchange(self, exchange: Exchange) -> None:
+        if exchange.head.path != self._path:
+            await exchange.async_respond(404, TEXT, b"no such path\n")
+        elif self._ready():
+            await exchange.async_respond(200, TEXT, b"ready\n")
+        else:
+            await exchange.async_respond(503, TEXT, b"not ready\n")
--- a/bitterntiller/components/entry/sse.py
+++ b/bitterntiller/components/entry/sse.py
@@ -33,10 +33,13 @@
     """Follows a stream of events up to its end mark.
 
     Only whole events are passed on, so that a broken stream can be resumed
-    behind the last one that the caller got, without a gap or a repetition.
+    behind the last one that the caller got, without a gap or a repetition. With
+    ends_with_message a stream has no end mark of its own: it ends with its answer, and
+    the ids of its events grow by any step.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, ends_with_message: bool = False) -> None:
+        self._ends_with_message = ends_with_message
         self.last_id = 0
         self.ended = False
         self.cached_tokens: int | None = None
@@ -75,11 +78,16 @@
         self._partial = b""
         self._check_next = True
 
+    def end_of_message(self) -> bool:
+        """Tell whether the stream is whole when its answer ends here."""
+        return self.ended or (self._ends_with_message and not self._partial)
+
     def _note(self, whole: bytes) -> int:
         events = _split(whole)
         if self._check_next:
             self._check(events)
-        if whole.find(b"[DONE]") >= 0 and any(map(_is_end, events)):
+        marked = not self._ends_with_message and whole.find(b"[DONE]") >= 0
+        if marked and any(map(_is_end, events)):
             self.ended = True
         for event in reversed(events):
             number = _event_id(event)
@@ -101,7 +109,9 @@
             number = _event_id(event)
             if number is None:
                 continue
-            if number != self.last_id + 1:
+            expected = self.last_id + 1
+            late = self._ends_with_message and number > expected
+            if number != expected and not late:
                 raise BrokenStreamError(f"event {number} follows {self.last_id}")
             self._check_next = False
             return
--- /dev/null
+++ b/bitterntiller/components/entry/tokens.py
@@ -0,0 +1,13 @@
+"""Whose a token is."""
+
+import hashlib
+
+from bitterntiller.components.config.models import Config, Workspace
+
+
+def workspace_of(token: str, config: Config) -> Workspace | None:
+    """Return the workspace that a token belongs to; configurations hold its SHA-256."""
+    if not token:
+        return None
+    digest = hashlib.sha256(token.encode("latin-1")).hexdigest()
+    return config.workspaces_by_token.get(digest)
--- a/bitterntiller/components/entry/upstream_calls.py
+++ b/bitterntiller/components/entry/upstream_calls.py
@@ -27,16 +27,6 @@
     return header(head.headers, const.HEADER_REQUEST_ID) == active.upstream_request_id
 
 
-async def async_send_request(
-    client: ClientExchange, active: ActiveRequest, timeout: float
-) -> None:
-    """Send the caller's request to the upstream; raise BrokenAnswerError."""
-    head = active.prepared.identified.received.head
-    body = active.prepared.body
-    headers = request_headers(active)
-    await client.async_request(head.method, head.target, headers, body, timeout)
-
-
 async def async_open_resume(
     active: ActiveRequest, last_id: int, connect_timeout: float, timeout: float
 ) -> ClientExchange | None:
--- a/bitterntiller/components/entry/wire.py
+++ b/bitterntiller/components/entry/wire.py
@@ -30,9 +30,15 @@
         entry_host=entry_host,
         waited_ms=milliseconds(now - identified.received.arrived),
         tried=list(active.tried),
+        prefix_tokens=list(estimate.prefix_tokens) or None,
+        first_by_ms=_left_ms(identified.first_by, now),
     )
 
 
+def _left_ms(when: float | None, now: float) -> int | None:
+    return None if when is None else int((when - now) * 1000)
+
+
 def running_item(
     active: ActiveRequest, entry_host: str, now: float
 ) -> messages.RunningItem:
@@ -75,4 +81,14 @@
         first_token_ms=first,
         total_ms=milliseconds(now - active.granted_at),
         in_time=now <= active.prepared.identified.deadline,
+        load=_load(active),
+    )
+
+
+def _load(active: ActiveRequest) -> messages.Load | None:
+    load = active.load
+    if load is None:
+        return None
+    return messages.Load(
+        running=load.running, waiting=load.waiting, kv_tokens=0, age_ms=0
     )
--- a/bitterntiller/components/http/const.py
+++ b/bitterntiller/components/http/const.py
@@ -5,8 +5,22 @@
 GUARD_TICKS = 4
 LINGER_BYTES = 16 * 1024 * 1024
 LINGER_SECONDS = 2.0
+BODYLESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
+SKIP_TIMEOUT = 0.5
+"""Seconds between the parts of an answer that is read only to get past it."""
+
+SEND_AT_ONCE_BYTES = 16 * 1024
+"""A longer request is sent while its answer is awaited already.
+
+An upstream may answer before it has read a long body and read on later, or never; a
+sending that is waited for would then miss the answer. Kernels take this much at once.
+"""
+
 BODYLESS_STATUSES = frozenset({204, 304})
 
+DEFAULT_IDLE_LIMIT = 2.0
+"""Seconds that a kept connection may be idle; many servers close theirs after five."""
+
 STATUS_TEXT: dict[int, bytes] = {
     200: b"OK",
     202: b"Accepted",
@@ -19,6 +33,7 @@
     408: b"Request Timeout",
     409: b"Conflict",
     413: b"Content Too Large",
+    421: b"Misdirected Request",
     422: b"Unprocessable Content",
     429: b"Too Many Requests",
     431: b"Request Header Fields Too Large",
--- /dev/null
+++ b/bitterntiller/components/http/pool.py
@@ -0,0 +1,87 @@
+"""Connections to upstreams that are kept for further exchanges."""
+
+from collections import deque
+
+from bitterntiller.components.http import const
+from bitterntiller.components.http.client import ClientExchange
+from bitterntiller.core.clock import Clock
+
+
+class ConnectionPool:
+    """Idle connections by address; with most_idle 0 none is ever kept.
+
+    Times are in seconds. A connection is used again only when it is quiet and has been
+    idle for less than idle_limit and than half of what the upstream told, so that an
+    upstream is not about to close it at the moment of the sending: whether the request
+    then ran can't be known.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        most_idle: int = 0,
+        idle_limit: float = const.DEFAULT_IDLE_LIMIT,
+        accept_close: bool = False,
+    ) -> None:
+        self._clock = clock
+        self._most_idle = most_idle
+        self._idle_limit = idle_limit
+        self._accept_close = accept_close
+        self._idle_by_address: dict[str, deque[ClientExchange]] = {}
+        self.opened = 0
+        self.reused = 0
+
+    @property
+    def keeps(self) -> bool:
+        """Tell whether connections are kept at all."""
+        return self._most_idle > 0
+
+    async def async_acquire(self, address: str, timeout: float) -> ClientExchange:
+        """Return a connection; raise ConnectRefusedError when none can be made.
+
+        The newest idle one goes first, so that surplus ones grow old and end.
+        """
+        idle = self._idle_by_address.get(address)
+        while idle:
+            client = idle.pop()
+            if self._usable(client) and client.is_quiet():
+                self.reused += 1
+                return client
+            await client.async_close()
+        self.opened += 1
+        return await ClientExchange.async_open(address, timeout, self._accept_close)
+
+    async def async_give_back(self, address: str, client: ClientExchange) -> None:
+        """Keep a connection after its exchange, or close it."""
+        if not self._most_idle or not await client.async_release():
+            await client.async_close()
+            return
+        client.idle_since = self._clock.now()
+        idle = self._idle_by_address.setdefault(address, deque())
+        idle.append(client)
+        if len(idle) > self._most_idle:
+            await idle.popleft().async_close()
+
+    async def async_prune(self) -> None:
+        """Close the connections that have been idle for too long."""
+        for address, idle in list(self._idle_by_address.items()):
+            while idle and not self._usable(idle[0]):
+                await idle.popleft().async_close()
+            if not idle:
+                del self._idle_by_address[address]
+
+    async def async_close(self) -> None:
+        """Close all idle connections."""
+        for idle in self._idle_by_address.values():
+            while idle:
+                await idle.pop().async_close()
+
+    def idle_by_address(self) -> dict[str, int]:
+        """Return how many idle connections there are, for the dump."""
+        return {address: len(idle) for address, idle in self._idle_by_address.items()}
+
+    def _usable(self, client: ClientExchange) -> bool:
+        limit = self._idle_limit
+        if client.keep_alive is not None:
+            limit = min(limit, client.keep_alive / 2)
+        return self._clock.now() - client.idle_since < limit
--- a/bitterntiller/components/http/server.py
+++ b/bitterntiller/components/http/server.py
@@ -49,12 +49,23 @@
         self.connections = 0
         self.busy = 0
         self.draining = False
+        self._listener: Listener | None = None
         self._idle_tasks: set[curio.Task] = set()
 
+    def set_limits(self, limits: ServerLimits) -> None:
+        """Put other bounds in force, for connections that stand as well."""
+        self._limits = limits
+
     async def async_serve(self, runtime: Runtime) -> None:
         """Accept connections until cancelled."""
-        listener = Listener(self._listen.ip, self._listen.port, self._async_connection)
-        await listener.async_serve(runtime)
+        ip, port = self._listen
+        self._listener = Listener(ip, port, self._async_connection)
+        await self._listener.async_serve(runtime)
+
+    async def async_close(self) -> None:
+        """Accept no further connections; those that stand go on."""
+        if self._listener is not None:
+            await self._listener.async_close()
 
     async def async_drain(self) -> None:
         """Keep no connection open after its present request; end the idle ones."""
--- a/bitterntiller/components/node/client.py
+++ b/bitterntiller/components/node/client.py
@@ -21,12 +21,23 @@
         self, links: Links, clock: Clock, addresses: list[str], call_timeout: float
     ) -> None:
         self._links = links
+        self._seeds = addresses
         self._clock = clock
         self._addresses = addresses
         self._call_timeout = call_timeout
         self._position = 0
         self.leader = addresses[0] if addresses else ""
 
+    def set_known(self, addresses: list[str]) -> None:
+        """Try these hosts of control too, besides those of the settings."""
+        self._addresses = list(dict.fromkeys([*addresses, *self._seeds]))
+
+    def set_seeds(self, addresses: list[str]) -> None:
+        """Replace the hosts that the settings name; for changed settings."""
+        known = [item for item in self._addresses if item not in self._seeds]
+        self._seeds = addresses
+        self.set_known(known)
+
     async def async_call_leader(self, message: Any, timeout: float) -> Any:
         """Return the leader's reply to a message, within timeout seconds.
 
--- a/bitterntiller/components/node/coordinator.py
+++ b/bitterntiller/components/node/coordinator.py
@@ -22,6 +22,8 @@
 from bitterntiller.components.node.directory import NodeDirectory
 from bitterntiller.components.node.errors import ConfigGapError
 from bitterntiller.components.node.lease import NodeLease
+from bitterntiller.components.node.upstreams import NodeUpstreams
+from bitterntiller.components.settings.const import ROLE_CONTROL
 from bitterntiller.core.errors import CodedError
 from bitterntiller.core.runtime import Runtime
 from bitterntiller.protocol import messages
@@ -54,6 +56,7 @@
         self._listeners_by_kind: dict[str, list[Listener]] = {
             "config": [],
             "directory": [],
+            "upstreams": [],
         }
         addresses = [str(item) for item in runtime.settings.control.addresses]
         self.control_client = ControlClient(
@@ -61,6 +64,7 @@
         )
         self.lease = NodeLease(self._clock)
         self.config = NodeConfig(parse)
+        self.upstreams = NodeUpstreams()
         self.directory = NodeDirectory(runtime.settings.host, runtime.incarnation)
 
     @property
@@ -76,6 +80,10 @@
         """Have a callback called after each new directory; return the removal."""
         return self._add_listener("directory", listener)
 
+    def add_upstreams_listener(self, listener: Listener) -> Callable[[], None]:
+        """Have a callback called after each new list; return the removal."""
+        return self._add_listener("upstreams", listener)
+
     def _add_listener(self, kind: str, listener: Listener) -> Callable[[], None]:
         listeners = self._listeners_by_kind[kind]
         listeners.append(listener)
@@ -149,6 +157,7 @@
             directory_version=self.directory.version,
             draining=self._draining,
             leased=self.lease.valid(),
+            upstreams_version=self.upstreams.version,
         )
 
     def take_reply(self, reply: Any, sent_at: float) -> bool:
@@ -186,10 +195,17 @@
         if config_changed:
             self._runtime.metrics.gauge("node.config.version", self.config.version)
             self._notify("config")
+        if self.upstreams.apply(reply.upstreams):
+            self._notify("upstreams")
         if self.directory.apply(reply.directory):
+            self.control_client.set_known(self._control_addresses())
             self._notify("directory")
         return True
 
+    def _control_addresses(self) -> list[str]:
+        hosts = self.directory.hosts_by_name.values()
+        return sorted(host.address for host in hosts if ROLE_CONTROL in host.roles)
+
     def _notify(self, kind: str) -> None:
         for listener in list(self._listeners_by_kind[kind]):
             listener()
--- a/bitterntiller/components/node/directory.py
+++ b/bitterntiller/components/node/directory.py
@@ -54,7 +54,13 @@
         if directory is None or directory.version <= self.version:
             return False
         hosts = {
-            entry.host: Host(entry.host, entry.address, entry.zone, entry.incarnation)
+            entry.host: Host(
+                entry.host,
+                entry.address,
+                entry.zone,
+                entry.incarnation,
+                tuple(entry.roles or ()),
+            )
             for entry in directory.hosts
         }
         if directory.partial:
--- a/bitterntiller/components/node/models.py
+++ b/bitterntiller/components/node/models.py
@@ -10,6 +10,7 @@
     address: str
     zone: str
     incarnation: str
+    roles: tuple[str, ...] = ()
 
 
 class PoolOwner(NamedTuple):
--- a/bitterntiller/components/replication/const.py
+++ b/bitterntiller/components/replication/const.py
@@ -43,7 +43,15 @@
 DEFAULT_LEADERLESS = 10.0
 """Seconds without a leader after which a replica asks about itself again."""
 
-MAX_MEMBERS = 8
+DEFAULT_SILENT_VOTER = 2.0
+"""Seconds after which a silent voter gives its place to a learner that waits.
+
+Longer than the longest election timeout, so that a voter that is only restarted
+keeps its place; short enough for a successor to vote within 4 s of its start.
+"""
+
+MAX_MEMBERS = 16
+"""Replicas of one log, learners included; each costs its leader a heartbeat."""
 
 NO_VOTE = ""
 VOTE_BARRED = "-"
--- a/bitterntiller/components/replication/coordinator.py
+++ b/bitterntiller/components/replication/coordinator.py
@@ -310,4 +310,6 @@
         election_min=timings.election_min,
         election_max=timings.election_max,
         heartbeat=timings.raft_heartbeat,
+        leaderless=timings.leaderless,
+        voters=runtime.settings.control.voters,
     )
--- a/bitterntiller/components/replication/joiner.py
+++ b/bitterntiller/components/replication/joiner.py
@@ -30,6 +30,7 @@
         wake: Callable[[], Awaitable[None]],
     ) -> None:
         self.address_by_replica: dict[str, str] = {}
+        self._leaders: set[str] = set()
         self._runtime = runtime
         self._replica = replica
         self._wake = wake
@@ -56,13 +57,15 @@
     async def _async_ask(self) -> None:
         replica, own = self._replica(), self._own()
         control = self._runtime.settings.control
-        addresses = {str(address) for address in control.addresses} - {own.address}
+        seeds = {str(address) for address in control.addresses} - {own.address}
         fresh = joining.is_empty(replica.state)
         request = messages.Join(*own, fresh=fresh)
         replies: list[Any] = []
-        async with curio.TaskGroup() as group:
-            for address in sorted(addresses):
-                await group.spawn(self._async_call, address, request, replies)
+        await self._async_ask_all(
+            seeds | self._leaders - {own.address}, request, replies
+        )
+        # A leader that is no seed is known only by what the others say of it.
+        self._leaders = {reply.leader for reply in replies if reply.leader}
         self.address_by_replica = {
             reply.replica: reply.address for reply in replies if reply.replica
         }
@@ -74,6 +77,13 @@
             replica.form(first)
             await self._wake()
 
+    async def _async_ask_all(
+        self, addresses: set[str], request: Any, replies: list[Any]
+    ) -> None:
+        async with curio.TaskGroup() as group:
+            for address in sorted(addresses):
+                await group.spawn(self._async_call, address, request, replies)
+
     async def _async_call(self, address: str, request: Any, replies: list[Any]) -> None:
         try:
             links = self._runtime.links
--- a/bitterntiller/components/replication/joining.py
+++ b/bitterntiller/components/replication/joining.py
@@ -1,7 +1,7 @@
 """How a replica with an empty folder gets into a membership.
 
 The first membership is formed once, by the first bootstrap host in the order of
-names, and only after every bootstrap host has answered that its folder is empty
+names or internal addresses, whichever the settings list, and only after every bootstrap host has answered that its folder is empty
 too. A host whose disk was lost hears from some other that a log exists, and
 becomes a learner of it; if it hears from too few, it waits. So an empty disk
 never starts a second deployment beside a living one.
@@ -51,17 +51,18 @@
     own: Own, bootstrap: tuple[str, ...], replies: list[Any]
 ) -> tuple[Member, ...] | None:
     """Return the first membership if this host is to form it now."""
-    if not bootstrap or own.host != min(bootstrap):
+    if not bootstrap or min(bootstrap) not in (own.host, own.address):
         return None
-    member_by_host = {own.host: Member(*own, True)}
+    found = [Member(*own, True)]
     for reply in replies:
         if reply.status != JOIN_FRESH:
             return None
-        member = Member(reply.replica, reply.host, reply.address, True)
-        member_by_host[reply.host] = member
-    if set(bootstrap) - set(member_by_host):
+        found.append(Member(reply.replica, reply.host, reply.address, True))
+    member_by_key = {member.host: member for member in found}
+    member_by_key |= {member.address: member for member in found}
+    if set(bootstrap) - set(member_by_key):
         return None
-    return tuple(member_by_host[host] for host in sorted(bootstrap))
+    return tuple(member_by_key[key] for key in sorted(bootstrap))
 
 
 def formed_members(state: State, replies: list[Any]) -> tuple[Member, ...] | None:
--- a/bitterntiller/components/replication/models.py
+++ b/bitterntiller/components/replication/models.py
@@ -13,6 +13,7 @@
     DEFAULT_LEADERLESS,
     DEFAULT_PIECE_BYTES,
     DEFAULT_RETURN_GRACE,
+    DEFAULT_SILENT_VOTER,
     DEFAULT_TRAILING,
     DEFAULT_UNCOMMITTED,
 )
@@ -274,13 +275,20 @@
 
 
 class Tuning(NamedTuple):
-    """Times in seconds, and the bounds of flow control."""
+    """Times in seconds, and the bounds of flow control.
+
+    voters is how many voters the leader makes of the hosts that join, by itself;
+    0 leaves that to commands. A voter that is silent for silent_voter is then
+    replaced by a learner of another host, if one has caught up.
+    """
 
     election_min: float = 0.6
     election_max: float = 1.2
     heartbeat: float = 0.15
     return_grace: float = DEFAULT_RETURN_GRACE
     leaderless: float = DEFAULT_LEADERLESS
+    silent_voter: float = DEFAULT_SILENT_VOTER
+    voters: int = 0
     batch_bytes: int = DEFAULT_BATCH_BYTES
     batch_entries: int = DEFAULT_BATCH_ENTRIES
     in_flight: int = DEFAULT_IN_FLIGHT
--- a/bitterntiller/components/replication/repair.py
+++ b/bitterntiller/components/replication/repair.py
@@ -3,7 +3,9 @@
 A learner on the host of a silent voter proves that the old disk is no longer in
 use, so the old identity is replaced without a command. Silence alone proves
 nothing: a host behind a cut may come back, so replacing it by another host
-takes an operator's command.
+takes an operator's command, or a deployment that sets the number of voters. There
+hosts are replaced by others at new addresses without anybody's command; a host
+that comes back from behind a cut finds itself removed and joins as a learner.
 """
 
 from typing import NamedTuple
@@ -83,7 +85,7 @@
     for learner in state.members.all:
         if learner.voter or not is_sound(state, learner.replica, now):
             continue
-        if learner.promote:
+        if learner.promote or len(voters(state.members)) < state.tuning.voters:
             return _replaced(state.members, learner._replace(voter=True, promote=False))
         if step := _replacing(state, learner, wishes, now):
             return step
@@ -98,7 +100,8 @@
         return _without(state, dead, learner, now)
     wish = next((w for w in wishes if w.add == learner.host), None)
     if wish is None:
-        return None
+        lost = _lost_voter(state, now) if state.tuning.voters else None
+        return None if lost is None else _without(state, lost, learner, now)
     target = _target(state, wish, now)
     if target is None:
         return _replaced(state.members, learner._replace(promote=True))
@@ -115,6 +118,18 @@
     return None
 
 
+def _lost_voter(state: State, now: float) -> Member | None:
+    """Return the voter that has been silent for longest, if that is long enough."""
+    oldest = now - state.tuning.silent_voter
+    silent = {
+        member: state.progress_by_replica[member.replica].contact
+        for member in state.members.all
+        if member.voter and member.replica in state.progress_by_replica
+    }
+    lost = min(silent, key=lambda member: silent[member], default=None)
+    return lost if lost is not None and silent[lost] < oldest else None
+
+
 def _dead_of_host(state: State, host: str, now: float) -> Member | None:
     for member in state.members.all:
         if member.voter and member.host == host:
--- a/bitterntiller/components/settings/models.py
+++ b/bitterntiller/components/settings/models.py
@@ -69,6 +69,9 @@
     election_min: float = 0.6
     election_max: float = 1.2
     raft_heartbeat: float = 0.15
+    leaderless: float = 10.0
+    upstream_silent: float = 4.0
+    upstream_gone: float = 30.0
     claim_age: float = 86400.0
     change_id_age: float = 604800.0
 
@@ -77,13 +80,16 @@
     """Control as one process knows it.
 
     addresses are internal addresses of hosts that have, or may have, a replica.
-    bootstrap names the hosts of the first membership; it is used once, when
-    the data folder is empty and the deployment is new.
+    bootstrap names the hosts of the first membership, or their internal addresses;
+    it is used once, when the data folder is empty and the deployment is new.
+    voters is how many voters the leader makes of the hosts that join; 0 leaves
+    that to commands.
     """
 
     addresses: tuple[Address, ...]
     bootstrap: tuple[str, ...] = ()
     snapshot_entries: int = 10000
+    voters: int = 0
 
 
 class Settings(NamedTuple):
--- a/bitterntiller/core/interfaces.py
+++ b/bitterntiller/core/interfaces.py
@@ -28,11 +28,16 @@
 
 
 class Ownership(NamedTuple):
-    """Who owns a pool: the host's name and internal address, and the epoch."""
+    """Who owns a pool: the host's name and internal address, and the epoch.
+
+    incarnation is known where owners follow from membership; it tells an owner from
+    the process that had its host before.
+    """
 
     host: str
     address: str
     epoch: int
+    incarnation: str = ""
 
 
 class Lease(Protocol):
@@ -57,6 +62,20 @@
         ...
 
 
+class UpstreamsView(Protocol):
+    """The upstreams that are registered with control, as last heard."""
+
+    @property
+    def version(self) -> int:
+        """Grows with every change, 0 before the first list."""
+        ...
+
+    @property
+    def by_name(self) -> "Mapping[str, Any]":
+        """The announcements, messages.Announce by the name of the upstream."""
+        ...
+
+
 class HostView(Protocol):
     """A host of the directory; address is its internal one, IP:port."""
 
--- a/bitterntiller/core/outcomes.py
+++ b/bitterntiller/core/outcomes.py
@@ -34,6 +34,7 @@
     SHED = "shed"
     TOO_LATE = "too-late"
     RATE_LIMIT = "rate-limit"
+    QUOTA = "quota"
     CONCURRENCY_LIMIT = "concurrency-limit"
     NOT_ADMITTED = "not-admitted"
     CLAIM_RUNNING = "claim-running"
@@ -43,6 +44,7 @@
     CLAIM_ORPHANED = "claim-orphaned"
     UPSTREAM_RESET = "upstream-reset"
     UPSTREAM_TIMEOUT = "upstream-timeout"
+    UPSTREAM_FAILED = "upstream-failed"
     UPSTREAM_PROTOCOL = "upstream-protocol"
     CALLER_GONE = "caller-gone"
 
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -18,12 +18,12 @@
     HELLO = 1, CHALLENGE = 2, HELLO_REPLY = 3, FAULT = 4,
     REGISTER = 10, GRANT = 11, REFUSAL = 12, CANCEL = 13, STARTED = 14,
     PROGRESS = 15, FINISHED = 16, RETURNED = 17, REREGISTER = 18, LIVE = 19,
-    ANNOUNCE = 20, ANNOUNCE_REPLY = 21,
+    ANNOUNCE = 20, ANNOUNCE_REPLY = 21, ENTRY_REPORT = 22, ENTRY_REPORT_REPLY = 23,
     HEARTBEAT = 30, HEARTBEAT_REPLY = 31, GET_CONFIG = 32, CONFIG_REPLY = 33,
     CHANGE = 34, CHANGE_REPLY = 35, CLAIM = 36, CLAIM_REPLY = 37,
     CONTROL_STATUS = 38, CONTROL_STATUS_REPLY = 39, REPAIR = 40, REPAIR_REPLY = 41,
     RELEASE_POOLS = 42, RELEASE_POOLS_REPLY = 43,
-    ORDER = 44, ORDER_REPLY = 45,
+    ORDER = 44, ORDER_REPLY = 45, REGISTER_UPSTREAM = 46, REGISTER_UPSTREAM_REPLY = 47,
     PRE_VOTE = 50, PRE_VOTE_REPLY = 51, VOTE = 52, VOTE_REPLY = 53,
     APPEND = 54, APPEND_REPLY = 55, SNAPSHOT_PIECE = 56, SNAPSHOT_REPLY = 57,
     JOIN = 58, JOIN_REPLY = 59, RETURN_CHECK = 60, RETURN_CHECK_REPLY = 61,
@@ -46,6 +46,13 @@
 
 /* ---- entry host to pool owner, and back ---- */
 
+struct Load {
+    1: required i32 running,
+    2: required i32 waiting,
+    3: required i32 kv_tokens,
+    4: required i32 age_ms,
+}
+
 struct Register {
     1: required string request_id,
     2: required string pool,
@@ -58,6 +65,8 @@
     9: required string entry_host,
     10: required i32 waited_ms,
     11: required list<string> tried,      // upstreams proved not to have run it
+    12: optional list<i32> prefix_tokens, // tokens of each prefix, where the caller told them
+    13: optional i32 first_by_ms,         // what is left until the first output is late; may be negative
 }
 
 struct Grant {
@@ -95,6 +104,7 @@
     7: required i32 first_token_ms,      // -1: none came
     8: required i32 total_ms,
     9: required bool in_time,
+    10: optional Load load,              // what the upstream's answer told of its load
 }
 
 /* A grant that was not used: the request had not run. */
@@ -120,15 +130,30 @@
 /* The ids of all requests that an entry host has with a pool, told every few seconds. */
 struct Live { 1: required string pool, 2: required string entry_host, 3: required list<string> request_ids }
 
-/* ---- upstreams ---- */
+/* What a workspace's admitted requests have used at one entry host since its last report. */
+struct Usage { 1: required string workspace, 2: required i64 amount }
 
-struct Load {
-    1: required i32 running,
-    2: required i32 waiting,
-    3: required i32 kv_tokens,
-    4: required i32 age_ms,
+/* What is left of a workspace's quota over all hosts; below 0 when it is overdrawn. */
+struct QuotaLevel { 1: required string workspace, 2: required i64 amount }
+
+/* Told by every entry host to the owner it uses, a few times a second; number grows with each. */
+struct EntryReport {
+    1: required string entry_host,
+    2: required string incarnation,
+    3: required i64 number,
+    4: required list<Usage> used,
+}
+
+struct EntryReportReply {
+    1: required bool ready,              // false: not able to own pools now
+    2: required string incarnation,
+    3: required i64 number,
+    4: required list<QuotaLevel> levels,
+    5: required i32 entry_hosts,         // how many report here
 }
 
+/* ---- upstreams ---- */
+
 struct CacheEvent { 1: required i64 sequence, 2: required bool stored, 3: required i64 prefix_hash }
 
 struct Announce {
@@ -162,6 +187,7 @@
     2: required string address,          // internal port, IP:port
     3: required string zone,
     4: required string incarnation,
+    5: optional list<string> roles,
 }
 
 struct Heartbeat {
@@ -174,6 +200,7 @@
     7: required i64 directory_version,   // newest directory the node holds
     8: required bool draining,
     9: optional bool leased,             // the node's lease was valid when this was sent
+    10: optional i64 upstreams_version,  // newest list of upstreams the node holds
 }
 
 struct ConfigChange { 1: required i64 version, 2: required binary patch }  // JSON merge patch
@@ -186,6 +213,9 @@
     4: optional bool partial,            // a new leader has not yet heard all hosts
 }
 
+/* All registered upstreams; the version is the index of the last change in the log. */
+struct UpstreamList { 1: required i64 version, 2: required list<Announce> upstreams }
+
 struct HeartbeatReply {
     1: required string status,           // granted, not-leader, unknown-host
     2: required string leader,           // address of the leader, if known
@@ -196,8 +226,14 @@
     7: optional Directory directory,
     8: required i64 term,
     9: optional i32 next_ms,             // when the next heartbeat is wanted
+    10: optional UpstreamList upstreams, // when the node's list is another
 }
 
+/* The announcement of an upstream to control, by whichever host took it. */
+struct RegisterUpstream { 1: required Announce upstream }
+
+struct RegisterUpstreamReply { 1: required string status, 2: required string leader }   // ok, stale, unknown, not-leader
+
 struct GetConfig { 1: required bool unused }
 
 struct ConfigReply { 1: required string status, 2: required i64 version, 3: required binary config }
@@ -206,6 +242,7 @@
     1: required string change_id,
     2: required i64 base_version,
     3: required binary config,
+    4: optional i64 number,        // the operator's own number: the highest takes effect, base_version is not compared
 }
 
 struct ChangeReply {
@@ -271,6 +308,7 @@
     5: optional list<Claim> claims,
     6: optional list<Assignment> assignments,
     7: optional ReleasePools release,
+    8: optional list<Announce> upstreams,
 }
 
 /* What applying a command gave. */
--- a/tests/components/entry/fakes.py
+++ b/tests/components/entry/fakes.py
@@ -83,11 +83,13 @@
 
     def __init__(self) -> None:
         self.status = 0
+        self.started = False
         self.body = b""
         self.end = "open"
 
     async def async_start(self, status: int, headers: Any) -> None:
         self.status = status
+        self.started = True
 
     async def async_send(self, data: bytes) -> None:
         self.body += data
