Count quotas with the slack that the deployment allows

Change: a new ledger takes over the level that entry hosts last heard, full at the start of a deployment; levels may exceed the quota by a part of what the deployment lets them. Ruled out: refusing by the sum of all hosts' parts; loads of hosts are uneven.

--- a/bitterntiller/components/dispatch/reports.py
+++ b/bitterntiller/components/dispatch/reports.py
@@ -32,7 +32,7 @@
         self._lease = lease
         self._config = config
         self._drop_host = drop_host
-        self._ledger = QuotaLedger()
+        self._ledger = QuotaLedger(runtime.settings.quota_slack)
         self._heard_by_host: dict[str, float] = {}
 
     async def async_on_report(self, _host: str, report: Any) -> Any:
@@ -51,7 +51,8 @@
         levels = []
         for item in used:
             config = self._config.config
-            level = self._ledger.use(item.workspace, item.amount, config, now)
+            told = item.level or 0
+            level = self._ledger.use(item.workspace, item.amount, told, config, now)
             if level is not None:
                 level_message = messages.QuotaLevel(
                     workspace=item.workspace, amount=int(level)
--- a/bitterntiller/components/entry/owner_watch.py
+++ b/bitterntiller/components/entry/owner_watch.py
@@ -75,15 +75,17 @@
     async def _async_ask(self, owner: Ownership) -> None:
         counts = self._owners.owner(QUOTA_POOL)
         to_counter = counts is not None and counts.host == owner.host
-        used = self._account.take_unreported() if to_counter else {}
+        used = self._account.take_unreported() if to_counter else []
         number = next(self._numbers)
         report = messages.EntryReport(
             entry_host=self._runtime.settings.host,
             incarnation=self._runtime.incarnation,
             number=number,
             used=[
-                messages.Usage(workspace=name, amount=amount)
-                for name, amount in used.items()
+                messages.Usage(
+                    workspace=item.workspace, amount=item.amount, level=item.level
+                )
+                for item in used
             ],
         )
         try:
--- a/bitterntiller/components/entry/quota.py
+++ b/bitterntiller/components/entry/quota.py
@@ -1,14 +1,15 @@
 """This host's account of the quotas of workspaces.
 
-Quotas hold over all hosts. One host keeps the levels; every entry host tells it a few times
-a second what it has admitted and hears what is left. In between it admits up to its own
-part of the level. What is admitted beyond the quota in that time is owed: the level falls
-below 0 and nothing is admitted until it has filled again.
+Quotas hold over all hosts. One host keeps the levels; every entry host tells it a few
+times a second what it has admitted and hears what is left. In between it admits as long
+as anything of that is left. What is admitted beyond the quota in that time is owed: the
+level falls below 0 and nothing is admitted until it has filled again.
 """
 
-from typing import Any
+from typing import Any, NamedTuple
 
-from bitterntiller.components.config.models import Workspace
+from bitterntiller.components.config.models import Quota, Workspace
+from bitterntiller.components.settings.models import QuotaSlack
 from bitterntiller.core.clock import Clock
 
 LEAST_WAIT = 0.05
@@ -16,8 +17,16 @@
 """Seconds that a caller over its workspace's quota is told to wait."""
 
 
+class Used(NamedTuple):
+    """What was let through since the last report, and the level as it is known."""
+
+    workspace: str
+    amount: int
+    level: int
+
+
 class _Level:
-    """What is left of one workspace's quota for this host, as it was at a time."""
+    """What is left of one workspace's quota, as far as this host knows."""
 
     __slots__ = ("amount", "at")
 
@@ -29,12 +38,12 @@
 class QuotaAccount:
     """A QuotaGate that reports what it has let through."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, slack: QuotaSlack) -> None:
         self._clock = clock
+        self._slack = slack
         self._hosts = 1
         self._level_by_workspace: dict[str, _Level] = {}
         self._unreported_by_workspace: dict[str, int] = {}
-        self._workspaces_by_name: dict[str, Workspace] = {}
 
     def take(self, workspace: Workspace, amount: int) -> float:
         """Take an amount from a quota; return 0, or the seconds until it is there.
@@ -45,41 +54,39 @@
         quota = workspace.quota
         if quota is None:
             return 0.0
+        name = workspace.name
         now = self._clock.now()
-        level = self._level(workspace, now)
-        part = 1.0 / self._hosts
-        most = quota.burst
-        level.amount = min(most, level.amount + quota.rate * part * (now - level.at))
-        level.at = now
+        level = self._filled(name, quota, now)
         if level.amount <= 0:
-            wait = (amount * part - level.amount) / max(quota.rate * part, 1e-9)
+            rate = quota.rate * self._slack.factor
+            wait = (amount / 2 - level.amount) / max(rate, 1e-9)
             return min(max(wait, LEAST_WAIT), MOST_WAIT)
         level.amount -= amount
-        name = workspace.name
         unreported = self._unreported_by_workspace.get(name, 0)
         self._unreported_by_workspace[name] = unreported + amount
         return 0.0
 
-    def take_unreported(self) -> dict[str, int]:
-        """Return what was let through since the last report, by workspace.
+    def take_unreported(self) -> list[Used]:
+        """Return what was let through since the last report.
 
         A workspace that has used nothing lately is told with 0, to hear its level.
         """
-        used = dict.fromkeys(self._level_by_workspace, 0)
-        used.update(self._unreported_by_workspace)
+        used = [
+            Used(name, self._unreported_by_workspace.get(name, 0), int(level.amount))
+            for name, level in self._level_by_workspace.items()
+        ]
         self._unreported_by_workspace = {}
         return used
 
-    def put_back(self, used: dict[str, int]) -> None:
+    def put_back(self, used: list[Used]) -> None:
         """Report again later what may not have been heard.
 
         Should it have been heard all the same it counts twice: less is let through for
         a while, which refuses rather than exceeds the quota.
         """
-        for name, amount in used.items():
-            if amount:
-                unreported = self._unreported_by_workspace.get(name, 0)
-                self._unreported_by_workspace[name] = unreported + amount
+        for item in used:
+            unreported = self._unreported_by_workspace.get(item.workspace, 0)
+            self._unreported_by_workspace[item.workspace] = unreported + item.amount
 
     def take_levels(self, levels: list[Any], entry_hosts: int) -> None:
         """Take messages.QuotaLevel over all hosts, and how many hosts share them."""
@@ -90,10 +97,14 @@
             amount = item.amount - unreported
             self._level_by_workspace[item.workspace] = _Level(amount, now)
 
-    def _level(self, workspace: Workspace, now: float) -> _Level:
-        level = self._level_by_workspace.get(workspace.name)
+    def _filled(self, name: str, quota: Quota, now: float) -> _Level:
+        """Return a level with what has come since, of which this host has its part."""
+        most = quota.burst + self._slack.besides
+        level = self._level_by_workspace.get(name)
         if level is None:
-            burst = workspace.quota.burst if workspace.quota else 0.0
-            level = _Level(burst / self._hosts, now)
-            self._level_by_workspace[workspace.name] = level
+            level = self._level_by_workspace[name] = _Level(most, now)
+            return level
+        rate = quota.rate * self._slack.factor / self._hosts
+        level.amount = min(most, level.amount + rate * (now - level.at))
+        level.at = now
         return level
--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -40,6 +40,7 @@
         self._h11 = h11.Connection(h11.CLIENT)
         self._method = ""
         self._ends_by_close = False
+        self._chunked = False
         self._kept: Any = h11.NEED_DATA
         self._used_up = False
         self._quiet_ticks = 0
@@ -179,6 +180,7 @@
                 raise BrokenAnswerError("the connection ended before the answer")
             self._ends_by_close = self._without_end_mark(event)
             self._keep_alive = keep_alive_seconds(event.headers)
+            self._chunked = header(event.headers, b"transfer-encoding") is not None
             return ResponseHead(event.status_code, list(event.headers))
 
     async def async_data(self, timeout: float | None = None) -> bytes | None:
@@ -199,7 +201,8 @@
             raise BrokenAnswerError("the answer ended before its end marker")
         data = bytes(event.data)
         # Behind a chunk its line end is left; asking h11 for more would find that.
-        if len(self._h11.trailing_data[0]) <= const.CHUNK_END_BYTES:
+        # An answer with a length may be at its end, which only h11 can tell.
+        if self._chunked and len(self._h11.trailing_data[0]) <= const.CHUNK_END_BYTES:
             self._used_up = True
             return data
         return self._with_more(data)
--- a/bitterntiller/components/settings/models.py
+++ b/bitterntiller/components/settings/models.py
@@ -76,6 +76,18 @@
     change_id_age: float = 604800.0
 
 
+class QuotaSlack(NamedTuple):
+    """By how much the use of a quota may exceed it; the deployment tells.
+
+    besides is added to the burst of each quota, in its unit, and factor multiplies its
+    rate. The counts of several hosts are some tenths of a second old, and refusing what
+    is within the quota is the worse of the two errors.
+    """
+
+    besides: float = 0.0
+    factor: float = 1.0
+
+
 class Control(NamedTuple):
     """Control as one process knows it.
 
@@ -107,3 +119,4 @@
     limits: Limits = Limits()
     timings: Timings = Timings()
     log_level: str = "info"
+    quota_slack: QuotaSlack = QuotaSlack()
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -131,7 +131,11 @@
 struct Live { 1: required string pool, 2: required string entry_host, 3: required list<string> request_ids }
 
 /* What a workspace's admitted requests have used at one entry host since its last report. */
-struct Usage { 1: required string workspace, 2: required i64 amount }
+struct Usage {
+    1: required string workspace,
+    2: required i64 amount,
+    3: optional i64 level,               // what the host last heard to be left
+}
 
 /* What is left of a workspace's quota over all hosts; below 0 when it is overdrawn. */
 struct QuotaLevel { 1: required string workspace, 2: required i64 amount }
