--- a/bitterntiller/components/entry/owner_watch.py
+++ b/bitterntiller/components/entry/owner_watch.py
@@ -103,9 +103,11 @@
         if to_counter:
             self._account.take_levels(reply.levels, reply.entry_hosts)
         if self._owners.note_answer(owner.host, reply.incarnation):
-            events.emit("owner-answers", host=owner.host, incarnation=reply.incarnation)
+            events.emit(
+                "owner-answers", owner=owner.host, incarnation=reply.incarnation
+            )
 
     def _suspect(self, owner: Ownership, why: str) -> None:
         if self._owners.suspect(owner.host):
             self._runtime.metrics.count(const.METRIC_OWNERS_LOST)
-            events.emit("owner-lost", host=owner.host, why=why)
+            events.emit("owner-lost", owner=owner.host, why=why)
--- a/bitterntiller/components/entry/quota.py
+++ b/bitterntiller/components/entry/quota.py
@@ -2,8 +2,9 @@
 
 Quotas hold over all hosts. One host keeps the levels; every entry host tells it a few
 times a second what it has admitted and hears what is left. In between it admits as long
-as anything of that is left. What is admitted beyond the quota in that time is owed: the
-level falls below 0 and nothing is admitted until it has filled again.
+as anything of its own part is left: while the counting host is lost, all hosts together
+admit what was left and no more. What is admitted beyond the quota is owed: the level
+falls below 0 and nothing is admitted until it has filled again.
 """
 
 from typing import Any, NamedTuple
@@ -26,12 +27,13 @@
 
 
 class _Level:
-    """What is left of one workspace's quota, as far as this host knows."""
+    """What is left of one workspace's quota: for this host, and over all hosts."""
 
-    __slots__ = ("amount", "at")
+    __slots__ = ("amount", "at", "total")
 
-    def __init__(self, amount: float, at: float) -> None:
-        self.amount = amount
+    def __init__(self, total: float, hosts: int, at: float) -> None:
+        self.total = total
+        self.amount = total / hosts if total > 0 else total
         self.at = at
 
 
@@ -59,7 +61,7 @@
         level = self._filled(name, quota, now)
         if level.amount <= 0:
             rate = quota.rate * self._slack.factor
-            wait = (amount / 2 - level.amount) / max(rate, 1e-9)
+            wait = (amount / 2 - min(level.total, 0.0)) / max(rate, 1e-9)
             return min(max(wait, LEAST_WAIT), MOST_WAIT)
         level.amount -= amount
         unreported = self._unreported_by_workspace.get(name, 0)
@@ -72,7 +74,7 @@
         A workspace that has used nothing lately is told with 0, to hear its level.
         """
         used = [
-            Used(name, self._unreported_by_workspace.get(name, 0), int(level.amount))
+            Used(name, self._unreported_by_workspace.get(name, 0), int(level.total))
             for name, level in self._level_by_workspace.items()
         ]
         self._unreported_by_workspace = {}
@@ -94,15 +96,15 @@
         now = self._clock.now()
         for item in levels:
             unreported = self._unreported_by_workspace.get(item.workspace, 0)
-            amount = item.amount - unreported
-            self._level_by_workspace[item.workspace] = _Level(amount, now)
+            level = _Level(item.amount - unreported, self._hosts, now)
+            self._level_by_workspace[item.workspace] = level
 
     def _filled(self, name: str, quota: Quota, now: float) -> _Level:
         """Return a level with what has come since, of which this host has its part."""
         most = quota.burst + self._slack.besides
         level = self._level_by_workspace.get(name)
         if level is None:
-            level = self._level_by_workspace[name] = _Level(most, now)
+            level = self._level_by_workspace[name] = _Level(most, self._hosts, now)
             return level
         rate = quota.rate * self._slack.factor / self._hosts
         level.amount = min(most, level.amount + rate * (now - level.at))
--- a/bitterntiller/components/entry/relay.py
+++ b/bitterntiller/components/entry/relay.py
@@ -135,7 +135,12 @@
 
     async def _async_events(self, client: ClientExchange) -> bool:
         routed = self._active.route is not None
-        stream = self._active.stream or EventStream(ends_with_message=routed)
+        stream = self._active.stream
+        if stream is not None:
+            # The part of an event with which the stream broke off comes again, whole.
+            stream.await_next()
+        else:
+            stream = EventStream(ends_with_message=routed)
         if routed:
             self._active.stream = stream
         if await self._async_follow(client, stream):
--- a/bitterntiller/components/replication/coordinator.py
+++ b/bitterntiller/components/replication/coordinator.py
@@ -25,6 +25,7 @@
 )
 from .core import Replica
 from .diagnostics import describe
+from .errors import StorageFullError
 from .joiner import Joiner
 from .members import find
 from .models import Effects, Entry, Persist, Tuning
@@ -36,6 +37,13 @@
 
 TICK = 0.03
 
+FULL_PAUSE = 0.2
+"""Seconds before a write that found no room on the disk is tried again."""
+
+STALLED_WRITE = 0.6
+"""Seconds after which a write counts as stalled: a hundred times a usual one, and as
+long as followers wait for a leader that has died."""
+
 SNAPSHOT_BYTES = DEFAULT_SNAPSHOT_BYTES
 
 
@@ -57,6 +65,7 @@
         self._joiner = Joiner(runtime, lambda: self._replica, self._wake.set)
         self._write_wanted = curio.Event()
         self._write: Persist | None = None
+        self._write_began: float | None = None
         self._writing = curio.Lock()
         self._applied = 0
         self._applied_bytes = 0
@@ -161,6 +170,7 @@
             await self._wake.wait()
             self._wake.clear()
             now = self._runtime.clock.now()
+            self._note_stall(now)
             self._replica.tick(now)
             self._repair(now)
             await self._async_carry_out(self._replica.take(now))
@@ -238,12 +248,40 @@
             return
         clock = self._runtime.clock
         began = clock.now()
-        async with curio.disable_cancellation():
-            await curio.run_in_thread(self._storage.write, write)
+        self._write_began = began
+        await self._async_write_out(write)
+        self._write_began = None
+        self._replica.set_stalled(False, clock.now())
         self._runtime.metrics.timing("replication.sync", clock.now() - began)
         replica.persisted(write.number, clock.now())
         await self._wake.set()
 
+    async def _async_write_out(self, write: Persist) -> None:
+        """Write until there is room: a full disk is emptied by somebody else."""
+        told = False
+        while True:
+            try:
+                async with curio.disable_cancellation():
+                    await curio.run_in_thread(self._storage.write, write)
+                return
+            except StorageFullError as error:
+                if not told:
+                    events.emit("disk-full", text=error.text)
+                told = True
+                self._runtime.metrics.count("replication.disk_full")
+                await curio.sleep(FULL_PAUSE)
+
+    def _note_stall(self, now: float) -> None:
+        """Give the lead up when the own disk takes too long.
+
+        A leader applies only what its own disk holds, so that all callers of control
+        would wait for one slow disk while the others' are sound.
+        """
+        if self._write_began is None or now - self._write_began < STALLED_WRITE:
+            return
+        if self._replica.set_stalled(True, now):
+            events.emit("disk-stalled", seconds=round(now - self._write_began, 2))
+
     async def _async_retire(self, why: str) -> None:
         """Begin anew under another identity, as a learner with an empty log."""
         logging.warning("replica %s is given up: %s", self._replica.state.replica, why)
--- a/bitterntiller/components/replication/core.py
+++ b/bitterntiller/components/replication/core.py
@@ -169,6 +169,19 @@
         """Change the membership by one voter at most; None when refused."""
         return leading.change_members(self.state, members, now)
 
+    def set_stalled(self, stalled: bool, now: float) -> bool:
+        """Note whether the disk stalls; tell whether that is news.
+
+        With a stalled disk this replica neither leads nor tries to.
+        """
+        state = self.state
+        if state.stalled == stalled:
+            return False
+        state.stalled = stalled
+        if stalled and state.role is Role.LEADER:
+            state.follow(state.term, "", now)
+        return True
+
     def snapshot_taken(self, index: int, data: bytes) -> None:
         """Hand in the state as it was after an applied entry."""
         self.state.snapshot_taken(index, data)
--- a/bitterntiller/components/replication/election.py
+++ b/bitterntiller/components/replication/election.py
@@ -23,7 +23,7 @@
 
 def may_campaign(state: State) -> bool:
     """Tell whether this replica may try to become the leader."""
-    if not (_may_be_needed(state) and state.returning.done):
+    if state.stalled or not (_may_be_needed(state) and state.returning.done):
         return False
     return is_up_to_date(state, state.log.last_term, state.log.last_index)
 
--- a/bitterntiller/components/replication/errors.py
+++ b/bitterntiller/components/replication/errors.py
@@ -1,6 +1,6 @@
-"""Errors of the replicated log; each of them stops the process."""
+"""Errors of the replicated log; a broken invariant stops the process."""
 
-from bitterntiller.core.errors import BrokenInvariantError
+from bitterntiller.core.errors import BrokenInvariantError, CodedError
 
 
 class LogDamagedError(BrokenInvariantError):
@@ -20,6 +20,12 @@
     code = "storage-failed"
 
 
+class StorageFullError(CodedError):
+    """A write found no room on the disk and was undone; it can be tried again."""
+
+    code = "storage-full"
+
+
 class FolderLockedError(BrokenInvariantError):
     """Another process uses the data folder."""
 
--- a/bitterntiller/components/replication/state.py
+++ b/bitterntiller/components/replication/state.py
@@ -67,6 +67,7 @@
         self.reads = Reads()
         self.returning = ReturnState(now)
         self.retired = ""
+        self.stalled = False
         self.assembling: tuple[int, int, bytearray] | None = None
         self.read_outcomes: list[ReadOutcome] = []
         self.counters: dict[str, int] = {}
--- a/bitterntiller/components/replication/storage.py
+++ b/bitterntiller/components/replication/storage.py
@@ -6,6 +6,7 @@
 one is dropped after that. These calls block and are run in a thread.
 """
 
+import errno
 import fcntl
 import json
 import os
@@ -17,7 +18,12 @@
 from bitterntiller.protocol import MalformedMessageError
 
 from . import frames
-from .errors import FolderLockedError, LogDamagedError, StorageFailedError
+from .errors import (
+    FolderLockedError,
+    LogDamagedError,
+    StorageFailedError,
+    StorageFullError,
+)
 from .models import HardState, Persist, Restored, Snapshot
 from .records import (
     Replay,
@@ -33,6 +39,7 @@
 _IDENTITY = "identity"
 _LOCK = "lock"
 _TEMPORARY = ".new"
+_NO_ROOM = (errno.ENOSPC, errno.EDQUOT)
 
 
 class Storage:
@@ -64,13 +71,17 @@
     def write(self, persist: Persist) -> None:
         """Write and sync records; raise StorageFailedError when that fails.
 
-        After a failed sync the kernel may have dropped what was not written and
-        report success to the next sync. So a failure is final.
+        Raise StorageFullError when there was no room: all is as it was before, since
+        the bytes that found room are taken back and nothing was synced. After a failed
+        sync the kernel may have dropped what was not written and report success to the
+        next sync, so any other failure is final.
         """
         if self._failed:
             raise StorageFailedError(self._failed)
         try:
             self._write(persist)
+        except _NoRoomError as error:
+            raise StorageFullError(f"{self._folder}: no room") from error
         except OSError as error:
             self._failed = f"{self._folder}: {error}"
             raise StorageFailedError(self._failed) from error
@@ -236,10 +247,22 @@
     return fd
 
 
+class _NoRoomError(Exception):
+    """A write found no room; the file is as long as it was before."""
+
+
 def _write_all(fd: int, data: bytes) -> None:
+    """Append to a file; raise _NoRoomError on a full disk."""
+    before = os.fstat(fd).st_size
     view = memoryview(data)
-    while view:
-        view = view[os.write(fd, view) :]
+    try:
+        while view:
+            view = view[os.write(fd, view) :]
+    except OSError as error:
+        if error.errno not in _NO_ROOM:
+            raise
+        os.ftruncate(fd, before)
+        raise _NoRoomError from error
 
 
 def _sync_folder(folder: Path) -> None:
--- /dev/null
+++ b/tests/components/replication/test_stalled.py
@@ -0,0 +1,36 @@
+"""A replica whose disk stalls."""
+
+import random
+
+from bitterntiller.components.replication.core import Replica
+from bitterntiller.components.replication.models import Member, Tuning
+from bitterntiller.components.replication.state import Role, initial
+
+
+def leader() -> Replica:
+    replica = Replica(initial("a/1"), Tuning(), random.Random(1), 0.0)
+    replica.form([Member("a/1", "a", "127.0.0.1:1", True)])
+    now = 0.0
+    while replica.state.role is not Role.LEADER:
+        now += 0.1
+        replica.tick(now)
+        effects = replica.take(now)
+        if effects.persist is not None:
+            replica.persisted(effects.persist.number, now)
+    return replica
+
+
+def test_leader_whose_disk_stalls_gives_its_lead_up():
+    """The leader's disk answers nothing for seconds, and no change is acknowledged.
+
+    The other replicas have sound disks and hold each entry, but only the leader
+    answers, and it applies what its own disk holds. It must make room for another.
+    """
+    replica = leader()
+    assert replica.set_stalled(True, 5.0)
+    assert replica.state.role is Role.FOLLOWER
+    replica.tick(8.0)
+    assert replica.state.role is Role.FOLLOWER
+    replica.set_stalled(False, 8.0)
+    replica.tick(10.0)
+    assert replica.state.role is not Role.FOLLOWER
--- a/tests/components/replication/test_storage.py
+++ b/tests/components/replication/test_storage.py
@@ -1,5 +1,6 @@
 """The data folder after crashes and damage."""
 
+import errno
 import os
 import shutil
 
@@ -10,6 +11,7 @@
     FolderLockedError,
     LogDamagedError,
     StorageFailedError,
+    StorageFullError,
 )
 from bitterntiller.components.replication.models import (
     Entry,
@@ -242,3 +244,26 @@
     assert restored.entries == ()
     assert (folder / "aside-1" / "identity").exists()
     assert Storage(folder, "b").restored.replica.startswith("b/")
+
+
+def test_full_disk_takes_the_same_write_later(folder, monkeypatch):
+    """The disk of a control host is full for some seconds, and its process ends.
+
+    A write finds room for a part of its bytes only. Taken for a failed sync it would
+    end the process, again at each start; the part is taken back and the write repeated.
+    """
+    opened = Storage(folder, "a")
+    write = os.write
+
+    def write_half(fd, data):
+        if len(data) < 10:
+            raise OSError(errno.ENOSPC, "No space left on device")
+        return write(fd, data[: len(data) // 2])
+
+    with monkeypatch.context() as patched:
+        patched.setattr(storage.os, "write", write_half)
+        with pytest.raises(StorageFullError):
+            opened.write(wrote(entry(4), number=4))
+    opened.write(wrote(entry(4), number=4))
+    opened.close()
+    assert reopened(folder).entries == (entry(1), entry(2), entry(3), entry(4))
--- /dev/null
+++ b/tests/platform/builders.py
@@ -0,0 +1,223 @@
+"""Data of the platform for tests: documents, requests and an entry host."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+from typing import Any, NamedTuple
+
+import curio
+from bitterntiller_platform.configuration import parse_configuration
+from bitterntiller_platform.interface import PlatformInterface
+
+from bitterntiller.components.entry.claiming import Claimant
+from bitterntiller.components.entry.context import Context
+from bitterntiller.components.entry.coordinator import EntryCoordinator
+from bitterntiller.components.http.pool import ConnectionPool
+from bitterntiller.components.node.models import Host
+from bitterntiller.components.settings.models import Limits, Timings
+from bitterntiller.core.clock import RuntimeClock
+from bitterntiller.core.interfaces import Ownership
+from bitterntiller.protocol import messages
+from tests.components.entry import fakes
+from tests.components.http.builders import serving
+
+KEY = "key-of-foresters"
+
+
+def route(**fields: Any) -> dict[str, Any]:
+    return {
+        "name": "r-1",
+        "hostname": "trees.example",
+        "path_prefix": "/trees/",
+        "route_kind": "streaming",
+        "timeout_ms": 4000,
+        "target_latency_ms": 400,
+        "target_itl_ms": 300,
+        "priority": 1,
+        "service": "llm",
+        "max_attempts": 2,
+        "public": False,
+        "stream_resume": True,
+        **fields,
+    }
+
+
+def document(*routes: dict[str, Any], **fields: Any) -> dict[str, Any]:
+    plain = route(
+        name="r-2", path_prefix="/tiles/", route_kind="idempotent", service="map"
+    )
+    return {
+        "version": 7,
+        "route_table": list(routes) or [route(), plain],
+        "services": [
+            {"name": "llm", "max_connections": 9, "engine_id": {"kv_capacity": 900}},
+            {"name": "map", "max_connections": 9},
+        ],
+        "limits": {"max_body_bytes": 1000},
+        "tenants": [{"name": "foresters", "api_keys": [KEY], "priority": 2}],
+        **fields,
+    }
+
+
+def request(path: str = "/trees/1", *lines: str) -> bytes:
+    head = [
+        f"POST {path} HTTP/1.1",
+        "Host: trees.example",
+        "X-Attempt-Id: a1",
+        "X-Deadline-Ms: 3000",
+        f"Authorization: Token {KEY}",
+        "Content-Length: 2",
+        *lines,
+    ]
+    return "\r\n".join(head).encode() + b"\r\n\r\n{}"
+
+
+def event(number: int, text: str = "leaf") -> bytes:
+    return f"id: {number}\ndata: {text}\n\n".encode()
+
+
+def chunk(data: bytes) -> bytes:
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+STREAM_HEAD = (
+    b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Engine-Signature: s1\r\n"
+    b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def answer(body: bytes, status: bytes = b"200 OK", *lines: bytes) -> bytes:
+    head = [
+        b"HTTP/1.1 " + status,
+        b"X-Attempt-Id: a1",
+        b"X-Engine-Signature: s1",
+        b"Content-Length: %d" % len(body),
+        *lines,
+    ]
+    return b"\r\n".join(head) + b"\r\n\r\n" + body
+
+
+Upstream = Callable[[Any, bytes, int], Awaitable[None]]
+"""Answers a request: the socket, the request, and how many came before it."""
+
+
+class _Directory:
+    hosts_by_name = {"b": Host("b", "b:1", "bole", "i")}
+
+    def owner(self, pool: str) -> Ownership:
+        return Ownership("b", "b:1", 0)
+
+
+class _GrantingLinks:
+    """Grants each registration at once."""
+
+    def __init__(self, address: str) -> None:
+        self.sent: list[Any] = []
+        self.coordinator: Any = None
+        self._address = address
+
+    async def async_send(self, address: str, message: Any) -> bool:
+        self.sent.append(message)
+        again = isinstance(message, messages.Returned) and message.still_waiting
+        if isinstance(message, messages.Register) or again:
+            await self._async_grant(message.request_id)
+        return True
+
+    async def _async_grant(self, request_id: str) -> None:
+        grant = messages.Grant(
+            request_id=request_id,
+            pool="llm",
+            epoch=0,
+            upstream=f"i-{len(self.sent)}",
+            address=self._address,
+            upstream_incarnation="0",
+            valid_ms=1000,
+        )
+        await self.coordinator.registry.async_on_grant("b", grant)
+
+    def of(self, cls: type) -> list[Any]:
+        return [message for message in self.sent if isinstance(message, cls)]
+
+
+class _ConfigView:
+    version = 1
+
+    def __init__(self, config: Any) -> None:
+        self.config = config
+
+
+class EntryHost(NamedTuple):
+    port: int
+    links: _GrantingLinks
+    requests: list[bytes]
+    context: Context
+
+    async def async_ask(self, data: bytes) -> bytes:
+        """Send a request; return all that comes until the host is silent."""
+        sock = await curio.open_connection("127.0.0.1", self.port)
+        received = b""
+        async with sock:
+            await sock.sendall(data)
+            async with curio.ignore_after(1.0):
+                while part := await _async_receive(sock):
+                    received += part
+                    if received.endswith(LAST_CHUNK):
+                        break
+        return received
+
+
+async def _async_receive(sock: Any) -> bytes:
+    try:
+        return await sock.recv(65536)
+    except ConnectionResetError:
+        return b""
+
+
+async def _async_serve(listener: Any, upstream: Upstream, got: list[bytes]) -> None:
+    async def async_one(sock: Any) -> None:
+        async with sock:
+            while data := await sock.recv(65536):
+                got.append(data)
+                await upstream(sock, data, len(got) - 1)
+                if sock.fileno() < 0:
+                    return
+
+    while True:
+        sock, _ = await listener.accept()
+        await curio.spawn(async_one, sock, daemon=True)
+
+
+@asynccontextmanager
+async def entry_host(
+    upstream: Upstream, configuration: dict[str, Any] | None = None
+) -> AsyncIterator[EntryHost]:
+    """Serve callers of the platform with one upstream behind."""
+    async with AsyncExitStack() as stack:
+        listener = curio.tcp_server_socket("127.0.0.1", 0)
+        stack.push_async_callback(listener.close)
+        got: list[bytes] = []
+        task = await curio.spawn(_async_serve, listener, upstream, got)
+        stack.push_async_callback(task.cancel)
+        links = _GrantingLinks(f"127.0.0.1:{listener.getsockname()[1]}")
+        clock = RuntimeClock()
+        connections = ConnectionPool(clock, most_idle=2, accept_close=True)
+        stack.push_async_callback(connections.async_close)
+        config = parse_configuration(configuration or document(), 1)
+        context = Context(
+            host="a",
+            timings=Timings(upstream_idle=0.5, body=2.0, shutdown=5.0),
+            clock=clock,
+            metrics=fakes.FakeMetrics(),
+            links=links,
+            lease=fakes.FakeLease(),
+            config=_ConfigView(config),
+            directory=_Directory(),
+            control=fakes.FakeControl(),
+            interface=PlatformInterface(),
+            connections=connections,
+        )
+        coordinator = EntryCoordinator(context, Limits(), Claimant(context, "i1"))
+        links.coordinator = coordinator
+        served = serving(coordinator.pipeline.async_serve)
+        _, port = await stack.enter_async_context(served)
+        yield EntryHost(port, links, got, context)
