Close the listener of a stopping host without ending its process

Change: the accepting task is cancelled first. Ruled out: the grace period (the process ended 3.2 s after SIGTERM of 8). Before: answers cut at the end of the balancer's time; after: the test that fails without the change passes.

--- a/bitterntiller/core/listener.py
+++ b/bitterntiller/core/listener.py
@@ -25,19 +25,36 @@
         self._sock = curio.tcp_server_socket(ip, port, backlog=BACKLOG)
         self._tasks: set[curio.Task] = set()
         self._runtime: Runtime | None = None
+        self._accepting: curio.Task | None = None
+
+    @property
+    def port(self) -> int:
+        """Return the port, which the system chose where 0 was asked for."""
+        return self._sock.getsockname()[1]
 
     async def async_serve(self, runtime: Runtime) -> None:
         """Accept until cancelled; then end all connections."""
         self._runtime = runtime
         async with AsyncExitStack() as stack:
             stack.push_async_callback(self._async_end)
-            while True:
-                sock = await self._async_accept()
-                task = await curio.spawn(self._async_one, sock, daemon=True)
-                self._tasks.add(task)
+            self._accepting = await curio.spawn(self._async_accept_all, daemon=True)
+            await curio.Event().wait()
+
+    async def _async_accept_all(self) -> None:
+        while True:
+            sock = await self._async_accept()
+            task = await curio.spawn(self._async_one, sock, daemon=True)
+            self._tasks.add(task)
 
     async def async_close(self) -> None:
-        """Stop accepting; connections that stand go on."""
+        """Stop accepting; connections that stand go on.
+
+        The socket is closed only once nothing waits on it: the kernel of tasks would
+        otherwise end with the process, on a file descriptor that is no more.
+        """
+        if self._accepting is not None:
+            await self._accepting.cancel()
+            self._accepting = None
         await self._sock.close()
 
     async def _async_accept(self) -> Any:
@@ -70,6 +87,6 @@
             self._tasks.discard(await curio.current_task())
 
     async def _async_end(self) -> None:
-        await self._sock.close()
+        await self.async_close()
         for task in list(self._tasks):
             await task.cancel()
