Fill every slot of engines whose requests have an objective for their first output

Change: pools of routed requests run without them; a request that misses its objective is put behind its own tier; one whose caller gives up without a first output is refused then; each lower tier has a twentieth of the slots before those above. Ruled out: the engines' own limits (no request was refused by them).

--- a/bitterntiller/components/config/models.py
+++ b/bitterntiller/components/config/models.py
@@ -74,7 +74,8 @@
 
     timeout is the longest time a caller is kept waiting, objective the time to
     the first output that is still good, pause the longest good time between two
-    outputs of a stream (0: none is set); all in seconds. max_attempts is on how
+    outputs of a stream (0: none is set); all in seconds. After patience seconds without
+    a first output a caller gives up. max_attempts is on how
     many upstreams one request may run. The rank of a workspace goes before the
     rank of the route.
     """
@@ -87,6 +88,7 @@
     timeout: float
     objective: float
     pause: float
+    patience: float
     max_attempts: int
     rank: int
     public: bool
--- a/bitterntiller/components/dispatch/__init__.py
+++ b/bitterntiller/components/dispatch/__init__.py
@@ -2,7 +2,7 @@
 
 import math
 
-from bitterntiller.components.dispatch import diagnostics
+from bitterntiller.components.dispatch import const, diagnostics
 from bitterntiller.components.dispatch.coordinator import DispatchCoordinator
 from bitterntiller.components.dispatch.models import (
     DEFAULT_PARAMETERS,
@@ -25,11 +25,26 @@
     return PoolScheduler(DEFAULT_PARAMETERS._replace(kind=kind))
 
 
+FED_PARAMETERS = DEFAULT_PARAMETERS._replace(
+    silence_seconds=math.inf,
+    order=const.ORDER_FIFO,
+    long_slots=1.0,
+    long_prefills=1.0,
+    guard=0.0,
+    headroom=0.0,
+    adaptive=False,
+    lower_share=const.DEFAULT_LOWER_SHARE,
+)
+"""The parameters of pools whose requests have an objective for their first output.
+
+Running requests keep their objective beside any others, since output comes many times
+faster than it must; so every slot is filled, and only what waits is in question.
+"""
+
+
 def make_fed_scheduler(kind: str) -> Scheduler:
     """Return the scheduler of a pool that is told of silence instead of hearing it."""
-    return PoolScheduler(
-        DEFAULT_PARAMETERS._replace(kind=kind, silence_seconds=math.inf)
-    )
+    return PoolScheduler(FED_PARAMETERS._replace(kind=kind))
 
 
 async def async_setup_chosen(
--- a/bitterntiller/components/dispatch/choice.py
+++ b/bitterntiller/components/dispatch/choice.py
@@ -143,16 +143,28 @@
             return 0.0
         if now - view.best_at > HOUSEKEEPING_SECONDS:
             self._find_best(view, now)
-        request = job.request
-        level, _ = self._pool.index.longest(request.prefix_hashes)
-        tokens = request.prompt_tokens
-        if level >= 0:
-            lengths = request.prefix_tokens
-            cached = lengths[level] if lengths else prefix_tokens(level)
-            tokens = max(0, tokens - cached)
+        tokens = self._uncached(job)
         seconds = view.best_prefill * tokens + view.best_decode * job.expected_output
         return seconds / 1000
 
+    def first_case(self, job: Job, view: View, now: float) -> float:
+        """Return a lower bound of the seconds to the first output, as best_case."""
+        if job.guessed or not len(view.members):
+            return 0.0
+        if now - view.best_at > HOUSEKEEPING_SECONDS:
+            self._find_best(view, now)
+        return view.best_prefill * self._uncached(job) / 1000
+
+    def _uncached(self, job: Job) -> int:
+        """Return the prompt tokens that no upstream has in its cache."""
+        request = job.request
+        level, _ = self._pool.index.longest(request.prefix_hashes)
+        if level < 0:
+            return request.prompt_tokens
+        lengths = request.prefix_tokens
+        cached = lengths[level] if lengths else prefix_tokens(level)
+        return max(0, request.prompt_tokens - cached)
+
     def _find_best(self, view: View, now: float) -> None:
         view.best_at = now
         speeds = [self._pool.upstreams_by_name[name].speed for name in view.members]
--- a/bitterntiller/components/dispatch/const.py
+++ b/bitterntiller/components/dispatch/const.py
@@ -25,6 +25,10 @@
 DEFAULT_GUARD_HIGHER = 1.3
 DEFAULT_HEADROOM = 0.1
 DEFAULT_OPTIMISM = 0.4
+DEFAULT_LOWER_SHARE = 0.05
+"""Part of the slots that each lower tier has before the tiers above it, so that a long
+overload by higher tiers leaves none without any service."""
+
 DEFAULT_MAX_WAITING = 50_000
 DEFAULT_SAMPLES = 4
 
--- a/bitterntiller/components/dispatch/inflight.py
+++ b/bitterntiller/components/dispatch/inflight.py
@@ -7,6 +7,8 @@
 NOW_GAIN = 0.2
 MIN_LIMIT = 2.0
 SMOOTH = 0.2
+REGAIN = 0.25
+"""By how much each answer raises a limit that a refusal has lowered."""
 
 
 class InflightLimit:
@@ -18,9 +20,10 @@
     seen to expected seconds, so that sizes don't matter.
     """
 
-    __slots__ = ("_base", "_now", "_value")
+    __slots__ = ("_adaptive", "_base", "_now", "_value")
 
-    def __init__(self) -> None:
+    def __init__(self, adaptive: bool = True) -> None:
+        self._adaptive = adaptive
         self._base: float | None = None
         self._now = 1.0
         self._value = math.inf
@@ -30,7 +33,13 @@
         return max(1, int(min(float(slots), self._value)))
 
     def learn(self, ratio: float, slots: int) -> None:
-        """Learn from the latency of one request, relative to its size."""
+        """Learn from the latency of one request, relative to its size.
+
+        Without adaptive a limit that was lowered by a refusal grows back alone.
+        """
+        if not self._adaptive:
+            self._value = min(self._value + REGAIN, float(slots))
+            return
         if self._base is None:
             self._base = self._now = ratio
             self._value = float(slots)
--- a/bitterntiller/components/dispatch/jobs.py
+++ b/bitterntiller/components/dispatch/jobs.py
@@ -29,7 +29,8 @@
 
     work is the expected service on a mean upstream. prefill is the tokens that
     have to be computed at the upstream, expected_cached those that should be in
-    its cache. order_key places it within its workspace. adopted tells that an
+    its cache. order_key places it within its workspace. late tells that its first
+    output can no longer come within the objective. adopted tells that an
     earlier owner granted it, guessed that nothing like it was measured yet.
     """
 
@@ -48,6 +49,7 @@
         "in_flight_at_start",
         "kind",
         "kv",
+        "late",
         "order_key",
         "target",
         "prefill",
@@ -77,6 +79,7 @@
         self.expected_output = float(request.output_tokens)
         self.kv = request.prompt_tokens + request.output_tokens
         self.order_key = 0.0
+        self.late = False
         self.group: tuple = ()
         self.upstream: Upstream | None = None
         self.target: Upstream | None = None
@@ -94,6 +97,11 @@
         self.adopted = False
         self.guessed = False
 
+    @property
+    def queue_rank(self) -> float:
+        """Return the place of its queue: what is late comes behind its own tier."""
+        return self.rank + 0.5 if self.late else float(self.rank)
+
     @property
     def waiting(self) -> bool:
         """Tell whether the request has no grant."""
--- a/bitterntiller/components/dispatch/models.py
+++ b/bitterntiller/components/dispatch/models.py
@@ -11,8 +11,9 @@
     deadline and arrived are points in time of the owner's clock, in seconds.
     Token counts are the entry host's estimates. prefix_hashes name the prompt's
     growing prefixes, shortest first; prefix_tokens are their lengths, where they are
-    known. first_by is when the first output must be there to be good, where that is
-    set. tried are upstreams that did not admit it.
+    known. first_by is when the first output must be there to be good, and start_by when
+    its caller gives up without one, where these are set. tried are upstreams that did
+    not admit it.
     """
 
     request_id: str
@@ -29,6 +30,7 @@
     upstream_names: frozenset[str] | None = None
     prefix_tokens: tuple[int, ...] = ()
     first_by: float | None = None
+    start_by: float | None = None
 
 
 class UpstreamLoad(NamedTuple):
@@ -226,7 +228,9 @@
     upstream's slots and memory that is kept free by each tier for those above
     it. optimism is the weight of an upstream's best speed, beside its present
     one, in the estimate of completion. samples is how many upstreams are drawn
-    where there are many.
+    where there are many. With adaptive the requests in flight are bounded by what the
+    latency of an upstream shows, below its slots. Each tier below the most important
+    one may hold lower_share of the slots before the tiers above it.
     """
 
     kind: str = const.KIND_ENGINE
@@ -250,6 +254,8 @@
     optimism: float = const.DEFAULT_OPTIMISM
     max_waiting: int = const.DEFAULT_MAX_WAITING
     samples: int = const.DEFAULT_SAMPLES
+    adaptive: bool = True
+    lower_share: float = 0.0
     seed: int = 1
 
 
--- a/bitterntiller/components/dispatch/pool.py
+++ b/bitterntiller/components/dispatch/pool.py
@@ -1,6 +1,7 @@
 """The upstreams of a pool: announcements, silence, and who is free."""
 
 import heapq
+from collections import Counter
 
 from bitterntiller.components.dispatch.const import (
     FORGET_UPSTREAM_SECONDS,
@@ -35,6 +36,7 @@
         self.upstreams_by_name: dict[str, Upstream] = {}
         self.pace = 1.0
         self.slots = 0
+        self.in_flight_by_rank: Counter[int] = Counter()
         self.freed: list[Upstream] = []
         self._ranks: set[int] = set()
         self._above_by_rank: dict[int, float] = {}
@@ -56,6 +58,17 @@
                 rank: float(above) for above, rank in enumerate(sorted(self._ranks))
             }
 
+    def short_ranks(self, share: float) -> list[int]:
+        """Return the tiers that hold less than a share of the slots, lowest first.
+
+        The most important tier is none of them.
+        """
+        if not share:
+            return []
+        wanted = share * self.slots
+        lower = sorted(self._ranks)[1:]
+        return [r for r in reversed(lower) if self.in_flight_by_rank[r] < wanted]
+
     def tiers_above(self, rank: int) -> float:
         """Return how many of the tiers seen here are more important than one."""
         return self._above_by_rank.get(rank, 0.0)
@@ -107,6 +120,7 @@
     def attach(self, job: Job, upstream: Upstream, now: float) -> None:
         """Count a request at an upstream."""
         job.upstream = upstream
+        self.in_flight_by_rank[job.rank] += 1
         plain = self._parameters.kind == KIND_PLAIN
         upstream.ledger.add(job, plain or job.tokens_seen > 0, now)
 
@@ -117,6 +131,7 @@
             self._forget_orphan(job)
             return
         job.upstream = None
+        self.in_flight_by_rank[job.rank] -= 1
         upstream.ledger.remove(job, now)
         self.refresh(upstream, now)
 
--- a/bitterntiller/components/dispatch/queue.py
+++ b/bitterntiller/components/dispatch/queue.py
@@ -71,7 +71,7 @@
     time, so that it can't save up.
     """
 
-    def __init__(self, rank: int, fair: bool, limiter: WorkspaceLimiter) -> None:
+    def __init__(self, rank: float, fair: bool, limiter: WorkspaceLimiter) -> None:
         self.rank = rank
         self.count = 0
         self.work = 0.0
@@ -234,7 +234,7 @@
         self._limiter = limiter
         self.tiers_by_rank: SortedDict = SortedDict()
 
-    def tier(self, rank: int) -> TierQueue:
+    def tier(self, rank: float) -> TierQueue:
         """Return the queue of a tier."""
         tier = self.tiers_by_rank.get(rank)
         if tier is None:
@@ -244,15 +244,20 @@
 
     def push(self, job: Job) -> None:
         """Take a request in."""
-        self.tier(job.rank).push(job)
+        self.tier(job.queue_rank).push(job)
 
     def remove(self, job: Job) -> None:
         """Take a request out."""
-        self.tiers_by_rank[job.rank].remove(job)
+        self.tiers_by_rank[job.queue_rank].remove(job)
 
     def charge(self, job: Job) -> None:
         """Let a workspace pay for a request that was granted."""
-        self.tier(job.rank).charge(job)
+        self.tier(job.queue_rank).charge(job)
+
+    def head_of(self, rank: float, blocked: Container[tuple]) -> Job | None:
+        """Return the next request of one tier, None when it has none."""
+        tier = self.tiers_by_rank.get(rank)
+        return tier.head(blocked) if tier is not None and tier.count else None
 
     def head(self, blocked: Container[tuple]) -> Job | None:
         """Return the next request of the groups that aren't blocked."""
--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -67,6 +67,7 @@
         self._waiting = 0
         self._parking = Parking(self._queue)
         self._lateness = JobTimers()
+        self._objectives = JobTimers()
         self._lapses = JobTimers()
         self._housekeeping_at = 0.0
         # Groups whose head found no upstream. They are left alone until an
@@ -230,6 +231,8 @@
         for job in self._lapses.due(now):
             self._lapse(job, now)
         self._parking.unpark_due(now)
+        for job in self._objectives.due(now):
+            self._demote(job)
         for job in self._lateness.due(now):
             self._check_lateness(job, now, decisions)
         self._pool.thaw(now)
@@ -248,6 +251,7 @@
             self._lapses.next(),
             self._parking.next(),
             self._lateness.next(),
+            self._objectives.next(),
             self._pool.next_thaw(),
         )
 
@@ -301,9 +305,36 @@
         self._limiter.wait(job.workspace, 1, now)
         self._queue.push(job)
         self._plan_lateness(job, now)
+        self._plan_demotion(job, now)
+
+    def _plan_demotion(self, job: Job, now: float) -> None:
+        first_by = job.request.first_by
+        if first_by is None or job.late:
+            return
+        when = first_by - self._chooser.first_case(job, self._pool.view(job), now)
+        if when <= now:
+            self._demote(job)
+            return
+        self._objectives.add(when, job)
+
+    def _demote(self, job: Job) -> None:
+        """Put a request whose first output comes too late behind its own tier.
+
+        It is worth less than one that can still be served in time, and takes as much
+        of an upstream. In a burst that lasts for seconds all would otherwise be served
+        late, one after the other.
+        """
+        if job.late or not self._is_live(job) or not job.waiting:
+            return
+        if job.state is JobState.PARKED:
+            job.late = True
+            return
+        self._queue.remove(job)
+        job.late = True
+        self._queue.push(job)
 
     def _plan_lateness(self, job: Job, now: float) -> None:
-        when = job.request.deadline - job.best_case
+        when = self._last_start(job, now)
         if not self._pool.view(job).members:
             patience = job.entered + self._parameters.no_upstream_seconds
             when = min(when, patience)
@@ -380,6 +411,15 @@
         job.target = upstream
         self._lapses.add(max(job.request.deadline, now + 1.0), job)
 
+    def _last_start(self, job: Job, now: float) -> float:
+        """Return when a request must be sent at the latest to be of any use."""
+        request = job.request
+        when = request.deadline - job.best_case
+        if request.start_by is None:
+            return when
+        first = self._chooser.first_case(job, self._pool.view(job), now)
+        return min(when, request.start_by - first)
+
     def _late(self, job: Job, now: float) -> bool:
         """Tell whether no upstream could end a request in time.
 
@@ -390,6 +430,8 @@
         job.best_case = self._chooser.best_case(job, view, now)
         if now >= job.request.deadline:
             return True
+        if job.request.start_by is not None and now >= self._last_start(job, now):
+            return True
         if now + job.best_case < job.request.deadline:
             return False
         return self._chooser.probe(job, view, now) is None
@@ -412,7 +454,13 @@
     def _housekeep(self, now: float, decisions: list[Decision]) -> None:
         self._housekeeping_at = now + HOUSEKEEPING_SECONDS
         self._pool.housekeep(now)
-        for timers in (self._lateness, self._lapses, self._parking):
+        timers_of_jobs = (
+            self._lateness,
+            self._lapses,
+            self._parking,
+            self._objectives,
+        )
+        for timers in timers_of_jobs:
             timers.prune(len(self._jobs_by_id), self._is_live)
         self._blocked.clear()
         self._admission.interval(now)
@@ -433,7 +481,7 @@
         blocked = self._blocked
         skips = 0
         while self._waiting and self._pool.any_free and skips < MAX_SKIPS:
-            job = self._queue.head(blocked)
+            job = self._next(blocked)
             if job is None:
                 return
             choice = self._chooser.choose(job, self._pool.view(job), now)
@@ -442,13 +490,21 @@
             elif choice.verdict is Verdict.LATE:
                 self._give_up(job, Reason.TOO_LATE, now, decisions)
             elif choice.verdict is Verdict.BLOCKED:
-                blocked.add((job.rank, job.group))
+                blocked.add((job.queue_rank, job.group))
                 self._pool.reserve(job, choice.upstream, now)
             else:
                 name = choice.upstream.name if choice.upstream else None
                 self._parking.park(job, name, now)
                 skips += 1
 
+    def _next(self, blocked: set[tuple]) -> Job | None:
+        """Return the next request: of a tier that is short of its share, or the head."""
+        for rank in self._pool.short_ranks(self._parameters.lower_share):
+            job = self._queue.head_of(rank, blocked)
+            if job is not None:
+                return job
+        return self._queue.head(blocked)
+
     def _grant(self, job: Job, choice: Choice, now: float) -> Granted:
         request = job.request
         upstream = choice.upstream
--- a/bitterntiller/components/dispatch/shedding.py
+++ b/bitterntiller/components/dispatch/shedding.py
@@ -19,6 +19,9 @@
 
     def overloaded(self, job: Job, best_case: float, now: float) -> bool:
         """Tell whether a new request is expected to wait for too long."""
+        start_by = job.request.start_by
+        if start_by is not None:
+            return self._admission.expected_wait(job, now) > start_by - now
         slack = job.request.deadline - now - best_case
         allowed = self._parameters.wait_share * slack
         return self._admission.expected_wait(job, now) > allowed
@@ -58,7 +61,8 @@
         if not flow.jobs:
             return False
         job = flow.last()
-        slack = job.request.deadline - now - job.work
+        start_by = job.request.start_by
+        slack = (start_by or job.request.deadline - job.work) - now
         return self._admission.expected_wait(job, now) > slack
 
     @staticmethod
--- a/bitterntiller/components/dispatch/upstreams.py
+++ b/bitterntiller/components/dispatch/upstreams.py
@@ -36,7 +36,8 @@
         self.tried_at = float("-inf")
         self.ledger = Ledger()
         self.speed = new_speed(parameters.kind, pool)
-        self.limit = InflightLimit()
+        self._adaptive = parameters.adaptive
+        self.limit = InflightLimit(self._adaptive)
         self.health = Health()
         self.prefixes = PrefixCache(state.name, index)
         self.reserved_for: str | None = None
@@ -51,7 +52,7 @@
         self.ledger.clear()
         self.prefixes.clear()
         self.health.success()
-        self.limit = InflightLimit()
+        self.limit = InflightLimit(self._adaptive)
         self.reserved_for = None
 
     def usable(self, now: float) -> bool:
--- a/bitterntiller/components/dispatch/wire.py
+++ b/bitterntiller/components/dispatch/wire.py
@@ -36,14 +36,13 @@
         tried=tuple(message.tried),
         upstream_names=upstream_names,
         prefix_tokens=tuple(message.prefix_tokens or ()),
-        first_by=_first_by(message, now),
+        first_by=_time(message.first_by_ms, now),
+        start_by=_time(message.start_by_ms, now),
     )
 
 
-def _first_by(message: messages.Register, now: float) -> float | None:
-    if message.first_by_ms is None:
-        return None
-    return now + message.first_by_ms / 1000
+def _time(left_ms: int | None, now: float) -> float | None:
+    return None if left_ms is None else now + left_ms / 1000
 
 
 def upstream_state(message: messages.Announce, now: float) -> UpstreamState:
--- a/bitterntiller/components/entry/models.py
+++ b/bitterntiller/components/entry/models.py
@@ -52,7 +52,7 @@
 
     config_version is the version of the configuration by which they are. route is the
     one that matched, where the configuration has routes; first_by is then the time by
-    which the first output is still good.
+    which the first output is still good, and start_by when the caller gives up without.
     """
 
     received: Received
@@ -64,6 +64,7 @@
     config_version: int = 0
     route: Route | None = None
     first_by: float | None = None
+    start_by: float | None = None
 
 
 class Estimate(NamedTuple):
--- a/bitterntiller/components/entry/routing.py
+++ b/bitterntiller/components/entry/routing.py
@@ -43,6 +43,7 @@
         config_version=config.version,
         route=route,
         first_by=received.arrived + route.objective,
+        start_by=received.arrived + min(seconds, route.patience),
     )
 
 
--- a/bitterntiller/components/entry/wire.py
+++ b/bitterntiller/components/entry/wire.py
@@ -32,6 +32,7 @@
         tried=list(active.tried),
         prefix_tokens=list(estimate.prefix_tokens) or None,
         first_by_ms=_left_ms(identified.first_by, now),
+        start_by_ms=_left_ms(identified.start_by, now),
     )
 
 
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -67,6 +67,7 @@
     11: required list<string> tried,      // upstreams proved not to have run it
     12: optional list<i32> prefix_tokens, // tokens of each prefix, where the caller told them
     13: optional i32 first_by_ms,         // what is left until the first output is late; may be negative
+    14: optional i32 start_by_ms,         // what is left until the caller gives up without a first output
 }
 
 struct Grant {
