--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -498,7 +498,7 @@
                 skips += 1
 
     def _next(self, blocked: set[tuple]) -> Job | None:
-        """Return the next request: of a tier that is short of its share, or the head."""
+        """Return the next request: of a tier short of its share, or the head."""
         for rank in self._pool.short_ranks(self._parameters.lower_share):
             job = self._queue.head_of(rank, blocked)
             if job is not None:
--- /dev/null
+++ b/tests/components/control/test_upstreams.py
@@ -0,0 +1,133 @@
+"""Upstreams that announce themselves to control."""
+
+import json
+from typing import Any
+
+from bitterntiller.components.control.registrar import Registrar
+from bitterntiller.components.control.state import ControlState
+from bitterntiller.components.control.upstreams import UpstreamsState
+from bitterntiller.components.settings.models import Timings
+from bitterntiller.protocol import messages
+
+from .builders import apply
+
+TIMINGS = Timings(upstream_silent=4.0, upstream_gone=30.0)
+
+
+def announce(name: str = "e1", sequence: int = 1, **changes: Any) -> Any:
+    fields = {
+        "pool": "llm",
+        "address": "10.0.0.1:80",
+        "state": "ready",
+        "slots": 4,
+        **changes,
+    }
+    return messages.Announce(
+        name=name,
+        sequence=sequence,
+        incarnation=0,
+        labels={},
+        kv_tokens=0,
+        cache_events=[],
+        **fields,
+    )
+
+
+def states(state: UpstreamsState) -> dict[str, str]:
+    return {item.name: item.state for item in state.by_name.values()}
+
+
+def test_late_announcement_revives_nobody():
+    """A request is sent to an upstream that has gone, or to who has its address now.
+
+    An announcement was held up by a cut and arrives after the departure.
+    """
+    state = UpstreamsState()
+    state.apply(1, [announce(sequence=4)])
+    state.apply(2, [announce(sequence=5, state="leaving")])
+    state.apply(3, [announce(sequence=3)])
+    assert states(state) == {"e1": "leaving"}
+    state.apply(4, [announce(sequence=2**62, state="gone")])
+    state.apply(5, [announce(sequence=6)])
+    assert states(state) == {}
+
+
+def test_state_survives_a_snapshot():
+    state = ControlState()
+    apply(state, 1, upstreams=[announce(sequence=4), announce("e2", 9)])
+    apply(state, 2, upstreams=[announce("e2", 2**62, state="gone")])
+    other = ControlState()
+    other.restore(json.dumps(json.loads(state.snapshot())).encode())
+    assert states(other.upstreams) == {"e1": "ready"}
+    assert other.upstreams.version == 2
+    assert other.upstreams.is_stale(announce("e2", 10))
+
+
+def test_repetition_is_noted_in_memory_only():
+    state = UpstreamsState()
+    registrar = Registrar(0.0, state, TIMINGS)
+    first = announce()
+    assert registrar.hear(first, 1.0) == [first]
+    state.apply(1, [first])
+    assert registrar.hear(announce(sequence=2), 2.0) == []
+    assert registrar.hear(announce(sequence=3, state="leaving"), 3.0) != []
+
+
+def test_silence_is_told_once_and_ends_with_the_next_announcement():
+    """An upstream that lost its power is sent requests for as long as it is listed."""
+    state = UpstreamsState()
+    registrar = Registrar(0.0, state, TIMINGS)
+    state.apply(1, registrar.hear(announce(), 1.0))
+    assert registrar.overdue(4.0) == []
+    state.apply(2, registrar.overdue(5.5))
+    assert states(state) == {"e1": "silent"}
+    assert registrar.overdue(6.0) == []
+    state.apply(3, registrar.hear(announce(sequence=2), 7.0))
+    assert states(state) == {"e1": "ready"}
+    state.apply(4, registrar.overdue(40.0))
+    assert states(state) == {}
+
+
+def test_new_leader_waits_before_it_calls_anybody_silent():
+    """All upstreams vanish at once when a new leader takes over.
+
+    It has heard none of them yet, which is no silence of theirs.
+    """
+    state = UpstreamsState()
+    state.apply(1, [announce()])
+    assert Registrar(100.0, state, TIMINGS).overdue(103.9) == []
+
+
+def test_address_is_taken_over_from_a_silent_upstream_only():
+    """A delayed announcement of a dead upstream pushes out who has its address now."""
+    state = UpstreamsState()
+    registrar = Registrar(0.0, state, TIMINGS)
+    state.apply(1, registrar.hear(announce("old"), 1.0))
+    state.apply(2, registrar.hear(announce("new"), 2.0))
+    assert states(state) == {"old": "ready", "new": "ready"}
+    state.apply(3, registrar.hear(announce("newest"), 9.0))
+    assert states(state) == {"newest": "ready"}
+
+
+def numbered(number: int, **document: Any) -> Any:
+    config = json.dumps({"version": number, **document}).encode()
+    return messages.Change(
+        change_id=f"n{number}", base_version=0, config=config, number=number
+    )
+
+
+def test_highest_number_takes_effect_and_all_are_acknowledged():
+    """Two operators send versions at once; the lower one, which is late, comes to win.
+
+    It is acknowledged, as it was overtaken and not refused, and changes nothing.
+    """
+    state = ControlState()
+    for index, number in enumerate((7, 4, 9, 9, 8), start=1):
+        reply = apply(state, index, change=numbered(number, index=index)).change
+        assert reply.status == "accepted"
+    document = state.configuration.document
+    assert document == {"version": 9, "index": 3}
+    assert (state.configuration.version, state.configuration.number) == (2, 9)
+    other = ControlState()
+    other.restore(state.snapshot())
+    assert other.configuration.number == 9
--- /dev/null
+++ b/tests/components/dispatch/test_objectives.py
@@ -0,0 +1,121 @@
+"""Decisions for requests whose first output has an objective."""
+
+from typing import Any
+
+from bitterntiller.components.dispatch import FED_PARAMETERS
+from bitterntiller.components.dispatch.models import Decision, Granted, Refused
+from bitterntiller.components.dispatch.scheduler import PoolScheduler
+from bitterntiller.core.outcomes import Reason
+
+from .builders import completion, request, upstream
+
+NOW = 1000.0
+
+
+def scheduler(**changes: Any) -> PoolScheduler:
+    made = PoolScheduler(FED_PARAMETERS._replace(**changes))
+    made.announce(upstream(slots=1), NOW)
+    return made
+
+
+def ids(decisions: list[Decision], kind: type = Granted) -> list[str]:
+    return [item.request_id for item in decisions if isinstance(item, kind)]
+
+
+def occupy(made: PoolScheduler, now: float = NOW) -> None:
+    assert ids(made.register(request("first"), now)) == ["first"]
+    made.started("first", now)
+
+
+def test_all_slots_are_filled_while_work_waits():
+    """Requests wait for seconds beside engines that have free slots.
+
+    Room that was kept for higher tiers, and a bound learned from latency, held a
+    third of the slots back though nothing that ran was in danger.
+    """
+    made = PoolScheduler(FED_PARAMETERS)
+    made.announce(upstream(slots=8), NOW)
+    granted = []
+    for number in range(8):
+        low = request(f"r{number}", tier_rank=2, prompt_tokens=1)
+        granted += ids(made.register(low, NOW))
+    assert len(granted) == 8
+
+
+def test_late_request_goes_behind_those_that_can_still_be_in_time():
+    """In a burst of seconds everybody is served too late, one after the other.
+
+    What has missed its objective is worth less than what has not, and took its place.
+    """
+    made = scheduler()
+    occupy(made)
+    late = request("late", first_by=NOW + 0.4, start_by=NOW + 9)
+    made.register(late, NOW)
+    made.tick(NOW + 0.5)
+    made.register(request("fresh", arrived=NOW + 0.5, first_by=NOW + 0.9), NOW + 0.5)
+    after = made.finished(completion("first"), NOW + 0.6)
+    assert ids(after) == ["fresh"]
+    made.started("fresh", NOW + 0.6)
+    assert ids(made.finished(completion("fresh"), NOW + 0.7)) == ["late"]
+
+
+def test_late_request_goes_before_a_lower_tier():
+    made = scheduler(lower_share=0.0)
+    occupy(made)
+    made.register(request("late", first_by=NOW + 0.4, start_by=NOW + 9), NOW)
+    made.tick(NOW + 0.5)
+    lower = request("lower", tier_rank=1, arrived=NOW + 0.5, first_by=NOW + 0.9)
+    made.register(lower, NOW + 0.5)
+    assert ids(made.finished(completion("first"), NOW + 0.6)) == ["late"]
+
+
+def test_request_is_refused_when_its_caller_is_about_to_leave():
+    """A caller leaves without an answer, and hears nothing of when to come back.
+
+    Its request could still have ended before its deadline, but nobody waits so long
+    for the first output.
+    """
+    made = scheduler()
+    occupy(made)
+    made.register(request("waits", first_by=NOW + 0.4, start_by=NOW + 3), NOW)
+    decisions: list[Decision] = []
+    now = NOW
+    while now < NOW + 3.0:
+        now += 0.05
+        decisions += made.tick(now)
+    assert ids(decisions, Refused) == ["waits"]
+    assert decisions[0].reason == Reason.TOO_LATE
+
+
+def test_lower_tier_keeps_a_small_share():
+    """Short calls of the lowest tier get no service at all in a long overload."""
+    made = scheduler(lower_share=0.5)
+    occupy(made)
+    made.register(request("middle", tier_rank=1), NOW)
+    made.register(request("low", tier_rank=2), NOW)
+    made.tick(NOW + 0.05)
+    after = made.finished(completion("first"), NOW + 0.1)
+    assert ids(after) == ["low"]
+
+
+def test_silent_upstream_is_used_only_while_its_answers_come():
+    """An engine that is cut off from control only gets no work, or a dead one does."""
+    made = scheduler()
+    occupy(made)
+    made.progress("first", 5, NOW + 1)
+    made.announce(upstream(slots=1, sequence=2, silent=True), NOW + 1)
+    assert ids(made.finished(completion("first"), NOW + 1.2)) == []
+    assert ids(made.register(request("soon"), NOW + 1.3)) == ["soon"]
+    made.cancel("soon", NOW + 1.4)
+    assert ids(made.register(request("later"), NOW + 9)) == []
+
+
+def test_repeated_failures_make_an_upstream_pause():
+    """An engine that fails what it runs, beside a good health probe, gets it all."""
+    made = scheduler()
+    for number in range(3):
+        name = f"r{number}"
+        assert ids(made.register(request(name), NOW)) == [name]
+        made.started(name, NOW)
+        made.returned(name, "failed", False, NOW)
+    assert ids(made.register(request("next"), NOW)) == []
--- /dev/null
+++ b/tests/components/replication/test_automatic.py
@@ -0,0 +1,99 @@
+"""Voters that a leader makes and replaces without a command."""
+
+import pytest
+
+from bitterntiller.components.replication import joining, repair
+from bitterntiller.components.replication.members import voters
+from bitterntiller.components.replication.models import Member, Tuning
+from bitterntiller.components.replication.progress import Progress
+from bitterntiller.protocol import messages
+
+from .script import elect, settle, world_of
+
+AUTOMATIC = Tuning(trailing=2, voters=3, silent_voter=2.0)
+
+
+def led_world(hosts: str, voters_wanted: int):
+    world = world_of(hosts)
+    assert elect(world, hosts[0], hosts)
+    settle(world, hosts)
+    state = world.nodes[hosts[0]].replica.state
+    state.tuning = AUTOMATIC._replace(voters=voters_wanted)
+    return world, state
+
+
+def add_learner(state, now: float, contact: float) -> Member:
+    learner = Member("z/1", "z", "z", False)
+    state.members = state.members._replace(all=(*state.members.all, learner))
+    progress = Progress(1, contact, match=state.log.last_index, counted=True)
+    state.progress_by_replica["z/1"] = progress
+    return learner
+
+
+def test_host_that_joins_becomes_a_voter_up_to_the_number():
+    """Five hosts of control bear one loss only, since three of them vote."""
+    world, state = led_world("abc", 5)
+    now = world.nodes["a"].clock
+    add_learner(state, now, now)
+    step = repair.next_step(state, [], now)
+    assert [m.replica for m in step if m.voter][-1] == "z/1"
+
+
+def test_silent_voter_gives_its_place_to_a_learner():
+    """A host is gone for good; its successor at a new address never gets to vote.
+
+    The next two losses then leave no majority.
+    """
+    world, state = led_world("abc", 3)
+    now = world.nodes["a"].clock
+    add_learner(state, now + 3, now + 3)
+    for replica, progress in state.progress_by_replica.items():
+        if replica.startswith("b/"):
+            progress.contact = now + 3
+    step = repair.next_step(state, [], now + 3)
+    assert step is not None
+    assert not any(member.host == "c" for member in step)
+    assert next(m for m in step if m.host == "z").promote
+    assert len([m for m in step if m.voter]) == 2
+
+
+def test_voter_that_answers_keeps_its_place():
+    world, state = led_world("abc", 3)
+    now = world.nodes["a"].clock
+    add_learner(state, now, now)
+    for progress in state.progress_by_replica.values():
+        progress.contact = now
+    assert repair.next_step(state, [], now) is None
+    assert len(voters(state.members)) == 3
+
+
+def test_without_a_number_no_voter_is_replaced():
+    world, state = led_world("abc", 0)
+    now = world.nodes["a"].clock
+    add_learner(state, now + 60, now + 60)
+    assert repair.next_step(state, [], now + 60) is None
+
+
+def reply(host: str, status: str = "fresh") -> messages.JoinReply:
+    return messages.JoinReply(status, "", f"{host}/1", host, f"10.0.0.{host}:7")
+
+
+SEEDS = ("10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7")
+
+
+@pytest.mark.parametrize(
+    ("own", "replies", "formed"),
+    [
+        ("1", ["2", "3"], True),
+        ("2", ["1", "3"], False),
+        ("1", ["2"], False),
+        ("9", ["1", "2", "3"], False),
+    ],
+)
+def test_seeds_are_known_by_their_addresses(own, replies, formed):
+    """Two deployments begin beside each other, or none, with seeds known by address."""
+    me = joining.Own(f"{own}/1", own, f"10.0.0.{own}:7")
+    first = joining.first_members(me, SEEDS, [reply(host) for host in replies])
+    assert (first is not None) == formed
+    if formed:
+        assert [member.address for member in first] == list(SEEDS)
