Tell refused callers a time at which they would be served

Change: work above drains at the pool's capacity; a quota's wait counts what was refused of late; without a lease 1.5 s are told, the time of an election and a heartbeat. Ruled out: holding requests until they can be served (not accepted by the users).

--- a/bitterntiller/components/dispatch/admission.py
+++ b/bitterntiller/components/dispatch/admission.py
@@ -74,19 +74,23 @@
     def retry_after(self, rank: int, now: float) -> float:
         """Return when a caller of a tier should come back, in seconds.
 
-        It is the time in which what waits in its tier and above drains, at the
-        rate at which this tier was granted work of late. A tier that has begun to
-        arrive just now has no such rate yet; until it has, the whole capacity
-        stands for it, since nothing shows that higher tiers take it all for long.
+        It is the time in which what waits above its tier drains at the capacity of the
+        pool, and what waits in it at the rate at which it was granted work of late. A
+        tier that has begun to arrive just now has no such rate yet; until it has, the
+        whole capacity stands for it, since nothing shows that higher tiers take it all
+        for long.
         """
-        waiting = 0.0
+        above = own = 0.0
         for tier_rank, tier in self._queue.tiers_by_rank.items():
-            if tier_rank <= rank:
-                waiting += tier.work
+            if tier_rank < rank:
+                above += tier.work
+            elif tier_rank < rank + 1:
+                own += tier.work
+        capacity = self.capacity()
         meter = self._meter(self._drains_by_rank, rank, now)
-        least = max(MIN_SHARE, meter.youth(now)) * self.capacity()
+        least = max(MIN_SHARE, meter.youth(now)) * capacity
         drain = max(meter.rate(now), least)
-        return retry_after(waiting / drain, self._rng)
+        return retry_after(above / capacity + own / drain, self._rng)
 
     def _crowd(self, job: Job) -> float:
         """Return how many times longer sharing makes the wait of a workspace."""
--- a/bitterntiller/components/entry/const.py
+++ b/bitterntiller/components/entry/const.py
@@ -99,6 +99,9 @@
 RESUME_DELAY = 0.1
 CANCEL_TIMEOUT = 2.0
 DEFAULT_RETRY_AFTER = 1.0
+NO_LEASE_RETRY_AFTER = 1.5
+"""Seconds; control elects a leader in about one, and the lease comes with the next
+heartbeat."""
 DRAINED_POLL = 0.05
 SETTLED_WAIT = 3.0
 
--- a/bitterntiller/components/entry/pipeline.py
+++ b/bitterntiller/components/entry/pipeline.py
@@ -112,7 +112,7 @@
             return _come_back(Reason.DRAINING)
         # Without a lease a newer configuration may be in force elsewhere.
         if not self._context.lease.valid():
-            return _come_back(Reason.NO_LEASE)
+            return _come_back(Reason.NO_LEASE, const.NO_LEASE_RETRY_AFTER)
         # A new deployment knows no workspace yet; 401 would tell callers that
         # their tokens are wrong, and they would not come back.
         if not self._context.config.version:
@@ -389,6 +389,5 @@
     return Ending(Outcome.UNKNOWN, ending.reason, 502, detail=ending.detail)
 
 
-def _come_back(reason: Reason) -> Ending:
-    after = const.DEFAULT_RETRY_AFTER
+def _come_back(reason: Reason, after: float = const.DEFAULT_RETRY_AFTER) -> Ending:
     return Ending(Outcome.NOT_RUN, reason, 503, retry_after=after)
--- a/bitterntiller/components/entry/quota.py
+++ b/bitterntiller/components/entry/quota.py
@@ -7,16 +7,21 @@
 falls below 0 and nothing is admitted until it has filled again.
 """
 
+import math
 from typing import Any, NamedTuple
 
 from bitterntiller.components.config.models import Quota, Workspace
 from bitterntiller.components.settings.models import QuotaSlack
 from bitterntiller.core.clock import Clock
 
-LEAST_WAIT = 0.05
+LEAST_WAIT = 0.2
 MOST_WAIT = 30.0
 """Seconds that a caller over its workspace's quota is told to wait."""
 
+DEMAND_SECONDS = 2.0
+"""Seconds in which a refused request is forgotten to a third; callers come back once,
+and few of them later than that."""
+
 
 class Used(NamedTuple):
     """What was let through since the last report, and the level as it is known."""
@@ -37,6 +42,23 @@
         self.at = at
 
 
+class _Demand:
+    """What was refused of late, forgotten by and by."""
+
+    __slots__ = ("amount", "at")
+
+    def __init__(self) -> None:
+        self.amount = 0.0
+        self.at = 0.0
+
+    def add(self, amount: float, now: float) -> float:
+        """Add an amount; return the sum, in which older ones count less."""
+        self.amount *= math.exp((self.at - now) / DEMAND_SECONDS)
+        self.amount += amount
+        self.at = now
+        return self.amount
+
+
 class QuotaAccount:
     """A QuotaGate that reports what it has let through."""
 
@@ -46,6 +68,7 @@
         self._hosts = 1
         self._level_by_workspace: dict[str, _Level] = {}
         self._unreported_by_workspace: dict[str, int] = {}
+        self._refused_by_workspace: dict[str, _Demand] = {}
 
     def take(self, workspace: Workspace, amount: int) -> float:
         """Take an amount from a quota; return 0, or the seconds until it is there.
@@ -60,14 +83,26 @@
         now = self._clock.now()
         level = self._filled(name, quota, now)
         if level.amount <= 0:
-            rate = quota.rate * self._slack.factor
-            wait = (amount / 2 - min(level.total, 0.0)) / max(rate, 1e-9)
-            return min(max(wait, LEAST_WAIT), MOST_WAIT)
+            return self._wait(name, quota, level, amount)
         level.amount -= amount
         unreported = self._unreported_by_workspace.get(name, 0)
         self._unreported_by_workspace[name] = unreported + amount
         return 0.0
 
+    def _wait(self, name: str, quota: Quota, level: _Level, amount: int) -> float:
+        """Return when a refused request would be let through.
+
+        All that was refused of late comes back as well. A workspace that asks for
+        several times its quota would otherwise be told to come back at once, again and
+        again, and be refused each time.
+        """
+        refused = self._refused_by_workspace.setdefault(name, _Demand())
+        demand = refused.add(amount, level.at)
+        debt = max(0.0, -level.total) / self._hosts
+        rate = quota.rate * self._slack.factor / self._hosts
+        wait = (debt + demand) / max(rate, 1e-9)
+        return min(max(wait, LEAST_WAIT), MOST_WAIT)
+
     def take_unreported(self) -> list[Used]:
         """Return what was let through since the last report.
 
--- a/tests/components/entry/test_quota.py
+++ b/tests/components/entry/test_quota.py
@@ -80,3 +80,17 @@
     admit(host, 500, 3)
     wait = host.take(WORKSPACE, 500)
     assert 0.05 <= wait <= 1.0
+
+
+def test_workspace_far_over_its_quota_is_told_to_wait_for_long():
+    """A caller comes back after a moment, is refused again, and gives up.
+
+    Its workspace asks for four times its quota, so all that was refused comes back too.
+    """
+    clock = ManualClock()
+    host = QuotaAccount(clock, QuotaSlack())
+    waits = []
+    for _ in range(60):
+        clock.advance(0.05)
+        waits.append(host.take(WORKSPACE, 200))
+    assert max(waits) > 2.0
