--- a/bitterntiller/components/dispatch/admission.py
+++ b/bitterntiller/components/dispatch/admission.py
@@ -28,7 +28,9 @@
         queue: PoolQueue,
         limiter: WorkspaceLimiter,
         rng: random.Random,
+        lower_share: float = 0.0,
     ) -> None:
+        self._lower_share = lower_share
         self._pool = pool
         self._queue = queue
         self._limiter = limiter
@@ -69,7 +71,11 @@
         own = tier.work_ahead(job) * self._crowd(job)
         own = min(own, tier.overlapping_work(job.group))
         left = max(capacity - arriving, MIN_SHARE * capacity)
-        return ahead / capacity + own / left
+        wait = ahead / capacity + own / left
+        if not self._lower_share or not self._pool.tiers_above(job.rank):
+            return wait
+        # A lower tier has its share whatever waits above it.
+        return min(wait, own / (self._lower_share * capacity))
 
     def retry_after(self, rank: int, now: float) -> float:
         """Return when a caller of a tier should come back, in seconds.
--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -42,6 +42,11 @@
 from bitterntiller.core.outcomes import Reason
 
 
+LEAVING_SECONDS = 0.2
+"""How long before its caller gives up a request is refused, so that the refusal still
+reaches the caller and tells it when to come back."""
+
+
 class PoolScheduler:
     """Decides for one pool; see models.Scheduler for the calls.
 
@@ -61,7 +66,9 @@
         self._sizes = Sizes(parameters, self._pool.speed)
         self._teacher = Teacher(parameters, self._pool, self._sizes)
         self._chooser = Chooser(parameters, self._pool, rng)
-        self._admission = Admission(self._pool, self._queue, self._limiter, rng)
+        self._admission = Admission(
+            self._pool, self._queue, self._limiter, rng, parameters.lower_share
+        )
         self._shedder = Shedder(parameters, self._queue, self._admission)
         self._sequence = itertools.count()
         self._waiting = 0
@@ -418,7 +425,7 @@
         if request.start_by is None:
             return when
         first = self._chooser.first_case(job, self._pool.view(job), now)
-        return min(when, request.start_by - first)
+        return min(when, request.start_by - first - LEAVING_SECONDS)
 
     def _late(self, job: Job, now: float) -> bool:
         """Tell whether no upstream could end a request in time.
--- a/bitterntiller/components/links/connection.py
+++ b/bitterntiller/components/links/connection.py
@@ -15,6 +15,7 @@
 )
 from bitterntiller.components.links.frames import FrameBuffer, pack, unpack
 from bitterntiller.components.links.models import Incoming, Peer
+from bitterntiller.core import events
 from bitterntiller.core.interfaces import Metrics
 from bitterntiller.protocol import MalformedMessageError, messages
 
@@ -50,6 +51,7 @@
         self._queue: deque[bytes] = deque()
         self._queued_bytes = 0
         self._wake = curio.Event()
+        self._awaits = False
 
     def send(self, message: Any, call: int = 0, reply: bool = False) -> bool:
         """Queue a frame without waiting; False when it will not leave."""
@@ -63,6 +65,7 @@
             return False
         self._queue.append(data)
         self._queued_bytes += len(data)
+        self._awaits = True
         return True
 
     async def async_flush_soon(self) -> None:
@@ -97,12 +100,32 @@
             async with curio.TaskGroup(wait=any) as group:
                 await group.spawn(self._async_write)
                 await group.spawn(self._async_read)
+                await group.spawn(self._async_watch)
         finally:
             self.open = False
             await self._sock.close()
             for pending in list(self._calls_by_number.values()):
                 await pending.done.set()
 
+    async def _async_watch(self) -> None:
+        """Return when the connection has gone silent for good.
+
+        Some connections lose all that is sent on them while new ones work. Nothing
+        resets them, and the kernel notices by its own timeouts only, after seconds in
+        which no message reaches the peer.
+        """
+        silent = 0
+        while silent < const.SILENT_PERIODS:
+            await curio.sleep(const.WATCH_PERIOD)
+            if not self._awaits:
+                silent = 0
+                continue
+            silent += 1
+            self.send(messages.LinkPing(unused=False))
+            await self._wake.set()
+        self._metrics.count(const.METRIC_SILENT)
+        events.emit("link-silent", peer=self.peer.host, address=self.peer.address)
+
     async def _async_write(self) -> None:
         try:
             while True:
@@ -124,6 +147,7 @@
                 data = await self._sock.recv(const.READ_BYTES)
                 if not data:
                     return
+                self._awaits = False
                 self._metrics.count(const.METRIC_RECEIVED_BYTES, len(data))
                 for frame in buffer.feed(data):
                     await self._async_take(unpack(frame))
@@ -135,6 +159,13 @@
             self._metrics.count(const.METRIC_MALFORMED)
 
     async def _async_take(self, incoming: Incoming) -> None:
+        if isinstance(incoming.message, messages.LinkPong):
+            return
+        if isinstance(incoming.message, messages.LinkPing):
+            self.send(messages.LinkPong(unused=False))
+            self._awaits = False
+            await self._wake.set()
+            return
         if not incoming.reply:
             await self._on_message(self, incoming)
             return
--- a/bitterntiller/components/links/const.py
+++ b/bitterntiller/components/links/const.py
@@ -13,6 +13,12 @@
 SILENCE_SECONDS = 4
 REDIAL_DELAY = 0.2
 
+WATCH_PERIOD = 0.3
+SILENT_PERIODS = 3
+"""A connection on which something was sent and nothing came for so many periods, a ping
+not answered among it, is given up. That is 0.9 to 1.2 s, several times what a process
+stands still at most, and less than a lease of the configuration bears."""
+
 FAULT_UNAUTHORIZED = 401
 FAULT_MALFORMED = 400
 FAULT_NO_HANDLER = 404
@@ -23,5 +29,6 @@
 METRIC_MALFORMED = "links.malformed"
 METRIC_HANDLER_ERROR = "links.handler_error"
 METRIC_QUEUE_FULL = "links.queue_full"
+METRIC_SILENT = "links.silent"
 METRIC_SENT_BYTES = "links.sent_bytes"
 METRIC_RECEIVED_BYTES = "links.received_bytes"
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -15,7 +15,7 @@
 }
 
 enum MessageKind {
-    HELLO = 1, CHALLENGE = 2, HELLO_REPLY = 3, FAULT = 4,
+    HELLO = 1, CHALLENGE = 2, HELLO_REPLY = 3, FAULT = 4, LINK_PING = 5, LINK_PONG = 6,
     REGISTER = 10, GRANT = 11, REFUSAL = 12, CANCEL = 13, STARTED = 14,
     PROGRESS = 15, FINISHED = 16, RETURNED = 17, REREGISTER = 18, LIVE = 19,
     ANNOUNCE = 20, ANNOUNCE_REPLY = 21, ENTRY_REPORT = 22, ENTRY_REPORT_REPLY = 23,
@@ -44,6 +44,11 @@
 
 struct Fault { 1: required i32 code, 2: required string text }
 
+/* Asked on a connection that is silent though something was sent on it. */
+struct LinkPing { 1: required bool unused }
+
+struct LinkPong { 1: required bool unused }
+
 /* ---- entry host to pool owner, and back ---- */
 
 struct Load {
--- a/tests/components/links/test_coordinator.py
+++ b/tests/components/links/test_coordinator.py
@@ -235,3 +235,34 @@
             return await a.async_send(b.own.address, CANCEL)
 
     assert run(async_main)
+
+
+def test_connection_that_went_silent_is_given_up():
+    """An entry host waits for grants beside an owner that is well.
+
+    One direction of their connection lost all bytes for good, without a reset; a new
+    connection would have worked at once.
+    """
+
+    async def async_main() -> int:
+        got: list[Any] = []
+        async with serving("a") as (a, _), serving("b") as (b, _):
+            b.handle(messages.Cancel, collector(got))
+            await a.async_send(b.own.address, CANCEL)
+            await async_until(lambda: got)
+            (connection,) = list(b._running_by_connection) or [
+                item for item in b._connections_by_address.values()
+            ]
+
+            async def async_drop(_incoming: Any) -> None:
+                return
+
+            connection._async_take = async_drop
+            await a.async_send(b.own.address, CANCEL)
+            await async_until(lambda: not a.connected(), 3.0)
+            await curio.sleep(const.REDIAL_DELAY)
+            assert await a.async_send(b.own.address, CANCEL)
+            await async_until(lambda: len(got) == 2)
+            return len(got)
+
+    assert run(async_main) == 2
