Serve metrics and state at an address, and explain a request from the logs of hosts

Cause: an engineer had no way from a request's id to its cause but reading by hand; counters and histograms went to statsd only, which a platform need not have. Ruled out: prometheus_client (10.7 MB a process).

--- /dev/null
+++ b/bitterntiller/cli/commands/explain.py
@@ -0,0 +1,50 @@
+"""bitterntiller explain: tells from logs what became of a request."""
+
+import fileinput
+from dataclasses import dataclass
+from typing import Annotated
+
+import cappa
+
+from bitterntiller.cli import const
+from bitterntiller.cli.errors import ToolError
+from bitterntiller.cli.explaining import Line, read_lines, tell
+
+
+def run(command: "Explain") -> int:
+    """Print the story of a request and return the exit code."""
+    try:
+        with fileinput.input(
+            command.files, encoding="utf-8", errors="replace"
+        ) as texts:
+            story = tell(read_lines(texts), command.request_id)
+    except OSError as error:
+        raise ToolError(f"{error.filename}: {error.strerror}") from error
+    if story is None:
+        raise ToolError(f"no line names request {command.request_id}")
+    begin = story.lines[0].time
+    for line in story.lines:
+        print(_format(line, begin))
+    print(f"cause: {story.cause}")
+    return const.EXIT_OK
+
+
+def _format(line: Line, begin: float) -> str:
+    mark = "*" if line.request else " "
+    fields = " ".join(f"{key}={value}" for key, value in line.fields.items())
+    return f"{line.time - begin:9.4f} {mark} {line.host:16} {line.event:16} {fields}"
+
+
+@cappa.command(invoke=run)
+@dataclass
+class Explain:
+    """Join the logs of several hosts and print what became of a request.
+
+    Lines of the request are marked; the others are what the same hosts came to believe
+    around that time. Times are in seconds from the first line.
+    """
+
+    request_id: Annotated[str, cappa.Arg(help="the id of the request")]
+    files: Annotated[
+        list[str], cappa.Arg(num_args=-1, help="logs of hosts; - for standard input")
+    ]
--- a/bitterntiller/cli/daemon.py
+++ b/bitterntiller/cli/daemon.py
@@ -10,8 +10,8 @@
 
 from bitterntiller.components.settings.errors import SettingsError
 from bitterntiller.components.settings.load import load_settings
-from bitterntiller.core.daemon import async_run
 from bitterntiller.core.logs import set_up_logs
+from bitterntiller.daemon.process import async_run
 
 EXIT_SETTINGS = 2
 
--- /dev/null
+++ b/bitterntiller/cli/explaining.py
@@ -0,0 +1,149 @@
+"""Joins the log lines of several hosts into the story of one request."""
+
+import json
+from collections.abc import Iterable, Iterator
+from typing import Any, NamedTuple
+
+ATTR_EVENT = "event"
+ATTR_HOST = "host"
+ATTR_REQUEST = "request"
+ATTR_TIME = "time"
+ATTR_SEQUENCE = "n"
+
+BESIDE_SECONDS = 3.0
+"""Seconds around a request in which what a host came to believe is told with it."""
+
+BELIEFS = frozenset(
+    {
+        "start",
+        "stop",
+        "stopped",
+        "reload",
+        "lease",
+        "leading",
+        "configuration",
+        "owner-lost",
+        "owner-answers",
+        "link-silent",
+        "upstream",
+        "upstream-silent",
+        "upstreams",
+        "disk-full",
+        "disk-stalled",
+        "lines-dropped",
+    }
+)
+"""Events that name no request and may still explain one."""
+
+_LEFT_OUT = frozenset({ATTR_EVENT, ATTR_HOST, ATTR_REQUEST, ATTR_TIME, ATTR_SEQUENCE})
+
+
+class Line(NamedTuple):
+    """One event of a log; fields are those beside time, host and event."""
+
+    time: float
+    host: str
+    event: str
+    request: str
+    fields: dict[str, Any]
+
+
+class Story(NamedTuple):
+    """What the logs tell of a request, in the order of time, and how it ended."""
+
+    lines: list[Line]
+    cause: str
+
+
+def read_lines(texts: Iterable[str]) -> Iterator[Line]:
+    """Yield the events among lines of text; others are passed over.
+
+    Whatever collects the logs may put something before each line.
+    """
+    for text in texts:
+        start = text.find("{")
+        if start < 0:
+            continue
+        try:
+            document = json.loads(text[start:])
+        except ValueError:
+            continue
+        if isinstance(document, dict) and ATTR_EVENT in document:
+            yield _line(document)
+
+
+def _line(document: dict[str, Any]) -> Line:
+    return Line(
+        time=float(document.get(ATTR_TIME, 0.0)),
+        host=str(document.get(ATTR_HOST, "")),
+        event=str(document[ATTR_EVENT]),
+        request=str(document.get(ATTR_REQUEST, "")),
+        fields={key: document[key] for key in document if key not in _LEFT_OUT},
+    )
+
+
+def tell(lines: Iterable[Line], request_id: str) -> Story | None:
+    """Return the story of a request, None when no line names it."""
+    kept = list(lines)
+    own = [line for line in kept if line.request == request_id]
+    if not own:
+        return None
+    first = min(line.time for line in own) - BESIDE_SECONDS
+    last = max(line.time for line in own) + BESIDE_SECONDS
+    hosts = {line.host for line in own}
+    beside = [
+        line
+        for line in kept
+        if line.event in BELIEFS
+        and first <= line.time <= last
+        and _concerns(line, hosts, own)
+    ]
+    story = sorted([*own, *beside], key=lambda line: line.time)
+    return Story(story, _cause(sorted(own, key=lambda line: line.time), beside))
+
+
+def _concerns(line: Line, hosts: set[str], own: list[Line]) -> bool:
+    if line.host in hosts:
+        return True
+    names = {item.fields.get("upstream") for item in own} - {None, ""}
+    states = line.fields.get("states") or {}
+    return bool(names & set(states))
+
+
+def _cause(own: list[Line], beside: list[Line]) -> str:
+    """Return in one sentence what the last decision on the request rests on."""
+    last = own[-1]
+    if last.event == "refused":
+        return _refusal(last, beside)
+    failures = [line for line in own if line.event == "attempt-ended"]
+    if last.event == "ended" and last.fields.get("outcome") == "done":
+        return _served(last, own, failures)
+    if last.event == "ended":
+        text = f"ended as {last.fields.get('outcome')} at {last.fields.get('upstream')}"
+        answers = [line for line in own if line.event == "answer"]
+        if not answers:
+            return f"{text}: no answer came from the upstream"
+        return f"{text}: its answer had status {answers[-1].fields.get('status')}"
+    return f"the logs end with {last.event}: the process may have ended"
+
+
+def _refusal(line: Line, beside: list[Line]) -> str:
+    fields = line.fields
+    text = f"refused with {fields.get('status')}: {fields.get('reason')}"
+    lost = [
+        item for item in beside if item.event == "lease" and not item.fields["held"]
+    ]
+    if fields.get("reason") == "no-lease" and lost:
+        when = line.time - lost[-1].time
+        return f"{text}; the host lost its lease {when:.1f} s before"
+    return f"{text}, after {fields.get('waited')} s of waiting"
+
+
+def _served(last: Line, own: list[Line], failures: list[Line]) -> str:
+    sent = [line for line in own if line.event == "sent"]
+    waited = sent[0].fields.get("waited") if sent else None
+    text = f"served after {last.fields.get('total')} s, {waited} s of it waiting"
+    if failures:
+        reasons = ", ".join(str(line.fields.get("reason")) for line in failures)
+        text = f"{text}; sent again after: {reasons}"
+    return text
--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -41,7 +41,6 @@
 from bitterntiller.components.dispatch.timers import JobTimers
 from bitterntiller.core.outcomes import Reason
 
-
 LEAVING_SECONDS = 0.2
 """How long before its caller gives up a request is refused, so that the refusal still
 reaches the caller and tells it when to come back."""
--- a/bitterntiller/components/metrics/client.py
+++ b/bitterntiller/components/metrics/client.py
@@ -46,26 +46,26 @@
             self._client = _DatagramClient(
                 address.ip, address.port, prefix, const.MAX_DATAGRAM_BYTES
             )
-        self._counts_by_name: Counter[str] = Counter()
-        self._gauges_by_name: dict[str, float] = {}
-        self._timers_by_name: dict[str, Histogram] = {}
+        self.counts_by_name: Counter[str] = Counter()
+        self.gauges_by_name: dict[str, float] = {}
+        self.timers_by_name: dict[str, Histogram] = {}
         self._unsent_counts: Counter[str] = Counter()
         self._unsent_timings: list[tuple[str, float]] = []
 
     def count(self, name: str, by: int = 1) -> None:
         """Add to a counter."""
-        if not self._has_room(self._counts_by_name, name):
+        if not self._has_room(self.counts_by_name, name):
             name, by = const.METRIC_DROPPED_METRICS, 1
-        self._counts_by_name[name] += by
+        self.counts_by_name[name] += by
         if self._client is not None:
             self._unsent_counts[name] += by
 
     def timing(self, name: str, seconds: float) -> None:
         """Note a duration in seconds."""
-        if not self._has_room(self._timers_by_name, name):
+        if not self._has_room(self.timers_by_name, name):
             self.count(const.METRIC_DROPPED_METRICS)
             return
-        self._timers_by_name.setdefault(name, Histogram()).add(seconds)
+        self.timers_by_name.setdefault(name, Histogram()).add(seconds)
         if self._client is None:
             return
         if len(self._unsent_timings) >= const.MAX_UNSENT_TIMINGS:
@@ -75,14 +75,14 @@
 
     def gauge(self, name: str, value: float) -> None:
         """Set a gauge."""
-        if not self._has_room(self._gauges_by_name, name):
+        if not self._has_room(self.gauges_by_name, name):
             self.count(const.METRIC_DROPPED_METRICS)
             return
-        self._gauges_by_name[name] = value
+        self.gauges_by_name[name] = value
 
     def counter(self, name: str) -> int:
         """Return a counter since the start of the process."""
-        return self._counts_by_name[name]
+        return self.counts_by_name[name]
 
     def flush(self) -> None:
         """Send what came since the last flush, and all gauges; never blocks."""
@@ -93,7 +93,7 @@
             pipeline.incr(name, by)
         for name, seconds in self._unsent_timings:
             pipeline.timing(name, seconds * 1000)
-        for name, value in self._gauges_by_name.items():
+        for name, value in self.gauges_by_name.items():
             pipeline.gauge(name, value)
         self._unsent_counts.clear()
         self._unsent_timings.clear()
@@ -108,10 +108,10 @@
 
     def snapshot(self) -> dict[str, Any]:
         """Return everything since the start of the process, for the dump."""
-        timers = sorted(self._timers_by_name.items())
+        timers = sorted(self.timers_by_name.items())
         return {
-            "counters": dict(sorted(self._counts_by_name.items())),
-            "gauges": dict(sorted(self._gauges_by_name.items())),
+            "counters": dict(sorted(self.counts_by_name.items())),
+            "gauges": dict(sorted(self.gauges_by_name.items())),
             "timers": {name: timer.summary() for name, timer in timers},
         }
 
--- a/bitterntiller/components/metrics/models.py
+++ b/bitterntiller/components/metrics/models.py
@@ -1,6 +1,7 @@
 """What is kept of a timer for the dump."""
 
 from bisect import bisect_left
+from itertools import accumulate
 from typing import TypedDict
 
 _SMALLEST = 0.0001
@@ -37,6 +38,15 @@
         self._sum += seconds
         self._max = max(self._max, seconds)
 
+    @property
+    def total(self) -> float:
+        """Return the sum of all durations, in seconds."""
+        return self._sum
+
+    def cumulative(self) -> list[int]:
+        """Return how many durations are at most each bound, and how many there are."""
+        return list(accumulate(self._counts))
+
     def quantile(self, fraction: float) -> float:
         """Return an upper bound of the duration that this fraction stays under."""
         rank = fraction * self._count
--- a/bitterntiller/components/settings/models.py
+++ b/bitterntiller/components/settings/models.py
@@ -17,13 +17,15 @@
 class Listen(NamedTuple):
     """Where the process listens, and where peers reach its internal port.
 
-    advertised is None when peers reach it where it listens.
+    advertised is None when peers reach it where it listens. metrics is None when they
+    are not served.
     """
 
     caller: Address
     internal: Address
     operator: Address
     advertised: Address | None = None
+    metrics: Address | None = None
 
     @property
     def reached_at(self) -> Address:
--- a/bitterntiller/components/settings/schema.py
+++ b/bitterntiller/components/settings/schema.py
@@ -59,6 +59,7 @@
             vol.Required(const.CONF_INTERNAL): address,
             vol.Optional(const.CONF_ADVERTISED): address,
             vol.Required(const.CONF_OPERATOR): address,
+            vol.Optional(const.CONF_METRICS): address,
         },
         vol.Required(const.CONF_KEYS): {
             vol.Required(const.CONF_OPERATOR): _path,
--- /dev/null
+++ b/bitterntiller/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: the wiring of all parts of one process, above the parts."""
--- a/bitterntiller/core/daemon.py
+++ b/bitterntiller/daemon/process.py
@@ -25,6 +25,7 @@
 from bitterntiller.components.links.models import Peer
 from bitterntiller.components.metrics.client import StatsdMetrics
 from bitterntiller.components.node.coordinator import NodeCoordinator
+from bitterntiller.components.operator.diagnostics import make_dump
 from bitterntiller.components.settings.const import (
     ROLE_CONTROL,
     ROLE_DISPATCH,
@@ -65,6 +66,10 @@
     """Set all parts of this process up, in the order in which they need each other."""
     roles = runtime.settings.roles
     await metrics.async_setup(runtime, runtime.metrics)
+    listen = runtime.settings.listen.metrics
+    if listen is not None:
+        dump = make_dump(runtime)
+        await metrics.async_setup_port(runtime, runtime.metrics, listen, dump)
     await links.async_setup(runtime, runtime.links)
     if ROLE_CONTROL in roles:
         await control.async_setup(runtime, replication.async_setup)
--- /dev/null
+++ b/tests/cli/test_explain.py
@@ -0,0 +1,79 @@
+"""bitterntiller explain, on the logs of several hosts."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+from bitterntiller.cli import const, tool
+
+
+def write_log(path: Path, *events: dict[str, Any], prefix: str = "") -> str:
+    lines = [prefix + json.dumps(event) for event in events]
+    path.write_text("\n".join(["not a line of ours", *lines, "{broken"]) + "\n")
+    return str(path)
+
+
+def event(time: float, host: str, kind: str, **fields: Any) -> dict[str, Any]:
+    return {"time": time, "host": host, "n": 1, "event": kind, **fields}
+
+
+def explained(capsys: Any, *arguments: str) -> tuple[int, str]:
+    code = tool.run(["explain", *arguments])
+    captured = capsys.readouterr()
+    return code, captured.out + captured.err
+
+
+def test_lost_answer_is_traced_over_two_hosts(tmp_path, capsys):
+    """A caller complains of a late answer; its host and the owner each tell a part."""
+    owner = write_log(
+        tmp_path / "core",
+        event(10.0, "core-1", "granted", request="r1", upstream="e1"),
+        event(10.9, "core-1", "upstream-silent", states={"e1": "silent"}),
+        event(10.1, "core-1", "granted", request="r2", upstream="e2"),
+        prefix="  10.1 core-1 ",
+    )
+    entry = write_log(
+        tmp_path / "edge",
+        event(10.01, "edge-1", "sent", request="r1", upstream="e1", waited=0.2),
+        event(11.0, "edge-1", "attempt-ended", request="r1", reason="lost-answer"),
+        event(11.1, "edge-1", "sent", request="r1", upstream="e2", waited=1.3),
+        event(11.5, "edge-1", "ended", request="r1", outcome="done", total=1.7),
+    )
+    code, text = explained(capsys, "r1", owner, entry)
+    assert code == const.EXIT_OK
+    order = [line.split()[3] for line in text.splitlines() if " * " in line]
+    assert order == ["granted", "sent", "attempt-ended", "sent", "ended"]
+    assert "upstream-silent" in text
+    assert "r2" not in text
+    assert "sent again after: lost-answer" in text.splitlines()[-1]
+
+
+def test_refusal_without_a_lease_names_when_it_was_lost(tmp_path, capsys):
+    log = write_log(
+        tmp_path / "edge",
+        event(4.0, "edge-1", "lease", held=False),
+        event(6.0, "edge-1", "refused", request="r1", status=503, reason="no-lease"),
+    )
+    code, text = explained(capsys, "r1", log)
+    assert code == const.EXIT_OK
+    assert "lost its lease 2.0 s before" in text
+
+
+def test_request_that_was_cut_names_the_last_that_is_known(tmp_path, capsys):
+    log = write_log(
+        tmp_path / "edge",
+        event(4.0, "edge-1", "sent", request="r1", upstream="e1", waited=0.0),
+        event(4.1, "edge-1", "ended", request="r1", outcome="unknown", upstream="e1"),
+    )
+    _, text = explained(capsys, "r1", log)
+    assert "ended as unknown at e1: no answer came" in text
+
+
+def test_unknown_request_and_missing_file(tmp_path, capsys):
+    log = write_log(tmp_path / "edge", event(4.0, "edge-1", "sent", request="r1"))
+    code, text = explained(capsys, "r9", log)
+    assert code != const.EXIT_OK
+    assert "no line names request r9" in text
+    code, text = explained(capsys, "r1", str(tmp_path / "none"))
+    assert code != const.EXIT_OK
+    assert "none" in text
--- a/tests/components/links/test_coordinator.py
+++ b/tests/components/links/test_coordinator.py
@@ -250,9 +250,7 @@
             b.handle(messages.Cancel, collector(got))
             await a.async_send(b.own.address, CANCEL)
             await async_until(lambda: got)
-            (connection,) = list(b._running_by_connection) or [
-                item for item in b._connections_by_address.values()
-            ]
+            (connection,) = b._connections_by_address.values()
 
             async def async_drop(_incoming: Any) -> None:
                 return
--- a/tests/components/replication/test_rejoin.py
+++ b/tests/components/replication/test_rejoin.py
@@ -6,7 +6,7 @@
 from bitterntiller.components import control, links, replication
 from bitterntiller.components.settings.load import load_settings
 from bitterntiller.core.clock import RuntimeClock
-from bitterntiller.core.daemon import make_runtime
+from bitterntiller.daemon.process import make_runtime
 from tests.cli.builders import free_port
 from tests.components.settings.builders import settings_value, write_settings
 
--- a/tests/core/test_daemon.py
+++ b/tests/daemon/test_process.py
@@ -5,7 +5,7 @@
 from bitterntiller.components.operator.diagnostics import make_dump
 from bitterntiller.components.settings.load import load_settings
 from bitterntiller.core.clock import RuntimeClock
-from bitterntiller.core.daemon import async_setup_parts, make_runtime
+from bitterntiller.daemon.process import async_setup_parts, make_runtime
 from tests.cli.builders import free_port
 from tests.components.settings.builders import settings_value, write_settings
 
