Keep links on which messages go one way

Change: a period counts as silent only if nothing came in it. Ruled out: pings that are not answered (each was, within the period). Before: the new test fails; after: it passes.

--- a/bitterntiller/components/links/connection.py
+++ b/bitterntiller/components/links/connection.py
@@ -51,7 +51,8 @@
         self._queue: deque[bytes] = deque()
         self._queued_bytes = 0
         self._wake = curio.Event()
-        self._awaits = False
+        self._sent = False
+        self._received = False
 
     def send(self, message: Any, call: int = 0, reply: bool = False) -> bool:
         """Queue a frame without waiting; False when it will not leave."""
@@ -65,7 +66,7 @@
             return False
         self._queue.append(data)
         self._queued_bytes += len(data)
-        self._awaits = True
+        self._sent = True
         return True
 
     async def async_flush_soon(self) -> None:
@@ -117,7 +118,8 @@
         silent = 0
         while silent < const.SILENT_PERIODS:
             await curio.sleep(const.WATCH_PERIOD)
-            if not self._awaits:
+            heard, self._received = self._received, False
+            if heard or not self._sent:
                 silent = 0
                 continue
             silent += 1
@@ -147,7 +149,8 @@
                 data = await self._sock.recv(const.READ_BYTES)
                 if not data:
                     return
-                self._awaits = False
+                self._received = True
+                self._sent = False
                 self._metrics.count(const.METRIC_RECEIVED_BYTES, len(data))
                 for frame in buffer.feed(data):
                     await self._async_take(unpack(frame))
@@ -163,7 +166,7 @@
             return
         if isinstance(incoming.message, messages.LinkPing):
             self.send(messages.LinkPong(unused=False))
-            self._awaits = False
+            self._sent = False
             await self._wake.set()
             return
         if not incoming.reply:
--- a/tests/components/links/test_coordinator.py
+++ b/tests/components/links/test_coordinator.py
@@ -237,6 +237,27 @@
     assert run(async_main)
 
 
+def test_connection_with_messages_one_way_is_kept():
+    """Hosts lose each other once a second while all is well.
+
+    One of them only tells and the other only listens, so that there is always something
+    sent to which nothing has come yet.
+    """
+
+    async def async_main() -> bool:
+        got: list[Any] = []
+        async with serving("a") as (a, _), serving("b") as (b, _):
+            b.handle(messages.Cancel, collector(got))
+            await a.async_send(b.own.address, CANCEL)
+            (connection,) = a._connections_by_address.values()
+            for _ in range(100):
+                await a.async_send(b.own.address, CANCEL)
+                await curio.sleep(0.02)
+            return connection.open
+
+    assert run(async_main)
+
+
 def test_connection_that_went_silent_is_given_up():
     """An entry host waits for grants beside an owner that is well.
 
