Count quotas by the window in which the deployment bounds them

Change: the counting host sums the use of the last window and lets 0.9 of its limit through; hosts admit from their part of what is left and take no refill of their own unless the counting host is lost.

--- a/bitterntiller/components/dispatch/reports.py
+++ b/bitterntiller/components/dispatch/reports.py
@@ -32,7 +32,7 @@
         self._lease = lease
         self._config = config
         self._drop_host = drop_host
-        self._ledger = QuotaLedger(runtime.settings.quota_slack)
+        self._ledger = QuotaLedger(runtime.settings.quota_window)
         self._heard_by_host: dict[str, float] = {}
 
     async def async_on_report(self, _host: str, report: Any) -> Any:
--- a/bitterntiller/components/entry/__init__.py
+++ b/bitterntiller/components/entry/__init__.py
@@ -65,7 +65,7 @@
     retries: RetryBounds,
 ) -> EntryCoordinator:
     """Set the entry role up for routes, kept connections and chosen owners."""
-    account = QuotaAccount(runtime.clock, runtime.settings.quota_slack)
+    account = QuotaAccount(runtime.clock, runtime.settings.quota_window)
     connections = ConnectionPool(
         runtime.clock, const.MOST_IDLE_CONNECTIONS, accept_close=True
     )
--- a/bitterntiller/components/entry/quota.py
+++ b/bitterntiller/components/entry/quota.py
@@ -11,13 +11,16 @@
 from typing import Any, NamedTuple
 
 from bitterntiller.components.config.models import Quota, Workspace
-from bitterntiller.components.settings.models import QuotaSlack
+from bitterntiller.components.settings.models import QuotaWindow
 from bitterntiller.core.clock import Clock
 
 LEAST_WAIT = 0.2
 MOST_WAIT = 30.0
 """Seconds that a caller over its workspace's quota is told to wait."""
 
+STALE_SECONDS = 0.5
+"""Seconds without a new level after which the counting host counts as lost."""
+
 DEMAND_SECONDS = 2.0
 """Seconds in which a refused request is forgotten to a third; callers come back once,
 and few of them later than that."""
@@ -62,9 +65,9 @@
 class QuotaAccount:
     """A QuotaGate that reports what it has let through."""
 
-    def __init__(self, clock: Clock, slack: QuotaSlack) -> None:
+    def __init__(self, clock: Clock, window: QuotaWindow) -> None:
         self._clock = clock
-        self._slack = slack
+        self._window = window
         self._hosts = 1
         self._level_by_workspace: dict[str, _Level] = {}
         self._unreported_by_workspace: dict[str, int] = {}
@@ -97,9 +100,9 @@
         again, and be refused each time.
         """
         refused = self._refused_by_workspace.setdefault(name, _Demand())
-        demand = refused.add(amount, level.at)
+        demand = refused.add(amount, self._clock.now())
         debt = max(0.0, -level.total) / self._hosts
-        rate = quota.rate * self._slack.factor / self._hosts
+        rate = quota.rate * self._window.factor / self._hosts
         wait = (debt + demand) / max(rate, 1e-9)
         return min(max(wait, LEAST_WAIT), MOST_WAIT)
 
@@ -135,13 +138,18 @@
             self._level_by_workspace[item.workspace] = level
 
     def _filled(self, name: str, quota: Quota, now: float) -> _Level:
-        """Return a level with what has come since, of which this host has its part."""
-        most = quota.burst + self._slack.besides
+        """Return a level, while the counting host is lost with what has come since.
+
+        Use leaves the window in its own time, which only the counting host knows; each
+        host then takes its part of the mean.
+        """
+        most = self._window.limit(quota.rate, quota.burst)
         level = self._level_by_workspace.get(name)
         if level is None:
             level = self._level_by_workspace[name] = _Level(most, self._hosts, now)
             return level
-        rate = quota.rate * self._slack.factor / self._hosts
-        level.amount = min(most, level.amount + rate * (now - level.at))
-        level.at = now
+        if now - level.at > STALE_SECONDS:
+            rate = quota.rate * self._window.factor / self._hosts
+            level.amount = min(most, level.amount + rate * (now - level.at))
+            level.at = now
         return level
