Give each side of a cut its part of a quota

Change: a ledger's limit is that of the entry hosts that report to it. Ruled out: a start with unknown levels (no process had started). Before: the test admits more than 1.15 limits; after: it passes.

--- a/bitterntiller/components/dispatch/quotas.py
+++ b/bitterntiller/components/dispatch/quotas.py
@@ -46,11 +46,19 @@
         self._use_by_workspace: dict[str, _Use] = {}
 
     def use(
-        self, workspace: str, amount: int, told: float, config: Config, now: float
+        self,
+        workspace: str,
+        amount: int,
+        told: float,
+        config: Config,
+        now: float,
+        part: float = 1.0,
     ) -> float | None:
         """Take what was used; return what is left, None for one without a quota.
 
-        told is the level that the reporting host has heard last.
+        told is the level that the reporting host has heard last. part is the part of
+        the deployment's entry hosts that report here: when some are cut off they have
+        a ledger of their own, and whole limits in both would add up to two.
         """
         found = config.workspaces_by_name.get(workspace)
         if found is None or found.quota is None:
@@ -59,9 +67,9 @@
         use = self._use_by_workspace.get(workspace)
         if use is None:
             use = self._use_by_workspace[workspace] = _Use(self._window.seconds)
-            self._take_over(use, max(0.0, limit - told), now)
+            self._take_over(use, max(0.0, limit - told) * part, now)
         use.add(amount, now, now)
-        return limit - use.sum
+        return limit * part - use.sum
 
     def _take_over(self, use: _Use, amount: float, now: float) -> None:
         step = self._window.seconds / SLICES
--- a/bitterntiller/components/dispatch/reports.py
+++ b/bitterntiller/components/dispatch/reports.py
@@ -6,7 +6,8 @@
 import curio
 
 from bitterntiller.components.dispatch.quotas import QuotaLedger
-from bitterntiller.core.interfaces import ConfigView, Lease
+from bitterntiller.components.settings.const import ROLE_ENTRY
+from bitterntiller.core.interfaces import ConfigView, DirectoryView, Lease
 from bitterntiller.core.runtime import Runtime
 from bitterntiller.protocol import messages
 
@@ -26,8 +27,14 @@
     """Keeps who reports here, and the quotas of workspaces."""
 
     def __init__(
-        self, runtime: Runtime, lease: Lease, config: ConfigView, drop_host: DropHost
+        self,
+        runtime: Runtime,
+        lease: Lease,
+        config: ConfigView,
+        directory: DirectoryView,
+        drop_host: DropHost,
     ) -> None:
+        self._directory = directory
         self._runtime = runtime
         self._lease = lease
         self._config = config
@@ -49,10 +56,13 @@
 
     def _levels(self, used: list[Any], now: float) -> list[Any]:
         levels = []
+        part = self._part()
         for item in used:
             config = self._config.config
             told = item.level or 0
-            level = self._ledger.use(item.workspace, item.amount, told, config, now)
+            level = self._ledger.use(
+                item.workspace, item.amount, told, config, now, part
+            )
             if level is not None:
                 level_message = messages.QuotaLevel(
                     workspace=item.workspace, amount=int(level)
@@ -60,6 +70,12 @@
                 levels.append(level_message)
         return levels
 
+    def _part(self) -> float:
+        """Return the part of the known entry hosts that report here."""
+        hosts = self._directory.hosts_by_name.values()
+        known = sum(ROLE_ENTRY in host.roles for host in hosts)
+        return min(1.0, len(self._heard_by_host) / max(1, known))
+
     async def async_run(self) -> None:
         """Forget the entry hosts that report no more, until cancelled."""
         while True:
--- a/bitterntiller/core/interfaces.py
+++ b/bitterntiller/core/interfaces.py
@@ -89,6 +89,11 @@
         """New at every start of its process."""
         ...
 
+    @property
+    def roles(self) -> tuple[str, ...]:
+        """The roles of its process."""
+        ...
+
 
 class DirectoryView(Protocol):
     """The hosts and the owners of pools, as last heard from control."""
--- a/tests/components/entry/test_quota.py
+++ b/tests/components/entry/test_quota.py
@@ -15,11 +15,13 @@
 HOSTS = 5
 
 
-def report(account: QuotaAccount, ledger: QuotaLedger, now: float) -> None:
+def report(
+    account: QuotaAccount, ledger: QuotaLedger, now: float, part: float = 1.0
+) -> None:
     """Tell the ledger what a host has admitted, and the host what is left."""
     levels = []
     for used in account.take_unreported():
-        level = ledger.use(used.workspace, used.amount, used.level, CONFIG, now)
+        level = ledger.use(used.workspace, used.amount, used.level, CONFIG, now, part)
         levels.append(messages.QuotaLevel(workspace=used.workspace, amount=int(level)))
     account.take_levels(levels, HOSTS)
 
@@ -104,3 +106,22 @@
         clock.advance(0.05)
         waits.append(host.take(WORKSPACE, 200))
     assert max(waits) > 2.0
+
+
+def test_hosts_that_are_cut_off_use_their_part_alone():
+    """A cut in two gives a workspace its quota twice.
+
+    Two of five hosts reach another counting host only, while the three that are left
+    go on with the first one.
+    """
+    clock = ManualClock()
+    ledgers = (QuotaLedger(WINDOW), QuotaLedger(WINDOW))
+    hosts = accounts(clock, ledgers[0])
+    admitted = 0
+    for _ in range(40):
+        clock.advance(0.1)
+        for number, host in enumerate(hosts):
+            admitted += admit(host, 20, 6)
+            side = int(number < 2)
+            report(host, ledgers[side], clock.now(), part=0.4 if side else 0.6)
+    assert admitted <= 1.15 * LIMIT
