Tell a counting host what was used at another one

Change: each entry host keeps what it let through in the window and tells every ledger what that one has not heard; a host that starts lets a quarter of a second's rate through until it has heard a level. Ruled out: carrying levels over, which can't tell use apart that both ledgers know.

--- a/bitterntiller/components/dispatch/reports.py
+++ b/bitterntiller/components/dispatch/reports.py
@@ -59,10 +59,9 @@
         part = self._part()
         for item in used:
             config = self._config.config
-            told = item.level or 0
-            level = self._ledger.use(
-                item.workspace, item.amount, told, config, now, part
-            )
+            over = (item.over_ms or 0) / 1000
+            self._ledger.note(item.workspace, item.amount, over, now)
+            level = self._ledger.left(item.workspace, config, part)
             if level is not None:
                 level_message = messages.QuotaLevel(
                     workspace=item.workspace, amount=int(level)
--- a/bitterntiller/components/entry/owner_watch.py
+++ b/bitterntiller/components/entry/owner_watch.py
@@ -5,7 +5,7 @@
 import curio
 
 from bitterntiller.components.entry import const
-from bitterntiller.components.entry.quota import QuotaAccount
+from bitterntiller.components.entry.quota import QuotaAccount, Untold, Used
 from bitterntiller.components.links.errors import LinkError
 from bitterntiller.components.node.owners import DerivedOwners
 from bitterntiller.core import events
@@ -13,6 +13,8 @@
 from bitterntiller.core.runtime import Runtime
 from bitterntiller.protocol import messages
 
+NOTHING = Untold([], 0, 0.0)
+
 QUOTA_POOL = "quotas of workspaces"
 """The name under which the host is chosen that counts quotas; not one of a service."""
 
@@ -75,38 +77,41 @@
     async def _async_ask(self, owner: Ownership) -> None:
         counts = self._owners.owner(QUOTA_POOL)
         to_counter = counts is not None and counts.host == owner.host
-        used = self._account.take_unreported() if to_counter else []
-        number = next(self._numbers)
-        report = messages.EntryReport(
-            entry_host=self._runtime.settings.host,
-            incarnation=self._runtime.incarnation,
-            number=number,
-            used=[
-                messages.Usage(
-                    workspace=item.workspace, amount=item.amount, level=item.level
-                )
-                for item in used
-            ],
-        )
+        ledger = f"{owner.host}/{self._owners.incarnation(owner.host)}"
+        told = self._account.untold(ledger) if to_counter else NOTHING
         try:
             reply = await self._runtime.links.async_call(
-                owner.address, report, const.REPORT_TIMEOUT
+                owner.address, self._report(told.used), const.REPORT_TIMEOUT
             )
         except LinkError as error:
-            self._account.put_back(used)
             self._suspect(owner, error.text)
             return
         if not reply.ready:
-            self._account.put_back(used)
             self._suspect(owner, "it has no configuration or lease")
             return
-        if to_counter:
-            self._account.take_levels(reply.levels, reply.entry_hosts)
+        if to_counter and ledger == f"{owner.host}/{reply.incarnation}":
+            self._account.note_told(ledger, told)
+            self._account.take_levels(reply.levels, reply.entry_hosts, told)
         if self._owners.note_answer(owner.host, reply.incarnation):
             events.emit(
                 "owner-answers", owner=owner.host, incarnation=reply.incarnation
             )
 
+    def _report(self, used: list[Used]) -> messages.EntryReport:
+        return messages.EntryReport(
+            entry_host=self._runtime.settings.host,
+            incarnation=self._runtime.incarnation,
+            number=next(self._numbers),
+            used=[
+                messages.Usage(
+                    workspace=item.workspace,
+                    amount=item.amount,
+                    over_ms=int(item.over * 1000),
+                )
+                for item in used
+            ],
+        )
+
     def _suspect(self, owner: Ownership, why: str) -> None:
         if self._owners.suspect(owner.host):
             self._runtime.metrics.count(const.METRIC_OWNERS_LOST)
--- a/bitterntiller/components/entry/quota.py
+++ b/bitterntiller/components/entry/quota.py
@@ -8,6 +8,7 @@
 """
 
 import math
+from collections import deque
 from typing import Any, NamedTuple
 
 from bitterntiller.components.config.models import Quota, Workspace
@@ -18,6 +19,13 @@
 MOST_WAIT = 30.0
 """Seconds that a caller over its workspace's quota is told to wait."""
 
+FIRST_SECONDS = 0.25
+"""Seconds of a quota's rate that a host lets through before it has heard a level; that
+takes one report, a tenth of a second."""
+
+MOST_LEDGERS = 16
+"""Counting hosts that are remembered with what they have been told."""
+
 STALE_SECONDS = 0.5
 """Seconds without a new level after which the counting host counts as lost."""
 
@@ -27,11 +35,27 @@
 
 
 class Used(NamedTuple):
-    """What was let through since the last report, and the level as it is known."""
+    """What was let through in the last seconds, as one ledger has not heard it yet."""
 
     workspace: str
     amount: int
-    level: int
+    over: float
+
+
+class Untold(NamedTuple):
+    """What a ledger is to be told, and the last request that is in it."""
+
+    used: list[Used]
+    upto: int
+    at: float
+
+
+class _Admitted(NamedTuple):
+    """One request that was let through; number counts all of them on this host."""
+
+    number: int
+    at: float
+    amount: int
 
 
 class _Level:
@@ -70,7 +94,9 @@
         self._window = window
         self._hosts = 1
         self._level_by_workspace: dict[str, _Level] = {}
-        self._unreported_by_workspace: dict[str, int] = {}
+        self._number = 0
+        self._admitted_by_workspace: dict[str, deque[_Admitted]] = {}
+        self._told_by_ledger: dict[str, Untold] = {}
         self._refused_by_workspace: dict[str, _Demand] = {}
 
     def take(self, workspace: Workspace, amount: int) -> float:
@@ -88,8 +114,9 @@
         if level.amount <= 0:
             return self._wait(name, quota, level, amount)
         level.amount -= amount
-        unreported = self._unreported_by_workspace.get(name, 0)
-        self._unreported_by_workspace[name] = unreported + amount
+        self._number += 1
+        admitted = self._admitted_by_workspace.setdefault(name, deque())
+        admitted.append(_Admitted(self._number, now, amount))
         return 0.0
 
     def _wait(self, name: str, quota: Quota, level: _Level, amount: int) -> float:
@@ -106,35 +133,53 @@
         wait = (debt + demand) / max(rate, 1e-9)
         return min(max(wait, LEAST_WAIT), MOST_WAIT)
 
-    def take_unreported(self) -> list[Used]:
-        """Return what was let through since the last report.
+    def untold(self, ledger: str) -> Untold:
+        """Return what a ledger has not been told yet, of the last window.
 
-        A workspace that has used nothing lately is told with 0, to hear its level.
+        A workspace that has used nothing lately is told with 0, to hear its level. A
+        ledger that is new to this host is told all of the window: hosts that come back
+        from another ledger, or whose counting host is another, have used it all the
+        same.
         """
+        now = self._clock.now()
+        oldest = now - self._window.seconds
+        told = self._told_by_ledger.get(ledger, Untold([], 0, oldest))
+        over = min(now - told.at, self._window.seconds)
         used = [
-            Used(name, self._unreported_by_workspace.get(name, 0), int(level.total))
-            for name, level in self._level_by_workspace.items()
+            Used(name, self._used_since(name, told.upto, oldest), over)
+            for name in self._level_by_workspace
         ]
-        self._unreported_by_workspace = {}
-        return used
+        return Untold(used, self._number, now)
 
-    def put_back(self, used: list[Used]) -> None:
-        """Report again later what may not have been heard.
+    def note_told(self, ledger: str, told: Untold) -> None:
+        """Note that a ledger has heard what it had not been told.
 
-        Should it have been heard all the same it counts twice: less is let through for
-        a while, which refuses rather than exceeds the quota.
+        An answer that is lost leaves it as it was: the use is told, and counted, once
+        more, which refuses rather than exceeds the quota.
+        """
+        self._told_by_ledger[ledger] = told
+        while len(self._told_by_ledger) > MOST_LEDGERS:
+            self._told_by_ledger.pop(next(iter(self._told_by_ledger)))
+
+    def _used_since(self, name: str, number: int, oldest: float) -> int:
+        admitted = self._admitted_by_workspace.get(name)
+        if admitted is None:
+            return 0
+        while admitted and admitted[0].at < oldest:
+            admitted.popleft()
+        return sum(item.amount for item in admitted if item.number > number)
+
+    def take_levels(self, levels: list[Any], entry_hosts: int, told: Untold) -> None:
+        """Take messages.QuotaLevel over all hosts, and how many hosts share them.
+
+        told is what the report told that they answer.
         """
-        for item in used:
-            unreported = self._unreported_by_workspace.get(item.workspace, 0)
-            self._unreported_by_workspace[item.workspace] = unreported + item.amount
-
-    def take_levels(self, levels: list[Any], entry_hosts: int) -> None:
-        """Take messages.QuotaLevel over all hosts, and how many hosts share them."""
         self._hosts = max(1, entry_hosts)
         now = self._clock.now()
+        oldest = now - self._window.seconds
         for item in levels:
-            unreported = self._unreported_by_workspace.get(item.workspace, 0)
-            level = _Level(item.amount - unreported, self._hosts, now)
+            since = self._used_since(item.workspace, told.upto, oldest)
+            level = _Level(item.amount - since, self._hosts, now)
             self._level_by_workspace[item.workspace] = level
 
     def _filled(self, name: str, quota: Quota, now: float) -> _Level:
@@ -146,7 +191,9 @@
         most = self._window.limit(quota.rate, quota.burst)
         level = self._level_by_workspace.get(name)
         if level is None:
-            level = self._level_by_workspace[name] = _Level(most, self._hosts, now)
+            first = FIRST_SECONDS * quota.rate
+            level = _Level(min(most, first), 1, now)
+            self._level_by_workspace[name] = level
             return level
         if now - level.at > STALE_SECONDS:
             rate = quota.rate * self._window.factor / self._hosts
--- a/bitterntiller/components/node/owners.py
+++ b/bitterntiller/components/node/owners.py
@@ -68,6 +68,10 @@
         self._incarnation_by_host[host] = incarnation
         return news
 
+    def incarnation(self, host: str) -> str:
+        """Return the incarnation in which a host has answered last, or nothing."""
+        return self._incarnation_by_host.get(host, "")
+
     def suspect(self, host: str) -> bool:
         """Pass a host over until it answers again; tell whether that is news."""
         if host in self._suspects:
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -140,7 +140,7 @@
 struct Usage {
     1: required string workspace,
     2: required i64 amount,
-    3: optional i64 level,               // what the host last heard to be left
+    3: optional i32 over_ms,             // the time over which it was used, until now
 }
 
 /* What is left of a workspace's quota over all hosts; below 0 when it is overdrawn. */
