--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -46,6 +46,11 @@
 reaches the caller and tells it when to come back."""
 
 
+START_CHECK_SECONDS = 0.03
+"""Least time between two looks at a request whose caller is about to give up; a part of
+LEAVING_SECONDS, since what is known of the fastest prefill moves the time a little."""
+
+
 class PoolScheduler:
     """Decides for one pool; see models.Scheduler for the calls.
 
@@ -344,7 +349,8 @@
         if not self._pool.view(job).members:
             patience = job.entered + self._parameters.no_upstream_seconds
             when = min(when, patience)
-        self._lateness.add(max(when, now + PARK_SECONDS), job)
+        pause = PARK_SECONDS if job.request.start_by is None else START_CHECK_SECONDS
+        self._lateness.add(max(when, now + pause), job)
 
     def _take_back(self, job: Job, now: float, decisions: list[Decision]) -> None:
         """Put a request whose grant was not used back into its place."""
--- a/tests/components/dispatch/test_objectives.py
+++ b/tests/components/dispatch/test_objectives.py
@@ -87,6 +87,28 @@
     assert decisions[0].reason == Reason.TOO_LATE
 
 
+def test_refusal_does_not_wait_for_the_next_round_of_looks():
+    """A caller leaves a moment before it would have been told when to come back.
+
+    What was known of the fastest prefill had become better since the look was planned,
+    so that the time had not quite come, and the next look was a quarter second later.
+    """
+    made = scheduler()
+    occupy(made)
+    waits = request("waits", prompt_tokens=400, first_by=NOW + 0.4, start_by=NOW + 3)
+    made.register(waits, NOW)
+    speed = made._pool.upstreams_by_name["engine-1"].speed
+    decisions: list[Decision] = []
+    now = NOW
+    while now < NOW + 2.85:
+        now = min(max(made.next_wake(now), now + 0.001), NOW + 2.85)
+        made.progress("first", int((now - NOW) * 100) + 1, now)
+        if now > NOW + 2.3:
+            speed.learn_first(0, expected=0.1, seen=0.09)
+        decisions += made.tick(now)
+    assert ids(decisions, Refused) == ["waits"]
+
+
 def test_lower_tier_keeps_a_small_share():
     """Short calls of the lowest tier get no service at all in a long overload."""
     made = scheduler(lower_share=0.5)
