Follow changes of the settings file, with or without a signal

Cause: the seeds of a deployment are exchanged while processes run; they were read once, so that a host of control that is not in the membership went on asking hosts that are gone. Ruled out: taking other values over: addresses and bounds hold for a process's whole life.

--- /dev/null
+++ b/tests/platform/test_reload.py
@@ -0,0 +1,60 @@
+"""Settings files that change while a process runs."""
+
+import os
+from typing import Any
+
+import pytest
+from bitterntiller_platform.reload import SettingsFollower
+from bitterntiller_platform.settings import load_settings
+
+from tests.platform.test_settings import FILE
+
+
+class Client:
+    def __init__(self) -> None:
+        self.seeds: list[str] = []
+
+    def set_seeds(self, addresses: list[str]) -> None:
+        self.seeds = addresses
+
+
+class Holder:
+    """Stands for a runtime and for a session."""
+
+    def __init__(self, settings: Any) -> None:
+        self.settings = settings
+        self.control_client = Client()
+
+
+@pytest.fixture
+def followed(tmp_path):
+    path = tmp_path / "boot.conf"
+    path.write_text(FILE)
+    holder = Holder(load_settings(path).settings)
+    return path, holder, SettingsFollower(holder, holder, path)
+
+
+def test_other_seeds_are_taken_without_a_signal(followed):
+    """The seeds are exchanged; a host that starts joining knows only the old ones."""
+    path, holder, follower = followed
+    path.write_text(FILE.replace("10.2.0.19:8229", "10.9.0.1:8229"))
+    os.utime(path, ns=(1, 1))
+    follower.check()
+    assert holder.control_client.seeds == ["10.1.0.27:7600", "10.9.0.1:7600"]
+    addresses = [str(item) for item in holder.settings.control.addresses]
+    assert addresses == holder.control_client.seeds
+
+
+def test_bad_file_changes_nothing(followed):
+    path, holder, follower = followed
+    before = holder.settings
+    path.write_text("node_name=x\n")
+    follower.reload()
+    assert holder.settings == before
+    assert holder.control_client.seeds == []
+
+
+def test_unchanged_file_is_not_read_again(followed):
+    _, holder, follower = followed
+    follower.check()
+    assert holder.control_client.seeds == []
