--- a/tests/docs/test_operating.py
+++ b/tests/docs/test_operating.py
@@ -61,7 +61,7 @@
     ("program", "files"),
     [
         ("bitterntiller", ["cli/const.py"]),
-        ("bitterntillerd", ["cli/daemon.py", "core/daemon.py"]),
+        ("bitterntillerd", ["cli/daemon.py", "daemon/process.py"]),
     ],
 )
 def test_exit_codes_are_documented(program, files):
