Give the patience of waiting requests a module

Change: dispatch/patience.py has the times and the two questions; the scheduler asks it. Ruled out: moving lapsed grants too; they change the state of requests and upstreams.

--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -10,7 +10,6 @@
     IDLE_WAKE_SECONDS,
     MAX_RETURNS,
     MAX_SKIPS,
-    PARK_SECONDS,
     REASON_FAILED,
     REASON_LOST_ANSWER,
     REASON_NOT_ADMITTED,
@@ -33,6 +32,7 @@
 )
 from bitterntiller.components.dispatch.ordering import new_ordering
 from bitterntiller.components.dispatch.parking import Parking
+from bitterntiller.components.dispatch.patience import Patience
 from bitterntiller.components.dispatch.pool import Pool
 from bitterntiller.components.dispatch.queue import PoolQueue
 from bitterntiller.components.dispatch.shedding import Shedder
@@ -41,15 +41,6 @@
 from bitterntiller.components.dispatch.timers import JobTimers
 from bitterntiller.core.outcomes import Reason
 
-LEAVING_SECONDS = 0.2
-"""How long before its caller gives up a request is refused, so that the refusal still
-reaches the caller and tells it when to come back."""
-
-
-START_CHECK_SECONDS = 0.03
-"""Least time between two looks at a request whose caller is about to give up; a part of
-LEAVING_SECONDS, since what is known of the fastest prefill moves the time a little."""
-
 
 class PoolScheduler:
     """Decides for one pool; see models.Scheduler for the calls.
@@ -70,6 +61,7 @@
         self._sizes = Sizes(parameters, self._pool.speed)
         self._teacher = Teacher(parameters, self._pool, self._sizes)
         self._chooser = Chooser(parameters, self._pool, rng)
+        self._patience = Patience(parameters, self._pool, self._chooser)
         self._admission = Admission(
             self._pool, self._queue, self._limiter, rng, parameters.lower_share
         )
@@ -77,8 +69,6 @@
         self._sequence = itertools.count()
         self._waiting = 0
         self._parking = Parking(self._queue)
-        self._lateness = JobTimers()
-        self._objectives = JobTimers()
         self._lapses = JobTimers()
         self._housekeeping_at = 0.0
         # Groups whose head found no upstream. They are left alone until an
@@ -242,9 +232,9 @@
         for job in self._lapses.due(now):
             self._lapse(job, now)
         self._parking.unpark_due(now)
-        for job in self._objectives.due(now):
+        for job in self._patience.due_objectives(now):
             self._demote(job)
-        for job in self._lateness.due(now):
+        for job in self._patience.due_looks(now):
             self._check_lateness(job, now, decisions)
         self._pool.thaw(now)
         if now >= self._housekeeping_at:
@@ -261,8 +251,7 @@
             housekeeping,
             self._lapses.next(),
             self._parking.next(),
-            self._lateness.next(),
-            self._objectives.next(),
+            self._patience.next(),
             self._pool.next_thaw(),
         )
 
@@ -289,7 +278,9 @@
             if waiting >= max(1, limit or 0):
                 retry = self._admission.retry_after(job.rank, now)
                 return self._refusal(job, Reason.CONCURRENCY_LIMIT, retry)
-        if now + job.best_case >= job.request.deadline and self._late(job, now):
+        if now + job.best_case >= job.request.deadline and self._patience.is_late(
+            job, now
+        ):
             return self._refusal_of(job, Reason.TOO_LATE, now)
         return None
 
@@ -315,18 +306,9 @@
         self._waiting += 1
         self._limiter.wait(job.workspace, 1, now)
         self._queue.push(job)
-        self._plan_lateness(job, now)
-        self._plan_demotion(job, now)
-
-    def _plan_demotion(self, job: Job, now: float) -> None:
-        first_by = job.request.first_by
-        if first_by is None or job.late:
-            return
-        when = first_by - self._chooser.first_case(job, self._pool.view(job), now)
-        if when <= now:
+        self._patience.plan_look(job, now)
+        if self._patience.plan_objective(job, now):
             self._demote(job)
-            return
-        self._objectives.add(when, job)
 
     def _demote(self, job: Job) -> None:
         """Put a request whose first output comes too late behind its own tier.
@@ -344,14 +326,6 @@
         job.late = True
         self._queue.push(job)
 
-    def _plan_lateness(self, job: Job, now: float) -> None:
-        when = self._last_start(job, now)
-        if not self._pool.view(job).members:
-            patience = job.entered + self._parameters.no_upstream_seconds
-            when = min(when, patience)
-        pause = PARK_SECONDS if job.request.start_by is None else START_CHECK_SECONDS
-        self._lateness.add(max(when, now + pause), job)
-
     def _take_back(self, job: Job, now: float, decisions: list[Decision]) -> None:
         """Put a request whose grant was not used back into its place."""
         members = self._pool.view(job).members
@@ -423,42 +397,16 @@
         job.target = upstream
         self._lapses.add(max(job.request.deadline, now + 1.0), job)
 
-    def _last_start(self, job: Job, now: float) -> float:
-        """Return when a request must be sent at the latest to be of any use."""
-        request = job.request
-        when = request.deadline - job.best_case
-        if request.start_by is None:
-            return when
-        first = self._chooser.first_case(job, self._pool.view(job), now)
-        return min(when, request.start_by - first - LEAVING_SECONDS)
-
-    def _late(self, job: Job, now: float) -> bool:
-        """Tell whether no upstream could end a request in time.
-
-        Nothing that waits is counted, so a request is never refused as late
-        because of work that it could displace.
-        """
-        view = self._pool.view(job)
-        job.best_case = self._chooser.best_case(job, view, now)
-        if now >= job.request.deadline:
-            return True
-        if job.request.start_by is not None and now >= self._last_start(job, now):
-            return True
-        if now + job.best_case < job.request.deadline:
-            return False
-        return self._chooser.probe(job, view, now) is None
-
     def _check_lateness(self, job: Job, now: float, decisions: list[Decision]) -> None:
         if self._jobs_by_id.get(job.request.request_id) is not job or not job.waiting:
             return
-        if self._late(job, now):
+        if self._patience.is_late(job, now):
             self._give_up(job, Reason.TOO_LATE, now, decisions)
             return
-        patience = job.entered + self._parameters.no_upstream_seconds
-        if now >= patience and not self._pool.view(job).members:
+        if self._patience.without_upstream(job, now):
             self._give_up(job, Reason.NO_UPSTREAM, now, decisions)
             return
-        self._plan_lateness(job, now)
+        self._patience.plan_look(job, now)
 
     def _is_live(self, job: Job) -> bool:
         return self._jobs_by_id.get(job.request.request_id) is job
@@ -466,13 +414,7 @@
     def _housekeep(self, now: float, decisions: list[Decision]) -> None:
         self._housekeeping_at = now + HOUSEKEEPING_SECONDS
         self._pool.housekeep(now)
-        timers_of_jobs = (
-            self._lateness,
-            self._lapses,
-            self._parking,
-            self._objectives,
-        )
-        for timers in timers_of_jobs:
+        for timers in (self._patience, self._lapses, self._parking):
             timers.prune(len(self._jobs_by_id), self._is_live)
         self._blocked.clear()
         self._admission.interval(now)
