--- a/bitterntiller/components/entry/pipeline.py
+++ b/bitterntiller/components/entry/pipeline.py
@@ -28,12 +28,16 @@
 from bitterntiller.components.entry.relay import Relay
 from bitterntiller.components.entry.relay_headers import outcome_of
 from bitterntiller.components.entry.retry_budget import RetryBudget
+from bitterntiller.components.entry.telling import (
+    tell_attempt,
+    tell_end,
+    tell_refusal,
+)
 from bitterntiller.components.entry.waiting import async_cancel, async_wait
 from bitterntiller.components.http.errors import BadRequestError, CallerGoneError
 from bitterntiller.components.http.exchange import Exchange
 from bitterntiller.components.http.models import header
 from bitterntiller.components.settings.models import Limits
-from bitterntiller.core import events
 from bitterntiller.core.outcomes import Ending, Outcome, Reason
 
 CALLER_GONE = "caller-gone"
@@ -214,14 +218,7 @@
         # Before the owner hears of it: its next grant may come at once, and would
         # be sent back as unwanted while the request still seems to be sent.
         if isinstance(verdict, Retry) and verdict.upstream:
-            events.emit(
-                "attempt-ended",
-                request=active.request_id,
-                upstream=verdict.upstream,
-                reason=verdict.reason,
-                may_have_run=verdict.ran,
-                runs=active.runs,
-            )
+            tell_attempt(active, verdict)
             if verdict.ran:
                 active.mark_lost(verdict.upstream)
             elif active.may_have_run:
@@ -284,35 +281,18 @@
         self, active: ActiveRequest, outcome: Outcome, status: int
     ) -> None:
         account.count_answer(self._context, active, outcome)
-        self._tell_end(active, outcome, status)
+        tell_end(active, outcome, status, self._context.clock.now())
         await self._async_settle(active, outcome, status)
         told = account.outcome_for_owner(outcome, status)
         await account.async_tell_owner(self._context, active, told)
 
-    def _tell_end(self, active: ActiveRequest, outcome: str, status: int) -> None:
-        now = self._context.clock.now()
-        arrived = active.prepared.identified.received.arrived
-        first = active.first_byte_at
-        events.emit(
-            "ended",
-            request=active.request_id,
-            outcome=outcome,
-            status=status,
-            upstream=active.upstream,
-            runs=active.runs,
-            tried=active.tried,
-            output=active.output_tokens,
-            first=None if first is None else round(first - arrived, 4),
-            total=round(now - arrived, 4),
-        )
-
     async def _async_caller_gone(self, active: ActiveRequest) -> None:
         """Stop the work of a caller that has left: at the upstream, or in the queue."""
         self._context.metrics.count(const.METRIC_CALLER_GONE)
         await self._async_abandon(active, CALLER_GONE)
 
     async def _async_abandon(self, active: ActiveRequest, outcome: str) -> None:
-        self._tell_end(active, outcome, 0)
+        tell_end(active, outcome, 0, self._context.clock.now())
         if not active.may_have_run:
             await self._async_settle(active, Outcome.NOT_RUN, 0)
             await async_cancel(active, self._context)
@@ -334,27 +314,6 @@
         headers, body = self._context.interface.refusal(ending, active.request_id)
         await exchange.async_respond(ending.status, headers, body)
 
-    def _tell_refusal(
-        self, ending: Ending, identified: Identified | None, request_id: str
-    ) -> None:
-        waited = 0.0
-        if identified is not None:
-            waited = self._context.clock.now() - identified.received.arrived
-        events.emit(
-            "refused",
-            request=request_id,
-            status=ending.status,
-            reason=ending.reason,
-            detail=ending.detail,
-            retry_after=ending.retry_after,
-            waited=round(waited, 4),
-            workspace=identified.workspace.name if identified else "",
-            service=identified.service.name if identified else "",
-            tier=identified.tier.name if identified else "",
-            config_version=self._context.config.version,
-            lease_valid=self._context.lease.valid(),
-        )
-
     async def _async_refuse(
         self,
         exchange: Exchange,
@@ -363,7 +322,7 @@
         request_id: str,
     ) -> None:
         account.count_refusal(self._context, ending, identified)
-        self._tell_refusal(ending, identified, request_id)
+        tell_refusal(self._context, ending, identified, request_id)
         headers, body = self._context.interface.refusal(ending, request_id)
         await exchange.async_respond(ending.status, headers, body)
 
--- a/bitterntiller/components/metrics/__init__.py
+++ b/bitterntiller/components/metrics/__init__.py
@@ -4,19 +4,17 @@
 from bitterntiller.components.metrics.coordinator import async_flush_regularly
 from bitterntiller.components.metrics.diagnostics import make_diagnostics
 from bitterntiller.components.metrics.server import Dump, MetricsPort
-from bitterntiller.components.settings.models import Address
 from bitterntiller.core.runtime import Runtime
 
 
-async def async_setup(runtime: Runtime, metrics: StatsdMetrics) -> None:
-    """Send the metrics regularly and show them in the dump, until unloading."""
+async def async_setup(runtime: Runtime, metrics: StatsdMetrics, dump: Dump) -> None:
+    """Send the metrics regularly and show them in the dump, until unloading.
+
+    Where the settings have an address for it, the metrics and the dump are served.
+    """
     runtime.add_diagnostics("metrics", make_diagnostics(metrics))
     await runtime.async_spawn(async_flush_regularly(metrics))
-
-
-async def async_setup_port(
-    runtime: Runtime, metrics: StatsdMetrics, listen: Address, dump: Dump
-) -> None:
-    """Serve the metrics and the dump at an address, until unloading."""
-    port = MetricsPort(runtime, listen, metrics, dump)
-    await runtime.async_spawn(port.async_serve())
+    listen = runtime.settings.listen.metrics
+    if listen is not None:
+        port = MetricsPort(runtime, listen, metrics, dump)
+        await runtime.async_spawn(port.async_serve())
--- a/bitterntiller/daemon/process.py
+++ b/bitterntiller/daemon/process.py
@@ -65,11 +65,7 @@
 async def async_setup_parts(runtime: Runtime) -> Parts:
     """Set all parts of this process up, in the order in which they need each other."""
     roles = runtime.settings.roles
-    await metrics.async_setup(runtime, runtime.metrics)
-    listen = runtime.settings.listen.metrics
-    if listen is not None:
-        dump = make_dump(runtime)
-        await metrics.async_setup_port(runtime, runtime.metrics, listen, dump)
+    await metrics.async_setup(runtime, runtime.metrics, make_dump(runtime))
     await links.async_setup(runtime, runtime.links)
     if ROLE_CONTROL in roles:
         await control.async_setup(runtime, replication.async_setup)
