Let a host be ready before its first configuration again

Ruled out: load on the machine (it failed the same way twice, /readyz gave 503 with a leader and a lease held); applying before the wait in the demonstration, which would have left operators with the changed interface.

--- a/bitterntiller/components/entry/coordinator.py
+++ b/bitterntiller/components/entry/coordinator.py
@@ -51,10 +51,18 @@
         self._drain_listeners.append(listener)
 
     def ready(self) -> bool:
-        """Tell whether the host takes new work now."""
+        """Tell whether the host takes new work now.
+
+        A configuration isn't asked for: the operator of a new deployment waits for
+        its hosts to be ready before the first one is applied. Until then a request
+        is refused as not run.
+        """
         taking = not (self.leaving or self.pipeline.draining)
-        known = self._context.config.version > 0
-        return taking and known and self._context.lease.valid()
+        return taking and self._context.lease.valid()
+
+    def configured(self) -> bool:
+        """Tell whether the host takes new work and knows a configuration."""
+        return self.ready() and self._context.config.version > 0
 
     def leave(self) -> None:
         """Say not to be ready from now on, and serve whoever still comes."""
