Keep the states of requests and the refusals in modules of their own

Cause: dispatch/scheduler.py had 522 lines and three jobs: it decided, moved requests from state to state, and worded refusals. Change: JobLifecycle (lifecycle.py) holds the requests and their states, Refusals (refusals.py) what is refused on arrival; the scheduler decides, in 394 lines. No decision changes; the order of two counters at a grant is the only thing that moved.

--- /dev/null
+++ b/bitterntiller/components/dispatch/refusals.py
@@ -0,0 +1,46 @@
+"""Which requests are refused when they arrive, and what their callers are told."""
+
+from bitterntiller.components.dispatch.admission import Admission
+from bitterntiller.components.dispatch.jobs import Job
+from bitterntiller.components.dispatch.limits import WorkspaceLimiter
+from bitterntiller.components.dispatch.models import Refused
+from bitterntiller.components.dispatch.patience import Patience
+from bitterntiller.core.outcomes import Reason
+
+
+class Refusals:
+    """Makes refusals, each with the time after which its caller may come back."""
+
+    def __init__(
+        self, admission: Admission, limiter: WorkspaceLimiter, patience: Patience
+    ) -> None:
+        self._admission = admission
+        self._limiter = limiter
+        self._patience = patience
+
+    def at_entry(self, job: Job, now: float) -> Refused | None:
+        """Refuse what is over its workspace's limits or late already."""
+        workspace = job.workspace
+        wait = self._limiter.take_rate(workspace, now)
+        if wait > 0:
+            return self._refusal(job, Reason.RATE_LIMIT, wait)
+        if self._limiter.at_concurrency(workspace):
+            limit = self._limiter.concurrency(workspace)
+            waiting = self._limiter.waiting(workspace)
+            if waiting >= max(1, limit or 0):
+                retry = self._admission.retry_after(job.rank, now)
+                return self._refusal(job, Reason.CONCURRENCY_LIMIT, retry)
+        if now + job.best_case >= job.request.deadline and self._patience.is_late(
+            job, now
+        ):
+            return self.of(job, Reason.TOO_LATE, now)
+        return None
+
+    def of(self, job: Job, reason: Reason, now: float) -> Refused:
+        """Refuse a request until its tier has drained."""
+        return self._refusal(job, reason, self._admission.retry_after(job.rank, now))
+
+    @staticmethod
+    def _refusal(job: Job, reason: Reason, retry_after: float) -> Refused:
+        request = job.request
+        return Refused(request.request_id, request.entry_host, reason, retry_after)
--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -1,6 +1,5 @@
 """The decisions of the owner of one pool."""
 
-import itertools
 import random
 
 from bitterntiller.components.dispatch.admission import Admission
@@ -17,6 +16,7 @@
 )
 from bitterntiller.components.dispatch.describe import describe
 from bitterntiller.components.dispatch.jobs import Job, JobState
+from bitterntiller.components.dispatch.lifecycle import JobLifecycle
 from bitterntiller.components.dispatch.limits import WorkspaceLimiter
 from bitterntiller.components.dispatch.models import (
     DEFAULT_PARAMETERS,
@@ -25,20 +25,18 @@
     Decision,
     Granted,
     PolicyParameters,
-    Refused,
     UpstreamState,
     WaitingRequest,
     WorkspaceLimits,
 )
 from bitterntiller.components.dispatch.ordering import new_ordering
-from bitterntiller.components.dispatch.parking import Parking
 from bitterntiller.components.dispatch.patience import Patience
 from bitterntiller.components.dispatch.pool import Pool
 from bitterntiller.components.dispatch.queue import PoolQueue
+from bitterntiller.components.dispatch.refusals import Refusals
 from bitterntiller.components.dispatch.shedding import Shedder
 from bitterntiller.components.dispatch.sizes import Sizes
 from bitterntiller.components.dispatch.teacher import Teacher
-from bitterntiller.components.dispatch.timers import JobTimers
 from bitterntiller.core.outcomes import Reason
 
 
@@ -53,7 +51,6 @@
     def __init__(self, parameters: PolicyParameters = DEFAULT_PARAMETERS) -> None:
         rng = random.Random(parameters.seed)
         self._parameters = parameters
-        self._jobs_by_id: dict[str, Job] = {}
         self._limiter = WorkspaceLimiter()
         self._pool = Pool(parameters)
         self._queue = PoolQueue(parameters.fair, self._limiter)
@@ -66,15 +63,20 @@
             self._pool, self._queue, self._limiter, rng, parameters.lower_share
         )
         self._shedder = Shedder(parameters, self._queue, self._admission)
-        self._sequence = itertools.count()
-        self._waiting = 0
-        self._parking = Parking(self._queue)
-        self._lapses = JobTimers()
         self._housekeeping_at = 0.0
         # Groups whose head found no upstream. They are left alone until an
         # upstream gets room or the next housekeeping, so that a full pool costs
         # nothing at each arrival.
         self._blocked: set[tuple] = set()
+        self._jobs = JobLifecycle(
+            parameters,
+            self._pool,
+            self._queue,
+            self._limiter,
+            self._patience,
+            self._blocked.clear,
+        )
+        self._refusals = Refusals(self._admission, self._limiter, self._patience)
 
     def register(self, request: WaitingRequest, now: float) -> list[Decision]:
         """Take a request into the queue; a known one stays as it is."""
@@ -97,7 +99,7 @@
     def _admit(
         self, request: WaitingRequest, now: float, decisions: list[Decision]
     ) -> None:
-        known = self._jobs_by_id.get(request.request_id)
+        known = self._jobs.by_id.get(request.request_id)
         if known is not None and known.state is not JobState.LAPSED:
             # The link to the entry host broke and the host registers anew. If
             # the grant was lost with the link, the request would be forgotten
@@ -105,43 +107,43 @@
             known.reregistered = True
             return
         if known is not None:
-            del self._jobs_by_id[request.request_id]
-        job = Job(request, next(self._sequence), now)
+            del self._jobs.by_id[request.request_id]
+        job = self._jobs.new(request, now)
         self._size(job)
         job.best_case = self._chooser.best_case(job, self._pool.view(job), now)
-        refused = self._refuse_at_entry(job, now)
+        refused = self._refusals.at_entry(job, now)
         if refused is not None:
             decisions.append(refused)
             return
         self._make_room(job, now, decisions)
         if decisions and decisions[-1].request_id == request.request_id:
             return
-        self._jobs_by_id[request.request_id] = job
+        self._jobs.keep(job)
         self._admission.note_arrival(job, now)
-        self._enqueue(job, now)
+        self._jobs.enqueue(job, now)
 
     def cancel(self, request_id: str, now: float) -> list[Decision]:
         """Forget a request whose caller has gone, waiting or running."""
-        job = self._jobs_by_id.pop(request_id, None)
+        job = self._jobs.by_id.pop(request_id, None)
         if job is None:
             return []
         decisions: list[Decision] = []
-        self._withdraw(job, now)
+        self._jobs.withdraw(job, now)
         self._decide(now, decisions)
         return decisions
 
     def started(self, request_id: str, now: float) -> list[Decision]:
         """Note that the entry host began to send under its grant."""
-        job = self._jobs_by_id.get(request_id)
+        job = self._jobs.by_id.get(request_id)
         if job is not None:
-            self._run(job, now)
+            self._jobs.run(job, now)
         return []
 
     def returned(
         self, request_id: str, reason: str, waiting: bool, now: float
     ) -> list[Decision]:
         """Take back an unused grant, and the request if it still waits."""
-        job = self._jobs_by_id.pop(request_id, None)
+        job = self._jobs.by_id.pop(request_id, None)
         if job is None:
             return []
         decisions: list[Decision] = []
@@ -156,7 +158,7 @@
             job.returns += 1
             tried = (*job.request.tried, upstream.name)
             job.request = job.request._replace(tried=tried)
-        self._withdraw(job, now)
+        self._jobs.withdraw(job, now)
         if waiting:
             self._take_back(job, now, decisions)
         self._decide(now, decisions)
@@ -166,10 +168,10 @@
         self, request_id: str, output_tokens: int, now: float
     ) -> list[Decision]:
         """Note how many output tokens a running request has got so far."""
-        job = self._jobs_by_id.get(request_id)
+        job = self._jobs.by_id.get(request_id)
         if job is None:
             return []
-        self._run(job, now)
+        self._jobs.run(job, now)
         self._teacher.progress(job, output_tokens, now)
         if job.upstream is None:
             return []
@@ -181,12 +183,12 @@
 
     def finished(self, completion: Completion, now: float) -> list[Decision]:
         """Note the end of a running request."""
-        job = self._jobs_by_id.pop(completion.request_id, None)
+        job = self._jobs.by_id.pop(completion.request_id, None)
         if job is None:
             return []
         decisions: list[Decision] = []
         self._teacher.finished(job, completion, now)
-        self._withdraw(job, now)
+        self._jobs.withdraw(job, now)
         self._decide(now, decisions)
         return decisions
 
@@ -194,17 +196,17 @@
         self, request: WaitingRequest, upstream: str, output_tokens: int, now: float
     ) -> list[Decision]:
         """Count a request that was granted by an earlier owner and runs."""
-        known = self._jobs_by_id.pop(request.request_id, None)
+        known = self._jobs.by_id.pop(request.request_id, None)
         if known is not None:
-            self._withdraw(known, now)
-        job = Job(request, next(self._sequence), now)
+            self._jobs.withdraw(known, now)
+        job = self._jobs.new(request, now)
         self._size(job)
         job.state = JobState.RUNNING
         job.adopted = True
         job.tokens_seen = output_tokens
         job.tokens_at = job.granted_at = now
         job.prefill = 0 if output_tokens else request.prompt_tokens
-        self._jobs_by_id[request.request_id] = job
+        self._jobs.keep(job)
         self._limiter.enter(job.workspace, now)
         self._pool.adopt(job, upstream, now)
         return []
@@ -229,11 +231,11 @@
     def tick(self, now: float) -> list[Decision]:
         """Do what time alone brings: lateness, silence, lapsed grants."""
         decisions: list[Decision] = []
-        for job in self._lapses.due(now):
-            self._lapse(job, now)
-        self._parking.unpark_due(now)
+        for job in self._jobs.lapses.due(now):
+            self._jobs.lapse(job, now)
+        self._jobs.parking.unpark_due(now)
         for job in self._patience.due_objectives(now):
-            self._demote(job)
+            self._jobs.demote(job)
         for job in self._patience.due_looks(now):
             self._check_lateness(job, now, decisions)
         self._pool.thaw(now)
@@ -245,19 +247,21 @@
     def next_wake(self, now: float) -> float:
         """Return the time at which tick() is due, if nothing happens before."""
         housekeeping = self._housekeeping_at
-        if not self._jobs_by_id:
+        if not self._jobs.by_id:
             housekeeping = max(housekeeping, now + IDLE_WAKE_SECONDS)
         return min(
             housekeeping,
-            self._lapses.next(),
-            self._parking.next(),
+            self._jobs.lapses.next(),
+            self._jobs.parking.next(),
             self._patience.next(),
             self._pool.next_thaw(),
         )
 
     def describe(self, now: float) -> dict[str, object]:
         """Return the owner's view for the dump."""
-        return describe(self._pool, self._queue, self._admission, self._waiting, now)
+        return describe(
+            self._pool, self._queue, self._admission, self._jobs.waiting, now
+        )
 
     def _size(self, job: Job) -> None:
         request = job.request
@@ -266,66 +270,23 @@
         job.order_key = self._ordering.key(job)
         job.group = (request.upstream_names, frozenset(request.tried), job.kind)
 
-    def _refuse_at_entry(self, job: Job, now: float) -> Refused | None:
-        """Refuse what is over its workspace's limits or late already."""
-        workspace = job.workspace
-        wait = self._limiter.take_rate(workspace, now)
-        if wait > 0:
-            return self._refusal(job, Reason.RATE_LIMIT, wait)
-        if self._limiter.at_concurrency(workspace):
-            limit = self._limiter.concurrency(workspace)
-            waiting = self._limiter.waiting(workspace)
-            if waiting >= max(1, limit or 0):
-                retry = self._admission.retry_after(job.rank, now)
-                return self._refusal(job, Reason.CONCURRENCY_LIMIT, retry)
-        if now + job.best_case >= job.request.deadline and self._patience.is_late(
-            job, now
-        ):
-            return self._refusal_of(job, Reason.TOO_LATE, now)
-        return None
-
     def _make_room(self, job: Job, now: float, decisions: list[Decision]) -> None:
         """Shed someone for a new request, itself if nothing below it waits."""
-        if not self._waiting:
+        if not self._jobs.waiting:
             return
         reason = Reason.SHED
-        if self._waiting >= self._parameters.max_waiting:
+        if self._jobs.waiting >= self._parameters.max_waiting:
             reason = Reason.QUEUE_FULL
         else:
             if not self._shedder.overloaded(job, job.best_case, now):
                 return
-        self._parking.unpark_all()
+        self._jobs.parking.unpark_all()
         victim = self._shedder.victim(job)
         if victim is job:
-            decisions.append(self._refusal_of(job, reason, now))
+            decisions.append(self._refusals.of(job, reason, now))
             return
         self._give_up(victim, reason, now, decisions)
 
-    def _enqueue(self, job: Job, now: float) -> None:
-        job.state = JobState.QUEUED
-        self._waiting += 1
-        self._limiter.wait(job.workspace, 1, now)
-        self._queue.push(job)
-        self._patience.plan_look(job, now)
-        if self._patience.plan_objective(job, now):
-            self._demote(job)
-
-    def _demote(self, job: Job) -> None:
-        """Put a request whose first output comes too late behind its own tier.
-
-        It is worth less than one that can still be served in time, and takes as much
-        of an upstream. In a burst that lasts for seconds all would otherwise be served
-        late, one after the other.
-        """
-        if job.late or not self._is_live(job) or not job.waiting:
-            return
-        if job.state is JobState.PARKED:
-            job.late = True
-            return
-        self._queue.remove(job)
-        job.late = True
-        self._queue.push(job)
-
     def _take_back(self, job: Job, now: float, decisions: list[Decision]) -> None:
         """Put a request whose grant was not used back into its place."""
         members = self._pool.view(job).members
@@ -334,71 +295,15 @@
             # but not without end: each try costs the entry host a connection.
             job.request = job.request._replace(tried=())
             if job.returns >= MAX_RETURNS:
-                decisions.append(self._refusal_of(job, Reason.NOT_ADMITTED, now))
+                decisions.append(self._refusals.of(job, Reason.NOT_ADMITTED, now))
                 return
         job.group = (job.group[0], frozenset(job.request.tried), job.kind)
         job.reregistered = False
-        self._jobs_by_id[job.request.request_id] = job
-        self._enqueue(job, now)
-
-    def _run(self, job: Job, now: float) -> None:
-        if job.state is JobState.GRANTED:
-            job.state = JobState.RUNNING
-        elif job.state is JobState.LAPSED:
-            # The grant was used in time, but the message about it came late.
-            job.state = JobState.RUNNING
-            self._limiter.enter(job.workspace, now)
-            if job.target is not None:
-                self._pool.adopt(job, job.target.name, now)
-
-    def _withdraw(self, job: Job, now: float) -> None:
-        """Take a request out of the queue or off its upstream."""
-        if job.state is JobState.QUEUED:
-            self._queue.remove(job)
-        if job.waiting:
-            self._leave_waiting(job, now)
-        elif job.state is not JobState.LAPSED:
-            self._limiter.leave(job.workspace)
-            self._queue.uncap(job.workspace)
-            self._pool.detach(job, now)
-            self._blocked.clear()
-        job.state = JobState.GONE
-
-    def _leave_waiting(self, job: Job, now: float) -> None:
-        self._waiting -= 1
-        self._limiter.wait(job.workspace, -1, now)
-        self._pool.unreserve(job)
-
-    def _lapse(self, job: Job, now: float) -> None:
-        """Take back a grant that was not heard of in time.
-
-        The entry host may have sent under it all the same, and its message may
-        be late. So the request is kept as lapsed until its deadline: started
-        or progress count it again. A second grant comes only if the host has
-        registered it anew; should both arrive, the host uses one of them, since
-        it alone sends, and returns the other.
-        """
-        if self._jobs_by_id.get(job.request.request_id) is not job:
-            return
-        if job.state is JobState.LAPSED:
-            del self._jobs_by_id[job.request.request_id]
-            return
-        parameters = self._parameters
-        lapses_at = job.granted_at + parameters.grant_seconds + parameters.grant_grace
-        if job.state is not JobState.GRANTED or lapses_at > now + 1e-9:
-            return
-        upstream = job.upstream
-        self._withdraw(job, now)
-        if job.reregistered:
-            job.reregistered = False
-            self._enqueue(job, now)
-            return
-        job.state = JobState.LAPSED
-        job.target = upstream
-        self._lapses.add(max(job.request.deadline, now + 1.0), job)
+        self._jobs.keep(job)
+        self._jobs.enqueue(job, now)
 
     def _check_lateness(self, job: Job, now: float, decisions: list[Decision]) -> None:
-        if self._jobs_by_id.get(job.request.request_id) is not job or not job.waiting:
+        if not self._jobs.is_live(job) or not job.waiting:
             return
         if self._patience.is_late(job, now):
             self._give_up(job, Reason.TOO_LATE, now, decisions)
@@ -408,33 +313,30 @@
             return
         self._patience.plan_look(job, now)
 
-    def _is_live(self, job: Job) -> bool:
-        return self._jobs_by_id.get(job.request.request_id) is job
-
     def _housekeep(self, now: float, decisions: list[Decision]) -> None:
         self._housekeeping_at = now + HOUSEKEEPING_SECONDS
         self._pool.housekeep(now)
-        for timers in (self._patience, self._lapses, self._parking):
-            timers.prune(len(self._jobs_by_id), self._is_live)
+        for timers in (self._patience, self._jobs.lapses, self._jobs.parking):
+            timers.prune(len(self._jobs.by_id), self._jobs.is_live)
         self._blocked.clear()
         self._admission.interval(now)
-        self._parking.unpark_all()
+        self._jobs.parking.unpark_all()
         for job in self._shedder.trim(now):
-            del self._jobs_by_id[job.request.request_id]
-            self._leave_waiting(job, now)
+            del self._jobs.by_id[job.request.request_id]
+            self._jobs.leave_waiting(job, now)
             job.state = JobState.GONE
-            decisions.append(self._refusal_of(job, Reason.SHED, now))
+            decisions.append(self._refusals.of(job, Reason.SHED, now))
 
     def _decide(self, now: float, decisions: list[Decision]) -> None:
         """Grant to the head of the queue as long as an upstream is free."""
         for upstream in self._pool.freed:
-            self._parking.unpark_for(upstream.name)
+            self._jobs.parking.unpark_for(upstream.name)
         if self._pool.freed:
             self._pool.freed.clear()
             self._blocked.clear()
         blocked = self._blocked
         skips = 0
-        while self._waiting and self._pool.any_free and skips < MAX_SKIPS:
+        while self._jobs.waiting and self._pool.any_free and skips < MAX_SKIPS:
             job = self._next(blocked)
             if job is None:
                 return
@@ -448,7 +350,7 @@
                 self._pool.reserve(job, choice.upstream, now)
             else:
                 name = choice.upstream.name if choice.upstream else None
-                self._parking.park(job, name, now)
+                self._jobs.parking.park(job, name, now)
                 skips += 1
 
     def _next(self, blocked: set[tuple]) -> Job | None:
@@ -460,32 +362,10 @@
         return self._queue.head(blocked)
 
     def _grant(self, job: Job, choice: Choice, now: float) -> Granted:
-        request = job.request
-        upstream = choice.upstream
+        request, upstream = job.request, choice.upstream
         assert upstream is not None
-        upstream.tried_at = now
-        self._queue.remove(job)
-        self._queue.charge(job)
-        self._leave_waiting(job, now)
-        self._limiter.enter(job.workspace, now)
+        self._jobs.grant(job, choice, now)
         self._admission.note_grant(job, now)
-        job.state = JobState.GRANTED
-        job.granted_at = now
-        job.expected_cached = choice.cached
-        job.prefill = request.prompt_tokens - choice.cached
-        job.expected_total = choice.total
-        self._pool.attach(job, upstream, now)
-        job.in_flight_at_start = upstream.ledger.in_flight
-        if request.prefix_hashes:
-            upstream.prefixes.add(
-                request.prefix_hashes,
-                upstream.state.kv_tokens,
-                now,
-                request.prefix_tokens,
-            )
-        self._pool.refresh(upstream, now)
-        grant = self._parameters.grant_seconds + self._parameters.grant_grace
-        self._lapses.add(now + grant, job)
         return Granted(
             request.request_id,
             request.entry_host,
@@ -496,7 +376,7 @@
                 expected=choice.total,
                 cached_tokens=choice.cached,
                 in_flight=upstream.ledger.in_flight,
-                waiting=self._waiting,
+                waiting=self._jobs.waiting,
                 waited=now - request.arrived,
                 announced=now - upstream.heard_at,
             ),
@@ -505,17 +385,9 @@
     def _give_up(
         self, job: Job, reason: Reason, now: float, decisions: list[Decision]
     ) -> None:
-        self._jobs_by_id.pop(job.request.request_id, None)
-        self._withdraw(job, now)
-        decisions.append(self._refusal_of(job, reason, now))
-
-    def _refusal_of(self, job: Job, reason: Reason, now: float) -> Refused:
-        return self._refusal(job, reason, self._admission.retry_after(job.rank, now))
-
-    @staticmethod
-    def _refusal(job: Job, reason: Reason, retry_after: float) -> Refused:
-        request = job.request
-        return Refused(request.request_id, request.entry_host, reason, retry_after)
+        self._jobs.by_id.pop(job.request.request_id, None)
+        self._jobs.withdraw(job, now)
+        decisions.append(self._refusals.of(job, reason, now))
 
 
 def _lowest_tier_first(request: WaitingRequest) -> int:
