--- a/bench/control_system.py
+++ b/bench/control_system.py
@@ -19,60 +19,18 @@
 import cappa
 import curio
 
+from bench.control_cost import Cost, Recovery
+from bench.control_load import make_change, make_claim
 from bench.control_setup import (
     REPLICAS,
     ControlDeployment,
     async_timed,
-    config_bytes,
     spread,
     wait_for,
 )
-from bitterntiller.protocol import messages
 from tests.scenarios import builders
 from tests.scenarios.operators import Load
 
-TRANSFER_PATIENCE_S = 120.0
-
-
-def make_claim(key: str) -> Any:
-    """Return the message that takes a claim."""
-    return messages.Claim(
-        action="take",
-        workspace=f"w{key[0]}",
-        key=key,
-        digest="0" * 64,
-        host="bench",
-        incarnation="bench",
-        upstream="e1",
-        request_id=key,
-        outcome="",
-        http_status=0,
-        address="127.0.0.1:1",
-    )
-
-
-def make_change(base: int, number: int, workspaces: int = 0) -> Any:
-    """Return the message of a change with an id of its own."""
-    return messages.Change(
-        change_id=uuid.uuid4().hex,
-        base_version=base,
-        config=config_bytes(number, workspaces),
-    )
-
-
-async def async_take_claims(deployment: ControlDeployment, count: int) -> None:
-    """Have so many claims taken, 256 at once."""
-    client = deployment.make_client()
-    left = iter(range(count))
-
-    async def async_worker() -> None:
-        for _ in left:
-            await client.async_call_leader(make_claim(uuid.uuid4().hex), 5.0)
-
-    async with curio.TaskGroup() as group:
-        for _ in range(256):
-            await group.spawn(async_worker)
-
 
 @cappa.command(name="commits")
 @dataclass
@@ -292,149 +250,6 @@
         return broken
 
 
-@cappa.command(name="cost")
-@dataclass
-class Cost:
-    """What control costs a node that has nothing else to do, and a change."""
-
-    nodes: Annotated[int, cappa.Arg(long=True)] = 9
-    seconds: Annotated[float, cappa.Arg(long=True)] = 15.0
-    changes_s: Annotated[float, cappa.Arg(long=True)] = 2.0
-    workspaces: Annotated[int, cappa.Arg(long=True)] = 0
-    """Workspaces besides the two that each configuration here has."""
-
-    def run(self, deployment: ControlDeployment) -> dict[str, Any]:
-        """Read processor time, memory and the links' counters twice."""
-        others = {f"n{number}": "entry,dispatch" for number in range(self.nodes - 3)}
-        # A host that finds no control has all parts but no session and no
-        # configuration: what it lacks in memory is what control takes.
-        deployment.sessionless = {"alone"}
-        deployment.begin(others | {"alone": "entry,dispatch"}, "entry,dispatch", False)
-        time.sleep(5.0)
-        leader = deployment.leader()
-        followers = [name for name in REPLICAS if name != leader]
-        sample = list(others)[:6]
-        groups = {"leader": [leader], "follower": followers, "node": sample}
-        groups["alone"] = ["alone"]
-        idle = self._measure(deployment, groups, lambda: time.sleep(self.seconds))
-        changed = self._measure(deployment, groups, lambda: self._change(deployment))
-        sizes = {"nodes": self.nodes, "workspaces": self.workspaces + 2}
-        return sizes | {"idle": idle, "under_changes": changed}
-
-    def _measure(
-        self, deployment: ControlDeployment, groups: dict[str, list[str]], act: Any
-    ) -> dict[str, Any]:
-        names = [name for group in groups.values() for name in group]
-        before = {name: self._read(deployment, name) for name in names}
-        begun = time.monotonic()
-        changes = act()
-        seconds = time.monotonic() - begun
-        after = {name: self._read(deployment, name) for name in names}
-        found: dict[str, Any] = {"seconds": round(seconds, 1), "changes": changes}
-        for group, members in groups.items():
-            if not members:
-                continue
-            gains = [
-                [y - x for x, y in zip(before[m], after[m], strict=True)]
-                for m in members
-            ]
-            cpu, sent, received = (
-                sum(c) / len(members) for c in zip(*gains, strict=True)
-            )
-            resident = sum(deployment.resident(m) for m in members) / len(members)
-            found[group] = {
-                "cpu_s_per_s": round(cpu / seconds, 4),
-                "sent_bytes_s": round(sent / seconds),
-                "received_bytes_s": round(received / seconds),
-                "resident_kb": round(resident),
-            }
-        return found
-
-    def _read(self, deployment: ControlDeployment, name: str) -> tuple[float, int, int]:
-        sent = deployment.counter(name, "links.sent_bytes")
-        received = deployment.counter(name, "links.received_bytes")
-        return deployment.cpu(name), sent, received
-
-    def _change(self, deployment: ControlDeployment) -> int:
-        return int(curio.run(self._async_change, deployment))
-
-    async def _async_change(self, deployment: ControlDeployment) -> int:
-        client = deployment.make_client()
-        version = deployment.control()["control"]["state"]["config_version"]
-        begun = time.monotonic()
-        count = 0
-        while (now := time.monotonic()) - begun < self.seconds:
-            reply = await client.async_call_leader(
-                make_change(version, count, self.workspaces), 5.0
-            )
-            assert reply.status == "accepted", reply
-            version = reply.version
-            count += 1
-            await curio.sleep(max(0.0, now + 1 / self.changes_s - time.monotonic()))
-        return count
-
-
-@cappa.command(name="recovery")
-@dataclass
-class Recovery:
-    """Times of a restart and of the repair of a lost disk, against the size."""
-
-    claims: Annotated[list[int], cappa.Arg(long=True)] = ()  # type: ignore[assignment]
-    snapshot_entries: Annotated[int, cappa.Arg(long=True)] = 10_000
-
-    def run(self, deployment: ControlDeployment) -> dict[str, Any]:
-        """Fill the log step by step; restart a follower, all, and lose a disk."""
-        deployment.snapshot_entries = self.snapshot_entries
-        deployment.begin({}, "entry,dispatch", proxied=False)
-        taken, rows = 0, []
-        for claims in self.claims or [0, 10_000, 40_000, 90_000]:
-            curio.run(async_take_claims, deployment, claims - taken)
-            taken = claims
-            rows.append(self._measure(deployment))
-        return {"snapshot_entries": self.snapshot_entries, "rows": rows}
-
-    def _measure(self, deployment: ControlDeployment) -> dict[str, Any]:
-        leader = deployment.leader()
-        one = next(name for name in REPLICAS if name != leader)
-        folder = deployment.folder / f"data-{one}" / "replication"
-        size = sum(f.stat().st_size for f in folder.iterdir() if f.is_file())
-        claims = deployment.control()["control"]["state"]["claims"]
-        index = deployment.control()["control"]["log"]["commit_index"]
-        deployment.process(one).kill()
-        wait_for("the loss is seen", lambda: deployment.survives([leader]) == 0)
-        deployment.start_host(one)
-        follower = wait_for("a follower", lambda: deployment.survives([leader]) == 1)
-        for name in REPLICAS:
-            deployment.process(name).kill()
-        for name in REPLICAS:
-            deployment.start_host(name)
-        ready = wait_for(
-            "all hosts", lambda: all(deployment.ready(n) for n in REPLICAS)
-        )
-        wait_for("redundancy", lambda: deployment.survives() == 1)
-        leader = deployment.leader()
-        one = next(name for name in REPLICAS if name != leader)
-        deployment.process(one).kill()
-        wait_for("the loss is seen", lambda: deployment.survives([leader]) == 0)
-        (deployment.folder / f"data-{one}").rename(
-            deployment.folder / f"lost-{one}-{uuid.uuid4().hex}"
-        )
-        deployment.start_host(one)
-        repair = wait_for(
-            "the repair",
-            lambda: deployment.survives([leader]) == 1,
-            TRANSFER_PATIENCE_S,
-        )
-        return {
-            "claims": claims,
-            "commit_index": index,
-            "folder_kb": size // 1024,
-            "follower_back_s": round(follower, 2),
-            "all_ready_after_power_loss_s": round(ready, 2),
-            "lost_disk_repaired_s": round(repair, 2),
-        }
-
-
 @dataclass
 class ControlSystem:
     """Measure control with real processes."""
--- a/tests/components/control/schedules.py
+++ b/tests/components/control/schedules.py
@@ -14,10 +14,10 @@
 from bitterntiller.components.control.state import ControlState
 from bitterntiller.components.settings.models import Timings
 from bitterntiller.core.clock import ManualClock
-from bitterntiller.core.interfaces import ProposalResult
 from bitterntiller.protocol import messages
 
 from .builders import make_change, make_document, make_node, make_runtime, parse_any
+from .schedule_fakes import DriftingClock, Shared, StepLog
 
 HOSTS = ("bole-1", "kirkos-1", "yeka-1")
 POOLS = ("llm", "map")
@@ -25,104 +25,6 @@
 LEASE = Timings().lease
 
 
-class DriftingClock:
-    def __init__(self, true_clock, rate, offset):
-        self._true = true_clock
-        self._rate = rate
-        self._offset = offset
-
-    def now(self):
-        return self._true.now() * self._rate + self._offset
-
-
-class Shared:
-    """What a quorum holds: the committed entries, and who leads it truly."""
-
-    def __init__(self):
-        self.entries = []
-        self.term = 0
-        self.leader = None
-
-
-class Confirmation:
-    """Acknowledgements may come long before the leader reads them."""
-
-    def __init__(self, term):
-        self.term = term
-        self.acknowledged = False
-        self.resolved = curio.Event()
-
-
-class StepLog:
-    """One replica; its confirmations end when the schedule says so."""
-
-    def __init__(self, shared, state, address):
-        self.shared = shared
-        self.state = state
-        self.address = address
-        self.applied = 0
-        self.believes = False
-        self.term = 0
-        self.lose_answers = False
-        self.confirming = []
-
-    @property
-    def truly_leads(self):
-        return self.shared.leader is self
-
-    def elect(self):
-        self.shared.term += 1
-        self.shared.leader = self
-        self.term = self.shared.term
-        self.believes = True
-        self.catch_up()
-
-    def catch_up(self):
-        result = b""
-        for command in self.shared.entries[self.applied :]:
-            self.applied += 1
-            result = self.state.apply(self.applied, command)
-        return result
-
-    async def async_propose(self, command, timeout):
-        if not self.believes:
-            return ProposalResult("not-leader", b"", "")
-        if not self.truly_leads:
-            return ProposalResult("unknown", b"", "")
-        self.shared.entries.append(command)
-        result = self.catch_up()
-        if self.lose_answers:
-            return ProposalResult("unknown", b"", "")
-        return ProposalResult("committed", result, self.address)
-
-    async def async_confirm(self, timeout):
-        if not self.believes:
-            return None
-        confirmation = Confirmation(self.term)
-        index = self.applied
-        self.confirming.append(confirmation)
-        await confirmation.resolved.wait()
-        return index if confirmation.acknowledged else None
-
-    def acknowledge(self):
-        """Have a quorum acknowledge the lead, if it still follows this leader."""
-        for confirmation in self.confirming:
-            if self.truly_leads and confirmation.term == self.term:
-                confirmation.acknowledged = True
-
-    async def async_resolve(self):
-        await self.confirming.pop(0).resolved.set()
-
-    def is_leader(self):
-        return self.believes
-
-    def leader(self):
-        return self.address
-
-    def status(self):
-        return {"term": self.term}
-
-
 class World:
     def __init__(self, seed):
         self.random = random.Random(seed)
