Tell the end of a lease that a heartbeat renews before anybody looks

Change: it is looked at before the renewal too. Test: fails before (no event of the lease at all from a beat alone), passes after.

--- a/bitterntiller/components/node/coordinator.py
+++ b/bitterntiller/components/node/coordinator.py
@@ -192,7 +192,11 @@
         config_changed = self.config.put(preparation.prepared)
         self._want_whole = False
         self._period = (reply.next_ms or 0) / 1000 or self._timings.heartbeat
+        # Looked at only after its renewal, a lease that ended meanwhile would show
+        # nowhere but in the requests that were refused.
+        self._note_lease()
         self.lease.extend(sent_at, reply.lease_ms)
+        self._note_lease()
         if config_changed:
             self._runtime.metrics.gauge("node.config.version", self.config.version)
             events.emit("configuration", version=self.config.version, term=reply.term)
--- a/tests/components/node/test_coordinator.py
+++ b/tests/components/node/test_coordinator.py
@@ -205,3 +205,27 @@
         assert set(node.hosts_by_name) == {"bole-1"}
 
     run_pair(main)
+
+
+def test_a_lease_that_ends_between_two_heartbeats_is_told(monkeypatch):
+    """
+    Callers are refused for want of a lease, and no log line tells that it ended.
+    The lease runs out while a heartbeat is on its way or its sender waits to try
+    again, and the next look at it comes after the reply has renewed it.
+    """
+    told = []
+    monkeypatch.setattr(
+        "bitterntiller.core.events.emit",
+        lambda kind, **fields: told.append((kind, fields.get("held"))),
+    )
+
+    async def main(control, node, clock, network):
+        await async_change(control, 1)
+        assert await node.async_beat()
+        clock.advance(2.98)
+        assert not node.lease.valid()
+        assert await node.async_beat()
+        leases = [held for kind, held in told if kind == "lease"]
+        assert leases == [True, False, True]
+
+    run_pair(main)
