Print a value by one function, and make the entry role's context in one place

Cause: two commands chose between JSON and text by the same lines, and two set-ups of the entry role listed the same nine parts. Change: print_value and _make_context. Looked at and left: classes of errors (kin in shape, each with its own code), data of deployments, constructors, imports. Result: tests of cli and entry pass.

--- a/bitterntiller/cli/commands/control.py
+++ b/bitterntiller/cli/commands/control.py
@@ -10,7 +10,7 @@
 from bitterntiller.cli import const
 from bitterntiller.cli.errors import UsageError
 from bitterntiller.cli.options import OperatorOptions, make_client
-from bitterntiller.cli.output import format_table, format_tree, print_json
+from bitterntiller.cli.output import format_table, format_tree, print_json, print_value
 from bitterntiller.cli.repairing import async_repair
 from bitterntiller.components.operator.const import PATH_CONTROL
 
@@ -19,10 +19,7 @@
     """Print the state of control and return the exit code."""
     client = make_client(command, dict(os.environ))
     value = curio.run(client.async_get, PATH_CONTROL)
-    if command.json:
-        print_json(value)
-    else:
-        print(describe(value))
+    print_value(value, command.json, describe)
     return const.EXIT_OK
 
 
--- a/bitterntiller/cli/commands/state.py
+++ b/bitterntiller/cli/commands/state.py
@@ -8,7 +8,7 @@
 
 from bitterntiller.cli import const
 from bitterntiller.cli.options import OperatorOptions, make_client
-from bitterntiller.cli.output import format_tree, print_json
+from bitterntiller.cli.output import format_tree, print_value
 from bitterntiller.components.operator.const import PATH_STATE
 
 
@@ -16,10 +16,7 @@
     """Print the dump and return the exit code."""
     client = make_client(command, dict(os.environ))
     value = curio.run(client.async_get, PATH_STATE)
-    if command.json:
-        print_json(value)
-    else:
-        print(format_tree(value))
+    print_value(value, command.json, format_tree)
     return const.EXIT_OK
 
 
--- a/bitterntiller/cli/output.py
+++ b/bitterntiller/cli/output.py
@@ -2,7 +2,7 @@
 
 import json
 import sys
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from typing import Any
 
 
@@ -11,6 +11,14 @@
     print(json.dumps(value, indent=2))
 
 
+def print_value(value: Any, as_json: bool, describe: Callable[[Any], str]) -> None:
+    """Print a value as JSON, or as the text that describe makes of it."""
+    if as_json:
+        print_json(value)
+    else:
+        print(describe(value))
+
+
 def print_error(text: str) -> None:
     """Print a line on standard error."""
     print(text, file=sys.stderr)
--- a/bitterntiller/components/entry/__init__.py
+++ b/bitterntiller/components/entry/__init__.py
@@ -43,17 +43,7 @@
     control: ControlCalls,
 ) -> EntryCoordinator:
     """Set the entry role up; it is unloaded with the runtime's stack."""
-    context = Context(
-        host=runtime.settings.host,
-        timings=runtime.settings.timings,
-        clock=runtime.clock,
-        metrics=runtime.metrics,
-        links=runtime.links,
-        lease=lease,
-        config=config,
-        directory=directory,
-        control=control,
-    )
+    context = _make_context(runtime, lease, config, directory, control)
     return await _async_start(runtime, context, None)
 
 
@@ -70,19 +60,9 @@
         runtime.clock, const.MOST_IDLE_CONNECTIONS, accept_close=True
     )
     runtime.stack.push_async_callback(connections.async_close)
-    context = Context(
-        host=runtime.settings.host,
-        timings=runtime.settings.timings,
-        clock=runtime.clock,
-        metrics=runtime.metrics,
-        links=runtime.links,
-        lease=session.lease,
-        config=session.config,
-        directory=owners,
-        control=session.control_client,
-        interface=interface,
-        connections=connections,
-        quota=account,
+    views = (session.lease, session.config, owners, session.control_client)
+    context = _make_context(runtime, *views)._replace(
+        interface=interface, connections=connections, quota=account
     )
     budget = _shared_budget(session, retries)
     coordinator = await _async_start(runtime, context, budget)
@@ -92,6 +72,26 @@
     return coordinator
 
 
+def _make_context(
+    runtime: Runtime,
+    lease: Lease,
+    config: ConfigView,
+    directory: DirectoryView,
+    control: ControlCalls,
+) -> Context:
+    return Context(
+        host=runtime.settings.host,
+        timings=runtime.settings.timings,
+        clock=runtime.clock,
+        metrics=runtime.metrics,
+        links=runtime.links,
+        lease=lease,
+        config=config,
+        directory=directory,
+        control=control,
+    )
+
+
 def _shared_budget(session: NodeCoordinator, retries: RetryBounds) -> RetryBudget:
     """Return this host's part of the deployment's budget of retries."""
 
