--- a/bitterntiller/components/replication/coordinator.py
+++ b/bitterntiller/components/replication/coordinator.py
@@ -7,43 +7,32 @@
 import curio
 from absl import logging
 
-from bitterntiller.core import events
 from bitterntiller.core.errors import BrokenInvariantError
 from bitterntiller.core.interfaces import ProposalResult, StateMachine
 from bitterntiller.core.runtime import Runtime
 from bitterntiller.protocol import messages
 
-from . import repair
 from .const import (
     DEFAULT_SNAPSHOT_BYTES,
-    REPAIR_DONE,
-    REPAIR_REFUSED,
-    REPAIR_RUNNING,
     STATUS_NOT_LEADER,
     STATUS_UNKNOWN,
     EntryKind,
 )
 from .core import Replica
 from .diagnostics import describe
-from .errors import StorageFullError
 from .joiner import Joiner
 from .members import find
-from .models import Effects, Entry, Persist, Tuning
+from .models import Effects, Entry, Tuning
 from .outbox import Outbox
+from .repairs import Repairs
 from .state import Role
 from .storage import Storage
 from .waiters import Waiters
 from .wire import WIRE_TYPES, from_wire, to_wire
+from .writer import LogWriter
 
 TICK = 0.03
 
-FULL_PAUSE = 0.2
-"""Seconds before a write that found no room on the disk is tried again."""
-
-STALLED_WRITE = 0.6
-"""Seconds after which a write counts as stalled: a hundred times a usual one, and as
-long as followers wait for a leader that has died."""
-
 SNAPSHOT_BYTES = DEFAULT_SNAPSHOT_BYTES
 
 
@@ -60,13 +49,18 @@
         self._tuning = _tuning(runtime)
         self._outbox = Outbox(runtime)
         self._waiters = Waiters()
-        self._began_by_wish: dict[repair.Wish, float] = {}
         self._wake = curio.Event()
         self._joiner = Joiner(runtime, lambda: self._replica, self._wake.set)
-        self._write_wanted = curio.Event()
-        self._write: Persist | None = None
-        self._write_began: float | None = None
-        self._writing = curio.Lock()
+        self._writer = LogWriter(
+            runtime, storage, lambda: self._replica, self._wake.set
+        )
+        self._repairs = Repairs(
+            runtime.clock,
+            lambda: self._replica,
+            self,
+            self._wake.set,
+            self._tuning.election_max,
+        )
         self._applied = 0
         self._applied_bytes = 0
         self._snapshot_bytes = 0
@@ -85,8 +79,8 @@
         for cls in WIRE_TYPES:
             stack.callback(links.handle(cls, self._async_receive))
         stack.callback(links.handle(messages.Join, self._joiner.async_on_join))
-        stack.callback(links.handle(messages.Repair, self._async_on_repair))
-        tasks = (self._async_writer, self._async_run, self._async_tick)
+        stack.callback(links.handle(messages.Repair, self._repairs.async_on_repair))
+        tasks = (self._writer.async_run, self._async_run, self._async_tick)
         for run in (*tasks, self._joiner.async_run):
             await self._runtime.async_spawn(self._async_guarded(run))
 
@@ -170,9 +164,9 @@
             await self._wake.wait()
             self._wake.clear()
             now = self._runtime.clock.now()
-            self._note_stall(now)
+            self._writer.note_stall(now)
             self._replica.tick(now)
-            self._repair(now)
+            self._repairs.step(now)
             await self._async_carry_out(self._replica.take(now))
 
     async def _async_carry_out(self, effects: Effects) -> None:
@@ -180,8 +174,7 @@
             await self._async_retire(effects.retired)
             return
         if effects.persist is not None:
-            self._write = effects.persist
-            await self._write_wanted.set()
+            await self._writer.async_want(effects.persist)
         for outgoing in effects.messages:
             await self._async_send(outgoing.to, to_wire(outgoing.message))
         if effects.restore is not None:
@@ -213,7 +206,7 @@
         self._led = leads
         logging.info("term %d: leader %s", self._replica.state.term, leads)
         if not leads:
-            self._began_by_wish.clear()
+            self._repairs.forget()
             await self._waiters.async_fail()
 
     def _snapshot_if_due(self) -> None:
@@ -234,67 +227,18 @@
         self._applied_bytes = 0
         self._snapshot_bytes = len(data)
 
-    async def _async_writer(self) -> None:
-        while True:
-            await self._write_wanted.wait()
-            self._write_wanted.clear()
-            async with self._writing:
-                await self._async_write()
-
-    async def _async_write(self) -> None:
-        replica, write = self._replica, self._write
-        self._write = None
-        if write is None:
-            return
-        clock = self._runtime.clock
-        began = clock.now()
-        self._write_began = began
-        await self._async_write_out(write)
-        self._write_began = None
-        self._replica.set_stalled(False, clock.now())
-        self._runtime.metrics.timing("replication.sync", clock.now() - began)
-        replica.persisted(write.number, clock.now())
-        await self._wake.set()
-
-    async def _async_write_out(self, write: Persist) -> None:
-        """Write until there is room: a full disk is emptied by somebody else."""
-        told = False
-        while True:
-            try:
-                async with curio.disable_cancellation():
-                    await curio.run_in_thread(self._storage.write, write)
-                return
-            except StorageFullError as error:
-                if not told:
-                    events.emit("disk-full", text=error.text)
-                told = True
-                self._runtime.metrics.count("replication.disk_full")
-                await curio.sleep(FULL_PAUSE)
-
-    def _note_stall(self, now: float) -> None:
-        """Give the lead up when the own disk takes too long.
-
-        A leader applies only what its own disk holds, so that all callers of control
-        would wait for one slow disk while the others' are sound.
-        """
-        if self._write_began is None or now - self._write_began < STALLED_WRITE:
-            return
-        if self._replica.set_stalled(True, now):
-            events.emit("disk-stalled", seconds=round(now - self._write_began, 2))
-
     async def _async_retire(self, why: str) -> None:
         """Begin anew under another identity, as a learner with an empty log."""
         logging.warning("replica %s is given up: %s", self._replica.state.replica, why)
         self._runtime.metrics.count("replication.retired")
-        async with self._writing:
-            self._write = None
-            async with curio.disable_cancellation():
-                await curio.run_in_thread(self._storage.retire)
-            self._machine.restore(self._initial)
-            self._applied = 0
-            self._replica = self._new_replica()
+        await self._writer.async_retire(self._begin_anew)
         await self._waiters.async_fail()
 
+    def _begin_anew(self) -> None:
+        self._machine.restore(self._initial)
+        self._applied = 0
+        self._replica = self._new_replica()
+
     async def _async_send(self, replica: str, message: Any) -> None:
         address = self._address_of(replica)
         if address:
@@ -310,40 +254,6 @@
         # An empty learner has no membership yet to find its leader in.
         return self._joiner.address_by_replica.get(replica, "")
 
-    async def _async_on_repair(self, host: str, message: Any) -> Any:
-        if not self.is_leader():
-            return messages.RepairReply(STATUS_NOT_LEADER, "", self.leader())
-        wish = repair.Wish(message.remove, message.add)
-        now = self._runtime.clock.now()
-        found = repair.progress_of(self._replica.state, wish, now)
-        if found.status != REPAIR_REFUSED:
-            began = self._began_by_wish.setdefault(wish, now)
-            found = self._trusted(found, now - began)
-        if found.status != REPAIR_RUNNING:
-            self._began_by_wish.pop(wish, None)
-        await self._wake.set()
-        return messages.RepairReply(found.status, found.text, self.leader())
-
-    def _trusted(self, found: repair.RepairState, waited: float) -> repair.RepairState:
-        """Hold "done" back until a loss just before the command would show.
-
-        A replica that has died a moment ago still counts as heard; without the
-        wait a repair of it would be reported done before it began.
-        """
-        if found.status != REPAIR_DONE or waited > self._tuning.election_max:
-            return found
-        return repair.RepairState(REPAIR_RUNNING, "the replicas are being heard")
-
-    def _repair(self, now: float) -> None:
-        state = self._replica.state
-        if state.role is not Role.LEADER or state.members.index > state.commit:
-            return
-        step = repair.next_step(state, list(self._began_by_wish), now)
-        if step is not None and step != state.members.all:
-            hosts = {member.host: member.voter for member in step}
-            events.emit("members", voter_by_host=hosts, term=state.term)
-            self._replica.change_members(step, now)
-
 
 def _tuning(runtime: Runtime) -> Tuning:
     timings = runtime.settings.timings
--- /dev/null
+++ b/bitterntiller/components/replication/writer.py
@@ -0,0 +1,105 @@
+"""Writes a replica's log to its disk, and watches how long the disk takes."""
+
+from collections.abc import Awaitable, Callable
+
+import curio
+
+from bitterntiller.core import events
+from bitterntiller.core.runtime import Runtime
+
+from .core import Replica
+from .errors import StorageFullError
+from .models import Persist
+from .storage import Storage
+
+FULL_PAUSE = 0.2
+"""Seconds before a write that found no room on the disk is tried again."""
+
+STALLED_WRITE = 0.6
+"""Seconds after which a write counts as stalled: a hundred times a usual one, and as
+long as followers wait for a leader that has died."""
+
+
+class LogWriter:
+    """Writes what the replica asks for, the newest wish at a time.
+
+    replica is called for the present one, wake to have its effects carried out.
+    """
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        storage: Storage,
+        replica: Callable[[], Replica],
+        wake: Callable[[], Awaitable[None]],
+    ) -> None:
+        self._runtime = runtime
+        self._storage = storage
+        self._replica = replica
+        self._wake = wake
+        self._wanted = curio.Event()
+        self._write: Persist | None = None
+        self._write_began: float | None = None
+        self._writing = curio.Lock()
+
+    async def async_want(self, write: Persist) -> None:
+        """Have a write made; it takes the place of one that has not begun."""
+        self._write = write
+        await self._wanted.set()
+
+    async def async_retire(self, begin_anew: Callable[[], None]) -> None:
+        """Put the present log away; begin_anew is called before the next write."""
+        async with self._writing:
+            self._write = None
+            async with curio.disable_cancellation():
+                await curio.run_in_thread(self._storage.retire)
+            begin_anew()
+
+    async def async_run(self) -> None:
+        """Write for ever."""
+        while True:
+            await self._wanted.wait()
+            self._wanted.clear()
+            async with self._writing:
+                await self._async_write()
+
+    async def _async_write(self) -> None:
+        replica, write = self._replica(), self._write
+        self._write = None
+        if write is None:
+            return
+        clock = self._runtime.clock
+        began = clock.now()
+        self._write_began = began
+        await self._async_write_out(write)
+        self._write_began = None
+        self._replica().set_stalled(False, clock.now())
+        self._runtime.metrics.timing("replication.sync", clock.now() - began)
+        replica.persisted(write.number, clock.now())
+        await self._wake()
+
+    async def _async_write_out(self, write: Persist) -> None:
+        """Write until there is room: a full disk is emptied by somebody else."""
+        told = False
+        while True:
+            try:
+                async with curio.disable_cancellation():
+                    await curio.run_in_thread(self._storage.write, write)
+                return
+            except StorageFullError as error:
+                if not told:
+                    events.emit("disk-full", text=error.text)
+                told = True
+                self._runtime.metrics.count("replication.disk_full")
+                await curio.sleep(FULL_PAUSE)
+
+    def note_stall(self, now: float) -> None:
+        """Give the lead up when the own disk takes too long.
+
+        A leader applies only what its own disk holds, so that all callers of control
+        would wait for one slow disk while the others' are sound.
+        """
+        if self._write_began is None or now - self._write_began < STALLED_WRITE:
+            return
+        if self._replica().set_stalled(True, now):
+            events.emit("disk-stalled", seconds=round(now - self._write_began, 2))
