--- /dev/null
+++ b/bitterntiller/components/entry/entrance.py
@@ -0,0 +1,74 @@
+"""What a request must pass before its body is read, and before it waits."""
+
+from bitterntiller.components.entry import const
+from bitterntiller.components.entry.budget import HostBudget
+from bitterntiller.components.entry.context import Context
+from bitterntiller.components.entry.models import ActiveRequest, Identified
+from bitterntiller.components.http.exchange import Exchange
+from bitterntiller.components.http.models import header
+from bitterntiller.components.settings.models import Limits
+from bitterntiller.core.outcomes import Ending, Outcome, Reason
+
+
+class Entrance:
+    """Refuses what this host has no room, no right or no configuration for."""
+
+    def __init__(self, context: Context, limits: Limits, budget: HostBudget) -> None:
+        self._context = context
+        self._limits = limits
+        self._budget = budget
+
+    def body_bytes(self) -> int:
+        """Return the bytes that a body may have at most."""
+        limits = self._context.config.config.caller_limits
+        if limits is None:
+            return self._limits.body_bytes
+        return min(limits.body_bytes, self._limits.body_bytes)
+
+    def unready(self, draining: bool) -> Ending | None:
+        """Refuse all requests of a host that can't serve any now."""
+        if draining:
+            return come_back(Reason.DRAINING)
+        # Without a lease a newer configuration may be in force elsewhere.
+        if not self._context.lease.valid():
+            return come_back(Reason.NO_LEASE, const.NO_LEASE_RETRY_AFTER)
+        # A new deployment knows no workspace yet; 401 would tell callers that
+        # their tokens are wrong, and they would not come back.
+        if not self._context.config.version:
+            return come_back(Reason.NO_CONFIGURATION)
+        return None
+
+    def expected_size(self, exchange: Exchange) -> int:
+        """Return the bytes to set aside for a body that has not come yet."""
+        text = header(exchange.head.headers, b"content-length")
+        if text is not None and text.isdigit():
+            return int(text)
+        if header(exchange.head.headers, b"transfer-encoding") is not None:
+            return self._limits.body_bytes
+        return 0
+
+    def take_room(self, identified: Identified, size: int) -> Ending | None:
+        """Set bytes of the host aside for a body, or refuse it."""
+        if size > self.body_bytes():
+            detail = f"a body over {self.body_bytes()} bytes"
+            return Ending(Outcome.NOT_RUN, Reason.BODY_TOO_LARGE, 413, detail=detail)
+        tiers = self._context.config.config.tiers_by_name.values()
+        ranks = sorted(tier.rank for tier in tiers)
+        index = ranks.index(identified.tier.rank)
+        return self._budget.take(identified, size, index, len(ranks))
+
+    def over_quota(self, active: ActiveRequest) -> Ending | None:
+        """Count a request against its workspace's quota, or refuse it."""
+        quota = self._context.quota
+        if quota is None:
+            return None
+        prepared = active.prepared
+        wait = quota.take(prepared.identified.workspace, prepared.estimate.usage)
+        if wait <= 0:
+            return None
+        return Ending(Outcome.NOT_RUN, Reason.QUOTA, 429, retry_after=wait)
+
+
+def come_back(reason: Reason, after: float = const.DEFAULT_RETRY_AFTER) -> Ending:
+    """Return the ending of a request that may be sent again after some seconds."""
+    return Ending(Outcome.NOT_RUN, reason, 503, retry_after=after)
--- a/bitterntiller/components/entry/pipeline.py
+++ b/bitterntiller/components/entry/pipeline.py
@@ -12,6 +12,7 @@
     ending_of,
 )
 from bitterntiller.components.entry.context import Context
+from bitterntiller.components.entry.entrance import Entrance, come_back
 from bitterntiller.components.entry.identify import identify
 from bitterntiller.components.entry.models import (
     ActiveRequest,
@@ -36,7 +37,6 @@
 from bitterntiller.components.entry.waiting import async_cancel, async_wait
 from bitterntiller.components.http.errors import BadRequestError, CallerGoneError
 from bitterntiller.components.http.exchange import Exchange
-from bitterntiller.components.http.models import header
 from bitterntiller.components.settings.models import Limits
 from bitterntiller.core.outcomes import Ending, Outcome, Reason
 
@@ -60,8 +60,8 @@
     ) -> None:
         self._claimant = claimant
         self._context = context
-        self._limits = limits
         self._budget = budget
+        self._entrance = Entrance(context, limits, budget)
         self._registry = registry
         self.draining = False
         self.retries = retries or RetryBudget()
@@ -74,12 +74,14 @@
         if isinstance(received, Ending):
             await self._async_refuse(exchange, received, None, "")
             return
-        identified = self._unready() or identify(received, self._context.config.config)
+        identified = self._entrance.unready(self.draining) or identify(
+            received, self._context.config.config
+        )
         if isinstance(identified, Ending):
             await self._async_refuse(exchange, identified, None, received.request_id)
             return
-        size = self._expected_size(exchange)
-        refusal = self._take_room(identified, size)
+        size = self._entrance.expected_size(exchange)
+        refusal = self._entrance.take_room(identified, size)
         if refusal is not None:
             request_id = received.request_id
             await self._async_refuse(exchange, refusal, identified, request_id)
@@ -100,52 +102,17 @@
     ) -> bytes | Ending:
         timeout = self._context.timings.body
         try:
-            return await exchange.async_body(self._body_bytes(), timeout)
+            return await exchange.async_body(self._entrance.body_bytes(), timeout)
         except BadRequestError as error:
             reason = _REASON_BY_STATUS.get(error.status, Reason.BAD_REQUEST)
             return Ending(Outcome.NOT_RUN, reason, error.status, detail=error.text)
 
-    def _body_bytes(self) -> int:
-        limits = self._context.config.config.caller_limits
-        if limits is None:
-            return self._limits.body_bytes
-        return min(limits.body_bytes, self._limits.body_bytes)
-
-    def _unready(self) -> Ending | None:
-        if self.draining:
-            return _come_back(Reason.DRAINING)
-        # Without a lease a newer configuration may be in force elsewhere.
-        if not self._context.lease.valid():
-            return _come_back(Reason.NO_LEASE, const.NO_LEASE_RETRY_AFTER)
-        # A new deployment knows no workspace yet; 401 would tell callers that
-        # their tokens are wrong, and they would not come back.
-        if not self._context.config.version:
-            return _come_back(Reason.NO_CONFIGURATION)
-        return None
-
-    def _expected_size(self, exchange: Exchange) -> int:
-        text = header(exchange.head.headers, b"content-length")
-        if text is not None and text.isdigit():
-            return int(text)
-        if header(exchange.head.headers, b"transfer-encoding") is not None:
-            return self._limits.body_bytes
-        return 0
-
-    def _take_room(self, identified: Identified, size: int) -> Ending | None:
-        if size > self._body_bytes():
-            detail = f"a body over {self._body_bytes()} bytes"
-            return Ending(Outcome.NOT_RUN, Reason.BODY_TOO_LARGE, 413, detail=detail)
-        tiers = self._context.config.config.tiers_by_name.values()
-        ranks = sorted(tier.rank for tier in tiers)
-        index = ranks.index(identified.tier.rank)
-        return self._budget.take(identified, size, index, len(ranks))
-
     async def _async_with_body(
         self, exchange: Exchange, identified: Identified, body: bytes
     ) -> None:
         work = self._context.interface.estimate(identified, body)
         active = ActiveRequest(Prepared(identified, body, work))
-        over = self._over_quota(active)
+        over = self._entrance.over_quota(active)
         if over is not None:
             await self._async_refuse(exchange, over, identified, active.request_id)
             return
@@ -163,16 +130,6 @@
         finally:
             self._registry.remove(active)
 
-    def _over_quota(self, active: ActiveRequest) -> Ending | None:
-        quota = self._context.quota
-        if quota is None:
-            return None
-        prepared = active.prepared
-        wait = quota.take(prepared.identified.workspace, prepared.estimate.usage)
-        if wait <= 0:
-            return None
-        return Ending(Outcome.NOT_RUN, Reason.QUOTA, 429, retry_after=wait)
-
     async def _async_watched(self, exchange: Exchange, active: ActiveRequest) -> None:
         """Run the request while watching whether its caller is still there."""
         async with curio.TaskGroup(wait=any) as group:
@@ -239,7 +196,7 @@
         await self._registry.async_return(
             active.request_id, grant, verdict.reason, False
         )
-        return _come_back(Reason.NOT_ADMITTED)
+        return come_back(Reason.NOT_ADMITTED)
 
     async def _async_give_back(
         self, active: ActiveRequest, grant: GrantReceived, verdict: Verdict
@@ -346,7 +303,3 @@
     if ending.outcome is not Outcome.NOT_RUN:
         return ending
     return Ending(Outcome.UNKNOWN, ending.reason, 502, detail=ending.detail)
-
-
-def _come_back(reason: Reason, after: float = const.DEFAULT_RETRY_AFTER) -> Ending:
-    return Ending(Outcome.NOT_RUN, reason, 503, retry_after=after)
