Name two bare numbers

Cause: the half rank of late requests and the least timeout stood in the code as numbers. Change: LATE_RANKS and LEAST_TIMEOUT, with units. Result: no value changes; tests of entry, docs and the scheduler pass.

--- a/bitterntiller/components/dispatch/jobs.py
+++ b/bitterntiller/components/dispatch/jobs.py
@@ -8,6 +8,9 @@
 if TYPE_CHECKING:
     from bitterntiller.components.dispatch.upstreams import Upstream
 
+LATE_RANKS = 0.5
+"""By how many ranks a late request stands behind its tier: before the next one."""
+
 
 class JobState(Enum):
     """Where a request is.
@@ -100,7 +103,7 @@
     @property
     def queue_rank(self) -> float:
         """Return the place of its queue: what is late comes behind its own tier."""
-        return self.rank + 0.5 if self.late else float(self.rank)
+        return self.rank + LATE_RANKS if self.late else float(self.rank)
 
     @property
     def waiting(self) -> bool:
--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -248,7 +248,7 @@
         if self._repeats() and identified.route is not None:
             patience = const.PATIENCE_OBJECTIVES * identified.route.objective
             timeout = min(timeout, max(patience, const.LEAST_PATIENCE))
-        return max(0.001, timeout)
+        return max(const.LEAST_TIMEOUT, timeout)
 
     async def _async_lost_head(self, error: BrokenAnswerError) -> Verdict:
         """End an attempt without an answer: it may have run.
