--- a/bitterntiller/components/entry/const.py
+++ b/bitterntiller/components/entry/const.py
@@ -60,14 +60,14 @@
 elsewhere; a long prefill of another request stops an engine's output for about half."""
 
 PATIENCE_OBJECTIVES = 2.5
-LEAST_TIMEOUT = 0.001
-"""Seconds; a timeout of none at all would be read as already over."""
-
 LEAST_PATIENCE = 1.0
 """How long a repeatable request waits for the head of an answer: in objectives of its
 route, and in seconds at least. Beyond it an answer is worth little, while another
 upstream can still serve the request before its caller gives up."""
 
+LEAST_TIMEOUT = 0.001
+"""Seconds; a timeout of none at all would be read as already over."""
+
 REST_SILENCE = 0.2
 REST_PARTS = 8
 """Seconds and parts within which the body of an unused answer must end."""
