Count quotas at each sending and hold them while requests wait

A log of the use at each sending showed three faults together. Use was counted when a request was admitted, but runs later, so a queue that empties after a lost owner sends two windows in one. Repeats of failed requests weren't counted at all (up to 134,000 tokens of one window). A large request was let through as long as anything was left, at each of nine hosts. Two more were found by reading: a new counting host took all of the last window for spread evenly over it, and a host whose counting host was lost got its mean rate on top of a used burst.

Change: an admitted request is held against the quota, and its use is counted from its sending; each run counts, one that proved not to have run doesn't count twice; what ends unsent is given back (it stayed counted for a window before). Repeats may exceed the quota by a twentieth, and the failure is passed on where there is no room. A request larger than a host's part needs room for two, one between two reports. Reports tell use by its age, and what is held whole each time. A refusal's log line tells the level and its age.

Ruled out: the cut in two alone (each side keeps its part; test of it passes unchanged).

--- a/bitterntiller/components/dispatch/quotas.py
+++ b/bitterntiller/components/dispatch/quotas.py
@@ -14,43 +14,55 @@
     def __init__(self, seconds: float) -> None:
         self._seconds = seconds
         self._amount_by_slice: dict[int, float] = {}
-        self.sum = 0.0
 
-    def add(self, amount: float, when: float, now: float) -> None:
-        """Note an amount used at a time within the window."""
+    def add(self, amount: float, when: float) -> None:
+        """Note an amount used at a time."""
         number = int(when * SLICES / self._seconds)
         known = self._amount_by_slice.get(number, 0.0)
         self._amount_by_slice[number] = known + amount
+
+    def sum(self, now: float) -> float:
+        """Return what was used within the window that ends now."""
         oldest = int(now * SLICES / self._seconds) - SLICES
         for passed in [item for item in self._amount_by_slice if item < oldest]:
             del self._amount_by_slice[passed]
-        self.sum = sum(self._amount_by_slice.values())
+        return sum(self._amount_by_slice.values())
 
 
 class QuotaLedger:
-    """Counts the use of each workspace in the window that has just passed.
+    """Counts what each workspace has used in the window that has just passed.
+
+    What requests that wait would use is counted beside it, as each host tells it
+    anew in each report.
 
-    A new ledger knows nothing, and is told by each entry host what that host has let
-    through in the whole window: with nothing counted, each change of the counting host
-    would add a whole window.
+    A new ledger knows nothing, and is told by each entry host what that host has sent
+    in the whole window, and when: with nothing counted, each change of the counting
+    host would add a whole window.
     """
 
     def __init__(self, window: QuotaWindow) -> None:
         self._window = window
         self._use_by_workspace: dict[str, _Use] = {}
+        self._held_by_host: dict[str, dict[str, int]] = {}
 
-    def note(self, workspace: str, amount: float, over: float, now: float) -> None:
-        """Note an amount that was used evenly over some seconds until now."""
+    def note(self, workspace: str, amount: float, age: float, now: float) -> None:
+        """Note an amount that was used some seconds ago."""
         use = self._use_by_workspace.get(workspace)
         if use is None:
             use = self._use_by_workspace[workspace] = _Use(self._window.seconds)
-        over = min(over, self._window.seconds)
-        step = self._window.seconds / SLICES
-        count = max(1, int(over / step))
-        for number in range(count):
-            use.add(amount / count, now - number * step, now)
+        use.add(amount, now - age)
+
+    def note_held(self, host: str, held_by_workspace: dict[str, int]) -> None:
+        """Note all that a host holds now for requests that wait."""
+        self._held_by_host[host] = held_by_workspace
+
+    def forget(self, host: str) -> None:
+        """Forget what a host holds that reports no more."""
+        self._held_by_host.pop(host, None)
 
-    def left(self, workspace: str, config: Config, part: float) -> float | None:
+    def left(
+        self, workspace: str, config: Config, part: float, now: float
+    ) -> float | None:
         """Return what is left, None for one without a quota.
 
         part is the part of the deployment's entry hosts that report here: when some are
@@ -60,9 +72,10 @@
         found = config.workspaces_by_name.get(workspace)
         if found is None or found.quota is None:
             return None
-        limit = self._limit(found.quota)
         use = self._use_by_workspace.get(workspace)
-        return limit * part - (use.sum if use else 0.0)
+        used = use.sum(now) if use else 0.0
+        held = sum(held.get(workspace, 0) for held in self._held_by_host.values())
+        return self._limit(found.quota) * part - used - held
 
     def _limit(self, quota: Quota) -> float:
         return self._window.limit(quota.rate, quota.burst)
--- a/bitterntiller/components/dispatch/reports.py
+++ b/bitterntiller/components/dispatch/reports.py
@@ -50,21 +50,22 @@
             ready=self._lease.valid() and self._config.version > 0,
             incarnation=self._runtime.incarnation,
             number=report.number,
-            levels=self._levels(report.used, now),
+            levels=self._levels(report, now),
             entry_hosts=len(self._heard_by_host),
         )
 
-    def _levels(self, used: list[Any], now: float) -> list[Any]:
-        levels = []
+    def _levels(self, report: Any, now: float) -> list[Any]:
+        for item in report.used:
+            self._ledger.note(item.workspace, item.amount, item.age_ms / 1000, now)
+        held = {item.workspace: item.amount for item in report.held}
+        self._ledger.note_held(report.entry_host, held)
         part = self._part()
-        for item in used:
-            config = self._config.config
-            over = (item.over_ms or 0) / 1000
-            self._ledger.note(item.workspace, item.amount, over, now)
-            level = self._ledger.left(item.workspace, config, part)
+        levels = []
+        for workspace in held:
+            level = self._ledger.left(workspace, self._config.config, part, now)
             if level is not None:
                 level_message = messages.QuotaLevel(
-                    workspace=item.workspace, amount=int(level)
+                    workspace=workspace, amount=int(level)
                 )
                 levels.append(level_message)
         return levels
@@ -82,5 +83,6 @@
             for host, heard in list(self._heard_by_host.items()):
                 if heard < oldest:
                     del self._heard_by_host[host]
+                    self._ledger.forget(host)
                     await self._drop_host(host)
             await curio.sleep(CHECK_PERIOD)
--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -122,6 +122,7 @@
         active = self._active
         active.mark_sending(grant)
         active.granted_at = self._context.clock.now()
+        self._spend_quota()
         self._tell_sending(client, grant)
         try:
             await self._async_send_request(client, grant)
@@ -152,6 +153,17 @@
         relay = Relay(self._exchange, active, self._context)
         return await self._async_relayed(await relay.async_run(client, head))
 
+    def _spend_quota(self) -> None:
+        """Count this run, unless an earlier count proved to be of no run."""
+        active = self._active
+        quota = self._context.quota
+        if quota is None or active.runs <= active.spent_runs:
+            return
+        workspace = active.prepared.identified.workspace
+        quota.spend(workspace, active.prepared.estimate.usage, active.held_usage)
+        active.held_usage = 0
+        active.spent_runs = active.runs
+
     def _tell_sending(self, client: ClientExchange, grant: GrantReceived) -> None:
         now = self._context.clock.now()
         identified = self._active.prepared.identified
@@ -162,6 +174,8 @@
             address=grant.address,
             owner=grant.sender,
             run=self._active.runs,
+            workspace=identified.workspace.name,
+            usage=self._active.prepared.estimate.usage,
             waited=round(now - identified.received.arrived, 4),
             left=round(identified.deadline - now, 3),
             grant_left=round(grant.valid_until - now, 3),
--- a/bitterntiller/components/entry/context.py
+++ b/bitterntiller/components/entry/context.py
@@ -5,6 +5,7 @@
 from bitterntiller.components.config.models import Workspace
 from bitterntiller.components.entry.interface import Interface
 from bitterntiller.components.entry.native import NativeInterface
+from bitterntiller.components.entry.quota import QuotaVerdict
 from bitterntiller.components.http.pool import ConnectionPool
 from bitterntiller.components.settings.models import Timings
 from bitterntiller.core.clock import Clock, RuntimeClock
@@ -24,8 +25,24 @@
 class QuotaGate(Protocol):
     """Counts what the requests of workspaces use, over all hosts."""
 
-    def take(self, workspace: Workspace, amount: int) -> float:
-        """Take an amount from a quota; return 0, or the seconds until it is there."""
+    def hold(self, workspace: Workspace, amount: int) -> QuotaVerdict:
+        """Hold an amount for a request that is to wait, or tell when to come back."""
+        ...
+
+    def hold_repeat(self, workspace: Workspace, amount: int) -> bool:
+        """Hold an amount for a request that has run already, if there is room."""
+        ...
+
+    def has_room_for_repeat(self, workspace: Workspace, amount: int) -> bool:
+        """Tell whether hold_repeat would hold an amount now."""
+        ...
+
+    def release(self, workspace: Workspace, amount: int) -> None:
+        """Give back what was held for a request that ends without a sending."""
+        ...
+
+    def spend(self, workspace: Workspace, amount: int, held: int) -> None:
+        """Count a sending, for which some of the amount or nothing was held."""
         ...
 
 
--- a/bitterntiller/components/entry/entrance.py
+++ b/bitterntiller/components/entry/entrance.py
@@ -58,15 +58,48 @@
         return self._budget.take(identified, size, index, len(ranks))
 
     def over_quota(self, active: ActiveRequest) -> Ending | None:
-        """Count a request against its workspace's quota, or refuse it."""
+        """Hold a request against its workspace's quota, or refuse it."""
         quota = self._context.quota
         if quota is None:
             return None
-        prepared = active.prepared
-        wait = quota.take(prepared.identified.workspace, prepared.estimate.usage)
-        if wait <= 0:
+        workspace = active.prepared.identified.workspace
+        usage = active.prepared.estimate.usage
+        verdict = quota.hold(workspace, usage)
+        if verdict.wait <= 0:
+            active.held_usage = usage
             return None
-        return Ending(Outcome.NOT_RUN, Reason.QUOTA, 429, retry_after=wait)
+        detail = f"{verdict.level:.0f} left {verdict.age:.2f} s ago, {usage} asked for"
+        return Ending(
+            Outcome.NOT_RUN, Reason.QUOTA, 429, retry_after=verdict.wait, detail=detail
+        )
+
+    def has_quota_for_repeat(self, active: ActiveRequest) -> bool:
+        """Tell whether a workspace's quota has room for another run of a request."""
+        quota = self._context.quota
+        workspace = active.prepared.identified.workspace
+        usage = active.prepared.estimate.usage
+        return quota is None or quota.has_room_for_repeat(workspace, usage)
+
+    def hold_repeat(self, active: ActiveRequest) -> bool:
+        """Hold a request that is to run once more against its workspace's quota.
+
+        One that proved not to have run has what it took the first time.
+        """
+        quota = self._context.quota
+        if quota is None or active.held_usage or active.runs < active.spent_runs:
+            return True
+        usage = active.prepared.estimate.usage
+        if not quota.hold_repeat(active.prepared.identified.workspace, usage):
+            return False
+        active.held_usage = usage
+        return True
+
+    def release_quota(self, active: ActiveRequest) -> None:
+        """Give back what is still held for a request that has ended."""
+        if self._context.quota is not None:
+            workspace = active.prepared.identified.workspace
+            self._context.quota.release(workspace, active.held_usage)
+            active.held_usage = 0
 
 
 def come_back(reason: Reason, after: float = const.DEFAULT_RETRY_AFTER) -> Ending:
--- a/bitterntiller/components/entry/models.py
+++ b/bitterntiller/components/entry/models.py
@@ -188,6 +188,8 @@
         self.claim_address = ""
         self.followed_id = ""
         self.runs = 0
+        self.held_usage = 0
+        self.spent_runs = 0
         self.stream: EventStream | None = None
         self.load: ReportedLoad | None = None
 
--- a/bitterntiller/components/entry/owner_watch.py
+++ b/bitterntiller/components/entry/owner_watch.py
@@ -5,7 +5,7 @@
 import curio
 
 from bitterntiller.components.entry import const
-from bitterntiller.components.entry.quota import QuotaAccount, Untold, Used
+from bitterntiller.components.entry.quota import QuotaAccount, Untold
 from bitterntiller.components.links.errors import LinkError
 from bitterntiller.components.node.owners import DerivedOwners
 from bitterntiller.core import events
@@ -13,7 +13,7 @@
 from bitterntiller.core.runtime import Runtime
 from bitterntiller.protocol import messages
 
-NOTHING = Untold([], 0, 0.0)
+NOTHING = Untold([], {}, 0)
 
 QUOTA_POOL = "quotas of workspaces"
 """The name under which the host is chosen that counts quotas; not one of a service."""
@@ -81,7 +81,7 @@
         told = self._account.untold(ledger) if to_counter else NOTHING
         try:
             reply = await self._runtime.links.async_call(
-                owner.address, self._report(told.used), const.REPORT_TIMEOUT
+                owner.address, self._report(told), const.REPORT_TIMEOUT
             )
         except LinkError as error:
             self._suspect(owner, error.text)
@@ -97,7 +97,7 @@
                 "owner-answers", owner=owner.host, incarnation=reply.incarnation
             )
 
-    def _report(self, used: list[Used]) -> messages.EntryReport:
+    def _report(self, told: Untold) -> messages.EntryReport:
         return messages.EntryReport(
             entry_host=self._runtime.settings.host,
             incarnation=self._runtime.incarnation,
@@ -106,9 +106,13 @@
                 messages.Usage(
                     workspace=item.workspace,
                     amount=item.amount,
-                    over_ms=int(item.over * 1000),
+                    age_ms=int(item.age * 1000),
                 )
-                for item in used
+                for item in told.used
+            ],
+            held=[
+                messages.Held(workspace=workspace, amount=amount)
+                for workspace, amount in told.held_by_workspace.items()
             ],
         )
 
--- a/bitterntiller/components/entry/pipeline.py
+++ b/bitterntiller/components/entry/pipeline.py
@@ -128,6 +128,7 @@
             await self._async_abandon(active, FAULT)
             raise
         finally:
+            self._entrance.release_quota(active)
             self._registry.remove(active)
 
     async def _async_watched(self, exchange: Exchange, active: ActiveRequest) -> None:
@@ -169,7 +170,7 @@
             active,
             self._context,
             self._claimant,
-            self.retries.has_room(active.pool),
+            self._may_repeat(active),
         )
         verdict = await attempt.async_run(grant)
         # Before the owner hears of it: its next grant may come at once, and would
@@ -182,12 +183,20 @@
                 active.mark_not_run(verdict.upstream)
             else:
                 active.note_tried(verdict.upstream)
-            if not self.retries.spend(active.pool):
+            if not self._take_repeat(active):
                 return await self._async_give_up(active, grant, verdict)
             self._context.metrics.count(const.METRIC_RETRIES)
         await self._async_give_back(active, grant, verdict)
         return verdict
 
+    def _may_repeat(self, active: ActiveRequest) -> bool:
+        room = self.retries.has_room(active.pool)
+        return room and self._entrance.has_quota_for_repeat(active)
+
+    def _take_repeat(self, active: ActiveRequest) -> bool:
+        """Take what another attempt needs of its pool's budget and of a quota."""
+        return self._entrance.hold_repeat(active) and self.retries.spend(active.pool)
+
     async def _async_give_up(
         self, active: ActiveRequest, grant: GrantReceived, verdict: Retry
     ) -> Ending:
--- a/bitterntiller/components/entry/quota.py
+++ b/bitterntiller/components/entry/quota.py
@@ -1,10 +1,14 @@
 """This host's account of the quotas of workspaces.
 
 Quotas hold over all hosts. One host keeps the levels; every entry host tells it a few
-times a second what it has admitted and hears what is left. In between it admits as long
-as anything of its own part is left: while the counting host is lost, all hosts together
-admit what was left and no more. What is admitted beyond the quota is owed: the level
-falls below 0 and nothing is admitted until it has filled again.
+times a second what it has sent and what it holds for requests that wait, and hears what
+is left. In between it admits what fits into its own part: while the counting host is
+lost, all hosts together admit what was left and no more. What is used beyond the quota
+is owed: the level falls below 0 and nothing is admitted until it has filled again.
+
+A request is held against the quota while it waits and counts as used from its sending:
+a queue that empties at once would otherwise send in one window what was admitted in
+several. Each sending counts, also one that repeats another.
 """
 
 import math
@@ -26,8 +30,16 @@
 MOST_LEDGERS = 16
 """Counting hosts that are remembered with what they have been told."""
 
-STALE_SECONDS = 0.5
-"""Seconds without a new level after which the counting host counts as lost."""
+TOLD_SLICES = 16
+"""Parts of a window in which a ledger that is new to this host hears what was used in
+it; it counts each part as used at its end."""
+
+PLENTY_PART = 0.75
+"""Part of a quota that must be left for a request larger than half of it."""
+
+REPEAT_PART = 0.05
+"""Part of a quota by which repeats may exceed it. A deployment has hosts keep within a
+tenth less than what it allows; half of that is left for counts that are late."""
 
 DEMAND_SECONDS = 2.0
 """Seconds in which a refused request is forgotten to a third; callers come back once,
@@ -35,23 +47,37 @@
 
 
 class Used(NamedTuple):
-    """What was let through in the last seconds, as one ledger has not heard it yet."""
+    """What was sent about age seconds ago, as one ledger has not heard it yet."""
 
     workspace: str
     amount: int
-    over: float
+    age: float
 
 
 class Untold(NamedTuple):
-    """What a ledger is to be told, and the last request that is in it."""
+    """What a ledger is to be told, and the number of the last sending that is in it.
+
+    held_by_workspace has all that requests which wait now would use.
+    """
 
     used: list[Used]
+    held_by_workspace: dict[str, int]
     upto: int
-    at: float
 
 
-class _Admitted(NamedTuple):
-    """One request that was let through; number counts all of them on this host."""
+class QuotaVerdict(NamedTuple):
+    """Whether a request is let through: after how many seconds, 0 for now.
+
+    level is what was left over all hosts, age how many seconds ago that was heard.
+    """
+
+    wait: float
+    level: float = 0.0
+    age: float = 0.0
+
+
+class _Sent(NamedTuple):
+    """One sending; number counts all of them on this host."""
 
     number: int
     at: float
@@ -59,15 +85,26 @@
 
 
 class _Level:
-    """What is left of one workspace's quota: for this host, and over all hosts."""
+    """What is left of one workspace's quota: for this host, and over all hosts.
+
+    part is this host's part as it was heard; large tells that a request larger than it
+    was let through since.
+    """
 
-    __slots__ = ("amount", "at", "total")
+    __slots__ = ("amount", "at", "large", "part", "total")
 
     def __init__(self, total: float, hosts: int, at: float) -> None:
         self.total = total
-        self.amount = total / hosts if total > 0 else total
+        self.part = total / hosts if total > 0 else total
+        self.amount = self.part
+        self.large = False
         self.at = at
 
+    def take(self, amount: float) -> None:
+        """Take an amount, or give it back when it is below 0."""
+        self.amount -= amount
+        self.total -= amount
+
 
 class _Demand:
     """What was refused of late, forgotten by and by."""
@@ -95,29 +132,90 @@
         self._hosts = 1
         self._level_by_workspace: dict[str, _Level] = {}
         self._number = 0
-        self._admitted_by_workspace: dict[str, deque[_Admitted]] = {}
-        self._told_by_ledger: dict[str, Untold] = {}
+        self._sent_by_workspace: dict[str, deque[_Sent]] = {}
+        self._held_by_workspace: dict[str, int] = {}
+        self._told_upto_by_ledger: dict[str, int] = {}
         self._refused_by_workspace: dict[str, _Demand] = {}
 
-    def take(self, workspace: Workspace, amount: int) -> float:
-        """Take an amount from a quota; return 0, or the seconds until it is there.
-
-        A request is let through while anything is left, also one that is larger than
-        that: it would otherwise never be let through beside smaller ones.
+    def hold(self, workspace: Workspace, amount: int) -> QuotaVerdict:
+        """Hold an amount of a quota for a request that is to wait, or refuse it."""
+        quota = workspace.quota
+        if quota is None:
+            return QuotaVerdict(0.0)
+        level = self._level(workspace.name, quota)
+        verdict = QuotaVerdict(0.0, level.total, self._clock.now() - level.at)
+        if not self._has_room(quota, level, amount):
+            wait = self._wait(workspace.name, quota, level, amount)
+            return verdict._replace(wait=wait)
+        self._hold(workspace.name, level, amount)
+        return verdict
+
+    def hold_repeat(self, workspace: Workspace, amount: int) -> bool:
+        """Hold an amount for a request that has run already, if there is room.
+
+        Repeats may exceed what first sendings are let through by, up to a bound: those
+        were within the quota when they were let through.
         """
         quota = workspace.quota
         if quota is None:
-            return 0.0
+            return True
+        level = self._level(workspace.name, quota)
+        if not self._has_room_for_repeat(quota, level, amount):
+            return False
+        self._hold(workspace.name, level, amount)
+        return True
+
+    def has_room_for_repeat(self, workspace: Workspace, amount: int) -> bool:
+        """Tell whether hold_repeat would hold an amount now."""
+        quota = workspace.quota
+        if quota is None:
+            return True
+        level = self._level(workspace.name, quota)
+        return self._has_room_for_repeat(quota, level, amount)
+
+    def _has_room_for_repeat(self, quota: Quota, level: _Level, amount: int) -> bool:
+        most = self._window.limit(quota.rate, quota.burst)
+        return level.total - amount >= -REPEAT_PART * most
+
+    def _has_room(self, quota: Quota, level: _Level, amount: int) -> bool:
+        """Tell whether this host's own part has an amount, or all hosts' has plenty.
+
+        A request larger than an own part would never be let through. The same may be
+        decided elsewhere before either is told, so a second one must fit beside it, and
+        one larger than half of the quota needs most of it unused.
+        """
+        if amount <= level.amount:
+            return True
+        if amount <= level.part or level.large:
+            return False
+        most = self._window.limit(quota.rate, quota.burst)
+        needed = min(2 * amount, max(amount, PLENTY_PART * most), most)
+        level.large = level.total >= needed
+        return level.large
+
+    def _hold(self, name: str, level: _Level, amount: int) -> None:
+        level.take(amount)
+        held = self._held_by_workspace.get(name, 0)
+        self._held_by_workspace[name] = held + amount
+
+    def release(self, workspace: Workspace, amount: int) -> None:
+        """Give back what was held for a request that ends without a sending."""
+        if workspace.quota is None or not amount:
+            return
+        self._held_by_workspace[workspace.name] -= amount
+        self._level(workspace.name, workspace.quota).take(-amount)
+
+    def spend(self, workspace: Workspace, amount: int, held: int) -> None:
+        """Count a sending, for which some of the amount or nothing was held."""
+        if workspace.quota is None:
+            return
         name = workspace.name
-        now = self._clock.now()
-        level = self._filled(name, quota, now)
-        if level.amount <= 0:
-            return self._wait(name, quota, level, amount)
-        level.amount -= amount
+        level = self._level(name, workspace.quota)
+        level.take(amount - held)
+        self._held_by_workspace[name] = self._held_by_workspace.get(name, 0) - held
         self._number += 1
-        admitted = self._admitted_by_workspace.setdefault(name, deque())
-        admitted.append(_Admitted(self._number, now, amount))
-        return 0.0
+        sent = self._sent_by_workspace.setdefault(name, deque())
+        sent.append(_Sent(self._number, self._clock.now(), amount))
 
     def _wait(self, name: str, quota: Quota, level: _Level, amount: int) -> float:
         """Return when a refused request would be let through.
@@ -136,20 +234,35 @@
     def untold(self, ledger: str) -> Untold:
         """Return what a ledger has not been told yet, of the last window.
 
-        A workspace that has used nothing lately is told with 0, to hear its level. A
-        ledger that is new to this host is told all of the window: hosts that come back
-        from another ledger, or whose counting host is another, have used it all the
-        same.
+        Each known workspace is told with what is held, also if that is 0, to hear its
+        level. A ledger that is new to this host is told all of the window, with its
+        times: hosts that come back from another ledger, or whose counting host is
+        another, have used it all the same, and it leaves the window when it does here.
         """
+        upto = self._told_upto_by_ledger.get(ledger, 0)
         now = self._clock.now()
-        oldest = now - self._window.seconds
-        told = self._told_by_ledger.get(ledger, Untold([], 0, oldest))
-        over = min(now - told.at, self._window.seconds)
-        used = [
-            Used(name, self._used_since(name, told.upto, oldest), over)
+        used = []
+        for name in self._level_by_workspace:
+            self._expire(name)
+            used += self._slices(name, upto, now)
+        held = {
+            name: self._held_by_workspace.get(name, 0)
             for name in self._level_by_workspace
+        }
+        return Untold(used, held, self._number)
+
+    def _slices(self, name: str, upto: int, now: float) -> list[Used]:
+        seconds = self._window.seconds / TOLD_SLICES
+        amount_by_slice: dict[int, int] = {}
+        for item in reversed(self._sent_by_workspace.get(name, ())):
+            if item.number <= upto:
+                break
+            slice_ = int((now - item.at) / seconds)
+            amount_by_slice[slice_] = amount_by_slice.get(slice_, 0) + item.amount
+        return [
+            Used(name, amount, slice_ * seconds)
+            for slice_, amount in amount_by_slice.items()
         ]
-        return Untold(used, self._number, now)
 
     def note_told(self, ledger: str, told: Untold) -> None:
         """Note that a ledger has heard what it had not been told.
@@ -157,17 +270,10 @@
         An answer that is lost leaves it as it was: the use is told, and counted, once
         more, which refuses rather than exceeds the quota.
         """
-        self._told_by_ledger[ledger] = told
-        while len(self._told_by_ledger) > MOST_LEDGERS:
-            self._told_by_ledger.pop(next(iter(self._told_by_ledger)))
-
-    def _used_since(self, name: str, number: int, oldest: float) -> int:
-        admitted = self._admitted_by_workspace.get(name)
-        if admitted is None:
-            return 0
-        while admitted and admitted[0].at < oldest:
-            admitted.popleft()
-        return sum(item.amount for item in admitted if item.number > number)
+        self._told_upto_by_ledger[ledger] = told.upto
+        while len(self._told_upto_by_ledger) > MOST_LEDGERS:
+            oldest = next(iter(self._told_upto_by_ledger))
+            self._told_upto_by_ledger.pop(oldest)
 
     def take_levels(self, levels: list[Any], entry_hosts: int, told: Untold) -> None:
         """Take messages.QuotaLevel over all hosts, and how many hosts share them.
@@ -176,27 +282,39 @@
         """
         self._hosts = max(1, entry_hosts)
         now = self._clock.now()
-        oldest = now - self._window.seconds
         for item in levels:
-            since = self._used_since(item.workspace, told.upto, oldest)
+            since = self._taken_since(item.workspace, told)
             level = _Level(item.amount - since, self._hosts, now)
             self._level_by_workspace[item.workspace] = level
 
-    def _filled(self, name: str, quota: Quota, now: float) -> _Level:
-        """Return a level, while the counting host is lost with what has come since.
-
-        Use leaves the window in its own time, which only the counting host knows; each
-        host then takes its part of the mean.
+    def _taken_since(self, name: str, told: Untold) -> int:
+        """Return what was sent and held, beyond what a report told."""
+        self._expire(name)
+        sent = sum(
+            item.amount
+            for item in self._sent_by_workspace.get(name, ())
+            if item.number > told.upto
+        )
+        held = self._held_by_workspace.get(name, 0)
+        return sent + held - told.held_by_workspace.get(name, 0)
+
+    def _level(self, name: str, quota: Quota) -> _Level:
+        """Return a level, with what this host's own use gave back since it was heard.
+
+        Use leaves the window in its own time. What other hosts have used comes back
+        to them, or by the next report.
         """
-        most = self._window.limit(quota.rate, quota.burst)
         level = self._level_by_workspace.get(name)
         if level is None:
-            first = FIRST_SECONDS * quota.rate
-            level = _Level(min(most, first), 1, now)
+            most = self._window.limit(quota.rate, quota.burst)
+            first = min(most, FIRST_SECONDS * quota.rate)
+            level = _Level(first, 1, self._clock.now())
             self._level_by_workspace[name] = level
-            return level
-        if now - level.at > STALE_SECONDS:
-            rate = quota.rate * self._window.factor / self._hosts
-            level.amount = min(most, level.amount + rate * (now - level.at))
-            level.at = now
+        self._expire(name)
         return level
+
+    def _expire(self, name: str) -> None:
+        sent = self._sent_by_workspace.get(name)
+        oldest = self._clock.now() - self._window.seconds
+        while sent and sent[0].at < oldest:
+            self._level_by_workspace[name].take(-sent.popleft().amount)
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -136,13 +136,16 @@
 /* The ids of all requests that an entry host has with a pool, told every few seconds. */
 struct Live { 1: required string pool, 2: required string entry_host, 3: required list<string> request_ids }
 
-/* What a workspace's admitted requests have used at one entry host since its last report. */
+/* What a workspace's requests have used at one entry host, all about the same time ago. */
 struct Usage {
     1: required string workspace,
     2: required i64 amount,
-    3: optional i32 over_ms,             // the time over which it was used, until now
+    3: required i32 age_ms,
 }
 
+/* What a workspace's waiting requests at one entry host would use; told whole each time. */
+struct Held { 1: required string workspace, 2: required i64 amount }
+
 /* What is left of a workspace's quota over all hosts; below 0 when it is overdrawn. */
 struct QuotaLevel { 1: required string workspace, 2: required i64 amount }
 
@@ -151,7 +154,8 @@
     1: required string entry_host,
     2: required string incarnation,
     3: required i64 number,
-    4: required list<Usage> used,
+    4: required list<Usage> used,        // since the last report
+    5: required list<Held> held,
 }
 
 struct EntryReportReply {
--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -9,7 +9,7 @@
 from bitterntiller_platform.interface import PlatformInterface
 
 from bitterntiller.components.entry.claiming import Claimant
-from bitterntiller.components.entry.context import Context
+from bitterntiller.components.entry.context import Context, QuotaGate
 from bitterntiller.components.entry.coordinator import EntryCoordinator
 from bitterntiller.components.http.pool import ConnectionPool
 from bitterntiller.components.node.models import Host
@@ -189,7 +189,9 @@
 
 @asynccontextmanager
 async def entry_host(
-    upstream: Upstream, configuration: dict[str, Any] | None = None
+    upstream: Upstream,
+    configuration: dict[str, Any] | None = None,
+    quota: QuotaGate | None = None,
 ) -> AsyncIterator[EntryHost]:
     """Serve callers of the platform with one upstream behind."""
     async with AsyncExitStack() as stack:
@@ -215,6 +217,7 @@
             control=fakes.FakeControl(),
             interface=PlatformInterface(),
             connections=connections,
+            quota=quota,
         )
         coordinator = EntryCoordinator(context, Limits(), Claimant(context, "i1"))
         links.coordinator = coordinator
--- a/tests/platform/test_answers.py
+++ b/tests/platform/test_answers.py
@@ -6,6 +6,9 @@
 import curio
 import pytest
 
+from bitterntiller.components.entry.quota import QuotaAccount
+from bitterntiller.components.settings.models import QuotaWindow
+from bitterntiller.core.clock import ManualClock
 from tests.platform import builders
 from tests.platform.builders import answer, request
 
@@ -13,6 +16,14 @@
 ONCE = builders.document(
     builders.route(route_kind="non_idempotent", max_attempts=1, service="map")
 )
+TENANT = {
+    "name": "foresters",
+    "api_keys": [builders.KEY],
+    "priority": 2,
+    "rate_per_s": 100,
+    "burst": 0,
+}
+METERED = builders.document(tenants=[TENANT])
 
 
 def ask(
@@ -20,11 +31,12 @@
     data: bytes = TILE,
     document: dict[str, Any] | None = None,
     times: int = 1,
+    quota: QuotaAccount | None = None,
 ) -> tuple[list[bytes], list[bytes]]:
     """Return what the caller got each time, and what the upstream got."""
 
     async def async_main() -> tuple[list[bytes], list[bytes]]:
-        async with builders.entry_host(upstream, document) as host:
+        async with builders.entry_host(upstream, document, quota) as host:
             received = [await host.async_ask(data) for _ in range(times)]
             return received, host.requests
 
@@ -68,6 +80,36 @@
     assert len(sent) == 2
 
 
+def used(*answers: bytes, document: dict[str, Any] = METERED) -> tuple[int, int]:
+    """Return what one call has used of a quota, and what is held for it still."""
+    account = QuotaAccount(ManualClock(), QuotaWindow(seconds=4.0))
+    ask(answering(*answers), request("/tiles/1"), document, quota=account)
+    told = account.untold("counter")
+    return sum(item.amount for item in told.used), told.held_by_workspace["foresters"]
+
+
+def test_each_run_of_a_call_counts_against_the_quota():
+    """A workspace gets more than its quota while an upstream fails.
+
+    Each failed call is sent to a second upstream, and both have run it.
+    """
+    failed = answer(b"no", b"500 Failed")
+    assert used(answer(b"tile")) == (1, 0)
+    assert used(failed, answer(b"tile")) == (2, 0)
+
+
+def test_sending_that_proved_not_to_have_run_counts_once():
+    refused = answer(b"", b"503 Full", b"X-Not-Executed: 1")
+    assert used(refused, answer(b"tile")) == (1, 0)
+
+
+def test_failure_is_passed_on_where_the_quota_has_no_room_for_a_repeat():
+    """A host that has heard no level yet has room for one call and no repeat."""
+    tight = builders.document(tenants=[{**TENANT, "rate_per_s": 4}])
+    failed = answer(b"no", b"500 Failed")
+    assert used(failed, answer(b"tile"), document=tight) == (1, 0)
+
+
 def test_failure_is_passed_on_once_all_attempts_are_used():
     received, sent = ask(answering(answer(b"no", b"500 Failed")))
     assert received[0].startswith(b"HTTP/1.1 500")
