Revert "Count an upstream's part of failures against it"

Cause as far as seen: where load is near the capacity the cost of a failing part pushes work to fewer upstreams, and what waits for them is lost; not traced request by request. A try with a smaller cost, or for plain services only, is open.

--- a/bitterntiller/components/dispatch/choice.py
+++ b/bitterntiller/components/dispatch/choice.py
@@ -76,7 +76,7 @@
             margin = 1.0 + parameters.margin * upstream.speed.deviation
             if total * margin > budget and not job.guessed:
                 continue
-            score = self._score(job, upstream, cached, total, now)
+            score = self._score(job, upstream, cached, total)
             if score < best_score:
                 best_score = score
                 best = Choice(Verdict.CHOSEN, upstream, cached, total)
@@ -274,18 +274,11 @@
             if rank <= job.rank
         )
 
-    def _score(
-        self, job: Job, upstream: Upstream, cached: int, total: float, now: float
-    ) -> float:
-        """Return the cost of an upstream: the delay, and the prefill it takes.
-
-        What is expected to fail costs all the time that the request has left: a failed
-        call may not be repeated, and one that is has to begin anew.
-        """
+    def _score(self, job: Job, upstream: Upstream, cached: int, total: float) -> float:
+        """Return the cost of an upstream: the delay, and the prefill it takes."""
         tokens = job.request.prompt_tokens - cached
         prefill = upstream.speed.prefill_seconds(tokens, job.kind)
-        failing = upstream.health.failing(now) * (job.request.deadline - now)
-        return total + self._parameters.prefix_weight * prefill + failing
+        return total + self._parameters.prefix_weight * prefill
 
     def _long_prefills(self, view: View) -> bool:
         """Tell whether enough upstreams are busy with long prefills.
--- a/bitterntiller/components/dispatch/teacher.py
+++ b/bitterntiller/components/dispatch/teacher.py
@@ -50,12 +50,12 @@
         if completion.outcome == OUTCOME_CALLER_GONE:
             return
         if completion.outcome == OUTCOME_REJECTED:
-            upstream.health.success(now)
+            upstream.health.success()
             return
         if completion.outcome != OUTCOME_DONE:
             upstream.health.failure(now)
             return
-        upstream.health.success(now)
+        upstream.health.success()
         upstream.worked_at = now
         self._sizes.learn(job, completion)
         # The time of a call tells of the upstream's speed only beside the measured
--- a/bitterntiller/components/dispatch/upstreams.py
+++ b/bitterntiller/components/dispatch/upstreams.py
@@ -51,7 +51,7 @@
         """Forget what its former incarnation ran, held and failed at."""
         self.ledger.clear()
         self.prefixes.clear()
-        self.health.forget()
+        self.health.success()
         self.limit = InflightLimit(self._adaptive)
         self.reserved_for = None
 
