Tell callers that are refused together to come back one after the other

A caller that is refused as too late or shed is told the time in which the queue drains, most often half a second, since the queue is short just because of the refusals; all come back to it together. Change: what was refused in the last seconds counts as work ahead of a caller that comes back, as it does for quotas. Ruled out: a fixed longer time; it would be untrue at the end of a burst.

--- a/bitterntiller/components/dispatch/admission.py
+++ b/bitterntiller/components/dispatch/admission.py
@@ -4,6 +4,7 @@
 
 from bitterntiller.components.dispatch.drain import (
     CapacityMeter,
+    Fading,
     RateMeter,
     retry_after,
 )
@@ -14,6 +15,9 @@
 
 METER_SECONDS = 5.0
 MIN_SHARE = 0.05
+COMEBACK_SECONDS = 2.0
+"""Seconds in which refused work is forgotten to a third; callers come back once, few of
+them later than that."""
 
 
 class Admission:
@@ -38,6 +42,7 @@
         self._capacity = CapacityMeter(METER_SECONDS)
         self._arrivals_by_rank: dict[int, RateMeter] = {}
         self._drains_by_rank: dict[int, RateMeter] = {}
+        self._refused = Fading(COMEBACK_SECONDS)
 
     def note_arrival(self, job: Job, now: float) -> None:
         """Note the work of a request that was taken into the queue."""
@@ -48,6 +53,10 @@
         self._meter(self._drains_by_rank, job.rank, now).add(job.work, now)
         self._capacity.grant(job.work)
 
+    def note_refused(self, job: Job, now: float) -> None:
+        """Note the work of a request whose caller is told to come back."""
+        self._refused.add(job.work, now)
+
     def interval(self, now: float) -> None:
         """Close an interval of measuring the capacity."""
         saturated = any(tier.count for tier in self._queue.tiers_by_rank.values())
@@ -91,7 +100,8 @@
         pool, and what waits in it at the rate at which it was granted work of late. A
         tier that has begun to arrive just now has no such rate yet; until it has, the
         whole capacity stands for it, since nothing shows that higher tiers take it all
-        for long.
+        for long. What was refused of late comes back as well; a caller that was told
+        without it to come back would be refused again.
         """
         above = own = 0.0
         for tier_rank, tier in self._queue.tiers_by_rank.items():
@@ -103,7 +113,8 @@
         meter = self._meter(self._drains_by_rank, rank, now)
         least = max(MIN_SHARE, meter.youth(now)) * capacity
         drain = max(meter.rate(now), least)
-        return retry_after(above / capacity + own / drain, self._rng)
+        again = self._refused.sum(now)
+        return retry_after((above + again) / capacity + own / drain, self._rng)
 
     def _crowd(self, job: Job) -> float:
         """Return how many times longer sharing makes the wait of a workspace."""
--- a/bitterntiller/components/dispatch/refusals.py
+++ b/bitterntiller/components/dispatch/refusals.py
@@ -38,6 +38,7 @@
 
     def of(self, job: Job, reason: Reason, now: float) -> Refused:
         """Refuse a request until its tier has drained."""
+        self._admission.note_refused(job, now)
         return self._refusal(job, reason, self._admission.retry_after(job.rank, now))
 
     @staticmethod
