Keep one sum that fades for quotas and comebacks

Cause: the sum of what was refused of late stood twice, in entry/quota.py and in dispatch/drain.py. Change: core/fading.py; no behaviour changes.

--- a/bitterntiller/components/dispatch/admission.py
+++ b/bitterntiller/components/dispatch/admission.py
@@ -4,7 +4,6 @@
 
 from bitterntiller.components.dispatch.drain import (
     CapacityMeter,
-    Fading,
     RateMeter,
     retry_after,
 )
@@ -12,6 +11,7 @@
 from bitterntiller.components.dispatch.limits import WorkspaceLimiter
 from bitterntiller.components.dispatch.pool import Pool
 from bitterntiller.components.dispatch.queue import PoolQueue
+from bitterntiller.core.fading import Fading
 
 METER_SECONDS = 5.0
 MIN_SHARE = 0.05
--- a/bitterntiller/components/entry/quota.py
+++ b/bitterntiller/components/entry/quota.py
@@ -11,13 +11,13 @@
 several. Each sending counts, also one that repeats another.
 """
 
-import math
 from collections import deque
 from typing import Any, NamedTuple
 
 from bitterntiller.components.config.models import Quota, Workspace
 from bitterntiller.components.settings.models import QuotaWindow
 from bitterntiller.core.clock import Clock
+from bitterntiller.core.fading import Fading
 
 LEAST_WAIT = 0.2
 MOST_WAIT = 30.0
@@ -106,23 +106,6 @@
         self.total -= amount
 
 
-class _Demand:
-    """What was refused of late, forgotten by and by."""
-
-    __slots__ = ("amount", "at")
-
-    def __init__(self) -> None:
-        self.amount = 0.0
-        self.at = 0.0
-
-    def add(self, amount: float, now: float) -> float:
-        """Add an amount; return the sum, in which older ones count less."""
-        self.amount *= math.exp((self.at - now) / DEMAND_SECONDS)
-        self.amount += amount
-        self.at = now
-        return self.amount
-
-
 class QuotaAccount:
     """A QuotaGate that reports what it has let through."""
 
@@ -135,7 +118,7 @@
         self._sent_by_workspace: dict[str, deque[_Sent]] = {}
         self._held_by_workspace: dict[str, int] = {}
         self._told_upto_by_ledger: dict[str, int] = {}
-        self._refused_by_workspace: dict[str, _Demand] = {}
+        self._refused_by_workspace: dict[str, Fading] = {}
 
     def hold(self, workspace: Workspace, amount: int) -> QuotaVerdict:
         """Hold an amount of a quota for a request that is to wait, or refuse it."""
@@ -224,7 +207,7 @@
         several times its quota would otherwise be told to come back at once, again and
         again, and be refused each time.
         """
-        refused = self._refused_by_workspace.setdefault(name, _Demand())
+        refused = self._refused_by_workspace.setdefault(name, Fading(DEMAND_SECONDS))
         demand = refused.add(amount, self._clock.now())
         debt = max(0.0, -level.total) / self._hosts
         rate = quota.rate * self._window.factor / self._hosts
