Split four large test modules by job, and share a directed schedule's beginning

Cause: read as a newcomer, four modules held two jobs each. Change: scenarios/doing.py and load.py, replication/cluster.py, dispatch/test_calls.py; told_to_a_and_b(); isinstance.

--- a/tests/components/replication/mutations.py
+++ b/tests/components/replication/mutations.py
@@ -17,7 +17,7 @@
     ReadOutcome,
     VoteReply,
 )
-from bitterntiller.components.replication.state import Outgoing, Role, State
+from bitterntiller.components.replication.state import Outgoing, Role, State, initial
 
 from . import explorer, profiles
 
@@ -154,7 +154,7 @@
     patch.setattr(core, "is_of_earlier_start", lambda state, message: False)
 
     def same_identity(self, node):
-        node.disk = explorer.initial(node.disk.replica)
+        node.disk = initial(node.disk.replica)
         node.copies = []
         self.start(node)
 
--- a/tests/components/replication/script.py
+++ b/tests/components/replication/script.py
@@ -4,7 +4,8 @@
 
 from bitterntiller.components.replication.state import Role
 
-from .explorer import Node, World
+from .cluster import Node
+from .explorer import World
 from .profiles import Profile
 
 
--- a/tests/components/replication/test_directed.py
+++ b/tests/components/replication/test_directed.py
@@ -21,18 +21,24 @@
     assert elect(world, "a", "ac")
 
 
+def told_to_a_and_b(syncing: str) -> World:
+    """Return a world led by a, whose change reaches b; one of the two syncs it."""
+    world = world_of("abc")
+    assert elect(world, "a", "abc")
+    settle(world, "abc")
+    world.nodes["a"].replica.propose(b"x")
+    world.after(world.nodes["a"])
+    drain(world, "ab", syncing=syncing)
+    return world
+
+
 def acknowledgement_forgotten() -> None:
     """A change that an operator saw accepted is gone after a power loss.
 
     b acknowledges it before it is on its disk, so a accepts it; b loses power,
     starts again and meets only c, which had been cut off.
     """
-    world = world_of("abc")
-    assert elect(world, "a", "abc")
-    settle(world, "abc")
-    world.nodes["a"].replica.propose(b"x")
-    world.after(world.nodes["a"])
-    drain(world, "ab", syncing="a")
+    world = told_to_a_and_b(syncing="a")
     restart(world, "b")
     settle(world, "bc")
     assert elect(world, "c", "bc")
@@ -44,12 +50,7 @@
     a counts its own unsynced copy beside b's and accepts; it loses power, starts
     again and meets only c.
     """
-    world = world_of("abc")
-    assert elect(world, "a", "abc")
-    settle(world, "abc")
-    world.nodes["a"].replica.propose(b"x")
-    world.after(world.nodes["a"])
-    drain(world, "ab", syncing="b")
+    world = told_to_a_and_b(syncing="b")
     restart(world, "a")
     settle(world, "ac")
     assert elect(world, "c", "ac")
--- a/tests/components/replication/test_hand_over.py
+++ b/tests/components/replication/test_hand_over.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from bitterntiller.components.replication.models import TimeoutNow
+
 from .explorer import World
 from .script import drain, elect, leads, settle, tick, world_of
 
@@ -81,9 +83,7 @@
     """A leader is deposed by a call to lead that was delayed for a minute."""
     world = led_by_a()
     successor = hand_over(world)
-    late = [
-        item for item in world.network if item[2].__class__.__name__ == "TimeoutNow"
-    ]
+    late = [item for item in world.network if isinstance(item[2], TimeoutNow)]
     drain(world, "abc")
     assert elect(world, "a", "abc")
     term = world.nodes["a"].replica.state.term
--- a/tests/scenarios/control_steps.py
+++ b/tests/scenarios/control_steps.py
@@ -23,7 +23,9 @@
 from typing import Any
 
 from tests.scenarios.deployment import Deployment
-from tests.scenarios.operators import Burst, Doing, Load, Race, Read, Watch
+from tests.scenarios.doing import Doing
+from tests.scenarios.load import Load
+from tests.scenarios.operators import Burst, Race, Read, Watch
 from tests.scenarios.processes import ROOT, has
 
 TOOL = "bitterntiller.cli.tool"
--- /dev/null
+++ b/tests/scenarios/doing.py
@@ -0,0 +1,43 @@
+"""What goes on in threads of its own beside a scenario."""
+
+import threading
+from collections.abc import Callable
+from typing import Any
+
+PATIENCE_S = 40.0
+"""Seconds in which what is told to stop must have ended."""
+
+
+class Doing:
+    """Something that runs in threads until it is through or told to stop."""
+
+    def __init__(self) -> None:
+        self.error = ""
+        self.stopping = False
+        self._threads: list[threading.Thread] = []
+
+    def start(self, runs: list[Callable[[], None]]) -> None:
+        """Run each in a thread."""
+        for run in runs:
+            thread = threading.Thread(target=self._guard, args=(run,), daemon=True)
+            self._threads.append(thread)
+            thread.start()
+
+    def _guard(self, run: Callable[[], None]) -> None:
+        try:
+            run()
+        except Exception as error:  # told by the next expectation
+            self.error = self.error or f"{type(error).__name__}: {error}"
+
+    def stop(self) -> None:
+        """Have it end, and wait until it has."""
+        self.stopping = True
+        for thread in self._threads:
+            thread.join(PATIENCE_S)
+
+    def find(self, what: str) -> Any:
+        """Return what a scenario may expect, by name."""
+        assert not self.error, self.error
+        if what == "ended":
+            return not any(thread.is_alive() for thread in self._threads)
+        return getattr(self, what)
--- a/tests/scenarios/operators.py
+++ b/tests/scenarios/operators.py
@@ -1,26 +1,20 @@
-"""Operators and callers of a scenario that go on in threads of their own."""
+"""Operators of a scenario that go on in threads of their own."""
 
 import hashlib
 import http.client
 import json
 import socket
-import threading
 import time
-from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
-from standins.answers import digest
-from tests.scenarios import builders
-from tests.scenarios.caller import Call
+from tests.scenarios.doing import PATIENCE_S, Doing
 
 Ask = Callable[..., tuple[int, Any, dict[str, str]]]
 """Deployment.ask: port, method, target, document and headers to an answer."""
 
 DECIDED = (200, 409, 422)
-PATIENCE_S = 40.0
 PAUSE_S = 0.05
-CALL_DEADLINE_MS = "8000"
 
 
 class Put:
@@ -70,41 +64,6 @@
         return len(set(self.heard)) == 1
 
 
-class Doing:
-    """Something that runs in threads until it is through or told to stop."""
-
-    def __init__(self) -> None:
-        self.error = ""
-        self.stopping = False
-        self._threads: list[threading.Thread] = []
-
-    def start(self, runs: list[Callable[[], None]]) -> None:
-        """Run each in a thread."""
-        for run in runs:
-            thread = threading.Thread(target=self._guard, args=(run,), daemon=True)
-            self._threads.append(thread)
-            thread.start()
-
-    def _guard(self, run: Callable[[], None]) -> None:
-        try:
-            run()
-        except Exception as error:  # told by the next expectation
-            self.error = self.error or f"{type(error).__name__}: {error}"
-
-    def stop(self) -> None:
-        """Have it end, and wait until it has."""
-        self.stopping = True
-        for thread in self._threads:
-            thread.join(PATIENCE_S)
-
-    def find(self, what: str) -> Any:
-        """Return what a scenario may expect, by name."""
-        assert not self.error, self.error
-        if what == "ended":
-            return not any(thread.is_alive() for thread in self._threads)
-        return getattr(self, what)
-
-
 class Burst(Doing):
     """An operator who makes change after change, each adding a workspace."""
 
@@ -267,86 +226,3 @@
         """How often a lower version came after a higher one."""
         pairs = zip(self.versions, self.versions[1:], strict=False)
         return sum(later < earlier for earlier, later in pairs)
-
-
-class Load(Doing):
-    """Callers who send a plain request after the other, some at each host."""
-
-    def __init__(
-        self,
-        ports: list[int],
-        records: Callable[[str], list[Any]],
-        name: str,
-        each: int,
-    ) -> None:
-        super().__init__()
-        self._records = records
-        self._name = name
-        self._lock = threading.Lock()
-        self._number = 0
-        self.calls: list[Call] = []
-        self.start([lambda p=port: self._run(p) for port in ports for _ in range(each)])
-
-    def _run(self, port: int) -> None:
-        token = builders.TOKENS_BY_WORKSPACE["foresters"]
-        headers = {
-            "Authorization": f"Bearer {token}",
-            "X-Deadline-Ms": CALL_DEADLINE_MS,
-        }
-        while not self.stopping:
-            with self._lock:
-                self._number += 1
-                name = f"{self._name}-{self._number}"
-            body = builders.request_body("/bonds", name, 0)
-            call = Call(port, "POST", "/bonds", headers, body)
-            call.follow()
-            self.calls.append(call)
-            time.sleep(PAUSE_S)
-
-    @property
-    def outcomes(self) -> dict[str, int]:
-        """How many calls ended how, by outcome and reason."""
-        return dict(Counter(f"{c.outcome}/{c.reason or ''}" for c in self.calls))
-
-    @property
-    def done(self) -> int:
-        """How many were answered whole and truly."""
-        return sum(call.whole for call in self.calls)
-
-    @property
-    def not_done(self) -> int:
-        """How many were not."""
-        return len(self.calls) - self.done
-
-    @property
-    def cut(self) -> int:
-        """How many saw their connection break off."""
-        return sum(call.cut or call.status is None for call in self.calls)
-
-    @property
-    def no_owner(self) -> int:
-        """How many were refused because the pool had no owner."""
-        return sum(call.reason == "no-owner" for call in self.calls)
-
-    @property
-    def unknown(self) -> int:
-        """How many heard that it is not known whether they ran."""
-        return sum(call.outcome == "unknown" for call in self.calls)
-
-    @property
-    def runs_of(self) -> Counter[str]:
-        """How often each body ran, by its digest."""
-        return Counter(record["digest"] for record in self._records("run"))
-
-    @property
-    def twice(self) -> int:
-        """How many ran more than once."""
-        runs = self.runs_of
-        return sum(runs[digest(call.body)] > 1 for call in self.calls)
-
-    @property
-    def lies(self) -> int:
-        """How many heard not-run though they ran."""
-        runs = self.runs_of
-        told = [call for call in self.calls if call.outcome == "not-run"]
-        return sum(runs[digest(call.body)] > 0 for call in told)
