Keep the time of comebacks in one place, and say what two bounds mean

Cause: read as a newcomer, COMEBACK_SECONDS and DEMAND_SECONDS were one constant with one text in two modules, and the bounds of the used part of a stated output had no text. Change: core/fading.py has the constant; no value and no behaviour changes. Before and after: the tests of quotas, comebacks and sizes pass before and after.

--- a/bitterntiller/components/dispatch/admission.py
+++ b/bitterntiller/components/dispatch/admission.py
@@ -11,13 +11,10 @@
 from bitterntiller.components.dispatch.limits import WorkspaceLimiter
 from bitterntiller.components.dispatch.pool import Pool
 from bitterntiller.components.dispatch.queue import PoolQueue
-from bitterntiller.core.fading import Fading
+from bitterntiller.core.fading import COMEBACK_SECONDS, Fading
 
 METER_SECONDS = 5.0
 MIN_SHARE = 0.05
-COMEBACK_SECONDS = 2.0
-"""Seconds in which refused work is forgotten to a third; callers come back once, few of
-them later than that."""
 
 
 class Admission:
--- a/bitterntiller/components/dispatch/sizes.py
+++ b/bitterntiller/components/dispatch/sizes.py
@@ -18,6 +18,9 @@
 
 MIN_RATIO = 0.05
 MAX_RATIO = 2.0
+"""Least and most of the stated output that one answer is taken to have used; what lies
+outside is a caller's slip and would spoil the mean."""
+
 PRIOR_RATIO = MIN_RATIO**0.5
 """Part of the stated output that is expected before any answer has ended: the middle,
 by its logarithm, between the least that is taken for possible and all of it. Callers
--- a/bitterntiller/components/entry/quota.py
+++ b/bitterntiller/components/entry/quota.py
@@ -17,7 +17,7 @@
 from bitterntiller.components.config.models import Quota, Workspace
 from bitterntiller.components.settings.models import QuotaWindow
 from bitterntiller.core.clock import Clock
-from bitterntiller.core.fading import Fading
+from bitterntiller.core.fading import COMEBACK_SECONDS, Fading
 
 LEAST_WAIT = 0.2
 MOST_WAIT = 30.0
@@ -41,10 +41,6 @@
 """Part of a quota by which repeats may exceed it. A deployment has hosts keep within a
 tenth less than what it allows; half of that is left for counts that are late."""
 
-DEMAND_SECONDS = 2.0
-"""Seconds in which a refused request is forgotten to a third; callers come back once,
-and few of them later than that."""
-
 
 class Used(NamedTuple):
     """What was sent about age seconds ago, as one ledger has not heard it yet."""
@@ -207,7 +203,7 @@
         several times its quota would otherwise be told to come back at once, again and
         again, and be refused each time.
         """
-        refused = self._refused_by_workspace.setdefault(name, Fading(DEMAND_SECONDS))
+        refused = self._refused_by_workspace.setdefault(name, Fading(COMEBACK_SECONDS))
         demand = refused.add(amount, self._clock.now())
         debt = max(0.0, -level.total) / self._hosts
         rate = quota.rate * self._window.factor / self._hosts
--- a/bitterntiller/core/fading.py
+++ b/bitterntiller/core/fading.py
@@ -2,6 +2,10 @@
 
 import math
 
+COMEBACK_SECONDS = 2.0
+"""Seconds in which refused work is forgotten to a third; callers come back once, and
+few of them later than that. A choice, not measured."""
+
 
 class Fading:
     """A sum of amounts that are forgotten by and by."""
