Tell the lives of an upstream apart, and read what others write as nothing

Cause: an upstream may start again under its name with counts from 1, told by its time of start. A departure may state its life; one without ends the life that is known. Ruled out: refusing announcements of services that no configuration names, since upstreams come before the configuration that names them. Not covered: a late departure that states no life ends the present one.

--- a/bitterntiller/components/control/const.py
+++ b/bitterntiller/components/control/const.py
@@ -9,6 +9,7 @@
 STATUS_GRANTED = "granted"
 STATUS_UNKNOWN_HOST = "unknown-host"
 STATUS_OK = "ok"
+STATUS_FULL = "full"
 
 CLAIM_TAKEN = "taken"
 CLAIM_RUNNING = "running"
@@ -34,6 +35,19 @@
 UPSTREAM_SILENT = "silent"
 UPSTREAM_GONE = "gone"
 
+UNSTATED_LIFE = -1
+"""Stands for the incarnation of a departure that does not say whose it is."""
+
+EVERY_LIFE = 2**62
+"""Stands for an incarnation that is higher than any: all of that name are gone."""
+
+MAX_UPSTREAMS = 8192
+"""Upstreams that are registered at once; more are turned away.
+
+Each takes some 0.3 kB in the log, in each snapshot and at each host, and a faulty
+sender of announcements could name new ones without end.
+"""
+
 MAX_GONE_UPSTREAMS = 4096
 """Names of upstreams remembered as gone; a late announcement revives none of them.
 
--- a/bitterntiller/components/control/coordinator.py
+++ b/bitterntiller/components/control/coordinator.py
@@ -15,6 +15,7 @@
     CLAIM_RUNNING,
     CONFIRM_TIMEOUT,
     LARGE_CONFIG_BYTES,
+    STATUS_FULL,
     STATUS_INVALID,
     STATUS_NOT_LEADER,
     STATUS_OK,
@@ -190,6 +191,9 @@
         if term is None:
             return self._register_reply(STATUS_NOT_LEADER)
         now = self._clock.now()
+        if not self.state.upstreams.has_room_for(request.upstream.name):
+            self._runtime.metrics.count(f"control.register_upstream.{STATUS_FULL}")
+            return self._register_reply(STATUS_FULL)
         news = term.registrar.hear(request.upstream, now)
         if not news:
             return self._register_reply(STATUS_OK)
--- a/bitterntiller/components/control/upstreams.py
+++ b/bitterntiller/components/control/upstreams.py
@@ -3,13 +3,20 @@
 Only what hosts must agree on is in the log: that an upstream is there, leaving, silent
 or gone. An announcement that repeats what is known is noted in the leader's memory
 only, so that the log grows with the changes and not with the time.
+
+An upstream may be started again under the name that it had. The incarnation, which is
+higher at each start, tells its lives apart: words of an earlier life are stale
+whatever their sequence, and what ends one life takes nothing from the next.
 """
 
 from collections import OrderedDict
 from typing import Any
 
 from bitterntiller.components.control.const import (
+    EVERY_LIFE,
     MAX_GONE_UPSTREAMS,
+    MAX_UPSTREAMS,
+    UNSTATED_LIFE,
     UPSTREAM_GONE,
     UPSTREAM_READY,
     UPSTREAM_SILENT,
@@ -28,7 +35,7 @@
     def __init__(self) -> None:
         self.version = 0
         self.by_name: dict[str, Any] = {}
-        self._gone: OrderedDict[str, None] = OrderedDict()
+        self._gone_life_by_name: OrderedDict[str, int] = OrderedDict()
 
     def apply(self, index: int, announcements: list[Any]) -> None:
         """Take messages.Announce of an upstream, in the order of the list."""
@@ -41,28 +48,40 @@
         if self.is_stale(announcement):
             return False
         if announcement.state == UPSTREAM_GONE:
-            self._note_gone(name)
+            self._note_gone(announcement)
             return self.by_name.pop(name, None) is not None
         self.by_name[name] = announcement
         return True
 
-    def _note_gone(self, name: str) -> None:
-        """Remember who has gone, so that a late announcement revives nobody."""
-        self._gone[name] = None
-        while len(self._gone) > MAX_GONE_UPSTREAMS:
-            self._gone.popitem(last=False)
+    def _note_gone(self, departure: Any) -> None:
+        """Remember which life has gone, so that a late announcement revives nobody."""
+        life = departure.incarnation
+        if life == UNSTATED_LIFE:
+            known = self.by_name.get(departure.name)
+            life = EVERY_LIFE if known is None else known.incarnation
+        gone = self._gone_life_by_name
+        gone[departure.name] = max(life, gone.get(departure.name, life))
+        while len(gone) > MAX_GONE_UPSTREAMS:
+            gone.popitem(last=False)
 
     def is_stale(self, announcement: Any) -> bool:
         """Tell whether an announcement is older than what is known.
 
         A delayed one would bring back an upstream that is leaving or gone, and
-        requests would be sent to it, or to whatever has its address by now.
+        requests would be sent to it, or to whatever has its address by now. One of an
+        earlier life would end the life that has begun since.
         """
-        if announcement.name in self._gone:
-            return True
         known = self.by_name.get(announcement.name)
+        life = announcement.incarnation
+        if life == UNSTATED_LIFE and known is not None:
+            life = known.incarnation
+        gone = self._gone_life_by_name.get(announcement.name)
+        if gone is not None and life <= gone:
+            return True
         if known is None:
             return False
+        if life != known.incarnation:
+            return life < known.incarnation
         if announcement.state in (UPSTREAM_GONE, UPSTREAM_SILENT):
             return announcement.sequence < known.sequence
         return announcement.sequence <= known.sequence
@@ -74,6 +93,10 @@
             return True
         return _content(known) != _content(announcement)
 
+    def has_room_for(self, name: str) -> bool:
+        """Tell whether an upstream is registered, or one more may be."""
+        return name in self.by_name or len(self.by_name) < MAX_UPSTREAMS
+
     def at_address(self, address: str) -> list[Any]:
         """Return the upstreams that have announced an address as theirs."""
         return [item for item in self.by_name.values() if item.address == address]
@@ -83,7 +106,7 @@
         return {
             "version": self.version,
             "upstreams": [_to_document(item) for item in self.by_name.values()],
-            "gone": list(self._gone),
+            "gone": [list(item) for item in self._gone_life_by_name.items()],
         }
 
     def from_document(self, document: dict[str, Any]) -> None:
@@ -91,7 +114,7 @@
         self.version = document["version"]
         found = [_from_document(item) for item in document["upstreams"]]
         self.by_name = {item.name: item for item in found}
-        self._gone = OrderedDict.fromkeys(document["gone"])
+        self._gone_life_by_name = OrderedDict(map(_gone_life, document["gone"]))
 
 
 def with_state(announcement: Any, state: str) -> Any:
@@ -108,6 +131,7 @@
 
 def _content(announcement: Any) -> tuple[Any, ...]:
     return (
+        announcement.incarnation,
         announcement.pool,
         announcement.address,
         announcement.state,
@@ -116,6 +140,14 @@
     )
 
 
+def _gone_life(item: Any) -> tuple[str, int]:
+    """Return a name and its last life; older snapshots hold the name alone."""
+    if isinstance(item, str):
+        return item, EVERY_LIFE
+    name, life = item
+    return name, life
+
+
 def _to_document(announcement: Any) -> dict[str, Any]:
     document = {field: getattr(announcement, field) for field in _KEPT_FIELDS}
     document["labels"] = dict(announcement.labels)
--- a/bitterntiller/components/dispatch/upstreams.py
+++ b/bitterntiller/components/dispatch/upstreams.py
@@ -35,6 +35,8 @@
         self.worked_at = now
         self.tried_at = float("-inf")
         self.ledger = Ledger()
+        self._kind = parameters.kind
+        self._pool_speed = pool
         self.speed = new_speed(parameters.kind, pool)
         self._adaptive = parameters.adaptive
         self.limit = InflightLimit(self._adaptive)
@@ -48,7 +50,12 @@
         self._window = parameters.prefill_window
 
     def restart(self) -> None:
-        """Forget what its former incarnation ran, held and failed at."""
+        """Forget what its former incarnation ran, held, failed at and how fast it was.
+
+        One that was slow at its end would be given little work for long after its
+        new start, and one that held a prefix would be sent work for what it lost.
+        """
+        self.speed = new_speed(self._kind, self._pool_speed)
         self.ledger.clear()
         self.prefixes.clear()
         self.health.success()
--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -296,8 +296,11 @@
     """Return the timeout that a Keep-Alive header tells, in seconds."""
     value = header(headers, b"keep-alive") or ""
     for part in value.split(","):
-        name, _, text = part.strip().partition("=")
-        if name.lower() == "timeout" and text.strip().isdigit():
+        name, _, text = part.partition("=")
+        text = text.strip()
+        if name.strip().lower() != "timeout":
+            continue
+        if text.isascii() and text.isdigit():
             return float(text)
     return None
 
--- a/bitterntiller/components/upstreams/schema.py
+++ b/bitterntiller/components/upstreams/schema.py
@@ -11,7 +11,7 @@
 from bitterntiller.protocol import messages
 
 
-def _ip_and_port(value: Any) -> str:
+def ip_and_port(value: Any) -> str:
     """Return an address IP:port unchanged; raise vol.Invalid for another."""
     if not isinstance(value, str):
         raise vol.Invalid("expected IP:port")
@@ -25,13 +25,14 @@
     return value
 
 
-def _no_bool(value: Any) -> int:
+def whole_number(value: Any) -> int:
+    """Return an int unchanged; raise vol.Invalid for another, booleans included."""
     if isinstance(value, bool) or not isinstance(value, int):
         raise vol.Invalid("expected a whole number")
     return value
 
 
-def _text(value: Any) -> str:
+def text(value: Any) -> str:
     """Return a string that can be sent on; JSON may hold half of a surrogate pair."""
     if not isinstance(value, str):
         raise vol.Invalid("expected a string")
@@ -42,10 +43,12 @@
     return value
 
 
-_COUNT = vol.All(_no_bool, vol.Range(min=0, max=const.MAX_COUNT))
-_NUMBER = vol.All(_no_bool, vol.Range(min=0, max=const.MAX_NUMBER))
-_HASH = vol.All(_no_bool, vol.Range(min=-const.MAX_NUMBER - 1, max=const.MAX_NUMBER))
-_NAME = vol.All(_text, vol.Length(min=1, max=200))
+_COUNT = vol.All(whole_number, vol.Range(min=0, max=const.MAX_COUNT))
+_NUMBER = vol.All(whole_number, vol.Range(min=0, max=const.MAX_NUMBER))
+_HASH = vol.All(
+    whole_number, vol.Range(min=-const.MAX_NUMBER - 1, max=const.MAX_NUMBER)
+)
+_NAME = vol.All(text, vol.Length(min=1, max=200))
 
 _LOAD = vol.Schema(
     {
@@ -68,11 +71,11 @@
     {
         vol.Required(const.ATTR_NAME): _NAME,
         vol.Required(const.ATTR_SERVICE): _NAME,
-        vol.Required(const.ATTR_ADDRESS): _ip_and_port,
+        vol.Required(const.ATTR_ADDRESS): ip_and_port,
         vol.Required(const.ATTR_INCARNATION): _NUMBER,
         vol.Required(const.ATTR_SEQUENCE): _NUMBER,
         vol.Required(const.ATTR_STATE): vol.In(const.STATES),
-        vol.Optional(const.ATTR_LABELS, default=dict): {_NAME: _text},
+        vol.Optional(const.ATTR_LABELS, default=dict): {_NAME: text},
         vol.Required(const.ATTR_SLOTS): _COUNT,
         vol.Optional(const.ATTR_KV_TOKENS, default=0): _COUNT,
         vol.Optional(const.ATTR_LOAD): _LOAD,
--- a/tests/components/control/test_upstreams.py
+++ b/tests/components/control/test_upstreams.py
@@ -3,6 +3,7 @@
 import json
 from typing import Any
 
+from bitterntiller.components.control.const import MAX_UPSTREAMS, UNSTATED_LIFE
 from bitterntiller.components.control.registrar import Registrar
 from bitterntiller.components.control.state import ControlState
 from bitterntiller.components.control.upstreams import UpstreamsState
@@ -16,6 +17,7 @@
 
 def announce(name: str = "e1", sequence: int = 1, **changes: Any) -> Any:
     fields = {
+        "incarnation": 0,
         "pool": "llm",
         "address": "10.0.0.1:80",
         "state": "ready",
@@ -25,7 +27,6 @@
     return messages.Announce(
         name=name,
         sequence=sequence,
-        incarnation=0,
         labels={},
         kv_tokens=0,
         cache_events=[],
@@ -52,6 +53,92 @@
     assert states(state) == {}
 
 
+def test_restart_under_the_same_name_is_a_new_life():
+    """An upstream that was started again gets no request for the rest of the day.
+
+    It crashed, started under its old name, and its announcements count from 1 again:
+    all of them look older than what is known.
+    """
+    state = UpstreamsState()
+    registrar = Registrar(0.0, state, TIMINGS)
+    state.apply(1, registrar.hear(announce(sequence=40, incarnation=5), 1.0))
+    again = announce(sequence=1, incarnation=9)
+    state.apply(2, registrar.hear(again, 2.0))
+    assert state.by_name["e1"] is again
+    assert state.version == 2
+
+
+def test_words_of_an_earlier_life_change_nothing():
+    """Requests stop coming to an upstream that has just been started again.
+
+    What its earlier life said is held up by a cut: that it leaves, that it has gone,
+    that it serves at its old address. All of it arrives after the new start.
+    """
+    state = UpstreamsState()
+    state.apply(1, [announce(sequence=40, incarnation=5)])
+    state.apply(2, [announce(sequence=1, incarnation=9)])
+    for late in ("ready", "leaving", "silent", "gone"):
+        state.apply(3, [announce(sequence=2**61, incarnation=5, state=late)])
+    assert states(state) == {"e1": "ready"}
+    assert state.version == 2
+
+
+def test_new_life_follows_a_departure_and_the_old_one_does_not():
+    """An upstream that left and was started again is never used.
+
+    Its departure was taken for the end of its name, not of one life.
+    """
+    state = UpstreamsState()
+    state.apply(1, [announce(sequence=4, incarnation=5)])
+    state.apply(2, [announce(sequence=2**62, incarnation=5, state="gone")])
+    state.apply(3, [announce(sequence=9, incarnation=5)])
+    assert states(state) == {}
+    state.apply(4, [announce(sequence=1, incarnation=6)])
+    assert states(state) == {"e1": "ready"}
+
+
+def test_departure_of_no_stated_life_ends_the_one_that_is_known():
+    state = UpstreamsState()
+    state.apply(1, [announce(sequence=4, incarnation=5)])
+    gone = announce(sequence=2**62, incarnation=UNSTATED_LIFE, state="gone")
+    state.apply(2, [gone])
+    assert states(state) == {}
+    assert state.is_stale(announce(sequence=5, incarnation=5))
+    assert not state.is_stale(announce(sequence=1, incarnation=6))
+
+
+def test_departure_of_one_that_was_never_known_holds():
+    """A late announcement revives an upstream whose departure was acknowledged."""
+    state = UpstreamsState()
+    state.apply(1, [announce(sequence=2**62, incarnation=UNSTATED_LIFE, state="gone")])
+    assert state.is_stale(announce(sequence=5, incarnation=5))
+
+
+def test_snapshot_of_an_earlier_version_keeps_who_has_gone():
+    state = UpstreamsState()
+    state.from_document({"version": 3, "upstreams": [], "gone": ["e1"]})
+    assert state.is_stale(announce(incarnation=2**60))
+
+
+def test_lives_survive_a_snapshot():
+    state = UpstreamsState()
+    state.apply(1, [announce(incarnation=5), announce("e2", incarnation=7)])
+    state.apply(2, [announce(sequence=2, incarnation=5, state="gone")])
+    other = UpstreamsState()
+    other.from_document(json.loads(json.dumps(state.to_document())))
+    assert other.is_stale(announce(sequence=9, incarnation=5))
+    assert not other.is_stale(announce(sequence=1, incarnation=6))
+    assert other.is_stale(announce("e2", 9, incarnation=6))
+
+
+def test_registered_upstreams_are_bounded():
+    """A faulty sender fills the log of control with names that nobody has."""
+    state = UpstreamsState()
+    state.by_name = {str(number): announce() for number in range(MAX_UPSTREAMS)}
+    assert state.has_room_for("7")
+    assert not state.has_room_for("new")
+
+
 def test_state_survives_a_snapshot():
     state = ControlState()
     apply(state, 1, upstreams=[announce(sequence=4), announce("e2", 9)])
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,67 @@
+"""Numbers in headers that other programs have written."""
+
+import pytest
+from bitterntiller_platform.interface import MAX_HEADER_NUMBER, PlatformInterface
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bitterntiller.components.http.client import keep_alive_seconds
+from bitterntiller.components.http.models import RequestHead, ResponseHead
+from bitterntiller.protocol import encode, messages
+
+SUPERSCRIPT_TWO = b"\xb2"
+HUGE = b"9" * 5000
+
+
+def answer(value: bytes) -> ResponseHead:
+    return ResponseHead(200, [(b"x-engine-load", value)])
+
+
+def request(*headers: tuple[bytes, bytes]) -> RequestHead:
+    return RequestHead("POST", "/trees/1", list(headers), b"1.1")
+
+
+@pytest.mark.parametrize("value", [b"", b"3", b"a,b", b"-1,2", b"1.5,2", b"\xb2,0"])
+def test_load_that_is_none(value):
+    """A request whose answer has come is cut.
+
+    The answer tells a load with a digit that is no number, and reading it raises.
+    """
+    assert PlatformInterface().load(answer(value)) is None
+
+
+@given(st.binary(max_size=40) | st.just(HUGE + b"," + HUGE + b",7"))
+def test_any_load_can_be_sent_on(value):
+    load = PlatformInterface().load(answer(value))
+    if load is not None:
+        encode(
+            messages.Load(
+                running=load.running, waiting=load.waiting, kv_tokens=0, age_ms=0
+            )
+        )
+
+
+@given(st.binary(max_size=40))
+def test_any_headers_of_a_caller_can_be_read(value):
+    names = (b"x-token-usage", b"x-length-hint", b"x-prefix-hash", b"x-deadline-ms")
+    head = request(*((name, value) for name in names))
+    PlatformInterface().receive(head, 0.0)
+
+
+def test_numbers_of_a_caller_are_bounded():
+    head = request((b"x-token-usage", HUGE + b",7"), (b"x-length-hint", HUGE))
+    work = PlatformInterface().receive(head, 0.0).work
+    assert (work.prompt_tokens, work.output_tokens) == (MAX_HEADER_NUMBER, 7)
+    odd = request((b"x-token-usage", SUPERSCRIPT_TWO + b",7"))
+    assert PlatformInterface().receive(odd, 0.0).work is None
+
+
+@pytest.mark.parametrize(
+    "value", [b"timeout=\xb2", b"timeout=", b"timeout=x", b"max=9"]
+)
+def test_kept_connection_of_no_stated_time(value):
+    assert keep_alive_seconds([(b"keep-alive", value)]) is None
+
+
+def test_kept_connection_of_a_stated_time():
+    assert keep_alive_seconds([(b"keep-alive", b"max=9, Timeout = 5")]) == 5.0
