Trace the known red test of an old copy, and log when voters have answered

Cause: a repair command that comes while the old identity of a host is not yet known to be silent made the new identity a voter beside it, and no later step removes the old one. A line in the log says when the other voters have answered a starting replica, and after how long.

--- a/bitterntiller/components/replication/coordinator.py
+++ b/bitterntiller/components/replication/coordinator.py
@@ -7,6 +7,7 @@
 import curio
 from absl import logging
 
+from bitterntiller.core import events
 from bitterntiller.core.errors import BrokenInvariantError
 from bitterntiller.core.interfaces import ProposalResult, StateMachine
 from bitterntiller.core.runtime import Runtime
@@ -68,6 +69,7 @@
         self._applied_bytes = 0
         self._snapshot_bytes = 0
         self._led = False
+        self._returned = False
         self._asked_from_by_host: dict[str, str] = {}
         self._leader_known = curio.Event()
         self._initial = machine.snapshot()
@@ -210,6 +212,7 @@
         for outcome in effects.reads:
             await self._waiters.async_read(outcome, self._applied)
         await self._waiters.async_advance(self._applied)
+        self._note_return()
         await self._async_note_role()
         self._snapshot_if_due()
         if effects.committed:
@@ -223,6 +226,16 @@
         self._applied_bytes += len(entry.data)
         await self._waiters.async_applied(entry.index, entry.term, result)
 
+    def _note_return(self) -> None:
+        """Log that the other voters have answered what they remember of this one."""
+        returning = self._replica.state.returning
+        if returning.done == self._returned:
+            return
+        self._returned = returning.done
+        if returning.done:
+            seconds = round(self._runtime.clock.now() - returning.began, 3)
+            events.emit("voters-answered", after=seconds, term=self._replica.state.term)
+
     async def _async_note_role(self) -> None:
         """Answer those who wait at once when leadership has been lost or settled."""
         if not self.leader():
--- a/tests/components/replication/test_restart.py
+++ b/tests/components/replication/test_restart.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from bitterntiller.components.replication import repair
 from bitterntiller.components.replication.const import (
     DEFAULT_FIRST_ELECTION,
     DEFAULT_RETURN_GRACE,
@@ -12,10 +13,11 @@
     Members,
     ReturnCheckReply,
 )
+from bitterntiller.components.replication.progress import Progress
 
 from .explorer import World
 from .profiles import Profile
-from .script import drain, leads
+from .script import drain, elect, leads, settle, world_of
 
 STEP = 0.03
 ELECTION_MIN = 0.6
@@ -113,3 +115,28 @@
     )
     gaps = [later - sooner for sooner, later in zip(waits, waits[1:], strict=False)]
     assert min(gaps) >= DEFAULT_FIRST_ELECTION / 2
+
+
+def test_a_repair_waits_until_the_old_identity_is_known_to_be_silent():
+    """A repair of a host that is back at once never ends, and survives no loss.
+
+    The host lost its disk and is back under a new identity sooner than the leader takes
+    the old one for silent. The new one was made a voter beside it, and no later step
+    removes the old one.
+    """
+    world = world_of("abc")
+    assert elect(world, "a", "abc")
+    settle(world, "abc")
+    node = world.nodes["a"]
+    state, now = node.replica.state, node.clock
+    learner = Member("b/2", "b", "b", False)
+    state.members = state.members._replace(all=(*state.members.all, learner))
+    progress = Progress(1, now, match=state.log.last_index, counted=True)
+    state.progress_by_replica["b/2"] = progress
+    wishes = [repair.Wish("b", "b")]
+    assert repair.next_step(state, wishes, now) is None
+    silent = now + state.tuning.election_max + 0.1
+    for replica in ("b/2", "c/1"):
+        state.progress_by_replica[replica].contact = silent
+    step = repair.next_step(state, wishes, silent)
+    assert [member.replica for member in step] == ["a/1", "c/1", "b/2"]
