Serve a workspace that is over its quota at its rate all the while

Change: the counting host tells beside what is left of the window what of it may be used now: the level of a token bucket that refills at the quota's rate and stays within the window. While the bucket is full the window alone counts, so that a request larger than the bucket is served. Repeats go by the window as before. Ruled out: the bucket alone, with which a large request of an idle workspace was never let through (an existing test) and repeats were refused (another).

--- a/bitterntiller/components/dispatch/reports.py
+++ b/bitterntiller/components/dispatch/reports.py
@@ -62,12 +62,13 @@
         part = self._part()
         levels = []
         for workspace in held:
-            level = self._ledger.left(workspace, self._config.config, part, now)
-            if level is not None:
-                level_message = messages.QuotaLevel(
-                    workspace=workspace, amount=int(level)
+            asked = (workspace, self._config.config, part, now)
+            left, paced = self._ledger.left(*asked), self._ledger.paced(*asked)
+            if left is not None and paced is not None:
+                level = messages.QuotaLevel(
+                    workspace=workspace, amount=int(left), paced=int(paced)
                 )
-                levels.append(level_message)
+                levels.append(level)
         return levels
 
     def _part(self) -> float:
--- a/bitterntiller/components/entry/quota.py
+++ b/bitterntiller/components/entry/quota.py
@@ -83,15 +83,19 @@
 class _Level:
     """What is left of one workspace's quota: for this host, and over all hosts.
 
-    part is this host's part as it was heard; large tells that a request larger than it
-    was let through since.
+    total is what is left of the window, paced what of it may be used now. part is this
+    host's part of that as it was heard; large tells that a request larger than it was
+    let through since.
     """
 
-    __slots__ = ("amount", "at", "large", "part", "total")
+    __slots__ = ("amount", "at", "large", "paced", "part", "total")
 
-    def __init__(self, total: float, hosts: int, at: float) -> None:
+    def __init__(
+        self, total: float, hosts: int, at: float, paced: float | None = None
+    ) -> None:
         self.total = total
-        self.part = total / hosts if total > 0 else total
+        self.paced = total if paced is None else paced
+        self.part = self.paced / hosts if self.paced > 0 else self.paced
         self.amount = self.part
         self.large = False
         self.at = at
@@ -99,6 +103,7 @@
     def take(self, amount: float) -> None:
         """Take an amount, or give it back when it is below 0."""
         self.amount -= amount
+        self.paced -= amount
         self.total -= amount
 
 
@@ -122,7 +127,7 @@
         if quota is None:
             return QuotaVerdict(0.0)
         level = self._level(workspace.name, quota)
-        verdict = QuotaVerdict(0.0, level.total, self._clock.now() - level.at)
+        verdict = QuotaVerdict(0.0, level.paced, self._clock.now() - level.at)
         if not self._has_room(quota, level, amount):
             wait = self._wait(workspace.name, quota, level, amount)
             return verdict._replace(wait=wait)
@@ -169,7 +174,7 @@
             return False
         most = self._window.limit(quota.rate, quota.burst)
         needed = min(2 * amount, max(amount, PLENTY_PART * most), most)
-        level.large = level.total >= needed
+        level.large = level.paced >= needed
         return level.large
 
     def _hold(self, name: str, level: _Level, amount: int) -> None:
@@ -205,7 +210,7 @@
         """
         refused = self._refused_by_workspace.setdefault(name, Fading(COMEBACK_SECONDS))
         demand = refused.add(amount, self._clock.now())
-        debt = max(0.0, -level.total) / self._hosts
+        debt = max(0.0, -level.paced) / self._hosts
         rate = quota.rate * self._window.factor / self._hosts
         wait = (debt + demand) / max(rate, 1e-9)
         return min(max(wait, LEAST_WAIT), MOST_WAIT)
@@ -263,7 +268,9 @@
         now = self._clock.now()
         for item in levels:
             since = self._taken_since(item.workspace, told)
-            level = _Level(item.amount - since, self._hosts, now)
+            paced = item.amount if item.paced is None else item.paced
+            left = item.amount - since
+            level = _Level(left, self._hosts, now, min(left, paced - since))
             self._level_by_workspace[item.workspace] = level
 
     def _taken_since(self, name: str, told: Untold) -> int:
--- a/bitterntiller/components/settings/models.py
+++ b/bitterntiller/components/settings/models.py
@@ -78,6 +78,13 @@
     change_id_age: float = 604800.0
 
 
+class Bucket(NamedTuple):
+    """A token bucket: it refills at rate a second, up to depth."""
+
+    rate: float
+    depth: float
+
+
 class QuotaWindow(NamedTuple):
     """How the use of quotas is counted over time; the deployment tells.
 
@@ -94,6 +101,19 @@
         """Return what may be used in one span, for a quota's rate and burst."""
         return (rate * self.seconds + burst) * self.factor + self.besides
 
+    def bucket(self, rate: float, burst: float) -> Bucket:
+        """Return the token bucket that stays within the limit of each span.
+
+        It refills at the quota's rate, and what the span allows beyond that is its
+        depth; where that is less than the burst, both shrink alike.
+        """
+        most = self.limit(rate, burst)
+        depth = most - rate * self.seconds
+        if depth >= burst:
+            return Bucket(rate, depth)
+        part = most / max(rate * self.seconds + burst, 1e-9)
+        return Bucket(rate * part, burst * part)
+
 
 class Control(NamedTuple):
     """Control as one process knows it.
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -147,7 +147,11 @@
 struct Held { 1: required string workspace, 2: required i64 amount }
 
 /* What is left of a workspace's quota over all hosts; below 0 when it is overdrawn. */
-struct QuotaLevel { 1: required string workspace, 2: required i64 amount }
+struct QuotaLevel {
+    1: required string workspace,
+    2: required i64 amount,              // what is left of the window
+    3: optional i64 paced,               // what of it may be used now
+}
 
 /* Told by every entry host to the owner it uses, a few times a second; number grows with each. */
 struct EntryReport {
--- a/tests/components/entry/test_quota.py
+++ b/tests/components/entry/test_quota.py
@@ -12,6 +12,7 @@
 CONFIG = Config(1, {}, {}, {"wards": WORKSPACE}, {})
 WINDOW = QuotaWindow(seconds=4.0)
 LIMIT = 5000
+DEPTH = 1000
 HOSTS = 5
 
 
@@ -297,3 +298,43 @@
     repeats = sum(hosts[0].hold_repeat(WORKSPACE, 50) for _ in range(50))
     assert 0 < repeats * 50 <= REPEAT_PART * LIMIT
     assert not hosts[0].has_room_for_repeat(WORKSPACE, 50)
+
+
+def paced(ledger: QuotaLedger, now: float) -> float:
+    return ledger.paced("wards", CONFIG, 1.0, now)
+
+
+def test_workspace_over_its_quota_is_served_at_its_rate_all_the_while():
+    """For five seconds of each eight a workspace is refused also what it is owed.
+
+    It asks for six times its quota, gets a whole window of it in the first seconds,
+    and nothing until that has left the window.
+    """
+    clock, ledger = ManualClock(), QuotaLedger(WINDOW)
+    admitted = []
+    for _ in range(200):
+        clock.advance(0.1)
+        used = min(600.0, max(0.0, paced(ledger, clock.now())))
+        ledger.note("wards", used, 0.0, clock.now())
+        admitted.append(used)
+    seconds = [sum(admitted[at : at + 10]) for at in range(20, 190)]
+    assert min(seconds) >= 0.85 * QUOTA.rate
+    assert max(seconds) <= 1.15 * QUOTA.rate + DEPTH
+    spans = [sum(admitted[at : at + 40]) for at in range(160)]
+    assert max(spans) <= LIMIT
+
+
+def test_idle_workspace_may_use_all_of_its_window():
+    """A request is never served that is larger than the bucket of its workspace."""
+    ledger = QuotaLedger(WINDOW)
+    ledger.note("wards", 900, 0.0, 10.0)
+    assert paced(ledger, 10.1) <= 200
+    assert paced(ledger, 12.0) == LIMIT - 900
+
+
+def test_bucket_keeps_within_the_window():
+    for window in (WINDOW, WINDOW._replace(factor=0.5), WINDOW._replace(besides=900)):
+        bucket = window.bucket(QUOTA.rate, QUOTA.burst)
+        most = window.limit(QUOTA.rate, QUOTA.burst)
+        assert bucket.rate * window.seconds + bucket.depth <= most + 1e-6
+    assert window.bucket(QUOTA.rate, QUOTA.burst) == (QUOTA.rate, QUOTA.burst + 900)
