--- /dev/null
+++ b/bench/routed/__main__.py
@@ -0,0 +1,120 @@
+"""The command of the lab: python -m bench.routed play | compare."""
+
+import json
+import math
+import statistics
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+from itertools import product
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from bench.routed.load import CASES
+from bench.routed.play import play
+from bench.routed.sheets import load_sheets
+
+DEFAULT_SEEDS = 10
+DEFAULT_JOBS = 4
+FIGURES = ("worth", "worst_windows", "worst_kind", "in_time", "late", "refused_late")
+SHOWN_BY = 2.26
+"""Standard errors beyond which a mean of ten pairs is shown at 95 in 100."""
+
+
+@dataclass
+class Play:
+    """Play sheets and cases with the same seeds and keep the tallies as JSON."""
+
+    out: Annotated[Path, cappa.Arg(long=True, help="where the tallies go")]
+    sheet: Annotated[list[str] | None, cappa.Arg(long=True)] = None
+    case: Annotated[list[str] | None, cappa.Arg(long=True)] = None
+    first: Annotated[int, cappa.Arg(long=True, help="the first seed")] = 1
+    seeds: Annotated[int, cappa.Arg(long=True)] = DEFAULT_SEEDS
+    jobs: Annotated[int, cappa.Arg(long=True, help="processes")] = DEFAULT_JOBS
+    parameter: Annotated[
+        list[str] | None, cappa.Arg(long=True, help="NAME=VALUE, the value as JSON")
+    ] = None
+
+    def __call__(self) -> None:
+        """Play all and write the tallies."""
+        changes = dict(map(_parameter, self.parameter or ()))
+        sheets = self.sheet or list(load_sheets())
+        cases = self.case or [case.name for case in CASES]
+        seeds = range(self.first, self.first + self.seeds)
+        runs = list(product(sheets, cases, seeds))
+        with ProcessPoolExecutor(self.jobs) as pool:
+            futures = [pool.submit(play, *run, changes) for run in runs]
+            found = [future.result()._asdict() for future in futures]
+        results = [
+            {"sheet": sheet, "case": case, "seed": seed, **figures}
+            for (sheet, case, seed), figures in zip(runs, found, strict=True)
+        ]
+        self.out.write_text(json.dumps(results))
+        sys.stdout.write(_table(results))
+
+
+def _parameter(text: str) -> tuple[str, object]:
+    name, _, value = text.partition("=")
+    return name, json.loads(value)
+
+
+def _cells(results: list[dict]) -> dict[tuple[str, str], dict[int, dict]]:
+    cells: dict[tuple[str, str], dict[int, dict]] = {}
+    for item in results:
+        cells.setdefault((item["sheet"], item["case"]), {})[item["seed"]] = item
+    return cells
+
+
+def _table(results: list[dict]) -> str:
+    lines = ["| sheet | case | " + " | ".join(FIGURES) + " |", "| --- " * 8 + "|"]
+    for (sheet, case), by_seed in _cells(results).items():
+        means = [
+            f"{statistics.mean(item[name] for item in by_seed.values()):.3f}"
+            for name in FIGURES
+        ]
+        lines.append(f"| {sheet} | {case} | " + " | ".join(means) + " |")
+    return "\n".join(lines) + "\n"
+
+
+@dataclass
+class Compare:
+    """Print the differences of two files of tallies, seed by seed."""
+
+    before: Path
+    after: Path
+
+    def __call__(self) -> None:
+        """Write a row a cell: means and their standard errors; a star where shown."""
+        before = _cells(json.loads(self.before.read_text()))
+        after = _cells(json.loads(self.after.read_text()))
+        sys.stdout.write("| sheet | case | " + " | ".join(FIGURES[:4]) + " |\n")
+        for cell in before.keys() & after.keys():
+            row = [_difference(before[cell], after[cell], name) for name in FIGURES[:4]]
+            sys.stdout.write(f"| {cell[0]} | {cell[1]} | " + " | ".join(row) + " |\n")
+
+
+def _difference(before: dict[int, dict], after: dict[int, dict], name: str) -> str:
+    seeds = sorted(before.keys() & after.keys())
+    changes = [after[seed][name] - before[seed][name] for seed in seeds]
+    mean = statistics.mean(changes)
+    error = statistics.stdev(changes) / math.sqrt(len(changes))
+    star = " *" if abs(mean) > SHOWN_BY * error else ""
+    return f"{mean:+.4f} ± {error:.4f}{star}"
+
+
+@dataclass
+class Lab:
+    """Experiments with the decisions of pools of routed requests."""
+
+    subcommand: cappa.Subcommands[Play | Compare]
+
+
+def main() -> None:
+    """Run the command line."""
+    cappa.invoke(Lab)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/routed/callers.py
@@ -0,0 +1,66 @@
+"""Callers with an objective for the first output, and what their answers are worth."""
+
+from bench.entry import Attempt, EntryHosts
+from bench.events import EventLoop
+from bench.models import Ask
+from bench.owner import Owner
+from bench.routed.sheets import Kind
+from bitterntiller.components.dispatch.models import Refused, WaitingRequest
+
+PATIENCE_PART = 1 / 3
+"""Part of the time that a caller has left up to which it waits as it is told."""
+
+RETRIES = 1
+
+
+class RoutedAttempt(Attempt):
+    """An attempt whose first output is due by an objective."""
+
+    __slots__ = ("kind",)
+
+    def __init__(
+        self, ask: Ask, tries: int, arrived: float, deadline: float, kind: Kind
+    ) -> None:
+        super().__init__(ask, tries, arrived, deadline)
+        self.kind = kind
+
+    def waiting_request(self) -> WaitingRequest:
+        """Return what the owner is told of it.
+
+        A host knows of a caller that comes back no more than of a new one.
+        """
+        request = super().waiting_request()
+        return request._replace(
+            first_by=self.arrived + self.kind.objective, start_by=self.deadline
+        )
+
+
+class Callers(EntryHosts):
+    """Entry hosts whose callers come back once, as they are told."""
+
+    def __init__(
+        self, loop: EventLoop, owner: Owner, delay: float, kinds: dict[str, Kind]
+    ) -> None:
+        super().__init__(loop, owner, delay, RETRIES)
+        self._kinds_by_name = kinds
+
+    def arrive(self, ask: Ask, tries: int = 0) -> None:
+        """Take a request and register it with the owner."""
+        kind = self._kinds_by_name[ask.kind]
+        deadline = ask.at + ask.deadline
+        attempt = RoutedAttempt(ask, tries, self._loop.now(), deadline, kind)
+        self.attempts_by_id[attempt.request_id] = attempt
+        self._loop.at(deadline, self._give_up, attempt)
+        self._owner.send("register", attempt.waiting_request())
+
+    def _refuse(self, attempt: Attempt, refused: Refused) -> None:
+        if attempt.outcome != "waiting":
+            return
+        now = self._loop.now()
+        attempt.outcome = "refused"
+        attempt.reason = str(refused.reason)
+        attempt.ended = now
+        if attempt.tries >= self._comebacks:
+            return
+        wait = min(refused.retry_after, PATIENCE_PART * (attempt.deadline - now))
+        self._loop.at(now + wait, self.arrive, attempt.ask, attempt.tries + 1)
--- /dev/null
+++ b/bench/routed/load.py
@@ -0,0 +1,113 @@
+"""The requests of a run: calm, in bursts, of one workspace, or beside slow engines."""
+
+import math
+from typing import NamedTuple
+
+import numpy as np
+
+from bench.arrivals import make_hashes
+from bench.models import Ask
+from bench.routed.sheets import Kind, Sheet
+
+MAX_PROMPT = 39_600
+HINT_SPREAD = 0.5
+"""Sigma of the callers' own guess of the output, which is right at the median."""
+
+SHARED_TOKENS = 60
+MOST_EVENTS = 10
+"""Times the mean that an answer has events at most."""
+
+
+class Case(NamedTuple):
+    """What is asked in a run; load is a multiple of the sheet's usual rates.
+
+    From burst_from to burst_until, seconds, the load is burst times as high; one
+    workspace sends hot times its usual then. slow engines work at a fifth of their
+    speed meanwhile, lost ones stop, and the owner is replaced by another at the middle
+    of the run where owner_lost is set.
+    """
+
+    name: str
+    load: float = 1.0
+    burst: float = 1.0
+    hot: float = 1.0
+    burst_from: float = 6.0
+    burst_until: float = 16.0
+    slow: int = 0
+    owner_lost: bool = False
+    duration: float = 30.0
+
+
+CASES = (
+    Case("calm"),
+    Case("busy", load=1.4),
+    Case("burst", burst=1.9),
+    Case("hot-workspace", load=1.2, hot=8.0),
+    Case("slow-engines", load=1.1, slow=2),
+    Case("owner-lost", load=1.1, owner_lost=True),
+    Case("flood", load=1.2, burst=4.0),
+)
+CASES_BY_NAME = {case.name: case for case in CASES}
+
+
+def make_asks(sheet: Sheet, case: Case, seed: int) -> list[Ask]:
+    """Return the requests of a run, in order of arrival."""
+    rng = np.random.default_rng(seed)
+    asks: list[Ask] = []
+    for kind in sheet.kinds:
+        asks += _of_kind(sheet, kind, case, rng)
+    asks.sort(key=lambda ask: ask.at)
+    return [ask._replace(number=number) for number, ask in enumerate(asks)]
+
+
+def _of_kind(
+    sheet: Sheet, kind: Kind, case: Case, rng: np.random.Generator
+) -> list[Ask]:
+    asks = []
+    for workspace, share in enumerate(sheet.workspace_shares):
+        hot = case.hot if workspace == 1 else 1.0
+        rate = kind.per_s * share * case.load
+        times = [rng.uniform(0, case.duration, rng.poisson(rate * case.duration))]
+        extra = rate * (case.burst * hot - 1)
+        span = case.burst_until - case.burst_from
+        if extra > 0:
+            count = rng.poisson(extra * span)
+            times.append(rng.uniform(case.burst_from, case.burst_until, count))
+        for at in np.concatenate(times):
+            asks.append(_ask(sheet, kind, f"workspace-{workspace}", float(at), rng))
+    return asks
+
+
+def _ask(
+    sheet: Sheet, kind: Kind, workspace: str, at: float, rng: np.random.Generator
+) -> Ask:
+    prompt = min(MAX_PROMPT, _sized(kind.prompt, kind.prompt_spread, rng))
+    most_events = MOST_EVENTS * int(kind.events)
+    events = min(most_events, _sized(kind.events, kind.event_spread, rng))
+    output = events * sheet.tokens_per_event
+    hint = max(1, int(output * math.exp(HINT_SPREAD * rng.standard_normal())))
+    subject = int(rng.integers(kind.subjects))
+    return Ask(
+        number=0,
+        at=at,
+        workspace=workspace,
+        tier=str(kind.rank),
+        tier_rank=kind.rank,
+        kind=kind.name,
+        prompt=prompt + SHARED_TOKENS,
+        prompt_estimate=prompt + SHARED_TOKENS,
+        output=output,
+        output_estimate=hint,
+        shared=SHARED_TOKENS,
+        deadline=kind.deadline,
+        prefix_hashes=make_hashes(
+            prompt, SHARED_TOKENS, kind.rank << 16 | subject, int(rng.integers(1 << 30))
+        ),
+        host=int(rng.integers(sheet.hosts)),
+    )
+
+
+def _sized(mean: float, spread: float, rng: np.random.Generator) -> int:
+    """Return a log-normal size of a mean."""
+    median = mean / math.exp(spread * spread / 2)
+    return max(1, int(median * math.exp(spread * rng.standard_normal())))
--- /dev/null
+++ b/bench/routed/sheets.py
@@ -0,0 +1,76 @@
+"""The loads of the lab, read from a file of our own: kinds, engines, worth."""
+
+import json
+from pathlib import Path
+from typing import NamedTuple
+
+from bench.models import UpstreamProfile
+
+_PATH = Path(__file__).with_name("sheets.json")
+
+
+class Kind(NamedTuple):
+    """A kind of request; times in seconds, sizes in tokens, worth as its users say.
+
+    prompt and events are means of log-normal sizes whose spreads are sigmas. worth is
+    that of an answer whose first output comes within objective, late of a later one.
+    subjects are the prompts' last shared parts.
+    """
+
+    name: str
+    rank: int
+    per_s: float
+    prompt: float
+    prompt_spread: float
+    events: float
+    event_spread: float
+    objective: float
+    deadline: float
+    worth: float
+    late: float
+    subjects: int
+
+
+class Sheet(NamedTuple):
+    """One deployment: its engines, its hosts and what its callers ask."""
+
+    name: str
+    delay: float
+    hosts: int
+    engines: int
+    slots: int
+    kv_tokens: int
+    step_ms: float
+    step_ms_per_slot: float
+    prefill_tokens_per_ms: float
+    speeds: tuple[float, ...]
+    tokens_per_event: int
+    workspace_shares: tuple[float, ...]
+    kinds: tuple[Kind, ...]
+
+    def profile(self, number: int) -> UpstreamProfile:
+        """Return the engine of a number; its speed is the next one in turn."""
+        pace = 1 / self.speeds[number % len(self.speeds)]
+        return UpstreamProfile(
+            name=f"engine-{number}",
+            zone="zone",
+            generation="",
+            slots=self.slots,
+            kv_tokens=self.kv_tokens,
+            cache_tokens=self.kv_tokens // 2,
+            prefill_speed=self.prefill_tokens_per_ms * 1000 / pace,
+            step_base=self.step_ms / 1000 * pace,
+            step_per_sequence=self.step_ms_per_slot / 1000 * pace,
+        )
+
+
+def load_sheets() -> dict[str, Sheet]:
+    """Return the sheets by name."""
+    document = json.loads(_PATH.read_text())
+    return {name: _sheet(name, fields) for name, fields in document.items()}
+
+
+def _sheet(name: str, fields: dict) -> Sheet:
+    kinds = tuple(Kind(**kind) for kind in fields["kinds"])
+    lists = {key: tuple(fields[key]) for key in ("speeds", "workspace_shares")}
+    return Sheet(**{**fields, **lists, "name": name, "kinds": kinds})
--- /dev/null
+++ b/bench/routed/tally.py
@@ -0,0 +1,101 @@
+"""What a run was worth: in all, in its worst windows, of its worst kind."""
+
+from collections import defaultdict
+from typing import NamedTuple
+
+from bench.models import Ask
+from bench.routed.callers import RoutedAttempt
+
+WINDOW_SECONDS = 2.0
+WORST_WINDOWS = 2
+LEAST_PART = 0.25
+"""Windows in which less than this part of the mean is owed don't count."""
+
+LATE_REFUSAL = 0.125
+"""Part of its objective beyond which a refused request has waited for long."""
+
+
+class Tally(NamedTuple):
+    """Worth earned over worth owed, and how requests ended.
+
+    Parts are between 0 and 1. refused_late are those refused after more than an eighth
+    of their objective; back_served those that were served after a refusal. slot_seconds
+    are those of requests by what became of them.
+    """
+
+    worth: float
+    worst_windows: float
+    worst_kind: float
+    in_time: float
+    late: float
+    refused: float
+    refused_late: float
+    back_served: float
+    slot_seconds: dict[str, float]
+
+
+def tally(attempts: list[RoutedAttempt], duration: float) -> Tally:
+    """Return the tally of all attempts of a run."""
+    by_ask: dict[Ask, list[RoutedAttempt]] = defaultdict(list)
+    for attempt in attempts:
+        by_ask[attempt.ask].append(attempt)
+    owed: dict[tuple[str, float | str], float] = defaultdict(float)
+    earned: dict[tuple[str, float | str], float] = defaultdict(float)
+    ends: dict[str, int] = defaultdict(int)
+    for ask, tries in by_ask.items():
+        end, gain = _outcome(ask, tries)
+        ends[end] += 1
+        ends["back"] += end in ("in-time", "late") and len(tries) > 1
+        ends["refused-late"] += any(_refused_late(item) for item in tries)
+        window = ask.at // WINDOW_SECONDS * WINDOW_SECONDS
+        for key in (("all", ""), ("window", window), ("kind", ask.kind)):
+            owed[key] += tries[0].kind.worth
+            earned[key] += gain
+    count = len(by_ask)
+    windows = duration / WINDOW_SECONDS
+    least = LEAST_PART * owed["all", ""] / windows
+    parts = {key: earned[key] / value for key, value in owed.items()}
+    shares = sorted(
+        part for key, part in parts.items() if key[0] == "window" and owed[key] > least
+    )
+    return Tally(
+        worth=parts["all", ""],
+        worst_windows=sum(shares[:WORST_WINDOWS]) / WORST_WINDOWS,
+        worst_kind=min(part for key, part in parts.items() if key[0] == "kind"),
+        in_time=ends["in-time"] / count,
+        late=ends["late"] / count,
+        refused=ends["refused"] / count,
+        refused_late=ends["refused-late"] / count,
+        back_served=ends["back"] / count,
+        slot_seconds=_slot_seconds(attempts),
+    )
+
+
+def _outcome(ask: Ask, tries: list[RoutedAttempt]) -> tuple[str, float]:
+    kind = tries[0].kind
+    for attempt in tries:
+        if attempt.outcome != "useful":
+            continue
+        if attempt.first_token - ask.at <= kind.objective:
+            return "in-time", kind.worth
+        return "late", kind.late
+    return ("refused" if tries[-1].outcome == "refused" else "lost"), 0.0
+
+
+def _refused_late(attempt: RoutedAttempt) -> bool:
+    waited = (attempt.ended or 0.0) - attempt.arrived
+    late = waited > LATE_REFUSAL * attempt.kind.objective
+    return attempt.outcome == "refused" and late
+
+
+def _slot_seconds(attempts: list[RoutedAttempt]) -> dict[str, float]:
+    seconds: dict[str, float] = defaultdict(float)
+    for attempt in attempts:
+        if attempt.granted is None or attempt.ended is None:
+            continue
+        late = (attempt.first_token or attempt.ended) - attempt.ask.at
+        end = "in time" if late <= attempt.kind.objective else "late"
+        if attempt.outcome != "useful":
+            end = "in vain"
+        seconds[f"{attempt.ask.kind} {end}"] += attempt.ended - attempt.granted
+    return dict(seconds)
--- /dev/null
+++ b/tests/platform/test_days.py
@@ -0,0 +1,43 @@
+"""The days that are played on each deployment besides its own."""
+
+import tomllib
+from pathlib import Path
+
+import pytest
+
+FOLDER = Path(__file__).parents[2] / "deploy" / "days"
+FILES = sorted(FOLDER.glob("*.toml"))
+
+KINDS = frozenset(
+    """
+    ack_lost after_ack_kill after_ack_wipe answer_lost bad_config big_config burst
+    clock_step config_change config_race config_storm core_cut disk_full disk_slow
+    disk_stall garble give_up herd_kill hot_key hot_tenant hup lossy node_cut
+    node_freeze node_kill node_slow release replace_core replace_with_reuse
+    reset_conns retry_abuse revoke roll_term scale_in scale_out seed_turnover
+    srv_crash srv_cut srv_grey srv_slow
+    """.split()
+)
+"""The kinds of trouble that may come on any deployment."""
+
+PLACES = ("zone", "service", "class", "to_zone")
+
+
+def entries(file: Path) -> list[dict]:
+    day = tomllib.loads(file.read_text())
+    return [*day["plan"], *day["faults"]]
+
+
+@pytest.mark.parametrize("file", FILES, ids=lambda file: file.stem)
+def test_day_fits_any_deployment(file):
+    """A day is left out on each deployment but one, as it names a zone of that one."""
+    day = tomllib.loads(file.read_text())
+    assert day["name"] == file.stem
+    for entry in entries(file):
+        assert entry["at"] >= 0
+        for place in PLACES:
+            assert entry.get(place, "@").startswith("@")
+
+
+def test_each_kind_of_trouble_comes():
+    assert {entry["kind"] for file in FILES for entry in entries(file)} == KINDS
