bitterntiller summary: where requests were not served, why, and the steps of a start

From any set of logs: ends by spans of time, refusals by reason, service and tier with how long they had waited and what they were told, failures by upstream, and for each host the seconds from its last start to the steps up to its first sending.

--- /dev/null
+++ b/bitterntiller/cli/commands/summary.py
@@ -0,0 +1,72 @@
+"""bitterntiller summary: tells from logs where requests were not served, and why."""
+
+import fileinput
+from dataclasses import dataclass
+from typing import Annotated
+
+import cappa
+
+from bitterntiller.cli import const
+from bitterntiller.cli.errors import ToolError
+from bitterntiller.cli.explaining import read_lines
+from bitterntiller.cli.summing import STEPS, Summary, summarize
+
+DEFAULT_SPAN = 2.0
+"""Seconds; short enough that the loss of a host or of power shows as a span."""
+
+
+def run(command: "Summarize") -> int:
+    """Print the summary of logs and return the exit code."""
+    if command.span <= 0:
+        raise ToolError("--span: expected seconds above 0")
+    try:
+        with fileinput.input(
+            command.files, encoding="utf-8", errors="replace"
+        ) as texts:
+            summary = summarize(read_lines(texts), command.span)
+    except OSError as error:
+        raise ToolError(f"{error.filename}: {error.strerror}") from error
+    if summary is None:
+        raise ToolError("no line of ours in these files")
+    _print(summary)
+    return const.EXIT_OK
+
+
+def _print(summary: Summary) -> None:
+    print("seconds  how requests ended")
+    for span in summary.spans:
+        ends = sorted(span.count_by_end.items(), key=lambda item: -item[1])
+        print(f"{span.begin:7.1f}  " + ", ".join(f"{n} {end}" for end, n in ends))
+    print("\nrefused  reason, service, tier: longest and mean wait, mean told time, s")
+    for reason, refused in summary.refusals_by_reason.items():
+        times = f"{refused.longest_wait:.2f} {refused.mean_wait:.2f}"
+        where = f"{reason.reason} {reason.service} {reason.tier}"
+        print(f"{refused.count:7}  {where}: {times} {refused.mean_told:.2f}")
+    print("\nnot done  by upstream")
+    for upstream, count in summary.failures_by_upstream.items():
+        print(f"{count:8}  {upstream}")
+    print("\nseconds from the last start of a host: " + ", ".join(STEPS[1:]))
+    for start in summary.starts:
+        steps = [_seconds(start.seconds_by_step.get(step)) for step in STEPS[1:]]
+        print(f"{start.host:20}" + "".join(steps))
+
+
+def _seconds(after: float | None) -> str:
+    return f"{'-':>9}" if after is None else f"{after:9.3f}"
+
+
+@cappa.command(invoke=run, name="summary")
+@dataclass
+class Summarize:
+    """Sum the logs of several hosts up.
+
+    How requests ended by spans of time, refusals by reason with how long those had
+    waited, failures by upstream, and the steps of each host since its last start.
+    """
+
+    files: Annotated[
+        list[str], cappa.Arg(num_args=-1, help="logs of hosts; - for standard input")
+    ]
+    span: Annotated[float, cappa.Arg(long=True, help="seconds of a span")] = (
+        DEFAULT_SPAN
+    )
--- a/bitterntiller/cli/tool.py
+++ b/bitterntiller/cli/tool.py
@@ -13,6 +13,7 @@
 from bitterntiller.cli.commands.explain import Explain
 from bitterntiller.cli.commands.get import Get
 from bitterntiller.cli.commands.state import State
+from bitterntiller.cli.commands.summary import Summarize
 from bitterntiller.cli.errors import ToolError
 from bitterntiller.cli.output import print_error
 
@@ -22,7 +23,9 @@
 class Tool:
     """Check, change and look at a bitterntiller deployment."""
 
-    command: cappa.Subcommands[Check | Apply | Get | State | Control | Explain]
+    command: cappa.Subcommands[
+        Check | Apply | Get | State | Control | Explain | Summarize
+    ]
 
 
 def main(arguments: list[str] | None = None) -> None:
--- /dev/null
+++ b/tests/cli/test_summary.py
@@ -0,0 +1,98 @@
+"""bitterntiller summary, on the logs of several hosts."""
+
+from typing import Any
+
+import pytest
+
+from bitterntiller.cli import const, tool
+from bitterntiller.cli.errors import ToolError
+from bitterntiller.cli.explaining import read_lines
+from bitterntiller.cli.summing import Reason, Refusals, summarize
+from tests.cli.test_explain import event, write_log
+
+
+def refused(time: float, waited: float, told: float | None = 1.0) -> dict[str, Any]:
+    return event(
+        time,
+        "edge-1",
+        "refused",
+        request=f"r{time}",
+        reason="quota",
+        service="llm",
+        tier="gold",
+        waited=waited,
+        retry_after=told,
+    )
+
+
+def ended(time: float, outcome: str, upstream: str = "e1") -> dict[str, Any]:
+    return event(
+        time, "edge-1", "ended", request=f"r{time}", outcome=outcome, upstream=upstream
+    )
+
+
+def summed(tmp_path: Any, *events: dict[str, Any]) -> Any:
+    path = write_log(tmp_path / "log", *events)
+    with open(path, encoding="utf-8") as texts:
+        return summarize(read_lines(texts), 2.0)
+
+
+def test_ends_are_counted_by_spans_and_reasons(tmp_path):
+    """An operator sees refusals in a burst, and not which of many reasons they have."""
+    found = summed(
+        tmp_path,
+        refused(15.0, 3.0, None),
+        ended(10.0, "done"),
+        ended(11.9, "failed", "e2"),
+        refused(14.1, 1.0),
+    )
+    assert [(span.begin, span.count_by_end) for span in found.spans] == [
+        (0.0, {"done": 1, "failed": 1}),
+        (4.0, {"refused quota": 2}),
+    ]
+    reason = Reason("quota", "llm", "gold")
+    assert found.refusals_by_reason == {reason: Refusals(2, 3.0, 2.0, 0.5)}
+    assert found.failures_by_upstream == {"e2": 1}
+
+
+def test_steps_are_counted_from_the_last_start(tmp_path):
+    """Power was lost, and it is open which step of the way back took the time."""
+    found = summed(
+        tmp_path,
+        event(1.0, "core-1", "start"),
+        event(2.0, "core-1", "leading"),
+        event(50.0, "core-1", "start"),
+        event(50.1, "core-1", "voters-answered"),
+        event(50.2, "core-1", "leading"),
+        event(50.9, "core-1", "lease"),
+        event(51.9, "core-1", "lease"),
+        event(3.0, "edge-9", "lease"),
+    )
+    (start,) = found.starts
+    assert start.host == "core-1"
+    steps = {step: round(after, 3) for step, after in start.seconds_by_step.items()}
+    assert steps == {"voters-answered": 0.1, "leading": 0.2, "lease": 0.9}
+
+
+def test_command_prints_all_tables(tmp_path, capsys):
+    path = write_log(
+        tmp_path / "log", event(1.0, "core-1", "start"), refused(2.0, 0.25)
+    )
+    assert tool.run(["summary", path]) == const.EXIT_OK
+    printed = capsys.readouterr().out
+    assert "1 refused quota" in printed
+    assert "quota llm gold: 0.25 0.25 1.00" in printed
+    assert "core-1" in printed
+
+
+@pytest.mark.parametrize("arguments", [["/no/such/file"], ["--span", "0", "/dev/null"]])
+def test_bad_input_is_told(arguments, capsys):
+    assert tool.run(["summary", *arguments]) != const.EXIT_OK
+    assert "bitterntiller:" in capsys.readouterr().err
+
+
+def test_file_without_lines_of_ours(tmp_path, capsys):
+    path = tmp_path / "empty"
+    path.write_text("nothing\n")
+    assert tool.run(["summary", str(path)]) == ToolError("").exit_code
+    assert "no line of ours" in capsys.readouterr().err
