--- a/bench/entry.py
+++ b/bench/entry.py
@@ -200,8 +200,13 @@
         attempt.outcome = "refused"
         attempt.reason = str(refused.reason)
         attempt.ended = now
-        back_at = now + refused.retry_after
-        if attempt.tries < self._comebacks and back_at < attempt.deadline:
+        if attempt.tries < self._comebacks:
+            self._come_back(attempt, refused.retry_after)
+
+    def _come_back(self, attempt: Attempt, retry_after: float) -> None:
+        """Have a refused caller come back when it is told to, if that is in time."""
+        back_at = self._loop.now() + retry_after
+        if back_at < attempt.deadline:
             self._loop.at(back_at, self.arrive, attempt.ask, attempt.tries + 1)
 
     def _output(self, attempt: Attempt) -> int:
--- a/bench/routed/callers.py
+++ b/bench/routed/callers.py
@@ -5,7 +5,7 @@
 from bench.models import Ask
 from bench.owner import Owner
 from bench.routed.sheets import Kind
-from bitterntiller.components.dispatch.models import Refused, WaitingRequest
+from bitterntiller.components.dispatch.models import WaitingRequest
 
 PATIENCE_PART = 1 / 3
 """Part of the time that a caller has left up to which it waits as it is told."""
@@ -53,14 +53,7 @@
         self._loop.at(deadline, self._give_up, attempt)
         self._owner.send("register", attempt.waiting_request())
 
-    def _refuse(self, attempt: Attempt, refused: Refused) -> None:
-        if attempt.outcome != "waiting":
-            return
+    def _come_back(self, attempt: Attempt, retry_after: float) -> None:
         now = self._loop.now()
-        attempt.outcome = "refused"
-        attempt.reason = str(refused.reason)
-        attempt.ended = now
-        if attempt.tries >= self._comebacks:
-            return
-        wait = min(refused.retry_after, PATIENCE_PART * (attempt.deadline - now))
+        wait = min(retry_after, PATIENCE_PART * (attempt.deadline - now))
         self._loop.at(now + wait, self.arrive, attempt.ask, attempt.tries + 1)
--- a/bitterntiller/cli/commands/explain.py
+++ b/bitterntiller/cli/commands/explain.py
@@ -1,6 +1,5 @@
 """bitterntiller explain: tells from logs what became of a request."""
 
-import fileinput
 from dataclasses import dataclass
 from typing import Annotated
 
@@ -8,18 +7,13 @@
 
 from bitterntiller.cli import const
 from bitterntiller.cli.errors import ToolError
-from bitterntiller.cli.explaining import Line, read_lines, tell
+from bitterntiller.cli.explaining import Line, lines_of, tell
 
 
 def run(command: "Explain") -> int:
     """Print the story of a request and return the exit code."""
-    try:
-        with fileinput.input(
-            command.files, encoding="utf-8", errors="replace"
-        ) as texts:
-            story = tell(read_lines(texts), command.request_id)
-    except OSError as error:
-        raise ToolError(f"{error.filename}: {error.strerror}") from error
+    with lines_of(command.files) as lines:
+        story = tell(lines, command.request_id)
     if story is None:
         raise ToolError(f"no line names request {command.request_id}")
     begin = story.lines[0].time
--- a/bitterntiller/cli/commands/summary.py
+++ b/bitterntiller/cli/commands/summary.py
@@ -1,6 +1,5 @@
 """bitterntiller summary: tells from logs where requests were not served, and why."""
 
-import fileinput
 from dataclasses import dataclass
 from typing import Annotated
 
@@ -8,7 +7,7 @@
 
 from bitterntiller.cli import const
 from bitterntiller.cli.errors import ToolError
-from bitterntiller.cli.explaining import read_lines
+from bitterntiller.cli.explaining import lines_of
 from bitterntiller.cli.summing import STEPS, Summary, summarize
 
 DEFAULT_SPAN = 2.0
@@ -19,13 +18,8 @@
     """Print the summary of logs and return the exit code."""
     if command.span <= 0:
         raise ToolError("--span: expected seconds above 0")
-    try:
-        with fileinput.input(
-            command.files, encoding="utf-8", errors="replace"
-        ) as texts:
-            summary = summarize(read_lines(texts), command.span)
-    except OSError as error:
-        raise ToolError(f"{error.filename}: {error.strerror}") from error
+    with lines_of(command.files) as lines:
+        summary = summarize(lines, command.span)
     if summary is None:
         raise ToolError("no line of ours in these files")
     _print(summary)
--- a/bitterntiller/cli/explaining.py
+++ b/bitterntiller/cli/explaining.py
@@ -1,9 +1,13 @@
 """Joins the log lines of several hosts into the story of one request."""
 
+import fileinput
 import json
 from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
 from typing import Any, NamedTuple
 
+from bitterntiller.cli.errors import ToolError
+
 ATTR_EVENT = "event"
 ATTR_HOST = "host"
 ATTR_REQUEST = "request"
@@ -55,6 +59,16 @@
     cause: str
 
 
+@contextmanager
+def lines_of(files: list[str]) -> Iterator[Iterator[Line]]:
+    """Open files of logs, - for standard input, for their lines; raise ToolError."""
+    try:
+        with fileinput.input(files, encoding="utf-8", errors="replace") as texts:
+            yield read_lines(texts)
+    except OSError as error:
+        raise ToolError(f"{error.filename}: {error.strerror}") from error
+
+
 def read_lines(texts: Iterable[str]) -> Iterator[Line]:
     """Yield the events among lines of text; others are passed over.
 
