--- a/tests/components/dispatch/checker.py
+++ b/tests/components/dispatch/checker.py
@@ -36,13 +36,14 @@
         self.speeds = [1.0] * len(slots)
         self.slots = slots
         self.leaving: set[int] = set()
+        self.incarnations = [1] * len(slots)
+        self.sequences = [0] * len(slots)
         self.heard = [0.0] * len(slots)
         self.told: set[str] = set()
         self.refused: list[tuple[WaitingRequest, Refused]] = []
         self.grants = 0
         self._requests_by_id: dict[str, WaitingRequest] = {}
         self._number = 0
-        self._sequence = 0
         self.scheduler = self._new()
         for index in range(len(slots)):
             self.announce(index)
@@ -87,6 +88,26 @@
         self.leaving ^= {index}
         self.announce(index)
 
+    def restart(self, index: int) -> None:
+        """Have an upstream start again under its name, and count from the beginning.
+
+        What ran there is lost, and its hosts tell so after the new start is announced.
+        Late words of the earlier life, that it leaves among them, change nothing.
+        """
+        index %= len(self.slots)
+        name = f"e{index}"
+        lost = [n for n, grant in self.granted_by_id.items() if grant.upstream == name]
+        for request_id in lost:
+            self._forget(request_id)
+        self.leaving.discard(index)
+        self.incarnations[index] += 1
+        self.sequences[index] = 0
+        self.announce(index)
+        for request_id in lost:
+            self._call("returned", request_id, "lost-answer", False)
+        late = upstream(name, slots=99, sequence=10**6, leaving=True)
+        assert self.scheduler.announce(late, self.now) == (False, [])
+
     def fail_over(self) -> None:
         """Replace the owner: running work is adopted, waiting work registers.
 
@@ -118,12 +139,13 @@
 
     def announce(self, index: int) -> None:
         """Have an upstream announce itself."""
-        self._sequence += 1
+        self.sequences[index] += 1
         self.heard[index] = self.now
         state = upstream(
             f"e{index}",
             slots=self.slots[index],
-            sequence=self._sequence,
+            incarnation=self.incarnations[index],
+            sequence=self.sequences[index],
             leaving=index in self.leaving,
         )
         accepted, decisions = self.scheduler.announce(state, self.now)
--- a/tests/components/dispatch/test_properties.py
+++ b/tests/components/dispatch/test_properties.py
@@ -27,6 +27,7 @@
     ),
     st.tuples(st.just("slow"), st.integers(0, 2), st.sampled_from([1.0, 5.0])),
     st.tuples(st.just("leave"), st.integers(0, 2)),
+    st.tuples(st.just("restart"), st.integers(0, 2)),
     st.tuples(st.just("failover")),
     st.tuples(st.just("advance"), st.sampled_from([0.1, 1.0, 4.0])),
 )
@@ -56,6 +57,8 @@
             checker.slow_down(index, factor)
         case ("leave", index):
             checker.leave(index)
+        case ("restart", index):
+            checker.restart(index)
         case ("failover",):
             checker.fail_over()
         case ("advance", seconds):
