--- a/bitterntiller/components/control/heartbeats.py
+++ b/bitterntiller/components/control/heartbeats.py
@@ -58,13 +58,13 @@
 
 
 def _pause(heartbeat: Any, term: LeaderTerm, timings: Timings) -> float:
-    """Return the seconds until the next heartbeat, few while hosts are being heard.
+    """Return the seconds until the next heartbeat, fewer for a host without a lease.
 
-    A directory that grows at each heartbeat is told to all of them soon, so that
-    they agree on the owners of pools.
+    After a loss of all hosts the first ones to be heard get a list that lacks the
+    others; told of them only a whole period later, they would take other owners.
     """
-    usual = period(len(term.sessions.by_host), timings)
     hosts = len(term.sessions.by_host)
+    usual = period(hosts, timings)
     if not heartbeat.leased and hosts <= HEARTBEATS_PER_SECOND * YOUNG_HEARTBEAT:
         return min(usual, YOUNG_HEARTBEAT)
     return usual
--- a/bitterntiller/components/entry/const.py
+++ b/bitterntiller/components/entry/const.py
@@ -119,6 +119,7 @@
 """
 
 LEASE_POLL = 0.02
+"""Seconds between two looks at a lease that is waited for."""
 DRAINED_POLL = 0.05
 SETTLED_WAIT = 3.0
 
--- a/bitterntiller/components/entry/owner_watch.py
+++ b/bitterntiller/components/entry/owner_watch.py
@@ -87,7 +87,8 @@
             self._suspect(owner, error.text)
             return
         if not reply.ready:
-            # It answers at no cost, and will have its lease a moment after this host.
+            # Asked again in the next period: it may get its lease a moment after this
+            # host, and passed over for longer it would share its pools with another.
             self._asked_at_by_host.pop(owner.host, None)
             self._suspect(owner, "it has no configuration or lease")
             return
