Forget what an entry host has no more when it turns back to an owner

They told the ends of their requests to the owner in between. Change: the message with which an entry host turns to an owner has all that it has, so what it lacks is forgotten then. What runs is counted first. Ruled out: a stall by the change of configurations of the same second (both owners went on granting calls of the plain service). A test fails without it: the request of another host waits beside a free slot.

--- a/bitterntiller/components/dispatch/coordinator.py
+++ b/bitterntiller/components/dispatch/coordinator.py
@@ -106,11 +106,7 @@
             self._early.put(message, now)
             return
         incarnation = self._incarnation(message.entry_host)
-        decisions: list[Decision] = []
-        for item in message.running:
-            decisions += pool.adopt(item, incarnation, now)
-        for item in message.waiting:
-            decisions += pool.register(item, incarnation, now)
+        decisions = pool.take_over(message, incarnation, now)
         await self._async_carry_out(pool, decisions)
 
     async def async_on_live(self, _host: str, message: Any) -> None:
--- a/bitterntiller/components/dispatch/owned_pool.py
+++ b/bitterntiller/components/dispatch/owned_pool.py
@@ -105,6 +105,27 @@
         ]
         return self._note(self.scheduler.register_all(requests, now))
 
+    def take_over(
+        self, message: messages.Reregister, incarnation: str, now: float
+    ) -> list[Decision]:
+        """Take all that an entry host has with this pool, and forget what it has not.
+
+        An entry host that passed this owner over for a moment told the ends of its
+        requests to another one. Kept here, those would fill the slots of upstreams that
+        are idle, until the next list of live requests some seconds later.
+        """
+        known = {item.request.request_id for item in message.running}
+        known.update(item.request_id for item in message.waiting)
+        ids = frozenset(known)
+        decisions: list[Decision] = []
+        # What runs is counted first, or what is forgotten would be granted in its place.
+        for item in message.running:
+            decisions += self.adopt(item, incarnation, now)
+        decisions += self.keep_only(message.entry_host, ids, now, 0.0)
+        for item in message.waiting:
+            decisions += self.register(item, incarnation, now)
+        return decisions
+
     def adopt(
         self, item: messages.RunningItem, incarnation: str, now: float
     ) -> list[Decision]:
@@ -125,20 +146,24 @@
         return self._note(self.scheduler.cancel(request_id, now))
 
     def keep_only(
-        self, entry_host: str, request_ids: frozenset[str], now: float
+        self,
+        entry_host: str,
+        request_ids: frozenset[str],
+        now: float,
+        known_seconds: float = KNOWN_SECONDS,
     ) -> list[Decision]:
         """Forget what an entry host has no more, given all that it has.
 
         The end of a request is told once. When that message is lost with a broken
         connection, the slot would count as used for as long as the epoch lasts.
-        What was told of in the last seconds is kept: its message may have come by
+        What was told of in the last known_seconds is kept: its message may have come by
         another connection than this one.
         """
         decisions: list[Decision] = []
         for request_id, tracked in list(self.tracked_by_id.items()):
             if tracked.request.entry_host != entry_host or request_id in request_ids:
                 continue
-            if now - tracked.known_at >= KNOWN_SECONDS:
+            if now - tracked.known_at >= known_seconds:
                 decisions += self.cancel(request_id, now)
         return decisions
 
--- a/tests/components/dispatch/test_coordinator.py
+++ b/tests/components/dispatch/test_coordinator.py
@@ -122,3 +122,30 @@
         await owner.async_on_register("bole-1", build.register("r1"))
 
     assert granted_after(async_step) == []
+
+
+def test_host_that_turns_back_leaves_no_ended_requests_behind():
+    """Requests wait four seconds beside idle upstreams after a cut of a second.
+
+    An entry host passes an owner over for a moment and tells the ends of its requests to
+    another one. It turns back before the first owner has forgotten it, and all that
+    ran at the beginning of the cut still fills the slots in that owner's book.
+    """
+
+    async def async_step(owner: Any, runtime: FakeRuntime, _: Any) -> None:
+        await owner.async_on_announce("e", build.announce("e1", 2))
+        for name in ("ended", "runs"):
+            await owner.async_on_register("bole-1", build.register(name))
+        await owner.async_on_register("yeka-1", build.register("other", "yeka-1"))
+        await curio.sleep(0.05)
+        told = messages.Reregister(
+            pool=build.POOL,
+            epoch=0,
+            entry_host="bole-1",
+            waiting=[build.register("waits")],
+            running=[build.running("runs", "e1")],
+        )
+        await owner.async_on_reregister("bole-1", told)
+
+    granted = granted_after(async_step)
+    assert granted == ["ended", "runs", "other"]
