Call an upstream's life its incarnation, name a spread, open a station's announcement

Change: one term, incarnation; NO_LEASE_SPREAD, which the test uses; Station.announce. Ruled out: parting dispatch/scheduler.py (394 lines): it has one job, the calls of an owner and the granting loop behind them, and uses a module for each decision.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -43,7 +43,7 @@
 
     def start(self) -> None:
         """Begin to announce; at once, then every second at its own phase."""
-        self._announce()
+        self.announce()
         self._loop.after(float(self._rng.uniform(0, ANNOUNCE_SECONDS)), self._repeat)
         self._sample()
 
@@ -91,10 +91,11 @@
         self._plan()
 
     def _repeat(self) -> None:
-        self._announce()
+        self.announce()
         self._loop.after(ANNOUNCE_SECONDS, self._repeat)
 
-    def _announce(self) -> None:
+    def announce(self) -> None:
+        """Tell the owner of the present state."""
         profile = self.upstream.profile
         self._sequence += 1
         state = UpstreamState(
--- a/bench/routed/play.py
+++ b/bench/routed/play.py
@@ -64,7 +64,7 @@
 def _replace(owner: Owner, callers: EntryHosts) -> None:
     owner.begin(SETTLE)
     for station in callers.stations_by_name.values():
-        station._announce()
+        station.announce()
     callers.reregister()
 
 
--- a/bitterntiller/components/control/const.py
+++ b/bitterntiller/components/control/const.py
@@ -35,10 +35,10 @@
 UPSTREAM_SILENT = "silent"
 UPSTREAM_GONE = "gone"
 
-UNSTATED_LIFE = -1
+UNSTATED_INCARNATION = -1
 """Stands for the incarnation of a departure that does not say whose it is."""
 
-EVERY_LIFE = 2**62
+EVERY_INCARNATION = 2**62
 """Stands for an incarnation that is higher than any: all of that name are gone."""
 
 MAX_UPSTREAMS = 8192
--- a/bitterntiller/components/control/upstreams.py
+++ b/bitterntiller/components/control/upstreams.py
@@ -13,10 +13,10 @@
 from typing import Any
 
 from bitterntiller.components.control.const import (
-    EVERY_LIFE,
+    EVERY_INCARNATION,
     MAX_GONE_UPSTREAMS,
     MAX_UPSTREAMS,
-    UNSTATED_LIFE,
+    UNSTATED_INCARNATION,
     UPSTREAM_GONE,
     UPSTREAM_READY,
     UPSTREAM_SILENT,
@@ -35,7 +35,7 @@
     def __init__(self) -> None:
         self.version = 0
         self.by_name: dict[str, Any] = {}
-        self._gone_life_by_name: OrderedDict[str, int] = OrderedDict()
+        self._gone_incarnation_by_name: OrderedDict[str, int] = OrderedDict()
 
     def apply(self, index: int, announcements: list[Any]) -> None:
         """Take messages.Announce of an upstream, in the order of the list."""
@@ -54,13 +54,13 @@
         return True
 
     def _note_gone(self, departure: Any) -> None:
-        """Remember which life has gone, so that a late announcement revives nobody."""
-        life = departure.incarnation
-        if life == UNSTATED_LIFE:
+        """Remember which incarnation has gone, so that no late word revives it."""
+        incarnation = departure.incarnation
+        if incarnation == UNSTATED_INCARNATION:
             known = self.by_name.get(departure.name)
-            life = EVERY_LIFE if known is None else known.incarnation
-        gone = self._gone_life_by_name
-        gone[departure.name] = max(life, gone.get(departure.name, life))
+            incarnation = EVERY_INCARNATION if known is None else known.incarnation
+        gone = self._gone_incarnation_by_name
+        gone[departure.name] = max(incarnation, gone.get(departure.name, incarnation))
         while len(gone) > MAX_GONE_UPSTREAMS:
             gone.popitem(last=False)
 
@@ -72,16 +72,16 @@
         earlier life would end the life that has begun since.
         """
         known = self.by_name.get(announcement.name)
-        life = announcement.incarnation
-        if life == UNSTATED_LIFE and known is not None:
-            life = known.incarnation
-        gone = self._gone_life_by_name.get(announcement.name)
-        if gone is not None and life <= gone:
+        incarnation = announcement.incarnation
+        if incarnation == UNSTATED_INCARNATION and known is not None:
+            incarnation = known.incarnation
+        gone = self._gone_incarnation_by_name.get(announcement.name)
+        if gone is not None and incarnation <= gone:
             return True
         if known is None:
             return False
-        if life != known.incarnation:
-            return life < known.incarnation
+        if incarnation != known.incarnation:
+            return incarnation < known.incarnation
         if announcement.state in (UPSTREAM_GONE, UPSTREAM_SILENT):
             return announcement.sequence < known.sequence
         return announcement.sequence <= known.sequence
@@ -106,7 +106,7 @@
         return {
             "version": self.version,
             "upstreams": [_to_document(item) for item in self.by_name.values()],
-            "gone": [list(item) for item in self._gone_life_by_name.items()],
+            "gone": [list(item) for item in self._gone_incarnation_by_name.items()],
         }
 
     def from_document(self, document: dict[str, Any]) -> None:
@@ -114,7 +114,9 @@
         self.version = document["version"]
         found = [_from_document(item) for item in document["upstreams"]]
         self.by_name = {item.name: item for item in found}
-        self._gone_life_by_name = OrderedDict(map(_gone_life, document["gone"]))
+        self._gone_incarnation_by_name = OrderedDict(
+            map(_gone_incarnation, document["gone"])
+        )
 
 
 def with_state(announcement: Any, state: str) -> Any:
@@ -140,12 +142,12 @@
     )
 
 
-def _gone_life(item: Any) -> tuple[str, int]:
-    """Return a name and its last life; older snapshots hold the name alone."""
+def _gone_incarnation(item: Any) -> tuple[str, int]:
+    """Return a name and its last incarnation; older snapshots hold the name alone."""
     if isinstance(item, str):
-        return item, EVERY_LIFE
-    name, life = item
-    return name, life
+        return item, EVERY_INCARNATION
+    name, incarnation = item
+    return name, incarnation
 
 
 def _to_document(announcement: Any) -> dict[str, Any]:
--- a/bitterntiller/components/entry/entrance.py
+++ b/bitterntiller/components/entry/entrance.py
@@ -52,7 +52,7 @@
             return come_back(Reason.DRAINING)
         # Without a lease a newer configuration may be in force elsewhere.
         if not self._context.lease.valid():
-            spread = random.uniform(0.5, 2.0)
+            spread = random.uniform(*const.NO_LEASE_SPREAD)
             return come_back(Reason.NO_LEASE, spread * const.NO_LEASE_RETRY_AFTER)
         # A new deployment knows no workspace yet; 401 would tell callers that
         # their tokens are wrong, and they would not come back.
--- a/tests/components/control/test_upstreams.py
+++ b/tests/components/control/test_upstreams.py
@@ -3,7 +3,7 @@
 import json
 from typing import Any
 
-from bitterntiller.components.control.const import MAX_UPSTREAMS, UNSTATED_LIFE
+from bitterntiller.components.control.const import MAX_UPSTREAMS, UNSTATED_INCARNATION
 from bitterntiller.components.control.registrar import Registrar
 from bitterntiller.components.control.state import ControlState
 from bitterntiller.components.control.upstreams import UpstreamsState
@@ -100,7 +100,7 @@
 def test_departure_of_no_stated_life_ends_the_one_that_is_known():
     state = UpstreamsState()
     state.apply(1, [announce(sequence=4, incarnation=5)])
-    gone = announce(sequence=2**62, incarnation=UNSTATED_LIFE, state="gone")
+    gone = announce(sequence=2**62, incarnation=UNSTATED_INCARNATION, state="gone")
     state.apply(2, [gone])
     assert states(state) == {}
     assert state.is_stale(announce(sequence=5, incarnation=5))
@@ -110,7 +110,9 @@
 def test_departure_of_one_that_was_never_known_holds():
     """A late announcement revives an upstream whose departure was acknowledged."""
     state = UpstreamsState()
-    state.apply(1, [announce(sequence=2**62, incarnation=UNSTATED_LIFE, state="gone")])
+    state.apply(
+        1, [announce(sequence=2**62, incarnation=UNSTATED_INCARNATION, state="gone")]
+    )
     assert state.is_stale(announce(sequence=5, incarnation=5))
 
 
--- a/tests/components/entry/test_entrance.py
+++ b/tests/components/entry/test_entrance.py
@@ -55,7 +55,8 @@
         ending = made.unready(draining=False)
         assert ending.reason is Reason.NO_LEASE
         after = ending.retry_after / const.NO_LEASE_RETRY_AFTER
-        assert 0.5 <= after <= 2.0
+        least, most = const.NO_LEASE_SPREAD
+        assert least <= after <= most
 
     curio.run(run)
 
