Log which upstreams an owner uses, and size and route of requests

Cause: an owner that stopped using upstreams left no line; a refusal told neither how many upstreams there were nor how large the request was; requests of routes that were added could not be told from those of the first ones. The telling moved out of attempt.py and the coordinator into modules of their own. No decision changes. Volume: one line for each change of an upstream, within the bounds by kind.

--- a/bitterntiller/cli/commands/summary.py
+++ b/bitterntiller/cli/commands/summary.py
@@ -39,6 +39,12 @@
     print("\nnot done  by upstream")
     for upstream, count in summary.failures_by_upstream.items():
         print(f"{count:8}  {upstream}")
+    print("\nasked, served  service, part of its requests")
+    for part, served in summary.served_by_part.items():
+        print(f"{served.asked:5}  {served.served:6}  {part.service} {part.which}")
+    print("\nupstreams that are given no work at the end: seconds, why")
+    for use in summary.uses:
+        print(f"{use.when:7.1f}  {use.upstream} {use.change}")
     print("\nseconds from the last start of a host: " + ", ".join(STEPS[1:]))
     for start in summary.starts:
         steps = [_seconds(start.seconds_by_step.get(step)) for step in STEPS[1:]]
@@ -55,7 +61,9 @@
     """Sum the logs of several hosts up.
 
     How requests ended by spans of time, refusals by reason with how long those had
-    waited, failures by upstream, and the steps of each host since its last start.
+    waited, failures by upstream, what was served of each service by size and route,
+    upstreams that owners had stopped using, and the steps of each host since its last
+    start.
     """
 
     files: Annotated[
--- a/bitterntiller/cli/explaining.py
+++ b/bitterntiller/cli/explaining.py
@@ -32,6 +32,7 @@
         "upstream",
         "upstream-silent",
         "upstreams",
+        "upstream-use",
         "disk-full",
         "disk-stalled",
         "lines-dropped",
@@ -121,14 +122,14 @@
         return True
     names = {item.fields.get("upstream") for item in own} - {None, ""}
     states = line.fields.get("states") or {}
-    return bool(names & set(states))
+    return bool(names & {*states, line.fields.get("upstream")})
 
 
 def _cause(own: list[Line], beside: list[Line]) -> str:
     """Return in one sentence what the last decision on the request rests on."""
     last = own[-1]
     if last.event == "refused":
-        return _refusal(last, beside)
+        return _refusal(last, own, beside)
     failures = [line for line in own if line.event == "attempt-ended"]
     if last.event == "ended" and last.fields.get("outcome") == "done":
         return _served(last, own, failures)
@@ -141,7 +142,7 @@
     return f"the logs end with {last.event}: the process may have ended"
 
 
-def _refusal(line: Line, beside: list[Line]) -> str:
+def _refusal(line: Line, own: list[Line], beside: list[Line]) -> str:
     fields = line.fields
     text = f"refused with {fields.get('status')}: {fields.get('reason')}"
     lost = [
@@ -150,7 +151,11 @@
     if fields.get("reason") == "no-lease" and lost:
         when = line.time - lost[-1].time
         return f"{text}; the host lost its lease {when:.1f} s before"
-    return f"{text}, after {fields.get('waited')} s of waiting"
+    text = f"{text}, after {fields.get('waited')} s of waiting"
+    given_up = [item for item in own if item.event == "given-up"]
+    if given_up and given_up[-1].fields.get("upstreams") == 0:
+        return f"{text}; its owner knew no upstream for it"
+    return text
 
 
 def _served(last: Line, own: list[Line], failures: list[Line]) -> str:
--- a/bitterntiller/cli/summing.py
+++ b/bitterntiller/cli/summing.py
@@ -5,9 +5,11 @@
 from typing import NamedTuple
 
 from bitterntiller.cli.explaining import Line
+from bitterntiller.cli.parts import Part, Served, served_by_part
 
 ENDED = "ended"
 REFUSED = "refused"
+_IN_USE = ("usable", "well", "restarted")
 STEPS = ("start", "voters-answered", "leading", "lease", "owner-answers", "sent")
 """Events that lead from the start of hosts to the first request that is sent."""
 
@@ -43,6 +45,14 @@
     seconds_by_step: dict[str, float]
 
 
+class Use(NamedTuple):
+    """A change of what an owner gives an upstream, and when it was told, in seconds."""
+
+    upstream: str
+    change: str
+    when: float
+
+
 class Summary(NamedTuple):
     """What the logs of several hosts tell of all requests."""
 
@@ -50,6 +60,8 @@
     refusals_by_reason: dict[Reason, Refusals]
     failures_by_upstream: dict[str, int]
     starts: list[Start]
+    served_by_part: dict[Part, Served]
+    uses: list[Use]
 
 
 def summarize(lines: Iterable[Line], seconds: float) -> Summary | None:
@@ -62,6 +74,8 @@
         refusals_by_reason=_refusals(ordered),
         failures_by_upstream=_failures(ordered),
         starts=_starts(ordered),
+        served_by_part=served_by_part(ordered),
+        uses=_uses(ordered),
     )
 
 
@@ -110,6 +124,18 @@
     return dict(counts.most_common())
 
 
+def _uses(lines: list[Line]) -> list[Use]:
+    """Return the last change of each upstream, of those that are given no work."""
+    last_by_upstream: dict[str, Use] = {}
+    begin = lines[0].time
+    for line in lines:
+        if line.event == "upstream-use":
+            upstream = str(line.fields.get("upstream", ""))
+            change = str(line.fields.get("change", ""))
+            last_by_upstream[upstream] = Use(upstream, change, line.time - begin)
+    return [use for use in last_by_upstream.values() if use.change not in _IN_USE]
+
+
 def _starts(lines: list[Line]) -> list[Start]:
     began_by_host: dict[str, float] = {}
     steps_by_host: dict[str, dict[str, float]] = {}
--- a/bitterntiller/components/dispatch/coordinator.py
+++ b/bitterntiller/components/dispatch/coordinator.py
@@ -11,8 +11,8 @@
 from bitterntiller.components.dispatch.early import EarlyMessages
 from bitterntiller.components.dispatch.models import Decision, Granted, Scheduler
 from bitterntiller.components.dispatch.owned_pool import OwnedPool, Tracked
+from bitterntiller.components.dispatch.telling import tell_decision, tell_news
 from bitterntiller.components.dispatch.wire import grant_message, refusal_message
-from bitterntiller.core import events
 from bitterntiller.core.interfaces import (
     ConfigView,
     DirectoryView,
@@ -275,12 +275,14 @@
     async def _async_carry_out(
         self, pool: OwnedPool, decisions: list[Decision]
     ) -> None:
-        """Send each decision in a task of its own.
+        """Tell what the pool found of upstreams, and send each decision in a task.
 
         A host that lost its power answers nothing, so that dialling it takes the
         whole connection timeout. Sent in turn, each decision for it would keep
         the grants of all other hosts waiting for about as long as they are valid.
         """
+        for news in pool.take_news():
+            tell_news(pool.name, news)
         for decision in decisions:
             await curio.spawn(self._async_deliver, pool, decision, daemon=True)
 
@@ -297,35 +299,10 @@
         await self._async_carry_out(pool, more)
 
     def _message(self, pool: OwnedPool, decision: Decision) -> Any:
-        _tell(pool.name, decision)
+        tell_decision(pool.name, decision)
         if isinstance(decision, Granted):
             self._metrics.count(f"{const.METRIC_GRANTS}.{pool.name}")
             valid = const.DEFAULT_GRANT_SECONDS
             return grant_message(decision, pool.name, pool.epoch, valid)
         self._metrics.count(f"{const.METRIC_REFUSALS}.{pool.name}.{decision.reason}")
         return refusal_message(decision, pool.name)
-
-
-def _tell(pool: str, decision: Decision) -> None:
-    if not isinstance(decision, Granted):
-        events.emit(
-            "given-up",
-            request=decision.request_id,
-            pool=pool,
-            reason=decision.reason,
-            retry_after=round(decision.retry_after, 3),
-        )
-        return
-    basis = decision.basis
-    events.emit(
-        "granted",
-        request=decision.request_id,
-        pool=pool,
-        upstream=decision.upstream,
-        expected=round(basis.expected, 3) if basis else None,
-        cached_tokens=basis.cached_tokens if basis else None,
-        in_flight=basis.in_flight if basis else None,
-        waiting=basis.waiting if basis else None,
-        waited=round(basis.waited, 4) if basis else None,
-        announced=round(basis.announced, 1) if basis else None,
-    )
--- a/bitterntiller/components/dispatch/models.py
+++ b/bitterntiller/components/dispatch/models.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple, Protocol
 
 from bitterntiller.components.dispatch import const
+from bitterntiller.components.dispatch.news import UpstreamNews
 
 
 class WaitingRequest(NamedTuple):
@@ -81,7 +82,8 @@
     """What a grant was decided by; times in seconds.
 
     expected is the time of service, waited that since the arrival. announced is how old
-    the newest announcement of the upstream is.
+    the newest announcement of the upstream is. tokens is the request's prompt with the
+    output that is stated.
     """
 
     expected: float
@@ -90,6 +92,7 @@
     waiting: int
     waited: float
     announced: float
+    tokens: int
 
 
 class Granted(NamedTuple):
@@ -103,6 +106,18 @@
     basis: Basis | None = None
 
 
+class RefusalBasis(NamedTuple):
+    """What a refusal was decided by.
+
+    tokens is the request's prompt with the output that is stated, upstreams how many
+    the request could have gone to, waiting how many requests of the pool wait.
+    """
+
+    tokens: int
+    upstreams: int
+    waiting: int
+
+
 class Refused(NamedTuple):
     """Decision: the request is given up; retry_after is in seconds."""
 
@@ -110,6 +125,7 @@
     entry_host: str
     reason: str
     retry_after: float
+    basis: RefusalBasis | None = None
 
 
 Decision = Granted | Refused
@@ -203,6 +219,10 @@
         """Return the time at which tick() is due, if nothing happens before."""
         ...
 
+    def take_news(self) -> list[UpstreamNews]:
+        """Return what it has come to believe of upstreams since the last call."""
+        ...
+
     def describe(self, now: float) -> dict[str, object]:
         """Return the owner's view for the dump."""
         ...
--- a/bitterntiller/components/dispatch/owned_pool.py
+++ b/bitterntiller/components/dispatch/owned_pool.py
@@ -12,6 +12,7 @@
     Scheduler,
     WaitingRequest,
 )
+from bitterntiller.components.dispatch.news import UpstreamNews
 from bitterntiller.components.dispatch.wire import (
     STATE_LEAVING,
     completion,
@@ -260,6 +261,10 @@
             decisions = self._take_held(now)
         return self._note(decisions + self.scheduler.tick(now))
 
+    def take_news(self) -> list[UpstreamNews]:
+        """Return what the owner has come to believe of upstreams."""
+        return self.scheduler.take_news()
+
     def next_wake(self, now: float) -> float:
         """Return when tick() is due."""
         due = self.scheduler.next_wake(now)
--- a/bitterntiller/components/dispatch/refusals.py
+++ b/bitterntiller/components/dispatch/refusals.py
@@ -2,9 +2,11 @@
 
 from bitterntiller.components.dispatch.admission import Admission
 from bitterntiller.components.dispatch.jobs import Job
+from bitterntiller.components.dispatch.lifecycle import JobLifecycle
 from bitterntiller.components.dispatch.limits import WorkspaceLimiter
-from bitterntiller.components.dispatch.models import Refused
+from bitterntiller.components.dispatch.models import RefusalBasis, Refused
 from bitterntiller.components.dispatch.patience import Patience
+from bitterntiller.components.dispatch.pool import Pool
 from bitterntiller.core.outcomes import Reason
 
 
@@ -12,8 +14,15 @@
     """Makes refusals, each with the time after which its caller may come back."""
 
     def __init__(
-        self, admission: Admission, limiter: WorkspaceLimiter, patience: Patience
+        self,
+        pool: Pool,
+        jobs: JobLifecycle,
+        admission: Admission,
+        limiter: WorkspaceLimiter,
+        patience: Patience,
     ) -> None:
+        self._pool = pool
+        self._jobs = jobs
         self._admission = admission
         self._limiter = limiter
         self._patience = patience
@@ -41,7 +50,13 @@
         self._admission.note_refused(job, now)
         return self._refusal(job, reason, self._admission.retry_after(job.rank, now))
 
-    @staticmethod
-    def _refusal(job: Job, reason: Reason, retry_after: float) -> Refused:
+    def _refusal(self, job: Job, reason: Reason, retry_after: float) -> Refused:
         request = job.request
-        return Refused(request.request_id, request.entry_host, reason, retry_after)
+        usable = len(self._pool.view(job).members)
+        return Refused(
+            request.request_id,
+            request.entry_host,
+            reason,
+            retry_after,
+            RefusalBasis(job.kv, usable, self._jobs.waiting),
+        )
--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -29,6 +29,7 @@
     WaitingRequest,
     WorkspaceLimits,
 )
+from bitterntiller.components.dispatch.news import UpstreamNews
 from bitterntiller.components.dispatch.ordering import new_ordering
 from bitterntiller.components.dispatch.patience import Patience
 from bitterntiller.components.dispatch.pool import Pool
@@ -76,7 +77,9 @@
             self._patience,
             self._blocked.clear,
         )
-        self._refusals = Refusals(self._admission, self._limiter, self._patience)
+        self._refusals = Refusals(
+            self._pool, self._jobs, self._admission, self._limiter, self._patience
+        )
 
     def register(self, request: WaitingRequest, now: float) -> list[Decision]:
         """Take a request into the queue; a known one stays as it is."""
@@ -257,6 +260,10 @@
             self._pool.next_thaw(),
         )
 
+    def take_news(self) -> list[UpstreamNews]:
+        """Return what it has come to believe of upstreams since the last call."""
+        return self._pool.news.take()
+
     def describe(self, now: float) -> dict[str, object]:
         """Return the owner's view for the dump."""
         return describe(
@@ -379,6 +386,7 @@
                 waiting=self._jobs.waiting,
                 waited=now - request.arrived,
                 announced=now - upstream.heard_at,
+                tokens=job.kv,
             ),
         )
 
--- a/bitterntiller/components/dispatch/teacher.py
+++ b/bitterntiller/components/dispatch/teacher.py
@@ -50,12 +50,12 @@
         if completion.outcome == OUTCOME_CALLER_GONE:
             return
         if completion.outcome == OUTCOME_REJECTED:
-            upstream.health.success()
+            self._pool.note_success(upstream, now)
             return
         if completion.outcome != OUTCOME_DONE:
-            upstream.health.failure(now)
+            self._pool.note_failure(upstream, now)
             return
-        upstream.health.success()
+        self._pool.note_success(upstream, now)
         upstream.worked_at = now
         self._sizes.learn(job, completion)
         # The time of a call tells of the upstream's speed only beside the measured
@@ -72,9 +72,11 @@
             upstream.limit.not_admitted(
                 upstream.ledger.in_flight - 1, upstream.state.slots
             )
-            upstream.health.failure(now)
+            self._pool.note_failure(upstream, now)
             return
-        upstream.health.failure(now, certain=reason == REASON_REFUSED_CONNECTION)
+        self._pool.note_failure(
+            upstream, now, certain=reason == REASON_REFUSED_CONNECTION
+        )
 
     def _first_token(self, job: Job, upstream: Upstream, now: float) -> None:
         job.first_seen = now
--- a/bitterntiller/components/dispatch/upstreams.py
+++ b/bitterntiller/components/dispatch/upstreams.py
@@ -8,6 +8,7 @@
 from bitterntiller.components.dispatch.inflight import InflightLimit
 from bitterntiller.components.dispatch.ledger import Ledger
 from bitterntiller.components.dispatch.models import PolicyParameters, UpstreamState
+from bitterntiller.components.dispatch.news import UpstreamChange, UpstreamNews
 from bitterntiller.components.dispatch.prefix import PrefixCache, PrefixIndex
 from bitterntiller.components.dispatch.speed import PoolSpeed, new_speed
 
@@ -62,6 +63,18 @@
         self.limit = InflightLimit(self._adaptive)
         self.reserved_for = None
 
+    def news(self, change: UpstreamChange, now: float) -> UpstreamNews:
+        """Return a change of what is believed here, with what it rests on."""
+        sick = change is UpstreamChange.SICK
+        return UpstreamNews(
+            self.name,
+            change,
+            heard=now - self.heard_at,
+            worked=now - self.worked_at,
+            in_flight=self.ledger.in_flight,
+            probe_in=self.health.paused_until - now if sick else None,
+        )
+
     def usable(self, now: float) -> bool:
         """Tell whether the upstream is there: heard of and not leaving.
 
--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -17,11 +17,11 @@
     Verdict,
 )
 from bitterntiller.components.entry.relay import LOST_ANSWER, Relay
+from bitterntiller.components.entry.telling import tell_answer, tell_sending
 from bitterntiller.components.http.client import ClientExchange
 from bitterntiller.components.http.errors import BrokenAnswerError, ConnectRefusedError
 from bitterntiller.components.http.exchange import Exchange
 from bitterntiller.components.http.models import ResponseHead
-from bitterntiller.core import events
 from bitterntiller.core.outcomes import Ending, Outcome, Reason
 from bitterntiller.protocol import messages
 
@@ -123,21 +123,14 @@
         active.mark_sending(grant)
         active.granted_at = self._context.clock.now()
         self._spend_quota()
-        self._tell_sending(client, grant)
+        tell_sending(active, grant, client.kept, active.granted_at)
         try:
             await self._async_send_request(client, grant)
             head, finding = await self._async_head(client)
         except BrokenAnswerError as error:
             return await self._async_lost_head(error)
         active.load = self._context.interface.load(head)
-        events.emit(
-            "answer",
-            request=active.request_id,
-            upstream=grant.upstream,
-            status=head.status,
-            finding=finding,
-            after=round(self._context.clock.now() - active.granted_at, 4),
-        )
+        tell_answer(active, head.status, finding, self._context.clock.now())
         if finding is Finding.NOT_RUN:
             await _async_read_rest(client)
             return Retry(grant.upstream, NOT_ADMITTED)
@@ -164,25 +157,6 @@
         active.held_usage = 0
         active.spent_runs = active.runs
 
-    def _tell_sending(self, client: ClientExchange, grant: GrantReceived) -> None:
-        now = self._context.clock.now()
-        identified = self._active.prepared.identified
-        events.emit(
-            "sent",
-            request=self._active.request_id,
-            upstream=grant.upstream,
-            address=grant.address,
-            owner=grant.sender,
-            run=self._active.runs,
-            workspace=identified.workspace.name,
-            usage=self._active.prepared.estimate.usage,
-            waited=round(now - identified.received.arrived, 4),
-            left=round(identified.deadline - now, 3),
-            grant_left=round(grant.valid_until - now, 3),
-            kept_connection=client.kept,
-            config_version=identified.config_version,
-        )
-
     async def _async_send_request(
         self, client: ClientExchange, grant: GrantReceived
     ) -> None:
--- a/bitterntiller/components/entry/telling.py
+++ b/bitterntiller/components/entry/telling.py
@@ -1,7 +1,13 @@
 """The decisions on a request as events of the log."""
 
 from bitterntiller.components.entry.context import Context
-from bitterntiller.components.entry.models import ActiveRequest, Identified, Retry
+from bitterntiller.components.entry.interface import Finding
+from bitterntiller.components.entry.models import (
+    ActiveRequest,
+    GrantReceived,
+    Identified,
+    Retry,
+)
 from bitterntiller.core import events
 from bitterntiller.core.outcomes import Ending
 
@@ -24,11 +30,50 @@
         workspace=identified.workspace.name if identified else "",
         service=identified.service.name if identified else "",
         tier=identified.tier.name if identified else "",
+        route=_route(identified),
+        tokens=_stated_tokens(identified),
         config_version=context.config.version,
         lease_valid=context.lease.valid(),
     )
 
 
+def tell_sending(
+    active: ActiveRequest, grant: GrantReceived, kept: bool, now: float
+) -> None:
+    """Tell that a request is sent; kept tells whether its connection was open."""
+    identified = active.prepared.identified
+    events.emit(
+        "sent",
+        request=active.request_id,
+        upstream=grant.upstream,
+        address=grant.address,
+        owner=grant.sender,
+        run=active.runs,
+        workspace=identified.workspace.name,
+        route=_route(identified),
+        usage=active.prepared.estimate.usage,
+        waited=round(now - identified.received.arrived, 4),
+        left=round(identified.deadline - now, 3),
+        grant_left=round(grant.valid_until - now, 3),
+        kept_connection=kept,
+        config_version=identified.config_version,
+    )
+
+
+def tell_answer(
+    active: ActiveRequest, status: int, finding: Finding, now: float
+) -> None:
+    """Tell the head of an answer, and what it was taken for."""
+    events.emit(
+        "answer",
+        request=active.request_id,
+        upstream=active.upstream,
+        status=status,
+        finding=finding,
+        after=round(now - active.granted_at, 4),
+    )
+
+
 def tell_attempt(active: ActiveRequest, verdict: Retry) -> None:
     """Tell an attempt after which the request waits again."""
     events.emit(
@@ -43,13 +88,18 @@
 
 def tell_end(active: ActiveRequest, outcome: str, status: int, now: float) -> None:
     """Tell how a request ended that was sent, or whose caller left."""
-    arrived = active.prepared.identified.received.arrived
+    identified = active.prepared.identified
+    arrived = identified.received.arrived
     first = active.first_byte_at
     events.emit(
         "ended",
         request=active.request_id,
         outcome=outcome,
         status=status,
+        service=identified.service.name,
+        tier=identified.tier.name,
+        route=_route(identified),
+        tokens=_stated_tokens(identified),
         upstream=active.upstream,
         runs=active.runs,
         tried=active.tried,
@@ -57,3 +107,18 @@
         first=None if first is None else round(first - arrived, 4),
         total=round(now - arrived, 4),
     )
+
+
+def _route(identified: Identified | None) -> str:
+    """Return the name of the route that matched, empty without one."""
+    if identified is None or identified.route is None:
+        return ""
+    return identified.route.name
+
+
+def _stated_tokens(identified: Identified | None) -> int | None:
+    """Return the prompt with the output that the caller stated, None if it didn't."""
+    if identified is None or identified.received.work is None:
+        return None
+    work = identified.received.work
+    return work.prompt_tokens + work.output_tokens
--- a/tests/cli/test_summary.py
+++ b/tests/cli/test_summary.py
@@ -74,6 +74,39 @@
     assert steps == {"voters-answered": 0.1, "leading": 0.2, "lease": 0.9}
 
 
+def test_largest_requests_and_routes_are_counted_apart(tmp_path):
+    """A new route, or the largest requests, get next to nothing; all get nearly all."""
+    lines = [
+        {**ended(10.0 + n, "done"), "service": "llm", "tokens": n, "route": "first"}
+        for n in range(18)
+    ]
+    for n in (1, 2):
+        lines.append({**refused(40.0 + n, 0.1), "tokens": 900 + n, "route": "new"})
+    found = {
+        part.which: (served.asked, served.served)
+        for part, served in summed(tmp_path, *lines).served_by_part.items()
+    }
+    assert found == {
+        "all": (20, 18),
+        "largest tenth": (2, 0),
+        "route first": (18, 18),
+        "route new": (2, 0),
+    }
+
+
+def test_upstreams_without_work_are_named(tmp_path):
+    """Upstreams stand idle while requests wait, and only their owner knows why."""
+    found = summed(
+        tmp_path,
+        event(1.0, "core-1", "upstream-use", upstream="e1", change="usable"),
+        event(1.0, "core-1", "upstream-use", upstream="e2", change="usable"),
+        event(3.0, "core-1", "upstream-use", upstream="e2", change="sick"),
+        event(3.5, "core-1", "upstream-use", upstream="e2", change="well"),
+        event(61.0, "core-1", "upstream-use", upstream="e1", change="forgotten"),
+    )
+    assert [tuple(use) for use in found.uses] == [("e1", "forgotten", 60.0)]
+
+
 def test_command_prints_all_tables(tmp_path, capsys):
     path = write_log(
         tmp_path / "log", event(1.0, "core-1", "start"), refused(2.0, 0.25)
--- /dev/null
+++ b/tests/components/dispatch/test_news.py
@@ -0,0 +1,66 @@
+"""What an owner tells of its upstreams and of what it gives up."""
+
+from bitterntiller.components.dispatch import FED_PARAMETERS
+from bitterntiller.components.dispatch.models import Refused
+from bitterntiller.components.dispatch.news import (
+    MOST_NEWS,
+    NewsFeed,
+    UpstreamChange,
+    UpstreamNews,
+)
+from bitterntiller.components.dispatch.scheduler import PoolScheduler
+
+from .builders import completion, request, upstream
+
+NOW = 1000.0
+
+
+def changes(scheduler: PoolScheduler) -> list[tuple[str, str]]:
+    return [(news.upstream, news.change) for news in scheduler.take_news()]
+
+
+def test_use_of_an_upstream_is_told_from_first_to_last():
+    scheduler = PoolScheduler(FED_PARAMETERS)
+    scheduler.announce(upstream(), NOW)
+    assert changes(scheduler) == [("engine-1", UpstreamChange.USABLE)]
+    scheduler.announce(upstream(incarnation=2), NOW + 1)
+    scheduler.announce(upstream(incarnation=2, sequence=2, leaving=True), NOW + 2)
+    assert changes(scheduler) == [
+        ("engine-1", UpstreamChange.RESTARTED),
+        ("engine-1", UpstreamChange.LEAVING),
+    ]
+
+
+def test_sick_upstream_is_told_with_the_time_of_its_probe():
+    """Requests wait beside an idle upstream, and nothing tells why it gets none."""
+    scheduler = PoolScheduler(FED_PARAMETERS)
+    scheduler.announce(upstream(), NOW)
+    scheduler.take_news()
+    for number in range(3):
+        name = f"r{number}"
+        scheduler.register(request(name), NOW)
+        scheduler.started(name, NOW)
+        scheduler.finished(completion(name, outcome="unknown"), NOW + 0.1)
+    (news,) = scheduler.take_news()
+    assert (news.change, round(news.probe_in, 3)) == (UpstreamChange.SICK, 0.5)
+    scheduler.tick(NOW + 1)
+    scheduler.register(request("probe"), NOW + 1)
+    scheduler.started("probe", NOW + 1)
+    scheduler.finished(completion("probe"), NOW + 1.1)
+    assert changes(scheduler) == [("engine-1", UpstreamChange.WELL)]
+
+
+def test_refusal_tells_size_and_how_many_upstreams_there_were():
+    scheduler = PoolScheduler(FED_PARAMETERS)
+    scheduler.register(request(deadline=NOW + 1.0), NOW)
+    (refused,) = scheduler.tick(NOW + 1.5)
+    assert isinstance(refused, Refused)
+    assert tuple(refused.basis) == (250, 0, 0)
+
+
+def test_news_that_nobody_takes_is_bounded():
+    feed = NewsFeed()
+    for number in range(MOST_NEWS + 5):
+        feed.note(UpstreamNews(str(number), UpstreamChange.SICK, 0.0, 0.0, 0))
+    assert [news.upstream for news in feed.take()][0] == "5"
+    assert feed.take() == []
