Keep upstreams that have nothing new to say

Cause: Pool.housekeep dropped an upstream whose last announcement was over 60 s old and where nothing ran. Owners of routed pools are told of upstreams when the list changes, so in a deployment where none joins or leaves for a minute each one was dropped at its first idle moment, and came back with the next change of the list or a restart. Change: Upstream.has_gone: only one that is not usable (leaving, or silent) is forgotten, a minute after it was last heard of or last worked. Ruled out: leaking slots (what ran by the lines of the entry hosts was what the owner counted), sickness (the last answers were good), reservations (memory was a seventh full).

--- a/bitterntiller/components/dispatch/const.py
+++ b/bitterntiller/components/dispatch/const.py
@@ -40,6 +40,9 @@
 IDLE_WAKE_SECONDS = 1.0
 PARK_SECONDS = 0.25
 FORGET_UPSTREAM_SECONDS = 60.0
+"""How long what is known of an upstream is kept that is not there: longer than a cut or
+a restart of its process takes, after which its speed would be learned anew."""
+
 MAX_RETURNS = 3
 MAX_TRIMMED = 64
 MAX_SKIPS = 8
--- a/bitterntiller/components/dispatch/pool.py
+++ b/bitterntiller/components/dispatch/pool.py
@@ -3,10 +3,7 @@
 import heapq
 from collections import Counter
 
-from bitterntiller.components.dispatch.const import (
-    FORGET_UPSTREAM_SECONDS,
-    KIND_PLAIN,
-)
+from bitterntiller.components.dispatch.const import KIND_PLAIN
 from bitterntiller.components.dispatch.jobs import Job
 from bitterntiller.components.dispatch.models import PolicyParameters, UpstreamState
 from bitterntiller.components.dispatch.news import NewsFeed, UpstreamChange
@@ -199,8 +196,7 @@
     def housekeep(self, now: float) -> None:
         """Look at every upstream: silence, and work that is overdue."""
         for name, upstream in list(self.upstreams_by_name.items()):
-            silent = now - upstream.heard_at
-            if silent > FORGET_UPSTREAM_SECONDS and not upstream.ledger.in_flight:
+            if upstream.has_gone(now):
                 self.views.update(upstream, False)
                 self._count_slots(upstream, False)
                 upstream.prefixes.clear()
--- a/bitterntiller/components/dispatch/upstreams.py
+++ b/bitterntiller/components/dispatch/upstreams.py
@@ -3,7 +3,10 @@
 import random
 from collections.abc import Iterator
 
-from bitterntiller.components.dispatch.const import PROBE_SECONDS
+from bitterntiller.components.dispatch.const import (
+    FORGET_UPSTREAM_SECONDS,
+    PROBE_SECONDS,
+)
 from bitterntiller.components.dispatch.health import Health
 from bitterntiller.components.dispatch.inflight import InflightLimit
 from bitterntiller.components.dispatch.ledger import Ledger
@@ -85,6 +88,18 @@
             return False
         return not self.state.leaving and now - self.heard_at <= self._silence
 
+    def has_gone(self, now: float) -> bool:
+        """Tell whether the upstream may be forgotten: it is not there, for long.
+
+        The age of its announcement alone would not do. Where owners are told of
+        changes only, an upstream that is there may have nothing to tell for days; it
+        would be dropped a minute later at the first moment at which it is idle, and
+        show as requests that are refused beside idle upstreams.
+        """
+        if self.usable(now) or self.ledger.in_flight:
+            return False
+        return now - max(self.heard_at, self.worked_at) > FORGET_UPSTREAM_SECONDS
+
     def room(self) -> float:
         """Return how many more requests may be in flight."""
         limit = self.limit.limit(self.state.slots)
