Let work of others at an upstream fade that no report repeats

Change: foreign work fades with a time constant of 2 s. Tests: both kinds of pools fail on the code before; repeated reports still count in full.

--- a/bitterntiller/components/dispatch/describe.py
+++ b/bitterntiller/components/dispatch/describe.py
@@ -42,7 +42,7 @@
         "sick": upstream.health.sick,
         "running": ledger.in_flight,
         "limit": upstream.limit.limit(upstream.state.slots),
-        "foreign": round(ledger.foreign, 2),
+        "foreign": round(ledger.foreign(now), 2),
         "kv_tokens": ledger.kv_tokens,
         "prefill_seconds": round(ledger.backlog(upstream.speed, now), 3),
         "speed_scale": round(upstream.speed.scale, 3),
--- a/bitterntiller/components/dispatch/ledger.py
+++ b/bitterntiller/components/dispatch/ledger.py
@@ -1,5 +1,6 @@
 """The owner's own account of what is outstanding at one upstream."""
 
+import math
 from collections import OrderedDict, deque
 from typing import NamedTuple
 
@@ -11,6 +12,10 @@
 HISTORY_LENGTH = 512
 REPORT_SLACK_SECONDS = 0.2
 FOREIGN_GAIN = 0.5
+FOREIGN_SECONDS = 2.0
+"""Time constant in which work of others fades that no report repeats: that of a usual
+request, and many times the pause between reports of an upstream that is given work."""
+
 NEED_SECONDS = 0.2
 TRANSIT_SECONDS = 0.1
 
@@ -25,7 +30,7 @@
 class Ledger:
     """Counts requests, prompt tokens not yet computed, and memory in tokens.
 
-    foreign is the number of requests at the upstream that are not the owner's.
+    Of requests at the upstream that are not the owner's, it knows what reports told.
     """
 
     def __init__(self) -> None:
@@ -33,7 +38,8 @@
         self.prefilling_by_id: OrderedDict[str, Job] = OrderedDict()
         self.kv_tokens = 0
         self.long_jobs = 0
-        self.foreign = 0.0
+        self._foreign = 0.0
+        self._foreign_at = 0.0
         self.head_began = 0.0
         self._needs_by_rank: dict[int, Need] = {}
         self._needs_at = float("-inf")
@@ -133,7 +139,17 @@
         if own is None:
             return
         foreign = max(0, load.running + load.waiting - own)
-        self.foreign += FOREIGN_GAIN * (foreign - self.foreign)
+        known = self.foreign(now)
+        self._foreign = known + FOREIGN_GAIN * (foreign - known)
+        self._foreign_at = now
+
+    def foreign(self, now: float) -> float:
+        """Return how many requests of others are there, as far as reports tell.
+
+        It fades. Reports come with answers, and an upstream whose slots all count as
+        taken by others is sent nothing to answer: it would stay idle for ever.
+        """
+        return self._foreign * math.exp((self._foreign_at - now) / FOREIGN_SECONDS)
 
     def clear(self) -> None:
         """Forget all; the upstream was started anew and runs none of it."""
@@ -142,7 +158,7 @@
         self._history.clear()
         self.kv_tokens = 0
         self.long_jobs = 0
-        self.foreign = 0.0
+        self._foreign = 0.0
 
     def _end_prefill(self, request_id: str, now: float) -> None:
         if request_id not in self.prefilling_by_id:
--- a/bitterntiller/components/dispatch/pool.py
+++ b/bitterntiller/components/dispatch/pool.py
@@ -175,7 +175,7 @@
             upstream.free = free
             upstream.member = member
             self.views.update(upstream, member)
-        if member and not free and upstream.room() >= 1:
+        if member and not free and upstream.room(now) >= 1:
             self._plan_thaw(upstream, now)
 
     def thaw(self, now: float) -> None:
--- a/bitterntiller/components/dispatch/upstreams.py
+++ b/bitterntiller/components/dispatch/upstreams.py
@@ -100,10 +100,10 @@
             return False
         return now - max(self.heard_at, self.worked_at) > FORGET_UPSTREAM_SECONDS
 
-    def room(self) -> float:
+    def room(self, now: float) -> float:
         """Return how many more requests may be in flight."""
         limit = self.limit.limit(self.state.slots)
-        return limit - self.ledger.in_flight - int(self.ledger.foreign + 0.5)
+        return limit - self.ledger.in_flight - int(self.ledger.foreign(now) + 0.5)
 
     def prefill_wait(self, now: float) -> float:
         """Return the seconds until the prefill here is near enough to its end."""
@@ -115,7 +115,7 @@
         """Tell whether one more request may be sent now."""
         return (
             self.usable(now)
-            and self.room() >= 1
+            and self.room(now) >= 1
             and self.health.allowed(self.ledger.in_flight, now)
             and self.prefill_wait(now) <= 0.0
         )
