Ask of a quota as much for each request as for the workspace's largest

Hypothesis: if each request needs as much left as the largest of late needs, sizes are served alike, at the cost of a few parts in a hundred of what lies beyond the quota. Change: hosts tell the counting host their largest request of the window and hear the largest of all; a request is let through only while that much is left twice, at most a quarter of the quota.

--- a/bitterntiller/components/entry/owner_watch.py
+++ b/bitterntiller/components/entry/owner_watch.py
@@ -114,7 +114,11 @@
                 for item in told.used
             ],
             held=[
-                messages.Held(workspace=workspace, amount=amount)
+                messages.Held(
+                    workspace=workspace,
+                    amount=amount,
+                    largest=told.largest_by_workspace.get(workspace, 0),
+                )
                 for workspace, amount in told.held_by_workspace.items()
             ],
         )
--- a/bitterntiller/components/entry/quota.py
+++ b/bitterntiller/components/entry/quota.py
@@ -12,12 +12,14 @@
 """
 
 from collections import deque
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Any, NamedTuple
 
 from bitterntiller.components.config.models import Quota, Workspace
 from bitterntiller.components.settings.models import QuotaWindow
 from bitterntiller.core.clock import Clock
-from bitterntiller.core.fading import COMEBACK_SECONDS, Fading
+from bitterntiller.core.fading import COMEBACK_SECONDS, Fading, RecentMost
 
 LEAST_WAIT = 0.2
 MOST_WAIT = 30.0
@@ -37,6 +39,10 @@
 PLENTY_PART = 0.75
 """Part of a quota that must be left for a request larger than half of it."""
 
+LARGEST_PART = 0.25
+"""Most of a quota that is kept for a workspace's largest request. A single one that is
+larger still would else keep all others of a small quota from being served."""
+
 REPEAT_PART = 0.05
 """Part of a quota by which repeats may exceed it. A deployment has hosts keep within a
 tenth less than what it allows; half of that is left for counts that are late."""
@@ -53,12 +59,14 @@
 class Untold(NamedTuple):
     """What a ledger is to be told, and the number of the last sending that is in it.
 
-    held_by_workspace has all that requests which wait now would use.
+    held_by_workspace has all that requests which wait now would use, and
+    largest_by_workspace the largest request of late.
     """
 
     used: list[Used]
     held_by_workspace: dict[str, int]
     upto: int
+    largest_by_workspace: Mapping[str, int] = MappingProxyType({})
 
 
 class QuotaVerdict(NamedTuple):
@@ -85,19 +93,25 @@
 
     total is what is left of the window, paced what of it may be used now. part is this
     host's part of that as it was heard; large tells that a request larger than it was
-    let through since.
+    let through since. largest is the largest request of late at any host.
     """
 
-    __slots__ = ("amount", "at", "large", "paced", "part", "total")
+    __slots__ = ("amount", "at", "large", "largest", "paced", "part", "total")
 
     def __init__(
-        self, total: float, hosts: int, at: float, paced: float | None = None
+        self,
+        total: float,
+        hosts: int,
+        at: float,
+        paced: float | None = None,
+        largest: float = 0.0,
     ) -> None:
         self.total = total
         self.paced = total if paced is None else paced
         self.part = self.paced / hosts if self.paced > 0 else self.paced
         self.amount = self.part
         self.large = False
+        self.largest = largest
         self.at = at
 
     def take(self, amount: float) -> None:
@@ -120,6 +134,7 @@
         self._held_by_workspace: dict[str, int] = {}
         self._told_upto_by_ledger: dict[str, int] = {}
         self._refused_by_workspace: dict[str, Fading] = {}
+        self._largest_by_workspace: dict[str, RecentMost] = {}
 
     def hold(self, workspace: Workspace, amount: int) -> QuotaVerdict:
         """Hold an amount of a quota for a request that is to wait, or refuse it."""
@@ -128,7 +143,7 @@
             return QuotaVerdict(0.0)
         level = self._level(workspace.name, quota)
         verdict = QuotaVerdict(0.0, level.paced, self._clock.now() - level.at)
-        if not self._has_room(quota, level, amount):
+        if not self._has_room(workspace.name, quota, level, amount):
             wait = self._wait(workspace.name, quota, level, amount)
             return verdict._replace(wait=wait)
         self._hold(workspace.name, level, amount)
@@ -161,22 +176,37 @@
         most = self._window.limit(quota.rate, quota.burst)
         return level.total - amount >= -REPEAT_PART * most
 
-    def _has_room(self, quota: Quota, level: _Level, amount: int) -> bool:
+    def _has_room(self, name: str, quota: Quota, level: _Level, amount: int) -> bool:
         """Tell whether this host's own part has an amount, or all hosts' has plenty.
 
+        As much must be left over all hosts as the largest of the workspace's requests
+        would need. Were whatever fits let through, small requests would take each
+        little that comes back, and the largest of a workspace that asks for more than
+        its quota would hardly ever be served.
+
         A request larger than an own part would never be let through. The same may be
         decided elsewhere before either is told, so a second one must fit beside it, and
         one larger than half of the quota needs most of it unused.
         """
+        most = self._window.limit(quota.rate, quota.burst)
+        largest = max(self._largest(name).add(amount, self._clock.now()), level.largest)
+        if level.paced < min(2 * largest, LARGEST_PART * most):
+            return False
         if amount <= level.amount:
             return True
         if amount <= level.part or level.large:
             return False
-        most = self._window.limit(quota.rate, quota.burst)
         needed = min(2 * amount, max(amount, PLENTY_PART * most), most)
         level.large = level.paced >= needed
         return level.large
 
+    def _largest(self, name: str) -> RecentMost:
+        largest = self._largest_by_workspace.get(name)
+        if largest is None:
+            largest = RecentMost(self._window.seconds)
+            self._largest_by_workspace[name] = largest
+        return largest
+
     def _hold(self, name: str, level: _Level, amount: int) -> None:
         level.take(amount)
         held = self._held_by_workspace.get(name, 0)
@@ -233,7 +263,8 @@
             name: self._held_by_workspace.get(name, 0)
             for name in self._level_by_workspace
         }
-        return Untold(used, held, self._number)
+        largest = {name: int(self._largest(name).most(now)) for name in held}
+        return Untold(used, held, self._number, largest)
 
     def _slices(self, name: str, upto: int, now: float) -> list[Used]:
         seconds = self._window.seconds / TOLD_SLICES
@@ -270,7 +301,8 @@
             since = self._taken_since(item.workspace, told)
             paced = item.amount if item.paced is None else item.paced
             left = item.amount - since
-            level = _Level(left, self._hosts, now, min(left, paced - since))
+            paced = min(left, paced - since)
+            level = _Level(left, self._hosts, now, paced, item.largest or 0)
             self._level_by_workspace[item.workspace] = level
 
     def _taken_since(self, name: str, told: Untold) -> int:
--- a/bitterntiller/core/fading.py
+++ b/bitterntiller/core/fading.py
@@ -1,6 +1,7 @@
 """Sums of what happened of late."""
 
 import math
+from collections import deque
 
 COMEBACK_SECONDS = 2.0
 """Seconds in which refused work is forgotten to a third; callers come back once, and
@@ -26,3 +27,32 @@
     def sum(self, now: float) -> float:
         """Return the sum, of which a third is left after each span of seconds."""
         return self._sum * math.exp((self._at - now) / self._seconds)
+
+
+class RecentMost:
+    """The largest amount within the last span of seconds."""
+
+    __slots__ = ("_amounts", "_seconds")
+
+    def __init__(self, seconds: float) -> None:
+        self._seconds = seconds
+        self._amounts: deque[tuple[float, float]] = deque()
+
+    def add(self, amount: float, now: float) -> float:
+        """Add an amount; return the largest of the span that ends now.
+
+        Only amounts with no larger one after them are kept: none other can become the
+        largest again.
+        """
+        amounts = self._amounts
+        while amounts and amounts[-1][1] <= amount:
+            amounts.pop()
+        amounts.append((now, amount))
+        return self.most(now)
+
+    def most(self, now: float) -> float:
+        """Return the largest amount of the span that ends now, 0 without any."""
+        amounts = self._amounts
+        while amounts and amounts[0][0] < now - self._seconds:
+            amounts.popleft()
+        return amounts[0][1] if amounts else 0.0
