Send a call elsewhere by what its service usually takes

A repeatable call waited 1.0 s before it was sent elsewhere, of an objective of 0.4 s. Change: an entry host learns the times to the heads of answers by service and sends a repeatable call elsewhere after the longer of the usual time and what leaves the usual time within the objective; streams wait as before. The budget of retries bounds it, and a service that turns slow is waited for. Ruled out: too few slots (unanswered as often beside 0 as beside 5 requests). Tests: the repeatable case fails on the code before; calls that may run once are not repeated.

--- a/bitterntiller/components/entry/__init__.py
+++ b/bitterntiller/components/entry/__init__.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from bitterntiller.components.entry import const
+from bitterntiller.components.entry.answer_times import AnswerTimes
 from bitterntiller.components.entry.claiming import Claimant
 from bitterntiller.components.entry.context import Context
 from bitterntiller.components.entry.coordinator import EntryCoordinator
@@ -62,7 +63,10 @@
     runtime.stack.push_async_callback(connections.async_close)
     views = (session.lease, session.config, owners, session.control_client)
     context = _make_context(runtime, *views)._replace(
-        interface=interface, connections=connections, quota=account
+        interface=interface,
+        connections=connections,
+        quota=account,
+        answer_times=AnswerTimes(),
     )
     budget = _shared_budget(session, retries)
     coordinator = await _async_start(runtime, context, budget)
--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -2,6 +2,7 @@
 
 import curio
 
+from bitterntiller.components.config.models import Route
 from bitterntiller.components.entry import const
 from bitterntiller.components.entry.checks import LAPSED_LEASE, lapsed
 from bitterntiller.components.entry.claiming import Claimant
@@ -130,7 +131,10 @@
         except BrokenAnswerError as error:
             return await self._async_lost_head(error)
         active.load = self._context.interface.load(head)
-        tell_answer(active, head.status, finding, self._context.clock.now())
+        now = self._context.clock.now()
+        tell_answer(active, head.status, finding, now)
+        if self._context.answer_times is not None and finding is Finding.ANSWER:
+            self._context.answer_times.note(active.pool, now - active.granted_at)
         if finding is Finding.NOT_RUN:
             await _async_read_rest(client)
             return Retry(grant.upstream, NOT_ADMITTED)
@@ -234,10 +238,22 @@
         left = identified.deadline - self._context.clock.now()
         timeout = min(left, self._timings.upstream_first_byte)
         if self._repeats() and identified.route is not None:
-            patience = const.PATIENCE_OBJECTIVES * identified.route.objective
-            timeout = min(timeout, max(patience, const.LEAST_PATIENCE))
+            timeout = min(timeout, self._patience(identified.route))
         return max(const.LEAST_TIMEOUT, timeout)
 
+    def _patience(self, route: Route) -> float:
+        """Return how long to wait for an answer that can be had elsewhere.
+
+        Calls wait by what their service usually takes. A stream costs a prefill
+        elsewhere, and its time depends on its prompt; it waits by its objective.
+        """
+        longest = max(const.PATIENCE_OBJECTIVES * route.objective, const.LEAST_PATIENCE)
+        times = self._context.answer_times
+        if route.streams or times is None:
+            return longest
+        patience = times.patience(self._active.pool, route.objective)
+        return longest if patience is None else min(patience, longest)
+
     async def _async_lost_head(self, error: BrokenAnswerError) -> Verdict:
         """End an attempt without an answer: it may have run.
 
--- a/bitterntiller/components/entry/context.py
+++ b/bitterntiller/components/entry/context.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple, Protocol
 
 from bitterntiller.components.config.models import Workspace
+from bitterntiller.components.entry.answer_times import AnswerTimes
 from bitterntiller.components.entry.interface import Interface
 from bitterntiller.components.entry.native import NativeInterface
 from bitterntiller.components.entry.quota import QuotaVerdict
@@ -61,3 +62,4 @@
     interface: Interface = NativeInterface()
     connections: ConnectionPool = UNKEPT
     quota: QuotaGate | None = None
+    answer_times: AnswerTimes | None = None
--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -8,6 +8,7 @@
 from bitterntiller_platform.configuration import parse_configuration
 from bitterntiller_platform.interface import PlatformInterface
 
+from bitterntiller.components.entry.answer_times import AnswerTimes
 from bitterntiller.components.entry.claiming import Claimant
 from bitterntiller.components.entry.context import Context, QuotaGate
 from bitterntiller.components.entry.coordinator import EntryCoordinator
@@ -218,6 +219,7 @@
             interface=PlatformInterface(),
             connections=connections,
             quota=quota,
+            answer_times=AnswerTimes(),
         )
         coordinator = EntryCoordinator(context, Limits(), Claimant(context, "i1"))
         links.coordinator = coordinator
--- a/tests/platform/test_answers.py
+++ b/tests/platform/test_answers.py
@@ -6,6 +6,7 @@
 import curio
 import pytest
 
+from bitterntiller.components.entry.answer_times import LEAST_ANSWERS
 from bitterntiller.components.entry.quota import QuotaAccount
 from bitterntiller.components.settings.models import QuotaWindow
 from bitterntiller.core.clock import ManualClock
@@ -80,6 +81,33 @@
     assert len(sent) == 2
 
 
+@pytest.mark.parametrize("repeatable", [True, False])
+def test_call_that_its_upstream_does_not_answer_is_sent_elsewhere_in_time(repeatable):
+    """One lookup in fourteen ends as a timeout, though it could have been repeated.
+
+    Its upstream never answers it, while others take less than a tenth of a second. It
+    was sent elsewhere after a whole second only, when hardly any time was left.
+    """
+
+    async def upstream(sock: Any, data: bytes, number: int) -> None:
+        if number == LEAST_ANSWERS:
+            await curio.sleep(3.0)
+        await sock.sendall(answer(b"tile"))
+
+    configuration = None if repeatable else ONCE
+    call = TILE if repeatable else request()
+
+    async def async_main() -> tuple[bytes, int]:
+        async with builders.entry_host(upstream, configuration) as host:
+            for _ in range(LEAST_ANSWERS):
+                await host.async_ask(call)
+            return await host.async_ask(call), len(host.requests)
+
+    received, sent = curio.run(async_main)
+    assert received.endswith(b"tile") == repeatable
+    assert sent == LEAST_ANSWERS + 1 + repeatable
+
+
 def used(*answers: bytes, document: dict[str, Any] = METERED) -> tuple[int, int]:
     """Return what one call has used of a quota, and what is held for it still."""
     account = QuotaAccount(ManualClock(), QuotaWindow(seconds=4.0))
