--- a/bitterntiller/components/entry/quota.py
+++ b/bitterntiller/components/entry/quota.py
@@ -17,6 +17,7 @@
 from typing import Any, NamedTuple
 
 from bitterntiller.components.config.models import Quota, Workspace
+from bitterntiller.components.entry.quota_level import Level
 from bitterntiller.components.settings.models import QuotaWindow
 from bitterntiller.core.clock import Clock
 from bitterntiller.core.fading import COMEBACK_SECONDS, Fading, RecentMost
@@ -36,17 +37,6 @@
 """Parts of a window in which a ledger that is new to this host hears what was used in
 it; it counts each part as used at its end."""
 
-PLENTY_PART = 0.75
-"""Part of a quota that must be left for a request larger than half of it."""
-
-LARGEST_PART = 0.25
-"""Most of a quota that is kept for a workspace's largest request. A single one that is
-larger still would else keep all others of a small quota from being served."""
-
-REPEAT_PART = 0.05
-"""Part of a quota by which repeats may exceed it. A deployment has hosts keep within a
-tenth less than what it allows; half of that is left for counts that are late."""
-
 
 class Used(NamedTuple):
     """What was sent about age seconds ago, as one ledger has not heard it yet."""
@@ -88,39 +78,6 @@
     amount: int
 
 
-class _Level:
-    """What is left of one workspace's quota: for this host, and over all hosts.
-
-    total is what is left of the window, paced what of it may be used now. part is this
-    host's part of that as it was heard; large tells that a request larger than it was
-    let through since. largest is the largest request of late at any host.
-    """
-
-    __slots__ = ("amount", "at", "large", "largest", "paced", "part", "total")
-
-    def __init__(
-        self,
-        total: float,
-        hosts: int,
-        at: float,
-        paced: float | None = None,
-        largest: float = 0.0,
-    ) -> None:
-        self.total = total
-        self.paced = total if paced is None else paced
-        self.part = self.paced / hosts if self.paced > 0 else self.paced
-        self.amount = self.part
-        self.large = False
-        self.largest = largest
-        self.at = at
-
-    def take(self, amount: float) -> None:
-        """Take an amount, or give it back when it is below 0."""
-        self.amount -= amount
-        self.paced -= amount
-        self.total -= amount
-
-
 class QuotaAccount:
     """A QuotaGate that reports what it has let through."""
 
@@ -128,7 +85,7 @@
         self._clock = clock
         self._window = window
         self._hosts = 1
-        self._level_by_workspace: dict[str, _Level] = {}
+        self._level_by_workspace: dict[str, Level] = {}
         self._number = 0
         self._sent_by_workspace: dict[str, deque[_Sent]] = {}
         self._held_by_workspace: dict[str, int] = {}
@@ -143,7 +100,8 @@
             return QuotaVerdict(0.0)
         level = self._level(workspace.name, quota)
         verdict = QuotaVerdict(0.0, level.paced, self._clock.now() - level.at)
-        if not self._has_room(workspace.name, quota, level, amount):
+        largest = self._largest(workspace.name).add(amount, self._clock.now())
+        if not level.has_room(amount, max(largest, level.largest), self._most(quota)):
             wait = self._wait(workspace.name, quota, level, amount)
             return verdict._replace(wait=wait)
         self._hold(workspace.name, level, amount)
@@ -159,7 +117,7 @@
         if quota is None:
             return True
         level = self._level(workspace.name, quota)
-        if not self._has_room_for_repeat(quota, level, amount):
+        if not level.has_room_for_repeat(amount, self._most(quota)):
             return False
         self._hold(workspace.name, level, amount)
         return True
@@ -170,38 +128,11 @@
         if quota is None:
             return True
         level = self._level(workspace.name, quota)
-        return self._has_room_for_repeat(quota, level, amount)
+        return level.has_room_for_repeat(amount, self._most(quota))
 
-    def _has_room_for_repeat(self, quota: Quota, level: _Level, amount: int) -> bool:
-        most = self._window.limit(quota.rate, quota.burst)
-        return level.total - amount >= -REPEAT_PART * most
-
-    def _has_room(self, name: str, quota: Quota, level: _Level, amount: int) -> bool:
-        """Tell whether this host's own part has an amount, or all hosts' has plenty.
-
-        For a smaller one as much must be left over all hosts as the largest of the
-        workspace's requests would need. Were whatever fits let through, small requests
-        would take each little that comes back, and the largest of a workspace that asks
-        for more than its quota would hardly ever be served: 0.31 of them beside 0.78 of
-        the small at six times a quota, in a model of nine hosts; 0.75 of the part of
-        the small, or more, with what is left for them.
-
-        A request larger than an own part would never be let through. The same may be
-        decided elsewhere before either is told, so a second one must fit beside it, and
-        one larger than half of the quota needs most of it unused.
-        """
-        most = self._window.limit(quota.rate, quota.burst)
-        largest = max(self._largest(name).add(amount, self._clock.now()), level.largest)
-        reserve = min(2 * largest, LARGEST_PART * most)
-        if amount < largest and level.paced < reserve:
-            return False
-        if amount <= level.amount:
-            return True
-        if amount <= level.part or level.large:
-            return False
-        needed = min(2 * amount, max(amount, PLENTY_PART * most), most)
-        level.large = level.paced >= needed
-        return level.large
+    def _most(self, quota: Quota) -> float:
+        """Return all that a quota allows in one window."""
+        return self._window.limit(quota.rate, quota.burst)
 
     def _largest(self, name: str) -> RecentMost:
         largest = self._largest_by_workspace.get(name)
@@ -210,7 +141,7 @@
             self._largest_by_workspace[name] = largest
         return largest
 
-    def _hold(self, name: str, level: _Level, amount: int) -> None:
+    def _hold(self, name: str, level: Level, amount: int) -> None:
         level.take(amount)
         held = self._held_by_workspace.get(name, 0)
         self._held_by_workspace[name] = held + amount
@@ -234,7 +165,7 @@
         sent = self._sent_by_workspace.setdefault(name, deque())
         sent.append(_Sent(self._number, self._clock.now(), amount))
 
-    def _wait(self, name: str, quota: Quota, level: _Level, amount: int) -> float:
+    def _wait(self, name: str, quota: Quota, level: Level, amount: int) -> float:
         """Return when a refused request would be let through.
 
         All that was refused of late comes back as well. A workspace that asks for
@@ -305,7 +236,7 @@
             paced = item.amount if item.paced is None else item.paced
             left = item.amount - since
             paced = min(left, paced - since)
-            level = _Level(left, self._hosts, now, paced, item.largest or 0)
+            level = Level(left, self._hosts, now, paced, item.largest or 0)
             self._level_by_workspace[item.workspace] = level
 
     def _taken_since(self, name: str, told: Untold) -> int:
@@ -319,7 +250,7 @@
         held = self._held_by_workspace.get(name, 0)
         return sent + held - told.held_by_workspace.get(name, 0)
 
-    def _level(self, name: str, quota: Quota) -> _Level:
+    def _level(self, name: str, quota: Quota) -> Level:
         """Return a level, with what this host's own use gave back since it was heard.
 
         Use leaves the window in its own time. What other hosts have used comes back
@@ -327,9 +258,8 @@
         """
         level = self._level_by_workspace.get(name)
         if level is None:
-            most = self._window.limit(quota.rate, quota.burst)
-            first = min(most, FIRST_SECONDS * quota.rate)
-            level = _Level(first, 1, self._clock.now())
+            first = min(self._most(quota), FIRST_SECONDS * quota.rate)
+            level = Level(first, 1, self._clock.now())
             self._level_by_workspace[name] = level
         self._expire(name)
         return level
--- a/tests/components/entry/test_quota.py
+++ b/tests/components/entry/test_quota.py
@@ -2,7 +2,8 @@
 
 from bitterntiller.components.config.models import Config, Quota, Selector, Workspace
 from bitterntiller.components.dispatch.quotas import QuotaLedger
-from bitterntiller.components.entry.quota import REPEAT_PART, QuotaAccount
+from bitterntiller.components.entry.quota import QuotaAccount
+from bitterntiller.components.entry.quota_level import REPEAT_PART
 from bitterntiller.components.settings.models import QuotaWindow
 from bitterntiller.core.clock import ManualClock
 from bitterntiller.protocol import messages
