Tell a caller that there is no upstream, and when to look again

Change: the reason is no-upstream and the time about a second, in which an upstream that starts announces itself. Test: fails on the code before (reason too-late, 60 s).

--- a/bitterntiller/components/dispatch/admission.py
+++ b/bitterntiller/components/dispatch/admission.py
@@ -16,6 +16,9 @@
 METER_SECONDS = 5.0
 MIN_SHARE = 0.05
 
+NO_UPSTREAM_RETRY_SECONDS = 1.0
+"""About the time in which an upstream announces itself after its start. A choice."""
+
 
 class Admission:
     """Knows the work that waits, the work that arrives and how fast it drains.
@@ -113,6 +116,10 @@
         again = self._refused.sum(now)
         return retry_after((above + again) / capacity + own / drain, self._rng)
 
+    def retry_without_upstream(self) -> float:
+        """Return when a caller should come back if no upstream is there, in seconds."""
+        return retry_after(NO_UPSTREAM_RETRY_SECONDS, self._rng)
+
     def _crowd(self, job: Job) -> float:
         """Return how many times longer sharing makes the wait of a workspace."""
         tier = self._queue.tier(job.rank)
--- a/bitterntiller/components/dispatch/refusals.py
+++ b/bitterntiller/components/dispatch/refusals.py
@@ -46,7 +46,14 @@
         return None
 
     def of(self, job: Job, reason: Reason, now: float) -> Refused:
-        """Refuse a request until its tier has drained."""
+        """Refuse a request until its tier has drained.
+
+        Without any upstream nothing drains, and no measured rate would tell when to
+        come back: the caller is told that there is none, and to look again soon.
+        """
+        if not self._pool.view(job).members:
+            retry = self._admission.retry_without_upstream()
+            return self._refusal(job, Reason.NO_UPSTREAM, retry)
         self._admission.note_refused(job, now)
         return self._refusal(job, reason, self._admission.retry_after(job.rank, now))
 
--- a/tests/components/dispatch/test_news.py
+++ b/tests/components/dispatch/test_news.py
@@ -9,6 +9,7 @@
     UpstreamNews,
 )
 from bitterntiller.components.dispatch.scheduler import PoolScheduler
+from bitterntiller.core.outcomes import Reason
 
 from .builders import completion, request, upstream
 
@@ -65,3 +66,22 @@
         feed.note(UpstreamNews(str(number), UpstreamChange.SICK, 0.0, 0.0, 0))
     assert [news.upstream for news in feed.take()][0] == "5"
     assert feed.take() == []
+
+
+def test_caller_is_told_that_there_is_no_upstream_and_to_come_back_soon():
+    """Callers with a second to spare are told to come back in a minute.
+
+    All upstreams of a service are gone. What waits drains at no rate that was ever
+    measured, and the reason that was told is that the request is too late, as if others
+    stood before it.
+    """
+    scheduler = PoolScheduler(FED_PARAMETERS)
+    now = NOW
+    for number in range(200):
+        now += 0.05
+        item = request(f"r{number}", arrived=now, deadline=now + 1.0)
+        scheduler.register(item, now)
+        scheduler.tick(now)
+    refusals = [one for one in scheduler.tick(now + 2) if isinstance(one, Refused)]
+    assert {one.reason for one in refusals} == {Reason.NO_UPSTREAM}
+    assert max(one.retry_after for one in refusals) <= 1.5
