--- a/bitterntiller/components/dispatch/const.py
+++ b/bitterntiller/components/dispatch/const.py
@@ -59,7 +59,6 @@
 REASON_FAILED = "failed"
 REASON_LOST_ANSWER = "lost-answer"
 OUTCOME_DONE = "done"
-OUTCOME_FAILED = "failed"
 OUTCOME_REJECTED = "rejected"
 OUTCOME_CALLER_GONE = "caller-gone"
 
--- a/bitterntiller/components/dispatch/pool.py
+++ b/bitterntiller/components/dispatch/pool.py
@@ -4,7 +4,6 @@
 from collections import Counter
 
 from bitterntiller.components.dispatch.const import KIND_PLAIN
-from bitterntiller.components.dispatch.health import Failure
 from bitterntiller.components.dispatch.jobs import Job
 from bitterntiller.components.dispatch.models import PolicyParameters, UpstreamState
 from bitterntiller.components.dispatch.news import NewsFeed, UpstreamChange
@@ -206,22 +205,12 @@
                 continue
             self._watch(upstream, now)
             self.refresh(upstream, now)
-        self._hurry_if_all_are_sick(now)
 
-    def _hurry_if_all_are_sick(self, now: float) -> None:
-        """Never leave a pool without a probe for longer than the first pause.
-
-        Waiting gains nothing where there is no other upstream. It would show as a
-        service that stays away for seconds after its only upstream is back.
-        """
-        members = [self.upstreams_by_name[name] for name in self.views.whole.members]
-        if all(upstream.health.sick for upstream in members):
-            for upstream in members:
-                upstream.health.hurry(now)
-
-    def note_failure(self, upstream: Upstream, failure: Failure, now: float) -> None:
+    def note_failure(
+        self, upstream: Upstream, now: float, certain: bool = False
+    ) -> None:
         """Note that an upstream failed; see Health.failure."""
-        if upstream.health.failure(failure, now):
+        if upstream.health.failure(now, certain):
             self._tell(upstream, UpstreamChange.SICK, now)
 
     def note_success(self, upstream: Upstream, now: float) -> None:
--- a/bitterntiller/components/dispatch/teacher.py
+++ b/bitterntiller/components/dispatch/teacher.py
@@ -4,24 +4,16 @@
     KIND_PLAIN,
     OUTCOME_CALLER_GONE,
     OUTCOME_DONE,
-    OUTCOME_FAILED,
     OUTCOME_REJECTED,
-    REASON_LOST_ANSWER,
     REASON_NOT_ADMITTED,
     REASON_REFUSED_CONNECTION,
 )
-from bitterntiller.components.dispatch.health import Failure
 from bitterntiller.components.dispatch.jobs import Job
 from bitterntiller.components.dispatch.models import Completion, PolicyParameters
 from bitterntiller.components.dispatch.pool import Pool
 from bitterntiller.components.dispatch.sizes import Sizes
 from bitterntiller.components.dispatch.upstreams import Upstream
 
-_FAILURE_BY_REASON = {
-    REASON_LOST_ANSWER: Failure.LOST,
-    REASON_REFUSED_CONNECTION: Failure.REFUSED,
-}
-
 
 class Teacher:
     """Passes samples on to the speed, limit, health and prefixes of upstreams."""
@@ -61,9 +53,7 @@
             self._pool.note_success(upstream, now)
             return
         if completion.outcome != OUTCOME_DONE:
-            failed = completion.outcome == OUTCOME_FAILED
-            failure = Failure.ANSWERED if failed else Failure.LOST
-            self._pool.note_failure(upstream, failure, now)
+            self._pool.note_failure(upstream, now)
             return
         self._pool.note_success(upstream, now)
         upstream.worked_at = now
@@ -82,8 +72,11 @@
             upstream.limit.not_admitted(
                 upstream.ledger.in_flight - 1, upstream.state.slots
             )
-        failure = _FAILURE_BY_REASON.get(reason, Failure.ANSWERED)
-        self._pool.note_failure(upstream, failure, now)
+            self._pool.note_failure(upstream, now)
+            return
+        self._pool.note_failure(
+            upstream, now, certain=reason == REASON_REFUSED_CONNECTION
+        )
 
     def _first_token(self, job: Job, upstream: Upstream, now: float) -> None:
         job.first_seen = now
--- a/bitterntiller/components/dispatch/upstreams.py
+++ b/bitterntiller/components/dispatch/upstreams.py
@@ -116,14 +116,10 @@
         return (
             self.usable(now)
             and self.room(now) >= 1
-            and self.health.allowed(self.ledger.in_flight, self.tried_at, now)
+            and self.health.allowed(self.ledger.in_flight, now)
             and self.prefill_wait(now) <= 0.0
         )
 
-    def passed_over(self, now: float) -> bool:
-        """Tell whether the upstream is sick, and not even due for a probe."""
-        return self.health.sick and now < self.health.paused_until
-
     def in_doubt(self, now: float) -> bool:
         """Tell whether what is known of its speed is nothing, or old.
 
--- a/tests/components/dispatch/test_news.py
+++ b/tests/components/dispatch/test_news.py
@@ -39,16 +39,15 @@
     scheduler.take_news()
     for number in range(3):
         name = f"r{number}"
-        at = NOW + number
-        scheduler.register(request(name), at)
-        scheduler.started(name, at)
-        scheduler.finished(completion(name, outcome="unknown"), at + 0.1)
+        scheduler.register(request(name), NOW)
+        scheduler.started(name, NOW)
+        scheduler.finished(completion(name, outcome="unknown"), NOW + 0.1)
     (news,) = scheduler.take_news()
     assert (news.change, round(news.probe_in, 3)) == (UpstreamChange.SICK, 0.5)
-    scheduler.tick(NOW + 3)
-    scheduler.register(request("probe"), NOW + 3)
-    scheduler.started("probe", NOW + 3)
-    scheduler.finished(completion("probe"), NOW + 3.1)
+    scheduler.tick(NOW + 1)
+    scheduler.register(request("probe"), NOW + 1)
+    scheduler.started("probe", NOW + 1)
+    scheduler.finished(completion("probe"), NOW + 1.1)
     assert changes(scheduler) == [("engine-1", UpstreamChange.WELL)]
 
 
