--- a/tests/components/dispatch/fakes.py
+++ b/tests/components/dispatch/fakes.py
@@ -16,6 +16,7 @@
 class Host(NamedTuple):
     address: str
     incarnation: str
+    roles: tuple[str, ...] = ("entry",)
 
 
 class FakeDirectory:
