--- a/bitterntiller/components/entry/endings.py
+++ b/bitterntiller/components/entry/endings.py
@@ -22,7 +22,7 @@
 """Owners that are remembered with what they have been told."""
 
 
-class Ending(NamedTuple):
+class EndedRequest(NamedTuple):
     """One request that has ended; number counts all of them on this host."""
 
     number: int
@@ -42,13 +42,13 @@
 
     def __init__(self) -> None:
         self._number = 0
-        self._endings: deque[Ending] = deque()
+        self._endings: deque[EndedRequest] = deque()
         self._told_upto_by_owner: dict[str, int] = {}
 
     def note(self, request_id: str, now: float) -> None:
         """Note that a request has ended."""
         self._number += 1
-        self._endings.append(Ending(self._number, now, request_id))
+        self._endings.append(EndedRequest(self._number, now, request_id))
         while self._endings[0].at < now - KEPT_SECONDS:
             self._endings.popleft()
 
--- a/bitterntiller/components/entry/owner_watch.py
+++ b/bitterntiller/components/entry/owner_watch.py
@@ -81,11 +81,11 @@
     async def _async_ask(self, owner: Ownership) -> None:
         counts = self._owners.owner(QUOTA_POOL)
         to_counter = counts is not None and counts.host == owner.host
-        ledger = f"{owner.host}/{self._owners.incarnation(owner.host)}"
-        told = self._account.untold(ledger) if to_counter else NOTHING
+        process = f"{owner.host}/{self._owners.incarnation(owner.host)}"
+        told = self._account.untold(process) if to_counter else NOTHING
         live = self._registry.by_id.keys()
         now = self._runtime.clock.now()
-        ended = self._registry.endings.untold(ledger, live, now)
+        ended = self._registry.endings.untold(process, live, now)
         try:
             reply = await self._runtime.links.async_call(
                 owner.address, self._report(told, ended), const.REPORT_TIMEOUT
@@ -99,10 +99,10 @@
             self._asked_at_by_host.pop(owner.host, None)
             self._suspect(owner, "it has no configuration or lease")
             return
-        if ledger == f"{owner.host}/{reply.incarnation}":
-            self._registry.endings.note_told(ledger, ended)
+        if process == f"{owner.host}/{reply.incarnation}":
+            self._registry.endings.note_told(process, ended)
             if to_counter:
-                self._account.note_told(ledger, told)
+                self._account.note_told(process, told)
                 self._account.take_levels(reply.levels, reply.entry_hosts, told)
         if self._owners.note_answer(owner.host, reply.incarnation):
             events.emit(
--- a/bitterntiller/components/entry/quota.py
+++ b/bitterntiller/components/entry/quota.py
@@ -35,7 +35,6 @@
 """Parts of a window in which a ledger that is new to this host hears what was used in
 it; it counts each part as used at its end."""
 
-
 LARGEST_SECONDS = 30.0
 """How long a request counts as the largest of its kind: one host sees few of them."""
 
