--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -59,6 +59,23 @@
     assert "lost its lease 2.0 s before" in text
 
 
+def test_refusal_without_any_upstream_names_when_they_were_lost(tmp_path, capsys):
+    """A caller is refused, and whether its service was full or empty is not told."""
+    fields = {"request": "r1", "reason": "no-upstream"}
+    core = write_log(
+        tmp_path / "core",
+        event(4.0, "core-1", "upstream-use", upstream="e1", change="leaving"),
+        event(6.0, "core-1", "given-up", upstreams=0, **fields),
+    )
+    edge = write_log(
+        tmp_path / "edge",
+        event(6.0, "edge-1", "refused", status=503, waited=0.4, **fields),
+    )
+    _, text = explained(capsys, "r1", core, edge)
+    assert "leaving" in text
+    assert "its owner knew no upstream for it" in text.splitlines()[-1]
+
+
 def test_request_that_was_cut_names_the_last_that_is_known(tmp_path, capsys):
     log = write_log(
         tmp_path / "edge",
