Tell ends of requests also to owners that control names

Cause: the mend of the idle engines after resets reached only owners that hear reports; where control names the owners, a lost message about an end still filled a slot for five to ten seconds, until the list of live requests. The fault is in how ends are told, not in the platform's part. Change: EndedRequests, every 0.5 s, with what has ended within 3 s; the same forgetting at the owner. Ruled out: a list of live requests ten times as often (it grows with all that runs). Before and after: the two tests have nothing to call on the code before; they pass, and the other tests of components, daemon and platform with them. No run of several hosts measured it.

--- a/bitterntiller/components/dispatch/__init__.py
+++ b/bitterntiller/components/dispatch/__init__.py
@@ -90,6 +90,7 @@
         (messages.Register, coordinator.async_on_register),
         (messages.Reregister, coordinator.async_on_reregister),
         (messages.Live, coordinator.async_on_live),
+        (messages.EndedRequests, coordinator.async_on_ended),
         (messages.Cancel, coordinator.async_on_cancel),
         (messages.Started, coordinator.async_on_started),
         (messages.Progress, coordinator.async_on_progress),
--- a/bitterntiller/components/dispatch/coordinator.py
+++ b/bitterntiller/components/dispatch/coordinator.py
@@ -240,6 +240,11 @@
                 if tracked.request.entry_host == host:
                     await self._async_carry_out(pool, pool.cancel(request_id, now))
 
+    async def async_on_ended(self, _host: str, message: Any) -> None:
+        """Take messages.EndedRequests of an entry host."""
+        if self._lease.valid():
+            await self.async_forget_ended(message.entry_host, message.request_ids)
+
     async def async_forget_ended(self, host: str, request_ids: list[str]) -> None:
         """Forget requests that have ended at an entry host, whose end was not heard."""
         now = self._clock.now()
--- a/bitterntiller/components/entry/__init__.py
+++ b/bitterntiller/components/entry/__init__.py
@@ -45,7 +45,9 @@
 ) -> EntryCoordinator:
     """Set the entry role up; it is unloaded with the runtime's stack."""
     context = _make_context(runtime, lease, config, directory, control)
-    return await _async_start(runtime, context, None)
+    coordinator = await _async_start(runtime, context, None)
+    await runtime.async_spawn(coordinator.async_tell_ended())
+    return coordinator
 
 
 async def async_setup_routed(
--- a/bitterntiller/components/entry/const.py
+++ b/bitterntiller/components/entry/const.py
@@ -98,6 +98,9 @@
 REREGISTER_AFTER = 2.0
 PROGRESS_PERIOD = 0.5
 LIVE_PERIOD = 5.0
+ENDED_PERIOD = 0.5
+"""Seconds between two messages about what has ended; each ending is in some five."""
+
 RESUME_ATTEMPTS = 4
 RESUME_DELAY = 0.1
 CANCEL_TIMEOUT = 2.0
--- a/bitterntiller/components/entry/coordinator.py
+++ b/bitterntiller/components/entry/coordinator.py
@@ -116,6 +116,29 @@
         )
         await self._context.links.async_send(owner.address, message)
 
+    async def async_tell_ended(self) -> None:
+        """Tell owners what has ended here of late, until cancelled.
+
+        For owners that control names; those that the host chooses hear it by reports.
+        """
+        while True:
+            await curio.sleep(const.ENDED_PERIOD)
+            live = self.registry.by_id.keys()
+            ids = self.registry.endings.recent(live, self._context.clock.now())
+            if not ids:
+                continue
+            message = messages.EndedRequests(
+                entry_host=self._context.host, request_ids=ids
+            )
+            for address in self._owner_addresses():
+                await self._context.links.async_send(address, message)
+
+    def _owner_addresses(self) -> set[str]:
+        config = self._context.config.config
+        pools = config.services_by_name if config is not None else {}
+        owners = [self._context.directory.owner(pool) for pool in pools]
+        return {owner.address for owner in owners if owner is not None}
+
     async def async_begin_drain(self) -> None:
         """Take no new work from now on."""
         self.pipeline.draining = True
--- a/bitterntiller/components/entry/endings.py
+++ b/bitterntiller/components/entry/endings.py
@@ -3,7 +3,8 @@
 The end of a request is told once, by a message on a link that may break with it. An
 owner that has not heard it counts the request as running: its slot, and its prefill, in
 front of which nothing else is sent to that upstream. With each report an owner is told
-the ids again until it has answered one.
+the ids again until it has answered one; owners to which nothing is reported are told
+them several times.
 
 With five moments in half a minute at which connections were reset, 0.87 of the requests
 were served in place of 0.68 (means of four pairs of simulated deployments of 11 hosts).
@@ -32,6 +33,11 @@
     request_id: str
 
 
+REPEATED_SECONDS = 3.0
+"""How long an ending is told again and again where nobody answers for having heard it:
+longer than it takes to notice a broken link and to dial anew."""
+
+
 class UntoldEndings(NamedTuple):
     """The ids that an owner is to be told, and the number of the last one."""
 
@@ -71,6 +77,15 @@
                 ids.append(ending.request_id)
         return UntoldEndings(ids, upto)
 
+    def recent(self, live: Collection[str], now: float) -> list[str]:
+        """Return the ids of what has ended of late, for owners that don't answer."""
+        return [
+            ending.request_id
+            for ending in self._endings
+            if GRACE_SECONDS <= now - ending.at <= REPEATED_SECONDS
+            and ending.request_id not in live
+        ]
+
     def note_told(self, owner: str, told: UntoldEndings) -> None:
         """Note that an owner has answered a report with these endings."""
         self._told.note(owner, told.upto)
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -19,6 +19,7 @@
     REGISTER = 10, GRANT = 11, REFUSAL = 12, CANCEL = 13, STARTED = 14,
     PROGRESS = 15, FINISHED = 16, RETURNED = 17, REREGISTER = 18, LIVE = 19,
     ANNOUNCE = 20, ANNOUNCE_REPLY = 21, ENTRY_REPORT = 22, ENTRY_REPORT_REPLY = 23,
+    ENDED_REQUESTS = 24,
     HEARTBEAT = 30, HEARTBEAT_REPLY = 31, GET_CONFIG = 32, CONFIG_REPLY = 33,
     CHANGE = 34, CHANGE_REPLY = 35, CLAIM = 36, CLAIM_REPLY = 37,
     CONTROL_STATUS = 38, CONTROL_STATUS_REPLY = 39, REPAIR = 40, REPAIR_REPLY = 41,
@@ -136,6 +137,9 @@
 /* The ids of all requests that an entry host has with a pool, told every few seconds. */
 struct Live { 1: required string pool, 2: required string entry_host, 3: required list<string> request_ids }
 
+/* The ids of requests that have ended at an entry host of late, told several times each. */
+struct EndedRequests { 1: required string entry_host, 2: required list<string> request_ids }
+
 /* What a workspace's requests have used at one entry host, all about the same time ago. */
 struct Usage {
     1: required string workspace,
--- a/tests/components/entry/test_endings.py
+++ b/tests/components/entry/test_endings.py
@@ -9,10 +9,12 @@
 from bitterntiller.protocol import messages
 from tests.components.dispatch import messages_builders as build
 from tests.components.dispatch.fakes import FakeDirectory, FakeRuntime, coordinator
+from tests.components.entry import deployment
 from tests.components.entry.fakes import FakeLease
 
 OWNER = "core-1/i1"
 NOW = 1000.0
+BODY = b"Content-Length: 2\r\n\r\n{}"
 LATER = NOW + GRACE_SECONDS + 0.01
 
 
@@ -79,6 +81,41 @@
     assert granted_after_report("lost") == ["lost", "waits"]
 
 
+def test_owner_that_follows_from_control_hears_of_ends_within_a_second():
+    """The same where hosts report to nobody, since control names the owners."""
+
+    async def async_main() -> list[Any]:
+        async with deployment.entry_host(deployment.async_whole) as host:
+            tell = await curio.spawn(host.coordinator.async_tell_ended)
+            sock = await curio.open_connection("127.0.0.1", host.port)
+            async with sock:
+                await sock.sendall(deployment.HEAD.encode() + BODY)
+                assert b" 200 " in await sock.recv(65536)
+            await curio.sleep(1.2)
+            await tell.cancel()
+            return host.links.of(messages.EndedRequests)
+
+    first, *_ = curio.run(async_main)
+    assert (first.entry_host, len(first.request_ids)) == ("a", 1)
+
+
+def test_slot_is_free_when_an_end_is_told_by_itself():
+    runtime = FakeRuntime()
+
+    async def async_main() -> None:
+        owner = coordinator(runtime, FakeDirectory())
+        await owner.async_on_announce("e", build.announce("e1", 1))
+        await owner.async_on_register("bole-1", build.register("lost"))
+        await owner.async_on_register("yeka-1", build.register("waits", "yeka-1"))
+        told = messages.EndedRequests(entry_host="bole-1", request_ids=["lost"])
+        await owner.async_on_ended("bole-1", told)
+        await curio.sleep(0.05)
+
+    curio.run(async_main)
+    sent = [item for _, item in runtime.links.sent if isinstance(item, messages.Grant)]
+    assert [item.request_id for item in sent] == ["lost", "waits"]
+
+
 def test_report_frees_no_request_of_another_host():
     assert granted_after_report("waits") == ["lost"]
 
