--- a/tests/platform/test_days.py
+++ b/tests/platform/test_days.py
@@ -10,7 +10,8 @@
 
 KINDS = frozenset(
     """
-    ack_lost after_ack_kill after_ack_wipe answer_lost bad_config big_config burst
+    ack_lost add_nodes after_ack_kill after_ack_wipe answer_lost bad_config big_config
+    burst
     clock_step config_change config_race config_storm core_cut disk_full disk_slow
     disk_stall garble give_up herd_kill hot_key hot_tenant hup lossy node_cut
     node_freeze node_kill node_slow release replace_core replace_with_reuse
