--- a/bitterntiller/components/dispatch/quota_counter.py
+++ b/bitterntiller/components/dispatch/quota_counter.py
@@ -7,9 +7,9 @@
     REPEAT_PART,
     Ask,
     QuotaLine,
-    Refused,
     Waiter,
 )
+from bitterntiller.components.dispatch.quota_returns import Refused
 from bitterntiller.components.dispatch.quotas import QuotaLedger, QuotaState
 from bitterntiller.components.settings.models import QuotaWindow
 
--- a/bitterntiller/components/dispatch/quota_line.py
+++ b/bitterntiller/components/dispatch/quota_line.py
@@ -18,6 +18,12 @@
 from collections import deque
 from typing import NamedTuple
 
+from bitterntiller.components.dispatch.quota_returns import (
+    MOST_RETURN_SECONDS,
+    Booking,
+    Refused,
+    Returns,
+)
 from bitterntiller.components.dispatch.quotas import QuotaState
 from bitterntiller.core.fading import Fading, RecentMost
 
@@ -44,24 +50,8 @@
 """Part of a quota by which repeats may exceed it: the requests were within it when they
 were let through. Deployments have hosts keep within somewhat less than they allow."""
 
-RETURNS_PART = 0.25
-"""Part of the rate that is kept for requests that return at their time. With all of it,
-a workspace far over its quota would have every request served late, at its return."""
-
-RETURN_GRACE_SECONDS = 0.5
-"""How long after its time room is kept for a request that returns: a new connection and
-its caller's own timer take some of it."""
-
-EARLY_SECONDS = 0.05
-"""How much before its time a request may return; timers of callers are not exact."""
-
-LEAST_RETURN_SECONDS = 0.2
-MOST_RETURN_SECONDS = 30.0
-"""Seconds that a caller over its workspace's quota is told to wait."""
-
 MOST_WAITING = 1000
-MOST_BOOKED = 1000
-"""Bounds of the memory that one workspace takes; beyond them it is refused."""
+"""Requests in the line of one workspace; beyond them it is refused."""
 
 
 class Ask(NamedTuple):
@@ -93,29 +83,13 @@
     ahead: int
 
 
-class _Booking(NamedTuple):
-    """Room that is kept for a return, from due until grace has passed."""
-
-    likeness: int
-    amount: int
-    due: float
-
-
-class Refused(NamedTuple):
-    """When a request may return, in seconds, and whether room is kept for it then."""
-
-    retry_after: float
-    booked: bool
-
-
 class QuotaLine:
     """The line of one workspace, and the returns it has promised."""
 
     def __init__(self) -> None:
         self._waiting: deque[Waiter] = deque()
         self._ahead = 0
-        self._bookings: deque[_Booking] = deque()
-        self._booked_until = 0.0
+        self._returns = Returns()
         self._largest = RecentMost(LARGEST_SECONDS)
         self._asked_by_kind: dict[str, Fading] = {}
 
@@ -126,8 +100,7 @@
 
     def idle(self, now: float) -> bool:
         """Tell whether nobody waits, no return is awaited and no size remembered."""
-        self._drop_missed(now)
-        awaited = self._waiting or self._bookings
+        awaited = self._waiting or self._returns.awaited(now)
         return not awaited and not self._largest.most(now)
 
     def arrive(
@@ -137,12 +110,10 @@
         if ask.amount > state.whole:
             return Refused(MOST_RETURN_SECONDS, False)
         modest = self._is_modest(ask, state, now)
-        self._drop_missed(now)
-        if self._take_booking(ask, state, now):
+        if ask.amount <= state.left and self._returns.take(ask.likeness, now):
             return None
-        if modest and min(state.left, state.level) - ask.amount >= self._kept(
-            state, now
-        ):
+        spare = min(state.left, state.level) - self._kept(state, now)
+        if modest and ask.amount <= spare:
             return None
         self._largest.add(ask.amount, now)
         if not self._waiting and self._enough(ask.amount, state, now):
@@ -260,49 +231,8 @@
 
     def _refuse(self, ask: Ask, state: QuotaState, wait: float, now: float) -> Refused:
         """Return the time at which a request may return, and keep room if it can."""
-        earlier = next((b for b in self._bookings if b.likeness == ask.likeness), None)
-        if earlier is not None and earlier.due > now:
-            return Refused(earlier.due - now, True)
-        due = max(now + max(wait, LEAST_RETURN_SECONDS), self._booked_until)
-        after = due - now
-        heeded = after <= min(ask.comeback, MOST_RETURN_SECONDS)
-        if not heeded or len(self._bookings) >= MOST_BOOKED:
-            return Refused(min(after, MOST_RETURN_SECONDS), False)
-        rate = max(RETURNS_PART * state.rate, 1e-9)
-        self._booked_until = due + ask.amount / rate
-        self._bookings.append(_Booking(ask.likeness, ask.amount, due))
-        return Refused(after, True)
-
-    def _take_booking(self, ask: Ask, state: QuotaState, now: float) -> bool:
-        if state.left < ask.amount:
-            return False
-        for booking in self._bookings:
-            if booking.due > now + EARLY_SECONDS:
-                return False
-            if booking.likeness == ask.likeness:
-                self._bookings.remove(booking)
-                return True
-        return False
+        booking = Booking(ask.likeness, ask.amount, now + wait)
+        return self._returns.book(booking, now + ask.comeback, state.rate, now)
 
     def _kept(self, state: QuotaState, now: float) -> float:
-        """Return what must be left now for all returns to find room at their times.
-
-        What comes back to the quota until then needs not be left now. Bookings are in
-        the order of their times, and less is promised between two of them than comes
-        back: once that is as much as the largest in advance, later ones need nothing.
-        """
-        self._drop_missed(now)
-        kept = amount = 0.0
-        largest = self._largest.most(now)
-        for booking in self._bookings:
-            amount += booking.amount
-            comes_back = state.rate * max(0.0, booking.due - now)
-            kept = max(kept, amount - comes_back)
-            if comes_back >= amount + largest:
-                break
-        return kept
-
-    def _drop_missed(self, now: float) -> None:
-        oldest = now - RETURN_GRACE_SECONDS
-        while self._bookings and self._bookings[0].due < oldest:
-            self._bookings.popleft()
+        return self._returns.kept(state.rate, self._largest.most(now), now)
--- a/tests/components/entry/quota_hosts.py
+++ b/tests/components/entry/quota_hosts.py
@@ -12,7 +12,8 @@
     QuotaDecision,
     Settings,
 )
-from bitterntiller.components.dispatch.quota_line import Ask, Refused
+from bitterntiller.components.dispatch.quota_line import Ask
+from bitterntiller.components.dispatch.quota_returns import Refused
 from bitterntiller.components.dispatch.quotas import QuotaState
 from bitterntiller.components.entry.quota import Hold, QuotaAccount
 from bitterntiller.components.settings.models import QuotaWindow
--- a/tests/components/entry/test_quota.py
+++ b/tests/components/entry/test_quota.py
@@ -5,11 +5,13 @@
 from bitterntiller.components.config.models import Config
 from bitterntiller.components.dispatch.quota_counter import LENT_PART, Settings
 from bitterntiller.components.dispatch.quota_line import (
-    EARLY_SECONDS,
     LARGEST_PART,
     REPEAT_PART,
-    RETURN_GRACE_SECONDS,
     Ask,
+)
+from bitterntiller.components.dispatch.quota_returns import (
+    EARLY_SECONDS,
+    RETURN_GRACE_SECONDS,
     Refused,
 )
 from bitterntiller.components.dispatch.quotas import (
