--- a/bitterntiller/components/dispatch/quota_counter.py
+++ b/bitterntiller/components/dispatch/quota_counter.py
@@ -3,15 +3,10 @@
 from typing import NamedTuple
 
 from bitterntiller.components.config.models import Config
-from bitterntiller.components.dispatch.quota_line import (
-    REPEAT_PART,
-    Ask,
-    QuotaLine,
-    Waiter,
-)
+from bitterntiller.components.dispatch.quota_line import Ask, QuotaLine, Waiter
 from bitterntiller.components.dispatch.quota_returns import Refused
 from bitterntiller.components.dispatch.quotas import QuotaLedger, QuotaState
-from bitterntiller.components.settings.models import QuotaWindow
+from bitterntiller.components.settings.models import REPEAT_PART, QuotaWindow
 
 LENT_PART = 0.5
 PLENTY_PART = 0.5
--- a/bitterntiller/components/dispatch/quota_line.py
+++ b/bitterntiller/components/dispatch/quota_line.py
@@ -46,10 +46,6 @@
 """Most of a bucket that whoever is next waits for: what hosts are lent leaves as much.
 A larger request takes it below 0, which those after it wait for."""
 
-REPEAT_PART = 0.02
-"""Part of a quota by which repeats may exceed it: the requests were within it when they
-were let through. Deployments have hosts keep within somewhat less than they allow."""
-
 MOST_WAITING = 1000
 """Requests in the line of one workspace; beyond them it is refused."""
 
--- a/bitterntiller/components/entry/quota.py
+++ b/bitterntiller/components/entry/quota.py
@@ -15,8 +15,7 @@
 from typing import Any, NamedTuple
 
 from bitterntiller.components.config.models import Quota, Workspace
-from bitterntiller.components.dispatch.quota_line import REPEAT_PART
-from bitterntiller.components.settings.models import QuotaWindow
+from bitterntiller.components.settings.models import REPEAT_PART, QuotaWindow
 from bitterntiller.core.clock import Clock
 from bitterntiller.core.told import ToldMarks
 
--- a/bitterntiller/components/settings/models.py
+++ b/bitterntiller/components/settings/models.py
@@ -85,6 +85,11 @@
     depth: float
 
 
+REPEAT_PART = 0.02
+"""Part of a quota by which repeats may exceed it: the requests were within it when they
+were let through. Deployments have hosts keep within somewhat less than they allow."""
+
+
 class QuotaWindow(NamedTuple):
     """How the use of quotas is counted over time; the deployment tells.
 
--- a/tests/components/entry/test_quota.py
+++ b/tests/components/entry/test_quota.py
@@ -4,11 +4,7 @@
 
 from bitterntiller.components.config.models import Config
 from bitterntiller.components.dispatch.quota_counter import LENT_PART, Settings
-from bitterntiller.components.dispatch.quota_line import (
-    LARGEST_PART,
-    REPEAT_PART,
-    Ask,
-)
+from bitterntiller.components.dispatch.quota_line import LARGEST_PART, Ask
 from bitterntiller.components.dispatch.quota_returns import (
     EARLY_SECONDS,
     RETURN_GRACE_SECONDS,
@@ -19,7 +15,7 @@
     QuotaLedger,
 )
 from bitterntiller.components.entry.quota import Hold, QuotaAccount
-from bitterntiller.components.settings.models import QuotaWindow
+from bitterntiller.components.settings.models import REPEAT_PART, QuotaWindow
 from bitterntiller.core.clock import ManualClock
 from tests.components.entry.quota_hosts import COUNTER, QuotaHosts, workspace
 
--- a/tests/components/entry/test_quota_sizes.py
+++ b/tests/components/entry/test_quota_sizes.py
@@ -4,8 +4,7 @@
 
 import pytest
 
-from bitterntiller.components.dispatch.quota_line import REPEAT_PART
-from bitterntiller.components.settings.models import QuotaWindow
+from bitterntiller.components.settings.models import REPEAT_PART, QuotaWindow
 from tests.components.entry.quota_hosts import (
     Played,
     QuotaHosts,
