--- a/bitterntiller/components/dispatch/quota_counter.py
+++ b/bitterntiller/components/dispatch/quota_counter.py
@@ -19,7 +19,7 @@
 to one of the two hosts."""
 
 
-class Settings(NamedTuple):
+class CountBasis(NamedTuple):
     """What the count rests on: the configuration, and the part of hosts heard here."""
 
     config: Config
@@ -47,9 +47,9 @@
         self.ledger = QuotaLedger(window)
         self._line_by_workspace: dict[str, QuotaLine] = {}
 
-    def ask(self, ask: Ask, settings: Settings, now: float) -> QuotaDecision | None:
+    def ask(self, ask: Ask, basis: CountBasis, now: float) -> QuotaDecision | None:
         """Decide on a request; None for one that waits in the line."""
-        state = self._state(ask.workspace, settings, now)
+        state = self._state(ask.workspace, basis, now)
         if state is None:
             return QuotaDecision(ask, UNLIMITED)
         if self.ledger.is_reserved(ask.host, ask.reservation):
@@ -63,9 +63,9 @@
         decision = QuotaDecision(ask, state)._replace(ahead=ahead, refused=found)
         return self._carry_out(decision, now)
 
-    def ask_repeat(self, ask: Ask, settings: Settings, now: float) -> QuotaDecision:
+    def ask_repeat(self, ask: Ask, basis: CountBasis, now: float) -> QuotaDecision:
         """Decide on a request that has run and is to run once more; it never waits."""
-        state = self._state(ask.workspace, settings, now)
+        state = self._state(ask.workspace, basis, now)
         if state is None:
             return QuotaDecision(ask, UNLIMITED)
         fits = state.left - ask.amount >= -REPEAT_PART * state.most
@@ -80,21 +80,21 @@
         left = [line.leave(host, number) for line in lines for number in numbers]
         return [waiter for waiter in left if waiter is not None]
 
-    def due(self, settings: Settings, now: float) -> list[QuotaDecision]:
+    def due(self, basis: CountBasis, now: float) -> list[QuotaDecision]:
         """Return what is decided now on requests that wait."""
         decisions = []
         for name, line in list(self._line_by_workspace.items()):
             if line.ahead:
-                decisions += self._due(name, line, settings, now)
+                decisions += self._due(name, line, basis, now)
             elif line.idle(now):
                 del self._line_by_workspace[name]
         return decisions
 
     def _due(
-        self, name: str, line: QuotaLine, settings: Settings, now: float
+        self, name: str, line: QuotaLine, basis: CountBasis, now: float
     ) -> list[QuotaDecision]:
         decisions = []
-        while (state := self._state(name, settings, now)) is not None:
+        while (state := self._state(name, basis, now)) is not None:
             passing = line.next_to_pass(state, now)
             if passing is not None:
                 decision = _waited(passing, state, now)
@@ -108,11 +108,11 @@
         decisions += [_waited(item, UNLIMITED, now) for item in line.leave_all()]
         return decisions
 
-    def wake_in(self, settings: Settings, now: float) -> float | None:
+    def wake_in(self, basis: CountBasis, now: float) -> float | None:
         """Return in how many seconds due() may decide on something, None for never."""
         waits = []
         for name, line in self._line_by_workspace.items():
-            state = self._state(name, settings, now) if line.ahead else None
+            state = self._state(name, basis, now) if line.ahead else None
             if state is not None:
                 waits.append(line.wake_in(state, now))
         return min(waits, default=None)
@@ -127,14 +127,14 @@
         host: str,
         workspaces: list[str],
         hosts: int,
-        settings: Settings,
+        basis: CountBasis,
         now: float,
     ) -> dict[str, tuple[QuotaState, int]]:
         """Return what is left to workspaces, and what a host may use without asking."""
         self.ledger.lend(host, {})
         told = {}
         for name in workspaces:
-            state = self._state(name, settings, now)
+            state = self._state(name, basis, now)
             if state is not None:
                 told[name] = (state, int(_lendable(state) / max(1, hosts)))
         lent_by_workspace = {name: lent for name, (_, lent) in told.items() if lent}
@@ -150,9 +150,9 @@
         return leaving
 
     def _state(
-        self, workspace: str, settings: Settings, now: float
+        self, workspace: str, basis: CountBasis, now: float
     ) -> QuotaState | None:
-        return self.ledger.state(workspace, settings.config, settings.part, now)
+        return self.ledger.state(workspace, basis.config, basis.part, now)
 
     def _carry_out(self, decision: QuotaDecision, now: float) -> QuotaDecision:
         if decision.refused is None:
--- a/bitterntiller/components/dispatch/quota_desk.py
+++ b/bitterntiller/components/dispatch/quota_desk.py
@@ -7,9 +7,9 @@
 
 from bitterntiller.components.dispatch import const
 from bitterntiller.components.dispatch.quota_counter import (
+    CountBasis,
     QuotaCounter,
     QuotaDecision,
-    Settings,
 )
 from bitterntiller.components.dispatch.quota_line import Ask, Waiter
 from bitterntiller.components.dispatch.telling import tell_quota
@@ -28,7 +28,7 @@
 _Key = tuple[str, int]
 """A host, and its number for a reservation."""
 
-ReadSettings = Callable[[], Settings | None]
+ReadBasis = Callable[[], CountBasis | None]
 """Returns what the count rests on now, None while this host may not count."""
 
 
@@ -36,26 +36,26 @@
     """Takes messages.QuotaAsk, and answers each when it is decided."""
 
     def __init__(
-        self, runtime: Runtime, counter: QuotaCounter, settings: ReadSettings
+        self, runtime: Runtime, counter: QuotaCounter, basis: ReadBasis
     ) -> None:
         self._clock = runtime.clock
         self._incarnation = runtime.incarnation
         self._metrics = runtime.metrics
         self._counter = counter
-        self._settings = settings
+        self._basis = basis
         self._answers_by_key: dict[_Key, curio.Queue] = {}
         self._moved = curio.Event()
 
     async def async_on_ask(self, _host: str, message: Any) -> Any:
         """Answer one messages.QuotaAsk, after a wait in the line if need be."""
-        settings = self._settings()
-        if settings is None:
+        basis = self._basis()
+        if basis is None:
             return self._not_counting()
         now = self._clock.now()
         ask = _ask(message)
         if message.repeat:
-            return self._answer(self._counter.ask_repeat(ask, settings, now))
-        decision = self._counter.ask(ask, settings, now)
+            return self._answer(self._counter.ask_repeat(ask, basis, now))
+        decision = self._counter.ask(ask, basis, now)
         if decision is not None:
             return self._answer(decision)
         self._metrics.count(const.METRIC_QUOTA_WAITS)
@@ -84,16 +84,16 @@
         """Decide on what waits, until cancelled."""
         while True:
             self._moved.clear()
-            settings = self._settings()
-            if settings is None:
+            basis = self._basis()
+            if basis is None:
                 await self._async_stop_counting()
                 await self._async_pause(None)
                 continue
             now = self._clock.now()
-            for decision in self._counter.due(settings, now):
+            for decision in self._counter.due(basis, now):
                 answer = self._answer(decision)
                 await self._async_answer(_key(decision.ask), answer)
-            await self._async_pause(self._counter.wake_in(settings, now))
+            await self._async_pause(self._counter.wake_in(basis, now))
 
     async def _async_stop_counting(self) -> None:
         for key in list(self._answers_by_key):
--- a/bitterntiller/components/dispatch/reports.py
+++ b/bitterntiller/components/dispatch/reports.py
@@ -5,7 +5,7 @@
 
 import curio
 
-from bitterntiller.components.dispatch.quota_counter import QuotaCounter, Settings
+from bitterntiller.components.dispatch.quota_counter import CountBasis, QuotaCounter
 from bitterntiller.components.dispatch.quota_desk import QuotaDesk
 from bitterntiller.components.settings.const import ROLE_ENTRY
 from bitterntiller.core.interfaces import ConfigView, DirectoryView, Lease
@@ -58,7 +58,7 @@
         self._drop_host = drop_host
         self._forget_ended = forget_ended
         self._counter = QuotaCounter(runtime.settings.quota_window)
-        self.quotas = QuotaDesk(runtime, self._counter, self._settings)
+        self.quotas = QuotaDesk(runtime, self._counter, self._basis)
         self._reporter_by_host: dict[str, _Reporter] = {}
         self._counting = 0
         self._known: Mapping[str, Any] = {}
@@ -106,12 +106,10 @@
             await self.quotas.async_turn_away(left)
             if counter.waiting():
                 await self.quotas.async_moved()
-        settings = self._settings()
-        if settings is None:
+        basis = self._basis()
+        if basis is None:
             return []
-        told = counter.lend(
-            report.entry_host, list(held), self._counting, settings, now
-        )
+        told = counter.lend(report.entry_host, list(held), self._counting, basis, now)
         return [
             messages.QuotaLevel(
                 workspace=name,
@@ -125,11 +123,11 @@
     def _ready(self) -> bool:
         return self._lease.valid() and self._config.version > 0
 
-    def _settings(self) -> Settings | None:
+    def _basis(self) -> CountBasis | None:
         """Return what the count of quotas rests on, None while this host may not."""
         if not self._ready():
             return None
-        return Settings(self._config.config, self._part())
+        return CountBasis(self._config.config, self._part())
 
     def _part(self) -> float:
         """Return the part of the known entry hosts whose quotas are counted here."""
--- a/tests/components/entry/counting.py
+++ b/tests/components/entry/counting.py
@@ -5,7 +5,7 @@
 import curio
 
 from bitterntiller.components.config.models import Config
-from bitterntiller.components.dispatch.quota_counter import QuotaCounter, Settings
+from bitterntiller.components.dispatch.quota_counter import CountBasis, QuotaCounter
 from bitterntiller.components.dispatch.quota_desk import QuotaDesk
 from bitterntiller.components.links.errors import LinkTimeoutError
 from bitterntiller.components.settings.models import QuotaWindow
@@ -26,10 +26,10 @@
     """A host that counts quotas in this process."""
 
     def __init__(self, config: Config, window: QuotaWindow, incarnation: str) -> None:
-        self.settings: Settings | None = Settings(config, 1.0)
+        self.basis: CountBasis | None = CountBasis(config, 1.0)
         self.counter = QuotaCounter(window)
         runtime = _Runtime(RuntimeClock(), FakeMetrics(), incarnation)
-        self.desk = QuotaDesk(runtime, self.counter, lambda: self.settings)
+        self.desk = QuotaDesk(runtime, self.counter, lambda: self.basis)
 
 
 class CountingLinks:
--- a/tests/components/entry/quota_hosts.py
+++ b/tests/components/entry/quota_hosts.py
@@ -8,9 +8,9 @@
 
 from bitterntiller.components.config.models import Config, Quota, Selector, Workspace
 from bitterntiller.components.dispatch.quota_counter import (
+    CountBasis,
     QuotaCounter,
     QuotaDecision,
-    Settings,
 )
 from bitterntiller.components.dispatch.quota_line import Ask
 from bitterntiller.components.dispatch.quota_returns import Refused
@@ -55,13 +55,13 @@
     def state(self, name: str = COUNTER) -> QuotaState:
         """Return what a counting host believes to be left."""
         counter = self.counter_by_name[name]
-        settings, now = self.settings(name), self.clock.now()
-        return counter.ledger.state("wards", settings.config, settings.part, now)
+        basis, now = self.basis(name), self.clock.now()
+        return counter.ledger.state("wards", basis.config, basis.part, now)
 
-    def settings(self, name: str) -> Settings:
+    def basis(self, name: str) -> CountBasis:
         """Return the configuration, and the part of the hosts that turn to a host."""
         counted = Counter(self.counter_by_host.values())[name]
-        return Settings(self.config, counted / len(self.accounts))
+        return CountBasis(self.config, counted / len(self.accounts))
 
     def replace_counter(self, name: str, hosts: list[int] | None = None) -> None:
         """Have some hosts, or all of them, turn to another counting host."""
@@ -97,7 +97,7 @@
         )
         name = self.counter_by_host[host]
         counter, now = self.counter_by_name[name], self.clock.now()
-        decision = counter.ask(ask, self.settings(name), now)
+        decision = counter.ask(ask, self.basis(name), now)
         return ask if decision is None else self.take(decision, name)
 
     def take(self, decision: QuotaDecision, name: str = COUNTER) -> Hold | Refused:
@@ -111,7 +111,7 @@
     def due(self, name: str = COUNTER) -> list[QuotaDecision]:
         """Return what a counting host decides now on requests that wait."""
         counter = self.counter_by_name[name]
-        return counter.due(self.settings(name), self.clock.now())
+        return counter.due(self.basis(name), self.clock.now())
 
     def send(self, host: int, amount: int) -> bool:
         """Have a host send a request; tell whether the quota let it through."""
@@ -141,7 +141,7 @@
         counter.settle(str(host), told.settled, now)
         hosts = Counter(self.counter_by_host.values())[name]
         lent = counter.lend(
-            str(host), list(told.held_by_workspace), hosts, self.settings(name), now
+            str(host), list(told.held_by_workspace), hosts, self.basis(name), now
         )
         account.note_told(name, told)
         account.take_levels([_level(*item) for item in lent.items()])
--- a/tests/components/entry/test_quota.py
+++ b/tests/components/entry/test_quota.py
@@ -3,7 +3,7 @@
 import pytest
 
 from bitterntiller.components.config.models import Config
-from bitterntiller.components.dispatch.quota_counter import LENT_PART, Settings
+from bitterntiller.components.dispatch.quota_counter import LENT_PART, CountBasis
 from bitterntiller.components.dispatch.quota_line import (
     LARGEST_PART,
     Ask,
@@ -206,7 +206,7 @@
     number = account.number()
     ask = Ask("0", number, "r", "wards", 500, 0.0, 0.0, 1)
     assert (
-        shared.counter.ask(ask, Settings(CONFIG, 1.0), shared.clock.now()) is not None
+        shared.counter.ask(ask, CountBasis(CONFIG, 1.0), shared.clock.now()) is not None
     )
     account.give_up(COUNTER, number)
     shared.report([0])
@@ -217,7 +217,7 @@
     shared = QuotaHosts(WORKSPACE, WINDOW, HOSTS)
     ask = Ask("0", 7, "r", "wards", 500, 0.0, 0.0, 1)
     for _ in range(3):
-        shared.counter.ask(ask, Settings(CONFIG, 1.0), shared.clock.now())
+        shared.counter.ask(ask, CountBasis(CONFIG, 1.0), shared.clock.now())
     assert shared.state().left == LIMIT - 500
 
 
@@ -266,7 +266,7 @@
     repeats = 0
     for number in range(50):
         ask = Ask("0", number + 1, "r", "wards", 50, 0.0, 0.0, number)
-        decision = shared.counter.ask_repeat(ask, Settings(CONFIG, 1.0), now)
+        decision = shared.counter.ask_repeat(ask, CountBasis(CONFIG, 1.0), now)
         repeats += decision.refused is None
     assert 0 < repeats * 50 <= REPEAT_PART * LIMIT
 
@@ -377,7 +377,7 @@
         continue
     assert isinstance(shared.ask(1, 100, patience=0.2), Ask)
     free = CONFIG._replace(workspaces_by_name={"wards": WORKSPACE._replace(quota=None)})
-    decisions = shared.counter.due(Settings(free, 1.0), shared.clock.now())
+    decisions = shared.counter.due(CountBasis(free, 1.0), shared.clock.now())
     assert [decision.refused for decision in decisions] == [None]
 
 
--- a/tests/components/entry/test_quota_client.py
+++ b/tests/components/entry/test_quota_client.py
@@ -159,14 +159,14 @@
     async def main(deployment: Deployment) -> None:
         first = deployment.links.host_by_name[FIRST]
         if lost == "no lease":
-            first.settings = None
+            first.basis = None
         else:
             now = deployment.clock.now()
             first.counter.ledger.note("wards", 640, 0.0, now)
 
         async def async_lose() -> None:
             await curio.sleep(0.05)
-            first.settings = None
+            first.basis = None
             deployment.counting.name = SECOND
 
         async with curio.TaskGroup() as group:
