--- a/bitterntiller/cli/commands/summary.py
+++ b/bitterntiller/cli/commands/summary.py
@@ -42,6 +42,16 @@
     print("\nasked, served  service, part of its requests")
     for part, served in summary.served_by_part.items():
         print(f"{served.asked:5}  {served.served:6}  {part.service} {part.which}")
+    print(
+        "\nasked, refused, return kept  quota of, counted by: longest wait, least left"
+    )
+    for use in summary.quotas:
+        counts = f"{use.asked:5}  {use.refused:7}  {use.kept:11}"
+        least = f"{use.longest_wait:.2f} s, {use.least_left:.2f}"
+        print(f"{counts}  {use.workspace} {use.counter}: {least}")
+    if summary.part_by_host:
+        parts = [f"{host} {part:g}" for host, part in summary.part_by_host.items()]
+        print(f"\nhosts that tell a part of their requests: {', '.join(parts)}")
     print("\nupstreams that are given no work at the end: seconds, by whom, why")
     for told in summary.unused:
         print(f"{told.when:7.1f}  {told.owner} {told.upstream} {told.change}")
@@ -62,8 +72,8 @@
 
     How requests ended by spans of time, refusals by reason with how long those had
     waited, failures by upstream, what was served of each service by size and route,
-    upstreams that owners had stopped using, and the steps of each host since its last
-    start.
+    what was decided at the quotas of workspaces, upstreams that owners had stopped
+    using, and the steps of each host since its last start.
     """
 
     files: Annotated[
--- a/bitterntiller/cli/summing.py
+++ b/bitterntiller/cli/summing.py
@@ -4,7 +4,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from bitterntiller.cli.explaining import Line
+from bitterntiller.cli.counted import QuotaUse, quota_uses
+from bitterntiller.cli.explaining import Line, sampled
 from bitterntiller.cli.parts import Part, Served, served_by_part
 from bitterntiller.components.dispatch.news import UpstreamChange
 
@@ -64,6 +65,8 @@
     starts: list[Start]
     served_by_part: dict[Part, Served]
     unused: list[Unused]
+    quotas: list[QuotaUse]
+    part_by_host: dict[str, float]
 
 
 def summarize(lines: Iterable[Line], seconds: float) -> Summary | None:
@@ -78,6 +81,8 @@
         starts=_starts(ordered),
         served_by_part=served_by_part(ordered),
         unused=_unused(ordered),
+        quotas=quota_uses(ordered),
+        part_by_host=sampled(ordered),
     )
 
 
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -94,3 +94,40 @@
     code, text = explained(capsys, "r1", str(tmp_path / "none"))
     assert code != const.EXIT_OK
     assert "none" in text
+
+
+def test_refusal_by_a_quota_tells_who_counted_and_what(tmp_path, capsys):
+    """A caller within its quota is refused, and its host knows only the verdict."""
+    counter = write_log(
+        tmp_path / "core",
+        event(
+            10.0,
+            "core-1",
+            "quota",
+            request="r1",
+            workspace="wards",
+            amount=700,
+            reserved=False,
+            left=300,
+            level=50,
+            of=5000,
+            ahead=90,
+            booked=True,
+            retry_after=1.5,
+        ),
+    )
+    refusal = {"request": "r1", "status": 429, "reason": "quota", "waited": 0.01}
+    entry = write_log(tmp_path / "edge", event(10.01, "edge-1", "refused", **refusal))
+    code, text = explained(capsys, "r1", counter, entry)
+    assert code == const.EXIT_OK
+    assert "core-1 counted 50 to be used and 300 of 5000 left" in text
+    assert "room is kept for it in 1.5 s" in text
+
+
+def test_request_outside_the_sample_is_told_so(tmp_path, capsys):
+    """A busy owner tells a part of the requests, and an operator takes it for loss."""
+    told = {"part": 0.25, "left_out": 10}
+    owner = write_log(tmp_path / "core", event(10.0, "core-1", "sampling", **told))
+    code, text = explained(capsys, "r9", owner)
+    assert code != const.EXIT_OK
+    assert "some hosts tell only a part of their requests: core-1 0.25" in text
--- a/tests/cli/test_summary.py
+++ b/tests/cli/test_summary.py
@@ -5,6 +5,7 @@
 import pytest
 
 from bitterntiller.cli import const, tool
+from bitterntiller.cli.counted import QuotaUse
 from bitterntiller.cli.errors import ToolError
 from bitterntiller.cli.explaining import read_lines
 from bitterntiller.cli.summing import Reason, Refusals, Unused, summarize
@@ -132,3 +133,36 @@
     path.write_text("nothing\n")
     assert tool.run(["summary", str(path)]) == ToolError("").exit_code
     assert "no line of ours" in capsys.readouterr().err
+
+
+def decided(time: float, reserved: bool, left: int, **fields: Any) -> dict[str, Any]:
+    return event(
+        time,
+        "core-1",
+        "quota",
+        request=f"r{time}",
+        workspace="wards",
+        reserved=reserved,
+        left=left,
+        of=1000,
+        waited=0.0,
+        **fields,
+    )
+
+
+def test_decisions_at_quotas_are_summed_by_workspace(tmp_path, capsys):
+    """A workspace complains of refusals; an operator sees who counted, and what."""
+    path = write_log(
+        tmp_path / "log",
+        decided(1.0, True, 800),
+        decided(1.1, False, 50, booked=True),
+        decided(1.2, False, 20, booked=False),
+        event(1.3, "core-1", "sampling", part=0.25, left_out=7),
+    )
+    with open(path, encoding="utf-8") as texts:
+        found = summarize(read_lines(texts), 2.0)
+    assert found.quotas == [QuotaUse("core-1", "wards", 3, 2, 1, 0.0, 0.02)]
+    assert tool.run(["summary", path]) == const.EXIT_OK
+    text = capsys.readouterr().out
+    assert "wards core-1: 0.00 s, 0.02" in text
+    assert "core-1 0.25" in text
