Quotas: a bucket that uses the window up evenly

What a window allows beyond the rate was the depth of the bucket: emptied once, and a third of each later window never used. Change: the depth is a quarter of the window, or the burst where that is more, and the rest is the rate of refilling; where the rate and the burst fill the window nothing changes. Each window stays within its limit (test over factors).

Kept: a refusal below the limit serves nobody.

--- a/bitterntiller/components/settings/models.py
+++ b/bitterntiller/components/settings/models.py
@@ -85,6 +85,10 @@
     depth: float
 
 
+DEPTH_PART = 0.25
+"""Part of what a span allows that a workspace may use at one moment, where its burst is
+smaller. A choice: two seconds of eight."""
+
 REPEAT_PART = 0.02
 """Part of a quota by which repeats may exceed it: the requests were within it when they
 were let through. Deployments have hosts keep within somewhat less than they allow."""
@@ -110,12 +114,15 @@
         """Return the token bucket that stays within the limit of each span.
 
         It refills at the quota's rate, and what the span allows beyond that is its
-        depth; where that is less than the burst, both shrink alike.
+        depth; where that is less than the burst, both shrink alike. A span that allows
+        far more than the rate gives is used up evenly: a bucket deeper than DEPTH_PART
+        of it would be emptied once, and after that a part of each span never be used.
         """
         most = self.limit(rate, burst)
         depth = most - rate * self.seconds
         if depth >= burst:
-            return Bucket(rate, depth)
+            depth = min(depth, max(burst, DEPTH_PART * most))
+            return Bucket((most - depth) / self.seconds, depth)
         part = most / max(rate * self.seconds + burst, 1e-9)
         return Bucket(rate * part, burst * part)
 
--- a/tests/components/entry/test_quota.py
+++ b/tests/components/entry/test_quota.py
@@ -496,8 +496,24 @@
 
 def test_bucket_keeps_within_the_window():
     quota = WORKSPACE.quota
-    for window in (WINDOW, WINDOW._replace(factor=0.5), WINDOW._replace(besides=900)):
-        bucket = window.bucket(quota.rate, quota.burst)
-        most = window.limit(quota.rate, quota.burst)
-        assert bucket.rate * window.seconds + bucket.depth <= most + 1e-6
-    assert window.bucket(quota.rate, quota.burst) == (quota.rate, quota.burst + 900)
+    for besides in (0, 900, 9_000, 90_000):
+        for factor in (0.5, 1.0, 1.1):
+            window = WINDOW._replace(besides=besides, factor=factor)
+            bucket = window.bucket(quota.rate, quota.burst)
+            most = window.limit(quota.rate, quota.burst)
+            assert bucket.rate * window.seconds + bucket.depth <= most + 1e-6
+    assert WINDOW.bucket(quota.rate, quota.burst) == (quota.rate, quota.burst)
+
+
+def test_bucket_uses_what_the_window_allows_beyond_the_rate():
+    """A workspace is refused while a third of its window is never used.
+
+    The deployment allows far more in each window than the quota's rate gives. All of
+    that was the depth of the bucket, which is emptied once.
+    """
+    quota = WORKSPACE.quota
+    window = WINDOW._replace(besides=9_000)
+    bucket = window.bucket(quota.rate, quota.burst)
+    most = window.limit(quota.rate, quota.burst)
+    assert bucket.rate * window.seconds >= 0.7 * most
+    assert bucket.depth >= quota.burst
