--- a/tests/components/entry/counting.py
+++ b/tests/components/entry/counting.py
@@ -9,7 +9,7 @@
 from bitterntiller.components.dispatch.quota_desk import QuotaDesk
 from bitterntiller.components.links.errors import LinkTimeoutError
 from bitterntiller.components.settings.models import QuotaWindow
-from bitterntiller.core.clock import RuntimeClock
+from bitterntiller.core.clock import Clock, RuntimeClock
 from bitterntiller.core.interfaces import Ownership
 from tests.components.entry.fakes import FakeMetrics
 
@@ -17,7 +17,7 @@
 
 
 class _Runtime(NamedTuple):
-    clock: RuntimeClock
+    clock: Clock
     metrics: FakeMetrics
     incarnation: str
 
@@ -25,10 +25,12 @@
 class CountingHost:
     """A host that counts quotas in this process."""
 
-    def __init__(self, config: Config, window: QuotaWindow, incarnation: str) -> None:
+    def __init__(
+        self, config: Config, window: QuotaWindow, incarnation: str, clock: Clock
+    ) -> None:
         self.basis: CountBasis | None = CountBasis(config, 1.0)
         self.counter = QuotaCounter(window)
-        runtime = _Runtime(RuntimeClock(), FakeMetrics(), incarnation)
+        runtime = _Runtime(clock, FakeMetrics(), incarnation)
         self.desk = QuotaDesk(runtime, self.counter, lambda: self.basis)
 
 
@@ -38,9 +40,12 @@
     Asks to those in deaf are decided, and the answers lost.
     """
 
-    def __init__(self, config: Config, window: QuotaWindow) -> None:
+    def __init__(
+        self, config: Config, window: QuotaWindow, clock: Clock | None = None
+    ) -> None:
+        clock = clock or RuntimeClock()
         self.host_by_name = {
-            name: CountingHost(config, window, f"i-{name}") for name in COUNTERS
+            name: CountingHost(config, window, f"i-{name}", clock) for name in COUNTERS
         }
         self.silent: set[str] = set()
         self.deaf: set[str] = set()
--- a/tests/components/entry/test_quota_client.py
+++ b/tests/components/entry/test_quota_client.py
@@ -14,7 +14,7 @@
     QuotaVerdict,
 )
 from bitterntiller.components.settings.models import QuotaWindow
-from bitterntiller.core.clock import RuntimeClock
+from bitterntiller.core.clock import Clock, ManualClock, RuntimeClock
 from tests.components.entry.counting import COUNTERS, Counting, CountingLinks
 from tests.components.entry.quota_hosts import workspace
 
@@ -29,9 +29,9 @@
 class Deployment:
     """One entry host before two hosts that can count."""
 
-    def __init__(self) -> None:
+    def __init__(self, counting_clock: Clock | None = None) -> None:
         self.clock = RuntimeClock()
-        self.links = CountingLinks(CONFIG, WINDOW)
+        self.links = CountingLinks(CONFIG, WINDOW, counting_clock)
         self.counting = Counting()
         self.account = QuotaAccount(self.clock, WINDOW)
         self.client = QuotaClient(
@@ -57,11 +57,13 @@
         counter.settle("bole-1", told.settled, self.clock.now())
 
 
-def run(main: Callable[[Deployment], Awaitable[None]]) -> None:
+def run(
+    main: Callable[[Deployment], Awaitable[None]], counting_clock: Clock | None = None
+) -> None:
     """Run a test while the desks of both hosts decide on what waits."""
 
     async def async_main() -> None:
-        deployment = Deployment()
+        deployment = Deployment(counting_clock)
         async with curio.TaskGroup(wait=None) as group:
             for host in deployment.links.host_by_name.values():
                 await group.spawn(host.desk.async_run)
@@ -153,16 +155,17 @@
 def test_host_that_may_not_count_sends_its_askers_on(lost):
     """Requests wait in the line of a host that has lost its lease.
 
-    Another host counts by then, and what this one would let through comes on top.
+    Another host counts by then, and what this one would let through comes on top. Its
+    clock stands still here, so that nothing comes back to the quota meanwhile.
     """
+    clock = ManualClock()
 
     async def main(deployment: Deployment) -> None:
         first = deployment.links.host_by_name[FIRST]
         if lost == "no lease":
             first.basis = None
         else:
-            now = deployment.clock.now()
-            first.counter.ledger.note("wards", 640, 0.0, now)
+            first.counter.ledger.note("wards", 640, 0.0, clock.now())
 
         async def async_lose() -> None:
             await curio.sleep(0.05)
@@ -175,7 +178,7 @@
         assert verdict.wait is None
         assert deployment.left(SECOND) == LIMIT - 400
 
-    run(main)
+    run(main, clock)
 
 
 def test_reservation_whose_answer_is_lost_is_settled(monkeypatch):
