--- a/bitterntiller/components/dispatch/quota_desk.py
+++ b/bitterntiller/components/dispatch/quota_desk.py
@@ -15,10 +15,11 @@
 from bitterntiller.components.dispatch.telling import tell_quota
 from bitterntiller.core.runtime import Runtime
 from bitterntiller.protocol import messages
-
-STATUS_RESERVED = "reserved"
-STATUS_REFUSED = "refused"
-STATUS_NOT_COUNTING = "not-counting"
+from bitterntiller.protocol.statuses import (
+    QUOTA_NOT_COUNTING,
+    QUOTA_REFUSED,
+    QUOTA_RESERVED,
+)
 
 SHORTEST_WAIT = 0.002
 LONGEST_WAIT = 0.05
@@ -116,7 +117,7 @@
     def _answer(self, decision: QuotaDecision) -> Any:
         tell_quota(decision)
         refused = decision.refused
-        kind = STATUS_RESERVED if refused is None else STATUS_REFUSED
+        kind = QUOTA_RESERVED if refused is None else QUOTA_REFUSED
         self._metrics.count(f"{const.METRIC_QUOTA}.{kind}")
         return messages.QuotaAnswer(
             status=kind,
@@ -131,7 +132,7 @@
 
     def _not_counting(self) -> Any:
         return messages.QuotaAnswer(
-            status=STATUS_NOT_COUNTING,
+            status=QUOTA_NOT_COUNTING,
             left=0,
             paced=0,
             ahead=0,
--- a/bitterntiller/components/entry/quota_client.py
+++ b/bitterntiller/components/entry/quota_client.py
@@ -11,6 +11,7 @@
 from bitterntiller.core.clock import Clock
 from bitterntiller.core.interfaces import Links, Ownership
 from bitterntiller.protocol import messages
+from bitterntiller.protocol.statuses import QUOTA_REFUSED, QUOTA_RESERVED
 
 QUOTA_POOL = "quotas of workspaces"
 """The name under which the host is chosen that counts quotas; not one of a service."""
@@ -36,9 +37,6 @@
 """How long another counting host is waited for when one is lost, and how often it is
 looked for. The loss shows within half a second."""
 
-STATUS_RESERVED = "reserved"
-STATUS_REFUSED = "refused"
-
 
 class QuotaVerdict(NamedTuple):
     """Whether a request is let through, and what that rests on.
@@ -187,14 +185,14 @@
         ledger: str,
         number: int,
     ) -> QuotaVerdict | None:
-        if answer.status not in (STATUS_RESERVED, STATUS_REFUSED):
+        if answer.status not in (QUOTA_RESERVED, QUOTA_REFUSED):
             return None
         workspace = request.workspace
         self._account.note_level(workspace.name, answer.left, answer.paced)
         verdict = QuotaVerdict(
             None, None, True, answer.left, answer.paced, answer.ahead, answer.booked
         )
-        if answer.status == STATUS_REFUSED:
+        if answer.status == QUOTA_REFUSED:
             return verdict._replace(wait=answer.retry_after_ms / 1000)
         hold = self._account.hold_reserved(workspace, request.amount, ledger, number)
         return verdict._replace(hold=hold)
--- a/tests/components/dispatch/test_idle.py
+++ b/tests/components/dispatch/test_idle.py
@@ -46,6 +46,12 @@
         self.by_name = {"e1": leaving}
 
 
+def chosen_owner(runtime: FakeRuntime, registered: Registered) -> DispatchCoordinator:
+    """Return the dispatch role of a host that entry hosts may choose as an owner."""
+    views = (FakeLease(), FakeConfig(), FakeDirectory())
+    return DispatchCoordinator(runtime, *views, make_scheduler, registered)
+
+
 def test_grant_after_a_pause_rests_on_the_newest_list_of_upstreams():
     """A request is sent to an upstream that left while nobody asked for anything.
 
@@ -56,14 +62,7 @@
     registered = Registered()
 
     async def async_main() -> None:
-        owner = DispatchCoordinator(
-            runtime,
-            FakeLease(),
-            FakeConfig(),
-            FakeDirectory(),
-            make_scheduler,
-            registered,
-        )
+        owner = chosen_owner(runtime, registered)
         task = await curio.spawn(owner.async_run())
         await curio.sleep(0.15)
         registered.leave()
@@ -82,14 +81,7 @@
     runtime.clock = RuntimeClock()
 
     async def async_main() -> float:
-        owner = DispatchCoordinator(
-            runtime,
-            FakeLease(),
-            FakeConfig(),
-            FakeDirectory(),
-            make_scheduler,
-            Registered(),
-        )
+        owner = chosen_owner(runtime, Registered())
         task = await curio.spawn(owner.async_run())
         await curio.sleep(0.3)
         begun = time.monotonic()
--- /dev/null
+++ b/tests/components/entry/test_quota_line.py
@@ -0,0 +1,185 @@
+"""Who passes at a quota: the line of a workspace, and the returns it has promised."""
+
+import pytest
+
+from bitterntiller.components.config.models import Config
+from bitterntiller.components.dispatch.quota_counter import CountBasis
+from bitterntiller.components.dispatch.quota_line import (
+    LARGEST_PART,
+    Ask,
+    even_share,
+)
+from bitterntiller.components.dispatch.quota_returns import (
+    EARLY_SECONDS,
+    RETURN_GRACE_SECONDS,
+    Refused,
+)
+from bitterntiller.components.entry.quota import Hold
+from bitterntiller.components.settings.models import QuotaWindow
+from tests.components.entry.quota_hosts import QuotaHosts, workspace
+
+WORKSPACE = workspace(1000.0, 1000.0)
+CONFIG = Config(1, {}, {}, {"wards": WORKSPACE}, {})
+WINDOW = QuotaWindow(seconds=4.0)
+LIMIT = 5000
+HOSTS = 5
+
+
+def test_request_larger_than_the_window_is_told_so_at_once():
+    shared = QuotaHosts(WORKSPACE, WINDOW, HOSTS)
+    found = shared.ask(0, LIMIT + 1, patience=1.0)
+    assert isinstance(found, Refused)
+    assert not found.booked
+
+
+def test_one_huge_request_does_not_hold_up_all_others():
+    """A single request of most of a quota has its workspace refused for half a minute.
+
+    Whoever is next waits until there is enough for the largest request of late.
+    """
+    shared = QuotaHosts(WORKSPACE, WINDOW, HOSTS)
+    assert shared.send(0, 4900)
+    shared.report()
+    shared.clock.advance(WINDOW.seconds + 1)
+    served = 0
+    for _ in range(300):
+        shared.clock.advance(0.05)
+        served += shared.send_all(1, 50, 1)
+        shared.report()
+    assert served >= (1 - LARGEST_PART) * 300 * 50
+
+
+def test_line_serves_in_the_order_of_arrival():
+    """A newcomer overtakes those who wait, as what has come back is enough for it."""
+    shared = QuotaHosts(WORKSPACE, WINDOW, HOSTS)
+    while isinstance(shared.ask(0, 100), Hold):
+        continue
+    waiting = [shared.ask(host, 100, patience=1.0) for host in (1, 2, 3)]
+    assert all(isinstance(found, Ask) for found in waiting)
+    passed = []
+    for _ in range(100):
+        shared.clock.advance(0.01)
+        newcomer = shared.ask(4, 10)
+        passed += [decision.ask.request_id for decision in shared.due()]
+        assert isinstance(newcomer, Refused) or len(passed) == 3
+    assert passed == [found.request_id for found in waiting]
+
+
+def test_request_that_would_wait_too_long_is_refused_at_once():
+    """A caller hears only after its objective that it can't be served."""
+    shared = QuotaHosts(WORKSPACE, WINDOW, HOSTS)
+    while isinstance(shared.ask(0, 100), Hold):
+        continue
+    waiting = 0
+    while isinstance(found := shared.ask(1, 100, patience=0.3), Ask):
+        waiting += 1
+    assert 1 <= waiting <= 4
+    assert isinstance(found, Refused)
+
+
+def test_request_leaves_the_line_when_its_patience_ends():
+    """A request waits in the line long after its caller could have been answered.
+
+    The quota was lowered after it had joined.
+    """
+    shared = QuotaHosts(WORKSPACE, WINDOW, HOSTS)
+    while isinstance(shared.ask(0, 100), Hold):
+        continue
+    assert isinstance(shared.ask(1, 100, patience=0.2), Ask)
+    shared.counter.ledger.note("wards", 2000, 0.0, shared.clock.now())
+    shared.clock.advance(0.21)
+    decisions = shared.due()
+    assert [decision.refused is not None for decision in decisions] == [True]
+    assert decisions[0].refused.retry_after >= 1.0
+
+
+def test_quota_that_is_taken_away_lets_the_line_through():
+    shared = QuotaHosts(WORKSPACE, WINDOW, HOSTS)
+    while isinstance(shared.ask(0, 100), Hold):
+        continue
+    assert isinstance(shared.ask(1, 100, patience=0.2), Ask)
+    free = CONFIG._replace(workspaces_by_name={"wards": WORKSPACE._replace(quota=None)})
+    decisions = shared.counter.due(CountBasis(free, 1.0), shared.clock.now())
+    assert [decision.refused for decision in decisions] == [None]
+
+
+@pytest.mark.parametrize(
+    ("asked_for", "share"),
+    [
+        ([], 12.0),
+        ([5.0], 12.0),
+        ([20.0], 12.0),
+        ([1.0, 4.0, 20.0], 7.0),
+        ([9.0] * 3, 4.0),
+    ],
+)
+def test_even_share_leaves_what_others_do_not_ask_for(asked_for, share):
+    assert even_share(asked_for, 12.0) == share
+
+
+def test_kind_that_asks_for_little_is_not_refused_beside_one_that_asks_for_much():
+    """Lookups that count little are refused as often as prompts of thousands of tokens.
+
+    Their workspace is far over its quota by the prompts; refusing the lookups gives
+    these next to nothing.
+    """
+    shared = QuotaHosts(WORKSPACE, WINDOW, HOSTS)
+    refused = 0
+    for _ in range(200):
+        shared.clock.advance(0.05)
+        for _ in range(3):
+            hold = shared.ask(0, 100, kind="prompts")
+            if isinstance(hold, Hold):
+                shared.accounts[0].spend(WORKSPACE, 100, hold)
+        hold = shared.ask(1, 5, kind="lookups")
+        if isinstance(hold, Hold):
+            shared.accounts[1].spend(WORKSPACE, 5, hold)
+        refused += not isinstance(hold, Hold)
+        shared.report()
+    assert refused <= 4
+
+
+def refuse(shared: QuotaHosts, likeness: int, comeback: float = 4.0) -> Refused:
+    """Use the quota up and have a request refused."""
+    while isinstance(shared.ask(0, 100), Hold):
+        continue
+    found = shared.ask(1, 100, likeness=likeness, comeback=comeback)
+    assert isinstance(found, Refused)
+    return found
+
+
+def test_room_is_kept_for_a_return_at_its_time_and_not_before():
+    """A caller that returns too early takes the room of those told an earlier time."""
+    shared = QuotaHosts(WORKSPACE, WINDOW, HOSTS)
+    found = refuse(shared, likeness=-1)
+    assert found.booked
+    shared.clock.advance(found.retry_after / 2)
+    while isinstance(shared.ask(0, 20), Hold):
+        continue
+    early = shared.ask(1, 100, likeness=-1)
+    assert isinstance(early, Refused)
+    assert early.retry_after == pytest.approx(found.retry_after / 2)
+    shared.clock.advance(early.retry_after - EARLY_SECONDS / 2)
+    while isinstance(shared.ask(0, 20), Hold):
+        continue
+    assert isinstance(shared.ask(1, 100, likeness=-1), Hold)
+
+
+def test_room_that_nobody_returns_for_is_given_back():
+    """Callers that give up keep a workspace from using its quota."""
+    shared = QuotaHosts(WORKSPACE, WINDOW, HOSTS)
+    found = refuse(shared, likeness=-1)
+    shared.clock.advance(found.retry_after + RETURN_GRACE_SECONDS + 0.01)
+    late = shared.ask(1, 100, likeness=-1)
+    assert isinstance(late, Hold)
+    left = shared.state().left
+    assert isinstance(shared.ask(1, 100, likeness=-1), Hold)
+    assert shared.state().left == left - 100
+
+
+def test_no_room_is_kept_for_a_caller_that_would_not_wait():
+    """The rate of a workspace is kept for callers that have long given up."""
+    shared = QuotaHosts(WORKSPACE, WINDOW, HOSTS)
+    found = refuse(shared, likeness=-1, comeback=0.05)
+    assert not found.booked
+    assert found.retry_after >= 0.2
