Log the waits behind grants and refusals; the lab tells what was served by size

Cause: the logs could not tell the hypotheses apart. A refusal as too-late did not say how long its request had waited, what wait was expected at its arrival, or whether its objective had been missed meanwhile; the lab had no figure by size and let callers wait until their deadline, where the deployments' callers leave after their patience.

Change: granted and given-up have waited, expected_wait and late.

No decision is changed.

--- a/bench/routed/__main__.py
+++ b/bench/routed/__main__.py
@@ -18,7 +18,17 @@
 
 DEFAULT_SEEDS = 10
 DEFAULT_JOBS = 4
-FIGURES = ("worth", "worst_windows", "worst_kind", "in_time", "late", "refused_late")
+FIGURES = (
+    "worth",
+    "worst_windows",
+    "worst_kind",
+    "in_time",
+    "late",
+    "refused_late",
+    "largest",
+    "held",
+)
+COMPARED = ("worth", "worst_windows", "worst_kind", "in_time", "largest", "held")
 SHOWN_BY = 2.26
 """Standard errors beyond which a mean of ten pairs is shown at 95 in 100."""
 
@@ -68,7 +78,10 @@
 
 
 def _table(results: list[dict]) -> str:
-    lines = ["| sheet | case | " + " | ".join(FIGURES) + " |", "| --- " * 8 + "|"]
+    lines = [
+        "| sheet | case | " + " | ".join(FIGURES) + " |",
+        "| --- " * (2 + len(FIGURES)) + "|",
+    ]
     for (sheet, case), by_seed in _cells(results).items():
         means = [
             f"{statistics.mean(item[name] for item in by_seed.values()):.3f}"
@@ -89,9 +102,9 @@
         """Write a row a cell: means and their standard errors; a star where shown."""
         before = _cells(json.loads(self.before.read_text()))
         after = _cells(json.loads(self.after.read_text()))
-        sys.stdout.write("| sheet | case | " + " | ".join(FIGURES[:4]) + " |\n")
+        sys.stdout.write("| sheet | case | " + " | ".join(COMPARED) + " |\n")
         for cell in before.keys() & after.keys():
-            row = [_difference(before[cell], after[cell], name) for name in FIGURES[:4]]
+            row = [_difference(before[cell], after[cell], name) for name in COMPARED]
             sys.stdout.write(f"| {cell[0]} | {cell[1]} | " + " | ".join(row) + " |\n")
 
 
--- a/bench/routed/callers.py
+++ b/bench/routed/callers.py
@@ -31,7 +31,8 @@
         """
         request = super().waiting_request()
         return request._replace(
-            first_by=self.arrived + self.kind.objective, start_by=self.deadline
+            first_by=self.arrived + self.kind.objective,
+            start_by=min(self.deadline, self.arrived + self.kind.patience),
         )
 
 
--- a/bench/routed/load.py
+++ b/bench/routed/load.py
@@ -46,6 +46,7 @@
     Case("slow-engines", load=1.1, slow=2),
     Case("owner-lost", load=1.1, owner_lost=True),
     Case("flood", load=1.2, burst=4.0),
+    Case("long-overload", load=2.0),
 )
 CASES_BY_NAME = {case.name: case for case in CASES}
 
--- a/bench/routed/sheets.py
+++ b/bench/routed/sheets.py
@@ -13,8 +13,9 @@
     """A kind of request; times in seconds, sizes in tokens, worth as its users say.
 
     prompt and events are means of log-normal sizes whose spreads are sigmas. worth is
-    that of an answer whose first output comes within objective, late of a later one.
-    subjects are the prompts' last shared parts.
+    that of an answer whose first output comes within objective, late of a later one;
+    callers leave without a first output after patience. subjects are the prompts' last
+    shared parts.
     """
 
     name: str
@@ -25,6 +26,7 @@
     events: float
     event_spread: float
     objective: float
+    patience: float
     deadline: float
     worth: float
     late: float
--- a/bench/routed/tally.py
+++ b/bench/routed/tally.py
@@ -11,6 +11,7 @@
 LEAST_PART = 0.25
 """Windows in which less than this part of the mean is owed don't count."""
 
+LARGEST_PART = 0.1
 LATE_REFUSAL = 0.125
 """Part of its objective beyond which a refused request has waited for long."""
 
@@ -19,8 +20,10 @@
     """Worth earned over worth owed, and how requests ended.
 
     Parts are between 0 and 1. refused_late are those refused after more than an eighth
-    of their objective; back_served those that were served after a refusal. slot_seconds
-    are those of requests by what became of them.
+    of their objective; back_served those that were served after a refusal. sizes are
+    the shares that were served by kind, of its largest tenth and of all; largest is the
+    least ratio of the two. held is the mean wait of refused tries in seconds.
+    slot_seconds are those of requests by what became of them.
     """
 
     worth: float
@@ -31,6 +34,9 @@
     refused: float
     refused_late: float
     back_served: float
+    sizes: dict[str, tuple[float, float]]
+    largest: float
+    held: float
     slot_seconds: dict[str, float]
 
 
@@ -42,16 +48,19 @@
     owed: dict[tuple[str, float | str], float] = defaultdict(float)
     earned: dict[tuple[str, float | str], float] = defaultdict(float)
     ends: dict[str, int] = defaultdict(int)
+    served_by_kind: dict[str, list[tuple[int, bool]]] = defaultdict(list)
     for ask, tries in by_ask.items():
         end, gain = _outcome(ask, tries)
         ends[end] += 1
         ends["back"] += end in ("in-time", "late") and len(tries) > 1
         ends["refused-late"] += any(_refused_late(item) for item in tries)
+        served_by_kind[ask.kind].append((ask.prompt, end in ("in-time", "late")))
         window = ask.at // WINDOW_SECONDS * WINDOW_SECONDS
         for key in (("all", ""), ("window", window), ("kind", ask.kind)):
             owed[key] += tries[0].kind.worth
             earned[key] += gain
     count = len(by_ask)
+    sizes = {kind: _by_size(served) for kind, served in served_by_kind.items()}
     windows = duration / WINDOW_SECONDS
     least = LEAST_PART * owed["all", ""] / windows
     parts = {key: earned[key] / value for key, value in owed.items()}
@@ -67,10 +76,25 @@
         refused=ends["refused"] / count,
         refused_late=ends["refused-late"] / count,
         back_served=ends["back"] / count,
+        sizes=sizes,
+        largest=min(tenth / all_ if all_ else 1.0 for tenth, all_ in sizes.values()),
+        held=_held(attempts),
         slot_seconds=_slot_seconds(attempts),
     )
 
 
+def _by_size(served: list[tuple[int, bool]]) -> tuple[float, float]:
+    """Return the shares served of the largest tenth and of all."""
+    by_size = [done for _, done in sorted(served)]
+    tenth = by_size[-max(1, int(LARGEST_PART * len(by_size))) :]
+    return sum(tenth) / len(tenth), sum(by_size) / len(by_size)
+
+
+def _held(attempts: list[RoutedAttempt]) -> float:
+    waits = [a.ended - a.arrived for a in attempts if a.outcome == "refused"]
+    return sum(waits) / len(waits) if waits else 0.0
+
+
 def _outcome(ask: Ask, tries: list[RoutedAttempt]) -> tuple[str, float]:
     kind = tries[0].kind
     for attempt in tries:
--- a/bitterntiller/components/dispatch/granting.py
+++ b/bitterntiller/components/dispatch/granting.py
@@ -95,6 +95,8 @@
                 in_flight=upstream.ledger.in_flight,
                 waiting=self._jobs.waiting,
                 waited=now - request.arrived,
+                expected_wait=job.expected_wait,
+                late=job.late,
                 announced=now - upstream.heard_at,
                 tokens=job.kv,
             ),
--- a/bitterntiller/components/dispatch/jobs.py
+++ b/bitterntiller/components/dispatch/jobs.py
@@ -32,9 +32,10 @@
 
     work is the expected service on a mean upstream. prefill is the tokens that
     have to be computed at the upstream, expected_cached those that should be in
-    its cache. order_key places it within its workspace. late tells that its first
-    output can no longer come within the objective. adopted tells that an
-    earlier owner granted it, guessed that nothing like it was measured yet.
+    its cache. expected_wait is the wait that was expected at its arrival. order_key
+    places it within its workspace. late tells that its first output can no longer come
+    within the objective. adopted tells that an earlier owner granted it, guessed that
+    nothing like it was measured yet.
     """
 
     __slots__ = (
@@ -45,6 +46,7 @@
         "expected_cached",
         "expected_output",
         "expected_total",
+        "expected_wait",
         "first_seen",
         "granted_at",
         "group",
@@ -91,6 +93,7 @@
         self.prefill = 0
         self.expected_cached = 0
         self.expected_total = 0.0
+        self.expected_wait = 0.0
         self.in_flight_at_start = 0
         self.first_seen: float | None = None
         self.tokens_seen = 0
--- a/bitterntiller/components/dispatch/models.py
+++ b/bitterntiller/components/dispatch/models.py
@@ -81,9 +81,10 @@
 class Basis(NamedTuple):
     """What a grant was decided by; times in seconds.
 
-    expected is the time of service, waited that since the arrival. announced is how old
-    the newest announcement of the upstream is. tokens is the request's prompt with the
-    output that is stated.
+    expected is the time of service, waited that since the arrival, expected_wait the
+    wait that was expected then. late tells that its objective was missed while it
+    waited. announced is how old the newest announcement of the upstream is. tokens is
+    the request's prompt with the output that is stated.
     """
 
     expected: float
@@ -91,6 +92,8 @@
     in_flight: int
     waiting: int
     waited: float
+    expected_wait: float
+    late: bool
     announced: float
     tokens: int
 
@@ -107,15 +110,19 @@
 
 
 class RefusalBasis(NamedTuple):
-    """What a refusal was decided by.
+    """What a refusal was decided by; times in seconds.
 
     tokens is the request's prompt with the output that is stated, upstreams how many
-    the request could have gone to, waiting how many requests of the pool wait.
+    the request could have gone to, waiting how many requests of the pool wait. waited,
+    expected_wait and late are those of Basis.
     """
 
     tokens: int
     upstreams: int
     waiting: int
+    waited: float
+    expected_wait: float
+    late: bool
 
 
 class Refused(NamedTuple):
--- a/bitterntiller/components/dispatch/refusals.py
+++ b/bitterntiller/components/dispatch/refusals.py
@@ -32,13 +32,13 @@
         workspace = job.workspace
         wait = self._limiter.take_rate(workspace, now)
         if wait > 0:
-            return self._refusal(job, Reason.RATE_LIMIT, wait)
+            return self._refusal(job, Reason.RATE_LIMIT, wait, now)
         if self._limiter.at_concurrency(workspace):
             limit = self._limiter.concurrency(workspace)
             waiting = self._limiter.waiting(workspace)
             if waiting >= max(1, limit or 0):
                 retry = self._admission.retry_after(job.rank, now)
-                return self._refusal(job, Reason.CONCURRENCY_LIMIT, retry)
+                return self._refusal(job, Reason.CONCURRENCY_LIMIT, retry, now)
         if now + job.best_case >= job.request.deadline and self._patience.is_late(
             job, now
         ):
@@ -59,11 +59,14 @@
         """
         if not self._pool.view(job).members:
             retry = self._admission.retry_without_upstream()
-            return self._refusal(job, Reason.NO_UPSTREAM, retry)
+            return self._refusal(job, Reason.NO_UPSTREAM, retry, now)
         self._admission.note_refused(job, now)
-        return self._refusal(job, reason, self._admission.retry_after(job.rank, now))
+        retry = self._admission.retry_after(job.rank, now)
+        return self._refusal(job, reason, retry, now)
 
-    def _refusal(self, job: Job, reason: Reason, retry_after: float) -> Refused:
+    def _refusal(
+        self, job: Job, reason: Reason, retry_after: float, now: float
+    ) -> Refused:
         request = job.request
         usable = len(self._pool.view(job).members)
         return Refused(
@@ -71,5 +74,12 @@
             request.entry_host,
             reason,
             retry_after,
-            RefusalBasis(job.kv, usable, self._jobs.waiting),
+            RefusalBasis(
+                tokens=job.kv,
+                upstreams=usable,
+                waiting=self._jobs.waiting,
+                waited=now - request.arrived,
+                expected_wait=job.expected_wait,
+                late=job.late,
+            ),
         )
--- a/bitterntiller/components/dispatch/shedding.py
+++ b/bitterntiller/components/dispatch/shedding.py
@@ -19,12 +19,12 @@
 
     def overloaded(self, job: Job, best_case: float, now: float) -> bool:
         """Tell whether a new request is expected to wait for too long."""
+        job.expected_wait = self._admission.expected_wait(job, now)
         start_by = job.request.start_by
         if start_by is not None:
-            return self._admission.expected_wait(job, now) > start_by - now
+            return job.expected_wait > start_by - now
         slack = job.request.deadline - now - best_case
-        allowed = self._parameters.wait_share * slack
-        return self._admission.expected_wait(job, now) > allowed
+        return job.expected_wait > self._parameters.wait_share * slack
 
     def victim(self, job: Job) -> Job:
         """Return who has to go so that a new request, not yet queued, may wait.
--- a/bitterntiller/components/dispatch/telling.py
+++ b/bitterntiller/components/dispatch/telling.py
@@ -86,4 +86,7 @@
 def _fields(basis: Basis | RefusalBasis | None) -> dict[str, Any]:
     if basis is None:
         return {}
-    return {name: round(value, 4) for name, value in basis._asdict().items()}
+    return {
+        name: value if isinstance(value, bool) else round(value, 4)
+        for name, value in basis._asdict().items()
+    }
--- a/tests/components/dispatch/test_news.py
+++ b/tests/components/dispatch/test_news.py
@@ -1,7 +1,9 @@
 """What an owner tells of its upstreams and of what it gives up."""
 
+import pytest
+
 from bitterntiller.components.dispatch import FED_PARAMETERS
-from bitterntiller.components.dispatch.models import Refused
+from bitterntiller.components.dispatch.models import RefusalBasis, Refused
 from bitterntiller.components.dispatch.news import (
     MOST_NEWS,
     NewsFeed,
@@ -51,12 +53,28 @@
     assert changes(scheduler) == [("engine-1", UpstreamChange.WELL)]
 
 
-def test_refusal_tells_size_and_how_many_upstreams_there_were():
+def test_refusal_tells_size_waits_and_how_many_upstreams_there_were():
     scheduler = PoolScheduler(FED_PARAMETERS)
     scheduler.register(request(deadline=NOW + 1.0), NOW)
     (refused,) = scheduler.tick(NOW + 1.5)
     assert isinstance(refused, Refused)
-    assert tuple(refused.basis) == (250, 0, 0)
+    assert refused.basis == RefusalBasis(
+        tokens=250, upstreams=0, waiting=0, waited=1.5, expected_wait=0.0, late=False
+    )
+
+
+def test_refusal_tells_the_wait_that_was_expected_and_that_the_objective_was_missed():
+    scheduler = PoolScheduler(FED_PARAMETERS)
+    scheduler.announce(upstream(slots=1), NOW)
+    scheduler.register(request("runs"), NOW)
+    scheduler.started("runs", NOW)
+    scheduler.register(request("ahead"), NOW)
+    scheduler.register(request("waits", first_by=NOW + 0.4, start_by=NOW + 2), NOW)
+    scheduler.tick(NOW + 0.5)
+    (refused,) = scheduler.tick(NOW + 1.9)
+    assert (refused.request_id, refused.basis.late) == ("waits", True)
+    assert refused.basis.waited == pytest.approx(1.9)
+    assert 0.0 < refused.basis.expected_wait < 2.0
 
 
 def test_news_that_nobody_takes_is_bounded():
