Put requests behind their tier at a time that doesn't depend on their own size

Cause: a waiting request is put behind its tier when it can no longer meet its objective, and its own prefill was taken off that time. Where the wait comes near to the objective, which is what a queue in overload does, the large ones around a moment lose their place and the small ones beside them are granted.

Change: the time follows from the typical prefill of the tier (the mean, weighed by the prefill itself, over some fifty requests), the same for every size. It holds since two requests of a workspace that arrive together now keep or lose their place together.

Ruled out: the quota (refuses all sizes alike), fair queueing (chooses no size inside a workspace).

What it costs is that some requests are put behind which could just have met their objective.

--- a/bitterntiller/components/dispatch/jobs.py
+++ b/bitterntiller/components/dispatch/jobs.py
@@ -33,9 +33,9 @@
     work is the expected service on a mean upstream. prefill is the tokens that
     have to be computed at the upstream, expected_cached those that should be in
     its cache. expected_wait is the wait that was expected at its arrival. order_key
-    places it within its workspace. late tells that its first output can no longer come
-    within the objective. adopted tells that an earlier owner granted it, guessed that
-    nothing like it was measured yet.
+    places it within its workspace. late tells that a request of typical size could
+    no longer meet the objective. adopted tells that an earlier owner granted it,
+    guessed that nothing like it was measured yet.
     """
 
     __slots__ = (
--- a/bitterntiller/components/dispatch/lifecycle.py
+++ b/bitterntiller/components/dispatch/lifecycle.py
@@ -71,7 +71,7 @@
             self.demote(job)
 
     def demote(self, job: Job) -> None:
-        """Put a request whose first output comes too late behind its own tier.
+        """Put a request that is about to miss its objective behind its own tier.
 
         It is worth less than one that can still be served in time, and takes as much
         of an upstream. In a burst that lasts for seconds all would otherwise be served
--- a/bitterntiller/components/dispatch/models.py
+++ b/bitterntiller/components/dispatch/models.py
@@ -82,9 +82,9 @@
     """What a grant was decided by; times in seconds.
 
     expected is the time of service, waited that since the arrival, expected_wait the
-    wait that was expected then. late tells that its objective was missed while it
-    waited. announced is how old the newest announcement of the upstream is. tokens is
-    the request's prompt with the output that is stated.
+    wait that was expected then. late tells that it was put behind its tier since its
+    objective was about to be missed. announced is how old the newest announcement of
+    the upstream is. tokens is the request's prompt with the output that is stated.
     """
 
     expected: float
--- a/bitterntiller/components/dispatch/patience.py
+++ b/bitterntiller/components/dispatch/patience.py
@@ -8,6 +8,7 @@
 from bitterntiller.components.dispatch.models import PolicyParameters
 from bitterntiller.components.dispatch.pool import Pool
 from bitterntiller.components.dispatch.timers import JobTimers
+from bitterntiller.components.dispatch.typical import TypicalPrefill
 
 LEAVING_SECONDS = 0.2
 """How long before its caller gives up a request is refused, so that the refusal still
@@ -29,6 +30,7 @@
         self._chooser = chooser
         self._looks = JobTimers()
         self._objectives = JobTimers()
+        self._typical = TypicalPrefill()
 
     def plan_look(self, job: Job, now: float) -> None:
         """Have a request come up when it may be late, or nobody is there for it."""
@@ -39,11 +41,18 @@
         self._looks.add(max(when, now + pause), job)
 
     def plan_objective(self, job: Job, now: float) -> bool:
-        """Have a request come up when it misses its objective; tell if it has."""
+        """Have a request come up when a typical one misses its objective.
+
+        Tell if that is over already.
+        """
         first_by = job.request.first_by
         if first_by is None or job.late:
             return False
-        when = first_by - self._chooser.first_case(job, self._pool.view(job), now)
+        first_case = self._chooser.first_case(job, self._pool.view(job), now)
+        self._typical.learn(job.rank, first_case)
+        # The same for all sizes. With its own prefill taken off, a large request loses
+        # its place before the small ones around it, and in a long queue always.
+        when = first_by - self._typical.seconds(job.rank)
         if when <= now:
             return True
         self._objectives.add(when, job)
--- /dev/null
+++ b/bitterntiller/components/dispatch/typical.py
@@ -0,0 +1,28 @@
+"""The typical prefill of the requests of each tier."""
+
+GAIN = 0.02
+"""Part by which one request moves the means."""
+
+
+class TypicalPrefill:
+    """Learns the mean prefill of each tier, in seconds, weighed by the prefill itself.
+
+    Few requests have long prompts, yet they make up most of the prefill. The weighed
+    mean is the prefill that a second of an upstream's prefill belongs to on the mean.
+    """
+
+    def __init__(self) -> None:
+        self._moments_by_rank: dict[int, tuple[float, float]] = {}
+
+    def learn(self, rank: int, seconds: float) -> None:
+        """Learn from the expected prefill of a new request."""
+        square = seconds * seconds
+        mean, mean_square = self._moments_by_rank.get(rank, (seconds, square))
+        mean += GAIN * (seconds - mean)
+        mean_square += GAIN * (square - mean_square)
+        self._moments_by_rank[rank] = (mean, mean_square)
+
+    def seconds(self, rank: int) -> float:
+        """Return the typical prefill of a tier, 0 before any request."""
+        mean, mean_square = self._moments_by_rank.get(rank, (0.0, 0.0))
+        return mean_square / mean if mean else 0.0
--- a/tests/bench/test_queue_sizes.py
+++ b/tests/bench/test_queue_sizes.py
@@ -1,7 +1,17 @@
 """Which sizes of request an owner serves while more is asked than its pool can do.
 
 What users saw: of the largest tenth of a kind of request far fewer were served than of
-all of that kind, on days with a long overload. The cause is not known yet.
+all of that kind, on days with a long overload. More arrives than the engines can do;
+the queue grows until requests miss their objective while they wait and are put behind
+those that can still meet it, from where few are served.
+
+The cause: a request was put behind by a time from which its own prefill was taken off.
+Of two that arrived together the large one lost its place first, and where the wait
+comes near to the objective that is nearly always.
+
+The evidence: that time alone made the same for all sizes changes the largest tenth
+beside all (lab, ten seeds) from 0.53 of 0.85 to 0.76 of 0.80, from 0.32 of 0.44 to 0.36
+of 0.40 and from 0.38 of 0.50 to 0.45 of 0.47.
 """
 
 from concurrent.futures import ProcessPoolExecutor
