Doc texts without how a value was chosen or measured

Constants keep their name, unit and reason; figures of trials and remarks on choices stand in docs/ and in the commits that made them. No behaviour changes: only comments and doc texts. Eight places of the list in the issue on the field's terms; its names are not touched here.

--- a/bitterntiller/components/dispatch/__init__.py
+++ b/bitterntiller/components/dispatch/__init__.py
@@ -29,8 +29,7 @@
 """Seconds of prefill that an engine may have outstanding when it is sent more.
 
 The owner hears of an output up to half a second after it came; with less in advance an
-engine stands idle meanwhile. At 0.12 s the worth of the models of three deployments is
-lower by up to 0.075, at 0.25 by up to 0.01; at 0.6 nothing more is shown (ten seeds).
+engine stands idle meanwhile.
 """
 
 FED_PARAMETERS = DEFAULT_PARAMETERS._replace(
--- a/bitterntiller/components/dispatch/admission.py
+++ b/bitterntiller/components/dispatch/admission.py
@@ -17,7 +17,7 @@
 MIN_SHARE = 0.05
 
 NO_UPSTREAM_RETRY_SECONDS = 1.0
-"""About the time in which an upstream announces itself after its start. A choice."""
+"""About the time in which an upstream announces itself after its start."""
 
 
 class Admission:
--- a/bitterntiller/components/dispatch/quota_line.py
+++ b/bitterntiller/components/dispatch/quota_line.py
@@ -37,8 +37,8 @@
 keep all others of a small quota waiting."""
 
 SHARE_SECONDS = 2.0
-"""How long the share that a kind of request asks for is counted. A choice: longer than
-the gaps between a workspace's requests, shorter than most bursts."""
+"""How long the share that a kind of request asks for is counted: longer than the gaps
+between a workspace's requests, shorter than most bursts."""
 
 MOST_KINDS = 64
 """Kinds of one workspace whose shares are counted; more are counted as one."""
--- a/bitterntiller/components/dispatch/upstreams.py
+++ b/bitterntiller/components/dispatch/upstreams.py
@@ -92,10 +92,8 @@
         """Tell whether the upstream may be forgotten: it is not there, for long.
 
         The age of its announcement alone would not do. Where owners are told of
-        changes only, an upstream that is there may have nothing to tell for days; it
-        would be dropped a minute later at the first moment at which it is idle, and
-        show as requests that are refused beside idle upstreams: 0.137 of them in a
-        hundred seconds without a change, 0.002 since (one simulated run each).
+        changes only, an upstream that is there may have nothing to tell for days, and
+        requests would be refused beside idle upstreams.
         """
         if self.usable(now) or self.ledger.in_flight:
             return False
--- a/bitterntiller/components/entry/const.py
+++ b/bitterntiller/components/entry/const.py
@@ -120,7 +120,7 @@
 NO_LEASE_RETRY_AFTER = 1.0
 NO_LEASE_SPREAD = (0.5, 2.0)
 """Seconds, and the least and the most that they are multiplied by, so that callers who
-were refused together do not come back at one moment. A choice, not measured.
+were refused together do not come back at one moment.
 
 Control that was started anew leads 0.2 s after a quorum of it is up and grants leases
 0.2 s after that; the rest is for hosts that are up later.
--- a/bitterntiller/components/entry/endings.py
+++ b/bitterntiller/components/entry/endings.py
@@ -5,9 +5,6 @@
 front of which nothing else is sent to that upstream. With each report an owner is told
 the ids again until it has answered one; owners to which nothing is reported are told
 them several times.
-
-With five moments in half a minute at which connections were reset, 0.87 of the requests
-were served in place of 0.68 (means of four pairs of simulated deployments of 11 hosts).
 """
 
 from collections import deque
--- a/bitterntiller/components/settings/models.py
+++ b/bitterntiller/components/settings/models.py
@@ -87,7 +87,7 @@
 
 DEPTH_PART = 0.25
 """Part of what a span allows that a workspace may use at one moment, where its burst is
-smaller. A choice: two seconds of eight."""
+smaller."""
 
 REPEAT_PART = 0.02
 """Part of a quota by which repeats may exceed it: the requests were within it when they
--- a/bitterntiller/core/fading.py
+++ b/bitterntiller/core/fading.py
@@ -5,7 +5,7 @@
 
 COMEBACK_SECONDS = 2.0
 """Seconds in which refused work is forgotten to a third; callers come back once, and
-few of them later than that. A choice, not measured."""
+few of them later than that."""
 
 
 class Fading:
