Refuse at once what waits behind its tier and is not expected to be reached

What callers saw: requests that had missed their objective were held for four seconds and more, refused all the same, and came back too late for another try.

Cause: their expected wait was computed of the queue of their tier, in which they no longer stand (no work before them, the share of a lower tier besides), and only the lowest tier was looked through for what can't be served in time.

Change: the expected wait is that of the queue in which a request stands, with what still arrives of its own tier; the lower tiers' share is for requests in time. Requests in time are refused for overload from the lowest tier only, as before (test_properties).

Ruled out: the same for all tiers, also in time (a higher tier would be shed beside a waiting lower one).

--- a/bitterntiller/components/dispatch/admission.py
+++ b/bitterntiller/components/dispatch/admission.py
@@ -69,6 +69,7 @@
     def expected_wait(self, job: Job, now: float) -> float:
         """Return the expected seconds until a request would be granted.
 
+        One that was put behind its tier waits for its whole tier as well.
         While no upstream is known nothing can be expected, and 0 is returned: a new
         owner hears of requests and upstreams in any order, and would otherwise refuse
         work that the next announcement has room for.
@@ -79,19 +80,20 @@
         ahead = 0.0
         arriving = 0.0
         for rank, tier in self._queue.tiers_by_rank.items():
-            if rank >= job.rank:
+            if rank >= job.queue_rank:
                 break
             ahead += tier.overlapping_work(job.group)
             arriving += self._arrival_rate(rank, now)
-        tier = self._queue.tier(job.rank)
+        tier = self._queue.tier(job.queue_rank)
         own = tier.work_ahead(job) * self._crowd(job)
         own = min(own, tier.overlapping_work(job.group))
         left = max(capacity - arriving, MIN_SHARE * capacity)
         wait = ahead / capacity + own / left
-        if not self._lower_share or not self._pool.tiers_above(job.rank):
+        share = 0.0 if job.late else self._lower_share
+        if not share or not self._pool.tiers_above(job.rank):
             return wait
-        # A lower tier has its share whatever waits above it.
-        return min(wait, own / (self._lower_share * capacity))
+        # A lower tier has its share whatever waits above it, but for what is late.
+        return min(wait, own / (share * capacity))
 
     def retry_after(self, rank: int, now: float) -> float:
         """Return when a caller of a tier should come back, in seconds.
@@ -122,7 +124,7 @@
 
     def _crowd(self, job: Job) -> float:
         """Return how many times longer sharing makes the wait of a workspace."""
-        tier = self._queue.tier(job.rank)
+        tier = self._queue.tier(job.queue_rank)
         own = self._limiter.share(job.workspace)
         if job.workspace in tier.work_by_workspace:
             return tier.shares / own
--- a/bitterntiller/components/dispatch/queue.py
+++ b/bitterntiller/components/dispatch/queue.py
@@ -87,6 +87,11 @@
         self._capped_by_workspace: dict[str, list[tuple[Group, Flow]]] = {}
         self._share_by_workspace: dict[str, float] = {}
 
+    @property
+    def behind(self) -> bool:
+        """Tell whether it holds the requests that were put behind a tier."""
+        return self.rank != int(self.rank)
+
     def push(self, job: Job) -> None:
         """Take a request in."""
         group = self.groups_by_key.get(job.group)
--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -348,7 +348,8 @@
             del self._jobs.by_id[job.request.request_id]
             self._jobs.leave_waiting(job, now)
             job.state = JobState.GONE
-            decisions.append(self._refusals.of(job, Reason.SHED, now))
+            reason = Reason.TOO_LATE if job.late else Reason.SHED
+            decisions.append(self._refusals.of(job, reason, now))
 
 
 def _lowest_tier_first(request: WaitingRequest) -> int:
--- a/bitterntiller/components/dispatch/shedding.py
+++ b/bitterntiller/components/dispatch/shedding.py
@@ -41,20 +41,22 @@
         return job
 
     def trim(self, now: float) -> list[Job]:
-        """Return those of the lowest tier that can't be expected to end in time.
+        """Return those that can't be expected to be served in time.
 
-        Those that arrived before the pool slowed down, or before more important
-        work came, are told at once instead of at their deadline.
+        Those of the lowest tier that arrived before the pool slowed down, or before
+        more important work came, and those that were put behind any tier, are told at
+        once instead of at their deadline.
         """
-        tier = self._queue.lowest()
-        if tier is None:
-            return []
+        lowest = self._queue.lowest()
         victims: list[Job] = []
-        for flow in list(tier.flows()):
-            while len(victims) < MAX_TRIMMED and self._hopeless(flow, now):
-                job = flow.last()
-                self._queue.remove(job)
-                victims.append(job)
+        for tier in reversed(self._queue.tiers_by_rank.values()):
+            if not tier.behind and tier is not lowest:
+                continue
+            for flow in list(tier.flows()):
+                while len(victims) < MAX_TRIMMED and self._hopeless(flow, now):
+                    job = flow.last()
+                    self._queue.remove(job)
+                    victims.append(job)
         return victims
 
     def _hopeless(self, flow: Flow, now: float) -> bool:
--- a/tests/components/dispatch/test_objectives.py
+++ b/tests/components/dispatch/test_objectives.py
@@ -78,6 +78,32 @@
     assert ids(made.finished(completion("first"), NOW + 0.8)) == ["large"]
 
 
+def test_late_request_that_will_not_be_reached_is_refused_at_once():
+    """A request waits for seconds behind its tier, and is refused all the same."""
+    made = scheduler()
+    occupy(made)
+    made.register(request("late", first_by=NOW + 0.4, start_by=NOW + 4), NOW)
+    made.tick(NOW + 0.5)
+    for number in range(40):
+        terms = {"first_by": NOW + 90, "start_by": NOW + 99, "deadline": NOW + 120}
+        made.register(request(f"r{number}", arrived=NOW + 0.5, **terms), NOW + 0.5)
+    assert ids(made.tick(NOW + 0.8), Refused) == ["late"]
+
+
+def test_late_request_is_refused_at_once_also_beside_a_lower_tier():
+    """Requests of a middle tier wait in vain for seconds beside a lower one."""
+    made = scheduler(lower_share=0.0)
+    occupy(made)
+    late = {"first_by": NOW + 0.4, "start_by": NOW + 4}
+    made.register(request("late", tier_rank=1, **late), NOW)
+    early = {"first_by": NOW + 90, "start_by": NOW + 99, "deadline": NOW + 120}
+    made.register(request("low", tier_rank=2, **early), NOW)
+    made.tick(NOW + 0.5)
+    for number in range(40):
+        made.register(request(f"r{number}", arrived=NOW + 0.5, **early), NOW + 0.5)
+    assert ids(made.tick(NOW + 0.8), Refused) == ["late"]
+
+
 def test_late_request_goes_before_a_lower_tier():
     made = scheduler(lower_share=0.0)
     occupy(made)
