Doc texts of quotas, acknowledgements and event logging in the field's terms

Queue for line, retry and reservation for return and kept room, acknowledge for told, log for tell; the private names that go with them.

No behaviour changes. Ruled out for now: renaming the settings and metrics that operators have in their dashboards.

--- a/bitterntiller/components/dispatch/estimator.py
+++ b/bitterntiller/components/dispatch/estimator.py
@@ -1,4 +1,4 @@
-"""Turns what is told of running requests into what is known of upstreams."""
+"""Updates the models of upstreams from the progress of running requests."""
 
 from bitterntiller.components.dispatch.const import (
     KIND_PLAIN,
--- a/bitterntiller/components/dispatch/event_logging.py
+++ b/bitterntiller/components/dispatch/event_logging.py
@@ -15,7 +15,7 @@
 
 
 def log_decision(pool: str, decision: Decision) -> None:
-    """Tell a grant or a refusal, and what it was decided by."""
+    """Log a grant or a refusal, and what it was decided by."""
     if isinstance(decision, Granted):
         _log_grant(pool, decision)
     else:
@@ -23,7 +23,7 @@
 
 
 def log_upstream_event(pool: str, event: UpstreamEvent) -> None:
-    """Tell that an upstream is given work from now on, or no more, and why."""
+    """Log that an upstream is given work from now on, or no more, and why."""
     probe_in = event.probe_in
     events.emit(
         "upstream-use",
@@ -38,12 +38,12 @@
 
 
 def log_missed_end(pool: str, request_id: str, host: str) -> None:
-    """Tell that a request had ended at its entry host without this owner's hearing."""
+    """Log that a request had ended at its entry host without this owner's hearing."""
     events.emit("end-missed", request=request_id, pool=pool, entry_host=host)
 
 
 def log_quota(decision: QuotaDecision) -> None:
-    """Tell what was decided on a request at its workspace's quota, and by what."""
+    """Log what was decided on a request at its workspace's quota, and by what."""
     ask, refused, state = decision.ask, decision.refused, decision.state
     events.emit(
         "quota",
--- a/bitterntiller/components/dispatch/patience.py
+++ b/bitterntiller/components/dispatch/patience.py
@@ -50,8 +50,8 @@
             return False
         first_case = self._chooser.first_case(job, self._pool.view(job), now)
         self._typical.learn(job.rank, first_case)
-        # The same for all sizes. With its own prefill taken off, a large request loses
-        # its place before the small ones around it, and in a long queue always.
+        # The same for all sizes: with its own prefill subtracted, a large request would
+        # lose its place in a long queue before the small ones around it.
         when = first_by - self._typical.seconds(job.rank)
         if when <= now:
             return True
--- a/bitterntiller/components/dispatch/quota_queue.py
+++ b/bitterntiller/components/dispatch/quota_queue.py
@@ -1,18 +1,17 @@
-"""The order in which requests over a quota get what comes back to it.
+"""The queue of requests that are over a workspace's quota.
 
-Those that meet an empty line and enough of the quota pass at once. Others wait in the
-order of their arrival for as long as they can still be in time, and are refused at once
-when the line is too long for that, with the time at which they may return; room is kept
-for them then.
+A request that finds the queue empty and enough of the quota is admitted at once. Others
+wait in order of arrival for as long as they can still meet their objective. If the
+queue is too long for that they are refused at once, with the time at which to retry,
+for which an amount is reserved.
 
-A kind of request that asks for less than its even share of the quota's rate doesn't
-wait: a call that counts little would else be refused as often as long prompts are, and
-refusing it gives these next to nothing.
+A kind of request that asks for less than its fair share of the quota's rate doesn't
+wait: refusing calls that count little would gain next to nothing for long prompts.
 
-Size makes no difference among the others: whoever is next passes when there is enough
-for the largest request of late, and how long the line is does not depend on who asks.
-Were whatever fits let through, small requests would take each little that comes back,
-and of the largest of a workspace over its quota hardly any would be served.
+The others are treated alike whatever their size: the head of the queue is admitted when
+there is enough for the largest recent request, and the limit on the queue's length does
+not depend on who asks. If whatever fits were admitted, small requests would use up each
+small amount that becomes free, and the largest would hardly ever be admitted.
 """
 
 from collections import deque
@@ -32,9 +31,9 @@
 """How long a request counts as the largest of its workspace."""
 
 LARGEST_PART = 0.1
-"""Most of a quota that whoever is next waits for on behalf of the largest. As much lies
-unused while a workspace asks for more; and a single request that is larger still would
-keep all others of a small quota waiting."""
+"""Largest part of a quota that the head of the queue waits for on behalf of the largest
+request. As much stays unused while a workspace asks for more, and a single request that
+is larger still would block all others of a small quota."""
 
 SHARE_SECONDS = 2.0
 """How long the share that a kind of request asks for is counted: longer than the gaps
@@ -44,11 +43,11 @@
 """Kinds of one workspace whose shares are counted; more are counted as one."""
 
 BUCKET_PART = 0.5
-"""Most of a bucket that whoever is next waits for: what hosts are lent leaves as much.
-A larger request takes it below 0, which those after it wait for."""
+"""Largest part of a bucket that the head of the queue waits for; what is lent to hosts
+leaves as much. A larger request takes the bucket below 0."""
 
 MOST_WAITING = 1000
-"""Requests in the line of one workspace; beyond them it is refused."""
+"""Requests in the queue of one workspace; further ones are refused."""
 
 
 class Ask(NamedTuple):
@@ -72,7 +71,7 @@
 
 
 class Waiter(NamedTuple):
-    """An ask in the line: since when, until when, and what was before it."""
+    """A request in the queue: since when, until when, and the amount ahead of it."""
 
     ask: Ask
     since: float
@@ -96,7 +95,7 @@
 
 
 class QuotaQueue:
-    """The line of one workspace, and the returns it has promised."""
+    """The queue of one workspace, and its reservations for retries."""
 
     def __init__(self) -> None:
         self._waiting: deque[Waiter] = deque()
@@ -107,18 +106,18 @@
 
     @property
     def ahead(self) -> int:
-        """Return the sum of what waits in the line."""
+        """Return the sum of the amounts in the queue."""
         return self._ahead
 
     def idle(self, now: float) -> bool:
-        """Tell whether nobody waits, no return is awaited and no size remembered."""
+        """Tell whether nothing is queued, reserved or remembered."""
         awaited = self._waiting or self._reservations.awaited(now)
         return not awaited and not self._largest.most(now)
 
     def arrive(
         self, ask: Ask, state: QuotaState, now: float
     ) -> Waiter | Refused | None:
-        """Return None for an ask that passes at once, its place in the line, or no."""
+        """Return None when admitted at once, the place in the queue, or a refusal."""
         if ask.amount > state.whole:
             return Refused(MOST_RETURN_SECONDS, False)
         below_share = self._is_below_fair_share(ask, state, now)
--- a/bitterntiller/components/dispatch/quota_service.py
+++ b/bitterntiller/components/dispatch/quota_service.py
@@ -1,4 +1,4 @@
-"""Answers hosts that ask for a part of a quota, at once or when there is room."""
+"""Answers hosts that ask for an amount of a quota, at once or when there is enough."""
 
 from collections.abc import Callable
 from typing import Any
@@ -23,8 +23,8 @@
 
 SHORTEST_WAIT = 0.002
 LONGEST_WAIT = 0.05
-"""Seconds between two looks at lines in which requests wait. The longer one bounds how
-late a change of the configuration shows, or a report that gives something back."""
+"""Seconds between two checks of queues in which requests wait. The longer one bounds
+the delay after a change of the configuration, or a report that gives something back."""
 
 _Key = tuple[str, int]
 """A host, and its number for a reservation."""
@@ -48,7 +48,7 @@
         self._moved = curio.Event()
 
     async def async_on_ask(self, _host: str, message: Any) -> Any:
-        """Answer one messages.QuotaAsk, after a wait in the line if need be."""
+        """Answer one messages.QuotaAsk, after a wait in the queue if need be."""
         basis = self._basis()
         if basis is None:
             return self._not_counting()
@@ -73,11 +73,11 @@
                 del self._answers_by_key[key]
 
     async def async_moved(self) -> None:
-        """Look at the lines now: something was given back, or requests have left."""
+        """Check the queues now: something was given back, or requests have left."""
         await self._moved.set()
 
-    async def async_turn_away(self, waiters: list[Waiter]) -> None:
-        """Answer requests that were taken out of the line undecided."""
+    async def async_reject(self, waiters: list[Waiter]) -> None:
+        """Answer requests that were taken out of the queue undecided."""
         for waiter in waiters:
             await self._async_answer(_key(waiter.ask), self._not_counting())
 
--- a/bitterntiller/components/dispatch/reports.py
+++ b/bitterntiller/components/dispatch/reports.py
@@ -92,7 +92,7 @@
         if not reporter.counting or reporter.incarnation != before.incarnation:
             # It has turned to another counting host, or was started anew, and will
             # settle nothing of before here.
-            await self.quotas.async_turn_away(self._counter.forget(host, now))
+            await self.quotas.async_reject(self._counter.forget(host, now))
 
     async def _async_count(self, report: Any, now: float) -> list[Any]:
         """Take what a host has used, and tell it what is left and what it is lent."""
@@ -103,7 +103,7 @@
         counter.ledger.note_held(report.entry_host, held)
         if report.settled:
             left = counter.settle(report.entry_host, report.settled, now)
-            await self.quotas.async_turn_away(left)
+            await self.quotas.async_reject(left)
             if counter.waiting():
                 await self.quotas.async_moved()
         basis = self._basis()
@@ -151,7 +151,7 @@
     async def _async_forget(self, host: str, now: float) -> None:
         if self._reporter_by_host.pop(host).counting:
             self._counting -= 1
-            await self.quotas.async_turn_away(self._counter.forget(host, now))
+            await self.quotas.async_reject(self._counter.forget(host, now))
         await self._drop_host(host)
 
     def describe(self) -> dict[str, Any]:
--- a/bitterntiller/components/dispatch/retry_reservations.py
+++ b/bitterntiller/components/dispatch/retry_reservations.py
@@ -1,29 +1,29 @@
-"""The room that is kept for requests that return at the time they were told."""
+"""Amounts of a quota that are reserved for retries at the time that was told."""
 
 from collections import deque
 from typing import NamedTuple
 
 RETURNS_PART = 0.25
-"""Part of the rate that is kept for requests that return at their time. With all of it,
-a workspace far over its quota would have every request served late, at its return."""
+"""Part of the rate that is reserved for retries. With all of it, a workspace far over
+its quota would have every request served late, at its retry."""
 
 RETURN_GRACE_SECONDS = 0.5
-"""How long after its time room is kept for a request that returns: a new connection and
-its caller's own timer take some of it."""
+"""How long after its time a reservation is kept: a new connection and the caller's own
+timer take some of it."""
 
 EARLY_SECONDS = 0.05
-"""How much before its time a request may return; timers of callers are not exact."""
+"""How much before its time a retry is accepted; timers of callers are not exact."""
 
 LEAST_RETURN_SECONDS = 0.2
 MOST_RETURN_SECONDS = 30.0
 """Seconds that a caller over its workspace's quota is told to wait."""
 
 MOST_RESERVATIONS = 1000
-"""Returns of one workspace for which room is kept; it bounds their memory."""
+"""Reservations of one workspace at most; it bounds their memory."""
 
 
 class RetryReservation(NamedTuple):
-    """Room that is kept for a return, from due until grace has passed.
+    """An amount that is reserved for a retry, from due until the grace has passed.
 
     retry_fingerprint is equal for a request and its later copies.
     """
@@ -34,30 +34,30 @@
 
 
 class Refused(NamedTuple):
-    """When a request may return, in seconds, and whether room is kept for it then."""
+    """When to retry, in seconds, and whether the amount is reserved for then."""
 
     retry_after: float
     retry_reserved: bool
 
 
 class RetryReservations:
-    """The returns that one workspace's requests were promised, by their times."""
+    """The reservations of one workspace, by their times."""
 
     def __init__(self) -> None:
         self._reservations: deque[RetryReservation] = deque()
         self._reserved_until = 0.0
 
     def awaited(self, now: float) -> bool:
-        """Tell whether any return is awaited."""
+        """Tell whether any retry is awaited."""
         self._drop_missed(now)
         return bool(self._reservations)
 
     def reserve(
         self, reservation: RetryReservation, latest: float, rate: float, now: float
     ) -> Refused:
-        """Keep room for a return at reservation.due or later; tell when.
+        """Reserve an amount for a retry at reservation.due or later.
 
-        latest is the latest time at which the caller would return; no room is kept
+        latest is the latest time at which the caller would retry; nothing is reserved
         beyond it. rate is that of the quota, in its unit a second.
         """
         alike = (
--- a/bitterntiller/components/dispatch/typical.py
+++ b/bitterntiller/components/dispatch/typical.py
@@ -1,14 +1,14 @@
 """The typical prefill of the requests of each tier."""
 
 GAIN = 0.02
-"""Part by which one request moves the means."""
+"""Weight of one request in the running means."""
 
 
 class TypicalPrefill:
     """Learns the mean prefill of each tier, in seconds, weighed by the prefill itself.
 
-    Few requests have long prompts, yet they make up most of the prefill. The weighed
-    mean is the prefill that a second of an upstream's prefill belongs to on the mean.
+    Few requests have long prompts, yet they make up most of the prefill time; a plain
+    mean would be that of the many short ones.
     """
 
     def __init__(self) -> None:
--- a/bitterntiller/components/dispatch/upstream_events.py
+++ b/bitterntiller/components/dispatch/upstream_events.py
@@ -1,4 +1,4 @@
-"""What an owner comes to believe of its upstreams, kept until somebody tells it."""
+"""Changes in an owner's view of its upstreams, kept until they are logged."""
 
 from collections import deque
 from enum import StrEnum
--- a/bitterntiller/components/entry/endings.py
+++ b/bitterntiller/components/entry/endings.py
@@ -1,10 +1,9 @@
-"""Requests that have ended here, until each owner has surely heard of it.
+"""Requests that have ended here, until each owner has acknowledged it.
 
-The end of a request is told once, by a message on a link that may break with it. An
-owner that has not heard it counts the request as running: its slot, and its prefill, in
-front of which nothing else is sent to that upstream. With each report an owner is told
-the ids again until it has answered one; owners to which nothing is reported are told
-them several times.
+The end of a request is sent once, by a message on a link that may break with it. An
+owner that misses it counts the request as running: its slot, and its prefill, before
+which nothing else is sent to that upstream. Each report to an owner repeats the ids
+until one is answered; owners that get no reports are sent them several times.
 """
 
 from collections import deque
@@ -18,8 +17,8 @@
 would find it forgotten."""
 
 KEPT_SECONDS = 12.0
-"""How long endings are kept: by then a whole list of live requests has been told, which
-comes every five seconds and leaves out what began within five."""
+"""How long endings are kept: by then a whole list of live requests has been sent, which
+goes every five seconds and leaves out what began within five."""
 
 
 class EndedRequest(NamedTuple):
@@ -31,24 +30,24 @@
 
 
 REPEATED_SECONDS = 3.0
-"""How long an ending is told again and again where nobody answers for having heard it:
-longer than it takes to notice a broken link and to dial anew."""
+"""How long an ending is repeated to owners that don't acknowledge: longer than it takes
+to notice a broken link and to dial anew."""
 
 
 class UnacknowledgedEnds(NamedTuple):
-    """The ids that an owner is to be told, and the number of the last one."""
+    """The ids to send to an owner, and the number of the last one."""
 
     request_ids: list[str]
     upto: int
 
 
 class Endings:
-    """Remembers what has ended, and what each owner has been told of it."""
+    """Remembers what has ended, and what each owner has acknowledged of it."""
 
     def __init__(self) -> None:
         self._number = 0
         self._endings: deque[EndedRequest] = deque()
-        self._told = AcknowledgedPositions()
+        self._acknowledged = AcknowledgedPositions()
 
     def note(self, request_id: str, now: float) -> None:
         """Note that a request has ended."""
@@ -60,11 +59,11 @@
     def unacknowledged(
         self, owner: str, live: Collection[str], now: float
     ) -> UnacknowledgedEnds:
-        """Return what an owner has not been told; owner names one process of it.
+        """Return what an owner has not acknowledged; owner names one process of it.
 
         A live request of the same id is left out: it has begun again.
         """
-        upto = self._told.upto(owner)
+        upto = self._acknowledged.upto(owner)
         ids = []
         for ending in self._endings:
             if ending.number <= upto or ending.at < now - KEPT_SECONDS:
@@ -85,6 +84,6 @@
             and ending.request_id not in live
         ]
 
-    def note_acknowledged(self, owner: str, told: UnacknowledgedEnds) -> None:
+    def note_acknowledged(self, owner: str, ends: UnacknowledgedEnds) -> None:
         """Note that an owner has answered a report with these endings."""
-        self._told.note(owner, told.upto)
+        self._acknowledged.note(owner, ends.upto)
--- a/bitterntiller/components/entry/event_logging.py
+++ b/bitterntiller/components/entry/event_logging.py
@@ -15,7 +15,7 @@
 def log_refusal(
     context: Context, ending: Ending, identified: Identified | None, request_id: str
 ) -> None:
-    """Tell a request that was answered here, and what that rests on."""
+    """Log a request that was answered here, and what that rests on."""
     waited = 0.0
     if identified is not None:
         waited = context.clock.now() - identified.received.arrived
@@ -40,7 +40,7 @@
 def log_sending(
     active: ActiveRequest, grant: GrantReceived, kept: bool, now: float
 ) -> None:
-    """Tell that a request is sent; kept tells whether its connection was open."""
+    """Log that a request is sent; kept tells whether its connection was open."""
     identified = active.prepared.identified
     events.emit(
         "sent",
@@ -63,7 +63,7 @@
 def log_answer(
     active: ActiveRequest, status: int, finding: Finding, now: float
 ) -> None:
-    """Tell the head of an answer, and what it was taken for."""
+    """Log the head of an answer, and what it was taken for."""
     events.emit(
         "answer",
         request=active.request_id,
@@ -75,7 +75,7 @@
 
 
 def log_attempt(active: ActiveRequest, verdict: Retry) -> None:
-    """Tell an attempt after which the request waits again."""
+    """Log an attempt after which the request waits again."""
     events.emit(
         "attempt-ended",
         request=active.request_id,
@@ -87,7 +87,7 @@
 
 
 def log_end(active: ActiveRequest, outcome: str, status: int, now: float) -> None:
-    """Tell how a request ended that was sent, or whose caller left."""
+    """Log how a request ended that was sent, or whose caller left."""
     identified = active.prepared.identified
     arrived = identified.received.arrived
     first = active.first_byte_at
--- a/bitterntiller/components/http/server.py
+++ b/bitterntiller/components/http/server.py
@@ -76,7 +76,7 @@
     async def _async_connection(self, sock: Any) -> None:
         if self.connections >= self._limits.connections:
             self._metrics.count(const.METRIC_CONNECTIONS_REFUSED)
-            await _async_turn_away(sock)
+            await _async_reject(sock)
             return
         limits = self._limits
         # A caller may stop reading for as long as a writing may wait, and somewhat
@@ -212,7 +212,7 @@
     return slash + path if slash else "/"
 
 
-async def _async_turn_away(sock: Any) -> None:
+async def _async_reject(sock: Any) -> None:
     """Answer a connection over the bound, without reading its request."""
     try:
         await sock.sendall(const.TURNED_AWAY)
--- a/bitterntiller/core/acknowledged.py
+++ b/bitterntiller/core/acknowledged.py
@@ -1,23 +1,23 @@
-"""How far each of several listeners has been told a numbered series."""
+"""Up to which number each of several receivers has acknowledged a series."""
 
-MOST_LISTENERS = 16
-"""Listeners that are remembered; one that was forgotten is told the whole series again.
+MOST_RECEIVERS = 16
+"""Receivers that are remembered; one that was forgotten is sent the whole series again.
 Owners of pools and counting hosts are few, and a new one comes with each restart."""
 
 
 class AcknowledgedPositions:
-    """The number of the last item that each listener has surely heard."""
+    """The number of the last item that each receiver has acknowledged."""
 
     def __init__(self) -> None:
-        self._upto_by_listener: dict[str, int] = {}
+        self._upto_by_receiver: dict[str, int] = {}
 
-    def upto(self, listener: str) -> int:
-        """Return the number up to which a listener has been told, 0 for none."""
-        return self._upto_by_listener.get(listener, 0)
+    def upto(self, receiver: str) -> int:
+        """Return the number up to which a receiver has acknowledged, 0 for none."""
+        return self._upto_by_receiver.get(receiver, 0)
 
-    def note(self, listener: str, upto: int) -> None:
-        """Note that a listener has answered for all up to a number."""
-        self._upto_by_listener[listener] = upto
-        while len(self._upto_by_listener) > MOST_LISTENERS:
-            oldest = next(iter(self._upto_by_listener))
-            self._upto_by_listener.pop(oldest)
+    def note(self, receiver: str, upto: int) -> None:
+        """Note that a receiver has acknowledged all up to a number."""
+        self._upto_by_receiver[receiver] = upto
+        while len(self._upto_by_receiver) > MOST_RECEIVERS:
+            oldest = next(iter(self._upto_by_receiver))
+            self._upto_by_receiver.pop(oldest)
--- a/bitterntiller/core/decaying.py
+++ b/bitterntiller/core/decaying.py
@@ -1,15 +1,15 @@
-"""Sums of what happened of late."""
+"""Decaying sums, and maxima over a sliding window."""
 
 import math
 from collections import deque
 
 RETRY_DECAY_SECONDS = 2.0
-"""Seconds in which refused work is forgotten to a third; callers come back once, and
-few of them later than that."""
+"""Time constant with which refused work decays: callers retry once, and few of them
+later than that."""
 
 
 class DecayingSum:
-    """A sum of amounts that are forgotten by and by."""
+    """A sum of amounts that decay exponentially."""
 
     __slots__ = ("_at", "_seconds", "_sum")
 
