Property test of requests with objectives: answered before their callers leave

The steps of the property test had no request with an objective, so nothing that stands behind its tier was ever checked against the promises (no refusal because of lower work that waits, one decision, limits).

--- a/tests/components/dispatch/checker.py
+++ b/tests/components/dispatch/checker.py
@@ -28,8 +28,11 @@
     It keeps its own books from the calls and decisions alone.
     """
 
-    def __init__(self, slots: list[int]) -> None:
+    def __init__(
+        self, slots: list[int], parameters: PolicyParameters | None = None
+    ) -> None:
         self.now = 1000.0
+        self.parameters = parameters or PolicyParameters()
         self.waiting_by_id: dict[str, WaitingRequest] = {}
         self.granted_by_id: dict[str, Granted] = {}
         self.ends_by_id: dict[str, float] = {}
@@ -153,7 +156,7 @@
         self._take(decisions)
 
     def _new(self) -> PoolScheduler:
-        scheduler = PoolScheduler()
+        scheduler = PoolScheduler(self.parameters)
         assert scheduler.set_limits(LIMITS, self.now) == []
         return scheduler
 
@@ -195,6 +198,8 @@
             waiting = self.waiting_by_id.pop(name)
             if isinstance(decision, Refused):
                 assert 0 < decision.retry_after < math.inf
+                leaves = waiting.start_by
+                assert leaves is None or self.now <= leaves, "told after it had left"
                 self.refused.append((waiting, decision))
                 continue
             self._check_grant(waiting, decision)
--- a/tests/components/dispatch/test_properties.py
+++ b/tests/components/dispatch/test_properties.py
@@ -3,7 +3,9 @@
 from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
 
-from .checker import LIMITED, Checker
+from bitterntiller.components.dispatch import FED_PARAMETERS
+
+from .checker import LIMITED, SILENCE, Checker
 
 RANKS = st.integers(0, 2)
 NAMES = st.sampled_from([None, frozenset({"e0"}), frozenset({"e0", "e1"})])
@@ -49,6 +51,16 @@
                 checker.register(
                     tier_rank=rank, output_tokens=200, deadline=checker.now + 14.0
                 )
+        case ("objective", rank, count, objective, patience):
+            for number in range(count):
+                checker.register(
+                    tier_rank=rank,
+                    prompt_tokens=1500 if number % 4 == 0 else 200,
+                    output_tokens=40,
+                    first_by=checker.now + objective,
+                    start_by=checker.now + patience,
+                    deadline=checker.now + 14.0,
+                )
         case ("cancel", index):
             checker.cancel(index)
         case ("return", index, reason):
@@ -84,6 +96,41 @@
     assert not checker.waiting_by_id, "what waited got no answer by its deadline"
 
 
+ROUTED_EVENT = st.one_of(
+    st.tuples(
+        st.just("objective"),
+        RANKS,
+        st.integers(1, 20),
+        st.sampled_from([0.3, 1.0]),
+        st.sampled_from([2.0, 5.0]),
+    ),
+    st.tuples(st.just("cancel"), st.integers(0, 99)),
+    st.tuples(st.just("slow"), st.integers(0, 2), st.sampled_from([1.0, 5.0])),
+    st.tuples(st.just("leave"), st.integers(0, 2)),
+    st.tuples(st.just("restart"), st.integers(0, 2)),
+    st.tuples(st.just("advance"), st.sampled_from([0.1, 0.5, 1.0, 4.0])),
+)
+
+
+@settings(
+    max_examples=60,
+    phases=[Phase.explicit, Phase.generate],
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
+@given(
+    st.lists(st.integers(1, 4), min_size=1, max_size=3),
+    st.lists(ROUTED_EVENT, min_size=10, max_size=40),
+)
+def test_promises_hold_for_requests_with_objectives(slots, events):
+    checker = Checker(slots, FED_PARAMETERS._replace(silence_seconds=SILENCE))
+    for event in events:
+        play(checker, event)
+    checker.advance(35.0)
+    assert not checker.waiting_by_id, "what waited got no answer by its deadline"
+
+
 def test_an_overload_of_three_tiers_is_shed_from_below():
     """A burst beyond all capacity comes while lower tiers wait already.
 
