Send requests with long outputs where they are expected to fit

What callers saw: requests with long outputs were refused in an overload while small ones behind them were served (the rest of the users' SHORT).

Cause: a request is sent to an upstream only where its estimated completion fits with a margin before its deadline: half of the estimate's usual error, a sixth to a half of it all. Most free upstreams were passed over so, though it was expected to end there in time; it was set aside for a busy one, and late when that was free. Class: as before, a patience that depends on size.

Change: pools whose requests have objectives take no margin. It holds since the estimate alone decides, and that is compared for each upstream before each sending.

--- a/bitterntiller/components/dispatch/__init__.py
+++ b/bitterntiller/components/dispatch/__init__.py
@@ -39,6 +39,7 @@
     long_prefills=1.0,
     prefill_window=FED_PREFILL_WINDOW,
     guard=0.0,
+    margin=0.0,
     headroom=0.0,
     adaptive=False,
     lower_share=const.DEFAULT_LOWER_SHARE,
@@ -46,7 +47,9 @@
 """The parameters of pools whose requests have an objective for their first output.
 
 Running requests keep their objective beside any others, since output comes many times
-faster than it must; so every slot is filled, and only what waits is in question.
+faster than it must; so every slot is filled, and only what waits is in question. There
+is no margin on estimated completion: it would pass over requests with long outputs
+until their objective is missed, while small ones behind them are sent.
 """
 
 
