--- a/tests/components/dispatch/test_properties.py
+++ b/tests/components/dispatch/test_properties.py
@@ -7,6 +7,12 @@
 
 from .checker import LIMITED, SILENCE, Checker
 
+SEEDED = settings(
+    phases=[Phase.explicit, Phase.generate],
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
 RANKS = st.integers(0, 2)
 NAMES = st.sampled_from([None, frozenset({"e0"}), frozenset({"e0", "e1"})])
 ARRIVAL = st.tuples(
@@ -77,13 +83,7 @@
             checker.advance(seconds)
 
 
-@settings(
-    max_examples=40,
-    phases=[Phase.explicit, Phase.generate],
-    deadline=None,
-    derandomize=True,
-    suppress_health_check=list(HealthCheck),
-)
+@settings(SEEDED, max_examples=40)
 @given(
     st.lists(st.integers(1, 4), min_size=1, max_size=3),
     st.lists(EVENT, min_size=10, max_size=40),
@@ -112,13 +112,7 @@
 )
 
 
-@settings(
-    max_examples=60,
-    phases=[Phase.explicit, Phase.generate],
-    deadline=None,
-    derandomize=True,
-    suppress_health_check=list(HealthCheck),
-)
+@settings(SEEDED, max_examples=60)
 @given(
     st.lists(st.integers(1, 4), min_size=1, max_size=3),
     st.lists(ROUTED_EVENT, min_size=10, max_size=40),
