Test of a replaced disk: ask whoever leads after the repair

Traced: all replicas share the test's process; held up for half a second the leader hears no quorum and steps down, rightly, and the test asked it all the same. The test asks the present leader now, which it waits for up to eight seconds as elsewhere; what is expected is unchanged.

--- a/tests/components/replication/test_coordinator.py
+++ b/tests/components/replication/test_coordinator.py
@@ -91,6 +91,7 @@
             shutil.rmtree(tmp_path / lost)
             await deployment.start(lost)
             await _async_until_repaired(deployment, leader, lost)
+            leader = await deployment.leader()
             assert leader.log.status()["survives_losses"] == 1
             await deployment.stop(leader.runtime.settings.host)
             new = await deployment.leader()
