Failing test: a request that crashes each engine that runs it comes again and again

Three hosts, three stand-ins that end when they begin a marked prompt and are started again a second later, one caller who repeats that prompt every 0.4 s at each host in turn, others who ask for streams beside it.

The stand-in of an engine gets `--crash-mark`; scenarios get `supervise`, `repeats` and loads of streams.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -1,6 +1,7 @@
 """A model engine's stand-in: `python -m standins.engine`, as docs/UPSTREAMS.md says."""
 
 import json
+import os
 import time
 from collections import OrderedDict
 from dataclasses import dataclass
@@ -20,6 +21,7 @@
 CHAT_PATH = "/v1/chat/completions"
 COMPLETION_PATH = "/v1/completions"
 REQUESTS_PATH = "/v1/requests/"
+EXIT_CRASHED = 70
 NOT_ADMITTED = {"X-Admitted": "false", "Retry-After": "1"}
 
 
@@ -33,6 +35,8 @@
     cache_prefixes: Annotated[int, cappa.Arg(long=True)] = 1000
     keep_s: Annotated[float, cappa.Arg(long=True)] = 30.0
     """How long finished work can be resumed."""
+    crash_mark: Annotated[str, cappa.Arg(long=True)] = ""
+    """The process ends when it begins a request whose prompt has this text."""
 
 
 class Engine:
@@ -93,6 +97,7 @@
     async def _async_work(self, work: Work) -> None:
         try:
             async with self._slots:
+                self._crash(work)
                 await self._async_fill(work)
             self.server.recorder.add("done", request_id=work.request_id)
         except curio.TaskCancelled:
@@ -103,6 +108,13 @@
             self.server.announcer.kv_tokens_used -= work.prompt_tokens()
             await work.async_end()
 
+    def _crash(self, work: Work) -> None:
+        """End the process, and all work in it, at a request that it can't survive."""
+        mark = self._options.crash_mark
+        if mark and mark in work.prompt:
+            self.server.recorder.add("crash", request_id=work.request_id)
+            os._exit(EXIT_CRASHED)
+
     async def _async_fill(self, work: Work) -> None:
         prompt = work.prompt.encode()
         self.server.announcer.kv_tokens_used += work.prompt_tokens()
--- a/tests/scenarios/control_steps.py
+++ b/tests/scenarios/control_steps.py
@@ -6,7 +6,10 @@
                                two operators, one base version, answers lost
 resend b1 at a b               every change of b1 or r1 once more
 read q1 at a                   one question for the configuration
-watch w1 at c | load l1 at a b each=2 | stop w1 l1
+watch w1 at c | load l1 at a b each=2 [target=/v1/completions] | stop w1 l1
+supervise s1 at e1 e2 after=1  start each again that long after it has ended
+repeats p1 at a b every=0.4 mark=M
+                               one request with M in its prompt, again and again
 note ID c state.PATH           remember a value; $ID stands for it
 lose b | save b old | put_back b old | damage b
                                the data folder of a stopped host
@@ -24,9 +27,10 @@
 
 from tests.scenarios.deployment import Deployment
 from tests.scenarios.doing import Doing
-from tests.scenarios.load import Load
+from tests.scenarios.load import PLAIN_TARGET, Load
 from tests.scenarios.operators import Burst, Race, Read, Watch
 from tests.scenarios.processes import ROOT, has
+from tests.scenarios.repeats import Repeats, Supervisor
 
 TOOL = "bitterntiller.cli.tool"
 TOOL_TIMEOUT_S = 60.0
@@ -116,9 +120,23 @@
         found = (self._deployment.hosts_by_name[host] for host in hosts)
         ports = [host.ports["caller"] for host in found]
         each = int(options.get("each", "2"))
-        load = Load(ports, self._deployment.records, name, each)
+        target = options.get("target", PLAIN_TARGET)
+        load = Load(ports, self._deployment.records, name, each, target)
         self.doings_by_name[name] = load
 
+    def _do_supervise(self, words: list[str]) -> None:
+        (name,), upstreams, options = parse_at(words)
+        processes = [self._deployment.process(upstream) for upstream in upstreams]
+        self.doings_by_name[name] = Supervisor(processes, float(options["after"]))
+
+    def _do_repeats(self, words: list[str]) -> None:
+        (name,), hosts, options = parse_at(words)
+        found = (self._deployment.hosts_by_name[host] for host in hosts)
+        ports = [host.ports["caller"] for host in found]
+        self.doings_by_name[name] = Repeats(
+            ports, self._deployment.records, options["mark"], float(options["every"])
+        )
+
     def _do_stop(self, names: list[str]) -> None:
         for name in names:
             self.doings_by_name[name].stop()
--- a/tests/scenarios/load.py
+++ b/tests/scenarios/load.py
@@ -16,9 +16,19 @@
 
 CALL_DEADLINE_MS = "8000"
 
+LAST_CALLS = 40
+HELD_REASON = "crashes-upstreams"
+
+
+PLAIN_TARGET = "/bonds"
+STREAM_TOKENS = 40
+
 
 class Load(Doing):
-    """Callers who send a plain request after the other, some at each host."""
+    """Callers who send one request after the other, some at each host.
+
+    Requests to an engine's path ask for streams.
+    """
 
     def __init__(
         self,
@@ -26,12 +36,14 @@
         records: Callable[[str], list[Any]],
         name: str,
         each: int,
+        target: str = PLAIN_TARGET,
     ) -> None:
         super().__init__()
         self._records = records
         self._name = name
         self._lock = threading.Lock()
         self._number = 0
+        self._target = target
         self.calls: list[Call] = []
         self.start([lambda p=port: self._run(p) for port in ports for _ in range(each)])
 
@@ -45,12 +57,16 @@
             with self._lock:
                 self._number += 1
                 name = f"{self._name}-{self._number}"
-            body = builders.request_body("/bonds", name, 0)
-            call = Call(port, "POST", "/bonds", headers, body)
+            body = self._body(name)
+            call = Call(port, "POST", self._target, headers, body)
             call.follow()
             self.calls.append(call)
             time.sleep(PAUSE_S)
 
+    def _body(self, name: str) -> bytes:
+        streams = {} if self._target == PLAIN_TARGET else {"stream": True}
+        return builders.request_body(self._target, name, STREAM_TOKENS, **streams)
+
     @property
     def outcomes(self) -> dict[str, int]:
         """How many calls ended how, by outcome and reason."""
@@ -66,6 +82,16 @@
         """How many were not."""
         return len(self.calls) - self.done
 
+    @property
+    def done_last(self) -> int:
+        """How many of the last LAST_CALLS were answered whole and truly."""
+        return sum(call.whole for call in self.calls[-LAST_CALLS:])
+
+    @property
+    def held(self) -> int:
+        """How many were refused as requests that crash upstreams."""
+        return sum(call.reason == HELD_REASON for call in self.calls)
+
     @property
     def cut(self) -> int:
         """How many saw their connection break off."""
--- /dev/null
+++ b/tests/scenarios/repeats.py
@@ -0,0 +1,98 @@
+"""A request that is sent again and again, and engines that are started again."""
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+from standins.answers import digest
+from tests.scenarios import builders
+from tests.scenarios.caller import Call
+from tests.scenarios.doing import Doing
+from tests.scenarios.processes import Process
+
+POLL_S = 0.05
+TARGET = "/v1/completions"
+TOKENS = 40
+CALL_DEADLINE_MS = "8000"
+
+CRASHES_ALLOWED = 3
+NEWS_SECONDS = 3.0
+"""How long after the last allowed crash hosts may not yet have heard of it."""
+
+
+class Supervisor(Doing):
+    """Starts each process again, some seconds after it has ended."""
+
+    def __init__(self, processes: list[Process], after: float) -> None:
+        super().__init__()
+        self.restarts = 0
+        self._after = after
+        self.start([lambda p=process: self._run(p) for process in processes])
+
+    def _run(self, process: Process) -> None:
+        while not self.stopping:
+            if process.exit_code() is None:
+                time.sleep(POLL_S)
+                continue
+            time.sleep(self._after)
+            process.start()
+            self.restarts += 1
+
+
+class Repeats(Doing):
+    """One caller who sends the same request to one host after the other."""
+
+    def __init__(
+        self,
+        ports: list[int],
+        records: Callable[[str], list[Any]],
+        mark: str,
+        every: float,
+    ) -> None:
+        super().__init__()
+        self._records = records
+        self._ports = ports
+        self._every = every
+        self._body = builders.request_body(TARGET, mark, TOKENS, stream=True)
+        self.calls: list[Call] = []
+        self.start([self._run])
+
+    def _run(self) -> None:
+        token = builders.TOKENS_BY_WORKSPACE["foresters"]
+        headers = {
+            "Authorization": f"Bearer {token}",
+            "X-Deadline-Ms": CALL_DEADLINE_MS,
+        }
+        while not self.stopping:
+            port = self._ports[len(self.calls) % len(self._ports)]
+            call = Call(port, "POST", TARGET, headers, self._body)
+            call.start()
+            self.calls.append(call)
+            time.sleep(self._every)
+
+    @property
+    def crashes(self) -> int:
+        """How many upstreams ended that ran it."""
+        return len(self._records("crash"))
+
+    @property
+    def runs_too_many(self) -> int:
+        """How often it began to run after hosts had to know what it does."""
+        ends = sorted(record["time"] for record in self._records("crash"))
+        if len(ends) < CRASHES_ALLOWED:
+            return 0
+        known_at = ends[CRASHES_ALLOWED - 1] + NEWS_SECONDS
+        ran = [r for r in self._records("run") if r["digest"] == digest(self._body)]
+        return sum(record["time"] > known_at for record in ran)
+
+    @property
+    def last(self) -> str:
+        """How the last call ended that has: status and reason."""
+        ended = [call for call in self.calls if call.ended]
+        return f"{ended[-1].status}/{ended[-1].reason or ''}" if ended else ""
+
+    @property
+    def last_retry_after(self) -> float:
+        """When the caller of the last call was told to come back, in seconds."""
+        ended = [call for call in self.calls if call.ended]
+        return (ended[-1].retry_after or 0.0) if ended else 0.0
