Hold requests that crash the upstreams which run them

What a run did to its upstream was counted against the upstream and forgotten with its next good answer, so a request that ends each engine that begins it was granted like any other, each time it came. Callers saw: ten engines ended under one request, six other requests broken off with each.

Class: state kept for one attempt where the fault belongs to what all attempts have in common.

Change: a request under which three processes of upstreams have ended is refused at once, truthfully (this copy has not run), with the time at which one copy may be tried: 5 s, then 2 minutes, doubled by each further end, an hour at most. A whole answer clears it. Checked where a request is read, where it is registered, while it waits, and right before it is sent. Suspects (one end) run as one copy at a time; with two ends they run beside no other suspect, so that the third end tells which of those that ran there it was.

What isn't covered: the end of all processes at once forgets the history; a culprit that runs beside an isolated suspect without any end so far can give that one its third.

--- a/bitterntiller/components/dispatch/__init__.py
+++ b/bitterntiller/components/dispatch/__init__.py
@@ -1,7 +1,9 @@
 """The owner of a pool: its queue, its upstreams, its grants."""
 
 import math
+from functools import partial
 
+from bitterntiller.components.crashes.coordinator import CrashCoordinator
 from bitterntiller.components.dispatch import const, diagnostics
 from bitterntiller.components.dispatch.coordinator import DispatchCoordinator
 from bitterntiller.components.dispatch.models import (
@@ -12,6 +14,7 @@
 from bitterntiller.components.dispatch.scheduler import PoolScheduler
 from bitterntiller.core.interfaces import (
     ConfigView,
+    CrashView,
     DirectoryView,
     Lease,
     UpstreamsView,
@@ -20,9 +23,9 @@
 from bitterntiller.protocol import messages
 
 
-def make_scheduler(kind: str) -> Scheduler:
+def make_scheduler(kind: str, crashes: CrashView | None = None) -> Scheduler:
     """Return the scheduler of a pool of a kind: engine or plain."""
-    return PoolScheduler(DEFAULT_PARAMETERS._replace(kind=kind))
+    return PoolScheduler(DEFAULT_PARAMETERS._replace(kind=kind), crashes)
 
 
 FED_PREFILL_WINDOW = 0.4
@@ -53,9 +56,9 @@
 """
 
 
-def make_fed_scheduler(kind: str) -> Scheduler:
+def make_fed_scheduler(kind: str, crashes: CrashView | None = None) -> Scheduler:
     """Return the scheduler of a pool that is told of silence instead of hearing it."""
-    return PoolScheduler(FED_PARAMETERS._replace(kind=kind))
+    return PoolScheduler(FED_PARAMETERS._replace(kind=kind), crashes)
 
 
 async def async_setup_chosen(
@@ -64,14 +67,21 @@
     config: ConfigView,
     directory: DirectoryView,
     registered: UpstreamsView,
+    crashes: CrashCoordinator,
 ) -> DispatchCoordinator:
     """Set the dispatch role up for entry hosts that choose their owners.
 
     Upstreams are those that are registered with control.
     """
     coordinator = DispatchCoordinator(
-        runtime, lease, config, directory, make_fed_scheduler, registered
+        runtime,
+        lease,
+        config,
+        directory,
+        partial(make_fed_scheduler, crashes=crashes),
+        registered,
     )
+    crashes.add_listener(coordinator.async_review)
     await _async_start(runtime, coordinator)
     receiver = ReportReceiver(
         runtime,
@@ -92,10 +102,16 @@
 
 
 async def async_setup(
-    runtime: Runtime, lease: Lease, config: ConfigView, directory: DirectoryView
+    runtime: Runtime,
+    lease: Lease,
+    config: ConfigView,
+    directory: DirectoryView,
+    crashes: CrashCoordinator,
 ) -> DispatchCoordinator:
     """Set the dispatch role up; it is unloaded with the runtime's stack."""
-    coordinator = DispatchCoordinator(runtime, lease, config, directory, make_scheduler)
+    make = partial(make_scheduler, crashes=crashes)
+    coordinator = DispatchCoordinator(runtime, lease, config, directory, make)
+    crashes.add_listener(coordinator.async_review)
     await _async_start(runtime, coordinator)
     return coordinator
 
--- a/bitterntiller/components/dispatch/choice.py
+++ b/bitterntiller/components/dispatch/choice.py
@@ -12,6 +12,7 @@
     PREFIX_CANDIDATES,
     SCAN_ALL_UP_TO,
 )
+from bitterntiller.components.dispatch.isolation import Isolation
 from bitterntiller.components.dispatch.jobs import Job
 from bitterntiller.components.dispatch.models import PolicyParameters
 from bitterntiller.components.dispatch.pool import Pool
@@ -53,11 +54,16 @@
     """
 
     def __init__(
-        self, parameters: PolicyParameters, pool: Pool, rng: random.Random
+        self,
+        parameters: PolicyParameters,
+        pool: Pool,
+        rng: random.Random,
+        isolation: Isolation,
     ) -> None:
         self._parameters = parameters
         self._pool = pool
         self._rng = rng
+        self._isolation = isolation
 
     def choose(self, job: Job, view: View, now: float) -> Choice:
         """Choose for a request that is at the head of its queue."""
@@ -228,6 +234,8 @@
         part = self._part(job)
         if not upstream.has_room(part) or not upstream.fits(job.kv, part):
             return False
+        if not self._isolation.allows(job.request, upstream.ledger, now):
+            return False
         if self._parameters.guard and not self._spares(job, upstream, now):
             return False
         # The mark is set at events; a pause or the silence of an upstream may
--- a/bitterntiller/components/dispatch/coordinator.py
+++ b/bitterntiller/components/dispatch/coordinator.py
@@ -269,6 +269,12 @@
             decisions = pool.follow(view.by_name, view.version, now)
             await self._async_carry_out(pool, decisions)
 
+    async def async_review(self, fingerprints: frozenset[int]) -> None:
+        """Decide anew on copies of requests of whose crashes there is news."""
+        for pool in list(self.pools_by_name.values()):
+            decisions = pool.review(fingerprints, self._clock.now())
+            await self._async_carry_out(pool, decisions)
+
     async def async_drop_host(self, host: str) -> None:
         """Forget all that an entry host has here; it has turned to another owner."""
         now = self._clock.now()
--- a/bitterntiller/components/dispatch/lifecycle.py
+++ b/bitterntiller/components/dispatch/lifecycle.py
@@ -136,6 +136,21 @@
             self._on_room()
         job.state = JobState.GONE
 
+    def forget(self, job: Job, now: float) -> None:
+        """Take a waiting request out and know it no more."""
+        self.by_id.pop(job.request.request_id, None)
+        self.withdraw(job, now)
+
+    def regroup(self, job: Job, change: Callable[[], None]) -> None:
+        """Change the group of a waiting request; it keeps its place in its tier."""
+        if job.state is JobState.PARKED:
+            change()
+            return
+        self._queue.remove(job)
+        change()
+        self._queue.push(job)
+        self._on_room()
+
     def leave_waiting(self, job: Job, now: float) -> None:
         """Count a request as waiting no more."""
         self.waiting -= 1
--- a/bitterntiller/components/dispatch/models.py
+++ b/bitterntiller/components/dispatch/models.py
@@ -14,7 +14,7 @@
     growing prefixes, shortest first; prefix_tokens are their lengths, where they are
     known. first_by is when the first output must be there to be good, and start_by when
     its caller gives up without one, where these are set. tried are upstreams that did
-    not admit it.
+    not admit it. fingerprint is the same for each copy of the request, 0 if not known.
     """
 
     request_id: str
@@ -32,6 +32,7 @@
     prefix_tokens: tuple[int, ...] = ()
     first_by: float | None = None
     start_by: float | None = None
+    fingerprint: int = 0
 
 
 class UpstreamLoad(NamedTuple):
@@ -223,6 +224,10 @@
         """Take an announcement; False for one older than what is known."""
         ...
 
+    def review(self, fingerprints: frozenset[int], now: float) -> list[Decision]:
+        """Decide anew on waiting copies of requests of whose crashes there is news."""
+        ...
+
     def set_limits(
         self, limits_by_workspace: dict[str, WorkspaceLimits], now: float
     ) -> list[Decision]:
--- a/bitterntiller/components/dispatch/owned_pool.py
+++ b/bitterntiller/components/dispatch/owned_pool.py
@@ -262,6 +262,10 @@
             decisions = self._take_held(now)
         return self._note(decisions + self.scheduler.tick(now))
 
+    def review(self, fingerprints: frozenset[int], now: float) -> list[Decision]:
+        """Decide anew on copies of requests of whose crashes there is news."""
+        return self._note(self.scheduler.review(fingerprints, now))
+
     def take_events(self) -> list[UpstreamEvent]:
         """Return what the owner has come to believe of upstreams."""
         return self.scheduler.take_events()
--- a/bitterntiller/components/dispatch/pool.py
+++ b/bitterntiller/components/dispatch/pool.py
@@ -39,6 +39,7 @@
         self.pace = 1.0
         self.slots = 0
         self.in_flight_by_rank: Counter[int] = Counter()
+        self.in_flight_by_fingerprint: Counter[int] = Counter()
         self.freed: list[Upstream] = []
         self.events = UpstreamEvents()
         self._ranks: set[int] = set()
@@ -126,6 +127,7 @@
         """Count a request at an upstream."""
         job.upstream = upstream
         self.in_flight_by_rank[job.rank] += 1
+        self._count_copy(job, 1)
         plain = self._parameters.kind == KIND_PLAIN
         upstream.ledger.add(job, plain or job.tokens_seen > 0, now)
 
@@ -137,9 +139,19 @@
             return
         job.upstream = None
         self.in_flight_by_rank[job.rank] -= 1
+        self._count_copy(job, -1)
         upstream.ledger.remove(job, now)
         self.refresh(upstream, now)
 
+    def _count_copy(self, job: Job, by: int) -> None:
+        fingerprint = job.request.fingerprint
+        if not fingerprint:
+            return
+        copies = self.in_flight_by_fingerprint
+        copies[fingerprint] += by
+        if not copies[fingerprint]:
+            del copies[fingerprint]
+
     def reserve(self, job: Job, upstream: Upstream | None, now: float) -> None:
         """Hold an upstream for a request that finds no room for long.
 
--- a/bitterntiller/components/dispatch/refusals.py
+++ b/bitterntiller/components/dispatch/refusals.py
@@ -47,10 +47,13 @@
 
     def give_up(self, job: Job, reason: Reason, now: float) -> Refused:
         """Refuse a request that was kept, and forget it."""
-        self._jobs.by_id.pop(job.request.request_id, None)
-        self._jobs.withdraw(job, now)
+        self._jobs.forget(job, now)
         return self.of(job, reason, now)
 
+    def crashing(self, job: Job, held_for: float, now: float) -> Refused:
+        """Refuse a request under which too many upstreams have ended."""
+        return self._refusal(job, Reason.CRASHES_UPSTREAMS, held_for, now)
+
     def of(self, job: Job, reason: Reason, now: float) -> Refused:
         """Refuse a request until its tier has drained.
 
--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -17,6 +17,7 @@
 from bitterntiller.components.dispatch.describe import describe
 from bitterntiller.components.dispatch.estimator import Estimator
 from bitterntiller.components.dispatch.granting import Granting
+from bitterntiller.components.dispatch.isolation import Isolation, NoCrashes
 from bitterntiller.components.dispatch.jobs import Job, JobState
 from bitterntiller.components.dispatch.lifecycle import JobLifecycle
 from bitterntiller.components.dispatch.limits import WorkspaceLimiter
@@ -37,6 +38,7 @@
 from bitterntiller.components.dispatch.shedding import Shedder
 from bitterntiller.components.dispatch.sizes import Sizes
 from bitterntiller.components.dispatch.upstream_events import UpstreamEvent
+from bitterntiller.core.interfaces import CrashView
 from bitterntiller.core.outcomes import Reason
 
 _REASONS_TO_GO_ELSEWHERE = frozenset(
@@ -58,7 +60,11 @@
     Granting grants as long as an upstream is free.
     """
 
-    def __init__(self, parameters: PolicyParameters = DEFAULT_PARAMETERS) -> None:
+    def __init__(
+        self,
+        parameters: PolicyParameters = DEFAULT_PARAMETERS,
+        crashes: CrashView | None = None,
+    ) -> None:
         rng = random.Random(parameters.seed)
         self._parameters = parameters
         self._limiter = WorkspaceLimiter()
@@ -67,7 +73,8 @@
         self._ordering = new_ordering(parameters)
         self._sizes = Sizes(parameters, self._pool.speed)
         self._estimator = Estimator(parameters, self._pool, self._sizes)
-        self._chooser = Chooser(parameters, self._pool, rng)
+        self._isolation = Isolation(crashes or NoCrashes(), self._pool)
+        self._chooser = Chooser(parameters, self._pool, rng, self._isolation)
         self._patience = Patience(parameters, self._pool, self._chooser)
         self._admission = Admission(
             self._pool, self._queue, self._limiter, rng, parameters.lower_share
@@ -128,7 +135,11 @@
         if known is not None:
             del self._jobs.by_id[request.request_id]
         job = self._jobs.new(request, now)
-        self._size(job)
+        held_for = self._isolation.held_for(request, now)
+        if held_for:
+            decisions.append(self._refusals.crashing(job, held_for, now))
+            return
+        self._size(job, now)
         job.best_case = self._chooser.best_case(job, self._pool.view(job), now)
         refused = self._refusals.at_entry(job, now)
         if refused is not None:
@@ -219,7 +230,7 @@
         if known is not None:
             self._jobs.withdraw(known, now)
         job = self._jobs.new(request, now)
-        self._size(job)
+        self._size(job, now)
         job.state = JobState.RUNNING
         job.adopted = True
         job.tokens_seen = output_tokens
@@ -237,6 +248,21 @@
         self._granting.decide(now, decisions)
         return accepted, decisions
 
+    def review(self, fingerprints: frozenset[int], now: float) -> list[Decision]:
+        """Decide anew on waiting copies of requests of whose crashes there is news."""
+        decisions: list[Decision] = []
+        for job in list(self._jobs.by_id.values()):
+            if job.request.fingerprint not in fingerprints or not job.waiting:
+                continue
+            held_for = self._isolation.held_for(job.request, now)
+            if held_for:
+                self._jobs.forget(job, now)
+                decisions.append(self._refusals.crashing(job, held_for, now))
+                continue
+            self._jobs.regroup(job, lambda job=job: self._group(job, now))
+        self._granting.decide(now, decisions)
+        return decisions
+
     def set_limits(
         self, limits_by_workspace: dict[str, WorkspaceLimits], now: float
     ) -> list[Decision]:
@@ -286,12 +312,21 @@
             self._pool, self._queue, self._admission, self._jobs.waiting, now
         )
 
-    def _size(self, job: Job) -> None:
-        request = job.request
+    def _size(self, job: Job, now: float) -> None:
         self._sizes.size(job)
         self._pool.note_tier(job.rank)
         job.order_key = self._ordering.key(job)
-        job.group = (request.upstream_names, frozenset(request.tried), job.kind)
+        self._group(job, now)
+
+    def _group(self, job: Job, now: float) -> None:
+        """Put a request among those that may go to the same upstreams."""
+        request = job.request
+        job.group = (
+            request.upstream_names,
+            frozenset(request.tried),
+            job.kind,
+            self._isolation.mark(request, now),
+        )
 
     def _make_room(self, job: Job, now: float, decisions: list[Decision]) -> None:
         """Shed someone for a new request, itself if nothing below it waits."""
@@ -320,7 +355,11 @@
             if job.returns >= MAX_RETURNS:
                 decisions.append(self._refusals.of(job, Reason.NOT_ADMITTED, now))
                 return
-        job.group = (job.group[0], frozenset(job.request.tried), job.kind)
+        held_for = self._isolation.held_for(job.request, now)
+        if held_for:
+            decisions.append(self._refusals.crashing(job, held_for, now))
+            return
+        self._group(job, now)
         job.reregistered = False
         self._jobs.keep(job)
         self._jobs.enqueue(job, now)
--- a/bitterntiller/components/dispatch/wire.py
+++ b/bitterntiller/components/dispatch/wire.py
@@ -38,6 +38,7 @@
         prefix_tokens=tuple(message.prefix_tokens or ()),
         first_by=_time(message.first_by_ms, now),
         start_by=_time(message.start_by_ms, now),
+        fingerprint=message.fingerprint or 0,
     )
 
 
--- a/bitterntiller/components/entry/admission_checks.py
+++ b/bitterntiller/components/entry/admission_checks.py
@@ -13,6 +13,7 @@
 from bitterntiller.components.http.exchange import Exchange
 from bitterntiller.components.http.models import header
 from bitterntiller.components.settings.models import Limits
+from bitterntiller.core.interfaces import CrashView
 from bitterntiller.core.outcomes import Ending, Outcome, Reason
 
 
@@ -81,16 +82,17 @@
         index = ranks.index(identified.tier.rank)
         return self._budget.take(identified, size, index, len(ranks))
 
-    def name_copies(self, active: ActiveRequest) -> None:
-        """Give a request the number that all its copies have."""
+    def crashing(self, active: ActiveRequest) -> Ending | None:
+        """Refuse a copy of a request that has crashed too many upstreams."""
         crashes = self._context.crashes
         if crashes is None:
-            return
+            return None
         identified = active.prepared.identified
         head = identified.received.head
         active.fingerprint = crashes.fingerprint(
             identified.workspace.name, head.method, head.target, active.prepared.body
         )
+        return held_ending(crashes, active.fingerprint, self._context.clock.now())
 
     async def async_over_quota(self, active: ActiveRequest) -> Ending | None:
         """Hold a request against its workspace's quota, or refuse it."""
@@ -163,6 +165,25 @@
     )
 
 
+def held_ending(crashes: CrashView, fingerprint: int, now: float) -> Ending | None:
+    """Return the ending of a request that is held for its crashes, None if it isn't."""
+    held_for = crashes.held_for(fingerprint, now)
+    if not held_for:
+        return None
+    count = crashes.count(fingerprint, now)
+    detail = (
+        f"{count} upstreams have ended while they ran this request "
+        f"(fingerprint {fingerprint:016x}); it is not sent to another one now"
+    )
+    return Ending(
+        Outcome.NOT_RUN,
+        Reason.CRASHES_UPSTREAMS,
+        503,
+        retry_after=held_for,
+        detail=detail,
+    )
+
+
 def come_back(reason: Reason, after: float = const.DEFAULT_RETRY_AFTER) -> Ending:
     """Return the ending of a request that may be sent again after some seconds."""
     return Ending(Outcome.NOT_RUN, reason, 503, retry_after=after)
--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -4,6 +4,7 @@
 
 from bitterntiller.components.config.models import Route
 from bitterntiller.components.entry import const
+from bitterntiller.components.entry.admission_checks import held_ending
 from bitterntiller.components.entry.claiming import Claimant
 from bitterntiller.components.entry.context import Context
 from bitterntiller.components.entry.event_logging import log_answer, log_sending
@@ -104,6 +105,7 @@
         return (
             self._check_time(grant)
             or self._check_config()
+            or self._check_crashes()
             or self._check_upstream(grant)
         )
 
@@ -119,6 +121,14 @@
             return None
         return Retry(grant.upstream, UPSTREAM_LEFT)
 
+    def _check_crashes(self) -> Ending | None:
+        """Send no request that has been found to crash upstreams since its grant."""
+        crashes = self._context.crashes
+        if crashes is None:
+            return None
+        now = self._context.clock.now()
+        return held_ending(crashes, self._active.fingerprint, now)
+
     def _check_config(self) -> Ending | None:
         identified = self._active.prepared.identified
         view = self._context.config
--- a/bitterntiller/components/entry/pipeline.py
+++ b/bitterntiller/components/entry/pipeline.py
@@ -115,7 +115,10 @@
     ) -> None:
         work = self._context.interface.estimate(identified, body)
         active = ActiveRequest(Prepared(identified, body, work))
-        self._admission.name_copies(active)
+        refused = self._admission.crashing(active)
+        if refused is not None:
+            await self._async_refuse(exchange, refused, identified, active.request_id)
+            return
         over = await self._admission.async_over_quota(active)
         if over is not None:
             await self._async_refuse(exchange, over, identified, active.request_id)
--- /dev/null
+++ b/tests/components/dispatch/test_isolation.py
@@ -0,0 +1,255 @@
+"""Tests of where requests run under which upstreams have ended."""
+
+import random
+from typing import NamedTuple
+
+import pytest
+
+from bitterntiller.components.crashes import const
+from bitterntiller.components.crashes.history import CrashHistory
+from bitterntiller.components.crashes.models import Clearing, Crash, CrashNews
+from bitterntiller.components.dispatch import FED_PARAMETERS
+from bitterntiller.components.dispatch.models import Decision, Granted, Refused
+from bitterntiller.components.dispatch.scheduler import PoolScheduler
+from bitterntiller.core.outcomes import Reason
+from tests.components.crashes.builders import INNOCENT, POISON
+from tests.components.dispatch import builders as build
+
+NOW = 1000.0
+SLOTS = 4
+MOST_CRASHES = const.CRASHES_TO_HOLD + 1
+"""Engines that one request ends in the minute of a play: one after its first hold."""
+
+
+def pool(history: CrashHistory, upstreams: int) -> PoolScheduler:
+    scheduler = PoolScheduler(FED_PARAMETERS, history)
+    for number in range(upstreams):
+        scheduler.announce(build.upstream(f"e{number}", slots=SLOTS), NOW)
+    return scheduler
+
+
+def crashed(fingerprint: int, count: int, at: float = NOW - 1) -> CrashNews:
+    return CrashNews(
+        tuple(Crash(fingerprint, f"old-{n}", "1", at) for n in range(count))
+    )
+
+
+def granted(decisions: list[Decision]) -> list[str]:
+    return [d.upstream for d in decisions if isinstance(d, Granted)]
+
+
+def reasons(decisions: list[Decision]) -> list[str]:
+    return [d.reason for d in decisions if isinstance(d, Refused)]
+
+
+def test_held_request_is_refused_at_once_with_the_end_of_its_hold():
+    history = CrashHistory()
+    history.take(crashed(POISON, 3), NOW)
+    scheduler = pool(history, 2)
+    (refused,) = scheduler.register(build.request(fingerprint=POISON), NOW)
+    assert isinstance(refused, Refused)
+    assert refused.reason == Reason.CRASHES_UPSTREAMS
+    assert refused.retry_after == pytest.approx(history.held_for(POISON, NOW))
+
+
+def test_waiting_copies_are_refused_when_the_last_allowed_crash_is_heard_of():
+    history = CrashHistory()
+    scheduler = pool(history, 0)
+    assert not scheduler.register(build.request("r1", fingerprint=POISON), NOW)
+    assert not scheduler.register(build.request("r2", fingerprint=INNOCENT), NOW)
+    history.take(crashed(POISON, 3), NOW)
+    decisions = scheduler.review(frozenset({POISON}), NOW)
+    assert reasons(decisions) == [Reason.CRASHES_UPSTREAMS]
+    assert decisions[0].request_id == "r1"
+
+
+def test_suspect_runs_as_one_copy_at_a_time():
+    history = CrashHistory()
+    history.take(crashed(POISON, 1), NOW)
+    scheduler = pool(history, 3)
+    first = scheduler.register(build.request("r1", fingerprint=POISON), NOW)
+    second = scheduler.register(build.request("r2", fingerprint=POISON), NOW)
+    assert len(granted(first)) == 1
+    assert not second
+    ended = scheduler.finished(build.completion("r1", granted(first)[0]), NOW + 1)
+    assert len(granted(ended)) == 1
+
+
+def test_request_with_two_crashes_runs_beside_no_other_suspect():
+    history = CrashHistory()
+    history.take(crashed(POISON, 2), NOW)
+    history.take(crashed(INNOCENT, 1), NOW)
+    scheduler = pool(history, 1)
+    assert granted(scheduler.register(build.request("r1", fingerprint=POISON), NOW))
+    assert not scheduler.register(build.request("r2", fingerprint=INNOCENT), NOW)
+    assert granted(scheduler.register(build.request("r3", fingerprint=7), NOW))
+
+
+def test_suspects_that_wait_hold_up_nobody_else():
+    history = CrashHistory()
+    history.take(crashed(POISON, 2), NOW)
+    scheduler = pool(history, 1)
+    scheduler.register(build.request("r1", fingerprint=POISON), NOW)
+    scheduler.register(build.request("r2", fingerprint=POISON), NOW)
+    assert granted(scheduler.register(build.request("r3", fingerprint=7), NOW))
+
+
+def test_one_copy_is_tried_when_the_hold_is_over():
+    history = CrashHistory()
+    history.take(crashed(POISON, 3), NOW)
+    later = NOW + history.held_for(POISON, NOW) + 1
+    scheduler = PoolScheduler(FED_PARAMETERS, history)
+    for name in ("e1", "e2"):
+        scheduler.announce(build.upstream(name), later)
+    times = {"arrived": later, "deadline": later + 30}
+    first = scheduler.register(build.request("r1", fingerprint=POISON, **times), later)
+    second = scheduler.register(build.request("r2", fingerprint=POISON, **times), later)
+    assert len(granted(first)) == 1
+    assert not granted(second)
+
+
+class Caller(NamedTuple):
+    """One who asks the same again until it is answered, up to some times."""
+
+    fingerprint: int
+    crashes: bool
+
+
+class Play:
+    """Callers, a pool and engines in rounds; culprits end the engine that runs them.
+
+    In each round callers ask, what was granted runs, engines that ran a culprit or that
+    chance has chosen end and come back as new processes, and all else is answered.
+    """
+
+    ENGINES = 5
+
+    def __init__(self, seed: int, chance: float) -> None:
+        self.rng = random.Random(seed)
+        self.history = CrashHistory()
+        self.scheduler = pool(self.history, self.ENGINES)
+        self.now = NOW
+        self.ended: dict[int, int] = {}
+        self.held_long: set[Caller] = set()
+        self._chance = chance
+        self._boots = [1] * self.ENGINES
+        self._numbers = 0
+
+    def round(self, callers: list[Caller]) -> list[Caller]:
+        """Play one round; return those whose requests were not answered."""
+        self.now += 1.0
+        by_id: dict[str, Caller] = {}
+        decisions: list[Decision] = []
+        for caller in callers:
+            self._numbers += 1
+            request = build.request(
+                f"r{self._numbers}",
+                fingerprint=caller.fingerprint,
+                arrived=self.now,
+                deadline=self.now + 30,
+            )
+            by_id[request.request_id] = caller
+            decisions += self.scheduler.register(request, self.now)
+        left: list[Caller] = []
+        while decisions:
+            decisions = self._run(decisions, by_id, left)
+        for request_id in by_id:
+            self.scheduler.cancel(request_id, self.now)
+        return left
+
+    def _run(
+        self, decisions: list[Decision], by_id: dict[str, Caller], left: list[Caller]
+    ) -> list[Decision]:
+        ids_by_engine: dict[str, list[str]] = {}
+        for decision in decisions:
+            caller = by_id[decision.request_id]
+            if isinstance(decision, Granted):
+                ids_by_engine.setdefault(decision.upstream, []).append(
+                    decision.request_id
+                )
+                continue
+            held = decision.reason == Reason.CRASHES_UPSTREAMS
+            if held and decision.retry_after > const.FIRST_HOLD_SECONDS:
+                self.held_long.add(caller)
+            if held:
+                left.append(caller)
+            by_id.pop(decision.request_id)
+        further: list[Decision] = []
+        for name, ids in ids_by_engine.items():
+            further += self._end(name, ids, by_id, left)
+        return further
+
+    def _end(
+        self,
+        name: str,
+        ids: list[str],
+        by_id: dict[str, Caller],
+        left: list[Caller],
+    ) -> list[Decision]:
+        number = int(name[1:])
+        callers = [by_id[request_id] for request_id in ids]
+        culprits = {caller.fingerprint for caller in callers if caller.crashes}
+        crashes = bool(culprits) or self.rng.random() < self._chance
+        further: list[Decision] = []
+        for request_id, caller in zip(ids, callers, strict=True):
+            fingerprint = caller.fingerprint
+            if crashes:
+                boot = str(self._boots[number])
+                crash = Crash(fingerprint, name, boot, self.now)
+                self.history.take(CrashNews((crash,)), self.now)
+                left.append(caller)
+            elif self.history.count(fingerprint, self.now):
+                cleared = Clearing(fingerprint, self.now)
+                self.history.take(CrashNews(clearings=(cleared,)), self.now)
+            outcome = "unknown" if crashes else "done"
+            done = build.completion(request_id, name, outcome=outcome)
+            further += self.scheduler.finished(done, self.now)
+            del by_id[request_id]
+        if crashes:
+            for culprit in culprits:
+                self.ended[culprit] = self.ended.get(culprit, 0) + 1
+            self._boots[number] += 1
+            state = build.upstream(name, slots=SLOTS, incarnation=self._boots[number])
+            further += self.scheduler.announce(state, self.now)[1]
+        return further
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_innocent_requests_beside_a_culprit_are_not_held(seed: int):
+    play = Play(seed, chance=0.0)
+    waiting: list[Caller] = []
+    for number in range(60):
+        fresh = [Caller(1000 + 10 * number + n, False) for n in range(8)]
+        waiting = [caller for caller in waiting if not caller.crashes]
+        callers = [*waiting, *fresh, Caller(POISON, True)]
+        play.rng.shuffle(callers)
+        waiting = play.round(callers)
+    assert play.held_long == {Caller(POISON, True)}
+    assert play.ended[POISON] == MOST_CRASHES
+    assert all(caller.crashes for caller in waiting)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_requests_are_not_held_for_engines_that_crash_by_themselves(seed: int):
+    play = Play(seed, chance=0.05)
+    waiting: list[Caller] = []
+    for number in range(60):
+        fresh = [Caller(1000 + 10 * number + n, False) for n in range(10)]
+        waiting = play.round([*waiting, *fresh])
+    assert not play.held_long
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_each_of_several_culprits_ends_few_engines(seed: int):
+    play = Play(seed, chance=0.0)
+    culprits = [Caller(POISON + n, True) for n in range(3)]
+    waiting: list[Caller] = []
+    for number in range(60):
+        fresh = [Caller(1000 + 10 * number + n, False) for n in range(6)]
+        waiting = [caller for caller in waiting if not caller.crashes]
+        callers = [*waiting, *fresh, *culprits]
+        play.rng.shuffle(callers)
+        waiting = play.round(callers)
+    assert all(play.ended[item.fingerprint] <= MOST_CRASHES for item in culprits)
+    assert play.held_long == set(culprits)
+    assert all(caller.crashes for caller in waiting)
