Log the limit of requests a second that an answer names

Nothing read the limit, so no log told which limit an answer had named. Text that is no finite number of 0 or more names none; nothing is decided by it yet.

--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -181,6 +181,7 @@
         except BrokenAnswerError as error:
             return await self._async_lost_head(error)
         active.load = self._context.interface.load(head)
+        active.rate_limit = self._context.interface.rate_limit(head)
         now = self._context.clock.now()
         log_answer(active, head.status, finding, now)
         if self._context.answer_times is not None and finding is Finding.ANSWER:
--- a/bitterntiller/components/entry/event_logging.py
+++ b/bitterntiller/components/entry/event_logging.py
@@ -73,6 +73,7 @@
         status=status,
         finding=finding,
         after=round(now - active.granted_at, 4),
+        rate_limit=active.rate_limit,
     )
 
 
--- a/bitterntiller/components/entry/interface.py
+++ b/bitterntiller/components/entry/interface.py
@@ -61,6 +61,14 @@
         """Return the load that an answer tells of, if it does."""
         ...
 
+    def rate_limit(self, head: ResponseHead) -> float | None:
+        """Return the limit that an answer names for its upstream, if it does.
+
+        It is in requests a second from all hosts together, and holds as long as the
+        answers of that upstream name it.
+        """
+        ...
+
     def answer_headers(self, active: ActiveRequest, head: ResponseHead) -> Headers:
         """Return the headers of a relayed answer."""
         ...
--- a/bitterntiller/components/entry/models.py
+++ b/bitterntiller/components/entry/models.py
@@ -195,6 +195,7 @@
         self.stream: EventStream | None = None
         self.load: ReportedLoad | None = None
         self.fingerprint = 0
+        self.rate_limit: float | None = None
 
     @property
     def key(self) -> str:
--- a/bitterntiller/components/entry/native.py
+++ b/bitterntiller/components/entry/native.py
@@ -11,6 +11,7 @@
     Received,
     ReportedLoad,
 )
+from bitterntiller.components.entry.rate_limits import parse_rate
 from bitterntiller.components.entry.receive import receive
 from bitterntiller.components.entry.refuse import refusal_body, refusal_headers
 from bitterntiller.components.entry.relay_headers import answer_headers
@@ -60,6 +61,10 @@
         """Return None: upstreams tell their load in announcements."""
         return None
 
+    def rate_limit(self, head: ResponseHead) -> float | None:
+        """Return the limit in requests a second that an answer names, if it does."""
+        return parse_rate(header(head.headers, const.HEADER_RATE_LIMIT))
+
     def answer_headers(self, active: ActiveRequest, head: ResponseHead) -> Headers:
         """Return the headers of a relayed answer."""
         return answer_headers(active, head)
