Failing test: an engine that names a limit is sent more by several hosts together

Three hosts and three stand-ins under a steady load; one of these names 2 requests a second, then 0.5, then none. On this code it began 32 requests within 4 s later than 3 s after it had named the first; allowed are 1.5 times the limit and 5, so 17. The scenario also checks that it is still given work within its limit, that the callers are served, and that it is used in full afterwards. The stand-in gets the fault rate_limit.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -71,7 +71,7 @@
     async def _async_run(
         self, connection: Connection, request: Request, faults: Faults
     ) -> None:
-        echo = {"X-Request-Id": request.request_id}
+        echo = {"X-Request-Id": request.request_id, **self._named_limit()}
         if faults.not_admit or self.server.full():
             await connection.async_answer(503, {"error": "full"}, echo | NOT_ADMITTED)
             return
@@ -147,6 +147,7 @@
             await connection.async_wait_gone()
             connection.reset()
         echo = {"X-Request-Id": echoed(work.request_id, faults)}
+        echo |= self._named_limit()
         await connection.async_answer(200, work.whole_answer(), echo)
 
     async def _async_stream(
@@ -157,6 +158,7 @@
             "Content-Type": "text/event-stream",
             "Transfer-Encoding": "chunked",
             "X-Request-Id": echoed(work.request_id, faults),
+            **self._named_limit(),
         }
         if faults.reset_after == 0:
             connection.reset()
@@ -203,6 +205,10 @@
             await work.task.cancel()
         await connection.async_answer(204, b"", {"X-Request-Id": request_id})
 
+    def _named_limit(self) -> dict[str, str]:
+        limit = self.server.faults.rate_limit
+        return {} if limit < 0 else {"X-Rate-Limit": f"{limit:g}"}
+
     def _forget_old(self) -> None:
         oldest = time.monotonic() - self._options.keep_s
         while self._works_by_id:
--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -21,6 +21,8 @@
     expect e1 accepted                      an announcement was accepted
     expect e1 orders == 1                   orders that it carried out
     expect e1 runs >= 2                     runs since the fault or signal: new_runs
+    expect e1 most_runs <= 17               in some WINDOW_SECONDS, from NEWS_SECONDS
+                                            after the fault on
     within 5s expect ...                    the same, with patience
     at-least 2 expect b* whole              true of so many of them
 
@@ -33,6 +35,7 @@
 import shlex
 import signal
 import time
+from bisect import bisect_left
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -43,8 +46,10 @@
 from tests.scenarios.control_steps import ControlSteps
 from tests.scenarios.deployment import Deployment
 from tests.scenarios.processes import has
+from tests.scenarios.repeats import NEWS_SECONDS
 
 POLL_S = 0.02
+WINDOW_SECONDS = 4.0
 SIGNALS_BY_STEP = {
     "kill": signal.SIGKILL,
     "term": signal.SIGTERM,
@@ -324,9 +329,21 @@
             return sum(record["upstream"] == name for record in orders)
         since = self._marked_at_by_name.get(name, 0.0) if what == "new_runs" else 0.0
         runs = self._deployment.records("run")
+        if what == "most_runs":
+            since = self._marked_at_by_name[name] + NEWS_SECONDS
+            return most_in_window(
+                [r["time"] for r in runs if r["upstream"] == name and r["time"] > since]
+            )
         return sum(r["upstream"] == name and r["time"] >= since for r in runs)
 
 
+def most_in_window(times: list[float]) -> int:
+    """Return how many of some points in time lie in one window at most."""
+    times = sorted(times)
+    begins = (bisect_left(times, end - WINDOW_SECONDS) for end in times)
+    return max((n + 1 - begin for n, begin in enumerate(begins)), default=0)
+
+
 def is_run_of(record: dict[str, Any], call: Call) -> bool:
     """Tell whether a recorded run is one of a caller's request."""
     if record["path"] != call.target:
