Operators list and clear the requests that crash upstreams

A request that is held could be seen in the dump of a process only, and nobody could free it when its upstreams had been mended. GET /v1/crashes and `bitterntiller crashes` show each by its fingerprint with the upstreams that ended and the seconds for which it is held; POST /v1/crashes/clear and `bitterntiller crashes clear` forget its crashes on all hosts, by the same way as a whole answer does. Bad and unknown fingerprints get a clear error.

On the users' platform there is no operator port: the dump at the metrics address lists them, and clearing is not possible there.

--- /dev/null
+++ b/bitterntiller/cli/commands/crashes.py
@@ -0,0 +1,71 @@
+"""bitterntiller crashes: shows the requests that crash upstreams, and clears one."""
+
+import json
+import os
+from dataclasses import dataclass
+from typing import Annotated, Any
+
+import cappa
+import curio
+
+from bitterntiller.cli import const
+from bitterntiller.cli.options import OperatorOptions, make_client
+from bitterntiller.cli.output import format_table, print_value
+from bitterntiller.components.operator.const import PATH_CRASHES, PATH_CRASHES_CLEAR
+
+
+def run(command: "Crashes") -> int:
+    """Print the requests with their crashes and return the exit code."""
+    client = make_client(command, dict(os.environ))
+    value = curio.run(client.async_get, PATH_CRASHES)
+    print_value(value, command.json, describe)
+    return const.EXIT_OK
+
+
+def run_clear(command: "Clear") -> int:
+    """Have the crashes of a request forgotten and return the exit code."""
+    client = make_client(command, dict(os.environ))
+    body = json.dumps({"fingerprint": command.fingerprint}).encode()
+    value = curio.run(client.async_post, PATH_CRASHES_CLEAR, body)
+    print_value(value, command.json, lambda found: str(found["text"]))
+    return const.EXIT_OK
+
+
+@cappa.command(invoke=run_clear)
+@dataclass
+class Clear(OperatorOptions):
+    """Forget the crashes of a request on all hosts, so that it is sent again."""
+
+    fingerprint: Annotated[
+        str, cappa.Arg(help="As `crashes` and the log show it, in hexadecimal.")
+    ] = ""
+
+
+@cappa.command(invoke=run)
+@dataclass
+class Crashes(OperatorOptions):
+    """Show the requests under which upstreams have ended, and how long each is held.
+
+    Every process knows them all.
+    """
+
+    subcommand: cappa.Subcommands[Clear | None] = None
+
+
+def describe(value: dict[str, Any]) -> str:
+    """Return a table with a line for each request, the ones that are held first."""
+    requests = value.get("requests_by_fingerprint", {})
+    if not requests:
+        return "no request has crashed an upstream"
+    rows = [
+        (
+            fingerprint,
+            len(item["crashes"]),
+            item["held_for"],
+            ", ".join(crash["upstream"] for crash in item["crashes"]),
+        )
+        for fingerprint, item in requests.items()
+    ]
+    rows.sort(key=lambda row: (-row[2], -row[1]))
+    heads = ("fingerprint", "upstreams ended", "held for seconds", "upstreams")
+    return format_table(heads, rows)
--- a/bitterntiller/cli/operator_client.py
+++ b/bitterntiller/cli/operator_client.py
@@ -57,10 +57,22 @@
         Raise UnreachableError, UnauthorizedError, or ToolError for an answer
         that refuses.
         """
+        return await self._async_first("GET", path)
+
+    async def async_post(self, path: str, body: bytes) -> dict[str, Any]:
+        """Have the first port that can answer carry out what may be repeated.
+
+        Raise what async_get raises.
+        """
+        return await self._async_first("POST", path, body)
+
+    async def _async_first(
+        self, method: str, path: str, body: bytes = b""
+    ) -> dict[str, Any]:
         failures = []
         for address in self.addresses:
             try:
-                answer = await self.async_call(address, "GET", path)
+                answer = await self.async_call(address, method, path, body=body)
             except HttpError as error:
                 failures.append(error.text)
                 continue
--- a/bitterntiller/cli/tool.py
+++ b/bitterntiller/cli/tool.py
@@ -10,6 +10,7 @@
 from bitterntiller.cli.commands.apply import Apply
 from bitterntiller.cli.commands.check import Check
 from bitterntiller.cli.commands.control import Control
+from bitterntiller.cli.commands.crashes import Crashes
 from bitterntiller.cli.commands.explain import Explain
 from bitterntiller.cli.commands.get import Get
 from bitterntiller.cli.commands.state import State
@@ -24,7 +25,7 @@
     """Check, change and look at a bitterntiller deployment."""
 
     command: cappa.Subcommands[
-        Check | Apply | Get | State | Control | Explain | Summarize
+        Check | Apply | Get | State | Control | Crashes | Explain | Summarize
     ]
 
 
--- a/bitterntiller/components/crashes/__init__.py
+++ b/bitterntiller/components/crashes/__init__.py
@@ -1,7 +1,6 @@
 """Requests that crash upstreams: found out, and shared by all hosts."""
 
 from bitterntiller.components.crashes.coordinator import CrashCoordinator
-from bitterntiller.components.crashes.diagnostics import describe
 from bitterntiller.core.interfaces import ConfigView, DirectoryView
 from bitterntiller.core.runtime import Runtime
 from bitterntiller.protocol import messages
@@ -18,8 +17,5 @@
     remove = runtime.links.handle(messages.CrashReport, coordinator.async_on_report)
     runtime.stack.callback(remove)
     await runtime.async_spawn(coordinator.async_run())
-    clock = runtime.clock
-    runtime.add_diagnostics(
-        "crashes", lambda: describe(coordinator.history, clock.now())
-    )
+    runtime.add_diagnostics("crashes", coordinator.describe)
     return coordinator
--- a/bitterntiller/components/crashes/coordinator.py
+++ b/bitterntiller/components/crashes/coordinator.py
@@ -5,12 +5,13 @@
 knows with the owners from time to time, and at once with one that is new to it.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
 import curio
 
 from bitterntiller.components.crashes import const
+from bitterntiller.components.crashes.diagnostics import describe
 from bitterntiller.components.crashes.event_logging import (
     log_clearing,
     log_crash,
@@ -69,6 +70,14 @@
         """Return the seconds for which a request may not be sent, 0 if it may."""
         return self.history.held_for(fingerprint, now)
 
+    def knows(self, fingerprint: int) -> bool:
+        """Tell whether a request has crashes that count."""
+        return self.count(fingerprint, self._clock.now()) > 0
+
+    def describe(self) -> Mapping[str, Any]:
+        """Return the crashes of each request by its fingerprint."""
+        return describe(self.history, self._clock.now())
+
     async def async_answer_broke(self, sent: SentRequest) -> None:
         """Find out whether an upstream has ended under a request.
 
@@ -81,7 +90,7 @@
 
     async def async_answered(self, fingerprint: int) -> None:
         """Take note of a whole answer: the request doesn't crash its upstream."""
-        if self.count(fingerprint, self._clock.now()):
+        if self.knows(fingerprint):
             await self.async_clear(fingerprint)
 
     async def async_clear(self, fingerprint: int) -> None:
--- a/bitterntiller/components/operator/__init__.py
+++ b/bitterntiller/components/operator/__init__.py
@@ -6,16 +6,18 @@
 from bitterntiller.components.operator import const
 from bitterntiller.components.operator.coordinator import OperatorCoordinator
 from bitterntiller.components.operator.diagnostics import make_dump
-from bitterntiller.core.interfaces import ControlCalls
+from bitterntiller.core.interfaces import ControlCalls, CrashRegister
 from bitterntiller.core.runtime import Runtime
 
 
-async def async_setup(runtime: Runtime, control: ControlCalls) -> OperatorCoordinator:
+async def async_setup(
+    runtime: Runtime, control: ControlCalls, crashes: CrashRegister
+) -> OperatorCoordinator:
     """Serve the operator port until the process unloads."""
     settings = runtime.settings
     timings = settings.timings
     coordinator = OperatorCoordinator(
-        settings.keys.operator, control, make_dump(runtime), runtime.metrics
+        settings.keys.operator, control, make_dump(runtime), runtime.metrics, crashes
     )
     limits = ServerLimits(
         head_bytes=const.MAX_HEAD_BYTES,
--- a/bitterntiller/components/operator/const.py
+++ b/bitterntiller/components/operator/const.py
@@ -4,6 +4,8 @@
 PATH_STATE = "/v1/state"
 PATH_CONTROL = "/v1/control"
 PATH_REPAIR = "/v1/control/repair"
+PATH_CRASHES = "/v1/crashes"
+PATH_CRASHES_CLEAR = "/v1/crashes/clear"
 
 HEADER_AUTHORIZATION = b"authorization"
 HEADER_CONTENT_TYPE = b"content-type"
--- a/bitterntiller/components/operator/coordinator.py
+++ b/bitterntiller/components/operator/coordinator.py
@@ -6,7 +6,7 @@
 from bitterntiller.components.http.models import HttpRequest, HttpResponse
 from bitterntiller.components.operator import const, requests, responses
 from bitterntiller.components.operator.errors import RefusedRequestError
-from bitterntiller.core.interfaces import ControlCalls, Metrics
+from bitterntiller.core.interfaces import ControlCalls, CrashRegister, Metrics
 from bitterntiller.protocol import messages
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
@@ -21,11 +21,13 @@
         control: ControlCalls,
         dump: Callable[[], dict[str, Any]],
         metrics: Metrics,
+        crashes: CrashRegister,
     ) -> None:
         self._key = key
         self._control = control
         self._dump = dump
         self._metrics = metrics
+        self._crashes = crashes
         self._handlers_by_path: dict[str, dict[str, Handler]] = {
             const.PATH_CONFIG: {
                 "GET": self._async_get_config,
@@ -34,6 +36,8 @@
             const.PATH_STATE: {"GET": self._async_get_state},
             const.PATH_CONTROL: {"GET": self._async_get_control},
             const.PATH_REPAIR: {"POST": self._async_repair},
+            const.PATH_CRASHES: {"GET": self._async_get_crashes},
+            const.PATH_CRASHES_CLEAR: {"POST": self._async_clear_crashes},
         }
 
     async def async_handle(self, request: HttpRequest) -> HttpResponse:
@@ -84,5 +88,16 @@
         message = messages.Repair(**requests.read_repair(request)._asdict())
         return responses.repair_response(await self._async_call(message))
 
+    async def _async_get_crashes(self, _request: HttpRequest) -> HttpResponse:
+        return responses.json_response(200, self._crashes.describe())
+
+    async def _async_clear_crashes(self, request: HttpRequest) -> HttpResponse:
+        fingerprint = requests.read_fingerprint(request)
+        if not self._crashes.knows(fingerprint):
+            raise RefusedRequestError(404, "no request with crashes has it")
+        await self._crashes.async_clear(fingerprint)
+        text = "its crashes count no more; all hosts are told"
+        return responses.json_response(200, {"status": const.STATUS_DONE, "text": text})
+
     async def _async_call(self, message: Any) -> Any:
         return await self._control.async_call_leader(message, const.CONTROL_TIMEOUT)
--- a/bitterntiller/components/operator/requests.py
+++ b/bitterntiller/components/operator/requests.py
@@ -12,6 +12,7 @@
 
 _VERSION_TAG = re.compile(r'"?([0-9]{1,18})"?')
 _CHANGE_ID = re.compile(r"[\x21-\x7e]{1,128}")
+_FINGERPRINT = re.compile(r"[0-9a-f]{16}")
 _REPAIR_KEYS = set(RepairRequest._fields)
 
 
@@ -47,6 +48,20 @@
     return ChangeRequest(change_id, int(found[1]), request.body)
 
 
+def read_fingerprint(request: HttpRequest) -> int:
+    """Return the fingerprint in a POST; raise RefusedRequestError."""
+    try:
+        value = json.loads(request.body)
+    except (ValueError, RecursionError) as error:
+        raise RefusedRequestError(400, f"not a JSON document: {error}") from error
+    text = value.get("fingerprint") if isinstance(value, dict) else None
+    if not isinstance(text, str) or not _FINGERPRINT.fullmatch(text):
+        raise RefusedRequestError(
+            400, "expected an object with fingerprint, 16 hexadecimal digits"
+        )
+    return int(text, 16)
+
+
 def read_repair(request: HttpRequest) -> RepairRequest:
     """Return the exchange in a POST; raise RefusedRequestError."""
     try:
--- a/bitterntiller/core/interfaces.py
+++ b/bitterntiller/core/interfaces.py
@@ -121,6 +121,22 @@
         ...
 
 
+class CrashRegister(Protocol):
+    """Shows the requests that have crashed upstreams to operators, and clears them."""
+
+    def describe(self) -> Mapping[str, Any]:
+        """Return the crashes of each request by its fingerprint."""
+        ...
+
+    def knows(self, fingerprint: int) -> bool:
+        """Tell whether a request has crashes that count."""
+        ...
+
+    async def async_clear(self, fingerprint: int) -> None:
+        """Forget the crashes of a request, on all hosts."""
+        ...
+
+
 class HostView(Protocol):
     """A host of the directory; address is its internal one, IP:port."""
 
--- a/bitterntiller/daemon/process.py
+++ b/bitterntiller/daemon/process.py
@@ -81,7 +81,7 @@
         owner = await dispatch.async_setup(runtime, *views, found)
         issuer = await orders.async_setup(runtime, session)
         owner.add_announce_listener(issuer.note_announcement)
-    await operator.async_setup(runtime, session.control_client)
+    await operator.async_setup(runtime, session.control_client, found)
     callers = None
     if ROLE_ENTRY in roles:
         callers = await entry.async_setup(
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -158,3 +158,19 @@
         process.stdout.close()
         assert process.stderr.read() == b""
     assert process.returncode == const.EXIT_OK
+
+
+def test_crashes_are_listed_and_cleared(tool, port):
+    result = tool("crashes", "--operator", port.address)
+    assert result.code == const.EXIT_OK
+    fingerprint = f"{port.crashes.KNOWN:016x}"
+    assert fingerprint in result.out
+    result = tool("crashes", "clear", fingerprint, "--operator", port.address)
+    assert result.code == const.EXIT_OK
+    assert port.crashes.cleared == [port.crashes.KNOWN]
+
+
+def test_clearing_of_an_unknown_request_fails_with_a_text(tool, port):
+    result = tool("crashes", "clear", "0" * 16, "--operator", port.address)
+    assert result.code != const.EXIT_OK
+    assert "no request with crashes has it" in result.err
--- a/tests/components/operator/builders.py
+++ b/tests/components/operator/builders.py
@@ -32,11 +32,36 @@
     return HttpRequest(method, path, "", lines, body)
 
 
+class FakeCrashes:
+    """Knows one request with crashes; keeps what was cleared."""
+
+    KNOWN = 0xABC
+
+    def __init__(self):
+        self.cleared = []
+
+    def describe(self):
+        crash = {"upstream": "e1", "incarnation": "1", "seconds_ago": 2.0}
+        item = {"held_for": 3.0, "crashes": [crash]}
+        return {"requests_by_fingerprint": {f"{self.KNOWN:016x}": item}}
+
+    def knows(self, fingerprint):
+        return fingerprint == self.KNOWN
+
+    async def async_clear(self, fingerprint):
+        self.cleared.append(fingerprint)
+
+
 def operator_port(reply=None):
     control = FakeControl(reply)
     metrics = StatsdMetrics(None, "")
     dump = {"host": "a"}
-    coordinator = OperatorCoordinator(KEY, control, lambda: dump, metrics)
+    crashes = FakeCrashes()
+    coordinator = OperatorCoordinator(KEY, control, lambda: dump, metrics, crashes)
     return SimpleNamespace(
-        coordinator=coordinator, control=control, metrics=metrics, dump=dump
+        coordinator=coordinator,
+        control=control,
+        metrics=metrics,
+        dump=dump,
+        crashes=crashes,
     )
--- a/tests/components/operator/test_coordinator.py
+++ b/tests/components/operator/test_coordinator.py
@@ -161,3 +161,35 @@
     response, _ = answer(port, operator_request("POST", const.PATH_REPAIR, body))
     assert response.status == 400
     assert port.control.messages == []
+
+
+def test_requests_that_crash_upstreams_are_shown():
+    port = operator_port()
+    response, value = answer(port, operator_request("GET", "/v1/crashes"))
+    assert response.status == 200
+    assert value == port.crashes.describe()
+
+
+def test_crashes_of_a_known_request_are_cleared():
+    port = operator_port()
+    body = json.dumps({"fingerprint": f"{port.crashes.KNOWN:016x}"}).encode()
+    response, _ = answer(port, operator_request("POST", "/v1/crashes/clear", body))
+    assert response.status == 200
+    assert port.crashes.cleared == [port.crashes.KNOWN]
+
+
+@pytest.mark.parametrize(
+    ("body", "status"),
+    [
+        (b"", 400),
+        (b"[]", 400),
+        (b'{"fingerprint": 5}', 400),
+        (b'{"fingerprint": "xyz"}', 400),
+        (b'{"fingerprint": "0000000000000001"}', 404),
+    ],
+)
+def test_clearing_of_what_is_not_known_is_refused(body, status):
+    port = operator_port()
+    response, _ = answer(port, operator_request("POST", "/v1/crashes/clear", body))
+    assert response.status == status
+    assert not port.crashes.cleared
