Test of a turn's time: begin with a round of housekeeping

A scheduler that has never ticked is due at once, so the test's clock went back to 0. It now begins with a tick; it passes, and fails with the wake-up taken out.

--- a/tests/components/dispatch/test_pacing.py
+++ b/tests/components/dispatch/test_pacing.py
@@ -177,6 +177,7 @@
 
 def test_request_that_waits_for_a_turn_is_granted_at_that_time():
     scheduler = pool("e1")
+    scheduler.tick(NOW)
     scheduler.hear_limit(named(3.0), NOW)
     assert not granted(scheduler.register(build.request(), NOW))
     now, decisions = NOW, []
