Crash history: a digest between hosts that agree, no wait where nothing is sent again

A host now sends all to an owner that is new to it or when it has found something, and else a digest; the whole again only where the digests differ (a message that was lost in a cut). - A request with two crashes whose caller was to hear of the broken answer waited up to a quarter of a second for the probe. Only one that is to be sent again has to wait: it could else be sent once too often. - Limits are decimal numbers; "1_0" and exponents are none.

--- a/bitterntiller/components/crashes/coordinator.py
+++ b/bitterntiller/components/crashes/coordinator.py
@@ -78,14 +78,14 @@
         """Return the crashes of each request by its fingerprint."""
         return describe(self.history, self._clock.now())
 
-    async def async_answer_broke(self, sent: SentRequest) -> None:
+    async def async_answer_broke(self, sent: SentRequest, again: bool) -> None:
         """Find out whether an upstream has ended under a request.
 
-        Only a request that could be sent once too often waits for the result.
+        Only one that is to be sent again, and could be once too often, waits for it.
         """
         task = await curio.spawn(self._async_find_out, sent, daemon=True)
         count = self.count(sent.fingerprint, self._clock.now())
-        if count >= const.CRASHES_TO_HOLD - 1:
+        if again and count >= const.CRASHES_TO_HOLD - 1:
             await task.join()
 
     async def async_answered(self, fingerprint: int) -> None:
@@ -102,12 +102,15 @@
     async def async_on_report(self, host: str, message: Any) -> Any:
         """Join a messages.CrashReport; answer with what its sender lacks."""
         now = self._clock.now()
+        if message.digest is not None:
+            digest = self.history.digest(now)
+            return report_message(CrashNews(), self._host, now, digest=digest)
         told = crash_news(message, now)
         news = await self._async_take(told, message.host)
         if message.pass_on and not news.empty:
             await self._async_tell_hosts(news, message.host)
         missing = self.history.unknown_to(told, now)
-        return report_message(missing, self._host, now, pass_on=False)
+        return report_message(missing, self._host, now)
 
     async def async_run(self) -> None:
         """Exchange news with owners, until cancelled."""
@@ -176,25 +179,41 @@
         return list(owners)
 
     async def _async_sync(self, owner: Ownership) -> float:
-        """Exchange all that is known; return the seconds until the next exchange."""
+        """Exchange what is known; return the seconds until the next exchange.
+
+        An owner that was told all is only asked whether it still knows the same.
+        """
         now = self._clock.now()
-        known = self.history.all(now)
-        report = report_message(known, self._host, now, pass_on=True)
         try:
-            reply = await self._links.async_call(
-                owner.address, report, const.REPORT_TIMEOUT
-            )
+            known = owner in self._synced_at_by_owner
+            if not known or not await self._async_agrees(owner, now):
+                await self._async_exchange(owner, now)
         except LinkError:
             return const.REPORT_RETRY
         if not self._found.is_set():
             self._synced_at_by_owner[owner] = now
-        await self._async_take(crash_news(reply, self._clock.now()), reply.host)
         return const.SYNC_SECONDS
 
+    async def _async_agrees(self, owner: Ownership, now: float) -> bool:
+        digest = self.history.digest(now)
+        report = report_message(CrashNews(), self._host, now, digest=digest)
+        reply = await self._links.async_call(
+            owner.address, report, const.REPORT_TIMEOUT
+        )
+        return reply.digest == digest
+
+    async def _async_exchange(self, owner: Ownership, now: float) -> None:
+        known = self.history.all(now)
+        report = report_message(known, self._host, now, pass_on=True)
+        reply = await self._links.async_call(
+            owner.address, report, const.REPORT_TIMEOUT
+        )
+        await self._async_take(crash_news(reply, self._clock.now()), reply.host)
+
     async def _async_tell_hosts(self, news: CrashNews, reporter: str) -> None:
         """Tell all hosts but the reporter; a dead one must not hold up the others."""
         now = self._clock.now()
-        report = report_message(news, self._host, now, pass_on=False)
+        report = report_message(news, self._host, now)
         for name, host in self._directory.hosts_by_name.items():
             if name not in (self._host, reporter):
                 await curio.spawn(
--- a/bitterntiller/components/crashes/history.py
+++ b/bitterntiller/components/crashes/history.py
@@ -7,6 +7,8 @@
 
 from collections.abc import Iterable
 
+import xxhash
+
 from bitterntiller.components.crashes import const
 from bitterntiller.components.crashes.models import Clearing, Crash, CrashNews
 
@@ -89,6 +91,16 @@
         )
         return CrashNews(tuple(crashes), tuple(clearings))
 
+    def digest(self, now: float) -> int:
+        """Return a number that is the same for hosts that remember the same."""
+        known = self.all(now)
+        digest = 0
+        for item in known.crashes:
+            digest ^= _hash(item.fingerprint, *_process(item))
+        for item in known.clearings:
+            digest ^= _hash(item.fingerprint)
+        return digest
+
     def forget_old(self, now: float) -> None:
         """Forget what is older than KEPT_SECONDS."""
         entries = self._entries_by_fingerprint
@@ -151,6 +163,10 @@
 and messages take some time."""
 
 
+def _hash(*parts: object) -> int:
+    return xxhash.xxh3_64_intdigest(repr(parts).encode()) >> 1
+
+
 def _process(crash: Crash) -> tuple[str, str]:
     return crash.upstream, crash.incarnation
 
--- a/bitterntiller/components/crashes/wire.py
+++ b/bitterntiller/components/crashes/wire.py
@@ -5,12 +5,20 @@
 
 
 def report_message(
-    news: CrashNews, host: str, now: float, pass_on: bool
+    news: CrashNews,
+    host: str,
+    now: float,
+    pass_on: bool = False,
+    digest: int | None = None,
 ) -> messages.CrashReport:
-    """Return news as a message; pass_on asks the receiver to tell all hosts."""
+    """Return news as a message; pass_on asks the receiver to tell all hosts.
+
+    With a digest it has no news and asks for that of the receiver.
+    """
     return messages.CrashReport(
         host=host,
         pass_on=pass_on,
+        digest=digest,
         crashes=[
             messages.CrashItem(
                 fingerprint=item.fingerprint,
--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -157,15 +157,14 @@
         crashes = self._context.crashes
         if crashes is not None and _broke(verdict):
             active = self._active
-            await crashes.async_answer_broke(
-                SentRequest(
-                    request_id=active.request_id,
-                    fingerprint=active.fingerprint,
-                    upstream=grant.upstream,
-                    incarnation=grant.incarnation,
-                    address=grant.address,
-                )
+            sent = SentRequest(
+                request_id=active.request_id,
+                fingerprint=active.fingerprint,
+                upstream=grant.upstream,
+                incarnation=grant.incarnation,
+                address=grant.address,
             )
+            await crashes.async_answer_broke(sent, again=isinstance(verdict, Retry))
         return verdict
 
     async def _async_exchange(
--- a/bitterntiller/components/entry/rate_limits.py
+++ b/bitterntiller/components/entry/rate_limits.py
@@ -1,6 +1,6 @@
 """The rates that upstreams name in their answers."""
 
-import math
+import re
 from typing import NamedTuple
 
 from bitterntiller.core.interfaces import Ownership
@@ -8,7 +8,8 @@
 MAX_RATE = 1_000_000.0
 """Requests a second above which a limit bounds nothing."""
 
-MAX_CHARACTERS = 32
+_DECIMAL = re.compile(r"\s*[0-9]{1,12}(\.[0-9]{0,12})?\s*", re.ASCII)
+
 KEPT_SECONDS = 60.0
 """How long what an answer named is kept for an owner that takes the pool over."""
 
@@ -17,15 +18,10 @@
 
 def parse_rate(text: str | None) -> float | None:
     """Return a limit in requests a second, None for no limit or no such number."""
-    if text is None or len(text) > MAX_CHARACTERS or not text.isascii():
-        return None
-    try:
-        rate = float(text)
-    except ValueError:
-        return None
-    if not math.isfinite(rate) or rate < 0 or rate > MAX_RATE:
+    if text is None or not _DECIMAL.fullmatch(text):
         return None
-    return rate
+    rate = float(text)
+    return rate if rate <= MAX_RATE else None
 
 
 class HeardLimit(NamedTuple):
--- a/bitterntiller/core/interfaces.py
+++ b/bitterntiller/core/interfaces.py
@@ -112,8 +112,11 @@
         """Return the number that names a request over all its copies."""
         ...
 
-    async def async_answer_broke(self, sent: SentRequest) -> None:
-        """Find out whether an upstream has ended under a request."""
+    async def async_answer_broke(self, sent: SentRequest, again: bool) -> None:
+        """Find out whether an upstream has ended under a request.
+
+        again tells that the request is to be sent once more. Returns when that is safe.
+        """
         ...
 
     async def async_answered(self, fingerprint: int) -> None:
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -237,6 +237,7 @@
     2: required bool pass_on,            // the receiver is to tell all hosts
     3: required list<CrashItem> crashes,
     4: required list<ClearingItem> clearings,
+    5: optional i64 digest,              // of all that the sender knows; it asks for the receiver's
 }
 
 /* ---- upstreams ---- */
--- a/tests/components/crashes/test_coordinator.py
+++ b/tests/components/crashes/test_coordinator.py
@@ -23,6 +23,7 @@
         self.clock = ManualClock()
         self.owner_name = owner
         self.down: set[str] = set()
+        self.calls: list[Any] = []
         self.hosts_by_name = {
             name: SimpleNamespace(name=name, address=name) for name in names
         }
@@ -55,6 +56,7 @@
         return Ownership(self.owner_name, self.owner_name, 1, boot)
 
     async def async_call(self, address: str, message: Any, timeout: float) -> Any:
+        self.calls.append(message)
         if address in self.down:
             raise LinkUnreachableError(address)
         coordinator = self.coordinators_by_name[address]
@@ -110,7 +112,9 @@
     async def async_main() -> int:
         hosts = Hosts("a", owner="a")
         async with listening() as address:
-            await hosts.coordinators_by_name["a"].async_answer_broke(sent(address))
+            await hosts.coordinators_by_name["a"].async_answer_broke(
+                sent(address), again=False
+            )
             await curio.sleep(2 * const.CONFIRM_SECONDS)
         return hosts.counts()["a"]
 
@@ -121,7 +125,9 @@
     async def async_main() -> int:
         hosts = Hosts("a", owner="a")
         address = await async_closed_address()
-        await hosts.coordinators_by_name["a"].async_answer_broke(sent(address))
+        await hosts.coordinators_by_name["a"].async_answer_broke(
+            sent(address), again=False
+        )
         await curio.sleep(const.CONFIRM_SECONDS / 2)
         port = int(address.rpartition(":")[2])
         async with curio.tcp_server_socket("127.0.0.1", port):
@@ -136,7 +142,9 @@
         hosts = Hosts("a", "b", "c", owner="b")
         address = await async_closed_address()
         async with hosts.running("a", "b", "c"):
-            await hosts.coordinators_by_name["a"].async_answer_broke(sent(address))
+            await hosts.coordinators_by_name["a"].async_answer_broke(
+                sent(address), again=False
+            )
             await curio.sleep(2 * const.CONFIRM_SECONDS)
         return hosts.counts()
 
@@ -200,5 +208,71 @@
     assert curio.run(async_main)
 
 
+def test_host_that_missed_what_the_owner_told_hears_it_later(monkeypatch):
+    monkeypatch.setattr(const, "SYNC_SECONDS", 0.3)
+
+    async def async_main() -> dict[str, int]:
+        hosts = Hosts("a", "b", "c", owner="b")
+        async with hosts.running("a", "c"):
+            await async_settle()
+            hosts.down.add("c")
+            await hosts.coordinators_by_name["b"].async_on_report(
+                "a", _report(hosts, 2)
+            )
+            hosts.down.discard("c")
+            for _ in range(4):
+                hosts.clock.advance(0.3)
+                await curio.sleep(0.35)
+        return hosts.counts()
+
+    assert curio.run(async_main) == {"a": 2, "b": 2, "c": 2}
+
+
+def test_hosts_that_know_the_same_exchange_no_more_than_a_digest(monkeypatch):
+    monkeypatch.setattr(const, "SYNC_SECONDS", 0.3)
+
+    async def async_main() -> list[int]:
+        hosts = Hosts("a", "b", owner="b")
+        async with hosts.running("a"):
+            await hosts.coordinators_by_name["a"].async_on_report(
+                "a", _report(hosts, 3)
+            )
+            await async_settle()
+            hosts.calls.clear()
+            for _ in range(3):
+                hosts.clock.advance(0.3)
+                await curio.sleep(0.35)
+        return [len(message.crashes) for message in hosts.calls]
+
+    sizes = curio.run(async_main)
+    assert len(sizes) >= 2
+    assert not any(sizes)
+
+
+def test_broken_answer_of_a_request_that_ends_keeps_nobody_waiting():
+    async def async_main() -> float:
+        hosts = Hosts("a", owner="a")
+        coordinator = hosts.coordinators_by_name["a"]
+        await coordinator.async_on_report("a", _report(hosts, 2))
+        address = await async_closed_address()
+        begun = await curio.clock()
+        await coordinator.async_answer_broke(sent(address), again=False)
+        return await curio.clock() - begun
+
+    assert curio.run(async_main) < const.CONFIRM_SECONDS / 2
+
+
+def test_request_that_is_sent_again_waits_until_its_last_allowed_crash_is_known():
+    async def async_main() -> int:
+        hosts = Hosts("a", owner="a")
+        coordinator = hosts.coordinators_by_name["a"]
+        await coordinator.async_on_report("a", _report(hosts, 2))
+        again = sent(await async_closed_address())._replace(upstream="e9")
+        await coordinator.async_answer_broke(again, again=True)
+        return hosts.counts()["a"]
+
+    assert curio.run(async_main) == 3
+
+
 def _report(hosts: Hosts, count: int) -> Any:
     return build.report(count, hosts.clock.now())
--- a/tests/components/entry/test_rate_limits.py
+++ b/tests/components/entry/test_rate_limits.py
@@ -16,7 +16,20 @@
 
 
 @pytest.mark.parametrize(
-    "text", [b"", b"two", b"nan", b"inf", b"-1", b"1e99", b"\xb2", b"9" * 400]
+    "text",
+    [
+        b"",
+        b"two",
+        b"nan",
+        b"inf",
+        b"-1",
+        b"1e99",
+        b"\xb2",
+        b"9" * 400,
+        b"1_0",
+        b"0x1",
+        b".",
+    ],
 )
 def test_what_is_no_number_names_no_limit(text):
     head = ResponseHead(200, [(b"x-rate-limit", text)])
