--- a/bitterntiller/cli/commands/crashes.py
+++ b/bitterntiller/cli/commands/crashes.py
@@ -44,7 +44,7 @@
 @cappa.command(invoke=run)
 @dataclass
 class Crashes(OperatorOptions):
-    """Show the requests under which upstreams have ended, and how long each is held.
+    """Show the requests under which upstreams have ended, and their quarantine.
 
     Every process knows them all.
     """
@@ -53,7 +53,7 @@
 
 
 def describe(value: dict[str, Any]) -> str:
-    """Return a table with a line for each request, the ones that are held first."""
+    """Return a table with a line for each request, the quarantined ones first."""
     requests = value.get("requests_by_fingerprint", {})
     if not requests:
         return "no request has crashed an upstream"
@@ -61,11 +61,11 @@
         (
             fingerprint,
             len(item["crashes"]),
-            item["held_for"],
+            item["quarantined_for"],
             ", ".join(crash["upstream"] for crash in item["crashes"]),
         )
         for fingerprint, item in requests.items()
     ]
     rows.sort(key=lambda row: (-row[2], -row[1]))
-    heads = ("fingerprint", "upstreams ended", "held for seconds", "upstreams")
+    heads = ("fingerprint", "upstreams ended", "quarantined for seconds", "upstreams")
     return format_table(heads, rows)
--- a/bitterntiller/components/crashes/const.py
+++ b/bitterntiller/components/crashes/const.py
@@ -1,17 +1,17 @@
 """Constants of the crashes part: bounds, times in seconds and names of metrics."""
 
-CRASHES_TO_HOLD = 3
+QUARANTINE_THRESHOLD = 3
 """Upstreams that end under a request before it is kept from all others."""
 
-FIRST_HOLD_SECONDS = 5.0
+FIRST_QUARANTINE_SECONDS = 5.0
 """How long it is kept from upstreams first. Then one copy may run: a request that was
 on three upstreams that ended by themselves is served soon after."""
 
-HOLD_SECONDS = 120.0
-"""How long it is held from the next crash on; each further one doubles the time."""
+QUARANTINE_SECONDS = 120.0
+"""Its quarantine from the next crash on; each further one doubles the time."""
 
-MAX_HOLD_SECONDS = 3600.0
-KEPT_SECONDS = 2 * MAX_HOLD_SECONDS
+MAX_QUARANTINE_SECONDS = 3600.0
+KEPT_SECONDS = 2 * MAX_QUARANTINE_SECONDS
 """How long a crash is remembered."""
 
 MAX_REQUESTS = 4096
@@ -34,5 +34,5 @@
 MAX_KEY_BYTES = 64
 
 METRIC_CRASHES = "crashes.upstream_crashes"
-METRIC_HELD = "crashes.requests_held"
+METRIC_QUARANTINED = "crashes.requests_quarantined"
 METRIC_CLEARED = "crashes.requests_cleared"
--- a/bitterntiller/components/crashes/coordinator.py
+++ b/bitterntiller/components/crashes/coordinator.py
@@ -19,9 +19,9 @@
 )
 from bitterntiller.components.crashes.fingerprint import fingerprint
 from bitterntiller.components.crashes.history import CrashHistory
-from bitterntiller.components.crashes.models import Clearing, Crash, CrashNews
+from bitterntiller.components.crashes.models import Clearing, Crash, CrashUpdate
 from bitterntiller.components.crashes.probe import async_has_ended
-from bitterntiller.components.crashes.wire import crash_news, report_message
+from bitterntiller.components.crashes.wire import crash_update, report_message
 from bitterntiller.components.links.errors import LinkError
 from bitterntiller.core.interfaces import (
     ConfigView,
@@ -31,7 +31,7 @@
 )
 from bitterntiller.core.runtime import Runtime
 
-NewsListener = Callable[[frozenset[int]], Awaitable[None]]
+UpdateListener = Callable[[frozenset[int]], Awaitable[None]]
 """Takes the fingerprints of requests of which something new is known."""
 
 
@@ -49,12 +49,12 @@
         self._metrics = runtime.metrics
         self._config = config
         self._directory = directory
-        self._listeners: list[NewsListener] = []
+        self._listeners: list[UpdateListener] = []
         self._synced_at_by_owner: dict[Ownership, float] = {}
-        self._found = curio.Event()
+        self._changed = curio.Event()
         self.history = CrashHistory()
 
-    def add_listener(self, listener: NewsListener) -> None:
+    def add_listener(self, listener: UpdateListener) -> None:
         """Have a callback awaited when something new is known of requests."""
         self._listeners.append(listener)
 
@@ -66,9 +66,9 @@
         """Return how many upstreams have ended under a request."""
         return self.history.count(fingerprint, now)
 
-    def held_for(self, fingerprint: int, now: float) -> float:
+    def quarantined_for(self, fingerprint: int, now: float) -> float:
         """Return the seconds for which a request may not be sent, 0 if it may."""
-        return self.history.held_for(fingerprint, now)
+        return self.history.quarantined_for(fingerprint, now)
 
     def knows(self, fingerprint: int) -> bool:
         """Tell whether a request has crashes that count."""
@@ -78,17 +78,17 @@
         """Return the crashes of each request by its fingerprint."""
         return describe(self.history, self._clock.now())
 
-    async def async_answer_broke(self, sent: SentRequest, again: bool) -> None:
+    async def async_check_crash(self, sent: SentRequest, retrying: bool) -> None:
         """Find out whether an upstream has ended under a request.
 
         Only one that is to be sent again, and could be once too often, waits for it.
         """
-        task = await curio.spawn(self._async_find_out, sent, daemon=True)
+        task = await curio.spawn(self._async_probe, sent, daemon=True)
         count = self.count(sent.fingerprint, self._clock.now())
-        if again and count >= const.CRASHES_TO_HOLD - 1:
+        if retrying and count >= const.QUARANTINE_THRESHOLD - 1:
             await task.join()
 
-    async def async_answered(self, fingerprint: int) -> None:
+    async def async_note_success(self, fingerprint: int) -> None:
         """Take note of a whole answer: the request doesn't crash its upstream."""
         if self.knows(fingerprint):
             await self.async_clear(fingerprint)
@@ -96,26 +96,26 @@
     async def async_clear(self, fingerprint: int) -> None:
         """Forget the crashes of a request, on all hosts."""
         clearing = Clearing(fingerprint, self._clock.now())
-        await self._async_take(CrashNews(clearings=(clearing,)), self._host)
-        await self._async_tell_owners()
+        await self._async_take(CrashUpdate(clearings=(clearing,)), self._host)
+        await self._async_notify_owners()
 
     async def async_on_report(self, host: str, message: Any) -> Any:
         """Join a messages.CrashReport; answer with what its sender lacks."""
         now = self._clock.now()
         if message.digest is not None:
             digest = self.history.digest(now)
-            return report_message(CrashNews(), self._host, now, digest=digest)
-        told = crash_news(message, now)
-        news = await self._async_take(told, message.host)
-        if message.pass_on and not news.empty:
-            await self._async_tell_hosts(news, message.host)
-        missing = self.history.unknown_to(told, now)
+            return report_message(CrashUpdate(), self._host, now, digest=digest)
+        told = crash_update(message, now)
+        update = await self._async_take(told, message.host)
+        if message.broadcast and not update.empty:
+            await self._async_broadcast(update, message.host)
+        missing = self.history.missing_from(told, now)
         return report_message(missing, self._host, now)
 
     async def async_run(self) -> None:
-        """Exchange news with owners, until cancelled."""
+        """Exchange updates with owners, until cancelled."""
         while True:
-            self._found.clear()
+            self._changed.clear()
             now = self._clock.now()
             wake = now + const.SYNC_SECONDS
             for owner in self._owners():
@@ -126,31 +126,33 @@
                 wake = min(wake, due)
             pause = min(max(wake - now, const.REPORT_RETRY), const.OWNERS_PERIOD)
             async with curio.ignore_after(pause):
-                await self._found.wait()
+                await self._changed.wait()
 
-    async def _async_find_out(self, sent: SentRequest) -> None:
+    async def _async_probe(self, sent: SentRequest) -> None:
         at = self._clock.now()
         ended = await async_has_ended(sent.address)
         log_probe(sent.request_id, sent.upstream, sent.address, ended)
         if not ended:
             return
         crash = Crash(sent.fingerprint, sent.upstream, sent.incarnation, at)
-        await self._async_take(CrashNews(crashes=(crash,)), self._host)
-        await self._async_tell_owners()
+        await self._async_take(CrashUpdate(crashes=(crash,)), self._host)
+        await self._async_notify_owners()
 
-    async def _async_take(self, news: CrashNews, reporter: str) -> CrashNews:
+    async def _async_take(self, update: CrashUpdate, reporter: str) -> CrashUpdate:
         now = self._clock.now()
         held_before = {
-            item for item in news.fingerprints if self.history.held_for(item, now)
+            item
+            for item in update.fingerprints
+            if self.history.quarantined_for(item, now)
         }
-        new = self.history.take(news, now)
+        new = self.history.merge(update, now)
         for crash in new.crashes:
             count = self.history.count(crash.fingerprint, now)
-            held_for = self.history.held_for(crash.fingerprint, now)
-            log_crash(crash, reporter, count, held_for)
+            quarantined_for = self.history.quarantined_for(crash.fingerprint, now)
+            log_crash(crash, reporter, count, quarantined_for)
             self._metrics.count(const.METRIC_CRASHES)
-            if held_for and crash.fingerprint not in held_before:
-                self._metrics.count(const.METRIC_HELD)
+            if quarantined_for and crash.fingerprint not in held_before:
+                self._metrics.count(const.METRIC_QUARANTINED)
                 held_before.add(crash.fingerprint)
         for clearing in new.clearings:
             log_clearing(clearing.fingerprint, reporter)
@@ -160,10 +162,10 @@
                 await listener(new.fingerprints)
         return new
 
-    async def _async_tell_owners(self) -> None:
+    async def _async_notify_owners(self) -> None:
         """Have everything exchanged with all owners now, and again until they hear."""
         self._synced_at_by_owner.clear()
-        await self._found.set()
+        await self._changed.set()
 
     def _owners(self) -> list[Ownership]:
         """Return the owners of the configured pools other than this process."""
@@ -186,34 +188,34 @@
         now = self._clock.now()
         try:
             known = owner in self._synced_at_by_owner
-            if not known or not await self._async_agrees(owner, now):
-                await self._async_exchange(owner, now)
+            if not known or not await self._async_in_sync(owner, now):
+                await self._async_sync_all(owner, now)
         except LinkError:
             return const.REPORT_RETRY
-        if not self._found.is_set():
+        if not self._changed.is_set():
             self._synced_at_by_owner[owner] = now
         return const.SYNC_SECONDS
 
-    async def _async_agrees(self, owner: Ownership, now: float) -> bool:
+    async def _async_in_sync(self, owner: Ownership, now: float) -> bool:
         digest = self.history.digest(now)
-        report = report_message(CrashNews(), self._host, now, digest=digest)
+        report = report_message(CrashUpdate(), self._host, now, digest=digest)
         reply = await self._links.async_call(
             owner.address, report, const.REPORT_TIMEOUT
         )
         return reply.digest == digest
 
-    async def _async_exchange(self, owner: Ownership, now: float) -> None:
-        known = self.history.all(now)
-        report = report_message(known, self._host, now, pass_on=True)
+    async def _async_sync_all(self, owner: Ownership, now: float) -> None:
+        known = self.history.snapshot(now)
+        report = report_message(known, self._host, now, broadcast=True)
         reply = await self._links.async_call(
             owner.address, report, const.REPORT_TIMEOUT
         )
-        await self._async_take(crash_news(reply, self._clock.now()), reply.host)
+        await self._async_take(crash_update(reply, self._clock.now()), reply.host)
 
-    async def _async_tell_hosts(self, news: CrashNews, reporter: str) -> None:
+    async def _async_broadcast(self, update: CrashUpdate, reporter: str) -> None:
         """Tell all hosts but the reporter; a dead one must not hold up the others."""
         now = self._clock.now()
-        report = report_message(news, self._host, now)
+        report = report_message(update, self._host, now)
         for name, host in self._directory.hosts_by_name.items():
             if name not in (self._host, reporter):
                 await curio.spawn(
--- a/bitterntiller/components/crashes/diagnostics.py
+++ b/bitterntiller/components/crashes/diagnostics.py
@@ -10,12 +10,14 @@
 def describe(history: CrashHistory, now: float) -> Mapping[str, Any]:
     """Return the crashes of each request by its fingerprint; times in seconds."""
     crashes_by_fingerprint: dict[str, dict[str, Any]] = {}
-    for crash in history.all(now).crashes:
+    for crash in history.snapshot(now).crashes:
         name = shown(crash.fingerprint)
         item = crashes_by_fingerprint.setdefault(
             name,
             {
-                "held_for": round(history.held_for(crash.fingerprint, now), 3),
+                "quarantined_for": round(
+                    history.quarantined_for(crash.fingerprint, now), 3
+                ),
                 "crashes": [],
             },
         )
--- a/bitterntiller/components/crashes/event_logging.py
+++ b/bitterntiller/components/crashes/event_logging.py
@@ -16,7 +16,7 @@
     )
 
 
-def log_crash(crash: Crash, reporter: str, count: int, held_for: float) -> None:
+def log_crash(crash: Crash, reporter: str, count: int, quarantined_for: float) -> None:
     """Log that an upstream ended under a request, and what follows for it."""
     events.emit(
         "upstream-crashed",
@@ -25,7 +25,7 @@
         incarnation=crash.incarnation,
         reporter=reporter,
         crashes=count,
-        held_for=round(held_for, 3),
+        quarantined_for=round(quarantined_for, 3),
     )
 
 
--- a/bitterntiller/components/crashes/history.py
+++ b/bitterntiller/components/crashes/history.py
@@ -1,4 +1,4 @@
-"""Which requests have crashed upstreams, and for how long each is held; no I/O.
+"""Which requests have crashed upstreams, and for how long each is quarantined; no I/O.
 
 A copy of a request has an id of its own, so requests are known by a fingerprint. Each
 process of an upstream counts once, whoever tells of its end: histories of several hosts
@@ -10,7 +10,7 @@
 import xxhash
 
 from bitterntiller.components.crashes import const
-from bitterntiller.components.crashes.models import Clearing, Crash, CrashNews
+from bitterntiller.components.crashes.models import Clearing, Crash, CrashUpdate
 
 
 class _Entry:
@@ -28,20 +28,20 @@
 class CrashHistory:
     """Counts crashes by request, bounded in number and in age.
 
-    A request with CRASHES_TO_HOLD crashes is held for FIRST_HOLD_SECONDS, with one more
-    for HOLD_SECONDS, doubled by each further one. After each hold one copy of it may
-    run, and a whole answer clears it.
+    A request with QUARANTINE_THRESHOLD crashes is in quarantine for
+    FIRST_QUARANTINE_SECONDS, with one more for QUARANTINE_SECONDS, doubled by each
+    further one. Afterwards one copy of it may run, and a whole answer clears it.
     """
 
     def __init__(self) -> None:
         self._entries_by_fingerprint: dict[int, _Entry] = {}
 
-    def take(self, news: CrashNews, now: float) -> CrashNews:
-        """Join news into this history; return the part that was not known."""
-        crashes = tuple(item for item in news.crashes if self._note(item, now))
-        clearings = tuple(item for item in news.clearings if self._clear(item, now))
+    def merge(self, update: CrashUpdate, now: float) -> CrashUpdate:
+        """Join an update into this history; return the part that was not known."""
+        crashes = tuple(item for item in update.crashes if self._note(item, now))
+        clearings = tuple(item for item in update.clearings if self._clear(item, now))
         self._bound()
-        return CrashNews(crashes, clearings)
+        return CrashUpdate(crashes, clearings)
 
     def count(self, fingerprint: int, now: float) -> int:
         """Return how many upstreams have ended under a request."""
@@ -50,17 +50,17 @@
             return 0
         return len(entry.crashes_by_process)
 
-    def held_for(self, fingerprint: int, now: float) -> float:
+    def quarantined_for(self, fingerprint: int, now: float) -> float:
         """Return the seconds for which a request may not be sent, 0 if it may."""
         count = self.count(fingerprint, now)
-        if count < const.CRASHES_TO_HOLD:
+        if count < const.QUARANTINE_THRESHOLD:
             return 0.0
         newest = self._entries_by_fingerprint[fingerprint].newest()
-        return max(0.0, newest + _hold_seconds(count) - now)
+        return max(0.0, newest + _quarantine_seconds(count) - now)
 
-    def all(self, now: float) -> CrashNews:
+    def snapshot(self, now: float) -> CrashUpdate:
         """Return all that is remembered."""
-        self.forget_old(now)
+        self.expire(now)
         entries = self._entries_by_fingerprint
         crashes = [
             crash
@@ -72,13 +72,13 @@
             for fingerprint, entry in entries.items()
             if entry.cleared_at > float("-inf")
         ]
-        return CrashNews(tuple(crashes), tuple(clearings))
+        return CrashUpdate(tuple(crashes), tuple(clearings))
 
-    def unknown_to(self, other: CrashNews, now: float) -> CrashNews:
-        """Return what is remembered here and not in another host's news."""
+    def missing_from(self, other: CrashUpdate, now: float) -> CrashUpdate:
+        """Return what is remembered here and not in another host's update."""
         known = {(item.fingerprint, *_process(item)) for item in other.crashes}
         cleared_at = {item.fingerprint: item.at for item in other.clearings}
-        own = self.all(now)
+        own = self.snapshot(now)
         crashes = (
             item
             for item in own.crashes
@@ -89,11 +89,11 @@
             for item in own.clearings
             if item.at > cleared_at.get(item.fingerprint, float("-inf")) + _SAME_SECONDS
         )
-        return CrashNews(tuple(crashes), tuple(clearings))
+        return CrashUpdate(tuple(crashes), tuple(clearings))
 
     def digest(self, now: float) -> int:
         """Return a number that is the same for hosts that remember the same."""
-        known = self.all(now)
+        known = self.snapshot(now)
         digest = 0
         for item in known.crashes:
             digest ^= _hash(item.fingerprint, *_process(item))
@@ -101,7 +101,7 @@
             digest ^= _hash(item.fingerprint)
         return digest
 
-    def forget_old(self, now: float) -> None:
+    def expire(self, now: float) -> None:
         """Forget what is older than KEPT_SECONDS."""
         entries = self._entries_by_fingerprint
         for fingerprint, entry in list(entries.items()):
@@ -171,9 +171,9 @@
     return crash.upstream, crash.incarnation
 
 
-def _hold_seconds(count: int) -> float:
-    further = count - const.CRASHES_TO_HOLD
+def _quarantine_seconds(count: int) -> float:
+    further = count - const.QUARANTINE_THRESHOLD
     if not further:
-        return const.FIRST_HOLD_SECONDS
+        return const.FIRST_QUARANTINE_SECONDS
     doublings = min(further - 1, MOST_DOUBLINGS)
-    return min(const.HOLD_SECONDS * 2**doublings, const.MAX_HOLD_SECONDS)
+    return min(const.QUARANTINE_SECONDS * 2**doublings, const.MAX_QUARANTINE_SECONDS)
--- a/bitterntiller/components/crashes/models.py
+++ b/bitterntiller/components/crashes/models.py
@@ -22,7 +22,7 @@
     at: float
 
 
-class CrashNews(NamedTuple):
+class CrashUpdate(NamedTuple):
     """Crashes and clearings that one host tells another."""
 
     crashes: tuple[Crash, ...] = ()
--- a/bitterntiller/components/crashes/wire.py
+++ b/bitterntiller/components/crashes/wire.py
@@ -1,23 +1,23 @@
-"""From crash news to messages of other hosts, and back."""
+"""From crash updates to messages of other hosts, and back."""
 
-from bitterntiller.components.crashes.models import Clearing, Crash, CrashNews
+from bitterntiller.components.crashes.models import Clearing, Crash, CrashUpdate
 from bitterntiller.protocol import messages
 
 
 def report_message(
-    news: CrashNews,
+    update: CrashUpdate,
     host: str,
     now: float,
-    pass_on: bool = False,
+    broadcast: bool = False,
     digest: int | None = None,
 ) -> messages.CrashReport:
-    """Return news as a message; pass_on asks the receiver to tell all hosts.
+    """Return an update as a message; broadcast asks the receiver to tell all hosts.
 
-    With a digest it has no news and asks for that of the receiver.
+    With a digest it has no update and asks for that of the receiver.
     """
     return messages.CrashReport(
         host=host,
-        pass_on=pass_on,
+        broadcast=broadcast,
         digest=digest,
         crashes=[
             messages.CrashItem(
@@ -26,20 +26,20 @@
                 incarnation=item.incarnation,
                 age_ms=_age_ms(item.at, now),
             )
-            for item in news.crashes
+            for item in update.crashes
         ],
         clearings=[
             messages.ClearingItem(
                 fingerprint=item.fingerprint, age_ms=_age_ms(item.at, now)
             )
-            for item in news.clearings
+            for item in update.clearings
         ],
     )
 
 
-def crash_news(message: messages.CrashReport, now: float) -> CrashNews:
-    """Return the news of a message in this process's time."""
-    return CrashNews(
+def crash_update(message: messages.CrashReport, now: float) -> CrashUpdate:
+    """Return the update of a message in this process's time."""
+    return CrashUpdate(
         tuple(
             Crash(
                 item.fingerprint,
--- a/bitterntiller/components/dispatch/choice.py
+++ b/bitterntiller/components/dispatch/choice.py
@@ -105,7 +105,7 @@
         fastest_cached = 0
         for upstream in candidates:
             cached, alone, _ = self._estimate(job, upstream, now)
-            alone += upstream.pace.wait(now)
+            alone += upstream.rate_limiter.wait(now)
             if alone < fastest_seconds and upstream.health.allowed(0, now):
                 fastest, fastest_seconds = upstream, alone
                 fastest_cached = cached
--- a/bitterntiller/components/dispatch/coordinator.py
+++ b/bitterntiller/components/dispatch/coordinator.py
@@ -200,7 +200,7 @@
     async def async_on_upstream_limit(self, _host: str, message: Any) -> None:
         """Take note of the limit that an answer of an upstream named."""
         await self._async_call(
-            message.pool, lambda pool, now: pool.hear_limit(message, now)
+            message.pool, lambda pool, now: pool.update_rate_limit(message, now)
         )
 
     async def async_on_announce(self, _host: str, message: Any) -> Any:
--- a/bitterntiller/components/dispatch/granting.py
+++ b/bitterntiller/components/dispatch/granting.py
@@ -101,11 +101,13 @@
                 parked=job.parked,
                 announced=now - upstream.heard_at,
                 tokens=job.kv,
-                rate_limit=upstream.pace.limit,
+                rate_limit=upstream.rate_limiter.limit,
                 limit_age=_limit_age(upstream, now),
             ),
         )
 
 
 def _limit_age(upstream: Upstream, now: float) -> float | None:
-    return None if upstream.pace.limit is None else upstream.pace.age(now)
+    return (
+        None if upstream.rate_limiter.limit is None else upstream.rate_limiter.age(now)
+    )
--- a/bitterntiller/components/dispatch/isolation.py
+++ b/bitterntiller/components/dispatch/isolation.py
@@ -23,7 +23,7 @@
         """Return 0."""
         return 0
 
-    def held_for(self, fingerprint: int, now: float) -> float:
+    def quarantined_for(self, fingerprint: int, now: float) -> float:
         """Return 0."""
         return 0.0
 
@@ -35,13 +35,13 @@
         self._crashes = crashes
         self._pool = pool
 
-    def held_for(self, request: WaitingRequest, now: float) -> float:
+    def quarantined_for(self, request: WaitingRequest, now: float) -> float:
         """Return the seconds for which a request may not be sent, 0 if it may."""
         if not request.fingerprint:
             return 0.0
-        return self._crashes.held_for(request.fingerprint, now)
+        return self._crashes.quarantined_for(request.fingerprint, now)
 
-    def mark(self, request: WaitingRequest, now: float) -> int:
+    def suspect_key(self, request: WaitingRequest, now: float) -> int:
         """Return the fingerprint of a suspect, NOT_SUSPECT for any other request.
 
         Suspects wait in groups of their own, so that none holds up other requests.
--- a/bitterntiller/components/dispatch/lifecycle.py
+++ b/bitterntiller/components/dispatch/lifecycle.py
@@ -91,7 +91,7 @@
         request, upstream = job.request, choice.upstream
         assert upstream is not None
         upstream.tried_at = now
-        upstream.pace.take(now)
+        upstream.rate_limiter.acquire(now)
         self._queue.remove(job)
         self._queue.charge(job)
         self.leave_waiting(job, now)
--- a/bitterntiller/components/dispatch/models.py
+++ b/bitterntiller/components/dispatch/models.py
@@ -68,7 +68,7 @@
     cache_changes: tuple[CacheChange, ...] = ()
 
 
-class NamedLimit(NamedTuple):
+class RateLimitUpdate(NamedTuple):
     """What an answer of one start of an upstream named as its limit.
 
     limit is in requests a second over all hosts, None for no limit; at is when the
@@ -241,7 +241,7 @@
         """Take an announcement; False for one older than what is known."""
         ...
 
-    def hear_limit(self, said: NamedLimit, now: float) -> list[Decision]:
+    def update_rate_limit(self, update: RateLimitUpdate, now: float) -> list[Decision]:
         """Take note of the limit that an answer of an upstream named."""
         ...
 
--- a/bitterntiller/components/dispatch/owned_pool.py
+++ b/bitterntiller/components/dispatch/owned_pool.py
@@ -16,7 +16,7 @@
 from bitterntiller.components.dispatch.wire import (
     STATE_LEAVING,
     completion,
-    named_limit,
+    rate_limit_update,
     upstream_state,
     waiting_request,
 )
@@ -263,9 +263,13 @@
             decisions = self._take_held(now)
         return self._note(decisions + self.scheduler.tick(now))
 
-    def hear_limit(self, message: messages.UpstreamLimit, now: float) -> list[Decision]:
+    def update_rate_limit(
+        self, message: messages.UpstreamLimit, now: float
+    ) -> list[Decision]:
         """Take note of the limit that an answer of an upstream named."""
-        return self._note(self.scheduler.hear_limit(named_limit(message, now), now))
+        return self._note(
+            self.scheduler.update_rate_limit(rate_limit_update(message, now), now)
+        )
 
     def review(self, fingerprints: frozenset[int], now: float) -> list[Decision]:
         """Decide anew on copies of requests of whose crashes there is news."""
--- a/bitterntiller/components/dispatch/pool.py
+++ b/bitterntiller/components/dispatch/pool.py
@@ -6,8 +6,8 @@
 from bitterntiller.components.dispatch.const import KIND_PLAIN
 from bitterntiller.components.dispatch.jobs import Job
 from bitterntiller.components.dispatch.models import (
-    NamedLimit,
     PolicyParameters,
+    RateLimitUpdate,
     UpstreamState,
 )
 from bitterntiller.components.dispatch.prefix import PrefixIndex
@@ -24,7 +24,7 @@
 OVERDUE_FACTOR = 2.0
 OVERDUE_SECONDS = 0.3
 STALL_SECONDS = 2.0
-MOST_UNKNOWN = 1024
+MAX_DEFERRED_LIMITS = 1024
 """Upstreams whose limits are kept though they haven't been announced here."""
 
 
@@ -56,7 +56,7 @@
         self._thaw_by_name: dict[str, float] = {}
         self._slots_by_name: dict[str, int] = {}
         self._orphans_by_name: dict[str, list[Job]] = {}
-        self._limits_by_unknown: dict[str, NamedLimit] = {}
+        self._deferred_limits_by_upstream: dict[str, RateLimitUpdate] = {}
 
     @property
     def any_free(self) -> bool:
@@ -104,9 +104,9 @@
             self.upstreams_by_name[state.name] = upstream
             for job in self._orphans_by_name.pop(state.name, ()):
                 self.attach(job, upstream, now)
-            said = self._limits_by_unknown.pop(state.name, None)
-            if said is not None:
-                self.hear_limit(said, now)
+            update = self._deferred_limits_by_upstream.pop(state.name, None)
+            if update is not None:
+                self.update_rate_limit(update, now)
         else:
             known = upstream.state
             if (state.incarnation, state.sequence) <= (
@@ -204,29 +204,29 @@
         if member and not free and upstream.room(now) >= 1:
             self._plan_thaw(upstream, now)
 
-    def hear_limit(self, said: NamedLimit, now: float) -> None:
+    def update_rate_limit(self, update: RateLimitUpdate, now: float) -> None:
         """Take note of the limit that an answer of an upstream named."""
-        upstream = self.upstreams_by_name.get(said.upstream)
+        upstream = self.upstreams_by_name.get(update.upstream)
         if upstream is None:
-            self._keep_limit(said)
+            self._defer_rate_limit(update)
             return
-        if str(upstream.state.incarnation) != said.incarnation:
+        if str(upstream.state.incarnation) != update.incarnation:
             return
-        if not upstream.pace.hear(said.limit, said.at, now):
+        if not upstream.rate_limiter.update(update.limit, update.at, now):
             return
         change = UpstreamChange.LIMITED
-        if said.limit is None:
+        if update.limit is None:
             change = UpstreamChange.UNLIMITED
         self._note_change(upstream, change, now)
         self.refresh(upstream, now)
 
-    def _keep_limit(self, said: NamedLimit) -> None:
+    def _defer_rate_limit(self, update: RateLimitUpdate) -> None:
         """Keep a limit until its upstream is known: a new owner hears in any order."""
-        limits = self._limits_by_unknown
-        known = limits.pop(said.upstream, None)
-        newer = known is None or known.at < said.at
-        limits[said.upstream] = said if newer else known
-        if len(limits) > MOST_UNKNOWN:
+        limits = self._deferred_limits_by_upstream
+        known = limits.pop(update.upstream, None)
+        newer = known is None or known.at < update.at
+        limits[update.upstream] = update if newer else known
+        if len(limits) > MAX_DEFERRED_LIMITS:
             del limits[next(iter(limits))]
 
     def thaw(self, now: float) -> None:
@@ -317,7 +317,7 @@
             self._slots_by_name.pop(upstream.name, None)
 
     def _plan_thaw(self, upstream: Upstream, now: float) -> None:
-        when = now + max(upstream.prefill_wait(now), upstream.pace.wait(now))
+        when = now + max(upstream.prefill_wait(now), upstream.rate_limiter.wait(now))
         if upstream.health.sick:
             when = max(when, upstream.health.paused_until)
         if when <= now:
--- a/bitterntiller/components/dispatch/refusals.py
+++ b/bitterntiller/components/dispatch/refusals.py
@@ -50,9 +50,9 @@
         self._jobs.forget(job, now)
         return self.of(job, reason, now)
 
-    def crashing(self, job: Job, held_for: float, now: float) -> Refused:
+    def quarantined(self, job: Job, quarantined_for: float, now: float) -> Refused:
         """Refuse a request under which too many upstreams have ended."""
-        return self._refusal(job, Reason.CRASHES_UPSTREAMS, held_for, now)
+        return self._refusal(job, Reason.CRASHES_UPSTREAMS, quarantined_for, now)
 
     def of(self, job: Job, reason: Reason, now: float) -> Refused:
         """Refuse a request until its tier has drained.
--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -25,8 +25,8 @@
     DEFAULT_PARAMETERS,
     Completion,
     Decision,
-    NamedLimit,
     PolicyParameters,
+    RateLimitUpdate,
     UpstreamState,
     WaitingRequest,
     WorkspaceLimits,
@@ -136,9 +136,9 @@
         if known is not None:
             del self._jobs.by_id[request.request_id]
         job = self._jobs.new(request, now)
-        held_for = self._isolation.held_for(request, now)
-        if held_for:
-            decisions.append(self._refusals.crashing(job, held_for, now))
+        quarantined_for = self._isolation.quarantined_for(request, now)
+        if quarantined_for:
+            decisions.append(self._refusals.quarantined(job, quarantined_for, now))
             return
         self._size(job, now)
         job.best_case = self._chooser.best_case(job, self._pool.view(job), now)
@@ -249,10 +249,10 @@
         self._granting.decide(now, decisions)
         return accepted, decisions
 
-    def hear_limit(self, said: NamedLimit, now: float) -> list[Decision]:
+    def update_rate_limit(self, update: RateLimitUpdate, now: float) -> list[Decision]:
         """Take note of the limit that an answer of an upstream named."""
         decisions: list[Decision] = []
-        self._pool.hear_limit(said, now)
+        self._pool.update_rate_limit(update, now)
         if self._pool.freed:
             self._granting.decide(now, decisions)
         return decisions
@@ -263,10 +263,10 @@
         for job in list(self._jobs.by_id.values()):
             if job.request.fingerprint not in fingerprints or not job.waiting:
                 continue
-            held_for = self._isolation.held_for(job.request, now)
-            if held_for:
+            quarantined_for = self._isolation.quarantined_for(job.request, now)
+            if quarantined_for:
                 self._jobs.forget(job, now)
-                decisions.append(self._refusals.crashing(job, held_for, now))
+                decisions.append(self._refusals.quarantined(job, quarantined_for, now))
                 continue
             self._jobs.regroup(job, lambda job=job: self._group(job, now))
         self._granting.decide(now, decisions)
@@ -334,7 +334,7 @@
             request.upstream_names,
             frozenset(request.tried),
             job.kind,
-            self._isolation.mark(request, now),
+            self._isolation.suspect_key(request, now),
         )
 
     def _make_room(self, job: Job, now: float, decisions: list[Decision]) -> None:
@@ -364,9 +364,9 @@
             if job.returns >= MAX_RETURNS:
                 decisions.append(self._refusals.of(job, Reason.NOT_ADMITTED, now))
                 return
-        held_for = self._isolation.held_for(job.request, now)
-        if held_for:
-            decisions.append(self._refusals.crashing(job, held_for, now))
+        quarantined_for = self._isolation.quarantined_for(job.request, now)
+        if quarantined_for:
+            decisions.append(self._refusals.quarantined(job, quarantined_for, now))
             return
         self._group(job, now)
         job.reregistered = False
--- a/bitterntiller/components/dispatch/pacing.py
+++ b/bitterntiller/components/dispatch/upstream_rate_limiter.py
@@ -8,30 +8,30 @@
 that the limit has ended."""
 
 
-class UpstreamPace:
+class UpstreamRateLimiter:
     """A token bucket over all entry hosts, without bound until a limit is named.
 
     limit is in requests a second. The bucket begins empty: what was granted before the
     limit was heard of is on its way.
     """
 
-    __slots__ = ("_filled_at", "_named_at", "_tokens", "limit")
+    __slots__ = ("_filled_at", "_updated_at", "_tokens", "limit")
 
     def __init__(self) -> None:
         self.limit: float | None = None
-        self._named_at = float("-inf")
+        self._updated_at = float("-inf")
         self._tokens = 0.0
         self._filled_at = 0.0
 
-    def hear(self, limit: float | None, at: float, now: float) -> bool:
+    def update(self, limit: float | None, at: float, now: float) -> bool:
         """Take what an answer of the time at named, None for no limit.
 
         Tell whether it is a change. An answer that is older than the last one heard
         changes nothing: answers of several hosts arrive in any order.
         """
-        if at <= self._named_at:
+        if at <= self._updated_at:
             return False
-        self._named_at = at
+        self._updated_at = at
         if limit == self.limit:
             return False
         if self.limit is None:
@@ -43,7 +43,7 @@
 
     def age(self, now: float) -> float:
         """Return how long ago the newest answer was given that was heard of."""
-        return now - self._named_at
+        return now - self._updated_at
 
     def wait(self, now: float) -> float:
         """Return the seconds until one more request may be sent."""
@@ -53,14 +53,14 @@
         lacking = 1.0 - self._tokens
         return 0.0 if lacking <= _ROUNDING else lacking / self._rate()
 
-    def take(self, now: float) -> None:
+    def acquire(self, now: float) -> None:
         """Count a request that is granted."""
         if self.limit is None:
             return
         self._fill(now)
         self._tokens -= 1.0
 
-    def sustained(self, seconds: float) -> float:
+    def sustained_concurrency(self, seconds: float) -> float:
         """Return how many requests of so many seconds each run at once at most."""
         return float("inf") if self.limit is None else self._rate() * seconds
 
--- a/bitterntiller/components/dispatch/upstreams.py
+++ b/bitterntiller/components/dispatch/upstreams.py
@@ -11,13 +11,13 @@
 from bitterntiller.components.dispatch.inflight import InflightLimit
 from bitterntiller.components.dispatch.ledger import Ledger
 from bitterntiller.components.dispatch.models import PolicyParameters, UpstreamState
-from bitterntiller.components.dispatch.pacing import UpstreamPace
 from bitterntiller.components.dispatch.prefix import PrefixCache, PrefixIndex
 from bitterntiller.components.dispatch.speed import PoolSpeed, new_speed
 from bitterntiller.components.dispatch.upstream_events import (
     UpstreamChange,
     UpstreamEvent,
 )
+from bitterntiller.components.dispatch.upstream_rate_limiter import UpstreamRateLimiter
 
 WORKED_SECONDS = 2.0
 """How long an answer proves that an upstream is there which control does not hear."""
@@ -49,7 +49,7 @@
         self._adaptive = parameters.adaptive
         self.limit = InflightLimit(self._adaptive)
         self.health = Health()
-        self.pace = UpstreamPace()
+        self.rate_limiter = UpstreamRateLimiter()
         self.prefixes = PrefixCache(state.name, index)
         self.reserved_for: str | None = None
         self.shows_progress = False
@@ -69,7 +69,7 @@
         self.prefixes.clear()
         self.health.success()
         self.limit = InflightLimit(self._adaptive)
-        self.pace = UpstreamPace()
+        self.rate_limiter = UpstreamRateLimiter()
         self.reserved_for = None
 
     def event(self, change: UpstreamChange, now: float) -> UpstreamEvent:
@@ -82,7 +82,7 @@
             worked=now - self.worked_at,
             in_flight=self.ledger.in_flight,
             probe_in=self.health.paused_until - now if sick else None,
-            limit=self.pace.limit,
+            limit=self.rate_limiter.limit,
         )
 
     def usable(self, now: float) -> bool:
@@ -124,13 +124,13 @@
             and self.room(now) >= 1
             and self.health.allowed(self.ledger.in_flight, now)
             and self.prefill_wait(now) <= 0.0
-            and self.pace.wait(now) <= 0.0
+            and self.rate_limiter.wait(now) <= 0.0
         )
 
     def slots_in_use(self, seconds: float) -> int:
         """Return how many requests of so many seconds each it can have at once."""
         slots = self.limit.limit(self.state.slots)
-        return max(1, int(min(slots, self.pace.sustained(seconds))))
+        return max(1, int(min(slots, self.rate_limiter.sustained_concurrency(seconds))))
 
     def in_doubt(self, now: float) -> bool:
         """Tell whether what is known of its speed is nothing, or old.
--- a/bitterntiller/components/dispatch/wire.py
+++ b/bitterntiller/components/dispatch/wire.py
@@ -4,7 +4,7 @@
     CacheChange,
     Completion,
     Granted,
-    NamedLimit,
+    RateLimitUpdate,
     Refused,
     UpstreamLoad,
     UpstreamState,
@@ -78,9 +78,9 @@
     )
 
 
-def named_limit(message: messages.UpstreamLimit, now: float) -> NamedLimit:
+def rate_limit_update(message: messages.UpstreamLimit, now: float) -> RateLimitUpdate:
     """Return what an answer named, in the owner's own time."""
-    return NamedLimit(
+    return RateLimitUpdate(
         upstream=message.upstream,
         incarnation=message.incarnation,
         limit=message.limit,
@@ -117,7 +117,7 @@
         address=decision.address,
         upstream_incarnation=str(decision.incarnation),
         valid_ms=int(valid * 1000),
-        limited=_is_limited(decision) or None,
+        rate_limited=_is_limited(decision) or None,
     )
 
 
--- a/bitterntiller/components/entry/__init__.py
+++ b/bitterntiller/components/entry/__init__.py
@@ -12,7 +12,7 @@
 from bitterntiller.components.entry.owner_watch import OwnerWatch
 from bitterntiller.components.entry.quota import QuotaAccount
 from bitterntiller.components.entry.quota_client import QuotaClient
-from bitterntiller.components.entry.rate_limits import HeardLimits
+from bitterntiller.components.entry.rate_limits import RateLimitCache
 from bitterntiller.components.entry.retry_budget import RetryBudget
 from bitterntiller.components.http.pool import ConnectionPool
 from bitterntiller.components.node.coordinator import NodeCoordinator
@@ -110,7 +110,7 @@
         config=config,
         directory=directory,
         control=control,
-        limits=HeardLimits(),
+        rate_limits=RateLimitCache(),
     )
 
 
--- a/bitterntiller/components/entry/admission_checks.py
+++ b/bitterntiller/components/entry/admission_checks.py
@@ -82,7 +82,7 @@
         index = ranks.index(identified.tier.rank)
         return self._budget.take(identified, size, index, len(ranks))
 
-    def crashing(self, active: ActiveRequest) -> Ending | None:
+    def check_quarantine(self, active: ActiveRequest) -> Ending | None:
         """Refuse a copy of a request that has crashed too many upstreams."""
         crashes = self._context.crashes
         if crashes is None:
@@ -92,7 +92,7 @@
         active.fingerprint = crashes.fingerprint(
             identified.workspace.name, head.method, head.target, active.prepared.body
         )
-        return held_ending(crashes, active.fingerprint, self._context.clock.now())
+        return quarantine_ending(crashes, active.fingerprint, self._context.clock.now())
 
     async def async_over_quota(self, active: ActiveRequest) -> Ending | None:
         """Hold a request against its workspace's quota, or refuse it."""
@@ -165,10 +165,12 @@
     )
 
 
-def held_ending(crashes: CrashView, fingerprint: int, now: float) -> Ending | None:
+def quarantine_ending(
+    crashes: CrashView, fingerprint: int, now: float
+) -> Ending | None:
     """Return the ending of a request that is held for its crashes, None if it isn't."""
-    held_for = crashes.held_for(fingerprint, now)
-    if not held_for:
+    quarantined_for = crashes.quarantined_for(fingerprint, now)
+    if not quarantined_for:
         return None
     count = crashes.count(fingerprint, now)
     detail = (
@@ -179,7 +181,7 @@
         Outcome.NOT_RUN,
         Reason.CRASHES_UPSTREAMS,
         503,
-        retry_after=held_for,
+        retry_after=quarantined_for,
         detail=detail,
     )
 
--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -4,13 +4,13 @@
 
 from bitterntiller.components.config.models import Route
 from bitterntiller.components.entry import const
-from bitterntiller.components.entry.admission_checks import held_ending
+from bitterntiller.components.entry.admission_checks import quarantine_ending
 from bitterntiller.components.entry.claiming import Claimant
 from bitterntiller.components.entry.context import Context
 from bitterntiller.components.entry.event_logging import log_answer, log_sending
 from bitterntiller.components.entry.identify import withdrawn
 from bitterntiller.components.entry.interface import Finding
-from bitterntiller.components.entry.limit_reports import async_tell_limit
+from bitterntiller.components.entry.limit_reports import async_report_limit
 from bitterntiller.components.entry.models import (
     ActiveRequest,
     GrantReceived,
@@ -128,7 +128,7 @@
         if crashes is None:
             return None
         now = self._context.clock.now()
-        return held_ending(crashes, self._active.fingerprint, now)
+        return quarantine_ending(crashes, self._active.fingerprint, now)
 
     def _check_config(self) -> Ending | None:
         identified = self._active.prepared.identified
@@ -164,7 +164,7 @@
                 incarnation=grant.incarnation,
                 address=grant.address,
             )
-            await crashes.async_answer_broke(sent, again=isinstance(verdict, Retry))
+            await crashes.async_check_crash(sent, retrying=isinstance(verdict, Retry))
         return verdict
 
     async def _async_exchange(
@@ -185,7 +185,7 @@
         now = self._context.clock.now()
         log_answer(active, head.status, finding, now)
         if finding is not Finding.FOREIGN:
-            await async_tell_limit(self._context, active, grant, now)
+            await async_report_limit(self._context, active, grant, now)
         if self._context.answer_times is not None and finding is Finding.ANSWER:
             self._context.answer_times.note(active.pool, now - active.granted_at)
         if finding is Finding.NOT_RUN:
--- a/bitterntiller/components/entry/context.py
+++ b/bitterntiller/components/entry/context.py
@@ -8,7 +8,7 @@
 from bitterntiller.components.entry.native import NativeInterface
 from bitterntiller.components.entry.quota import Hold
 from bitterntiller.components.entry.quota_client import QuotaRequest, QuotaVerdict
-from bitterntiller.components.entry.rate_limits import HeardLimits
+from bitterntiller.components.entry.rate_limits import RateLimitCache
 from bitterntiller.components.http.pool import ConnectionPool
 from bitterntiller.components.settings.models import Timings
 from bitterntiller.core.clock import Clock, RuntimeClock
@@ -26,7 +26,7 @@
 """Opens a connection for each exchange and keeps none."""
 
 
-NOTHING_HEARD = HeardLimits(most=0)
+NO_CACHE = RateLimitCache(most=0)
 """Keeps nothing, for a context without a part that hands limits over."""
 
 
@@ -80,4 +80,4 @@
     answer_times: AnswerTimes | None = None
     upstreams: DepartedView | None = None
     crashes: CrashWatch | None = None
-    limits: HeardLimits = NOTHING_HEARD
+    rate_limits: RateLimitCache = NO_CACHE
--- a/bitterntiller/components/entry/coordinator.py
+++ b/bitterntiller/components/entry/coordinator.py
@@ -8,7 +8,7 @@
 from bitterntiller.components.entry.budget import HostBudget
 from bitterntiller.components.entry.claiming import Claimant
 from bitterntiller.components.entry.context import Context
-from bitterntiller.components.entry.limit_reports import async_hand_over
+from bitterntiller.components.entry.limit_reports import async_report_known_limits
 from bitterntiller.components.entry.models import ActiveRequest, Phase
 from bitterntiller.components.entry.pipeline import Pipeline
 from bitterntiller.components.entry.registry import (
@@ -208,7 +208,7 @@
             waiting.append(register_message(active, self._context.host, now))
             active.owner = owner
             active.registered_at = now
-        await async_hand_over(self._context, pool, owner)
+        await async_report_known_limits(self._context, pool, owner)
         message = messages.Reregister(
             pool=pool,
             epoch=owner.epoch,
--- a/bitterntiller/components/entry/limit_reports.py
+++ b/bitterntiller/components/entry/limit_reports.py
@@ -2,12 +2,12 @@
 
 from bitterntiller.components.entry.context import Context
 from bitterntiller.components.entry.models import ActiveRequest, GrantReceived
-from bitterntiller.components.entry.rate_limits import HeardLimit
+from bitterntiller.components.entry.rate_limits import ReportedLimit
 from bitterntiller.components.entry.wire import limit_message
 from bitterntiller.core.interfaces import Ownership
 
 
-async def async_tell_limit(
+async def async_report_limit(
     context: Context, active: ActiveRequest, grant: GrantReceived, now: float
 ) -> None:
     """Tell the owners at once what an answer that began now names as a limit.
@@ -16,23 +16,25 @@
     of a limit is told where the grant says that the owner believes in one.
     """
     limit = active.rate_limit
-    if limit is None and not grant.limited:
+    if limit is None and not grant.rate_limited:
         return
-    heard = HeardLimit(grant.pool, grant.upstream, grant.incarnation, limit, now)
-    context.limits.note(heard)
+    reported = ReportedLimit(grant.pool, grant.upstream, grant.incarnation, limit, now)
+    context.rate_limits.note(reported)
     owner = context.directory.owner(grant.pool)
     addresses = {grant.sender, owner.address if owner is not None else ""}
-    message = limit_message(heard, context.clock.now())
+    message = limit_message(reported, context.clock.now())
     for address in addresses - {""}:
         await context.links.async_send(address, message)
 
 
-async def async_hand_over(context: Context, pool: str, owner: Ownership) -> None:
-    """Tell an owner that is new to this host what it has heard, before it grants.
+async def async_report_known_limits(
+    context: Context, pool: str, owner: Ownership
+) -> None:
+    """Tell an owner that is new to this host the limits known here, before it grants.
 
     Without it the owner would send an upstream with a limit all that its slots hold,
     until an answer names the limit again.
     """
     now = context.clock.now()
-    for heard in context.limits.untold(pool, owner, now):
-        await context.links.async_send(owner.address, limit_message(heard, now))
+    for reported in context.rate_limits.for_new_owner(pool, owner, now):
+        await context.links.async_send(owner.address, limit_message(reported, now))
--- a/bitterntiller/components/entry/models.py
+++ b/bitterntiller/components/entry/models.py
@@ -101,7 +101,7 @@
     valid_until: float
     sender: str
     incarnation: str = ""
-    limited: bool = False
+    rate_limited: bool = False
 
 
 class RefusalReceived(NamedTuple):
--- a/bitterntiller/components/entry/pipeline.py
+++ b/bitterntiller/components/entry/pipeline.py
@@ -115,7 +115,7 @@
     ) -> None:
         work = self._context.interface.estimate(identified, body)
         active = ActiveRequest(Prepared(identified, body, work))
-        refused = self._admission.crashing(active)
+        refused = self._admission.check_quarantine(active)
         if refused is not None:
             await self._async_refuse(exchange, refused, identified, active.request_id)
             return
@@ -159,7 +159,7 @@
         if isinstance(verdict, RelayResult):
             outcome = outcome_of(verdict.status) if verdict.whole else Outcome.UNKNOWN
             if outcome is Outcome.DONE and self._context.crashes is not None:
-                await self._context.crashes.async_answered(active.fingerprint)
+                await self._context.crashes.async_note_success(active.fingerprint)
             await self._async_account(active, outcome, verdict.status)
             return
         if active.may_have_run or active.has_run:
--- a/bitterntiller/components/entry/rate_limits.py
+++ b/bitterntiller/components/entry/rate_limits.py
@@ -24,7 +24,7 @@
     return rate if rate <= MAX_RATE else None
 
 
-class HeardLimit(NamedTuple):
+class ReportedLimit(NamedTuple):
     """What an answer named, None for none, and when it began on this host's clock."""
 
     pool: str
@@ -34,35 +34,37 @@
     at: float
 
 
-class HeardLimits:
-    """The newest of each upstream that this host has heard of, for a new owner."""
+class RateLimitCache:
+    """The newest limit of each upstream that answers here have named."""
 
     def __init__(self, most: int = MAX_KEPT) -> None:
         self._most = most
-        self._by_upstream: dict[str, HeardLimit] = {}
-        self._told_by_pool: dict[str, Ownership] = {}
+        self._by_upstream: dict[str, ReportedLimit] = {}
+        self._owner_by_pool: dict[str, Ownership] = {}
 
-    def note(self, heard: HeardLimit) -> None:
+    def note(self, reported: ReportedLimit) -> None:
         """Keep what an answer named."""
-        self._by_upstream.pop(heard.upstream, None)
-        self._by_upstream[heard.upstream] = heard
-        oldest = heard.at - KEPT_SECONDS
+        self._by_upstream.pop(reported.upstream, None)
+        self._by_upstream[reported.upstream] = reported
+        oldest = reported.at - KEPT_SECONDS
         for name, first in list(self._by_upstream.items()):
             if first.at >= oldest and len(self._by_upstream) <= self._most:
                 return
             del self._by_upstream[name]
 
-    def untold(self, pool: str, owner: Ownership, now: float) -> list[HeardLimit]:
+    def for_new_owner(
+        self, pool: str, owner: Ownership, now: float
+    ) -> list[ReportedLimit]:
         """Return what to tell a pool's owner: all of it once, then nothing."""
-        if self._told_by_pool.get(pool) == owner:
+        if self._owner_by_pool.get(pool) == owner:
             return []
-        self._told_by_pool[pool] = owner
-        return self.of(pool, now)
+        self._owner_by_pool[pool] = owner
+        return self.for_pool(pool, now)
 
-    def of(self, pool: str, now: float) -> list[HeardLimit]:
-        """Return what was heard of a pool's upstreams of late."""
+    def for_pool(self, pool: str, now: float) -> list[ReportedLimit]:
+        """Return the limits that answers of a pool's upstreams have named of late."""
         return [
-            heard
-            for heard in self._by_upstream.values()
-            if heard.pool == pool and now - heard.at <= KEPT_SECONDS
+            reported
+            for reported in self._by_upstream.values()
+            if reported.pool == pool and now - reported.at <= KEPT_SECONDS
         ]
--- a/bitterntiller/components/entry/registry.py
+++ b/bitterntiller/components/entry/registry.py
@@ -73,7 +73,7 @@
             # to the one that counts the slot.
             sender=issuer.address if issuer else "",
             incarnation=message.upstream_incarnation,
-            limited=bool(message.limited),
+            rate_limited=bool(message.rate_limited),
         )
         if active is None or active.phase is not Phase.WAITING:
             # A caller that left, or a second grant after a failover: without the
--- a/bitterntiller/components/entry/waiting.py
+++ b/bitterntiller/components/entry/waiting.py
@@ -4,7 +4,7 @@
 
 from bitterntiller.components.entry import const
 from bitterntiller.components.entry.context import Context
-from bitterntiller.components.entry.limit_reports import async_hand_over
+from bitterntiller.components.entry.limit_reports import async_report_known_limits
 from bitterntiller.components.entry.models import (
     ActiveRequest,
     GrantReceived,
@@ -73,7 +73,7 @@
         return
     active.owner = owner
     active.registered_at = now
-    await async_hand_over(context, active.pool, owner)
+    await async_report_known_limits(context, active.pool, owner)
     message = register_message(active, context.host, now)
     if not await context.links.async_send(owner.address, message):
         active.owner = None
--- a/bitterntiller/components/entry/wire.py
+++ b/bitterntiller/components/entry/wire.py
@@ -1,7 +1,7 @@
 """The entry role's messages to the owner of a pool."""
 
 from bitterntiller.components.entry.models import ActiveRequest, GrantReceived
-from bitterntiller.components.entry.rate_limits import HeardLimit
+from bitterntiller.components.entry.rate_limits import ReportedLimit
 from bitterntiller.protocol import messages
 
 UNKNOWN_COUNT = -1
@@ -53,7 +53,7 @@
     )
 
 
-def limit_message(heard: HeardLimit, now: float) -> messages.UpstreamLimit:
+def limit_message(heard: ReportedLimit, now: float) -> messages.UpstreamLimit:
     """Return what an answer named, with its age."""
     return messages.UpstreamLimit(
         pool=heard.pool,
--- a/bitterntiller/core/interfaces.py
+++ b/bitterntiller/core/interfaces.py
@@ -100,7 +100,7 @@
         """Return how many upstreams have ended under a request."""
         ...
 
-    def held_for(self, fingerprint: int, now: float) -> float:
+    def quarantined_for(self, fingerprint: int, now: float) -> float:
         """Return the seconds for which a request may not be sent, 0 if it may."""
         ...
 
@@ -112,14 +112,14 @@
         """Return the number that names a request over all its copies."""
         ...
 
-    async def async_answer_broke(self, sent: SentRequest, again: bool) -> None:
+    async def async_check_crash(self, sent: SentRequest, retrying: bool) -> None:
         """Find out whether an upstream has ended under a request.
 
-        again tells that the request is to be sent once more. Returns when that is safe.
+        retrying tells that it is to be sent once more; returns when that is safe.
         """
         ...
 
-    async def async_answered(self, fingerprint: int) -> None:
+    async def async_note_success(self, fingerprint: int) -> None:
         """Take note of a whole answer to a request."""
         ...
 
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -86,7 +86,7 @@
     5: required string address,           // IP:port
     6: required string upstream_incarnation,
     7: required i32 valid_ms,             // counted from the arrival of the grant
-    8: optional bool limited,             // the owner believes that the upstream names a limit
+    8: optional bool rate_limited,             // the owner believes that the upstream names a limit
 }
 
 struct Refusal {
@@ -234,7 +234,7 @@
 /* Told to the owners of pools, and by these to all hosts; answered by what is not in it. */
 struct CrashReport {
     1: required string host,
-    2: required bool pass_on,            // the receiver is to tell all hosts
+    2: required bool broadcast  ,            // the receiver is to tell all hosts
     3: required list<CrashItem> crashes,
     4: required list<ClearingItem> clearings,
     5: optional i64 digest,              // of all that the sender knows; it asks for the receiver's
--- a/tests/components/crashes/builders.py
+++ b/tests/components/crashes/builders.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from bitterntiller.components.crashes.models import Clearing, Crash, CrashNews
+from bitterntiller.components.crashes.models import Clearing, Crash, CrashUpdate
 from bitterntiller.components.crashes.wire import report_message
 
 POISON = 0x5EED
@@ -14,9 +14,9 @@
     return Crash(POISON, upstream, "1", 1000.0)._replace(**changes)
 
 
-def crashes(count: int, **changes: Any) -> CrashNews:
+def crashes(count: int, **changes: Any) -> CrashUpdate:
     """Return the ends of several upstreams, a second apart, under one request."""
-    return CrashNews(
+    return CrashUpdate(
         tuple(
             crash(f"e{n}", **({"at": 1000.0 + n} | changes))
             for n in range(1, count + 1)
@@ -24,11 +24,11 @@
     )
 
 
-def clearing(at: float, fingerprint: int = POISON) -> CrashNews:
+def clearing(at: float, fingerprint: int = POISON) -> CrashUpdate:
     """Return the clearing of a request."""
-    return CrashNews(clearings=(Clearing(fingerprint, at),))
+    return CrashUpdate(clearings=(Clearing(fingerprint, at),))
 
 
 def report(count: int, now: float) -> Any:
     """Return the message of a host whose requests have ended several upstreams."""
-    return report_message(crashes(count, at=now), "reporter", now, pass_on=True)
+    return report_message(crashes(count, at=now), "reporter", now, broadcast=True)
--- a/tests/components/crashes/test_coordinator.py
+++ b/tests/components/crashes/test_coordinator.py
@@ -69,7 +69,7 @@
 
     @asynccontextmanager
     async def running(self, *names: str) -> AsyncIterator[None]:
-        """Have hosts exchange news as long as the context lasts."""
+        """Have hosts exchange update as long as the context lasts."""
         tasks = [
             await curio.spawn(self.coordinators_by_name[name].async_run)
             for name in names
@@ -112,8 +112,8 @@
     async def async_main() -> int:
         hosts = Hosts("a", owner="a")
         async with listening() as address:
-            await hosts.coordinators_by_name["a"].async_answer_broke(
-                sent(address), again=False
+            await hosts.coordinators_by_name["a"].async_check_crash(
+                sent(address), retrying=False
             )
             await curio.sleep(2 * const.CONFIRM_SECONDS)
         return hosts.counts()["a"]
@@ -125,8 +125,8 @@
     async def async_main() -> int:
         hosts = Hosts("a", owner="a")
         address = await async_closed_address()
-        await hosts.coordinators_by_name["a"].async_answer_broke(
-            sent(address), again=False
+        await hosts.coordinators_by_name["a"].async_check_crash(
+            sent(address), retrying=False
         )
         await curio.sleep(const.CONFIRM_SECONDS / 2)
         port = int(address.rpartition(":")[2])
@@ -142,8 +142,8 @@
         hosts = Hosts("a", "b", "c", owner="b")
         address = await async_closed_address()
         async with hosts.running("a", "b", "c"):
-            await hosts.coordinators_by_name["a"].async_answer_broke(
-                sent(address), again=False
+            await hosts.coordinators_by_name["a"].async_check_crash(
+                sent(address), retrying=False
             )
             await curio.sleep(2 * const.CONFIRM_SECONDS)
         return hosts.counts()
@@ -191,7 +191,7 @@
             )
             await async_settle()
             hosts.clock.advance(1.0)
-            await hosts.coordinators_by_name["a"].async_answered(build.POISON)
+            await hosts.coordinators_by_name["a"].async_note_success(build.POISON)
             await async_settle()
         return hosts.counts()
 
@@ -202,8 +202,8 @@
     async def async_main() -> bool:
         hosts = Hosts("a", "b", owner="b")
         coordinator = hosts.coordinators_by_name["a"]
-        await coordinator.async_answered(build.INNOCENT)
-        return coordinator.history.all(hosts.clock.now()).empty
+        await coordinator.async_note_success(build.INNOCENT)
+        return coordinator.history.snapshot(hosts.clock.now()).empty
 
     assert curio.run(async_main)
 
@@ -256,7 +256,7 @@
         await coordinator.async_on_report("a", _report(hosts, 2))
         address = await async_closed_address()
         begun = await curio.clock()
-        await coordinator.async_answer_broke(sent(address), again=False)
+        await coordinator.async_check_crash(sent(address), retrying=False)
         return await curio.clock() - begun
 
     assert curio.run(async_main) < const.CONFIRM_SECONDS / 2
@@ -268,7 +268,7 @@
         coordinator = hosts.coordinators_by_name["a"]
         await coordinator.async_on_report("a", _report(hosts, 2))
         again = sent(await async_closed_address())._replace(upstream="e9")
-        await coordinator.async_answer_broke(again, again=True)
+        await coordinator.async_check_crash(again, retrying=True)
         return hosts.counts()["a"]
 
     assert curio.run(async_main) == 3
--- a/tests/components/crashes/test_history.py
+++ b/tests/components/crashes/test_history.py
@@ -8,7 +8,7 @@
 
 from bitterntiller.components.crashes import const
 from bitterntiller.components.crashes.history import CrashHistory
-from bitterntiller.components.crashes.models import Clearing, Crash, CrashNews
+from bitterntiller.components.crashes.models import Clearing, Crash, CrashUpdate
 from tests.components.crashes import builders as build
 
 NOW = 1010.0
@@ -25,17 +25,17 @@
 )
 
 
-def history(*news: CrashNews) -> CrashHistory:
+def history(*update: CrashUpdate) -> CrashHistory:
     made = CrashHistory()
-    for item in news:
-        made.take(item, NOW)
+    for item in update:
+        made.merge(item, NOW)
     return made
 
 
-def test_request_is_held_from_its_third_crash_on():
-    assert not history(build.crashes(2)).held_for(build.POISON, NOW)
+def test_request_is_quarantined_from_its_third_crash_on():
+    assert not history(build.crashes(2)).quarantined_for(build.POISON, NOW)
     made = history(build.crashes(3, at=NOW))
-    assert made.held_for(build.POISON, NOW) == const.FIRST_HOLD_SECONDS
+    assert made.quarantined_for(build.POISON, NOW) == const.FIRST_QUARANTINE_SECONDS
 
 
 def test_one_end_of_an_upstream_told_by_many_hosts_counts_once():
@@ -46,7 +46,7 @@
 def test_request_whose_answer_came_whole_is_free():
     made = history(build.crashes(3), build.clearing(1005.0))
     assert made.count(build.POISON, NOW) == 0
-    assert not made.held_for(build.POISON, NOW)
+    assert not made.quarantined_for(build.POISON, NOW)
 
 
 def test_crashes_from_before_a_clearing_do_not_come_back_with_late_news():
@@ -56,14 +56,16 @@
 
 def test_request_is_not_kept_out_for_good():
     made = history(build.crashes(9, at=1000.0))
-    assert not made.held_for(build.POISON, 1000.0 + const.MAX_HOLD_SECONDS)
+    assert not made.quarantined_for(build.POISON, 1000.0 + const.MAX_QUARANTINE_SECONDS)
 
 
 @pytest.mark.parametrize(("count", "doublings"), [(4, 0), (5, 1), (6, 2), (40, 36)])
-def test_each_further_crash_doubles_the_hold(count: int, doublings: int):
+def test_each_further_crash_doubles_the_quarantine(count: int, doublings: int):
     made = history(build.crashes(count, at=1000.0))
-    expected = min(const.HOLD_SECONDS * 2**doublings, const.MAX_HOLD_SECONDS)
-    assert made.held_for(build.POISON, 1000.0) == expected
+    expected = min(
+        const.QUARANTINE_SECONDS * 2**doublings, const.MAX_QUARANTINE_SECONDS
+    )
+    assert made.quarantined_for(build.POISON, 1000.0) == expected
 
 
 def test_memory_is_bounded_and_keeps_those_that_crash_most():
@@ -71,7 +73,7 @@
     many = [
         build.crash(fingerprint=n, at=1001.0) for n in range(const.MAX_REQUESTS + 50)
     ]
-    made.take(CrashNews(tuple(many)), NOW)
+    made.merge(CrashUpdate(tuple(many)), NOW)
     assert len(list(made.fingerprints())) == const.MAX_REQUESTS
     assert made.count(build.POISON, NOW) == 3
 
@@ -80,8 +82,8 @@
     made = history(build.crashes(3))
     later = 1004.0 + const.KEPT_SECONDS
     assert made.count(build.POISON, later) == 0
-    assert made.all(later).empty
-    assert made.take(build.crashes(3), later).empty
+    assert made.snapshot(later).empty
+    assert made.merge(build.crashes(3), later).empty
 
 
 @given(st.lists(CRASHES, max_size=12), st.lists(CLEARINGS, max_size=3), st.randoms())
@@ -92,27 +94,29 @@
     crashes = list(
         {(c.fingerprint, c.upstream, c.incarnation): c for c in crashes}.values()
     )
-    single: list[CrashNews] = [CrashNews((item,)) for item in crashes]
-    single += [CrashNews(clearings=(item,)) for item in clearings]
+    single: list[CrashUpdate] = [CrashUpdate((item,)) for item in crashes]
+    single += [CrashUpdate(clearings=(item,)) for item in clearings]
     shuffled = list(single)
     rng.shuffle(shuffled)
     one, other = history(*single), history(*shuffled)
     for fingerprint in (1, 2):
         assert one.count(fingerprint, NOW) == other.count(fingerprint, NOW)
-        assert one.held_for(fingerprint, NOW) == other.held_for(fingerprint, NOW)
+        assert one.quarantined_for(fingerprint, NOW) == other.quarantined_for(
+            fingerprint, NOW
+        )
 
 
 @given(st.lists(CRASHES, max_size=8), st.lists(CRASHES, max_size=8))
 def test_two_hosts_know_the_same_after_one_exchange(
     here: list[Crash], there: list[Crash]
 ):
-    one, other = history(CrashNews(tuple(here))), history(CrashNews(tuple(there)))
-    told = one.all(NOW)
-    other.take(told, NOW)
-    one.take(other.unknown_to(told, NOW), NOW)
+    one, other = history(CrashUpdate(tuple(here))), history(CrashUpdate(tuple(there)))
+    told = one.snapshot(NOW)
+    other.merge(told, NOW)
+    one.merge(other.missing_from(told, NOW), NOW)
     assert ends(one) == ends(other)
 
 
 def ends(made: CrashHistory) -> set[tuple]:
     """Return the ends of processes that a history has, whenever they were."""
-    return {item[:3] for item in made.all(NOW).crashes}
+    return {item[:3] for item in made.snapshot(NOW).crashes}
--- a/tests/components/dispatch/test_isolation.py
+++ b/tests/components/dispatch/test_isolation.py
@@ -7,7 +7,7 @@
 
 from bitterntiller.components.crashes import const
 from bitterntiller.components.crashes.history import CrashHistory
-from bitterntiller.components.crashes.models import Clearing, Crash, CrashNews
+from bitterntiller.components.crashes.models import Clearing, Crash, CrashUpdate
 from bitterntiller.components.dispatch import FED_PARAMETERS
 from bitterntiller.components.dispatch.models import Decision, Granted, Refused
 from bitterntiller.components.dispatch.scheduler import PoolScheduler
@@ -17,8 +17,8 @@
 
 NOW = 1000.0
 SLOTS = 4
-MOST_CRASHES = const.CRASHES_TO_HOLD + 1
-"""Engines that one request ends in the minute of a play: one after its first hold."""
+MOST_CRASHES = const.QUARANTINE_THRESHOLD + 1
+"""Engines that one request ends in a minute: one after its first quarantine."""
 
 
 def pool(history: CrashHistory, upstreams: int) -> PoolScheduler:
@@ -28,8 +28,8 @@
     return scheduler
 
 
-def crashed(fingerprint: int, count: int, at: float = NOW - 1) -> CrashNews:
-    return CrashNews(
+def crashed(fingerprint: int, count: int, at: float = NOW - 1) -> CrashUpdate:
+    return CrashUpdate(
         tuple(Crash(fingerprint, f"old-{n}", "1", at) for n in range(count))
     )
 
@@ -42,14 +42,14 @@
     return [d.reason for d in decisions if isinstance(d, Refused)]
 
 
-def test_held_request_is_refused_at_once_with_the_end_of_its_hold():
+def test_quarantined_request_is_refused_at_once_with_the_time_of_its_end():
     history = CrashHistory()
-    history.take(crashed(POISON, 3), NOW)
+    history.merge(crashed(POISON, 3), NOW)
     scheduler = pool(history, 2)
     (refused,) = scheduler.register(build.request(fingerprint=POISON), NOW)
     assert isinstance(refused, Refused)
     assert refused.reason == Reason.CRASHES_UPSTREAMS
-    assert refused.retry_after == pytest.approx(history.held_for(POISON, NOW))
+    assert refused.retry_after == pytest.approx(history.quarantined_for(POISON, NOW))
 
 
 def test_waiting_copies_are_refused_when_the_last_allowed_crash_is_heard_of():
@@ -57,7 +57,7 @@
     scheduler = pool(history, 0)
     assert not scheduler.register(build.request("r1", fingerprint=POISON), NOW)
     assert not scheduler.register(build.request("r2", fingerprint=INNOCENT), NOW)
-    history.take(crashed(POISON, 3), NOW)
+    history.merge(crashed(POISON, 3), NOW)
     decisions = scheduler.review(frozenset({POISON}), NOW)
     assert reasons(decisions) == [Reason.CRASHES_UPSTREAMS]
     assert decisions[0].request_id == "r1"
@@ -65,7 +65,7 @@
 
 def test_suspect_runs_as_one_copy_at_a_time():
     history = CrashHistory()
-    history.take(crashed(POISON, 1), NOW)
+    history.merge(crashed(POISON, 1), NOW)
     scheduler = pool(history, 3)
     first = scheduler.register(build.request("r1", fingerprint=POISON), NOW)
     second = scheduler.register(build.request("r2", fingerprint=POISON), NOW)
@@ -77,8 +77,8 @@
 
 def test_request_with_two_crashes_runs_beside_no_other_suspect():
     history = CrashHistory()
-    history.take(crashed(POISON, 2), NOW)
-    history.take(crashed(INNOCENT, 1), NOW)
+    history.merge(crashed(POISON, 2), NOW)
+    history.merge(crashed(INNOCENT, 1), NOW)
     scheduler = pool(history, 1)
     assert granted(scheduler.register(build.request("r1", fingerprint=POISON), NOW))
     assert not scheduler.register(build.request("r2", fingerprint=INNOCENT), NOW)
@@ -87,17 +87,17 @@
 
 def test_suspects_that_wait_hold_up_nobody_else():
     history = CrashHistory()
-    history.take(crashed(POISON, 2), NOW)
+    history.merge(crashed(POISON, 2), NOW)
     scheduler = pool(history, 1)
     scheduler.register(build.request("r1", fingerprint=POISON), NOW)
     scheduler.register(build.request("r2", fingerprint=POISON), NOW)
     assert granted(scheduler.register(build.request("r3", fingerprint=7), NOW))
 
 
-def test_one_copy_is_tried_when_the_hold_is_over():
+def test_one_copy_is_tried_when_the_quarantine_is_over():
     history = CrashHistory()
-    history.take(crashed(POISON, 3), NOW)
-    later = NOW + history.held_for(POISON, NOW) + 1
+    history.merge(crashed(POISON, 3), NOW)
+    later = NOW + history.quarantined_for(POISON, NOW) + 1
     scheduler = PoolScheduler(FED_PARAMETERS, history)
     for name in ("e1", "e2"):
         scheduler.announce(build.upstream(name), later)
@@ -130,7 +130,7 @@
         self.scheduler = pool(self.history, self.ENGINES)
         self.now = NOW
         self.ended: dict[int, int] = {}
-        self.held_long: set[Caller] = set()
+        self.quarantined_long: set[Caller] = set()
         self._chance = chance
         self._boots = [1] * self.ENGINES
         self._numbers = 0
@@ -168,10 +168,10 @@
                     decision.request_id
                 )
                 continue
-            held = decision.reason == Reason.CRASHES_UPSTREAMS
-            if held and decision.retry_after > const.FIRST_HOLD_SECONDS:
-                self.held_long.add(caller)
-            if held:
+            quarantined = decision.reason == Reason.CRASHES_UPSTREAMS
+            if quarantined and decision.retry_after > const.FIRST_QUARANTINE_SECONDS:
+                self.quarantined_long.add(caller)
+            if quarantined:
                 left.append(caller)
             by_id.pop(decision.request_id)
         further: list[Decision] = []
@@ -196,11 +196,11 @@
             if crashes:
                 boot = str(self._boots[number])
                 crash = Crash(fingerprint, name, boot, self.now)
-                self.history.take(CrashNews((crash,)), self.now)
+                self.history.merge(CrashUpdate((crash,)), self.now)
                 left.append(caller)
             elif self.history.count(fingerprint, self.now):
                 cleared = Clearing(fingerprint, self.now)
-                self.history.take(CrashNews(clearings=(cleared,)), self.now)
+                self.history.merge(CrashUpdate(clearings=(cleared,)), self.now)
             outcome = "unknown" if crashes else "done"
             done = build.completion(request_id, name, outcome=outcome)
             further += self.scheduler.finished(done, self.now)
@@ -215,7 +215,7 @@
 
 
 @pytest.mark.parametrize("seed", range(10))
-def test_innocent_requests_beside_a_culprit_are_not_held(seed: int):
+def test_innocent_requests_beside_a_culprit_are_not_quarantined(seed: int):
     play = Play(seed, chance=0.0)
     waiting: list[Caller] = []
     for number in range(60):
@@ -224,19 +224,19 @@
         callers = [*waiting, *fresh, Caller(POISON, True)]
         play.rng.shuffle(callers)
         waiting = play.round(callers)
-    assert play.held_long == {Caller(POISON, True)}
+    assert play.quarantined_long == {Caller(POISON, True)}
     assert play.ended[POISON] == MOST_CRASHES
     assert all(caller.crashes for caller in waiting)
 
 
 @pytest.mark.parametrize("seed", range(10))
-def test_requests_are_not_held_for_engines_that_crash_by_themselves(seed: int):
+def test_requests_are_not_quarantined_for_engines_that_crash_by_themselves(seed: int):
     play = Play(seed, chance=0.05)
     waiting: list[Caller] = []
     for number in range(60):
         fresh = [Caller(1000 + 10 * number + n, False) for n in range(10)]
         waiting = play.round([*waiting, *fresh])
-    assert not play.held_long
+    assert not play.quarantined_long
 
 
 @pytest.mark.parametrize("seed", range(10))
@@ -251,5 +251,5 @@
         play.rng.shuffle(callers)
         waiting = play.round(callers)
     assert all(play.ended[item.fingerprint] <= MOST_CRASHES for item in culprits)
-    assert play.held_long == set(culprits)
+    assert play.quarantined_long == set(culprits)
     assert all(caller.crashes for caller in waiting)
--- a/tests/components/dispatch/test_pacing.py
+++ b/tests/components/dispatch/test_upstream_rate_limiter.py
@@ -1,4 +1,4 @@
-"""Tests of the pace at which an upstream that names a limit is sent requests."""
+"""Tests of the limiter at which an upstream that names a limit is sent requests."""
 
 import random
 from bisect import bisect_left
@@ -8,10 +8,13 @@
 from hypothesis import strategies as st
 
 from bitterntiller.components.dispatch import FED_PARAMETERS, make_scheduler
-from bitterntiller.components.dispatch.models import Decision, Granted, NamedLimit
+from bitterntiller.components.dispatch.models import Decision, Granted, RateLimitUpdate
 from bitterntiller.components.dispatch.owned_pool import OwnedPool
-from bitterntiller.components.dispatch.pacing import LEAST_RATE, UpstreamPace
 from bitterntiller.components.dispatch.scheduler import PoolScheduler
+from bitterntiller.components.dispatch.upstream_rate_limiter import (
+    LEAST_RATE,
+    UpstreamRateLimiter,
+)
 from bitterntiller.protocol import messages
 from tests.components.dispatch import builders as build
 from tests.components.dispatch import messages_builders as build_messages
@@ -31,20 +34,20 @@
     return max((n + 1 - begin for n, begin in enumerate(begins)), default=0)
 
 
-def paced(pace: UpstreamPace, begin: float, end: float) -> list[float]:
+def paced(limiter: UpstreamRateLimiter, begin: float, end: float) -> list[float]:
     """Return when requests are sent if one more always waits."""
     now, times = begin, []
-    while (now := now + pace.wait(now)) < end:
-        pace.take(now)
+    while (now := now + limiter.wait(now)) < end:
+        limiter.acquire(now)
         times.append(now)
     return times
 
 
 @given(RATES)
 def test_every_window_of_a_steady_limit_is_kept(rate: float):
-    pace = UpstreamPace()
-    pace.hear(rate, NOW, NOW)
-    times = paced(pace, NOW, NOW + 20)
+    limiter = UpstreamRateLimiter()
+    limiter.update(rate, NOW, NOW)
+    times = paced(limiter, NOW, NOW + 20)
     assert most_in_window(times) <= allowed(rate)
     assert len(times) >= 0.8 * 20 * max(rate, LEAST_RATE) - 2
 
@@ -53,17 +56,17 @@
 def test_every_window_is_kept_while_limits_change(
     rate: float, changes: list[tuple[float, float]]
 ):
-    pace = UpstreamPace()
+    limiter = UpstreamRateLimiter()
     now = NOW
-    pace.hear(rate, now, now)
+    limiter.update(rate, now, now)
     highest = rate
     times: list[float] = []
     for seconds, following in changes:
-        times += paced(pace, now, now + seconds)
+        times += paced(limiter, now, now + seconds)
         now += seconds
-        pace.hear(following, now, now)
+        limiter.update(following, now, now)
         highest = max(highest, following)
-    times += paced(pace, now, now + 8)
+    times += paced(limiter, now, now + 8)
     assert most_in_window(times) <= allowed(highest)
     last = changes[-1][1] if changes else rate
     assert most_in_window([t for t in times if t >= now]) <= allowed(last)
@@ -71,28 +74,28 @@
 
 @given(RATES, st.floats(0.0, 30.0))
 def test_pause_saves_up_no_more_than_a_burst(rate: float, pause: float):
-    pace = UpstreamPace()
-    pace.hear(rate, NOW, NOW)
-    times = paced(pace, NOW, NOW + 3)
-    times += paced(pace, NOW + 3 + pause, NOW + 10 + pause)
+    limiter = UpstreamRateLimiter()
+    limiter.update(rate, NOW, NOW)
+    times = paced(limiter, NOW, NOW + 3)
+    times += paced(limiter, NOW + 3 + pause, NOW + 10 + pause)
     assert most_in_window(times) <= allowed(rate)
 
 
 def test_upstream_without_a_limit_is_not_paced():
-    pace = UpstreamPace()
-    assert pace.wait(NOW) == 0.0
-    pace.take(NOW)
-    assert pace.wait(NOW) == 0.0
+    limiter = UpstreamRateLimiter()
+    assert limiter.wait(NOW) == 0.0
+    limiter.acquire(NOW)
+    assert limiter.wait(NOW) == 0.0
 
 
 def test_last_answer_counts_in_the_order_of_their_times():
-    pace = UpstreamPace()
-    assert pace.hear(2.0, NOW + 1, NOW + 2)
-    assert not pace.hear(None, NOW, NOW + 2)
-    assert pace.limit == 2.0
-    assert pace.hear(None, NOW + 1.5, NOW + 2)
-    assert not pace.hear(2.0, NOW + 1.2, NOW + 2)
-    assert pace.limit is None
+    limiter = UpstreamRateLimiter()
+    assert limiter.update(2.0, NOW + 1, NOW + 2)
+    assert not limiter.update(None, NOW, NOW + 2)
+    assert limiter.limit == 2.0
+    assert limiter.update(None, NOW + 1.5, NOW + 2)
+    assert not limiter.update(2.0, NOW + 1.2, NOW + 2)
+    assert limiter.limit is None
 
 
 def pool(*names: str, slots: int = 8) -> PoolScheduler:
@@ -102,10 +105,10 @@
     return scheduler
 
 
-def named(
+def rate_limit(
     limit: float | None, at: float = NOW, upstream: str = "e1", start: str = "1"
-) -> NamedLimit:
-    return NamedLimit(upstream, start, limit, at)
+) -> RateLimitUpdate:
+    return RateLimitUpdate(upstream, start, limit, at)
 
 
 def granted(decisions: list[Decision]) -> list[Granted]:
@@ -140,7 +143,7 @@
 @pytest.mark.parametrize("rate", [0.0, 0.5, 1.0, 1.9, 4.0, 10.0])
 def test_owner_keeps_a_limit_in_every_window_and_uses_it(rate: float):
     scheduler = pool("e1", "e2")
-    scheduler.hear_limit(named(rate), NOW)
+    scheduler.update_rate_limit(rate_limit(rate), NOW)
     times = play(scheduler, NOW, 16)
     assert most_in_window(times["e1"]) <= allowed(rate)
     assert len(times["e1"]) >= 0.8 * 16 * max(rate, LEAST_RATE) - 2
@@ -149,7 +152,7 @@
 
 def test_limited_upstream_holds_up_nobody_beside_free_ones():
     scheduler = pool("e1", "e2")
-    scheduler.hear_limit(named(0.5), NOW)
+    scheduler.update_rate_limit(rate_limit(0.5), NOW)
     for number in range(4):
         (grant,) = granted(scheduler.register(build.request(f"r{number}"), NOW))
         assert grant.upstream == "e2"
@@ -157,18 +160,18 @@
 
 def test_upstream_is_used_in_full_again_when_its_limit_has_ended():
     scheduler = pool("e1", slots=4)
-    scheduler.hear_limit(named(0.5), NOW)
+    scheduler.update_rate_limit(rate_limit(0.5), NOW)
     waiting = [build.request(f"r{n}") for n in range(4)]
     assert not granted(scheduler.register_all(waiting, NOW + 0.1))
-    ended = scheduler.hear_limit(named(None, NOW + 1), NOW + 1)
+    ended = scheduler.update_rate_limit(rate_limit(None, NOW + 1), NOW + 1)
     assert len(granted(ended)) == 4
 
 
 def test_limit_of_an_earlier_start_does_not_bind_a_new_one():
     scheduler = pool("e1")
-    scheduler.hear_limit(named(0.5), NOW)
+    scheduler.update_rate_limit(rate_limit(0.5), NOW)
     scheduler.announce(build.upstream("e1", incarnation=2), NOW + 1)
-    scheduler.hear_limit(named(0.5, NOW + 1.1, start="1"), NOW + 1.2)
+    scheduler.update_rate_limit(rate_limit(0.5, NOW + 1.1, start="1"), NOW + 1.2)
     grants = [
         granted(scheduler.register(build.request(f"r{n}"), NOW + 2)) for n in range(3)
     ]
@@ -178,7 +181,7 @@
 def test_request_that_waits_for_a_turn_is_granted_at_that_time():
     scheduler = pool("e1")
     scheduler.tick(NOW)
-    scheduler.hear_limit(named(3.0), NOW)
+    scheduler.update_rate_limit(rate_limit(3.0), NOW)
     assert not granted(scheduler.register(build.request(), NOW))
     now, decisions = NOW, []
     while not decisions:
@@ -189,7 +192,7 @@
 
 def test_callers_are_told_of_the_smaller_capacity():
     free, limited = pool("e1", slots=20), pool("e1", slots=20)
-    limited.hear_limit(named(1.0), NOW)
+    limited.update_rate_limit(rate_limit(1.0), NOW)
     for number in range(40):
         request = build.request(f"r{number}", deadline=NOW + 300)
         free.register(request, NOW)
@@ -214,7 +217,7 @@
     )
     steps = [
         lambda: made.announce(build_messages.announce("e1", 4), NOW),
-        lambda: made.hear_limit(limit, NOW),
+        lambda: made.update_rate_limit(limit, NOW),
     ]
     for step in steps if announced_first else reversed(steps):
         step()
--- a/tests/components/entry/deployment.py
+++ b/tests/components/entry/deployment.py
@@ -10,7 +10,7 @@
 from bitterntiller.components.entry.claiming import Claimant
 from bitterntiller.components.entry.context import Context
 from bitterntiller.components.entry.coordinator import EntryCoordinator
-from bitterntiller.components.entry.rate_limits import HeardLimits
+from bitterntiller.components.entry.rate_limits import RateLimitCache
 from bitterntiller.components.settings.models import Limits, Timings
 from bitterntiller.core.clock import RuntimeClock
 from bitterntiller.core.interfaces import Ownership
@@ -121,7 +121,7 @@
             config=ConfigView(),
             directory=Directory(),
             control=fakes.FakeControl(),
-            limits=HeardLimits(),
+            rate_limits=RateLimitCache(),
         )
         coordinator = EntryCoordinator(
             context, Limits(**limits), Claimant(context, "i1")
--- a/tests/components/entry/test_limits_told.py
+++ b/tests/components/entry/test_limit_reports.py
@@ -6,7 +6,7 @@
 
 from bitterntiller.components.entry.attempt import Attempt
 from bitterntiller.components.entry.claiming import Claimant
-from bitterntiller.components.entry.rate_limits import HeardLimit, HeardLimits
+from bitterntiller.components.entry.rate_limits import RateLimitCache, ReportedLimit
 from bitterntiller.core.clock import ManualClock
 from bitterntiller.protocol import messages
 from tests.components.entry import deployment, fakes
@@ -25,11 +25,11 @@
 FOREIGN = NAMED.replace(b"r1", b"r2")
 
 
-def told(answer: bytes, limited: bool = False) -> list[Any]:
+def told(answer: bytes, rate_limited: bool = False) -> list[Any]:
     """Return the messages on limits that an owner gets for one answer."""
     clock = ManualClock()
     links = fakes.FakeLinks(clock)
-    context = fakes.context(clock, links)._replace(limits=HeardLimits())
+    context = fakes.context(clock, links)._replace(rate_limits=RateLimitCache())
     active = fakes.active_request(clock, "POST")
 
     async def async_main() -> None:
@@ -37,7 +37,9 @@
             tried = Attempt(
                 fakes.FakeExchange(), active, context, Claimant(context, "i1")
             )
-            await tried.async_run(fakes.grant(clock, address)._replace(limited=limited))
+            await tried.async_run(
+                fakes.grant(clock, address)._replace(rate_limited=rate_limited)
+            )
 
     curio.run(async_main)
     return [item for item in links.sent if isinstance(item, messages.UpstreamLimit)]
@@ -54,7 +56,7 @@
 
 
 def test_owner_that_believes_in_a_limit_hears_of_its_end():
-    (message,) = told(UNNAMED, limited=True)
+    (message,) = told(UNNAMED, rate_limited=True)
     assert message.limit is None
 
 
@@ -67,21 +69,21 @@
 
 
 def test_newest_answer_of_each_upstream_is_kept_for_a_new_owner():
-    heard = HeardLimits()
-    heard.note(HeardLimit("llm", "e1", "1", 2.0, 1000.0))
-    heard.note(HeardLimit("llm", "e2", "1", 3.0, 1001.0))
-    heard.note(HeardLimit("llm", "e1", "1", None, 1002.0))
-    heard.note(HeardLimit("registry", "p1", "1", 3.0, 1003.0))
-    kept = {item.upstream: item.limit for item in heard.of("llm", 1004.0)}
+    heard = RateLimitCache()
+    heard.note(ReportedLimit("llm", "e1", "1", 2.0, 1000.0))
+    heard.note(ReportedLimit("llm", "e2", "1", 3.0, 1001.0))
+    heard.note(ReportedLimit("llm", "e1", "1", None, 1002.0))
+    heard.note(ReportedLimit("registry", "p1", "1", 3.0, 1003.0))
+    kept = {item.upstream: item.limit for item in heard.for_pool("llm", 1004.0)}
     assert kept == {"e1": None, "e2": 3.0}
-    assert not heard.of("llm", 1100.0)
+    assert not heard.for_pool("llm", 1100.0)
 
 
 def test_new_owner_is_told_once_and_before_it_is_asked_for_a_grant():
     async def async_main() -> list[Any]:
         async with deployment.entry_host(deployment.async_whole) as host:
             now = host.context.clock.now()
-            host.context.limits.note(HeardLimit("llm", "e1", "1", 0.5, now))
+            host.context.rate_limits.note(ReportedLimit("llm", "e1", "1", 0.5, now))
             for _ in range(2):
                 sock = await curio.open_connection("127.0.0.1", host.port)
                 async with sock:
@@ -97,7 +99,11 @@
 
 
 def test_memory_of_limits_is_bounded():
-    heard = HeardLimits(most=3)
+    heard = RateLimitCache(most=3)
     for number in range(10):
-        heard.note(HeardLimit("llm", f"e{number}", "1", 2.0, 1000.0))
-    assert [item.upstream for item in heard.of("llm", 1000.0)] == ["e7", "e8", "e9"]
+        heard.note(ReportedLimit("llm", f"e{number}", "1", 2.0, 1000.0))
+    assert [item.upstream for item in heard.for_pool("llm", 1000.0)] == [
+        "e7",
+        "e8",
+        "e9",
+    ]
--- a/tests/components/operator/builders.py
+++ b/tests/components/operator/builders.py
@@ -42,7 +42,7 @@
 
     def describe(self):
         crash = {"upstream": "e1", "incarnation": "1", "seconds_ago": 2.0}
-        item = {"held_for": 3.0, "crashes": [crash]}
+        item = {"quarantined_for": 3.0, "crashes": [crash]}
         return {"requests_by_fingerprint": {f"{self.KNOWN:016x}": item}}
 
     def knows(self, fingerprint):
--- a/tests/scenarios/load.py
+++ b/tests/scenarios/load.py
@@ -17,7 +17,7 @@
 CALL_DEADLINE_MS = "8000"
 
 LAST_CALLS = 40
-HELD_REASON = "crashes-upstreams"
+QUARANTINE_REASON = "crashes-upstreams"
 
 
 PLAIN_TARGET = "/bonds"
@@ -88,9 +88,9 @@
         return sum(call.whole for call in self.calls[-LAST_CALLS:])
 
     @property
-    def held(self) -> int:
+    def quarantined(self) -> int:
         """How many were refused as requests that crash upstreams."""
-        return sum(call.reason == HELD_REASON for call in self.calls)
+        return sum(call.reason == QUARANTINE_REASON for call in self.calls)
 
     @property
     def cut(self) -> int:
--- a/tests/scenarios/repeats.py
+++ b/tests/scenarios/repeats.py
@@ -16,7 +16,7 @@
 CALL_DEADLINE_MS = "8000"
 
 CRASHES_ALLOWED = 3
-NEWS_SECONDS = 3.0
+PROPAGATION_SECONDS = 3.0
 """How long after the last allowed crash hosts may not yet have heard of it."""
 
 
@@ -81,7 +81,7 @@
         ends = sorted(record["time"] for record in self._records("crash"))
         if len(ends) < CRASHES_ALLOWED:
             return 0
-        known_at = ends[CRASHES_ALLOWED - 1] + NEWS_SECONDS
+        known_at = ends[CRASHES_ALLOWED - 1] + PROPAGATION_SECONDS
         ran = [r for r in self._records("run") if r["digest"] == digest(self._body)]
         return sum(record["time"] > known_at for record in ran)
 
--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -21,8 +21,8 @@
     expect e1 accepted                      an announcement was accepted
     expect e1 orders == 1                   orders that it carried out
     expect e1 runs >= 2                     runs since the fault or signal: new_runs
-    expect e1 most_runs <= 17               in some WINDOW_SECONDS, from NEWS_SECONDS
-                                            after the fault on
+    expect e1 most_runs <= 17               in some WINDOW_SECONDS, from
+                                            PROPAGATION_SECONDS after the fault on
     within 5s expect ...                    the same, with patience
     at-least 2 expect b* whole              true of so many of them
 
@@ -46,7 +46,7 @@
 from tests.scenarios.control_steps import ControlSteps
 from tests.scenarios.deployment import Deployment
 from tests.scenarios.processes import has
-from tests.scenarios.repeats import NEWS_SECONDS
+from tests.scenarios.repeats import PROPAGATION_SECONDS
 
 POLL_S = 0.02
 WINDOW_SECONDS = 4.0
@@ -330,7 +330,7 @@
         since = self._marked_at_by_name.get(name, 0.0) if what == "new_runs" else 0.0
         runs = self._deployment.records("run")
         if what == "most_runs":
-            since = self._marked_at_by_name[name] + NEWS_SECONDS
+            since = self._marked_at_by_name[name] + PROPAGATION_SECONDS
             return most_in_window(
                 [r["time"] for r in runs if r["upstream"] == name and r["time"] > since]
             )
