explain: the upstreams that ended under copies of a request

From a request's id to "it crashed three engines" took two searches of the logs by hand. `bitterntiller explain ID` joins the lines of ended upstreams by the request's fingerprint, whenever and wherever they were told, each upstream once; a copy that was refused names its fingerprint in its text. Two tests, both failing without the change.

--- a/bitterntiller/cli/request_trace.py
+++ b/bitterntiller/cli/request_trace.py
@@ -2,6 +2,7 @@
 
 import fileinput
 import json
+import re
 from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
 from typing import Any, NamedTuple
@@ -41,6 +42,7 @@
 )
 """Events that name no request and may still explain one."""
 
+_FINGERPRINT = re.compile(r"fingerprint ([0-9a-f]{16})")
 _LEFT_OUT = frozenset({ATTR_EVENT, ATTR_HOST, ATTR_REQUEST, ATTR_TIME, ATTR_SEQUENCE})
 
 
@@ -114,8 +116,27 @@
         and first <= line.time <= last
         and _concerns(line, hosts, own)
     ]
-    lines = sorted([*own, *beside], key=lambda line: line.time)
-    return RequestTrace(lines, _cause(sorted(own, key=lambda line: line.time), beside))
+    crashes = _crashes(kept, own)
+    lines = sorted([*own, *beside, *crashes], key=lambda line: line.time)
+    cause = _cause(sorted(own, key=lambda line: line.time), beside)
+    if crashes:
+        ended = ", ".join(str(line.fields.get("upstream")) for line in crashes)
+        cause = f"{cause}; upstreams that ended under copies of it: {ended}"
+    return RequestTrace(lines, cause)
+
+
+def _crashes(lines: list[Line], own: list[Line]) -> list[Line]:
+    """Return one line for each upstream that ended under a copy of a request."""
+    fingerprints = {line.fields.get("fingerprint") for line in own} - {None}
+    for line in own:
+        # A copy that was refused names it in the text that its caller got.
+        fingerprints.update(_FINGERPRINT.findall(str(line.fields.get("detail"))))
+    found: dict[str, Line] = {}
+    for line in sorted(lines, key=lambda line: line.time):
+        fields = line.fields
+        if line.event == "upstream-crashed" and fields["fingerprint"] in fingerprints:
+            found.setdefault(str(fields.get("upstream")), line)
+    return list(found.values())
 
 
 def _concerns(line: Line, hosts: set[str], own: list[Line]) -> bool:
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -131,3 +131,37 @@
     code, text = explained(capsys, "r9", owner)
     assert code != const.EXIT_OK
     assert "some hosts tell only a part of their requests: core-1 0.25" in text
+
+
+def crash(time: float, host: str, upstream: str, fingerprint: str) -> dict[str, Any]:
+    fields = {"upstream": upstream, "fingerprint": fingerprint, "crashes": 1}
+    return event(time, host, "upstream-crashed", **fields)
+
+
+def test_request_that_crashed_upstreams_names_them_once_each(tmp_path, capsys):
+    same, other = "0" * 15 + "a", "0" * 15 + "b"
+    log = write_log(
+        tmp_path / "edge",
+        event(1.0, "edge-1", "sent", request="r1", upstream="e1", fingerprint=same),
+        event(1.2, "edge-1", "ended", request="r1", outcome="unknown", upstream="e1"),
+        crash(1.3, "edge-1", "e1", same),
+        crash(1.4, "edge-2", "e1", same),
+        crash(60.0, "edge-2", "e2", same),
+        crash(61.0, "edge-2", "e3", other),
+    )
+    code, text = explained(capsys, "r1", log)
+    assert code == const.EXIT_OK
+    assert text.splitlines()[-1].endswith("ended under copies of it: e1, e2")
+
+
+def test_refused_copy_names_the_upstreams_that_ended_under_others(tmp_path, capsys):
+    same = "0" * 15 + "a"
+    detail = f"3 upstreams have ended (fingerprint {same}); it is not sent"
+    fields = {"status": 503, "reason": "crashes-upstreams", "detail": detail}
+    log = write_log(
+        tmp_path / "edge",
+        crash(1.3, "edge-1", "e1", same),
+        event(30.0, "edge-1", "refused", request="r9", **fields),
+    )
+    _, text = explained(capsys, "r9", log)
+    assert text.splitlines()[-1].endswith("ended under copies of it: e1")
