Keep the crash history on the disks of control

Each host with a data folder now saves the history in a thread after each change (draft, sync, rename, sync of the folder) and joins it at its start. A damaged file or a full disk costs no request and is logged; the other hosts have the history too.

--- a/bitterntiller/components/crashes/const.py
+++ b/bitterntiller/components/crashes/const.py
@@ -30,6 +30,9 @@
 OWNERS_PERIOD = 1.0
 """Between two looks whether a pool has another owner."""
 
+SAVE_PAUSE = 0.2
+SAVE_RETRY = 2.0
+
 FINGERPRINT_BYTES = 8
 MAX_KEY_BYTES = 64
 
--- /dev/null
+++ b/bitterntiller/components/crashes/storage.py
@@ -0,0 +1,68 @@
+"""Keeps the history of crashes in a file, for the time after a restart of all hosts.
+
+The file is JSON: lists of crashes and of clearings with their Unix times in seconds.
+"""
+
+import json
+import os
+from pathlib import Path
+
+import voluptuous as vol
+
+from bitterntiller.components.crashes.errors import DamagedHistoryError
+from bitterntiller.components.crashes.models import Clearing, Crash, CrashUpdate
+
+FILE_NAME = "crashes.json"
+
+_CRASH = vol.ExactSequence([int, str, str, vol.Any(int, float)])
+_CLEARING = vol.ExactSequence([int, vol.Any(int, float)])
+_SCHEMA = vol.Schema(
+    {vol.Required("crashes"): [_CRASH], vol.Required("clearings"): [_CLEARING]}
+)
+
+
+def save(path: Path, known: CrashUpdate, offset: float) -> None:
+    """Write a history in place of the one before, and wait for the disk.
+
+    offset is the Unix time less the time of the process's clock, in seconds. Raise
+    OSError; the file is then the one before or the new one.
+    """
+    document = {
+        "crashes": [(*item[:3], item.at + offset) for item in known.crashes],
+        "clearings": [(item.fingerprint, item.at + offset) for item in known.clearings],
+    }
+    path.parent.mkdir(parents=True, exist_ok=True)
+    draft = path.with_suffix(".new")
+    with draft.open("w", encoding="utf-8") as file:
+        json.dump(document, file)
+        file.flush()
+        os.fsync(file.fileno())
+    draft.replace(path)
+    folder = os.open(path.parent, os.O_RDONLY)
+    try:
+        os.fsync(folder)
+    finally:
+        os.close(folder)
+
+
+def load(path: Path, offset: float) -> CrashUpdate:
+    """Return the history in a file, an empty one if there is none.
+
+    Raise DamagedHistoryError for a file that can't be read.
+    """
+    try:
+        document = _SCHEMA(json.loads(path.read_text(encoding="utf-8")))
+    except FileNotFoundError:
+        return CrashUpdate()
+    except (OSError, ValueError, RecursionError, vol.Invalid) as error:
+        raise DamagedHistoryError(f"{path}: {error}") from error
+    return CrashUpdate(
+        tuple(
+            Crash(fingerprint, upstream, incarnation, at - offset)
+            for fingerprint, upstream, incarnation, at in document["crashes"]
+        ),
+        tuple(
+            Clearing(fingerprint, at - offset)
+            for fingerprint, at in document["clearings"]
+        ),
+    )
--- /dev/null
+++ b/tests/components/crashes/test_storage.py
@@ -0,0 +1,117 @@
+"""Tests of the history that outlives the end of all processes."""
+
+import curio
+import pytest
+
+from bitterntiller.components.crashes.errors import DamagedHistoryError
+from bitterntiller.components.crashes.history import CrashHistory
+from bitterntiller.components.crashes.keeper import HistoryKeeper
+from bitterntiller.components.crashes.models import CrashUpdate
+from bitterntiller.components.crashes.storage import load, save
+from bitterntiller.core.clock import ManualClock
+from tests.components.crashes import builders as build
+
+OFFSET = 500_000.0
+
+
+def test_history_is_the_same_after_a_restart_with_another_clock(tmp_path):
+    path = tmp_path / "folder" / "crashes.json"
+    known = CrashUpdate(
+        build.crashes(3).crashes, build.clearing(1005.0, build.INNOCENT).clearings
+    )
+    save(path, known, OFFSET)
+    assert load(path, OFFSET) == known
+    (first, *_) = load(path, OFFSET + 900.0).crashes
+    assert first.at == known.crashes[0].at - 900.0
+
+
+def test_no_file_is_an_empty_history(tmp_path):
+    assert load(tmp_path / "crashes.json", OFFSET).empty
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "{",
+        "[]",
+        '{"crashes": []}',
+        '{"crashes": [[1]], "clearings": []}',
+        "[" * 9999,
+    ],
+)
+def test_damaged_file_is_named(tmp_path, text):
+    path = tmp_path / "crashes.json"
+    path.write_text(text)
+    with pytest.raises(DamagedHistoryError, match=r"crashes\.json"):
+        load(path, OFFSET)
+
+
+def test_failed_save_leaves_the_file_before(tmp_path, monkeypatch):
+    path = tmp_path / "crashes.json"
+    save(path, build.crashes(1), OFFSET)
+
+    def full(_fd: int) -> None:
+        raise OSError(28, "No space left on device")
+
+    monkeypatch.setattr("os.fsync", full)
+    with pytest.raises(OSError, match="No space"):
+        save(path, build.crashes(3), OFFSET)
+    assert len(load(path, OFFSET).crashes) == 1
+
+
+def kept(path, history: CrashHistory) -> HistoryKeeper:
+    return HistoryKeeper(path, history, ManualClock())
+
+
+def test_quarantine_outlives_the_end_of_all_processes(tmp_path):
+    path = tmp_path / "crashes.json"
+
+    async def async_main() -> None:
+        history = CrashHistory()
+        keeper = kept(path, history)
+        task = await curio.spawn(keeper.async_run)
+        history.merge(build.crashes(4, at=1000.0), 1000.0)
+        await keeper.async_note_change(frozenset({build.POISON}))
+        await curio.sleep(0.1)
+        await task.cancel()
+
+    curio.run(async_main)
+    after = CrashHistory()
+    kept(path, after).load()
+    assert after.quarantined_for(build.POISON, 1000.0) > 100
+
+
+def test_damaged_file_keeps_no_process_from_starting(tmp_path):
+    path = tmp_path / "crashes.json"
+    path.write_text("{")
+    history = CrashHistory()
+    kept(path, history).load()
+    assert history.snapshot(1000.0).empty
+
+
+def test_disk_that_fails_is_tried_again(tmp_path, monkeypatch):
+    path = tmp_path / "crashes.json"
+    monkeypatch.setattr("bitterntiller.components.crashes.const.SAVE_RETRY", 0.05)
+    monkeypatch.setattr("bitterntiller.components.crashes.const.SAVE_PAUSE", 0.01)
+    failures = [OSError(28, "full"), None]
+
+    def flaky(target, known, offset) -> None:
+        error = failures.pop(0)
+        if error is not None:
+            raise error
+        save(target, known, offset)
+
+    monkeypatch.setattr("bitterntiller.components.crashes.keeper.save", flaky)
+
+    async def async_main() -> None:
+        history = CrashHistory()
+        keeper = kept(path, history)
+        task = await curio.spawn(keeper.async_run)
+        history.merge(build.crashes(3), 1004.0)
+        await keeper.async_note_change(frozenset({build.POISON}))
+        await curio.sleep(0.3)
+        await task.cancel()
+
+    curio.run(async_main)
+    assert len(load(path, OFFSET).crashes) == 3
