No answer waits for the message that tells an owner of a limit

It is sent by a task of its own. Ruled out: sending it after the answer's first event, which may come seconds later. No test shows the delay; those of what owners are told pass as before.

--- a/bitterntiller/components/entry/limit_reports.py
+++ b/bitterntiller/components/entry/limit_reports.py
@@ -1,5 +1,7 @@
 """Tells owners which limits the answers of upstreams name."""
 
+import curio
+
 from bitterntiller.components.entry.context import Context
 from bitterntiller.components.entry.models import ActiveRequest, GrantReceived
 from bitterntiller.components.entry.rate_limits import ReportedLimit
@@ -23,8 +25,9 @@
     owner = context.directory.owner(grant.pool)
     addresses = {grant.sender, owner.address if owner is not None else ""}
     message = limit_message(reported, context.clock.now())
+    # A dial to an owner that has just died must not hold up the answer.
     for address in addresses - {""}:
-        await context.links.async_send(address, message)
+        await curio.spawn(context.links.async_send, address, message, daemon=True)
 
 
 async def async_report_known_limits(
