--- a/bitterntiller/components/control/coordinator.py
+++ b/bitterntiller/components/control/coordinator.py
@@ -90,6 +90,7 @@
         if not self._log.is_leader():
             return
         handed = await self._log.async_hand_over(self._timings.election_min)
+        logging.info("control %s handed over", "was" if handed else "was not")
         events.emit("handed-over", done=handed, leader=self._log.leader())
 
     def leading(self) -> LeaderTerm | None:
