--- a/tests/platform/test_configuration_fuzz.py
+++ b/tests/platform/test_configuration_fuzz.py
@@ -56,6 +56,7 @@
 @given(st.sampled_from(PATHS), ANY)
 @example(("route_table", 0, "priority"), float("nan"))
 @example(("tenants", 0, "api_keys"), [["a"]])
+@example(("tenants", 0, "api_keys"), ["\ud800"])
 @example(("services", 0, "engine_id"), [])
 def test_any_value_anywhere_is_a_configuration_or_an_error(path, value):
     """An operator hears of no answer, though its configuration can't be read.
