--- a/bench/rollouts.py
+++ b/bench/rollouts.py
@@ -34,6 +34,7 @@
 
 SLOTS = 9
 VERDICT_DELAY = 0.2
+TROUBLE_SECONDS = 4.0
 ROLLBACK_SECONDS = 5.0
 BAD_ANSWERS = 50
 WEIGH_BY_NAME = {
@@ -196,7 +197,7 @@
         draw = self.rng.random()
         route, mean = _drawn(draw)
         self.trial.note_reached(route)
-        name = self._choose(route)
+        name = self._choose(route, now)
         is_new = name.startswith("new")
         number = next(self.numbers)
         if is_new:
@@ -208,14 +209,26 @@
         heapq.heappush(self.ends, sent)
         self.all_sent.append(sent)
 
-    def _choose(self, route: str) -> str:
+    def _choose(self, route: str, now: float) -> str:
         if self.phase is Phase.COMPLETE:
             return min(self.new, key=self.running_by_name.__getitem__)
         judged = self.phase.under_way and self.allowance > 0
         if judged and self.trial.is_due(route):
-            self.allowance -= 1
-            return min(self.canaries, key=self.running_by_name.__getitem__)
-        return min(self.old, key=self.running_by_name.__getitem__)
+            canaries = self._up(self.canaries, now)
+            if canaries:
+                self.allowance -= 1
+                return min(canaries, key=self.running_by_name.__getitem__)
+        old = self._up(self.old, now) or self.old
+        return min(old, key=self.running_by_name.__getitem__)
+
+    def _up(self, names: list[str], now: float) -> list[str]:
+        """Return the upstreams that have not crashed."""
+        if self.case.trouble != "crash" or not self._in_trouble(now):
+            return names
+        return [name for name in names if name not in self.troubled]
+
+    def _in_trouble(self, now: float) -> bool:
+        return 0 <= now - self.trouble_at < TROUBLE_SECONDS
 
     def _run(
         self, name: str, route: str, mean: float, now: float
@@ -226,16 +239,19 @@
         size = self.rng.lognormvariate(-0.125, 0.5)
         seconds = mean * size * self.speed_by_name[name] * (0.7 + 0.6 * load)
         fails = 0.002
-        if name in self.troubled and 0 <= now - self.trouble_at < 4.0:
+        if name in self.troubled and self._in_trouble(now):
             if case.trouble == "slow":
                 seconds *= 8
-            fails = {"crash": 0.95, "grey": 0.4}.get(case.trouble, fails)
+            fails = 0.4 if case.trouble == "grey" else fails
         touched = name.startswith("new") and now >= case.since
         touched = touched and case.route in ("", route)
         touched = touched and (not case.loaded or load >= 0.6)
         if touched:
             seconds *= case.slower
             fails = max(fails, case.fails)
+        crash_in = self.trouble_at - now
+        if case.trouble == "crash" and name in self.troubled and 0 < crash_in < seconds:
+            return True, crash_in
         if self.rng.random() < fails:
             return True, seconds * self.rng.random()
         return False, seconds
--- a/tests/components/rollouts/test_state.py
+++ b/tests/components/rollouts/test_state.py
@@ -116,6 +116,7 @@
     silent = registered("e1", "v1", "silent")
     apply(state, 5, upstreams=[silent], settle_versions=True)
     assert not state.rollouts.rules(POOL).may_run("v2")
+    assert state.rollouts.rules(POOL).may_run("v1")
 
 
 def test_any_version_serves_where_versions_are_not_ordered():
--- /dev/null
+++ b/tests/platform/processes.py
@@ -0,0 +1,234 @@
+"""Processes of the platform on loopback addresses, with stand-ins for its engines."""
+
+import http.client
+import json
+import random
+import sys
+import threading
+import time
+import uuid
+from contextlib import ExitStack
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from typing import Any, Self
+
+from bitterntiller_platform.wire import SETTINGS_VARIABLE
+
+from tests.platform.builders import KEY, document, route
+from tests.scenarios.processes import ROOT, Process
+
+CONTROL_IPS = ("127.0.3.1", "127.0.3.2", "127.0.3.3")
+ENTRY_IP = "127.0.3.9"
+CONTROL_PORT = 8229
+ENTRY_PORT = 8221
+ENGINE_PORT = 8486
+SERVICE = "map"
+BEAT_SECONDS = 0.3
+ASK_TIMEOUT = 3.0
+PATIENCE = 20.0
+
+
+class Engine:
+    """One engine of a version; fails is the part of its requests that it fails."""
+
+    def __init__(self, name: str, ip: str, version: str, fails: float) -> None:
+        self.name = name
+        self.version = version
+        self.fails = fails
+        self.runs: list[float] = []
+        self._ip = ip
+        self._stopped = threading.Event()
+        engine = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def do_GET(self) -> None:
+                engine.answer(self)
+
+            def log_message(self, format: str, *args: Any) -> None:
+                pass
+
+        self._server = ThreadingHTTPServer((ip, ENGINE_PORT), Handler)
+        for target in (self._server.serve_forever, self._beat):
+            threading.Thread(target=target, daemon=True).start()
+
+    def answer(self, handler: BaseHTTPRequestHandler) -> None:
+        """Answer one request, as engines of the platform do."""
+        self.runs.append(time.monotonic())
+        time.sleep(0.05)
+        failed = random.random() < self.fails
+        handler.send_response(500 if failed else 200)
+        handler.send_header("X-Attempt-Id", handler.headers["X-Attempt-Id"])
+        handler.send_header("X-Engine-Signature", "signed")
+        handler.send_header("Content-Length", "4")
+        handler.end_headers()
+        handler.wfile.write(b"tile")
+
+    def close(self) -> None:
+        """Stop at once, undrained."""
+        self._stopped.set()
+        self._server.shutdown()
+        self._server.server_close()
+
+    def _beat(self) -> None:
+        body = {
+            "service": SERVICE,
+            "address": f"{self._ip}:{ENGINE_PORT}",
+            "zone": "bole",
+            "version": self.version,
+            "batch_slots": 4,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+        }
+        sequence = 0
+        while not self._stopped.wait(BEAT_SECONDS):
+            sequence += 1
+            for ip in CONTROL_IPS:
+                path = f"/-/instances/{self.name}"
+                if ask(ip, "PUT", path, body | {"seq": sequence})[0] == 200:
+                    break
+
+
+class PlatformProcess(Process):
+    """One process of the platform, told its settings file by the environment."""
+
+    def __init__(self, name: str, settings: Path, folder: Path) -> None:
+        super().__init__(name, "", [], folder)
+        self._command = [sys.executable, str(ROOT / "platform/start.py")]
+        self._environment = {SETTINGS_VARIABLE: str(settings)}
+
+
+class Fleet:
+    """Three hosts of control and one entry host; leaving the context ends them."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._stack = ExitStack()
+        self._calling = threading.Event()
+        self._lock = threading.Lock()
+        self.calls: list[tuple[float, int]] = []
+        self.process_by_ip: dict[str, Process] = {}
+
+    def __enter__(self) -> Self:
+        for ip in (*CONTROL_IPS, ENTRY_IP):
+            path = self._folder / f"{ip}.conf"
+            path.write_text(self._settings(ip))
+            self._data_folder(ip).mkdir()
+            process = PlatformProcess(ip, path, self._folder)
+            self._stack.callback(process.kill)
+            process.start()
+            self.process_by_ip[ip] = process
+        self.until(lambda: self.order("PUT", "/-/config", _configuration())[0] == 200)
+        return self
+
+    def __exit__(self, *details: object) -> None:
+        self._calling.clear()
+        self._stack.close()
+
+    def engine(self, name: str, number: int, version: str, fails: float = 0) -> Engine:
+        """Start an engine at an address of its own."""
+        made = Engine(name, f"127.0.4.{number}", version, fails)
+        self._stack.callback(made.close)
+        return made
+
+    def order(self, method: str, path: str, body: Any = None) -> tuple[int, Any]:
+        """Ask one host of control after the other until one answers."""
+        found = (0, None)
+        for ip in CONTROL_IPS:
+            found = ask(ip, method, path, body)
+            if 0 < found[0] < 500:
+                break
+        return found
+
+    def call(self, threads: int) -> None:
+        """Have callers send request after request until the context is left."""
+        self._calling.set()
+        for _ in range(threads):
+            threading.Thread(target=self._call, daemon=True).start()
+
+    def _call(self) -> None:
+        while self._calling.is_set():
+            headers = {
+                "Host": "trees.example",
+                "Authorization": f"Token {KEY}",
+                "X-Attempt-Id": uuid.uuid4().hex,
+                "X-Deadline-Ms": "3000",
+            }
+            at = time.monotonic()
+            status, _ = ask(ENTRY_IP, "GET", "/tiles/1", None, headers, ENTRY_PORT)
+            with self._lock:
+                self.calls.append((at, status))
+            time.sleep(0.02)
+
+    def until(self, condition: Any) -> None:
+        """Wait until a condition holds; raise AssertionError if it doesn't in time."""
+        until = time.monotonic() + PATIENCE
+        while not condition():
+            assert time.monotonic() < until, "not in time"
+            time.sleep(0.05)
+
+    def _data_folder(self, ip: str) -> Path:
+        return self._folder / f"data-{ip}"
+
+    def _settings(self, ip: str) -> str:
+        is_control = ip in CONTROL_IPS
+        name = ip.replace(".", "-")
+        lines = {
+            "node_name": name,
+            "ip": ip,
+            "zone": "bole",
+            "region": "addis",
+            "port_range": "7600,7615",
+            "seed_nodes": ",".join(f"{item}:{CONTROL_PORT}" for item in CONTROL_IPS),
+            "bootstrap": "true",
+            "serves": "control" if is_control else "edge",
+            "heartbeat_ms": int(BEAT_SECONDS * 1000),
+            "contracts": "base,config,rollout",
+            "fault_tolerance.machines": 1,
+            "bounds.exposure_fraction": 0.1,
+            "bounds.exposure_tolerance": 50,
+            "bounds.config_apply_ms": 2500,
+            "bounds.revoke_ms": 5000,
+            "limits.memory_mb": 200,
+            "limits.max_fds": 4096,
+        }
+        if is_control:
+            lines["listen_addrs.control_plane"] = f"{ip}:{CONTROL_PORT}"
+            lines["data_dir"] = str(self._data_folder(ip))
+        else:
+            lines["listen_addrs.front_addr"] = f"{ip}:{ENTRY_PORT}"
+            lines["listen_addrs.ready"] = f"{ip}:8224"
+        return "".join(f"{key}={value}\n" for key, value in lines.items())
+
+
+def ask(
+    ip: str,
+    method: str,
+    path: str,
+    body: Any = None,
+    headers: dict[str, str] | None = None,
+    port: int = CONTROL_PORT,
+) -> tuple[int, Any]:
+    """Return status and JSON of an answer; status 0 for none."""
+    connection = http.client.HTTPConnection(ip, port, ASK_TIMEOUT)
+    data = None if body is None else json.dumps(body)
+    try:
+        connection.request(method, path, data, headers or {})
+        answer = connection.getresponse()
+        text = answer.read()
+    except (OSError, http.client.HTTPException):
+        return 0, None
+    finally:
+        connection.close()
+    try:
+        return answer.status, json.loads(text)
+    except ValueError:
+        return answer.status, None
+
+
+def _configuration() -> dict[str, Any]:
+    tiles = route(
+        name="r-2", path_prefix="/tiles/", route_kind="idempotent", service=SERVICE
+    )
+    return document(tiles)
--- a/tests/scenarios/processes.py
+++ b/tests/scenarios/processes.py
@@ -45,6 +45,7 @@
         self.name = name
         self.log = folder / f"{name}.log"
         self._command = [sys.executable, "-m", module, *arguments]
+        self._environment: dict[str, str] = {}
         self._popen: subprocess.Popen[bytes] | None = None
 
     @property
@@ -55,7 +56,7 @@
 
     def start(self) -> None:
         """Start it, once more if it has ended."""
-        environment = os.environ | {"PYTHONPATH": str(ROOT)}
+        environment = os.environ | {"PYTHONPATH": str(ROOT)} | self._environment
         with self.log.open("ab") as log:
             self._popen = subprocess.Popen(
                 self._command, cwd=ROOT, env=environment, stdout=log, stderr=log
