--- a/bitterntiller/components/rollouts/const.py
+++ b/bitterntiller/components/rollouts/const.py
@@ -3,6 +3,9 @@
 LABEL_VERSION = "version"
 """Label of an upstream with the version of its software."""
 
+STATE_READY = "ready"
+"""What a registered upstream says that takes requests."""
+
 STATUS_ACCEPTED = "accepted"
 STATUS_CONFLICT = "conflict"
 STATUS_INVALID = "invalid"
--- a/bitterntiller/components/rollouts/state.py
+++ b/bitterntiller/components/rollouts/state.py
@@ -6,13 +6,13 @@
 
 from typing import Any
 
-from bitterntiller.components.control.const import UPSTREAM_READY
 from bitterntiller.components.rollouts.const import (
     DRAINED_SECONDS,
     LABEL_VERSION,
     MAX_CELLS,
     MAX_SERVICES,
     REPEAT_SECONDS,
+    STATE_READY,
     STATUS_ABSENT,
     STATUS_ACCEPTED,
     STATUS_CONFLICT,
@@ -240,7 +240,7 @@
         ready_by_service: dict[str, set[str]] = {}
         for item in upstreams_by_name.values():
             version = item.labels.get(LABEL_VERSION, "")
-            if item.state == UPSTREAM_READY and version:
+            if item.state == STATE_READY and version:
                 ready_by_service.setdefault(item.pool, set()).add(version)
         for service, ready in ready_by_service.items():
             if self.serving_by_service.get(service) not in ready:
