Rollouts: a request that waited at another owner is not counted again

Callers saw nothing; the bound was at stake. What reached a service is summed over owners.

Now only a request that arrived within the last 0.5 s counts as new. Too few are counted when an owner dies before its report, which errs on the safe side. The test failed before (2 counted where 1 had come).

most_exposed reads as one sum; the figures of its tests are unchanged.

--- a/bitterntiller/components/dispatch/owned_pool.py
+++ b/bitterntiller/components/dispatch/owned_pool.py
@@ -36,6 +36,9 @@
 LOWEST_RANK = 1_000_000
 HOST_GONE = "expired"
 KNOWN_SECONDS = 5.0
+NEW_SECONDS = 0.5
+"""How long after its arrival a request is still taken for one that no owner knows."""
+
 FAILURES = frozenset({REASON_FAILED, REASON_LOST_ANSWER})
 """Reasons for which an upstream is to blame that may have run a request."""
 
@@ -139,12 +142,17 @@
         request = self._request(message, now)
         known = self.tracked_by_id.get(request.request_id)
         if known is None and self.trial is not None:
-            self.trial.note_reached(request.route)
+            self._note_reached(self.trial, request, now)
         granted = known is not None and known.granted
         tracked = Tracked(request, incarnation, granted, now)
         self.tracked_by_id[request.request_id] = tracked
         return request
 
+    def _note_reached(self, trial: Trial, request: WaitingRequest, now: float) -> None:
+        """Count a request that comes; one that waited at another owner is not new."""
+        if now - request.arrived <= NEW_SECONDS:
+            trial.note_reached(request.route)
+
     def _take_held(self, now: float) -> list[Decision]:
         """Take what was held while the epoch settled, all of it together.
 
--- a/bitterntiller/components/rollouts/course.py
+++ b/bitterntiller/components/rollouts/course.py
@@ -81,22 +81,25 @@
 
 
 def most_exposed(progress: Progress, bounds: RolloutBounds) -> int:
-    """Return how many requests the new version may have got by now in all."""
+    """Return how many requests the new version may have got by now in all.
+
+    It gets some at once and pulses of more, evenly until the completion; in the last
+    seconds, without pulses, also what was not planned for judging it.
+    """
     until = completes_at(progress.duration)
-    so_far = SAFE_PART * (bounds.fraction * progress.reached + bounds.tolerance)
     in_all = _spent_at_completion(progress, until, bounds)
-    start = min(START_REQUESTS, in_all, bounds.tolerance * SAFE_PART)
+    start = max(0.0, min(START_REQUESTS, in_all, SAFE_PART * bounds.tolerance))
     judged = max(0.0, JUDGED_PART * in_all - start)
+    planned = judged * progress.elapsed / until
     last = min(LAST_SECONDS, LAST_PART * progress.duration)
     into_last = (progress.elapsed - (until - last)) / last
-    if into_last >= 0:
-        spread = start + judged * progress.elapsed / until
-        rest = (in_all - start - judged) * min(1.0, into_last)
-        return math.floor(max(0.0, min(so_far, spread + rest)))
-    pulse = min(max(judged / PULSES, LEAST_PULSE), MOST_PULSE)
-    spread = min(judged * progress.elapsed / until, so_far - start)
-    pulses = max(0, math.floor(spread / pulse))
-    return math.floor(max(0.0, start) + pulses * pulse)
+    if into_last < 0:
+        pulse = min(max(judged / PULSES, LEAST_PULSE), MOST_PULSE)
+        planned = pulse * math.floor(planned / pulse)
+    else:
+        planned += (in_all - start - judged) * min(1.0, into_last)
+    so_far = SAFE_PART * (bounds.fraction * progress.reached + bounds.tolerance)
+    return math.floor(max(0.0, min(so_far, start + planned)))
 
 
 def _spent_at_completion(
--- a/tests/components/dispatch/test_rollouts.py
+++ b/tests/components/dispatch/test_rollouts.py
@@ -66,6 +66,14 @@
     assert owned.trial.reached == 40
 
 
+def test_request_that_waited_at_another_owner_is_not_counted_again():
+    """Each new owner counts what waits, and the new version gets more than its part."""
+    owned = pool()
+    owned.register(build.register("r0", waited_ms=900), "i1", T0)
+    owned.register(build.register("r1", waited_ms=10), "i1", T0)
+    assert owned.trial.reached == 1
+
+
 def test_allowance_of_another_rollout_is_not_used():
     owned = pool()
     owned.allow(6, 5, T0 + 1, T0)
