Rollouts: a first report without a leader doesn't stop the owner's process

What callers would have seen: while control had no leader right after an order, the process of each owner of the service stopped and started again. A report that got no answer has its counts reported once more; before control had told how long ago the order was, that asserted the time and failed. An error in a task that serves as long as the process stops the process.

The new test failed before (AssertionError). Nothing was taken out of the counts by then, so nothing has to be put back.

--- a/bitterntiller/components/rollouts/trial.py
+++ b/bitterntiller/components/rollouts/trial.py
@@ -17,6 +17,9 @@
 """An answer is slow when it takes longer than this quantile of the serving version's
 answers on its route, times the margin."""
 
+ROUTE_MARGIN = 1.25
+"""How many times its part of the new version's requests a route may have."""
+
 LEARN_EVERY = 16
 """Answers after which the quantiles are worked out anew."""
 
@@ -127,8 +130,8 @@
         if not self.reached:
             return True
         part = self._reached_by_route.get(route, 0) / self.reached
-        fair = 1 + 1.25 * part * (self.exposed + 1)
-        return self._exposed_by_route.get(route, 0) < fair
+        fair = part * (self.exposed + 1)
+        return self._exposed_by_route.get(route, 0) < 1 + ROUTE_MARGIN * fair
 
     def note_sent(
         self, request_id: str, route: str, upstream: str, warm: bool, now: float
@@ -195,7 +198,8 @@
 
     def put_back(self, evidence: dict[Cell, Counts]) -> None:
         """Have counts reported once more, as their report may have been lost."""
-        assert self.began is not None
+        if self.began is None:
+            return
         for key in self._counts_by_key:
             if self._cell(*key, self.began) in evidence:
                 self._changed.add(key)
--- a/tests/components/rollouts/test_trial.py
+++ b/tests/components/rollouts/test_trial.py
@@ -84,6 +84,15 @@
     assert trial.take_evidence() == lost
 
 
+def test_report_that_fails_before_the_time_of_the_order_is_known():
+    """An owner's process stops when control has no leader at its first report."""
+    trial = Trial(7)
+    answered_by_old(trial, 3)
+    trial.put_back(trial.take_evidence())
+    trial.began = T0
+    assert totals(trial)[""].answered == 3
+
+
 def test_each_route_gets_its_part_of_the_allowance():
     """A fault on a rare route is never seen, as frequent routes use the allowance."""
     trial = begun()
