Rollouts: hosts without a rollout don't wake up for one

Reports now begin when the version rules name a candidate; control looks twice a second until an order is there.

--- a/bitterntiller/components/dispatch/coordinator.py
+++ b/bitterntiller/components/dispatch/coordinator.py
@@ -67,6 +67,7 @@
         self._heard_by_host: dict[str, float] = {}
         self._dead_checked_at = 0.0
         self._changed = curio.Event()
+        self._trial_begun = curio.Event()
         self._idle = False
         self.pools_by_name: dict[str, OwnedPool] = {}
 
@@ -281,6 +282,13 @@
         for pool in list(self.pools_by_name.values()):
             decisions = pool.set_versions(view.rules(pool.name), now)
             await self._async_carry_out(pool, decisions)
+            if pool.trial is not None:
+                await self._trial_begun.set()
+
+    async def async_wait_for_trial(self) -> None:
+        """Return once a rollout of an owned pool's service is judged."""
+        self._trial_begun.clear()
+        await self._trial_begun.wait()
 
     async def async_allow(
         self, pool: OwnedPool, number: int, more: int, until: float
--- a/bitterntiller/components/rollouts/const.py
+++ b/bitterntiller/components/rollouts/const.py
@@ -32,7 +32,8 @@
 """Cells of evidence that one rollout may keep in the log's state."""
 
 TICK = 0.1
-"""Seconds between two looks of the leader at the rollouts under way."""
+IDLE_TICK = 0.5
+"""Seconds between two looks of the leader at rollouts under way, and without any."""
 
 REPORT_PERIOD = 0.25
 """Seconds between two reports of an owner on a rollout under way."""
--- a/bitterntiller/components/rollouts/leader.py
+++ b/bitterntiller/components/rollouts/leader.py
@@ -7,6 +7,7 @@
 import curio
 
 from bitterntiller.components.rollouts.const import (
+    IDLE_TICK,
     MAX_SECONDS,
     MAX_VERSION_LENGTH,
     METRIC_ORDERS,
@@ -150,17 +151,20 @@
     async def async_run(self) -> None:
         """Judge the rollouts under way, until cancelled."""
         while True:
-            await curio.sleep(TICK)
+            await curio.sleep(TICK if self._under_way() else IDLE_TICK)
             await self.async_judge()
 
+    def _under_way(self) -> list[Rollout]:
+        rollouts = self._state.by_service.values()
+        return [rollout for rollout in rollouts if rollout.phase.under_way]
+
     async def async_judge(self) -> None:
         """Commit the verdicts that are due."""
-        lead = self._lead()
+        under_way = self._under_way()
+        lead = self._lead() if under_way else None
         if lead is None:
             return
-        for rollout in list(self._state.by_service.values()):
-            if not rollout.phase.under_way:
-                continue
+        for rollout in under_way:
             progress = _progress(rollout, lead.now_ms)
             step = next_step(progress)
             if step is None:
--- a/bitterntiller/components/rollouts/reporter.py
+++ b/bitterntiller/components/rollouts/reporter.py
@@ -45,6 +45,10 @@
         """The owned pools, each a TriedPool."""
         ...
 
+    async def async_wait_for_trial(self) -> None:
+        """Return once a rollout of an owned pool's service is judged."""
+        ...
+
     async def async_allow(
         self, pool: Any, number: int, more: int, until: float
     ) -> None:
@@ -67,8 +71,12 @@
     async def async_run(self) -> None:
         """Report until cancelled."""
         while True:
+            pools = list(self._owner.pools_by_name.values())
+            tried = [pool for pool in pools if pool.trial is not None]
+            if not tried:
+                await self._owner.async_wait_for_trial()
             await curio.sleep(REPORT_PERIOD)
-            for pool in list(self._owner.pools_by_name.values()):
+            for pool in tried:
                 trial = pool.trial
                 # Where entry hosts choose their owners, any host may own any pool.
                 if trial is not None and trial.reached:
