Rollouts: an owner acts on a verdict with the reply that brings it

What callers saw: for up to a heartbeat (0.42 s on the platform) after a completion the owner went on granting the old upstreams, which stop at once; each such request was refused a connection, and tried at the next one.

The reply to an owner's report brings the phase up to 0.25 s after the verdict; the owner lets the new version serve from then on, before its version rules say so. A reverted version got nothing after that reply before as well.

--- a/bitterntiller/components/dispatch/coordinator.py
+++ b/bitterntiller/components/dispatch/coordinator.py
@@ -297,6 +297,13 @@
         decisions = pool.allow(number, more, until, self._clock.now())
         await self._async_carry_out(pool, decisions)
 
+    async def async_end_trial(
+        self, pool: OwnedPool, number: int, complete: bool
+    ) -> None:
+        """Act by a rollout's verdict before the version rules tell of it."""
+        decisions = pool.end_trial(number, complete, self._clock.now())
+        await self._async_carry_out(pool, decisions)
+
     async def _async_follow_upstreams(self, now: float) -> None:
         """Tell the pools what control has registered, where upstreams tell control."""
         view = self._registered
--- a/bitterntiller/components/dispatch/owned_pool.py
+++ b/bitterntiller/components/dispatch/owned_pool.py
@@ -109,10 +109,20 @@
             self.scheduler.set_versions(self._versions, self._allowance, now), now
         )
 
-    def end_trial(self) -> None:
-        """Send nothing more to the version that was judged; it has its verdict."""
-        if self._allowance is not None:
-            self._allowance.close()
+    def end_trial(self, number: int, complete: bool, now: float) -> list[Decision]:
+        """Act by the verdict on the version that was judged.
+
+        A completed one serves at once: the old upstreams stop, and requests would be
+        sent to them until the next heartbeat tells of other version rules.
+        """
+        rules = self._versions
+        if self._allowance is None or rules.number != number:
+            return []
+        self._allowance.close()
+        if not complete:
+            return []
+        served = VersionRules(serving=rules.candidate, number=number)
+        return self.set_versions(served, now)
 
     def configure(self, config: Config, now: float) -> list[Decision]:
         """Put a configuration in force."""
--- a/bitterntiller/components/rollouts/reporter.py
+++ b/bitterntiller/components/rollouts/reporter.py
@@ -32,10 +32,6 @@
         """Return how many requests more may go to the version that is judged."""
         ...
 
-    def end_trial(self) -> None:
-        """Send nothing more to the version that was judged."""
-        ...
-
 
 class PoolsOwner(Protocol):
     """The owner of some pools."""
@@ -55,6 +51,10 @@
         """Renew the allowance of a rollout's trial."""
         ...
 
+    async def async_end_trial(self, pool: Any, number: int, complete: bool) -> None:
+        """Act by a rollout's verdict before the version rules tell of it."""
+        ...
+
 
 class RolloutReporter:
     """Sends the counts of each trial, and takes the allowance that comes back."""
@@ -110,7 +110,9 @@
             trial.put_back(evidence)
             return
         if reply.status == STATUS_ABSENT or reply.phase != Phase.JUDGED:
-            pool.end_trial()
+            await self._owner.async_end_trial(
+                pool, trial.number, reply.phase == Phase.COMPLETE
+            )
             return
         if trial.began is None:
             trial.began = sent_at - (reply.elapsed_ms or 0) / 1000
--- a/tests/components/dispatch/test_rollouts.py
+++ b/tests/components/dispatch/test_rollouts.py
@@ -135,6 +135,21 @@
     assert (counts.answered, counts.failed) == (1, 1)
 
 
+@pytest.mark.parametrize(("complete", "used"), [(True, "new"), (False, "old")])
+def test_verdict_is_acted_on_before_the_next_heartbeat(complete, used):
+    """Requests are sent to the old upstreams, which have stopped at the completion."""
+    owned = pool()
+    owned.allow(7, 5, T0 + 1, T0)
+    owned.end_trial(7, complete, T0)
+    assert {name[:3] for name in upstreams_of(register(owned, 20))} == {used}
+
+
+def test_verdict_on_another_rollout_is_passed_over():
+    owned = pool()
+    assert owned.end_trial(6, True, T0) == []
+    assert {name[:3] for name in upstreams_of(register(owned, 20))} == {"old"}
+
+
 def test_requests_on_the_old_version_end_there_after_a_verdict():
     """What runs on a version that serves no more is taken for ended."""
     owned = pool()
