--- a/bitterntiller/components/dispatch/coordinator.py
+++ b/bitterntiller/components/dispatch/coordinator.py
@@ -282,7 +282,7 @@
         for pool in list(self.pools_by_name.values()):
             decisions = pool.set_versions(view.rules(pool.name), now)
             await self._async_carry_out(pool, decisions)
-            if pool.trial is not None:
+            if pool.rollout.trial is not None:
                 await self._trial_begun.set()
 
     async def async_wait_for_trial(self) -> None:
--- a/bitterntiller/components/dispatch/owned_pool.py
+++ b/bitterntiller/components/dispatch/owned_pool.py
@@ -4,22 +4,15 @@
 from typing import NamedTuple
 
 from bitterntiller.components.config.models import Config
-from bitterntiller.components.dispatch.const import (
-    OUTCOME_CALLER_GONE,
-    OUTCOME_DONE,
-    OUTCOME_REJECTED,
-    REASON_FAILED,
-    REASON_LOST_ANSWER,
-)
 from bitterntiller.components.dispatch.eligibility import Eligibility, workspace_limits
 from bitterntiller.components.dispatch.models import (
-    Completion,
     Decision,
     Granted,
     Refused,
     Scheduler,
     WaitingRequest,
 )
+from bitterntiller.components.dispatch.pool_trial import PoolTrial
 from bitterntiller.components.dispatch.upstream_events import UpstreamEvent
 from bitterntiller.components.dispatch.wire import (
     STATE_LEAVING,
@@ -29,18 +22,12 @@
     waiting_request,
 )
 from bitterntiller.components.rollouts.const import LABEL_VERSION
-from bitterntiller.components.rollouts.models import ANY_VERSION, VersionRules
-from bitterntiller.components.rollouts.trial import Allowance, Trial
+from bitterntiller.components.rollouts.models import VersionRules
 from bitterntiller.protocol import messages
 
 LOWEST_RANK = 1_000_000
 HOST_GONE = "expired"
 KNOWN_SECONDS = 5.0
-NEW_SECONDS = 0.5
-"""How long after its arrival a request is still taken for one that no owner knows."""
-
-FAILURES = frozenset({REASON_FAILED, REASON_LOST_ANSWER})
-"""Reasons for which an upstream is to blame that may have run a request."""
 
 
 class Tracked(NamedTuple):
@@ -77,52 +64,19 @@
         self._labels_by_upstream: dict[str, dict[str, str]] = {}
         self._followed_by_name: dict[str, messages.Announce] = {}
         self._config: Config | None = None
-        self._versions = ANY_VERSION
-        self._warm_at_by_upstream: dict[str, float] = {}
-        self.trial: Trial | None = None
-        self._allowance: Allowance | None = None
+        self.rollout = PoolTrial(scheduler)
 
     def set_versions(self, rules: VersionRules, now: float) -> list[Decision]:
-        """Put version rules in force; a rollout that is judged begins its trial."""
-        if rules == self._versions:
-            return []
-        self._versions = rules
-        if not rules.candidate:
-            self.trial = self._allowance = None
-        elif self.trial is None or self.trial.number != rules.number:
-            self.trial = Trial(rules.number)
-            self._allowance = Allowance(self.trial)
-        return self._note(self.scheduler.set_versions(rules, self._allowance, now), now)
-
-    def allowance_left(self) -> int:
-        """Return how many requests more may go to the version that is judged."""
-        return 0 if self._allowance is None else self._allowance.left
+        """Put version rules in force."""
+        return self._note(self.rollout.set_rules(rules, now), now)
 
     def allow(self, number: int, more: int, until: float, now: float) -> list[Decision]:
         """Renew the allowance of a rollout's trial."""
-        if self.trial is None or self._allowance is None:
-            return []
-        if self.trial.number != number:
-            return []
-        self._allowance.renew(more, until)
-        return self._note(
-            self.scheduler.set_versions(self._versions, self._allowance, now), now
-        )
+        return self._note(self.rollout.allow(number, more, until, now), now)
 
     def end_trial(self, number: int, complete: bool, now: float) -> list[Decision]:
-        """Act by the verdict on the version that was judged.
-
-        A completed one serves at once: the old upstreams stop, and requests would be
-        sent to them until the next heartbeat tells of other version rules.
-        """
-        rules = self._versions
-        if self._allowance is None or rules.number != number:
-            return []
-        self._allowance.close()
-        if not complete:
-            return []
-        served = VersionRules(serving=rules.candidate, number=number)
-        return self.set_versions(served, now)
+        """Act by a rollout's verdict."""
+        return self._note(self.rollout.end(number, complete, now), now)
 
     def configure(self, config: Config, now: float) -> list[Decision]:
         """Put a configuration in force."""
@@ -151,18 +105,13 @@
     ) -> WaitingRequest:
         request = self._request(message, now)
         known = self.tracked_by_id.get(request.request_id)
-        if known is None and self.trial is not None:
-            self._note_reached(self.trial, request, now)
+        if known is None:
+            self.rollout.note_registered(request, now)
         granted = known is not None and known.granted
         tracked = Tracked(request, incarnation, granted, now)
         self.tracked_by_id[request.request_id] = tracked
         return request
 
-    def _note_reached(self, trial: Trial, request: WaitingRequest, now: float) -> None:
-        """Count a request that comes; one that waited at another owner is not new."""
-        if now - request.arrived <= NEW_SECONDS:
-            trial.note_reached(request.route)
-
     def _take_held(self, now: float) -> list[Decision]:
         """Take what was held while the epoch settled, all of it together.
 
@@ -215,8 +164,7 @@
         """Forget a request."""
         self._held_by_id.pop(request_id, None)
         self.tracked_by_id.pop(request_id, None)
-        if self.trial is not None:
-            self.trial.forget(request_id)
+        self.rollout.forget(request_id)
         return self._note(self.scheduler.cancel(request_id, now), now)
 
     def keep_only(
@@ -252,8 +200,7 @@
         decisions: list[Decision] = []
         for item in items:
             first = None if item.first_ms is None else item.first_ms / 1000
-            if first is not None and self.trial is not None:
-                self.trial.note_first(item.request_id, first)
+            self.rollout.note_progress(item)
             decisions += self.scheduler.progress(
                 item.request_id, item.output_tokens, now, first
             )
@@ -263,17 +210,13 @@
         """Note the end of a request."""
         self.tracked_by_id.pop(message.request_id, None)
         end = completion(message, now)
-        if self.trial is not None:
-            self._note_end(self.trial, end)
+        self.rollout.note_finished(end)
         return self._note(self.scheduler.finished(end, now), now)
 
     def returned(self, message: messages.Returned, now: float) -> list[Decision]:
         """Take an unused grant back."""
         tracked = self.tracked_by_id.pop(message.request_id, None)
-        if self.trial is not None:
-            if message.reason in FAILURES:
-                self.trial.note_end(message.request_id, True, None, 0.0)
-            self.trial.forget(message.request_id)
+        self.rollout.note_returned(message.request_id, message.reason)
         if message.still_waiting and tracked is not None:
             waiting = tracked._replace(granted=False)
             self.tracked_by_id[message.request_id] = waiting
@@ -282,13 +225,6 @@
         )
         return self._note(decisions, now)
 
-    def _note_end(self, trial: Trial, end: Completion) -> None:
-        if end.outcome in (OUTCOME_CALLER_GONE, OUTCOME_REJECTED):
-            trial.forget(end.request_id)
-            return
-        failed = end.outcome != OUTCOME_DONE
-        trial.note_end(end.request_id, failed, end.first_token, end.total)
-
     def take_back(self, request_id: str, now: float) -> list[Decision]:
         """Take back a grant that could not be sent, and forget its request."""
         self.tracked_by_id.pop(request_id, None)
@@ -299,9 +235,7 @@
         self, message: messages.Announce, now: float
     ) -> tuple[bool, list[Decision]]:
         """Take an announcement; False for one older than what is known."""
-        if message.cold_ms:
-            warm_at = now + message.cold_ms / 1000
-            self._warm_at_by_upstream.setdefault(message.name, warm_at)
+        self.rollout.note_announced(message, now)
         accepted, decisions = self.scheduler.announce(upstream_state(message, now), now)
         if accepted and self._labels_by_upstream.get(message.name) != message.labels:
             self._labels_by_upstream[message.name] = message.labels
@@ -322,7 +256,7 @@
         gone = self._followed_by_name.keys() - registered.keys()
         for name in gone:
             item = self._followed_by_name.pop(name)
-            self._warm_at_by_upstream.pop(name, None)
+            self.rollout.note_gone(name)
             decisions += self._follow_one(item, STATE_LEAVING, version, now)
         self._followed_by_name.update(
             {name: item for name, item in registered.items() if item.pool == self.name}
@@ -444,18 +378,9 @@
         if tracked is None:
             return
         self.tracked_by_id[decision.request_id] = tracked._replace(granted=True)
-        if self.trial is not None:
-            self._note_sent(self.trial, decision, tracked.request.route, now)
-
-    def _note_sent(
-        self, trial: Trial, decision: Granted, route: str, now: float
-    ) -> None:
-        """Count a grant for the comparison of two versions."""
-        name = decision.upstream
-        labels = self._labels_by_upstream.get(name, {})
-        judged = labels.get(LABEL_VERSION, "") == self._versions.candidate
-        warm = now >= self._warm_at_by_upstream.get(name, now)
-        trial.note_sent(decision.request_id, route, name if judged else "", warm, now)
+        labels = self._labels_by_upstream.get(decision.upstream, {})
+        version = labels.get(LABEL_VERSION, "")
+        self.rollout.note_granted(decision, tracked.request.route, version, now)
 
 
 def _rank(tier: str, config: Config) -> int:
--- /dev/null
+++ b/bitterntiller/components/dispatch/pool_trial.py
@@ -0,0 +1,136 @@
+"""The rollout of an owned pool: its version rules, its trial and its allowance.
+
+Between rollouts it counts nothing.
+"""
+
+from bitterntiller.components.dispatch.const import (
+    OUTCOME_CALLER_GONE,
+    OUTCOME_DONE,
+    OUTCOME_REJECTED,
+    REASON_FAILED,
+    REASON_LOST_ANSWER,
+)
+from bitterntiller.components.dispatch.models import (
+    Completion,
+    Decision,
+    Granted,
+    Scheduler,
+    WaitingRequest,
+)
+from bitterntiller.components.rollouts.models import ANY_VERSION, VersionRules
+from bitterntiller.components.rollouts.trial import Allowance, Trial
+from bitterntiller.protocol import messages
+
+FAILURES = frozenset({REASON_FAILED, REASON_LOST_ANSWER})
+"""Reasons for which an upstream is to blame that may have run a request."""
+
+NEW_SECONDS = 0.5
+"""How long after its arrival a request is still taken for one that no owner knows."""
+
+
+class PoolTrial:
+    """Passes on to a trial what the owner of the pool hears.
+
+    trial is None while no rollout of the pool's service is judged.
+    """
+
+    def __init__(self, scheduler: Scheduler) -> None:
+        self._scheduler = scheduler
+        self._rules = ANY_VERSION
+        self._allowance: Allowance | None = None
+        self._warm_at_by_upstream: dict[str, float] = {}
+        self.trial: Trial | None = None
+
+    @property
+    def allowance_left(self) -> int:
+        """Return how many requests more may go to the version that is judged."""
+        return 0 if self._allowance is None else self._allowance.left
+
+    def set_rules(self, rules: VersionRules, now: float) -> list[Decision]:
+        """Put version rules in force; a rollout that is judged begins its trial."""
+        if rules == self._rules:
+            return []
+        self._rules = rules
+        if not rules.candidate:
+            self.trial = self._allowance = None
+        elif self.trial is None or self.trial.number != rules.number:
+            self.trial = Trial(rules.number)
+            self._allowance = Allowance(self.trial)
+        return self._scheduler.set_versions(rules, self._allowance, now)
+
+    def allow(self, number: int, more: int, until: float, now: float) -> list[Decision]:
+        """Renew the allowance of a rollout's trial."""
+        if self._allowance is None or self._rules.number != number:
+            return []
+        self._allowance.renew(more, until)
+        return self._scheduler.set_versions(self._rules, self._allowance, now)
+
+    def end(self, number: int, complete: bool, now: float) -> list[Decision]:
+        """Act by the verdict on the version that was judged.
+
+        A completed one serves at once: the old upstreams stop, and requests would be
+        sent to them until the next heartbeat tells of other version rules.
+        """
+        rules = self._rules
+        if self._allowance is None or rules.number != number:
+            return []
+        self._allowance.close()
+        if not complete:
+            return []
+        return self.set_rules(VersionRules(rules.candidate, number=number), now)
+
+    def note_announced(self, announcement: messages.Announce, now: float) -> None:
+        """Note how long an upstream is slower yet than it will be."""
+        if announcement.cold_ms:
+            warm_at = now + announcement.cold_ms / 1000
+            self._warm_at_by_upstream.setdefault(announcement.name, warm_at)
+
+    def note_gone(self, upstream: str) -> None:
+        """Forget an upstream."""
+        self._warm_at_by_upstream.pop(upstream, None)
+
+    def note_registered(self, request: WaitingRequest, now: float) -> None:
+        """Count a request that comes; one that waited at another owner is not new."""
+        if self.trial is not None and now - request.arrived <= NEW_SECONDS:
+            self.trial.note_reached(request.route)
+
+    def note_granted(
+        self, decision: Granted, route: str, version: str, now: float
+    ) -> None:
+        """Count a grant for the comparison of two versions."""
+        if self.trial is None:
+            return
+        name = decision.upstream
+        judged = version == self._rules.candidate
+        warm = now >= self._warm_at_by_upstream.get(name, now)
+        self.trial.note_sent(
+            decision.request_id, route, name if judged else "", warm, now
+        )
+
+    def note_progress(self, item: messages.ProgressItem) -> None:
+        """Note when the first output of a running request came, if it is told."""
+        if self.trial is not None and item.first_ms is not None:
+            self.trial.note_first(item.request_id, item.first_ms / 1000)
+
+    def note_finished(self, end: Completion) -> None:
+        """Note the end of a request that was sent."""
+        if self.trial is None:
+            return
+        if end.outcome in (OUTCOME_CALLER_GONE, OUTCOME_REJECTED):
+            self.trial.forget(end.request_id)
+            return
+        failed = end.outcome != OUTCOME_DONE
+        self.trial.note_end(end.request_id, failed, end.first_token, end.total)
+
+    def note_returned(self, request_id: str, reason: str) -> None:
+        """Note why a grant came back."""
+        if self.trial is None:
+            return
+        if reason in FAILURES:
+            self.trial.note_end(request_id, True, None, 0.0)
+        self.trial.forget(request_id)
+
+    def forget(self, request_id: str) -> None:
+        """Drop a request that the owner forgets."""
+        if self.trial is not None:
+            self.trial.forget(request_id)
--- a/bitterntiller/components/rollouts/reporter.py
+++ b/bitterntiller/components/rollouts/reporter.py
@@ -22,17 +22,24 @@
 from bitterntiller.protocol import messages
 
 
-class TriedPool(Protocol):
-    """A pool of which this process is the owner."""
+class PoolRollout(Protocol):
+    """The rollout of an owned pool."""
 
-    name: str
     trial: Trial | None
 
+    @property
     def allowance_left(self) -> int:
-        """Return how many requests more may go to the version that is judged."""
+        """How many requests more may go to the version that is judged."""
         ...
 
 
+class TriedPool(Protocol):
+    """A pool of which this process is the owner."""
+
+    name: str
+    rollout: PoolRollout
+
+
 class PoolsOwner(Protocol):
     """The owner of some pools."""
 
@@ -72,12 +79,12 @@
         """Report until cancelled."""
         while True:
             pools = list(self._owner.pools_by_name.values())
-            tried = [pool for pool in pools if pool.trial is not None]
+            tried = [pool for pool in pools if pool.rollout.trial is not None]
             if not tried:
                 await self._owner.async_wait_for_trial()
             await curio.sleep(REPORT_PERIOD)
             for pool in tried:
-                trial = pool.trial
+                trial = pool.rollout.trial
                 # Where entry hosts choose their owners, any host may own any pool.
                 if trial is not None and trial.reached:
                     await self.async_report(pool, trial)
@@ -94,7 +101,7 @@
             reached=trial.reached,
             exposed=trial.exposed,
             old_running=trial.old_running,
-            wanted=max(0, MOST_ALLOWED - pool.allowance_left()),
+            wanted=max(0, MOST_ALLOWED - pool.rollout.allowance_left),
             evidence=[
                 messages.EvidenceItem(
                     second=cell.second,
@@ -134,5 +141,5 @@
             reached=trial.reached,
             exposed=trial.exposed,
             allowed=allowed,
-            left=pool.allowance_left(),
+            left=pool.rollout.allowance_left,
         )
--- a/tests/components/dispatch/test_rollouts.py
+++ b/tests/components/dispatch/test_rollouts.py
@@ -62,8 +62,8 @@
     owned.allow(7, 5, T0 + 1, T0)
     granted = upstreams_of(register(owned, 40))
     assert sum(name.startswith("new") for name in granted) == 5
-    assert owned.trial.exposed == 5
-    assert owned.trial.reached == 40
+    assert owned.rollout.trial.exposed == 5
+    assert owned.rollout.trial.reached == 40
 
 
 def test_request_that_waited_at_another_owner_is_not_counted_again():
@@ -71,7 +71,7 @@
     owned = pool()
     owned.register(build.register("r0", waited_ms=900), "i1", T0)
     owned.register(build.register("r1", waited_ms=10), "i1", T0)
-    assert owned.trial.reached == 1
+    assert owned.rollout.trial.reached == 1
 
 
 def test_allowance_of_another_rollout_is_not_used():
@@ -112,13 +112,13 @@
     )
     owned.returned(returned, T0)
     register(owned, 10, first=1)
-    assert owned.trial.exposed == 2
+    assert owned.rollout.trial.exposed == 2
 
 
 def test_failure_that_is_retried_counts_against_the_version():
     """A version whose failures are hidden by retries is found good."""
     owned = pool()
-    owned.trial.began = T0
+    owned.rollout.trial.began = T0
     owned.allow(7, 1, T0 + 1, T0)
     register(owned, 1)
     owned.returned(
@@ -131,7 +131,7 @@
         ),
         T0,
     )
-    (counts,) = owned.trial.take_evidence().values()
+    (counts,) = owned.rollout.trial.take_evidence().values()
     assert (counts.answered, counts.failed) == (1, 1)
 
 
