Rollouts: a first output that an owner hasn't heard of yet is not slow

A request that runs counts as slow once it has run for longer than an answer takes that isn't; but entry hosts tell of first outputs twice a second only, and the new version's requests are sent right after a report, so that they ran at the next one, all alike, while those of the old version were spread. What was not heard of yet was taken for not there.

A request that runs counts now only a second after that, which is longer than any such news takes. Times that were told are judged as before.

--- a/bitterntiller/components/rollouts/trial.py
+++ b/bitterntiller/components/rollouts/trial.py
@@ -20,6 +20,10 @@
 ROUTE_MARGIN = 1.25
 """How many times its part of the new version's requests a route may have."""
 
+LATE_NEWS_SECONDS = 1.0
+"""How late an owner may hear of an output or of an end: entry hosts tell of running
+requests in periods, and a request counts as unanswered only after that."""
+
 LEARN_EVERY = 16
 EARLY_ANSWERS = 64
 """Answers after which the quantiles are worked out anew; before so many, after each."""
@@ -176,7 +180,7 @@
     def tick(self, now: float) -> None:
         """Count as slow what runs for longer than an answer takes that isn't slow."""
         for request_id, sent in list(self._sent_by_id.items()):
-            elapsed = now - sent.at
+            elapsed = now - sent.at - LATE_NEWS_SECONDS
             limit = self._limit(self._firsts_by_route, sent.route)
             if not sent.first and elapsed > limit:
                 self._count_first(request_id, sent, elapsed)
