Node: log failed heartbeats and the size and time of configurations

No line said why: a heartbeat without a reply only raised a counter, and the line of a configuration had neither its size nor the time from the heartbeat to its use. So a reply that outlasts its timeout, a slow parse and a leader that does not reply looked the same.

Now the first failed heartbeat in a row is logged with the error, its duration and what is left of the lease, the next one that extends the lease with the number of failed ones, and a configuration with bytes and seconds. One line at a loss and one at a regain: bounded.

--- a/bitterntiller/components/node/client.py
+++ b/bitterntiller/components/node/client.py
@@ -15,7 +15,10 @@
 
 
 class ControlClient:
-    """Calls the current leader of control and follows leadership changes."""
+    """Calls the current leader of control and follows leadership changes.
+
+    last_error is the error of the latest call without a reply, for logs.
+    """
 
     def __init__(
         self, links: Links, clock: Clock, addresses: list[str], call_timeout: float
@@ -27,6 +30,7 @@
         self._call_timeout = call_timeout
         self._position = 0
         self.leader = addresses[0] if addresses else ""
+        self.last_error = ""
 
     def set_discovered_addresses(self, addresses: list[str]) -> None:
         """Set the control hosts to try in addition to those in the settings."""
@@ -71,7 +75,8 @@
         address = self.leader
         try:
             reply = await self._links.async_call(address, message, timeout)
-        except CodedError:
+        except CodedError as error:
+            self.last_error = str(error)
             self._advance_leader(address, "")
             return None
         if reply.status == STATUS_NOT_LEADER:
@@ -106,7 +111,8 @@
     async def _async_try(self, address: str, message: Any, timeout: float) -> Any:
         try:
             reply = await self._links.async_call(address, message, timeout)
-        except CodedError:
+        except CodedError as error:
+            self.last_error = str(error)
             return None
         if reply.status not in (STATUS_NOT_LEADER, STATUS_UNKNOWN):
             self.leader = address
--- a/bitterntiller/components/node/coordinator.py
+++ b/bitterntiller/components/node/coordinator.py
@@ -124,9 +124,33 @@
             began = self._clock.now()
             granted = await self.async_send_heartbeat()
             self._report_lease_change()
+            self._report_heartbeat(granted, failures, self._clock.now() - began)
             failures = 0 if granted else failures + 1
             await curio.sleep(self._next_delay(began, failures))
 
+    def _report_heartbeat(self, granted: bool, failures: int, seconds: float) -> None:
+        """Log the first heartbeat without an extension of the lease, and the next with.
+
+        failures is the number of failed heartbeats before this one.
+        """
+        if granted and failures:
+            events.emit(
+                "heartbeats-resumed",
+                failed=failures,
+                leader=self.control_client.leader,
+                version=self.config.version,
+            )
+        if granted or failures:
+            return
+        events.emit(
+            "heartbeat-failed",
+            leader=self.control_client.leader,
+            error=self.control_client.last_error,
+            seconds=round(seconds, 3),
+            version=self.config.version,
+            lease_left=round(self.lease.remaining(), 3),
+        )
+
     def _next_delay(self, began: float, failures: int) -> float:
         if failures:
             longest = MAX_RETRY_PAUSE if self.lease.valid() else RETRY_PAUSE
@@ -217,7 +241,13 @@
         self._report_lease_change()
         if config_changed:
             self._runtime.metrics.gauge("node.config.version", self.config.version)
-            events.emit("configuration", version=self.config.version, term=reply.term)
+            events.emit(
+                "configuration",
+                version=self.config.version,
+                term=reply.term,
+                bytes=_update_bytes(reply),
+                seconds=round(self._clock.now() - sent_at, 3),
+            )
             self._notify("config")
         if self.versions.apply(reply.rollouts):
             events.emit("versions", **self.versions.describe())
@@ -251,3 +281,10 @@
             logging.info("configuration lease %s", "acquired" if valid else "lost")
             events.emit("lease", held=valid, leader=self.control_client.leader)
             self._runtime.metrics.gauge("node.lease.valid", int(valid))
+
+
+def _update_bytes(reply: Any) -> int:
+    """Return the size of the configuration or the changes in a HeartbeatReply."""
+    if reply.config is not None:
+        return len(reply.config)
+    return sum(len(change.patch) for change in reply.changes or [])
