Load large configurations in parts, and bound how long the old one is used

What callers saw: 404 for routes that had been accepted 2.5 s before, then 503 from every host for seconds.

Cause: a heartbeat's reply carried the whole document, about 390 kB with 1,400 routes. On a link of 5 Mbit/s that takes 0.62 s without any other traffic; the heartbeat's timeout is 0.8 s. A reply that came later was dropped and the next heartbeat asked for all of it again, behind the rest of the first one, so it could never arrive, and the callers' responses waited on the same link. Meanwhile the lease of 3.75 s let hosts use the old version for longer than the 2.5 s that a change may take.

Change: a document or patches above 8 KiB are named in the reply by version, size and digest, and loaded compressed (390 kB become 30 kB) in parts of 16 KiB, each with its own timeout; a lost part is asked for again alone, the last eight versions are kept, heartbeats go on at least every 0.8 s. Nodes of the earlier release don't set loads_parts and get the document as before.

It holds because progress no longer depends on the size of a document against a timeout, and because the bound is checked at the moment of use, as the lease is.

--- a/bitterntiller/components/control/configuration.py
+++ b/bitterntiller/components/control/configuration.py
@@ -21,11 +21,13 @@
 class Patch(NamedTuple):
     """The merge patch that leads from the previous version to this one.
 
-    data is None if no merge patch can express the difference.
+    data is None if no merge patch can express the difference. accepted_ms is the
+    cluster time of the change.
     """
 
     version: int
     data: bytes | None
+    accepted_ms: int
 
 
 class ConfigurationState:
@@ -53,7 +55,7 @@
         or with a later change.
         """
         if change.number is not None:
-            return self._apply_numbered(change)
+            return self._apply_numbered(change, time_ms)
         digest = _digest(change)
         known = self.outcomes_by_id.get(change.change_id)
         if known is not None:
@@ -61,11 +63,11 @@
         if change.base_version != self.version:
             return self._reject(change, digest, time_ms)
         document = json.loads(change.config)
-        self._advance(document)
+        self._advance(document, time_ms)
         self._record_outcome(change, STATUS_ACCEPTED, digest, time_ms)
         return _reply(STATUS_ACCEPTED, self.version)
 
-    def _apply_numbered(self, change: Any) -> Any:
+    def _apply_numbered(self, change: Any, time_ms: int) -> Any:
         """Apply a change that the operator numbers, if its number is the highest yet.
 
         A change whose number is not higher is acknowledged without effect: it is a
@@ -74,7 +76,7 @@
         """
         if change.number > self.number:
             self.number = change.number
-            self._advance(json.loads(change.config))
+            self._advance(json.loads(change.config), time_ms)
         return _reply(STATUS_ACCEPTED, self.version)
 
     def _reject(self, change: Any, digest: str, time_ms: int) -> Any:
@@ -90,13 +92,13 @@
         self._record_outcome(change, STATUS_CONFLICT, digest, time_ms)
         return _reply(STATUS_CONFLICT, self.version, _conflict_text(self.version))
 
-    def _advance(self, document: dict[str, Any]) -> None:
+    def _advance(self, document: dict[str, Any], time_ms: int) -> None:
         patch = make_patch(self._document, document)
         data = None if patch is None else canonical_json(patch)
         self._document = document
         self.text = canonical_json(document)
         self.version += 1
-        self._patches.append(Patch(self.version, data))
+        self._patches.append(Patch(self.version, data, time_ms))
 
     def _record_outcome(
         self, change: Any, status: str, digest: str, time_ms: int
@@ -137,6 +139,16 @@
             return None
         return wanted
 
+    def superseded_at_ms(self, version: int) -> int | None:
+        """Return the cluster time at which the successor of a version was accepted.
+
+        None if the version is the latest, or if its successor is no longer kept.
+        """
+        for patch in self._patches:
+            if patch.version > version:
+                return patch.accepted_ms if patch.version == version + 1 else None
+        return None
+
     def to_document(self) -> dict[str, Any]:
         """Return the state as a JSON document for a snapshot."""
         return {
--- a/bitterntiller/components/control/const.py
+++ b/bitterntiller/components/control/const.py
@@ -104,6 +104,22 @@
 A configuration that does not fit a frame could reach no node, and all nodes would
 lose their leases.
 """
+
+INLINE_CONFIG_BYTES = 8 * 1024
+"""Size up to which a configuration is part of the reply to a heartbeat.
+
+Nodes load a larger one in parts: at a few Mbit/s its transfer would outlast the timeout
+of a heartbeat, and each further heartbeat would start it again.
+"""
+
+CONFIG_PART_BYTES = 16 * 1024
+"""Size of a part; it must arrive within link_call beside the traffic of the host."""
+
+MAX_CONFIG_COPIES = 8
+"""Latest versions that are kept compressed, so that a node that loads one of them can
+finish although the configuration has changed again.
+"""
+
 MAX_ID_LENGTH = 128
 
 CONCURRENT_CLAIM_GROUPS = 4
--- a/bitterntiller/components/control/coordinator.py
+++ b/bitterntiller/components/control/coordinator.py
@@ -8,6 +8,7 @@
 
 from bitterntiller.components.control import diagnostics
 from bitterntiller.components.control.claims import claim_reply
+from bitterntiller.components.control.config_copies import ConfigCopies
 from bitterntiller.components.control.confirm import ConfirmationBatcher
 from bitterntiller.components.control.const import (
     ACTION_FIND,
@@ -59,6 +60,7 @@
         self._timings = runtime.settings.timings
         self._log = log
         self._parse = parse
+        self._copies = ConfigCopies()
         self._confirm = ConfirmationBatcher(log, CONFIRM_TIMEOUT)
         self._proposer = Proposer(log, self._make_command)
         self._term: LeaderTerm | None = None
@@ -84,6 +86,7 @@
             messages.Heartbeat: self.async_heartbeat,
             messages.Change: self.async_change,
             messages.GetConfig: self.async_get_config,
+            messages.GetConfigPart: self.async_get_config_part,
             messages.ControlStatus: self.async_status,
             messages.ReleasePools: self.async_release_pools,
             messages.Claim: self.async_claim,
@@ -164,7 +167,15 @@
             return self._reject_heartbeat(STATUS_NOT_LEADER)
         self._runtime.metrics.count("control.heartbeat.granted")
         leader = self._log.leader()
-        return granted_reply(heartbeat, term, self.state, self._timings, leader)
+        return granted_reply(
+            heartbeat,
+            term,
+            self.state,
+            self._copies,
+            self._timings,
+            leader,
+            self._clock.now(),
+        )
 
     def _reject_heartbeat(self, status: str) -> Any:
         self._runtime.metrics.count(f"control.heartbeat.{status}")
@@ -218,6 +229,14 @@
             status=STATUS_OK, version=configuration.version, config=configuration.text
         )
 
+    async def async_get_config_part(self, sender: str, request: Any) -> Any:
+        """Reply to a messages.GetConfigPart.
+
+        Leadership is not confirmed: the node has the version and digest from the reply
+        to a heartbeat, and its lease begins with that heartbeat.
+        """
+        return self._copies.part(request)
+
     async def async_register_upstream(self, sender: str, request: Any) -> Any:
         """Reply to a messages.RegisterUpstream; ok only once a change is committed.
 
--- a/bitterntiller/components/control/heartbeats.py
+++ b/bitterntiller/components/control/heartbeats.py
@@ -2,8 +2,11 @@
 
 from typing import Any
 
+from bitterntiller.components.control.config_copies import ConfigCopies
+from bitterntiller.components.control.configuration import ConfigurationState
 from bitterntiller.components.control.const import (
     HEARTBEATS_PER_SECOND,
+    INLINE_CONFIG_BYTES,
     MIN_HEARTBEATS_PER_LEASE,
     NEW_HOST_HEARTBEAT_INTERVAL,
     STATUS_GRANTED,
@@ -15,7 +18,13 @@
 
 
 def granted_reply(
-    heartbeat: Any, term: LeaderTerm, state: ControlState, timings: Timings, leader: str
+    heartbeat: Any,
+    term: LeaderTerm,
+    state: ControlState,
+    copies: ConfigCopies,
+    timings: Timings,
+    leader: str,
+    now: float,
 ) -> Any:
     """Return the reply that grants a lease; call it after confirming leadership.
 
@@ -35,7 +44,10 @@
         next_ms=int(_next_interval(heartbeat, term, timings) * 1000),
     )
     if heartbeat.config_version != configuration.version:
-        _add_configuration(reply, heartbeat.config_version, state)
+        _add_configuration(reply, heartbeat, state.configuration, copies)
+        superseded_at = state.configuration.superseded_at_ms(heartbeat.config_version)
+        if superseded_at is not None:
+            reply.superseded_ms = max(0, term.cluster_ms(now) - superseded_at)
     upstreams = state.upstreams
     if heartbeat.upstreams_version not in (None, upstreams.version):
         reply.upstreams = messages.UpstreamList(
@@ -49,10 +61,22 @@
     return reply
 
 
-def _add_configuration(reply: Any, version: int, state: ControlState) -> None:
-    patches = state.configuration.patches_since(version)
+def _add_configuration(
+    reply: Any, heartbeat: Any, configuration: ConfigurationState, copies: ConfigCopies
+) -> None:
+    """Add the changes, the document, or the copy that the node loads in parts."""
+    patches = configuration.patches_since(heartbeat.config_version)
+    size = len(configuration.text)
+    if patches is not None:
+        size = sum(len(patch.data or b"") for patch in patches)
+    if heartbeat.loads_parts and size > INLINE_CONFIG_BYTES:
+        copy = copies.latest(configuration)
+        reply.copy = messages.ConfigCopy(
+            version=copy.version, size=len(copy.data), digest=copy.digest
+        )
+        return
     if patches is None:
-        reply.config = state.configuration.text
+        reply.config = configuration.text
         return
     reply.changes = [
         messages.ConfigChange(version=patch.version, patch=patch.data)
--- a/bitterntiller/components/node/const.py
+++ b/bitterntiller/components/node/const.py
@@ -4,6 +4,7 @@
 
 STATUS_GRANTED = "granted"
 STATUS_NOT_LEADER = "not-leader"
+STATUS_OK = "ok"
 STATUS_UNKNOWN = "unknown"
 
 ATTEMPTS_PER_LEASE = 4
@@ -25,3 +26,9 @@
 
 RETRY_PAUSE = 0.1
 """Seconds before the next attempt after a failed call to control."""
+
+MAX_DOWNLOAD_TURN = 0.8
+"""Seconds for which a configuration is loaded between two heartbeats.
+
+Control reassigns the pools of hosts whose heartbeats stop.
+"""
--- a/bitterntiller/components/node/coordinator.py
+++ b/bitterntiller/components/node/coordinator.py
@@ -8,6 +8,7 @@
 from absl import logging
 
 from bitterntiller.components.node.client import ControlClient
+from bitterntiller.components.node.config_download import ConfigDownload
 from bitterntiller.components.node.configuration import (
     NodeConfig,
     ParseConfig,
@@ -20,7 +21,7 @@
     STATUS_GRANTED,
 )
 from bitterntiller.components.node.directory import NodeDirectory
-from bitterntiller.components.node.errors import ConfigGapError
+from bitterntiller.components.node.errors import ConfigGapError, DamagedConfigError
 from bitterntiller.components.node.lease import NodeLease
 from bitterntiller.components.node.upstreams import NodeUpstreams
 from bitterntiller.components.node.versions import NodeVersions
@@ -65,6 +66,9 @@
             runtime.links, self._clock, addresses, self._timings.link_call
         )
         self.lease = NodeLease(self._clock)
+        self.download = ConfigDownload(
+            runtime.links, self._clock, self._timings.link_call
+        )
         self.config = NodeConfig(parse)
         self.upstreams = NodeUpstreams()
         self.versions = NodeVersions()
@@ -165,11 +169,42 @@
         if reply is None or reply.status != STATUS_GRANTED:
             self._runtime.metrics.count("node.heartbeat.failed")
             return False
+        self._limit_lease(reply, sent_at)
+        if reply.copy is not None and not await self._async_download(reply):
+            return False
         if not self.config.should_parse_in_thread(reply):
             return self.apply_reply(reply, sent_at)
         prepared = await curio.run_in_thread(self._prepare, reply)
         return self._apply_prepared(reply, sent_at, prepared)
 
+    def _limit_lease(self, reply: Any, sent_at: float) -> None:
+        """Limit the lease while this node does not have the configuration in a reply.
+
+        The lease alone would let a node in contact with control use the old version for
+        longer than config_apply after the change.
+        """
+        if reply.config_version <= self.config.version:
+            return
+        superseded_at = sent_at - (reply.superseded_ms or 0) / 1000
+        self.lease.limit(superseded_at + self._timings.config_apply)
+
+    async def _async_download(self, reply: Any) -> bool:
+        """Load the configuration of a reply; return whether it is complete."""
+        if reply.copy.version <= self.config.version:
+            return True
+        address = self.control_client.leader
+        try:
+            text = await self.download.async_continue(reply.copy, address)
+        except DamagedConfigError as error:
+            logging.error("cannot load configuration: %s", error)
+            return False
+        if text is None:
+            self._runtime.metrics.count("node.config.download_interrupted")
+            self.control_client.last_error = self.download.last_error
+            return False
+        reply.config = text
+        return True
+
     async def _async_call_control(self) -> Any:
         """Send a heartbeat and return its reply, None without one.
 
@@ -198,6 +233,7 @@
             leased=self.lease.valid(),
             upstreams_version=self.upstreams.version,
             rollouts_version=self.versions.version,
+            loads_parts=True,
         )
 
     def apply_reply(self, reply: Any, sent_at: float) -> bool:
@@ -284,7 +320,7 @@
 
 
 def _update_bytes(reply: Any) -> int:
-    """Return the size of the configuration or the changes in a HeartbeatReply."""
+    """Return the bytes of the changes or the document that a reply led to."""
     if reply.config is not None:
         return len(reply.config)
     return sum(len(change.patch) for change in reply.changes or [])
--- a/bitterntiller/components/node/diagnostics.py
+++ b/bitterntiller/components/node/diagnostics.py
@@ -12,6 +12,7 @@
         "lease_left_s": round(max(node.lease.remaining(), 0.0), 3),
         "leader": node.control_client.leader,
         "config_version": node.config.version,
+        "config_loading": node.download.describe(),
         "directory_version": node.directory.version,
         "versions": node.versions.describe(),
         "hosts": {name: host._asdict() for name, host in node.hosts_by_name.items()},
--- a/bitterntiller/components/node/lease.py
+++ b/bitterntiller/components/node/lease.py
@@ -14,14 +14,15 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._ends = float("-inf")
+        self._superseded_until = float("inf")
 
     def valid(self) -> bool:
         """Return whether the lease is valid now."""
-        return self._clock.now() < self._ends
+        return self.remaining() > 0
 
     def remaining(self) -> float:
         """Return the seconds that remain, 0 or less if the lease has expired."""
-        return self._ends - self._clock.now()
+        return min(self._ends, self._superseded_until) - self._clock.now()
 
     def extend(self, sent_at: float, lease_ms: int) -> None:
         """Extend the lease by a grant for the heartbeat that was sent at sent_at.
@@ -30,6 +31,15 @@
         confirmed leadership at any time after that. Counted from the reply, a delayed
         reply would let the node use a configuration that was replaced long ago. It is
         shortened by the maximum drift, as this clock may run slower than the leader's.
+        The configuration in force is the latest one again, which ends any limit.
         """
+        self._superseded_until = float("inf")
         ends = sent_at + lease_ms / 1000 * (1 - MAX_CLOCK_DRIFT)
         self._ends = max(self._ends, ends)
+
+    def limit(self, until: float) -> None:
+        """End the lease at a time at the latest, until it is extended.
+
+        For a node that knows of a newer configuration and does not have it yet.
+        """
+        self._superseded_until = min(self._superseded_until, until)
--- a/bitterntiller/components/settings/models.py
+++ b/bitterntiller/components/settings/models.py
@@ -64,6 +64,7 @@
     upstream_idle: float = 30.0
     heartbeat: float = 0.5
     lease: float = 3.0
+    config_apply: float = 3.0
     link_call: float = 2.0
     owner_settle: float = 1.0
     owner_lease: float = 4.0
--- a/bitterntiller/components/settings/schema.py
+++ b/bitterntiller/components/settings/schema.py
@@ -139,7 +139,8 @@
 def _find_timing_problems(timings: Timings) -> list[Problem]:
     """Check the relations between timings.
 
-    A lease shorter than two heartbeats expires when one is lost. If an owner's lease
+    A lease shorter than two heartbeats expires when one is lost, and so would a
+    config_apply as short while a configuration is loaded. If an owner's lease
     were not longer than a node's lease, its pool could be reassigned while entry hosts
     still follow the old owner. Followers whose election timeout is not longer than the
     leader's heartbeats take, or equal on all, start one election after another.
@@ -151,6 +152,8 @@
     problems = []
     if timings.lease <= 2 * timings.heartbeat:
         problems.append(Problem(path("lease"), "must be above twice heartbeat"))
+    if timings.config_apply <= 2 * timings.heartbeat:
+        problems.append(Problem(path("config_apply"), "must be above twice heartbeat"))
     if timings.owner_lease * (1 - MAX_CLOCK_DRIFT) <= timings.lease:
         text = f"must be above lease by more than {MAX_CLOCK_DRIFT:.0%}"
         problems.append(Problem(path("owner_lease"), text))
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -28,6 +28,7 @@
     ORDER = 44, ORDER_REPLY = 45, REGISTER_UPSTREAM = 46, REGISTER_UPSTREAM_REPLY = 47,
     START_ROLLOUT = 63, GET_ROLLOUT = 64, ROLLOUT_REPLY = 65,
     ROLLOUT_REPORT = 66, ROLLOUT_REPORT_REPLY = 67,
+    GET_CONFIG_PART = 68, CONFIG_PART = 69,
     PRE_VOTE = 50, PRE_VOTE_REPLY = 51, VOTE = 52, VOTE_REPLY = 53,
     APPEND = 54, APPEND_REPLY = 55, SNAPSHOT_PIECE = 56, SNAPSHOT_REPLY = 57,
     JOIN = 58, JOIN_REPLY = 59, RETURN_CHECK = 60, RETURN_CHECK_REPLY = 61,
@@ -300,10 +301,18 @@
     9: optional bool leased,             // the node's lease was valid at the time of sending
     10: optional i64 upstreams_version,  // newest list of upstreams the node holds
     11: optional i64 rollouts_version,   // newest version rules the node holds
+    12: optional bool loads_parts,       // the node loads large configurations with GetConfigPart
 }
 
 struct ConfigChange { 1: required i64 version, 2: required binary patch }  // JSON merge patch
 
+/* A compressed configuration that a node loads in parts; digest identifies its bytes. */
+struct ConfigCopy { 1: required i64 version, 2: required i32 size, 3: required i64 digest }
+
+struct GetConfigPart { 1: required i64 version, 2: required i64 digest, 3: required i32 offset }
+
+struct ConfigPart { 1: required string status, 2: required binary data }   // ok, unknown
+
 /* The complete lists of hosts and pool owners; sent if the node's copy is outdated. */
 struct Directory {
     1: required i64 version,
@@ -338,6 +347,8 @@
     9: optional i32 next_ms,             // time until the next heartbeat is due
     10: optional UpstreamList upstreams, // if the node's list is outdated
     11: optional VersionRulesList rollouts,  // if the node's rules are outdated
+    12: optional ConfigCopy copy,        // in place of changes and config if these are large
+    13: optional i32 superseded_ms,      // since a newer version than the node's was accepted
 }
 
 /* The announcement of an upstream to control, sent by the host that received it. */
