--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -110,10 +110,15 @@
 
 
 class _GrantingLinks:
-    """Fake links that grant each registration at once."""
+    """Fake links that grant each registration at once.
+
+    Each grant names another upstream, unless names has the next ones; the last one of
+    names is used for all later grants.
+    """
 
     def __init__(self, address: str) -> None:
         self.sent: list[Any] = []
+        self.names: list[str] = []
         self.coordinator: Any = None
         self._address = address
 
@@ -129,13 +134,18 @@
             request_id=request_id,
             pool="llm",
             epoch=0,
-            upstream=f"i-{len(self.sent)}",
+            upstream=self._next_name(),
             address=self._address,
             upstream_incarnation="0",
             valid_ms=1000,
         )
         await self.coordinator.registry.async_on_grant("b", grant)
 
+    def _next_name(self) -> str:
+        if len(self.names) > 1:
+            return self.names.pop(0)
+        return self.names[0] if self.names else f"i-{len(self.sent)}"
+
     def of(self, cls: type) -> list[Any]:
         return [message for message in self.sent if isinstance(message, cls)]
 
