Heed what upstreams say in their responses: that they leave, or want a pause

What was seen: an engine turned a host away with 503 and Retry-After: 3, and got three more requests from it within that time; one of them was turned away again before it was sent elsewhere, so its caller waited for nothing.

Cause, from the record and the code: nothing read Retry-After of an upstream's refusal. The refused request alone kept the upstream in tried; the next one of the same host was granted to it, as an owner grants by slots and knows of no host's refusal. Server-Leaving of a response was read by nothing either: only announcements made an upstream leaving. Class: a statement in a response that binds the host which got it, passed on and heeded by nobody, like the limits that upstreams name.

Change: dialects decode a Notice of a response (native: X-Leaving, and Retry-After of a refusal). The entry host keeps it for the upstream's process and compares it right before each sending; such a grant is returned unsent and its request keeps its place. It is reported to the owner at once and to a new owner before the first request. The owner grants a leaving upstream to nobody, and a paused one to the other hosts; requests of a paused host wait in groups of their own. Log lines, state and stand-ins have both.

Ruled out: a report that came too late (there was none), another host's request (the rule counts one machine's). It holds because the comparison is on the sending host itself, at the moment of sending; the owner's part only keeps the worth.

--- a/bitterntiller/components/dispatch/__init__.py
+++ b/bitterntiller/components/dispatch/__init__.py
@@ -142,6 +142,7 @@
         (messages.Finished, coordinator.async_on_finished),
         (messages.Returned, coordinator.async_on_returned),
         (messages.UpstreamLimit, coordinator.async_on_upstream_limit),
+        (messages.UpstreamNotice, coordinator.async_on_upstream_notice),
         (messages.Announce, coordinator.async_on_announce),
     ):
         runtime.stack.callback(runtime.links.handle(cls, handler))
--- a/bitterntiller/components/dispatch/canary_picker.py
+++ b/bitterntiller/components/dispatch/canary_picker.py
@@ -56,4 +56,6 @@
             return False
         if upstream.name in job.request.tried:
             return False
+        if upstream.name in self._pool.pauses.names(job.request.entry_host, now):
+            return False
         return upstream.can_take(now) and upstream.has_memory_for(job.kv_tokens)
--- a/bitterntiller/components/dispatch/coordinator.py
+++ b/bitterntiller/components/dispatch/coordinator.py
@@ -210,6 +210,12 @@
             message.pool, lambda pool, now: pool.update_rate_limit(message, now)
         )
 
+    async def async_on_upstream_notice(self, _host: str, message: Any) -> None:
+        """Apply what an upstream stated in its responses to an entry host."""
+        await self._async_apply(
+            message.pool, lambda pool, now: pool.apply_notice(message, now)
+        )
+
     async def async_on_announce(self, _host: str, message: Any) -> Any:
         """Process the announcement of an upstream."""
         pool = self._pool(message.pool)
--- a/bitterntiller/components/dispatch/describe.py
+++ b/bitterntiller/components/dispatch/describe.py
@@ -29,6 +29,7 @@
         },
         "upstreams_by_name": {
             name: _describe_upstream(upstream, now)
+            | {"paused_seconds_by_host": _pauses(pool, name, now)}
             for name, upstream in pool.upstreams_by_name.items()
         },
     }
@@ -40,7 +41,7 @@
         "address": upstream.state.address,
         "incarnation": upstream.state.incarnation,
         "sequence": upstream.state.sequence,
-        "leaving": upstream.state.leaving,
+        "leaving": upstream.leaving,
         "heard_seconds_ago": round(now - upstream.last_announced_at, 3),
         "free": upstream.free,
         "sick": upstream.health.unhealthy,
@@ -54,3 +55,7 @@
         "speed_scale": round(upstream.speed.scale, 3),
         "prefix_trust": round(upstream.prefixes.trust, 3),
     }
+
+
+def _pauses(pool: Pool, name: str, now: float) -> dict[str, float]:
+    return {host: round(left, 3) for host, left in pool.pauses.hosts(name, now)}
--- a/bitterntiller/components/dispatch/event_logging.py
+++ b/bitterntiller/components/dispatch/event_logging.py
@@ -35,6 +35,8 @@
         in_flight=event.in_flight,
         probe_in=None if probe_in is None else round(probe_in, 3),
         limit=event.limit,
+        entry_host=event.entry_host,
+        paused_for=event.paused_for,
     )
 
 
--- a/bitterntiller/components/dispatch/models.py
+++ b/bitterntiller/components/dispatch/models.py
@@ -84,6 +84,20 @@
     at: float
 
 
+class NoticeUpdate(NamedTuple):
+    """What one incarnation of an upstream stated in responses to an entry host.
+
+    leaving: it takes no further requests. paused_until, on the owner's clock, is when
+    it takes requests from that host again.
+    """
+
+    upstream: str
+    incarnation: str
+    entry_host: str
+    leaving: bool
+    paused_until: float
+
+
 class WorkspaceLimits(NamedTuple):
     """Limits of a workspace, from its labels; None for no limit.
 
@@ -224,9 +238,9 @@
         """Release the upstream of a grant that the entry host returned.
 
         reason says why: expired, refused-connection, not-admitted, failed, lost-answer,
-        upstream-left, version-withdrawn, or the Reason for which the request is refused
-        without a run (such as no-lease). If waiting is true, the request is queued
-        again at its old position.
+        upstream-left, upstream-paused, version-withdrawn, or the Reason for which the
+        request is refused without a run (such as no-lease). If waiting is true, the
+        request is queued again at its old position.
         """
         ...
 
@@ -262,6 +276,10 @@
         """Apply the rate limit that a response of an upstream gave."""
         ...
 
+    def apply_notice(self, update: NoticeUpdate, now: float) -> list[Decision]:
+        """Apply what an upstream stated in its responses to an entry host."""
+        ...
+
     def set_versions(
         self, rules: VersionRules, allowance: CanaryAllowance | None, now: float
     ) -> list[Decision]:
--- a/bitterntiller/components/dispatch/owned_pool.py
+++ b/bitterntiller/components/dispatch/owned_pool.py
@@ -17,6 +17,7 @@
 from bitterntiller.components.dispatch.wire import (
     STATE_LEAVING,
     completion,
+    notice_update,
     rate_limit_update,
     upstream_state,
     waiting_request,
@@ -303,6 +304,13 @@
             now,
         )
 
+    def apply_notice(
+        self, message: messages.UpstreamNotice, now: float
+    ) -> list[Decision]:
+        """Apply what an upstream stated in its responses to an entry host."""
+        decisions = self.scheduler.apply_notice(notice_update(message, now), now)
+        return self._record_decisions(decisions, now)
+
     def review(self, fingerprints: frozenset[int], now: float) -> list[Decision]:
         """Decide again on requests whose fingerprints have new crash evidence."""
         return self._record_decisions(self.scheduler.review(fingerprints, now), now)
--- a/bitterntiller/components/dispatch/picker.py
+++ b/bitterntiller/components/dispatch/picker.py
@@ -82,7 +82,7 @@
         best: PickResult | None = None
         best_score = INFINITE_SECONDS
         any_accepts = False
-        candidates = self._candidates(job, view)
+        candidates = self._candidates(job, view, now)
         long_blocked = job.kind == LONG and self._too_many_long_prefills(view)
         for upstream in candidates:
             if long_blocked or not self._accepts(job, upstream, now):
@@ -147,7 +147,7 @@
 
     def probe(self, job: Job, view: UpstreamView, now: float) -> PickResult | None:
         """Pick an idle upstream of uncertain speed for a seemingly late request."""
-        for upstream in self._candidates(job, view):
+        for upstream in self._candidates(job, view, now):
             if upstream.needs_speed_probe(now) and self._accepts(job, upstream, now):
                 cached, alone, _ = self._estimate(job, upstream, now)
                 return PickResult(PickStatus.PICKED, upstream, cached, alone)
@@ -203,14 +203,15 @@
         )
         view.best_decode = min(speed.best_decode_seconds(1000) for speed in speeds)
 
-    def _candidates(self, job: Job, view: UpstreamView) -> list[Upstream]:
+    def _candidates(self, job: Job, view: UpstreamView, now: float) -> list[Upstream]:
         upstreams_by_name = self._pool.upstreams_by_name
-        tried = job.request.tried
+        excluded = self._pool.pauses.names(job.request.entry_host, now)
+        excluded = excluded.union(job.request.tried)
         if len(view.members) <= SCAN_ALL_UP_TO:
             names: Iterable[str] = view.members
         else:
             names = self._sampled(job, view)
-        return [upstreams_by_name[name] for name in names if name not in tried]
+        return [upstreams_by_name[name] for name in names if name not in excluded]
 
     def _sampled(self, job: Job, view: UpstreamView) -> Iterable[str]:
         samples = self._parameters.samples
--- a/bitterntiller/components/dispatch/pool.py
+++ b/bitterntiller/components/dispatch/pool.py
@@ -4,8 +4,10 @@
 from collections import Counter
 
 from bitterntiller.components.dispatch.const import KIND_PLAIN
+from bitterntiller.components.dispatch.host_pauses import HostPauses
 from bitterntiller.components.dispatch.jobs import Job
 from bitterntiller.components.dispatch.models import (
+    NoticeUpdate,
     PolicyParameters,
     RateLimitUpdate,
     UpstreamState,
@@ -29,8 +31,9 @@
 OVERDUE_FACTOR = 2.0
 OVERDUE_SECONDS = 0.3
 STALL_SECONDS = 2.0
-MAX_DEFERRED_LIMITS = 1024
-"""Maximum number of rate limits kept for upstreams that aren't announced yet."""
+MAX_DEFERRED = 1024
+"""Maximum number of upstreams that aren't announced yet whose rate limits are kept, and
+likewise for those that said that they leave."""
 
 
 class Pool:
@@ -54,6 +57,7 @@
         self.in_flight_by_fingerprint: Counter[int] = Counter()
         self.freed: list[Upstream] = []
         self.events = UpstreamEvents()
+        self.pauses = HostPauses()
         self._ranks: set[int] = set()
         self._above_by_rank: dict[int, float] = {}
         self._parameters = parameters
@@ -62,6 +66,7 @@
         self._slots_by_name: dict[str, int] = {}
         self._orphans_by_name: dict[str, list[Job]] = {}
         self._deferred_limits_by_upstream: dict[str, RateLimitUpdate] = {}
+        self._deferred_departures: dict[str, NoticeUpdate] = {}
         self.version_rules = ANY_VERSION
 
     def set_versions(self, rules: VersionRules, now: float) -> None:
@@ -131,6 +136,9 @@
             update = self._deferred_limits_by_upstream.pop(state.name, None)
             if update is not None:
                 self.update_rate_limit(update, now)
+            departure = self._deferred_departures.pop(state.name, None)
+            if departure is not None:
+                self.apply_notice(departure, now)
         else:
             known = upstream.state
             if (state.incarnation, state.sequence) <= (
@@ -140,6 +148,7 @@
                 return False
             if state.incarnation != known.incarnation:
                 upstream.restart()
+                self.pauses.forget_upstream(upstream.name)
                 self._record_change(upstream, UpstreamChange.RESTARTED, now)
         upstream.state = state
         upstream.last_announced_at = now
@@ -247,6 +256,37 @@
         self._record_change(upstream, change, now)
         self.refresh(upstream, now)
 
+    def apply_notice(self, update: NoticeUpdate, now: float) -> None:
+        """Apply what an upstream stated in its responses to an entry host."""
+        upstream = self.upstreams_by_name.get(update.upstream)
+        if upstream is None:
+            self._defer_departure(update)
+            return
+        if str(upstream.state.incarnation) != update.incarnation:
+            return
+        if now < update.paused_until:
+            self.pauses.set(update.entry_host, upstream.name, update.paused_until)
+            event = upstream.event(UpstreamChange.PAUSED, now)
+            left = round(update.paused_until - now, 3)
+            self.events.record(
+                event._replace(entry_host=update.entry_host, paused_for=left)
+            )
+        if update.leaving and not upstream.says_leaving:
+            upstream.says_leaving = True
+            self.refresh(upstream, now)
+
+    def _defer_departure(self, update: NoticeUpdate) -> None:
+        """Keep that an upstream is leaving until it is announced.
+
+        Otherwise a new owner would use it: its announcements may still say ready.
+        """
+        if not update.leaving:
+            return
+        self._deferred_departures.pop(update.upstream, None)
+        self._deferred_departures[update.upstream] = update
+        if len(self._deferred_departures) > MAX_DEFERRED:
+            del self._deferred_departures[next(iter(self._deferred_departures))]
+
     def _defer_rate_limit(self, update: RateLimitUpdate) -> None:
         """Keep a rate limit until its upstream is announced.
 
@@ -256,7 +296,7 @@
         known = limits.pop(update.upstream, None)
         newer = known is None or known.at < update.at
         limits[update.upstream] = update if newer else known
-        if len(limits) > MAX_DEFERRED_LIMITS:
+        if len(limits) > MAX_DEFERRED:
             del limits[next(iter(limits))]
 
     def refresh_due(self, now: float) -> None:
@@ -276,6 +316,7 @@
 
     def housekeep(self, now: float) -> None:
         """Forget long unusable upstreams; refresh and learn from the others."""
+        self.pauses.prune(now)
         for name, upstream in list(self.upstreams_by_name.items()):
             if upstream.can_be_forgotten(now):
                 self.views.update(upstream, False)
@@ -375,4 +416,4 @@
 def _membership_change(upstream: Upstream, member: bool) -> UpstreamChange:
     if member:
         return UpstreamChange.USABLE
-    return UpstreamChange.LEAVING if upstream.state.leaving else UpstreamChange.SILENT
+    return UpstreamChange.LEAVING if upstream.leaving else UpstreamChange.SILENT
--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -11,6 +11,7 @@
     REASON_NOT_ADMITTED,
     REASON_REFUSED_CONNECTION,
     REASON_UPSTREAM_LEFT,
+    REASON_UPSTREAM_PAUSED,
     REASON_VERSION_WITHDRAWN,
 )
 from bitterntiller.components.dispatch.describe import describe
@@ -24,6 +25,7 @@
     CanaryAllowance,
     Completion,
     Decision,
+    NoticeUpdate,
     PolicyParameters,
     RateLimitUpdate,
     UpstreamState,
@@ -52,10 +54,13 @@
         REASON_FAILED,
         REASON_LOST_ANSWER,
         REASON_UPSTREAM_LEFT,
+        REASON_UPSTREAM_PAUSED,
         REASON_VERSION_WITHDRAWN,
     }
 )
-_REASONS_WITHOUT_FAULT = frozenset({REASON_UPSTREAM_LEFT, REASON_VERSION_WITHDRAWN})
+_REASONS_WITHOUT_FAULT = frozenset(
+    {REASON_UPSTREAM_LEFT, REASON_UPSTREAM_PAUSED, REASON_VERSION_WITHDRAWN}
+)
 
 
 class PoolScheduler:
@@ -268,6 +273,20 @@
             self._grant_loop.decide(now, decisions)
         return decisions
 
+    def apply_notice(self, update: NoticeUpdate, now: float) -> list[Decision]:
+        """Apply what an upstream stated in its responses to an entry host.
+
+        The waiting requests of that host are regrouped, since they can't use the same
+        upstreams as those of other hosts any more.
+        """
+        decisions: list[Decision] = []
+        self._pool.apply_notice(update, now)
+        for job in list(self._jobs.by_id.values()):
+            if job.waiting and job.request.entry_host == update.entry_host:
+                self._jobs.regroup(job, lambda job=job: self._set_group_key(job, now))
+        self._grant_loop.decide(now, decisions)
+        return decisions
+
     def set_versions(
         self, rules: VersionRules, allowance: CanaryAllowance | None, now: float
     ) -> list[Decision]:
@@ -358,7 +377,7 @@
         request = job.request
         job.group_key = (
             request.upstream_names,
-            frozenset(request.tried),
+            self._pool.pauses.names(request.entry_host, now).union(request.tried),
             job.kind,
             self._isolation.suspect_key(request, now),
         )
--- a/bitterntiller/components/dispatch/upstream_events.py
+++ b/bitterntiller/components/dispatch/upstream_events.py
@@ -14,7 +14,7 @@
     An unhealthy upstream failed several times in a row and only gets probes. A
     forgotten one is unknown until it is announced again. A limited one states in its
     responses how many requests per second it accepts. A withheld one has a version that
-    gets no requests.
+    gets no requests. A paused one wants no requests from one entry host for some time.
     """
 
     RESTARTED = "restarted"
@@ -27,6 +27,7 @@
     LIMITED = "limited"
     UNLIMITED = "unlimited"
     WITHHELD = "withheld"
+    PAUSED = "paused"
 
 
 class UpstreamEvent(NamedTuple):
@@ -35,7 +36,7 @@
     announcement_age is the age of the newest announcement, activity_age the time since
     the upstream's last output or successful response, and probe_in the time until an
     unhealthy upstream is probed. limit is the rate limit that its responses state, in
-    requests per second.
+    requests per second. entry_host and paused_for are set for a pause.
     """
 
     upstream: str
@@ -45,6 +46,8 @@
     in_flight: int
     probe_in: float | None = None
     limit: float | None = None
+    entry_host: str | None = None
+    paused_for: float | None = None
 
 
 class UpstreamEvents:
--- a/bitterntiller/components/dispatch/upstreams.py
+++ b/bitterntiller/components/dispatch/upstreams.py
@@ -54,6 +54,7 @@
         self.prefixes = PrefixCache(state.name, index)
         self.reserved_for: str | None = None
         self.reports_progress = False
+        self.says_leaving = False
         self.member = False
         self.free = False
         self._silence_seconds = parameters.silence_seconds
@@ -72,6 +73,7 @@
         self.limit = InflightLimit(self._adaptive)
         self.rate_limiter = UpstreamRateLimiter()
         self.reserved_for = None
+        self.says_leaving = False
 
     def event(self, change: UpstreamChange, now: float) -> UpstreamEvent:
         """Return the event of a change, with the state that it was based on."""
@@ -91,6 +93,11 @@
         """Return the version of its software, empty if not announced."""
         return self.state.labels.get(LABEL_VERSION, "")
 
+    @property
+    def leaving(self) -> bool:
+        """Whether it is leaving, by its announcements or by its responses."""
+        return self.state.leaving or self.says_leaving
+
     def usable(self, now: float) -> bool:
         """Return whether the upstream can be used: announced recently and not leaving.
 
@@ -100,8 +107,7 @@
         if self.state.silent and now - self.last_active_at > ACTIVITY_SECONDS:
             return False
         return (
-            not self.state.leaving
-            and now - self.last_announced_at <= self._silence_seconds
+            not self.leaving and now - self.last_announced_at <= self._silence_seconds
         )
 
     def can_be_forgotten(self, now: float) -> bool:
--- a/bitterntiller/components/dispatch/wire.py
+++ b/bitterntiller/components/dispatch/wire.py
@@ -4,6 +4,7 @@
     CacheChange,
     Completion,
     Granted,
+    NoticeUpdate,
     RateLimitUpdate,
     Refused,
     UpstreamLoad,
@@ -89,6 +90,17 @@
     )
 
 
+def notice_update(message: messages.UpstreamNotice, now: float) -> NoticeUpdate:
+    """Convert the notices of an upstream to the owner's clock."""
+    return NoticeUpdate(
+        upstream=message.upstream,
+        incarnation=message.incarnation,
+        entry_host=message.entry_host,
+        leaving=message.leaving,
+        paused_until=now + message.pause_ms / 1000,
+    )
+
+
 def completion(message: messages.Finished, now: float) -> Completion:
     """Convert the end of a request; -1 in the message means unknown."""
     first = message.first_token_ms
--- a/bitterntiller/components/entry/__init__.py
+++ b/bitterntiller/components/entry/__init__.py
@@ -8,6 +8,7 @@
 from bitterntiller.components.entry.coordinator import EntryCoordinator
 from bitterntiller.components.entry.diagnostics import describe
 from bitterntiller.components.entry.dialect import HttpDialect
+from bitterntiller.components.entry.notices import UpstreamNotices
 from bitterntiller.components.entry.owner_monitor import OwnerMonitor
 from bitterntiller.components.entry.quota import QuotaAccount
 from bitterntiller.components.entry.quota_client import QuotaClient
@@ -113,6 +114,7 @@
         directory=directory,
         control=control,
         rate_limits=RateLimitCache(),
+        notices=UpstreamNotices(),
     )
 
 
--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -22,10 +22,12 @@
     Retry,
     Verdict,
 )
+from bitterntiller.components.entry.notice_reports import async_record_notice
 from bitterntiller.components.entry.relay import LOST_RESPONSE, Relay
 from bitterntiller.components.entry.send_checks import (
     LEASE_EXPIRED,
     check_expiry,
+    check_notices,
     check_upstream,
     version_of,
 )
@@ -118,7 +120,9 @@
 
     def _check_upstream(self, grant: GrantReceived) -> Retry | None:
         context = self._context
-        reason = check_upstream(grant, context.upstreams, context.versions)
+        reason = check_notices(grant, context.notices, context.clock.now())
+        if reason is None:
+            reason = check_upstream(grant, context.upstreams, context.versions)
         return None if reason is None else Retry(grant.upstream, reason)
 
     def _check_crashes(self) -> Ending | None:
@@ -182,10 +186,12 @@
             return await self._async_handle_lost_response(error)
         active.load = self._context.dialect.load(head)
         active.rate_limit = self._context.dialect.rate_limit(head)
+        notice = self._context.dialect.notice(head)
         now = self._context.clock.now()
-        log_response(active, head.status, response_class, now)
+        log_response(active, head.status, response_class, notice, now)
         if response_class is not ResponseClass.FOREIGN:
             await async_report_rate_limit(self._context, active, grant, now)
+            await async_record_notice(self._context, grant, notice, now)
         if (
             self._context.response_times is not None
             and response_class is ResponseClass.ANSWER
--- a/bitterntiller/components/entry/context.py
+++ b/bitterntiller/components/entry/context.py
@@ -6,6 +6,7 @@
 from bitterntiller.components.config.models import Workspace
 from bitterntiller.components.entry.dialect import HttpDialect
 from bitterntiller.components.entry.native_dialect import NativeDialect
+from bitterntiller.components.entry.notices import UpstreamNotices
 from bitterntiller.components.entry.quota import QuotaHold
 from bitterntiller.components.entry.quota_client import QuotaRequest, QuotaVerdict
 from bitterntiller.components.entry.rate_limits import RateLimitCache
@@ -32,6 +33,10 @@
 """Stores nothing; the default for contexts that don't report limits to new owners."""
 
 
+DISABLED_NOTICES = UpstreamNotices(most=0)
+"""Keeps nothing; the default for contexts that send to no upstream."""
+
+
 class QuotaGate(Protocol):
     """Enforces the quotas of workspaces over all hosts."""
 
@@ -87,4 +92,5 @@
     upstreams: DepartingView | None = None
     crashes: CrashWatch | None = None
     rate_limits: RateLimitCache = DISABLED_RATE_LIMIT_CACHE
+    notices: UpstreamNotices = DISABLED_NOTICES
     versions: VersionsView | None = None
--- a/bitterntiller/components/entry/coordinator.py
+++ b/bitterntiller/components/entry/coordinator.py
@@ -10,6 +10,7 @@
 from bitterntiller.components.entry.context import Context
 from bitterntiller.components.entry.limit_reports import async_report_known_limits
 from bitterntiller.components.entry.models import ActiveRequest, Phase
+from bitterntiller.components.entry.notice_reports import async_report_known_notices
 from bitterntiller.components.entry.owner_messages import milliseconds, register_message
 from bitterntiller.components.entry.pipeline import Pipeline
 from bitterntiller.components.entry.registry import (
@@ -51,6 +52,10 @@
         """Register a callback that is awaited when draining begins."""
         self._drain_listeners.append(listener)
 
+    def describe_notices(self) -> dict[str, dict[str, object]]:
+        """Return the notices of upstreams that are in force, by upstream."""
+        return self._context.notices.describe(self._context.clock.now())
+
     def ready(self) -> bool:
         """Return whether the host accepts new requests.
 
@@ -211,6 +216,7 @@
             active.owner = owner
             active.registered_at = now
         await async_report_known_limits(self._context, pool, owner)
+        await async_report_known_notices(self._context, pool, owner)
         message = messages.Reregister(
             pool=pool,
             epoch=owner.epoch,
--- a/bitterntiller/components/entry/diagnostics.py
+++ b/bitterntiller/components/entry/diagnostics.py
@@ -16,5 +16,6 @@
         "requests_by_phase": dict(Counter(item.phase for item in requests)),
         "requests_by_workspace": coordinator.budget.requests_by_workspace(),
         "retries_left_by_pool": coordinator.pipeline.retries.left_by_pool(),
+        "upstream_notices": coordinator.describe_notices(),
         "held_bytes": coordinator.budget.held_bytes,
     }
--- a/bitterntiller/components/entry/dialect.py
+++ b/bitterntiller/components/entry/dialect.py
@@ -16,6 +16,7 @@
     ReceivedRequest,
     ReportedLoad,
 )
+from bitterntiller.components.entry.notices import Notice
 from bitterntiller.components.http.models import Headers, RequestHead, ResponseHead
 from bitterntiller.core.outcomes import Ending
 
@@ -71,6 +72,13 @@
         """
         ...
 
+    def notice(self, head: ResponseHead) -> Notice:
+        """Return what the upstream of a response states about itself.
+
+        Nothing if another process at its address has responded.
+        """
+        ...
+
     def response_headers(self, active: ActiveRequest, head: ResponseHead) -> Headers:
         """Return the headers of a relayed response."""
         ...
--- a/bitterntiller/components/entry/event_logging.py
+++ b/bitterntiller/components/entry/event_logging.py
@@ -9,6 +9,7 @@
     IdentifiedRequest,
     Retry,
 )
+from bitterntiller.components.entry.notices import Notice
 from bitterntiller.core import events
 from bitterntiller.core.outcomes import Ending
 
@@ -70,7 +71,11 @@
 
 
 def log_response(
-    active: ActiveRequest, status: int, finding: ResponseClass, now: float
+    active: ActiveRequest,
+    status: int,
+    finding: ResponseClass,
+    notice: Notice,
+    now: float,
 ) -> None:
     """Log the head of a response and its class."""
     events.emit(
@@ -81,6 +86,8 @@
         finding=finding,
         after=round(now - active.sent_at, 4),
         rate_limit=active.rate_limit,
+        leaving=notice.leaving,
+        pause=notice.pause,
     )
 
 
--- a/bitterntiller/components/entry/native_dialect.py
+++ b/bitterntiller/components/entry/native_dialect.py
@@ -11,6 +11,7 @@
     ReceivedRequest,
     ReportedLoad,
 )
+from bitterntiller.components.entry.notices import Notice, parse_pause
 from bitterntiller.components.entry.rate_limits import parse_rate
 from bitterntiller.components.entry.refusal_responses import (
     refusal_body,
@@ -33,6 +34,7 @@
 
 NOT_ADMITTED_STATUSES = frozenset({429, 503})
 NOT_ADMITTED_VALUE = "false"
+LEAVING_VALUE = "true"
 
 
 class NativeDialect:
@@ -70,6 +72,14 @@
         """Return the rate limit in requests per second if the response states one."""
         return parse_rate(header(head.headers, const.HEADER_RATE_LIMIT))
 
+    def notice(self, head: ResponseHead) -> Notice:
+        """Return what the upstream of a response states about itself."""
+        value = header(head.headers, const.HEADER_LEAVING) or ""
+        pause = 0.0
+        if _not_admitted(head):
+            pause = parse_pause(header(head.headers, const.HEADER_RETRY_AFTER))
+        return Notice(value.lower() == LEAVING_VALUE, pause)
+
     def response_headers(self, active: ActiveRequest, head: ResponseHead) -> Headers:
         """Return the headers of a relayed response."""
         return response_headers(active, head)
--- a/bitterntiller/components/entry/owner_messages.py
+++ b/bitterntiller/components/entry/owner_messages.py
@@ -1,6 +1,7 @@
 """Build the messages of the entry role to the owner of a pool."""
 
 from bitterntiller.components.entry.models import ActiveRequest, GrantReceived
+from bitterntiller.components.entry.notices import KeptNotice
 from bitterntiller.components.entry.rate_limits import ReportedLimit
 from bitterntiller.core.interfaces import VersionsView
 from bitterntiller.protocol import messages
@@ -78,6 +79,20 @@
     )
 
 
+def notice_message(
+    kept: KeptNotice, entry_host: str, now: float
+) -> messages.UpstreamNotice:
+    """Return the message for the notices of an upstream to this host."""
+    return messages.UpstreamNotice(
+        pool=kept.pool,
+        upstream=kept.upstream,
+        incarnation=kept.incarnation,
+        entry_host=entry_host,
+        leaving=kept.leaving,
+        pause_ms=milliseconds(kept.paused_until - now),
+    )
+
+
 def returned_message(
     request_id: str, grant: GrantReceived, reason: str, waiting: bool
 ) -> messages.Returned:
--- a/bitterntiller/components/entry/registration.py
+++ b/bitterntiller/components/entry/registration.py
@@ -10,6 +10,7 @@
     GrantReceived,
     RefusalReceived,
 )
+from bitterntiller.components.entry.notice_reports import async_report_known_notices
 from bitterntiller.components.entry.owner_messages import register_message
 from bitterntiller.components.entry.registry import LeaseLost
 from bitterntiller.core.outcomes import Ending, Outcome, Reason
@@ -76,6 +77,7 @@
     active.owner = owner
     active.registered_at = now
     await async_report_known_limits(context, active.pool, owner)
+    await async_report_known_notices(context, active.pool, owner)
     message = register_message(active, context.host, now, context.versions)
     if not await context.links.async_send(owner.address, message):
         active.owner = None
--- a/bitterntiller/components/entry/send_checks.py
+++ b/bitterntiller/components/entry/send_checks.py
@@ -3,6 +3,7 @@
 from bitterntiller.components.entry import const
 from bitterntiller.components.entry.context import DepartingView
 from bitterntiller.components.entry.models import GrantReceived
+from bitterntiller.components.entry.notices import UpstreamNotices
 from bitterntiller.components.rollouts.const import LABEL_VERSION
 from bitterntiller.core.interfaces import Lease, VersionsView
 from bitterntiller.core.outcomes import Reason
@@ -10,8 +11,9 @@
 GRANT_EXPIRED = "expired"
 LEASE_EXPIRED = "lease"
 UPSTREAM_LEFT = "upstream-left"
+UPSTREAM_PAUSED = "upstream-paused"
 VERSION_WITHDRAWN = "version-withdrawn"
-NOTHING_SENT = frozenset({UPSTREAM_LEFT, VERSION_WITHDRAWN})
+NOTHING_SENT = frozenset({UPSTREAM_LEFT, UPSTREAM_PAUSED, VERSION_WITHDRAWN})
 """Reasons for which an upstream was rejected before anything was sent to it."""
 
 
@@ -33,6 +35,20 @@
     return None
 
 
+def check_notices(
+    grant: GrantReceived, notices: UpstreamNotices, now: float
+) -> str | None:
+    """Return why a granted upstream has said not to send to it, None if it has not.
+
+    The owner grants by what it knew when it decided, and a new owner may know nothing.
+    """
+    if notices.is_leaving(grant.upstream, grant.incarnation):
+        return UPSTREAM_LEFT
+    if notices.is_paused(grant.upstream, grant.incarnation, now):
+        return UPSTREAM_PAUSED
+    return None
+
+
 def check_upstream(
     grant: GrantReceived,
     upstreams: DepartingView | None,
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -20,7 +20,7 @@
     PROGRESS = 15, FINISHED = 16, RETURNED = 17, REREGISTER = 18, LIVE = 19,
     ANNOUNCE = 20, ANNOUNCE_REPLY = 21, ENTRY_REPORT = 22, ENTRY_REPORT_REPLY = 23,
     ENDED_REQUESTS = 24, QUOTA_ASK = 25, QUOTA_ANSWER = 26, CRASH_REPORT = 27,
-    UPSTREAM_LIMIT = 28,
+    UPSTREAM_LIMIT = 28, UPSTREAM_NOTICE = 29,
     HEARTBEAT = 30, HEARTBEAT_REPLY = 31, GET_CONFIG = 32, CONFIG_REPLY = 33,
     CHANGE = 34, CHANGE_REPLY = 35, CLAIM = 36, CLAIM_REPLY = 37,
     CONTROL_STATUS = 38, CONTROL_STATUS_REPLY = 39, REPAIR = 40, REPAIR_REPLY = 41,
@@ -135,7 +135,8 @@
     2: required string pool,
     3: required string upstream,
     4: required string reason,           // expired, refused-connection, not-admitted, failed,
-                                         // lost-answer, upstream-left, version-withdrawn, or
+                                         // lost-answer, upstream-left, upstream-paused,
+                                         // version-withdrawn, or
                                          // why it is refused without a run (as no-lease)
     5: required bool still_waiting,
 }
@@ -151,6 +152,16 @@
     5: required i32 age_ms,              // since the response began
 }
 
+/* What an upstream stated in its responses to one entry host. */
+struct UpstreamNotice {
+    1: required string pool,
+    2: required string upstream,
+    3: required string incarnation,
+    4: required string entry_host,
+    5: required bool leaving,            // takes no further requests from any host
+    6: required i32 pause_ms,            // wants none from this entry host for so long
+}
+
 /* All requests that an entry host has with a pool, sent to a new owner. */
 struct Reregister {
     1: required string pool,
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -23,7 +23,6 @@
 COMPLETION_PATH = "/v1/completions"
 REQUESTS_PATH = "/v1/requests/"
 EXIT_CRASHED = 70
-NOT_ADMITTED_HEADERS = {"X-Admitted": "false", "Retry-After": "1"}
 
 
 @dataclass(kw_only=True)
@@ -72,10 +71,11 @@
     async def _async_run(
         self, connection: Connection, request: Request, faults: Faults
     ) -> None:
-        headers = {"X-Request-Id": request.request_id, **self._rate_limit_header()}
-        if faults.not_admit or self.server.is_full():
+        headers = {"X-Request-Id": request.request_id, **self._notice_headers()}
+        if faults.refuses() or self.server.is_full():
+            self.server.recorder.add("turned-away", retry_after=faults.retry_after)
             await connection.async_respond(
-                503, {"error": "full"}, headers | NOT_ADMITTED_HEADERS
+                503, {"error": "full"}, headers | not_admitted_headers(faults)
             )
             return
         chat = request.target.startswith(CHAT_PATH)
@@ -158,7 +158,7 @@
             await connection.async_wait_closed()
             connection.reset()
         headers = {"X-Request-Id": echoed_request_id(generation.request_id, faults)}
-        headers |= self._rate_limit_header()
+        headers |= self._notice_headers()
         await connection.async_respond(200, generation.response_document(), headers)
 
     async def _async_stream(
@@ -169,7 +169,7 @@
             "Content-Type": "text/event-stream",
             "Transfer-Encoding": "chunked",
             "X-Request-Id": echoed_request_id(generation.request_id, faults),
-            **self._rate_limit_header(),
+            **self._notice_headers(),
         }
         if faults.reset_after == 0:
             connection.reset()
@@ -220,9 +220,8 @@
             await generation.task.cancel()
         await connection.async_respond(204, b"", {"X-Request-Id": request_id})
 
-    def _rate_limit_header(self) -> dict[str, str]:
-        limit = self.server.faults.rate_limit
-        return {} if limit < 0 else {"X-Rate-Limit": f"{limit:g}"}
+    def _notice_headers(self) -> dict[str, str]:
+        return notice_headers(self.server.faults)
 
     def _expire_finished(self) -> None:
         oldest = time.monotonic() - self._options.keep_s
@@ -233,6 +232,21 @@
             del self._generations_by_id[generation.request_id]
 
 
+def notice_headers(faults: Faults) -> dict[str, str]:
+    """Return the headers in which a response states a rate limit or a departure."""
+    headers = {}
+    if faults.rate_limit >= 0:
+        headers["X-Rate-Limit"] = f"{faults.rate_limit:g}"
+    if faults.say_leaving or faults.leaving:
+        headers["X-Leaving"] = "true"
+    return headers
+
+
+def not_admitted_headers(faults: Faults) -> dict[str, str]:
+    """Return the headers of a refusal."""
+    return {"X-Admitted": "false", "Retry-After": f"{faults.retry_after:g}"}
+
+
 def echoed_request_id(request_id: str, faults: Faults) -> str:
     """Return the request id that a response carries."""
     return f"not-{request_id}" if faults.wrong_id else request_id
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -1,5 +1,6 @@
 """Faults that a test can inject into a stand-in."""
 
+import random
 from dataclasses import dataclass, fields
 from typing import Any
 
@@ -19,11 +20,14 @@
     wrong_id: bool = False  # echoes another request's id
     slow: float = 1.0  # factor on all processing times
     not_admit: bool = False  # 503 with X-Admitted: false
+    shed: float = 0.0  # fraction of requests that get such a refusal
+    retry_after: float = 1.0  # seconds named in refusals
     refuse_connect: bool = False  # the listening socket is closed
     drop_answers: bool = False  # runs the request, then resets without a response
     forget: bool = False  # resume responds with 404
     silent: bool = False  # no announcements
     leaving: bool = False  # announces that it is leaving, but keeps running
+    say_leaving: bool = False  # says so in responses only, and announces ready
     fail: float = 0.0  # fraction of requests that get a 500 response
     rate_limit: float = -1.0  # requests per second named in responses; -1: none
     old_sequence: bool = False  # announces old sequence numbers
@@ -37,6 +41,10 @@
         for name, value in (known | document).items():
             setattr(self, name, value)
 
+    def refuses(self) -> bool:
+        """Decide whether to refuse the next request."""
+        return self.not_admit or random.random() < self.shed
+
     def consume(self) -> "Faults":
         """Return the faults for the next request, and count it against times."""
         if self.times == 0:
--- a/standins/plain.py
+++ b/standins/plain.py
@@ -7,7 +7,11 @@
 import curio
 
 from standins import responses
-from standins.engine import NOT_ADMITTED_HEADERS, echoed_request_id
+from standins.engine import (
+    echoed_request_id,
+    not_admitted_headers,
+    notice_headers,
+)
 from standins.faults import Faults
 from standins.options import Options
 from standins.orders import OrderExecutor
@@ -47,9 +51,11 @@
         self, connection: Connection, request: Request, faults: Faults
     ) -> None:
         headers = {"X-Request-Id": echoed_request_id(request.request_id, faults)}
-        if faults.not_admit or self.server.is_full():
+        headers |= notice_headers(faults)
+        if faults.refuses() or self.server.is_full():
+            self.server.recorder.add("turned-away", retry_after=faults.retry_after)
             await connection.async_respond(
-                503, {"error": "full"}, headers | NOT_ADMITTED_HEADERS
+                503, {"error": "full"}, headers | not_admitted_headers(faults)
             )
             return
         self.server.recorder.record_run(request)
--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -11,6 +11,7 @@
 from bitterntiller.components.entry.claiming import ClaimClient
 from bitterntiller.components.entry.context import Context, QuotaGate
 from bitterntiller.components.entry.coordinator import EntryCoordinator
+from bitterntiller.components.entry.notices import UpstreamNotices
 from bitterntiller.components.entry.response_times import ResponseTimes
 from bitterntiller.components.http.pool import ConnectionPool
 from bitterntiller.components.node.models import Host
@@ -227,6 +228,7 @@
             directory=_Directory(),
             control=fakes.FakeControl(),
             dialect=PlatformDialect(),
+            notices=UpstreamNotices(),
             connections=connections,
             quota=quota,
             response_times=ResponseTimes(),
--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -27,6 +27,9 @@
     expect e1 late_runs == 0                runs from ROLLBACK_SECONDS after that on
     expect e1 most_runs <= 17               maximum in any WINDOW_SECONDS, from
                                             PROPAGATION_SECONDS after the fault on
+    expect e1 most_in_pause <= 2            maximum of requests from NOTICE_SECONDS
+                                            after a refusal to its Retry-After; for
+                                            callers at one host
     within 5s expect ...                    retry the expectation for that time
     at-least 2 expect b* whole              the expectation holds for so many of them
 
@@ -54,6 +57,9 @@
 
 POLL_S = 0.02
 WINDOW_SECONDS = 4.0
+NOTICE_SECONDS = 0.5
+"""From a refusal of an upstream until its Retry-After must be in effect."""
+
 ROLLBACK_SECONDS = 5.0
 """late_runs counts runs from this long after a fault, signal or rollout."""
 
@@ -358,6 +364,8 @@
         if what == "orders":
             orders = self._deployment.records("order")
             return sum(record["upstream"] == name for record in orders)
+        if what == "most_in_pause":
+            return self._most_in_pause(name)
         marked = what in ("new_runs", "late_runs")
         since = self._action_time_by_name.get(name, 0.0) if marked else 0.0
         since += ROLLBACK_SECONDS if what == "late_runs" else 0.0
@@ -369,6 +377,20 @@
             )
         return sum(r["upstream"] == name and r["time"] >= since for r in runs)
 
+    def _most_in_pause(self, name: str) -> int:
+        refusals = [
+            record
+            for record in self._deployment.records("turned-away")
+            if record["upstream"] == name
+        ]
+        runs = [r for r in self._deployment.records("run") if r["upstream"] == name]
+        times = [record["time"] for record in refusals + runs]
+        pauses = [
+            (record["time"] + NOTICE_SECONDS, record["time"] + record["retry_after"])
+            for record in refusals
+        ]
+        return max((sum(a < t < b for t in times) for a, b in pauses), default=-1)
+
 
 def max_in_window(times: list[float]) -> int:
     """Return the maximum number of times within any window of WINDOW_SECONDS."""
