Node: parse a large configuration in a thread after small changes too

Once a configuration has many routes, each small change (an idle timeout, a limit) made every host parse all of them in its event loop: 20 ms for 1,400 routes at a full core, twice that at half of one, in which no stream of the host moves. Whether to use a thread was decided by the size of the update or by the number of the native dialect's workspaces; a platform's document has none under that key.

Now it is decided by the size of the document after the change. Without the change the new case of tests/components/node/test_coordinator.py parses the second version in the event loop ([False, True]); with it in a thread. The case of a thousand workspaces passes as before, so the count of workspaces is gone.

--- a/bitterntiller/components/node/configuration.py
+++ b/bitterntiller/components/node/configuration.py
@@ -4,23 +4,20 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from bitterntiller.components.config.const import CONF_WORKSPACES
 from bitterntiller.components.config.models import Config
 from bitterntiller.components.control.merge_patch import apply_patch
-from bitterntiller.components.node.const import (
-    LARGE_CONFIG_BYTES,
-    LARGE_CONFIG_WORKSPACES,
-)
+from bitterntiller.components.node.const import LARGE_CONFIG_BYTES
 from bitterntiller.components.node.errors import ConfigGapError
 
 ParseConfig = Callable[[dict[str, Any], int], Config]
 
 
 class Prepared(NamedTuple):
-    """A parsed configuration that is not yet in force."""
+    """A parsed configuration that is not yet in force; size is in bytes."""
 
     document: dict[str, Any]
     config: Config
+    size: int
 
 
 class NodeConfig:
@@ -29,6 +26,7 @@
     def __init__(self, parse: ParseConfig) -> None:
         self._parse = parse
         self._document: dict[str, Any] = {}
+        self._size = 0
         self._config = Config(0, {}, {}, {}, {})
 
     @property
@@ -56,7 +54,8 @@
         if reply.config_version <= self.version:
             return None
         if reply.config is not None:
-            return self._parsed(json.loads(reply.config), reply.config_version)
+            document = json.loads(reply.config)
+            return self._parsed(document, reply.config_version, len(reply.config))
         document = self._document
         version = self.version
         for change in reply.changes or []:
@@ -70,23 +69,25 @@
             version = change.version
         if version != reply.config_version:
             raise ConfigGapError(f"changes end at {version} of {reply.config_version}")
-        return self._parsed(document, version)
+        return self._parsed(document, version, self._size_after(reply))
 
-    def _parsed(self, document: dict[str, Any], version: int) -> Prepared:
-        return Prepared(document, self._parse(document, version))
+    def _parsed(self, document: dict[str, Any], version: int, size: int) -> Prepared:
+        return Prepared(document, self._parse(document, version), size)
+
+    def _size_after(self, reply: Any) -> int:
+        """Return at most how many bytes the document has after the changes."""
+        return self._size + sum(len(change.patch) for change in reply.changes or [])
 
     def should_parse_in_thread(self, reply: Any) -> bool:
         """Return whether the update in a reply takes milliseconds to parse."""
         if reply.config_version <= self.version:
             return False
-        if len(reply.config or b"") > LARGE_CONFIG_BYTES:
-            return True
-        workspaces = self._document.get(CONF_WORKSPACES, {})
-        return len(workspaces) > LARGE_CONFIG_WORKSPACES
+        size = self._size_after(reply) if reply.config is None else len(reply.config)
+        return size > LARGE_CONFIG_BYTES
 
     def activate(self, prepared: Prepared | None) -> bool:
         """Put a configuration in force; return False if it is None or not newer."""
         if prepared is None or prepared.config.version <= self.version:
             return False
-        self._document, self._config = prepared
+        self._document, self._config, self._size = prepared
         return True
--- a/bitterntiller/components/node/const.py
+++ b/bitterntiller/components/node/const.py
@@ -11,8 +11,7 @@
 """A heartbeat times out after a lease divided by this number."""
 
 LARGE_CONFIG_BYTES = 16 * 1024
-LARGE_CONFIG_WORKSPACES = 50
-"""A configuration that exceeds either is parsed in a thread.
+"""A larger configuration is parsed in a thread, also after a small change to it.
 
 Parsing one with 950 workspaces takes 40 ms; in the event loop it would stall all
 responses that stream through this host for that time.
--- a/tests/components/control/mutations.py
+++ b/tests/components/control/mutations.py
@@ -48,12 +48,13 @@
 def lower_version_applied(patch):
     def prepare(self, reply):
         if reply.config is not None:
-            return self._parsed(json.loads(reply.config), reply.config_version)
+            document = json.loads(reply.config)
+            return self._parsed(document, reply.config_version, len(reply.config))
         return original(self, reply)
 
     def activate(self, prepared):
         if prepared is not None:
-            self._document, self._config = prepared
+            self._document, self._config, self._size = prepared
         return prepared is not None
 
     original = NodeConfig.prepare
--- a/tests/components/node/test_coordinator.py
+++ b/tests/components/node/test_coordinator.py
@@ -100,6 +100,32 @@
     run_pair(main)
 
 
+def test_small_change_of_a_large_configuration_is_parsed_outside_the_event_loop():
+    """
+    Guards against a pause of all streams of a host at each small change, once the
+    configuration has many routes: all of it is parsed again.
+    """
+
+    async def main(control, node, clock, network):
+        threads = []
+
+        def parse(document, version):
+            threads.append(threading.current_thread() is threading.main_thread())
+            return parse_any(document, version)
+
+        node.config._parse = parse
+        routes = [{"name": f"r{n}", "prefix": f"/{n}/"} for n in range(1400)]
+        for number in range(2):
+            document = {"route_table": routes, "limits": {"number": number}}
+            change = make_change(f"c{number}", number, document)
+            assert (await control.async_change("operator", change)).status == "accepted"
+            assert await node.async_send_heartbeat()
+        assert node.config.version == 2
+        assert threads == [False] * 2
+
+    run_pair(main)
+
+
 def test_few_changes_are_sent_as_patches():
     async def main(control, node, clock, network):
         versions = []
