Slow links: let the parts of a configuration take their time in the test too

Broken guards showed that the tests of slow links did not play what they say: the fake link slowed down heartbeats only, parts of a configuration came at once, and a lease that is never limited passed. The node now gets the slow link as a whole.

New: the limit counts from the change for a host that hears of it late, and a part of another document under the same version is refused at the first part.

--- a/tests/components/node/test_config_download.py
+++ b/tests/components/node/test_config_download.py
@@ -112,7 +112,9 @@
     ours, other = ConfigCopies(), ConfigCopies()
     copy = ours.latest(FakeConfiguration(5, make_text(1)))
     other.latest(FakeConfiguration(5, make_text(2)))
-    assert load(PartLinks(other), copy) == [None]
+    links = PartLinks(other)
+    assert load(links, copy) == [None]
+    assert links.offsets == [0]
 
 
 def test_damaged_copy_is_not_used():
--- a/tests/platform/test_slow_links.py
+++ b/tests/platform/test_slow_links.py
@@ -6,12 +6,14 @@
 import pytest
 from bitterntiller_platform.settings import load_settings
 
+from bitterntiller.components.node.coordinator import NodeCoordinator
 from bitterntiller.core.clock import ManualClock
 from tests.components.control.builders import (
     FakeNetwork,
     make_change,
     make_control,
-    make_node,
+    make_runtime,
+    parse_any,
 )
 from tests.components.node.slow_links import SlowLinks
 from tests.platform.test_settings import FILE
@@ -74,9 +76,9 @@
         control, _ = make_control(clock, network, timings=timings)
         await control.async_start(tick=False)
         async with control._runtime.stack:
-            node = make_node(clock, network, timings=timings)
-            links = SlowLinks(node._runtime.links, clock, BANDWIDTH)
-            node.control_client._links = links
+            runtime = make_runtime(clock, network, timings=timings)
+            links = runtime.links = SlowLinks(runtime.links, clock, BANDWIDTH)
+            node = NodeCoordinator(runtime, parse_any)
             document = {"routes": make_routes(20)}
             await control.async_change("operator", make_change("c1", 0, document))
             assert await node.async_send_heartbeat()
@@ -122,3 +124,16 @@
         assert not [at for at, version in held if version == 1 and at > limit]
 
     run_change(timings, main)
+
+
+def test_time_limit_counts_from_the_change_for_a_host_that_hears_of_it_late(timings):
+    """Guards against a limit that counts from when a host hears of the change."""
+
+    async def main(control, node, clock, links):
+        links._bandwidth = 5_000
+        limit = clock.now() + APPLY_SECONDS
+        clock.advance(2.0)
+        held = await async_run_for(node, clock, 3.0)
+        assert not [at for at, version in held if version == 1 and at > limit]
+
+    run_change(timings, main)
