Notices: test that a new owner hears of them, and that they end with the process

Each of these three is caught now: with the report taken out of the registration, out of the reregistration, and with any process of the name counted as leaving, tests/components/entry/ test_notices.py fails. No code of the product changes.

--- a/tests/components/entry/deployment.py
+++ b/tests/components/entry/deployment.py
@@ -10,6 +10,7 @@
 from bitterntiller.components.entry.claiming import ClaimClient
 from bitterntiller.components.entry.context import Context
 from bitterntiller.components.entry.coordinator import EntryCoordinator
+from bitterntiller.components.entry.notices import UpstreamNotices
 from bitterntiller.components.entry.rate_limits import RateLimitCache
 from bitterntiller.components.settings.models import Limits, Timings
 from bitterntiller.core.clock import RuntimeClock
@@ -122,6 +123,7 @@
             directory=Directory(),
             control=fakes.FakeControl(),
             rate_limits=RateLimitCache(),
+            notices=UpstreamNotices(),
         )
         coordinator = EntryCoordinator(
             context, Limits(**limits), ClaimClient(context, "i1")
--- a/tests/components/entry/test_notices.py
+++ b/tests/components/entry/test_notices.py
@@ -12,10 +12,11 @@
 from bitterntiller.core.clock import ManualClock
 from bitterntiller.core.interfaces import Ownership
 from bitterntiller.protocol import messages
-from tests.components.entry import fakes
+from tests.components.entry import deployment, fakes
 from tests.components.entry.test_attempt import upstream
 
 NOW = 1000.0
+BODY = b"Content-Length: 2\r\n\r\n{}"
 REFUSED = (
     b"HTTP/1.1 503 Full\r\nX-Request-Id: r1\r\nX-Admitted: false\r\n"
     b"Retry-After: 2.5\r\nContent-Length: 0\r\n\r\n"
@@ -95,6 +96,9 @@
     notices.record("llm", "e1", "2", Notice(pause=1.0), NOW + 3)
     assert not notices.is_leaving("e1", "2")
     assert not notices.is_leaving("e1", "1")
+    notices.record("llm", "e1", "2", Notice(leaving=True, pause=9.0), NOW + 4)
+    assert not notices.is_leaving("e1", "3")
+    assert not notices.is_paused("e1", "3", NOW + 5)
 
 
 def test_new_owner_gets_the_notices_in_force_once():
@@ -110,6 +114,32 @@
     assert len(notices.for_new_owner("llm", owner._replace(epoch=2), NOW + 2)) == 2
 
 
+@pytest.mark.parametrize("reregistering", [False, True])
+def test_known_notices_are_sent_to_a_new_owner_before_its_first_request(reregistering):
+    """Guards against a new owner that grants an upstream which is leaving."""
+
+    async def async_main() -> list[Any]:
+        async with deployment.entry_host(deployment.async_whole) as host:
+            context = host.context
+            context.notices.record(
+                "llm", "e9", "1", Notice(leaving=True), context.clock.now()
+            )
+            if reregistering:
+                owner = context.directory.owner("llm")
+                await host.coordinator._async_reregister("llm", owner)
+            sock = await curio.open_connection("127.0.0.1", host.port)
+            async with sock:
+                await sock.sendall(deployment.HEAD.encode() + BODY)
+                assert b" 200 " in await sock.recv(65536)
+        return host.links.sent
+
+    sent = [item for _, item in curio.run(async_main)]
+    kinds = [type(item) for item in sent]
+    assert kinds.count(messages.UpstreamNotice) == 1
+    first = messages.Reregister if reregistering else messages.Register
+    assert kinds.index(messages.UpstreamNotice) < kinds.index(first)
+
+
 def test_kept_notices_are_bounded():
     notices = UpstreamNotices(most=2)
     for number in range(4):
