--- a/tests/components/dispatch/test_notices.py
+++ b/tests/components/dispatch/test_notices.py
@@ -103,11 +103,15 @@
 
 def test_grant_returned_for_a_pause_goes_elsewhere_without_blame():
     scheduler = pool("e1", "e2")
-    (first,) = grants(scheduler, 1)
-    request_id = f"{HOST}-r0"
-    again = scheduler.returned(request_id, "upstream-paused", True, NOW + 0.1)
-    assert granted(again) == [name for name in ("e1", "e2") if name != first]
-    assert not scheduler.describe(NOW)["upstreams_by_name"][first]["sick"]
+    first_by_id = {}
+    for number in range(8):
+        (first,) = grants(scheduler, 1, name=f"r{number}-")
+        first_by_id[f"{HOST}-r{number}-0"] = first
+    for request_id, first in first_by_id.items():
+        again = scheduler.returned(request_id, "upstream-paused", True, NOW + 0.1)
+        assert granted(again) == [name for name in ("e1", "e2") if name != first]
+    upstreams = scheduler.describe(NOW)["upstreams_by_name"].values()
+    assert not any(upstream["sick"] for upstream in upstreams)
 
 
 @pytest.mark.parametrize("announced_first", [True, False])
--- a/tests/components/dispatch/test_rollouts.py
+++ b/tests/components/dispatch/test_rollouts.py
@@ -81,6 +81,23 @@
     assert not any(name.startswith("new") for name in granted)
 
 
+def test_paused_upstream_of_the_candidate_version_gets_no_request_of_that_host():
+    """A host is granted, and returns again and again, what it may not send now."""
+    owned = pool(new=1)
+    paused = messages.UpstreamNotice(
+        pool=build.POOL,
+        upstream="new0",
+        incarnation="1",
+        entry_host=build.register("r0").entry_host,
+        leaving=False,
+        pause_ms=5000,
+    )
+    owned.apply_notice(paused, T0)
+    owned.renew_allowance(7, 5, T0 + 1, T0)
+    granted = upstreams_of(register(owned, 6))
+    assert granted and "new0" not in granted
+
+
 def test_few_upstreams_get_all_canary_requests():
     """A fault under load never shows, since no upstream of the new version is busy."""
     owned = pool()
