Control: bound the age of a superseded version that a reply carries

Found while reading the mend of CONFIG: a host that is back after 25 days or more, while at most 64 changes were made, got no reply to its heartbeats. The age of its version did not fit the 32 bits of superseded_ms; the reply could not be encoded (OverflowError in tests/components/node/test_config_download.py, test_host_that_is_back_after_weeks_gets_a_lease, with the bound taken out) and the host never got a lease. The age is bounded now; only whether it exceeds the time limit of a change matters.

--- a/bitterntiller/components/control/heartbeats.py
+++ b/bitterntiller/components/control/heartbeats.py
@@ -16,6 +16,9 @@
 from bitterntiller.components.settings.models import Timings
 from bitterntiller.protocol import messages
 
+MAX_MILLISECONDS = 2**31 - 1
+"""Durations in messages have 32 bits; a host may be back after weeks."""
+
 
 def granted_reply(
     heartbeat: Any,
@@ -47,7 +50,8 @@
         _add_configuration(reply, heartbeat, state.configuration, copies)
         superseded_at = state.configuration.superseded_at_ms(heartbeat.config_version)
         if superseded_at is not None:
-            reply.superseded_ms = max(0, term.cluster_ms(now) - superseded_at)
+            age_ms = term.cluster_ms(now) - superseded_at
+            reply.superseded_ms = max(0, min(age_ms, MAX_MILLISECONDS))
     upstreams = state.upstreams
     if heartbeat.upstreams_version not in (None, upstreams.version):
         reply.upstreams = messages.UpstreamList(
