--- a/bitterntiller/components/entry/notices.py
+++ b/bitterntiller/components/entry/notices.py
@@ -1,8 +1,8 @@
 """What upstreams state about themselves in responses, for the host that gets them."""
 
-import re
 from typing import NamedTuple
 
+from bitterntiller.components.entry.decimals import parse_decimal
 from bitterntiller.core.interfaces import Ownership
 
 MAX_PAUSE = 3600.0
@@ -11,8 +11,6 @@
 MAX_KEPT = 4096
 """Upstreams whose notices are kept, the latest ones."""
 
-_DECIMAL = re.compile(r"\s*[0-9]{1,12}(\.[0-9]{0,12})?\s*", re.ASCII)
-
 
 class Notice(NamedTuple):
     """The notice in a response.
@@ -40,9 +38,7 @@
 
 def parse_pause(text: str | None) -> float:
     """Return the seconds of a Retry-After header, 0 if absent, a date or malformed."""
-    if text is None or not _DECIMAL.fullmatch(text):
-        return 0.0
-    return min(float(text), MAX_PAUSE)
+    return min(parse_decimal(text) or 0.0, MAX_PAUSE)
 
 
 class UpstreamNotices:
--- a/bitterntiller/components/entry/rate_limits.py
+++ b/bitterntiller/components/entry/rate_limits.py
@@ -1,15 +1,13 @@
 """The rate limits that upstreams state in their responses."""
 
-import re
 from typing import NamedTuple
 
+from bitterntiller.components.entry.decimals import parse_decimal
 from bitterntiller.core.interfaces import Ownership
 
 MAX_RATE = 1_000_000.0
 """Requests per second above which a limit is ignored, since it limits nothing."""
 
-_DECIMAL = re.compile(r"\s*[0-9]{1,12}(\.[0-9]{0,12})?\s*", re.ASCII)
-
 KEPT_SECONDS = 60.0
 """How long a limit is kept, for a later owner of the pool."""
 
@@ -18,10 +16,8 @@
 
 def parse_rate(text: str | None) -> float | None:
     """Return a limit in requests per second, None if absent, malformed or too high."""
-    if text is None or not _DECIMAL.fullmatch(text):
-        return None
-    rate = float(text)
-    return rate if rate <= MAX_RATE else None
+    rate = parse_decimal(text)
+    return None if rate is None or rate > MAX_RATE else rate
 
 
 class ReportedLimit(NamedTuple):
