--- a/tests/components/node/test_coordinator.py
+++ b/tests/components/node/test_coordinator.py
@@ -116,7 +116,7 @@
         node.config._parse = parse
         routes = [{"name": f"r{n}", "prefix": f"/{n}/"} for n in range(1400)]
         for number in range(2):
-            document = {"route_table": routes, "limits": {"number": number}}
+            document = {"routes": routes, "limits": {"number": number}}
             change = make_change(f"c{number}", number, document)
             assert (await control.async_change("operator", change)).status == "accepted"
             assert await node.async_send_heartbeat()
