Log refusals with framing, path and age of the configuration, and rejections of the HTTP server

A refusal did not say whether the body was chunked, how much had arrived, which path was asked for or for how long the configuration had been in force; a 400, 408, 413 or 431 of the HTTP server left no line at all; a refusal of malformed headers was logged without the caller's id. Change: fields framing, body_bytes, method, path, config_age of 'refused'; the event 'request-rejected'; the id of the dialect in every refusal. Paths are logged without their query. No decision changes.

--- a/bitterntiller/components/entry/dialect.py
+++ b/bitterntiller/components/entry/dialect.py
@@ -44,6 +44,10 @@
         """Parse the head of a request; return an ending if it is malformed."""
         ...
 
+    def request_id(self, head: RequestHead) -> str:
+        """Return the id that the caller gave its request, empty without one."""
+        ...
+
     def estimate(self, identified: IdentifiedRequest, body: bytes) -> Estimate:
         """Return the estimated size of a request."""
         ...
--- a/bitterntiller/components/entry/event_logging.py
+++ b/bitterntiller/components/entry/event_logging.py
@@ -10,6 +10,8 @@
     Retry,
 )
 from bitterntiller.components.entry.notices import Notice
+from bitterntiller.components.http.event_logging import MAX_PATH_LENGTH
+from bitterntiller.components.http.exchange import Exchange
 from bitterntiller.core import events
 from bitterntiller.core.outcomes import Ending
 
@@ -19,8 +21,13 @@
     ending: Ending,
     identified: IdentifiedRequest | None,
     request_id: str,
+    exchange: Exchange,
 ) -> None:
-    """Log a request that this host refused, and the state the decision is based on."""
+    """Log a request that this host refused, and the state the decision is based on.
+
+    body_bytes counts the bytes of the body that had arrived; config_age is in seconds,
+    None before the first configuration.
+    """
     waited = 0.0
     if identified is not None:
         waited = context.clock.now() - identified.received.arrived
@@ -37,7 +44,12 @@
         tier=identified.tier.name if identified else "",
         route=_route(identified),
         tokens=_declared_tokens(identified),
+        method=exchange.head.method,
+        path=exchange.head.path[:MAX_PATH_LENGTH],
+        framing=exchange.head.framing,
+        body_bytes=exchange.body_bytes,
         config_version=context.config.version,
+        config_age=_config_age(context),
         lease_valid=context.lease.valid(),
     )
 
@@ -126,6 +138,11 @@
     )
 
 
+def _config_age(context: Context) -> float | None:
+    since = context.config.in_force_since
+    return None if since is None else round(context.clock.now() - since, 3)
+
+
 def _route(identified: IdentifiedRequest | None) -> str:
     """Return the name of the matching route, empty without one."""
     if identified is None or identified.route is None:
--- a/bitterntiller/components/entry/native_dialect.py
+++ b/bitterntiller/components/entry/native_dialect.py
@@ -44,6 +44,10 @@
         """Parse the head of a request; return an ending if it is malformed."""
         return parse_request(head, now)
 
+    def request_id(self, head: RequestHead) -> str:
+        """Return an empty id: this host assigns the ids of requests."""
+        return ""
+
     def estimate(self, identified: IdentifiedRequest, body: bytes) -> Estimate:
         """Return the size of a request as estimated from its body."""
         return estimate(identified.service.kind, body)
--- a/bitterntiller/components/entry/pipeline.py
+++ b/bitterntiller/components/entry/pipeline.py
@@ -80,7 +80,8 @@
             exchange.head, self._context.clock.now()
         )
         if isinstance(received, Ending):
-            await self._async_refuse(exchange, received, None, "")
+            request_id = self._context.dialect.request_id(exchange.head)
+            await self._async_refuse(exchange, received, None, request_id)
             return
         if not self.draining:
             await self._admission.async_wait_for_lease()
@@ -318,7 +319,7 @@
         request_id: str,
     ) -> None:
         accounting.count_refusal(self._context, ending, identified)
-        log_refusal(self._context, ending, identified, request_id)
+        log_refusal(self._context, ending, identified, request_id, exchange)
         headers, body = self._context.dialect.refusal(ending, request_id)
         await exchange.async_respond(ending.status, headers, body)
 
--- a/bitterntiller/components/http/exchange.py
+++ b/bitterntiller/components/http/exchange.py
@@ -26,6 +26,8 @@
 class ServerConnection:
     """A caller's connection: h11 state, socket and timeouts in seconds.
 
+    requests counts the requests that were answered on it.
+
     Only one task reads at a time: the exchange while the request arrives, then
     async_watch() until the response is sent.
     """
@@ -36,6 +38,16 @@
         self.write_timeout = write_timeout
         self.disconnected = False
         self.closing = False
+        self.requests = 0
+
+    @property
+    def peer(self) -> str:
+        """The caller's IP:port, empty if the connection is gone."""
+        try:
+            ip, port = self.sock.getpeername()[:2]
+        except OSError:
+            return ""
+        return f"{ip}:{port}"
 
     async def async_next_event(self, timeout: float) -> Any:
         """Return h11's next event.
@@ -152,19 +164,19 @@
 
 
 class Exchange:
-    """A request and its response."""
+    """A request and its response; body_bytes counts the bytes of its body so far."""
 
     def __init__(self, connection: ServerConnection, head: RequestHead) -> None:
         self.head = head
         self.connection = connection
         self.started = False
         self.finished = False
+        self.body_bytes = 0
 
     async def async_body(self, limit: int, timeout: float) -> bytes:
         """Return the complete body; raise BadRequestError if it exceeds limit."""
         await self._async_continue()
         parts: list[bytes] = []
-        size = 0
         async with curio.ignore_after(timeout):
             while True:
                 event = await self.connection.async_next_event(timeout)
@@ -172,8 +184,8 @@
                     return b"".join(parts)
                 if not isinstance(event, h11.Data):
                     raise CallerGoneError("the caller closed within the body")
-                size += len(event.data)
-                if size > limit:
+                self.body_bytes += len(event.data)
+                if self.body_bytes > limit:
                     raise BadRequestError(413, f"a body over {limit} bytes")
                 parts.append(bytes(event.data))
         raise BadRequestError(408, "the body came too slowly")
--- a/bitterntiller/components/http/models.py
+++ b/bitterntiller/components/http/models.py
@@ -1,11 +1,20 @@
 """Data of HTTP requests and responses."""
 
+from enum import StrEnum
 from typing import NamedTuple, Protocol
 
 Headers = list[tuple[bytes, bytes]]
 """Header names are in lower case, as h11 returns them."""
 
 
+class Framing(StrEnum):
+    """How the end of a request's body is determined."""
+
+    NONE = "none"
+    LENGTH = "length"
+    CHUNKED = "chunked"
+
+
 class RequestHead(NamedTuple):
     """The request line and headers of a request; target includes the query."""
 
@@ -19,6 +28,15 @@
         """Return the target without the query."""
         return self.target.partition("?")[0]
 
+    @property
+    def framing(self) -> Framing:
+        """Return how the end of the body is determined."""
+        if header(self.headers, b"transfer-encoding") is not None:
+            return Framing.CHUNKED
+        if header(self.headers, b"content-length") is not None:
+            return Framing.LENGTH
+        return Framing.NONE
+
 
 class ResponseHead(NamedTuple):
     """The status and the headers of a response."""
--- a/bitterntiller/components/http/server.py
+++ b/bitterntiller/components/http/server.py
@@ -10,6 +10,7 @@
 
 from bitterntiller.components.http import const
 from bitterntiller.components.http.errors import BadRequestError, CallerGoneError
+from bitterntiller.components.http.event_logging import log_rejection
 from bitterntiller.components.http.exchange import Exchange, ServerConnection
 from bitterntiller.components.http.models import RequestHead
 from bitterntiller.components.settings.models import Address
@@ -110,6 +111,7 @@
                 if not connection.disconnected:
                     await connection.async_linger()
                 return
+            connection.requests += 1
             connection.h11.start_next_cycle()
             if not await self._async_has_more(connection):
                 return
@@ -178,6 +180,7 @@
         head: RequestHead | None = None,
     ) -> None:
         self._metrics.count(const.METRIC_BAD_REQUEST)
+        log_rejection(connection, error, head)
         if connection.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         head = head or RequestHead("GET", "/", [], b"1.1")
--- a/bitterntiller/components/node/configuration.py
+++ b/bitterntiller/components/node/configuration.py
@@ -28,6 +28,7 @@
         self._document: dict[str, Any] = {}
         self._size = 0
         self._config = Config(0, {}, {}, {}, {})
+        self.in_force_since: float | None = None
 
     @property
     def version(self) -> int:
--- a/bitterntiller/components/node/coordinator.py
+++ b/bitterntiller/components/node/coordinator.py
@@ -315,6 +315,7 @@
 
     def _report_config(self, reply: Any, sent_at: float) -> None:
         """Report that the configuration of a reply is in force."""
+        self.config.in_force_since = self._clock.now()
         self._runtime.metrics.gauge("node.config.version", self.config.version)
         events.emit(
             "configuration",
--- a/bitterntiller/core/interfaces.py
+++ b/bitterntiller/core/interfaces.py
@@ -65,6 +65,11 @@
         """The parsed configuration, a components.config.models.Config."""
         ...
 
+    @property
+    def in_force_since(self) -> float | None:
+        """When this version came into force by the clock, None before the first."""
+        ...
+
 
 class UpstreamsView(Protocol):
     """The upstreams registered with control, as last received."""
--- a/tests/components/entry/deployment.py
+++ b/tests/components/entry/deployment.py
@@ -76,6 +76,7 @@
 
 class ConfigView:
     version = 1
+    in_force_since = 0.0
     config: Config = config()
 
 
--- a/tests/components/entry/fakes.py
+++ b/tests/components/entry/fakes.py
@@ -106,6 +106,7 @@
 
     def __init__(self) -> None:
         self.version = 0
+        self.in_force_since = 0.0
         self.config: Config | None = None
 
     def put(self, workspace: Workspace | None) -> None:
--- a/tests/components/http/test_server.py
+++ b/tests/components/http/test_server.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from tests.components.http.builders import LIMITS, async_read, async_send, serving
+from tests.core.event_recorder import recording
 
 GET = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -161,3 +162,24 @@
 def test_write_timeout_of_days_does_not_fail_connections():
     """The kernel accepts at most 127 probes; more would fail every connection."""
     assert OK in ask(GET, write_timeout=5_000_000.0)
+
+
+def test_request_that_the_server_rejects_is_logged():
+    """A 400 that no handler sends leaves no trace in the log."""
+    with recording() as recorded:
+        ask(GET + b"GET /a HTTP/1.1\r\nHost : x\r\n\r\n")
+    (line,) = recorded.by_kind["request-rejected"]
+    assert line["status"] == 400
+    assert "illegal header line" in line["detail"]
+    assert line["requests_before"] == 1
+    assert line["peer"].startswith("127.0.0.1:")
+
+
+def test_rejection_of_a_parsed_request_is_logged_with_its_path():
+    request = (
+        b"POST /a?token=secret HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhalf"
+    )
+    with recording() as recorded:
+        ask(request)
+    (line,) = recorded.by_kind["request-rejected"]
+    assert (line["status"], line["method"], line["path"]) == (408, "POST", "/a")
--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -153,6 +153,7 @@
 
 class _ConfigView:
     version = 1
+    in_force_since = 0.0
 
     def __init__(self, config: Any) -> None:
         self.config = config
