Failing tests: chunked requests are refused with 413, by form and around a restart of all processes

The stand-in of an upstream answered each DELETE as a cancellation; only the path of cancellations now.

--- a/tests/components/entry/deployment.py
+++ b/tests/components/entry/deployment.py
@@ -21,6 +21,7 @@
 from tests.components.http.builders import serving
 
 HEAD = f"POST /v1/chat HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TOKEN}\r\n"
+CANCEL = b"DELETE /v1/requests/"
 Upstream = Callable[[Any, bytes], Awaitable[None]]
 """Responds on one connection; called with its socket and the received request."""
 
@@ -93,7 +94,7 @@
         async with sock:
             data = await sock.recv(65536)
             got.append(data)
-            if data.startswith(b"DELETE"):
+            if data.startswith(CANCEL):
                 await sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
                 return
             await answer(sock, data)
--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -3,6 +3,8 @@
 import http.client
 import json
 import random
+import shutil
+import signal
 import sys
 import threading
 import time
@@ -28,6 +30,13 @@
 PATIENCE = 20.0
 
 
+class _EngineServer(ThreadingHTTPServer):
+    daemon_threads = True
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Ignore connections that break: hosts are killed on purpose."""
+
+
 class Engine:
     """An engine of one version; fails is the fraction of requests that it fails."""
 
@@ -36,6 +45,7 @@
         self.version = version
         self.fails = fails
         self.runs: list[float] = []
+        self.bodies_by_request: dict[str, bytes] = {}
         self._ip = ip
         self._stopped = threading.Event()
         engine = self
@@ -46,16 +56,22 @@
             def do_GET(self) -> None:
                 engine.respond(self)
 
+            def do_POST(self) -> None:
+                engine.respond(self)
+
             def log_message(self, format: str, *args: Any) -> None:
                 pass
 
-        self._server = ThreadingHTTPServer((ip, ENGINE_PORT), Handler)
+        self._server = _EngineServer((ip, ENGINE_PORT), Handler)
         for target in (self._server.serve_forever, self._beat):
             threading.Thread(target=target, daemon=True).start()
 
     def respond(self, handler: BaseHTTPRequestHandler) -> None:
         """Respond to a request as engines of the platform do."""
+        length = int(handler.headers.get("Content-Length", 0))
+        body = handler.rfile.read(length)
         self.runs.append(time.monotonic())
+        self.bodies_by_request[handler.headers["X-Attempt-Id"]] = body
         time.sleep(0.05)
         failed = random.random() < self.fails
         handler.send_response(500 if failed else 200)
@@ -100,9 +116,18 @@
 
 
 class Fleet:
-    """Three control hosts and an entry host, which are killed on exit."""
-
-    def __init__(self, folder: Path) -> None:
+    """Control hosts and entry hosts, which are killed on exit."""
+
+    def __init__(
+        self,
+        folder: Path,
+        control_ips: tuple[str, ...] = CONTROL_IPS,
+        entry_ips: tuple[str, ...] = (ENTRY_IP,),
+        configuration: dict[str, Any] | None = None,
+    ) -> None:
+        self.control_ips = control_ips
+        self.entry_ips = entry_ips
+        self._configuration = configuration or _configuration()
         self._folder = folder
         self._stack = ExitStack()
         self._calling = threading.Event()
@@ -111,21 +136,39 @@
         self.process_by_ip: dict[str, Process] = {}
 
     def __enter__(self) -> Self:
-        for ip in (*CONTROL_IPS, ENTRY_IP):
-            path = self._folder / f"{ip}.conf"
-            path.write_text(self._settings(ip))
+        for ip in (*self.control_ips, *self.entry_ips):
+            path = self._settings_path(ip)
+            path.write_text(self._settings(ip, bootstrap=True))
             self._data_folder(ip).mkdir()
             process = PlatformProcess(ip, path, self._folder)
             self._stack.callback(process.kill)
             process.start()
             self.process_by_ip[ip] = process
-        self.until(lambda: self.order("PUT", "/-/config", _configuration())[0] == 200)
+        self.until(
+            lambda: self.order("PUT", "/-/config", self._configuration)[0] == 200
+        )
         return self
 
     def __exit__(self, *details: object) -> None:
         self._calling.clear()
         self._stack.close()
 
+    def restart_all(self, lost_disks: tuple[str, ...] = ()) -> None:
+        """Kill all processes at one moment and start them again at once.
+
+        The hosts in lost_disks start with an empty data folder.
+        """
+        for process in self.process_by_ip.values():
+            process.signal(signal.SIGKILL)
+        for ip, process in self.process_by_ip.items():
+            process.kill()
+            self._settings_path(ip).write_text(self._settings(ip, bootstrap=False))
+            if ip in lost_disks:
+                shutil.rmtree(self._data_folder(ip))
+                self._data_folder(ip).mkdir()
+        for process in self.process_by_ip.values():
+            process.start()
+
     def engine(self, name: str, number: int, version: str, fails: float = 0) -> Engine:
         """Start an engine on its own address."""
         made = Engine(name, f"127.0.4.{number}", version, fails)
@@ -135,7 +178,7 @@
     def order(self, method: str, path: str, body: Any = None) -> tuple[int, Any]:
         """Call the control hosts in turn until one responds without a server error."""
         found = (0, None)
-        for ip in CONTROL_IPS:
+        for ip in self.control_ips:
             found = ask(ip, method, path, body)
             if 0 < found[0] < 500:
                 break
@@ -156,7 +199,8 @@
                 "X-Deadline-Ms": "3000",
             }
             at = time.monotonic()
-            status, _ = ask(ENTRY_IP, "GET", "/tiles/1", None, headers, ENTRY_PORT)
+            ip = self.entry_ips[0]
+            status, _ = ask(ip, "GET", "/tiles/1", None, headers, ENTRY_PORT)
             with self._lock:
                 self.calls.append((at, status))
             time.sleep(0.02)
@@ -171,8 +215,11 @@
     def _data_folder(self, ip: str) -> Path:
         return self._folder / f"data-{ip}"
 
-    def _settings(self, ip: str) -> str:
-        is_control = ip in CONTROL_IPS
+    def _settings_path(self, ip: str) -> Path:
+        return self._folder / f"{ip}.conf"
+
+    def _settings(self, ip: str, bootstrap: bool) -> str:
+        is_control = ip in self.control_ips
         name = ip.replace(".", "-")
         lines = {
             "node_name": name,
@@ -181,11 +228,11 @@
             "region": "addis",
             "port_range": "7600,7615",
             "seed_nodes": ",".join(f"{item}:{CONTROL_PORT}" for item in CONTROL_IPS),
-            "bootstrap": "true",
+            "bootstrap": str(bootstrap).lower(),
             "serves": "control" if is_control else "edge",
             "heartbeat_ms": int(BEAT_SECONDS * 1000),
             "contracts": "base,config,rollout",
-            "fault_tolerance.machines": 1,
+            "fault_tolerance.machines": len(self.control_ips) // 2,
             "bounds.exposure_fraction": 0.1,
             "bounds.exposure_tolerance": 50,
             "bounds.config_apply_ms": 2500,
--- /dev/null
+++ b/tests/request_forms/test_request_forms.py
@@ -0,0 +1,125 @@
+"""Each form of a request, byte by byte, to an entry host of both dialects."""
+
+import re
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any, NamedTuple
+
+import curio
+import pytest
+
+from tests.components.entry import deployment
+from tests.components.entry.test_edges import TOKEN
+from tests.platform import builders
+from tests.request_forms.forms import BODY_LIMIT, FORMS_BY_NAME, Form, fill
+from tests.request_forms.raw_caller import RawCaller
+
+
+class Host(NamedTuple):
+    """An entry host under test and the requests that its upstream has received."""
+
+    port: int
+    path: str
+    authorization: str
+    received: list[bytes]
+
+
+def _response(data: bytes, id_header: bytes) -> bytes:
+    found = re.search(rb"(?i)\r\n%b: ([^\r]*)" % id_header, data)
+    echoed = id_header + b": " + found[1] + b"\r\n" if found else b""
+    body = b"" if data.startswith(b"HEAD") else b"ok"
+    lines = b"X-Engine-Signature: s1\r\nContent-Length: 2\r\n\r\n"
+    return b"HTTP/1.1 200 OK\r\n" + echoed + lines + body
+
+
+@asynccontextmanager
+async def platform_host() -> AsyncIterator[Host]:
+    async def async_respond(sock: Any, data: bytes, index: int) -> None:
+        await sock.sendall(_response(data, b"x-attempt-id"))
+
+    configuration = builders.document(limits={"max_body_bytes": BODY_LIMIT})
+    async with builders.entry_host(async_respond, configuration) as entry:
+        key = f"Authorization: Token {builders.KEY}"
+        yield Host(entry.port, "/tiles/1", key, entry.requests)
+
+
+@asynccontextmanager
+async def native_host() -> AsyncIterator[Host]:
+    async def async_respond(sock: Any, data: bytes) -> None:
+        await sock.sendall(_response(data, b"x-request-id"))
+
+    async with deployment.entry_host(async_respond, body_bytes=BODY_LIMIT) as entry:
+        token = f"Authorization: Bearer {TOKEN}"
+        yield Host(entry.port, "/v1/chat", token, entry.requests)
+
+
+HOSTS_BY_DIALECT = {"platform": platform_host, "native": native_host}
+every_dialect = pytest.mark.parametrize("dialect", HOSTS_BY_DIALECT)
+
+
+def play(dialect: str, async_step: Callable[[Host, RawCaller], Awaitable[Any]]) -> Any:
+    """Run a step with an entry host and a connection to it."""
+
+    async def async_main() -> Any:
+        async with HOSTS_BY_DIALECT[dialect]() as host:
+            sock = await curio.open_connection("127.0.0.1", host.port)
+            async with sock:
+                return await async_step(host, RawCaller(sock))
+
+    return curio.run(async_main)
+
+
+async def async_kept(host: Host, caller: RawCaller) -> bool:
+    """Return whether the connection serves another request."""
+    request = fill(FORMS_BY_NAME["GET"].data, host.path, host.authorization)
+    await caller.async_send(request)
+    return [item.status for item in await caller.async_responses("GET")] == [200]
+
+
+@every_dialect
+@pytest.mark.parametrize("name", FORMS_BY_NAME)
+def test_form_of_a_request(name: str, dialect: str):
+    form: Form = FORMS_BY_NAME[name]
+    method = "HEAD" if form.data.startswith(b"HEAD") else "POST"
+
+    async def async_step(host: Host, caller: RawCaller) -> None:
+        await caller.async_send(fill(form.data, host.path, host.authorization))
+        found = []
+        while len(found) < len(form.statuses):
+            more = await caller.async_responses(method)
+            if not more:
+                break
+            found += more
+        assert tuple(item.status for item in found) == form.statuses
+        assert len(host.received) == form.runs
+        assert await async_kept(host, caller) == form.kept
+
+    play(dialect, async_step)
+
+
+@every_dialect
+def test_body_is_forwarded_without_its_chunks(dialect: str):
+    async def async_step(host: Host, caller: RawCaller) -> None:
+        form = FORMS_BY_NAME["several chunks"]
+        await caller.async_send(fill(form.data, host.path, host.authorization))
+        await caller.async_responses("POST")
+        lines, _, body = host.received[0].partition(b"\r\n\r\n")
+        assert body == b"{}"
+        assert b"\r\ncontent-length: 2" in lines.lower()
+        assert b"transfer-encoding" not in lines.lower()
+
+    play(dialect, async_step)
+
+
+@every_dialect
+def test_close_in_the_middle_of_a_chunk_runs_nothing(dialect: str):
+    async def async_step(host: Host, caller: RawCaller) -> None:
+        form = FORMS_BY_NAME["chunked"]
+        data = fill(form.data, host.path, host.authorization)
+        await caller.async_send(data.replace(b"2\r\n{}", b"5\r\n{}")[:-7])
+        await caller.async_half_close()
+        found = await caller.async_responses("POST")
+        assert [item.status for item in found] in ([400], [])
+        assert host.received == []
+
+    play(dialect, async_step)
