Entry: reserve memory for a chunked body as it arrives

Where the limits are equal, 503 host-full once a few chunked bodies were being received. Cause: a body of unknown length was taken for one of the host's maximum, both in the comparison with the limit in force and in the reservation of memory. Change: BodyReservation, which grows by the bytes received and ends with the request. The limit in force is compared with received bytes only. A stated length is still compared and reserved before the body is read. Parts are joined in one buffer, so that small chunks cost no object each, and other tasks get a turn after 64 parts. Why it holds: nothing asks for the length of a chunked body any more.

--- a/bitterntiller/components/entry/admission_checks.py
+++ b/bitterntiller/components/entry/admission_checks.py
@@ -6,12 +6,11 @@
 import xxhash
 
 from bitterntiller.components.entry import const
-from bitterntiller.components.entry.budget import HostBudget
+from bitterntiller.components.entry.budget import BodyReservation, HostBudget
 from bitterntiller.components.entry.context import Context
 from bitterntiller.components.entry.models import ActiveRequest, IdentifiedRequest
 from bitterntiller.components.entry.quota_client import QuotaRequest
 from bitterntiller.components.http.exchange import Exchange
-from bitterntiller.components.http.models import header
 from bitterntiller.components.settings.models import Limits
 from bitterntiller.core.interfaces import CrashView
 from bitterntiller.core.outcomes import Ending, Outcome, Reason
@@ -66,17 +65,14 @@
             return retry_later(Reason.NO_CONFIGURATION)
         return None
 
-    def expected_body_bytes(self, exchange: Exchange) -> int:
-        """Return the bytes to reserve for a body that has not been received yet."""
-        text = header(exchange.head.headers, b"content-length")
-        if text is not None and text.isdigit():
-            return int(text)
-        if header(exchange.head.headers, b"transfer-encoding") is not None:
-            return self._limits.body_bytes
-        return 0
+    def reserve_body(
+        self, identified: IdentifiedRequest, exchange: Exchange
+    ) -> BodyReservation | Ending:
+        """Reserve memory for the length that a body states.
 
-    def reserve_body(self, identified: IdentifiedRequest, size: int) -> Ending | None:
-        """Reserve memory of this host for a body; return a refusal if there is none."""
+        Return a refusal if there is too little, or if the length is over the limit.
+        """
+        size = exchange.head.declared_bytes
         if size > self.body_bytes():
             detail = f"a body over {self.body_bytes()} bytes"
             return Ending(Outcome.NOT_RUN, Reason.BODY_TOO_LARGE, 413, detail=detail)
--- a/bitterntiller/components/entry/budget.py
+++ b/bitterntiller/components/entry/budget.py
@@ -1,12 +1,45 @@
 """Limits on the resources that callers occupy on a host: connections and memory."""
 
 from collections import Counter
+from typing import Self
 
 from bitterntiller.components.entry.models import IdentifiedRequest
 from bitterntiller.components.settings.models import Limits
 from bitterntiller.core.outcomes import Ending, Outcome, Reason
 
 
+class BodyReservation:
+    """The memory of one request's body, released when the context exits.
+
+    size is in bytes; refusal is the ending for the caller once there was too little.
+    """
+
+    def __init__(self, budget: "HostBudget", workspace: str, allowed: float) -> None:
+        self._budget = budget
+        self._workspace = workspace
+        self._allowed = allowed
+        self.size = 0
+        self.refusal: Ending | None = None
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *details: object) -> None:
+        self._budget.release(self._workspace, self.size)
+
+    def grow_to(self, size: int) -> bool:
+        """Reserve up to size bytes in total; return False if they aren't available."""
+        more = size - self.size
+        if more <= 0:
+            return True
+        if self._budget.held_bytes + more > self._allowed:
+            self.refusal = _full(Reason.HOST_FULL, 503)
+            return False
+        self._budget.held_bytes += more
+        self.size = size
+        return True
+
+
 class HostBudget:
     """Tracks occupied resources and refuses lower tiers before higher ones.
 
@@ -22,20 +55,22 @@
 
     def reserve(
         self, identified: IdentifiedRequest, size: int, rank_index: int, ranks: int
-    ) -> Ending | None:
+    ) -> BodyReservation | Ending:
         """Reserve size bytes for a body; return a refusal if they aren't available.
 
+        size is 0 for a body of unknown length, whose reservation grows as it arrives.
         rank_index is the position of the tier among all ranks, 0 for the highest.
         """
         name = identified.workspace.name
         limits = self._limits
         if self._requests_by_workspace[name] >= limits.connections_per_workspace:
             return _full(Reason.TOO_MANY_CONNECTIONS, 429)
-        if self.held_bytes + size > self.allowed_bytes(rank_index, ranks):
+        allowed = self.allowed_bytes(rank_index, ranks)
+        reservation = BodyReservation(self, name, allowed)
+        if self.held_bytes > allowed or not reservation.grow_to(size):
             return _full(Reason.HOST_FULL, 503)
         self._requests_by_workspace[name] += 1
-        self.held_bytes += size
-        return None
+        return reservation
 
     def allowed_bytes(self, rank_index: int, ranks: int) -> float:
         """Return the number of occupied bytes up to which a tier is admitted."""
@@ -44,17 +79,8 @@
         reserved = self._limits.reserved_fraction * rank_index / (ranks - 1)
         return self._limits.waiting_bytes * (1 - reserved)
 
-    def shrink(self, size: int, used: int) -> int:
-        """Release what reserve() took beyond the used size of a body; return that size.
-
-        The length of a chunked body isn't known in advance, so it reserves the maximum.
-        """
-        self.held_bytes -= size - used
-        return used
-
-    def release(self, identified: IdentifiedRequest, size: int) -> None:
-        """Release what reserve() took."""
-        name = identified.workspace.name
+    def release(self, name: str, size: int) -> None:
+        """Release a reservation of a workspace of that name."""
         self._requests_by_workspace[name] -= 1
         if not self._requests_by_workspace[name]:
             del self._requests_by_workspace[name]
--- a/bitterntiller/components/entry/pipeline.py
+++ b/bitterntiller/components/entry/pipeline.py
@@ -9,7 +9,7 @@
 from bitterntiller.components.entry import accounting, const
 from bitterntiller.components.entry.admission_checks import AdmissionChecks, retry_later
 from bitterntiller.components.entry.attempt import Attempt
-from bitterntiller.components.entry.budget import HostBudget
+from bitterntiller.components.entry.budget import BodyReservation, HostBudget
 from bitterntiller.components.entry.claiming import (
     ACTION_FINISH,
     ACTION_VOID,
@@ -68,7 +68,6 @@
     ) -> None:
         self._claim_client = claim_client
         self._context = context
-        self._budget = budget
         self._admission = AdmissionChecks(context, limits, budget)
         self._registry = registry
         self.draining = False
@@ -91,32 +90,31 @@
         if isinstance(identified, Ending):
             await self._async_refuse(exchange, identified, None, received.request_id)
             return
-        size = self._admission.expected_body_bytes(exchange)
-        refusal = self._admission.reserve_body(identified, size)
-        if refusal is not None:
-            request_id = received.request_id
-            await self._async_refuse(exchange, refusal, identified, request_id)
+        request_id = received.request_id
+        reservation = self._admission.reserve_body(identified, exchange)
+        if isinstance(reservation, Ending):
+            await self._async_refuse(exchange, reservation, identified, request_id)
             return
-        try:
-            body = await self._async_body(exchange, identified)
+        with reservation:
+            body = await self._async_body(exchange, reservation)
             if isinstance(body, Ending):
-                request_id = received.request_id
                 await self._async_refuse(exchange, body, identified, request_id)
                 return
-            size = self._budget.shrink(size, len(body))
             await self._async_admit_and_run(exchange, identified, body)
-        finally:
-            self._budget.release(identified, size)
 
     async def _async_body(
-        self, exchange: Exchange, identified: IdentifiedRequest
+        self, exchange: Exchange, reservation: BodyReservation
     ) -> bytes | Ending:
+        limit = self._admission.body_bytes()
         timeout = self._context.timings.body
         try:
-            return await exchange.async_body(self._admission.body_bytes(), timeout)
+            body = await exchange.async_reserved_body(
+                limit, timeout, reservation.grow_to
+            )
         except BadRequestError as error:
             reason = _REASON_BY_STATUS.get(error.status, Reason.BAD_REQUEST)
             return Ending(Outcome.NOT_RUN, reason, error.status, detail=error.text)
+        return reservation.refusal if body is None else body
 
     async def _async_admit_and_run(
         self, exchange: Exchange, identified: IdentifiedRequest, body: bytes
--- a/bitterntiller/components/http/const.py
+++ b/bitterntiller/components/http/const.py
@@ -2,6 +2,8 @@
 
 READ_BYTES = 65536
 CHUNK_END_BYTES = 2
+DATA_EVENTS_PER_TURN = 64
+"""Parts of a body that are read before other tasks get a turn."""
 READ_TIMEOUT_CHECKS = 4
 LINGER_BYTES = 16 * 1024 * 1024
 LINGER_SECONDS = 2.0
--- a/bitterntiller/components/http/exchange.py
+++ b/bitterntiller/components/http/exchange.py
@@ -2,6 +2,7 @@
 
 import os
 import struct
+from collections.abc import Callable
 from typing import Any
 
 import curio
@@ -9,6 +10,7 @@
 from curio import socket
 
 from bitterntiller.components.http.const import (
+    DATA_EVENTS_PER_TURN,
     LINGER_BYTES,
     LINGER_SECONDS,
     READ_BYTES,
@@ -20,6 +22,9 @@
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+ReserveBytes = Callable[[int], bool]
+"""Reserves memory for the first bytes of a body; returns False if there is none."""
+
 _READ_WHOLE = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 
 
@@ -163,6 +168,10 @@
             return
 
 
+def _reserve_any(size: int) -> bool:
+    return True
+
+
 class Exchange:
     """A request and its response; body_bytes counts the bytes of its body so far."""
 
@@ -175,19 +184,36 @@
 
     async def async_body(self, limit: int, timeout: float) -> bytes:
         """Return the complete body; raise BadRequestError if it exceeds limit."""
+        return await self.async_reserved_body(limit, timeout, _reserve_any) or b""
+
+    async def async_reserved_body(
+        self, limit: int, timeout: float, reserve: ReserveBytes
+    ) -> bytes | None:
+        """Return the complete body, None if memory for it can't be reserved.
+
+        reserve is called before more of the body is kept. Raise BadRequestError if the
+        body exceeds limit bytes or timeout seconds.
+        """
         await self._async_continue()
-        parts: list[bytes] = []
+        body = bytearray()
+        events = 0
         async with curio.ignore_after(timeout):
             while True:
                 event = await self.connection.async_next_event(timeout)
                 if isinstance(event, h11.EndOfMessage):
-                    return b"".join(parts)
+                    return bytes(body)
                 if not isinstance(event, h11.Data):
                     raise CallerGoneError("the caller closed within the body")
                 self.body_bytes += len(event.data)
                 if self.body_bytes > limit:
                     raise BadRequestError(413, f"a body over {limit} bytes")
-                parts.append(bytes(event.data))
+                if not reserve(self.body_bytes):
+                    return None
+                body += event.data
+                events += 1
+                if events % DATA_EVENTS_PER_TURN == 0:
+                    # A read that finds data doesn't give way to other tasks.
+                    await curio.sleep(0)
         raise BadRequestError(408, "the body came too slowly")
 
     async def _async_continue(self) -> None:
--- a/bitterntiller/components/http/models.py
+++ b/bitterntiller/components/http/models.py
@@ -28,6 +28,13 @@
         """Return the target without the query."""
         return self.target.partition("?")[0]
 
+    @property
+    def declared_bytes(self) -> int:
+        """Return the length that the request states for its body, 0 without one."""
+        if self.framing is not Framing.LENGTH:
+            return 0
+        return int(header(self.headers, b"content-length") or 0)
+
     @property
     def framing(self) -> Framing:
         """Return how the end of the body is determined."""
--- a/tests/components/entry/test_guards.py
+++ b/tests/components/entry/test_guards.py
@@ -10,7 +10,7 @@
 from bitterntiller.components.entry.send_checks import check_expiry
 from bitterntiller.components.settings.models import Limits
 from bitterntiller.core.clock import ManualClock
-from bitterntiller.core.outcomes import Outcome
+from bitterntiller.core.outcomes import Ending, Outcome
 from bitterntiller.protocol import messages
 from tests.components.entry import fakes
 from tests.components.entry.deployment import Entry, async_whole, request_id
@@ -174,12 +174,27 @@
     """A gold request is refused because bronze uploads have filled the host."""
     budget = HostBudget(Limits(waiting_bytes=1000, reserved_fraction=0.25))
     identified = fakes.active_request(ManualClock()).prepared.identified
-    assert budget.reserve(identified, 750, 2, 3) is None
+    assert budget.reserve(identified, 750, 2, 3).size == 750
     assert budget.reserve(identified, 1, 2, 3).outcome is Outcome.NOT_RUN
-    assert budget.reserve(identified, 125, 1, 3) is None
-    assert budget.reserve(identified, 1, 1, 3) is not None
-    assert budget.reserve(identified, 125, 0, 3) is None
-    assert budget.reserve(identified, 1, 0, 3) is not None
+    assert budget.reserve(identified, 125, 1, 3).size == 125
+    assert isinstance(budget.reserve(identified, 1, 1, 3), Ending)
+    assert budget.reserve(identified, 125, 0, 3).size == 125
+    assert isinstance(budget.reserve(identified, 1, 0, 3), Ending)
+
+
+def test_growing_body_leaves_the_memory_of_the_highest_tier():
+    """A gold request is refused because chunked bronze bodies have filled the host."""
+    budget = HostBudget(Limits(waiting_bytes=1000, reserved_fraction=0.25))
+    identified = fakes.active_request(ManualClock()).prepared.identified
+    with budget.reserve(identified, 0, 2, 3) as growing:
+        assert growing.grow_to(600)
+        assert growing.grow_to(750)
+        assert not growing.grow_to(751)
+        assert growing.refusal.status == 503
+        assert growing.refusal.retry_after is not None
+        assert budget.held_bytes == 750
+        assert budget.reserve(identified, 250, 0, 3).size == 250
+    assert budget.held_bytes == 250
 
 
 def test_broken_stream_without_ids_is_truncated():
--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -20,10 +20,13 @@
 from bitterntiller.core.interfaces import Ownership
 from bitterntiller.protocol import messages
 from tests.components.entry import fakes
-from tests.components.http.builders import serving
+from tests.components.http.builders import LIMITS, serving
 
 KEY = "key-of-foresters"
 
+BACKLOG = 1024
+"""With fewer, connections that are opened at once time out at the kernel."""
+
 
 def route(**fields: Any) -> dict[str, Any]:
     return {
@@ -164,6 +167,7 @@
     links: _GrantingLinks
     requests: list[bytes]
     context: Context
+    coordinator: EntryCoordinator
 
     async def async_ask(self, data: bytes) -> bytes:
         """Send a request; return data until the last chunk, a close or a timeout."""
@@ -205,10 +209,13 @@
     upstream: Upstream,
     configuration: dict[str, Any] | None = None,
     quota: QuotaGate | None = None,
+    limits: Limits | None = None,
+    body_seconds: float = 2.0,
 ) -> AsyncIterator[EntryHost]:
     """Run an entry host of the platform with one upstream."""
+    limits = limits or Limits()
     async with AsyncExitStack() as stack:
-        listener = curio.tcp_server_socket("127.0.0.1", 0)
+        listener = curio.tcp_server_socket("127.0.0.1", 0, backlog=BACKLOG)
         stack.push_async_callback(listener.close)
         got: list[bytes] = []
         task = await curio.spawn(_async_serve, listener, upstream, got)
@@ -220,7 +227,7 @@
         config = parse_configuration(configuration or document(), 1)
         context = Context(
             host="a",
-            timings=Timings(upstream_idle=0.5, body=2.0, shutdown=5.0),
+            timings=Timings(upstream_idle=0.5, body=body_seconds, shutdown=5.0),
             clock=clock,
             metrics=fakes.FakeMetrics(),
             links=links,
@@ -234,8 +241,9 @@
             quota=quota,
             response_times=ResponseTimes(),
         )
-        coordinator = EntryCoordinator(context, Limits(), ClaimClient(context, "i1"))
+        coordinator = EntryCoordinator(context, limits, ClaimClient(context, "i1"))
         links.coordinator = coordinator
-        served = serving(coordinator.pipeline.async_serve)
+        server_limits = LIMITS._replace(connections=limits.connections)
+        served = serving(coordinator.pipeline.async_serve, server_limits)
         _, port = await stack.enter_async_context(served)
-        yield EntryHost(port, links, got, context)
+        yield EntryHost(port, links, got, context, coordinator)
--- a/tests/platform/callers.py
+++ b/tests/platform/callers.py
@@ -108,7 +108,13 @@
         status, text, reusable = 0, b"", False
         at = time.time()
         try:
-            connection.request("POST", path, body, headers | framing)
+            connection.request(
+                "POST",
+                path,
+                body,
+                headers | framing,
+                encode_chunked="Transfer-Encoding" in framing,
+            )
             response = connection.getresponse()
             text = response.read()
             status, reusable = response.status, not response.will_close
