HTTP server: ignore empty lines before a request

What callers saw: 400 bad-request for a request after an empty line, and for each request on a kept connection after a body that ended with one; an idle connection that had got such a line was answered with a 408, which its caller could take for the response to its next request. Cause: h11 takes an empty line for an empty request head; RFC 9112 section 2.2 asks a server to ignore at least one. Change: line ends before the first byte of a request are dropped before parsing, also those that arrived behind the request before it; each request has a parser of its own, which gets what the last one left. Time is bounded as before, by the timeouts of heads and of idle connections.

--- a/bitterntiller/components/http/exchange.py
+++ b/bitterntiller/components/http/exchange.py
@@ -31,19 +31,49 @@
 class ServerConnection:
     """A caller's connection: h11 state, socket and timeouts in seconds.
 
-    requests counts the requests that were answered on it.
+    requests counts the requests that were answered on it. request_begun states whether
+    bytes of the current request have arrived.
 
     Only one task reads at a time: the exchange while the request arrives, then
     async_watch() until the response is sent.
     """
 
     def __init__(self, sock: Any, head_bytes: int, write_timeout: float) -> None:
-        self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=head_bytes)
+        self._head_bytes = head_bytes
+        self.h11 = self._new_parser()
         self.sock = sock
         self.write_timeout = write_timeout
         self.disconnected = False
         self.closing = False
         self.requests = 0
+        self.request_begun = False
+
+    def _new_parser(self) -> h11.Connection:
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=self._head_bytes)
+
+    def begin_next_request(self) -> None:
+        """Prepare for the request after one that was read and answered completely."""
+        received, closed = self.h11.trailing_data
+        self.requests += 1
+        self.request_begun = False
+        self.h11 = self._new_parser()
+        if received:
+            self._feed(received)
+        if closed:
+            self._feed(b"")
+
+    def _feed(self, data: bytes) -> None:
+        """Parse received bytes, empty ones if the caller has closed its side.
+
+        Empty lines before a request line are ignored, as RFC 9112 asks: some clients
+        send one after a body.
+        """
+        if data and not self.request_begun:
+            data = data.lstrip(b"\r\n")
+            if not data:
+                return
+            self.request_begun = True
+        self.h11.receive_data(data)
 
     @property
     def peer(self) -> str:
@@ -66,7 +96,7 @@
                     event = self.h11.next_event()
                     if event is not h11.NEED_DATA:
                         return event
-                    self.h11.receive_data(await self._async_receive())
+                    self._feed(await self._async_receive())
         except h11.RemoteProtocolError as error:
             raise BadRequestError(error.error_status_hint, str(error)) from error
         except curio.TaskTimeout:
@@ -81,9 +111,12 @@
 
     async def async_wait_bytes(self) -> bool:
         """Wait for bytes of the next request; return False if the caller closed."""
-        data = await self._async_receive()
-        self.h11.receive_data(data)
-        return bool(data)
+        while not self.request_begun:
+            data = await self._async_receive()
+            self._feed(data)
+            if not data:
+                return False
+        return True
 
     async def async_watch(self) -> None:
         """Return once the caller closes its side while the response is produced.
@@ -101,7 +134,7 @@
             if not data:
                 self.disconnected = True
                 return
-            self.h11.receive_data(data)
+            self._feed(data)
             kept += len(data)
             if kept > READ_BYTES:
                 await curio.Event().wait()
--- a/bitterntiller/components/http/server.py
+++ b/bitterntiller/components/http/server.py
@@ -111,8 +111,7 @@
                 if not connection.disconnected:
                     await connection.async_linger()
                 return
-            connection.requests += 1
-            connection.h11.start_next_cycle()
+            connection.begin_next_request()
             if not await self._async_has_more(connection):
                 return
 
@@ -123,7 +122,7 @@
         that it sends at that moment. Idle connections are closed at once when the
         process stops.
         """
-        if connection.h11.trailing_data[0]:
+        if connection.request_begun:
             return True
         task = await curio.current_task()
         self._idle_tasks.add(task)
--- a/tests/components/http/test_server.py
+++ b/tests/components/http/test_server.py
@@ -183,3 +183,12 @@
         ask(request)
     (line,) = recorded.by_kind["request-rejected"]
     assert (line["status"], line["method"], line["path"]) == (408, "POST", "/a")
+
+
+def test_empty_line_after_a_request_gets_no_response():
+    """A client that ends its requests with an empty line gets a 408 while idle.
+
+    It would take the 408 for the response to its next request.
+    """
+    response = ask(GET + b"\r\n", keep_alive=0.6)
+    assert response.count(b"HTTP/1.1") == 1
--- a/tests/request_forms/forms.py
+++ b/tests/request_forms/forms.py
@@ -79,6 +79,11 @@
     ),
     Form("equal lengths", head(LENGTH, LENGTH) + BODY),
     Form("list of equal lengths", head("Content-Length: 2, 2") + BODY),
+    Form("empty line before", b"\r\n" + head(LENGTH) + BODY),
+    Form("empty lines before", b"\r\n\r\n" + head(LENGTH) + BODY),
+    Form(
+        "empty line between", (head(LENGTH) + BODY + b"\r\n") * 2, (200, 200), 2, True
+    ),
     Form("absolute form", head(LENGTH, target="http://trees.example{path}") + BODY),
     Form(
         "absolute form, capitals and port",
