--- a/tests/request_forms/forms.py
+++ b/tests/request_forms/forms.py
@@ -109,6 +109,7 @@
     Form("extension method", head(LENGTH, method="PURGE") + BODY),
     Form("minor version above", head(LENGTH, version="1.2") + BODY),
     Form("upgrade", head(LENGTH, "Connection: upgrade", "Upgrade: h2c") + BODY),
+    Form("deadline of days", head(LENGTH, "X-Deadline-Ms: 999999999") + BODY),
     Form("close", head(LENGTH, "Connection: close") + BODY, kept=False),
     Form("HTTP/1.0", head(LENGTH, version="1.0") + BODY, kept=False),
     Form(
