HTTP server: refuse invalid heads with the statuses that the RFCs name

What callers saw: a request with Content-Length and Transfer-Encoding, or with chunks in HTTP/1.0, was served, so that a proxy before us may have seen another end of it (request smuggling); HTTP/2.0 and unknown expectations were served; CONNECT and an invalid Host got 404, a target over the limit 431. Cause: h11 leaves these checks to its user, and the server only checked the size. Change: http/head_checks.py: 400 for ambiguous framing and for an invalid Host, 505, 501, 417, 414. All of them end the connection, and nothing is run. Ruled out: that a proper request falls under one of them; the forms of SERVED and the fuzz test of bad input pass.

--- a/bitterntiller/components/http/const.py
+++ b/bitterntiller/components/http/const.py
@@ -36,14 +36,18 @@
     408: b"Request Timeout",
     409: b"Conflict",
     413: b"Content Too Large",
+    414: b"URI Too Long",
+    417: b"Expectation Failed",
     421: b"Misdirected Request",
     422: b"Unprocessable Content",
     429: b"Too Many Requests",
     431: b"Request Header Fields Too Large",
     500: b"Internal Server Error",
+    501: b"Not Implemented",
     502: b"Bad Gateway",
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
+    505: b"HTTP Version Not Supported",
 }
 
 METRIC_BAD_REQUEST = "http.bad_request"
--- a/bitterntiller/components/http/exchange.py
+++ b/bitterntiller/components/http/exchange.py
@@ -22,6 +22,9 @@
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+TARGET_TOO_LONG = 414
+HEAD_TOO_LARGE = 431
+
 ReserveBytes = Callable[[int], bool]
 """Reserves memory for the first bytes of a body; returns False if there is none."""
 
@@ -98,10 +101,16 @@
                         return event
                     self._feed(await self._async_receive())
         except h11.RemoteProtocolError as error:
-            raise BadRequestError(error.error_status_hint, str(error)) from error
+            status = error.error_status_hint
+            if status == HEAD_TOO_LARGE and not self._has_request_line():
+                status = TARGET_TOO_LONG
+            raise BadRequestError(status, str(error)) from error
         except curio.TaskTimeout:
             raise BadRequestError(408, "the request came too slowly") from None
 
+    def _has_request_line(self) -> bool:
+        return b"\n" in self.h11.trailing_data[0]
+
     async def _async_receive(self) -> bytes:
         try:
             return await self.sock.recv(READ_BYTES)
--- a/bitterntiller/components/http/server.py
+++ b/bitterntiller/components/http/server.py
@@ -12,6 +12,7 @@
 from bitterntiller.components.http.errors import BadRequestError, CallerGoneError
 from bitterntiller.components.http.event_logging import log_rejection
 from bitterntiller.components.http.exchange import Exchange, ServerConnection
+from bitterntiller.components.http.head_checks import check_head
 from bitterntiller.components.http.models import RequestHead
 from bitterntiller.components.settings.models import Address
 from bitterntiller.core.errors import BrokenInvariantError
@@ -146,7 +147,8 @@
     ) -> RequestHead | None:
         try:
             event = await connection.async_next_event(timeout)
-            self._check_size(event)
+            if isinstance(event, h11.Request):
+                check_head(event, self._limits.head_bytes)
         except BadRequestError as error:
             await self._async_refuse(connection, error)
             await connection.async_linger()
@@ -160,18 +162,6 @@
             event.http_version,
         )
 
-    def _check_size(self, event: Any) -> None:
-        """Reject a head over the limit that arrived in one piece.
-
-        h11 checks the limit only while a head is incomplete.
-        """
-        if not isinstance(event, h11.Request):
-            return
-        size = len(event.target) + sum(len(a) + len(b) for a, b in event.headers)
-        if size > self._limits.head_bytes:
-            text = f"a head over {self._limits.head_bytes} bytes"
-            raise BadRequestError(431, text)
-
     async def _async_refuse(
         self,
         connection: ServerConnection,
--- a/tests/request_forms/forms.py
+++ b/tests/request_forms/forms.py
@@ -121,19 +121,41 @@
 """Valid requests for a known path, all of which must be served."""
 
 REFUSED = (
+    refused(
+        "length over limit",
+        head(f"Content-Length: {BODY_LIMIT + 1}") + bytes(BODY_LIMIT + 1),
+        413,
+    ),
+    refused(
+        "chunk over limit",
+        head(CHUNKED) + b"3e9\r\n" + bytes(BODY_LIMIT + 1) + b"\r\n0\r\n\r\n",
+        413,
+    ),
+    refused(
+        "chunk size of 65 bits",
+        head(CHUNKED) + b"1" + b"0" * 16 + b"\r\n" + bytes(BODY_LIMIT + 1),
+        413,
+    ),
     refused("chunk size of 21 digits", head(CHUNKED) + b"0" * 20 + b"2\r\n{}\r\n", 400),
     refused("chunk size not a number", head(CHUNKED) + b"zz\r\n{}\r\n", 400),
     refused("chunk longer than its size", head(CHUNKED) + b"2\r\n{}xx0\r\n\r\n", 400),
+    refused("both lengths", head(CHUNKED, LENGTH) + CHUNKS, 400),
     refused("two lengths", head(LENGTH, "Content-Length: 3") + BODY, 400),
     refused("negative length", head("Content-Length: -2") + BODY, 400),
     refused("length not a number", head("Content-Length: two") + BODY, 400),
     refused("no Host", head(LENGTH, host="") + BODY, 400),
     refused("two Hosts", head(LENGTH, HOST) + BODY, 400),
+    refused("invalid Host", head(LENGTH, host="Host: a b") + BODY, 400),
     refused("space before colon", head(LENGTH, "X-A : b") + BODY, 400),
     refused("space in the target", head(LENGTH, target="{path} x") + BODY, 400),
+    refused("HTTP/1.0, chunked", head(CHUNKED, version="1.0") + CHUNKS, 400),
     refused("unknown coding", head("Transfer-Encoding: gzip, chunked") + CHUNKS, 501),
     refused("identity", head("Transfer-Encoding: identity", LENGTH) + BODY, 501),
+    refused("CONNECT", head(method="CONNECT", target="trees.example:80"), 501),
+    refused("HTTP/2.0", head(LENGTH, version="2.0") + BODY, 505),
+    refused("unknown expectation", head(LENGTH, "Expect: 200-ok") + BODY, 417),
     refused("long header section", head(LENGTH, "X-A: " + "b" * 9000) + BODY, 431),
+    refused("long target", head(LENGTH, target="{path}" + "a" * 9000) + BODY, 414),
 )
 """Requests that are invalid or over a limit."""
 
