HTTP server: the host of a target in absolute form takes precedence over Host

What callers saw: 404 for a request in absolute form whose Host field differs, or, on a route of that other host, a response of a service that was not asked for. Cause: the target's host was cut off and Host was used; RFC 9112 section 3.2.2 asks a server to ignore Host then. A target with a query and no path lost the query. Change: http/targets.py splits the target and replaces Host, also in what is forwarded.

--- a/bitterntiller/components/http/server.py
+++ b/bitterntiller/components/http/server.py
@@ -14,6 +14,7 @@
 from bitterntiller.components.http.exchange import Exchange, ServerConnection
 from bitterntiller.components.http.head_checks import check_head
 from bitterntiller.components.http.models import RequestHead
+from bitterntiller.components.http.targets import replace_host, split_target
 from bitterntiller.components.settings.models import Address
 from bitterntiller.core.errors import BrokenInvariantError
 from bitterntiller.core.interfaces import Metrics
@@ -155,12 +156,12 @@
             return None
         if not isinstance(event, h11.Request):
             return None
-        return RequestHead(
-            event.method.decode("ascii"),
-            _origin_form(event.target.decode("latin-1")),
-            list(event.headers),
-            event.http_version,
-        )
+        target, host = split_target(event.target.decode("latin-1"))
+        headers = list(event.headers)
+        if host is not None:
+            headers = replace_host(headers, host)
+        method = event.method.decode("ascii")
+        return RequestHead(method, target, headers, event.http_version)
 
     async def _async_refuse(
         self,
@@ -195,15 +196,6 @@
             await exchange.async_cut()
 
 
-def _origin_form(target: str) -> str:
-    """Return path and query of a target that may also have scheme and host."""
-    if not target.lower().startswith(("http://", "https://")):
-        return target
-    rest = target.partition("://")[2]
-    _host, slash, path = rest.partition("/")
-    return slash + path if slash else "/"
-
-
 async def _async_reject(sock: Any) -> None:
     """Refuse a connection over the limit without reading its request."""
     try:
--- a/tests/request_forms/forms.py
+++ b/tests/request_forms/forms.py
@@ -85,6 +85,11 @@
         "empty line between", (head(LENGTH) + BODY + b"\r\n") * 2, (200, 200), 2, True
     ),
     Form("absolute form", head(LENGTH, target="http://trees.example{path}") + BODY),
+    Form(
+        "absolute form, other Host",
+        head(LENGTH, target="http://trees.example{path}", host="Host: o.example")
+        + BODY,
+    ),
     Form(
         "absolute form, capitals and port",
         head(LENGTH, target="HTTP://Trees.Example:8221{path}") + BODY,
--- a/tests/request_forms/test_request_forms.py
+++ b/tests/request_forms/test_request_forms.py
@@ -123,3 +123,16 @@
         assert host.received == []
 
     play(dialect, async_step)
+
+
+def test_absolute_form_is_forwarded_with_the_host_of_the_target():
+    async def async_step(host: Host, caller: RawCaller) -> None:
+        form = FORMS_BY_NAME["absolute form, other Host"]
+        await caller.async_send(fill(form.data, host.path, host.authorization))
+        await caller.async_responses("POST")
+        lines = host.received[0].lower().split(b"\r\n")
+        assert lines[0] == b"post /tiles/1 http/1.1"
+        assert b"host: trees.example" in lines
+        assert not any(b"o.example" in line for line in lines)
+
+    play("platform", async_step)
