HTTP server: keep a connection after a refusal, or announce that it closes

What callers saw: a connection was closed after each refusal before the body was read (404, 401, 413, 503 no-lease), without Connection: close, also after a request without a body. A caller that sent its next request on it lost that one. Cause: the parser had not reached the end of the request when the response was sent, so the connection counted as not reusable, and nothing said so. Change: what has arrived of the body is discarded before the response; if that is all of it, the connection is kept, otherwise the response carries Connection: close. OPTIONS * gets 204 instead of 404. 204 has no Content-Length any more.

--- a/bitterntiller/components/http/exchange.py
+++ b/bitterntiller/components/http/exchange.py
@@ -10,6 +10,7 @@
 from curio import socket
 
 from bitterntiller.components.http.const import (
+    BODYLESS_STATUSES,
     DATA_EVENTS_PER_TURN,
     LINGER_BYTES,
     LINGER_SECONDS,
@@ -28,7 +29,9 @@
 ReserveBytes = Callable[[int], bool]
 """Reserves memory for the first bytes of a body; returns False if there is none."""
 
-_READ_WHOLE = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+_READ_WHOLE = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED, h11.MIGHT_SWITCH_PROTOCOL)
+"""States of h11 in which a request was read completely. The last one is that of a
+request with Upgrade, which is answered as if it had none."""
 
 
 class ServerConnection:
@@ -127,6 +130,18 @@
                 return False
         return True
 
+    def skip_received_body(self) -> bool:
+        """Discard the received rest of the body; return whether that was all of it."""
+        if self.h11.they_are_waiting_for_100_continue:
+            return False
+        try:
+            while self.h11.their_state is h11.SEND_BODY:
+                if self.h11.next_event() is h11.NEED_DATA:
+                    return False
+        except h11.RemoteProtocolError:
+            return False
+        return self.h11.their_state in _READ_WHOLE
+
     async def async_watch(self) -> None:
         """Return once the caller closes its side while the response is produced.
 
@@ -290,10 +305,15 @@
         await self.connection.async_reset()
 
     async def async_respond(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a complete response with its length in one write."""
-        length = (b"content-length", str(len(body)).encode())
-        headers = [*headers, length]
-        if self.connection.closing:
+        """Send a complete response with its length in one write.
+
+        It announces the close of the connection if the rest of the request's body
+        hasn't arrived: that would be taken for the next request.
+        """
+        headers = list(headers)
+        if status not in BODYLESS_STATUSES:
+            headers.append((b"content-length", str(len(body)).encode()))
+        if self.connection.closing or not self.connection.skip_received_body():
             headers.append((b"connection", b"close"))
         data = self._head(status, headers)
         h11_connection = self.connection.h11
--- a/bitterntiller/components/http/server.py
+++ b/bitterntiller/components/http/server.py
@@ -174,11 +174,15 @@
         if connection.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         head = head or RequestHead("GET", "/", [], b"1.1")
-        headers = [(b"connection", b"close"), (b"x-outcome", b"not-run")]
+        connection.closing = True
+        headers = [(b"x-outcome", b"not-run")]
         body = b'{"outcome": "not-run", "reason": "bad-request"}\n'
         await Exchange(connection, head).async_respond(error.status, headers, body)
 
     async def _async_exchange(self, exchange: Exchange) -> None:
+        if exchange.head.method == "OPTIONS" and exchange.head.target == "*":
+            await exchange.async_respond(204, [], b"")
+            return
         try:
             await self._handler(exchange)
         except BadRequestError as error:
--- a/tests/request_forms/test_request_forms.py
+++ b/tests/request_forms/test_request_forms.py
@@ -93,6 +93,8 @@
         assert tuple(item.status for item in found) == form.statuses
         assert len(host.received) == form.runs
         assert await async_kept(host, caller) == form.kept
+        # A response after which the host closes has to say so.
+        assert form.kept or found[-1].headers.get(b"connection") == b"close"
 
     play(dialect, async_step)
 
