HTTP server: apply the current limit of heads to open connections

What callers saw: on a connection that was open before a configuration raised max_header_bytes, 431 for a head within the new limit that arrived in two segments. Cause: the parser was made with the limit of the moment at which the connection was accepted; only the check of a complete head followed the configuration. Change: the parser is made when a request begins, with the limit of that moment. Test: test_raised_limit_of_a_head_holds_for_open_connections failed before.

--- a/bitterntiller/components/http/exchange.py
+++ b/bitterntiller/components/http/exchange.py
@@ -22,7 +22,6 @@
 
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
-
 TARGET_TOO_LONG = 414
 HEAD_TOO_LARGE = 431
 
@@ -37,14 +36,17 @@
 class ServerConnection:
     """A caller's connection: h11 state, socket and timeouts in seconds.
 
-    requests counts the requests that were answered on it. request_begun states whether
-    bytes of the current request have arrived.
+    head_bytes returns the limit of a request's head. requests counts the requests that
+    were answered on the connection. request_begun states whether bytes of the current
+    request have arrived.
 
     Only one task reads at a time: the exchange while the request arrives, then
     async_watch() until the response is sent.
     """
 
-    def __init__(self, sock: Any, head_bytes: int, write_timeout: float) -> None:
+    def __init__(
+        self, sock: Any, head_bytes: Callable[[], int], write_timeout: float
+    ) -> None:
         self._head_bytes = head_bytes
         self.h11 = self._new_parser()
         self.sock = sock
@@ -55,7 +57,8 @@
         self.request_begun = False
 
     def _new_parser(self) -> h11.Connection:
-        return h11.Connection(h11.SERVER, max_incomplete_event_size=self._head_bytes)
+        most = self._head_bytes()
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=most)
 
     def begin_next_request(self) -> None:
         """Prepare for the request after one that was read and answered completely."""
@@ -79,6 +82,8 @@
             if not data:
                 return
             self.request_begun = True
+            # The limit may have changed since the connection was idle.
+            self.h11 = self._new_parser()
         self.h11.receive_data(data)
 
     @property
--- a/bitterntiller/components/http/server.py
+++ b/bitterntiller/components/http/server.py
@@ -89,7 +89,9 @@
         except OSError:
             return
         self.connections += 1
-        connection = ServerConnection(sock, limits.head_bytes, limits.write_timeout)
+        connection = ServerConnection(
+            sock, lambda: self._limits.head_bytes, limits.write_timeout
+        )
         try:
             await self._async_requests(connection)
         except CallerGoneError:
--- a/tests/components/http/test_server.py
+++ b/tests/components/http/test_server.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 import curio
+import pytest
 from curio import socket
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -192,3 +193,31 @@
     """
     response = ask(GET + b"\r\n", keep_alive=0.6)
     assert response.count(b"HTTP/1.1") == 1
+
+
+def long_head(size: int) -> bytes:
+    """Return a head whose target, names and values have a number of bytes together."""
+    lines = [b"Host: x", *(b"X-%03d: v" % number for number in range(100))]
+    used = len(b"/a") + sum(len(line) - 2 for line in lines) + len(b"x-long")
+    lines.append(b"X-Long: " + b"y" * (size - used))
+    return b"GET /a HTTP/1.1\r\n" + b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+def test_raised_limit_of_a_head_holds_for_open_connections():
+    """A connection that was open before a new configuration keeps its old limit."""
+
+    async def async_main() -> bytes:
+        limits = LIMITS._replace(head_bytes=1000, keep_alive=2.0)
+        async with serving(async_ok, limits) as (server, port):
+            sock = await curio.open_connection("127.0.0.1", port)
+            async with sock:
+                await sock.sendall(GET)
+                await sock.recv(65536)
+                server.set_limits(limits._replace(head_bytes=8192))
+                data = long_head(8000)
+                await sock.sendall(data[:4000])
+                await curio.sleep(0.02)
+                await sock.sendall(data[4000:])
+                return await sock.recv(65536)
+
+    assert curio.run(async_main).startswith(OK)
