HTTP server: make the limit of a head independent of its segments

What callers saw: 431 for a head just below its limit if its last bytes came in a segment of their own, while the same head in one piece was served. The refusal left no line in the log. Cause: two measures. A complete head is compared by target, names and values; h11 compares an incomplete one by all its bytes, with the request line, colons, spaces and line ends. Change: an incomplete head is buffered up to twice the limit; the limit itself is compared once the head is complete. What it costs: a connection may buffer 32 KiB of an incomplete head on the platform instead of 16 KiB. Test: last 4 bytes apart at the limit failed before; one byte above the limit is still 431, in one piece and in two.

--- a/bitterntiller/components/http/const.py
+++ b/bitterntiller/components/http/const.py
@@ -2,6 +2,13 @@
 
 READ_BYTES = 65536
 CHUNK_END_BYTES = 2
+UNPARSED_HEAD_FACTOR = 2
+"""Bytes up to which an incomplete head is buffered, as a multiple of its limit.
+
+The limit holds for target, names and values. What separates them must not make a head
+too long that arrives in several segments, while the same head in one piece is served.
+"""
+
 DATA_EVENTS_PER_TURN = 64
 """Parts of a body that are read before other tasks get a turn."""
 READ_TIMEOUT_CHECKS = 4
--- a/bitterntiller/components/http/exchange.py
+++ b/bitterntiller/components/http/exchange.py
@@ -16,6 +16,7 @@
     LINGER_SECONDS,
     READ_BYTES,
     STATUS_TEXT,
+    UNPARSED_HEAD_FACTOR,
 )
 from bitterntiller.components.http.errors import BadRequestError, CallerGoneError
 from bitterntiller.components.http.models import Headers, RequestHead
@@ -57,7 +58,7 @@
         self.request_begun = False
 
     def _new_parser(self) -> h11.Connection:
-        most = self._head_bytes()
+        most = self._head_bytes() * UNPARSED_HEAD_FACTOR
         return h11.Connection(h11.SERVER, max_incomplete_event_size=most)
 
     def begin_next_request(self) -> None:
--- a/tests/components/http/test_server.py
+++ b/tests/components/http/test_server.py
@@ -203,6 +203,25 @@
     return b"GET /a HTTP/1.1\r\n" + b"\r\n".join(lines) + b"\r\n\r\n"
 
 
+@pytest.mark.parametrize(("size", "status"), [(8192, b"200"), (8193, b"431")])
+@pytest.mark.parametrize("last_bytes", [0, 4, 4000])
+def test_limit_of_a_head_is_the_same_in_one_piece_and_in_two(size, status, last_bytes):
+    """A head near its limit gets 431 if it arrives in two segments."""
+    data = long_head(size)
+    cut = len(data) - last_bytes
+
+    async def async_main() -> bytes:
+        async with serving(async_ok) as (_, port):
+            sock = await curio.open_connection("127.0.0.1", port)
+            async with sock:
+                await sock.sendall(data[:cut])
+                await curio.sleep(0.02)
+                await sock.sendall(data[cut:])
+                return await sock.recv(65536)
+
+    assert curio.run(async_main).split(b" ", 2)[1] == status
+
+
 def test_raised_limit_of_a_head_holds_for_open_connections():
     """A connection that was open before a new configuration keeps its old limit."""
 
