--- a/tests/platform/test_slow_bodies.py
+++ b/tests/platform/test_slow_bodies.py
@@ -53,7 +53,7 @@
     return received
 
 
-def play(limits, callers, body, parts, seconds):
+def play(limits, callers, body, parts, seconds, body_limit=BODY_LIMIT):
     """Return the responses of all callers and the most bytes that were reserved."""
     size = len(body) // parts
     split = [body[start : start + size] for start in range(0, len(body), size)]
@@ -66,7 +66,7 @@
             await curio.sleep(0.01)
 
     async def async_main():
-        configuration = document(limits={"max_body_bytes": BODY_LIMIT})
+        configuration = document(limits={"max_body_bytes": body_limit})
         async with entry_host(
             async_respond, configuration, limits=limits, body_seconds=30.0
         ) as entry:
@@ -104,3 +104,10 @@
     assert most <= limits.waiting_bytes
     refused = [item for item in responses if b" 503 " in item[:20]]
     assert all(b"\r\nretry-after: " in item.lower() for item in refused)
+
+
+def test_body_within_the_limit_of_the_configuration_is_not_too_large(tmp_path):
+    """A host refuses with 413 what the configuration allows, by a limit of its own."""
+    limit = 12 * 1024 * 1024
+    responses, _ = play(least_limits(tmp_path), 1, bytes(limit), 16, 0.1, limit)
+    assert statuses(responses) == {b"200": 1}
