--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -136,7 +136,13 @@
         self.process_by_ip: dict[str, Process] = {}
 
     def __enter__(self) -> Self:
-        for ip in (*self.control_ips, *self.entry_ips):
+        self.start(self.entry_ips + self.control_ips)
+        self.configure()
+        return self
+
+    def start(self, ips: tuple[str, ...]) -> None:
+        """Start the processes of some hosts for the first time."""
+        for ip in ips:
             path = self._settings_path(ip)
             path.write_text(self._settings(ip, bootstrap=True))
             self._data_folder(ip).mkdir()
@@ -144,12 +150,18 @@
             self._stack.callback(process.kill)
             process.start()
             self.process_by_ip[ip] = process
+
+    def configure(self) -> None:
+        """Apply the configuration, as soon as a control host accepts it."""
         self.until(
             lambda: self.order("PUT", "/-/config", self._configuration)[0] == 200
         )
-        return self
 
     def __exit__(self, *details: object) -> None:
+        self.stop()
+
+    def stop(self) -> None:
+        """End the calls and kill all processes."""
         self._calling.clear()
         self._stack.close()
 
