Load tool and stand-ins: send a quarter of the requests chunked

Change: standins/request_framing.py encodes the requests of the load tool (bench.client), of the scenarios and of the announcer; a share of a quarter, chosen by a hash of the content, so that a run repeats. The share is a parameter of async_request.

--- a/bench/client.py
+++ b/bench/client.py
@@ -9,6 +9,7 @@
 import h11
 
 from standins import responses
+from standins.request_framing import CHUNKED_SHARE, encode_request
 from tests.scenarios.caller import response_text
 
 READ_BYTES = 262144
@@ -40,7 +41,9 @@
     body: bytes
 
 
-async def async_request(port: int, request: Request, timeout: float) -> Result:
+async def async_request(
+    port: int, request: Request, timeout: float, chunked_share: float = CHUNKED_SHARE
+) -> Result:
     """Send a request on its own connection and read the response."""
     started_at = time.perf_counter()
     received = _PartialResponse()
@@ -48,7 +51,7 @@
         async with curio.timeout_after(timeout):
             sock = await curio.open_connection("127.0.0.1", port)
             async with sock:
-                await _async_exchange(sock, request, received)
+                await _async_exchange(sock, request, received, chunked_share)
     except (OSError, h11.ProtocolError, curio.TaskTimeout):
         received.cut = True
     now = time.perf_counter()
@@ -82,20 +85,15 @@
 
 
 async def _async_exchange(
-    sock: Any, request: Request, received: _PartialResponse
+    sock: Any, request: Request, received: _PartialResponse, chunked_share: float
 ) -> None:
     http = h11.Connection(h11.CLIENT)
     fields = {"Host": "127.0.0.1", "Connection": "close", **request.headers}
-    if request.body:
-        fields["Content-Length"] = str(len(request.body))
-    head = h11.Request(
-        method=request.method, target=request.target, headers=list(fields.items())
+    data = encode_request(
+        http, request.method, request.target, fields, request.body, chunked_share
     )
-    data = http.send(head) or b""
-    if request.body:
-        data += http.send(h11.Data(data=request.body)) or b""
     received.sent = True
-    await sock.sendall(data + (http.send(h11.EndOfMessage()) or b""))
+    await sock.sendall(data)
     while True:
         event = http.next_event()
         if event is h11.NEED_DATA:
--- a/standins/announcer.py
+++ b/standins/announcer.py
@@ -11,6 +11,7 @@
 
 from standins.faults import Faults
 from standins.options import Options
+from standins.request_framing import encode_request
 
 PERIOD_S = 1.0
 TIMEOUT_S = 1.0
@@ -24,14 +25,9 @@
     """Post a body on a new connection; return the status, or 0 without a response."""
     http = h11.Connection(h11.CLIENT)
     fields = {"Host": f"{address[0]}:{address[1]}", "Connection": "close", **headers}
-    fields["Content-Length"] = str(len(body))
     sock = await curio.open_connection(*address)
     async with sock:
-        request = h11.Request(
-            method="POST", target=target, headers=list(fields.items())
-        )
-        data = http.send(request) + http.send(h11.Data(data=body))
-        await sock.sendall(data + http.send(h11.EndOfMessage()))
+        await sock.sendall(encode_request(http, "POST", target, fields, body))
         while True:
             event = http.next_event()
             if event is h11.NEED_DATA:
--- a/tests/scenarios/caller.py
+++ b/tests/scenarios/caller.py
@@ -11,6 +11,7 @@
 import h11
 
 from standins import responses
+from standins.request_framing import encode_request
 
 READ_BYTES = 65536
 RESPONSE_TIMEOUT_S = 60.0
@@ -66,15 +67,7 @@
 
     def _request_bytes(self, http: h11.Connection) -> bytes:
         fields = {"Host": f"127.0.0.1:{self.port}", **self.headers}
-        if self.body:
-            fields["Content-Length"] = str(len(self.body))
-        head = h11.Request(
-            method=self.method, target=self.target, headers=list(fields.items())
-        )
-        data = http.send(head) or b""
-        if self.body:
-            data += http.send(h11.Data(data=self.body)) or b""
-        return data + (http.send(h11.EndOfMessage()) or b"")
+        return encode_request(http, self.method, self.target, fields, self.body)
 
     def _receive(self, http: h11.Connection, sock: socket.socket, begun: float) -> None:
         while True:
