--- a/tests/components/http/test_server.py
+++ b/tests/components/http/test_server.py
@@ -240,3 +240,27 @@
                 return await sock.recv(65536)
 
     assert curio.run(async_main).startswith(OK)
+
+
+def test_body_of_tiny_chunks_leaves_turns_to_other_tasks():
+    """A caller that sends a body in tiny chunks holds up all others."""
+    chunks = 20_000
+    head = b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+    data = head + b"1\r\nx\r\n" * chunks + b"0\r\n\r\n"
+    turns_by_phase = {"reading": 0}
+
+    async def async_count() -> None:
+        while True:
+            turns_by_phase["reading"] += 1
+            await curio.sleep(0)
+
+    async def async_read_body(exchange: Any) -> None:
+        # All of the body lies in the kernel's buffer by then.
+        await curio.sleep(0.1)
+        counter = await curio.spawn(async_count)
+        body = await exchange.async_body(chunks, 20.0)
+        await counter.cancel()
+        await exchange.async_respond(200, [], str(len(body)).encode())
+
+    assert str(chunks).encode() in ask(data, async_read_body)
+    assert turns_by_phase["reading"] >= chunks / 100
