--- a/tests/components/http/test_server.py
+++ b/tests/components/http/test_server.py
@@ -195,6 +195,10 @@
     assert response.count(b"HTTP/1.1") == 1
 
 
+def test_request_line_that_does_not_end_gets_414():
+    assert ask(b"GET /" + b"a" * 20_000).startswith(b"HTTP/1.1 414")
+
+
 def long_head(size: int) -> bytes:
     """Return a head whose target, names and values have a number of bytes together."""
     lines = [b"Host: x", *(b"X-%03d: v" % number for number in range(100))]
