--- a/tests/platform/test_slow_bodies.py
+++ b/tests/platform/test_slow_bodies.py
@@ -28,9 +28,14 @@
     return load_settings(path).settings.limits
 
 
+received_lengths = []
+
+
 async def async_respond(sock, data, index):
     found = re.search(rb"(?i)x-attempt-id: (\S+)", data)
     if found is not None:
+        length = re.search(rb"(?i)content-length: (\d+)", data)
+        received_lengths.append(int(length[1]))
         await sock.sendall(response(b"ok").replace(b"a1", found[1]))
 
 
@@ -56,6 +61,7 @@
 def play(limits, callers, body, parts, seconds, body_limit=BODY_LIMIT):
     """Return the responses of all callers and the most bytes that were reserved."""
     size = len(body) // parts
+    received_lengths.clear()
     split = [body[start : start + size] for start in range(0, len(body), size)]
     most = 0
 
@@ -100,6 +106,7 @@
     responses, most = play(limits, 12, bytes(BODY_LIMIT), 64, 1.0)
     found = statuses(responses)
     assert set(found) <= {b"200", b"503"}
+    assert received_lengths == [BODY_LIMIT] * found[b"200"]
     assert found[b"200"] >= 1
     assert most <= limits.waiting_bytes
     refused = [item for item in responses if b" 503 " in item[:20]]
--- a/tests/request_forms/forms.py
+++ b/tests/request_forms/forms.py
@@ -140,6 +140,11 @@
         head(LENGTH, "Expect: 100-continue", target=UNKNOWN_PATH),
         404,
     ),
+    refused(
+        "unknown path, expect, body sent at once",
+        head(LENGTH, "Expect: 100-continue", target=UNKNOWN_PATH) + BODY,
+        404,
+    ),
     refused(
         "unknown path, incomplete body",
         head("Content-Length: 9", target=UNKNOWN_PATH) + BODY,
--- a/tests/request_forms/test_request_forms.py
+++ b/tests/request_forms/test_request_forms.py
@@ -110,6 +110,9 @@
     assert tuple(item.status for item in found) == form.statuses
     assert len(host.received) == form.runs
     assert await async_kept(host, caller) == form.kept
+    for item in found:
+        has_no_body = item.status in (100, 204)
+        assert not has_no_body or b"content-length" not in item.headers
     # A response after which the host closes has to say so.
     assert form.kept or found[-1].headers.get(b"connection") == b"close"
 
