--- a/bitterntiller/core/outcomes.py
+++ b/bitterntiller/core/outcomes.py
@@ -21,7 +21,6 @@
     NOT_ALLOWED = "not-allowed"
     BAD_REQUEST = "bad-request"
     BODY_TOO_LARGE = "body-too-large"
-    HEAD_TOO_LARGE = "head-too-large"
     SLOW_CALLER = "slow-caller"
     TOO_MANY_CONNECTIONS = "too-many-connections"
     HOST_FULL = "host-full"
