--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -19,9 +19,9 @@
 from tests.platform.builders import KEY, document, route
 from tests.scenarios.processes import ROOT, Process
 
-_RANDOM = (
-    random.SystemRandom()
-)  # not the global generator, which a plugin seeds for each test
+# Not the global generator: a plugin seeds that one for each test.
+_RANDOM = random.SystemRandom()
+
 SUBNET = f"127.{_RANDOM.randrange(1, 255)}.{_RANDOM.randrange(256)}"
 """Loopback addresses of this test run; the ports of the platform are fixed."""
 
