--- a/standins/demo.py
+++ b/standins/demo.py
@@ -174,14 +174,18 @@
     subprocess.run(command, cwd=ROOT, check=True)
 
 
-def send(host: Host, workspace: str, path: str, body: dict[str, Any]) -> None:
+def send(
+    host: Host, workspace: str, path: str, body: dict[str, Any], chunked: bool
+) -> None:
     """Send a request and print its response as it arrives.
 
-    A refused request is retried after its Retry-After, for up to READY_SECONDS.
+    The body is sent with its length or chunked, which urllib does for a list. A refused
+    request is retried after its Retry-After, for up to READY_SECONDS.
     """
+    data = json.dumps(body).encode()
     request = urllib.request.Request(
         f"http://127.0.0.1:{host.caller}{path}",
-        json.dumps(body).encode(),
+        [data] if chunked else data,
         {"Authorization": f"Bearer demo-{workspace}"},
     )
     until = time.monotonic() + READY_SECONDS
@@ -210,8 +214,10 @@
         wait_until_ready()
         apply_configuration()
         prompt = {"prompt": "How old is the tree at Meskel Square?", "stream": True}
-        send(HOSTS[1], "foresters", "/v1/completions", {**prompt, "max_tokens": 8})
-        send(HOSTS[2], "foresters", "/map/tags", {"tile": 17, "species": "olive"})
+        completion = {**prompt, "max_tokens": 8}
+        send(HOSTS[1], "foresters", "/v1/completions", completion, chunked=True)
+        tag = {"tile": 17, "species": "olive"}
+        send(HOSTS[2], "foresters", "/map/tags", tag, chunked=False)
         if arguments.once:
             return
         print(f"\nRunning on port {HOSTS[0].caller}; logs in {FOLDER}; stop by Ctrl-C.")
