--- a/tests/request_forms/test_request_forms.py
+++ b/tests/request_forms/test_request_forms.py
@@ -1,81 +1,27 @@
 """Each form of a request, byte by byte, to an entry host of both dialects."""
 
-import re
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
-from typing import Any, NamedTuple
+from collections.abc import Awaitable, Callable
+from typing import Any
 
 import curio
 import pytest
 
-from tests.components.entry import deployment
-from tests.components.entry.test_edges import TOKEN
-from tests.components.http.builders import LIMITS
-from tests.platform import builders
-from tests.request_forms.forms import (
-    BODY_LIMIT,
-    FORMS_BY_NAME,
-    SERVED,
-    Form,
-    fill,
-)
+from tests.platform.form_host import platform_host
+from tests.request_forms.forms import FORMS_BY_NAME, SERVED, Form, fill
+from tests.request_forms.hosts import FormHost, native_host
 from tests.request_forms.raw_caller import RawCaller
 
-PATIENT = LIMITS._replace(head_timeout=5.0, keep_alive=5.0)
-"""The table is about forms, not about times."""
-
 PIECE_BYTES = 7
 WHOLE = 1 << 30
 MAX_SPLIT_BYTES = 1500
 
-
-class Host(NamedTuple):
-    """An entry host under test and the requests that its upstream has received."""
-
-    port: int
-    path: str
-    authorization: str
-    received: list[bytes]
-
-
-def _response(data: bytes, id_header: bytes) -> bytes:
-    found = re.search(rb"(?i)\r\n%b: ([^\r]*)" % id_header, data)
-    echoed = id_header + b": " + found[1] + b"\r\n" if found else b""
-    body = b"" if data.startswith(b"HEAD") else b"ok"
-    lines = b"X-Engine-Signature: s1\r\nContent-Length: 2\r\n\r\n"
-    return b"HTTP/1.1 200 OK\r\n" + echoed + lines + body
-
-
-@asynccontextmanager
-async def platform_host() -> AsyncIterator[Host]:
-    async def async_respond(sock: Any, data: bytes, index: int) -> None:
-        await sock.sendall(_response(data, b"x-attempt-id"))
-
-    configuration = builders.document(limits={"max_body_bytes": BODY_LIMIT})
-    async with builders.entry_host(
-        async_respond, configuration, server_limits=PATIENT
-    ) as entry:
-        key = f"Authorization: Token {builders.KEY}"
-        yield Host(entry.port, "/tiles/1", key, entry.requests)
-
-
-@asynccontextmanager
-async def native_host() -> AsyncIterator[Host]:
-    async def async_respond(sock: Any, data: bytes) -> None:
-        await sock.sendall(_response(data, b"x-request-id"))
-
-    async with deployment.entry_host(
-        async_respond, PATIENT, body_bytes=BODY_LIMIT
-    ) as entry:
-        token = f"Authorization: Bearer {TOKEN}"
-        yield Host(entry.port, "/v1/chat", token, entry.requests)
-
-
 HOSTS_BY_DIALECT = {"platform": platform_host, "native": native_host}
 every_dialect = pytest.mark.parametrize("dialect", HOSTS_BY_DIALECT)
 
 
-def play(dialect: str, async_step: Callable[[Host, RawCaller], Awaitable[Any]]) -> Any:
+def play(
+    dialect: str, async_step: Callable[[FormHost, RawCaller], Awaitable[Any]]
+) -> Any:
     """Run a step with an entry host and a connection to it."""
 
     async def async_main() -> Any:
@@ -87,14 +33,16 @@
     return curio.run(async_main)
 
 
-async def async_kept(host: Host, caller: RawCaller) -> bool:
+async def async_kept(host: FormHost, caller: RawCaller) -> bool:
     """Return whether the connection serves another request."""
     request = fill(FORMS_BY_NAME["GET"].data, host.path, host.authorization)
     await caller.async_send(request)
     return [item.status for item in await caller.async_responses("GET")] == [200]
 
 
-async def async_check(host: Host, caller: RawCaller, form: Form, piece: int) -> None:
+async def async_check(
+    host: FormHost, caller: RawCaller, form: Form, piece: int
+) -> None:
     """Send a form in pieces of some bytes and check what comes back."""
     method = "HEAD" if form.data.startswith(b"HEAD") else "POST"
     data = fill(form.data, host.path, host.authorization)
@@ -139,7 +87,7 @@
 
 @every_dialect
 def test_body_is_forwarded_without_its_chunks(dialect: str):
-    async def async_step(host: Host, caller: RawCaller) -> None:
+    async def async_step(host: FormHost, caller: RawCaller) -> None:
         form = FORMS_BY_NAME["several chunks"]
         await caller.async_send(fill(form.data, host.path, host.authorization))
         await caller.async_responses("POST")
@@ -153,7 +101,7 @@
 
 @every_dialect
 def test_close_in_the_middle_of_a_chunk_runs_nothing(dialect: str):
-    async def async_step(host: Host, caller: RawCaller) -> None:
+    async def async_step(host: FormHost, caller: RawCaller) -> None:
         form = FORMS_BY_NAME["chunked"]
         data = fill(form.data, host.path, host.authorization)
         await caller.async_send(data.replace(b"2\r\n{}", b"5\r\n{}")[:-7])
@@ -166,7 +114,7 @@
 
 
 def test_absolute_form_is_forwarded_with_the_host_of_the_target():
-    async def async_step(host: Host, caller: RawCaller) -> None:
+    async def async_step(host: FormHost, caller: RawCaller) -> None:
         form = FORMS_BY_NAME["absolute form, other Host"]
         await caller.async_send(fill(form.data, host.path, host.authorization))
         await caller.async_responses("POST")
