--- a/bitterntiller/components/dispatch/event_logging.py
+++ b/bitterntiller/components/dispatch/event_logging.py
@@ -37,6 +37,7 @@
         limit=event.limit,
         entry_host=event.entry_host,
         paused_for=event.paused_for,
+        reason=event.reason,
     )
 
 
--- a/bitterntiller/components/dispatch/model_updater.py
+++ b/bitterntiller/components/dispatch/model_updater.py
@@ -6,7 +6,6 @@
     OUTCOME_DONE,
     OUTCOME_REJECTED,
     REASON_NOT_ADMITTED,
-    REASON_REFUSED_CONNECTION,
 )
 from bitterntiller.components.dispatch.jobs import Job
 from bitterntiller.components.dispatch.models import Completion, PolicyParameters
@@ -69,7 +68,7 @@
             self._pool.record_upstream_success(upstream, now)
             return
         if completion.outcome != OUTCOME_DONE:
-            self._pool.record_upstream_failure(upstream, now)
+            self._pool.record_upstream_failure(job, upstream, completion.outcome, now)
             return
         self._pool.record_upstream_success(upstream, now)
         upstream.last_active_at = now
@@ -84,17 +83,15 @@
                 job.expected_cached, completion.cached_tokens
             )
 
-    def learn_from_return(self, upstream: Upstream, reason: str, now: float) -> None:
+    def learn_from_return(
+        self, job: Job, upstream: Upstream, reason: str, now: float
+    ) -> None:
         """Learn from a returned grant that is a failure of the upstream."""
         if reason == REASON_NOT_ADMITTED:
             upstream.limit.record_rejection(
                 upstream.ledger.in_flight - 1, upstream.state.slots
             )
-            self._pool.record_upstream_failure(upstream, now)
-            return
-        self._pool.record_upstream_failure(
-            upstream, now, certain=reason == REASON_REFUSED_CONNECTION
-        )
+        self._pool.record_upstream_failure(job, upstream, reason, now)
 
     def _learn_first_output(self, job: Job, upstream: Upstream, now: float) -> None:
         job.first_output_at = now
--- a/bitterntiller/components/dispatch/pool.py
+++ b/bitterntiller/components/dispatch/pool.py
@@ -3,7 +3,10 @@
 import heapq
 from collections import Counter
 
-from bitterntiller.components.dispatch.const import KIND_PLAIN
+from bitterntiller.components.dispatch.const import (
+    KIND_PLAIN,
+    REASON_REFUSED_CONNECTION,
+)
 from bitterntiller.components.dispatch.host_pauses import HostPauses
 from bitterntiller.components.dispatch.jobs import Job
 from bitterntiller.components.dispatch.models import (
@@ -329,11 +332,13 @@
             self.refresh(upstream, now)
 
     def record_upstream_failure(
-        self, upstream: Upstream, now: float, certain: bool = False
+        self, job: Job, upstream: Upstream, reason: str, now: float
     ) -> None:
-        """Record a failure of an upstream; see Health.record_failure."""
-        if upstream.health.record_failure(now, certain):
-            self._record_change(upstream, UpstreamChange.UNHEALTHY, now)
+        """Record that a request failed at an upstream; see Health.record_failure."""
+        if upstream.health.record_failure(now, reason == REASON_REFUSED_CONNECTION):
+            event = upstream.event(UpstreamChange.UNHEALTHY, now)
+            host = job.request.entry_host
+            self.events.record(event._replace(entry_host=host, reason=reason))
 
     def record_upstream_success(self, upstream: Upstream, now: float) -> None:
         """Record a successful response of an upstream."""
--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -197,7 +197,7 @@
         upstream = job.upstream
         if upstream is not None and reason in _REASONS_TO_TRY_ANOTHER:
             if reason not in _REASONS_WITHOUT_FAULT:
-                self._model_updater.learn_from_return(upstream, reason, now)
+                self._model_updater.learn_from_return(job, upstream, reason, now)
             job.return_count += 1
             tried = (*job.request.tried, upstream.name)
             job.request = job.request._replace(tried=tried)
--- a/bitterntiller/components/dispatch/upstream_events.py
+++ b/bitterntiller/components/dispatch/upstream_events.py
@@ -36,7 +36,8 @@
     announcement_age is the age of the newest announcement, activity_age the time since
     the upstream's last output or successful response, and probe_in the time until an
     unhealthy upstream is probed. limit is the rate limit that its responses state, in
-    requests per second. entry_host and paused_for are set for a pause.
+    requests per second. entry_host and paused_for are set for a pause; an unhealthy
+    upstream has the entry_host of the last failure and its reason.
     """
 
     upstream: str
@@ -48,6 +49,7 @@
     limit: float | None = None
     entry_host: str | None = None
     paused_for: float | None = None
+    reason: str | None = None
 
 
 class UpstreamEvents:
--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -81,9 +81,9 @@
             client = await connections.async_acquire(
                 grant.address, self._timings.upstream_connect
             )
-        except ConnectRefusedError:
+        except ConnectRefusedError as error:
             # No byte was sent without a connection, so the request did not run.
-            return Retry(grant.upstream, REFUSED_CONNECTION)
+            return Retry(grant.upstream, REFUSED_CONNECTION, detail=error.text)
         reusable = False
         try:
             verdict = await self._async_claim_and_send(client, grant)
@@ -340,7 +340,7 @@
         late = self._context.clock.now() >= active.prepared.identified.deadline
         if self._can_repeat() and not late:
             await self._async_cancel_in_background()
-            return Retry(active.upstream, LOST_RESPONSE, ran=True)
+            return Retry(active.upstream, LOST_RESPONSE, ran=True, detail=error.text)
         native_stream = active.prepared.estimate.streamed and active.route is None
         if native_stream and not late:
             relayed = await self._async_resume_from_start()
--- a/bitterntiller/components/entry/event_logging.py
+++ b/bitterntiller/components/entry/event_logging.py
@@ -103,8 +103,11 @@
     )
 
 
-def log_attempt(active: ActiveRequest, verdict: Retry) -> None:
-    """Log an attempt after which the request waits for another grant."""
+def log_attempt(active: ActiveRequest, verdict: Retry, seconds: float) -> None:
+    """Log an attempt after which the request waits for another grant.
+
+    seconds is the time from the grant to the end of the attempt.
+    """
     events.emit(
         "attempt-ended",
         request=active.request_id,
@@ -112,6 +115,8 @@
         reason=verdict.reason,
         may_have_run=verdict.ran,
         runs=active.runs,
+        detail=verdict.detail,
+        seconds=round(seconds, 4),
     )
 
 
--- a/bitterntiller/components/entry/models.py
+++ b/bitterntiller/components/entry/models.py
@@ -116,12 +116,13 @@
     """An attempt after which the request waits for another grant.
 
     ran is False if the attempt certainly did not run, and True if it may have run and
-    the request is repeatable.
+    the request is repeatable. detail is the error of the connection, for the log.
     """
 
     upstream: str
     reason: str
     ran: bool = False
+    detail: str = ""
 
 
 class RelayResult(NamedTuple):
--- a/bitterntiller/components/entry/pipeline.py
+++ b/bitterntiller/components/entry/pipeline.py
@@ -52,6 +52,8 @@
 FAULT = "fault"
 _REASON_BY_STATUS = {408: Reason.SLOW_CALLER, 413: Reason.BODY_TOO_LARGE}
 FINISHED_POLL = 60.0
+NO_QUOTA_LEFT = "no quota is left for another attempt"
+NO_RETRY_LEFT = "no retry is left in the retry budget"
 
 
 class Pipeline:
@@ -193,11 +195,12 @@
             self._claim_client,
             self._may_repeat(active),
         )
+        granted_at = self._context.clock.now()
         verdict = await attempt.async_run(grant)
         # Update the phase before the grant is returned: the owner may issue the next
         # grant immediately, and it would be rejected as stale in the sending phase.
         if isinstance(verdict, Retry) and verdict.upstream:
-            log_attempt(active, verdict)
+            log_attempt(active, verdict, self._context.clock.now() - granted_at)
             if verdict.reason in NOTHING_SENT:
                 # Nothing was sent, so the retry budget is not charged.
                 active.requeue_unsent(verdict.upstream)
@@ -209,8 +212,9 @@
                 active.requeue_not_run(verdict.upstream)
             else:
                 active.requeue_unsent(verdict.upstream)
-            if not await self._async_reserve_repeat(active):
-                return await self._async_refuse_retry(active, grant, verdict)
+            missing = await self._async_reserve_repeat(active)
+            if missing:
+                return await self._async_refuse_retry(active, grant, verdict, missing)
             self._context.metrics.count(const.METRIC_RETRIES)
         await self._async_return_grant(active, grant, verdict)
         return verdict
@@ -219,20 +223,24 @@
         has_retry = self.retries.has_retry_left(active.pool)
         return has_retry and self._admission.has_quota_for_repeat(active)
 
-    async def _async_reserve_repeat(self, active: ActiveRequest) -> bool:
-        """Reserve quota and retry budget for another attempt; False without either."""
-        has_quota = await self._admission.async_hold_repeat(active)
-        return has_quota and self.retries.spend(active.pool)
+    async def _async_reserve_repeat(self, active: ActiveRequest) -> str:
+        """Reserve quota and retry budget for another attempt.
+
+        Return which of them is missing, empty if both were reserved.
+        """
+        if not await self._admission.async_hold_repeat(active):
+            return NO_QUOTA_LEFT
+        return "" if self.retries.spend(active.pool) else NO_RETRY_LEFT
 
     async def _async_refuse_retry(
-        self, active: ActiveRequest, grant: GrantReceived, verdict: Retry
+        self, active: ActiveRequest, grant: GrantReceived, verdict: Retry, missing: str
     ) -> Ending:
         """Return the grant to its owner; return the ending that refuses a retry."""
         self._context.metrics.count(const.METRIC_RETRIES_REFUSED)
         await self._registry.async_return_grant(
             active.request_id, grant, verdict.reason, False
         )
-        return retry_later(Reason.NOT_ADMITTED)
+        return retry_later(Reason.NOT_ADMITTED)._replace(detail=missing)
 
     async def _async_return_grant(
         self, active: ActiveRequest, grant: GrantReceived, verdict: Verdict
