--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -52,6 +52,7 @@
         self.fails = fails
         self.runs: list[float] = []
         self.bodies_by_request: dict[str, bytes] = {}
+        self.requests: list[str] = []
         self._ip = ip
         self._stopped = threading.Event()
         engine = self
@@ -77,6 +78,7 @@
         length = int(handler.headers.get("Content-Length", 0))
         body = handler.rfile.read(length)
         self.runs.append(time.monotonic())
+        self.requests.append(handler.headers["X-Attempt-Id"])
         self.bodies_by_request[handler.headers["X-Attempt-Id"]] = body
         time.sleep(0.05)
         failed = random.random() < self.fails
@@ -117,7 +119,7 @@
 
     def __init__(self, name: str, settings: Path, folder: Path) -> None:
         super().__init__(name, "", [], folder)
-        self._command = [sys.executable, str(ROOT / "platform/start.py")]
+        self.command = [sys.executable, str(ROOT / "platform/start.py")]
         self._environment = {SETTINGS_VARIABLE: str(settings)}
 
 
@@ -152,11 +154,14 @@
             path = self._settings_path(ip)
             path.write_text(self._settings(ip, bootstrap=True))
             self._data_folder(ip).mkdir()
-            process = PlatformProcess(ip, path, self._folder)
+            process = self._process(ip, path)
             self._stack.callback(process.kill)
             process.start()
             self.process_by_ip[ip] = process
 
+    def _process(self, ip: str, settings: Path) -> Process:
+        return PlatformProcess(ip, settings, self._folder)
+
     def configure(self) -> None:
         """Apply the configuration, as soon as a control host accepts it."""
         self.until(
--- a/tests/scenarios/processes.py
+++ b/tests/scenarios/processes.py
@@ -46,7 +46,7 @@
     def __init__(self, name: str, module: str, arguments: list[str], folder: Path):
         self.name = name
         self.log = folder / f"{name}.log"
-        self._command = [sys.executable, "-m", module, *arguments]
+        self.command = [sys.executable, "-m", module, *arguments]
         self._environment: dict[str, str] = {}
         self._popen: subprocess.Popen[bytes] | None = None
 
@@ -61,7 +61,7 @@
         environment = os.environ | {"PYTHONPATH": str(ROOT)} | self._environment
         with self.log.open("ab") as log:
             self._popen = subprocess.Popen(
-                self._command, cwd=ROOT, env=environment, stdout=log, stderr=log
+                self.command, cwd=ROOT, env=environment, stdout=log, stderr=log
             )
 
     def signal(self, number: int) -> None:
