Owner: a failed path of one host is no failure of the upstream

Cause: Health counts failures by upstream. Change: the new part paths knows which host reached which upstream last. A refused connection or a lost response counts against the upstream only if no other host reached it within a second and has not failed since; otherwise that host alone gets no requests for it, for 0.5 s, then 1 s and 2 s. Responses that arrive, whatever their status, show that the path works. Failed before: test_failures_of_one_host_take_no_upstream_from_the_others, for refused connections and for lost responses. An upstream that no host reaches is unhealthy once each host that reached it within a second has failed.

--- a/bitterntiller/components/dispatch/const.py
+++ b/bitterntiller/components/dispatch/const.py
@@ -75,9 +75,16 @@
 REASON_UPSTREAM_PAUSED = "upstream-paused"
 REASON_VERSION_WITHDRAWN = "version-withdrawn"
 OUTCOME_DONE = "done"
+OUTCOME_UNKNOWN = "unknown"
 OUTCOME_REJECTED = "rejected"
 OUTCOME_CALLER_GONE = "caller-gone"
 
+PATH_FAILURES = frozenset(
+    {REASON_REFUSED_CONNECTION, REASON_LOST_ANSWER, OUTCOME_UNKNOWN}
+)
+"""Failures that the path between the entry host and the upstream can be the cause of.
+With any other one, the host got a response."""
+
 LABEL_SHARE = "share"
 LABEL_CONCURRENCY = "concurrency"
 LABEL_RATE = "rate"
--- a/bitterntiller/components/dispatch/describe.py
+++ b/bitterntiller/components/dispatch/describe.py
@@ -29,7 +29,10 @@
         },
         "upstreams_by_name": {
             name: _describe_upstream(upstream, now)
-            | {"paused_seconds_by_host": _pauses(pool, name, now)}
+            | {
+                "paused_seconds_by_host": _pauses(pool, name, now),
+                "unreached_by_host": _unreached(pool, name, now),
+            }
             for name, upstream in pool.upstreams_by_name.items()
         },
     }
@@ -57,5 +60,12 @@
     }
 
 
+def _unreached(pool: Pool, name: str, now: float) -> dict[str, float]:
+    """Return the seconds since the path to an upstream failed last, by host."""
+    return {
+        host: round(now - at, 3) for host, at in pool.paths.unreached_by(name).items()
+    }
+
+
 def _pauses(pool: Pool, name: str, now: float) -> dict[str, float]:
     return {host: round(left, 3) for host, left in pool.pauses.hosts(name, now)}
--- a/bitterntiller/components/dispatch/event_logging.py
+++ b/bitterntiller/components/dispatch/event_logging.py
@@ -10,7 +10,11 @@
     Refused,
 )
 from bitterntiller.components.dispatch.quota_counter import QuotaDecision
-from bitterntiller.components.dispatch.upstream_events import UpstreamEvent
+from bitterntiller.components.dispatch.upstream_events import (
+    PATH_CHANGES,
+    UpstreamChange,
+    UpstreamEvent,
+)
 from bitterntiller.core import events
 
 
@@ -24,6 +28,9 @@
 
 def log_upstream_event(pool: str, event: UpstreamEvent) -> None:
     """Log that an upstream is used from now on or no longer used, and why."""
+    if event.change in PATH_CHANGES:
+        _log_path(pool, event)
+        return
     probe_in = event.probe_in
     events.emit(
         "upstream-use",
@@ -41,6 +48,18 @@
     )
 
 
+def _log_path(pool: str, event: UpstreamEvent) -> None:
+    events.emit(
+        "upstream-path",
+        pool=pool,
+        upstream=event.upstream,
+        entry_host=event.entry_host,
+        reached=event.change is UpstreamChange.PATH_REGAINED,
+        reason=event.reason,
+        in_flight=event.in_flight,
+    )
+
+
 def log_missed_end(pool: str, request_id: str, host: str) -> None:
     """Log that the end of a request at its entry host was not received here."""
     events.emit("end-missed", request=request_id, pool=pool, entry_host=host)
--- a/bitterntiller/components/dispatch/model_updater.py
+++ b/bitterntiller/components/dispatch/model_updater.py
@@ -64,13 +64,14 @@
         # all requests to the upstream.
         if completion.outcome == OUTCOME_CALLER_GONE:
             return
+        host = job.request.entry_host
         if completion.outcome == OUTCOME_REJECTED:
-            self._pool.record_upstream_success(upstream, now)
+            self._pool.record_upstream_success(upstream, host, now)
             return
         if completion.outcome != OUTCOME_DONE:
-            self._pool.record_upstream_failure(job, upstream, completion.outcome, now)
+            self._pool.record_upstream_failure(upstream, host, completion.outcome, now)
             return
-        self._pool.record_upstream_success(upstream, now)
+        self._pool.record_upstream_success(upstream, host, now)
         upstream.last_active_at = now
         self._size_estimator.learn(job, completion)
         # The duration of a call measures the upstream's speed only relative to the
@@ -91,7 +92,9 @@
             upstream.limit.record_rejection(
                 upstream.ledger.in_flight - 1, upstream.state.slots
             )
-        self._pool.record_upstream_failure(job, upstream, reason, now)
+        self._pool.record_upstream_failure(
+            upstream, job.request.entry_host, reason, now
+        )
 
     def _learn_first_output(self, job: Job, upstream: Upstream, now: float) -> None:
         job.first_output_at = now
--- a/bitterntiller/components/dispatch/picker.py
+++ b/bitterntiller/components/dispatch/picker.py
@@ -205,8 +205,8 @@
 
     def _candidates(self, job: Job, view: UpstreamView, now: float) -> list[Upstream]:
         upstreams_by_name = self._pool.upstreams_by_name
-        paused = self._pool.pauses.names(job.request.entry_host, now)
-        excluded = paused.union(job.request.tried)
+        excluded = self._pool.excluded(job.request.entry_host, now)
+        excluded = excluded.union(job.request.tried)
         if len(view.members) <= SCAN_ALL_UP_TO:
             names: Iterable[str] = view.members
         else:
--- a/bitterntiller/components/dispatch/pool.py
+++ b/bitterntiller/components/dispatch/pool.py
@@ -5,6 +5,7 @@
 
 from bitterntiller.components.dispatch.const import (
     KIND_PLAIN,
+    PATH_FAILURES,
     REASON_REFUSED_CONNECTION,
 )
 from bitterntiller.components.dispatch.host_pauses import HostPauses
@@ -26,6 +27,7 @@
     UpstreamView,
     UpstreamViews,
 )
+from bitterntiller.components.paths.path_table import PathTable
 from bitterntiller.components.rollouts.models import ANY_VERSION, VersionRules
 
 RESERVE_SECONDS = 1.0
@@ -46,6 +48,8 @@
     the number of requests that all usable upstreams run at a time. work_rate is the
     mean of expected over measured service time: the work per second that one request
     in flight gets done. mean_service_seconds is the mean measured service time.
+    hosts_to_regroup collects the entry hosts whose waiting requests can use other
+    upstreams than before, until the caller clears it.
     """
 
     def __init__(self, parameters: PolicyParameters) -> None:
@@ -61,6 +65,8 @@
         self.freed: list[Upstream] = []
         self.events = UpstreamEvents()
         self.pauses = HostPauses()
+        self.paths = PathTable()
+        self.hosts_to_regroup: set[str] = set()
         self._ranks: set[int] = set()
         self._above_by_rank: dict[int, float] = {}
         self._parameters = parameters
@@ -152,6 +158,7 @@
             if state.incarnation != known.incarnation:
                 upstream.restart()
                 self.pauses.forget_upstream(upstream.name)
+                self.paths.forget_upstream(upstream.name)
                 self._record_change(upstream, UpstreamChange.RESTARTED, now)
         upstream.state = state
         upstream.last_announced_at = now
@@ -320,6 +327,7 @@
     def housekeep(self, now: float) -> None:
         """Forget long unusable upstreams; refresh and learn from the others."""
         self.pauses.prune(now)
+        self.paths.prune(now)
         for name, upstream in list(self.upstreams_by_name.items()):
             if upstream.can_be_forgotten(now):
                 self.views.update(upstream, False)
@@ -332,21 +340,66 @@
             self.refresh(upstream, now)
 
     def record_upstream_failure(
-        self, job: Job, upstream: Upstream, reason: str, now: float
+        self, upstream: Upstream, host: str, reason: str, now: float
     ) -> None:
-        """Record that a request failed at an upstream; see Health.record_failure."""
+        """Record that a request of a host failed; see Health.record_failure.
+
+        If another host has just reached the upstream, only the path has failed.
+        """
+        if reason not in PATH_FAILURES:
+            self._record_reached(upstream, host, now)
+        elif self._record_failed_path(upstream, host, reason, now):
+            return
         if upstream.health.record_failure(now, reason == REASON_REFUSED_CONNECTION):
             event = upstream.event(UpstreamChange.UNHEALTHY, now)
-            host = job.request.entry_host
             self.events.record(event._replace(entry_host=host, reason=reason))
 
-    def record_upstream_success(self, upstream: Upstream, now: float) -> None:
-        """Record a successful response of an upstream."""
+    def record_upstream_success(
+        self, upstream: Upstream, host: str, now: float
+    ) -> None:
+        """Record a successful response of an upstream to a host."""
+        self._record_reached(upstream, host, now)
         was_unhealthy = upstream.health.unhealthy
         upstream.health.record_success()
         if was_unhealthy:
             self._record_change(upstream, UpstreamChange.HEALTHY, now)
 
+    def excluded(self, host: str, now: float) -> frozenset[str]:
+        """Return the upstreams to which an entry host must not send requests now."""
+        paused = self.pauses.names(host, now)
+        unreached = self.paths.unreached(host, now)
+        return paused.union(unreached) if unreached else paused
+
+    def _record_reached(self, upstream: Upstream, host: str, now: float) -> None:
+        if self.paths.record_reached(host, upstream.name, now):
+            self._record_path_change(upstream, UpstreamChange.PATH_REGAINED, host, now)
+
+    def _record_failed_path(
+        self, upstream: Upstream, host: str, reason: str, now: float
+    ) -> bool:
+        """Record the failure of a path; return whether the upstream is not at fault."""
+        name = upstream.name
+        certain = reason == REASON_REFUSED_CONNECTION
+        if not self.paths.reached_by_another(host, name, now):
+            self.paths.record_failed_upstream(host, name, now)
+            return False
+        if self.paths.record_failed_path(host, name, certain, now):
+            change = UpstreamChange.PATH_LOST
+            self._record_path_change(upstream, change, host, now, reason)
+        return True
+
+    def _record_path_change(
+        self,
+        upstream: Upstream,
+        change: UpstreamChange,
+        host: str,
+        now: float,
+        reason: str | None = None,
+    ) -> None:
+        event = upstream.event(change, now)
+        self.events.record(event._replace(entry_host=host, reason=reason))
+        self.hosts_to_regroup.add(host)
+
     def record_service_time(self, work: float, seconds: float) -> None:
         """Update work_rate and mean_service_seconds with the end of one request."""
         if seconds > 0:
--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -202,6 +202,7 @@
             tried = (*job.request.tried, upstream.name)
             job.request = job.request._replace(tried=tried)
         self._jobs.withdraw(job, now)
+        self._regroup(now)
         if waiting:
             self._requeue(job, now, decisions)
         self._grant_loop.decide(now, decisions)
@@ -236,6 +237,7 @@
         decisions: list[Decision] = []
         self._model_updater.learn_from_completion(job, completion, now)
         self._jobs.withdraw(job, now)
+        self._regroup(now)
         self._grant_loop.decide(now, decisions)
         return decisions
 
@@ -281,12 +283,21 @@
         """
         decisions: list[Decision] = []
         self._pool.apply_notice(update, now)
-        for job in list(self._jobs.by_id.values()):
-            if job.waiting and job.request.entry_host == update.entry_host:
-                self._jobs.regroup(job, lambda job=job: self._set_group_key(job, now))
+        self._pool.hosts_to_regroup.add(update.entry_host)
+        self._regroup(now)
         self._grant_loop.decide(now, decisions)
         return decisions
 
+    def _regroup(self, now: float) -> None:
+        """Regroup waiting requests of hosts whose usable upstreams have changed."""
+        hosts = self._pool.hosts_to_regroup
+        if not hosts:
+            return
+        for job in list(self._jobs.by_id.values()):
+            if job.waiting and job.request.entry_host in hosts:
+                self._jobs.regroup(job, lambda job=job: self._set_group_key(job, now))
+        hosts.clear()
+
     def set_versions(
         self, rules: VersionRules, allowance: CanaryAllowance | None, now: float
     ) -> list[Decision]:
@@ -377,7 +388,7 @@
         request = job.request
         job.group_key = (
             request.upstream_names,
-            self._pool.pauses.names(request.entry_host, now).union(request.tried),
+            self._pool.excluded(request.entry_host, now).union(request.tried),
             job.kind,
             self._isolation.suspect_key(request, now),
         )
--- a/bitterntiller/components/dispatch/upstream_events.py
+++ b/bitterntiller/components/dispatch/upstream_events.py
@@ -15,6 +15,7 @@
     forgotten one is unknown until it is announced again. A limited one states in its
     responses how many requests per second it accepts. A withheld one has a version that
     gets no requests. A paused one wants no requests from one entry host for some time.
+    A lost path means that one entry host does not reach the upstream.
     """
 
     RESTARTED = "restarted"
@@ -28,6 +29,12 @@
     UNLIMITED = "unlimited"
     WITHHELD = "withheld"
     PAUSED = "paused"
+    PATH_LOST = "path-lost"
+    PATH_REGAINED = "path-regained"
+
+
+PATH_CHANGES = frozenset({UpstreamChange.PATH_LOST, UpstreamChange.PATH_REGAINED})
+"""Changes that concern one entry host, not the use of the upstream."""
 
 
 class UpstreamEvent(NamedTuple):
@@ -37,7 +44,7 @@
     the upstream's last output or successful response, and probe_in the time until an
     unhealthy upstream is probed. limit is the rate limit that its responses state, in
     requests per second. entry_host and paused_for are set for a pause; an unhealthy
-    upstream has the entry_host of the last failure and its reason.
+    upstream and a lost path have the entry_host of the last failure and its reason.
     """
 
     upstream: str
--- /dev/null
+++ b/bitterntiller/components/paths/__init__.py
@@ -0,0 +1,1 @@
+"""Which hosts reach which upstreams; decisions only, without I/O."""
--- /dev/null
+++ b/tests/components/dispatch/test_failed_paths.py
@@ -0,0 +1,64 @@
+"""Failed paths between entry hosts and upstreams, which are not failed upstreams."""
+
+import pytest
+
+from bitterntiller.components.dispatch import REGISTERED_PARAMETERS
+from bitterntiller.components.dispatch.models import Decision, Granted
+from bitterntiller.components.dispatch.scheduler import PoolScheduler
+from tests.components.dispatch import builders as build
+
+NOW = 1000.0
+CUT_OFF = "bole-1"
+SOUND = "yeka-1"
+
+
+def pool(*names: str, slots: int = 8) -> PoolScheduler:
+    scheduler = PoolScheduler(REGISTERED_PARAMETERS)
+    for name in names:
+        scheduler.announce(build.upstream(name, slots=slots), NOW)
+    return scheduler
+
+
+def granted(decisions: list[Decision]) -> list[str]:
+    return [item.upstream for item in decisions if isinstance(item, Granted)]
+
+
+def register(
+    scheduler: PoolScheduler, request_id: str, host: str, now: float
+) -> list[str]:
+    request = build.request(request_id, entry_host=host, arrived=now, deadline=now + 30)
+    return granted(scheduler.register(request, now))
+
+
+def serve(scheduler: PoolScheduler, request_id: str, host: str, now: float) -> str:
+    """Serve a request of a host at the upstream that it is granted to."""
+    [name] = register(scheduler, request_id, host, now)
+    scheduler.started(request_id, now)
+    scheduler.finished(build.completion(request_id, name), now + 0.05)
+    return name
+
+
+@pytest.mark.parametrize("reason", ["refused-connection", "lost-answer"])
+def test_failures_of_one_host_take_no_upstream_from_the_others(reason):
+    """One host's failed connections made an upstream unhealthy for all hosts."""
+    scheduler = pool("e1")
+    for number in range(5):
+        now = NOW + 0.4 * number
+        assert serve(scheduler, f"s{number}", SOUND, now) == "e1"
+        for again in range(3):
+            name = f"c{number}-{again}"
+            register(scheduler, name, CUT_OFF, now + 0.1)
+            scheduler.returned(name, reason, False, now + 0.2)
+        assert serve(scheduler, f"t{number}", SOUND, now + 0.3) == "e1"
+
+
+def test_upstream_that_no_host_reaches_is_unhealthy_for_all():
+    """Each host kept trying an upstream that had ended."""
+    scheduler = pool("e1")
+    serve(scheduler, "s", SOUND, NOW)
+    for number, host in enumerate((CUT_OFF, SOUND)):
+        now = NOW + 0.1 + number / 10
+        if register(scheduler, f"c{number}", host, now):
+            scheduler.returned(f"c{number}", "refused-connection", False, now)
+    assert register(scheduler, "other", "lideta-1", NOW + 0.3) == []
+    assert scheduler.describe(NOW + 0.3)["upstreams_by_name"]["e1"]["sick"]
