Entry: charge no retry for a connection that failed

Cause: a failed connection was charged to the retry budget like an attempt that an upstream got. The budget holds back load from upstreams; a failed connection puts none on them. With a host cut off, its budget was empty after some requests. Change: such an attempt counts as one that sent nothing. A request is refused after eight failed connections, so a pool of many dead upstreams doesn't take a caller through all of them.

--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -26,6 +26,7 @@
 from bitterntiller.components.entry.relay import LOST_RESPONSE, Relay
 from bitterntiller.components.entry.send_checks import (
     LEASE_EXPIRED,
+    REFUSED_CONNECTION,
     check_expiry,
     check_notices,
     check_upstream,
@@ -42,7 +43,6 @@
 from bitterntiller.core.outcomes import Ending, Outcome, Reason
 from bitterntiller.protocol import messages
 
-REFUSED_CONNECTION = "refused-connection"
 NOT_ADMITTED = "not-admitted"
 FAILED = "failed"
 _BROKEN_ANSWERS = frozenset({Reason.UPSTREAM_RESET, Reason.UPSTREAM_TIMEOUT})
--- a/bitterntiller/components/entry/const.py
+++ b/bitterntiller/components/entry/const.py
@@ -95,6 +95,10 @@
 loss.
 """
 
+MAX_FAILED_CONNECTIONS = 8
+"""Failed connections after which a request is refused. They are no load on upstreams,
+but each one takes the caller's time."""
+
 MAX_IDLE_CONNECTIONS = 8
 PRUNE_PERIOD = 1.0
 """Idle connections kept to one upstream; seconds between checks for expired ones."""
--- a/bitterntiller/components/entry/models.py
+++ b/bitterntiller/components/entry/models.py
@@ -193,6 +193,7 @@
         self.claim_address = ""
         self.followed_id = ""
         self.runs = 0
+        self.failed_connections = 0
         self.hold: QuotaHold | None = None
         self.charged_runs = 0
         self.stream: EventStream | None = None
--- a/bitterntiller/components/entry/pipeline.py
+++ b/bitterntiller/components/entry/pipeline.py
@@ -42,7 +42,10 @@
 from bitterntiller.components.entry.relay import Relay
 from bitterntiller.components.entry.relay_headers import outcome_of
 from bitterntiller.components.entry.retry_budget import RetryBudget
-from bitterntiller.components.entry.send_checks import NOTHING_SENT
+from bitterntiller.components.entry.send_checks import (
+    NOTHING_SENT,
+    REFUSED_CONNECTION,
+)
 from bitterntiller.components.http.errors import BadRequestError, CallerGoneError
 from bitterntiller.components.http.exchange import Exchange
 from bitterntiller.components.settings.models import Limits
@@ -53,6 +56,7 @@
 _REASON_BY_STATUS = {408: Reason.SLOW_CALLER, 413: Reason.BODY_TOO_LARGE}
 FINISHED_POLL = 60.0
 NO_QUOTA_LEFT = "no quota is left for another attempt"
+NO_CONNECTION = "no upstream could be connected to"
 NO_RETRY_LEFT = "no retry is left in the retry budget"
 
 
@@ -204,14 +208,17 @@
             if verdict.reason in NOTHING_SENT:
                 # Nothing was sent, so the retry budget is not charged.
                 active.requeue_unsent(verdict.upstream)
+                active.failed_connections += verdict.reason == REFUSED_CONNECTION
+                if active.failed_connections >= const.MAX_FAILED_CONNECTIONS:
+                    return await self._async_refuse_retry(
+                        active, grant, verdict, NO_CONNECTION
+                    )
                 await self._async_return_grant(active, grant, verdict)
                 return verdict
             if verdict.ran:
                 active.requeue_after_run(verdict.upstream)
-            elif active.may_have_run:
-                active.requeue_not_run(verdict.upstream)
             else:
-                active.requeue_unsent(verdict.upstream)
+                active.requeue_not_run(verdict.upstream)
             missing = await self._async_reserve_repeat(active)
             if missing:
                 return await self._async_refuse_retry(active, grant, verdict, missing)
--- a/bitterntiller/components/entry/send_checks.py
+++ b/bitterntiller/components/entry/send_checks.py
@@ -10,11 +10,14 @@
 
 GRANT_EXPIRED = "expired"
 LEASE_EXPIRED = "lease"
+REFUSED_CONNECTION = "refused-connection"
 UPSTREAM_LEFT = "upstream-left"
 UPSTREAM_PAUSED = "upstream-paused"
 VERSION_WITHDRAWN = "version-withdrawn"
-NOTHING_SENT = frozenset({UPSTREAM_LEFT, UPSTREAM_PAUSED, VERSION_WITHDRAWN})
-"""Reasons for which an upstream was rejected before anything was sent to it."""
+NOTHING_SENT = frozenset(
+    {REFUSED_CONNECTION, UPSTREAM_LEFT, UPSTREAM_PAUSED, VERSION_WITHDRAWN}
+)
+"""Reasons for which an attempt ended before anything was sent to the upstream."""
 
 
 def check_expiry(
--- a/tests/components/entry/deployment.py
+++ b/tests/components/entry/deployment.py
@@ -43,11 +43,15 @@
 
 
 class OwnerLinks:
-    """Links to an owner that grants each registration while granting is set."""
+    """Links to an owner that grants each registration while granting is set.
+
+    The first grants name the addresses in first, the others that of the upstream.
+    """
 
     def __init__(self, address: str) -> None:
         self.sent: list[tuple[str, Any]] = []
         self.granting = True
+        self.first: list[str] = []
         self.coordinator: Any = None
         self._address = address
 
@@ -65,7 +69,7 @@
             pool="llm",
             epoch=epoch,
             upstream="e1",
-            address=self._address,
+            address=self.first.pop(0) if self.first else self._address,
             upstream_incarnation="1",
             valid_ms=1000,
         )
