A host without a path to an upstream sends through one that has a path

Cause: a request had one way, a connection from the host that its caller came to. Class: a failure of a path is handled as one of its far end. Change: the part tunnels opens a connection through another entry host, which connects to the upstream and passes bytes on; paths knows which paths of this host have failed, since when, and which hosts reached an upstream for it. The entry host stays the only sender, so at most one dispatch holds as before: a tunnel that can't be opened proves that nothing was sent, one that breaks counts like a broken connection. A tunnel is opened at once where the path has failed, and beside a direct connection that isn't established in 0.1 s (0.03 s after another path has failed silently). Kept connections from before a silent failure aren't used. Failed paths are probed each second. At most three hosts are tried; a host connects directly only, so tunnels can't form a loop; a host carries 256 at most. A host that stops opens none and ends when those that it carries have ended. The upstream's bytes have lengths and an end mark, since a killed host closes its connections in order and a truncated response without a length would pass for whole. Ruled out: the body passed to a host that sends under the grant (two senders of one request); a user timeout on connections to upstreams (it would end responses of upstreams that are only silent).

--- a/bitterntiller/components/dispatch/model_updater.py
+++ b/bitterntiller/components/dispatch/model_updater.py
@@ -5,6 +5,7 @@
     OUTCOME_CALLER_GONE,
     OUTCOME_DONE,
     OUTCOME_REJECTED,
+    OUTCOME_UNKNOWN,
     REASON_NOT_ADMITTED,
 )
 from bitterntiller.components.dispatch.jobs import Job
@@ -64,7 +65,10 @@
         # all requests to the upstream.
         if completion.outcome == OUTCOME_CALLER_GONE:
             return
-        host = job.request.entry_host
+        # A broken tunnel says as little about the upstream as about the host between.
+        if completion.relay and completion.outcome == OUTCOME_UNKNOWN:
+            return
+        host = completion.relay or job.request.entry_host
         if completion.outcome == OUTCOME_REJECTED:
             self._pool.record_upstream_success(upstream, host, now)
             return
--- a/bitterntiller/components/dispatch/models.py
+++ b/bitterntiller/components/dispatch/models.py
@@ -180,7 +180,8 @@
     """End of a granted request, as reported by its entry host; times in seconds.
 
     outcome is done, failed, unknown, rejected (the upstream responded completely, with
-    an error that is the request's own fault) or caller-gone.
+    an error that is the request's own fault) or caller-gone. relay is the host through
+    which the request was sent, empty for a direct connection.
     """
 
     request_id: str
@@ -192,6 +193,7 @@
     total: float
     in_time: bool
     load: UpstreamLoad | None = None
+    relay: str = ""
 
 
 class CanaryAllowance(Protocol):
--- a/bitterntiller/components/dispatch/wire.py
+++ b/bitterntiller/components/dispatch/wire.py
@@ -115,6 +115,7 @@
         total=message.total_ms / 1000,
         in_time=message.in_time,
         load=_load(message.load, now),
+        relay=message.relay or "",
     )
 
 
--- a/bitterntiller/components/entry/__init__.py
+++ b/bitterntiller/components/entry/__init__.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from bitterntiller.components import tunnels
 from bitterntiller.components.entry import const
 from bitterntiller.components.entry.claiming import ClaimClient
 from bitterntiller.components.entry.context import Context
@@ -132,10 +133,15 @@
 async def _async_start(
     runtime: Runtime, context: Context, retries: RetryBudget | None
 ) -> EntryCoordinator:
+    connector, tunnel_server = await tunnels.async_setup(
+        runtime, context.directory, context.connections
+    )
+    context = context._replace(relayed_connector=connector)
     claim_client = ClaimClient(context, runtime.incarnation)
     coordinator = EntryCoordinator(
         context, runtime.settings.limits, claim_client, retries
     )
+    coordinator.tunnel_server = tunnel_server
     registry = coordinator.registry
     for cls, handler in (
         (messages.Grant, registry.async_on_grant),
--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -39,6 +39,7 @@
 )
 from bitterntiller.components.http.exchange import Exchange
 from bitterntiller.components.http.models import ResponseHead
+from bitterntiller.components.tunnels.client import Destination
 from bitterntiller.core.interfaces import SentRequest
 from bitterntiller.core.outcomes import Ending, Outcome, Reason
 from bitterntiller.protocol import messages
@@ -76,25 +77,31 @@
         verdict = self._check(grant)
         if verdict is not None:
             return verdict
-        connections = self._context.connections
+        connector = self._context.connector
+        destination = Destination(
+            self._active.request_id, grant.upstream, grant.address
+        )
         try:
-            client = await connections.async_acquire(
-                grant.address, self._timings.upstream_connect
+            connected = await connector.async_acquire(
+                destination, self._timings.upstream_connect
             )
         except ConnectRefusedError as error:
             # No byte was sent without a connection, so the request did not run.
             return Retry(grant.upstream, REFUSED_CONNECTION, detail=error.text)
         reusable = False
+        self._active.relay = connected.relay
         try:
-            verdict = await self._async_claim_and_send(client, grant)
+            verdict = await self._async_claim_and_send(connected.client, grant)
             reusable = isinstance(verdict, RelayResult) and verdict.whole
             reusable = reusable or _has_complete_response(verdict)
+            if _response_broke(verdict) and not connected.relay:
+                await connector.async_check(destination)
             return verdict
         finally:
             if reusable:
-                await connections.async_release(grant.address, client)
+                await connector.async_release(grant.address, connected)
             else:
-                await client.async_close()
+                await connected.client.async_close()
 
     async def _async_claim_and_send(
         self, client: ClientExchange, grant: GrantReceived
@@ -241,7 +248,7 @@
             headers,
             active.prepared.body,
             self._timings.body,
-            close=not self._context.connections.keeps_connections,
+            close=bool(active.relay) or not self._context.connections.keeps_connections,
         )
 
     async def _async_head(
--- a/bitterntiller/components/entry/context.py
+++ b/bitterntiller/components/entry/context.py
@@ -13,6 +13,7 @@
 from bitterntiller.components.entry.response_times import ResponseTimes
 from bitterntiller.components.http.pool import ConnectionPool
 from bitterntiller.components.settings.models import Timings
+from bitterntiller.components.tunnels.connector import Connector, DirectConnector
 from bitterntiller.core.clock import Clock, RuntimeClock
 from bitterntiller.core.interfaces import (
     ConfigView,
@@ -94,3 +95,9 @@
     rate_limits: RateLimitCache = DISABLED_RATE_LIMIT_CACHE
     notices: UpstreamNotices = DISABLED_NOTICES
     versions: VersionsView | None = None
+    relayed_connector: Connector | None = None
+
+    @property
+    def connector(self) -> Connector:
+        """What opens connections to upstreams, directly only if there is no other."""
+        return self.relayed_connector or DirectConnector(self.connections)
--- a/bitterntiller/components/entry/coordinator.py
+++ b/bitterntiller/components/entry/coordinator.py
@@ -20,6 +20,7 @@
 )
 from bitterntiller.components.entry.retry_budget import RetryBudget
 from bitterntiller.components.settings.models import Limits
+from bitterntiller.components.tunnels.server import TunnelServer
 from bitterntiller.core.interfaces import Ownership
 from bitterntiller.protocol import messages
 
@@ -45,6 +46,7 @@
         self._owners_by_pool: dict[str, Ownership | None] = {}
         self._had_lease = True
         self.leaving = False
+        self.tunnel_server: TunnelServer | None = None
         self._claim_client = claim_client
         self._drain_listeners: list[Callable[[], Awaitable[None]]] = []
 
@@ -73,6 +75,8 @@
     def leave(self) -> None:
         """Report not ready from now on, but still serve requests that arrive."""
         self.leaving = True
+        if self.tunnel_server is not None:
+            self.tunnel_server.draining = True
 
     async def async_monitor_owners(self) -> None:
         """Monitor the lease and the owners of pools in use, until cancelled."""
@@ -155,6 +159,7 @@
     async def async_begin_drain(self) -> None:
         """Refuse new requests from now on, and run the drain callbacks."""
         self.pipeline.draining = True
+        self.leave()
         for listener in self._drain_listeners:
             await listener()
 
@@ -173,11 +178,17 @@
         async with curio.ignore_after(self._context.timings.shutdown):
             # A request whose body is incomplete is counted in the budget only. Without
             # this check the host would stop while a caller sends its body.
-            while self.registry.by_id or self.budget.requests_by_workspace():
+            while self._has_work():
                 await curio.sleep(const.DRAIN_POLL)
             await self._async_wait_for_settled_claims()
         return self.unfinished()
 
+    def _has_work(self) -> bool:
+        """Return whether requests or tunnels of other hosts are in progress."""
+        carried = self.tunnel_server.carried if self.tunnel_server is not None else 0
+        admitted = self.budget.requests_by_workspace()
+        return bool(self.registry.by_id or admitted or carried)
+
     async def _async_wait_for_settled_claims(self) -> None:
         """Wait up to SETTLE_WAIT seconds for the last claims to be settled."""
         async with curio.ignore_after(const.SETTLE_WAIT):
--- a/bitterntiller/components/entry/event_logging.py
+++ b/bitterntiller/components/entry/event_logging.py
@@ -68,6 +68,7 @@
         upstream=grant.upstream,
         version=version,
         address=grant.address,
+        relay=active.relay,
         owner=grant.sender,
         run=active.runs,
         workspace=identified.workspace.name,
--- a/bitterntiller/components/entry/models.py
+++ b/bitterntiller/components/entry/models.py
@@ -182,6 +182,7 @@
         self.tried: tuple[str, ...] = ()
         self.upstream = ""
         self.address = ""
+        self.relay = ""
         self.sent_at = 0.0
         self.first_byte_at: float | None = None
         self.output_tokens = 0
--- a/bitterntiller/components/entry/owner_messages.py
+++ b/bitterntiller/components/entry/owner_messages.py
@@ -128,6 +128,7 @@
         total_ms=milliseconds(now - active.sent_at),
         in_time=now <= active.prepared.identified.deadline,
         load=_load(active),
+        relay=active.relay or None,
     )
 
 
--- a/bitterntiller/components/http/pool.py
+++ b/bitterntiller/components/http/pool.py
@@ -31,6 +31,11 @@
         self.opened = 0
         self.reused = 0
 
+    @property
+    def allow_close_delimited(self) -> bool:
+        """Whether a response may end with its connection; see ClientExchange."""
+        return self._allow_close_delimited
+
     @property
     def keeps_connections(self) -> bool:
         """Return whether connections are kept for reuse."""
@@ -41,13 +46,27 @@
 
         The most recently used idle connection comes first, so that surplus ones expire.
         """
+        client = await self.async_take_idle(address)
+        if client is not None:
+            return client
+        return await self.async_open(address, timeout)
+
+    async def async_take_idle(
+        self, address: str, used_since: float = float("-inf")
+    ) -> ClientExchange | None:
+        """Return an idle connection that was in use since a time, None without one."""
         idle = self._idle_by_address.get(address)
         while idle:
             client = idle.pop()
-            if self._usable(client) and client.is_quiet():
+            usable = self._usable(client) and client.idle_since >= used_since
+            if usable and client.is_quiet():
                 self.reused += 1
                 return client
             await client.async_close()
+        return None
+
+    async def async_open(self, address: str, timeout: float) -> ClientExchange:
+        """Return a new connection; raise ConnectRefusedError."""
         self.opened += 1
         return await ClientExchange.async_open(
             address, timeout, self._allow_close_delimited
--- a/bitterntiller/components/links/coordinator.py
+++ b/bitterntiller/components/links/coordinator.py
@@ -19,7 +19,7 @@
 from bitterntiller.components.settings.models import Address
 from bitterntiller.core.clock import Clock
 from bitterntiller.core.errors import BrokenInvariantError
-from bitterntiller.core.interfaces import MessageHandler, Metrics
+from bitterntiller.core.interfaces import MessageHandler, Metrics, StreamHandler
 from bitterntiller.core.listener import Listener
 from bitterntiller.core.runtime import Runtime
 from bitterntiller.core.tcp import async_connect, enable_keepalive
@@ -55,6 +55,7 @@
         self._clock = clock
         self._metrics = metrics
         self._handlers_by_type: dict[type, MessageHandler] = {}
+        self._stream_handlers_by_purpose: dict[str, StreamHandler] = {}
         self._connections_by_address: dict[str, Connection] = {}
         self._attempts_by_address: dict[str, ConnectAttempt] = {}
         self._failed_at_by_address: dict[str, float] = {}
@@ -110,6 +111,27 @@
             return reply
         raise LinkTimeoutError(f"own handler took over {timeout} s")
 
+    def handle_streams(
+        self, purpose: str, handler: StreamHandler
+    ) -> Callable[[], None]:
+        """Register the handler of connections that carry no messages.
+
+        It is awaited with the socket, which is closed afterwards, and the peer. Return
+        a function to remove it.
+        """
+        if purpose in self._stream_handlers_by_purpose:
+            raise BrokenInvariantError(f"two handlers of {purpose} connections")
+        self._stream_handlers_by_purpose[purpose] = handler
+        return lambda: self._stream_handlers_by_purpose.pop(purpose, None)
+
+    async def async_open_stream(self, address: str, purpose: str) -> curio.io.Socket:
+        """Return a new connection to a peer that carries no messages.
+
+        Raise OSError, ValueError or HandshakeError.
+        """
+        sock, _ = await self._async_dial(address, self.own._replace(purpose=purpose))
+        return sock
+
     def connected(self) -> dict[str, str]:
         """Return the names of peers with an open connection, by address."""
         return {
@@ -141,10 +163,22 @@
             self._metrics.count(const.METRIC_WRONG_KEY)
             await _async_send_fault(sock, const.FAULT_UNAUTHORIZED, error.text)
             return
+        if peer.purpose:
+            await self._async_serve_stream(sock, peer)
+            return
         connection = Connection(sock, peer, self._async_incoming, self._metrics)
         await self._async_store(peer.address, connection)
         await self._async_run(connection)
 
+    async def _async_serve_stream(self, sock: curio.io.Socket, peer: Peer) -> None:
+        handler = self._stream_handlers_by_purpose.get(peer.purpose)
+        if handler is None:
+            self._metrics.count(const.METRIC_MALFORMED)
+            text = f"no handler of {peer.purpose!r} connections"
+            await _async_send_fault(sock, const.FAULT_NO_HANDLER, text)
+            return
+        await handler(sock, peer)
+
     async def _async_store(self, address: str, connection: Connection) -> None:
         """Use the connection for sending, unless an open one exists.
 
@@ -212,17 +246,23 @@
         self._running_by_connection[connection] = task
 
     async def _async_open(self, address: str) -> Connection:
+        sock, peer = await self._async_dial(address, self.own)
+        return Connection(sock, peer, self._async_incoming, self._metrics)
+
+    async def _async_dial(
+        self, address: str, own: Peer
+    ) -> tuple[curio.io.Socket, Peer]:
         ip, _, port = address.rpartition(":")
         sock = await async_connect(ip, int(port), const.CONNECT_TIMEOUT)
         try:
             enable_keepalive(sock, const.KEEPALIVE_TIMEOUT)
-            peer = await handshake.async_connect(sock, self._key, self.own, address)
+            peer = await handshake.async_connect(sock, self._key, own, address)
         except BaseException:
             # Failed handshakes would otherwise leak sockets until no file descriptor
             # is left.
             await sock.close()
             raise
-        return Connection(sock, peer, self._async_incoming, self._metrics)
+        return sock, peer
 
     async def _async_incoming(self, connection: Connection, incoming: Incoming) -> None:
         if not incoming.call:
--- a/bitterntiller/components/links/handshake.py
+++ b/bitterntiller/components/links/handshake.py
@@ -24,8 +24,10 @@
 
 def proof(key: bytes, nonce: bytes, peer: Peer) -> bytes:
     """Return the HMAC-SHA256 that proves possession of the key for a peer."""
-    text = f"{peer.host}\n{peer.incarnation}\n{peer.address}".encode()
-    return hmac.digest(key, nonce + text, "sha256")
+    text = f"{peer.host}\n{peer.incarnation}\n{peer.address}"
+    if peer.purpose:
+        text += f"\n{peer.purpose}"
+    return hmac.digest(key, nonce + text.encode(), "sha256")
 
 
 async def _async_read_message(sock: curio.io.Socket, cls: type) -> Any:
@@ -34,10 +36,7 @@
     Read no byte beyond it. The accepting side may send its first messages directly
     after its reply, and bytes of them that were read here would be lost.
     """
-    length = int.from_bytes(await _async_read_exactly(sock, LENGTH_BYTES), "big")
-    if length > MAX_HANDSHAKE_BYTES:
-        raise HandshakeError(f"a frame of {length} bytes")
-    incoming = unpack_stranger(await _async_read_exactly(sock, length))
+    incoming = unpack_stranger(await async_read_frame(sock))
     if isinstance(incoming.message, messages.Fault):
         raise HandshakeError(incoming.message.text)
     if not isinstance(incoming.message, cls):
@@ -45,6 +44,17 @@
     return incoming.message
 
 
+async def async_read_frame(sock: curio.io.Socket) -> bytes:
+    """Return the next frame without its length; raise HandshakeError.
+
+    Read no byte beyond it.
+    """
+    length = int.from_bytes(await _async_read_exactly(sock, LENGTH_BYTES), "big")
+    if length > MAX_HANDSHAKE_BYTES:
+        raise HandshakeError(f"a frame of {length} bytes")
+    return await _async_read_exactly(sock, length)
+
+
 async def _async_read_exactly(sock: curio.io.Socket, size: int) -> bytes:
     parts = bytearray()
     while len(parts) < size:
@@ -62,7 +72,9 @@
             nonce = secrets.token_bytes(NONCE_BYTES)
             await sock.sendall(pack(messages.Challenge(nonce=nonce)))
             hello = await _async_read_message(sock, messages.Hello)
-            peer = Peer(hello.host, hello.incarnation, hello.address)
+            peer = Peer(
+                hello.host, hello.incarnation, hello.address, hello.purpose or ""
+            )
             if not hmac.compare_digest(hello.proof, proof(key, nonce, peer)):
                 raise HandshakeError("wrong key")
             reply = messages.HelloReply(host=own.host, incarnation=own.incarnation)
@@ -84,6 +96,7 @@
                 incarnation=own.incarnation,
                 address=own.address,
                 proof=proof(key, challenge.nonce, own),
+                purpose=own.purpose or None,
             )
             await sock.sendall(pack(hello))
             reply = await _async_read_message(sock, messages.HelloReply)
--- a/bitterntiller/components/links/models.py
+++ b/bitterntiller/components/links/models.py
@@ -4,11 +4,15 @@
 
 
 class Peer(NamedTuple):
-    """The other end of a connection, as proved by the handshake."""
+    """The other end of a connection, as proved by the handshake.
+
+    purpose is empty for a connection that carries messages.
+    """
 
     host: str
     incarnation: str
     address: str
+    purpose: str = ""
 
 
 class Incoming(NamedTuple):
--- a/bitterntiller/components/paths/const.py
+++ b/bitterntiller/components/paths/const.py
@@ -18,3 +18,22 @@
 
 MAX_REACHING_HOSTS = 16
 """Hosts kept for each upstream that reached it last."""
+
+PROBE_PERIOD = 1.0
+MAX_PROBES = 16
+"""Time between two probes of a failed path, and probes that are due at a time."""
+
+UNUSED_SECONDS = 30.0
+"""How long a failed path is probed that no request needs."""
+
+SUSPECT_SECONDS = 5.0
+"""How long after a silent failure older idle connections aren't reused."""
+
+RELAY_MEMORY_SECONDS = 10.0
+"""How long it counts whether another host reached an upstream."""
+
+EXPLORED_FRACTION = 0.1
+"""Fraction of tunnels that are tried through a host that wasn't tried yet."""
+
+MAX_KEPT_PATHS = 4096
+"""Failed paths, and results of other hosts, that a host keeps."""
--- /dev/null
+++ b/bitterntiller/components/paths/host_paths.py
@@ -0,0 +1,176 @@
+"""Which upstreams this host reaches, and which other hosts reached them for it."""
+
+import random
+from collections.abc import Iterable, Iterator
+from typing import NamedTuple
+
+from bitterntiller.components.paths.const import (
+    EXPLORED_FRACTION,
+    MAX_KEPT_PATHS,
+    MAX_PROBES,
+    PROBE_PERIOD,
+    RELAY_MEMORY_SECONDS,
+    SUSPECT_SECONDS,
+    UNUSED_SECONDS,
+)
+
+REACHED = 0
+UNTRIED = 1
+FAILED = 2
+"""Ranks of hosts to send through; a lower one comes first."""
+
+
+class FailedPath(NamedTuple):
+    """A path that has failed and was not seen to work since; times in seconds.
+
+    silent is set if connections hang, false if they are refused.
+    """
+
+    upstream: str
+    failed_at: float
+    silent: bool
+    used_at: float
+    probe_at: float
+
+
+class RelayCandidate(NamedTuple):
+    """A host that may reach an upstream for this one; address is its internal one."""
+
+    name: str
+    address: str
+    zone: str
+
+
+class HostPaths:
+    """The failed paths of this host by upstream address; working ones aren't kept.
+
+    A path counts as failed from a failed connection until a direct one succeeds.
+    """
+
+    def __init__(self, zone: str, rng: random.Random | None = None) -> None:
+        self._zone = zone
+        self._rng = rng or random.Random()
+        self._failed_by_address: dict[str, FailedPath] = {}
+        self._silent_at = float("-inf")
+        self._relay_results: dict[tuple[str, str], tuple[bool, float]] = {}
+
+    def is_failed(self, address: str) -> bool:
+        """Return whether this host does not reach an upstream."""
+        return address in self._failed_by_address
+
+    def record_use(self, address: str, now: float) -> None:
+        """Record that a request needs a failed path, which keeps it probed."""
+        known = self._failed_by_address.get(address)
+        if known is not None:
+            self._failed_by_address[address] = known._replace(used_at=now)
+
+    def record_reached(self, address: str) -> bool:
+        """Record a successful connection; return whether the path had failed.
+
+        The other failed paths are probed at once, since they may work as well.
+        """
+        if self._failed_by_address.pop(address, None) is None:
+            return False
+        for other, path in self._failed_by_address.items():
+            self._failed_by_address[other] = path._replace(probe_at=0.0)
+        return True
+
+    def record_failed(
+        self, address: str, upstream: str, silent: bool, now: float
+    ) -> bool:
+        """Record a failed connection; return whether the path counted as working."""
+        if silent:
+            self._silent_at = now
+        known = self._failed_by_address.get(address)
+        if known is not None:
+            self._failed_by_address[address] = known._replace(silent=silent)
+            return False
+        probe_at = now + PROBE_PERIOD
+        self._failed_by_address[address] = FailedPath(
+            upstream, now, silent, now, probe_at
+        )
+        while len(self._failed_by_address) > MAX_KEPT_PATHS:
+            del self._failed_by_address[next(iter(self._failed_by_address))]
+        return True
+
+    def trusted_since(self, now: float) -> float:
+        """Return since when an idle connection must have been in use to be reused.
+
+        After a silent failure, older ones may be as silent.
+        """
+        if now - self._silent_at > SUSPECT_SECONDS:
+            return float("-inf")
+        return self._silent_at
+
+    def is_suspect(self, now: float) -> bool:
+        """Return whether a path of this host has failed silently a short time ago."""
+        return now - self._silent_at <= SUSPECT_SECONDS
+
+    def due_probes(self, now: float) -> list[tuple[str, str]]:
+        """Return the address and upstream of failed paths to probe now.
+
+        Drop the paths that no request needed for UNUSED_SECONDS.
+        """
+        due: list[tuple[str, str]] = []
+        for address, path in list(self._failed_by_address.items()):
+            if now - path.used_at > UNUSED_SECONDS:
+                del self._failed_by_address[address]
+            elif now >= path.probe_at and len(due) < MAX_PROBES:
+                again = path._replace(probe_at=now + PROBE_PERIOD)
+                self._failed_by_address[address] = again
+                due.append((address, path.upstream))
+        return due
+
+    def record_relay(self, address: str, relay: str, reached: bool, now: float) -> None:
+        """Record whether another host reached an upstream for this one."""
+        for key in ((address, relay), ("", relay)):
+            self._relay_results.pop(key, None)
+            self._relay_results[key] = (reached, now)
+        while len(self._relay_results) > MAX_KEPT_PATHS:
+            del self._relay_results[next(iter(self._relay_results))]
+
+    def rank_relays(
+        self, address: str, candidates: Iterable[RelayCandidate], now: float
+    ) -> list[RelayCandidate]:
+        """Return the candidates, the one most likely to reach an upstream first.
+
+        Hosts that reached it a short time ago come first and those that failed last;
+        other zones come before this one, in which paths may have failed together. Now
+        and then one that wasn't tried comes first, so that a single host doesn't carry
+        all requests of this one.
+        """
+        exploring = self._rng.random() < EXPLORED_FRACTION
+
+        def rank(candidate: RelayCandidate) -> tuple[int, int, bool, float]:
+            known = self._relay_rank(address, candidate.name, now)
+            return (
+                -1 if exploring and known == UNTRIED else known,
+                self._relay_rank("", candidate.name, now),
+                candidate.zone == self._zone,
+                self._rng.random(),
+            )
+
+        return sorted(candidates, key=rank)
+
+    def describe(self, now: float) -> dict[str, dict[str, object]]:
+        """Return the failed paths by upstream address, for the state dump."""
+        return {
+            address: {
+                "upstream": path.upstream,
+                "failed_seconds": round(now - path.failed_at, 3),
+                "silent": path.silent,
+                "reached_through": list(self._reached_through(address, now)),
+            }
+            for address, path in self._failed_by_address.items()
+        }
+
+    def _reached_through(self, address: str, now: float) -> Iterator[str]:
+        for (known, relay), (reached, at) in self._relay_results.items():
+            if known == address and reached and now - at <= RELAY_MEMORY_SECONDS:
+                yield relay
+
+    def _relay_rank(self, address: str, relay: str, now: float) -> int:
+        result = self._relay_results.get((address, relay))
+        if result is None or now - result[1] > RELAY_MEMORY_SECONDS:
+            return UNTRIED
+        return REACHED if result[0] else FAILED
--- /dev/null
+++ b/bitterntiller/components/tunnels/const.py
@@ -0,0 +1,48 @@
+"""Constants of tunnels; times in seconds."""
+
+PURPOSE = "tunnel"
+LENGTH_BYTES = 4
+READ_BYTES = 16 * 1024
+MAX_PART_BYTES = 64 * 1024
+
+MAX_TUNNELS = 256
+"""Tunnels that a host carries for others. Each takes two connections and two buffers of
+READ_BYTES."""
+
+REQUEST_TIMEOUT = 1.0
+"""Time within which a peer must say where its tunnel leads."""
+
+MAX_CONNECT_SECONDS = 1.0
+KEEPALIVE_SECONDS = 4
+
+RELAY_CONNECT_SECONDS = 0.3
+"""Time that another host gets to connect to an upstream."""
+
+OPEN_SECONDS = 0.8
+"""Time within which a tunnel must be open, with the connection to its host."""
+
+MAX_RELAYS = 3
+"""Hosts that are tried for one attempt of a request."""
+
+HEDGE_SECONDS = 0.1
+SUSPECT_HEDGE_SECONDS = 0.03
+"""Time after which a second way is tried beside a connection that isn't established;
+the second one after a path of this host has failed silently."""
+
+PROBE_CHECK_SECONDS = 0.25
+"""Time between checks for failed paths whose probe is due."""
+
+PROBE_SECONDS = 0.3
+"""Time that a probe may take to connect."""
+
+STATUS_OK = "ok"
+STATUS_REFUSED = "refused"
+STATUS_UNREACHABLE = "unreachable"
+STATUS_BUSY = "busy"
+STATUS_STOPPING = "stopping"
+STATUS_INVALID = "invalid"
+
+METRIC_OPENED = "tunnels.opened"
+METRIC_FAILED = "tunnels.failed"
+METRIC_CARRIED = "tunnels.carried"
+METRIC_REJECTED = "tunnels.rejected"
--- /dev/null
+++ b/bitterntiller/components/tunnels/event_logging.py
@@ -0,0 +1,32 @@
+"""Log events of ways to upstreams."""
+
+from bitterntiller.components.tunnels.client import Destination
+from bitterntiller.core import events
+
+
+def log_tunnel(
+    destination: Destination, relay: str, status: str, detail: str, seconds: float
+) -> None:
+    """Log whether a tunnel through another host was opened for a request."""
+    events.emit(
+        "tunnel",
+        request=destination.request_id,
+        upstream=destination.upstream,
+        address=destination.address,
+        relay=relay,
+        status=status,
+        detail=detail,
+        seconds=round(seconds, 4),
+    )
+
+
+def log_path(destination: Destination, reached: bool, detail: str) -> None:
+    """Log that this host lost or regained its path to an upstream."""
+    events.emit(
+        "path",
+        request=destination.request_id,
+        upstream=destination.upstream,
+        address=destination.address,
+        reached=reached,
+        detail=detail,
+    )
--- /dev/null
+++ b/bitterntiller/components/tunnels/server.py
@@ -0,0 +1,170 @@
+"""Carry the tunnels of other hosts to upstreams."""
+
+from typing import Any, NamedTuple
+
+import curio
+
+from bitterntiller.components.links.errors import HandshakeError
+from bitterntiller.components.links.frames import pack, unpack
+from bitterntiller.components.links.handshake import async_read_frame
+from bitterntiller.components.links.models import Peer
+from bitterntiller.components.paths.host_paths import HostPaths
+from bitterntiller.components.tunnels import const
+from bitterntiller.components.tunnels.stream import END, pack_part
+from bitterntiller.core import events
+from bitterntiller.core.clock import Clock
+from bitterntiller.core.interfaces import Metrics
+from bitterntiller.core.tcp import async_connect, enable_keepalive
+from bitterntiller.protocol import MalformedMessageError, messages
+
+
+class _Opened(NamedTuple):
+    """The connection to an upstream, None with the status why there is none."""
+
+    status: str
+    text: str = ""
+    sock: Any = None
+
+
+class TunnelServer:
+    """Connects the tunnels of other hosts to upstreams, directly only.
+
+    A tunnel never leads through a further host, so tunnels can't form a loop. carried
+    is the number of tunnels in progress; none is added while draining is set.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        metrics: Metrics,
+        paths: HostPaths,
+        max_tunnels: int = const.MAX_TUNNELS,
+    ) -> None:
+        self.carried = 0
+        self.draining = False
+        self._clock = clock
+        self._metrics = metrics
+        self._paths = paths
+        self._max_tunnels = max_tunnels
+
+    async def async_serve(self, sock: Any, peer: Peer) -> None:
+        """Serve one tunnel until either end closes it."""
+        request = await self._async_request(sock)
+        if request is None:
+            self._metrics.count(const.METRIC_REJECTED)
+            return
+        refusal = self._refusal(request)
+        if refusal is not None:
+            await self._async_reply(sock, peer, request, refusal)
+            return
+        self.carried += 1
+        try:
+            opened = await self._async_connect(request)
+            try:
+                if await self._async_reply(sock, peer, request, opened):
+                    await self._async_carry(sock, opened.sock, peer, request)
+            finally:
+                if opened.sock is not None:
+                    await opened.sock.close()
+        finally:
+            self.carried -= 1
+
+    def describe(self) -> dict[str, object]:
+        """Return the state of the server for the state dump."""
+        return {"carried": self.carried, "draining": self.draining}
+
+    async def _async_request(self, sock: Any) -> Any:
+        """Return the messages.OpenTunnel of a peer, None if it sends something else."""
+        try:
+            async with curio.timeout_after(const.REQUEST_TIMEOUT):
+                request = unpack(await async_read_frame(sock)).message
+        except (curio.TaskTimeout, OSError, HandshakeError, MalformedMessageError):
+            return None
+        return request if isinstance(request, messages.OpenTunnel) else None
+
+    def _refusal(self, request: Any) -> _Opened | None:
+        if self.draining:
+            return _Opened(const.STATUS_STOPPING, "the host is stopping")
+        if self.carried >= self._max_tunnels:
+            text = f"the host carries {self.carried} tunnels"
+            return _Opened(const.STATUS_BUSY, text)
+        if self._paths.is_failed(request.address):
+            self._paths.record_use(request.address, self._clock.now())
+            text = f"{request.address} is not reached from here"
+            return _Opened(const.STATUS_UNREACHABLE, text)
+        return None
+
+    async def _async_connect(self, request: Any) -> _Opened:
+        address = request.address
+        ip, _, port = address.rpartition(":")
+        timeout = min(max(request.connect_ms, 1) / 1000, const.MAX_CONNECT_SECONDS)
+        try:
+            sock = await async_connect(ip, int(port), timeout)
+        except (ValueError, OverflowError) as error:
+            return _Opened(const.STATUS_INVALID, f"{address}: {error!r}")
+        except OSError as error:
+            now = self._clock.now()
+            refused = isinstance(error, ConnectionRefusedError)
+            self._paths.record_failed(address, request.upstream, not refused, now)
+            status = const.STATUS_REFUSED if refused else const.STATUS_UNREACHABLE
+            return _Opened(status, f"{address}: {error!r}")
+        enable_keepalive(sock, const.KEEPALIVE_SECONDS)
+        return _Opened(const.STATUS_OK, "", sock)
+
+    async def _async_reply(
+        self, sock: Any, peer: Peer, request: Any, opened: _Opened
+    ) -> bool:
+        """Send the reply; return whether the tunnel is open."""
+        is_open = opened.status == const.STATUS_OK
+        self._metrics.count(const.METRIC_CARRIED if is_open else const.METRIC_REJECTED)
+        events.emit(
+            "tunnel-asked",
+            request=request.request_id,
+            entry_host=peer.host,
+            upstream=request.upstream,
+            address=request.address,
+            status=opened.status,
+            detail=opened.text,
+            carried=self.carried,
+        )
+        reply = messages.OpenTunnelReply(status=opened.status, text=opened.text)
+        try:
+            await sock.sendall(pack(reply))
+        except OSError:
+            return False
+        return is_open
+
+    async def _async_carry(
+        self, sock: Any, upstream: Any, peer: Peer, request: Any
+    ) -> None:
+        """Pass bytes on in both directions until one of them ends."""
+        began = self._clock.now()
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(_async_pass_to_upstream, sock, upstream)
+            down = await group.spawn(_async_pass_to_host, upstream, sock)
+        events.emit(
+            "tunnel-ended",
+            request=request.request_id,
+            entry_host=peer.host,
+            upstream=request.upstream,
+            by_upstream=group.completed is down,
+            seconds=round(self._clock.now() - began, 4),
+        )
+
+
+async def _async_pass_to_upstream(sock: Any, upstream: Any) -> None:
+    try:
+        while data := await sock.recv(const.READ_BYTES):
+            await upstream.sendall(data)
+    except OSError:
+        return
+
+
+async def _async_pass_to_host(upstream: Any, sock: Any) -> None:
+    """Pass the upstream's bytes on, and their orderly end if there is one."""
+    try:
+        while data := await upstream.recv(const.READ_BYTES):
+            await sock.sendall(pack_part(data))
+        await sock.sendall(END)
+    except OSError:
+        return
--- /dev/null
+++ b/bitterntiller/components/tunnels/stream.py
@@ -0,0 +1,76 @@
+"""The bytes in a tunnel.
+
+Those of the upstream are sent in parts with their length, and a part of length 0 at
+their orderly end. A host that dies closes its connections in order: without that part,
+a response that ends with its connection would seem complete.
+"""
+
+from contextlib import AbstractContextManager
+from typing import Any
+
+from bitterntiller.components.tunnels.const import (
+    LENGTH_BYTES,
+    MAX_PART_BYTES,
+    READ_BYTES,
+)
+
+END = bytes(LENGTH_BYTES)
+
+
+def pack_part(data: bytes) -> bytes:
+    """Return a part with its length."""
+    return len(data).to_bytes(LENGTH_BYTES, "big") + data
+
+
+class TunnelSocket:
+    """The sending end of a tunnel, used like the socket of a direct connection."""
+
+    def __init__(self, sock: Any) -> None:
+        self._sock = sock
+        self._buffer = bytearray()
+        self._left = 0
+        self._ended = False
+
+    async def sendall(self, data: bytes) -> None:
+        """Send bytes to the upstream; raise OSError."""
+        await self._sock.sendall(data)
+
+    async def recv(self, size: int) -> bytes:
+        """Return bytes of the upstream, none after their orderly end.
+
+        Raise OSError if the tunnel breaks before.
+        """
+        while True:
+            if self._ended:
+                return b""
+            if self._left and self._buffer:
+                data = bytes(self._buffer[: min(size, self._left)])
+                del self._buffer[: len(data)]
+                self._left -= len(data)
+                return data
+            if not self._left and len(self._buffer) >= LENGTH_BYTES:
+                self._read_length()
+                continue
+            received = await self._sock.recv(READ_BYTES)
+            if not received:
+                raise ConnectionResetError("the tunnel broke")
+            self._buffer += received
+
+    def _read_length(self) -> None:
+        self._left = int.from_bytes(self._buffer[:LENGTH_BYTES], "big")
+        del self._buffer[:LENGTH_BYTES]
+        if self._left > MAX_PART_BYTES:
+            raise ConnectionResetError(f"a part of {self._left} bytes in a tunnel")
+        self._ended = not self._left
+
+    def blocking(self) -> AbstractContextManager[Any]:
+        """Return the system's socket for a time, see curio.io.Socket.blocking."""
+        return self._sock.blocking()
+
+    async def shutdown(self, how: int) -> None:
+        """Shut down one or both directions; raise OSError."""
+        await self._sock.shutdown(how)
+
+    async def close(self) -> None:
+        """Close the tunnel, and with it the connection to the upstream."""
+        await self._sock.close()
--- a/bitterntiller/core/interfaces.py
+++ b/bitterntiller/core/interfaces.py
@@ -7,6 +7,10 @@
 """Receives the name of the sending host and a message; may return a reply."""
 
 
+StreamHandler = Callable[[Any, Any], Awaitable[None]]
+"""Receives the socket and the peer of a connection that carries no messages."""
+
+
 class Links(Protocol):
     """Messages to other hosts, and to this host without a socket."""
 
@@ -18,6 +22,22 @@
         """Register a callback that is awaited when a connection to a peer ends."""
         ...
 
+    def handle_streams(
+        self, purpose: str, handler: StreamHandler
+    ) -> Callable[[], None]:
+        """Register the handler of connections that carry no messages.
+
+        The socket is closed after it. Return a function to remove it.
+        """
+        ...
+
+    async def async_open_stream(self, address: str, purpose: str) -> Any:
+        """Return a new connection to a peer that carries no messages.
+
+        Raise OSError, ValueError or links.errors.HandshakeError.
+        """
+        ...
+
     async def async_send(self, address: str, message: Any) -> bool:
         """Send without a reply; return False if it was certainly not sent."""
         ...
@@ -180,6 +200,11 @@
         """The roles of its process."""
         ...
 
+    @property
+    def zone(self) -> str:
+        """The availability zone."""
+        ...
+
 
 class DirectoryView(Protocol):
     """The hosts and the pool owners, as last received from control."""
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -16,6 +16,7 @@
 
 enum MessageKind {
     HELLO = 1, CHALLENGE = 2, HELLO_REPLY = 3, FAULT = 4, LINK_PING = 5, LINK_PONG = 6,
+    OPEN_TUNNEL = 7, OPEN_TUNNEL_REPLY = 8,
     REGISTER = 10, GRANT = 11, REFUSAL = 12, CANCEL = 13, STARTED = 14,
     PROGRESS = 15, FINISHED = 16, RETURNED = 17, REREGISTER = 18, LIVE = 19,
     ANNOUNCE = 20, ANNOUNCE_REPLY = 21, ENTRY_REPORT = 22, ENTRY_REPORT_REPLY = 23,
@@ -44,6 +45,7 @@
     2: required string incarnation,   // new at each start of the process
     3: required binary proof,         // HMAC-SHA256 of the nonce, host, incarnation, address
     4: required string address,       // the internal address where peers connect to it
+    5: optional string purpose,       // what the connection carries if not messages; proved too
 }
 
 struct HelloReply { 1: required string host, 2: required string incarnation }
@@ -55,6 +57,25 @@
 
 struct LinkPong { 1: required bool unused }
 
+/* ---- tunnels: a connection through another host to an upstream ---- */
+
+/*
+ * The first message on a connection with the purpose tunnel. After a reply with status
+ * ok, the sender's bytes are passed on as they are, and those of the upstream in parts
+ * with a length of four bytes; a length of 0 is the orderly end of the upstream's bytes.
+ */
+struct OpenTunnel {
+    1: required string request_id,
+    2: required string upstream,
+    3: required string address,       // of the upstream, IP:port
+    4: required i32 connect_ms,       // how long the receiver may take to connect
+}
+
+struct OpenTunnelReply {
+    1: required string status,        // ok, refused, unreachable, busy, stopping, invalid
+    2: required string text,
+}
+
 /* ---- entry host to pool owner, and back ---- */
 
 struct Load {
@@ -124,6 +145,7 @@
     8: required i32 total_ms,
     9: required bool in_time,
     10: optional Load load,              // load reported in the upstream's response
+    11: optional string relay,           // host through which the request was sent
 }
 
 /*
--- /dev/null
+++ b/tests/components/paths/test_host_paths.py
@@ -0,0 +1,135 @@
+"""What a host knows of its own paths and of the hosts it sends through."""
+
+import random
+
+import pytest
+
+from bitterntiller.components.paths.const import (
+    MAX_KEPT_PATHS,
+    MAX_PROBES,
+    PROBE_PERIOD,
+    RELAY_MEMORY_SECONDS,
+    SUSPECT_SECONDS,
+    UNUSED_SECONDS,
+)
+from bitterntiller.components.paths.host_paths import HostPaths, RelayCandidate
+
+NOW = 1000.0
+
+
+def paths(seed: int = 1) -> HostPaths:
+    return HostPaths("bole", random.Random(seed))
+
+
+def candidates(*names: str, zone: str = "yeka") -> list[RelayCandidate]:
+    return [RelayCandidate(name, f"{name}:1", zone) for name in names]
+
+
+def test_failed_path_is_probed_each_second_until_it_works():
+    known = paths()
+    assert known.record_failed("e1:1", "e1", True, NOW)
+    assert not known.record_failed("e1:1", "e1", True, NOW + 0.1)
+    assert known.due_probes(NOW + 0.5) == []
+    assert known.due_probes(NOW + PROBE_PERIOD) == [("e1:1", "e1")]
+    assert known.due_probes(NOW + PROBE_PERIOD + 0.5) == []
+    assert known.record_reached("e1:1")
+    assert not known.record_reached("e1:1")
+    assert not known.is_failed("e1:1")
+
+
+def test_path_that_no_request_needs_is_dropped():
+    """A host probed an upstream that had ended for ever."""
+    known = paths()
+    known.record_failed("e1:1", "e1", False, NOW)
+    known.record_failed("e2:1", "e2", False, NOW)
+    known.record_use("e2:1", NOW + 20)
+    assert known.due_probes(NOW + UNUSED_SECONDS + 1) == [("e2:1", "e2")]
+    assert not known.is_failed("e1:1")
+
+
+def test_one_regained_path_lets_the_others_be_probed_at_once():
+    known = paths()
+    for number in range(3):
+        known.record_failed(f"e{number}:1", f"e{number}", True, NOW)
+    known.record_reached("e0:1")
+    assert len(known.due_probes(NOW + 0.1)) == 2
+
+
+def test_probes_and_state_are_bounded_at_many_upstreams():
+    known = paths()
+    for number in range(2 * MAX_KEPT_PATHS):
+        known.record_failed(f"e{number}:1", f"e{number}", True, NOW)
+        known.record_relay(f"e{number}:1", "b", True, NOW)
+    assert len(known.due_probes(NOW + PROBE_PERIOD)) == MAX_PROBES
+    assert len(known.describe(NOW)) == MAX_KEPT_PATHS
+    assert len(known._relay_results) == MAX_KEPT_PATHS
+
+
+def test_idle_connections_from_before_a_silent_failure_are_not_trusted():
+    """Requests were sent over kept connections that carried nothing any more."""
+    known = paths()
+    assert known.trusted_since(NOW) == float("-inf")
+    known.record_failed("e1:1", "e1", False, NOW)
+    assert known.trusted_since(NOW) == float("-inf")
+    known.record_failed("e2:1", "e2", True, NOW)
+    assert known.trusted_since(NOW + 1) == NOW
+    assert known.trusted_since(NOW + SUSPECT_SECONDS + 1) == float("-inf")
+
+
+def test_hosts_that_reached_an_upstream_come_first_and_those_that_failed_last():
+    known = paths()
+    known.record_relay("e1:1", "c", True, NOW)
+    known.record_relay("e1:1", "d", False, NOW)
+    hosts = candidates("b", "c", "d")
+    firsts = [known.rank_relays("e1:1", hosts, NOW)[0].name for _ in range(100)]
+    lasts = {known.rank_relays("e1:1", hosts, NOW)[-1].name for _ in range(100)}
+    assert firsts.count("c") > 80
+    assert lasts == {"d"}
+    later = NOW + RELAY_MEMORY_SECONDS + 1
+    orders = {known.rank_relays("e1:1", hosts, later)[0].name for _ in range(100)}
+    assert orders == {"b", "c", "d"}
+
+
+def test_failures_for_other_upstreams_count_where_nothing_else_is_known():
+    known = paths()
+    known.record_relay("e1:1", "c", True, NOW)
+    known.record_relay("e1:1", "d", False, NOW)
+    order = [item.name for item in known.rank_relays("e2:1", candidates("c", "d"), NOW)]
+    assert order == ["c", "d"]
+
+
+def test_hosts_of_other_zones_are_tried_first():
+    known = paths()
+    hosts = candidates("b", "c", zone="bole") + candidates("d")
+    for _ in range(20):
+        assert known.rank_relays("e1:1", hosts, NOW)[0].name == "d"
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_paths_that_come_and_go_are_known_within_a_probe(seed):
+    """A host went through another one although its path worked again."""
+    draw = random.Random(seed)
+    known = paths(seed)
+    works = dict.fromkeys((f"e{number}:1" for number in range(6)), True)
+    since = dict.fromkeys(works, NOW)
+    now = NOW
+    for _ in range(2000):
+        now += draw.random() * 0.2
+        address = draw.choice(list(works))
+        if draw.random() < 0.1:
+            works[address] = not works[address]
+            since[address] = now
+        elif known.is_failed(address):
+            known.record_use(address, now)
+        elif works[address]:
+            known.record_reached(address)
+        else:
+            known.record_failed(address, address[:2], draw.random() < 0.5, now)
+        for due, upstream in known.due_probes(now):
+            if works[due]:
+                known.record_reached(due)
+            else:
+                known.record_failed(due, upstream, True, now)
+        for each, working in works.items():
+            if working and now - since[each] > PROBE_PERIOD + 0.2:
+                assert not known.is_failed(each)
--- /dev/null
+++ b/tests/components/tunnels/test_stream.py
@@ -0,0 +1,45 @@
+"""The bytes in a tunnel, cut anywhere."""
+
+import curio
+import pytest
+
+from bitterntiller.components.tunnels.const import MAX_PART_BYTES
+from bitterntiller.components.tunnels.stream import END, TunnelSocket, pack_part
+
+
+class Received:
+    """A socket that delivers bytes in pieces and then its end."""
+
+    def __init__(self, data: bytes, size: int) -> None:
+        self._pieces = [data[at : at + size] for at in range(0, len(data), size)]
+
+    async def recv(self, size: int) -> bytes:
+        return self._pieces.pop(0) if self._pieces else b""
+
+
+async def async_read(data: bytes, size: int, wanted: int = 100) -> bytes:
+    sock = TunnelSocket(Received(data, size))
+    found = b""
+    while part := await sock.recv(wanted):
+        found += part
+    return found
+
+
+@pytest.mark.parametrize("size", range(1, 20))
+@pytest.mark.parametrize("wanted", [1, 3, 100])
+def test_bytes_arrive_in_order_however_they_are_cut(size, wanted):
+    data = pack_part(b"first") + pack_part(b"second part") + END
+    assert curio.run(async_read, data, size, wanted) == b"firstsecond part"
+
+
+@pytest.mark.parametrize("size", range(len(pack_part(b"first") + END)))
+def test_tunnel_that_ends_without_its_end_is_broken(size):
+    data = (pack_part(b"first") + END)[:size]
+    with pytest.raises(ConnectionResetError):
+        curio.run(async_read, data, 7)
+
+
+def test_length_over_the_limit_breaks_the_tunnel():
+    data = (MAX_PART_BYTES + 1).to_bytes(4, "big")
+    with pytest.raises(ConnectionResetError):
+        curio.run(async_read, data, 4)
