Crashes: an upstream has ended only if another host is refused as well

Cause: two refused connections of the host whose response broke proved that the upstream had ended. A host whose connections are refused by a cut counted a crash for each request whose response it had lost; three of them quarantine the request for 5 s, then 120 s. Change: other entry hosts are asked to connect through the tunnels' protocol; the crash counts if one of them is refused and none is connected. A host that knows its own path as failed says whether it was refused or silent. Failed before: on the code before, a host alone with a refused connection recorded a crash whatever other hosts reach (counts {'a': 1}); now test_refusal_that_no_other_host_confirms_is_not_a_crash and test_refusal_is_confirmed_only_if_no_other_host_is_connected.

--- a/bitterntiller/components/crashes/coordinator.py
+++ b/bitterntiller/components/crashes/coordinator.py
@@ -26,6 +26,7 @@
 from bitterntiller.components.links.errors import LinkError
 from bitterntiller.core.interfaces import (
     ConfigView,
+    ConfirmRefusal,
     DirectoryView,
     Ownership,
     SentRequest,
@@ -79,13 +80,15 @@
         """Return the crashes of each request by its fingerprint."""
         return describe(self.history, self._clock.now())
 
-    async def async_check_crash(self, sent: SentRequest, retrying: bool) -> None:
+    async def async_check_crash(
+        self, sent: SentRequest, retrying: bool, confirm: ConfirmRefusal
+    ) -> None:
         """Probe whether an upstream has ended under a request.
 
         Wait for the result only if the request is to be retried and one more crash
         would quarantine it.
         """
-        task = await curio.spawn(self._async_probe, sent, daemon=True)
+        task = await curio.spawn(self._async_probe, sent, confirm, daemon=True)
         count = self.count(sent.fingerprint, self._clock.now())
         if retrying and count >= const.QUARANTINE_THRESHOLD - 1:
             await task.join()
@@ -132,9 +135,11 @@
             async with curio.ignore_after(pause):
                 await self._sync_needed.wait()
 
-    async def _async_probe(self, sent: SentRequest) -> None:
+    async def _async_probe(self, sent: SentRequest, confirm: ConfirmRefusal) -> None:
         at = self._clock.now()
-        ended = await async_has_ended(sent.address)
+        # Refused connections may also be due to the path between this host and the
+        # upstream; three innocent requests would be quarantined by its loss.
+        ended = await async_has_ended(sent.address) and await confirm(sent)
         log_probe(sent.request_id, sent.upstream, sent.address, ended)
         if not ended:
             return
--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -174,7 +174,11 @@
                 incarnation=grant.incarnation,
                 address=grant.address,
             )
-            await crashes.async_check_crash(sent, retrying=isinstance(verdict, Retry))
+            await crashes.async_check_crash(
+                sent,
+                retrying=isinstance(verdict, Retry),
+                confirm=self._context.connector.async_confirm_refusal,
+            )
         return verdict
 
     async def _async_request_and_relay(
--- a/bitterntiller/components/paths/host_paths.py
+++ b/bitterntiller/components/paths/host_paths.py
@@ -58,6 +58,10 @@
         """Return whether this host does not reach an upstream."""
         return address in self._failed_by_address
 
+    def is_silent(self, address: str) -> bool:
+        """Return whether connections on a failed path hang, and are not refused."""
+        return self._failed_by_address[address].silent
+
     def record_use(self, address: str, now: float) -> None:
         """Record that a request needs a failed path, which keeps it probed."""
         known = self._failed_by_address.get(address)
--- a/bitterntiller/components/tunnels/connector.py
+++ b/bitterntiller/components/tunnels/connector.py
@@ -18,7 +18,12 @@
 from bitterntiller.components.tunnels.errors import TunnelError
 from bitterntiller.components.tunnels.event_logging import log_path, log_tunnel
 from bitterntiller.core.clock import Clock
-from bitterntiller.core.interfaces import DirectoryView, Links, Metrics
+from bitterntiller.core.interfaces import (
+    DirectoryView,
+    Links,
+    Metrics,
+    SentRequest,
+)
 
 
 class Connected(NamedTuple):
@@ -45,6 +50,13 @@
         """Check the path to an upstream whose response was lost, in the background."""
         ...
 
+    async def async_confirm_refusal(self, sent: SentRequest) -> bool:
+        """Return whether other hosts' connections to an upstream are refused as well.
+
+        Without other hosts there is no doubt, and the result is True.
+        """
+        ...
+
 
 class DirectConnector:
     """Connects directly only."""
@@ -66,6 +78,10 @@
     async def async_check(self, destination: Destination) -> None:
         """Do nothing, as there is no other way."""
 
+    async def async_confirm_refusal(self, sent: SentRequest) -> bool:
+        """Return True, as no other host is asked."""
+        return True
+
 
 class RelayedConnector:
     """Connects directly, or by a tunnel through another entry host.
@@ -122,6 +138,31 @@
         """Check the path to an upstream whose response was lost, in the background."""
         await self._async_probe_in_background(destination)
 
+    async def async_confirm_refusal(self, sent: SentRequest) -> bool:
+        """Return whether connections of other hosts to an upstream are refused.
+
+        They are if one host says so and none of MAX_RELAYS hosts is connected.
+        """
+        destination = Destination(sent.request_id, sent.upstream, sent.address)
+        relays = self._relays(sent.address)
+        if not relays:
+            return True
+        async with curio.TaskGroup() as group:
+            for relay in relays:
+                await group.spawn(self._async_relay_status, destination, relay)
+        statuses = group.results
+        return const.STATUS_REFUSED in statuses and const.STATUS_OK not in statuses
+
+    async def _async_relay_status(
+        self, destination: Destination, relay: RelayCandidate
+    ) -> str:
+        try:
+            sock = await async_open_tunnel(self._links, relay.address, destination)
+        except TunnelError as error:
+            return error.status
+        await sock.close()
+        return const.STATUS_OK
+
     async def async_probe_failed_paths(self) -> None:
         """Probe the failed paths that requests need, until cancelled."""
         while True:
--- a/bitterntiller/components/tunnels/server.py
+++ b/bitterntiller/components/tunnels/server.py
@@ -91,7 +91,10 @@
         if self._paths.is_failed(request.address):
             self._paths.record_use(request.address, self._clock.now())
             text = f"{request.address} is not reached from here"
-            return _Opened(const.STATUS_UNREACHABLE, text)
+            silent = self._paths.is_silent(request.address)
+            return _Opened(
+                const.STATUS_UNREACHABLE if silent else const.STATUS_REFUSED, text
+            )
         return None
 
     async def _async_connect(self, request: Any) -> _Opened:
--- a/bitterntiller/core/interfaces.py
+++ b/bitterntiller/core/interfaces.py
@@ -147,6 +147,11 @@
         ...
 
 
+ConfirmRefusal = Callable[[SentRequest], Awaitable[bool]]
+"""Returns whether other hosts' connections to an upstream are refused as well; True
+without other hosts."""
+
+
 class CrashWatch(CrashView, Protocol):
     """Receives the ends of sent requests and detects which ones crash upstreams."""
 
@@ -154,10 +159,13 @@
         """Return a number that identifies a request and all its copies."""
         ...
 
-    async def async_check_crash(self, sent: SentRequest, retrying: bool) -> None:
+    async def async_check_crash(
+        self, sent: SentRequest, retrying: bool, confirm: ConfirmRefusal
+    ) -> None:
         """Check whether an upstream crashed while it ran a request.
 
-        With retrying, the request is to be sent again; return once that is safe.
+        With retrying, the request is to be sent again; return once that is safe. Only a
+        refusal that confirm confirms is a crash.
         """
         ...
 
--- a/tests/components/crashes/test_coordinator.py
+++ b/tests/components/crashes/test_coordinator.py
@@ -108,12 +108,34 @@
         return address
 
 
+async def async_confirmed(sent: SentRequest) -> bool:
+    return True
+
+
+def test_refusal_that_no_other_host_confirms_is_not_a_crash():
+    """Requests were quarantined by the lost paths of one host."""
+
+    async def async_denied(sent: SentRequest) -> bool:
+        return False
+
+    async def async_main() -> int:
+        hosts = Hosts("a", owner="a")
+        address = await async_closed_address()
+        await hosts.coordinators_by_name["a"].async_check_crash(
+            sent(address), False, async_denied
+        )
+        await curio.sleep(2 * const.PROBE_INTERVAL)
+        return hosts.counts()["a"]
+
+    assert curio.run(async_main) == 0
+
+
 def test_reset_connection_is_not_a_crash():
     async def async_main() -> int:
         hosts = Hosts("a", owner="a")
         async with listening() as address:
             await hosts.coordinators_by_name["a"].async_check_crash(
-                sent(address), retrying=False
+                sent(address), False, async_confirmed
             )
             await curio.sleep(2 * const.PROBE_INTERVAL)
         return hosts.counts()["a"]
@@ -126,7 +148,7 @@
         hosts = Hosts("a", owner="a")
         address = await async_closed_address()
         await hosts.coordinators_by_name["a"].async_check_crash(
-            sent(address), retrying=False
+            sent(address), False, async_confirmed
         )
         await curio.sleep(const.PROBE_INTERVAL / 2)
         port = int(address.rpartition(":")[2])
@@ -143,7 +165,7 @@
         address = await async_closed_address()
         async with hosts.running("a", "b", "c"):
             await hosts.coordinators_by_name["a"].async_check_crash(
-                sent(address), retrying=False
+                sent(address), False, async_confirmed
             )
             await curio.sleep(2 * const.PROBE_INTERVAL)
         return hosts.counts()
@@ -256,7 +278,7 @@
         await coordinator.async_on_report("a", _report(hosts, 2))
         address = await async_closed_address()
         begun = await curio.clock()
-        await coordinator.async_check_crash(sent(address), retrying=False)
+        await coordinator.async_check_crash(sent(address), False, async_confirmed)
         return await curio.clock() - begun
 
     assert curio.run(async_main) < const.PROBE_INTERVAL / 2
@@ -268,7 +290,7 @@
         coordinator = hosts.coordinators_by_name["a"]
         await coordinator.async_on_report("a", _report(hosts, 2))
         again = sent(await async_closed_address())._replace(upstream="e9")
-        await coordinator.async_check_crash(again, retrying=True)
+        await coordinator.async_check_crash(again, True, async_confirmed)
         return hosts.counts()["a"]
 
     assert curio.run(async_main) == 3
--- a/tests/components/tunnels/test_tunnels.py
+++ b/tests/components/tunnels/test_tunnels.py
@@ -15,6 +15,7 @@
 from bitterntiller.components.links.frames import pack
 from bitterntiller.components.tunnels import const
 from bitterntiller.components.tunnels.client import Destination
+from bitterntiller.core.interfaces import SentRequest
 from bitterntiller.protocol import messages
 from tests.components.links.builders import free_port
 from tests.components.tunnels.builders import (
@@ -227,6 +228,36 @@
     run(async_main)
 
 
+def sent(address: str) -> SentRequest:
+    return SentRequest("r1", 1, "e1", "1", address)
+
+
+def test_refusal_is_confirmed_only_if_no_other_host_is_connected():
+    """Requests were taken for the crash of upstreams that one host didn't reach."""
+
+    async def async_main() -> None:
+        async with hosts("a", "b", "c") as (a, b, c), upstream(sending(b"")) as e:
+            ended = f"127.0.0.1:{free_port()}"
+            assert await a.connector.async_confirm_refusal(sent(ended))
+            assert not await a.connector.async_confirm_refusal(sent(e.address))
+            c.paths.record_failed(e.address, "e1", False, 0.0)
+            assert not await a.connector.async_confirm_refusal(sent(e.address))
+            b.paths.record_failed(e.address, "e1", True, 0.0)
+            c.paths.record_failed(e.address, "e1", True, 0.0)
+            b.server.draining = c.server.draining = True
+            assert not await a.connector.async_confirm_refusal(sent(ended))
+
+    run(async_main)
+
+
+def test_refusal_is_certain_without_other_hosts():
+    async def async_main() -> None:
+        async with hosts("a") as (a,):
+            assert await a.connector.async_confirm_refusal(sent("127.0.0.1:1"))
+
+    run(async_main)
+
+
 @pytest.mark.parametrize(
     "data",
     [
