Entry: resume streams and cancel work through another host too

Cause: the two calls beside the request itself opened direct connections, so at a host without a path a broken stream was truncated and the work of a caller that left went on. Change: both use the connector of the request. New tests failed before by construction: the functions took an address only. The tests of tunnels, guards, edges and pipeline passed.

--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -297,7 +297,8 @@
         caller only after the attempt has ended.
         """
         cancel = self._context.dialect.async_cancel_work
-        await curio.spawn(cancel, self._active, daemon=True)
+        connector = self._context.connector
+        await curio.spawn(cancel, self._active, connector, daemon=True)
 
     async def _async_report_started(self, grant: GrantReceived) -> None:
         message = messages.Started(
--- a/bitterntiller/components/entry/dialect.py
+++ b/bitterntiller/components/entry/dialect.py
@@ -18,6 +18,7 @@
 )
 from bitterntiller.components.entry.notices import Notice
 from bitterntiller.components.http.models import Headers, RequestHead, ResponseHead
+from bitterntiller.components.tunnels.connector import Connector
 from bitterntiller.core.outcomes import Ending
 
 
@@ -92,6 +93,8 @@
         """Return headers and body of a response that this host generates."""
         ...
 
-    async def async_cancel_work(self, active: ActiveRequest) -> None:
+    async def async_cancel_work(
+        self, active: ActiveRequest, connector: Connector
+    ) -> None:
         """Cancel the request at its upstream after its connection was closed."""
         ...
--- a/bitterntiller/components/entry/models.py
+++ b/bitterntiller/components/entry/models.py
@@ -10,6 +10,7 @@
 from bitterntiller.components.entry.quota import QuotaHold
 from bitterntiller.components.entry.sse import EventStream
 from bitterntiller.components.http.models import RequestHead
+from bitterntiller.components.tunnels.client import Destination
 from bitterntiller.core.interfaces import Ownership
 from bitterntiller.core.outcomes import Ending
 
@@ -223,6 +224,11 @@
         """Return the id at the upstream: its own, or that of the followed claim."""
         return self.followed_id or self.request_id
 
+    @property
+    def destination(self) -> Destination:
+        """Return the upstream that the request was sent to."""
+        return Destination(self.request_id, self.upstream, self.address)
+
     @property
     def request_id(self) -> str:
         """Return the id of the request in messages, logs and headers."""
--- a/bitterntiller/components/entry/native_dialect.py
+++ b/bitterntiller/components/entry/native_dialect.py
@@ -30,6 +30,7 @@
     ResponseHead,
     header,
 )
+from bitterntiller.components.tunnels.connector import Connector
 from bitterntiller.core.outcomes import Ending
 
 NOT_ADMITTED_STATUSES = frozenset({429, 503})
@@ -92,9 +93,11 @@
         """Return headers and body of a response that this host generates."""
         return refusal_headers(ending, request_id), refusal_body(ending, request_id)
 
-    async def async_cancel_work(self, active: ActiveRequest) -> None:
+    async def async_cancel_work(
+        self, active: ActiveRequest, connector: Connector
+    ) -> None:
         """Cancel the request at its upstream."""
-        await async_cancel_work(active.request_id, active.address)
+        await async_cancel_work(active.destination, connector)
 
 
 def _not_admitted(head: ResponseHead) -> bool:
--- a/bitterntiller/components/entry/pipeline.py
+++ b/bitterntiller/components/entry/pipeline.py
@@ -308,7 +308,7 @@
             await async_cancel_registration(active, self._context)
             return
         active.phase = Phase.ENDED
-        await self._context.dialect.async_cancel_work(active)
+        await self._context.dialect.async_cancel_work(active, self._context.connector)
         accounting.count_response(self._context, active, Outcome.UNKNOWN)
         await self._async_settle(active, Outcome.UNKNOWN, 0)
         await accounting.async_report_end(self._context, active, outcome)
--- a/bitterntiller/components/entry/relay.py
+++ b/bitterntiller/components/entry/relay.py
@@ -180,6 +180,7 @@
         client = await async_open_resume(
             self._active,
             last_id,
+            self._context.connector,
             self._context.timings.upstream_connect,
             self._idle,
         )
--- a/bitterntiller/components/entry/upstream_calls.py
+++ b/bitterntiller/components/entry/upstream_calls.py
@@ -2,12 +2,14 @@
 
 from bitterntiller.components.entry import const
 from bitterntiller.components.entry.models import ActiveRequest
-from bitterntiller.components.http.client import ClientExchange, async_fetch
+from bitterntiller.components.http.client import ClientExchange, async_fetch_on
 from bitterntiller.components.http.errors import (
     ConnectRefusedError,
     IncompleteResponseError,
 )
 from bitterntiller.components.http.models import Headers, ResponseHead, header
+from bitterntiller.components.tunnels.client import Destination
+from bitterntiller.components.tunnels.connector import Connector
 
 STATUS_OK = 200
 
@@ -34,13 +36,18 @@
 
 
 async def async_open_resume(
-    active: ActiveRequest, last_id: int, connect_timeout: float, timeout: float
+    active: ActiveRequest,
+    last_id: int,
+    connector: Connector,
+    connect_timeout: float,
+    timeout: float,
 ) -> ClientExchange | None:
     """Return an exchange with the stream after an event, None if it isn't available."""
     try:
-        client = await ClientExchange.async_open(active.address, connect_timeout)
+        connected = await connector.async_acquire(active.destination, connect_timeout)
     except ConnectRefusedError:
         return None
+    client = connected.client
     target = f"/v1/requests/{active.upstream_request_id}/stream"
     headers = [
         (const.HEADER_REQUEST_ID, active.upstream_request_id.encode()),
@@ -57,13 +64,16 @@
     return None
 
 
-async def async_cancel_work(request_id: str, address: str) -> bool:
+async def async_cancel_work(destination: Destination, connector: Connector) -> bool:
     """Cancel a request at its upstream; return whether the upstream confirmed it."""
+    request_id = destination.request_id
     target = f"/v1/requests/{request_id}"
     headers = [(const.HEADER_REQUEST_ID, request_id.encode())]
+    timeout = const.CANCEL_TIMEOUT
     try:
-        response = await async_fetch(
-            address, "DELETE", target, headers, b"", const.CANCEL_TIMEOUT
+        connected = await connector.async_acquire(destination, timeout)
+        response = await async_fetch_on(
+            connected.client, "DELETE", target, headers, b"", timeout
         )
     except (ConnectRefusedError, IncompleteResponseError):
         return False
--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -331,6 +331,21 @@
     Raise ConnectRefusedError or IncompleteResponseError.
     """
     exchange = await ClientExchange.async_open(address, timeout)
+    return await async_fetch_on(exchange, method, target, headers, body, timeout)
+
+
+async def async_fetch_on(
+    exchange: ClientExchange,
+    method: str,
+    target: str,
+    headers: Headers,
+    body: bytes,
+    timeout: float,
+) -> HttpResponse:
+    """Return a complete response on a connection, which is closed afterwards.
+
+    Raise IncompleteResponseError.
+    """
     try:
         await exchange.async_request(method, target, headers, body, timeout)
         head = await exchange.async_head(timeout)
