Tunnels: the host between tries a path that was refused before

Cause: a host answered for its path by what it had learned up to a second before. Change: only a silent path is answered from memory, since trying it takes time; a path that was refused is tried, which takes a round trip. Lost and regained paths of the host between are logged as well.

--- a/bitterntiller/components/paths/host_paths.py
+++ b/bitterntiller/components/paths/host_paths.py
@@ -59,8 +59,9 @@
         return address in self._failed_by_address
 
     def is_silent(self, address: str) -> bool:
-        """Return whether connections on a failed path hang, and are not refused."""
-        return self._failed_by_address[address].silent
+        """Return whether a path has failed and connections hang, and aren't refused."""
+        path = self._failed_by_address.get(address)
+        return path is not None and path.silent
 
     def record_use(self, address: str, now: float) -> None:
         """Record that a request needs a failed path, which keeps it probed."""
--- a/bitterntiller/components/tunnels/server.py
+++ b/bitterntiller/components/tunnels/server.py
@@ -10,6 +10,8 @@
 from bitterntiller.components.links.models import Peer
 from bitterntiller.components.paths.host_paths import HostPaths
 from bitterntiller.components.tunnels import const
+from bitterntiller.components.tunnels.client import Destination
+from bitterntiller.components.tunnels.event_logging import log_path
 from bitterntiller.components.tunnels.stream import END, pack_part
 from bitterntiller.core import events
 from bitterntiller.core.clock import Clock
@@ -88,13 +90,11 @@
         if self.carried >= self._max_tunnels:
             text = f"the host carries {self.carried} tunnels"
             return _Opened(const.STATUS_BUSY, text)
-        if self._paths.is_failed(request.address):
+        # Only a silent path is taken for failed unseen: trying it would take time.
+        if self._paths.is_silent(request.address):
             self._paths.record_use(request.address, self._clock.now())
             text = f"{request.address} is not reached from here"
-            silent = self._paths.is_silent(request.address)
-            return _Opened(
-                const.STATUS_UNREACHABLE if silent else const.STATUS_REFUSED, text
-            )
+            return _Opened(const.STATUS_UNREACHABLE, text)
         return None
 
     async def _async_connect(self, request: Any) -> _Opened:
@@ -108,9 +108,14 @@
         except OSError as error:
             now = self._clock.now()
             refused = isinstance(error, ConnectionRefusedError)
-            self._paths.record_failed(address, request.upstream, not refused, now)
+            destination = Destination(request.request_id, request.upstream, address)
+            if self._paths.record_failed(address, request.upstream, not refused, now):
+                log_path(destination, False, repr(error))
             status = const.STATUS_REFUSED if refused else const.STATUS_UNREACHABLE
             return _Opened(status, f"{address}: {error!r}")
+        if self._paths.record_reached(address):
+            destination = Destination(request.request_id, request.upstream, address)
+            log_path(destination, True, "")
         enable_keepalive(sock, const.KEEPALIVE_SECONDS)
         return _Opened(const.STATUS_OK, "", sock)
 
--- a/tests/components/tunnels/test_tunnels.py
+++ b/tests/components/tunnels/test_tunnels.py
@@ -228,6 +228,21 @@
     run(async_main)
 
 
+def test_host_between_tries_a_path_that_was_refused_before():
+    """A stream was truncated, as the only other host trusted an outdated refusal."""
+
+    async def async_main() -> None:
+        async with hosts("a", "b") as (a, b), upstream(sending(WITH_LENGTH)) as e:
+            a.connections.mode = REFUSES
+            b.paths.record_failed(e.address, "e1", False, 0.0)
+            connected = await a.connector.async_acquire(e.destination(), 0.5)
+            assert connected.relay == "b"
+            assert not b.paths.is_failed(e.address)
+            await connected.client.async_close()
+
+    run(async_main)
+
+
 def sent(address: str) -> SentRequest:
     return SentRequest("r1", 1, "e1", "1", address)
 
