Scenarios: hosts whose paths to upstreams are cut

A step of the scenario language cuts the paths of a host to upstreams, silently, with resets or for new connections only; all hosts of scenarios are started so that this is possible.

--- a/tests/platform/cut_off.py
+++ b/tests/platform/cut_off.py
@@ -15,7 +15,6 @@
 from typing import NamedTuple
 
 from tests.platform.builders import KEY, document, route
-from tests.platform.cut_paths import REFUSE, RESET, SILENT
 from tests.platform.processes import (
     CONTROL_IPS,
     ENGINE_PORT,
@@ -26,6 +25,7 @@
     PlatformProcess,
     ask,
 )
+from tests.scenarios.cut_paths import REFUSE, RESET, SILENT, write_cut
 from tests.scenarios.processes import ROOT, Process
 
 ENTRY_IPS = tuple(f"{SUBNET}.{number}" for number in range(9, 15))
@@ -97,9 +97,9 @@
         if ip in self.entry_ips:
             process.command = [
                 sys.executable,
-                str(ROOT / "tests/platform/start_with_cuts.py"),
+                str(ROOT / "tests/scenarios/run_with_cuts.py"),
                 str(self.cut_file(ip)),
-                str(ENGINE_PORT),
+                str(ROOT / "platform/start.py"),
             ]
         return process
 
@@ -111,7 +111,7 @@
     def cut(self, ips: tuple[str, ...], mode: str) -> Iterator[None]:
         """Cut the paths of some hosts to all engines."""
         for ip in ips:
-            self.cut_file(ip).write_text(mode)
+            write_cut(self.cut_file(ip), mode, [ENGINE_PORT])
         try:
             yield
         finally:
--- a/tests/platform/test_cut_off_hosts.py
+++ b/tests/platform/test_cut_off_hosts.py
@@ -3,7 +3,7 @@
 import pytest
 
 from tests.platform.cut_off import run_row
-from tests.platform.cut_paths import RESET, SILENT
+from tests.scenarios.cut_paths import RESET, SILENT
 
 MIN_SHARE_OF_OTHERS = 0.95
 MAX_LOSS_OF_OTHERS = 0.02
--- a/tests/scenarios/cut_paths.py
+++ b/tests/scenarios/cut_paths.py
@@ -1,14 +1,14 @@
-"""Sockets whose paths to one port are cut while a file says so.
+"""Sockets whose paths to some ports are cut while a file says so.
 
-The file holds the mode: silent (new connections hang, open ones carry nothing), reset
-(new ones are refused, open ones reset) or refuse (new ones are refused, open ones go
-on). The kernel's timeouts are emulated: a connection with TCP_USER_TIMEOUT that has
-carried nothing for that time fails.
+The file holds the mode and the ports. The modes are silent (new connections hang, open
+ones carry nothing), reset (new ones are refused, open ones reset) and refuse (new ones
+are refused, open ones go on). The kernel's timeouts are emulated: a connection with
+TCP_USER_TIMEOUT that has carried nothing for that time fails.
 """
 
 import socket as system_socket
 import time
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
@@ -23,21 +23,28 @@
 CHECK_SECONDS = 0.02
 
 
+def write_cut(path: Path, mode: str, ports: Iterable[int]) -> None:
+    """Cut the paths to some ports for the process that reads the file."""
+    part = path.with_suffix(".part")
+    part.write_text(" ".join([mode, *map(str, ports)]))
+    part.replace(path)
+
+
 class Cut:
-    """The mode in a file, empty without one, for connections to one port."""
+    """The cut that a file describes, if there is one."""
 
-    def __init__(self, path: Path, port: int) -> None:
+    def __init__(self, path: Path) -> None:
         self._path = path
-        self._port = port
 
     def mode(self, address: Any) -> str:
-        """Return how the path to an address is cut."""
-        if address is None or address[1] != self._port:
+        """Return how the path to an address is cut, empty if it is not."""
+        if address is None:
             return ""
         try:
-            return self._path.read_text()
+            mode, *ports = self._path.read_text().split()
         except FileNotFoundError:
             return ""
+        return mode if str(address[1]) in ports else ""
 
 
 class CutSocket(io.Socket):
@@ -105,9 +112,9 @@
         )
 
 
-def install(path: Path, port: int) -> None:
+def install(path: Path) -> None:
     """Make all sockets of this process connect through the cut of a file."""
-    CutSocket.cut = Cut(path, port)
+    CutSocket.cut = Cut(path)
     curio.socket.socket = lambda *args, **options: CutSocket(
         system_socket.socket(*args, **options)
     )
--- a/tests/scenarios/deployment.py
+++ b/tests/scenarios/deployment.py
@@ -8,10 +8,12 @@
 from typing import Any, Self
 
 from tests.scenarios import builders
+from tests.scenarios.cut_paths import write_cut
 from tests.scenarios.processes import Process, free_port, log_tail, socket_names_at_port
 from tests.scenarios.proxy import Proxy
 
 DAEMON = "bitterntiller.cli.daemon"
+RUN_WITH_CUTS = "tests.scenarios.run_with_cuts"
 ASK_TIMEOUT_S = 5.0
 
 
@@ -82,8 +84,8 @@
         if host.process is None:
             path = self.folder / f"{name}.json"
             path.write_text(json.dumps(self._settings(host), indent=1))
-            arguments = ["--settings", str(path)]
-            host.process = Process(name, DAEMON, arguments, self.folder)
+            arguments = [str(self._cut_file(name)), DAEMON, "--settings", str(path)]
+            host.process = Process(name, RUN_WITH_CUTS, arguments, self.folder)
             self._stack.callback(host.process.kill)
         host.process.start()
 
@@ -127,6 +129,19 @@
             assert proxy is not None, f"{name} is not behind a proxy"
             proxy.set_cut(peer, cut)
 
+    def cut_upstreams(self, name: str, mode: str, upstreams: list[str]) -> None:
+        """Cut a host's paths to some upstreams, all if none is named."""
+        chosen = upstreams or list(self.upstreams_by_name)
+        ports = [self.upstreams_by_name[upstream].port for upstream in chosen]
+        write_cut(self._cut_file(name), mode, ports)
+
+    def heal_upstreams(self, name: str) -> None:
+        """End the cut of a host's paths to upstreams."""
+        self._cut_file(name).unlink()
+
+    def _cut_file(self, name: str) -> Path:
+        return self.folder / f"{name}.cut"
+
     def set_faults(self, name: str, document: dict[str, Any]) -> None:
         """Set the faults of a stand-in; all others are reset."""
         port = self.upstreams_by_name[name].control_port
--- a/tests/scenarios/run_with_cuts.py
+++ b/tests/scenarios/run_with_cuts.py
@@ -1,16 +1,23 @@
-"""Start a platform process whose paths to engines can be cut: FILE PORT."""
+"""Run a program whose paths to upstreams can be cut: CUT_FILE PROGRAM ARGUMENTS.
+
+PROGRAM is a file or the name of a module.
+"""
 
 import runpy
 import sys
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
-sys.path.insert(0, str(ROOT / "platform"))
 sys.path.append(str(ROOT))
 
-from tests.platform import cut_paths  # noqa: E402
+from tests.scenarios import cut_paths  # noqa: E402
 
 if __name__ == "__main__":
-    cut_paths.install(Path(sys.argv[1]), int(sys.argv[2]))
-    sys.argv = sys.argv[:1]
-    runpy.run_path(str(ROOT / "platform" / "start.py"), run_name="__main__")
+    cut_paths.install(Path(sys.argv[1]))
+    program = sys.argv[2]
+    sys.argv = sys.argv[2:]
+    if program.endswith(".py"):
+        sys.path.insert(0, str(Path(program).parent))
+        runpy.run_path(program, run_name="__main__")
+    else:
+        runpy.run_module(program, run_name="__main__")
--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -14,6 +14,10 @@
     copy r2 of r1 at b                      send the same request once more
     leave r1                                disconnect the caller
     cut a b | heal a b | pause 0.5s
+    cut-upstreams a silent e1 e2            cut the paths of host a to upstreams (all if
+                                            none is named): silent, reset, or refuse
+                                            (new connections only)
+    heal-upstreams a
     expect r1 whole                         a property of Call, or runs, resumes,
     expect r1 runs == 1                     cancelled, finished, upstream, truthful:
                                             at most one run, none with not-run
@@ -51,6 +55,7 @@
 from tests.scenarios import builders
 from tests.scenarios.caller import Call
 from tests.scenarios.control_steps import ControlSteps
+from tests.scenarios.cut_paths import REFUSE, RESET, SILENT
 from tests.scenarios.deployment import Deployment
 from tests.scenarios.processes import value_at
 from tests.scenarios.repeated_request import PROPAGATION_SECONDS
@@ -252,6 +257,15 @@
     def _do_heal(self, words: list[str]) -> None:
         self._deployment.set_cut(words[0], words[1], False)
 
+    def _do_cut_upstreams(self, words: list[str]) -> None:
+        host, mode, *upstreams = words
+        assert mode in (SILENT, RESET, REFUSE), f"{mode} is no way of cutting"
+        self._deployment.cut_upstreams(host, mode, upstreams)
+
+    def _do_heal_upstreams(self, names: list[str]) -> None:
+        for name in names:
+            self._deployment.heal_upstreams(name)
+
     def _do_pause(self, words: list[str]) -> None:
         time.sleep(float(words[0].removesuffix("s")))
 
