Tool: explain and summary follow requests through other hosts

explain names the steps at the host between and still tells how the request ended at its own host (before, it would have said that the logs end with tunnel-ended); lost and regained paths are context. summary lists the paths that are lost at the end, with the hosts that requests went through. Both tests are new; the first failed without the change of the last step.

--- a/bitterntiller/cli/commands/summary.py
+++ b/bitterntiller/cli/commands/summary.py
@@ -61,6 +61,10 @@
     print("\nupstreams not in use at the end: seconds, owner, change")
     for unused in summary.unused_upstreams:
         print(f"{unused.when:7.1f}  {unused.owner} {unused.upstream} {unused.change}")
+    print("\npaths lost at the end: seconds, host, upstream, hosts gone through")
+    for path in summary.lost_paths:
+        through = ", ".join(path.through) or "-"
+        print(f"{path.when:7.1f}  {path.host} {path.upstream} {through}")
     print("\nseconds from the last start of a host: " + ", ".join(STARTUP_STEPS[1:]))
     for start in summary.host_starts:
         steps = [
@@ -80,8 +84,8 @@
 
     Shows how requests ended by interval, refusals by reason with their waits, failures
     by upstream, requests received and served of each service by size and route, quota
-    decisions by workspace, upstreams out of use, and the startup steps of each host
-    since its last start.
+    decisions by workspace, upstreams out of use, paths from hosts to upstreams that are
+    lost, and the startup steps of each host since its last start.
     """
 
     files: Annotated[
--- a/bitterntiller/cli/log_summary.py
+++ b/bitterntiller/cli/log_summary.py
@@ -66,6 +66,19 @@
     when: float
 
 
+class LostPath(NamedTuple):
+    """A path from a host to an upstream that is lost when the logs end.
+
+    when is in seconds from the first event; through names the hosts that its requests
+    went through since.
+    """
+
+    host: str
+    upstream: str
+    when: float
+    through: list[str]
+
+
 class Summary(NamedTuple):
     """Summary of all requests in the logs of several hosts."""
 
@@ -75,6 +88,7 @@
     host_starts: list[HostStart]
     served_by_group: dict[RequestGroup, ServedCount]
     unused_upstreams: list[UnusedUpstream]
+    lost_paths: list[LostPath]
     quotas: list[QuotaDecisions]
     fraction_by_host: dict[str, float]
 
@@ -91,6 +105,7 @@
         host_starts=_starts(ordered),
         served_by_group=served_by_group(ordered),
         unused_upstreams=_unused_upstreams(ordered),
+        lost_paths=_lost_paths(ordered),
         quotas=summarize_quotas(ordered),
         fraction_by_host=sample_fractions(ordered),
     )
@@ -168,6 +183,25 @@
     return [item for item in last_changes.values() if item.change not in _IN_USE]
 
 
+def _lost_paths(events: list[LogEvent]) -> list[LostPath]:
+    """Return the paths that are lost when the logs end, by host."""
+    begin = events[0].time
+    lost: dict[tuple[str, str], LostPath] = {}
+    for event in events:
+        if event.kind == STARTUP_STEPS[0]:
+            lost = {key: item for key, item in lost.items() if key[0] != event.host}
+        key = (event.host, str(event.fields.get("upstream", "")))
+        if event.kind == "path":
+            lost.pop(key, None)
+            if not event.fields.get("reached"):
+                lost[key] = LostPath(*key, event.time - begin, [])
+        elif event.kind == "tunnel" and event.fields.get("status") == "ok":
+            relay = str(event.fields.get("relay", ""))
+            if key in lost and relay not in lost[key].through:
+                lost[key].through.append(relay)
+    return list(lost.values())
+
+
 def _starts(events: list[LogEvent]) -> list[HostStart]:
     began_by_host: dict[str, float] = {}
     steps_by_host: dict[str, dict[str, float]] = {}
--- a/bitterntiller/cli/request_trace.py
+++ b/bitterntiller/cli/request_trace.py
@@ -34,6 +34,8 @@
         "upstream-silent",
         "upstreams",
         "upstream-use",
+        "upstream-path",
+        "path",
         "versions",
         "rollout-ordered",
         "rollout-verdict",
@@ -43,7 +45,10 @@
         "sampling",
     }
 )
-"""Events without a request id that may explain what happened to a request."""
+"""Events of other requests or none that may explain what happened to a request."""
+
+RELAY_EVENTS = frozenset({"tunnel-asked", "tunnel-ended", "path"})
+"""Events about a request that don't belong to its steps at its own entry host."""
 
 _FINGERPRINT = re.compile(r"fingerprint ([0-9a-f]{16})")
 _NON_FIELDS = frozenset({ATTR_EVENT, ATTR_HOST, ATTR_REQUEST, ATTR_TIME, ATTR_SEQUENCE})
@@ -158,7 +163,8 @@
 
 def _explain_end(own_events: list[LogEvent], context: list[LogEvent]) -> str:
     """Return one sentence that explains how the request ended."""
-    last = own_events[-1]
+    steps = [event for event in own_events if event.kind not in RELAY_EVENTS]
+    last = (steps or own_events)[-1]
     if last.kind == "refused":
         return _explain_refusal(last, own_events, context)
     failures = [event for event in own_events if event.kind == "attempt-ended"]
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -48,6 +48,28 @@
     assert "retried after: lost-answer" in text.splitlines()[-1]
 
 
+def test_request_is_traced_over_the_host_it_went_through(tmp_path, capsys):
+    """The last event of the host between hid how the request ended."""
+    sender = write_log(
+        tmp_path / "edge-1",
+        event(1.0, "edge-1", "path", request="r0", upstream="e1", reached=False),
+        event(2.0, "edge-1", "tunnel", request="r1", relay="edge-2", status="ok"),
+        event(2.1, "edge-1", "sent", request="r1", upstream="e1", relay="edge-2"),
+        event(2.5, "edge-1", "ended", request="r1", outcome="done", total=0.6),
+    )
+    between = write_log(
+        tmp_path / "edge-2",
+        event(1.9, "edge-2", "tunnel-asked", request="r1", upstream="e1", status="ok"),
+        event(2.6, "edge-2", "tunnel-ended", request="r1", upstream="e1"),
+    )
+    code, text = explained(capsys, "r1", sender, between)
+    assert code == const.EXIT_OK
+    order = [line.split()[3] for line in text.splitlines() if " * " in line]
+    assert order == ["tunnel-asked", "tunnel", "sent", "ended", "tunnel-ended"]
+    assert "path" in text
+    assert "logs end with" not in text
+
+
 def test_refusal_without_a_lease_names_when_it_was_lost(tmp_path, capsys):
     log = write_log(
         tmp_path / "edge",
--- a/tests/cli/test_summary.py
+++ b/tests/cli/test_summary.py
@@ -7,6 +7,7 @@
 from bitterntiller.cli import const, tool
 from bitterntiller.cli.errors import ToolError
 from bitterntiller.cli.log_summary import (
+    LostPath,
     RefusalReason,
     RefusalStats,
     UnusedUpstream,
@@ -118,6 +119,28 @@
     assert found.unused_upstreams == [UnusedUpstream("core-1", "e1", "forgotten", 60.0)]
 
 
+def test_lost_paths_are_listed_with_the_hosts_gone_through(tmp_path):
+    def path(time: float, host: str, upstream: str, reached: bool) -> dict[str, Any]:
+        return event(time, host, "path", upstream=upstream, reached=reached)
+
+    def tunnel(time: float, relay: str, status: str) -> dict[str, Any]:
+        fields = {"upstream": "e1", "relay": relay, "status": status}
+        return event(time, "edge-1", "tunnel", **fields)
+
+    found = summed(
+        tmp_path,
+        path(1.0, "edge-1", "e1", False),
+        path(2.0, "edge-1", "e2", False),
+        path(3.0, "edge-1", "e2", True),
+        path(3.0, "edge-2", "e1", False),
+        tunnel(4.0, "edge-3", "ok"),
+        tunnel(5.0, "edge-4", "unreachable"),
+        tunnel(6.0, "edge-3", "ok"),
+        event(7.0, "edge-2", "start"),
+    )
+    assert found.lost_paths == [LostPath("edge-1", "e1", 0.0, ["edge-3"])]
+
+
 def test_command_prints_all_tables(tmp_path, capsys):
     path = write_log(
         tmp_path / "log", event(1.0, "core-1", "start"), refused(2.0, 0.25)
