--- a/bitterntiller/cli/commands/explain.py
+++ b/bitterntiller/cli/commands/explain.py
@@ -24,7 +24,7 @@
         raise ToolError(_unknown(command.request_id, sample_fractions(kept)))
     begin = trace.events[0].time
     for event in trace.events:
-        print(_format(event, begin))
+        print(_format(event, command.request_id, begin))
     print(f"cause: {trace.cause}")
     return const.EXIT_OK
 
@@ -39,8 +39,8 @@
     return f"{text}; some hosts log only a fraction of their requests: {parts}"
 
 
-def _format(event: LogEvent, begin: float) -> str:
-    mark = "*" if event.request else " "
+def _format(event: LogEvent, request_id: str, begin: float) -> str:
+    mark = "*" if event.request == request_id else " "
     fields = " ".join(f"{key}={value}" for key, value in event.fields.items())
     return f"{event.time - begin:9.4f} {mark} {event.host:16} {event.kind:16} {fields}"
 
