Owner: name hosts that reach the upstream to a host that had to go around

Cause: a host without a path searched for one to go through by itself, three hosts for an attempt. With nearly all of a large fleet cut off it would rarely find one. Change: the end of a request names the host that it went through; for 10 s after that, grants to this entry host name the two hosts that reached the upstream last, from the owner's own records. They are tried after the hosts that it has gone through already and before all others. A grant to any other host is as long as before.

--- a/bitterntiller/components/dispatch/grant_loop.py
+++ b/bitterntiller/components/dispatch/grant_loop.py
@@ -111,6 +111,7 @@
                 rate_limit=upstream.rate_limiter.limit,
                 limit_age=_limit_age(upstream, now),
             ),
+            self._pool.paths.relays(request.entry_host, upstream.name, now),
         )
 
 
--- a/bitterntiller/components/dispatch/model_updater.py
+++ b/bitterntiller/components/dispatch/model_updater.py
@@ -69,6 +69,8 @@
         if completion.relay and completion.outcome == OUTCOME_UNKNOWN:
             return
         host = completion.relay or job.request.entry_host
+        if completion.relay:
+            self._pool.paths.record_relayed(job.request.entry_host, now)
         if completion.outcome == OUTCOME_REJECTED:
             self._pool.record_upstream_success(upstream, host, now)
             return
--- a/bitterntiller/components/dispatch/models.py
+++ b/bitterntiller/components/dispatch/models.py
@@ -136,7 +136,11 @@
 
 
 class Granted(NamedTuple):
-    """Decision that the entry host may send the request to the upstream now."""
+    """Decision that the entry host may send the request to the upstream now.
+
+    relays names hosts that reach the upstream, for an entry host that did not reach
+    some upstreams a short time ago.
+    """
 
     request_id: str
     entry_host: str
@@ -144,6 +148,7 @@
     address: str
     incarnation: int
     basis: Basis | None = None
+    relays: tuple[str, ...] = ()
 
 
 class RefusalBasis(NamedTuple):
--- a/bitterntiller/components/dispatch/wire.py
+++ b/bitterntiller/components/dispatch/wire.py
@@ -132,6 +132,7 @@
         upstream_incarnation=str(decision.incarnation),
         valid_ms=int(valid * 1000),
         rate_limited=_is_limited(decision) or None,
+        relays=list(decision.relays) or None,
     )
 
 
--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -79,7 +79,7 @@
             return verdict
         connector = self._context.connector
         destination = Destination(
-            self._active.request_id, grant.upstream, grant.address
+            self._active.request_id, grant.upstream, grant.address, grant.relays
         )
         try:
             connected = await connector.async_acquire(
--- a/bitterntiller/components/entry/models.py
+++ b/bitterntiller/components/entry/models.py
@@ -94,7 +94,10 @@
 
 
 class GrantReceived(NamedTuple):
-    """A grant, valid until valid_until; sender is the address of the owner's host."""
+    """A grant, valid until valid_until; sender is the address of the owner's host.
+
+    relays names hosts that reach the upstream, if this one may not.
+    """
 
     pool: str
     epoch: int
@@ -104,6 +107,7 @@
     sender: str
     incarnation: str = ""
     rate_limited: bool = False
+    relays: tuple[str, ...] = ()
 
 
 class RefusalReceived(NamedTuple):
--- a/bitterntiller/components/entry/registry.py
+++ b/bitterntiller/components/entry/registry.py
@@ -74,6 +74,7 @@
             sender=issuer.address if issuer else "",
             incarnation=message.upstream_incarnation,
             rate_limited=bool(message.rate_limited),
+            relays=tuple(message.relays or ()),
         )
         if active is None or active.phase is not Phase.WAITING:
             # The caller has disconnected, or this is a second grant after a failover.
--- a/bitterntiller/components/paths/const.py
+++ b/bitterntiller/components/paths/const.py
@@ -32,6 +32,9 @@
 RELAY_MEMORY_SECONDS = 10.0
 """How long it counts whether another host reached an upstream."""
 
+MAX_NAMED_RELAYS = 2
+"""Hosts to go through that a grant names."""
+
 EXPLORED_FRACTION = 0.1
 """Fraction of tunnels that are tried through a host that wasn't tried yet."""
 
--- a/bitterntiller/components/paths/host_paths.py
+++ b/bitterntiller/components/paths/host_paths.py
@@ -135,21 +135,27 @@
             del self._relay_results[next(iter(self._relay_results))]
 
     def rank_relays(
-        self, address: str, candidates: Iterable[RelayCandidate], now: float
+        self,
+        address: str,
+        candidates: Iterable[RelayCandidate],
+        named: tuple[str, ...],
+        now: float,
     ) -> list[RelayCandidate]:
         """Return the candidates, the one most likely to reach an upstream first.
 
-        Hosts that reached it a short time ago come first and those that failed last;
+        Hosts that reached it a short time ago come first, then those that the owner
+        named, and last those that failed;
         other zones come before this one, in which paths may have failed together. Now
         and then one that wasn't tried comes first, so that a single host doesn't carry
         all requests of this one.
         """
         exploring = self._rng.random() < EXPLORED_FRACTION
 
-        def rank(candidate: RelayCandidate) -> tuple[int, int, bool, float]:
+        def rank(candidate: RelayCandidate) -> tuple[int, bool, int, bool, float]:
             known = self._relay_rank(address, candidate.name, now)
             return (
                 -1 if exploring and known == UNTRIED else known,
+                candidate.name not in named,
                 self._relay_rank("", candidate.name, now),
                 candidate.zone == self._zone,
                 self._rng.random(),
--- a/bitterntiller/components/paths/path_table.py
+++ b/bitterntiller/components/paths/path_table.py
@@ -7,8 +7,10 @@
     FRESH_SECONDS,
     KEPT_SECONDS,
     LOST_TO_FAILED,
+    MAX_NAMED_RELAYS,
     MAX_PAUSE_SECONDS,
     MAX_REACHING_HOSTS,
+    RELAY_MEMORY_SECONDS,
 )
 
 NO_NAMES: frozenset[str] = frozenset()
@@ -36,6 +38,7 @@
     def __init__(self) -> None:
         self._reached_at_by_host_by_upstream: dict[str, dict[str, float]] = {}
         self._failure_by_upstream_by_host: dict[str, dict[str, PathFailure]] = {}
+        self._relayed_at_by_host: dict[str, float] = {}
 
     def record_reached(self, host: str, upstream: str, now: float) -> bool:
         """Record a response of an upstream; return whether its path had failed."""
@@ -91,6 +94,26 @@
             for other, at in reached.items()
         )
 
+    def record_relayed(self, host: str, now: float) -> None:
+        """Record that a host sent a request through another one."""
+        self._relayed_at_by_host[host] = now
+
+    def relays(self, host: str, upstream: str, now: float) -> tuple[str, ...]:
+        """Return the hosts that a host may go through, if it had to a short time ago.
+
+        These are the hosts that reached the upstream last, within RELAY_MEMORY_SECONDS.
+        """
+        relayed_at = self._relayed_at_by_host.get(host)
+        if relayed_at is None or now - relayed_at > RELAY_MEMORY_SECONDS:
+            return ()
+        reached = self._reached_at_by_host_by_upstream.get(upstream, {})
+        found = [
+            other
+            for other, at in reversed(reached.items())
+            if other != host and now - at <= RELAY_MEMORY_SECONDS
+        ]
+        return tuple(found[:MAX_NAMED_RELAYS])
+
     def unreached(self, host: str, now: float) -> frozenset[str]:
         """Return the upstreams for which a host gets no requests now."""
         failures = self._failure_by_upstream_by_host.get(host)
@@ -118,6 +141,9 @@
 
     def prune(self, now: float) -> None:
         """Drop what is older than KEPT_SECONDS."""
+        for host, at in list(self._relayed_at_by_host.items()):
+            if now - at > KEPT_SECONDS:
+                del self._relayed_at_by_host[host]
         for host, failures in list(self._failure_by_upstream_by_host.items()):
             for upstream, failure in list(failures.items()):
                 if now - failure.at > KEPT_SECONDS:
--- a/bitterntiller/components/tunnels/client.py
+++ b/bitterntiller/components/tunnels/client.py
@@ -15,11 +15,15 @@
 
 
 class Destination(NamedTuple):
-    """The upstream that a tunnel leads to, and the request that needs it."""
+    """The upstream that a tunnel leads to, and the request that needs it.
+
+    relays names hosts that are known to reach the upstream.
+    """
 
     request_id: str
     upstream: str
     address: str
+    relays: tuple[str, ...] = ()
 
 
 async def async_open_tunnel(
--- a/bitterntiller/components/tunnels/connector.py
+++ b/bitterntiller/components/tunnels/connector.py
@@ -144,7 +144,7 @@
         They are if one host says so and none of MAX_RELAYS hosts is connected.
         """
         destination = Destination(sent.request_id, sent.upstream, sent.address)
-        relays = self._relays(sent.address)
+        relays = self._relays(destination)
         if not relays:
             return True
         async with curio.TaskGroup() as group:
@@ -265,7 +265,7 @@
         """
         results = direct if direct is not None else curio.Queue()
         pending = int(direct is not None)
-        relays = self._relays(destination.address)
+        relays = self._relays(destination)
         errors = [why]
         tasks: list[curio.Task] = []
         try:
@@ -320,14 +320,20 @@
         client = ClientExchange(sock, self._connections.allow_close_delimited)
         await results.put(Connected(client, relay.name))
 
-    def _relays(self, address: str) -> list[RelayCandidate]:
-        """Return the entry hosts to try, the most likely one first."""
+    def _relays(self, destination: Destination) -> list[RelayCandidate]:
+        """Return the entry hosts to try, the most likely one first.
+
+        Those that the owner named follow the ones that reached the upstream for this
+        host and precede all others.
+        """
         candidates = [
             RelayCandidate(name, host.address, host.zone)
             for name, host in self._directory.hosts_by_name.items()
             if name != self._host and ROLE_ENTRY in host.roles
         ]
-        ranked = self._paths.rank_relays(address, candidates, self._clock.now())
+        ranked = self._paths.rank_relays(
+            destination.address, candidates, destination.relays, self._clock.now()
+        )
         return ranked[: const.MAX_RELAYS]
 
     async def _async_close_late(self, results: curio.Queue) -> None:
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -113,6 +113,7 @@
     6: required string upstream_incarnation,
     7: required i32 valid_ms,             // from the arrival of the grant
     8: optional bool rate_limited,        // the owner expects responses of the upstream to state a rate limit
+    9: optional list<string> relays,      // hosts that reach the upstream, for one that did not reach some
 }
 
 struct Refusal {
--- a/tests/components/dispatch/test_failed_paths.py
+++ b/tests/components/dispatch/test_failed_paths.py
@@ -62,3 +62,18 @@
             scheduler.returned(f"c{number}", "refused-connection", False, now)
     assert register(scheduler, "other", "lideta-1", NOW + 0.3) == []
     assert scheduler.describe(NOW + 0.3)["upstreams_by_name"]["e1"]["sick"]
+
+
+def test_grant_names_a_host_that_reaches_the_upstream():
+    """Many hosts that were cut off searched for the only one that was not."""
+    scheduler = pool("e1")
+    serve(scheduler, "s", SOUND, NOW)
+    [name] = register(scheduler, "c1", CUT_OFF, NOW + 0.1)
+    scheduler.started("c1", NOW + 0.1)
+    scheduler.finished(build.completion("c1", name, relay=SOUND), NOW + 0.2)
+    request = build.request("c2", entry_host=CUT_OFF, arrived=NOW, deadline=NOW + 30)
+    [grant] = scheduler.register(request, NOW + 0.3)
+    assert grant.relays == (SOUND,)
+    request = build.request("s2", entry_host=SOUND, arrived=NOW, deadline=NOW + 30)
+    [grant] = scheduler.register(request, NOW + 0.3)
+    assert grant.relays == ()
--- a/tests/components/paths/test_host_paths.py
+++ b/tests/components/paths/test_host_paths.py
@@ -81,12 +81,12 @@
     known.record_relay("e1:1", "c", True, NOW)
     known.record_relay("e1:1", "d", False, NOW)
     hosts = candidates("b", "c", "d")
-    firsts = [known.rank_relays("e1:1", hosts, NOW)[0].name for _ in range(100)]
-    lasts = {known.rank_relays("e1:1", hosts, NOW)[-1].name for _ in range(100)}
+    firsts = [known.rank_relays("e1:1", hosts, (), NOW)[0].name for _ in range(100)]
+    lasts = {known.rank_relays("e1:1", hosts, (), NOW)[-1].name for _ in range(100)}
     assert firsts.count("c") > 80
     assert lasts == {"d"}
     later = NOW + RELAY_MEMORY_SECONDS + 1
-    orders = {known.rank_relays("e1:1", hosts, later)[0].name for _ in range(100)}
+    orders = {known.rank_relays("e1:1", hosts, (), later)[0].name for _ in range(100)}
     assert orders == {"b", "c", "d"}
 
 
@@ -94,15 +94,28 @@
     known = paths()
     known.record_relay("e1:1", "c", True, NOW)
     known.record_relay("e1:1", "d", False, NOW)
-    order = [item.name for item in known.rank_relays("e2:1", candidates("c", "d"), NOW)]
+    order = [
+        item.name for item in known.rank_relays("e2:1", candidates("c", "d"), (), NOW)
+    ]
     assert order == ["c", "d"]
 
 
+def test_hosts_that_the_owner_names_come_before_untried_and_after_proved_ones():
+    known = paths()
+    known.record_relay("e1:1", "b", True, NOW)
+    known.record_relay("e1:1", "c", False, NOW)
+    hosts = candidates(*"bcdefgh")
+    for _ in range(50):
+        order = [i.name for i in known.rank_relays("e1:1", hosts, ("c", "h"), NOW)]
+        assert order.index("h") <= 1
+        assert order[-1] == "c"
+
+
 def test_hosts_of_other_zones_are_tried_first():
     known = paths()
     hosts = candidates("b", "c", zone="bole") + candidates("d")
     for _ in range(20):
-        assert known.rank_relays("e1:1", hosts, NOW)[0].name == "d"
+        assert known.rank_relays("e1:1", hosts, (), NOW)[0].name == "d"
 
 
 @pytest.mark.parametrize("seed", range(20))
--- a/tests/components/paths/test_path_table.py
+++ b/tests/components/paths/test_path_table.py
@@ -9,6 +9,7 @@
     KEPT_SECONDS,
     MAX_PAUSE_SECONDS,
     MAX_REACHING_HOSTS,
+    RELAY_MEMORY_SECONDS,
 )
 from bitterntiller.components.paths.path_table import PathTable
 
@@ -69,6 +70,18 @@
     assert not table.reached_by_another("a", "e1", NOW)
 
 
+def test_hosts_to_go_through_are_named_only_for_a_host_that_had_to():
+    table = PathTable()
+    for number in range(4):
+        table.record_reached(f"h{number}", "e1", NOW + number)
+    assert table.relays("a", "e1", NOW + 4) == ()
+    table.record_relayed("a", NOW + 4)
+    assert table.relays("a", "e1", NOW + 4) == ("h3", "h2")
+    assert table.relays("h3", "e1", NOW + 4) == ()
+    assert table.relays("a", "e2", NOW + 4) == ()
+    assert table.relays("a", "e1", NOW + 4 + RELAY_MEMORY_SECONDS + 1) == ()
+
+
 @pytest.mark.parametrize("seed", range(5))
 def test_hosts_and_paths_that_come_and_go_leave_bounded_state(seed):
     draw = random.Random(seed)
@@ -83,8 +96,10 @@
             table.record_failed_path(host, upstream, draw.random() < 0.5, now)
         if draw.random() < 0.02:
             table.prune(now)
+        table.record_relayed(host, now)
         reached = table._reached_at_by_host_by_upstream.values()
         assert all(len(hosts) <= MAX_REACHING_HOSTS for hosts in reached)
     table.prune(now + KEPT_SECONDS + 1)
     assert not table._reached_at_by_host_by_upstream
     assert not table._failure_by_upstream_by_host
+    assert not table._relayed_at_by_host
--- a/tests/components/tunnels/test_tunnels.py
+++ b/tests/components/tunnels/test_tunnels.py
@@ -166,6 +166,22 @@
     run(async_main)
 
 
+def test_host_that_the_owner_names_is_tried_first():
+    async def async_main() -> None:
+        names = tuple("abcdefgh")
+        async with hosts(*names) as found, upstream(sending(b"")) as e:
+            for host in found[:-1]:
+                host.connections.mode = REFUSES
+                host.server.draining = True
+            destination = e.destination()._replace(relays=("h",))
+            connected = await found[0].connector.async_acquire(destination, 0.5)
+            assert connected.relay == "h"
+            await connected.client.async_close()
+            assert found[0].metrics.counts[const.METRIC_FAILED] == 0
+
+    run(async_main)
+
+
 def test_full_host_is_passed_over():
     async def async_main() -> None:
         async with hosts("a", "b", "c") as (a, b, c), upstream(sending(b"")) as e:
