Tunnels: go on trying a path that was refused; a part for each job

What callers would have seen: at the only entry host of a deployment, requests refused for up to 1.25 s after an upstream was back, since a failed path was not tried while its next probe was due. Cause: a path that had failed was skipped whatever had failed. Change: only a silent path is skipped, as trying it takes time, and it is tried last where no tunnel opens. Hosts that lost the race of tunnels count as failed only if they had had their time. Failed before: test_host_without_others_goes_on_trying_its_failed_path, both cases. 157 tests of tunnels, paths and attempts passed.

--- /dev/null
+++ b/bitterntiller/components/tunnels/relayed.py
@@ -0,0 +1,191 @@
+"""Connect to an upstream directly, or through another host where that fails."""
+
+import itertools
+
+import curio
+
+from bitterntiller.components.http.client import ClientExchange
+from bitterntiller.components.http.errors import ConnectRefusedError
+from bitterntiller.components.http.pool import ConnectionPool
+from bitterntiller.components.paths.host_paths import HostPaths, RelayCandidate
+from bitterntiller.components.tunnels import const
+from bitterntiller.components.tunnels.client import Destination
+from bitterntiller.components.tunnels.connector import Connected
+from bitterntiller.components.tunnels.direct import DirectPaths
+from bitterntiller.components.tunnels.errors import TunnelError
+from bitterntiller.components.tunnels.relays import Relays
+from bitterntiller.core.clock import Clock
+from bitterntiller.core.interfaces import SentRequest
+
+
+class RelayedConnector:
+    """Connects directly, or by a tunnel through another entry host.
+
+    Where connections on the path of this host hang, a tunnel is opened at once.
+    Otherwise it is opened beside a direct connection that is not established in
+    HEDGE_SECONDS; the first way that is open is used. The request is sent after that,
+    and by this host only, so trying several ways never sends it twice.
+    """
+
+    def __init__(
+        self,
+        connections: ConnectionPool,
+        direct: DirectPaths,
+        relays: Relays,
+        paths: HostPaths,
+        clock: Clock,
+    ) -> None:
+        self._connections = connections
+        self._direct = direct
+        self._relays = relays
+        self._paths = paths
+        self._clock = clock
+
+    async def async_acquire(
+        self, destination: Destination, timeout: float
+    ) -> Connected:
+        """Return a connection by any way; raise ConnectRefusedError."""
+        now = self._clock.now()
+        address = destination.address
+        kept = await self._connections.async_take_idle(
+            address, self._paths.trusted_since(now)
+        )
+        if kept is not None:
+            return Connected(kept)
+        self._paths.record_use(address, now)
+        if not self._paths.is_silent(address):
+            return await self._async_first_way(destination, timeout)
+        try:
+            return await self._async_relayed(destination, "the path has failed")
+        except ConnectRefusedError:
+            return Connected(await self._direct.async_open(destination, timeout))
+
+    async def async_release(self, address: str, connected: Connected) -> None:
+        """Keep a direct connection after its exchange, close any other."""
+        if connected.relay:
+            await connected.client.async_close()
+            return
+        await self._connections.async_release(address, connected.client)
+
+    async def async_check(self, destination: Destination) -> None:
+        """Check the path to an upstream whose response was lost, in the background."""
+        await self._direct.async_probe(destination)
+
+    async def async_confirm_refusal(self, sent: SentRequest) -> bool:
+        """Return whether connections of other hosts to an upstream are refused."""
+        destination = Destination(sent.request_id, sent.upstream, sent.address)
+        return await self._relays.async_is_refused(destination)
+
+    async def _async_first_way(
+        self, destination: Destination, timeout: float
+    ) -> Connected:
+        """Return the first way that is open: the direct one, or after a time another.
+
+        The direct attempt goes on in any case, so that its result is known.
+        """
+        results: curio.Queue = curio.Queue()
+        decided = curio.Event()
+        await curio.spawn(
+            self._async_try_direct, destination, timeout, results, decided, daemon=True
+        )
+        suspect = self._paths.is_suspect(self._clock.now())
+        hedge = const.SUSPECT_HEDGE_SECONDS if suspect else const.HEDGE_SECONDS
+        try:
+            result = None
+            async with curio.ignore_after(hedge):
+                result = await results.get()
+            if isinstance(result, ClientExchange):
+                return Connected(result)
+            if result is not None:
+                return await self._async_relayed(destination, result.text)
+            return await self._async_relayed(
+                destination, f"no connection in {hedge} s", results
+            )
+        finally:
+            await decided.set()
+            await self._async_close_late(results)
+
+    async def _async_try_direct(
+        self,
+        destination: Destination,
+        timeout: float,
+        results: curio.Queue,
+        decided: curio.Event,
+    ) -> None:
+        try:
+            client = await self._direct.async_open(destination, timeout)
+        except ConnectRefusedError as error:
+            await results.put(error)
+            return
+        if decided.is_set():
+            await client.async_close()
+            return
+        await results.put(client)
+
+    async def _async_relayed(
+        self,
+        destination: Destination,
+        why: str,
+        direct: curio.Queue | None = None,
+    ) -> Connected:
+        """Return the first tunnel that is open, or a direct connection if it is sooner.
+
+        direct delivers the result of a direct attempt that is still in progress. Each
+        host gets HEDGE_SECONDS before the next one is tried beside it.
+        """
+        results = direct if direct is not None else curio.Queue()
+        pending = int(direct is not None)
+        relays = self._relays.candidates(destination)
+        errors = [why]
+        tasks: list[curio.Task] = []
+        try:
+            for relay in itertools.chain(relays, itertools.repeat(None)):
+                if relay is not None:
+                    tasks.append(
+                        await curio.spawn(
+                            self._async_try_relay,
+                            destination,
+                            relay,
+                            results,
+                            daemon=True,
+                        )
+                    )
+                    pending += 1
+                if not pending:
+                    raise ConnectRefusedError("; ".join(errors))
+                result = None
+                async with curio.ignore_after(const.HEDGE_SECONDS):
+                    result = await results.get()
+                if result is None:
+                    continue
+                pending -= 1
+                if isinstance(result, Connected):
+                    return result
+                if isinstance(result, ClientExchange):
+                    return Connected(result)
+                errors.append(result.text)
+        finally:
+            for task in tasks:
+                await task.cancel()
+            await self._async_close_late(results)
+        raise AssertionError("unreachable")
+
+    async def _async_try_relay(
+        self, destination: Destination, relay: RelayCandidate, results: curio.Queue
+    ) -> None:
+        try:
+            sock = await self._relays.async_open(destination, relay)
+        except TunnelError as error:
+            await results.put(error)
+            return
+        client = ClientExchange(sock, self._connections.allow_close_delimited)
+        await results.put(Connected(client, relay.name))
+
+    async def _async_close_late(self, results: curio.Queue) -> None:
+        """Close the connections that were opened beside the one that is used."""
+        while not results.empty():
+            result = await results.get()
+            if isinstance(result, Connected):
+                await result.client.async_close()
+            elif isinstance(result, ClientExchange):
+                await result.async_close()
--- a/tests/components/tunnels/builders.py
+++ b/tests/components/tunnels/builders.py
@@ -14,7 +14,9 @@
 from bitterntiller.components.paths.host_paths import HostPaths
 from bitterntiller.components.tunnels import const
 from bitterntiller.components.tunnels.client import Destination
-from bitterntiller.components.tunnels.connector import RelayedConnector
+from bitterntiller.components.tunnels.direct import DirectPaths
+from bitterntiller.components.tunnels.relayed import RelayedConnector
+from bitterntiller.components.tunnels.relays import Relays
 from bitterntiller.components.tunnels.server import TunnelServer
 from bitterntiller.core.clock import RuntimeClock
 from tests.components.entry.fakes import FakeMetrics
@@ -58,6 +60,7 @@
     connections: PathConnections
     paths: HostPaths
     connector: RelayedConnector
+    directory: Directory
     server: TunnelServer
     metrics: FakeMetrics
 
@@ -78,16 +81,25 @@
             connections = PathConnections()
             paths = HostPaths(zone)
             metrics = FakeMetrics()
-            connector = RelayedConnector(
-                name, connections, links, directory, paths, clock, metrics
-            )
+            direct = DirectPaths(connections, paths, clock)
+            relays = Relays(name, links, directory, paths, clock, metrics)
+            connector = RelayedConnector(connections, direct, relays, paths, clock)
             server = TunnelServer(clock, metrics, paths)
             links.handle_streams(const.PURPOSE, server.async_serve)
-            prober = await curio.spawn(connector.async_probe_failed_paths)
+            prober = await curio.spawn(direct.async_probe_failed_paths)
             stack.push_async_callback(prober.cancel)
             stack.push_async_callback(connections.async_close)
             found.append(
-                TunnelHost(name, links, connections, paths, connector, server, metrics)
+                TunnelHost(
+                    name,
+                    links,
+                    connections,
+                    paths,
+                    connector,
+                    directory,
+                    server,
+                    metrics,
+                )
             )
         yield found
 
--- a/tests/components/tunnels/test_tunnels.py
+++ b/tests/components/tunnels/test_tunnels.py
@@ -107,9 +107,7 @@
         async with hosts("a") as (a,), upstream(async_slow) as e:
             a.connections.mode = REFUSES
             async with hosts("b") as (b,):
-                a.connector._directory.hosts_by_name.update(
-                    b.connector._directory.hosts_by_name
-                )
+                a.directory.hosts_by_name.update(b.directory.hosts_by_name)
                 connected = await a.connector.async_acquire(e.destination(), 0.5)
                 asking = await curio.spawn(async_ask, connected.client)
                 await async_until(lambda: e.requests)
@@ -244,6 +242,20 @@
     run(async_main)
 
 
+@pytest.mark.parametrize("silent", [True, False])
+def test_host_without_others_goes_on_trying_its_failed_path(silent):
+    """The only entry host refused requests for a second after an upstream was back."""
+
+    async def async_main() -> None:
+        async with hosts("a") as (a,), upstream(sending(WITH_LENGTH)) as e:
+            a.paths.record_failed(e.address, "e1", silent, a.connector._clock.now())
+            connected = await a.connector.async_acquire(e.destination(), 0.5)
+            assert connected.relay == ""
+            await connected.client.async_close()
+
+    run(async_main)
+
+
 def test_host_between_tries_a_path_that_was_refused_before():
     """A stream was truncated, as the only other host trusted an outdated refusal."""
 
