--- a/bitterntiller/components/tunnels/server.py
+++ b/bitterntiller/components/tunnels/server.py
@@ -20,7 +20,7 @@
 from bitterntiller.protocol import MalformedMessageError, messages
 
 
-class _Opened(NamedTuple):
+class Opened(NamedTuple):
     """The connection to an upstream, None with the status why there is none."""
 
     status: str
@@ -84,27 +84,27 @@
             return None
         return request if isinstance(request, messages.OpenTunnel) else None
 
-    def _refusal(self, request: Any) -> _Opened | None:
+    def _refusal(self, request: Any) -> Opened | None:
         if self.draining:
-            return _Opened(const.STATUS_STOPPING, "the host is stopping")
+            return Opened(const.STATUS_STOPPING, "the host is stopping")
         if self.carried >= self._max_tunnels:
             text = f"the host carries {self.carried} tunnels"
-            return _Opened(const.STATUS_BUSY, text)
+            return Opened(const.STATUS_BUSY, text)
         # Only a silent path is taken for failed unseen: trying it would take time.
         if self._paths.is_silent(request.address):
             self._paths.record_use(request.address, self._clock.now())
             text = f"{request.address} is not reached from here"
-            return _Opened(const.STATUS_UNREACHABLE, text)
+            return Opened(const.STATUS_UNREACHABLE, text)
         return None
 
-    async def _async_connect(self, request: Any) -> _Opened:
+    async def _async_connect(self, request: Any) -> Opened:
         address = request.address
         ip, _, port = address.rpartition(":")
         timeout = min(max(request.connect_ms, 1) / 1000, const.MAX_CONNECT_SECONDS)
         try:
             sock = await async_connect(ip, int(port), timeout)
         except (ValueError, OverflowError) as error:
-            return _Opened(const.STATUS_INVALID, f"{address}: {error!r}")
+            return Opened(const.STATUS_INVALID, f"{address}: {error!r}")
         except OSError as error:
             now = self._clock.now()
             refused = isinstance(error, ConnectionRefusedError)
@@ -112,15 +112,15 @@
             if self._paths.record_failed(address, request.upstream, not refused, now):
                 log_path(destination, False, repr(error))
             status = const.STATUS_REFUSED if refused else const.STATUS_UNREACHABLE
-            return _Opened(status, f"{address}: {error!r}")
+            return Opened(status, f"{address}: {error!r}")
         if self._paths.record_reached(address):
             destination = Destination(request.request_id, request.upstream, address)
             log_path(destination, True, "")
         enable_keepalive(sock, const.KEEPALIVE_SECONDS)
-        return _Opened(const.STATUS_OK, "", sock)
+        return Opened(const.STATUS_OK, "", sock)
 
     async def _async_reply(
-        self, sock: Any, peer: Peer, request: Any, opened: _Opened
+        self, sock: Any, peer: Peer, request: Any, opened: Opened
     ) -> bool:
         """Send the reply; return whether the tunnel is open."""
         is_open = opened.status == const.STATUS_OK
--- a/tests/components/dispatch/test_failed_paths.py
+++ b/tests/components/dispatch/test_failed_paths.py
@@ -5,6 +5,7 @@
 from bitterntiller.components.dispatch import REGISTERED_PARAMETERS
 from bitterntiller.components.dispatch.models import Decision, Granted
 from bitterntiller.components.dispatch.scheduler import PoolScheduler
+from bitterntiller.components.paths.const import FIRST_PAUSE_SECONDS
 from tests.components.dispatch import builders as build
 
 NOW = 1000.0
@@ -52,6 +53,41 @@
         assert serve(scheduler, f"t{number}", SOUND, now + 0.3) == "e1"
 
 
+def test_host_gets_other_upstreams_while_a_path_is_lost():
+    """A host was granted the upstream again and again that it didn't reach."""
+    scheduler = pool("e1", "e2")
+    for number in range(8):
+        serve(scheduler, f"s{number}", SOUND, NOW)
+    [lost] = register(scheduler, "c", CUT_OFF, NOW + 0.1)
+    scheduler.returned("c", "refused-connection", False, NOW + 0.1)
+    found = {
+        name
+        for number in range(6)
+        for name in register(scheduler, f"d{number}", CUT_OFF, NOW + 0.2)
+    }
+    assert found == {"e1", "e2"} - {lost}
+    for number in range(6):
+        scheduler.cancel(f"d{number}", NOW + 0.3)
+    later = NOW + 0.1 + FIRST_PAUSE_SECONDS
+    found = {
+        name
+        for number in range(6)
+        for name in register(scheduler, f"e{number}", CUT_OFF, later)
+    }
+    assert lost in found
+
+
+def test_restarted_upstream_is_granted_to_all_hosts_at_once():
+    scheduler = pool("e1")
+    serve(scheduler, "s", SOUND, NOW)
+    register(scheduler, "c", CUT_OFF, NOW + 0.1)
+    scheduler.returned("c", "refused-connection", False, NOW + 0.1)
+    assert register(scheduler, "d", CUT_OFF, NOW + 0.2) == []
+    scheduler.cancel("d", NOW + 0.2)
+    scheduler.announce(build.upstream("e1", slots=8, incarnation=2), NOW + 0.3)
+    assert register(scheduler, "e", CUT_OFF, NOW + 0.3) == ["e1"]
+
+
 def test_upstream_that_no_host_reaches_is_unhealthy_for_all():
     """Each host kept trying an upstream that had ended."""
     scheduler = pool("e1")
--- a/tests/components/entry/test_readiness.py
+++ b/tests/components/entry/test_readiness.py
@@ -3,6 +3,8 @@
 import curio
 import pytest
 
+from bitterntiller.components.paths.host_paths import HostPaths
+from bitterntiller.components.tunnels.server import TunnelServer
 from tests.components.entry.deployment import ConfigView, async_whole, entry_host
 
 
@@ -39,3 +41,22 @@
             assert not entry.coordinator.configured()
 
     curio.run(async_main)
+
+
+def test_drain_waits_for_the_tunnels_of_other_hosts():
+    """A host that stopped cut the requests that it carried for others."""
+
+    async def async_main() -> None:
+        async with entry_host(async_whole) as entry:
+            server = entry.coordinator.tunnel_server = TunnelServer(
+                entry.context.clock, entry.context.metrics, HostPaths("bole")
+            )
+            server.carried = 1
+            drain = await curio.spawn(entry.coordinator.async_drain)
+            await curio.sleep(0.2)
+            assert server.draining and not drain.terminated
+            server.carried = 0
+            async with curio.timeout_after(1.0):
+                assert await drain.join() == []
+
+    curio.run(async_main)
--- a/tests/components/tunnels/builders.py
+++ b/tests/components/tunnels/builders.py
@@ -158,9 +158,9 @@
         yield made
 
 
-async def async_ask(client: ClientExchange) -> tuple[int, bytes]:
+async def async_ask(client: ClientExchange, close: bool = True) -> tuple[int, bytes]:
     """Send a request and return status and body; raise IncompleteResponseError."""
-    await client.async_request("POST", "/tiles", [], b"{}", 2.0)
+    await client.async_request("POST", "/tiles", [], b"{}", 2.0, close)
     head = await client.async_head(2.0)
     body = b""
     while (data := await client.async_data(2.0)) is not None:
--- a/tests/components/tunnels/test_stream.py
+++ b/tests/components/tunnels/test_stream.py
@@ -40,6 +40,6 @@
 
 
 def test_length_over_the_limit_breaks_the_tunnel():
-    data = (MAX_PART_BYTES + 1).to_bytes(4, "big")
+    data = pack_part(bytes(MAX_PART_BYTES + 1)) + END
     with pytest.raises(ConnectionResetError):
-        curio.run(async_read, data, 4)
+        curio.run(async_read, data, MAX_PART_BYTES)
--- a/tests/components/tunnels/test_tunnels.py
+++ b/tests/components/tunnels/test_tunnels.py
@@ -15,6 +15,7 @@
 from bitterntiller.components.links.frames import pack
 from bitterntiller.components.tunnels import const
 from bitterntiller.components.tunnels.client import Destination
+from bitterntiller.components.tunnels.server import Opened
 from bitterntiller.core.interfaces import SentRequest
 from bitterntiller.protocol import messages
 from tests.components.links.builders import free_port
@@ -180,6 +181,55 @@
     run(async_main)
 
 
+def test_tunnel_that_opens_too_late_is_closed():
+    """Tunnels that lost the race stayed open at the host between."""
+
+    async def async_main() -> None:
+        async with hosts("a", "b", "c") as (a, b, c), upstream(sending(b"")) as e:
+            a.connections.mode = REFUSES
+            a.paths.record_relay(e.address, "b", True, a.connector._clock.now())
+            connect = b.server._async_connect
+
+            async def async_slowly(request: Any) -> Any:
+                await curio.sleep(0.25)
+                return await connect(request)
+
+            b.server._async_connect = async_slowly
+            destination = e.destination()
+            for _ in range(5):
+                connected = await a.connector.async_acquire(destination, 0.5)
+                assert connected.relay == "c"
+                await connected.client.async_close()
+            await async_until(lambda: not b.server.carried and not c.server.carried)
+            await async_until(lambda: not e.open)
+
+    run(async_main)
+
+
+def test_idle_connection_from_before_a_silent_failure_is_not_used():
+    """Requests were lost on kept connections that carried nothing any more."""
+
+    async def async_keep(sock: Any) -> None:
+        await sock.sendall(WITH_LENGTH)
+        await sock.recv(1)
+
+    async def async_main() -> None:
+        async with hosts("a", "b") as (a, _), upstream(async_keep) as e:
+            opened = []
+            for silent in (False, True):
+                connected = await a.connector.async_acquire(e.destination(), 0.5)
+                await async_ask(connected.client, close=False)
+                await a.connector.async_release(e.address, connected)
+                now = a.connector._clock.now()
+                a.paths.record_failed(f"other-{silent}:1", "e2", silent, now)
+                connected = await a.connector.async_acquire(e.destination(), 0.5)
+                await connected.client.async_close()
+                opened.append(a.connections.opened)
+            assert opened == [1, 3]
+
+    run(async_main)
+
+
 def test_full_host_is_passed_over():
     async def async_main() -> None:
         async with hosts("a", "b", "c") as (a, b, c), upstream(sending(b"")) as e:
@@ -275,6 +325,10 @@
     return SentRequest("r1", 1, "e1", "1", address)
 
 
+async def async_refused(request: Any) -> Any:
+    return Opened(const.STATUS_REFUSED, "refused")
+
+
 def test_refusal_is_confirmed_only_if_no_other_host_is_connected():
     """Requests were taken for the crash of upstreams that one host didn't reach."""
 
@@ -283,7 +337,7 @@
             ended = f"127.0.0.1:{free_port()}"
             assert await a.connector.async_confirm_refusal(sent(ended))
             assert not await a.connector.async_confirm_refusal(sent(e.address))
-            c.paths.record_failed(e.address, "e1", False, 0.0)
+            c.server._async_connect = async_refused
             assert not await a.connector.async_confirm_refusal(sent(e.address))
             b.paths.record_failed(e.address, "e1", True, 0.0)
             c.paths.record_failed(e.address, "e1", True, 0.0)
