--- a/bench/chaos.py
+++ b/bench/chaos.py
@@ -1,4 +1,6 @@
-"""Sends requests while entry processes are killed or stopped, and counts their runs.
+"""Sends requests while entry hosts get faults, and counts the runs of each request.
+
+Processes are killed or stopped, and hosts lose their paths to some or all upstreams.
 
 The stand-ins record the runs of each request.
 """
@@ -16,6 +18,7 @@
 from bench.setup import chat_request
 from standins.responses import digest
 from tests.scenarios import builders
+from tests.scenarios.cut_paths import REFUSE, RESET, SILENT
 from tests.scenarios.deployment import Deployment
 
 TIMEOUT_S = 40.0
@@ -42,15 +45,20 @@
 
     def run(self) -> dict[str, Any]:
         """Send all requests and return the counts."""
-        fault_thread = threading.Thread(target=self._inject_faults)
-        fault_thread.start()
+        threads = [
+            threading.Thread(target=target)
+            for target in (self._inject_faults, self._cut_paths)
+        ]
+        for thread in threads:
+            thread.start()
         started_at = time.perf_counter()
         try:
             curio.run(async_each, range(self._count), self._workers, self._async_one)
         finally:
             wall = time.perf_counter() - started_at
             self._done.set()
-            fault_thread.join()
+            for thread in threads:
+                thread.join()
         time.sleep(3.0)
         return self._summarize() | {"run_s": round(wall, 1)}
 
@@ -71,6 +79,20 @@
                 self._done.wait(rng.uniform(*STOPPED_S))
                 process.signal(signal.SIGCONT)
 
+    def _cut_paths(self) -> None:
+        """Cut the paths of one host after another, beside the other faults."""
+        rng = random.Random(self._random.random())
+        names = [host.name for host in self._hosts if host.name.startswith("c")]
+        upstreams = list(self._deployment.upstreams_by_name)
+        while not self._done.wait(rng.uniform(*PAUSE_S)):
+            name = rng.choice(names)
+            mode = rng.choice((SILENT, RESET, REFUSE))
+            chosen = rng.sample(upstreams, rng.randint(1, len(upstreams)))
+            self._signals[f"cut {mode}"] += 1
+            self._deployment.cut_upstreams(name, mode, chosen)
+            self._done.wait(rng.uniform(*STOPPED_S))
+            self._deployment.heal_upstreams(name)
+
     async def _async_one(self, number: int) -> None:
         request = self._request(number)
         results: list[Result] = []
--- a/bench/system.py
+++ b/bench/system.py
@@ -173,7 +173,7 @@
 @cappa.command(name="chaos")
 @dataclass
 class ChaosRun:
-    """Requests while entry processes are killed, restarted, stopped and resumed."""
+    """Requests while entry hosts are killed, stopped and lose paths to upstreams."""
 
     count: Annotated[int, cappa.Arg(long=True)] = 10_000
     workers: Annotated[int, cappa.Arg(long=True)] = 32
