Tunnels: no user timeout on the connection to the upstream

The host between set keep-alive with a user timeout of 4 s on its connection to the upstream. A path of it that is silent for longer would have ended responses that a direct connection waits for, and an upstream's silence is no reason to end a response sooner. The sender's own timeouts end such a tunnel.

--- a/bitterntiller/components/paths/host_paths.py
+++ b/bitterntiller/components/paths/host_paths.py
@@ -144,10 +144,9 @@
         """Return the candidates, the one most likely to reach an upstream first.
 
         Hosts that reached it a short time ago come first, then those that the owner
-        named, and last those that failed;
-        other zones come before this one, in which paths may have failed together. Now
-        and then one that wasn't tried comes first, so that a single host doesn't carry
-        all requests of this one.
+        named, and last those that failed. Other zones come before this one, in which
+        paths may have failed together. Now and then one that wasn't tried comes first,
+        so that a single host doesn't carry all requests of this one.
         """
         exploring = self._rng.random() < EXPLORED_FRACTION
 
--- a/bitterntiller/components/tunnels/const.py
+++ b/bitterntiller/components/tunnels/const.py
@@ -13,7 +13,6 @@
 """Time within which a peer must say where its tunnel leads."""
 
 MAX_CONNECT_SECONDS = 1.0
-KEEPALIVE_SECONDS = 4
 
 RELAY_CONNECT_SECONDS = 0.3
 """Time that another host gets to connect to an upstream."""
--- a/bitterntiller/components/tunnels/server.py
+++ b/bitterntiller/components/tunnels/server.py
@@ -16,7 +16,7 @@
 from bitterntiller.core import events
 from bitterntiller.core.clock import Clock
 from bitterntiller.core.interfaces import Metrics
-from bitterntiller.core.tcp import async_connect, enable_keepalive
+from bitterntiller.core.tcp import async_connect
 from bitterntiller.protocol import MalformedMessageError, messages
 
 
@@ -116,7 +116,6 @@
         if self._paths.record_reached(address):
             destination = Destination(request.request_id, request.upstream, address)
             log_path(destination, True, "")
-        enable_keepalive(sock, const.KEEPALIVE_SECONDS)
         return Opened(const.STATUS_OK, "", sock)
 
     async def _async_reply(
--- a/tests/components/tunnels/test_tunnels.py
+++ b/tests/components/tunnels/test_tunnels.py
@@ -138,6 +138,25 @@
     run(async_main)
 
 
+def test_connection_of_a_tunnel_to_its_upstream_has_no_user_timeout():
+    """A response was lost because its upstream was silent for some seconds."""
+
+    async def async_main() -> None:
+        async with hosts("a", "b") as (a, b), upstream(sending(b"")) as e:
+            request = messages.OpenTunnel(
+                request_id="r", upstream="e1", address=e.address, connect_ms=300
+            )
+            opened = await b.server._async_connect(request)
+            async with opened.sock:
+                for level, option in (
+                    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT),
+                    (socket.SOL_SOCKET, socket.SO_KEEPALIVE),
+                ):
+                    assert not opened.sock.getsockopt(level, option)
+
+    run(async_main)
+
+
 def test_stopping_host_ends_no_tunnel_and_opens_none():
     """A host that stopped cut requests that were sent through it."""
     go_on = curio.Event()
