--- a/tests/components/dispatch/test_failed_paths.py
+++ b/tests/components/dispatch/test_failed_paths.py
@@ -113,3 +113,15 @@
     request = build.request("s2", entry_host=SOUND, arrived=NOW, deadline=NOW + 30)
     [grant] = scheduler.register(request, NOW + 0.3)
     assert grant.relays == ()
+
+
+def test_broken_tunnel_blames_no_upstream():
+    """Hosts between that were killed made an upstream unhealthy."""
+    scheduler = pool("e1")
+    for number in range(4):
+        name = f"c{number}"
+        register(scheduler, name, CUT_OFF, NOW)
+        scheduler.started(name, NOW)
+        end = build.completion(name, "e1", outcome="unknown", relay=SOUND)
+        scheduler.finished(end, NOW + 0.1)
+    assert not scheduler.describe(NOW + 0.2)["upstreams_by_name"]["e1"]["sick"]
--- a/tests/components/links/test_coordinator.py
+++ b/tests/components/links/test_coordinator.py
@@ -317,3 +317,11 @@
 
     run(async_main)
     assert got == [("a", "r1")]
+
+
+def test_purpose_of_a_connection_is_proved():
+    """A recorded proof of one connection opened another kind of connection."""
+    peer = Peer("a", "i", "127.0.0.1:1")
+    nonce = bytes(const.NONCE_BYTES)
+    other = peer._replace(purpose="tunnel")
+    assert handshake.proof(KEY, nonce, peer) != handshake.proof(KEY, nonce, other)
--- a/tests/components/tunnels/test_tunnels.py
+++ b/tests/components/tunnels/test_tunnels.py
@@ -225,15 +225,30 @@
     run(async_main)
 
 
+async def _async_keep(sock: Any) -> None:
+    await sock.sendall(WITH_LENGTH)
+    await sock.recv(1)
+
+
+def test_tunnel_is_not_kept_for_another_request():
+    """A direct connection was expected and a tunnel of another request was used."""
+
+    async def async_main() -> None:
+        async with hosts("a", "b") as (a, _), upstream(_async_keep) as e:
+            a.connections.mode = REFUSES
+            connected = await a.connector.async_acquire(e.destination(), 0.5)
+            await async_ask(connected.client, close=False)
+            await a.connector.async_release(e.address, connected)
+            assert not a.connections.idle_by_address()
+
+    run(async_main)
+
+
 def test_idle_connection_from_before_a_silent_failure_is_not_used():
     """Requests were lost on kept connections that carried nothing any more."""
 
-    async def async_keep(sock: Any) -> None:
-        await sock.sendall(WITH_LENGTH)
-        await sock.recv(1)
-
     async def async_main() -> None:
-        async with hosts("a", "b") as (a, _), upstream(async_keep) as e:
+        async with hosts("a", "b") as (a, _), upstream(_async_keep) as e:
             opened = []
             for silent in (False, True):
                 connected = await a.connector.async_acquire(e.destination(), 0.5)
