--- a/tests/components/dispatch/builders.py
+++ b/tests/components/dispatch/builders.py
@@ -2,11 +2,15 @@
 
 from typing import Any
 
+from bitterntiller.components.dispatch import REGISTERED_PARAMETERS
 from bitterntiller.components.dispatch.models import (
     Completion,
+    Decision,
+    Granted,
     UpstreamState,
     WaitingRequest,
 )
+from bitterntiller.components.dispatch.scheduler import PoolScheduler
 
 
 def request(request_id: str = "r1", **changes: Any) -> WaitingRequest:
@@ -50,3 +54,16 @@
         total=1.0,
         in_time=True,
     )._replace(**changes)
+
+
+def registered_pool(*names: str, now: float, slots: int = 8) -> PoolScheduler:
+    """Return the scheduler of a pool with some upstreams registered with control."""
+    scheduler = PoolScheduler(REGISTERED_PARAMETERS)
+    for name in names:
+        scheduler.announce(upstream(name, slots=slots), now)
+    return scheduler
+
+
+def granted(decisions: list[Decision]) -> list[str]:
+    """Return the upstreams of the grants among decisions."""
+    return [item.upstream for item in decisions if isinstance(item, Granted)]
--- a/tests/components/dispatch/test_failed_paths.py
+++ b/tests/components/dispatch/test_failed_paths.py
@@ -2,8 +2,6 @@
 
 import pytest
 
-from bitterntiller.components.dispatch import REGISTERED_PARAMETERS
-from bitterntiller.components.dispatch.models import Decision, Granted
 from bitterntiller.components.dispatch.scheduler import PoolScheduler
 from bitterntiller.components.paths.const import FIRST_PAUSE_SECONDS
 from tests.components.dispatch import builders as build
@@ -14,21 +12,14 @@
 
 
 def pool(*names: str, slots: int = 8) -> PoolScheduler:
-    scheduler = PoolScheduler(REGISTERED_PARAMETERS)
-    for name in names:
-        scheduler.announce(build.upstream(name, slots=slots), NOW)
-    return scheduler
-
-
-def granted(decisions: list[Decision]) -> list[str]:
-    return [item.upstream for item in decisions if isinstance(item, Granted)]
+    return build.registered_pool(*names, now=NOW, slots=slots)
 
 
 def register(
     scheduler: PoolScheduler, request_id: str, host: str, now: float
 ) -> list[str]:
     request = build.request(request_id, entry_host=host, arrived=now, deadline=now + 30)
-    return granted(scheduler.register(request, now))
+    return build.granted(scheduler.register(request, now))
 
 
 def serve(scheduler: PoolScheduler, request_id: str, host: str, now: float) -> str:
--- a/tests/components/dispatch/test_notices.py
+++ b/tests/components/dispatch/test_notices.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from bitterntiller.components.dispatch import REGISTERED_PARAMETERS, make_scheduler
-from bitterntiller.components.dispatch.models import Decision, Granted, NoticeUpdate
+from bitterntiller.components.dispatch import make_scheduler
+from bitterntiller.components.dispatch.models import NoticeUpdate
 from bitterntiller.components.dispatch.owned_pool import OwnedPool
 from bitterntiller.components.dispatch.scheduler import PoolScheduler
 from bitterntiller.protocol import messages
@@ -16,10 +16,7 @@
 
 
 def pool(*names: str, slots: int = 8) -> PoolScheduler:
-    scheduler = PoolScheduler(REGISTERED_PARAMETERS)
-    for name in names:
-        scheduler.announce(build.upstream(name, slots=slots), NOW)
-    return scheduler
+    return build.registered_pool(*names, now=NOW, slots=slots)
 
 
 def notice(
@@ -32,10 +29,6 @@
     return NoticeUpdate(upstream, incarnation, host, leaving, NOW + pause)
 
 
-def granted(decisions: list[Decision]) -> list[str]:
-    return [item.upstream for item in decisions if isinstance(item, Granted)]
-
-
 def grants(
     scheduler: PoolScheduler,
     count: int,
@@ -49,7 +42,7 @@
         request = build.request(
             f"{host}-{name}{number}", entry_host=host, arrived=now, deadline=now + 30
         )
-        found += granted(scheduler.register(request, now))
+        found += build.granted(scheduler.register(request, now))
     return found
 
 
@@ -87,7 +80,7 @@
     scheduler = pool("e1")
     scheduler.apply_notice(notice(pause=3), NOW)
     assert grants(scheduler, 1, NOW + 2.9) == []
-    assert granted(scheduler.tick(NOW + 3.3)) == ["e1"]
+    assert build.granted(scheduler.tick(NOW + 3.3)) == ["e1"]
 
 
 def test_requests_that_wait_behind_a_paused_host_are_granted():
@@ -98,7 +91,7 @@
     assert waiting == []
     scheduler.apply_notice(notice(pause=20), NOW)
     done = build.completion(f"{OTHER}-r0", "e1")
-    assert granted(scheduler.finished(done, NOW + 1)) == ["e1"]
+    assert build.granted(scheduler.finished(done, NOW + 1)) == ["e1"]
 
 
 def test_grant_returned_for_a_pause_goes_elsewhere_without_blame():
@@ -109,7 +102,7 @@
         first_by_id[f"{HOST}-r{number}-0"] = first
     for request_id, first in first_by_id.items():
         again = scheduler.returned(request_id, "upstream-paused", True, NOW + 0.1)
-        assert granted(again) == [name for name in ("e1", "e2") if name != first]
+        assert build.granted(again) == [name for name in ("e1", "e2") if name != first]
     upstreams = scheduler.describe(NOW)["upstreams_by_name"].values()
     assert not any(upstream["sick"] for upstream in upstreams)
 
