--- a/bitterntiller/components/entry/event_logging.py
+++ b/bitterntiller/components/entry/event_logging.py
@@ -59,9 +59,12 @@
 ) -> None:
     """Log that a request is sent.
 
-    reused states whether a kept connection is used; version is the upstream's.
+    reused states whether a kept connection is used; version is the upstream's. begun_by
+    is the caller's attempt that began the stream, empty if that isn't stated; after is
+    the last event that was relayed in this or in an earlier attempt, 0 for none.
     """
     identified = active.prepared.identified
+    continued = identified.received.continued
     events.emit(
         "sent",
         request=active.request_id,
@@ -79,6 +82,8 @@
         grant_left=round(grant.valid_until - now, 3),
         kept_connection=reused,
         fingerprint=format_fingerprint(active.fingerprint),
+        begun_by=continued.first_id if continued else "",
+        after=active.last_event_id,
         config_version=identified.config_version,
     )
 
--- a/bitterntiller/components/entry/models.py
+++ b/bitterntiller/components/entry/models.py
@@ -35,6 +35,17 @@
     most_tokens: int
 
 
+class ContinuedStream(NamedTuple):
+    """The stream that a request continues, as its caller states it.
+
+    first_id is the id of the caller's attempt that began the stream, empty if it isn't
+    stated; after is the id of the last event that the caller has.
+    """
+
+    first_id: str
+    after: int
+
+
 class ReceivedRequest(NamedTuple):
     """A request whose head was parsed; the headers of its dialect are well formed."""
 
@@ -47,6 +58,7 @@
     arrived: float
     work: DeclaredWork | None = None
     host: str = ""
+    continued: ContinuedStream | None = None
 
 
 class IdentifiedRequest(NamedTuple):
@@ -217,6 +229,13 @@
         """Return the matching route, None if the configuration has no routes."""
         return self.prepared.identified.route
 
+    @property
+    def last_event_id(self) -> int:
+        """Return the id of the last event that its caller has, 0 without one."""
+        continued = self.prepared.identified.received.continued
+        after = continued.after if continued is not None else 0
+        return max(after, self.stream.last_id if self.stream is not None else 0)
+
     @property
     def repeatable(self) -> bool:
         """Return whether the request may be sent again after it may have run."""
