Test, failing: a stream goes on at the version that began it

What callers see: events of two software versions in one stream, which don't fit together. Ruled out: broken event sequences (none missing, none twice).

--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -46,6 +46,9 @@
 class Engine:
     """An engine of one version; fails is the fraction of requests that it fails."""
 
+    service = SERVICE
+    slots = 4
+
     def __init__(self, name: str, ip: str, version: str, fails: float) -> None:
         self.name = name
         self.version = version
@@ -97,11 +100,11 @@
 
     def _beat(self) -> None:
         body = {
-            "service": SERVICE,
+            "service": self.service,
             "address": f"{self._ip}:{ENGINE_PORT}",
             "zone": "bole",
             "version": self.version,
-            "batch_slots": 4,
+            "batch_slots": self.slots,
             "state": "ready",
             "cold_remaining_ms": 0,
         }
@@ -126,6 +129,8 @@
 class Fleet:
     """Control hosts and entry hosts, which are killed on exit."""
 
+    contracts = "base,config,rollout"
+
     def __init__(
         self,
         folder: Path,
@@ -195,9 +200,13 @@
     def engine(self, name: str, number: int, version: str, fails: float = 0) -> Engine:
         """Start an engine on its own address."""
         made = Engine(name, f"{SUBNET}.{100 + number}", version, fails)
-        self._stack.callback(made.close)
+        self.own(made)
         return made
 
+    def own(self, engine: Engine) -> None:
+        """Close an engine on exit."""
+        self._stack.callback(engine.close)
+
     def order(self, method: str, path: str, body: Any = None) -> tuple[int, Any]:
         """Call the control hosts in turn until one responds without a server error."""
         found = (0, None)
@@ -254,7 +263,7 @@
             "bootstrap": str(bootstrap).lower(),
             "serves": "control" if is_control else "edge",
             "heartbeat_ms": int(BEAT_SECONDS * 1000),
-            "contracts": "base,config,rollout",
+            "contracts": self.contracts,
             "fault_tolerance.machines": len(self.control_ips) // 2,
             "bounds.exposure_fraction": 0.1,
             "bounds.exposure_tolerance": 50,
--- /dev/null
+++ b/tests/platform/stream_versions.py
@@ -0,0 +1,423 @@
+"""Streams that callers take up again, served by engines of two software versions.
+
+`PYTHONPATH=platform python -m tests.platform.stream_versions` prints the whole table.
+"""
+
+import http.client
+import random
+import socket
+import sys
+import tempfile
+import threading
+import time
+import uuid
+from collections.abc import Callable
+from contextlib import contextmanager
+from http.server import BaseHTTPRequestHandler
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from tests.platform.builders import KEY, document, route
+from tests.platform.processes import (
+    CONTROL_IPS,
+    ENTRY_PORT,
+    SUBNET,
+    Engine,
+    Fleet,
+)
+
+ENTRY_IPS = tuple(f"{SUBNET}.{number}" for number in range(9, 15))
+STREAM_SERVICE = "llm"
+OLD, NEW = "v1", "v2"
+ENGINES_OF_A_VERSION = 3
+EVENTS = 12
+EVENT_PAUSE = 0.04
+FIRST_PAUSE = 0.03
+CALLERS = 24
+BREAKS = 0.3
+"""The share of streams that callers, or engines, break off."""
+
+SECONDS = 16.0
+DEADLINE_MS = 6000
+ATTEMPTS = 6
+ATTEMPT_PAUSE = 0.1
+READ_TIMEOUT = 3.0
+OK = 200
+
+
+class StreamEngine(Engine):
+    """An engine whose streams name its version in each event.
+
+    With breaks, it closes the connection within that share of its streams.
+    """
+
+    service = STREAM_SERVICE
+    slots = 8
+    breaks = 0.0
+
+    def respond(self, handler: BaseHTTPRequestHandler) -> None:
+        """Send the events after the one that the request names."""
+        headers = handler.headers
+        handler.rfile.read(int(headers.get("Content-Length", 0)))
+        after = int(headers.get("Last-Event-Id", 0))
+        self.requests.append(headers["X-Attempt-Id"])
+        left = EVENTS - after
+        cut = random.randrange(left) if left and random.random() < self.breaks else None
+        time.sleep(FIRST_PAUSE)
+        handler.send_response(OK)
+        handler.send_header("X-Attempt-Id", headers["X-Attempt-Id"])
+        handler.send_header("X-Engine-Signature", "signed")
+        handler.send_header("Content-Type", "text/event-stream")
+        handler.send_header("Transfer-Encoding", "chunked")
+        handler.end_headers()
+        for sent in range(left):
+            if sent == cut:
+                handler.connection.shutdown(socket.SHUT_RDWR)
+                handler.close_connection = True
+                return
+            event = f"id: {after + sent + 1}\ndata: {self.version}\n\n".encode()
+            handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            time.sleep(EVENT_PAUSE)
+        handler.wfile.write(b"0\r\n\r\n")
+
+
+class StreamFleet(Fleet):
+    """A fleet whose versions may serve side by side, without an order."""
+
+    contracts = "base,config,stream"
+
+    def __init__(self, folder: Path, entry_ips: tuple[str, ...] = ENTRY_IPS) -> None:
+        streams = route(
+            name="r-1",
+            path_prefix="/trees/",
+            timeout_ms=DEADLINE_MS,
+            target_latency_ms=1000,
+            max_attempts=3,
+        )
+        service = {
+            "name": STREAM_SERVICE,
+            "max_connections": 500,
+            "engine_id": {"kv_capacity": 1_000_000},
+        }
+        configuration = document(streams, services=[service])
+        super().__init__(folder, CONTROL_IPS, entry_ips, configuration)
+        self.engines: list[StreamEngine] = []
+
+    def add_engine(self, number: int, version: str) -> StreamEngine:
+        """Start an engine of a version on its own address."""
+        name = f"{version}-{number}-{uuid.uuid4().hex[:6]}"
+        engine = StreamEngine(name, f"{SUBNET}.{100 + number}", version, 0.0)
+        self.own(engine)
+        self.engines.append(engine)
+        return engine
+
+    def add_versions(self) -> None:
+        """Start the engines of both versions and wait until each one serves."""
+        for number in range(2 * ENGINES_OF_A_VERSION):
+            self.add_engine(number, OLD if number < ENGINES_OF_A_VERSION else NEW)
+        deadline = time.monotonic() + 20
+        while not all(engine.requests for engine in self.engines):
+            assert time.monotonic() < deadline, "an engine gets no requests"
+            readers = StreamCallers(self.entry_ips, breaks=0.0)
+            time.sleep(0.5)
+            readers.stop()
+
+
+class Take(NamedTuple):
+    """One attempt of a caller.
+
+    first is the time in seconds to its first event, None without one. done states
+    whether the stream is complete.
+    """
+
+    ip: str
+    after: int
+    status: int
+    events: tuple[tuple[int, str], ...]
+    done: bool
+    first: float | None
+
+
+class Stream(NamedTuple):
+    """A stream of a caller: its attempts in order."""
+
+    at: float
+    takes: tuple[Take, ...]
+
+    @property
+    def began(self) -> bool:
+        """Whether the first attempt brought an event."""
+        return bool(self.takes[0].events)
+
+    @property
+    def versions(self) -> frozenset[str]:
+        """The versions whose events the stream holds."""
+        return frozenset(version for take in self.takes for _, version in take.events)
+
+    @property
+    def whole(self) -> bool:
+        """Whether the ids of its events follow each other, from the first one on."""
+        ids = [number for take in self.takes for number, _ in take.events]
+        return ids == list(range(1, len(ids) + 1))
+
+
+class Tally(NamedTuple):
+    """Counts of streams; p50 are medians of the times to the first event."""
+
+    streams: int
+    began: int
+    mixed: int
+    broken: int
+    taken_up: int
+    went_on: int
+    first_p50: float
+    taken_up_p50: float
+
+    @property
+    def share_begun(self) -> float:
+        """The share of new streams that begin."""
+        return self.began / max(1, self.streams)
+
+    @property
+    def share_gone_on(self) -> float:
+        """The share of the streams taken up that go on."""
+        return self.went_on / max(1, self.taken_up)
+
+
+class StreamCallers:
+    """Threads that read streams and take up those that break, at any entry host."""
+
+    def __init__(
+        self,
+        ips: tuple[str, ...],
+        breaks: float = BREAKS,
+        callers: int = CALLERS,
+        first_ips: tuple[str, ...] | None = None,
+    ) -> None:
+        self.streams: list[Stream] = []
+        self._ips = ips
+        self._first_ips = first_ips or ips
+        self._breaks = breaks
+        self._stopped = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run, daemon=True) for _ in range(callers)
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Stop after the streams in progress."""
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _run(self) -> None:
+        while not self._stopped.wait(0.02):
+            self.streams.append(self._read())
+
+    def _read(self) -> Stream:
+        at = time.monotonic()
+        ends = at + DEADLINE_MS / 1000
+        first_id = uuid.uuid4().hex
+        leave = random.random() < self._breaks
+        leave_after = random.randrange(1, EVENTS) if leave else None
+        take = attempt(random.choice(self._first_ips), first_id, ends, leave_after)
+        takes = [take]
+        after = _last(take)
+        while after and not take.done and len(takes) < ATTEMPTS:
+            time.sleep(ATTEMPT_PAUSE)
+            if time.monotonic() >= ends:
+                break
+            ip = random.choice(self._ips)
+            take = attempt(ip, uuid.uuid4().hex, ends, None, first_id, after)
+            takes.append(take)
+            after = max(after, _last(take))
+        return Stream(at, tuple(takes))
+
+    def tally(self, mine: Callable[[Stream], bool] = lambda stream: True) -> Tally:
+        """Return the counts of some streams."""
+        streams = [stream for stream in self.streams if mine(stream)]
+        again = [take for stream in streams for take in stream.takes[1:]]
+        taken_up = [stream for stream in streams if len(stream.takes) > 1]
+        went_on = [
+            stream
+            for stream in taken_up
+            if any(take.events or take.done for take in stream.takes[1:])
+        ]
+        firsts = [s.takes[0].first for s in streams if s.takes[0].first is not None]
+        return Tally(
+            streams=len(streams),
+            began=sum(stream.began for stream in streams),
+            mixed=sum(len(stream.versions) > 1 for stream in streams),
+            broken=sum(not stream.whole for stream in streams),
+            taken_up=len(taken_up),
+            went_on=len(went_on),
+            first_p50=_p50(firsts),
+            taken_up_p50=_p50([t.first for t in again if t.first is not None]),
+        )
+
+
+def attempt(
+    ip: str,
+    request_id: str,
+    ends: float,
+    leave_after: int | None,
+    first_id: str = "",
+    after: int = 0,
+) -> Take:
+    """Read a stream from one entry host, or the rest of it after an event."""
+    at = time.monotonic()
+    headers = {
+        "Host": "trees.example",
+        "Authorization": f"Token {KEY}",
+        "X-Attempt-Id": request_id,
+        "X-Deadline-Ms": str(max(1, int((ends - at) * 1000))),
+        "X-Token-Usage": "100,12",
+    }
+    if after:
+        headers["Last-Event-Id"] = str(after)
+    if first_id:
+        headers["Resumes"] = first_id
+    connection = http.client.HTTPConnection(ip, ENTRY_PORT, READ_TIMEOUT)
+    events: list[tuple[int, str]] = []
+    status, done, first = 0, False, None
+    try:
+        connection.request("POST", "/trees/1", b"{}", headers)
+        response = connection.getresponse()
+        status = response.status
+        while status == OK and (leave_after is None or len(events) < leave_after):
+            line = response.readline()
+            if not line:
+                done = True
+                break
+            if line.startswith(b"id: "):
+                number = int(line[4:])
+                version = response.readline()[6:].decode().strip()
+                first = first or time.monotonic() - at
+                events.append((number, version))
+    except (OSError, http.client.HTTPException, ValueError):
+        done = False
+    finally:
+        connection.close()
+    return Take(ip, after, status, tuple(events), done, first)
+
+
+def _last(take: Take) -> int:
+    return take.events[-1][0] if take.events else 0
+
+
+def _p50(values: list[float]) -> float:
+    return sorted(values)[len(values) // 2] if values else 0.0
+
+
+Way = Callable[[StreamFleet, float], Any]
+"""Disturbs a fleet until a time of the monotonic clock."""
+
+
+def leave_alone(fleet: StreamFleet, until: float) -> None:
+    """Do nothing; callers break their streams off."""
+    time.sleep(max(0.0, until - time.monotonic()))
+
+
+def restart_in_turn(ips: tuple[str, ...], down: float = 0.5, up: float = 1.5) -> Way:
+    """Return a way that kills hosts and starts them again, one after the other."""
+
+    def way(fleet: StreamFleet, until: float) -> None:
+        number = 0
+        while time.monotonic() + down + up < until:
+            process = fleet.process_by_ip[ips[number % len(ips)]]
+            number += 1
+            process.kill()
+            time.sleep(down)
+            process.start()
+            time.sleep(up)
+        leave_alone(fleet, until)
+
+    return way
+
+
+def restart_all(fleet: StreamFleet, until: float) -> None:
+    """Kill every host at one moment, half-way, and start them again."""
+    leave_alone(fleet, (time.monotonic() + until) / 2)
+    fleet.restart_all()
+    leave_alone(fleet, until)
+
+
+def end_old_version(fleet: StreamFleet, until: float) -> None:
+    """End the engines of the old version at half time."""
+    leave_alone(fleet, (time.monotonic() + until) / 2)
+    for engine in fleet.engines:
+        if engine.version == OLD:
+            engine.close()
+    leave_alone(fleet, until)
+
+
+@contextmanager
+def engines_that_break(fleet: StreamFleet, share: float) -> Any:
+    """Let engines break off a share of their streams."""
+    for engine in fleet.engines:
+        engine.breaks = share
+    try:
+        yield
+    finally:
+        for engine in fleet.engines:
+            engine.breaks = 0.0
+
+
+def run(
+    fleet: StreamFleet,
+    way: Way,
+    seconds: float = SECONDS,
+    caller_breaks: float = BREAKS,
+    engine_breaks: float = 0.0,
+) -> Tally:
+    """Read streams while a fleet is disturbed; return their counts."""
+    with engines_that_break(fleet, engine_breaks):
+        callers = StreamCallers(fleet.entry_ips, caller_breaks)
+        way(fleet, time.monotonic() + seconds)
+        callers.stop()
+    return callers.tally()
+
+
+class Row(NamedTuple):
+    """A row of the table: a way, and the shares of streams that break."""
+
+    name: str
+    way: Way
+    caller_breaks: float = BREAKS
+    engine_breaks: float = 0.0
+
+
+ROWS = (
+    Row("callers break off", leave_alone),
+    Row("engines break off", leave_alone, 0.0, 0.25),
+    Row("entry hosts restart in turn", restart_in_turn(ENTRY_IPS)),
+    Row("control hosts restart in turn", restart_in_turn(CONTROL_IPS)),
+    Row("every host restarts at once", restart_all),
+    Row("the old version ends", end_old_version),
+)
+
+
+def main() -> None:
+    """Print one line for each row of the table, or for those named."""
+    for row in ROWS:
+        if sys.argv[1:] and row.name not in sys.argv[1:]:
+            continue
+        with tempfile.TemporaryDirectory() as folder:
+            with StreamFleet(Path(folder)) as fleet:
+                fleet.add_versions()
+                tally = run(
+                    fleet,
+                    row.way,
+                    caller_breaks=row.caller_breaks,
+                    engine_breaks=row.engine_breaks,
+                )
+        figures = " ".join(
+            f"{name} {value:.3f}" if isinstance(value, float) else f"{name} {value}"
+            for name, value in tally._asdict().items()
+        )
+        print(f"{row.name}: {figures}", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/platform/test_stream_versions.py
@@ -0,0 +1,40 @@
+"""Tests of streams that go on, with real processes and two software versions."""
+
+from pathlib import Path
+
+import pytest
+
+from tests.platform.processes import CONTROL_IPS
+from tests.platform.stream_versions import (
+    ENTRY_IPS,
+    Row,
+    StreamFleet,
+    leave_alone,
+    restart_in_turn,
+    run,
+)
+
+LEAST_SHARE = 0.95
+"""Least share of the streams taken up that go on, of that of new streams that begin."""
+
+MAX_FIRST_EVENT_DELAY = 0.01
+"""Seconds that the first event of a stream taken up may take beyond a new one's."""
+
+ROWS = (
+    Row("callers-break-off", leave_alone),
+    Row("engines-break-off", leave_alone, 0.0, 0.25),
+    Row("entry-hosts-restart", restart_in_turn(ENTRY_IPS)),
+    Row("control-hosts-restart", restart_in_turn(CONTROL_IPS)),
+)
+
+
+@pytest.mark.parametrize("row", ROWS, ids=[row.name for row in ROWS])
+def test_stream_goes_on_at_the_version_that_began_it(row: Row, tmp_path: Path):
+    """No stream may hold events of two versions, and streams go on all the same."""
+    with StreamFleet(tmp_path) as fleet:
+        fleet.add_versions()
+        tally = run(fleet, row.way, 8.0, row.caller_breaks, row.engine_breaks)
+    assert tally.taken_up >= 12
+    assert (tally.mixed, tally.broken) == (0, 0)
+    assert tally.share_gone_on >= LEAST_SHARE * tally.share_begun
+    assert tally.taken_up_p50 <= tally.first_p50 + MAX_FIRST_EVENT_DELAY
