Streams: a broken stream goes on at its version only

Cause (hypothesis 1): a stream that breaks waits for another grant like a new request; the owner may grant any upstream of the service, and nothing compared its version with that of the upstream whose events the caller has. Change: at its first event a routed stream is bound to the version of its upstream, which comes with the grant. The request is queued again, also with a new owner, for upstreams of that version only; the entry host compares right before each sending (other-version). Where no registered upstream of the version takes requests, the owner refuses at once (version-gone), also while the request waits. A request whose every upstream was tried may try them again with a new owner too, since a version may have a single one. Ruled out: binding at the sending, as a stream without an event may go on anywhere; a check at the owner alone, as a new or old owner may not know.

--- a/bitterntiller/components/dispatch/coordinator.py
+++ b/bitterntiller/components/dispatch/coordinator.py
@@ -418,6 +418,7 @@
         if isinstance(decision, Granted):
             self._metrics.count(f"{const.METRIC_GRANTS}.{pool.name}")
             valid = const.DEFAULT_GRANT_SECONDS
-            return grant_message(decision, pool.name, pool.epoch, valid)
+            version = pool.version_of(decision.upstream)
+            return grant_message(decision, pool.name, pool.epoch, valid, version)
         self._metrics.count(f"{const.METRIC_REFUSALS}.{pool.name}.{decision.reason}")
         return refusal_message(decision, pool.name)
--- a/bitterntiller/components/dispatch/eligibility.py
+++ b/bitterntiller/components/dispatch/eligibility.py
@@ -9,19 +9,37 @@
     LABEL_SHARE,
 )
 from bitterntiller.components.dispatch.models import WorkspaceLimits
+from bitterntiller.components.rollouts.const import LABEL_VERSION
 
 ANY = Selector()
 
 
 class Eligibility:
-    """Cache of the upstream names that match the selectors of workspace and tier."""
+    """Cache of the upstream names that match the selectors of workspace and tier.
+
+    Also of the names of each version's upstreams.
+    """
 
     def __init__(self) -> None:
         self._names_by_key: dict[tuple[str, str], frozenset[str] | None] = {}
+        self._names_by_version: dict[str, frozenset[str]] = {}
 
     def clear(self) -> None:
         """Clear the cache after a change of labels or of the configuration."""
         self._names_by_key.clear()
+        self._names_by_version.clear()
+
+    def names_of_version(
+        self, version: str, labels_by_upstream: Mapping[str, dict[str, str]]
+    ) -> frozenset[str]:
+        """Return the names of the upstreams of a software version."""
+        if version not in self._names_by_version:
+            self._names_by_version[version] = frozenset(
+                name
+                for name, labels in labels_by_upstream.items()
+                if labels.get(LABEL_VERSION, "") == version
+            )
+        return self._names_by_version[version]
 
     def names(
         self,
--- a/bitterntiller/components/dispatch/models.py
+++ b/bitterntiller/components/dispatch/models.py
@@ -16,7 +16,8 @@
     entry host. prefix_hashes are the hashes of the prompt's prefixes, shortest first,
     and prefix_tokens their lengths if known. tried are the upstreams that refused or
     failed the request. fingerprint is the same for each copy of the request, 0 if
-    unknown. route is set while a rollout of the service is under evaluation.
+    unknown. route is set while a rollout of the service is under evaluation. version is
+    the only one that may go on with the stream of the request, None if any may run it.
     """
 
     request_id: str
@@ -36,6 +37,7 @@
     start_by: float | None = None
     fingerprint: int = 0
     route: str = ""
+    version: str | None = None
 
 
 class UpstreamLoad(NamedTuple):
@@ -240,14 +242,21 @@
         ...
 
     def returned(
-        self, request_id: str, reason: str, waiting: bool, now: float
+        self,
+        request_id: str,
+        reason: str,
+        waiting: bool,
+        now: float,
+        version: str | None = None,
+        upstream_names: frozenset[str] | None = None,
     ) -> list[Decision]:
         """Release the upstream of a grant that the entry host returned.
 
         reason says why: expired, refused-connection, not-admitted, failed, lost-answer,
-        upstream-left, upstream-paused, version-withdrawn, or the Reason for which the
-        request is refused without a run (such as no-lease). If waiting is true, the
-        request is queued again at its old position.
+        upstream-left, upstream-paused, version-withdrawn, other-version, or the Reason
+        for which the request is refused without a run (such as no-lease). With version,
+        the request's stream has begun, and only upstream_names may go on with it. If
+        waiting is true, the request is queued again at its old position.
         """
         ...
 
--- a/bitterntiller/components/dispatch/owned_pool.py
+++ b/bitterntiller/components/dispatch/owned_pool.py
@@ -24,12 +24,17 @@
 )
 from bitterntiller.components.rollouts.const import LABEL_VERSION
 from bitterntiller.components.rollouts.models import VersionRules
+from bitterntiller.core.outcomes import Reason
 from bitterntiller.protocol import messages
 
 UNKNOWN_TIER_RANK = 1_000_000
 REASON_UNDELIVERED = "expired"
 UNLISTED_GRACE_SECONDS = 5.0
 
+VERSION_GONE_RETRY_SECONDS = 2.0
+"""When to ask again for a stream whose version has no upstream: a crashed one may be
+replaced by another of the same version."""
+
 
 class TrackedRequest(NamedTuple):
     """A request that the owner tracks, with the entry process that sent it.
@@ -102,7 +107,9 @@
             self._held_by_id[request_id] = (message, incarnation)
             return []
         request = self._track(message, incarnation, now)
-        return self._record_decisions(self.scheduler.register(request, now), now)
+        decisions = self.scheduler.register(request, now)
+        decisions = self._record_decisions(decisions, now)
+        return decisions + self._refuse_if_version_gone(request_id, now)
 
     def _track(
         self, message: messages.Register, incarnation: str, now: float
@@ -224,10 +231,68 @@
         if message.still_waiting and tracked is not None:
             waiting = tracked._replace(granted=False)
             self.tracked_by_id[message.request_id] = waiting
+        version, names = self._bind_to_version(message)
         decisions = self.scheduler.returned(
-            message.request_id, message.reason, message.still_waiting, now
+            message.request_id,
+            message.reason,
+            message.still_waiting,
+            now,
+            version,
+            names,
+        )
+        decisions = self._record_decisions(decisions, now)
+        return decisions + self._refuse_if_version_gone(message.request_id, now)
+
+    def _bind_to_version(
+        self, message: messages.Returned
+    ) -> tuple[str | None, frozenset[str] | None]:
+        """Return the version that a waiting request's stream began at, and its names.
+
+        Both are None unless the stream has begun since the request was registered.
+        """
+        tracked = self.tracked_by_id.get(message.request_id)
+        config = self._config
+        if tracked is None or message.version is None or config is None:
+            return None, None
+        request = tracked.request
+        if request.version == message.version:
+            return None, None
+        version = message.version
+        names = self._allowed_names(request.workspace, request.tier, version, config)
+        self.tracked_by_id[message.request_id] = tracked._replace(
+            request=request._replace(version=version, upstream_names=names)
+        )
+        return version, names
+
+    def _refuse_if_version_gone(self, request_id: str, now: float) -> list[Decision]:
+        """Refuse a waiting request whose stream no upstream can go on with.
+
+        Its caller would otherwise wait for an upstream that may never come.
+        """
+        tracked = self.tracked_by_id.get(request_id)
+        if tracked is None or tracked.granted:
+            return []
+        if not self._is_gone(tracked.request.version):
+            return []
+        decisions = self._record_decisions(self.scheduler.cancel(request_id, now), now)
+        refused = Refused(
+            request_id,
+            tracked.request.entry_host,
+            Reason.VERSION_GONE,
+            VERSION_GONE_RETRY_SECONDS,
+        )
+        return decisions + self._record_decisions([refused], now)
+
+    def _is_gone(self, version: str | None) -> bool:
+        """Return whether all registered upstreams have another version or leave."""
+        registered = self._registered_by_name.values()
+        if version is None or not registered:
+            return False
+        return not any(
+            item.state != STATE_LEAVING
+            and item.labels.get(LABEL_VERSION, "") == version
+            for item in registered
         )
-        return self._record_decisions(decisions, now)
 
     def drop_undelivered(self, request_id: str, now: float) -> list[Decision]:
         """Drop a request whose grant could not be delivered."""
@@ -267,6 +332,8 @@
         self._registered_by_name.update(
             {name: item for name, item in registered.items() if item.pool == self.name}
         )
+        for request_id in list(self.tracked_by_id):
+            decisions += self._refuse_if_version_gone(request_id, now)
         return decisions
 
     def _announce_registered(
@@ -336,15 +403,27 @@
         names = None
         if config is not None:
             rank = _rank(message.tier, config)
-            names = self._allowed_names(message.workspace, message.tier, config)
+            names = self._allowed_names(
+                message.workspace, message.tier, message.version, config
+            )
         return waiting_request(message, rank, names, now)
 
     def _allowed_names(
-        self, workspace: str, tier: str, config: Config
+        self, workspace: str, tier: str, version: str | None, config: Config
     ) -> frozenset[str] | None:
-        return self._eligibility.names(
-            self.name, workspace, tier, config, self._labels_by_upstream
+        """Return the upstreams that may run a request, None if all may."""
+        labels_by_upstream = self._labels_by_upstream
+        names = self._eligibility.names(
+            self.name, workspace, tier, config, labels_by_upstream
         )
+        if version is None:
+            return names
+        of_version = self._eligibility.names_of_version(version, labels_by_upstream)
+        return of_version if names is None else names & of_version
+
+    def version_of(self, upstream: str) -> str:
+        """Return the software version of an upstream, empty if it states none."""
+        return self._labels_by_upstream.get(upstream, {}).get(LABEL_VERSION, "")
 
     def _reapply_selectors(self, now: float) -> list[Decision]:
         """Apply the current labels and selectors to all waiting requests."""
@@ -369,7 +448,9 @@
         if tracked is None or tracked.granted:
             return []
         request = tracked.request
-        names = self._allowed_names(request.workspace, request.tier, config)
+        names = self._allowed_names(
+            request.workspace, request.tier, request.version, config
+        )
         rank = _rank(request.tier, config)
         if (names, rank) == (request.upstream_names, request.tier_rank):
             return []
@@ -395,8 +476,7 @@
         if tracked is None:
             return
         self.tracked_by_id[decision.request_id] = tracked._replace(granted=True)
-        labels = self._labels_by_upstream.get(decision.upstream, {})
-        version = labels.get(LABEL_VERSION, "")
+        version = self.version_of(decision.upstream)
         self.rollout.record_grant(decision, tracked.request.route, version, now)
 
 
--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -9,6 +9,7 @@
     REASON_FAILED,
     REASON_LOST_ANSWER,
     REASON_NOT_ADMITTED,
+    REASON_OTHER_VERSION,
     REASON_REFUSED_CONNECTION,
     REASON_UPSTREAM_LEFT,
     REASON_UPSTREAM_PAUSED,
@@ -56,10 +57,16 @@
         REASON_UPSTREAM_LEFT,
         REASON_UPSTREAM_PAUSED,
         REASON_VERSION_WITHDRAWN,
+        REASON_OTHER_VERSION,
     }
 )
 _REASONS_WITHOUT_FAULT = frozenset(
-    {REASON_UPSTREAM_LEFT, REASON_UPSTREAM_PAUSED, REASON_VERSION_WITHDRAWN}
+    {
+        REASON_UPSTREAM_LEFT,
+        REASON_UPSTREAM_PAUSED,
+        REASON_VERSION_WITHDRAWN,
+        REASON_OTHER_VERSION,
+    }
 )
 
 
@@ -154,6 +161,8 @@
         if quarantined_for:
             decisions.append(self._refusals.quarantined(job, quarantined_for, now))
             return
+        if self._has_tried_all(job):
+            job.request = job.request._replace(tried=())
         self._estimate_size(job, now)
         job.min_service_seconds = self._picker.min_service_seconds(
             job, self._pool.view(job), now
@@ -187,7 +196,13 @@
         return []
 
     def returned(
-        self, request_id: str, reason: str, waiting: bool, now: float
+        self,
+        request_id: str,
+        reason: str,
+        waiting: bool,
+        now: float,
+        version: str | None = None,
+        upstream_names: frozenset[str] | None = None,
     ) -> list[Decision]:
         """Release the upstream of a returned grant; requeue a request that waits."""
         job = self._jobs.by_id.pop(request_id, None)
@@ -201,6 +216,10 @@
             job.return_count += 1
             tried = (*job.request.tried, upstream.name)
             job.request = job.request._replace(tried=tried)
+        if version is not None:
+            job.request = job.request._replace(
+                version=version, upstream_names=upstream_names
+            )
         self._jobs.withdraw(job, now)
         self._regroup(now)
         if waiting:
@@ -413,10 +432,14 @@
             return
         decisions.append(self._refusals.drop(victim, reason, now))
 
+    def _has_tried_all(self, job: Job) -> bool:
+        """Return whether every upstream that may run a request refused or failed it."""
+        members = self._pool.view(job).members
+        return bool(members) and all(name in job.request.tried for name in members)
+
     def _requeue(self, job: Job, now: float, decisions: list[Decision]) -> None:
         """Queue a request again, at its old position, after its grant was returned."""
-        members = self._pool.view(job).members
-        if members and all(name in job.request.tried for name in members):
+        if self._has_tried_all(job):
             # Every upstream refused or failed it. Its deadline may allow another round,
             # but rounds are limited: each try costs the entry host a connection.
             job.request = job.request._replace(tried=())
--- a/bitterntiller/components/dispatch/wire.py
+++ b/bitterntiller/components/dispatch/wire.py
@@ -42,6 +42,7 @@
         start_by=_deadline(message.start_by_ms, now),
         fingerprint=message.fingerprint or 0,
         route=message.route or "",
+        version=message.version,
     )
 
 
@@ -120,9 +121,12 @@
 
 
 def grant_message(
-    decision: Granted, pool: str, epoch: int, valid: float
+    decision: Granted, pool: str, epoch: int, valid: float, version: str
 ) -> messages.Grant:
-    """Return the message of a grant that is valid for some seconds."""
+    """Return the message of a grant that is valid for some seconds.
+
+    version is the software version of the upstream.
+    """
     return messages.Grant(
         request_id=decision.request_id,
         pool=pool,
@@ -133,6 +137,7 @@
         valid_ms=int(valid * 1000),
         rate_limited=_is_limited(decision) or None,
         relays=list(decision.relays) or None,
+        version=version,
     )
 
 
--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -30,7 +30,7 @@
     check_expiry,
     check_notices,
     check_upstream,
-    version_of,
+    check_version,
 )
 from bitterntiller.components.http.client import ClientExchange
 from bitterntiller.components.http.errors import (
@@ -130,6 +130,9 @@
         reason = check_notices(grant, context.notices, context.clock.now())
         if reason is None:
             reason = check_upstream(grant, context.upstreams, context.versions)
+        if reason is None:
+            required = self._active.required_version
+            reason = check_version(grant, required, context.upstreams)
         return None if reason is None else Retry(grant.upstream, reason)
 
     def _check_crashes(self) -> Ending | None:
@@ -188,8 +191,7 @@
         active.mark_sending(grant)
         active.sent_at = self._context.clock.now()
         self._spend_quota()
-        version = version_of(grant, self._context.upstreams)
-        log_sending(active, grant, client.reused, version, active.sent_at)
+        log_sending(active, grant, client.reused, active.sent_at)
         try:
             await self._async_send_request(client, grant)
             head, response_class = await self._async_head(client)
--- a/bitterntiller/components/entry/event_logging.py
+++ b/bitterntiller/components/entry/event_logging.py
@@ -55,21 +55,23 @@
 
 
 def log_sending(
-    active: ActiveRequest, grant: GrantReceived, reused: bool, version: str, now: float
+    active: ActiveRequest, grant: GrantReceived, reused: bool, now: float
 ) -> None:
     """Log that a request is sent.
 
-    reused states whether a kept connection is used; version is the upstream's. begun_by
-    is the caller's attempt that began the stream, empty if that isn't stated; after is
-    the last event that was relayed in this or in an earlier attempt, 0 for none.
+    reused states whether a kept connection is used; version is the upstream's. For a
+    request that continues a stream, begun_by is the caller's attempt that began it,
+    after the last event that was relayed, origin from where it is known which version
+    began it, and origin_age the seconds since that was last confirmed by an event.
     """
     identified = active.prepared.identified
     continued = identified.received.continued
+    origin = active.origin
     events.emit(
         "sent",
         request=active.request_id,
         upstream=grant.upstream,
-        version=version,
+        version=grant.version,
         address=grant.address,
         relay=active.relay,
         owner=grant.sender,
@@ -84,6 +86,8 @@
         fingerprint=format_fingerprint(active.fingerprint),
         begun_by=continued.first_id if continued else "",
         after=active.last_event_id,
+        origin=origin.source if origin else "",
+        origin_age=_rounded(origin.age) if origin else None,
         config_version=identified.config_version,
     )
 
@@ -149,6 +153,10 @@
     )
 
 
+def _rounded(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 3)
+
+
 def _config_age(context: Context) -> float | None:
     since = context.config.in_force_since
     return None if since is None else round(context.clock.now() - since, 3)
--- a/bitterntiller/components/entry/models.py
+++ b/bitterntiller/components/entry/models.py
@@ -11,9 +11,11 @@
 from bitterntiller.components.entry.sse import EventStream
 from bitterntiller.components.http.models import RequestHead
 from bitterntiller.components.tunnels.client import Destination
-from bitterntiller.core.interfaces import Ownership
+from bitterntiller.core.interfaces import Ownership, StreamOrigin
 from bitterntiller.core.outcomes import Ending
 
+SOURCE_THIS_REQUEST = "this-request"
+
 
 class PromptPart(NamedTuple):
     """A part of a prompt that other requests may share: id and number of tokens."""
@@ -108,7 +110,8 @@
 class GrantReceived(NamedTuple):
     """A grant, valid until valid_until; sender is the address of the owner's host.
 
-    relays names hosts that reach the upstream, if this one may not.
+    relays names hosts that reach the upstream, if this one may not. version is the
+    software version of the upstream, empty if it states none.
     """
 
     pool: str
@@ -120,6 +123,7 @@
     incarnation: str = ""
     rate_limited: bool = False
     relays: tuple[str, ...] = ()
+    version: str = ""
 
 
 class RefusalReceived(NamedTuple):
@@ -218,6 +222,9 @@
         self.load: ReportedLoad | None = None
         self.fingerprint = 0
         self.rate_limit: float | None = None
+        self.begun = False
+        self.granted_version = ""
+        self.origin: StreamOrigin | None = None
 
     @property
     def key(self) -> str:
@@ -229,6 +236,25 @@
         """Return the matching route, None if the configuration has no routes."""
         return self.prepared.identified.route
 
+    @property
+    def stream_id(self) -> str:
+        """Return the id of the caller's attempt that began the stream."""
+        continued = self.prepared.identified.received.continued
+        return continued.first_id if continued is not None else self.request_id
+
+    @property
+    def required_version(self) -> str | None:
+        """Return the version that began the stream, None if any may go on with it."""
+        return self.origin.version if self.origin is not None else None
+
+    def mark_begun(self) -> None:
+        """Bind the request to the version whose event its caller gets."""
+        self.begun = True
+        if self.origin is None:
+            self.origin = StreamOrigin(
+                self.pool, self.granted_version, SOURCE_THIS_REQUEST, 0.0
+            )
+
     @property
     def last_event_id(self) -> int:
         """Return the id of the last event that its caller has, 0 without one."""
@@ -275,6 +301,7 @@
         self.phase = Phase.SENDING
         self.upstream = grant.upstream
         self.address = grant.address
+        self.granted_version = grant.version
 
     @property
     def has_run(self) -> bool:
--- a/bitterntiller/components/entry/owner_messages.py
+++ b/bitterntiller/components/entry/owner_messages.py
@@ -44,6 +44,7 @@
         start_by_ms=_left_ms(identified.start_by, now),
         fingerprint=active.fingerprint or None,
         route=_judged_route(active, versions),
+        version=active.required_version,
     )
 
 
@@ -94,11 +95,16 @@
 
 
 def returned_message(
-    request_id: str, grant: GrantReceived, reason: str, waiting: bool
+    request_id: str,
+    grant: GrantReceived,
+    reason: str,
+    waiting: bool,
+    version: str | None = None,
 ) -> messages.Returned:
     """Return the message that returns a grant.
 
-    With the reasons failed and lost-answer, the request may have run under it.
+    With the reasons failed and lost-answer, the request may have run under it. version
+    is set if the request has a stream that only upstreams of that version go on with.
     """
     return messages.Returned(
         request_id=request_id,
@@ -106,6 +112,7 @@
         upstream=grant.upstream,
         reason=reason,
         still_waiting=waiting,
+        version=version,
     )
 
 
--- a/bitterntiller/components/entry/registry.py
+++ b/bitterntiller/components/entry/registry.py
@@ -13,6 +13,7 @@
     RefusalReceived,
 )
 from bitterntiller.components.entry.owner_messages import returned_message, running_item
+from bitterntiller.components.rollouts.const import LABEL_VERSION
 from bitterntiller.core.interfaces import Ownership
 from bitterntiller.protocol import messages
 
@@ -75,6 +76,7 @@
             incarnation=message.upstream_incarnation,
             rate_limited=bool(message.rate_limited),
             relays=tuple(message.relays or ()),
+            version=self._version(message),
         )
         if active is None or active.phase is not Phase.WAITING:
             # The caller has disconnected, or this is a second grant after a failover.
@@ -95,6 +97,16 @@
             return
         await active.mailbox.put(grant)
 
+    def _version(self, message: Any) -> str:
+        """Return the version of a granted upstream.
+
+        Owners of an earlier release don't state it.
+        """
+        upstreams = self._context.upstreams
+        if message.version is not None or upstreams is None:
+            return message.version or ""
+        return upstreams.labels(message.upstream).get(LABEL_VERSION, "")
+
     async def async_on_refusal(self, _host: str, message: Any) -> None:
         """Deliver a refusal to its request, unless the request is no longer waiting."""
         active = self.by_id.get(message.request_id)
@@ -109,7 +121,9 @@
         """Return a grant to the owner that issued it."""
         if not grant.sender:
             return
-        message = returned_message(request_id, grant, reason, waiting)
+        active = self.by_id.get(request_id)
+        version = active.required_version if active is not None else None
+        message = returned_message(request_id, grant, reason, waiting, version)
         await self._context.links.async_send(grant.sender, message)
 
     async def async_post(self, pool: str | None, event: Any) -> None:
--- a/bitterntiller/components/entry/relay.py
+++ b/bitterntiller/components/entry/relay.py
@@ -18,7 +18,11 @@
     EVENT_STREAM,
     is_event_stream,
 )
-from bitterntiller.components.entry.sse import BrokenStreamError, EventStream
+from bitterntiller.components.entry.sse import (
+    BrokenStreamError,
+    Events,
+    EventStream,
+)
 from bitterntiller.components.entry.upstream_calls import (
     STATUS_OK,
     async_open_resume,
@@ -134,6 +138,11 @@
         if self._active.first_byte_at is None:
             self._active.first_byte_at = self._context.clock.now()
 
+    def _bind_to_version(self, events: Events) -> None:
+        """Bind a routed stream to the version of its upstream at its first event."""
+        if self._active.route is not None and events.count:
+            self._active.mark_begun()
+
     async def _async_relay_body(self, client: ClientExchange) -> bool:
         try:
             while True:
@@ -218,6 +227,7 @@
                 events = stream.feed(data)
                 if events.data:
                     self._record_first_byte()
+                    self._bind_to_version(events)
                     self._active.output_tokens += events.count
                     await self._exchange.async_send(events.data)
         except (IncompleteResponseError, BrokenStreamError):
--- a/bitterntiller/components/entry/send_checks.py
+++ b/bitterntiller/components/entry/send_checks.py
@@ -14,8 +14,15 @@
 UPSTREAM_LEFT = "upstream-left"
 UPSTREAM_PAUSED = "upstream-paused"
 VERSION_WITHDRAWN = "version-withdrawn"
+OTHER_VERSION = "other-version"
 NOTHING_SENT = frozenset(
-    {REFUSED_CONNECTION, UPSTREAM_LEFT, UPSTREAM_PAUSED, VERSION_WITHDRAWN}
+    {
+        REFUSED_CONNECTION,
+        UPSTREAM_LEFT,
+        UPSTREAM_PAUSED,
+        VERSION_WITHDRAWN,
+        OTHER_VERSION,
+    }
 )
 """Reasons for which an attempt ended before anything was sent to the upstream."""
 
@@ -73,8 +80,16 @@
     return VERSION_WITHDRAWN
 
 
-def version_of(grant: GrantReceived, upstreams: DepartingView | None) -> str:
-    """Return the software version of an upstream, empty if it isn't known."""
-    if upstreams is None:
-        return ""
-    return upstreams.labels(grant.upstream).get(LABEL_VERSION, "")
+def check_version(
+    grant: GrantReceived, required: str | None, upstreams: DepartingView | None
+) -> str | None:
+    """Return why a granted upstream may not go on with a stream, None if it may.
+
+    The owner may not have been told of the version, or not know that the upstream was
+    started again under another one.
+    """
+    if required is None:
+        return None
+    labels = upstreams.labels(grant.upstream) if upstreams is not None else {}
+    listed = labels.get(LABEL_VERSION, grant.version)
+    return None if grant.version == listed == required else OTHER_VERSION
--- a/bitterntiller/core/interfaces.py
+++ b/bitterntiller/core/interfaces.py
@@ -190,6 +190,19 @@
         ...
 
 
+class StreamOrigin(NamedTuple):
+    """What began a stream: the service, as its pool, and its software version.
+
+    source says from where it is known. age is the time in seconds since the stream's
+    last event, None if it isn't known.
+    """
+
+    pool: str
+    version: str
+    source: str
+    age: float | None
+
+
 class HostView(Protocol):
     """A host of the directory."""
 
--- a/bitterntiller/core/outcomes.py
+++ b/bitterntiller/core/outcomes.py
@@ -42,6 +42,7 @@
     CLAIM_UNAVAILABLE = "claim-unavailable"
     CLAIM_ORPHANED = "claim-orphaned"
     CRASHES_UPSTREAMS = "crashes-upstreams"
+    VERSION_GONE = "version-gone"
     UPSTREAM_RESET = "upstream-reset"
     UPSTREAM_TIMEOUT = "upstream-timeout"
     UPSTREAM_FAILED = "upstream-failed"
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -102,6 +102,7 @@
     14: optional i32 start_by_ms,         // time until the caller gives up without a first output
     15: optional i64 fingerprint,         // the same for all copies of a request
     16: optional string route,            // while a rollout of the service is evaluated
+    17: optional string version,          // of the upstreams that may go on with its stream
 }
 
 struct Grant {
@@ -114,6 +115,7 @@
     7: required i32 valid_ms,             // from the arrival of the grant
     8: optional bool rate_limited,        // the owner expects responses of the upstream to state a rate limit
     9: optional list<string> relays,      // hosts that reach the upstream, for one that did not reach some
+    10: optional string version,          // software version of the upstream
 }
 
 struct Refusal {
@@ -159,9 +161,10 @@
     3: required string upstream,
     4: required string reason,           // expired, refused-connection, not-admitted, failed,
                                          // lost-answer, upstream-left, upstream-paused,
-                                         // version-withdrawn, or
+                                         // version-withdrawn, other-version, or
                                          // why it is refused without a run (as no-lease)
     5: required bool still_waiting,
+    6: optional string version,          // of the upstreams that may go on with its stream
 }
 
 struct RunningItem { 1: required Register request, 2: required string upstream, 3: required i32 output_tokens }
--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -118,12 +118,13 @@
     """Fake links that grant each registration at once.
 
     Each grant names another upstream, unless names has the next ones; the last one of
-    names is used for all later grants.
+    names is used for all later grants, and so with versions.
     """
 
     def __init__(self, address: str) -> None:
         self.sent: list[Any] = []
         self.names: list[str] = []
+        self.versions: list[str] = [""]
         self.coordinator: Any = None
         self._address = address
 
@@ -143,6 +144,7 @@
             address=self._address,
             upstream_incarnation="0",
             valid_ms=1000,
+            version=self.versions.pop(0) if self.versions[1:] else self.versions[0],
         )
         await self.coordinator.registry.async_on_grant("b", grant)
 
