Streams: taken up at the service and version that began them

Change: part stream_versions. The entry host that relays the first event remembers service and version under the id of the caller's first attempt, and tells two control hosts, chosen by rendezvous hashing, once the route's streams may begin in more than one way. A host that is asked for the rest asks all control hosts, and the leader of control which versions the services had lately (replicated, confirmed by a majority after the request arrived). A record decides; without one, a single service with a single version does; else the request is refused as not run (unknown-origin), with a time to come back unless all have answered. A malformed continuation gets 400. Ruled out: the pool's owner as the only memory, since entry hosts choose owners by themselves and two may act at a time; a conclusion from a host's own list of upstreams, which may be behind; versions by a hash of the id, which takes the choice of the upstream from the owner.

--- a/bitterntiller/components/control/const.py
+++ b/bitterntiller/components/control/const.py
@@ -55,6 +55,10 @@
 announcements are delayed by seconds.
 """
 
+VERSIONS_KEPT_SECONDS = 60.0
+"""How long a version without upstreams may still have begun a stream that callers take
+up: longer than a stream lasts, and than an owner without control grants requests."""
+
 MAX_CLAIMS = 100_000
 MAX_CLAIMS_PER_WORKSPACE = 50_000
 """Claims that are stored; one workspace can't use the whole capacity."""
--- a/bitterntiller/components/control/coordinator.py
+++ b/bitterntiller/components/control/coordinator.py
@@ -25,6 +25,7 @@
     STATUS_UNKNOWN_HOST,
     TICK,
     TIME_STAMP_INTERVAL,
+    VERSIONS_KEPT_SECONDS,
 )
 from bitterntiller.components.control.heartbeats import granted_reply, rejected_reply
 from bitterntiller.components.control.leader import LeaderTerm
@@ -91,6 +92,7 @@
             messages.ReleasePools: self.async_release_pools,
             messages.Claim: self.async_claim,
             messages.RegisterUpstream: self.async_register_upstream,
+            messages.GetVersions: self.async_get_versions,
             messages.StartRollout: self.rollouts.async_start_rollout,
             messages.GetRollout: self.rollouts.async_get_rollout,
             messages.RolloutReport: self.rollouts.async_report,
@@ -237,6 +239,28 @@
         """
         return self._copies.part(request)
 
+    async def async_get_versions(self, sender: str, request: Any) -> Any:
+        """Reply to a messages.GetVersions with the versions that services had lately.
+
+        Leadership is confirmed after the request arrived, so that no version is missing
+        which another host has heard of.
+        """
+        term = await self._async_confirmed_term()
+        leader = self._log.leader()
+        if term is None:
+            return messages.GetVersionsReply(
+                status=STATUS_NOT_LEADER, leader=leader, services=[]
+            )
+        since = term.cluster_ms(self._clock.now()) - int(VERSIONS_KEPT_SECONDS * 1000)
+        known = self.state.service_versions
+        services = [
+            messages.ServiceVersions(pool=pool, versions=known.recent(pool, since))
+            for pool in request.pools
+        ]
+        return messages.GetVersionsReply(
+            status=STATUS_OK, leader=leader, services=services
+        )
+
     async def async_register_upstream(self, sender: str, request: Any) -> Any:
         """Reply to a messages.RegisterUpstream; ok only once a change is committed.
 
--- a/bitterntiller/components/control/state.py
+++ b/bitterntiller/components/control/state.py
@@ -6,6 +6,7 @@
 from bitterntiller.components.control.claims import ClaimsState
 from bitterntiller.components.control.configuration import ConfigurationState
 from bitterntiller.components.control.ownership import OwnershipState
+from bitterntiller.components.control.service_versions import ServiceVersionsState
 from bitterntiller.components.control.upstreams import UpstreamsState
 from bitterntiller.components.rollouts.state import RolloutsState
 from bitterntiller.protocol import decode, encode, messages
@@ -26,6 +27,7 @@
         self.claims = ClaimsState()
         self.upstreams = UpstreamsState()
         self.rollouts = RolloutsState()
+        self.service_versions = ServiceVersionsState()
 
     def apply(self, index: int, command: bytes) -> bytes:
         """Apply an encoded messages.Command; return a messages.CommandResult."""
@@ -52,11 +54,15 @@
             self.ownership.release(message.release)
         if message.upstreams is not None:
             self.upstreams.apply(index, message.upstreams)
+            self._update_service_versions()
             if message.settle_versions:
                 self.rollouts.update_serving_versions(index, self.upstreams.by_name)
         self._apply_rollouts(index, message, result)
         return result
 
+    def _update_service_versions(self) -> None:
+        self.service_versions.update(self.upstreams.by_name.values(), self.time_ms)
+
     def _apply_rollouts(self, index: int, message: Any, result: Any) -> None:
         if message.rollout is not None:
             result.rollout = self.rollouts.start_rollout(
@@ -77,6 +83,7 @@
             "claims": self.claims.to_document(),
             "upstreams": self.upstreams.to_document(),
             "rollouts": self.rollouts.to_document(),
+            "service_versions": self.service_versions.to_document(),
         }
         return json.dumps(document, separators=(",", ":")).encode()
 
@@ -93,3 +100,5 @@
         if "upstreams" in document:
             self.upstreams.from_document(document["upstreams"])
         self.rollouts.from_document(document.get("rollouts") or {})
+        self.service_versions.from_document(document.get("service_versions") or {})
+        self._update_service_versions()
--- a/bitterntiller/components/entry/__init__.py
+++ b/bitterntiller/components/entry/__init__.py
@@ -26,6 +26,7 @@
     CrashWatch,
     DirectoryView,
     Lease,
+    StreamVersions,
 )
 from bitterntiller.core.runtime import Runtime
 from bitterntiller.protocol import messages
@@ -65,6 +66,7 @@
     dialect: HttpDialect,
     retries: RetryBounds,
     crashes: CrashWatch,
+    stream_versions: StreamVersions,
 ) -> EntryCoordinator:
     """Set up the entry role with routes, kept connections and derived owners."""
     account = QuotaAccount(runtime.clock, runtime.settings.quota_window)
@@ -84,6 +86,7 @@
         upstreams=session.upstreams,
         versions=session.versions,
         crashes=crashes,
+        stream_versions=stream_versions,
     )
     budget = _shared_budget(session, retries)
     coordinator = await _async_start(runtime, context, budget)
--- a/bitterntiller/components/entry/admission_checks.py
+++ b/bitterntiller/components/entry/admission_checks.py
@@ -5,14 +5,19 @@
 import curio
 import xxhash
 
+from bitterntiller.components.config.models import RouteKind
 from bitterntiller.components.entry import const
 from bitterntiller.components.entry.budget import BodyReservation, HostBudget
 from bitterntiller.components.entry.context import Context
-from bitterntiller.components.entry.models import ActiveRequest, IdentifiedRequest
+from bitterntiller.components.entry.models import (
+    ActiveRequest,
+    BoundRequest,
+    IdentifiedRequest,
+)
 from bitterntiller.components.entry.quota_client import QuotaRequest
 from bitterntiller.components.http.exchange import Exchange
 from bitterntiller.components.settings.models import Limits
-from bitterntiller.core.interfaces import CrashView
+from bitterntiller.core.interfaces import CrashView, UnknownOrigin
 from bitterntiller.core.outcomes import Ending, Outcome, Reason
 
 
@@ -93,6 +98,31 @@
         )
         return quarantine_ending(crashes, active.fingerprint, self._context.clock.now())
 
+    async def async_bind_stream(
+        self, identified: IdentifiedRequest
+    ) -> BoundRequest | Ending:
+        """Bind a request that continues a stream to what began it.
+
+        Return a refusal if no host can say what that was, or if its route no longer
+        leads there.
+        """
+        streams = self._context.stream_versions
+        route = identified.route
+        continued = identified.received.continued
+        if streams is None or continued is None:
+            return BoundRequest(identified, None)
+        if route is None or route.kind is not RouteKind.RESUMABLE:
+            return BoundRequest(identified, None)
+        found = await streams.async_find(route, continued.first_id)
+        if isinstance(found, UnknownOrigin):
+            retry_after = None if found.final else const.DEFAULT_RETRY_AFTER
+            return _not_continued(Reason.UNKNOWN_ORIGIN, retry_after, found.detail)
+        service = self._context.config.config.services_by_name.get(found.pool)
+        if service is None or found.pool not in {s.service for s in route.shares}:
+            detail = f"the route doesn't lead to {found.pool}, which began the stream"
+            return _not_continued(Reason.SERVICE_CHANGED, None, detail)
+        return BoundRequest(identified._replace(service=service), found)
+
     async def async_hold_quota(self, active: ActiveRequest) -> Ending | None:
         """Hold the quota that a request needs; return a refusal if it is too low."""
         quota = self._context.quota
@@ -141,6 +171,10 @@
             active.hold = None
 
 
+def _not_continued(reason: Reason, retry_after: float | None, detail: str) -> Ending:
+    return Ending(Outcome.NOT_RUN, reason, 503, retry_after, detail)
+
+
 def quota_request(active: ActiveRequest) -> QuotaRequest:
     """Return the properties of a request that its quota depends on.
 
--- a/bitterntiller/components/entry/context.py
+++ b/bitterntiller/components/entry/context.py
@@ -23,6 +23,7 @@
     Lease,
     Links,
     Metrics,
+    StreamVersions,
     VersionsView,
 )
 
@@ -96,6 +97,7 @@
     notices: UpstreamNotices = DISABLED_NOTICES
     versions: VersionsView | None = None
     relayed_connector: Connector | None = None
+    stream_versions: StreamVersions | None = None
 
     @property
     def connector(self) -> Connector:
--- a/bitterntiller/components/entry/models.py
+++ b/bitterntiller/components/entry/models.py
@@ -41,11 +41,13 @@
     """The stream that a request continues, as its caller states it.
 
     first_id is the id of the caller's attempt that began the stream, empty if it isn't
-    stated; after is the id of the last event that the caller has.
+    stated; after is the id of the last event that the caller has. problem says what is
+    wrong with the statement, empty if nothing is.
     """
 
     first_id: str
     after: int
+    problem: str = ""
 
 
 class ReceivedRequest(NamedTuple):
@@ -84,6 +86,13 @@
     start_by: float | None = None
 
 
+class BoundRequest(NamedTuple):
+    """A request with what began the stream that it continues, None if it begins one."""
+
+    identified: IdentifiedRequest
+    origin: StreamOrigin | None
+
+
 class Estimate(NamedTuple):
     """The estimated size of a request, the prefixes of its prompt, its response type.
 
--- a/bitterntiller/components/entry/pipeline.py
+++ b/bitterntiller/components/entry/pipeline.py
@@ -125,8 +125,15 @@
     async def _async_admit_and_run(
         self, exchange: Exchange, identified: IdentifiedRequest, body: bytes
     ) -> None:
+        bound = await self._admission.async_bind_stream(identified)
+        if isinstance(bound, Ending):
+            request_id = identified.received.request_id
+            await self._async_refuse(exchange, bound, identified, request_id)
+            return
+        identified = bound.identified
         work = self._context.dialect.estimate(identified, body)
         active = ActiveRequest(PreparedRequest(identified, body, work))
+        active.origin = bound.origin
         refused = self._admission.check_quarantine(active)
         if refused is not None:
             await self._async_refuse(exchange, refused, identified, active.request_id)
--- a/bitterntiller/components/entry/relay.py
+++ b/bitterntiller/components/entry/relay.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from bitterntiller.components.config.models import RouteKind
 from bitterntiller.components.entry import const
 from bitterntiller.components.entry.context import Context
 from bitterntiller.components.entry.models import (
@@ -138,10 +139,21 @@
         if self._active.first_byte_at is None:
             self._active.first_byte_at = self._context.clock.now()
 
-    def _bind_to_version(self, events: Events) -> None:
-        """Bind a routed stream to the version of its upstream at its first event."""
-        if self._active.route is not None and events.count:
-            self._active.mark_begun()
+    async def _async_record_begun(self, events: Events) -> None:
+        """Bind a routed stream to the version of its upstream at its first event.
+
+        It is recorded before the caller gets the event, and not waited for: a stream
+        that nobody remembers isn't taken up.
+        """
+        active = self._active
+        if active.route is None or active.begun or not events.count:
+            return
+        active.mark_begun()
+        streams = self._context.stream_versions
+        if streams is not None and active.route.kind is RouteKind.RESUMABLE:
+            await streams.async_record(
+                active.route, active.stream_id, active.pool, active.granted_version
+            )
 
     async def _async_relay_body(self, client: ClientExchange) -> bool:
         try:
@@ -227,7 +239,7 @@
                 events = stream.feed(data)
                 if events.data:
                     self._record_first_byte()
-                    self._bind_to_version(events)
+                    await self._async_record_begun(events)
                     self._active.output_tokens += events.count
                     await self._exchange.async_send(events.data)
         except (IncompleteResponseError, BrokenStreamError):
--- a/bitterntiller/components/entry/routing.py
+++ b/bitterntiller/components/entry/routing.py
@@ -8,6 +8,7 @@
 from bitterntiller.components.config.models import (
     Config,
     Route,
+    RouteKind,
     Selector,
     Service,
     Tier,
@@ -34,6 +35,9 @@
         if found is None:
             return _refusal(Reason.UNAUTHORIZED, 401, "no workspace has this token")
         workspace = found
+    continued = received.continued if route.kind is RouteKind.RESUMABLE else None
+    if continued is not None and continued.problem:
+        return _refusal(Reason.BAD_REQUEST, 400, continued.problem)
     service = choose_service(route, config, random.random())
     seconds = route.timeout
     if received.deadline_ms is not None:
--- a/bitterntiller/core/interfaces.py
+++ b/bitterntiller/core/interfaces.py
@@ -203,6 +203,33 @@
     age: float | None
 
 
+class UnknownOrigin(NamedTuple):
+    """Why it isn't known what began a stream; final if it never will be."""
+
+    final: bool
+    detail: str
+
+
+class StreamVersions(Protocol):
+    """Which service and software version began a stream.
+
+    first_id is the id of the caller's attempt that brought the first event, and route
+    the components.config.models.Route of the request.
+    """
+
+    async def async_record(
+        self, route: Any, first_id: str, pool: str, version: str
+    ) -> None:
+        """Record that a caller gets an event of a stream."""
+        ...
+
+    async def async_find(
+        self, route: Any, first_id: str
+    ) -> StreamOrigin | UnknownOrigin:
+        """Return what began a stream, or why it isn't known."""
+        ...
+
+
 class HostView(Protocol):
     """A host of the directory."""
 
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -30,6 +30,8 @@
     START_ROLLOUT = 63, GET_ROLLOUT = 64, ROLLOUT_REPLY = 65,
     ROLLOUT_REPORT = 66, ROLLOUT_REPORT_REPLY = 67,
     GET_CONFIG_PART = 68, CONFIG_PART = 69,
+    BEGUN_STREAMS = 70, FIND_STREAM = 71, FIND_STREAM_REPLY = 72,
+    GET_VERSIONS = 73, GET_VERSIONS_REPLY = 74,
     PRE_VOTE = 50, PRE_VOTE_REPLY = 51, VOTE = 52, VOTE_REPLY = 53,
     APPEND = 54, APPEND_REPLY = 55, SNAPSHOT_PIECE = 56, SNAPSHOT_REPLY = 57,
     JOIN = 58, JOIN_REPLY = 59, RETURN_CHECK = 60, RETURN_CHECK_REPLY = 61,
@@ -287,6 +289,41 @@
     5: optional i64 digest,              // of all records of the sender; requests those of the receiver
 }
 
+/* ---- streams that go on in another attempt ---- */
+
+/* Streams whose first event came from an upstream of this service and version. */
+struct VersionStreams {
+    1: required string version,
+    2: required list<i64> digests,       // of the ids of the callers' first attempts
+    3: required i32 age_ms,              // since the newest event of any of them
+    4: required string pool,
+}
+
+/* Sent by the host that relays the streams to hosts that remember them. */
+struct BegunStreams { 1: required list<VersionStreams> versions }
+
+struct FindStream { 1: required i64 digest }
+
+struct FindStreamReply {
+    1: required string status,           // known, unknown, conflict
+    2: optional string version,
+    3: optional i32 age_ms,
+    4: required bool settled,            // false: the sender started too recently to know
+    5: optional string pool,
+}
+
+/* Asks the leader which versions may have served some services lately; the reply is linearizable. */
+struct GetVersions { 1: required list<string> pools }
+
+/* Versions of registered upstreams, and of those that left lately. */
+struct ServiceVersions { 1: required string pool, 2: required list<string> versions }
+
+struct GetVersionsReply {
+    1: required string status,           // ok, not-leader
+    2: required string leader,
+    3: required list<ServiceVersions> services,
+}
+
 /* ---- upstreams ---- */
 
 struct CacheEvent { 1: required i64 sequence, 2: required bool stored, 3: required i64 prefix_hash }
--- /dev/null
+++ b/tests/components/stream_versions/test_hosts.py
@@ -0,0 +1,179 @@
+"""Streams that are taken up at other hosts than the one that began them."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+
+from bitterntiller.components.stream_versions import const
+from bitterntiller.components.stream_versions.digests import stream_digest
+from bitterntiller.components.stream_versions.holders import holders
+from bitterntiller.core.interfaces import StreamOrigin, UnknownOrigin
+from tests.components.stream_versions.builders import (
+    CONTROL_HOSTS,
+    POOL,
+    Fleet,
+    Host,
+    Leader,
+    route,
+)
+
+FIRST = "first-attempt"
+
+
+def play(step: Callable[[], Awaitable[Any]]) -> Any:
+    return curio.run(step)
+
+
+async def record(host: Host, first_id: str = FIRST, version: str = "v1") -> None:
+    """Record a stream and let the host send it."""
+    task = await curio.spawn(host.recorder.async_run())
+    await host.coordinator.async_record(route(), first_id, POOL, version)
+    await curio.sleep(0)
+    await curio.sleep(0)
+    await curio.sleep(0)
+    await task.cancel()
+
+
+async def find(host: Host, first_id: str = FIRST) -> Any:
+    return await host.coordinator.async_find(route(), first_id)
+
+
+def test_other_host_finds_the_version():
+    """A stream taken up at another host went to any version."""
+
+    async def step() -> Any:
+        fleet = Fleet("v1", "v2")
+        await record(fleet.entry("e1"))
+        fleet.clock.advance(0.5)
+        return await find(fleet.entry("e2"))
+
+    found = play(step)
+    assert (found.version, found.source) == ("v1", const.SOURCE_HOLDER)
+    assert 0.5 <= found.age < 0.6
+
+
+def test_host_that_relayed_the_stream_asks_nobody():
+    """A caller that came back to its host waited for control."""
+
+    async def step() -> Any:
+        fleet = Fleet("v1", "v2")
+        host = fleet.entry("e1")
+        await record(host)
+        return await find(host), fleet.leader.asked
+
+    found, asked = play(step)
+    assert (found.version, found.source, asked) == ("v1", const.SOURCE_RELAYED, 0)
+
+
+def test_version_is_found_after_a_holder_and_the_entry_host_were_lost():
+    """Streams of a killed host could not be taken up beside another lost host."""
+
+    async def step() -> Any:
+        fleet = Fleet("v1", "v2")
+        await record(fleet.entry("e1"))
+        lost = holders(stream_digest(FIRST), list(CONTROL_HOSTS))[0]
+        fleet.network.cut.add(lost)
+        fleet.leader.replies = False
+        return await find(fleet.entry("e2"))
+
+    assert play(step).version == "v1"
+
+
+def test_nothing_is_sent_while_only_one_version_serves():
+    """Each stream cost messages although there was nothing to know."""
+
+    async def step() -> Any:
+        fleet = Fleet("v1")
+        await record(fleet.entry("e1"))
+        fleet.leader.versions_by_service = {POOL: ("v1", "v2")}
+        unknown = await find(fleet.entry("e2"))
+        fleet.leader.versions_by_service = {POOL: ("v1",)}
+        return unknown, await find(fleet.entry("e2"))
+
+    unknown, found = play(step)
+    assert isinstance(unknown, UnknownOrigin)
+    assert (found.version, found.source) == ("v1", const.SOURCE_ONLY_VERSION)
+
+
+def test_streams_from_before_the_second_version_are_told():
+    """Streams that had begun before a version joined could not be taken up."""
+
+    async def step() -> Any:
+        fleet = Fleet("v1")
+        host = fleet.entry("e1")
+        await record(host)
+        fleet.upstreams.set("v1", "v2")
+        fleet.leader.versions_by_service = {POOL: ("v1", "v2")}
+        await record(host, "another", "v2")
+        return await find(fleet.entry("e2"))
+
+    assert play(step).version == "v1"
+
+
+def test_restarted_holders_are_told_again():
+    """Streams were unknown after the hosts of control had been restarted in turn."""
+
+    async def step() -> Any:
+        fleet = Fleet("v1", "v2")
+        host = fleet.entry("e1")
+        await record(host)
+        for name in CONTROL_HOSTS:
+            fleet.start_control(name, "2")
+            fleet.clock.advance(1.0)
+            await record(host, f"beside-{name}", "v2")
+        return await find(fleet.entry("e2"))
+
+    assert play(step).version == "v1"
+
+
+def test_host_that_has_not_heard_of_a_version_asks_control():
+    """A host behind in its list took the only version it knew for the only one."""
+
+    async def step() -> Any:
+        fleet = Fleet("v1", leader=Leader(**{POOL: ("v1", "v2")}))
+        return await find(fleet.entry("e2"), "nobody-knows")
+
+    assert isinstance(play(step), UnknownOrigin)
+
+
+def test_unknown_stream_is_not_final_while_hosts_do_not_answer():
+    """A caller was told for ever what only a lost connection hid."""
+
+    async def step() -> Any:
+        fleet = Fleet("v1", "v2")
+        fleet.clock.advance(const.SETTLE_SECONDS)
+        host = fleet.entry("e1")
+        final = await find(host)
+        fleet.network.cut.add("c2")
+        return final, await find(host)
+
+    answered, silent = play(step)
+    assert (answered.final, silent.final) == (True, False)
+
+
+def test_stream_without_a_first_id_is_not_asked_for():
+    """Callers that name no attempt were all given the same stream's version."""
+
+    async def step() -> Any:
+        fleet = Fleet("v1", "v2")
+        await record(fleet.entry("e1"), "")
+        return await find(fleet.entry("e2"), "")
+
+    assert isinstance(play(step), UnknownOrigin)
+
+
+def test_stream_taken_up_twice_keeps_its_first_version():
+    """A second attempt was recorded with another version than the first."""
+
+    async def step() -> Any:
+        fleet = Fleet("v1", "v2")
+        await record(fleet.entry("e1"))
+        second = fleet.entry("e2")
+        found = await find(second)
+        await record(second, FIRST, found.version)
+        return await find(fleet.entry("e3"))
+
+    found = play(step)
+    assert isinstance(found, StreamOrigin)
+    assert found.version == "v1"
--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -18,7 +18,7 @@
 from bitterntiller.components.node.models import Host
 from bitterntiller.components.settings.models import Limits, Timings
 from bitterntiller.core.clock import RuntimeClock
-from bitterntiller.core.interfaces import Ownership
+from bitterntiller.core.interfaces import Ownership, StreamVersions
 from bitterntiller.protocol import messages
 from tests.components.entry import fakes
 from tests.components.http.builders import LIMITS, serving
@@ -215,6 +215,7 @@
     limits: Limits | None = None,
     body_seconds: float = 2.0,
     server_limits: ServerLimits = LIMITS,
+    stream_versions: StreamVersions | None = None,
 ) -> AsyncIterator[EntryHost]:
     """Run an entry host of the platform with one upstream."""
     limits = limits or Limits()
@@ -244,6 +245,7 @@
             connections=connections,
             quota=quota,
             response_times=ResponseTimes(),
+            stream_versions=stream_versions,
         )
         coordinator = EntryCoordinator(context, limits, ClaimClient(context, "i1"))
         links.coordinator = coordinator
