Tool: explain follows a stream over its attempts, summary counts them

An operator could not see from an attempt which version had begun its stream, nor how many streams could not go on and why. explain shows the steps of the other attempts of the stream (begun_by in sent and refused), summary counts streams taken up by service and version, those that went on, and refusals by reason. sent has caller_after, so that an attempt that continues a stream is told from one that went on within its response.

--- a/bitterntiller/cli/commands/summary.py
+++ b/bitterntiller/cli/commands/summary.py
@@ -52,6 +52,13 @@
         counts = f"{use.received:8}  {use.refused:7}  {use.retries_reserved:14}"
         least = f"{use.max_wait:.2f} s, {use.min_fraction_left:.2f}"
         print(f"{counts}  {use.workspace} {use.counting_host}: {least}")
+    print("\nstreams taken up, gone on  service, version: refused by reason")
+    for streams in summary.continued_streams:
+        counts = f"{streams.taken_up:16}  {streams.gone_on:7}"
+        reasons = ", ".join(
+            f"{n} {why}" for why, n in streams.refused_by_reason.items()
+        )
+        print(f"{counts}  {streams.service} {streams.version or '?'}: {reasons or '-'}")
     if summary.fraction_by_host:
         parts = [
             f"{host} {fraction:g}"
@@ -84,8 +91,8 @@
 
     Shows how requests ended by interval, refusals by reason with their waits, failures
     by upstream, requests received and served of each service by size and route, quota
-    decisions by workspace, upstreams out of use, paths from hosts to upstreams that are
-    lost, and the startup steps of each host since its last start.
+    decisions by workspace, streams taken up by version, upstreams out of use, paths
+    from hosts to upstreams that are lost, and the startup steps of each host.
     """
 
     files: Annotated[
--- a/bitterntiller/cli/log_summary.py
+++ b/bitterntiller/cli/log_summary.py
@@ -7,6 +7,7 @@
 from bitterntiller.cli.quota_summary import QuotaDecisions, summarize_quotas
 from bitterntiller.cli.request_trace import LogEvent, sample_fractions
 from bitterntiller.cli.served_counts import RequestGroup, ServedCount, served_by_group
+from bitterntiller.cli.stream_summary import ContinuedStreams, summarize_streams
 from bitterntiller.components.dispatch.upstream_events import UpstreamChange
 
 ENDED = "ended"
@@ -91,6 +92,7 @@
     lost_paths: list[LostPath]
     quotas: list[QuotaDecisions]
     fraction_by_host: dict[str, float]
+    continued_streams: list[ContinuedStreams]
 
 
 def summarize(events: Iterable[LogEvent], seconds: float) -> Summary | None:
@@ -108,6 +110,7 @@
         lost_paths=_lost_paths(ordered),
         quotas=summarize_quotas(ordered),
         fraction_by_host=sample_fractions(ordered),
+        continued_streams=summarize_streams(ordered),
     )
 
 
--- a/bitterntiller/cli/request_trace.py
+++ b/bitterntiller/cli/request_trace.py
@@ -50,6 +50,9 @@
 RELAY_EVENTS = frozenset({"tunnel-asked", "tunnel-ended", "path"})
 """Events about a request that don't belong to its steps at its own entry host."""
 
+STREAM_EVENTS = frozenset({"sent", "ended", "refused"})
+"""Events of other attempts of a stream that are shown with a request."""
+
 _FINGERPRINT = re.compile(r"fingerprint ([0-9a-f]{16})")
 _NON_FIELDS = frozenset({ATTR_EVENT, ATTR_HOST, ATTR_REQUEST, ATTR_TIME, ATTR_SEQUENCE})
 
@@ -128,14 +131,38 @@
         and _is_related(event, hosts, own_events)
     ]
     crashes = _crash_events(kept, own_events)
-    events = sorted([*own_events, *context, *crashes], key=lambda event: event.time)
+    attempts = _other_attempts(kept, own_events, request_id)
+    events = sorted(
+        [*own_events, *context, *crashes, *attempts], key=lambda event: event.time
+    )
     cause = _explain_end(sorted(own_events, key=lambda event: event.time), context)
     if crashes:
         ended = ", ".join(str(event.fields.get("upstream")) for event in crashes)
         cause = f"{cause}; upstreams that crashed on copies of it: {ended}"
+    if attempts:
+        ids = ", ".join(dict.fromkeys(event.request for event in attempts))
+        cause = f"{cause}; other attempts of its stream: {ids}"
     return RequestTrace(events, cause)
 
 
+def _other_attempts(
+    events: list[LogEvent], own_events: list[LogEvent], request_id: str
+) -> list[LogEvent]:
+    """Return the steps of the caller's other attempts of the same stream."""
+    begun_by = {str(event.fields.get("begun_by") or "") for event in own_events}
+    first_ids = (begun_by - {""}) or {request_id}
+    others = {
+        event.request for event in events if event.fields.get("begun_by") in first_ids
+    }
+    others |= first_ids
+    others.discard(request_id)
+    return [
+        event
+        for event in events
+        if event.request in others and event.kind in STREAM_EVENTS
+    ]
+
+
 def _crash_events(events: list[LogEvent], own_events: list[LogEvent]) -> list[LogEvent]:
     """Return the first crash event of each upstream that crashed on this request.
 
--- a/bitterntiller/components/entry/event_logging.py
+++ b/bitterntiller/components/entry/event_logging.py
@@ -48,6 +48,7 @@
         path=exchange.head.path[:MAX_PATH_LENGTH],
         framing=exchange.head.framing,
         body_bytes=exchange.body_bytes,
+        begun_by=_begun_by(identified),
         config_version=context.config.version,
         config_age=_config_age(context),
         lease_valid=context.lease.valid(),
@@ -61,8 +62,9 @@
 
     reused states whether a kept connection is used; version is the upstream's. For a
     request that continues a stream, begun_by is the caller's attempt that began it,
-    after the last event that was relayed, origin from where it is known which version
-    began it, and origin_age the seconds since that was last confirmed by an event.
+    caller_after the last event that the caller has of earlier attempts, and after the
+    last one including this request. origin says from where it is known which version
+    began the stream, and origin_age is the age of its last event in seconds.
     """
     identified = active.prepared.identified
     continued = identified.received.continued
@@ -84,8 +86,9 @@
         grant_left=round(grant.valid_until - now, 3),
         kept_connection=reused,
         fingerprint=format_fingerprint(active.fingerprint),
-        begun_by=continued.first_id if continued else "",
+        begun_by=_begun_by(identified),
         after=active.last_event_id,
+        caller_after=continued.after if continued else 0,
         origin=origin.source if origin else "",
         origin_age=_rounded(origin.age) if origin else None,
         config_version=identified.config_version,
@@ -153,6 +156,13 @@
     )
 
 
+def _begun_by(identified: IdentifiedRequest | None) -> str:
+    """Return the attempt that began the stream which a request continues, if stated."""
+    if identified is None or identified.received.continued is None:
+        return ""
+    return identified.received.continued.first_id
+
+
 def _rounded(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds, 3)
 
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -190,3 +190,27 @@
     )
     _, text = explained(capsys, "r9", log)
     assert text.splitlines()[-1].endswith("crashed on copies of it: e1")
+
+
+def test_stream_is_followed_over_its_attempts(tmp_path, capsys):
+    """The trace of an attempt did not tell which version had begun its stream."""
+    first = write_log(
+        tmp_path / "edge-1",
+        event(1.0, "edge-1", "sent", request="r1", upstream="e1", version="v1"),
+        event(1.5, "edge-1", "ended", request="r1", outcome="caller-gone", output=3),
+        event(1.6, "edge-1", "sent", request="r9", upstream="e1", version="v1"),
+    )
+    second = write_log(
+        tmp_path / "edge-2",
+        event(2.0, "edge-2", "sent", request="r2", begun_by="r1", upstream="e2"),
+        event(2.5, "edge-2", "ended", request="r2", outcome="done", total=0.5),
+        event(2.6, "edge-2", "refused", request="r3", begun_by="r1", reason="shed"),
+    )
+    for request_id in ("r1", "r2"):
+        _, text = explained(capsys, request_id, first, second)
+        steps = ("sent", "ended", "sent", "ended", "refused")
+        shown = [word for line in text.splitlines()[:-1] for word in line.split()[:4]]
+        assert [word for word in shown if word in steps] == list(steps)
+        others = ", ".join(sorted({"r1", "r2", "r3"} - {request_id}))
+        assert text.splitlines()[-1].endswith(f"attempts of its stream: {others}")
+        assert "r9" not in text
--- a/tests/cli/test_summary.py
+++ b/tests/cli/test_summary.py
@@ -15,6 +15,7 @@
 )
 from bitterntiller.cli.quota_summary import QuotaDecisions
 from bitterntiller.cli.request_trace import read_events
+from bitterntiller.cli.stream_summary import ContinuedStreams
 from tests.cli.test_explain import event, write_log
 
 
@@ -198,3 +199,26 @@
     text = capsys.readouterr().out
     assert "wards core-1: 0.00 s, 0.02" in text
     assert "core-1 0.25" in text
+
+
+def test_streams_taken_up_are_counted_by_version(tmp_path):
+    """Streams that could not go on were hidden among other refusals."""
+    sent = {"begun_by": "r0", "caller_after": 4, "version": "v1"}
+    summary = summed(
+        tmp_path,
+        event(1.0, "edge-1", "sent", request="r1", version="v2", caller_after=0),
+        event(1.1, "edge-1", "ended", request="r1", outcome="done", service="llm"),
+        event(2.0, "edge-1", "sent", request="r2", **sent),
+        event(2.1, "edge-1", "ended", request="r2", outcome="unknown", service="llm"),
+        event(2.2, "edge-1", "sent", request="r3", **sent),
+        event(
+            2.3, "edge-1", "ended", request="r3", outcome="x", output=2, service="llm"
+        ),
+        event(
+            2.4, "edge-1", "refused", request="r4", reason="version-gone", service="llm"
+        ),
+    )
+    assert summary.continued_streams == [
+        ContinuedStreams("llm", "", 1, 0, {"version-gone": 1}),
+        ContinuedStreams("llm", "v1", 2, 1, {}),
+    ]
--- a/tests/platform/stream_versions.py
+++ b/tests/platform/stream_versions.py
@@ -5,6 +5,7 @@
 
 import http.client
 import random
+import signal
 import socket
 import sys
 import tempfile
@@ -24,7 +25,10 @@
     SUBNET,
     Engine,
     Fleet,
+    PlatformProcess,
 )
+from tests.scenarios.cut_paths import SILENT, write_cut
+from tests.scenarios.processes import ROOT, Process
 
 ENTRY_IPS = tuple(f"{SUBNET}.{number}" for number in range(9, 15))
 STREAM_SERVICE = "llm"
@@ -33,6 +37,7 @@
 EVENTS = 12
 EVENT_PAUSE = 0.04
 FIRST_PAUSE = 0.03
+INTERNAL_PORT = 7600
 CALLERS = 24
 BREAKS = 0.3
 """The share of streams that callers, or engines, break off."""
@@ -55,6 +60,12 @@
     slots = 8
     breaks = 0.0
 
+    def __init__(
+        self, name: str, ip: str, version: str, fails: float, slots: int
+    ) -> None:
+        self.slots = slots
+        super().__init__(name, ip, version, fails)
+
     def respond(self, handler: BaseHTTPRequestHandler) -> None:
         """Send the events after the one that the request names."""
         headers = handler.headers
@@ -103,18 +114,37 @@
         super().__init__(folder, CONTROL_IPS, entry_ips, configuration)
         self.engines: list[StreamEngine] = []
 
-    def add_engine(self, number: int, version: str) -> StreamEngine:
+    def _process(self, ip: str, settings: Path) -> Process:
+        process = PlatformProcess(ip, settings, self._folder)
+        if ip in self.entry_ips:
+            process.command = [
+                sys.executable,
+                str(ROOT / "tests/scenarios/run_with_cuts.py"),
+                str(self.cut_file(ip)),
+                str(ROOT / "platform/start.py"),
+            ]
+        return process
+
+    def cut_file(self, ip: str) -> Path:
+        """Return the file that cuts the paths of a host while it exists."""
+        return self._folder / f"{ip}.cut"
+
+    def add_engine(
+        self, number: int, version: str, slots: int = StreamEngine.slots
+    ) -> StreamEngine:
         """Start an engine of a version on its own address."""
         name = f"{version}-{number}-{uuid.uuid4().hex[:6]}"
-        engine = StreamEngine(name, f"{SUBNET}.{100 + number}", version, 0.0)
+        engine = StreamEngine(name, f"{SUBNET}.{100 + number}", version, 0.0, slots)
         self.own(engine)
         self.engines.append(engine)
         return engine
 
-    def add_versions(self) -> None:
+    def add_versions(self, old_slots: int = StreamEngine.slots) -> None:
         """Start the engines of both versions and wait until each one serves."""
-        for number in range(2 * ENGINES_OF_A_VERSION):
-            self.add_engine(number, OLD if number < ENGINES_OF_A_VERSION else NEW)
+        for number in range(ENGINES_OF_A_VERSION):
+            self.add_engine(number, OLD, old_slots)
+        for number in range(ENGINES_OF_A_VERSION, 2 * ENGINES_OF_A_VERSION):
+            self.add_engine(number, NEW)
         deadline = time.monotonic() + 20
         while not all(engine.requests for engine in self.engines):
             assert time.monotonic() < deadline, "an engine gets no requests"
@@ -343,6 +373,56 @@
     leave_alone(fleet, until)
 
 
+def freeze_in_turn(
+    ips: tuple[str, ...], frozen: float = 1.5, awake: float = 1.0
+) -> Way:
+    """Return a way that stops hosts and lets them go on, one after the other."""
+
+    def way(fleet: StreamFleet, until: float) -> None:
+        number = 0
+        while time.monotonic() + frozen + awake < until:
+            process = fleet.process_by_ip[ips[number % len(ips)]]
+            number += 1
+            process.signal(signal.SIGSTOP)
+            time.sleep(frozen)
+            process.signal(signal.SIGCONT)
+            time.sleep(awake)
+        leave_alone(fleet, until)
+
+    return way
+
+
+def restart_pairs(fleet: StreamFleet, until: float) -> None:
+    """Kill an entry host and a host of control at one moment, again and again."""
+    number = 0
+    while time.monotonic() + 2.5 < until:
+        pair = [
+            fleet.process_by_ip[fleet.entry_ips[number % len(fleet.entry_ips)]],
+            fleet.process_by_ip[CONTROL_IPS[number % len(CONTROL_IPS)]],
+        ]
+        number += 1
+        for process in pair:
+            process.signal(signal.SIGKILL)
+        for process in pair:
+            process.kill()
+        time.sleep(0.5)
+        for process in pair:
+            process.start()
+        time.sleep(2.0)
+    leave_alone(fleet, until)
+
+
+def cut_off_two(fleet: StreamFleet, until: float) -> None:
+    """Cut two entry hosts off from control and the other hosts at half time."""
+    leave_alone(fleet, (time.monotonic() + until) / 2)
+    ips = fleet.entry_ips[:2]
+    for ip in ips:
+        write_cut(fleet.cut_file(ip), SILENT, [INTERNAL_PORT])
+    leave_alone(fleet, until)
+    for ip in ips:
+        fleet.cut_file(ip).unlink()
+
+
 def end_old_version(fleet: StreamFleet, until: float) -> None:
     """End the engines of the old version at half time."""
     leave_alone(fleet, (time.monotonic() + until) / 2)
@@ -386,6 +466,7 @@
     way: Way
     caller_breaks: float = BREAKS
     engine_breaks: float = 0.0
+    old_slots: int = StreamEngine.slots
 
 
 ROWS = (
@@ -395,6 +476,11 @@
     Row("control hosts restart in turn", restart_in_turn(CONTROL_IPS)),
     Row("every host restarts at once", restart_all),
     Row("the old version ends", end_old_version),
+    Row("the old version is full", leave_alone, old_slots=1),
+    Row("an entry and a control host restart at once", restart_pairs),
+    Row("entry hosts freeze in turn", freeze_in_turn(ENTRY_IPS)),
+    Row("control hosts freeze in turn", freeze_in_turn(CONTROL_IPS)),
+    Row("two entry hosts are cut off", cut_off_two),
 )
 
 
@@ -405,7 +491,7 @@
             continue
         with tempfile.TemporaryDirectory() as folder:
             with StreamFleet(Path(folder)) as fleet:
-                fleet.add_versions()
+                fleet.add_versions(row.old_slots)
                 tally = run(
                     fleet,
                     row.way,
