--- a/tests/components/dispatch/test_coordinator.py
+++ b/tests/components/dispatch/test_coordinator.py
@@ -149,3 +149,20 @@
 
     granted = granted_after(async_step)
     assert granted == ["ended", "runs", "other"]
+
+
+def test_grant_names_the_version_of_the_upstream():
+    """An entry host could not tell to which version it sent the rest of a stream."""
+    runtime = FakeRuntime()
+
+    async def async_main() -> None:
+        owner = coordinator(runtime, FakeDirectory())
+        task = await curio.spawn(owner.async_run)
+        await owner.async_on_announce("e", build.announce("e1", 4, version="v2"))
+        await owner.async_on_register("bole-1", build.register("r1", "bole-1"))
+        await curio.sleep(0.3)
+        await task.cancel()
+
+    curio.run(async_main)
+    grants = [item for _, item in runtime.links.sent if is_grant(item)]
+    assert [item.version for item in grants] == ["v2"]
--- a/tests/components/dispatch/test_stream_versions.py
+++ b/tests/components/dispatch/test_stream_versions.py
@@ -91,6 +91,15 @@
     assert "r" not in owned.tracked_by_id
 
 
+def test_stream_is_refused_if_all_upstreams_of_its_version_leave():
+    """A caller waited for upstreams that took no more requests."""
+    owned = pool(a="v1", b="v2")
+    leaving = listed(a="v1", b="v2")
+    leaving["a"].state = "leaving"
+    owned.sync_registered(leaving, 2, T0)
+    assert reasons(register(owned, "r", "v1")) == [Reason.VERSION_GONE]
+
+
 def test_waiting_stream_is_refused_once_its_version_leaves():
     """A stream waited on after the last upstream of its version had left."""
     owned = pool(a="v1", b="v2")
--- a/tests/components/stream_versions/test_hosts.py
+++ b/tests/components/stream_versions/test_hosts.py
@@ -111,6 +111,60 @@
     assert play(step).version == "v1"
 
 
+def test_streams_from_a_time_with_one_version_are_told_too():
+    """Only the first version that joined made a host tell of earlier streams."""
+
+    async def step() -> Any:
+        fleet = Fleet("v1", "v2")
+        host = fleet.entry("e1")
+        await record(host, "before")
+        fleet.upstreams.set("v1")
+        fleet.clock.advance(1.0)
+        await record(host, "beside")
+        fleet.clock.advance(2 * const.KEPT_SECONDS)
+        await record(host)
+        fleet.upstreams.set("v1", "v2")
+        await record(host, "another", "v2")
+        return await find(fleet.entry("e2"))
+
+    assert play(step).version == "v1"
+
+
+def test_streams_of_a_route_with_two_services_are_told():
+    """A stream was unknown since each of the services had a single version."""
+
+    async def step() -> Any:
+        fleet = Fleet("v1", leader=Leader(**{POOL: ("v1",), "map": ("v1",)}))
+        split = route(POOL, "map")
+        fleet.config.set(split)
+        host = fleet.entry("e1")
+        task = await curio.spawn(host.recorder.async_run())
+        await host.coordinator.async_record(split, FIRST, "map", "v1")
+        await curio.sleep(0.01)
+        await task.cancel()
+        return await fleet.entry("e2").coordinator.async_find(split, FIRST)
+
+    found = play(step)
+    assert (found.pool, found.source) == ("map", const.SOURCE_HOLDER)
+
+
+def test_id_used_twice_here_is_not_asked_for_elsewhere():
+    """A stream whose id had been used twice went on at one of the two versions."""
+
+    async def step() -> Any:
+        fleet = Fleet("v1", "v2")
+        host = fleet.entry("e1")
+        await record(host, FIRST, "v1")
+        fleet.network.cut.update(CONTROL_HOSTS)
+        await record(host, FIRST, "v2")
+        fleet.network.cut.clear()
+        return await find(host)
+
+    found = play(step)
+    assert isinstance(found, UnknownOrigin)
+    assert found.final
+
+
 def test_restarted_holders_are_told_again():
     """Streams were unknown after the hosts of control had been restarted in turn."""
 
@@ -142,14 +196,14 @@
 
     async def step() -> Any:
         fleet = Fleet("v1", "v2")
-        fleet.clock.advance(const.SETTLE_SECONDS)
         host = fleet.entry("e1")
-        final = await find(host)
+        young = await find(host)
+        fleet.clock.advance(const.SETTLE_SECONDS)
+        settled = await find(host)
         fleet.network.cut.add("c2")
-        return final, await find(host)
+        return young, settled, await find(host)
 
-    answered, silent = play(step)
-    assert (answered.final, silent.final) == (True, False)
+    assert [found.final for found in play(step)] == [False, True, False]
 
 
 def test_stream_without_a_first_id_is_not_asked_for():
