Tests: a random way of real processes for streams of three versions

The rows of stream_versions.py disturb one thing at a time. The random way ends engines without a word, starts others of any of three versions at their addresses, restarts and freezes entry hosts and hosts of control, and lets engines break off streams, drawn from a seed. Engines refuse a request for another one with 421, as those of the platform do, and cut their streams when they end. By hand only; nothing in the product changes. Ruled out: a model with fakes alone, which the random run of the part is already.

--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -92,6 +92,11 @@
         handler.end_headers()
         handler.wfile.write(b"tile")
 
+    @property
+    def ended(self) -> bool:
+        """Whether the engine was closed; responses in progress may still look."""
+        return self._stopped.is_set()
+
     def close(self) -> None:
         """Stop at once without draining."""
         self._stopped.set()
--- a/tests/platform/stream_versions.py
+++ b/tests/platform/stream_versions.py
@@ -33,6 +33,7 @@
 ENTRY_IPS = tuple(f"{SUBNET}.{number}" for number in range(9, 15))
 STREAM_SERVICE = "llm"
 OLD, NEW = "v1", "v2"
+VERSIONS = (OLD, NEW, "v3")
 ENGINES_OF_A_VERSION = 3
 EVENTS = 12
 EVENT_PAUSE = 0.04
@@ -48,6 +49,7 @@
 ATTEMPT_PAUSE = 0.1
 READ_TIMEOUT = 3.0
 OK = 200
+MISDIRECTED = 421
 
 
 class StreamEngine(Engine):
@@ -59,6 +61,7 @@
     service = STREAM_SERVICE
     slots = 8
     breaks = 0.0
+    number = 0
 
     def __init__(
         self, name: str, ip: str, version: str, fails: float, slots: int
@@ -70,6 +73,11 @@
         """Send the events after the one that the request names."""
         headers = handler.headers
         handler.rfile.read(int(headers.get("Content-Length", 0)))
+        if headers.get("X-Expected-Instance", self.name) != self.name:
+            handler.send_response(MISDIRECTED)
+            handler.send_header("Content-Length", "0")
+            handler.end_headers()
+            return
         after = int(headers.get("Last-Event-Id", 0))
         self.requests.append(headers["X-Attempt-Id"])
         left = EVENTS - after
@@ -82,7 +90,7 @@
         handler.send_header("Transfer-Encoding", "chunked")
         handler.end_headers()
         for sent in range(left):
-            if sent == cut:
+            if sent == cut or self.ended:
                 handler.connection.shutdown(socket.SHUT_RDWR)
                 handler.close_connection = True
                 return
@@ -135,10 +143,17 @@
         """Start an engine of a version on its own address."""
         name = f"{version}-{number}-{uuid.uuid4().hex[:6]}"
         engine = StreamEngine(name, f"{SUBNET}.{100 + number}", version, 0.0, slots)
+        engine.number = number
         self.own(engine)
         self.engines.append(engine)
         return engine
 
+    def replace_engine(self, engine: StreamEngine, version: str) -> None:
+        """End an engine at once and start another at its address."""
+        engine.close()
+        self.engines.remove(engine)
+        self.add_engine(engine.number, version)
+
     def add_versions(self, old_slots: int = StreamEngine.slots) -> None:
         """Start the engines of both versions and wait until each one serves."""
         for number in range(ENGINES_OF_A_VERSION):
@@ -412,6 +427,37 @@
     leave_alone(fleet, until)
 
 
+def churn(seed: int) -> Way:
+    """Return a way that draws losses of hosts and changes of engines from a seed.
+
+    Engines end without a word, and others of any version start at their addresses.
+    """
+
+    def way(fleet: StreamFleet, until: float) -> None:
+        rng = random.Random(seed)
+        while time.monotonic() + 2.0 < until:
+            draw = rng.random()
+            if draw < 0.45:
+                fleet.replace_engine(rng.choice(fleet.engines), rng.choice(VERSIONS))
+            elif draw < 0.6:
+                for engine in fleet.engines:
+                    engine.breaks = rng.choice((0.0, 0.1, 0.3))
+            elif draw < 0.9:
+                ips = rng.choice((fleet.entry_ips, fleet.control_ips))
+                down, up = rng.uniform(0.0, 1.0), rng.uniform(0.2, 1.0)
+                once = restart_in_turn((rng.choice(ips),), down, up)
+                once(fleet, time.monotonic() + down + up + 0.01)
+            else:
+                ips = rng.choice((fleet.entry_ips, fleet.control_ips))
+                frozen = rng.uniform(0.2, 2.0)
+                once = freeze_in_turn((rng.choice(ips),), frozen, 0.2)
+                once(fleet, time.monotonic() + frozen + 0.21)
+            time.sleep(rng.uniform(0.1, 0.6))
+        leave_alone(fleet, until)
+
+    return way
+
+
 def cut_off_two(fleet: StreamFleet, until: float) -> None:
     """Cut two entry hosts off from control and the other hosts at half time."""
     leave_alone(fleet, (time.monotonic() + until) / 2)
@@ -485,16 +531,25 @@
 
 
 def main() -> None:
-    """Print one line for each row of the table, or for those named."""
-    for row in ROWS:
-        if sys.argv[1:] and row.name not in sys.argv[1:]:
-            continue
+    """Print one line for each row of the table, or for those named.
+
+    With two numbers, play a random way of that seed and so many seconds instead.
+    """
+    rows = ROWS
+    seconds = SECONDS
+    if sys.argv[1:2] and sys.argv[1].isdigit():
+        seconds = float(sys.argv[2])
+        rows = (Row(f"random way {sys.argv[1]}", churn(int(sys.argv[1]))),)
+    elif sys.argv[1:]:
+        rows = tuple(row for row in ROWS if row.name in sys.argv[1:])
+    for row in rows:
         with tempfile.TemporaryDirectory() as folder:
             with StreamFleet(Path(folder)) as fleet:
                 fleet.add_versions(row.old_slots)
                 tally = run(
                     fleet,
                     row.way,
+                    seconds,
                     caller_breaks=row.caller_breaks,
                     engine_breaks=row.engine_breaks,
                 )
