--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -20,6 +20,9 @@
 MAX_FIRST_EVENT_DELAY = 0.01
 """Seconds that the first event of a stream taken up may take beyond a new one's."""
 
+FEW_CALLERS = 4
+"""Callers that don't delay each other, so that their times are those of the hosts."""
+
 ROWS = (
     Row("callers-break-off", leave_alone),
     Row("engines-break-off", leave_alone, 0.0, 0.25),
@@ -37,4 +40,12 @@
     assert tally.taken_up >= 12
     assert (tally.mixed, tally.broken) == (0, 0)
     assert tally.share_gone_on >= LEAST_SHARE * tally.share_begun
+
+
+def test_first_event_of_a_stream_taken_up_comes_soon(tmp_path: Path):
+    """Callers that took a stream up waited long until its version was found."""
+    with StreamFleet(tmp_path) as fleet:
+        fleet.add_versions()
+        tally = run(fleet, leave_alone, 8.0, caller_breaks=0.5, callers=FEW_CALLERS)
+    assert tally.taken_up >= 12
     assert tally.taken_up_p50 <= tally.first_p50 + MAX_FIRST_EVENT_DELAY
