Tests: run side by side, but for those that compare times

Change: pytest-xdist, half as many workers as cores; modules with an expensive fixture stay in one worker; tests that compare times or processor time are marked alone and follow one by one (cut-off hosts, rollouts, idle cost, the first event of a stream taken up). Ruled out: all tests in all cores, as the processes of scenarios need some themselves.

--- a/tests/bench/test_queue_sizes.py
+++ b/tests/bench/test_queue_sizes.py
@@ -24,6 +24,8 @@
 from bench.routed.score import RunScore
 from bench.routed.simulation import simulate
 
+pytestmark = pytest.mark.xdist_group("queue-sizes")
+
 SEEDS = range(101, 111)
 MIN_RATIO = 0.85
 """Large and small requests must be served within a tenth of each other; the mean of ten
--- a/tests/components/dispatch/test_idle_cost.py
+++ b/tests/components/dispatch/test_idle_cost.py
@@ -3,6 +3,7 @@
 import time
 
 import curio
+import pytest
 
 from bitterntiller.components.dispatch import make_scheduler
 from bitterntiller.components.dispatch.coordinator import DispatchCoordinator
@@ -20,6 +21,8 @@
 )
 from tests.components.entry.fakes import FakeLease
 
+pytestmark = pytest.mark.alone
+
 HOSTS = 300
 MAX_REPORTS = 1.0
 """Maximum reports per second of an idle pair of entry host and owner: a tenth of a
--- a/tests/components/operator/test_bad_input.py
+++ b/tests/components/operator/test_bad_input.py
@@ -12,6 +12,8 @@
 from tests.cli.builders import served_port
 from tests.components.operator.builders import KEY, operator_port
 
+pytestmark = pytest.mark.xdist_group("operator-bad-input")
+
 CLOSED_BY_SERVER = (errno.ECONNRESET, errno.EPIPE, errno.ENOTCONN)
 HEAD = b"PUT /v1/config HTTP/1.1\r\nhost: a\r\nauthorization: Bearer operator-key\r\n"
 PARTS = st.sampled_from(
--- a/tests/docs/test_retired_names.py
+++ b/tests/docs/test_retired_names.py
@@ -7,6 +7,8 @@
 
 from tests.docs.source import ROOT
 
+pytestmark = pytest.mark.xdist_group("retired-names")
+
 REPLACEMENT_BY_RETIRED = {
     "Admission": "WaitEstimator",
     "AnswerTimes": "ResponseTimes",
--- a/tests/platform/test_cold_processes.py
+++ b/tests/platform/test_cold_processes.py
@@ -17,6 +17,8 @@
     Fleet,
 )
 
+pytestmark = pytest.mark.xdist_group("cold-processes")
+
 HEADERS = {
     "Host": "trees.example",
     "X-Attempt-Id": "a1",
--- a/tests/platform/test_cut_off_hosts.py
+++ b/tests/platform/test_cut_off_hosts.py
@@ -10,6 +10,8 @@
     SWALLOW_RESPONSE,
 )
 
+pytestmark = pytest.mark.alone
+
 MIN_SHARE_OF_OTHERS = 0.95
 MAX_LOSS_OF_OTHERS = 0.02
 MAX_EXTRA_P50 = 0.030
--- a/tests/platform/test_rollout_processes.py
+++ b/tests/platform/test_rollout_processes.py
@@ -3,8 +3,12 @@
 import time
 from pathlib import Path
 
+import pytest
+
 from tests.platform.processes import CONTROL_IPS, SERVICE, Fleet
 
+pytestmark = pytest.mark.alone
+
 SECONDS = 6
 FRACTION, TOLERANCE = 0.1, 50
 ROLLBACK_SECONDS = 5.0
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -42,6 +42,7 @@
     assert tally.share_gone_on >= LEAST_SHARE * tally.share_begun
 
 
+@pytest.mark.alone
 def test_first_event_of_a_stream_taken_up_comes_soon(tmp_path: Path):
     """Callers that took a stream up waited long until its version was found."""
     with StreamFleet(tmp_path) as fleet:
--- a/tests/scenarios/test_bad_input.py
+++ b/tests/scenarios/test_bad_input.py
@@ -16,6 +16,8 @@
 from tests.scenarios.deployment import Deployment, Host
 from tests.scenarios.runner import Runner
 
+pytestmark = pytest.mark.xdist_group("scenarios-bad-input")
+
 PORT_KINDS = ("caller", "operator", "internal")
 ANSWER_TIMEOUT_S = 3.0
 FUZZ = settings(
