Tests: end the platform's processes if their fleet fails to start

Cause: an exception in __enter__ runs no __exit__. Change: an exit stack around the start. Ruled out: a finalizer of pytest, as scripts use the fleet too.

--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -154,8 +154,11 @@
         self.process_by_ip: dict[str, Process] = {}
 
     def __enter__(self) -> Self:
-        self.start(self.entry_ips + self.control_ips)
-        self.configure()
+        with ExitStack() as failed:
+            failed.callback(self.stop)
+            self.start(self.entry_ips + self.control_ips)
+            self.configure()
+            failed.pop_all()
         return self
 
     def start(self, ips: tuple[str, ...]) -> None:
