Tests: one fleet whose hosts can lose paths

The harnesses of cut-off hosts and of streams each built the processes whose paths can be cut (found by duplicates). Change: a module of its own with that fleet; both use it.

--- a/tests/platform/cut_off.py
+++ b/tests/platform/cut_off.py
@@ -4,25 +4,21 @@
 """
 
 import statistics
-import sys
 import tempfile
 import threading
 import time
 import uuid
-from collections.abc import Iterator
-from contextlib import contextmanager
 from pathlib import Path
 from typing import NamedTuple
 
 from tests.platform.builders import KEY, document, route
+from tests.platform.cut_fleet import CutFleet
 from tests.platform.processes import (
     CONTROL_IPS,
     ENGINE_PORT,
     ENTRY_PORT,
     SERVICE,
     SUBNET,
-    Fleet,
-    PlatformProcess,
     ask,
 )
 from tests.scenarios.cut_paths import (
@@ -31,9 +27,7 @@
     SILENT,
     SWALLOW_REQUEST,
     SWALLOW_RESPONSE,
-    write_cut,
 )
-from tests.scenarios.processes import ROOT, Process
 
 ENTRY_IPS = tuple(f"{SUBNET}.{number}" for number in range(9, 15))
 ENGINES = 6
@@ -84,8 +78,8 @@
     repeated_wrongly: int
 
 
-class CutFleet(Fleet):
-    """A fleet whose entry hosts can lose their paths to engines."""
+class TwoRoutesFleet(CutFleet):
+    """A fleet with a route of idempotent calls and one of others."""
 
     def __init__(self, folder: Path) -> None:
         tiles = route(
@@ -99,32 +93,6 @@
         )
         super().__init__(folder, CONTROL_IPS, ENTRY_IPS, document(tiles, pins))
 
-    def _process(self, ip: str, settings: Path) -> Process:
-        process = PlatformProcess(ip, settings, self._folder)
-        if ip in self.entry_ips:
-            process.command = [
-                sys.executable,
-                str(ROOT / "tests/scenarios/run_with_cuts.py"),
-                str(self.cut_file(ip)),
-                str(ROOT / "platform/start.py"),
-            ]
-        return process
-
-    def cut_file(self, ip: str) -> Path:
-        """Return the file that cuts the paths of a host while it exists."""
-        return self._folder / f"{ip}.cut"
-
-    @contextmanager
-    def cut(self, ips: tuple[str, ...], mode: str) -> Iterator[None]:
-        """Cut the paths of some hosts to all engines."""
-        for ip in ips:
-            write_cut(self.cut_file(ip), mode, [ENGINE_PORT])
-        try:
-            yield
-        finally:
-            for ip in ips:
-                self.cut_file(ip).unlink()
-
 
 class HostCallers:
     """Threads that call one entry host each and record the calls."""
@@ -174,7 +142,7 @@
 def run_row(folder: Path, mode: str, count: int) -> Row:
     """Cut some entry hosts off from all engines for a while, under load."""
     cut_ips, other_ips = ENTRY_IPS[:count], ENTRY_IPS[count:]
-    with CutFleet(folder) as fleet:
+    with TwoRoutesFleet(folder) as fleet:
         engines = [
             fleet.engine(f"e-{number}", number, "v1") for number in range(ENGINES)
         ]
@@ -184,7 +152,7 @@
         started = time.monotonic()
         time.sleep(SECONDS_BEFORE)
         cut_at = time.monotonic()
-        with fleet.cut(cut_ips, mode):
+        with fleet.cut(cut_ips, mode, ENGINE_PORT):
             time.sleep(CUT_SECONDS)
             healed = time.monotonic()
         time.sleep(SECONDS_TO_RECOVER + SECONDS_AFTER)
--- a/tests/platform/stream_versions.py
+++ b/tests/platform/stream_versions.py
@@ -19,16 +19,14 @@
 from typing import Any, NamedTuple
 
 from tests.platform.builders import KEY, document, route
+from tests.platform.cut_fleet import CutFleet
 from tests.platform.processes import (
     CONTROL_IPS,
     ENTRY_PORT,
     SUBNET,
     Engine,
-    Fleet,
-    PlatformProcess,
 )
-from tests.scenarios.cut_paths import SILENT, write_cut
-from tests.scenarios.processes import ROOT, Process
+from tests.scenarios.cut_paths import SILENT
 
 ENTRY_IPS = tuple(f"{SUBNET}.{number}" for number in range(9, 15))
 STREAM_SERVICE = "llm"
@@ -100,7 +98,7 @@
         handler.wfile.write(b"0\r\n\r\n")
 
 
-class StreamFleet(Fleet):
+class StreamFleet(CutFleet):
     """A fleet whose versions may serve side by side, without an order."""
 
     contracts = "base,config,stream"
@@ -122,21 +120,6 @@
         super().__init__(folder, CONTROL_IPS, entry_ips, configuration)
         self.engines: list[StreamEngine] = []
 
-    def _process(self, ip: str, settings: Path) -> Process:
-        process = PlatformProcess(ip, settings, self._folder)
-        if ip in self.entry_ips:
-            process.command = [
-                sys.executable,
-                str(ROOT / "tests/scenarios/run_with_cuts.py"),
-                str(self.cut_file(ip)),
-                str(ROOT / "platform/start.py"),
-            ]
-        return process
-
-    def cut_file(self, ip: str) -> Path:
-        """Return the file that cuts the paths of a host while it exists."""
-        return self._folder / f"{ip}.cut"
-
     def add_engine(
         self, number: int, version: str, slots: int = StreamEngine.slots
     ) -> StreamEngine:
@@ -461,12 +444,8 @@
 def cut_off_two(fleet: StreamFleet, until: float) -> None:
     """Cut two entry hosts off from control and the other hosts at half time."""
     leave_alone(fleet, (time.monotonic() + until) / 2)
-    ips = fleet.entry_ips[:2]
-    for ip in ips:
-        write_cut(fleet.cut_file(ip), SILENT, [INTERNAL_PORT])
-    leave_alone(fleet, until)
-    for ip in ips:
-        fleet.cut_file(ip).unlink()
+    with fleet.cut(fleet.entry_ips[:2], SILENT, INTERNAL_PORT):
+        leave_alone(fleet, until)
 
 
 def end_old_version(fleet: StreamFleet, until: float) -> None:
