Tests: an interrupted run ends at once

Cause: the runner took any exit code but one for the verdict of a part. Change: an interrupt or an error of the test command ends the run; failed tests in one part still let the other run. Tried by hand: passed 0, nothing chosen 5, no such file 4, a failed test 1 with the part of the alone tests run after it.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -13,6 +13,12 @@
 import pytest
 
 KNOWN_RED = Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
+ENDED = (
+    pytest.ExitCode.TESTS_FAILED,
+    pytest.ExitCode.OK,
+    pytest.ExitCode.NO_TESTS_COLLECTED,
+)
+"""Exit codes of a part that ran to its end; the first of them decides."""
 
 
 def known_red() -> list[str]:
@@ -22,10 +28,18 @@
     return [line.split(" | ")[0] for line in lines if line.strip()]
 
 
-def run(arguments: list[str]) -> bool | None:
-    """Return whether the selected tests passed, None if there were none."""
-    code = pytest.main(["-q", *arguments])
-    return None if code == pytest.ExitCode.NO_TESTS_COLLECTED else code == 0
+def run(parts: list[list[str]]) -> int:
+    """Run some parts of the tests, and return the exit code of all of them.
+
+    A part may have no tests, as long as another one has some. An interrupt or an error
+    of the test command ends the run.
+    """
+    codes = []
+    for arguments in parts:
+        codes.append(pytest.main(["-q", *arguments]))
+        if codes[-1] not in ENDED:
+            return int(codes[-1])
+    return next(int(code) for code in ENDED if code in codes)
 
 
 def main() -> int:
@@ -33,14 +47,11 @@
     red = known_red()
     chosen = [*[f"--deselect={test}" for test in red], *sys.argv[1:]]
     workers = str(max(1, (os.cpu_count() or 1) // 2))
-    verdicts = [
-        run(["-m", "not alone", "-n", workers, "--dist", "loadgroup", *chosen]),
-        run(["-m", "alone", *chosen]),
-    ]
+    together = ["-m", "not alone", "-n", workers, "--dist", "loadgroup", *chosen]
+    code = run([together, ["-m", "alone", *chosen]])
     for test in red:
         print(f"known red, passed over: {test}")
-    ran = [verdict for verdict in verdicts if verdict is not None]
-    return 0 if ran and all(ran) else 1
+    return code
 
 
 if __name__ == "__main__":
