Control: service versions in the same order on all replicas

Found when reading the diff: the versions of services were stored in the order of sets, which differs by process, so two replicas wrote the same state in two orders. Change: sorted. The new test failed with the order taken out (run) and passes now, with the other seven of its file. Ruled out: sorting in to_document, as the order of what is kept would still depend on the process.

--- a/bitterntiller/components/control/service_versions.py
+++ b/bitterntiller/components/control/service_versions.py
@@ -16,10 +16,10 @@
 
 
 class ServiceVersionsState:
-    """Versions by service, with the time at which they left; part of the replicated
-    state.
+    """Versions by service, with the time at which each left; replicated state.
 
     The time is cluster time in milliseconds, PRESENT while upstreams are registered.
+    Services and versions are stored in the same order on all replicas.
     """
 
     def __init__(self) -> None:
@@ -31,13 +31,13 @@
         for item in announcements:
             version = item.labels.get(LABEL_VERSION, "")
             present.setdefault(item.pool, set()).add(version)
-        for service in present.keys() | self._left_ms_by_service.keys():
+        for service in sorted(present.keys() | self._left_ms_by_service.keys()):
             known = self._left_ms_by_service.setdefault(service, {})
             here = present.get(service, set())
             for version, left_ms in known.items():
                 if version not in here and left_ms is PRESENT:
                     known[version] = time_ms
-            known.update(dict.fromkeys(here, PRESENT))
+            known.update(dict.fromkeys(sorted(here), PRESENT))
             _drop_oldest(known)
 
     def recent(self, service: str, since_ms: int) -> list[str]:
--- a/tests/components/control/test_service_versions.py
+++ b/tests/components/control/test_service_versions.py
@@ -107,3 +107,13 @@
     ]
     assert [item.versions for item in later.services] == [["v2"], []]
     assert (deposed.status, deposed.services) == ("not-leader", [])
+
+
+def test_snapshots_of_replicas_are_equal():
+    """Two replicas wrote the same state in two orders."""
+    versions = [f"v{number}" for number in range(20)]
+    registered = [announce(f"u-{version}", version) for version in versions]
+    state = ControlState()
+    apply(state, 1, upstreams=registered)
+    document = state.service_versions.to_document()
+    assert list(document["llm"]) == sorted(versions)
