Scenarios: a record that is being written is read with the next poll

Cause: scenarios read the stand-ins' record files while these append to them. A write that crosses a page of the file is seen in part by a reader in between; the last line was parsed all the same.

Change: `read_json_lines` returns whole lines only. A whole line that isn't JSON is still an error.

--- a/tests/scenarios/deployment.py
+++ b/tests/scenarios/deployment.py
@@ -9,6 +9,7 @@
 
 from tests.scenarios import builders
 from tests.scenarios.cut_paths import write_cut
+from tests.scenarios.json_lines import read_json_lines
 from tests.scenarios.processes import Process, free_port, log_tail, socket_names_at_port
 from tests.scenarios.proxy import Proxy
 
@@ -115,11 +116,8 @@
 
     def records(self, kind: str) -> list[dict[str, Any]]:
         """Return all records of a kind, of all stand-ins."""
-        lines = []
-        for name in self.upstreams_by_name:
-            path = self.record_path(name)
-            lines += path.read_text().splitlines() if path.exists() else []
-        records = map(json.loads, lines)
+        paths = map(self.record_path, self.upstreams_by_name)
+        records = [record for path in paths for record in read_json_lines(path)]
         return [record for record in records if record["kind"] == kind]
 
     def set_cut(self, one: str, other: str, cut: bool) -> None:
