--- a/bitterntiller/components/config/models.py
+++ b/bitterntiller/components/config/models.py
@@ -131,6 +131,7 @@
 
     max_connections limits the connections to one upstream over all hosts; 0 means no
     limit. kv_tokens is the memory of an engine, if the configuration contains it.
+    health_path is the target of health checks of its upstreams, if it is stated.
     """
 
     name: str
@@ -142,6 +143,7 @@
     max_connections: int = 0
     kv_tokens: int = 0
     tokens_per_event: int = 1
+    health_path: str = ""
 
 
 class Tier(NamedTuple):
--- a/bitterntiller/components/entry/__init__.py
+++ b/bitterntiller/components/entry/__init__.py
@@ -16,6 +16,7 @@
 from bitterntiller.components.entry.rate_limits import RateLimitCache
 from bitterntiller.components.entry.response_times import ResponseTimes
 from bitterntiller.components.entry.retry_budget import RetryBudget
+from bitterntiller.components.entry.service_probes import ServiceProbes
 from bitterntiller.components.http.pool import ConnectionPool
 from bitterntiller.components.node.coordinator import NodeCoordinator
 from bitterntiller.components.node.owners import RendezvousOwners
@@ -137,7 +138,10 @@
     runtime: Runtime, context: Context, retries: RetryBudget | None
 ) -> EntryCoordinator:
     connector, tunnel_server = await tunnels.async_setup(
-        runtime, context.directory, context.connections
+        runtime,
+        context.directory,
+        context.connections,
+        ServiceProbes(context.dialect, context.config),
     )
     context = context._replace(relayed_connector=connector)
     claim_client = ClaimClient(context, runtime.incarnation)
--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -23,6 +23,7 @@
     Verdict,
 )
 from bitterntiller.components.entry.notice_reports import async_record_notice
+from bitterntiller.components.entry.path_report import PathReport
 from bitterntiller.components.entry.relay import LOST_RESPONSE, Relay
 from bitterntiller.components.entry.send_checks import (
     LEASE_EXPIRED,
@@ -79,23 +80,28 @@
             return verdict
         connector = self._context.connector
         destination = Destination(
-            self._active.request_id, grant.upstream, grant.address, grant.relays
+            request_id=self._active.request_id,
+            upstream=grant.upstream,
+            address=grant.address,
+            relays=grant.relays,
+            pool=grant.pool,
         )
         try:
             connected = await connector.async_acquire(
-                destination, self._timings.upstream_connect
+                destination,
+                self._timings.upstream_connect,
+                self._may_repeat and self._active.repeatable_once_sent,
             )
         except ConnectRefusedError as error:
             # No byte was sent without a connection, so the request did not run.
             return Retry(grant.upstream, REFUSED_CONNECTION, detail=error.text)
         reusable = False
         self._active.relay = connected.relay
+        report = PathReport(connector, destination, connected)
         try:
-            verdict = await self._async_claim_and_send(connected.client, grant)
+            verdict = await self._async_claim_and_send(report, grant)
             reusable = isinstance(verdict, RelayResult) and verdict.whole
             reusable = reusable or _has_complete_response(verdict)
-            if _response_broke(verdict) and not connected.relay:
-                await connector.async_check(destination)
             return verdict
         finally:
             if reusable:
@@ -104,7 +110,7 @@
                 await connected.client.async_close()
 
     async def _async_claim_and_send(
-        self, client: ClientExchange, grant: GrantReceived
+        self, report: PathReport, grant: GrantReceived
     ) -> Verdict:
         verdict = await self._claim_client.async_take(self._active, grant)
         if verdict is not None:
@@ -115,7 +121,7 @@
         verdict = self._check(grant)
         if verdict is not None:
             return verdict
-        return await self._async_send(client, grant)
+        return await self._async_send(report, grant)
 
     def _check(self, grant: GrantReceived) -> Ending | Retry | None:
         return (
@@ -163,10 +169,8 @@
             return _not_run(Reason.NO_LEASE)
         return Retry("", reason)
 
-    async def _async_send(
-        self, client: ClientExchange, grant: GrantReceived
-    ) -> Verdict:
-        verdict = await self._async_request_and_relay(client, grant)
+    async def _async_send(self, report: PathReport, grant: GrantReceived) -> Verdict:
+        verdict = await self._async_request_and_relay(report, grant)
         crashes = self._context.crashes
         if crashes is not None and _response_broke(verdict):
             active = self._active
@@ -185,9 +189,10 @@
         return verdict
 
     async def _async_request_and_relay(
-        self, client: ClientExchange, grant: GrantReceived
+        self, report: PathReport, grant: GrantReceived
     ) -> Verdict:
         active = self._active
+        client = report.connected.client
         active.mark_sending(grant)
         active.sent_at = self._context.clock.now()
         self._spend_quota()
@@ -196,7 +201,10 @@
             await self._async_send_request(client, grant)
             head, response_class = await self._async_head(client)
         except IncompleteResponseError as error:
+            await report.async_lost()
             return await self._async_handle_lost_response(error)
+        from_upstream = self._context.dialect.is_from_upstream(active, head)
+        await report.async_head(from_upstream)
         active.load = self._context.dialect.load(head)
         active.rate_limit = self._context.dialect.rate_limit(head)
         notice = self._context.dialect.notice(head)
@@ -223,7 +231,9 @@
             return _unknown(Reason.UPSTREAM_FAILED, BAD_GATEWAY)
         active.phase = Phase.RELAYING
         relay = Relay(self._exchange, active, self._context)
-        return await self._async_finish_relay(await relay.async_run(client, head))
+        relayed = await relay.async_run(client, head)
+        await report.async_end()
+        return await self._async_finish_relay(relayed)
 
     def _spend_quota(self) -> None:
         """Charge the quota for this run.
--- a/bitterntiller/components/entry/dialect.py
+++ b/bitterntiller/components/entry/dialect.py
@@ -8,6 +8,7 @@
 from enum import StrEnum
 from typing import Protocol
 
+from bitterntiller.components.config.models import Service
 from bitterntiller.components.entry.models import (
     ActiveRequest,
     Estimate,
@@ -19,6 +20,7 @@
 from bitterntiller.components.entry.notices import Notice
 from bitterntiller.components.http.models import Headers, RequestHead, ResponseHead
 from bitterntiller.components.tunnels.connector import Connector
+from bitterntiller.components.tunnels.probes import ProbeRequest
 from bitterntiller.core.outcomes import Ending
 
 
@@ -66,6 +68,21 @@
         """Classify the head of an upstream's response."""
         ...
 
+    def is_from_upstream(self, active: ActiveRequest, head: ResponseHead) -> bool:
+        """Return whether the upstream of a request has sent a response to it.
+
+        Something between may respond in its place, which shows that the path fails.
+        """
+        ...
+
+    def probe_request(self, service: Service) -> ProbeRequest:
+        """Return a request that upstreams of a service answer without running it."""
+        ...
+
+    def is_probe_answer(self, upstream: str, head: ResponseHead) -> bool:
+        """Return whether an upstream has answered such a request itself."""
+        ...
+
     def load(self, head: ResponseHead) -> ReportedLoad | None:
         """Return the upstream's load if the response reports it."""
         ...
--- a/bitterntiller/components/entry/models.py
+++ b/bitterntiller/components/entry/models.py
@@ -277,6 +277,14 @@
         route = self.route
         return route is not None and route.repeatable and self.runs < route.max_attempts
 
+    @property
+    def repeatable_once_sent(self) -> bool:
+        """Return whether the request may be sent again if its next attempt is lost."""
+        route = self.route
+        if route is None or not route.repeatable:
+            return False
+        return self.runs + 1 < route.max_attempts
+
     @property
     def upstream_request_id(self) -> str:
         """Return the id at the upstream: its own, or that of the followed claim."""
@@ -285,7 +293,7 @@
     @property
     def destination(self) -> Destination:
         """Return the upstream that the request was sent to."""
-        return Destination(self.request_id, self.upstream, self.address)
+        return Destination(self.request_id, self.upstream, self.address, pool=self.pool)
 
     @property
     def request_id(self) -> str:
--- a/bitterntiller/components/entry/native_dialect.py
+++ b/bitterntiller/components/entry/native_dialect.py
@@ -1,5 +1,6 @@
 """The project's own HTTP dialect."""
 
+from bitterntiller.components.config.models import Service
 from bitterntiller.components.entry import const
 from bitterntiller.components.entry.dialect import ResponseClass
 from bitterntiller.components.entry.estimate import estimate
@@ -31,11 +32,15 @@
     header,
 )
 from bitterntiller.components.tunnels.connector import Connector
+from bitterntiller.components.tunnels.probes import ProbeRequest
 from bitterntiller.core.outcomes import Ending
 
 NOT_ADMITTED_STATUSES = frozenset({429, 503})
 NOT_ADMITTED_VALUE = "false"
 LEAVING_VALUE = "true"
+MIN_SERVER_ERROR = 500
+PROBE_ID = "path-probe"
+"""No request has this id; the ids of requests are made by hosts."""
 
 
 class NativeDialect:
@@ -69,6 +74,18 @@
             return ResponseClass.NOT_RUN
         return ResponseClass.ANSWER
 
+    def is_from_upstream(self, active: ActiveRequest, head: ResponseHead) -> bool:
+        """Return whether a response carries the id of its request."""
+        return matches_request(active, head)
+
+    def probe_request(self, service: Service) -> ProbeRequest:
+        """Return a request for a stream that the upstream doesn't know."""
+        return ProbeRequest(f"/v1/requests/{PROBE_ID}/stream")
+
+    def is_probe_answer(self, upstream: str, head: ResponseHead) -> bool:
+        """Return whether an upstream has answered such a request."""
+        return head.status < MIN_SERVER_ERROR
+
     def load(self, head: ResponseHead) -> ReportedLoad | None:
         """Return None: upstreams report their load in announcements."""
         return None
--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -32,11 +32,17 @@
     With allow_close_delimited, a response without content-length or chunked encoding is
     complete when the connection is closed in order, as HTTP defines it. Otherwise such
     a response is incomplete.
+
+    sent_bytes and received_bytes count those of the current exchange. broke is set once
+    its response was lost or truncated.
     """
 
     def __init__(self, sock: Any, allow_close_delimited: bool = False) -> None:
         self.idle_since = 0.0
         self.reused = False
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.broke = False
         self._allow_close_delimited = allow_close_delimited
         self._keep_alive: float | None = None
         self._sock = sock
@@ -93,6 +99,8 @@
         connection.start_next_cycle()
         self._buffer_drained = False
         self._idle_ticks = 0
+        self.sent_bytes = 0
+        self.received_bytes = 0
         self.reused = True
         return True
 
@@ -164,6 +172,7 @@
         if body:
             data += self._h11.send(h11.Data(data=body))
         data += self._h11.send(h11.EndOfMessage())
+        self.sent_bytes = len(data)
         if len(data) > const.SEND_AT_ONCE_BYTES:
             self._sender = await curio.spawn(self._async_send, data, daemon=True)
             return
@@ -260,6 +269,7 @@
         order, so that a part would be taken for the complete response.
         """
         if self._close_delimited and not self._allow_close_delimited:
+            self.broke = True
             raise IncompleteResponseError("the answer has no end marker of its own")
 
     def _next_buffered_event(self) -> Any:
@@ -274,6 +284,7 @@
             async with curio.timeout_after(timeout):
                 return await self._async_next()
         except curio.TaskTimeout as error:
+            self.broke = True
             raise IncompleteResponseError(f"reading broke: {error!r}") from error
 
     async def _async_next(self) -> Any:
@@ -287,12 +298,15 @@
                 if event is h11.NEED_DATA:
                     data = await self._sock.recv(const.READ_BYTES)
                     self._idle_ticks = 0
+                    self.received_bytes += len(data)
                     self._buffer_drained = False
                     closed = not data
                     self._h11.receive_data(data)
         except OSError as error:
+            self.broke = True
             raise IncompleteResponseError(f"reading broke: {error!r}") from error
         if isinstance(event, h11.RemoteProtocolError):
+            self.broke = True
             text = CLOSED_EARLY if closed else str(event)
             raise IncompleteResponseError(text) from event
         return event
--- a/bitterntiller/components/paths/const.py
+++ b/bitterntiller/components/paths/const.py
@@ -26,6 +26,24 @@
 UNUSED_SECONDS = 30.0
 """How long a failed path is probed that no request needs."""
 
+MAX_NEEDED_SENT = 4096
+MAX_NEEDED_RECEIVED = 64 * 1024
+"""Most bytes of a request, and of a response, that a failed path must carry to count as
+working; more than one packet and its window."""
+
+FIRST_TRIAL_PAUSE = 1.0
+MAX_TRIAL_PAUSE = 8.0
+"""First and longest time between two requests that test a path on which responses break
+off; the time doubles with each."""
+
+UNREPEATABLE_TRIAL_SECONDS = 30.0
+"""Time after which also a request that may not be repeated tests such a path."""
+
+CHECK_PERIOD = 1.0
+MAX_CHECKS = 16
+"""Least time between two checks of one path after a lost response, and checks at a
+time."""
+
 SUSPECT_SECONDS = 5.0
 """How long after a silent failure older idle connections aren't reused."""
 
--- a/bitterntiller/components/paths/host_paths.py
+++ b/bitterntiller/components/paths/host_paths.py
@@ -2,7 +2,6 @@
 
 import random
 from collections.abc import Iterable, Iterator
-from typing import NamedTuple
 
 from bitterntiller.components.paths.const import (
     EXPLORED_FRACTION,
@@ -11,8 +10,18 @@
     PROBE_PERIOD,
     RELAY_MEMORY_SECONDS,
     SUSPECT_SECONDS,
+    UNREPEATABLE_TRIAL_SECONDS,
     UNUSED_SECONDS,
 )
+from bitterntiller.components.paths.models import (
+    NO_BYTES,
+    CarriedBytes,
+    DueProbe,
+    FailedPath,
+    PathFault,
+    RelayCandidate,
+)
+from bitterntiller.components.paths.trials import next_trial
 
 REACHED = 0
 UNTRIED = 1
@@ -20,31 +29,11 @@
 """Ranks of hosts to send through; a lower one comes first."""
 
 
-class FailedPath(NamedTuple):
-    """A path that has failed and was not seen to work since; times in seconds.
-
-    silent is set if connections hang, false if they are refused.
-    """
-
-    upstream: str
-    failed_at: float
-    silent: bool
-    used_at: float
-    probe_at: float
-
-
-class RelayCandidate(NamedTuple):
-    """A host that may reach an upstream for this one; address is its internal one."""
-
-    name: str
-    address: str
-    zone: str
-
-
 class HostPaths:
     """The failed paths of this host by upstream address; working ones aren't kept.
 
-    A path counts as failed from a failed connection until a direct one succeeds.
+    A path counts as failed from a fault until it has carried an answer of the upstream,
+    with at least as many bytes as it had lost.
     """
 
     def __init__(self, zone: str, rng: random.Random | None = None) -> None:
@@ -58,10 +47,17 @@
         """Return whether this host does not reach an upstream."""
         return address in self._failed_by_address
 
-    def is_silent(self, address: str) -> bool:
-        """Return whether a path has failed and connections hang, and aren't refused."""
+    def fault(self, address: str) -> PathFault | None:
+        """Return the last fault of a failed path, None for a working one."""
         path = self._failed_by_address.get(address)
-        return path is not None and path.silent
+        return None if path is None else path.fault
+
+    def leads_around(self, address: str) -> bool:
+        """Return whether requests go through another host without a direct attempt.
+
+        A refused connection costs a request nothing, so it is attempted first.
+        """
+        return self.fault(address) not in (None, PathFault.REFUSED)
 
     def record_use(self, address: str, now: float) -> None:
         """Record that a request needs a failed path, which keeps it probed."""
@@ -69,30 +65,62 @@
         if known is not None:
             self._failed_by_address[address] = known._replace(used_at=now)
 
-    def record_reached(self, address: str) -> bool:
-        """Record a successful connection; return whether the path had failed.
+    def take_trial(self, address: str, repeatable: bool, now: float) -> bool:
+        """Return whether a request is to test a failed path that no probe can test."""
+        known = self._failed_by_address.get(address)
+        if known is None or not known.needs_trial:
+            return False
+        after = next_trial(known, repeatable, now)
+        if after is None:
+            return False
+        self._failed_by_address[address] = after
+        return True
+
+    def record_carried(self, address: str, carried: CarriedBytes) -> bool:
+        """Record an answer of an upstream; return whether its path had failed.
 
         The other failed paths are probed at once, since they may work as well.
         """
-        if self._failed_by_address.pop(address, None) is None:
+        known = self._failed_by_address.get(address)
+        if known is None or not carried.covers(known.needed):
             return False
+        del self._failed_by_address[address]
         for other, path in self._failed_by_address.items():
             self._failed_by_address[other] = path._replace(probe_at=0.0)
         return True
 
     def record_failed(
-        self, address: str, upstream: str, silent: bool, now: float
+        self,
+        address: str,
+        upstream: str,
+        fault: PathFault,
+        now: float,
+        needed: CarriedBytes = NO_BYTES,
+        pool: str = "",
     ) -> bool:
-        """Record a failed connection; return whether the path counted as working."""
-        if silent:
+        """Record a fault; return whether the path counted as working.
+
+        needed is what the path must carry to count as working again.
+        """
+        if fault is PathFault.SILENT:
             self._silent_at = now
         known = self._failed_by_address.get(address)
         if known is not None:
-            self._failed_by_address[address] = known._replace(silent=silent)
+            self._failed_by_address[address] = known._replace(
+                fault=fault, needed=known.needed.most(needed.bounded())
+            )
             return False
-        probe_at = now + PROBE_PERIOD
         self._failed_by_address[address] = FailedPath(
-            upstream, now, silent, now, probe_at
+            upstream=upstream,
+            pool=pool,
+            fault=fault,
+            needed=needed.bounded(),
+            failed_at=now,
+            used_at=now,
+            probe_at=now + PROBE_PERIOD,
+            # At once: the upstream may have truncated its response by itself.
+            trial_at=now,
+            unrepeatable_at=now + UNREPEATABLE_TRIAL_SECONDS,
         )
         while len(self._failed_by_address) > MAX_KEPT_PATHS:
             del self._failed_by_address[next(iter(self._failed_by_address))]
@@ -111,19 +139,23 @@
         """Return whether a path of this host has failed silently a short time ago."""
         return now - self._silent_at <= SUSPECT_SECONDS
 
-    def due_probes(self, now: float) -> list[tuple[str, str]]:
-        """Return the address and upstream of failed paths to probe now.
+    def due_probes(self, now: float) -> list[DueProbe]:
+        """Return the failed paths to probe now.
 
         Drop the paths that no request needed for UNUSED_SECONDS.
         """
-        due: list[tuple[str, str]] = []
+        due: list[DueProbe] = []
         for address, path in list(self._failed_by_address.items()):
             if now - path.used_at > UNUSED_SECONDS:
                 del self._failed_by_address[address]
+            elif path.needs_trial:
+                continue
             elif now >= path.probe_at and len(due) < MAX_PROBES:
                 again = path._replace(probe_at=now + PROBE_PERIOD)
                 self._failed_by_address[address] = again
-                due.append((address, path.upstream))
+                due.append(
+                    DueProbe(address, path.upstream, path.pool, path.needed.sent)
+                )
         return due
 
     def record_relay(self, address: str, relay: str, reached: bool, now: float) -> None:
@@ -148,19 +180,23 @@
         paths may have failed together. Now and then one that wasn't tried comes first,
         so that a single host doesn't carry all requests of this one.
         """
-        exploring = self._rng.random() < EXPLORED_FRACTION
 
         def rank(candidate: RelayCandidate) -> tuple[int, bool, int, bool, float]:
-            known = self._relay_rank(address, candidate.name, now)
             return (
-                -1 if exploring and known == UNTRIED else known,
+                self._relay_rank(address, candidate.name, now),
                 candidate.name not in named,
                 self._relay_rank("", candidate.name, now),
                 candidate.zone == self._zone,
                 self._rng.random(),
             )
 
-        return sorted(candidates, key=rank)
+        ranked = sorted(candidates, key=rank)
+        if self._rng.random() < EXPLORED_FRACTION:
+            for index, candidate in enumerate(ranked):
+                if self._relay_rank(address, candidate.name, now) == UNTRIED:
+                    ranked.insert(0, ranked.pop(index))
+                    break
+        return ranked
 
     def describe(self, now: float) -> dict[str, dict[str, object]]:
         """Return the failed paths by upstream address, for the state dump."""
@@ -168,7 +204,8 @@
             address: {
                 "upstream": path.upstream,
                 "failed_seconds": round(now - path.failed_at, 3),
-                "silent": path.silent,
+                "fault": path.fault,
+                "needed_bytes": path.needed._asdict(),
                 "reached_through": list(self._reached_through(address, now)),
             }
             for address, path in self._failed_by_address.items()
--- a/bitterntiller/components/tunnels/client.py
+++ b/bitterntiller/components/tunnels/client.py
@@ -17,13 +17,15 @@
 class Destination(NamedTuple):
     """The upstream that a tunnel leads to, and the request that needs it.
 
-    relays names hosts that are known to reach the upstream.
+    relays names hosts that are known to reach the upstream. probe is set for a probe.
     """
 
     request_id: str
     upstream: str
     address: str
     relays: tuple[str, ...] = ()
+    pool: str = ""
+    probe: bool = False
 
 
 async def async_open_tunnel(
@@ -50,6 +52,8 @@
             upstream=destination.upstream,
             address=destination.address,
             connect_ms=int(const.RELAY_CONNECT_SECONDS * 1000),
+            pool=destination.pool,
+            probe=destination.probe,
         )
         await sock.sendall(pack(request))
         reply = unpack(await async_read_frame(sock)).message
--- a/bitterntiller/components/tunnels/connector.py
+++ b/bitterntiller/components/tunnels/connector.py
@@ -4,6 +4,7 @@
 
 from bitterntiller.components.http.client import ClientExchange
 from bitterntiller.components.http.pool import ConnectionPool
+from bitterntiller.components.paths.models import PathFault
 from bitterntiller.components.tunnels.client import Destination
 from bitterntiller.core.interfaces import SentRequest
 
@@ -19,17 +20,28 @@
     """Opens connections to upstreams."""
 
     async def async_acquire(
-        self, destination: Destination, timeout: float
+        self, destination: Destination, timeout: float, repeatable: bool = False
     ) -> Connected:
-        """Return a connection; raise ConnectRefusedError, nothing was sent then."""
+        """Return a connection; raise ConnectRefusedError, nothing was sent then.
+
+        A repeatable request may be sent where its response can be lost.
+        """
         ...
 
     async def async_release(self, address: str, connected: Connected) -> None:
         """Keep a connection after its exchange, or close it."""
         ...
 
-    async def async_check(self, destination: Destination) -> None:
-        """Check the path to an upstream whose response was lost, in the background."""
+    def record_answer(
+        self, destination: Destination, connected: Connected, complete: bool
+    ) -> None:
+        """Record that an upstream's response has begun, or is complete."""
+        ...
+
+    async def async_record_fault(
+        self, destination: Destination, connected: Connected, fault: PathFault
+    ) -> None:
+        """Record that a response was lost or truncated; check the path to it."""
         ...
 
     async def async_confirm_refusal(self, sent: SentRequest) -> bool:
@@ -47,7 +59,7 @@
         self._connections = connections
 
     async def async_acquire(
-        self, destination: Destination, timeout: float
+        self, destination: Destination, timeout: float, repeatable: bool = False
     ) -> Connected:
         """Return a direct connection; raise ConnectRefusedError."""
         address = destination.address
@@ -57,7 +69,14 @@
         """Keep a connection after its exchange, or close it."""
         await self._connections.async_release(address, connected.client)
 
-    async def async_check(self, destination: Destination) -> None:
+    def record_answer(
+        self, destination: Destination, connected: Connected, complete: bool
+    ) -> None:
+        """Do nothing, as there is no other way."""
+
+    async def async_record_fault(
+        self, destination: Destination, connected: Connected, fault: PathFault
+    ) -> None:
         """Do nothing, as there is no other way."""
 
     async def async_confirm_refusal(self, sent: SentRequest) -> bool:
--- a/bitterntiller/components/tunnels/const.py
+++ b/bitterntiller/components/tunnels/const.py
@@ -32,7 +32,14 @@
 """Time between checks for failed paths whose probe is due."""
 
 PROBE_SECONDS = 0.3
-"""Time that a probe may take to connect."""
+PROBE_ANSWER_SECONDS = 0.3
+"""Time that a probe may take to connect, and to be answered."""
+
+SETTLE_SECONDS = 0.7
+"""Longest time that a request waits for the result of a check of its path."""
+
+PADDING_HEADER = b"x-padding"
+"""Header that makes a probe as long as the request that was lost."""
 
 STATUS_OK = "ok"
 STATUS_REFUSED = "refused"
--- a/bitterntiller/components/tunnels/direct.py
+++ b/bitterntiller/components/tunnels/direct.py
@@ -6,61 +6,93 @@
 from bitterntiller.components.http.errors import ConnectRefusedError
 from bitterntiller.components.http.pool import ConnectionPool
 from bitterntiller.components.paths.host_paths import HostPaths
+from bitterntiller.components.paths.models import NO_BYTES, CarriedBytes, PathFault
 from bitterntiller.components.tunnels import const
 from bitterntiller.components.tunnels.client import Destination
 from bitterntiller.components.tunnels.event_logging import log_path
+from bitterntiller.components.tunnels.probes import Prober
 from bitterntiller.core.clock import Clock
 
 
 class DirectPaths:
-    """Opens direct connections and probes the paths that have failed."""
+    """Opens direct connections and probes the paths that have failed.
+
+    A connection that opens shows nothing yet; a path works once an answer came over it.
+    """
 
     def __init__(
-        self, connections: ConnectionPool, paths: HostPaths, clock: Clock
+        self,
+        connections: ConnectionPool,
+        paths: HostPaths,
+        prober: Prober,
+        clock: Clock,
     ) -> None:
         self._connections = connections
         self._paths = paths
+        self._prober = prober
         self._clock = clock
         self._probing: set[str] = set()
 
     async def async_open(
         self, destination: Destination, timeout: float
     ) -> ClientExchange:
-        """Return a new direct connection, and record whether the path works."""
-        address = destination.address
+        """Return a new direct connection; record a fault of the path."""
         try:
-            client = await self._connections.async_open(address, timeout)
+            return await self._connections.async_open(destination.address, timeout)
         except ConnectRefusedError as error:
             refused = isinstance(error.__cause__, ConnectionRefusedError)
-            now = self._clock.now()
-            if self._paths.record_failed(
-                address, destination.upstream, not refused, now
-            ):
-                log_path(destination, False, error.text)
+            fault = PathFault.REFUSED if refused else PathFault.SILENT
+            self.record_failed(destination, fault, error.text)
             raise
-        if self._paths.record_reached(address):
+
+    def record_failed(
+        self,
+        destination: Destination,
+        fault: PathFault,
+        detail: str,
+        needed: CarriedBytes = NO_BYTES,
+    ) -> None:
+        """Record and log a fault of the path to an upstream."""
+        if self._paths.record_failed(
+            destination.address,
+            destination.upstream,
+            fault,
+            self._clock.now(),
+            needed,
+            destination.pool,
+        ):
+            log_path(destination, False, detail, fault)
+
+    def record_carried(self, destination: Destination, carried: CarriedBytes) -> None:
+        """Record and log that an upstream answered over the path to it."""
+        if self._paths.record_carried(destination.address, carried):
             log_path(destination, True, "")
-        return client
 
     async def async_probe_failed_paths(self) -> None:
         """Probe the failed paths that requests need, until cancelled."""
         while True:
             await curio.sleep(const.PROBE_CHECK_SECONDS)
-            for address, upstream in self._paths.due_probes(self._clock.now()):
-                await self.async_probe(Destination("", upstream, address))
+            for due in self._paths.due_probes(self._clock.now()):
+                destination = Destination("", due.upstream, due.address, pool=due.pool)
+                if due.address not in self._probing:
+                    await curio.spawn(
+                        self.async_probe, destination, due.sent, daemon=True
+                    )
 
-    async def async_probe(self, destination: Destination) -> None:
-        """Probe the path to an upstream in the background."""
-        if destination.address in self._probing:
-            return
-        self._probing.add(destination.address)
-        await curio.spawn(self._async_probe, destination, daemon=True)
+    async def async_probe(self, destination: Destination, size: int) -> bool:
+        """Return whether an upstream answers a probe of at least size bytes.
 
-    async def _async_probe(self, destination: Destination) -> None:
+        Raise ConnectRefusedError if there is no connection.
+        """
+        self._probing.add(destination.address)
         try:
             client = await self.async_open(destination, const.PROBE_SECONDS)
-            await client.async_close()
-        except ConnectRefusedError:
-            return
+            try:
+                if not await self._prober.async_answers(client, destination, size):
+                    return False
+                self.record_carried(destination, CarriedBytes(client.sent_bytes))
+                return True
+            finally:
+                await client.async_close()
         finally:
             self._probing.discard(destination.address)
--- a/bitterntiller/components/tunnels/event_logging.py
+++ b/bitterntiller/components/tunnels/event_logging.py
@@ -20,7 +20,9 @@
     )
 
 
-def log_path(destination: Destination, reached: bool, detail: str) -> None:
+def log_path(
+    destination: Destination, reached: bool, detail: str, fault: str = ""
+) -> None:
     """Log that this host lost or regained its path to an upstream."""
     events.emit(
         "path",
@@ -28,5 +30,21 @@
         upstream=destination.upstream,
         address=destination.address,
         reached=reached,
+        fault=fault,
         detail=detail,
     )
+
+
+def log_path_check(
+    destination: Destination, fault: str, result: str, seconds: float
+) -> None:
+    """Log what a check of a path after a lost response has found."""
+    events.emit(
+        "path-check",
+        request=destination.request_id,
+        upstream=destination.upstream,
+        address=destination.address,
+        fault=fault,
+        result=result,
+        seconds=round(seconds, 4),
+    )
--- a/bitterntiller/components/tunnels/relayed.py
+++ b/bitterntiller/components/tunnels/relayed.py
@@ -7,8 +7,14 @@
 from bitterntiller.components.http.client import ClientExchange
 from bitterntiller.components.http.errors import ConnectRefusedError
 from bitterntiller.components.http.pool import ConnectionPool
-from bitterntiller.components.paths.host_paths import HostPaths, RelayCandidate
+from bitterntiller.components.paths.host_paths import HostPaths
+from bitterntiller.components.paths.models import (
+    CarriedBytes,
+    PathFault,
+    RelayCandidate,
+)
 from bitterntiller.components.tunnels import const
+from bitterntiller.components.tunnels.checks import PathChecks
 from bitterntiller.components.tunnels.client import Destination
 from bitterntiller.components.tunnels.connector import Connected
 from bitterntiller.components.tunnels.direct import DirectPaths
@@ -21,8 +27,8 @@
 class RelayedConnector:
     """Connects directly, or by a tunnel through another entry host.
 
-    Where connections on the path of this host hang, a tunnel is opened at once.
-    Otherwise it is opened beside a direct connection that is not established in
+    Where the path of this host has failed by more than a refusal, a tunnel is opened at
+    once. Otherwise it is opened beside a direct connection that is not established in
     HEDGE_SECONDS; the first way that is open is used. The request is sent after that,
     and by this host only, so trying several ways never sends it twice.
     """
@@ -32,34 +38,57 @@
         connections: ConnectionPool,
         direct: DirectPaths,
         relays: Relays,
+        checks: PathChecks,
         paths: HostPaths,
         clock: Clock,
     ) -> None:
         self._connections = connections
         self._direct = direct
         self._relays = relays
+        self._checks = checks
         self._paths = paths
         self._clock = clock
 
     async def async_acquire(
-        self, destination: Destination, timeout: float
+        self, destination: Destination, timeout: float, repeatable: bool = False
     ) -> Connected:
-        """Return a connection by any way; raise ConnectRefusedError."""
-        now = self._clock.now()
+        """Return a connection by any way; raise ConnectRefusedError.
+
+        A repeatable request goes directly if the path is due to be tested.
+        """
         address = destination.address
-        kept = await self._connections.async_take_idle(
-            address, self._paths.trusted_since(now)
+        await self._checks.async_settle(address)
+        now = self._clock.now()
+        around = self._paths.leads_around(address) and not self._paths.take_trial(
+            address, repeatable, now
         )
-        if kept is not None:
-            return Connected(kept)
+        if not around or self._paths.fault(address) is PathFault.SILENT:
+            kept = await self._connections.async_take_idle(
+                address, self._paths.trusted_since(now)
+            )
+            if kept is not None:
+                return Connected(kept)
         self._paths.record_use(address, now)
-        if not self._paths.is_silent(address):
+        if not around:
             return await self._async_first_way(destination, timeout)
         try:
             return await self._async_relayed(destination, "the path has failed")
         except ConnectRefusedError:
+            if self._would_lose(destination, repeatable):
+                raise
             return Connected(await self._direct.async_open(destination, timeout))
 
+    def _would_lose(self, destination: Destination, repeatable: bool) -> bool:
+        """Return whether a request would be lost on its direct way for certain.
+
+        Without other hosts there is no better one.
+        """
+        fault = self._paths.fault(destination.address)
+        if fault is PathFault.TRUNCATED and repeatable:
+            return False
+        lossy = fault in (PathFault.LOST, PathFault.TRUNCATED)
+        return lossy and bool(self._relays.candidates(destination))
+
     async def async_release(self, address: str, connected: Connected) -> None:
         """Keep a direct connection after its exchange, close any other."""
         if connected.relay:
@@ -67,9 +96,34 @@
             return
         await self._connections.async_release(address, connected.client)
 
-    async def async_check(self, destination: Destination) -> None:
-        """Check the path to an upstream whose response was lost, in the background."""
-        await self._direct.async_probe(destination)
+    def record_answer(
+        self, destination: Destination, connected: Connected, complete: bool
+    ) -> None:
+        """Record that an upstream's response has begun, or is complete."""
+        if connected.relay:
+            self._relays.record_result(destination, connected.relay, True)
+            return
+        client = connected.client
+        received = client.received_bytes if complete else 0
+        carried = CarriedBytes(client.sent_bytes, received)
+        self._direct.record_carried(destination, carried)
+
+    async def async_record_fault(
+        self, destination: Destination, connected: Connected, fault: PathFault
+    ) -> None:
+        """Record that a response was lost or truncated; check the path to it.
+
+        A lost request must get through before its path counts as working again, and
+        more than arrived of a truncated response.
+        """
+        if connected.relay:
+            self._relays.record_result(destination, connected.relay, False)
+            return
+        client = connected.client
+        needed = CarriedBytes(client.sent_bytes, 0)
+        if fault is PathFault.TRUNCATED:
+            needed = CarriedBytes(0, client.received_bytes + 1)
+        await self._checks.async_start(destination, fault, needed)
 
     async def async_confirm_refusal(self, sent: SentRequest) -> bool:
         """Return whether connections of other hosts to an upstream are refused."""
--- a/bitterntiller/components/tunnels/relays.py
+++ b/bitterntiller/components/tunnels/relays.py
@@ -2,7 +2,8 @@
 
 import curio
 
-from bitterntiller.components.paths.host_paths import HostPaths, RelayCandidate
+from bitterntiller.components.paths.host_paths import HostPaths
+from bitterntiller.components.paths.models import RelayCandidate
 from bitterntiller.components.settings.const import ROLE_ENTRY
 from bitterntiller.components.tunnels import const
 from bitterntiller.components.tunnels.client import Destination, async_open_tunnel
@@ -51,9 +52,9 @@
     async def async_open(
         self, destination: Destination, relay: RelayCandidate
     ) -> TunnelSocket:
-        """Return a tunnel through a host, and record whether it reaches the upstream.
+        """Return a tunnel through a host; raise TunnelError.
 
-        Raise TunnelError.
+        A failure is recorded; what an open tunnel is worth shows the answer over it.
         """
         began = self._clock.now()
         try:
@@ -68,10 +69,16 @@
             raise
         now = self._clock.now()
         self._metrics.count(const.METRIC_OPENED)
-        self._paths.record_relay(destination.address, relay.name, True, now)
         log_tunnel(destination, relay.name, const.STATUS_OK, "", now - began)
         return sock
 
+    def record_result(
+        self, destination: Destination, relay: str, reached: bool
+    ) -> None:
+        """Record whether an upstream answered through a host."""
+        now = self._clock.now()
+        self._paths.record_relay(destination.address, relay, reached, now)
+
     def _record_failed(
         self,
         destination: Destination,
--- a/bitterntiller/components/tunnels/server.py
+++ b/bitterntiller/components/tunnels/server.py
@@ -1,5 +1,6 @@
 """Carry the tunnels of other hosts to upstreams."""
 
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 import curio
@@ -9,9 +10,11 @@
 from bitterntiller.components.links.handshake import async_read_frame
 from bitterntiller.components.links.models import Peer
 from bitterntiller.components.paths.host_paths import HostPaths
+from bitterntiller.components.paths.models import CarriedBytes, PathFault
 from bitterntiller.components.tunnels import const
+from bitterntiller.components.tunnels.checks import PathChecks
 from bitterntiller.components.tunnels.client import Destination
-from bitterntiller.components.tunnels.event_logging import log_path
+from bitterntiller.components.tunnels.direct import DirectPaths
 from bitterntiller.components.tunnels.stream import END, pack_part
 from bitterntiller.core import events
 from bitterntiller.core.clock import Clock
@@ -40,6 +43,8 @@
         clock: Clock,
         metrics: Metrics,
         paths: HostPaths,
+        direct: DirectPaths,
+        checks: PathChecks,
         max_tunnels: int = const.MAX_TUNNELS,
     ) -> None:
         self.carried = 0
@@ -47,6 +52,8 @@
         self._clock = clock
         self._metrics = metrics
         self._paths = paths
+        self._direct = direct
+        self._checks = checks
         self._max_tunnels = max_tunnels
 
     async def async_serve(self, sock: Any, peer: Peer) -> None:
@@ -90,8 +97,8 @@
         if self.carried >= self._max_tunnels:
             text = f"the host carries {self.carried} tunnels"
             return Opened(const.STATUS_BUSY, text)
-        # Only a silent path is taken for failed unseen: trying it would take time.
-        if self._paths.is_silent(request.address):
+        # A path that was only refused is tried, as a refusal takes no time.
+        if self._paths.leads_around(request.address):
             self._paths.record_use(request.address, self._clock.now())
             text = f"{request.address} is not reached from here"
             return Opened(const.STATUS_UNREACHABLE, text)
@@ -106,16 +113,11 @@
         except (ValueError, OverflowError) as error:
             return Opened(const.STATUS_INVALID, f"{address}: {error!r}")
         except OSError as error:
-            now = self._clock.now()
             refused = isinstance(error, ConnectionRefusedError)
-            destination = Destination(request.request_id, request.upstream, address)
-            if self._paths.record_failed(address, request.upstream, not refused, now):
-                log_path(destination, False, repr(error))
+            fault = PathFault.REFUSED if refused else PathFault.SILENT
+            self._direct.record_failed(_destination(request), fault, repr(error))
             status = const.STATUS_REFUSED if refused else const.STATUS_UNREACHABLE
             return Opened(status, f"{address}: {error!r}")
-        if self._paths.record_reached(address):
-            destination = Destination(request.request_id, request.upstream, address)
-            log_path(destination, True, "")
         return Opened(const.STATUS_OK, "", sock)
 
     async def _async_reply(
@@ -146,9 +148,21 @@
     ) -> None:
         """Pass bytes on in both directions until one of them ends."""
         began = self._clock.now()
+        counts = _Counts()
+        destination = _destination(request)
+
+        def record_answer() -> None:
+            self._direct.record_carried(destination, CarriedBytes(counts.sent))
+
         async with curio.TaskGroup(wait=any) as group:
-            await group.spawn(_async_pass_to_upstream, sock, upstream)
-            down = await group.spawn(_async_pass_to_host, upstream, sock)
+            await group.spawn(_async_pass_to_upstream, sock, upstream, counts)
+            down = await group.spawn(
+                _async_pass_to_host, upstream, sock, counts, record_answer
+            )
+        # A check that led to further checks would spread over all hosts.
+        if counts.sent and not counts.received and not request.probe:
+            needed = CarriedBytes(counts.sent)
+            await self._checks.async_start(destination, PathFault.LOST, needed)
         events.emit(
             "tunnel-ended",
             request=request.request_id,
@@ -159,18 +173,41 @@
         )
 
 
-async def _async_pass_to_upstream(sock: Any, upstream: Any) -> None:
+class _Counts:
+    """The bytes that a tunnel has carried to an upstream and from it."""
+
+    def __init__(self) -> None:
+        self.sent = 0
+        self.received = 0
+
+
+def _destination(request: Any) -> Destination:
+    return Destination(
+        request.request_id,
+        request.upstream,
+        request.address,
+        pool=request.pool or "",
+    )
+
+
+async def _async_pass_to_upstream(sock: Any, upstream: Any, counts: _Counts) -> None:
     try:
         while data := await sock.recv(const.READ_BYTES):
+            counts.sent += len(data)
             await upstream.sendall(data)
     except OSError:
         return
 
 
-async def _async_pass_to_host(upstream: Any, sock: Any) -> None:
+async def _async_pass_to_host(
+    upstream: Any, sock: Any, counts: _Counts, record_answer: Callable[[], None]
+) -> None:
     """Pass the upstream's bytes on, and their orderly end if there is one."""
     try:
         while data := await upstream.recv(const.READ_BYTES):
+            if not counts.received:
+                record_answer()
+            counts.received += len(data)
             await sock.sendall(pack_part(data))
         await sock.sendall(END)
     except OSError:
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -71,6 +71,8 @@
     2: required string upstream,
     3: required string address,       // of the upstream, IP:port
     4: required i32 connect_ms,       // how long the receiver may take to connect
+    5: optional string pool,          // of the upstream
+    6: optional bool probe,           // the sender checks whether the receiver reaches the upstream
 }
 
 struct OpenTunnelReply {
--- /dev/null
+++ b/tests/components/entry/test_path_report.py
@@ -0,0 +1,139 @@
+"""What the connector learns from the response to an attempt."""
+
+from typing import Any
+
+import curio
+import pytest
+
+from bitterntiller.components.config.models import RouteKind
+from bitterntiller.components.entry.attempt import Attempt
+from bitterntiller.components.entry.claiming import ClaimClient
+from bitterntiller.components.entry.native_dialect import NativeDialect
+from bitterntiller.components.entry.service_probes import ServiceProbes
+from bitterntiller.components.http.models import ResponseHead
+from bitterntiller.components.http.pool import ConnectionPool
+from bitterntiller.components.paths.models import PathFault
+from bitterntiller.components.tunnels.client import Destination
+from bitterntiller.components.tunnels.connector import Connected, DirectConnector
+from bitterntiller.core.clock import ManualClock
+from tests.components.entry import fakes
+from tests.components.entry.test_attempt import WHOLE, upstream
+from tests.components.stream_versions.builders import route
+
+
+class RecordingConnector(DirectConnector):
+    """Connects directly and records what it is told."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        super().__init__(ConnectionPool(clock))
+        self.reports: list[str] = []
+        self.destinations: set[Destination] = set()
+        self.repeatable: list[bool] = []
+
+    async def async_acquire(
+        self, destination: Destination, timeout: float, repeatable: bool = False
+    ) -> Connected:
+        self.repeatable.append(repeatable)
+        return await super().async_acquire(destination, timeout, repeatable)
+
+    def record_answer(
+        self, destination: Destination, connected: Connected, complete: bool
+    ) -> None:
+        self.destinations.add(destination)
+        self.reports.append("complete" if complete else "head")
+
+    async def async_record_fault(
+        self, destination: Destination, connected: Connected, fault: PathFault
+    ) -> None:
+        self.destinations.add(destination)
+        self.reports.append(fault)
+
+
+def reports(answer: bytes) -> list[str]:
+    """Return what an attempt whose upstream sends some bytes reports of its path."""
+    clock = ManualClock()
+    connector = RecordingConnector(clock)
+    context = fakes.context(clock, fakes.FakeLinks(clock))
+    context = context._replace(relayed_connector=connector)
+
+    async def async_main() -> None:
+        async with upstream(answer, []) as address:
+            one = Attempt(
+                fakes.FakeExchange(),
+                fakes.active_request(clock),
+                context,
+                ClaimClient(context, "i1"),
+            )
+            await one.async_run(fakes.grant(clock, address))
+            (destination,) = connector.destinations
+            assert destination[:3] == ("r1", "p1", address)
+            assert destination.pool == "registry"
+
+    curio.run(async_main)
+    return connector.reports
+
+
+@pytest.mark.parametrize(
+    "answer, expected",
+    [
+        (WHOLE, ["head", "complete"]),
+        (WHOLE[:-1], ["head", "truncated"]),
+        (b"", ["lost"]),
+        (WHOLE[:9], ["lost"]),
+        (WHOLE.replace(b"r1", b"r2"), ["lost"]),
+        (WHOLE.replace(b"X-Request-Id: r1\r\n", b""), ["lost"]),
+    ],
+)
+def test_path_is_judged_by_the_response_to_an_attempt(answer: bytes, expected: Any):
+    """An open connection was taken for a working path."""
+    assert reports(answer) == expected
+
+
+def test_service_that_the_configuration_lacks_has_no_probe():
+    config = fakes.FakeConfig()
+    config.put(fakes.WORKSPACE)
+    probes = ServiceProbes(NativeDialect(), config)
+    assert probes.probe_request("none") is None
+    assert probes.probe_request("registry").target == "/v1/requests/path-probe/stream"
+
+
+@pytest.mark.parametrize("status, counts", [(404, True), (204, True), (502, False)])
+def test_probe_is_not_answered_by_a_gateway_error(status: int, counts: bool):
+    assert NativeDialect().is_probe_answer("p1", ResponseHead(status, [])) is counts
+
+
+@pytest.mark.parametrize(
+    "kind, attempts, allowed, tests_paths",
+    [
+        (RouteKind.IDEMPOTENT, 2, True, True),
+        (RouteKind.RESUMABLE, 2, True, True),
+        (RouteKind.IDEMPOTENT, 1, True, False),
+        (RouteKind.IDEMPOTENT, 2, False, False),
+        (RouteKind.NON_IDEMPOTENT, 2, True, False),
+    ],
+)
+def test_only_a_request_that_can_be_sent_again_tests_a_path(
+    kind: RouteKind, attempts: int, allowed: bool, tests_paths: bool
+):
+    """A request was lost on its last attempt to find out whether a path works."""
+    clock = ManualClock()
+    connector = RecordingConnector(clock)
+    context = fakes.context(clock, fakes.FakeLinks(clock))
+    active = fakes.active_request(clock)
+    identified = active.prepared.identified._replace(
+        route=route()._replace(kind=kind, max_attempts=attempts)
+    )
+    active.prepared = active.prepared._replace(identified=identified)
+
+    async def async_main() -> None:
+        one = Attempt(
+            fakes.FakeExchange(),
+            active,
+            context._replace(relayed_connector=connector),
+            ClaimClient(context, "i1"),
+            may_repeat=allowed,
+        )
+        await one.async_run(fakes.grant(clock, "127.0.0.1:1"))
+
+    curio.run(async_main)
+    assert connector.repeatable == [tests_paths]
--- a/tests/components/entry/test_readiness.py
+++ b/tests/components/entry/test_readiness.py
@@ -3,9 +3,8 @@
 import curio
 import pytest
 
-from bitterntiller.components.paths.host_paths import HostPaths
-from bitterntiller.components.tunnels.server import TunnelServer
 from tests.components.entry.deployment import ConfigView, async_whole, entry_host
+from tests.components.tunnels.builders import hosts
 
 
 @pytest.mark.parametrize("version", [0, 1])
@@ -47,10 +46,8 @@
     """A host that stopped cut the requests that it carried for others."""
 
     async def async_main() -> None:
-        async with entry_host(async_whole) as entry:
-            server = entry.coordinator.tunnel_server = TunnelServer(
-                entry.context.clock, entry.context.metrics, HostPaths("bole")
-            )
+        async with entry_host(async_whole) as entry, hosts("a") as (host,):
+            server = entry.coordinator.tunnel_server = host.server
             server.carried = 1
             drain = await curio.spawn(entry.coordinator.async_drain)
             await curio.sleep(0.2)
--- a/tests/components/paths/test_host_paths.py
+++ b/tests/components/paths/test_host_paths.py
@@ -6,15 +6,27 @@
 
 from bitterntiller.components.paths.const import (
     MAX_KEPT_PATHS,
+    MAX_NEEDED_RECEIVED,
+    MAX_NEEDED_SENT,
     MAX_PROBES,
     PROBE_PERIOD,
     RELAY_MEMORY_SECONDS,
     SUSPECT_SECONDS,
+    UNREPEATABLE_TRIAL_SECONDS,
     UNUSED_SECONDS,
 )
-from bitterntiller.components.paths.host_paths import HostPaths, RelayCandidate
+from bitterntiller.components.paths.host_paths import HostPaths
+from bitterntiller.components.paths.models import (
+    CarriedBytes,
+    DueProbe,
+    PathFault,
+    RelayCandidate,
+)
 
 NOW = 1000.0
+REFUSED, SILENT, LOST, TRUNCATED = PathFault
+FAULTS = (REFUSED, SILENT, LOST)
+ANSWER = CarriedBytes(200, 0)
 
 
 def paths(seed: int = 1) -> HostPaths:
@@ -27,38 +39,38 @@
 
 def test_failed_path_is_probed_each_second_until_it_works():
     known = paths()
-    assert known.record_failed("e1:1", "e1", True, NOW)
-    assert not known.record_failed("e1:1", "e1", True, NOW + 0.1)
+    assert known.record_failed("e1:1", "e1", SILENT, NOW)
+    assert not known.record_failed("e1:1", "e1", SILENT, NOW + 0.1)
     assert known.due_probes(NOW + 0.5) == []
-    assert known.due_probes(NOW + PROBE_PERIOD) == [("e1:1", "e1")]
+    assert known.due_probes(NOW + PROBE_PERIOD) == [DueProbe("e1:1", "e1", "", 0)]
     assert known.due_probes(NOW + PROBE_PERIOD + 0.5) == []
-    assert known.record_reached("e1:1")
-    assert not known.record_reached("e1:1")
+    assert known.record_carried("e1:1", ANSWER)
+    assert not known.record_carried("e1:1", ANSWER)
     assert not known.is_failed("e1:1")
 
 
 def test_path_that_no_request_needs_is_dropped():
     """A host probed an upstream that had ended for ever."""
     known = paths()
-    known.record_failed("e1:1", "e1", False, NOW)
-    known.record_failed("e2:1", "e2", False, NOW)
+    known.record_failed("e1:1", "e1", REFUSED, NOW)
+    known.record_failed("e2:1", "e2", REFUSED, NOW)
     known.record_use("e2:1", NOW + 20)
-    assert known.due_probes(NOW + UNUSED_SECONDS + 1) == [("e2:1", "e2")]
+    assert known.due_probes(NOW + UNUSED_SECONDS + 1) == [DueProbe("e2:1", "e2", "", 0)]
     assert not known.is_failed("e1:1")
 
 
 def test_one_regained_path_lets_the_others_be_probed_at_once():
     known = paths()
     for number in range(3):
-        known.record_failed(f"e{number}:1", f"e{number}", True, NOW)
-    known.record_reached("e0:1")
+        known.record_failed(f"e{number}:1", f"e{number}", SILENT, NOW)
+    known.record_carried("e0:1", ANSWER)
     assert len(known.due_probes(NOW + 0.1)) == 2
 
 
 def test_probes_and_state_are_bounded_at_many_upstreams():
     known = paths()
     for number in range(2 * MAX_KEPT_PATHS):
-        known.record_failed(f"e{number}:1", f"e{number}", True, NOW)
+        known.record_failed(f"e{number}:1", f"e{number}", SILENT, NOW)
         known.record_relay(f"e{number}:1", "b", True, NOW)
     assert len(known.due_probes(NOW + PROBE_PERIOD)) == MAX_PROBES
     assert len(known.describe(NOW)) == MAX_KEPT_PATHS
@@ -69,9 +81,9 @@
     """Requests were sent over kept connections that carried nothing any more."""
     known = paths()
     assert known.trusted_since(NOW) == float("-inf")
-    known.record_failed("e1:1", "e1", False, NOW)
+    known.record_failed("e1:1", "e1", REFUSED, NOW)
     assert known.trusted_since(NOW) == float("-inf")
-    known.record_failed("e2:1", "e2", True, NOW)
+    known.record_failed("e2:1", "e2", SILENT, NOW)
     assert known.trusted_since(NOW + 1) == NOW
     assert known.trusted_since(NOW + SUSPECT_SECONDS + 1) == float("-inf")
 
@@ -135,14 +147,96 @@
         elif known.is_failed(address):
             known.record_use(address, now)
         elif works[address]:
-            known.record_reached(address)
+            known.record_carried(address, ANSWER)
         else:
-            known.record_failed(address, address[:2], draw.random() < 0.5, now)
-        for due, upstream in known.due_probes(now):
-            if works[due]:
-                known.record_reached(due)
+            known.record_failed(address, address[:2], draw.choice(FAULTS), now)
+        for due in known.due_probes(now):
+            if works[due.address]:
+                known.record_carried(due.address, ANSWER)
             else:
-                known.record_failed(due, upstream, True, now)
+                known.record_failed(due.address, due.upstream, SILENT, now)
         for each, working in works.items():
             if working and now - since[each] > PROBE_PERIOD + 0.2:
                 assert not known.is_failed(each)
+
+
+def test_path_that_lost_a_long_request_is_not_proved_by_a_short_one():
+    """Health checks passed while each long request was lost."""
+    known = paths()
+    known.record_failed("e1:1", "e1", LOST, NOW, CarriedBytes(sent=2000))
+    assert known.due_probes(NOW + PROBE_PERIOD) == [DueProbe("e1:1", "e1", "", 2000)]
+    assert not known.record_carried("e1:1", CarriedBytes(sent=1999, received=9000))
+    assert known.leads_around("e1:1")
+    assert known.record_carried("e1:1", CarriedBytes(sent=2000))
+    assert not known.is_failed("e1:1")
+
+
+def test_what_a_path_must_carry_is_bounded():
+    """A path that lost one huge request stayed failed for ever."""
+    known = paths()
+    known.record_failed("e1:1", "e1", TRUNCATED, NOW, CarriedBytes(10**9, 10**9))
+    most = CarriedBytes(MAX_NEEDED_SENT, MAX_NEEDED_RECEIVED)
+    assert known.record_carried("e1:1", most)
+
+
+def test_path_on_which_a_response_broke_off_is_not_proved_by_a_shorter_one():
+    known = paths()
+    known.record_failed("e1:1", "e1", TRUNCATED, NOW, CarriedBytes(received=500))
+    assert known.due_probes(NOW + PROBE_PERIOD) == []
+    assert not known.record_carried("e1:1", CarriedBytes(300, 499))
+    assert known.leads_around("e1:1")
+    assert known.record_carried("e1:1", CarriedBytes(300, 500))
+
+
+def test_later_refusal_does_not_lower_what_a_path_must_carry():
+    known = paths()
+    known.record_failed("e1:1", "e1", LOST, NOW, CarriedBytes(sent=2000))
+    known.record_failed("e1:1", "e1", REFUSED, NOW + 1)
+    assert not known.leads_around("e1:1")
+    assert not known.record_carried("e1:1", CarriedBytes(sent=300))
+    assert known.is_failed("e1:1")
+
+
+def test_repeatable_requests_test_a_path_less_and_less_often():
+    known = paths()
+    known.record_failed("e1:1", "e1", TRUNCATED, NOW, CarriedBytes(received=500))
+    taken = [
+        step / 10
+        for step in range(400)
+        if known.take_trial("e1:1", True, NOW + step / 10)
+    ]
+    assert taken == pytest.approx([0, 1, 3, 7, 15, 23, 31, 39])
+
+
+def test_request_that_may_not_be_repeated_tests_a_path_only_after_long():
+    """Each request that may not be repeated was lost on the same path."""
+    known = paths()
+    known.record_failed("e1:1", "e1", TRUNCATED, NOW, CarriedBytes(received=500))
+    taken = [
+        step / 10
+        for step in range(700)
+        if known.take_trial("e1:1", False, NOW + step / 10)
+    ]
+    assert taken == pytest.approx(
+        [UNREPEATABLE_TRIAL_SECONDS, 2 * UNREPEATABLE_TRIAL_SECONDS], abs=0.11
+    )
+
+
+@pytest.mark.parametrize("fault", [REFUSED, SILENT, LOST])
+def test_path_that_a_probe_can_prove_is_not_tested_by_requests(fault):
+    known = paths()
+    known.record_failed("e1:1", "e1", fault, NOW, CarriedBytes(sent=500))
+    assert not known.take_trial("e1:1", True, NOW + 100)
+    assert not known.take_trial("e2:1", True, NOW)
+
+
+def test_one_untried_host_comes_first_now_and_then_and_a_proved_one_second():
+    """Three untried hosts came first, and all of them had lost their paths too."""
+    known = paths()
+    known.record_relay("e1:1", "b", True, NOW)
+    orders = [
+        [item.name for item in known.rank_relays("e1:1", candidates(*"bcdef"), (), NOW)]
+        for _ in range(300)
+    ]
+    assert all("b" in order[:2] for order in orders)
+    assert 10 < sum(order[0] != "b" for order in orders) < 60
--- a/tests/components/tunnels/test_tunnels.py
+++ b/tests/components/tunnels/test_tunnels.py
@@ -13,6 +13,7 @@
     IncompleteResponseError,
 )
 from bitterntiller.components.links.frames import pack
+from bitterntiller.components.paths.models import PathFault
 from bitterntiller.components.tunnels import const
 from bitterntiller.components.tunnels.client import Destination
 from bitterntiller.components.tunnels.server import Opened
@@ -250,12 +251,12 @@
     async def async_main() -> None:
         async with hosts("a", "b") as (a, _), upstream(_async_keep) as e:
             opened = []
-            for silent in (False, True):
+            for fault in (PathFault.REFUSED, PathFault.SILENT):
                 connected = await a.connector.async_acquire(e.destination(), 0.5)
                 await async_ask(connected.client, close=False)
                 await a.connector.async_release(e.address, connected)
                 now = a.connector._clock.now()
-                a.paths.record_failed(f"other-{silent}:1", "e2", silent, now)
+                a.paths.record_failed(f"other-{fault}:1", "e2", fault, now)
                 connected = await a.connector.async_acquire(e.destination(), 0.5)
                 await connected.client.async_close()
                 opened.append(a.connections.opened)
@@ -286,7 +287,7 @@
         async with hosts(*names) as found, upstream(sending(WITH_LENGTH)) as e:
             for host in found:
                 host.connections.mode = REFUSES
-                host.paths.record_failed(e.address, "e1", True, 0.0)
+                host.paths.record_failed(e.address, "e1", PathFault.SILENT, 0.0)
             with pytest.raises(ConnectRefusedError):
                 await found[0].connector.async_acquire(e.destination(), 0.5)
             rejected = sum(h.metrics.counts[const.METRIC_REJECTED] for h in found)
@@ -326,13 +327,13 @@
     run(async_main)
 
 
-@pytest.mark.parametrize("silent", [True, False])
-def test_host_without_others_goes_on_trying_its_failed_path(silent):
+@pytest.mark.parametrize("fault", PathFault)
+def test_host_without_others_goes_on_trying_its_failed_path(fault):
     """The only entry host refused requests for a second after an upstream was back."""
 
     async def async_main() -> None:
         async with hosts("a") as (a,), upstream(sending(WITH_LENGTH)) as e:
-            a.paths.record_failed(e.address, "e1", silent, a.connector._clock.now())
+            a.paths.record_failed(e.address, "e1", fault, a.connector._clock.now())
             connected = await a.connector.async_acquire(e.destination(), 0.5)
             assert connected.relay == ""
             await connected.client.async_close()
@@ -346,11 +347,12 @@
     async def async_main() -> None:
         async with hosts("a", "b") as (a, b), upstream(sending(WITH_LENGTH)) as e:
             a.connections.mode = REFUSES
-            b.paths.record_failed(e.address, "e1", False, 0.0)
+            b.paths.record_failed(e.address, "e1", PathFault.REFUSED, 0.0)
             connected = await a.connector.async_acquire(e.destination(), 0.5)
             assert connected.relay == "b"
-            assert not b.paths.is_failed(e.address)
+            assert (await async_ask(connected.client))[0] == 200
             await connected.client.async_close()
+            assert not b.paths.is_failed(e.address)
 
     run(async_main)
 
@@ -373,8 +375,8 @@
             assert not await a.connector.async_confirm_refusal(sent(e.address))
             c.server._async_connect = async_refused
             assert not await a.connector.async_confirm_refusal(sent(e.address))
-            b.paths.record_failed(e.address, "e1", True, 0.0)
-            c.paths.record_failed(e.address, "e1", True, 0.0)
+            b.paths.record_failed(e.address, "e1", PathFault.SILENT, 0.0)
+            c.paths.record_failed(e.address, "e1", PathFault.SILENT, 0.0)
             b.server.draining = c.server.draining = True
             assert not await a.connector.async_confirm_refusal(sent(ended))
 
--- a/tests/platform/cut_off.py
+++ b/tests/platform/cut_off.py
@@ -8,6 +8,7 @@
 import threading
 import time
 import uuid
+from contextlib import ExitStack
 from pathlib import Path
 from typing import NamedTuple
 
@@ -22,11 +23,16 @@
     ask,
 )
 from tests.scenarios.cut_paths import (
+    FOREIGN_ANSWER,
+    PACKET_BYTES,
     REFUSE,
     RESET,
     SILENT,
+    SILENT_LARGE,
+    SILENT_REQUEST,
     SWALLOW_REQUEST,
     SWALLOW_RESPONSE,
+    TRUNCATE,
 )
 
 ENTRY_IPS = tuple(f"{SUBNET}.{number}" for number in range(9, 15))
@@ -37,11 +43,16 @@
 CONTACT_WINDOW = 4.0
 """Seconds after the cut from which callers of all hosts are compared."""
 
+IDEMPOTENT_WINDOW = 1.0
+"""Seconds after the cut from which calls that may be repeated are compared."""
+
 CUT_SECONDS = 9.0
 SECONDS_TO_RECOVER = 2.0
 SECONDS_AFTER = 2.0
 PATHS = ("/tiles/1", "/pins/1")
 OK = 200
+PADDING = "0" * (PACKET_BYTES + 100)
+"""Makes a request longer than a packet."""
 
 
 class Call(NamedTuple):
@@ -68,12 +79,18 @@
 
 
 class Row(NamedTuple):
-    """The calls of hosts that were cut off and of the others, by time."""
+    """The calls of hosts that were cut off and of the others, by time.
+
+    cut_repeatable are those that may be repeated, from IDEMPOTENT_WINDOW after the cut.
+    cut_lost is the number of others that weren't served at a host, the largest one.
+    """
 
     before: Served
     cut: Served
     others: Served
     cut_after: Served
+    cut_repeatable: Served
+    cut_lost: int
     runs_by_request: dict[str, int]
     repeated_wrongly: int
 
@@ -122,6 +139,7 @@
                 "Authorization": f"Token {KEY}",
                 "X-Attempt-Id": request_id,
                 "X-Deadline-Ms": "2500",
+                "X-Padding": PADDING,
             }
             at = time.monotonic()
             path = PATHS[number % len(PATHS)]
@@ -129,19 +147,38 @@
             seconds = time.monotonic() - at
             self.calls.append(Call(at, ip, status, seconds, path + request_id))
 
-    def served(self, ips: tuple[str, ...], since: float, until: float) -> Served:
+    def served(
+        self, ips: tuple[str, ...], since: float, until: float, path: str = ""
+    ) -> Served:
         """Return how many calls of some hosts that began in a time were served."""
         chosen = [
-            call for call in self.calls if call.ip in ips and since <= call.at < until
+            call
+            for call in self.calls
+            if call.ip in ips
+            and since <= call.at < until
+            and call.request_id.startswith(path)
         ]
         good = [call.seconds for call in chosen if call.status == OK]
         p50 = statistics.median(good) if good else 0.0
         return Served(len(good), len(chosen), p50)
 
+    def failed(
+        self, ips: tuple[str, ...], since: float, until: float, path: str
+    ) -> int:
+        """Return how many calls of some hosts and a path weren't served."""
+        found = self.served(ips, since, until, path)
+        return found.calls - found.served
+
 
 def run_row(folder: Path, mode: str, count: int) -> Row:
     """Cut some entry hosts off from all engines for a while, under load."""
-    cut_ips, other_ips = ENTRY_IPS[:count], ENTRY_IPS[count:]
+    return run_cuts(folder, dict.fromkeys(ENTRY_IPS[:count], mode))
+
+
+def run_cuts(folder: Path, mode_by_ip: dict[str, str]) -> Row:
+    """Cut each of some entry hosts off from all engines in its own way."""
+    cut_ips = tuple(mode_by_ip)
+    other_ips = tuple(ip for ip in ENTRY_IPS if ip not in mode_by_ip)
     with TwoRoutesFleet(folder) as fleet:
         engines = [
             fleet.engine(f"e-{number}", number, "v1") for number in range(ENGINES)
@@ -152,7 +189,9 @@
         started = time.monotonic()
         time.sleep(SECONDS_BEFORE)
         cut_at = time.monotonic()
-        with fleet.cut(cut_ips, mode, ENGINE_PORT):
+        with ExitStack() as stack:
+            for ip, mode in mode_by_ip.items():
+                stack.enter_context(fleet.cut((ip,), mode, ENGINE_PORT))
             time.sleep(CUT_SECONDS)
             healed = time.monotonic()
         time.sleep(SECONDS_TO_RECOVER + SECONDS_AFTER)
@@ -168,6 +207,12 @@
             cut=callers.served(cut_ips, *window),
             others=callers.served(other_ips, *window),
             cut_after=callers.served(cut_ips, healed + SECONDS_TO_RECOVER, ended - 0.5),
+            cut_repeatable=callers.served(
+                cut_ips, cut_at + IDEMPOTENT_WINDOW, healed - 0.5, PATHS[0]
+            ),
+            cut_lost=max(
+                callers.failed((ip,), cut_at, healed, PATHS[1]) for ip in cut_ips
+            ),
             runs_by_request=runs,
             repeated_wrongly=sum(
                 runs.get(call.request_id.removeprefix(PATHS[1]), 0) > 1
@@ -195,12 +240,18 @@
     (RESET, 4),
     (REFUSE, 2),
     (REFUSE, 5),
-    (SWALLOW_REQUEST, 2),
-    (SWALLOW_REQUEST, 4),
-    (SWALLOW_REQUEST, 5),
-    (SWALLOW_RESPONSE, 2),
-    (SWALLOW_RESPONSE, 4),
-    (SWALLOW_RESPONSE, 5),
+    *(
+        (mode, count)
+        for mode in (
+            SWALLOW_REQUEST,
+            SWALLOW_RESPONSE,
+            SILENT_REQUEST,
+            SILENT_LARGE,
+            TRUNCATE,
+            FOREIGN_ANSWER,
+        )
+        for count in (2, 4, 5)
+    ),
 )
 
 
@@ -214,8 +265,9 @@
             f"{count} of {len(ENTRY_IPS)}",
             *(
                 f"{name} {part.served}/{part.calls} p50 {part.p50 * 1000:.0f} ms"
-                for name, part in zip(Row._fields, row[:4], strict=False)
+                for name, part in zip(Row._fields, row[:5], strict=False)
             ),
+            f"lost once {row.cut_lost}",
             f"repeated wrongly {row.repeated_wrongly}",
             flush=True,
         )
--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -31,6 +31,7 @@
 ENTRY_PORT = 8221
 ENGINE_PORT = 8486
 SERVICE = "map"
+HEALTH_PATH = "/healthz"
 BEAT_SECONDS = 0.3
 ASK_TIMEOUT = 3.0
 PATIENCE = 20.0
@@ -54,6 +55,7 @@
         self.version = version
         self.fails = fails
         self.runs: list[float] = []
+        self.checks = 0
         self.bodies_by_request: dict[str, bytes] = {}
         self.requests: list[str] = []
         self._ip = ip
@@ -78,6 +80,9 @@
 
     def respond(self, handler: BaseHTTPRequestHandler) -> None:
         """Respond to a request as engines of the platform do."""
+        if handler.path == HEALTH_PATH:
+            self.respond_to_check(handler)
+            return
         length = int(handler.headers.get("Content-Length", 0))
         body = handler.rfile.read(length)
         self.runs.append(time.monotonic())
@@ -92,6 +97,14 @@
         handler.end_headers()
         handler.wfile.write(b"tile")
 
+    def respond_to_check(self, handler: BaseHTTPRequestHandler) -> None:
+        """Respond to a health check."""
+        self.checks += 1
+        handler.send_response(200)
+        handler.send_header("X-Instance-Id", self.name)
+        handler.send_header("Content-Length", "0")
+        handler.end_headers()
+
     @property
     def ended(self) -> bool:
         """Whether the engine was closed; responses in progress may still look."""
--- a/tests/platform/stream_versions.py
+++ b/tests/platform/stream_versions.py
@@ -23,6 +23,7 @@
 from tests.platform.processes import (
     CONTROL_IPS,
     ENTRY_PORT,
+    HEALTH_PATH,
     SUBNET,
     Engine,
 )
@@ -69,6 +70,9 @@
 
     def respond(self, handler: BaseHTTPRequestHandler) -> None:
         """Send the events after the one that the request names."""
+        if handler.path == HEALTH_PATH:
+            self.respond_to_check(handler)
+            return
         headers = handler.headers
         handler.rfile.read(int(headers.get("Content-Length", 0)))
         if headers.get("X-Expected-Instance", self.name) != self.name:
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -111,3 +111,23 @@
     config = parsed(route(traffic_split=split))
     found = config.routes_by_host["trees.example"]["/trees/"]
     assert [share.service for share in found.shares] == ["llm"]
+
+
+@pytest.mark.parametrize(
+    "value, found",
+    [
+        ("/healthz", "/healthz"),
+        (None, ""),
+        (5, ""),
+        ("", ""),
+        ("healthz", ""),
+        ("/a b", ""),
+        ("/a\r\nX: y", ""),
+        ("/" + "a" * 2000, ""),
+        ("/schl\u00fcssel", ""),
+    ],
+)
+def test_health_path_that_no_request_can_carry_is_left_out(value, found):
+    """A probe failed on a target with a line feed."""
+    config = parsed(services=[{"name": "llm"}, {"name": "map", "health_path": value}])
+    assert config.services_by_name["map"].health_path == found
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -5,6 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from bitterntiller.components.config.models import Selector, Service
 from bitterntiller.components.http.client import keep_alive_seconds
 from bitterntiller.components.http.models import RequestHead, ResponseHead
 from bitterntiller.protocol import encode, messages
@@ -65,3 +66,34 @@
 
 def test_keep_alive_header_with_a_timeout():
     assert keep_alive_seconds([(b"keep-alive", b"max=9, Timeout = 5")]) == 5.0
+
+
+@pytest.mark.parametrize(
+    "status, headers, signed, named",
+    [
+        (200, [(b"x-engine-signature", b"s")], True, False),
+        (500, [(b"x-engine-signature", b"s")], True, False),
+        (503, [(b"x-not-executed", b"1")], True, True),
+        (421, [], True, False),
+        (200, [(b"x-instance-id", b"e1")], False, True),
+        (503, [(b"x-instance-id", b"e1")], False, True),
+        (200, [(b"x-instance-id", b"e2")], False, False),
+        (200, [], False, False),
+        (502, [], False, False),
+    ],
+)
+def test_responses_of_something_between_are_told_from_the_upstreams(
+    status, headers, signed, named
+):
+    """A gateway's error was taken for a sign that the path to the upstream works."""
+    head = ResponseHead(status, headers)
+    dialect = PlatformDialect()
+    assert dialect.is_from_upstream(None, head) is signed
+    assert dialect.is_probe_answer("e1", head) is named
+
+
+def test_upstreams_are_probed_at_the_health_path_of_their_service():
+    service = Service("map", "plain", (), (), Selector(), {})
+    for path, target in (("", "/healthz"), ("/up", "/up")):
+        found = PlatformDialect().probe_request(service._replace(health_path=path))
+        assert found.target == target
--- a/tests/scenarios/cut_paths.py
+++ b/tests/scenarios/cut_paths.py
@@ -2,10 +2,14 @@
 
 The file holds the mode and the ports. The modes are silent (new connections hang, open
 ones carry nothing), reset (new ones are refused, open ones reset), refuse (new ones are
-refused, open ones go on), swallow-request (connections open; a request is lost on its
-way, and its connection reset) and swallow-response (the request arrives, its response
-is lost, and its connection reset). The kernel's timeouts are emulated: a connection
-with TCP_USER_TIMEOUT that has carried nothing for that time fails.
+refused, open ones go on), and those in which connections open as on a sound path:
+swallow-request (a request is lost on its way, and its connection reset),
+swallow-response (it arrives, its response is lost, and its connection reset),
+silent-request (it is lost, and nothing more comes), silent-large (so are requests of
+over PACKET_BYTES, smaller ones pass), truncate (a response is reset behind the first
+byte of its body) and foreign-answer (something between answers in place of the
+upstream). The kernel's timeouts are emulated: a connection with TCP_USER_TIMEOUT that
+has carried nothing for that time fails.
 """
 
 import socket as system_socket
@@ -23,9 +27,29 @@
 REFUSE = "refuse"
 SWALLOW_REQUEST = "swallow-request"
 SWALLOW_RESPONSE = "swallow-response"
-CONNECTING = frozenset({SWALLOW_REQUEST, SWALLOW_RESPONSE})
+SILENT_REQUEST = "silent-request"
+SILENT_LARGE = "silent-large"
+TRUNCATE = "truncate"
+FOREIGN_ANSWER = "foreign-answer"
+CONNECTING = frozenset(
+    {
+        SWALLOW_REQUEST,
+        SWALLOW_RESPONSE,
+        SILENT_REQUEST,
+        SILENT_LARGE,
+        TRUNCATE,
+        FOREIGN_ANSWER,
+    }
+)
 """Modes in which connections open as on a sound path."""
 
+RESETTING = frozenset({SWALLOW_REQUEST, SWALLOW_RESPONSE})
+"""Modes in which a connection is reset once a request was sent."""
+
+PACKET_BYTES = 1400
+HEAD_END = b"\r\n\r\n"
+ANSWER_BETWEEN = b"HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n"
+
 FOREVER = 3600.0
 CHECK_SECONDS = 0.02
 
@@ -60,7 +84,10 @@
     cut: Cut
     _peer: Any = None
     _silent_since: float | None = None
-    _swallowed = False
+    _reset = False
+    _stalled = False
+    _head_arrived = False
+    _answer = b""
 
     async def connect(self, address: Any) -> Any:
         mode = self.cut.mode(address)
@@ -75,8 +102,15 @@
         if not self._carries():
             return None
         mode = self.cut.mode(self._peer)
-        self._swallowed = self._swallowed or mode in CONNECTING
-        if mode == SWALLOW_REQUEST:
+        self._reset = self._reset or mode in RESETTING
+        self._stalled = self._stalled or mode == SILENT_REQUEST
+        self._stalled = self._stalled or (
+            mode == SILENT_LARGE and len(data) > PACKET_BYTES
+        )
+        self._head_arrived = False
+        if mode == FOREIGN_ANSWER:
+            self._answer = ANSWER_BETWEEN
+        if mode == SWALLOW_REQUEST or self._stalled or self._answer:
             return None
         return await super().sendall(data, flags)
 
@@ -84,13 +118,29 @@
         if self._peer is None:
             return await super().recv(maxsize, flags)
         while True:
-            if self._swallowed:
+            if self._reset:
                 raise ConnectionResetError("the path was cut under a request")
-            if not self._carries():
+            if self._answer:
+                answer, self._answer = self._answer, b""
+                return answer
+            if self._stalled or not self._carries():
                 await curio.sleep(CHECK_SECONDS)
                 continue
             async with curio.ignore_after(CHECK_SECONDS):
-                return await super().recv(maxsize, flags)
+                return self._truncated(await super().recv(maxsize, flags))
+
+    def _truncated(self, data: bytes) -> bytes:
+        """Return what arrives of a part of a response."""
+        if self.cut.mode(self._peer) != TRUNCATE:
+            return data
+        head, end, body = data.partition(HEAD_END)
+        if self._head_arrived:
+            head, end, body = b"", b"", data
+        self._head_arrived = self._head_arrived or bool(end)
+        if not body:
+            return data
+        self._reset = True
+        return head + end + body[:1]
 
     @contextmanager
     def blocking(self) -> Iterator[Any]:
