--- a/tests/platform/stream_versions.py
+++ b/tests/platform/stream_versions.py
@@ -141,12 +141,16 @@
         self.engines.remove(engine)
         self.add_engine(engine.number, version)
 
-    def add_versions(self, old_slots: int = StreamEngine.slots) -> None:
+    def add_versions(
+        self,
+        old_slots: int = StreamEngine.slots,
+        new_slots: int = StreamEngine.slots,
+    ) -> None:
         """Start the engines of both versions and wait until each one serves."""
         for number in range(ENGINES_OF_A_VERSION):
             self.add_engine(number, OLD, old_slots)
         for number in range(ENGINES_OF_A_VERSION, 2 * ENGINES_OF_A_VERSION):
-            self.add_engine(number, NEW)
+            self.add_engine(number, NEW, new_slots)
         deadline = time.monotonic() + 20
         while not all(engine.requests for engine in self.engines):
             assert time.monotonic() < deadline, "an engine gets no requests"
@@ -497,6 +501,8 @@
     caller_breaks: float = BREAKS
     engine_breaks: float = 0.0
     old_slots: int = StreamEngine.slots
+    new_slots: int = StreamEngine.slots
+    callers: int = CALLERS
 
 
 ROWS = (
@@ -507,6 +513,21 @@
     Row("every host restarts at once", restart_all),
     Row("the old version ends", end_old_version),
     Row("the old version is full", leave_alone, old_slots=1),
+    Row("both versions are full", leave_alone, old_slots=1, new_slots=1),
+    Row(
+        "both versions are overloaded",
+        leave_alone,
+        old_slots=1,
+        new_slots=1,
+        callers=40,
+    ),
+    Row(
+        "the old version is overloaded",
+        leave_alone,
+        old_slots=1,
+        new_slots=2,
+        callers=40,
+    ),
     Row("an entry and a control host restart at once", restart_pairs),
     Row("entry hosts freeze in turn", freeze_in_turn(ENTRY_IPS)),
     Row("control hosts freeze in turn", freeze_in_turn(CONTROL_IPS)),
@@ -529,13 +550,14 @@
     for row in rows:
         with tempfile.TemporaryDirectory() as folder:
             with StreamFleet(Path(folder)) as fleet:
-                fleet.add_versions(row.old_slots)
+                fleet.add_versions(row.old_slots, row.new_slots)
                 tally = run(
                     fleet,
                     row.way,
                     seconds,
                     caller_breaks=row.caller_breaks,
                     engine_breaks=row.engine_breaks,
+                    callers=row.callers,
                 )
         figures = " ".join(
             f"{name} {value:.3f}" if isinstance(value, float) else f"{name} {value}"
