Tests: a failed test's report and its processes' files are kept

Cause: five entries of KNOWN-RED.txt say that the failed line was not seen, or that no log was left; pytest's own folders are lost with the machine or overwritten by the next runs.

Change: the report, logs and settings of a failed test with a folder of its own are copied to target/failed-tests/TEST-TIME, which the report names.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,11 +1,29 @@
-"""What all tests share: how hypothesis chooses its examples."""
+"""What all tests share: how hypothesis chooses its examples, and failures' files."""
 
 import os
+from collections.abc import Generator
+from typing import Any
 
+import pytest
 from hypothesis import settings
 
+from tests.failed_tests import keep_files
+
 # The same examples in each run, so that a run's verdict does not hang on chance;
 # HYPOTHESIS_PROFILE=explore looks for new ones.
 settings.register_profile("ci", derandomize=True, database=None, deadline=None)
 settings.register_profile("explore", deadline=None)
 settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
+
+
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_makereport(
+    item: pytest.Item, call: pytest.CallInfo
+) -> Generator[None, pytest.TestReport, pytest.TestReport]:
+    """Keep the files of a failed test that has a folder of its own."""
+    report = yield
+    folder: Any = getattr(item, "funcargs", {}).get("tmp_path")
+    if report.when == "call" and report.failed and folder is not None:
+        kept = keep_files(folder, item.nodeid, report.longreprtext)
+        report.sections.append(("kept files", str(kept)))
+    return report
