--- a/tests/scenarios/cut_paths.py
+++ b/tests/scenarios/cut_paths.py
@@ -43,6 +43,7 @@
 )
 """Modes in which connections open as on a sound path."""
 
+MODES = CONNECTING | {SILENT, RESET, REFUSE}
 RESETTING = frozenset({SWALLOW_REQUEST, SWALLOW_RESPONSE})
 """Modes in which a connection is reset once a request was sent."""
 
--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -15,8 +15,7 @@
     leave r1                                disconnect the caller
     cut a b | heal a b | pause 0.5s
     cut-upstreams a silent e1 e2            cut the paths of host a to upstreams (all if
-                                            none is named): silent, reset, or refuse
-                                            (new connections only)
+                                            none is named) in a mode of cut_paths.py
     heal-upstreams a
     expect r1 whole                         a property of Call, or runs, resumes,
     expect r1 runs == 1                     cancelled, finished, upstream, truthful:
@@ -55,7 +54,7 @@
 from tests.scenarios import builders
 from tests.scenarios.caller import Call
 from tests.scenarios.control_steps import ControlSteps
-from tests.scenarios.cut_paths import REFUSE, RESET, SILENT
+from tests.scenarios.cut_paths import MODES
 from tests.scenarios.deployment import Deployment
 from tests.scenarios.processes import value_at
 from tests.scenarios.repeated_request import PROPAGATION_SECONDS
@@ -259,7 +258,7 @@
 
     def _do_cut_upstreams(self, words: list[str]) -> None:
         host, mode, *upstreams = words
-        assert mode in (SILENT, RESET, REFUSE), f"{mode} is no way of cutting"
+        assert mode in MODES, f"{mode} is no way of cutting"
         self._deployment.cut_upstreams(host, mode, upstreams)
 
     def _do_heal_upstreams(self, names: list[str]) -> None:
