--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -310,7 +310,7 @@
             return
         found = self._read_value(name, what)
         if not rest:
-            assert found is True, f"{name} {what} is {found!r}"
+            assert found is True, f"{name} {what} is {found!r}{self._ending(name)}"
             return
         compare, text = rest
         expected = text if compare in ("in", "has") else parse_value(text)
@@ -318,7 +318,18 @@
         # A host that does not respond must not count as different from a noted value.
         if found is None and (compare not in ("==", "!=") or text.startswith("$")):
             raise AssertionError(f"{name} {what} has no value")
-        assert COMPARE[compare](found, expected), f"{name} {what} is {found!r}"
+        text = f"{name} {what} is {found!r}{self._ending(name)}"
+        assert COMPARE[compare](found, expected), text
+
+    def _ending(self, name: str) -> str:
+        """Return how a request ended, empty for anything else."""
+        call = self._calls_by_name.get(name)
+        if call is None:
+            return ""
+        return (
+            f" (ended {call.ended}, cut {call.cut}, status {call.status}, outcome "
+            f"{call.outcome}, reason {call.reason}, {len(call.answer)} bytes)"
+        )
 
     def _read_value(self, name: str, what: str) -> Any:
         if name in self._calls_by_name:
