--- a/tests/scenarios/caller.py
+++ b/tests/scenarios/caller.py
@@ -110,7 +110,8 @@
         with contextlib.suppress(ValueError):
             document = json.loads(self.answer)
             error = document.get("error", document)
-            return error.get("reason") or error.get("code")
+            if isinstance(error, dict):
+                return error.get("reason") or error.get("code")
         return None
 
     @property
