--- a/bitterntiller/components/entry/native_dialect.py
+++ b/bitterntiller/components/entry/native_dialect.py
@@ -24,6 +24,7 @@
     async_cancel_work,
     matches_request,
     request_headers,
+    stream_target,
 )
 from bitterntiller.components.http.models import (
     Headers,
@@ -80,7 +81,7 @@
 
     def probe_request(self, service: Service) -> ProbeRequest:
         """Return a request for a stream that the upstream doesn't know."""
-        return ProbeRequest(f"/v1/requests/{PROBE_ID}/stream")
+        return ProbeRequest(stream_target(PROBE_ID))
 
     def is_probe_answer(self, upstream: str, head: ResponseHead) -> bool:
         """Return whether an upstream has answered such a request."""
--- a/bitterntiller/components/entry/upstream_calls.py
+++ b/bitterntiller/components/entry/upstream_calls.py
@@ -12,6 +12,12 @@
 from bitterntiller.components.tunnels.connector import Connector
 
 STATUS_OK = 200
+PATH_REQUESTS = "/v1/requests/"
+
+
+def stream_target(request_id: str) -> str:
+    """Return the target of the stream of a request at its upstream."""
+    return f"{PATH_REQUESTS}{request_id}/stream"
 
 
 def request_headers(active: ActiveRequest) -> Headers:
@@ -48,7 +54,7 @@
     except ConnectRefusedError:
         return None
     client = connected.client
-    target = f"/v1/requests/{active.upstream_request_id}/stream"
+    target = stream_target(active.upstream_request_id)
     headers = [
         (const.HEADER_REQUEST_ID, active.upstream_request_id.encode()),
         (const.HEADER_LAST_EVENT_ID, str(last_id).encode()),
@@ -67,7 +73,7 @@
 async def async_cancel_work(destination: Destination, connector: Connector) -> bool:
     """Cancel a request at its upstream; return whether the upstream confirmed it."""
     request_id = destination.request_id
-    target = f"/v1/requests/{request_id}"
+    target = f"{PATH_REQUESTS}{request_id}"
     headers = [(const.HEADER_REQUEST_ID, request_id.encode())]
     timeout = const.CANCEL_TIMEOUT
     try:
--- a/bitterntiller/components/tunnels/checks.py
+++ b/bitterntiller/components/tunnels/checks.py
@@ -30,7 +30,7 @@
 class CheckResult(StrEnum):
     """What a check has found.
 
-    WORKS: the upstream answered over the path. REFUSED: it accepts no connection.
+    WORKS: the upstream answered over the path. REFUSED: no connection was established.
     PATH_FAILED: it answered through another host only. UNKNOWN: no host got an answer.
     """
 
@@ -80,7 +80,7 @@
         if address in self._running_by_address or not self._is_due(address):
             return
         if self._paths.leads_around(address):
-            # A request that tested it.
+            # It was sent to test a failed path, so there is nothing to check.
             self._direct.record_failed(destination, fault, "", carried)
             return
         if len(self._running_by_address) >= MAX_CHECKS:
