Logs: each response that a caller does not get whole has a line with its cause

Change: response-cut names by whom the response was ended (caller, upstream, deadline, host, stop), why, the error of the connection, what the caller has, upstreams tried, time left, and the versions of the configuration then and now; entry.cut is counted by that cause. attempt-ended has the error, and a timeout says for how long nothing arrived.

Ruled out: a line at each place that resets a connection; one place sees all of them, also what no place has thought of (no-response).

Before: no test, no line. No decision changes.

--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -16,6 +16,8 @@
 from bitterntiller.components.entry.limit_reports import async_report_rate_limit
 from bitterntiller.components.entry.models import (
     ActiveRequest,
+    Cut,
+    CutBy,
     GrantReceived,
     Phase,
     RelayResult,
@@ -304,9 +306,10 @@
         if self._can_repeat():
             return verdict
         if self._exchange.started:
+            self._active.cut = Cut(CutBy.UPSTREAM, verdict.reason, verdict.detail)
             await self._exchange.async_cut()
             return RelayResult(False, BAD_GATEWAY)
-        return _unknown(Reason.UPSTREAM_RESET, BAD_GATEWAY)
+        return _unknown(Reason.UPSTREAM_RESET, BAD_GATEWAY, verdict.detail)
 
     def _can_repeat(self) -> bool:
         return self._may_repeat and self._active.repeatable
--- a/bitterntiller/components/entry/coordinator.py
+++ b/bitterntiller/components/entry/coordinator.py
@@ -8,8 +8,9 @@
 from bitterntiller.components.entry.budget import HostBudget
 from bitterntiller.components.entry.claiming import ClaimClient
 from bitterntiller.components.entry.context import Context
+from bitterntiller.components.entry.event_logging import log_cut
 from bitterntiller.components.entry.limit_reports import async_report_known_limits
-from bitterntiller.components.entry.models import ActiveRequest, Phase
+from bitterntiller.components.entry.models import ActiveRequest, Cut, CutBy, Phase
 from bitterntiller.components.entry.notice_reports import async_report_known_notices
 from bitterntiller.components.entry.owner_messages import milliseconds, register_message
 from bitterntiller.components.entry.pipeline import Pipeline
@@ -24,6 +25,7 @@
 from bitterntiller.core.interfaces import Ownership
 from bitterntiller.protocol import messages
 
+GRACE_OVER = "grace-period-over"
 BODY_INCOMPLETE = "a request with an incomplete body"
 
 
@@ -181,6 +183,9 @@
             while self._has_work():
                 await curio.sleep(const.DRAIN_POLL)
             await self._async_wait_for_settled_claims()
+        for active in self.registry.by_id.values():
+            active.cut = Cut(CutBy.STOP, GRACE_OVER)
+            log_cut(self._context, active, active.first_byte_at is not None)
         return self.unfinished()
 
     def _has_work(self) -> bool:
--- a/bitterntiller/components/entry/event_logging.py
+++ b/bitterntiller/components/entry/event_logging.py
@@ -1,10 +1,13 @@
 """Log the decisions on a request as events."""
 
 from bitterntiller.components.crashes.fingerprint import format_fingerprint
+from bitterntiller.components.entry import const
 from bitterntiller.components.entry.context import Context
 from bitterntiller.components.entry.dialect import ResponseClass
 from bitterntiller.components.entry.models import (
     ActiveRequest,
+    Cut,
+    CutBy,
     GrantReceived,
     IdentifiedRequest,
     Retry,
@@ -15,6 +18,8 @@
 from bitterntiller.core import events
 from bitterntiller.core.outcomes import Ending
 
+NO_RESPONSE = "no-response"
+
 
 def log_refusal(
     context: Context,
@@ -135,6 +140,37 @@
     )
 
 
+def log_cut(context: Context, active: ActiveRequest, started: bool) -> None:
+    """Log and count a response that its caller does not get whole.
+
+    by says who ended it and started whether the caller has its head. left is the time
+    to the deadline in seconds. config_version is that by which the request was
+    identified, config_now the one in force.
+    """
+    cut = active.cut or Cut(CutBy.HOST, NO_RESPONSE)
+    context.metrics.count(f"{const.METRIC_CUT}.{cut.by}")
+    identified = active.prepared.identified
+    now = context.clock.now()
+    events.emit(
+        "response-cut",
+        request=active.request_id,
+        by=cut.by,
+        reason=cut.reason,
+        detail=cut.detail,
+        started=started,
+        output=active.output_tokens,
+        upstream=active.upstream,
+        tried=active.tried,
+        runs=active.runs,
+        route=_route(identified),
+        total=round(now - identified.received.arrived, 4),
+        left=round(identified.deadline - now, 3),
+        config_version=identified.config_version,
+        config_now=context.config.version,
+        config_age=_config_age(context),
+    )
+
+
 def log_end(active: ActiveRequest, outcome: str, status: int, now: float) -> None:
     """Log the end of a request that was sent or whose caller disconnected."""
     identified = active.prepared.identified
--- a/bitterntiller/components/entry/models.py
+++ b/bitterntiller/components/entry/models.py
@@ -164,6 +164,28 @@
     status: int
 
 
+class CutBy(StrEnum):
+    """Who ended a response before it was whole.
+
+    HOST: this host, which gave up on a response that another upstream should have
+    continued. STOP: this host, since its grace period for a stop is over.
+    """
+
+    CALLER = "caller"
+    UPSTREAM = "upstream"
+    DEADLINE = "deadline"
+    HOST = "host"
+    STOP = "stop"
+
+
+class Cut(NamedTuple):
+    """Why a caller does not get a whole response."""
+
+    by: CutBy
+    reason: str
+    detail: str = ""
+
+
 class ClaimFound(NamedTuple):
     """The claim of an earlier request with the same idempotency key.
 
@@ -238,6 +260,12 @@
         self.begun = False
         self.granted_version = ""
         self.origin: StreamOrigin | None = None
+        self.cut: Cut | None = None
+
+    @property
+    def stopped(self) -> bool:
+        """Return whether this host stopped before the request had ended."""
+        return self.cut is not None and self.cut.by is CutBy.STOP
 
     @property
     def fingerprints(self) -> tuple[int, ...]:
--- a/bitterntiller/components/entry/pipeline.py
+++ b/bitterntiller/components/entry/pipeline.py
@@ -19,6 +19,7 @@
 from bitterntiller.components.entry.context import Context
 from bitterntiller.components.entry.event_logging import (
     log_attempt,
+    log_cut,
     log_end,
     log_refusal,
 )
@@ -26,6 +27,8 @@
 from bitterntiller.components.entry.models import (
     ActiveRequest,
     ClaimFound,
+    Cut,
+    CutBy,
     GrantReceived,
     IdentifiedRequest,
     Phase,
@@ -148,14 +151,18 @@
         self.retries.record_request(active.pool)
         try:
             await self._async_run_watched(exchange, active)
-        except CallerGoneError:
+        except CallerGoneError as error:
+            active.cut = Cut(CutBy.CALLER, CALLER_GONE, error.text)
             await self._async_caller_gone(active)
         except Exception:
             # A bug in this process. Report the end of the request, or its slot stays
             # occupied until the owner receives the next list of live requests.
+            active.cut = Cut(CutBy.HOST, FAULT)
             await self._async_abandon(active, FAULT)
             raise
         finally:
+            if not (exchange.finished or active.stopped):
+                log_cut(self._context, active, exchange.started)
             self._admission.release_quota(active)
             self._registry.remove(active)
 
@@ -344,7 +351,9 @@
     ) -> None:
         """Send the ending to the caller, or reset a response that has started."""
         if exchange.started:
-            self._context.metrics.count(const.METRIC_CUT)
+            late = self._context.clock.now() >= active.prepared.identified.deadline
+            by = CutBy.DEADLINE if late else CutBy.HOST
+            active.cut = Cut(by, ending.reason, ending.detail)
             await exchange.async_cut()
             return
         headers, body = self._context.dialect.refusal(ending, active.request_id)
--- a/bitterntiller/components/entry/relay.py
+++ b/bitterntiller/components/entry/relay.py
@@ -11,6 +11,8 @@
 from bitterntiller.components.entry.context import Context
 from bitterntiller.components.entry.models import (
     ActiveRequest,
+    Cut,
+    CutBy,
     Phase,
     RelayResult,
     Retry,
@@ -34,6 +36,7 @@
 from bitterntiller.components.http.models import ResponseHead
 
 LOST_RESPONSE = "lost-answer"
+ENDED_WITHIN_EVENT = "the response ended before the end of the stream"
 
 
 class Relay:
@@ -49,6 +52,7 @@
         method = active.prepared.identified.received.head.method
         self._bodyless = method == "HEAD"
         self._output_since: float | None = None
+        self._broken_by = ""
 
     async def async_run(
         self, client: ClientExchange, head: ResponseHead
@@ -70,17 +74,22 @@
         else:
             whole = await self._async_relay_body(client)
         if not whole and self._active.repeatable and self._resumable():
-            return Retry(self._active.upstream, LOST_RESPONSE, ran=True)
+            return self._lost()
         await self._async_end(whole)
         return RelayResult(whole, head.status)
 
+    def _lost(self) -> Retry:
+        return Retry(
+            self._active.upstream, LOST_RESPONSE, ran=True, detail=self._broken_by
+        )
+
     async def _async_end(self, whole: bool) -> None:
         if whole:
             await self._exchange.async_finish()
             return
         # Without an end marker and with a reset, the caller can't mistake the
         # truncated response for a complete one.
-        self._context.metrics.count(const.METRIC_CUT)
+        self._active.cut = Cut(CutBy.UPSTREAM, LOST_RESPONSE, self._broken_by)
         await self._exchange.async_cut()
 
     def _idle_timeout(self) -> float:
@@ -117,8 +126,9 @@
                 size += len(data)
                 if size > const.BUFFERED_BYTES:
                     return await self._async_relay_oversized(client, head, parts)
-        except IncompleteResponseError:
-            return Retry(self._active.upstream, LOST_RESPONSE, ran=True)
+        except IncompleteResponseError as error:
+            self._broken_by = error.text
+            return self._lost()
         self._record_first_byte()
         headers = self._context.dialect.response_headers(self._active, head)
         headers = [item for item in headers if item[0] != b"content-length"]
@@ -176,7 +186,8 @@
                     return True
                 self._record_first_byte()
                 await self._exchange.async_send(data)
-        except IncompleteResponseError:
+        except IncompleteResponseError as error:
+            self._broken_by = error.text
             return False
 
     async def _async_relay_stream(self, client: ClientExchange) -> bool:
@@ -248,6 +259,7 @@
             while not stream.ended:
                 data = await client.async_data()
                 if data is None:
+                    self._broken_by = ENDED_WITHIN_EVENT
                     return stream.is_complete_at_eof()
                 events = stream.feed(data)
                 if events.data:
@@ -256,7 +268,8 @@
                     self._active.output_tokens += events.count
                     await self._exchange.async_send(events.data)
                     await self._async_record_sound_parts()
-        except (IncompleteResponseError, BrokenStreamError):
+        except (IncompleteResponseError, BrokenStreamError) as error:
+            self._broken_by = error.text
             return stream.ended
         finally:
             self._active.cached_tokens = stream.cached_tokens
--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -54,6 +54,7 @@
         self._buffer_drained = False
         self._idle_ticks = 0
         self._read_timeout_task: curio.Task | None = None
+        self._timed_out = ""
         self._sender: curio.Task | None = None
 
     @classmethod
@@ -138,6 +139,7 @@
         while self._idle_ticks <= const.READ_TIMEOUT_CHECKS:
             self._idle_ticks += 1
             await curio.sleep(timeout / const.READ_TIMEOUT_CHECKS)
+        self._timed_out = no_data_text(timeout)
         try:
             await self._sock.shutdown(socket.SHUT_RDWR)
         except OSError:
@@ -285,7 +287,7 @@
                 return await self._async_next()
         except curio.TaskTimeout as error:
             self.broke = True
-            raise IncompleteResponseError(f"reading broke: {error!r}") from error
+            raise IncompleteResponseError(no_data_text(timeout)) from error
 
     async def _async_next(self) -> Any:
         event = self._buffered_event
@@ -307,11 +309,16 @@
             raise IncompleteResponseError(f"reading broke: {error!r}") from error
         if isinstance(event, h11.RemoteProtocolError):
             self.broke = True
-            text = CLOSED_EARLY if closed else str(event)
+            text = self._timed_out or (CLOSED_EARLY if closed else str(event))
             raise IncompleteResponseError(text) from event
         return event
 
 
+def no_data_text(seconds: float) -> str:
+    """Return the text of an error for an upstream that was silent for some time."""
+    return f"the upstream sent nothing for {seconds:.3g} s"
+
+
 def _without_body(request: h11.Request) -> h11.Request:
     """Return the request without its body framing, which its response ignores."""
     framing = (b"content-length", b"transfer-encoding")
--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -118,20 +118,24 @@
     """Fake links that grant each registration at once.
 
     Each grant names another upstream, unless names has the next ones; the last one of
-    names is used for all later grants, and so with versions.
+    names is used for all later grants, and so with versions. With refused_as, requests
+    that wait again are refused for that reason.
     """
 
     def __init__(self, address: str) -> None:
         self.sent: list[Any] = []
         self.names: list[str] = []
         self.versions: list[str] = [""]
+        self.refused_as = ""
         self.coordinator: Any = None
         self._address = address
 
     async def async_send(self, address: str, message: Any) -> bool:
         self.sent.append(message)
         again = isinstance(message, messages.Returned) and message.still_waiting
-        if isinstance(message, messages.Register) or again:
+        if again and self.refused_as:
+            await self._async_refuse(message.request_id)
+        elif isinstance(message, messages.Register) or again:
             await self._async_grant(message.request_id)
         return True
 
@@ -148,6 +152,15 @@
         )
         await self.coordinator.registry.async_on_grant("b", grant)
 
+    async def _async_refuse(self, request_id: str) -> None:
+        refusal = messages.Refusal(
+            request_id=request_id,
+            pool="llm",
+            reason=self.refused_as,
+            retry_after_ms=500,
+        )
+        await self.coordinator.registry.async_on_refusal("b", refusal)
+
     def _next_name(self) -> str:
         if len(self.names) > 1:
             return self.names.pop(0)
