Tests: responses of upstreams that fall silent for 1.6 s, failing

Change: an upstream sends its first event (or nothing), is silent for 1.6 s and goes on; the owner refuses another grant (too-late, shed), or no retry is left. The caller has to get the whole response.

Ruled out: that it takes a change of the configuration (hypothesis 3) or a path believed lost (hypothesis 2); neither is part of these tests.

--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -13,6 +13,7 @@
 from bitterntiller.components.entry.coordinator import EntryCoordinator
 from bitterntiller.components.entry.notices import UpstreamNotices
 from bitterntiller.components.entry.response_times import ResponseTimes
+from bitterntiller.components.entry.retry_budget import RetryBudget
 from bitterntiller.components.http.pool import ConnectionPool
 from bitterntiller.components.http.server import ServerLimits
 from bitterntiller.components.node.models import Host
@@ -185,13 +186,13 @@
     context: Context
     coordinator: EntryCoordinator
 
-    async def async_ask(self, data: bytes) -> bytes:
+    async def async_ask(self, data: bytes, seconds: float = 1.0) -> bytes:
         """Send a request; return data until the last chunk, a close or a timeout."""
         sock = await curio.open_connection("127.0.0.1", self.port)
         received = b""
         async with sock:
             await sock.sendall(data)
-            async with curio.ignore_after(1.0):
+            async with curio.ignore_after(seconds):
                 while part := await _async_receive(sock):
                     received += part
                     if received.endswith(LAST_CHUNK):
@@ -231,6 +232,8 @@
     stream_versions: StreamVersions | None = None,
     crashes: CrashWatch | None = None,
     upstreams: DepartingView | None = None,
+    idle_seconds: float = 0.5,
+    retries: RetryBudget | None = None,
 ) -> AsyncIterator[EntryHost]:
     """Run an entry host of the platform with one upstream."""
     limits = limits or Limits()
@@ -247,7 +250,9 @@
         config = parse_configuration(configuration or document(), 1)
         context = Context(
             host="a",
-            timings=Timings(upstream_idle=0.5, body=body_seconds, shutdown=5.0),
+            timings=Timings(
+                upstream_idle=idle_seconds, body=body_seconds, shutdown=5.0
+            ),
             clock=clock,
             metrics=fakes.FakeMetrics(),
             links=links,
@@ -264,7 +269,8 @@
             crashes=crashes,
             upstreams=upstreams,
         )
-        coordinator = EntryCoordinator(context, limits, ClaimClient(context, "i1"))
+        claims = ClaimClient(context, "i1")
+        coordinator = EntryCoordinator(context, limits, claims, retries)
         links.coordinator = coordinator
         server_limits = server_limits._replace(connections=limits.connections)
         served = serving(coordinator.pipeline.async_serve, server_limits)
