Entry: a silent upstream keeps its run until another's response has begun

Upstreams were silent for 1.0 to 1.3 s and then went on; the callers had most of their time left.

Cause: silence was taken for the end of a run. After 1.0 to 1.25 s without data the connection was closed, and only then another grant was asked for. Where the owner refused (too-late: the stream was older than the limit of its first output), or quota or retry budget was missing, the answer was cut.

Change: the response of a request that may be repeated is relayed by a task of its own. Silence makes the pipeline look for another upstream beside the run (Run, async_set_aside); the run ends when the response of the other has begun, and goes on if that fails or is refused, or if data arrives first. The owner is told that it runs on (Started.running). A retry for which nothing was sent is given back. Silence is a reason of its own for owners, and no broken response: it makes no request a suspect of crashes.

Longer silence before giving up: the fault moves to the next pause, and requests of dead upstreams wait longer.

Why it holds: no connection whose upstream may go on is closed while the caller's answer depends on it; what replaces it has begun. Old owners skip the new field and forget the run; old entry hosts behave as before.

--- a/bitterntiller/components/dispatch/const.py
+++ b/bitterntiller/components/dispatch/const.py
@@ -71,6 +71,7 @@
 REASON_NOT_ADMITTED = "not-admitted"
 REASON_FAILED = "failed"
 REASON_LOST_ANSWER = "lost-answer"
+REASON_UPSTREAM_SILENT = "upstream-silent"
 REASON_UPSTREAM_LEFT = "upstream-left"
 REASON_UPSTREAM_PAUSED = "upstream-paused"
 REASON_VERSION_WITHDRAWN = "version-withdrawn"
@@ -81,7 +82,12 @@
 OUTCOME_CALLER_GONE = "caller-gone"
 
 PATH_FAILURES = frozenset(
-    {REASON_REFUSED_CONNECTION, REASON_LOST_ANSWER, OUTCOME_UNKNOWN}
+    {
+        REASON_REFUSED_CONNECTION,
+        REASON_LOST_ANSWER,
+        REASON_UPSTREAM_SILENT,
+        OUTCOME_UNKNOWN,
+    }
 )
 """Failures that the path between the entry host and the upstream can be the cause of.
 With any other one, the host got a response."""
--- a/bitterntiller/components/dispatch/coordinator.py
+++ b/bitterntiller/components/dispatch/coordinator.py
@@ -173,7 +173,15 @@
         )
 
     async def async_on_started(self, _host: str, message: Any) -> None:
-        """Record that a grant was used."""
+        """Record that a grant was used, or that a request runs on where it ran."""
+        running = message.running
+        if running is not None:
+            incarnation = self._incarnation(running.request.entry_host)
+            await self._async_apply(
+                message.pool,
+                lambda pool, now: pool.adopt_running(running, incarnation, now),
+            )
+            return
         await self._async_apply(
             message.pool, lambda pool, now: pool.started(message.request_id, now)
         )
--- a/bitterntiller/components/dispatch/models.py
+++ b/bitterntiller/components/dispatch/models.py
@@ -248,6 +248,10 @@
         """Record that the entry host started to send the request."""
         ...
 
+    def runs_elsewhere(self, request_id: str, upstream: str) -> bool:
+        """Return whether a request runs at another upstream than the one named."""
+        ...
+
     def returned(
         self,
         request_id: str,
@@ -260,10 +264,11 @@
         """Release the upstream of a grant that the entry host returned.
 
         reason says why: expired, refused-connection, not-admitted, failed, lost-answer,
-        upstream-left, upstream-paused, version-withdrawn, other-version, or the Reason
-        for which the request is refused without a run (such as no-lease). With version,
-        the request's stream has begun, and only upstream_names may go on with it. If
-        waiting is true, the request is queued again at its old position.
+        upstream-silent, upstream-left, upstream-paused, version-withdrawn,
+        other-version, or the Reason for which the request is refused without a run
+        (such as no-lease). With version, the request's stream has begun, and only
+        upstream_names may go on with it. If waiting is true, the request is queued
+        again at its old position.
         """
         ...
 
--- a/bitterntiller/components/dispatch/owned_pool.py
+++ b/bitterntiller/components/dispatch/owned_pool.py
@@ -225,7 +225,12 @@
         return self._record_decisions(self.scheduler.finished(end, now), now)
 
     def returned(self, message: messages.Returned, now: float) -> list[Decision]:
-        """Process the return of a grant."""
+        """Process the return of a grant.
+
+        A request that runs on at another upstream has nothing to do with it.
+        """
+        if self.scheduler.runs_elsewhere(message.request_id, message.upstream):
+            return []
         tracked = self.tracked_by_id.pop(message.request_id, None)
         self.rollout.record_return(message.request_id, message.reason)
         if message.still_waiting and tracked is not None:
--- a/bitterntiller/components/dispatch/pool_trial.py
+++ b/bitterntiller/components/dispatch/pool_trial.py
@@ -9,6 +9,7 @@
     OUTCOME_REJECTED,
     REASON_FAILED,
     REASON_LOST_ANSWER,
+    REASON_UPSTREAM_SILENT,
 )
 from bitterntiller.components.dispatch.models import (
     Completion,
@@ -21,9 +22,9 @@
 from bitterntiller.components.rollouts.trial import Allowance, Trial
 from bitterntiller.protocol import messages
 
-FAILURES = frozenset({REASON_FAILED, REASON_LOST_ANSWER})
+FAILURES = frozenset({REASON_FAILED, REASON_LOST_ANSWER, REASON_UPSTREAM_SILENT})
 """Reasons of returned grants that count as a failure of an upstream that may have run
-the request."""
+the request. A silent one counts even if it goes on later."""
 
 NEW_SECONDS = 0.5
 """Maximum age of a registered request that counts as new. An older one has waited at
--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -15,6 +15,7 @@
     REASON_REFUSED_CONNECTION,
     REASON_UPSTREAM_LEFT,
     REASON_UPSTREAM_PAUSED,
+    REASON_UPSTREAM_SILENT,
     REASON_VERSION_WITHDRAWN,
 )
 from bitterntiller.components.dispatch.describe import describe
@@ -56,6 +57,7 @@
         REASON_REFUSED_CONNECTION,
         REASON_FAILED,
         REASON_LOST_ANSWER,
+        REASON_UPSTREAM_SILENT,
         REASON_UPSTREAM_LEFT,
         REASON_UPSTREAM_PAUSED,
         REASON_VERSION_WITHDRAWN,
@@ -195,6 +197,13 @@
             self._jobs.mark_running(job, now)
         return []
 
+    def runs_elsewhere(self, request_id: str, upstream: str) -> bool:
+        """Return whether a request runs at another upstream than the one named."""
+        job = self._jobs.by_id.get(request_id)
+        if job is None or job.state is not JobState.RUNNING or job.upstream is None:
+            return False
+        return job.upstream.name != upstream
+
     def returned(
         self,
         request_id: str,
--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -3,6 +3,8 @@
 Every request that reaches an upstream is sent by this module.
 """
 
+from contextlib import AsyncExitStack
+
 import curio
 
 from bitterntiller.components.config.models import Route
@@ -11,7 +13,11 @@
 from bitterntiller.components.entry.claiming import ClaimClient
 from bitterntiller.components.entry.context import Context
 from bitterntiller.components.entry.dialect import ResponseClass
-from bitterntiller.components.entry.event_logging import log_response, log_sending
+from bitterntiller.components.entry.event_logging import (
+    log_move,
+    log_response,
+    log_sending,
+)
 from bitterntiller.components.entry.identify import revalidate
 from bitterntiller.components.entry.limit_reports import async_report_rate_limit
 from bitterntiller.components.entry.models import (
@@ -22,14 +28,18 @@
     Phase,
     RelayResult,
     Retry,
+    RunResumed,
+    RunSilent,
     Verdict,
 )
 from bitterntiller.components.entry.notice_reports import async_record_notice
 from bitterntiller.components.entry.path_report import PathReport
 from bitterntiller.components.entry.relay import LOST_RESPONSE, Relay
+from bitterntiller.components.entry.run import Run, RunWatch
 from bitterntiller.components.entry.send_checks import (
     LEASE_EXPIRED,
     REFUSED_CONNECTION,
+    UPSTREAM_SILENT,
     check_expiry,
     check_notices,
     check_upstream,
@@ -43,12 +53,14 @@
 from bitterntiller.components.http.exchange import Exchange
 from bitterntiller.components.http.models import ResponseHead
 from bitterntiller.components.tunnels.client import Destination
+from bitterntiller.components.tunnels.connector import Connected
 from bitterntiller.core.interfaces import SentRequest
 from bitterntiller.core.outcomes import Ending, Outcome, Reason
 from bitterntiller.protocol import messages
 
 NOT_ADMITTED = "not-admitted"
 FAILED = "failed"
+STANDBY_RESUMED = "standby-resumed"
 _BROKEN_ANSWERS = frozenset({Reason.UPSTREAM_RESET, Reason.UPSTREAM_TIMEOUT})
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
@@ -57,7 +69,8 @@
 class Attempt:
     """Sends one request once and relays the response.
 
-    may_repeat states whether quota and retry budget allow a further attempt.
+    may_repeat states whether quota and retry budget allow a further attempt. With a
+    silent run of the request on standby, that one ends when this response begins.
     """
 
     def __init__(
@@ -74,9 +87,16 @@
         self._context = context
         self._timings = context.timings
         self._may_repeat = may_repeat
+        self._standby = active.standby
+        self._run: Run | None = None
+
+    async def async_run(self, grant: GrantReceived) -> Verdict | RunSilent | RunResumed:
+        """Use a grant and return the result of the attempt.
 
-    async def async_run(self, grant: GrantReceived) -> Verdict:
-        """Use a grant and return the result of the attempt."""
+        Return RunSilent if the upstream is silent and the request may be sent to
+        another; its run is the last one that the request's stack owns, and goes on.
+        Return RunResumed if the run on standby has gone on instead.
+        """
         verdict = self._check(grant)
         if verdict is not None:
             return verdict
@@ -97,23 +117,33 @@
         except ConnectRefusedError as error:
             # No byte was sent without a connection, so the request did not run.
             return Retry(grant.upstream, REFUSED_CONNECTION, detail=error.text)
-        reusable = False
-        self._active.relay = connected.relay
+        if self._standby is None:
+            self._active.relay = connected.relay
         report = PathReport(connector, destination, connected)
-        try:
-            verdict = await self._async_claim_and_send(report, grant)
-            reusable = isinstance(verdict, RelayResult) and verdict.whole
-            reusable = reusable or _has_complete_response(verdict)
+        async with AsyncExitStack() as stack:
+            run = Run(self._active, grant)
+            stack.push_async_callback(run.async_close)
+            run.stack.push_async_callback(self._async_give_back, run, connected)
+            verdict = await self._async_claim_and_send(report, run)
+            if isinstance(verdict, RunSilent):
+                self._active.run = run
+                self._active.stack.push_async_callback(stack.pop_all().aclose)
             return verdict
-        finally:
-            if reusable:
-                await connector.async_release(grant.address, connected)
-            else:
-                await connected.client.async_close()
+
+    async def _async_give_back(self, run: Run, connected: Connected) -> None:
+        """Keep a connection whose response is complete, close any other."""
+        result = run.result
+        reusable = isinstance(result, RelayResult) and result.whole
+        if reusable or _has_complete_response(result):
+            connector = self._context.connector
+            await connector.async_release(run.grant.address, connected)
+        else:
+            await connected.client.async_close()
 
     async def _async_claim_and_send(
-        self, report: PathReport, grant: GrantReceived
-    ) -> Verdict:
+        self, report: PathReport, run: Run
+    ) -> Verdict | RunSilent | RunResumed:
+        grant = run.grant
         verdict = await self._claim_client.async_take(self._active, grant)
         if verdict is not None:
             return verdict
@@ -123,16 +153,27 @@
         verdict = self._check(grant)
         if verdict is not None:
             return verdict
-        return await self._async_send(report, grant)
+        return await self._async_send(report, run)
 
-    def _check(self, grant: GrantReceived) -> Ending | Retry | None:
+    def _check(self, grant: GrantReceived) -> Ending | Retry | RunResumed | None:
         return (
-            self._check_time(grant)
+            self._check_standby(grant)
+            or self._check_time(grant)
             or self._check_config()
             or self._check_crashes()
             or self._check_upstream(grant)
         )
 
+    def _check_standby(self, grant: GrantReceived) -> Retry | RunResumed | None:
+        """Return what speaks against another run beside the one on standby."""
+        standby = self._standby
+        if standby is None:
+            return None
+        if standby.resumed:
+            return RunResumed()
+        same = grant.upstream == standby.grant.upstream
+        return Retry(grant.upstream, UPSTREAM_SILENT) if same else None
+
     def _check_upstream(self, grant: GrantReceived) -> Retry | None:
         context = self._context
         reason = check_notices(grant, context.notices, context.clock.now())
@@ -171,8 +212,35 @@
             return _not_run(Reason.NO_LEASE)
         return Retry("", reason)
 
-    async def _async_send(self, report: PathReport, grant: GrantReceived) -> Verdict:
-        verdict = await self._async_request_and_relay(report, grant)
+    async def _async_send(
+        self, report: PathReport, run: Run
+    ) -> Verdict | RunSilent | RunResumed:
+        """Send the request; relay its response in a task of its own if it may move."""
+        active = self._active
+        client = report.connected.client
+        active.mark_sending(run.grant)
+        active.sent_at = self._context.clock.now()
+        active.relay = report.connected.relay
+        self._spend_quota()
+        log_sending(active, run.grant, client.reused, active.sent_at)
+        try:
+            await self._async_send_request(client, run.grant)
+        except IncompleteResponseError as error:
+            await report.async_lost()
+            return await self._async_handle_lost_response(error)
+        if self._standby is None and not active.movable:
+            run.result = await self._async_respond(report, run.grant)
+            return run.result
+        self._run = run
+        await run.async_start(lambda: self._async_respond(report, run.grant))
+        result = await run.async_wait()
+        if isinstance(result, RunSilent):
+            await report.async_silent()
+        return result
+
+    async def _async_respond(self, report: PathReport, grant: GrantReceived) -> Verdict:
+        """Relay the response of the upstream, and look whether it has crashed."""
+        verdict = await self._async_receive_and_relay(report, grant)
         crashes = self._context.crashes
         if crashes is None or not _response_broke(verdict) or self._left(grant):
             return verdict
@@ -199,17 +267,12 @@
         upstreams = self._context.upstreams
         return upstreams is not None and upstreams.is_departing(grant.upstream)
 
-    async def _async_request_and_relay(
+    async def _async_receive_and_relay(
         self, report: PathReport, grant: GrantReceived
     ) -> Verdict:
         active = self._active
         client = report.connected.client
-        active.mark_sending(grant)
-        active.sent_at = self._context.clock.now()
-        self._spend_quota()
-        log_sending(active, grant, client.reused, active.sent_at)
         try:
-            await self._async_send_request(client, grant)
             head, response_class = await self._async_head(client)
         except IncompleteResponseError as error:
             await report.async_lost()
@@ -235,13 +298,20 @@
         if response_class is ResponseClass.FOREIGN:
             error = IncompleteResponseError("the answer names another request")
             return await self._async_handle_lost_response(error)
-        if response_class is not ResponseClass.ANSWER and self._can_repeat():
+        standby = self._standby
+        failed = response_class is not ResponseClass.ANSWER
+        if failed and (self._can_repeat() or standby is not None):
             await _async_drain_response(client)
             return Retry(grant.upstream, FAILED, ran=True)
         if response_class is ResponseClass.WITHHELD:
             return _unknown(Reason.UPSTREAM_FAILED, BAD_GATEWAY)
+        if standby is not None:
+            if not await standby.async_supersede():
+                return Retry(grant.upstream, STANDBY_RESUMED, ran=True)
+            active.standby = None
+            log_move(active, standby.grant.upstream)
         active.phase = Phase.RELAYING
-        relay = Relay(self._exchange, active, self._context)
+        relay = Relay(self._exchange, active, self._context, self._run)
         relayed = await relay.async_run(client, head)
         await report.async_end()
         return await self._async_finish_relay(relayed)
@@ -288,7 +358,7 @@
         """
         dialect = self._context.dialect
         timeout = self._first_byte_timeout()
-        head = await client.async_head(timeout)
+        head = await client.async_head(timeout, self._head_watch())
         response_class = dialect.classify_response(self._active, head)
         if response_class is ResponseClass.FOREIGN:
             self._context.metrics.count(const.METRIC_LATE_RESPONSES)
@@ -312,6 +382,9 @@
         return _unknown(Reason.UPSTREAM_RESET, BAD_GATEWAY, verdict.detail)
 
     def _can_repeat(self) -> bool:
+        """Return whether a further attempt can follow an attempt that has ended."""
+        if self._run is not None and self._run.set_aside:
+            return True
         return self._may_repeat and self._active.repeatable
 
     async def _async_cancel_in_background(self) -> None:
@@ -334,28 +407,28 @@
             await self._context.links.async_send(grant.sender, message)
 
     def _first_byte_timeout(self) -> float:
-        """Return the timeout for the head of a response.
+        """Return the timeout for the head of a response."""
+        deadline = self._active.prepared.identified.deadline
+        left = deadline - self._context.clock.now()
+        return max(const.MIN_TIMEOUT, min(left, self._timings.upstream_first_byte))
 
-        For a request that may be repeated it is also bounded by _repeat_timeout, so
-        that time remains for another upstream before the deadline.
-        """
-        identified = self._active.prepared.identified
-        left = identified.deadline - self._context.clock.now()
-        timeout = min(left, self._timings.upstream_first_byte)
-        if self._can_repeat() and identified.route is not None:
-            timeout = min(timeout, self._repeat_timeout(identified.route))
-        return max(const.MIN_TIMEOUT, timeout)
+    def _head_watch(self) -> RunWatch | None:
+        """Return what is told that the response has not begun, None if nothing is."""
+        route = self._active.route
+        if self._run is None or route is None or self._standby is not None:
+            return None
+        return RunWatch(self._run, self._head_silence(route))
 
-    def _repeat_timeout(self, route: Route) -> float:
-        """Return the response timeout of a request that another upstream can serve.
+    def _head_silence(self, route: Route) -> float:
+        """Return the seconds without a response after which to look for another.
 
         Calls use the measured response times of their service. Streams use the
         objective of their route, since repeating one costs another prefill and its
         response time depends on the prompt.
         """
         longest = max(
-            const.RESPONSE_TIMEOUT_OBJECTIVES * route.objective,
-            const.MIN_RESPONSE_TIMEOUT,
+            const.RESPONSE_SILENCE_OBJECTIVES * route.objective,
+            const.MIN_RESPONSE_SILENCE,
         )
         times = self._context.response_times
         if route.streams or times is None:
@@ -404,7 +477,7 @@
     return isinstance(verdict, Ending) and verdict.reason in _BROKEN_ANSWERS
 
 
-def _has_complete_response(verdict: Verdict) -> bool:
+def _has_complete_response(verdict: object) -> bool:
     """Return whether an attempt ended with a complete response that wasn't relayed."""
     return isinstance(verdict, Retry) and verdict.reason in (NOT_ADMITTED, FAILED)
 
--- a/bitterntiller/components/entry/const.py
+++ b/bitterntiller/components/entry/const.py
@@ -63,16 +63,16 @@
 of them can't fill the memory.
 """
 
-MIN_STREAM_IDLE_TIMEOUT = 1.0
-"""Minimum idle timeout in seconds before a resumable stream is resumed at another
-upstream. A long prefill of another request pauses an engine's output for about half of
-that."""
-
-RESPONSE_TIMEOUT_OBJECTIVES = 2.5
-MIN_RESPONSE_TIMEOUT = 1.0
-"""Timeout of a repeatable request for the head of a response: a multiple of the
-objective of its route, and a minimum in seconds. A later response is worth little,
-while another upstream can still serve the request before its caller gives up."""
+MIN_STREAM_SILENCE = 1.0
+"""Seconds without an event after which another upstream is sought for a resumable
+stream, at least. A long prefill of another request pauses an engine's output for about
+half of that."""
+
+RESPONSE_SILENCE_OBJECTIVES = 2.5
+MIN_RESPONSE_SILENCE = 1.0
+"""Time without a response after which another upstream is sought for a repeatable
+request: a multiple of the objective of its route, and a minimum in seconds. A later
+response is worth little, while another upstream may still be in time."""
 
 MIN_TIMEOUT = 0.001
 """Seconds; a timeout of 0 would count as expired already."""
--- a/bitterntiller/components/entry/event_logging.py
+++ b/bitterntiller/components/entry/event_logging.py
@@ -140,6 +140,48 @@
     )
 
 
+def log_silence(active: ActiveRequest, output: int, missing: str, now: float) -> None:
+    """Log that the upstream of a request has sent nothing for some time.
+
+    missing says what keeps the request from being sent to another, empty if another
+    one is sought. after is in seconds since the sending.
+    """
+    events.emit(
+        "run-silent",
+        request=active.request_id,
+        upstream=active.upstream,
+        run=active.runs,
+        output=output,
+        after=round(now - active.sent_at, 4),
+        missing=missing,
+    )
+
+
+def log_kept(active: ActiveRequest, resumed: bool, reason: str) -> None:
+    """Log that a request stays at an upstream that was silent.
+
+    resumed states whether the upstream goes on; else reason is why no other took over.
+    """
+    events.emit(
+        "run-kept",
+        request=active.request_id,
+        upstream=active.upstream,
+        resumed=resumed,
+        reason=reason,
+    )
+
+
+def log_move(active: ActiveRequest, silent: str) -> None:
+    """Log that the upstream of a request takes over from one that is silent."""
+    events.emit(
+        "run-moved",
+        request=active.request_id,
+        upstream=active.upstream,
+        silent=silent,
+        after=active.last_event_id,
+    )
+
+
 def log_cut(context: Context, active: ActiveRequest, started: bool) -> None:
     """Log and count a response that its caller does not get whole.
 
@@ -148,9 +190,11 @@
     identified, config_now the one in force.
     """
     cut = active.cut or Cut(CutBy.HOST, NO_RESPONSE)
-    context.metrics.count(f"{const.METRIC_CUT}.{cut.by}")
     identified = active.prepared.identified
     now = context.clock.now()
+    if cut.by in (CutBy.HOST, CutBy.UPSTREAM) and now >= identified.deadline:
+        cut = cut._replace(by=CutBy.DEADLINE)
+    context.metrics.count(f"{const.METRIC_CUT}.{cut.by}")
     events.emit(
         "response-cut",
         request=active.request_id,
--- a/bitterntiller/components/entry/models.py
+++ b/bitterntiller/components/entry/models.py
@@ -1,7 +1,8 @@
 """Models of a request in the pipeline; times are in seconds of this host's clock."""
 
+from contextlib import AsyncExitStack
 from enum import StrEnum
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 import curio
 
@@ -14,6 +15,9 @@
 from bitterntiller.core.interfaces import Ownership, StreamOrigin
 from bitterntiller.core.outcomes import Ending
 
+if TYPE_CHECKING:
+    from bitterntiller.components.entry.run import Run
+
 SOURCE_THIS_REQUEST = "this-request"
 
 
@@ -164,6 +168,14 @@
     status: int
 
 
+class RunSilent(NamedTuple):
+    """The upstream of a run has sent nothing for some time; the run goes on."""
+
+
+class RunResumed(NamedTuple):
+    """A run whose upstream was silent goes on, while another upstream was sought."""
+
+
 class CutBy(StrEnum):
     """Who ended a response before it was whole.
 
@@ -220,11 +232,25 @@
     ENDED = "ended"
 
 
+class SentState(NamedTuple):
+    """What a request keeps of the upstream that it was sent to."""
+
+    upstream: str
+    address: str
+    relay: str
+    sent_at: float
+    granted_version: str
+    tried: tuple[str, ...]
+
+
 class ActiveRequest:
     """The state of a request between registration and its end.
 
     It exists only in the entry process that received the request, so no other process
-    can send it.
+    can send it. run is one whose upstream was silent and that goes on. standby is one
+    whose upstream is silent, while the request is or may be sent to another. changed is
+    set when a run makes progress; stack owns the runs. sends counts how often the
+    request was sent, also where it certainly did not run.
     """
 
     def __init__(self, prepared: PreparedRequest) -> None:
@@ -261,6 +287,11 @@
         self.granted_version = ""
         self.origin: StreamOrigin | None = None
         self.cut: Cut | None = None
+        self.sends = 0
+        self.run: Run | None = None
+        self.standby: Run | None = None
+        self.changed = curio.Event()
+        self.stack = AsyncExitStack()
 
     @property
     def stopped(self) -> bool:
@@ -314,6 +345,32 @@
         route = self.route
         return route is not None and route.repeatable and self.runs < route.max_attempts
 
+    @property
+    def movable(self) -> bool:
+        """Return whether another upstream may serve the request or go on with it."""
+        return self.repeatable and (self.stream is None or self.stream.resumable)
+
+    @property
+    def sent_state(self) -> SentState:
+        """Return what to restore if the request goes on at its current upstream."""
+        return SentState(
+            self.upstream,
+            self.address,
+            self.relay,
+            self.sent_at,
+            self.granted_version,
+            self.tried,
+        )
+
+    def restore_sent(self, state: SentState) -> None:
+        """Go on with an earlier sending of the request."""
+        self.upstream, self.address, self.relay = state[:3]
+        self.sent_at = state.sent_at
+        self.granted_version = state.granted_version
+        self.tried = state.tried
+        self.may_have_run = True
+        self.phase = Phase.RELAYING
+
     @property
     def repeatable_once_sent(self) -> bool:
         """Return whether the request may be sent again if its next attempt is lost."""
@@ -352,6 +409,7 @@
             raise SentTwiceError(f"request {self.request_id} may have run already")
         self.may_have_run = True
         self.runs += 1
+        self.sends += 1
         self.phase = Phase.SENDING
         self.upstream = grant.upstream
         self.address = grant.address
--- a/bitterntiller/components/entry/path_report.py
+++ b/bitterntiller/components/entry/path_report.py
@@ -27,6 +27,13 @@
             self.destination, self.connected, PathFault.LOST
         )
 
+    async def async_silent(self) -> None:
+        """Report that the upstream has sent nothing for some time.
+
+        The response may still come; a check tells whether the path is the cause.
+        """
+        await self.async_lost()
+
     async def async_end(self) -> None:
         """Report the end of a response, which may have broken off."""
         if self.connected.client.broke:
--- a/bitterntiller/components/entry/pipeline.py
+++ b/bitterntiller/components/entry/pipeline.py
@@ -21,7 +21,9 @@
     log_attempt,
     log_cut,
     log_end,
+    log_kept,
     log_refusal,
+    log_silence,
 )
 from bitterntiller.components.entry.identify import identify
 from bitterntiller.components.entry.models import (
@@ -35,19 +37,24 @@
     PreparedRequest,
     RelayResult,
     Retry,
+    RunResumed,
+    RunSilent,
     Verdict,
 )
 from bitterntiller.components.entry.registration import (
     async_cancel_registration,
+    async_report_resumed,
     async_wait_for_grant,
 )
-from bitterntiller.components.entry.registry import RequestRegistry
+from bitterntiller.components.entry.registry import RETURN_EXPIRED, RequestRegistry
 from bitterntiller.components.entry.relay import Relay
 from bitterntiller.components.entry.relay_headers import outcome_of
 from bitterntiller.components.entry.retry_budget import RetryBudget
+from bitterntiller.components.entry.run import Run
 from bitterntiller.components.entry.send_checks import (
     NOTHING_SENT,
     REFUSED_CONNECTION,
+    UPSTREAM_SILENT,
 )
 from bitterntiller.components.http.errors import BadRequestError, CallerGoneError
 from bitterntiller.components.http.exchange import Exchange
@@ -150,7 +157,8 @@
         await self._registry.async_add(active)
         self.retries.record_request(active.pool)
         try:
-            await self._async_run_watched(exchange, active)
+            async with active.stack:
+                await self._async_run_watched(exchange, active)
         except CallerGoneError as error:
             active.cut = Cut(CutBy.CALLER, CALLER_GONE, error.text)
             await self._async_caller_gone(active)
@@ -220,8 +228,10 @@
         self, exchange: Exchange, active: ActiveRequest
     ) -> Verdict:
         grant = await async_wait_for_grant(active, self._context)
-        if isinstance(grant, Ending):
-            return grant
+        if not isinstance(grant, GrantReceived):
+            if active.standby is None:
+                return grant
+            return await self._async_stay(active, grant)
         attempt = Attempt(
             exchange,
             active,
@@ -231,6 +241,34 @@
         )
         granted_at = self._context.clock.now()
         verdict = await attempt.async_run(grant)
+        if active.standby is not None:
+            return await self._async_stay(active, verdict, grant)
+        return await self._async_conclude(active, grant, verdict, granted_at)
+
+    async def _async_conclude(
+        self,
+        active: ActiveRequest,
+        grant: GrantReceived,
+        verdict: Verdict | RunSilent,
+        granted_at: float,
+    ) -> Verdict:
+        """Return the result of an attempt, a Retry if the request waits again."""
+        run = active.run
+        while run is not None and isinstance(verdict, RunSilent):
+            if not await self._async_set_aside(active, run):
+                verdict = await run.async_wait()
+                continue
+            verdict = Retry(grant.upstream, UPSTREAM_SILENT, ran=True)
+            await self._async_return_grant(active, grant, verdict)
+            return verdict
+        if run is not None:
+            active.run = None
+            await run.async_close()
+        if isinstance(verdict, Retry) and verdict.ran and not active.repeatable:
+            # Its last attempt was beside a silent run, which has ended since.
+            return Ending(
+                Outcome.UNKNOWN, Reason.UPSTREAM_RESET, 502, detail=verdict.detail
+            )
         # Update the phase before the grant is returned: the owner may issue the next
         # grant immediately, and it would be rejected as stale in the sending phase.
         if isinstance(verdict, Retry) and verdict.upstream:
@@ -256,6 +294,71 @@
         await self._async_return_grant(active, grant, verdict)
         return verdict
 
+    async def _async_set_aside(self, active: ActiveRequest, run: Run) -> bool:
+        """Prepare to look for another upstream beside a silent one.
+
+        Return False if the request may not be sent to another.
+        """
+        now = self._context.clock.now()
+        if not self._may_repeat(active):
+            log_silence(active, active.output_tokens, NO_RETRY_LEFT, now)
+            return False
+        run.set_aside = True
+        active.standby, active.run = run, None
+        silent = run.grant.upstream
+        missing = await self._async_reserve_repeat(active)
+        if missing:
+            run.take_back()
+            active.standby, active.run = None, run
+            log_silence(active, active.output_tokens, missing, now)
+            return False
+        log_silence(active, active.output_tokens, "", now)
+        if not run.resumed:
+            active.requeue_after_run(silent)
+        return True
+
+    async def _async_stay(
+        self,
+        active: ActiveRequest,
+        outcome: Verdict | RunSilent | RunResumed,
+        grant: GrantReceived | None = None,
+    ) -> Verdict:
+        """Return the result of the run on standby, as no other takes over from it.
+
+        outcome is why not, grant the one that was used in vain. A run that has ended
+        meanwhile is dropped.
+        """
+        run = active.standby
+        assert run is not None
+        active.standby = None
+        if isinstance(outcome, Retry) and outcome.upstream:
+            log_attempt(active, outcome, 0.0)
+        granted_at = self._context.clock.now()
+        if run.ended:
+            await run.async_close()
+            if grant is None:
+                return outcome
+            return await self._async_conclude(active, grant, outcome, granted_at)
+        if active.sends == run.sends:
+            self.retries.refund(active.pool)
+        resumed = run.resumed
+        run.take_back()
+        reason = "" if resumed else _reason_of(outcome)
+        unused = [grant] if grant is not None else []
+        while not active.mailbox.empty():
+            event = await active.mailbox.get()
+            if isinstance(event, GrantReceived):
+                unused.append(event)
+        for item in unused:
+            await self._registry.async_return_grant(
+                active.request_id, item, reason or RETURN_EXPIRED, False
+            )
+        await async_report_resumed(active, self._context)
+        log_kept(active, resumed, reason)
+        active.run = run
+        verdict = await run.async_wait()
+        return await self._async_conclude(active, run.grant, verdict, granted_at)
+
     def _may_repeat(self, active: ActiveRequest) -> bool:
         return (
             self.retries.has_retry_left(active.pool)
@@ -351,9 +454,7 @@
     ) -> None:
         """Send the ending to the caller, or reset a response that has started."""
         if exchange.started:
-            late = self._context.clock.now() >= active.prepared.identified.deadline
-            by = CutBy.DEADLINE if late else CutBy.HOST
-            active.cut = Cut(by, ending.reason, ending.detail)
+            active.cut = Cut(CutBy.HOST, ending.reason, ending.detail)
             await exchange.async_cut()
             return
         headers, body = self._context.dialect.refusal(ending, active.request_id)
@@ -383,6 +484,13 @@
         await curio.sleep(FINISHED_POLL)
 
 
+def _reason_of(outcome: Verdict | RunSilent | RunResumed) -> str:
+    """Return why a request was not served by another upstream."""
+    if isinstance(outcome, Ending | Retry):
+        return str(outcome.reason)
+    return ""
+
+
 def _as_possibly_run(ending: Ending) -> Ending:
     """Return an ending for a request that an earlier attempt may have run.
 
--- a/bitterntiller/components/entry/registration.py
+++ b/bitterntiller/components/entry/registration.py
@@ -9,9 +9,13 @@
     ActiveRequest,
     GrantReceived,
     RefusalReceived,
+    RunResumed,
 )
 from bitterntiller.components.entry.notice_reports import async_report_known_notices
-from bitterntiller.components.entry.owner_messages import register_message
+from bitterntiller.components.entry.owner_messages import (
+    register_message,
+    running_item,
+)
 from bitterntiller.components.entry.registry import LeaseLost
 from bitterntiller.core.outcomes import Ending, Outcome, Reason
 from bitterntiller.protocol import messages
@@ -26,8 +30,11 @@
 
 async def async_wait_for_grant(
     active: ActiveRequest, context: Context
-) -> GrantReceived | Ending:
-    """Return the owner's grant, or the ending if the request is refused or expires."""
+) -> GrantReceived | Ending | RunResumed:
+    """Return the owner's grant, or the ending if the request is refused or expires.
+
+    Return RunResumed if the run on standby goes on meanwhile.
+    """
     deadline = active.prepared.identified.deadline
     started_at = context.clock.now()
     while True:
@@ -37,6 +44,8 @@
             return _refused_not_run(Reason.TOO_LATE, const.DEFAULT_RETRY_AFTER)
         if active.owner is None and now - started_at > const.OWNER_WAIT:
             return _refused_not_run(Reason.NO_OWNER, const.DEFAULT_RETRY_AFTER)
+        if active.standby is not None and active.standby.resumed:
+            return RunResumed()
         await _async_register(active, context, now)
         event = await _async_event(active, min(deadline - now, _event_timeout(active)))
         if isinstance(event, GrantReceived):
@@ -56,6 +65,22 @@
     await context.links.async_send(active.owner.address, message)
 
 
+async def async_report_resumed(active: ActiveRequest, context: Context) -> None:
+    """Notify the owner that a waiting request runs on where it ran before."""
+    await async_cancel_registration(active, context)
+    owner = context.directory.owner(active.pool)
+    if owner is None:
+        return
+    now = context.clock.now()
+    message = messages.Started(
+        request_id=active.request_id,
+        pool=active.pool,
+        upstream=active.upstream,
+        running=running_item(active, context.host, now),
+    )
+    await context.links.async_send(owner.address, message)
+
+
 def _event_timeout(active: ActiveRequest) -> float:
     if active.owner is None:
         return const.OWNER_POLL
--- a/bitterntiller/components/entry/relay.py
+++ b/bitterntiller/components/entry/relay.py
@@ -21,6 +21,7 @@
     EVENT_STREAM,
     is_event_stream,
 )
+from bitterntiller.components.entry.run import Run, RunWatch
 from bitterntiller.components.entry.sse import (
     BrokenStreamError,
     Events,
@@ -30,7 +31,7 @@
     STATUS_OK,
     async_open_resume,
 )
-from bitterntiller.components.http.client import ClientExchange
+from bitterntiller.components.http.client import ClientExchange, SilenceWatch
 from bitterntiller.components.http.errors import IncompleteResponseError
 from bitterntiller.components.http.exchange import Exchange
 from bitterntiller.components.http.models import ResponseHead
@@ -43,11 +44,16 @@
     """Relays one response to its caller."""
 
     def __init__(
-        self, exchange: Exchange, active: ActiveRequest, context: Context
+        self,
+        exchange: Exchange,
+        active: ActiveRequest,
+        context: Context,
+        run: Run | None = None,
     ) -> None:
         self._exchange = exchange
         self._active = active
         self._context = context
+        self._run = run
         self._idle = context.timings.upstream_idle
         method = active.prepared.identified.received.head.method
         self._bodyless = method == "HEAD"
@@ -68,12 +74,12 @@
         if not self._exchange.started:
             headers = self._context.dialect.response_headers(self._active, head)
             await self._exchange.async_start(head.status, headers)
-        await client.async_start_read_timeout(self._idle_timeout())
+        await client.async_start_read_timeout(self._idle, self._watch())
         if streams and not self._bodyless:
             whole = await self._async_relay_stream(client)
         else:
             whole = await self._async_relay_body(client)
-        if not whole and self._active.repeatable and self._resumable():
+        if not whole and (self._may_move() or self._set_aside()):
             return self._lost()
         await self._async_end(whole)
         return RelayResult(whole, head.status)
@@ -92,23 +98,20 @@
         self._active.cut = Cut(CutBy.UPSTREAM, LOST_RESPONSE, self._broken_by)
         await self._exchange.async_cut()
 
-    def _idle_timeout(self) -> float:
-        """Return the seconds without data after which a response counts as broken."""
+    def _watch(self) -> SilenceWatch | None:
+        """Return what is told that the upstream is silent, None if nothing is."""
         route = self._active.route
-        if (
-            route is None
-            or not self._active.repeatable
-            or not route.target_output_interval
-        ):
-            return self._idle
-        return min(
-            self._idle,
-            max(const.MIN_STREAM_IDLE_TIMEOUT, 2 * route.target_output_interval),
-        )
+        if self._run is None or route is None or not route.target_output_interval:
+            return None
+        seconds = max(const.MIN_STREAM_SILENCE, 2 * route.target_output_interval)
+        return RunWatch(self._run, seconds)
 
-    def _resumable(self) -> bool:
-        stream = self._active.stream
-        return stream is not None and stream.resumable
+    def _may_move(self) -> bool:
+        return self._active.stream is not None and self._active.movable
+
+    def _set_aside(self) -> bool:
+        """Return whether another run decides how the response ends."""
+        return self._run is not None and self._run.set_aside
 
     async def _async_relay_buffered(
         self, client: ClientExchange, head: ResponseHead
--- a/bitterntiller/components/entry/retry_budget.py
+++ b/bitterntiller/components/entry/retry_budget.py
@@ -40,6 +40,10 @@
         self._earned_by_pool[pool] = earned - 1.0
         return True
 
+    def refund(self, pool: str) -> None:
+        """Return a spent retry for which nothing was sent."""
+        self._earned_by_pool[pool] = min(self._earned(pool) + 1.0, self._max_retries())
+
     def left_by_pool(self) -> dict[str, int]:
         """Return the whole retries left in each pool, for the state dump."""
         return {pool: int(earned) for pool, earned in self._earned_by_pool.items()}
--- /dev/null
+++ b/bitterntiller/components/entry/run.py
@@ -0,0 +1,143 @@
+"""One run of a request at an upstream: its connection and the task of its response.
+
+The response of a run that may be repeated is awaited and relayed by a task of its own.
+While its upstream is silent, the pipeline can look for another one and still get what
+this one sends. A silent run ends only once the response of another one has begun.
+"""
+
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from typing import NamedTuple
+
+import curio
+
+from bitterntiller.components.entry.models import (
+    ActiveRequest,
+    GrantReceived,
+    RunResumed,
+    RunSilent,
+    SentState,
+    Verdict,
+)
+from bitterntiller.components.http.errors import IncompleteResponseError
+
+Respond = Callable[[], Awaitable[Verdict]]
+"""Awaits the response of a run, relays it and returns the result."""
+
+
+class Run:
+    """A request that was sent to the upstream of a grant.
+
+    stack owns what the run holds. set_aside is set while the request may be sent to
+    another upstream, silent while nothing arrives.
+    """
+
+    def __init__(self, active: ActiveRequest, grant: GrantReceived) -> None:
+        self.grant = grant
+        self.stack = AsyncExitStack()
+        self.set_aside = False
+        self.silent = False
+        self.sends = 0
+        self.result: Verdict | Exception | None = None
+        self._active = active
+        self._state: SentState | None = None
+        self._superseded = False
+        self._unreported_silence = False
+
+    async def async_start(self, respond: Respond) -> None:
+        """Start the task of the response, once the request was sent."""
+        self._state = self._active.sent_state
+        self.sends = self._active.sends
+        task = await curio.spawn(self._async_respond, respond, daemon=True)
+        self.stack.push_async_callback(task.cancel)
+
+    async def _async_respond(self, respond: Respond) -> None:
+        # The kernel logs each exception that ends a task as a crash.
+        try:
+            self.result = await respond()
+        except Exception as error:
+            self.result = error
+        await self._active.changed.set()
+
+    async def async_wait(self) -> Verdict | RunSilent | RunResumed:
+        """Return the result of the response, or that the upstream is silent.
+
+        With a silent run on standby, return early if that one goes on. Raise what the
+        task of the response raised.
+        """
+        changed = self._active.changed
+        while True:
+            changed.clear()
+            if isinstance(self.result, Exception):
+                raise self.result
+            if self.result is not None:
+                return self.result
+            standby = self._active.standby
+            if standby is not None and standby.resumed:
+                return RunResumed()
+            if self._unreported_silence:
+                self._unreported_silence = False
+                if standby is None and self._active.movable:
+                    return RunSilent()
+            await changed.wait()
+
+    @property
+    def resumed(self) -> bool:
+        """Return whether the upstream went on after the run was set aside."""
+        return self.set_aside and not self.silent
+
+    @property
+    def ended(self) -> bool:
+        """Return whether the response has ended while the upstream was silent."""
+        return self.silent and self.result is not None
+
+    def take_back(self) -> None:
+        """Make this the current run of the request again."""
+        self.set_aside = False
+        self._restore()
+
+    async def async_begin_silence(self) -> None:
+        """Record that nothing has arrived for some time; see RunWatch."""
+        self.silent = self._unreported_silence = True
+        await self._active.changed.set()
+
+    async def async_end_silence(self) -> None:
+        """Record that data has arrived; raise IncompleteResponseError if superseded."""
+        if self._superseded:
+            raise IncompleteResponseError("another upstream has taken the request over")
+        self.silent = self._unreported_silence = False
+        if self.set_aside:
+            self._restore()
+            await self._active.mailbox.put(RunResumed())
+            await self._active.changed.set()
+
+    def _restore(self) -> None:
+        if self._state is not None:
+            self._active.restore_sent(self._state)
+
+    async def async_supersede(self) -> bool:
+        """End the run in favour of another; return False if it has gone on."""
+        if self.resumed:
+            return False
+        self._superseded = True
+        await self.async_close()
+        return True
+
+    async def async_close(self) -> None:
+        """End the task of the response, and release or close the connection."""
+        await self.stack.aclose()
+
+
+class RunWatch(NamedTuple):
+    """Tells a run that its upstream has sent nothing for some seconds."""
+
+    run: Run
+    seconds: float
+
+    async def async_begin_silence(self) -> None:
+        """Record that nothing has arrived, again after each further seconds."""
+        await self.run.async_begin_silence()
+
+    async def async_end_silence(self) -> None:
+        """Record that data has arrived; raise IncompleteResponseError to drop it."""
+        await self.run.async_end_silence()
--- a/bitterntiller/components/entry/send_checks.py
+++ b/bitterntiller/components/entry/send_checks.py
@@ -11,6 +11,7 @@
 GRANT_EXPIRED = "expired"
 LEASE_EXPIRED = "lease"
 REFUSED_CONNECTION = "refused-connection"
+UPSTREAM_SILENT = "upstream-silent"
 UPSTREAM_LEFT = "upstream-left"
 UPSTREAM_PAUSED = "upstream-paused"
 VERSION_WITHDRAWN = "version-withdrawn"
--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 client for upstreams, with one exchange at a time per connection."""
 
-from typing import Any
+from typing import Any, Protocol
 
 import curio
 import h11
@@ -22,6 +22,23 @@
 CLOSED_EARLY = "the upstream closed the connection before its answer was whole"
 
 
+class SilenceWatch(Protocol):
+    """Is told that an upstream is silent, and that it has gone on.
+
+    seconds is the time without data after which it counts as silent.
+    """
+
+    seconds: float
+
+    async def async_begin_silence(self) -> None:
+        """Record that nothing has arrived, again after each further seconds."""
+        ...
+
+    async def async_end_silence(self) -> None:
+        """Record that data has arrived; raise IncompleteResponseError to drop it."""
+        ...
+
+
 class ClientExchange:
     """A connection that carries one exchange and is then closed or reused.
 
@@ -55,6 +72,8 @@
         self._idle_ticks = 0
         self._read_timeout_task: curio.Task | None = None
         self._timed_out = ""
+        self._watch: SilenceWatch | None = None
+        self._silent = False
         self._sender: curio.Task | None = None
 
     @classmethod
@@ -100,6 +119,8 @@
         connection.start_next_cycle()
         self._buffer_drained = False
         self._idle_ticks = 0
+        self._watch = None
+        self._silent = False
         self.sent_bytes = 0
         self.received_bytes = 0
         self.reused = True
@@ -124,21 +145,33 @@
                 await task.cancel()
         await self._sock.close()
 
-    async def async_start_read_timeout(self, timeout: float) -> None:
+    async def async_start_read_timeout(
+        self, timeout: float, watch: SilenceWatch | None = None
+    ) -> None:
         """Make reads fail if nothing arrives for timeout seconds.
 
-        A task checks READ_TIMEOUT_CHECKS times within the timeout, so reads fail one to
-        two intervals late. A timer for each read would be a quarter of the cost of
-        relaying.
+        A task checks READ_TIMEOUT_CHECKS times within the timeout, or within the time
+        after which watch is told, so reads fail one to two intervals late. A timer for
+        each read would be a quarter of the cost of relaying.
         """
+        self._watch = watch
         self._read_timeout_task = await curio.spawn(
-            self._async_enforce_read_timeout, timeout, daemon=True
+            self._async_enforce_read_timeout, timeout, watch, daemon=True
         )
 
-    async def _async_enforce_read_timeout(self, timeout: float) -> None:
-        while self._idle_ticks <= const.READ_TIMEOUT_CHECKS:
+    async def _async_enforce_read_timeout(
+        self, timeout: float, watch: SilenceWatch | None
+    ) -> None:
+        shortest = timeout if watch is None else min(timeout, watch.seconds)
+        interval = shortest / const.READ_TIMEOUT_CHECKS
+        most_ticks = round(timeout / interval)
+        while self._idle_ticks <= most_ticks:
             self._idle_ticks += 1
-            await curio.sleep(timeout / const.READ_TIMEOUT_CHECKS)
+            await curio.sleep(interval)
+            passed, early = divmod(self._idle_ticks - 1, const.READ_TIMEOUT_CHECKS)
+            if watch is not None and passed and not early:
+                self._silent = True
+                await watch.async_begin_silence()
         self._timed_out = no_data_text(timeout)
         try:
             await self._sock.shutdown(socket.SHUT_RDWR)
@@ -191,10 +224,13 @@
         except OSError:
             await self._sock.shutdown(socket.SHUT_RD)
 
-    async def async_head(self, timeout: float) -> ResponseHead:
+    async def async_head(
+        self, timeout: float, watch: SilenceWatch | None = None
+    ) -> ResponseHead:
         """Return the head of the response; raise IncompleteResponseError."""
+        self._watch = watch
         while True:
-            event = await self._async_event(timeout)
+            event = await self._async_first_event(timeout, watch)
             if isinstance(event, h11.InformationalResponse):
                 continue
             if not isinstance(event, h11.Response):
@@ -281,13 +317,37 @@
             # Raised by the next read, after the parts that precede the error.
             return error
 
-    async def _async_event(self, timeout: float) -> Any:
+    async def _async_first_event(
+        self, timeout: float, watch: SilenceWatch | None
+    ) -> Any:
+        """Return the next event; tell watch if it is awaited for long.
+
+        The time until watch is told again doubles.
+        """
+        left = timeout
+        pause = timeout if watch is None else watch.seconds
+        while watch is not None and left > pause:
+            async with curio.ignore_after(pause):
+                return await self._async_next()
+            left -= pause
+            pause *= 2
+            self._silent = True
+            await watch.async_begin_silence()
+        return await self._async_event(left, timeout)
+
+    async def _async_event(self, timeout: float, waited: float = 0.0) -> Any:
         try:
             async with curio.timeout_after(timeout):
                 return await self._async_next()
         except curio.TaskTimeout as error:
             self.broke = True
-            raise IncompleteResponseError(no_data_text(timeout)) from error
+            text = no_data_text(max(timeout, waited))
+            raise IncompleteResponseError(text) from error
+
+    async def _async_end_silence(self) -> None:
+        self._silent = False
+        if self._watch is not None:
+            await self._watch.async_end_silence()
 
     async def _async_next(self) -> Any:
         event = self._buffered_event
@@ -300,6 +360,8 @@
                 if event is h11.NEED_DATA:
                     data = await self._sock.recv(const.READ_BYTES)
                     self._idle_ticks = 0
+                    if self._silent and data:
+                        await self._async_end_silence()
                     self.received_bytes += len(data)
                     self._buffer_drained = False
                     closed = not data
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -132,7 +132,14 @@
 
 struct Cancel { 1: required string request_id, 2: required string pool }
 
-struct Started { 1: required string request_id, 2: required string pool, 3: required string upstream }
+struct RunningItem { 1: required Register request, 2: required string upstream, 3: required i32 output_tokens }
+
+struct Started {
+    1: required string request_id,
+    2: required string pool,
+    3: required string upstream,
+    4: optional RunningItem running,      // it runs on where it ran before, not under a new grant
+}
 
 struct ProgressItem {
     1: required string request_id,
@@ -158,22 +165,21 @@
 
 /*
  * A grant that the entry host returns, unused or after an attempt whose response it does
- * not relay. With the reasons failed and lost-answer, the request may have run.
+ * not relay. With the reasons failed and lost-answer, the request may have run; with
+ * upstream-silent it runs on, and the entry host looks for another upstream meanwhile.
  */
 struct Returned {
     1: required string request_id,
     2: required string pool,
     3: required string upstream,
     4: required string reason,           // expired, refused-connection, not-admitted, failed,
-                                         // lost-answer, upstream-left, upstream-paused,
+                                         // lost-answer, upstream-silent, upstream-left, upstream-paused,
                                          // version-withdrawn, other-version, or
                                          // why it is refused without a run (as no-lease)
     5: required bool still_waiting,
     6: optional string version,          // of the upstreams that may go on with its stream
 }
 
-struct RunningItem { 1: required Register request, 2: required string upstream, 3: required i32 output_tokens }
-
 /* The rate limit of an upstream for all hosts together, as stated in a response. */
 struct UpstreamLimit {
     1: required string pool,
--- a/tests/components/dispatch/messages_builders.py
+++ b/tests/components/dispatch/messages_builders.py
@@ -68,3 +68,13 @@
         load=None,
         cache_events=[],
     )
+
+
+def returned(request_id: str, upstream: str, reason: str, waiting: bool) -> Any:
+    return messages.Returned(
+        request_id=request_id,
+        pool=POOL,
+        upstream=upstream,
+        reason=reason,
+        still_waiting=waiting,
+    )
--- a/tests/components/dispatch/test_owned_pool.py
+++ b/tests/components/dispatch/test_owned_pool.py
@@ -127,3 +127,34 @@
     owned.register(build.register("low", tier="bronze"), "i1", T0)
     owned.register(build.register("high", tier="gold"), "i1", T0)
     assert granted(owned.tick(T0 + 1.0)) == ["high"]
+
+
+def silent_run() -> OwnedPool:
+    """Return a pool in which the upstream e1 of r1 is silent, and e2 is granted."""
+    owned = pool()
+    owned.announce(build.announce("e1", 1), T0)
+    owned.register(build.register("r1"), "i1", T0)
+    owned.started("r1", T0)
+    owned.announce(build.announce("e2", 1), T0)
+    returned = build.returned("r1", "e1", "upstream-silent", waiting=True)
+    assert granted(owned.returned(returned, T0 + 1.0)) == ["r1"]
+    assert (running_count(owned, "e1"), running_count(owned, "e2")) == (0, 1)
+    return owned
+
+
+def resume(owned: OwnedPool) -> list[Any]:
+    return owned.adopt_running(build.running("r1", "e1"), "i1", T0 + 1.5)
+
+
+def test_request_that_goes_on_at_a_silent_upstream_takes_its_slot_again():
+    owned = silent_run()
+    assert granted(resume(owned)) == []
+    assert (running_count(owned, "e1"), running_count(owned, "e2")) == (1, 0)
+
+
+def test_unused_grant_does_not_free_the_slot_of_a_request_that_went_on():
+    owned = silent_run()
+    resume(owned)
+    unused = build.returned("r1", "e2", "expired", waiting=False)
+    owned.returned(unused, T0 + 1.6)
+    assert running_count(owned, "e1") == 1
