Logs: a cut response names its service

Cause: response-cut names the route only, which is empty in deployments without routes; what is counted by service needs another line of the same request, which a cut by a stop doesn't have. Change: the field service. Ruled out: joining with ended or sent in the summary. Before/after: "response-cut" without and with service; tests of log lines pass.

--- a/bitterntiller/components/entry/event_logging.py
+++ b/bitterntiller/components/entry/event_logging.py
@@ -162,6 +162,7 @@
         upstream=active.upstream,
         tried=active.tried,
         runs=active.runs,
+        service=identified.service.name,
         route=_route(identified),
         total=round(now - identified.received.arrived, 4),
         left=round(identified.deadline - now, 3),
