Logs: explain and summary show responses that were cut, and their cause

Cause: the engineer on call saw a cut response as "ended as not-run" or as a caller that left; which of them were cut, by whom and why took a search by hand. Change: the last line of "bitterntiller explain" comes from response-cut, if the request has one: by whom, reason and error, output, times, upstreams tried and how the attempts ended, what the refusing owner said, whether the configuration changed. "bitterntiller summary" counts cut responses by who, why and route or service, with those of which the caller had the head and those with a change of the configuration. Before/after: cause "ended as not-run at : its response status was 200" before, "cut by its entry host at edge-1 (too-late) after 130 events of output ..." after.

--- a/bitterntiller/cli/commands/summary.py
+++ b/bitterntiller/cli/commands/summary.py
@@ -41,6 +41,14 @@
     print("\nnot done  by upstream")
     for upstream, count in summary.failures_by_upstream.items():
         print(f"{count:8}  {upstream}")
+    print(
+        "\ncut, begun, configuration changed  "
+        "service or route: by whom and why responses were cut"
+    )
+    for cut in summary.cut_responses:
+        counts = f"{cut.count:3}  {cut.begun:5}  {cut.changed:21}"
+        where = cut.cause.route or cut.cause.service
+        print(f"{counts}  {where}: {cut.cause.by} {cut.cause.reason}")
     print("\nreceived, served  service, group of its requests")
     for group, served in summary.served_by_group.items():
         print(f"{served.received:8}  {served.served:6}  {group.service} {group.group}")
@@ -90,9 +98,10 @@
     """Summarize the logs of several hosts.
 
     Shows how requests ended by interval, refusals by reason with their waits, failures
-    by upstream, requests received and served of each service by size and route, quota
-    decisions by workspace, streams taken up by version, upstreams out of use, paths
-    from hosts to upstreams that are lost, and the startup steps of each host.
+    by upstream, cut responses by cause, requests received and served of each service by
+    size and route, quota decisions by workspace, streams taken up by version, upstreams
+    out of use, paths from hosts to upstreams that are lost, and the startup steps of
+    each host.
     """
 
     files: Annotated[
--- a/bitterntiller/cli/log_summary.py
+++ b/bitterntiller/cli/log_summary.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from bitterntiller.cli.cut_summary import CutResponses, summarize_cuts
 from bitterntiller.cli.quota_summary import QuotaDecisions, summarize_quotas
 from bitterntiller.cli.request_trace import LogEvent, sample_fractions
 from bitterntiller.cli.served_counts import RequestGroup, ServedCount, served_by_group
@@ -93,6 +94,7 @@
     quotas: list[QuotaDecisions]
     fraction_by_host: dict[str, float]
     continued_streams: list[ContinuedStreams]
+    cut_responses: list[CutResponses]
 
 
 def summarize(events: Iterable[LogEvent], seconds: float) -> Summary | None:
@@ -111,6 +113,7 @@
         quotas=summarize_quotas(ordered),
         fraction_by_host=sample_fractions(ordered),
         continued_streams=summarize_streams(ordered),
+        cut_responses=summarize_cuts(ordered),
     )
 
 
--- a/bitterntiller/cli/request_trace.py
+++ b/bitterntiller/cli/request_trace.py
@@ -15,6 +15,9 @@
 ATTR_TIME = "time"
 ATTR_SEQUENCE = "n"
 
+CUT = "response-cut"
+"""The event of a response that its caller did not get whole."""
+
 CONTEXT_SECONDS = 3.0
 """Context events up to this many seconds before and after a request are shown."""
 
@@ -50,9 +53,17 @@
 RELAY_EVENTS = frozenset({"tunnel-asked", "tunnel-ended", "path"})
 """Events about a request that don't belong to its steps at its own entry host."""
 
-STREAM_EVENTS = frozenset({"sent", "ended", "refused"})
+STREAM_EVENTS = frozenset({"sent", "ended", "refused", CUT})
 """Events of other attempts of a stream that are shown with a request."""
 
+_CUT_BY = {
+    "caller": "cut by its caller",
+    "upstream": "cut by its upstream",
+    "deadline": "cut at its deadline",
+    "host": "cut by its entry host",
+    "stop": "cut by the stop of its entry host",
+}
+
 _FINGERPRINT = re.compile(r"fingerprint ([0-9a-f]{16})")
 _NON_FIELDS = frozenset({ATTR_EVENT, ATTR_HOST, ATTR_REQUEST, ATTR_TIME, ATTR_SEQUENCE})
 
@@ -195,6 +206,9 @@
 
 def _explain_end(own_events: list[LogEvent], context: list[LogEvent]) -> str:
     """Return one sentence that explains how the request ended."""
+    cuts = [event for event in own_events if event.kind == CUT]
+    if cuts:
+        return _explain_cut(cuts[-1], own_events)
     steps = [event for event in own_events if event.kind not in RELAY_EVENTS]
     last = (steps or own_events)[-1]
     if last.kind == "refused":
@@ -211,6 +225,63 @@
     return f"the logs end with {last.kind}: the process may have ended"
 
 
+def _explain_cut(event: LogEvent, own_events: list[LogEvent]) -> str:
+    """Return by whom a response was cut, and why, when, what was tried and changed."""
+    fields = event.fields
+    by = _CUT_BY.get(str(fields.get("by")), f"cut by {fields.get('by')}")
+    reason = ": ".join(filter(None, (fields.get("reason"), fields.get("detail"))))
+    progress = f"after {fields.get('output')} events of output"
+    if not fields.get("started"):
+        progress = "before any of its response"
+    times = f"{fields.get('total')} s after its arrival, {fields.get('left')} s left"
+    parts = [
+        f"{by} at {event.host} ({reason}) {progress}, {times}",
+        _explain_tries(fields, own_events),
+        _explain_given_up(own_events),
+        _explain_configuration(fields),
+    ]
+    return "; ".join(filter(None, parts))
+
+
+def _explain_tries(fields: dict[str, Any], own_events: list[LogEvent]) -> str:
+    """Return the upstreams that a request was sent to, and why attempts ended."""
+    upstreams = [*(fields.get("tried") or ()), fields.get("upstream")]
+    names = ", ".join(dict.fromkeys(filter(None, upstreams)))
+    if not names:
+        return "not sent to any upstream"
+    text = f"sent in {fields.get('runs')} runs, tried {names}"
+    failures = [event for event in own_events if event.kind == "attempt-ended"]
+    reasons = ", ".join(_reason(event) for event in failures)
+    return f"{text}, attempts ended as: {reasons}" if reasons else text
+
+
+def _reason(event: LogEvent) -> str:
+    detail = event.fields.get("detail")
+    reason = str(event.fields.get("reason"))
+    return f"{reason} ({detail})" if detail else reason
+
+
+def _explain_given_up(own_events: list[LogEvent]) -> str:
+    """Return what the last owner that refused a request said, empty if none did."""
+    given_up = [event for event in own_events if event.kind == "given-up"]
+    if not given_up:
+        return ""
+    fields = given_up[-1].fields
+    return (
+        f"its owner {given_up[-1].host} refused it as {fields.get('reason')}, "
+        f"with {fields.get('upstreams')} upstreams and {fields.get('waiting')} waiting"
+    )
+
+
+def _explain_configuration(fields: dict[str, Any]) -> str:
+    """Return whether the configuration changed since a request was identified."""
+    identified, now = fields.get("config_version"), fields.get("config_now")
+    if identified == now:
+        return f"configuration {now} throughout"
+    age = fields.get("config_age")
+    return f"the configuration changed from {identified} to {now}, {age} s before"
+
+
 def _explain_refusal(
     event: LogEvent, own_events: list[LogEvent], context: list[LogEvent]
 ) -> str:
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -4,6 +4,8 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
+
 from bitterntiller.cli import const, tool
 
 
@@ -231,3 +233,102 @@
         others = ", ".join(sorted({"r1", "r2", "r3"} - {request_id}))
         assert text.splitlines()[-1].endswith(f"attempts of its stream: {others}")
         assert "r9" not in text
+
+
+def cut(time: float, by: str, reason: str, **fields: Any) -> dict[str, Any]:
+    shared = {
+        "by": by,
+        "reason": reason,
+        "detail": "",
+        "started": True,
+        "output": 130,
+        "upstream": "",
+        "tried": ["e1"],
+        "runs": 1,
+        "total": 4.57,
+        "left": 10.4,
+        "config_version": 4,
+        "config_now": 4,
+        "config_age": 90.0,
+    }
+    return event(time, "edge-1", "response-cut", request="r1", **shared | fields)
+
+
+def test_cut_response_names_the_refusal_of_its_owner(tmp_path, capsys):
+    """The last event of a cut stream was its end as not-run, and no line named a cut.
+
+    Its upstream fell silent, and its owner on another host refused another grant.
+    """
+    core = write_log(
+        tmp_path / "core",
+        event(
+            17.861,
+            "core-1",
+            "given-up",
+            request="r1",
+            reason="too-late",
+            upstreams=6,
+            waiting=7,
+        ),
+        event(18.0, "core-1", "given-up", request="r2", reason="shed"),
+    )
+    silent = "the upstream sent nothing for 1 s"
+    edge = write_log(
+        tmp_path / "edge",
+        event(13.3, "edge-1", "sent", request="r1", upstream="e1", waited=0.0),
+        event(13.6, "edge-1", "answer", request="r1", upstream="e1", status=200),
+        event(
+            17.858,
+            "edge-1",
+            "attempt-ended",
+            request="r1",
+            upstream="e1",
+            reason="lost-answer",
+            detail=silent,
+        ),
+        event(17.864, "edge-1", "ended", request="r1", outcome="not-run"),
+        cut(17.865, "host", "too-late", config_now=5, config_age=1.8),
+    )
+    code, text = explained(capsys, "r1", core, edge)
+    assert code == const.EXIT_OK
+    order = [line.split()[3] for line in text.splitlines() if " * " in line]
+    assert order[-4:] == ["attempt-ended", "given-up", "ended", "response-cut"]
+    assert text.splitlines()[-1] == (
+        "cause: cut by its entry host at edge-1 (too-late) after 130 events of output, "
+        "4.57 s after its arrival, 10.4 s left; sent in 1 runs, tried e1, "
+        f"attempts ended as: lost-answer ({silent}); its owner core-1 refused it as "
+        "too-late, with 6 upstreams and 7 waiting; "
+        "the configuration changed from 4 to 5, 1.8 s before"
+    )
+
+
+@pytest.mark.parametrize(
+    "by, text",
+    [
+        ("caller", "cut by its caller"),
+        ("upstream", "cut by its upstream"),
+        ("deadline", "cut at its deadline"),
+        ("stop", "cut by the stop of its entry host"),
+        ("unheard-of", "cut by unheard-of"),
+    ],
+)
+def test_cut_response_names_who_cut_it(by, text, tmp_path, capsys):
+    """A cut that precedes the end of its request, and is not its last event."""
+    log = write_log(
+        tmp_path / "edge",
+        cut(5.0, by, "why", detail="an error", upstream="e2", runs=2),
+        event(5.1, "edge-1", "ended", request="r1", outcome="unknown", upstream="e2"),
+    )
+    _, printed = explained(capsys, "r1", log)
+    cause = printed.splitlines()[-1]
+    assert f"{text} at edge-1 (why: an error) after 130 events" in cause
+    assert "sent in 2 runs, tried e1, e2;" in cause
+    assert cause.endswith("configuration 4 throughout")
+
+
+def test_caller_that_left_before_its_response_was_sent_nowhere(tmp_path, capsys):
+    left = cut(5.0, "caller", "caller-gone", started=False, tried=[], runs=0)
+    _, text = explained(capsys, "r1", write_log(tmp_path / "edge", left))
+    cause = text.splitlines()[-1]
+    assert "(caller-gone) before any of its response, 4.57 s" in cause
+    assert "not sent to any upstream" in cause
--- a/tests/cli/test_summary.py
+++ b/tests/cli/test_summary.py
@@ -5,6 +5,7 @@
 import pytest
 
 from bitterntiller.cli import const, tool
+from bitterntiller.cli.cut_summary import CutCause, CutResponses
 from bitterntiller.cli.errors import ToolError
 from bitterntiller.cli.log_summary import (
     LostPath,
@@ -14,7 +15,7 @@
     summarize,
 )
 from bitterntiller.cli.quota_summary import QuotaDecisions
-from bitterntiller.cli.request_trace import read_events
+from bitterntiller.cli.request_trace import open_logs, read_events
 from bitterntiller.cli.stream_summary import ContinuedStreams
 from tests.cli.test_explain import event, write_log
 
@@ -222,3 +223,38 @@
         ContinuedStreams("llm", "", 1, 0, {"version-gone": 1}),
         ContinuedStreams("llm", "v1", 2, 1, {}),
     ]
+
+
+def test_cut_responses_are_counted_by_cause_and_route(tmp_path, capsys):
+    """Cut streams looked like requests that had not run, or like callers that left."""
+
+    def cut(time: float, host: str, by: str, reason: str, **more: Any) -> Any:
+        shared = {"service": "llm", "route": "", "config_version": 4, "config_now": 4}
+        fields = {"by": by, "reason": reason, "started": True} | shared | more
+        return event(time, host, "response-cut", request=f"r{time}", **fields)
+
+    first = write_log(
+        tmp_path / "edge-1",
+        cut(1.0, "edge-1", "upstream", "lost-answer", route="ward-report"),
+        cut(1.1, "edge-1", "host", "too-late", route="ward-report"),
+        cut(1.2, "edge-1", "caller", "caller-gone", started=False),
+    )
+    second = write_log(
+        tmp_path / "edge-2",
+        cut(1.3, "edge-2", "host", "too-late", route="ward-report", config_now=5),
+        cut(1.4, "edge-2", "host", "too-late", route="species-tag"),
+    )
+    with open_logs([first, second]) as events:
+        found = summarize(events, 2.0).cut_responses
+    assert found == [
+        CutResponses(CutCause("host", "too-late", "llm", "ward-report"), 2, 2, 1),
+        CutResponses(CutCause("caller", "caller-gone", "llm", ""), 1, 0, 0),
+        CutResponses(CutCause("host", "too-late", "llm", "species-tag"), 1, 1, 0),
+        CutResponses(
+            CutCause("upstream", "lost-answer", "llm", "ward-report"), 1, 1, 0
+        ),
+    ]
+    assert tool.run(["summary", first, second]) == const.EXIT_OK
+    printed = [" ".join(line.split()) for line in capsys.readouterr().out.splitlines()]
+    assert "2 2 1 ward-report: host too-late" in printed
+    assert "1 0 0 llm: caller caller-gone" in printed
