Tests: an entry host's server and its grace period are at hand

Cause: tests of a stop and of changed limits need the HTTP server of an entry host and a short grace period. Change: EntryHost.server, entry_host(shutdown=). Before/after: no test changed.

--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -14,7 +14,7 @@
 from bitterntiller.components.entry.notices import UpstreamNotices
 from bitterntiller.components.entry.response_times import ResponseTimes
 from bitterntiller.components.http.pool import ConnectionPool
-from bitterntiller.components.http.server import ServerLimits
+from bitterntiller.components.http.server import HttpServer, ServerLimits
 from bitterntiller.components.node.models import Host
 from bitterntiller.components.settings.models import Limits, Timings
 from bitterntiller.core.clock import RuntimeClock
@@ -184,6 +184,7 @@
     requests: list[bytes]
     context: Context
     coordinator: EntryCoordinator
+    server: HttpServer
 
     async def async_ask(self, data: bytes) -> bytes:
         """Send a request; return data until the last chunk, a close or a timeout."""
@@ -231,6 +232,7 @@
     stream_versions: StreamVersions | None = None,
     crashes: CrashWatch | None = None,
     upstreams: DepartingView | None = None,
+    shutdown: float = 5.0,
 ) -> AsyncIterator[EntryHost]:
     """Run an entry host of the platform with one upstream."""
     limits = limits or Limits()
@@ -247,7 +249,7 @@
         config = parse_configuration(configuration or document(), 1)
         context = Context(
             host="a",
-            timings=Timings(upstream_idle=0.5, body=body_seconds, shutdown=5.0),
+            timings=Timings(upstream_idle=0.5, body=body_seconds, shutdown=shutdown),
             clock=clock,
             metrics=fakes.FakeMetrics(),
             links=links,
@@ -268,5 +270,5 @@
         links.coordinator = coordinator
         server_limits = server_limits._replace(connections=limits.connections)
         served = serving(coordinator.pipeline.async_serve, server_limits)
-        _, port = await stack.enter_async_context(served)
-        yield EntryHost(port, links, got, context, coordinator)
+        server, port = await stack.enter_async_context(served)
+        yield EntryHost(port, links, got, context, coordinator, server)
