--- a/tests/platform/test_cut_causes.py
+++ b/tests/platform/test_cut_causes.py
@@ -1,5 +1,6 @@
 """What may end a response to a caller, what may not, and one line for each cut."""
 
+import struct
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -17,6 +18,7 @@
 from tests.platform.test_reload import Holder
 from tests.platform.test_settings import FILE
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 ONCE = builders.document(builders.route(stream_resume=False))
 Act = Callable[[EntryHost], Awaitable[None]]
 
@@ -197,3 +199,43 @@
     (line,) = cut
     assert (line["by"], line["reason"]) == ("upstream", "lost-answer")
     assert "event larger than" in line["detail"]
+
+
+def test_caller_that_stops_reading_is_cut_by_itself_once():
+    """caller_write is over before the silence that it causes is seen elsewhere."""
+
+    async def async_flood(sock: Any, data: bytes, number: int) -> None:
+        await sock.sendall(builders.STREAM_HEAD)
+        for count in range(1, 200):
+            await sock.sendall(chunk(event(count, "x" * 50_000)))
+
+    async def async_ask() -> None:
+        limits = LIMITS._replace(write_timeout=0.2)
+        async with builders.entry_host(async_flood, ONCE, server_limits=limits) as host:
+            sock = await curio.open_connection("127.0.0.1", host.port)
+            async with sock:
+                await sock.sendall(builders.request())
+                await curio.sleep(1.0)
+
+    with recording() as recorded:
+        curio.run(async_ask)
+    (line,) = recorded.by_kind["response-cut"]
+    assert (line["by"], line["reason"]) == ("caller", "caller-gone")
+    assert "stopped reading" in line["detail"]
+
+
+def test_caller_that_resets_its_connection_is_cut_by_itself_once():
+    async def async_ask() -> None:
+        async with builders.entry_host(async_slow_stream, ONCE) as host:
+            sock = await curio.open_connection("127.0.0.1", host.port)
+            await sock.sendall(builders.request())
+            await curio.sleep(0.1)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            await sock.close()
+            await curio.sleep(0.5)
+
+    with recording() as recorded:
+        curio.run(async_ask)
+    (line,) = recorded.by_kind["response-cut"]
+    assert (line["by"], line["reason"]) == ("caller", "caller-gone")
+    assert line["output"] == 1
