--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -15,7 +15,7 @@
 from bitterntiller.components.entry.response_times import ResponseTimes
 from bitterntiller.components.entry.retry_budget import RetryBudget
 from bitterntiller.components.http.pool import ConnectionPool
-from bitterntiller.components.http.server import ServerLimits
+from bitterntiller.components.http.server import HttpServer, ServerLimits
 from bitterntiller.components.node.models import Host
 from bitterntiller.components.settings.models import Limits, Timings
 from bitterntiller.core.clock import RuntimeClock
@@ -185,6 +185,7 @@
     requests: list[bytes]
     context: Context
     coordinator: EntryCoordinator
+    server: HttpServer
 
     async def async_ask(self, data: bytes, seconds: float = 1.0) -> bytes:
         """Send a request; return data until the last chunk, a close or a timeout."""
@@ -234,6 +235,7 @@
     upstreams: DepartingView | None = None,
     idle_seconds: float = 0.5,
     retries: RetryBudget | None = None,
+    shutdown: float = 5.0,
 ) -> AsyncIterator[EntryHost]:
     """Run an entry host of the platform with one upstream."""
     limits = limits or Limits()
@@ -251,7 +253,7 @@
         context = Context(
             host="a",
             timings=Timings(
-                upstream_idle=idle_seconds, body=body_seconds, shutdown=5.0
+                upstream_idle=idle_seconds, body=body_seconds, shutdown=shutdown
             ),
             clock=clock,
             metrics=fakes.FakeMetrics(),
@@ -274,5 +276,5 @@
         links.coordinator = coordinator
         server_limits = server_limits._replace(connections=limits.connections)
         served = serving(coordinator.pipeline.async_serve, server_limits)
-        _, port = await stack.enter_async_context(served)
-        yield EntryHost(port, links, got, context, coordinator)
+        server, port = await stack.enter_async_context(served)
+        yield EntryHost(port, links, got, context, coordinator, server)
