HTTP client: this end's own timeout is no end of a response, and no broken path

What callers saw: a stream or call without length and chunks whose upstream was silent for longer than the read timeout ended as if it were whole. Also after a reset that the sending of a long request saw first.

Cause: the timeout shuts the socket down so that the reader wakes; the read then returns an end of file, which ends a response without framing. And broke was set for it, so that the path was recorded as truncating although the probe over it was answered.

Change: the reader raises what this end gave up for (timed_out, or the error of the sender). A timeout asks for a check of the path like a lost request, and records no truncating path. The sender's task no longer raises.

Ruled out: the relay (it passes on what the client reports), responses with length or chunks (h11 raises there).

Why it holds: only what the upstream sent can end a response.

--- a/bitterntiller/components/entry/path_report.py
+++ b/bitterntiller/components/entry/path_report.py
@@ -36,6 +36,9 @@
 
     async def async_end(self) -> None:
         """Report the end of a response, which may have broken off."""
+        if self.connected.client.timed_out:
+            await self.async_silent()
+            return
         if self.connected.client.broke:
             await self.connector.async_record_fault(
                 self.destination, self.connected, PathFault.TRUNCATED
--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 client for upstreams, with one exchange at a time per connection."""
 
+import contextlib
 from typing import Any, Protocol
 
 import curio
@@ -51,7 +52,8 @@
     a response is incomplete.
 
     sent_bytes and received_bytes count those of the current exchange. broke is set once
-    its response was lost or truncated.
+    its response was lost or truncated, timed_out if the upstream was silent for longer
+    than this end waits.
     """
 
     def __init__(self, sock: Any, allow_close_delimited: bool = False) -> None:
@@ -60,6 +62,7 @@
         self.sent_bytes = 0
         self.received_bytes = 0
         self.broke = False
+        self.timed_out = False
         self._allow_close_delimited = allow_close_delimited
         self._keep_alive: float | None = None
         self._sock = sock
@@ -71,7 +74,7 @@
         self._buffer_drained = False
         self._idle_ticks = 0
         self._read_timeout_task: curio.Task | None = None
-        self._timed_out = ""
+        self._failure = ""
         self._watch: SilenceWatch | None = None
         self._silent = False
         self._sender: curio.Task | None = None
@@ -172,7 +175,8 @@
             if watch is not None and passed and not early:
                 self._silent = True
                 await watch.async_begin_silence()
-        self._timed_out = no_data_text(timeout)
+        self.timed_out = True
+        self._failure = no_data_text(timeout)
         try:
             await self._sock.shutdown(socket.SHUT_RDWR)
         except OSError:
@@ -221,8 +225,10 @@
         """Send a long request; a failure shows when the response is read."""
         try:
             await self._sock.sendall(data)
-        except OSError:
-            await self._sock.shutdown(socket.SHUT_RD)
+        except OSError as error:
+            self._failure = f"sending broke: {error!r}"
+            with contextlib.suppress(OSError):
+                await self._sock.shutdown(socket.SHUT_RD)
 
     async def async_head(
         self, timeout: float, watch: SilenceWatch | None = None
@@ -340,7 +346,7 @@
             async with curio.timeout_after(timeout):
                 return await self._async_next()
         except curio.TaskTimeout as error:
-            self.broke = True
+            self.timed_out = True
             text = no_data_text(max(timeout, waited))
             raise IncompleteResponseError(text) from error
 
@@ -360,6 +366,8 @@
                 if event is h11.NEED_DATA:
                     data = await self._sock.recv(const.READ_BYTES)
                     self._idle_ticks = 0
+                    if self._failure and not data:
+                        raise IncompleteResponseError(self._failure)
                     if self._silent and data:
                         await self._async_end_silence()
                     self.received_bytes += len(data)
@@ -371,7 +379,7 @@
             raise IncompleteResponseError(f"reading broke: {error!r}") from error
         if isinstance(event, h11.RemoteProtocolError):
             self.broke = True
-            text = self._timed_out or (CLOSED_EARLY if closed else str(event))
+            text = CLOSED_EARLY if closed else str(event)
             raise IncompleteResponseError(text) from event
         return event
 
