HTTP client: a caller that pauses is not taken for a silent upstream

What callers saw: one that reads nothing for longer than the read timeout (from 1.0 s on for a resumable stream) got its stream cut, or it was run again at another upstream, whose connection was read as slowly.

Cause: the time without data was counted while nobody read: the relay waited for its caller, the upstream for the relay.

Change: the time counts only while the reader waits for data.

Ruled out: the write timeout towards callers, which is longer and holds on.

Why it holds: a silent run can be given up for another only while its task waits for data, so never in the middle of a write to the caller.

--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -75,6 +75,7 @@
         self._idle_ticks = 0
         self._read_timeout_task: curio.Task | None = None
         self._failure = ""
+        self._awaiting = False
         self._watch: SilenceWatch | None = None
         self._silent = False
         self._sender: curio.Task | None = None
@@ -169,7 +170,8 @@
         interval = shortest / const.READ_TIMEOUT_CHECKS
         most_ticks = round(timeout / interval)
         while self._idle_ticks <= most_ticks:
-            self._idle_ticks += 1
+            # While the caller reads nothing, neither is the upstream read.
+            self._idle_ticks = self._idle_ticks + 1 if self._awaiting else 0
             await curio.sleep(interval)
             passed, early = divmod(self._idle_ticks - 1, const.READ_TIMEOUT_CHECKS)
             if watch is not None and passed and not early:
@@ -364,7 +366,9 @@
                 if not self._buffer_drained:
                     event = self._next_buffered_event()
                 if event is h11.NEED_DATA:
+                    self._awaiting = True
                     data = await self._sock.recv(const.READ_BYTES)
+                    self._awaiting = False
                     self._idle_ticks = 0
                     if self._failure and not data:
                         raise IncompleteResponseError(self._failure)
