Relay: a routed response that goes on before its deadline is relayed whole

What callers saw: a response that no other upstream can continue was cut after upstream_idle of silence, with time left, though its upstream went on.

Change: a routed response breaks by silence at its deadline, at the earliest after upstream_idle. Others keep upstream_idle: their deadline may be hours.

Ruled out: that dead upstreams hold callers longer: their connections end by keep-alive, and callers of streams leave after a gap.

Evidence: test_response_that_goes_on_after_a_silence_is_relayed_whole, 2 of 2 failed on, 2 pass.

Conclusion: silence alone ends no routed response any more.

--- a/bitterntiller/components/entry/relay.py
+++ b/bitterntiller/components/entry/relay.py
@@ -54,7 +54,7 @@
         self._active = active
         self._context = context
         self._run = run
-        self._idle = context.timings.upstream_idle
+        self._idle = self._idle_timeout()
         method = active.prepared.identified.received.head.method
         self._bodyless = method == "HEAD"
         self._output_since: float | None = None
@@ -98,6 +98,17 @@
         self._active.cut = Cut(CutBy.UPSTREAM, LOST_RESPONSE, self._broken_by)
         await self._exchange.async_cut()
 
+    def _idle_timeout(self) -> float:
+        """Return the seconds without data after which a response counts as broken.
+
+        A routed response may still be whole before its deadline.
+        """
+        idle = self._context.timings.upstream_idle
+        if self._active.route is None:
+            return idle
+        deadline = self._active.prepared.identified.deadline
+        return max(idle, deadline - self._context.clock.now())
+
     def _watch(self) -> SilenceWatch | None:
         """Return what is told that the upstream is silent, None if nothing is."""
         route = self._active.route
--- a/tests/platform/test_unframed_responses.py
+++ b/tests/platform/test_unframed_responses.py
@@ -11,7 +11,7 @@
 from bitterntiller.components.http.errors import IncompleteResponseError
 from tests.core.event_recorder import recording
 from tests.platform import builders
-from tests.platform.builders import event
+from tests.platform.builders import chunk, event
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Engine-Signature: s1\r\n"
 STREAM_HEAD = HEAD + b"Content-Type: text/event-stream\r\n\r\n"
@@ -89,3 +89,22 @@
 
     with pytest.raises(IncompleteResponseError):
         curio.run(async_read)
+
+
+@pytest.mark.parametrize("kind", ["stream", "call"])
+def test_response_that_goes_on_after_a_silence_is_relayed_whole(kind):
+    """Silence is no end: nothing else can continue this response, and time is left."""
+
+    async def async_pause(sock: Any, data: bytes, number: int) -> None:
+        if kind == "stream":
+            await sock.sendall(builders.STREAM_HEAD + chunk(event(1)))
+            await curio.sleep(0.8)
+            await sock.sendall(chunk(event(2)) + builders.LAST_CHUNK)
+            return
+        await sock.sendall(HEAD + b"Content-Length: 8\r\n\r\nhalf")
+        await curio.sleep(0.8)
+        await sock.sendall(b"half")
+
+    received, ended = outcomes(async_pause, kind)
+    assert is_whole(received)
+    assert ended == ["done"]
