Logs: a response whose last write fails is logged as cut

Cause: an exchange counts as finished before its last write, so that a caller that closes right after the last byte isn't taken for gone; a write that failed left no response-cut line.

Change: sent is set after the write, and decides whether there is a line.

Before: the test failed on (no line); after: it passes. Ruled out: setting finished later, which counts callers as gone that have everything.

Conclusion: each response that isn't sent whole has its line.

--- a/bitterntiller/components/entry/pipeline.py
+++ b/bitterntiller/components/entry/pipeline.py
@@ -169,7 +169,7 @@
             await self._async_abandon(active, FAULT)
             raise
         finally:
-            if not (exchange.finished or active.stopped):
+            if not (exchange.sent or active.stopped):
                 log_cut(self._context, active, exchange.started)
             self._admission.release_quota(active)
             self._registry.remove(active)
--- a/bitterntiller/components/http/exchange.py
+++ b/bitterntiller/components/http/exchange.py
@@ -236,13 +236,17 @@
 
 
 class Exchange:
-    """A request and its response; body_bytes counts the bytes of its body so far."""
+    """A request and its response; body_bytes counts the bytes of its body so far.
+
+    finished is set before the end of the response is written, sent after that.
+    """
 
     def __init__(self, connection: ServerConnection, head: RequestHead) -> None:
         self.head = head
         self.connection = connection
         self.started = False
         self.finished = False
+        self.sent = False
         self.body_bytes = 0
 
     async def async_body(self, limit: int, timeout: float) -> bytes:
@@ -305,6 +309,7 @@
         self.finished = True
         if data:
             await self.connection.async_write(data)
+        self.sent = True
 
     async def async_cut(self) -> None:
         """Reset the connection without completing the response."""
@@ -328,3 +333,4 @@
         data += h11_connection.send(h11.EndOfMessage())
         self.finished = True
         await self.connection.async_write(data)
+        self.sent = True
--- a/tests/platform/test_slow_callers.py
+++ b/tests/platform/test_slow_callers.py
@@ -93,3 +93,26 @@
     assert cut == []
     assert sent == 1
     assert received.endswith(builders.LAST_CHUNK)
+
+
+def test_caller_that_resets_before_the_only_write_is_logged_as_cut():
+    """A response was marked as finished before its only write, which failed.
+
+    The watcher doesn't see the reset behind more pipelined bytes than it reads.
+    """
+
+    async def async_respond(sock: Any, data: bytes, number: int) -> None:
+        await curio.sleep(0.5)
+        await sock.sendall(builders.response(b"whole"))
+
+    async def async_reset(sock: Any) -> bytes:
+        await sock.sendall(b"POST /trees/2 HTTP/1.1\r\nX-Long: " + b"x" * 200_000)
+        await curio.sleep(0.2)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        await sock.close()
+        await curio.sleep(0.8)
+        return b""
+
+    _, sent, cut = ask(async_respond, CALL, 0.5, async_reset)
+    assert sent == 1
+    assert [line["by"] for line in cut] == ["caller"]
