HTTP server: a stop does not cancel a connection that has received a request

What callers saw: a request sent on a kept connection as its host begins to stop was read, and the connection closed without a response.

Cause: the drain cancels the tasks of idle connections. One whose bytes had arrived was ready to run; curio keeps its cancellation and delivers it at the next wait, in the middle of the request.

Change: only connections that have received nothing are cancelled; others serve the request and announce the close.

Ruled out: waiting for idle connections to end by themselves; callers keep them for seconds.

Why it holds: between the look at the socket and the cancellation no other task runs.

--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -18,7 +18,7 @@
     ResponseHead,
     header,
 )
-from bitterntiller.core.tcp import async_connect
+from bitterntiller.core.tcp import async_connect, is_quiet
 
 CLOSED_EARLY = "the upstream closed the connection before its answer was whole"
 
@@ -132,15 +132,7 @@
 
     def is_quiet(self) -> bool:
         """Return whether an idle connection has received nothing, not even its end."""
-        try:
-            with self._sock.blocking() as sock:
-                sock.setblocking(False)
-                sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+        return is_quiet(self._sock)
 
     async def async_close(self) -> None:
         """Close the connection."""
--- a/bitterntiller/components/http/server.py
+++ b/bitterntiller/components/http/server.py
@@ -20,7 +20,7 @@
 from bitterntiller.core.interfaces import Metrics
 from bitterntiller.core.listener import Listener
 from bitterntiller.core.runtime import Runtime
-from bitterntiller.core.tcp import enable_keepalive
+from bitterntiller.core.tcp import enable_keepalive, is_quiet
 
 ExchangeHandler = Callable[[Exchange], Awaitable[None]]
 
@@ -53,7 +53,7 @@
         self.busy = 0
         self.draining = False
         self._listener: Listener | None = None
-        self._idle_tasks: set[curio.Task] = set()
+        self._idle_by_task: dict[curio.Task, ServerConnection] = {}
 
     def set_limits(self, limits: ServerLimits) -> None:
         """Replace the limits, for open connections too."""
@@ -71,10 +71,15 @@
             await self._listener.async_close()
 
     async def async_drain(self) -> None:
-        """Close each connection after its current request and idle ones now."""
+        """Close each connection after its current request and idle ones now.
+
+        One that has received bytes isn't idle, though its task hasn't run yet: it would
+        be cancelled within the request.
+        """
         self.draining = True
-        for task in list(self._idle_tasks):
-            await task.cancel(blocking=False)
+        for task, connection in list(self._idle_by_task.items()):
+            if is_quiet(connection.sock):
+                await task.cancel(blocking=False)
 
     async def _async_connection(self, sock: Any) -> None:
         if self.connections >= self._limits.connections:
@@ -129,12 +134,12 @@
         if connection.request_begun:
             return True
         task = await curio.current_task()
-        self._idle_tasks.add(task)
+        self._idle_by_task[task] = connection
         try:
             async with curio.ignore_after(self._limits.keep_alive):
                 return await connection.async_wait_bytes()
         finally:
-            self._idle_tasks.discard(task)
+            self._idle_by_task.pop(task, None)
         return False
 
     def _reusable(self, connection: ServerConnection, exchange: Exchange) -> bool:
--- a/bitterntiller/core/tcp.py
+++ b/bitterntiller/core/tcp.py
@@ -51,3 +51,16 @@
     sock.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, min(seconds * 1000, 2**31 - 1)
     )
+
+
+def is_quiet(sock: Any) -> bool:
+    """Return whether an idle connection has received nothing, not even its end."""
+    try:
+        with sock.blocking() as blocking_sock:
+            blocking_sock.setblocking(False)
+            blocking_sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
