Platform: a stop ends within its grace period

What callers saw: hosts that were still there at the end of the grace time and were killed; responses in progress ended without a line, and the exit code was missing.

Cause: the wait for the balancer (2.6 s) came on top of the shutdown timeout, which is already the grace less a margin.

Change: the shutdown timeout counts from the beginning of the stop.

Ruled out: a shorter shutdown timeout, which would shorten the stop of the native daemon as well.

Conclusion: what has not ended is cut by the host itself, and logged.

--- a/bitterntiller/components/entry/coordinator.py
+++ b/bitterntiller/components/entry/coordinator.py
@@ -48,6 +48,7 @@
         self._owners_by_pool: dict[str, Ownership | None] = {}
         self._had_lease = True
         self.leaving = False
+        self._left_at = 0.0
         self.tunnel_server: TunnelServer | None = None
         self._claim_client = claim_client
         self._drain_listeners: list[Callable[[], Awaitable[None]]] = []
@@ -75,7 +76,12 @@
         return self.ready() and self._context.config.version > 0
 
     def leave(self) -> None:
-        """Report not ready from now on, but still serve requests that arrive."""
+        """Report not ready from now on, but still serve requests that arrive.
+
+        The shutdown timeout begins.
+        """
+        if not self.leaving:
+            self._left_at = self._context.clock.now()
         self.leaving = True
         if self.tunnel_server is not None:
             self.tunnel_server.draining = True
@@ -174,10 +180,13 @@
     async def async_drain(self) -> list[str]:
         """Refuse new requests and wait for the live ones, up to the shutdown timeout.
 
+        The timeout counts from the beginning of the stop, which may be earlier.
         Return the ids of the requests that were still in progress at the timeout.
         """
         await self.async_begin_drain()
-        async with curio.ignore_after(self._context.timings.shutdown):
+        elapsed = self._context.clock.now() - self._left_at
+        left = self._context.timings.shutdown - elapsed
+        async with curio.ignore_after(max(0.0, left)):
             # A request whose body is incomplete is counted in the budget only. Without
             # this check the host would stop while a caller sends its body.
             while self._has_work():
--- a/tests/platform/test_stops.py
+++ b/tests/platform/test_stops.py
@@ -3,11 +3,14 @@
 from typing import Any
 
 import curio
+from bitterntiller_platform.process import Parts, _async_stop
+from bitterntiller_platform.settings import load_settings
 
 from tests.core.event_recorder import recording
 from tests.platform import builders
 from tests.platform.builders import LAST_CHUNK, chunk, event
 from tests.platform.test_cut_causes import ONCE
+from tests.platform.test_settings import FILE
 
 
 async def async_send_all(sock: Any, data: bytes, number: int) -> None:
@@ -41,3 +44,46 @@
         received, _ = curio.run(async_ask)
     assert recorded.by_kind.get("response-cut", []) == []
     assert received.endswith(LAST_CHUNK)
+
+
+class _Anything:
+    """A fake part of a process that takes any call of a stop."""
+
+    def set_draining(self) -> None:
+        return
+
+    async def async_close(self) -> None:
+        return
+
+
+def test_stop_ends_within_the_grace_of_the_platform(tmp_path):
+    """The wait for the balancer came on top of it: requests were killed, not cut."""
+    grace = 3.4
+    path = tmp_path / "boot.conf"
+    path.write_text(FILE.replace("bounds.grace_s=8", f"bounds.grace_s={grace}"))
+    shutdown = load_settings(path).settings.timings.shutdown
+
+    async def async_never_end(sock: Any, data: bytes, number: int) -> None:
+        await sock.sendall(builders.STREAM_HEAD)
+        for count in range(1, 50):
+            await sock.sendall(chunk(event(count)))
+            await curio.sleep(0.2)
+
+    async def async_stop() -> float:
+        async with builders.entry_host(
+            async_never_end, ONCE, shutdown=shutdown
+        ) as host:
+            sock = await curio.open_connection("127.0.0.1", host.port)
+            await sock.sendall(builders.request().replace(b": 3000", b": 9000"))
+            await curio.sleep(0.2)
+            requests = _Anything()
+            requests.async_begin_drain = host.server.async_drain
+            parts = Parts(_Anything(), host.coordinator, requests, None, None)
+            began = await curio.clock()
+            await _async_stop(parts)
+            return await curio.clock() - began
+
+    with recording() as recorded:
+        seconds = curio.run(async_stop)
+    assert [line["by"] for line in recorded.by_kind["response-cut"]] == ["stop"]
+    assert seconds <= grace
