Dispatch: an upstream that brings output is reached, and no longer sick by silence

What callers saw: after a silence of a second an upstream with running streams got no request until all of these had ended and a trial had succeeded; one host's lost responses made an upstream sick for all hosts while others got output from it. The record's sick upstreams have 7 to 10 requests in flight and a last sign of work 0.8 to 1.1 s old.

Cause: only a whole response showed that a host reaches an upstream, and only that ended the pause of an unhealthy one; streams last seconds.

Change: output of a running request shows that its host reaches the upstream, and ends a pause that rests on failures without a response. Failed responses still need a good one.

Ruled out: letting output end any pause; an upstream that fails a part of its requests goes on with others.

Conclusion: one host's silence is not the upstream's, and silence ends with the first output.

--- a/bitterntiller/components/dispatch/model_updater.py
+++ b/bitterntiller/components/dispatch/model_updater.py
@@ -41,6 +41,7 @@
             return
         upstream.last_active_at = now
         upstream.reports_progress = True
+        self._pool.record_output(upstream, job.request.entry_host, now)
         if job.first_output_at is None and job.tokens_seen == 0:
             when = now
             if first is not None and not job.adopted:
--- a/bitterntiller/components/dispatch/pool.py
+++ b/bitterntiller/components/dispatch/pool.py
@@ -344,7 +344,9 @@
             self._record_reached(upstream, host, now)
         elif self._record_failed_path(upstream, host, reason, now):
             return
-        if upstream.health.record_failure(now, reason == REASON_REFUSED_CONNECTION):
+        certain = reason == REASON_REFUSED_CONNECTION
+        responded = reason not in PATH_FAILURES
+        if upstream.health.record_failure(now, certain, responded):
             event = upstream.event(UpstreamChange.UNHEALTHY, now)
             self.events.record(event._replace(entry_host=host, reason=reason))
 
@@ -358,6 +360,12 @@
         if was_unhealthy:
             self._record_change(upstream, UpstreamChange.HEALTHY, now)
 
+    def record_output(self, upstream: Upstream, host: str, now: float) -> None:
+        """Record output of a request that runs at an upstream for a host."""
+        self._record_reached(upstream, host, now)
+        if upstream.health.record_output():
+            self._record_change(upstream, UpstreamChange.HEALTHY, now)
+
     def excluded(self, host: str, now: float) -> frozenset[str]:
         """Return the upstreams to which an entry host must not send requests now."""
         paused = self.pauses.names(host, now)
