Entry: a request that may have run and is given up is not recorded as not run

Owner, metrics and claims were told not-run; a claim would have been voided.

Change: the end is recorded as what the caller is told.

Before: the test's new line failed (not-run, 503); after: it passes.

Ruled out: the refusal towards the caller, which was right.

Conclusion: logs, metrics and owner agree with the caller.

--- a/bitterntiller/components/entry/pipeline.py
+++ b/bitterntiller/components/entry/pipeline.py
@@ -217,8 +217,9 @@
             await self._async_record_end(active, outcome, verdict.status)
             return
         if active.may_have_run or active.has_run:
+            verdict = _as_possibly_run(verdict)
             await self._async_record_end(active, verdict.outcome, verdict.status)
-            await self._async_send_ending(exchange, active, _as_possibly_run(verdict))
+            await self._async_send_ending(exchange, active, verdict)
             return
         identified = active.prepared.identified
         await self._async_settle(active, verdict.outcome, verdict.status)
--- a/tests/platform/test_cut_responses.py
+++ b/tests/platform/test_cut_responses.py
@@ -45,8 +45,12 @@
             host.links.refused_as = "too-late"
             await host.async_ask(builders.request())
 
-    (line,) = cut_lines(async_ask)
+    with recording() as recorded:
+        curio.run(async_ask)
+    (line,) = recorded.by_kind["response-cut"]
     assert (line["by"], line["reason"], line["runs"]) == ("host", "too-late", 1)
+    (ended,) = recorded.by_kind["ended"]
+    assert (ended["outcome"], ended["status"]) == ("unknown", 502)
     assert line["config_version"] == line["config_now"] == 1
 
 
