Dispatch: a stream that has begun is not refused by the limits of its first output

What callers saw: streams that lost their upstream, or whose upstream was silent, after some seconds of output were not taken over though most of their time was left.

Cause: the owner judged a stream that looks for another upstream by start_by, when its caller would have given up without a first output; that lies in the past for any stream older than a few seconds.

Change: both limits end with the first output, at the owner and in new registrations; the deadline holds on.

Ruled out: new limits counted from the last event; a caller that gives up closes its connection, and the request ends with that.

Evidence: the new test failed without the change (refused) and passes with it.

Conclusion: what has begun waits at its old place until its deadline.

--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -231,6 +231,9 @@
             job.request = job.request._replace(
                 version=version, upstream_names=upstream_names
             )
+        if version is not None or job.tokens_seen:
+            # The limits of its first output don't apply to a stream that has begun.
+            job.request = job.request._replace(first_by=None, start_by=None)
         self._jobs.withdraw(job, now)
         self._regroup(now)
         if waiting:
--- a/bitterntiller/components/entry/owner_messages.py
+++ b/bitterntiller/components/entry/owner_messages.py
@@ -23,9 +23,12 @@
 ) -> messages.Register:
     """Return the registration of a request, with its times relative to now.
 
-    Its route is included while a rollout of its service is being evaluated.
+    Its route is included while a rollout of its service is being evaluated. A stream
+    that has begun has no limits for its first output any more.
     """
     identified = active.prepared.identified
+    first_by = None if active.begun else identified.first_by
+    start_by = None if active.begun else identified.start_by
     estimate = active.prepared.estimate
     return messages.Register(
         request_id=active.request_id,
@@ -40,8 +43,8 @@
         waited_ms=milliseconds(now - identified.received.arrived),
         tried=list(active.tried),
         prefix_tokens=list(estimate.prefix_tokens) or None,
-        first_by_ms=_left_ms(identified.first_by, now),
-        start_by_ms=_left_ms(identified.start_by, now),
+        first_by_ms=_left_ms(first_by, now),
+        start_by_ms=_left_ms(start_by, now),
         fingerprint=active.fingerprint or None,
         route=_judged_route(active, versions),
         version=active.required_version,
--- a/tests/components/dispatch/test_objectives.py
+++ b/tests/components/dispatch/test_objectives.py
@@ -223,3 +223,20 @@
     [engine] = scheduler._pool.upstreams_by_name.values()
     seconds = engine.speed.prefill_seconds(6000, 0)
     assert (seconds < 0.15) == reported
+
+
+def test_stream_that_has_begun_is_not_refused_by_the_limit_of_its_first_output():
+    """A stream that looked for another upstream was too old for a first output."""
+    scheduler = new_scheduler()
+    terms = {"first_by": NOW + 0.4, "start_by": NOW + 2, "deadline": NOW + 30}
+    assert ids(scheduler.register(request("stream", **terms), NOW)) == ["stream"]
+    scheduler.started("stream", NOW)
+    scheduler.register(request("next", tier_rank=0, deadline=NOW + 30), NOW)
+    scheduler.announce(upstream("other", slots=1), NOW)
+    scheduler.register(request("more", tier_rank=0, deadline=NOW + 30), NOW)
+    names = frozenset({"other"})
+    decisions = scheduler.returned(
+        "stream", "upstream-silent", True, NOW + 3, "v1", names
+    )
+    decisions += scheduler.tick(NOW + 3.1)
+    assert ids(decisions, Refused) == []
