Paths: an answer to what was sent before a fault does not end it

Cause: HostPaths compared only the bytes of an answer with those that were lost, not the time. An answer that was under way when a path failed (to a request, a probe, a check, through a tunnel, or the end of a long response) ended the fault, and the next requests were lost on the path once more. The reverse as well: a connect that had hung, or a response that broke off, failed a path anew that had been regained since it was begun; and an answer through a host between to what was sent before that host failed put it first again.

Change: Connected says when it was acquired, probes and tunnels when they sent; HostPaths keeps the time of the last fault and of the regaining by address, and compares. A fault of what began before the last known one does not move that time, or requests that time out one by one would hold back the end of a fault. What a check finds counts from the beginning of its probe.

Ruled out: the time of sending from the attempt, as the time of acquiring comes before it and is as safe: an answer that is passed over by the difference costs one probe.

Existing tests pass the times; no bound was changed.

--- a/bitterntiller/components/paths/host_paths.py
+++ b/bitterntiller/components/paths/host_paths.py
@@ -32,14 +32,16 @@
 class HostPaths:
     """The failed paths of this host by upstream address; working ones aren't kept.
 
-    A path counts as failed from a fault until it has carried an answer of the upstream,
-    with at least as many bytes as it had lost.
+    A path counts as failed from a fault until it has carried an answer of the upstream
+    to what was sent after that fault, with at least as many bytes as it had lost. A
+    fault of what began before the path was regained doesn't count.
     """
 
     def __init__(self, zone: str, rng: random.Random | None = None) -> None:
         self._zone = zone
         self._rng = rng or random.Random()
         self._failed_by_address: dict[str, FailedPath] = {}
+        self._regained_at_by_address: dict[str, float] = {}
         self._silent_at = float("-inf")
         self._relay_results: dict[tuple[str, str], tuple[bool, float]] = {}
 
@@ -76,15 +78,24 @@
         self._failed_by_address[address] = after
         return True
 
-    def record_carried(self, address: str, carried: CarriedBytes) -> bool:
-        """Record an answer of an upstream; return whether its path had failed.
+    def record_carried(
+        self, address: str, carried: CarriedBytes, sent_at: float, now: float
+    ) -> bool:
+        """Record an answer of an upstream; return whether it ends a fault of its path.
 
-        The other failed paths are probed at once, since they may work as well.
+        sent_at is when the request that it answers was sent, or an earlier time. The
+        other failed paths are probed at once, since they may work as well.
         """
         known = self._failed_by_address.get(address)
-        if known is None or not carried.covers(known.needed):
+        if known is None or sent_at <= known.fault_at:
+            return False
+        if not carried.covers(known.needed):
             return False
         del self._failed_by_address[address]
+        self._regained_at_by_address.pop(address, None)
+        self._regained_at_by_address[address] = now
+        while len(self._regained_at_by_address) > MAX_KEPT_PATHS:
+            del self._regained_at_by_address[next(iter(self._regained_at_by_address))]
         for other, path in self._failed_by_address.items():
             self._failed_by_address[other] = path._replace(probe_at=0.0)
         return True
@@ -97,17 +108,26 @@
         now: float,
         needed: CarriedBytes = NO_BYTES,
         pool: str = "",
+        began_at: float | None = None,
     ) -> bool:
         """Record a fault; return whether the path counted as working.
 
-        needed is what the path must carry to count as working again.
+        needed is what the path must carry to count as working again. began_at is when
+        that which failed was begun, now if it isn't given.
         """
+        began_at = now if began_at is None else began_at
+        if began_at < self._regained_at_by_address.get(address, float("-inf")):
+            return False
         if fault is PathFault.SILENT:
             self._silent_at = now
         known = self._failed_by_address.get(address)
         if known is not None:
+            # What began before the last fault shows nothing of the time after it.
+            again = began_at > known.fault_at
             self._failed_by_address[address] = known._replace(
-                fault=fault, needed=known.needed.most(needed.bounded())
+                fault=fault,
+                needed=known.needed.most(needed.bounded()),
+                fault_at=now if again else known.fault_at,
             )
             return False
         self._failed_by_address[address] = FailedPath(
@@ -116,6 +136,7 @@
             fault=fault,
             needed=needed.bounded(),
             failed_at=now,
+            fault_at=now,
             used_at=now,
             probe_at=now + PROBE_PERIOD,
             # At once: the upstream may have truncated its response by itself.
@@ -158,10 +179,25 @@
                 )
         return due
 
-    def record_relay(self, address: str, relay: str, reached: bool, now: float) -> None:
-        """Record whether another host reached an upstream for this one."""
+    def record_relay(
+        self,
+        address: str,
+        relay: str,
+        reached: bool,
+        now: float,
+        sent_at: float | None = None,
+    ) -> None:
+        """Record whether another host reached an upstream for this one.
+
+        An answer to what was sent before that host failed to doesn't count. sent_at is
+        now if it isn't given.
+        """
+        sent_at = now if sent_at is None else sent_at
         for key in ((address, relay), ("", relay)):
-            self._relay_results.pop(key, None)
+            known = self._relay_results.pop(key, None)
+            if reached and known is not None and not known[0] and sent_at < known[1]:
+                self._relay_results[key] = known
+                continue
             self._relay_results[key] = (reached, now)
         while len(self._relay_results) > MAX_KEPT_PATHS:
             del self._relay_results[next(iter(self._relay_results))]
--- a/bitterntiller/components/paths/models.py
+++ b/bitterntiller/components/paths/models.py
@@ -51,9 +51,11 @@
 class FailedPath(NamedTuple):
     """A path that has failed and was not seen to work since.
 
-    needed is what it must carry to count as working. probe_at is the time of the next
-    probe. trial_at is the time from which a repeatable request tests it, trial_pause
-    the time between the last two, unrepeatable_at the time from which any request does.
+    needed is what it must carry to count as working. failed_at is the time of its first
+    fault, fault_at that of its last one: only an answer to what was sent after that
+    shows that it works. probe_at is the time of the next probe. trial_at is the time
+    from which a repeatable request tests it, trial_pause the time between the last two,
+    unrepeatable_at the time from which any request does.
     """
 
     upstream: str
@@ -61,6 +63,7 @@
     fault: PathFault
     needed: CarriedBytes
     failed_at: float
+    fault_at: float
     used_at: float
     probe_at: float
     trial_at: float
--- a/bitterntiller/components/tunnels/checks.py
+++ b/bitterntiller/components/tunnels/checks.py
@@ -69,23 +69,29 @@
         return list(self._running_by_address)
 
     async def async_start(
-        self, destination: Destination, fault: PathFault, carried: CarriedBytes
+        self,
+        destination: Destination,
+        fault: PathFault,
+        carried: CarriedBytes,
+        sent_at: float,
     ) -> None:
         """Check the path on which a response was lost or truncated, in the background.
 
-        A path is checked once each CHECK_PERIOD.
+        sent_at is when its request was sent. A path is checked once each CHECK_PERIOD.
         """
         address = destination.address
         if address in self._running_by_address or not self._is_due(address):
             return
         if self._paths.leads_around(address):
             # It was sent to test a failed path, so there is nothing to check.
-            self._direct.record_failed(destination, fault, "", carried)
+            self._direct.record_failed(destination, fault, "", sent_at, carried)
             return
         if len(self._running_by_address) >= MAX_CHECKS:
             return
         self._running_by_address[address] = curio.Event()
-        await curio.spawn(self._async_check, destination, fault, carried, daemon=True)
+        await curio.spawn(
+            self._async_check, destination, fault, carried, sent_at, daemon=True
+        )
 
     async def async_settle(self, address: str) -> None:
         """Wait for the end of a check of a path, for SETTLE_SECONDS at most."""
@@ -95,18 +101,25 @@
                 await running.wait()
 
     async def _async_check(
-        self, destination: Destination, fault: PathFault, carried: CarriedBytes
+        self,
+        destination: Destination,
+        fault: PathFault,
+        carried: CarriedBytes,
+        sent_at: float,
     ) -> None:
         address = destination.address
         began = self._clock.now()
         try:
             result = await self._async_result(destination, carried)
             if result is CheckResult.PATH_FAILED:
+                text = "it answers through another"
                 self._direct.record_failed(
-                    destination, PathFault.LOST, "it answers through another", carried
+                    destination, PathFault.LOST, text, began, carried
                 )
             elif result is CheckResult.WORKS and fault is PathFault.TRUNCATED:
-                self._direct.record_failed(destination, fault, "broke off", carried)
+                self._direct.record_failed(
+                    destination, fault, "broke off", sent_at, carried
+                )
             log_path_check(destination, fault, result, self._clock.now() - began)
         finally:
             self._record_checked(address)
@@ -153,12 +166,13 @@
         try:
             probe = destination._replace(probe=True)
             sock = await self._relays.async_open(probe, relay)
+            sent_at = self._clock.now()
             client = ClientExchange(sock, self._allow_close_delimited)
             try:
                 answered = await self._prober.async_answers(client, destination, size)
             finally:
                 await client.async_close()
-            self._relays.record_result(destination, relay.name, answered)
+            self._relays.record_result(destination, relay.name, answered, sent_at)
         except TunnelError:
             pass
         await results.put(answered)
--- a/bitterntiller/components/tunnels/connector.py
+++ b/bitterntiller/components/tunnels/connector.py
@@ -10,10 +10,14 @@
 
 
 class Connected(NamedTuple):
-    """A connection to an upstream; relay is the host that it leads through, if any."""
+    """A connection to an upstream; relay is the host that it leads through, if any.
+
+    acquired_at is when it was open for its exchange: the request is sent after that.
+    """
 
     client: ClientExchange
     relay: str = ""
+    acquired_at: float = 0.0
 
 
 class Connector(ProcessProbes, Protocol):
--- a/bitterntiller/components/tunnels/direct.py
+++ b/bitterntiller/components/tunnels/direct.py
@@ -38,12 +38,13 @@
         self, destination: Destination, timeout: float
     ) -> ClientExchange:
         """Return a new direct connection; record a fault of the path."""
+        began = self._clock.now()
         try:
             return await self._connections.async_open(destination.address, timeout)
         except ConnectRefusedError as error:
             refused = isinstance(error.__cause__, ConnectionRefusedError)
             fault = PathFault.REFUSED if refused else PathFault.SILENT
-            self.record_failed(destination, fault, error.text)
+            self.record_failed(destination, fault, error.text, began)
             raise
 
     def record_failed(
@@ -51,9 +52,13 @@
         destination: Destination,
         fault: PathFault,
         detail: str,
+        began_at: float,
         needed: CarriedBytes = NO_BYTES,
     ) -> None:
-        """Record and log a fault of the path to an upstream."""
+        """Record and log a fault of the path to an upstream.
+
+        began_at is when that which failed on it was begun.
+        """
         if self._paths.record_failed(
             destination.address,
             destination.upstream,
@@ -61,12 +66,16 @@
             self._clock.now(),
             needed,
             destination.pool,
+            began_at,
         ):
             log_path(destination, False, detail, fault)
 
-    def record_carried(self, destination: Destination, carried: CarriedBytes) -> None:
-        """Record and log that an upstream answered over the path to it."""
-        if self._paths.record_carried(destination.address, carried):
+    def record_carried(
+        self, destination: Destination, carried: CarriedBytes, sent_at: float
+    ) -> None:
+        """Record and log that an upstream answered what was sent to it at a time."""
+        now = self._clock.now()
+        if self._paths.record_carried(destination.address, carried, sent_at, now):
             log_path(destination, True, "")
 
     async def async_is_replaced(self, sent: SentRequest) -> bool:
@@ -102,9 +111,11 @@
         try:
             client = await self.async_open(destination, const.PROBE_SECONDS)
             try:
+                sent_at = self._clock.now()
                 if not await self._prober.async_answers(client, destination, size):
                     return ProbeResult.NO_ANSWER
-                self.record_carried(destination, CarriedBytes(client.sent_bytes))
+                carried = CarriedBytes(client.sent_bytes)
+                self.record_carried(destination, carried, sent_at)
                 return ProbeResult.ANSWERED
             finally:
                 await client.async_close()
--- a/bitterntiller/components/tunnels/relayed.py
+++ b/bitterntiller/components/tunnels/relayed.py
@@ -67,7 +67,7 @@
                 address, self._paths.trusted_since(now)
             )
             if kept is not None:
-                return Connected(kept)
+                return self._connected(kept)
         self._paths.record_use(address, now)
         if not around:
             return await self._async_first_way(destination, timeout)
@@ -76,7 +76,10 @@
         except ConnectRefusedError:
             if self._would_lose(destination, repeatable):
                 raise
-            return Connected(await self._direct.async_open(destination, timeout))
+            return self._connected(await self._direct.async_open(destination, timeout))
+
+    def _connected(self, client: ClientExchange, relay: str = "") -> Connected:
+        return Connected(client, relay, self._clock.now())
 
     def _would_lose(self, destination: Destination, repeatable: bool) -> bool:
         """Return whether a request would be lost on its direct way for certain.
@@ -101,12 +104,14 @@
     ) -> None:
         """Record that an upstream's response has begun, or is complete."""
         if connected.relay:
-            self._relays.record_result(destination, connected.relay, True)
+            self._relays.record_result(
+                destination, connected.relay, True, connected.acquired_at
+            )
             return
         client = connected.client
         received = client.received_bytes if complete else 0
         carried = CarriedBytes(client.sent_bytes, received)
-        self._direct.record_carried(destination, carried)
+        self._direct.record_carried(destination, carried, connected.acquired_at)
 
     async def async_record_fault(
         self, destination: Destination, connected: Connected, fault: PathFault
@@ -117,13 +122,16 @@
         more than arrived of a truncated response.
         """
         if connected.relay:
-            self._relays.record_result(destination, connected.relay, False)
+            self._relays.record_result(
+                destination, connected.relay, False, connected.acquired_at
+            )
             return
         client = connected.client
         needed = CarriedBytes(client.sent_bytes, 0)
         if fault is PathFault.TRUNCATED:
             needed = CarriedBytes(0, client.received_bytes + 1)
-        await self._checks.async_start(destination, fault, needed)
+        sent_at = connected.acquired_at
+        await self._checks.async_start(destination, fault, needed, sent_at)
 
     async def async_confirm_refusal(self, sent: SentRequest) -> bool:
         """Return whether connections of other hosts to an upstream are refused."""
@@ -153,7 +161,7 @@
             async with curio.ignore_after(hedge):
                 result = await results.get()
             if isinstance(result, ClientExchange):
-                return Connected(result)
+                return self._connected(result)
             if result is not None:
                 return await self._async_relayed(destination, result.text)
             return await self._async_relayed(
@@ -220,7 +228,7 @@
                 if isinstance(result, Connected):
                     return result
                 if isinstance(result, ClientExchange):
-                    return Connected(result)
+                    return self._connected(result)
                 errors.append(result.text)
         finally:
             for task in tasks:
@@ -237,7 +245,7 @@
             await results.put(error)
             return
         client = ClientExchange(sock, self._connections.allow_close_delimited)
-        await results.put(Connected(client, relay.name))
+        await results.put(self._connected(client, relay.name))
 
     async def _async_close_late(self, results: curio.Queue) -> None:
         """Close the connections that were opened beside the one that is used."""
--- a/bitterntiller/components/tunnels/relays.py
+++ b/bitterntiller/components/tunnels/relays.py
@@ -73,11 +73,11 @@
         return sock
 
     def record_result(
-        self, destination: Destination, relay: str, reached: bool
+        self, destination: Destination, relay: str, reached: bool, sent_at: float
     ) -> None:
-        """Record whether an upstream answered through a host."""
+        """Record whether an upstream answered what was sent through a host."""
         now = self._clock.now()
-        self._paths.record_relay(destination.address, relay, reached, now)
+        self._paths.record_relay(destination.address, relay, reached, now, sent_at)
 
     def _record_failed(
         self,
--- a/bitterntiller/components/tunnels/server.py
+++ b/bitterntiller/components/tunnels/server.py
@@ -107,6 +107,7 @@
     async def _async_connect(self, request: Any) -> Opened:
         address = request.address
         ip, _, port = address.rpartition(":")
+        began = self._clock.now()
         timeout = min(max(request.connect_ms, 1) / 1000, const.MAX_CONNECT_SECONDS)
         try:
             sock = await async_connect(ip, int(port), timeout)
@@ -115,7 +116,7 @@
         except OSError as error:
             refused = isinstance(error, ConnectionRefusedError)
             fault = PathFault.REFUSED if refused else PathFault.SILENT
-            self._direct.record_failed(_destination(request), fault, repr(error))
+            self._direct.record_failed(_destination(request), fault, repr(error), began)
             status = const.STATUS_REFUSED if refused else const.STATUS_UNREACHABLE
             return Opened(status, f"{address}: {error!r}")
         return Opened(const.STATUS_OK, "", sock)
@@ -152,17 +153,22 @@
         destination = _destination(request)
 
         def record_answer() -> None:
-            self._direct.record_carried(destination, CarriedBytes(counts.sent))
+            carried = CarriedBytes(counts.sent)
+            self._direct.record_carried(destination, carried, counts.sent_at)
 
         async with curio.TaskGroup(wait=any) as group:
-            await group.spawn(_async_pass_to_upstream, sock, upstream, counts)
+            await group.spawn(
+                _async_pass_to_upstream, sock, upstream, counts, self._clock
+            )
             down = await group.spawn(
                 _async_pass_to_host, upstream, sock, counts, record_answer
             )
         # A check that led to further checks would spread over all hosts.
         if counts.sent and not counts.received and not request.probe:
             needed = CarriedBytes(counts.sent)
-            await self._checks.async_start(destination, PathFault.LOST, needed)
+            await self._checks.async_start(
+                destination, PathFault.LOST, needed, counts.sent_at
+            )
         events.emit(
             "tunnel-ended",
             request=request.request_id,
@@ -174,9 +180,13 @@
 
 
 class _Counts:
-    """The bytes that a tunnel has carried to an upstream and from it."""
+    """The bytes that a tunnel has carried to an upstream and from it.
+
+    sent_at is when it carried the first ones to the upstream.
+    """
 
     def __init__(self) -> None:
+        self.sent_at = 0.0
         self.sent = 0
         self.received = 0
 
@@ -190,9 +200,13 @@
     )
 
 
-async def _async_pass_to_upstream(sock: Any, upstream: Any, counts: _Counts) -> None:
+async def _async_pass_to_upstream(
+    sock: Any, upstream: Any, counts: _Counts, clock: Clock
+) -> None:
     try:
         while data := await sock.recv(const.READ_BYTES):
+            if not counts.sent:
+                counts.sent_at = clock.now()
             counts.sent += len(data)
             await upstream.sendall(data)
     except OSError:
--- a/tests/components/paths/test_host_paths.py
+++ b/tests/components/paths/test_host_paths.py
@@ -27,6 +27,8 @@
 REFUSED, SILENT, LOST, TRUNCATED = PathFault
 FAULTS = (REFUSED, SILENT, LOST)
 ANSWER = CarriedBytes(200, 0)
+LATER = (NOW + 2.0, NOW + 2.0)
+"""When a request was sent, and answered, after the faults of a test."""
 
 
 def paths(seed: int = 1) -> HostPaths:
@@ -44,8 +46,8 @@
     assert known.due_probes(NOW + 0.5) == []
     assert known.due_probes(NOW + PROBE_PERIOD) == [DueProbe("e1:1", "e1", "", 0)]
     assert known.due_probes(NOW + PROBE_PERIOD + 0.5) == []
-    assert known.record_carried("e1:1", ANSWER)
-    assert not known.record_carried("e1:1", ANSWER)
+    assert known.record_carried("e1:1", ANSWER, *LATER)
+    assert not known.record_carried("e1:1", ANSWER, *LATER)
     assert not known.is_failed("e1:1")
 
 
@@ -63,7 +65,7 @@
     known = paths()
     for number in range(3):
         known.record_failed(f"e{number}:1", f"e{number}", SILENT, NOW)
-    known.record_carried("e0:1", ANSWER)
+    known.record_carried("e0:1", ANSWER, *LATER)
     assert len(known.due_probes(NOW + 0.1)) == 2
 
 
@@ -147,12 +149,12 @@
         elif known.is_failed(address):
             known.record_use(address, now)
         elif works[address]:
-            known.record_carried(address, ANSWER)
+            known.record_carried(address, ANSWER, now, now)
         else:
             known.record_failed(address, address[:2], draw.choice(FAULTS), now)
         for due in known.due_probes(now):
             if works[due.address]:
-                known.record_carried(due.address, ANSWER)
+                known.record_carried(due.address, ANSWER, now, now)
             else:
                 known.record_failed(due.address, due.upstream, SILENT, now)
         for each, working in works.items():
@@ -165,9 +167,9 @@
     known = paths()
     known.record_failed("e1:1", "e1", LOST, NOW, CarriedBytes(sent=2000))
     assert known.due_probes(NOW + PROBE_PERIOD) == [DueProbe("e1:1", "e1", "", 2000)]
-    assert not known.record_carried("e1:1", CarriedBytes(sent=1999, received=9000))
+    assert not known.record_carried("e1:1", CarriedBytes(1999, 9000), *LATER)
     assert known.leads_around("e1:1")
-    assert known.record_carried("e1:1", CarriedBytes(sent=2000))
+    assert known.record_carried("e1:1", CarriedBytes(sent=2000), *LATER)
     assert not known.is_failed("e1:1")
 
 
@@ -176,16 +178,16 @@
     known = paths()
     known.record_failed("e1:1", "e1", TRUNCATED, NOW, CarriedBytes(10**9, 10**9))
     most = CarriedBytes(MAX_NEEDED_SENT, MAX_NEEDED_RECEIVED)
-    assert known.record_carried("e1:1", most)
+    assert known.record_carried("e1:1", most, *LATER)
 
 
 def test_path_on_which_a_response_broke_off_is_not_proved_by_a_shorter_one():
     known = paths()
     known.record_failed("e1:1", "e1", TRUNCATED, NOW, CarriedBytes(received=500))
     assert known.due_probes(NOW + PROBE_PERIOD) == []
-    assert not known.record_carried("e1:1", CarriedBytes(300, 499))
+    assert not known.record_carried("e1:1", CarriedBytes(300, 499), *LATER)
     assert known.leads_around("e1:1")
-    assert known.record_carried("e1:1", CarriedBytes(300, 500))
+    assert known.record_carried("e1:1", CarriedBytes(300, 500), *LATER)
 
 
 def test_later_refusal_does_not_lower_what_a_path_must_carry():
@@ -193,7 +195,7 @@
     known.record_failed("e1:1", "e1", LOST, NOW, CarriedBytes(sent=2000))
     known.record_failed("e1:1", "e1", REFUSED, NOW + 1)
     assert not known.leads_around("e1:1")
-    assert not known.record_carried("e1:1", CarriedBytes(sent=300))
+    assert not known.record_carried("e1:1", CarriedBytes(sent=300), *LATER)
     assert known.is_failed("e1:1")
 
 
@@ -240,3 +242,69 @@
     ]
     assert all("b" in order[:2] for order in orders)
     assert 10 < sum(order[0] != "b" for order in orders) < 60
+
+
+def test_answer_to_what_was_sent_before_a_fault_does_not_end_it():
+    """A path was taken for working by an answer that was under way."""
+    known = paths()
+    known.record_failed("e1:1", "e1", LOST, NOW, began_at=NOW - 0.1)
+    for sent_at in (NOW - 5.0, NOW - 0.05, NOW):
+        assert not known.record_carried("e1:1", ANSWER, sent_at, NOW + 0.01)
+    assert known.leads_around("e1:1")
+    assert known.due_probes(NOW + PROBE_PERIOD) == [DueProbe("e1:1", "e1", "", 0)]
+    assert known.record_carried("e1:1", ANSWER, NOW + 0.01, NOW + 0.02)
+    assert not known.is_failed("e1:1")
+
+
+def test_answer_to_what_was_sent_between_two_faults_does_not_end_the_second():
+    known = paths()
+    known.record_failed("e1:1", "e1", LOST, NOW)
+    known.record_failed("e1:1", "e1", LOST, NOW + 2.0, began_at=NOW + 1.0)
+    assert not known.record_carried("e1:1", ANSWER, NOW + 1.5, NOW + 2.1)
+    assert known.record_carried("e1:1", ANSWER, NOW + 2.1, NOW + 2.2)
+
+
+def test_response_that_began_before_a_truncated_one_does_not_end_its_fault():
+    """The end of a long stream proved a path on which responses broke off since."""
+    known = paths()
+    needed = CarriedBytes(received=500)
+    known.record_failed("e1:1", "e1", TRUNCATED, NOW, needed, began_at=NOW - 1.0)
+    long = CarriedBytes(300, 10**6)
+    assert not known.record_carried("e1:1", long, NOW - 20.0, NOW + 5.0)
+    assert known.is_failed("e1:1")
+
+
+def test_late_faults_of_before_a_known_one_do_not_hold_back_its_end():
+    """Requests that timed out one by one kept a path failed that worked again."""
+    known = paths()
+    known.record_failed("e1:1", "e1", LOST, NOW, began_at=NOW - 0.4)
+    for step in range(20):
+        at = NOW + step / 10
+        known.record_failed("e1:1", "e1", LOST, at, began_at=NOW - 0.1)
+    assert known.record_carried("e1:1", ANSWER, NOW + 0.5, NOW + 2.0)
+
+
+@pytest.mark.parametrize("fault", PathFault)
+def test_fault_of_what_began_before_a_path_was_regained_does_not_fail_it(fault):
+    """A path failed anew by a connect that had hung since before it worked again."""
+    known = paths()
+    known.record_failed("e1:1", "e1", LOST, NOW)
+    assert known.record_carried("e1:1", ANSWER, NOW + 1.0, NOW + 1.1)
+    assert not known.record_failed("e1:1", "e1", fault, NOW + 1.3, began_at=NOW + 0.5)
+    assert not known.is_failed("e1:1")
+    assert not known.is_suspect(NOW + 1.3)
+    assert known.record_failed("e1:1", "e1", fault, NOW + 1.3, began_at=NOW + 1.2)
+    assert known.is_failed("e1:1")
+
+
+def test_answer_through_another_host_to_what_was_sent_before_its_failure():
+    """A host over which a tunnel had just failed came first again."""
+    known = paths()
+    known.record_relay("e1:1", "c", False, NOW)
+    known.record_relay("e1:1", "c", True, NOW + 0.5, sent_at=NOW - 3.0)
+    hosts = candidates("b", "c")
+    lasts = {known.rank_relays("e1:1", hosts, (), NOW + 1)[-1].name for _ in range(50)}
+    assert lasts == {"c"}
+    known.record_relay("e1:1", "c", True, NOW + 0.5, sent_at=NOW + 0.1)
+    firsts = [known.rank_relays("e1:1", hosts, (), NOW + 1)[0].name for _ in range(100)]
+    assert firsts.count("c") > 80
--- a/tests/components/tunnels/test_checks.py
+++ b/tests/components/tunnels/test_checks.py
@@ -14,7 +14,9 @@
 from bitterntiller.components.paths.models import CarriedBytes, PathFault
 from bitterntiller.components.tunnels import const
 from bitterntiller.components.tunnels.client import Destination
+from bitterntiller.components.tunnels.probes import ProbeResult
 from tests.components.tunnels.builders import (
+    HANGS,
     PROBE_ANSWER,
     REFUSES,
     WITH_LENGTH,
@@ -367,3 +369,115 @@
 
     run(async_main)
     assert not [item for item in caplog.records if item.levelno >= logging.ERROR]
+
+
+def test_answer_that_was_under_way_does_not_end_a_fault_of_its_path():
+    """A lossy path was taken for working by an answer of before its first loss."""
+    go_on = curio.Event()
+
+    async def async_answer(sock: Any) -> None:
+        await go_on.wait()
+        await sock.sendall(WITH_LENGTH)
+
+    async def async_main() -> None:
+        async with hosts("a", "b") as (a, _), upstream(async_answer) as e:
+            early = await curio.spawn(async_send, a, e.destination())
+            await async_until(lambda: e.requests)
+            a.connections.mode = FOREIGN_ANSWER
+            assert await async_many(a, e, 1) == ["foreign direct"]
+            await async_until(lambda: a.paths.is_failed(e.address))
+            await go_on.set()
+            assert await early.join() == "whole direct"
+            assert a.paths.fault(e.address) is PathFault.LOST
+            assert await async_many(a, e, 2) == 2 * ["whole b"]
+
+    run(async_main)
+
+
+def test_tunnel_from_before_a_fault_does_not_end_it():
+    """A host between took its path for working by an answer that was under way."""
+    go_on = curio.Event()
+
+    async def async_answer(sock: Any) -> None:
+        await go_on.wait()
+        await sock.sendall(WITH_LENGTH)
+
+    async def async_main() -> None:
+        async with hosts("a", "b") as (a, b), upstream(async_answer) as e:
+            a.connections.mode = REFUSES
+            early = await curio.spawn(async_send, a, e.destination())
+            await async_until(lambda: e.requests)
+            now = b.connector._clock.now()
+            b.paths.record_failed(e.address, "e1", PathFault.LOST, now)
+            await go_on.set()
+            assert await early.join() == "whole b"
+            assert b.paths.is_failed(e.address)
+
+    run(async_main)
+
+
+def test_probe_from_before_a_fault_does_not_end_it():
+    go_on = curio.Event()
+
+    async def async_answer(sock: Any) -> None:
+        await go_on.wait()
+        await sock.sendall(PROBE_ANSWER)
+
+    async def async_main() -> None:
+        made = upstream(sending(WITH_LENGTH), async_answer)
+        async with hosts("a", "b") as (a, _), made as e:
+            direct = a.connector._direct
+            probe = await curio.spawn(direct.async_probe, e.destination(), 0)
+            await async_until(lambda: e.probes)
+            now = a.connector._clock.now()
+            a.paths.record_failed(e.address, "e1", PathFault.LOST, now)
+            await go_on.set()
+            assert await probe.join() is ProbeResult.ANSWERED
+            assert a.paths.is_failed(e.address)
+
+    run(async_main)
+
+
+def test_connect_from_before_a_path_was_regained_does_not_fail_it():
+    """Requests went through other hosts after a connect that had hung for long."""
+
+    async def async_main() -> None:
+        async with hosts("a", "b") as (a, _), upstream(sending(WITH_LENGTH)) as e:
+            direct = a.connector._direct
+            now = a.connector._clock.now()
+            a.paths.record_failed(e.address, "e1", PathFault.LOST, now)
+            a.connections.mode = HANGS
+            hung = await curio.spawn(direct.async_open, e.destination(), 0.3)
+            await curio.sleep(0.05)
+            a.connections.mode = ""
+            await direct.async_probe(e.destination(), 0)
+            assert not a.paths.is_failed(e.address)
+            with pytest.raises(curio.TaskError):
+                await hung.join()
+            assert not a.paths.is_failed(e.address)
+
+    run(async_main)
+
+
+def test_response_from_before_a_path_was_regained_does_not_fail_it():
+    """A path failed anew by the end of a stream from before its last fault."""
+    go_on = curio.Event()
+
+    async def async_answer(sock: Any) -> None:
+        await sock.sendall(WITH_LENGTH[:-1])
+        await go_on.wait()
+
+    async def async_main() -> None:
+        async with hosts("a", "b") as (a, _), upstream(async_answer) as e:
+            early = await curio.spawn(async_send, a, e.destination())
+            await async_until(lambda: e.requests)
+            now = a.connector._clock.now()
+            a.paths.record_failed(e.address, "e1", PathFault.REFUSED, now)
+            await a.connector._direct.async_probe(e.destination(), 0)
+            assert not a.paths.is_failed(e.address)
+            await go_on.set()
+            assert await early.join() == "truncated direct"
+            await async_until(lambda: not a.checks.running)
+            assert not a.paths.is_failed(e.address)
+
+    run(async_main)
