Owners: a response to an earlier request does not regain a host's lost path

Cause: the owner's table of paths popped the failure of a host and upstream at any response, also one to a request that was granted before the failure. The host was granted that upstream again within the pause, and lost another request or connection on it. The answer also made the host count as one that reaches the upstream.

Change: while a path counts as failed, only the response to a request that was granted after its last failure ends that. Before that, lost responses are still counted as consecutive whatever was granted when: with many requests in flight, an upstream that loses one in ten would else cost each host its path (test_answers_to_earlier_requests_show_that_lost_ones_are_not_consecutive).

Ruled out: passing over failures of what was granted before a path was regained. With several requests in flight each failure is of that kind.

--- a/bitterntiller/components/dispatch/model_updater.py
+++ b/bitterntiller/components/dispatch/model_updater.py
@@ -69,15 +69,18 @@
         if completion.relay and completion.outcome == OUTCOME_UNKNOWN:
             return
         host = completion.relay or job.request.entry_host
+        granted_at = job.granted_at
         if completion.relay:
             self._pool.paths.record_relayed(job.request.entry_host, now)
         if completion.outcome == OUTCOME_REJECTED:
-            self._pool.record_upstream_success(upstream, host, now)
+            self._pool.record_upstream_success(upstream, host, now, granted_at)
             return
         if completion.outcome != OUTCOME_DONE:
-            self._pool.record_upstream_failure(upstream, host, completion.outcome, now)
+            self._pool.record_upstream_failure(
+                upstream, host, completion.outcome, now, granted_at
+            )
             return
-        self._pool.record_upstream_success(upstream, host, now)
+        self._pool.record_upstream_success(upstream, host, now, granted_at)
         upstream.last_active_at = now
         self._size_estimator.learn(job, completion)
         # The duration of a call measures the upstream's speed only relative to the
@@ -99,7 +102,7 @@
                 upstream.ledger.in_flight - 1, upstream.state.slots
             )
         self._pool.record_upstream_failure(
-            upstream, job.request.entry_host, reason, now
+            upstream, job.request.entry_host, reason, now, job.granted_at
         )
 
     def _learn_first_output(self, job: Job, upstream: Upstream, now: float) -> None:
--- a/bitterntiller/components/dispatch/pool.py
+++ b/bitterntiller/components/dispatch/pool.py
@@ -334,14 +334,14 @@
             self.refresh(upstream, now)
 
     def record_upstream_failure(
-        self, upstream: Upstream, host: str, reason: str, now: float
+        self, upstream: Upstream, host: str, reason: str, now: float, granted_at: float
     ) -> None:
         """Record that a request of a host failed; see Health.record_failure.
 
         If another host has just reached the upstream, only the path has failed.
         """
         if reason not in PATH_FAILURES:
-            self._record_reached(upstream, host, now)
+            self._record_reached(upstream, host, now, granted_at)
         elif self._record_failed_path(upstream, host, reason, now):
             return
         if upstream.health.record_failure(now, reason == REASON_REFUSED_CONNECTION):
@@ -349,10 +349,10 @@
             self.events.record(event._replace(entry_host=host, reason=reason))
 
     def record_upstream_success(
-        self, upstream: Upstream, host: str, now: float
+        self, upstream: Upstream, host: str, now: float, granted_at: float
     ) -> None:
         """Record a successful response of an upstream to a host."""
-        self._record_reached(upstream, host, now)
+        self._record_reached(upstream, host, now, granted_at)
         was_unhealthy = upstream.health.unhealthy
         upstream.health.record_success()
         if was_unhealthy:
@@ -364,8 +364,10 @@
         unreached = self.paths.unreached(host, now)
         return paused.union(unreached) if unreached else paused
 
-    def _record_reached(self, upstream: Upstream, host: str, now: float) -> None:
-        if self.paths.record_reached(host, upstream.name, now):
+    def _record_reached(
+        self, upstream: Upstream, host: str, now: float, granted_at: float
+    ) -> None:
+        if self.paths.record_reached(host, upstream.name, now, granted_at):
             self._record_path_change(upstream, UpstreamChange.PATH_REGAINED, host, now)
 
     def _record_failed_path(
--- a/bitterntiller/components/paths/path_table.py
+++ b/bitterntiller/components/paths/path_table.py
@@ -40,20 +40,30 @@
         self._failure_by_upstream_by_host: dict[str, dict[str, PathFailure]] = {}
         self._relayed_at_by_host: dict[str, float] = {}
 
-    def record_reached(self, host: str, upstream: str, now: float) -> bool:
-        """Record a response of an upstream; return whether its path had failed."""
+    def record_reached(
+        self, host: str, upstream: str, now: float, sent_at: float | None = None
+    ) -> bool:
+        """Record a response of an upstream; return whether it ends a failed path.
+
+        sent_at is when its request was granted, now if it isn't given. The response to
+        one of before the last failure doesn't end the failure of a path.
+        """
+        sent_at = now if sent_at is None else sent_at
+        failures = self._failure_by_upstream_by_host.get(host, {})
+        failure = failures.get(upstream)
+        if failure is not None and failure.pause and sent_at <= failure.at:
+            return False
         reached = self._reached_at_by_host_by_upstream.setdefault(upstream, {})
         reached.pop(host, None)
         reached[host] = now
         if len(reached) > MAX_REACHING_HOSTS:
             del reached[next(iter(reached))]
-        failures = self._failure_by_upstream_by_host.get(host)
-        if failures is None:
+        if failure is None:
             return False
-        failure = failures.pop(upstream, None)
+        del failures[upstream]
         if not failures:
             del self._failure_by_upstream_by_host[host]
-        return failure is not None and failure.paused_until > 0.0
+        return failure.paused_until > 0.0
 
     def record_failed_upstream(self, host: str, upstream: str, now: float) -> None:
         """Record a failure of an upstream that no other host reaches either."""
--- a/tests/components/dispatch/test_failed_paths.py
+++ b/tests/components/dispatch/test_failed_paths.py
@@ -116,3 +116,16 @@
         end = build.completion(name, "e1", outcome="unknown", relay=SOUND)
         scheduler.finished(end, NOW + 0.1)
     assert not scheduler.describe(NOW + 0.2)["upstreams_by_name"]["e1"]["sick"]
+
+
+def test_answer_to_an_earlier_request_does_not_regain_a_lost_path():
+    """A host was granted an upstream again whose path it had lost meanwhile."""
+    scheduler = pool("e1")
+    register(scheduler, "c0", CUT_OFF, NOW)
+    scheduler.started("c0", NOW)
+    serve(scheduler, "s0", SOUND, NOW + 0.1)
+    register(scheduler, "c1", CUT_OFF, NOW + 0.2)
+    scheduler.returned("c1", "refused-connection", False, NOW + 0.2)
+    scheduler.finished(build.completion("c0", "e1"), NOW + 0.3)
+    assert register(scheduler, "c2", CUT_OFF, NOW + 0.3) == []
+    assert serve(scheduler, "s1", SOUND, NOW + 0.3) == "e1"
--- a/tests/components/paths/test_path_table.py
+++ b/tests/components/paths/test_path_table.py
@@ -103,3 +103,25 @@
     assert not table._reached_at_by_host_by_upstream
     assert not table._failure_by_upstream_by_host
     assert not table._relayed_at_by_host
+
+
+def test_answer_to_what_was_granted_before_a_failure_does_not_end_it():
+    """A host got requests again for an upstream that it did not reach."""
+    table = PathTable()
+    table.record_failed_path("a", "e1", True, NOW)
+    for sent_at in (NOW - 5.0, NOW):
+        assert not table.record_reached("a", "e1", NOW + 0.1, sent_at)
+    assert table.unreached("a", NOW + 0.1) == {"e1"}
+    assert not table.reached_by_another("b", "e1", NOW + 0.1)
+    assert table.record_reached("a", "e1", NOW + 0.7, NOW + 0.6)
+    assert table.unreached("a", NOW + 0.7) == frozenset()
+
+
+def test_answers_to_earlier_requests_show_that_lost_ones_are_not_consecutive():
+    """A host lost its path to an upstream that lost one response in ten."""
+    table = PathTable()
+    for step in range(20):
+        now = NOW + step / 10
+        assert not table.record_failed_path("a", "e1", False, now)
+        table.record_reached("a", "e1", now + 0.05, now - 1.0)
+    assert table.unreached("a", now) == frozenset()
