Paths: silence of an upstream that ends during a check is no fault of the path

Cause: a check asks the upstream over the path for 0.3 s and then through other hosts. An upstream that was silent and went on between the two answered only the latter, so the path of this host counted as lost; its requests went through other hosts until a probe a second later.

Change: the probe over the path goes on while other hosts are asked, and for 0.1 s after one of them was answered; if it is answered as well, the path works. The number of probes is the same.

Ruled out: a second probe over the path, which passes on a path that was silent for a moment only, and adds a probe to each check.

--- a/bitterntiller/components/tunnels/checks.py
+++ b/bitterntiller/components/tunnels/checks.py
@@ -5,6 +5,7 @@
 import curio
 
 from bitterntiller.components.http.client import ClientExchange
+from bitterntiller.components.http.errors import ConnectRefusedError
 from bitterntiller.components.paths.const import (
     CHECK_PERIOD,
     MAX_CHECKS,
@@ -21,7 +22,7 @@
 from bitterntiller.components.tunnels.direct import DirectPaths
 from bitterntiller.components.tunnels.errors import TunnelError
 from bitterntiller.components.tunnels.event_logging import log_path_check
-from bitterntiller.components.tunnels.probes import Prober, ProbeResult
+from bitterntiller.components.tunnels.probes import Prober
 from bitterntiller.components.tunnels.relays import Relays
 from bitterntiller.core.clock import Clock
 
@@ -42,7 +43,9 @@
 class PathChecks:
     """Checks paths after lost responses: over the path itself, then by other hosts.
 
-    The path has failed if the upstream answers through another host only.
+    The path has failed if the upstream answers through another host only. A probe that
+    isn't answered at first goes on while other hosts are asked, since an upstream that
+    was silent may go on meanwhile.
     """
 
     def __init__(
@@ -129,14 +132,27 @@
         self, destination: Destination, carried: CarriedBytes
     ) -> CheckResult:
         size = carried.bounded().sent
-        result = await self._direct.async_probe(destination, size)
-        if result is ProbeResult.ANSWERED:
-            return CheckResult.WORKS
-        if result is ProbeResult.NO_CONNECTION:
+        try:
+            client = await self._direct.async_open(destination, const.PROBE_SECONDS)
+        except ConnectRefusedError:
             return CheckResult.REFUSED
-        if await self._async_answers_elsewhere(destination, size):
-            return CheckResult.PATH_FAILED
-        return CheckResult.UNKNOWN
+        asking = await curio.spawn(
+            self._direct.async_answers,
+            client,
+            destination,
+            size,
+            const.CHECK_ANSWER_SECONDS,
+        )
+        try:
+            if await _async_answered(asking, const.PROBE_ANSWER_SECONDS):
+                return CheckResult.WORKS
+            elsewhere = await self._async_answers_elsewhere(destination, size)
+            if await _async_answered(asking, const.LATE_ANSWER_SECONDS):
+                return CheckResult.WORKS
+            return CheckResult.PATH_FAILED if elsewhere else CheckResult.UNKNOWN
+        finally:
+            await asking.cancel()
+            await client.async_close()
 
     async def _async_answers_elsewhere(
         self, destination: Destination, size: int
@@ -186,3 +202,10 @@
         self._checked_at_by_address[address] = self._clock.now()
         while len(self._checked_at_by_address) > MAX_KEPT_PATHS:
             del self._checked_at_by_address[next(iter(self._checked_at_by_address))]
+
+
+async def _async_answered(asking: curio.Task, seconds: float) -> bool:
+    """Return whether a probe is answered within some seconds; it goes on if not."""
+    async with curio.ignore_after(seconds):
+        return await asking.join()
+    return False
--- a/bitterntiller/components/tunnels/const.py
+++ b/bitterntiller/components/tunnels/const.py
@@ -38,6 +38,12 @@
 SETTLE_SECONDS = 0.7
 """Longest time that a request waits for the result of a check of its path."""
 
+CHECK_ANSWER_SECONDS = 2.0
+LATE_ANSWER_SECONDS = 0.1
+"""Longest time that the probe of a check may take to be answered while other hosts are
+asked, and the part of it after another host was answered: an upstream that was silent
+answers both once it goes on."""
+
 PADDING_HEADER = b"x-padding"
 """Header that makes a probe as long as the request that was lost."""
 
--- a/bitterntiller/components/tunnels/direct.py
+++ b/bitterntiller/components/tunnels/direct.py
@@ -111,15 +111,29 @@
         try:
             client = await self.async_open(destination, const.PROBE_SECONDS)
             try:
-                sent_at = self._clock.now()
-                if not await self._prober.async_answers(client, destination, size):
-                    return ProbeResult.NO_ANSWER
-                carried = CarriedBytes(client.sent_bytes)
-                self.record_carried(destination, carried, sent_at)
-                return ProbeResult.ANSWERED
+                if await self.async_answers(client, destination, size):
+                    return ProbeResult.ANSWERED
+                return ProbeResult.NO_ANSWER
             finally:
                 await client.async_close()
         except ConnectRefusedError:
             return ProbeResult.NO_CONNECTION
         finally:
             self._probing.discard(destination.address)
+
+    async def async_answers(
+        self,
+        client: ClientExchange,
+        destination: Destination,
+        size: int,
+        seconds: float = const.PROBE_ANSWER_SECONDS,
+    ) -> bool:
+        """Return whether an upstream answers a probe on a direct connection in time.
+
+        The caller closes the connection.
+        """
+        sent_at = self._clock.now()
+        if not await self._prober.async_answers(client, destination, size, seconds):
+            return False
+        self.record_carried(destination, CarriedBytes(client.sent_bytes), sent_at)
+        return True
--- a/bitterntiller/components/tunnels/probes.py
+++ b/bitterntiller/components/tunnels/probes.py
@@ -56,9 +56,13 @@
         self._dialect = dialect
 
     async def async_answers(
-        self, client: ClientExchange, destination: Destination, size: int = 0
+        self,
+        client: ClientExchange,
+        destination: Destination,
+        size: int = 0,
+        seconds: float = const.PROBE_ANSWER_SECONDS,
     ) -> bool:
-        """Return whether an upstream answers a probe of at least size bytes.
+        """Return whether an upstream answers a probe of at least size bytes in time.
 
         The caller closes the connection.
         """
@@ -68,7 +72,8 @@
         headers = list(request.headers)
         if size:
             headers.append((const.PADDING_HEADER, b"0" * size))
-        head = await _async_head(client, request._replace(headers=headers))
+        request = request._replace(headers=headers)
+        head = await _async_head(client, request, seconds)
         if head is None:
             return False
         return self._dialect.is_probe_answer(destination.upstream, head)
@@ -86,12 +91,13 @@
 
 
 async def _async_head(
-    client: ClientExchange, request: ProbeRequest
+    client: ClientExchange,
+    request: ProbeRequest,
+    seconds: float = const.PROBE_ANSWER_SECONDS,
 ) -> ResponseHead | None:
     """Return the head of the response to a probe, None if there is none in time."""
-    timeout = const.PROBE_ANSWER_SECONDS
     try:
-        await client.async_request("GET", request.target, request.headers, b"", timeout)
-        return await client.async_head(timeout)
+        await client.async_request("GET", request.target, request.headers, b"", seconds)
+        return await client.async_head(seconds)
     except IncompleteResponseError:
         return None
--- a/tests/components/tunnels/test_checks.py
+++ b/tests/components/tunnels/test_checks.py
@@ -20,6 +20,7 @@
     PROBE_ANSWER,
     REFUSES,
     WITH_LENGTH,
+    Answer,
     TunnelHost,
     Upstream,
     async_ask,
@@ -481,3 +482,35 @@
             assert not a.paths.is_failed(e.address)
 
     run(async_main)
+
+
+def silent_until(event: curio.Event, data: bytes) -> Answer:
+    """Return an answer that begins once an event is set."""
+
+    async def async_answer(sock: Any) -> None:
+        await event.wait()
+        await sock.sendall(data)
+
+    return async_answer
+
+
+@pytest.mark.parametrize("seconds", [0.35, 0.45, 0.55])
+def test_silence_that_ends_during_a_check_is_no_fault_of_the_path(seconds):
+    """A path counted as lost, as its upstream went on between two probes."""
+    goes_on = curio.Event()
+
+    async def async_main() -> None:
+        made = upstream(
+            silent_until(goes_on, WITH_LENGTH), silent_until(goes_on, PROBE_ANSWER)
+        )
+        async with hosts("a", "b") as (a, _), made as e:
+            assert await async_many(a, e, 1) == ["lost direct"]
+            await curio.sleep(seconds)
+            assert a.checks.running
+            assert len(e.probes) == 2
+            await goes_on.set()
+            await async_until(lambda: not a.checks.running)
+            assert not a.paths.is_failed(e.address)
+            assert await async_many(a, e, 1) == ["whole direct"]
+
+    run(async_main)
