Paths: a response given up for silence can be reported as lost, not truncated

Cause: a response that a host gives up since its upstream sent nothing for some time is reported as one that broke off. If the probe is answered the path then counts as truncated: requests go through other hosts until a response as long as the part that had come is whole, and where the other hosts believe the same, requests that may not be repeated are refused.

Change: PathReport.async_end(stalled=True) reports the loss as that of a response that did not come: the path has failed only if the upstream answers through another host and not over the path. Nothing passes it yet: that takes a line in entry/attempt.py and a property of ClientExchange.

Before: without the branch the test of a path that works fails; that of a path that fell silent passes either way. After: both pass.

--- a/bitterntiller/components/entry/path_report.py
+++ b/bitterntiller/components/entry/path_report.py
@@ -22,13 +22,19 @@
         self.connector.record_answer(self.destination, self.connected, False)
 
     async def async_lost(self) -> None:
-        """Report that a request was sent and its upstream's response did not come."""
+        """Report that a request was sent and no response to it came, or no more."""
         await self.connector.async_record_fault(
             self.destination, self.connected, PathFault.LOST
         )
 
-    async def async_end(self) -> None:
-        """Report the end of a response, which may have broken off."""
+    async def async_end(self, stalled: bool = False) -> None:
+        """Report the end of a response, which may have broken off.
+
+        stalled is set if this host gave it up, as nothing more of it had come.
+        """
+        if stalled:
+            await self.async_lost()
+            return
         if self.connected.client.broke:
             await self.connector.async_record_fault(
                 self.destination, self.connected, PathFault.TRUNCATED
--- a/tests/components/tunnels/test_checks.py
+++ b/tests/components/tunnels/test_checks.py
@@ -6,6 +6,7 @@
 import curio
 import pytest
 
+from bitterntiller.components.entry.path_report import PathReport
 from bitterntiller.components.http.errors import (
     ConnectRefusedError,
     IncompleteResponseError,
@@ -514,3 +515,50 @@
             assert await async_many(a, e, 1) == ["whole direct"]
 
     run(async_main)
+
+
+async def async_stall(host: TunnelHost, to: Destination) -> None:
+    """Report a response of which no more came, as an attempt does."""
+    connected = await host.connector.async_acquire(to, 0.5)
+    client = connected.client
+    await client.async_request("POST", "/tiles", [], b"{}", 1.0)
+    await client.async_head(0.4)
+    report = PathReport(host.connector, to, connected)
+    await report.async_head(True)
+    with pytest.raises(IncompleteResponseError):
+        while await client.async_data(0.2) is not None:
+            pass
+    await report.async_end(stalled=True)
+    await client.async_close()
+
+
+async def _async_stall(sock: Any) -> None:
+    await sock.sendall(WITH_LENGTH[:-1])
+    await sock.recv(1)
+
+
+def test_response_given_up_for_silence_does_not_fail_a_path_that_works():
+    """Requests went through another host for long as one stream had fallen silent."""
+
+    async def async_main() -> None:
+        async with hosts("a", "b") as (a, _), upstream(_async_stall) as e:
+            await async_stall(a, e.destination())
+            assert a.checks.running
+            await async_until(lambda: not a.checks.running)
+            assert len(e.probes) == 1
+            assert not a.paths.is_failed(e.address)
+
+    run(async_main)
+
+
+def test_response_given_up_for_silence_shows_a_path_that_fell_silent():
+    async def async_main() -> None:
+        async with hosts("a", "b") as (a, _), upstream(_async_stall) as e:
+            asking = await curio.spawn(async_stall, a, e.destination())
+            await async_until(lambda: e.requests)
+            a.connections.mode = SILENT_REQUEST
+            await asking.join()
+            await async_until(lambda: not a.checks.running)
+            assert a.paths.fault(e.address) is PathFault.LOST
+
+    run(async_main)
