--- a/bitterntiller/components/dispatch/model_updater.py
+++ b/bitterntiller/components/dispatch/model_updater.py
@@ -41,7 +41,8 @@
             return
         upstream.last_active_at = now
         upstream.reports_progress = True
-        self._pool.record_output(upstream, job.request.entry_host, now)
+        host = job.request.entry_host
+        self._pool.record_output(upstream, host, now, job.granted_at)
         if job.first_output_at is None and job.tokens_seen == 0:
             when = now
             if first is not None and not job.adopted:
@@ -70,15 +71,18 @@
         if completion.relay and completion.outcome == OUTCOME_UNKNOWN:
             return
         host = completion.relay or job.request.entry_host
+        granted_at = job.granted_at
         if completion.relay:
             self._pool.paths.record_relayed(job.request.entry_host, now)
         if completion.outcome == OUTCOME_REJECTED:
-            self._pool.record_upstream_success(upstream, host, now)
+            self._pool.record_upstream_success(upstream, host, now, granted_at)
             return
         if completion.outcome != OUTCOME_DONE:
-            self._pool.record_upstream_failure(upstream, host, completion.outcome, now)
+            self._pool.record_upstream_failure(
+                upstream, host, completion.outcome, now, granted_at
+            )
             return
-        self._pool.record_upstream_success(upstream, host, now)
+        self._pool.record_upstream_success(upstream, host, now, granted_at)
         upstream.last_active_at = now
         self._size_estimator.learn(job, completion)
         # The duration of a call measures the upstream's speed only relative to the
@@ -100,7 +104,7 @@
                 upstream.ledger.in_flight - 1, upstream.state.slots
             )
         self._pool.record_upstream_failure(
-            upstream, job.request.entry_host, reason, now
+            upstream, job.request.entry_host, reason, now, job.granted_at
         )
 
     def _learn_first_output(self, job: Job, upstream: Upstream, now: float) -> None:
--- a/bitterntiller/components/entry/path_report.py
+++ b/bitterntiller/components/entry/path_report.py
@@ -22,7 +22,7 @@
         self.connector.record_answer(self.destination, self.connected, False)
 
     async def async_lost(self) -> None:
-        """Report that a request was sent and its upstream's response did not come."""
+        """Report that a request was sent and no response to it came, or no more."""
         await self.connector.async_record_fault(
             self.destination, self.connected, PathFault.LOST
         )
--- a/bitterntiller/components/paths/path_table.py
+++ b/bitterntiller/components/paths/path_table.py
@@ -40,20 +40,30 @@
         self._failure_by_upstream_by_host: dict[str, dict[str, PathFailure]] = {}
         self._relayed_at_by_host: dict[str, float] = {}
 
-    def record_reached(self, host: str, upstream: str, now: float) -> bool:
-        """Record a response of an upstream; return whether its path had failed."""
+    def record_reached(
+        self, host: str, upstream: str, now: float, sent_at: float | None = None
+    ) -> bool:
+        """Record a response of an upstream; return whether it ends a failed path.
+
+        sent_at is when its request was granted, now if it isn't given. The response to
+        one of before the last failure doesn't end the failure of a path.
+        """
+        sent_at = now if sent_at is None else sent_at
+        failures = self._failure_by_upstream_by_host.get(host, {})
+        failure = failures.get(upstream)
+        if failure is not None and failure.pause and sent_at <= failure.at:
+            return False
         reached = self._reached_at_by_host_by_upstream.setdefault(upstream, {})
         reached.pop(host, None)
         reached[host] = now
         if len(reached) > MAX_REACHING_HOSTS:
             del reached[next(iter(reached))]
-        failures = self._failure_by_upstream_by_host.get(host)
-        if failures is None:
+        if failure is None:
             return False
-        failure = failures.pop(upstream, None)
+        del failures[upstream]
         if not failures:
             del self._failure_by_upstream_by_host[host]
-        return failure is not None and failure.paused_until > 0.0
+        return failure.paused_until > 0.0
 
     def record_failed_upstream(self, host: str, upstream: str, now: float) -> None:
         """Record a failure of an upstream that no other host reaches either."""
@@ -98,13 +108,17 @@
         """Record that a host sent a request through another one."""
         self._relayed_at_by_host[host] = now
 
+    def uses_relays(self, host: str, now: float) -> bool:
+        """Return whether a host had to go through another one a short time ago."""
+        relayed_at = self._relayed_at_by_host.get(host)
+        return relayed_at is not None and now - relayed_at <= RELAY_MEMORY_SECONDS
+
     def relays(self, host: str, upstream: str, now: float) -> tuple[str, ...]:
         """Return the hosts that a host may go through, if it had to a short time ago.
 
         These are the hosts that reached the upstream last, within RELAY_MEMORY_SECONDS.
         """
-        relayed_at = self._relayed_at_by_host.get(host)
-        if relayed_at is None or now - relayed_at > RELAY_MEMORY_SECONDS:
+        if not self.uses_relays(host, now):
             return ()
         reached = self._reached_at_by_host_by_upstream.get(upstream, {})
         found = [
--- a/bitterntiller/components/tunnels/checks.py
+++ b/bitterntiller/components/tunnels/checks.py
@@ -5,6 +5,7 @@
 import curio
 
 from bitterntiller.components.http.client import ClientExchange
+from bitterntiller.components.http.errors import ConnectRefusedError
 from bitterntiller.components.paths.const import (
     CHECK_PERIOD,
     MAX_CHECKS,
@@ -21,7 +22,7 @@
 from bitterntiller.components.tunnels.direct import DirectPaths
 from bitterntiller.components.tunnels.errors import TunnelError
 from bitterntiller.components.tunnels.event_logging import log_path_check
-from bitterntiller.components.tunnels.probes import Prober, ProbeResult
+from bitterntiller.components.tunnels.probes import Prober
 from bitterntiller.components.tunnels.relays import Relays
 from bitterntiller.core.clock import Clock
 
@@ -42,7 +43,9 @@
 class PathChecks:
     """Checks paths after lost responses: over the path itself, then by other hosts.
 
-    The path has failed if the upstream answers through another host only.
+    The path has failed if the upstream answers through another host only. A probe that
+    isn't answered at first goes on while other hosts are asked, since an upstream that
+    was silent may go on meanwhile.
     """
 
     def __init__(
@@ -69,23 +72,29 @@
         return list(self._running_by_address)
 
     async def async_start(
-        self, destination: Destination, fault: PathFault, carried: CarriedBytes
+        self,
+        destination: Destination,
+        fault: PathFault,
+        carried: CarriedBytes,
+        sent_at: float,
     ) -> None:
         """Check the path on which a response was lost or truncated, in the background.
 
-        A path is checked once each CHECK_PERIOD.
+        sent_at is when its request was sent. A path is checked once each CHECK_PERIOD.
         """
         address = destination.address
         if address in self._running_by_address or not self._is_due(address):
             return
         if self._paths.leads_around(address):
             # It was sent to test a failed path, so there is nothing to check.
-            self._direct.record_failed(destination, fault, "", carried)
+            self._direct.record_failed(destination, fault, "", sent_at, carried)
             return
         if len(self._running_by_address) >= MAX_CHECKS:
             return
         self._running_by_address[address] = curio.Event()
-        await curio.spawn(self._async_check, destination, fault, carried, daemon=True)
+        await curio.spawn(
+            self._async_check, destination, fault, carried, sent_at, daemon=True
+        )
 
     async def async_settle(self, address: str) -> None:
         """Wait for the end of a check of a path, for SETTLE_SECONDS at most."""
@@ -95,18 +104,25 @@
                 await running.wait()
 
     async def _async_check(
-        self, destination: Destination, fault: PathFault, carried: CarriedBytes
+        self,
+        destination: Destination,
+        fault: PathFault,
+        carried: CarriedBytes,
+        sent_at: float,
     ) -> None:
         address = destination.address
         began = self._clock.now()
         try:
             result = await self._async_result(destination, carried)
             if result is CheckResult.PATH_FAILED:
+                text = "it answers through another"
                 self._direct.record_failed(
-                    destination, PathFault.LOST, "it answers through another", carried
+                    destination, PathFault.LOST, text, began, carried
                 )
             elif result is CheckResult.WORKS and fault is PathFault.TRUNCATED:
-                self._direct.record_failed(destination, fault, "broke off", carried)
+                self._direct.record_failed(
+                    destination, fault, "broke off", sent_at, carried
+                )
             log_path_check(destination, fault, result, self._clock.now() - began)
         finally:
             self._record_checked(address)
@@ -116,14 +132,27 @@
         self, destination: Destination, carried: CarriedBytes
     ) -> CheckResult:
         size = carried.bounded().sent
-        result = await self._direct.async_probe(destination, size)
-        if result is ProbeResult.ANSWERED:
-            return CheckResult.WORKS
-        if result is ProbeResult.NO_CONNECTION:
+        try:
+            client = await self._direct.async_open(destination, const.PROBE_SECONDS)
+        except ConnectRefusedError:
             return CheckResult.REFUSED
-        if await self._async_answers_elsewhere(destination, size):
-            return CheckResult.PATH_FAILED
-        return CheckResult.UNKNOWN
+        asking = await curio.spawn(
+            self._direct.async_answers,
+            client,
+            destination,
+            size,
+            const.CHECK_ANSWER_SECONDS,
+        )
+        try:
+            if await _async_answered(asking, const.PROBE_ANSWER_SECONDS):
+                return CheckResult.WORKS
+            elsewhere = await self._async_answers_elsewhere(destination, size)
+            if await _async_answered(asking, const.LATE_ANSWER_SECONDS):
+                return CheckResult.WORKS
+            return CheckResult.PATH_FAILED if elsewhere else CheckResult.UNKNOWN
+        finally:
+            await asking.cancel()
+            await client.async_close()
 
     async def _async_answers_elsewhere(
         self, destination: Destination, size: int
@@ -153,12 +182,13 @@
         try:
             probe = destination._replace(probe=True)
             sock = await self._relays.async_open(probe, relay)
+            sent_at = self._clock.now()
             client = ClientExchange(sock, self._allow_close_delimited)
             try:
                 answered = await self._prober.async_answers(client, destination, size)
             finally:
                 await client.async_close()
-            self._relays.record_result(destination, relay.name, answered)
+            self._relays.record_result(destination, relay.name, answered, sent_at)
         except TunnelError:
             pass
         await results.put(answered)
@@ -172,3 +202,10 @@
         self._checked_at_by_address[address] = self._clock.now()
         while len(self._checked_at_by_address) > MAX_KEPT_PATHS:
             del self._checked_at_by_address[next(iter(self._checked_at_by_address))]
+
+
+async def _async_answered(asking: curio.Task, seconds: float) -> bool:
+    """Return whether a probe is answered within some seconds; it goes on if not."""
+    async with curio.ignore_after(seconds):
+        return await asking.join()
+    return False
--- a/tests/components/tunnels/test_checks.py
+++ b/tests/components/tunnels/test_checks.py
@@ -6,6 +6,7 @@
 import curio
 import pytest
 
+from bitterntiller.components.entry.path_report import PathReport
 from bitterntiller.components.http.errors import (
     ConnectRefusedError,
     IncompleteResponseError,
@@ -14,10 +15,13 @@
 from bitterntiller.components.paths.models import CarriedBytes, PathFault
 from bitterntiller.components.tunnels import const
 from bitterntiller.components.tunnels.client import Destination
+from bitterntiller.components.tunnels.probes import ProbeResult
 from tests.components.tunnels.builders import (
+    HANGS,
     PROBE_ANSWER,
     REFUSES,
     WITH_LENGTH,
+    Answer,
     TunnelHost,
     Upstream,
     async_ask,
@@ -367,3 +371,194 @@
 
     run(async_main)
     assert not [item for item in caplog.records if item.levelno >= logging.ERROR]
+
+
+def test_answer_that_was_under_way_does_not_end_a_fault_of_its_path():
+    """A lossy path was taken for working by an answer of before its first loss."""
+    go_on = curio.Event()
+
+    async def async_answer(sock: Any) -> None:
+        await go_on.wait()
+        await sock.sendall(WITH_LENGTH)
+
+    async def async_main() -> None:
+        async with hosts("a", "b") as (a, _), upstream(async_answer) as e:
+            early = await curio.spawn(async_send, a, e.destination())
+            await async_until(lambda: e.requests)
+            a.connections.mode = FOREIGN_ANSWER
+            assert await async_many(a, e, 1) == ["foreign direct"]
+            await async_until(lambda: a.paths.is_failed(e.address))
+            await go_on.set()
+            assert await early.join() == "whole direct"
+            assert a.paths.fault(e.address) is PathFault.LOST
+            assert await async_many(a, e, 2) == 2 * ["whole b"]
+
+    run(async_main)
+
+
+def test_tunnel_from_before_a_fault_does_not_end_it():
+    """A host between took its path for working by an answer that was under way."""
+    go_on = curio.Event()
+
+    async def async_answer(sock: Any) -> None:
+        await go_on.wait()
+        await sock.sendall(WITH_LENGTH)
+
+    async def async_main() -> None:
+        async with hosts("a", "b") as (a, b), upstream(async_answer) as e:
+            a.connections.mode = REFUSES
+            early = await curio.spawn(async_send, a, e.destination())
+            await async_until(lambda: e.requests)
+            now = b.connector._clock.now()
+            b.paths.record_failed(e.address, "e1", PathFault.LOST, now)
+            await go_on.set()
+            assert await early.join() == "whole b"
+            assert b.paths.is_failed(e.address)
+
+    run(async_main)
+
+
+def test_probe_from_before_a_fault_does_not_end_it():
+    go_on = curio.Event()
+
+    async def async_answer(sock: Any) -> None:
+        await go_on.wait()
+        await sock.sendall(PROBE_ANSWER)
+
+    async def async_main() -> None:
+        made = upstream(sending(WITH_LENGTH), async_answer)
+        async with hosts("a", "b") as (a, _), made as e:
+            direct = a.connector._direct
+            probe = await curio.spawn(direct.async_probe, e.destination(), 0)
+            await async_until(lambda: e.probes)
+            now = a.connector._clock.now()
+            a.paths.record_failed(e.address, "e1", PathFault.LOST, now)
+            await go_on.set()
+            assert await probe.join() is ProbeResult.ANSWERED
+            assert a.paths.is_failed(e.address)
+
+    run(async_main)
+
+
+def test_connect_from_before_a_path_was_regained_does_not_fail_it():
+    """Requests went through other hosts after a connect that had hung for long."""
+
+    async def async_main() -> None:
+        async with hosts("a", "b") as (a, _), upstream(sending(WITH_LENGTH)) as e:
+            direct = a.connector._direct
+            now = a.connector._clock.now()
+            a.paths.record_failed(e.address, "e1", PathFault.LOST, now)
+            a.connections.mode = HANGS
+            hung = await curio.spawn(direct.async_open, e.destination(), 0.3)
+            await curio.sleep(0.05)
+            a.connections.mode = ""
+            await direct.async_probe(e.destination(), 0)
+            assert not a.paths.is_failed(e.address)
+            with pytest.raises(curio.TaskError):
+                await hung.join()
+            assert not a.paths.is_failed(e.address)
+
+    run(async_main)
+
+
+def test_response_from_before_a_path_was_regained_does_not_fail_it():
+    """A path failed anew by the end of a stream from before its last fault."""
+    go_on = curio.Event()
+
+    async def async_answer(sock: Any) -> None:
+        await sock.sendall(WITH_LENGTH[:-1])
+        await go_on.wait()
+
+    async def async_main() -> None:
+        async with hosts("a", "b") as (a, _), upstream(async_answer) as e:
+            early = await curio.spawn(async_send, a, e.destination())
+            await async_until(lambda: e.requests)
+            now = a.connector._clock.now()
+            a.paths.record_failed(e.address, "e1", PathFault.REFUSED, now)
+            await a.connector._direct.async_probe(e.destination(), 0)
+            assert not a.paths.is_failed(e.address)
+            await go_on.set()
+            assert await early.join() == "truncated direct"
+            await async_until(lambda: not a.checks.running)
+            assert not a.paths.is_failed(e.address)
+
+    run(async_main)
+
+
+def silent_until(event: curio.Event, data: bytes) -> Answer:
+    """Return an answer that begins once an event is set."""
+
+    async def async_answer(sock: Any) -> None:
+        await event.wait()
+        await sock.sendall(data)
+
+    return async_answer
+
+
+@pytest.mark.parametrize("seconds", [0.35, 0.45, 0.55])
+def test_silence_that_ends_during_a_check_is_no_fault_of_the_path(seconds):
+    """A path counted as lost, as its upstream went on between two probes."""
+    goes_on = curio.Event()
+
+    async def async_main() -> None:
+        made = upstream(
+            silent_until(goes_on, WITH_LENGTH), silent_until(goes_on, PROBE_ANSWER)
+        )
+        async with hosts("a", "b") as (a, _), made as e:
+            assert await async_many(a, e, 1) == ["lost direct"]
+            await curio.sleep(seconds)
+            assert a.checks.running
+            assert len(e.probes) == 2
+            await goes_on.set()
+            await async_until(lambda: not a.checks.running)
+            assert not a.paths.is_failed(e.address)
+            assert await async_many(a, e, 1) == ["whole direct"]
+
+    run(async_main)
+
+
+async def async_stall(host: TunnelHost, to: Destination) -> None:
+    """Report a response of which no more came, as an attempt does."""
+    connected = await host.connector.async_acquire(to, 0.5)
+    client = connected.client
+    await client.async_request("POST", "/tiles", [], b"{}", 1.0)
+    await client.async_head(0.4)
+    report = PathReport(host.connector, to, connected)
+    await report.async_head(True)
+    with pytest.raises(IncompleteResponseError):
+        while await client.async_data(0.2) is not None:
+            pass
+    await report.async_end()
+    await client.async_close()
+
+
+async def _async_stall(sock: Any) -> None:
+    await sock.sendall(WITH_LENGTH[:-1])
+    await sock.recv(1)
+
+
+def test_response_given_up_for_silence_does_not_fail_a_path_that_works():
+    """Requests went through another host for long as one stream had fallen silent."""
+
+    async def async_main() -> None:
+        async with hosts("a", "b") as (a, _), upstream(_async_stall) as e:
+            await async_stall(a, e.destination())
+            assert a.checks.running
+            await async_until(lambda: not a.checks.running)
+            assert len(e.probes) == 1
+            assert not a.paths.is_failed(e.address)
+
+    run(async_main)
+
+
+def test_response_given_up_for_silence_shows_a_path_that_fell_silent():
+    async def async_main() -> None:
+        async with hosts("a", "b") as (a, _), upstream(_async_stall) as e:
+            asking = await curio.spawn(async_stall, a, e.destination())
+            await async_until(lambda: e.requests)
+            a.connections.mode = SILENT_REQUEST
+            await asking.join()
+            await async_until(lambda: not a.checks.running)
+            assert a.paths.fault(e.address) is PathFault.LOST
+
+    run(async_main)
