Soak: engines are paused, and no answer may be cut meanwhile

Cause: the soak had no silent engine, and its streams of half a second are never older than their callers wait for a first output, so that it could not show the incident.

Four callers read streams of 40 to 100 events. Checks: `answers-not-cut` (no answer breaks off more than a second before its deadline, unless an engine broke it off or ended under it, or its host was stopped, killed or lost its paths to engines) and `cuts-logged` (each answer that breaks off has a `response-cut` line in its host's log, unless that was killed). Engines send as many events as a request states; all callers so far state the 12 they got. The row "an engine leaves" started the next engine at another one's address; mended, and an engine that ends by itself is an error now.

Ruled out: a check that asks too much.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -7,9 +7,11 @@
 from soak.troubles import Applied
 from tests.platform.callers import Response, refused_as_wrong
 from tests.platform.crashing_parts import CRASHES_ALLOWED, SOUND, Sent
+from tests.platform.silent_callers import Answer
 from tests.platform.soak_fleet import CALL_ATTEMPTS, PINS, STREAM_ATTEMPTS
 from tests.platform.soak_operator import Acknowledged
 from tests.platform.stream_versions import EVENTS, Stream
+from tests.scenarios.cut_paths import REFUSE
 
 OK = 200
 PROMISES = frozenset({408, 421, 429, 503})
@@ -24,6 +26,13 @@
 """Requests with a bad part that a host may send that is out of touch: one, and its
 repetition."""
 
+KILLS = frozenset({Kind.KILL_ENTRY, Kind.KILL_ALL})
+STOPS = frozenset({Kind.STOP_ENTRY})
+"""Kinds of troubles that end the process of an entry host, and with it its answers."""
+
+LOG_SECONDS = 0.5
+"""Time in which a host writes a line to its log."""
+
 LEAST_SERVED = 0.95
 """Least share served once all troubles are over, of the share served before them."""
 
@@ -64,13 +73,19 @@
 
     runs has how often engines got each attempt id, calls the responses to calls (their
     at is on the same clock), crashes and arrivals the ends of engines under a bad part
-    and the requests with it. calm is when the last trouble had ended. used has how many
-    requests each serving engine got once there were more than fit into all slots.
+    and the requests with it. answers are those of long streams, broken_off the requests
+    whose streams an engine broke off or ended under, and cut_lines by host the requests
+    whose responses its log calls cut. calm is when the last trouble had ended. used has
+    how many requests each serving engine got once there were more than fit into all
+    slots.
     """
 
     runs: Mapping[str, int]
     calls: Sequence[Response]
     streams: Sequence[Stream]
+    answers: Sequence[Answer]
+    broken_off: frozenset[str]
+    cut_lines: Mapping[str, frozenset[str]]
     prompts: Sequence[Sent]
     crashes: Sequence[float]
     arrivals: Sequence[float]
@@ -154,6 +169,51 @@
     return item.began - seconds <= at <= item.ended + seconds
 
 
+def answers_not_cut(found: Evidence) -> Iterable[str]:
+    """No answer is cut within its deadline while its engine and its host go on.
+
+    Where the paths of a host to engines are cut, so are its connections to them.
+    """
+    for answer in found.answers:
+        if not answer.broken_early or answer.request_id in found.broken_off:
+            continue
+        if not any(_interrupts(item, answer) for item in found.applied):
+            yield (
+                f"{answer.request_id} after {answer.events} events at {answer.ip}, "
+                f"{answer.deadline - answer.ended:.1f} s before its deadline: "
+                f"{answer.detail}"
+            )
+
+
+def cuts_logged(found: Evidence) -> Iterable[str]:
+    """Each answer that breaks off has a line in the log of its host, unless killed."""
+    for answer in found.answers:
+        lines = found.cut_lines.get(answer.ip, frozenset())
+        if not answer.broken or answer.request_id in lines:
+            continue
+        if not any(
+            item.trouble.kind in KILLS and _befalls(item, answer)
+            for item in found.applied
+        ):
+            yield f"{answer.request_id} after {answer.events} events at {answer.ip}"
+
+
+def _interrupts(item: Applied, answer: Answer) -> bool:
+    """Return whether a trouble ends answers at the host of one, or their paths."""
+    kind = item.trouble.kind
+    ends_paths = kind is Kind.CUT_ENGINES and item.trouble.mode != REFUSE
+    return (kind in KILLS | STOPS or ends_paths) and _befalls(item, answer)
+
+
+def _befalls(item: Applied, answer: Answer) -> bool:
+    """Return whether a trouble befell the host of an answer within its time."""
+    return (
+        answer.ip in item.names
+        and item.began <= answer.ended + LOG_SECONDS
+        and answer.at <= item.ended
+    )
+
+
 def bad_parts_kept_away(found: Evidence) -> Iterable[str]:
     """Few requests with a part that crashed five engines reach any more.
 
@@ -257,6 +317,8 @@
     answers_whole,
     streams_of_one_version,
     streams_whole,
+    answers_not_cut,
+    cuts_logged,
     bad_parts_kept_away,
     hosts_recover,
     engines_used,
--- a/soak/load.py
+++ b/soak/load.py
@@ -17,11 +17,13 @@
     send,
 )
 from tests.platform.crashing_parts import Kind as PromptKind
+from tests.platform.silent_callers import Kind, SilentCallers
 from tests.platform.soak_fleet import PINS, TILES, SoakFleet
 from tests.platform.soak_operator import Operator, call_tile
-from tests.platform.stream_versions import StreamCallers
+from tests.platform.stream_versions import DEADLINE_MS, StreamCallers
 
 STREAM_CALLERS = 5
+LONG_STREAM_CALLERS = 4
 CALLERS = 5
 SOUND_PER_SECOND = 2.0
 BAD_PER_SECOND = 4.0
@@ -56,6 +58,8 @@
         self.hosts = HostChoice(fleet.entry_ips)
         self._wall_offset = time.time() - time.monotonic()
         self.streams = StreamCallers(self.hosts, callers=STREAM_CALLERS)
+        count_by_kind = {Kind.RESUMABLE: LONG_STREAM_CALLERS}
+        self.long_streams = SilentCallers(self.hosts, count_by_kind, DEADLINE_MS)
         self.calls = Callers(self.hosts, lambda: [f"{TILES}1", f"{PINS}1"], seed)
         self.calls.start(CALLERS)
         sound = tuple(kind._replace(a_second=SOUND_PER_SECOND) for kind in SOUND)
@@ -69,7 +73,13 @@
 
     def stop(self) -> None:
         """Stop all callers after what they have in progress."""
-        for callers in (self.streams, self.calls, self.prompts, self.operator):
+        for callers in (
+            self.streams,
+            self.long_streams,
+            self.calls,
+            self.prompts,
+            self.operator,
+        ):
             callers.stop()
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -61,6 +61,13 @@
             item._replace(at=load.call_time(item.at)) for item in load.calls.responses
         ],
         streams=load.streams.streams,
+        answers=load.long_streams.answers,
+        broken_off=frozenset().union(
+            *(engine.broken_off for engine in fleet.stream_engines)
+        ),
+        cut_lines={
+            ip: _requests_cut(fleet.process_by_ip[ip].log) for ip in fleet.entry_ips
+        },
         prompts=load.prompts.sent,
         crashes=fleet.crashes,
         arrivals=fleet.arrivals,
@@ -93,6 +100,18 @@
     return found
 
 
+def _requests_cut(log: Path) -> frozenset[str]:
+    """Return the requests whose responses a host's log calls cut."""
+    found = set()
+    for line in log.read_text(errors="replace").splitlines():
+        if '"event":"response-cut"' in line:
+            try:
+                found.add(json.loads(line)["request"])
+            except ValueError:
+                continue
+    return frozenset(found)
+
+
 def _errors(log: Path) -> list[str]:
     """Return the records at level error in a log, shortened."""
     found = []
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -29,6 +29,7 @@
     LIMIT_ENGINE = "limit-engine"
     BREAK_STREAMS = "break-streams"
     CLOSE_DELIMITED = "close-delimited"
+    PAUSE_ENGINE = "pause-engine"
     BAD_PART = "bad-part"
     HOT_HOST = "hot-host"
     CONFIGURE = "configure"
@@ -65,6 +66,7 @@
     Kind.LIMIT_ENGINE: (3.0, 6.0),
     Kind.BREAK_STREAMS: (1.0, 5.0),
     Kind.CLOSE_DELIMITED: (2.0, 6.0),
+    Kind.PAUSE_ENGINE: (0.5, 2.2),
     Kind.BAD_PART: (3.0, 8.0),
     Kind.HOT_HOST: (3.0, 8.0),
     Kind.CONFIGURE: (0.0, 0.0),
@@ -75,6 +77,9 @@
 _SEVERAL = {Kind.CUT_PEERS, Kind.CUT_ENGINES, Kind.FREEZE_ENTRY, Kind.KILL_ENTRY}
 """Kinds that may befall several entry hosts at once."""
 
+PAUSED_AT_ONCE = (1, 3, 6)
+"""How many engines may be paused at once; silence of all of them is the worst case."""
+
 
 class Trouble(NamedTuple):
     """One disturbance; at and seconds are times of the run.
@@ -135,6 +140,9 @@
 
 
 def _targets(rng: random.Random, kind: Kind) -> tuple[int, ...]:
+    if kind is Kind.PAUSE_ENGINE:
+        first = rng.randrange(1000)
+        return tuple(range(first, first + rng.choice(PAUSED_AT_ONCE)))
     count = rng.choice((1, 1, 2)) if kind in _SEVERAL else 1
     return tuple(rng.randrange(1000) for _ in range(count))
 
--- a/soak/troubles.py
+++ b/soak/troubles.py
@@ -90,6 +90,7 @@
             Kind.LIMIT_ENGINE: self._limit_engine,
             Kind.BREAK_STREAMS: self._break_streams,
             Kind.CLOSE_DELIMITED: self._close_delimited,
+            Kind.PAUSE_ENGINE: self._pause_engine,
             Kind.BAD_PART: self._bad_part,
             Kind.HOT_HOST: self._hot_host,
             Kind.CONFIGURE: self._configure,
@@ -275,6 +276,16 @@
         engine = self._engine(trouble)
         return self._set_for_a_while(engine, trouble, close_delimited=True)
 
+    def _pause_engine(self, trouble: Trouble) -> tuple[str, ...]:
+        engines = list(self._fleet.engines)
+        chosen = {engines[n % len(engines)] for n in trouble.targets if engines}
+        for engine in chosen:
+            engine.paused = True
+        time.sleep(trouble.seconds)
+        for engine in chosen:
+            engine.paused = False
+        return tuple(sorted(engine.name for engine in chosen))
+
     def _bad_part(self, trouble: Trouble) -> tuple[str, ...]:
         self._fleet.bad_parts = frozenset({BAD})
         time.sleep(trouble.seconds)
--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -103,6 +103,10 @@
         """Announce that the engine leaves."""
         self.state = "draining"
 
+    def may_announce(self) -> bool:
+        """Whether it announces itself at present."""
+        return True
+
     def record_request(self, request_id: str) -> None:
         """Record a request that has arrived to be run."""
         self.requests.append(request_id)
@@ -144,6 +148,8 @@
         }
         sequence = 0
         while not self._stopped.wait(BEAT_SECONDS):
+            if not self.may_announce():
+                continue
             sequence += 1
             for ip in CONTROL_IPS:
                 path = f"/-/instances/{self.name}"
--- a/tests/platform/silent_callers.py
+++ b/tests/platform/silent_callers.py
@@ -5,7 +5,7 @@
 import threading
 import time
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -18,6 +18,9 @@
 GAP_SECONDS = 4.0
 """Callers leave a stream that brings nothing for so long."""
 
+WELL_WITHIN = 1.0
+"""An answer that ends so much earlier than its deadline ends well within it."""
+
 PAUSE_SECONDS = 0.02
 REFUSED_PAUSE_SECONDS = 0.2
 OK = 200
@@ -64,6 +67,16 @@
     left: bool
     detail: str
 
+    @property
+    def broken(self) -> bool:
+        """Whether the head has come, and not all of the answer, to one who waited."""
+        return self.status == OK and not self.whole and not self.left
+
+    @property
+    def broken_early(self) -> bool:
+        """Whether the answer broke off well within its deadline."""
+        return self.broken and self.ended < self.deadline - WELL_WITHIN
+
 
 class Connections:
     """The connection of one caller to each host, kept if the caller keeps any."""
@@ -100,12 +113,18 @@
 class SilentCallers:
     """Threads that send requests to entry hosts, each the next one after its answer."""
 
-    def __init__(self, ips: tuple[str, ...]) -> None:
+    def __init__(
+        self,
+        ips: Sequence[str],
+        count_by_kind: Mapping[Kind, int] = COUNT_BY_KIND,
+        deadline_ms: int = DEADLINE_MS,
+    ) -> None:
         self.answers: list[Answer] = []
         self._ips = ips
+        self._deadline_ms = deadline_ms
         self._stopped = threading.Event()
         self._threads: list[threading.Thread] = []
-        for kind, count in COUNT_BY_KIND.items():
+        for kind, count in count_by_kind.items():
             for number in range(count):
                 self._start(self._call_on, kind, number)
 
@@ -133,14 +152,21 @@
         connections = Connections(kept=number % 2 == 0)
         key = OTHER_KEY if number % 4 < 2 else KEY
         while not self._stopped.wait(PAUSE_SECONDS):
-            answer = ask(kind, random.choice(self._ips), connections, key)
+            ip = random.choice(self._ips)
+            answer = ask(kind, ip, connections, key, self._deadline_ms)
             self.answers.append(answer)
             if answer.status != OK:
                 self._stopped.wait(REFUSED_PAUSE_SECONDS)
         connections.close()
 
 
-def ask(kind: Kind, ip: str, connections: Connections, key: str) -> Answer:
+def ask(
+    kind: Kind,
+    ip: str,
+    connections: Connections,
+    key: str,
+    deadline_ms: int = DEADLINE_MS,
+) -> Answer:
     """Send a request to a host and read the answer."""
     at = time.monotonic()
     request_id = uuid.uuid4().hex
@@ -149,7 +175,7 @@
         "Host": "trees.example",
         "Authorization": f"Token {key}",
         "X-Attempt-Id": request_id,
-        "X-Deadline-Ms": str(DEADLINE_MS),
+        "X-Deadline-Ms": str(deadline_ms),
         "X-Token-Usage": f"{random.randint(*TOKENS)},{count}",
     }
     connection = connections.get(ip)
@@ -157,7 +183,7 @@
     try:
         connection.request("POST", f"{kind}1", b"{}", headers)
         if connection.sock is not None and not kind.streams:
-            connection.sock.settimeout(DEADLINE_MS / 1000 + 1)
+            connection.sock.settimeout(deadline_ms / 1000 + 1)
         response = connection.getresponse()
         status = response.status
         if status == OK and kind.streams:
@@ -180,7 +206,7 @@
         request_id=request_id,
         at=at,
         ended=time.monotonic(),
-        deadline=at + DEADLINE_MS / 1000,
+        deadline=at + deadline_ms / 1000,
         status=status,
         whole=whole,
         events=events,
--- a/tests/platform/silent_engines.py
+++ b/tests/platform/silent_engines.py
@@ -18,7 +18,6 @@
 from tests.platform.builders import KEY
 from tests.platform.processes import CONTROL_IPS
 from tests.platform.silent_callers import (
-    OK,
     Answer,
     Connections,
     Kind,
@@ -45,9 +44,6 @@
 CUT_SECONDS = 2.5
 DOWN_SECONDS = 1.0
 BURST = 30
-WELL_WITHIN = 1.0
-"""An answer that ends so much earlier than its deadline ends well within it."""
-
 GRACE_SECONDS = 7.0
 """Time that a host has for the answers in progress when it is told to stop."""
 
@@ -201,6 +197,7 @@
             time.sleep(seconds_after)
         finally:
             callers.stop()
+        fleet.check_engines()
         before = share(callers.answers, started, paused)
         if not before:
             raise NobodyServedError(f"{row.name}: nobody served before the trouble")
@@ -232,15 +229,11 @@
         if run.ended is None
     }
     logged = {line["request"] for line in fleet.events("response-cut")}
-    broken = [
-        item
-        for item in answers
-        if item.status == OK and not item.whole and not item.left
-    ]
+    broken = [item for item in answers if item.broken]
     cut = [
         item
         for item in broken
-        if item.ended < item.deadline - WELL_WITHIN
+        if item.broken_early
         and item.request_id not in broken_off
         and not _stopped(fleet, item)
     ]
--- a/tests/platform/silent_fleet.py
+++ b/tests/platform/silent_fleet.py
@@ -1,5 +1,6 @@
 """A fleet whose engines are processes, so that they can be paused by signals."""
 
+import itertools
 import json
 import os
 import signal
@@ -97,23 +98,22 @@
         self.engines: list[EngineHandle] = []
         self.ended_engines: list[EngineHandle] = []
         self.stopped_at_by_ip: dict[str, float] = {}
+        self._generations = itertools.count()
         self._version = FIRST_VERSION
         self._change_lock = threading.Lock()
 
-    def add_engine(self, number: int, generation: int = 0) -> EngineHandle:
+    def add_engines(self) -> None:
+        """Start all engines."""
+        self.engines += [self._start_engine(number) for number in range(ENGINES)]
+
+    def _start_engine(self, number: int) -> EngineHandle:
         """Start an engine on its own address and port."""
-        name = f"e-{number}-{generation}"
+        name = f"e-{number}-{next(self._generations)}"
         engine = EngineHandle(name, number, self._folder)
         self._stack.callback(engine.kill)
         engine.start()
-        self.engines.append(engine)
         return engine
 
-    def add_engines(self) -> None:
-        """Start all engines."""
-        for number in range(ENGINES):
-            self.add_engine(number)
-
     def replace_engine(self, number: int) -> None:
         """Let an engine leave, and start another at its address once it has left."""
         engine = self.engines[number]
@@ -122,9 +122,14 @@
         while not engine.has_ended and time.monotonic() < ends:
             time.sleep(0.05)
         engine.kill()
-        self.engines.remove(engine)
         self.ended_engines.append(engine)
-        self.add_engine(number, generation=1)
+        self.engines[number] = self._start_engine(number)
+
+    def check_engines(self) -> None:
+        """Raise RuntimeError if an engine has ended that wasn't told to."""
+        ended = [engine.name for engine in self.engines if engine.has_ended]
+        if ended:
+            raise RuntimeError(f"engines ended by themselves: {', '.join(ended)}")
 
     @contextmanager
     def paused(self, engines: list[EngineHandle]) -> Iterator[None]:
--- a/tests/platform/soak_fleet.py
+++ b/tests/platform/soak_fleet.py
@@ -4,6 +4,7 @@
 import random
 import shutil
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -26,6 +27,7 @@
 STREAMS, TILES, PINS, EXTRA = "/trees/", "/tiles/", "/pins/", "/extra/"
 STREAM_ATTEMPTS = 3
 CALL_ATTEMPTS = 2
+PAUSE_POLL_SECONDS = 0.01
 LIMIT_HEADER = "Server-Limit"
 LIMIT_PER_SECOND = 20.0
 CALL_TIMEOUT_MS = 4000
@@ -35,10 +37,52 @@
 MAX_BODY_BYTES = 1_000_000
 
 
+class PausableWriter:
+    """Writes to a connection, but waits while its engine is paused."""
+
+    def __init__(self, file: Any, wait: Callable[[], None]) -> None:
+        self._file = file
+        self._wait = wait
+
+    def write(self, data: bytes) -> Any:
+        """Write as soon as the engine isn't paused."""
+        self._wait()
+        return self._file.write(data)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._file, name)
+
+
 class SoakEngine(CrashingEngine):
-    """An engine of streams with few slots, so that a few requests fill all of them."""
+    """An engine of streams with few slots, so that a few requests fill all of them.
+
+    While it is paused, it is to others like a process that is: the kernel accepts
+    connections, and nothing is run, written or announced.
+    """
 
     slots = 3
+    paused = False
+
+    def respond(self, handler: http.server.BaseHTTPRequestHandler) -> None:
+        """Respond like other engines, and keep which streams broke off as it ended."""
+        if not isinstance(handler.wfile, PausableWriter):
+            handler.wfile = PausableWriter(  # type: ignore[assignment]
+                handler.wfile, self._wait_while_paused
+            )
+        self._wait_while_paused()
+        try:
+            super().respond(handler)
+        finally:
+            if self.ended:
+                self.broken_off.add(handler.headers.get("X-Attempt-Id", ""))
+
+    def _wait_while_paused(self) -> None:
+        while self.paused and not self.ended:
+            time.sleep(PAUSE_POLL_SECONDS)
+
+    def may_announce(self) -> bool:
+        """Whether it is not paused."""
+        return not self.paused
 
 
 class PlainEngine(Engine):
@@ -76,6 +120,7 @@
         self.version = FIRST_VERSION
         self.plain: list[PlainEngine] = []
         self.all_engines: list[Engine] = []
+        self.stream_engines: list[SoakEngine] = []
         self._configuration = configuration(self.version, extra=False)
 
     def add_all_engines(self) -> None:
@@ -92,6 +137,8 @@
         """Close an engine on exit, and keep what it saw."""
         super().own(engine)
         self.all_engines.append(engine)
+        if isinstance(engine, SoakEngine):
+            self.stream_engines.append(engine)
 
     def end_if_serving(self, engine: CrashingEngine) -> bool:
         """End an engine, which is replaced later; return False if it has ended."""
--- a/tests/platform/stream_versions.py
+++ b/tests/platform/stream_versions.py
@@ -56,6 +56,7 @@
 
     With breaks, it closes the connection within that share of its streams. With
     close_delimited, streams have neither length nor chunks and end with the connection.
+    broken_off has the requests whose streams it did not bring to their end itself.
     """
 
     service = STREAM_SERVICE
@@ -68,6 +69,7 @@
         self, name: str, ip: str, version: str, fails: float, slots: int
     ) -> None:
         self.slots = slots
+        self.broken_off: set[str] = set()
         super().__init__(name, ip, version, fails)
 
     def respond(self, handler: BaseHTTPRequestHandler) -> None:
@@ -84,7 +86,7 @@
             return
         after = int(headers.get("Last-Event-Id", 0))
         self.record_request(headers["X-Attempt-Id"])
-        left = EVENTS - after
+        left = _events(headers.get("X-Token-Usage", "")) - after
         cut = random.randrange(left) if left and random.random() < self.breaks else None
         time.sleep(FIRST_PAUSE)
         handler.send_response(OK)
@@ -98,6 +100,7 @@
         handler.close_connection = not framed
         for sent in range(left):
             if sent == cut or self.ended:
+                self.broken_off.add(headers["X-Attempt-Id"])
                 handler.connection.shutdown(socket.SHUT_RDWR)
                 handler.close_connection = True
                 return
@@ -352,6 +355,12 @@
     return Take(ip, after, status, tuple(events), done, first)
 
 
+def _events(usage: str) -> int:
+    """Return how many events a request asks for: the second number of its usage."""
+    count = usage.partition(",")[2]
+    return int(count) if count else EVENTS
+
+
 def _last(take: Take) -> int:
     return take.events[-1][0] if take.events else 0
 
--- a/tests/soak/builders.py
+++ b/tests/soak/builders.py
@@ -3,10 +3,12 @@
 from typing import Any
 
 from soak.checks import Evidence
-from soak.schedule import Kind, Trouble
+from soak.schedule import Kind as TroubleKind
+from soak.schedule import Trouble
 from soak.troubles import Applied
 from tests.platform.callers import Response
 from tests.platform.crashing_parts import Sent
+from tests.platform.silent_callers import Answer, Kind
 from tests.platform.soak_fleet import PINS
 from tests.platform.stream_versions import EVENTS, Stream, Take
 
@@ -19,6 +21,9 @@
         "runs": {},
         "calls": [],
         "streams": [],
+        "answers": [],
+        "broken_off": frozenset(),
+        "cut_lines": {},
         "prompts": [],
         "crashes": [],
         "arrivals": [],
@@ -51,6 +56,24 @@
     return Stream(105.0, (Take("127.0.0.9", 0, 200, events, done, 0.1),))
 
 
+def answer(**changes: Any) -> Answer:
+    """Return an answer that was broken off at 105.0, six seconds too early."""
+    broken = Answer(
+        kind=Kind.RESUMABLE,
+        ip="127.0.0.9",
+        request_id="s1",
+        at=102.0,
+        ended=105.0,
+        deadline=111.0,
+        status=200,
+        whole=False,
+        events=7,
+        left=False,
+        detail="IncompleteRead",
+    )
+    return broken._replace(**changes)
+
+
 def refused_stream() -> Stream:
     """Return a stream that did not begin."""
     return Stream(105.0, (Take("127.0.0.9", 0, 503, (), False, None),))
@@ -61,6 +84,13 @@
     return Sent(105.0, "sound", True, 200, True, None, b"")._replace(**changes)
 
 
-def applied(kind: Kind, began: float, ended: float) -> Applied:
+def applied(
+    kind: TroubleKind,
+    began: float,
+    ended: float,
+    names: tuple[str, ...] = ("a",),
+    mode: str = "",
+) -> Applied:
     """Return a trouble as it was applied."""
-    return Applied(Trouble(0.0, ended - began, kind, (0,)), began, ended, ("a",))
+    trouble = Trouble(0.0, ended - began, kind, (0,), mode)
+    return Applied(trouble, began, ended, names)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -8,6 +8,7 @@
 from soak.schedule import Kind
 from tests.platform.soak_fleet import TILES
 from tests.platform.soak_operator import Acknowledged
+from tests.scenarios.cut_paths import REFUSE, SILENT
 from tests.soak import builders as build
 
 IP = "127.0.0.9"
@@ -21,6 +22,16 @@
 LATE = {"crashes": [50.0 + n for n in range(5)], "arrivals": [70.0] * (MAX_LATE + 1)}
 KILLED = build.applied(Kind.KILL_ENTRY, 64.0, 66.0)
 UNFRAMED = build.applied(Kind.CLOSE_DELIMITED, 103.0, 104.0)
+LOGGED = {IP: frozenset({"s1"})}
+HERE = (IP,)
+REFUSED_PATHS = build.applied(Kind.CUT_ENGINES, 104.0, 106.0, HERE, REFUSE)
+SILENT_PATHS = build.applied(Kind.CUT_ENGINES, 104.0, 106.0, HERE, SILENT)
+STOPPED = build.applied(Kind.STOP_ENTRY, 104.0, 106.0, HERE)
+KILLED_HERE = build.applied(Kind.KILL_ENTRY, 104.9, 106.0, HERE)
+KILLED_LATER = build.applied(Kind.KILL_ENTRY, 107.0, 108.0, HERE)
+KILLED_ELSEWHERE = build.applied(Kind.KILL_ENTRY, 104.9, 106.0, ("127.0.0.8",))
+PAUSED = build.applied(Kind.PAUSE_ENGINE, 103.0, 104.5, ("e1",))
+CUT = {"answers": [build.answer()], "cut_lines": LOGGED}
 KNOWN = [Acknowledged(10.0, 3), Acknowledged(20.0, 5)]
 
 HOLDS: dict[str, dict[str, Any]] = {
@@ -38,6 +49,14 @@
     "whole stream": {"streams": [build.stream()]},
     "broken stream": {"streams": [build.stream(1, 2, done=False)]},
     "stream without framing": {"streams": [build.stream(1, 2)], "applied": [UNFRAMED]},
+    "whole answer": {"answers": [build.answer(whole=True)]},
+    "caller left": {"answers": [build.answer(left=True)]},
+    "refused answer": {"answers": [build.answer(status=503)]},
+    "cut at the deadline": {**CUT, "answers": [build.answer(ended=110.5)]},
+    "broken off by an engine": {**CUT, "broken_off": frozenset({"s1"})},
+    "cut by a stopped host": {**CUT, "applied": [STOPPED]},
+    "cut with its paths": {**CUT, "applied": [SILENT_PATHS]},
+    "cut by a killed host": {**CUT, "cut_lines": {}, "applied": [KILLED_HERE]},
     "few late arrivals": {**LATE, "arrivals": [70.0] * MAX_LATE},
     "late arrivals of disturbed hosts": {**LATE, "applied": [KILLED]},
     "refused in trouble": {"calls": many(status=503, text=b"", at=90.0)},
@@ -78,6 +97,36 @@
         {"streams": [build.stream(1, 3, done=False)]},
     ),
     "looks whole": ("streams-whole", {"streams": [build.stream(1, 2)]}),
+    "cut": ("answers-not-cut", CUT),
+    "cut as an engine was silent": ("answers-not-cut", {**CUT, "applied": [PAUSED]}),
+    "cut as new connections were refused": (
+        "answers-not-cut",
+        {**CUT, "applied": [REFUSED_PATHS]},
+    ),
+    "cut before its host was killed": (
+        "answers-not-cut",
+        {**CUT, "applied": [KILLED_LATER]},
+    ),
+    "cut beside a killed host": (
+        "answers-not-cut",
+        {**CUT, "applied": [KILLED_ELSEWHERE]},
+    ),
+    "cut without a line": (
+        "cuts-logged",
+        {**CUT, "cut_lines": {}, "broken_off": frozenset({"s1"})},
+    ),
+    "cut by a stopped host without a line": (
+        "cuts-logged",
+        {**CUT, "cut_lines": {}, "applied": [STOPPED]},
+    ),
+    "cut without a line at its host": (
+        "cuts-logged",
+        {
+            **CUT,
+            "cut_lines": {"127.0.0.8": frozenset({"s1"})},
+            "broken_off": frozenset({"s1"}),
+        },
+    ),
     "late arrivals": ("bad-parts-kept-away", LATE),
     "many late arrivals of a disturbed host": (
         "bad-parts-kept-away",
