Entry: a run that goes on right before another one begins stops no process

Cause: the check right before the sending joins its findings with or, and an empty tuple (RunResumed) counts as none. And a run that went on and fell silent again no longer counted as resumed.

Change: both carry the name of their upstream; that a run has gone on is kept until the request returns to it.

Ruled out: the guard itself, which did what it is for.

Evidence: the new tests fail without the change (SentTwiceError) and pass with it.

Conclusion: the check holds for every run that has gone on.

--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -170,7 +170,7 @@
         if standby is None:
             return None
         if standby.resumed:
-            return RunResumed()
+            return RunResumed(standby.grant.upstream)
         same = grant.upstream == standby.grant.upstream
         return Retry(grant.upstream, UPSTREAM_SILENT) if same else None
 
--- a/bitterntiller/components/entry/models.py
+++ b/bitterntiller/components/entry/models.py
@@ -171,10 +171,14 @@
 class RunSilent(NamedTuple):
     """The upstream of a run has sent nothing for some time; the run goes on."""
 
+    upstream: str
+
 
 class RunResumed(NamedTuple):
     """A run whose upstream was silent goes on, while another upstream was sought."""
 
+    upstream: str
+
 
 class CutBy(StrEnum):
     """Who ended a response before it was whole.
--- a/bitterntiller/components/entry/registration.py
+++ b/bitterntiller/components/entry/registration.py
@@ -45,7 +45,7 @@
         if active.owner is None and now - started_at > const.OWNER_WAIT:
             return _refused_not_run(Reason.NO_OWNER, const.DEFAULT_RETRY_AFTER)
         if active.standby is not None and active.standby.resumed:
-            return RunResumed()
+            return RunResumed(active.standby.grant.upstream)
         await _async_register(active, context, now)
         event = await _async_event(active, min(deadline - now, _event_timeout(active)))
         if isinstance(event, GrantReceived):
--- a/bitterntiller/components/entry/run.py
+++ b/bitterntiller/components/entry/run.py
@@ -29,13 +29,15 @@
     """A request that was sent to the upstream of a grant.
 
     stack owns what the run holds. set_aside is set while the request may be sent to
-    another upstream, silent while nothing arrives.
+    another upstream, resumed if this one goes on meanwhile, silent while nothing
+    arrives.
     """
 
     def __init__(self, active: ActiveRequest, grant: GrantReceived) -> None:
         self.grant = grant
         self.stack = AsyncExitStack()
         self.set_aside = False
+        self.resumed = False
         self.silent = False
         self.sends = 0
         self.result: Verdict | Exception | None = None
@@ -74,26 +76,21 @@
                 return self.result
             standby = self._active.standby
             if standby is not None and standby.resumed:
-                return RunResumed()
+                return RunResumed(standby.grant.upstream)
             if self._unreported_silence:
                 self._unreported_silence = False
                 if standby is None and self._active.movable:
-                    return RunSilent()
+                    return RunSilent(self.grant.upstream)
             await changed.wait()
 
-    @property
-    def resumed(self) -> bool:
-        """Return whether the upstream went on after the run was set aside."""
-        return self.set_aside and not self.silent
-
     @property
     def ended(self) -> bool:
-        """Return whether the response has ended while the upstream was silent."""
-        return self.silent and self.result is not None
+        """Return whether the response has ended before the upstream went on."""
+        return self.result is not None and not self.resumed
 
     def take_back(self) -> None:
         """Make this the current run of the request again."""
-        self.set_aside = False
+        self.set_aside = self.resumed = False
         self._restore()
 
     async def async_begin_silence(self) -> None:
@@ -107,8 +104,9 @@
             raise IncompleteResponseError("another upstream has taken the request over")
         self.silent = self._unreported_silence = False
         if self.set_aside:
+            self.resumed = True
             self._restore()
-            await self._active.mailbox.put(RunResumed())
+            await self._active.mailbox.put(RunResumed(self.grant.upstream))
             await self._active.changed.set()
 
     def _restore(self) -> None:
--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -120,7 +120,8 @@
 
     Each grant names another upstream, unless names has the next ones; the last one of
     names is used for all later grants, and so with versions. With refused_as, requests
-    that wait again are refused for that reason.
+    that wait again are refused for that reason. started_seconds is how long it takes to
+    report each sending after the first; grants are valid for valid_ms.
     """
 
     def __init__(self, address: str) -> None:
@@ -128,11 +129,15 @@
         self.names: list[str] = []
         self.versions: list[str] = [""]
         self.refused_as = ""
+        self.started_seconds = 0.0
+        self.valid_ms = 1000
         self.coordinator: Any = None
         self._address = address
 
     async def async_send(self, address: str, message: Any) -> bool:
         self.sent.append(message)
+        if isinstance(message, messages.Started) and len(self.of(messages.Started)) > 1:
+            await curio.sleep(self.started_seconds)
         again = isinstance(message, messages.Returned) and message.still_waiting
         if again and self.refused_as:
             await self._async_refuse(message.request_id)
@@ -148,7 +153,7 @@
             upstream=self._next_name(),
             address=self._address,
             upstream_incarnation="0",
-            valid_ms=1000,
+            valid_ms=self.valid_ms,
             version=self.versions.pop(0) if self.versions[1:] else self.versions[0],
         )
         await self.coordinator.registry.async_on_grant("b", grant)
--- a/tests/platform/test_silent_upstreams.py
+++ b/tests/platform/test_silent_upstreams.py
@@ -180,3 +180,29 @@
 
     curio.run(async_main)
     assert budget.has_retry_left("llm")
+
+
+@pytest.mark.parametrize(("reporting", "pause"), [(0.6, 0.7), (1.9, 2.0)])
+def test_upstream_that_goes_on_right_before_another_gets_the_request_keeps_it(
+    reporting, pause
+):
+    """The process stopped, as the request would have been sent a second time."""
+
+    async def async_upstream(sock: Any, data: bytes, number: int) -> None:
+        await sock.sendall(builders.STREAM_HEAD + FIRST)
+        await curio.sleep(SILENCE)
+        await sock.sendall(chunk(event(2)))
+        await curio.sleep(pause)
+        await sock.sendall(chunk(event(3)) + builders.LAST_CHUNK)
+
+    async def async_main() -> tuple[bytes, int]:
+        async with patient_host(async_upstream) as host:
+            host.links.started_seconds = reporting
+            host.links.valid_ms = 5000
+            request = builders.request().replace(b": 3000", b": 4000")
+            received = await host.async_ask(request, ASK_SECONDS)
+            return received, len(host.requests)
+
+    received, sent = curio.run(async_main)
+    assert body_of(received) == event(1) + event(2) + event(3)
+    assert sent == 1
