Dispatch: a grant that comes too late frees no slot of a request that ran on

Cause: a request that had gone on at its silent upstream was dropped by its owner when a grant sent meanwhile came back unused (one of the same upstream) or could not be delivered; its slot counted as free while it ran.

Change: the return of a grant is passed over if the request runs, but not under that grant.

Conclusion: what runs counts until its end is reported.

--- a/bitterntiller/components/dispatch/models.py
+++ b/bitterntiller/components/dispatch/models.py
@@ -248,8 +248,8 @@
         """Record that the entry host started to send the request."""
         ...
 
-    def runs_elsewhere(self, request_id: str, upstream: str) -> bool:
-        """Return whether a request runs at another upstream than the one named."""
+    def runs_without(self, request_id: str, upstream: str, reason: str) -> bool:
+        """Return whether a request runs, but not under a grant that is returned."""
         ...
 
     def returned(
--- a/bitterntiller/components/dispatch/owned_pool.py
+++ b/bitterntiller/components/dispatch/owned_pool.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from bitterntiller.components.config.models import Config
+from bitterntiller.components.dispatch.const import REASON_EXPIRED
 from bitterntiller.components.dispatch.eligibility import Eligibility, workspace_limits
 from bitterntiller.components.dispatch.models import (
     Decision,
@@ -28,7 +29,6 @@
 from bitterntiller.protocol import messages
 
 UNKNOWN_TIER_RANK = 1_000_000
-REASON_UNDELIVERED = "expired"
 UNLISTED_GRACE_SECONDS = 5.0
 
 VERSION_GONE_RETRY_SECONDS = 2.0
@@ -225,11 +225,10 @@
         return self._record_decisions(self.scheduler.finished(end, now), now)
 
     def returned(self, message: messages.Returned, now: float) -> list[Decision]:
-        """Process the return of a grant.
-
-        A request that runs on at another upstream has nothing to do with it.
-        """
-        if self.scheduler.runs_elsewhere(message.request_id, message.upstream):
+        """Process the return of a grant."""
+        if self.scheduler.runs_without(
+            message.request_id, message.upstream, message.reason
+        ):
             return []
         tracked = self.tracked_by_id.pop(message.request_id, None)
         self.rollout.record_return(message.request_id, message.reason)
@@ -300,9 +299,11 @@
         )
 
     def drop_undelivered(self, request_id: str, now: float) -> list[Decision]:
-        """Drop a request whose grant could not be delivered."""
+        """Drop a request whose grant could not be delivered, unless it runs already."""
+        if self.scheduler.runs_without(request_id, "", REASON_EXPIRED):
+            return []
         self.tracked_by_id.pop(request_id, None)
-        decisions = self.scheduler.returned(request_id, REASON_UNDELIVERED, False, now)
+        decisions = self.scheduler.returned(request_id, REASON_EXPIRED, False, now)
         return self._record_decisions(decisions, now)
 
     def announce(
--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -8,6 +8,7 @@
     MAX_RETURNS,
     OUTCOME_DONE,
     OUTCOME_UNKNOWN,
+    REASON_EXPIRED,
     REASON_FAILED,
     REASON_LOST_ANSWER,
     REASON_NOT_ADMITTED,
@@ -197,12 +198,17 @@
             self._jobs.mark_running(job, now)
         return []
 
-    def runs_elsewhere(self, request_id: str, upstream: str) -> bool:
-        """Return whether a request runs at another upstream than the one named."""
+    def runs_without(self, request_id: str, upstream: str, reason: str) -> bool:
+        """Return whether a request runs, but not under a grant that is returned.
+
+        It has gone on where it ran before, while the grant was on its way. A grant of
+        the same upstream was then not used.
+        """
         job = self._jobs.by_id.get(request_id)
         if job is None or job.state is not JobState.RUNNING or job.upstream is None:
             return False
-        return job.upstream.name != upstream
+        unused = job.adopted and reason == REASON_EXPIRED
+        return unused or job.upstream.name != upstream
 
     def returned(
         self,
--- a/tests/components/dispatch/test_owned_pool.py
+++ b/tests/components/dispatch/test_owned_pool.py
@@ -158,3 +158,39 @@
     unused = build.returned("r1", "e2", "expired", waiting=False)
     owned.returned(unused, T0 + 1.6)
     assert running_count(owned, "e1") == 1
+
+
+def test_grant_that_could_not_be_delivered_leaves_a_request_that_runs_on():
+    """Its host has gone on with the silent upstream while the delivery failed."""
+    owned = pool()
+    owned.announce(build.announce("e1", 1), T0)
+    owned.register(build.register("r1"), "i1", T0)
+    owned.started("r1", T0)
+    owned.returned(
+        build.returned("r1", "e1", "upstream-silent", waiting=True), T0 + 1.0
+    )
+    owned.announce(build.announce("e2", 1), T0 + 1.1)
+    owned.cancel("r1", T0 + 1.2)
+    owned.adopt_running(build.running("r1", "e1"), "i1", T0 + 1.2)
+    assert running_count(owned, "e1") == 1
+    owned.drop_undelivered("r1", T0 + 1.5)
+    assert running_count(owned, "e1") == 1
+    assert "r1" in owned.tracked_by_id
+
+
+def test_late_grant_of_the_same_upstream_leaves_a_request_that_runs_on():
+    """Its host returns the grant, since the request runs on; that is no end of it."""
+    owned = pool()
+    owned.announce(build.announce("e1", 2), T0)
+    owned.register(build.register("r1"), "i1", T0)
+    owned.started("r1", T0)
+    decisions = owned.returned(
+        build.returned("r1", "e1", "upstream-silent", waiting=True), T0 + 1.0
+    )
+    assert granted(decisions) == ["r1"]
+    owned.cancel("r1", T0 + 1.1)
+    owned.adopt_running(build.running("r1", "e1"), "i1", T0 + 1.1)
+    stale = build.returned("r1", "e1", "expired", waiting=False)
+    owned.returned(stale, T0 + 1.2)
+    assert running_count(owned, "e1") == 1
+    assert "r1" in owned.tracked_by_id
