HTTP client: connections to upstreams use keep-alive

Change: probes after 5 s, closed after 10 s. No user timeout: that also closes connections whose peer is alive and takes no data for a while.

Ruled out: a shorter read timeout, which takes silence for an end.

--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -18,7 +18,7 @@
     ResponseHead,
     header,
 )
-from bitterntiller.core.tcp import async_connect, is_quiet
+from bitterntiller.core.tcp import async_connect, enable_keepalive, is_quiet
 
 CLOSED_EARLY = "the upstream closed the connection before its answer was whole"
 
@@ -88,6 +88,7 @@
         ip, _, port = address.rpartition(":")
         try:
             sock = await async_connect(ip, int(port), timeout)
+            enable_keepalive(sock, const.UPSTREAM_KEEPALIVE_SECONDS, user_timeout=False)
         except (OSError, ValueError, OverflowError) as error:
             raise ConnectRefusedError(f"{address}: {error!r}") from error
         return cls(sock, allow_close_delimited)
--- a/bitterntiller/components/http/const.py
+++ b/bitterntiller/components/http/const.py
@@ -12,6 +12,9 @@
 DATA_EVENTS_PER_TURN = 64
 """Parts of a body that are read before other tasks get a turn."""
 READ_TIMEOUT_CHECKS = 4
+UPSTREAM_KEEPALIVE_SECONDS = 10
+"""Time after which a connection to an upstream whose host is gone is closed."""
+
 LINGER_BYTES = 16 * 1024 * 1024
 LINGER_SECONDS = 2.0
 BODYLESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
--- a/bitterntiller/core/tcp.py
+++ b/bitterntiller/core/tcp.py
@@ -35,9 +35,12 @@
     return sock
 
 
-def enable_keepalive(sock: Any, seconds: int) -> None:
+def enable_keepalive(sock: Any, seconds: int, user_timeout: bool = True) -> None:
     """Make the kernel close a connection when its peer is silent for some seconds.
 
+    With user_timeout, also when the peer acknowledges no data or takes none; a peer
+    that doesn't read for that long is closed, too.
+
     A host that loses power or its network sends no reset. Without keepalive and a user
     timeout the connection would stay open for about 15 minutes, and after a partition
     the kernel may wait two minutes before it retransmits, while sends still succeed.
@@ -48,9 +51,9 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, idle)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, probes)
-    sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, min(seconds * 1000, 2**31 - 1)
-    )
+    if user_timeout:
+        most = min(seconds * 1000, 2**31 - 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, most)
 
 
 def is_quiet(sock: Any) -> bool:
