Entry: another upstream takes over at its first event, not at its head

Cause: the head of a response was taken for the stream it should bring, and the state of the silent run was that of its sending, not of when it was set aside.

Change: Relay reads up to the first event that follows the stream, then ends the silent run; what isn't a stream takes over when it is whole. A run goes on also by its end. Its state (with load, limit and sendings) is kept as it is set aside. A grant of the same upstream is returned for a reason of its own. Nothing is sought after the deadline.

Ruled out: reading both at once to the end; an upstream may not run what another still runs for more than a moment.

Why it holds: only an event that continues what the caller has ends a run.

--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -13,11 +13,7 @@
 from bitterntiller.components.entry.claiming import ClaimClient
 from bitterntiller.components.entry.context import Context
 from bitterntiller.components.entry.dialect import ResponseClass
-from bitterntiller.components.entry.event_logging import (
-    log_move,
-    log_response,
-    log_sending,
-)
+from bitterntiller.components.entry.event_logging import log_response, log_sending
 from bitterntiller.components.entry.identify import revalidate
 from bitterntiller.components.entry.limit_reports import async_report_rate_limit
 from bitterntiller.components.entry.models import (
@@ -39,7 +35,7 @@
 from bitterntiller.components.entry.send_checks import (
     LEASE_EXPIRED,
     REFUSED_CONNECTION,
-    UPSTREAM_SILENT,
+    SAME_UPSTREAM,
     check_expiry,
     check_notices,
     check_upstream,
@@ -60,7 +56,6 @@
 
 NOT_ADMITTED = "not-admitted"
 FAILED = "failed"
-STANDBY_RESUMED = "standby-resumed"
 _BROKEN_ANSWERS = frozenset({Reason.UPSTREAM_RESET, Reason.UPSTREAM_TIMEOUT})
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
@@ -172,7 +167,7 @@
         if standby.resumed:
             return RunResumed(standby.grant.upstream)
         same = grant.upstream == standby.grant.upstream
-        return Retry(grant.upstream, UPSTREAM_SILENT) if same else None
+        return Retry(grant.upstream, SAME_UPSTREAM) if same else None
 
     def _check_upstream(self, grant: GrantReceived) -> Retry | None:
         context = self._context
@@ -298,18 +293,12 @@
         if response_class is ResponseClass.FOREIGN:
             error = IncompleteResponseError("the answer names another request")
             return await self._async_handle_lost_response(error)
-        standby = self._standby
         failed = response_class is not ResponseClass.ANSWER
-        if failed and (self._can_repeat() or standby is not None):
+        if failed and (self._can_repeat() or self._standby is not None):
             await _async_drain_response(client)
             return Retry(grant.upstream, FAILED, ran=True)
         if response_class is ResponseClass.WITHHELD:
             return _unknown(Reason.UPSTREAM_FAILED, BAD_GATEWAY)
-        if standby is not None:
-            if not await standby.async_supersede():
-                return Retry(grant.upstream, STANDBY_RESUMED, ran=True)
-            active.standby = None
-            log_move(active, standby.grant.upstream)
         active.phase = Phase.RELAYING
         relay = Relay(self._exchange, active, self._context, self._run)
         relayed = await relay.async_run(client, head)
--- a/bitterntiller/components/entry/models.py
+++ b/bitterntiller/components/entry/models.py
@@ -245,6 +245,8 @@
     sent_at: float
     granted_version: str
     tried: tuple[str, ...]
+    load: ReportedLoad | None
+    rate_limit: float | None
 
 
 class ActiveRequest:
@@ -364,6 +366,8 @@
             self.sent_at,
             self.granted_version,
             self.tried,
+            self.load,
+            self.rate_limit,
         )
 
     def restore_sent(self, state: SentState) -> None:
@@ -372,6 +376,7 @@
         self.sent_at = state.sent_at
         self.granted_version = state.granted_version
         self.tried = state.tried
+        self.load, self.rate_limit = state.load, state.rate_limit
         self.may_have_run = True
         self.phase = Phase.RELAYING
 
--- a/bitterntiller/components/entry/pipeline.py
+++ b/bitterntiller/components/entry/pipeline.py
@@ -8,7 +8,7 @@
 
 from bitterntiller.components.entry import accounting, const
 from bitterntiller.components.entry.admission_checks import AdmissionChecks, retry_later
-from bitterntiller.components.entry.attempt import Attempt
+from bitterntiller.components.entry.attempt import NOT_ADMITTED, Attempt
 from bitterntiller.components.entry.budget import BodyReservation, HostBudget
 from bitterntiller.components.entry.claiming import (
     ACTION_FINISH,
@@ -301,10 +301,12 @@
         Return False if the request may not be sent to another.
         """
         now = self._context.clock.now()
+        if now >= active.prepared.identified.deadline:
+            return False
         if not self._may_repeat(active):
             log_silence(active, active.output_tokens, NO_RETRY_LEFT, now)
             return False
-        run.set_aside = True
+        run.put_aside()
         active.standby, active.run = run, None
         silent = run.grant.upstream
         missing = await self._async_reserve_repeat(active)
@@ -332,14 +334,16 @@
         run = active.standby
         assert run is not None
         active.standby = None
-        if isinstance(outcome, Retry) and outcome.upstream:
-            log_attempt(active, outcome, 0.0)
         granted_at = self._context.clock.now()
         if run.ended:
             await run.async_close()
             if grant is None:
                 return outcome
             return await self._async_conclude(active, grant, outcome, granted_at)
+        if isinstance(outcome, Retry) and outcome.upstream:
+            log_attempt(active, outcome, 0.0)
+            if outcome.reason == NOT_ADMITTED:
+                active.runs -= 1
         if active.sends == run.sends:
             self.retries.refund(active.pool)
         resumed = run.resumed
--- a/bitterntiller/components/entry/relay.py
+++ b/bitterntiller/components/entry/relay.py
@@ -4,11 +4,14 @@
 the caller can detect.
 """
 
+import copy
+
 import curio
 
 from bitterntiller.components.config.models import RouteKind
 from bitterntiller.components.entry import const
 from bitterntiller.components.entry.context import Context
+from bitterntiller.components.entry.event_logging import log_move
 from bitterntiller.components.entry.models import (
     ActiveRequest,
     Cut,
@@ -37,6 +40,8 @@
 from bitterntiller.components.http.models import ResponseHead
 
 LOST_RESPONSE = "lost-answer"
+STANDBY_RESUMED = "the silent upstream has gone on"
+NO_STREAM = "the response does not go on with the stream"
 ENDED_WITHIN_EVENT = "the response ended before the end of the stream"
 
 
@@ -70,13 +75,19 @@
         """
         streams = is_event_stream(head) and head.status == STATUS_OK
         if self._active.route is not None and not streams:
+            if self._exchange.started:
+                self._broken_by = NO_STREAM
+                return self._lost()
             return await self._async_relay_buffered(client, head)
+        await client.async_start_read_timeout(self._idle, self._watch())
+        first = await self._async_take_over(client) if self._has_standby() else b""
+        if first is None:
+            return self._lost()
         if not self._exchange.started:
             headers = self._context.dialect.response_headers(self._active, head)
             await self._exchange.async_start(head.status, headers)
-        await client.async_start_read_timeout(self._idle, self._watch())
         if streams and not self._bodyless:
-            whole = await self._async_relay_stream(client)
+            whole = await self._async_relay_stream(client, first)
         else:
             whole = await self._async_relay_body(client)
         if not whole and (self._may_move() or self._set_aside()):
@@ -91,6 +102,7 @@
 
     async def _async_end(self, whole: bool) -> None:
         if whole:
+            await self._async_go_on()
             await self._exchange.async_finish()
             return
         # Without an end marker and with a reset, the caller can't mistake the
@@ -120,6 +132,47 @@
     def _may_move(self) -> bool:
         return self._active.stream is not None and self._active.movable
 
+    def _has_standby(self) -> bool:
+        return self._active.standby is not None and not self._set_aside()
+
+    async def _async_go_on(self) -> None:
+        """Record that the run sends to its caller, also if only an end has arrived."""
+        if self._run is not None:
+            await self._run.async_end_silence()
+
+    async def _async_take_over(self, client: ClientExchange) -> bytes | None:
+        """End the silent run on standby once this response goes on with its stream.
+
+        Return the data up to the first event, or None if it doesn't go on, or the
+        silent run has.
+        """
+        stream = copy.copy(self._active.stream) or EventStream(ends_with_response=True)
+        if self._active.stream is not None:
+            stream.begin_resume()
+        received = b""
+        try:
+            while not stream.feed(data := await client.async_data() or b"").count:
+                if not data:
+                    self._broken_by = ENDED_WITHIN_EVENT
+                    return None
+                received += data
+        except (IncompleteResponseError, BrokenStreamError) as error:
+            self._broken_by = error.text
+            return None
+        return received + data if await self._async_supersede() else None
+
+    async def _async_supersede(self) -> bool:
+        """End the run on standby, if any; return False if it has gone on."""
+        standby = self._active.standby
+        if standby is None or standby is self._run:
+            return True
+        if not await standby.async_supersede():
+            self._broken_by = STANDBY_RESUMED
+            return False
+        self._active.standby = None
+        log_move(self._active, standby.grant.upstream)
+        return True
+
     def _set_aside(self) -> bool:
         """Return whether another run decides how the response ends."""
         return self._run is not None and self._run.set_aside
@@ -143,6 +196,9 @@
         except IncompleteResponseError as error:
             self._broken_by = error.text
             return self._lost()
+        if not await self._async_supersede():
+            return self._lost()
+        await self._async_go_on()
         self._record_first_byte()
         headers = self._context.dialect.response_headers(self._active, head)
         headers = [item for item in headers if item[0] != b"content-length"]
@@ -151,7 +207,9 @@
 
     async def _async_relay_oversized(
         self, client: ClientExchange, head: ResponseHead, parts: list[bytes]
-    ) -> RelayResult:
+    ) -> RelayResult | Retry:
+        if not await self._async_supersede():
+            return self._lost()
         headers = self._context.dialect.response_headers(self._active, head)
         await self._exchange.async_start(head.status, headers)
         self._record_first_byte()
@@ -204,7 +262,7 @@
             self._broken_by = error.text
             return False
 
-    async def _async_relay_stream(self, client: ClientExchange) -> bool:
+    async def _async_relay_stream(self, client: ClientExchange, first: bytes) -> bool:
         routed = self._active.route is not None
         stream = self._active.stream
         if stream is not None:
@@ -214,7 +272,7 @@
             stream = EventStream(ends_with_response=routed)
         if routed:
             self._active.stream = stream
-        if await self._async_relay_events(client, stream):
+        if await self._async_relay_events(client, stream, first):
             return True
         # A routed stream is resumed by a new attempt, at the upstream of its grant.
         return False if routed else await self._async_resume(stream)
@@ -266,12 +324,16 @@
         return False
 
     async def _async_relay_events(
-        self, client: ClientExchange, stream: EventStream
+        self, client: ClientExchange, stream: EventStream, first: bytes = b""
     ) -> bool:
-        """Relay complete events; return True once the end of the stream was relayed."""
+        """Relay complete events; return True once the end of the stream was relayed.
+
+        first is data that was already read.
+        """
         try:
             while not stream.ended:
-                data = await client.async_data()
+                data = first or await client.async_data()
+                first = b""
                 if data is None:
                     self._broken_by = ENDED_WITHIN_EVENT
                     return stream.is_complete_at_eof()
--- a/bitterntiller/components/entry/run.py
+++ b/bitterntiller/components/entry/run.py
@@ -30,7 +30,7 @@
 
     stack owns what the run holds. set_aside is set while the request may be sent to
     another upstream, resumed if this one goes on meanwhile, silent while nothing
-    arrives.
+    arrives. sends is how often the request had been sent when the run was set aside.
     """
 
     def __init__(self, active: ActiveRequest, grant: GrantReceived) -> None:
@@ -48,8 +48,6 @@
 
     async def async_start(self, respond: Respond) -> None:
         """Start the task of the response, once the request was sent."""
-        self._state = self._active.sent_state
-        self.sends = self._active.sends
         task = await curio.spawn(self._async_respond, respond, daemon=True)
         self.stack.push_async_callback(task.cancel)
 
@@ -88,6 +86,12 @@
         """Return whether the response has ended before the upstream went on."""
         return self.result is not None and not self.resumed
 
+    def put_aside(self) -> None:
+        """Prepare for another run of the request beside this one."""
+        self.set_aside = True
+        self.sends = self._active.sends
+        self._state = self._active.sent_state
+
     def take_back(self) -> None:
         """Make this the current run of the request again."""
         self.set_aside = self.resumed = False
@@ -99,7 +103,10 @@
         await self._active.changed.set()
 
     async def async_end_silence(self) -> None:
-        """Record that data has arrived; raise IncompleteResponseError if superseded."""
+        """Record that data, or the end of the response, has arrived.
+
+        Raise IncompleteResponseError if another run has taken over.
+        """
         if self._superseded:
             raise IncompleteResponseError("another upstream has taken the request over")
         self.silent = self._unreported_silence = False
--- a/bitterntiller/components/entry/send_checks.py
+++ b/bitterntiller/components/entry/send_checks.py
@@ -12,6 +12,7 @@
 LEASE_EXPIRED = "lease"
 REFUSED_CONNECTION = "refused-connection"
 UPSTREAM_SILENT = "upstream-silent"
+SAME_UPSTREAM = "same-upstream"
 UPSTREAM_LEFT = "upstream-left"
 UPSTREAM_PAUSED = "upstream-paused"
 VERSION_WITHDRAWN = "version-withdrawn"
@@ -19,6 +20,7 @@
 NOTHING_SENT = frozenset(
     {
         REFUSED_CONNECTION,
+        SAME_UPSTREAM,
         UPSTREAM_LEFT,
         UPSTREAM_PAUSED,
         VERSION_WITHDRAWN,
