Crashes: only an end under a request sent when earlier ends were known is a failed trial

Cause: a quarantine doubled with each end beyond those that convict, as if each were a trial that failed. Ends at one moment aren't independent: the requests were sent before anybody could know of the first one, and all may have one cause that ran beside them. Six such ends convicted copies of a sound request for 480 s.

Change: a crash says how long its request had run (`ran`: an optional field of the message and of the file, from the time of sending). Failed trials are the longest chain of ends after the convicting ones, each under a request sent more than KNOWN_SECONDS (3 s) after the one before. It depends on the set of ends only, so hosts agree in whatever order they hear, and after a restart. Of several requests at one process the one sent last counts; a report without the time (earlier releases) counts as sent at its end and hides no known time. Conviction itself is as it was: three ends, or five, also at one moment, for 5 s.

Ruled out: counting the ends after the first quarantine (a long response sent before it and ended after it would count); a number of ends that the sender knew (clearings and late reports change what it means); leaving out ends that another convicted fingerprint explains, all but a few (popular sound parts explain some ends of a bad one, which would run on).

The other new tests need the new field and failed on the code before for its lack.

Tests changed, as each put all ends at one moment and asked for doublings: test_each_further_crash_doubles_the_quarantine, test_quarantine_is_bounded, test_crashes_after_a_quarantine_are_counted_as_failed_trials and test_quarantine_survives_a_restart_of_all_processes. They ask for the same figures, of ends that are trials (builders.one_by_one).

Price: a bad part that ends more than three upstreams at one moment costs one more, 5 s later.

A report of a fingerprint takes 11 bytes more; a release before reads it (decoded by one). The file with the new field is refused by such a release, which then gets the history from the other hosts, as it was with the workspace and the blocks.

--- a/bench/crashing_parts.py
+++ b/bench/crashing_parts.py
@@ -57,9 +57,10 @@
 class Running:
     """A request at an engine."""
 
-    def __init__(self, request: Request, engine: str) -> None:
+    def __init__(self, request: Request, engine: str, sent_at: float) -> None:
         self.request = request
         self.engine = engine
+        self.sent_at = sent_at
         self.begun = False
         self.sound = False
 
@@ -180,7 +181,7 @@
                 self._start(decision.request_id, request, decision.upstream)
 
     def _start(self, request_id: str, request: Request, engine: str) -> None:
-        running = Running(request, engine)
+        running = Running(request, engine, self._now)
         self._running_by_id[request_id] = running
         self._apply(self._scheduler.started(request_id, self._now))
         if engine in self._down:
@@ -294,8 +295,9 @@
             if running.engine != name:
                 continue
             parts = () if running.sound else running.request.parts
+            ran = self._now - running.sent_at
             crashes += [
-                Crash(item, name, incarnation, self._now)
+                Crash(item, name, incarnation, self._now, ran=ran)
                 for item in (running.request.fingerprint, *parts)
             ]
             self._break(request_id)
--- a/bitterntiller/components/crashes/const.py
+++ b/bitterntiller/components/crashes/const.py
@@ -16,7 +16,12 @@
 upstreams when they ended for another reason is served soon."""
 
 QUARANTINE_SECONDS = 120.0
-"""Quarantine after the next crash; each further crash doubles it."""
+"""Quarantine after the first failed trial; each further one doubles it."""
+
+KNOWN_SECONDS = 3.0
+"""Time after a crash within which all hosts that can be reached know of it, beside load
+too. What was sent earlier is no trial. Less than FIRST_QUARANTINE_SECONDS, after which
+trials are sent."""
 
 MAX_QUARANTINE_SECONDS = 24 * 3600.0
 RETENTION_SECONDS = 2 * MAX_QUARANTINE_SECONDS
@@ -34,8 +39,8 @@
 MAX_BLOCK_SECONDS = 30 * 24 * 3600.0
 
 TIME_TOLERANCE = 0.5
-"""Maximum difference in the time of one clearing or block between hosts: messages carry
-its age, and their delay is unknown."""
+"""Maximum difference in the time of one event between hosts: messages carry its age,
+and their delay is unknown."""
 
 REPEAT_LIMIT = 2
 """Number of crashes from which this host doesn't repeat a request by itself."""
--- a/bitterntiller/components/crashes/coordinator.py
+++ b/bitterntiller/components/crashes/coordinator.py
@@ -211,8 +211,9 @@
         if not ended:
             return
         workspace = zlib.crc32(sent.workspace.encode("utf-8", "surrogatepass"))
+        ran = None if sent.sent_at is None else max(0.0, at - sent.sent_at)
         crashes = tuple(
-            Crash(fingerprint, sent.upstream, sent.incarnation, at, workspace)
+            Crash(fingerprint, sent.upstream, sent.incarnation, at, workspace, ran)
             for fingerprint in dict.fromkeys((sent.fingerprint, *sent.parts))
         )
         new = await self._async_merge(CrashUpdate(crashes=crashes), self._host)
@@ -227,6 +228,7 @@
         }
         counts = {item: self.history.count(item, now) for item in update.fingerprints}
         failed_before = self._trials_failed(update, now)
+        counted_before = {item for item in update.crashes if self.history.knows(item)}
         new = self.history.merge(update, now)
         self._metrics.count(
             const.METRIC_TRIALS_FAILED,
@@ -238,7 +240,8 @@
             trials_failed = self.history.trials_failed(crash.fingerprint, now)
             if not is_part(crash.fingerprint) or count > 1:
                 log_crash(crash, reporter, count, quarantined_for, trials_failed)
-            self._metrics.count(const.METRIC_CRASHES)
+            if crash not in counted_before:
+                self._metrics.count(const.METRIC_CRASHES)
             if quarantined_for and crash.fingerprint not in quarantined_before:
                 self._metrics.count(const.METRIC_QUARANTINED)
                 quarantined_before.add(crash.fingerprint)
--- a/bitterntiller/components/crashes/event_logging.py
+++ b/bitterntiller/components/crashes/event_logging.py
@@ -26,7 +26,8 @@
     """Log that an upstream crashed under a request, or under a part of its prompt.
 
     quarantined_for is the resulting quarantine in seconds, trials_failed the number of
-    upstreams that crashed since the first one.
+    crashes under requests that were sent when the ones before were known. ran is the
+    time from sending to the crash, None if it isn't known.
     """
     events.emit(
         "upstream-crashed",
@@ -38,6 +39,7 @@
         crashes=count,
         quarantined_for=round(quarantined_for, 3),
         trials_failed=trials_failed,
+        ran=None if crash.ran is None else round(crash.ran, 3),
     )
 
 
--- a/bitterntiller/components/crashes/history.py
+++ b/bitterntiller/components/crashes/history.py
@@ -38,11 +38,13 @@
     """Counts crashes by fingerprint, bounded in number and in age; a core CrashView.
 
     A fingerprint with QUARANTINE_THRESHOLD crashes, or CAUTIOUS_THRESHOLD where many
-    upstreams crash without it, is quarantined for FIRST_QUARANTINE_SECONDS, after one
-    more crash for QUARANTINE_SECONDS, and each further crash doubles that. After the
-    quarantine one request with it may run, and a response that shows that it does no
-    harm clears it. A fingerprint that an operator blocks is kept from upstreams
-    whatever else is known of it.
+    upstreams crash without it, is quarantined for FIRST_QUARANTINE_SECONDS. After that
+    one request with it may run as a trial. A response that shows that it does no harm
+    clears the fingerprint; a failed trial quarantines it for QUARANTINE_SECONDS, and
+    each further one for twice as long. Crashes of requests that were sent before the
+    earlier crashes were known are no trials: they may all have one cause, which ran
+    beside them. A fingerprint that an operator blocks is kept from upstreams whatever
+    else is known of it.
     """
 
     def __init__(self) -> None:
@@ -116,21 +118,41 @@
                 found = Conviction(fingerprint, count, seconds, bool(blocked))
         return found
 
+    def knows(self, crash: Crash) -> bool:
+        """Return whether the end of a process counts against a fingerprint already."""
+        entry = self._entries_by_fingerprint.get(crash.fingerprint)
+        return entry is not None and _process_key(crash) in entry.crashes_by_process
+
     def blocked_for(self, fingerprint: int, now: float) -> float:
         """Return the seconds for which an operator still blocks a fingerprint."""
         return self._blocks.seconds_left(fingerprint, now)
 
     def trials_failed(self, fingerprint: int, now: float) -> int:
-        """Return how many upstreams crashed under it since its first quarantine."""
-        return max(0, self._further(fingerprint, now))
+        """Return how many crashes were failed trials, 0 if it isn't quarantined."""
+        return self._trials_failed(fingerprint, now) or 0
+
+    def _trials_failed(self, fingerprint: int, now: float) -> int | None:
+        """Return how many crashes were failed trials, None if too few quarantine it.
 
-    def _further(self, fingerprint: int, now: float) -> int:
-        """Return the crashes beyond those that quarantine; negative if they don't."""
+        They are the largest number of crashes, after those that quarantine, each under
+        a request that was sent when the one before was known. Hosts find the same in
+        whichever order they hear of them.
+        """
         count = self.count(fingerprint, now)
         if count < const.QUARANTINE_THRESHOLD:
-            return -1
-        newest_at = self._entries_by_fingerprint[fingerprint].newest_at()
-        return count - self._threshold(count, newest_at)
+            return None
+        entry = self._entries_by_fingerprint[fingerprint]
+        threshold = self._threshold(count, entry.newest_at())
+        if count < threshold:
+            return None
+        crashes = sorted(entry.crashes_by_process.values(), key=lambda item: item.at)
+        known_at = crashes[threshold - 1].at + const.KNOWN_SECONDS
+        failed = 0
+        for crash in crashes[threshold:]:
+            if crash.sent_at > known_at:
+                failed += 1
+                known_at = crash.at + const.KNOWN_SECONDS
+        return failed
 
     def _explanations(self, fingerprint: int) -> set[int]:
         """Return the fingerprints under which the same upstreams have crashed."""
@@ -140,11 +162,11 @@
 
     def quarantined_for(self, fingerprint: int, now: float) -> float:
         """Return the remaining quarantine in seconds, 0 without one."""
-        further = self._further(fingerprint, now)
-        if further < 0:
+        trials_failed = self._trials_failed(fingerprint, now)
+        if trials_failed is None:
             return 0.0
         newest_at = self._entries_by_fingerprint[fingerprint].newest_at()
-        return max(0.0, newest_at + _quarantine_seconds(further) - now)
+        return max(0.0, newest_at + _quarantine_seconds(trials_failed) - now)
 
     def _threshold(self, count: int, newest_at: float) -> int:
         """Return the number of crashes from which a fingerprint is quarantined."""
@@ -174,7 +196,9 @@
 
     def missing_from(self, other: CrashUpdate, now: float) -> CrashUpdate:
         """Return the part of this history that another host's update lacks."""
-        known = {(item.fingerprint, *_process_key(item)) for item in other.crashes}
+        known = {
+            (item.fingerprint, *_process_key(item)): item for item in other.crashes
+        }
         cleared_at = {item.fingerprint: item.at for item in other.clearings}
         others = Blocks()
         others.merge(other.blocks, now)
@@ -182,7 +206,7 @@
         crashes = (
             item
             for item in own.crashes
-            if (item.fingerprint, *_process_key(item)) not in known
+            if _is_news(item, known.get((item.fingerprint, *_process_key(item))))
         )
         clearings = (
             item
@@ -231,10 +255,8 @@
         entry = entries.get(crash.fingerprint)
         if entry is None:
             entry = entries[crash.fingerprint] = _Entry(crash.workspace)
-        if (
-            crash.at <= entry.cleared_at
-            or _process_key(crash) in entry.crashes_by_process
-        ):
+        known = entry.crashes_by_process.get(_process_key(crash))
+        if crash.at <= entry.cleared_at or not _is_news(crash, known):
             return False
         entry.crashes_by_process[_process_key(crash)] = crash
         self._highest_count = None
@@ -305,9 +327,13 @@
     return crash.upstream, crash.incarnation
 
 
-def _quarantine_seconds(further: int) -> float:
-    """Return the quarantine after some crashes beyond those that led to the first."""
-    if not further:
+def _is_news(crash: Crash, known: Crash | None) -> bool:
+    return known is None or crash.supersedes(known)
+
+
+def _quarantine_seconds(trials_failed: int) -> float:
+    """Return the quarantine after some failed trials."""
+    if not trials_failed:
         return const.FIRST_QUARANTINE_SECONDS
-    doublings = min(further - 1, MAX_DOUBLINGS)
+    doublings = min(trials_failed - 1, MAX_DOUBLINGS)
     return min(const.QUARANTINE_SECONDS * 2**doublings, const.MAX_QUARANTINE_SECONDS)
--- a/bitterntiller/components/crashes/history_file.py
+++ b/bitterntiller/components/crashes/history_file.py
@@ -20,8 +20,13 @@
 FILE_NAME = "crashes.json"
 
 _FIELDS = [int, str, str, vol.Any(int, float)]
-_CRASH = vol.Any(vol.ExactSequence(_FIELDS), vol.ExactSequence([*_FIELDS, int]))
-"""Earlier releases don't store the workspace."""
+_RAN = vol.Any(None, int, float)
+_CRASH = vol.Any(
+    vol.ExactSequence(_FIELDS),
+    vol.ExactSequence([*_FIELDS, int]),
+    vol.ExactSequence([*_FIELDS, int, _RAN]),
+)
+"""Earlier releases don't store the workspace, or how long the request ran."""
 
 _CLEARING = vol.ExactSequence([int, vol.Any(int, float)])
 _BLOCK = vol.ExactSequence([int, vol.Any(int, float), vol.Any(int, float)])
@@ -72,10 +77,8 @@
         raise DamagedHistoryError(f"{path}: {error}") from error
     return CrashUpdate(
         tuple(
-            Crash(fingerprint, upstream, incarnation, at - offset, *workspace)
-            for fingerprint, upstream, incarnation, at, *workspace in document[
-                "crashes"
-            ]
+            Crash(fingerprint, upstream, incarnation, at - offset, *others)
+            for fingerprint, upstream, incarnation, at, *others in document["crashes"]
         ),
         tuple(
             Clearing(fingerprint, at - offset)
--- a/bitterntiller/components/crashes/models.py
+++ b/bitterntiller/components/crashes/models.py
@@ -2,12 +2,16 @@
 
 from typing import NamedTuple
 
+from bitterntiller.components.crashes import const
+
 
 class Crash(NamedTuple):
     """The end of one upstream's process while it ran a request.
 
     fingerprint identifies all copies of the request, or a part of its prompt; at is on
     this process's clock. workspace is a digest of the name of the request's workspace.
+    ran is the time from the sending of the request to the end, None if it isn't known;
+    of several requests at the process it is that of the one that was sent last.
     """
 
     fingerprint: int
@@ -15,6 +19,24 @@
     incarnation: str
     at: float
     workspace: int = 0
+    ran: float | None = None
+
+    @property
+    def sent_at(self) -> float:
+        """Return when the request was sent, or when it ended if that isn't known."""
+        return self.at - (self.ran or 0.0)
+
+    def supersedes(self, known: "Crash") -> bool:
+        """Return whether its request was sent later than that of a known equal crash.
+
+        Of the requests at one process the last one says most: it was sent although the
+        earlier crashes were known.
+        """
+        if self.ran is None:
+            return False
+        if known.ran is None:
+            return True
+        return self.sent_at > known.sent_at + const.TIME_TOLERANCE
 
 
 class Clearing(NamedTuple):
--- a/bitterntiller/components/crashes/wire.py
+++ b/bitterntiller/components/crashes/wire.py
@@ -34,6 +34,7 @@
                 incarnation=item.incarnation,
                 age_ms=_age_ms(item.at, now),
                 workspace=item.workspace or None,
+                ran_ms=None if item.ran is None else int(item.ran * 1000),
             )
             for item in update.crashes
         ],
@@ -65,6 +66,7 @@
                 item.incarnation,
                 now - max(0, item.age_ms) / 1000,
                 item.workspace or 0,
+                None if item.ran_ms is None else max(0, item.ran_ms) / 1000,
             )
             for item in message.crashes
         ),
--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -186,6 +186,7 @@
             parts=() if active.parts_sound else active.part_fingerprints,
             workspace=active.prepared.identified.workspace.name,
             pool=grant.pool,
+            sent_at=active.sent_at,
         )
         await crashes.async_check_crash(
             sent,
--- a/bitterntiller/core/interfaces.py
+++ b/bitterntiller/core/interfaces.py
@@ -126,7 +126,8 @@
     """A request that was sent to a process of an upstream; address is IP:port.
 
     fingerprint is the same for each copy of the request. parts has the fingerprints of
-    the parts of its prompt that may be at fault if the upstream has crashed.
+    the parts of its prompt that may be at fault if the upstream has crashed. sent_at is
+    on this process's clock, None if it isn't known.
     """
 
     request_id: str
@@ -137,6 +138,7 @@
     parts: tuple[int, ...] = ()
     workspace: str = ""
     pool: str = ""
+    sent_at: float | None = None
 
 
 class Conviction(NamedTuple):
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -279,6 +279,7 @@
     3: required string incarnation,
     4: required i64 age_ms,
     5: optional i64 workspace,           // digest of the name of the request's workspace
+    6: optional i64 ran_ms,              // from the sending of the request to the end
 }
 
 /* Crashes of a request that are older than this no longer count. */
--- a/tests/components/crashes/builders.py
+++ b/tests/components/crashes/builders.py
@@ -24,6 +24,16 @@
     )
 
 
+def one_by_one(count: int, newest_at: float) -> CrashUpdate:
+    """Return crashes under one request, each sent when the ones before were known."""
+    return CrashUpdate(
+        tuple(
+            crash(f"e{n}", at=newest_at - 10.0 * (count - n), ran=0.2)
+            for n in range(1, count + 1)
+        )
+    )
+
+
 def clearing(at: float, fingerprint: int = POISON) -> CrashUpdate:
     """Return the clearing of a request."""
     return CrashUpdate(clearings=(Clearing(fingerprint, at),))
--- a/tests/components/crashes/test_coordinator.py
+++ b/tests/components/crashes/test_coordinator.py
@@ -9,6 +9,8 @@
 
 from bitterntiller.components.crashes import const
 from bitterntiller.components.crashes.coordinator import CrashCoordinator
+from bitterntiller.components.crashes.models import CrashUpdate
+from bitterntiller.components.crashes.wire import report_message
 from bitterntiller.components.links.errors import LinkUnreachableError
 from bitterntiller.core.clock import ManualClock
 from bitterntiller.core.interfaces import Ownership, SentRequest
@@ -290,13 +292,73 @@
     async def async_main() -> int:
         hosts = Hosts("a", owner="a")
         coordinator = hosts.coordinators_by_name["a"]
-        await coordinator.async_on_report("a", _report(hosts, 5))
+        now = hosts.clock.now()
+        for crash in build.one_by_one(5, newest_at=now).crashes:
+            message = report_message(CrashUpdate((crash,)), "a", now, broadcast=True)
+            await coordinator.async_on_report("a", message)
         metrics: Any = coordinator._metrics
         return metrics.counts[const.METRIC_TRIALS_FAILED]
 
     assert curio.run(async_main) == 2
 
 
+def test_crashes_at_one_moment_are_not_counted_as_failed_trials():
+    async def async_main() -> int:
+        hosts = Hosts("a", owner="a")
+        coordinator = hosts.coordinators_by_name["a"]
+        await coordinator.async_on_report("a", _report(hosts, 5))
+        metrics: Any = coordinator._metrics
+        return metrics.counts[const.METRIC_TRIALS_FAILED]
+
+    assert curio.run(async_main) == 0
+
+
+def test_time_for_which_a_crashed_request_ran_is_known_to_all_hosts():
+    """Without it each late end of a long response counts as a failed trial."""
+
+    async def async_main() -> set[float | None]:
+        hosts = Hosts("a", "b", "c", owner="b")
+        address = await async_closed_address()
+        async with hosts.running("a", "b", "c"):
+            request = sent(address)._replace(sent_at=hosts.clock.now() - 7.0)
+            await hosts.coordinators_by_name["a"].async_check_crash(
+                request, False, CONFIRMED
+            )
+            await curio.sleep(2 * const.PROBE_INTERVAL)
+        return {
+            crash.ran
+            for coordinator in hosts.coordinators_by_name.values()
+            for crash in coordinator.history.snapshot(hosts.clock.now()).crashes
+        }
+
+    assert curio.run(async_main) == {7.0}
+
+
+def test_request_sent_last_to_a_crashed_process_counts_at_all_hosts():
+    """A host that heard first of an earlier one took the failed trial for none."""
+
+    async def async_main() -> tuple[set[float | None], int]:
+        hosts = Hosts("a", "b", "c", owner="b")
+        now = hosts.clock.now()
+        async with hosts.running("a", "b", "c"):
+            await async_settle()
+            for name, ran in (("a", 20.0), ("c", 0.5)):
+                update = CrashUpdate((build.crash(at=now, ran=ran),))
+                message = report_message(update, name, now, broadcast=True)
+                await hosts.coordinators_by_name["b"].async_on_report(name, message)
+                await hosts.coordinators_by_name[name].async_on_report(name, message)
+            await async_settle()
+        metrics: Any = hosts.coordinators_by_name["a"]._metrics
+        known = {
+            crash.ran
+            for coordinator in hosts.coordinators_by_name.values()
+            for crash in coordinator.history.snapshot(now).crashes
+        }
+        return known, metrics.counts[const.METRIC_CRASHES]
+
+    assert curio.run(async_main) == ({0.5}, 1)
+
+
 def test_complete_response_to_an_unsuspected_request_causes_no_message():
     async def async_main() -> bool:
         hosts = Hosts("a", "b", owner="b")
--- a/tests/components/crashes/test_parts.py
+++ b/tests/components/crashes/test_parts.py
@@ -74,6 +74,28 @@
     assert not history.count(SHARED, NOW)
 
 
+def test_request_that_ran_beside_a_bad_part_is_tried_while_that_explains_its_ends():
+    """Equal sound streams ran at six engines that a bad part ended at one moment."""
+    history = CrashHistory()
+    for number in range(6):
+        crashed(history, f"e{number}", 1001 + 4 * number, BAD, WHOLE)
+    assert history.conviction((WHOLE,), NOW) is None
+    crashed(history, "e6", OTHER_WHOLE, BAD, OWN)
+    assert history.conviction((OTHER_WHOLE, BAD, OWN), NOW)
+    assert history.conviction((WHOLE,), NOW) is None
+
+
+def test_request_beside_a_bad_part_is_tried_soon_after_that_is_sound_again():
+    """Equal sound streams were refused for minutes once the part did no more harm."""
+    history = CrashHistory()
+    for number in range(6):
+        crashed(history, f"e{number}", 1001 + 4 * number, BAD, WHOLE)
+    cleared(history, NOW + 1.0, BAD)
+    assert history.conviction((WHOLE,), NOW + 1.0)
+    later = NOW + const.FIRST_QUARANTINE_SECONDS
+    assert history.conviction((WHOLE,), later) is None
+
+
 def test_few_crashes_are_forgotten_before_those_of_a_quarantine():
     history = CrashHistory()
     crashed(history, "e0", SHARED, BAD)
--- a/tests/components/crashes/test_store.py
+++ b/tests/components/crashes/test_store.py
@@ -19,7 +19,7 @@
 def test_history_is_the_same_after_a_restart_with_another_clock(tmp_path):
     path = tmp_path / "folder" / "crashes.json"
     known = CrashUpdate(
-        build.crashes(3, workspace=7).crashes,
+        build.crashes(3, workspace=7, ran=0.5).crashes + build.crashes(1).crashes,
         build.clearing(1005.0, build.INNOCENT).clearings,
         (Block(build.INNOCENT, 1006.0, 60.0),),
     )
@@ -35,7 +35,7 @@
     path = tmp_path / "crashes.json"
     path.write_text('{"crashes": [[5, "e1", "1", 500900.0]], "clearings": []}')
     (crash,) = load(path, OFFSET).crashes
-    assert (crash.at, crash.workspace) == (900.0, 0)
+    assert (crash.at, crash.workspace, crash.ran) == (900.0, 0, None)
 
 
 def test_missing_file_is_an_empty_history(tmp_path):
@@ -91,7 +91,7 @@
         history = CrashHistory()
         store = make_store(path, history)
         task = await curio.spawn(store.async_run)
-        history.merge(build.crashes(4, at=1000.0), 1000.0)
+        history.merge(build.one_by_one(4, newest_at=1000.0), 1000.0)
         await store.async_schedule_save(frozenset({build.POISON}))
         await async_until_saved(path)
         await task.cancel()
