Isolation: an old crash of an upstream explains no response that breaks now

Cause: while the end of an upstream is being proved, a further request with a suspected fingerprint waits, unless the end is known already. That was looked up by the upstream's name: one that had crashed under the same part minutes ago, and had started again, passed for explained, so each failed trial was followed by others until its proof.

Change: `upstreams` of a crash view takes a time; only crashes of the last 2 s (twice the time of a proof) explain a response that breaks now.

Seen failing before: test_requests_wait_while_another_crash_of_an_upstream_ is_being_proved (the second request was granted).

--- a/bitterntiller/components/crashes/broken_responses.py
+++ b/bitterntiller/components/crashes/broken_responses.py
@@ -26,7 +26,7 @@
         """Record that an upstream broke off its response, or never began it."""
         expiry = now + const.EXPLANATION_SECONDS
         for fingerprint in fingerprints:
-            if upstream in self._crashes.upstreams(fingerprint):
+            if upstream in self._crashed_lately(fingerprint, now):
                 continue
             pending = self._expiry_by_upstream_by_fingerprint
             pending.setdefault(fingerprint, {})[upstream] = expiry
@@ -49,13 +49,20 @@
             pending = self._expiry_by_upstream_by_fingerprint.get(fingerprint)
             if pending is None:
                 continue
-            crashed = self._crashes.upstreams(fingerprint)
-            if not crashed:
+            if not self._crashes.count(fingerprint, now):
                 pending.clear()
-            for upstream in crashed & pending.keys():
+            for upstream in self._crashed_lately(fingerprint, now) & pending.keys():
                 del pending[upstream]
             self.count(fingerprint, now)
 
+    def _crashed_lately(self, fingerprint: int, now: float) -> frozenset[str]:
+        """Return the upstreams whose crash may explain a response that just broke.
+
+        An earlier crash of another process of the same upstream doesn't.
+        """
+        since = now - 2 * const.EXPLANATION_SECONDS
+        return self._crashes.upstreams(fingerprint, since)
+
     def drop_upstream(self, upstream: str) -> None:
         """Drop the broken responses of an upstream that has shown that it goes on."""
         pending = self._expiry_by_upstream_by_fingerprint
--- a/bitterntiller/components/crashes/coordinator.py
+++ b/bitterntiller/components/crashes/coordinator.py
@@ -105,9 +105,9 @@
         """Return how many upstreams have crashed under a fingerprint."""
         return self.history.count(fingerprint, now)
 
-    def upstreams(self, fingerprint: int) -> frozenset[str]:
-        """Return the upstreams that have crashed under a fingerprint."""
-        return self.history.upstreams(fingerprint)
+    def upstreams(self, fingerprint: int, since: float) -> frozenset[str]:
+        """Return the upstreams that have crashed under a fingerprint since a time."""
+        return self.history.upstreams(fingerprint, since)
 
     def crashed_at(self, fingerprint: int) -> float:
         """Return when the latest upstream crashed under a fingerprint that has some."""
--- a/bitterntiller/components/crashes/history.py
+++ b/bitterntiller/components/crashes/history.py
@@ -87,12 +87,13 @@
             return 0
         return len(entry.crashes_by_process)
 
-    def upstreams(self, fingerprint: int) -> frozenset[str]:
-        """Return the upstreams that have crashed under a fingerprint."""
+    def upstreams(self, fingerprint: int, since: float) -> frozenset[str]:
+        """Return the upstreams that have crashed under a fingerprint since a time."""
         entry = self._entries_by_fingerprint.get(fingerprint)
         if entry is None:
             return frozenset()
-        return frozenset(upstream for upstream, _ in entry.crashes_by_process)
+        crashes = entry.crashes_by_process.values()
+        return frozenset(crash.upstream for crash in crashes if crash.at >= since)
 
     def crashed_at(self, fingerprint: int) -> float:
         """Return when the latest upstream crashed under a fingerprint that has some."""
--- a/bitterntiller/components/dispatch/isolation.py
+++ b/bitterntiller/components/dispatch/isolation.py
@@ -34,7 +34,7 @@
         """Return 0."""
         return 0
 
-    def upstreams(self, fingerprint: int) -> frozenset[str]:
+    def upstreams(self, fingerprint: int, since: float) -> frozenset[str]:
         """Return no upstreams."""
         return frozenset()
 
--- a/bitterntiller/core/interfaces.py
+++ b/bitterntiller/core/interfaces.py
@@ -174,8 +174,8 @@
         """Return how many upstreams have crashed under a fingerprint."""
         ...
 
-    def upstreams(self, fingerprint: int) -> frozenset[str]:
-        """Return the upstreams that have crashed under a fingerprint."""
+    def upstreams(self, fingerprint: int, since: float) -> frozenset[str]:
+        """Return the upstreams that have crashed under a fingerprint since a time."""
         ...
 
     def conviction(self, fingerprints: Sequence[int], now: float) -> Conviction | None:
--- a/tests/components/dispatch/test_isolated_parts.py
+++ b/tests/components/dispatch/test_isolated_parts.py
@@ -101,6 +101,21 @@
     assert "r2" in pool.upstream_by_id
 
 
+def test_requests_wait_while_another_crash_of_an_upstream_is_being_proved():
+    """Its crash of long ago passed for the explanation of a response that broke now."""
+    pool = PartsPool(upstreams=2)
+    for upstream in ("e0", "e1"):
+        pool.crashed(upstream, BAD, now=NOW - 60.0)
+    pool.send("r1", BAD)
+    upstream = pool.upstream_by_id["r1"]
+    pool.break_off("r1")
+    assert not pool.send("r2", BAD)
+    item = Crash(BAD, upstream, "2", NOW)
+    pool._merge(CrashUpdate((item,)), frozenset({BAD}), NOW + 0.3)
+    assert "r2" not in pool.upstream_by_id
+    assert [decision.request_id for decision in pool.refused] == ["r2"]
+
+
 def test_requests_go_on_if_no_crash_explains_a_broken_response():
     pool = PartsPool()
     pool.crashed("old", BAD)
