Crashes: a request at a process whose end another host has proved counts

Cause: each host proves the end of a process for its own requests. Where one can't (its path is lost, no other host answers it, the next process is there already), its requests are missing from the evidence. If the bad part was in them, it no longer explains all ends, and a sound request that ran beside it is convicted.

Change: after its probe a host also looks whether the same process (by its incarnation) is known to have ended.

Seen failing before: test_request_at_a_process_whose_end_another_host_proved_ counts (0, 1 expected). Ruled out: evidence from reports that arrive later than the own probe (the request would have to be kept).

--- a/bitterntiller/components/crashes/coordinator.py
+++ b/bitterntiller/components/crashes/coordinator.py
@@ -206,7 +206,10 @@
 
     async def _async_probe(self, sent: SentRequest, probes: ProcessProbes) -> None:
         at = self._clock.now()
-        ended = await async_has_ended(sent, probes)
+        # Another host may have proved it: each request there is needed as evidence.
+        ended = await async_has_ended(sent, probes) or self.history.has_ended(
+            sent.upstream, sent.incarnation
+        )
         log_probe(sent.request_id, sent.upstream, sent.address, ended)
         if not ended:
             return
--- a/bitterntiller/components/crashes/history.py
+++ b/bitterntiller/components/crashes/history.py
@@ -124,6 +124,10 @@
         entry = self._entries_by_fingerprint.get(crash.fingerprint)
         return entry is not None and _process_key(crash) in entry.crashes_by_process
 
+    def has_ended(self, upstream: str, incarnation: str) -> bool:
+        """Return whether a process of an upstream is known to have ended."""
+        return (upstream, incarnation) in self._crashed_at_by_process
+
     def blocked_for(self, fingerprint: int, now: float) -> float:
         """Return the seconds for which an operator still blocks a fingerprint."""
         return self._blocks.seconds_left(fingerprint, now)
--- a/tests/components/crashes/test_coordinator.py
+++ b/tests/components/crashes/test_coordinator.py
@@ -142,6 +142,24 @@
     assert curio.run(async_main) == 0
 
 
+def test_request_at_a_process_whose_end_another_host_proved_counts():
+    """A bad part was missing from one of the ends, and no longer explained them all."""
+
+    async def async_main() -> int:
+        hosts = Hosts("a", owner="a")
+        coordinator = hosts.coordinators_by_name["a"]
+        other = CrashUpdate((build.crash(fingerprint=build.INNOCENT),))
+        coordinator.history.merge(other, hosts.clock.now())
+        address = await async_closed_address()
+        await coordinator.async_check_crash(
+            sent(address), False, Probes(confirmed=False)
+        )
+        await curio.sleep(2 * const.PROBE_INTERVAL)
+        return hosts.counts()["a"]
+
+    assert curio.run(async_main) == 1
+
+
 def test_reset_connection_is_not_a_crash():
     async def async_main() -> int:
         hosts = Hosts("a", owner="a")
