Crashes: a test that a bad part whose copies came at once gets one trial

Ends at one moment double no quarantine any more, so a part that does end upstreams must be stopped by its first trial: one request is granted after 5 s, the others wait, and its end refuses them for 2 minutes. It fails on the code before (no trial after 5 s) and passes now.

--- a/tests/components/dispatch/test_isolated_parts.py
+++ b/tests/components/dispatch/test_isolated_parts.py
@@ -5,7 +5,11 @@
 
 import pytest
 
-from bitterntiller.components.crashes.const import EXPLANATION_SECONDS
+from bitterntiller.components.crashes.const import (
+    EXPLANATION_SECONDS,
+    FIRST_QUARANTINE_SECONDS,
+    QUARANTINE_SECONDS,
+)
 from bitterntiller.components.crashes.history import CrashHistory
 from bitterntiller.components.crashes.models import Clearing, Crash, CrashUpdate
 from bitterntiller.components.dispatch import REGISTERED_PARAMETERS
@@ -116,6 +120,25 @@
     assert [decision.request_id for decision in pool.refused] == ["r2"]
 
 
+def test_bad_part_that_ended_many_upstreams_at_once_gets_one_trial():
+    """Its copies came at once, so that no end counts as a failed trial yet."""
+    pool = PartsPool()
+    for number in range(6):
+        pool.crashed(f"old-{number}", BAD)
+    assert not pool.send("r0", BAD)
+    later = NOW + FIRST_QUARANTINE_SECONDS
+    assert pool.send("r1", BAD, now=later)
+    assert not pool.send("r2", BAD, now=later)
+    ended = Crash(BAD, pool.upstream_by_id["r1"], "1", later + 0.25, ran=0.25)
+    pool.break_off("r1", now=ended.at)
+    assert not pool.send("r3", BAD, now=ended.at)
+    pool._merge(CrashUpdate((ended,)), frozenset({BAD}), ended.at)
+    assert sorted(item.request_id for item in pool.refused) == ["r2", "r3"]
+    found = pool.history.conviction((BAD,), ended.at)
+    assert found is not None
+    assert found.seconds == QUARANTINE_SECONDS
+
+
 def test_requests_go_on_if_no_crash_explains_a_broken_response():
     pool = PartsPool()
     pool.crashed("old", BAD)
