--- a/bitterntiller/components/crashes/coordinator.py
+++ b/bitterntiller/components/crashes/coordinator.py
@@ -105,9 +105,9 @@
         """Return how many upstreams have crashed under a fingerprint."""
         return self.history.count(fingerprint, now)
 
-    def upstreams(self, fingerprint: int) -> frozenset[str]:
-        """Return the upstreams that have crashed under a fingerprint."""
-        return self.history.upstreams(fingerprint)
+    def upstreams(self, fingerprint: int, since: float) -> frozenset[str]:
+        """Return the upstreams that have crashed under a fingerprint since a time."""
+        return self.history.upstreams(fingerprint, since)
 
     def crashed_at(self, fingerprint: int) -> float:
         """Return when the latest upstream crashed under a fingerprint that has some."""
@@ -206,13 +206,17 @@
 
     async def _async_probe(self, sent: SentRequest, probes: ProcessProbes) -> None:
         at = self._clock.now()
-        ended = await async_has_ended(sent, probes)
+        # Another host may have proved it: each request there is needed as evidence.
+        ended = await async_has_ended(sent, probes) or self.history.has_ended(
+            sent.upstream, sent.incarnation
+        )
         log_probe(sent.request_id, sent.upstream, sent.address, ended)
         if not ended:
             return
         workspace = zlib.crc32(sent.workspace.encode("utf-8", "surrogatepass"))
+        ran = None if sent.sent_at is None else max(0.0, at - sent.sent_at)
         crashes = tuple(
-            Crash(fingerprint, sent.upstream, sent.incarnation, at, workspace)
+            Crash(fingerprint, sent.upstream, sent.incarnation, at, workspace, ran)
             for fingerprint in dict.fromkeys((sent.fingerprint, *sent.parts))
         )
         new = await self._async_merge(CrashUpdate(crashes=crashes), self._host)
@@ -227,6 +231,7 @@
         }
         counts = {item: self.history.count(item, now) for item in update.fingerprints}
         failed_before = self._trials_failed(update, now)
+        counted_before = {item for item in update.crashes if self.history.knows(item)}
         new = self.history.merge(update, now)
         self._metrics.count(
             const.METRIC_TRIALS_FAILED,
@@ -238,7 +243,8 @@
             trials_failed = self.history.trials_failed(crash.fingerprint, now)
             if not is_part(crash.fingerprint) or count > 1:
                 log_crash(crash, reporter, count, quarantined_for, trials_failed)
-            self._metrics.count(const.METRIC_CRASHES)
+            if crash not in counted_before:
+                self._metrics.count(const.METRIC_CRASHES)
             if quarantined_for and crash.fingerprint not in quarantined_before:
                 self._metrics.count(const.METRIC_QUARANTINED)
                 quarantined_before.add(crash.fingerprint)
