Tunnels: bytes of unknown origin do not end a fault of the path below

Cause: a host between took any byte that came back in a tunnel for an answer of the upstream. Where something between answers in its place, a tunnel that was opened before the host's path counted as lost ended that fault with the 502 of something else; the next request over that path was lost, and the path found lost again at the next check.

Change: bytes in a tunnel end a refusal only, as they show a connection. Any other fault ends by a probe or an answer that this host has read itself; a tunnel is opened over such a path no more, so this concerns tunnels that were open when it failed.

Ruled out: reading the answer at the host between. It passes bytes on and knows neither the request nor its signature.

Before: the new test failed.

--- a/bitterntiller/components/tunnels/server.py
+++ b/bitterntiller/components/tunnels/server.py
@@ -153,8 +153,11 @@
         destination = _destination(request)
 
         def record_answer() -> None:
-            carried = CarriedBytes(counts.sent)
-            self._direct.record_carried(destination, carried, counts.sent_at)
+            # Only the host that asked can tell whose bytes these are. They show a
+            # connection, so they end a refusal and no other fault.
+            if not self._paths.leads_around(destination.address):
+                carried = CarriedBytes(counts.sent)
+                self._direct.record_carried(destination, carried, counts.sent_at)
 
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(
--- a/tests/components/tunnels/test_checks.py
+++ b/tests/components/tunnels/test_checks.py
@@ -31,6 +31,7 @@
 )
 from tests.components.tunnels.test_tunnels import async_until, run
 from tests.scenarios.cut_paths import (
+    ANSWER_BETWEEN,
     FOREIGN_ANSWER,
     SILENT_LARGE,
     SILENT_REQUEST,
@@ -418,6 +419,24 @@
     run(async_main)
 
 
+def test_bytes_in_a_tunnel_do_not_end_a_fault_of_the_path_below_it():
+    """A host between took the answer of something between for its upstream's."""
+
+    async def async_main() -> None:
+        made = upstream(sending(ANSWER_BETWEEN), sending(ANSWER_BETWEEN))
+        async with hosts("a", "b") as (a, b), made as e:
+            a.connections.mode = REFUSES
+            tunnel = await a.connector.async_acquire(e.destination(), 0.5)
+            assert tunnel.relay == "b"
+            now = b.connector._clock.now()
+            b.paths.record_failed(e.address, "e1", PathFault.LOST, now)
+            assert (await async_ask(tunnel.client))[0] == 502
+            assert b.paths.is_failed(e.address)
+            await tunnel.client.async_close()
+
+    run(async_main)
+
+
 def test_probe_from_before_a_fault_does_not_end_it():
     go_on = curio.Event()
 
