Logs: what ends before a request is registered, or by a cancellation, has its line

Cause: the line of a cut response was written for registered requests only; an error or a stop while a request waited for its quota left none. Handlers that are cancelled (a second signal, an error of a part) were logged as host, no-response.

Change: the line is written around admission and run; a cancellation is a stop.

Ruled out: the wait in which a stream is bound to its version, which has no request in hand yet; it remains without a line.

--- a/bitterntiller/components/entry/event_logging.py
+++ b/bitterntiller/components/entry/event_logging.py
@@ -190,6 +190,7 @@
     identified, config_now the one in force.
     """
     cut = active.cut or Cut(CutBy.HOST, NO_RESPONSE)
+    active.cut_logged = True
     identified = active.prepared.identified
     now = context.clock.now()
     if cut.by in (CutBy.HOST, CutBy.UPSTREAM) and now >= identified.deadline:
--- a/bitterntiller/components/entry/models.py
+++ b/bitterntiller/components/entry/models.py
@@ -293,17 +293,13 @@
         self.granted_version = ""
         self.origin: StreamOrigin | None = None
         self.cut: Cut | None = None
+        self.cut_logged = False
         self.sends = 0
         self.run: Run | None = None
         self.standby: Run | None = None
         self.changed = curio.Event()
         self.stack = AsyncExitStack()
 
-    @property
-    def stopped(self) -> bool:
-        """Return whether this host stopped before the request had ended."""
-        return self.cut is not None and self.cut.by is CutBy.STOP
-
     @property
     def fingerprints(self) -> tuple[int, ...]:
         """Return the fingerprints of the request and of the parts of its prompt."""
--- a/bitterntiller/components/entry/pipeline.py
+++ b/bitterntiller/components/entry/pipeline.py
@@ -63,6 +63,7 @@
 
 CALLER_GONE = "caller-gone"
 FAULT = "fault"
+CANCELLED = "cancelled"
 _REASON_BY_STATUS = {408: Reason.SLOW_CALLER, 413: Reason.BODY_TOO_LARGE}
 FINISHED_POLL = 60.0
 NO_QUOTA_LEFT = "no quota is left for another attempt"
@@ -144,6 +145,21 @@
         work = self._context.dialect.estimate(identified, body)
         active = ActiveRequest(PreparedRequest(identified, body, work))
         active.origin = bound.origin
+        try:
+            await self._async_admit(exchange, active)
+        except curio.CancelledError:
+            active.cut = active.cut or Cut(CutBy.STOP, CANCELLED)
+            raise
+        except Exception:
+            active.cut = active.cut or Cut(CutBy.HOST, FAULT)
+            raise
+        finally:
+            if not exchange.sent and not active.cut_logged:
+                log_cut(self._context, active, exchange.started)
+
+    async def _async_admit(self, exchange: Exchange, active: ActiveRequest) -> None:
+        """Refuse a request that is quarantined or over its quota; run any other."""
+        identified = active.prepared.identified
         refused = self._admission.check_quarantine(active)
         if refused is not None:
             await self._async_refuse(exchange, refused, identified, active.request_id)
@@ -165,12 +181,9 @@
         except Exception:
             # A bug in this process. Report the end of the request, or its slot stays
             # occupied until the owner receives the next list of live requests.
-            active.cut = Cut(CutBy.HOST, FAULT)
             await self._async_abandon(active, FAULT)
             raise
         finally:
-            if not (exchange.sent or active.stopped):
-                log_cut(self._context, active, exchange.started)
             self._admission.release_quota(active)
             self._registry.remove(active)
 
--- a/tests/platform/test_stops.py
+++ b/tests/platform/test_stops.py
@@ -3,13 +3,15 @@
 from typing import Any
 
 import curio
+import pytest
 from bitterntiller_platform.process import Parts, _async_stop
 from bitterntiller_platform.settings import load_settings
 
+from bitterntiller.components.entry.quota_client import QuotaVerdict
 from tests.core.event_recorder import recording
 from tests.platform import builders
 from tests.platform.builders import LAST_CHUNK, chunk, event
-from tests.platform.test_cut_causes import ONCE
+from tests.platform.test_cut_causes import ONCE, async_slow_stream
 from tests.platform.test_settings import FILE
 
 
@@ -46,6 +48,52 @@
     assert received.endswith(LAST_CHUNK)
 
 
+def test_response_that_a_second_signal_or_an_error_ends_names_the_stop():
+    """All handlers are cancelled; the line said no more than host and no-response."""
+
+    async def async_ask() -> None:
+        async with builders.entry_host(async_slow_stream, ONCE) as host:
+            await curio.spawn(host.async_ask, builders.request(), daemon=True)
+            await curio.sleep(0.1)
+
+    with recording() as recorded:
+        curio.run(async_ask)
+    (line,) = recorded.by_kind["response-cut"]
+    assert (line["by"], line["reason"] != "no-response") == ("stop", True)
+
+
+class _Quota:
+    """A quota that fails, or that never decides."""
+
+    def __init__(self, fails: bool) -> None:
+        self.fails = fails
+
+    async def async_hold(self, request: Any) -> QuotaVerdict:
+        if self.fails:
+            raise ValueError("a bug")
+        await curio.sleep(5.0)
+        raise AssertionError("unreachable")
+
+
+@pytest.mark.parametrize("fails", [True, False])
+def test_request_that_ends_while_it_waits_for_quota_is_logged_as_cut(fails):
+    """Its body has been read, but the line was written only for registered requests."""
+
+    async def async_ask() -> bytes:
+        async with builders.entry_host(
+            async_send_all, ONCE, quota=_Quota(fails), shutdown=0.2
+        ) as host:
+            asking = await curio.spawn(host.async_ask, builders.request())
+            await curio.sleep(0.1)
+            await host.coordinator.async_drain()
+        return await asking.join()
+
+    with recording() as recorded:
+        assert curio.run(async_ask) == b""
+    (line,) = recorded.by_kind["response-cut"]
+    assert line["by"] == ("host" if fails else "stop")
+
+
 class _Anything:
     """A fake part of a process that takes any call of a stop."""
 
