Entry, HTTP client: the states of a run in one place; data is kept beside a timeout

Change: bytes are parsed before the silence ends; a name of its own for what forbids a run; the states of a run in the doc comment of its module.

Before, after: tests of silent runs, streams and http pass.

Conclusion: wording, and one order of two lines.

--- a/bitterntiller/components/entry/models.py
+++ b/bitterntiller/components/entry/models.py
@@ -368,7 +368,9 @@
 
     def restore_sent(self, state: SentState) -> None:
         """Go on with an earlier sending of the request."""
-        self.upstream, self.address, self.relay = state[:3]
+        self.upstream = state.upstream
+        self.address = state.address
+        self.relay = state.relay
         self.sent_at = state.sent_at
         self.granted_version = state.granted_version
         self.tried = state.tried
--- a/bitterntiller/components/entry/pipeline.py
+++ b/bitterntiller/components/entry/pipeline.py
@@ -69,6 +69,7 @@
 NO_QUOTA_LEFT = "no quota is left for another attempt"
 NO_CONNECTION = "no upstream could be connected to"
 NO_RETRY_LEFT = "no retry is left in the retry budget"
+NO_REPEAT_ALLOWED = "retry budget, quota or crashes allow no further run"
 
 
 class Pipeline:
@@ -317,7 +318,7 @@
         if now >= active.prepared.identified.deadline:
             return False
         if not self._may_repeat(active):
-            log_silence(active, active.output_tokens, NO_RETRY_LEFT, now)
+            log_silence(active, active.output_tokens, NO_REPEAT_ALLOWED, now)
             return False
         run.put_aside()
         active.standby, active.run = run, None
@@ -339,10 +340,11 @@
         outcome: Verdict | RunSilent | RunResumed,
         grant: GrantReceived | None = None,
     ) -> Verdict:
-        """Return the result of the run on standby, as no other takes over from it.
+        """Return to the run on standby, and return its result.
 
-        outcome is why not, grant the one that was used in vain. A run that has ended
-        meanwhile is dropped.
+        No other takes over from it: outcome says why, RunResumed if it has gone on.
+        grant is the one that was used in vain, None while the request waited for one. A
+        run that has ended meanwhile is dropped, and outcome stands.
         """
         run = active.standby
         assert run is not None
--- a/bitterntiller/components/entry/run.py
+++ b/bitterntiller/components/entry/run.py
@@ -3,6 +3,17 @@
 The response of a run that may be repeated is awaited and relayed by a task of its own.
 While its upstream is silent, the pipeline can look for another one and still get what
 this one sends. A silent run ends only once the response of another one has begun.
+
+The states of a run:
+- current: its task relays the response.
+- silent: nothing has arrived for some time. It is current until it is set aside.
+- set aside (the request's standby): the request waits for a grant of another upstream,
+  or is sent to it.
+- resumed: something has arrived after it was set aside. The request returns to it, and
+  it is current again (taken back).
+- kept: no other upstream takes the request, which returns to it though it is silent.
+- superseded: the response of another run has begun. It ends and relays nothing more.
+- ended: its response has ended before it resumed. The request needs another upstream.
 """
 
 from collections.abc import Awaitable, Callable
--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -365,12 +365,13 @@
                     self._idle_ticks = 0
                     if self._failure and not data:
                         raise IncompleteResponseError(self._failure)
-                    if self._silent and data:
-                        await self._async_end_silence()
                     self.received_bytes += len(data)
                     self._buffer_drained = False
                     closed = not data
                     self._h11.receive_data(data)
+                    # The data is kept even if a timeout of this read ends the wait.
+                    if self._silent and data:
+                        await self._async_end_silence()
         except OSError as error:
             self.broke = True
             raise IncompleteResponseError(f"reading broke: {error!r}") from error
