Links: a tunnel outlives a reader that pauses

What callers saw: one that stops reading for over 4 s lost a response that came through another host, though it may pause for caller_write (30 s).

Cause: TCP_USER_TIMEOUT, set for messages between hosts, also ends a connection whose peer is alive and takes no data.

Change: connections without messages get a user timeout of 60 s; their keep-alive of 4 s, which finds silent hosts, stays.

Ruled out: none at all; a host between would keep what it has for a dead entry host for a quarter of an hour.

Conclusion: a pause of the reader is no end of the path.

--- a/bitterntiller/components/links/const.py
+++ b/bitterntiller/components/links/const.py
@@ -21,6 +21,10 @@
 KEEPALIVE_TIMEOUT = 4
 """Seconds of silence after which the kernel closes a connection."""
 
+STREAM_USER_TIMEOUT = 60
+"""Seconds for which the reader of a connection that carries no messages may pause. It
+passes on what a caller reads, who may pause for half as long."""
+
 RECONNECT_DELAY = 0.1
 """Seconds in which messages to an unreachable host fail without a new attempt."""
 
--- a/bitterntiller/components/links/coordinator.py
+++ b/bitterntiller/components/links/coordinator.py
@@ -22,7 +22,11 @@
 from bitterntiller.core.interfaces import MessageHandler, Metrics, StreamHandler
 from bitterntiller.core.listener import Listener
 from bitterntiller.core.runtime import Runtime
-from bitterntiller.core.tcp import async_connect, enable_keepalive
+from bitterntiller.core.tcp import (
+    async_connect,
+    enable_keepalive,
+    set_user_timeout,
+)
 from bitterntiller.protocol import messages
 
 
@@ -130,6 +134,7 @@
         Raise OSError, ValueError or HandshakeError.
         """
         sock, _ = await self._async_dial(address, self.own._replace(purpose=purpose))
+        set_user_timeout(sock, const.STREAM_USER_TIMEOUT)
         return sock
 
     def connected(self) -> dict[str, str]:
@@ -177,6 +182,7 @@
             text = f"no handler of {peer.purpose!r} connections"
             await _async_send_fault(sock, const.FAULT_NO_HANDLER, text)
             return
+        set_user_timeout(sock, const.STREAM_USER_TIMEOUT)
         await handler(sock, peer)
 
     async def _async_store(self, address: str, connection: Connection) -> None:
--- a/bitterntiller/core/tcp.py
+++ b/bitterntiller/core/tcp.py
@@ -52,8 +52,13 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, probes)
     if user_timeout:
-        most = min(seconds * 1000, 2**31 - 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, most)
+        set_user_timeout(sock, seconds)
+
+
+def set_user_timeout(sock: Any, seconds: int) -> None:
+    """Make the kernel close a connection whose peer takes no data for some seconds."""
+    most = min(seconds * 1000, 2**31 - 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, most)
 
 
 def is_quiet(sock: Any) -> bool:
