Entry: a stream that is silent at its deadline is cut then

Cause: what silence no longer ended had no other end than the read timeout.

Change: a silence is reported again at the deadline, and ends the run then, with the outcome unknown.

Ruled out: a shorter read timeout, which counts from the last data.

Evidence: the new test failed before (7.0 s, the end of its wait) and passes (3.0 s).

--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -116,7 +116,7 @@
             self._active.relay = connected.relay
         report = PathReport(connector, destination, connected)
         async with AsyncExitStack() as stack:
-            run = Run(self._active, grant)
+            run = Run(self._active, grant, self._context.clock)
             stack.push_async_callback(run.async_close)
             run.stack.push_async_callback(self._async_give_back, run, connected)
             verdict = await self._async_claim_and_send(report, run)
--- a/bitterntiller/components/entry/pipeline.py
+++ b/bitterntiller/components/entry/pipeline.py
@@ -269,7 +269,11 @@
     ) -> Verdict:
         """Return the result of an attempt, a Retry if the request waits again."""
         run = active.run
+        deadline = active.prepared.identified.deadline
         while run is not None and isinstance(verdict, RunSilent):
+            if self._context.clock.now() >= deadline:
+                verdict = Ending(Outcome.UNKNOWN, Reason.UPSTREAM_TIMEOUT, 504)
+                break
             if not await self._async_set_aside(active, run):
                 verdict = await run.async_wait()
                 continue
@@ -315,8 +319,6 @@
         Return False if the request may not be sent to another.
         """
         now = self._context.clock.now()
-        if now >= active.prepared.identified.deadline:
-            return False
         if not self._may_repeat(active):
             log_silence(active, active.output_tokens, NO_REPEAT_ALLOWED, now)
             return False
--- a/bitterntiller/components/entry/run.py
+++ b/bitterntiller/components/entry/run.py
@@ -31,6 +31,7 @@
     Verdict,
 )
 from bitterntiller.components.http.errors import IncompleteResponseError
+from bitterntiller.core.clock import Clock
 
 Respond = Callable[[], Awaitable[Verdict]]
 """Awaits the response of a run, relays it and returns the result."""
@@ -44,8 +45,11 @@
     arrives. sends is how often the request had been sent when the run was set aside.
     """
 
-    def __init__(self, active: ActiveRequest, grant: GrantReceived) -> None:
+    def __init__(
+        self, active: ActiveRequest, grant: GrantReceived, clock: Clock
+    ) -> None:
         self.grant = grant
+        self._clock = clock
         self.stack = AsyncExitStack()
         self.set_aside = False
         self.resumed = False
@@ -73,8 +77,9 @@
     async def async_wait(self) -> Verdict | RunSilent | RunResumed:
         """Return the result of the response, or that the upstream is silent.
 
-        With a silent run on standby, return early if that one goes on. Raise what the
-        task of the response raised.
+        A silence is reported again at the deadline of the request. With a silent run on
+        standby, return early if that one goes on. Raise what the task of the response
+        raised.
         """
         changed = self._active.changed
         while True:
@@ -90,7 +95,17 @@
                 self._unreported_silence = False
                 if standby is None and self._active.movable:
                     return RunSilent(self.grant.upstream)
-            await changed.wait()
+            if not self.silent or standby is not None:
+                await changed.wait()
+                continue
+            async with curio.ignore_after(max(0.0, self._left())):
+                await changed.wait()
+            if self.silent and self._left() <= 0:
+                return RunSilent(self.grant.upstream)
+
+    def _left(self) -> float:
+        """Return the seconds until the deadline of the request."""
+        return self._active.prepared.identified.deadline - self._clock.now()
 
     @property
     def ended(self) -> bool:
--- a/tests/platform/test_silent_runs.py
+++ b/tests/platform/test_silent_runs.py
@@ -327,3 +327,24 @@
                 await client.async_close()
 
     assert curio.run(async_main) == 1
+
+
+def test_stream_that_is_silent_at_its_deadline_is_cut_then():
+    """Its caller was held for half a minute after the time limit of its route."""
+
+    async def async_upstream(sock: Any, data: bytes, number: int) -> None:
+        await sock.sendall(builders.STREAM_HEAD + FIRST)
+        await curio.sleep(9.0)
+
+    async def async_main() -> float:
+        async with patient_host(async_upstream) as host:
+            host.links.refused_as = "too-late"
+            began = await curio.clock()
+            await host.async_ask(builders.request(), 7.0)
+            return await curio.clock() - began
+
+    with recording() as recorded:
+        seconds = curio.run(async_main)
+    assert 2.9 < seconds < 3.5
+    (line,) = recorded.by_kind["response-cut"]
+    assert line["by"] == "deadline"
