Dispatch: a response without an end is its upstream's fault, not the path's

What callers saw: an upstream whose responses bring bytes but no end got requests as if it were well, and each waited there until its deadline; hosts were kept from it as if they didn't reach it.

Cause: the owner learns of such a response as outcome "unknown" or "lost-answer", which a path can also be the cause of. Where another host had just got an answer, it was a lost path. Otherwise it was a failure that any output of a running request makes up for, that of the endless response included. A request whose response never ended was suspected to have crashed its upstream, and its copies waited for each other.

Mend: Finished and Returned say by an optional field why a response whose bytes arrived isn't whole: overrun, malformed or unfinished. The first two count as failures with a response, which only a whole response clears; none of the three is the path's or a crash. "unfinished" (a short deadline, a slow reader) counts as nothing. A stream that has brought output within four times the expected one may only be long and counts as nothing either.

Ruled out: new outcomes and reasons in place of the field, since owners of the release before wouldn't note that the upstream was tried; telling short deadlines by the owner's estimate of the service time, since it is near the deadline on slow routes, where an upstream without ends would never be found; counting each stream that overran, since long streams in an overload would make all upstreams of a pool sick at once.

--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -60,7 +60,14 @@
         return []
 
     def returned(
-        self, request_id: str, reason: str, waiting: bool, now: float
+        self,
+        request_id: str,
+        reason: str,
+        waiting: bool,
+        now: float,
+        version: str | None = None,
+        upstream_names: frozenset[str] | None = None,
+        fault: str = "",
     ) -> list[Decision]:
         """Stop counting a request as outstanding."""
         return self.cancel(request_id, now)
--- a/bitterntiller/components/dispatch/model_updater.py
+++ b/bitterntiller/components/dispatch/model_updater.py
@@ -13,6 +13,10 @@
 from bitterntiller.components.dispatch.pool import Pool
 from bitterntiller.components.dispatch.size_estimator import SizeEstimator
 from bitterntiller.components.dispatch.upstreams import Upstream
+from bitterntiller.core.outcomes import ResponseFault
+
+ENDLESS_OUTPUT_FACTOR = 4.0
+"""Multiple of the expected output from which a stream is taken for one without end."""
 
 
 class ModelUpdater:
@@ -68,7 +72,8 @@
         if completion.outcome == OUTCOME_CALLER_GONE:
             return
         # A broken tunnel says as little about the upstream as about the host between.
-        if completion.relay and completion.outcome == OUTCOME_UNKNOWN:
+        broke = completion.outcome == OUTCOME_UNKNOWN and not completion.fault
+        if completion.relay and broke:
             return
         host = completion.relay or job.request.entry_host
         granted_at = job.granted_at
@@ -78,8 +83,9 @@
             self._pool.record_upstream_success(upstream, host, now, granted_at)
             return
         if completion.outcome != OUTCOME_DONE:
-            self._pool.record_upstream_failure(
-                upstream, host, completion.outcome, now, granted_at
+            job.tokens_seen = max(job.tokens_seen, completion.output_tokens)
+            self._record_failure(
+                job, upstream, host, completion.outcome, now, completion.fault
             )
             return
         self._pool.record_upstream_success(upstream, host, now, granted_at)
@@ -96,15 +102,37 @@
             )
 
     def learn_from_return(
-        self, job: Job, upstream: Upstream, reason: str, now: float
+        self,
+        job: Job,
+        upstream: Upstream,
+        reason: str,
+        now: float,
+        fault: str = "",
     ) -> None:
         """Learn from a returned grant that is a failure of the upstream."""
         if reason == REASON_NOT_ADMITTED:
             upstream.limit.record_rejection(
                 upstream.ledger.in_flight - 1, upstream.state.slots
             )
+        host = job.request.entry_host
+        self._record_failure(job, upstream, host, reason, now, fault)
+
+    def _record_failure(
+        self,
+        job: Job,
+        upstream: Upstream,
+        host: str,
+        reason: str,
+        now: float,
+        fault: str,
+    ) -> None:
+        """Record a failure of an upstream, unless its response may only be long."""
+        long = fault == ResponseFault.OVERRUN and _may_end(job)
+        if long or fault == ResponseFault.UNFINISHED:
+            self._pool.record_reached(upstream, host, now, job.granted_at)
+            return
         self._pool.record_upstream_failure(
-            upstream, job.request.entry_host, reason, now, job.granted_at
+            upstream, host, reason, now, job.granted_at, fault
         )
 
     def _learn_first_output(self, job: Job, upstream: Upstream, now: float) -> None:
@@ -148,3 +176,9 @@
         upstream.speed.learn_total(job.expected_total, completion.total)
         upstream.limit.learn(completion.total / job.work, upstream.state.slots)
         self._pool.record_service_time(job.work, completion.total)
+
+
+def _may_end(job: Job) -> bool:
+    """Return whether a stream has brought output, and no more than a long one does."""
+    expected = max(job.expected_output, float(job.request.output_tokens))
+    return 0 < job.tokens_seen <= ENDLESS_OUTPUT_FACTOR * expected
--- a/bitterntiller/components/dispatch/models.py
+++ b/bitterntiller/components/dispatch/models.py
@@ -195,7 +195,8 @@
 
     outcome is done, failed, unknown, rejected (the upstream responded completely, with
     an error that is the request's own fault) or caller-gone. relay is the host through
-    which the request was sent, empty for a direct connection.
+    which the request was sent, empty for a direct connection. fault is a ResponseFault,
+    empty if there was none.
     """
 
     request_id: str
@@ -208,6 +209,7 @@
     in_time: bool
     load: UpstreamLoad | None = None
     relay: str = ""
+    fault: str = ""
 
 
 class CanaryAllowance(Protocol):
@@ -260,6 +262,7 @@
         now: float,
         version: str | None = None,
         upstream_names: frozenset[str] | None = None,
+        fault: str = "",
     ) -> list[Decision]:
         """Release the upstream of a grant that the entry host returned.
 
@@ -268,7 +271,7 @@
         other-version, or the Reason for which the request is refused without a run
         (such as no-lease). With version, the request's stream has begun, and only
         upstream_names may go on with it. If waiting is true, the request is queued
-        again at its old position.
+        again at its old position. fault is the ResponseFault of its answer, if any.
         """
         ...
 
--- a/bitterntiller/components/dispatch/owned_pool.py
+++ b/bitterntiller/components/dispatch/owned_pool.py
@@ -243,6 +243,7 @@
             now,
             version,
             names,
+            message.fault or "",
         )
         decisions = self._record_decisions(decisions, now)
         return decisions + self._refuse_if_version_gone(message.request_id, now)
--- a/bitterntiller/components/dispatch/pool.py
+++ b/bitterntiller/components/dispatch/pool.py
@@ -334,27 +334,34 @@
             self.refresh(upstream, now)
 
     def record_upstream_failure(
-        self, upstream: Upstream, host: str, reason: str, now: float, granted_at: float
+        self,
+        upstream: Upstream,
+        host: str,
+        reason: str,
+        now: float,
+        granted_at: float,
+        fault: str = "",
     ) -> None:
         """Record that a request of a host failed; see Health.record_failure.
 
-        If another host has just reached the upstream, only the path has failed.
+        If another host has just reached the upstream, only the path has failed. It is
+        not the cause of a ResponseFault.
         """
-        if reason not in PATH_FAILURES:
-            self._record_reached(upstream, host, now, granted_at)
+        responded = bool(fault) or reason not in PATH_FAILURES
+        if responded:
+            self.record_reached(upstream, host, now, granted_at)
         elif self._record_failed_path(upstream, host, reason, now):
             return
         certain = reason == REASON_REFUSED_CONNECTION
-        responded = reason not in PATH_FAILURES
         if upstream.health.record_failure(now, certain, responded):
             event = upstream.event(UpstreamChange.UNHEALTHY, now)
-            self.events.record(event._replace(entry_host=host, reason=reason))
+            self.events.record(event._replace(entry_host=host, reason=fault or reason))
 
     def record_upstream_success(
         self, upstream: Upstream, host: str, now: float, granted_at: float
     ) -> None:
         """Record a successful response of an upstream to a host."""
-        self._record_reached(upstream, host, now, granted_at)
+        self.record_reached(upstream, host, now, granted_at)
         was_unhealthy = upstream.health.unhealthy
         upstream.health.record_success()
         if was_unhealthy:
@@ -368,7 +375,7 @@
         That of a host which goes through others does not say which path it came by.
         """
         if not self.paths.uses_relays(host, now):
-            self._record_reached(upstream, host, now, granted_at)
+            self.record_reached(upstream, host, now, granted_at)
         if upstream.health.record_output():
             self._record_change(upstream, UpstreamChange.HEALTHY, now)
 
@@ -378,9 +385,10 @@
         unreached = self.paths.unreached(host, now)
         return paused.union(unreached) if unreached else paused
 
-    def _record_reached(
+    def record_reached(
         self, upstream: Upstream, host: str, now: float, granted_at: float
     ) -> None:
+        """Record that bytes of an upstream have come to a host."""
         if self.paths.record_reached(host, upstream.name, now, granted_at):
             self._record_path_change(upstream, UpstreamChange.PATH_REGAINED, host, now)
 
--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -218,6 +218,7 @@
         now: float,
         version: str | None = None,
         upstream_names: frozenset[str] | None = None,
+        fault: str = "",
     ) -> list[Decision]:
         """Release the upstream of a returned grant; requeue a request that waits."""
         job = self._jobs.by_id.pop(request_id, None)
@@ -225,11 +226,12 @@
             return []
         decisions: list[Decision] = []
         upstream = job.upstream
-        if reason == REASON_LOST_ANSWER and version is None and not job.tokens_seen:
+        broke = reason == REASON_LOST_ANSWER and not fault
+        if broke and version is None and not job.tokens_seen:
             self._record_break(job, now)
         if upstream is not None and reason in _REASONS_TO_TRY_ANOTHER:
             if reason not in _REASONS_WITHOUT_FAULT:
-                self._model_updater.learn_from_return(job, upstream, reason, now)
+                self._model_updater.learn_from_return(job, upstream, reason, now, fault)
             job.return_count += 1
             tried = (*job.request.tried, upstream.name)
             job.request = job.request._replace(tried=tried)
@@ -282,9 +284,10 @@
             return []
         decisions: list[Decision] = []
         tokens = max(completion.output_tokens, job.tokens_seen)
+        broke = completion.outcome == OUTCOME_UNKNOWN and not completion.fault
         if completion.outcome == OUTCOME_DONE:
             self._isolation.record_output(job, done=True)
-        elif completion.outcome == OUTCOME_UNKNOWN and not tokens:
+        elif broke and not tokens:
             self._record_break(job, now)
         self._model_updater.learn_from_completion(job, completion, now)
         self._jobs.withdraw(job, now)
--- a/bitterntiller/components/dispatch/wire.py
+++ b/bitterntiller/components/dispatch/wire.py
@@ -118,6 +118,7 @@
         in_time=message.in_time,
         load=_load(message.load, now),
         relay=message.relay or "",
+        fault=message.fault or "",
     )
 
 
--- a/bitterntiller/core/outcomes.py
+++ b/bitterntiller/core/outcomes.py
@@ -52,6 +52,19 @@
     CALLER_GONE = "caller-gone"
 
 
+class ResponseFault(StrEnum):
+    """Why a response whose bytes arrived isn't whole; the path is not the cause.
+
+    OVERRUN: it had not ended when the time of the request had. MALFORMED: its bytes are
+    no HTTP response. UNFINISHED: little time was left for it, or its caller
+    read slowly, so that it may only be long.
+    """
+
+    OVERRUN = "overrun"
+    MALFORMED = "malformed"
+    UNFINISHED = "unfinished"
+
+
 class Ending(NamedTuple):
     """The end of a request without an upstream response to relay.
 
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -161,6 +161,7 @@
     9: required bool in_time,
     10: optional Load load,              // load reported in the upstream's response
     11: optional string relay,           // host through which the request was sent
+    12: optional string fault,           // why its response is not whole: overrun, malformed or unfinished
 }
 
 /*
@@ -178,6 +179,7 @@
                                          // why it is refused without a run (as no-lease)
     5: required bool still_waiting,
     6: optional string version,          // of the upstreams that may go on with its stream
+    7: optional string fault,            // why its response is not whole: overrun, malformed or unfinished
 }
 
 /* The rate limit of an upstream for all hosts together, as stated in a response. */
--- a/tests/components/dispatch/builders.py
+++ b/tests/components/dispatch/builders.py
@@ -56,6 +56,21 @@
     )._replace(**changes)
 
 
+def overrun(request_id: str, name: str = "engine-1", **changes: Any) -> Completion:
+    """Return the completion of a request whose response had no end at its deadline."""
+    return Completion(
+        request_id=request_id,
+        upstream=name,
+        outcome="unknown",
+        output_tokens=0,
+        cached_tokens=None,
+        first_token=None,
+        total=2.0,
+        in_time=False,
+        fault="overrun",
+    )._replace(**changes)
+
+
 def registered_pool(*names: str, now: float, slots: int = 8) -> PoolScheduler:
     """Return the scheduler of a pool with some upstreams registered with control."""
     scheduler = PoolScheduler(REGISTERED_PARAMETERS)
