Entry: the path isn't blamed for the bytes of a response

What callers saw: requests of a host went through other hosts, as an upstream had sent it bytes that are no HTTP.

Cause: PathReport reported each response that broke as truncated by the path, and each one without a head as lost on it. Where the check of the path gets its answer, a truncated response makes it a failed path. A reset or an early close may be the path's; bytes that can't be a response, or that have no end, are the sender's.

Mend: PathReport tells client.overran and client.malformed from a break and from silence at the deadline (timed_out), and records no fault of the path then. The request keeps the ResponseFault by upstream; Finished and Returned take it to the owner. A response that overran is "unfinished" where less than half of the usual time of its requests was left as it was sent, or where the caller hasn't read what it was sent: its socket takes no more then.

Ruled out: telling a slow caller by the bytes received, since a fast upstream without ends brings any number of them; blaming the upstream for a silence at the deadline, which a pause and the path can be the cause of.

--- a/bitterntiller/components/entry/models.py
+++ b/bitterntiller/components/entry/models.py
@@ -13,7 +13,7 @@
 from bitterntiller.components.http.models import RequestHead
 from bitterntiller.components.tunnels.client import Destination
 from bitterntiller.core.interfaces import Ownership, StreamOrigin
-from bitterntiller.core.outcomes import Ending
+from bitterntiller.core.outcomes import Ending, ResponseFault
 
 if TYPE_CHECKING:
     from bitterntiller.components.entry.run import Run
@@ -256,7 +256,8 @@
     can send it. run is one whose upstream was silent and that goes on. standby is one
     whose upstream is silent, while the request is or may be sent to another. changed is
     set when a run makes progress; stack owns the runs. sends counts how often the
-    request was sent, also where it certainly did not run.
+    request was sent, also where it certainly did not run. faults_by_upstream says why
+    the last responses of upstreams to it weren't whole, until their owner is told.
     """
 
     def __init__(self, prepared: PreparedRequest) -> None:
@@ -299,6 +300,7 @@
         self.standby: Run | None = None
         self.changed = curio.Event()
         self.stack = AsyncExitStack()
+        self.faults_by_upstream: dict[str, ResponseFault] = {}
 
     @property
     def fingerprints(self) -> tuple[int, ...]:
@@ -421,6 +423,7 @@
         self.upstream = grant.upstream
         self.address = grant.address
         self.granted_version = grant.version
+        self.faults_by_upstream.pop(grant.upstream, None)
 
     @property
     def has_run(self) -> bool:
--- a/bitterntiller/components/entry/owner_messages.py
+++ b/bitterntiller/components/entry/owner_messages.py
@@ -4,6 +4,7 @@
 from bitterntiller.components.entry.notices import KeptNotice
 from bitterntiller.components.entry.rate_limits import ReportedLimit
 from bitterntiller.core.interfaces import VersionsView
+from bitterntiller.core.outcomes import ResponseFault
 from bitterntiller.protocol import messages
 
 UNKNOWN_COUNT = -1
@@ -104,11 +105,13 @@
     reason: str,
     waiting: bool,
     version: str | None = None,
+    fault: ResponseFault | None = None,
 ) -> messages.Returned:
     """Return the message that returns a grant.
 
     With the reasons failed and lost-answer, the request may have run under it. version
-    is set if the request has a stream that only upstreams of that version go on with.
+    is set if the request has a stream that only upstreams of that version go on with,
+    fault if the bytes of the response are why it was lost.
     """
     return messages.Returned(
         request_id=request_id,
@@ -117,6 +120,7 @@
         reason=reason,
         still_waiting=waiting,
         version=version,
+        fault=fault,
     )
 
 
@@ -140,6 +144,7 @@
         in_time=now <= active.prepared.identified.deadline,
         load=_load(active),
         relay=active.relay or None,
+        fault=active.faults_by_upstream.get(active.upstream),
     )
 
 
--- a/bitterntiller/components/entry/registry.py
+++ b/bitterntiller/components/entry/registry.py
@@ -127,8 +127,11 @@
         if not grant.sender:
             return
         active = self.by_id.get(request_id)
-        version = active.required_version if active is not None else None
-        message = returned_message(request_id, grant, reason, waiting, version)
+        version = fault = None
+        if active is not None:
+            version = active.required_version
+            fault = active.faults_by_upstream.pop(grant.upstream, None)
+        message = returned_message(request_id, grant, reason, waiting, version, fault)
         await self._context.links.async_send(grant.sender, message)
 
     async def async_post(self, pool: str | None, event: Any) -> None:
--- a/bitterntiller/core/outcomes.py
+++ b/bitterntiller/core/outcomes.py
@@ -56,8 +56,8 @@
     """Why a response whose bytes arrived isn't whole; the path is not the cause.
 
     OVERRUN: it had not ended when the time of the request had. MALFORMED: its bytes are
-    no HTTP response. UNFINISHED: little time was left for it, or its caller
-    read slowly, so that it may only be long.
+    no HTTP response. UNFINISHED: it may only be long, since little time was left for it
+    or its caller read slowly.
     """
 
     OVERRUN = "overrun"
--- a/bitterntiller/core/tcp.py
+++ b/bitterntiller/core/tcp.py
@@ -1,6 +1,7 @@
 """TCP connections to IP addresses without the resolver, and TCP keepalive."""
 
 import ipaddress
+import select
 from typing import Any
 
 import curio
@@ -72,3 +73,10 @@
     except OSError:
         return False
     return False
+
+
+def is_writable(sock: Any) -> bool:
+    """Return whether the peer has read so much that more can be sent."""
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLOUT)
+    return bool(poll.poll(0))
--- a/tests/components/entry/test_path_report.py
+++ b/tests/components/entry/test_path_report.py
@@ -1,6 +1,8 @@
 """What the connector learns from the response to an attempt."""
 
-from typing import Any
+import socket
+from types import SimpleNamespace
+from typing import Any, NamedTuple
 
 import curio
 import pytest
@@ -8,7 +10,11 @@
 from bitterntiller.components.config.models import RouteKind
 from bitterntiller.components.entry.attempt import Attempt
 from bitterntiller.components.entry.claiming import ClaimClient
+from bitterntiller.components.entry.models import ActiveRequest
 from bitterntiller.components.entry.native_dialect import NativeDialect
+from bitterntiller.components.entry.owner_messages import finished_message
+from bitterntiller.components.entry.path_report import PathReport
+from bitterntiller.components.entry.registry import RequestRegistry
 from bitterntiller.components.entry.service_probes import ServiceProbes
 from bitterntiller.components.http.models import ResponseHead
 from bitterntiller.components.http.pool import ConnectionPool
@@ -17,6 +23,7 @@
 from bitterntiller.components.tunnels.connector import Connected, DirectConnector
 from bitterntiller.core.clock import ManualClock
 from bitterntiller.core.interfaces import SentRequest
+from bitterntiller.core.outcomes import ResponseFault
 from tests.components.entry import fakes
 from tests.components.entry.test_attempt import WHOLE, upstream
 from tests.components.stream_versions.builders import route
@@ -154,3 +161,122 @@
 
     curio.run(async_main)
     assert connector.repeatable == [tests_paths]
+
+
+OVERRAN = {"overran": True}
+MALFORMED = {"malformed": True, "broke": True}
+BROKE = {"broke": True}
+SILENT_AT_ITS_DEADLINE = {"timed_out": True, "overran": True}
+
+
+class EndedResponse(NamedTuple):
+    """The response to a request that was sent at the time 0, and its path."""
+
+    active: ActiveRequest
+    connector: RecordingConnector
+    report: PathReport
+
+    @property
+    def fault(self) -> str:
+        """Return the fault that the owner is told."""
+        return finished_message(self.active, "unknown", 1.0).fault or ""
+
+
+def ended(flags: dict[str, bool], seconds: float = 30.0) -> EndedResponse:
+    """Return a response that ended so to a request with so many seconds left.
+
+    Requests of its tier usually have TIER.deadline_ms.
+    """
+    clock = ManualClock()
+    active = fakes.active_request(clock)
+    identified = active.prepared.identified
+    identified = identified._replace(deadline=clock.now() + seconds)
+    active.prepared = active.prepared._replace(identified=identified)
+    active.mark_sending(fakes.grant(clock, "127.0.0.1:1"))
+    active.sent_at = clock.now()
+    client: Any = SimpleNamespace(
+        **{"broke": False, "timed_out": False, "overran": False, "malformed": False}
+        | flags
+    )
+    connector = RecordingConnector(clock)
+    destination = Destination("r1", active.upstream, active.address)
+    report = PathReport(connector, destination, Connected(client), active)
+    return EndedResponse(active, connector, report)
+
+
+@pytest.mark.parametrize(
+    "flags, expected, fault",
+    [
+        (OVERRAN, [], "overrun"),
+        (MALFORMED, [], "malformed"),
+        (BROKE, ["truncated"], ""),
+        (SILENT_AT_ITS_DEADLINE, ["lost"], ""),
+        ({}, ["complete"], ""),
+    ],
+)
+def test_path_is_not_blamed_for_the_bytes_of_a_response(flags, expected, fault):
+    """Requests were led through other hosts since an upstream had sent no HTTP."""
+    response = ended(flags)
+    curio.run(response.report.async_end)
+    assert response.connector.reports == expected
+    assert response.fault == fault
+
+
+@pytest.mark.parametrize(
+    "flags, expected, fault",
+    [
+        (OVERRAN, [], "overrun"),
+        (MALFORMED, [], "malformed"),
+        (BROKE, ["lost"], ""),
+        (SILENT_AT_ITS_DEADLINE, ["lost"], ""),
+    ],
+)
+def test_path_is_not_blamed_for_bytes_in_place_of_a_head(flags, expected, fault):
+    response = ended(flags)
+    curio.run(response.report.async_lost)
+    assert response.connector.reports == expected
+    assert response.fault == fault
+
+
+@pytest.mark.parametrize("seconds, fault", [(20.0, "overrun"), (10.0, "unfinished")])
+def test_upstream_is_not_blamed_for_the_short_deadline_of_a_caller(seconds, fault):
+    response = ended(OVERRAN, seconds)
+    curio.run(response.report.async_end)
+    assert response.connector.reports == []
+    assert response.fault == fault
+
+
+@pytest.mark.parametrize("reads, fault", [(True, "overrun"), (False, "unfinished")])
+def test_upstream_is_not_blamed_for_a_caller_that_reads_slowly(reads, fault):
+    response = ended(OVERRAN)
+    ours, callers = socket.socketpair()
+    with ours, callers:
+        ours.setblocking(False)
+        if not reads:
+            with pytest.raises(BlockingIOError):
+                while True:
+                    ours.send(bytes(65536))
+        exchange: Any = SimpleNamespace(
+            started=True, connection=SimpleNamespace(sock=ours)
+        )
+        curio.run(response.report._replace(exchange=exchange).async_end)
+    assert response.fault == fault
+
+
+def test_fault_of_a_response_is_told_once_with_the_grant_that_is_returned():
+    """A later grant of the same upstream would be returned with the earlier fault."""
+    clock = ManualClock()
+    links = fakes.FakeLinks(clock)
+    registry = RequestRegistry(fakes.context(clock, links))
+    response = ended(MALFORMED)
+    grant = fakes.grant(clock, response.active.address)
+
+    async def async_main() -> None:
+        await registry.async_add(response.active)
+        await response.report.async_lost()
+        for _ in range(2):
+            await registry.async_return_grant("r1", grant, "lost-answer", True)
+
+    curio.run(async_main)
+    faults = [message.fault for message in links.sent]
+    assert faults == [ResponseFault.MALFORMED, None]
