Probes: interim heads don't put the end of a probe off

What was seen: an upstream that answers a probe by an interim head each 0.05 s held its connection for ever. The probe of a failed path was never repeated, an identity probe never ended, and a check that asks other hosts never did, so that its path wasn't checked again.

Cause: the time of the probe was that of each wait for an event, and a head that isn't final is one.

Mend: one bound for the request and the head of a probe, whatever arrives.

Ruled out: taking a head with an endless body for no answer, since the question is whether the path carries an answer, and it does.

--- a/bitterntiller/components/tunnels/probes.py
+++ b/bitterntiller/components/tunnels/probes.py
@@ -3,6 +3,8 @@
 from enum import Enum
 from typing import NamedTuple, Protocol
 
+import curio
+
 from bitterntiller.components.http.client import ClientExchange
 from bitterntiller.components.http.errors import IncompleteResponseError
 from bitterntiller.components.http.models import Headers, ResponseHead
@@ -95,9 +97,16 @@
     request: ProbeRequest,
     seconds: float = const.PROBE_ANSWER_SECONDS,
 ) -> ResponseHead | None:
-    """Return the head of the response to a probe, None if there is none in time."""
+    """Return the head of the response to a probe, None if there is none in time.
+
+    Interim heads don't put the end of that time off.
+    """
     try:
-        await client.async_request("GET", request.target, request.headers, b"", seconds)
-        return await client.async_head(seconds)
+        async with curio.ignore_after(seconds):
+            await client.async_request(
+                "GET", request.target, request.headers, b"", seconds
+            )
+            return await client.async_head(seconds)
     except IncompleteResponseError:
         return None
+    return None
