HTTP client: bytes are no progress, and each exchange ends in time

What callers saw: one response of interim heads (100, 103) or of small chunks without pause stopped the whole entry host: its other callers got neither an answer nor a refusal, timers and heartbeats stood still. Where such bytes came slowly, a request was held until its caller left.

Cause: in curio a read that finds data returns without a switch of tasks, so that neither other tasks nor a timeout of the reader itself run; each part of a head, of a skipped response or of a fetched body had the whole timeout anew; and any byte ended a silence, after which another upstream is sought.

Change: the client gives way (Turns) and parses 16 parts at a time; a head, the interim ones before it included, a skipped, fetched or drained body has one timeout as a whole and a limit of bytes; more than 32 interim responses are an error at once; a response may be given a total time, which bytes don't put off. A silence ends with the head of the final response or with what the reader reports as progress: an event of a stream, the end of a buffered response. A response to a call that drips is looked after like one that doesn't begin.

Timers of other tasks are at most 0.25 s late beside bytes that are always there. Ruled out: a thread for each read, and a sleep after each one, which cost what proper responses are relayed with; a limit of bytes for relayed responses, since long ones may be proper.

--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -3,6 +3,7 @@
 Every request that reaches an upstream is sent by this module.
 """
 
+import contextlib
 from contextlib import AsyncExitStack
 
 import curio
@@ -301,7 +302,9 @@
         if response_class is ResponseClass.WITHHELD:
             return _unknown(Reason.UPSTREAM_FAILED, BAD_GATEWAY)
         active.phase = Phase.RELAYING
-        relay = Relay(self._exchange, active, self._context, self._run)
+        relay = Relay(
+            self._exchange, active, self._context, self._run, self._response_watch()
+        )
         relayed = await relay.async_run(client, head)
         await report.async_end()
         return await self._async_finish_relay(relayed)
@@ -348,12 +351,12 @@
         """
         dialect = self._context.dialect
         timeout = self._first_byte_timeout()
-        head = await client.async_head(timeout, self._head_watch())
+        head = await client.async_head(timeout, self._response_watch())
         response_class = dialect.classify_response(self._active, head)
         if response_class is ResponseClass.FOREIGN:
             self._context.metrics.count(const.METRIC_LATE_RESPONSES)
             if client.reused and await client.async_skip_response():
-                head = await client.async_head(timeout)
+                head = await client.async_head(self._first_byte_timeout())
                 response_class = dialect.classify_response(self._active, head)
         return head, response_class
 
@@ -369,7 +372,12 @@
             self._active.cut = Cut(CutBy.UPSTREAM, verdict.reason, verdict.detail)
             await self._exchange.async_cut()
             return RelayResult(False, BAD_GATEWAY)
-        return _unknown(Reason.UPSTREAM_RESET, BAD_GATEWAY, verdict.detail)
+        return _lost_ending(False, verdict.detail)
+
+    def _is_late(self) -> bool:
+        """Return whether the deadline of the request has passed."""
+        deadline = self._active.prepared.identified.deadline
+        return self._context.clock.now() >= deadline
 
     def _can_repeat(self) -> bool:
         """Return whether a further attempt can follow an attempt that has ended."""
@@ -402,14 +410,18 @@
         left = deadline - self._context.clock.now()
         return max(const.MIN_TIMEOUT, min(left, self._timings.upstream_first_byte))
 
-    def _head_watch(self) -> RunWatch | None:
-        """Return what is told that the response has not begun, None if nothing is."""
+    def _response_watch(self) -> RunWatch | None:
+        """Return what is told that the response doesn't begin, or isn't whole.
+
+        Only streams go on beyond their head in parts that callers can use. None if
+        another run of the request is on standby.
+        """
         route = self._active.route
         if self._run is None or route is None or self._standby is not None:
             return None
-        return RunWatch(self._run, self._head_silence(route))
+        return RunWatch(self._run, self._response_silence(route))
 
-    def _head_silence(self, route: Route) -> float:
+    def _response_silence(self, route: Route) -> float:
         """Return the seconds without a response after which to look for another.
 
         Calls use the measured response times of their service. Streams use the
@@ -436,7 +448,7 @@
         resumed from its start; any other request ends with the outcome unknown.
         """
         active = self._active
-        late = self._context.clock.now() >= active.prepared.identified.deadline
+        late = self._is_late()
         if self._can_repeat() and not late:
             await self._async_cancel_in_background()
             return Retry(active.upstream, LOST_RESPONSE, ran=True, detail=error.text)
@@ -449,9 +461,7 @@
                 return relayed
         # In the background, so that the caller gets the ending without delay.
         await self._async_cancel_in_background()
-        reason = Reason.UPSTREAM_TIMEOUT if late else Reason.UPSTREAM_RESET
-        status = GATEWAY_TIMEOUT if late else BAD_GATEWAY
-        return _unknown(reason, status, error.text)
+        return _lost_ending(late, error.text)
 
     async def _async_resume_from_start(self) -> RelayResult | None:
         relay = Relay(self._exchange, self._active, self._context)
@@ -474,18 +484,20 @@
 
 async def _async_drain_response(client: ClientExchange) -> None:
     """Read the body of a response that is not relayed, to reuse the connection."""
-    try:
-        await client.async_start_read_timeout(const.DRAIN_IDLE_TIMEOUT)
-        for _ in range(const.DRAIN_MAX_CHUNKS):
-            if await client.async_data() is None:
-                return
-    except IncompleteResponseError:
-        return
+    with contextlib.suppress(IncompleteResponseError):
+        await client.async_body(const.DRAIN_SECONDS, const.DRAIN_BYTES)
 
 
 def _not_run(reason: Reason) -> Ending:
     return Ending(Outcome.NOT_RUN, reason, 503, retry_after=const.DEFAULT_RETRY_AFTER)
 
 
+def _lost_ending(late: bool, detail: str) -> Ending:
+    """Return the ending of a request whose response was lost."""
+    if late:
+        return _unknown(Reason.UPSTREAM_TIMEOUT, GATEWAY_TIMEOUT, detail)
+    return _unknown(Reason.UPSTREAM_RESET, BAD_GATEWAY, detail)
+
+
 def _unknown(reason: Reason, status: int, detail: str = "") -> Ending:
     return Ending(Outcome.UNKNOWN, reason, status, detail=detail)
--- a/bitterntiller/components/entry/const.py
+++ b/bitterntiller/components/entry/const.py
@@ -77,10 +77,13 @@
 MIN_TIMEOUT = 0.001
 """Seconds; a timeout of 0 would count as expired already."""
 
-DRAIN_IDLE_TIMEOUT = 0.2
-DRAIN_MAX_CHUNKS = 8
-"""Idle timeout in seconds and number of chunks within which the body of a response that
-isn't relayed must end for its connection to be reused."""
+DRAIN_SECONDS = 0.2
+DRAIN_BYTES = 256 * 1024
+"""Time and bytes within which the body of a response that isn't relayed must end for
+its connection to be reused."""
+
+RESPONSE_GRACE = 0.1
+"""Seconds after its deadline in which a response may still end."""
 
 REPORT_PERIOD = 0.1
 BUSY_REPORT_PERIOD = 0.5
--- a/bitterntiller/components/entry/relay.py
+++ b/bitterntiller/components/entry/relay.py
@@ -24,7 +24,7 @@
     EVENT_STREAM,
     is_event_stream,
 )
-from bitterntiller.components.entry.run import Run, RunWatch
+from bitterntiller.components.entry.run import TAKEN_OVER, Run, RunWatch
 from bitterntiller.components.entry.sse import (
     BrokenStreamError,
     Events,
@@ -54,11 +54,14 @@
         active: ActiveRequest,
         context: Context,
         run: Run | None = None,
+        whole_watch: SilenceWatch | None = None,
     ) -> None:
+        """Set up; whole_watch is told that a buffered response isn't whole."""
         self._exchange = exchange
         self._active = active
         self._context = context
         self._run = run
+        self._whole_watch = whole_watch
         self._idle = self._idle_timeout()
         method = active.prepared.identified.received.head.method
         self._bodyless = method == "HEAD"
@@ -173,6 +176,11 @@
         log_move(self._active, standby.grant.upstream)
         return True
 
+    def _check_current(self) -> None:
+        """Raise IncompleteResponseError if another run has taken the request over."""
+        if self._run is not None and self._run.superseded:
+            raise IncompleteResponseError(TAKEN_OVER)
+
     def _set_aside(self) -> bool:
         """Return whether another run decides how the response ends."""
         return self._run is not None and self._run.set_aside
@@ -184,7 +192,7 @@
 
         A response over BUFFERED_BYTES is relayed as it arrives.
         """
-        await client.async_start_read_timeout(self._idle)
+        await client.async_start_read_timeout(self._idle, self._whole_watch)
         parts: list[bytes] = []
         size = 0
         try:
@@ -210,6 +218,8 @@
     ) -> RelayResult | Retry:
         if not await self._async_supersede():
             return self._lost()
+        await self._async_go_on()
+        client.end_watch()
         headers = self._context.dialect.response_headers(self._active, head)
         await self._exchange.async_start(head.status, headers)
         self._record_first_byte()
@@ -337,11 +347,14 @@
                 if data is None:
                     self._broken_by = ENDED_WITHIN_EVENT
                     return stream.is_complete_at_eof()
+                self._check_current()
                 events = stream.feed(data)
-                if events.data:
+                if events.count:
+                    await client.async_progress()
                     self._record_first_byte()
                     await self._async_record_begun(events)
                     self._active.output_tokens += events.count
+                if events.data:
                     await self._exchange.async_send(events.data)
                     await self._async_record_sound_parts()
         except (IncompleteResponseError, BrokenStreamError) as error:
--- a/bitterntiller/components/entry/run.py
+++ b/bitterntiller/components/entry/run.py
@@ -6,11 +6,12 @@
 
 The states of a run:
 - current: its task relays the response.
-- silent: nothing has arrived for some time. It is current until it is set aside.
+- silent: it makes no progress for some time, though bytes may arrive. It is current
+  until it is set aside.
 - set aside (the request's standby): the request waits for a grant of another upstream,
   or is sent to it.
-- resumed: something has arrived after it was set aside. The request returns to it, and
-  it is current again (taken back).
+- resumed: it makes progress after it was set aside. The request returns to it, and it
+  is current again (taken back).
 - kept: no other upstream takes the request, which returns to it though it is silent.
 - superseded: the response of another run has begun. It ends and relays nothing more.
 - ended: its response has ended before it resumed. The request needs another upstream.
@@ -33,6 +34,8 @@
 from bitterntiller.components.http.errors import IncompleteResponseError
 from bitterntiller.core.clock import Clock
 
+TAKEN_OVER = "another upstream has taken the request over"
+
 Respond = Callable[[], Awaitable[Verdict]]
 """Awaits the response of a run, relays it and returns the result."""
 
@@ -41,8 +44,8 @@
     """A request that was sent to the upstream of a grant.
 
     stack owns what the run holds. set_aside is set while the request may be sent to
-    another upstream, resumed if this one goes on meanwhile, silent while nothing
-    arrives. sends is how often the request had been sent when the run was set aside.
+    another upstream, resumed if this one goes on meanwhile, silent while it makes no
+    progress. sends is how often the request had been sent when the run was set aside.
     """
 
     def __init__(
@@ -107,6 +110,11 @@
         """Return the seconds until the deadline of the request."""
         return self._active.prepared.identified.deadline - self._clock.now()
 
+    @property
+    def superseded(self) -> bool:
+        """Return whether another run of the request has taken over."""
+        return self._superseded
+
     @property
     def ended(self) -> bool:
         """Return whether the response has ended before the upstream went on."""
@@ -124,17 +132,17 @@
         self._restore()
 
     async def async_begin_silence(self) -> None:
-        """Record that nothing has arrived for some time; see RunWatch."""
+        """Record that there is no progress for some time; see RunWatch."""
         self.silent = self._unreported_silence = True
         await self._active.changed.set()
 
     async def async_end_silence(self) -> None:
-        """Record that data, or the end of the response, has arrived.
+        """Record progress: output, or the end of the response.
 
         Raise IncompleteResponseError if another run has taken over.
         """
         if self._superseded:
-            raise IncompleteResponseError("another upstream has taken the request over")
+            raise IncompleteResponseError(TAKEN_OVER)
         self.silent = self._unreported_silence = False
         if self.set_aside:
             self.resumed = True
@@ -160,15 +168,15 @@
 
 
 class RunWatch(NamedTuple):
-    """Tells a run that its upstream has sent nothing for some seconds."""
+    """Tells a run that its upstream has made no progress for some seconds."""
 
     run: Run
     seconds: float
 
     async def async_begin_silence(self) -> None:
-        """Record that nothing has arrived, again after each further seconds."""
+        """Record that there is no progress, again after each further seconds."""
         await self.run.async_begin_silence()
 
     async def async_end_silence(self) -> None:
-        """Record that data has arrived; raise IncompleteResponseError to drop it."""
+        """Record progress; raise IncompleteResponseError to drop it."""
         await self.run.async_end_silence()
--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -19,24 +19,27 @@
     header,
 )
 from bitterntiller.core.tcp import async_connect, enable_keepalive, is_quiet
+from bitterntiller.core.turns import Turns
 
 CLOSED_EARLY = "the upstream closed the connection before its answer was whole"
 
 
 class SilenceWatch(Protocol):
-    """Is told that an upstream is silent, and that it has gone on.
+    """Is told that an upstream makes no progress, and that it has gone on.
 
-    seconds is the time without data after which it counts as silent.
+    Bytes are no progress by themselves: the head of the final response is, and what the
+    reader of the body reports by async_progress(). seconds is the time without progress
+    after which an upstream counts as silent.
     """
 
     seconds: float
 
     async def async_begin_silence(self) -> None:
-        """Record that nothing has arrived, again after each further seconds."""
+        """Record that there is no progress, again after each further seconds."""
         ...
 
     async def async_end_silence(self) -> None:
-        """Record that data has arrived; raise IncompleteResponseError to drop it."""
+        """Record progress; raise IncompleteResponseError to drop it."""
         ...
 
 
@@ -52,8 +55,9 @@
     a response is incomplete.
 
     sent_bytes and received_bytes count those of the current exchange. broke is set once
-    its response was lost or truncated, timed_out if the upstream was silent for longer
-    than this end waits.
+    its response was lost or truncated, or isn't HTTP; timed_out if the upstream was
+    silent for longer than this end waits; overran if its response hadn't ended within
+    the time or the bytes that it has.
     """
 
     def __init__(self, sock: Any, allow_close_delimited: bool = False) -> None:
@@ -63,6 +67,7 @@
         self.received_bytes = 0
         self.broke = False
         self.timed_out = False
+        self.overran = False
         self._allow_close_delimited = allow_close_delimited
         self._keep_alive: float | None = None
         self._sock = sock
@@ -73,6 +78,11 @@
         self._buffered_event: Any = h11.NEED_DATA
         self._buffer_drained = False
         self._idle_ticks = 0
+        self._stalled_ticks = 0
+        self._interim = 0
+        self._turns = Turns()
+        self._read_parts = 1
+        self._read_bytes = 0
         self._read_timeout_task: curio.Task | None = None
         self._failure = ""
         self._awaiting = False
@@ -123,7 +133,8 @@
             return False
         connection.start_next_cycle()
         self._buffer_drained = False
-        self._idle_ticks = 0
+        self._idle_ticks = self._stalled_ticks = 0
+        self._interim = 0
         self._watch = None
         self._silent = False
         self.sent_bytes = 0
@@ -143,39 +154,76 @@
         await self._sock.close()
 
     async def async_start_read_timeout(
-        self, timeout: float, watch: SilenceWatch | None = None
+        self,
+        timeout: float,
+        watch: SilenceWatch | None = None,
+        total: float | None = None,
     ) -> None:
-        """Make reads fail if nothing arrives for timeout seconds.
+        """Make reads fail if nothing arrives for timeout seconds, or after total ones.
 
         A task checks READ_TIMEOUT_CHECKS times within the timeout, or within the time
         after which watch is told, so reads fail one to two intervals late. A timer for
-        each read would be a quarter of the cost of relaying.
+        each read would be a quarter of the cost of relaying. The total is exact.
         """
         self._watch = watch
+        self._stalled_ticks = 0
+        shortest = timeout if watch is None else min(timeout, watch.seconds)
         self._read_timeout_task = await curio.spawn(
-            self._async_enforce_read_timeout, timeout, watch, daemon=True
+            self._async_enforce_read_timeout, timeout, shortest, total, daemon=True
         )
 
+    def end_watch(self) -> None:
+        """Tell the watch of this exchange nothing more."""
+        self._watch = None
+
     async def _async_enforce_read_timeout(
-        self, timeout: float, watch: SilenceWatch | None
+        self, timeout: float, shortest: float, total: float | None
     ) -> None:
-        shortest = timeout if watch is None else min(timeout, watch.seconds)
         interval = shortest / const.READ_TIMEOUT_CHECKS
         most_ticks = round(timeout / interval)
+        ends_at = None if total is None else await curio.clock() + total
+        received = 0
         while self._idle_ticks <= most_ticks:
             # While the caller reads nothing, neither is the upstream read.
             self._idle_ticks = self._idle_ticks + 1 if self._awaiting else 0
+            if self._awaiting or self.received_bytes > received:
+                self._stalled_ticks += 1
+            received = self.received_bytes
+            if ends_at is not None:
+                left = ends_at - await curio.clock()
+                if left <= interval:
+                    await curio.sleep(max(0.0, left))
+                    await self._async_end_reads(self._overrun(total))
+                    return
             await curio.sleep(interval)
-            passed, early = divmod(self._idle_ticks - 1, const.READ_TIMEOUT_CHECKS)
-            if watch is not None and passed and not early:
+            passed, early = divmod(self._stalled_ticks - 1, const.READ_TIMEOUT_CHECKS)
+            if self._watch is not None and passed > 0 and not early:
                 self._silent = True
-                await watch.async_begin_silence()
+                await self._watch.async_begin_silence()
         self.timed_out = True
-        self._failure = no_data_text(timeout)
-        try:
+        await self._async_end_reads(no_data_text(timeout))
+
+    async def _async_end_reads(self, failure: str) -> None:
+        """Make the present read and all others fail."""
+        self._failure = failure
+        with contextlib.suppress(OSError):
             await self._sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            return
+
+    def _overrun(self, seconds: float) -> str:
+        """Return the failure of a response that hasn't ended within its time."""
+        self.overran = True
+        text = f"the response had not ended after {seconds:.3g} s"
+        self._failure = f"{text}, {self.received_bytes} bytes"
+        return self._failure
+
+    async def async_progress(self) -> None:
+        """Record that the body has brought what its reader can use.
+
+        Raise IncompleteResponseError if that must be dropped.
+        """
+        self._stalled_ticks = 0
+        if self._silent:
+            await self._async_end_silence()
 
     async def async_request(
         self,
@@ -228,30 +276,64 @@
     async def async_head(
         self, timeout: float, watch: SilenceWatch | None = None
     ) -> ResponseHead:
-        """Return the head of the response; raise IncompleteResponseError."""
+        """Return the head of the final response; raise IncompleteResponseError.
+
+        It must be whole within timeout seconds, whatever arrives before it.
+        """
         self._watch = watch
+        event = await self._async_final_head(timeout, watch)
+        if self._silent:
+            await self._async_end_silence()
+        self._close_delimited = self._is_close_delimited(event)
+        self._keep_alive = keep_alive_seconds(event.headers)
+        self._chunked = header(event.headers, b"transfer-encoding") is not None
+        return ResponseHead(event.status_code, list(event.headers))
+
+    async def _async_final_head(
+        self, timeout: float, watch: SilenceWatch | None
+    ) -> h11.Response:
+        """Return the head of the final response; tell watch if it is awaited for long.
+
+        The time until watch is told again doubles.
+        """
+        left = timeout
+        pause = timeout if watch is None else watch.seconds
+        while watch is not None and left > pause:
+            async with curio.ignore_after(pause):
+                return await self._async_skip_interim()
+            left -= pause
+            pause *= 2
+            self._silent = True
+            await watch.async_begin_silence()
+        async with curio.ignore_after(left):
+            return await self._async_skip_interim()
+        if self._interim > 1 or self._h11.trailing_data[0]:
+            raise IncompleteResponseError(self._overrun(timeout))
+        self.timed_out = True
+        raise IncompleteResponseError(no_data_text(timeout))
+
+    async def _async_skip_interim(self) -> h11.Response:
+        """Return the head of the final response, after those that precede it."""
         while True:
-            event = await self._async_first_event(timeout, watch)
-            if isinstance(event, h11.InformationalResponse):
-                continue
-            if not isinstance(event, h11.Response):
+            event = await self._async_next()
+            if isinstance(event, h11.Response):
+                return event
+            if not isinstance(event, h11.InformationalResponse):
                 raise IncompleteResponseError("the connection ended before the answer")
-            self._close_delimited = self._is_close_delimited(event)
-            self._keep_alive = keep_alive_seconds(event.headers)
-            self._chunked = header(event.headers, b"transfer-encoding") is not None
-            return ResponseHead(event.status_code, list(event.headers))
+            self._interim += 1
+            if self._interim > const.MAX_INTERIM_RESPONSES:
+                self.broke = True
+                most = const.MAX_INTERIM_RESPONSES
+                raise IncompleteResponseError(f"more than {most} interim responses")
 
     async def async_data(self, timeout: float | None = None) -> bytes | None:
         """Return the next part of the body, None at its end.
 
-        Raise IncompleteResponseError if the connection ends early, or if nothing
-        arrives for timeout seconds or, without one, for the time that was given to
-        async_start_read_timeout(). Parts that arrived together are joined.
+        Raise IncompleteResponseError if the connection ends early, if no part is there
+        after timeout seconds, or at the timeouts of async_start_read_timeout(). Parts
+        that arrived together are joined.
         """
-        if timeout is None:
-            event = await self._async_next()
-        else:
-            event = await self._async_event(timeout)
+        event = await self._async_event(timeout)
         if isinstance(event, h11.EndOfMessage):
             self._check_complete()
             return None
@@ -265,11 +347,28 @@
             return data
         return self._collect_buffered(data)
 
+    async def async_body(self, timeout: float, limit: int) -> bytes:
+        """Return the rest of the body.
+
+        Raise IncompleteResponseError if it isn't whole within timeout seconds, or is
+        longer than limit bytes.
+        """
+        parts: list[bytes] = []
+        size = 0
+        async with curio.ignore_after(timeout):
+            while (data := await self.async_data()) is not None:
+                parts.append(data)
+                size += len(data)
+                if size > limit:
+                    self.overran = True
+                    raise IncompleteResponseError(f"a response over {limit} bytes")
+            return b"".join(parts)
+        raise IncompleteResponseError(self._overrun(timeout))
+
     async def async_skip_response(self) -> bool:
         """Skip a response to an earlier request; return False if that fails."""
         try:
-            while await self.async_data(const.SKIP_TIMEOUT) is not None:
-                pass
+            await self.async_body(const.SKIP_SECONDS, const.SKIP_BYTES)
         except IncompleteResponseError:
             return False
         rest = self._h11.trailing_data[0]
@@ -287,12 +386,13 @@
 
     def _collect_buffered(self, data: bytes) -> bytes:
         parts = [data]
-        while True:
+        while len(parts) < const.PARTS_AT_ONCE:
             event = self._next_buffered_event()
             if not isinstance(event, h11.Data):
+                self._buffered_event = event
                 break
             parts.append(bytes(event.data))
-        self._buffered_event = event
+        self._read_parts = len(parts)
         return b"".join(parts)
 
     def _is_close_delimited(self, response: h11.Response) -> bool:
@@ -318,32 +418,13 @@
             # Raised by the next read, after the parts that precede the error.
             return error
 
-    async def _async_first_event(
-        self, timeout: float, watch: SilenceWatch | None
-    ) -> Any:
-        """Return the next event; tell watch if it is awaited for long.
-
-        The time until watch is told again doubles.
-        """
-        left = timeout
-        pause = timeout if watch is None else watch.seconds
-        while watch is not None and left > pause:
-            async with curio.ignore_after(pause):
-                return await self._async_next()
-            left -= pause
-            pause *= 2
-            self._silent = True
-            await watch.async_begin_silence()
-        return await self._async_event(left, timeout)
-
-    async def _async_event(self, timeout: float, waited: float = 0.0) -> Any:
-        try:
-            async with curio.timeout_after(timeout):
-                return await self._async_next()
-        except curio.TaskTimeout as error:
-            self.timed_out = True
-            text = no_data_text(max(timeout, waited))
-            raise IncompleteResponseError(text) from error
+    async def _async_event(self, timeout: float | None) -> Any:
+        if timeout is None:
+            return await self._async_next()
+        async with curio.ignore_after(timeout):
+            return await self._async_next()
+        self.timed_out = True
+        raise IncompleteResponseError(no_data_text(timeout))
 
     async def _async_end_silence(self) -> None:
         self._silent = False
@@ -351,6 +432,9 @@
             await self._watch.async_end_silence()
 
     async def _async_next(self) -> Any:
+        # Before the read: a timeout may end the wait for a turn, and would drop data.
+        await self._turns.async_count(self._read_bytes, self._read_parts)
+        self._read_bytes, self._read_parts = 0, 1
         event = self._buffered_event
         self._buffered_event = h11.NEED_DATA
         closed = False
@@ -359,19 +443,10 @@
                 if not self._buffer_drained:
                     event = self._next_buffered_event()
                 if event is h11.NEED_DATA:
-                    self._awaiting = True
-                    data = await self._sock.recv(const.READ_BYTES)
-                    self._awaiting = False
-                    self._idle_ticks = 0
-                    if self._failure and not data:
-                        raise IncompleteResponseError(self._failure)
-                    self.received_bytes += len(data)
+                    data = await self._async_receive()
                     self._buffer_drained = False
                     closed = not data
                     self._h11.receive_data(data)
-                    # The data is kept even if a timeout of this read ends the wait.
-                    if self._silent and data:
-                        await self._async_end_silence()
         except OSError as error:
             self.broke = True
             raise IncompleteResponseError(f"reading broke: {error!r}") from error
@@ -381,6 +456,20 @@
             raise IncompleteResponseError(text) from event
         return event
 
+    async def _async_receive(self) -> bytes:
+        """Return what has arrived; raise OSError or IncompleteResponseError."""
+        if self.overran:
+            raise IncompleteResponseError(self._failure)
+        self._awaiting = True
+        data = await self._sock.recv(const.READ_BYTES)
+        self._awaiting = False
+        self._idle_ticks = 0
+        if self._failure and (not data or self.overran):
+            raise IncompleteResponseError(self._failure)
+        self.received_bytes += len(data)
+        self._read_bytes += len(data)
+        return data
+
 
 def no_data_text(seconds: float) -> str:
     """Return the text of an error for an upstream that was silent for some time."""
@@ -438,10 +527,7 @@
     try:
         await exchange.async_request(method, target, headers, body, timeout)
         head = await exchange.async_head(timeout)
-        await exchange.async_start_read_timeout(timeout)
-        parts = []
-        while (data := await exchange.async_data()) is not None:
-            parts.append(data)
-        return HttpResponse(head.status, head.headers, b"".join(parts))
+        body = await exchange.async_body(timeout, const.MAX_FETCH_BYTES)
+        return HttpResponse(head.status, head.headers, body)
     finally:
         await exchange.async_close()
--- a/bitterntiller/components/http/const.py
+++ b/bitterntiller/components/http/const.py
@@ -18,8 +18,18 @@
 LINGER_BYTES = 16 * 1024 * 1024
 LINGER_SECONDS = 2.0
 BODYLESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
-SKIP_TIMEOUT = 0.5
-"""Seconds between the parts of a response that is read only to skip it."""
+SKIP_SECONDS = 0.5
+SKIP_BYTES = 1024 * 1024
+"""Time and bytes within which a response that is read only to skip it must end."""
+
+MAX_FETCH_BYTES = 64 * 1024 * 1024
+"""Longest response that is read into memory; the state of a large host is some MB."""
+
+MAX_INTERIM_RESPONSES = 32
+"""Interim responses before a final one; proper servers send a few."""
+
+PARTS_AT_ONCE = 16
+"""Parts of a body that are joined; parsing small chunks takes a processor long."""
 
 SEND_AT_ONCE_BYTES = 16 * 1024
 """A request with more bytes is sent in a task while the response is awaited.
--- a/bitterntiller/components/orders/const.py
+++ b/bitterntiller/components/orders/const.py
@@ -30,6 +30,7 @@
 STATE_NOT_SENT = "not-sent"
 
 TARGET = "/v1/orders"
+MAX_RESPONSE_BYTES = 64 * 1024
 CLAIM_WORKSPACE = "/orders"
 """Can't collide with a workspace, as workspace names contain no slash."""
 
--- a/bitterntiller/components/orders/sender.py
+++ b/bitterntiller/components/orders/sender.py
@@ -49,10 +49,8 @@
     data = json.dumps(body).encode()
     await exchange.async_request("POST", const.TARGET, _HEADERS, data, timeout)
     head = await exchange.async_head(timeout)
-    parts = []
-    while (part := await exchange.async_data(timeout)) is not None:
-        parts.append(part)
-    return parse_response(order, head.status, b"".join(parts))
+    response = await exchange.async_body(timeout, const.MAX_RESPONSE_BYTES)
+    return parse_response(order, head.status, response)
 
 
 def parse_response(order: Order, status: int, body: bytes) -> OrderOutcome:
--- a/bitterntiller/core/turns.py
+++ b/bitterntiller/core/turns.py
@@ -19,9 +19,9 @@
         self._reads = 0
         self._bytes = 0
 
-    async def async_count(self, size: int) -> None:
-        """Count a read of some bytes; let other tasks run if the turn is over."""
-        self._reads += 1
+    async def async_count(self, size: int, reads: int = 1) -> None:
+        """Count reads of some bytes in all; let other tasks run if the turn is over."""
+        self._reads += reads
         self._bytes += size
         if self._reads < TURN_READS and self._bytes < TURN_BYTES:
             return
--- /dev/null
+++ b/tests/components/http/test_client.py
@@ -0,0 +1,216 @@
+"""Responses that have no end: whatever they bring, a client's exchange ends in time."""
+
+import time
+from collections.abc import Awaitable, Callable
+
+import curio
+import pytest
+
+from bitterntiller.components.http.client import ClientExchange, async_fetch
+from bitterntiller.components.http.const import MAX_INTERIM_RESPONSES
+from bitterntiller.components.http.errors import IncompleteResponseError
+from tests.components.http.raw_upstream import endless_upstream
+
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n"
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"transfer-encoding: chunked\r\n\r\n"
+CHUNK = b"5\r\nhello\r\n"
+WHOLE = HEAD + b"content-length: 5\r\n\r\nhello"
+LIMIT = 0.6
+"""Seconds that a response has in these tests."""
+
+SLOW = 0.1
+LATE = 0.2
+MOST_STALL = 0.25
+"""Seconds for which another task may wait, on a machine with other work."""
+
+BODIES = {
+    "no length": (HEAD + b"\r\n", b"x" * 8192),
+    "a length of 10 GB": (HEAD + b"content-length: 10000000000\r\n\r\n", b"x" * 8192),
+    "chunks": (CHUNKED, CHUNK * 500),
+    "a chunk extension": (CHUNKED + b"5;", b"x"),
+    "trailers": (CHUNKED + b"0\r\n", b"x: y\r\n"),
+}
+HEADS = {
+    "interim responses": (b"", INTERIM),
+    "header lines": (HEAD, b"x: y\r\n"),
+    "a header line": (HEAD, b"x"),
+    "a status line": (b"HTTP/1.1 200 ", b"x"),
+    "empty lines": (b"", b"\r\n"),
+}
+
+
+async def _async_longest_stall(of: Callable[[], Awaitable[None]]) -> float:
+    """Return the longest time for which another task had to wait."""
+    longest = 0.0
+
+    async def async_measure() -> None:
+        nonlocal longest
+        while True:
+            before = time.monotonic()
+            await curio.sleep(0.01)
+            longest = max(longest, time.monotonic() - before)
+
+    task = await curio.spawn(async_measure)
+    await of()
+    await task.cancel()
+    return longest
+
+
+async def _async_read(address: str) -> str:
+    """Read a response within LIMIT, and return the error that ends it."""
+    client = await ClientExchange.async_open(address, 1.0)
+    try:
+        await client.async_request("GET", "/", [], b"", 1.0)
+        await client.async_head(LIMIT)
+        await client.async_start_read_timeout(30.0, total=LIMIT)
+        while await client.async_data() is not None:
+            pass
+    except IncompleteResponseError as error:
+        return error.text
+    finally:
+        await client.async_close()
+    return ""
+
+
+def _read(first: bytes, piece: bytes, pause: float) -> tuple[str, float, float]:
+    """Return the error of a response, its time, and the stall of other tasks."""
+    errors = []
+
+    async def async_main() -> float:
+        return await _async_longest_stall(async_read)
+
+    async def async_read() -> None:
+        errors.append(await _async_read(address))
+
+    with endless_upstream(first, piece, pause) as address:
+        began = time.monotonic()
+        stall = curio.run(async_main)
+    return errors[0], time.monotonic() - began, stall
+
+
+@pytest.mark.parametrize("pause", [0.0, SLOW], ids=["fast", "slow"])
+@pytest.mark.parametrize("kind", HEADS)
+def test_head_without_end_ends_in_time(kind, pause):
+    error, took, stall = _read(*HEADS[kind], pause)
+    assert error
+    assert took < LIMIT + LATE
+    assert stall < MOST_STALL
+
+
+@pytest.mark.parametrize("pause", [0.0, SLOW], ids=["fast", "slow"])
+@pytest.mark.parametrize("kind", BODIES)
+def test_body_without_end_ends_in_time(kind, pause):
+    error, took, stall = _read(*BODIES[kind], pause)
+    assert error
+    assert took < LIMIT + LATE
+    assert stall < MOST_STALL
+
+
+def test_interim_responses_without_end_are_given_up_at_once():
+    error, took, _ = _read(b"", INTERIM, 0.0)
+    assert error == f"more than {MAX_INTERIM_RESPONSES} interim responses"
+    assert took < LIMIT
+
+
+def test_end_of_a_response_at_its_time_limit_names_the_bytes():
+    error, _, _ = _read(HEAD + b"\r\n", b"x", SLOW)
+    assert "had not ended after 0.6 s" in error
+    assert error.endswith(" bytes")
+
+
+def test_some_interim_responses_precede_a_response():
+    async def async_main() -> tuple[int, bytes]:
+        response = await async_fetch(address, "GET", "/", [], b"", LIMIT)
+        return response.status, response.body
+
+    with endless_upstream(INTERIM * 3 + WHOLE, b"", asked=b"GET") as address:
+        assert curio.run(async_main) == (200, b"hello")
+
+
+@pytest.mark.parametrize("pause", [0.0, SLOW], ids=["fast", "slow"])
+@pytest.mark.parametrize("kind", BODIES)
+def test_fetch_of_a_body_without_end_ends_in_time(kind, pause):
+    async def async_main() -> None:
+        with pytest.raises(IncompleteResponseError):
+            await async_fetch(address, "GET", "/", [], b"", LIMIT)
+
+    with endless_upstream(*BODIES[kind], pause) as address:
+        began = time.monotonic()
+        curio.run(async_main)
+        assert time.monotonic() - began < LIMIT + LATE
+
+
+@pytest.mark.parametrize("pause", [0.0, SLOW], ids=["fast", "slow"])
+def test_response_to_an_earlier_request_without_end_is_skipped_in_time(pause):
+    async def async_main() -> bool:
+        client = await ClientExchange.async_open(address, 1.0)
+        await client.async_request("GET", "/", [], b"", 1.0)
+        await client.async_head(LIMIT)
+        skipped = await client.async_skip_response()
+        await client.async_close()
+        return skipped
+
+    with endless_upstream(CHUNKED, CHUNK, pause) as address:
+        began = time.monotonic()
+        assert not curio.run(async_main)
+        assert time.monotonic() - began < 0.5 + LATE
+
+
+class _Watch:
+    """Counts the silences of a response."""
+
+    seconds = 0.2
+
+    def __init__(self) -> None:
+        self.silences = 0
+        self.ends = 0
+
+    async def async_begin_silence(self) -> None:
+        self.silences += 1
+
+    async def async_end_silence(self) -> None:
+        self.ends += 1
+
+
+@pytest.mark.parametrize(
+    ("first", "piece"), [(b"", INTERIM), (HEAD, b"x"), (CHUNKED, CHUNK)]
+)
+def test_bytes_are_no_progress(first, piece):
+    watch = _Watch()
+
+    async def async_main() -> None:
+        client = await ClientExchange.async_open(address, 1.0)
+        try:
+            await client.async_request("GET", "/", [], b"", 1.0)
+            await client.async_head(LIMIT, watch)
+            await client.async_start_read_timeout(30.0, watch, LIMIT)
+            while await client.async_data() is not None:
+                pass
+        except IncompleteResponseError:
+            return
+        finally:
+            await client.async_close()
+
+    with endless_upstream(first, piece, SLOW) as address:
+        curio.run(async_main)
+    assert watch.silences
+    assert not watch.ends
+
+
+def test_progress_that_its_reader_reports_ends_a_silence():
+    watch = _Watch()
+
+    async def async_main() -> None:
+        client = await ClientExchange.async_open(address, 1.0)
+        await client.async_request("GET", "/", [], b"", 1.0)
+        await client.async_head(LIMIT)
+        await client.async_start_read_timeout(30.0, watch)
+        while not watch.silences:
+            await client.async_data()
+        await client.async_progress()
+        await client.async_close()
+
+    with endless_upstream(CHUNKED, CHUNK, SLOW) as address:
+        curio.run(async_main)
+    assert watch.ends == 1
