Entry: a response that isn't whole 0.1 s after its deadline ends then

Cause: only silence ended a response; what was read last counted as progress.

Change: the client's total time of a response is what is left of the deadline, and 0.1 s for what is under way. A response that has begun is cut (response-cut by deadline, with the bytes received), any other is 504 then.

Ruled out: ending it at the deadline itself, which would cut responses whose last bytes are on their way; a timer of its own for each response: the task that looks for silence has it.

--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -366,13 +366,14 @@
                 await self._async_cancel_in_background()
             return verdict
         await self._async_cancel_in_background()
-        if self._can_repeat():
+        late = self._is_late()
+        if self._can_repeat() and not late:
             return verdict
         if self._exchange.started:
             self._active.cut = Cut(CutBy.UPSTREAM, verdict.reason, verdict.detail)
             await self._exchange.async_cut()
             return RelayResult(False, BAD_GATEWAY)
-        return _lost_ending(False, verdict.detail)
+        return _lost_ending(late, verdict.detail)
 
     def _is_late(self) -> bool:
         """Return whether the deadline of the request has passed."""
--- a/bitterntiller/components/entry/relay.py
+++ b/bitterntiller/components/entry/relay.py
@@ -82,7 +82,7 @@
                 self._broken_by = NO_STREAM
                 return self._lost()
             return await self._async_relay_buffered(client, head)
-        await client.async_start_read_timeout(self._idle, self._watch())
+        await client.async_start_read_timeout(self._idle, self._watch(), self._left())
         first = await self._async_take_over(client) if self._has_standby() else b""
         if first is None:
             return self._lost()
@@ -124,6 +124,12 @@
         deadline = self._active.prepared.identified.deadline
         return max(idle, deadline - self._context.clock.now())
 
+    def _left(self) -> float:
+        """Return the seconds within which the response must be whole."""
+        deadline = self._active.prepared.identified.deadline
+        left = deadline - self._context.clock.now()
+        return max(0.0, left) + const.RESPONSE_GRACE
+
     def _watch(self) -> SilenceWatch | None:
         """Return what is told that the upstream is silent, None if nothing is."""
         route = self._active.route
@@ -192,7 +198,9 @@
 
         A response over BUFFERED_BYTES is relayed as it arrives.
         """
-        await client.async_start_read_timeout(self._idle, self._whole_watch)
+        await client.async_start_read_timeout(
+            self._idle, self._whole_watch, self._left()
+        )
         parts: list[bytes] = []
         size = 0
         try:
@@ -324,7 +332,7 @@
             if client is None:
                 await curio.sleep(const.RESUME_DELAY)
                 continue
-            await client.async_start_read_timeout(self._idle)
+            await client.async_start_read_timeout(self._idle, total=self._left())
             try:
                 if await self._async_relay_events(client, stream):
                     return True
