HTTP server: pipelined requests take turns with other tasks

A request that is refused without a wait returns to the loop of its connection, and the next one is already in the parser: nothing in that loop switched tasks until the received bytes ended, and the kernel's buffer had the next ones by then. The loop now gives way before each pipelined request.

A request per turn and not several, since one costs far more than a read. The switch comes before the next head and not before the connection is found reusable, so that a drain meanwhile finds either an idle connection or a begun request.

--- a/bitterntiller/components/http/server.py
+++ b/bitterntiller/components/http/server.py
@@ -132,6 +132,9 @@
         process stops.
         """
         if connection.request_begun:
+            # Requests that are answered without a wait would keep other tasks from
+            # running until the last pipelined one.
+            await curio.sleep(0)
             return True
         task = await curio.current_task()
         self._idle_by_task[task] = connection
--- /dev/null
+++ b/tests/components/http/unending.py
@@ -0,0 +1,65 @@
+"""Builders of callers whose bytes never end, and of a witness of other tasks."""
+
+import threading
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
+from socket import create_connection
+
+import curio
+
+SOCKET_SECONDS = 0.05
+
+
+class TurnCounter:
+    """Counts the turns of a task that is always ready to run."""
+
+    def __init__(self) -> None:
+        self.turns = 0
+
+    async def async_count(self) -> None:
+        """Take turns until cancelled."""
+        while True:
+            self.turns += 1
+            await curio.sleep(0)
+
+
+@asynccontextmanager
+async def counting_turns() -> AsyncIterator[TurnCounter]:
+    """Count the turns of another task."""
+    counter = TurnCounter()
+    task = await curio.spawn(counter.async_count)
+    try:
+        yield counter
+    finally:
+        await task.cancel()
+
+
+@contextmanager
+def flooding(port: int, start: bytes, repeated: bytes) -> Iterator[threading.Event]:
+    """Send bytes without end from a thread and read nothing.
+
+    Yield an event that is set once the connection has ended.
+    """
+    ended = threading.Event()
+    stopping = threading.Event()
+
+    def send() -> None:
+        with create_connection(("127.0.0.1", port)) as sock:
+            sock.settimeout(SOCKET_SECONDS)
+            try:
+                sock.sendall(start)
+                while not stopping.is_set():
+                    try:
+                        sock.send(repeated)
+                    except TimeoutError:
+                        continue
+            except OSError:
+                ended.set()
+
+    thread = threading.Thread(target=send)
+    thread.start()
+    try:
+        yield ended
+    finally:
+        stopping.set()
+        thread.join()
