HTTP server: the bytes kept of pipelined requests have a bound for a connection

A caller that pipelines requests which wait for an upstream made its host keep 64 to 128 KiB more for each of them, and each request cost more than the one before.

The test sends without end beside requests of 10 ms and failed before: 4.0 MB kept after 30 requests.

--- a/bitterntiller/components/http/exchange.py
+++ b/bitterntiller/components/http/exchange.py
@@ -151,12 +151,12 @@
     async def async_watch(self) -> None:
         """Return once the caller closes its side while the response is produced.
 
-        Bytes of a pipelined request are stored. After more than READ_BYTES of them
-        reading stops, since it would buffer without bound; a disconnect then shows
-        only at the next write.
+        Bytes of pipelined requests are stored. While more than READ_BYTES of them wait,
+        reading stops, since it would buffer without bound and copy all of them for each
+        request; a disconnect then shows only at the next write.
         """
-        kept = 0
-        while True:
+        kept = len(self.h11.trailing_data[0])
+        while kept <= READ_BYTES:
             try:
                 data = await self.sock.recv(READ_BYTES)
             except OSError:
@@ -166,8 +166,7 @@
                 return
             self._feed(data)
             kept += len(data)
-            if kept > READ_BYTES:
-                await curio.Event().wait()
+        await curio.Event().wait()
 
     async def async_write(self, data: bytes) -> None:
         """Send bytes; raise CallerGoneError if the caller does not read them.
--- a/tests/components/http/test_unending_callers.py
+++ b/tests/components/http/test_unending_callers.py
@@ -4,8 +4,9 @@
 
 import curio
 
+from bitterntiller.components.http.const import READ_BYTES
 from tests.components.http.builders import LIMITS, async_read, serving
-from tests.components.http.unending import counting_turns
+from tests.components.http.unending import counting_turns, flooding
 
 GET = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
 PATIENT = LIMITS._replace(head_timeout=5.0, keep_alive=5.0, write_timeout=5.0)
@@ -33,3 +34,24 @@
 
     curio.run(async_main)
     assert len(turns_of_requests) >= requests - 1
+
+
+def test_bytes_kept_of_pipelined_requests_do_not_grow_with_each_request():
+    """Each request that waits for an upstream keeps 64 KiB more of the next ones."""
+    kept = []
+
+    async def async_main() -> None:
+        async def async_serve(exchange: Any) -> None:
+            watch = await curio.spawn(exchange.connection.async_watch)
+            await curio.sleep(0.01)
+            await watch.cancel()
+            kept.append(len(exchange.connection.h11.trailing_data[0]))
+            await exchange.async_respond(200, [], b"")
+
+        async with serving(async_serve, PATIENT) as (_, port):
+            with flooding(port, b"", GET * 1000):
+                while len(kept) < 30:
+                    await curio.sleep(0.01)
+
+    curio.run(async_main)
+    assert max(kept) <= 3 * READ_BYTES
