Tests: a caller that hardly reads can't hold its connection

A blocked write completes only once the kernel has a third of its send buffer free, so reading a byte now and then doesn't end it.

--- a/tests/components/http/test_unending_callers.py
+++ b/tests/components/http/test_unending_callers.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 import curio
+import pytest
 
 from bitterntiller.components.http.const import READ_BYTES
 from tests.components.http.builders import LIMITS, async_read, serving
@@ -55,3 +56,26 @@
 
     curio.run(async_main)
     assert max(kept) <= 3 * READ_BYTES
+
+
+@pytest.mark.parametrize("bytes_each_time", [0, 1, 100])
+def test_caller_that_hardly_reads_is_closed_after_the_time_of_one_write(
+    bytes_each_time,
+):
+    """A caller that reads a byte now and then must not hold its connection for ever."""
+    write_timeout = 0.5
+    body = b"x" * 1000
+
+    async def async_refuse(exchange: Any) -> None:
+        await exchange.async_respond(404, [], body)
+
+    async def async_main() -> float:
+        limits = PATIENT._replace(write_timeout=write_timeout)
+        async with serving(async_refuse, limits) as (server, port):
+            with flooding(port, b"", GET * 1000, bytes_each_time) as ended:
+                began = await curio.clock()
+                while not ended.is_set() and await curio.clock() < began + 10:
+                    await curio.sleep(0.02)
+                return await curio.clock() - began
+
+    assert curio.run(async_main) < write_timeout + 3.0
--- a/tests/components/http/unending.py
+++ b/tests/components/http/unending.py
@@ -3,6 +3,7 @@
 import threading
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, contextmanager
+from select import select
 from socket import create_connection
 
 import curio
@@ -35,9 +36,12 @@
 
 
 @contextmanager
-def flooding(port: int, start: bytes, repeated: bytes) -> Iterator[threading.Event]:
-    """Send bytes without end from a thread and read nothing.
+def flooding(
+    port: int, start: bytes, repeated: bytes, read_bytes: int = 0
+) -> Iterator[threading.Event]:
+    """Send bytes without end from a thread.
 
+    Read at most read_bytes after each SOCKET_SECONDS in which nothing can be sent.
     Yield an event that is set once the connection has ended.
     """
     ended = threading.Event()
@@ -52,7 +56,8 @@
                     try:
                         sock.send(repeated)
                     except TimeoutError:
-                        continue
+                        if read_bytes and select([sock], [], [], 0)[0]:
+                            sock.recv(read_bytes)
             except OSError:
                 ended.set()
 
