HTTP server: reads from a caller let other tasks run while bytes are always there

A caller whose bytes are always there (empty lines on an idle connection, a head, chunk extensions or trailers without end, a body after its refusal) could keep its host from every other task, and none of the limits in time held: a recv that finds data returns without a switch of tasks, and timeouts of curio are delivered only at one.

ServerConnection counts each of its reads with Turns, in one place; a body counts each of its parts, as one read may hold 13,000 chunks (this takes the place of DATA_EVENTS_PER_TURN). The switch comes before a read, never between a read and the use of its bytes: a drain that cancels an idle connection there would lose a request.

--- a/bitterntiller/components/http/const.py
+++ b/bitterntiller/components/http/const.py
@@ -9,8 +9,6 @@
 too long that arrives in several segments, while the same head in one piece is served.
 """
 
-DATA_EVENTS_PER_TURN = 64
-"""Parts of a body that are read before other tasks get a turn."""
 READ_TIMEOUT_CHECKS = 4
 UPSTREAM_KEEPALIVE_SECONDS = 10
 """Time after which a connection to an upstream whose host is gone is closed."""
--- a/bitterntiller/components/http/exchange.py
+++ b/bitterntiller/components/http/exchange.py
@@ -11,7 +11,6 @@
 
 from bitterntiller.components.http.const import (
     BODYLESS_STATUSES,
-    DATA_EVENTS_PER_TURN,
     LINGER_BYTES,
     LINGER_SECONDS,
     READ_BYTES,
@@ -20,6 +19,7 @@
 )
 from bitterntiller.components.http.errors import BadRequestError, CallerGoneError
 from bitterntiller.components.http.models import Headers, RequestHead
+from bitterntiller.core.turns import Turns
 
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -56,6 +56,8 @@
         self.closing = False
         self.requests = 0
         self.request_begun = False
+        self._turns = Turns()
+        self._last_read_bytes = 0
 
     def _new_parser(self) -> h11.Connection:
         most = self._head_bytes() * UNPARSED_HEAD_FACTOR
@@ -121,11 +123,22 @@
         return b"\n" in self.h11.trailing_data[0]
 
     async def _async_receive(self) -> bytes:
+        """Return the next bytes; let other tasks run before them if it is their turn.
+
+        No other wait follows a read, in which a cancellation would lose its bytes.
+        """
+        await self._turns.async_count(self._last_read_bytes)
         try:
-            return await self.sock.recv(READ_BYTES)
+            data = await self.sock.recv(READ_BYTES)
         except OSError as error:
             self.disconnected = True
             raise CallerGoneError(repr(error)) from error
+        self._last_read_bytes = len(data)
+        return data
+
+    async def async_count_event(self, size: int) -> None:
+        """Count a part of received bytes, so that other tasks run between parts."""
+        await self._turns.async_count(size)
 
     async def async_wait_bytes(self) -> bool:
         """Wait for bytes of the next request; return False if the caller closed."""
@@ -158,8 +171,8 @@
         kept = len(self.h11.trailing_data[0])
         while kept <= READ_BYTES:
             try:
-                data = await self.sock.recv(READ_BYTES)
-            except OSError:
+                data = await self._async_receive()
+            except CallerGoneError:
                 data = b""
             if not data:
                 self.disconnected = True
@@ -224,9 +237,9 @@
         try:
             await self.sock.shutdown(socket.SHUT_WR)
             async with curio.ignore_after(LINGER_SECONDS):
-                while left > 0 and (data := await self.sock.recv(READ_BYTES)):
+                while left > 0 and (data := await self._async_receive()):
                     left -= len(data)
-        except OSError:
+        except (OSError, CallerGoneError):
             return
 
 
@@ -262,7 +275,6 @@
         """
         await self._async_continue()
         body = bytearray()
-        events = 0
         async with curio.ignore_after(timeout):
             while True:
                 event = await self.connection.async_next_event(timeout)
@@ -276,10 +288,7 @@
                 if not reserve(self.body_bytes):
                     return None
                 body += event.data
-                events += 1
-                if events % DATA_EVENTS_PER_TURN == 0:
-                    # A read that finds data doesn't give way to other tasks.
-                    await curio.sleep(0)
+                await self.connection.async_count_event(len(event.data))
         raise BadRequestError(408, "the body came too slowly")
 
     async def _async_continue(self) -> None:
--- a/tests/components/http/unending.py
+++ b/tests/components/http/unending.py
@@ -9,6 +9,7 @@
 import curio
 
 SOCKET_SECONDS = 0.05
+MAX_READS_IN_TURN = 64
 
 
 class TurnCounter:
@@ -68,3 +69,30 @@
     finally:
         stopping.set()
         thread.join()
+
+
+class EndlessSocket:
+    """A socket that always has bytes; it fails if others get no turn meanwhile."""
+
+    def __init__(self, counter: TurnCounter, start: bytes, repeated: bytes) -> None:
+        self.received = 0
+        self._counter = counter
+        self._start = start
+        self._repeated = repeated
+        self._turns = 0
+        self._reads_in_turn = 0
+
+    async def recv(self, size: int) -> bytes:
+        """Return bytes at once."""
+        if self._turns != self._counter.turns:
+            self._turns = self._counter.turns
+            self._reads_in_turn = 0
+        self._reads_in_turn += 1
+        if self._reads_in_turn > MAX_READS_IN_TURN:
+            raise AssertionError(f"{MAX_READS_IN_TURN} reads without a turn of others")
+        data, self._start = self._start or self._repeated, b""
+        self.received += len(data)
+        return data[:size]
+
+    async def shutdown(self, how: int) -> None:
+        """Accept the end of the write side."""
