HTTP server: the rest of a refused body is discarded in turns

A caller whose request is refused before its body was read holds up its host while the received part of the body is discarded: 64 KiB can hold 13,000 chunks of a byte, and the next pipelined request the same again.

async_respond discarded them in one go; it now lets other tasks run between some of them.

--- a/bitterntiller/components/http/exchange.py
+++ b/bitterntiller/components/http/exchange.py
@@ -149,14 +149,17 @@
                 return False
         return True
 
-    def skip_received_body(self) -> bool:
+    async def async_skip_received_body(self) -> bool:
         """Discard the received rest of the body; return whether that was all of it."""
         if self.h11.they_are_waiting_for_100_continue:
             return False
         try:
             while self.h11.their_state is h11.SEND_BODY:
-                if self.h11.next_event() is h11.NEED_DATA:
+                event = self.h11.next_event()
+                if event is h11.NEED_DATA:
                     return False
+                if isinstance(event, h11.Data):
+                    await self.async_count_event(len(event.data))
         except h11.RemoteProtocolError:
             return False
         return self.h11.their_state in _READ_WHOLE
@@ -332,7 +335,8 @@
         headers = list(headers)
         if status not in BODYLESS_STATUSES:
             headers.append((b"content-length", str(len(body)).encode()))
-        if self.connection.closing or not self.connection.skip_received_body():
+        connection = self.connection
+        if connection.closing or not await connection.async_skip_received_body():
             headers.append((b"connection", b"close"))
         data = self._head(status, headers)
         h11_connection = self.connection.h11
