Core: waiting connections are accepted in turns with other tasks

Connections that are opened without pause keep a host from its other work: accept returns without a switch of tasks while one waits, and so does spawn. The accepting task now counts each connection with Turns.

The test opens 320 connections before the listener accepts: all of them were accepted in one turn before, at least 19 turns of another task lie between them now.

--- a/bitterntiller/core/listener.py
+++ b/bitterntiller/core/listener.py
@@ -10,6 +10,7 @@
 
 from bitterntiller.core.errors import BrokenInvariantError
 from bitterntiller.core.runtime import Runtime
+from bitterntiller.core.turns import Turns
 
 ConnectionHandler = Callable[[Any], Awaitable[None]]
 
@@ -41,10 +42,12 @@
             await curio.Event().wait()
 
     async def _async_accept_loop(self) -> None:
+        turns = Turns()
         while True:
             sock = await self._async_accept()
             task = await curio.spawn(self._async_handle, sock, daemon=True)
             self._tasks.add(task)
+            await turns.async_count(0)
 
     async def async_close(self) -> None:
         """Stop accepting; open connections continue.
