Links: messages without pause are handled in turns with other tasks

A host that sends without pause keeps the receiving one from its other work: neither a read that finds data nor most handlers of messages switch tasks, and one read can hold 1,500 messages. A connection now counts each frame and each read with Turns, and so does the reading of a single frame (handshakes, the first message of a tunnel), whose bytes may come one by one.

The builder EndlessSocket moves to tests/core, as it isn't about HTTP any more.

--- a/bitterntiller/components/links/connection.py
+++ b/bitterntiller/components/links/connection.py
@@ -17,6 +17,7 @@
 from bitterntiller.components.links.models import Incoming, Peer
 from bitterntiller.core import events
 from bitterntiller.core.interfaces import Metrics
+from bitterntiller.core.turns import Turns
 from bitterntiller.protocol import MalformedMessageError, messages
 
 FrameHandler = Callable[["Connection", Incoming], Awaitable[None]]
@@ -151,6 +152,7 @@
 
     async def _async_read(self) -> None:
         buffer = FrameBuffer()
+        turns = Turns()
         try:
             while True:
                 data = await self._sock.recv(const.READ_BYTES)
@@ -161,6 +163,8 @@
                 self._metrics.count(const.METRIC_RECEIVED_BYTES, len(data))
                 for frame in buffer.feed(data):
                     await self._async_on_frame(unpack(frame))
+                    await turns.async_count(len(frame))
+                await turns.async_count(0)
         except OSError:
             return
         except MalformedMessageError:
--- a/bitterntiller/components/links/handshake.py
+++ b/bitterntiller/components/links/handshake.py
@@ -19,6 +19,7 @@
 from bitterntiller.components.links.errors import HandshakeError
 from bitterntiller.components.links.frames import pack, unpack_stranger
 from bitterntiller.components.links.models import Peer
+from bitterntiller.core.turns import Turns
 from bitterntiller.protocol import MalformedMessageError, messages
 
 
@@ -57,11 +58,13 @@
 
 async def _async_read_exactly(sock: curio.io.Socket, size: int) -> bytes:
     parts = bytearray()
+    turns = Turns()
     while len(parts) < size:
         data = await sock.recv(size - len(parts))
         if not data:
             raise HandshakeError("the peer closed the connection")
         parts += data
+        await turns.async_count(len(data))
     return bytes(parts)
 
 
--- a/tests/components/http/test_unending_callers.py
+++ b/tests/components/http/test_unending_callers.py
@@ -7,7 +7,7 @@
 
 from bitterntiller.components.http.const import READ_BYTES
 from tests.components.http.builders import LIMITS, async_read, serving
-from tests.components.http.unending import counting_turns, flooding
+from tests.core.unending import counting_turns, flooding
 
 GET = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
 PATIENT = LIMITS._replace(head_timeout=5.0, keep_alive=5.0, write_timeout=5.0)
--- a/tests/components/http/test_unending_reads.py
+++ b/tests/components/http/test_unending_reads.py
@@ -11,7 +11,7 @@
 from bitterntiller.components.http.errors import BadRequestError
 from bitterntiller.components.http.exchange import Exchange, ServerConnection
 from bitterntiller.components.http.models import RequestHead
-from tests.components.http.unending import EndlessSocket, counting_turns
+from tests.core.unending import EndlessSocket, counting_turns
 
 SECONDS = 0.1
 CHUNKED = b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/tests/core/test_listener.py
+++ b/tests/core/test_listener.py
@@ -8,7 +8,7 @@
 
 from bitterntiller.core.listener import Listener
 from bitterntiller.core.turns import TURN_READS
-from tests.components.http.unending import counting_turns
+from tests.core.unending import counting_turns
 
 
 class _Runtime:
--- a/tests/components/http/unending.py
+++ b/tests/core/unending.py
@@ -1,4 +1,4 @@
-"""Builders of callers whose bytes never end, and of a witness of other tasks."""
+"""Builders of peers whose bytes never end, and of a witness of other tasks."""
 
 import threading
 from collections.abc import AsyncIterator, Iterator
@@ -76,6 +76,7 @@
 
     def __init__(self, counter: TurnCounter, start: bytes, repeated: bytes) -> None:
         self.received = 0
+        self.sent = 0
         self._counter = counter
         self._start = start
         self._repeated = repeated
@@ -94,5 +95,12 @@
         self.received += len(data)
         return data[:size]
 
+    async def sendall(self, data: bytes) -> None:
+        """Take bytes at once."""
+        self.sent += len(data)
+
     async def shutdown(self, how: int) -> None:
         """Accept the end of the write side."""
+
+    async def close(self) -> None:
+        """Accept the end."""
