Tunnels: bytes without pause let other tasks run at both hosts

An upstream that sends without pause through a tunnel stops the host between, and one that sends parts of a byte the asking host, which finds 4,000 of them in each read. Both directions of TunnelServer and TunnelSocket.recv count their reads with Turns; the count of TunnelSocket comes before a read, so that a timeout there loses no bytes.

The three tests, with sockets that always have bytes and take them at once, failed before by 64 reads without a turn of another task.

--- a/bitterntiller/components/tunnels/server.py
+++ b/bitterntiller/components/tunnels/server.py
@@ -20,6 +20,7 @@
 from bitterntiller.core.clock import Clock
 from bitterntiller.core.interfaces import Metrics
 from bitterntiller.core.tcp import async_connect
+from bitterntiller.core.turns import Turns
 from bitterntiller.protocol import MalformedMessageError, messages
 
 
@@ -206,12 +207,14 @@
 async def _async_pass_to_upstream(
     sock: Any, upstream: Any, counts: _Counts, clock: Clock
 ) -> None:
+    turns = Turns()
     try:
         while data := await sock.recv(const.READ_BYTES):
             if not counts.sent:
                 counts.sent_at = clock.now()
             counts.sent += len(data)
             await upstream.sendall(data)
+            await turns.async_count(len(data))
     except OSError:
         return
 
@@ -220,12 +223,14 @@
     upstream: Any, sock: Any, counts: _Counts, record_answer: Callable[[], None]
 ) -> None:
     """Pass the upstream's bytes on, and their orderly end if there is one."""
+    turns = Turns()
     try:
         while data := await upstream.recv(const.READ_BYTES):
             if not counts.received:
                 record_answer()
             counts.received += len(data)
             await sock.sendall(pack_part(data))
+            await turns.async_count(len(data))
         await sock.sendall(END)
     except OSError:
         return
--- a/bitterntiller/components/tunnels/stream.py
+++ b/bitterntiller/components/tunnels/stream.py
@@ -13,6 +13,7 @@
     MAX_PART_BYTES,
     READ_BYTES,
 )
+from bitterntiller.core.turns import Turns
 
 END = bytes(LENGTH_BYTES)
 
@@ -30,6 +31,8 @@
         self._buffer = bytearray()
         self._left = 0
         self._ended = False
+        self._turns = Turns()
+        self._last_read_bytes = 0
 
     async def sendall(self, data: bytes) -> None:
         """Send bytes to the upstream; raise OSError."""
@@ -38,8 +41,15 @@
     async def recv(self, size: int) -> bytes:
         """Return bytes of the upstream, none after their orderly end.
 
-        Raise OSError if the tunnel breaks before.
+        Raise OSError if the tunnel breaks before. Other tasks run between reads whose
+        bytes are there already, also between parts of one read.
         """
+        await self._turns.async_count(self._last_read_bytes)
+        data = await self._async_receive(size)
+        self._last_read_bytes = len(data)
+        return data
+
+    async def _async_receive(self, size: int) -> bytes:
         while True:
             if self._ended:
                 return b""
