Core: a timeout that expires during a turn isn't lost

A caller that sends chunks without end held its request for as long as it liked, although the body has a timeout in all and its parts are counted with Turns.

When a timeout of curio expires while its task is ready to run, as after sleep(0), it is only noted, and raised at the task's next switch. Turns now raises what expired or was cancelled right after its switch. That holds for every loop with a timeout around it and others inside that gives way by Turns.

What remains of it in curio: a timeout that expires in the pass of the kernel in which a read becomes ready, outside of an inner timeout.

--- a/bitterntiller/core/turns.py
+++ b/bitterntiller/core/turns.py
@@ -27,3 +27,6 @@
             return
         self._reads = self._bytes = 0
         await curio.sleep(0)
+        # A timeout that expired meanwhile waits for the next switch, and an inner
+        # timeout that begins and ends before that would drop it.
+        await curio.check_cancellation()
--- a/tests/components/http/test_unending_reads.py
+++ b/tests/components/http/test_unending_reads.py
@@ -78,11 +78,18 @@
     ("start", "repeated", "status"),
     [
         (CHUNKED, b"1\r\nx\r\n" * 100, 413),
+        (CHUNKED, b"1\r\nx\r\n" * 1000, 408),
         (CHUNKED, b"1;" + b"e" * 4000 + b"\r\nx\r\n", 408),
         (CHUNKED + b"1;", b"e", 414),
         (CHUNKED + b"0\r\n", b"a:b\r\n", 431),
     ],
-    ids=["small chunks", "extensions", "an extension", "trailers"],
+    ids=[
+        "small chunks",
+        "chunks without end",
+        "extensions",
+        "an extension",
+        "trailers",
+    ],
 )
 def test_body_without_an_end_is_refused(start, repeated, status):
     """Chunk extensions without end put off the end of a body and stop other tasks."""
--- a/tests/core/test_turns.py
+++ b/tests/core/test_turns.py
@@ -40,3 +40,19 @@
         return True
 
     assert curio.run(async_read)
+
+
+def test_timeout_of_a_loop_holds_though_its_reads_have_their_own():
+    """A timeout that expires during a turn is dropped by the next inner one."""
+
+    async def async_read() -> bool:
+        turns = Turns()
+        async with curio.ignore_after(0.05):
+            for _ in range(200_000):
+                async with curio.timeout_after(10.0):
+                    pass
+                await turns.async_count(1)
+            return False
+        return True
+
+    assert curio.run(async_read)
