--- a/bitterntiller/components/http/exchange.py
+++ b/bitterntiller/components/http/exchange.py
@@ -11,7 +11,6 @@
 
 from bitterntiller.components.http.const import (
     BODYLESS_STATUSES,
-    DATA_EVENTS_PER_TURN,
     LINGER_BYTES,
     LINGER_SECONDS,
     READ_BYTES,
@@ -20,6 +19,7 @@
 )
 from bitterntiller.components.http.errors import BadRequestError, CallerGoneError
 from bitterntiller.components.http.models import Headers, RequestHead
+from bitterntiller.core.turns import Turns
 
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -56,6 +56,8 @@
         self.closing = False
         self.requests = 0
         self.request_begun = False
+        self._turns = Turns()
+        self._last_read_bytes = 0
 
     def _new_parser(self) -> h11.Connection:
         most = self._head_bytes() * UNPARSED_HEAD_FACTOR
@@ -121,11 +123,22 @@
         return b"\n" in self.h11.trailing_data[0]
 
     async def _async_receive(self) -> bytes:
+        """Return the next bytes; let other tasks run before them if it is their turn.
+
+        No other wait follows a read, in which a cancellation would lose its bytes.
+        """
+        await self._turns.async_count(self._last_read_bytes)
         try:
-            return await self.sock.recv(READ_BYTES)
+            data = await self.sock.recv(READ_BYTES)
         except OSError as error:
             self.disconnected = True
             raise CallerGoneError(repr(error)) from error
+        self._last_read_bytes = len(data)
+        return data
+
+    async def async_count_event(self, size: int) -> None:
+        """Count a part of received bytes, so that other tasks run between parts."""
+        await self._turns.async_count(size)
 
     async def async_wait_bytes(self) -> bool:
         """Wait for bytes of the next request; return False if the caller closed."""
@@ -136,14 +149,17 @@
                 return False
         return True
 
-    def skip_received_body(self) -> bool:
+    async def async_skip_received_body(self) -> bool:
         """Discard the received rest of the body; return whether that was all of it."""
         if self.h11.they_are_waiting_for_100_continue:
             return False
         try:
             while self.h11.their_state is h11.SEND_BODY:
-                if self.h11.next_event() is h11.NEED_DATA:
+                event = self.h11.next_event()
+                if event is h11.NEED_DATA:
                     return False
+                if isinstance(event, h11.Data):
+                    await self.async_count_event(len(event.data))
         except h11.RemoteProtocolError:
             return False
         return self.h11.their_state in _READ_WHOLE
@@ -151,23 +167,22 @@
     async def async_watch(self) -> None:
         """Return once the caller closes its side while the response is produced.
 
-        Bytes of a pipelined request are stored. After more than READ_BYTES of them
-        reading stops, since it would buffer without bound; a disconnect then shows
-        only at the next write.
+        Bytes of pipelined requests are stored. While more than READ_BYTES of them wait,
+        reading stops, since it would buffer without bound and copy all of them for each
+        request; a disconnect then shows only at the next write.
         """
-        kept = 0
-        while True:
+        kept = len(self.h11.trailing_data[0])
+        while kept <= READ_BYTES:
             try:
-                data = await self.sock.recv(READ_BYTES)
-            except OSError:
+                data = await self._async_receive()
+            except CallerGoneError:
                 data = b""
             if not data:
                 self.disconnected = True
                 return
             self._feed(data)
             kept += len(data)
-            if kept > READ_BYTES:
-                await curio.Event().wait()
+        await curio.Event().wait()
 
     async def async_write(self, data: bytes) -> None:
         """Send bytes; raise CallerGoneError if the caller does not read them.
@@ -225,9 +240,9 @@
         try:
             await self.sock.shutdown(socket.SHUT_WR)
             async with curio.ignore_after(LINGER_SECONDS):
-                while left > 0 and (data := await self.sock.recv(READ_BYTES)):
+                while left > 0 and (data := await self._async_receive()):
                     left -= len(data)
-        except OSError:
+        except (OSError, CallerGoneError):
             return
 
 
@@ -263,7 +278,6 @@
         """
         await self._async_continue()
         body = bytearray()
-        events = 0
         async with curio.ignore_after(timeout):
             while True:
                 event = await self.connection.async_next_event(timeout)
@@ -277,10 +291,7 @@
                 if not reserve(self.body_bytes):
                     return None
                 body += event.data
-                events += 1
-                if events % DATA_EVENTS_PER_TURN == 0:
-                    # A read that finds data doesn't give way to other tasks.
-                    await curio.sleep(0)
+                await self.connection.async_count_event(len(event.data))
         raise BadRequestError(408, "the body came too slowly")
 
     async def _async_continue(self) -> None:
@@ -324,7 +335,8 @@
         headers = list(headers)
         if status not in BODYLESS_STATUSES:
             headers.append((b"content-length", str(len(body)).encode()))
-        if self.connection.closing or not self.connection.skip_received_body():
+        connection = self.connection
+        if connection.closing or not await connection.async_skip_received_body():
             headers.append((b"connection", b"close"))
         data = self._head(status, headers)
         h11_connection = self.connection.h11
