--- a/bitterntiller/components/entry/relay.py
+++ b/bitterntiller/components/entry/relay.py
@@ -24,7 +24,7 @@
     EVENT_STREAM,
     is_event_stream,
 )
-from bitterntiller.components.entry.run import Run, RunWatch
+from bitterntiller.components.entry.run import TAKEN_OVER, Run, RunWatch
 from bitterntiller.components.entry.sse import (
     BrokenStreamError,
     Events,
@@ -54,11 +54,14 @@
         active: ActiveRequest,
         context: Context,
         run: Run | None = None,
+        whole_watch: SilenceWatch | None = None,
     ) -> None:
+        """Set up; whole_watch is told that a buffered response isn't whole."""
         self._exchange = exchange
         self._active = active
         self._context = context
         self._run = run
+        self._whole_watch = whole_watch
         self._idle = self._idle_timeout()
         method = active.prepared.identified.received.head.method
         self._bodyless = method == "HEAD"
@@ -79,7 +82,7 @@
                 self._broken_by = NO_STREAM
                 return self._lost()
             return await self._async_relay_buffered(client, head)
-        await client.async_start_read_timeout(self._idle, self._watch())
+        await client.async_start_read_timeout(self._idle, self._watch(), self._left())
         first = await self._async_take_over(client) if self._has_standby() else b""
         if first is None:
             return self._lost()
@@ -121,6 +124,12 @@
         deadline = self._active.prepared.identified.deadline
         return max(idle, deadline - self._context.clock.now())
 
+    def _left(self) -> float:
+        """Return the seconds within which the response must be whole."""
+        deadline = self._active.prepared.identified.deadline
+        left = deadline - self._context.clock.now()
+        return max(0.0, left) + const.RESPONSE_GRACE
+
     def _watch(self) -> SilenceWatch | None:
         """Return what is told that the upstream is silent, None if nothing is."""
         route = self._active.route
@@ -173,6 +182,11 @@
         log_move(self._active, standby.grant.upstream)
         return True
 
+    def _check_current(self) -> None:
+        """Raise IncompleteResponseError if another run has taken the request over."""
+        if self._run is not None and self._run.superseded:
+            raise IncompleteResponseError(TAKEN_OVER)
+
     def _set_aside(self) -> bool:
         """Return whether another run decides how the response ends."""
         return self._run is not None and self._run.set_aside
@@ -184,7 +198,9 @@
 
         A response over BUFFERED_BYTES is relayed as it arrives.
         """
-        await client.async_start_read_timeout(self._idle)
+        await client.async_start_read_timeout(
+            self._idle, self._whole_watch, self._left()
+        )
         parts: list[bytes] = []
         size = 0
         try:
@@ -210,6 +226,8 @@
     ) -> RelayResult | Retry:
         if not await self._async_supersede():
             return self._lost()
+        await self._async_go_on()
+        client.end_watch()
         headers = self._context.dialect.response_headers(self._active, head)
         await self._exchange.async_start(head.status, headers)
         self._record_first_byte()
@@ -314,7 +332,7 @@
             if client is None:
                 await curio.sleep(const.RESUME_DELAY)
                 continue
-            await client.async_start_read_timeout(self._idle)
+            await client.async_start_read_timeout(self._idle, total=self._left())
             try:
                 if await self._async_relay_events(client, stream):
                     return True
@@ -337,11 +355,14 @@
                 if data is None:
                     self._broken_by = ENDED_WITHIN_EVENT
                     return stream.is_complete_at_eof()
+                self._check_current()
                 events = stream.feed(data)
-                if events.data:
+                if events.count:
+                    await client.async_progress()
                     self._record_first_byte()
                     await self._async_record_begun(events)
                     self._active.output_tokens += events.count
+                if events.data:
                     await self._exchange.async_send(events.data)
                     await self._async_record_sound_parts()
         except (IncompleteResponseError, BrokenStreamError) as error:
