Entry, HTTP client: attempts tell of bytes that can't be a response

Joins the client's end of a response with what owners learn of it: the client says whether its bytes can't be HTTP (malformed) apart from a connection that broke, and Attempt hands the request and its caller's exchange to PathReport, which reads both attributes without a default now. Before, such a response still counted as broken by its path at hosts that run.

--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -115,7 +115,9 @@
             return Retry(grant.upstream, REFUSED_CONNECTION, detail=error.text)
         if self._standby is None:
             self._active.relay = connected.relay
-        report = PathReport(connector, destination, connected)
+        report = PathReport(
+            connector, destination, connected, self._active, self._exchange
+        )
         async with AsyncExitStack() as stack:
             run = Run(self._active, grant, self._context.clock)
             stack.push_async_callback(run.async_close)
--- a/bitterntiller/components/entry/path_report.py
+++ b/bitterntiller/components/entry/path_report.py
@@ -75,9 +75,9 @@
         client = self.connected.client
         if client.timed_out:
             return None
-        if getattr(client, "malformed", False):
+        if client.malformed:
             return ResponseFault.MALFORMED
-        if not getattr(client, "overran", False):
+        if not client.overran:
             return None
         if self._had_little_time() or self._caller_reads_slowly():
             return ResponseFault.UNFINISHED
--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -55,9 +55,9 @@
     a response is incomplete.
 
     sent_bytes and received_bytes count those of the current exchange. broke is set once
-    its response was lost or truncated, or isn't HTTP; timed_out if the upstream was
-    silent for longer than this end waits; overran if its response hadn't ended within
-    the time or the bytes that it has.
+    its response was lost or truncated, malformed also if its bytes can't be a response;
+    timed_out if the upstream was silent for longer than this end waits; overran if its
+    response hadn't ended within the time or the bytes that it has.
     """
 
     def __init__(self, sock: Any, allow_close_delimited: bool = False) -> None:
@@ -66,6 +66,7 @@
         self.sent_bytes = 0
         self.received_bytes = 0
         self.broke = False
+        self.malformed = False
         self.timed_out = False
         self.overran = False
         self._allow_close_delimited = allow_close_delimited
@@ -322,7 +323,7 @@
                 raise IncompleteResponseError("the connection ended before the answer")
             self._interim += 1
             if self._interim > const.MAX_INTERIM_RESPONSES:
-                self.broke = True
+                self.broke = self.malformed = True
                 most = const.MAX_INTERIM_RESPONSES
                 raise IncompleteResponseError(f"more than {most} interim responses")
 
@@ -452,6 +453,7 @@
             raise IncompleteResponseError(f"reading broke: {error!r}") from error
         if isinstance(event, h11.RemoteProtocolError):
             self.broke = True
+            self.malformed = not closed
             text = CLOSED_EARLY if closed else str(event)
             raise IncompleteResponseError(text) from event
         return event
