--- a/bitterntiller/components/entry/path_report.py
+++ b/bitterntiller/components/entry/path_report.py
@@ -8,7 +8,6 @@
 from bitterntiller.components.tunnels.client import Destination
 from bitterntiller.components.tunnels.connector import Connected, Connector
 from bitterntiller.core.outcomes import ResponseFault
-from bitterntiller.core.tcp import is_writable
 
 FULL_TIME_FRACTION = 0.5
 """Fraction of the usual time of its requests that must have been left for one as it was
@@ -79,7 +78,7 @@
             return ResponseFault.MALFORMED
         if not client.overran:
             return None
-        if self._had_little_time() or self._caller_reads_slowly():
+        if self._had_little_time() or self._caller_is_behind():
             return ResponseFault.UNFINISHED
         return ResponseFault.OVERRUN
 
@@ -93,9 +92,6 @@
         left = identified.deadline - self.active.sent_at
         return left < FULL_TIME_FRACTION * usual
 
-    def _caller_reads_slowly(self) -> bool:
-        """Return whether the caller hasn't read what it was sent before."""
+    def _caller_is_behind(self) -> bool:
         exchange = self.exchange
-        if exchange is None or not exchange.started:
-            return False
-        return not is_writable(exchange.connection.sock)
+        return exchange is not None and exchange.started and not exchange.keeps_up()
--- a/bitterntiller/components/http/exchange.py
+++ b/bitterntiller/components/http/exchange.py
@@ -19,6 +19,7 @@
 )
 from bitterntiller.components.http.errors import BadRequestError, CallerGoneError
 from bitterntiller.components.http.models import Headers, RequestHead
+from bitterntiller.core.tcp import is_writable
 from bitterntiller.core.turns import Turns
 
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -322,6 +323,10 @@
             await self.connection.async_write(data)
         self.sent = True
 
+    def keeps_up(self) -> bool:
+        """Return whether the caller has read so much that more can be sent at once."""
+        return is_writable(self.connection.sock)
+
     async def async_cut(self) -> None:
         """Reset the connection without completing the response."""
         await self.connection.async_reset()
--- a/tests/components/entry/fakes.py
+++ b/tests/components/entry/fakes.py
@@ -94,6 +94,9 @@
     async def async_send(self, data: bytes) -> None:
         self.body += data
 
+    def keeps_up(self) -> bool:
+        return True
+
     async def async_finish(self) -> None:
         self.end = "whole"
 
--- a/tests/components/entry/test_path_report.py
+++ b/tests/components/entry/test_path_report.py
@@ -16,7 +16,8 @@
 from bitterntiller.components.entry.path_report import PathReport
 from bitterntiller.components.entry.registry import RequestRegistry
 from bitterntiller.components.entry.service_probes import ServiceProbes
-from bitterntiller.components.http.models import ResponseHead
+from bitterntiller.components.http.exchange import Exchange
+from bitterntiller.components.http.models import RequestHead, ResponseHead
 from bitterntiller.components.http.pool import ConnectionPool
 from bitterntiller.components.paths.models import PathFault
 from bitterntiller.components.tunnels.client import Destination
@@ -256,9 +257,9 @@
             with pytest.raises(BlockingIOError):
                 while True:
                     ours.send(bytes(65536))
-        exchange: Any = SimpleNamespace(
-            started=True, connection=SimpleNamespace(sock=ours)
-        )
+        connection: Any = SimpleNamespace(sock=ours)
+        exchange = Exchange(connection, RequestHead("GET", "/", [], b"1.1"))
+        exchange.started = True
         curio.run(response.report._replace(exchange=exchange).async_end)
     assert response.fault == fault
 
