Tests: rows of long answers count them, and fail if one is cut

The row of long answers passed with none sent, as the share served of no request is 1. It misses a bound now if no long answer was asked for, and rows whose upstreams are sound miss one if any answer breaks off.

--- a/tests/platform/endless_responses.py
+++ b/tests/platform/endless_responses.py
@@ -116,6 +116,7 @@
     errors: int
     dead: int
     long_served: float
+    long_count: int
     sender_held: float
     missed: tuple[str, ...] = ()
 
@@ -291,6 +292,7 @@
         errors=fleet.errors(),
         dead=sum(not is_served(ip) for ip in fleet.entry_ips),
         long_served=share(long),
+        long_count=len(long),
         sender_held=sender_held,
     )
 
@@ -334,7 +336,9 @@
         "leases_lost": found.leases_lost > 0,
         "errors": found.errors > 0,
         "dead": found.dead > 0,
+        "cut": row.engines_are_sound and found.cut > 0,
         "long_served": found.long_served < row.min_served,
+        "long_count": row.long_megabytes > 0 and not found.long_count,
         "p99": row.engines_are_sound and slower,
     }
     return tuple(name for name, is_missed in is_missed_by_name.items() if is_missed)
