Entry: comments ahead of the first event beside a silent run aren't kept

Callers: none saw it. The host keeps all that an upstream sends ahead of its first event while another, silent run is on standby; since comments are no events, an upstream that sends them without pause filled the memory of the host until the deadline, and each read copied all of it. Comments ahead of that event are dropped; the rest of an event has its own bound. Ruled out: a limit of bytes, which a long prefill with comments could reach.

--- a/bitterntiller/components/entry/relay.py
+++ b/bitterntiller/components/entry/relay.py
@@ -152,23 +152,24 @@
     async def _async_take_over(self, client: ClientExchange) -> bytes | None:
         """End the silent run on standby once this response goes on with its stream.
 
-        Return the data up to the first event, or None if it doesn't go on, or the
-        silent run has.
+        Return the data from its first event on, or None if it doesn't go on, or the
+        silent run has. Comments ahead of that event are dropped: they have no bound.
         """
         stream = copy.copy(self._active.stream) or EventStream(ends_with_response=True)
         if self._active.stream is not None:
             stream.begin_resume()
-        received = b""
         try:
-            while not stream.feed(data := await client.async_data() or b"").count:
-                if not data:
-                    self._broken_by = ENDED_WITHIN_EVENT
-                    return None
-                received += data
+            while (data := await client.async_data()) is not None:
+                events = stream.feed(data)
+                if not events.count:
+                    continue
+                received = events.data + stream.incomplete
+                return received if await self._async_supersede() else None
         except (IncompleteResponseError, BrokenStreamError) as error:
             self._broken_by = error.text
             return None
-        return received + data if await self._async_supersede() else None
+        self._broken_by = ENDED_WITHIN_EVENT
+        return None
 
     async def _async_supersede(self) -> bool:
         """End the run on standby, if any; return False if it has gone on."""
--- a/bitterntiller/components/entry/sse.py
+++ b/bitterntiller/components/entry/sse.py
@@ -58,6 +58,11 @@
         """
         return self.last_id > 0 or not self._forwarded
 
+    @property
+    def incomplete(self) -> bytes:
+        """Return what was received of the next event."""
+        return bytes(self._partial)
+
     def feed(self, data: bytes) -> Events:
         """Append received bytes and return the events that they complete.
 
