Entry: a resumed stream may begin with a comment

Callers saw a stream cut that another upstream could have gone on with: a comment that arrived by itself ahead of the first event was taken for a stream without event ids, and the response was dropped. Evidence: the test's caller got the first event only before, and the whole stream now. Comments say nothing on the position of a stream, so the next event is still checked.

--- a/bitterntiller/components/entry/sse.py
+++ b/bitterntiller/components/entry/sse.py
@@ -123,6 +123,8 @@
                 raise BrokenStreamError(f"event id {number} follows {self.last_id}")
             self._check_next = False
             return
+        if all(map(_is_comment, events)):
+            return
         if self.last_id and not any(map(_is_end, events)):
             raise BrokenStreamError("resumed stream has no event ids")
 
--- a/tests/platform/test_comments_ahead_of_events.py
+++ b/tests/platform/test_comments_ahead_of_events.py
@@ -37,3 +37,23 @@
     assert event(1) + event(2) in body_of(received)
     assert received.endswith(builders.LAST_CHUNK)
     assert len(received) < 10 * len(COMMENTS)
+
+
+def test_stream_goes_on_at_an_upstream_that_sends_a_comment_first():
+    async def async_upstream(sock: Any, data: bytes, number: int) -> None:
+        if not number:
+            await sock.sendall(builders.STREAM_HEAD + FIRST)
+            await sock.close()
+            return
+        await sock.sendall(builders.STREAM_HEAD + chunk(b": alive\n\n"))
+        await curio.sleep(0.1)
+        await sock.sendall(REST)
+
+    async def async_main() -> tuple[bytes, int]:
+        async with patient_host(async_upstream) as host:
+            return await host.async_ask(builders.request(), 4.0), len(host.requests)
+
+    received, sent = curio.run(async_main)
+    assert event(2) in body_of(received)
+    assert received.endswith(builders.LAST_CHUNK)
+    assert sent == 2
