Entry: a stream of comments without an event is served by another upstream

Callers saw comments until their deadline and then a cut: with a comment relayed, a stream without event ids yet counted as begun and could not be moved or resumed. Evidence: the test's caller got comments only before, and both events of the other upstream now. A comment is no part of the answer, so a stream from its start duplicates nothing.

--- a/bitterntiller/components/entry/sse.py
+++ b/bitterntiller/components/entry/sse.py
@@ -104,8 +104,9 @@
                 break
         if _USAGE in whole:
             self._record_usage(events)
-        self._forwarded = True
-        return sum(not _is_comment(event) for event in events)
+        count = sum(not _is_comment(event) for event in events)
+        self._forwarded = self._forwarded or count > 0
+        return count
 
     def _check(self, events: list[bytes]) -> None:
         """Raise BrokenStreamError if a resumed stream repeats or skips events.
