Entry: a whole response that its caller reads slowly is no silence

Callers saw calls run twice: the check of an upstream's silence went on while a whole response was being written. If the response was whole within the quarter of a second before the silence would have been told, the run was set aside and the request sent to another upstream, while the first response was on its way. The watch ends before the response is written.

--- a/bitterntiller/components/entry/relay.py
+++ b/bitterntiller/components/entry/relay.py
@@ -95,6 +95,7 @@
             whole = await self._async_relay_body(client)
         if not whole and (self._may_move() or self._set_aside()):
             return self._lost()
+        client.end_watch()
         await self._async_end(whole)
         return RelayResult(whole, head.status)
 
@@ -213,6 +214,8 @@
         except IncompleteResponseError as error:
             self._broken_by = error.text
             return self._lost()
+        # A caller that reads slowly is no silence of the upstream.
+        client.end_watch()
         if not await self._async_supersede():
             return self._lost()
         await self._async_go_on()
@@ -225,10 +228,10 @@
     async def _async_relay_oversized(
         self, client: ClientExchange, head: ResponseHead, parts: list[bytes]
     ) -> RelayResult | Retry:
+        client.end_watch()
         if not await self._async_supersede():
             return self._lost()
         await self._async_go_on()
-        client.end_watch()
         headers = self._context.dialect.response_headers(self._active, head)
         await self._exchange.async_start(head.status, headers)
         self._record_first_byte()
