Entry: native streams are not resumed beyond their deadline

Callers of streams of the native dialect were cut long after their deadline: each of the four resumes waited for a head for the whole idle time (30 s by default), and had 0.1 s more of its own for the body. Evidence: with an idle time of 0.5 s and a deadline of 1 s, the test's streams ended after 1.52 s (resumed streams without end), 3.51 s (silence) and 3.52 s (interim responses) before, and pass now. No resume begins once the deadline has passed, and a head is awaited until it at most.

--- a/bitterntiller/components/entry/relay.py
+++ b/bitterntiller/components/entry/relay.py
@@ -122,14 +122,15 @@
         idle = self._context.timings.upstream_idle
         if self._active.route is None:
             return idle
-        deadline = self._active.prepared.identified.deadline
-        return max(idle, deadline - self._context.clock.now())
+        return max(idle, self._seconds_to_deadline())
 
     def _left(self) -> float:
         """Return the seconds within which the response must be whole."""
+        return max(0.0, self._seconds_to_deadline()) + const.RESPONSE_GRACE
+
+    def _seconds_to_deadline(self) -> float:
         deadline = self._active.prepared.identified.deadline
-        left = deadline - self._context.clock.now()
-        return max(0.0, left) + const.RESPONSE_GRACE
+        return deadline - self._context.clock.now()
 
     def _watch(self) -> SilenceWatch | None:
         """Return what is told that the upstream is silent, None if nothing is."""
@@ -316,12 +317,13 @@
             await client.async_close()
 
     async def _async_open_resume(self, last_id: int) -> ClientExchange | None:
+        left = max(const.MIN_TIMEOUT, self._seconds_to_deadline())
         client = await async_open_resume(
             self._active,
             last_id,
             self._context.connector,
-            self._context.timings.upstream_connect,
-            self._idle,
+            min(left, self._context.timings.upstream_connect),
+            min(left, self._idle),
         )
         if client is not None:
             self._context.metrics.count(const.METRIC_RESUMES)
@@ -329,7 +331,7 @@
 
     async def _async_resume(self, stream: EventStream) -> bool:
         for _ in range(const.RESUME_ATTEMPTS):
-            if not stream.resumable:
+            if not stream.resumable or self._seconds_to_deadline() <= 0:
                 break
             stream.begin_resume()
             client = await self._async_open_resume(stream.last_id)
