--- a/bitterntiller/components/entry/relay.py
+++ b/bitterntiller/components/entry/relay.py
@@ -95,6 +95,7 @@
             whole = await self._async_relay_body(client)
         if not whole and (self._may_move() or self._set_aside()):
             return self._lost()
+        client.end_watch()
         await self._async_end(whole)
         return RelayResult(whole, head.status)
 
@@ -121,14 +122,15 @@
         idle = self._context.timings.upstream_idle
         if self._active.route is None:
             return idle
-        deadline = self._active.prepared.identified.deadline
-        return max(idle, deadline - self._context.clock.now())
+        return max(idle, self._seconds_to_deadline())
 
     def _left(self) -> float:
         """Return the seconds within which the response must be whole."""
+        return max(0.0, self._seconds_to_deadline()) + const.RESPONSE_GRACE
+
+    def _seconds_to_deadline(self) -> float:
         deadline = self._active.prepared.identified.deadline
-        left = deadline - self._context.clock.now()
-        return max(0.0, left) + const.RESPONSE_GRACE
+        return deadline - self._context.clock.now()
 
     def _watch(self) -> SilenceWatch | None:
         """Return what is told that the upstream is silent, None if nothing is."""
@@ -152,23 +154,24 @@
     async def _async_take_over(self, client: ClientExchange) -> bytes | None:
         """End the silent run on standby once this response goes on with its stream.
 
-        Return the data up to the first event, or None if it doesn't go on, or the
-        silent run has.
+        Return the data from its first event on, or None if it doesn't go on, or the
+        silent run has. Comments ahead of that event are dropped: they have no bound.
         """
         stream = copy.copy(self._active.stream) or EventStream(ends_with_response=True)
         if self._active.stream is not None:
             stream.begin_resume()
-        received = b""
         try:
-            while not stream.feed(data := await client.async_data() or b"").count:
-                if not data:
-                    self._broken_by = ENDED_WITHIN_EVENT
-                    return None
-                received += data
+            while (data := await client.async_data()) is not None:
+                events = stream.feed(data)
+                if not events.count:
+                    continue
+                received = events.data + stream.incomplete
+                return received if await self._async_supersede() else None
         except (IncompleteResponseError, BrokenStreamError) as error:
             self._broken_by = error.text
             return None
-        return received + data if await self._async_supersede() else None
+        self._broken_by = ENDED_WITHIN_EVENT
+        return None
 
     async def _async_supersede(self) -> bool:
         """End the run on standby, if any; return False if it has gone on."""
@@ -212,6 +215,8 @@
         except IncompleteResponseError as error:
             self._broken_by = error.text
             return self._lost()
+        # A caller that reads slowly is no silence of the upstream.
+        client.end_watch()
         if not await self._async_supersede():
             return self._lost()
         await self._async_go_on()
@@ -224,10 +229,10 @@
     async def _async_relay_oversized(
         self, client: ClientExchange, head: ResponseHead, parts: list[bytes]
     ) -> RelayResult | Retry:
+        client.end_watch()
         if not await self._async_supersede():
             return self._lost()
         await self._async_go_on()
-        client.end_watch()
         headers = self._context.dialect.response_headers(self._active, head)
         await self._exchange.async_start(head.status, headers)
         self._record_first_byte()
@@ -312,12 +317,13 @@
             await client.async_close()
 
     async def _async_open_resume(self, last_id: int) -> ClientExchange | None:
+        left = max(const.MIN_TIMEOUT, self._seconds_to_deadline())
         client = await async_open_resume(
             self._active,
             last_id,
             self._context.connector,
-            self._context.timings.upstream_connect,
-            self._idle,
+            min(left, self._context.timings.upstream_connect),
+            min(left, self._idle),
         )
         if client is not None:
             self._context.metrics.count(const.METRIC_RESUMES)
@@ -325,7 +331,7 @@
 
     async def _async_resume(self, stream: EventStream) -> bool:
         for _ in range(const.RESUME_ATTEMPTS):
-            if not stream.resumable:
+            if not stream.resumable or self._seconds_to_deadline() <= 0:
                 break
             stream.begin_resume()
             client = await self._async_open_resume(stream.last_id)
--- a/bitterntiller/components/entry/sse.py
+++ b/bitterntiller/components/entry/sse.py
@@ -58,6 +58,11 @@
         """
         return self.last_id > 0 or not self._forwarded
 
+    @property
+    def incomplete(self) -> bytes:
+        """Return what was received of the next event."""
+        return bytes(self._partial)
+
     def feed(self, data: bytes) -> Events:
         """Append received bytes and return the events that they complete.
 
@@ -99,8 +104,9 @@
                 break
         if _USAGE in whole:
             self._record_usage(events)
-        self._forwarded = True
-        return sum(not _is_comment(event) for event in events)
+        count = sum(not _is_comment(event) for event in events)
+        self._forwarded = self._forwarded or count > 0
+        return count
 
     def _check(self, events: list[bytes]) -> None:
         """Raise BrokenStreamError if a resumed stream repeats or skips events.
@@ -118,6 +124,8 @@
                 raise BrokenStreamError(f"event id {number} follows {self.last_id}")
             self._check_next = False
             return
+        if all(map(_is_comment, events)):
+            return
         if self.last_id and not any(map(_is_end, events)):
             raise BrokenStreamError("resumed stream has no event ids")
 
