Tunnels: a tunnel whose upstream reads nothing ends with its request

A host between kept the connection to an upstream, and one of its 256 tunnels, for as long as the upstream read nothing, though the request had ended long ago at the host that had asked.

While the bytes of a request wait for the upstream, nobody reads the end of the tunnel: TunnelServer was in the sendall to the upstream. And an orderly close never arrived: it waits behind the bytes that the host between doesn't read. A tunnel that is closed before the orderly end of its response is now reset, and while bytes wait for the upstream the host between looks each 0.1 s whether its connection to the asking host still stands. A tunnel whose bytes flow isn't checked; reading on beside the send would have needed a buffer without bound to find the end.

--- a/bitterntiller/components/http/exchange.py
+++ b/bitterntiller/components/http/exchange.py
@@ -1,7 +1,6 @@
 """A caller's request and its response, over an h11 connection."""
 
 import os
-import struct
 from collections.abc import Callable
 from typing import Any
 
@@ -19,10 +18,9 @@
 )
 from bitterntiller.components.http.errors import BadRequestError, CallerGoneError
 from bitterntiller.components.http.models import Headers, RequestHead
+from bitterntiller.core.tcp import reset_on_close
 from bitterntiller.core.turns import Turns
 
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-
 TARGET_TOO_LONG = 414
 HEAD_TOO_LARGE = 431
 
@@ -220,10 +218,7 @@
         wait, and its connect would fail.
         """
         self.disconnected = True
-        try:
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-        except OSError:
-            return
+        reset_on_close(self.sock)
 
     async def async_linger(self) -> None:
         """Shut down the write side and discard what the caller still sends.
--- a/bitterntiller/components/tunnels/const.py
+++ b/bitterntiller/components/tunnels/const.py
@@ -14,6 +14,10 @@
 
 MAX_CONNECT_SECONDS = 1.0
 
+CLOSE_CHECK_SECONDS = 0.1
+"""Time between checks whether the asking host has closed a tunnel whose upstream reads
+nothing."""
+
 RELAY_CONNECT_SECONDS = 0.3
 """Time that another host gets to connect to an upstream."""
 
--- a/bitterntiller/components/tunnels/server.py
+++ b/bitterntiller/components/tunnels/server.py
@@ -19,7 +19,7 @@
 from bitterntiller.core import events
 from bitterntiller.core.clock import Clock
 from bitterntiller.core.interfaces import Metrics
-from bitterntiller.core.tcp import async_connect
+from bitterntiller.core.tcp import async_connect, is_closed_by_peer
 from bitterntiller.core.turns import Turns
 from bitterntiller.protocol import MalformedMessageError, messages
 
@@ -213,12 +213,34 @@
             if not counts.sent:
                 counts.sent_at = clock.now()
             counts.sent += len(data)
-            await upstream.sendall(data)
+            if not await _async_send(upstream, data, sock):
+                return
             await turns.async_count(len(data))
     except OSError:
         return
 
 
+async def _async_send(upstream: Any, data: bytes, sock: Any) -> bool:
+    """Send bytes to an upstream; return False if the host that asked has closed.
+
+    An upstream may read nothing for as long as it likes, and nobody reads the end of
+    the tunnel meanwhile.
+    """
+    rest = memoryview(data)
+    while rest:
+        sent = len(rest)
+        async with curio.ignore_after(const.CLOSE_CHECK_SECONDS):
+            try:
+                await upstream.sendall(rest)
+            except curio.TaskTimeout as error:
+                sent = error.bytes_sent
+                raise
+        rest = rest[sent:]
+        if rest and is_closed_by_peer(sock):
+            return False
+    return True
+
+
 async def _async_pass_to_host(
     upstream: Any, sock: Any, counts: _Counts, record_answer: Callable[[], None]
 ) -> None:
--- a/bitterntiller/components/tunnels/stream.py
+++ b/bitterntiller/components/tunnels/stream.py
@@ -13,6 +13,7 @@
     MAX_PART_BYTES,
     READ_BYTES,
 )
+from bitterntiller.core.tcp import reset_on_close
 from bitterntiller.core.turns import Turns
 
 END = bytes(LENGTH_BYTES)
@@ -82,5 +83,10 @@
         await self._sock.shutdown(how)
 
     async def close(self) -> None:
-        """Close the tunnel, and with it the connection to the upstream."""
+        """Close the tunnel, and with it the connection to the upstream.
+
+        An orderly close would wait behind the bytes that the upstream doesn't read.
+        """
+        if not self._ended:
+            reset_on_close(self._sock)
         await self._sock.close()
--- a/bitterntiller/core/tcp.py
+++ b/bitterntiller/core/tcp.py
@@ -1,6 +1,7 @@
 """TCP connections to IP addresses without the resolver, and TCP keepalive."""
 
 import ipaddress
+import struct
 from typing import Any
 
 import curio
@@ -8,6 +9,8 @@
 
 MAX_KEEPALIVE_PROBES = 127
 MAX_KEEPALIVE_IDLE = 32767
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_TCP_ESTABLISHED = 1
 
 
 async def async_connect(ip: str, port: int, timeout: float) -> Any:
@@ -72,3 +75,20 @@
     except OSError:
         return False
     return False
+
+
+def reset_on_close(sock: Any) -> None:
+    """Make the close of a connection a TCP reset, at once and without unsent bytes."""
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    except OSError:
+        return
+
+
+def is_closed_by_peer(sock: Any) -> bool:
+    """Return whether the peer has closed or reset a connection, read or not."""
+    try:
+        state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+    except OSError:
+        return True
+    return state != _TCP_ESTABLISHED
