HTTP server: a raised idle limit holds for connections that are idle already

Callers that count on the idle limit of the configuration in force send a request into a connection that their host closes, and get neither an answer nor a refusal: their connection was idle when the configuration came, and its wait ended at the limit of before.

HttpServer._async_has_more waited with the limit that was in force when the wait began. Each idle connection now has its limit; set_limits raises it and never lowers it, so a connection is kept for the longest limit that was in force since it became idle, whichever of them its caller knows. The wait compares the time of the kernel's clock with that limit each time it ends.

--- a/bitterntiller/components/http/exchange.py
+++ b/bitterntiller/components/http/exchange.py
@@ -37,7 +37,7 @@
 
     head_bytes returns the limit of a request's head. requests counts the requests that
     were answered on the connection. request_begun states whether bytes of the current
-    request have arrived.
+    request have arrived. idle_limit is how long the connection may wait for them.
 
     Only one task reads at a time: the exchange while the request arrives, then
     async_watch() until the response is sent.
@@ -54,6 +54,7 @@
         self.closing = False
         self.requests = 0
         self.request_begun = False
+        self.idle_limit = 0.0
         self._turns = Turns()
         self._last_read_bytes = 0
 
--- a/bitterntiller/components/http/server.py
+++ b/bitterntiller/components/http/server.py
@@ -56,8 +56,14 @@
         self._idle_by_task: dict[curio.Task, ServerConnection] = {}
 
     def set_limits(self, limits: ServerLimits) -> None:
-        """Replace the limits, for open connections too."""
+        """Replace the limits, for open connections too.
+
+        An idle connection is kept for the longest limit since it became idle: callers
+        may count on each of them.
+        """
         self._limits = limits
+        for connection in self._idle_by_task.values():
+            connection.idle_limit = max(connection.idle_limit, limits.keep_alive)
 
     async def async_serve(self, runtime: Runtime) -> None:
         """Accept connections until cancelled."""
@@ -137,10 +143,15 @@
             await curio.sleep(0)
             return True
         task = await curio.current_task()
+        connection.idle_limit = self._limits.keep_alive
         self._idle_by_task[task] = connection
+        began = await curio.clock()
+        left = connection.idle_limit
         try:
-            async with curio.ignore_after(self._limits.keep_alive):
-                return await connection.async_wait_bytes()
+            while left > 0:
+                async with curio.ignore_after(left):
+                    return await connection.async_wait_bytes()
+                left = began + connection.idle_limit - await curio.clock()
         finally:
             self._idle_by_task.pop(task, None)
         return False
