Tests: bytes now and then put off no end of a caller's request

Eight forms on real connections, a byte or line each 0.04 s: empty lines, a request line, header lines, a body by length and in chunks, a chunk's extension, trailers, and bytes after a refusal. Each gets its refusal and is closed once the time of the head or body (0.4 s) and of the discarding (0.4 s) is over.

--- a/tests/components/http/test_unending_callers.py
+++ b/tests/components/http/test_unending_callers.py
@@ -5,6 +5,7 @@
 import curio
 import pytest
 
+from bitterntiller.components.http import exchange as exchange_module
 from bitterntiller.components.http.const import READ_BYTES
 from tests.components.http.builders import LIMITS, async_read, serving
 from tests.core.unending import counting_turns, flooding
@@ -79,3 +80,65 @@
                 return await curio.clock() - began
 
     assert curio.run(async_main) < write_timeout + 3.0
+
+
+POST = b"POST /a HTTP/1.1\r\nHost: x\r\n"
+
+
+@pytest.mark.parametrize(
+    ("start", "repeated", "status"),
+    [
+        (b"", b"\r\n", b"408"),
+        (b"", b"G", b"408"),
+        (b"GET /a HTTP/1.1\r\n", b"a:b\r\n", b"408"),
+        (POST + b"Content-Length: 1000\r\n\r\n", b"x", b"408"),
+        (POST + b"Transfer-Encoding: chunked\r\n\r\n", b"1\r\nx\r\n", b"408"),
+        (POST + b"Transfer-Encoding: chunked\r\n\r\n1;", b"e", b"408"),
+        (POST + b"Transfer-Encoding: chunked\r\n\r\n0\r\n", b"a:b\r\n", b"408"),
+        (b"G\0 / HTTP/1.1\r\n\r\n", b"x", b"400"),
+    ],
+    ids=[
+        "empty lines",
+        "request line",
+        "header lines",
+        "body",
+        "chunks",
+        "chunk extension",
+        "trailers",
+        "after a refusal",
+    ],
+)
+def test_bytes_now_and_then_do_not_put_off_the_end(
+    monkeypatch, start, repeated, status
+):
+    """A caller that sends a byte now and then holds its connection."""
+    seconds = 0.4
+    monkeypatch.setattr(exchange_module, "LINGER_SECONDS", seconds)
+
+    async def async_read_body(exchange: Any) -> None:
+        await exchange.async_body(1_000_000, seconds)
+        await exchange.async_respond(200, [], b"")
+
+    async def async_main() -> tuple[bytes, float]:
+        limits = PATIENT._replace(head_timeout=seconds)
+        async with serving(async_read_body, limits) as (server, port):
+            sock = await curio.open_connection("127.0.0.1", port)
+            async with sock:
+
+                async def async_trickle() -> None:
+                    await sock.sendall(start)
+                    while True:
+                        await sock.sendall(repeated)
+                        await curio.sleep(seconds / 10)
+
+                began = await curio.clock()
+                sending = await curio.spawn(async_trickle, daemon=True)
+                received = await async_read(sock)
+                while server.connections:
+                    await curio.sleep(0.01)
+                await sending.cancel()
+                return received, await curio.clock() - began
+
+    received, took = curio.run(async_main)
+    assert received.startswith(b"HTTP/1.1 " + status)
+    assert took < 2 * seconds + 1.0
