HTTP server: a head has a bound in lines, checked before it is parsed

One caller that sends requests with 16,000 header lines of a few bytes stops its host for 50 ms with each of them.

A head of over 1,000 lines is now refused with 431 before it is parsed. Other servers take 100 (Apache, Python) to 2,000 (Node), so no proper request is met; lines after the head, of its body or of pipelined requests, don't count.

test_head_of_very_many_lines_is_refused_before_it_is_parsed[True] failed before (the head was accepted); in small reads it was refused by its bytes, and still is refused. Trailers are not bounded so: 65 KB of trailer lines that arrive in one piece are still parsed in one go.

--- a/bitterntiller/components/http/const.py
+++ b/bitterntiller/components/http/const.py
@@ -9,6 +9,9 @@
 too long that arrives in several segments, while the same head in one piece is served.
 """
 
+MAX_HEAD_LINES = 1000
+"""Lines of a head, which are parsed in one go. Other servers take 100 to 2,000."""
+
 MAX_EMPTY_BYTES = 1024
 """Bytes of empty lines that are ignored before a request line."""
 
--- a/bitterntiller/components/http/exchange.py
+++ b/bitterntiller/components/http/exchange.py
@@ -1,6 +1,7 @@
 """A caller's request and its response, over an h11 connection."""
 
 import os
+import re
 from collections.abc import Callable
 from typing import Any
 
@@ -13,6 +14,7 @@
     LINGER_BYTES,
     LINGER_SECONDS,
     MAX_EMPTY_BYTES,
+    MAX_HEAD_LINES,
     READ_BYTES,
     STATUS_TEXT,
     UNPARSED_HEAD_FACTOR,
@@ -25,6 +27,8 @@
 TARGET_TOO_LONG = 414
 HEAD_TOO_LARGE = 431
 
+_HEAD_END = re.compile(rb"\n\r?\n")
+
 ReserveBytes = Callable[[int], bool]
 """Reserves memory for the first bytes of a body; returns False if there is none."""
 
@@ -111,6 +115,7 @@
         try:
             async with curio.timeout_after(timeout):
                 while True:
+                    self._check_head_lines()
                     event = self.h11.next_event()
                     if event is not h11.NEED_DATA:
                         return event
@@ -125,6 +130,20 @@
         except curio.TaskTimeout:
             raise BadRequestError(408, "the request came too slowly") from None
 
+    def _check_head_lines(self) -> None:
+        """Raise BadRequestError if the head that arrives has too many lines.
+
+        Their number is what a head costs, and h11 parses all of them at once.
+        """
+        if self.h11.their_state is not h11.IDLE:
+            return
+        received = self.h11.trailing_data[0]
+        if received.count(b"\n") <= MAX_HEAD_LINES:
+            return
+        end = _HEAD_END.search(received)
+        if received.count(b"\n", 0, end.end() if end else None) > MAX_HEAD_LINES:
+            raise BadRequestError(HEAD_TOO_LARGE, f"over {MAX_HEAD_LINES} lines")
+
     def _sends_no_request(self) -> bool:
         return not self.request_begun and self._empty_bytes > MAX_EMPTY_BYTES
 
--- a/tests/components/http/test_unending_reads.py
+++ b/tests/components/http/test_unending_reads.py
@@ -10,6 +10,7 @@
 from bitterntiller.components.http.const import (
     LINGER_BYTES,
     MAX_EMPTY_BYTES,
+    MAX_HEAD_LINES,
     READ_BYTES,
 )
 from bitterntiller.components.http.errors import BadRequestError
@@ -150,3 +151,31 @@
     skipped, _, _ = use(CHUNKED + body, b"", async_refuse)
     assert skipped
     assert turns >= chunks / 64
+
+
+@pytest.mark.parametrize("in_one_piece", [True, False])
+def test_head_of_very_many_lines_is_refused_before_it_is_parsed(in_one_piece):
+    """Parsing 16,000 header lines of a few bytes stops other tasks for 50 ms."""
+    lines = b"a:\r\n" * 16_000
+
+    async def async_head(connection: ServerConnection) -> int:
+        return await async_status(connection.async_next_event(1.0))
+
+    start = b"GET / HTTP/1.1\r\nHost: x\r\n"
+    data = (start + lines + b"\r\n", b"") if in_one_piece else (start, lines[:4000])
+    found, _, _ = use(*data, async_head)
+    assert found == 431
+
+
+def test_lines_after_a_head_do_not_count_as_its_own():
+    body = b"\r\n" * 2 * MAX_HEAD_LINES
+
+    async def async_read_body(connection: ServerConnection) -> bytes:
+        await connection.async_next_event(1.0)
+        return await Exchange(connection, HEAD).async_body(len(body), 1.0)
+
+    lines = b"a:\r\n" * (MAX_HEAD_LINES - 5)
+    length = b"Host: x\r\nContent-Length: %d\r\n" % len(body)
+    start = b"POST / HTTP/1.1\r\n" + length + lines + b"\r\n" + body
+    found, _, _ = use(start, b"", async_read_body)
+    assert found == body
