--- a/bitterntiller/components/http/exchange.py
+++ b/bitterntiller/components/http/exchange.py
@@ -1,7 +1,7 @@
 """A caller's request and its response, over an h11 connection."""
 
 import os
-import struct
+import re
 from collections.abc import Callable
 from typing import Any
 
@@ -13,20 +13,22 @@
     BODYLESS_STATUSES,
     LINGER_BYTES,
     LINGER_SECONDS,
+    MAX_EMPTY_BYTES,
+    MAX_HEAD_LINES,
     READ_BYTES,
     STATUS_TEXT,
     UNPARSED_HEAD_FACTOR,
 )
 from bitterntiller.components.http.errors import BadRequestError, CallerGoneError
 from bitterntiller.components.http.models import Headers, RequestHead
-from bitterntiller.core.tcp import is_writable
+from bitterntiller.core.tcp import is_writable, reset_on_close
 from bitterntiller.core.turns import Turns
 
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-
 TARGET_TOO_LONG = 414
 HEAD_TOO_LARGE = 431
 
+_HEAD_END = re.compile(rb"\n\r?\n")
+
 ReserveBytes = Callable[[int], bool]
 """Reserves memory for the first bytes of a body; returns False if there is none."""
 
@@ -40,7 +42,7 @@
 
     head_bytes returns the limit of a request's head. requests counts the requests that
     were answered on the connection. request_begun states whether bytes of the current
-    request have arrived.
+    request have arrived. idle_limit is how long the connection may wait for them.
 
     Only one task reads at a time: the exchange while the request arrives, then
     async_watch() until the response is sent.
@@ -57,6 +59,8 @@
         self.closing = False
         self.requests = 0
         self.request_begun = False
+        self.idle_limit = 0.0
+        self._empty_bytes = 0
         self._turns = Turns()
         self._last_read_bytes = 0
 
@@ -69,6 +73,7 @@
         received, closed = self.h11.trailing_data
         self.requests += 1
         self.request_begun = False
+        self._empty_bytes = 0
         self.h11 = self._new_parser()
         if received:
             self._feed(received)
@@ -82,7 +87,9 @@
         send one after a body.
         """
         if data and not self.request_begun:
+            received = len(data)
             data = data.lstrip(b"\r\n")
+            self._empty_bytes += received - len(data)
             if not data:
                 return
             self.request_begun = True
@@ -108,10 +115,13 @@
         try:
             async with curio.timeout_after(timeout):
                 while True:
+                    self._check_head_lines()
                     event = self.h11.next_event()
                     if event is not h11.NEED_DATA:
                         return event
                     self._feed(await self._async_receive())
+                    if self._sends_no_request():
+                        raise BadRequestError(400, "empty lines and no request")
         except h11.RemoteProtocolError as error:
             status = error.error_status_hint
             if status == HEAD_TOO_LARGE and not self._has_request_line():
@@ -120,6 +130,23 @@
         except curio.TaskTimeout:
             raise BadRequestError(408, "the request came too slowly") from None
 
+    def _check_head_lines(self) -> None:
+        """Raise BadRequestError if the head that arrives has too many lines.
+
+        Their number is what a head costs, and h11 parses all of them at once.
+        """
+        if self.h11.their_state is not h11.IDLE:
+            return
+        received = self.h11.trailing_data[0]
+        if received.count(b"\n") <= MAX_HEAD_LINES:
+            return
+        end = _HEAD_END.search(received)
+        if received.count(b"\n", 0, end.end() if end else None) > MAX_HEAD_LINES:
+            raise BadRequestError(HEAD_TOO_LARGE, f"over {MAX_HEAD_LINES} lines")
+
+    def _sends_no_request(self) -> bool:
+        return not self.request_begun and self._empty_bytes > MAX_EMPTY_BYTES
+
     def _has_request_line(self) -> bool:
         return b"\n" in self.h11.trailing_data[0]
 
@@ -142,11 +169,14 @@
         await self._turns.async_count(size)
 
     async def async_wait_bytes(self) -> bool:
-        """Wait for bytes of the next request; return False if the caller closed."""
+        """Wait for bytes of the next request; return False if there will be none.
+
+        The caller has closed then, or sends only empty lines.
+        """
         while not self.request_begun:
             data = await self._async_receive()
             self._feed(data)
-            if not data:
+            if not data or self._sends_no_request():
                 return False
         return True
 
@@ -221,10 +251,7 @@
         wait, and its connect would fail.
         """
         self.disconnected = True
-        try:
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-        except OSError:
-            return
+        reset_on_close(self.sock)
 
     async def async_linger(self) -> None:
         """Shut down the write side and discard what the caller still sends.
--- a/bitterntiller/core/tcp.py
+++ b/bitterntiller/core/tcp.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 import select
+import struct
 from typing import Any
 
 import curio
@@ -9,6 +10,9 @@
 
 MAX_KEEPALIVE_PROBES = 127
 MAX_KEEPALIVE_IDLE = 32767
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_TCP_CLOSED_BY_PEER = frozenset({7, 8})
+"""States CLOSE (after a reset) and CLOSE_WAIT in TCP_INFO, see tcp(7)."""
 
 
 async def async_connect(ip: str, port: int, timeout: float) -> Any:
@@ -80,3 +84,23 @@
     poll = select.poll()
     poll.register(sock.fileno(), select.POLLOUT)
     return bool(poll.poll(0))
+
+
+def reset_on_close(sock: Any) -> None:
+    """Make the close of a connection a TCP reset, at once and without unsent bytes."""
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    except OSError:
+        return
+
+
+def is_closed_by_peer(sock: Any) -> bool:
+    """Return whether the peer has closed or reset a connection, read or not.
+
+    Where the kernel doesn't tell, the connection counts as open.
+    """
+    try:
+        state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    except OSError:
+        return False
+    return bool(state) and state[0] in _TCP_CLOSED_BY_PEER
