HTTP client: a response that is silent at its deadline hasn't overrun it

A response that this end gave up was at times told as a connection that broke.

Cause: the total time set overran whatever had arrived; after this end's shutdown the upstream's reset was taken for the cause.

Change: without a byte in a whole interval of the check it is silent (timed_out); the interval is bounded by the total time. The failure that made this end shut the connection down goes before the reset that follows.

--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -169,6 +169,8 @@
         self._watch = watch
         self._stalled_ticks = 0
         shortest = timeout if watch is None else min(timeout, watch.seconds)
+        if total is not None:
+            shortest = min(shortest, total)
         self._read_timeout_task = await curio.spawn(
             self._async_enforce_read_timeout, timeout, shortest, total, daemon=True
         )
@@ -194,6 +196,8 @@
                 left = ends_at - await curio.clock()
                 if left <= interval:
                     await curio.sleep(max(0.0, left))
+                    # Without a byte in a whole interval, it is silent at its end.
+                    self.timed_out = self._idle_ticks > 1
                     await self._async_end_reads(self._overrun(total))
                     return
             await curio.sleep(interval)
@@ -449,6 +453,9 @@
                     closed = not data
                     self._h11.receive_data(data)
         except OSError as error:
+            if self._failure:
+                # This end has shut the connection down; the upstream resets it then.
+                raise IncompleteResponseError(self._failure) from error
             self.broke = True
             raise IncompleteResponseError(f"reading broke: {error!r}") from error
         if isinstance(event, h11.RemoteProtocolError):
--- a/tests/components/entry/test_response_faults.py
+++ b/tests/components/entry/test_response_faults.py
@@ -37,6 +37,14 @@
     return async_answer
 
 
+def then_silent(data: bytes) -> Answer:
+    async def async_answer(sock: Any) -> None:
+        await sock.sendall(data)
+        await curio.sleep(30.0)
+
+    return async_answer
+
+
 @asynccontextmanager
 async def upstream(answer: Answer) -> AsyncIterator[str]:
     """Run an upstream that answers one request."""
@@ -100,3 +108,10 @@
     found, reports = told(answer)
     assert found == fault
     assert set(reports) <= {"head"}
+
+
+def test_silence_at_the_deadline_is_not_taken_for_a_response_without_end():
+    """A paused upstream got trials only, and those once all had ended there."""
+    found, reports = told(then_silent(CHUNKED + PART))
+    assert found == ""
+    assert reports == ["head", "lost"]
