Entry: a late response to an earlier request doesn't hide the silence after it

Callers of calls that another upstream could serve got 504 at their deadline: on a kept connection, a late response to an earlier request was skipped, and the head that was awaited then had no watch, so that no silence was reported. Evidence: the test's caller got 504 after 3 s before, and the response of another upstream now.

--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -358,7 +358,8 @@
         if response_class is ResponseClass.FOREIGN:
             self._context.metrics.count(const.METRIC_LATE_RESPONSES)
             if client.reused and await client.async_skip_response():
-                head = await client.async_head(self._first_byte_timeout())
+                timeout = self._first_byte_timeout()
+                head = await client.async_head(timeout, self._response_watch())
                 response_class = dialect.classify_response(self._active, head)
         return head, response_class
 
