Entry: a stream kept at its silent upstream isn't reset when its last attempt breaks off

Callers saw their connection reset at the end of a response that went on at a silent upstream, and lost what they hadn't read yet. There was no line about it: the response counted as sent. The last attempt beside the silent run had broken off, and marked the connection of the response that it had no part in. Evidence: three of the tests end with a reset before, and in order now. The pipeline returns to the silent run; if that has ended too, it cuts the response.

--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -372,6 +372,9 @@
         late = self._is_late()
         if self._can_repeat() and not late:
             return verdict
+        if self._exchange.started and self._active.standby not in (None, self._run):
+            # The silent run has begun the response and may go on with it.
+            return verdict
         if self._exchange.started:
             self._active.cut = Cut(CutBy.UPSTREAM, verdict.reason, verdict.detail)
             await self._exchange.async_cut()
