HTTP client: the end of an overrun response is told as such

No caller saw it; the line response-cut named a reset instead of the time that was over. Where a read is cut off at the end of the time, the kernel may show that as a reset.

--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -449,6 +449,9 @@
                     closed = not data
                     self._h11.receive_data(data)
         except OSError as error:
+            if self.overran:
+                # Ended here: the kernel may show that as a reset.
+                raise IncompleteResponseError(self._failure) from error
             self.broke = True
             raise IncompleteResponseError(f"reading broke: {error!r}") from error
         if isinstance(event, h11.RemoteProtocolError):
