HTTP client: the time in which a response's reader pauses is added to its total

The same silence was told at each check while its reader paused.

Change: time in which nobody reads and nothing is received is added to the total, up to caller_write seconds in all; it is looked for four times a second. The watch keeps its own time beside it, and is told once.

--- a/bitterntiller/components/entry/relay.py
+++ b/bitterntiller/components/entry/relay.py
@@ -60,6 +60,7 @@
         self._exchange = exchange
         self._active = active
         self._context = context
+        self._timings = context.timings
         self._run = run
         self._whole_watch = whole_watch
         self._idle = self._idle_timeout()
@@ -82,7 +83,9 @@
                 self._broken_by = NO_STREAM
                 return self._lost()
             return await self._async_relay_buffered(client, head)
-        await client.async_start_read_timeout(self._idle, self._watch(), self._left())
+        await client.async_start_read_timeout(
+            self._idle, self._watch(), self._left(), self._timings.caller_write
+        )
         first = await self._async_take_over(client) if self._has_standby() else b""
         if first is None:
             return self._lost()
@@ -202,7 +205,7 @@
         A response over BUFFERED_BYTES is relayed as it arrives.
         """
         await client.async_start_read_timeout(
-            self._idle, self._whole_watch, self._left()
+            self._idle, self._whole_watch, self._left(), self._timings.caller_write
         )
         parts: list[bytes] = []
         size = 0
@@ -338,7 +341,9 @@
             if client is None:
                 await curio.sleep(const.RESUME_DELAY)
                 continue
-            await client.async_start_read_timeout(self._idle, total=self._left())
+            await client.async_start_read_timeout(
+                self._idle, total=self._left(), pause=self._timings.caller_write
+            )
             try:
                 if await self._async_relay_events(client, stream):
                     return True
--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -159,20 +159,27 @@
         timeout: float,
         watch: SilenceWatch | None = None,
         total: float | None = None,
+        pause: float = 0.0,
     ) -> None:
         """Make reads fail if nothing arrives for timeout seconds, or after total ones.
 
         A task checks READ_TIMEOUT_CHECKS times within the timeout, or within the time
         after which watch is told, so reads fail one to two intervals late. A timer for
-        each read would be a quarter of the cost of relaying. The total is exact.
+        each read would be a quarter of the cost of relaying. The total is exact; the
+        time in which the reader pauses is added, up to pause seconds.
         """
         self._watch = watch
         self._stalled_ticks = 0
         shortest = timeout if watch is None else min(timeout, watch.seconds)
         if total is not None:
-            shortest = min(shortest, total)
+            shortest = min(shortest, total, const.PAUSE_CHECK_SECONDS)
         self._read_timeout_task = await curio.spawn(
-            self._async_enforce_read_timeout, timeout, shortest, total, daemon=True
+            self._async_enforce_read_timeout,
+            timeout,
+            shortest / const.READ_TIMEOUT_CHECKS,
+            total,
+            pause,
+            daemon=True,
         )
 
     def end_watch(self) -> None:
@@ -180,34 +187,50 @@
         self._watch = None
 
     async def _async_enforce_read_timeout(
-        self, timeout: float, shortest: float, total: float | None
+        self, timeout: float, interval: float, total: float | None, pause: float
     ) -> None:
-        interval = shortest / const.READ_TIMEOUT_CHECKS
         most_ticks = round(timeout / interval)
         ends_at = None if total is None else await curio.clock() + total
-        received = 0
+        received = told_ticks = 0
         while self._idle_ticks <= most_ticks:
             # While the caller reads nothing, neither is the upstream read.
             self._idle_ticks = self._idle_ticks + 1 if self._awaiting else 0
-            if self._awaiting or self.received_bytes > received:
+            if not self._is_paused_since(received):
                 self._stalled_ticks += 1
             received = self.received_bytes
+            seconds = interval
             if ends_at is not None:
                 left = ends_at - await curio.clock()
-                if left <= interval:
-                    await curio.sleep(max(0.0, left))
+                if left <= 0:
                     # Without a byte in a whole interval, it is silent at its end.
                     self.timed_out = self._idle_ticks > 1
                     await self._async_end_reads(self._overrun(total))
                     return
-            await curio.sleep(interval)
-            passed, early = divmod(self._stalled_ticks - 1, const.READ_TIMEOUT_CHECKS)
-            if self._watch is not None and passed > 0 and not early:
+                seconds = min(interval, left)
+            await curio.sleep(seconds)
+            if ends_at is not None and self._is_paused_since(received):
+                paused = min(seconds, pause)
+                ends_at += paused
+                pause -= paused
+            if self._stalled_ticks != told_ticks and self._is_silence_due(interval):
+                told_ticks = self._stalled_ticks
                 self._silent = True
                 await self._watch.async_begin_silence()
         self.timed_out = True
         await self._async_end_reads(no_data_text(timeout))
 
+    def _is_silence_due(self, interval: float) -> bool:
+        """Return whether the watch is to be told, looking every interval seconds."""
+        if self._watch is None:
+            return False
+        ticks = max(1, round(self._watch.seconds / interval))
+        passed, early = divmod(self._stalled_ticks - 1, ticks)
+        return passed > 0 and not early
+
+    def _is_paused_since(self, received: int) -> bool:
+        """Return whether nobody reads, nor has since some bytes were received."""
+        return not self._awaiting and self.received_bytes == received
+
     async def _async_end_reads(self, failure: str) -> None:
         """Make the present read and all others fail."""
         self._failure = failure
--- a/bitterntiller/components/http/const.py
+++ b/bitterntiller/components/http/const.py
@@ -16,6 +16,9 @@
 """Bytes of empty lines that are ignored before a request line."""
 
 READ_TIMEOUT_CHECKS = 4
+PAUSE_CHECK_SECONDS = 1.0
+"""Seconds within which a reader that pauses is looked for READ_TIMEOUT_CHECKS times."""
+
 UPSTREAM_KEEPALIVE_SECONDS = 10
 """Time after which a connection to an upstream whose host is gone is closed."""
 
