Tests: the fleet of responses without end has the retry budget of the sites

Its settings left bounds.budget_extra at 20, where the users' sheets state 52 and 58, so that each of six entry hosts could save 1.7 retries. Idempotent calls got a 502 after their first of three runs (event `ended`, runs 1, tried empty, 0.01 s after they arrived) while upstreams broke their first responses. No bound is changed.

A fleet that doesn't start in time ended the command with a traceback; it is now the error of a row that serves nobody, and the rows after it are played.

--- a/tests/platform/endless_fleet.py
+++ b/tests/platform/endless_fleet.py
@@ -29,6 +29,9 @@
 
 ENGINES = 6
 ATTEMPTS = 3
+BUDGET_EXTRA = 52
+"""Retries that the fleet may make besides those that requests earn, as on the sites."""
+
 SAMPLE_SECONDS = 0.1
 TICKS_PER_SECOND = 100
 """Unit of processor time in /proc on Linux."""
@@ -118,6 +121,11 @@
     def _process(self, ip: str, settings: Path) -> Process:
         return PlatformProcess(ip, settings, self._folder, self.tree)
 
+    def _settings(self, ip: str, bootstrap: bool) -> str:
+        return (
+            super()._settings(ip, bootstrap) + f"bounds.budget_extra={BUDGET_EXTRA}\n"
+        )
+
     def add_engines(self) -> None:
         """Start all engines."""
         self.engines += [self._start_engine(number) for number in range(ENGINES)]
--- a/tests/platform/endless_responses.py
+++ b/tests/platform/endless_responses.py
@@ -128,37 +128,43 @@
 
 def play(row: Row, folder: Path) -> Tally:
     """Play a row on a fleet of its own; raise NobodyServedError."""
-    with EndlessFleet(folder) as fleet:
-        fleet.add_engines()
+    with ExitStack() as stack:
         try:
+            fleet = stack.enter_context(EndlessFleet(folder))
+            fleet.add_engines()
             fleet.until(lambda: all(map(is_served, fleet.entry_ips)))
         except AssertionError as error:
             raise NobodyServedError(f"{row.name}: a host serves nobody") from error
-        usage = fleet.sample_usage()
-        callers = EndlessCallers(fleet.entry_ips, row.callers)
-        try:
-            fleet.until(lambda: all(engine.runs() for engine in fleet.engines))
-            started = time.monotonic()
-            time.sleep(SECONDS_BEFORE)
-            trouble = time.monotonic()
-            sender_held = disturb(row, fleet, callers)
-            healed = time.monotonic()
-            time.sleep(SECONDS_TO_RECOVER)
-            recovered = time.monotonic()
-            time.sleep(SECONDS_AFTER)
-            ended = time.monotonic()
-        finally:
-            callers.stop()
-            usage.stop()
-        fleet.check_engines()
-        times = Times(started, trouble, healed, recovered, ended)
-        early = sent_between(callers.answers, started, trouble)
-        if not any(item.served for item in early):
-            raise NobodyServedError(f"{row.name}: nobody served before the trouble")
-        found = tally(fleet, callers.answers, times, sender_held)._replace(
-            **_usage(usage.between(started, trouble), usage.between(trouble, healed))
-        )
-        return found._replace(missed=missed(row, found))
+        return play_on(row, fleet)
+
+
+def play_on(row: Row, fleet: EndlessFleet) -> Tally:
+    """Play a row on a fleet that serves."""
+    usage = fleet.sample_usage()
+    callers = EndlessCallers(fleet.entry_ips, row.callers)
+    try:
+        fleet.until(lambda: all(engine.runs() for engine in fleet.engines))
+        started = time.monotonic()
+        time.sleep(SECONDS_BEFORE)
+        trouble = time.monotonic()
+        sender_held = disturb(row, fleet, callers)
+        healed = time.monotonic()
+        time.sleep(SECONDS_TO_RECOVER)
+        recovered = time.monotonic()
+        time.sleep(SECONDS_AFTER)
+        ended = time.monotonic()
+    finally:
+        callers.stop()
+        usage.stop()
+    fleet.check_engines()
+    times = Times(started, trouble, healed, recovered, ended)
+    early = sent_between(callers.answers, started, trouble)
+    if not any(item.served for item in early):
+        raise NobodyServedError(f"{row.name}: nobody served before the trouble")
+    found = tally(fleet, callers.answers, times, sender_held)._replace(
+        **_usage(usage.between(started, trouble), usage.between(trouble, healed))
+    )
+    return found._replace(missed=missed(row, found))
 
 
 def is_served(ip: str) -> bool:
