--- a/tests/platform/endless_rows.py
+++ b/tests/platform/endless_rows.py
@@ -156,6 +156,7 @@
         (Sent(Response.CHUNKS), Sent(Response.LENGTH)),
     ),
     Row("103, fast, four engines", (Sent(Response.INTERIM_103),), engines=4),
+    Row("nothing"),
     Row("long answers of 20 MB", long_megabytes=20),
     Row("long answers of 100 MB", long_megabytes=100),
     *_caller_rows(),
