Entry: a stream's first event is awaited as long as its objective allows

What callers saw: nothing; a stream whose upstream sent its head, or comments, before a prefill of more than 1 s was sent to a second upstream, which prefills as well and costs a retry.

Cause: from the head on the pause between events was expected, though a first event takes a prefill.

Ruled out: counting comments as progress, which upstreams send without end.

--- a/bitterntiller/components/entry/relay.py
+++ b/bitterntiller/components/entry/relay.py
@@ -54,15 +54,16 @@
         active: ActiveRequest,
         context: Context,
         run: Run | None = None,
-        whole_watch: SilenceWatch | None = None,
+        response_watch: SilenceWatch | None = None,
     ) -> None:
-        """Set up; whole_watch is told that a buffered response isn't whole."""
+        """Set up; response_watch is told that a response doesn't begin, or isn't whole."""
         self._exchange = exchange
         self._active = active
         self._context = context
         self._timings = context.timings
         self._run = run
-        self._whole_watch = whole_watch
+        self._response_watch = response_watch
+        self._event_watch: SilenceWatch | None = None
         self._idle = self._idle_timeout()
         method = active.prepared.identified.received.head.method
         self._bodyless = method == "HEAD"
@@ -83,8 +84,9 @@
                 self._broken_by = NO_STREAM
                 return self._lost()
             return await self._async_relay_buffered(client, head)
+        self._event_watch = self._watch()
         await client.async_start_read_timeout(
-            self._idle, self._watch(), self._left(), self._timings.caller_write
+            self._idle, self._first_watch(), self._left(), self._timings.caller_write
         )
         first = await self._async_take_over(client) if self._has_standby() else b""
         if first is None:
@@ -143,6 +145,13 @@
         seconds = max(const.MIN_STREAM_SILENCE, 2 * route.target_output_interval)
         return RunWatch(self._run, seconds)
 
+    def _first_watch(self) -> SilenceWatch | None:
+        """Return the watch until the first event, for which a prompt is prefilled."""
+        watch, whole = self._event_watch, self._response_watch
+        if watch is None or whole is None:
+            return watch
+        return max(watch, whole, key=lambda item: item.seconds)
+
     def _may_move(self) -> bool:
         return self._active.stream is not None and self._active.movable
 
@@ -188,6 +197,12 @@
         log_move(self._active, standby.grant.upstream)
         return True
 
+    def _begin_event_watch(self, client: ClientExchange) -> None:
+        """Watch the pauses between events, from the first one on."""
+        if self._event_watch is not None:
+            client.change_watch(self._event_watch)
+            self._event_watch = None
+
     def _check_current(self) -> None:
         """Raise IncompleteResponseError if another run has taken the request over."""
         if self._run is not None and self._run.superseded:
@@ -205,7 +220,7 @@
         A response over BUFFERED_BYTES is relayed as it arrives.
         """
         await client.async_start_read_timeout(
-            self._idle, self._whole_watch, self._left(), self._timings.caller_write
+            self._idle, self._response_watch, self._left(), self._timings.caller_write
         )
         parts: list[bytes] = []
         size = 0
@@ -370,6 +385,7 @@
                 events = stream.feed(data)
                 if events.count:
                     await client.async_progress()
+                    self._begin_event_watch(client)
                     self._record_first_byte()
                     await self._async_record_begun(events)
                     self._active.output_tokens += events.count
--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -182,6 +182,11 @@
             daemon=True,
         )
 
+    def change_watch(self, watch: SilenceWatch | None) -> None:
+        """Tell another watch of silences from now on, or none."""
+        self._watch = watch
+        self._stalled_ticks = 0
+
     def end_watch(self) -> None:
         """Tell the watch of this exchange nothing more."""
         self._watch = None
