--- a/bitterntiller/components/entry/relay.py
+++ b/bitterntiller/components/entry/relay.py
@@ -56,7 +56,7 @@
         run: Run | None = None,
         response_watch: SilenceWatch | None = None,
     ) -> None:
-        """Set up; response_watch is told that a response doesn't begin, or isn't whole."""
+        """Set up; response_watch is told that no response begins, or isn't whole."""
         self._exchange = exchange
         self._active = active
         self._context = context
