--- a/bitterntiller/components/dispatch/const.py
+++ b/bitterntiller/components/dispatch/const.py
@@ -112,9 +112,6 @@
 ANNOUNCE_NO_OWNER = "no-owner"
 
 PROBE_SECONDS = 2.0
-MAX_SPEED_RETRY_SECONDS = 32.0
-"""First and longest time for which an idle upstream that seems slow gets no request to
-measure it again; the time doubles with each."""
 
 METRIC_GRANTS = "dispatch.grants"
 METRIC_REFUSALS = "dispatch.refusals"
--- a/bitterntiller/components/dispatch/lifecycle.py
+++ b/bitterntiller/components/dispatch/lifecycle.py
@@ -91,7 +91,7 @@
         """Move a request from the queue to the picked upstream."""
         request, upstream = job.request, pick.upstream
         assert upstream is not None
-        upstream.record_grant(now, pick.speed_retry)
+        upstream.last_granted_at = now
         upstream.rate_limiter.acquire(now)
         self._queue.remove(job)
         self._queue.charge(job)
--- a/bitterntiller/components/dispatch/picker.py
+++ b/bitterntiller/components/dispatch/picker.py
@@ -23,9 +23,6 @@
 
 INFINITE_SECONDS = float("inf")
 
-SLOW_FACTOR = 1.1
-"""Multiple of the fastest upstream's service time from which one seems slow."""
-
 
 class PickStatus(Enum):
     """Whether an upstream was picked, and why not.
@@ -44,15 +41,13 @@
     """Status, and the upstream that was picked or is worth waiting for.
 
     cached is the expected number of cached prompt tokens, and total the expected
-    service time in seconds. speed_retry is set if the request is sent to an idle
-    upstream that seems slow, to measure it anew.
+    service time in seconds.
     """
 
     status: PickStatus
     upstream: Upstream | None = None
     cached: int = 0
     total: float = 0.0
-    speed_retry: bool = False
 
 
 class UpstreamPicker:
@@ -105,7 +100,7 @@
                 best_score = score
                 best = PickResult(PickStatus.PICKED, upstream, cached, total)
         if best is not None:
-            return self._speed_retry(job, candidates, now) or best
+            return best
         return self._fallback(job, view, candidates, any_accepts, now)
 
     def _fallback(
@@ -161,35 +156,6 @@
                 return PickResult(PickStatus.PICKED, upstream, cached, alone)
         return None
 
-    def _speed_retry(
-        self, job: Job, candidates: list[Upstream], now: float
-    ) -> PickResult | None:
-        """Pick an idle upstream that seems slow, and in time even if it is.
-
-        Its samples may be those of a silence. Beside upstreams that seem faster it gets
-        no request that could correct them.
-        """
-        due = [upstream for upstream in candidates if upstream.needs_speed_retry(now)]
-        if not due:
-            return None
-        fastest = min(_idle_seconds(job, upstream) for upstream in candidates)
-        for upstream in due:
-            if _idle_seconds(job, upstream) <= SLOW_FACTOR * fastest:
-                continue
-            if not self._accepts(job, upstream, now):
-                continue
-            cached, _, total = self._estimate(job, upstream, now)
-            margin = 1.0 + self._parameters.margin * upstream.speed.deviation
-            if now + total * margin > job.request.deadline:
-                continue
-            tokens = job.request.prompt_tokens - cached
-            first_at = now + upstream.speed.prefill_seconds(tokens, job.kind)
-            if job.request.first_by is None or first_at <= job.request.first_by:
-                return PickResult(
-                    PickStatus.PICKED, upstream, cached, total, speed_retry=True
-                )
-        return None
-
     def min_service_seconds(self, job: Job, view: UpstreamView, now: float) -> float:
         """Return a lower bound of the service time in seconds without any queueing.
 
@@ -379,10 +345,3 @@
         if seen < 2:
             return False
         return busy >= max(1.0, self._parameters.long_prefills * seen)
-
-
-def _idle_seconds(job: Job, upstream: Upstream) -> float:
-    """Return the service time of a request at an upstream without load or cache."""
-    speed = upstream.speed
-    prefill = speed.prefill_seconds(job.request.prompt_tokens, job.kind)
-    return prefill + speed.best_decode_seconds(job.expected_output)
--- a/bitterntiller/components/dispatch/speed.py
+++ b/bitterntiller/components/dispatch/speed.py
@@ -74,10 +74,6 @@
         """Learn the error of the estimated total seconds."""
         ...
 
-    def distrust(self) -> None:
-        """Give the next samples the weight of the first ones."""
-        ...
-
 
 def _clip_ratio(ratio: float) -> float:
     return min(max(ratio, 1 / MAX_SAMPLE_RATIO), MAX_SAMPLE_RATIO)
@@ -213,10 +209,6 @@
         scale = self.scale * ratio ** (fast - slow)
         self.scale = min(max(scale, MIN_SCALE), MAX_SCALE)
 
-    def distrust(self) -> None:
-        """Give the next samples of the prefill the weight of the first ones."""
-        self._prefill_samples_by_kind = [0, 0]
-
     def _learn_best(self, measured: float, span: float) -> None:
         """Track the lower bound of the samples: decrease quickly, increase slowly."""
         if self._best is None:
@@ -278,10 +270,6 @@
         """Return the seconds of one call."""
         return self.decode_seconds(tokens, 1)
 
-    def distrust(self) -> None:
-        """Let the next sample replace the known speed."""
-        self._has_sample = False
-
     def learn_prefill(self, kind: int, expected: float, measured: float) -> None:
         """Ignore the sample, since a plain service has no prefill."""
 
--- a/bitterntiller/components/dispatch/upstreams.py
+++ b/bitterntiller/components/dispatch/upstreams.py
@@ -5,7 +5,6 @@
 
 from bitterntiller.components.dispatch.const import (
     FORGET_UPSTREAM_SECONDS,
-    MAX_SPEED_RETRY_SECONDS,
     PROBE_SECONDS,
 )
 from bitterntiller.components.dispatch.health import Health
@@ -44,7 +43,6 @@
         self.last_announced_at = now
         self.last_active_at = now
         self.last_granted_at = float("-inf")
-        self._speed_retry_pause = PROBE_SECONDS
         self.ledger = Ledger()
         self._kind = parameters.kind
         self._pool_speed = pool
@@ -69,7 +67,6 @@
         for a long time, and requests would be sent to it for prefixes that it lost.
         """
         self.speed = new_speed(self._kind, self._pool_speed)
-        self._speed_retry_pause = PROBE_SECONDS
         self.ledger.clear()
         self.prefixes.clear()
         self.health.record_success()
@@ -167,22 +164,6 @@
         """
         return not self.ledger.in_flight and now - self.last_granted_at >= PROBE_SECONDS
 
-    def needs_speed_retry(self, now: float) -> bool:
-        """Return whether a request may measure anew whether the upstream is slow."""
-        idle_seconds = now - self.last_granted_at
-        return not self.ledger.in_flight and idle_seconds >= self._speed_retry_pause
-
-    def record_grant(self, now: float, speed_retry: bool) -> None:
-        """Record a grant; speed_retry is set if it is to measure the speed anew."""
-        self.last_granted_at = now
-        if not speed_retry:
-            self._speed_retry_pause = PROBE_SECONDS
-            return
-        self._speed_retry_pause = min(
-            2 * self._speed_retry_pause, MAX_SPEED_RETRY_SECONDS
-        )
-        self.speed.distrust()
-
     def has_free_slots(self, fraction: float) -> bool:
         """Return whether another request fits into a fraction of the slots."""
         if fraction >= 1.0:
