HTTP client: a reader that awaits its turn isn't paused by its caller

Cause: the time in which the reader of a body waits for its caller to take bytes is added to the response's time. "Waits for its caller" was concluded from "awaits no read of the socket, and no byte has arrived". A reader that works through the chunks it has received, and waits for its turn among other tasks between them, looks the same. Besides, the parser went on with up to 64 KB that had been received after the end of the response's time, since only the next read of the socket looked.

Change: the exchange knows whether its reader is within async_data(), and counts its calls; only a reader that is outside for a whole interval is paused. No further byte is parsed once the response has overrun.

The assumption broken: bytes that don't arrive say nothing about who is slow.

--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -87,6 +87,8 @@
         self._read_timeout_task: curio.Task | None = None
         self._failure = ""
         self._awaiting = False
+        self._reading = False
+        self._reads = 0
         self._watch: SilenceWatch | None = None
         self._silent = False
         self._sender: curio.Task | None = None
@@ -196,13 +198,13 @@
     ) -> None:
         most_ticks = round(timeout / interval)
         ends_at = None if total is None else await curio.clock() + total
-        received = told_ticks = 0
+        reads = told_ticks = 0
         while self._idle_ticks <= most_ticks:
             # While the caller reads nothing, neither is the upstream read.
             self._idle_ticks = self._idle_ticks + 1 if self._awaiting else 0
-            if not self._is_paused_since(received):
+            if not self._is_paused_since(reads):
                 self._stalled_ticks += 1
-            received = self.received_bytes
+            reads = self._reads
             seconds = interval
             if ends_at is not None:
                 left = ends_at - await curio.clock()
@@ -214,7 +216,7 @@
                     return
                 seconds = min(interval, left)
             await curio.sleep(seconds)
-            if ends_at is not None and self._is_paused_since(received):
+            if ends_at is not None and self._is_paused_since(reads):
                 paused = min(seconds, pause)
                 ends_at += paused
                 pause -= paused
@@ -234,9 +236,12 @@
         passed, early = divmod(self._stalled_ticks - 1, ticks)
         return passed > 0 and not early
 
-    def _is_paused_since(self, received: int) -> bool:
-        """Return whether nobody reads, nor has since some bytes were received."""
-        return not self._awaiting and self.received_bytes == received
+    def _is_paused_since(self, reads: int) -> bool:
+        """Return whether nobody reads the body, nor has since it was read so often.
+
+        A reader that awaits its turn among the tasks of this process is reading.
+        """
+        return not self._reading and self._reads == reads
 
     async def _async_shut_down(self) -> None:
         """Make the present read and all later ones fail."""
@@ -371,7 +376,10 @@
         after timeout seconds, or at the timeouts of async_start_read_timeout(). Parts
         that arrived together are joined.
         """
+        self._reads += 1
+        self._reading = True
         event = await self._async_event(timeout)
+        self._reading = False
         if isinstance(event, h11.EndOfMessage):
             self._check_complete()
             return None
@@ -477,6 +485,8 @@
         closed = False
         try:
             while event is h11.NEED_DATA:
+                if self.overran:
+                    raise IncompleteResponseError(self._failure)
                 if not self._buffer_drained:
                     event = self._next_buffered_event()
                 if event is h11.NEED_DATA:
@@ -499,8 +509,6 @@
 
     async def _async_receive(self) -> bytes:
         """Return what has arrived; raise OSError or IncompleteResponseError."""
-        if self.overran:
-            raise IncompleteResponseError(self._failure)
         self._awaiting = True
         data = await self._sock.recv(const.READ_BYTES)
         self._awaiting = False
--- a/tests/components/http/test_client.py
+++ b/tests/components/http/test_client.py
@@ -234,3 +234,32 @@
     with endless_upstream(head + bytes(size), b"", asked=b"GET") as address:
         received = curio.run(async_main)
     assert received == (size if whole else -1)
+
+
+def test_reader_that_awaits_its_turn_is_not_paused_by_its_caller():
+    """A busy process relayed a body without end for long after its deadline."""
+
+    async def async_be_busy() -> None:
+        while True:
+            time.sleep(0.02)
+            await curio.sleep(0)
+
+    async def async_main() -> float:
+        busy = await curio.spawn(async_be_busy)
+        started = time.monotonic()
+        client = await ClientExchange.async_open(address, 1.0)
+        try:
+            await client.async_request("GET", "/", [], b"", 1.0)
+            await client.async_head(LIMIT)
+            await client.async_start_read_timeout(30.0, total=LIMIT, pause=3.0)
+            with pytest.raises(IncompleteResponseError):
+                while await client.async_data() is not None:
+                    pass
+        finally:
+            await client.async_close()
+            await busy.cancel()
+        return time.monotonic() - started
+
+    with endless_upstream(CHUNKED, CHUNK * 500) as address:
+        took = curio.run(async_main)
+    assert took < LIMIT + LATE
