HTTP client: progress of a response and its limits in a module of their own

Change: http/progress.py holds Progress (what the reader does), ReadLimits, async_expiry() (waits until a limit is exceeded, and returns which one) and SilenceWatch. The client turns an Expiry into its own failure and shuts the connection down.

Ruled out: a class that owns the socket, too: only the client closes it.

--- a/bitterntiller/components/entry/relay.py
+++ b/bitterntiller/components/entry/relay.py
@@ -34,10 +34,11 @@
     STATUS_OK,
     async_open_resume,
 )
-from bitterntiller.components.http.client import ClientExchange, SilenceWatch
+from bitterntiller.components.http.client import ClientExchange
 from bitterntiller.components.http.errors import IncompleteResponseError
 from bitterntiller.components.http.exchange import Exchange
 from bitterntiller.components.http.models import ResponseHead
+from bitterntiller.components.http.progress import SilenceWatch
 
 LOST_RESPONSE = "lost-answer"
 STANDBY_RESUMED = "the silent upstream has gone on"
--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 client for upstreams, with one exchange at a time per connection."""
 
 import contextlib
-from typing import Any, Protocol
+from typing import Any
 
 import curio
 import h11
@@ -18,31 +18,18 @@
     ResponseHead,
     header,
 )
+from bitterntiller.components.http.progress import (
+    Progress,
+    ReadLimits,
+    SilenceWatch,
+    async_expiry,
+)
 from bitterntiller.core.tcp import async_connect, enable_keepalive, is_quiet
 from bitterntiller.core.turns import Turns
 
 CLOSED_EARLY = "the upstream closed the connection before its answer was whole"
 
 
-class SilenceWatch(Protocol):
-    """Is told that an upstream makes no progress, and that it has gone on.
-
-    Bytes are no progress by themselves: the head of the final response is, and what the
-    reader of the body reports by async_progress(). seconds is the time without progress
-    after which an upstream counts as silent.
-    """
-
-    seconds: float
-
-    async def async_begin_silence(self) -> None:
-        """Record that there is no progress, again after each further seconds."""
-        ...
-
-    async def async_end_silence(self) -> None:
-        """Record progress; raise IncompleteResponseError to drop it."""
-        ...
-
-
 class ClientExchange:
     """A connection that carries one exchange and is then closed or reused.
 
@@ -78,19 +65,13 @@
         self._chunked = False
         self._buffered_event: Any = h11.NEED_DATA
         self._buffer_drained = False
-        self._idle_ticks = 0
-        self._stalled_ticks = 0
         self._interim = 0
         self._turns = Turns()
         self._read_parts = 1
         self._read_bytes = 0
         self._read_timeout_task: curio.Task | None = None
         self._failure = ""
-        self._awaiting = False
-        self._reading = False
-        self._reads = 0
-        self._watch: SilenceWatch | None = None
-        self._silent = False
+        self._progress = Progress()
         self._sender: curio.Task | None = None
 
     @classmethod
@@ -136,10 +117,8 @@
             return False
         connection.start_next_cycle()
         self._buffer_drained = False
-        self._idle_ticks = self._stalled_ticks = 0
         self._interim = 0
-        self._watch = None
-        self._silent = False
+        self._progress = Progress()
         self.sent_bytes = 0
         self.received_bytes = 0
         self.reused = True
@@ -165,84 +144,32 @@
     ) -> None:
         """Make reads fail if nothing arrives for timeout seconds, or after total ones.
 
-        A task checks READ_TIMEOUT_CHECKS times within the timeout, or within the time
-        after which watch is told, so reads fail one to two intervals late. A timer for
-        each read would be a quarter of the cost of relaying. The total is exact; the
-        time in which the reader pauses is added, up to pause seconds.
+        A task checks this, as a timer for each read would be a quarter of the cost of
+        relaying. The time in which the reader pauses is added to total, up to pause
+        seconds.
         """
-        self._watch = watch
-        self._stalled_ticks = 0
-        shortest = timeout if watch is None else min(timeout, watch.seconds)
-        if total is not None:
-            shortest = min(shortest, total, const.PAUSE_CHECK_SECONDS)
+        self._progress.begin_watch(watch)
         self._read_timeout_task = await curio.spawn(
-            self._async_enforce_read_timeout,
-            timeout,
-            shortest / const.READ_TIMEOUT_CHECKS,
-            total,
-            pause,
-            daemon=True,
+            self._async_enforce_limits, ReadLimits(timeout, total, pause), daemon=True
         )
 
     def change_watch(self, watch: SilenceWatch) -> None:
         """Replace the watch; the time without progress begins anew."""
-        self._watch = watch
-        self._stalled_ticks = 0
+        self._progress.begin_watch(watch)
 
     def end_watch(self) -> None:
         """Stop reporting silences."""
-        self._watch = None
-
-    async def _async_enforce_read_timeout(
-        self, timeout: float, interval: float, total: float | None, pause: float
-    ) -> None:
-        most_ticks = round(timeout / interval)
-        ends_at = None if total is None else await curio.clock() + total
-        reads = told_ticks = 0
-        while self._idle_ticks <= most_ticks:
-            # While the caller reads nothing, neither is the upstream read.
-            self._idle_ticks = self._idle_ticks + 1 if self._awaiting else 0
-            if not self._is_paused_since(reads):
-                self._stalled_ticks += 1
-            reads = self._reads
-            seconds = interval
-            if ends_at is not None:
-                left = ends_at - await curio.clock()
-                if left <= 0:
-                    # No byte has arrived in a whole interval before the end.
-                    self.timed_out = self._idle_ticks > 1
-                    self._fail_overrun(total)
-                    await self._async_shut_down()
-                    return
-                seconds = min(interval, left)
-            await curio.sleep(seconds)
-            if ends_at is not None and self._is_paused_since(reads):
-                paused = min(seconds, pause)
-                ends_at += paused
-                pause -= paused
-            if self._stalled_ticks != told_ticks and self._is_silence_due(interval):
-                told_ticks = self._stalled_ticks
-                self._silent = True
-                await self._watch.async_begin_silence()
-        self.timed_out = True
-        self._failure = no_data_text(timeout)
+        self._progress.watch = None
+
+    async def _async_enforce_limits(self, limits: ReadLimits) -> None:
+        expiry = await async_expiry(self._progress, limits)
+        self.timed_out = expiry.idle
+        if expiry.overran:
+            self._fail_overrun(limits.total)
+        else:
+            self._failure = no_data_text(limits.idle)
         await self._async_shut_down()
 
-    def _is_silence_due(self, interval: float) -> bool:
-        """Return whether the watch is to be told, looking every interval seconds."""
-        if self._watch is None:
-            return False
-        ticks = max(1, round(self._watch.seconds / interval))
-        passed, early = divmod(self._stalled_ticks - 1, ticks)
-        return passed > 0 and not early
-
-    def _is_paused_since(self, reads: int) -> bool:
-        """Return whether nobody reads the body, nor has since it was read so often.
-
-        A reader that awaits its turn among the tasks of this process is reading.
-        """
-        return not self._reading and self._reads == reads
-
     async def _async_shut_down(self) -> None:
         """Make the present read and all later ones fail."""
         with contextlib.suppress(OSError):
@@ -264,9 +191,7 @@
 
         Raise IncompleteResponseError if that must be dropped.
         """
-        self._stalled_ticks = 0
-        if self._silent:
-            await self._async_end_silence()
+        await self._progress.async_progress()
 
     async def async_request(
         self,
@@ -323,10 +248,9 @@
 
         It must be whole within timeout seconds, whatever arrives before it.
         """
-        self._watch = watch
+        self._progress.watch = watch
         event = await self._async_final_head(timeout, watch)
-        if self._silent:
-            await self._async_end_silence()
+        await self._progress.async_progress()
         self._close_delimited = self._is_close_delimited(event)
         self._keep_alive = keep_alive_seconds(event.headers)
         self._chunked = header(event.headers, b"transfer-encoding") is not None
@@ -346,8 +270,7 @@
                 return await self._async_skip_interim()
             left -= pause
             pause *= 2
-            self._silent = True
-            await watch.async_begin_silence()
+            await self._progress.async_begin_silence()
         async with curio.ignore_after(left):
             return await self._async_skip_interim()
         if self._interim > 1 or self._h11.trailing_data[0]:
@@ -376,10 +299,9 @@
         after timeout seconds, or at the timeouts of async_start_read_timeout(). Parts
         that arrived together are joined.
         """
-        self._reads += 1
-        self._reading = True
+        self._progress.begin_read()
         event = await self._async_event(timeout)
-        self._reading = False
+        self._progress.end_read()
         if isinstance(event, h11.EndOfMessage):
             self._check_complete()
             return None
@@ -471,11 +393,6 @@
         self.timed_out = True
         raise IncompleteResponseError(no_data_text(timeout))
 
-    async def _async_end_silence(self) -> None:
-        self._silent = False
-        if self._watch is not None:
-            await self._watch.async_end_silence()
-
     async def _async_next(self) -> Any:
         # Before the read: a timeout may end the wait for a turn, and would drop data.
         await self._turns.async_count(self._read_bytes, self._read_parts)
@@ -509,10 +426,10 @@
 
     async def _async_receive(self) -> bytes:
         """Return what has arrived; raise OSError or IncompleteResponseError."""
-        self._awaiting = True
+        self._progress.awaiting = True
         data = await self._sock.recv(const.READ_BYTES)
-        self._awaiting = False
-        self._idle_ticks = 0
+        self._progress.awaiting = False
+        self._progress.idle_ticks = 0
         if self._failure and (not data or self.overran):
             raise IncompleteResponseError(self._failure)
         self.received_bytes += len(data)
