Core: timeouts hold within each other

Cause: a timeout that expires in the pass in which its task becomes ready is kept by curio until the task's next wait (cancel_pending). Leaving a timeout clears what is kept if the outer one isn't due yet, and doesn't if it is: - an outer one is kept, and an inner one begins and ends without a wait: the outer one is dropped. In the middle of three, it takes the outermost with it until the middle one is left. - an inner one is kept, its block goes on without a wait, and is left after the outer one was due: the next wait gets the inner one's expiry, which is older than any deadline that is left, and the outer one raises UncaughtTimeoutError.

Change: core/timeouts.py, with the interface of curio's two. A timeout that is kept is raised before an inner one begins, as that of an outer one, so that no `except TaskTimeout` of the inner one takes it for its own. What is kept as a block ends is dropped: it is the block's own, or an outer one's, which curio sets anew.

Ruled out: lost entries of curio's time queue (read: each leave sets the outer one again). Timeouts around a whole attempt: there are none. A mend in the harness alone: async_open_tunnel (0.8 s around 0.3 s to connect) and calls to the own host (around async_wait_for_leader and async_propose) nest as well.

A finally within an outer timeout may still be ended a second time, if an inner one was left on the way.

--- a/bitterntiller/components/crashes/coordinator.py
+++ b/bitterntiller/components/crashes/coordinator.py
@@ -46,6 +46,7 @@
     SentRequest,
 )
 from bitterntiller.core.runtime import Runtime
+from bitterntiller.core.timeouts import ignore_after
 
 UpdateListener = Callable[[frozenset[int]], Awaitable[None]]
 """Called with the fingerprints whose crash history has changed."""
@@ -201,7 +202,7 @@
             pause = min(
                 max(wake - now, const.REPORT_RETRY_DELAY), const.OWNER_CHECK_PERIOD
             )
-            async with curio.ignore_after(pause):
+            async with ignore_after(pause):
                 await self._sync_needed.wait()
 
     async def _async_probe(self, sent: SentRequest, probes: ProcessProbes) -> None:
--- a/bitterntiller/components/dispatch/coordinator.py
+++ b/bitterntiller/components/dispatch/coordinator.py
@@ -26,6 +26,7 @@
     VersionsView,
 )
 from bitterntiller.core.runtime import Runtime
+from bitterntiller.core.timeouts import ignore_after
 from bitterntiller.protocol import messages
 
 SchedulerFactory = Callable[[str], Scheduler]
@@ -105,7 +106,7 @@
         if not self._idle:
             await curio.sleep(self._poll_delay())
             return
-        async with curio.ignore_after(const.IDLE_PAUSE):
+        async with ignore_after(const.IDLE_PAUSE):
             await self._changed.wait()
 
     def _is_idle(self) -> bool:
--- a/bitterntiller/components/dispatch/quota_service.py
+++ b/bitterntiller/components/dispatch/quota_service.py
@@ -14,6 +14,7 @@
 )
 from bitterntiller.components.dispatch.quota_queue import QueuedRequest, QuotaRequest
 from bitterntiller.core.runtime import Runtime
+from bitterntiller.core.timeouts import ignore_after
 from bitterntiller.protocol import messages
 from bitterntiller.protocol.statuses import (
     QUOTA_NOT_COUNTING,
@@ -108,7 +109,7 @@
             return
         pause = MAX_CHECK_INTERVAL if seconds_until_due is None else seconds_until_due
         pause = min(max(pause, MIN_CHECK_INTERVAL), MAX_CHECK_INTERVAL)
-        async with curio.ignore_after(pause):
+        async with ignore_after(pause):
             await self._queues_changed.wait()
 
     async def _async_reply(self, key: _Key, reply: Any) -> None:
--- a/bitterntiller/components/entry/coordinator.py
+++ b/bitterntiller/components/entry/coordinator.py
@@ -23,6 +23,7 @@
 from bitterntiller.components.settings.models import Limits
 from bitterntiller.components.tunnels.server import TunnelServer
 from bitterntiller.core.interfaces import Ownership
+from bitterntiller.core.timeouts import ignore_after
 from bitterntiller.protocol import messages
 
 GRACE_OVER = "grace-period-over"
@@ -98,7 +99,7 @@
             if self.registry.by_id:
                 await curio.sleep(const.OWNER_POLL)
                 continue
-            async with curio.ignore_after(const.IDLE_OWNER_POLL):
+            async with ignore_after(const.IDLE_OWNER_POLL):
                 await request_added.wait()
 
     async def async_report_progress(self) -> None:
@@ -186,7 +187,7 @@
         await self.async_begin_drain()
         elapsed = self._context.clock.now() - self._left_at
         left = self._context.timings.shutdown - elapsed
-        async with curio.ignore_after(max(0.0, left)):
+        async with ignore_after(max(0.0, left)):
             # A request whose body is incomplete is counted in the budget only. Without
             # this check the host would stop while a caller sends its body.
             while self._has_work():
@@ -205,7 +206,7 @@
 
     async def _async_wait_for_settled_claims(self) -> None:
         """Wait up to SETTLE_WAIT seconds for the last claims to be settled."""
-        async with curio.ignore_after(const.SETTLE_WAIT):
+        async with ignore_after(const.SETTLE_WAIT):
             while self._claim_client.settling:
                 await curio.sleep(const.DRAIN_POLL)
 
--- a/bitterntiller/components/entry/owner_monitor.py
+++ b/bitterntiller/components/entry/owner_monitor.py
@@ -15,6 +15,7 @@
 from bitterntiller.core import events
 from bitterntiller.core.interfaces import ConfigView, Ownership
 from bitterntiller.core.runtime import Runtime
+from bitterntiller.core.timeouts import ignore_after
 from bitterntiller.protocol import messages
 
 NO_USAGE = UnacknowledgedUse([], {}, 0, [])
@@ -72,7 +73,7 @@
                 await curio.spawn(self._async_report, owner, daemon=True)
             if not owners:
                 wake = now + FIRST_REPORT_PERIOD
-            async with curio.ignore_after(wake - now):
+            async with ignore_after(wake - now):
                 await self._changed.wait()
 
     async def async_wake(self) -> None:
--- a/bitterntiller/components/entry/registration.py
+++ b/bitterntiller/components/entry/registration.py
@@ -1,7 +1,5 @@
 """Register a request with the owner of its pool and wait for the decision."""
 
-import curio
-
 from bitterntiller.components.entry import const
 from bitterntiller.components.entry.context import Context
 from bitterntiller.components.entry.limit_reports import async_report_known_limits
@@ -18,6 +16,7 @@
 )
 from bitterntiller.components.entry.registry import LeaseLost
 from bitterntiller.core.outcomes import Ending, Outcome, Reason
+from bitterntiller.core.timeouts import ignore_after
 from bitterntiller.protocol import messages
 
 _STATUS_BY_REASON: dict[str, int] = {
@@ -109,7 +108,7 @@
 
 
 async def _async_event(active: ActiveRequest, timeout: float) -> object | None:
-    async with curio.ignore_after(timeout):
+    async with ignore_after(timeout):
         return await active.mailbox.get()
     return None
 
--- a/bitterntiller/components/entry/run.py
+++ b/bitterntiller/components/entry/run.py
@@ -33,6 +33,7 @@
 )
 from bitterntiller.components.http.errors import IncompleteResponseError
 from bitterntiller.core.clock import Clock
+from bitterntiller.core.timeouts import ignore_after
 
 TAKEN_OVER = "another upstream has taken the request over"
 
@@ -101,7 +102,7 @@
             if not self.silent or standby is not None:
                 await changed.wait()
                 continue
-            async with curio.ignore_after(max(0.0, self._left())):
+            async with ignore_after(max(0.0, self._left())):
                 await changed.wait()
             if self.silent and self._left() <= 0:
                 return RunSilent(self.grant.upstream)
--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -19,6 +19,7 @@
     header,
 )
 from bitterntiller.core.tcp import async_connect, enable_keepalive, is_quiet
+from bitterntiller.core.timeouts import ignore_after, timeout_after
 from bitterntiller.core.turns import Turns
 
 CLOSED_EARLY = "the upstream closed the connection before its answer was whole"
@@ -302,7 +303,7 @@
             self._sender = await curio.spawn(self._async_send, data, daemon=True)
             return
         try:
-            async with curio.timeout_after(timeout):
+            async with timeout_after(timeout):
                 await self._sock.sendall(data)
         except (OSError, curio.TaskTimeout) as error:
             raise IncompleteResponseError(f"sending broke: {error!r}") from error
@@ -342,13 +343,13 @@
         left = timeout
         pause = timeout if watch is None else watch.seconds
         while watch is not None and left > pause:
-            async with curio.ignore_after(pause):
+            async with ignore_after(pause):
                 return await self._async_skip_interim()
             left -= pause
             pause *= 2
             self._silent = True
             await watch.async_begin_silence()
-        async with curio.ignore_after(left):
+        async with ignore_after(left):
             return await self._async_skip_interim()
         if self._interim > 1 or self._h11.trailing_data[0]:
             raise self._fail_overrun(timeout)
@@ -401,7 +402,7 @@
         """
         parts: list[bytes] = []
         size = 0
-        async with curio.ignore_after(timeout):
+        async with ignore_after(timeout):
             while (data := await self.async_data()) is not None:
                 parts.append(data)
                 size += len(data)
@@ -466,7 +467,7 @@
     async def _async_event(self, timeout: float | None) -> Any:
         if timeout is None:
             return await self._async_next()
-        async with curio.ignore_after(timeout):
+        async with ignore_after(timeout):
             return await self._async_next()
         self.timed_out = True
         raise IncompleteResponseError(no_data_text(timeout))
--- a/bitterntiller/components/http/exchange.py
+++ b/bitterntiller/components/http/exchange.py
@@ -22,6 +22,7 @@
 from bitterntiller.components.http.errors import BadRequestError, CallerGoneError
 from bitterntiller.components.http.models import Headers, RequestHead
 from bitterntiller.core.tcp import is_writable, reset_on_close
+from bitterntiller.core.timeouts import ignore_after, timeout_after
 from bitterntiller.core.turns import Turns
 
 TARGET_TOO_LONG = 414
@@ -113,7 +114,7 @@
         CallerGoneError if the connection fails.
         """
         try:
-            async with curio.timeout_after(timeout):
+            async with timeout_after(timeout):
                 while True:
                     self._check_head_lines()
                     event = self.h11.next_event()
@@ -232,7 +233,7 @@
 
     async def _async_write_rest(self, data: memoryview) -> None:
         try:
-            async with curio.timeout_after(self.write_timeout):
+            async with timeout_after(self.write_timeout):
                 await self.sock.sendall(data)
         except curio.TaskTimeout:
             self.disconnected = True
@@ -267,7 +268,7 @@
         left = LINGER_BYTES
         try:
             await self.sock.shutdown(socket.SHUT_WR)
-            async with curio.ignore_after(LINGER_SECONDS):
+            async with ignore_after(LINGER_SECONDS):
                 while left > 0 and (data := await self._async_receive()):
                     left -= len(data)
         except (OSError, CallerGoneError):
@@ -306,7 +307,7 @@
         """
         await self._async_continue()
         body = bytearray()
-        async with curio.ignore_after(timeout):
+        async with ignore_after(timeout):
             while True:
                 event = await self.connection.async_next_event(timeout)
                 if isinstance(event, h11.EndOfMessage):
--- a/bitterntiller/components/http/server.py
+++ b/bitterntiller/components/http/server.py
@@ -21,6 +21,7 @@
 from bitterntiller.core.listener import Listener
 from bitterntiller.core.runtime import Runtime
 from bitterntiller.core.tcp import enable_keepalive, is_quiet
+from bitterntiller.core.timeouts import ignore_after
 
 ExchangeHandler = Callable[[Exchange], Awaitable[None]]
 
@@ -149,7 +150,7 @@
         left = connection.idle_limit
         try:
             while left > 0:
-                async with curio.ignore_after(left):
+                async with ignore_after(left):
                     return await connection.async_wait_bytes()
                 left = began + connection.idle_limit - await curio.clock()
         finally:
@@ -226,7 +227,7 @@
     try:
         await sock.sendall(const.REJECT_RESPONSE)
         await sock.shutdown(socket.SHUT_WR)
-        async with curio.ignore_after(const.REJECT_LINGER_SECONDS):
+        async with ignore_after(const.REJECT_LINGER_SECONDS):
             await sock.recv(const.READ_BYTES)
     except OSError:
         return
--- a/bitterntiller/components/links/connection.py
+++ b/bitterntiller/components/links/connection.py
@@ -17,6 +17,7 @@
 from bitterntiller.components.links.models import Incoming, Peer
 from bitterntiller.core import events
 from bitterntiller.core.interfaces import Metrics
+from bitterntiller.core.timeouts import timeout_after
 from bitterntiller.core.turns import Turns
 from bitterntiller.protocol import MalformedMessageError, messages
 
@@ -86,7 +87,7 @@
             if not self.send(message, number):
                 raise LinkUnreachableError(f"no open connection to {self.peer.host}")
             await self.async_flush_soon()
-            async with curio.timeout_after(timeout):
+            async with timeout_after(timeout):
                 await pending.done.wait()
         except curio.TaskTimeout:
             text = f"{self.peer.host} did not answer in {timeout} s"
--- a/bitterntiller/components/links/coordinator.py
+++ b/bitterntiller/components/links/coordinator.py
@@ -27,6 +27,7 @@
     enable_keepalive,
     set_user_timeout,
 )
+from bitterntiller.core.timeouts import ignore_after
 from bitterntiller.protocol import messages
 
 
@@ -100,7 +101,7 @@
             return await self._async_call_own(message, timeout)
         before = self._clock.now()
         connection = None
-        async with curio.ignore_after(timeout):
+        async with ignore_after(timeout):
             connection = await self._async_connection(address)
         if connection is None:
             raise LinkUnreachableError(f"can't connect to {address}")
@@ -108,7 +109,7 @@
         return await connection.async_call(message, max(0.0, left))
 
     async def _async_call_own(self, message: Any, timeout: float) -> Any:
-        async with curio.ignore_after(timeout):
+        async with ignore_after(timeout):
             reply = await self._async_handle(self.own.host, message)
             if isinstance(reply, messages.Fault):
                 raise LinkFaultError(reply.code, reply.text)
--- a/bitterntiller/components/links/handshake.py
+++ b/bitterntiller/components/links/handshake.py
@@ -19,6 +19,7 @@
 from bitterntiller.components.links.errors import HandshakeError
 from bitterntiller.components.links.frames import pack, unpack_stranger
 from bitterntiller.components.links.models import Peer
+from bitterntiller.core.timeouts import timeout_after
 from bitterntiller.core.turns import Turns
 from bitterntiller.protocol import MalformedMessageError, messages
 
@@ -71,7 +72,7 @@
 async def async_accept(sock: curio.io.Socket, key: bytes, own: Peer) -> Peer:
     """Authenticate a connecting host and return it; raise HandshakeError."""
     try:
-        async with curio.timeout_after(HANDSHAKE_TIMEOUT):
+        async with timeout_after(HANDSHAKE_TIMEOUT):
             nonce = secrets.token_bytes(NONCE_BYTES)
             await sock.sendall(pack(messages.Challenge(nonce=nonce)))
             hello = await _async_read_message(sock, messages.Hello)
@@ -92,7 +93,7 @@
 ) -> Peer:
     """Prove the key to an accepting host and return it; raise HandshakeError."""
     try:
-        async with curio.timeout_after(HANDSHAKE_TIMEOUT):
+        async with timeout_after(HANDSHAKE_TIMEOUT):
             challenge = await _async_read_message(sock, messages.Challenge)
             hello = messages.Hello(
                 host=own.host,
--- a/bitterntiller/components/replication/coordinator.py
+++ b/bitterntiller/components/replication/coordinator.py
@@ -11,6 +11,7 @@
 from bitterntiller.core.errors import BrokenInvariantError
 from bitterntiller.core.interfaces import ProposalResult, StateMachine
 from bitterntiller.core.runtime import Runtime
+from bitterntiller.core.timeouts import ignore_after
 from bitterntiller.protocol import messages
 
 from .const import (
@@ -99,7 +100,7 @@
             return ProposalResult(STATUS_NOT_LEADER, b"", self.leader())
         proposal = self._waiters.add_proposal(position)
         await self._wake.set()
-        async with curio.ignore_after(timeout):
+        async with ignore_after(timeout):
             await proposal.done.wait()
         self._waiters.drop_proposal(position, proposal)
         if proposal.result is None:
@@ -113,7 +114,7 @@
             return None
         read = self._waiters.add_read(token)
         await self._wake.set()
-        async with curio.ignore_after(timeout):
+        async with ignore_after(timeout):
             await read.done.wait()
             return read.index
         self._waiters.drop_read(token, read)
@@ -125,7 +126,7 @@
         Called before a stop. Retry for up to timeout seconds, unless no voter can take
         over. Return True at once if this replica is not the leader.
         """
-        async with curio.ignore_after(timeout):
+        async with ignore_after(timeout):
             while self.is_leader():
                 if not self._replica.transfer_leadership(self._runtime.clock.now()):
                     return False
@@ -145,7 +146,7 @@
 
     async def async_wait_for_leader(self, timeout: float) -> None:
         """Wait until a leader is known here, for up to timeout seconds."""
-        async with curio.ignore_after(timeout):
+        async with ignore_after(timeout):
             await self._leader_known.wait()
 
     def status(self) -> Mapping[str, Any]:
--- a/bitterntiller/components/tunnels/checks.py
+++ b/bitterntiller/components/tunnels/checks.py
@@ -25,6 +25,7 @@
 from bitterntiller.components.tunnels.probes import Prober
 from bitterntiller.components.tunnels.relays import Relays
 from bitterntiller.core.clock import Clock
+from bitterntiller.core.timeouts import ignore_after
 
 
 class CheckResult(StrEnum):
@@ -100,7 +101,7 @@
         """Wait for the end of a check of a path, for SETTLE_SECONDS at most."""
         running = self._running_by_address.get(address)
         if running is not None:
-            async with curio.ignore_after(const.SETTLE_SECONDS):
+            async with ignore_after(const.SETTLE_SECONDS):
                 await running.wait()
 
     async def _async_check(
@@ -206,6 +207,6 @@
 
 async def _async_answered(asking: curio.Task, seconds: float) -> bool:
     """Return whether a probe is answered within some seconds; it goes on if not."""
-    async with curio.ignore_after(seconds):
+    async with ignore_after(seconds):
         return await asking.join()
     return False
--- a/bitterntiller/components/tunnels/client.py
+++ b/bitterntiller/components/tunnels/client.py
@@ -11,6 +11,7 @@
 from bitterntiller.components.tunnels.errors import TunnelError
 from bitterntiller.components.tunnels.stream import TunnelSocket
 from bitterntiller.core.interfaces import Links
+from bitterntiller.core.timeouts import timeout_after
 from bitterntiller.protocol import MalformedMessageError, messages
 
 
@@ -33,7 +34,7 @@
 ) -> TunnelSocket:
     """Return a tunnel through the host at an internal address; raise TunnelError."""
     try:
-        async with curio.timeout_after(const.OPEN_SECONDS):
+        async with timeout_after(const.OPEN_SECONDS):
             return await _async_open(links, relay_address, destination)
     except curio.TaskTimeout:
         text = f"{relay_address} opened no tunnel in {const.OPEN_SECONDS} s"
--- a/bitterntiller/components/tunnels/probes.py
+++ b/bitterntiller/components/tunnels/probes.py
@@ -3,14 +3,13 @@
 from enum import Enum
 from typing import NamedTuple, Protocol
 
-import curio
-
 from bitterntiller.components.http.client import ClientExchange
 from bitterntiller.components.http.errors import IncompleteResponseError
 from bitterntiller.components.http.models import Headers, ResponseHead
 from bitterntiller.components.tunnels import const
 from bitterntiller.components.tunnels.client import Destination
 from bitterntiller.core.interfaces import SentRequest
+from bitterntiller.core.timeouts import ignore_after
 
 
 class ProbeResult(Enum):
@@ -102,7 +101,7 @@
     Interim heads don't put the end of that time off.
     """
     try:
-        async with curio.ignore_after(seconds):
+        async with ignore_after(seconds):
             await client.async_request(
                 "GET", request.target, request.headers, b"", seconds
             )
--- a/bitterntiller/components/tunnels/relayed.py
+++ b/bitterntiller/components/tunnels/relayed.py
@@ -22,6 +22,7 @@
 from bitterntiller.components.tunnels.relays import Relays
 from bitterntiller.core.clock import Clock
 from bitterntiller.core.interfaces import SentRequest
+from bitterntiller.core.timeouts import ignore_after
 
 
 class RelayedConnector:
@@ -158,7 +159,7 @@
         hedge = const.SUSPECT_HEDGE_SECONDS if suspect else const.HEDGE_SECONDS
         try:
             result = None
-            async with curio.ignore_after(hedge):
+            async with ignore_after(hedge):
                 result = await results.get()
             if isinstance(result, ClientExchange):
                 return self._connected(result)
@@ -220,7 +221,7 @@
                 if not pending:
                     raise ConnectRefusedError("; ".join(errors))
                 result = None
-                async with curio.ignore_after(const.HEDGE_SECONDS):
+                async with ignore_after(const.HEDGE_SECONDS):
                     result = await results.get()
                 if result is None:
                     continue
--- a/bitterntiller/components/tunnels/server.py
+++ b/bitterntiller/components/tunnels/server.py
@@ -20,6 +20,7 @@
 from bitterntiller.core.clock import Clock
 from bitterntiller.core.interfaces import Metrics
 from bitterntiller.core.tcp import async_connect, is_closed_by_peer
+from bitterntiller.core.timeouts import ignore_after, timeout_after
 from bitterntiller.core.turns import Turns
 from bitterntiller.protocol import MalformedMessageError, messages
 
@@ -86,7 +87,7 @@
     async def _async_request(self, sock: Any) -> Any:
         """Return the messages.OpenTunnel of a peer, None if it sends something else."""
         try:
-            async with curio.timeout_after(const.REQUEST_TIMEOUT):
+            async with timeout_after(const.REQUEST_TIMEOUT):
                 request = unpack(await async_read_frame(sock)).message
         except (curio.TaskTimeout, OSError, HandshakeError, MalformedMessageError):
             return None
@@ -229,7 +230,7 @@
     rest = memoryview(data)
     while rest:
         sent = len(rest)
-        async with curio.ignore_after(const.CLOSE_CHECK_SECONDS):
+        async with ignore_after(const.CLOSE_CHECK_SECONDS):
             try:
                 await upstream.sendall(rest)
             except curio.TaskTimeout as error:
--- a/bitterntiller/core/tcp.py
+++ b/bitterntiller/core/tcp.py
@@ -8,6 +8,8 @@
 import curio
 from curio import socket
 
+from bitterntiller.core.timeouts import timeout_after
+
 MAX_KEEPALIVE_PROBES = 127
 MAX_KEEPALIVE_IDLE = 32767
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -27,7 +29,7 @@
     family = socket.AF_INET if version == 4 else socket.AF_INET6
     sock = socket.socket(family, socket.SOCK_STREAM)
     try:
-        async with curio.timeout_after(timeout):
+        async with timeout_after(timeout):
             await sock.connect((ip, port))
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     except curio.TaskTimeout:
--- a/tests/scenarios/cut_paths.py
+++ b/tests/scenarios/cut_paths.py
@@ -22,6 +22,8 @@
 import curio
 from curio import io
 
+from bitterntiller.core.timeouts import ignore_after
+
 SILENT = "silent"
 RESET = "reset"
 REFUSE = "refuse"
@@ -127,7 +129,7 @@
             if self._stalled or not self._carries():
                 await curio.sleep(CHECK_SECONDS)
                 continue
-            async with curio.ignore_after(CHECK_SECONDS):
+            async with ignore_after(CHECK_SECONDS):
                 return self._truncated(await super().recv(maxsize, flags))
 
     def _truncated(self, data: bytes) -> bytes:
