Scenarios: a connection behind a proxy is told by both of its ports

What was seen: control-host-cut-for-long failed once on (-n 2 beside other work, load 12 on 8 cores): line 33, the host that is cut off from all others was ready, as it got a lease 10.4 s after it had lost its own. Cause that fits, and is a fault in any case: the proxy looks up which host has connected by the local port alone, over all sockets of the machine. The kernel gives a port to several connections at once, as long as they lead elsewhere. With such a port at an earlier host of the deployment the connection got that host's gate, and passed the cut. Change: the lookup asks for the local and the remote port, which is that of the proxy. That the failed run met such a port is not shown, as the table of sockets of that moment isn't kept. Ruled out: a lookup that finds nobody, whose connection is closed. Conclusion: no bound of a scenario changes; a cut holds for all connections.

--- a/tests/scenarios/deployment.py
+++ b/tests/scenarios/deployment.py
@@ -10,7 +10,7 @@
 from tests.scenarios import builders
 from tests.scenarios.cut_paths import write_cut
 from tests.scenarios.json_lines import read_json_lines
-from tests.scenarios.processes import Process, free_port, log_tail, socket_names_at_port
+from tests.scenarios.processes import Process, free_port, log_tail, socket_names_between
 from tests.scenarios.proxy import Proxy
 
 DAEMON = "bitterntiller.cli.daemon"
@@ -76,7 +76,7 @@
         host = Host(name, options)
         self.hosts_by_name[name] = host
         if proxied:
-            host.proxy = Proxy(host.ports["internal"], self._host_at_port)
+            host.proxy = Proxy(host.ports["internal"], self._find_host)
             self._stack.callback(host.proxy.close)
 
     def start_host(self, name: str) -> None:
@@ -209,8 +209,9 @@
         found = [self.hosts_by_name.get(n) or self.upstreams_by_name[n] for n in names]
         return "\n".join(log_tail(f.process) for f in found if f.process)
 
-    def _host_at_port(self, port: int) -> str:
-        sockets = socket_names_at_port(port)
+    def _find_host(self, local: int, remote: int) -> str:
+        """Return the host that connects from a port to another, empty for none."""
+        sockets = socket_names_between(local, remote)
         for name, host in self.hosts_by_name.items():
             if host.process is not None and host.process.owns_socket(sockets):
                 return name
--- a/tests/scenarios/processes.py
+++ b/tests/scenarios/processes.py
@@ -92,14 +92,22 @@
         return not names.isdisjoint(found)
 
 
-def socket_names_at_port(port: int) -> set[str]:
-    """Return the /proc names of TCP sockets on this machine with a local port."""
+def socket_names_between(local: int, remote: int) -> set[str]:
+    """Return the /proc names of TCP sockets with a local port and a remote one.
+
+    The local port alone doesn't tell connections apart: the kernel gives it to several
+    of them, as long as they lead elsewhere.
+    """
     # The table has thousands of lines on a busy machine, and is read for each new
     # connection of a proxy, so lines are filtered by text before they are split.
-    local = f":{port:04X}"
+    ends = (f":{local:04X}", f":{remote:04X}")
     table = Path("/proc/net/tcp").read_text()
-    lines = (line.split() for line in table.splitlines() if local in line)
-    return {f"socket:[{item[9]}]" for item in lines if item[1].endswith(local)}
+    lines = (line.split() for line in table.splitlines() if ends[0] in line)
+    return {
+        f"socket:[{item[9]}]"
+        for item in lines
+        if item[1].endswith(ends[0]) and item[2].endswith(ends[1])
+    }
 
 
 def log_tail(process: Process, lines: int = 30) -> str:
--- a/tests/scenarios/proxy.py
+++ b/tests/scenarios/proxy.py
@@ -20,9 +20,9 @@
     packets. After the cut the held bytes are forwarded, as TCP would retransmit them.
     """
 
-    def __init__(self, target_port: int, host_at_port: Callable[[int], str]) -> None:
+    def __init__(self, target_port: int, find_host: Callable[[int, int], str]) -> None:
         self._target_port = target_port
-        self._host_at_port = host_at_port
+        self._find_host = find_host
         self._gates_by_peer: dict[str, threading.Event] = {}
         self._sockets: list[socket.socket] = []
         self._listener = socket.create_server(("127.0.0.1", 0))
@@ -90,7 +90,7 @@
         would bypass a cut.
         """
         for _ in range(PEER_LOOKUP_ATTEMPTS):
-            if peer := self._host_at_port(port):
+            if peer := self._find_host(port, self.port):
                 return peer
             time.sleep(PEER_LOOKUP_PAUSE_S)
         return ""
