--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -12,7 +12,10 @@
 
 import pytest
 
-KNOWN_RED = Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
+from tests.alone import marks_alone
+
+TESTS = Path(__file__).resolve().parent
+KNOWN_RED = TESTS.parent / "KNOWN-RED.txt"
 ENDED = (
     pytest.ExitCode.TESTS_FAILED,
     pytest.ExitCode.OK,
@@ -42,13 +45,23 @@
     return next(int(code) for code in ENDED if code in codes)
 
 
+def files_of_alone() -> list[str]:
+    """Return the files with tests marked alone; conftest.py refuses any other file."""
+    return sorted(str(path) for path in TESTS.rglob("*.py") if marks_alone(path))
+
+
 def main() -> int:
-    """Run most tests side by side, then those that must be alone."""
+    """Run most tests side by side, then those that must be alone.
+
+    Unless tests are chosen by arguments, the second part collects only the files that
+    it needs, as the collection of all takes seconds.
+    """
     red = known_red()
     chosen = [*[f"--deselect={test}" for test in red], *sys.argv[1:]]
     workers = str(max(1, (os.cpu_count() or 1) // 2))
     together = ["-m", "not alone", "-n", workers, "--dist", "loadgroup", *chosen]
-    code = run([together, ["-m", "alone", *chosen]])
+    files = [] if sys.argv[1:] else files_of_alone()
+    code = run([together, ["-m", "alone", *chosen, *files]])
     for test in red:
         print(f"known red, passed over: {test}")
     return code
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""What all tests share: how hypothesis chooses its examples, and failures' files."""
+"""What all tests share: hypothesis' examples, marks, and failures' files."""
 
 import os
 from collections.abc import Generator
@@ -7,6 +7,7 @@
 import pytest
 from hypothesis import settings
 
+from tests.alone import MARK, marks_alone
 from tests.failed_tests import keep_files
 
 # The same examples in each run, so that a run's verdict does not hang on chance;
@@ -16,6 +17,23 @@
 settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
 
 
+def check_marks(items: list[pytest.Item]) -> None:
+    """Refuse a test that would run in no part of the test command."""
+    alone = (item for item in items if item.get_closest_marker(MARK))
+    hidden = [item.nodeid for item in alone if not marks_alone(item.path)]
+    if hidden:
+        raise pytest.UsageError(f"marked {MARK}, but not in its file: {hidden}")
+
+
+@pytest.hookimpl(wrapper=True)
+def pytest_collection_modifyitems(
+    items: list[pytest.Item],
+) -> Generator[None, None, None]:
+    """Check marks before the choice of a part takes tests away."""
+    check_marks(items)
+    yield
+
+
 @pytest.hookimpl(wrapper=True)
 def pytest_runtest_makereport(
     item: pytest.Item, call: pytest.CallInfo
