Quota simulation: the hosts of a counting host are counted as they change

Change: the count is kept, and changes where a host's counting host does. The map of hosts is private now, so that nothing passes the count by.

--- a/tests/components/entry/quota_hosts.py
+++ b/tests/components/entry/quota_hosts.py
@@ -43,7 +43,9 @@
         self.window = window
         self.config = Config(1, {}, {}, {owner.name: owner}, {})
         self.counter_by_name = {COUNTER: QuotaCounter(window)}
-        self.counter_by_host = dict.fromkeys(range(hosts), COUNTER)
+        self._counter_by_host = dict.fromkeys(range(hosts), COUNTER)
+        # Counted as hosts change, since each request and report needs the number.
+        self._host_count_by_counter = Counter({COUNTER: hosts})
         self.accounts = [QuotaAccount(self.clock, window) for _ in range(hosts)]
         self._ids = itertools.count(1)
 
@@ -60,14 +62,16 @@
 
     def basis(self, name: str) -> QuotaContext:
         """Return the configuration and the fraction of hosts that report to a host."""
-        counted = Counter(self.counter_by_host.values())[name]
+        counted = self._host_count_by_counter[name]
         return QuotaContext(self.config, counted / len(self.accounts))
 
     def replace_counter(self, name: str, hosts: list[int] | None = None) -> None:
         """Make some hosts, or all of them, use another counting host."""
         self.counter_by_name.setdefault(name, QuotaCounter(self.window))
         for host in range(len(self.accounts)) if hosts is None else hosts:
-            self.counter_by_host[host] = name
+            self._host_count_by_counter[self._counter_by_host[host]] -= 1
+            self._host_count_by_counter[name] += 1
+            self._counter_by_host[host] = name
 
     def ask(
         self,
@@ -97,7 +101,7 @@
             else retry_fingerprint,
             kind=kind,
         )
-        name = self.counter_by_host[host]
+        name = self._counter_by_host[host]
         counter, now = self.counter_by_name[name], self.clock.now()
         decision = counter.decide(ask, self.basis(name), now)
         return ask if decision is None else self.take(decision, name)
@@ -137,7 +141,7 @@
             self._report(host)
 
     def _report(self, host: int) -> None:
-        name = self.counter_by_host[host]
+        name = self._counter_by_host[host]
         counter, account = self.counter_by_name[name], self.accounts[host]
         now = self.clock.now()
         report = account.unacknowledged(name)
@@ -145,7 +149,7 @@
             counter.ledger.record_usage(used.workspace, used.amount, used.age, now)
         counter.ledger.set_held(str(host), report.held_by_workspace)
         counter.settle(str(host), report.settled, now)
-        hosts = Counter(self.counter_by_host.values())[name]
+        hosts = self._host_count_by_counter[name]
         lent = counter.lend(
             str(host), list(report.held_by_workspace), hosts, self.basis(name), now
         )
