Queue sizes: a test simulates its own cell, not all five

Cause: a fixture simulated all five cells with ten seeds, 50 simulations, also for the two cells that the test command runs (three stand in KNOWN-RED.txt), and kept the five tests on one worker. Change: each test simulates its cell with its ten seeds; the tests may run in different workers. Conclusion: the same cells, seeds and bound; a cell that leaves KNOWN-RED.txt costs its own time again.

--- a/tests/bench/test_queue_sizes.py
+++ b/tests/bench/test_queue_sizes.py
@@ -24,8 +24,6 @@
 from bench.routed.score import RunScore
 from bench.routed.simulation import simulate
 
-pytestmark = pytest.mark.xdist_group("queue-sizes")
-
 SEEDS = range(101, 111)
 MIN_RATIO = 0.85
 """Large and small requests must be served within a tenth of each other; the mean of ten
@@ -40,21 +38,18 @@
 )
 
 
-@pytest.fixture(scope="module")
-def scores() -> dict[tuple[str, str], list[RunScore]]:
+def simulate_cell(cell: tuple[str, str]) -> list[RunScore]:
+    """Simulate a cell with each seed."""
     with ProcessPoolExecutor(2) as pool:
-        futures = {
-            cell: [pool.submit(simulate, *cell, seed, {}) for seed in SEEDS]
-            for cell in CELLS
-        }
-        return {cell: [item.result() for item in futures[cell]] for cell in CELLS}
+        futures = [pool.submit(simulate, *cell, seed, {}) for seed in SEEDS]
+        return [item.result() for item in futures]
 
 
 @pytest.mark.timeout(300)
 @pytest.mark.parametrize("cell", CELLS, ids="-".join)
-def test_largest_tenth_of_a_kind_is_served_like_the_whole_kind(scores, cell):
+def test_largest_tenth_of_a_kind_is_served_like_the_whole_kind(cell):
     """Guards against refusing large requests, or serving them late, more often."""
-    cell_scores = scores[cell]
+    cell_scores = simulate_cell(cell)
     for kind in cell_scores[0].sizes:
         largest = mean(item.sizes[kind][0] for item in cell_scores)
         whole = mean(item.sizes[kind][1] for item in cell_scores)
