Soak: engines send without end, and their connections must be closed in time

Change: the kind `endless-engine` lets one or two engines of streams or calls send interim heads, chunks, a body of 10 GB, a body without length, comments or events, fast or slow, for 2 to 6 s. The bytes and orders are those of tests/platform/endless_bytes.py and endless_engine.py; a process of its own sends them (endless_sender.py), as a thread among the callers' saw a close late. New check `endless-answers-closed`: the host closes the connection within 0.2 s of the deadline that the request stated, and BUSY_SLACK; a host that is frozen then, once it goes on.

Callers read by block and not by line: they must be faster than the engines, and a long line is not kept whole. A body that breaks off raises now, also one with a length, or chunked without any chunk, which read like ones that end. A sound engine that is asked to go on behind the end of a stream breaks off.

tests/soak/test_soak.py plays the new kind for 20 s.

Ruled out: a check of each host's frozen time by host (the engine doesn't know which host a connection is from; any entry host's freeze counts).

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -7,6 +7,8 @@
 from soak.troubles import Applied
 from tests.platform.callers import Response, refused_as_wrong
 from tests.platform.crashing_parts import CRASHES_ALLOWED, SOUND, Sent
+from tests.platform.endless_engine import Held
+from tests.platform.endless_responses import BUSY_SLACK, CLOSED_WITHIN
 from tests.platform.silent_callers import Answer
 from tests.platform.soak_fleet import CALL_ATTEMPTS, PINS, STREAM_ATTEMPTS
 from tests.platform.soak_operator import Acknowledged
@@ -30,6 +32,9 @@
 STOPS = frozenset({Kind.STOP_ENTRY})
 """Kinds of troubles that end the process of an entry host, and with it its answers."""
 
+MAX_BEYOND = CLOSED_WITHIN + BUSY_SLACK
+"""Longest time in seconds after its deadline that a connection to an engine is open."""
+
 LOG_SECONDS = 0.5
 """Time in which a host writes a line to its log."""
 
@@ -75,7 +80,8 @@
     at is on the same clock), crashes and arrivals the ends of engines under a bad part
     and the requests with it. answers are those of long streams, broken_off the requests
     whose streams an engine broke off or ended under, and cut_lines by host the requests
-    whose responses its log calls cut. calm is when the last trouble had ended. used has
+    whose responses its log calls cut. held are the connections to engines that sent
+    bytes without end. calm is when the last trouble had ended. used has
     how many requests each serving engine got once there were more than fit into all
     slots.
     """
@@ -86,6 +92,7 @@
     answers: Sequence[Answer]
     broken_off: frozenset[str]
     cut_lines: Mapping[str, frozenset[str]]
+    held: Sequence[Held]
     prompts: Sequence[Sent]
     crashes: Sequence[float]
     arrivals: Sequence[float]
@@ -214,6 +221,27 @@
     )
 
 
+def endless_answers_closed(found: Evidence) -> Iterable[str]:
+    """A connection to an engine that sends without end is closed at its deadline.
+
+    A host that was frozen then closes it once it goes on.
+    """
+    frozen = sorted(
+        (item.began, item.ended)
+        for item in found.applied
+        if item.trouble.kind is Kind.FREEZE_ENTRY
+    )
+    for held in found.held:
+        due = held.deadline
+        for began, ended in frozen:
+            if began <= due + MAX_BEYOND:
+                due = max(due, ended)
+        beyond = held._replace(deadline=due).beyond(found.ended)
+        if beyond > MAX_BEYOND:
+            state = "open" if held.closed is None else "closed"
+            yield f"{held.request_id} was {state} {beyond:.2f} s after its deadline"
+
+
 def bad_parts_kept_away(found: Evidence) -> Iterable[str]:
     """Few requests with a part that crashed five engines reach any more.
 
@@ -319,6 +347,7 @@
     streams_whole,
     answers_not_cut,
     cuts_logged,
+    endless_answers_closed,
     bad_parts_kept_away,
     hosts_recover,
     engines_used,
--- a/soak/run.py
+++ b/soak/run.py
@@ -55,6 +55,7 @@
             engine.name: engine.requests_since(filled)
             for engine in (*fleet.engines, *fleet.plain)
         }
+        held = [item for engine in fleet.ordered_engines for item in engine.held]
     evidence = Evidence(
         runs=Counter(item for engine in fleet.all_engines for item in engine.requests),
         calls=[
@@ -68,6 +69,7 @@
         cut_lines={
             ip: _requests_cut(fleet.process_by_ip[ip].log) for ip in fleet.entry_ips
         },
+        held=held,
         prompts=load.prompts.sent,
         crashes=fleet.crashes,
         arrivals=fleet.arrivals,
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from tests.platform.soak_endless import ORDERS_BY_MODE
 from tests.scenarios.cut_paths import MODES, REFUSE, RESET, SILENT
 
 
@@ -34,6 +35,7 @@
     HOT_HOST = "hot-host"
     CONFIGURE = "configure"
     CONFIGURE_BADLY = "configure-badly"
+    ENDLESS_ENGINE = "endless-engine"
 
 
 FIRST_SECONDS = 4.0
@@ -71,11 +73,25 @@
     Kind.HOT_HOST: (3.0, 8.0),
     Kind.CONFIGURE: (0.0, 0.0),
     Kind.CONFIGURE_BADLY: (0.0, 0.0),
+    Kind.ENDLESS_ENGINE: (2.0, 6.0),
 }
 """Shortest and longest time in seconds; 0 for what happens at one moment."""
 
-_SEVERAL = {Kind.CUT_PEERS, Kind.CUT_ENGINES, Kind.FREEZE_ENTRY, Kind.KILL_ENTRY}
-"""Kinds that may befall several entry hosts at once."""
+_SEVERAL = {
+    Kind.CUT_PEERS,
+    Kind.CUT_ENGINES,
+    Kind.FREEZE_ENTRY,
+    Kind.KILL_ENTRY,
+    Kind.ENDLESS_ENGINE,
+}
+"""Kinds that may befall several entry hosts, or engines, at once."""
+
+_MODES_BY_KIND: dict[Kind, list[str]] = {
+    Kind.CUT_PEERS: [SILENT, RESET, REFUSE],
+    Kind.CUT_ENGINES: sorted(MODES),
+    Kind.ENDLESS_ENGINE: list(ORDERS_BY_MODE),
+}
+"""How a path is cut, or which bytes an engine sends and how fast."""
 
 PAUSED_AT_ONCE = (1, 3, 6)
 """How many engines may be paused at once; silence of all of them is the worst case."""
@@ -85,7 +101,8 @@
     """One disturbance; at and seconds are times of the run.
 
     targets are numbers of hosts or engines, taken modulo how many there are. mode is
-    how a path is cut, empty otherwise; value is a share or a factor.
+    how a path is cut or what an engine sends, empty otherwise; value is a share or a
+    factor.
     """
 
     at: float
@@ -148,9 +165,8 @@
 
 
 def _mode(rng: random.Random, kind: Kind) -> str:
-    if kind is Kind.CUT_PEERS:
-        return rng.choice((SILENT, RESET, REFUSE))
-    return rng.choice(sorted(MODES)) if kind is Kind.CUT_ENGINES else ""
+    modes = _MODES_BY_KIND.get(kind)
+    return rng.choice(modes) if modes else ""
 
 
 def pairs(troubles: Iterable[Trouble]) -> set[frozenset[Kind]]:
--- a/soak/troubles.py
+++ b/soak/troubles.py
@@ -4,14 +4,15 @@
 import signal
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import ExitStack, contextmanager
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeVar
 
 from soak.load import SoakLoad
 from soak.schedule import Kind, Trouble
 from tests.platform.crashing_parts import BAD, CrashingEngine
 from tests.platform.processes import ENGINE_PORT, Engine
+from tests.platform.soak_endless import ORDERS_BY_MODE
 from tests.platform.soak_fleet import LIMIT_PER_SECOND, PlainEngine, SoakFleet
 from tests.platform.stream_versions import INTERNAL_PORT
 
@@ -55,6 +56,16 @@
         return self.trouble.kind in HOST_KINDS
 
 
+Item = TypeVar("Item")
+
+
+def _chosen(items: Sequence[Item], trouble: Trouble) -> list[Item]:
+    """Return the targets of a trouble, each once."""
+    if not items:
+        return []
+    return [items[n] for n in dict.fromkeys(n % len(items) for n in trouble.targets)]
+
+
 class Troubles:
     """Plays a schedule; each trouble has a thread of its own.
 
@@ -90,11 +101,12 @@
             Kind.LIMIT_ENGINE: self._limit_engine,
             Kind.BREAK_STREAMS: self._break_streams,
             Kind.CLOSE_DELIMITED: self._close_delimited,
-            Kind.PAUSE_ENGINE: self._pause_engine,
+            Kind.PAUSE_ENGINE: self._pause_engines,
             Kind.BAD_PART: self._bad_part,
             Kind.HOT_HOST: self._hot_host,
             Kind.CONFIGURE: self._configure,
             Kind.CONFIGURE_BADLY: self._configure_badly,
+            Kind.ENDLESS_ENGINE: self._endless_engines,
         }
 
     def play(self, schedule: tuple[Trouble, ...]) -> None:
@@ -137,25 +149,27 @@
         return (ips[trouble.targets[0] % len(ips)],)
 
     def _engine(self, trouble: Trouble) -> CrashingEngine | None:
-        engines = list(self._fleet.engines)
-        return engines[trouble.targets[0] % len(engines)] if engines else None
+        engines = self._engines(trouble)
+        return engines[0] if engines else None
+
+    def _engines(self, trouble: Trouble) -> list[CrashingEngine]:
+        return _chosen(list(self._fleet.engines), trouble)
 
-    def _plain(self, trouble: Trouble) -> PlainEngine:
-        engines = self._fleet.plain
-        return engines[trouble.targets[0] % len(engines)]
+    def _plain(self, trouble: Trouble) -> list[PlainEngine]:
+        return _chosen(self._fleet.plain, trouble)
 
     def _set_for_a_while(
-        self, engine: Engine | None, trouble: Trouble, **attributes: Any
+        self, engines: Sequence[Engine], trouble: Trouble, **attributes: Any
     ) -> tuple[str, ...]:
-        """Set attributes of an engine during a trouble, then those of its class."""
-        if engine is None:
-            return ()
-        for name, value in attributes.items():
-            setattr(engine, name, value)
+        """Set attributes of engines during a trouble, then those of their class."""
+        for engine in engines:
+            for name, value in attributes.items():
+                setattr(engine, name, value)
         time.sleep(trouble.seconds)
-        for name in attributes:
-            vars(engine).pop(name, None)
-        return (engine.name,)
+        for engine in engines:
+            for name in attributes:
+                vars(engine).pop(name, None)
+        return tuple(sorted(engine.name for engine in engines))
 
     def _kill(self, trouble: Trouble, ips: tuple[str, ...]) -> tuple[str, ...]:
         with self._holding(ips, trouble.seconds) as held:
@@ -270,21 +284,20 @@
 
     def _break_streams(self, trouble: Trouble) -> tuple[str, ...]:
         breaks = trouble.value
-        return self._set_for_a_while(self._engine(trouble), trouble, breaks=breaks)
+        return self._set_for_a_while(self._engines(trouble), trouble, breaks=breaks)
 
     def _close_delimited(self, trouble: Trouble) -> tuple[str, ...]:
-        engine = self._engine(trouble)
-        return self._set_for_a_while(engine, trouble, close_delimited=True)
+        engines = self._engines(trouble)
+        return self._set_for_a_while(engines, trouble, close_delimited=True)
 
-    def _pause_engine(self, trouble: Trouble) -> tuple[str, ...]:
-        engines = list(self._fleet.engines)
-        chosen = {engines[n % len(engines)] for n in trouble.targets if engines}
-        for engine in chosen:
-            engine.paused = True
-        time.sleep(trouble.seconds)
-        for engine in chosen:
-            engine.paused = False
-        return tuple(sorted(engine.name for engine in chosen))
+    def _pause_engines(self, trouble: Trouble) -> tuple[str, ...]:
+        return self._set_for_a_while(self._engines(trouble), trouble, paused=True)
+
+    def _endless_engines(self, trouble: Trouble) -> tuple[str, ...]:
+        engines: list[Engine] = [*self._fleet.engines, *self._fleet.plain]
+        orders = ORDERS_BY_MODE[trouble.mode]
+        chosen = _chosen(engines, trouble)
+        return self._set_for_a_while(chosen, trouble, orders=orders)
 
     def _bad_part(self, trouble: Trouble) -> tuple[str, ...]:
         self._fleet.bad_parts = frozenset({BAD})
--- a/tests/platform/callers.py
+++ b/tests/platform/callers.py
@@ -14,6 +14,8 @@
 HOST = "trees.example"
 PAUSE_SECONDS = 0.005
 PART_PAUSE_SECONDS = 0.001
+READ_BYTES = 64 * 1024
+"""Bytes of a body that are read at a time; further ones are not kept."""
 
 
 class Response(NamedTuple):
@@ -116,7 +118,7 @@
                 encode_chunked="Transfer-Encoding" in framing,
             )
             response = connection.getresponse()
-            text = response.read()
+            text = _read(response)
             status, reusable = response.status, not response.will_close
         except (TimeoutError, OSError, http.client.HTTPException):
             reusable = False
@@ -127,6 +129,17 @@
         return reusable
 
 
+def _read(response: http.client.HTTPResponse) -> bytes:
+    """Return the body, of a long one the first bytes; raise IncompleteRead."""
+    text = b""
+    while data := response.read(READ_BYTES):
+        if len(text) < READ_BYTES:
+            text += data
+    if response.length:
+        raise http.client.IncompleteRead(text, response.length)
+    return text
+
+
 def refused_as_wrong(responses: list[Response]) -> list[Response]:
     """Return the responses that call a proper request wrong.
 
--- a/tests/platform/crashing_parts.py
+++ b/tests/platform/crashing_parts.py
@@ -31,6 +31,7 @@
     StreamFleet,
     leave_alone,
     print_row,
+    read_lines,
     restart_in_turn,
 )
 from tests.scenarios.cut_paths import SILENT
@@ -79,7 +80,7 @@
             return
         parts = _parts(handler.headers.get("X-Prefix-Hash", ""))
         if handler.path == HEALTH_PATH or not self.fleet.bad_parts.intersection(parts):
-            super().respond(handler)
+            self.respond_soundly(handler)
             return
         at = time.monotonic()
         handler.rfile.read(int(handler.headers.get("Content-Length", 0)))
@@ -97,6 +98,10 @@
         self.fleet.record_crash(self, at)
         self._reset(handler)
 
+    def respond_soundly(self, handler: BaseHTTPRequestHandler) -> None:
+        """Respond to a request without a bad part."""
+        super().respond(handler)
+
     def end(self) -> None:
         """End at once: refuse connections and reset those that are open."""
         self._stopped.set()
@@ -280,7 +285,7 @@
         status = response.status
         value = response.headers.get("Retry-After")
         retry_after = None if value is None else float(value)
-        while line := response.readline():
+        for line in read_lines(response):
             begun = begun or line.startswith(b"id: ")
             if status != OK:
                 text += line
--- a/tests/platform/endless_bytes.py
+++ b/tests/platform/endless_bytes.py
@@ -58,12 +58,21 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
-def response_pieces(kind: Response, request_id: str, slow: bool) -> Iterator[bytes]:
-    """Yield the pieces of a response without end; slow ones are of one unit each."""
+def response_pieces(
+    kind: Response,
+    request_id: str,
+    slow: bool,
+    after: int = 0,
+    data: bytes = b"leaf",
+) -> Iterator[bytes]:
+    """Yield the pieces of a response without end; slow ones are of one unit each.
+
+    Events hold the data, and their ids follow after.
+    """
     if kind is Response.LOST:
         return iter(())
     if kind is Response.EVENTS:
-        return _events(request_id, slow)
+        return _events(request_id, slow, after, data)
     return pieces(_response(kind, request_id), slow)
 
 
@@ -80,13 +89,13 @@
     yield from itertools.repeat(endless.unit * times)
 
 
-def _events(request_id: str, slow: bool) -> Iterator[bytes]:
+def _events(request_id: str, slow: bool, after: int, data: bytes) -> Iterator[bytes]:
     """Yield proper events with increasing ids."""
     yield _head(request_id, *EVENT_STREAM)
     size = 1 if slow else 1000
-    for first in itertools.count(1, size):
+    for first in itertools.count(after + 1, size):
         yield b"".join(
-            chunk(b"id: %d\ndata: leaf\n\n" % number)
+            chunk(b"id: %d\ndata: %s\n\n" % (number, data))
             for number in range(first, first + size)
         )
 
--- a/tests/platform/silent_callers.py
+++ b/tests/platform/silent_callers.py
@@ -13,6 +13,7 @@
 from tests.platform.crashing_parts import OTHER_KEY
 from tests.platform.engine_process import BODY, is_closed
 from tests.platform.processes import ENTRY_PORT
+from tests.platform.stream_versions import read_lines
 
 DEADLINE_MS = 11_000
 GAP_SECONDS = 4.0
@@ -187,10 +188,9 @@
         response = connection.getresponse()
         status = response.status
         if status == OK and kind.streams:
-            while line := response.readline():
+            for line in read_lines(response):
                 events += line.startswith(b"id: ")
-            # A chunked response that breaks off reads like one that ends.
-            whole = response.chunk_left is None and events == count
+            whole = events == count
         else:
             whole = response.read() == BODY
         usable = not response.will_close and response.isclosed()
--- a/tests/platform/soak_fleet.py
+++ b/tests/platform/soak_fleet.py
@@ -5,17 +5,21 @@
 import shutil
 import time
 from collections.abc import Callable
+from email.message import Message
 from pathlib import Path
-from typing import Any
+from typing import Any, Self
 
 from tests.platform.builders import KEY, document, route
 from tests.platform.crashing_parts import OTHER_KEY, CrashingEngine, CrashingFleet
-from tests.platform.processes import SERVICE, SUBNET, Engine
+from tests.platform.endless_sender import PAUSE_POLL_SECONDS, Sender
+from tests.platform.processes import HEALTH_PATH, SERVICE, SUBNET, Engine
+from tests.platform.soak_endless import OrderedEngine
 from tests.platform.stream_versions import (
     DEADLINE_MS,
     OLD,
     STREAM_SERVICE,
     VERSIONS,
+    asked_events,
 )
 
 STREAM_ENGINES = 6
@@ -27,7 +31,6 @@
 STREAMS, TILES, PINS, EXTRA = "/trees/", "/tiles/", "/pins/", "/extra/"
 STREAM_ATTEMPTS = 3
 CALL_ATTEMPTS = 2
-PAUSE_POLL_SECONDS = 0.01
 LIMIT_HEADER = "Server-Limit"
 LIMIT_PER_SECOND = 20.0
 CALL_TIMEOUT_MS = 4000
@@ -53,7 +56,7 @@
         return getattr(self._file, name)
 
 
-class SoakEngine(CrashingEngine):
+class SoakEngine(OrderedEngine, CrashingEngine):
     """An engine of streams with few slots, so that a few requests fill all of them.
 
     While it is paused, it is to others like a process that is: the kernel accepts
@@ -61,7 +64,6 @@
     """
 
     slots = 3
-    paused = False
 
     def respond(self, handler: http.server.BaseHTTPRequestHandler) -> None:
         """Respond like other engines, and keep which streams broke off as it ended."""
@@ -76,6 +78,19 @@
             if self.ended:
                 self.broken_off.add(handler.headers.get("X-Attempt-Id", ""))
 
+    def respond_soundly(self, handler: http.server.BaseHTTPRequestHandler) -> None:
+        """Respond like other engines, or send without end if there are orders to."""
+        headers = handler.headers
+        expected = headers.get("X-Expected-Instance", self.name)
+        is_run = handler.path != HEALTH_PATH and expected == self.name
+        if is_run and self.orders is not None:
+            self.send_on(handler, self.orders)
+        elif is_run and _is_beyond_its_end(headers):
+            self.record_request(headers["X-Attempt-Id"])
+            self.break_off(handler)
+        else:
+            super().respond_soundly(handler)
+
     def _wait_while_paused(self) -> None:
         while self.paused and not self.ended:
             time.sleep(PAUSE_POLL_SECONDS)
@@ -85,7 +100,12 @@
         return not self.paused
 
 
-class PlainEngine(Engine):
+def _is_beyond_its_end(headers: Message) -> bool:
+    """Return whether a request resumes a stream behind the last event it asks for."""
+    return int(headers.get("Last-Event-Id", 0)) > asked_events(headers)
+
+
+class PlainEngine(OrderedEngine):
     """An engine of calls; slow is the time in seconds that each takes longer."""
 
     slots = 2
@@ -94,6 +114,9 @@
 
     def respond(self, handler: http.server.BaseHTTPRequestHandler) -> None:
         """Respond later than other engines, and name a limit of requests."""
+        if self.orders is not None and handler.path != HEALTH_PATH:
+            self.send_on(handler, self.orders)
+            return
         time.sleep(self.slow)
         if self.limit:
             send = handler.end_headers
@@ -123,6 +146,11 @@
         self.stream_engines: list[SoakEngine] = []
         self._configuration = configuration(self.version, extra=False)
 
+    def __enter__(self) -> Self:
+        self._sender = Sender()
+        self._stack.callback(self._sender.close)
+        return super().__enter__()
+
     def add_all_engines(self) -> None:
         """Start the engines of both services and wait until each stream one serves."""
         self.add_engines(STREAM_ENGINES)
@@ -137,6 +165,8 @@
         """Close an engine on exit, and keep what it saw."""
         super().own(engine)
         self.all_engines.append(engine)
+        if isinstance(engine, OrderedEngine):
+            engine.sender = self._sender
         if isinstance(engine, SoakEngine):
             self.stream_engines.append(engine)
 
@@ -174,6 +204,11 @@
         time.sleep(seconds)
         process.start()
 
+    @property
+    def ordered_engines(self) -> list[OrderedEngine]:
+        """All engines, also those that have ended."""
+        return [*self.stream_engines, *self.plain]
+
     @property
     def processes_left(self) -> list[str]:
         """The hosts whose process has not ended."""
--- a/tests/platform/stream_versions.py
+++ b/tests/platform/stream_versions.py
@@ -12,8 +12,9 @@
 import threading
 import time
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from email.message import Message
 from http.server import BaseHTTPRequestHandler
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -47,6 +48,9 @@
 ATTEMPTS = 6
 ATTEMPT_PAUSE = 0.1
 READ_TIMEOUT = 3.0
+READ_BYTES = 64 * 1024
+"""Bytes that are read at a time; a longer line comes in parts."""
+
 OK = 200
 MISDIRECTED = 421
 
@@ -86,7 +90,7 @@
             return
         after = int(headers.get("Last-Event-Id", 0))
         self.record_request(headers["X-Attempt-Id"])
-        left = _events(headers.get("X-Token-Usage", "")) - after
+        left = asked_events(headers) - after
         cut = random.randrange(left) if left and random.random() < self.breaks else None
         time.sleep(FIRST_PAUSE)
         handler.send_response(OK)
@@ -100,9 +104,7 @@
         handler.close_connection = not framed
         for sent in range(left):
             if sent == cut or self.ended:
-                self.broken_off.add(headers["X-Attempt-Id"])
-                handler.connection.shutdown(socket.SHUT_RDWR)
-                handler.close_connection = True
+                self.break_off(handler)
                 return
             event = f"id: {after + sent + 1}\ndata: {self.version}\n\n".encode()
             if framed:
@@ -112,6 +114,12 @@
         if framed:
             handler.wfile.write(b"0\r\n\r\n")
 
+    def break_off(self, handler: BaseHTTPRequestHandler) -> None:
+        """Close the connection of a stream before its end."""
+        self.broken_off.add(handler.headers["X-Attempt-Id"])
+        handler.connection.shutdown(socket.SHUT_RDWR)
+        handler.close_connection = True
+
 
 class StreamFleet(CutFleet):
     """A fleet whose versions may serve side by side, without an order."""
@@ -337,15 +345,15 @@
         connection.request("POST", "/trees/1", b"{}", headers)
         response = connection.getresponse()
         status = response.status
+        lines = read_lines(response)
         while status == OK and (leave_after is None or len(events) < leave_after):
-            line = response.readline()
-            if not line:
-                # A chunked response that breaks off reads like one that ends.
-                done = not response.chunked or response.chunk_left is None
+            line = next(lines, None)
+            if line is None:
+                done = True
                 break
             if line.startswith(b"id: "):
                 number = int(line[4:])
-                version = response.readline()[6:].decode().strip()
+                version = next(lines, b"")[6:].decode().strip()
                 first = first or time.monotonic() - at
                 events.append((number, version))
     except (OSError, http.client.HTTPException, ValueError):
@@ -355,9 +363,29 @@
     return Take(ip, after, status, tuple(events), done, first)
 
 
-def _events(usage: str) -> int:
+def read_lines(response: http.client.HTTPResponse) -> Iterator[bytes]:
+    """Yield the lines of a body, a long one in parts; raise IncompleteRead.
+
+    Callers must be faster than upstreams that send without end, and reading by line is
+    slow.
+    """
+    rest = b""
+    while data := response.read1(READ_BYTES):
+        *lines, rest = (rest + data).split(b"\n")
+        for line in lines:
+            yield line + b"\n"
+        if len(rest) > READ_BYTES:
+            yield rest
+            rest = b""
+    if response.length:
+        raise http.client.IncompleteRead(rest, response.length)
+    if rest:
+        yield rest
+
+
+def asked_events(headers: Message) -> int:
     """Return how many events a request asks for: the second number of its usage."""
-    count = usage.partition(",")[2]
+    count = headers.get("X-Token-Usage", "").partition(",")[2]
     return int(count) if count else EVENTS
 
 
--- a/tests/soak/builders.py
+++ b/tests/soak/builders.py
@@ -8,6 +8,7 @@
 from soak.troubles import Applied
 from tests.platform.callers import Response
 from tests.platform.crashing_parts import Sent
+from tests.platform.endless_engine import Held
 from tests.platform.silent_callers import Answer, Kind
 from tests.platform.soak_fleet import PINS
 from tests.platform.stream_versions import EVENTS, Stream, Take
@@ -24,6 +25,7 @@
         "answers": [],
         "broken_off": frozenset(),
         "cut_lines": {},
+        "held": [],
         "prompts": [],
         "crashes": [],
         "arrivals": [],
@@ -74,6 +76,15 @@
     return broken._replace(**changes)
 
 
+def held(beyond: float | None) -> Held:
+    """Return a connection with bytes without end, its deadline at 106.0.
+
+    It was open for so many seconds after that, or is open still.
+    """
+    closed = None if beyond is None else 106.0 + beyond
+    return Held("s1", 104.0, 106.0, closed)
+
+
 def refused_stream() -> Stream:
     """Return a stream that did not begin."""
     return Stream(105.0, (Take("127.0.0.9", 0, 503, (), False, None),))
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -31,6 +31,8 @@
 KILLED_LATER = build.applied(Kind.KILL_ENTRY, 107.0, 108.0, HERE)
 KILLED_ELSEWHERE = build.applied(Kind.KILL_ENTRY, 104.9, 106.0, ("127.0.0.8",))
 PAUSED = build.applied(Kind.PAUSE_ENGINE, 103.0, 104.5, ("e1",))
+FROZEN = build.applied(Kind.FREEZE_ENTRY, 105.0, 107.0)
+FROZEN_LATER = build.applied(Kind.FREEZE_ENTRY, 106.8, 107.5)
 CUT = {"answers": [build.answer()], "cut_lines": LOGGED}
 KNOWN = [Acknowledged(10.0, 3), Acknowledged(20.0, 5)]
 
@@ -57,6 +59,12 @@
     "cut by a stopped host": {**CUT, "applied": [STOPPED]},
     "cut with its paths": {**CUT, "applied": [SILENT_PATHS]},
     "cut by a killed host": {**CUT, "cut_lines": {}, "applied": [KILLED_HERE]},
+    "endless answer closed at its deadline": {"held": [build.held(0.1)]},
+    "endless answer closed by its caller": {"held": [build.held(-1.5)]},
+    "endless answer of a frozen host": {
+        "held": [build.held(1.4)],
+        "applied": [FROZEN],
+    },
     "few late arrivals": {**LATE, "arrivals": [70.0] * MAX_LATE},
     "late arrivals of disturbed hosts": {**LATE, "applied": [KILLED]},
     "refused in trouble": {"calls": many(status=503, text=b"", at=90.0)},
@@ -127,6 +135,22 @@
             "broken_off": frozenset({"s1"}),
         },
     ),
+    "endless answer closed late": (
+        "endless-answers-closed",
+        {"held": [build.held(0.6)]},
+    ),
+    "endless answer open at the end": (
+        "endless-answers-closed",
+        {"held": [build.held(None)]},
+    ),
+    "endless answer closed late after a frozen host went on": (
+        "endless-answers-closed",
+        {"held": [build.held(1.6)], "applied": [FROZEN]},
+    ),
+    "endless answer closed late before a host was frozen": (
+        "endless-answers-closed",
+        {"held": [build.held(0.9)], "applied": [FROZEN_LATER]},
+    ),
     "late arrivals": ("bad-parts-kept-away", LATE),
     "many late arrivals of a disturbed host": (
         "bad-parts-kept-away",
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,7 +7,7 @@
 from soak.__main__ import EXIT_USAGE, main
 from soak.checks import findings
 from soak.run import run
-from soak.schedule import draw
+from soak.schedule import Kind, draw
 
 pytestmark = pytest.mark.xdist_group("soak")
 
@@ -22,6 +22,14 @@
     assert findings(evidence) == []
 
 
+def test_promises_hold_while_engines_send_without_end(tmp_path: Path):
+    """Hosts kept connections to such engines open beyond the deadlines."""
+    schedule = draw(SEED, SECONDS, [Kind.ENDLESS_ENGINE])
+    evidence, _ = run(schedule, SEED, HOSTS, tmp_path)
+    assert evidence.held
+    assert findings(evidence) == []
+
+
 @pytest.mark.parametrize(
     ("arguments", "named"),
     [
