Soak: a stream without framing that its engine broke off needs no line as cut

Cause: `cuts-logged` asked for a line of each answer that lacks events, also where an engine that is told to send neither length nor chunks (`close-delimited`) broke its stream off between two events, or ended. Its host can't tell that from the end and ends the answer in order, as `streams-whole` allows for the same reason.

Change: no line is asked for if three things hold: the answer has the end that its framing calls for, its engine broke it off or ended under it, and engines were told to leave out framing meanwhile. Three cases in which one of them is missing still fail the check; they and the one that holds are new in tests/soak/test_checks.py.

Ruled out: that such an answer should be cut: nothing tells its host.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -193,11 +193,17 @@
 
 
 def cuts_logged(found: Evidence) -> Iterable[str]:
-    """Each answer that breaks off has a line in the log of its host, unless killed."""
+    """Each answer that breaks off has a line in the log of its host, unless killed.
+
+    Where an engine breaks one off that has neither length nor chunks, its host can't
+    know, and ends it in order.
+    """
     for answer in found.answers:
         lines = found.cut_lines.get(answer.ip, frozenset())
         if not answer.broken or answer.request_id in lines:
             continue
+        if answer.complete and _is_broken_off_unframed(found, answer):
+            continue
         if not any(
             item.trouble.kind in KILLS and _befalls(item, answer)
             for item in found.applied
@@ -205,6 +211,16 @@
             yield f"{answer.request_id} after {answer.events} events at {answer.ip}"
 
 
+def _is_broken_off_unframed(found: Evidence, answer: Answer) -> bool:
+    """Return whether an engine broke an answer off that may have had no framing."""
+    return answer.request_id in found.broken_off and any(
+        item.trouble.kind is Kind.CLOSE_DELIMITED
+        and item.began <= answer.ended
+        and answer.at <= item.ended
+        for item in found.applied
+    )
+
+
 def _interrupts(item: Applied, answer: Answer) -> bool:
     """Return whether a trouble ends answers at the host of one, or their paths."""
     kind = item.trouble.kind
--- a/tests/platform/silent_callers.py
+++ b/tests/platform/silent_callers.py
@@ -52,8 +52,9 @@
 class Answer(NamedTuple):
     """What became of a request; status is 0 without a head.
 
-    at, ended and deadline are times of the machine's steady clock. left states whether
-    the caller gave up, detail what broke the answer.
+    at, ended and deadline are times of the machine's steady clock. complete states
+    whether the answer has the end that its framing calls for, whole whether it is what
+    was asked for. left states whether the caller gave up, detail what broke the answer.
     """
 
     kind: Kind
@@ -63,6 +64,7 @@
     ended: float
     deadline: float
     status: int
+    complete: bool
     whole: bool
     events: int
     left: bool
@@ -180,7 +182,8 @@
         "X-Token-Usage": f"{random.randint(*TOKENS)},{count}",
     }
     connection = connections.get(ip)
-    status, events, whole, left, usable, detail = 0, 0, False, False, False, ""
+    status, events, complete, whole, detail = 0, 0, False, False, ""
+    left, usable = False, False
     try:
         connection.request("POST", f"{kind}1", b"{}", headers)
         if connection.sock is not None and not kind.streams:
@@ -193,6 +196,7 @@
             whole = events == count
         else:
             whole = response.read() == BODY
+        complete = True
         usable = not response.will_close and response.isclosed()
     except TimeoutError:
         left = True
@@ -208,6 +212,7 @@
         ended=time.monotonic(),
         deadline=at + deadline_ms / 1000,
         status=status,
+        complete=complete,
         whole=whole,
         events=events,
         left=left,
--- a/tests/soak/builders.py
+++ b/tests/soak/builders.py
@@ -68,6 +68,7 @@
         ended=105.0,
         deadline=111.0,
         status=200,
+        complete=False,
         whole=False,
         events=7,
         left=False,
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -34,6 +34,7 @@
 FROZEN = build.applied(Kind.FREEZE_ENTRY, 105.0, 107.0)
 FROZEN_LATER = build.applied(Kind.FREEZE_ENTRY, 106.8, 107.5)
 CUT = {"answers": [build.answer()], "cut_lines": LOGGED}
+BROKEN_OFF = {**CUT, "cut_lines": {}, "broken_off": frozenset({"s1"})}
 KNOWN = [Acknowledged(10.0, 3), Acknowledged(20.0, 5)]
 
 HOLDS: dict[str, dict[str, Any]] = {
@@ -59,6 +60,11 @@
     "cut by a stopped host": {**CUT, "applied": [STOPPED]},
     "cut with its paths": {**CUT, "applied": [SILENT_PATHS]},
     "cut by a killed host": {**CUT, "cut_lines": {}, "applied": [KILLED_HERE]},
+    "broken off without framing": {
+        **BROKEN_OFF,
+        "answers": [build.answer(complete=True)],
+        "applied": [UNFRAMED],
+    },
     "endless answer closed at its deadline": {"held": [build.held(0.1)]},
     "endless answer closed by its caller": {"held": [build.held(-1.5)]},
     "endless answer of a frozen host": {
@@ -123,6 +129,23 @@
         "cuts-logged",
         {**CUT, "cut_lines": {}, "broken_off": frozenset({"s1"})},
     ),
+    "broken off without framing, not ended in order": (
+        "cuts-logged",
+        {**BROKEN_OFF, "applied": [UNFRAMED]},
+    ),
+    "broken off though all engines frame, ended in order": (
+        "cuts-logged",
+        {**BROKEN_OFF, "answers": [build.answer(complete=True)]},
+    ),
+    "not broken off without framing, ended in order": (
+        "cuts-logged",
+        {
+            **CUT,
+            "cut_lines": {},
+            "answers": [build.answer(complete=True, ended=110.5)],
+            "applied": [UNFRAMED],
+        },
+    ),
     "cut by a stopped host without a line": (
         "cuts-logged",
         {**CUT, "cut_lines": {}, "applied": [STOPPED]},
