Entry: a stream without output is moved while time is left for another

What callers saw: a stream whose upstream sent comments, or parts of an event, and no event was cut at its deadline, though it may be repeated and other upstreams were free.

Cause: another upstream was sought after 2.5 objectives. The logs of the lost streams have `sent`, `answer` and then `response-cut` after 2.1 s, and no `run-silent`.

Change: at most half of the time that a request had as it was sent. One objective and 1 s are waited in any case: a prefill that is on time isn't repeated. Requests that have five objectives or more left as they are sent are served as before.

Ruled out: the health of the upstreams.

Conclusion: a part of these streams is served elsewhere now, as far as the time left allows. Streams of events without end can't be: their events have gone to the caller.

--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -433,10 +433,17 @@
 
         Calls use the measured response times of their service. Streams use the
         objective of their route, since repeating one costs another prefill and its
-        response time depends on the prompt.
+        response time depends on the prompt. Past their objective, time must be left for
+        the other upstream.
         """
+        identified = self._active.prepared.identified
+        left = identified.seconds_left(self._active.sent_at)
         longest = max(
-            const.RESPONSE_SILENCE_OBJECTIVES * route.objective,
+            min(
+                const.RESPONSE_SILENCE_OBJECTIVES * route.objective,
+                const.RESPONSE_SILENCE_TIME_FRACTION * left,
+            ),
+            route.objective,
             const.MIN_RESPONSE_SILENCE,
         )
         times = self._context.response_times
--- a/bitterntiller/components/entry/const.py
+++ b/bitterntiller/components/entry/const.py
@@ -69,10 +69,12 @@
 half of that."""
 
 RESPONSE_SILENCE_OBJECTIVES = 2.5
+RESPONSE_SILENCE_TIME_FRACTION = 0.5
 MIN_RESPONSE_SILENCE = 1.0
 """Time without a response after which another upstream is sought for a repeatable
-request: a multiple of the objective of its route, and a minimum in seconds. A later
-response is worth little, while another upstream may still be in time."""
+request: a multiple of the objective of its route, but at most that fraction of its time
+left as it was sent, and a minimum in seconds. A later response is worth little, while
+another upstream may still be in time."""
 
 MIN_TIMEOUT = 0.001
 """Seconds; a timeout of 0 would count as expired already."""
--- a/tests/platform/test_long_prefills.py
+++ b/tests/platform/test_long_prefills.py
@@ -38,3 +38,25 @@
     received, sent = curio.run(async_main)
     assert event(2) in body_of(received)
     assert sent == 1
+
+
+def test_stream_within_its_objective_is_kept_though_half_its_time_has_passed():
+    """Half of the time that is left is no bound for a prefill that is on time."""
+    document = builders.document(builders.route(target_latency_ms=2400))
+
+    async def async_upstream(sock: Any, data: bytes, number: int) -> None:
+        try:
+            await sock.sendall(builders.STREAM_HEAD)
+            await curio.sleep(2.1)
+            await sock.sendall(FIRST + REST)
+        except OSError:
+            return
+
+    async def async_main() -> tuple[bytes, int]:
+        async with patient_host(async_upstream, configuration=document) as host:
+            received = await host.async_ask(builders.request(), 10.0)
+            return received, len(host.requests)
+
+    received, sent = curio.run(async_main)
+    assert event(2) in body_of(received)
+    assert sent == 1
--- a/tests/platform/test_unended_responses.py
+++ b/tests/platform/test_unended_responses.py
@@ -152,6 +152,17 @@
     assert "response-cut" not in asked.recorded.by_kind
 
 
+@pytest.mark.parametrize("kind", STREAM_DRIPS)
+def test_stream_without_an_event_is_moved_while_time_is_left(kind):
+    """One whose objective is near its deadline was moved only as that had passed."""
+    late = builders.document(builders.route(target_latency_ms=2000))
+    other = builders.STREAM_HEAD + FIRST + REST
+    asked = ask(builders.STREAM_HEAD, STREAM_DRIPS[kind], PAUSE, late, other)
+    assert event(2) in body_of(asked.received)
+    assert asked.received.endswith(builders.LAST_CHUNK)
+    assert asked.seconds < DEADLINE
+
+
 @pytest.mark.parametrize("pause", [0.001, PAUSE])
 def test_stream_of_events_without_end_is_cut_at_its_deadline(pause):
     asked = ask(builders.STREAM_HEAD, chunk(event(1)), pause)
