HTTP client: a caller that takes small parts pauses the reader again

What callers would see: a whole response that a slow caller takes in small parts is cut at its deadline, though the upstream had sent it in time.

Cause: credits a pause only if no part of the body was asked for in a whole interval (up to 0.25 s). A body of small chunks is handed on 16 parts at a time, and 64 KB of it make hundreds of such calls, each of which waits for the caller for a moment. Such a caller was never credited any time.

Change: what counts is that nothing has arrived since the last check, as before, and that the reader is not within async_data() at the check. A reader that awaits its turn is within. The count of the calls is dropped.

Ruled out: to credit each check that finds the reader outside: a flood that is faster than its caller would be held up to `pause` beyond its deadline.

--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -89,7 +89,6 @@
         self._failure = ""
         self._awaiting = False
         self._reading = False
-        self._reads = 0
         self._watch: SilenceWatch | None = None
         self._silent = False
         self._sender: curio.Task | None = None
@@ -199,13 +198,13 @@
     ) -> None:
         most_ticks = round(timeout / interval)
         ends_at = None if total is None else await curio.clock() + total
-        reads = told_ticks = 0
+        received = told_ticks = 0
         while self._idle_ticks <= most_ticks:
             # While the caller reads nothing, neither is the upstream read.
             self._idle_ticks = self._idle_ticks + 1 if self._awaiting else 0
-            if not self._is_paused_since(reads):
+            if not self._is_paused_since(received):
                 self._stalled_ticks += 1
-            reads = self._reads
+            received = self.received_bytes
             seconds = interval
             if ends_at is not None:
                 left = ends_at - await curio.clock()
@@ -217,7 +216,7 @@
                     return
                 seconds = min(interval, left)
             await curio.sleep(seconds)
-            if ends_at is not None and self._is_paused_since(reads):
+            if ends_at is not None and self._is_paused_since(received):
                 paused = min(seconds, pause)
                 ends_at += paused
                 pause -= paused
@@ -237,12 +236,13 @@
         passed, early = divmod(self._stalled_ticks - 1, ticks)
         return passed > 0 and not early
 
-    def _is_paused_since(self, reads: int) -> bool:
-        """Return whether nobody reads the body, nor has since it was read so often.
+    def _is_paused_since(self, received: int) -> bool:
+        """Return whether nobody reads the body, nor anything since some bytes arrived.
 
-        A reader that awaits its turn among the tasks of this process is reading.
+        A reader that awaits its turn among the tasks of this process is reading. One
+        whose caller takes what has arrived part by part is not.
         """
-        return not self._reading and self._reads == reads
+        return not self._reading and self.received_bytes == received
 
     async def _async_shut_down(self) -> None:
         """Make the present read and all later ones fail."""
@@ -377,7 +377,6 @@
         after timeout seconds, or at the timeouts of async_start_read_timeout(). Parts
         that arrived together are joined.
         """
-        self._reads += 1
         self._reading = True
         event = await self._async_event(timeout)
         self._reading = False
--- a/tests/components/http/test_client.py
+++ b/tests/components/http/test_client.py
@@ -263,3 +263,25 @@
     with endless_upstream(CHUNKED, CHUNK * 500) as address:
         took = curio.run(async_main)
     assert took < LIMIT + LATE
+
+
+def test_time_in_which_a_caller_takes_small_parts_is_added():
+    """A whole response was cut as its caller paused often, but never for long."""
+    body = CHUNK * 1600 + b"0\r\n\r\n"
+
+    async def async_main() -> int:
+        client = await ClientExchange.async_open(address, 1.0)
+        received = 0
+        try:
+            await client.async_request("GET", "/", [], b"", 1.0)
+            await client.async_head(LIMIT)
+            await client.async_start_read_timeout(30.0, total=LIMIT, pause=30.0)
+            while (data := await client.async_data()) is not None:
+                received += len(data)
+                await curio.sleep(0.02)
+        finally:
+            await client.async_close()
+        return received
+
+    with endless_upstream(CHUNKED + body, b"", asked=b"GET") as address:
+        assert curio.run(async_main) == 5 * 1600
