Merge a caller that takes small parts, which pauses the reader again

Conflict in http/client.py: the check of limits is in http/progress.py since, so what counts there as a pause is that nothing has arrived and that the reader is outside async_data(); the bytes received are counted by Progress.

--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -42,17 +42,16 @@
     complete when the connection is closed in order, as HTTP defines it. Otherwise such
     a response is incomplete.
 
-    sent_bytes and received_bytes count those of the current exchange. broke is set once
-    its response was lost or truncated, malformed also if its bytes can't be a response;
-    timed_out if the upstream was silent for longer than this end waits; overran if its
-    response hadn't ended within the time or the bytes that it has.
+    sent_bytes counts those of the current exchange. broke is set once its response was
+    lost or truncated, malformed also if its bytes can't be a response; timed_out if the
+    upstream was silent for longer than this end waits; overran if its response hadn't
+    ended within the time or the bytes that it has.
     """
 
     def __init__(self, sock: Any, allow_close_delimited: bool = False) -> None:
         self.idle_since = 0.0
         self.reused = False
         self.sent_bytes = 0
-        self.received_bytes = 0
         self.broke = False
         self.malformed = False
         self.timed_out = False
@@ -93,6 +92,11 @@
         """The idle seconds after which the upstream closes, None if not stated."""
         return self._keep_alive
 
+    @property
+    def received_bytes(self) -> int:
+        """The received bytes of the current exchange."""
+        return self._progress.received
+
     async def async_prepare_reuse(self) -> bool:
         """Prepare for another exchange; return False if that is not possible.
 
@@ -121,7 +125,6 @@
         self._interim = 0
         self._progress = Progress()
         self.sent_bytes = 0
-        self.received_bytes = 0
         self.reused = True
         return True
 
@@ -300,9 +303,9 @@
         after timeout seconds, or at the timeouts of async_start_read_timeout(). Parts
         that arrived together are joined.
         """
-        self._progress.begin_read()
+        self._progress.reading = True
         event = await self._async_event(timeout)
-        self._progress.end_read()
+        self._progress.reading = False
         if isinstance(event, h11.EndOfMessage):
             self._check_complete()
             return None
@@ -433,7 +436,7 @@
         self._progress.idle_ticks = 0
         if self._failure and (not data or self.overran):
             raise IncompleteResponseError(self._failure)
-        self.received_bytes += len(data)
+        self._progress.received += len(data)
         self._read_bytes += len(data)
         return data
 
--- a/bitterntiller/components/http/progress.py
+++ b/bitterntiller/components/http/progress.py
@@ -48,34 +48,26 @@
     """What the reader of a response does, and whether its upstream makes progress.
 
     awaiting is set while it waits for bytes, reading from the call for the next part of
-    the body until it has that part. reads counts these calls. The ticks count checks
+    the body until it has that part. received counts bytes. The ticks count checks
     without bytes, and without progress.
     """
 
     def __init__(self) -> None:
         self.awaiting = False
         self.reading = False
-        self.reads = 0
+        self.received = 0
         self.idle_ticks = 0
         self.stalled_ticks = 0
         self.watch: SilenceWatch | None = None
         self._silent = False
 
-    def begin_read(self) -> None:
-        """Record that the reader wants the next part of the body."""
-        self.reads += 1
-        self.reading = True
+    def is_paused_since(self, received: int) -> bool:
+        """Return whether nobody reads the body, and nothing has come since some bytes.
 
-    def end_read(self) -> None:
-        """Record that the reader has the part."""
-        self.reading = False
-
-    def is_paused_since(self, reads: int) -> bool:
-        """Return whether nobody reads the body, nor has since it was read so often.
-
-        A reader that awaits its turn among the tasks of this process is reading.
+        A reader that awaits its turn among the tasks of this process is reading. One
+        whose caller takes what has arrived part by part is not.
         """
-        return not self.reading and self.reads == reads
+        return not self.reading and self.received == received
 
     def begin_watch(self, watch: SilenceWatch | None) -> None:
         """Replace the watch; the time without progress begins anew."""
@@ -116,13 +108,13 @@
     most_ticks = round(limits.idle / interval)
     pause = limits.pause
     ends_at = None if limits.total is None else await curio.clock() + limits.total
-    reads = told_ticks = 0
+    received = told_ticks = 0
     while progress.idle_ticks <= most_ticks:
         # While the caller reads nothing, neither is the upstream read.
         progress.idle_ticks = progress.idle_ticks + 1 if progress.awaiting else 0
-        if not progress.is_paused_since(reads):
+        if not progress.is_paused_since(received):
             progress.stalled_ticks += 1
-        reads = progress.reads
+        received = progress.received
         seconds = interval
         if ends_at is not None:
             left = ends_at - await curio.clock()
@@ -130,7 +122,7 @@
                 return Expiry(overran=True, idle=progress.idle_ticks > 1)
             seconds = min(interval, left)
         await curio.sleep(seconds)
-        if ends_at is not None and progress.is_paused_since(reads):
+        if ends_at is not None and progress.is_paused_since(received):
             paused = min(seconds, pause)
             ends_at += paused
             pause -= paused
