Links: a peer isn't silent while its messages await their turn here

What callers would see: a host that is behind with the messages of a peer takes the link for silent, closes it and loses the rest of them: grants, ends, heartbeats' replies.

Cause: the liveness check asks whether anything was received in the last 0.3 s, three times. What was received is told by the read of the socket alone. One read brings up to 64 KB, which are handled 16 messages a turn; a busy host works through them for longer than 0.9 s, and reads nothing meanwhile.

Change: a message that is handled counts as received. A handler that stands still doesn't.

Ruled out: to leave the check out while messages wait: a handler that never returns would keep a dead link for ever.

Evidence: test_peer_is_not_silent_while_its_messages_await_their_turn (1,500 messages at once, passes of 0.02 s) failed before, 2 of 2, and passes, 3 of 3.

--- a/bitterntiller/components/links/connection.py
+++ b/bitterntiller/components/links/connection.py
@@ -164,6 +164,8 @@
                 self._metrics.count(const.METRIC_RECEIVED_BYTES, len(data))
                 for frame in buffer.feed(data):
                     await self._async_on_frame(unpack(frame))
+                    # The peer isn't silent while this host is behind with its messages.
+                    self._received = True
                     await turns.async_count(len(frame))
                 await turns.async_count(0)
         except OSError:
--- a/tests/components/links/test_unending_peers.py
+++ b/tests/components/links/test_unending_peers.py
@@ -1,5 +1,8 @@
 """Peers whose bytes are always there don't keep a host from its other work."""
 
+import socket
+import threading
+import time
 from typing import Any
 
 import curio
@@ -17,8 +20,15 @@
 
 PEER = Peer("b", "i", "127.0.0.1:1")
 CANCEL = pack(messages.Cancel(request_id="r1", pool="p"))
+PONG = pack(messages.LinkPong(unused=False))
 SECONDS = 0.2
 
+BACKLOG = 1500
+PASS_SECONDS = 0.02
+MOST_SECONDS = 10.0
+"""Messages that arrive at once, and seconds of each pass of a busy process, in which it
+handles 16 of them."""
+
 
 @pytest.mark.parametrize("frames", [1, 50])
 def test_messages_without_end_are_handled_in_turn_with_other_tasks(frames):
@@ -80,3 +90,48 @@
             return seconds
 
     assert curio.run(async_main) < 5 * SECONDS
+
+
+def test_peer_is_not_silent_while_its_messages_await_their_turn():
+    """A host behind with a peer's messages closed the link and lost the rest."""
+    near, far = socket.socketpair()
+    handled = []
+
+    def answer() -> None:
+        far.sendall(CANCEL * BACKLOG)
+        while far.recv(65536):
+            far.sendall(PONG)
+
+    async def async_handle(connection: Connection, incoming: Any) -> None:
+        handled.append(incoming)
+
+    async def async_be_busy() -> None:
+        while True:
+            time.sleep(PASS_SECONDS)
+            await curio.sleep(0)
+
+    async def async_main() -> bool:
+        sock = curio.io.Socket(near)
+        connection = Connection(sock, PEER, async_handle, FakeMetrics())
+        busy = await curio.spawn(async_be_busy)
+        running = await curio.spawn(connection.async_run)
+        began = time.monotonic()
+        while (
+            connection.open
+            and len(handled) < BACKLOG
+            and time.monotonic() - began < MOST_SECONDS
+        ):
+            connection.send(messages.Cancel(request_id="r2", pool="p"))
+            await connection.async_flush_soon()
+            await curio.sleep(0.05)
+        was_open = connection.open
+        await busy.cancel()
+        await running.cancel()
+        return was_open
+
+    peer = threading.Thread(target=answer)
+    peer.start()
+    assert curio.run(async_main)
+    peer.join()
+    far.close()
+    assert len(handled) == BACKLOG
