Tests: those that take longest begin first

Cause: the order of the tests is drawn, and a worker takes up to three tests at a time, so a few tests of 20 to 40 s could be left for one worker while the others had ended. Change: the files whose tests take seconds come first in the queue; within them the order is drawn as before. Nothing else changes.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""What all tests share: hypothesis' examples, marks, and failures' files."""
+"""What all tests share: hypothesis' examples, the order, and failures' files."""
 
 import os
 from collections.abc import Generator
@@ -16,6 +16,23 @@
 settings.register_profile("explore", deadline=None)
 settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
 
+LONGEST_FIRST = (
+    "tests/bench/test_queue_sizes.py",
+    "tests/components/entry/test_quota_sizes.py",
+    "tests/platform/test_stream_versions.py",
+    "tests/scenarios/",
+    "tests/platform/",
+)
+"""Beginnings of the ids of tests that take seconds, those that take longest first."""
+
+
+def place(item: pytest.Item) -> int:
+    """Return the place of a test in LONGEST_FIRST, that of the others last."""
+    places = (
+        n for n, start in enumerate(LONGEST_FIRST) if item.nodeid.startswith(start)
+    )
+    return next(places, len(LONGEST_FIRST))
+
 
 def check_marks(items: list[pytest.Item]) -> None:
     """Refuse a test that would run in no part of the test command."""
@@ -29,9 +46,14 @@
 def pytest_collection_modifyitems(
     items: list[pytest.Item],
 ) -> Generator[None, None, None]:
-    """Check marks before the choice of a part takes tests away."""
+    """Begin with the longest tests, so that none of them is left for the end.
+
+    Within a place the order stays as it was drawn. Marks are checked before the
+    choice of a part takes tests away.
+    """
     check_marks(items)
     yield
+    items.sort(key=place)
 
 
 @pytest.hookimpl(wrapper=True)
