Tests: the tests of a group run in one process

What was seen: the fixture of test_cold_processes, a fleet, ran twice in one run with -n 2 (11.3 s and 20.7 s), though its tests have an xdist_group. Change: a scheduler of our own, by the plug-in's hook, takes the group from the mark in the test's file. A test whose mark isn't the one of its file is refused as an error, as is one with a hidden mark alone (tried by hand: `its file is in another group`). Evidence: tests/docs, core, cold_processes and operator/test_bad_input with -n 2: before, retired-names 53 and 54 tests in the two processes, cold-processes 16 and 2 (19.1 s for all); after, 107 and 18 in one each (13.4 s in the first of two runs; other work beside both). Conclusion: the same tests; shared fixtures are built once.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from tests.alone import marks_alone
+from tests.marks import marks_alone
 
 TESTS = Path(__file__).resolve().parent
 KNOWN_RED = TESTS.parent / "KNOWN-RED.txt"
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,9 +6,10 @@
 
 import pytest
 from hypothesis import settings
+from xdist.scheduler import LoadGroupScheduling
 
-from tests.alone import MARK, marks_alone
 from tests.failed_tests import keep_files
+from tests.marks import ALONE, GROUP, group_in, marks_alone
 
 # The same examples in each run, so that a run's verdict does not hang on chance;
 # HYPOTHESIS_PROFILE=explore looks for new ones.
@@ -35,11 +36,34 @@
 
 
 def check_marks(items: list[pytest.Item]) -> None:
-    """Refuse a test that would run in no part of the test command."""
-    alone = (item for item in items if item.get_closest_marker(MARK))
-    hidden = [item.nodeid for item in alone if not marks_alone(item.path)]
-    if hidden:
-        raise pytest.UsageError(f"marked {MARK}, but not in its file: {hidden}")
+    """Refuse a test that would run in no part of the test command, or in no group."""
+    for item in items:
+        if item.get_closest_marker(ALONE) and not marks_alone(item.path):
+            raise pytest.UsageError(f"{item.nodeid}: {ALONE}, but not in its file")
+        group = item.get_closest_marker(GROUP)
+        if group and group.args != (group_in(item.path),):
+            raise pytest.UsageError(f"{item.nodeid}: its file is in another group")
+
+
+class GroupScheduling(LoadGroupScheduling):
+    """Hands all tests of a group to one process.
+
+    The group of a test can't be read from its id: pytest forms the id itself, without
+    the suffix that pytest-xdist adds.
+    """
+
+    def _split_scope(self, nodeid: str) -> str:
+        path = self.config.rootpath / nodeid.partition("::")[0]
+        return group_in(path) or nodeid
+
+
+@pytest.hookimpl(optionalhook=True)
+def pytest_xdist_make_scheduler(
+    config: pytest.Config, log: Any
+) -> GroupScheduling | None:
+    """Choose what hands out the tests to the processes."""
+    grouped = config.getvalue("dist") == "loadgroup"
+    return GroupScheduling(config, log) if grouped else None
 
 
 @pytest.hookimpl(wrapper=True)
