Entry: a connection is closed though its closing is cancelled

What callers saw: nothing; what an upstream sees: the connection of a request whose caller had left stayed open, once for 16 s (11.1 s beyond the deadline), with bytes without end arriving on it.

Cause: a caller that leaves ends its request in two ways at once. A write to it fails, which ends the run and closes its connection; and the task that watches the caller ends, which cancels the request. If the cancellation arrives while ClientExchange.async_close() waits for the end of its read timeout, the line that closes the socket isn't reached. The object is collected some time later. The interruption itself is shown by the tests.

Change: what closes is not cancelled: the client's async_close(), a run's async_close() (which also hands a connection back to be kept), and the same two steps in tunnels/checks.py and tunnels/relayed.py. All of them only await tasks that they have cancelled. A cancellation is delivered afterwards.

Ruled out: a close that hangs (`ended` and `response-cut` are logged after the stacks of the request are closed).

--- a/bitterntiller/components/entry/run.py
+++ b/bitterntiller/components/entry/run.py
@@ -164,8 +164,12 @@
         return True
 
     async def async_close(self) -> None:
-        """End the task of the response, and release or close the connection."""
-        await self.stack.aclose()
+        """End the task of the response, and release or close the connection.
+
+        A caller may leave meanwhile, which cancels the request.
+        """
+        async with curio.disable_cancellation():
+            await self.stack.aclose()
 
 
 class RunWatch(NamedTuple):
--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -133,11 +133,12 @@
         return is_quiet(self._sock)
 
     async def async_close(self) -> None:
-        """Close the connection."""
-        for task in (self._read_timeout_task, self._sender):
-            if task is not None:
-                await task.cancel()
-        await self._sock.close()
+        """Close the connection, also if this is cancelled meanwhile."""
+        async with curio.disable_cancellation():
+            for task in (self._read_timeout_task, self._sender):
+                if task is not None:
+                    await task.cancel()
+            await self._sock.close()
 
     async def async_start_read_timeout(
         self,
--- a/bitterntiller/components/tunnels/checks.py
+++ b/bitterntiller/components/tunnels/checks.py
@@ -152,8 +152,9 @@
                 return CheckResult.WORKS
             return CheckResult.PATH_FAILED if elsewhere else CheckResult.UNKNOWN
         finally:
-            await asking.cancel()
-            await client.async_close()
+            async with curio.disable_cancellation():
+                await asking.cancel()
+                await client.async_close()
 
     async def _async_answers_elsewhere(
         self, destination: Destination, size: int
--- a/bitterntiller/components/tunnels/relayed.py
+++ b/bitterntiller/components/tunnels/relayed.py
@@ -232,9 +232,10 @@
                     return self._connected(result)
                 errors.append(result.text)
         finally:
-            for task in tasks:
-                await task.cancel()
-            await self._async_close_late(results)
+            async with curio.disable_cancellation():
+                for task in tasks:
+                    await task.cancel()
+                await self._async_close_late(results)
         raise AssertionError("unreachable")
 
     async def _async_try_relay(
--- a/tests/components/http/test_client.py
+++ b/tests/components/http/test_client.py
@@ -285,3 +285,22 @@
 
     with endless_upstream(CHUNKED + body, b"", asked=b"GET") as address:
         assert curio.run(async_main) == 5 * 1600
+
+
+def test_connection_is_closed_though_its_closing_is_cancelled():
+    """A caller that left in two ways at once left its upstream's connection open."""
+
+    async def async_main() -> bool:
+        client = await ClientExchange.async_open(address, 1.0)
+        await client.async_request("GET", "/", [], b"", 1.0)
+        await client.async_head(LIMIT)
+        await client.async_start_read_timeout(30.0)
+        closing = await curio.spawn(client.async_close)
+        await curio.sleep(0)
+        await closing.cancel()
+        with pytest.raises(IncompleteResponseError):
+            await client.async_data(LIMIT)
+        return client.timed_out
+
+    with endless_upstream(CHUNKED, b"", asked=b"GET") as address:
+        assert not curio.run(async_main)
