--- a/bitterntiller/components/entry/run.py
+++ b/bitterntiller/components/entry/run.py
@@ -166,7 +166,7 @@
     async def async_close(self) -> None:
         """End the task of the response, and release or close the connection.
 
-        A caller may leave meanwhile, which cancels the request.
+        A cancellation by a caller that leaves meanwhile is delivered afterwards.
         """
         async with curio.disable_cancellation():
             await self.stack.aclose()
--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -133,7 +133,7 @@
         return is_quiet(self._sock)
 
     async def async_close(self) -> None:
-        """Close the connection, also if this is cancelled meanwhile."""
+        """Close the connection; a cancellation is delivered afterwards."""
         async with curio.disable_cancellation():
             for task in (self._read_timeout_task, self._sender):
                 if task is not None:
--- a/bitterntiller/components/http/progress.py
+++ b/bitterntiller/components/http/progress.py
@@ -38,7 +38,10 @@
 
 
 class Expiry(NamedTuple):
-    """The limit that a response exceeded; idle states that no data arrived before."""
+    """The limit that a response exceeded: the total time if overran, else the idle.
+
+    idle states that no data arrived in the last interval.
+    """
 
     overran: bool
     idle: bool
@@ -62,10 +65,10 @@
         self._silent = False
 
     def is_paused_since(self, received: int) -> bool:
-        """Return whether nobody reads the body, and nothing has come since some bytes.
+        """Return whether the reader waits for its caller, and no byte has arrived.
 
-        A reader that awaits its turn among the tasks of this process is reading. One
-        whose caller takes what has arrived part by part is not.
+        received is the number of bytes at the last check. A reader that awaits its turn
+        among the tasks of this process is reading.
         """
         return not self.reading and self.received == received
 
--- a/bitterntiller/components/tunnels/checks.py
+++ b/bitterntiller/components/tunnels/checks.py
@@ -152,6 +152,7 @@
                 return CheckResult.WORKS
             return CheckResult.PATH_FAILED if elsewhere else CheckResult.UNKNOWN
         finally:
+            # A cancellation meanwhile would leave connections open.
             async with curio.disable_cancellation():
                 await asking.cancel()
                 await client.async_close()
--- a/bitterntiller/components/tunnels/relayed.py
+++ b/bitterntiller/components/tunnels/relayed.py
@@ -232,6 +232,7 @@
                     return self._connected(result)
                 errors.append(result.text)
         finally:
+            # A cancellation meanwhile would leave connections open.
             async with curio.disable_cancellation():
                 for task in tasks:
                     await task.cancel()
