Dispatch: switch, wire fields and design of the parts for uneven upstreams

Two deployments have engines of uneven speed on machines that others share, and more load than room at times. The owner got neither the target time between two outputs of a stream nor how long work takes on an upstream's machine, which responses state in a fourth number that was dropped.

Register carries the interval, Load the stated work time. The setting dispatch.uneven_upstreams puts the parts of docs/design/contended-pools.md in effect for a pool: off by default, and from the first stated work time on with "stated". Nothing reads them yet, so no decision changes.

--- a/bitterntiller/components/dispatch/__init__.py
+++ b/bitterntiller/components/dispatch/__init__.py
@@ -26,9 +26,12 @@
 from bitterntiller.protocol import messages
 
 
-def make_scheduler(kind: str, crashes: CrashView | None = None) -> Scheduler:
+def make_scheduler(
+    kind: str, crashes: CrashView | None = None, uneven: str = const.UNEVEN_OFF
+) -> Scheduler:
     """Return the scheduler of a pool of a kind, engine or plain."""
-    return PoolScheduler(DEFAULT_PARAMETERS._replace(kind=kind), crashes)
+    parameters = DEFAULT_PARAMETERS._replace(kind=kind, uneven=uneven)
+    return PoolScheduler(parameters, crashes)
 
 
 REGISTERED_PREFILL_WINDOW = 0.4
@@ -60,9 +63,12 @@
 """
 
 
-def make_registered_scheduler(kind: str, crashes: CrashView | None = None) -> Scheduler:
+def make_registered_scheduler(
+    kind: str, crashes: CrashView | None = None, uneven: str = const.UNEVEN_OFF
+) -> Scheduler:
     """Return the scheduler of a pool whose silent upstreams are reported by control."""
-    return PoolScheduler(REGISTERED_PARAMETERS._replace(kind=kind), crashes)
+    parameters = REGISTERED_PARAMETERS._replace(kind=kind, uneven=uneven)
+    return PoolScheduler(parameters, crashes)
 
 
 async def async_setup_registered(
@@ -84,7 +90,11 @@
         lease,
         config,
         directory,
-        partial(make_registered_scheduler, crashes=crashes),
+        partial(
+            make_registered_scheduler,
+            crashes=crashes,
+            uneven=runtime.settings.dispatch.uneven_upstreams,
+        ),
         registered,
         versions,
     )
@@ -119,7 +129,8 @@
     control: ControlCalls | None = None,
 ) -> DispatchCoordinator:
     """Set up the dispatch role; it is unloaded with the runtime's stack."""
-    make = partial(make_scheduler, crashes=crashes)
+    uneven = runtime.settings.dispatch.uneven_upstreams
+    make = partial(make_scheduler, crashes=crashes, uneven=uneven)
     coordinator = DispatchCoordinator(
         runtime, lease, config, directory, make, versions=versions
     )
--- a/bitterntiller/components/dispatch/const.py
+++ b/bitterntiller/components/dispatch/const.py
@@ -8,6 +8,12 @@
 ORDER_LEAST_SLACK = "least-slack"
 ORDER_SHORTEST = "shortest-with-ageing"
 
+UNEVEN_OFF = "off"
+UNEVEN_STATED = "stated"
+UNEVEN_ON = "on"
+"""When the parts for upstreams of uneven speed are in effect for a pool; with "stated",
+from the first response of one of its upstreams that states a work time."""
+
 DEFAULT_GRANT_SECONDS = 1.0
 DEFAULT_GRANT_GRACE_SECONDS = 0.5
 DEFAULT_SILENCE_SECONDS = 3.0
--- a/bitterntiller/components/dispatch/describe.py
+++ b/bitterntiller/components/dispatch/describe.py
@@ -15,6 +15,7 @@
 ) -> dict[str, object]:
     """Return the waiting work by tier, and the upstreams by name."""
     return {
+        "uneven": pool.uneven,
         "waiting": waiting,
         "slots": pool.slots,
         "capacity": round(wait_estimator.capacity(), 3),
--- a/bitterntiller/components/dispatch/model_updater.py
+++ b/bitterntiller/components/dispatch/model_updater.py
@@ -65,7 +65,7 @@
         if upstream is None:
             return
         if completion.load is not None:
-            upstream.ledger.apply_load_report(completion.load, now)
+            self._pool.record_load(upstream, completion.load, now)
         # A caller that disconnects, or sends what the upstream rejects, is no failure
         # of the upstream. If these were counted, a few of them in a row would stop
         # all requests to the upstream.
--- a/bitterntiller/components/dispatch/models.py
+++ b/bitterntiller/components/dispatch/models.py
@@ -18,7 +18,8 @@
     failed the request. fingerprint is the same for each copy of the request, 0 if
     unknown, and parts are the fingerprints of the parts of its prompt. route is set
     while a rollout of the service is under evaluation. version is the only one that may
-    go on with the stream of the request, None if any may run it.
+    go on with the stream of the request, None if any may run it. target_interval is the
+    target for the time between two outputs of its stream, 0 if there is none.
     """
 
     request_id: str
@@ -40,6 +41,7 @@
     route: str = ""
     version: str | None = None
     parts: tuple[int, ...] = ()
+    target_interval: float = 0.0
 
     @property
     def fingerprints(self) -> tuple[int, ...]:
@@ -48,12 +50,17 @@
 
 
 class UpstreamLoad(NamedTuple):
-    """Load report of an upstream; measured_at is on the owner's clock."""
+    """Load report of an upstream; measured_at is on the owner's clock.
+
+    work_percent is how long work takes on its machine, 100 as usual; None if that isn't
+    stated.
+    """
 
     running: int
     waiting: int
     kv_tokens: int
     measured_at: float
+    work_percent: int | None = None
 
 
 class CacheChange(NamedTuple):
@@ -376,6 +383,9 @@
     and memory that each tier leaves free for the tiers above it. adaptive limits the
     requests in flight below the upstream's slots according to its latency.
 
+    uneven says whether the parts for upstreams of uneven speed are in effect: off,
+    stated (from the first response that states a work time) or on.
+
     seed seeds the random number generator.
     """
 
@@ -402,6 +412,7 @@
     samples: int = const.DEFAULT_SAMPLES
     adaptive: bool = True
     lower_share: float = 0.0
+    uneven: str = const.UNEVEN_OFF
     seed: int = 1
 
 
--- a/bitterntiller/components/dispatch/pool.py
+++ b/bitterntiller/components/dispatch/pool.py
@@ -7,6 +7,8 @@
     KIND_PLAIN,
     PATH_FAILURES,
     REASON_REFUSED_CONNECTION,
+    UNEVEN_ON,
+    UNEVEN_STATED,
 )
 from bitterntiller.components.dispatch.fingerprints_in_flight import (
     FingerprintsInFlight,
@@ -17,6 +19,7 @@
     NoticeUpdate,
     PolicyParameters,
     RateLimitUpdate,
+    UpstreamLoad,
     UpstreamState,
 )
 from bitterntiller.components.dispatch.prefix import PrefixIndex
@@ -52,7 +55,8 @@
     mean of expected over measured service time: the work per second that one request
     in flight gets done. mean_service_seconds is the mean measured service time.
     hosts_to_regroup collects the entry hosts whose waiting requests can use other
-    upstreams than before, until the caller clears it.
+    upstreams than before, until the caller clears it. uneven says whether the parts for
+    upstreams of uneven speed are in effect.
     """
 
     def __init__(self, parameters: PolicyParameters) -> None:
@@ -70,6 +74,7 @@
         self.pauses = HostPauses()
         self.paths = PathTable()
         self.hosts_to_regroup: set[str] = set()
+        self.uneven = parameters.uneven == UNEVEN_ON
         self._ranks: set[int] = set()
         self._above_by_rank: dict[int, float] = {}
         self._parameters = parameters
@@ -87,6 +92,12 @@
         for upstream in self.upstreams_by_name.values():
             self.refresh(upstream, now)
 
+    def record_load(self, upstream: Upstream, load: UpstreamLoad, now: float) -> None:
+        """Apply the load that a response or an announcement reported."""
+        if load.work_percent is not None and self._parameters.uneven == UNEVEN_STATED:
+            self.uneven = True
+        upstream.ledger.apply_load_report(load, now)
+
     def candidate_upstreams(self, now: float) -> list[Upstream]:
         """Return the usable upstreams of the candidate version, sorted by name."""
         version = self.version_rules.candidate
@@ -166,7 +177,7 @@
         upstream.state = state
         upstream.last_announced_at = now
         if state.load is not None:
-            upstream.ledger.apply_load_report(state.load, now)
+            self.record_load(upstream, state.load, now)
         upstream.prefixes.apply_changes(state.cache_changes, now)
         self.refresh(upstream, now)
         return True
--- a/bitterntiller/components/dispatch/wire.py
+++ b/bitterntiller/components/dispatch/wire.py
@@ -44,6 +44,7 @@
         route=message.route or "",
         version=message.version,
         parts=tuple(message.parts or ()),
+        target_interval=(message.interval_ms or 0) / 1000,
     )
 
 
@@ -79,6 +80,7 @@
         waiting=message.waiting,
         kv_tokens=message.kv_tokens,
         measured_at=now - message.age_ms / 1000,
+        work_percent=message.work_percent,
     )
 
 
--- a/bitterntiller/components/entry/models.py
+++ b/bitterntiller/components/entry/models.py
@@ -225,10 +225,15 @@
 
 
 class ReportedLoad(NamedTuple):
-    """The load of an upstream as one of its responses reported it."""
+    """The load of an upstream as one of its responses reported it.
+
+    work_percent is how long work takes on its machine now, 100 as usual; None if the
+    response doesn't state it.
+    """
 
     running: int
     waiting: int
+    work_percent: int | None = None
 
 
 class Phase(StrEnum):
--- a/bitterntiller/components/entry/owner_messages.py
+++ b/bitterntiller/components/entry/owner_messages.py
@@ -50,9 +50,17 @@
         route=_judged_route(active, versions),
         version=active.required_version,
         parts=list(active.part_fingerprints) or None,
+        interval_ms=_target_interval_ms(active),
     )
 
 
+def _target_interval_ms(active: ActiveRequest) -> int | None:
+    route = active.route
+    if route is None or not route.streams or not route.target_output_interval:
+        return None
+    return milliseconds(route.target_output_interval)
+
+
 def _judged_route(active: ActiveRequest, versions: VersionsView | None) -> str | None:
     if versions is None or active.route is None:
         return None
@@ -153,5 +161,9 @@
     if load is None:
         return None
     return messages.Load(
-        running=load.running, waiting=load.waiting, kv_tokens=0, age_ms=0
+        running=load.running,
+        waiting=load.waiting,
+        kv_tokens=0,
+        age_ms=0,
+        work_percent=load.work_percent,
     )
--- a/bitterntiller/components/settings/const.py
+++ b/bitterntiller/components/settings/const.py
@@ -21,6 +21,8 @@
 CONF_LIMITS = "limits"
 CONF_TIMINGS = "timings"
 CONF_LOG_LEVEL = "log_level"
+CONF_DISPATCH = "dispatch"
+CONF_UNEVEN_UPSTREAMS = "uneven_upstreams"
 
 CONF_RESERVED_FRACTION = "reserved_fraction"
 
@@ -31,6 +33,8 @@
 
 LOG_LEVELS = ("debug", "info", "warning", "error")
 DEFAULT_LOG_LEVEL = "info"
+UNEVEN_UPSTREAMS = ("off", "stated", "on")
+DEFAULT_UNEVEN_UPSTREAMS = "off"
 DEFAULT_REGION = "main"
 DEFAULT_SNAPSHOT_ENTRIES = 10000
 
--- a/bitterntiller/components/settings/load.py
+++ b/bitterntiller/components/settings/load.py
@@ -7,6 +7,7 @@
 from bitterntiller.components.settings.errors import SettingsError
 from bitterntiller.components.settings.models import (
     Control,
+    Dispatch,
     Keys,
     Limits,
     Listen,
@@ -86,4 +87,5 @@
         limits=Limits(**checked[const.CONF_LIMITS]),
         timings=Timings(**checked[const.CONF_TIMINGS]),
         log_level=checked[const.CONF_LOG_LEVEL],
+        dispatch=Dispatch(**checked[const.CONF_DISPATCH]),
     )
--- a/bitterntiller/components/settings/models.py
+++ b/bitterntiller/components/settings/models.py
@@ -142,6 +142,16 @@
     ordered_only: bool = False
 
 
+class Dispatch(NamedTuple):
+    """Settings of the owners of pools.
+
+    uneven_upstreams says when the parts for upstreams of uneven speed are in effect:
+    off, stated (once an upstream of the pool has stated a work time) or on.
+    """
+
+    uneven_upstreams: str = "off"
+
+
 class Control(NamedTuple):
     """How a process reaches and forms control.
 
@@ -175,3 +185,4 @@
     log_level: str = "info"
     quota_window: QuotaWindow = QuotaWindow()
     rollouts: RolloutBounds = RolloutBounds()
+    dispatch: Dispatch = Dispatch()
--- a/bitterntiller/components/settings/schema.py
+++ b/bitterntiller/components/settings/schema.py
@@ -81,6 +81,14 @@
         vol.Optional(const.CONF_TIMINGS, default=dict): {
             vol.Optional(field): positive for field in Timings._fields
         },
+        vol.Optional(const.CONF_DISPATCH, default=dict): {
+            vol.Optional(
+                const.CONF_UNEVEN_UPSTREAMS, default=const.DEFAULT_UNEVEN_UPSTREAMS
+            ): vol.In(
+                const.UNEVEN_UPSTREAMS,
+                msg=f"expected one of {', '.join(const.UNEVEN_UPSTREAMS)}",
+            )
+        },
         vol.Optional(const.CONF_LOG_LEVEL, default=const.DEFAULT_LOG_LEVEL): vol.In(
             const.LOG_LEVELS, msg=f"expected one of {', '.join(const.LOG_LEVELS)}"
         ),
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -87,6 +87,7 @@
     2: required i32 waiting,
     3: required i32 kv_tokens,
     4: required i32 age_ms,
+    5: optional i32 work_percent,         // how long work takes on its machine now, 100 as usual
 }
 
 struct Register {
@@ -108,6 +109,7 @@
     16: optional string route,            // while a rollout of the service is evaluated
     17: optional string version,          // of the upstreams that may go on with its stream
     18: optional list<i64> parts,         // fingerprints of the parts of its prompt, in order
+    19: optional i32 interval_ms,         // target time between two outputs of its stream
 }
 
 struct Grant {
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -31,13 +31,37 @@
     assert PlatformDialect().load(answer(value)) is None
 
 
+@pytest.mark.parametrize(
+    ("value", "percent"),
+    [
+        (b"3,0,8", None),
+        (b"3,0,8,100", 100),
+        (b"3,0,8, 250", 250),
+        (b"3,0,8,0", None),
+        (b"3,0,8,10001", None),
+        (b"3,0,8,-5", None),
+        (b"3,0,8,2.5", None),
+        (b"3,0,,250", 250),
+        (b"3,0,8,", None),
+    ],
+)
+def test_unusable_work_time_leaves_the_rest_of_a_load(value, percent):
+    """A bad fourth number must not hide that the upstream is busy."""
+    load = PlatformDialect().load(answer(value))
+    assert (load.running, load.waiting, load.work_percent) == (3, 0, percent)
+
+
 @given(st.binary(max_size=40) | st.just(HUGE + b"," + HUGE + b",7"))
 def test_any_load_can_be_sent_on(value):
     load = PlatformDialect().load(answer(value))
     if load is not None:
         encode(
             messages.Load(
-                running=load.running, waiting=load.waiting, kv_tokens=0, age_ms=0
+                running=load.running,
+                waiting=load.waiting,
+                kv_tokens=0,
+                age_ms=0,
+                work_percent=load.work_percent,
             )
         )
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -71,3 +71,13 @@
 def test_missing_file_raises(tmp_path):
     with pytest.raises(SettingsFormatError):
         load_settings(tmp_path / "none")
+
+
+@pytest.mark.parametrize(
+    ("contracts", "uneven"), [("base,pressure,quota", "on"), ("base,quota", "stated")]
+)
+def test_contract_puts_the_parts_for_uneven_upstreams_in_effect(
+    tmp_path, contracts, uneven
+):
+    settings = loaded(tmp_path, f"{FILE}contracts={contracts}\n").settings
+    assert settings.dispatch.uneven_upstreams == uneven
