Dispatch: requests that would miss their objective are refused at once

Callers of contended engines were refused after 0.5 to 1.1 s, and those that were sent had waited for about their whole objective: 109 of 380 streams of rank 0 had their first output late. A request was refused on arrival only if its expected wait exceeded the time after which its caller gives up.

While dispatch.uneven_upstreams is in effect, engines admit a request only if it is expected to be sent within 0.6 of the time to its objective, and one that misses the objective stays only if it is to be sent within a quarter of it.

Ruled out: waiting on without the objective's check once queued (0.25 to 0.39 s).

Paths to upstreams that don't announce themselves aren't probed: after a crash of eleven upstreams 76 hosts sent 8,623 probes on 8,623 new connections in 20 s.

--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -102,7 +102,9 @@
         self._wait_estimator = WaitEstimator(
             self._pool, self._queue, self._limiter, rng, parameters.lower_share
         )
-        self._shedder = Shedder(parameters, self._queue, self._wait_estimator)
+        self._shedder = Shedder(
+            parameters, self._queue, self._wait_estimator, self._pool
+        )
         self._next_housekeeping_at = 0.0
         self._blocked: set[tuple] = set()
         self._jobs = JobLifecycle(
@@ -409,6 +411,7 @@
         self._jobs.parking.unpark_due(now)
         for job in self._wait_deadlines.due_objectives(now):
             self._jobs.demote(job)
+            self._refuse_if_overdue(job, now, decisions)
         for job in self._wait_deadlines.due_checks(now):
             self._refuse_if_too_late(job, now, decisions)
         self._pool.refresh_due(now)
@@ -507,6 +510,15 @@
         self._jobs.track(job)
         self._jobs.enqueue(job, now)
 
+    def _refuse_if_overdue(
+        self, job: Job, now: float, decisions: list[Decision]
+    ) -> None:
+        """Refuse a request that misses its objective and would wait for long."""
+        if not self._jobs.is_live(job) or not job.waiting:
+            return
+        if self._shedder.overdue(job, now):
+            decisions.append(self._refusals.drop(job, Reason.SHED, now))
+
     def _refuse_if_too_late(
         self, job: Job, now: float, decisions: list[Decision]
     ) -> None:
--- a/bitterntiller/components/dispatch/shedding.py
+++ b/bitterntiller/components/dispatch/shedding.py
@@ -1,8 +1,10 @@
 """Load shedding: which waiting requests are refused in an overload."""
 
-from bitterntiller.components.dispatch.const import MAX_TRIMMED
+from bitterntiller.components.dispatch.const import KIND_PLAIN, MAX_TRIMMED
 from bitterntiller.components.dispatch.jobs import Job
 from bitterntiller.components.dispatch.models import PolicyParameters
+from bitterntiller.components.dispatch.objective_admission import admits, keeps_overdue
+from bitterntiller.components.dispatch.pool import Pool
 from bitterntiller.components.dispatch.queue import (
     Flow,
     PoolQueue,
@@ -23,14 +25,33 @@
         parameters: PolicyParameters,
         queue: PoolQueue,
         wait_estimator: WaitEstimator,
+        pool: Pool,
     ) -> None:
         self._parameters = parameters
+        self._pool = pool
         self._queue = queue
         self._wait_estimator = wait_estimator
 
+    @property
+    def by_objective(self) -> bool:
+        """Return whether requests that would be late are refused at once.
+
+        Calls of plain services are short: a wait of one call is no reason to refuse.
+        """
+        return self._pool.uneven and self._parameters.kind != KIND_PLAIN
+
+    def overdue(self, job: Job, now: float) -> bool:
+        """Return whether a waiting request that misses its objective is refused now."""
+        if not self.by_objective:
+            return False
+        wait = self._wait_estimator.expected_wait(job, now)
+        return not keeps_overdue(job, wait)
+
     def overloaded(self, job: Job, min_service_seconds: float, now: float) -> bool:
         """Return whether a new request is expected to wait too long."""
         job.expected_wait = self._wait_estimator.expected_wait(job, now)
+        if self.by_objective and not admits(job, job.expected_wait, now):
+            return True
         start_by = job.request.start_by
         if start_by is not None:
             return job.expected_wait > start_by - now
--- a/bitterntiller/components/entry/__init__.py
+++ b/bitterntiller/components/entry/__init__.py
@@ -143,6 +143,7 @@
         context.directory,
         context.connections,
         ServiceProbes(context.dialect, context.config),
+        context.upstreams,
     )
     context = context._replace(relayed_connector=connector)
     claim_client = ClaimClient(context, runtime.incarnation)
--- a/bitterntiller/components/paths/host_paths.py
+++ b/bitterntiller/components/paths/host_paths.py
@@ -1,7 +1,7 @@
 """Which upstreams this host reaches, and which other hosts reached them for it."""
 
 import random
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 from bitterntiller.components.paths.const import (
     EXPLORED_FRACTION,
@@ -160,16 +160,24 @@
         """Return whether a path of this host has failed silently a short time ago."""
         return now - self._silent_at <= SUSPECT_SECONDS
 
-    def due_probes(self, now: float) -> list[DueProbe]:
+    def due_probes(
+        self, now: float, is_announced: Callable[[str], bool] | None = None
+    ) -> list[DueProbe]:
         """Return the failed paths to probe now.
 
-        Drop the paths that no request needed for UNUSED_SECONDS.
+        Drop the paths that no request needed for UNUSED_SECONDS. A path to an upstream
+        that isn't announced waits for its next announcement: it gets no requests until
+        then, and every host would probe the address of an ended process each second.
         """
         due: list[DueProbe] = []
         for address, path in list(self._failed_by_address.items()):
             if now - path.used_at > UNUSED_SECONDS:
                 del self._failed_by_address[address]
-            elif path.needs_trial:
+            elif (
+                path.needs_trial
+                or is_announced is not None
+                and not is_announced(path.upstream)
+            ):
                 continue
             elif now >= path.probe_at and len(due) < MAX_PROBES:
                 again = path._replace(probe_at=now + PROBE_PERIOD)
--- a/bitterntiller/components/tunnels/__init__.py
+++ b/bitterntiller/components/tunnels/__init__.py
@@ -12,7 +12,7 @@
 from bitterntiller.components.tunnels.relayed import RelayedConnector
 from bitterntiller.components.tunnels.relays import Relays
 from bitterntiller.components.tunnels.server import TunnelServer
-from bitterntiller.core.interfaces import DirectoryView
+from bitterntiller.core.interfaces import DirectoryView, UpstreamsView
 from bitterntiller.core.runtime import Runtime
 
 
@@ -21,11 +21,12 @@
     directory: DirectoryView,
     connections: ConnectionPool,
     probe_dialect: ProbeDialect,
+    upstreams: UpstreamsView | None = None,
 ) -> tuple[RelayedConnector, TunnelServer]:
     """Set up both ends of tunnels; they are unloaded with the runtime's stack."""
     paths = HostPaths(runtime.settings.zone)
     prober = Prober(probe_dialect)
-    direct = DirectPaths(connections, paths, prober, runtime.clock)
+    direct = DirectPaths(connections, paths, prober, runtime.clock, upstreams)
     relays = Relays(
         runtime.settings.host,
         runtime.links,
--- a/bitterntiller/components/tunnels/direct.py
+++ b/bitterntiller/components/tunnels/direct.py
@@ -2,6 +2,7 @@
 
 import curio
 
+from bitterntiller.components.control.const import UPSTREAM_SILENT
 from bitterntiller.components.http.client import ClientExchange
 from bitterntiller.components.http.errors import ConnectRefusedError
 from bitterntiller.components.http.pool import ConnectionPool
@@ -12,7 +13,7 @@
 from bitterntiller.components.tunnels.event_logging import log_path
 from bitterntiller.components.tunnels.probes import Prober, ProbeResult
 from bitterntiller.core.clock import Clock
-from bitterntiller.core.interfaces import SentRequest
+from bitterntiller.core.interfaces import SentRequest, UpstreamsView
 
 
 class DirectPaths:
@@ -27,7 +28,9 @@
         paths: HostPaths,
         prober: Prober,
         clock: Clock,
+        upstreams: UpstreamsView | None = None,
     ) -> None:
+        self._upstreams = upstreams
         self._connections = connections
         self._paths = paths
         self._prober = prober
@@ -98,13 +101,22 @@
         """Probe the failed paths that requests need, until cancelled."""
         while True:
             await curio.sleep(const.PROBE_CHECK_SECONDS)
-            for due in self._paths.due_probes(self._clock.now()):
+            now = self._clock.now()
+            for due in self._paths.due_probes(now, self._is_announced):
                 destination = Destination("", due.upstream, due.address, pool=due.pool)
                 if due.address not in self._probing:
                     await curio.spawn(
                         self.async_probe, destination, due.sent, daemon=True
                     )
 
+    def _is_announced(self, upstream: str) -> bool:
+        """Return whether an upstream announces itself, as far as this host knows."""
+        view = self._upstreams
+        if view is None or not view.version:
+            return True
+        state = view.by_name.get(upstream)
+        return state is not None and state.state != UPSTREAM_SILENT
+
     async def async_probe(self, destination: Destination, size: int) -> ProbeResult:
         """Return how an upstream answers a probe of at least size bytes."""
         self._probing.add(destination.address)
--- a/tests/components/paths/test_host_paths.py
+++ b/tests/components/paths/test_host_paths.py
@@ -61,6 +61,18 @@
     assert not known.is_failed("e1:1")
 
 
+def test_path_to_an_ended_upstream_is_not_probed_until_it_is_announced():
+    """After a crash of eleven upstreams 76 hosts sent 8,600 probes in 20 s."""
+    known = paths()
+    known.record_failed("e1:1", "e1", REFUSED, NOW)
+    announced: set[str] = set()
+    for second in range(1, 10):
+        assert known.due_probes(NOW + second, announced.__contains__) == []
+    announced.add("e1")
+    expected = [DueProbe("e1:1", "e1", "", 0)]
+    assert known.due_probes(NOW + 10, announced.__contains__) == expected
+
+
 def test_one_regained_path_lets_the_others_be_probed_at_once():
     known = paths()
     for number in range(3):
