--- a/bitterntiller/components/paths/host_paths.py
+++ b/bitterntiller/components/paths/host_paths.py
@@ -161,7 +161,7 @@
         return now - self._silent_at <= SUSPECT_SECONDS
 
     def due_probes(
-        self, now: float, is_announced: Callable[[str], bool] | None = None
+        self, now: float, is_announced: Callable[[str], bool] = lambda upstream: True
     ) -> list[DueProbe]:
         """Return the failed paths to probe now.
 
