Dispatch: the work time that responses state ranks upstreams

Machines that are shared with others take 2.5 times as long at times, and their responses say so. The figure was decoded and dropped: the owner followed its learned speed, which lags behind such changes and was distorted by them.

The owner keeps the newest statement of each upstream (stated_speed.py). It multiplies expected times by the stated factor, which decays to 1 with a time constant of 0.3 s, as the mean over the expected time. It divides the times of calls, prefills and outputs by the factor of their own response, unless that takes them further from the expected time. No upstream is excluded and no request refused as late for a statement. Progress reports carry the figure with the first output of a stream, since its end comes too late. The dump and the line of a grant show figure and age. A new start of the upstream discards it. In effect only where Pool.uneven is true.

--- a/bitterntiller/components/dispatch/describe.py
+++ b/bitterntiller/components/dispatch/describe.py
@@ -2,6 +2,7 @@
 
 from bitterntiller.components.dispatch.pool import Pool
 from bitterntiller.components.dispatch.queue import PoolQueue
+from bitterntiller.components.dispatch.stated_speed import StatedSpeed
 from bitterntiller.components.dispatch.upstreams import Upstream
 from bitterntiller.components.dispatch.wait_estimator import WaitEstimator
 
@@ -57,10 +58,22 @@
         "kv_tokens": ledger.kv_tokens,
         "prefill_seconds": round(ledger.prefill_backlog(upstream.speed, now), 3),
         "speed_scale": round(upstream.speed.scale, 3),
+        "stated_work_time": _describe_stated(upstream.stated, now),
         "prefix_trust": round(upstream.prefixes.trust, 3),
     }
 
 
+def _describe_stated(stated: StatedSpeed, now: float) -> dict[str, object]:
+    """Return the newest statement, how many there were, and the factor in use."""
+    age = stated.age(now)
+    return {
+        "percent": stated.percent,
+        "age": None if age is None else round(age, 3),
+        "samples": stated.samples,
+        "factor": round(stated.factor(now), 3),
+    }
+
+
 def _unreached(pool: Pool, name: str, now: float) -> dict[str, float]:
     """Return the seconds since the path to an upstream failed last, by host."""
     return {
--- a/bitterntiller/components/dispatch/grant_loop.py
+++ b/bitterntiller/components/dispatch/grant_loop.py
@@ -110,6 +110,8 @@
                 tokens=job.kv_tokens,
                 rate_limit=upstream.rate_limiter.limit,
                 limit_age=_limit_age(upstream, now),
+                stated_percent=upstream.stated.percent,
+                stated_age=upstream.stated.age(now),
             ),
             self._pool.paths.relays(request.entry_host, upstream.name, now),
         )
--- a/bitterntiller/components/dispatch/jobs.py
+++ b/bitterntiller/components/dispatch/jobs.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 from bitterntiller.components.dispatch.models import WaitingRequest
+from bitterntiller.components.dispatch.stated_speed import Statement
 
 if TYPE_CHECKING:
     from bitterntiller.components.dispatch.upstreams import Upstream
@@ -42,7 +43,8 @@
     of a plain service has ended yet. park_count counts how often no free upstream could
     finish it in time while a busy one might. target is the upstream reserved for a
     waiting request, or the upstream of an expired grant. awaits_output is set while it
-    is in flight and its output hasn't begun.
+    is in flight and its output hasn't begun. statement is how long work takes as its
+    own response stated it, None if it didn't or if the pool isn't uneven.
     """
 
     __slots__ = (
@@ -71,6 +73,7 @@
         "return_count",
         "sequence",
         "state",
+        "statement",
         "target",
         "tokens_at",
         "tokens_seen",
@@ -102,6 +105,7 @@
         self.prefill = 0
         self.expected_cached = 0
         self.expected_total = 0.0
+        self.statement: Statement | None = None
         self.expected_wait = 0.0
         self.in_flight_at_start = 0
         self.first_output_at: float | None = None
--- a/bitterntiller/components/dispatch/model_updater.py
+++ b/bitterntiller/components/dispatch/model_updater.py
@@ -9,9 +9,18 @@
     REASON_NOT_ADMITTED,
 )
 from bitterntiller.components.dispatch.jobs import Job
-from bitterntiller.components.dispatch.models import Completion, PolicyParameters
+from bitterntiller.components.dispatch.models import (
+    Completion,
+    PolicyParameters,
+    UpstreamLoad,
+)
 from bitterntiller.components.dispatch.pool import Pool
 from bitterntiller.components.dispatch.size_estimator import SizeEstimator
+from bitterntiller.components.dispatch.stated_speed import (
+    Statement,
+    is_valid,
+    sample_factor,
+)
 from bitterntiller.components.dispatch.upstreams import Upstream
 from bitterntiller.core.outcomes import ResponseFault
 
@@ -30,7 +39,12 @@
         self._size_estimator = size_estimator
 
     def learn_from_progress(
-        self, job: Job, output_tokens: int, now: float, first: float | None
+        self,
+        job: Job,
+        output_tokens: int,
+        now: float,
+        first: float | None,
+        work_percent: int | None = None,
     ) -> None:
         """Learn from the number of output tokens of a running request so far.
 
@@ -51,6 +65,9 @@
             when = now
             if first is not None and not job.adopted:
                 when = min(now, job.granted_at + first)
+            if work_percent is not None:
+                self._pool.record_work_time(upstream, work_percent, when, now)
+                self._record_own_statement(job, work_percent, when)
             self._learn_first_output(job, upstream, when)
         else:
             self._learn_decode(job, upstream, output_tokens, now)
@@ -65,7 +82,7 @@
         if upstream is None:
             return
         if completion.load is not None:
-            self._pool.record_load(upstream, completion.load, now)
+            self._record_load(job, upstream, completion, completion.load, now)
         # A caller that disconnects, or sends what the upstream rejects, is no failure
         # of the upstream. If these were counted, a few of them in a row would stop
         # all requests to the upstream.
@@ -90,17 +107,36 @@
             return
         self._pool.record_upstream_success(upstream, host, now, granted_at)
         upstream.last_active_at = now
-        self._size_estimator.learn(job, completion)
+        usual = self._usual_call_seconds(job, upstream, completion)
+        self._size_estimator.learn(job, completion._replace(total=usual))
         # The duration of a call measures the upstream's speed only relative to the
         # measured mean of such calls. Relative to an unmeasured estimate, an upstream
         # would seem many times too slow or too fast for calls of all sizes.
         if not (self._plain and (job.adopted or job.unmeasured)):
-            self._learn_service_times(job, upstream, completion, now)
+            self._learn_service_times(job, upstream, completion, usual, now)
         if completion.cached_tokens is not None:
             upstream.prefixes.update_trust(
                 job.expected_cached, completion.cached_tokens
             )
 
+    def _record_load(
+        self,
+        job: Job,
+        upstream: Upstream,
+        completion: Completion,
+        load: UpstreamLoad,
+        now: float,
+    ) -> None:
+        """Apply the load that the head of a completed response reported.
+
+        The head came with the first output, which may have been seconds ago.
+        """
+        head_at = load.measured_at
+        if completion.first_token is not None:
+            head_at -= max(0.0, completion.total - completion.first_token)
+        self._pool.record_load(upstream, load, now, head_at)
+        self._record_own_statement(job, load.work_percent, head_at)
+
     def learn_from_return(
         self,
         job: Job,
@@ -141,6 +177,8 @@
         if seconds is None:
             return
         expected = upstream.speed.prefill_seconds(job.prefill, job.kind)
+        if job.statement is not None:
+            seconds /= sample_factor(job.statement.whole, seconds, expected)
         upstream.speed.learn_prefill(job.kind, expected, seconds)
 
     def _learn_decode(
@@ -148,33 +186,82 @@
     ) -> None:
         if not job.tokens_at:
             return
-        upstream.speed.learn_decode(
-            tokens - job.tokens_seen, now - job.tokens_at, upstream.ledger.in_flight
+        self._learn_outputs(
+            job, upstream, tokens - job.tokens_seen, job.tokens_at, now - job.tokens_at
         )
 
+    def _learn_outputs(
+        self, job: Job, upstream: Upstream, tokens: int, begin: float, seconds: float
+    ) -> None:
+        """Learn from the seconds in which tokens were decoded, from a time on.
+
+        The statement of a response is about the time of its head, so it counts for less
+        the later the tokens came.
+        """
+        in_flight = upstream.ledger.in_flight
+        if job.statement is not None:
+            stated = job.statement.mean_factor(begin, seconds)
+            expected = upstream.speed.decode_seconds(tokens, in_flight)
+            seconds /= sample_factor(stated, seconds, expected)
+        upstream.speed.learn_decode(tokens, seconds, in_flight)
+
+    def _record_own_statement(
+        self, job: Job, percent: int | None, head_at: float
+    ) -> None:
+        if self._pool.uneven and job.statement is None and is_valid(percent):
+            job.statement = Statement(percent, head_at)
+
+    def _usual_call_seconds(
+        self, job: Job, upstream: Upstream, completion: Completion
+    ) -> float:
+        """Return how long a call would have taken if work took as long as usual.
+
+        A stream runs on after its statement; its parts are corrected one by one. If the
+        expected time is a guess, it can't tell whether the statement is true.
+        """
+        seconds = completion.total
+        stream = not self._plain and completion.first_token is not None
+        if job.statement is None or stream or job.unmeasured:
+            return seconds
+        size = max(job.expected_output, 0.0 if self._plain else 1.0)
+        expected = upstream.speed.decode_seconds(size, upstream.ledger.in_flight)
+        return seconds / sample_factor(job.statement.whole, seconds, expected)
+
     def _learn_service_times(
-        self, job: Job, upstream: Upstream, completion: Completion, now: float
+        self,
+        job: Job,
+        upstream: Upstream,
+        completion: Completion,
+        usual: float,
+        now: float,
     ) -> None:
-        """Learn from the times of a completed request."""
+        """Learn from the times of a completed request.
+
+        usual is its time in seconds if work had taken as long as usual.
+        """
         in_flight = upstream.ledger.in_flight
         first = completion.first_token
         if self._plain:
-            size = job.expected_output
-            upstream.speed.learn_decode(size, completion.total, in_flight)
+            upstream.speed.learn_decode(job.expected_output, usual, in_flight)
         elif first is None:
             size = max(job.expected_output, 1.0)
-            upstream.speed.learn_decode(size, completion.total, in_flight)
+            upstream.speed.learn_decode(size, usual, in_flight)
         elif job.first_output_at is None:
-            self._learn_first_output(job, upstream, job.granted_at + first)
-            upstream.speed.learn_decode(
-                completion.output_tokens - 1, completion.total - first, in_flight
+            began = job.granted_at + first
+            self._learn_first_output(job, upstream, began)
+            self._learn_outputs(
+                job,
+                upstream,
+                completion.output_tokens - 1,
+                began,
+                completion.total - first,
             )
         elif completion.output_tokens > job.tokens_seen:
             self._learn_decode(job, upstream, completion.output_tokens, now)
         if job.work <= 0 or completion.total <= 0:
             return
         upstream.speed.learn_total(job.expected_total, completion.total)
-        upstream.limit.learn(completion.total / job.work, upstream.state.slots)
+        upstream.limit.learn(usual / job.work, upstream.state.slots)
         self._pool.record_service_time(job.work, completion.total)
 
 
--- a/bitterntiller/components/dispatch/models.py
+++ b/bitterntiller/components/dispatch/models.py
@@ -134,7 +134,9 @@
     how often no free upstream could finish it in time while a busy one might. announced
     is the age of the upstream's newest announcement. tokens is the prompt plus the
     stated output. rate_limit is the upstream's limit in requests per second as given in
-    its responses, last received limit_age seconds ago.
+    its responses, last received limit_age seconds ago. stated_percent is how long work
+    takes on the upstream's machine, 100 as usual, as stated stated_age seconds ago;
+    None without such a statement.
     """
 
     expected: float
@@ -149,6 +151,8 @@
     tokens: int
     rate_limit: float | None = None
     limit_age: float | None = None
+    stated_percent: int | None = None
+    stated_age: float | None = None
 
 
 class Granted(NamedTuple):
@@ -288,11 +292,12 @@
         output_tokens: int,
         now: float,
         first: float | None = None,
+        work_percent: int | None = None,
     ) -> list[Decision]:
         """Record the number of output tokens of a running request so far.
 
-        first is the time in seconds from sending to the first output, if the entry host
-        reported it.
+        first is the time in seconds from sending to the first output, and work_percent
+        how long work takes as stated by the response, if the entry host reported them.
         """
         ...
 
--- a/bitterntiller/components/dispatch/owned_pool.py
+++ b/bitterntiller/components/dispatch/owned_pool.py
@@ -213,7 +213,7 @@
             first = None if item.first_ms is None else item.first_ms / 1000
             self.rollout.record_progress(item)
             decisions += self.scheduler.progress(
-                item.request_id, item.output_tokens, now, first
+                item.request_id, item.output_tokens, now, first, item.work_percent
             )
         return self._record_decisions(decisions, now)
 
--- a/bitterntiller/components/dispatch/picker.py
+++ b/bitterntiller/components/dispatch/picker.py
@@ -76,6 +76,7 @@
         canary = self.canaries.pick(job, now)
         if canary is not None:
             cached, _, total = self._estimate(job, canary, now)
+            total = canary.stated.expected_seconds(total, now)
             return PickResult(PickStatus.PICKED, canary, cached, total)
         parameters = self._parameters
         budget = job.request.deadline - now
@@ -88,11 +89,14 @@
             if long_blocked or not self._accepts(job, upstream, now):
                 continue
             any_accepts = True
-            cached, _, total = self._estimate(job, upstream, now)
+            cached, _, usual = self._estimate(job, upstream, now)
+            total = upstream.stated.expected_seconds(usual, now)
             margin = 1.0 + parameters.margin * upstream.speed.deviation
-            if total * margin > budget and not job.unmeasured:
+            # A statement ranks upstreams but excludes none: it may be nonsense, or no
+            # longer hold when the request is sent.
+            if min(usual, total) * margin > budget and not job.unmeasured:
                 continue
-            score = self._score(job, upstream, cached, total)
+            score = self._score(job, upstream, cached, total, now)
             score += self._isolation.neighbour_seconds(
                 job.request, upstream.ledger, now
             )
@@ -120,13 +124,18 @@
         fastest: Upstream | None = None
         fastest_seconds = INFINITE_SECONDS
         fastest_cached = 0
+        least_seconds = INFINITE_SECONDS
         for upstream in candidates:
-            cached, alone, _ = self._estimate(job, upstream, now)
-            alone += upstream.rate_limiter.wait_seconds(now)
-            if alone < fastest_seconds and upstream.health.allows_request(0, now):
+            cached, usual, _ = self._estimate(job, upstream, now)
+            wait = upstream.rate_limiter.wait_seconds(now)
+            if not upstream.health.allows_request(0, now):
+                continue
+            alone = upstream.stated.expected_seconds(usual, now) + wait
+            least_seconds = min(least_seconds, usual + wait, alone)
+            if alone < fastest_seconds:
                 fastest, fastest_seconds = upstream, alone
                 fastest_cached = cached
-        late = fastest_seconds > budget and not job.unmeasured
+        late = least_seconds > budget and not job.unmeasured
         if fastest is not None and late:
             all_seen = len(view.members) <= SCAN_ALL_UP_TO
             if all_seen or self.min_service_seconds(job, view, now) > budget:
@@ -153,6 +162,7 @@
         for upstream in self._candidates(job, view, now):
             if upstream.needs_speed_probe(now) and self._accepts(job, upstream, now):
                 cached, alone, _ = self._estimate(job, upstream, now)
+                alone = upstream.stated.expected_seconds(alone, now)
                 return PickResult(PickStatus.PICKED, upstream, cached, alone)
         return None
 
@@ -198,13 +208,19 @@
 
     def _find_best(self, view: UpstreamView, now: float) -> None:
         view.best_updated_at = now
-        speeds = [self._pool.upstreams_by_name[name].speed for name in view.members]
+        upstreams = [self._pool.upstreams_by_name[name] for name in view.members]
+        # Statements that work takes longer don't raise the bounds, since they soon end.
+        factors = [min(1.0, upstream.stated.factor(now)) for upstream in upstreams]
+        speeds = [upstream.speed for upstream in upstreams]
         view.best_prefill = min(
-            speed.prefill_seconds(1000, kind)
-            for speed in speeds
+            speed.prefill_seconds(1000, kind) * factor
+            for speed, factor in zip(speeds, factors, strict=True)
             for kind in (SHORT, LONG)
         )
-        view.best_decode = min(speed.best_decode_seconds(1000) for speed in speeds)
+        view.best_decode = min(
+            speed.best_decode_seconds(1000) * factor
+            for speed, factor in zip(speeds, factors, strict=True)
+        )
 
     def _candidates(self, job: Job, view: UpstreamView, now: float) -> list[Upstream]:
         upstreams_by_name = self._pool.upstreams_by_name
@@ -232,7 +248,8 @@
         """Return the expected cached tokens and two service times in seconds.
 
         The first service time is without other work at the upstream, the second one
-        behind the work that is outstanding there.
+        behind the work that is outstanding there. Both are as usual: what the upstream
+        states of its machine isn't considered.
         """
         request = job.request
         ledger = upstream.ledger
@@ -310,20 +327,27 @@
         guard_higher = self._parameters.guard_higher
         tokens = job.request.prompt_tokens
         stolen = 0.5 * speed.prefill_seconds(tokens, job.kind)
+        expected_seconds = upstream.stated.expected_seconds
         return all(
-            seconds_per_token
-            * need.tokens
-            * (guard if rank == job.rank else guard_higher)
-            + stolen
+            expected_seconds(
+                seconds_per_token
+                * need.tokens
+                * (guard if rank == job.rank else guard_higher)
+                + stolen,
+                now,
+            )
             <= need.seconds
             for rank, need in needs.items()
             if rank <= job.rank
         )
 
-    def _score(self, job: Job, upstream: Upstream, cached: int, total: float) -> float:
+    def _score(
+        self, job: Job, upstream: Upstream, cached: int, total: float, now: float
+    ) -> float:
         """Return the cost of picking an upstream: the delay plus weighted prefill."""
         tokens = job.request.prompt_tokens - cached
         prefill = upstream.speed.prefill_seconds(tokens, job.kind)
+        prefill = upstream.stated.expected_seconds(prefill, now)
         return total + self._parameters.prefix_weight * prefill
 
     def _too_many_long_prefills(self, view: UpstreamView) -> bool:
--- a/bitterntiller/components/dispatch/pool.py
+++ b/bitterntiller/components/dispatch/pool.py
@@ -24,6 +24,7 @@
 )
 from bitterntiller.components.dispatch.prefix import PrefixIndex
 from bitterntiller.components.dispatch.speed import PoolSpeed
+from bitterntiller.components.dispatch.stated_speed import is_valid
 from bitterntiller.components.dispatch.upstream_events import (
     UpstreamChange,
     UpstreamEvents,
@@ -92,12 +93,31 @@
         for upstream in self.upstreams_by_name.values():
             self.refresh(upstream, now)
 
-    def record_load(self, upstream: Upstream, load: UpstreamLoad, now: float) -> None:
-        """Apply the load that a response or an announcement reported."""
-        if load.work_percent is not None and self._parameters.uneven == UNEVEN_STATED:
-            self.uneven = True
+    def record_load(
+        self,
+        upstream: Upstream,
+        load: UpstreamLoad,
+        now: float,
+        stated_at: float | None = None,
+    ) -> None:
+        """Apply the load that a response or an announcement reported.
+
+        stated_at is when the head of the response came, if that is known.
+        """
+        if load.work_percent is not None:
+            at = load.measured_at if stated_at is None else stated_at
+            self.record_work_time(upstream, load.work_percent, at, now)
         upstream.ledger.apply_load_report(load, now)
 
+    def record_work_time(
+        self, upstream: Upstream, percent: int, at: float, now: float
+    ) -> None:
+        """Record how long work takes on an upstream's machine, as stated at a time."""
+        if self._parameters.uneven == UNEVEN_STATED and is_valid(percent):
+            self.uneven = True
+        if self.uneven:
+            upstream.stated.record(percent, at, now)
+
     def candidate_upstreams(self, now: float) -> list[Upstream]:
         """Return the usable upstreams of the candidate version, sorted by name."""
         version = self.version_rules.candidate
--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -255,13 +255,16 @@
         output_tokens: int,
         now: float,
         first: float | None = None,
+        work_percent: int | None = None,
     ) -> list[Decision]:
         """Record the number of output tokens of a running request so far."""
         job = self._jobs.by_id.get(request_id)
         if job is None:
             return []
         self._jobs.mark_running(job, now)
-        self._model_updater.learn_from_progress(job, output_tokens, now, first)
+        self._model_updater.learn_from_progress(
+            job, output_tokens, now, first, work_percent
+        )
         if job.upstream is None:
             return []
         decisions: list[Decision] = []
--- a/bitterntiller/components/dispatch/upstreams.py
+++ b/bitterntiller/components/dispatch/upstreams.py
@@ -13,6 +13,7 @@
 from bitterntiller.components.dispatch.models import PolicyParameters, UpstreamState
 from bitterntiller.components.dispatch.prefix import PrefixCache, PrefixIndex
 from bitterntiller.components.dispatch.speed import PoolSpeed, new_speed
+from bitterntiller.components.dispatch.stated_speed import StatedSpeed
 from bitterntiller.components.dispatch.upstream_events import (
     UpstreamChange,
     UpstreamEvent,
@@ -47,6 +48,7 @@
         self._kind = parameters.kind
         self._pool_speed = pool
         self.speed = new_speed(parameters.kind, pool)
+        self.stated = StatedSpeed()
         self._adaptive = parameters.adaptive
         self.limit = InflightLimit(self._adaptive)
         self.health = Health()
@@ -67,6 +69,7 @@
         for a long time, and requests would be sent to it for prefixes that it lost.
         """
         self.speed = new_speed(self._kind, self._pool_speed)
+        self.stated = StatedSpeed()
         self.ledger.clear()
         self.prefixes.clear()
         self.health.record_success()
--- a/bitterntiller/components/entry/coordinator.py
+++ b/bitterntiller/components/entry/coordinator.py
@@ -12,7 +12,10 @@
 from bitterntiller.components.entry.limit_reports import async_report_known_limits
 from bitterntiller.components.entry.models import ActiveRequest, Cut, CutBy, Phase
 from bitterntiller.components.entry.notice_reports import async_report_known_notices
-from bitterntiller.components.entry.owner_messages import milliseconds, register_message
+from bitterntiller.components.entry.owner_messages import (
+    progress_item,
+    register_message,
+)
 from bitterntiller.components.entry.pipeline import Pipeline
 from bitterntiller.components.entry.registry import (
     LeaseLost,
@@ -264,23 +267,7 @@
         for active in self.registry.by_id.values():
             if active.output_tokens == active.reported_tokens:
                 continue
-            item = messages.ProgressItem(
-                request_id=active.request_id,
-                output_tokens=active.output_tokens,
-                first_ms=_first_ms(active),
-            )
+            item = progress_item(active)
             active.reported_tokens = active.output_tokens
             items_by_pool.setdefault(active.pool, []).append(item)
         return items_by_pool
-
-
-def _first_ms(active: ActiveRequest) -> int | None:
-    """Return the time to first output in milliseconds, for the first report only.
-
-    None also for a request that was resumed at another upstream, since its first output
-    came from the previous one.
-    """
-    first = active.first_byte_at
-    if active.reported_tokens or first is None or first < active.sent_at:
-        return None
-    return milliseconds(first - active.sent_at)
--- a/bitterntiller/components/entry/owner_messages.py
+++ b/bitterntiller/components/entry/owner_messages.py
@@ -132,6 +132,34 @@
     )
 
 
+def progress_item(active: ActiveRequest) -> messages.ProgressItem:
+    """Return the output of a request so far.
+
+    The first report also has the time to the first output, and how long work takes as
+    the response states it.
+    """
+    first_ms = _first_ms(active)
+    load = None if first_ms is None else active.load
+    return messages.ProgressItem(
+        request_id=active.request_id,
+        output_tokens=active.output_tokens,
+        first_ms=first_ms,
+        work_percent=None if load is None else load.work_percent,
+    )
+
+
+def _first_ms(active: ActiveRequest) -> int | None:
+    """Return the time to first output in milliseconds, for the first report only.
+
+    None also for a request that was resumed at another upstream, since its first output
+    came from the previous one.
+    """
+    first = active.first_byte_at
+    if active.reported_tokens or first is None or first < active.sent_at:
+        return None
+    return milliseconds(first - active.sent_at)
+
+
 def finished_message(
     active: ActiveRequest, outcome: str, now: float
 ) -> messages.Finished:
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -147,6 +147,7 @@
     1: required string request_id,
     2: required i32 output_tokens,
     3: optional i32 first_ms,             // time from sending to the first output; sent once
+    4: optional i32 work_percent,         // as in Load, stated by the response; sent once
 }
 
 struct Progress { 1: required string pool, 2: required list<ProgressItem> items }
