--- a/bitterntiller/components/dispatch/describe.py
+++ b/bitterntiller/components/dispatch/describe.py
@@ -69,7 +69,8 @@
     age = state.age(now)
     return {
         "ejected": state.ejected,
-        "ejected_seconds": round(state.wait_seconds(now), 3),
+        "wait_seconds": round(state.wait_seconds(now), 3),
+        "ejections": state.ejections,
         "failures": failures,
         "samples": samples,
         "newest_seconds_ago": None if age is None else round(age, 3),
--- a/bitterntiller/components/dispatch/outliers.py
+++ b/bitterntiller/components/dispatch/outliers.py
@@ -383,7 +383,7 @@
             self._readmit_alike(states_by_name, ejected, pool, now)
         left = allowed - sum(states_by_name[name].ejected for name in ejected)
         others = len(states_by_name) - len(ejected) - 1
-        for suspect in _outliers(suspects, pool, min(allowed, others - 1)):
+        for suspect in _outliers(suspects, pool, min(allowed, others - 2)):
             state = states_by_name[suspect.name]
             if suspect.compared:
                 state.end_diversion(now)
--- a/tests/components/dispatch/test_outliers.py
+++ b/tests/components/dispatch/test_outliers.py
@@ -131,7 +131,7 @@
     while "ejected" not in changes(play.scheduler):
         play.run(0.05)
     since = play.now
-    left = outlier(play.scheduler, BAD, since)["ejected_seconds"]
+    left = outlier(play.scheduler, BAD, since)["wait_seconds"]
     assert 0.9 < left <= 1.0
     assert play.scheduler.next_wake(since) <= since + left
     play.scripts_by_name[BAD] = ENGINE
@@ -170,7 +170,7 @@
     play.scripts_by_name[NAMES[1]] = ENGINE
     play.run(0.5)
     now = play.now
-    eject_for = outlier(play.scheduler, BAD, now)["ejected_seconds"]
+    eject_for = outlier(play.scheduler, BAD, now)["wait_seconds"]
     assert eject_for > 0.2
     request = build.request("again", arrived=now, deadline=now + 8.0)
     decisions = play.scheduler.register(request, now)
