--- a/bitterntiller/components/dispatch/picker.py
+++ b/bitterntiller/components/dispatch/picker.py
@@ -128,6 +128,7 @@
         for upstream in candidates:
             cached, usual, _ = self._estimate(job, upstream, now)
             wait = upstream.rate_limiter.wait_seconds(now)
+            wait += upstream.outlier.wait_seconds(now)
             if not upstream.health.allows_request(0, now):
                 continue
             alone = upstream.stated.expected_seconds(usual, now) + wait
