Dispatch: retries of refused callers are booked into forecast capacity

Retry-After was what waits, plus refused work, over the drain rate of the tier. It fed on its own refusals and grew while load and capacity were steady; who came back when told was refused again.

While Pool.uneven is true, ReturnTimes forecasts for each tier the capacity that the tier and those above it leave, and books each refused request into its first free interval of 0.25 s. Retries are recognized by tier, workspace and deadline; they don't count for the rates and aren't booked again. The dump shows rates and bookings (retries_by_rank), dispatch.retries counts the basis of each time.

--- a/bitterntiller/components/dispatch/coordinator.py
+++ b/bitterntiller/components/dispatch/coordinator.py
@@ -430,4 +430,7 @@
             version = pool.version_of(decision.upstream)
             return grant_message(decision, pool.name, pool.epoch, valid, version)
         self._metrics.count(f"{const.METRIC_REFUSALS}.{pool.name}.{decision.reason}")
+        if decision.basis is not None and decision.basis.retry is not None:
+            retry = decision.basis.retry
+            self._metrics.count(f"{const.METRIC_RETRIES}.{pool.name}.{retry}")
         return refusal_message(decision, pool.name)
--- a/bitterntiller/components/dispatch/describe.py
+++ b/bitterntiller/components/dispatch/describe.py
@@ -28,6 +28,7 @@
             }
             for rank, tier in queue.tiers_by_rank.items()
         },
+        "retries_by_rank": wait_estimator.return_times.describe(now),
         "upstreams_by_name": {
             name: _describe_upstream(upstream, now)
             | {
--- a/bitterntiller/components/dispatch/jobs.py
+++ b/bitterntiller/components/dispatch/jobs.py
@@ -42,7 +42,8 @@
     of a plain service has ended yet. park_count counts how often no free upstream could
     finish it in time while a busy one might. target is the upstream reserved for a
     waiting request, or the upstream of an expired grant. awaits_output is set while it
-    is in flight and its output hasn't begun.
+    is in flight and its output hasn't begun. is_retry is set if its caller was refused
+    before, as far as that is recognized.
     """
 
     __slots__ = (
@@ -58,6 +59,7 @@
         "granted_at",
         "group_key",
         "in_flight_at_start",
+        "is_retry",
         "kind",
         "kv_tokens",
         "min_service_seconds",
@@ -104,6 +106,7 @@
         self.expected_total = 0.0
         self.expected_wait = 0.0
         self.in_flight_at_start = 0
+        self.is_retry = False
         self.first_output_at: float | None = None
         self.tokens_seen = 0
         self.tokens_at = 0.0
--- a/bitterntiller/components/dispatch/models.py
+++ b/bitterntiller/components/dispatch/models.py
@@ -172,7 +172,8 @@
 
     tokens is the prompt plus the stated output, upstreams the number of upstreams the
     request was eligible for, and waiting the number of requests waiting in the pool.
-    waited, expected_wait, late and parked are as in Basis.
+    waited, expected_wait, late and parked are as in Basis. retry is a RetryBasis, None
+    if the retry-after time isn't forecast.
     """
 
     tokens: int
@@ -182,6 +183,7 @@
     expected_wait: float
     late: bool
     parked: int
+    retry: str | None = None
 
 
 class Refused(NamedTuple):
--- a/bitterntiller/components/dispatch/refusals.py
+++ b/bitterntiller/components/dispatch/refusals.py
@@ -4,6 +4,7 @@
 from bitterntiller.components.dispatch.lifecycle import JobLifecycle
 from bitterntiller.components.dispatch.models import RefusalBasis, Refused
 from bitterntiller.components.dispatch.pool import Pool
+from bitterntiller.components.dispatch.return_times import RetryBasis
 from bitterntiller.components.dispatch.wait_deadlines import WaitDeadlines
 from bitterntiller.components.dispatch.wait_estimator import WaitEstimator
 from bitterntiller.components.dispatch.workspace_limiter import WorkspaceLimiter
@@ -65,12 +66,16 @@
         if not self._pool.view(job).members:
             retry = self._wait_estimator.retry_without_upstream()
             return self._refusal(job, Reason.NO_UPSTREAM, retry, now)
-        self._wait_estimator.add_refusal(job, now)
-        retry = self._wait_estimator.retry_after(job.rank, now)
-        return self._refusal(job, reason, retry, now)
+        retry = self._wait_estimator.book_retry(job, now)
+        return self._refusal(job, reason, retry.seconds, now, retry.basis)
 
     def _refusal(
-        self, job: Job, reason: Reason, retry_after: float, now: float
+        self,
+        job: Job,
+        reason: Reason,
+        retry_after: float,
+        now: float,
+        retry: RetryBasis | None = None,
     ) -> Refused:
         request = job.request
         usable = len(self._pool.view(job).members)
@@ -87,5 +92,6 @@
                 expected_wait=job.expected_wait,
                 late=job.demoted,
                 parked=job.park_count,
+                retry=retry,
             ),
         )
--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -170,6 +170,7 @@
         job.min_service_seconds = self._picker.min_service_seconds(
             job, self._pool.view(job), now
         )
+        self._wait_estimator.add_offer(job, now)
         refused = self._refusals.check_arrival(job, now)
         if refused is not None:
             decisions.append(refused)
--- a/bitterntiller/components/dispatch/wait_estimator.py
+++ b/bitterntiller/components/dispatch/wait_estimator.py
@@ -10,6 +10,11 @@
     RateMeter,
     jittered_retry_after,
 )
+from bitterntiller.components.dispatch.return_times import (
+    Forecast,
+    RetryTime,
+    ReturnTimes,
+)
 from bitterntiller.components.dispatch.workspace_limiter import WorkspaceLimiter
 from bitterntiller.core.decaying import RETRY_DECAY_SECONDS, DecayingSum
 
@@ -44,6 +49,13 @@
         self._arrivals_by_rank: dict[int, RateMeter] = {}
         self._drains_by_rank: dict[int, RateMeter] = {}
         self._refused = DecayingSum(RETRY_DECAY_SECONDS)
+        self.return_times = ReturnTimes(rng)
+        self._slot_capacity = CapacityMeter(METER_SECONDS)
+
+    def add_offer(self, job: Job, now: float) -> None:
+        """Record a request that arrived, before it is queued or refused."""
+        if self._pool.uneven:
+            self.return_times.record_arrival(job, now)
 
     def add_arrival(self, job: Job, now: float) -> None:
         """Record the work of a request that was queued."""
@@ -53,6 +65,7 @@
         """Record the work of a request that was granted."""
         self._meter(self._drains_by_rank, job.rank, now).add(job.work, now)
         self._capacity.add_granted(job.work)
+        self._slot_capacity.add_granted(job.work / max(1, self._pool.slots))
 
     def add_refusal(self, job: Job, now: float) -> None:
         """Record the work of a refused request whose caller will retry."""
@@ -61,11 +74,14 @@
     def close_interval(self, now: float) -> None:
         """Close a measurement interval of the capacity."""
         saturated = any(tier.count for tier in self._queue.tiers_by_rank.values())
-        self._capacity.close_interval(saturated and not self._pool.any_free, now)
+        saturated = saturated and not self._pool.any_free
+        self._capacity.close_interval(saturated, now)
+        self._slot_capacity.close_interval(saturated, now)
 
     def capacity(self) -> float:
         """Return the work that the pool completes per second."""
-        return self._capacity.capacity(max(1, self._pool.slots) * self._pool.work_rate)
+        slots = max(1, self._pool.slots)
+        return self._capacity.capacity(slots * self._pool.work_rate)
 
     def expected_wait(self, job: Job, now: float) -> float:
         """Return the expected seconds until a request is granted.
@@ -104,7 +120,13 @@
         rate yet. Until it has, the whole capacity is assumed, since nothing shows that
         higher tiers take all of it for long. Recently refused work is added because it
         is retried as well: a caller with a shorter time would be refused again.
+
+        While the parts for uneven upstreams are in effect, the time is forecast by
+        ReturnTimes once it has measured the arrivals.
         """
+        if self._forecasts(now):
+            forecast = self._forecast(rank)
+            return self.return_times.seconds_until_free(rank, forecast, now)
         above = own = 0.0
         for tier_rank, tier in self._queue.tiers_by_rank.items():
             if tier_rank < rank:
@@ -118,10 +140,36 @@
         again = self._refused.sum(now)
         return jittered_retry_after((above + again) / capacity + own / drain, self._rng)
 
+    def book_retry(self, job: Job, now: float) -> RetryTime:
+        """Return when the caller of a request that is refused now should retry."""
+        self.add_refusal(job, now)
+        if self._forecasts(now):
+            forecast = self._forecast(job.rank)
+            return self.return_times.book(job, forecast, now)
+        return RetryTime(self.retry_after(job.rank, now))
+
     def retry_without_upstream(self) -> float:
         """Return after how many seconds to retry if there is no usable upstream."""
         return jittered_retry_after(NO_UPSTREAM_RETRY_SECONDS, self._rng)
 
+    def _forecasts(self, now: float) -> bool:
+        """Return whether retry times come from the forecast of free capacity."""
+        return self._pool.uneven and self.return_times.ready(now)
+
+    def _forecast(self, rank: int) -> Forecast:
+        """Return the capacity of the present slots and the work ahead of a tier.
+
+        The capacity is measured per slot. That of the whole pool would include lost
+        upstreams for some seconds.
+        """
+        waiting = sum(
+            tier.work
+            for tier_rank, tier in self._queue.tiers_by_rank.items()
+            if tier_rank < rank + 1
+        )
+        per_slot = self._slot_capacity.capacity(self._pool.work_rate)
+        return Forecast(max(1, self._pool.slots) * per_slot, waiting)
+
     def _sharing_factor(self, job: Job) -> float:
         """Return the factor by which fair sharing prolongs a workspace's wait."""
         tier = self._queue.tier(job.queue_rank)
