--- a/bitterntiller/components/dispatch/jobs.py
+++ b/bitterntiller/components/dispatch/jobs.py
@@ -45,6 +45,7 @@
     waiting request, or the upstream of an expired grant. awaits_output is set while it
     is in flight and its output hasn't begun. statement is how long work takes as its
     own response stated it, None if it didn't or if the pool isn't uneven.
+    is_retry is set if its caller was refused before, as far as that is recognized.
     """
 
     __slots__ = (
@@ -60,6 +61,7 @@
         "granted_at",
         "group_key",
         "in_flight_at_start",
+        "is_retry",
         "kind",
         "kv_tokens",
         "min_service_seconds",
@@ -108,6 +110,7 @@
         self.statement: Statement | None = None
         self.expected_wait = 0.0
         self.in_flight_at_start = 0
+        self.is_retry = False
         self.first_output_at: float | None = None
         self.tokens_seen = 0
         self.tokens_at = 0.0
