Dispatch: place streams by objective and output gap

Placement considered the expected completion only. A long prompt at a slow engine prolonged the gaps of all streams there beyond their target, and requests went to engines where their first output was late.

The owner now learns for each upstream the time to the first output by prompt tokens, the gap by requests in flight, and how much of the output is lost during a prefill. A request goes where least streams become late, weighted by work and tier, and waits for a better upstream while its objective holds there. In effect only while Pool.uneven is set.

--- a/bitterntiller/components/dispatch/describe.py
+++ b/bitterntiller/components/dispatch/describe.py
@@ -30,6 +30,7 @@
         },
         "upstreams_by_name": {
             name: _describe_upstream(upstream, now)
+            | _describe_pace(pool, upstream, now)
             | {
                 "paused_seconds_by_host": _pauses(pool, name, now),
                 "unreached_by_host": _unreached(pool, name, now),
@@ -61,6 +62,11 @@
     }
 
 
+def _describe_pace(pool: Pool, upstream: Upstream, now: float) -> dict[str, object]:
+    """Return the learned pace, empty if it isn't in effect."""
+    return {"pace": upstream.pace.describe(now)} if pool.uneven else {}
+
+
 def _unreached(pool: Pool, name: str, now: float) -> dict[str, float]:
     """Return the seconds since the path to an upstream failed last, by host."""
     return {
--- a/bitterntiller/components/dispatch/grant_loop.py
+++ b/bitterntiller/components/dispatch/grant_loop.py
@@ -1,5 +1,7 @@
 """The loop that grants waiting requests while upstreams are free."""
 
+from typing import Any
+
 from bitterntiller.components.dispatch.const import MAX_SKIPS
 from bitterntiller.components.dispatch.jobs import Job
 from bitterntiller.components.dispatch.lifecycle import JobLifecycle
@@ -62,6 +64,9 @@
             elif pick.status is PickStatus.BLOCKED:
                 self._blocked.add((job.queue_rank, job.group_key))
                 self._pool.reserve(job, pick.upstream, now)
+            elif pick.wait is not None:
+                self._jobs.parking.park_for(job, pick.wait.names, pick.wait.until)
+                skips += 1
             else:
                 name = pick.upstream.name if pick.upstream else None
                 self._jobs.parking.park(job, name, now)
@@ -110,11 +115,23 @@
                 tokens=job.kv_tokens,
                 rate_limit=upstream.rate_limiter.limit,
                 limit_age=_limit_age(upstream, now),
+                **_pace_basis(pick),
             ),
             self._pool.paths.relays(request.entry_host, upstream.name, now),
         )
 
 
+def _pace_basis(pick: PickResult) -> dict[str, Any]:
+    expected = pick.outlook
+    if expected is None:
+        return {}
+    return {
+        "objective_holds": expected.objective_holds,
+        "gaps_hold": expected.gaps_hold,
+        "harmed": len(expected.harmed),
+    }
+
+
 def _limit_age(upstream: Upstream, now: float) -> float | None:
     return (
         None if upstream.rate_limiter.limit is None else upstream.rate_limiter.age(now)
--- a/bitterntiller/components/dispatch/jobs.py
+++ b/bitterntiller/components/dispatch/jobs.py
@@ -42,7 +42,9 @@
     of a plain service has ended yet. park_count counts how often no free upstream could
     finish it in time while a busy one might. target is the upstream reserved for a
     waiting request, or the upstream of an expired grant. awaits_output is set while it
-    is in flight and its output hasn't begun.
+    is in flight and its output hasn't begun. prefill_ahead is the number of prompt
+    tokens to compute at the upstream before its own. late is set if its stream was
+    expected to miss a target when it was granted, or has missed its objective.
     """
 
     __slots__ = (
@@ -60,10 +62,12 @@
         "in_flight_at_start",
         "kind",
         "kv_tokens",
+        "late",
         "min_service_seconds",
         "order_key",
         "park_count",
         "prefill",
+        "prefill_ahead",
         "rank",
         "received_at",
         "request",
@@ -100,6 +104,8 @@
         self.blocked_since: float | None = None
         self.granted_at = 0.0
         self.prefill = 0
+        self.prefill_ahead = 0.0
+        self.late = False
         self.expected_cached = 0
         self.expected_total = 0.0
         self.expected_wait = 0.0
--- a/bitterntiller/components/dispatch/lifecycle.py
+++ b/bitterntiller/components/dispatch/lifecycle.py
@@ -102,6 +102,8 @@
         job.expected_cached = pick.cached
         job.prefill = request.prompt_tokens - pick.cached
         job.expected_total = pick.total
+        if pick.outlook is not None:
+            upstream.pace.record_grant(job, pick.outlook, now)
         self._pool.attach(job, upstream, now)
         job.in_flight_at_start = upstream.ledger.in_flight
         if request.prefix_hashes:
--- a/bitterntiller/components/dispatch/model_updater.py
+++ b/bitterntiller/components/dispatch/model_updater.py
@@ -51,6 +51,8 @@
             when = now
             if first is not None and not job.adopted:
                 when = min(now, job.granted_at + first)
+                if self._pool.uneven:
+                    upstream.pace.record_first_output(job, when, now)
             self._learn_first_output(job, upstream, when)
         else:
             self._learn_decode(job, upstream, output_tokens, now)
@@ -148,6 +150,10 @@
     ) -> None:
         if not job.tokens_at:
             return
+        if self._pool.uneven:
+            upstream.pace.record_outputs(
+                tokens - job.tokens_seen, job.tokens_at, now, upstream.ledger.in_flight
+            )
         upstream.speed.learn_decode(
             tokens - job.tokens_seen, now - job.tokens_at, upstream.ledger.in_flight
         )
@@ -165,7 +171,10 @@
             size = max(job.expected_output, 1.0)
             upstream.speed.learn_decode(size, completion.total, in_flight)
         elif job.first_output_at is None:
-            self._learn_first_output(job, upstream, job.granted_at + first)
+            began = job.granted_at + first
+            if self._pool.uneven and not job.adopted:
+                upstream.pace.record_first_output(job, began, now)
+            self._learn_first_output(job, upstream, began)
             upstream.speed.learn_decode(
                 completion.output_tokens - 1, completion.total - first, in_flight
             )
--- a/bitterntiller/components/dispatch/models.py
+++ b/bitterntiller/components/dispatch/models.py
@@ -134,7 +134,10 @@
     how often no free upstream could finish it in time while a busy one might. announced
     is the age of the upstream's newest announcement. tokens is the prompt plus the
     stated output. rate_limit is the upstream's limit in requests per second as given in
-    its responses, last received limit_age seconds ago.
+    its responses, last received limit_age seconds ago. objective_holds and gaps_hold
+    say whether the objective and all output gaps at the upstream were expected to be
+    within their targets, and harmed is the number of streams there that the grant was
+    expected to make late; None unless the parts for uneven upstreams are in effect.
     """
 
     expected: float
@@ -149,6 +152,9 @@
     tokens: int
     rate_limit: float | None = None
     limit_age: float | None = None
+    objective_holds: bool | None = None
+    gaps_hold: bool | None = None
+    harmed: int | None = None
 
 
 class Granted(NamedTuple):
--- a/bitterntiller/components/dispatch/parking.py
+++ b/bitterntiller/components/dispatch/parking.py
@@ -1,6 +1,6 @@
 """Requests set aside from the queue until a suitable upstream has capacity."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from bitterntiller.components.dispatch.const import PARK_SECONDS
 from bitterntiller.components.dispatch.jobs import Job, JobState
@@ -24,12 +24,17 @@
 
     def park(self, job: Job, upstream: str | None, now: float) -> None:
         """Move a request out of the queue until its upstream has capacity."""
+        self.park_for(job, (upstream or NO_UPSTREAM,), now + PARK_SECONDS)
+
+    def park_for(self, job: Job, upstreams: Iterable[str], until: float) -> None:
+        """Move a request out of the queue until one of its upstreams has capacity."""
         self._queue.remove(job)
         job.state = JobState.PARKED
         job.park_count += 1
-        parked = self._jobs_by_upstream.setdefault(upstream or NO_UPSTREAM, {})
-        parked[job.request.request_id] = job
-        self._timers.add(now + PARK_SECONDS, job)
+        for upstream in upstreams:
+            parked = self._jobs_by_upstream.setdefault(upstream, {})
+            parked[job.request.request_id] = job
+        self._timers.add(until, job)
 
     def unpark_for(self, upstream: str) -> None:
         """Queue the requests parked for an upstream that has capacity again."""
--- a/bitterntiller/components/dispatch/picker.py
+++ b/bitterntiller/components/dispatch/picker.py
@@ -16,6 +16,13 @@
 from bitterntiller.components.dispatch.isolation import Isolation
 from bitterntiller.components.dispatch.jobs import Job
 from bitterntiller.components.dispatch.models import PolicyParameters
+from bitterntiller.components.dispatch.pace import (
+    Outlook,
+    Wait,
+    outlook,
+    outlook_after_wait,
+    wait_for_better,
+)
 from bitterntiller.components.dispatch.pool import Pool
 from bitterntiller.components.dispatch.prefix import prefix_tokens
 from bitterntiller.components.dispatch.speed import LONG, SHORT
@@ -41,13 +48,16 @@
     """Status, and the upstream that was picked or is worth waiting for.
 
     cached is the expected number of cached prompt tokens, and total the expected
-    service time in seconds.
+    service time in seconds. outlook is what the pick is expected to do to the targets
+    of streams, if that is considered, and wait names the upstreams worth waiting for.
     """
 
     status: PickStatus
     upstream: Upstream | None = None
     cached: int = 0
     total: float = 0.0
+    outlook: Outlook | None = None
+    wait: Wait | None = None
 
 
 class UpstreamPicker:
@@ -76,11 +86,12 @@
         canary = self.canaries.pick(job, now)
         if canary is not None:
             cached, _, total = self._estimate(job, canary, now)
-            return PickResult(PickStatus.PICKED, canary, cached, total)
+            expected = self._outlook(job, canary, cached, now)
+            return PickResult(PickStatus.PICKED, canary, cached, total, expected)
         parameters = self._parameters
         budget = job.request.deadline - now
         best: PickResult | None = None
-        best_score = INFINITE_SECONDS
+        least_cost = (INFINITE_SECONDS, INFINITE_SECONDS)
         any_accepts = False
         candidates = self._candidates(job, view, now)
         long_blocked = job.kind == LONG and self._too_many_long_prefills(view)
@@ -96,13 +107,60 @@
             score += self._isolation.neighbour_seconds(
                 job.request, upstream.ledger, now
             )
-            if score < best_score:
-                best_score = score
-                best = PickResult(PickStatus.PICKED, upstream, cached, total)
+            expected = self._outlook(job, upstream, cached, now)
+            cost = (expected.harm if expected else 0.0, score)
+            if cost < least_cost:
+                least_cost = cost
+                best = PickResult(PickStatus.PICKED, upstream, cached, total, expected)
         if best is not None:
-            return best
+            return self._wait_for_better(job, view, best, now) or best
         return self._fallback(job, view, candidates, any_accepts, now)
 
+    def _outlook(
+        self, job: Job, upstream: Upstream, cached: int, now: float
+    ) -> Outlook | None:
+        """Return the expected objective and gaps, None if they aren't considered."""
+        if not self._pool.uneven or self._parameters.kind == KIND_PLAIN:
+            return None
+        tokens = job.request.prompt_tokens - cached
+        return outlook(job, tokens, upstream.pace, upstream.ledger, now)
+
+    def _wait_for_better(
+        self, job: Job, view: UpstreamView, best: PickResult, now: float
+    ) -> PickResult | None:
+        """Return which upstreams are worth waiting for, or a better one.
+
+        In a large pool the candidates are few, and a better one may be free.
+        """
+        if best.outlook is None or not best.outlook.harm:
+            return None
+        names: Iterable[str] = view.members
+        if len(view.members) > SCAN_ALL_UP_TO:
+            names = view.members.sample(SCAN_ALL_UP_TO, self._rng)
+        excluded = self._pool.excluded(job.request.entry_host, now)
+        excluded = excluded.union(job.request.tried)
+        outlooks_by_name = {}
+        any_free = False
+        for name in names:
+            upstream = self._pool.upstreams_by_name[name]
+            if name in excluded or upstream.health.unhealthy:
+                continue
+            cached, _, total = self._estimate(job, upstream, now)
+            if upstream.free and self._accepts(job, upstream, now):
+                expected = self._outlook(job, upstream, cached, now)
+                if expected is not None and not expected.harm:
+                    status = PickStatus.PICKED
+                    return PickResult(status, upstream, cached, total, expected)
+            tokens = job.request.prompt_tokens - cached
+            expected = outlook_after_wait(
+                job, tokens, upstream.pace, upstream.ledger, now
+            )
+            if not expected.harm:
+                any_free |= upstream.free
+                outlooks_by_name[name] = expected
+        wait = wait_for_better(job, outlooks_by_name, any_free, now)
+        return None if wait is None else PickResult(PickStatus.PARK, wait=wait)
+
     def _fallback(
         self,
         job: Job,
--- a/bitterntiller/components/dispatch/pool.py
+++ b/bitterntiller/components/dispatch/pool.py
@@ -22,6 +22,7 @@
     UpstreamLoad,
     UpstreamState,
 )
+from bitterntiller.components.dispatch.pace import PoolPace
 from bitterntiller.components.dispatch.prefix import PrefixIndex
 from bitterntiller.components.dispatch.speed import PoolSpeed
 from bitterntiller.components.dispatch.upstream_events import (
@@ -61,6 +62,7 @@
 
     def __init__(self, parameters: PolicyParameters) -> None:
         self.speed = PoolSpeed()
+        self.pace = PoolPace()
         self.index = PrefixIndex()
         self.views = UpstreamViews()
         self.upstreams_by_name: dict[str, Upstream] = {}
@@ -152,7 +154,9 @@
         """
         upstream = self.upstreams_by_name.get(state.name)
         if upstream is None:
-            upstream = Upstream(state, self._parameters, self.speed, self.index, now)
+            upstream = Upstream(
+                state, self._parameters, self.speed, self.index, now, self.pace
+            )
             self.upstreams_by_name[state.name] = upstream
             for job in self._orphans_by_name.pop(state.name, ()):
                 self.attach(job, upstream, now)
@@ -238,6 +242,7 @@
 
     def refresh(self, upstream: Upstream, now: float) -> None:
         """Update whether an upstream is a member of views, and whether it is free."""
+        upstream.paced = self.uneven and self._parameters.kind != KIND_PLAIN
         member = upstream.usable(now) and self.version_rules.may_serve(upstream.version)
         self._count_slots(upstream, member)
         free = member and upstream.can_take(now)
--- a/bitterntiller/components/dispatch/upstreams.py
+++ b/bitterntiller/components/dispatch/upstreams.py
@@ -11,6 +11,7 @@
 from bitterntiller.components.dispatch.inflight import InflightLimit
 from bitterntiller.components.dispatch.ledger import Ledger
 from bitterntiller.components.dispatch.models import PolicyParameters, UpstreamState
+from bitterntiller.components.dispatch.pace import PoolPace, UpstreamPace
 from bitterntiller.components.dispatch.prefix import PrefixCache, PrefixIndex
 from bitterntiller.components.dispatch.speed import PoolSpeed, new_speed
 from bitterntiller.components.dispatch.upstream_events import (
@@ -37,6 +38,7 @@
         pool: PoolSpeed,
         index: PrefixIndex,
         now: float,
+        pace: PoolPace | None = None,
     ) -> None:
         self.name = state.name
         self.state = state
@@ -50,6 +52,8 @@
         self._adaptive = parameters.adaptive
         self.limit = InflightLimit(self._adaptive)
         self.health = Health()
+        self.pace = UpstreamPace(pace or PoolPace())
+        self.paced = False
         self.rate_limiter = UpstreamRateLimiter()
         self.prefixes = PrefixCache(state.name, index)
         self.reserved_for: str | None = None
@@ -70,6 +74,7 @@
         self.ledger.clear()
         self.prefixes.clear()
         self.health.record_success()
+        self.pace.reset()
         self.limit = InflightLimit(self._adaptive)
         self.rate_limiter = UpstreamRateLimiter()
         self.reserved_for = None
@@ -135,9 +140,11 @@
         """Return the seconds until outstanding prefill fits the prefill window."""
         if not self.ledger.prefilling_by_id:
             return 0.0
-        return max(
-            0.0, self.ledger.prefill_backlog(self.speed, now) - self._prefill_window
-        )
+        if self.paced:
+            ahead = self.pace.prefill_seconds_ahead(self.ledger, now)
+        else:
+            ahead = self.ledger.prefill_backlog(self.speed, now)
+        return max(0.0, ahead - self._prefill_window)
 
     def can_take(self, now: float) -> bool:
         """Return whether another request may be sent now."""
