--- a/bitterntiller/components/dispatch/jobs.py
+++ b/bitterntiller/components/dispatch/jobs.py
@@ -46,6 +46,9 @@
     is in flight and its output hasn't begun. statement is how long work takes as its
     own response stated it, None if it didn't or if the pool isn't uneven.
     is_retry is set if its caller was refused before, as far as that is recognized.
+    prefill_ahead is the number of prompt tokens to compute at the upstream before its
+    own. late is set if its stream was expected to miss a target when it was granted, or
+    has missed its objective.
     """
 
     __slots__ = (
@@ -64,10 +67,12 @@
         "is_retry",
         "kind",
         "kv_tokens",
+        "late",
         "min_service_seconds",
         "order_key",
         "park_count",
         "prefill",
+        "prefill_ahead",
         "rank",
         "received_at",
         "request",
@@ -105,6 +110,8 @@
         self.blocked_since: float | None = None
         self.granted_at = 0.0
         self.prefill = 0
+        self.prefill_ahead = 0.0
+        self.late = False
         self.expected_cached = 0
         self.expected_total = 0.0
         self.statement: Statement | None = None
--- a/bitterntiller/components/dispatch/lifecycle.py
+++ b/bitterntiller/components/dispatch/lifecycle.py
@@ -104,6 +104,8 @@
         job.expected_total = pick.total
         job.statement = None
         self._pool.record_grant(job, upstream)
+        if pick.outlook is not None:
+            upstream.pace.record_grant(job, pick.outlook, now)
         self._pool.attach(job, upstream, now)
         job.in_flight_at_start = upstream.ledger.in_flight
         if request.prefix_hashes:
--- a/bitterntiller/components/dispatch/model_updater.py
+++ b/bitterntiller/components/dispatch/model_updater.py
@@ -69,6 +69,8 @@
             when = now
             if first is not None and not job.adopted:
                 when = min(now, job.granted_at + first)
+                if self._pool.uneven:
+                    upstream.pace.record_first_output(job, when, now)
             if work_percent is not None:
                 self._pool.record_work_time(upstream, work_percent, when, now)
                 self._record_own_statement(job, work_percent, when)
@@ -199,6 +201,10 @@
     ) -> None:
         if not job.tokens_at:
             return
+        if self._pool.uneven:
+            upstream.pace.record_outputs(
+                tokens - job.tokens_seen, job.tokens_at, now, upstream.ledger.in_flight
+            )
         self._learn_outputs(
             job, upstream, tokens - job.tokens_seen, job.tokens_at, now - job.tokens_at
         )
@@ -261,6 +267,8 @@
             upstream.speed.learn_decode(size, usual, in_flight)
         elif job.first_output_at is None:
             began = job.granted_at + first
+            if self._pool.uneven and not job.adopted:
+                upstream.pace.record_first_output(job, began, now)
             self._learn_first_output(job, upstream, began)
             self._learn_outputs(
                 job,
--- a/bitterntiller/components/dispatch/models.py
+++ b/bitterntiller/components/dispatch/models.py
@@ -136,7 +136,10 @@
     stated output. rate_limit is the upstream's limit in requests per second as given in
     its responses, last received limit_age seconds ago. stated_percent is how long work
     takes on the upstream's machine, 100 as usual, as stated stated_age seconds ago;
-    None without such a statement.
+    None without such a statement. objective_holds and gaps_hold say whether the
+    objective and all output gaps at the upstream were expected to be within their
+    targets, and harmed is the number of streams there that the grant was expected to
+    make late; None unless the parts for uneven upstreams are in effect.
     """
 
     expected: float
@@ -153,6 +156,9 @@
     limit_age: float | None = None
     stated_percent: int | None = None
     stated_age: float | None = None
+    objective_holds: bool | None = None
+    gaps_hold: bool | None = None
+    harmed: int | None = None
 
 
 class Granted(NamedTuple):
--- a/bitterntiller/components/dispatch/objective_admission.py
+++ b/bitterntiller/components/dispatch/objective_admission.py
@@ -7,11 +7,11 @@
 
 from bitterntiller.components.dispatch.jobs import Job
 
-WAIT_FRACTION = 0.6
+WAIT_FRACTION = 1.0
 """Fraction of the time to its objective that a request may be expected to wait. The
 rest is for its prefill and for the error of the estimate."""
 
-OVERDUE_FRACTION = 0.25
+OVERDUE_FRACTION = 0.5
 """Fraction of its objective that a request which misses it may be expected to wait on.
 A late answer is worth less than one in time, and a longer wait delays the refusal."""
 
