Operator: bitterntiller route asks where a request would be placed now

Operators could read the state of a pool, but not ask which upstream a request would get, or why not another one.

The operator port resolves route or service, workspace and tier from its configuration and asks the owner of each service with QueryPlacement. The owner runs the picker that decides on requests over a pool, queue and random numbers that the evaluation can't change (placement_query.py), and names the outcome, the expected wait and the first reason against each upstream. The query goes over a connection of its own purpose: an earlier release closes a connection with a message that it can't decode, and with it the requests registered there. Wrong input, a pool without an owner, an owner that does not answer and earlier releases are named, with exit code 2 or 8.

Measured: state dumps before and after queries are equal, and the 400 calls of a random load are decided the same with and without queries at 4 and 30 upstreams; six mutations (random numbers, needs, queue, rate, mean, refresh) each fail that or the test of the rate limit.

--- a/bitterntiller/cli/tool.py
+++ b/bitterntiller/cli/tool.py
@@ -14,6 +14,7 @@
 from bitterntiller.cli.commands.explain import Explain
 from bitterntiller.cli.commands.get import Get
 from bitterntiller.cli.commands.rollouts import Rollouts
+from bitterntiller.cli.commands.route import Route
 from bitterntiller.cli.commands.state import State
 from bitterntiller.cli.commands.summary import Summarize
 from bitterntiller.cli.errors import ToolError
@@ -26,7 +27,16 @@
     """Check, change and inspect a bitterntiller deployment."""
 
     command: cappa.Subcommands[
-        Check | Apply | Get | State | Control | Rollouts | Crashes | Explain | Summarize
+        Check
+        | Apply
+        | Get
+        | State
+        | Route
+        | Control
+        | Rollouts
+        | Crashes
+        | Explain
+        | Summarize
     ]
 
 
--- a/bitterntiller/components/dispatch/__init__.py
+++ b/bitterntiller/components/dispatch/__init__.py
@@ -11,6 +11,10 @@
     DEFAULT_PARAMETERS,
     Scheduler,
 )
+from bitterntiller.components.dispatch.placement_server import (
+    PlacementServer,
+    ReadQuota,
+)
 from bitterntiller.components.dispatch.reports import ReportReceiver
 from bitterntiller.components.dispatch.scheduler import PoolScheduler
 from bitterntiller.core.interfaces import (
@@ -116,6 +120,7 @@
     await runtime.async_spawn(receiver.async_run())
     await runtime.async_spawn(receiver.quotas.async_run())
     runtime.add_diagnostics("reports", receiver.describe)
+    _serve_placements(runtime, lease, coordinator, receiver.quota)
     return coordinator
 
 
@@ -138,9 +143,21 @@
     await _async_start(runtime, coordinator)
     if control is not None:
         await rollouts.async_setup_reports(runtime, coordinator, control)
+    _serve_placements(runtime, lease, coordinator)
     return coordinator
 
 
+def _serve_placements(
+    runtime: Runtime,
+    lease: Lease,
+    coordinator: DispatchCoordinator,
+    read_quota: ReadQuota | None = None,
+) -> None:
+    server = PlacementServer(coordinator, lease, runtime.clock, read_quota)
+    remove = runtime.links.handle_streams(const.PLACEMENT_PURPOSE, server.async_serve)
+    runtime.stack.callback(remove)
+
+
 async def _async_start(runtime: Runtime, coordinator: DispatchCoordinator) -> None:
     for cls, handler in (
         (messages.Register, coordinator.async_on_register),
--- a/bitterntiller/components/dispatch/const.py
+++ b/bitterntiller/components/dispatch/const.py
@@ -119,6 +119,13 @@
 
 PROBE_SECONDS = 2.0
 
+PLACEMENT_PURPOSE = "placement"
+PLACEMENT_TIMEOUT = 2.0
+PLACEMENT_OK = "ok"
+PLACEMENT_NO_OWNER = "no-owner"
+PLACEMENT_NO_LEASE = "no-lease"
+PLACEMENT_NO_CONFIGURATION = "no-configuration"
+
 METRIC_GRANTS = "dispatch.grants"
 METRIC_REFUSALS = "dispatch.refusals"
 METRIC_ORPHANED = "dispatch.orphaned"
--- a/bitterntiller/components/dispatch/ledger.py
+++ b/bitterntiller/components/dispatch/ledger.py
@@ -2,6 +2,8 @@
 
 import math
 from collections import OrderedDict, deque
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import NamedTuple
 
 from bitterntiller.components.dispatch.jobs import Job
@@ -129,6 +131,15 @@
         self._needs_by_rank = needs
         return needs
 
+    @contextmanager
+    def unchanged(self) -> Iterator[None]:
+        """Restore the needs that are kept between calls, after a mere evaluation."""
+        kept = (self._needs_by_rank, self._needs_at)
+        try:
+            yield
+        finally:
+            self._needs_by_rank, self._needs_at = kept
+
     def apply_load_report(self, load: UpstreamLoad, now: float) -> None:
         """Update the estimate of foreign requests from a load report.
 
--- a/bitterntiller/components/dispatch/models.py
+++ b/bitterntiller/components/dispatch/models.py
@@ -355,6 +355,12 @@
         """Return the scheduler's state for the state dump."""
         ...
 
+    def explain_placement(
+        self, request: WaitingRequest, now: float
+    ) -> dict[str, object]:
+        """Return where a request would be placed now, without changing any state."""
+        ...
+
 
 class PolicyParameters(NamedTuple):
     """Tuning parameters of one pool; times in seconds.
--- a/bitterntiller/components/dispatch/owned_pool.py
+++ b/bitterntiller/components/dispatch/owned_pool.py
@@ -19,6 +19,7 @@
     STATE_LEAVING,
     completion,
     notice_update,
+    placement_request,
     rate_limit_update,
     upstream_state,
     waiting_request,
@@ -389,6 +390,25 @@
         """Decide again on requests whose fingerprints have new crash evidence."""
         return self._record_decisions(self.scheduler.review(fingerprints, now), now)
 
+    def explain_placement(
+        self, message: messages.QueryPlacement, now: float
+    ) -> dict[str, object] | None:
+        """Return where a request would be placed; None without a configuration."""
+        config = self._config
+        if config is None:
+            return None
+        names = Eligibility().names(
+            self.name,
+            message.workspace,
+            message.tier,
+            config,
+            self._labels_by_upstream,
+        )
+        request = placement_request(message, _rank(message.tier, config), names, now)
+        found = self.scheduler.explain_placement(request, now)
+        settling = max(0.0, self._settled_at - now)
+        return found | {"settles_in": round(settling, 3)}
+
     def take_events(self) -> list[UpstreamEvent]:
         """Return the upstream events since the last call."""
         return self.scheduler.take_events()
--- a/bitterntiller/components/dispatch/reports.py
+++ b/bitterntiller/components/dispatch/reports.py
@@ -7,6 +7,7 @@
 
 from bitterntiller.components.dispatch.quota_counter import QuotaContext, QuotaCounter
 from bitterntiller.components.dispatch.quota_service import QuotaService
+from bitterntiller.components.dispatch.quotas import QuotaState
 from bitterntiller.components.settings.const import ROLE_ENTRY
 from bitterntiller.core.interfaces import ConfigView, DirectoryView, Lease
 from bitterntiller.core.runtime import Runtime
@@ -126,6 +127,15 @@
             for name, (state, lent) in levels_by_workspace.items()
         ]
 
+    def quota(self, workspace: str, now: float) -> QuotaState | None:
+        """Return a workspace's quota, None if it has none or isn't counted here."""
+        context = self._quota_context()
+        if context is None or not self._counted_hosts:
+            return None
+        return self._counter.ledger.state(
+            workspace, context.config, context.host_fraction, now
+        )
+
     def _ready(self) -> bool:
         return self._lease.valid() and self._config.version > 0
 
--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -39,6 +39,7 @@
 )
 from bitterntiller.components.dispatch.ordering import new_ordering
 from bitterntiller.components.dispatch.picker import UpstreamPicker
+from bitterntiller.components.dispatch.placement_query import PlacementQuery
 from bitterntiller.components.dispatch.pool import Pool
 from bitterntiller.components.dispatch.queue import PoolQueue
 from bitterntiller.components.dispatch.refusals import Refusals
@@ -443,6 +444,22 @@
             self._pool, self._queue, self._wait_estimator, self._jobs.waiting, now
         )
 
+    def explain_placement(
+        self, request: WaitingRequest, now: float
+    ) -> dict[str, object]:
+        """Return where a request would be placed now, without changing any state."""
+        query = PlacementQuery(
+            self._parameters,
+            self._pool,
+            self._queue,
+            self._limiter,
+            self._size_estimator,
+            self._ordering,
+            self._wait_estimator,
+            self._isolation,
+        )
+        return query.answer(request, self._jobs.waiting, now)
+
     def _estimate_size(self, job: Job, now: float) -> None:
         self._size_estimator.estimate(job)
         self._pool.record_tier(job.rank)
--- a/bitterntiller/components/dispatch/size_estimator.py
+++ b/bitterntiller/components/dispatch/size_estimator.py
@@ -52,14 +52,18 @@
 
     def estimate(self, job: Job) -> None:
         """Set the expected output, work and kind (long or short) of a new request."""
+        self._mean_work = self.size(job)
+
+    def size(self, job: Job) -> float:
+        """Set the same without counting the request; return the mean work with it."""
         if self._plain:
             self._size_call(job)
         else:
             self._size_tokens(job)
-        if not self._mean_work:
-            self._mean_work = job.work
-        self._mean_work += MEAN_GAIN * (job.work - self._mean_work)
-        job.kind = LONG if job.work > self._long_factor * self._mean_work else SHORT
+        mean = self._mean_work or job.work
+        mean += MEAN_GAIN * (job.work - mean)
+        job.kind = LONG if job.work > self._long_factor * mean else SHORT
+        return mean
 
     def learn(self, job: Job, completion: Completion) -> None:
         """Update the estimates with a request that ended successfully."""
--- a/bitterntiller/components/dispatch/wait_estimator.py
+++ b/bitterntiller/components/dispatch/wait_estimator.py
@@ -1,6 +1,8 @@
 """Estimates of how long a request waits and when a refused caller should retry."""
 
 import random
+from copy import copy
+from typing import Self
 
 from bitterntiller.components.dispatch.jobs import Job
 from bitterntiller.components.dispatch.pool import Pool
@@ -45,6 +47,13 @@
         self._drains_by_rank: dict[int, RateMeter] = {}
         self._refused = DecayingSum(RETRY_DECAY_SECONDS)
 
+    def over(self, pool: Pool, queue: PoolQueue) -> Self:
+        """Return an estimator with the same measurements for another pool and queue."""
+        found = copy(self)
+        found._pool = pool
+        found._queue = queue
+        return found
+
     def add_arrival(self, job: Job, now: float) -> None:
         """Record the work of a request that was queued."""
         self._meter(self._arrivals_by_rank, job.rank, now).add(job.work, now)
--- a/bitterntiller/components/dispatch/wire.py
+++ b/bitterntiller/components/dispatch/wire.py
@@ -48,6 +48,30 @@
     )
 
 
+def placement_request(
+    message: messages.QueryPlacement,
+    tier_rank: int,
+    upstream_names: frozenset[str] | None,
+    now: float,
+) -> WaitingRequest:
+    """Convert the request that an operator asks about; it has just arrived."""
+    return WaitingRequest(
+        request_id="",
+        workspace=message.workspace,
+        tier=message.tier,
+        tier_rank=tier_rank,
+        prompt_tokens=message.prompt_tokens or 0,
+        output_tokens=message.output_tokens or 0,
+        arrived=now,
+        deadline=now + (message.deadline_in_ms or 0) / 1000,
+        entry_host=message.entry_host or "",
+        upstream_names=upstream_names,
+        first_by=_deadline(message.first_by_ms, now),
+        start_by=_deadline(message.start_by_ms, now),
+        target_interval=(message.interval_ms or 0) / 1000,
+    )
+
+
 def _deadline(left_ms: int | None, now: float) -> float | None:
     return None if left_ms is None else now + left_ms / 1000
 
--- a/bitterntiller/components/dispatch/workspace_limiter.py
+++ b/bitterntiller/components/dispatch/workspace_limiter.py
@@ -60,6 +60,16 @@
             return 0.0
         return (1.0 - usage.tokens) / max(rate, 0.001)
 
+    def rate_wait(self, workspace: str, now: float) -> float:
+        """Return the seconds until the rate allows a request, without taking it."""
+        rate = self._limits_by_workspace.get(workspace, NO_LIMITS).rate
+        usage = self._usage_by_workspace.get(workspace)
+        if rate is None or usage is None:
+            return 0.0
+        refilled = usage.tokens + (now - usage.filled_at) * rate
+        tokens = min(max(rate, 1.0), refilled)
+        return max(0.0, 1.0 - tokens) / max(rate, 0.001)
+
     def start_request(self, workspace: str, now: float) -> None:
         """Count a request as in flight."""
         self._usage_of(workspace, now).in_flight += 1
--- a/bitterntiller/components/links/handshake.py
+++ b/bitterntiller/components/links/handshake.py
@@ -46,13 +46,15 @@
     return incoming.message
 
 
-async def async_read_frame(sock: curio.io.Socket) -> bytes:
+async def async_read_frame(
+    sock: curio.io.Socket, max_bytes: int = MAX_HANDSHAKE_BYTES
+) -> bytes:
     """Return the next frame without its length; raise HandshakeError.
 
     Read no byte beyond it.
     """
     length = int.from_bytes(await _async_read_exactly(sock, LENGTH_BYTES), "big")
-    if length > MAX_HANDSHAKE_BYTES:
+    if length > max_bytes:
         raise HandshakeError(f"a frame of {length} bytes")
     return await _async_read_exactly(sock, length)
 
--- a/bitterntiller/components/operator/__init__.py
+++ b/bitterntiller/components/operator/__init__.py
@@ -6,18 +6,33 @@
 from bitterntiller.components.operator import const
 from bitterntiller.components.operator.coordinator import OperatorCoordinator
 from bitterntiller.components.operator.diagnostics import make_dump
-from bitterntiller.core.interfaces import ControlCalls, CrashRegister
+from bitterntiller.components.operator.placement import PlacementFinder
+from bitterntiller.core.interfaces import (
+    ConfigView,
+    ControlCalls,
+    CrashRegister,
+    DirectoryView,
+)
 from bitterntiller.core.runtime import Runtime
 
 
 async def async_setup(
-    runtime: Runtime, control: ControlCalls, crashes: CrashRegister
+    runtime: Runtime,
+    control: ControlCalls,
+    crashes: CrashRegister,
+    config: ConfigView,
+    directory: DirectoryView,
 ) -> OperatorCoordinator:
     """Serve the operator port until the process unloads."""
     settings = runtime.settings
     timings = settings.timings
     coordinator = OperatorCoordinator(
-        settings.keys.operator, control, make_dump(runtime), runtime.metrics, crashes
+        settings.keys.operator,
+        control,
+        make_dump(runtime),
+        runtime.metrics,
+        crashes,
+        PlacementFinder(settings.host, runtime.links, config, directory),
     )
     limits = ServerLimits(
         head_bytes=const.MAX_HEAD_BYTES,
--- a/bitterntiller/components/operator/const.py
+++ b/bitterntiller/components/operator/const.py
@@ -8,6 +8,7 @@
 PATH_CRASHES = "/v1/crashes"
 PATH_CRASHES_CLEAR = "/v1/crashes/clear"
 PATH_CRASHES_BLOCK = "/v1/crashes/block"
+PATH_PLACEMENT = "/v1/placement"
 
 HEADER_AUTHORIZATION = b"authorization"
 HEADER_CONTENT_TYPE = b"content-type"
@@ -35,6 +36,7 @@
 MAX_BODY_BYTES = 4 * 1024 * 1024
 MAX_HEAD_BYTES = 32 * 1024
 MAX_CONNECTIONS = 64
+MAX_QUERY_TOKENS = 10_000_000
 CONTROL_TIMEOUT = 5.0
 RETRY_AFTER_SECONDS = 1
 
--- a/bitterntiller/components/operator/coordinator.py
+++ b/bitterntiller/components/operator/coordinator.py
@@ -6,6 +6,7 @@
 from bitterntiller.components.http.models import HttpRequest, HttpResponse
 from bitterntiller.components.operator import const, requests, responses
 from bitterntiller.components.operator.errors import RefusedRequestError
+from bitterntiller.components.operator.placement import PlacementFinder
 from bitterntiller.core.interfaces import ControlCalls, CrashRegister, Metrics
 from bitterntiller.protocol import messages
 
@@ -22,12 +23,14 @@
         dump: Callable[[], dict[str, Any]],
         metrics: Metrics,
         crashes: CrashRegister,
+        placements: PlacementFinder,
     ) -> None:
         self._key = key
         self._control = control
         self._dump = dump
         self._metrics = metrics
         self._crashes = crashes
+        self._placements = placements
         self._handlers_by_path: dict[str, dict[str, Handler]] = {
             const.PATH_CONFIG: {
                 "GET": self._async_get_config,
@@ -43,6 +46,7 @@
             const.PATH_CRASHES: {"GET": self._async_get_crashes},
             const.PATH_CRASHES_CLEAR: {"POST": self._async_clear_crashes},
             const.PATH_CRASHES_BLOCK: {"POST": self._async_block},
+            const.PATH_PLACEMENT: {"POST": self._async_find_placement},
         }
 
     async def async_handle(self, request: HttpRequest) -> HttpResponse:
@@ -120,5 +124,9 @@
         text = f"it is kept from upstreams for {order.seconds:g} s; all hosts are told"
         return responses.json_response(200, {"status": const.STATUS_DONE, "text": text})
 
+    async def _async_find_placement(self, request: HttpRequest) -> HttpResponse:
+        query = requests.read_placement(request)
+        return responses.json_response(200, await self._placements.async_find(query))
+
     async def _async_call(self, message: Any) -> Any:
         return await self._control.async_call_leader(message, const.CONTROL_TIMEOUT)
--- a/bitterntiller/components/operator/models.py
+++ b/bitterntiller/components/operator/models.py
@@ -30,6 +30,16 @@
     seconds: float
 
 
+class PlacementRequest(NamedTuple):
+    """A request of a workspace whose placement an operator asks about."""
+
+    workspace: str
+    path: str
+    host: str
+    prompt_tokens: int
+    output_tokens: int
+
+
 class RolloutRequest(NamedTuple):
     """An order to move a service to another version within a time limit."""
 
--- a/bitterntiller/components/operator/requests.py
+++ b/bitterntiller/components/operator/requests.py
@@ -13,6 +13,7 @@
 from bitterntiller.components.operator.models import (
     BlockRequest,
     ChangeRequest,
+    PlacementRequest,
     RepairRequest,
     RolloutRequest,
 )
@@ -22,6 +23,7 @@
 _FINGERPRINT = re.compile(r"[0-9a-f]{16}")
 _ROLLOUT_KEYS = {"service", "to", "seconds"}
 _MAX_ROLLOUT_SECONDS = 1_000_000
+_PLACEMENT_KEYS = set(PlacementRequest._fields)
 _REPAIR_KEYS = set(RepairRequest._fields)
 
 
@@ -109,6 +111,25 @@
     return RolloutRequest(service, to, int(seconds * 1000))
 
 
+def read_placement(request: HttpRequest) -> PlacementRequest:
+    """Return the query in a POST; raise RefusedRequestError."""
+    value = _document(request)
+    if not isinstance(value, dict) or value.keys() != _PLACEMENT_KEYS:
+        text = f"expected an object with {', '.join(sorted(_PLACEMENT_KEYS))}"
+        raise RefusedRequestError(400, text)
+    query = PlacementRequest(**value)
+    if not all(isinstance(text, str) for text in query[:3]):
+        raise RefusedRequestError(400, "workspace, path and host are strings")
+    if not query.path.startswith("/"):
+        raise RefusedRequestError(400, "a path begins with a slash")
+    for tokens in query[3:]:
+        whole = isinstance(tokens, int) and not isinstance(tokens, bool)
+        if not whole or not 0 <= tokens <= const.MAX_QUERY_TOKENS:
+            text = f"tokens are a whole number from 0 to {const.MAX_QUERY_TOKENS}"
+            raise RefusedRequestError(400, text)
+    return query
+
+
 def read_repair(request: HttpRequest) -> RepairRequest:
     """Return the replacement of a replica in a POST; raise RefusedRequestError."""
     value = _document(request)
--- a/bitterntiller/daemon/process.py
+++ b/bitterntiller/daemon/process.py
@@ -87,7 +87,13 @@
         )
         issuer = await orders.async_setup(runtime, session)
         owner.add_announce_listener(issuer.record_announcement)
-    await operator.async_setup(runtime, session.control_client, crash_coordinator)
+    await operator.async_setup(
+        runtime,
+        session.control_client,
+        crash_coordinator,
+        session.config,
+        session.directory,
+    )
     callers = None
     if ROLE_ENTRY in roles:
         callers = await entry.async_setup(
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -32,6 +32,7 @@
     GET_CONFIG_PART = 68, CONFIG_PART = 69,
     BEGUN_STREAMS = 70, FIND_STREAM = 71, FIND_STREAM_REPLY = 72,
     GET_VERSIONS = 73, GET_VERSIONS_REPLY = 74,
+    QUERY_PLACEMENT = 75, QUERY_PLACEMENT_REPLY = 76,
     PRE_VOTE = 50, PRE_VOTE_REPLY = 51, VOTE = 52, VOTE_REPLY = 53,
     APPEND = 54, APPEND_REPLY = 55, SNAPSHOT_PIECE = 56, SNAPSHOT_REPLY = 57,
     JOIN = 58, JOIN_REPLY = 59, RETURN_CHECK = 60, RETURN_CHECK_REPLY = 61,
@@ -310,6 +311,31 @@
     7: optional list<BlockItem> blocks,
 }
 
+/* ---- placement queries of operators ---- */
+
+/*
+ * Asks the owner of a pool where a request would be placed now; nothing is queued. It is
+ * the first message on a connection with the purpose placement: an owner of an earlier
+ * release would close a connection that carries other messages.
+ */
+struct QueryPlacement {
+    1: required string pool,
+    2: required string workspace,
+    3: required string tier,
+    4: optional i32 prompt_tokens,
+    5: optional i32 output_tokens,
+    6: optional i32 deadline_in_ms,
+    7: optional i32 first_by_ms,
+    8: optional i32 start_by_ms,
+    9: optional string entry_host,       // the host that is asked
+    10: optional i32 interval_ms,        // as in Register
+}
+
+struct QueryPlacementReply {
+    1: required string status,           // ok, no-owner, no-lease, no-configuration
+    2: optional binary document,         // the evaluation as JSON
+}
+
 /* ---- streams that go on in another attempt ---- */
 
 /* Streams whose first event came from an upstream of this service and version. */
--- a/tests/components/operator/builders.py
+++ b/tests/components/operator/builders.py
@@ -59,12 +59,14 @@
         self.cleared.append(fingerprint)
 
 
-def operator_port(reply=None):
+def operator_port(reply=None, placements=None):
     control = FakeControl(reply)
     metrics = StatsdMetrics(None, "")
     dump = {"host": "a"}
     crashes = FakeCrashes()
-    coordinator = OperatorCoordinator(KEY, control, lambda: dump, metrics, crashes)
+    coordinator = OperatorCoordinator(
+        KEY, control, lambda: dump, metrics, crashes, placements
+    )
     return SimpleNamespace(
         coordinator=coordinator,
         control=control,
