--- a/bitterntiller/components/dispatch/jobs.py
+++ b/bitterntiller/components/dispatch/jobs.py
@@ -82,6 +82,7 @@
         "state",
         "statement",
         "target",
+        "target_interval",
         "tokens_at",
         "tokens_seen",
         "unmeasured",
@@ -112,6 +113,7 @@
         self.prefill = 0
         self.prefill_ahead = 0.0
         self.late = False
+        self.target_interval = request.target_interval
         self.expected_cached = 0
         self.expected_total = 0.0
         self.statement: Statement | None = None
