--- a/bitterntiller/components/dispatch/outliers.py
+++ b/bitterntiller/components/dispatch/outliers.py
@@ -44,6 +44,11 @@
 """Failure rates, relative to that of the rest of the pool, up to which an ejected
 upstream is readmitted since all fail alike."""
 
+DOUBTFUL_FRACTION = 0.5
+"""Part of the time until it is overdue, after which a request at the others counts as
+failed when an upstream is about to be ejected. Where all leave requests without output,
+those of the upstream that was filled first are overdue first."""
+
 MIN_OTHER_HOSTS_SAMPLES = 3
 MAX_OTHER_HOSTS_RATE = 0.1
 """If at least so many requests of other hosts ended and at most this part of them
@@ -106,10 +111,11 @@
 class _Pending:
     """A request at an upstream; sample is set once it has an outcome."""
 
-    __slots__ = ("due_at", "host", "overdue", "sample")
+    __slots__ = ("doubtful_at", "due_at", "host", "overdue", "sample")
 
     def __init__(self, host: str) -> None:
         self.host = host
+        self.doubtful_at = float("inf")
         self.due_at = float("inf")
         self.overdue = False
         self.sample: _Sample | None = None
@@ -175,14 +181,25 @@
             self._failed_probe = None
             self._probe_successes = 0
 
-    def record_start(self, request_id: str, due_at: float) -> bool:
-        """Record when a request becomes overdue; return False if it isn't known."""
+    def record_start(self, request_id: str, now: float, silence: float) -> bool:
+        """Record that a request is sent, and after how many seconds it is overdue.
+
+        Return False if it isn't known.
+        """
         pending = self._pending_by_id.get(request_id)
         if pending is None:
             return False
-        pending.due_at = due_at
+        pending.doubtful_at = now + DOUBTFUL_FRACTION * silence
+        pending.due_at = now + silence
         return True
 
+    def doubtful(self, now: float) -> int:
+        """Return how many requests may become overdue soon."""
+        return sum(
+            one.doubtful_at <= now and one.sample is None
+            for one in self._pending_by_id.values()
+        )
+
     def mark_overdue(self, request_id: str, now: float) -> bool:
         """Mark a request that is overdue; return whether it is, without an outcome."""
         pending = self._pending_by_id.get(request_id)
@@ -322,10 +339,12 @@
         self._sequence = itertools.count()
         self._premature = 0.0
 
-    def record_start(self, state: OutlierState, request_id: str, due_at: float) -> None:
-        """Record that a request is being sent, and when it will be overdue."""
-        if state.record_start(request_id, due_at):
-            entry = (due_at, next(self._sequence), state, request_id)
+    def record_start(
+        self, state: OutlierState, request_id: str, now: float, silence: float
+    ) -> None:
+        """Record that a request is sent, and after how many seconds it is overdue."""
+        if state.record_start(request_id, now, silence):
+            entry = (now + silence, next(self._sequence), state, request_id)
             heapq.heappush(self._due, entry)
 
     def record_success(self, state: OutlierState, request_id: str, now: float) -> None:
@@ -383,7 +402,10 @@
             self._readmit_alike(states_by_name, ejected, pool, now)
         left = allowed - sum(states_by_name[name].ejected for name in ejected)
         others = len(states_by_name) - len(ejected) - 1
-        for suspect in _outliers(suspects, pool, min(allowed, others - 2)):
+        left_out = min(allowed, others - 2)
+        if any(one.outlier for one in _outliers(suspects, pool, left_out)):
+            suspects, pool = _with_doubtful(suspects, pool, states_by_name, now)
+        for suspect in _outliers(suspects, pool, left_out):
             state = states_by_name[suspect.name]
             if suspect.compared:
                 state.end_diversion(now)
@@ -470,6 +492,28 @@
     compared: bool = True
 
 
+def _with_doubtful(
+    suspects: list[_Suspect],
+    pool: _Counts,
+    states_by_name: Mapping[str, OutlierState],
+    now: float,
+) -> tuple[list[_Suspect], _Counts]:
+    """Count doubtful requests as failures, except in the rates of the suspects."""
+    counts_by_name = {
+        name: _Counts(doubtful, doubtful)
+        for name, state in states_by_name.items()
+        if not state.ejected and (doubtful := state.doubtful(now))
+    }
+    for counts in counts_by_name.values():
+        pool = pool.plus(counts)
+    none = _Counts(0, 0)
+    suspects = [
+        one._replace(counts=one.counts.plus(counts_by_name.get(one.name, none)))
+        for one in suspects
+    ]
+    return suspects, pool
+
+
 def _outliers(suspects: list[_Suspect], pool: _Counts, left_out: int) -> list[_Suspect]:
     """Return suspects, the worst first, and whether each is an outlier.
 
--- a/bitterntiller/components/dispatch/pool.py
+++ b/bitterntiller/components/dispatch/pool.py
@@ -470,8 +470,8 @@
         else:
             expected = self.speed.work(job.prefill, 0.0)
         leaves = request.deadline if request.start_by is None else request.start_by
-        due_at = now + silence_seconds(expected, leaves - now)
-        self.outliers.record_start(upstream.outlier, request.request_id, due_at)
+        silence = silence_seconds(expected, leaves - now)
+        self.outliers.record_start(upstream.outlier, request.request_id, now, silence)
 
     def _review_outliers(self, now: float) -> None:
         """Eject and readmit upstreams by the outcomes of their latest requests."""
--- a/tests/components/dispatch/test_outliers.py
+++ b/tests/components/dispatch/test_outliers.py
@@ -224,9 +224,8 @@
     """A pool without the bound loses the capacity that it needs for the rest."""
     by_name = states(*(f"e{number}" for number in range(upstreams)), samples=0)
     for number, state in enumerate(by_name.values()):
-        fail(state, NOW, 12 - number if number <= most else 0, 8 + number)
-    if upstreams == 2:
-        fail(by_name["e1"], NOW, 0, 20)
+        bad = number < min(most + 1, upstreams - 1) or not number
+        fail(state, NOW, 12 - number if bad else 0, 10 + number)
     assert list(review(by_name, NOW)) == [f"e{number}" for number in range(most)]
 
 
@@ -251,7 +250,7 @@
     """A request without output counted only when its caller left, after 1.6 s."""
     detector, state = OutlierDetector(), OutlierState()
     state.record_grant("silent", "host")
-    detector.record_start(state, "silent", NOW + 1.0)
+    detector.record_start(state, "silent", NOW, 1.0)
     detector.count_overdue(NOW + 0.9)
     assert state.counts(NOW + 0.9) == (0, 0)
     detector.count_overdue(NOW + 1.1)
@@ -270,7 +269,7 @@
     now = state.ejected_until
     for number in range(3):
         state.record_grant(f"slow{number}", "host")
-        detector.record_start(state, f"slow{number}", now + 1.0)
+        detector.record_start(state, f"slow{number}", now, 1.0)
         detector.count_overdue(now + 1.1)
         assert not state.allows_request(now + 1.1)
         now += 1.3
@@ -287,7 +286,7 @@
     for number in range(20):
         name = f"whole{number}"
         state.record_grant(name, "host")
-        detector.record_start(state, name, now + 1.0)
+        detector.record_start(state, name, now, 1.0)
         detector.count_overdue(now + 1.1)
         counted = state.counts(now + 1.1)[0]
         now += 3.0
@@ -295,7 +294,7 @@
         detector.forget(state, name)
     assert counted == 0
     state.record_grant("silent", "host")
-    detector.record_start(state, "silent", now + 1.0)
+    detector.record_start(state, "silent", now, 1.0)
     detector.count_overdue(now + 1.1)
     detector.record_end(state, "silent", now + 2.0)
     assert state.counts(now + 2.0)[0] == 1
