Dispatch: expected early retries count, and refused arrivals don't delay bookings

The forecast let arrivals beyond the capacity queue up, although they are refused, and left out callers that come back before the time that they were told. So it booked little, and what it booked shared its interval with unforeseen retries; a tenth of the capacity was kept back for that.

Arrivals beyond the capacity don't carry over now, and a retry without a booking counts as an arrival of its tier a third of the caller's remaining time from now. The whole capacity can be booked. Bookings of all tiers are summed once, and the decay is a factor per interval.

--- a/bitterntiller/components/dispatch/return_times.py
+++ b/bitterntiller/components/dispatch/return_times.py
@@ -30,9 +30,7 @@
 a request is refused. With the present rate alone, no retry could be booked during a
 burst; with the usual one alone, all retries would be booked into its middle."""
 
-BOOKED_FRACTION = 0.9
-"""Fraction of the capacity up to which retries are booked. Arrivals vary by some
-percent from one interval to the next."""
+BURST_DECAY = math.exp(-INTERVAL_SECONDS / BURST_SECONDS)
 
 PATIENCE_FRACTION = 1 / 3
 """Fraction of its remaining time that a caller waits at most before it retries."""
@@ -92,7 +90,10 @@
 
 
 class _Tier:
-    """Rates of arriving work of one tier, without retries, and its expected retries."""
+    """Rates of arriving work of one tier, without retries, and its expected retries.
+
+    early_work_by_interval is the work of the retries that have no booking.
+    """
 
     def __init__(self, now: float) -> None:
         self.begun_at = now
@@ -100,8 +101,7 @@
         self.usual = RateMeter(USUAL_RATE_SECONDS, now)
         self.returns: SortedList = SortedList()
         self.returns_by_interval: defaultdict[int, list[Return]] = defaultdict(list)
-        self.work_by_interval: defaultdict[int, float] = defaultdict(float)
-        self.pruned_interval = 0
+        self.early_work_by_interval: defaultdict[int, float] = defaultdict(float)
 
 
 class ReturnTimes:
@@ -116,6 +116,8 @@
         self._rng = rng
         self._tiers_by_rank: dict[int, _Tier] = {}
         self._begun_at: float | None = None
+        self._work_by_interval: defaultdict[int, float] = defaultdict(float)
+        self._pruned_interval = 0
 
     def record_arrival(self, job: Job, now: float) -> None:
         """Record a request that arrived, before it is queued or refused."""
@@ -167,8 +169,7 @@
 
     def describe(self, now: float) -> dict[str, object]:
         """Return the rates, in work per second, and the bookings of each tier."""
-        for tier in self._tiers_by_rank.values():
-            self._prune(tier, now)
+        self._prune(now)
         return {
             str(rank): _describe_tier(tier, now)
             for rank, tier in sorted(self._tiers_by_rank.items())
@@ -179,18 +180,29 @@
     ) -> int | None:
         """Return the first interval with free capacity that the caller waits for."""
         present, usual = self._rates(rank, now)
-        room = BOOKED_FRACTION * forecast.capacity * INTERVAL_SECONDS
+        room = forecast.capacity * INTERVAL_SECONDS
         first = int(now / INTERVAL_SECONDS) + 1
         earliest = int((now + MIN_RETRY_SECONDS) / INTERVAL_SECONDS) + 1
         last = int((now + patience) / INTERVAL_SECONDS)
         work = forecast.waiting_work
+        arriving = usual * INTERVAL_SECONDS
+        excess = (present - usual) * INTERVAL_SECONDS
+        earlies = [
+            tier.early_work_by_interval
+            for above, tier in self._tiers_by_rank.items()
+            if above <= rank
+        ]
         for interval in range(first, last + 1):
-            ahead = interval * INTERVAL_SECONDS - now
-            rate = usual + (present - usual) * math.exp(-ahead / BURST_SECONDS)
-            work += rate * INTERVAL_SECONDS + self._booked_work(interval)
-            if work < room and interval >= earliest:
+            excess *= BURST_DECAY
+            # Arrivals beyond the capacity are refused, and don't delay later ones.
+            early = sum([item.get(interval, 0.0) for item in earlies])
+            free = max(0.0, room - arriving - excess - early)
+            # Bookings of lower tiers count too. Otherwise a caller of a lower tier that
+            # comes when it was told to would be refused again, in favor of a later one.
+            work += self._work_by_interval.get(interval, 0.0)
+            if work < free and interval >= earliest:
                 return interval
-            work = max(0.0, work - room)
+            work = max(0.0, work - free)
         return None
 
     def _later(
@@ -198,12 +210,12 @@
     ) -> float:
         """Return when capacity is free, if that is beyond the caller's patience."""
         present, usual = self._rates(rank, now)
-        work = forecast.waiting_work + (present - usual) * BURST_SECONDS
-        work += sum(
-            sum(tier.work_by_interval.values()) for tier in self._tiers_by_rank.values()
-        )
-        spare = BOOKED_FRACTION * forecast.capacity - usual
-        seconds = work / spare if spare > 0 else MAX_RETRY_SECONDS
+        spare = forecast.capacity - usual
+        seconds = MAX_RETRY_SECONDS
+        if spare > 0:
+            work = forecast.waiting_work + sum(self._work_by_interval.values())
+            overload = math.log(max(1.0, (present - usual) / spare)) * BURST_SECONDS
+            seconds = overload + work / spare
         seconds = min(max(seconds, patience + INTERVAL_SECONDS), MAX_RETRY_SECONDS)
         return seconds * (1.0 + RETRY_JITTER * self._rng.random())
 
@@ -215,54 +227,50 @@
             sum(tier.usual.rate(now) for tier in tiers),
         )
 
-    def _booked_work(self, interval: int) -> float:
-        """Return the work of the retries of all tiers that are booked in an interval.
-
-        Those of lower tiers count too. Otherwise a caller of a lower tier that comes
-        when it was told to would be refused again, in favor of a later booking.
-        """
-        return sum(
-            tier.work_by_interval.get(interval, 0.0)
-            for tier in self._tiers_by_rank.values()
-        )
-
     def _expect(self, job: Job, due: float, has_booking: bool, now: float) -> None:
         tier = self._tier(job.rank, now)
-        self._prune(tier, now)
+        self._prune(now)
         item = Return(job.request.deadline, job.workspace, due, job.work, has_booking)
         interval = int(due / INTERVAL_SECONDS)
         tier.returns.add(item)
         tier.returns_by_interval[interval].append(item)
-        if has_booking:
-            tier.work_by_interval[interval] += job.work
+        self._expected_work(tier, has_booking)[interval] += job.work
+
+    def _expected_work(self, tier: _Tier, has_booking: bool) -> defaultdict[int, float]:
+        """Return the expected work by interval that a retry counts for."""
+        return self._work_by_interval if has_booking else tier.early_work_by_interval
 
     def _take_return(self, tier: _Tier, job: Job, now: float) -> bool:
         """Remove the expected retry that a request is; return whether it is one."""
         deadline = job.request.deadline
-        begin = (deadline - MATCH_SECONDS,)
-        end = (deadline + MATCH_SECONDS, "\U0010ffff")
-        for item in tier.returns.irange(begin, end):
+        for item in tier.returns.irange((deadline - MATCH_SECONDS,)):
+            if item.deadline > deadline + MATCH_SECONDS:
+                return False
             early = item.due - now > MATCH_SECONDS
             if item.workspace == job.workspace and not early:
                 tier.returns.remove(item)
                 interval = int(item.due / INTERVAL_SECONDS)
-                if item.has_booking and interval in tier.work_by_interval:
-                    tier.work_by_interval[interval] -= item.work
+                works = self._expected_work(tier, item.has_booking)
+                if interval in works:
+                    works[interval] -= item.work
                 return True
         return False
 
-    def _prune(self, tier: _Tier, now: float) -> None:
+    def _prune(self, now: float) -> None:
         """Drop past bookings, and expected retries that have not come."""
         present = int(now / INTERVAL_SECONDS)
-        if present == tier.pruned_interval:
+        if present == self._pruned_interval:
             return
-        tier.pruned_interval = present
-        for interval in [i for i in tier.work_by_interval if i < present]:
-            del tier.work_by_interval[interval]
+        self._pruned_interval = present
+        early = [t.early_work_by_interval for t in self._tiers_by_rank.values()]
+        for works in (self._work_by_interval, *early):
+            for interval in [i for i in works if i < present]:
+                del works[interval]
         oldest = int((now - RETURN_GRACE_SECONDS) / INTERVAL_SECONDS)
-        for interval in [i for i in tier.returns_by_interval if i < oldest]:
-            for item in tier.returns_by_interval.pop(interval):
-                tier.returns.discard(item)
+        for tier in self._tiers_by_rank.values():
+            for interval in [i for i in tier.returns_by_interval if i < oldest]:
+                for item in tier.returns_by_interval.pop(interval):
+                    tier.returns.discard(item)
 
     def _tier(self, rank: int, now: float) -> _Tier:
         tier = self._tiers_by_rank.get(rank)
