--- a/bitterntiller/components/dispatch/objective_admission.py
+++ b/bitterntiller/components/dispatch/objective_admission.py
@@ -48,9 +48,10 @@
     """Return whether a new request is expected to be sent in time for its objective.
 
     Requests without an objective are admitted, and so are those that have missed it.
+    Retries are too: a caller that comes back when it was told to isn't refused again.
     """
     first_by = job.request.first_by
-    if first_by is None or first_by <= now:
+    if first_by is None or first_by <= now or job.is_retry:
         return True
     return expected_wait <= max(WAIT_FRACTION * (first_by - now), MIN_WAIT_SECONDS)
 
@@ -58,10 +59,10 @@
 def keeps_overdue(job: Job, expected_wait: float) -> bool:
     """Return whether a request that misses its objective is expected to be sent soon.
 
-    Requests without an objective are kept.
+    Requests without an objective are kept, and so are retries.
     """
     first_by = job.request.first_by
-    if first_by is None:
+    if first_by is None or job.is_retry:
         return True
     objective = max(0.0, first_by - job.request.arrived)
     return expected_wait <= max(OVERDUE_FRACTION * objective, MIN_WAIT_SECONDS)
--- a/tests/components/dispatch/test_objective_admission.py
+++ b/tests/components/dispatch/test_objective_admission.py
@@ -43,6 +43,14 @@
     assert keeps_overdue(job(first_by=first_by), wait) == kept
 
 
+def test_retry_is_not_refused_again():
+    """A caller that came back when it was told to was refused a second time."""
+    retry = job(first_by=NOW + 0.6)
+    retry.is_retry = True
+    assert admits(retry, 9.0, NOW)
+    assert keeps_overdue(retry, 9.0)
+
+
 def test_pool_is_congested_while_objectives_are_missed():
     congestion = Congestion()
     congestion.record_miss(NOW)
