Dispatch: eject upstreams that fail more than the rest of their pool

An upstream that left 0.46 of its requests without output was never unhealthy: one success ends each row of failures, and a request whose caller leaves doesn't count. It kept getting requests, each of which held a slot until its caller left.

outliers.py measures the failure rate over an upstream's latest 20 requests. A request without output counts once it is overdue. An upstream that fails a fifth and three times as many as the rest of its pool gets nothing for 1 s, doubled up to 8 s, then one request at a time until three in a row succeed. Where all fail alike, none is ejected. In effect only while Pool.uneven holds.

--- a/bitterntiller/cli/log_summary.py
+++ b/bitterntiller/cli/log_summary.py
@@ -13,7 +13,12 @@
 
 ENDED = "ended"
 REFUSED = "refused"
-_IN_USE = (UpstreamChange.USABLE, UpstreamChange.HEALTHY, UpstreamChange.RESTARTED)
+_IN_USE = (
+    UpstreamChange.USABLE,
+    UpstreamChange.HEALTHY,
+    UpstreamChange.RESTARTED,
+    UpstreamChange.READMITTED,
+)
 STARTUP_STEPS = (
     "start",
     "voters-answered",
--- a/bitterntiller/components/dispatch/const.py
+++ b/bitterntiller/components/dispatch/const.py
@@ -121,6 +121,7 @@
 
 METRIC_GRANTS = "dispatch.grants"
 METRIC_REFUSALS = "dispatch.refusals"
+METRIC_EJECTIONS = "dispatch.ejections"
 METRIC_ORPHANED = "dispatch.orphaned"
 METRIC_ENDS_MISSED = "dispatch.ends_missed"
 METRIC_QUOTA = "dispatch.quota"
--- a/bitterntiller/components/dispatch/coordinator.py
+++ b/bitterntiller/components/dispatch/coordinator.py
@@ -16,6 +16,7 @@
 from bitterntiller.components.dispatch.models import Decision, Granted, Scheduler
 from bitterntiller.components.dispatch.owned_pool import OwnedPool, TrackedRequest
 from bitterntiller.components.dispatch.ownership_buffer import OwnershipBuffer
+from bitterntiller.components.dispatch.upstream_events import UpstreamChange
 from bitterntiller.components.dispatch.wire import grant_message, refusal_message
 from bitterntiller.core.interfaces import (
     ConfigView,
@@ -407,6 +408,8 @@
         """
         for event in pool.take_events():
             log_upstream_event(pool.name, event)
+            if event.change is UpstreamChange.EJECTED:
+                self._metrics.count(f"{const.METRIC_EJECTIONS}.{pool.name}")
         for decision in decisions:
             await curio.spawn(self._async_deliver, pool, decision, daemon=True)
 
--- a/bitterntiller/components/dispatch/describe.py
+++ b/bitterntiller/components/dispatch/describe.py
@@ -1,5 +1,6 @@
 """State of a pool's scheduler for the state dump."""
 
+from bitterntiller.components.dispatch.outliers import OutlierState
 from bitterntiller.components.dispatch.pool import Pool
 from bitterntiller.components.dispatch.queue import PoolQueue
 from bitterntiller.components.dispatch.upstreams import Upstream
@@ -16,6 +17,7 @@
     """Return the waiting work by tier, and the upstreams by name."""
     return {
         "uneven": pool.uneven,
+        "failure_rate": round(pool.outliers.pool_failure_rate, 3),
         "waiting": waiting,
         "slots": pool.slots,
         "capacity": round(wait_estimator.capacity(), 3),
@@ -49,6 +51,7 @@
         "heard_seconds_ago": round(now - upstream.last_announced_at, 3),
         "free": upstream.free,
         "sick": upstream.health.unhealthy,
+        "outlier": _describe_outlier(upstream.outlier, now),
         "running": ledger.in_flight,
         "limit": upstream.limit.limit(upstream.state.slots),
         "rate_limit": upstream.rate_limiter.limit,
@@ -61,6 +64,19 @@
     }
 
 
+def _describe_outlier(state: OutlierState, now: float) -> dict[str, object]:
+    failures, samples = state.counts(now)
+    age = state.age(now)
+    return {
+        "ejected": state.ejected,
+        "wait_seconds": round(state.wait_seconds(now), 3),
+        "ejections": state.ejections,
+        "failures": failures,
+        "samples": samples,
+        "newest_seconds_ago": None if age is None else round(age, 3),
+    }
+
+
 def _unreached(pool: Pool, name: str, now: float) -> dict[str, float]:
     """Return the seconds since the path to an upstream failed last, by host."""
     return {
--- a/bitterntiller/components/dispatch/event_logging.py
+++ b/bitterntiller/components/dispatch/event_logging.py
@@ -31,7 +31,6 @@
     if event.change in PATH_CHANGES:
         _log_path(pool, event)
         return
-    probe_in = event.probe_in
     events.emit(
         "upstream-use",
         pool=pool,
@@ -40,14 +39,21 @@
         heard=round(event.announcement_age, 1),
         worked=round(event.activity_age, 1),
         in_flight=event.in_flight,
-        probe_in=None if probe_in is None else round(probe_in, 3),
+        probe_in=_rounded(event.probe_in),
         limit=event.limit,
         entry_host=event.entry_host,
         paused_for=event.paused_for,
         reason=event.reason,
+        failure_rate=_rounded(event.failure_rate),
+        pool_failure_rate=_rounded(event.pool_failure_rate),
+        samples=event.samples,
     )
 
 
+def _rounded(value: float | None) -> float | None:
+    return None if value is None else round(value, 3)
+
+
 def _log_path(pool: str, event: UpstreamEvent) -> None:
     events.emit(
         "upstream-path",
--- a/bitterntiller/components/dispatch/lifecycle.py
+++ b/bitterntiller/components/dispatch/lifecycle.py
@@ -102,6 +102,7 @@
         job.expected_cached = pick.cached
         job.prefill = request.prompt_tokens - pick.cached
         job.expected_total = pick.total
+        self._pool.record_grant(job, upstream)
         self._pool.attach(job, upstream, now)
         job.in_flight_at_start = upstream.ledger.in_flight
         if request.prefix_hashes:
@@ -118,6 +119,7 @@
         """Record that a grant is used, even if it had expired."""
         if job.state is JobState.GRANTED:
             job.state = JobState.RUNNING
+            self._pool.record_start(job, now)
         elif job.state is JobState.EXPIRED:
             # The grant was used in time, but the report of its use arrived late.
             job.state = JobState.RUNNING
--- a/bitterntiller/components/dispatch/model_updater.py
+++ b/bitterntiller/components/dispatch/model_updater.py
@@ -7,6 +7,7 @@
     OUTCOME_REJECTED,
     OUTCOME_UNKNOWN,
     REASON_NOT_ADMITTED,
+    REASON_REFUSED_CONNECTION,
 )
 from bitterntiller.components.dispatch.jobs import Job
 from bitterntiller.components.dispatch.models import Completion, PolicyParameters
@@ -47,6 +48,9 @@
         upstream.reports_progress = True
         host = job.request.entry_host
         self._pool.record_output(upstream, host, now, job.granted_at)
+        self._pool.outliers.record_success(
+            upstream.outlier, job.request.request_id, now
+        )
         if job.first_output_at is None and job.tokens_seen == 0:
             when = now
             if first is not None and not job.adopted:
@@ -69,7 +73,12 @@
         # A caller that disconnects, or sends what the upstream rejects, is no failure
         # of the upstream. If these were counted, a few of them in a row would stop
         # all requests to the upstream.
+        outliers, request_id = self._pool.outliers, job.request.request_id
         if completion.outcome == OUTCOME_CALLER_GONE:
+            if max(completion.output_tokens, job.tokens_seen):
+                outliers.record_success(upstream.outlier, request_id, now)
+            else:
+                outliers.record_end(upstream.outlier, request_id, now)
             return
         # A broken tunnel says as little about the upstream as about the host between.
         broke = completion.outcome == OUTCOME_UNKNOWN and not completion.fault
@@ -79,6 +88,8 @@
         granted_at = job.granted_at
         if completion.relay:
             self._pool.paths.record_relayed(job.request.entry_host, now)
+        if completion.outcome in (OUTCOME_REJECTED, OUTCOME_DONE):
+            outliers.record_success(upstream.outlier, request_id, now)
         if completion.outcome == OUTCOME_REJECTED:
             self._pool.record_upstream_success(upstream, host, now, granted_at)
             return
@@ -131,6 +142,8 @@
         if long or fault == ResponseFault.UNFINISHED:
             self._pool.record_reached(upstream, host, now, job.granted_at)
             return
+        if reason not in (REASON_NOT_ADMITTED, REASON_REFUSED_CONNECTION):
+            upstream.outlier.record_failure(job.request.request_id, now)
         self._pool.record_upstream_failure(
             upstream, host, reason, now, job.granted_at, fault
         )
--- a/bitterntiller/components/dispatch/picker.py
+++ b/bitterntiller/components/dispatch/picker.py
@@ -123,6 +123,7 @@
         for upstream in candidates:
             cached, alone, _ = self._estimate(job, upstream, now)
             alone += upstream.rate_limiter.wait_seconds(now)
+            alone += upstream.outlier.wait_seconds(now)
             if alone < fastest_seconds and upstream.health.allows_request(0, now):
                 fastest, fastest_seconds = upstream, alone
                 fastest_cached = cached
--- a/bitterntiller/components/dispatch/pool.py
+++ b/bitterntiller/components/dispatch/pool.py
@@ -22,6 +22,11 @@
     UpstreamLoad,
     UpstreamState,
 )
+from bitterntiller.components.dispatch.outliers import (
+    OutlierChange,
+    OutlierDetector,
+    silence_seconds,
+)
 from bitterntiller.components.dispatch.prefix import PrefixIndex
 from bitterntiller.components.dispatch.speed import PoolSpeed
 from bitterntiller.components.dispatch.upstream_events import (
@@ -75,6 +80,7 @@
         self.paths = PathTable()
         self.hosts_to_regroup: set[str] = set()
         self.uneven = parameters.uneven == UNEVEN_ON
+        self.outliers = OutlierDetector()
         self._ranks: set[int] = set()
         self._above_by_rank: dict[int, float] = {}
         self._parameters = parameters
@@ -206,6 +212,7 @@
             self._forget_orphan(job)
             return
         job.upstream = None
+        self.outliers.forget(upstream.outlier, job.request.request_id)
         self.in_flight_by_rank[job.rank] -= 1
         self.fingerprints.remove(job)
         upstream.ledger.remove(job, now)
@@ -239,7 +246,7 @@
     def refresh(self, upstream: Upstream, now: float) -> None:
         """Update whether an upstream is a member of views, and whether it is free."""
         member = upstream.usable(now) and self.version_rules.may_serve(upstream.version)
-        self._count_slots(upstream, member)
+        self._count_slots(upstream, member and not upstream.outlier.ejected)
         free = member and upstream.can_take(now)
         if free and not upstream.free:
             self.freed.append(upstream)
@@ -333,6 +340,8 @@
         """Forget long unusable upstreams; refresh and learn from the others."""
         self.pauses.prune(now)
         self.paths.prune(now)
+        if self.uneven:
+            self._review_outliers(now)
         for name, upstream in list(self.upstreams_by_name.items()):
             if upstream.can_be_forgotten(now):
                 self.views.update(upstream, False)
@@ -440,6 +449,59 @@
                 seconds - self.mean_service_seconds
             )
 
+    def record_grant(self, job: Job, upstream: Upstream) -> None:
+        """Record a grant, so that its outcome counts for outlier ejection."""
+        if self.uneven:
+            request = job.request
+            upstream.outlier.record_grant(request.request_id, request.entry_host)
+
+    def record_start(self, job: Job, now: float) -> None:
+        """Record that a granted request is being sent, and expect its output.
+
+        The expectation is that of the pool. The upstream's own prefill rate is learned
+        from overdue prefills too: one that brings no output would be expected to bring
+        it later and later.
+        """
+        upstream, request = job.upstream, job.request
+        if not self.uneven or upstream is None:
+            return
+        if self._parameters.kind == KIND_PLAIN:
+            expected = upstream.speed.decode_seconds(job.expected_output, 1)
+        else:
+            expected = self.speed.work(job.prefill, 0.0)
+        leaves = request.deadline if request.start_by is None else request.start_by
+        silence = silence_seconds(expected, leaves - now)
+        self.outliers.record_start(upstream.outlier, request.request_id, now, silence)
+
+    def _review_outliers(self, now: float) -> None:
+        """Eject and readmit upstreams by the outcomes of their latest requests."""
+        states_by_name = {
+            name: upstream.outlier
+            for name, upstream in self.upstreams_by_name.items()
+            if upstream.member
+        }
+        groups = self.views.member_groups()
+        changes = self.outliers.review(states_by_name, groups, now)
+        for name, change in changes.items():
+            self._record_outlier(self.upstreams_by_name[name], change, now)
+
+    def _record_outlier(
+        self, upstream: Upstream, change: OutlierChange, now: float
+    ) -> None:
+        kind = UpstreamChange.READMITTED
+        probe_in = None
+        if change.ejected:
+            kind = UpstreamChange.EJECTED
+            probe_in = upstream.outlier.wait_seconds(now)
+        self.events.record(
+            upstream.event(kind, now)._replace(
+                probe_in=probe_in,
+                failure_rate=change.failure_rate,
+                pool_failure_rate=self.outliers.pool_failure_rate,
+                samples=change.samples,
+            )
+        )
+
     def _record_change(
         self, upstream: Upstream, change: UpstreamChange, now: float
     ) -> None:
@@ -481,7 +543,9 @@
 
     def _schedule_refresh(self, upstream: Upstream, now: float) -> None:
         when = now + max(
-            upstream.prefill_wait(now), upstream.rate_limiter.wait_seconds(now)
+            upstream.prefill_wait(now),
+            upstream.rate_limiter.wait_seconds(now),
+            upstream.outlier.wait_seconds(now),
         )
         if upstream.health.unhealthy:
             when = max(when, upstream.health.paused_until)
--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -489,7 +489,11 @@
     def _has_tried_all(self, job: Job) -> bool:
         """Return whether every upstream that may run a request refused or failed it."""
         members = self._pool.view(job).members
-        return bool(members) and all(name in job.request.tried for name in members)
+        upstreams_by_name = self._pool.upstreams_by_name
+        return bool(members) and all(
+            name in job.request.tried or upstreams_by_name[name].outlier.ejected
+            for name in members
+        )
 
     def _requeue(self, job: Job, now: float, decisions: list[Decision]) -> None:
         """Queue a request again, at its old position, after its grant was returned."""
--- a/bitterntiller/components/dispatch/upstream_events.py
+++ b/bitterntiller/components/dispatch/upstream_events.py
@@ -15,7 +15,8 @@
     forgotten one is unknown until it is announced again. A limited one states in its
     responses how many requests per second it accepts. A withheld one has a version that
     gets no requests. A paused one wants no requests from one entry host for some time.
-    A lost path means that one entry host does not reach the upstream.
+    A lost path means that one entry host does not reach the upstream. An ejected one
+    fails more of its requests than the others of its pool, and is probed later.
     """
 
     RESTARTED = "restarted"
@@ -31,6 +32,8 @@
     PAUSED = "paused"
     PATH_LOST = "path-lost"
     PATH_REGAINED = "path-regained"
+    EJECTED = "ejected"
+    READMITTED = "readmitted"
 
 
 PATH_CHANGES = frozenset({UpstreamChange.PATH_LOST, UpstreamChange.PATH_REGAINED})
@@ -44,7 +47,9 @@
     the upstream's last output or successful response, and probe_in the time until an
     unhealthy upstream is probed. limit is the rate limit that its responses state, in
     requests per second. entry_host and paused_for are set for a pause; an unhealthy
-    upstream and a lost path have the entry_host of the last failure and its reason.
+    upstream and a lost path have the entry_host of the last failure and its reason. An
+    ejected or readmitted one has its failure rate over its latest requests, their
+    number, and the failure rate of the pool.
     """
 
     upstream: str
@@ -57,6 +62,9 @@
     entry_host: str | None = None
     paused_for: float | None = None
     reason: str | None = None
+    failure_rate: float | None = None
+    pool_failure_rate: float | None = None
+    samples: int | None = None
 
 
 class UpstreamEvents:
--- a/bitterntiller/components/dispatch/upstreams.py
+++ b/bitterntiller/components/dispatch/upstreams.py
@@ -11,6 +11,7 @@
 from bitterntiller.components.dispatch.inflight import InflightLimit
 from bitterntiller.components.dispatch.ledger import Ledger
 from bitterntiller.components.dispatch.models import PolicyParameters, UpstreamState
+from bitterntiller.components.dispatch.outliers import OutlierState
 from bitterntiller.components.dispatch.prefix import PrefixCache, PrefixIndex
 from bitterntiller.components.dispatch.speed import PoolSpeed, new_speed
 from bitterntiller.components.dispatch.upstream_events import (
@@ -50,6 +51,7 @@
         self._adaptive = parameters.adaptive
         self.limit = InflightLimit(self._adaptive)
         self.health = Health()
+        self.outlier = OutlierState()
         self.rate_limiter = UpstreamRateLimiter()
         self.prefixes = PrefixCache(state.name, index)
         self.reserved_for: str | None = None
@@ -70,6 +72,7 @@
         self.ledger.clear()
         self.prefixes.clear()
         self.health.record_success()
+        self.outlier = OutlierState()
         self.limit = InflightLimit(self._adaptive)
         self.rate_limiter = UpstreamRateLimiter()
         self.reserved_for = None
@@ -145,6 +148,7 @@
             self.usable(now)
             and self.free_slots(now) >= 1
             and self.health.allows_request(self.ledger.in_flight, now)
+            and self.outlier.allows_request(now)
             and self.prefill_wait(now) <= 0.0
             and self.rate_limiter.wait_seconds(now) <= 0.0
         )
@@ -267,6 +271,10 @@
                     self._update_view(view, upstream)
         return view
 
+    def member_groups(self) -> list[NameSet]:
+        """Return the members of each view."""
+        return [view.members for view in self._views_by_names.values()]
+
     def update(self, upstream: Upstream, member: bool) -> None:
         """Update all views after a change of one upstream."""
         for view in self._views_by_names.values():
