--- a/bitterntiller/components/dispatch/outliers.py
+++ b/bitterntiller/components/dispatch/outliers.py
@@ -247,6 +247,7 @@
             self._probe = None
         if request_id == self._failed_probe:
             self._failed_probe = None
+            self._probe_successes = 0
         return pending is not None and pending.overdue
 
     def eject(self, now: float) -> None:
@@ -456,6 +457,8 @@
         """Readmit the ejected whose failure rate is about that of the others."""
         if pool.samples < MIN_POOL_SAMPLES:
             return
+        if self.pool_failure_rate <= MIN_FAILURE_RATE:
+            return
         for name in ejected:
             state = states_by_name[name]
             failures, samples = state.counts(now)
--- a/tests/components/dispatch/test_outliers.py
+++ b/tests/components/dispatch/test_outliers.py
@@ -10,6 +10,7 @@
     OutlierDetector,
     OutlierState,
 )
+from bitterntiller.components.dispatch.pool import Pool
 from bitterntiller.components.dispatch.scheduler import PoolScheduler
 from bitterntiller.core.outcomes import Reason
 from tests.components.dispatch import builders as build
@@ -107,6 +108,16 @@
         assert changes(play.scheduler) == []
 
 
+def test_no_upstream_is_ejected_where_silent_requests_fill_one_after_the_other():
+    """Those of the upstream that was filled first were overdue first."""
+    for seed in (100, 102, 103):
+        play = load("plain", NAMES, 120.0, seed=seed, slots=6)
+        script = PLAIN._replace(seconds=0.05, first=0.05, silent=0.45)
+        play.scripts_by_name = dict.fromkeys(NAMES, script)
+        play.run(2.0)
+        assert changes(play.scheduler) == []
+
+
 def test_nothing_is_recorded_or_ejected_while_off_or_nothing_is_stated():
     plays = [load("engine", NAMES, 25.0, uneven=one) for one in ("off", "stated")]
     for play in plays:
@@ -154,7 +165,10 @@
     play.scripts_by_name[BAD] = ENGINE
     state = build.upstream(BAD, slots=10, incarnation=2)
     play.scheduler.announce(state, play.now)
-    play.run(5.0)
+    since = play.now
+    play.run(0.5)
+    assert play.grants(BAD, since)
+    play.run(3.0)
     found = outlier(play.scheduler, BAD, play.now)
     assert (found["ejected"], found["failures"]) == (False, 0)
     assert found["samples"]
@@ -183,6 +197,22 @@
     assert refused.reason is Reason.NOT_ADMITTED
 
 
+def test_slots_of_an_ejected_upstream_count_again_when_it_is_readmitted():
+    pool = Pool(REGISTERED_PARAMETERS._replace(uneven="on"))
+    for name in NAMES:
+        pool.announce(build.upstream(name, slots=4), NOW)
+    upstream = pool.upstreams_by_name[BAD]
+    upstream.outlier.eject(NOW)
+    pool.refresh(upstream, NOW)
+    assert (pool.slots, upstream.member, upstream.free) == (12, True, False)
+    assert pool.next_refresh() == pytest.approx(NOW + 1.0)
+    pool.refresh_due(NOW + 1.0)
+    assert (pool.slots, upstream.free) == (12, True)
+    upstream.outlier.readmit(NOW + 1.0)
+    pool.refresh(upstream, NOW + 1.0)
+    assert pool.slots == 16
+
+
 def test_event_has_the_rates_and_the_number_of_samples():
     play = load("engine", NAMES, 25.0)
     play.scripts_by_name[BAD] = ENGINE._replace(failed=0.6)
@@ -246,6 +276,28 @@
     assert state.wait_seconds(now) == pytest.approx(1.0)
 
 
+def test_three_probes_in_a_row_must_succeed():
+    """Two successes, a failure and a success would bring a failing upstream back."""
+    by_name = states()
+    state = by_name[BAD]
+    eject(by_name, BAD, NOW)
+    for number, failed in enumerate((False, False, True, False, False)):
+        now = state.ejected_until + WINDOW_SECONDS
+        record(state, f"probe{number}", now, failed=failed)
+        review(by_name, now)
+        assert state.ejected
+    record(state, "probe", state.ejected_until, failed=False)
+    assert not state.ejected
+
+
+def test_ejected_upstream_is_readmitted_once_the_others_fail_alike():
+    by_name = states()
+    eject(by_name, BAD, NOW)
+    for name in NAMES[1:]:
+        fail(by_name[name], NOW, 7, 13)
+    assert not review(by_name, NOW)[BAD].ejected
+
+
 def test_request_counts_when_overdue_but_not_again_when_it_ends():
     """A request without output counted only when its caller left, after 1.6 s."""
     detector, state = OutlierDetector(), OutlierState()
