--- a/tests/components/dispatch/test_return_times.py
+++ b/tests/components/dispatch/test_return_times.py
@@ -7,14 +7,22 @@
 
 from bitterntiller.components.dispatch.const import UNEVEN_OFF, UNEVEN_ON, UNEVEN_STATED
 from bitterntiller.components.dispatch.jobs import Job
-from bitterntiller.components.dispatch.models import Granted, Refused, UpstreamLoad
+from bitterntiller.components.dispatch.models import (
+    Granted,
+    RefusalBasis,
+    Refused,
+    UpstreamLoad,
+)
+from bitterntiller.components.dispatch.owned_pool import OwnedPool
 from bitterntiller.components.dispatch.return_times import (
     Forecast,
     RetryBasis,
     ReturnTimes,
 )
+from bitterntiller.components.dispatch.scheduler import PoolScheduler
 
 from .builders import request, upstream
+from .fakes import FakeDirectory, FakeRuntime, coordinator
 from .refused_callers import START, Caller, Load, served_share, value
 
 NOW = 1000.0
@@ -191,3 +199,15 @@
     assert told.seconds > 5.0
     described = times.describe(NOW)["0"]
     assert (described["booked"], described["expected_unbooked"]) == (0, 1)
+
+
+def test_bases_of_retry_times_are_counted():
+    """Guards against a metric that nothing counts."""
+    runtime = FakeRuntime()
+    pool = OwnedPool("chat", 1, PoolScheduler(), 0.0)
+    for retry in (RetryBasis.BOOKED, None):
+        basis = RefusalBasis(1, 1, 1, 0.0, 0.0, late=False, parked=0, retry=retry)
+        refused = Refused("r1", "bole-1", "shed", 1.0, basis)
+        coordinator(runtime, FakeDirectory())._log_and_build_message(pool, refused)
+    assert runtime.metrics.counts["dispatch.retries.chat.booked"] == 1
+    assert runtime.metrics.counts["dispatch.refusals.chat.shed"] == 2
