--- a/bitterntiller/components/dispatch/outliers.py
+++ b/bitterntiller/components/dispatch/outliers.py
@@ -57,6 +57,7 @@
 FIRST_EJECTION_SECONDS = 1.0
 MAX_EJECTION_SECONDS = 8.0
 PROBES_TO_READMIT = 3
+MAX_PROBES_TO_READMIT = 9
 FORGET_EJECTIONS_SECONDS = 30.0
 """Time without a detection after which the next ejection is as short as the first."""
 
@@ -303,7 +304,8 @@
 
     def _record_probe_success(self, now: float) -> None:
         self._probe_successes += 1
-        if self._probe_successes >= PROBES_TO_READMIT:
+        needed = min(PROBES_TO_READMIT * self.ejections, MAX_PROBES_TO_READMIT)
+        if self._probe_successes >= needed:
             self.readmit(now)
 
     def _record(self, pending: _Pending, failed: bool, now: float) -> None:
