--- a/bitterntiller/components/dispatch/call_durations.py
+++ b/bitterntiller/components/dispatch/call_durations.py
@@ -1,8 +1,15 @@
 """Estimates of the duration of calls to plain services, by request size."""
 
+import math
+
 PRIOR_CALL_SECONDS = 0.1
 MEAN_GAIN = 0.1
 
+USUAL_STEP = 0.01
+MAX_USUAL_STEP = 0.5
+"""Steps of the logarithm of the usual duration, from the first calls to the later ones.
+A burst of 100 slow calls moves it by less than a factor of 3."""
+
 
 class CallDurations:
     """Learns the mean duration of calls for each octave of prompt tokens.
@@ -38,3 +45,31 @@
         gain = max(1 / samples, MEAN_GAIN)
         self._samples_by_octave[octave] = samples
         self._seconds_by_octave[octave] = known * (seconds / known) ** gain
+
+
+class UsualDurations:
+    """Tracks the median duration of calls for each octave of prompt tokens.
+
+    The mean of CallDurations follows the speed of the pool within seconds. Relative to
+    it, the calls of an upstream that slows down don't take longer, and the same speed
+    seems to have changed once others slow down.
+    """
+
+    def __init__(self) -> None:
+        self._log_by_octave: dict[int, float] = {}
+        self._samples_by_octave: dict[int, int] = {}
+
+    def seconds(self, prompt_tokens: int) -> float | None:
+        """Return the median seconds, None if no such call has ended yet."""
+        known = self._log_by_octave.get(prompt_tokens.bit_length())
+        return None if known is None else math.exp(known)
+
+    def learn(self, prompt_tokens: int, seconds: float) -> None:
+        """Learn from the duration of one call."""
+        octave = prompt_tokens.bit_length()
+        value = math.log(seconds)
+        known = self._log_by_octave.setdefault(octave, value)
+        samples = self._samples_by_octave.get(octave, 0) + 1
+        step = max(MAX_USUAL_STEP / samples, USUAL_STEP)
+        self._samples_by_octave[octave] = samples
+        self._log_by_octave[octave] = known + min(max(value - known, -step), step)
--- /dev/null
+++ b/bitterntiller/components/dispatch/concurrency.py
@@ -0,0 +1,403 @@
+"""Learned limit of the requests in flight at an upstream, by its throughput."""
+
+import math
+from collections import deque
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
+
+from bitterntiller.components.dispatch.inflight import InflightLimit
+
+SAMPLE_SECONDS = 3.0
+"""How long a sample is used: shorter than the 4 s in which a change is followed."""
+
+SAMPLE_CYCLES = 3.0
+"""How long a sample is used, in mean times of a request, if that is longer."""
+
+MAX_SAMPLES = 64
+MIN_SAMPLES = 4
+"""Samples that both sides of a comparison need."""
+
+PRIOR_SAMPLES = 8
+PRIOR_DEVIATION = 0.25
+"""Deviation of the logarithm of samples until it is measured, weighted as PRIOR_SAMPLES
+samples. Noise of up to a factor of 1.5 in either direction deviates by 0.23."""
+
+CONFIDENCE = 1.3
+"""Standard errors by which a comparison has to differ from its threshold: one decision
+in ten is wrong, and the next trial corrects it."""
+
+LOWER_GAIN = 0.1
+"""Gain of throughput for which the limit is lowered, relative to the change of the
+limit: constant throughput doesn't lower it."""
+
+RAISE_GAIN = 0.2
+"""Gain of throughput for which the limit is raised, relative to the change."""
+
+SUSPICIOUS_RATIO = 3.0
+"""Seconds per expected second, relative to the least known, from which a lower limit is
+tried at once. Engines take 1.3 times as long per output with all slots in use."""
+
+MIN_PAUSE = 0.4
+RAISE_PAUSE = 1.6
+"""Maximum time between two trials of a higher limit. Three trials reach six slots from
+two, so that a recovered upstream is used fully within 4 s."""
+
+LOWER_PAUSE = 2.0
+MAX_LOWER_PAUSE = 32.0
+"""Time between two trials of a lower limit without suspicion, doubled after each one
+that gained nothing."""
+
+LOWER_SECONDS = 1.2
+"""Minimum duration of a trial of a lower limit without suspicion: two of the intervals
+of 0.6 s in which the speed of a shared machine changes."""
+
+TRIAL_SECONDS = 1.5
+TRIAL_CYCLES = 4.0
+"""Maximum duration of a trial in seconds, or in mean times of a request if longer."""
+
+REACH_SECONDS = 4.0
+"""Maximum time until the number in flight comes to the limit that is tried."""
+
+EVENT_SECONDS = 1.0
+"""Minimum time between two events of an upstream."""
+
+
+class ConcurrencyLimit(Protocol):
+    """Limits the requests in flight at an upstream."""
+
+    def limit(self, slots: int) -> int:
+        """Return the limit, at most the slots that the upstream announced."""
+        ...
+
+    def learn(self, ratio: float, slots: int) -> None:
+        """Learn from the latency of one request relative to its size."""
+        ...
+
+    def record_rejection(self, in_flight: int, slots: int) -> None:
+        """Lower the limit after a rejection with in_flight other requests."""
+        ...
+
+
+class Sample(NamedTuple):
+    """One request that ended.
+
+    seconds is the time from its grant to its end, expected the time that a request of
+    its size takes on average, and in_flight the mean number in flight meanwhile, with
+    the requests that others sent.
+    """
+
+    at: float
+    seconds: float
+    expected: float
+    in_flight: float
+
+    @property
+    def log_ratio(self) -> float:
+        """Return the logarithm of the seconds per expected second."""
+        return math.log(self.seconds / self.expected)
+
+    @property
+    def log_in_flight(self) -> float:
+        """Return the logarithm of the number in flight."""
+        return math.log(max(self.in_flight, 0.5))
+
+
+class LimitChange(NamedTuple):
+    """A change of the learned limit; samples and age in seconds are of its basis."""
+
+    old: int
+    new: int
+    samples: int
+    age: float
+
+
+class _Trial(NamedTuple):
+    """A limit that is tried, until when at most, and for how long at least.
+
+    reached says whether the number in flight has come to the limit. An upstream that is
+    contended takes many times its usual time to end what it runs.
+    """
+
+    limit: int
+    until: float
+    least_seconds: float = 0.0
+    reached: bool = False
+
+
+class _Group(NamedTuple):
+    """Samples of one level of concurrency, by their mean logarithms."""
+
+    count: int
+    log_ratio: float
+    log_in_flight: float
+    squared_errors: float
+    first_at: float
+
+
+class LearnedLimit:
+    """Number in flight at which an upstream gets most work done.
+
+    By Little's law the throughput at a level of concurrency is the number in flight
+    over the seconds per expected second. While the limit is in use, another limit is
+    tried from time to time, for as long as it takes to compare the throughput of both,
+    and kept if it gains. Latency alone never moves the limit: it can't distinguish a
+    slow upstream from a contended one. It only decides when a lower limit is tried, and
+    which.
+    """
+
+    def __init__(self) -> None:
+        self._limit: int | None = None
+        self._slots = 0
+        self._samples: deque[Sample] = deque(maxlen=MAX_SAMPLES)
+        self._trial: _Trial | None = None
+        self._next_raise_at = -math.inf
+        self._next_lower_at = math.inf
+        self._raise_pause = MIN_PAUSE
+        self._lower_pause = LOWER_PAUSE
+        self._raise_step = 1
+        self._suspected_ratio = 1.0
+        self._reported: int | None = None
+        self._reported_at = -math.inf
+
+    def limit(self, slots: int) -> int:
+        """Return the limit in effect, that of a trial if there is one."""
+        wanted = self._trial.limit if self._trial else self._limit
+        return slots if wanted is None else max(1, min(wanted, slots))
+
+    def learned(self, slots: int) -> int:
+        """Return the learned limit, without any trial."""
+        return slots if self._limit is None else max(1, min(self._limit, slots))
+
+    @property
+    def samples(self) -> int:
+        """Return the number of samples in use."""
+        return len(self._samples)
+
+    def age(self, now: float) -> float | None:
+        """Return the seconds since the last sample, None without any."""
+        return now - self._samples[-1].at if self._samples else None
+
+    def learn(self, sample: Sample, in_flight: float, slots: int) -> None:
+        """Learn from a request that ended; in_flight is the number with it."""
+        if sample.seconds <= 0 or sample.expected <= 0:
+            return
+        self._set_slots(slots, sample.at)
+        self._samples.append(sample)
+        self._review(in_flight, (), sample.at)
+
+    def review(
+        self,
+        in_flight: float,
+        slots: int,
+        running_ratios: list[float],
+        now: float,
+    ) -> None:
+        """Begin or end a trial if one is due.
+
+        running_ratios are the elapsed over the expected seconds of the requests that
+        run. An upstream that has just become contended ends none for a while.
+        """
+        self._set_slots(slots, now)
+        self._review(in_flight, running_ratios, now)
+
+    def take_change(self, slots: int, now: float) -> LimitChange | None:
+        """Return the change since the last one returned, at most one per second."""
+        new = self.learned(slots)
+        if self._reported is None:
+            self._reported = slots
+        if new == self._reported or now - self._reported_at < EVENT_SECONDS:
+            return None
+        change = LimitChange(self._reported, new, self.samples, self.age(now) or 0.0)
+        self._reported = new
+        self._reported_at = now
+        return change
+
+    def _set_slots(self, slots: int, now: float) -> None:
+        if slots == self._slots:
+            return
+        # A limit that the announced slots set is raised with them; a learned one isn't.
+        if self._limit is None or self._limit >= self._slots:
+            self._limit = slots
+        self._limit = min(self._limit, slots)
+        self._slots = slots
+        self._trial = None
+        self._next_lower_at = now + LOWER_PAUSE
+
+    def _review(
+        self, in_flight: float, running_ratios: list[float] | tuple, now: float
+    ) -> None:
+        self._drop_expired(now)
+        if self._limit is None:
+            return
+        if self._trial is not None:
+            self._decide(in_flight, now)
+        limit = self._trial.limit if self._trial else self._limit
+        if in_flight + 0.5 < limit:
+            return
+        suspected = self._suspected(running_ratios)
+        if suspected is not None and min(limit, self._limit) > 1:
+            # Where time grows with the square of the number in flight, this is where
+            # contention begins.
+            goal = max(1, round(self._limit / math.sqrt(suspected)))
+            goal = min(goal, self._limit - 1)
+            if goal < limit:
+                # Samples from before the slowdown would speak for the old limit.
+                self._samples.clear()
+                self._begin(goal, now)
+            return
+        if self._trial is not None:
+            return
+        if self._group(self._limit, now).count < MIN_SAMPLES:
+            return
+        if self._limit < self._slots and now >= self._next_raise_at:
+            self._begin(min(self._limit + self._raise_step, self._slots), now)
+        elif self._limit > 1 and now >= self._next_lower_at:
+            goal = self._limit - max(1, self._limit // 6)
+            self._begin(goal, now, LOWER_SECONDS)
+
+    def _cycle(self) -> float:
+        """Return the mean time of a request in seconds."""
+        if not self._samples:
+            return 0.0
+        return sum(sample.seconds for sample in self._samples) / len(self._samples)
+
+    def _usual_seconds(self, level: int) -> float:
+        """Return the median time of a request at a level or below."""
+        found = sorted(s.seconds for s in self._samples if s.in_flight < level + 1)
+        return found[len(found) // 2] if found else 0.0
+
+    def _drop_expired(self, now: float) -> None:
+        kept = max(SAMPLE_SECONDS, SAMPLE_CYCLES * self._cycle())
+        while self._samples and self._samples[0].at < now - kept:
+            self._samples.popleft()
+
+    def _group(self, level: int, now: float, other: int | None = None) -> _Group:
+        """Return the samples of a level, those nearer to it than to another one."""
+        chosen = [
+            sample
+            for sample in self._samples
+            if _is_near(sample.in_flight, level, other)
+        ]
+        if not chosen:
+            return _Group(0, 0.0, math.log(level), 0.0, now)
+        count = len(chosen)
+        ratios = [sample.log_ratio for sample in chosen]
+        mean = sum(ratios) / count
+        return _Group(
+            count,
+            mean,
+            sum(sample.log_in_flight for sample in chosen) / count,
+            sum((ratio - mean) ** 2 for ratio in ratios),
+            chosen[0].at,
+        )
+
+    def _suspected(self, running_ratios: list[float] | tuple) -> float | None:
+        """Return how many times the usual time requests take, None if as usual."""
+        if len(running_ratios) < 2:
+            return None
+        # The second highest: one request may be unusually large.
+        found = sorted(running_ratios)[-2]
+        if found < SUSPICIOUS_RATIO * self._suspected_ratio:
+            return None
+        return found / self._suspected_ratio
+
+    def _begin(self, goal: int, now: float, least_seconds: float = 0.0) -> None:
+        self._trial = _Trial(goal, now + REACH_SECONDS, least_seconds)
+
+    def _decide(self, in_flight: float, now: float) -> None:
+        """End the trial if the throughput of both limits can be compared."""
+        trial, limit = self._trial, self._limit
+        assert trial is not None and limit is not None
+        if not trial.reached and _is_near(in_flight, trial.limit, limit):
+            seconds = max(
+                TRIAL_SECONDS, TRIAL_CYCLES * self._usual_seconds(trial.limit)
+            )
+            seconds = max(seconds, 2 * trial.least_seconds)
+            trial = self._trial = trial._replace(until=now + seconds, reached=True)
+        tried = self._group(trial.limit, now, limit)
+        usual = self._group(limit, now, trial.limit)
+        verdict = None
+        if min(tried.count, usual.count) >= MIN_SAMPLES:
+            change = tried.log_in_flight - usual.log_in_flight
+            gain = change - (tried.log_ratio - usual.log_ratio)
+            wanted = LOWER_GAIN if trial.limit < limit else RAISE_GAIN
+            excess = gain - wanted * abs(change)
+            if abs(excess) >= CONFIDENCE * _standard_error(tried, usual):
+                verdict = excess > 0
+            if verdict and now - tried.first_at < trial.least_seconds:
+                verdict = None
+        if verdict is None and now < trial.until:
+            return
+        self._trial = None
+        if trial.limit > limit:
+            self._end_raise(trial, verdict, now)
+        else:
+            self._end_lower(trial, verdict, now)
+
+    def _end_raise(self, trial: _Trial, gained: bool | None, now: float) -> None:
+        if gained:
+            self._limit = trial.limit
+            self._raise_step *= 2
+            self._raise_pause = MIN_PAUSE
+            self._next_raise_at = now
+        else:
+            self._raise_step = 1
+            self._raise_pause = min(2 * self._raise_pause, RAISE_PAUSE)
+            self._next_raise_at = now + self._raise_pause
+
+    def _end_lower(self, trial: _Trial, gained: bool | None, now: float) -> None:
+        if gained:
+            self._limit = trial.limit
+            self._lower_pause = LOWER_PAUSE
+            self._next_lower_at = now + LOWER_PAUSE
+            self._raise_step = 1
+            self._raise_pause = MIN_PAUSE
+            self._next_raise_at = now + self._raise_pause
+        else:
+            self._next_lower_at = now + self._lower_pause
+            self._lower_pause = min(2 * self._lower_pause, MAX_LOWER_PAUSE)
+        if gained is None:
+            return
+        # Requests that take as long at the better limit are usual from now on.
+        ratio = math.exp(self._group(self._limit or 1, now).log_ratio)
+        self._suspected_ratio = max(1.0, ratio)
+
+
+def _is_near(in_flight: float, level: int, other: int | None) -> bool:
+    if other is None:
+        return abs(in_flight - level) <= max(0.5, 0.15 * level)
+    middle = (level + other) / 2
+    return in_flight >= middle if level > other else in_flight < middle
+
+
+def _standard_error(one: _Group, other: _Group) -> float:
+    """Return the standard error of the difference of the mean ratios."""
+    squares = one.squared_errors + other.squared_errors
+    squares += PRIOR_SAMPLES * PRIOR_DEVIATION**2
+    variance = squares / (PRIOR_SAMPLES + one.count + other.count)
+    return math.sqrt(variance * (1 / one.count + 1 / other.count))
+
+
+class UpstreamLimit:
+    """Today's limit, and the learned one while the pool's upstreams are uneven.
+
+    uneven returns whether the learned limit is in effect.
+    """
+
+    def __init__(self, adaptive: bool, uneven: Callable[[], bool]) -> None:
+        self._inflight: ConcurrencyLimit = InflightLimit(adaptive)
+        self.learned = LearnedLimit()
+        self._uneven = uneven
+
+    def limit(self, slots: int) -> int:
+        """Return the limit, at most the slots that the upstream announced."""
+        found = self._inflight.limit(slots)
+        return min(found, self.learned.limit(slots)) if self._uneven() else found
+
+    def learn(self, ratio: float, slots: int) -> None:
+        """Learn from the latency of one request relative to its size."""
+        self._inflight.learn(ratio, slots)
+
+    def record_rejection(self, in_flight: int, slots: int) -> None:
+        """Lower the limit after a rejection with in_flight other requests."""
+        self._inflight.record_rejection(in_flight, slots)
--- a/bitterntiller/components/dispatch/describe.py
+++ b/bitterntiller/components/dispatch/describe.py
@@ -51,6 +51,7 @@
         "sick": upstream.health.unhealthy,
         "running": ledger.in_flight,
         "limit": upstream.limit.limit(upstream.state.slots),
+        "concurrency": _concurrency(upstream, now),
         "rate_limit": upstream.rate_limiter.limit,
         "next_turn_seconds": round(upstream.rate_limiter.wait_seconds(now), 3),
         "foreign": round(ledger.foreign_requests(now), 2),
@@ -61,6 +62,17 @@
     }
 
 
+def _concurrency(upstream: Upstream, now: float) -> dict[str, object]:
+    """Return the learned limit, and the number of samples and their age."""
+    learned = upstream.limit.learned
+    age = learned.age(now)
+    return {
+        "learned": learned.learned(upstream.state.slots),
+        "samples": learned.samples,
+        "age_seconds": None if age is None else round(age, 3),
+    }
+
+
 def _unreached(pool: Pool, name: str, now: float) -> dict[str, float]:
     """Return the seconds since the path to an upstream failed last, by host."""
     return {
--- a/bitterntiller/components/dispatch/event_logging.py
+++ b/bitterntiller/components/dispatch/event_logging.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from bitterntiller.components.dispatch.concurrency import LimitChange
 from bitterntiller.components.dispatch.models import (
     Basis,
     Decision,
@@ -31,6 +32,9 @@
     if event.change in PATH_CHANGES:
         _log_path(pool, event)
         return
+    if event.concurrency is not None:
+        _log_concurrency(pool, event.upstream, event.concurrency)
+        return
     probe_in = event.probe_in
     events.emit(
         "upstream-use",
@@ -60,6 +64,18 @@
     )
 
 
+def _log_concurrency(pool: str, upstream: str, change: LimitChange) -> None:
+    events.emit(
+        "concurrency",
+        pool=pool,
+        upstream=upstream,
+        old=change.old,
+        new=change.new,
+        samples=change.samples,
+        age=round(change.age, 3),
+    )
+
+
 def log_missed_end(pool: str, request_id: str, host: str) -> None:
     """Log that the end of a request at its entry host was not received here."""
     events.emit("end-missed", request=request_id, pool=pool, entry_host=host)
--- a/bitterntiller/components/dispatch/jobs.py
+++ b/bitterntiller/components/dispatch/jobs.py
@@ -42,7 +42,8 @@
     of a plain service has ended yet. park_count counts how often no free upstream could
     finish it in time while a busy one might. target is the upstream reserved for a
     waiting request, or the upstream of an expired grant. awaits_output is set while it
-    is in flight and its output hasn't begun.
+    is in flight and its output hasn't begun. load_at_start is the load_seconds of the
+    upstream's ledger when it was sent there.
     """
 
     __slots__ = (
@@ -60,6 +61,7 @@
         "in_flight_at_start",
         "kind",
         "kv_tokens",
+        "load_at_start",
         "min_service_seconds",
         "order_key",
         "park_count",
@@ -104,6 +106,7 @@
         self.expected_total = 0.0
         self.expected_wait = 0.0
         self.in_flight_at_start = 0
+        self.load_at_start = 0.0
         self.first_output_at: float | None = None
         self.tokens_seen = 0
         self.tokens_at = 0.0
--- a/bitterntiller/components/dispatch/ledger.py
+++ b/bitterntiller/components/dispatch/ledger.py
@@ -41,6 +41,9 @@
         self.long_jobs = 0
         self._foreign = 0.0
         self._foreign_at = 0.0
+        self._load_seconds = 0.0
+        self._counted = 0
+        self._counted_at = 0.0
         self.head_started_at = 0.0
         self._needs_by_rank: dict[int, Need] = {}
         self._needs_at = float("-inf")
@@ -54,6 +57,7 @@
     def add(self, job: Job, prefilled: bool, now: float) -> None:
         """Count a request; prefilled is True if its first token was received."""
         request_id = job.request.request_id
+        job.load_at_start = self.load_seconds(now)
         self.jobs_by_id[request_id] = job
         self.kv_tokens += job.kv_tokens
         self.long_jobs += job.kind == LONG
@@ -155,6 +159,11 @@
             (self._foreign_at - now) / FOREIGN_DECAY_SECONDS
         )
 
+    def load_seconds(self, now: float) -> float:
+        """Return the integral over time of the requests in flight, foreign ones too."""
+        count = self._counted + self.foreign_requests(now)
+        return self._load_seconds + count * (now - self._counted_at)
+
     def clear(self) -> None:
         """Reset all counts after a restart of the upstream, which lost its requests."""
         self.jobs_by_id.clear()
@@ -163,6 +172,7 @@
         self.kv_tokens = 0
         self.long_jobs = 0
         self._foreign = 0.0
+        self._counted = 0
 
     def _end_prefill(self, request_id: str, now: float) -> None:
         if request_id not in self.prefilling_by_id:
@@ -172,6 +182,9 @@
         del self.prefilling_by_id[request_id]
 
     def _record_in_flight(self, now: float) -> None:
+        self._load_seconds = self.load_seconds(now)
+        self._counted = len(self.jobs_by_id)
+        self._counted_at = now
         self._history.append((now, len(self.jobs_by_id)))
         while self._history[0][0] < now - HISTORY_SECONDS:
             self._history.popleft()
--- a/bitterntiller/components/dispatch/model_updater.py
+++ b/bitterntiller/components/dispatch/model_updater.py
@@ -96,6 +96,8 @@
         # would seem many times too slow or too fast for calls of all sizes.
         if not (self._plain and (job.adopted or job.unmeasured)):
             self._learn_service_times(job, upstream, completion, now)
+        if self._pool.uneven and not job.adopted and completion.total > 0:
+            self._learn_concurrency(job, upstream, completion, now)
         if completion.cached_tokens is not None:
             upstream.prefixes.update_trust(
                 job.expected_cached, completion.cached_tokens
@@ -177,6 +179,21 @@
         upstream.limit.learn(completion.total / job.work, upstream.state.slots)
         self._pool.record_service_time(job.work, completion.total)
 
+    def _learn_concurrency(
+        self, job: Job, upstream: Upstream, completion: Completion, now: float
+    ) -> None:
+        """Learn the concurrency limit, relative to the usual time of such a request."""
+        if self._plain:
+            tokens = job.request.prompt_tokens
+            durations = self._pool.usual_durations
+            expected = durations.seconds(tokens) or completion.total
+            durations.learn(tokens, completion.total)
+        elif completion.output_tokens:
+            expected = self._pool.speed.work(job.prefill, completion.output_tokens)
+        else:
+            expected = job.work
+        upstream.learn_concurrency(job, expected, now)
+
 
 def _may_end(job: Job) -> bool:
     """Return whether a stream has brought output, and no more than a long one does."""
--- a/bitterntiller/components/dispatch/pool.py
+++ b/bitterntiller/components/dispatch/pool.py
@@ -3,6 +3,7 @@
 import heapq
 from collections import Counter
 
+from bitterntiller.components.dispatch.call_durations import UsualDurations
 from bitterntiller.components.dispatch.const import (
     KIND_PLAIN,
     PATH_FAILURES,
@@ -54,6 +55,7 @@
     the number of requests that all usable upstreams run at a time. work_rate is the
     mean of expected over measured service time: the work per second that one request
     in flight gets done. mean_service_seconds is the mean measured service time.
+    usual_durations are those of the calls of a plain service.
     hosts_to_regroup collects the entry hosts whose waiting requests can use other
     upstreams than before, until the caller clears it. uneven says whether the parts for
     upstreams of uneven speed are in effect.
@@ -66,6 +68,7 @@
         self.upstreams_by_name: dict[str, Upstream] = {}
         self.work_rate = 1.0
         self.mean_service_seconds = 1.0
+        self.usual_durations = UsualDurations()
         self.slots = 0
         self.in_flight_by_rank: Counter[int] = Counter()
         self.fingerprints = FingerprintsInFlight()
@@ -98,6 +101,10 @@
             self.uneven = True
         upstream.ledger.apply_load_report(load, now)
 
+    def is_uneven(self) -> bool:
+        """Return whether the parts for upstreams of uneven speed are in effect."""
+        return self.uneven
+
     def candidate_upstreams(self, now: float) -> list[Upstream]:
         """Return the usable upstreams of the candidate version, sorted by name."""
         version = self.version_rules.candidate
@@ -152,7 +159,14 @@
         """
         upstream = self.upstreams_by_name.get(state.name)
         if upstream is None:
-            upstream = Upstream(state, self._parameters, self.speed, self.index, now)
+            upstream = Upstream(
+                state,
+                self._parameters,
+                self.speed,
+                self.index,
+                now,
+                self.is_uneven,
+            )
             self.upstreams_by_name[state.name] = upstream
             for job in self._orphans_by_name.pop(state.name, ()):
                 self.attach(job, upstream, now)
@@ -342,6 +356,7 @@
                 self._record_change(upstream, UpstreamChange.FORGOTTEN, now)
                 continue
             self._learn_from_overdue(upstream, now)
+            self._review_concurrency(upstream, now)
             self.refresh(upstream, now)
 
     def record_upstream_failure(
@@ -440,6 +455,12 @@
                 seconds - self.mean_service_seconds
             )
 
+    def usual_seconds(self, job: Job) -> float | None:
+        """Return the usual seconds of a request of this size, None if unknown."""
+        if self._parameters.kind != KIND_PLAIN:
+            return job.work
+        return self.usual_durations.seconds(job.request.prompt_tokens)
+
     def _record_change(
         self, upstream: Upstream, change: UpstreamChange, now: float
     ) -> None:
@@ -466,6 +487,16 @@
             upstream.speed.learn_decode(1, stalled, ledger.in_flight)
             upstream.last_active_at = now
 
+    def _review_concurrency(self, upstream: Upstream, now: float) -> None:
+        """Update the learned concurrency limit, and report its change."""
+        if not self.uneven:
+            return
+        upstream.review_concurrency(self.usual_seconds, now)
+        change = upstream.limit.learned.take_change(upstream.state.slots, now)
+        if change is not None:
+            event = upstream.event(UpstreamChange.CONCURRENCY, now)
+            self.events.record(event._replace(concurrency=change))
+
     def _count_slots(self, upstream: Upstream, member: bool) -> None:
         """Update the pool's slots with those of one upstream.
 
--- a/bitterntiller/components/dispatch/upstream_events.py
+++ b/bitterntiller/components/dispatch/upstream_events.py
@@ -4,6 +4,8 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from bitterntiller.components.dispatch.concurrency import LimitChange
+
 MAX_EVENTS = 256
 """Maximum number of kept changes; the oldest are dropped first."""
 
@@ -15,7 +17,8 @@
     forgotten one is unknown until it is announced again. A limited one states in its
     responses how many requests per second it accepts. A withheld one has a version that
     gets no requests. A paused one wants no requests from one entry host for some time.
-    A lost path means that one entry host does not reach the upstream.
+    A lost path means that one entry host does not reach the upstream. Concurrency means
+    that another number of requests in flight was learned to be best.
     """
 
     RESTARTED = "restarted"
@@ -31,6 +34,7 @@
     PAUSED = "paused"
     PATH_LOST = "path-lost"
     PATH_REGAINED = "path-regained"
+    CONCURRENCY = "concurrency"
 
 
 PATH_CHANGES = frozenset({UpstreamChange.PATH_LOST, UpstreamChange.PATH_REGAINED})
@@ -45,6 +49,7 @@
     unhealthy upstream is probed. limit is the rate limit that its responses state, in
     requests per second. entry_host and paused_for are set for a pause; an unhealthy
     upstream and a lost path have the entry_host of the last failure and its reason.
+    concurrency is the change of the learned limit.
     """
 
     upstream: str
@@ -57,6 +62,7 @@
     entry_host: str | None = None
     paused_for: float | None = None
     reason: str | None = None
+    concurrency: LimitChange | None = None
 
 
 class UpstreamEvents:
--- a/bitterntiller/components/dispatch/upstreams.py
+++ b/bitterntiller/components/dispatch/upstreams.py
@@ -1,14 +1,15 @@
 """The upstreams of a pool, and which of them can accept another request."""
 
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
+from bitterntiller.components.dispatch.concurrency import Sample, UpstreamLimit
 from bitterntiller.components.dispatch.const import (
     FORGET_UPSTREAM_SECONDS,
     PROBE_SECONDS,
 )
 from bitterntiller.components.dispatch.health import Health
-from bitterntiller.components.dispatch.inflight import InflightLimit
+from bitterntiller.components.dispatch.jobs import Job
 from bitterntiller.components.dispatch.ledger import Ledger
 from bitterntiller.components.dispatch.models import PolicyParameters, UpstreamState
 from bitterntiller.components.dispatch.prefix import PrefixCache, PrefixIndex
@@ -37,6 +38,7 @@
         pool: PoolSpeed,
         index: PrefixIndex,
         now: float,
+        uneven: Callable[[], bool] = bool,
     ) -> None:
         self.name = state.name
         self.state = state
@@ -48,7 +50,8 @@
         self._pool_speed = pool
         self.speed = new_speed(parameters.kind, pool)
         self._adaptive = parameters.adaptive
-        self.limit = InflightLimit(self._adaptive)
+        self._uneven = uneven
+        self.limit = UpstreamLimit(self._adaptive, uneven)
         self.health = Health()
         self.rate_limiter = UpstreamRateLimiter()
         self.prefixes = PrefixCache(state.name, index)
@@ -70,7 +73,7 @@
         self.ledger.clear()
         self.prefixes.clear()
         self.health.record_success()
-        self.limit = InflightLimit(self._adaptive)
+        self.limit = UpstreamLimit(self._adaptive, self._uneven)
         self.rate_limiter = UpstreamRateLimiter()
         self.reserved_for = None
         self.says_leaving = False
@@ -88,6 +91,28 @@
             limit=self.rate_limiter.limit,
         )
 
+    def learn_concurrency(self, job: Job, expected: float, now: float) -> None:
+        """Learn the concurrency limit from a request that ends."""
+        seconds = now - job.granted_at
+        if job.adopted or seconds <= 0:
+            return
+        load = self.ledger.load_seconds(now) - job.load_at_start
+        sample = Sample(now, seconds, expected, load / seconds)
+        in_flight = self.ledger.in_flight + self.ledger.foreign_requests(now)
+        self.limit.learned.learn(sample, in_flight, self.state.slots)
+
+    def review_concurrency(
+        self, usual_seconds: Callable[[Job], float | None], now: float
+    ) -> None:
+        """Begin or end a trial of another concurrency limit."""
+        in_flight = self.ledger.in_flight + self.ledger.foreign_requests(now)
+        running = [
+            (now - job.granted_at) / usual
+            for job in self.ledger.jobs_by_id.values()
+            if not job.adopted and (usual := usual_seconds(job))
+        ]
+        self.limit.learned.review(in_flight, self.state.slots, running, now)
+
     @property
     def version(self) -> str:
         """Return the version of its software, empty if not announced."""
--- a/bitterntiller/components/dispatch/wait_deadlines.py
+++ b/bitterntiller/components/dispatch/wait_deadlines.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from bitterntiller.components.dispatch.const import PARK_SECONDS
+from bitterntiller.components.dispatch.const import KIND_PLAIN, PARK_SECONDS
 from bitterntiller.components.dispatch.jobs import Job
 from bitterntiller.components.dispatch.models import PolicyParameters
 from bitterntiller.components.dispatch.picker import UpstreamPicker
@@ -27,6 +27,7 @@
         self, parameters: PolicyParameters, pool: Pool, picker: UpstreamPicker
     ) -> None:
         self._no_upstream_seconds = parameters.no_upstream_seconds
+        self._plain = parameters.kind == KIND_PLAIN
         self._pool = pool
         self._picker = picker
         self._checks = JobTimers()
@@ -57,6 +58,10 @@
         # prefill subtracted, a large request would be demoted in a long queue before
         # the small ones around it.
         when = first_by - self._typical.seconds(job.rank)
+        if self._plain and self._pool.uneven and not job.unmeasured:
+            # The first output of a call is its end. A pool that is a little too slow
+            # would otherwise end every call late, since each waits until its objective.
+            when = first_by - job.work
         if when <= now:
             return True
         self._objectives.add(when, job)
