--- a/bench/contended.py
+++ b/bench/contended.py
@@ -1,7 +1,10 @@
 """Plain calls at contended upstreams, in simulated time: `python -m bench.contended`.
 
 Plays the cases of docs/design/contended-pools.md on the owner's scheduler and prints
-the fraction of calls that end within the objective, by time span.
+the fraction of calls that end within the objective, by time span: a (three upstreams
+are contended), b (unequal speeds, two of which swap), c (shared half of the time),
+d (shared 15 in 100 of the time), e (the other three become contended after 8 s).
+--limit compares the learned limit with other algorithms.
 """
 
 import argparse
@@ -10,6 +13,7 @@
 from functools import partial
 from typing import NamedTuple
 
+from bench.concurrency_limits import LIMIT_BY_NAME
 from bench.events import EventLoop
 from bitterntiller.components.dispatch import REGISTERED_PARAMETERS
 from bitterntiller.components.dispatch.const import KIND_PLAIN
@@ -194,6 +198,7 @@
         timeout: float,
         seed: int,
         noise: float = 1.0,
+        limit: str = "learned",
     ) -> None:
         self.calls: list[Call] = []
         self.loop = EventLoop()
@@ -214,12 +219,20 @@
             for index, slowdown in enumerate(case.slowdowns)
         }
         self._announce()
+        if limit != "learned":
+            self._replace_limits(limit)
         for when in case.changes:
             for upstream in self.upstreams.values():
                 self.loop.at(when, upstream.change)
         self.loop.after(0.1, self._arrive)
         self._tick()
 
+    def _replace_limits(self, name: str) -> None:
+        """Replace the learned limits by those of another algorithm."""
+        pool = self.scheduler._pool  # noqa: SLF001
+        for upstream in pool.upstreams_by_name.values():
+            upstream.limit.learned = LIMIT_BY_NAME[name]()
+
     def play(self) -> None:
         """Play the run to its end."""
         self.loop.run(self._seconds + self._timeout + 2)
@@ -315,6 +328,7 @@
     parser.add_argument("--noise", type=float, default=1.0)
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--cases", default="abcde")
+    parser.add_argument("--limit", default="learned", choices=LIMIT_BY_NAME)
     parser.add_argument("--trace", action="store_true")
     arguments = parser.parse_args()
     for name in arguments.cases:
@@ -334,6 +348,7 @@
                 arguments.timeout,
                 seed,
                 arguments.noise,
+                arguments.limit,
             )
             if arguments.trace:
                 run.loop.after(0.5, trace, run)
@@ -355,6 +370,7 @@
 
 
 def trace(run: Run) -> None:
+    """Print the state of the pool twice a second."""
     found = run.scheduler.describe(run.loop.now())
     print(
         f"{run.loop.now():.1f}",
--- a/bitterntiller/components/dispatch/concurrency.py
+++ b/bitterntiller/components/dispatch/concurrency.py
@@ -15,7 +15,9 @@
 
 MAX_SAMPLES = 64
 MIN_SAMPLES = 4
-"""Samples that both sides of a comparison need."""
+MIN_RAISE_SAMPLES = 3
+"""Samples that both sides of a comparison need. A trial of a higher limit costs a third
+of the throughput of a contended upstream for as long as it lasts."""
 
 PRIOR_SAMPLES = 8
 PRIOR_DEVIATION = 0.25
@@ -34,22 +36,38 @@
 """Gain of throughput for which the limit is raised, relative to the change."""
 
 SUSPICIOUS_RATIO = 3.0
-"""Seconds per expected second, relative to the least known, from which a lower limit is
-tried at once. Engines take 1.3 times as long per output with all slots in use."""
+"""Seconds per expected second, relative to the usual ones of the upstream, from which a
+lower limit is tried at once. Shared and slow machines take up to 2.8 times as long."""
+
+LASTING_RATIO = 1.8
+LASTING_SECONDS = 2.0
+"""Ratio from which a lower limit is tried once half of the samples have exceeded it for
+LASTING_SECONDS, in which the speed of a shared machine changes three times."""
+
+LATE_FRACTION = 0.5
+"""Fraction of the requests over their objective from which lower limits are preferred
+at the same throughput."""
 
 MIN_PAUSE = 0.4
-RAISE_PAUSE = 1.6
+RAISE_PAUSE = 2.6
 """Maximum time between two trials of a higher limit. Three trials reach six slots from
 two, so that a recovered upstream is used fully within 4 s."""
 
-LOWER_PAUSE = 2.0
+LOWER_PAUSE = 4.0
 MAX_LOWER_PAUSE = 32.0
 """Time between two trials of a lower limit without suspicion, doubled after each one
 that gained nothing."""
 
-LOWER_SECONDS = 1.2
-"""Minimum duration of a trial of a lower limit without suspicion: two of the intervals
-of 0.6 s in which the speed of a shared machine changes."""
+LOWER_SECONDS = 1.8
+"""Minimum duration of a trial of a lower limit without suspicion: three of the 0.6 s
+after which the speed of a shared machine changes."""
+
+EXCESS_RATIO = 1.3
+CALM_PAUSE = 16.0
+"""Time that is added to the one between two trials of a lower limit while requests take
+less than EXCESS_RATIO times as long as usual: little can be gained then. The trials are
+needed all the same, since an upstream may have been contended from the first request
+on, or all upstreams of the pool."""
 
 TRIAL_SECONDS = 1.5
 TRIAL_CYCLES = 4.0
@@ -82,14 +100,16 @@
     """One request that ended.
 
     seconds is the time from its grant to its end, expected the time that a request of
-    its size takes on average, and in_flight the mean number in flight meanwhile, with
-    the requests that others sent.
+    its size usually takes, and in_flight the mean number in flight meanwhile, with the
+    requests that others sent. allowed is the time that its objective allows, infinite
+    if only the first output has one.
     """
 
     at: float
     seconds: float
     expected: float
     in_flight: float
+    allowed: float = math.inf
 
     @property
     def log_ratio(self) -> float:
@@ -112,26 +132,34 @@
 
 
 class _Trial(NamedTuple):
-    """A limit that is tried, until when at most, and for how long at least.
+    """A limit that is tried since when, until when at most, and for how long at least.
 
     reached says whether the number in flight has come to the limit. An upstream that is
-    contended takes many times its usual time to end what it runs.
+    contended takes many times its usual time to end what it runs. sudden says that the
+    requests that ran when it began were overdue; those have run partly before the
+    change, so that they take less time than later ones would.
     """
 
     limit: int
+    began_at: float
     until: float
     least_seconds: float = 0.0
     reached: bool = False
+    sudden: bool = False
 
 
 class _Group(NamedTuple):
-    """Samples of one level of concurrency, by their mean logarithms."""
+    """Samples of one level of concurrency, by their mean logarithms.
+
+    late is the fraction that took longer than their objective allows.
+    """
 
     count: int
     log_ratio: float
     log_in_flight: float
     squared_errors: float
     first_at: float
+    late: float
 
 
 class LearnedLimit:
@@ -142,10 +170,12 @@
     tried from time to time, for as long as it takes to compare the throughput of both,
     and kept if it gains. Latency alone never moves the limit: it can't distinguish a
     slow upstream from a contended one. It only decides when a lower limit is tried, and
-    which.
+    which; not even that without suspects, for engines: their latency grows with the
+    prompts and outputs that they work on.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, suspects: bool = True) -> None:
+        self._suspects = suspects
         self._limit: int | None = None
         self._slots = 0
         self._samples: deque[Sample] = deque(maxlen=MAX_SAMPLES)
@@ -162,11 +192,11 @@
     def limit(self, slots: int) -> int:
         """Return the limit in effect, that of a trial if there is one."""
         wanted = self._trial.limit if self._trial else self._limit
-        return slots if wanted is None else max(1, min(wanted, slots))
+        return max(1, slots if wanted is None else min(wanted, slots))
 
     def learned(self, slots: int) -> int:
         """Return the learned limit, without any trial."""
-        return slots if self._limit is None else max(1, min(self._limit, slots))
+        return max(1, slots if self._limit is None else min(self._limit, slots))
 
     @property
     def samples(self) -> int:
@@ -213,6 +243,7 @@
         return change
 
     def _set_slots(self, slots: int, now: float) -> None:
+        slots = max(1, slots)
         if slots == self._slots:
             return
         # A limit that the announced slots set is raised with them; a learned one isn't.
@@ -234,24 +265,32 @@
         limit = self._trial.limit if self._trial else self._limit
         if in_flight + 0.5 < limit:
             return
-        suspected = self._suspected(running_ratios)
-        if suspected is not None and min(limit, self._limit) > 1:
-            # Where time grows with the square of the number in flight, this is where
-            # contention begins.
-            goal = max(1, round(self._limit / math.sqrt(suspected)))
-            goal = min(goal, self._limit - 1)
+        overdue = self._overdue_ratio(running_ratios)
+        if overdue is not None and limit > 1:
+            goal = _knee(self._limit, overdue)
             if goal < limit:
                 # Samples from before the slowdown would speak for the old limit.
                 self._samples.clear()
-                self._begin(goal, now)
+                self._begin(goal, now, sudden=True)
             return
         if self._trial is not None:
             return
-        if self._group(self._limit, now).count < MIN_SAMPLES:
+        lasting = self._lasting_ratio(now)
+        if lasting is not None and limit > 1:
+            self._begin(_knee(limit, lasting), now)
+            return
+        usual = self._group(self._limit, now)
+        if usual.count < MIN_SAMPLES:
             return
+        ratio = math.exp(usual.log_ratio)
+        self._suspected_ratio = max(1.0, min(self._suspected_ratio, ratio))
         if self._limit < self._slots and now >= self._next_raise_at:
             self._begin(min(self._limit + self._raise_step, self._slots), now)
-        elif self._limit > 1 and now >= self._next_lower_at:
+            return
+        excess = ratio > EXCESS_RATIO or usual.late > LATE_FRACTION
+        excess = excess and self._suspects
+        due_at = self._next_lower_at + (0.0 if excess else CALM_PAUSE)
+        if self._limit > 1 and now >= due_at:
             goal = self._limit - max(1, self._limit // 6)
             self._begin(goal, now, LOWER_SECONDS)
 
@@ -271,15 +310,21 @@
         while self._samples and self._samples[0].at < now - kept:
             self._samples.popleft()
 
-    def _group(self, level: int, now: float, other: int | None = None) -> _Group:
+    def _group(
+        self,
+        level: int,
+        now: float,
+        other: int | None = None,
+        since: float = -math.inf,
+    ) -> _Group:
         """Return the samples of a level, those nearer to it than to another one."""
         chosen = [
             sample
             for sample in self._samples
-            if _is_near(sample.in_flight, level, other)
+            if sample.at > since and _is_near(sample.in_flight, level, other)
         ]
         if not chosen:
-            return _Group(0, 0.0, math.log(level), 0.0, now)
+            return _Group(0, 0.0, math.log(level), 0.0, now, 0.0)
         count = len(chosen)
         ratios = [sample.log_ratio for sample in chosen]
         mean = sum(ratios) / count
@@ -289,20 +334,42 @@
             sum(sample.log_in_flight for sample in chosen) / count,
             sum((ratio - mean) ** 2 for ratio in ratios),
             chosen[0].at,
+            sum(sample.seconds > sample.allowed for sample in chosen) / count,
         )
 
-    def _suspected(self, running_ratios: list[float] | tuple) -> float | None:
-        """Return how many times the usual time requests take, None if as usual."""
-        if len(running_ratios) < 2:
+    def _overdue_ratio(self, running_ratios: list[float] | tuple) -> float | None:
+        """Return how overdue the requests are that run, None if they aren't."""
+        if not self._suspects or len(running_ratios) < 2:
             return None
         # The second highest: one request may be unusually large.
-        found = sorted(running_ratios)[-2]
-        if found < SUSPICIOUS_RATIO * self._suspected_ratio:
+        ratio = sorted(running_ratios)[-2] / self._suspected_ratio
+        return ratio if ratio >= SUSPICIOUS_RATIO else None
+
+    def _lasting_ratio(self, now: float) -> float | None:
+        """Return how many times the usual time requests have taken for a while."""
+        if not self._suspects or self._limit is None:
             return None
-        return found / self._suspected_ratio
+        chosen = [
+            sample
+            for sample in self._samples
+            if _is_near(sample.in_flight, self._limit, None)
+        ]
+        if len(chosen) < 2 * MIN_SAMPLES or now - chosen[0].at < LASTING_SECONDS:
+            return None
+        ratios = sorted(sample.log_ratio for sample in chosen)
+        lower_half = ratios[: len(ratios) // 2]
+        ratio = math.exp(sum(lower_half) / len(lower_half)) / self._suspected_ratio
+        return ratio if ratio >= LASTING_RATIO else None
 
-    def _begin(self, goal: int, now: float, least_seconds: float = 0.0) -> None:
-        self._trial = _Trial(goal, now + REACH_SECONDS, least_seconds)
+    def _begin(
+        self,
+        goal: int,
+        now: float,
+        least_seconds: float = 0.0,
+        sudden: bool = False,
+    ) -> None:
+        until = now + REACH_SECONDS
+        self._trial = _Trial(goal, now, until, least_seconds, sudden=sudden)
 
     def _decide(self, in_flight: float, now: float) -> None:
         """End the trial if the throughput of both limits can be compared."""
@@ -314,18 +381,33 @@
             )
             seconds = max(seconds, 2 * trial.least_seconds)
             trial = self._trial = trial._replace(until=now + seconds, reached=True)
-        tried = self._group(trial.limit, now, limit)
+        # Earlier samples of the limit may be from before a change.
+        tried = self._group(trial.limit, now, limit, trial.began_at)
         usual = self._group(limit, now, trial.limit)
         verdict = None
-        if min(tried.count, usual.count) >= MIN_SAMPLES:
+        needed = MIN_SAMPLES if trial.limit < limit else MIN_RAISE_SAMPLES
+        if min(tried.count, usual.count) >= needed:
             change = tried.log_in_flight - usual.log_in_flight
             gain = change - (tried.log_ratio - usual.log_ratio)
-            wanted = LOWER_GAIN if trial.limit < limit else RAISE_GAIN
-            excess = gain - wanted * abs(change)
+            excess = gain - _wanted_gain(tried, usual) * abs(change)
             if abs(excess) >= CONFIDENCE * _standard_error(tried, usual):
                 verdict = excess > 0
+            if verdict is None and now >= trial.until and usual.late > LATE_FRACTION:
+                # Nothing speaks against the lower limit, and it ends requests in time.
+                verdict = trial.limit < limit
             if verdict and now - tried.first_at < trial.least_seconds:
                 verdict = None
+        if trial.sudden and tried.count >= MIN_SAMPLES:
+            ratio = math.exp(tried.log_ratio) / self._suspected_ratio
+            if ratio <= EXCESS_RATIO:
+                # An upstream that has become slow is slow at a lower limit too.
+                verdict = True
+            elif ratio > LASTING_RATIO and not verdict and trial.limit > 1:
+                # Contended at this limit too, or slow: a lower one will tell.
+                self._begin(_knee(trial.limit, ratio), now, sudden=True)
+                return
+            elif verdict is False:
+                self._suspected_ratio *= max(1.0, ratio)
         if verdict is None and now < trial.until:
             return
         self._trial = None
@@ -342,27 +424,33 @@
             self._next_raise_at = now
         else:
             self._raise_step = 1
-            self._raise_pause = min(2 * self._raise_pause, RAISE_PAUSE)
+            self._raise_pause = min(3 * self._raise_pause, RAISE_PAUSE)
             self._next_raise_at = now + self._raise_pause
 
     def _end_lower(self, trial: _Trial, gained: bool | None, now: float) -> None:
         if gained:
             self._limit = trial.limit
             self._lower_pause = LOWER_PAUSE
-            self._next_lower_at = now + LOWER_PAUSE
+            suspected = not trial.least_seconds
+            self._next_lower_at = now + (MIN_PAUSE if suspected else LOWER_PAUSE)
             self._raise_step = 1
             self._raise_pause = MIN_PAUSE
             self._next_raise_at = now + self._raise_pause
         else:
             self._next_lower_at = now + self._lower_pause
             self._lower_pause = min(2 * self._lower_pause, MAX_LOWER_PAUSE)
-        if gained is None:
+        if gained is None or (trial.sudden and not gained):
             return
         # Requests that take as long at the better limit are usual from now on.
         ratio = math.exp(self._group(self._limit or 1, now).log_ratio)
         self._suspected_ratio = max(1.0, ratio)
 
 
+def _knee(limit: int, ratio: float) -> int:
+    """Return where contention begins if time grows with the square beyond it."""
+    return min(max(1, round(limit / math.sqrt(ratio))), limit - 1)
+
+
 def _is_near(in_flight: float, level: int, other: int | None) -> bool:
     if other is None:
         return abs(in_flight - level) <= max(0.5, 0.15 * level)
@@ -370,6 +458,19 @@
     return in_flight >= middle if level > other else in_flight < middle
 
 
+def _wanted_gain(tried: _Group, usual: _Group) -> float:
+    """Return the gain for which a limit is changed, relative to its change.
+
+    If most requests take longer than their objective allows at the higher limit, the
+    lower one is preferred at the same throughput.
+    """
+    higher = max(tried, usual, key=lambda group: group.log_in_flight)
+    late = higher.late > LATE_FRACTION
+    if tried is higher:
+        return math.inf if late else RAISE_GAIN
+    return -LOWER_GAIN if late else LOWER_GAIN
+
+
 def _standard_error(one: _Group, other: _Group) -> float:
     """Return the standard error of the difference of the mean ratios."""
     squares = one.squared_errors + other.squared_errors
@@ -384,9 +485,11 @@
     uneven returns whether the learned limit is in effect.
     """
 
-    def __init__(self, adaptive: bool, uneven: Callable[[], bool]) -> None:
+    def __init__(
+        self, adaptive: bool, uneven: Callable[[], bool], suspects: bool = True
+    ) -> None:
         self._inflight: ConcurrencyLimit = InflightLimit(adaptive)
-        self.learned = LearnedLimit()
+        self.learned = LearnedLimit(suspects)
         self._uneven = uneven
 
     def limit(self, slots: int) -> int:
--- a/bitterntiller/components/dispatch/model_updater.py
+++ b/bitterntiller/components/dispatch/model_updater.py
@@ -1,5 +1,7 @@
 """Updates the models of upstreams from the progress and ends of requests."""
 
+import math
+
 from bitterntiller.components.dispatch.const import (
     KIND_PLAIN,
     OUTCOME_CALLER_GONE,
@@ -96,7 +98,7 @@
         # would seem many times too slow or too fast for calls of all sizes.
         if not (self._plain and (job.adopted or job.unmeasured)):
             self._learn_service_times(job, upstream, completion, now)
-        if self._pool.uneven and not job.adopted and completion.total > 0:
+        if not job.adopted:
             self._learn_concurrency(job, upstream, completion, now)
         if completion.cached_tokens is not None:
             upstream.prefixes.update_trust(
@@ -182,17 +184,30 @@
     def _learn_concurrency(
         self, job: Job, upstream: Upstream, completion: Completion, now: float
     ) -> None:
-        """Learn the concurrency limit, relative to the usual time of such a request."""
+        """Learn the concurrency limit, relative to the usual time of such a request.
+
+        It is the time from the grant to here: the time that messages take counts, since
+        it determines how many requests have to be in flight to use an upstream fully.
+        """
+        request = job.request
+        allowed = math.inf
+        seconds = now - job.granted_at
+        if seconds <= 0:
+            return
         if self._plain:
-            tokens = job.request.prompt_tokens
+            # Learned without the switch too, so that what is usual is known when a pool
+            # turns out to be uneven.
             durations = self._pool.usual_durations
-            expected = durations.seconds(tokens) or completion.total
-            durations.learn(tokens, completion.total)
+            expected = durations.seconds(request.prompt_tokens) or seconds
+            durations.learn(request.prompt_tokens, seconds)
+            if request.first_by is not None:
+                allowed = request.first_by - request.arrived
         elif completion.output_tokens:
             expected = self._pool.speed.work(job.prefill, completion.output_tokens)
         else:
             expected = job.work
-        upstream.learn_concurrency(job, expected, now)
+        if self._pool.uneven:
+            upstream.learn_concurrency(job, expected, allowed, now)
 
 
 def _may_end(job: Job) -> bool:
--- a/bitterntiller/components/dispatch/pool.py
+++ b/bitterntiller/components/dispatch/pool.py
@@ -455,10 +455,8 @@
                 seconds - self.mean_service_seconds
             )
 
-    def usual_seconds(self, job: Job) -> float | None:
-        """Return the usual seconds of a request of this size, None if unknown."""
-        if self._parameters.kind != KIND_PLAIN:
-            return job.work
+    def _usual_seconds(self, job: Job) -> float | None:
+        """Return the usual seconds of a call of this size, None if unknown."""
         return self.usual_durations.seconds(job.request.prompt_tokens)
 
     def _record_change(
@@ -491,7 +489,10 @@
         """Update the learned concurrency limit, and report its change."""
         if not self.uneven:
             return
-        upstream.review_concurrency(self.usual_seconds, now)
+        # The expected output of a stream is too uncertain to tell that it is overdue;
+        # the ends of streams are sufficient to review the limit of an engine.
+        if self._parameters.kind == KIND_PLAIN:
+            upstream.review_concurrency(self._usual_seconds, now)
         change = upstream.limit.learned.take_change(upstream.state.slots, now)
         if change is not None:
             event = upstream.event(UpstreamChange.CONCURRENCY, now)
--- a/bitterntiller/components/dispatch/upstreams.py
+++ b/bitterntiller/components/dispatch/upstreams.py
@@ -6,6 +6,7 @@
 from bitterntiller.components.dispatch.concurrency import Sample, UpstreamLimit
 from bitterntiller.components.dispatch.const import (
     FORGET_UPSTREAM_SECONDS,
+    KIND_PLAIN,
     PROBE_SECONDS,
 )
 from bitterntiller.components.dispatch.health import Health
@@ -24,6 +25,9 @@
 ACTIVITY_SECONDS = 2.0
 """How long an upstream that is silent towards control is used after its last output."""
 
+MESSAGE_SECONDS = 0.1
+"""Delay of messages on a busy machine, during which a short call seems to run on."""
+
 AllowedNames = frozenset[str] | None
 """Names of the upstreams that a request may use; None means all upstreams."""
 
@@ -51,7 +55,7 @@
         self.speed = new_speed(parameters.kind, pool)
         self._adaptive = parameters.adaptive
         self._uneven = uneven
-        self.limit = UpstreamLimit(self._adaptive, uneven)
+        self.limit = self._new_limit()
         self.health = Health()
         self.rate_limiter = UpstreamRateLimiter()
         self.prefixes = PrefixCache(state.name, index)
@@ -73,7 +77,7 @@
         self.ledger.clear()
         self.prefixes.clear()
         self.health.record_success()
-        self.limit = UpstreamLimit(self._adaptive, self._uneven)
+        self.limit = self._new_limit()
         self.rate_limiter = UpstreamRateLimiter()
         self.reserved_for = None
         self.says_leaving = False
@@ -91,13 +95,23 @@
             limit=self.rate_limiter.limit,
         )
 
-    def learn_concurrency(self, job: Job, expected: float, now: float) -> None:
-        """Learn the concurrency limit from a request that ends."""
+    def _new_limit(self) -> UpstreamLimit:
+        plain = self._kind == KIND_PLAIN
+        return UpstreamLimit(self._adaptive, self._uneven, suspects=plain)
+
+    def learn_concurrency(
+        self, job: Job, expected: float, allowed: float, now: float
+    ) -> None:
+        """Learn the concurrency limit from a request that ends.
+
+        expected and allowed are the seconds that requests of its size usually take, and
+        those that its objective allows.
+        """
         seconds = now - job.granted_at
         if job.adopted or seconds <= 0:
             return
         load = self.ledger.load_seconds(now) - job.load_at_start
-        sample = Sample(now, seconds, expected, load / seconds)
+        sample = Sample(now, seconds, expected, load / seconds, allowed)
         in_flight = self.ledger.in_flight + self.ledger.foreign_requests(now)
         self.limit.learned.learn(sample, in_flight, self.state.slots)
 
@@ -105,9 +119,11 @@
         self, usual_seconds: Callable[[Job], float | None], now: float
     ) -> None:
         """Begin or end a trial of another concurrency limit."""
+        if not self.ledger.jobs_by_id:
+            return
         in_flight = self.ledger.in_flight + self.ledger.foreign_requests(now)
         running = [
-            (now - job.granted_at) / usual
+            (now - job.granted_at - MESSAGE_SECONDS) / usual
             for job in self.ledger.jobs_by_id.values()
             if not job.adopted and (usual := usual_seconds(job))
         ]
