--- a/bitterntiller/components/dispatch/concurrency.py
+++ b/bitterntiller/components/dispatch/concurrency.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import NamedTuple, Protocol
 
 from bitterntiller.components.dispatch.inflight import InflightLimit
@@ -255,7 +255,7 @@
         self._next_lower_at = now + LOWER_PAUSE
 
     def _review(
-        self, in_flight: float, running_ratios: list[float] | tuple, now: float
+        self, in_flight: float, running_ratios: Sequence[float], now: float
     ) -> None:
         self._drop_expired(now)
         if self._limit is None:
@@ -337,7 +337,7 @@
             sum(sample.seconds > sample.allowed for sample in chosen) / count,
         )
 
-    def _overdue_ratio(self, running_ratios: list[float] | tuple) -> float | None:
+    def _overdue_ratio(self, running_ratios: Sequence[float]) -> float | None:
         """Return how overdue the requests are that run, None if they aren't."""
         if not self._suspects or len(running_ratios) < 2:
             return None
