--- a/bitterntiller/components/dispatch/jobs.py
+++ b/bitterntiller/components/dispatch/jobs.py
@@ -49,6 +49,7 @@
     prefill_ahead is the number of prompt tokens to compute at the upstream before its
     own. late is set if its stream was expected to miss a target when it was granted, or
     has missed its objective.
+    load_at_start is the load_seconds of the upstream's ledger when it was sent there.
     """
 
     __slots__ = (
@@ -68,6 +69,7 @@
         "kind",
         "kv_tokens",
         "late",
+        "load_at_start",
         "min_service_seconds",
         "order_key",
         "park_count",
@@ -120,6 +122,7 @@
         self.expected_wait = 0.0
         self.in_flight_at_start = 0
         self.is_retry = False
+        self.load_at_start = 0.0
         self.first_output_at: float | None = None
         self.tokens_seen = 0
         self.tokens_at = 0.0
--- a/bitterntiller/components/dispatch/pool.py
+++ b/bitterntiller/components/dispatch/pool.py
@@ -3,6 +3,7 @@
 import heapq
 from collections import Counter
 
+from bitterntiller.components.dispatch.call_durations import UsualDurations
 from bitterntiller.components.dispatch.const import (
     KIND_PLAIN,
     PATH_FAILURES,
@@ -61,6 +62,7 @@
     the number of requests that all usable upstreams run at a time. work_rate is the
     mean of expected over measured service time: the work per second that one request
     in flight gets done. mean_service_seconds is the mean measured service time.
+    usual_durations are those of the calls of a plain service.
     hosts_to_regroup collects the entry hosts whose waiting requests can use other
     upstreams than before, until the caller clears it. uneven says whether the parts for
     upstreams of uneven speed are in effect.
@@ -74,6 +76,7 @@
         self.upstreams_by_name: dict[str, Upstream] = {}
         self.work_rate = 1.0
         self.mean_service_seconds = 1.0
+        self.usual_durations = UsualDurations()
         self.slots = 0
         self.in_flight_by_rank: Counter[int] = Counter()
         self.fingerprints = FingerprintsInFlight()
@@ -126,6 +129,10 @@
         if self.uneven:
             upstream.stated.record(percent, at, now)
 
+    def is_uneven(self) -> bool:
+        """Return whether the parts for upstreams of uneven speed are in effect."""
+        return self.uneven
+
     def candidate_upstreams(self, now: float) -> list[Upstream]:
         """Return the usable upstreams of the candidate version, sorted by name."""
         version = self.version_rules.candidate
@@ -181,7 +188,13 @@
         upstream = self.upstreams_by_name.get(state.name)
         if upstream is None:
             upstream = Upstream(
-                state, self._parameters, self.speed, self.index, now, self.pace
+                state,
+                self._parameters,
+                self.speed,
+                self.index,
+                now,
+                self.pace,
+                self.is_uneven,
             )
             self.upstreams_by_name[state.name] = upstream
             for job in self._orphans_by_name.pop(state.name, ()):
@@ -376,6 +389,7 @@
                 self._record_change(upstream, UpstreamChange.FORGOTTEN, now)
                 continue
             self._learn_from_overdue(upstream, now)
+            self._review_concurrency(upstream, now)
             self.refresh(upstream, now)
 
     def record_upstream_failure(
@@ -527,6 +541,10 @@
             )
         )
 
+    def _usual_seconds(self, job: Job) -> float | None:
+        """Return the usual seconds of a call of this size, None if unknown."""
+        return self.usual_durations.seconds(job.request.prompt_tokens)
+
     def _record_change(
         self, upstream: Upstream, change: UpstreamChange, now: float
     ) -> None:
@@ -553,6 +571,19 @@
             upstream.speed.learn_decode(1, stalled, ledger.in_flight)
             upstream.last_active_at = now
 
+    def _review_concurrency(self, upstream: Upstream, now: float) -> None:
+        """Update the learned concurrency limit, and report its change."""
+        if not self.uneven:
+            return
+        # The expected output of a stream is too uncertain to tell that it is overdue;
+        # the ends of streams are sufficient to review the limit of an engine.
+        if self._parameters.kind == KIND_PLAIN:
+            upstream.review_concurrency(self._usual_seconds, now)
+        change = upstream.limit.learned.take_change(upstream.state.slots, now)
+        if change is not None:
+            event = upstream.event(UpstreamChange.CONCURRENCY, now)
+            self.events.record(event._replace(concurrency=change))
+
     def _count_slots(self, upstream: Upstream, member: bool) -> None:
         """Update the pool's slots with those of one upstream.
 
--- a/bitterntiller/components/dispatch/upstream_events.py
+++ b/bitterntiller/components/dispatch/upstream_events.py
@@ -4,6 +4,8 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from bitterntiller.components.dispatch.concurrency import LimitChange
+
 MAX_EVENTS = 256
 """Maximum number of kept changes; the oldest are dropped first."""
 
@@ -17,6 +19,7 @@
     gets no requests. A paused one wants no requests from one entry host for some time.
     A lost path means that one entry host does not reach the upstream. An ejected one
     fails more of its requests than the others of its pool, and is probed later.
+    Concurrency means that another number of requests in flight was learned to be best.
     """
 
     RESTARTED = "restarted"
@@ -34,6 +37,7 @@
     PATH_REGAINED = "path-regained"
     EJECTED = "ejected"
     READMITTED = "readmitted"
+    CONCURRENCY = "concurrency"
 
 
 PATH_CHANGES = frozenset({UpstreamChange.PATH_LOST, UpstreamChange.PATH_REGAINED})
@@ -50,6 +54,7 @@
     upstream and a lost path have the entry_host of the last failure and its reason. An
     ejected or readmitted one has its failure rate over its latest requests, their
     number, and the failure rate of the pool.
+    concurrency is the change of the learned limit.
     """
 
     upstream: str
@@ -65,6 +70,7 @@
     failure_rate: float | None = None
     pool_failure_rate: float | None = None
     samples: int | None = None
+    concurrency: LimitChange | None = None
 
 
 class UpstreamEvents:
--- a/tests/components/dispatch/test_outliers.py
+++ b/tests/components/dispatch/test_outliers.py
@@ -6,6 +6,7 @@
 from bitterntiller.components.dispatch.models import Refused, UpstreamLoad
 from bitterntiller.components.dispatch.outliers import (
     FORGET_EJECTIONS_SECONDS,
+    MAX_PROBES_TO_READMIT,
     WINDOW_SECONDS,
     OutlierDetector,
     OutlierState,
@@ -268,7 +269,7 @@
         now = state.ejected_until
         record(state, "probe", now, failed=True)
     now = state.ejected_until
-    for number in range(3):
+    for number in range(MAX_PROBES_TO_READMIT):
         assert state.ejected
         record(state, f"sound{number}", now, failed=False)
     assert not state.ejected
@@ -276,12 +277,16 @@
     assert state.wait_seconds(now) == pytest.approx(1.0)
 
 
-def test_three_probes_in_a_row_must_succeed():
-    """Two successes, a failure and a success would bring a failing upstream back."""
+def test_more_probes_in_a_row_must_succeed_after_each_ejection():
+    """One that fails half of its requests has three successes in a row in 1 of 6 cases.
+
+    It came back after 11 s and got 36 requests until it was ejected again.
+    """
     by_name = states()
     state = by_name[BAD]
     eject(by_name, BAD, NOW)
-    for number, failed in enumerate((False, False, True, False, False)):
+    outcomes = (False, False, True, False, False, False, False, False)
+    for number, failed in enumerate(outcomes):
         now = state.ejected_until + WINDOW_SECONDS
         record(state, f"probe{number}", now, failed=failed)
         review(by_name, now)
