--- a/bitterntiller/components/dispatch/model_updater.py
+++ b/bitterntiller/components/dispatch/model_updater.py
@@ -71,7 +71,7 @@
             when = now
             if first is not None and not job.adopted:
                 when = min(now, job.granted_at + first)
-                if self._pool.uneven:
+                if upstream.paced:
                     upstream.pace.record_first_output(job, when, now)
             if work_percent is not None:
                 self._pool.record_work_time(upstream, work_percent, when, now)
@@ -205,7 +205,7 @@
     ) -> None:
         if not job.tokens_at:
             return
-        if self._pool.uneven:
+        if upstream.paced:
             upstream.pace.record_outputs(
                 tokens - job.tokens_seen, job.tokens_at, now, upstream.ledger.in_flight
             )
@@ -271,7 +271,7 @@
             upstream.speed.learn_decode(size, usual, in_flight)
         elif job.first_output_at is None:
             began = job.granted_at + first
-            if self._pool.uneven and not job.adopted:
+            if upstream.paced and not job.adopted:
                 upstream.pace.record_first_output(job, began, now)
             self._learn_first_output(job, upstream, began)
             self._learn_outputs(
--- a/bitterntiller/components/dispatch/wait_estimator.py
+++ b/bitterntiller/components/dispatch/wait_estimator.py
@@ -1,7 +1,7 @@
 """Estimates of how long a request waits and when a refused caller should retry."""
 
 import random
-from copy import copy
+from copy import copy, deepcopy
 from typing import Self
 
 from bitterntiller.components.dispatch.jobs import Job
@@ -64,6 +64,8 @@
         found = copy(self)
         found._pool = pool
         found._queue = queue
+        # Reading a meter rounds its decayed sum, which could change a later decision.
+        found._arrivals_by_rank = deepcopy(self._arrivals_by_rank)
         return found
 
     def add_arrival(self, job: Job, now: float) -> None:
--- a/tests/components/dispatch/test_concurrency.py
+++ b/tests/components/dispatch/test_concurrency.py
@@ -1,6 +1,7 @@
 """Tests of the learned concurrency limit."""
 
 import hashlib
+import re
 from functools import partial
 
 import pytest
@@ -217,6 +218,11 @@
     assert not [event for event in pool.scheduler.take_events() if event.concurrency]
 
 
+ADDED_FIELDS = re.compile(
+    ", (stated_percent|stated_age|objective_holds|gaps_hold|harmed|retry)=None"
+)
+"""Fields of the basis of a decision that the code of d54ddfb doesn't have yet."""
+
 DECISIONS_BEFORE = "d47ecccebd619dbe0bedfb2de6448ffd55251342758b6f1e34e0f6532a287bf7"
 """Digest of the decisions below, by the code of d54ddfb, without a learned limit."""
 
@@ -225,5 +231,5 @@
     """Parts for uneven upstreams changed grants of pools without the switch."""
     pool = PlainPool("off")
     pool.play(20)
-    found = repr(pool.decisions).encode()
+    found = ADDED_FIELDS.sub("", repr(pool.decisions)).encode()
     assert hashlib.sha256(found).hexdigest() == DECISIONS_BEFORE
