--- a/bitterntiller/components/dispatch/objective_admission.py
+++ b/bitterntiller/components/dispatch/objective_admission.py
@@ -7,18 +7,14 @@
 
 from bitterntiller.components.dispatch.jobs import Job
 
-WAIT_FRACTION = 0.6
-"""Fraction of the time to its objective that a request may be expected to wait. The
-rest is for its prefill and for the error of the estimate."""
-
-OVERDUE_FRACTION = 0.25
+OVERDUE_FRACTION = 0.5
 """Fraction of its objective that a request which misses it may be expected to wait on.
 A late answer is worth less than one in time, and a longer wait delays the refusal."""
 
 MIN_WAIT_SECONDS = 0.03
 """Expected waits below this refuse nothing: about one round trip of a grant."""
 
-CONGESTED_SECONDS = 0.5
+CONGESTED_SECONDS = 1.0
 CALM_SECONDS = 1.0
 """A pool is congested once requests have missed their objective for CONGESTED_SECONDS,
 until none has for CALM_SECONDS. A queue that drains within an objective refuses
@@ -53,7 +49,7 @@
     first_by = job.request.first_by
     if first_by is None or first_by <= now or job.is_retry:
         return True
-    return expected_wait <= max(WAIT_FRACTION * (first_by - now), MIN_WAIT_SECONDS)
+    return expected_wait <= max(first_by - now, MIN_WAIT_SECONDS)
 
 
 def keeps_overdue(job: Job, expected_wait: float) -> bool:
