Dispatch: no overdue request is shed while a lower tier waits

A request of a higher tier that missed its objective in a standing queue was refused beside waiting work of a lower tier for the same upstreams, which breaks the rule that lower tiers are shed first. It stays now while such work waits; the test fails without that check.

--- a/bitterntiller/components/dispatch/shedding.py
+++ b/bitterntiller/components/dispatch/shedding.py
@@ -38,11 +38,14 @@
         self._wait_estimator = wait_estimator
 
     def overdue(self, job: Job, now: float) -> bool:
-        """Return whether a waiting request that misses its objective is refused now."""
+        """Return whether a waiting request that misses its objective is refused now.
+
+        It never is while requests of a lower tier wait for the same upstreams.
+        """
         if not self._pool.uneven or self._parameters.kind == KIND_PLAIN:
             return False
         self._congestion.record_miss(now)
-        if not self._congestion.is_congested(now):
+        if not self._congestion.is_congested(now) or self._lower_tier_waits(job):
             return False
         return not keeps_overdue(job, self._wait_estimator.expected_wait(job, now))
 
@@ -91,6 +94,14 @@
                     victims.append(job)
         return victims
 
+    def _lower_tier_waits(self, job: Job) -> bool:
+        return any(
+            groups_overlap(key, job.group_key)
+            for rank, tier in self._queue.tiers_by_rank.items()
+            if rank >= job.rank + 1
+            for key in tier.groups_by_key
+        )
+
     def _expected_too_late(self, flow: Flow, now: float) -> bool:
         if not flow.jobs:
             return False
--- a/tests/components/dispatch/test_objective_admission.py
+++ b/tests/components/dispatch/test_objective_admission.py
@@ -11,6 +11,7 @@
     keeps_overdue,
 )
 from bitterntiller.components.dispatch.scheduler import PoolScheduler
+from bitterntiller.core.outcomes import Reason
 
 from .builders import request, upstream
 
@@ -90,6 +91,37 @@
     return sum(item.basis.waited < 0.05 for item in refused)
 
 
+def test_overdue_request_stays_while_a_lower_tier_waits():
+    """A report of a higher tier was refused before the work of a lower tier."""
+    parameters = REGISTERED_PARAMETERS._replace(uneven="on", lower_share=0.0)
+    scheduler = PoolScheduler(parameters)
+    scheduler.announce(upstream(slots=1), NOW)
+    scheduler.register(request("running"), NOW)
+    shed = []
+    for number in range(60):
+        now = NOW + number / 20
+        lower = waiting(scheduler, 1)
+        decisions = scheduler.tick(now)
+        refused = [item for item in decisions if isinstance(item, Refused)]
+        shed += shed_now(refused)
+        if any(item.request_id[0] == "0" for item in shed_now(refused)):
+            assert not lower & waiting(scheduler, 1)
+        times = {"arrived": now, "first_by": now + 0.6, "start_by": now + 9}
+        for rank in (0, 1):
+            asked = request(f"{rank}-{number}", tier_rank=rank, **times)
+            scheduler.register(asked, now)
+    assert len(shed) > 10
+
+
+def shed_now(refused: list[Refused]) -> list[Refused]:
+    return [item for item in refused if item.reason is Reason.SHED]
+
+
+def waiting(scheduler: PoolScheduler, rank: int) -> set[str]:
+    jobs = scheduler._jobs.by_id.values()
+    return {job.request.request_id for job in jobs if job.waiting and job.rank == rank}
+
+
 def test_calls_of_plain_services_wait_as_before():
     waits = [
         [(item.request_id, item.reason, item.basis.waited) for item in refused]
