--- a/bitterntiller/components/dispatch/model_updater.py
+++ b/bitterntiller/components/dispatch/model_updater.py
@@ -314,6 +314,8 @@
             expected = self._pool.speed.work(job.prefill, completion.output_tokens)
         else:
             expected = job.work
+        if job.statement is not None:
+            expected *= job.statement.whole
         if self._pool.uneven:
             upstream.learn_concurrency(job, expected, allowed, now)
 
--- a/bitterntiller/components/entry/models.py
+++ b/bitterntiller/components/entry/models.py
@@ -432,6 +432,7 @@
         self.upstream = grant.upstream
         self.address = grant.address
         self.granted_version = grant.version
+        self.load = None
         self.faults_by_upstream.pop(grant.upstream, None)
 
     @property
--- a/tests/components/entry/test_guards.py
+++ b/tests/components/entry/test_guards.py
@@ -7,6 +7,7 @@
 
 from bitterntiller.components.entry.budget import HostBudget
 from bitterntiller.components.entry.errors import SentTwiceError
+from bitterntiller.components.entry.models import ReportedLoad
 from bitterntiller.components.entry.send_checks import check_expiry
 from bitterntiller.components.settings.models import Limits
 from bitterntiller.core.clock import ManualClock
@@ -225,3 +226,14 @@
 
     answer, _ = send_to_entry_host(PLAIN, async_fall_silent)
     assert answer.endswith(b"partRESET")
+
+
+def test_load_of_a_failed_attempt_is_not_reported_for_the_next_upstream():
+    """The second upstream of a request was taken for as busy as the first one."""
+    clock = ManualClock()
+    active = fakes.active_request(clock)
+    active.mark_sending(fakes.grant(clock, "127.0.0.1:1"))
+    active.load = ReportedLoad(9, 9, 250)
+    active.requeue_not_run("p1")
+    active.mark_sending(fakes.grant(clock, "127.0.0.1:2"))
+    assert active.load is None
