--- a/tests/components/dispatch/test_return_times.py
+++ b/tests/components/dispatch/test_return_times.py
@@ -34,6 +34,9 @@
 BURST_LOAD = 2.4
 """Twice the capacity of the 30 engines."""
 
+HEAVY_BURST_LOAD = 3.6
+"""Three times the capacity, so that enough callers are refused and come back."""
+
 
 def job(rank: int = 0, deadline: float = NOW + 30.0, work: float = 1.0) -> Job:
     """Return a request with some work."""
@@ -56,13 +59,17 @@
 
 
 def burst(
-    seed: int, uneven: str = UNEVEN_ON, lost: int = 0, taken_over: bool = False
+    seed: int,
+    uneven: str = UNEVEN_ON,
+    lost: int = 0,
+    taken_over: bool = False,
+    burst_load: float = BURST_LOAD,
 ) -> Load:
-    """Play 3 s at twice the capacity, from 6 s on, and what follows."""
+    """Play 3 s at twice the capacity or more, from 6 s on, and what follows."""
     load = Load(seed=seed, uneven=uneven)
     load.factors = [BASE_LOAD] * 3
     load.run(6.0)
-    load.factors = [BURST_LOAD] * 3
+    load.factors = [burst_load] * 3
     load.run(1.5)
     load.crash([f"engine-{number}" for number in range(lost)])
     if taken_over:
@@ -90,8 +97,9 @@
 
 def test_callers_who_come_back_when_told_are_served():
     """Guards against refused callers that all come too early and are refused again."""
-    loads = [burst(seed) for seed in (*SEEDS, 4, 5)]
-    told = [caller for load in loads for caller in told_and_returned(load)]
+    loads = [burst(seed) for seed in SEEDS]
+    heavy = [burst(seed, burst_load=HEAVY_BURST_LOAD) for seed in SEEDS]
+    told = [caller for load in loads + heavy for caller in told_and_returned(load)]
     assert len(told) >= 50
     assert sum(caller.served for caller in told) >= 0.9 * len(told)
     assert all(full_service(load) >= 0.99 for load in loads)
@@ -105,7 +113,11 @@
     trouble = {"lost": lost, "taken_over": taken_over}
     loads = [burst(seed, **trouble) for seed in SEEDS]
     assert all(full_service(load) >= 0.99 for load in loads)
-    told = [c for load in loads for c in told_and_returned(load)]
+    played = loads
+    if not taken_over:
+        heavy = {"burst_load": HEAVY_BURST_LOAD, **trouble}
+        played = loads + [burst(seed, **heavy) for seed in SEEDS]
+    told = [c for load in played for c in told_and_returned(load)]
     if taken_over:
         # A new owner uses the estimate without a forecast for its first second.
         told = [c for c in told if not START + 7.5 <= c.refused_at <= START + 8.5]
