--- /dev/null
+++ b/review/harness/__init__.py
@@ -0,0 +1,1 @@
+"""Shared parts of the review's scripts; only the standard library is used."""
