--- a/review/1/case.py
+++ b/review/1/case.py
@@ -26,8 +26,8 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SECONDS = 5.0
-CALLERS = 2
-PAUSE = 0.03
+CALLERS = 1
+PAUSE = 0.01
 REFUSE_EACH = 5
 """The engine refuses each fifth request as not run, as one that is full does; also with
 TROUBLE=0."""
@@ -76,7 +76,7 @@
         with seen.lock:
             seen.runs[request.attempt] += 1
         record.write(f"engine: {request.attempt} runs")
-        time.sleep(0.02)
+        time.sleep(0.01)
         channel.send(response(request, "200 OK", b"tile"))
         return True
 
