--- a/review/harness/fleet.py
+++ b/review/harness/fleet.py
@@ -28,6 +28,7 @@
 INTERNAL_PORT = 7600
 ENGINE_PORT = 8486
 PATIENCE = 25.0
+EXIT_ENDED = 143
 
 BOUNDS = {
     "seed_lag_s": 3,
@@ -192,6 +193,9 @@
         ]
 
     def __enter__(self) -> Self:
+        # Ended by a signal, the script ends its processes too.
+        for number in (signal.SIGTERM, signal.SIGHUP):
+            signal.signal(number, lambda *_: sys.exit(EXIT_ENDED))
         try:
             for host in (*self.controls, *self.entries):
                 host.start(bootstrap=True)
