review: case 1 with two engines as well

Cause: with one engine the case could be taken for one of very small services only.

Change: ENGINES=2 lets two engines refuse, one after the other.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -28,9 +28,10 @@
 SECONDS = 5.0
 CALLERS = 1
 PAUSE = 0.01
-REFUSE_EACH = 5
-"""The engine refuses each fifth request as not run, as one that is full does; also with
-TROUBLE=0."""
+ENGINES = int(os.environ.get("ENGINES", "1"))
+REFUSED_OF = (5, (0,)) if ENGINES == 1 else (7, (0, 1))
+"""Which of so many arrivals the engines refuse as not run, as full ones do; also with
+TROUBLE=0. With two engines each of them refuses a request, one after the other."""
 
 EXTRA_SHARE = 0.03
 """Part of all answers of the engine that come a second time, late."""
@@ -61,7 +62,8 @@
             seen.arrivals += 1
             number = seen.arrivals
             seen.answers += 1
-        refuses = number % REFUSE_EACH == 0
+        of, refused = REFUSED_OF
+        refuses = number % of in refused
         if refuses:
             answer = response(
                 request, "503 Service Unavailable", b"", "X-Not-Executed: 1"
@@ -110,7 +112,11 @@
         routes = [route("r-1", "/tiles/", "non_idempotent", "map-api")]
         fleet.configure(configuration(7, routes, [plain_service("map-api")]))
         fleet.wait_ready()
-        engine = Engine(fleet, "i-7f3a91c2", 1, "map-api", make_serve(seen, record))
+        serve = make_serve(seen, record)
+        engines = [
+            Engine(fleet, f"i-7f3a91c{number}", number, "map-api", serve)
+            for number in range(1, ENGINES + 1)
+        ]
         time.sleep(2.0)
         until = time.monotonic() + SECONDS
         threads = [
@@ -123,7 +129,8 @@
             thread.join()
         time.sleep(1.0)
         ended = fleet.ended()
-        engine.close()
+        for engine in engines:
+            engine.close()
     twice = sorted(item for item, count in seen.runs.items() if count > 1)
     untrue = sorted(
         item
@@ -133,7 +140,7 @@
     statuses = Counter(seen.status_by_id.values())
     for line in (
         f"requests {len(seen.status_by_id)}, by status {dict(statuses)}",
-        f"answers of the engine {seen.answers}, of them sent twice {seen.extra}",
+        f"answers of the engines {seen.answers}, of them sent twice {seen.extra}",
         f"TWICE: requests that ran more than once: {twice}",
         f"REFUSED: answered as not run, but have run: {untrue}",
         f"processes that ended: {ended}",
