--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -220,7 +220,7 @@
         active.sent_at = self._context.clock.now()
         active.relay = report.connected.relay
         self._spend_quota()
-        log_sending(active, run.grant, client.reused, active.sent_at)
+        log_sending(active, run.grant, client, active.sent_at)
         try:
             await self._async_send_request(client, run.grant)
         except IncompleteResponseError as error:
@@ -282,7 +282,8 @@
         active.rate_limit = self._context.dialect.rate_limit(head)
         notice = self._context.dialect.notice(head)
         now = self._context.clock.now()
-        log_response(active, head.status, response_class, notice, now)
+        named = self._context.dialect.names_request(active, head)
+        log_response(active, head.status, response_class, named, notice, now)
         if response_class is not ResponseClass.FOREIGN:
             await async_report_rate_limit(self._context, active, grant, now)
             await async_record_notice(self._context, grant, notice, now)
--- a/bitterntiller/components/entry/dialect.py
+++ b/bitterntiller/components/entry/dialect.py
@@ -68,6 +68,10 @@
         """Classify the head of an upstream's response."""
         ...
 
+    def names_request(self, active: ActiveRequest, head: ResponseHead) -> bool:
+        """Return whether a response has the id of its request."""
+        ...
+
     def is_from_upstream(self, active: ActiveRequest, head: ResponseHead) -> bool:
         """Return whether the upstream of a request has sent a response to it.
 
--- a/bitterntiller/components/entry/event_logging.py
+++ b/bitterntiller/components/entry/event_logging.py
@@ -13,6 +13,7 @@
     Retry,
 )
 from bitterntiller.components.entry.notices import Notice
+from bitterntiller.components.http.client import ClientExchange
 from bitterntiller.components.http.event_logging import MAX_PATH_LENGTH
 from bitterntiller.components.http.exchange import Exchange
 from bitterntiller.core import events
@@ -61,16 +62,17 @@
 
 
 def log_sending(
-    active: ActiveRequest, grant: GrantReceived, reused: bool, now: float
+    active: ActiveRequest, grant: GrantReceived, client: ClientExchange, now: float
 ) -> None:
     """Log that a request is sent.
 
-    reused states whether a kept connection is used; version is the upstream's. parts
-    has the fingerprints of the parts of the prompt, in order. For a request that
-    continues a stream, begun_by is the caller's attempt that began it, caller_after the
-    last event that the caller has of earlier attempts, and after the last one including
-    this request. origin says from where it is known which version began the stream, and
-    origin_age is the age of its last event in seconds.
+    connection is the number of the connection, exchange that of the request on it, and
+    unread_bytes states whether bytes had arrived on it before. version is the
+    upstream's. parts has the fingerprints of the parts of the prompt, in order. For a
+    request that continues a stream, begun_by is the caller's attempt that began it,
+    caller_after the last event that the caller has of earlier attempts, and after the
+    last one including this request. origin says from where it is known which version
+    began the stream, and origin_age is the age of its last event in seconds.
     """
     identified = active.prepared.identified
     continued = identified.received.continued
@@ -90,7 +92,10 @@
         waited=round(now - identified.received.arrived, 4),
         left=round(identified.deadline - now, 3),
         grant_left=round(grant.valid_until - now, 3),
-        kept_connection=reused,
+        kept_connection=client.reused,
+        connection=client.serial,
+        exchange=client.exchanges + 1,
+        unread_bytes=client.reused and not client.is_quiet(),
         fingerprint=format_fingerprint(active.fingerprint),
         parts=[format_fingerprint(part) for part in active.part_fingerprints],
         begun_by=_begun_by(identified),
@@ -106,16 +111,18 @@
     active: ActiveRequest,
     status: int,
     finding: ResponseClass,
+    named: bool,
     notice: Notice,
     now: float,
 ) -> None:
-    """Log the head of a response and its class."""
+    """Log the head of a response and its class; named: it has the id of its request."""
     events.emit(
         "answer",
         request=active.request_id,
         upstream=active.upstream,
         status=status,
         finding=finding,
+        named=named,
         after=round(now - active.sent_at, 4),
         rate_limit=active.rate_limit,
         leaving=notice.leaving,
--- a/bitterntiller/components/entry/native_dialect.py
+++ b/bitterntiller/components/entry/native_dialect.py
@@ -75,6 +75,10 @@
             return ResponseClass.NOT_RUN
         return ResponseClass.ANSWER
 
+    def names_request(self, active: ActiveRequest, head: ResponseHead) -> bool:
+        """Return whether a response has the id of its request."""
+        return matches_request(active, head)
+
     def is_from_upstream(self, active: ActiveRequest, head: ResponseHead) -> bool:
         """Return whether a response carries the id of its request."""
         return matches_request(active, head)
--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client for upstreams, with one exchange at a time per connection."""
 
 import contextlib
+import itertools
 from typing import Any
 
 import curio
@@ -42,13 +43,20 @@
     complete when the connection is closed in order, as HTTP defines it. Otherwise such
     a response is incomplete.
 
+    serial is the number of the connection in this process, and exchanges counts the
+    requests that were sent on it.
+
     sent_bytes counts those of the current exchange. broke is set once its response was
     lost or truncated, malformed also if its bytes can't be a response; timed_out if the
     upstream was silent for longer than this end waits; overran if its response hadn't
     ended within the time or the bytes that it has.
     """
 
+    _serials = itertools.count(1)
+
     def __init__(self, sock: Any, allow_close_delimited: bool = False) -> None:
+        self.serial = next(self._serials)
+        self.exchanges = 0
         self.idle_since = 0.0
         self.reused = False
         self.sent_bytes = 0
@@ -213,6 +221,7 @@
         """
         self._method = method
         self._keep_alive = None
+        self.exchanges += 1
         names = {name for name, _ in headers}
         lines = list(headers)
         if b"host" not in names:
