Don't send a request again on a connection that carried it

Cause: all sendings of a request have the caller's id, by which a response is matched. The connection of a refused sending goes back to the pool and carries the next sending to that upstream, where a late copy of the refusal was taken for the second refusal. Change: a request remembers the connections on which it was sent, and the pool leaves these to other requests. Ruled out: bytes that had arrived before the sending, two sendings at a time. Why it holds: a copy can only follow on the connection of its original, and no second sending of the request is there any more.

--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -103,6 +103,7 @@
             address=grant.address,
             relays=grant.relays,
             pool=grant.pool,
+            used_connections=frozenset(self._active.used_connections),
         )
         try:
             connected = await connector.async_acquire(
@@ -217,6 +218,7 @@
         active = self._active
         client = report.connected.client
         active.mark_sending(run.grant)
+        active.used_connections.add(client.serial)
         active.sent_at = self._context.clock.now()
         active.relay = report.connected.relay
         self._spend_quota()
--- a/bitterntiller/components/http/pool.py
+++ b/bitterntiller/components/http/pool.py
@@ -1,6 +1,7 @@
 """A pool of reusable connections to upstreams."""
 
 from collections import deque
+from collections.abc import Collection
 
 from bitterntiller.components.http import const
 from bitterntiller.components.http.client import ClientExchange
@@ -41,23 +42,32 @@
         """Return whether connections are kept for reuse."""
         return self._max_idle > 0
 
-    async def async_acquire(self, address: str, timeout: float) -> ClientExchange:
+    async def async_acquire(
+        self, address: str, timeout: float, excluded: Collection[int] = ()
+    ) -> ClientExchange:
         """Return a connection; raise ConnectRefusedError if none can be opened.
 
         The most recently used idle connection comes first, so that surplus ones expire.
+        Those with an excluded serial are left idle.
         """
-        client = await self.async_take_idle(address)
+        client = await self.async_take_idle(address, excluded=excluded)
         if client is not None:
             return client
         return await self.async_open(address, timeout)
 
     async def async_take_idle(
-        self, address: str, used_since: float = float("-inf")
+        self,
+        address: str,
+        used_since: float = float("-inf"),
+        excluded: Collection[int] = (),
     ) -> ClientExchange | None:
-        """Return an idle connection that was in use since a time, None without one."""
-        idle = self._idle_by_address.get(address)
-        while idle:
-            client = idle.pop()
+        """Return an idle connection that was in use since a time, None without one.
+
+        Those with an excluded serial are left idle.
+        """
+        idle = self._idle_by_address.get(address, deque())
+        while (client := _newest(idle, excluded)) is not None:
+            idle.remove(client)
             usable = self._usable(client) and client.idle_since >= used_since
             if usable and client.is_quiet():
                 self.reused += 1
@@ -106,3 +116,11 @@
         if client.keep_alive is not None:
             limit = min(limit, client.keep_alive / 2)
         return self._clock.now() - client.idle_since < limit
+
+
+def _newest(
+    idle: deque[ClientExchange], excluded: Collection[int]
+) -> ClientExchange | None:
+    """Return the connection used last without an excluded serial, None without one."""
+    candidates = (item for item in reversed(idle) if item.serial not in excluded)
+    return next(candidates, None)
--- a/bitterntiller/components/tunnels/connector.py
+++ b/bitterntiller/components/tunnels/connector.py
@@ -28,7 +28,8 @@
     ) -> Connected:
         """Return a connection; raise ConnectRefusedError, nothing was sent then.
 
-        A repeatable request may be sent where its response can be lost.
+        It is none of those that the request has used before. A repeatable request may
+        be sent where its response can be lost.
         """
         ...
 
@@ -60,7 +61,10 @@
     ) -> Connected:
         """Return a direct connection; raise ConnectRefusedError."""
         address = destination.address
-        return Connected(await self._connections.async_acquire(address, timeout))
+        client = await self._connections.async_acquire(
+            address, timeout, destination.used_connections
+        )
+        return Connected(client)
 
     async def async_release(self, address: str, connected: Connected) -> None:
         """Keep a connection after its exchange, or close it."""
