--- a/bitterntiller/components/entry/event_logging.py
+++ b/bitterntiller/components/entry/event_logging.py
@@ -32,11 +32,15 @@
     """Log a request that this host refused, and the state the decision is based on.
 
     body_bytes counts the bytes of the body that had arrived; config_age is in seconds,
-    None before the first configuration.
+    None before the first configuration. left is the time to the deadline in seconds;
+    begun_by and caller_after are those of log_sending.
     """
-    waited = 0.0
+    waited, left, continued = 0.0, None, None
     if identified is not None:
-        waited = context.clock.now() - identified.received.arrived
+        now = context.clock.now()
+        waited = now - identified.received.arrived
+        left = identified.deadline - now
+        continued = identified.received.continued
     events.emit(
         "refused",
         request=request_id,
@@ -45,6 +49,7 @@
         detail=ending.detail,
         retry_after=ending.retry_after,
         waited=round(waited, 4),
+        left=_rounded(left),
         workspace=identified.workspace.name if identified else "",
         service=identified.service.name if identified else "",
         tier=identified.tier.name if identified else "",
@@ -55,6 +60,7 @@
         framing=exchange.head.framing,
         body_bytes=exchange.body_bytes,
         begun_by=_begun_by(identified),
+        caller_after=continued.after if continued else 0,
         config_version=context.config.version,
         config_age=_config_age(context),
         lease_valid=context.lease.valid(),
