Estimate the rest of a stream that goes on, not the whole

Cause: the owner of a pool knew the stated output of a request and not how much of it the caller has; the rest was estimated as a whole stream, which takes longer than the time that is left. The same within a response: a stream that broke shortly before its end counted as whole. Change: registrations say how much output earlier attempts brought, and estimates for the next run leave it out, at least a quarter of the expected output remaining. The learned length of streams counts it in.

--- a/bitterntiller/components/dispatch/const.py
+++ b/bitterntiller/components/dispatch/const.py
@@ -73,6 +73,10 @@
 
 FIRST_PREFIX_TOKENS = 64
 
+MIN_REMAINING = 0.25
+"""Least fraction of the expected output that is expected of the rest of a stream, since
+one that exceeds its expected output may go on for as long again."""
+
 REASON_EXPIRED = "expired"
 REASON_REFUSED_CONNECTION = "refused-connection"
 REASON_NOT_ADMITTED = "not-admitted"
--- a/bitterntiller/components/dispatch/jobs.py
+++ b/bitterntiller/components/dispatch/jobs.py
@@ -3,6 +3,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from bitterntiller.components.dispatch.const import MIN_REMAINING
 from bitterntiller.components.dispatch.models import WaitingRequest
 from bitterntiller.components.dispatch.stated_speed import Statement
 
@@ -138,6 +139,12 @@
         """Return the rank of its queue; demoted requests come behind their own tier."""
         return self.rank + DEMOTION_RANK_OFFSET if self.demoted else float(self.rank)
 
+    @property
+    def remaining_output(self) -> float:
+        """Return the expected output of its next run, which goes on with its stream."""
+        left = self.expected_output - self.tokens_seen
+        return max(left, MIN_REMAINING * self.expected_output)
+
     @property
     def waiting(self) -> bool:
         """Return whether the request waits for a grant."""
--- a/bitterntiller/components/dispatch/models.py
+++ b/bitterntiller/components/dispatch/models.py
@@ -20,6 +20,7 @@
     while a rollout of the service is under evaluation. version is the only one that may
     go on with the stream of the request, None if any may run it. target_interval is the
     target for the time between two outputs of its stream, 0 if there is none.
+    output_before is how much of the output its caller has from earlier attempts.
     """
 
     request_id: str
@@ -42,6 +43,7 @@
     version: str | None = None
     parts: tuple[int, ...] = ()
     target_interval: float = 0.0
+    output_before: int = 0
 
     @property
     def fingerprints(self) -> tuple[int, ...]:
--- a/bitterntiller/components/dispatch/picker.py
+++ b/bitterntiller/components/dispatch/picker.py
@@ -241,7 +241,7 @@
         if now - view.best_updated_at > HOUSEKEEPING_SECONDS:
             self._find_best(view, now)
         tokens = self._uncached(job)
-        seconds = view.best_prefill * tokens + view.best_decode * job.expected_output
+        seconds = view.best_prefill * tokens + view.best_decode * job.remaining_output
         return seconds / 1000
 
     def min_first_output_seconds(
@@ -322,8 +322,9 @@
             )
         prefill = speed.prefill_seconds(request.prompt_tokens - cached, job.kind)
         optimism = self._parameters.optimism
-        best = speed.best_decode_seconds(job.expected_output)
-        decode = speed.decode_seconds(job.expected_output, ledger.in_flight + 1)
+        output = job.remaining_output
+        best = speed.best_decode_seconds(output)
+        decode = speed.decode_seconds(output, ledger.in_flight + 1)
         decode += optimism * (best - decode)
         total = prefill + ledger.prefill_backlog(speed, now) + decode
         return cached, prefill + min(best, decode), total
--- a/bitterntiller/components/dispatch/size_estimator.py
+++ b/bitterntiller/components/dispatch/size_estimator.py
@@ -3,7 +3,7 @@
 from collections import Counter
 
 from bitterntiller.components.dispatch.call_durations import CallDurations
-from bitterntiller.components.dispatch.const import KIND_PLAIN
+from bitterntiller.components.dispatch.const import KIND_PLAIN, MIN_REMAINING
 from bitterntiller.components.dispatch.jobs import Job
 from bitterntiller.components.dispatch.models import Completion, PolicyParameters
 from bitterntiller.components.dispatch.speed import (
@@ -73,7 +73,8 @@
         stated = job.request.output_tokens
         if stated < 1 or completion.output_tokens < 1:
             return
-        seen = min(max(completion.output_tokens / stated, MIN_RATIO), MAX_RATIO)
+        output = job.request.output_before + completion.output_tokens
+        seen = min(max(output / stated, MIN_RATIO), MAX_RATIO)
         self._responses += 1
         gain = max(1 / self._responses, RATIO_GAIN)
         self._output_ratio += gain * (seen - self._output_ratio)
@@ -88,7 +89,8 @@
     def _size_tokens(self, job: Job) -> None:
         request = job.request
         ratio = self._ratio_by_workspace.get(job.workspace, self._output_ratio)
-        job.expected_output = request.output_tokens * ratio
+        whole = request.output_tokens * ratio
+        job.expected_output = max(whole - request.output_before, MIN_REMAINING * whole)
         job.work = self._speed.work(request.prompt_tokens, job.expected_output)
 
     def _size_call(self, job: Job) -> None:
--- a/bitterntiller/components/dispatch/wire.py
+++ b/bitterntiller/components/dispatch/wire.py
@@ -45,6 +45,7 @@
         version=message.version,
         parts=tuple(message.parts or ()),
         target_interval=(message.interval_ms or 0) / 1000,
+        output_before=max(0, message.output_before or 0),
     )
 
 
--- a/bitterntiller/components/entry/models.py
+++ b/bitterntiller/components/entry/models.py
@@ -349,11 +349,16 @@
                 self.pool, self.granted_version, SOURCE_THIS_REQUEST, 0.0
             )
 
+    @property
+    def output_before(self) -> int:
+        """Return the number of events that its caller has from earlier attempts."""
+        continued = self.prepared.identified.received.continued
+        return continued.after if continued is not None else 0
+
     @property
     def last_event_id(self) -> int:
         """Return the id of the last event that its caller has, 0 without one."""
-        continued = self.prepared.identified.received.continued
-        after = continued.after if continued is not None else 0
+        after = self.output_before
         return max(after, self.stream.last_id if self.stream is not None else 0)
 
     @property
--- a/bitterntiller/components/entry/owner_messages.py
+++ b/bitterntiller/components/entry/owner_messages.py
@@ -51,6 +51,7 @@
         version=active.required_version,
         parts=list(active.part_fingerprints) or None,
         interval_ms=_target_interval_ms(active),
+        output_before=active.output_before or None,
     )
 
 
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -111,6 +111,7 @@
     17: optional string version,          // of the upstreams that may go on with its stream
     18: optional list<i64> parts,         // fingerprints of the parts of its prompt, in order
     19: optional i32 interval_ms,         // target time between two outputs of its stream
+    20: optional i32 output_before,       // output of its stream that earlier attempts brought
 }
 
 struct Grant {
--- a/tests/platform/test_stream_binding.py
+++ b/tests/platform/test_stream_binding.py
@@ -105,6 +105,15 @@
     assert streams.recorded == [("llm", "a1", "v2")]
 
 
+def test_owner_is_told_how_much_of_a_stream_its_caller_has():
+    """The rest of a stream was refused as too late, as if it were a whole one."""
+    streams = KnownStreams(first="v1")
+    lines = ("Last-Event-Id: 2", "Resumes: first")
+    _, _, links = ask(serve_whole, ["v1"], *lines, streams=streams)
+    [registered] = links.of(messages.Register)
+    assert registered.output_before == 2
+
+
 def test_stream_taken_up_goes_to_the_version_that_began_it():
     """A caller's next attempt was answered by another version."""
     streams = KnownStreams(first="v1")
