Give streams that callers take up no objective for their first event

Cause: a stream that a caller takes up counted as a new one with an objective for its first event, in which it has the time of one attempt. Past it, it came behind the new ones of its tier, and these are the first to be refused in an overload. The first event of the stream came before. Change: registrations of such requests have no objective; the time at which their caller leaves stays. Within a response this held already. Result: the new test fails before. Open: rests that are refused at once, as they are expected to take longer than their caller waits, and quotas, which a second attempt charges again.

--- a/bitterntiller/components/entry/owner_messages.py
+++ b/bitterntiller/components/entry/owner_messages.py
@@ -25,10 +25,12 @@
     """Return the registration of a request, with its times relative to now.
 
     Its route is included while a rollout of its service is being evaluated. A stream
-    that has begun has no limits for its first output any more.
+    that has begun has no limits for its first output any more. One that a caller takes
+    up has had its first output, but the caller leaves if the next one doesn't come.
     """
     identified = active.prepared.identified
-    first_by = None if active.begun else identified.first_by
+    had_output = active.begun or active.output_before > 0
+    first_by = None if had_output else identified.first_by
     start_by = None if active.begun else identified.start_by
     estimate = active.prepared.estimate
     return messages.Register(
--- a/tests/platform/test_stream_binding.py
+++ b/tests/platform/test_stream_binding.py
@@ -114,6 +114,16 @@
     assert registered.output_before == 2
 
 
+def test_stream_taken_up_has_no_objective_for_its_first_event():
+    """The rest of a stream came behind new ones, as late, and was refused first."""
+    streams = KnownStreams(first="v1")
+    lines = ("Last-Event-Id: 2", "Resumes: first")
+    _, _, links = ask(serve_whole, ["v1"], *lines, streams=streams)
+    [registered] = links.of(messages.Register)
+    assert registered.first_by_ms is None
+    assert registered.start_by_ms is not None
+
+
 def test_stream_taken_up_goes_to_the_version_that_began_it():
     """A caller's next attempt was answered by another version."""
     streams = KnownStreams(first="v1")
