Test streams taken up after all entry hosts were killed at once

Change: two ways, with two versions in service and beside releases whose earlier engines serve, leave or have gone when the hosts are killed; three tests of them.

--- a/tests/platform/stream_versions.py
+++ b/tests/platform/stream_versions.py
@@ -27,6 +27,7 @@
     HEALTH_PATH,
     SUBNET,
     Engine,
+    ask,
 )
 from tests.scenarios.cut_paths import SILENT
 
@@ -39,10 +40,16 @@
 EVENT_PAUSE = 0.04
 FIRST_PAUSE = 0.03
 INTERNAL_PORT = 7600
+READY_PORT = 8224
 CALLERS = 24
 BREAKS = 0.3
 """The share of streams that callers, or engines, break off."""
 
+DOWN_SECONDS = 0.5
+UP_SECONDS = 2.0
+LEAVE_SECONDS = 1.5
+"""Time for which an engine that leaves goes on to serve."""
+
 SECONDS = 16.0
 DEADLINE_MS = 6000
 ATTEMPTS = 6
@@ -159,6 +166,28 @@
         self.engines.append(engine)
         return engine
 
+    def end_engines(self, engines: list[StreamEngine]) -> None:
+        """Let engines announce that they leave, and end them some time later."""
+        for engine in engines:
+            engine.drain()
+        time.sleep(LEAVE_SECONDS)
+        for engine in engines:
+            engine.close()
+            self.engines.remove(engine)
+
+    def restart_entry_hosts(self, down: float) -> None:
+        """Kill all entry hosts at once, and start them later until all serve again."""
+        hosts = [self.process_by_ip[ip] for ip in self.entry_ips]
+        for process in hosts:
+            process.signal(signal.SIGKILL)
+        for process in hosts:
+            process.kill()
+        time.sleep(down)
+        for process in hosts:
+            process.start()
+        for ip in self.entry_ips:
+            self.until(lambda ip=ip: _serves(ip))
+
     def replace_engine(self, engine: StreamEngine, version: str) -> None:
         """End an engine at once and start another at its address."""
         engine.close()
@@ -183,6 +212,11 @@
             readers.stop()
 
 
+def _serves(ip: str) -> bool:
+    """Return whether an entry host says that it is ready."""
+    return ask(ip, "GET", "/-/readyz", port=READY_PORT)[0] == OK
+
+
 class Take(NamedTuple):
     """One attempt of a caller.
 
@@ -209,6 +243,11 @@
         """Whether the first attempt brought an event."""
         return bool(self.takes[0].events)
 
+    @property
+    def asked_again(self) -> bool:
+        """Whether an entry host answered an attempt to take the stream up."""
+        return any(take.status for take in self.takes[1:])
+
     @property
     def versions(self) -> frozenset[str]:
         """The versions whose events the stream holds."""
@@ -253,11 +292,13 @@
         breaks: float = BREAKS,
         callers: int = CALLERS,
         first_ips: tuple[str, ...] | None = None,
+        pause: float = ATTEMPT_PAUSE,
     ) -> None:
         self.streams: list[Stream] = []
         self._ips = ips
         self._first_ips = first_ips or ips
         self._breaks = breaks
+        self._pause = pause
         self._stopped = threading.Event()
         self._threads = [
             threading.Thread(target=self._run, daemon=True) for _ in range(callers)
@@ -285,7 +326,7 @@
         takes = [take]
         after = _last(take)
         while after and not take.done and len(takes) < ATTEMPTS:
-            time.sleep(ATTEMPT_PAUSE)
+            time.sleep(self._pause)
             if time.monotonic() >= ends:
                 break
             ip = random.choice(self._ips)
@@ -430,6 +471,42 @@
     leave_alone(fleet, until)
 
 
+def restart_entry_hosts(fleet: StreamFleet, until: float) -> None:
+    """Kill all entry hosts at once and start them again, once in some seconds."""
+    while time.monotonic() + DOWN_SECONDS + UP_SECONDS < until:
+        time.sleep(UP_SECONDS)
+        fleet.restart_entry_hosts(DOWN_SECONDS)
+    leave_alone(fleet, until)
+
+
+def release(seed: int) -> Way:
+    """Return a way that moves to newer versions and kills all entry hosts meanwhile.
+
+    Each version's engines start beside those of the one before, which leave then. When
+    the hosts are killed, the earlier engines serve, leave or have gone, as drawn.
+    """
+
+    def way(fleet: StreamFleet, until: float) -> None:
+        rng = random.Random(seed)
+        number = 0
+        while time.monotonic() + 3 * UP_SECONDS + DOWN_SECONDS < until:
+            number += 1
+            earlier = list(fleet.engines)
+            places = range(number * ENGINES_OF_A_VERSION)[-ENGINES_OF_A_VERSION:]
+            for place in places:
+                fleet.add_engine(2 * ENGINES_OF_A_VERSION + place, f"n{number}")
+            time.sleep(rng.uniform(0.3, UP_SECONDS))
+            leave = threading.Thread(target=fleet.end_engines, args=(earlier,))
+            leave.start()
+            time.sleep(rng.uniform(0.0, LEAVE_SECONDS + 0.5))
+            fleet.restart_entry_hosts(DOWN_SECONDS)
+            leave.join()
+            time.sleep(rng.uniform(0.5, UP_SECONDS))
+        leave_alone(fleet, until)
+
+    return way
+
+
 def freeze_in_turn(
     ips: tuple[str, ...], frozen: float = 1.5, awake: float = 1.0
 ) -> Way:
@@ -535,17 +612,21 @@
     caller_breaks: float = BREAKS,
     engine_breaks: float = 0.0,
     callers: int = CALLERS,
+    pause: float = ATTEMPT_PAUSE,
 ) -> Tally:
     """Read streams while a fleet is disturbed; return their counts."""
     with engines_that_break(fleet, engine_breaks):
-        readers = StreamCallers(fleet.entry_ips, caller_breaks, callers)
+        readers = StreamCallers(fleet.entry_ips, caller_breaks, callers, pause=pause)
         way(fleet, time.monotonic() + seconds)
         readers.stop()
     return readers.tally()
 
 
 class Row(NamedTuple):
-    """A row of the table: a way, and the shares of streams that break."""
+    """A row of the table: a way, and the shares of streams that break.
+
+    pause is the time in seconds between two attempts of a caller.
+    """
 
     name: str
     way: Way
@@ -554,7 +635,11 @@
     old_slots: int = StreamEngine.slots
     new_slots: int = StreamEngine.slots
     callers: int = CALLERS
+    pause: float = ATTEMPT_PAUSE
+
 
+LONG_PAUSE = 1.0
+"""Callers that wait so long try again when killed hosts have started."""
 
 ROWS = (
     Row("callers break off", leave_alone),
@@ -583,6 +668,18 @@
     Row("entry hosts freeze in turn", freeze_in_turn(ENTRY_IPS)),
     Row("control hosts freeze in turn", freeze_in_turn(CONTROL_IPS)),
     Row("two entry hosts are cut off", cut_off_two),
+    Row(
+        "all entry hosts restart at once",
+        restart_entry_hosts,
+        caller_breaks=0.0,
+        pause=LONG_PAUSE,
+    ),
+    Row(
+        "all entry hosts restart at once beside releases",
+        release(1),
+        caller_breaks=0.0,
+        pause=LONG_PAUSE,
+    ),
 )
 
 
@@ -618,6 +715,7 @@
                     caller_breaks=row.caller_breaks,
                     engine_breaks=row.engine_breaks,
                     callers=row.callers,
+                    pause=row.pause,
                 )
         print_row(row.name, tally)
 
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -1,5 +1,6 @@
 """Tests of streams that go on, with real processes and two software versions."""
 
+import time
 from pathlib import Path
 
 import pytest
@@ -7,9 +8,13 @@
 from tests.platform.processes import CONTROL_IPS
 from tests.platform.stream_versions import (
     ENTRY_IPS,
+    LONG_PAUSE,
     Row,
+    StreamCallers,
     StreamFleet,
     leave_alone,
+    release,
+    restart_entry_hosts,
     restart_in_turn,
     run,
 )
@@ -42,6 +47,36 @@
     assert tally.share_gone_on >= LEAST_SHARE * tally.share_begun
 
 
+def test_streams_go_on_after_all_entry_hosts_were_killed_at_once(tmp_path: Path):
+    """The hosts that had relayed the streams had forgotten which version began them."""
+    with StreamFleet(tmp_path) as fleet:
+        fleet.add_versions()
+        readers = StreamCallers(fleet.entry_ips, breaks=0.0, pause=LONG_PAUSE)
+        restart_entry_hosts(fleet, time.monotonic() + 10.0)
+        readers.stop()
+    tally = readers.tally(lambda stream: stream.asked_again)
+    assert tally.taken_up >= 12
+    assert (tally.mixed, tally.broken) == (0, 0)
+    new = readers.tally(lambda stream: stream.takes[0].status > 0)
+    assert tally.share_gone_on >= 0.5 * new.share_begun
+
+
+@pytest.mark.parametrize("seed", [1, 3])
+def test_no_stream_is_joined_from_two_versions_when_hosts_forget_amid_releases(
+    seed: int, tmp_path: Path
+):
+    """The only version left was taken for the one that had begun a stream."""
+    with StreamFleet(tmp_path) as fleet:
+        fleet.add_versions()
+        readers = StreamCallers(fleet.entry_ips, breaks=0.0, pause=LONG_PAUSE)
+        release(seed)(fleet, time.monotonic() + 16.0)
+        readers.stop()
+    tally = readers.tally(lambda stream: stream.asked_again)
+    assert tally.taken_up >= 12
+    assert (tally.mixed, tally.broken) == (0, 0)
+    assert tally.went_on > 0
+
+
 @pytest.mark.alone
 def test_first_event_of_a_stream_taken_up_comes_soon(tmp_path: Path):
     """Callers that took a stream up waited long until its version was found."""
