Withhold responses without an id on connections that carried others

What callers saw: nothing yet; found while the paths related to the late copies of refusals were looked through. A late response without an id was taken for that of the request that follows on its connection: a refusal made that request run twice, a success was relayed to another caller. Cause: a response was foreign only if it had another id; one without an id was matched by its place on the connection, which late responses shift. Change: on a kept connection it is withheld, like a status that can't be trusted: sent again if the request may run again, else outcome unknown. Result: the three tests fail before (a second run, a wrong 200, a wrong 404) and pass now.

--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -354,18 +354,30 @@
         On a reused connection, a late response to an earlier request may arrive first.
         It carries the id of that request and is skipped.
         """
-        dialect = self._context.dialect
         timeout = self._first_byte_timeout()
         head = await client.async_head(timeout, self._response_watch())
-        response_class = dialect.classify_response(self._active, head)
+        response_class = self._classify(client, head)
         if response_class is ResponseClass.FOREIGN:
             self._context.metrics.count(const.METRIC_LATE_RESPONSES)
             if client.reused and await client.async_skip_response():
                 timeout = self._first_byte_timeout()
                 head = await client.async_head(timeout, self._response_watch())
-                response_class = dialect.classify_response(self._active, head)
+                response_class = self._classify(client, head)
         return head, response_class
 
+    def _classify(self, client: ClientExchange, head: ResponseHead) -> ResponseClass:
+        """Classify the head of a response.
+
+        Without the id of a request, it may be a late one to an earlier request if the
+        connection has carried any.
+        """
+        dialect = self._context.dialect
+        found = dialect.classify_response(self._active, head)
+        if found is ResponseClass.FOREIGN or not client.reused:
+            return found
+        named = dialect.names_request(self._active, head)
+        return found if named else ResponseClass.WITHHELD
+
     async def _async_finish_relay(self, verdict: RelayResult | Retry) -> Verdict:
         if isinstance(verdict, RelayResult):
             if not verdict.whole:
--- a/tests/platform/test_late_copies.py
+++ b/tests/platform/test_late_copies.py
@@ -107,3 +107,28 @@
     received = ask(upstream, path)
     assert upstream.runs == 1
     assert received.startswith(b"HTTP/1.1 200")
+
+
+@pytest.mark.parametrize(
+    "late", [refusal(b"503 Full"), response(b"old"), response(b"", b"404 Not Found")]
+)
+def test_late_response_without_an_id_is_not_taken_for_that_of_the_request(late: bytes):
+    """A request ran twice, or got what an earlier request was answered."""
+    late = late.replace(b"X-Attempt-Id: a1\r\n", b"")
+    runs = []
+
+    async def async_upstream(sock: Any, data: bytes, number: int) -> None:
+        if number == 1:
+            await sock.sendall(late)
+        runs.append(number)
+        await sock.sendall(response(b"leaf"))
+
+    async def async_main() -> list[bytes]:
+        async with builders.entry_host(async_upstream, ROUTES) as host:
+            asked = builders.request("/once/1")
+            return [await host.async_ask(asked) for _ in range(2)]
+
+    first, second = curio.run(async_main)
+    assert first.endswith(b"leaf")
+    assert second.startswith(b"HTTP/1.1 502")
+    assert len(runs) == 2
