Tell restarted holders of streams without waiting for the next one

Cause: an entry host noticed that a holder had been restarted, that a message to it was lost, or that a second version had joined, only when the next stream began there. Change: the recorder looks for all three every 0.5 s, and counts a holder as told once everything was sent to it. Why it holds: a holder is untold until a send of all streams succeeded, and the check doesn't depend on traffic.

--- a/bitterntiller/components/stream_versions/const.py
+++ b/bitterntiller/components/stream_versions/const.py
@@ -14,6 +14,10 @@
 """Bounds the time for which a request waits until its version is found. A new leader of
 control is elected within it."""
 
+CHECK_SECONDS = 0.5
+"""Longest time after which holders that were restarted, and new versions, are noticed
+if no stream begins meanwhile."""
+
 SETTLE_SECONDS = 3.0
 """How long after its start a host may still be told of streams that it forgot."""
 
--- a/bitterntiller/components/stream_versions/models.py
+++ b/bitterntiller/components/stream_versions/models.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from bitterntiller.components.config.models import Route
+
 
 class Beginning(NamedTuple):
     """The service and the software version that began a stream."""
@@ -32,3 +34,11 @@
     age: float = 0.0
     conflict: bool = False
     settled: bool = True
+
+
+class LastStream(NamedTuple):
+    """The newest stream of a route that has begun here, at a time of this host."""
+
+    route: Route
+    beginning: Beginning
+    at: float
--- a/bitterntiller/components/stream_versions/recorder.py
+++ b/bitterntiller/components/stream_versions/recorder.py
@@ -4,22 +4,31 @@
 
 from bitterntiller.components.config.models import Route
 from bitterntiller.components.stream_versions.candidates import StreamCandidates
-from bitterntiller.components.stream_versions.const import METRIC_MISSED_SENDS
+from bitterntiller.components.stream_versions.const import (
+    CHECK_SECONDS,
+    KEPT_SECONDS,
+    METRIC_MISSED_SENDS,
+)
 from bitterntiller.components.stream_versions.digests import stream_digest
 from bitterntiller.components.stream_versions.holders import control_hosts, holders
 from bitterntiller.components.stream_versions.memory import StreamMemory
-from bitterntiller.components.stream_versions.models import Beginning, BegunStream
+from bitterntiller.components.stream_versions.models import (
+    Beginning,
+    BegunStream,
+    LastStream,
+)
 from bitterntiller.components.stream_versions.wire import begun_messages
-from bitterntiller.core.interfaces import DirectoryView
+from bitterntiller.core.interfaces import DirectoryView, HostView
 from bitterntiller.core.runtime import Runtime
+from bitterntiller.core.timeouts import ignore_after
 
 
 class StreamRecorder:
     """Records begun streams here, and at holders if several versions may begin them.
 
-    Holders that were restarted are told of all streams that this host remembers, and
-    so are all of them when a route's streams can begin in a second way; both with the
-    next stream that begins.
+    Holders that were restarted, or missed a message, are told of all streams that this
+    host remembers, and so are all of them when a route's streams can begin in a second
+    way. Neither waits for the next stream that begins here.
     """
 
     def __init__(
@@ -34,6 +43,8 @@
         self._directory = directory
         self._candidates = candidates
         self._told_process_by_host: dict[str, str] = {}
+        self._telling_all: set[str] = set()
+        self._last_by_route: dict[str, LastStream] = {}
         self._routes_with_holders: set[str] = set()
         self._pending: dict[int, BegunStream] = {}
         self._wake = curio.Event()
@@ -43,13 +54,24 @@
         now = self._runtime.clock.now()
         digest = stream_digest(first_id)
         self._memory.remember(digest, beginning, now, now)
-        if not self._candidates.has_several(route, beginning, now):
-            self._routes_with_holders.discard(route.name)
-            return
-        if route.name not in self._routes_with_holders:
-            self._routes_with_holders.add(route.name)
+        last = LastStream(route, beginning, now)
+        self._last_by_route[route.name] = last
+        if self._has_holders(last, now):
+            self._pending[digest] = BegunStream(beginning, now)
+
+    def _has_holders(self, last: LastStream, now: float) -> bool:
+        """Return whether holders are told of a route's streams.
+
+        The first time, all streams that this host remembers are to be sent.
+        """
+        name = last.route.name
+        if not self._candidates.has_several(last.route, last.beginning, now):
+            self._routes_with_holders.discard(name)
+            return False
+        if name not in self._routes_with_holders:
+            self._routes_with_holders.add(name)
             self._pending |= self._memory.snapshot(now)
-        self._pending[digest] = BegunStream(beginning, now)
+        return True
 
     async def async_flush(self) -> None:
         """Let the recorded streams be sent, without waiting for it."""
@@ -57,41 +79,67 @@
             await self._wake.set()
 
     async def async_run(self) -> None:
-        """Send recorded streams to their holders until cancelled."""
+        """Send streams to their holders as they are due, until cancelled."""
         while True:
-            await self._wake.wait()
+            async with ignore_after(CHECK_SECONDS):
+                await self._wake.wait()
             self._wake.clear()
+            self._check_routes()
             pending, self._pending = self._pending, {}
-            for address, begun in self._by_address(pending).items():
-                # In a task each, as connecting to a host without power takes seconds.
-                await curio.spawn(self._async_send, address, begun, daemon=True)
-
-    def _by_address(
-        self, pending: dict[int, BegunStream]
-    ) -> dict[str, dict[int, BegunStream]]:
-        """Return the streams to send by the address of their holder."""
-        hosts = control_hosts(self._directory.hosts_by_name)
-        names = list(hosts)
-        known = self._memory.snapshot(self._runtime.clock.now())
-        found: dict[str, dict[int, BegunStream]] = {}
-        restarted = {
+            if pending or self._routes_with_holders:
+                await self._async_tell(pending)
+
+    def _check_routes(self) -> None:
+        """Find the routes whose streams can begin in a second way by now."""
+        now = self._runtime.clock.now()
+        for name, last in list(self._last_by_route.items()):
+            if now - last.at >= 2 * KEPT_SECONDS:
+                del self._last_by_route[name]
+                self._routes_with_holders.discard(name)
+            else:
+                self._has_holders(last, now)
+
+    async def _async_tell(self, pending: dict[int, BegunStream]) -> None:
+        """Send pending streams to their holders, and all streams to untold ones."""
+        host_by_name = control_hosts(self._directory.hosts_by_name)
+        untold = {
             name
-            for name, host in hosts.items()
+            for name, host in host_by_name.items()
             if self._told_process_by_host.get(name) != host.incarnation
-        }
-        source = known | pending if restarted else pending
-        for digest, begun in source.items():
-            for name in holders(digest, names):
-                if digest in pending or name in restarted:
-                    address = hosts[name].address
-                    found.setdefault(address, {})[digest] = begun
-        self._told_process_by_host = {
-            name: host.incarnation for name, host in hosts.items()
-        }
-        return found
-
-    async def _async_send(self, address: str, begun: dict[int, BegunStream]) -> None:
+        } - self._telling_all
+        streams = pending
+        if untold:
+            streams = self._memory.snapshot(self._runtime.clock.now()) | pending
+        begun_by_host: dict[str, dict[int, BegunStream]] = {name: {} for name in untold}
+        for digest, begun in streams.items():
+            for name in holders(digest, list(host_by_name)):
+                if digest in pending or name in untold:
+                    begun_by_host.setdefault(name, {})[digest] = begun
+        self._telling_all |= untold
+        for name, begun in begun_by_host.items():
+            # In a task each, as connecting to a host without power takes seconds.
+            host = host_by_name[name]
+            send = self._async_send_all if name in untold else self._async_send_new
+            await curio.spawn(send, name, host, begun, daemon=True)
+
+    async def _async_send_all(
+        self, name: str, host: HostView, begun: dict[int, BegunStream]
+    ) -> None:
+        """Send all streams to a holder that doesn't know of them."""
+        if await self._async_send(host, begun):
+            self._told_process_by_host[name] = host.incarnation
+        self._telling_all.discard(name)
+
+    async def _async_send_new(
+        self, name: str, host: HostView, begun: dict[int, BegunStream]
+    ) -> None:
+        """Send streams to a holder, which is told of all of them if that fails."""
+        if not await self._async_send(host, begun):
+            self._told_process_by_host.pop(name, None)
+
+    async def _async_send(self, host: HostView, begun: dict[int, BegunStream]) -> bool:
         for message in begun_messages(begun, self._runtime.clock.now()):
-            if not await self._runtime.links.async_send(address, message):
+            if not await self._runtime.links.async_send(host.address, message):
                 self._runtime.metrics.count(METRIC_MISSED_SENDS)
-                return
+                return False
+        return True
--- a/tests/components/stream_versions/test_hosts.py
+++ b/tests/components/stream_versions/test_hosts.py
@@ -35,6 +35,13 @@
     await task.cancel()
 
 
+async def check(host: Host) -> None:
+    """Let a host on which no stream begins look at its holders and routes."""
+    task = await curio.spawn(host.recorder.async_run())
+    await curio.sleep(1.5 * const.CHECK_SECONDS)
+    await task.cancel()
+
+
 async def find(host: Host, first_id: str = FIRST) -> Any:
     return await host.coordinator.async_find(route(), first_id)
 
@@ -181,6 +188,52 @@
     assert play(step).version == "v1"
 
 
+def test_restarted_holders_are_told_again_though_no_stream_begins():
+    """Streams of a quiet host were unknown after all of control had been restarted."""
+
+    async def step() -> Any:
+        fleet = Fleet("v1", "v2")
+        host = fleet.entry("e1")
+        await record(host)
+        for name in CONTROL_HOSTS:
+            fleet.start_control(name, "2")
+        await check(host)
+        return await find(fleet.entry("e2"))
+
+    assert play(step).version == "v1"
+
+
+def test_holder_that_missed_a_message_is_told_again():
+    """A stream was unknown as the links to its holders were down when it began."""
+
+    async def step() -> Any:
+        fleet = Fleet("v1", "v2")
+        host = fleet.entry("e1")
+        await record(host, "before")
+        fleet.network.cut.update(CONTROL_HOSTS)
+        await record(host)
+        await check(host)
+        fleet.network.cut.clear()
+        await check(host)
+        return await find(fleet.entry("e2"))
+
+    assert play(step).version == "v1"
+
+
+def test_streams_are_told_once_a_second_version_joins_though_none_begins():
+    """Streams of a host that was killed soon after a release could not be taken up."""
+
+    async def step() -> Any:
+        fleet = Fleet("v1", leader=Leader(**{POOL: ("v1", "v2")}))
+        host = fleet.entry("e1")
+        await record(host)
+        fleet.upstreams.set("v1", "v2")
+        await check(host)
+        return await find(fleet.entry("e2"))
+
+    assert play(step).version == "v1"
+
+
 def test_host_that_has_not_heard_of_a_version_asks_control():
     """A host behind in its list took the only version it knew for the only one."""
 
