Soak: late copies of refusals, all entry hosts killed, releases

Change: the kinds late-copies (an engine refuses calls and repeats each refusal late, while the others are replaced, so that it is asked again), kill-entries and release; a short seeded test of these. The seed of the first test draws the kinds of before, so its schedule stays.

--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -14,6 +14,7 @@
     """What disturbs a fleet."""
 
     KILL_ENTRY = "kill-entry"
+    KILL_ENTRIES = "kill-entries"
     KILL_CONTROL = "kill-control"
     KILL_ALL = "kill-all"
     STOP_ENTRY = "stop-entry"
@@ -26,8 +27,10 @@
     END_ENGINE = "end-engine"
     REPLACE_ENGINE = "replace-engine"
     LEAVE_ENGINE = "leave-engine"
+    RELEASE = "release"
     SLOW_ENGINE = "slow-engine"
     LIMIT_ENGINE = "limit-engine"
+    LATE_COPIES = "late-copies"
     BREAK_STREAMS = "break-streams"
     CLOSE_DELIMITED = "close-delimited"
     PAUSE_ENGINE = "pause-engine"
@@ -74,6 +77,9 @@
     Kind.CONFIGURE: (0.0, 0.0),
     Kind.CONFIGURE_BADLY: (0.0, 0.0),
     Kind.ENDLESS_ENGINE: (2.0, 6.0),
+    Kind.LATE_COPIES: (2.5, 4.0),
+    Kind.KILL_ENTRIES: (0.0, 1.5),
+    Kind.RELEASE: (1.0, 3.0),
 }
 """Shortest and longest time in seconds; 0 for what happens at one moment."""
 
@@ -83,6 +89,7 @@
     Kind.FREEZE_ENTRY,
     Kind.KILL_ENTRY,
     Kind.ENDLESS_ENGINE,
+    Kind.LATE_COPIES,
 }
 """Kinds that may befall several entry hosts, or engines, at once."""
 
--- a/soak/troubles.py
+++ b/soak/troubles.py
@@ -14,7 +14,7 @@
 from tests.platform.processes import ENGINE_PORT, Engine
 from tests.platform.soak_endless import ORDERS_BY_MODE
 from tests.platform.soak_fleet import LIMIT_PER_SECOND, PlainEngine, SoakFleet
-from tests.platform.stream_versions import INTERNAL_PORT
+from tests.platform.stream_versions import INTERNAL_PORT, VERSIONS
 
 CHANGE_SECONDS = 10.0
 STOP_SECONDS = 15.0
@@ -37,6 +37,7 @@
         Kind.LOSE_DISK,
         Kind.CUT_PEERS,
         Kind.CUT_ENGINES,
+        Kind.KILL_ENTRIES,
     }
 )
 """Kinds that befall hosts; the others befall engines, callers or the configuration."""
@@ -81,6 +82,7 @@
         self._load = load
         self._rng = random.Random(seed)
         self._lock_by_ip = {ip: threading.Lock() for ip in fleet.entry_ips}
+        self._plain_lock = threading.Lock()
         control = threading.Lock()
         self._lock_by_ip |= dict.fromkeys(fleet.control_ips, control)
         self._apply_by_kind: dict[Kind, Callable[[Trouble], tuple[str, ...]]] = {
@@ -107,6 +109,9 @@
             Kind.CONFIGURE: self._configure,
             Kind.CONFIGURE_BADLY: self._configure_badly,
             Kind.ENDLESS_ENGINE: self._endless_engines,
+            Kind.LATE_COPIES: self._late_copies,
+            Kind.KILL_ENTRIES: self._kill_entries,
+            Kind.RELEASE: self._release,
         }
 
     def play(self, schedule: tuple[Trouble, ...]) -> None:
@@ -187,6 +192,9 @@
     def _kill_entry(self, trouble: Trouble) -> tuple[str, ...]:
         return self._kill(trouble, self._entry(trouble))
 
+    def _kill_entries(self, trouble: Trouble) -> tuple[str, ...]:
+        return self._kill(trouble, self._fleet.entry_ips)
+
     def _kill_control(self, trouble: Trouble) -> tuple[str, ...]:
         return self._kill(trouble, self._control(trouble))
 
@@ -261,9 +269,26 @@
 
     def _replace_engine(self, trouble: Trouble) -> tuple[str, ...]:
         engine = self._engine(trouble)
-        if engine is None or not self._fleet.replace_at_once(engine, self._rng):
+        if engine is None:
             return ()
-        return (engine.name,)
+        version = self._rng.choice(VERSIONS)
+        return (engine.name,) if self._fleet.replace_at_once(engine, version) else ()
+
+    def _release(self, trouble: Trouble) -> tuple[str, ...]:
+        """Replace half of the engines without a word, and the others as they leave."""
+        version = self._rng.choice(VERSIONS)
+        engines = list(self._fleet.engines)
+        self._replace_all(engines[::2], version)
+        time.sleep(trouble.seconds / 2)
+        for engine in engines[1::2]:
+            engine.drain()
+        time.sleep(trouble.seconds / 2)
+        self._replace_all(engines[1::2], version)
+        return tuple(engine.name for engine in engines)
+
+    def _replace_all(self, engines: Sequence[CrashingEngine], version: str) -> None:
+        for engine in engines:
+            self._fleet.replace_at_once(engine, version)
 
     def _leave_engine(self, trouble: Trouble) -> tuple[str, ...]:
         engine = self._engine(trouble)
@@ -299,6 +324,20 @@
         chosen = _chosen(engines, trouble)
         return self._set_for_a_while(chosen, trouble, orders=orders)
 
+    def _late_copies(self, trouble: Trouble) -> tuple[str, ...]:
+        """Let engines refuse calls, each twice, while the others are replaced."""
+        if not self._plain_lock.acquire(blocking=False):
+            return ()
+        with ExitStack() as stack:
+            stack.callback(self._plain_lock.release)
+            chosen = self._plain(trouble)
+            for engine in self._fleet.plain:
+                if engine not in chosen:
+                    engine.close()
+            names = self._set_for_a_while(chosen, trouble, refuses=trouble.value)
+            self._fleet.replace_ended_plain()
+            return names
+
     def _bad_part(self, trouble: Trouble) -> tuple[str, ...]:
         self._fleet.bad_parts = frozenset({BAD})
         time.sleep(trouble.seconds)
--- a/tests/platform/soak_fleet.py
+++ b/tests/platform/soak_fleet.py
@@ -4,6 +4,7 @@
 import random
 import shutil
 import time
+import uuid
 from collections.abc import Callable
 from email.message import Message
 from pathlib import Path
@@ -18,7 +19,6 @@
     DEADLINE_MS,
     OLD,
     STREAM_SERVICE,
-    VERSIONS,
     asked_events,
 )
 
@@ -106,14 +106,27 @@
 
 
 class PlainEngine(OrderedEngine):
-    """An engine of calls; slow is the time in seconds that each takes longer."""
+    """An engine of calls; slow is the time in seconds that each takes longer.
+
+    It refuses a share of the requests as not run, and sends each of these responses a
+    second time when the next request has arrived on its connection.
+    """
 
     slots = 2
     slow = 0.0
     limit = 0.0
+    refuses = 0.0
 
     def respond(self, handler: http.server.BaseHTTPRequestHandler) -> None:
         """Respond later than other engines, and name a limit of requests."""
+        if self.ended:
+            handler.close_connection = True
+            return
+        copy = vars(handler).pop("late_copy", b"")
+        handler.wfile.write(copy)
+        if handler.path != HEALTH_PATH and random.random() < self.refuses:
+            handler.late_copy = refuse(handler)  # type: ignore[attr-defined]
+            return
         if self.orders is not None and handler.path != HEALTH_PATH:
             self.send_on(handler, self.orders)
             return
@@ -132,6 +145,20 @@
             handler.__dict__.pop("end_headers", None)
 
 
+def refuse(handler: http.server.BaseHTTPRequestHandler) -> bytes:
+    """Refuse a request as not run; return the response."""
+    handler.rfile.read(int(handler.headers.get("Content-Length", 0)))
+    lines = (
+        "HTTP/1.1 503 Service Unavailable",
+        f"X-Attempt-Id: {handler.headers['X-Attempt-Id']}",
+        "X-Not-Executed: 1",
+        "Content-Length: 0",
+    )
+    response = "\r\n".join(lines).encode() + b"\r\n\r\n"
+    handler.wfile.write(response)
+    return response
+
+
 class SoakFleet(CrashingFleet):
     """Hosts of control, entry hosts, engines of streams and engines of calls."""
 
@@ -154,12 +181,20 @@
     def add_all_engines(self) -> None:
         """Start the engines of both services and wait until each stream one serves."""
         self.add_engines(STREAM_ENGINES)
-        for number in range(PLAIN_ENGINES):
-            name = f"p-{number}"
-            ip = f"{SUBNET}.{FIRST_PLAIN_ADDRESS + number}"
-            engine = PlainEngine(name, ip, OLD, 0.0)
-            self.own(engine)
-            self.plain.append(engine)
+        self.plain = [self._add_plain(number) for number in range(PLAIN_ENGINES)]
+
+    def _add_plain(self, number: int) -> PlainEngine:
+        name = f"p-{number}-{uuid.uuid4().hex[:6]}"
+        ip = f"{SUBNET}.{FIRST_PLAIN_ADDRESS + number}"
+        engine = PlainEngine(name, ip, OLD, 0.0)
+        self.own(engine)
+        return engine
+
+    def replace_ended_plain(self) -> None:
+        """Start an engine of calls in the place of each that has ended."""
+        for number, engine in enumerate(self.plain):
+            if engine.ended:
+                self.plain[number] = self._add_plain(number)
 
     def own(self, engine: Engine) -> None:
         """Close an engine on exit, and keep what it saw."""
@@ -178,8 +213,8 @@
             self.end_engine(engine)
             return True
 
-    def replace_at_once(self, engine: CrashingEngine, rng: random.Random) -> bool:
-        """End an engine and start another, maybe of another version, in its place.
+    def replace_at_once(self, engine: CrashingEngine, version: str) -> bool:
+        """End an engine and start one of a version in its place.
 
         Return False if it has ended.
         """
@@ -189,7 +224,7 @@
             self.engines.remove(engine)
         engine.end()
         made = self.engine_class(self, engine.number)
-        made.version = rng.choice(VERSIONS)
+        made.version = version
         self.own(made)
         self.engines.append(made)
         return True
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -12,10 +12,17 @@
 pytestmark = pytest.mark.xdist_group("soak")
 
 SEED, SECONDS, HOSTS = 3, 20.0, 6
+LATER_SEED = 1
+
+LATER_KINDS = (Kind.LATE_COPIES, Kind.KILL_ENTRIES, Kind.RELEASE)
+"""Kinds that would change what the seed draws among the others."""
+
+OTHER_KINDS = tuple(kind for kind in Kind if kind not in LATER_KINDS)
 
 
 def test_promises_hold_while_hosts_and_engines_are_disturbed(tmp_path: Path):
-    evidence, _ = run(draw(SEED, SECONDS), SEED, HOSTS, tmp_path)
+    schedule = draw(SEED, SECONDS, OTHER_KINDS)
+    evidence, _ = run(schedule, SEED, HOSTS, tmp_path)
     assert evidence.calls
     assert evidence.streams
     assert evidence.applied
@@ -30,6 +37,14 @@
     assert findings(evidence) == []
 
 
+def test_promises_hold_while_refusals_come_twice_and_versions_change(tmp_path: Path):
+    """Calls ran twice; streams could go on at another version than their own."""
+    schedule = draw(LATER_SEED, SECONDS, LATER_KINDS)
+    evidence, _ = run(schedule, SEED, HOSTS, tmp_path)
+    assert {item.trouble.kind for item in evidence.applied} == set(LATER_KINDS)
+    assert findings(evidence) == []
+
+
 @pytest.mark.parametrize(
     ("arguments", "named"),
     [
