--- a/tests/components/tunnels/test_tunnels.py
+++ b/tests/components/tunnels/test_tunnels.py
@@ -265,6 +265,25 @@
     run(async_main)
 
 
+def test_connection_that_a_request_has_used_is_kept_for_others_only():
+    """A request was sent again where a late copy of its response could follow."""
+
+    async def async_main() -> None:
+        async with hosts("a") as (a,), upstream(_async_keep) as e:
+            connected = await a.connector.async_acquire(e.destination(), 0.5)
+            await async_ask(connected.client, close=False)
+            used = connected.client.serial
+            await a.connector.async_release(e.address, connected)
+            again = e.destination()._replace(used_connections=frozenset({used}))
+            second = await a.connector.async_acquire(again, 0.5)
+            other = await a.connector.async_acquire(e.destination(), 0.5)
+            assert (second.client.serial != used, other.client.serial) == (True, used)
+            for item in (second, other):
+                await item.client.async_close()
+
+    run(async_main)
+
+
 def test_full_host_is_passed_over():
     async def async_main() -> None:
         async with hosts("a", "b", "c") as (a, b, c), upstream(sending(b"")) as e:
