Name the update of a route's holders; say how connections are reused

Cause: read as a newcomer, _has_holders looked like a question but changes what is sent, and the client's page said less than now holds.

--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -37,7 +37,8 @@
 
     With a new connection for each exchange, a late response to an earlier request can't
     be taken for the response to this one. Where connections are reused, the caller of
-    async_head() compares the request id in the response.
+    async_head() compares the request id in the response, and no connection carries two
+    requests with the same id.
 
     With allow_close_delimited, a response without content-length or chunked encoding is
     complete when the connection is closed in order, as HTTP defines it. Otherwise such
--- a/bitterntiller/components/stream_versions/recorder.py
+++ b/bitterntiller/components/stream_versions/recorder.py
@@ -58,13 +58,13 @@
         self._memory.remember(digest, beginning, now, now)
         last = LastStream(route, beginning, now)
         self._last_by_route[route.name] = last
-        if self._has_holders(last, now):
+        if self._update_route(last, now):
             self._pending[digest] = BegunStream(beginning, now)
 
-    def _has_holders(self, last: LastStream, now: float) -> bool:
-        """Return whether holders are told of a route's streams.
+    def _update_route(self, last: LastStream, now: float) -> bool:
+        """Update whether holders are told of a route's streams, and return it.
 
-        The first time, all streams that this host remembers are to be sent.
+        Once they are, all streams that this host remembers are to be sent.
         """
         name = last.route.name
         if not self._candidates.has_several(last.route, last.beginning, now):
@@ -92,14 +92,14 @@
                 await self._async_tell(pending)
 
     def _check_routes(self) -> None:
-        """Find the routes whose streams can begin in a second way by now."""
+        """Update the routes of which streams have begun here lately."""
         now = self._runtime.clock.now()
         for name, last in list(self._last_by_route.items()):
             if now - last.at >= 2 * KEPT_SECONDS:
                 del self._last_by_route[name]
                 self._routes_with_holders.discard(name)
             else:
-                self._has_holders(last, now)
+                self._update_route(last, now)
 
     async def _async_tell(self, pending: dict[int, BegunStream]) -> None:
         """Send pending streams to their holders, and all streams to untold ones."""
