Withhold only refusals without an id on connections that carried others

What callers would have seen: with an upstream that sends no ids, a call that may be repeated went to a second upstream on each kept connection, and one that may not got 502. Cause: withheld every response without an id there. Change: a refusal without an id proves nothing on a kept connection; any other response is matched as before. A name that the docs' test has retired is gone from the recorder.

--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -368,15 +368,15 @@
     def _classify(self, client: ClientExchange, head: ResponseHead) -> ResponseClass:
         """Classify the head of a response.
 
-        Without the id of a request, it may be a late one to an earlier request if the
-        connection has carried any.
+        On a reused connection, a refusal without an id proves nothing: it may be a late
+        one of an earlier request.
         """
         dialect = self._context.dialect
         found = dialect.classify_response(self._active, head)
-        if found is ResponseClass.FOREIGN or not client.reused:
-            return found
-        named = dialect.names_request(self._active, head)
-        return found if named else ResponseClass.WITHHELD
+        if found is ResponseClass.NOT_RUN and client.reused:
+            named = dialect.names_request(self._active, head)
+            return found if named else ResponseClass.WITHHELD
+        return found
 
     async def _async_finish_relay(self, verdict: RelayResult | Retry) -> Verdict:
         if isinstance(verdict, RelayResult):
--- a/bitterntiller/components/stream_versions/recorder.py
+++ b/bitterntiller/components/stream_versions/recorder.py
@@ -102,26 +102,28 @@
                 self._update_route(last, now)
 
     async def _async_tell(self, pending: dict[int, BegunStream]) -> None:
-        """Send pending streams to their holders, and all streams to untold ones."""
+        """Send pending streams to their holders, and all streams to uninformed ones."""
         now = self._runtime.clock.now()
         host_by_name = control_hosts(self._directory.hosts_by_name)
-        untold = {
+        uninformed = {
             name
             for name, host in host_by_name.items()
             if self._told_process_by_host.get(name) != host.incarnation
             and now >= self._retry_at_by_host.get(name, now)
         } - self._telling_all
-        streams = self._memory.snapshot(now) | pending if untold else pending
-        begun_by_host: dict[str, dict[int, BegunStream]] = {name: {} for name in untold}
+        streams = self._memory.snapshot(now) | pending if uninformed else pending
+        begun_by_host: dict[str, dict[int, BegunStream]] = {
+            name: {} for name in uninformed
+        }
         for digest, begun in streams.items():
             for name in holders(digest, list(host_by_name)):
-                if digest in pending or name in untold:
+                if digest in pending or name in uninformed:
                     begun_by_host.setdefault(name, {})[digest] = begun
-        self._telling_all |= untold
+        self._telling_all |= uninformed
         for name, begun in begun_by_host.items():
             # In a task each, as connecting to a host without power takes seconds.
             host = host_by_name[name]
-            send = self._async_send_all if name in untold else self._async_send_new
+            send = self._async_send_all if name in uninformed else self._async_send_new
             await curio.spawn(send, name, host, begun, daemon=True)
 
     async def _async_send_all(
