--- a/tests/platform/stream_versions.py
+++ b/tests/platform/stream_versions.py
@@ -4,6 +4,7 @@
 """
 
 import http.client
+import itertools
 import random
 import signal
 import socket
@@ -33,6 +34,7 @@
 
 ENTRY_IPS = tuple(f"{SUBNET}.{number}" for number in range(9, 15))
 STREAM_SERVICE = "llm"
+OTHER_SERVICE = "llm-2"
 OLD, NEW = "v1", "v2"
 VERSIONS = (OLD, NEW, "v3")
 ENGINES_OF_A_VERSION = 3
@@ -128,6 +130,12 @@
         handler.close_connection = True
 
 
+class OtherEngine(StreamEngine):
+    """An engine of the other service."""
+
+    service = OTHER_SERVICE
+
+
 class StreamFleet(CutFleet):
     """A fleet whose versions may serve side by side, without an order."""
 
@@ -156,11 +164,15 @@
         self.engines: list[StreamEngine] = []
 
     def add_engine(
-        self, number: int, version: str, slots: int = StreamEngine.slots
+        self,
+        number: int,
+        version: str,
+        slots: int = StreamEngine.slots,
+        engine_class: type[StreamEngine] = StreamEngine,
     ) -> StreamEngine:
         """Start an engine of a version on its own address."""
         name = f"{version}-{number}-{uuid.uuid4().hex[:6]}"
-        engine = StreamEngine(name, f"{SUBNET}.{100 + number}", version, 0.0, slots)
+        engine = engine_class(name, f"{SUBNET}.{100 + number}", version, 0.0, slots)
         engine.number = number
         self.own(engine)
         self.engines.append(engine)
@@ -212,6 +224,40 @@
             readers.stop()
 
 
+class MovedRouteFleet(StreamFleet):
+    """A fleet whose route moves between two services, each of a version of its own."""
+
+    def __init__(self, folder: Path) -> None:
+        super().__init__(folder)
+        [service] = self._configuration["services"]
+        self._configuration["services"] = [service, {**service, "name": OTHER_SERVICE}]
+
+    def add_services(self) -> None:
+        """Start the engines of both services and wait until control knows them."""
+        for number in range(ENGINES_OF_A_VERSION):
+            self.add_engine(number, OLD)
+            place = ENGINES_OF_A_VERSION + number
+            self.add_engine(place, NEW, engine_class=OtherEngine)
+        for service in (OTHER_SERVICE, STREAM_SERVICE):
+            self.move_route(service)
+            self.until(self._begins_stream)
+
+    def move_route(self, service: str) -> None:
+        """Let the route lead to another service."""
+        [moved] = self._configuration["route_table"]
+        self._configuration["version"] += 1
+        self._configuration["route_table"] = [{**moved, "service": service}]
+        self.configure()
+
+    def _begins_stream(self) -> bool:
+        """Return whether a stream begins at each entry host."""
+        for ip in self.entry_ips:
+            ends = time.monotonic() + READ_TIMEOUT
+            if not attempt(ip, uuid.uuid4().hex, ends, leave_after=1).events:
+                return False
+        return True
+
+
 def _serves(ip: str) -> bool:
     """Return whether an entry host says that it is ready."""
     return ask(ip, "GET", "/-/readyz", port=READY_PORT)[0] == OK
@@ -507,6 +553,25 @@
     return way
 
 
+def move_route(seed: int) -> Way:
+    """Return a way that moves the route to the other service and kills all entry hosts.
+
+    The fleet is a MovedRouteFleet. The time between the two is drawn.
+    """
+
+    def way(fleet: MovedRouteFleet, until: float) -> None:
+        rng = random.Random(seed)
+        services = itertools.cycle((OTHER_SERVICE, STREAM_SERVICE))
+        while time.monotonic() + 2 * UP_SECONDS + DOWN_SECONDS < until:
+            time.sleep(rng.uniform(0.5, UP_SECONDS))
+            fleet.move_route(next(services))
+            time.sleep(rng.uniform(0.0, 0.4))
+            fleet.restart_entry_hosts(DOWN_SECONDS)
+        leave_alone(fleet, until)
+
+    return way
+
+
 def freeze_in_turn(
     ips: tuple[str, ...], frozen: float = 1.5, awake: float = 1.0
 ) -> Way:
