Know the services that a route led to before all entry hosts restarted

It took a route that moves to another service and the loss of all entry hosts. Cause: the entry host that a caller comes back to asked the leader of control for the versions of the services that the route leads to now. Those that it led to before were in the memory of the lost hosts only. Change: control keeps the services of a route for 60 s after it left them, in the replicated state, also for routes that take over requests of others; the leader's reply has their versions. Why it holds: nothing is concluded without a record while a route may have had two services, and that is known to a majority of control.

--- a/bitterntiller/components/control/const.py
+++ b/bitterntiller/components/control/const.py
@@ -59,6 +59,9 @@
 """How long a version without upstreams may still have begun a stream that callers take
 up: longer than a stream lasts, and than an owner without control grants requests."""
 
+ROUTE_SERVICES_KEPT_MS = int(VERSIONS_KEPT_SECONDS * 1000)
+"""The same for a service that a route doesn't lead to any more."""
+
 MAX_CLAIMS = 100_000
 MAX_CLAIMS_PER_WORKSPACE = 50_000
 """Claims that are stored; one workspace can't use the whole capacity."""
--- a/bitterntiller/components/control/coordinator.py
+++ b/bitterntiller/components/control/coordinator.py
@@ -242,8 +242,9 @@
     async def async_get_versions(self, sender: str, request: Any) -> Any:
         """Reply to a messages.GetVersions with the versions that services had lately.
 
-        Leadership is confirmed after the request arrived, so that no version is missing
-        which another host has heard of.
+        Those are the services that the request names and that its route led to lately.
+        Leadership is confirmed after the request arrived, so that no version or service
+        is missing which another host has heard of.
         """
         term = await self._async_confirmed_term()
         leader = self._log.leader()
@@ -255,12 +256,20 @@
         known = self.state.service_versions
         services = [
             messages.ServiceVersions(pool=pool, versions=known.recent(pool, since))
-            for pool in request.pools
+            for pool in self._services(request, since)
         ]
         return messages.GetVersionsReply(
             status=STATUS_OK, leader=leader, services=services
         )
 
+    def _services(self, request: Any, since_ms: int) -> list[str]:
+        """Return the services that a messages.GetVersions asks for, sorted."""
+        found = set(request.pools)
+        if request.route_host is not None and request.route_prefix is not None:
+            key = (request.route_host, request.route_prefix)
+            found |= self.state.route_services.services(key, since_ms)
+        return sorted(found)
+
     async def async_register_upstream(self, sender: str, request: Any) -> Any:
         """Reply to a messages.RegisterUpstream; ok only once a change is committed.
 
--- a/bitterntiller/components/stream_versions/__init__.py
+++ b/bitterntiller/components/stream_versions/__init__.py
@@ -12,6 +12,7 @@
 )
 from bitterntiller.components.stream_versions.finder import StreamFinder
 from bitterntiller.components.stream_versions.holder import StreamHolder
+from bitterntiller.components.stream_versions.leader_query import LeaderQuery
 from bitterntiller.components.stream_versions.memory import StreamMemory
 from bitterntiller.components.stream_versions.recorder import StreamRecorder
 from bitterntiller.core.runtime import Runtime
@@ -30,10 +31,9 @@
     ):
         runtime.stack.callback(runtime.links.handle(cls, handler))
     candidates = StreamCandidates(session.config, session.upstreams)
-    recorder = StreamRecorder(runtime, memory, session.directory, candidates)
-    finder = StreamFinder(
-        runtime, memory, session.directory, session.control_client, candidates
-    )
+    query = LeaderQuery(runtime.clock, session.control_client, candidates)
+    recorder = StreamRecorder(runtime, memory, session.directory, candidates, query)
+    finder = StreamFinder(runtime, memory, session.directory, query)
     await runtime.async_spawn(recorder.async_run())
     coordinator = StreamVersionCoordinator(memory, recorder, finder)
     runtime.add_diagnostics("stream_versions", coordinator.describe)
--- a/bitterntiller/components/stream_versions/candidates.py
+++ b/bitterntiller/components/stream_versions/candidates.py
@@ -2,15 +2,16 @@
 
 from collections.abc import Hashable, Iterable, Mapping
 
-from bitterntiller.components.config.models import Config, Route
+from bitterntiller.components.config.models import Route
+from bitterntiller.components.config.route_services import (
+    RouteServices,
+    services_by_route,
+)
 from bitterntiller.components.rollouts.const import LABEL_VERSION
 from bitterntiller.components.stream_versions.const import KEPT_SECONDS
 from bitterntiller.components.stream_versions.models import Beginning
 from bitterntiller.core.interfaces import ConfigView, UpstreamsView
 
-RouteKey = tuple[str, str]
-"""Host name and path prefix of a route."""
-
 
 class RecentValues:
     """The values that each key has, or had within twice KEPT_SECONDS."""
@@ -29,6 +30,12 @@
         self._present = present
         self._prune(now)
 
+    def add_recent(self, key: Hashable, values: Iterable[str], now: float) -> None:
+        """Add values that a key may have had before this host was started."""
+        if gone := frozenset(values) - self._present.get(key, frozenset()):
+            gone_at = self._gone_at_by_key.setdefault(key, {})
+            gone_at.update(dict.fromkeys(gone, now))
+
     def values(self, key: Hashable, now: float) -> frozenset[str]:
         """Return the present and the recent values of a key."""
         gone_at = self._gone_at_by_key.get(key, {})
@@ -45,21 +52,22 @@
     """The services of each route and the versions of each service, kept up to date.
 
     A service may still be missing on a host that was started lately, or that has not
-    heard of a change yet.
+    heard of a change yet; the leader of control knows it then.
     """
 
     def __init__(self, config: ConfigView, upstreams: UpstreamsView) -> None:
         self._config = config
         self._upstreams = upstreams
         self._applied = (-1, -1)
-        self._services_by_route = RecentValues()
+        self._route_services = RouteServices(2 * KEPT_SECONDS)
         self._versions_by_service = RecentValues()
 
     def services(self, route: Route, now: float) -> frozenset[str]:
         """Return the services that may have begun a stream of a route."""
         self._update(now)
         shares = {share.service for share in route.shares}
-        return self._services_by_route.values(_key(route), now) | shares
+        key = (route.host, route.prefix)
+        return self._route_services.services(key, now - 2 * KEPT_SECONDS) | shares
 
     def has_several(self, route: Route, beginning: Beginning, now: float) -> bool:
         """Return whether a route's streams may have begun in another way than one."""
@@ -67,6 +75,17 @@
         versions = self._versions_by_service.values(beginning.pool, now)
         return bool(services - {beginning.pool} or versions - {beginning.version})
 
+    def add_recent(
+        self, route: Route, beginnings: Iterable[Beginning], now: float
+    ) -> None:
+        """Add what may have begun streams of a route before this host was started."""
+        self._update(now)
+        versions_by_service = _grouped(beginnings)
+        key = (route.host, route.prefix)
+        self._route_services.add_left(key, versions_by_service, now)
+        for service, versions in versions_by_service.items():
+            self._versions_by_service.add_recent(service, versions, now)
+
     def _update(self, now: float) -> None:
         listed, changed = self._upstreams.version, self._config.version
         if (listed, changed) == self._applied:
@@ -74,7 +93,7 @@
         if listed != self._applied[0]:
             self._versions_by_service.update(_versions(self._upstreams), now)
         if changed != self._applied[1]:
-            self._services_by_route.update(_services(self._config.config), now)
+            self._route_services.update(services_by_route(self._config.config), now)
         self._applied = (listed, changed)
 
 
@@ -82,10 +101,6 @@
     return now - at < 2 * KEPT_SECONDS
 
 
-def _key(route: Route) -> RouteKey:
-    return route.host, route.prefix
-
-
 def _versions(upstreams: UpstreamsView) -> dict[str, frozenset[str]]:
     return _grouped(
         (item.pool, item.labels.get(LABEL_VERSION, ""))
@@ -93,16 +108,6 @@
     )
 
 
-def _services(config: Config | None) -> dict[RouteKey, frozenset[str]]:
-    if config is None:
-        return {}
-    return {
-        _key(route): frozenset(share.service for share in route.shares)
-        for routes_by_prefix in config.routes_by_host.values()
-        for route in routes_by_prefix.values()
-    }
-
-
 def _grouped(pairs: Iterable[tuple[str, str]]) -> dict[str, frozenset[str]]:
     found: dict[str, set[str]] = {}
     for key, value in pairs:
--- a/bitterntiller/components/stream_versions/finder.py
+++ b/bitterntiller/components/stream_versions/finder.py
@@ -6,7 +6,6 @@
 
 from bitterntiller.components.config.models import Route
 from bitterntiller.components.links.errors import LinkError
-from bitterntiller.components.stream_versions.candidates import StreamCandidates
 from bitterntiller.components.stream_versions.conclusion import (
     CONFLICT,
     conclude,
@@ -17,15 +16,14 @@
     METRIC_FOUND,
     METRIC_NOT_FOUND,
     SOURCE_RELAYED,
-    STATUS_OK,
 )
 from bitterntiller.components.stream_versions.digests import stream_digest
 from bitterntiller.components.stream_versions.holders import control_hosts
+from bitterntiller.components.stream_versions.leader_query import LeaderQuery
 from bitterntiller.components.stream_versions.memory import StreamMemory
 from bitterntiller.components.stream_versions.models import Answer, Beginning
 from bitterntiller.components.stream_versions.wire import find_answer
 from bitterntiller.core.interfaces import (
-    ControlCalls,
     DirectoryView,
     StreamOrigin,
     UnknownOrigin,
@@ -37,9 +35,10 @@
 class StreamFinder:
     """Asks the hosts that may remember a stream, and the leader of control.
 
-    The leader knows which versions services may have had since the stream began. Its
-    reply is confirmed by a majority after the request arrived, so that a host which has
-    not heard of a new version yet doesn't conclude that there is only one.
+    The leader knows to which services a route may have led since the stream began, and
+    which versions these may have had. Its reply is confirmed by a majority after the
+    request arrived, so that a host which was started lately, or has not heard of a
+    change yet, doesn't conclude that there is only one.
     """
 
     def __init__(
@@ -47,14 +46,12 @@
         runtime: Runtime,
         memory: StreamMemory,
         directory: DirectoryView,
-        control: ControlCalls,
-        candidates: StreamCandidates,
+        leader_query: LeaderQuery,
     ) -> None:
         self._runtime = runtime
         self._memory = memory
         self._directory = directory
-        self._control = control
-        self._candidates = candidates
+        self._leader_query = leader_query
         self._own_address = str(runtime.settings.listen.peer_address)
 
     async def async_find(
@@ -88,7 +85,7 @@
         answers: dict[str, Answer | None] = dict.fromkeys(addresses)
         candidates: tuple[Beginning, ...] | None = None
         async with curio.TaskGroup() as group:
-            leader = await group.spawn(self._async_candidates, route)
+            leader = await group.spawn(self._leader_query.async_ask, route)
             address_by_task = {
                 await group.spawn(self._async_ask_host, address, message): address
                 for address in addresses
@@ -116,16 +113,3 @@
         except LinkError:
             return None
         return find_answer(reply)
-
-    async def _async_candidates(self, route: Route) -> tuple[Beginning, ...] | None:
-        """Return all that may have begun a stream of a route, None without a leader."""
-        services = self._candidates.services(route, self._runtime.clock.now())
-        request = messages.GetVersions(pools=sorted(services))
-        reply = await self._control.async_call_leader(request, FIND_TIMEOUT)
-        if reply is None or reply.status != STATUS_OK:
-            return None
-        return tuple(
-            Beginning(item.pool, version)
-            for item in reply.services
-            for version in item.versions
-        )
--- a/bitterntiller/components/stream_versions/recorder.py
+++ b/bitterntiller/components/stream_versions/recorder.py
@@ -3,15 +3,18 @@
 import curio
 
 from bitterntiller.components.config.models import Route
+from bitterntiller.components.config.route_services import RouteKey
 from bitterntiller.components.stream_versions.candidates import StreamCandidates
 from bitterntiller.components.stream_versions.const import (
     CHECK_SECONDS,
+    FIND_TIMEOUT,
     KEPT_SECONDS,
     METRIC_MISSED_SENDS,
     RETRY_SECONDS,
 )
 from bitterntiller.components.stream_versions.digests import stream_digest
 from bitterntiller.components.stream_versions.holders import control_hosts, holders
+from bitterntiller.components.stream_versions.leader_query import LeaderQuery
 from bitterntiller.components.stream_versions.memory import StreamMemory
 from bitterntiller.components.stream_versions.models import (
     Beginning,
@@ -29,7 +32,8 @@
 
     Holders that were restarted, or missed a message, are told of all streams that this
     host remembers, and so are all of them when a route's streams can begin in a second
-    way. Neither waits for the next stream that begins here.
+    way. Neither waits for the next stream that begins here. A host that was started
+    lately asks the leader of control in which ways streams may have begun before.
     """
 
     def __init__(
@@ -38,11 +42,16 @@
         memory: StreamMemory,
         directory: DirectoryView,
         candidates: StreamCandidates,
+        leader_query: LeaderQuery,
     ) -> None:
         self._runtime = runtime
         self._memory = memory
         self._directory = directory
         self._candidates = candidates
+        self._leader_query = leader_query
+        self._started_at = runtime.clock.now()
+        self._known_routes: set[RouteKey] = set()
+        self._ask_at_by_route: dict[RouteKey, float] = {}
         self._told_process_by_host: dict[str, str] = {}
         self._telling_all: set[str] = set()
         self._retry_at_by_host: dict[str, float] = {}
@@ -77,7 +86,7 @@
 
     async def async_flush(self) -> None:
         """Let the recorded streams be sent, without waiting for it."""
-        if self._pending:
+        if self._pending or self._routes_to_ask_about():
             await self._wake.set()
 
     async def async_run(self) -> None:
@@ -86,11 +95,40 @@
             async with ignore_after(CHECK_SECONDS):
                 await self._wake.wait()
             self._wake.clear()
+            await self._async_ask_about_routes()
             self._check_routes()
             pending, self._pending = self._pending, {}
             if pending or self._routes_with_holders:
                 await self._async_tell(pending)
 
+    def _routes_to_ask_about(self) -> list[Route]:
+        """Return the routes of which this host doesn't know where they led before."""
+        now = self._runtime.clock.now()
+        if now - self._started_at >= 2 * KEPT_SECONDS:
+            return []
+        return [
+            last.route
+            for last in self._last_by_route.values()
+            if (key := _key(last.route)) not in self._known_routes
+            and now >= self._ask_at_by_route.get(key, now)
+        ]
+
+    async def _async_ask_about_routes(self) -> None:
+        """Ask in tasks, so that a leader that is lost delays no messages to holders."""
+        now = self._runtime.clock.now()
+        for route in self._routes_to_ask_about():
+            self._ask_at_by_route[_key(route)] = now + FIND_TIMEOUT
+            await curio.spawn(self._async_ask_about_route, route, daemon=True)
+
+    async def _async_ask_about_route(self, route: Route) -> None:
+        beginnings = await self._leader_query.async_ask(route)
+        if beginnings is None:
+            return
+        self._known_routes.add(_key(route))
+        now = self._runtime.clock.now()
+        self._candidates.add_recent(route, beginnings, now)
+        await self._wake.set()
+
     def _check_routes(self) -> None:
         """Update the routes of which streams have begun here lately."""
         now = self._runtime.clock.now()
@@ -156,3 +194,7 @@
                 self._runtime.metrics.count(METRIC_MISSED_SENDS)
                 return False
         return True
+
+
+def _key(route: Route) -> RouteKey:
+    return route.host, route.prefix
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -360,8 +360,15 @@
     5: optional string pool,
 }
 
-/* Asks the leader which versions may have served some services lately; the reply is linearizable. */
-struct GetVersions { 1: required list<string> pools }
+/*
+ * Asks the leader which versions may have served some services lately, and the services that a route
+ * may have led to lately; the reply is linearizable.
+ */
+struct GetVersions {
+    1: required list<string> pools,
+    2: optional string route_host,
+    3: optional string route_prefix,
+}
 
 /* Versions of registered upstreams, and of those that left lately. */
 struct ServiceVersions { 1: required string pool, 2: required list<string> versions }
--- a/tests/components/control/builders.py
+++ b/tests/components/control/builders.py
@@ -150,9 +150,9 @@
     return Config(version, document.get("services", {}), {}, {}, {})
 
 
-def make_control(clock, network=None, **fields):
+def make_control(clock, network=None, state=None, **fields):
     runtime = make_runtime(clock, network, **fields)
-    state = ControlState()
+    state = state or ControlState()
     log = FakeLog(state)
     return ControlCoordinator(runtime, log, state, parse_any), log
 
--- a/tests/components/control/test_service_versions.py
+++ b/tests/components/control/test_service_versions.py
@@ -1,9 +1,12 @@
 """The versions that services had lately: replicated state and replies of the leader."""
 
+import json
+from collections.abc import Mapping
 from typing import Any
 
 import curio
 
+from bitterntiller.components.config.route_services import ServicesByRoute
 from bitterntiller.components.control.const import VERSIONS_KEPT_SECONDS
 from bitterntiller.components.control.service_versions import (
     MAX_GONE_VERSIONS,
@@ -16,12 +19,19 @@
 from .builders import apply, make_control
 
 KEPT_MS = int(VERSIONS_KEPT_SECONDS * 1000)
+ROUTE = ("trees.example", "/trees/")
 
 
-def announce(name: str, version: str, sequence: int = 1, state: str = "ready") -> Any:
+def announce(
+    name: str,
+    version: str,
+    sequence: int = 1,
+    state: str = "ready",
+    pool: str = "llm",
+) -> Any:
     return messages.Announce(
         name=name,
-        pool="llm",
+        pool=pool,
         address=f"10.0.0.1:{sequence}",
         incarnation=0,
         sequence=sequence,
@@ -109,6 +119,50 @@
     assert (deposed.status, deposed.services) == ("not-leader", [])
 
 
+def services_by_route(document: Mapping[str, Any]) -> ServicesByRoute:
+    """Return the services of a document that names one route's service only."""
+    return {ROUTE: frozenset({document["service"]})} if document else {}
+
+
+def change(service: str) -> Any:
+    config = json.dumps({"service": service}).encode()
+    return messages.Change(change_id=service, base_version=0, config=config)
+
+
+def test_reply_has_the_services_that_a_route_led_to():
+    """The service that a route leads to was taken for the only one there was."""
+
+    async def main() -> list[Any]:
+        clock = ManualClock()
+        state = ControlState(services_by_route)
+        registered = [announce("a", "v1"), announce("b", "v2", pool="map")]
+        apply(state, 1, upstreams=registered)
+        apply(state, 2, change=change("llm"))
+        moved = change("map")
+        moved.base_version = 1
+        apply(state, 3, change=moved)
+        restored = ControlState(services_by_route)
+        restored.restore(state.snapshot())
+        assert restored.snapshot() == state.snapshot()
+        control, _ = make_control(clock, state=restored)
+        await control.async_start(tick=False)
+        host, prefix = ROUTE
+        request = messages.GetVersions(
+            pools=["map"], route_host=host, route_prefix=prefix
+        )
+        async with control._runtime.stack:
+            first = await control.async_get_versions("e1", request)
+            clock.advance(VERSIONS_KEPT_SECONDS + 1)
+            return [first, await control.async_get_versions("e1", request)]
+
+    first, later = (
+        [(item.pool, item.versions) for item in reply.services]
+        for reply in curio.run(main)
+    )
+    assert first == [("llm", ["v1"]), ("map", ["v2"])]
+    assert later == [("map", ["v2"])]
+
+
 def test_snapshots_of_replicas_are_equal():
     """Two replicas wrote the same state in two orders."""
     versions = [f"v{number}" for number in range(20)]
--- a/tests/components/stream_versions/builders.py
+++ b/tests/components/stream_versions/builders.py
@@ -10,6 +10,7 @@
 )
 from bitterntiller.components.stream_versions.finder import StreamFinder
 from bitterntiller.components.stream_versions.holder import StreamHolder
+from bitterntiller.components.stream_versions.leader_query import LeaderQuery
 from bitterntiller.components.stream_versions.memory import StreamMemory
 from bitterntiller.components.stream_versions.recorder import StreamRecorder
 from bitterntiller.core.clock import ManualClock
@@ -73,10 +74,14 @@
 
 
 class Leader:
-    """A leader of control that knows the versions of services, or does not reply."""
+    """A leader of control that knows the versions of services, or does not reply.
+
+    led_to has the services to which the route led lately.
+    """
 
     def __init__(self, **versions: tuple[str, ...]) -> None:
         self.versions_by_service = versions
+        self.led_to: tuple[str, ...] = ()
         self.replies = True
         self.asked = 0
 
@@ -88,7 +93,7 @@
             messages.ServiceVersions(
                 pool=pool, versions=list(self.versions_by_service.get(pool, ()))
             )
-            for pool in message.pools
+            for pool in sorted({*message.pools, *self.led_to})
         ]
         return messages.GetVersionsReply(status="ok", leader="", services=services)
 
@@ -159,6 +164,7 @@
         )
         memory = StreamMemory(self.clock.now())
         candidates = StreamCandidates(self.config, self.upstreams)
-        recorder = StreamRecorder(runtime, memory, self.directory, candidates)
-        finder = StreamFinder(runtime, memory, self.directory, self.leader, candidates)
+        query = LeaderQuery(self.clock, self.leader, candidates)
+        recorder = StreamRecorder(runtime, memory, self.directory, candidates, query)
+        finder = StreamFinder(runtime, memory, self.directory, query)
         return Host(StreamVersionCoordinator(memory, recorder, finder), recorder)
--- a/tests/components/stream_versions/test_hosts.py
+++ b/tests/components/stream_versions/test_hosts.py
@@ -67,7 +67,8 @@
         fleet = Fleet("v1", "v2")
         host = fleet.entry("e1")
         await record(host)
-        return await find(host), fleet.leader.asked
+        before = fleet.leader.asked
+        return await find(host), fleet.leader.asked - before
 
     found, asked = play(step)
     assert (found.version, found.source, asked) == ("v1", const.SOURCE_RELAYED, 0)
@@ -155,6 +156,38 @@
     assert (found.pool, found.source) == ("map", const.SOURCE_HOLDER)
 
 
+def moved_fleet() -> Fleet:
+    """Return a fleet whose route has just moved to POOL from another service."""
+    fleet = Fleet("v1", leader=Leader(**{POOL: ("v1",), "map": ("v2",)}))
+    fleet.leader.led_to = ("map",)
+    return fleet
+
+
+def test_route_that_has_moved_has_several_services_at_hosts_started_later():
+    """The service that a route had moved to was taken for the only one there was."""
+
+    async def step() -> Any:
+        return await find(moved_fleet().entry("e1"))
+
+    assert isinstance(play(step), UnknownOrigin)
+
+
+def test_streams_of_a_route_that_moved_before_the_host_started_are_told():
+    """Streams that began after a move and a restart could not be taken up."""
+
+    async def step() -> Any:
+        fleet = moved_fleet()
+        host = fleet.entry("e1")
+        fleet.leader.replies = False
+        await record(host)
+        fleet.leader.replies = True
+        fleet.clock.advance(const.FIND_TIMEOUT)
+        await check(host)
+        return await find(fleet.entry("e2"))
+
+    assert play(step).source == const.SOURCE_HOLDER
+
+
 def test_id_used_twice_here_is_not_asked_for_elsewhere():
     """A stream whose id had been used twice went on at one of the two versions."""
 
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -7,9 +7,11 @@
 from bitterntiller_platform.configuration import (
     ConfigurationError,
     parse_configuration,
+    stream_services_by_route,
 )
 
 from bitterntiller.components.config.models import RouteKind
+from bitterntiller.components.config.route_services import services_by_route
 from bitterntiller.components.entry.routing import find_route
 from tests.platform.builders import KEY, document, route
 
@@ -131,3 +133,18 @@
     """A probe failed on a target with a line feed."""
     config = parsed(services=[{"name": "llm"}, {"name": "map", "health_path": value}])
     assert config.services_by_name["map"].health_path == found
+
+
+def test_services_of_streams_are_those_of_the_parsed_routes():
+    """Control and entry hosts differed in where a route leads."""
+    parts = [{"service": "llm", "weight": 3}, {"service": "map", "weight": 0}]
+    found = document(
+        route(),
+        route(name="r-2", path_prefix="/split/", traffic_split=parts),
+        route(name="r-3", hostname="TREES.example", path_prefix="/upper/"),
+    )
+    parsed = services_by_route(parse_configuration(found, 1))
+    assert stream_services_by_route(found) == parsed
+    plain = route(name="r-4", path_prefix="/tiles/", route_kind="idempotent")
+    assert stream_services_by_route(document(plain)) == {}
+    assert stream_services_by_route({}) == {}
--- a/tests/platform/test_configuration_fuzz.py
+++ b/tests/platform/test_configuration_fuzz.py
@@ -6,10 +6,13 @@
 from bitterntiller_platform.configuration import (
     ConfigurationError,
     parse_configuration,
+    stream_services_by_route,
 )
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
+from bitterntiller.components.config.models import RouteKind
+from bitterntiller.components.config.route_services import services_by_route
 from tests.platform.builders import document
 
 ANY = st.recursive(
@@ -70,6 +73,25 @@
         assert error.text
 
 
+@settings(max_examples=400, deadline=None)
+@given(st.sampled_from([path for path in PATHS if path[0] == "route_table"]), ANY)
+def test_services_of_streams_can_be_read_from_each_accepted_document(path, value):
+    """Hosts of control would end at a configuration that they have accepted."""
+    found = changed(path, value)
+    try:
+        config = parse_configuration(found, 3)
+    except ConfigurationError:
+        return
+    streams = {
+        (route.host, route.prefix)
+        for routes in config.routes_by_host.values()
+        for route in routes.values()
+        if route.kind in (RouteKind.STREAM, RouteKind.RESUMABLE)
+    }
+    expected = services_by_route(config)
+    assert stream_services_by_route(found) == {key: expected[key] for key in streams}
+
+
 @settings(max_examples=100, deadline=None)
 @given(st.dictionaries(st.sampled_from(list(document())), ANY))
 def test_any_document_is_a_configuration_or_an_error(fields):
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -7,12 +7,15 @@
 
 from tests.platform.processes import CONTROL_IPS
 from tests.platform.stream_versions import (
+    DOWN_SECONDS,
     ENTRY_IPS,
     LONG_PAUSE,
+    MovedRouteFleet,
     Row,
     StreamCallers,
     StreamFleet,
     leave_alone,
+    move_route,
     release,
     restart_entry_hosts,
     restart_in_turn,
@@ -77,6 +80,30 @@
     assert tally.went_on > 0
 
 
+def test_no_stream_is_joined_from_two_services_after_a_route_moved(tmp_path: Path):
+    """The service that a route had moved to was taken for the one of its streams."""
+    with MovedRouteFleet(tmp_path) as fleet:
+        fleet.add_services()
+        fleet.restart_entry_hosts(DOWN_SECONDS)
+        readers = StreamCallers(fleet.entry_ips, breaks=0.0, pause=LONG_PAUSE)
+        move_route(1)(fleet, time.monotonic() + 10.0)
+        readers.stop()
+    tally = readers.tally(lambda stream: stream.asked_again)
+    assert tally.taken_up >= 12
+    assert (tally.mixed, tally.broken) == (0, 0)
+
+
+def test_streams_that_begin_after_a_move_and_a_restart_go_on(tmp_path: Path):
+    """Hosts that were started after a move didn't tell holders of their streams."""
+    with MovedRouteFleet(tmp_path) as fleet:
+        fleet.add_services()
+        fleet.restart_entry_hosts(DOWN_SECONDS)
+        tally = run(fleet, leave_alone, 4.0, caller_breaks=0.5)
+    assert tally.taken_up >= 12
+    assert (tally.mixed, tally.broken) == (0, 0)
+    assert tally.share_gone_on >= LEAST_SHARE * tally.share_begun
+
+
 @pytest.mark.alone
 def test_first_event_of_a_stream_taken_up_comes_soon(tmp_path: Path):
     """Callers that took a stream up waited long until its version was found."""
