Don't learn the silence of lost entry hosts as slowness of upstreams

Cause: the owner learns from work that is overdue, since an upstream that slows down reports nothing until it ends. The requests of a killed host bring no more output either: idle upstreams were expected to take 2.6 to 2.9 s a stream, 0.77 s before. A host that was started again seemed to have the requests of its earlier process until control told otherwise. Change: what runs for a process is known up to its last message; overdue time counts up to then. Messages of hosts and their reports count.

--- a/bitterntiller/components/dispatch/__init__.py
+++ b/bitterntiller/components/dispatch/__init__.py
@@ -2,11 +2,13 @@
 
 import math
 from functools import partial
+from typing import Any
 
 from bitterntiller.components import rollouts
 from bitterntiller.components.crashes.coordinator import CrashCoordinator
 from bitterntiller.components.dispatch import const, diagnostics
 from bitterntiller.components.dispatch.coordinator import DispatchCoordinator
+from bitterntiller.components.dispatch.host_contacts import HostContacts
 from bitterntiller.components.dispatch.models import (
     DEFAULT_PARAMETERS,
     Scheduler,
@@ -23,6 +25,7 @@
     CrashView,
     DirectoryView,
     Lease,
+    MessageHandler,
     UpstreamsView,
     VersionsView,
 )
@@ -31,11 +34,14 @@
 
 
 def make_scheduler(
-    kind: str, crashes: CrashView | None = None, uneven: str = const.UNEVEN_OFF
+    kind: str,
+    crashes: CrashView | None = None,
+    uneven: str = const.UNEVEN_OFF,
+    contacts: HostContacts | None = None,
 ) -> Scheduler:
     """Return the scheduler of a pool of a kind, engine or plain."""
     parameters = DEFAULT_PARAMETERS._replace(kind=kind, uneven=uneven)
-    return PoolScheduler(parameters, crashes)
+    return PoolScheduler(parameters, crashes, contacts)
 
 
 REGISTERED_PREFILL_WINDOW = 0.4
@@ -68,11 +74,14 @@
 
 
 def make_registered_scheduler(
-    kind: str, crashes: CrashView | None = None, uneven: str = const.UNEVEN_OFF
+    kind: str,
+    crashes: CrashView | None = None,
+    uneven: str = const.UNEVEN_OFF,
+    contacts: HostContacts | None = None,
 ) -> Scheduler:
     """Return the scheduler of a pool whose silent upstreams are reported by control."""
     parameters = REGISTERED_PARAMETERS._replace(kind=kind, uneven=uneven)
-    return PoolScheduler(parameters, crashes)
+    return PoolScheduler(parameters, crashes, contacts)
 
 
 async def async_setup_registered(
@@ -89,6 +98,7 @@
 
     The upstreams are those registered with control.
     """
+    contacts = HostContacts()
     coordinator = DispatchCoordinator(
         runtime,
         lease,
@@ -98,12 +108,13 @@
             make_registered_scheduler,
             crashes=crashes,
             uneven=runtime.settings.dispatch.uneven_upstreams,
+            contacts=contacts,
         ),
         registered,
         versions,
     )
     crashes.add_listener(coordinator.async_review)
-    await _async_start(runtime, coordinator)
+    await _async_start(runtime, coordinator, contacts)
     await rollouts.async_setup_reports(runtime, coordinator, control)
     receiver = ReportReceiver(
         runtime,
@@ -113,7 +124,8 @@
         coordinator.async_drop_host,
         coordinator.async_forget_ended,
     )
-    remove = runtime.links.handle(messages.EntryReport, receiver.async_on_report)
+    handler = _recording_contacts(runtime, contacts, receiver.async_on_report)
+    remove = runtime.links.handle(messages.EntryReport, handler)
     runtime.stack.callback(remove)
     remove = runtime.links.handle(messages.QuotaAsk, receiver.quotas.async_on_ask)
     runtime.stack.callback(remove)
@@ -135,12 +147,13 @@
 ) -> DispatchCoordinator:
     """Set up the dispatch role; it is unloaded with the runtime's stack."""
     uneven = runtime.settings.dispatch.uneven_upstreams
-    make = partial(make_scheduler, crashes=crashes, uneven=uneven)
+    contacts = HostContacts()
+    make = partial(make_scheduler, crashes=crashes, uneven=uneven, contacts=contacts)
     coordinator = DispatchCoordinator(
         runtime, lease, config, directory, make, versions=versions
     )
     crashes.add_listener(coordinator.async_review)
-    await _async_start(runtime, coordinator)
+    await _async_start(runtime, coordinator, contacts)
     if control is not None:
         await rollouts.async_setup_reports(runtime, coordinator, control)
     _serve_placements(runtime, lease, coordinator)
@@ -158,7 +171,22 @@
     runtime.stack.callback(remove)
 
 
-async def _async_start(runtime: Runtime, coordinator: DispatchCoordinator) -> None:
+def _recording_contacts(
+    runtime: Runtime, contacts: HostContacts, handler: MessageHandler
+) -> MessageHandler:
+    """Return a handler that also records that the sending host was heard from."""
+
+    async def async_handle(host: str, message: Any) -> Any:
+        incarnation = runtime.links.incarnation(host)
+        contacts.record(host, incarnation, runtime.clock.now())
+        return await handler(host, message)
+
+    return async_handle
+
+
+async def _async_start(
+    runtime: Runtime, coordinator: DispatchCoordinator, contacts: HostContacts
+) -> None:
     for cls, handler in (
         (messages.Register, coordinator.async_on_register),
         (messages.Reregister, coordinator.async_on_reregister),
@@ -173,7 +201,8 @@
         (messages.UpstreamNotice, coordinator.async_on_upstream_notice),
         (messages.Announce, coordinator.async_on_announce),
     ):
-        runtime.stack.callback(runtime.links.handle(cls, handler))
+        recording = _recording_contacts(runtime, contacts, handler)
+        runtime.stack.callback(runtime.links.handle(cls, recording))
     await runtime.async_spawn(coordinator.async_run())
     clock = runtime.clock
     # Uses qualified names: a submodule of this package that has the name of a function
--- a/bitterntiller/components/dispatch/ledger.py
+++ b/bitterntiller/components/dispatch/ledger.py
@@ -56,6 +56,11 @@
         """Return the number of own requests at the upstream or on their way to it."""
         return len(self.jobs_by_id)
 
+    def decoding(self) -> list[Job]:
+        """Return the requests that have brought a first output."""
+        prefilling = self.prefilling_by_id
+        return [job for key, job in self.jobs_by_id.items() if key not in prefilling]
+
     def add(self, job: Job, prefilled: bool, now: float) -> None:
         """Count a request; prefilled is True if its first token was received."""
         request_id = job.request.request_id
--- a/bitterntiller/components/dispatch/pool.py
+++ b/bitterntiller/components/dispatch/pool.py
@@ -2,6 +2,7 @@
 
 import heapq
 from collections import Counter
+from collections.abc import Iterable
 
 from bitterntiller.components.dispatch.call_durations import UsualDurations
 from bitterntiller.components.dispatch.const import (
@@ -14,6 +15,7 @@
 from bitterntiller.components.dispatch.fingerprints_in_flight import (
     FingerprintsInFlight,
 )
+from bitterntiller.components.dispatch.host_contacts import NEVER, HostContacts
 from bitterntiller.components.dispatch.host_pauses import HostPauses
 from bitterntiller.components.dispatch.jobs import Job
 from bitterntiller.components.dispatch.models import (
@@ -68,7 +70,10 @@
     upstreams of uneven speed are in effect.
     """
 
-    def __init__(self, parameters: PolicyParameters) -> None:
+    def __init__(
+        self, parameters: PolicyParameters, contacts: HostContacts | None = None
+    ) -> None:
+        self._contacts = contacts or HostContacts()
         self.speed = PoolSpeed()
         self.pace = PoolPace()
         self.index = PrefixIndex()
@@ -556,21 +561,33 @@
         An engine that slows down reports nothing until its work ends, seconds later.
         Work that has taken OVERDUE_FACTOR times as long as expected counts as a sample
         of the elapsed time. The expectation grows with it, so that each doubling of the
-        delay is counted once.
+        delay is counted once. Time counts up to the last message of the entry host,
+        since the silence of a host says nothing about the upstream.
         """
         ledger = upstream.ledger
         if ledger.prefilling_by_id:
             job = next(iter(ledger.prefilling_by_id.values()))
             expected = upstream.speed.prefill_seconds(job.prefill, job.kind)
-            elapsed = now - ledger.head_started_at
+            elapsed = self._heard_at([job], now) - ledger.head_started_at
             if elapsed > OVERDUE_FACTOR * expected + OVERDUE_SECONDS:
                 upstream.speed.learn_prefill(job.kind, expected, elapsed)
-        decoding = ledger.in_flight - len(ledger.prefilling_by_id)
-        stalled = now - upstream.last_active_at
-        if upstream.reports_progress and decoding > 0 and stalled > STALL_SECONDS:
+        if not upstream.reports_progress:
+            return
+        if now - upstream.last_active_at <= STALL_SECONDS:
+            return
+        stalled = self._heard_at(ledger.decoding(), now) - upstream.last_active_at
+        if stalled > STALL_SECONDS:
             upstream.speed.learn_decode(1, stalled, ledger.in_flight)
             upstream.last_active_at = now
 
+    def _heard_at(self, jobs: Iterable[Job], now: float) -> float:
+        """Return when any of the processes that sent some requests was last heard."""
+        heard_at = (
+            self._contacts.heard_at(job.request.entry_host, job.granted_at, now)
+            for job in jobs
+        )
+        return max(heard_at, default=NEVER)
+
     def _review_concurrency(self, upstream: Upstream, now: float) -> None:
         """Update the learned concurrency limit, and report its change."""
         if not self.uneven:
--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -21,6 +21,7 @@
 )
 from bitterntiller.components.dispatch.describe import describe
 from bitterntiller.components.dispatch.grant_loop import GrantLoop
+from bitterntiller.components.dispatch.host_contacts import HostContacts
 from bitterntiller.components.dispatch.isolation import Isolation, NoCrashes
 from bitterntiller.components.dispatch.jobs import Job, JobState
 from bitterntiller.components.dispatch.lifecycle import JobLifecycle
@@ -88,11 +89,12 @@
         self,
         parameters: PolicyParameters = DEFAULT_PARAMETERS,
         crashes: CrashView | None = None,
+        contacts: HostContacts | None = None,
     ) -> None:
         rng = random.Random(parameters.seed)
         self._parameters = parameters
         self._limiter = WorkspaceLimiter()
-        self._pool = Pool(parameters)
+        self._pool = Pool(parameters, contacts)
         self._queue = PoolQueue(parameters.fair, self._limiter)
         self._ordering = new_ordering(parameters)
         self._size_estimator = SizeEstimator(parameters, self._pool.speed)
--- a/bitterntiller/components/links/coordinator.py
+++ b/bitterntiller/components/links/coordinator.py
@@ -60,6 +60,7 @@
         self._clock = clock
         self._metrics = metrics
         self._handlers_by_type: dict[type, MessageHandler] = {}
+        self._incarnation_by_host: dict[str, str] = {}
         self._stream_handlers_by_purpose: dict[str, StreamHandler] = {}
         self._connections_by_address: dict[str, Connection] = {}
         self._attempts_by_address: dict[str, ConnectAttempt] = {}
@@ -146,6 +147,10 @@
             if connection.open
         }
 
+    def incarnation(self, host: str) -> str:
+        """Return which process of a host connected last, empty if none has."""
+        return self._incarnation_by_host.get(host, "")
+
     async def async_serve(self, runtime: Runtime) -> None:
         """Accept connections from peers until cancelled."""
         self._runtime = runtime
@@ -193,11 +198,13 @@
         A connection to an earlier run of the peer is replaced, since that process has
         ended and receives nothing.
         """
+        peer = connection.peer
+        self._incarnation_by_host[peer.host] = peer.incarnation
         present = self._connections_by_address.get(address)
         if (
             present is None
             or not present.open
-            or present.peer.incarnation != connection.peer.incarnation
+            or present.peer.incarnation != peer.incarnation
         ):
             self._connections_by_address[address] = connection
         attempt = self._attempts_by_address.get(address)
--- a/bitterntiller/core/interfaces.py
+++ b/bitterntiller/core/interfaces.py
@@ -22,6 +22,10 @@
         """Register a callback that is awaited when a connection to a peer ends."""
         ...
 
+    def incarnation(self, host: str) -> str:
+        """Return which process of a host connected last, empty if none has."""
+        ...
+
     def handle_streams(
         self, purpose: str, handler: StreamHandler
     ) -> Callable[[], None]:
