--- a/bitterntiller/components/config/models.py
+++ b/bitterntiller/components/config/models.py
@@ -69,6 +69,10 @@
     weight: float
 
 
+RouteKey = tuple[str, str]
+"""Host name and path prefix of a route, which no two routes share."""
+
+
 class Route(NamedTuple):
     """The requests of one host name below one path prefix.
 
@@ -93,6 +97,11 @@
     rank: int
     public: bool
 
+    @property
+    def key(self) -> RouteKey:
+        """Return what tells the route from all others."""
+        return self.host, self.prefix
+
     @property
     def repeatable(self) -> bool:
         """Return whether a request may run more than once."""
--- a/bitterntiller/components/config/route_services.py
+++ b/bitterntiller/components/config/route_services.py
@@ -3,10 +3,7 @@
 from collections.abc import Iterable, Iterator, Mapping
 from typing import Any
 
-from bitterntiller.components.config.models import Config
-
-RouteKey = tuple[str, str]
-"""Host name and path prefix of a route."""
+from bitterntiller.components.config.models import Config, RouteKey
 
 ServicesByRoute = Mapping[RouteKey, frozenset[str]]
 
@@ -108,7 +105,7 @@
     if config is None:
         return {}
     return {
-        (route.host, route.prefix): frozenset(share.service for share in route.shares)
+        route.key: frozenset(share.service for share in route.shares)
         for routes_by_prefix in config.routes_by_host.values()
         for route in routes_by_prefix.values()
     }
--- a/bitterntiller/components/control/coordinator.py
+++ b/bitterntiller/components/control/coordinator.py
@@ -33,6 +33,7 @@
 from bitterntiller.components.control.services import ServiceNames
 from bitterntiller.components.control.state import ControlState
 from bitterntiller.components.control.validate import ParseConfig, find_change_error
+from bitterntiller.components.control.version_replies import versions_reply
 from bitterntiller.components.rollouts.const import LABEL_VERSION
 from bitterntiller.components.rollouts.leader import RolloutLeader
 from bitterntiller.core import events
@@ -253,22 +254,7 @@
                 status=STATUS_NOT_LEADER, leader=leader, services=[]
             )
         since = term.cluster_ms(self._clock.now()) - int(VERSIONS_KEPT_SECONDS * 1000)
-        known = self.state.service_versions
-        services = [
-            messages.ServiceVersions(pool=pool, versions=known.recent(pool, since))
-            for pool in self._services(request, since)
-        ]
-        return messages.GetVersionsReply(
-            status=STATUS_OK, leader=leader, services=services
-        )
-
-    def _services(self, request: Any, since_ms: int) -> list[str]:
-        """Return the services that a messages.GetVersions asks for, sorted."""
-        found = set(request.pools)
-        if request.route_host is not None and request.route_prefix is not None:
-            key = (request.route_host, request.route_prefix)
-            found |= self.state.route_services.services(key, since_ms)
-        return sorted(found)
+        return versions_reply(self.state, request, since, leader)
 
     async def async_register_upstream(self, sender: str, request: Any) -> Any:
         """Reply to a messages.RegisterUpstream; ok only once a change is committed.
--- a/bitterntiller/components/stream_versions/candidates.py
+++ b/bitterntiller/components/stream_versions/candidates.py
@@ -66,8 +66,7 @@
         """Return the services that may have begun a stream of a route."""
         self._update(now)
         shares = {share.service for share in route.shares}
-        key = (route.host, route.prefix)
-        return self._route_services.services(key, now - 2 * KEPT_SECONDS) | shares
+        return self._route_services.services(route.key, now - 2 * KEPT_SECONDS) | shares
 
     def has_several(self, route: Route, beginning: Beginning, now: float) -> bool:
         """Return whether a route's streams may have begun in another way than one."""
@@ -81,8 +80,7 @@
         """Add what may have begun streams of a route before this host was started."""
         self._update(now)
         versions_by_service = _grouped(beginnings)
-        key = (route.host, route.prefix)
-        self._route_services.add_left(key, versions_by_service, now)
+        self._route_services.add_left(route.key, versions_by_service, now)
         for service, versions in versions_by_service.items():
             self._versions_by_service.add_recent(service, versions, now)
 
--- a/bitterntiller/components/stream_versions/recorder.py
+++ b/bitterntiller/components/stream_versions/recorder.py
@@ -2,8 +2,7 @@
 
 import curio
 
-from bitterntiller.components.config.models import Route
-from bitterntiller.components.config.route_services import RouteKey
+from bitterntiller.components.config.models import Route, RouteKey
 from bitterntiller.components.stream_versions.candidates import StreamCandidates
 from bitterntiller.components.stream_versions.const import (
     CHECK_SECONDS,
@@ -109,7 +108,7 @@
         return [
             last.route
             for last in self._last_by_route.values()
-            if (key := _key(last.route)) not in self._known_routes
+            if (key := last.route.key) not in self._known_routes
             and now >= self._ask_at_by_route.get(key, now)
         ]
 
@@ -117,14 +116,14 @@
         """Ask in tasks, so that a leader that is lost delays no messages to holders."""
         now = self._runtime.clock.now()
         for route in self._routes_to_ask_about():
-            self._ask_at_by_route[_key(route)] = now + FIND_TIMEOUT
+            self._ask_at_by_route[route.key] = now + FIND_TIMEOUT
             await curio.spawn(self._async_ask_about_route, route, daemon=True)
 
     async def _async_ask_about_route(self, route: Route) -> None:
         beginnings = await self._leader_query.async_ask(route)
         if beginnings is None:
             return
-        self._known_routes.add(_key(route))
+        self._known_routes.add(route.key)
         now = self._runtime.clock.now()
         self._candidates.add_recent(route, beginnings, now)
         await self._wake.set()
@@ -194,7 +193,3 @@
                 self._runtime.metrics.count(METRIC_MISSED_SENDS)
                 return False
         return True
-
-
-def _key(route: Route) -> RouteKey:
-    return route.host, route.prefix
--- a/tests/components/config/test_route_services.py
+++ b/tests/components/config/test_route_services.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from bitterntiller.components.config.route_services import RouteKey, RouteServices
+from bitterntiller.components.config.models import RouteKey
+from bitterntiller.components.config.route_services import RouteServices
 
 KEPT = 60
 TREES: RouteKey = ("trees.example", "/trees/")
