Refuse configurations nested too deeply for the state machine

Callers saw: a PUT that no control host answered, and reads that failed at every control host, in calm and for good, also after restarts. Cause: a change was validated in a thread, whose stack is short, and a document nested 977 to 979 levels passed there. Each host that led then ended with RecursionError while it applied the committed entry, which stayed in all logs. Change: a configuration has at most 200 levels, counted without recursion. The state machine decodes with the same function, so that an entry that was committed already is rejected on every replica and ends none.

--- a/bitterntiller/components/control/configuration.py
+++ b/bitterntiller/components/control/configuration.py
@@ -7,16 +7,20 @@
 
 from bitterntiller.components.control.const import (
     MAX_CHANGE_IDS,
+    MAX_CONFIG_DEPTH,
     MAX_PATCHES,
     STATUS_ACCEPTED,
     STATUS_CONFLICT,
     STATUS_EXPIRED_ID,
     STATUS_INVALID,
 )
+from bitterntiller.components.control.errors import DocumentDepthError
 from bitterntiller.components.control.merge_patch import make_patch
 from bitterntiller.components.control.models import ChangeOutcome
 from bitterntiller.protocol import messages
 
+_TOO_DEEP = f"a configuration has at most {MAX_CONFIG_DEPTH} levels"
+
 
 class Patch(NamedTuple):
     """The merge patch that leads from the previous version to this one.
@@ -52,8 +56,14 @@
 
         A repeated change gets its first outcome. If the first reply was lost, the
         change must neither be applied twice nor be reported as a conflict with itself
-        or with a later change.
+        or with a later change. An invalid change has no outcome.
         """
+        try:
+            return self._apply(change, time_ms)
+        except DocumentDepthError as error:
+            return _reply(STATUS_INVALID, self.version, str(error))
+
+    def _apply(self, change: Any, time_ms: int) -> Any:
         if change.number is not None:
             return self._apply_numbered(change, time_ms)
         digest = _digest(change)
@@ -62,8 +72,7 @@
             return _repeat_reply(known, digest)
         if change.base_version != self.version:
             return self._reject(change, digest, time_ms)
-        document = json.loads(change.config)
-        self._advance(document, time_ms)
+        self._advance(load_document(change.config), time_ms)
         self._record_outcome(change, STATUS_ACCEPTED, digest, time_ms)
         return _reply(STATUS_ACCEPTED, self.version)
 
@@ -75,8 +84,8 @@
         content under the current number is never applied.
         """
         if change.number > self.number:
+            self._advance(load_document(change.config), time_ms)
             self.number = change.number
-            self._advance(json.loads(change.config), time_ms)
         return _reply(STATUS_ACCEPTED, self.version)
 
     def _reject(self, change: Any, digest: str, time_ms: int) -> Any:
@@ -173,6 +182,29 @@
         }
 
 
+def load_document(config: bytes) -> Any:
+    """Decode a configuration; raise DocumentDepthError beyond MAX_CONFIG_DEPTH levels.
+
+    Whether the decoder itself exceeds the recursion limit depends on the caller's
+    stack; such a configuration is beyond the limit in any case.
+    """
+    try:
+        document = json.loads(config)
+    except RecursionError as error:
+        raise DocumentDepthError(_TOO_DEEP) from error
+    level = _containers([document])
+    for _ in range(MAX_CONFIG_DEPTH):
+        level = [child for item in level for child in _containers(item)]
+        if not level:
+            return document
+    raise DocumentDepthError(_TOO_DEEP)
+
+
+def _containers(item: dict[str, Any] | list[Any]) -> list[Any]:
+    children = item.values() if isinstance(item, dict) else item
+    return [child for child in children if isinstance(child, dict | list)]
+
+
 def canonical_json(document: dict[str, Any]) -> bytes:
     """Return a document in the encoding that is stored and sent to nodes."""
     return json.dumps(document, separators=(",", ":")).encode()
--- a/bitterntiller/components/control/const.py
+++ b/bitterntiller/components/control/const.py
@@ -112,6 +112,13 @@
 lose their leases.
 """
 
+MAX_CONFIG_DEPTH = 200
+"""Levels of objects and lists in a stored configuration.
+
+Encoding, patching and snapshots recurse, a level deeper or more for each of these, and
+exceed Python's recursion limit at 1000.
+"""
+
 INLINE_CONFIG_BYTES = 8 * 1024
 """Size up to which a configuration is part of the reply to a heartbeat.
 
--- a/bitterntiller/components/control/validate.py
+++ b/bitterntiller/components/control/validate.py
@@ -1,12 +1,14 @@
 """Validation of changes before they are proposed, and of the timings at startup."""
 
-import json
 from collections.abc import Callable
 from typing import Any
 
-from bitterntiller.components.control.configuration import canonical_json
+from bitterntiller.components.control.configuration import (
+    canonical_json,
+    load_document,
+)
 from bitterntiller.components.control.const import MAX_CONFIG_BYTES, MAX_ID_LENGTH
-from bitterntiller.components.control.errors import TimingsError
+from bitterntiller.components.control.errors import DocumentDepthError, TimingsError
 from bitterntiller.components.node.const import MAX_CLOCK_DRIFT
 from bitterntiller.components.settings.models import Timings
 from bitterntiller.core.errors import CodedError
@@ -22,8 +24,10 @@
     if len(change.config) > MAX_CONFIG_BYTES:
         return f"a configuration has at most {MAX_CONFIG_BYTES} bytes"
     try:
-        document = json.loads(change.config)
-    except (ValueError, RecursionError) as error:
+        document = load_document(change.config)
+    except DocumentDepthError as error:
+        return str(error)
+    except ValueError as error:
         return f"not a JSON document: {error}"
     if not isinstance(document, dict):
         return "a configuration is a JSON object"
--- a/tests/components/control/test_state.py
+++ b/tests/components/control/test_state.py
@@ -5,7 +5,10 @@
 from hypothesis.stateful import run_state_machine_as_test
 
 from bitterntiller.components.control import claims
+from bitterntiller.components.control.const import MAX_CONFIG_DEPTH
 from bitterntiller.components.control.state import ControlState
+from bitterntiller.components.control.validate import find_change_error
+from bitterntiller.protocol import messages
 
 from .builders import apply, make_change, make_claim, make_document
 from .mutations import STATE_MUTATIONS
@@ -68,3 +71,27 @@
     assert take(2, "k2", time_ms=20).status == "full"
     assert take(3, "k2", time_ms=30, claims_ms=11).status == "taken"
     assert list(state.claims.records_by_key) == [("foresters", "k2")]
+
+
+@pytest.mark.parametrize("levels", [MAX_CONFIG_DEPTH + 1, 500, 900, 977])
+@pytest.mark.parametrize("number", [None, 8])
+def test_deeply_nested_configuration_is_never_applied(levels, number):
+    """A committed entry that can't be applied ends every control host for good."""
+    state = ControlState()
+    config = b'{"a":' * levels + b"1" + b"}" * levels
+    change = messages.Change("c1", 0, config, number)
+    assert find_change_error(change, lambda document, version: None)
+    assert apply(state, 1, change=change).change.status == "invalid"
+    assert state.configuration.version == 0
+
+
+def test_configuration_of_the_greatest_depth_is_applied_and_restored():
+    levels = MAX_CONFIG_DEPTH
+    config = b'{"a":' * levels + b"1" + b"}" * levels
+    change = messages.Change("c1", 0, config, 8)
+    assert find_change_error(change, lambda document, version: None) == ""
+    state = ControlState()
+    assert apply(state, 1, change=change).change.status == "accepted"
+    restored = ControlState()
+    restored.restore(state.snapshot())
+    assert restored.configuration.text == config
--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -342,9 +342,12 @@
     headers: dict[str, str] | None = None,
     port: int = CONTROL_PORT,
 ) -> tuple[int, Any]:
-    """Return status and JSON of a response; status 0 if there is none."""
+    """Return status and JSON of a response; status 0 if there is none.
+
+    A body of bytes is sent as it is, any other one as JSON.
+    """
     connection = http.client.HTTPConnection(ip, port, ASK_TIMEOUT)
-    data = None if body is None else json.dumps(body)
+    data = body if body is None or isinstance(body, bytes) else json.dumps(body)
     try:
         connection.request(method, path, data, headers or {})
         response = connection.getresponse()
--- /dev/null
+++ b/tests/platform/test_control_recovery.py
@@ -0,0 +1,37 @@
+"""What control hosts, as real processes, confirm and still hold after failures."""
+
+import json
+
+import pytest
+
+from tests.platform.builders import document
+from tests.platform.processes import CONTROL_IPS, SUBNET, Fleet, ask
+
+CONTROL_HOSTS = (*CONTROL_IPS, f"{SUBNET}.4", f"{SUBNET}.5")
+NESTED_LEVELS = 977
+PADDING = "p" * 17_000
+"""With it a configuration is validated in a thread, whose stack is short."""
+
+
+def nested_document(levels: int) -> bytes:
+    """Return a configuration with a field of objects within objects."""
+    value = '{"a":' * levels + "1" + "}" * levels
+    text = json.dumps(document(version=8, more_notes=PADDING))
+    return (text[:-1] + f', "notes": {value}' + "}").encode()
+
+
+def read_version(fleet: Fleet) -> int | None:
+    """Return the version of the configuration that a control host returns."""
+    status, found = fleet.order("GET", "/-/config")
+    return found["version"] if status == 200 else None
+
+
+@pytest.mark.xdist_group("control-recovery")
+def test_deeply_nested_configuration_does_not_end_the_control_hosts(tmp_path):
+    """Applying the committed entry exceeded the recursion limit on each host."""
+    with Fleet(tmp_path, CONTROL_HOSTS, (), document(version=7)) as fleet:
+        changed = nested_document(NESTED_LEVELS)
+        assert ask(CONTROL_HOSTS[0], "PUT", "/-/config", changed)[0] == 400
+        assert read_version(fleet) == 7
+        ended = [p.exit_code() for p in fleet.process_by_ip.values()]
+        assert ended == [None] * len(CONTROL_HOSTS)
