Put a first configuration of version 0 in force

Callers saw: the first configuration acknowledged, reads with 503 from every control host and entry hosts that never were ready. Cause: before the first configuration the state held number 0, so that a change of number 0 counted as a repetition, which is acknowledged without effect.

--- a/bitterntiller/components/control/configuration.py
+++ b/bitterntiller/components/control/configuration.py
@@ -19,6 +19,9 @@
 from bitterntiller.components.control.models import ChangeOutcome
 from bitterntiller.protocol import messages
 
+NO_NUMBER = -1
+"""Number before the first configuration, lower than any that an operator may choose."""
+
 _TOO_DEEP = f"a configuration has at most {MAX_CONFIG_DEPTH} levels"
 
 
@@ -39,7 +42,7 @@
 
     def __init__(self) -> None:
         self.version = 0
-        self.number = 0
+        self.number = NO_NUMBER
         self.text = b"{}"
         self.outcomes_by_id: dict[str, ChangeOutcome] = {}
         self._document: dict[str, Any] = {}
@@ -171,7 +174,8 @@
     def from_document(self, document: dict[str, Any]) -> None:
         """Replace the state with that of a snapshot."""
         self.version = document["version"]
-        self.number = document.get("number", 0)
+        # Snapshots written by earlier versions hold 0 before the first configuration.
+        self.number = document.get("number", 0) if self.version else NO_NUMBER
         self._document = document["document"]
         self.text = canonical_json(self._document)
         self._dropped_base_version = document["forgotten_base"]
--- a/tests/components/control/test_state.py
+++ b/tests/components/control/test_state.py
@@ -95,3 +95,15 @@
     restored = ControlState()
     restored.restore(state.snapshot())
     assert restored.configuration.text == config
+
+
+def test_first_number_zero_is_applied_also_after_a_snapshot():
+    """A first configuration numbered 0 was accepted without effect."""
+    state = ControlState()
+    state.restore(ControlState().snapshot())
+    change = messages.Change("c1", 0, b'{"a":1}', 0)
+    assert apply(state, 1, change=change).change.version == 1
+    restored = ControlState()
+    restored.restore(state.snapshot())
+    repeated = messages.Change("c1", 0, b'{"a":2}', 0)
+    assert apply(restored, 2, change=repeated).change.version == 1
--- a/tests/platform/test_control_recovery.py
+++ b/tests/platform/test_control_recovery.py
@@ -35,3 +35,10 @@
         assert read_version(fleet) == 7
         ended = [p.exit_code() for p in fleet.process_by_ip.values()]
         assert ended == [None] * len(CONTROL_HOSTS)
+
+
+@pytest.mark.xdist_group("control-recovery")
+def test_first_configuration_of_version_zero_is_in_force_once_acknowledged(tmp_path):
+    """It was acknowledged as a repetition, and no configuration was in force."""
+    with Fleet(tmp_path, CONTROL_HOSTS, (), document(version=0)) as fleet:
+        assert read_version(fleet) == 0
