Confirm the first commands of a deployment by the full membership only

Cause: a deployment forms with its three seeds as voters and promotes its other hosts one by one, within about half a second. The leader confirmed commands before that, and two of the three seeds were enough to take the quorum and the change away, though the settings name two losses as borne. Change: on a log without commands the leader proposes none until as many hosts vote as the settings want, or until 4 s after its takeover if hosts stay away. The event first-command names the number of voters. The builder of replicas takes the number of voters.

--- a/bitterntiller/components/replication/const.py
+++ b/bitterntiller/components/replication/const.py
@@ -62,6 +62,10 @@
 voter; short enough for its replacement to vote within 4 s of its start.
 """
 
+FORMATION_TIMEOUT = 4.0
+"""Seconds after the takeover of a leader for which the first commands of a deployment
+wait for its other hosts: these start and catch up in less."""
+
 MAX_MEMBERS = 16
 """Replicas of one log, including learners; each costs the leader a heartbeat."""
 
--- a/bitterntiller/components/replication/coordinator.py
+++ b/bitterntiller/components/replication/coordinator.py
@@ -22,9 +22,10 @@
 )
 from .core import Replica
 from .diagnostics import describe
+from .formation import Formation
 from .identity import host_of
 from .joiner import Joiner
-from .members import find
+from .members import find, voters
 from .models import Effects, Entry, ReturnCheck, Tuning
 from .outbox import Outbox
 from .repairer import Repairer
@@ -67,7 +68,9 @@
             self._wake.set,
             self._tuning.election_max,
         )
+        self._formation = Formation()
         self._applied = 0
+        self._has_commands = False
         self._applied_bytes = 0
         self._snapshot_bytes = 0
         self._was_leader = False
@@ -94,7 +97,17 @@
             await self._runtime.async_spawn(self._async_guarded(run))
 
     async def async_propose(self, command: bytes, timeout: float) -> ProposalResult:
-        """Append a command and wait until it is committed and applied."""
+        """Append a command and wait until it is committed and applied.
+
+        The first command of a deployment waits until as many hosts vote as its
+        settings want.
+        """
+        ends = self._runtime.clock.now() + timeout
+        while self._is_forming():
+            if self._runtime.clock.now() >= ends:
+                return ProposalResult(STATUS_UNKNOWN, b"", self.leader())
+            await curio.sleep(TICK)
+        timeout = ends - self._runtime.clock.now()
         position = None if self.failure else self._replica.propose(command)
         if position is None:
             return ProposalResult(STATUS_NOT_LEADER, b"", self.leader())
@@ -107,6 +120,12 @@
             return ProposalResult(STATUS_UNKNOWN, b"", self.leader())
         return proposal.result._replace(leader=self.leader())
 
+    def _is_forming(self) -> bool:
+        if self._has_commands or self.failure:
+            return False
+        now = self._runtime.clock.now()
+        return self._formation.is_awaited(self._replica.state, now)
+
     async def async_confirm(self, timeout: float) -> int | None:
         """Return a read index confirmed by a quorum once it is applied, else None."""
         token = self._waiters.new_token()
@@ -210,6 +229,7 @@
         if effects.restore is not None:
             self._machine.restore(effects.restore.data)
             self._applied = effects.restore.index
+            self._has_commands = True
         for entry in effects.committed:
             await self._async_apply(entry)
         for outcome in effects.reads:
@@ -225,10 +245,19 @@
         result = b""
         if entry.kind == EntryKind.COMMAND:
             result = self._machine.apply(entry.index, entry.data)
+            self._report_first_command()
         self._applied = entry.index
         self._applied_bytes += len(entry.data)
         await self._waiters.async_resolve_proposal(entry.index, entry.term, result)
 
+    def _report_first_command(self) -> None:
+        """Emit an event with the number of voters at the first command."""
+        if not self._has_commands:
+            self._has_commands = True
+            count = len(voters(self._replica.state.members))
+            wanted = self._tuning.target_voters
+            events.emit("first-command", voters=count, wanted=wanted)
+
     def _report_startup_check(self) -> None:
         """Emit an event once the startup check is complete."""
         startup_check = self._replica.state.startup_check
@@ -287,6 +316,7 @@
     def _reset_replica(self) -> None:
         self._machine.restore(self._initial)
         self._applied = 0
+        self._has_commands = False
         self._replica = self._new_replica()
 
     async def _async_send(self, replica: str, message: Any) -> None:
--- a/tests/components/replication/builders.py
+++ b/tests/components/replication/builders.py
@@ -87,12 +87,18 @@
     """Hosts with a data folder each, which can be started and stopped."""
 
     def __init__(
-        self, folder, names: str, snapshot_entries: int = 10000, spare: str = ""
+        self,
+        folder,
+        names: str,
+        snapshot_entries: int = 10000,
+        spare: str = "",
+        voters: int = 0,
     ) -> None:
         self.folder = folder
         self.names = names
         self.spare = spare
         self.snapshot_entries = snapshot_entries
+        self.voters = voters
         self.links_by_address: dict[str, FakeLinks] = {}
         self.hosts: dict[str, Host] = {}
 
@@ -105,6 +111,7 @@
             tuple(self.address(n) for n in self.names + self.spare),
             tuple(self.names),
             self.snapshot_entries,
+            self.voters,
         )
         settings = Settings(
             name,
--- a/tests/platform/test_control_recovery.py
+++ b/tests/platform/test_control_recovery.py
@@ -42,3 +42,11 @@
     """It was acknowledged as a repetition, and no configuration was in force."""
     with Fleet(tmp_path, CONTROL_HOSTS, (), document(version=0)) as fleet:
         assert read_version(fleet) == 0
+
+
+@pytest.mark.xdist_group("control-recovery")
+def test_first_configuration_outlasts_the_loss_of_two_disks_of_five(tmp_path):
+    """It was confirmed by three voters, and without two of them control never led."""
+    with Fleet(tmp_path, CONTROL_HOSTS, (), document(version=7)) as fleet:
+        fleet.restart_all(lost_disks=CONTROL_HOSTS[:2])
+        fleet.until(lambda: read_version(fleet) == 7)
