Form control in place of a first host that restarts during the first start

Cause: only the first bootstrap host by name forms the membership, and only when its settings list the bootstrap hosts; after its restart they don't, and no other host takes its place. Change: a host without a log says whether it may still form the membership. If the first one may not, the next one does so, after all bootstrap hosts have been empty for 2 s: whatever the first one's earlier start had formed has reached another host by then, or nobody. A host that has held a log may never form one again, so that an identity that is retired later can't begin a second deployment. Two existing tests read the members from the new return type; their checks are the same.

--- a/bitterntiller/components/replication/join_decisions.py
+++ b/bitterntiller/components/replication/join_decisions.py
@@ -2,10 +2,11 @@
 
 The first membership is formed once, by the first bootstrap host in the order of host
 names or internal addresses, whichever the settings list, and only after every other
-bootstrap host has replied that its folder is empty too. A host that lost its disk
-learns from another host that a log exists and joins it as a learner; with too few
-replies it waits. An empty disk therefore never starts a second deployment beside an
-existing one.
+bootstrap host has replied that its folder is empty too. A host that has restarted
+since the first start is no longer told to bootstrap; the next one in that order then
+forms the membership in its place. A host that lost its disk learns from another host
+that a log exists and joins it as a learner; with too few replies it waits. An empty
+disk therefore never starts a second deployment beside an existing one.
 """
 
 from typing import Any, NamedTuple
@@ -48,22 +49,42 @@
     return member is None or member.address != address
 
 
+class FirstMembers(NamedTuple):
+    """First membership that this host may form.
+
+    in_place is whether a host that precedes this one may no longer form it.
+    """
+
+    members: tuple[Member, ...]
+    in_place: bool
+
+
 def first_members(
     own: LocalReplica, bootstrap: tuple[str, ...], replies: list[Any]
-) -> tuple[Member, ...] | None:
-    """Return the first membership if this host must form it now, else None."""
-    if not bootstrap or min(bootstrap) not in (own.host, own.address):
-        return None
+) -> FirstMembers | None:
+    """Return the first membership if it falls to this host to form it, else None.
+
+    A reply that doesn't say whether its host may form it is of an earlier version,
+    whose first host always may.
+    """
     found = [Member(*own, True)]
+    unable = set()
     for reply in replies:
         if reply.status != JOIN_FRESH:
             return None
         found.append(Member(reply.replica, reply.host, reply.address, True))
+        if reply.may_form is False:
+            unable |= {reply.host, reply.address}
+    own_keys = {own.host, own.address}
+    former = min(set(bootstrap) - unable, default="")
+    if former not in own_keys:
+        return None
     member_by_key = {member.host: member for member in found}
     member_by_key |= {member.address: member for member in found}
     if set(bootstrap) - set(member_by_key):
         return None
-    return tuple(member_by_key[key] for key in sorted(bootstrap))
+    members = tuple(member_by_key[key] for key in sorted(bootstrap))
+    return FirstMembers(members, min(bootstrap) not in own_keys)
 
 
 def formed_members(state: State, replies: list[Any]) -> tuple[Member, ...] | None:
@@ -89,11 +110,16 @@
         reset_progress(state, replica)
 
 
-def reply_to_join(replica: Replica, own: LocalReplica, join: Any, now: float) -> Any:
-    """Return the JoinReply to a host that requests to join."""
+def reply_to_join(
+    replica: Replica, own: LocalReplica, join: Any, now: float, may_form: bool = False
+) -> Any:
+    """Return the JoinReply to a host that requests to join.
+
+    may_form is whether this host may form the first membership.
+    """
     state = replica.state
     if is_empty(state):
-        return messages.JoinReply(JOIN_FRESH, "", *own)
+        return messages.JoinReply(JOIN_FRESH, "", *own, may_form=may_form)
     first = next(iter(state.log.slice(1, 1)), None)
     is_first = first is not None and first.kind == EntryKind.MEMBERS
     if join.fresh and is_first and find(decode_members(1, first.data), join.replica):
--- a/bitterntiller/components/replication/joiner.py
+++ b/bitterntiller/components/replication/joiner.py
@@ -11,9 +11,14 @@
 
 from . import join_decisions
 from .core import Replica
+from .models import Member
 
 JOIN_PERIOD = 0.3
 JOIN_TIMEOUT = 1.0
+IN_PLACE_PAUSE = 2 * JOIN_TIMEOUT
+"""Seconds for which all bootstrap hosts must have been empty before another one than
+the first of them forms the membership: replies of an earlier start of the first one,
+which may have formed it, have arrived or timed out by then."""
 
 
 class Joiner:
@@ -31,6 +36,9 @@
     ) -> None:
         self.address_by_replica: dict[str, str] = {}
         self._leaders: set[str] = set()
+        self._may_form = bool(runtime.settings.control.bootstrap)
+        self._in_place: join_decisions.FirstMembers | None = None
+        self._in_place_since = 0.0
         self._runtime = runtime
         self._replica = replica
         self._wake = wake
@@ -45,13 +53,18 @@
     async def async_on_join(self, host: str, message: Any) -> Any:
         """Reply to a host that requests to join."""
         now = self._runtime.clock.now()
-        reply = join_decisions.reply_to_join(self._replica(), self._own(), message, now)
+        reply = join_decisions.reply_to_join(
+            self._replica(), self._own(), message, now, self._may_form
+        )
         await self._wake()
         return reply
 
     async def async_run(self) -> None:
         """Join if not a member, also again after this identity has been retired."""
         while True:
+            if not join_decisions.is_empty(self._replica().state):
+                # An identity that is retired later must not form a second deployment.
+                self._may_form = False
             if join_decisions.needs_joining(self._replica().state, self._own().address):
                 await self._async_join()
             await curio.sleep(JOIN_PERIOD)
@@ -74,11 +87,27 @@
         if not fresh or replica is not self._replica():
             return
         first = join_decisions.formed_members(replica.state, replies)
-        first = first or join_decisions.first_members(own, control.bootstrap, replies)
+        if first is None and self._may_form:
+            first = self._members_to_form(
+                join_decisions.first_members(own, control.bootstrap, replies)
+            )
         if first is not None:
             replica.bootstrap(first)
             await self._wake()
 
+    def _members_to_form(
+        self, found: join_decisions.FirstMembers | None
+    ) -> tuple[Member, ...] | None:
+        """Return the members to form now; wait first if it is in another's place."""
+        now = self._runtime.clock.now()
+        if found != self._in_place:
+            self._in_place, self._in_place_since = found, now
+        if found is None:
+            return None
+        if found.in_place and now < self._in_place_since + IN_PLACE_PAUSE:
+            return None
+        return found.members
+
     async def _async_request_all(
         self, addresses: set[str], request: Any, replies: list[Any]
     ) -> None:
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -709,6 +709,7 @@
     2: required string leader,
     3: optional string replica, 4: optional string host, 5: optional string address,  // the replying replica
     6: optional binary members,          // formed: the initial membership, entry 1 of the log
+    7: optional bool may_form,           // fresh: the replying host may form the initial membership
 }
 
 /* ---- the replicated log on disk ---- */
--- a/tests/components/replication/test_automatic.py
+++ b/tests/components/replication/test_automatic.py
@@ -99,4 +99,4 @@
     first = join_decisions.first_members(me, SEEDS, [reply(host) for host in replies])
     assert (first is not None) == formed
     if formed:
-        assert [member.address for member in first] == list(SEEDS)
+        assert [member.address for member in first.members] == list(SEEDS)
--- a/tests/components/replication/test_join_decisions.py
+++ b/tests/components/replication/test_join_decisions.py
@@ -16,8 +16,10 @@
 OWN = join_decisions.LocalReplica("a/1", "a", "10.0.0.1:1")
 
 
-def reply(host, status="fresh", members=None):
-    return messages.JoinReply(status, "", f"{host}/1", host, "10.0.0.2:1", members)
+def reply(host, status="fresh", members=None, may_form=None):
+    return messages.JoinReply(
+        status, "", f"{host}/1", host, "10.0.0.2:1", members, may_form
+    )
 
 
 def replica(name, rng):
@@ -26,7 +28,8 @@
 
 def test_the_first_host_forms_it_once_all_are_empty():
     formed = join_decisions.first_members(OWN, BOOTSTRAP, [reply("b"), reply("c")])
-    assert [member.replica for member in formed] == ["a/1", "b/1", "c/1"]
+    assert [member.replica for member in formed.members] == ["a/1", "b/1", "c/1"]
+    assert not formed.in_place
 
 
 def test_no_other_host_forms_it():
@@ -41,6 +44,28 @@
     )
 
 
+def test_the_next_host_forms_it_in_place_of_one_that_has_restarted():
+    """The first host ended once while it started, and no host formed control."""
+    own = join_decisions.LocalReplica("b/1", "b", "10.0.0.2:1")
+    restarted = reply("a", may_form=False)
+    replies = [restarted, reply("c", may_form=True)]
+    formed = join_decisions.first_members(own, BOOTSTRAP, replies)
+    assert [member.replica for member in formed.members] == ["a/1", "b/1", "c/1"]
+    assert formed.in_place
+    last = join_decisions.LocalReplica("c/1", "c", "10.0.0.3:1")
+    replies = [restarted, reply("b", may_form=True)]
+    assert join_decisions.first_members(last, BOOTSTRAP, replies) is None
+
+
+@pytest.mark.parametrize("status", ["exists", "not-leader", "accepted", "formed"])
+def test_no_host_forms_it_in_place_of_another_beside_an_existing_log(status):
+    """Two hosts that lost their disks must not start a second deployment."""
+    own = join_decisions.LocalReplica("b/1", "b", "10.0.0.2:1")
+    replies = [reply("a", may_form=False), reply("c", status)]
+    assert join_decisions.first_members(own, BOOTSTRAP, replies) is None
+    assert join_decisions.first_members(own, BOOTSTRAP, replies[:1]) is None
+
+
 def test_an_empty_host_does_not_form_it_beside_an_existing_log():
     """A host that lost its disk must not start a second, empty deployment.
 
--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -250,6 +250,12 @@
         for process in self.process_by_ip.values():
             process.start()
 
+    def restart(self, ip: str) -> None:
+        """Kill a process and start it again at once, not for the first time."""
+        self.process_by_ip[ip].kill()
+        self._settings_path(ip).write_text(self._settings(ip, bootstrap=False))
+        self.process_by_ip[ip].start()
+
     def engine(self, name: str, number: int, version: str, fails: float = 0) -> Engine:
         """Start an engine on its own address."""
         made = Engine(name, f"{SUBNET}.{100 + number}", version, fails)
--- a/tests/platform/test_control_recovery.py
+++ b/tests/platform/test_control_recovery.py
@@ -1,6 +1,8 @@
 """What control hosts, as real processes, confirm and still hold after failures."""
 
 import json
+import time
+from contextlib import ExitStack
 
 import pytest
 
@@ -50,3 +52,17 @@
     with Fleet(tmp_path, CONTROL_HOSTS, (), document(version=7)) as fleet:
         fleet.restart_all(lost_disks=CONTROL_HOSTS[:2])
         fleet.until(lambda: read_version(fleet) == 7)
+
+
+@pytest.mark.xdist_group("control-recovery")
+@pytest.mark.parametrize("pause", [0.1, 0.3, 1.0])
+def test_control_forms_though_its_first_host_restarts_while_it_starts(tmp_path, pause):
+    """It came back without being told to bootstrap, and no host formed control."""
+    fleet = Fleet(tmp_path, CONTROL_HOSTS, ())
+    with ExitStack() as stack:
+        stack.callback(fleet.stop)
+        fleet.start(CONTROL_HOSTS)
+        time.sleep(pause)
+        fleet.restart(CONTROL_HOSTS[0])
+        fleet.configure()
+        assert read_version(fleet) is not None
