--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -250,6 +250,12 @@
         for process in self.process_by_ip.values():
             process.start()
 
+    def restart(self, ip: str) -> None:
+        """Kill a process and start it again at once, not for the first time."""
+        self.process_by_ip[ip].kill()
+        self._settings_path(ip).write_text(self._settings(ip, bootstrap=False))
+        self.process_by_ip[ip].start()
+
     def engine(self, name: str, number: int, version: str, fails: float = 0) -> Engine:
         """Start an engine on its own address."""
         made = Engine(name, f"{SUBNET}.{100 + number}", version, fails)
@@ -342,9 +348,12 @@
     headers: dict[str, str] | None = None,
     port: int = CONTROL_PORT,
 ) -> tuple[int, Any]:
-    """Return status and JSON of a response; status 0 if there is none."""
+    """Return status and JSON of a response; status 0 if there is none.
+
+    A body of bytes is sent as it is, any other one as JSON.
+    """
     connection = http.client.HTTPConnection(ip, port, ASK_TIMEOUT)
-    data = None if body is None else json.dumps(body)
+    data = body if body is None or isinstance(body, bytes) else json.dumps(body)
     try:
         connection.request(method, path, data, headers or {})
         response = connection.getresponse()
