Go on voting while the startup check is repeated

Callers saw: reads refused by every control host and changes never acknowledged, in calm and without an end, while one or two of five control hosts were down and the others had started some time apart. Cause: a replica without a leader for 3 s (on the platform) repeated its startup check, and took no part in elections until all other voters had replied or the 2 s of grace were over. With a voter down that left 1 s in which it could vote, in a period of 3 s. Hosts that started more than about 0.8 s apart had that second at unlike times, so that no quorum could vote at any time; the periods never shift. Change: a repeated check runs beside the completed one, under which the replica goes on voting, and replaces it when it completes. It still lowers the log that a candidate must reach, bars votes that may be forgotten and finds out that the replica was removed. A host that is elected drops it.

--- a/bitterntiller/components/replication/coordinator.py
+++ b/bitterntiller/components/replication/coordinator.py
@@ -327,8 +327,9 @@
     def _address_of(self, replica: str) -> str:
         state = self._replica.state
         member = find(state.members, replica)
-        if member is None and not state.startup_check.done:
-            member = find(state.startup_check.newest_membership(state.members), replica)
+        pending = state.pending_check()
+        if member is None and not pending.done:
+            member = find(pending.newest_membership(state.members), replica)
         if member is not None:
             return member.address
         # An empty learner has no membership yet in which to look up its leader or the
--- a/bitterntiller/components/replication/leading.py
+++ b/bitterntiller/components/replication/leading.py
@@ -30,6 +30,7 @@
     Entries of earlier terms are committed together with the empty entry appended here.
     """
     state.role = Role.LEADER
+    state.repeated_check = None
     state.leader = state.replica
     state.next_broadcast = now
     state.pending_reads = PendingReads()
--- a/bitterntiller/components/replication/startup_check.py
+++ b/bitterntiller/components/replication/startup_check.py
@@ -14,28 +14,37 @@
 def on_tick(state: State, now: float) -> None:
     """Query the other voters, and repeat the check after a long time without a leader.
 
-    Repeating it also lowers vote_floor if the peer with the furthest log has been
-    lost since, which would otherwise keep the others from electing a leader.
+    Repeating it lowers vote_floor if the peer with the furthest log has been lost
+    since, which would otherwise keep the others from electing a leader. Meanwhile the
+    replica goes on voting under the completed check: voters that repeat theirs at
+    unlike times could otherwise never elect a leader while another voter is down.
     """
-    if state.startup_check.done:
-        leaderless = now - max(
-            state.last_leader_contact, state.startup_check.started_at
-        )
-        if state.role is Role.LEADER or leaderless < state.tuning.leaderless_timeout:
-            return
-        # A candidate withdraws: it must not lead while it can't count in a quorum.
-        state.role = Role.FOLLOWER
-        state.startup_check = StartupCheck(now)
+    if state.startup_check.done and not _is_repeat_due(state, now):
+        return
     if now >= state.next_broadcast:
         state.next_broadcast = now + state.tuning.heartbeat
         _send_checks(state)
     _complete_if_sufficient(state, now)
 
 
+def _is_repeat_due(state: State, now: float) -> bool:
+    """Return whether the check is being repeated; begin to if it is time."""
+    met_leader_at = state.last_leader_contact
+    repeated = state.repeated_check
+    if repeated and repeated.started_at < met_leader_at:
+        state.repeated_check = None
+        return False
+    leaderless = now - max(met_leader_at, state.startup_check.started_at)
+    if repeated is None and leaderless >= state.tuning.leaderless_timeout:
+        state.repeated_check = StartupCheck(now)
+    return state.repeated_check is not None
+
+
 def _send_checks(state: State) -> None:
     check = _check_message(state)
-    members = state.startup_check.newest_membership(state.members)
-    for voter in sorted(state.startup_check.unanswered_voters(state.replica, members)):
+    pending = state.pending_check()
+    members = pending.newest_membership(state.members)
+    for voter in sorted(pending.unanswered_voters(state.replica, members)):
         state.send_after_sync(voter, check)
 
 
@@ -54,19 +63,24 @@
 
 
 def _complete_if_sufficient(state: State, now: float) -> None:
-    startup_check = state.startup_check
-    members = startup_check.newest_membership(state.members)
-    late = now >= startup_check.started_at + state.tuning.startup_check_grace
-    if not startup_check.is_sufficient(state.replica, members, late):
+    pending = state.pending_check()
+    members = pending.newest_membership(state.members)
+    late = now >= pending.started_at + state.tuning.startup_check_grace
+    if not pending.is_sufficient(state.replica, members, late):
         return
-    partial = bool(startup_check.unanswered_voters(state.replica, members))
-    highest = startup_check.complete()
+    partial = bool(pending.unanswered_voters(state.replica, members))
+    highest = pending.complete()
     # A forgotten vote was cast in some term up to the highest that the peers know;
     # barring the vote up to there prevents a second one in the same term.
     if highest > state.term:
+        state.role = Role.FOLLOWER
         state.set_term(highest, VOTE_BARRED)
     elif state.hard.vote == NO_VOTE and (partial or highest == state.term):
         state.set_term(state.term, VOTE_BARRED)
+    if pending is state.repeated_check:
+        state.startup_check, state.repeated_check = pending, None
+        state.count("returns_repeated")
+        return
     state.start_first_election_timer(now)
     state.count("returns_partial" if partial else "returns_full")
 
@@ -103,9 +117,9 @@
     Replicas that start together would otherwise wait for the next round of checks,
     as the last one of them had not started at the previous round.
     """
-    startup_check = state.startup_check
-    members = startup_check.newest_membership(state.members)
-    if not startup_check.done and replica in startup_check.unanswered_voters(
+    pending = state.pending_check()
+    members = pending.newest_membership(state.members)
+    if not pending.done and replica in pending.unanswered_voters(
         state.replica, members
     ):
         state.send_after_sync(replica, _check_message(state))
@@ -134,6 +148,7 @@
         state.retired = f"{message.verdict} according to {message.voter}"
         state.count("retired")
         return
-    if not state.startup_check.done:
-        state.startup_check.add_reply(message)
+    pending = state.pending_check()
+    if not pending.done:
+        pending.add_reply(message)
         _complete_if_sufficient(state, now)
--- a/bitterntiller/components/replication/state.py
+++ b/bitterntiller/components/replication/state.py
@@ -68,6 +68,7 @@
         self.progress_by_replica: dict[str, Progress] = {}
         self.pending_reads = PendingReads()
         self.startup_check = StartupCheck(now)
+        self.repeated_check: StartupCheck | None = None
         self.retired = ""
         self.stalled = False
         self.incoming_snapshot: tuple[int, int, bytearray] | None = None
@@ -142,6 +143,10 @@
         """Return whether this replica is a voter in its newest membership."""
         return self.replica in voters(self.members)
 
+    def pending_check(self) -> StartupCheck:
+        """Return the repeated startup check if there is one, else the first one."""
+        return self.repeated_check or self.startup_check
+
     def set_term(self, term: int, vote: str = NO_VOTE) -> None:
         """Set the term and the vote in it; both are synced with the next write."""
         self.hard = self.hard._replace(term=term, vote=vote)
--- a/tests/components/replication/test_restart.py
+++ b/tests/components/replication/test_restart.py
@@ -21,6 +21,7 @@
 
 STEP = 0.03
 ELECTION_MIN = 0.6
+ELECTION_MAX = 1.2
 
 
 def restart_all(seed: int) -> Simulation:
@@ -47,14 +48,26 @@
         if any(leads(simulation.nodes[host]) for host in hosts):
             return passed
         passed += STEP
-        for host in hosts:
-            node = simulation.nodes[host]
-            node.clock += STEP
-            node.replica.tick(node.clock)
-            simulation.apply_effects(node)
+        pass_step(simulation, hosts)
     return passed
 
 
+def pass_step(simulation: Simulation, hosts: str) -> None:
+    """Advance the clocks of some hosts by a step."""
+    for host in hosts:
+        node = simulation.nodes[host]
+        node.clock += STEP
+        node.replica.tick(node.clock)
+        simulation.apply_effects(node)
+
+
+def pass_seconds(simulation: Simulation, hosts: str, seconds: float) -> None:
+    """Let some hosts run, and exchange messages, for some seconds."""
+    for _ in range(round(seconds / STEP)):
+        drain(simulation, hosts)
+        pass_step(simulation, hosts)
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_voters_that_start_together_elect_before_an_election_timeout(seed):
     """After a power loss all requests were refused for a second and a half.
@@ -65,6 +78,26 @@
     assert seconds_to_lead(restart_all(seed), "abcde") < ELECTION_MIN / 2
 
 
+SHORT_LEADERLESS = 3.0
+
+
+@pytest.mark.parametrize("gap", [0.0, 0.8, 1.2, 1.67, 2.5])
+@pytest.mark.parametrize("started", ["abc", "abcd"])
+def test_voters_that_start_one_by_one_elect_while_others_stay_down(started, gap):
+    """Their startup checks were repeated in turns, and no quorum could ever vote."""
+    simulation = restart_all(1)
+    simulation.network.clear()
+    up = ""
+    for host in started:
+        up += host
+        node = simulation.nodes[host]
+        simulation.start(node)
+        state = node.replica.state
+        state.tuning = state.tuning._replace(leaderless_timeout=SHORT_LEADERLESS)
+        pass_seconds(simulation, up, gap)
+    assert seconds_to_lead(simulation, up) < DEFAULT_STARTUP_CHECK_GRACE + ELECTION_MAX
+
+
 def reply(voter: str, boot: int = 7) -> ReturnCheckReply:
     return ReturnCheckReply(3, voter, boot, "fine", 9, 3, 1, b"")
 
--- a/tests/platform/test_control_recovery.py
+++ b/tests/platform/test_control_recovery.py
@@ -11,6 +11,7 @@
 
 CONTROL_HOSTS = (*CONTROL_IPS, f"{SUBNET}.4", f"{SUBNET}.5")
 NESTED_LEVELS = 977
+SECONDS_BETWEEN_STARTS = 1.67
 PADDING = "p" * 17_000
 """With it a configuration is validated in a thread, whose stack is short."""
 
@@ -66,3 +67,15 @@
         fleet.restart(CONTROL_HOSTS[0])
         fleet.configure()
         assert read_version(fleet) is not None
+
+
+@pytest.mark.xdist_group("control-recovery")
+def test_control_leads_again_if_three_of_five_hosts_start_one_by_one(tmp_path):
+    """They repeated their startup checks in turns, and none was ever elected."""
+    with Fleet(tmp_path, CONTROL_HOSTS, (), document(version=7)) as fleet:
+        for ip in CONTROL_HOSTS:
+            fleet.process_by_ip[ip].kill()
+        for ip in CONTROL_HOSTS[:3]:
+            fleet.restart(ip)
+            time.sleep(SECONDS_BETWEEN_STARTS)
+        fleet.until(lambda: read_version(fleet) == 7)
