--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -341,9 +341,10 @@
     body: Any = None,
     headers: dict[str, str] | None = None,
     port: int = CONTROL_PORT,
+    timeout: float = ASK_TIMEOUT,
 ) -> tuple[int, Any]:
     """Return status and JSON of a response; status 0 if there is none."""
-    connection = http.client.HTTPConnection(ip, port, ASK_TIMEOUT)
+    connection = http.client.HTTPConnection(ip, port, timeout)
     data = None if body is None else json.dumps(body)
     try:
         connection.request(method, path, data, headers or {})
