--- a/bitterntiller/components/control/coordinator.py
+++ b/bitterntiller/components/control/coordinator.py
@@ -122,6 +122,10 @@
         )
         events.emit("handed-over", done=transferred, leader=self._log.leader())
 
+    def followed_leader(self) -> str:
+        """Return the address of the leader that this replica follows, or empty."""
+        return self._log.leader()
+
     def leader_term(self) -> LeaderTerm | None:
         """Return the state of the current term, None if not the leader."""
         if not self._log.is_leader():
--- a/bitterntiller/components/node/client.py
+++ b/bitterntiller/components/node/client.py
@@ -32,6 +32,11 @@
         self.leader = addresses[0] if addresses else ""
         self.last_error = ""
 
+    @property
+    def addresses(self) -> tuple[str, ...]:
+        """The control hosts that are searched for the leader."""
+        return tuple(self._addresses)
+
     def set_discovered_addresses(self, addresses: list[str]) -> None:
         """Set the control hosts to try in addition to those in the settings."""
         self._addresses = list(dict.fromkeys([*addresses, *self._seeds]))
--- a/bitterntiller/components/node/coordinator.py
+++ b/bitterntiller/components/node/coordinator.py
@@ -152,6 +152,7 @@
         events.emit(
             "heartbeat-failed",
             leader=self.control_client.leader,
+            known=list(self.control_client.addresses),
             error=self.control_client.last_error,
             seconds=round(seconds, 3),
             version=self.config.version,
--- a/bitterntiller/components/node/diagnostics.py
+++ b/bitterntiller/components/node/diagnostics.py
@@ -11,6 +11,7 @@
         "lease_valid": node.lease.valid(),
         "lease_left_s": round(max(node.lease.remaining(), 0.0), 3),
         "leader": node.control_client.leader,
+        "control_addresses": list(node.control_client.addresses),
         "config_version": node.config.version,
         "config_loading": node.download.describe(),
         "directory_version": node.directory.version,
