A control host finds the leader through its own replica

What operators saw: a control host that restarted while none of the seeds in its settings responded answered each read with 503 after 0.9 s, and no change within a second, for as long as it ran, though its replica followed the leader.

Cause: the session that forwards calls knew only the seeds, and the hosts of a directory that comes from the leader. The own replica was asked only if the seeds had this host's address. A ConfigReply didn't name the leader either.

Why it holds: the own replica is in contact with the leader as long as it is a member that can serve at all, and its reply, without a socket, names it. It is kept beside the directory and the seeds, whichever of them change.

--- a/bitterntiller/components/control/coordinator.py
+++ b/bitterntiller/components/control/coordinator.py
@@ -230,7 +230,12 @@
     async def async_get_config(self, sender: str, request: Any) -> Any:
         """Reply to a messages.GetConfig with the latest accepted configuration."""
         if await self._async_confirmed_term() is None:
-            return messages.ConfigReply(status=STATUS_NOT_LEADER, version=0, config=b"")
+            return messages.ConfigReply(
+                status=STATUS_NOT_LEADER,
+                version=0,
+                config=b"",
+                leader=self._log.leader(),
+            )
         configuration = self.state.configuration
         return messages.ConfigReply(
             status=STATUS_OK, version=configuration.version, config=configuration.text
--- a/bitterntiller/components/node/client.py
+++ b/bitterntiller/components/node/client.py
@@ -17,35 +17,41 @@
 class ControlClient:
     """Calls the current leader of control and follows leadership changes.
 
-    last_error is the error of the latest call without a reply, for logs.
+    own is the address of this host if it serves control, else empty: its replica knows
+    the leader although all hosts of the settings are down. last_error is the error of
+    the latest call without a reply, for logs.
     """
 
     def __init__(
-        self, links: Links, clock: Clock, addresses: list[str], call_timeout: float
+        self,
+        links: Links,
+        clock: Clock,
+        addresses: list[str],
+        call_timeout: float,
+        own: str = "",
     ) -> None:
         self._links = links
+        self._own = [own] if own else []
         self._seeds = addresses
         self._clock = clock
-        self._addresses = addresses
+        self._discovered: list[str] = []
         self._call_timeout = call_timeout
         self._position = 0
-        self.leader = addresses[0] if addresses else ""
+        self.leader = next(iter(self.addresses), "")
         self.last_error = ""
 
     @property
     def addresses(self) -> tuple[str, ...]:
-        """The control hosts that are searched for the leader."""
-        return tuple(self._addresses)
+        """The control hosts that are searched for the leader, each once."""
+        return tuple(dict.fromkeys([*self._own, *self._discovered, *self._seeds]))
 
     def set_discovered_addresses(self, addresses: list[str]) -> None:
         """Set the control hosts to try in addition to those in the settings."""
-        self._addresses = list(dict.fromkeys([*addresses, *self._seeds]))
+        self._discovered = addresses
 
     def set_seed_addresses(self, addresses: list[str]) -> None:
         """Replace the control hosts from the settings, after the settings changed."""
-        known = [item for item in self._addresses if item not in self._seeds]
         self._seeds = addresses
-        self.set_discovered_addresses(known)
 
     async def async_call_leader(self, message: Any, timeout: float) -> Any:
         """Return the leader's reply to a message, within timeout seconds.
@@ -95,7 +101,7 @@
         them may lead, and those that are still down do not reply. If a reply names a
         leader that was not called, call that one. Return None without such a reply.
         """
-        called = set(self._addresses)
+        called = set(self.addresses)
         async with curio.TaskGroup() as group:
             for address in called:
                 await group.spawn(self._async_try, address, message, timeout)
@@ -130,7 +136,8 @@
         if hint and hint != address:
             self.leader = hint
             return
-        self._position = (self._position + 1) % len(self._addresses)
-        if self._addresses[self._position] == address:
-            self._position = (self._position + 1) % len(self._addresses)
-        self.leader = self._addresses[self._position]
+        addresses = self.addresses
+        self._position = (self._position + 1) % len(addresses)
+        if addresses[self._position] == address:
+            self._position = (self._position + 1) % len(addresses)
+        self.leader = addresses[self._position]
--- a/bitterntiller/components/node/coordinator.py
+++ b/bitterntiller/components/node/coordinator.py
@@ -65,8 +65,13 @@
             "upstreams": [],
         }
         addresses = [str(item) for item in runtime.settings.control.addresses]
+        own = str(runtime.settings.listen.peer_address)
         self.control_client = ControlClient(
-            runtime.links, self._clock, addresses, self._timings.link_call
+            runtime.links,
+            self._clock,
+            addresses,
+            self._timings.link_call,
+            own if ROLE_CONTROL in runtime.settings.roles else "",
         )
         self.lease = NodeLease(self._clock)
         self.download = ConfigDownload(
--- a/bitterntiller/protocol/messages.thrift
+++ b/bitterntiller/protocol/messages.thrift
@@ -487,7 +487,12 @@
 
 struct GetConfig { 1: required bool unused }
 
-struct ConfigReply { 1: required string status, 2: required i64 version, 3: required binary config }
+struct ConfigReply {
+    1: required string status,
+    2: required i64 version,
+    3: required binary config,
+    4: optional string leader,
+}
 
 struct Change {
     1: required string change_id,
--- a/tests/components/node/test_search.py
+++ b/tests/components/node/test_search.py
@@ -32,9 +32,9 @@
         return answer
 
 
-def search(answer_by_address, addresses=("a:1", "b:1", "c:1")):
+def search(answer_by_address, addresses=("a:1", "b:1", "c:1"), own=""):
     links = FakeLinks(answer_by_address)
-    client = ControlClient(links, ManualClock(), list(addresses), 0.5)
+    client = ControlClient(links, ManualClock(), list(addresses), 0.5, own)
     found = curio.run(client.async_call_all, "heartbeat", GRANTED, 0.5)
     return found, client, links
 
@@ -64,3 +64,18 @@
     found, client, _ = search({"a:1": (0.0, refused), "b:1": (0.0, refused)})
     assert found is None
     assert client.leader == "a:1"
+
+
+def test_control_host_asks_its_own_replica_for_the_leader():
+    """All hosts of its settings are down, and it found no leader for good."""
+    granted = reply(GRANTED)
+    refused = reply("not-leader", "x:1")
+    found, _, _ = search({"own:1": (0.0, refused), "x:1": (0.0, granted)}, own="own:1")
+    assert found is granted
+
+
+def test_changed_settings_keep_the_own_replica_and_the_hosts_of_the_directory():
+    client = ControlClient(FakeLinks({}), ManualClock(), ["a:1"], 0.5, "own:1")
+    client.set_discovered_addresses(["d:1", "a:1"])
+    client.set_seed_addresses(["b:1"])
+    assert set(client.addresses) >= {"own:1", "d:1", "b:1"}
--- a/tests/platform/lost_path_fleet.py
+++ b/tests/platform/lost_path_fleet.py
@@ -72,14 +72,26 @@
         add_loss(self._loss_file, begins, begins + seconds, ips, direction)
         return begins + seconds
 
+    def restart_with_seeds(self, ip: str, seeds: Iterable[str]) -> None:
+        """Kill a host, and start it with its disk and other seeds in its settings."""
+        self.process_by_ip[ip].kill()
+        self.seeds = tuple(seeds)
+        self._settings_path(ip).write_text(self._settings(ip, bootstrap=False))
+        self.process_by_ip[ip].start()
+
     def leader(self) -> str:
         """Return the address of the control host that led last."""
-        found = []
-        for ip in self.control_ips:
-            for line in self.process_by_ip[ip].log.read_text().splitlines():
-                if '"event":"leading"' in line:
-                    found.append((json.loads(line[line.index("{") :])["term"], ip))
-        return max(found)[1]
+        self.until(self._led)
+        return max(self._led())[1]
+
+    def _led(self) -> list[tuple[int, str]]:
+        """Return the terms in the logs of control hosts, and who led in each."""
+        return [
+            (json.loads(line[line.index("{") :])["term"], ip)
+            for ip in self.control_ips
+            for line in self.process_by_ip[ip].log.read_text().splitlines()
+            if '"event":"leading"' in line
+        ]
 
 
 def configuration(version: int) -> dict[str, Any]:
--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -190,6 +190,7 @@
     ) -> None:
         self.control_ips = control_ips
         self.entry_ips = entry_ips
+        self.seeds = CONTROL_IPS
         self._configuration = configuration or _configuration()
         self._folder = folder
         self._stack = ExitStack()
@@ -312,7 +313,7 @@
             "zone": "bole",
             "region": "addis",
             "port_range": "7600,7615",
-            "seed_nodes": ",".join(f"{item}:{CONTROL_PORT}" for item in CONTROL_IPS),
+            "seed_nodes": ",".join(f"{item}:{CONTROL_PORT}" for item in self.seeds),
             "bootstrap": str(bootstrap).lower(),
             "serves": "control" if is_control else "edge",
             "heartbeat_ms": int(BEAT_SECONDS * 1000),
--- /dev/null
+++ b/tests/platform/test_lost_paths.py
@@ -0,0 +1,34 @@
+"""Control hosts and their callers while hosts lose their paths, with real processes."""
+
+import time
+from pathlib import Path
+
+import pytest
+
+from tests.platform.lost_path_fleet import (
+    CONTACT_WINDOW,
+    LostPathFleet,
+    configuration,
+)
+from tests.platform.processes import SUBNET, ask
+
+OK = 200
+CALL_SECONDS = 1.0
+DEAD_SEEDS = tuple(f"{SUBNET}.{number}" for number in (200, 201, 202))
+
+
+@pytest.mark.parametrize("swallow", [False, True])
+def test_control_host_that_restarts_without_a_live_seed_serves_operators(
+    tmp_path: Path, swallow: bool
+) -> None:
+    """It answered 503 or nothing for good, though its replica followed the leader."""
+    with LostPathFleet(tmp_path) as fleet:
+        if swallow:
+            fleet.lose(DEAD_SEEDS, 60.0)
+        ip = next(ip for ip in fleet.control_ips if ip != fleet.leader())
+        fleet.restart_with_seeds(ip, DEAD_SEEDS)
+        time.sleep(CONTACT_WINDOW)
+        path = "/-/config"
+        assert ask(ip, "GET", path, timeout=CALL_SECONDS)[0] == OK
+        body = configuration(2)
+        assert ask(ip, "PUT", path, body, timeout=CALL_SECONDS)[0] == OK
