Go on with the search for the leader beside an outdated hint

What callers saw: a host without a lease got none in a round of heartbeats if the first reply named a leader that is lost and unknown to it: the calls to all other hosts, one of which led, were cancelled, and the lost one had 0.8 s.

Evidence: the new test failed before; no run of real processes showed it. Why it holds: the named host is one more call of the same round, and the first grant ends the round.

--- a/bitterntiller/components/node/client.py
+++ b/bitterntiller/components/node/client.py
@@ -99,7 +99,7 @@
 
         For a host that knows no leader: after a restart of all control hosts, any of
         them may lead, and those that are still down do not reply. If a reply names a
-        leader that was not called, call that one. Return None without such a reply.
+        leader that was not called, call that one too. Return None without such a reply.
         """
         called = set(self.addresses)
         async with curio.TaskGroup() as group:
@@ -114,9 +114,8 @@
                     return reply
                 hint = getattr(reply, "leader", "")
                 if hint and hint not in called:
-                    await group.cancel_remaining()
-                    self.leader = hint
-                    return await self.async_call_once(message, timeout)
+                    called.add(hint)
+                    await group.spawn(self._async_try, hint, message, timeout)
         return None
 
     async def _async_try(self, address: str, message: Any, timeout: float) -> Any:
--- a/tests/components/node/test_search.py
+++ b/tests/components/node/test_search.py
@@ -79,3 +79,12 @@
     client.set_discovered_addresses(["d:1", "a:1"])
     client.set_seed_addresses(["b:1"])
     assert set(client.addresses) >= {"own:1", "d:1", "b:1"}
+
+
+def test_outdated_hint_does_not_end_the_search():
+    """A host that named a lost leader first kept the reply of the next one away."""
+    granted = reply(GRANTED)
+    outdated = reply("not-leader", "lost:1")
+    found, client, _ = search({"a:1": (0.0, outdated), "b:1": (0.05, granted)})
+    assert found is granted
+    assert client.leader == "b:1"
