--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -190,6 +190,7 @@
     ) -> None:
         self.control_ips = control_ips
         self.entry_ips = entry_ips
+        self.seeds = CONTROL_IPS
         self._configuration = configuration or _configuration()
         self._folder = folder
         self._stack = ExitStack()
@@ -318,7 +319,7 @@
             "zone": "bole",
             "region": "addis",
             "port_range": "7600,7615",
-            "seed_nodes": ",".join(f"{item}:{CONTROL_PORT}" for item in CONTROL_IPS),
+            "seed_nodes": ",".join(f"{item}:{CONTROL_PORT}" for item in self.seeds),
             "bootstrap": str(bootstrap).lower(),
             "serves": "control" if is_control else "edge",
             "heartbeat_ms": int(BEAT_SECONDS * 1000),
@@ -347,12 +348,13 @@
     body: Any = None,
     headers: dict[str, str] | None = None,
     port: int = CONTROL_PORT,
+    timeout: float = ASK_TIMEOUT,
 ) -> tuple[int, Any]:
     """Return status and JSON of a response; status 0 if there is none.
 
     A body of bytes is sent as it is, any other one as JSON.
     """
-    connection = http.client.HTTPConnection(ip, port, ASK_TIMEOUT)
+    connection = http.client.HTTPConnection(ip, port, timeout)
     data = body if body is None or isinstance(body, bytes) else json.dumps(body)
     try:
         connection.request(method, path, data, headers or {})
