Log the status line and the connection of a response

A refusal may be put together from two responses, with the status of one and the id of the other; 'answer' didn't show the text of its status line, nor the connection on which it came. 'sent' tells of unread bytes on new connections, too, where something may respond before the request.

--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -285,7 +285,7 @@
         notice = self._context.dialect.notice(head)
         now = self._context.clock.now()
         named = self._context.dialect.names_request(active, head)
-        log_response(active, head.status, response_class, named, notice, now)
+        log_response(active, client, head, response_class, named, notice, now)
         if response_class is not ResponseClass.FOREIGN:
             await async_report_rate_limit(self._context, active, grant, now)
             await async_record_notice(self._context, grant, notice, now)
--- a/bitterntiller/components/entry/event_logging.py
+++ b/bitterntiller/components/entry/event_logging.py
@@ -16,10 +16,12 @@
 from bitterntiller.components.http.client import ClientExchange
 from bitterntiller.components.http.event_logging import MAX_PATH_LENGTH
 from bitterntiller.components.http.exchange import Exchange
+from bitterntiller.components.http.models import ResponseHead
 from bitterntiller.core import events
 from bitterntiller.core.outcomes import Ending
 
 NO_RESPONSE = "no-response"
+MAX_REASON = 60
 
 
 def log_refusal(
@@ -101,7 +103,7 @@
         kept_connection=client.reused,
         connection=client.serial,
         exchange=client.exchanges + 1,
-        unread_bytes=client.reused and not client.is_quiet(),
+        unread_bytes=not client.is_quiet(),
         fingerprint=format_fingerprint(active.fingerprint),
         parts=[format_fingerprint(part) for part in active.part_fingerprints],
         begun_by=_begun_by(identified),
@@ -115,18 +117,25 @@
 
 def log_response(
     active: ActiveRequest,
-    status: int,
+    client: ClientExchange,
+    head: ResponseHead,
     finding: ResponseClass,
     named: bool,
     notice: Notice,
     now: float,
 ) -> None:
-    """Log the head of a response and its class; named: it has the id of its request."""
+    """Log the head of a response and its class.
+
+    named states whether it has the id of its request; reason is the text of its status
+    line, and connection the number of the connection that it came on.
+    """
     events.emit(
         "answer",
         request=active.request_id,
         upstream=active.upstream,
-        status=status,
+        connection=client.serial,
+        status=head.status,
+        reason=head.reason[:MAX_REASON],
         finding=finding,
         named=named,
         after=round(now - active.sent_at, 4),
--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -269,7 +269,8 @@
         self._close_delimited = self._is_close_delimited(event)
         self._keep_alive = keep_alive_seconds(event.headers)
         self._chunked = header(event.headers, b"transfer-encoding") is not None
-        return ResponseHead(event.status_code, list(event.headers))
+        reason = event.reason.decode("latin-1")
+        return ResponseHead(event.status_code, list(event.headers), reason)
 
     async def _async_final_head(
         self, timeout: float, watch: SilenceWatch | None
--- a/bitterntiller/components/http/models.py
+++ b/bitterntiller/components/http/models.py
@@ -46,10 +46,11 @@
 
 
 class ResponseHead(NamedTuple):
-    """The status and the headers of a response."""
+    """The status and the headers of a response, and the text of its status line."""
 
     status: int
     headers: Headers
+    reason: str = ""
 
 
 class HttpRequest(NamedTuple):
