Don't believe a head that two responses make together

Cause: an upstream sends the beginning of an earlier response once more, ahead of the next response on a kept connection. Where it breaks off in the text of its status line or in the value of a field, the response behind it completes the line, and the head is well formed. It has the status of one response and the id of the other, so that the id proves nothing.

Evidence: 'answer' had the reason 'OtHTTP/1.1 200 OK' with the status 421 for requests that had run.

Why it holds: a response that is completed by another one has the status line of that within its head, since status lines are what responses begin with. A head cut anywhere else isn't well formed. Such a response is lost, like other bytes that are none: a request that may run once gets 502.

--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -13,6 +13,7 @@
     ConnectRefusedError,
     IncompleteResponseError,
 )
+from bitterntiller.components.http.head_checks import has_second_status_line
 from bitterntiller.components.http.models import (
     Headers,
     HttpResponse,
@@ -265,6 +266,9 @@
         """
         self._progress.watch = watch
         event = await self._async_final_head(timeout, watch)
+        if has_second_status_line(event):
+            self.broke = self.malformed = True
+            raise IncompleteResponseError("a second status line in a head")
         await self._progress.async_progress()
         self._close_delimited = self._is_close_delimited(event)
         self._keep_alive = keep_alive_seconds(event.headers)
--- a/bitterntiller/components/http/head_checks.py
+++ b/bitterntiller/components/http/head_checks.py
@@ -1,4 +1,4 @@
-"""Checks of the head of a request that RFC 9110 and RFC 9112 ask of a server."""
+"""Checks of the heads of requests, as RFC 9110 and RFC 9112 ask, and of responses."""
 
 import re
 
@@ -14,6 +14,8 @@
 
 _HOST = re.compile(rb"(?:\[[0-9A-Fa-fv.:]+\]|[-._~%!$&'()*+,;=0-9A-Za-z]*)(?::[0-9]*)?")
 
+_STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
+
 
 def check_head(event: h11.Request, max_bytes: int) -> None:
     """Raise BadRequestError for a head that is invalid or over max_bytes."""
@@ -24,6 +26,16 @@
     _check_expectation(event)
 
 
+def has_second_status_line(event: h11.Response) -> bool:
+    """Return whether a status line is within the head of a response.
+
+    A response that broke off in its head is completed by the next one on its connection
+    then, and has the status of one and the fields of the other.
+    """
+    texts = (event.reason, *(value for _, value in event.headers))
+    return any(_STATUS_LINE.search(text) for text in texts)
+
+
 def _check_size(event: h11.Request, max_bytes: int) -> None:
     """Reject a head over the limit that arrived in one piece.
 
--- a/tests/platform/test_refusals.py
+++ b/tests/platform/test_refusals.py
@@ -2,13 +2,22 @@
 
 import random
 import re
-from typing import NamedTuple
+from collections import Counter
+from typing import Any, NamedTuple
 
 import curio
 import pytest
 
 from tests.platform import builders
-from tests.platform.refusing_upstream import Mode, RefusingUpstream
+from tests.platform.refusing_upstream import (
+    REFUSALS,
+    Mode,
+    RefusingUpstream,
+    answer,
+    named,
+    refusal,
+    request_id,
+)
 from tests.platform.test_late_copies import ROUTES
 
 PROMISES = frozenset({408, 421, 429, 503})
@@ -17,8 +26,8 @@
 CALLERS = 4
 REQUESTS = 15
 DEADLINE = b"X-Deadline-Ms: 500"
-CUT = (Mode.RUN_COPY_CUT, Mode.REFUSE_COPY_CUT)
-WHOLE = tuple(mode for mode in Mode if mode not in (*CUT, Mode.RUN_CONTRADICTION))
+CONSISTENT = tuple(mode for mode in Mode if mode is not Mode.RUN_CONTRADICTION)
+CUT = (Mode.RUN, Mode.RUN_COPY_CUT, Mode.REFUSE_COPY_CUT)
 
 
 class Asked(NamedTuple):
@@ -59,6 +68,39 @@
     return upstream, asked
 
 
+class CutCopyUpstream:
+    """Serves a request, then runs another one on its connection, which fails.
+
+    The response to that follows the beginning of another response.
+    """
+
+    def __init__(self, copy: bytes, path: str) -> None:
+        self.cut = 0
+        self.runs_by_cut: Counter[int] = Counter()
+        self._copy = copy
+        self._path = path
+
+    async def __call__(self, sock: Any, data: bytes, number: int) -> None:
+        name = request_id(data)
+        if name == "first":
+            await sock.sendall(answer(data))
+            return
+        self.runs_by_cut[self.cut] += 1
+        failure = named(builders.response(b"", b"500 Failed"), name)
+        copy = self._copy[: self.cut] if self.runs_by_cut[self.cut] == 1 else b""
+        await sock.sendall(copy + failure)
+
+
+async def async_ask_twice(
+    host: builders.EntryHost, upstream: CutCopyUpstream, path: str, cut: int
+) -> bytes:
+    """Return the response to the second of two requests."""
+    upstream.cut = cut
+    data = builders.request(path, "Connection: close")
+    await host.async_ask(data.replace(b"Id: a1", b"Id: first"))
+    return await host.async_ask(data.replace(b"Id: a1", b"Id: second"))
+
+
 def broken_rules(upstream: RefusingUpstream, asked: list[Asked]) -> list[str]:
     """Return what is wrong with the responses, by what the upstream has run."""
     found = []
@@ -74,10 +116,42 @@
     return found
 
 
+@pytest.mark.parametrize(
+    ("modes", "statuses"),
+    [(CONSISTENT, {200, 502, 503}), (CUT, {200, 502})],
+    ids=["all", "cut"],
+)
 @pytest.mark.parametrize("seed", range(1, 9))
-def test_refusals_are_believed_only_of_the_sending_that_they_answer(seed: int):
+def test_refusals_are_believed_only_of_the_sending_that_they_answer(
+    seed: int, modes: tuple[Mode, ...], statuses: set[int]
+):
     """Requests ran twice, or were refused and ran."""
-    upstream, asked = play(seed, WHOLE)
+    upstream, asked = play(seed, modes)
     assert len(asked) == CALLERS * REQUESTS
-    assert {200, 503} <= {item.status for item in asked}
+    assert statuses <= {item.status for item in asked}
     assert broken_rules(upstream, asked) == []
+
+
+@pytest.mark.parametrize("path", PATHS)
+@pytest.mark.parametrize("status", [*REFUSALS, b"200 OK"])
+def test_head_that_a_cut_copy_and_the_next_response_make_is_believed_of_neither(
+    status: bytes, path: str
+):
+    """Requests that had run were sent again, refused, or got another status."""
+    copy = refusal(status, "first")
+    if status.startswith(b"200"):
+        copy = copy.replace(b"X-Not-Executed: 1\r\n", b"")
+    cuts = range(len(b"HTTP/1.1 "), copy.index(b"\r\n\r\n"))
+    upstream = CutCopyUpstream(copy, path)
+
+    async def async_main() -> list[bytes]:
+        async with builders.entry_host(upstream, ROUTES) as host:
+            return [
+                await async_ask_twice(host, upstream, path, cut) for cut in cuts[::2]
+            ]
+
+    received = curio.run(async_main)
+    if path in ONCE_PATHS:
+        assert set(upstream.runs_by_cut.values()) == {1}
+    own = (b"HTTP/1.1 500", b"HTTP/1.1 502")
+    assert [item for item in received if not item.startswith(own)] == []
