--- a/tests/platform/test_stops.py
+++ b/tests/platform/test_stops.py
@@ -14,6 +14,9 @@
 from tests.platform.test_cut_causes import ONCE, async_slow_stream
 from tests.platform.test_settings import FILE
 
+TRANSFER_SECONDS = 0.45
+"""Longest time that a transfer of leadership takes."""
+
 
 async def async_send_all(sock: Any, data: bytes, number: int) -> None:
     await sock.sendall(builders.STREAM_HEAD + chunk(event(1)) + LAST_CHUNK)
@@ -103,9 +106,13 @@
     async def async_close(self) -> None:
         return
 
+    async def async_transfer_leadership(self) -> None:
+        await curio.sleep(TRANSFER_SECONDS)
+
 
-def test_stop_ends_within_the_grace_of_the_platform(tmp_path):
-    """The wait for the balancer came on top of it: requests were killed, not cut."""
+@pytest.mark.parametrize("replica", [None, _Anything()], ids=["entry", "leader"])
+def test_stop_ends_within_the_grace_of_the_platform(replica, tmp_path):
+    """The waits for the balancer and for a new leader came on top of it."""
     grace = 3.4
     path = tmp_path / "boot.conf"
     path.write_text(FILE.replace("bounds.grace_s=8", f"bounds.grace_s={grace}"))
@@ -126,7 +133,7 @@
             await curio.sleep(0.2)
             requests = _Anything()
             requests.async_begin_drain = host.server.async_drain
-            parts = Parts(_Anything(), host.coordinator, requests, None, None)
+            parts = Parts(_Anything(), host.coordinator, requests, None, replica)
             began = await curio.clock()
             await _async_stop(parts)
             return await curio.clock() - began
