Pass requests on late in a stop only if they are sure to end within it

Whether a request is late was decided at its head only. A StopSchedule, begun with the stop, decides it again when the body is read, before each wait for a grant and in the last check before the sending. 2.5 s after the beginning of the stop a request is admitted only if its own time ends within the stop, and from half of the stop on an admitted one is sent only then; any other is refused as not run, and its caller has time to go to another host. A request that has run is sent again as before, since it can't be refused any more.

--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -200,6 +200,8 @@
 
     def _check_time(self, grant: GrantReceived) -> Ending | Retry | None:
         deadline = self._active.prepared.identified.deadline
+        if not self._context.stop.passes_on(self._active):
+            return _not_run(Reason.DRAINING)
         now = self._context.clock.now()
         reason = check_expiry(grant, deadline, self._context.lease, now)
         if reason is None:
--- a/bitterntiller/components/entry/const.py
+++ b/bitterntiller/components/entry/const.py
@@ -161,6 +161,12 @@
 DRAIN_POLL = 0.05
 SETTLE_WAIT = 3.0
 
+STOP_ADMIT_SECONDS = 2.5
+STOP_SEND_FRACTION = 0.5
+"""How long after the beginning of a stop requests that may outlast it are still
+admitted, and the part of it in which they are sent to upstreams. Most that are sent
+later would be cut at its end; refused, their callers can go to another host in time."""
+
 RETRIES_PER_REQUEST = 0.2
 MAX_RETRY_RESERVE = 20.0
 """The maximum number of retries that a pool accumulates; a new pool starts with it."""
--- a/bitterntiller/components/entry/context.py
+++ b/bitterntiller/components/entry/context.py
@@ -11,6 +11,7 @@
 from bitterntiller.components.entry.quota_client import QuotaRequest, QuotaVerdict
 from bitterntiller.components.entry.rate_limits import RateLimitCache
 from bitterntiller.components.entry.response_times import ResponseTimes
+from bitterntiller.components.entry.stop_schedule import StopSchedule
 from bitterntiller.components.http.pool import ConnectionPool
 from bitterntiller.components.settings.models import Timings
 from bitterntiller.components.tunnels.connector import Connector, DirectConnector
@@ -39,6 +40,10 @@
 """Keeps nothing; the default for contexts that send to no upstream."""
 
 
+NEVER_STOPS = StopSchedule(RuntimeClock(), 0.0)
+"""Allows all requests; the default for contexts without a coordinator."""
+
+
 class QuotaGate(Protocol):
     """Enforces the quotas of workspaces over all hosts."""
 
@@ -98,6 +103,7 @@
     versions: VersionsView | None = None
     relayed_connector: Connector | None = None
     stream_versions: StreamVersions | None = None
+    stop: StopSchedule = NEVER_STOPS
 
     @property
     def connector(self) -> Connector:
--- a/bitterntiller/components/entry/coordinator.py
+++ b/bitterntiller/components/entry/coordinator.py
@@ -21,8 +21,10 @@
     LeaseLost,
     OwnerChanged,
     RequestRegistry,
+    SendingEnds,
 )
 from bitterntiller.components.entry.retry_budget import RetryBudget
+from bitterntiller.components.entry.stop_schedule import StopSchedule
 from bitterntiller.components.settings.models import Limits
 from bitterntiller.components.tunnels.server import TunnelServer
 from bitterntiller.core.interfaces import Ownership
@@ -43,6 +45,8 @@
         claim_client: ClaimClient,
         retries: RetryBudget | None = None,
     ) -> None:
+        stop = StopSchedule(context.clock, context.timings.shutdown)
+        context = context._replace(stop=stop)
         self._context = context
         self.registry = RequestRegistry(context)
         self.budget = HostBudget(limits)
@@ -52,7 +56,6 @@
         self._owners_by_pool: dict[str, Ownership | None] = {}
         self._had_lease = True
         self.leaving = False
-        self._left_at = 0.0
         self.tunnel_server: TunnelServer | None = None
         self._claim_client = claim_client
         self._drain_listeners: list[Callable[[], Awaitable[None]]] = []
@@ -84,8 +87,7 @@
 
         The shutdown timeout begins.
         """
-        if not self.leaving:
-            self._left_at = self._context.clock.now()
+        self._context.stop.begin()
         self.leaving = True
         if self.tunnel_server is not None:
             self.tunnel_server.draining = True
@@ -184,16 +186,19 @@
     async def async_drain(self) -> list[str]:
         """Refuse new requests and wait for the live ones, up to the shutdown timeout.
 
-        The timeout counts from the beginning of the stop, which may be earlier.
-        Return the ids of the requests that were still in progress at the timeout.
+        The timeout counts from the beginning of the stop, which may be earlier. Return
+        the ids of the requests that were still in progress at the timeout.
         """
         await self.async_begin_drain()
-        elapsed = self._context.clock.now() - self._left_at
-        left = self._context.timings.shutdown - elapsed
-        async with ignore_after(max(0.0, left)):
+        stop = self._context.stop
+        notified = False
+        async with ignore_after(stop.seconds_left()):
             # A request whose body is incomplete is counted in the budget only. Without
             # this check the host would stop while a caller sends its body.
             while self._has_work():
+                if stop.sending_ends and not notified:
+                    notified = True
+                    await self.registry.async_post(None, SendingEnds())
                 await curio.sleep(const.DRAIN_POLL)
             await self._async_wait_for_settled_claims()
         for active in self.registry.by_id.values():
--- a/bitterntiller/components/entry/pipeline.py
+++ b/bitterntiller/components/entry/pipeline.py
@@ -118,6 +118,10 @@
             if isinstance(body, Ending):
                 await self._async_refuse(exchange, body, identified, request_id)
                 return
+            if not self._context.stop.admits(identified):
+                refusal = retry_later(Reason.DRAINING)
+                await self._async_refuse(exchange, refusal, identified, request_id)
+                return
             await self._async_admit_and_run(exchange, identified, body)
 
     async def _async_body(
--- a/bitterntiller/components/entry/registration.py
+++ b/bitterntiller/components/entry/registration.py
@@ -45,6 +45,9 @@
             return _refused_not_run(Reason.NO_OWNER, const.DEFAULT_RETRY_AFTER)
         if active.standby is not None and active.standby.resumed:
             return RunResumed(active.standby.grant.upstream)
+        if not context.stop.passes_on(active):
+            await async_cancel_registration(active, context)
+            return _refused_not_run(Reason.DRAINING, const.DEFAULT_RETRY_AFTER)
         await _async_register(active, context, now)
         event = await _async_event(active, min(deadline - now, _event_timeout(active)))
         if isinstance(event, GrantReceived):
--- a/bitterntiller/components/entry/registry.py
+++ b/bitterntiller/components/entry/registry.py
@@ -31,6 +31,10 @@
     """Event: the lease of this host has expired."""
 
 
+class SendingEnds(NamedTuple):
+    """Event: this host stops, and soon passes no more requests on."""
+
+
 class RequestRegistry:
     """Stores live requests by id and delivers events to their mailboxes."""
 
--- a/tests/platform/test_stops.py
+++ b/tests/platform/test_stops.py
@@ -18,6 +18,33 @@
 """Longest time that a transfer of leadership takes."""
 
 
+@pytest.mark.parametrize(
+    ("deadline_ms", "status", "sent"),
+    [(3000, b"503", 0), (950, b"200", 1)],
+    ids=["may-outlast-the-stop", "ends-within-the-stop"],
+)
+def test_request_whose_body_ends_late_in_a_stop_is_passed_on_only_if_it_ends_in_time(
+    deadline_ms, status, sent
+):
+    """It was passed on whenever its body ended, and cut with its process."""
+
+    async def async_ask() -> tuple[bytes, int]:
+        async with builders.entry_host(async_send_all, ONCE, shutdown=1.2) as host:
+            request = builders.request().replace(b": 3000", b": %d" % deadline_ms)
+            sock = await curio.open_connection("127.0.0.1", host.port)
+            async with sock, curio.timeout_after(3.0):
+                await sock.sendall(request[:-1])
+                await curio.sleep(0.05)
+                host.coordinator.leave()
+                await curio.sleep(0.7)
+                await sock.sendall(request[-1:])
+                return await sock.recv(65536), len(host.requests)
+
+    received, passed_on = curio.run(async_ask)
+    assert received.split()[1] == status
+    assert passed_on == sent
+
+
 async def async_send_all(sock: Any, data: bytes, number: int) -> None:
     await sock.sendall(builders.STREAM_HEAD + chunk(event(1)) + LAST_CHUNK)
 
