Answer the requests that are in progress at the end of a stop

At the end of a planned stop the requests still in progress were logged as cut, and their connections closed with the process.

0.2 s before the end the pipeline ends each live request by itself: one that wasn't sent is refused as not run (503) and its registration cancelled, one that may have run gets 502, which promises nothing, and a response that has begun is reset as before. The request is ended by the end of the task that watches for its caller, so no task is added to a request, and the connection's own task can still be cancelled. The exit code and the count of the stop name what was in progress then.

--- a/bitterntiller/components/entry/const.py
+++ b/bitterntiller/components/entry/const.py
@@ -167,6 +167,9 @@
 admitted, and the part of it in which they are sent to upstreams. Most that are sent
 later would be cut at its end; refused, their callers can go to another host in time."""
 
+STOP_ANSWER_SECONDS = 0.2
+"""Time at the end of a stop in which the requests still in progress are answered."""
+
 RETRIES_PER_REQUEST = 0.2
 MAX_RETRY_RESERVE = 20.0
 """The maximum number of retries that a pool accumulates; a new pool starts with it."""
--- a/bitterntiller/components/entry/coordinator.py
+++ b/bitterntiller/components/entry/coordinator.py
@@ -16,7 +16,7 @@
     progress_item,
     register_message,
 )
-from bitterntiller.components.entry.pipeline import Pipeline
+from bitterntiller.components.entry.pipeline import GRACE_OVER, Pipeline
 from bitterntiller.components.entry.registry import (
     LeaseLost,
     OwnerChanged,
@@ -31,7 +31,6 @@
 from bitterntiller.core.timeouts import ignore_after
 from bitterntiller.protocol import messages
 
-GRACE_OVER = "grace-period-over"
 BODY_INCOMPLETE = "a request with an incomplete body"
 
 
@@ -186,8 +185,8 @@
     async def async_drain(self) -> list[str]:
         """Refuse new requests and wait for the live ones, up to the shutdown timeout.
 
-        The timeout counts from the beginning of the stop, which may be earlier. Return
-        the ids of the requests that were still in progress at the timeout.
+        The timeout counts from the beginning of the stop, which may be earlier. Then
+        end those still in progress, and return their ids.
         """
         await self.async_begin_drain()
         stop = self._context.stop
@@ -201,10 +200,12 @@
                     await self.registry.async_post(None, SendingEnds())
                 await curio.sleep(const.DRAIN_POLL)
             await self._async_wait_for_settled_claims()
+        left = self.unfinished()
+        await self.pipeline.async_end_live()
         for active in self.registry.by_id.values():
             active.cut = Cut(CutBy.STOP, GRACE_OVER)
             log_cut(self._context, active, active.first_byte_at is not None)
-        return self.unfinished()
+        return left
 
     def _has_work(self) -> bool:
         """Return whether requests or tunnels of other hosts are in progress."""
--- a/bitterntiller/components/entry/models.py
+++ b/bitterntiller/components/entry/models.py
@@ -269,7 +269,8 @@
     serials of the connections on which it was sent: a late copy of an upstream's
     response may follow there, and has the same id as the response to a later sending.
     faults_by_upstream says why the last responses of upstreams to it weren't whole,
-    until their owner is told.
+    until their owner is told. caller_watch is the task that waits for its caller to
+    leave; the request is given up when that ends.
     """
 
     def __init__(self, prepared: PreparedRequest) -> None:
@@ -313,6 +314,7 @@
         self.standby: Run | None = None
         self.changed = curio.Event()
         self.stack = AsyncExitStack()
+        self.caller_watch: curio.Task | None = None
         self.faults_by_upstream: dict[str, ResponseFault] = {}
 
     @property
--- a/bitterntiller/components/entry/pipeline.py
+++ b/bitterntiller/components/entry/pipeline.py
@@ -17,6 +17,7 @@
     claim_ending,
 )
 from bitterntiller.components.entry.context import Context
+from bitterntiller.components.entry.errors import StopOverError
 from bitterntiller.components.entry.event_logging import (
     log_attempt,
     log_cut,
@@ -60,7 +61,9 @@
 from bitterntiller.components.http.exchange import Exchange
 from bitterntiller.components.settings.models import Limits
 from bitterntiller.core.outcomes import Ending, Outcome, Reason
+from bitterntiller.core.timeouts import ignore_after
 
+GRACE_OVER = "grace-period-over"
 CALLER_GONE = "caller-gone"
 FAULT = "fault"
 CANCELLED = "cancelled"
@@ -89,6 +92,7 @@
         self._admission = AdmissionChecks(context, limits, budget)
         self._registry = registry
         self.draining = False
+        self._stop_over = False
         self.retries = retries or RetryBudget()
 
     async def async_serve(self, exchange: Exchange) -> None:
@@ -124,6 +128,19 @@
                 return
             await self._async_admit_and_run(exchange, identified, body)
 
+    async def async_end_live(self) -> None:
+        """End the live requests at the end of a stop, each with an answer if it can be.
+
+        Return once they have ended, within STOP_ANSWER_SECONDS.
+        """
+        self._stop_over = True
+        for active in list(self._registry.by_id.values()):
+            if active.caller_watch is not None:
+                await active.caller_watch.cancel(blocking=False)
+        async with ignore_after(const.STOP_ANSWER_SECONDS):
+            while self._registry.by_id:
+                await curio.sleep(const.DRAIN_POLL)
+
     async def _async_body(
         self, exchange: Exchange, reservation: BodyReservation
     ) -> bytes | Ending:
@@ -183,6 +200,8 @@
         except CallerGoneError as error:
             active.cut = Cut(CutBy.CALLER, CALLER_GONE, error.text)
             await self._async_caller_gone(active)
+        except StopOverError:
+            await self._async_end_at_stop(exchange, active)
         except Exception:
             # A bug in this process. Report the end of the request, or its slot stays
             # occupied until the owner receives the next list of live requests.
@@ -195,11 +214,17 @@
     async def _async_run_watched(
         self, exchange: Exchange, active: ActiveRequest
     ) -> None:
-        """Process the request; raise CallerGoneError if its caller disconnects."""
+        """Process the request.
+
+        Raise CallerGoneError if its caller disconnects, StopOverError if it is still in
+        progress at the end of a stop.
+        """
         async with curio.TaskGroup(wait=any) as group:
             run = await group.spawn(self._async_process_unless_gone, exchange, active)
-            await group.spawn(_async_wait_caller_gone, exchange)
+            active.caller_watch = await group.spawn(_async_wait_caller_gone, exchange)
         if group.completed is not run:
+            if self._stop_over and not exchange.connection.disconnected:
+                raise StopOverError(GRACE_OVER)
             raise CallerGoneError("the caller closed the connection")
         if run.exception is not None:
             raise run.exception
@@ -475,6 +500,29 @@
         await self._async_settle(active, Outcome.UNKNOWN, 0)
         await accounting.async_report_end(self._context, active, outcome)
 
+    async def _async_end_at_stop(
+        self, exchange: Exchange, active: ActiveRequest
+    ) -> None:
+        """Answer a request that is still in progress at the end of a stop.
+
+        A response that has started is cut, so that it doesn't look complete.
+        """
+        active.cut = Cut(CutBy.STOP, GRACE_OVER)
+        if exchange.started:
+            await exchange.async_cut()
+            await self._async_abandon(active, Outcome.UNKNOWN)
+            return
+        ending = retry_later(Reason.DRAINING)._replace(detail=GRACE_OVER)
+        if active.may_have_run or active.has_run:
+            ending = _as_possibly_run(ending)
+            await self._async_send_ending(exchange, active, ending)
+            await self._async_record_end(active, ending.outcome, ending.status)
+            return
+        identified = active.prepared.identified
+        await self._async_refuse(exchange, ending, identified, active.request_id)
+        await self._async_settle(active, ending.outcome, ending.status)
+        await async_cancel_registration(active, self._context)
+
     async def _async_send_ending(
         self, exchange: Exchange, active: ActiveRequest, ending: Ending
     ) -> None:
--- a/bitterntiller/components/entry/stop_schedule.py
+++ b/bitterntiller/components/entry/stop_schedule.py
@@ -23,7 +23,8 @@
         """Begin the stop, unless it has begun."""
         if self.ends_at is None:
             self._began_at = self._clock.now()
-            self.ends_at = self._began_at + self._shutdown
+            left = max(0.0, self._shutdown - const.STOP_ANSWER_SECONDS)
+            self.ends_at = self._began_at + left
 
     def seconds_left(self) -> float:
         """Return the time until the last requests are ended, after begin()."""
--- a/bitterntiller/daemon/process.py
+++ b/bitterntiller/daemon/process.py
@@ -152,12 +152,13 @@
     async with curio.TaskGroup(wait=any) as group:
         drained = await group.spawn(parts.entry.async_drain)
         await group.spawn(signals.async_get)
-    left = parts.entry.unfinished()
+    completed = group.completed is drained
+    left = drained.result if completed else parts.entry.unfinished()
     events.emit("stopped", cut=len(left))
     if not left:
         logging.info("stopped with no requests in progress")
         return EXIT_OK
-    why = "the shutdown limit" if group.completed is drained else "a second signal"
+    why = "the shutdown limit" if completed else "a second signal"
     logging.warning("%s aborted %d requests: %s", why, len(left), ", ".join(left))
     return EXIT_CUT
 
--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -122,6 +122,7 @@
     names is used for all later grants, and so with versions. With refused_as, requests
     that wait again are refused for that reason. started_seconds is how long it takes to
     report each sending after the first; grants are valid for valid_ms.
+    Without grants, all requests wait.
     """
 
     def __init__(self, address: str) -> None:
@@ -131,6 +132,7 @@
         self.refused_as = ""
         self.started_seconds = 0.0
         self.valid_ms = 1000
+        self.grants = True
         self.coordinator: Any = None
         self._address = address
 
@@ -139,6 +141,8 @@
         if isinstance(message, messages.Started) and len(self.of(messages.Started)) > 1:
             await curio.sleep(self.started_seconds)
         again = isinstance(message, messages.Returned) and message.still_waiting
+        if not self.grants:
+            return True
         if again and self.refused_as:
             await self._async_refuse(message.request_id)
         elif isinstance(message, messages.Register) or again:
--- a/tests/platform/test_stops.py
+++ b/tests/platform/test_stops.py
@@ -17,6 +17,47 @@
 TRANSFER_SECONDS = 0.45
 """Longest time that a transfer of leadership takes."""
 
+SHUTDOWN = 0.6
+ANSWERED_WITHIN = 0.4
+
+
+async def async_ask_in_stop(
+    upstream: builders.Upstream, path: str, granted: bool = True
+) -> tuple[bytes, int]:
+    """Ask a host that stops; return the answer and how many requests were sent on."""
+    async with builders.entry_host(upstream, shutdown=SHUTDOWN) as host:
+        host.links.grants = granted
+        asking = await curio.spawn(host.async_ask, builders.request(path), 3.0)
+        await curio.sleep(0.1)
+        await host.coordinator.async_drain()
+        async with curio.timeout_after(ANSWERED_WITHIN):
+            return await asking.join(), len(host.requests)
+
+
+async def async_send_nothing(sock: Any, data: bytes, number: int) -> None:
+    await curio.sleep(5.0)
+
+
+@pytest.mark.parametrize("path", ["/trees/1", "/tiles/1"])
+def test_request_that_waits_at_the_end_of_a_stop_is_refused_as_not_run(path):
+    """Its connection was closed, and its caller couldn't tell whether it had run."""
+    with recording() as recorded:
+        received, sent = curio.run(async_ask_in_stop, async_send_nothing, path, False)
+    assert received.startswith(b"HTTP/1.1 503 ")
+    assert b"\r\nretry-after: " in received.lower()
+    assert sent == 0
+    assert recorded.by_kind.get("response-cut", []) == []
+
+
+@pytest.mark.parametrize("path", ["/trees/1", "/tiles/1"])
+def test_request_that_runs_at_the_end_of_a_stop_gets_an_answer_without_promise(path):
+    """Its connection was closed without an answer, also if it may run only once."""
+    with recording() as recorded:
+        received, sent = curio.run(async_ask_in_stop, async_send_nothing, path)
+    assert received.startswith(b"HTTP/1.1 502 ")
+    assert sent == 1
+    assert recorded.by_kind.get("response-cut", []) == []
+
 
 @pytest.mark.parametrize(
     ("deadline_ms", "status", "sent"),
