Announce the close of connections in responses that begin during a stop

A response whose request had arrived before SIGTERM, and any stream, had no Connection: close, though its connection was closed after it.

test_response_that_begins_in_a_stop_announces_the_close failed for a stream and for a call on the commit before, and passes.

--- a/bitterntiller/components/http/exchange.py
+++ b/bitterntiller/components/http/exchange.py
@@ -330,7 +330,9 @@
         await self.connection.async_write(self.connection.h11.send(event))
 
     async def async_start(self, status: int, headers: Headers) -> None:
-        """Send the head of the response."""
+        """Send the head of the response, which announces a close that is due."""
+        if self.connection.closing:
+            headers = [*headers, (b"connection", b"close")]
         await self.connection.async_write(self._head(status, headers))
 
     def _head(self, status: int, headers: Headers) -> bytes:
--- a/bitterntiller/components/http/server.py
+++ b/bitterntiller/components/http/server.py
@@ -55,6 +55,7 @@
         self.draining = False
         self._listener: Listener | None = None
         self._idle_by_task: dict[curio.Task, ServerConnection] = {}
+        self._open: set[ServerConnection] = set()
 
     def set_limits(self, limits: ServerLimits) -> None:
         """Replace the limits, for open connections too.
@@ -80,10 +81,13 @@
     async def async_drain(self) -> None:
         """Close each connection after its current request and idle ones now.
 
+        Responses that begin later announce the close.
         One that has received bytes isn't idle, though its task hasn't run yet: it would
         be cancelled within the request.
         """
         self.draining = True
+        for connection in self._open:
+            connection.closing = True
         for task, connection in list(self._idle_by_task.items()):
             if is_quiet(connection.sock):
                 await task.cancel(blocking=False)
@@ -104,12 +108,15 @@
         connection = ServerConnection(
             sock, lambda: self._limits.head_bytes, limits.write_timeout
         )
+        connection.closing = self.draining
+        self._open.add(connection)
         try:
             await self._async_requests(connection)
         except CallerGoneError:
             return
         finally:
             self.connections -= 1
+            self._open.discard(connection)
 
     async def _async_requests(self, connection: ServerConnection) -> None:
         while True:
@@ -117,7 +124,6 @@
             if head is None:
                 return
             exchange = Exchange(connection, head)
-            connection.closing = self.draining
             self.busy += 1
             try:
                 await self._async_exchange(exchange)
--- a/tests/platform/test_stops.py
+++ b/tests/platform/test_stops.py
@@ -34,6 +34,35 @@
             return await asking.join(), len(host.requests)
 
 
+async def async_send_call_late(sock: Any, data: bytes, number: int) -> None:
+    await curio.sleep(0.2)
+    await sock.sendall(builders.response(b"tile"))
+
+
+async def async_begin_late(sock: Any, data: bytes, number: int) -> None:
+    await curio.sleep(0.2)
+    await async_send_all(sock, data, number)
+
+
+@pytest.mark.parametrize(
+    ("path", "upstream"),
+    [("/trees/1", async_begin_late), ("/tiles/1", async_send_call_late)],
+)
+def test_response_that_begins_in_a_stop_announces_the_close(path, upstream):
+    """Callers sent their next request on a connection that was about to close."""
+
+    async def async_ask() -> bytes:
+        async with builders.entry_host(upstream) as host:
+            asking = await curio.spawn(host.async_ask, builders.request(path))
+            await curio.sleep(0.1)
+            await host.server.async_drain()
+            return await asking.join()
+
+    received = curio.run(async_ask)
+    assert received.startswith(b"HTTP/1.1 200 ")
+    assert b"\r\nconnection: close\r\n" in received.lower()
+
+
 async def async_send_nothing(sock: Any, data: bytes, number: int) -> None:
     await curio.sleep(5.0)
 
