--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -132,7 +132,7 @@
         self.started_seconds = 0.0
         self.valid_ms = 1000
         self.coordinator: Any = None
-        self._address = address
+        self.address = address
 
     async def async_send(self, address: str, message: Any) -> bool:
         self.sent.append(message)
@@ -151,7 +151,7 @@
             pool="llm",
             epoch=0,
             upstream=self._next_name(),
-            address=self._address,
+            address=self.address,
             upstream_incarnation="0",
             valid_ms=self.valid_ms,
             version=self.versions.pop(0) if self.versions[1:] else self.versions[0],
