Log what was left of a long request when the close of a connection ended its response

The hypotheses of the incident differ in it: whether the request was still being sent, not acknowledged, or the connection already reset. No logic has changed. The engine of cut_uploads that closes with nothing unread had mostly read the whole upload; it stops within its first half now.

--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -13,6 +13,7 @@
     ConnectRefusedError,
     IncompleteResponseError,
 )
+from bitterntiller.components.http.event_logging import log_closing_end
 from bitterntiller.components.http.models import (
     Headers,
     HttpResponse,
@@ -25,7 +26,13 @@
     SilenceWatch,
     async_expiry,
 )
-from bitterntiller.core.tcp import async_connect, enable_keepalive, is_quiet
+from bitterntiller.core.tcp import (
+    async_connect,
+    enable_keepalive,
+    is_quiet,
+    is_reset,
+    unacknowledged_bytes,
+)
 from bitterntiller.core.timeouts import ignore_after, timeout_after
 from bitterntiller.core.turns import Turns
 
@@ -392,6 +399,18 @@
         if self._close_delimited and not self._allow_close_delimited:
             self.broke = True
             raise IncompleteResponseError("the answer has no end marker of its own")
+        if self._close_delimited and self._sender is not None:
+            with contextlib.suppress(OSError):
+                self._log_end(self._sender)
+
+    def _log_end(self, sender: curio.Task) -> None:
+        log_closing_end(
+            self.serial,
+            self.sent_bytes,
+            unacknowledged_bytes(self._sock),
+            sending=not sender.terminated,
+            reset=is_reset(self._sock),
+        )
 
     def _next_buffered_event(self) -> Any:
         try:
--- a/bitterntiller/components/http/event_logging.py
+++ b/bitterntiller/components/http/event_logging.py
@@ -1,4 +1,4 @@
-"""Log the requests that the HTTP server refuses by itself as events."""
+"""Log requests that the server refuses by itself, and ends of responses, as events."""
 
 from bitterntiller.components.http.errors import BadRequestError
 from bitterntiller.components.http.exchange import ServerConnection
@@ -21,3 +21,17 @@
         method=head.method if head else "",
         path=head.path[:MAX_PATH_LENGTH] if head else "",
     )
+
+
+def log_closing_end(
+    serial: int, sent: int, unacknowledged: int, sending: bool, reset: bool
+) -> None:
+    """Log that the close of a connection has ended the response to a long request."""
+    events.emit(
+        "response-ended-by-close",
+        connection=serial,
+        request_bytes=sent,
+        unacknowledged=unacknowledged,
+        sending=sending,
+        reset=reset,
+    )
--- a/bitterntiller/components/tunnels/stream.py
+++ b/bitterntiller/components/tunnels/stream.py
@@ -78,6 +78,10 @@
         """Return the system's socket for a time, see curio.io.Socket.blocking."""
         return self._sock.blocking()
 
+    def getsockopt(self, level: int, option: int, size: int) -> Any:
+        """Return an option of the connection to the next host; raise OSError."""
+        return self._sock.getsockopt(level, option, size)
+
     async def shutdown(self, how: int) -> None:
         """Shut down one or both directions; raise OSError."""
         await self._sock.shutdown(how)
--- a/bitterntiller/core/tcp.py
+++ b/bitterntiller/core/tcp.py
@@ -1,8 +1,10 @@
 """TCP connections to IP addresses without the resolver, and TCP keepalive."""
 
+import fcntl
 import ipaddress
 import select
 import struct
+import termios
 from typing import Any
 
 import curio
@@ -13,6 +15,7 @@
 MAX_KEEPALIVE_PROBES = 127
 MAX_KEEPALIVE_IDLE = 32767
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_INT = struct.Struct("i")
 _TCP_CLOSE, _TCP_CLOSE_WAIT = 7, 8
 """States of a connection in TCP_INFO, see tcp(7); after a reset it is in CLOSE."""
 
@@ -102,8 +105,31 @@
     Unlike reading, this finds an end that follows unread bytes. A connection whose
     state is not available counts as open.
     """
+    return _state(sock) in (_TCP_CLOSE, _TCP_CLOSE_WAIT)
+
+
+def is_reset(sock: Any) -> bool:
+    """Return whether a connection that this end hasn't closed was reset.
+
+    Reads that follow an orderly end don't tell it.
+    """
+    return _state(sock) == _TCP_CLOSE
+
+
+def unacknowledged_bytes(sock: Any) -> int:
+    """Return how many sent bytes the kernel of the peer has not acknowledged.
+
+    An end of the connection counts as one. Raise OSError.
+    """
+    with sock.blocking() as blocking_sock:
+        found = fcntl.ioctl(blocking_sock.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
+    return int(_INT.unpack(found)[0])
+
+
+def _state(sock: Any) -> int | None:
+    """Return the state of a connection, None if it isn't available."""
     try:
         state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
     except OSError:
-        return False
-    return bool(state) and state[0] in (_TCP_CLOSE, _TCP_CLOSE_WAIT)
+        return None
+    return state[0] if state else None
--- a/tests/platform/cut_uploads.py
+++ b/tests/platform/cut_uploads.py
@@ -1,6 +1,7 @@
 """Count answers that break off during an upload and reach the caller as whole ones.
 
-python -m tests.platform.cut_uploads [TIMES] [ENDING...], with PYTHONPATH=platform.
+python -m tests.platform.cut_uploads [TIMES] [BYTES] [ENDING...], with
+PYTHONPATH=platform.
 """
 
 import itertools
@@ -9,10 +10,14 @@
 
 import curio
 
+from tests.core.event_recorder import EventRecorder, recording
 from tests.platform import builders
 from tests.platform.upload_engine import Ending, upload_engine
 
 UPLOAD_BYTES = 2_000_000
+LONG_UPLOAD_BYTES = 7_000_000
+"""More than the kernel buffers, so that the request is still being sent."""
+
 LENGTH, CHUNKS = "length", "chunks"
 CHUNK_BYTES = 50_000
 ROUTE_KINDS = ("idempotent", "non_idempotent", "streaming")
@@ -46,14 +51,18 @@
 
 
 async def async_outcomes(
-    ending: Ending, kind: str, framing: str = LENGTH, times: int = 1
+    ending: Ending,
+    kind: str,
+    framing: str = LENGTH,
+    times: int = 1,
+    size: int = UPLOAD_BYTES,
 ) -> Counter[str]:
     """Return how often callers of an entry host saw which outcome."""
     route = builders.route(route_kind=kind, stream_resume=False)
-    limits = {"max_body_bytes": 2 * UPLOAD_BYTES}
+    limits = {"max_body_bytes": LONG_UPLOAD_BYTES}
     document = builders.document(route, limits=limits)
     content_type = CONTENT_TYPE_BY_KIND.get(kind, "text/plain")
-    data = upload(framing)
+    data = upload(framing, size)
     found: Counter[str] = Counter()
     with upload_engine(ending, content_type) as address:
         async with builders.entry_host(_async_ignore, document) as host:
@@ -70,12 +79,27 @@
 def main() -> None:
     """Print the outcomes of each ending, kind of route and framing."""
     times = int(sys.argv[1]) if len(sys.argv) > 1 else 20
-    endings = [Ending(name) for name in sys.argv[2:]] or list(Ending)
+    size = int(sys.argv[2]) if len(sys.argv) > 2 else UPLOAD_BYTES
+    endings = [Ending(name) for name in sys.argv[3:]] or list(Ending)
     for ending, kind, framing in itertools.product(
         endings, ROUTE_KINDS, (LENGTH, CHUNKS)
     ):
-        found = curio.run(async_outcomes, ending, kind, framing, times)
-        print(ending, kind, framing, dict(found), flush=True)
+        with recording() as recorded:
+            found = curio.run(async_outcomes, ending, kind, framing, times, size)
+        print(ending, kind, framing, dict(found), _ends(recorded), flush=True)
+
+
+def _ends(recorded: EventRecorder) -> dict[str, int]:
+    """Return how many answers ended with what left to be sent or acknowledged."""
+    ends = recorded.by_kind.get("response-ended-by-close", [])
+    return dict(
+        Counter(
+            f"{'sending' if line['sending'] else 'sent'}, "
+            f"{'not' if line['unacknowledged'] else 'all'} acknowledged, "
+            f"{'reset' if line['reset'] else 'not reset'}"
+            for line in ends
+        )
+    )
 
 
 if __name__ == "__main__":
--- a/tests/platform/upload_engine.py
+++ b/tests/platform/upload_engine.py
@@ -20,6 +20,9 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 READ_BYTES = 65536
 BACKLOG = 64
+BUFFER_BYTES = 4096
+"""Receive buffer of an engine; a long upload doesn't fit into it."""
+
 PAUSE_SECONDS = 0.002
 CLOSE_SECONDS = 0.5
 
@@ -71,10 +74,10 @@
         connection.shutdown(socket.SHUT_WR)
         _read(connection, left)
     elif ending is Ending.CLOSES:
-        _read_what_is_there(connection)
+        _read_what_is_there(connection, left // 2)
     elif ending is Ending.CLOSES_LATE:
         time.sleep(PAUSE_SECONDS)
-        _read_what_is_there(connection)
+        _read_what_is_there(connection, left // 2)
     elif ending is Ending.SHUTS_DOWN:
         connection.shutdown(socket.SHUT_WR)
     elif ending is Ending.SHUTS_DOWN_LATE:
@@ -91,12 +94,12 @@
         size -= len(data)
 
 
-def _read_what_is_there(connection: socket.socket) -> None:
+def _read_what_is_there(connection: socket.socket, most: int) -> None:
     """Read until nothing is there; a close is then a FIN and no reset."""
     connection.setblocking(False)
     try:
-        while connection.recv(READ_BYTES):
-            pass
+        while most > 0 and (data := connection.recv(READ_BYTES)):
+            most -= len(data)
     except BlockingIOError:
         return
 
@@ -109,6 +112,8 @@
             return
 
     with socket.create_server(("127.0.0.1", 0), backlog=BACKLOG) as listener:
+        size = BUFFER_BYTES
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
         print(listener.getsockname()[1], flush=True)
         while True:
             connection, _ = listener.accept()
