--- a/bitterntiller/components/http/event_logging.py
+++ b/bitterntiller/components/http/event_logging.py
@@ -1,4 +1,4 @@
-"""Log the requests that the HTTP server refuses by itself as events."""
+"""Log requests that the server refuses by itself, and ends of responses, as events."""
 
 from bitterntiller.components.http.errors import BadRequestError
 from bitterntiller.components.http.exchange import ServerConnection
@@ -21,3 +21,13 @@
         method=head.method if head else "",
         path=head.path[:MAX_PATH_LENGTH] if head else "",
     )
+
+
+def log_end_during_request(serial: int, size: int, undelivered: int) -> None:
+    """Log that a close ended a response before the upstream had the whole request."""
+    events.emit(
+        "response-ended-during-request",
+        connection=serial,
+        request_bytes=size,
+        undelivered=undelivered,
+    )
--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -134,7 +134,7 @@
         self.valid_ms = 1000
         self.grants = True
         self.coordinator: Any = None
-        self._address = address
+        self.address = address
 
     async def async_send(self, address: str, message: Any) -> bool:
         self.sent.append(message)
@@ -155,7 +155,7 @@
             pool="llm",
             epoch=0,
             upstream=self._next_name(),
-            address=self._address,
+            address=self.address,
             upstream_incarnation="0",
             valid_ms=self.valid_ms,
             version=self.versions.pop(0) if self.versions[1:] else self.versions[0],
