Soak: lose only as many disks as the deployment bears

Cause: a soak locked the hosts of control only until a host that lost its disk was started again. Change: a host counts as lost until 4 s after it is back, as the platform counts it, and a further disk is left out while as many are lost as may be. The disk of a lost host may go again. No check changes.

--- a/soak/troubles.py
+++ b/soak/troubles.py
@@ -25,6 +25,9 @@
 LEAST_WAIT = 0.1
 """Least time that a trouble waits for its hosts."""
 
+CATCH_UP_SECONDS = 4.0
+"""Time after which a host that is back with an empty disk no longer counts as lost."""
+
 HOST_KINDS = frozenset(
     {
         Kind.KILL_ENTRY,
@@ -67,12 +70,35 @@
     return [items[n] for n in dict.fromkeys(n % len(items) for n in trouble.targets)]
 
 
+class Disks:
+    """The hosts that lost their disks and haven't caught up since; most is the most."""
+
+    def __init__(self, most: int) -> None:
+        self._most = most
+        self._lost_until_by_ip: dict[str, float] = {}
+
+    def lose(self, ips: Sequence[str], until: float, now: float) -> tuple[str, ...]:
+        """Record as many of these hosts as may lose their disks now; return them.
+
+        until is the time at which they are back.
+        """
+        kept = {ip: at for ip, at in self._lost_until_by_ip.items() if at > now}
+        chosen = []
+        for ip in ips:
+            if ip in kept or len(kept) < self._most:
+                kept[ip] = until + CATCH_UP_SECONDS
+                chosen.append(ip)
+        self._lost_until_by_ip = kept
+        return tuple(chosen)
+
+
 class Troubles:
     """Plays a schedule; each trouble has a thread of its own.
 
     A host has one trouble at a time, so that what starts it again is what ended it, and
     so have the hosts of control together: the loss of a majority is no fault of theirs.
-    What finds its target taken waits for it, and is left out once its time is over.
+    What finds its target taken waits for it, and is left out once its time is over. A
+    disk is lost only while the deployment bears it.
     """
 
     def __init__(self, fleet: SoakFleet, load: SoakLoad, seed: int) -> None:
@@ -85,6 +111,7 @@
         self._plain_lock = threading.Lock()
         control = threading.Lock()
         self._lock_by_ip |= dict.fromkeys(fleet.control_ips, control)
+        self._disks = Disks((len(fleet.control_ips) - 1) // 2)
         self._apply_by_kind: dict[Kind, Callable[[Trouble], tuple[str, ...]]] = {
             Kind.KILL_ENTRY: self._kill_entry,
             Kind.KILL_CONTROL: self._kill_control,
@@ -248,7 +275,8 @@
     def _lose_disk(self, trouble: Trouble) -> tuple[str, ...]:
         ips = self._control(trouble)
         with self._holding(ips, trouble.seconds) as held:
-            if not held:
+            now = time.monotonic()
+            if not held or not self._disks.lose(ips, now + trouble.seconds, now):
                 return ()
             self._fleet.lose_disk(ips[0], trouble.seconds)
             return ips
