Soak: losses of power of all hosts, with as many disks as are borne

Change: power-loss sends a change, and once it is acknowledged kills all hosts and starts them at once, up to two hosts of control with empty disks, if as many are borne beside the disks lost shortly before. Like kill-all, it doesn't come together with itself, so that its pair with itself isn't wanted. The schedules of the tests' own kinds stay.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -28,7 +28,7 @@
 """Requests with a bad part that a host may send that is out of touch: one, and its
 repetition."""
 
-KILLS = frozenset({Kind.KILL_ENTRY, Kind.KILL_ENTRIES, Kind.KILL_ALL})
+KILLS = frozenset({Kind.KILL_ENTRY, Kind.KILL_ENTRIES, Kind.KILL_ALL, Kind.POWER_LOSS})
 STOPS = frozenset({Kind.STOP_ENTRY})
 """Kinds of troubles that end the process of an entry host, and with it its answers."""
 
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -25,6 +25,7 @@
     CUT_PEERS = "cut-peers"
     CUT_ENGINES = "cut-engines"
     END_ENGINE = "end-engine"
+    POWER_LOSS = "power-loss"
     REPLACE_ENGINE = "replace-engine"
     LEAVE_ENGINE = "leave-engine"
     RELEASE = "release"
@@ -82,6 +83,7 @@
     Kind.KILL_ENTRIES: (0.0, 1.5),
     Kind.RELEASE: (1.0, 3.0),
     Kind.MOVE_ROUTE: (0.0, 0.0),
+    Kind.POWER_LOSS: (0.0, 0.0),
 }
 """Shortest and longest time in seconds; 0 for what happens at one moment."""
 
@@ -95,6 +97,9 @@
 }
 """Kinds that may befall several entry hosts, or engines, at once."""
 
+_ALL_HOSTS = {Kind.KILL_ALL, Kind.POWER_LOSS}
+"""Kinds that befall all hosts; they come one at a time."""
+
 _MODES_BY_KIND: dict[Kind, list[str]] = {
     Kind.CUT_PEERS: [SILENT, RESET, REFUSE],
     Kind.CUT_ENGINES: sorted(MODES),
@@ -106,6 +111,13 @@
 """How many engines may be paused at once; silence of all of them is the worst case."""
 
 
+DISKS_LOST = 2
+"""Disks that may be lost in a power loss: as many as five hosts of control bear."""
+
+
+MAX_DISK_TARGET = 100
+
+
 class Trouble(NamedTuple):
     """One disturbance; at and seconds are times of the run.
 
@@ -157,7 +169,7 @@
             value=rng.uniform(0.1, 0.4),
         )
         found.append(trouble)
-        if kind is Kind.KILL_ALL:
+        if kind in _ALL_HOSTS:
             break
         at = trouble.ends + rng.uniform(*SERIES_PAUSE)
         if rng.random() < 0.5:
@@ -169,6 +181,8 @@
     if kind is Kind.PAUSE_ENGINE:
         first = rng.randrange(1000)
         return tuple(range(first, first + rng.choice(PAUSED_AT_ONCE)))
+    if kind is Kind.POWER_LOSS:
+        return tuple(rng.sample(range(MAX_DISK_TARGET), DISKS_LOST))
     count = rng.choice((1, 1, 2)) if kind in _SEVERAL else 1
     return tuple(rng.randrange(1000) for _ in range(count))
 
--- a/soak/troubles.py
+++ b/soak/troubles.py
@@ -41,6 +41,7 @@
         Kind.CUT_PEERS,
         Kind.CUT_ENGINES,
         Kind.KILL_ENTRIES,
+        Kind.POWER_LOSS,
     }
 )
 """Kinds that befall hosts; the others befall engines, callers or the configuration."""
@@ -140,6 +141,7 @@
             Kind.KILL_ENTRIES: self._kill_entries,
             Kind.RELEASE: self._release,
             Kind.MOVE_ROUTE: self._move_route,
+            Kind.POWER_LOSS: self._lose_power,
         }
 
     def play(self, schedule: tuple[Trouble, ...]) -> None:
@@ -281,6 +283,18 @@
             self._fleet.lose_disk(ips[0], trouble.seconds)
             return ips
 
+    def _lose_power(self, trouble: Trouble) -> tuple[str, ...]:
+        """Kill all hosts right after a change is acknowledged, some without disk."""
+        ips = (*self._fleet.entry_ips, *self._fleet.control_ips)
+        with self._holding(ips, STOP_SECONDS) as held:
+            if not held:
+                return ()
+            self._load.operator.change(time.monotonic() + CHANGE_SECONDS)
+            now = time.monotonic()
+            lost = self._disks.lose(_chosen(self._fleet.control_ips, trouble), now, now)
+            self._fleet.restart_all(lost)
+            return ips
+
     def _cut(self, trouble: Trouble, port: int) -> tuple[str, ...]:
         ips = self._entry(trouble)
         with self._holding(ips, trouble.seconds) as held:
--- a/tests/soak/test_schedule.py
+++ b/tests/soak/test_schedule.py
@@ -29,7 +29,7 @@
         frozenset(pair) for pair in itertools.combinations_with_replacement(Kind, 2)
     }
     # One at a time: all hosts are down for as long as they need to start.
-    wanted.discard(frozenset({Kind.KILL_ALL}))
+    wanted -= {frozenset({Kind.KILL_ALL}), frozenset({Kind.POWER_LOSS})}
     assert wanted - found == set()
 
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -15,13 +15,18 @@
 LATER_SEED = 1
 MOVES_SEED = 12
 
+POWER_SEED = 27
+
 LATER_KINDS = (Kind.LATE_COPIES, Kind.KILL_ENTRIES, Kind.RELEASE)
 """Kinds that would change what the seed draws among the others."""
 
 MOVES_KINDS = (Kind.MOVE_ROUTE, Kind.KILL_ENTRIES)
 OTHER_KINDS = tuple(
-    kind for kind in Kind if kind not in (*LATER_KINDS, Kind.MOVE_ROUTE)
+    kind
+    for kind in Kind
+    if kind not in (*LATER_KINDS, Kind.MOVE_ROUTE, Kind.POWER_LOSS)
 )
+POWER_KINDS = (Kind.POWER_LOSS, Kind.LOSE_DISK)
 
 
 def test_promises_hold_while_hosts_and_engines_are_disturbed(tmp_path: Path):
@@ -57,6 +62,14 @@
     assert findings(evidence) == []
 
 
+def test_promises_hold_while_all_hosts_lose_power_and_two_their_disks(tmp_path: Path):
+    """A configuration acknowledged just before could be lost, or control stay away."""
+    schedule = draw(POWER_SEED, SECONDS, POWER_KINDS)
+    evidence, _ = run(schedule, POWER_SEED, HOSTS, tmp_path)
+    assert {item.trouble.kind for item in evidence.applied} == set(POWER_KINDS)
+    assert findings(evidence) == []
+
+
 @pytest.mark.parametrize(
     ("arguments", "named"),
     [
