--- a/bitterntiller/components/replication/storage.py
+++ b/bitterntiller/components/replication/storage.py
@@ -13,6 +13,8 @@
 import re
 import uuid
 import zlib
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 from bitterntiller.protocol import MalformedMessageError
@@ -189,14 +191,16 @@
     def _write_file(self, name: str, data: bytes) -> Path:
         """Write a file atomically: after a crash it is complete or absent."""
         temporary = self._folder / (name + _TEMPORARY)
-        fd = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+        with _reporting_full_disk():
+            fd = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
         try:
             _write_all(fd, data)
             os.fsync(fd)
         finally:
             os.close(fd)
         path = self._folder / name
-        os.rename(temporary, path)
+        with _reporting_full_disk():
+            os.rename(temporary, path)
         # Without this sync a power loss could undo the rename although data that
         # depends on it has been acknowledged.
         _sync_folder(self._folder)
@@ -254,7 +258,18 @@
 
 
 class _DiskFullError(Exception):
-    """The disk is full; the file has its previous length again."""
+    """The disk is full; files have their previous names and lengths."""
+
+
+@contextmanager
+def _reporting_full_disk() -> Iterator[None]:
+    """Raise _DiskFullError in place of the error of a call that found no room."""
+    try:
+        yield
+    except OSError as error:
+        if error.errno not in _DISK_FULL_ERRNOS:
+            raise
+        raise _DiskFullError from error
 
 
 def _write_all(fd: int, data: bytes) -> None:
@@ -262,13 +277,12 @@
     before = os.fstat(fd).st_size
     view = memoryview(data)
     try:
-        while view:
-            view = view[os.write(fd, view) :]
-    except OSError as error:
-        if error.errno not in _DISK_FULL_ERRNOS:
-            raise
+        with _reporting_full_disk():
+            while view:
+                view = view[os.write(fd, view) :]
+    except _DiskFullError:
         os.ftruncate(fd, before)
-        raise _DiskFullError from error
+        raise
 
 
 def _sync_folder(folder: Path) -> None:
--- a/tests/components/replication/test_storage.py
+++ b/tests/components/replication/test_storage.py
@@ -268,3 +268,24 @@
     opened.write(wrote(entry(4), number=4))
     opened.close()
     assert reopened(folder).entries == (entry(1), entry(2), entry(3), entry(4))
+
+
+@pytest.mark.parametrize("call", ["open", "rename"])
+def test_snapshot_on_a_disk_without_room_for_its_file_can_be_retried(
+    folder, monkeypatch, call
+):
+    """The process of a control host ended as a snapshot was due on a full disk."""
+    opened = Storage(folder, "a")
+    taken = wrote(entry(4), number=4, snapshot=SNAPSHOT)
+
+    def refuse(*arguments):
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    with monkeypatch.context() as patched:
+        patched.setattr(storage.os, call, refuse)
+        with pytest.raises(StorageFullError):
+            opened.write(taken)
+    opened.write(taken)
+    opened.close()
+    restored = reopened(folder)
+    assert (restored.snapshot, restored.entries) == (SNAPSHOT, (entry(4),))
