Acknowledge a repeated change without committing it again

Callers would see: a change that is in force and never acknowledged. Cause: a call between hosts waits for 0.8 s. A change that takes the leader longer, as with slow disks, was committed while its caller had given up; each repetition validated and committed the whole document again, as slowly. Change: once a numbered change is valid and its number isn't above that of the applied configuration, the leader acknowledges it at once. What is applied is committed, and such a change has no effect, so that the outcome is the one that the state machine would give.

--- a/bitterntiller/components/control/coordinator.py
+++ b/bitterntiller/components/control/coordinator.py
@@ -17,6 +17,7 @@
     CONFIRM_TIMEOUT,
     LARGE_CONFIG_BYTES,
     LEADER_WAIT,
+    STATUS_ACCEPTED,
     STATUS_FULL,
     STATUS_INVALID,
     STATUS_NOT_LEADER,
@@ -194,15 +195,12 @@
             error = await self._async_find_change_error(change)
             if error:
                 return self._change_reply(STATUS_INVALID, error)
+        if numbered and change.number <= self.state.configuration.number:
+            # What is applied here is committed: the change has no effect any more.
+            self._report_change(change, "superseded")
+            return self._change_reply(STATUS_ACCEPTED)
         proposed = await self._proposer.async_propose(change=change)
-        self._runtime.metrics.count(f"control.change.{proposed.status}")
-        events.emit(
-            "change",
-            status=proposed.status,
-            number=change.number,
-            version=self.state.configuration.version,
-            held=self.state.configuration.number,
-        )
+        self._report_change(change, proposed.status)
         if proposed.result is not None:
             return proposed.result.change
         if proposed.status == STATUS_UNKNOWN:
@@ -210,6 +208,16 @@
             return self._change_reply(STATUS_UNKNOWN, text)
         return self._change_reply(proposed.status)
 
+    def _report_change(self, change: Any, status: str) -> None:
+        self._runtime.metrics.count(f"control.change.{status}")
+        events.emit(
+            "change",
+            status=status,
+            number=change.number,
+            version=self.state.configuration.version,
+            held=self.state.configuration.number,
+        )
+
     async def _async_find_change_error(self, change: Any) -> str:
         """Validate a change, a large one in a thread so that heartbeats don't wait."""
         if len(change.config) <= LARGE_CONFIG_BYTES:
--- a/tests/components/control/test_coordinator.py
+++ b/tests/components/control/test_coordinator.py
@@ -202,3 +202,24 @@
         assert control.leader_term().cluster_ms(clock.now()) == 9_002_000
 
     run_control(main)
+
+
+def test_change_whose_commit_outlasts_its_calls_is_acknowledged_when_repeated():
+    """Each repetition was committed again, which took as long as the first time."""
+
+    async def main(control, log, clock):
+        log.lose_replies = True
+        change = make_change("c1", 0, make_document("llm"))
+        change.number = 7
+        assert (await control.async_change("x", change)).status == "unknown"
+        assert (await control.async_change("x", change)).status == "accepted"
+        assert log.index == 1
+        change.number = 6
+        assert (await control.async_change("x", change)).status == "accepted"
+        invalid = make_change("c2", 0, {"bad": 1})
+        invalid.number = 6
+        assert (await control.async_change("x", invalid)).status == "invalid"
+        change.number = 8
+        assert (await control.async_change("x", change)).status == "unknown"
+
+    run_control(main)
