--- a/tests/scenarios/lost_paths.py
+++ b/tests/scenarios/lost_paths.py
@@ -8,7 +8,8 @@
 
 Hosts on loopback addresses connect from one and the same address, so the connecting
 side plays both directions. It keeps the sockets of silent connections open, so that
-the other side hears nothing of their close.
+the other side hears nothing of their close until the kernel's keepalive would end them
+on both sides.
 """
 
 import socket as system_socket
@@ -21,6 +22,7 @@
 import curio
 from curio import io
 
+from bitterntiller.core.tcp import reset_on_close
 from bitterntiller.core.timeouts import ignore_after
 
 CHECK_SECONDS = 0.1
@@ -100,7 +102,7 @@
     losses: Losses
     own_ip = ""
     port = 0
-    kept: list[Any] = []
+    kept: list[tuple[float, Any]] = []
     _peer_ip = ""
     _began = 0.0
 
@@ -132,12 +134,47 @@
                 return data
             if data == b"":
                 await curio.sleep(CHECK_SECONDS)
+            self._reset_if_timed_out()
 
     async def close(self) -> None:
         if self._peer_ip and self._loses_sent():
-            self.kept.append(self._socket.dup())
+            ends = self._silent_since() + self._keepalive_seconds()
+            self.kept.append((ends, self._socket.dup()))
         await super().close()
 
+    def _reset_if_timed_out(self) -> None:
+        """End connections whose keepalive probes were not acknowledged."""
+        now = time.monotonic()
+        for item in [item for item in self.kept if item[0] <= now]:
+            self.kept.remove(item)
+            _reset(item[1])
+        if not (self._loses_sent() or self._loses_received()):
+            return
+        if now >= self._silent_since() + self._keepalive_seconds():
+            reset_on_close(self)
+            self._began = now
+            raise TimeoutError("keepalive probes were not acknowledged")
+
+    def _silent_since(self) -> float:
+        """Return when the first loss of this connection began."""
+        return min(
+            (
+                loss.begins
+                for loss in self.losses.all()
+                if loss.ends >= self._began
+                and (
+                    loss.loses(self.own_ip, self._peer_ip)
+                    or loss.loses(self._peer_ip, self.own_ip)
+                )
+            ),
+            default=time.monotonic(),
+        )
+
+    def _keepalive_seconds(self) -> float:
+        option = system_socket.TCP_USER_TIMEOUT
+        timeout = self._socket.getsockopt(system_socket.IPPROTO_TCP, option)
+        return timeout / 1000 if timeout else float("inf")
+
     def _loses_sent(self) -> bool:
         return self._loses(self.own_ip, self._peer_ip)
 
@@ -154,6 +191,11 @@
         )
 
 
+def _reset(sock: Any) -> None:
+    reset_on_close(sock)
+    sock.close()
+
+
 def install(path: Path, own_ip: str, port: int) -> None:
     """Make all connections of this process to a port use the paths of a host."""
     LostPathSocket.losses = Losses(path)
