Decide a change of the configuration once, however often it is sent

What operators saw: on slow processors no control host acknowledged changes of 394 kB that eight operators sent at once, for the 20 s that they were sent again; the leader changed all the time, so that reads got 503, too.

Cause: an operator sends a change again after a second, and a control host calls the leader again after 0.8 s. Each copy was validated, appended, synced and applied beside the first, up to nine times, which took the time that the first one needed. The leader's reply that a change is undecided came after 1.5 s, when no caller waited for it; the caller then took the leader for lost.

Why it holds: copies wait for the one that is being decided, also after their callers have left; once it is accepted, copies are answered from memory, and a number that isn't above the applied one needs no entry, since what is applied is committed. Other content under the same number has an outcome of its own. Callers hear after 0.75 of link_call that a change is undecided, and stay with the leader.

--- a/bitterntiller/components/control/const.py
+++ b/bitterntiller/components/control/const.py
@@ -3,6 +3,7 @@
 STATUS_ACCEPTED = "accepted"
 STATUS_CONFLICT = "conflict"
 STATUS_INVALID = "invalid"
+STATUS_SUPERSEDED = "superseded"
 STATUS_UNKNOWN = "unknown"
 STATUS_NOT_LEADER = "not-leader"
 STATUS_EXPIRED_ID = "expired-id"
@@ -85,7 +86,21 @@
 
 CONFIRM_TIMEOUT = 0.5
 PROPOSE_TIMEOUT = 1.5
-"""Seconds; both are shorter than the caller's link_call timeout."""
+
+COMMIT_TIMEOUT = 15.0
+"""Seconds for which a change of the configuration is followed until it is committed.
+
+Its copies wait for the same entry meanwhile; the loss of leadership ends it sooner.
+"""
+
+CHANGE_WAIT_FRACTION = 0.75
+"""Part of link_call after which a caller hears that its change is still undecided.
+
+Without any reply it would search for another leader.
+"""
+
+MAX_ACCEPTED_CHANGES = 64
+"""Changes whose copies are answered without another validation."""
 
 MAX_REPLACED_INCARNATIONS = 4
 """Replaced incarnations that are kept for each host."""
--- a/bitterntiller/components/control/coordinator.py
+++ b/bitterntiller/components/control/coordinator.py
@@ -12,15 +12,19 @@
 from bitterntiller.components.control.confirm import ConfirmationBatcher
 from bitterntiller.components.control.const import (
     ACTION_FIND,
+    CHANGE_WAIT_FRACTION,
     CLAIM_ORPHANED,
     CLAIM_RUNNING,
+    COMMIT_TIMEOUT,
     CONFIRM_TIMEOUT,
     LARGE_CONFIG_BYTES,
     LEADER_WAIT,
+    STATUS_ACCEPTED,
     STATUS_FULL,
     STATUS_INVALID,
     STATUS_NOT_LEADER,
     STATUS_OK,
+    STATUS_SUPERSEDED,
     STATUS_UNKNOWN,
     STATUS_UNKNOWN_HOST,
     TICK,
@@ -29,6 +33,7 @@
 )
 from bitterntiller.components.control.heartbeats import granted_reply, rejected_reply
 from bitterntiller.components.control.leader import LeaderTerm
+from bitterntiller.components.control.pending_changes import PendingChanges
 from bitterntiller.components.control.proposals import Proposer
 from bitterntiller.components.control.services import ServiceNames
 from bitterntiller.components.control.state import ControlState
@@ -65,6 +70,7 @@
         self._copies = ConfigCopies()
         self._confirm = ConfirmationBatcher(log, CONFIRM_TIMEOUT)
         self._proposer = Proposer(log, self._make_command)
+        self._changes = PendingChanges(self._async_decide_change)
         self._term: LeaderTerm | None = None
         self._ordered_versions_only = runtime.settings.rollouts.ordered_only
         self.state = state
@@ -192,27 +198,42 @@
         """Reply to a messages.Change; accepted only once it is committed."""
         if self.leader_term() is None:
             return self._change_reply(STATUS_NOT_LEADER)
+        wait = CHANGE_WAIT_FRACTION * self._timings.link_call
+        reply = await self._changes.async_reply(change, wait)
+        return reply if reply is not None else self._unknown_change_reply()
+
+    async def _async_decide_change(self, change: Any) -> Any:
         # A decided change keeps its outcome, even if validation has become stricter.
         numbered = change.number is not None
         if numbered or change.change_id not in self.state.configuration.outcomes_by_id:
             error = await self._async_find_change_error(change)
             if error:
                 return self._change_reply(STATUS_INVALID, error)
-        proposed = await self._proposer.async_propose(change=change)
-        self._runtime.metrics.count(f"control.change.{proposed.status}")
+        if numbered and change.number <= self.state.configuration.number:
+            # What is applied here is committed, so this stays without effect.
+            self._report_change(change, STATUS_SUPERSEDED)
+            return self._change_reply(STATUS_ACCEPTED)
+        proposed = await self._proposer.async_propose(COMMIT_TIMEOUT, change=change)
+        self._report_change(change, proposed.status)
+        if proposed.result is not None:
+            return proposed.result.change
+        if proposed.status == STATUS_UNKNOWN:
+            return self._unknown_change_reply()
+        return self._change_reply(proposed.status)
+
+    def _report_change(self, change: Any, status: str) -> None:
+        self._runtime.metrics.count(f"control.change.{status}")
         events.emit(
             "change",
-            status=proposed.status,
+            status=status,
             number=change.number,
             version=self.state.configuration.version,
             held=self.state.configuration.number,
         )
-        if proposed.result is not None:
-            return proposed.result.change
-        if proposed.status == STATUS_UNKNOWN:
-            text = "resend the change with the same change id"
-            return self._change_reply(STATUS_UNKNOWN, text)
-        return self._change_reply(proposed.status)
+
+    def _unknown_change_reply(self) -> Any:
+        text = "resend the change with the same change id"
+        return self._change_reply(STATUS_UNKNOWN, text)
 
     async def _async_find_change_error(self, change: Any) -> str:
         """Validate a change, a large one in a thread so that heartbeats don't wait."""
--- a/bitterntiller/components/control/proposals.py
+++ b/bitterntiller/components/control/proposals.py
@@ -39,12 +39,14 @@
         self._make_command = make_command
         self._waiting: curio.Queue = curio.Queue()
 
-    async def async_propose(self, **content: Any) -> CommandOutcome:
+    async def async_propose(
+        self, timeout: float = PROPOSE_TIMEOUT, **content: Any
+    ) -> CommandOutcome:
         """Propose a messages.Command with the given fields set."""
         command = self._make_command()
         for name, value in content.items():
             setattr(command, name, value)
-        outcome = await self._log.async_propose(encode(command), PROPOSE_TIMEOUT)
+        outcome = await self._log.async_propose(encode(command), timeout)
         if outcome.status != "committed":
             return CommandOutcome(outcome.status, None, outcome.leader)
         result = decode(messages.CommandResult, outcome.result)
