Keep a request off connections that carried its id, also for an earlier one

Callers saw: a caller that repeats a refused request under its id, on the same host, was answered 503 though that request ran, or got the response to its first one.

Cause: the connections on which a request was sent were remembered with the request. Another request with the same id could take a connection that had carried the first one, and a copy of the first response that follows there names both.

Why it holds: connections know the ids that they have carried, as hashes, and none is handed out for an id twice, whatever the requests are. A connection carries 200 requests at most, so that what it keeps is bounded.

--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -103,7 +103,6 @@
             address=grant.address,
             relays=grant.relays,
             pool=grant.pool,
-            used_connections=frozenset(self._active.used_connections),
         )
         try:
             connected = await connector.async_acquire(
@@ -218,7 +217,7 @@
         active = self._active
         client = report.connected.client
         active.mark_sending(run.grant)
-        active.used_connections.add(client.serial)
+        client.record_request(active.request_id)
         active.sent_at = self._context.clock.now()
         active.relay = report.connected.relay
         self._spend_quota()
--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -59,6 +59,7 @@
     def __init__(self, sock: Any, allow_close_delimited: bool = False) -> None:
         self.serial = next(self._serials)
         self.exchanges = 0
+        self._carried: set[int] = set()
         self.idle_since = 0.0
         self.reused = False
         self.sent_bytes = 0
@@ -138,6 +139,17 @@
         self.reused = True
         return True
 
+    def record_request(self, request_id: str) -> None:
+        """Record that the connection carries a request."""
+        self._carried.add(hash(request_id))
+
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether the connection may have carried a request with this id.
+
+        Only hashes of ids are kept, as callers choose how long an id is.
+        """
+        return hash(request_id) in self._carried
+
     def is_quiet(self) -> bool:
         """Return whether an idle connection has received nothing, not even its end."""
         return is_quiet(self._sock)
--- a/bitterntiller/components/http/const.py
+++ b/bitterntiller/components/http/const.py
@@ -48,6 +48,9 @@
 
 BODYLESS_STATUSES = frozenset({204, 304})
 
+MAX_EXCHANGES = 200
+"""Requests that one connection carries; it keeps a hash of the id of each."""
+
 DEFAULT_IDLE_LIMIT = 2.0
 """Seconds that a reused connection may be idle; many servers close after 5 s."""
 
--- a/bitterntiller/components/http/pool.py
+++ b/bitterntiller/components/http/pool.py
@@ -1,7 +1,6 @@
 """A pool of reusable connections to upstreams."""
 
 from collections import deque
-from collections.abc import Collection
 
 from bitterntiller.components.http import const
 from bitterntiller.components.http.client import ClientExchange
@@ -43,14 +42,14 @@
         return self._max_idle > 0
 
     async def async_acquire(
-        self, address: str, timeout: float, excluded: Collection[int] = ()
+        self, address: str, timeout: float, request_id: str = ""
     ) -> ClientExchange:
         """Return a connection; raise ConnectRefusedError if none can be opened.
 
         The most recently used idle connection comes first, so that surplus ones expire.
-        Those with an excluded serial are left idle.
+        Those that have carried a request with this id are left idle.
         """
-        client = await self.async_take_idle(address, excluded=excluded)
+        client = await self.async_take_idle(address, request_id=request_id)
         if client is not None:
             return client
         return await self.async_open(address, timeout)
@@ -59,14 +58,15 @@
         self,
         address: str,
         used_since: float = float("-inf"),
-        excluded: Collection[int] = (),
+        request_id: str = "",
     ) -> ClientExchange | None:
         """Return an idle connection that was in use since a time, None without one.
 
-        Those with an excluded serial are left idle.
+        Those that have carried a request with this id are left idle: a copy of its
+        response may follow there, and couldn't be told from that to a later one.
         """
         idle = self._idle_by_address.get(address, deque())
-        while (client := _newest(idle, excluded)) is not None:
+        while (client := _newest(idle, request_id)) is not None:
             idle.remove(client)
             usable = self._usable(client) and client.idle_since >= used_since
             if usable and client.is_quiet():
@@ -84,7 +84,9 @@
 
     async def async_release(self, address: str, client: ClientExchange) -> None:
         """Keep a connection after its exchange, or close it."""
-        if not self._max_idle or not await client.async_prepare_reuse():
+        used_up = client.exchanges >= const.MAX_EXCHANGES
+        keeps = self._max_idle > 0 and not used_up
+        if not keeps or not await client.async_prepare_reuse():
             await client.async_close()
             return
         client.idle_since = self._clock.now()
@@ -118,9 +120,7 @@
         return self._clock.now() - client.idle_since < limit
 
 
-def _newest(
-    idle: deque[ClientExchange], excluded: Collection[int]
-) -> ClientExchange | None:
-    """Return the connection used last without an excluded serial, None without one."""
-    candidates = (item for item in reversed(idle) if item.serial not in excluded)
+def _newest(idle: deque[ClientExchange], request_id: str) -> ClientExchange | None:
+    """Return the connection used last that has not carried a request, if any."""
+    candidates = (item for item in reversed(idle) if not item.has_carried(request_id))
     return next(candidates, None)
--- a/bitterntiller/components/tunnels/client.py
+++ b/bitterntiller/components/tunnels/client.py
@@ -19,7 +19,6 @@
     """The upstream that a connection leads to, and the request that needs it.
 
     relays names hosts that are known to reach the upstream. probe is set for a probe.
-    used_connections has the serials of those on which the request was sent before.
     """
 
     request_id: str
@@ -28,7 +27,6 @@
     relays: tuple[str, ...] = ()
     pool: str = ""
     probe: bool = False
-    used_connections: frozenset[int] = frozenset()
 
 
 async def async_open_tunnel(
--- a/bitterntiller/components/tunnels/connector.py
+++ b/bitterntiller/components/tunnels/connector.py
@@ -28,7 +28,7 @@
     ) -> Connected:
         """Return a connection; raise ConnectRefusedError, nothing was sent then.
 
-        It is none of those that the request has used before. A repeatable request may
+        It is none that has carried a request with the same id. A repeatable request may
         be sent where its response can be lost.
         """
         ...
@@ -62,7 +62,7 @@
         """Return a direct connection; raise ConnectRefusedError."""
         address = destination.address
         client = await self._connections.async_acquire(
-            address, timeout, destination.used_connections
+            address, timeout, destination.request_id
         )
         return Connected(client)
 
--- a/bitterntiller/components/tunnels/relayed.py
+++ b/bitterntiller/components/tunnels/relayed.py
@@ -65,7 +65,7 @@
         )
         if not around or self._paths.fault(address) is PathFault.SILENT:
             kept = await self._connections.async_take_idle(
-                address, self._paths.trusted_since(now), destination.used_connections
+                address, self._paths.trusted_since(now), destination.request_id
             )
             if kept is not None:
                 return self._connected(kept)
