Soak: send requests whose bodies end late in the stop of a host

The kind late-in-stop stops an entry host while the bodies of long streams end there 4.6 s after the signal; the check late-requests-answered finds those that are passed on late and cut, and those that wait through the stop and are cut.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from soak.schedule import Kind
-from soak.troubles import Applied
+from soak.troubles import Applied, LateAnswer
 from tests.platform.callers import Response, refused_as_wrong
 from tests.platform.crashing_parts import CRASHES_ALLOWED, SOUND, Sent
 from tests.platform.endless_engine import Held
@@ -12,7 +12,8 @@
 from tests.platform.silent_callers import Answer
 from tests.platform.soak_fleet import CALL_ATTEMPTS, PINS, STREAM_ATTEMPTS
 from tests.platform.soak_operator import Acknowledged
-from tests.platform.stream_versions import EVENTS, Stream
+from tests.platform.stopping_fleet import SEND_SECONDS, SLACK_SECONDS, End
+from tests.platform.stream_versions import DEADLINE_MS, EVENTS, Stream
 from tests.scenarios.cut_paths import REFUSE
 
 OK = 200
@@ -29,7 +30,7 @@
 repetition."""
 
 KILLS = frozenset({Kind.KILL_ENTRY, Kind.KILL_ENTRIES, Kind.KILL_ALL})
-STOPS = frozenset({Kind.STOP_ENTRY})
+STOPS = frozenset({Kind.STOP_ENTRY, Kind.LATE_IN_STOP})
 """Kinds of troubles that end the process of an entry host, and with it its answers."""
 
 MAX_BEYOND = CLOSED_WITHIN + BUSY_SLACK
@@ -81,9 +82,9 @@
     and the requests with it. answers are those of long streams, broken_off the requests
     whose streams an engine broke off or ended under, and cut_lines by host the requests
     whose responses its log calls cut. held are the connections to engines that sent
-    bytes without end. calm is when the last trouble had ended. used has
-    how many requests each serving engine got once there were more than fit into all
-    slots.
+    bytes without end, late the answers at hosts that stop. calm is when the last
+    trouble had ended. used has how many requests each serving engine got once there
+    were more than fit into all slots.
     """
 
     runs: Mapping[str, int]
@@ -97,6 +98,7 @@
     crashes: Sequence[float]
     arrivals: Sequence[float]
     applied: Sequence[Applied]
+    late: Sequence[LateAnswer]
     calm: float
     ended: float
     used: Mapping[str, int]
@@ -237,6 +239,36 @@
     )
 
 
+def late_requests_answered(found: Evidence) -> Iterable[str]:
+    """A request late in a stop is refused, or has its whole answer within the stop.
+
+    Not if its time was over, its engine broke off, or its host had another trouble.
+    """
+    for stopped, answer in found.late:
+        call = answer.call
+        if answer.end is not End.CUT or answer.request_id in found.broken_off:
+            continue
+        sent, ended = answer.sent - stopped, answer.ended - stopped
+        if ended >= call.sent + DEADLINE_MS / 1000:
+            continue
+        if found.runs.get(answer.request_id):
+            if sent <= SEND_SECONDS:
+                continue
+        elif ended - sent <= SLACK_SECONDS:
+            continue
+        if not any(
+            item.trouble.kind is not Kind.LATE_IN_STOP
+            and call.ip in item.names
+            and item.began <= answer.ended
+            and stopped <= item.ended + CONTACT_WINDOW
+            for item in found.applied
+        ):
+            yield (
+                f"{answer.request_id} at {call.ip}, sent {sent:.2f} s after the "
+                f"signal, was cut {ended:.2f} s after it"
+            )
+
+
 def endless_answers_closed(found: Evidence) -> Iterable[str]:
     """A connection to an engine that sends without end is closed at its deadline.
 
@@ -363,6 +395,7 @@
     streams_whole,
     answers_not_cut,
     cuts_logged,
+    late_requests_answered,
     endless_answers_closed,
     bad_parts_kept_away,
     hosts_recover,
--- a/soak/run.py
+++ b/soak/run.py
@@ -74,6 +74,7 @@
         crashes=fleet.crashes,
         arrivals=fleet.arrivals,
         applied=troubles.applied,
+        late=troubles.late,
         calm=calm,
         ended=ended,
         used=used,
--- a/soak/troubles.py
+++ b/soak/troubles.py
@@ -12,8 +12,10 @@
 from soak.schedule import Kind, Trouble
 from tests.platform.crashing_parts import BAD, CrashingEngine
 from tests.platform.processes import ENGINE_PORT, Engine
+from tests.platform.silent_callers import Kind as StreamKind
 from tests.platform.soak_endless import ORDERS_BY_MODE
 from tests.platform.soak_fleet import LIMIT_PER_SECOND, PlainEngine, SoakFleet
+from tests.platform.stopping_fleet import Answer, Call, ask
 from tests.platform.stream_versions import INTERNAL_PORT, VERSIONS
 
 CHANGE_SECONDS = 10.0
@@ -22,6 +24,14 @@
 
 SLOW_SECONDS = 0.3
 POLL_SECONDS = 0.05
+LEAD_SECONDS = 0.2
+LATE_CALLS = 4
+LATE_HEADS_FROM, LATE_BODIES_FROM, LATE_STEP = 2.2, 4.6, 0.03
+"""Seconds after the signal; the last step is that between two requests."""
+
+LATE_EVENTS = 74
+"""Events of a stream that lasts beyond the end of the stop."""
+
 LEAST_WAIT = 0.1
 """Least time that a trouble waits for its hosts."""
 
@@ -38,6 +48,7 @@
         Kind.CUT_PEERS,
         Kind.CUT_ENGINES,
         Kind.KILL_ENTRIES,
+        Kind.LATE_IN_STOP,
     }
 )
 """Kinds that befall hosts; the others befall engines, callers or the configuration."""
@@ -57,6 +68,24 @@
         return self.trouble.kind in HOST_KINDS
 
 
+class LateAnswer(NamedTuple):
+    """The answer to a request at a host that was told to stop at a time."""
+
+    stopped: float
+    answer: Answer
+
+
+def late_calls(ip: str) -> list[Call]:
+    """Return requests for long streams whose bodies end late in a stop of a host."""
+    calls = []
+    for number in range(LATE_CALLS):
+        sent = LATE_HEADS_FROM + number * LATE_STEP
+        ended = LATE_BODIES_FROM + number * LATE_STEP
+        call = Call(StreamKind.RESUMABLE, 0.0, sent, sent, ended, ip)
+        calls.append(call._replace(events=LATE_EVENTS))
+    return calls
+
+
 Item = TypeVar("Item")
 
 
@@ -77,6 +106,7 @@
 
     def __init__(self, fleet: SoakFleet, load: SoakLoad, seed: int) -> None:
         self.applied: list[Applied] = []
+        self.late: list[LateAnswer] = []
         self.left_out = 0
         self._fleet = fleet
         self._load = load
@@ -113,6 +143,7 @@
             Kind.KILL_ENTRIES: self._kill_entries,
             Kind.RELEASE: self._release,
             Kind.MOVE_ROUTE: self._move_route,
+            Kind.LATE_IN_STOP: self._late_in_stop,
         }
 
     def play(self, schedule: tuple[Trouble, ...]) -> None:
@@ -225,6 +256,25 @@
     def _stop_entry(self, trouble: Trouble) -> tuple[str, ...]:
         return self._stop(trouble, self._entry(trouble))
 
+    def _late_in_stop(self, trouble: Trouble) -> tuple[str, ...]:
+        """Stop an entry host while bodies of long streams end there late."""
+        ip = self._entry(trouble)[0]
+        asked = time.monotonic()
+        threads = [
+            threading.Thread(target=self._ask_late, args=(call, asked + LEAD_SECONDS))
+            for call in late_calls(ip)
+        ]
+        for thread in threads:
+            thread.start()
+        time.sleep(LEAD_SECONDS)
+        names = self._stop(trouble, (ip,))
+        for thread in threads:
+            thread.join()
+        return names
+
+    def _ask_late(self, call: Call, stopped: float) -> None:
+        self.late.append(LateAnswer(stopped, ask(call, stopped)))
+
     def _stop_control(self, trouble: Trouble) -> tuple[str, ...]:
         return self._stop(trouble, self._control(trouble))
 
--- a/tests/platform/stopping_fleet.py
+++ b/tests/platform/stopping_fleet.py
@@ -143,7 +143,8 @@
 class Call(NamedTuple):
     """A request; times are seconds after the signal.
 
-    The connection is opened, the head sent and the body ended at these times.
+    The connection is opened, the head sent and the body ended at these times. events
+    is how many the answer has if it is a stream.
     """
 
     kind: Kind
@@ -153,6 +154,7 @@
     body_ended: float
     ip: str = STOPPING_IP
     deadline_ms: int = DEADLINE_MS
+    events: int = 40
 
 
 class End(StrEnum):
@@ -231,7 +233,7 @@
         f"X-Attempt-Id: {request_id}",
         f"X-Deadline-Ms: {call.deadline_ms}",
         f"Authorization: Token {KEY}",
-        "X-Token-Usage: 50,40",
+        f"X-Token-Usage: 50,{call.events}",
         f"{WORK_HEADER}: {call.work}",
         "Content-Length: 2",
     ]
--- a/tests/soak/builders.py
+++ b/tests/soak/builders.py
@@ -30,6 +30,7 @@
         "crashes": [],
         "arrivals": [],
         "applied": [],
+        "late": [],
         "calm": CALM,
         "ended": ENDED,
         "used": {},
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -6,8 +6,12 @@
 
 from soak.checks import CHECKS, MAX_LATE, MAX_MORE_FILES, findings
 from soak.schedule import Kind
+from soak.troubles import LateAnswer
+from tests.platform.silent_callers import Kind as StreamKind
 from tests.platform.soak_fleet import TILES
 from tests.platform.soak_operator import Acknowledged
+from tests.platform.stopping_fleet import Answer as LateEnd
+from tests.platform.stopping_fleet import Call, End
 from tests.scenarios.cut_paths import REFUSE, SILENT
 from tests.soak import builders as build
 
@@ -37,6 +41,14 @@
 BROKEN_OFF = {**CUT, "cut_lines": {}, "broken_off": frozenset({"s1"})}
 KNOWN = [Acknowledged(10.0, 3), Acknowledged(20.0, 5)]
 
+
+def late(**changes: Any) -> LateAnswer:
+    """Return a request that was sent 5 s after a stop began, and cut at its end."""
+    call = Call(StreamKind.RESUMABLE, 0.0, 2.2, 2.2, 5.0, IP)
+    cut = LateEnd(call, "a1", 109.0, 111.6, 0, End.CUT, False)
+    return LateAnswer(104.0, cut._replace(**changes))
+
+
 HOLDS: dict[str, dict[str, Any]] = {
     "nothing": {},
     "call served once": {"calls": [build.call()], "runs": {"a1": 1}},
@@ -80,10 +92,35 @@
         "applied": [KILLED],
     },
     "all engines used": {"used": {"e1": 1}},
+    "late request refused": {"late": [late(end=End.REFUSED)]},
+    "late request without a connection": {"late": [late(end=End.NOT_TAKEN)]},
+    "late request that crosses the end": {"late": [late(ended=109.1)]},
+    "early request cut in a stop": {"late": [late(sent=106.0)], "runs": {"a1": 1}},
+    "late request that its engine broke off": {
+        "late": [late()],
+        "broken_off": frozenset({"a1"}),
+    },
+    "late request whose time was over": {"late": [late(ended=112.3)]},
+    "late request at a host that was killed": {
+        "late": [late()],
+        "applied": [build.applied(Kind.KILL_ENTRY, 111.0, 111.6, HERE)],
+    },
     "newest version": {"acknowledged": KNOWN, "read": [Acknowledged(15.0, 3)]},
     "some more files": {"files_before": {IP: 9}, "files_after": {IP: 20}},
 }
 FAILS: dict[str, tuple[str, dict[str, Any]]] = {
+    "late request passed on and cut": (
+        "late-requests-answered",
+        {"late": [late()], "runs": {"a1": 1}},
+    ),
+    "late request waited and was cut": (
+        "late-requests-answered",
+        {"late": [late()]},
+    ),
+    "request waited through a stop and was cut": (
+        "late-requests-answered",
+        {"late": [late(sent=106.0)]},
+    ),
     "call that may not be repeated ran twice": (
         "runs-bounded",
         {"calls": [build.call()], "runs": {"a1": 2}},
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -19,8 +19,10 @@
 """Kinds that would change what the seed draws among the others."""
 
 MOVES_KINDS = (Kind.MOVE_ROUTE, Kind.KILL_ENTRIES)
+LATE_SEED = 2
+LATE_KINDS = (Kind.LATE_IN_STOP,)
 OTHER_KINDS = tuple(
-    kind for kind in Kind if kind not in (*LATER_KINDS, Kind.MOVE_ROUTE)
+    kind for kind in Kind if kind not in (*LATER_KINDS, Kind.MOVE_ROUTE, *LATE_KINDS)
 )
 
 
@@ -57,6 +59,14 @@
     assert findings(evidence) == []
 
 
+def test_promises_hold_while_bodies_end_late_in_stops(tmp_path: Path):
+    """Their requests were passed on, and cut at the end of the stop."""
+    schedule = draw(LATE_SEED, SECONDS, LATE_KINDS)
+    evidence, _ = run(schedule, LATE_SEED, HOSTS, tmp_path)
+    assert evidence.late
+    assert findings(evidence) == []
+
+
 @pytest.mark.parametrize(
     ("arguments", "named"),
     [
