--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -21,12 +21,16 @@
 """Kinds that would change what the seed draws among the others."""
 
 MOVES_KINDS = (Kind.MOVE_ROUTE, Kind.KILL_ENTRIES)
-OTHER_KINDS = tuple(
-    kind
-    for kind in Kind
-    if kind not in (*LATER_KINDS, Kind.MOVE_ROUTE, Kind.POWER_LOSS)
-)
+LATE_SEED = 2
+LATE_KINDS = (Kind.LATE_IN_STOP,)
 POWER_KINDS = (Kind.POWER_LOSS, Kind.LOSE_DISK)
+KINDS_OF_OTHER_SEEDS = (
+    *LATER_KINDS,
+    Kind.MOVE_ROUTE,
+    Kind.POWER_LOSS,
+    *LATE_KINDS,
+)
+OTHER_KINDS = tuple(kind for kind in Kind if kind not in KINDS_OF_OTHER_SEEDS)
 
 
 def test_promises_hold_while_hosts_and_engines_are_disturbed(tmp_path: Path):
@@ -70,6 +74,14 @@
     assert findings(evidence) == []
 
 
+def test_promises_hold_while_bodies_end_late_in_stops(tmp_path: Path):
+    """Their requests were passed on, and cut at the end of the stop."""
+    schedule = draw(LATE_SEED, SECONDS, LATE_KINDS)
+    evidence, _ = run(schedule, LATE_SEED, HOSTS, tmp_path)
+    assert evidence.late
+    assert findings(evidence) == []
+
+
 @pytest.mark.parametrize(
     ("arguments", "named"),
     [
