Tell through a tunnel how much of the request its upstream has received

Behind another host the same cut answers reached callers as whole ones, after a reset, too: there, a failed write to the upstream took the socket's error, and the read that followed saw an orderly end, which the host reported as such. The sending host can't see what the upstream has acknowledged.

After the end, the host between goes on to pass the request on and reports how many of its bytes the upstream's kernel has acknowledged; the sending host takes a close-delimited answer as whole once that is the whole request.

--- a/bitterntiller/components/tunnels/checks.py
+++ b/bitterntiller/components/tunnels/checks.py
@@ -186,7 +186,7 @@
             probe = destination._replace(probe=True)
             sock = await self._relays.async_open(probe, relay)
             sent_at = self._clock.now()
-            client = ClientExchange(sock, self._allow_close_delimited)
+            client = ClientExchange(sock, self._allow_close_delimited, sock)
             try:
                 answered = await self._prober.async_answers(client, destination, size)
             finally:
--- a/bitterntiller/components/tunnels/const.py
+++ b/bitterntiller/components/tunnels/const.py
@@ -2,6 +2,7 @@
 
 PURPOSE = "tunnel"
 LENGTH_BYTES = 4
+COUNT_BYTES = 8
 READ_BYTES = 16 * 1024
 MAX_PART_BYTES = 64 * 1024
 
@@ -18,6 +19,9 @@
 """Time between checks whether the asking host has closed a tunnel whose upstream reads
 nothing."""
 
+DELIVERY_CHECK_SECONDS = 0.02
+"""Time between checks how much an upstream has received after its end."""
+
 RELAY_CONNECT_SECONDS = 0.3
 """Time that another host gets to connect to an upstream."""
 
--- a/bitterntiller/components/tunnels/relayed.py
+++ b/bitterntiller/components/tunnels/relayed.py
@@ -247,7 +247,7 @@
         except TunnelError as error:
             await results.put(error)
             return
-        client = ClientExchange(sock, self._connections.allow_close_delimited)
+        client = ClientExchange(sock, self._connections.allow_close_delimited, sock)
         await results.put(self._connected(client, relay.name))
 
     async def _async_close_late(self, results: curio.Queue) -> None:
--- a/bitterntiller/components/tunnels/server.py
+++ b/bitterntiller/components/tunnels/server.py
@@ -15,11 +15,16 @@
 from bitterntiller.components.tunnels.checks import PathChecks
 from bitterntiller.components.tunnels.client import Destination
 from bitterntiller.components.tunnels.direct import DirectPaths
-from bitterntiller.components.tunnels.stream import END, pack_part
+from bitterntiller.components.tunnels.stream import END, pack_count, pack_part
 from bitterntiller.core import events
 from bitterntiller.core.clock import Clock
 from bitterntiller.core.interfaces import Metrics
-from bitterntiller.core.tcp import async_connect, is_closed_by_peer
+from bitterntiller.core.tcp import (
+    async_connect,
+    is_closed_by_peer,
+    is_reset,
+    unacknowledged_bytes,
+)
 from bitterntiller.core.timeouts import ignore_after, timeout_after
 from bitterntiller.core.turns import Turns
 from bitterntiller.protocol import MalformedMessageError, messages
@@ -149,7 +154,11 @@
     async def _async_carry(
         self, sock: Any, upstream: Any, peer: Peer, request: Any
     ) -> None:
-        """Pass bytes on in both directions until one of them ends."""
+        """Pass bytes on in both directions until one of them ends.
+
+        After an upstream's orderly end, the bytes for it are passed on until the host
+        that asked closes: it learns how many of them the upstream receives.
+        """
         began = self._clock.now()
         counts = _Counts()
         destination = _destination(request)
@@ -179,7 +188,7 @@
             request=request.request_id,
             entry_host=peer.host,
             upstream=request.upstream,
-            by_upstream=group.completed is down,
+            by_upstream=counts.ended or group.completed is down,
             seconds=round(self._clock.now() - began, 4),
         )
 
@@ -187,13 +196,16 @@
 class _Counts:
     """The bytes that a tunnel has carried to an upstream and from it.
 
-    sent_at is when it carried the first ones to the upstream.
+    sent_at is when it carried the first ones to the upstream. passed counts those that
+    the kernel has taken; ended is set after the upstream's orderly end.
     """
 
     def __init__(self) -> None:
         self.sent_at = 0.0
         self.sent = 0
+        self.passed = 0
         self.received = 0
+        self.ended = False
 
 
 def _destination(request: Any) -> Destination:
@@ -216,6 +228,7 @@
             counts.sent += len(data)
             if not await _async_send(upstream, data, sock):
                 return
+            counts.passed += len(data)
             await turns.async_count(len(data))
     except OSError:
         return
@@ -254,6 +267,25 @@
             counts.received += len(data)
             await sock.sendall(pack_part(data))
             await turns.async_count(len(data))
+        counts.ended = True
         await sock.sendall(END)
+        await _async_report_received(upstream, sock, counts)
     except OSError:
         return
+
+
+async def _async_report_received(upstream: Any, sock: Any, counts: _Counts) -> None:
+    """Report how many bytes an upstream has received, until it can't receive more.
+
+    Raise OSError if the host that asked has closed.
+    """
+    reported = None
+    while True:
+        unacknowledged = unacknowledged_bytes(upstream)
+        received = max(0, counts.passed - unacknowledged)
+        if received != reported:
+            reported = received
+            await sock.sendall(pack_count(received))
+        if unacknowledged and is_reset(upstream):
+            return
+        await curio.sleep(const.DELIVERY_CHECK_SECONDS)
--- a/tests/components/tunnels/test_stream.py
+++ b/tests/components/tunnels/test_stream.py
@@ -4,7 +4,12 @@
 import pytest
 
 from bitterntiller.components.tunnels.const import MAX_PART_BYTES
-from bitterntiller.components.tunnels.stream import END, TunnelSocket, pack_part
+from bitterntiller.components.tunnels.stream import (
+    END,
+    TunnelSocket,
+    pack_count,
+    pack_part,
+)
 
 
 class Received:
@@ -17,6 +22,13 @@
         return self._pieces.pop(0) if self._pieces else b""
 
 
+class Sent(Received):
+    """The same, which takes what is sent."""
+
+    async def sendall(self, data: bytes) -> None:
+        pass
+
+
 async def async_read(data: bytes, size: int, wanted: int = 100) -> bytes:
     sock = TunnelSocket(Received(data, size))
     found = b""
@@ -43,3 +55,27 @@
     data = pack_part(bytes(MAX_PART_BYTES + 1)) + END
     with pytest.raises(ConnectionResetError):
         curio.run(async_read, data, MAX_PART_BYTES)
+
+
+async def async_is_delivered(data: bytes, size: int) -> bool:
+    """Return whether the counts in a tunnel say that its upstream has a request."""
+    sock = TunnelSocket(Sent(data, size))
+    await sock.sendall(b"request")
+    while await sock.recv(100):
+        pass
+    try:
+        while await sock.async_undelivered():
+            pass
+    except ConnectionResetError:
+        return False
+    return True
+
+
+@pytest.mark.parametrize("size", range(1, 20))
+@pytest.mark.parametrize(
+    ("counts", "delivered"), [((0, 7), True), ((2,), False), ((), False)]
+)
+def test_request_is_delivered_only_once_a_count_says_so(counts, delivered, size):
+    """A response may be cut if the tunnel breaks before its request got through."""
+    data = pack_part(b"response") + END + b"".join(map(pack_count, counts))
+    assert curio.run(async_is_delivered, data, size) == delivered
