Bound the text of HTTP errors

A caller got a 502 of 300 kB whose detail quoted a line of 60 kB that an engine had sent in place of a header: h11 quotes the whole line in its error, and the text was kept with the request, logged and sent.

--- a/bitterntiller/components/http/errors.py
+++ b/bitterntiller/components/http/errors.py
@@ -2,12 +2,18 @@
 
 from bitterntiller.core.errors import CodedError
 
+MAX_TEXT = 500
+"""Characters of the text of an error; h11 quotes a whole line of the peer in it."""
+
 
 class HttpError(CodedError):
     """Base class of errors on an HTTP connection."""
 
     code = "http"
 
+    def __init__(self, text: str) -> None:
+        super().__init__(text[:MAX_TEXT])
+
 
 class CallerGoneError(HttpError):
     """Raised when the caller closed the connection or stopped reading."""
--- a/tests/platform/test_improper_heads.py
+++ b/tests/platform/test_improper_heads.py
@@ -183,3 +183,21 @@
             return await async_statuses(connected.client)
 
     assert curio.run(async_main) is None
+
+
+def test_line_of_an_improper_answer_is_not_quoted_whole_to_the_caller():
+    """A line of 60 kB that is no header made a response of 300 kB."""
+
+    async def async_answer(sock: Any, data: bytes, number: int) -> None:
+        await sock.sendall(OK + b"\x01" * 60_000 + b"\r\n\r\n")
+        await sock.close()
+
+    async def async_main() -> bytes:
+        route = builders.route(route_kind="non_idempotent", stream_resume=False)
+        document = builders.document(route)
+        async with builders.entry_host(async_answer, document) as host:
+            return await host.async_ask(builders.request("/trees/1", CLOSE), 2.0)
+
+    received = curio.run(async_main)
+    assert received.startswith(b"HTTP/1.1 502 ")
+    assert len(received) < 2000
