Bound the response to a cancellation by 16 KiB

The host kept up to 64 MiB of an upstream's response to each cancellation, of which it uses the status only; many at once, to an upstream that sends without end, could exhaust the memory of the host and end the requests of all its callers.

--- a/bitterntiller/components/entry/const.py
+++ b/bitterntiller/components/entry/const.py
@@ -137,6 +137,9 @@
 RESUME_ATTEMPTS = 4
 RESUME_DELAY = 0.1
 CANCEL_TIMEOUT = 2.0
+MAX_CANCEL_BYTES = 16 * 1024
+"""Longest response to a cancellation; only its status is used."""
+
 DEFAULT_RETRY_AFTER = 1.0
 NO_LEASE_RETRY_AFTER = 1.0
 NO_LEASE_JITTER = (0.5, 2.0)
--- a/bitterntiller/components/entry/upstream_calls.py
+++ b/bitterntiller/components/entry/upstream_calls.py
@@ -79,7 +79,13 @@
     try:
         connected = await connector.async_acquire(destination, timeout)
         response = await async_fetch_on(
-            connected.client, "DELETE", target, headers, b"", timeout
+            connected.client,
+            "DELETE",
+            target,
+            headers,
+            b"",
+            timeout,
+            const.MAX_CANCEL_BYTES,
         )
     except (ConnectRefusedError, IncompleteResponseError):
         return False
--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -537,15 +537,16 @@
     headers: Headers,
     body: bytes,
     timeout: float,
+    limit: int = const.MAX_FETCH_BYTES,
 ) -> HttpResponse:
     """Return a complete response on a connection, which is closed afterwards.
 
-    Raise IncompleteResponseError.
+    Raise IncompleteResponseError, also if its body is longer than limit bytes.
     """
     try:
         await exchange.async_request(method, target, headers, body, timeout)
         head = await exchange.async_head(timeout)
-        body = await exchange.async_body(timeout, const.MAX_FETCH_BYTES)
+        body = await exchange.async_body(timeout, limit)
         return HttpResponse(head.status, head.headers, body)
     finally:
         await exchange.async_close()
