--- a/tests/scenarios/run_with_cuts.py
+++ b/tests/scenarios/run_with_cuts.py
@@ -7,6 +7,7 @@
 import sys
 from pathlib import Path
 
+PACKAGE = "bitterntiller"
 ROOT = Path(__file__).resolve().parents[2]
 # The program may be of another tree, with tests of its own.
 sys.path.insert(0, str(ROOT))
@@ -14,6 +15,10 @@
 from tests.scenarios import cut_paths  # noqa: E402
 
 sys.path.remove(str(ROOT))
+# The cuts use the package of their own tree, under whose name the program's would not
+# be found any more.
+for name in [item for item in sys.modules if item.partition(".")[0] == PACKAGE]:
+    del sys.modules[name]
 
 if __name__ == "__main__":
     cut_paths.install(Path(sys.argv[1]))
