Promote no voter beyond the target, and remove a dead one beyond it

Cause: a repair removes a voter and marks the learner that takes its place. If that learner was down when it was due, another one filled the number of voters; when the marked one was back it was promoted all the same, as a sixth voter beside a dead one, which no later step replaced. Six voters need four; two losses left three. Change: with a target number of voters, a marked learner is promoted only below it, and otherwise replaces a silent voter, as other learners do. A silent voter beyond the target is removed.

--- a/bitterntiller/components/replication/repair_decisions.py
+++ b/bitterntiller/components/replication/repair_decisions.py
@@ -82,16 +82,26 @@
 def next_membership(
     state: State, commands: list[RepairCommand], now: float
 ) -> tuple[Member, ...] | None:
-    """Return the members after the next change, None if no change is due."""
+    """Return the members after the next change, None if no change is due.
+
+    With a target, a learner that is marked to be promoted becomes a voter only below
+    it: another one may have been promoted while the marked one was down.
+    """
+    target = state.tuning.target_voters
+    count = len(voters(state.members))
     for learner in state.members.all:
         if learner.voter or not is_healthy(state, learner.replica, now):
             continue
-        if learner.promote or len(voters(state.members)) < state.tuning.target_voters:
+        if count < target or (learner.promote and not target):
             return _with_member(
                 state.members, learner._replace(voter=True, promote=False)
             )
         if step := _next_replacement(state, learner, commands, now):
             return step
+    if target and count > target:
+        lost = _longest_silent_voter(state, now)
+        if lost is not None:
+            return _without_voter(state, lost, None, now)
     return _next_removal(state, commands, now)
 
 
--- a/tests/components/replication/test_automatic.py
+++ b/tests/components/replication/test_automatic.py
@@ -57,6 +57,39 @@
     assert len([m for m in step if m.voter]) == 2
 
 
+def test_marked_learner_replaces_a_silent_voter_once_the_target_is_reached():
+    """It became a sixth voter beside a dead one, so that two losses left no quorum.
+
+    It was down when its turn came, and another host was promoted meanwhile.
+    """
+    simulation, state = led_simulation("abcde", 5)
+    now = simulation.nodes["a"].clock + 3
+    learner = add_learner(state, now, now)
+    members = [m for m in state.members.all if m != learner]
+    state.members = state.members._replace(
+        all=(*members, learner._replace(promote=True))
+    )
+    for replica, progress in state.progress_by_replica.items():
+        if not replica.startswith("e/"):
+            progress.last_contact = now
+    step = repair_decisions.next_membership(state, [], now)
+    assert [m.host for m in step if m.voter] == list("abcd")
+    assert next(m for m in step if m.host == "z").promote
+
+
+def test_silent_voter_beyond_the_target_is_removed():
+    """Five live voters of six bear one loss, and without the dead one two."""
+    simulation, state = led_simulation("abcdef", 5)
+    now = simulation.nodes["a"].clock + 3
+    for replica, progress in state.progress_by_replica.items():
+        if not replica.startswith("f/"):
+            progress.last_contact = now
+    step = repair_decisions.next_membership(state, [], now)
+    assert [m.host for m in step] == list("abcde")
+    state.tuning = state.tuning._replace(target_voters=6)
+    assert repair_decisions.next_membership(state, [], now) is None
+
+
 def test_responding_voter_is_not_replaced():
     simulation, state = led_simulation("abc", 3)
     now = simulation.nodes["a"].clock
