--- a/tests/platform/test_lost_paths.py
+++ b/tests/platform/test_lost_paths.py
@@ -7,13 +7,16 @@
 
 from tests.platform.lost_path_fleet import (
     CONTACT_WINDOW,
+    ROWS,
     LostPathFleet,
     configuration,
+    run_row,
 )
 from tests.platform.processes import SUBNET, ask
 
 OK = 200
 CALL_SECONDS = 1.0
+SECONDS_AFTER = 6.0
 DEAD_SEEDS = tuple(f"{SUBNET}.{number}" for number in (200, 201, 202))
 
 
@@ -32,3 +35,16 @@
         assert ask(ip, "GET", path, timeout=CALL_SECONDS)[0] == OK
         body = configuration(2)
         assert ask(ip, "PUT", path, body, timeout=CALL_SECONDS)[0] == OK
+
+
+@pytest.mark.alone
+@pytest.mark.parametrize("name", ["leader-inwards", "all-silent"])
+def test_control_hosts_serve_again_within_the_contact_window_of_a_loss(
+    tmp_path: Path, name: str
+) -> None:
+    """Connections that stay silent after a cut must not keep operators waiting."""
+    with LostPathFleet(tmp_path) as fleet:
+        row = run_row(fleet, ROWS[name], SECONDS_AFTER)
+    assert row.late == []
+    served = {(call.ip, call.method) for call in row.calls.calls if call.status == OK}
+    assert len(served) == 2 * len(fleet.control_ips)
