Soak: cuts that open connections between hosts don't outlive

Cause: a cut of the soak reset the connections that it had silenced as soon as it ended, so that none stayed silent beside new ones that work. Change: the kind silence-peers, by the mode outlive of cut_paths.

--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from tests.platform.soak_endless import ORDERS_BY_MODE
-from tests.scenarios.cut_paths import MODES, REFUSE, RESET, SILENT
+from tests.scenarios.cut_paths import MODES, OUTLIVE, REFUSE, RESET, SILENT
 
 
 class Kind(StrEnum):
@@ -39,6 +39,7 @@
     HOT_HOST = "hot-host"
     CONFIGURE = "configure"
     CONFIGURE_BADLY = "configure-badly"
+    SILENCE_PEERS = "silence-peers"
     ENDLESS_ENGINE = "endless-engine"
 
 
@@ -82,6 +83,7 @@
     Kind.KILL_ENTRIES: (0.0, 1.5),
     Kind.RELEASE: (1.0, 3.0),
     Kind.MOVE_ROUTE: (0.0, 0.0),
+    Kind.SILENCE_PEERS: (0.2, 4.0),
 }
 """Shortest and longest time in seconds; 0 for what happens at one moment."""
 
@@ -92,12 +94,14 @@
     Kind.KILL_ENTRY,
     Kind.ENDLESS_ENGINE,
     Kind.LATE_COPIES,
+    Kind.SILENCE_PEERS,
 }
 """Kinds that may befall several entry hosts, or engines, at once."""
 
 _MODES_BY_KIND: dict[Kind, list[str]] = {
     Kind.CUT_PEERS: [SILENT, RESET, REFUSE],
     Kind.CUT_ENGINES: sorted(MODES),
+    Kind.SILENCE_PEERS: [OUTLIVE],
     Kind.ENDLESS_ENGINE: list(ORDERS_BY_MODE),
 }
 """How a path is cut, or which bytes an engine sends and how fast."""
--- a/soak/troubles.py
+++ b/soak/troubles.py
@@ -38,6 +38,7 @@
         Kind.CUT_PEERS,
         Kind.CUT_ENGINES,
         Kind.KILL_ENTRIES,
+        Kind.SILENCE_PEERS,
     }
 )
 """Kinds that befall hosts; the others befall engines, callers or the configuration."""
@@ -113,6 +114,7 @@
             Kind.KILL_ENTRIES: self._kill_entries,
             Kind.RELEASE: self._release,
             Kind.MOVE_ROUTE: self._move_route,
+            Kind.SILENCE_PEERS: lambda item: self._cut(item, INTERNAL_PORT),
         }
 
     def play(self, schedule: tuple[Trouble, ...]) -> None:
--- a/tests/scenarios/cut_paths.py
+++ b/tests/scenarios/cut_paths.py
@@ -8,8 +8,10 @@
 silent-request (it is lost, and nothing more comes), silent-large (so are requests of
 over PACKET_BYTES, smaller ones pass), truncate (a response is reset behind the first
 byte of its body) and foreign-answer (something between answers in place of the
-upstream). The kernel's timeouts are emulated: a connection with TCP_USER_TIMEOUT that
-has carried nothing for that time fails.
+upstream). For peers there is also outlive: as silent, but open connections stay silent
+after it, without a reset, until a timeout of this host or the kernel ends them. The
+kernel's timeouts are emulated: a connection with TCP_USER_TIMEOUT that has carried
+nothing for that time fails.
 """
 
 import socket as system_socket
@@ -33,6 +35,7 @@
 SILENT_LARGE = "silent-large"
 TRUNCATE = "truncate"
 FOREIGN_ANSWER = "foreign-answer"
+OUTLIVE = "outlive"
 CONNECTING = frozenset(
     {
         SWALLOW_REQUEST,
@@ -88,13 +91,14 @@
     _peer: Any = None
     _silent_since: float | None = None
     _reset = False
+    _outlived = False
     _stalled = False
     _head_arrived = False
     _answer = b""
 
     async def connect(self, address: Any) -> Any:
         mode = self.cut.mode(address)
-        if mode == SILENT:
+        if mode in (SILENT, OUTLIVE):
             await curio.sleep(FOREVER)
         if mode and mode not in CONNECTING:
             raise ConnectionRefusedError("the path is cut")
@@ -159,7 +163,8 @@
         mode = self.cut.mode(self._peer)
         if mode == RESET:
             raise ConnectionResetError("the path is cut")
-        if mode == SILENT:
+        self._outlived = self._outlived or mode == OUTLIVE
+        if mode == SILENT or self._outlived:
             now = time.monotonic()
             self._silent_since = self._silent_since or now
             timeout = self._user_timeout()
