--- a/tests/scenarios/run_with_cuts.py
+++ b/tests/scenarios/run_with_cuts.py
@@ -7,6 +7,9 @@
 import sys
 from pathlib import Path
 
+# From the tree of the program, before the path of this one comes first.
+import bitterntiller  # noqa: F401
+
 ROOT = Path(__file__).resolve().parents[2]
 # The program may be of another tree, with tests of its own.
 sys.path.insert(0, str(ROOT))
