--- a/soak/troubles.py
+++ b/soak/troubles.py
@@ -53,6 +53,7 @@
         Kind.KILL_ENTRIES,
         Kind.POWER_LOSS,
         Kind.LATE_IN_STOP,
+        Kind.SILENCE_PEERS,
     }
 )
 """Kinds that befall hosts; the others befall engines, callers or the configuration."""
@@ -173,6 +174,7 @@
             Kind.MOVE_ROUTE: self._move_route,
             Kind.POWER_LOSS: self._lose_power,
             Kind.LATE_IN_STOP: self._late_in_stop,
+            Kind.SILENCE_PEERS: lambda item: self._cut(item, INTERNAL_PORT),
         }
 
     def play(self, schedule: tuple[Trouble, ...]) -> None:
