Send streams only to the start of an upstream that was granted

A stream that began there was recorded with the earlier version, and went on rightly at that, which is another. Hosts out of step and late announcements make the time longer.

Class: what was announced of a process is taken for what is true of whatever has its name. A connection ends with the process that accepted it. So for a stream that may be taken up a new connection is asked once for the upstream's report, which states its start (born); the stream is sent only if that is the start of the grant, whose version came with the same announcement. Otherwise, or if there is no answer in 0.5 s, the request waits for another upstream; nothing was sent. An upstream whose report states no start is served as before, and not asked again. Upstreams that announce no start are never asked, nor are calls and streams that can't be resumed.

What it costs where probes and channels are priced was not measured.

--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -8,7 +8,7 @@
 
 import curio
 
-from bitterntiller.components.config.models import Route
+from bitterntiller.components.config.models import Route, RouteKind
 from bitterntiller.components.entry import const
 from bitterntiller.components.entry.admission_checks import quarantine_ending
 from bitterntiller.components.entry.claiming import ClaimClient
@@ -16,6 +16,7 @@
 from bitterntiller.components.entry.dialect import ResponseClass
 from bitterntiller.components.entry.event_logging import log_response, log_sending
 from bitterntiller.components.entry.identify import revalidate
+from bitterntiller.components.entry.incarnations import LeadsTo
 from bitterntiller.components.entry.limit_reports import async_report_rate_limit
 from bitterntiller.components.entry.models import (
     ActiveRequest,
@@ -35,6 +36,7 @@
 from bitterntiller.components.entry.run import Run, RunWatch
 from bitterntiller.components.entry.send_checks import (
     LEASE_EXPIRED,
+    OTHER_VERSION,
     REFUSED_CONNECTION,
     SAME_UPSTREAM,
     check_expiry,
@@ -57,6 +59,7 @@
 
 NOT_ADMITTED = "not-admitted"
 FAILED = "failed"
+NOT_CONFIRMED = "the upstream did not confirm that it is the start that was granted"
 _BROKEN_ANSWERS = frozenset({Reason.UPSTREAM_RESET, Reason.UPSTREAM_TIMEOUT})
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
@@ -96,7 +99,6 @@
         verdict = self._check(grant)
         if verdict is not None:
             return verdict
-        connector = self._context.connector
         destination = Destination(
             request_id=self._active.request_id,
             upstream=grant.upstream,
@@ -106,18 +108,20 @@
             used_connections=frozenset(self._active.used_connections),
         )
         try:
-            connected = await connector.async_acquire(
-                destination,
-                self._timings.upstream_connect,
-                self._may_repeat and self._active.repeatable_once_sent,
-            )
+            connected = await self._async_connect(destination, grant)
         except ConnectRefusedError as error:
             # No byte was sent without a connection, so the request did not run.
             return Retry(grant.upstream, REFUSED_CONNECTION, detail=error.text)
+        if connected is None:
+            return Retry(grant.upstream, OTHER_VERSION, detail=NOT_CONFIRMED)
         if self._standby is None:
             self._active.relay = connected.relay
         report = PathReport(
-            connector, destination, connected, self._active, self._exchange
+            self._context.connector,
+            destination,
+            connected,
+            self._active,
+            self._exchange,
         )
         async with AsyncExitStack() as stack:
             run = Run(self._active, grant, self._context.clock)
@@ -129,6 +133,36 @@
                 self._active.stack.push_async_callback(stack.pop_all().aclose)
             return verdict
 
+    async def _async_connect(
+        self, destination: Destination, grant: GrantReceived
+    ) -> Connected | None:
+        """Return a connection to the upstream; raise ConnectRefusedError.
+
+        For a stream that may be taken up, return None if it doesn't lead to the
+        incarnation that was granted, which may have another version.
+        """
+        connected = await self._async_acquire(destination)
+        checks = self._context.incarnations
+        route = self._active.route
+        if checks is None or route is None or route.kind is not RouteKind.RESUMABLE:
+            return connected
+        leads_to = None
+        try:
+            leads_to = await checks.async_check(connected.client, grant)
+        finally:
+            if leads_to is not LeadsTo.GRANTED:
+                await connected.client.async_close()
+        if leads_to is LeadsTo.GRANTED_ONCE:
+            return await self._async_acquire(destination)
+        return connected if leads_to is LeadsTo.GRANTED else None
+
+    async def _async_acquire(self, destination: Destination) -> Connected:
+        return await self._context.connector.async_acquire(
+            destination,
+            self._timings.upstream_connect,
+            self._may_repeat and self._active.repeatable_once_sent,
+        )
+
     async def _async_give_back(self, run: Run, connected: Connected) -> None:
         """Keep a connection whose response is complete, close any other."""
         result = run.result
--- a/bitterntiller/components/entry/const.py
+++ b/bitterntiller/components/entry/const.py
@@ -79,6 +79,20 @@
 MIN_TIMEOUT = 0.001
 """Seconds; a timeout of 0 would count as expired already."""
 
+INCARNATION_SECONDS = 0.5
+INCARNATION_BYTES = 256 * 1024
+"""Time and bytes within which an upstream names its incarnation."""
+
+MAX_UNNAMED = 4096
+"""Incarnations of which it is kept that the upstream names none."""
+
+HEADER_CONTENT_TYPE = b"content-type"
+EVENT_STREAM = "text/event-stream"
+
+NO_INCARNATIONS = ("", "0")
+"""Incarnations of upstreams that don't state them, and start with a name of their own
+each time."""
+
 DRAIN_SECONDS = 0.2
 DRAIN_BYTES = 256 * 1024
 """Time and bytes within which the body of a response that isn't relayed must end for
--- a/bitterntiller/components/entry/context.py
+++ b/bitterntiller/components/entry/context.py
@@ -5,6 +5,7 @@
 
 from bitterntiller.components.config.models import Workspace
 from bitterntiller.components.entry.dialect import HttpDialect
+from bitterntiller.components.entry.incarnations import IncarnationChecks
 from bitterntiller.components.entry.native_dialect import NativeDialect
 from bitterntiller.components.entry.notices import UpstreamNotices
 from bitterntiller.components.entry.quota import QuotaHold
@@ -104,6 +105,7 @@
     relayed_connector: Connector | None = None
     stream_versions: StreamVersions | None = None
     stop: StopSchedule = NEVER_STOPS
+    incarnations: IncarnationChecks | None = None
 
     @property
     def connector(self) -> Connector:
--- a/bitterntiller/components/entry/coordinator.py
+++ b/bitterntiller/components/entry/coordinator.py
@@ -9,6 +9,7 @@
 from bitterntiller.components.entry.claiming import ClaimClient
 from bitterntiller.components.entry.context import Context
 from bitterntiller.components.entry.event_logging import log_cut
+from bitterntiller.components.entry.incarnations import IncarnationChecks
 from bitterntiller.components.entry.limit_reports import async_report_known_limits
 from bitterntiller.components.entry.models import ActiveRequest, Cut, CutBy, Phase
 from bitterntiller.components.entry.notice_reports import async_report_known_notices
@@ -45,7 +46,8 @@
         retries: RetryBudget | None = None,
     ) -> None:
         stop = StopSchedule(context.clock, context.timings.shutdown)
-        context = context._replace(stop=stop)
+        incarnations = IncarnationChecks(context.dialect)
+        context = context._replace(stop=stop, incarnations=incarnations)
         self._context = context
         self.registry = RequestRegistry(context)
         self.budget = HostBudget(limits)
--- a/bitterntiller/components/entry/dialect.py
+++ b/bitterntiller/components/entry/dialect.py
@@ -103,6 +103,17 @@
         """
         ...
 
+    def incarnation_request(self) -> ProbeRequest | None:
+        """Return a request for an answer that names the incarnation of an upstream.
+
+        None if no upstream starts again under its name.
+        """
+        ...
+
+    def named_incarnation(self, head: ResponseHead, body: bytes) -> str | None:
+        """Return the incarnation that such an answer names, None without one."""
+        ...
+
     def load(self, head: ResponseHead) -> ReportedLoad | None:
         """Return the upstream's load if the response reports it."""
         ...
--- a/bitterntiller/components/entry/native_dialect.py
+++ b/bitterntiller/components/entry/native_dialect.py
@@ -95,6 +95,14 @@
         """Return a request for a stream that the upstream doesn't know."""
         return self.probe_request(service)
 
+    def incarnation_request(self) -> ProbeRequest | None:
+        """Return None, as no caller takes a stream up."""
+        return None
+
+    def named_incarnation(self, head: ResponseHead, body: bytes) -> str | None:
+        """Return None, as no upstream is asked."""
+        return None
+
     def is_from_another_process(
         self, upstream: str, incarnation: str, head: ResponseHead
     ) -> bool:
--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -45,7 +45,8 @@
     a response is incomplete.
 
     serial is the number of the connection in this process, and exchanges counts the
-    requests that were sent on it.
+    requests that were sent on it. incarnation is that of the upstream, as it names it
+    on this connection; None before it was asked.
 
     sent_bytes counts those of the current exchange. broke is set once its response was
     lost or truncated, malformed also if its bytes can't be a response; timed_out if the
@@ -60,6 +61,7 @@
         self.exchanges = 0
         self.idle_since = 0.0
         self.reused = False
+        self.incarnation: str | None = None
         self.sent_bytes = 0
         self.broke = False
         self.malformed = False
--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -122,7 +122,7 @@
     names is used for all later grants, and so with versions. With refused_as, requests
     that wait again are refused for that reason. started_seconds is how long it takes to
     report each sending after the first; grants are valid for valid_ms.
-    Without grants, all requests wait.
+    Without grants, all requests wait; incarnation is that of all upstreams.
     """
 
     def __init__(self, address: str) -> None:
@@ -133,6 +133,7 @@
         self.started_seconds = 0.0
         self.valid_ms = 1000
         self.grants = True
+        self.incarnation = "0"
         self.coordinator: Any = None
         self._address = address
 
@@ -156,7 +157,7 @@
             epoch=0,
             upstream=self._next_name(),
             address=self._address,
-            upstream_incarnation="0",
+            upstream_incarnation=self.incarnation,
             valid_ms=self.valid_ms,
             version=self.versions.pop(0) if self.versions[1:] else self.versions[0],
         )
