--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -49,7 +49,8 @@
     delivery tells what the upstream has received, if the socket doesn't lead there.
 
     serial is the number of the connection in this process, and exchanges counts the
-    requests that were sent on it.
+    requests that were sent on it. incarnation is that of the upstream, as it names it
+    on this connection; None before it was asked.
 
     sent_bytes counts those of the current exchange. broke is set once its response was
     lost or truncated, malformed also if its bytes can't be a response; timed_out if the
@@ -70,6 +71,7 @@
         self._carried: set[int] = set()
         self.idle_since = 0.0
         self.reused = False
+        self.incarnation: str | None = None
         self.sent_bytes = 0
         self.broke = False
         self.malformed = False
