--- a/soak/load.py
+++ b/soak/load.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from tests.platform.builders import KEY
-from tests.platform.callers import Callers
+from tests.platform.callers import Callers, chunked, whole
 from tests.platform.crashing_parts import (
     BAD,
     OTHER_KEY,
@@ -29,6 +29,9 @@
 SOUND_PER_SECOND = 2.0
 BAD_PER_SECOND = 4.0
 HOT_SHARE = 0.9
+UPLOAD_CALLERS = 2
+UPLOAD_BYTES = 900_000
+"""Length of an upload: more than the kernel of an engine takes unread."""
 
 
 class HostChoice(Sequence[str]):
@@ -52,6 +55,13 @@
         return iter(self.ips)
 
 
+class UploadCallers(Callers):
+    """Callers whose bodies are long."""
+
+    body_bytes = (UPLOAD_BYTES, UPLOAD_BYTES + 1)
+    forms = (whole, chunked)
+
+
 class SoakLoad:
     """All callers of a soak; times are those of the monotonic clock."""
 
@@ -64,7 +74,9 @@
             self.hosts, 0.0, MOVING_CALLERS, pause=LONG_PAUSE, path=f"{MOVING}1"
         )
         self.long_streams = SilentCallers(self.hosts, count_by_kind, DEADLINE_MS)
-        self.calls = Callers(self.hosts, lambda: [f"{TILES}1", f"{PINS}1"], seed)
+        self._seed = seed
+        self._uploads = 0
+        self.calls = Callers(self.hosts, _call_paths, seed)
         self.calls.start(CALLERS)
         sound = tuple(kind._replace(a_second=SOUND_PER_SECOND) for kind in SOUND)
         bad = PromptKind("bad", BAD_PER_SECOND, KEY, lambda: (SHARED, BAD, _own()))
@@ -75,6 +87,16 @@
         """Return the monotonic time of a call that recorded the time of day."""
         return wall - self._wall_offset
 
+    def upload(self, seconds: float) -> None:
+        """Send long calls, too, for some seconds."""
+        self._uploads += 1
+        seed = UPLOAD_BYTES * (self._seed + self._uploads)
+        callers = UploadCallers(self.hosts, _call_paths, seed)
+        callers.responses = self.calls.responses
+        callers.start(UPLOAD_CALLERS)
+        time.sleep(seconds)
+        callers.stop()
+
     def stop(self) -> None:
         """Stop all callers after what they have in progress."""
         for callers in (
@@ -107,5 +129,9 @@
         thread.join()
 
 
+def _call_paths() -> list[str]:
+    return [f"{TILES}1", f"{PINS}1"]
+
+
 def _own() -> str:
     return uuid.uuid4().hex[:8]
--- a/soak/troubles.py
+++ b/soak/troubles.py
@@ -113,6 +113,7 @@
             Kind.KILL_ENTRIES: self._kill_entries,
             Kind.RELEASE: self._release,
             Kind.MOVE_ROUTE: self._move_route,
+            Kind.CUT_UPLOADS: self._cut_uploads,
         }
 
     def play(self, schedule: tuple[Trouble, ...]) -> None:
@@ -339,6 +340,16 @@
             self._fleet.replace_ended_plain()
             return names
 
+    def _cut_uploads(self, trouble: Trouble) -> tuple[str, ...]:
+        """Let engines break off their responses to long calls, and send such calls."""
+        engines = self._plain(trouble)
+        for engine in engines:
+            engine.cuts_uploads = True
+        self._load.upload(trouble.seconds)
+        for engine in engines:
+            vars(engine).pop("cuts_uploads", None)
+        return tuple(sorted(engine.name for engine in engines))
+
     def _bad_part(self, trouble: Trouble) -> tuple[str, ...]:
         self._fleet.bad_parts = frozenset({BAD})
         time.sleep(trouble.seconds)
--- a/tests/platform/callers.py
+++ b/tests/platform/callers.py
@@ -58,9 +58,13 @@
     """Threads that send proper requests to entry hosts and record the responses.
 
     Each keeps its connection until it fails or the host closes it. paths returns the
-    paths that all configurations allow at that moment.
+    paths that all configurations allow at that moment. body_bytes is the range from
+    which lengths of bodies are drawn, forms has those in which bodies are sent.
     """
 
+    body_bytes = (1, 2048)
+    forms = FORMS
+
     def __init__(
         self, ips: tuple[str, ...], paths: Callable[[], list[str]], seed: int
     ) -> None:
@@ -98,9 +102,9 @@
         self, connection: http.client.HTTPConnection, ip: str, draw: random.Random
     ) -> bool:
         """Send one request; return whether the connection can carry another."""
-        form = draw.choice(FORMS)
+        form = draw.choice(self.forms)
         path = draw.choice(self._paths())
-        framing, body = form(draw.randbytes(draw.randrange(1, 2048)))
+        framing, body = form(draw.randbytes(draw.randrange(*self.body_bytes)))
         headers = {
             "Host": HOST,
             "Authorization": f"Token {KEY}",
--- a/tests/platform/soak_fleet.py
+++ b/tests/platform/soak_fleet.py
@@ -50,6 +50,7 @@
 MAX_CONNECTIONS = 500
 KV_TOKENS = 1_000_000
 MAX_BODY_BYTES = 1_000_000
+LONG_REQUEST_BYTES = 500_000
 
 
 class PausableWriter:
@@ -121,13 +122,15 @@
     """An engine of calls; slow is the time in seconds that each takes longer.
 
     It refuses a share of the requests as not run, and sends each of these responses a
-    second time when the next request has arrived on its connection.
+    second time when the next request has arrived on its connection. With cuts_uploads,
+    it responds to long requests at once, without a length, and breaks off.
     """
 
     slots = 2
     slow = 0.0
     limit = 0.0
     refuses = 0.0
+    cuts_uploads = False
 
     def respond(self, handler: http.server.BaseHTTPRequestHandler) -> None:
         """Respond later than other engines, and name a limit of requests."""
@@ -142,6 +145,11 @@
         if self.orders is not None and handler.path != HEALTH_PATH:
             self.send_on(handler, self.orders)
             return
+        length = int(handler.headers.get("Content-Length", 0))
+        if self.cuts_uploads and length >= LONG_REQUEST_BYTES:
+            self.record_request(handler.headers["X-Attempt-Id"])
+            cut_upload(handler)
+            return
         time.sleep(self.slow)
         if self.limit:
             send = handler.end_headers
@@ -157,6 +165,20 @@
             handler.__dict__.pop("end_headers", None)
 
 
+def cut_upload(handler: http.server.BaseHTTPRequestHandler) -> None:
+    """Send a part of a response that ends with its connection, which is closed then.
+
+    The request is left unread: its rest is answered with a reset.
+    """
+    lines = (
+        "HTTP/1.1 200 OK",
+        f"X-Attempt-Id: {handler.headers['X-Attempt-Id']}",
+        "X-Engine-Signature: signed",
+    )
+    handler.wfile.write("\r\n".join(lines).encode() + b"\r\n\r\nti")
+    handler.close_connection = True
+
+
 def refuse(handler: http.server.BaseHTTPRequestHandler) -> bytes:
     """Refuse a request as not run; return the response."""
     handler.rfile.read(int(handler.headers.get("Content-Length", 0)))
