--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -43,6 +43,7 @@
     SILENCE_PEERS = "silence-peers"
     ENDLESS_ENGINE = "endless-engine"
     LATE_IN_STOP = "late-in-stop"
+    CUT_UPLOADS = "cut-uploads"
 
 
 FIRST_SECONDS = 4.0
@@ -88,6 +89,7 @@
     Kind.POWER_LOSS: (0.0, 0.0),
     Kind.LATE_IN_STOP: (0.0, 1.0),
     Kind.SILENCE_PEERS: (0.2, 4.0),
+    Kind.CUT_UPLOADS: (1.0, 4.0),
 }
 """Shortest and longest time in seconds; 0 for what happens at one moment."""
 
@@ -99,6 +101,7 @@
     Kind.ENDLESS_ENGINE,
     Kind.LATE_COPIES,
     Kind.SILENCE_PEERS,
+    Kind.CUT_UPLOADS,
 }
 """Kinds that may befall several entry hosts, or engines, at once."""
 
--- a/soak/troubles.py
+++ b/soak/troubles.py
@@ -175,6 +175,7 @@
             Kind.POWER_LOSS: self._lose_power,
             Kind.LATE_IN_STOP: self._late_in_stop,
             Kind.SILENCE_PEERS: lambda item: self._cut(item, INTERNAL_PORT),
+            Kind.CUT_UPLOADS: self._cut_uploads,
         }
 
     def play(self, schedule: tuple[Trouble, ...]) -> None:
@@ -433,6 +434,16 @@
             self._fleet.replace_ended_plain()
             return names
 
+    def _cut_uploads(self, trouble: Trouble) -> tuple[str, ...]:
+        """Let engines break off their responses to long calls, and send such calls."""
+        engines = self._plain(trouble)
+        for engine in engines:
+            engine.cuts_uploads = True
+        self._load.upload(trouble.seconds)
+        for engine in engines:
+            vars(engine).pop("cuts_uploads", None)
+        return tuple(sorted(engine.name for engine in engines))
+
     def _bad_part(self, trouble: Trouble) -> tuple[str, ...]:
         self._fleet.bad_parts = frozenset({BAD})
         time.sleep(trouble.seconds)
