Soak: count a disk as lost while other hosts of control are disturbed

Cause: a host with an empty disk counted as lost until 4 s after it was back. Change: a trouble at a host of control starts the time to catch up again for the disks that count as lost. No check changes.

--- a/soak/troubles.py
+++ b/soak/troubles.py
@@ -26,7 +26,11 @@
 """Least time that a trouble waits for its hosts."""
 
 CATCH_UP_SECONDS = 4.0
-"""Time after which a host that is back with an empty disk no longer counts as lost."""
+"""Time after which a host that is back with an empty disk no longer counts as lost.
+
+It catches up from a leader, which there may not be while other hosts of control are
+disturbed.
+"""
 
 HOST_KINDS = frozenset(
     {
@@ -92,6 +96,13 @@
         self._lost_until_by_ip = kept
         return tuple(chosen)
 
+    def extend(self, began: float, ended: float) -> None:
+        """Start the time to catch up again, as a host of control was disturbed."""
+        self._lost_until_by_ip = {
+            ip: max(at, ended + CATCH_UP_SECONDS) if at > began else at
+            for ip, at in self._lost_until_by_ip.items()
+        }
+
 
 class Troubles:
     """Plays a schedule; each trouble has a thread of its own.
@@ -173,7 +184,10 @@
                     yield False
                     return
                 stack.callback(lock.release)
+            began = time.monotonic()
             yield True
+            if set(ips) & set(self._fleet.control_ips):
+                self._disks.extend(began, time.monotonic())
 
     def _entry(self, trouble: Trouble) -> tuple[str, ...]:
         ips = self._fleet.entry_ips
