--- a/tests/platform/lost_path_fleet.py
+++ b/tests/platform/lost_path_fleet.py
@@ -9,7 +9,7 @@
 import tempfile
 import threading
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -84,14 +84,21 @@
         self.until(self._led)
         return max(self._led())[1]
 
+    def all_vote(self) -> bool:
+        """Return whether a membership has had all control hosts as voters."""
+        found = [event["voter_by_host"] for _, event in self._events("members")]
+        return any(sum(hosts.values()) == len(self.control_ips) for hosts in found)
+
     def _led(self) -> list[tuple[int, str]]:
         """Return the terms in the logs of control hosts, and who led in each."""
-        return [
-            (json.loads(line[line.index("{") :])["term"], ip)
-            for ip in self.control_ips
-            for line in self.process_by_ip[ip].log.read_text().splitlines()
-            if '"event":"leading"' in line
-        ]
+        return [(event["term"], ip) for ip, event in self._events("leading")]
+
+    def _events(self, name: str) -> Iterator[tuple[str, dict[str, Any]]]:
+        """Yield the events of a name in the logs of control hosts."""
+        for ip in self.control_ips:
+            for line in self.process_by_ip[ip].log.read_text().splitlines():
+                if f'"event":"{name}"' in line:
+                    yield ip, json.loads(line[line.index("{") :])
 
 
 def configuration(version: int) -> dict[str, Any]:
--- a/tests/platform/test_lost_paths.py
+++ b/tests/platform/test_lost_paths.py
@@ -37,6 +37,19 @@
         assert ask(ip, "PUT", path, body, timeout=CALL_SECONDS)[0] == OK
 
 
+def test_control_serves_after_a_loss_of_power_that_leaves_no_live_seed(
+    tmp_path: Path,
+) -> None:
+    """No host of control served, though they had elected a leader."""
+    with LostPathFleet(tmp_path) as fleet:
+        fleet.until(fleet.all_vote)
+        fleet.seeds = DEAD_SEEDS
+        fleet.restart_all()
+        time.sleep(2 * CONTACT_WINDOW)
+        for ip in fleet.control_ips:
+            assert ask(ip, "GET", "/-/config", timeout=CALL_SECONDS)[0] == OK
+
+
 @pytest.mark.alone
 @pytest.mark.parametrize("name", ["leader-inwards", "all-silent"])
 def test_control_hosts_serve_again_within_the_contact_window_of_a_loss(
