Soak: let engines of a release start again under their names

A release whose value is below 0.25 starts the first half of the engines again under the names that they had, announced 1 s late; engines of streams state their start in announcements and reports. The check streams-of-one-version was there.

--- a/soak/troubles.py
+++ b/soak/troubles.py
@@ -24,6 +24,7 @@
 
 SLOW_SECONDS = 0.3
 POLL_SECONDS = 0.05
+NAMES_KEPT_BELOW = 0.25
 LEAD_SECONDS = 0.2
 LATE_CALLS = 4
 LATE_HEADS_FROM, LATE_BODIES_FROM, LATE_STEP = 2.2, 4.6, 0.03
@@ -326,10 +327,14 @@
         return (engine.name,) if self._fleet.replace_at_once(engine, version) else ()
 
     def _release(self, trouble: Trouble) -> tuple[str, ...]:
-        """Replace half of the engines without a word, and the others as they leave."""
+        """Replace half of the engines without a word, and the others as they leave.
+
+        With a low value those of the first half start again under their names.
+        """
         version = self._rng.choice(VERSIONS)
         engines = list(self._fleet.engines)
-        self._replace_all(engines[::2], version)
+        names_kept = trouble.value < NAMES_KEPT_BELOW
+        self._replace_all(engines[::2], version, names_kept)
         time.sleep(trouble.seconds / 2)
         for engine in engines[1::2]:
             engine.drain()
@@ -337,9 +342,12 @@
         self._replace_all(engines[1::2], version)
         return tuple(engine.name for engine in engines)
 
-    def _replace_all(self, engines: Sequence[CrashingEngine], version: str) -> None:
+    def _replace_all(
+        self, engines: Sequence[CrashingEngine], version: str, names_kept: bool = False
+    ) -> None:
         for engine in engines:
-            self._fleet.replace_at_once(engine, version)
+            name = engine.name if names_kept else ""
+            self._fleet.replace_at_once(engine, version, name)
 
     def _leave_engine(self, trouble: Trouble) -> tuple[str, ...]:
         engine = self._engine(trouble)
--- a/tests/platform/crashing_parts.py
+++ b/tests/platform/crashing_parts.py
@@ -65,10 +65,10 @@
 class CrashingEngine(StreamEngine):
     """An engine that ends once it begins an answer on a bad part of a prompt."""
 
-    def __init__(self, fleet: "CrashingFleet", number: int) -> None:
+    def __init__(self, fleet: "CrashingFleet", number: int, name: str = "") -> None:
         self.fleet = fleet
         self._sockets: set[socket.socket] = set()
-        name = f"e{number}-{uuid.uuid4().hex[:6]}"
+        name = name or f"e{number}-{uuid.uuid4().hex[:6]}"
         super().__init__(name, f"{SUBNET}.{100 + number}", OLD, 0.0, self.slots)
         self.number = number
 
--- a/tests/platform/soak_fleet.py
+++ b/tests/platform/soak_fleet.py
@@ -23,10 +23,13 @@
     OtherEngine,
     asked_events,
 )
+from tests.platform.versions_out_of_step import REPORT_PATH, BornEngine
 
 STREAM_ENGINES = 6
 PLAIN_ENGINES = 4
 OTHER_ENGINES = 2
+LATE_PING_SECONDS = 1.0
+UNRUN_PATHS = (HEALTH_PATH, REPORT_PATH)
 OTHER_VERSION = "other"
 """No engine of the first service has this version."""
 
@@ -68,7 +71,7 @@
         return getattr(self._file, name)
 
 
-class SoakEngine(OrderedEngine, CrashingEngine):
+class SoakEngine(OrderedEngine, BornEngine, CrashingEngine):
     """An engine of streams with few slots, so that a few requests fill all of them.
 
     While it is paused, it is to others like a process that is: the kernel accepts
@@ -94,7 +97,7 @@
         """Respond like other engines, or send without end if there are orders to."""
         headers = handler.headers
         expected = headers.get("X-Expected-Instance", self.name)
-        is_run = handler.path != HEALTH_PATH and expected == self.name
+        is_run = handler.path not in UNRUN_PATHS and expected == self.name
         if is_run and self.orders is not None:
             self.send_on(handler, self.orders)
         elif is_run and _is_beyond_its_end(headers):
@@ -108,8 +111,8 @@
             time.sleep(PAUSE_POLL_SECONDS)
 
     def may_announce(self) -> bool:
-        """Whether it is not paused."""
-        return not self.paused
+        """Whether it is not paused, and its first announcement is due."""
+        return not self.paused and super().may_announce()
 
 
 def _is_beyond_its_end(headers: Message) -> bool:
@@ -230,18 +233,23 @@
             self.end_engine(engine)
             return True
 
-    def replace_at_once(self, engine: CrashingEngine, version: str) -> bool:
+    def replace_at_once(
+        self, engine: CrashingEngine, version: str, name: str = ""
+    ) -> bool:
         """End an engine and start one of a version in its place.
 
-        Return False if it has ended.
+        It has a new name if none is given, and otherwise announces itself late. Return
+        False if the engine has ended.
         """
         with self._crash_lock:
             if engine.ended or engine not in self.engines:
                 return False
             self.engines.remove(engine)
         engine.end()
-        made = self.engine_class(self, engine.number)
+        made = self.engine_class(self, engine.number, name)
         made.version = version
+        if name:
+            made.announce_later(LATE_PING_SECONDS)
         self.own(made)
         self.engines.append(made)
         return True
--- a/tests/platform/versions_out_of_step.py
+++ b/tests/platform/versions_out_of_step.py
@@ -63,6 +63,10 @@
         """Whether its first announcement is due."""
         return time.monotonic() >= self._pings_at
 
+    def announce_later(self, seconds: float) -> None:
+        """Announce itself some seconds from now, not sooner."""
+        self._pings_at = time.monotonic() + seconds
+
     def _changing(self, sequence: int) -> dict[str, Any]:
         return {**super()._changing(sequence), "born": self.born}
 
