Take a reset that follows the end of a response for a sign that it was cut

Its engine had the whole upload of 900 kB in the buffer of a kept connection, acknowledged but unread, and closed: an end, and a reset at once.

After the end, a reset now makes a close-delimited response incomplete whatever was acknowledged: an upstream that has read the whole request sends none. With a long request the client looks for it once more after 0.05 s; a host between two ends the tunnel for it.

--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -421,7 +421,7 @@
             undelivered = await self._sending.async_undelivered()
             if undelivered:
                 log_end_during_request(self.serial, self.sent_bytes, undelivered)
-                await self._sending.async_delivered()
+            await self._sending.async_delivered()
         except OSError as error:
             if self._failure:
                 raise IncompleteResponseError(self._failure) from error
--- a/bitterntiller/components/http/const.py
+++ b/bitterntiller/components/http/const.py
@@ -51,6 +51,10 @@
 """Time in which an upstream that has ended its response must take more of the request,
 and the time between checks. Servers that linger read on at once."""
 
+RESET_SECONDS = 0.05
+"""Time in which the reset of an upstream that has closed follows its end. One that has
+read the whole request sends none."""
+
 SEND_PART_BYTES = 64 * 1024
 
 BODYLESS_STATUSES = frozenset({204, 304})
--- a/bitterntiller/components/http/delivery.py
+++ b/bitterntiller/components/http/delivery.py
@@ -18,6 +18,10 @@
         """
         ...
 
+    async def async_check_open(self) -> None:
+        """Raise OSError if the connection was reset after the upstream's end."""
+        ...
+
 
 class DirectDelivery:
     """The Delivery of a connection that leads to its upstream."""
@@ -27,10 +31,13 @@
 
     async def async_undelivered(self) -> int:
         """Return the bytes that aren't acknowledged; raise OSError after a reset."""
-        undelivered = unacknowledged_bytes(self._sock)
-        if undelivered and is_reset(self._sock):
-            raise ConnectionResetError(f"reset with {undelivered} bytes to be received")
-        return undelivered
+        await self.async_check_open()
+        return unacknowledged_bytes(self._sock)
+
+    async def async_check_open(self) -> None:
+        """Raise OSError after a reset."""
+        if is_reset(self._sock):
+            raise ConnectionResetError("the connection was reset after its end")
 
 
 class Sending:
@@ -54,7 +61,8 @@
     async def async_delivered(self) -> None:
         """Wait until the upstream has the whole request.
 
-        Raise OSError if it won't have it, or takes nothing for DELIVERY_SECONDS.
+        Raise OSError if it won't have it, or takes nothing for DELIVERY_SECONDS, or
+        closes with a part of a long request unread, for which its kernel sends a reset.
         """
         left = await self.async_undelivered()
         since = await curio.clock()
@@ -68,3 +76,6 @@
                 since = now
             elif now - since > const.DELIVERY_SECONDS:
                 raise TimeoutError(f"{left} bytes of the request were not received")
+        if self._size > const.SEND_AT_ONCE_BYTES:
+            await curio.sleep(const.RESET_SECONDS)
+            await self._delivery.async_check_open()
--- a/bitterntiller/components/tunnels/server.py
+++ b/bitterntiller/components/tunnels/server.py
@@ -281,11 +281,10 @@
     """
     reported = None
     while True:
-        unacknowledged = unacknowledged_bytes(upstream)
-        received = max(0, counts.passed - unacknowledged)
+        received = max(0, counts.passed - unacknowledged_bytes(upstream))
+        if is_reset(upstream):
+            return
         if received != reported:
             reported = received
             await sock.sendall(pack_count(received))
-        if unacknowledged and is_reset(upstream):
-            return
         await curio.sleep(const.DELIVERY_CHECK_SECONDS)
--- a/bitterntiller/components/tunnels/stream.py
+++ b/bitterntiller/components/tunnels/stream.py
@@ -70,14 +70,18 @@
         self._read_counts()
         if self._received_by_upstream == self._sent:
             return 0
+        await self.async_check_open()
+        self._read_counts()
+        return self._sent - self._received_by_upstream
+
+    async def async_check_open(self) -> None:
+        """Raise OSError if the tunnel broke after the upstream's end."""
         received = None
         async with ignore_after(DELIVERY_CHECK_SECONDS):
             received = await self._sock.recv(READ_BYTES)
         if received == b"":
             raise ConnectionResetError("the tunnel broke after the upstream's end")
         self._buffer += received or b""
-        self._read_counts()
-        return self._sent - self._received_by_upstream
 
     def _read_counts(self) -> None:
         """Keep the last of the counts that have arrived."""
--- a/tests/components/http/test_delivery.py
+++ b/tests/components/http/test_delivery.py
@@ -67,3 +67,34 @@
     body, seconds = curio.run(async_ask, reads)
     assert body == b""
     assert seconds < DELIVERY_SECONDS + BUSY + reads * READ_PAUSE
+
+
+async def async_ask_closing(size: int) -> bytes:
+    """Return a body whose upstream has the request in its kernel, and closes then."""
+
+    async def async_respond(listener: Any) -> None:
+        sock, _ = await listener.accept()
+        async with sock:
+            await sock.recv(100)
+            await curio.sleep(0.1)
+            await sock.sendall(b"HTTP/1.1 200 OK\r\n\r\nle")
+            await sock.shutdown(socket.SHUT_WR)
+
+    async with curio.tcp_server_socket("127.0.0.1", 0) as listener:
+        task = await curio.spawn(async_respond, listener)
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        exchange = await ClientExchange.async_open(address, 1.0, True)
+        try:
+            await exchange.async_request("POST", "/", [], b"x" * size, 1.0)
+            await exchange.async_head(1.0)
+            return await exchange.async_body(5.0, 1000)
+        except IncompleteResponseError:
+            return b""
+        finally:
+            await exchange.async_close()
+            await task.join()
+
+
+def test_response_whose_upstream_closes_with_the_request_unread_is_incomplete():
+    """A reset that followed the end was missed as all bytes were acknowledged."""
+    assert curio.run(async_ask_closing, 40_000) == b""
