Soak: parts of refusals ahead of later responses

The kind cut-copies lets engines of calls send the beginning of a refusal ahead of the next response on its connection.

--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -40,6 +40,7 @@
     CONFIGURE = "configure"
     CONFIGURE_BADLY = "configure-badly"
     ENDLESS_ENGINE = "endless-engine"
+    CUT_COPIES = "cut-copies"
 
 
 FIRST_SECONDS = 4.0
@@ -82,6 +83,7 @@
     Kind.KILL_ENTRIES: (0.0, 1.5),
     Kind.RELEASE: (1.0, 3.0),
     Kind.MOVE_ROUTE: (0.0, 0.0),
+    Kind.CUT_COPIES: (2.5, 4.0),
 }
 """Shortest and longest time in seconds; 0 for what happens at one moment."""
 
@@ -92,6 +94,7 @@
     Kind.KILL_ENTRY,
     Kind.ENDLESS_ENGINE,
     Kind.LATE_COPIES,
+    Kind.CUT_COPIES,
 }
 """Kinds that may befall several entry hosts, or engines, at once."""
 
--- a/soak/troubles.py
+++ b/soak/troubles.py
@@ -113,6 +113,7 @@
             Kind.KILL_ENTRIES: self._kill_entries,
             Kind.RELEASE: self._release,
             Kind.MOVE_ROUTE: self._move_route,
+            Kind.CUT_COPIES: self._cut_copies,
         }
 
     def play(self, schedule: tuple[Trouble, ...]) -> None:
@@ -339,6 +340,10 @@
             self._fleet.replace_ended_plain()
             return names
 
+    def _cut_copies(self, trouble: Trouble) -> tuple[str, ...]:
+        """Let engines of calls send parts of refusals ahead of later responses."""
+        return self._set_for_a_while(self._plain(trouble), trouble, cuts=trouble.value)
+
     def _bad_part(self, trouble: Trouble) -> tuple[str, ...]:
         self._fleet.bad_parts = frozenset({BAD})
         time.sleep(trouble.seconds)
--- a/tests/platform/soak_fleet.py
+++ b/tests/platform/soak_fleet.py
@@ -44,6 +44,7 @@
 STREAM_ATTEMPTS = 3
 CALL_ATTEMPTS = 2
 LIMIT_HEADER = "Server-Limit"
+FULL, MISDIRECTED = "503 Service Unavailable", "421 Misdirected Request"
 LIMIT_PER_SECOND = 20.0
 CALL_TIMEOUT_MS = 4000
 OBJECTIVE_MS = 1000
@@ -121,13 +122,15 @@
     """An engine of calls; slow is the time in seconds that each takes longer.
 
     It refuses a share of the requests as not run, and sends each of these responses a
-    second time when the next request has arrived on its connection.
+    second time when the next request has arrived on its connection. After a share of
+    all requests, cuts, the beginning of a refusal is sent there.
     """
 
     slots = 2
     slow = 0.0
     limit = 0.0
     refuses = 0.0
+    cuts = 0.0
 
     def respond(self, handler: http.server.BaseHTTPRequestHandler) -> None:
         """Respond later than other engines, and name a limit of requests."""
@@ -136,6 +139,10 @@
             return
         copy = vars(handler).pop("late_copy", b"")
         handler.wfile.write(copy)
+        if handler.path != HEALTH_PATH and random.random() < self.cuts:
+            sent = refusal(handler, MISDIRECTED)
+            cut = random.randrange(1, sent.index(b"X-Attempt-Id"))
+            handler.late_copy = sent[:cut]  # type: ignore[attr-defined]
         if handler.path != HEALTH_PATH and random.random() < self.refuses:
             handler.late_copy = refuse(handler)  # type: ignore[attr-defined]
             return
@@ -160,15 +167,20 @@
 def refuse(handler: http.server.BaseHTTPRequestHandler) -> bytes:
     """Refuse a request as not run; return the response."""
     handler.rfile.read(int(handler.headers.get("Content-Length", 0)))
+    response = refusal(handler, FULL)
+    handler.wfile.write(response)
+    return response
+
+
+def refusal(handler: http.server.BaseHTTPRequestHandler, status: str) -> bytes:
+    """Return a response that states that a request has not run."""
     lines = (
-        "HTTP/1.1 503 Service Unavailable",
-        f"X-Attempt-Id: {handler.headers['X-Attempt-Id']}",
+        f"HTTP/1.1 {status}",
         "X-Not-Executed: 1",
+        f"X-Attempt-Id: {handler.headers['X-Attempt-Id']}",
         "Content-Length: 0",
     )
-    response = "\r\n".join(lines).encode() + b"\r\n\r\n"
-    handler.wfile.write(response)
-    return response
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
 
 class SoakFleet(CrashingFleet):
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -20,7 +20,9 @@
 
 MOVES_KINDS = (Kind.MOVE_ROUTE, Kind.KILL_ENTRIES)
 OTHER_KINDS = tuple(
-    kind for kind in Kind if kind not in (*LATER_KINDS, Kind.MOVE_ROUTE)
+    kind
+    for kind in Kind
+    if kind not in (*LATER_KINDS, Kind.MOVE_ROUTE, Kind.CUT_COPIES)
 )
 
 
@@ -57,6 +59,14 @@
     assert findings(evidence) == []
 
 
+def test_promises_hold_while_parts_of_refusals_come_ahead_of_responses(tmp_path: Path):
+    """Calls ran twice, or were refused and ran."""
+    schedule = draw(SEED, SECONDS, [Kind.CUT_COPIES])
+    evidence, _ = run(schedule, SEED, HOSTS, tmp_path)
+    assert evidence.applied
+    assert findings(evidence) == []
+
+
 @pytest.mark.parametrize(
     ("arguments", "named"),
     [
