--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -15,6 +15,7 @@
 
     KILL_ENTRY = "kill-entry"
     KILL_ENTRIES = "kill-entries"
+    CUT_UPLOADS = "cut-uploads"
     KILL_CONTROL = "kill-control"
     KILL_ALL = "kill-all"
     STOP_ENTRY = "stop-entry"
@@ -25,10 +26,12 @@
     CUT_PEERS = "cut-peers"
     CUT_ENGINES = "cut-engines"
     END_ENGINE = "end-engine"
-    POWER_LOSS = "power-loss"
     REPLACE_ENGINE = "replace-engine"
     LEAVE_ENGINE = "leave-engine"
+    CUT_COPIES = "cut-copies"
+    SILENCE_PEERS = "silence-peers"
     RELEASE = "release"
+    POWER_LOSS = "power-loss"
     MOVE_ROUTE = "move-route"
     SLOW_ENGINE = "slow-engine"
     LIMIT_ENGINE = "limit-engine"
@@ -39,11 +42,9 @@
     BAD_PART = "bad-part"
     HOT_HOST = "hot-host"
     CONFIGURE = "configure"
+    LATE_IN_STOP = "late-in-stop"
     CONFIGURE_BADLY = "configure-badly"
-    SILENCE_PEERS = "silence-peers"
     ENDLESS_ENGINE = "endless-engine"
-    LATE_IN_STOP = "late-in-stop"
-    CUT_UPLOADS = "cut-uploads"
 
 
 FIRST_SECONDS = 4.0
@@ -90,6 +91,7 @@
     Kind.LATE_IN_STOP: (0.0, 1.0),
     Kind.SILENCE_PEERS: (0.2, 4.0),
     Kind.CUT_UPLOADS: (1.0, 4.0),
+    Kind.CUT_COPIES: (2.5, 4.0),
 }
 """Shortest and longest time in seconds; 0 for what happens at one moment."""
 
@@ -102,6 +104,7 @@
     Kind.LATE_COPIES,
     Kind.SILENCE_PEERS,
     Kind.CUT_UPLOADS,
+    Kind.CUT_COPIES,
 }
 """Kinds that may befall several entry hosts, or engines, at once."""
 
--- a/soak/troubles.py
+++ b/soak/troubles.py
@@ -188,6 +188,7 @@
             Kind.LATE_IN_STOP: self._late_in_stop,
             Kind.SILENCE_PEERS: lambda item: self._cut(item, INTERNAL_PORT),
             Kind.CUT_UPLOADS: self._cut_uploads,
+            Kind.CUT_COPIES: self._cut_copies,
         }
 
     def play(self, schedule: tuple[Trouble, ...]) -> None:
@@ -466,6 +467,10 @@
             vars(engine).pop("cuts_uploads", None)
         return tuple(sorted(engine.name for engine in engines))
 
+    def _cut_copies(self, trouble: Trouble) -> tuple[str, ...]:
+        """Let engines of calls send parts of refusals ahead of later responses."""
+        return self._set_for_a_while(self._plain(trouble), trouble, cuts=trouble.value)
+
     def _bad_part(self, trouble: Trouble) -> tuple[str, ...]:
         self._fleet.bad_parts = frozenset({BAD})
         time.sleep(trouble.seconds)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -24,11 +24,15 @@
 LATE_SEED = 2
 LATE_KINDS = (Kind.LATE_IN_STOP,)
 POWER_KINDS = (Kind.POWER_LOSS, Kind.LOSE_DISK)
+CUT_SEED = 3
+CUT_KINDS = (Kind.CUT_UPLOADS, Kind.SILENCE_PEERS)
 KINDS_OF_OTHER_SEEDS = (
     *LATER_KINDS,
     Kind.MOVE_ROUTE,
     Kind.POWER_LOSS,
     *LATE_KINDS,
+    *CUT_KINDS,
+    Kind.CUT_COPIES,
 )
 OTHER_KINDS = tuple(kind for kind in Kind if kind not in KINDS_OF_OTHER_SEEDS)
 
@@ -82,6 +86,22 @@
     assert findings(evidence) == []
 
 
+def test_promises_hold_while_uploads_and_connections_of_hosts_are_cut(tmp_path: Path):
+    """Parts of responses were whole, and connections between hosts stayed silent."""
+    schedule = draw(CUT_SEED, SECONDS, CUT_KINDS)
+    evidence, _ = run(schedule, CUT_SEED, HOSTS, tmp_path)
+    assert {item.trouble.kind for item in evidence.applied} == set(CUT_KINDS)
+    assert findings(evidence) == []
+
+
+def test_promises_hold_while_parts_of_refusals_come_ahead_of_responses(tmp_path: Path):
+    """Calls ran twice, or were refused and ran."""
+    schedule = draw(SEED, SECONDS, [Kind.CUT_COPIES])
+    evidence, _ = run(schedule, SEED, HOSTS, tmp_path)
+    assert evidence.applied
+    assert findings(evidence) == []
+
+
 @pytest.mark.parametrize(
     ("arguments", "named"),
     [
