Form no membership once a majority of the bootstrap hosts has restarted

Cause: a bootstrap host that was cut off after it had said that it was empty formed a membership in place of two others that came back without their disks. These had formed one with it and had confirmed changes since; the hosts that held them are no seeds and weren't asked. Change: a host forms the membership in place of others only if the hosts that may no longer form it are a minority of the bootstrap hosts.

--- a/bitterntiller/components/replication/join_decisions.py
+++ b/bitterntiller/components/replication/join_decisions.py
@@ -76,8 +76,10 @@
         if reply.may_form is False:
             unable |= {reply.host, reply.address}
     own_keys = {own.host, own.address}
-    former = min(set(bootstrap) - unable, default="")
-    if former not in own_keys:
+    able = set(bootstrap) - unable
+    former = min(able, default="")
+    # A majority of the bootstrap hosts may have formed a membership and lost it since.
+    if former not in own_keys or 2 * len(able) <= len(bootstrap):
         return None
     member_by_key = {member.host: member for member in found}
     member_by_key |= {member.address: member for member in found}
