Let a repair whose place was taken neither block others nor run for ever

Cause: with the target number of voters reached, the learner of the command was marked again and again, an unchanged membership that hid all later steps. Change: a learner that is marked already goes on to replace a silent voter, and the command ends as done once the target is reached and borne in full. Result: both new tests of test_automatic.py failed before and pass, with the 23 others of that file and of test_join_decisions.py.

--- a/bitterntiller/components/replication/repair_decisions.py
+++ b/bitterntiller/components/replication/repair_decisions.py
@@ -112,17 +112,17 @@
     if silent is not None:
         return _without_voter(state, silent, learner, now)
     command = next((c for c in commands if c.add == learner.host), None)
-    if command is None:
-        lost = _longest_silent_voter(state, now) if state.tuning.target_voters else None
-        return None if lost is None else _without_voter(state, lost, learner, now)
-    target = _voter_to_remove(state, command, now)
-    if target is None and _has_voter(state, learner.host):
+    target = None if command is None else _voter_to_remove(state, command, now)
+    if target is not None:
+        return _without_voter(state, target, learner, now)
+    if command is not None and _has_voter(state, learner.host):
         # The host's old identity is not known to be silent yet. If its new identity
         # became a voter now, no later step would remove the old voter.
         return None
-    if target is None:
+    if command is not None and not learner.promote:
         return _with_member(state.members, learner._replace(promote=True))
-    return _without_voter(state, target, learner, now)
+    lost = _longest_silent_voter(state, now) if state.tuning.target_voters else None
+    return None if lost is None else _without_voter(state, lost, learner, now)
 
 
 def _next_removal(
@@ -196,7 +196,8 @@
     hosts = {member.host: member for member in state.members.all}
     if command.add and command.add not in hosts:
         return RepairStatus(REPAIR_RUNNING, f"{command.add} has not joined yet")
-    if command.add and not hosts[command.add].voter:
+    is_full = 0 < state.tuning.target_voters <= len(voters(state.members))
+    if command.add and not hosts[command.add].voter and not is_full:
         return RepairStatus(REPAIR_RUNNING, f"{command.add} is catching up")
     left, full = failure_tolerance(state, now), (len(voters(state.members)) - 1) // 2
     if state.members.index > state.commit or left is None or left < full:
--- a/tests/components/replication/test_automatic.py
+++ b/tests/components/replication/test_automatic.py
@@ -3,9 +3,11 @@
 import pytest
 
 from bitterntiller.components.replication import join_decisions, repair_decisions
+from bitterntiller.components.replication.const import REPAIR_DONE
 from bitterntiller.components.replication.members import voters
 from bitterntiller.components.replication.models import Member, Tuning
 from bitterntiller.components.replication.progress import Progress
+from bitterntiller.components.replication.repair_decisions import RepairCommand
 from bitterntiller.protocol import messages
 
 from .script import elect, make_simulation, settle
@@ -133,3 +135,37 @@
     assert (first is not None) == formed
     if formed:
         assert [member.address for member in first.members] == list(SEEDS)
+
+
+def led_with_a_marked_learner():
+    """Return a state with five voters and a healthy learner that is marked, and now."""
+    simulation, state = led_simulation("abcde", 5)
+    now = simulation.nodes["a"].clock + 3
+    learner = add_learner(state, now, now)
+    members = [m for m in state.members.all if m != learner]
+    state.members = state.members._replace(
+        all=(*members, learner._replace(promote=True))
+    )
+    for progress in state.progress_by_replica.values():
+        progress.last_contact = now
+    return state, now
+
+
+def test_repair_whose_place_was_taken_does_not_block_the_automatic_one():
+    """Its learner stayed marked, and no silent voter was replaced any more."""
+    state, now = led_with_a_marked_learner()
+    for replica, progress in state.progress_by_replica.items():
+        if replica.startswith("e/"):
+            progress.last_contact = now - 3
+    step = repair_decisions.next_membership(state, [RepairCommand("x", "z")], now)
+    assert step != state.members.all
+    assert not any(m.host == "e" for m in step)
+
+
+def test_repair_whose_place_was_taken_ends():
+    """It was told as running for as long as the leader led."""
+    state, now = led_with_a_marked_learner()
+    command = RepairCommand("x", "z")
+    assert repair_decisions.next_membership(state, [command], now) is None
+    status = repair_decisions.repair_status(state, command, now).status
+    assert status == REPAIR_DONE
