Ask again for the start of an upstream that refused to report it

Cause: whatever wasn't a report counted as one that names no start, for all later connections; so did a late response to a call. Change: a refusal or a response that names a request confirms nothing, and the connection isn't used. An unreadable report counts for its connection only. 404 and the like, streams and reports without a start end the checks of that start as before.

--- a/bitterntiller/components/entry/dialect.py
+++ b/bitterntiller/components/entry/dialect.py
@@ -111,7 +111,14 @@
         ...
 
     def named_incarnation(self, head: ResponseHead, body: bytes) -> str | None:
-        """Return the incarnation that such an answer names, None without one."""
+        """Return the incarnation that such an answer names, empty if it names none.
+
+        None if the answer can't be read.
+        """
+        ...
+
+    def names_some_request(self, head: ResponseHead) -> bool:
+        """Return whether a response has the id of any request."""
         ...
 
     def load(self, head: ResponseHead) -> ReportedLoad | None:
--- a/bitterntiller/components/entry/incarnations.py
+++ b/bitterntiller/components/entry/incarnations.py
@@ -6,6 +6,7 @@
 """
 
 from enum import Enum
+from typing import NamedTuple
 
 from bitterntiller.components.entry import const
 from bitterntiller.components.entry.dialect import HttpDialect
@@ -17,10 +18,22 @@
 from bitterntiller.core.timeouts import ignore_after
 
 OK = 200
+TOO_MANY_REQUESTS = 429
+MIN_SERVER_ERROR = 500
 UNNAMED = ""
 """The incarnation of an upstream that names none."""
 
 
+class _Answer(NamedTuple):
+    """The incarnation that an upstream names, None if it isn't known.
+
+    lasting is whether a further connection would get the same answer.
+    """
+
+    incarnation: str | None
+    lasting: bool = False
+
+
 class LeadsTo(Enum):
     """Where a connection leads.
 
@@ -54,32 +67,40 @@
         reusable = True
         if client.incarnation is None:
             reused = client.reused
+            answer = _Answer(None)
             async with ignore_after(const.INCARNATION_SECONDS):
-                client.incarnation = await self._async_ask(client, request)
+                answer = await self._async_ask(client, request)
+            client.incarnation = answer.incarnation
+            if answer.lasting:
+                self._keep_unnamed(key)
             reusable = await client.async_prepare_reuse()
             client.reused = reused
-        if client.incarnation == UNNAMED:
-            self._keep_unnamed(key)
-        elif client.incarnation != grant.incarnation:
+        if client.incarnation not in (UNNAMED, grant.incarnation):
             return LeadsTo.OTHER
         return LeadsTo.GRANTED if reusable else LeadsTo.GRANTED_ONCE
 
     async def _async_ask(
         self, client: ClientExchange, request: ProbeRequest
-    ) -> str | None:
-        """Return the incarnation that an upstream names, None without an answer."""
+    ) -> _Answer:
+        """Return what an upstream answers.
+
+        A late response to a request, or a refusal, tells nothing of its incarnation.
+        """
         seconds = const.INCARNATION_SECONDS
         try:
             await client.async_request(
                 "GET", request.target, request.headers, b"", seconds, close=False
             )
             head = await client.async_head(seconds)
+            if self._dialect.names_some_request(head) or _is_refusal(head):
+                return _Answer(None)
             if not _is_report(head):
-                return UNNAMED
+                return _Answer(UNNAMED, lasting=True)
             body = await client.async_body(seconds, const.INCARNATION_BYTES)
         except IncompleteResponseError:
-            return None
-        return self._dialect.named_incarnation(head, body) or UNNAMED
+            return _Answer(None)
+        named = self._dialect.named_incarnation(head, body)
+        return _Answer(named or UNNAMED, lasting=named == UNNAMED)
 
     def _keep_unnamed(self, key: tuple[str, str]) -> None:
         if len(self._unnamed) >= const.MAX_UNNAMED:
@@ -87,6 +108,10 @@
         self._unnamed.add(key)
 
 
+def _is_refusal(head: ResponseHead) -> bool:
+    return head.status == TOO_MANY_REQUESTS or head.status >= MIN_SERVER_ERROR
+
+
 def _is_report(head: ResponseHead) -> bool:
     """Return whether a response may be a report; others may go on for long."""
     kind = header(head.headers, const.HEADER_CONTENT_TYPE) or ""
--- a/bitterntiller/components/entry/native_dialect.py
+++ b/bitterntiller/components/entry/native_dialect.py
@@ -103,6 +103,10 @@
         """Return None, as no upstream is asked."""
         return None
 
+    def names_some_request(self, head: ResponseHead) -> bool:
+        """Return whether a response has the id of any request."""
+        return header(head.headers, const.HEADER_REQUEST_ID) is not None
+
     def is_from_another_process(
         self, upstream: str, incarnation: str, head: ResponseHead
     ) -> bool:
--- a/tests/platform/test_incarnations.py
+++ b/tests/platform/test_incarnations.py
@@ -7,6 +7,7 @@
 
 from tests.platform import builders
 from tests.platform.builders import LAST_CHUNK, STREAM_HEAD, chunk, event
+from tests.platform.refusing_upstream import named, request_id, unnamed
 
 GRANTED, OTHER = 1770815713027, 1770815719999
 REPORT = b"GET /-/report "
@@ -25,8 +26,9 @@
 NAMED = born(GRANTED)
 CLOSED = born(GRANTED, b"Connection: close")
 UNNAMED = report(b'{"busy": false}')
+FULL = b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 NO_REPORT = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
-ENDLESS = STREAM_HEAD + chunk(event(1))
+ENDLESS = unnamed(STREAM_HEAD) + chunk(event(1))
 
 
 class Upstream:
@@ -40,7 +42,8 @@
     async def async_serve(self, sock: Any, data: bytes, number: int) -> None:
         if not data.startswith(REPORT):
             self.served += 1
-            await sock.sendall(STREAM_HEAD + chunk(event(1)) + LAST_CHUNK)
+            head = named(STREAM_HEAD, request_id(data))
+            await sock.sendall(head + chunk(event(1)) + LAST_CHUNK)
             return
         self.asked += 1
         found = self.reports.pop(0) if self.reports[1:] else self.reports[0]
@@ -58,9 +61,10 @@
         async with builders.entry_host(upstream.async_serve) as host:
             host.links.incarnation = str(GRANTED)
             found = []
-            for _ in range(times):
-                found.append(await host.async_ask(builders.request(path), 3.0))
-                # All requests have one id: the one before must have ended.
+            for number in range(times):
+                # No connection carries two requests with one id.
+                data = builders.request(path).replace(b"Id: a1", b"Id: a%d" % number)
+                found.append(await host.async_ask(data, 3.0))
                 while host.coordinator.unfinished():
                     await curio.sleep(0.01)
             return found
@@ -102,6 +106,15 @@
     assert (upstream.asked, upstream.served) == (1, 1)
 
 
+def test_refused_report_does_not_end_the_checks_of_a_start():
+    """One 503 in place of a report let all later streams to another start."""
+    upstream = Upstream(FULL, born(OTHER))
+    for received in ask(upstream, times=2):
+        assert not received.startswith(b"HTTP/1.1 200 ")
+    assert upstream.asked > 2
+    assert upstream.served == 0
+
+
 def test_calls_ask_for_no_report():
     upstream = Upstream(NAMED)
     ask(upstream, path="/tiles/1")
