--- a/bitterntiller/components/entry/attempt.py
+++ b/bitterntiller/components/entry/attempt.py
@@ -36,6 +36,7 @@
 from bitterntiller.components.entry.run import Run, RunWatch
 from bitterntiller.components.entry.send_checks import (
     LEASE_EXPIRED,
+    NOT_CONFIRMED,
     OTHER_VERSION,
     REFUSED_CONNECTION,
     SAME_UPSTREAM,
@@ -59,7 +60,6 @@
 
 NOT_ADMITTED = "not-admitted"
 FAILED = "failed"
-NOT_CONFIRMED = "the upstream did not confirm that it is the start that was granted"
 _BROKEN_ANSWERS = frozenset({Reason.UPSTREAM_RESET, Reason.UPSTREAM_TIMEOUT})
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
--- a/bitterntiller/components/entry/pipeline.py
+++ b/bitterntiller/components/entry/pipeline.py
@@ -53,6 +53,7 @@
 from bitterntiller.components.entry.retry_budget import RetryBudget
 from bitterntiller.components.entry.run import Run
 from bitterntiller.components.entry.send_checks import (
+    NOT_CONFIRMED,
     NOTHING_SENT,
     REFUSED_CONNECTION,
     UPSTREAM_SILENT,
@@ -324,7 +325,11 @@
             if verdict.reason in NOTHING_SENT:
                 # Nothing was sent, so the retry budget is not charged.
                 active.requeue_unsent(verdict.upstream)
-                active.failed_connections += verdict.reason == REFUSED_CONNECTION
+                if (
+                    verdict.reason == REFUSED_CONNECTION
+                    or verdict.detail == NOT_CONFIRMED
+                ):
+                    active.failed_connections += 1
                 if active.failed_connections >= const.MAX_FAILED_CONNECTIONS:
                     return await self._async_refuse_retry(
                         active, grant, verdict, NO_CONNECTION
--- a/bitterntiller/components/entry/send_checks.py
+++ b/bitterntiller/components/entry/send_checks.py
@@ -17,6 +17,7 @@
 UPSTREAM_PAUSED = "upstream-paused"
 VERSION_WITHDRAWN = "version-withdrawn"
 OTHER_VERSION = "other-version"
+NOT_CONFIRMED = "the upstream did not confirm that it is the start that was granted"
 NOTHING_SENT = frozenset(
     {
         REFUSED_CONNECTION,
--- a/tests/platform/test_incarnations.py
+++ b/tests/platform/test_incarnations.py
@@ -5,6 +5,7 @@
 import curio
 import pytest
 
+from bitterntiller.components.entry.const import MAX_FAILED_CONNECTIONS
 from tests.platform import builders
 from tests.platform.builders import LAST_CHUNK, STREAM_HEAD, chunk, event
 from tests.platform.refusing_upstream import named, request_id, unnamed
@@ -115,6 +116,13 @@
     assert upstream.served == 0
 
 
+def test_stream_asks_for_a_bounded_number_of_reports():
+    """A stream that no upstream confirmed asked for thousands of reports."""
+    upstream = Upstream(born(OTHER))
+    ask(upstream)
+    assert upstream.asked <= MAX_FAILED_CONNECTIONS
+
+
 def test_calls_ask_for_no_report():
     upstream = Upstream(NAMED)
     ask(upstream, path="/tiles/1")
