Look for a second status line only behind another response

Two responses can be joined only on a connection that has carried another request; only there is the head looked at now.

--- a/bitterntiller/components/http/client.py
+++ b/bitterntiller/components/http/client.py
@@ -299,7 +299,7 @@
         """
         self._progress.watch = watch
         event = await self._async_final_head(timeout, watch)
-        if has_second_status_line(event):
+        if self.exchanges > 1 and has_second_status_line(event):
             self.broke = self.malformed = True
             raise IncompleteResponseError("a second status line in a head")
         await self._progress.async_progress()
--- a/tests/platform/test_refusals.py
+++ b/tests/platform/test_refusals.py
@@ -175,3 +175,17 @@
 
     received, runs = curio.run(async_main)
     assert (received[:12], runs) == (b"HTTP/1.1 502", 1)
+
+
+def test_header_that_quotes_a_status_line_is_no_second_response():
+    """Whole responses on new connections were taken for two that were joined."""
+    quoted = b"X-Origin-Status: HTTP/1.1 200 OK"
+
+    async def async_upstream(sock: Any, data: bytes, number: int) -> None:
+        await sock.sendall(named(builders.response(b"whole", b"200 OK", quoted), "a1"))
+
+    async def async_main() -> bytes:
+        async with builders.entry_host(async_upstream, ROUTES) as host:
+            return await host.async_ask(builders.request(ONCE_PATHS[0]))
+
+    assert curio.run(async_main).startswith(b"HTTP/1.1 200 ")
