--- a/tests/scenarios/run_with_cuts.py
+++ b/tests/scenarios/run_with_cuts.py
@@ -3,18 +3,22 @@
 PROGRAM is a file or the name of a module.
 """
 
-import importlib.util
 import runpy
 import sys
 from pathlib import Path
 
-# Loaded by its path: the program may be of another tree, whose packages it imports and
-# which has tests of its own.
-_SPEC = importlib.util.spec_from_file_location(
-    "cut_paths", Path(__file__).with_name("cut_paths.py")
-)
-cut_paths = importlib.util.module_from_spec(_SPEC)
-_SPEC.loader.exec_module(cut_paths)
+PACKAGE = "bitterntiller"
+ROOT = Path(__file__).resolve().parents[2]
+# The program may be of another tree, with tests of its own.
+sys.path.insert(0, str(ROOT))
+
+from tests.scenarios import cut_paths  # noqa: E402
+
+sys.path.remove(str(ROOT))
+# The cuts use the package of their own tree, under whose name the program's would not
+# be found any more.
+for name in [item for item in sys.modules if item.partition(".")[0] == PACKAGE]:
+    del sys.modules[name]
 
 if __name__ == "__main__":
     cut_paths.install(Path(sys.argv[1]))
