--- a/tests/components/replication/test_automatic.py
+++ b/tests/components/replication/test_automatic.py
@@ -59,10 +59,10 @@
     assert len([m for m in step if m.voter]) == 2
 
 
-def test_marked_learner_replaces_a_silent_voter_once_the_target_is_reached():
-    """It became a sixth voter beside a dead one, so that two losses left no quorum.
+def led_with_a_marked_learner(silent=""):
+    """Return the state of a leader of five voters with a marked learner, and the time.
 
-    It was down when its turn came, and another host was promoted meanwhile.
+    All have just been heard but the voter of a silent host.
     """
     simulation, state = led_simulation("abcde", 5)
     now = simulation.nodes["a"].clock + 3
@@ -72,8 +72,17 @@
         all=(*members, learner._replace(promote=True))
     )
     for replica, progress in state.progress_by_replica.items():
-        if not replica.startswith("e/"):
+        if not silent or not replica.startswith(f"{silent}/"):
             progress.last_contact = now
+    return state, now
+
+
+def test_marked_learner_replaces_a_silent_voter_once_the_target_is_reached():
+    """It became a sixth voter beside a dead one, so that two losses left no quorum.
+
+    It was down when its turn came, and another host was promoted meanwhile.
+    """
+    state, now = led_with_a_marked_learner(silent="e")
     step = repair_decisions.next_membership(state, [], now)
     assert [m.host for m in step if m.voter] == list("abcd")
     assert next(m for m in step if m.host == "z").promote
@@ -137,26 +146,9 @@
         assert [member.address for member in first.members] == list(SEEDS)
 
 
-def led_with_a_marked_learner():
-    """Return a state with five voters and a healthy learner that is marked, and now."""
-    simulation, state = led_simulation("abcde", 5)
-    now = simulation.nodes["a"].clock + 3
-    learner = add_learner(state, now, now)
-    members = [m for m in state.members.all if m != learner]
-    state.members = state.members._replace(
-        all=(*members, learner._replace(promote=True))
-    )
-    for progress in state.progress_by_replica.values():
-        progress.last_contact = now
-    return state, now
-
-
 def test_repair_whose_place_was_taken_does_not_block_the_automatic_one():
     """Its learner stayed marked, and no silent voter was replaced any more."""
-    state, now = led_with_a_marked_learner()
-    for replica, progress in state.progress_by_replica.items():
-        if replica.startswith("e/"):
-            progress.last_contact = now - 3
+    state, now = led_with_a_marked_learner(silent="e")
     step = repair_decisions.next_membership(state, [RepairCommand("x", "z")], now)
     assert step != state.members.all
     assert not any(m.host == "e" for m in step)
