--- a/tests/platform/test_refusals.py
+++ b/tests/platform/test_refusals.py
@@ -106,7 +106,9 @@
     found = []
     for item in asked:
         runs = upstream.runs[item.name]
-        steps = f"{item.path} {item.name} {item.status}: {upstream.steps.get(item.name)}"
+        steps = (
+            f"{item.path} {item.name} {item.status}: {upstream.steps.get(item.name)}"
+        )
         if item.path in ONCE_PATHS and runs > 1:
             found.append(f"ran {runs} times: {steps}")
         if item.status in PROMISES and runs:
