--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,11 +1,12 @@
 """A short soak with real processes."""
 
+from collections.abc import Collection
 from pathlib import Path
 
 import pytest
 
 from soak.__main__ import EXIT_USAGE, main
-from soak.checks import findings
+from soak.checks import Evidence, findings
 from soak.run import run
 from soak.schedule import Kind, draw
 
@@ -37,69 +38,66 @@
 OTHER_KINDS = tuple(kind for kind in Kind if kind not in KINDS_OF_OTHER_SEEDS)
 
 
+def play(
+    tmp_path: Path,
+    seed: int,
+    kinds: Collection[Kind],
+    load_seed: int | None = None,
+    all_kinds: bool = True,
+) -> Evidence:
+    """Return the evidence of a soak without findings, in which its kinds have come.
+
+    The load is drawn from load_seed, by default the seed of the schedule.
+    """
+    schedule = draw(seed, SECONDS, kinds)
+    load_seed = seed if load_seed is None else load_seed
+    evidence, _ = run(schedule, load_seed, HOSTS, tmp_path)
+    assert evidence.applied
+    if all_kinds:
+        assert {item.trouble.kind for item in evidence.applied} == set(kinds)
+    assert findings(evidence) == []
+    return evidence
+
+
 def test_promises_hold_while_hosts_and_engines_are_disturbed(tmp_path: Path):
-    schedule = draw(SEED, SECONDS, OTHER_KINDS)
-    evidence, _ = run(schedule, SEED, HOSTS, tmp_path)
+    evidence = play(tmp_path, SEED, OTHER_KINDS, all_kinds=False)
     assert evidence.calls
     assert evidence.streams
-    assert evidence.applied
-    assert findings(evidence) == []
 
 
 def test_promises_hold_while_engines_send_without_end(tmp_path: Path):
     """Hosts kept connections to such engines open beyond the deadlines."""
-    schedule = draw(SEED, SECONDS, [Kind.ENDLESS_ENGINE])
-    evidence, _ = run(schedule, SEED, HOSTS, tmp_path)
-    assert evidence.held
-    assert findings(evidence) == []
+    assert play(tmp_path, SEED, [Kind.ENDLESS_ENGINE]).held
 
 
 def test_promises_hold_while_refusals_come_twice_and_versions_change(tmp_path: Path):
     """Calls ran twice; streams could go on at another version than their own."""
-    schedule = draw(LATER_SEED, SECONDS, LATER_KINDS)
-    evidence, _ = run(schedule, SEED, HOSTS, tmp_path)
-    assert {item.trouble.kind for item in evidence.applied} == set(LATER_KINDS)
-    assert findings(evidence) == []
+    play(tmp_path, LATER_SEED, LATER_KINDS, load_seed=SEED)
 
 
 def test_promises_hold_while_a_route_moves_and_entry_hosts_are_killed(tmp_path: Path):
     """Streams went on at the service that their route had moved to."""
-    schedule = draw(MOVES_SEED, SECONDS, MOVES_KINDS)
-    evidence, _ = run(schedule, SEED, HOSTS, tmp_path)
-    assert {item.trouble.kind for item in evidence.applied} == set(MOVES_KINDS)
-    assert findings(evidence) == []
+    play(tmp_path, MOVES_SEED, MOVES_KINDS, load_seed=SEED)
 
 
 def test_promises_hold_while_all_hosts_lose_power_and_two_their_disks(tmp_path: Path):
     """A configuration acknowledged just before could be lost, or control stay away."""
-    schedule = draw(POWER_SEED, SECONDS, POWER_KINDS)
-    evidence, _ = run(schedule, POWER_SEED, HOSTS, tmp_path)
-    assert {item.trouble.kind for item in evidence.applied} == set(POWER_KINDS)
-    assert findings(evidence) == []
+    play(tmp_path, POWER_SEED, POWER_KINDS)
 
 
 def test_promises_hold_while_bodies_end_late_in_stops(tmp_path: Path):
     """Their requests were passed on, and cut at the end of the stop."""
-    schedule = draw(LATE_SEED, SECONDS, LATE_KINDS)
-    evidence, _ = run(schedule, LATE_SEED, HOSTS, tmp_path)
-    assert evidence.late
-    assert findings(evidence) == []
+    assert play(tmp_path, LATE_SEED, LATE_KINDS).late
 
 
 def test_promises_hold_while_uploads_and_connections_of_hosts_are_cut(tmp_path: Path):
     """Parts of responses were whole, and connections between hosts stayed silent."""
-    schedule = draw(CUT_SEED, SECONDS, CUT_KINDS)
-    evidence, _ = run(schedule, CUT_SEED, HOSTS, tmp_path)
-    assert {item.trouble.kind for item in evidence.applied} == set(CUT_KINDS)
-    assert findings(evidence) == []
+    play(tmp_path, CUT_SEED, CUT_KINDS)
 
 
 def test_promises_hold_while_parts_of_refusals_come_ahead_of_responses(tmp_path: Path):
     """Calls ran twice, or were refused and ran."""
-    schedule = draw(SEED, SECONDS, [Kind.CUT_COPIES])
-    evidence, _ = run(schedule, SEED, HOSTS, tmp_path)
-    assert evidence.applied
-    assert findings(evidence) == []
+    play(tmp_path, SEED, [Kind.CUT_COPIES])
 
 
 @pytest.mark.parametrize(
