--- a/review/rig/fleet.py
+++ b/review/rig/fleet.py
@@ -19,7 +19,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 CONTROL_PORT, ENTRY_PORT, READY_PORT, ENGINE_PORT = 8229, 8221, 8224, 8486
-BEAT_SECONDS = 0.6
+BEAT_SECONDS = 1.2
 KEY = "key-of-foresters"
 HOST = "trees.example"
 
@@ -185,6 +185,8 @@
         self.name = f"i-{service}-{number}"
         self.state = "ready"
         self.open_connections = 0
+        self.reaches_control = True
+        self.last_status = 0
         self._fleet, self._service, self._slots = fleet, service, slots
         self._handler = handler
         self._sequence = 0
@@ -210,7 +212,10 @@
                 "cold_remaining_ms": 0,
                 "seq": self._sequence,
             }
-            await self._fleet.async_control("PUT", f"/-/instances/{self.name}", fields)
+            if self.reaches_control:
+                path = f"/-/instances/{self.name}"
+                answer = await self._fleet.async_control("PUT", path, fields)
+                self.last_status = answer.status
             await asyncio.sleep(BEAT_SECONDS)
 
     async def _async_serve(
@@ -454,7 +459,7 @@
 
 
 def main(play: Callable[[Record, bool], Awaitable[bool]], folder: Path) -> None:
-    """Play a case: exit with 1 if the rule broke, 0 if it held, 2 if it couldn't run."""
+    """Play a case: exit with 1 if the rule broke, 0 if it held, 2 if not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
     code = 2
