Report the bytes that each part of a process holds

The log counts its bytes; the queue of a connection counts bytes until they are written, not until they are joined. limits.memory_bytes and limits.disk_bytes are new settings, on the platform those of its file.

--- a/bitterntiller/components/control/config_copies.py
+++ b/bitterntiller/components/control/config_copies.py
@@ -31,6 +31,11 @@
     def __init__(self) -> None:
         self._by_version: dict[int, Copy] = {}
 
+    @property
+    def bytes(self) -> int:
+        """Size of the copies kept."""
+        return sum(len(copy.data) for copy in self._by_version.values())
+
     def latest(self, configuration: ConfigurationState) -> Copy:
         """Return the copy of the latest configuration."""
         version = configuration.version
--- a/bitterntiller/components/control/configuration.py
+++ b/bitterntiller/components/control/configuration.py
@@ -9,6 +9,7 @@
     MAX_CHANGE_IDS,
     MAX_CONFIG_DEPTH,
     MAX_PATCHES,
+    OUTCOME_BYTES,
     STATUS_ACCEPTED,
     STATUS_CONFLICT,
     STATUS_EXPIRED_ID,
@@ -151,6 +152,16 @@
             return None
         return wanted
 
+    @property
+    def patches_bytes(self) -> int:
+        """Size of the patches kept."""
+        return sum(len(patch.data or b"") for patch in self._patches)
+
+    @property
+    def outcomes_bytes(self) -> int:
+        """Size of the recorded outcomes."""
+        return OUTCOME_BYTES * len(self.outcomes_by_id)
+
     def superseded_at_ms(self, version: int) -> int | None:
         """Return the cluster time at which the successor of a version was accepted.
 
--- a/bitterntiller/components/control/const.py
+++ b/bitterntiller/components/control/const.py
@@ -31,6 +31,9 @@
 MAX_CHANGE_IDS = 20_000
 """Upper bound on stored outcomes of changes; they also expire by age."""
 
+OUTCOME_BYTES = 700
+"""Memory of a stored outcome with a change id of MAX_ID_LENGTH characters."""
+
 UPSTREAM_READY = "ready"
 UPSTREAM_LEAVING = "leaving"
 UPSTREAM_SILENT = "silent"
--- a/bitterntiller/components/control/coordinator.py
+++ b/bitterntiller/components/control/coordinator.py
@@ -104,6 +104,7 @@
             messages.GetRollout: self.rollouts.async_get_rollout,
             messages.RolloutReport: self.rollouts.async_report,
         }
+        self._add_memory_holders()
         await self._runtime.async_spawn(self._confirm.async_run())
         await self._runtime.async_spawn(self._proposer.async_run())
         if tick:
@@ -112,6 +113,14 @@
         for cls, handler in handlers.items():
             self._runtime.stack.callback(self._runtime.links.handle(cls, handler))
 
+    def _add_memory_holders(self) -> None:
+        add, configuration = self._runtime.memory.add, self.state.configuration
+        add("control.configuration", lambda: len(configuration.text))
+        add("control.patches", lambda: configuration.patches_bytes)
+        add("control.outcomes", lambda: configuration.outcomes_bytes)
+        add("control.copies", lambda: self._copies.bytes)
+        add("control.changes", lambda: self._changes.bytes)
+
     async def async_transfer_leadership(self) -> None:
         """Transfer leadership to another host before this one stops.
 
--- a/bitterntiller/components/control/pending_changes.py
+++ b/bitterntiller/components/control/pending_changes.py
@@ -17,7 +17,8 @@
 
 
 class _Pending:
-    def __init__(self) -> None:
+    def __init__(self, size: int) -> None:
+        self.size = size
         self.done = curio.Event()
         self.reply: Any = None
         self.error: Exception | None = None
@@ -36,6 +37,11 @@
         self._pending_by_key: dict[bytes, _Pending] = {}
         self._accepted: dict[bytes, Any] = {}
 
+    @property
+    def bytes(self) -> int:
+        """Size of the documents of the changes that are decided now."""
+        return sum(pending.size for pending in self._pending_by_key.values())
+
     async def async_reply(self, change: Any, wait: float) -> Any:
         """Return the reply to a messages.Change, None if it takes longer than wait."""
         key = _key(change)
@@ -44,7 +50,7 @@
             return accepted
         pending = self._pending_by_key.get(key)
         if pending is None:
-            pending = self._pending_by_key[key] = _Pending()
+            pending = self._pending_by_key[key] = _Pending(len(change.config))
             await curio.spawn(self._async_decide, key, change, pending, daemon=True)
         async with ignore_after(wait):
             await pending.done.wait()
--- a/bitterntiller/components/links/connection.py
+++ b/bitterntiller/components/links/connection.py
@@ -45,13 +45,14 @@
         self.peer = peer
         self.open = True
         self.calls_running = 0
+        self.calls_bytes = 0
+        self.queued_bytes = 0
         self._sock = sock
         self._on_message = on_message
         self._metrics = metrics
         self._calls_by_number: dict[int, _PendingCall] = {}
         self._numbers = itertools.count(1)
         self._queue: deque[bytes] = deque()
-        self._queued_bytes = 0
         self._wake = curio.Event()
         self._sent = False
         self._received = False
@@ -64,11 +65,11 @@
         data = pack(message, call, reply)
         # A peer that reads too slowly would otherwise fill this host's memory. Dropping
         # a message is safe, since all messages can be repeated.
-        if self._queued_bytes + len(data) > const.MAX_QUEUED_BYTES:
+        if self.queued_bytes + len(data) > const.MAX_QUEUED_BYTES:
             self._metrics.count(const.METRIC_QUEUE_FULL)
             return False
         self._queue.append(data)
-        self._queued_bytes += len(data)
+        self.queued_bytes += len(data)
         self._sent = True
         return True
 
@@ -145,8 +146,8 @@
                 while self._queue:
                     data = b"".join(self._queue)
                     self._queue.clear()
-                    self._queued_bytes = 0
                     await self._sock.sendall(data)
+                    self.queued_bytes -= len(data)
                     self._metrics.count(const.METRIC_SENT_BYTES, len(data))
         except OSError:
             return
--- a/bitterntiller/components/links/coordinator.py
+++ b/bitterntiller/components/links/coordinator.py
@@ -66,6 +66,7 @@
         self._attempts_by_address: dict[str, ConnectAttempt] = {}
         self._failed_at_by_address: dict[str, float] = {}
         self._running_by_connection: dict[Connection, curio.Task] = {}
+        self._open_connections: set[Connection] = set()
         self._runtime: Runtime | None = None
         self._disconnect_listeners: list[Callable[[], Awaitable[None]]] = []
 
@@ -147,6 +148,16 @@
             if connection.open
         }
 
+    @property
+    def queued_bytes(self) -> int:
+        """Bytes that wait to be written to peers."""
+        return sum(connection.queued_bytes for connection in self._open_connections)
+
+    @property
+    def calls_bytes(self) -> int:
+        """Bytes of peers' calls that are handled now."""
+        return sum(connection.calls_bytes for connection in self._open_connections)
+
     def incarnation(self, host: str) -> str:
         """Return which process of a host connected last, empty if none has."""
         return self._incarnation_by_host.get(host, "")
@@ -212,9 +223,11 @@
             await attempt.settled.set()
 
     async def _async_run(self, connection: Connection) -> None:
+        self._open_connections.add(connection)
         try:
             await connection.async_run()
         finally:
+            self._open_connections.discard(connection)
             address = connection.peer.address
             self._running_by_connection.pop(connection, None)
             if self._connections_by_address.get(address) is connection:
@@ -288,6 +301,7 @@
             await connection.async_flush_soon()
             return
         connection.calls_running += 1
+        connection.calls_bytes += incoming.size
         await curio.spawn(self._async_answer, connection, incoming, daemon=True)
 
     async def _async_answer(self, connection: Connection, incoming: Incoming) -> None:
@@ -298,6 +312,7 @@
                 await connection.async_flush_soon()
         finally:
             connection.calls_running -= 1
+            connection.calls_bytes -= incoming.size
 
     async def _async_handle(self, host: str, message: Any) -> Any:
         handler = self._handlers_by_type.get(type(message))
--- a/bitterntiller/components/links/frames.py
+++ b/bitterntiller/components/links/frames.py
@@ -43,7 +43,7 @@
     cls = TYPE_BY_KIND.get(frame.kind)
     if cls is None:
         raise MalformedMessageError(f"unknown kind {frame.kind}")
-    return Incoming(frame.call, frame.reply, decode(cls, frame.body))
+    return Incoming(frame.call, frame.reply, decode(cls, frame.body), len(data))
 
 
 def unpack_stranger(data: bytes) -> Incoming:
--- a/bitterntiller/components/links/models.py
+++ b/bitterntiller/components/links/models.py
@@ -16,8 +16,9 @@
 
 
 class Incoming(NamedTuple):
-    """A decoded frame; call is 0 if no reply is expected."""
+    """A decoded frame of some bytes; call is 0 if no reply is expected."""
 
     call: int
     reply: bool
     message: Any
+    size: int = 0
--- a/bitterntiller/components/replication/coordinator.py
+++ b/bitterntiller/components/replication/coordinator.py
@@ -14,6 +14,7 @@
 from bitterntiller.core.timeouts import ignore_after
 from bitterntiller.protocol import messages
 
+from . import memory
 from .const import (
     DEFAULT_SNAPSHOT_BYTES,
     STATUS_NOT_LEADER,
@@ -29,7 +30,7 @@
 from .models import Effects, Entry, ReturnCheck, Tuning
 from .outbox import Outbox
 from .repairer import Repairer
-from .state import Role
+from .state import Role, State
 from .storage import Storage
 from .waiters import Waiters
 from .wire import WIRE_TYPES, from_wire, to_wire
@@ -88,6 +89,7 @@
     async def async_start(self) -> None:
         """Start processing messages and timers until the process unloads."""
         links, stack = self._runtime.links, self._runtime.stack
+        self._add_memory_holders()
         for cls in WIRE_TYPES:
             stack.callback(links.handle(cls, self._async_receive))
         stack.callback(links.handle(messages.Join, self._joiner.async_on_join))
@@ -96,6 +98,22 @@
         for run in (*tasks, self._joiner.async_run):
             await self._runtime.async_spawn(self._async_guarded(run))
 
+    def _add_memory_holders(self) -> None:
+        add = self._runtime.memory.add
+        storage, outbox = self._storage, self._outbox
+        add("replication.log", lambda: self._state.log.bytes)
+        add("replication.snapshot", lambda: memory.snapshot_bytes(self._state))
+        add("replication.pinned", lambda: memory.pinned_bytes(self._state))
+        add("replication.incoming", lambda: memory.incoming_bytes(self._state))
+        add("replication.write", lambda: memory.write_bytes(self._state.pending_write))
+        add("replication.outbox", lambda: outbox.queued_bytes)
+        add("replication.restored", lambda: storage.restored_bytes)
+        add("replication.disk", lambda: storage.disk_bytes)
+
+    @property
+    def _state(self) -> State:
+        return self._replica.state
+
     async def async_propose(self, command: bytes, timeout: float) -> ProposalResult:
         """Append a command and wait until it is committed and applied.
 
--- a/bitterntiller/components/replication/log.py
+++ b/bitterntiller/components/replication/log.py
@@ -8,11 +8,13 @@
 class Log:
     """Contiguous log entries; earlier ones are covered by the snapshot.
 
-    base_index and base_term identify the entry just before the first one kept.
+    base_index and base_term identify the entry just before the first one kept. bytes is
+    the size of the data of the entries kept.
     """
 
     def __init__(self, snapshot: Snapshot | None, entries: Iterable[Entry]) -> None:
         self._entries = list(entries)
+        self.bytes = sum(len(entry.data) for entry in self._entries)
         self.base_index = snapshot.index if snapshot else 0
         self.base_term = snapshot.term if snapshot else 0
 
@@ -37,10 +39,13 @@
     def append(self, entry: Entry) -> None:
         """Append the entry that follows the last one."""
         self._entries.append(entry)
+        self.bytes += len(entry.data)
 
     def truncate_from(self, index: int) -> None:
         """Remove the entry at that index and all after it."""
-        del self._entries[index - self.base_index - 1 :]
+        first = index - self.base_index - 1
+        self.bytes -= sum(len(entry.data) for entry in self._entries[first:])
+        del self._entries[first:]
 
     def slice(self, start: int, stop: int) -> tuple[Entry, ...]:
         """Return the entries from start to stop, both included."""
@@ -73,7 +78,9 @@
         term = self.term_at(index)
         if term is None or index <= self.base_index:
             return
-        del self._entries[: index - self.base_index]
+        count = index - self.base_index
+        self.bytes -= sum(len(entry.data) for entry in self._entries[:count])
+        del self._entries[:count]
         self.base_index = index
         self.base_term = term
 
@@ -82,5 +89,6 @@
         if self.term_at(snapshot.index) == snapshot.term:
             return
         self._entries = []
+        self.bytes = 0
         self.base_index = snapshot.index
         self.base_term = snapshot.term
--- a/bitterntiller/components/replication/outbox.py
+++ b/bitterntiller/components/replication/outbox.py
@@ -7,11 +7,19 @@
 
 from bitterntiller.core.interfaces import Links
 from bitterntiller.core.runtime import Runtime
+from bitterntiller.protocol import messages
 
 MAX_QUEUED = 256
 """Messages queued for a peer; the oldest are dropped, which replication tolerates."""
 
 
+def data_bytes(message: Any) -> int:
+    """Return the size of the data in a message's entries or snapshot piece."""
+    if isinstance(message, messages.Append):
+        return sum(len(entry.data) for entry in message.entries)
+    return len(message.data) if isinstance(message, messages.SnapshotPiece) else 0
+
+
 class _PeerQueue:
     def __init__(self) -> None:
         self.waiting: deque[Any] = deque(maxlen=MAX_QUEUED)
@@ -26,6 +34,15 @@
         self._links: Links = runtime.links
         self._queues_by_address: dict[str, _PeerQueue] = {}
 
+    @property
+    def queued_bytes(self) -> int:
+        """The data of the entries and snapshot pieces in all queues."""
+        return sum(
+            data_bytes(message)
+            for peer_queue in self._queues_by_address.values()
+            for message in peer_queue.waiting
+        )
+
     async def async_put(self, address: str, message: Any) -> None:
         """Queue a message, which may be lost like any message."""
         peer_queue = self._queues_by_address.get(address)
--- a/bitterntiller/components/replication/state.py
+++ b/bitterntiller/components/replication/state.py
@@ -165,6 +165,11 @@
         self.role = Role.FOLLOWER
         self.leader = leader
 
+    @property
+    def pending_write(self) -> Persist | None:
+        """The write that is under way, None without one."""
+        return self._pending
+
     def record_mark(self, replica: str, mark: Mark, due: bool = False) -> None:
         """Record what a peer has acknowledged.
 
--- a/bitterntiller/components/replication/storage.py
+++ b/bitterntiller/components/replication/storage.py
@@ -53,6 +53,9 @@
         self._failed = ""
         self._log_fd = -1
         self._log_number = 0
+        self._log_bytes = 0
+        self._snapshot_bytes = 0
+        self._aside_bytes = 0
         self._header = frames.new_header(0)
         folder.mkdir(parents=True, exist_ok=True)
         self._lock_fd = _lock(folder)
@@ -64,12 +67,25 @@
 
     def _open(self) -> PersistentState:
         self._remove_temporary()
+        self._aside_bytes = self._measure_aside()
         replica = self._read_identity()
         if replica is None or replica.rpartition("/")[0] != self._host:
             self._move_aside()
             return self._create()
         return self._load(replica)
 
+    @property
+    def restored_bytes(self) -> int:
+        """Size of the entries and the snapshot that were read at the start."""
+        snapshot = self.restored.snapshot
+        size = sum(len(entry.data) for entry in self.restored.entries)
+        return size + (len(snapshot.data) if snapshot else 0)
+
+    @property
+    def disk_bytes(self) -> int:
+        """Size of the log and the snapshot, and of the files of retired identities."""
+        return self._log_bytes + self._snapshot_bytes + self._aside_bytes
+
     def write(self, persist: Persist) -> None:
         """Write and sync records; raise StorageFailedError if that fails.
 
@@ -94,10 +110,10 @@
             self._begin_log(persist.snapshot.index, persist)
             self._remove_obsolete(persist.snapshot.index)
             return
-        _write_all(
-            self._log_fd, frames.encode_frame(self._header, encode_batch(persist))
-        )
+        frame = frames.encode_frame(self._header, encode_batch(persist))
+        _write_all(self._log_fd, frame)
         os.fdatasync(self._log_fd)
+        self._log_bytes += len(frame)
 
     def retire(self) -> None:
         """Retire this identity: move its files aside and create a new identity."""
@@ -152,6 +168,7 @@
             replay.apply(_decoded(path, payload))
         self._log_number = number
         self._log_fd = os.open(path, os.O_WRONLY | os.O_APPEND)
+        self._log_bytes = valid_bytes
         if valid_bytes < len(data):
             os.ftruncate(self._log_fd, valid_bytes)
             os.fsync(self._log_fd)
@@ -162,9 +179,9 @@
         _, path = max(self._numbered(_SNAPSHOT), default=(0, None))
         if path is None:
             return None
-        payloads, _ = frames.decode_frames(
-            str(path), path.read_bytes(), required_frames=1
-        )
+        data = path.read_bytes()
+        payloads, _ = frames.decode_frames(str(path), data, required_frames=1)
+        self._snapshot_bytes = len(data)
         try:
             return decode_snapshot(payloads[0])
         except MalformedMessageError as error:
@@ -173,19 +190,21 @@
     def _write_snapshot(self, snapshot: Snapshot) -> None:
         header = frames.new_header(snapshot.index)
         frame = frames.encode_frame(header, encode_snapshot(snapshot))
-        self._write_file(
-            f"snapshot-{snapshot.index}", frames.encode_header(header) + frame
-        )
+        data = frames.encode_header(header) + frame
+        self._write_file(f"snapshot-{snapshot.index}", data)
+        self._snapshot_bytes = len(data)
 
     def _begin_log(self, base: int, state: Persist) -> None:
         header = frames.new_header(base)
         frame = frames.encode_frame(header, encode_batch(state))
         number = self._log_number + 1
-        path = self._write_file(f"log-{number}", frames.encode_header(header) + frame)
+        data = frames.encode_header(header) + frame
+        path = self._write_file(f"log-{number}", data)
         if self._log_fd != -1:
             os.close(self._log_fd)
         self._log_fd = os.open(path, os.O_WRONLY | os.O_APPEND)
         self._log_number = number
+        self._log_bytes = len(data)
         self._header = header
 
     def _write_file(self, name: str, data: bytes) -> Path:
@@ -218,6 +237,10 @@
             if number < snapshot_index:
                 path.unlink()
 
+    def _measure_aside(self) -> int:
+        folders = [path for _, path in self._numbered(_ASIDE)]
+        return sum(p.stat().st_size for folder in folders for p in folder.iterdir())
+
     def _remove_temporary(self) -> None:
         for path in self._folder.glob("*" + _TEMPORARY):
             path.unlink()
@@ -238,6 +261,8 @@
         for _, path in found:
             path.rename(aside / path.name)
         _sync_folder(self._folder)
+        self._snapshot_bytes = 0
+        self._aside_bytes = self._measure_aside()
 
 
 def _decoded(path: Path, payload: bytes) -> Persist:
--- a/bitterntiller/components/settings/models.py
+++ b/bitterntiller/components/settings/models.py
@@ -42,7 +42,11 @@
 
 
 class Limits(NamedTuple):
-    """Limits on the resources that callers can use on a host: bytes and counts."""
+    """Limits on the resources that callers can use on a host: bytes and counts.
+
+    memory_bytes and disk_bytes are what the process and its data folder may use. The
+    limits of what control and the links keep are derived from them.
+    """
 
     head_bytes: int = 32 * 1024
     body_bytes: int = 8 * 1024 * 1024
@@ -50,6 +54,8 @@
     connections_per_workspace: int = 1000
     waiting_bytes: int = 256 * 1024 * 1024
     reserved_fraction: float = 0.25
+    memory_bytes: int = 512 * 1024 * 1024
+    disk_bytes: int = 512 * 1024 * 1024
 
 
 class Timings(NamedTuple):
--- a/bitterntiller/core/runtime.py
+++ b/bitterntiller/core/runtime.py
@@ -11,6 +11,7 @@
 from bitterntiller.components.settings.models import Settings
 from bitterntiller.core.clock import Clock
 from bitterntiller.core.interfaces import Diagnostics, Links, Metrics
+from bitterntiller.core.memory import MemoryHolders
 
 
 class Runtime:
@@ -31,6 +32,7 @@
         self.incarnation = uuid.uuid4().hex
         self.stack = AsyncExitStack()
         self.diagnostics_by_component: dict[str, Diagnostics] = {}
+        self.memory = MemoryHolders()
         self.failure: BaseException | None = None
         self.failed = curio.Event()
 
--- a/bitterntiller/daemon/process.py
+++ b/bitterntiller/daemon/process.py
@@ -13,6 +13,7 @@
     entry,
     links,
     logs,
+    memory,
     metrics,
     node,
     operator,
@@ -71,6 +72,7 @@
     """Set up all components of this process, in the order of their dependencies."""
     roles = runtime.settings.roles
     await metrics.async_setup(runtime, runtime.metrics, make_dump(runtime))
+    await memory.async_setup(runtime)
     await links.async_setup(runtime, runtime.links)
     replica = None
     if ROLE_CONTROL in roles:
