Bound the log of a control host in bytes, in memory and as it is read

Change: a budget in bytes is derived from limits.memory_bytes and limits.disk_bytes. The log file is read a frame at a time. The state read at the start is handed over once.

--- a/bitterntiller/components/replication/const.py
+++ b/bitterntiller/components/replication/const.py
@@ -33,10 +33,7 @@
 DEFAULT_MAX_UNCOMMITTED = 20000
 DEFAULT_TRAILING_ENTRIES = 1000
 """Entries kept before a snapshot's index, so that a follower that lags by less needs
-no snapshot."""
-
-DEFAULT_SNAPSHOT_BYTES = 32 * 1024 * 1024
-"""Bytes of applied entries that trigger a snapshot, however few the entries are."""
+no snapshot; the budget limits their bytes."""
 
 DEFAULT_STARTUP_CHECK_GRACE = 2.0
 """Seconds that a starting replica waits for the replies of all other voters."""
--- a/bitterntiller/components/replication/coordinator.py
+++ b/bitterntiller/components/replication/coordinator.py
@@ -15,8 +15,8 @@
 from bitterntiller.protocol import messages
 
 from . import memory
+from .budget import replica_budget
 from .const import (
-    DEFAULT_SNAPSHOT_BYTES,
     STATUS_NOT_LEADER,
     STATUS_UNKNOWN,
     EntryKind,
@@ -41,8 +41,6 @@
 """Seconds between attempts to transfer leadership; one takes some messages and two
 syncs."""
 
-SNAPSHOT_BYTES = DEFAULT_SNAPSHOT_BYTES
-
 
 class ReplicationCoordinator:
     """ReplicatedLog backed by the replica on this host."""
@@ -84,7 +82,7 @@
 
     def _new_replica(self) -> Replica:
         now = self._runtime.clock.now()
-        return Replica(self._storage.restored, self._tuning, self._rng, now)
+        return Replica(self._storage.take_restored(), self._tuning, self._rng, now)
 
     async def async_start(self) -> None:
         """Start processing messages and timers until the process unloads."""
@@ -101,7 +99,9 @@
     def _add_memory_holders(self) -> None:
         add = self._runtime.memory.add
         storage, outbox = self._storage, self._outbox
-        add("replication.log", lambda: self._state.log.bytes)
+        budget = self._tuning.budget
+        log = budget.applied + budget.trailing + budget.uncommitted
+        add("replication.log", lambda: self._state.log.bytes, log)
         add("replication.snapshot", lambda: memory.snapshot_bytes(self._state))
         add("replication.pinned", lambda: memory.pinned_bytes(self._state))
         add("replication.incoming", lambda: memory.incoming_bytes(self._state))
@@ -316,7 +316,7 @@
         snapshot = self._replica.state.snapshot
         behind = self._applied - (snapshot.index if snapshot else 0)
         entries = self._runtime.settings.control.snapshot_entries
-        size = max(SNAPSHOT_BYTES, self._snapshot_bytes)
+        size = max(self._tuning.budget.applied, self._snapshot_bytes)
         if not behind or (behind < entries and self._applied_bytes < size):
             return
         data = self._machine.snapshot()
@@ -364,4 +364,5 @@
         heartbeat=timings.raft_heartbeat,
         leaderless_timeout=timings.leaderless,
         target_voters=runtime.settings.control.voters,
+        budget=replica_budget(runtime.settings.limits),
     )
--- a/bitterntiller/components/replication/frames.py
+++ b/bitterntiller/components/replication/frames.py
@@ -8,7 +8,8 @@
 import os
 import struct
 import zlib
-from typing import NamedTuple
+from collections.abc import Iterator
+from typing import BinaryIO, NamedTuple
 
 from .errors import LogDamagedError
 
@@ -64,18 +65,61 @@
     """Return the payload of the frame at an offset, None if it is not valid."""
     if offset + _FRAME.size > len(data):
         return None
-    mark, length, checksum, own = _FRAME.unpack_from(data, offset)
-    if mark != _FRAME_MAGIC:
-        return None
-    if own != zlib.crc32(data[offset : offset + _FRAME.size - 4], header.salt):
-        return None
     start = offset + _FRAME.size
+    length = _payload_length(header, data[offset:start])
+    if length is None:
+        return None
+    checksum = _FRAME.unpack_from(data, offset)[2]
     payload = data[start : start + length]
     if len(payload) != length or zlib.crc32(payload, header.salt) != checksum:
         return None
     return payload
 
 
+class FrameReader:
+    """Reads a file frame by frame, so that only one is in memory at a time.
+
+    Iterate over the payloads; valid_bytes is the length of the valid part of the file
+    afterwards. Raise LogDamagedError as decode_frames does.
+    """
+
+    def __init__(self, name: str, file: BinaryIO, required_frames: int) -> None:
+        self._name = name
+        self._file = file
+        self._required = required_frames
+        self.header = decode_header(name, file.read(HEADER_SIZE))
+        self.valid_bytes = HEADER_SIZE
+
+    def __iter__(self) -> Iterator[bytes]:
+        count = 0
+        while (payload := self._next()) is not None:
+            count += 1
+            self.valid_bytes += _FRAME.size + len(payload)
+            yield payload
+        self._file.seek(self.valid_bytes)
+        rest = self._file.read()
+        if count < self._required or _has_frame_after(self.header, rest, 0):
+            raise LogDamagedError(
+                self._name, self.valid_bytes, "a checksum does not match"
+            )
+
+    def _next(self) -> bytes | None:
+        start = self._file.read(_FRAME.size)
+        length = _payload_length(self.header, start)
+        if length is None:
+            return None
+        return _frame_at(self.header, start + self._file.read(length), 0)
+
+
+def _payload_length(header: FileHeader, start: bytes) -> int | None:
+    """Return the length in the start of a frame, None if that is not valid."""
+    if len(start) < _FRAME.size:
+        return None
+    mark, length, _, own = _FRAME.unpack(start)
+    valid = own == zlib.crc32(start[: _FRAME.size - 4], header.salt)
+    return length if mark == _FRAME_MAGIC and valid else None
+
+
 def decode_frames(
     file: str, data: bytes, required_frames: int
 ) -> tuple[list[bytes], int]:
--- a/bitterntiller/components/replication/log.py
+++ b/bitterntiller/components/replication/log.py
@@ -1,5 +1,6 @@
 """In-memory log entries after the newest snapshot."""
 
+from bisect import bisect_left
 from collections.abc import Iterable
 
 from .models import Entry, Snapshot
@@ -8,15 +9,39 @@
 class Log:
     """Contiguous log entries; earlier ones are covered by the snapshot.
 
-    base_index and base_term identify the entry just before the first one kept. bytes is
-    the size of the data of the entries kept.
+    base_index and base_term identify the entry just before the first one kept.
     """
 
     def __init__(self, snapshot: Snapshot | None, entries: Iterable[Entry]) -> None:
-        self._entries = list(entries)
-        self.bytes = sum(len(entry.data) for entry in self._entries)
+        self._entries: list[Entry] = []
+        self._ends: list[int] = []
+        self._start = 0
         self.base_index = snapshot.index if snapshot else 0
         self.base_term = snapshot.term if snapshot else 0
+        for entry in entries:
+            self.append(entry)
+
+    @property
+    def bytes(self) -> int:
+        """Size of the data of all entries kept."""
+        return self.bytes_after(self.base_index)
+
+    def bytes_after(self, index: int) -> int:
+        """Return the size of the data of the entries after an index."""
+        if not self._ends or index >= self.last_index:
+            return 0
+        place = index - self.base_index
+        return self._ends[-1] - (self._ends[place - 1] if place > 0 else self._start)
+
+    def index_before(self, index: int, size: int) -> int:
+        """Return the lowest index after which the data up to index is within size."""
+        place = min(index, self.last_index) - self.base_index
+        if place <= 0:
+            return index
+        least = self._ends[place - 1] - size
+        if least <= self._start:
+            return self.base_index
+        return self.base_index + 1 + bisect_left(self._ends, least, 0, place)
 
     @property
     def last_index(self) -> int:
@@ -39,13 +64,14 @@
     def append(self, entry: Entry) -> None:
         """Append the entry that follows the last one."""
         self._entries.append(entry)
-        self.bytes += len(entry.data)
+        end = self._ends[-1] if self._ends else self._start
+        self._ends.append(end + len(entry.data))
 
     def truncate_from(self, index: int) -> None:
         """Remove the entry at that index and all after it."""
         first = index - self.base_index - 1
-        self.bytes -= sum(len(entry.data) for entry in self._entries[first:])
         del self._entries[first:]
+        del self._ends[first:]
 
     def slice(self, start: int, stop: int) -> tuple[Entry, ...]:
         """Return the entries from start to stop, both included."""
@@ -79,8 +105,9 @@
         if term is None or index <= self.base_index:
             return
         count = index - self.base_index
-        self.bytes -= sum(len(entry.data) for entry in self._entries[:count])
+        self._start = self._ends[count - 1]
         del self._entries[:count]
+        del self._ends[:count]
         self.base_index = index
         self.base_term = term
 
@@ -89,6 +116,7 @@
         if self.term_at(snapshot.index) == snapshot.term:
             return
         self._entries = []
-        self.bytes = 0
+        self._ends = []
+        self._start = 0
         self.base_index = snapshot.index
         self.base_term = snapshot.term
--- a/bitterntiller/components/replication/models.py
+++ b/bitterntiller/components/replication/models.py
@@ -6,6 +6,9 @@
 
 from typing import NamedTuple
 
+from bitterntiller.components.settings.models import Limits
+
+from .budget import ReplicaBudget, replica_budget
 from .const import (
     DEFAULT_BATCH_BYTES,
     DEFAULT_BATCH_ENTRIES,
@@ -295,7 +298,7 @@
     join; 0 leaves promotion to operators' commands. With a target, a voter that is
     silent for silent_voter_timeout is replaced by a learner of another host that has
     caught up. first_election_spacing is the time between the campaigns of two voters
-    that have met no leader since their start.
+    that have met no leader since their start. budget limits the bytes of what is kept.
     """
 
     election_min: float = 0.6
@@ -312,3 +315,4 @@
     piece_bytes: int = DEFAULT_PIECE_BYTES
     max_uncommitted: int = DEFAULT_MAX_UNCOMMITTED
     trailing_entries: int = DEFAULT_TRAILING_ENTRIES
+    budget: ReplicaBudget = replica_budget(Limits())
--- a/bitterntiller/components/replication/state.py
+++ b/bitterntiller/components/replication/state.py
@@ -223,7 +223,10 @@
             return
         self.snapshot = Snapshot(index, term, self.members_at(index), data)
         self._snapshot_dirty = True
-        self.log.compact(index - self.tuning.trailing_entries)
+        # A single change can have a megabyte, so that the entries alone don't bound the
+        # memory of those kept for followers that lag.
+        by_size = self.log.index_before(index, self.tuning.budget.trailing)
+        self.log.compact(max(index - self.tuning.trailing_entries, by_size))
         self.count("snapshots_taken")
 
     def send_after_sync(self, to: str, message: Message) -> None:
--- a/bitterntiller/components/replication/storage.py
+++ b/bitterntiller/components/replication/storage.py
@@ -74,6 +74,12 @@
             return self._create()
         return self._load(replica)
 
+    def take_restored(self) -> PersistentState:
+        """Return the state read at the start, once; it isn't kept here any longer."""
+        restored = self.restored
+        self.restored = restored._replace(snapshot=None, entries=())
+        return restored
+
     @property
     def restored_bytes(self) -> int:
         """Size of the entries and the snapshot that were read at the start."""
@@ -156,21 +162,21 @@
         number, path = max(self._numbered(_LOG), default=(0, None))
         if path is None:
             raise LogDamagedError(str(self._folder), 0, "the log is missing")
-        data = path.read_bytes()
-        payloads, valid_bytes = frames.decode_frames(str(path), data, required_frames=1)
-        self._header = frames.decode_header(str(path), data)
-        if self._header.base > (snapshot.index if snapshot else 0):
-            raise LogDamagedError(
-                str(path), 0, f"snapshot {self._header.base} is missing"
-            )
-        replay = Replay(PersistentState(replica, HardState(), {}, snapshot, ()))
-        for payload in payloads:
-            replay.apply(_decoded(path, payload))
+        with path.open("rb") as file:
+            reader = frames.FrameReader(str(path), file, required_frames=1)
+            self._header = reader.header
+            if self._header.base > (snapshot.index if snapshot else 0):
+                raise LogDamagedError(
+                    str(path), 0, f"snapshot {self._header.base} is missing"
+                )
+            replay = Replay(PersistentState(replica, HardState(), {}, snapshot, ()))
+            for payload in reader:
+                replay.apply(_decoded(path, payload))
         self._log_number = number
         self._log_fd = os.open(path, os.O_WRONLY | os.O_APPEND)
-        self._log_bytes = valid_bytes
-        if valid_bytes < len(data):
-            os.ftruncate(self._log_fd, valid_bytes)
+        self._log_bytes = reader.valid_bytes
+        if reader.valid_bytes < path.stat().st_size:
+            os.ftruncate(self._log_fd, reader.valid_bytes)
             os.fsync(self._log_fd)
         self._remove_obsolete(snapshot.index if snapshot else 0)
         return replay.restored()
--- a/tests/components/replication/builders.py
+++ b/tests/components/replication/builders.py
@@ -13,6 +13,7 @@
     Address,
     Control,
     Keys,
+    Limits,
     Listen,
     Settings,
     Timings,
@@ -76,6 +77,26 @@
         self.commands = json.loads(data)
 
 
+class LastMachine:
+    """State machine whose state is the number of commands and the last of them."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.last = b""
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        self.count += 1
+        self.last = command
+        return b"%d" % self.count
+
+    def snapshot(self) -> bytes:
+        return b"%d:" % self.count + self.last
+
+    def restore(self, data: bytes) -> None:
+        count, _, self.last = data.partition(b":")
+        self.count = int(count)
+
+
 class Host:
     def __init__(self, runtime: Runtime, log: Any, machine: Machine) -> None:
         self.runtime = runtime
@@ -93,12 +114,16 @@
         snapshot_entries: int = 10000,
         spare: str = "",
         voters: int = 0,
+        limits: Limits | None = None,
+        machine: Callable[[], Any] = Machine,
     ) -> None:
         self.folder = folder
         self.names = names
         self.spare = spare
         self.snapshot_entries = snapshot_entries
         self.voters = voters
+        self.limits = limits or Limits()
+        self.machine = machine
         self.links_by_address: dict[str, FakeLinks] = {}
         self.hosts: dict[str, Host] = {}
 
@@ -123,11 +148,12 @@
             control,
             self.folder / name,
             None,
+            limits=self.limits,
             timings=TIMINGS,
         )
         runtime = Runtime(settings, RuntimeClock(), NoMetrics())
         runtime.links = FakeLinks(name, str(address), self.links_by_address)
-        machine = Machine()
+        machine = self.machine()
         await runtime.stack.__aenter__()
         log = await replication.async_setup(runtime, machine)
         self.hosts[name] = Host(runtime, log, machine)
--- a/tests/components/replication/test_coordinator.py
+++ b/tests/components/replication/test_coordinator.py
@@ -5,7 +5,8 @@
 
 import curio
 
-from bitterntiller.components.replication import coordinator, storage
+from bitterntiller.components.replication import storage
+from bitterntiller.components.settings.models import Limits
 from bitterntiller.protocol import messages
 
 from .builders import deployed
@@ -206,16 +207,18 @@
     assert os.path.exists(tmp_path / "a" / "replication" / "identity")
 
 
-def test_few_large_entries_are_compacted_too(tmp_path, monkeypatch):
+def test_few_large_entries_are_compacted_too(tmp_path):
     """A host took minutes to start because its log held hundreds of megabytes.
 
     Commands hold groups of claims, so the ten thousand entries after which the log was
     compacted are more than a million claims. The bytes of the log must count as well.
     """
-    monkeypatch.setattr(coordinator, "SNAPSHOT_BYTES", 4000)
+    limits = Limits(memory_bytes=16 * 4000)
 
     async def run():
-        async with deployed(tmp_path, "a", snapshot_entries=10_000) as deployment:
+        async with deployed(
+            tmp_path, "a", snapshot_entries=10_000, limits=limits
+        ) as deployment:
             host = await deployment.leader()
             for _ in range(6):
                 await host.log.async_propose(b"x" * 1000, 2.0)
--- a/tests/components/replication/test_storage.py
+++ b/tests/components/replication/test_storage.py
@@ -3,6 +3,7 @@
 import errno
 import os
 import shutil
+import tracemalloc
 
 import pytest
 
@@ -289,3 +290,27 @@
     opened.close()
     restored = reopened(folder)
     assert (restored.snapshot, restored.entries) == (SNAPSHOT, (entry(4),))
+
+
+def test_log_is_read_a_write_at_a_time(tmp_path, monkeypatch):
+    """A start held the whole log file three times in memory."""
+    opened = Storage(tmp_path, "a")
+    for index in range(1, 41):
+        opened.write(wrote(entry(index, data=b"x" * 100_000), number=index))
+    opened.close()
+    reads = []
+    decode = storage.decode_batch
+
+    def decode_and_note(payload):
+        tracemalloc.reset_peak()
+        reads.append(tracemalloc.get_traced_memory()[0])
+        return decode(payload)
+
+    monkeypatch.setattr(storage, "decode_batch", decode_and_note)
+    tracemalloc.start()
+    try:
+        restored = reopened(tmp_path)
+    finally:
+        tracemalloc.stop()
+    assert len(restored.entries) == 40
+    assert reads[1] < 1_000_000
