Bound patches and copies of configurations in bytes

Cause: a merge patch of a changed list holds the whole list, and 64 patches were kept whatever their size. Patches whose bytes reach those of the document are never sent: nodes get the document then. Eight compressed copies were kept likewise.

Change: the data of patches that can't be sent any more is dropped; when each change was accepted stays known.

--- a/bitterntiller/components/control/config_copies.py
+++ b/bitterntiller/components/control/config_copies.py
@@ -6,7 +6,9 @@
 from bitterntiller.components.control.configuration import ConfigurationState
 from bitterntiller.components.control.const import (
     CONFIG_PART_BYTES,
+    MAX_CONFIG_BYTES,
     MAX_CONFIG_COPIES,
+    MIN_CONFIG_COPIES,
     STATUS_OK,
     STATUS_UNKNOWN,
 )
@@ -17,6 +19,9 @@
 """Fastest; the keys of routes repeat so much that a higher level saves little."""
 
 
+MAX_COPIES_BYTES = MAX_CONFIG_COPIES * MAX_CONFIG_BYTES
+
+
 class Copy(NamedTuple):
     """A compressed configuration; digest identifies its bytes on all replicas."""
 
@@ -26,9 +31,14 @@
 
 
 class ConfigCopies:
-    """The compressed copies of the latest configurations of one replica."""
+    """The compressed copies of the latest configurations of one replica.
 
-    def __init__(self) -> None:
+    Older ones are dropped beyond MAX_CONFIG_COPIES, or beyond max_bytes in all; the
+    latest and the one before it always stay.
+    """
+
+    def __init__(self, max_bytes: int = MAX_COPIES_BYTES) -> None:
+        self._max_bytes = max_bytes
         self._by_version: dict[int, Copy] = {}
 
     @property
@@ -44,10 +54,13 @@
             data = zlib.compress(configuration.text, COMPRESSION_LEVEL)
             copy = Copy(version, content_digest(data), data)
             self._by_version[version] = copy
-            if len(self._by_version) > MAX_CONFIG_COPIES:
+            while len(self._by_version) > MIN_CONFIG_COPIES and self._is_over():
                 del self._by_version[next(iter(self._by_version))]
         return copy
 
+    def _is_over(self) -> bool:
+        return len(self._by_version) > MAX_CONFIG_COPIES or self.bytes > self._max_bytes
+
     def part(self, request: messages.GetConfigPart) -> messages.ConfigPart:
         """Return the part at an offset; the status is unknown if it isn't kept."""
         copy = self._by_version.get(request.version)
--- a/bitterntiller/components/control/configuration.py
+++ b/bitterntiller/components/control/configuration.py
@@ -29,8 +29,9 @@
 class Patch(NamedTuple):
     """The merge patch that leads from the previous version to this one.
 
-    data is None if no merge patch can express the difference. accepted_ms is the
-    cluster time of the change.
+    data is None if no merge patch can express the difference, or if the whole document
+    is smaller than it and those after it. accepted_ms is the cluster time at which the
+    change was accepted.
     """
 
     version: int
@@ -112,6 +113,20 @@
         self.text = canonical_json(document)
         self.version += 1
         self._patches.append(Patch(self.version, data, time_ms))
+        self._drop_long_patches()
+
+    def _drop_long_patches(self) -> None:
+        """Drop the data of patches in whose place a node gets the whole document.
+
+        A patch of a list holds the whole list, so that patches of a long configuration
+        would take many times the memory of the configuration itself.
+        """
+        size = 0
+        for index in range(len(self._patches) - 1, -1, -1):
+            patch = self._patches[index]
+            size += len(patch.data or b"")
+            if size >= len(self.text) and patch.data is not None:
+                self._patches[index] = patch._replace(data=None)
 
     def _record_outcome(
         self, change: Any, status: str, digest: str, time_ms: int
--- a/bitterntiller/components/control/const.py
+++ b/bitterntiller/components/control/const.py
@@ -71,7 +71,8 @@
 """Claims that are stored; one workspace can't use the whole capacity."""
 
 MAX_PATCHES = 64
-"""Latest changes kept as patches; a node further behind gets the whole document."""
+"""Latest changes kept as patches; a node further behind gets the whole document, as it
+does once the patches have as many bytes."""
 
 TICK = 0.25
 """Seconds between two checks of sessions and owners."""
@@ -152,6 +153,9 @@
 finish although the configuration has changed again.
 """
 
+MIN_CONFIG_COPIES = 2
+"""Copies that are kept whatever their size: the latest, and the one before it."""
+
 MAX_ID_LENGTH = 128
 
 CONCURRENT_CLAIM_GROUPS = 4
--- a/bitterntiller/components/control/coordinator.py
+++ b/bitterntiller/components/control/coordinator.py
@@ -7,6 +7,7 @@
 from absl import logging
 
 from bitterntiller.components.control import diagnostics
+from bitterntiller.components.control.budget import control_budget
 from bitterntiller.components.control.claims import claim_reply
 from bitterntiller.components.control.config_copies import ConfigCopies
 from bitterntiller.components.control.confirm import ConfirmationBatcher
@@ -19,6 +20,7 @@
     CONFIRM_TIMEOUT,
     LARGE_CONFIG_BYTES,
     LEADER_WAIT,
+    MAX_CONFIG_BYTES,
     STATUS_ACCEPTED,
     STATUS_FULL,
     STATUS_INVALID,
@@ -67,7 +69,8 @@
         self._timings = runtime.settings.timings
         self._log = log
         self._parse = parse
-        self._copies = ConfigCopies()
+        self._budget = control_budget(runtime.settings.limits)
+        self._copies = ConfigCopies(self._budget.copies)
         self._confirm = ConfirmationBatcher(log, CONFIRM_TIMEOUT)
         self._proposer = Proposer(log, self._make_command)
         self._changes = PendingChanges(self._async_decide_change)
@@ -115,10 +118,10 @@
 
     def _add_memory_holders(self) -> None:
         add, configuration = self._runtime.memory.add, self.state.configuration
-        add("control.configuration", lambda: len(configuration.text))
-        add("control.patches", lambda: configuration.patches_bytes)
+        add("control.configuration", lambda: len(configuration.text), MAX_CONFIG_BYTES)
+        add("control.patches", lambda: configuration.patches_bytes, MAX_CONFIG_BYTES)
         add("control.outcomes", lambda: configuration.outcomes_bytes)
-        add("control.copies", lambda: self._copies.bytes)
+        add("control.copies", lambda: self._copies.bytes, self._budget.copies)
         add("control.changes", lambda: self._changes.bytes)
 
     async def async_transfer_leadership(self) -> None:
