Refuse changes for which a replica has no room until others are applied

Callers would see: control hosts killed over their memory while a quorum is away or a disk slow, as up to 20,000 entries of any size wait in the log then.

Cause: the bound of unapplied entries counted entries. On a leader whose own disk is slow, entries that a quorum had committed didn't count at all.

Change: all entries that aren't applied count with their bytes, a thirty-second part of the memory; a quarter of it is for commands under 16 KiB, so that announcements don't wait for configurations. The status of a proposal without room is full, not not-leader, and reaches the operator as a 503 that says why. What was appended stays.

--- a/bitterntiller/components/control/const.py
+++ b/bitterntiller/components/control/const.py
@@ -12,6 +12,9 @@
 STATUS_OK = "ok"
 STATUS_FULL = "full"
 
+FULL_TEXT = "earlier changes wait for the disks of control; send this one again later"
+"""Text of the reply to a change that was not proposed, as there is no room."""
+
 CLAIM_TAKEN = "taken"
 CLAIM_RUNNING = "running"
 CLAIM_FINISHED = "finished"
--- a/bitterntiller/components/control/coordinator.py
+++ b/bitterntiller/components/control/coordinator.py
@@ -18,6 +18,7 @@
     CLAIM_RUNNING,
     COMMIT_TIMEOUT,
     CONFIRM_TIMEOUT,
+    FULL_TEXT,
     LARGE_CONFIG_BYTES,
     LEADER_WAIT,
     MAX_CONFIG_BYTES,
@@ -231,7 +232,8 @@
             return proposed.result.change
         if proposed.status == STATUS_UNKNOWN:
             return self._unknown_change_reply()
-        return self._change_reply(proposed.status)
+        text = FULL_TEXT if proposed.status == STATUS_FULL else ""
+        return self._change_reply(proposed.status, text)
 
     def _report_change(self, change: Any, status: str) -> None:
         self._runtime.metrics.count(f"control.change.{status}")
--- a/bitterntiller/components/operator/responses.py
+++ b/bitterntiller/components/operator/responses.py
@@ -74,6 +74,9 @@
 def change_response(reply: Any) -> HttpResponse:
     """Return the response for a messages.ChangeReply, or None."""
     status = None if reply is None else _HTTP_STATUS_BY_CHANGE.get(reply.status)
+    if reply is not None and reply.status == const.STATUS_FULL:
+        full = {"status": reply.status, "text": reply.text}
+        return json_response(503, full, _retry_after())
     if status is None:
         return unknown_outcome_response(
             "resend the change with the same id and base version"
--- a/bitterntiller/components/replication/const.py
+++ b/bitterntiller/components/replication/const.py
@@ -86,5 +86,11 @@
 REPAIR_RUNNING = "running"
 REPAIR_REFUSED = "refused"
 
+SMALL_COMMAND_BYTES = 16 * 1024
+SMALL_COMMANDS_FRACTION = 0.25
+"""Part of the budget of unapplied entries that only small commands may use, so that
+announcements and times of control don't wait for large configurations."""
+
 STATUS_COMMITTED = "committed"
+STATUS_FULL = "full"
 STATUS_UNKNOWN = "unknown"
--- a/bitterntiller/components/replication/coordinator.py
+++ b/bitterntiller/components/replication/coordinator.py
@@ -17,6 +17,7 @@
 from . import memory
 from .budget import replica_budget
 from .const import (
+    STATUS_FULL,
     STATUS_NOT_LEADER,
     STATUS_UNKNOWN,
     EntryKind,
@@ -128,7 +129,7 @@
         timeout = ends - self._runtime.clock.now()
         position = None if self.failure else self._replica.propose(command)
         if position is None:
-            return ProposalResult(STATUS_NOT_LEADER, b"", self.leader())
+            return ProposalResult(self._refused_status(command), b"", self.leader())
         proposal = self._waiters.add_proposal(position)
         await self._wake.set()
         async with ignore_after(timeout):
@@ -138,6 +139,10 @@
             return ProposalResult(STATUS_UNKNOWN, b"", self.leader())
         return proposal.result._replace(leader=self.leader())
 
+    def _refused_status(self, command: bytes) -> str:
+        is_full = self.is_leader() and not self._replica.has_room(len(command))
+        return STATUS_FULL if is_full else STATUS_NOT_LEADER
+
     def _is_forming(self) -> bool:
         if self._has_commands or self.failure:
             return False
--- a/bitterntiller/components/replication/core.py
+++ b/bitterntiller/components/replication/core.py
@@ -167,6 +167,10 @@
         """Append a command; return None if it is certainly not in the log."""
         return leading.propose(self.state, data)
 
+    def has_room(self, size: int) -> bool:
+        """Return whether a command of some bytes may be appended now."""
+        return leading.has_room(self.state, size)
+
     def request_read_index(self, token: int) -> bool:
         """Request a confirmed read index; return False if not the leader."""
         return leading.request_read_index(self.state, token)
--- a/bitterntiller/components/replication/leading.py
+++ b/bitterntiller/components/replication/leading.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from . import sending
-from .const import EntryKind
+from .const import SMALL_COMMAND_BYTES, SMALL_COMMANDS_FRACTION, EntryKind
 from .members import (
     encode_members,
     is_single_change,
@@ -43,15 +43,31 @@
 
 
 def propose(state: State, data: bytes) -> LogPosition | None:
-    """Append a command; return None if not the leader or too much is uncommitted."""
+    """Append a command; return None if not the leader or if there is no room."""
     if state.role is not Role.LEADER:
         return None
-    if state.log.last_index - state.commit >= state.tuning.max_uncommitted:
+    if not has_room(state, len(data)):
         state.count("proposals_refused_full")
         return None
     return _append_entry(state, EntryKind.COMMAND, data)
 
 
+def has_room(state: State, size: int) -> bool:
+    """Return whether a command of some bytes may be appended.
+
+    All entries that aren't applied here count, also those that a quorum has committed
+    while this replica's own disk is slow. A command larger than the budget is appended
+    when nothing else waits.
+    """
+    if state.log.last_index - state.commit >= state.tuning.max_uncommitted:
+        return False
+    waiting = state.log.bytes_after(state.delivered)
+    allowed = float(state.tuning.budget.uncommitted)
+    if size > SMALL_COMMAND_BYTES:
+        allowed *= 1 - SMALL_COMMANDS_FRACTION
+    return not waiting or waiting + size <= allowed
+
+
 def may_change_members(state: State) -> bool:
     """Return whether a change of the membership may begin now.
 
--- a/bitterntiller/core/interfaces.py
+++ b/bitterntiller/core/interfaces.py
@@ -383,8 +383,9 @@
     """The outcome of a proposal.
 
     status is committed (result is what apply() returned), not-leader (certainly not
-    appended by this replica) or unknown (leadership was lost or the timeout expired
-    after the command was appended).
+    appended by this replica), full (not appended, as too many bytes wait to be applied)
+    or unknown (leadership was lost or the timeout expired after the command was
+    appended).
     """
 
     status: str
--- a/tests/components/replication/test_memory.py
+++ b/tests/components/replication/test_memory.py
@@ -82,3 +82,41 @@
             assert held_by_name["replication.log"].now <= LOG_BYTES
 
     curio.run(run)
+
+
+def test_commands_beyond_the_room_are_refused_while_a_quorum_is_away(tmp_path):
+    """Commands piled up in memory, up to 20000 of any size, while none was committed.
+
+    They are refused with a status of their own; small ones still have room, and no
+    command is lost once the quorum is back.
+    """
+
+    async def run():
+        async with deployed(
+            tmp_path, "abc", limits=LIMITS, machine=LastMachine
+        ) as deployment:
+            leader = await deployment.leader()
+            others = [h for h in deployment.hosts.values() if h is not leader]
+            for other in others:
+                other.runtime.links.cut = True
+            statuses = []
+
+            async def propose(command):
+                result = await leader.log.async_propose(command, 5.0)
+                statuses.append(result.status)
+
+            async with curio.TaskGroup() as group:
+                for number in range(12):
+                    await group.spawn(propose, COMMAND + b"%d" % number)
+                    await curio.sleep(0)
+                held = leader.runtime.memory.measure()["replication.log"].now
+                await group.spawn(propose, b"small")
+                await curio.sleep(0.05)
+                for other in others:
+                    other.runtime.links.cut = False
+            assert held <= LIMITS.memory_bytes // 32
+            assert statuses.count("full") == 9
+            assert statuses.count("committed") == 4
+            assert leader.machine.count == 4
+
+    curio.run(run)
