Bound in bytes what followers keep at the leader of control

Callers would see: the leader of control killed over its memory beside followers that are slow, down or joining.

--- a/bitterntiller/components/replication/coordinator.py
+++ b/bitterntiller/components/replication/coordinator.py
@@ -54,7 +54,7 @@
         self._storage = storage
         self._rng = random.SystemRandom()
         self._tuning = _tuning(runtime)
-        self._outbox = Outbox(runtime)
+        self._outbox = Outbox(runtime, self._tuning.budget.outbox)
         self._waiters = Waiters()
         self._wake = curio.Event()
         self._joiner = Joiner(runtime, lambda: self._replica, self._wake.set)
@@ -104,10 +104,11 @@
         log = budget.applied + budget.trailing + budget.uncommitted
         add("replication.log", lambda: self._state.log.bytes, log)
         add("replication.snapshot", lambda: memory.snapshot_bytes(self._state))
-        add("replication.pinned", lambda: memory.pinned_bytes(self._state))
+        pinned = budget.pinned
+        add("replication.pinned", lambda: memory.pinned_bytes(self._state), pinned)
         add("replication.incoming", lambda: memory.incoming_bytes(self._state))
         add("replication.write", lambda: memory.write_bytes(self._state.pending_write))
-        add("replication.outbox", lambda: outbox.queued_bytes)
+        add("replication.outbox", lambda: outbox.queued_bytes, budget.outbox)
         add("replication.restored", lambda: storage.restored_bytes)
         add("replication.disk", lambda: storage.disk_bytes)
 
--- a/bitterntiller/components/replication/core.py
+++ b/bitterntiller/components/replication/core.py
@@ -8,7 +8,7 @@
 import random
 from collections.abc import Iterable
 
-from . import election, following, leading, startup_check
+from . import election, following, leading, sending, startup_check
 from .const import VOTE_BARRED, EntryKind
 from .errors import SafetyError
 from .members import encode_members
@@ -201,6 +201,7 @@
     def snapshot_taken(self, index: int, data: bytes) -> None:
         """Store a snapshot of the state after an applied entry."""
         self.state.snapshot_taken(index, data)
+        sending.limit_pinned(self.state)
 
     def persisted(self, number: int, now: float) -> None:
         """Report that the write with that number is synced."""
--- a/bitterntiller/components/replication/memory.py
+++ b/bitterntiller/components/replication/memory.py
@@ -11,14 +11,18 @@
     return _data_size(state.snapshot)
 
 
-def pinned_bytes(state: State) -> int:
-    """Return the size of older snapshots that followers still load."""
-    pinned = {
-        progress.snapshot.index: len(progress.snapshot.data)
+def pinned_by_index(state: State) -> dict[int, Snapshot]:
+    """Return the older snapshots that followers still load, by their index."""
+    return {
+        progress.snapshot.index: progress.snapshot
         for progress in state.progress_by_replica.values()
         if progress.snapshot is not None and progress.snapshot is not state.snapshot
     }
-    return sum(pinned.values())
+
+
+def pinned_bytes(state: State) -> int:
+    """Return the size of older snapshots that followers still load."""
+    return sum(len(snapshot.data) for snapshot in pinned_by_index(state).values())
 
 
 def incoming_bytes(state: State) -> int:
--- a/bitterntiller/components/replication/outbox.py
+++ b/bitterntiller/components/replication/outbox.py
@@ -21,27 +21,45 @@
 
 
 class _PeerQueue:
+    """Messages for one peer, oldest first; size is that of their data."""
+
     def __init__(self) -> None:
-        self.waiting: deque[Any] = deque(maxlen=MAX_QUEUED)
+        self.size = 0
         self.wake = curio.Event()
+        self._waiting: deque[tuple[Any, int]] = deque()
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def put(self, message: Any) -> None:
+        size = data_bytes(message)
+        self._waiting.append((message, size))
+        self.size += size
+        if len(self._waiting) > MAX_QUEUED:
+            self.take()
+
+    def take(self) -> Any:
+        message, size = self._waiting.popleft()
+        self.size -= size
+        return message
 
 
 class Outbox:
-    """A send queue and a sending task for each address."""
+    """A send queue and a sending task for each address.
+
+    Beyond max_bytes in all queues, the oldest messages of the longest one are dropped.
+    """
 
-    def __init__(self, runtime: Runtime) -> None:
+    def __init__(self, runtime: Runtime, max_bytes: int) -> None:
         self._runtime = runtime
         self._links: Links = runtime.links
+        self._max_bytes = max_bytes
         self._queues_by_address: dict[str, _PeerQueue] = {}
 
     @property
     def queued_bytes(self) -> int:
-        """The data of the entries and snapshot pieces in all queues."""
-        return sum(
-            data_bytes(message)
-            for peer_queue in self._queues_by_address.values()
-            for message in peer_queue.waiting
-        )
+        """The size of the data of the messages in all queues."""
+        return sum(queue.size for queue in self._queues_by_address.values())
 
     async def async_put(self, address: str, message: Any) -> None:
         """Queue a message, which may be lost like any message."""
@@ -49,12 +67,23 @@
         if peer_queue is None:
             peer_queue = self._queues_by_address[address] = _PeerQueue()
             await self._runtime.async_spawn(self._async_run(address, peer_queue))
-        peer_queue.waiting.append(message)
+        peer_queue.put(message)
+        self._drop_beyond_limit()
         await peer_queue.wake.set()
 
+    def _drop_beyond_limit(self) -> None:
+        while self.queued_bytes > self._max_bytes:
+            longest = max(
+                self._queues_by_address.values(), key=lambda queue: queue.size
+            )
+            if len(longest) < 2:
+                return
+            longest.take()
+            self._runtime.metrics.count("replication.outbox_full")
+
     async def _async_run(self, address: str, peer_queue: _PeerQueue) -> None:
         while True:
             await peer_queue.wake.wait()
             peer_queue.wake.clear()
-            while peer_queue.waiting:
-                await self._links.async_send(address, peer_queue.waiting.popleft())
+            while peer_queue:
+                await self._links.async_send(address, peer_queue.take())
--- a/bitterntiller/components/replication/progress.py
+++ b/bitterntiller/components/replication/progress.py
@@ -2,10 +2,18 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from .models import Snapshot
 
 
+class SentBatch(NamedTuple):
+    """Entries sent in one message: the last index and the size of their data."""
+
+    last: int
+    size: int
+
+
 @dataclass
 class Progress:
     """Replication progress of a follower.
@@ -25,22 +33,27 @@
     waiting: bool = False
     snapshot: Snapshot | None = None
     snapshot_offset: int = 0
-    in_flight: deque[int] = field(default_factory=deque)
+    in_flight: deque[SentBatch] = field(default_factory=deque)
+    in_flight_bytes: int = 0
+
+    def may_send(self, limit: int, max_bytes: int) -> bool:
+        """Return whether flow control allows sending entries now.
 
-    def may_send(self, limit: int) -> bool:
-        """Return whether flow control allows sending entries now."""
+        At most limit messages are in flight, and a further one only below max_bytes.
+        """
         if self.snapshot:
             return False
         if self.probing:
             return not self.waiting
-        return len(self.in_flight) < limit
+        return len(self.in_flight) < limit and self.in_flight_bytes < max_bytes
 
-    def sent(self, last: int) -> None:
-        """Record that entries up to last have been sent."""
+    def sent(self, last: int, size: int) -> None:
+        """Record that entries up to last, with data of some bytes, have been sent."""
         if self.probing:
             self.waiting = True
             return
-        self.in_flight.append(last)
+        self.in_flight.append(SentBatch(last, size))
+        self.in_flight_bytes += size
         self.next = last + 1
 
     def acknowledged(self, index: int) -> None:
@@ -49,8 +62,8 @@
         self.next = max(self.next, self.match + 1)
         self.probing = False
         self.waiting = False
-        while self.in_flight and self.in_flight[0] <= index:
-            self.in_flight.popleft()
+        while self.in_flight and self.in_flight[0].last <= index:
+            self.in_flight_bytes -= self.in_flight.popleft().size
 
     def rejected(self, hint: int) -> None:
         """Back up to the index at which the follower's log may match."""
@@ -62,6 +75,7 @@
         self.probing = True
         self.waiting = False
         self.in_flight.clear()
+        self.in_flight_bytes = 0
 
     def begin_snapshot(self, snapshot: Snapshot) -> None:
         """Start sending a snapshot from its first byte."""
--- a/bitterntiller/components/replication/sending.py
+++ b/bitterntiller/components/replication/sending.py
@@ -1,7 +1,8 @@
 """Messages from a leader to its followers: entries, heartbeats and snapshots."""
 
 from .members import encode_members
-from .models import Append, Entry, SnapshotPiece
+from .memory import entries_bytes, pinned_by_index, pinned_bytes
+from .models import Append, Entry, Snapshot, SnapshotPiece
 from .state import State
 
 
@@ -13,7 +14,7 @@
     for replica, progress in state.progress_by_replica.items():
         progress.waiting = False
         if not replicate(state, replica, now):
-            _send_heartbeat(state, replica)
+            _send_heartbeat(state, replica, now)
 
 
 def replicate(state: State, replica: str, now: float) -> bool:
@@ -22,7 +23,7 @@
     if progress.last_contact < now - tuning.election_max:
         return False
     while progress.next <= state.log.last_index:
-        if not progress.may_send(tuning.max_in_flight):
+        if not progress.may_send(tuning.max_in_flight, tuning.budget.in_flight):
             break
         if progress.next <= state.log.base_index:
             return _begin_snapshot(state, replica)
@@ -30,19 +31,22 @@
             progress.next, tuning.batch_entries, tuning.batch_bytes
         )
         _send_append(state, replica, entries)
-        progress.sent(entries[-1].index)
+        progress.sent(entries[-1].index, entries_bytes(entries))
         sent = True
     return sent
 
 
-def _send_heartbeat(state: State, replica: str) -> None:
+def _send_heartbeat(state: State, replica: str, now: float) -> None:
     progress = state.progress_by_replica[replica]
-    if progress.snapshot:
+    if progress.snapshot is None and progress.next > state.log.base_index:
+        _send_append(state, replica, ())
+    elif progress.last_contact < now - state.tuning.election_max:
+        # A piece for each heartbeat of a follower that is down would fill the queues.
+        send_empty_piece(state, replica)
+    elif progress.snapshot:
         send_piece(state, replica)
-    elif progress.next <= state.log.base_index:
-        _begin_snapshot(state, replica)
     else:
-        _send_append(state, replica, ())
+        _begin_snapshot(state, replica)
 
 
 def _send_append(state: State, replica: str, entries: tuple[Entry, ...]) -> None:
@@ -69,6 +73,23 @@
     return True
 
 
+def limit_pinned(state: State) -> None:
+    """Keep the older snapshots that followers still load within their budget.
+
+    Followers that began last begin again with the newest snapshot. The one that began
+    first goes on, whatever the size of its snapshot: if all began again with each new
+    snapshot, a slow follower would never finish.
+    """
+    while pinned_bytes(state) > state.tuning.budget.pinned:
+        older = sorted(pinned_by_index(state))
+        if len(older) < 2 or state.snapshot is None:
+            return
+        for progress in state.progress_by_replica.values():
+            if progress.snapshot and progress.snapshot.index == older[-1]:
+                progress.begin_snapshot(state.snapshot)
+        state.count("snapshots_begun_again")
+
+
 def send_piece(state: State, replica: str) -> None:
     """Send the next piece of the follower's snapshot."""
     progress = state.progress_by_replica[replica]
@@ -76,14 +97,28 @@
     if snapshot is None:
         return
     stop = offset + state.tuning.piece_bytes
+    done = stop >= len(snapshot.data)
+    _send_data(state, replica, snapshot, snapshot.data[offset:stop], done)
+
+
+def send_empty_piece(state: State, replica: str) -> None:
+    """Send a piece without data, as a heartbeat; the reply tells what has arrived."""
+    snapshot = state.progress_by_replica[replica].snapshot or state.snapshot
+    if snapshot is not None:
+        _send_data(state, replica, snapshot, b"", False)
+
+
+def _send_data(
+    state: State, replica: str, snapshot: Snapshot, data: bytes, done: bool
+) -> None:
     message = SnapshotPiece(
         state.term,
         state.replica,
         snapshot.index,
         snapshot.term,
-        offset,
-        snapshot.data[offset:stop],
-        stop >= len(snapshot.data),
+        state.progress_by_replica[replica].snapshot_offset,
+        data,
+        done,
         encode_members(snapshot.members.all),
         state.pending_reads.round,
         snapshot.members.index,
