Bound in bytes what links queue for peers and handle of their calls

Callers would see: hosts of control killed over their memory beside peers that don't read, or that make many large calls.

Cause: each connection could queue 16 MB, and as much again while it was being written, whatever the memory of the process and the number of peers; calls were bounded by their number (2000 a connection).

Change: what is queued or being written is bounded by an eighth of the memory over all connections, and by a thirty-second for each. Beyond it each has an even share, so that peers that don't read take no room from others. Calls over 4 kB are refused as busy beyond a sixteenth of the memory.

--- a/bitterntiller/components/links/__init__.py
+++ b/bitterntiller/components/links/__init__.py
@@ -9,6 +9,7 @@
     """Listen for peers until the runtime's stack is unwound."""
     runtime.stack.push_async_callback(links.async_close)
     await runtime.async_spawn(links.async_serve(runtime))
-    runtime.memory.add("links.queued", lambda: links.queued_bytes)
-    runtime.memory.add("links.calls", lambda: links.calls_bytes)
+    budget, add = links.budget, runtime.memory.add
+    add("links.queued", lambda: budget.queued_bytes, budget.max_queued_bytes)
+    add("links.calls", lambda: budget.calls_bytes, budget.max_calls_bytes)
     runtime.add_diagnostics("links", lambda: describe(links))
--- a/bitterntiller/components/links/connection.py
+++ b/bitterntiller/components/links/connection.py
@@ -8,6 +8,7 @@
 import curio
 
 from bitterntiller.components.links import const
+from bitterntiller.components.links.budget import LinkBudget
 from bitterntiller.components.links.errors import (
     LinkFaultError,
     LinkTimeoutError,
@@ -41,15 +42,16 @@
         peer: Peer,
         on_message: FrameHandler,
         metrics: Metrics,
+        budget: LinkBudget,
     ) -> None:
         self.peer = peer
         self.open = True
         self.calls_running = 0
-        self.calls_bytes = 0
         self.queued_bytes = 0
         self._sock = sock
         self._on_message = on_message
         self._metrics = metrics
+        self._budget = budget
         self._calls_by_number: dict[int, _PendingCall] = {}
         self._numbers = itertools.count(1)
         self._queue: deque[bytes] = deque()
@@ -65,14 +67,18 @@
         data = pack(message, call, reply)
         # A peer that reads too slowly would otherwise fill this host's memory. Dropping
         # a message is safe, since all messages can be repeated.
-        if self.queued_bytes + len(data) > const.MAX_QUEUED_BYTES:
+        if not self._budget.may_queue(self.queued_bytes, len(data)):
             self._metrics.count(const.METRIC_QUEUE_FULL)
             return False
         self._queue.append(data)
-        self.queued_bytes += len(data)
+        self._count_queued(len(data))
         self._sent = True
         return True
 
+    def _count_queued(self, size: int) -> None:
+        self.queued_bytes += size
+        self._budget.queued_bytes += size
+
     async def async_flush_soon(self) -> None:
         """Wake the writer after send(), and the liveness check if it is paused."""
         await self._wake.set()
@@ -110,6 +116,7 @@
                 await group.spawn(self._async_check_liveness)
         finally:
             self.open = False
+            self._count_queued(-self.queued_bytes)
             await self._sock.close()
             for pending in list(self._calls_by_number.values()):
                 await pending.done.set()
@@ -147,7 +154,7 @@
                     data = b"".join(self._queue)
                     self._queue.clear()
                     await self._sock.sendall(data)
-                    self.queued_bytes -= len(data)
+                    self._count_queued(-len(data))
                     self._metrics.count(const.METRIC_SENT_BYTES, len(data))
         except OSError:
             return
--- a/bitterntiller/components/links/const.py
+++ b/bitterntiller/components/links/const.py
@@ -2,8 +2,10 @@
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 MAX_HANDSHAKE_BYTES = 4096
-MAX_QUEUED_BYTES = 16 * 1024 * 1024
 MAX_CALLS_PER_CONNECTION = 2000
+SMALL_CALL_BYTES = 4096
+"""A call of up to this size is handled whatever the others hold."""
+
 LENGTH_BYTES = 4
 NONCE_BYTES = 32
 READ_BYTES = 65536
@@ -44,6 +46,7 @@
 METRIC_MALFORMED = "links.malformed"
 METRIC_HANDLER_ERROR = "links.handler_error"
 METRIC_QUEUE_FULL = "links.queue_full"
+METRIC_BUSY = "links.busy"
 METRIC_SILENT = "links.silent"
 METRIC_SENT_BYTES = "links.sent_bytes"
 METRIC_RECEIVED_BYTES = "links.received_bytes"
--- a/bitterntiller/components/links/coordinator.py
+++ b/bitterntiller/components/links/coordinator.py
@@ -7,6 +7,7 @@
 from absl import logging
 
 from bitterntiller.components.links import const, handshake
+from bitterntiller.components.links.budget import LinkBudget
 from bitterntiller.components.links.connection import Connection
 from bitterntiller.components.links.errors import (
     HandshakeError,
@@ -16,7 +17,7 @@
 )
 from bitterntiller.components.links.frames import pack
 from bitterntiller.components.links.models import Incoming, Peer
-from bitterntiller.components.settings.models import Address
+from bitterntiller.components.settings.models import Address, Limits
 from bitterntiller.core.clock import Clock
 from bitterntiller.core.errors import BrokenInvariantError
 from bitterntiller.core.interfaces import MessageHandler, Metrics, StreamHandler
@@ -53,8 +54,10 @@
         key: bytes,
         clock: Clock,
         metrics: Metrics,
+        limits: Limits | None = None,
     ) -> None:
         self.own = own
+        self.budget = LinkBudget(limits or Limits())
         self._listen = listen
         self._key = key
         self._clock = clock
@@ -66,7 +69,6 @@
         self._attempts_by_address: dict[str, ConnectAttempt] = {}
         self._failed_at_by_address: dict[str, float] = {}
         self._running_by_connection: dict[Connection, curio.Task] = {}
-        self._open_connections: set[Connection] = set()
         self._runtime: Runtime | None = None
         self._disconnect_listeners: list[Callable[[], Awaitable[None]]] = []
 
@@ -148,16 +150,6 @@
             if connection.open
         }
 
-    @property
-    def queued_bytes(self) -> int:
-        """Bytes that wait to be written to peers."""
-        return sum(connection.queued_bytes for connection in self._open_connections)
-
-    @property
-    def calls_bytes(self) -> int:
-        """Bytes of peers' calls that are handled now."""
-        return sum(connection.calls_bytes for connection in self._open_connections)
-
     def incarnation(self, host: str) -> str:
         """Return which process of a host connected last, empty if none has."""
         return self._incarnation_by_host.get(host, "")
@@ -188,7 +180,7 @@
         if peer.purpose:
             await self._async_serve_stream(sock, peer)
             return
-        connection = Connection(sock, peer, self._async_incoming, self._metrics)
+        connection = self._make_connection(sock, peer)
         await self._async_store(peer.address, connection)
         await self._async_run(connection)
 
@@ -223,11 +215,11 @@
             await attempt.settled.set()
 
     async def _async_run(self, connection: Connection) -> None:
-        self._open_connections.add(connection)
+        self.budget.connections += 1
         try:
             await connection.async_run()
         finally:
-            self._open_connections.discard(connection)
+            self.budget.connections -= 1
             address = connection.peer.address
             self._running_by_connection.pop(connection, None)
             if self._connections_by_address.get(address) is connection:
@@ -274,7 +266,10 @@
 
     async def _async_open(self, address: str) -> Connection:
         sock, peer = await self._async_dial(address, self.own)
-        return Connection(sock, peer, self._async_incoming, self._metrics)
+        return self._make_connection(sock, peer)
+
+    def _make_connection(self, sock: curio.io.Socket, peer: Peer) -> Connection:
+        return Connection(sock, peer, self._async_incoming, self._metrics, self.budget)
 
     async def _async_dial(
         self, address: str, own: Peer
@@ -295,13 +290,15 @@
         if not incoming.call:
             await self._async_handle(connection.peer.host, incoming.message)
             return
-        if connection.calls_running >= const.MAX_CALLS_PER_CONNECTION:
+        is_full = connection.calls_running >= const.MAX_CALLS_PER_CONNECTION
+        if is_full or not self.budget.may_call(incoming.size):
+            self._metrics.count(const.METRIC_BUSY)
             fault = messages.Fault(code=const.FAULT_BUSY, text="too many calls")
             connection.send(fault, incoming.call, reply=True)
             await connection.async_flush_soon()
             return
         connection.calls_running += 1
-        connection.calls_bytes += incoming.size
+        self.budget.calls_bytes += incoming.size
         await curio.spawn(self._async_answer, connection, incoming, daemon=True)
 
     async def _async_answer(self, connection: Connection, incoming: Incoming) -> None:
@@ -312,7 +309,7 @@
                 await connection.async_flush_soon()
         finally:
             connection.calls_running -= 1
-            connection.calls_bytes -= incoming.size
+            self.budget.calls_bytes -= incoming.size
 
     async def _async_handle(self, host: str, message: Any) -> Any:
         handler = self._handlers_by_type.get(type(message))
--- a/bitterntiller/daemon/process.py
+++ b/bitterntiller/daemon/process.py
@@ -63,7 +63,12 @@
     runtime = Runtime(settings, clock, statsd)
     own = Peer(settings.host, runtime.incarnation, str(settings.listen.peer_address))
     runtime.links = LinkCoordinator(
-        own, settings.listen.internal, settings.keys.internal, clock, statsd
+        own,
+        settings.listen.internal,
+        settings.keys.internal,
+        clock,
+        statsd,
+        settings.limits,
     )
     return runtime
 
--- a/tests/components/links/test_unending_peers.py
+++ b/tests/components/links/test_unending_peers.py
@@ -9,10 +9,12 @@
 import pytest
 
 from bitterntiller.components.links import handshake
+from bitterntiller.components.links.budget import LinkBudget
 from bitterntiller.components.links.connection import Connection
 from bitterntiller.components.links.errors import HandshakeError
 from bitterntiller.components.links.frames import pack
 from bitterntiller.components.links.models import Peer
+from bitterntiller.components.settings.models import Limits
 from bitterntiller.protocol import messages
 from tests.components.entry.fakes import FakeMetrics
 from tests.components.links.builders import KEY
@@ -30,6 +32,10 @@
 handles 16 of them."""
 
 
+def make_connection(sock: Any, async_handle: Any) -> Connection:
+    return Connection(sock, PEER, async_handle, FakeMetrics(), LinkBudget(Limits()))
+
+
 @pytest.mark.parametrize("frames", [1, 50])
 def test_messages_without_end_are_handled_in_turn_with_other_tasks(frames):
     """A host that sends without pause stops the one that receives."""
@@ -42,7 +48,7 @@
                 turns_by_message.append(counter.turns)
 
             sock = EndlessSocket(counter, b"", CANCEL * frames)
-            connection = Connection(sock, PEER, async_handle, FakeMetrics())
+            connection = make_connection(sock, async_handle)
             async with curio.ignore_after(SECONDS):
                 await connection.async_run()
                 return False
@@ -112,7 +118,7 @@
 
     async def async_main() -> bool:
         sock = curio.io.Socket(near)
-        connection = Connection(sock, PEER, async_handle, FakeMetrics())
+        connection = make_connection(sock, async_handle)
         busy = await curio.spawn(async_be_busy)
         running = await curio.spawn(connection.async_run)
         began = time.monotonic()
