Refuse what control can't hold: long bodies, and many at the same time

Callers would see: control hosts killed over their memory by configurations of a megabyte that decode to 35 MB for each copy, by many long bodies at the same time (512 connections of 8 MB each), or by many readers of a long configuration; and, by a body between 4 and 8 MB, the link to the leader ended with all calls on it, again with each copy that the operator sent.

Cause: the memory of a decoded document, of the changes decided at once and of the bodies at a port had no bound in bytes; the control port and the operator port took longer bodies than a link carries.

A body over the 1 MB of a configuration gets 413 at any host. A link refuses a message that is longer than a frame, and its other calls go on.

The estimate is at least what tracemalloc shows for nine kinds of documents.

--- a/bitterntiller/components/control/const.py
+++ b/bitterntiller/components/control/const.py
@@ -15,6 +15,9 @@
 FULL_TEXT = "earlier changes wait for the disks of control; send this one again later"
 """Text of the reply to a change that was not proposed, as there is no room."""
 
+BUSY_TEXT = "too many long changes are decided now; send this one again later"
+"""Text of the reply to a change that was not looked at, as others take the memory."""
+
 CLAIM_TAKEN = "taken"
 CLAIM_RUNNING = "running"
 CLAIM_FINISHED = "finished"
@@ -134,6 +137,9 @@
 lose their leases.
 """
 
+MAX_DECODED_BYTES = 32 * MAX_CONFIG_BYTES
+"""Memory of a decoded configuration where the budget of the process isn't known."""
+
 MAX_CONFIG_DEPTH = 200
 """Levels of objects and lists in a stored configuration.
 
--- a/bitterntiller/components/control/coordinator.py
+++ b/bitterntiller/components/control/coordinator.py
@@ -13,6 +13,7 @@
 from bitterntiller.components.control.confirm import ConfirmationBatcher
 from bitterntiller.components.control.const import (
     ACTION_FIND,
+    BUSY_TEXT,
     CHANGE_WAIT_FRACTION,
     CLAIM_ORPHANED,
     CLAIM_RUNNING,
@@ -74,7 +75,11 @@
         self._copies = ConfigCopies(self._budget.copies)
         self._confirm = ConfirmationBatcher(log, CONFIRM_TIMEOUT)
         self._proposer = Proposer(log, self._make_command)
-        self._changes = PendingChanges(self._async_decide_change)
+        self._changes = PendingChanges(
+            self._async_decide_change,
+            self._budget.changes,
+            lambda: self._change_reply(STATUS_FULL, BUSY_TEXT),
+        )
         self._term: LeaderTerm | None = None
         self._ordered_versions_only = runtime.settings.rollouts.ordered_only
         self.state = state
@@ -123,7 +128,7 @@
         add("control.patches", lambda: configuration.patches_bytes, MAX_CONFIG_BYTES)
         add("control.outcomes", lambda: configuration.outcomes_bytes)
         add("control.copies", lambda: self._copies.bytes, self._budget.copies)
-        add("control.changes", lambda: self._changes.bytes)
+        add("control.changes", lambda: self._changes.bytes, self._budget.changes)
 
     async def async_transfer_leadership(self) -> None:
         """Transfer leadership to another host before this one stops.
@@ -251,9 +256,10 @@
 
     async def _async_find_change_error(self, change: Any) -> str:
         """Validate a change, a large one in a thread so that heartbeats don't wait."""
+        limit = self._budget.document
         if len(change.config) <= LARGE_CONFIG_BYTES:
-            return find_change_error(change, self._parse)
-        return await curio.run_in_thread(find_change_error, change, self._parse)
+            return find_change_error(change, self._parse, limit)
+        return await curio.run_in_thread(find_change_error, change, self._parse, limit)
 
     def _change_reply(self, status: str, text: str = "") -> Any:
         version = self.state.configuration.version
--- a/bitterntiller/components/control/pending_changes.py
+++ b/bitterntiller/components/control/pending_changes.py
@@ -10,6 +10,7 @@
     MAX_ACCEPTED_CHANGES,
     STATUS_ACCEPTED,
 )
+from bitterntiller.core.document_size import max_decoded_bytes
 from bitterntiller.core.timeouts import ignore_after
 
 Decide = Callable[[Any], Awaitable[Any]]
@@ -27,19 +28,24 @@
 class PendingChanges:
     """Decides each change once, however often it is sent meanwhile.
 
+    Beyond max_bytes of memory for all of them, further changes get the reply that full
+    returns; one is decided in any case.
+
     An operator that gets no response in time sends a change again, to any host. If each
     copy were validated and appended to the log, a change that takes longer than the
     operator waits would take even longer with each copy.
     """
 
-    def __init__(self, decide: Decide) -> None:
+    def __init__(self, decide: Decide, max_bytes: int, full: Callable[[], Any]) -> None:
         self._decide = decide
+        self._max_bytes = max_bytes
+        self._full = full
         self._pending_by_key: dict[bytes, _Pending] = {}
         self._accepted: dict[bytes, Any] = {}
 
     @property
     def bytes(self) -> int:
-        """Size of the documents of the changes that are decided now."""
+        """Memory of the configurations that are decided now, once decoded."""
         return sum(pending.size for pending in self._pending_by_key.values())
 
     async def async_reply(self, change: Any, wait: float) -> Any:
@@ -50,7 +56,10 @@
             return accepted
         pending = self._pending_by_key.get(key)
         if pending is None:
-            pending = self._pending_by_key[key] = _Pending(len(change.config))
+            size = max_decoded_bytes(change.config)
+            if self._pending_by_key and self.bytes + size > self._max_bytes:
+                return self._full()
+            pending = self._pending_by_key[key] = _Pending(size)
             await curio.spawn(self._async_decide, key, change, pending, daemon=True)
         async with ignore_after(wait):
             await pending.done.wait()
--- a/bitterntiller/components/entry/server.py
+++ b/bitterntiller/components/entry/server.py
@@ -3,13 +3,13 @@
 from collections.abc import Callable
 
 from bitterntiller.components.entry.coordinator import EntryCoordinator
-from bitterntiller.components.http.buffered import async_serve_buffered
+from bitterntiller.components.http.buffered import BodyBudget, async_serve_buffered
 from bitterntiller.components.http.exchange import Exchange
 from bitterntiller.components.http.models import RequestHandler
 from bitterntiller.components.http.server import HttpServer, ServerLimits
 from bitterntiller.components.node.coordinator import NodeCoordinator
 from bitterntiller.components.settings.models import Address
-from bitterntiller.components.upstreams.const import MAX_BODY_BYTES
+from bitterntiller.components.upstreams.const import BODY_MEMORY_PARTS, MAX_BODY_BYTES
 from bitterntiller.core.runtime import Runtime
 
 PATH_HEALTH = "/healthz"
@@ -35,6 +35,11 @@
         self._coordinator = coordinator
         self._announcements = announcements
         self._body_timeout = timings.body
+        self._bodies = BodyBudget(limits.memory_bytes // BODY_MEMORY_PARTS)
+        bodies = self._bodies
+        runtime.memory.add(
+            "entry.announcements", lambda: bodies.held_bytes, bodies.max_bytes
+        )
         self._server = HttpServer(
             runtime.settings.listen.caller,
             ServerLimits(
@@ -62,7 +67,11 @@
             await self._async_ready(exchange)
         elif path == PATH_ANNOUNCE:
             await async_serve_buffered(
-                exchange, self._announcements, MAX_BODY_BYTES, self._body_timeout
+                exchange,
+                self._announcements,
+                MAX_BODY_BYTES,
+                self._body_timeout,
+                self._bodies,
             )
         else:
             await self._coordinator.pipeline.async_serve(exchange)
--- a/bitterntiller/components/links/connection.py
+++ b/bitterntiller/components/links/connection.py
@@ -65,6 +65,10 @@
         if not self.open:
             return False
         data = pack(message, call, reply)
+        if len(data) > const.MAX_FRAME_BYTES + const.LENGTH_BYTES:
+            # The peer would close the connection, with all calls that wait on it.
+            self._metrics.count(const.METRIC_TOO_LONG)
+            return False
         # A peer that reads too slowly would otherwise fill this host's memory. Dropping
         # a message is safe, since all messages can be repeated.
         if not self._budget.may_queue(self.queued_bytes, len(data)):
--- a/bitterntiller/components/operator/__init__.py
+++ b/bitterntiller/components/operator/__init__.py
@@ -1,6 +1,6 @@
 """The operator port: configuration, state dump, control, rollouts and crashes."""
 
-from bitterntiller.components.http.buffered import async_serve_buffered
+from bitterntiller.components.http.buffered import BodyBudget, async_serve_buffered
 from bitterntiller.components.http.exchange import Exchange
 from bitterntiller.components.http.server import HttpServer, ServerLimits
 from bitterntiller.components.operator import const
@@ -42,9 +42,13 @@
         write_timeout=timings.caller_write,
     )
 
+    budget = BodyBudget(settings.limits.memory_bytes // const.BODY_MEMORY_PARTS)
+    held_bytes = (lambda: budget.held_bytes, budget.max_bytes)
+    runtime.memory.add("operator.bodies", *held_bytes)
+
     async def async_exchange(exchange: Exchange) -> None:
         await async_serve_buffered(
-            exchange, coordinator, const.MAX_BODY_BYTES, timings.body
+            exchange, coordinator, const.MAX_BODY_BYTES, timings.body, budget
         )
 
     server = HttpServer(
--- a/bitterntiller/components/operator/const.py
+++ b/bitterntiller/components/operator/const.py
@@ -1,5 +1,7 @@
 """Constants of the operator port."""
 
+from bitterntiller.components.control.const import MAX_CONFIG_BYTES
+
 PATH_CONFIG = "/v1/config"
 PATH_STATE = "/v1/state"
 PATH_CONTROL = "/v1/control"
@@ -34,7 +36,12 @@
 STATUS_UNAUTHORIZED = "unauthorized"
 STATUS_UNKNOWN = "unknown"
 
-MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_BODY_BYTES = MAX_CONFIG_BYTES
+"""A longer one would not fit a frame to the leader, and end the link to it."""
+
+BODY_MEMORY_PARTS = 16
+"""The port's bodies may take one of so many parts of the memory of the process."""
+
 MAX_HEAD_BYTES = 32 * 1024
 MAX_CONNECTIONS = 64
 MAX_QUERY_TOKENS = 10_000_000
--- a/bitterntiller/components/upstreams/const.py
+++ b/bitterntiller/components/upstreams/const.py
@@ -19,6 +19,9 @@
 
 STATES = ("ready", "leaving")
 MAX_BODY_BYTES = 1024 * 1024
+BODY_MEMORY_PARTS = 16
+"""Announcements may take one of so many parts of the memory of the process."""
+
 MAX_CACHE_EVENTS = 10_000
 MAX_COUNT = 2**31 - 1
 MAX_NUMBER = 2**63 - 1
--- a/tests/cli/builders.py
+++ b/tests/cli/builders.py
@@ -8,7 +8,7 @@
 import curio
 
 from bitterntiller.cli.operator_client import OperatorResponse
-from bitterntiller.components.http.buffered import async_serve_buffered
+from bitterntiller.components.http.buffered import BodyBudget, async_serve_buffered
 from bitterntiller.components.http.exchange import Exchange
 from bitterntiller.components.http.server import HttpServer, ServerLimits
 from bitterntiller.components.settings.models import Address
@@ -43,7 +43,8 @@
     stop = curio.UniversalEvent()
 
     async def async_exchange(exchange: Exchange):
-        await async_serve_buffered(exchange, handler, 1 << 20, 5.0)
+        budget = BodyBudget(8 << 20)
+        await async_serve_buffered(exchange, handler, 1 << 20, 5.0, budget)
 
     async def async_main():
         limits = ServerLimits(32768, 10, 5.0, 5.0, 5.0)
--- a/tests/components/control/test_memory.py
+++ b/tests/components/control/test_memory.py
@@ -2,11 +2,19 @@
 
 import json
 import random
+import tracemalloc
+
+import curio
+import pytest
 
 from bitterntiller.components.control.config_copies import ConfigCopies
 from bitterntiller.components.control.configuration import ConfigurationState
+from bitterntiller.components.control.pending_changes import PendingChanges
+from bitterntiller.components.control.validate import find_change_error
+from bitterntiller.core.document_size import max_decoded_bytes
 from bitterntiller.protocol import messages
 
+COUNT = 20_000
 ROUTES = 500
 
 
@@ -73,3 +81,74 @@
         version=before.version, digest=before.digest, offset=0
     )
     assert small.part(request).data
+
+
+DOCUMENTS = {
+    "empty dicts": [{} for _ in range(COUNT)],
+    "lists in lists": [[[[]]] for _ in range(COUNT)],
+    "dicts with a key each": [{f"k{n}": n} for n in range(COUNT)],
+    "one dict": {f"k{n}": n + 0.5 for n in range(COUNT)},
+    "one dict that has just grown": {f"k{n}": {} for n in range(87_383)},
+    "short strings": [f"s{n}" for n in range(COUNT)],
+    "strings with accents": ["\u00e9" * 3 + str(n) for n in range(COUNT)],
+    "strings four bytes wide": ["\U0001f600" + "a" * 50 + str(n) for n in range(COUNT)],
+    "dicts of eleven": [dict.fromkeys("abcdefghijk", 10**6) for _ in range(COUNT)],
+}
+
+
+@pytest.mark.parametrize("ascii_only", [True, False])
+@pytest.mark.parametrize("name", DOCUMENTS)
+def test_decoding_takes_no_more_memory_than_estimated(name, ascii_only):
+    text = json.dumps(DOCUMENTS[name], ensure_ascii=ascii_only, separators=(",", ":"))
+    data = text.encode()
+    tracemalloc.start()
+    try:
+        decoded = json.loads(data)
+        peak = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    assert decoded
+    assert peak <= max_decoded_bytes(data)
+
+
+def test_configuration_that_takes_too_much_memory_is_refused():
+    """A megabyte of empty lists was accepted and took 35 MB for each copy."""
+    change = numbered(1, 1, more=[[[[]]] for _ in range(100_000)])
+    error = find_change_error(change, lambda document, version: None, 18 * 2**20)
+    assert "bytes of memory" in error
+    small = numbered(1, 1000)
+    limit = 18 * 2**20
+    assert find_change_error(small, lambda document, version: None, limit) == ""
+
+
+def test_changes_that_are_decided_at_once_are_bounded_in_bytes():
+    """Each change that was decided took memory, however many there were."""
+    decided = []
+
+    async def run():
+        released = curio.Event()
+
+        async def decide(change):
+            decided.append(change.number)
+            await released.wait()
+            return messages.ChangeReply(status="accepted", version=1, text="")
+
+        def full():
+            return messages.ChangeReply(status="full", version=0, text="later")
+
+        changes = [numbered(n, ROUTES) for n in range(1, 11)]
+        limit = 3 * max_decoded_bytes(changes[0].config) + 1000
+        pending = PendingChanges(decide, limit, full)
+        tasks = [
+            await curio.spawn(pending.async_reply, change, 5.0) for change in changes
+        ]
+        await curio.sleep(0.05)
+        assert pending.bytes <= limit
+        assert (await pending.async_reply(changes[9], 0.1)).status == "full"
+        await released.set()
+        statuses = [(await task.join()).status for task in tasks]
+        assert statuses == ["accepted"] * 3 + ["full"] * 7
+        assert (await pending.async_reply(changes[9], 5.0)).status == "accepted"
+
+    curio.run(run)
+    assert decided == [1, 2, 3, 10]
--- a/tests/components/links/test_coordinator.py
+++ b/tests/components/links/test_coordinator.py
@@ -325,3 +325,26 @@
     nonce = bytes(const.NONCE_BYTES)
     other = peer._replace(purpose="tunnel")
     assert handshake.proof(KEY, nonce, peer) != handshake.proof(KEY, nonce, other)
+
+
+def test_message_longer_than_a_frame_ends_no_other_call():
+    """An operator's body of 5 MB, passed on to the leader, ended the link to it."""
+
+    async def async_main() -> None:
+        async def async_answer(host: str, message: Any) -> Any:
+            await curio.sleep(0.2)
+            return messages.ConfigPart(status="ok", data=b"")
+
+        request = messages.GetConfigPart(version=1, digest=1, offset=0)
+        async with serving("a") as (a, _), serving("b") as (b, _):
+            b.handle(messages.GetConfigPart, async_answer)
+            call = await curio.spawn(a.async_call, b.own.address, request, 2.0)
+            await curio.sleep(0.05)
+            long = messages.Change(
+                change_id="", base_version=0, config=b"x" * 5_000_000
+            )
+            with pytest.raises(LinkUnreachableError):
+                await a.async_call(b.own.address, long, 1.0)
+            assert (await call.join()).status == "ok"
+
+    run(async_main)
