--- a/bench/routed/score.py
+++ b/bench/routed/score.py
@@ -31,7 +31,8 @@
     Fractions are between 0 and 1. refused_late are requests refused after more than an
     eighth of their objective; back_served were served by a retry after a refusal. sizes
     has for each kind the fractions served of its largest tenth and of all its requests;
-    largest is the minimum ratio of the two. held is the mean time in seconds that
+    largest is the minimum ratio of the two. worth_by_kind is the worth earned over the
+    worth owed of each kind. held is the mean time in seconds that
     refused attempts waited. slot_seconds are the seconds for which requests occupied
     slots, by kind and outcome.
     """
@@ -39,6 +40,7 @@
     worth: float
     worst_windows: float
     worst_kind: float
+    worth_by_kind: dict[str, float]
     in_time: float
     late: float
     refused: float
@@ -83,12 +85,16 @@
         for key, fraction in earned_fractions.items()
         if key[0] == "window" and owed[key] > min_owed
     )
+    worth_by_kind = {
+        kind: fraction
+        for (key, kind), fraction in earned_fractions.items()
+        if key == "kind"
+    }
     return RunScore(
         worth=earned_fractions["all", ""],
         worst_windows=sum(window_fractions[:WORST_WINDOWS]) / WORST_WINDOWS,
-        worst_kind=min(
-            fraction for key, fraction in earned_fractions.items() if key[0] == "kind"
-        ),
+        worst_kind=min(worth_by_kind.values()),
+        worth_by_kind=worth_by_kind,
         in_time=ends["in-time"] / count,
         late=ends["late"] / count,
         refused=ends["refused"] / count,
--- a/bitterntiller/components/dispatch/const.py
+++ b/bitterntiller/components/dispatch/const.py
@@ -32,8 +32,8 @@
 DEFAULT_HEADROOM = 0.1
 DEFAULT_OPTIMISM = 0.4
 DEFAULT_LOWER_SHARE = 0.05
-"""Fraction of the slots that each lower tier gets before the tiers above it, so that a
-long overload by higher tiers starves no tier."""
+"""Fraction of the slots that each lower tier may get before the tiers above it, so that
+a long overload by higher tiers starves no tier."""
 
 DEFAULT_MAX_WAITING = 50_000
 DEFAULT_SAMPLES = 4
--- a/bitterntiller/components/dispatch/grant_loop.py
+++ b/bitterntiller/components/dispatch/grant_loop.py
@@ -5,6 +5,7 @@
 from bitterntiller.components.dispatch.const import MAX_SKIPS
 from bitterntiller.components.dispatch.jobs import Job
 from bitterntiller.components.dispatch.lifecycle import JobLifecycle
+from bitterntiller.components.dispatch.lower_shares import LowerShares
 from bitterntiller.components.dispatch.models import Basis, Decision, Granted
 from bitterntiller.components.dispatch.picker import (
     PickResult,
@@ -28,8 +29,7 @@
 
     blocked are the groups whose head could not be placed on any upstream. They are
     skipped until an upstream gets capacity or until the next housekeeping, so that
-    arrivals at a full pool cost nothing. Each tier below the most important one may
-    hold lower_share of the slots ahead of the tiers above it.
+    arrivals at a full pool cost nothing.
     """
 
     def __init__(
@@ -41,7 +41,7 @@
         wait_estimator: WaitEstimator,
         refusals: Refusals,
         blocked: set[tuple],
-        lower_share: float,
+        lower_shares: LowerShares,
     ) -> None:
         self._pool = pool
         self._queue = queue
@@ -50,14 +50,15 @@
         self._wait_estimator = wait_estimator
         self._refusals = refusals
         self._blocked = blocked
-        self._lower_share = lower_share
+        self._lower_shares = lower_shares
 
     def decide(self, now: float, decisions: list[Decision]) -> None:
         """Grant the head of the queue as long as an upstream is free."""
         self._unblock_freed()
         skips = 0
         while self._jobs.waiting and self._any_free(now) and skips < MAX_SKIPS:
-            job = self._next_job()
+            job = self._lower_shares.next_job(self._blocked, now)
+            job = job or self._queue.head(self._blocked)
             if job is None:
                 return
             pick = self._picker.pick(job, self._pool.view(job), now)
@@ -90,19 +91,12 @@
         self._pool.freed.clear()
         self._blocked.clear()
 
-    def _next_job(self) -> Job | None:
-        """Return the next request: of a tier below its share, or the queue's head."""
-        for rank in self._pool.ranks_below_share(self._lower_share):
-            job = self._queue.head_of(rank, self._blocked)
-            if job is not None:
-                return job
-        return self._queue.head(self._blocked)
-
     def _grant(self, job: Job, pick: PickResult, now: float) -> Granted:
         request, upstream = job.request, pick.upstream
         assert upstream is not None
         self._jobs.grant(job, pick, now)
         self._wait_estimator.add_grant(job, now)
+        self._lower_shares.served.record_grant(job.rank, now)
         return Granted(
             request.request_id,
             request.entry_host,
--- a/bitterntiller/components/dispatch/models.py
+++ b/bitterntiller/components/dispatch/models.py
@@ -392,7 +392,8 @@
     order names an Ordering, and fair enables fair queueing between workspaces. ageing
     is the number of seconds of waiting that outweigh one second of expected service. At
     most max_waiting requests wait. Each tier below the most important one may use
-    lower_share of the slots before the tiers above it.
+    lower_share of the slots before the tiers above it while it is not served more often
+    than these.
 
     A request with more than long_factor times the mean work is long. Long requests hold
     at most the fraction long_slots of an upstream's slots, and long prefills run on at
--- a/bitterntiller/components/dispatch/scheduler.py
+++ b/bitterntiller/components/dispatch/scheduler.py
@@ -25,6 +25,7 @@
 from bitterntiller.components.dispatch.isolation import Isolation, NoCrashes
 from bitterntiller.components.dispatch.jobs import Job, JobState
 from bitterntiller.components.dispatch.lifecycle import JobLifecycle
+from bitterntiller.components.dispatch.lower_shares import LowerShares
 from bitterntiller.components.dispatch.model_updater import ModelUpdater
 from bitterntiller.components.dispatch.models import (
     DEFAULT_PARAMETERS,
@@ -106,8 +107,11 @@
         self._isolation = Isolation(crashes or NoCrashes(), self._pool)
         self._picker = UpstreamPicker(parameters, self._pool, rng, self._isolation)
         self._wait_deadlines = WaitDeadlines(parameters, self._pool, self._picker)
+        self._lower_shares = LowerShares(
+            self._pool, self._queue, parameters.lower_share
+        )
         self._wait_estimator = WaitEstimator(
-            self._pool, self._queue, self._limiter, rng, parameters.lower_share
+            self._pool, self._queue, self._limiter, rng, self._lower_shares
         )
         self._shedder = Shedder(
             parameters, self._queue, self._wait_estimator, self._pool
@@ -137,7 +141,7 @@
             self._wait_estimator,
             self._refusals,
             self._blocked,
-            parameters.lower_share,
+            self._lower_shares,
         )
 
     def register(self, request: WaitingRequest, now: float) -> list[Decision]:
@@ -180,6 +184,7 @@
             job, self._pool.view(job), now
         )
         self._wait_estimator.add_offer(job, now)
+        self._lower_shares.served.record_arrival(job.rank, now)
         refused = self._refusals.check_arrival(job, now)
         if refused is not None:
             decisions.append(refused)
--- a/bitterntiller/components/dispatch/wait_estimator.py
+++ b/bitterntiller/components/dispatch/wait_estimator.py
@@ -5,6 +5,7 @@
 from typing import Self
 
 from bitterntiller.components.dispatch.jobs import Job
+from bitterntiller.components.dispatch.lower_shares import LowerShares
 from bitterntiller.components.dispatch.pool import Pool
 from bitterntiller.components.dispatch.queue import PoolQueue
 from bitterntiller.components.dispatch.rate_meters import (
@@ -30,8 +31,7 @@
 class WaitEstimator:
     """Estimates waits from the queued work, its arrival rate and its drain rate.
 
-    Work is in seconds of expected service on an average upstream. lower_share is the
-    share of the slots that each tier below the most important one has for itself.
+    Work is in seconds of expected service on an average upstream.
     """
 
     def __init__(
@@ -40,9 +40,9 @@
         queue: PoolQueue,
         limiter: WorkspaceLimiter,
         rng: random.Random,
-        lower_share: float = 0.0,
+        lower_shares: LowerShares,
     ) -> None:
-        self._lower_share = lower_share
+        self._lower_shares = lower_shares
         self._pool = pool
         self._queue = queue
         self._limiter = limiter
@@ -116,11 +116,9 @@
         own = min(own, tier.overlapping_work(job.group_key))
         left = max(capacity - arriving, MIN_SHARE * capacity)
         wait = ahead / capacity + own / left
-        share = 0.0 if job.demoted else self._lower_share
-        if not share or not self._pool.tiers_above(job.rank):
+        if not self._lower_shares.is_due(job, now):
             return wait
-        # A lower tier gets its share whatever waits above it; demoted requests don't.
-        return min(wait, own / (share * capacity))
+        return min(wait, own / (self._lower_shares.share * capacity))
 
     def retry_after(self, rank: int, now: float) -> float:
         """Return after how many seconds a refused caller of a tier should retry.
--- /dev/null
+++ b/tests/components/dispatch/test_lower_shares.py
@@ -0,0 +1,74 @@
+"""Shares of the slots that lower tiers get ahead of the tiers above them."""
+
+from collections import Counter
+
+from bitterntiller.components.dispatch import REGISTERED_PARAMETERS
+from bitterntiller.components.dispatch.models import Decision, Granted
+from bitterntiller.components.dispatch.scheduler import PoolScheduler
+
+from .builders import completion, request, upstream
+
+NOW = 1000.0
+SLOTS = 40
+STEP_SECONDS = 0.05
+STEPS_BY_RANK = {0: 40, 1: 10, 2: 1}
+"""How many steps a request of each tier runs for."""
+
+
+class Burst:
+    """A pool that is full of its most important tier, more of which waits.
+
+    In each step a request of each tier arrives.
+    """
+
+    def __init__(self) -> None:
+        self.scheduler = PoolScheduler(REGISTERED_PARAMETERS)
+        self.scheduler.announce(upstream(slots=SLOTS, kv_tokens=10_000_000), NOW)
+        self.granted: Counter[int] = Counter()
+        self._ends_by_step: dict[int, list[str]] = {}
+        self._step = 0
+        self._number = 0
+
+    def play(self, steps: int) -> None:
+        """Fill the slots, one in each step, then play some steps."""
+        for step in range(SLOTS + steps):
+            self._step = step
+            for name in self._ends_by_step.pop(step, ()):
+                done = completion(name, output_tokens=1)
+                self._start(self.scheduler.finished(done, self._now))
+            ranks = (0, 1, 2) if step >= SLOTS else (0, 0)
+            for rank in ranks:
+                self._arrive(rank)
+
+    @property
+    def _now(self) -> float:
+        return NOW + STEP_SECONDS * self._step
+
+    def _arrive(self, rank: int) -> None:
+        self._number += 1
+        asked = request(
+            f"{rank}-{self._number}",
+            tier_rank=rank,
+            output_tokens=1,
+            arrived=self._now,
+            deadline=self._now + 60,
+        )
+        self._start(self.scheduler.register(asked, self._now))
+
+    def _start(self, decisions: list[Decision]) -> None:
+        for decision in decisions:
+            if not isinstance(decision, Granted):
+                continue
+            rank = int(decision.request_id[0])
+            self.granted[rank] += 1
+            self.scheduler.started(decision.request_id, self._now)
+            end = self._step + STEPS_BY_RANK[rank]
+            self._ends_by_step.setdefault(end, []).append(decision.request_id)
+
+
+def test_lowest_tier_does_not_get_what_a_middle_one_lacks():
+    """Guards against a burst in which short requests pass those of a higher tier."""
+    burst = Burst()
+    burst.play(400)
+    assert burst.granted[2] > 20
+    assert burst.granted[1] >= burst.granted[2] - 2
