--- a/tests/components/dispatch/test_return_times.py
+++ b/tests/components/dispatch/test_return_times.py
@@ -7,6 +7,7 @@
 
 from bitterntiller.components.dispatch.const import UNEVEN_OFF, UNEVEN_ON, UNEVEN_STATED
 from bitterntiller.components.dispatch.jobs import Job
+from bitterntiller.components.dispatch.lower_shares import LowerShares
 from bitterntiller.components.dispatch.models import (
     Granted,
     RefusalBasis,
@@ -27,7 +28,11 @@
 
 NOW = 1000.0
 DECISIONS_BEFORE = "8144bd41ab8dbcf36309644d5b8facdd18da41c33999775905d66e4be6ab3364"
-"""Digest of the decisions of d54ddfb, the last commit without booked retries."""
+"""Digest of the decisions of d54ddfb, the last commit without booked retries, in which
+the share of a lower tier was always due."""
+
+DECISIONS = "85037b7b6587ccb8301b3061cf0a5638655633d3641394b3731f917c57fc6ec7"
+"""Digest of the same decisions with LowerShares."""
 
 SEEDS = (1, 2, 3)
 BASE_LOAD = 0.7
@@ -141,8 +146,19 @@
     assert sum(caller.served for caller in told) >= 0.9 * len(told)
 
 
-def test_no_decision_changes_while_the_parts_are_off():
+def always_due(shares: LowerShares, asked: Job, _now: float) -> bool:
+    """Return whether a lower tier gets its share, as before LowerShares."""
+    return shares.share > 0 and not asked.demoted and asked.rank > 0
+
+
+@pytest.mark.parametrize(
+    ("is_due", "digest"),
+    [(always_due, DECISIONS_BEFORE), (LowerShares.is_due, DECISIONS)],
+    ids=["before", "now"],
+)
+def test_no_decision_changes_while_the_parts_are_off(monkeypatch, is_due, digest):
     """Guards against changed grants, refusals or times of pools without the switch."""
+    monkeypatch.setattr(LowerShares, "is_due", is_due)
     load = Load(engines=9, uneven=UNEVEN_OFF, seed=4)
     load.run(3.0)
     load.factors = [BURST_LOAD] * 3
@@ -152,13 +168,13 @@
     load.take_over()
     load.factors = [1.0] * 3
     load.run(3.0)
-    digest = hashlib.sha256()
+    found = hashlib.sha256()
     for decision in load.decisions:
         granted = isinstance(decision, Granted)
         name = decision.upstream if granted else decision.reason
         seconds = 0 if granted else round(decision.retry_after, 6)
-        digest.update(f"{decision.request_id} {name} {seconds}\n".encode())
-    assert digest.hexdigest() == DECISIONS_BEFORE
+        found.update(f"{decision.request_id} {name} {seconds}\n".encode())
+    assert found.hexdigest() == digest
     assert all(
         item.basis.retry is None for item in load.decisions if isinstance(item, Refused)
     )
