--- a/bitterntiller/components/dispatch/lower_shares.py
+++ b/bitterntiller/components/dispatch/lower_shares.py
@@ -1,5 +1,8 @@
 """Shares of the slots that lower tiers get ahead of the tiers above them."""
 
+from copy import copy, deepcopy
+from typing import Self
+
 from bitterntiller.components.dispatch.jobs import Job
 from bitterntiller.components.dispatch.pool import Pool
 from bitterntiller.components.dispatch.queue import PoolQueue, groups_overlap
@@ -22,6 +25,12 @@
         self.share = share
         self.served = ServedFractions()
 
+    def copy(self) -> Self:
+        """Return shares that are read without a change to these measurements."""
+        found = copy(self)
+        found.served = deepcopy(self.served)
+        return found
+
     def next_job(self, blocked: set[tuple[float, tuple]], now: float) -> Job | None:
         """Return the next request of a tier that holds less than its share, or None."""
         for rank in self._pool.ranks_below_share(self.share):
--- a/tests/components/dispatch/test_lower_shares.py
+++ b/tests/components/dispatch/test_lower_shares.py
@@ -1,5 +1,6 @@
 """Shares of the slots that lower tiers get ahead of the tiers above them."""
 
+import pickle
 from collections import Counter
 from itertools import pairwise
 
@@ -86,3 +87,14 @@
     for above, below in pairwise(lower):
         assert burst.granted[below] > 10
         assert burst.granted[above] >= burst.granted[below] - 2
+
+
+def test_query_of_a_placement_leaves_the_shares_as_they_are():
+    """Guards against an operator's query that changes a later decision by rounding."""
+    burst = Burst({0: 40, 1: 10, 2: 1})
+    burst.play(50)
+    shares = burst.scheduler._lower_shares
+    before = pickle.dumps(shares.served)
+    asked = request("asked", tier_rank=2, deadline=NOW + 60)
+    burst.scheduler.explain_placement(asked, NOW + 10)
+    assert pickle.dumps(shares.served) == before
