--- a/bitterntiller/components/dispatch/served_fractions.py
+++ b/bitterntiller/components/dispatch/served_fractions.py
@@ -2,9 +2,9 @@
 
 from bitterntiller.components.dispatch.rate_meters import RateMeter
 
-WINDOW_SECONDS = 5.0
-"""Time constant of the counts: long enough for some requests of a rare tier, short
-enough to follow a burst."""
+WINDOW_SECONDS = 2.0
+"""Time constant of the counts. With 5 s, refusals of a burst that was over still
+withheld the share of a tier, and its requests were refused while others were served."""
 
 PRIOR_REQUESTS = 1.0
 """Number of granted requests that a tier without recent ones is taken to have had."""
