--- a/bitterntiller/components/dispatch/lower_shares.py
+++ b/bitterntiller/components/dispatch/lower_shares.py
@@ -25,7 +25,7 @@
         self.share = share
         self.served = ServedFractions()
 
-    def copy(self) -> Self:
+    def read_only_copy(self) -> Self:
         """Return shares that are read without a change to these measurements."""
         found = copy(self)
         found.served = deepcopy(self.served)
--- a/bitterntiller/components/dispatch/wait_estimator.py
+++ b/bitterntiller/components/dispatch/wait_estimator.py
@@ -66,7 +66,7 @@
         found._queue = queue
         # Reading a meter rounds its decayed sum, which could change a later decision.
         found._arrivals_by_rank = deepcopy(self._arrivals_by_rank)
-        found._lower_shares = self._lower_shares.copy()
+        found._lower_shares = self._lower_shares.read_only_copy()
         return found
 
     def add_arrival(self, job: Job, now: float) -> None:
